Set up the repository and the shapes of the parts

Cause: nothing stood here yet. The shapes of each part's events and actions come first so that the parts and the daemons that host them can be built side by side.

--- /dev/null
+++ b/src/parts/SeededRandom.ts
@@ -0,0 +1,22 @@
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
+import { uniformInt } from 'pure-rand/distribution/uniformInt'
+import type { Random } from './Types.js'
+
+const RANGE = 0x7fffffff
+
+/** A repeatable source of random numbers. */
+export class SeededRandom implements Random {
+  private readonly generator
+
+  /**
+   * @param seed Whole number; the same seed gives the same sequence.
+   */
+  public constructor (seed: number) {
+    this.generator = xoroshiro128plus(seed)
+  }
+
+  /** Returns the next number in [0, 1). */
+  public next (): number {
+    return uniformInt(this.generator, 0, RANGE - 1) / RANGE
+  }
+}
--- /dev/null
+++ b/src/parts/quarantine/Types.ts
@@ -0,0 +1,30 @@
+import type { CallId, Incarnation, InstanceId, NodeId } from '../Types.js'
+
+/** Hash of what makes a request the same request: method, target and body. */
+export type Fingerprint = string
+
+/** One suspicion or verdict, as nodes pass it on. */
+export interface CrashReport {
+  readonly fingerprint: Fingerprint
+  readonly node: NodeId
+  readonly incarnation: Incarnation
+  /** Grows with each report of the node's incarnation; makes repeated reports count once. */
+  readonly sequence: number
+}
+
+/** Events of the quarantine table. */
+export type QuarantineEvent =
+  | { readonly type: 'dispatched', readonly call: CallId, readonly instance: InstanceId, readonly fingerprint: Fingerprint }
+  | { readonly type: 'finished', readonly call: CallId }
+  /** The instance crashed with all its dispatched calls in flight. */
+  | { readonly type: 'crashed', readonly instance: InstanceId }
+  | { readonly type: 'reported', readonly report: CrashReport }
+  | { readonly type: 'ask', readonly call: CallId, readonly fingerprint: Fingerprint }
+  | { readonly type: 'tick' }
+
+/** Actions of the quarantine table. */
+export type QuarantineAction =
+  | { readonly type: 'allow', readonly call: CallId }
+  | { readonly type: 'refuse', readonly call: CallId, readonly retryAfterMs: number }
+  | { readonly type: 'report', readonly report: CrashReport }
+  | { readonly type: 'quarantined', readonly fingerprint: Fingerprint, readonly untilMs: number }
