--- /dev/null
+++ b/src/platform/AdminServer.ts
@@ -0,0 +1,63 @@
+import { createServer } from 'node:http'
+import type { Server } from 'node:http'
+import express from 'express'
+import type { Express, Request, Response } from 'express'
+import { parseAddress } from './Address.js'
+import type { Disposable } from './Types.js'
+
+/** Health of a process as its admin surface tells it. */
+export interface Health {
+  readonly ok: boolean
+  /** Why it is not ok. */
+  readonly reason?: string
+}
+
+/** What every process shows. */
+export interface AdminSource {
+  /** Health now. */
+  health (): Health
+  /** A bounded dump of the state: no bodies, no secrets. */
+  state (): object
+}
+
+const MAX_ADMIN_BODY = '2mb'
+
+/** Admin surface of a process: `GET /health`, `GET /state` and what the process adds to `app`. */
+export class AdminServer implements Disposable {
+  /** Routes of the process are added here before `listen`. */
+  public readonly app: Express
+  private readonly server: Server
+
+  public constructor (source: AdminSource) {
+    this.app = express()
+    this.app.disable('x-powered-by')
+    this.app.use(express.json({ limit: MAX_ADMIN_BODY }))
+    this.app.get('/health', (_request: Request, response: Response) => {
+      const health = source.health()
+      response.status(health.ok ? 200 : 503).json({ status: health.ok ? 'ok' : 'failing', reason: health.reason })
+    })
+    this.app.get('/state', (_request: Request, response: Response) => { response.json(source.state()) })
+    this.server = createServer(this.app)
+  }
+
+  /**
+   * Starts to listen.
+   * @param address `host:port`; port 0 takes a free one.
+   * @returns The address in use.
+   */
+  public async listen (address: string): Promise<string> {
+    const { host, port } = parseAddress(address)
+    await new Promise<void>((resolve, reject) => {
+      this.server.once('error', reject)
+      this.server.listen(port, host, resolve)
+    })
+    const bound = this.server.address()
+    return typeof bound === 'object' && bound !== null ? `${host}:${bound.port}` : address
+  }
+
+  /** Ends the listener and its connections. */
+  public dispose (): void {
+    this.server.close()
+    this.server.closeAllConnections()
+  }
+}
--- /dev/null
+++ b/src/platform/Emitter.ts
@@ -0,0 +1,31 @@
+import type { Disposable } from './Types.js'
+
+/** A typed event: listeners are called in the order in which they were added. */
+export class Emitter<T> implements Disposable {
+  private listeners: Array<(value: T) => void> = []
+
+  /**
+   * Adds a listener.
+   * @param listener Called with each value.
+   * @returns Removes the listener when disposed.
+   */
+  public readonly event = (listener: (value: T) => void): Disposable => {
+    this.listeners.push(listener)
+    return { dispose: () => this.remove(listener) }
+  }
+
+  /** Calls all listeners. */
+  public fire (value: T): void {
+    // A listener may dispose itself while it runs; `remove` replaces the array, so this loop is safe.
+    for (const listener of this.listeners) listener(value)
+  }
+
+  /** Drops all listeners. */
+  public dispose (): void {
+    this.listeners = []
+  }
+
+  private remove (listener: (value: T) => void): void {
+    this.listeners = this.listeners.filter(other => other !== listener)
+  }
+}
--- /dev/null
+++ b/src/platform/FrameChannel.test.ts
@@ -0,0 +1,82 @@
+import { Buffer } from 'node:buffer'
+import { connect } from 'node:net'
+import fc from 'fast-check'
+import { expect, test } from 'vitest'
+import { SeededRandom } from '../parts/SeededRandom.js'
+import { parseAddress } from './Address.js'
+import { FrameClient } from './FrameClient.js'
+import { FrameDecoder, FrameTooLong } from './FrameDecoder.js'
+import { FrameServer } from './FrameServer.js'
+import { SystemClock } from './SystemClock.js'
+
+interface Note { readonly type: 'note', readonly number: number, readonly bytes: Uint8Array }
+
+function frameOf (body: Uint8Array): Buffer {
+  const frame = Buffer.alloc(4 + body.length)
+  frame.writeUInt32BE(body.length)
+  frame.set(body, 4)
+  return frame
+}
+
+test('frames survive any cut of the stream', () => {
+  fc.assert(fc.property(
+    fc.array(fc.uint8Array({ maxLength: 40 }), { minLength: 1, maxLength: 8 }),
+    fc.array(fc.integer({ min: 1, max: 50 }), { minLength: 1 }),
+    (bodies, cuts) => {
+      const stream = Buffer.concat(bodies.map(frameOf))
+      const decoder = new FrameDecoder(1000)
+      const seen: Buffer[] = []
+      let at = 0
+      for (let i = 0; at < stream.length; i++) {
+        const size = cuts[i % cuts.length] as number
+        decoder.push(stream.subarray(at, at + size), frame => seen.push(Buffer.from(frame)))
+        at += size
+      }
+      expect(seen.map(frame => frame.toString('hex'))).toEqual(bodies.map(body => Buffer.from(body).toString('hex')))
+    }
+  ), { seed: 1, numRuns: 300 })
+})
+
+test('too long a frame is refused', () => {
+  const decoder = new FrameDecoder(10)
+  expect(() => decoder.push(frameOf(new Uint8Array(11)), () => {})).toThrow(FrameTooLong)
+})
+
+test('messages arrive in order and the client connects again', async () => {
+  const clock = new SystemClock()
+  const server = new FrameServer<Note, Note>(clock)
+  const address = await server.listen('127.0.0.1:0')
+  const client = new FrameClient<Note, Note>(address, clock, new SeededRandom(1))
+  server.onChannel(channel => { channel.onMessage(note => { channel.send(note) }) })
+  for (let round = 0; round < 2; round++) {
+    const connected = new Promise<void>(resolve => client.onChannel(() => resolve()))
+    client.start()
+    await connected
+    const numbers: number[] = []
+    const done = new Promise<void>(resolve => {
+      client.channel?.onMessage(note => {
+        numbers.push(note.number)
+        if (numbers.length === 50) resolve()
+      })
+    })
+    for (let number = 0; number < 50; number++) client.channel?.send({ type: 'note', number, bytes: new Uint8Array(number * 1000) })
+    await done
+    expect(numbers).toEqual(Array.from({ length: 50 }, (_, number) => number))
+    const lost = new Promise<void>(resolve => client.onLoss(() => resolve()))
+    client.channel?.destroy('test')
+    await lost
+  }
+  client.dispose()
+  server.dispose()
+})
+
+test('a bad frame ends only its own connection', async () => {
+  const server = new FrameServer<Note, Note>(new SystemClock())
+  const address = await server.listen('127.0.0.1:0')
+  const closed = new Promise<string>(resolve => server.onChannel(channel => { channel.onClose(resolve) }))
+  const socket = connect(parseAddress(address))
+  socket.write(Buffer.from([0xff, 0xff, 0xff, 0xff]))
+  expect(await closed).toContain('longer than the limit')
+  socket.destroy()
+  server.dispose()
+})
--- /dev/null
+++ b/src/platform/JsonLog.ts
@@ -0,0 +1,36 @@
+import { pino } from 'pino'
+import type { Logger } from 'pino'
+import type { Log, LogFields } from './Types.js'
+
+/** Levels that settings may name. */
+export type LogLevel = 'debug' | 'info' | 'warn' | 'error' | 'silent'
+
+/** Log lines as JSON on standard output. */
+export class JsonLog implements Log {
+  private readonly logger: Logger
+
+  /**
+   * @param process Name of the program, for example `sassafras-node`.
+   * @param id Id of the process in the mesh.
+   * @param level Lines below it are dropped.
+   */
+  public constructor (process: string, id: string, level: LogLevel) {
+    this.logger = pino({ level, base: { process, id }, timestamp: pino.stdTimeFunctions.isoTime })
+  }
+
+  public debug (fields: LogFields, message: string): void {
+    this.logger.debug(fields, message)
+  }
+
+  public info (fields: LogFields, message: string): void {
+    this.logger.info(fields, message)
+  }
+
+  public warn (fields: LogFields, message: string): void {
+    this.logger.warn(fields, message)
+  }
+
+  public error (fields: LogFields, message: string): void {
+    this.logger.error(fields, message)
+  }
+}
--- /dev/null
+++ b/src/platform/Supervisor.test.ts
@@ -0,0 +1,60 @@
+import { expect, test } from 'vitest'
+import { Supervisor } from './Supervisor.js'
+import type { RestartRule } from './Supervisor.js'
+import type { Log } from './Types.js'
+
+const QUIET: Log = { debug () {}, info () {}, warn () {}, error () {} }
+
+async function settle (): Promise<void> {
+  for (let i = 0; i < 10; i++) await Promise.resolve()
+}
+
+function build (rule: RestartRule): { supervisor: Supervisor, starts: () => number, fail: () => void, failures: Error[] } {
+  const failures: Error[] = []
+  let starts = 0
+  let failChild: (error: Error) => void = () => {}
+  const clock = { nowMs: () => starts, wallMs: () => 0 }
+  const supervisor = new Supervisor({ name: 'root', maxRestarts: 2, withinMs: 1000 }, clock, QUIET, error => { failures.push(error) })
+  void supervisor.add({
+    name: 'child',
+    rule,
+    start: fail => {
+      starts++
+      failChild = fail
+      return { stop: () => {} }
+    }
+  })
+  return { supervisor, starts: () => starts, fail: () => failChild(new Error('broken')), failures }
+}
+
+test('a failing child is restarted up to the limit, then its parent fails', async () => {
+  const { starts, fail, failures } = build('restart')
+  for (let round = 1; round <= 2; round++) {
+    fail()
+    await settle()
+    expect(starts()).toBe(round + 1)
+  }
+  fail()
+  await settle()
+  expect(starts()).toBe(3)
+  expect(failures.map(error => error.message)).toEqual(['broken'])
+})
+
+test('a child that must not lose state takes the process down at once', async () => {
+  const { starts, fail, failures } = build('stop-process')
+  fail()
+  await settle()
+  expect(starts()).toBe(1)
+  expect(failures).toHaveLength(1)
+})
+
+test('children stop in reverse order', async () => {
+  const stopped: string[] = []
+  const clock = { nowMs: () => 0, wallMs: () => 0 }
+  const supervisor = new Supervisor({ name: 'root', maxRestarts: 1, withinMs: 1 }, clock, QUIET, () => {})
+  for (const name of ['first', 'second']) {
+    await supervisor.add({ name, rule: 'restart', start: () => ({ stop: () => { stopped.push(name) } }) })
+  }
+  await supervisor.stop()
+  expect(stopped).toEqual(['second', 'first'])
+})
--- /dev/null
+++ b/src/platform/Supervisor.ts
@@ -0,0 +1,117 @@
+import type { Clock, Disposable, Log } from './Types.js'
+
+/** How a supervisor treats a child that fails. */
+export type RestartRule = 'restart' | 'stop-process'
+
+/** A running child. */
+export interface Child {
+  /** Ends the child; resolves when it holds nothing any more. */
+  stop (): Promise<void> | void
+}
+
+/** How to start a child. `fail` may be called at any time after the start. */
+export interface ChildSpec {
+  readonly name: string
+  readonly rule: RestartRule
+  start (fail: (error: Error) => void): Promise<Child> | Child
+}
+
+/** Limits on restarts. */
+export interface SupervisorOptions {
+  readonly name: string
+  readonly maxRestarts: number
+  readonly withinMs: number
+}
+
+interface Slot {
+  readonly spec: ChildSpec
+  child: Child | undefined
+  restarts: number[]
+}
+
+/**
+ * Starts children in order and stops them in reverse. A child that fails is started again up to a limit;
+ * past it, or when its rule says so, the supervisor itself fails.
+ */
+export class Supervisor implements Disposable {
+  private readonly slots: Slot[] = []
+  private stopping = false
+
+  /**
+   * @param onFailure Called once when the supervisor gives up.
+   */
+  public constructor (
+    private readonly options: SupervisorOptions,
+    private readonly clock: Clock,
+    private readonly log: Log,
+    private readonly onFailure: (error: Error) => void
+  ) {}
+
+  /**
+   * Starts a child and keeps it running.
+   * @throws What the child's first start throws.
+   */
+  public async add (spec: ChildSpec): Promise<void> {
+    const slot: Slot = { spec, child: undefined, restarts: [] }
+    this.slots.push(slot)
+    await this.startSlot(slot)
+  }
+
+  /** Names and restarts of all children, for the state dump. */
+  public describe (): ReadonlyArray<{ readonly name: string, readonly running: boolean, readonly restarts: number }> {
+    return this.slots.map(slot => ({
+      name: `${this.options.name}/${slot.spec.name}`,
+      running: slot.child !== undefined,
+      restarts: slot.restarts.length
+    }))
+  }
+
+  /** Stops all children, the last started first. */
+  public async stop (): Promise<void> {
+    this.stopping = true
+    for (const slot of this.slots.slice().reverse()) {
+      const child = slot.child
+      slot.child = undefined
+      await child?.stop()
+    }
+  }
+
+  /** Stops without waiting. */
+  public dispose (): void {
+    void this.stop()
+  }
+
+  private async startSlot (slot: Slot): Promise<void> {
+    let failed = false
+    slot.child = await slot.spec.start(error => {
+      if (failed) return
+      failed = true
+      this.handleFailure(slot, error)
+    })
+  }
+
+  private handleFailure (slot: Slot, error: Error): void {
+    if (this.stopping) return
+    this.log.error({ child: slot.spec.name, error: error.message }, 'child failed')
+    const now = this.clock.nowMs()
+    slot.restarts = slot.restarts.filter(at => now - at < this.options.withinMs)
+    slot.restarts.push(now)
+    if (slot.spec.rule === 'stop-process' || slot.restarts.length > this.options.maxRestarts) {
+      this.stopping = true
+      this.onFailure(error)
+      return
+    }
+    void this.restart(slot)
+  }
+
+  private async restart (slot: Slot): Promise<void> {
+    const child = slot.child
+    slot.child = undefined
+    try {
+      await child?.stop()
+      await this.startSlot(slot)
+    } catch (error) {
+      this.handleFailure(slot, error as Error)
+    }
+  }
+}
