--- a/src/platform/Supervisor.test.ts
+++ b/src/platform/Supervisor.test.ts
@@ -9,13 +9,20 @@
   for (let i = 0; i < 10; i++) await Promise.resolve()
 }
 
-function build (rule: RestartRule): { supervisor: Supervisor, starts: () => number, fail: () => void, failures: Error[] } {
+interface Setup {
+  readonly starts: () => number
+  readonly fail: () => void
+  readonly failures: Error[]
+}
+
+async function build (rule: RestartRule): Promise<Setup> {
   const failures: Error[] = []
   let starts = 0
   let failChild: (error: Error) => void = () => {}
   const clock = { nowMs: () => starts, wallMs: () => 0 }
-  const supervisor = new Supervisor({ name: 'root', maxRestarts: 2, withinMs: 1000 }, clock, QUIET, error => { failures.push(error) })
-  void supervisor.add({
+  const options = { name: 'root', maxRestarts: 2, withinMs: 1000 }
+  const supervisor = new Supervisor(options, clock, QUIET, error => { failures.push(error) })
+  await supervisor.add({
     name: 'child',
     rule,
     start: fail => {
@@ -24,11 +31,11 @@
       return { stop: () => {} }
     }
   })
-  return { supervisor, starts: () => starts, fail: () => failChild(new Error('broken')), failures }
+  return { starts: () => starts, fail: () => failChild(new Error('broken')), failures }
 }
 
 test('a failing child is restarted up to the limit, then its parent fails', async () => {
-  const { starts, fail, failures } = build('restart')
+  const { starts, fail, failures } = await build('restart')
   for (let round = 1; round <= 2; round++) {
     fail()
     await settle()
@@ -41,7 +48,7 @@
 })
 
 test('a child that must not lose state takes the process down at once', async () => {
-  const { starts, fail, failures } = build('stop-process')
+  const { starts, fail, failures } = await build('stop-process')
   fail()
   await settle()
   expect(starts()).toBe(1)
--- a/src/platform/Supervisor.ts
+++ b/src/platform/Supervisor.ts
@@ -78,7 +78,7 @@
 
   /** Stops without waiting. */
   public dispose (): void {
-    void this.stop()
+    this.stop().catch((error: Error) => this.log.error({ error: error.message }, 'stop failed'))
   }
 
   private async startSlot (slot: Slot): Promise<void> {
@@ -101,7 +101,7 @@
       this.onFailure(error)
       return
     }
-    void this.restart(slot)
+    this.restart(slot).catch((error: Error) => this.onFailure(error))
   }
 
   private async restart (slot: Slot): Promise<void> {
