Load settings from TOML and report every finding at once

A settings file with several faults must be told in one go, each with its place and what was expected. zod reports all issues; SettingsFile turns them into findings, with smol-toml's line for syntax errors.

--- /dev/null
+++ b/src/control/ControlSettings.ts
@@ -0,0 +1,78 @@
+/** Settings of `sassafras-control`, read from one TOML file. */
+import { z } from 'zod'
+import { address, byteCount, durationMs, log, metrics, name, place } from '../platform/SettingsSchemas.js'
+
+/** Values for what the file leaves out. */
+export const CONTROL_DEFAULTS = {
+  timing: {
+    tickMs: 10,
+    electionMinMs: 300,
+    electionMaxMs: 600,
+    heartbeatMs: 50,
+    /** How long a leader may answer after a quorum last heard it; below `electionMinMs`. */
+    leaseMs: 250
+  },
+  records: {
+    capacity: 100_000,
+    /** How long a finished record is kept. */
+    horizonMs: 86_400_000,
+    /** Longest answer that is kept whole. */
+    maxAnswerBytes: 65_536
+  }
+} as const
+
+const timing = z.strictObject({
+  tickMs: durationMs.default(CONTROL_DEFAULTS.timing.tickMs),
+  electionMinMs: durationMs.default(CONTROL_DEFAULTS.timing.electionMinMs),
+  electionMaxMs: durationMs.default(CONTROL_DEFAULTS.timing.electionMaxMs),
+  heartbeatMs: durationMs.default(CONTROL_DEFAULTS.timing.heartbeatMs),
+  leaseMs: durationMs.default(CONTROL_DEFAULTS.timing.leaseMs)
+}).superRefine((values, context) => {
+  requireBelow(context, values, 'electionMinMs', 'electionMaxMs')
+  requireBelow(context, values, 'heartbeatMs', 'electionMinMs')
+  requireBelow(context, values, 'leaseMs', 'electionMinMs')
+  requireBelow(context, values, 'tickMs', 'heartbeatMs')
+}).prefault({})
+
+const records = z.strictObject({
+  capacity: z.number().int().min(1).default(CONTROL_DEFAULTS.records.capacity),
+  horizonMs: durationMs.default(CONTROL_DEFAULTS.records.horizonMs),
+  maxAnswerBytes: byteCount.default(CONTROL_DEFAULTS.records.maxAnswerBytes)
+}).prefault({})
+
+/** What the file of a control replica must hold. */
+export const controlSettings = z.strictObject({
+  id: name,
+  place,
+  listen: z.strictObject({
+    /** For nodes and for the other replicas. */
+    peer: address,
+    /** For operators. */
+    admin: address
+  }),
+  /** The folder under which all files of the replica live. */
+  dataFolder: z.string().min(1),
+  /** The replicas that the group starts with, this one among them. */
+  replicas: z.array(z.strictObject({ id: name, address, admin: address })).min(1),
+  log,
+  metrics,
+  timing,
+  records
+})
+
+export type ControlSettings = z.output<typeof controlSettings>
+
+function requireBelow<Key extends string> (
+  context: z.RefinementCtx,
+  values: Readonly<Record<Key, number>>,
+  lower: NoInfer<Key>,
+  upper: NoInfer<Key>
+): void {
+  if (values[lower] < values[upper]) return
+  context.addIssue({
+    code: 'custom',
+    path: [lower],
+    message: `is ${values[lower]}, not below ${upper}`,
+    params: { expected: `less than ${upper} (${values[upper]})` }
+  })
+}
--- /dev/null
+++ b/src/platform/SettingsFile.ts
@@ -0,0 +1,135 @@
+/** Reads TOML files and checks them by a schema, with every finding reported at once. */
+import { readFileSync } from 'node:fs'
+import { parse, TomlError } from 'smol-toml'
+import type { z } from 'zod'
+import type { Finding } from '../parts/configuration/Types.js'
+import { Err, Ok } from './Results.js'
+import type { Result } from './Results.js'
+
+type Issue = z.core.$ZodIssue
+type Path = readonly PropertyKey[]
+
+/** Words for what a schema wanted, by the code of the issue. */
+const EXPECTATIONS: { readonly [Code in Issue['code']]?: (issue: Extract<Issue, { code: Code }>) => string } = {
+  invalid_type: issue => issue.expected === 'int' ? 'a whole number' : `a value of type ${issue.expected}`,
+  too_big: issue => `at most ${issue.maximum} ${unitOf(issue.origin)}`.trim(),
+  too_small: issue => `at least ${issue.minimum} ${unitOf(issue.origin)}`.trim(),
+  invalid_value: issue => `one of ${issue.values.map(value => JSON.stringify(value)).join(', ')}`,
+  unrecognized_keys: () => 'only the keys that the documentation lists',
+  invalid_format: issue => issue.message,
+  custom: issue => String(issue.params?.['expected'] ?? issue.message)
+}
+
+/** Words for what was found, by the code of the issue. */
+const PROBLEMS: { readonly [Code in Issue['code']]?: (issue: Extract<Issue, { code: Code }>, found: unknown) => string } = {
+  invalid_type: (_, found) => found === undefined ? 'is missing' : `is ${describe(found)}`,
+  unrecognized_keys: () => 'is not a known key',
+  custom: (issue, found) => issue.params?.['expected'] === undefined ? `is ${describe(found)}` : issue.message
+}
+
+/** One TOML file with the schema that it must meet. */
+export class SettingsFile<Schema extends z.ZodType> {
+  private readonly file: string
+  private readonly schema: Schema
+
+  /**
+   * @param file Path of the TOML file; it appears in the place of each finding.
+   * @param schema What the file must hold; its defaults fill what the file leaves out.
+   */
+  public constructor (file: string, schema: Schema) {
+    this.file = file
+    this.schema = schema
+  }
+
+  /** Reads and checks the file. The error holds every finding; nothing is thrown. */
+  public load (): Result<z.output<Schema>, readonly Finding[]> {
+    try {
+      return this.check(readFileSync(this.file, 'utf8'))
+    } catch (error) {
+      return Err([{ place: this.file, problem: `can't be read: ${(error as Error).message}`, expected: 'a readable file' }])
+    }
+  }
+
+  /**
+   * Checks text as if it were the file's.
+   * @param text A TOML document.
+   */
+  public check (text: string): Result<z.output<Schema>, readonly Finding[]> {
+    let document: unknown
+    try {
+      document = parse(text)
+    } catch (error) {
+      return Err([this.syntaxFinding(error)])
+    }
+    const outcome = this.schema.safeParse(document)
+    if (outcome.success) return Ok(outcome.data)
+    return Err(outcome.error.issues.flatMap(issue => this.findingsOf(issue, document)))
+  }
+
+  private syntaxFinding (error: unknown): Finding {
+    if (!(error instanceof TomlError)) throw error
+    const summary = error.message.split('\n')[0] ?? ''
+    return {
+      place: `${this.file}:${error.line}:${error.column}`,
+      problem: summary.replace(/^Invalid TOML document: /, ''),
+      expected: 'a TOML 1.0 document'
+    }
+  }
+
+  private findingsOf (issue: Issue, document: unknown): Finding[] {
+    const paths = issue.code === 'unrecognized_keys' ? issue.keys.map(key => [...issue.path, key]) : [issue.path]
+    return paths.map(path => this.findingAt(path, issue, document))
+  }
+
+  private findingAt (path: Path, issue: Issue, document: unknown): Finding {
+    const found = valueAt(document, path)
+    const problem = PROBLEMS[issue.code] as ((issue: Issue, found: unknown) => string) | undefined
+    const expectation = EXPECTATIONS[issue.code] as ((issue: Issue) => string) | undefined
+    return {
+      place: path.length === 0 ? this.file : `${this.file}: ${keyPath(path)}`,
+      problem: found === undefined ? 'is missing' : (problem?.(issue, found) ?? `is ${describe(found)}`),
+      expected: expectation?.(issue) ?? issue.message
+    }
+  }
+}
+
+/**
+ * Writes findings as text for a person, one to a line.
+ * @param findings What is wrong, in the order of the file's schema.
+ */
+export function renderFindings (findings: readonly Finding[]): string {
+  const head = findings.length === 1 ? '1 finding:' : `${findings.length} findings:`
+  const lines = findings.map(({ place, problem, expected }) => `  ${place} ${problem}; expected ${expected}`)
+  return [head, ...lines].join('\n')
+}
+
+/**
+ * Writes a key path as operators write it, for example `services[2].deadlineMs`.
+ * @param path Keys and indexes from the root.
+ */
+export function keyPath (path: Path): string {
+  return path.reduce<string>((text, key) => {
+    if (typeof key === 'number') return `${text}[${key}]`
+    return text === '' ? String(key) : `${text}.${String(key)}`
+  }, '')
+}
+
+function valueAt (document: unknown, path: Path): unknown {
+  let value = document
+  for (const key of path) {
+    if (typeof value !== 'object' || value === null) return undefined
+    value = (value as Record<PropertyKey, unknown>)[key]
+  }
+  return value
+}
+
+function describe (found: unknown): string {
+  if (Array.isArray(found)) return `a list of ${found.length}`
+  if (typeof found === 'object') return 'a table'
+  return JSON.stringify(found)
+}
+
+function unitOf (origin: string): string {
+  if (origin === 'array') return 'entries'
+  return origin === 'string' ? 'characters' : ''
+}
