--- /dev/null
+++ b/src/node/upstreamside/UpstreamSide.ts
@@ -0,0 +1,238 @@
+import type { AdmissionController } from '../../parts/admission/AdmissionController.js'
+import type { AdmissionAction, AdmissionEvent, RunOutcome } from '../../parts/admission/Types.js'
+import type { QuarantineTable } from '../../parts/quarantine/QuarantineTable.js'
+import type { QuarantineAction, QuarantineEvent } from '../../parts/quarantine/Types.js'
+import type { CallId, Incarnation, LoadEvidence, NodeId } from '../../parts/Types.js'
+import { Emitter } from '../../platform/Emitter.js'
+import { PartTimer } from '../../platform/PartTimer.js'
+import type { Clock, Disposable, Log } from '../../platform/Types.js'
+import { DEFAULT_RETRY_AFTER_MS } from '../Constants.js'
+import type { CallHandle, CallRequest, CallSink, CallTarget, Refusal } from '../Types.js'
+import { CrashCheck } from './CrashCheck.js'
+import type { Announcement, RecordSender } from './Types.js'
+import { UpstreamClient } from './UpstreamClient.js'
+import { UpstreamRun } from './UpstreamRun.js'
+import type { RunHost } from './UpstreamRun.js'
+
+/** Connections and slots are those of the announcement; this is how many more calls may wait here in all. */
+const MAX_HELD_CALLS = 10_000
+
+const NO_HANDLE: CallHandle = { cancel: () => {}, grant: () => {} }
+
+type AdmissionHandlers = { [Type in AdmissionAction['type']]: (action: Extract<AdmissionAction, { type: Type }>) => void }
+
+/** What the upstream side is made of. */
+export interface UpstreamSideParts {
+  readonly node: NodeId
+  readonly incarnation: Incarnation
+  readonly clock: Clock
+  readonly log: Log
+  readonly admission: AdmissionController
+  readonly quarantine: QuarantineTable
+  readonly records: RecordSender
+  /** False while the node may not run guarded work, for want of a confirmed configuration. */
+  readonly mayRunGuarded: () => boolean
+}
+
+/**
+ * The only way in to the local upstream. It alone knows the calls in flight, so slots, queue, drain,
+ * quarantine and permission are enforced here. Holds at most `MAX_HELD_CALLS` calls.
+ */
+export class UpstreamSide implements CallTarget, RunHost, Disposable {
+  public readonly clock: Clock
+  public readonly node: NodeId
+  public readonly incarnation: Incarnation
+  public readonly records: RecordSender
+  public client: UpstreamClient | undefined
+  private readonly runs = new Map<CallId, UpstreamRun>()
+  private readonly quarantineEvents = new Emitter<QuarantineAction>()
+  private readonly emptied = new Emitter<void>()
+  private readonly timer: PartTimer
+  private readonly admissionHandlers: AdmissionHandlers
+  private announcement: Announcement | undefined
+  private crashCheck: CrashCheck | undefined
+  private lastCall = 0
+  private closing = false
+
+  public constructor (private readonly parts: UpstreamSideParts) {
+    this.clock = parts.clock
+    this.node = parts.node
+    this.incarnation = parts.incarnation
+    this.records = parts.records
+    this.timer = new PartTimer(parts.clock, () => this.stepAdmission({ type: 'tick' }))
+    this.admissionHandlers = {
+      start: action => this.runs.get(action.call)?.begin(),
+      refuse: action => this.runs.get(action.call)?.refuse({
+        disposition: 'not-run', reason: action.reason, retryAfterMs: action.retryAfterMs
+      }),
+      wake: action => this.timer.wakeAt(action.atMs),
+      drained: () => this.parts.log.info({}, 'upstream drained')
+    }
+  }
+
+  /** Fires with crash reports and verdicts that other nodes must hear of. */
+  public readonly onQuarantine = this.quarantineEvents.event
+
+  /** Fires whenever the last held call is done. */
+  public readonly onEmpty = this.emptied.event
+
+  /** Service of the local upstream, if there is one. */
+  public get service (): string | undefined {
+    return this.announcement?.service
+  }
+
+  /** Calls held here: queued, running, or with a record still to write. */
+  public get heldCalls (): number {
+    return this.runs.size
+  }
+
+  /** Takes the upstream's announcement: its address, slots and state. */
+  public setUpstream (announcement: Announcement): void {
+    const before = this.announcement
+    this.announcement = announcement
+    if (before?.address !== announcement.address || this.client === undefined) this.connect(announcement)
+    if (before?.slots !== announcement.slots) this.stepAdmission({ type: 'capacity', slots: announcement.slots })
+    const drains = announcement.state === 'draining'
+    if (drains && before?.state !== 'draining') this.drain()
+    if (!drains && before?.state === 'draining') this.resume()
+  }
+
+  /** The upstream fell silent or left; calls in flight may still end. */
+  public loseUpstream (): void {
+    this.announcement = undefined
+    this.client?.close()
+    this.client = undefined
+  }
+
+  /** Takes no new calls; those queued are refused as not run, those running finish. */
+  public drain (): void {
+    this.stepAdmission({ type: 'drain' })
+  }
+
+  /** Takes calls again. */
+  public resume (): void {
+    if (!this.closing) this.stepAdmission({ type: 'resume' })
+  }
+
+  /** Drains for good, before the process stops. */
+  public close (): void {
+    this.closing = true
+    this.drain()
+  }
+
+  /** Load to attach to answers. */
+  public evidence (): LoadEvidence {
+    return this.parts.admission.evidence()
+  }
+
+  /** Hears of a crash or verdict from another node. */
+  public takeQuarantine (event: QuarantineEvent): void {
+    this.stepQuarantine(event)
+  }
+
+  /** Takes a call for the local upstream. */
+  public start (request: CallRequest, sink: CallSink): CallHandle {
+    const refusal = this.findRefusal(request)
+    if (refusal !== undefined) {
+      sink.onRefused(refusal, this.evidence())
+      return NO_HANDLE
+    }
+    const call = ++this.lastCall
+    const run = new UpstreamRun(call, request, sink, this)
+    const verdict = this.stepQuarantine({ type: 'ask', call, fingerprint: request.fingerprint })
+    const refused = verdict.find(action => action.type === 'refuse')
+    if (refused?.type === 'refuse') {
+      sink.onRefused({ disposition: 'quarantined', reason: 'quarantined', retryAfterMs: refused.retryAfterMs }, this.evidence())
+      return NO_HANDLE
+    }
+    this.runs.set(call, run)
+    this.stepAdmission({ type: 'arrive', call, kind: request.kind, deadlineAtMs: run.deadlineAtMs })
+    return run
+  }
+
+  public createTimer (onWake: () => void): PartTimer {
+    return new PartTimer(this.clock, onWake)
+  }
+
+  public handleDispatch (run: UpstreamRun): void {
+    const { fingerprint, service } = run.request
+    this.stepQuarantine({ type: 'dispatched', call: run.call, instance: this.instanceOf(service), fingerprint })
+  }
+
+  public handleFinish (run: UpstreamRun, outcome: RunOutcome, serviceMs: number): void {
+    if (outcome === 'lost') this.checkCrash(run)
+    else this.stepQuarantine({ type: 'finished', call: run.call })
+    this.stepAdmission({ type: 'finish', call: run.call, outcome, serviceMs })
+  }
+
+  public handleWithdrawal (run: UpstreamRun): void {
+    this.stepAdmission({ type: 'cancel', call: run.call })
+  }
+
+  public handleDone (run: UpstreamRun): void {
+    if (this.runs.delete(run.call) && this.runs.size === 0) this.emptied.fire()
+  }
+
+  /** Bounded description for the state dump. */
+  public describe (): object {
+    return {
+      upstream: this.announcement ?? null,
+      heldCalls: this.runs.size,
+      running: [...this.runs.values()].filter(run => run.isRunning).length,
+      evidence: this.evidence(),
+      closing: this.closing
+    }
+  }
+
+  /** Ends all connections to the upstream at once. */
+  public dispose (): void {
+    this.timer.dispose()
+    this.client?.dispose()
+  }
+
+  private connect (announcement: Announcement): void {
+    this.client?.close()
+    this.client = new UpstreamClient(announcement.address, announcement.connections)
+    this.crashCheck = new CrashCheck(announcement.address)
+  }
+
+  private findRefusal (request: CallRequest): Refusal | undefined {
+    if (this.announcement?.service !== request.service) return refuseNotRun('no-upstream')
+    if (this.closing) return refuseNotRun('draining')
+    if (this.runs.size >= MAX_HELD_CALLS) return refuseNotRun('overloaded')
+    if (request.kind === 'guarded' && !this.parts.mayRunGuarded()) return refuseNotRun('stale-configuration')
+    return undefined
+  }
+
+  private instanceOf (service: string): string {
+    return `${service}/${this.node}`
+  }
+
+  // A lost connection is blamed on the requests in flight only if the upstream itself is gone.
+  private checkCrash (run: UpstreamRun): void {
+    const instance = this.instanceOf(run.request.service)
+    this.crashCheck?.run(crashed => {
+      if (crashed) this.stepQuarantine({ type: 'crashed', instance })
+      this.stepQuarantine({ type: 'finished', call: run.call })
+    })
+  }
+
+  private stepAdmission (event: AdmissionEvent): void {
+    for (const action of this.parts.admission.step(event, this.clock.nowMs())) {
+      const handler = this.admissionHandlers[action.type] as (action: AdmissionAction) => void
+      handler(action)
+    }
+  }
+
+  private stepQuarantine (event: QuarantineEvent): QuarantineAction[] {
+    const actions = this.parts.quarantine.step(event, this.clock.nowMs())
+    for (const action of actions) {
+      if (action.type === 'report' || action.type === 'quarantined') this.quarantineEvents.fire(action)
+    }
+    return actions
+  }
+}
+
+function refuseNotRun (reason: Refusal['reason']): Refusal {
+  return { disposition: 'not-run', reason, retryAfterMs: DEFAULT_RETRY_AFTER_MS }
+}
