--- /dev/null
+++ b/src/parts/choice/Constants.ts
@@ -0,0 +1,49 @@
+/** Constants of choosing an upstream. */
+
+/** Instances that a chooser weighs when a service has more than these. */
+export const SUBSET_SIZE = 16
+
+/** Members of a subset kept for instances of other availability zones. */
+export const SUBSET_ELSEWHERE = 6
+
+/** Round trip to an instance of the same availability zone. */
+export const SAME_ZONE_RTT_MS = 0.2
+
+/** Round trip to an instance of another availability zone of the region. */
+export const SAME_REGION_RTT_MS = 2
+
+/** Round trip to an instance of another region. */
+export const OTHER_REGION_RTT_MS = 30
+
+/** Service time assumed while nothing was answered yet. */
+export const DEFAULT_SERVICE_MS = 5
+
+/** Service times after which load evidence has lost most of its weight. */
+export const EVIDENCE_MEMORY_SERVICE_TIMES = 2
+
+/** Latency that a failed attempt is counted as, in service times. */
+export const FAILURE_COST_SERVICE_TIMES = 40
+
+/** Time for which a refusal without evidence makes an instance count as full. */
+export const REFUSED_MEMORY_MS = 20
+
+/** Weight of the newest service time in the mean over the service. */
+export const SERVICE_TIME_WEIGHT = 0.05
+
+/** Calls in flight allowed to an instance that has not answered yet. */
+export const UNPROVEN_IN_FLIGHT = 1
+
+/** Good answers after which an instance counts as warm. */
+export const WARM_ANSWERS = 16
+
+/** Expected latency of a cold instance over that of a warm one, before its first answer. */
+export const COLD_RATIO = 2
+
+/** Age of the newest evidence from which a probe is asked for. */
+export const PROBE_AFTER_MS = 1000
+
+/** Wait told to a caller when no instance can be chosen. */
+export const NONE_AVAILABLE_RETRY_MS = 100
+
+/** Shortest expected latency, so that ratios stay finite. */
+export const MIN_EXPECTED_MS = 0.05
--- /dev/null
+++ b/src/parts/choice/UpstreamChooser.ts
@@ -0,0 +1,277 @@
+import type { InstanceId, Part, Place, Random } from '../Types.js'
+import { OutlierDetector, isEjected } from '../detection/OutlierDetector.js'
+import type { DetectionAction, DetectionEvent } from '../detection/Types.js'
+import { CandidateLoad } from './CandidateLoad.js'
+import {
+  DEFAULT_SERVICE_MS, FAILURE_COST_SERVICE_TIMES, MIN_EXPECTED_MS, NONE_AVAILABLE_RETRY_MS, OTHER_REGION_RTT_MS,
+  PROBE_AFTER_MS, SAME_REGION_RTT_MS, SAME_ZONE_RTT_MS, SERVICE_TIME_WEIGHT, SUBSET_ELSEWHERE, SUBSET_SIZE
+} from './Constants.js'
+import { SubsetSelector } from './SubsetSelector.js'
+import type { AttemptOutcome, Candidate, ChoiceAction, ChoiceEvent } from './Types.js'
+
+type EventOf<T extends ChoiceEvent['type']> = Extract<ChoiceEvent, { type: T }>
+type Handlers = { readonly [T in ChoiceEvent['type']]: (event: EventOf<T>, nowMs: number) => ChoiceAction[] }
+
+/** Options of an upstream chooser. Durations in milliseconds. */
+export interface ChooserOptions {
+  readonly subsetSize: number
+  readonly subsetElsewhere: number
+  readonly sameZoneRttMs: number
+  readonly sameRegionRttMs: number
+  readonly otherRegionRttMs: number
+  readonly probeAfterMs: number
+}
+
+const DEFAULT_OPTIONS: ChooserOptions = {
+  subsetSize: SUBSET_SIZE,
+  subsetElsewhere: SUBSET_ELSEWHERE,
+  sameZoneRttMs: SAME_ZONE_RTT_MS,
+  sameRegionRttMs: SAME_REGION_RTT_MS,
+  otherRegionRttMs: OTHER_REGION_RTT_MS,
+  probeAfterMs: PROBE_AFTER_MS
+}
+
+/**
+ * Picks an instance for each call of one service at one ingress node, and always answers `choose` at once. It sends
+ * a call where the expected latency is lowest: round trip, service time, wait behind the load that is known of, and
+ * what the instance lately took beyond what was expected of it.
+ * Memory: one record for each instance of the subset and for each call in flight, and the list of candidates.
+ */
+export class UpstreamChooser implements Part<ChoiceEvent, ChoiceAction> {
+  private readonly detector = new OutlierDetector()
+  private readonly options: ChooserOptions
+  private readonly selector: SubsetSelector
+  private readonly handlers: Handlers = {
+    members: event => this.members(event),
+    choose: (event, nowMs) => this.choose(event, nowMs),
+    answered: (event, nowMs) => this.answered(event, nowMs),
+    evidence: (event, nowMs) => this.evidence(event, nowMs),
+    linkDown: (event, nowMs) => this.detect(event, nowMs),
+    linkUp: (event, nowMs) => this.detect(event, nowMs),
+    tick: (_event, nowMs) => this.tick(nowMs)
+  }
+
+  private readonly byInstance = new Map<InstanceId, CandidateLoad>()
+  private subset: CandidateLoad[] = []
+  private serviceMs = DEFAULT_SERVICE_MS
+
+  /**
+   * @param place Place of this ingress node.
+   * @param random Source of random numbers; also salts the subset.
+   * @param options What differs from the defaults.
+   */
+  public constructor (
+    private readonly place: Place,
+    private readonly random: Random,
+    options: Partial<ChooserOptions> = {}
+  ) {
+    this.options = { ...DEFAULT_OPTIONS, ...options }
+    const salt = Math.floor(random.next() * 0x7fffffff)
+    const { subsetSize, subsetElsewhere } = this.options
+    this.selector = new SubsetSelector(place, salt, { total: subsetSize, elsewhere: subsetElsewhere })
+  }
+
+  /**
+   * @param event What happened.
+   * @param nowMs Monotonic time in milliseconds.
+   */
+  public step (event: ChoiceEvent, nowMs: number): ChoiceAction[] {
+    const handler = this.handlers[event.type] as (event: ChoiceEvent, nowMs: number) => ChoiceAction[]
+    return handler(event, nowMs)
+  }
+
+  /** Calls in flight from this node to an instance, for the state dump. */
+  public inFlight (instance: InstanceId): number {
+    return this.byInstance.get(instance)?.inFlight() ?? 0
+  }
+
+  private members (event: EventOf<'members'>): ChoiceAction[] {
+    const usable = event.candidates.filter(candidate => candidate.state !== 'starting')
+    const chosen = this.selector.select(usable)
+    this.detector.step({ type: 'members', instances: chosen.map(candidate => candidate.instance) }, 0)
+    const kept = new Set(chosen.map(candidate => candidate.instance))
+    for (const instance of this.byInstance.keys()) {
+      if (!kept.has(instance)) {
+        this.byInstance.delete(instance)
+      }
+    }
+    this.subset = chosen.map(candidate => this.record(candidate))
+    return []
+  }
+
+  private record (candidate: Candidate): CandidateLoad {
+    const known = this.byInstance.get(candidate.instance)
+    if (known !== undefined) {
+      known.update(candidate)
+      return known
+    }
+    const vitals = this.detector.vitals(candidate.instance)
+    if (vitals === undefined) {
+      throw new Error(`detector does not know ${candidate.instance}`)
+    }
+    const created = new CandidateLoad(candidate, this.rttMs(candidate.place), vitals)
+    created.serviceMs = this.serviceMs
+    this.byInstance.set(candidate.instance, created)
+    return created
+  }
+
+  private rttMs (place: Place): number {
+    if (place.region !== this.place.region) {
+      return this.options.otherRegionRttMs
+    }
+    return place.zone === this.place.zone ? this.options.sameZoneRttMs : this.options.sameRegionRttMs
+  }
+
+  private choose (event: EventOf<'choose'>, nowMs: number): ChoiceAction[] {
+    const target = this.best(event.excluded, nowMs, false) ?? this.best(event.excluded, nowMs, true)
+    if (target === undefined) {
+      return [{
+        type: 'noneAvailable',
+        call: event.call,
+        reason: 'no-upstream',
+        retryAfterMs: NONE_AVAILABLE_RETRY_MS
+      }]
+    }
+    const expectedMs = this.expectedMs(target, this.meanOthersPerSlot(), nowMs)
+    target.sent(event.call, nowMs, expectedMs)
+    this.detector.step({ type: 'started', instance: target.instance }, nowMs)
+    return [{ type: 'chosen', call: event.call, instance: target.instance }]
+  }
+
+  /** The instance with the lowest cost; `anyHealth` also takes ejected and unproven ones, as a last resort. */
+  private best (excluded: readonly InstanceId[], nowMs: number, anyHealth: boolean): CandidateLoad | undefined {
+    const othersPerSlot = this.meanOthersPerSlot()
+    let best: CandidateLoad | undefined
+    let lowest = Number.POSITIVE_INFINITY
+    for (const candidate of this.subset) {
+      if (!isReachable(candidate) || excluded.includes(candidate.instance)) {
+        continue
+      }
+      if (!anyHealth && !this.isWelcome(candidate)) {
+        continue
+      }
+      const cost = this.cost(candidate, othersPerSlot, nowMs)
+      if (cost < lowest) {
+        lowest = cost
+        best = candidate
+      }
+    }
+    return best
+  }
+
+  private isWelcome (candidate: CandidateLoad): boolean {
+    if (isEjected(candidate.vitals)) {
+      return false
+    }
+    if (candidate.vitals.health === 'trial' && candidate.inFlight() > 0) {
+      return false
+    }
+    return candidate.withinRamp()
+  }
+
+  private cost (candidate: CandidateLoad, othersPerSlot: number, nowMs: number): number {
+    const expected = this.expectedMs(candidate, othersPerSlot, nowMs)
+    const slow = Math.max(1, candidate.vitals.slowness.ratio(nowMs))
+    const failing = candidate.vitals.failureShare * FAILURE_COST_SERVICE_TIMES * this.serviceMs
+    // Evidence is rough: equal or nearly equal instances are told apart at random, so that nodes do not act alike.
+    const jitter = 1 + 0.1 * this.random.next()
+    return (expected * slow + failing) * jitter
+  }
+
+  /** Round trip, wait and service at the load that is known of. */
+  private expectedMs (candidate: CandidateLoad, othersPerSlot: number, nowMs: number): number {
+    const load = candidate.load(othersPerSlot, nowMs)
+    const busy = Math.min(1, load / candidate.slots)
+    const wait = Math.max(0, load + 1 - candidate.slots) / candidate.slots + 0.2 * busy * busy
+    const service = candidate.serviceMs * candidate.coldRatio()
+    return Math.max(MIN_EXPECTED_MS, candidate.rttMs + service * (1 + wait))
+  }
+
+  private meanOthersPerSlot (): number {
+    let sum = 0
+    for (const candidate of this.subset) {
+      sum += candidate.othersPerSlot()
+    }
+    return sum / Math.max(1, this.subset.length)
+  }
+
+  private answered (event: EventOf<'answered'>, nowMs: number): ChoiceAction[] {
+    const candidate = this.byInstance.get(event.instance)
+    if (candidate === undefined) {
+      return []
+    }
+    const sent = candidate.ended(event.call)
+    if (event.evidence !== undefined) {
+      this.learn(candidate, event.evidence, nowMs)
+    } else if (event.outcome === 'refused') {
+      candidate.refused(nowMs)
+    }
+    if (event.outcome === 'ok' && sent !== undefined) {
+      candidate.goodAnswers += 1
+      candidate.vitals.slowness.answered(nowMs, event.latencyMs / sent.expectedMs)
+    }
+    if (sent === undefined) {
+      return []
+    }
+    return this.report(event.instance, event.outcome, event.latencyMs, nowMs)
+  }
+
+  private learn (candidate: CandidateLoad, evidence: EventOf<'evidence'>['evidence'], nowMs: number): void {
+    candidate.observe(evidence, nowMs)
+    this.serviceMs += SERVICE_TIME_WEIGHT * (candidate.serviceMs - this.serviceMs)
+  }
+
+  private report (
+    instance: InstanceId, outcome: AttemptOutcome, latencyMs: number, nowMs: number
+  ): ChoiceAction[] {
+    return this.detect({ type: 'outcome', instance, outcome, latencyMs }, nowMs)
+  }
+
+  private evidence (event: EventOf<'evidence'>, nowMs: number): ChoiceAction[] {
+    const candidate = this.byInstance.get(event.instance)
+    if (candidate !== undefined) {
+      this.learn(candidate, event.evidence, nowMs)
+    }
+    return []
+  }
+
+  private detect (event: DetectionEvent, nowMs: number): ChoiceAction[] {
+    return this.detector.step(event, nowMs).flatMap(action => fromDetection(action))
+  }
+
+  private tick (nowMs: number): ChoiceAction[] {
+    const actions = this.detect({ type: 'tick' }, nowMs)
+    const stale = this.stalest(nowMs)
+    if (stale !== undefined) {
+      actions.push({ type: 'probe', instance: stale.instance })
+    }
+    return actions
+  }
+
+  /** The reachable instance whose evidence is oldest, if it is old enough for a probe. */
+  private stalest (nowMs: number): CandidateLoad | undefined {
+    let stalest: CandidateLoad | undefined
+    let oldestMs = nowMs - this.options.probeAfterMs
+    for (const candidate of this.subset) {
+      if (isReachable(candidate) && candidate.evidenceMs < oldestMs) {
+        oldestMs = candidate.evidenceMs
+        stalest = candidate
+      }
+    }
+    return stalest
+  }
+}
+
+function isReachable (candidate: CandidateLoad): boolean {
+  return candidate.state === 'serving' && candidate.vitals.linkUp
+}
+
+function fromDetection (action: DetectionAction): ChoiceAction[] {
+  if (action.type === 'trial') {
+    return []
+  }
+  if (action.type === 'restored') {
+    return [{ type: 'restored', instance: action.instance }]
+  }
+  return [{ type: 'ejected', instance: action.instance, untilMs: action.untilMs }]
+}
--- /dev/null
+++ b/src/parts/detection/Constants.ts
@@ -0,0 +1,46 @@
+/** Constants of failure detection. */
+
+/** Failed attempts in a row after which an instance is ejected. */
+export const FAILURES_IN_A_ROW = 4
+
+/** Smoothed share of failed attempts above which an instance is ejected, 0 to 1. */
+export const FAILURE_SHARE = 0.5
+
+/** How far above the service's failure share an instance must lie to be ejected, 0 to 1. */
+export const FAILURE_SHARE_ABOVE_SERVICE = 0.3
+
+/** Weight of the newest attempt in the smoothed failure share. */
+export const FAILURE_WEIGHT = 0.15
+
+/** Attempts seen before the failure share counts. */
+export const FAILURE_SHARE_MIN_ATTEMPTS = 6
+
+/** Silence with calls outstanding after which an instance counts as silent. */
+export const SILENT_MS = 400
+
+/** First time that an instance stays ejected; doubles with each ejection that follows a failed trial. */
+export const EJECT_MS = 500
+
+/** Longest time that an instance stays ejected. */
+export const EJECT_MAX_MS = 15_000
+
+/** Time without a failure after which earlier ejections are forgotten. */
+export const EJECT_FORGET_MS = 30_000
+
+/** Largest share of a service's instances that may be ejected at once, 0 to 1. */
+export const EJECT_MAX_SHARE = 0.5
+
+/** Good answers in a trial after which an instance is restored. */
+export const TRIAL_SUCCESSES = 2
+
+/** Ratio of seen to expected latency above which an instance counts as slow. */
+export const SLOW_RATIO = 4
+
+/** Time in which latency evidence loses most of its weight. */
+export const LATENCY_MEMORY_MS = 300
+
+/** Most answers that the latency estimate weighs, so that a change shows at once. */
+export const LATENCY_MAX_COUNT = 6
+
+/** Mean age of a call that is still running, as a share of its expected latency. */
+export const EXPECTED_AGE_SHARE = 0.75
--- /dev/null
+++ b/src/parts/detection/OutlierDetector.ts
@@ -0,0 +1,275 @@
+import type { InstanceId, Part } from '../Types.js'
+import type { AttemptOutcome } from '../choice/Types.js'
+import {
+  EJECT_FORGET_MS, EJECT_MAX_MS, EJECT_MAX_SHARE, EJECT_MS, FAILURE_SHARE, FAILURE_SHARE_ABOVE_SERVICE,
+  FAILURE_SHARE_MIN_ATTEMPTS, FAILURE_WEIGHT, FAILURES_IN_A_ROW, SILENT_MS, SLOW_RATIO, TRIAL_SUCCESSES
+} from './Constants.js'
+import { SlownessEstimate } from './SlownessEstimate.js'
+import type { DetectionAction, DetectionEvent, Health } from './Types.js'
+
+type EventOf<T extends DetectionEvent['type']> = Extract<DetectionEvent, { type: T }>
+type Handlers = { readonly [T in DetectionEvent['type']]: (event: EventOf<T>, nowMs: number) => DetectionAction[] }
+
+/** What is known of one instance. Read by the chooser; changed by the detector only. */
+export interface Vitals {
+  readonly instance: InstanceId
+  readonly slowness: SlownessEstimate
+  health: Health
+  linkUp: boolean
+  outstanding: number
+  /** Since when calls are outstanding without any answer. */
+  waitingSinceMs: number
+  attempts: number
+  failureShare: number
+  failuresInARow: number
+  lastFailureMs: number
+  ejections: number
+  ejectedUntilMs: number
+  trialSuccesses: number
+}
+
+/** What an outcome says about the instance; a cancelled or refused attempt says nothing of its health. */
+const VERDICTS: Readonly<Record<AttemptOutcome, 'good' | 'bad' | 'none'>> = {
+  ok: 'good',
+  error: 'bad',
+  unreachable: 'bad',
+  refused: 'none',
+  cancelled: 'none'
+}
+
+/**
+ * Tells slow, failing, silent and gone instances of one service apart. Failing and silent ones are ejected for a
+ * time that doubles, at most half of the service at once, and come back by trial. A slow one is not ejected: its
+ * ratio in `Vitals` makes the chooser send elsewhere. Memory: one record for each member.
+ */
+export class OutlierDetector implements Part<DetectionEvent, DetectionAction> {
+  private readonly byInstance = new Map<InstanceId, Vitals>()
+  private readonly handlers: Handlers = {
+    members: event => this.members(event),
+    started: (event, nowMs) => this.started(event, nowMs),
+    outcome: (event, nowMs) => this.outcome(event, nowMs),
+    linkDown: event => this.link(event.instance, false),
+    linkUp: event => this.link(event.instance, true),
+    tick: (_event, nowMs) => this.tick(nowMs)
+  }
+
+  private ejectedCount = 0
+  private serviceFailureShare = 0
+
+  /**
+   * @param event What happened.
+   * @param nowMs Monotonic time in milliseconds.
+   */
+  public step (event: DetectionEvent, nowMs: number): DetectionAction[] {
+    const handler = this.handlers[event.type] as (event: DetectionEvent, nowMs: number) => DetectionAction[]
+    return handler(event, nowMs)
+  }
+
+  /**
+   * The live record of a member, or undefined for an unknown instance.
+   * @param instance Member to look up.
+   */
+  public vitals (instance: InstanceId): Vitals | undefined {
+    return this.byInstance.get(instance)
+  }
+
+  /**
+   * Health now; slow is worked out on asking.
+   * @param instance Member to look up.
+   * @param nowMs Monotonic time in milliseconds.
+   */
+  public health (instance: InstanceId, nowMs: number): Health {
+    const vitals = this.byInstance.get(instance)
+    if (vitals === undefined || !vitals.linkUp) {
+      return 'gone'
+    }
+    if (vitals.health === 'healthy' && vitals.slowness.ratio(nowMs) > SLOW_RATIO) {
+      return 'slow'
+    }
+    return vitals.health
+  }
+
+  /** Instances ejected now. */
+  public ejected (): number {
+    return this.ejectedCount
+  }
+
+  private members (event: EventOf<'members'>): DetectionAction[] {
+    const wanted = new Set(event.instances)
+    for (const [instance, vitals] of this.byInstance) {
+      if (!wanted.has(instance)) {
+        this.forget(vitals)
+      }
+    }
+    for (const instance of event.instances) {
+      if (!this.byInstance.has(instance)) {
+        this.byInstance.set(instance, newVitals(instance))
+      }
+    }
+    return []
+  }
+
+  private forget (vitals: Vitals): void {
+    this.byInstance.delete(vitals.instance)
+    if (isEjected(vitals)) {
+      this.ejectedCount -= 1
+    }
+  }
+
+  private started (event: EventOf<'started'>, nowMs: number): DetectionAction[] {
+    const vitals = this.byInstance.get(event.instance)
+    if (vitals === undefined) {
+      return []
+    }
+    if (vitals.outstanding === 0) {
+      vitals.waitingSinceMs = nowMs
+    }
+    vitals.outstanding += 1
+    return []
+  }
+
+  private outcome (event: EventOf<'outcome'>, nowMs: number): DetectionAction[] {
+    const vitals = this.byInstance.get(event.instance)
+    if (vitals === undefined) {
+      return []
+    }
+    vitals.outstanding = Math.max(0, vitals.outstanding - 1)
+    if (event.outcome !== 'cancelled' && event.outcome !== 'unreachable') {
+      vitals.waitingSinceMs = nowMs
+    }
+    const verdict = VERDICTS[event.outcome]
+    if (verdict === 'none') {
+      return []
+    }
+    return verdict === 'good' ? this.good(vitals, nowMs) : this.bad(vitals, nowMs)
+  }
+
+  private good (vitals: Vitals, nowMs: number): DetectionAction[] {
+    this.count(vitals, 0)
+    vitals.failuresInARow = 0
+    if (vitals.health === 'healthy') {
+      return []
+    }
+    if (isEjected(vitals)) {
+      // An answer to a call that was sent before the ejection proves nothing about now.
+      return []
+    }
+    vitals.trialSuccesses += 1
+    return vitals.trialSuccesses >= TRIAL_SUCCESSES ? this.restore(vitals, nowMs) : []
+  }
+
+  private bad (vitals: Vitals, nowMs: number): DetectionAction[] {
+    this.count(vitals, 1)
+    vitals.failuresInARow += 1
+    vitals.lastFailureMs = nowMs
+    if (vitals.health === 'trial') {
+      return this.eject(vitals, 'failing', nowMs)
+    }
+    if (vitals.health === 'healthy' && this.failsMoreThanService(vitals)) {
+      return this.eject(vitals, 'failing', nowMs)
+    }
+    return []
+  }
+
+  private count (vitals: Vitals, failed: 0 | 1): void {
+    vitals.attempts += 1
+    vitals.failureShare += FAILURE_WEIGHT * (failed - vitals.failureShare)
+    const serviceWeight = FAILURE_WEIGHT / Math.max(1, this.byInstance.size)
+    this.serviceFailureShare += serviceWeight * (failed - this.serviceFailureShare)
+  }
+
+  private failsMoreThanService (vitals: Vitals): boolean {
+    if (this.serviceFailureShare > 1 - FAILURE_SHARE_ABOVE_SERVICE) {
+      return false
+    }
+    if (vitals.failuresInARow >= FAILURES_IN_A_ROW) {
+      return true
+    }
+    const limit = Math.max(FAILURE_SHARE, this.serviceFailureShare + FAILURE_SHARE_ABOVE_SERVICE)
+    return vitals.attempts >= FAILURE_SHARE_MIN_ATTEMPTS && vitals.failureShare > limit
+  }
+
+  private link (instance: InstanceId, up: boolean): DetectionAction[] {
+    const vitals = this.byInstance.get(instance)
+    if (vitals !== undefined) {
+      vitals.linkUp = up
+    }
+    return []
+  }
+
+  private tick (nowMs: number): DetectionAction[] {
+    const actions: DetectionAction[] = []
+    for (const vitals of this.byInstance.values()) {
+      actions.push(...this.review(vitals, nowMs))
+    }
+    return actions
+  }
+
+  private review (vitals: Vitals, nowMs: number): DetectionAction[] {
+    if (isEjected(vitals)) {
+      return nowMs >= vitals.ejectedUntilMs ? this.startTrial(vitals, nowMs) : []
+    }
+    if (vitals.outstanding > 0 && nowMs - vitals.waitingSinceMs > SILENT_MS) {
+      return this.eject(vitals, 'silent', nowMs)
+    }
+    if (vitals.ejections > 0 && nowMs - vitals.lastFailureMs > EJECT_FORGET_MS) {
+      vitals.ejections = 0
+    }
+    return []
+  }
+
+  private eject (vitals: Vitals, health: Health, nowMs: number): DetectionAction[] {
+    const limit = Math.floor(this.byInstance.size * EJECT_MAX_SHARE)
+    if (this.ejectedCount >= limit) {
+      return []
+    }
+    this.ejectedCount += 1
+    vitals.health = health
+    vitals.lastFailureMs = nowMs
+    vitals.ejectedUntilMs = nowMs + Math.min(EJECT_MAX_MS, EJECT_MS * 2 ** vitals.ejections)
+    vitals.ejections += 1
+    return [{ type: 'ejected', instance: vitals.instance, health, untilMs: vitals.ejectedUntilMs }]
+  }
+
+  private startTrial (vitals: Vitals, nowMs: number): DetectionAction[] {
+    this.ejectedCount -= 1
+    vitals.health = 'trial'
+    vitals.trialSuccesses = 0
+    vitals.waitingSinceMs = nowMs
+    return [{ type: 'trial', instance: vitals.instance }]
+  }
+
+  private restore (vitals: Vitals, nowMs: number): DetectionAction[] {
+    vitals.health = 'healthy'
+    vitals.attempts = 0
+    vitals.failureShare = 0
+    vitals.waitingSinceMs = nowMs
+    return [{ type: 'restored', instance: vitals.instance }]
+  }
+}
+
+/**
+ * True while an instance is ejected; false during its trial.
+ * @param vitals Record of the instance.
+ */
+export function isEjected (vitals: Vitals): boolean {
+  return vitals.health === 'failing' || vitals.health === 'silent'
+}
+
+function newVitals (instance: InstanceId): Vitals {
+  return {
+    instance,
+    slowness: new SlownessEstimate(),
+    health: 'healthy',
+    linkUp: true,
+    outstanding: 0,
+    waitingSinceMs: 0,
+    attempts: 0,
+    failureShare: 0,
+    failuresInARow: 0,
+    lastFailureMs: 0,
+    ejections: 0,
+    ejectedUntilMs: 0,
+    trialSuccesses: 0
+  }
+}
--- a/src/parts/detection/Types.ts
+++ b/src/parts/detection/Types.ts
@@ -13,6 +13,8 @@
     readonly outcome: AttemptOutcome,
     readonly latencyMs: number
   }
+  /** An attempt was sent; its outcome follows. Tells a silent instance from an idle one. */
+  | { readonly type: 'started', readonly instance: InstanceId }
   | { readonly type: 'linkDown', readonly instance: InstanceId }
   | { readonly type: 'linkUp', readonly instance: InstanceId }
   | { readonly type: 'tick' }
