Add admission, retry policy, quarantine table and traces

Additions to the shapes: RetryPolicy takes the attempt that succeeded and tells the host which attempts to cancel; a crash report carries the weight of its suspicion and its age when it is passed on.

--- /dev/null
+++ b/src/parts/admission/AdmissionController.ts
@@ -0,0 +1,327 @@
+import type { CallId, CallKind, LoadEvidence, Part, Random, Reason } from '../Types.js'
+import { ConcurrencyLimit } from './ConcurrencyLimit.js'
+import { ADMISSION_DEFAULTS, SERVICE_TIME_WEIGHT } from './Constants.js'
+import { RetryAfter } from './RetryAfter.js'
+import type { AdmissionAction, AdmissionEvent, AdmissionOptions, AdmissionView } from './Types.js'
+
+type EventOf<T extends AdmissionEvent['type']> = Extract<AdmissionEvent, { type: T }>
+
+type Handlers = {
+  readonly [T in AdmissionEvent['type']]: (event: EventOf<T>, nowMs: number, actions: AdmissionAction[]) => void
+}
+
+/** Calls that share a queue: short work in order of arrival, and downloads. */
+type Lane = 'short' | 'download'
+
+interface WaitingCall {
+  readonly call: CallId
+  readonly deadlineAtMs: number
+  readonly arrivedAtMs: number
+  /** When it is refused if it has not started. */
+  readonly refuseAtMs: number
+}
+
+interface RunningCall {
+  readonly lane: Lane
+  readonly startedAtMs: number
+}
+
+const LANE_OF_KIND: { readonly [K in CallKind]: Lane } = { lookup: 'short', guarded: 'short', download: 'download' }
+
+/**
+ * Admission at the upstream's node, the only way to its upstream. Every call ends exactly once: it starts and finishes,
+ * or it is refused and was not run. A call waits only while it is expected to start within the allowed queue delay and
+ * to end before its deadline; otherwise it is refused at once.
+ *
+ * Memory: one record for each running call (at most the most slots announced) and `maxQueued` waiting ones.
+ */
+export class AdmissionController implements Part<AdmissionEvent, AdmissionAction>, AdmissionView {
+  private readonly _options: AdmissionOptions
+  private readonly _limit: ConcurrencyLimit
+  private readonly _retryAfter: RetryAfter
+  private readonly _running = new Map<CallId, RunningCall>()
+  private readonly _waiting: { readonly [L in Lane]: WaitingCall[] } = { short: [], download: [] }
+  private readonly _serviceMs: { [L in Lane]: number }
+  private _runningDownloads = 0
+  private _shortStartSumMs = 0
+  private _draining = false
+  private _drainedTold = false
+
+  private readonly _handlers: Handlers = {
+    capacity: (event, nowMs, actions) => this._onCapacity(event, nowMs, actions),
+    arrive: (event, nowMs, actions) => this._onArrive(event, nowMs, actions),
+    finish: (event, nowMs, actions) => this._onFinish(event, nowMs, actions),
+    cancel: (event, _nowMs, actions) => this._onCancel(event, actions),
+    drain: (_event, nowMs, actions) => this._onDrain(nowMs, actions),
+    resume: () => this._onResume(),
+    tick: (_event, nowMs, actions) => this._onTick(nowMs, actions)
+  }
+
+  /**
+   * @param random Source of the spread of Retry-After.
+   * @param options What differs from the defaults.
+   */
+  public constructor (random: Random, options: Partial<AdmissionOptions> = {}) {
+    this._options = { ...ADMISSION_DEFAULTS, ...options }
+    this._limit = new ConcurrencyLimit(this._options.slots)
+    this._retryAfter = new RetryAfter(random, this._options.minRetryAfterMs, this._options.maxRetryAfterMs)
+    this._serviceMs = { short: this._options.initialServiceMs, download: this._options.initialDownloadMs }
+  }
+
+  /** @inheritdoc */
+  public step (event: AdmissionEvent, nowMs: number): AdmissionAction[] {
+    const actions: AdmissionAction[] = []
+    const handle = this._handlers[event.type] as
+      (event: AdmissionEvent, nowMs: number, actions: AdmissionAction[]) => void
+    handle(event, nowMs, actions)
+    return actions
+  }
+
+  /** Returns the evidence to attach to answers. */
+  public evidence (): LoadEvidence {
+    return {
+      inFlight: this._running.size,
+      queued: this._queued(),
+      limit: this._draining ? 0 : this._limit.current,
+      serviceMs: this._serviceMs.short
+    }
+  }
+
+  private _onCapacity (event: EventOf<'capacity'>, nowMs: number, actions: AdmissionAction[]): void {
+    this._limit.announce(event.slots)
+    if (this._limit.current === 0) {
+      this._refuseAll('no-upstream', nowMs, actions)
+      return
+    }
+    this._startWaiting(nowMs, actions)
+  }
+
+  private _onArrive (event: EventOf<'arrive'>, nowMs: number, actions: AdmissionAction[]): void {
+    if (this._running.has(event.call)) {
+      return
+    }
+    const lane = LANE_OF_KIND[event.kind]
+    const reason = this._reasonToRefuse(lane, event.deadlineAtMs, nowMs)
+    if (reason !== undefined) {
+      this._refuse(event.call, lane, reason, nowMs, actions)
+      return
+    }
+    if (this._waiting[lane].length === 0 && this._mayStart(lane)) {
+      this._start(event.call, lane, nowMs, actions)
+      return
+    }
+    this._enqueue(event, lane, nowMs, actions)
+  }
+
+  private _onFinish (event: EventOf<'finish'>, nowMs: number, actions: AdmissionAction[]): void {
+    const running = this._running.get(event.call)
+    if (running === undefined) {
+      return
+    }
+    this._learn(event, running, nowMs)
+    this._remove(event.call, running)
+    this._startWaiting(nowMs, actions)
+    this._tellDrained(actions)
+  }
+
+  private _onCancel (event: EventOf<'cancel'>, actions: AdmissionAction[]): void {
+    for (const lane of ['short', 'download'] as const) {
+      const index = this._waiting[lane].findIndex(waiting => waiting.call === event.call)
+      if (index >= 0) {
+        this._waiting[lane].splice(index, 1)
+        actions.push({ type: 'refuse', call: event.call, reason: 'cancelled', retryAfterMs: 0 })
+      }
+    }
+  }
+
+  private _onDrain (nowMs: number, actions: AdmissionAction[]): void {
+    this._draining = true
+    this._refuseAll('draining', nowMs, actions)
+    this._tellDrained(actions)
+  }
+
+  private _onResume (): void {
+    this._draining = false
+    this._drainedTold = false
+  }
+
+  private _onTick (nowMs: number, actions: AdmissionAction[]): void {
+    this._refuseOverdue(nowMs, actions)
+    this._startWaiting(nowMs, actions)
+    this._wakeForEarliest(actions)
+  }
+
+  private _reasonToRefuse (lane: Lane, deadlineAtMs: number, nowMs: number): Reason | undefined {
+    if (this._draining) {
+      return 'draining'
+    }
+    if (this._limit.current === 0) {
+      return 'no-upstream'
+    }
+    if (deadlineAtMs <= nowMs) {
+      return 'deadline-exceeded'
+    }
+    if (this._waiting[lane].length === 0 && this._mayStart(lane)) {
+      return undefined
+    }
+    const waitMs = this._expectedWaitMs(lane, nowMs)
+    const late = nowMs + waitMs + this._serviceMs[lane] > deadlineAtMs
+    const full = this._queued() >= this._options.maxQueued
+    return late || full || waitMs > this._allowedDelayMs(lane) ? 'overloaded' : undefined
+  }
+
+  private _enqueue (event: EventOf<'arrive'>, lane: Lane, nowMs: number, actions: AdmissionAction[]): void {
+    const refuseAtMs = Math.min(event.deadlineAtMs, nowMs + this._allowedDelayMs(lane))
+    const { call, deadlineAtMs } = event
+    this._waiting[lane].push({ call, deadlineAtMs, arrivedAtMs: nowMs, refuseAtMs })
+    actions.push({ type: 'wake', atMs: refuseAtMs })
+  }
+
+  /** Time until a call that joins the lane now is expected to start. */
+  private _expectedWaitMs (lane: Lane, nowMs: number): number {
+    return (this._waiting[lane].length + 1) * this._msPerCall(lane, nowMs)
+  }
+
+  /** Expected time between two starts of the lane while calls of it wait. */
+  private _msPerCall (lane: Lane, nowMs: number): number {
+    if (lane === 'download') {
+      return this._serviceMs.download / Math.max(1, this._downloadSlots())
+    }
+    // Calls that have run longer than usual tell of a slow-down before they finish.
+    const shortRunning = this._running.size - this._runningDownloads
+    const ageMs = shortRunning === 0 ? 0 : nowMs - this._shortStartSumMs / shortRunning
+    return Math.max(this._serviceMs.short, ageMs) / Math.max(1, this._limit.current - this._runningDownloads)
+  }
+
+  private _allowedDelayMs (lane: Lane): number {
+    const { queueDelayServiceTimes, minQueueDelayMs, maxQueueDelayMs, maxDownloadQueueDelayMs } = this._options
+    if (lane === 'download') {
+      return maxDownloadQueueDelayMs
+    }
+    return Math.min(maxQueueDelayMs, Math.max(minQueueDelayMs, queueDelayServiceTimes * this._serviceMs.short))
+  }
+
+  private _mayStart (lane: Lane): boolean {
+    if (this._running.size >= this._limit.current) {
+      return false
+    }
+    return lane === 'short' || this._runningDownloads < this._downloadSlots()
+  }
+
+  /** Slots that downloads may take: all but the reserve; a single slot is shared in order of arrival. */
+  private _downloadSlots (): number {
+    const limit = this._limit.current
+    const reserve = Math.max(1, Math.ceil(limit * this._options.lookupReserveShare))
+    return Math.max(1, limit - reserve)
+  }
+
+  private _startWaiting (nowMs: number, actions: AdmissionAction[]): void {
+    if (this._queued() === 0) {
+      return
+    }
+    this._refuseOverdue(nowMs, actions)
+    let lane = this._nextLane()
+    while (lane !== undefined) {
+      const next = this._waiting[lane].shift()
+      if (next !== undefined) {
+        this._start(next.call, lane, nowMs, actions)
+      }
+      lane = this._nextLane()
+    }
+  }
+
+  /** Short work goes first, but while no download runs the one that waited longest goes first. */
+  private _nextLane (): Lane | undefined {
+    const short = this._mayStart('short') ? this._waiting.short[0] : undefined
+    const download = this._mayStart('download') ? this._waiting.download[0] : undefined
+    if (short === undefined) {
+      return download === undefined ? undefined : 'download'
+    }
+    if (download === undefined || this._runningDownloads > 0) {
+      return 'short'
+    }
+    return download.arrivedAtMs < short.arrivedAtMs ? 'download' : 'short'
+  }
+
+  private _start (call: CallId, lane: Lane, nowMs: number, actions: AdmissionAction[]): void {
+    this._running.set(call, { lane, startedAtMs: nowMs })
+    if (lane === 'download') {
+      this._runningDownloads++
+    } else {
+      this._shortStartSumMs += nowMs
+    }
+    actions.push({ type: 'start', call })
+  }
+
+  private _remove (call: CallId, running: RunningCall): void {
+    this._running.delete(call)
+    if (running.lane === 'download') {
+      this._runningDownloads--
+    } else {
+      this._shortStartSumMs -= running.startedAtMs
+    }
+  }
+
+  private _learn (event: EventOf<'finish'>, running: RunningCall, nowMs: number): void {
+    if (event.outcome === 'shed') {
+      this._limit.shed(this._running.size, running.startedAtMs, nowMs)
+    }
+    if (event.outcome === 'ok') {
+      const smoothed = this._serviceMs[running.lane]
+      this._serviceMs[running.lane] = smoothed + SERVICE_TIME_WEIGHT * (Math.max(0, event.serviceMs) - smoothed)
+      this._limit.succeeded()
+    }
+  }
+
+  private _refuseOverdue (nowMs: number, actions: AdmissionAction[]): void {
+    for (const lane of ['short', 'download'] as const) {
+      const waiting = this._waiting[lane]
+      for (let index = 0; index < waiting.length;) {
+        const call = waiting[index] as WaitingCall
+        if (call.refuseAtMs > nowMs) {
+          index++
+          continue
+        }
+        waiting.splice(index, 1)
+        this._refuse(call.call, lane, call.deadlineAtMs <= nowMs ? 'deadline-exceeded' : 'overloaded', nowMs, actions)
+      }
+    }
+  }
+
+  private _refuseAll (reason: Reason, nowMs: number, actions: AdmissionAction[]): void {
+    for (const lane of ['short', 'download'] as const) {
+      for (const waiting of this._waiting[lane].splice(0)) {
+        this._refuse(waiting.call, lane, reason, nowMs, actions)
+      }
+    }
+  }
+
+  private _refuse (call: CallId, lane: Lane, reason: Reason, nowMs: number, actions: AdmissionAction[]): void {
+    const msPerCall = this._msPerCall(lane, nowMs)
+    const waitMs = this._waiting[lane].length * msPerCall
+    actions.push({ type: 'refuse', call, reason, retryAfterMs: this._retryAfter.next(waitMs, msPerCall, nowMs) })
+  }
+
+  private _wakeForEarliest (actions: AdmissionAction[]): void {
+    let atMs = Infinity
+    for (const lane of ['short', 'download'] as const) {
+      for (const waiting of this._waiting[lane]) {
+        atMs = Math.min(atMs, waiting.refuseAtMs)
+      }
+    }
+    if (atMs < Infinity) {
+      actions.push({ type: 'wake', atMs })
+    }
+  }
+
+  private _tellDrained (actions: AdmissionAction[]): void {
+    if (this._draining && !this._drainedTold && this._running.size === 0) {
+      this._drainedTold = true
+      actions.push({ type: 'drained' })
+    }
+  }
+
+  private _queued (): number {
+    return this._waiting.short.length + this._waiting.download.length
+  }
+}
--- a/src/parts/admission/Types.ts
+++ b/src/parts/admission/Types.ts
@@ -28,3 +28,22 @@
   /** Evidence to attach to answers. */
   evidence (): LoadEvidence
 }
+
+/** Options of the admission controller. Durations in milliseconds. */
+export interface AdmissionOptions {
+  /** Slots before the upstream announces any; with 0 every call is refused. */
+  readonly slots: number
+  /** Calls that wait at most, over all kinds. */
+  readonly maxQueued: number
+  readonly initialServiceMs: number
+  readonly initialDownloadMs: number
+  /** Queue delay allowed for lookups and guarded calls, in service times. */
+  readonly queueDelayServiceTimes: number
+  readonly minQueueDelayMs: number
+  readonly maxQueueDelayMs: number
+  readonly maxDownloadQueueDelayMs: number
+  /** Share of the limit that downloads never take, 0 to 1. */
+  readonly lookupReserveShare: number
+  readonly minRetryAfterMs: number
+  readonly maxRetryAfterMs: number
+}
--- /dev/null
+++ b/src/parts/quarantine/Constants.ts
@@ -0,0 +1,36 @@
+import type { QuarantineOptions } from './Types.js'
+
+/** Defaults of the quarantine table; `node` and `incarnation` have none. */
+export const QUARANTINE_DEFAULTS: Omit<QuarantineOptions, 'node' | 'incarnation'> = {
+  retentionMs: 600_000,
+  maxFingerprints: 4096,
+  maxDispatched: 65_536,
+  maxNodes: 4096
+}
+
+/** Suspicion of a request that ran alone when its upstream crashed. */
+export const ALONE_WEIGHT = 1
+
+/** Suspicion of the most suspect request among several in flight at a crash. */
+export const SHARED_WEIGHT = 2 / 3
+
+/** Suspicion from which a fingerprint is quarantined: two crashes alone or three among others. */
+export const QUARANTINE_SUSPICION = 1.99
+
+/** Suspicion from which a node runs one call of a fingerprint at a time. */
+export const SINGLE_SUSPICION = 0.99
+
+/** Suspicion that is too small to keep. */
+export const NO_SUSPICION = 0.05
+
+/** Retry-After of a suspect request while another of its fingerprint runs. */
+export const SUSPECT_RETRY_AFTER_MS = 100
+
+/** Reports of one crash at most. */
+export const MAX_REPORTS_PER_CRASH = 64
+
+/** Reports kept of one fingerprint, to pass on. */
+export const MAX_REPORTS_KEPT = 4
+
+/** Body bytes that a fingerprint covers. */
+export const FINGERPRINT_BODY_BYTES = 4096
--- /dev/null
+++ b/src/parts/quarantine/QuarantineTable.ts
@@ -0,0 +1,225 @@
+import type { CallId, InstanceId, Part } from '../Types.js'
+import {
+  ALONE_WEIGHT, MAX_REPORTS_KEPT, MAX_REPORTS_PER_CRASH, NO_SUSPICION, QUARANTINE_DEFAULTS, QUARANTINE_SUSPICION,
+  SHARED_WEIGHT, SINGLE_SUSPICION, SUSPECT_RETRY_AFTER_MS
+} from './Constants.js'
+import { ReportWindow } from './ReportWindow.js'
+import type { CrashReport, Fingerprint, QuarantineAction, QuarantineEvent, QuarantineOptions } from './Types.js'
+
+type EventOf<T extends QuarantineEvent['type']> = Extract<QuarantineEvent, { type: T }>
+
+type Handlers = {
+  readonly [T in QuarantineEvent['type']]: (event: EventOf<T>, nowMs: number, actions: QuarantineAction[]) => void
+}
+
+interface Suspect {
+  readonly fingerprint: Fingerprint
+  suspicion: number
+  crashedAtMs: number
+  quarantined: boolean
+  /** Calls of the fingerprint that run here. */
+  running: number
+  reports: CrashReport[]
+}
+
+interface DispatchedCall {
+  readonly instance: InstanceId
+  readonly fingerprint: Fingerprint
+  /** The suspect that counts this call as running. */
+  readonly suspect: Suspect | undefined
+}
+
+/**
+ * Keeps requests that crash upstreams from being run again. A crash puts suspicion on each request in flight; a request
+ * that gathers enough is quarantined at every node, because the reports are passed on. Blame goes mostly to the request
+ * that was already the most suspect, and each call that finishes halves the suspicion of its fingerprint, so that a
+ * request that only was there at the time is cleared. `crashed` comes from the node of the instance alone.
+ *
+ * Memory: `maxFingerprints` suspects with 4 reports each, `maxDispatched` calls and `maxNodes` report numbers.
+ * Suspicion and quarantine are forgotten `retentionMs` after the last crash.
+ */
+export class QuarantineTable implements Part<QuarantineEvent, QuarantineAction> {
+  private readonly _options: QuarantineOptions
+  private readonly _seen: ReportWindow
+  /** In order of the last crash, the oldest first. */
+  private readonly _suspects = new Map<Fingerprint, Suspect>()
+  private readonly _dispatched = new Map<CallId, DispatchedCall>()
+  private readonly _inFlight = new Map<InstanceId, Set<CallId>>()
+  private _sequence = 0
+
+  private readonly _handlers: Handlers = {
+    dispatched: event => this._onDispatched(event),
+    finished: event => this._onFinished(event),
+    crashed: (event, nowMs, actions) => this._onCrashed(event, nowMs, actions),
+    reported: (event, nowMs, actions) => this._onReported(event, nowMs, actions),
+    ask: (event, nowMs, actions) => this._onAsk(event, nowMs, actions),
+    tick: (_event, nowMs) => this._forgetOld(nowMs)
+  }
+
+  /** @param options The node's identity, and what differs from the defaults. */
+  public constructor (options: Pick<QuarantineOptions, 'node' | 'incarnation'> & Partial<QuarantineOptions>) {
+    this._options = { ...QUARANTINE_DEFAULTS, ...options }
+    this._seen = new ReportWindow(this._options.maxNodes)
+  }
+
+  /** @inheritdoc */
+  public step (event: QuarantineEvent, nowMs: number): QuarantineAction[] {
+    const actions: QuarantineAction[] = []
+    const handle = this._handlers[event.type] as
+      (event: QuarantineEvent, nowMs: number, actions: QuarantineAction[]) => void
+    handle(event, nowMs, actions)
+    return actions
+  }
+
+  /**
+   * Returns the reports still in force with their ages, for a node that has just started.
+   * @param nowMs Monotonic time.
+   */
+  public reports (nowMs: number): CrashReport[] {
+    this._forgetOld(nowMs)
+    return [...this._suspects.values()].flatMap(suspect => suspect.reports.map(report => ({
+      ...report,
+      ageMs: nowMs - (report.ageMs ?? 0)
+    })))
+  }
+
+  /** Fingerprints under suspicion or quarantine. */
+  public get size (): number {
+    return this._suspects.size
+  }
+
+  private _onDispatched (event: EventOf<'dispatched'>): void {
+    if (this._dispatched.size >= this._options.maxDispatched || this._dispatched.has(event.call)) {
+      return
+    }
+    const { call, instance, fingerprint } = event
+    const suspect = this._suspects.get(fingerprint)
+    this._dispatched.set(call, { instance, fingerprint, suspect })
+    const calls = this._inFlight.get(event.instance)
+    if (calls === undefined) {
+      this._inFlight.set(event.instance, new Set([event.call]))
+    } else {
+      calls.add(event.call)
+    }
+    if (suspect !== undefined) {
+      suspect.running++
+    }
+  }
+
+  private _onFinished (event: EventOf<'finished'>): void {
+    const fingerprint = this._take(event.call)
+    const suspect = fingerprint === undefined ? undefined : this._suspects.get(fingerprint)
+    if (suspect === undefined || suspect.quarantined) {
+      return
+    }
+    suspect.suspicion /= 2
+    if (suspect.suspicion < NO_SUSPICION) {
+      this._suspects.delete(suspect.fingerprint)
+    }
+  }
+
+  private _onCrashed (event: EventOf<'crashed'>, nowMs: number, actions: QuarantineAction[]): void {
+    this._forgetOld(nowMs)
+    const calls = [...(this._inFlight.get(event.instance) ?? [])]
+    const fingerprints = new Set(calls.map(call => this._take(call)).filter(taken => taken !== undefined))
+    const prior = [...fingerprints].map(fingerprint => this._suspects.get(fingerprint)?.suspicion ?? 0)
+    const highest = Math.max(0, ...prior)
+    const most = fingerprints.size === 1 ? ALONE_WEIGHT : SHARED_WEIGHT
+    const ranked = [...fingerprints].map((fingerprint, index) => ({
+      fingerprint,
+      // A request that was suspect before explains the crash better than one that was not.
+      weight: most * ((NO_SUSPICION + (prior[index] ?? 0)) / (NO_SUSPICION + highest))
+    }))
+    ranked.sort((a, b) => b.weight - a.weight)
+    for (const { fingerprint, weight } of ranked.slice(0, MAX_REPORTS_PER_CRASH)) {
+      this._reportOwn(fingerprint, weight, nowMs, actions)
+    }
+  }
+
+  private _reportOwn (fingerprint: Fingerprint, weight: number, nowMs: number, actions: QuarantineAction[]): void {
+    this._sequence++
+    const { node, incarnation } = this._options
+    const report = { fingerprint, node, incarnation, sequence: this._sequence, weight }
+    this._seen.admit(report)
+    actions.push({ type: 'report', report })
+    this._blame(report, nowMs, nowMs, actions)
+  }
+
+  private _onReported (event: EventOf<'reported'>, nowMs: number, actions: QuarantineAction[]): void {
+    const crashedAtMs = nowMs - Math.max(0, event.report.ageMs ?? 0)
+    if (nowMs - crashedAtMs >= this._options.retentionMs || !this._seen.admit(event.report)) {
+      return
+    }
+    this._blame(event.report, crashedAtMs, nowMs, actions)
+  }
+
+  private _blame (report: CrashReport, crashedAtMs: number, nowMs: number, actions: QuarantineAction[]): void {
+    const suspect = this._suspectOf(report.fingerprint)
+    suspect.suspicion += Math.min(ALONE_WEIGHT, Math.max(0, report.weight ?? ALONE_WEIGHT))
+    suspect.crashedAtMs = Math.max(suspect.crashedAtMs, crashedAtMs)
+    // Kept with the moment of the crash in place of the age, which changes.
+    suspect.reports = [...suspect.reports, { ...report, ageMs: crashedAtMs }].slice(-MAX_REPORTS_KEPT)
+    if (!suspect.quarantined && suspect.suspicion >= QUARANTINE_SUSPICION) {
+      suspect.quarantined = true
+      const untilMs = suspect.crashedAtMs + this._options.retentionMs
+      actions.push({ type: 'quarantined', fingerprint: report.fingerprint, untilMs })
+    }
+  }
+
+  private _suspectOf (fingerprint: Fingerprint): Suspect {
+    const known = this._suspects.get(fingerprint)
+    const suspect = known ?? {
+      fingerprint, suspicion: 0, crashedAtMs: -Infinity, quarantined: false, running: 0, reports: []
+    }
+    this._suspects.delete(fingerprint)
+    this._suspects.set(fingerprint, suspect)
+    if (this._suspects.size > this._options.maxFingerprints) {
+      this._suspects.delete(this._suspects.keys().next().value as Fingerprint)
+    }
+    return suspect
+  }
+
+  private _onAsk (event: EventOf<'ask'>, nowMs: number, actions: QuarantineAction[]): void {
+    const suspect = this._suspects.get(event.fingerprint)
+    const untilMs = suspect === undefined ? -Infinity : suspect.crashedAtMs + this._options.retentionMs
+    if (suspect === undefined || untilMs <= nowMs) {
+      actions.push({ type: 'allow', call: event.call })
+      return
+    }
+    if (suspect.quarantined) {
+      actions.push({ type: 'refuse', call: event.call, retryAfterMs: untilMs - nowMs })
+      return
+    }
+    if (suspect.suspicion >= SINGLE_SUSPICION && suspect.running > 0) {
+      actions.push({ type: 'refuse', call: event.call, retryAfterMs: SUSPECT_RETRY_AFTER_MS })
+      return
+    }
+    actions.push({ type: 'allow', call: event.call })
+  }
+
+  /** Removes a dispatched call and returns its fingerprint. */
+  private _take (call: CallId): Fingerprint | undefined {
+    const dispatched = this._dispatched.get(call)
+    if (dispatched === undefined) {
+      return undefined
+    }
+    this._dispatched.delete(call)
+    const calls = this._inFlight.get(dispatched.instance)
+    calls?.delete(call)
+    if (calls?.size === 0) {
+      this._inFlight.delete(dispatched.instance)
+    }
+    if (dispatched.suspect !== undefined) {
+      dispatched.suspect.running--
+    }
+    return dispatched.fingerprint
+  }
+
+  private _forgetOld (nowMs: number): void {
+    for (const suspect of this._suspects.values()) {
+      if (suspect.crashedAtMs + this._options.retentionMs <= nowMs) {
+        this._suspects.delete(suspect.fingerprint)
+      }
+    }
+  }
+}
--- a/src/parts/quarantine/Types.ts
+++ b/src/parts/quarantine/Types.ts
@@ -10,6 +10,10 @@
   readonly incarnation: Incarnation
   /** Grows with each report of the node's incarnation; makes repeated reports count once. */
   readonly sequence: number
+  /** Suspicion that the crash adds, 1 at most; 1 when left out. */
+  readonly weight?: number
+  /** Time since the crash when the report is passed on; 0 when left out. */
+  readonly ageMs?: number
 }
 
 /** Events of the quarantine table. */
@@ -28,3 +32,17 @@
   | { readonly type: 'refuse', readonly call: CallId, readonly retryAfterMs: number }
   | { readonly type: 'report', readonly report: CrashReport }
   | { readonly type: 'quarantined', readonly fingerprint: Fingerprint, readonly untilMs: number }
+
+/** Options of the quarantine table. */
+export interface QuarantineOptions {
+  readonly node: NodeId
+  readonly incarnation: Incarnation
+  /** How long a suspicion or a quarantine lasts after the last crash, in milliseconds. */
+  readonly retentionMs: number
+  /** Fingerprints known at most; the least recently blamed is forgotten first. */
+  readonly maxFingerprints: number
+  /** Calls known as dispatched at most. */
+  readonly maxDispatched: number
+  /** Nodes whose report numbers are known at most. */
+  readonly maxNodes: number
+}
--- /dev/null
+++ b/src/parts/retry/Constants.ts
@@ -0,0 +1,26 @@
+import type { RetryOptions } from './Types.js'
+
+/** Defaults of the retry policy. */
+export const RETRY_DEFAULTS: RetryOptions = {
+  retryShare: 0.08,
+  floorPerSecond: 0.2,
+  burst: 10,
+  maxAttempts: 3,
+  hedging: true,
+  hedgeQuantile: 0.95,
+  initialLatencyMs: 20,
+  minHedgeDelayMs: 1,
+  maxCalls: 65_536
+}
+
+/** Step of the quantile estimate, relative to the estimate. */
+export const QUANTILE_STEP = 0.05
+
+/** Time without hedges after a refusal for overload. */
+export const HEDGE_PAUSE_MS = 500
+
+/** Time kept back at each hop for the answer to travel, in milliseconds. */
+export const HOP_RESERVE_MS = 2
+
+/** Share of the time left that a hop keeps back at most. */
+export const HOP_RESERVE_SHARE = 0.1
--- /dev/null
+++ b/src/parts/retry/LatencyQuantile.ts
@@ -0,0 +1,28 @@
+import { QUANTILE_STEP } from './Constants.js'
+
+/** Running estimate of one quantile of a latency in constant memory; it follows a change in some hundred samples. */
+export class LatencyQuantile {
+  private readonly _up: number
+  private readonly _down: number
+  private _estimateMs: number
+
+  /**
+   * @param quantile Share of the samples below the estimate, above 0 and below 1.
+   * @param initialMs Estimate before the first sample.
+   */
+  public constructor (quantile: number, initialMs: number) {
+    this._up = 1 + QUANTILE_STEP * quantile
+    this._down = 1 - QUANTILE_STEP * (1 - quantile)
+    this._estimateMs = initialMs
+  }
+
+  /** The estimate in milliseconds. */
+  public get estimateMs (): number {
+    return this._estimateMs
+  }
+
+  /** @param latencyMs One sample. */
+  public add (latencyMs: number): void {
+    this._estimateMs *= latencyMs > this._estimateMs ? this._up : this._down
+  }
+}
--- /dev/null
+++ b/src/parts/retry/RetryPolicy.ts
@@ -0,0 +1,241 @@
+import type { CallId, Part, Reason } from '../Types.js'
+import { HEDGE_PAUSE_MS, RETRY_DEFAULTS } from './Constants.js'
+import { LatencyQuantile } from './LatencyQuantile.js'
+import { RetryBudget } from './RetryBudget.js'
+import type { RetryAction, RetryEvent, RetryOptions } from './Types.js'
+
+type EventOf<T extends RetryEvent['type']> = Extract<RetryEvent, { type: T }>
+
+type Handlers = { readonly [T in RetryEvent['type']]: (event: EventOf<T>, nowMs: number, actions: RetryAction[]) => void }
+
+/**
+ * What a failure calls for: `elsewhere` tries another instance, `overload` does so only while the budget is not low,
+ * and `never` goes to the caller.
+ */
+type Remedy = 'elsewhere' | 'overload' | 'never'
+
+interface TrackedCall {
+  readonly call: CallId
+  readonly idempotent: boolean
+  readonly deadlineAtMs: number
+  readonly retriesAbove: boolean
+  attempts: number
+  inFlight: number
+  ended: boolean
+}
+
+interface HedgeTimer {
+  readonly tracked: TrackedCall
+  readonly dueAtMs: number
+}
+
+const REMEDIES: { readonly [R in Reason]: Remedy } = {
+  'bad-request': 'never',
+  cancelled: 'never',
+  conflict: 'never',
+  'control-unavailable': 'never',
+  'deadline-exceeded': 'never',
+  draining: 'elsewhere',
+  'in-progress': 'never',
+  'key-missing': 'never',
+  'key-reused': 'never',
+  'no-upstream': 'elsewhere',
+  overloaded: 'overload',
+  'peer-lost': 'elsewhere',
+  quarantined: 'never',
+  'records-full': 'never',
+  'retry-budget': 'never',
+  'service-unknown': 'never',
+  shedding: 'overload',
+  'stale-configuration': 'elsewhere',
+  'too-large': 'never',
+  'upstream-failed': 'elsewhere'
+}
+
+/**
+ * Decides on retries and hedges for one service at one ingress node. A call is tried again only when it is idempotent
+ * or proved not-run, only within the service's budget, and, once it may have run, only by the layer nearest to the
+ * caller: a refusal that was not run repeats no work further down, so any layer may pick again for it. Hedges are sent
+ * by that outermost layer alone, from the same budget.
+ *
+ * Memory: one record for each call between `begin` and its end, at most `maxCalls`, and as many hedge timers.
+ */
+export class RetryPolicy implements Part<RetryEvent, RetryAction> {
+  private readonly _options: RetryOptions
+  private readonly _budget: RetryBudget
+  private readonly _median: LatencyQuantile
+  private readonly _hedgeLatency: LatencyQuantile
+  private readonly _calls = new Map<CallId, TrackedCall>()
+  private _timers: HedgeTimer[] = []
+  private _firstTimer = 0
+  private _noHedgeUntilMs = -Infinity
+
+  private readonly _handlers: Handlers = {
+    begin: (event, nowMs, actions) => this._onBegin(event, nowMs, actions),
+    failed: (event, nowMs, actions) => this._onFailed(event, nowMs, actions),
+    succeeded: (event, _nowMs, actions) => this._onSucceeded(event, actions),
+    ended: event => this._forget(event.call),
+    tick: (_event, nowMs, actions) => this._onTick(nowMs, actions)
+  }
+
+  /** @param options What differs from the defaults. */
+  public constructor (options: Partial<RetryOptions> = {}) {
+    this._options = { ...RETRY_DEFAULTS, ...options }
+    const { retryShare, floorPerSecond, burst, initialLatencyMs, hedgeQuantile } = this._options
+    this._budget = new RetryBudget(retryShare, floorPerSecond, burst)
+    this._median = new LatencyQuantile(0.5, initialLatencyMs / 2)
+    this._hedgeLatency = new LatencyQuantile(hedgeQuantile, initialLatencyMs)
+  }
+
+  /** @inheritdoc */
+  public step (event: RetryEvent, nowMs: number): RetryAction[] {
+    const actions: RetryAction[] = []
+    const handle = this._handlers[event.type] as (event: RetryEvent, nowMs: number, actions: RetryAction[]) => void
+    handle(event, nowMs, actions)
+    return actions
+  }
+
+  /** Calls between `begin` and their end. */
+  public get size (): number {
+    return this._calls.size
+  }
+
+  private _onBegin (event: EventOf<'begin'>, nowMs: number, actions: RetryAction[]): void {
+    this._budget.earn(nowMs)
+    if (event.deadlineAtMs <= nowMs) {
+      actions.push({ type: 'giveUp', call: event.call, reason: 'deadline-exceeded', retryAfterMs: 0 })
+      return
+    }
+    if (this._calls.size >= this._options.maxCalls) {
+      return
+    }
+    const { call, idempotent, deadlineAtMs, retriesAbove } = event
+    const tracked = { call, idempotent, deadlineAtMs, retriesAbove, attempts: 1, inFlight: 1, ended: false }
+    this._calls.set(call, tracked)
+    if (this._mayHedge(tracked)) {
+      this._setHedgeTimer(tracked, nowMs, actions)
+    }
+  }
+
+  private _onFailed (event: EventOf<'failed'>, nowMs: number, actions: RetryAction[]): void {
+    if (REMEDIES[event.reason] === 'overload') {
+      this._noHedgeUntilMs = nowMs + HEDGE_PAUSE_MS
+    }
+    const tracked = this._calls.get(event.call)
+    if (tracked === undefined) {
+      actions.push({ type: 'giveUp', call: event.call, reason: event.reason, retryAfterMs: event.retryAfterMs })
+      return
+    }
+    tracked.inFlight--
+    if (tracked.inFlight > 0 && !event.responseStarted) {
+      return
+    }
+    const reason = this._reasonToGiveUp(event, tracked, nowMs)
+    if (reason === undefined) {
+      tracked.attempts++
+      tracked.inFlight++
+      actions.push({ type: 'retry', call: event.call, attempt: tracked.attempts })
+      return
+    }
+    this._forget(event.call)
+    actions.push({ type: 'giveUp', call: event.call, reason, retryAfterMs: event.retryAfterMs })
+  }
+
+  private _onSucceeded (event: EventOf<'succeeded'>, actions: RetryAction[]): void {
+    const tracked = this._calls.get(event.call)
+    if (tracked === undefined) {
+      return
+    }
+    this._median.add(event.latencyMs)
+    this._hedgeLatency.add(event.latencyMs)
+    this._forget(event.call)
+    if (tracked.inFlight > 1) {
+      actions.push({ type: 'cancelAttempts', call: event.call, except: event.attempt ?? 1 })
+    }
+  }
+
+  private _onTick (nowMs: number, actions: RetryAction[]): void {
+    let timer = this._timers[this._firstTimer]
+    while (timer !== undefined && (timer.tracked.ended || timer.dueAtMs <= nowMs)) {
+      this._firstTimer++
+      this._hedge(timer.tracked, nowMs, actions)
+      timer = this._timers[this._firstTimer]
+    }
+    this._dropSpentTimers()
+    if (timer !== undefined) {
+      actions.push({ type: 'wake', atMs: timer.dueAtMs })
+    }
+  }
+
+  /** Returns why the call gets its final answer now, or undefined when it is tried again. */
+  private _reasonToGiveUp (event: EventOf<'failed'>, tracked: TrackedCall, nowMs: number): Reason | undefined {
+    if (tracked.deadlineAtMs <= nowMs) {
+      return 'deadline-exceeded'
+    }
+    if (!this._mayRetry(event, tracked) || tracked.deadlineAtMs - nowMs < this._median.estimateMs) {
+      return event.reason
+    }
+    const keep = REMEDIES[event.reason] === 'overload' ? this._options.burst / 2 : 0
+    if (!this._budget.take(nowMs, keep)) {
+      return keep > 0 ? event.reason : 'retry-budget'
+    }
+    return undefined
+  }
+
+  private _mayRetry (event: EventOf<'failed'>, tracked: TrackedCall): boolean {
+    if (event.responseStarted || tracked.attempts >= this._options.maxAttempts || REMEDIES[event.reason] === 'never') {
+      return false
+    }
+    if (event.disposition === 'not-run') {
+      return true
+    }
+    return event.disposition === 'unknown' && tracked.idempotent && !tracked.retriesAbove
+  }
+
+  private _mayHedge (tracked: TrackedCall): boolean {
+    return this._options.hedging && tracked.idempotent && !tracked.retriesAbove
+  }
+
+  private _setHedgeTimer (tracked: TrackedCall, nowMs: number, actions: RetryAction[]): void {
+    const delayMs = Math.max(this._options.minHedgeDelayMs, this._hedgeLatency.estimateMs)
+    const last = this._timers[this._timers.length - 1]
+    // Timers stay in order of time, so that a tick looks only at the first ones.
+    const dueAtMs = Math.max(nowMs + delayMs, last?.dueAtMs ?? -Infinity)
+    if (dueAtMs >= tracked.deadlineAtMs || this._timers.length - this._firstTimer >= this._options.maxCalls) {
+      return
+    }
+    this._timers.push({ tracked, dueAtMs })
+    if (this._timers.length - this._firstTimer === 1) {
+      actions.push({ type: 'wake', atMs: dueAtMs })
+    }
+  }
+
+  private _hedge (tracked: TrackedCall, nowMs: number, actions: RetryAction[]): void {
+    const single = !tracked.ended && tracked.inFlight === 1 && tracked.attempts < this._options.maxAttempts
+    if (!single || nowMs < this._noHedgeUntilMs || nowMs + this._median.estimateMs > tracked.deadlineAtMs) {
+      return
+    }
+    // Half of the budget stays for calls that fail.
+    if (!this._budget.take(nowMs, this._options.burst / 2)) {
+      return
+    }
+    tracked.attempts++
+    tracked.inFlight++
+    actions.push({ type: 'hedge', call: tracked.call, attempt: tracked.attempts })
+  }
+
+  private _forget (call: CallId): void {
+    const tracked = this._calls.get(call)
+    if (tracked !== undefined) {
+      tracked.ended = true
+      this._calls.delete(call)
+    }
+  }
+
+  private _dropSpentTimers (): void {
+    if (this._firstTimer > 64 && this._firstTimer * 2 > this._timers.length) {
+      this._timers = this._timers.slice(this._firstTimer)
+      this._firstTimer = 0
+    }
+  }
+}
--- /dev/null
+++ b/src/parts/trace/TraceReplay.ts
@@ -0,0 +1,125 @@
+import type { Finding } from '../configuration/Types.js'
+import type { EventLine, ExpectLine, NeverLine, NoteLine, PartFactories, PartLine, ReplayedPart, TraceLine } from './Types.js'
+
+type LineKind = 'part' | 'event' | 'expect' | 'never' | 'note'
+
+type LineOf = { part: PartLine, event: EventLine, expect: ExpectLine, never: NeverLine, note: NoteLine }
+
+type Handlers = { readonly [K in LineKind]: (line: LineOf[K], place: string) => void }
+
+/** Fields that tell the kinds of lines apart, the most telling first. */
+const TELLING_FIELDS: ReadonlyArray<readonly [field: string, kind: LineKind]> = [
+  ['event', 'event'], ['expect', 'expect'], ['never', 'never'], ['note', 'note'], ['part', 'part']
+]
+
+/** Replays a trace against fresh parts and reports every stated outcome that did not come about, with its line. */
+export class TraceReplay {
+  private readonly _factories: PartFactories
+  private readonly _parts = new Map<string, ReplayedPart>()
+  private readonly _actions: object[] = []
+  private readonly _findings: Finding[] = []
+  private _last: object[] = []
+
+  private readonly _handlers: Handlers = {
+    part: (line, place) => this._onPart(line, place),
+    event: (line, place) => this._onEvent(line, place),
+    expect: (line, place) => this._onExpect(line, place),
+    never: (line, place) => this._onNever(line, place),
+    note: () => {}
+  }
+
+  private constructor (factories: PartFactories) {
+    this._factories = factories
+  }
+
+  /**
+   * Replays a whole trace and returns what did not come about as stated.
+   * @param text Lines of JSON; empty lines are skipped.
+   * @param factories Makes the parts that the trace names.
+   */
+  public static run (text: string, factories: PartFactories): Finding[] {
+    const replay = new TraceReplay(factories)
+    text.split('\n').forEach((line, index) => replay._onLine(line, `line ${index + 1}`))
+    return replay._findings
+  }
+
+  private _onLine (text: string, place: string): void {
+    if (text.trim() === '') {
+      return
+    }
+    const line = parse(text)
+    const kind = TELLING_FIELDS.find(([field]) => line !== undefined && field in line)?.[1]
+    if (line === undefined || kind === undefined) {
+      this._find(place, text, 'a line of JSON with part, event, expect, never or note')
+      return
+    }
+    const handle = this._handlers[kind] as (line: TraceLine, place: string) => void
+    handle(line, place)
+  }
+
+  private _onPart (line: PartLine, place: string): void {
+    const factory = this._factories[line.part]
+    if (factory === undefined) {
+      this._find(place, `unknown part ${line.part}`, Object.keys(this._factories).join(', '))
+      return
+    }
+    this._parts.set(line.part, factory(line))
+  }
+
+  private _onEvent (line: EventLine, place: string): void {
+    const part = this._parts.get(line.part)
+    if (part === undefined) {
+      this._find(place, `event of ${line.part} before its own line`, 'a line with part, seed and options first')
+      return
+    }
+    this._last = part.step(line.event as never, line.atMs)
+    this._actions.push(...this._last)
+  }
+
+  private _onExpect (line: ExpectLine, place: string): void {
+    let next = 0
+    for (const action of this._last) {
+      const stated = line.expect[next]
+      if (stated !== undefined && matches(action, stated)) {
+        next++
+      } else if (line.others !== true) {
+        break
+      }
+    }
+    const surplus = line.others !== true && this._last.length !== line.expect.length
+    if (next < line.expect.length || surplus) {
+      this._find(place, JSON.stringify(this._last), JSON.stringify(line.expect))
+    }
+  }
+
+  private _onNever (line: NeverLine, place: string): void {
+    const action = this._actions.find(action => matches(action, line.never))
+    if (action !== undefined) {
+      this._find(place, JSON.stringify(action), `never ${JSON.stringify(line.never)}`)
+    }
+  }
+
+  private _find (place: string, problem: string, expected: string): void {
+    this._findings.push({ place, problem, expected })
+  }
+}
+
+function parse (text: string): TraceLine | undefined {
+  try {
+    const line: unknown = JSON.parse(text)
+    return typeof line === 'object' && line !== null ? line as TraceLine : undefined
+  } catch {
+    return undefined
+  }
+}
+
+/** Returns whether a value has at least what is stated; numbers, strings and lengths of lists are equal. */
+function matches (value: unknown, stated: unknown): boolean {
+  if (typeof stated !== 'object' || stated === null || typeof value !== 'object' || value === null) {
+    return Object.is(value, stated)
+  }
+  if (Array.isArray(stated) && (!Array.isArray(value) || value.length !== stated.length)) {
+    return false
+  }
+  return Object.entries(stated).every(([field, part]) => matches((value as Record<string, unknown>)[field], part))
+}
