--- /dev/null
+++ b/src/node/ingress/BodyReader.ts
@@ -0,0 +1,46 @@
+import type { IncomingMessage } from 'node:http'
+
+const NO_BYTES = Buffer.alloc(0)
+
+/** How reading a body ended. `gone` stands for a caller that went away. */
+export type BodyResult =
+  | { readonly type: 'whole', readonly bytes: Buffer }
+  | { readonly type: 'tooLarge' }
+  | { readonly type: 'gone' }
+
+/**
+ * Reads a request body into memory, up to a limit.
+ * @param onResult Called once; at once when there is no body.
+ */
+export function readBody (message: IncomingMessage, maxBytes: number, onResult: (result: BodyResult) => void): void {
+  const announced = Number(message.headers['content-length'] ?? 0)
+  if (announced > maxBytes) {
+    onResult({ type: 'tooLarge' })
+    return
+  }
+  if (announced === 0 && message.headers['transfer-encoding'] === undefined) {
+    message.resume()
+    onResult({ type: 'whole', bytes: NO_BYTES })
+    return
+  }
+  collect(message, maxBytes, onResult)
+}
+
+function collect (message: IncomingMessage, maxBytes: number, onResult: (result: BodyResult) => void): void {
+  const pieces: Buffer[] = []
+  let length = 0
+  let done = false
+  const finish = (result: BodyResult): void => {
+    if (done) return
+    done = true
+    onResult(result)
+  }
+  message.on('data', (piece: Buffer) => {
+    if (done) return
+    length += piece.length
+    if (length > maxBytes) finish({ type: 'tooLarge' })
+    else pieces.push(piece)
+  })
+  message.once('end', () => finish({ type: 'whole', bytes: Buffer.concat(pieces, length) }))
+  message.once('close', () => finish({ type: 'gone' }))
+}
