--- /dev/null
+++ b/src/parts/configuration/ConfigurationCheck.ts
@@ -0,0 +1,135 @@
+import { z } from 'zod'
+import {
+  MAX_BODY_BYTES,
+  MAX_DEADLINE_MS,
+  MAX_DRAIN_MS,
+  MAX_MEASURING_BYTES_PER_SECOND,
+  MAX_NAME_LENGTH,
+  MAX_OPERATION_LENGTH,
+  MAX_PATTERNS,
+  MAX_PATTERN_LENGTH,
+  MAX_SERVICES,
+  MAX_ZONES,
+  MIN_DEADLINE_MS
+} from './Constants.js'
+import type { ChangeRequest, Configuration, Finding } from './Types.js'
+
+const NAME = `lower-case letters, digits and hyphens, at most ${MAX_NAME_LENGTH} characters`
+const PATTERN = 'METHOD /path-prefix, for example "POST /checkouts"'
+
+const name = z.string(NAME).max(MAX_NAME_LENGTH, NAME).regex(/^[a-z0-9]([a-z0-9-]*[a-z0-9])?$/, NAME)
+const pattern = z.string(PATTERN).max(MAX_PATTERN_LENGTH, PATTERN).regex(/^[A-Z]+ \/[^\s?#]*$/, PATTERN)
+const patterns = z.array(pattern, 'a list of patterns').max(MAX_PATTERNS, `at most ${MAX_PATTERNS} patterns`)
+const share = numberIn(0, 1, 'a number')
+const serviceShape = z.strictObject({
+  name,
+  guarded: patterns,
+  downloads: patterns,
+  keyless: z.enum(['refuse', 'run-unguarded'], '"refuse" or "run-unguarded"'),
+  deadlineMs: wholeIn(MIN_DEADLINE_MS, MAX_DEADLINE_MS, 'whole milliseconds'),
+  drainMs: wholeIn(0, MAX_DRAIN_MS, 'whole milliseconds'),
+  retryShare: share,
+  maxBodyBytes: wholeIn(0, MAX_BODY_BYTES, 'whole bytes')
+}, 'a service rule with known keys only')
+
+const configurationShape = z.strictObject({
+  services: z.array(serviceShape, 'a list of service rules').max(MAX_SERVICES, `at most ${MAX_SERVICES} services`),
+  zones: z.array(z.strictObject({ region: name, zone: name }, 'a region and a zone'), 'a list of zones')
+    .max(MAX_ZONES, `at most ${MAX_ZONES} zones`),
+  measuring: z.strictObject({
+    bytesPerSecond: wholeIn(0, MAX_MEASURING_BYTES_PER_SECOND, 'whole bytes'),
+    messagesPerCall: share
+  }, 'bytesPerSecond and messagesPerCall')
+}, 'services, zones and measuring')
+
+const changeShape = z.strictObject({
+  operation: z.string('an operation id').min(1, 'an operation id that is not empty')
+    .max(MAX_OPERATION_LENGTH, `an operation id of at most ${MAX_OPERATION_LENGTH} characters`),
+  base: z.number('a version').int('a whole version').min(0, 'a version from 0'),
+  configuration: z.unknown()
+}, 'operation, base and configuration')
+
+/**
+ * Checks a configuration and returns every finding at once; an empty list means that it is sound.
+ * @param input Plain data of any shape.
+ * @param place Key path of the input, put before each finding's place.
+ */
+export function checkConfiguration (input: unknown, place = ''): Finding[] {
+  const parsed = configurationShape.safeParse(input)
+  if (!parsed.success) {
+    return parsed.error.issues.map((issue) => findingOf(issue, place))
+  }
+  return findRepeats(parsed.data as Configuration, place)
+}
+
+/**
+ * Checks a change with its configuration and returns every finding at once.
+ * @param input Plain data of any shape.
+ */
+export function checkChange (input: unknown): Finding[] {
+  const parsed = changeShape.safeParse(input)
+  const findings = parsed.success ? [] : parsed.error.issues.map((issue) => findingOf(issue, ''))
+  const configuration = (input as Partial<ChangeRequest> | null | undefined)?.configuration
+  return [...findings, ...checkConfiguration(configuration, 'configuration')]
+}
+
+function findRepeats (configuration: Configuration, place: string): Finding[] {
+  const names = configuration.services.map((rule) => rule.name)
+  const zones = configuration.zones.map((zone) => `${zone.region}/${zone.zone}`)
+  const findings = [...repeats(names, join(place, 'services'), 'name'), ...repeats(zones, join(place, 'zones'))]
+  configuration.services.forEach((rule, index) => {
+    const at = join(place, `services[${index}]`)
+    findings.push(...repeats(rule.guarded, `${at}.guarded`), ...repeats(rule.downloads, `${at}.downloads`))
+    findings.push(...guardedDownloads(rule.guarded, rule.downloads, `${at}.downloads`))
+  })
+  return findings
+}
+
+function repeats (values: readonly string[], place: string, key?: string): Finding[] {
+  const seen = new Set<string>()
+  const findings: Finding[] = []
+  values.forEach((value, index) => {
+    if (seen.has(value)) {
+      const at = `${place}[${index}]${key === undefined ? '' : `.${key}`}`
+      findings.push({ place: at, problem: `"${value}" is there twice`, expected: 'each entry once' })
+    }
+    seen.add(value)
+  })
+  return findings
+}
+
+function guardedDownloads (guarded: readonly string[], downloads: readonly string[], place: string): Finding[] {
+  const findings: Finding[] = []
+  downloads.forEach((download, index) => {
+    if (guarded.includes(download)) {
+      const problem = `"${download}" is guarded too`
+      findings.push({ place: `${place}[${index}]`, problem, expected: 'a pattern that is not guarded' })
+    }
+  })
+  return findings
+}
+
+function findingOf (issue: z.core.$ZodIssue, place: string): Finding {
+  const path = issue.path.reduce<string>((text, key) => {
+    return typeof key === 'number' ? `${text}[${key}]` : join(text, String(key))
+  }, place)
+  if (issue.code === 'unrecognized_keys') {
+    const problem = `unknown keys ${issue.keys.map((key) => `"${key}"`).join(', ')}`
+    return { place: path, problem, expected: 'known keys only' }
+  }
+  return { place: path, problem: issue.code.replaceAll('_', ' '), expected: issue.message }
+}
+
+function join (place: string, key: string): string {
+  return place === '' ? key : `${place}.${key}`
+}
+
+function wholeIn (min: number, max: number, unit: string) {
+  const expected = `${unit} from ${min} to ${max}`
+  return z.number(expected).int(expected).min(min, expected).max(max, expected)
+}
+
+function numberIn (min: number, max: number, unit: string) {
+  const expected = `${unit} from ${min} to ${max}`
+  return z.number(expected).min(min, expected).max(max, expected)
+}
--- /dev/null
+++ b/src/parts/configuration/ConfigurationRegister.ts
@@ -0,0 +1,158 @@
+import { differingPaths, makeDifference } from './ConfigurationDifference.js'
+import { EMPTY_CONFIGURATION, digestOf, normalise } from './ConfigurationDigest.js'
+import { MAX_HISTORY, MAX_OPERATIONS } from './Constants.js'
+import type {
+  ChangeReply,
+  ChangeRequest,
+  ConfigurationDifference,
+  RegisterSnapshot,
+  RememberedOperation,
+  Version,
+  VersionedConfiguration
+} from './Types.js'
+
+/** Limits of the register. They are replicated state: all replicas of a group start with the same ones. */
+export interface RegisterOptions {
+  readonly maxOperations: number
+}
+
+const DEFAULTS: RegisterOptions = { maxOperations: MAX_OPERATIONS }
+
+const NOTHING: VersionedConfiguration = { version: 0, term: 0, operation: '', configuration: EMPTY_CONFIGURATION }
+
+/**
+ * Configuration in force, as a deterministic state machine that every control replica applies in log order.
+ *
+ * A change is accepted when its base is the version in force. Operation ids are remembered for the last
+ * `maxOperations` changes that were applied, also through snapshots; past that horizon a repeated change is still
+ * not applied twice, as its base is an older version: it gets a conflict in place of the first's reply.
+ *
+ * The register does not check content, since replicas of different releases must come to the same state: the
+ * proposer calls `checkChange` first, and `replyOf` before that, so that a repeat gets the first's reply even when
+ * checks have become stricter.
+ *
+ * Memory: one configuration, `maxOperations` ids with their replies, and `MAX_HISTORY` earlier configurations,
+ * which share unchanged services only when the proposer's copies do.
+ */
+export class ConfigurationRegister {
+  private readonly options: RegisterOptions
+  private current: VersionedConfiguration = NOTHING
+  private operations = new Map<string, RememberedOperation>()
+  private history = new Map<Version, VersionedConfiguration>()
+  private lastDifference: ConfigurationDifference | undefined
+
+  /**
+   * @param options Limits; the same on all replicas of a group.
+   */
+  public constructor (options: Partial<RegisterOptions> = {}) {
+    this.options = { ...DEFAULTS, ...options }
+  }
+
+  /** The configuration in force at this replica. */
+  public get inForce (): VersionedConfiguration {
+    return this.current
+  }
+
+  /** Operation ids that are remembered. */
+  public get remembered (): number {
+    return this.operations.size
+  }
+
+  /**
+   * Applies one committed change and returns the operator's reply.
+   * @param change Change as it stands in the log entry.
+   * @param term Term of the log entry.
+   */
+  public apply (change: ChangeRequest, term: number): ChangeReply {
+    const earlier = this.replyOf(change)
+    if (earlier !== undefined) {
+      return earlier
+    }
+    const reply = this.decide(change, term)
+    this.remember({ operation: change.operation, content: contentOf(change), reply })
+    return reply
+  }
+
+  /**
+   * Returns the reply to a repeated operation, or undefined for a new one. What it returns is committed.
+   * @param change Change as the operator sent it.
+   */
+  public replyOf (change: ChangeRequest): ChangeReply | undefined {
+    const earlier = this.operations.get(change.operation)
+    if (earlier === undefined) {
+      return undefined
+    }
+    if (earlier.content !== contentOf(change)) {
+      return { type: 'operationReused', version: versionOf(earlier.reply) }
+    }
+    return earlier.reply
+  }
+
+  /**
+   * Returns the difference from an earlier version to the one in force, or undefined when the earlier one is no
+   * longer at hand and a whole copy is needed.
+   * @param version Version that the receiver has in force.
+   */
+  public differenceFrom (version: Version): ConfigurationDifference | undefined {
+    if (this.lastDifference?.from === version && this.lastDifference.version === this.current.version) {
+      return this.lastDifference
+    }
+    const from = this.history.get(version)
+    if (from === undefined) {
+      return undefined
+    }
+    this.lastDifference = makeDifference(from, this.current)
+    return this.lastDifference
+  }
+
+  /** Returns the replicated state as plain data. */
+  public snapshot (): RegisterSnapshot {
+    return { format: 1, inForce: this.current, operations: [...this.operations.values()] }
+  }
+
+  /**
+   * Replaces the whole state.
+   * @param snapshot State from `snapshot`, of this or another replica.
+   */
+  public restore (snapshot: RegisterSnapshot): void {
+    this.current = snapshot.inForce
+    this.operations = new Map(snapshot.operations.map((operation) => [operation.operation, operation]))
+    this.history = new Map()
+    this.lastDifference = undefined
+  }
+
+  private decide (change: ChangeRequest, term: number): ChangeReply {
+    const inForce = this.current.version
+    if (change.base !== inForce) {
+      return { type: 'conflict', inForce, differs: differingPaths(change.configuration, this.current.configuration) }
+    }
+    this.keepHistory()
+    const configuration = normalise(change.configuration)
+    this.current = { version: inForce + 1, term, operation: change.operation, configuration }
+    return { type: 'accepted', version: inForce + 1 }
+  }
+
+  private keepHistory (): void {
+    this.history.set(this.current.version, this.current)
+    this.history.delete(this.current.version - MAX_HISTORY)
+  }
+
+  private remember (operation: RememberedOperation): void {
+    this.operations.set(operation.operation, operation)
+    if (this.operations.size > this.options.maxOperations) {
+      const oldest = this.operations.keys().next().value as string
+      this.operations.delete(oldest)
+    }
+  }
+}
+
+function contentOf (change: ChangeRequest): string {
+  return digestOf({ base: change.base, configuration: normalise(change.configuration) })
+}
+
+function versionOf (reply: ChangeReply): Version {
+  if (reply.type === 'accepted' || reply.type === 'operationReused') {
+    return reply.version
+  }
+  return reply.type === 'conflict' ? reply.inForce : 0
+}
--- a/src/parts/configuration/Types.ts
+++ b/src/parts/configuration/Types.ts
@@ -77,10 +77,26 @@
 /** Events of the follower that runs in every node. */
 export type FollowerEvent =
   /** A whole copy, from control (`confirmed` true when a quorum read stands behind it) or from a peer. */
-  | { readonly type: 'copy', readonly from: string, readonly confirmed: boolean, readonly copy: VersionedConfiguration }
-  | { readonly type: 'difference', readonly from: string, readonly confirmed: boolean, readonly difference: ConfigurationDifference }
-  /** Control confirms by quorum that this version is the newest one committed. */
-  | { readonly type: 'confirm', readonly version: Version, readonly term: number }
+  | {
+    readonly type: 'copy',
+    readonly from: string,
+    readonly confirmed: boolean,
+    readonly copy: VersionedConfiguration,
+    readonly askedAtMs?: number
+  }
+  | {
+    readonly type: 'difference',
+    readonly from: string,
+    readonly confirmed: boolean,
+    readonly difference: ConfigurationDifference,
+    readonly askedAtMs?: number
+  }
+  /**
+   * Control confirms by a quorum read that this version is the newest one committed. `askedAtMs` is this node's
+   * own monotonic time when it sent the heartbeat that is answered here; the lease counts from then, so that an
+   * answer that was delayed on the way does not prolong it. Without it the lease counts from the receipt.
+   */
+  | { readonly type: 'confirm', readonly version: Version, readonly term: number, readonly askedAtMs?: number }
   /** A peer tells which version it has in force. */
   | { readonly type: 'peerVersion', readonly from: string, readonly version: Version }
   | { readonly type: 'tick' }
@@ -106,5 +122,31 @@
   | { readonly type: 'offer', readonly to: string, readonly version: Version }
   | { readonly type: 'state', readonly state: FollowerState }
 
+/** Operation that was answered; a repeat gets the same reply. */
+export interface RememberedOperation {
+  readonly operation: string
+  /** Hash of base version and configuration; tells a repeat from another change under the same id. */
+  readonly content: string
+  readonly reply: ChangeReply
+}
+
+/** Replicated state of the register, as it goes into a snapshot. */
+export interface RegisterSnapshot {
+  readonly format: 1
+  readonly inForce: VersionedConfiguration
+  /** Oldest first. */
+  readonly operations: readonly RememberedOperation[]
+}
+
+/** Counters of the follower, for the state dump and for metrics. */
+export interface FollowerCounters {
+  /** News of an older version than the one in force. */
+  readonly older: number
+  /** News that contradicts the one in force: newer with an older term, or another content of the same version. */
+  readonly contradicting: number
+  /** Differences that did not fit and were followed by a whole copy. */
+  readonly mismatched: number
+}
+
 /** `unconfirmed` serves nothing; `stale` serves reads and refuses guarded work. */
 export type FollowerState = 'unconfirmed' | 'current' | 'stale'
--- /dev/null
+++ b/src/parts/records/IdempotencyLedger.ts
@@ -0,0 +1,282 @@
+import type { Reason } from '../Types.js'
+import { answerBytes, fitAnswer } from './AnswerStore.js'
+import {
+  ABANDONED_MS,
+  FULL_RETRY_AFTER_MS,
+  HORIZON_MS,
+  MAX_ABANDONED,
+  MAX_ANSWERS_BYTES,
+  MAX_ANSWER_BYTES,
+  MAX_KEY_LENGTH,
+  MAX_RECORDS,
+  MAX_REMOVED_PER_COMMAND,
+  MAX_RETRY_AFTER_MS,
+  MAX_RUN_FOR_MS,
+  MIN_RETRY_AFTER_MS
+} from './Constants.js'
+import type {
+  Holder,
+  LedgerLimits,
+  LedgerSnapshot,
+  RecordCommand,
+  RecordKey,
+  RecordReply,
+  RecordState,
+  StoredAnswer,
+  StoredRecord
+} from './Types.js'
+
+type CommandOf<Type extends RecordCommand['type']> = Extract<RecordCommand, { type: Type }>
+
+type Handlers = {
+  readonly [Type in RecordCommand['type']]: (command: CommandOf<Type>, atMs: number) => RecordReply
+}
+
+/** A record in memory; the key's text is the map's key. */
+interface Entry {
+  readonly record: RecordKey
+  readonly fingerprint: string
+  readonly holder: Holder
+  state: RecordState
+  readonly runUntilMs: number
+  answer: StoredAnswer | undefined
+}
+
+const DEFAULTS: LedgerLimits = {
+  maxRecords: MAX_RECORDS,
+  maxAnswerBytes: MAX_ANSWER_BYTES,
+  maxAnswersBytes: MAX_ANSWERS_BYTES,
+  horizonMs: HORIZON_MS
+}
+
+const RECORDED: RecordReply = { type: 'recorded' }
+const UNKNOWN: RecordReply = { type: 'unknown' }
+const GRANTED: RecordReply = { type: 'granted' }
+
+/**
+ * Permissions to run guarded requests and their outcomes, as a deterministic state machine that every replica of a
+ * group applies in log order.
+ *
+ * A key is granted to one holder. Only that holder may write its outcome, and only its proof that the upstream
+ * never saw the request (`abandon`) lets another holder run the key. A grant whose run time passes without an
+ * outcome is answered `unknown` from then on. Keys are kept for `horizonMs` after their run time; a full ledger
+ * refuses new keys and forgets none inside the horizon.
+ *
+ * Memory: at most `maxRecords` records, `maxAnswersBytes` of answers and `MAX_ABANDONED` holders. Time is group
+ * time, see `GroupClock`.
+ */
+export class IdempotencyLedger {
+  private limits: LedgerLimits
+  private atMs = 0
+  private bytes = 0
+  private records = new Map<string, Entry>()
+  private abandoned = new Map<string, { readonly holder: Holder, readonly atMs: number }>()
+
+  private readonly handlers: Handlers = {
+    begin: (command, atMs) => this.begin(command, atMs),
+    finish: (command, atMs) => this.finish(command, atMs),
+    lose: (command, atMs) => this.lose(command, atMs),
+    abandon: (command, atMs) => this.abandon(command, atMs)
+  }
+
+  /**
+   * @param limits Limits that replace the defaults; the same on all replicas of a group.
+   */
+  public constructor (limits: Partial<LedgerLimits> = {}) {
+    this.limits = { ...DEFAULTS, ...limits }
+  }
+
+  /** Records kept now. */
+  public get size (): number {
+    return this.records.size
+  }
+
+  /** Bytes of the answers kept now. */
+  public get answersBytes (): number {
+    return this.bytes
+  }
+
+  /** Group time of the last applied entry in milliseconds. */
+  public get timeMs (): number {
+    return this.atMs
+  }
+
+  /**
+   * Applies one committed command and returns the reply for the node that sent it.
+   * @param command Command as it stands in the log entry.
+   * @param atMs Group time of the entry in milliseconds; an earlier time than the last one counts as the last one.
+   */
+  public apply (command: RecordCommand, atMs: number): RecordReply {
+    this.atMs = Math.max(this.atMs, atMs)
+    this.removeExpired()
+    const handler = this.handlers[command.type] as (command: RecordCommand, atMs: number) => RecordReply
+    return handler(command, this.atMs)
+  }
+
+  /** Returns the replicated state as plain data. */
+  public snapshot (): LedgerSnapshot {
+    const records = [...this.records.values()].map(storedOf)
+    return { format: 1, limits: this.limits, atMs: this.atMs, records, abandoned: [...this.abandoned.values()] }
+  }
+
+  /**
+   * Replaces the whole state, with its limits.
+   * @param snapshot State from `snapshot`, of this or another replica.
+   */
+  public restore (snapshot: LedgerSnapshot): void {
+    this.limits = snapshot.limits
+    this.atMs = snapshot.atMs
+    this.bytes = 0
+    this.records = new Map()
+    for (const stored of snapshot.records) {
+      this.records.set(textOf(stored.record), { ...stored, answer: stored.answer })
+      this.bytes += stored.answer === undefined ? 0 : answerBytes(stored.answer)
+    }
+    this.abandoned = new Map(snapshot.abandoned.map((entry) => [holderText(entry.holder), entry]))
+  }
+
+  private begin (command: CommandOf<'begin'>, atMs: number): RecordReply {
+    if (this.abandoned.has(holderText(command.holder))) {
+      return refused('cancelled', 0)
+    }
+    const entry = this.records.get(textOf(command.record))
+    if (entry !== undefined) {
+      return this.repeat(entry, command, atMs)
+    }
+    if (command.record.key.length > MAX_KEY_LENGTH) {
+      return refused('bad-request', 0)
+    }
+    if (this.records.size >= this.limits.maxRecords) {
+      return refused('records-full', FULL_RETRY_AFTER_MS)
+    }
+    this.records.set(textOf(command.record), {
+      record: command.record,
+      fingerprint: command.fingerprint,
+      holder: command.holder,
+      state: 'running',
+      runUntilMs: atMs + Math.min(Math.max(0, command.runForMs), MAX_RUN_FOR_MS),
+      answer: undefined
+    })
+    return GRANTED
+  }
+
+  private repeat (entry: Entry, command: CommandOf<'begin'>, atMs: number): RecordReply {
+    if (entry.fingerprint !== command.fingerprint) {
+      return refused('key-reused', 0)
+    }
+    if (entry.answer !== undefined) {
+      return { type: 'answered', answer: entry.answer }
+    }
+    if (holderRestarted(entry.holder, command.holder)) {
+      entry.state = 'lost'
+    }
+    if (entry.state === 'lost' || atMs >= entry.runUntilMs) {
+      return UNKNOWN
+    }
+    if (sameHolder(entry.holder, command.holder)) {
+      return GRANTED
+    }
+    const leftMs = entry.runUntilMs - atMs
+    const retryAfterMs = Math.min(Math.max(leftMs, MIN_RETRY_AFTER_MS), MAX_RETRY_AFTER_MS)
+    return { type: 'inProgress', retryAfterMs }
+  }
+
+  private finish (command: CommandOf<'finish'>, _atMs: number): RecordReply {
+    const entry = this.heldBy(command)
+    if (entry === undefined) {
+      return refused('conflict', 0)
+    }
+    if (entry.answer === undefined) {
+      this.keepAnswer(entry, command.answer)
+    }
+    return RECORDED
+  }
+
+  private lose (command: CommandOf<'lose'>, _atMs: number): RecordReply {
+    const entry = this.heldBy(command)
+    if (entry === undefined) {
+      return refused('conflict', 0)
+    }
+    if (entry.state === 'running') {
+      entry.state = 'lost'
+    }
+    return RECORDED
+  }
+
+  private abandon (command: CommandOf<'abandon'>, atMs: number): RecordReply {
+    const entry = this.heldBy(command)
+    if (entry !== undefined && entry.state !== 'running') {
+      return refused('conflict', 0)
+    }
+    if (entry !== undefined) {
+      this.records.delete(textOf(command.record))
+    }
+    this.noteAbandoned(command.holder, atMs)
+    return RECORDED
+  }
+
+  private heldBy (command: { readonly record: RecordKey, readonly holder: Holder }): Entry | undefined {
+    const entry = this.records.get(textOf(command.record))
+    return entry !== undefined && sameHolder(entry.holder, command.holder) ? entry : undefined
+  }
+
+  private keepAnswer (entry: Entry, answer: StoredAnswer): void {
+    const room = this.limits.maxAnswersBytes - this.bytes
+    entry.answer = fitAnswer(answer, Math.min(this.limits.maxAnswerBytes, room))
+    entry.state = 'answered'
+    this.bytes += answerBytes(entry.answer)
+  }
+
+  /** A holder that gave up may have sent a `begin` that is still under way; it must not be granted. */
+  private noteAbandoned (holder: Holder, atMs: number): void {
+    this.abandoned.set(holderText(holder), { holder, atMs })
+    if (this.abandoned.size > MAX_ABANDONED) {
+      this.abandoned.delete(this.abandoned.keys().next().value as string)
+    }
+  }
+
+  /** Records stand in the order of their grants; one with a longer run time keeps later ones a little longer. */
+  private removeExpired (): void {
+    let removed = 0
+    for (const [text, entry] of this.records) {
+      if (removed >= MAX_REMOVED_PER_COMMAND || entry.runUntilMs + this.limits.horizonMs > this.atMs) {
+        break
+      }
+      this.records.delete(text)
+      this.bytes -= entry.answer === undefined ? 0 : answerBytes(entry.answer)
+      removed += 1
+    }
+    for (const [text, entry] of this.abandoned) {
+      if (entry.atMs + ABANDONED_MS > this.atMs) {
+        break
+      }
+      this.abandoned.delete(text)
+    }
+  }
+}
+
+function textOf (record: RecordKey): string {
+  return `${record.service}\n${record.key}`
+}
+
+function holderText (holder: Holder): string {
+  return `${holder.node}\n${holder.incarnation}\n${holder.call}`
+}
+
+function sameHolder (a: Holder, b: Holder): boolean {
+  return a.node === b.node && a.incarnation === b.incarnation && a.call === b.call
+}
+
+/** A later incarnation of the holder's node proves that the run can't report its outcome any more. */
+function holderRestarted (holder: Holder, other: Holder): boolean {
+  return holder.node === other.node && holder.incarnation < other.incarnation
+}
+
+function refused (reason: Reason, retryAfterMs: number): RecordReply {
+  return { type: 'refused', reason, retryAfterMs }
+}
+
+function storedOf (entry: Entry): StoredRecord {
+  const { answer, ...rest } = entry
+  return answer === undefined ? rest : { ...rest, answer }
+}
