--- /dev/null
+++ b/src/parts/agreement/Constants.ts
@@ -0,0 +1,26 @@
+import type { ReplicaTiming, ReplicaLimits } from './Types.js'
+
+/** Timing of a replica when the host gives none. */
+export const DEFAULT_TIMING: ReplicaTiming = {
+  heartbeatMs: 100,
+  electionTimeoutMs: 600,
+  catchUpTimeoutMs: 30_000
+}
+
+/** Limits of a replica when the host gives none. */
+export const DEFAULT_LIMITS: ReplicaLimits = {
+  maxUncommittedBytes: 16 * 1024 * 1024,
+  maxUncommittedEntries: 16_384,
+  maxLogBytes: 96 * 1024 * 1024,
+  maxAppendBytes: 512 * 1024,
+  maxAppendEntries: 4096,
+  maxAppendsInFlight: 4,
+  maxReads: 4096,
+  snapshotChunkBytes: 256 * 1024,
+  maxSnapshotBytes: 256 * 1024 * 1024,
+  retainedEntries: 2048,
+  catchUpSlackEntries: 256
+}
+
+/** Bytes that an entry costs beside its data, for the limits. */
+export const ENTRY_OVERHEAD_BYTES = 64
--- /dev/null
+++ b/src/parts/agreement/Election.ts
@@ -0,0 +1,134 @@
+import type { ReplicaId } from '../Types.js'
+import { quorumSize } from './Members.js'
+import type { ReplicaState } from './ReplicaState.js'
+import type { PreVoteReply, PreVoteRequest, VoteReply, VoteRequest } from './Types.js'
+
+/** How far an election has come. */
+type Phase = 'idle' | 'preVote' | 'vote'
+
+/**
+ * Elections with pre-vote: a replica raises its term only when a quorum would vote for it and hears no
+ * leader. A vote counts and goes out only once it is synced.
+ */
+export class Election {
+  private _phase: Phase = 'idle'
+  private _votes = new Set<ReplicaId>()
+  private _ownVoteSequence = 0
+
+  /**
+   * @param _state Shared state.
+   * @param _onWon Called when this replica has won its term.
+   */
+  public constructor (
+    private readonly _state: ReplicaState,
+    private readonly _onWon: () => void
+  ) {}
+
+  /** Starts an election when the leader has been silent for long enough. */
+  public tick (): void {
+    const state = this._state
+    if (state.role === 'recovering' || state.nowMs < state.electionDueMs) return
+    if (state.electionDueMs === 0) return state.delayElection()
+    this._startPreVote()
+  }
+
+  /** Forgets an election that another replica's leadership has ended. */
+  public stop (): void {
+    this._phase = 'idle'
+  }
+
+  /** Counts the own vote once it is synced. */
+  public persisted (sequence: number): void {
+    if (this._phase !== 'vote' || sequence < this._ownVoteSequence) return
+    this._countVote(this._state.id)
+  }
+
+  /** Answers a pre-vote request without changing anything here. */
+  public onPreVote (from: ReplicaId, message: PreVoteRequest): void {
+    const state = this._state
+    const granted = state.role !== 'recovering' &&
+      message.term > state.term &&
+      !this.hearsLeader() &&
+      this._isUpToDate(message)
+    state.send(from, { type: 'preVoteReply', term: granted ? message.term : state.term, granted })
+  }
+
+  /** Counts a pre-vote; with a quorum the real election starts. */
+  public onPreVoteReply (from: ReplicaId, message: PreVoteReply): void {
+    const state = this._state
+    if (this._phase !== 'preVote' || !message.granted || message.term !== state.term + 1) return
+    this._votes.add(from)
+    if (this._hasQuorum()) this._startVote()
+  }
+
+  /** Votes at most once in a term, for a candidate whose log holds all that may be committed. */
+  public onVote (from: ReplicaId, message: VoteRequest): void {
+    const state = this._state
+    const free = state.votedFor === undefined || state.votedFor === from
+    const granted = state.role !== 'recovering' &&
+      message.term === state.term &&
+      free &&
+      this._isUpToDate(message)
+    if (granted && state.votedFor === undefined) state.vote(state.term, from)
+    if (granted) state.delayElection()
+    state.send(from, { type: 'voteReply', term: state.term, granted })
+  }
+
+  /** Counts a vote. */
+  public onVoteReply (from: ReplicaId, message: VoteReply): void {
+    if (this._phase !== 'vote' || !message.granted || message.term !== this._state.term) return
+    this._countVote(from)
+  }
+
+  /** True while a leader was heard within the election timeout, or leads here. */
+  public hearsLeader (): boolean {
+    const { role, leaderHeardMs, nowMs, timing } = this._state
+    if (role === 'leader') return true
+    return leaderHeardMs !== undefined && nowMs - leaderHeardMs < timing.electionTimeoutMs
+  }
+
+  private _startPreVote (): void {
+    const state = this._state
+    state.delayElection()
+    this._phase = 'preVote'
+    this._votes = new Set([state.id])
+    state.become('candidate', undefined)
+    if (this._hasQuorum()) return this._startVote()
+    this._ask('preVote', state.term + 1)
+  }
+
+  private _startVote (): void {
+    const state = this._state
+    this._phase = 'vote'
+    this._votes = new Set()
+    state.vote(state.term + 1, state.id)
+    this._ownVoteSequence = state.sequence
+    this._ask('vote', state.term)
+  }
+
+  private _ask (type: 'preVote' | 'vote', term: number): void {
+    const { log, peers } = this._state
+    for (const peer of peers) {
+      this._state.send(peer, { type, term, lastIndex: log.lastIndex, lastTerm: log.lastTerm })
+    }
+  }
+
+  private _countVote (from: ReplicaId): void {
+    this._votes.add(from)
+    if (!this._hasQuorum()) return
+    this._phase = 'idle'
+    this._onWon()
+  }
+
+  private _hasQuorum (): boolean {
+    const { members } = this._state.log
+    const votes = members.filter(member => this._votes.has(member))
+    return votes.length >= quorumSize(members)
+  }
+
+  private _isUpToDate (candidate: { readonly lastIndex: number, readonly lastTerm: number }): boolean {
+    const { log } = this._state
+    if (candidate.lastTerm !== log.lastTerm) return candidate.lastTerm > log.lastTerm
+    return candidate.lastIndex >= log.lastIndex
+  }
+}
--- /dev/null
+++ b/src/parts/agreement/Replica.ts
@@ -0,0 +1,208 @@
+import type { Part, ReplicaId } from '../Types.js'
+import { Election } from './Election.js'
+import { FollowerLog } from './FollowerLog.js'
+import { MembershipChange } from './MembershipChange.js'
+import { ReadQueue } from './ReadQueue.js'
+import { ReplicaState } from './ReplicaState.js'
+import { Replication } from './Replication.js'
+import { SnapshotTransfer } from './SnapshotTransfer.js'
+import type { AgreementAction, AgreementEvent, AgreementMessage, ReplicaOptions, Role } from './Types.js'
+
+/** Handlers of messages by type. */
+type MessageHandlers = {
+  readonly [Type in AgreementMessage['type']]:
+  (from: ReplicaId, message: Extract<AgreementMessage, { type: Type }>) => void
+}
+
+/** Handlers of events by type. */
+type EventHandlers = {
+  readonly [Type in AgreementEvent['type']]: (event: Extract<AgreementEvent, { type: Type }>) => void
+}
+
+/** Bounded view of a replica for dumps and metrics. */
+export interface ReplicaView {
+  readonly id: ReplicaId
+  readonly role: Role
+  readonly term: number
+  readonly leader: ReplicaId | undefined
+  readonly members: readonly ReplicaId[]
+  readonly commitIndex: number
+  readonly lastIndex: number
+  readonly snapshotIndex: number
+  readonly logBytes: number
+  readonly openProposals: number
+}
+
+/** Messages by which a leader shows that it leads its term. */
+const LEADER_MESSAGES: ReadonlySet<AgreementMessage['type']> = new Set(['append', 'snapshot'])
+
+/** Messages whose term is one that the sender only asks about. */
+const TENTATIVE_MESSAGES: ReadonlySet<AgreementMessage['type']> = new Set(['preVote', 'preVoteReply'])
+
+/**
+ * One replica of a group that agrees on a log. The host syncs what `persist` hands out and answers with
+ * `persisted`, delivers messages (late, twice, out of order or never), applies `commit` in order, and
+ * sends `tick` at least every `heartbeatMs / 4`.
+ *
+ * Memory: the newest snapshot, the entries since it and `retainedEntries` before it (proposals are
+ * refused beyond `maxLogBytes`), at most `maxUncommittedEntries` proposals, `maxReads` reads, one
+ * unfinished incoming snapshot, and one older snapshot for each follower that is being sent one.
+ */
+export class Replica implements Part<AgreementEvent, AgreementAction> {
+  private readonly _state: ReplicaState
+  private readonly _damaged: boolean
+  private readonly _election: Election
+  private readonly _replication: Replication
+  private readonly _reads: ReadQueue
+  private readonly _membership: MembershipChange
+  private readonly _transfer: SnapshotTransfer
+  private readonly _followerLog: FollowerLog
+
+  private readonly _events: EventHandlers = {
+    tick: () => this._tick(),
+    message: event => this._receive(event.from, event.message),
+    propose: event => this._propose(event.id, event.data),
+    read: event => this._reads.read(event.id),
+    persisted: event => this._persisted(event.sequence),
+    changeMembers: event => this._membership.change(event.id, event.members),
+    snapshotTaken: event => this._snapshotTaken(event.index, event.data)
+  }
+
+  private readonly _messages: MessageHandlers = {
+    preVote: (from, message) => this._election.onPreVote(from, message),
+    preVoteReply: (from, message) => this._election.onPreVoteReply(from, message),
+    vote: (from, message) => this._election.onVote(from, message),
+    voteReply: (from, message) => this._election.onVoteReply(from, message),
+    append: (from, message) => this._followerLog.onAppend(from, message),
+    appendReply: (from, message) => this._replication.onAppendReply(from, message),
+    snapshot: (from, message) => this._transfer.onPart(from, message),
+    snapshotReply: (from, message) => {
+      const progress = this._replication.progressOf(from)
+      if (progress === undefined) return
+      this._replication.heard(progress, message)
+      this._transfer.advance(from, progress, message.index, message.offset, this._replication.round)
+      this._reads.advance()
+    }
+  }
+
+  /**
+   * @param options Identity, random numbers, what storage found, timing and limits.
+   */
+  public constructor (options: ReplicaOptions) {
+    const state = new ReplicaState(options)
+    this._state = state
+    this._damaged = options.damaged ?? false
+    this._transfer = new SnapshotTransfer(state)
+    this._replication = new Replication(state, this._transfer, { onProgress: () => this._onProgress() })
+    this._election = new Election(state, () => this._replication.lead())
+    this._reads = new ReadQueue(state, this._replication)
+    this._membership = new MembershipChange(state, this._replication)
+    this._followerLog = new FollowerLog(state)
+  }
+
+  /** Bounded view for dumps and metrics. */
+  public get view (): ReplicaView {
+    const { id, role, term, leader, log, commitIndex, openProposals } = this._state
+    return {
+      id,
+      role: this._damaged ? 'recovering' : role,
+      term,
+      leader,
+      members: log.members,
+      commitIndex,
+      lastIndex: log.lastIndex,
+      snapshotIndex: log.snapshot.index,
+      logBytes: log.bytes,
+      openProposals
+    }
+  }
+
+  /**
+   * Takes one event.
+   * @param event What happened.
+   * @param nowMs Monotonic time in milliseconds.
+   */
+  public step (event: AgreementEvent, nowMs: number): AgreementAction[] {
+    this._state.nowMs = nowMs
+    const handler = this._events[event.type] as (event: AgreementEvent) => void
+    handler(event)
+    return this._state.takeActions()
+  }
+
+  private _tick (): void {
+    if (this._damaged) return
+    if (this._state.role !== 'leader') return this._election.tick()
+    this._replication.tick()
+    this._membership.tick()
+  }
+
+  private _receive (from: ReplicaId, message: AgreementMessage): void {
+    if (this._damaged) return
+    if (message.term < this._state.term) return this._answerOlder(from, message)
+    if (message.term > this._state.term && !this._joinTerm(from, message)) return
+    if (LEADER_MESSAGES.has(message.type)) this._followLeader(from)
+    const handler = this._messages[message.type] as (from: ReplicaId, message: AgreementMessage) => void
+    handler(from, message)
+  }
+
+  /** Returns false when the message must be ignored, so that a leader that is heard is not deposed. */
+  private _joinTerm (from: ReplicaId, message: AgreementMessage): boolean {
+    if (TENTATIVE_MESSAGES.has(message.type)) {
+      const refused = message.type === 'preVoteReply' && !message.granted
+      if (refused) this._leaveTerm(message.term)
+      return true
+    }
+    if (message.type === 'vote' && this._election.hearsLeader()) return false
+    this._leaveTerm(message.term)
+    return true
+  }
+
+  private _leaveTerm (term: number): void {
+    this._election.stop()
+    this._state.follow(term, undefined)
+  }
+
+  private _followLeader (from: ReplicaId): void {
+    if (this._state.role === 'leader') throw new Error(`${from} also leads term ${this._state.term}`)
+    this._election.stop()
+    this._state.leaderHeardMs = this._state.nowMs
+    this._state.delayElection()
+    this._state.follow(this._state.term, from)
+  }
+
+  private _answerOlder (to: ReplicaId, message: AgreementMessage): void {
+    const { term } = this._state
+    if (message.type === 'preVote') this._state.send(to, { type: 'preVoteReply', term, granted: false })
+    if (message.type === 'vote') this._state.send(to, { type: 'voteReply', term, granted: false })
+    if (message.type !== 'append' && message.type !== 'snapshot') return
+    const { round, sentAtMs } = message
+    this._state.send(to, {
+      type: 'appendReply', term, success: false, match: 0, conflictIndex: 0, conflictTerm: -1, round, sentAtMs
+    })
+  }
+
+  private _propose (id: number, data: Uint8Array): void {
+    const open = !this._damaged && this._replication.checkLease() && this._replication.hasRoom(data.length)
+    if (!open) return this._state.reject(id, 'not-run')
+    this._replication.append('command', data, id)
+  }
+
+  private _persisted (sequence: number): void {
+    this._state.persisted(sequence)
+    this._replication.persisted(sequence)
+    this._election.persisted(sequence)
+  }
+
+  private _snapshotTaken (index: number, data: Uint8Array): void {
+    const { log, commitIndex, limits } = this._state
+    if (index <= log.snapshot.index || index > commitIndex) return
+    const snapshot = { index, term: log.termAt(index)!, members: log.membersAt(index), data }
+    log.compact(snapshot, limits.retainedEntries)
+    this._state.persist({ snapshot })
+  }
+
+  private _onProgress (): void {
+    this._membership.advance()
+    if (this._state.role === 'leader') this._reads.advance()
+  }
+}
--- /dev/null
+++ b/src/parts/agreement/ReplicaState.ts
@@ -0,0 +1,270 @@
+import type { Random, ReplicaId } from '../Types.js'
+import { DEFAULT_LIMITS, DEFAULT_TIMING } from './Constants.js'
+import { ReplicaLog } from './ReplicaLog.js'
+import type {
+  AgreementAction, AgreementMessage, HardState, LogEntry, ReplicaLimits, ReplicaOptions, ReplicaTiming, Role, Snapshot
+} from './Types.js'
+
+/** A message that waits until what it depends on is synced. */
+interface HeldMessage {
+  readonly sequence: number
+  readonly to: ReplicaId
+  readonly message: AgreementMessage
+}
+
+/** What one `persist` action carries. */
+interface Persistence {
+  readonly hard?: HardState
+  readonly truncateFrom?: number
+  readonly entries?: readonly LogEntry[]
+  readonly snapshot?: Snapshot
+}
+
+/**
+ * State that the modules of a replica share: term, vote, role, log, commit index, and the actions of
+ * the step that runs. Every message goes out only after all that was handed out for syncing before it,
+ * unless it is sent by `sendNow`.
+ */
+export class ReplicaState {
+  public readonly id: ReplicaId
+  public readonly random: Random
+  public readonly timing: ReplicaTiming
+  public readonly limits: ReplicaLimits
+  public readonly log: ReplicaLog
+  public nowMs = 0
+  public leader: ReplicaId | undefined
+  /** When the leader was last heard, or undefined before that. */
+  public leaderHeardMs: number | undefined
+  public electionDueMs = 0
+  private _term: number
+  private _votedFor: ReplicaId | undefined
+  private _role: Role
+  private _commitIndex: number
+  private _sequence = 0
+  private _persisted = 0
+  private _actions: AgreementAction[] = []
+  private _held: HeldMessage[] = []
+  private _openBytes = 0
+  private readonly _proposals = new Map<number, number>()
+  private readonly _steppedDown: Array<() => void> = []
+
+  /**
+   * @param options What the replica is built with.
+   */
+  public constructor (options: ReplicaOptions) {
+    this.id = options.id
+    this.random = options.random
+    this.timing = { ...DEFAULT_TIMING, ...options.timing }
+    this.limits = { ...DEFAULT_LIMITS, ...options.limits }
+    this.log = new ReplicaLog(options.recovered)
+    this._term = options.recovered.hard.term
+    this._votedFor = options.recovered.hard.votedFor
+    this._commitIndex = options.recovered.snapshot.index
+    this._role = this.isMember ? 'follower' : 'recovering'
+  }
+
+  /** Current term. */
+  public get term (): number {
+    return this._term
+  }
+
+  /** Whom this replica voted for in the current term. */
+  public get votedFor (): ReplicaId | undefined {
+    return this._votedFor
+  }
+
+  /** Current role. */
+  public get role (): Role {
+    return this._role
+  }
+
+  /** Highest index known to be committed. */
+  public get commitIndex (): number {
+    return this._commitIndex
+  }
+
+  /** Number of the last `persist` handed out. */
+  public get sequence (): number {
+    return this._sequence
+  }
+
+  /** True when the members in force include this replica. */
+  public get isMember (): boolean {
+    return this.log.members.includes(this.id)
+  }
+
+  /** The other members in force. */
+  public get peers (): ReplicaId[] {
+    return this.log.members.filter(member => member !== this.id)
+  }
+
+  /** Entries proposed here that are not yet committed. */
+  public get openProposals (): number {
+    return this._proposals.size
+  }
+
+  /** Bytes of those entries. */
+  public get openBytes (): number {
+    return this._openBytes
+  }
+
+  /**
+   * Registers what must happen when this replica stops leading.
+   * @param listener Called during the step.
+   */
+  public onSteppedDown (listener: () => void): void {
+    this._steppedDown.push(listener)
+  }
+
+  /** Returns the actions of this step and starts the next. */
+  public takeActions (): AgreementAction[] {
+    const actions = this._actions
+    this._actions = []
+    return actions
+  }
+
+  /**
+   * Adds an action to this step.
+   * @param action The action.
+   */
+  public emit (action: AgreementAction): void {
+    this._actions.push(action)
+  }
+
+  /**
+   * Sends a message once all that was handed out for syncing is synced.
+   * @param to Receiver.
+   * @param message The message.
+   */
+  public send (to: ReplicaId, message: AgreementMessage): void {
+    if (this._persisted >= this._sequence) this.sendNow(to, message)
+    else this._held.push({ sequence: this._sequence, to, message })
+  }
+
+  /**
+   * Sends a message that depends on nothing unsynced.
+   * @param to Receiver.
+   * @param message The message.
+   */
+  public sendNow (to: ReplicaId, message: AgreementMessage): void {
+    this.emit({ type: 'send', to, message })
+  }
+
+  /**
+   * Hands out what must be synced.
+   * @param what Parts that changed.
+   */
+  public persist (what: Persistence): void {
+    this._sequence++
+    this.emit({ type: 'persist', sequence: this._sequence, entries: [], ...what })
+  }
+
+  /**
+   * Releases the messages that waited for a sync.
+   * @param sequence All up to this number is synced.
+   */
+  public persisted (sequence: number): void {
+    this._persisted = Math.max(this._persisted, sequence)
+    const ready = this._held.findIndex(item => item.sequence > this._persisted)
+    const released = this._held.splice(0, ready < 0 ? this._held.length : ready)
+    released.forEach(item => this.sendNow(item.to, item.message))
+  }
+
+  /**
+   * Votes in a term; durable before any message that follows.
+   * @param term The term.
+   * @param candidate Whom the vote is for.
+   */
+  public vote (term: number, candidate: ReplicaId): void {
+    this._term = term
+    this._votedFor = candidate
+    this.persist({ hard: { term, votedFor: candidate } })
+  }
+
+  /**
+   * Follows, in this or a later term.
+   * @param term Term to be in.
+   * @param leader Its leader, when known.
+   */
+  public follow (term: number, leader: ReplicaId | undefined): void {
+    if (term > this._term) {
+      this._term = term
+      this._votedFor = undefined
+      this.persist({ hard: { term, votedFor: undefined } })
+    }
+    this.become(this.isMember ? 'follower' : 'recovering', leader)
+  }
+
+  /**
+   * Takes a role and tells the host when anything changed.
+   * @param role The role.
+   * @param leader The leader, when known.
+   */
+  public become (role: Role, leader: ReplicaId | undefined): void {
+    const led = this._role === 'leader' && role !== 'leader'
+    if (role === this._role && leader === this.leader) return
+    this._role = role
+    this.leader = leader
+    this.emit({ type: 'became', role, term: this._term, leader })
+    if (led) this._stepDown()
+  }
+
+  /** Draws the time of the next election. */
+  public delayElection (): void {
+    const { electionTimeoutMs } = this.timing
+    this.electionDueMs = this.nowMs + electionTimeoutMs * (1 + this.random.next())
+  }
+
+  /**
+   * Remembers whose proposal an entry is.
+   * @param index Index of the entry.
+   * @param id The host's id.
+   * @param bytes Bytes of its data.
+   */
+  public track (index: number, id: number, bytes: number): void {
+    this._proposals.set(index, id)
+    this._openBytes += bytes
+  }
+
+  /**
+   * Hands out entries as committed.
+   * @param index New commit index; a lower one changes nothing.
+   */
+  public commitTo (index: number): void {
+    while (this._commitIndex < index) {
+      this._commitIndex++
+      const entry = this.log.entryAt(this._commitIndex)!
+      const id = this._proposals.get(entry.index)
+      if (this._proposals.delete(entry.index)) this._openBytes -= entry.data.length
+      this.emit(id === undefined ? { type: 'commit', entry } : { type: 'commit', entry, id })
+    }
+  }
+
+  /**
+   * Puts a leader's snapshot in force.
+   * @param snapshot The snapshot.
+   */
+  public restore (snapshot: Snapshot): void {
+    const kept = this.log.install(snapshot)
+    this._commitIndex = Math.max(this._commitIndex, snapshot.index)
+    this.persist(kept ? { snapshot } : { snapshot, truncateFrom: snapshot.index + 1 })
+    this.emit({ type: 'restore', snapshot })
+  }
+
+  /**
+   * Refuses a request of the host.
+   * @param id The host's id.
+   * @param state What is proved about it.
+   */
+  public reject (id: number, state: 'not-run' | 'unknown'): void {
+    this.emit({ type: 'rejected', id, state, leader: this.leader })
+  }
+
+  private _stepDown (): void {
+    this.delayElection()
+    for (const id of this._proposals.values()) this.reject(id, 'unknown')
+    this._proposals.clear()
+    this._openBytes = 0
+    this._steppedDown.forEach(listener => listener())
+  }
+}
--- /dev/null
+++ b/src/parts/storage/MemoryDisk.ts
@@ -0,0 +1,136 @@
+import type { Random } from '../Types.js'
+import { StorageFault } from './StorageFault.js'
+import type { Disk } from './Types.js'
+
+/** A file's bytes as written and as they would be found after a power cut. */
+interface MemoryFile {
+  written: Uint8Array
+  synced: Uint8Array
+}
+
+/** Faults that a memory disk can be told to have. */
+export interface DiskFaults {
+  /** Bytes that may still be written before the disk is full. */
+  freeBytes: number
+  /** Every sync fails. */
+  syncFails: boolean
+}
+
+/**
+ * A disk in memory for tests and for trying the library out: it keeps apart what is written and what is
+ * synced, and loses the rest in a crash as a real one may.
+ */
+export class MemoryDisk implements Disk {
+  public readonly faults: DiskFaults = { freeBytes: Infinity, syncFails: false }
+  private _files = new Map<string, MemoryFile>()
+  private _syncedNames = new Map<string, MemoryFile>()
+
+  public list (): string[] {
+    return [...this._files.keys()]
+  }
+
+  public read (file: string): Uint8Array {
+    return this._get(file).written.slice()
+  }
+
+  public append (file: string, bytes: Uint8Array): void {
+    const target = this._open(file)
+    const fits = Math.min(bytes.length, this.faults.freeBytes)
+    this.faults.freeBytes -= fits
+    target.written = concat(target.written, bytes.subarray(0, fits))
+    if (fits < bytes.length) throw new StorageFault('full', file, 'no space is left')
+  }
+
+  public write (file: string, bytes: Uint8Array): void {
+    this._open(file).written = new Uint8Array(0)
+    this.append(file, bytes)
+  }
+
+  public truncate (file: string, length: number): void {
+    const target = this._get(file)
+    target.written = target.written.slice(0, length)
+  }
+
+  public rename (from: string, to: string): void {
+    const target = this._get(from)
+    this._files.delete(from)
+    this._files.set(to, target)
+  }
+
+  public remove (file: string): void {
+    this._files.delete(file)
+  }
+
+  public sync (file: string): void {
+    if (this.faults.syncFails) throw new StorageFault('sync-failed', file, 'the medium failed')
+    const target = this._get(file)
+    target.synced = target.written
+  }
+
+  public syncFolder (): void {
+    if (this.faults.syncFails) throw new StorageFault('sync-failed', '.', 'the medium failed')
+    this._syncedNames = new Map(this._files)
+  }
+
+  /**
+   * Loses power: names go back to those of the last folder sync or stay, and of what a file got since
+   * its last sync some first part stays, at times with zeros or noise in place of its end.
+   * @param random Decides what is lost.
+   */
+  public crash (random: Random): void {
+    if (random.next() < 0.5) this._files = new Map(this._syncedNames)
+    for (const file of this._files.values()) {
+      file.written = survivor(file, random)
+      file.synced = file.written
+    }
+    this._syncedNames = new Map(this._files)
+  }
+
+  /** Loses everything. */
+  public wipe (): void {
+    this._files.clear()
+    this._syncedNames.clear()
+  }
+
+  /**
+   * Flips one bit of a file.
+   * @param file The file.
+   * @param offset The byte.
+   * @param bit The bit, 0 to 7.
+   */
+  public flip (file: string, offset: number, bit: number): void {
+    const target = this._get(file)
+    target.written = target.written.slice()
+    target.written[offset]! ^= 1 << bit
+  }
+
+  private _open (file: string): MemoryFile {
+    const found = this._files.get(file) ?? { written: new Uint8Array(0), synced: new Uint8Array(0) }
+    this._files.set(file, found)
+    return found
+  }
+
+  private _get (file: string): MemoryFile {
+    const found = this._files.get(file)
+    if (found === undefined) throw new StorageFault('io', file, 'there is no such file')
+    return found
+  }
+}
+
+function survivor (file: MemoryFile, random: Random): Uint8Array {
+  const { written, synced } = file
+  const grown = written.length >= synced.length && synced.every((byte, index) => byte === written[index])
+  if (!grown) return random.next() < 0.5 ? written : synced
+  const kept = synced.length + Math.floor(random.next() * (written.length - synced.length + 1))
+  const bytes = written.slice(0, kept)
+  const damaged = Math.floor(random.next() * (kept - synced.length + 1))
+  if (random.next() < 0.3) bytes.fill(0, kept - damaged)
+  return bytes
+}
+
+function concat (first: Uint8Array, second: Uint8Array): Uint8Array {
+  const joined = new Uint8Array(first.length + second.length)
+  joined.set(first)
+  joined.set(second, first.length)
+  return joined
+}
--- a/src/parts/storage/Types.ts
+++ b/src/parts/storage/Types.ts
@@ -1,3 +1,5 @@
+import type { HardState, LogEntry, RecoveredState, Snapshot } from '../agreement/Types.js'
+
 /**
  * The disk as storage sees it: append-only files under one folder. Every call is synchronous towards
  * the part and may throw `StorageFault`; nothing counts as kept until `sync` has returned.
@@ -26,3 +28,33 @@
   readonly offset: number
   readonly problem: string
 }
+
+/** One record of the log's segment. */
+export type StoredRecord =
+  /** First of a segment: the snapshot that it follows, and whose disk this is. */
+  | { readonly type: 'base', readonly index: number, readonly term: number, readonly identity: string }
+  | { readonly type: 'hard', readonly hard: HardState }
+  | { readonly type: 'entry', readonly entry: LogEntry }
+  | { readonly type: 'truncate', readonly from: number }
+
+/** Body of a snapshot file. */
+export interface StoredSnapshot {
+  readonly identity: string
+  readonly snapshot: Snapshot
+}
+
+/** What must be kept; the shape of the replica's `persist` action. */
+export interface Persistence {
+  readonly sequence: number
+  readonly hard?: HardState
+  readonly snapshot?: Snapshot
+  readonly truncateFrom?: number
+  readonly entries: readonly LogEntry[]
+}
+
+/** What opening the log found. */
+export type Opened =
+  | { readonly type: 'empty' }
+  | { readonly type: 'recovered', readonly identity: string, readonly state: RecoveredState, readonly cutBytes: number }
+  /** The replica must not vote; the files are left as they are. */
+  | { readonly type: 'corrupt', readonly corruptions: readonly Corruption[] }
