--- a/src/control/Types.ts
+++ b/src/control/Types.ts
@@ -1,5 +1,6 @@
+import type { FormationNotice } from '../parts/agreement/GroupFormation.js'
 import type { AgreementMessage } from '../parts/agreement/Types.js'
-import type { ConfigurationDifference, Version, VersionedConfiguration } from '../parts/configuration/Types.js'
+import type { ConfigurationDifference, InForce, Version, VersionedConfiguration } from '../parts/configuration/Types.js'
 import type { Member } from '../parts/membership/Types.js'
 import type { RecordCommand, RecordReply } from '../parts/records/Types.js'
 import type { Incarnation, NodeId, Place, ReplicaId, ServiceName } from '../parts/Types.js'
@@ -7,13 +8,20 @@
 /** First frame on each connection to a control replica. */
 export type ControlHello =
   | { readonly type: 'nodeHello', readonly node: NodeId, readonly incarnation: Incarnation, readonly place: Place, readonly version: Version }
-  | { readonly type: 'replicaHello', readonly replica: ReplicaId, readonly incarnation: Incarnation }
+  /** `address` and `admin` are the replica's listeners as `host:port`. */
+  | {
+    readonly type: 'replicaHello',
+    readonly replica: ReplicaId,
+    readonly incarnation: Incarnation,
+    readonly address: string,
+    readonly admin: string
+  }
 
 /** Frames from a node to a control replica. */
 export type NodeToControl =
   | ControlHello
-  /** Sent every heartbeat; `version` is what the node has in force. */
-  | { readonly type: 'heartbeat', readonly version: Version, readonly term: number }
+  /** Sent every heartbeat; `version` is what the node has in force. The answer repeats `askedAtMs`. */
+  | { readonly type: 'heartbeat', readonly version: Version, readonly term: number, readonly askedAtMs?: number }
   | { readonly type: 'record', readonly id: number, readonly command: RecordCommand }
   | { readonly type: 'membership', readonly members: readonly Member[] }
   | { readonly type: 'interest', readonly services: readonly ServiceName[] }
@@ -25,15 +33,38 @@
   /** `id` repeats the request's; `notLeader` names where to go, if known, as `host:port`. */
   | { readonly type: 'recordReply', readonly id: number, readonly reply: RecordReply }
   | { readonly type: 'notLeader', readonly id: number, readonly leader?: string }
-  | { readonly type: 'copy', readonly confirmed: boolean, readonly copy: VersionedConfiguration }
-  | { readonly type: 'difference', readonly confirmed: boolean, readonly difference: ConfigurationDifference }
+  | {
+    readonly type: 'copy',
+    readonly confirmed: boolean,
+    readonly copy: VersionedConfiguration,
+    readonly askedAtMs?: number
+  }
+  | {
+    readonly type: 'difference',
+    readonly confirmed: boolean,
+    readonly difference: ConfigurationDifference,
+    readonly askedAtMs?: number
+  }
   /** Answer to a heartbeat, when a quorum stands behind it. */
-  | { readonly type: 'confirm', readonly version: Version, readonly term: number }
+  | { readonly type: 'confirm', readonly version: Version, readonly term: number, readonly askedAtMs?: number }
   | { readonly type: 'membership', readonly members: readonly Member[] }
 
 /** Frames between control replicas. */
 export type ReplicaToReplica =
   | ControlHello
-  | { readonly type: 'agreement', readonly message: AgreementMessage }
+  /** A receiver with another id drops it: its disk is not the one that the message is for. */
+  | { readonly type: 'agreement', readonly to: ReplicaId, readonly message: AgreementMessage }
+  | { readonly type: 'formation', readonly notice: FormationNotice }
+  /** A follower asks its leader for an index that a quorum confirms. */
+  | { readonly type: 'readIndex', readonly id: number }
+  | { readonly type: 'readIndexReply', readonly id: number, readonly index?: number }
   /** Soft state that is not agreed on: members heard of, and versions that nodes have in force. */
-  | { readonly type: 'gossip', readonly members: readonly Member[] }
+  | { readonly type: 'gossip', readonly members: readonly Member[], readonly inForce: readonly InForce[] }
+  /** Sent back on an accepted connection, so that the other end knows that it is not silent. */
+  | { readonly type: 'heard' }
+
+/** All frames that a control replica's listener takes. */
+export type ToControl = NodeToControl | ReplicaToReplica
+
+/** All frames that it sends on accepted connections. */
+export type FromControl = ControlToNode | ReplicaToReplica
--- a/src/parts/agreement/Constants.ts
+++ b/src/parts/agreement/Constants.ts
@@ -2,8 +2,10 @@
 
 /** Timing of a replica when the host gives none. */
 export const DEFAULT_TIMING: ReplicaTiming = {
-  heartbeatMs: 100,
-  electionTimeoutMs: 600,
+  heartbeatMs: 50,
+  electionMinMs: 300,
+  electionMaxMs: 600,
+  leaseMs: 250,
   catchUpTimeoutMs: 30_000
 }
 
--- a/src/parts/agreement/Election.ts
+++ b/src/parts/agreement/Election.ts
@@ -80,11 +80,11 @@
     this._countVote(from)
   }
 
-  /** True while a leader was heard within the election timeout, or leads here. */
+  /** True while a leader was heard within the least election wait, or leads here. */
   public hearsLeader (): boolean {
     const { role, leaderHeardMs, nowMs, timing } = this._state
     if (role === 'leader') return true
-    return leaderHeardMs !== undefined && nowMs - leaderHeardMs < timing.electionTimeoutMs
+    return leaderHeardMs !== undefined && nowMs - leaderHeardMs < timing.electionMinMs
   }
 
   private _startPreVote (): void {
--- a/src/parts/agreement/Replica.ts
+++ b/src/parts/agreement/Replica.ts
@@ -65,6 +65,7 @@
     read: event => this._reads.read(event.id),
     persisted: event => this._persisted(event.sequence),
     changeMembers: event => this._membership.change(event.id, event.members),
+    form: event => this._form(event.members),
     snapshotTaken: event => this._snapshotTaken(event.index, event.data)
   }
 
@@ -193,6 +194,13 @@
     this._election.persisted(sequence)
   }
 
+  private _form (members: readonly ReplicaId[]): void {
+    const { log, term } = this._state
+    if (this._damaged || log.members.length > 0 || log.lastIndex > 0) return
+    this._state.restore({ index: 0, term: 0, members, data: new Uint8Array(0) })
+    this._state.follow(term, undefined)
+  }
+
   private _snapshotTaken (index: number, data: Uint8Array): void {
     const { log, commitIndex, limits } = this._state
     if (index <= log.snapshot.index || index > commitIndex) return
--- a/src/parts/agreement/ReplicaState.ts
+++ b/src/parts/agreement/ReplicaState.ts
@@ -211,8 +211,8 @@
 
   /** Draws the time of the next election. */
   public delayElection (): void {
-    const { electionTimeoutMs } = this.timing
-    this.electionDueMs = this.nowMs + electionTimeoutMs * (1 + this.random.next())
+    const { electionMinMs, electionMaxMs } = this.timing
+    this.electionDueMs = this.nowMs + electionMinMs + (electionMaxMs - electionMinMs) * this.random.next()
   }
 
   /**
--- a/src/parts/agreement/Replication.ts
+++ b/src/parts/agreement/Replication.ts
@@ -65,7 +65,7 @@
     const { members } = state.log
     const heard = members.map(member => member === state.id ? state.nowMs : this._heardSentMs(member))
     const contactMs = Math.max(reachedByQuorum(heard), this._leaseFromMs)
-    if (state.nowMs - contactMs <= state.timing.electionTimeoutMs) return true
+    if (state.nowMs - contactMs <= state.timing.leaseMs) return true
     state.follow(state.term, undefined)
     return false
   }
--- a/src/parts/agreement/Types.ts
+++ b/src/parts/agreement/Types.ts
@@ -34,6 +34,8 @@
   /** All that was handed out in `persist` up to this number is synced. */
   | { readonly type: 'persisted', readonly sequence: number }
   | { readonly type: 'changeMembers', readonly id: number, readonly members: readonly ReplicaId[] }
+  /** First members of a new group; ignored by a replica that belongs to one or holds any entry. */
+  | { readonly type: 'form', readonly members: readonly ReplicaId[] }
   /** The host has a snapshot of the applied state; the log before it may go. */
   | { readonly type: 'snapshotTaken', readonly index: number, readonly data: Uint8Array }
 
@@ -41,11 +43,12 @@
 export interface ReplicaTiming {
   /** Pause between heartbeats of a leader. */
   readonly heartbeatMs: number
-  /**
-   * Least silence of the leader before an election; the wait is drawn from one to two times this.
-   * It is also the lease: a leader without a quorum's answers for this long steps down.
-   */
-  readonly electionTimeoutMs: number
+  /** Least silence of the leader before an election. */
+  readonly electionMinMs: number
+  /** Longest such silence; the wait is drawn between the two. */
+  readonly electionMaxMs: number
+  /** A leader that no quorum has answered for this long steps down; below `electionMinMs`. */
+  readonly leaseMs: number
   /** Longest catch-up of a new replica before its addition is given up. */
   readonly catchUpTimeoutMs: number
 }
--- a/src/parts/storage/DurableLog.ts
+++ b/src/parts/storage/DurableLog.ts
@@ -29,6 +29,7 @@
   private _batch = 0
   private _staged: Uint8Array[] = []
   private _stagedSequence = 0
+  private _flushedSequence = 0
   private _fault: StorageFault | undefined
 
   /**
@@ -45,7 +46,7 @@
 
   /** True when something waits for `flush`. */
   public get hasStaged (): boolean {
-    return this._staged.length > 0
+    return this._stagedSequence > this._flushedSequence
   }
 
   /**
@@ -100,7 +101,8 @@
   public flush (): number {
     this._check()
     if (this._staged.length > 0) this._writeStaged()
-    return this._stagedSequence
+    this._flushedSequence = this._stagedSequence
+    return this._flushedSequence
   }
 
   private _stageHard (hard: HardState): void {
--- /dev/null
+++ b/src/platform/FileDisk.ts
@@ -0,0 +1,123 @@
+import {
+  closeSync, existsSync, fdatasyncSync, fsyncSync, ftruncateSync, mkdirSync, openSync, readdirSync, readFileSync,
+  renameSync, rmSync, writeSync
+} from 'node:fs'
+import { join } from 'node:path'
+import { StorageFault } from '../parts/storage/StorageFault.js'
+import type { Disk, StorageFailure } from '../parts/storage/Types.js'
+import type { Disposable } from './Types.js'
+
+/** Errors of the system that mean that no space is left. */
+const FULL_CODES: ReadonlySet<string> = new Set(['ENOSPC', 'EDQUOT', 'EFBIG'])
+
+/**
+ * Files of one folder, by synchronous calls: control records are small and a turn of the loop writes
+ * them together. Keeps one descriptor open for each file that it appended to.
+ */
+export class FileDisk implements Disk, Disposable {
+  private readonly _open = new Map<string, number>()
+
+  /**
+   * @param _folder The data folder; made when it is missing.
+   * @throws StorageFault when it can't be made.
+   */
+  public constructor (private readonly _folder: string) {
+    this._attempt('io', '.', () => mkdirSync(_folder, { recursive: true }))
+  }
+
+  public list (): string[] {
+    return this._attempt('io', '.', () => readdirSync(this._folder))
+  }
+
+  public read (file: string): Uint8Array {
+    return this._attempt('io', file, () => readFileSync(join(this._folder, file)))
+  }
+
+  public append (file: string, bytes: Uint8Array): void {
+    this._attempt('io', file, () => this._writeAll(this._descriptor(file), bytes))
+  }
+
+  public write (file: string, bytes: Uint8Array): void {
+    const descriptor = this._descriptor(file)
+    this._attempt('io', file, () => {
+      ftruncateSync(descriptor, 0)
+      this._writeAll(descriptor, bytes)
+    })
+  }
+
+  public truncate (file: string, length: number): void {
+    this._attempt('io', file, () => ftruncateSync(this._descriptor(file), length))
+  }
+
+  public rename (from: string, to: string): void {
+    this._attempt('io', from, () => renameSync(join(this._folder, from), join(this._folder, to)))
+    const descriptor = this._open.get(from)
+    if (descriptor === undefined) return
+    this._open.delete(from)
+    this._open.set(to, descriptor)
+  }
+
+  public remove (file: string): void {
+    this._close(file)
+    this._attempt('io', file, () => rmSync(join(this._folder, file), { force: true }))
+  }
+
+  public sync (file: string): void {
+    this._attempt('sync-failed', file, () => fdatasyncSync(this._descriptor(file)))
+  }
+
+  public syncFolder (): void {
+    this._attempt('sync-failed', '.', () => {
+      const descriptor = openSync(this._folder, 'r')
+      try {
+        fsyncSync(descriptor)
+      } finally {
+        closeSync(descriptor)
+      }
+    })
+  }
+
+  /** Closes all files. */
+  public dispose (): void {
+    [...this._open.keys()].forEach(file => this._close(file))
+  }
+
+  private _descriptor (file: string): number {
+    const known = this._open.get(file)
+    if (known !== undefined) return known
+    const descriptor = this._attempt('io', file, () => openSync(join(this._folder, file), 'a+'))
+    this._open.set(file, descriptor)
+    return descriptor
+  }
+
+  private _writeAll (descriptor: number, bytes: Uint8Array): void {
+    let written = 0
+    while (written < bytes.length) written += writeSync(descriptor, bytes, written)
+  }
+
+  private _close (file: string): void {
+    const descriptor = this._open.get(file)
+    if (descriptor === undefined) return
+    this._open.delete(file)
+    closeSync(descriptor)
+  }
+
+  private _attempt<Result> (failure: StorageFailure, file: string, action: () => Result): Result {
+    try {
+      return action()
+    } catch (error) {
+      if (error instanceof StorageFault) throw error
+      const code = (error as NodeJS.ErrnoException).code ?? ''
+      const kind = failure === 'io' && FULL_CODES.has(code) ? 'full' : failure
+      throw new StorageFault(kind, join(this._folder, file), (error as Error).message)
+    }
+  }
+}
+
+/**
+ * Tells whether a data folder exists and holds files.
+ * @param folder The folder.
+ */
+export function isFolderInUse (folder: string): boolean {
+  return existsSync(folder) && readdirSync(folder).length > 0
+}
