Prove admission and retries by properties

Random schedules of arrivals, ends, cancels, drains and capacity changes run through a small host that keeps the wake times as a node does. Each property was seen to fail: the test file carries seven faults for admission and eight for retries (events changed on their way in, or limits lifted by options), and the run checks that the property names the broken promise. Found on the way: a repeated drain wasn't answered with drained, and the limit rose on calls that never used it; both are mended here.

--- /dev/null
+++ b/src/parts/admission/AdmissionController.test.ts
@@ -0,0 +1,315 @@
+import fc from 'fast-check'
+import { expect, test } from 'vitest'
+import { SeededRandom } from '../SeededRandom.js'
+import type { CallId, CallKind, Part } from '../Types.js'
+import { AdmissionController } from './AdmissionController.js'
+import { ADMISSION_DEFAULTS } from './Constants.js'
+import type { AdmissionAction, AdmissionEvent, AdmissionOptions, RunOutcome } from './Types.js'
+
+type Controller = Part<AdmissionEvent, AdmissionAction>
+
+/** Short enough that many calls of a random run reach it. */
+const QUEUE_DELAY_MS = 20
+
+type Command =
+  | { readonly do: 'arrive', readonly kind: CallKind, readonly deadlineMs: number }
+  | { readonly do: 'finish', readonly pick: number, readonly outcome: RunOutcome }
+  | { readonly do: 'cancel', readonly pick: number }
+  | { readonly do: 'drain' | 'resume' }
+  | { readonly do: 'capacity', readonly slots: number }
+  | { readonly do: 'advance', readonly byMs: number }
+
+interface HostCall {
+  readonly kind: CallKind
+  readonly arrivedAtMs: number
+  readonly deadlineAtMs: number
+  state: 'waiting' | 'running' | 'refused' | 'finished'
+  startedAtMs: number
+}
+
+const command: fc.Arbitrary<Command> = fc.oneof(
+  { weight: 8, arbitrary: fc.record({ do: fc.constant('arrive' as const), kind: fc.constantFrom<CallKind>('lookup', 'lookup', 'guarded', 'download'), deadlineMs: fc.integer({ min: 0, max: 600 }) }) },
+  { weight: 5, arbitrary: fc.record({ do: fc.constant('finish' as const), pick: fc.nat(99), outcome: fc.constantFrom<RunOutcome>('ok', 'ok', 'ok', 'error', 'shed', 'lost') }) },
+  { weight: 1, arbitrary: fc.record({ do: fc.constant('cancel' as const), pick: fc.nat(99) }) },
+  { weight: 1, arbitrary: fc.record({ do: fc.constantFrom('drain' as const, 'resume' as const, 'resume' as const) }) },
+  { weight: 1, arbitrary: fc.record({ do: fc.constant('capacity' as const), slots: fc.integer({ min: 0, max: 9 }) }) },
+  { weight: 6, arbitrary: fc.record({ do: fc.constant('advance' as const), byMs: fc.double({ min: 0, max: 40, noNaN: true }) }) }
+)
+
+/** Hosts a controller as a node does, and checks after each step what must hold. */
+class Host {
+  public readonly calls = new Map<CallId, HostCall>()
+  private readonly _part: Controller
+  private _nowMs = 0
+  private _slots: number
+  private _draining = false
+  private _drained = 0
+  private readonly _wakes: number[] = []
+
+  public constructor (part: Controller, slots: number) {
+    this._part = part
+    this._slots = slots
+  }
+
+  public run (commands: readonly Command[]): void {
+    for (const next of commands) {
+      this._run(next)
+    }
+    this._finishAll()
+  }
+
+  private _run (next: Command): void {
+    const byState = (state: HostCall['state']): CallId[] =>
+      [...this.calls].filter(([, call]) => call.state === state).map(([id]) => id)
+    if (next.do === 'arrive') {
+      this._arrive(next.kind, next.deadlineMs)
+    } else if (next.do === 'finish') {
+      const running = byState('running')
+      this._finish(running[next.pick % running.length], next.outcome)
+    } else if (next.do === 'cancel') {
+      this._cancel(next.pick)
+    } else if (next.do === 'capacity') {
+      this._slots = next.slots
+      this._send({ type: 'capacity', slots: next.slots })
+    } else if (next.do === 'advance') {
+      this._advance(next.byMs)
+    } else {
+      this._setDraining(next.do === 'drain')
+    }
+  }
+
+  private _setDraining (draining: boolean): void {
+    this._draining = draining
+    this._drained = 0
+    this._send({ type: draining ? 'drain' : 'resume' })
+  }
+
+  private _arrive (kind: CallKind, deadlineMs: number): void {
+    const call = this.calls.size
+    const deadlineAtMs = this._nowMs + deadlineMs
+    this.calls.set(call, { kind, arrivedAtMs: this._nowMs, deadlineAtMs, state: 'waiting', startedAtMs: 0 })
+    this._send({ type: 'arrive', call, kind, deadlineAtMs })
+  }
+
+  private _finish (id: CallId | undefined, outcome: RunOutcome): void {
+    const call = id === undefined ? undefined : this.calls.get(id)
+    if (id !== undefined && call !== undefined) {
+      call.state = 'finished'
+      this._send({ type: 'finish', call: id, outcome, serviceMs: this._nowMs - call.startedAtMs })
+    }
+  }
+
+  private _cancel (pick: number): void {
+    if (this.calls.size > 0) {
+      this._send({ type: 'cancel', call: pick % this.calls.size })
+    }
+  }
+
+  private _advance (byMs: number): void {
+    const untilMs = this._nowMs + byMs
+    let wake = this._earliestWake()
+    while (wake !== undefined && wake <= untilMs) {
+      this._wakes.splice(this._wakes.indexOf(wake), 1)
+      this._nowMs = Math.max(this._nowMs, wake)
+      this._send({ type: 'tick' })
+      wake = this._earliestWake()
+    }
+    this._nowMs = untilMs
+  }
+
+  private _earliestWake (): number | undefined {
+    return this._wakes.length === 0 ? undefined : Math.min(...this._wakes)
+  }
+
+  private _finishAll (): void {
+    this._setDraining(true)
+    for (const [id, call] of this.calls) {
+      if (call.state === 'running') {
+        this._finish(id, 'ok')
+      }
+    }
+    expect(this._count('waiting') + this._count('running'), 'every call ended').toBe(0)
+    expect(this._drained, 'drained told').toBe(1)
+  }
+
+  private _count (state: HostCall['state'], kind?: CallKind): number {
+    return [...this.calls.values()].filter(call => call.state === state && (kind ?? call.kind) === call.kind).length
+  }
+
+  private _send (event: AdmissionEvent): void {
+    for (const action of this._part.step(event, this._nowMs)) {
+      this._apply(action)
+    }
+    const overdue = [...this.calls.values()].some(call => call.state === 'waiting' && call.deadlineAtMs < this._nowMs)
+    expect(overdue && event.type === 'tick', 'given up in time').toBe(false)
+    expect(this._draining && this._count('waiting') > 0, 'nothing waits in a drain').toBe(false)
+    expect(this._count('waiting'), 'queue bounded').toBeLessThanOrEqual(ADMISSION_DEFAULTS.maxQueued)
+  }
+
+  private _apply (action: AdmissionAction): void {
+    if (action.type === 'wake') {
+      this._wakes.push(action.atMs)
+    } else if (action.type === 'drained') {
+      this._drained++
+      expect(this._draining && this._count('running') === 0 && this._drained === 1, 'drained once').toBe(true)
+    } else if (action.type === 'start') {
+      this._started(action.call)
+    } else {
+      const call = this.calls.get(action.call) as HostCall
+      expect(call.state, 'refused calls were not run').toBe('waiting')
+      call.state = 'refused'
+    }
+  }
+
+  private _started (id: CallId): void {
+    const call = this.calls.get(id) as HostCall
+    expect(call.state, 'started once').toBe('waiting')
+    expect(this._draining, 'no start in a drain').toBe(false)
+    call.state = 'running'
+    call.startedAtMs = this._nowMs
+    expect(this._count('running'), 'within slots').toBeLessThanOrEqual(this._slots)
+    expect(this._nowMs, 'started before its deadline').toBeLessThan(call.deadlineAtMs)
+    const allowedMs = call.kind === 'download' ? ADMISSION_DEFAULTS.maxDownloadQueueDelayMs : QUEUE_DELAY_MS
+    expect(this._nowMs - call.arrivedAtMs, 'queue delay').toBeLessThanOrEqual(allowedMs)
+    if (call.kind === 'download' && this._slots > 1) {
+      expect(this._count('running', 'download'), 'slot kept for lookups').toBeLessThan(this._slots)
+    }
+  }
+}
+
+type Fault = (inner: Controller) => Controller
+
+/** Changes events on their way in, as a controller without the mechanism would see them. */
+function faultyEvents (change: (event: AdmissionEvent) => AdmissionEvent): Fault {
+  return inner => ({ step: (event, nowMs) => inner.step(change(event), nowMs) })
+}
+
+function holds (fault: Fault, options: Partial<AdmissionOptions> = {}): void {
+  fc.assert(fc.property(fc.array(command, { minLength: 20, maxLength: 120 }), fc.integer(), (commands, seed) => {
+    const changed = { slots: 4, maxQueueDelayMs: QUEUE_DELAY_MS, ...options }
+    const part = fault(new AdmissionController(new SeededRandom(seed), changed))
+    new Host(part, 4).run(commands)
+  }), { seed: 5011, numRuns: 150, endOnFailure: true })
+}
+
+interface FaultCase {
+  readonly fault: Fault
+  readonly options?: Partial<AdmissionOptions>
+  /** What the property must say. */
+  readonly broken: string
+}
+
+const FAULTS: Readonly<Record<string, FaultCase>> = {
+  'one slot too many': {
+    fault: faultyEvents(event => event.type === 'capacity' ? { ...event, slots: event.slots + 1 } : event),
+    broken: 'within slots'
+  },
+  'deadline unknown': {
+    fault: faultyEvents(event => event.type === 'arrive' ? { ...event, deadlineAtMs: Infinity } : event),
+    broken: 'before its deadline'
+  },
+  'downloads not told apart': {
+    fault: faultyEvents(event => event.type === 'arrive' ? { ...event, kind: 'lookup' } : event),
+    broken: 'slot kept for lookups'
+  },
+  'drain not heard': {
+    fault: faultyEvents(event => event.type === 'drain' ? { type: 'tick' } : event),
+    broken: 'drain'
+  },
+  'slot not freed': {
+    fault: faultyEvents(event => event.type === 'finish' && event.outcome === 'lost' ? { type: 'tick' } : event),
+    broken: 'drained told'
+  },
+  'refused after start': {
+    fault: inner => ({
+      step: (event, nowMs) => event.type === 'cancel'
+        ? [{ type: 'refuse', call: event.call, reason: 'cancelled', retryAfterMs: 0 }]
+        : inner.step(event, nowMs)
+    }),
+    broken: 'refused calls were not run'
+  },
+  'queue not bounded by delay': {
+    fault: inner => inner,
+    options: { queueDelayServiceTimes: 1000, maxQueueDelayMs: 10_000 },
+    broken: 'queue delay'
+  }
+}
+
+test('every call ends once, within slots, delay, deadline and drain', () => {
+  holds(inner => inner)
+})
+
+test.each(Object.entries(FAULTS))('property fails: %s', (_name, { fault, options, broken }) => {
+  expect(failureOf(() => holds(fault, options))).toContain(broken)
+})
+
+function failureOf (check: () => void): string {
+  try {
+    check()
+    return 'held'
+  } catch (error) {
+    return String((error as Error).cause)
+  }
+}
+
+function controller (slots: number): AdmissionController {
+  return new AdmissionController(new SeededRandom(1), { slots })
+}
+
+function arrive (call: CallId, kind: CallKind, deadlineAtMs = 10_000): AdmissionEvent {
+  return { type: 'arrive', call, kind, deadlineAtMs }
+}
+
+test('lookup starts beside all downloads', () => {
+  const part = controller(6)
+  for (let call = 1; call <= 20; call++) {
+    part.step(arrive(call, 'download'), 0)
+  }
+  expect(part.evidence().inFlight).toBe(3)
+  expect(part.step(arrive(21, 'lookup'), 1)).toEqual([{ type: 'start', call: 21 }])
+})
+
+test('download is not starved by lookups', () => {
+  const part = controller(2)
+  part.step(arrive(1, 'lookup'), 0)
+  part.step(arrive(2, 'lookup'), 0)
+  part.step(arrive(3, 'download'), 1)
+  part.step(arrive(4, 'lookup'), 2)
+  const actions = part.step({ type: 'finish', call: 1, outcome: 'ok', serviceMs: 3 }, 3)
+  expect(actions).toContainEqual({ type: 'start', call: 3 })
+})
+
+test('shed answers lower the limit and good ones raise it again', () => {
+  const part = controller(6)
+  for (let call = 1; call <= 6; call++) {
+    part.step(arrive(call, 'lookup'), 0)
+  }
+  part.step({ type: 'finish', call: 1, outcome: 'shed', serviceMs: 1 }, 1)
+  part.step({ type: 'finish', call: 2, outcome: 'shed', serviceMs: 1 }, 1)
+  expect(part.evidence().limit).toBe(4)
+  for (let call = 3; call <= 40; call++) {
+    part.step(arrive(call + 4, 'lookup'), call)
+    part.step({ type: 'finish', call, outcome: 'ok', serviceMs: 1 }, call)
+  }
+  expect(part.evidence().limit).toBe(6)
+})
+
+test('callers refused together come back spread out', () => {
+  const part = controller(6)
+  const times: number[] = []
+  for (let call = 1; call <= 600; call++) {
+    for (const action of part.step(arrive(call, 'lookup'), 0)) {
+      if (action.type === 'refuse') {
+        times.push(action.retryAfterMs)
+      }
+    }
+  }
+  const perTenMs = new Map<number, number>()
+  for (const time of times) {
+    const slot = Math.floor(time / 10)
+    perTenMs.set(slot, (perTenMs.get(slot) ?? 0) + 1)
+  }
+  // 6 slots at 5 ms serve 12 calls in 10 ms; no 10 ms may bring back more than 5 times that.
+  expect(Math.max(...perTenMs.values())).toBeLessThanOrEqual(60)
+  expect(times.length).toBeGreaterThan(500)
+})
--- a/src/parts/admission/AdmissionController.ts
+++ b/src/parts/admission/AdmissionController.ts
@@ -136,13 +136,13 @@
 
   private _onDrain (nowMs: number, actions: AdmissionAction[]): void {
     this._draining = true
+    this._drainedTold = false
     this._refuseAll('draining', nowMs, actions)
     this._tellDrained(actions)
   }
 
   private _onResume (): void {
     this._draining = false
-    this._drainedTold = false
   }
 
   private _onTick (nowMs: number, actions: AdmissionAction[]): void {
@@ -269,7 +269,7 @@
     if (event.outcome === 'ok') {
       const smoothed = this._serviceMs[running.lane]
       this._serviceMs[running.lane] = smoothed + SERVICE_TIME_WEIGHT * (Math.max(0, event.serviceMs) - smoothed)
-      this._limit.succeeded()
+      this._limit.succeeded(this._running.size)
     }
   }
 
--- a/src/parts/admission/ConcurrencyLimit.ts
+++ b/src/parts/admission/ConcurrencyLimit.ts
@@ -33,8 +33,14 @@
     this._limit = announced
   }
 
-  /** Takes a call that ended well. */
-  public succeeded (): void {
+  /**
+   * Takes a call that ended well. It speaks for a higher limit only when the present one was in use.
+   * @param running Calls that ran when it ended, with itself.
+   */
+  public succeeded (running: number): void {
+    if (running < this.current) {
+      return
+    }
     this._limit = Math.min(this._slots, this._limit + 1 / Math.max(1, this._limit))
   }
 
--- /dev/null
+++ b/src/parts/retry/RetryPolicy.test.ts
@@ -0,0 +1,323 @@
+import fc from 'fast-check'
+import { expect, test } from 'vitest'
+import type { CallId, Disposition, Part, Reason } from '../Types.js'
+import { RETRY_DEFAULTS } from './Constants.js'
+import { Deadline } from './Deadline.js'
+import { RetryPolicy } from './RetryPolicy.js'
+import type { RetryAction, RetryEvent, RetryOptions } from './Types.js'
+
+type Policy = Part<RetryEvent, RetryAction>
+
+type Command =
+  | { readonly do: 'begin', readonly idempotent: boolean, readonly retriesAbove: boolean, readonly deadlineMs: number }
+  | {
+    readonly do: 'fail',
+    readonly pick: number,
+    readonly disposition: Disposition,
+    readonly reason: Reason,
+    readonly responseStarted: boolean
+  }
+  | { readonly do: 'succeed', readonly pick: number }
+  | { readonly do: 'advance', readonly byMs: number }
+
+interface HostCall {
+  readonly begin: Extract<RetryEvent, { type: 'begin' }>
+  readonly startedAtMs: number
+  inFlight: number
+  attempts: number
+  over: boolean
+}
+
+const MAX_CALLS = 12
+
+const FAILURES: ReadonlyArray<readonly [Disposition, Reason]> = [
+  ['not-run', 'draining'], ['not-run', 'overloaded'], ['not-run', 'peer-lost'], ['unknown', 'peer-lost'],
+  ['unknown', 'upstream-failed'], ['quarantined', 'quarantined'], ['not-run', 'bad-request']
+]
+
+const command: fc.Arbitrary<Command> = fc.oneof(
+  {
+    weight: 6,
+    arbitrary: fc.record({
+      do: fc.constant('begin' as const),
+      idempotent: fc.boolean(),
+      retriesAbove: fc.boolean(),
+      deadlineMs: fc.integer({ min: 0, max: 400 })
+    })
+  },
+  {
+    weight: 6,
+    arbitrary: fc.record({
+      pick: fc.nat(99),
+      failure: fc.constantFrom(...FAILURES),
+      responseStarted: fc.oneof({ weight: 5, arbitrary: fc.constant(false) }, fc.constant(true))
+    }).map(({ pick, failure: [disposition, reason], responseStarted }) =>
+      ({ do: 'fail' as const, pick, disposition, reason, responseStarted }))
+  },
+  { weight: 3, arbitrary: fc.record({ do: fc.constant('succeed' as const), pick: fc.nat(99) }) },
+  { weight: 5, arbitrary: fc.record({ do: fc.constant('advance' as const), byMs: fc.integer({ min: 0, max: 60 }) }) }
+)
+
+/** Hosts a policy as an ingress node does, and checks after each step what must hold. */
+class Host {
+  private readonly _part: Policy
+  private readonly _calls = new Map<CallId, HostCall>()
+  private readonly _beginsAtMs: number[] = []
+  private readonly _extrasAtMs: number[] = []
+  private readonly _wakes: number[] = []
+  private _nowMs = 0
+
+  public constructor (part: Policy) {
+    this._part = part
+  }
+
+  public run (commands: readonly Command[]): void {
+    for (const next of commands) {
+      this._run(next)
+    }
+    this._checkBudget()
+  }
+
+  private _run (next: Command): void {
+    if (next.do === 'begin') {
+      this._begin(next.idempotent, next.retriesAbove, next.deadlineMs)
+    } else if (next.do === 'advance') {
+      this._advance(next.byMs)
+    } else {
+      this._answer(next)
+    }
+  }
+
+  private _begin (idempotent: boolean, retriesAbove: boolean, deadlineMs: number): void {
+    const open = [...this._calls.values()].filter(call => !call.over).length
+    if (open >= MAX_CALLS) {
+      return
+    }
+    const call = this._calls.size
+    const begin = { type: 'begin' as const, call, idempotent, deadlineAtMs: this._nowMs + deadlineMs, retriesAbove }
+    this._calls.set(call, { begin, startedAtMs: this._nowMs, inFlight: 1, attempts: 1, over: false })
+    this._beginsAtMs.push(this._nowMs)
+    this._send(begin)
+  }
+
+  private _answer (next: Extract<Command, { pick: number }>): void {
+    const open = [...this._calls].filter(([, call]) => !call.over)
+    const [id, call] = open[next.pick % open.length] ?? []
+    if (id === undefined || call === undefined) {
+      return
+    }
+    if (next.do === 'succeed') {
+      call.over = true
+      this._send({ type: 'succeeded', call: id, latencyMs: this._nowMs - call.startedAtMs })
+      return
+    }
+    call.inFlight--
+    const { disposition, reason, responseStarted } = next
+    const actions = this._send({ type: 'failed', call: id, disposition, reason, retryAfterMs: 7, responseStarted })
+    this._checkFailure(id, call, next, actions)
+  }
+
+  private _checkFailure (
+    id: CallId, call: HostCall, failure: Extract<Command, { do: 'fail' }>, actions: readonly RetryAction[]
+  ): void {
+    const retried = actions.some(action => action.type === 'retry' && action.call === id)
+    const mayHaveRun = failure.disposition !== 'not-run'
+    expect(retried && mayHaveRun && !call.begin.idempotent, 'non-idempotent only if not run').toBe(false)
+    expect(retried && mayHaveRun && call.begin.retriesAbove, 'one layer retries').toBe(false)
+    expect(retried && failure.responseStarted, 'no retry after a started answer').toBe(false)
+    expect(retried && failure.disposition === 'quarantined', 'quarantined is final').toBe(false)
+    expect(retried && call.begin.deadlineAtMs <= this._nowMs, 'no retry past the deadline').toBe(false)
+    expect(call.over || call.inFlight > 0, 'answered at once').toBe(true)
+  }
+
+  private _advance (byMs: number): void {
+    const untilMs = this._nowMs + byMs
+    for (let wake = this._nextWake(); wake <= untilMs; wake = this._nextWake()) {
+      this._wakes.splice(this._wakes.indexOf(wake), 1)
+      this._nowMs = Math.max(this._nowMs, wake)
+      this._send({ type: 'tick' })
+    }
+    this._nowMs = untilMs
+  }
+
+  private _nextWake (): number {
+    return Math.min(Infinity, ...this._wakes)
+  }
+
+  private _send (event: RetryEvent): RetryAction[] {
+    const actions = this._part.step(event, this._nowMs)
+    actions.forEach(action => this._apply(action))
+    return actions
+  }
+
+  private _apply (action: RetryAction): void {
+    if (action.type === 'wake') {
+      this._wakes.push(action.atMs)
+      return
+    }
+    const call = this._calls.get(action.call) as HostCall
+    if (action.type === 'cancelAttempts') {
+      expect(call.over && call.inFlight > 1, 'cancels only what is left').toBe(true)
+      return
+    }
+    expect(call.over, 'nothing after the answer').toBe(false)
+    if (action.type === 'giveUp') {
+      call.over = true
+      return
+    }
+    call.inFlight++
+    call.attempts++
+    this._extrasAtMs.push(this._nowMs)
+    expect(action.attempt).toBe(call.attempts)
+    expect(call.attempts, 'attempts bounded').toBeLessThanOrEqual(RETRY_DEFAULTS.maxAttempts)
+    const hedged = action.type === 'hedge'
+    expect(hedged && !call.begin.idempotent, 'hedges only idempotent').toBe(false)
+    expect(hedged && call.begin.retriesAbove, 'hedges at one layer').toBe(false)
+  }
+
+  /** Over every window that starts and ends with an extra attempt. */
+  private _checkBudget (): void {
+    const { retryShare, floorPerSecond, burst } = RETRY_DEFAULTS
+    this._extrasAtMs.forEach((fromMs, first) => {
+      this._extrasAtMs.slice(first).forEach((toMs, index) => {
+        const begins = this._beginsAtMs.filter(atMs => atMs >= fromMs && atMs <= toMs).length
+        const allowed = burst + retryShare * begins + floorPerSecond * (toMs - fromMs) / 1000
+        expect(index + 1, 'budget').toBeLessThanOrEqual(allowed + 1e-6)
+      })
+    })
+  }
+}
+
+type Fault = (inner: Policy) => Policy
+
+function faultyEvents (change: (event: RetryEvent) => RetryEvent): Fault {
+  return inner => ({ step: (event, nowMs) => inner.step(change(event), nowMs) })
+}
+
+function holds (fault: Fault, options: Partial<RetryOptions> = {}): void {
+  fc.assert(fc.property(fc.array(command, { minLength: 40, maxLength: 160 }), commands => {
+    new Host(fault(new RetryPolicy(options))).run(commands)
+  }), { seed: 5012, numRuns: 150, endOnFailure: true })
+}
+
+function failureOf (check: () => void): string {
+  try {
+    check()
+    return 'held'
+  } catch (error) {
+    return String((error as Error).cause)
+  }
+}
+
+interface FaultCase {
+  readonly fault: Fault
+  readonly options?: Partial<RetryOptions>
+  /** What the property must say. */
+  readonly broken: string
+}
+
+const asIs: Fault = inner => inner
+
+const FAULTS: Readonly<Record<string, FaultCase>> = {
+  'no budget': { fault: asIs, options: { burst: 1000 }, broken: 'budget' },
+  'every attempt earns': {
+    fault: inner => ({
+      step: (event, nowMs) => {
+        if (event.type === 'failed') {
+          inner.step({ type: 'begin', call: -1, idempotent: false, deadlineAtMs: 0, retriesAbove: true }, nowMs)
+          inner.step({ type: 'begin', call: -1, idempotent: false, deadlineAtMs: 0, retriesAbove: true }, nowMs)
+        }
+        return inner.step(event, nowMs)
+      }
+    }),
+    options: { retryShare: 0.5 },
+    broken: 'budget'
+  },
+  'all taken for idempotent': {
+    fault: faultyEvents(event => event.type === 'begin' ? { ...event, idempotent: true } : event),
+    broken: 'idempotent'
+  },
+  'all taken for not run': {
+    fault: faultyEvents(event => event.type === 'failed' ? { ...event, disposition: 'not-run' } : event),
+    broken: 'if not run'
+  },
+  'each layer retries': {
+    fault: faultyEvents(event => event.type === 'begin' ? { ...event, retriesAbove: false } : event),
+    broken: 'one layer'
+  },
+  'started answers retried': {
+    fault: faultyEvents(event => event.type === 'failed' ? { ...event, responseStarted: false } : event),
+    broken: 'started answer'
+  },
+  'deadline unknown': {
+    fault: faultyEvents(event => event.type === 'begin' ? { ...event, deadlineAtMs: Infinity } : event),
+    broken: 'past the deadline'
+  },
+  'attempts unbounded': { fault: asIs, options: { maxAttempts: 9 }, broken: 'attempts bounded' }
+}
+
+test('retries and hedges keep to the rules and the budget', () => {
+  holds(asIs)
+})
+
+test.each(Object.entries(FAULTS))('property fails: %s', (_name, { fault, options, broken }) => {
+  expect(failureOf(() => holds(fault, options))).toContain(broken)
+})
+
+const BEGIN = { type: 'begin', idempotent: true, deadlineAtMs: 10_000, retriesAbove: false } as const
+
+const OVERLOADED = {
+  type: 'failed', disposition: 'not-run', reason: 'overloaded', retryAfterMs: 40, responseStarted: false
+} as const
+
+test('overload is not amplified beyond half of the budget', () => {
+  const policy = new RetryPolicy({ floorPerSecond: 0 })
+  let retries = 0
+  for (let call = 0; call < 10_000; call++) {
+    policy.step({ ...BEGIN, call }, call)
+    let actions = policy.step({ ...OVERLOADED, call }, call)
+    while (actions.some(action => action.type === 'retry')) {
+      retries++
+      actions = policy.step({ ...OVERLOADED, call }, call)
+    }
+    expect(actions).toEqual([{ type: 'giveUp', call, reason: 'overloaded', retryAfterMs: 40 }])
+  }
+  expect(retries).toBeLessThanOrEqual(RETRY_DEFAULTS.burst + RETRY_DEFAULTS.retryShare * 10_000)
+})
+
+test('hedge after the latency seen, then the loser is cancelled', () => {
+  const policy = new RetryPolicy({ hedgeQuantile: 0.9 })
+  for (let call = 0; call < 500; call++) {
+    policy.step({ ...BEGIN, call }, call)
+    policy.step({ type: 'succeeded', call, latencyMs: 5 }, call)
+  }
+  policy.step({ type: 'tick' }, 1000)
+  const wake = policy.step({ ...BEGIN, call: 900 }, 1000).find(action => action.type === 'wake')
+  expect(wake?.atMs).toBeGreaterThan(1004)
+  expect(wake?.atMs).toBeLessThan(1007)
+  expect(policy.step({ type: 'tick' }, wake?.atMs ?? 0)).toContainEqual({ type: 'hedge', call: 900, attempt: 2 })
+  const actions = policy.step({ type: 'succeeded', call: 900, latencyMs: 7, attempt: 2 }, 1008)
+  expect(actions).toEqual([{ type: 'cancelAttempts', call: 900, except: 2 }])
+})
+
+test('memory stays bounded when calls never end', () => {
+  const policy = new RetryPolicy({ maxCalls: 100 })
+  for (let call = 0; call < 1000; call++) {
+    policy.step({ ...BEGIN, call }, call)
+  }
+  expect(policy.size).toBe(100)
+  expect(policy.step({ ...OVERLOADED, call: 999 }, 1000)).toMatchObject([{ type: 'giveUp', call: 999 }])
+})
+
+test('deadline shrinks at each hop and never grows', () => {
+  fc.assert(fc.property(fc.integer({ min: 0, max: 60_000 }), fc.array(fc.nat(50), { maxLength: 7 }), (leftMs, hops) => {
+    let passed = leftMs
+    for (const spentMs of hops) {
+      const forwarded = Deadline.fromHeader(String(passed), 60_000, 0).forwardedMs(spentMs)
+      expect(forwarded).toBeLessThanOrEqual(Math.max(0, passed - spentMs))
+      passed = forwarded
+    }
+  }), { seed: 5013 })
+  expect(Deadline.fromHeader('-5', 300, 10).atMs).toBe(310)
+  expect(Deadline.fromHeader('900000', 300, 10).atMs).toBe(310)
+})
