Add the stand-in service and its program

Tests and experiments need a service whose behaviour is known and whose runs can be counted from outside. Each run is journalled before it starts, so a crash can't hide it. Test of the drain fails when stop() does not wait for open requests (the download is cut).

--- /dev/null
+++ b/src/bin/sassafras-upstream.ts
@@ -0,0 +1,18 @@
+#!/usr/bin/env node
+/** The stand-in service. */
+import { DaemonProgram } from '../platform/DaemonProgram.js'
+import { Standin } from '../standin/Standin.js'
+import { standinSettings } from '../standin/StandinSettings.js'
+
+const program = new DaemonProgram({
+  name: 'sassafras-upstream',
+  description: 'A stand-in service that runs behind a node and journals each request that it ran.',
+  schema: standinSettings,
+  start: async settings => {
+    const standin = new Standin(settings)
+    await standin.start()
+    return standin
+  }
+})
+
+await program.run(process.argv.slice(2))
--- /dev/null
+++ b/src/platform/DaemonProgram.ts
@@ -0,0 +1,119 @@
+/** The command line that all daemons share: one TOML file, `--check`, `--help` and `--version`. */
+import { readFileSync } from 'node:fs'
+import { Builtins, Cli, Command, Option } from 'clipanion'
+import type { z } from 'zod'
+import { renderFindings, SettingsFile } from './SettingsFile.js'
+
+/** Exit codes of the daemons. */
+export const EXIT_CODES = {
+  ok: 0,
+  /** The process could not go on. */
+  failed: 1,
+  /** The command line or the settings are wrong; the findings are on standard error. */
+  badSettings: 2
+} as const
+
+const STOP_SIGNALS = ['SIGTERM', 'SIGINT'] as const
+
+/** A daemon that has started. */
+export interface RunningDaemon {
+  /** Stops in order; in-flight work is finished first. The process then exits with 0. */
+  stop (): Promise<void>
+  /** Resolves when the daemon has ended by itself, or rejects when it failed. */
+  readonly ended?: Promise<void>
+}
+
+/** What makes one daemon. */
+export interface DaemonSpec<Schema extends z.ZodType> {
+  /** Name of the binary. */
+  readonly name: string
+  readonly description: string
+  readonly schema: Schema
+  /** Starts the daemon; what it throws is told on standard error and ends the process. */
+  start (settings: z.output<Schema>, file: string): Promise<RunningDaemon>
+}
+
+/** Version of the package, for `--version`. */
+export function packageVersion (): string {
+  const text = readFileSync(new URL('../../../package.json', import.meta.url), 'utf8')
+  return (JSON.parse(text) as { version: string }).version
+}
+
+/** Runs a daemon from the command line of this process until a signal stops it. */
+export class DaemonProgram<Schema extends z.ZodType> {
+  private readonly spec: DaemonSpec<Schema>
+
+  /**
+   * @param spec What the daemon is and how it starts.
+   */
+  public constructor (spec: DaemonSpec<Schema>) {
+    this.spec = spec
+  }
+
+  /**
+   * Parses the arguments, runs the daemon and ends the process with one of `EXIT_CODES`.
+   * @param args Arguments after the program's name.
+   */
+  public async run (args: readonly string[]): Promise<void> {
+    const runFile = (file: string, checkOnly: boolean): Promise<number> => this.runFile(file, checkOnly)
+    const spec = this.spec
+
+    class RunCommand extends Command {
+      public static override paths = [Command.Default]
+      public static override usage = Command.Usage({
+        description: spec.description,
+        examples: [
+          ['Run with settings', `${spec.name} settings.toml`],
+          ['Only check the settings', `${spec.name} settings.toml --check`]
+        ]
+      })
+
+      public readonly file = Option.String()
+      public readonly check = Option.Boolean('--check', false, { description: 'Check the settings and exit.' })
+
+      public async execute (): Promise<number> {
+        return await runFile(this.file, this.check)
+      }
+    }
+
+    const cli = new Cli({ binaryName: spec.name, binaryLabel: spec.name, binaryVersion: packageVersion() })
+    cli.register(RunCommand)
+    cli.register(Builtins.HelpCommand)
+    cli.register(Builtins.VersionCommand)
+    process.exitCode = await cli.run([...args], Cli.defaultContext)
+    // Sockets that a library keeps open must not hold a process that has ended.
+    process.exit()
+  }
+
+  private async runFile (file: string, checkOnly: boolean): Promise<number> {
+    const settings = new SettingsFile(file, this.spec.schema).load()
+    if (!settings.ok) {
+      process.stderr.write(`${renderFindings(settings.val)}\n`)
+      return EXIT_CODES.badSettings
+    }
+    if (checkOnly) {
+      process.stdout.write(`${file}: ok\n`)
+      return EXIT_CODES.ok
+    }
+    return await this.runUntilStopped(settings.val, file)
+  }
+
+  private async runUntilStopped (settings: z.output<Schema>, file: string): Promise<number> {
+    const stopped = nextSignal()
+    try {
+      const daemon = await this.spec.start(settings, file)
+      await Promise.race([stopped, daemon.ended ?? stopped])
+      await daemon.stop()
+      return EXIT_CODES.ok
+    } catch (error) {
+      process.stderr.write(`${this.spec.name}: ${(error as Error).stack ?? String(error)}\n`)
+      return EXIT_CODES.failed
+    }
+  }
+}
+
+async function nextSignal (): Promise<void> {
+  await new Promise<void>(resolve => {
+    for (const signal of STOP_SIGNALS) process.on(signal, () => { resolve() })
+  })
+}
--- a/src/platform/SettingsSchemas.ts
+++ b/src/platform/SettingsSchemas.ts
@@ -1,12 +1,16 @@
 /** Schemas that the settings of several programs share. */
 import { z } from 'zod'
+import { parseAddress } from './Address.js'
 
 const HIGHEST_PORT = 65535
 
-/** Whether text is `host:port`, with the host a name or an IP number and IPv6 in brackets. */
 function isAddress (text: string): boolean {
-  const match = /^(\[[0-9a-fA-F:.]+\]|[A-Za-z0-9.-]+):(\d{1,5})$/.exec(text)
-  return match !== null && Number(match[2]) <= HIGHEST_PORT
+  try {
+    parseAddress(text)
+    return true
+  } catch {
+    return false
+  }
 }
 
 /** `host:port`; port 0 asks the system for a free one. */
@@ -27,7 +31,7 @@
 export const share = z.number().min(0).max(1)
 
 export const log = z.strictObject({
-  level: z.enum(['trace', 'debug', 'info', 'warn', 'error', 'fatal', 'silent']).default('info')
+  level: z.enum(['debug', 'info', 'warn', 'error', 'silent']).default('info')
 }).prefault({})
 
 export const metrics = z.strictObject({
--- /dev/null
+++ b/src/standin/ChainEndpoint.ts
@@ -0,0 +1,50 @@
+import { Agent, request } from 'undici'
+import type { Disposable } from '../platform/Types.js'
+import type { Run } from './Run.js'
+import type { StandinSettings } from './StandinSettings.js'
+
+/** What a link of a chain answers. */
+export interface ChainLink {
+  readonly status: number
+  readonly body: unknown
+}
+
+/** Calls the next service through the local node's ingress side, as services that need others do. */
+export class ChainEndpoint implements Disposable {
+  private readonly settings: StandinSettings
+  private readonly agent = new Agent({ connections: 64 })
+
+  /**
+   * @param settings Name of the next service and address of the node.
+   */
+  public constructor (settings: StandinSettings) {
+    this.settings = settings
+  }
+
+  /**
+   * Calls `/chain/LEFT - 1` at the next service; the last link calls nobody.
+   * @param run The request for `/chain/LEFT`.
+   */
+  public async call (run: Run): Promise<ChainLink | undefined> {
+    const left = Number(run.segments[1])
+    const { chain, node } = this.settings
+    if (!(left > 0) || chain === undefined || node === undefined) return undefined
+    const depth = Number(run.header('sassafras-depth') || 0) + 1
+    const answer = await request(`http://${node.caller}/chain/${left - 1}`, {
+      dispatcher: this.agent,
+      signal: run.ended,
+      headers: {
+        host: `${chain.next}.mesh`,
+        'sassafras-depth': String(depth),
+        'sassafras-deadline-ms': String(Math.floor(run.leftMs)),
+        'x-request-id': run.header('x-request-id')
+      }
+    })
+    return { status: answer.statusCode, body: await answer.body.json() }
+  }
+
+  /** Closes the connections. */
+  public dispose (): void {
+    this.agent.destroy().catch(() => {})
+  }
+}
--- /dev/null
+++ b/src/standin/DownloadEndpoint.ts
@@ -0,0 +1,71 @@
+import { once } from 'node:events'
+import { setTimeout as delay } from 'node:timers/promises'
+import { DOWNLOAD_BLOCK_BYTES, DownloadBody } from '../platform/DownloadBody.js'
+import type { Run } from './Run.js'
+
+const MAX_DOWNLOAD_BYTES = 4 * 1024 ** 3
+const MAX_DIGESTED_BYTES = 64 * 1024 ** 2
+const PAUSE_MS = 20
+
+/** Sends `GET /downloads/SIZE?rate=BYTES_PER_S&seed=N`: bytes that both ends can compute, at a limited rate. */
+export class DownloadEndpoint {
+  private readonly isSilent: (run: Run) => boolean
+
+  /**
+   * @param isSilent Whether the connection of a run must send nothing any more.
+   */
+  public constructor (isSilent: (run: Run) => boolean) {
+    this.isSilent = isSilent
+  }
+
+  /**
+   * Sends the body to its end.
+   * @param run The request.
+   * @returns The status that was sent.
+   */
+  public async send (run: Run): Promise<number> {
+    const size = Number(run.segments[1])
+    const rate = Number(run.url.searchParams.get('rate') ?? 0)
+    const seed = Number(run.url.searchParams.get('seed') ?? 0)
+    const valid = Number.isSafeInteger(size) && size >= 0 && size <= MAX_DOWNLOAD_BYTES && rate >= 0 && seed >= 0
+    if (!valid) {
+      run.answer(400, { problem: 'expected /downloads/SIZE?rate=BYTES_PER_S&seed=N with whole numbers' })
+      return 400
+    }
+    const body = new DownloadBody(size, seed)
+    run.response.writeHead(200, headersOf(body, seed))
+    await this.sendBlocks(run, body, rate)
+    return 200
+  }
+
+  private async sendBlocks (run: Run, body: DownloadBody, rate: number): Promise<void> {
+    const startedAt = performance.now()
+    for (let index = 0; index < body.blocks && !run.cancelled.aborted; index++) {
+      const dueMs = rate === 0 ? 0 : startedAt + index * DOWNLOAD_BLOCK_BYTES / rate * 1000
+      await this.waitUntil(dueMs, run)
+      if (!run.response.write(body.block(index))) await drained(run)
+    }
+    if (!run.cancelled.aborted) run.response.end()
+  }
+
+  private async waitUntil (dueMs: number, run: Run): Promise<void> {
+    while (!run.cancelled.aborted && (performance.now() < dueMs || this.isSilent(run))) await delay(PAUSE_MS)
+  }
+}
+
+function headersOf (body: DownloadBody, seed: number): Record<string, string | number> {
+  const headers = {
+    'content-type': 'application/octet-stream',
+    'content-length': body.length,
+    'x-body-seed': seed
+  }
+  return body.length <= MAX_DIGESTED_BYTES ? { ...headers, 'repr-digest': body.digest() } : headers
+}
+
+async function drained (run: Run): Promise<void> {
+  try {
+    await once(run.response, 'drain', { signal: run.cancelled })
+  } catch {
+    // The client went away; the loop ends by itself.
+  }
+}
--- /dev/null
+++ b/src/standin/Journal.ts
@@ -0,0 +1,41 @@
+import { appendFileSync, closeSync, openSync, readFileSync } from 'node:fs'
+import type { Disposable } from '../platform/Types.js'
+import type { JournalLine } from './Types.js'
+
+/**
+ * Appends what a stand-in ran as JSON lines. A line is with the operating system before the run goes on,
+ * so that a crash of the process can't hide a run.
+ */
+export class Journal implements Disposable {
+  private readonly descriptor: number
+  private closed = false
+
+  /**
+   * @param file Appended to; created when missing.
+   */
+  public constructor (file: string) {
+    this.descriptor = openSync(file, 'a')
+  }
+
+  /** Appends one line. */
+  public write (line: JournalLine): void {
+    appendFileSync(this.descriptor, `${JSON.stringify(line)}\n`)
+  }
+
+  /** Closes the file. */
+  public dispose (): void {
+    if (this.closed) return
+    this.closed = true
+    closeSync(this.descriptor)
+  }
+}
+
+/**
+ * Reads a journal; a last line cut by a crash is left out.
+ * @param file Path of the journal.
+ */
+export function readJournal (file: string): JournalLine[] {
+  const lines = readFileSync(file, 'utf8').split('\n')
+  const whole = lines.slice(0, -1)
+  return whole.map(line => JSON.parse(line) as JournalLine)
+}
--- /dev/null
+++ b/src/standin/LoadReport.ts
@@ -0,0 +1,60 @@
+import type { StandinSettings } from './StandinSettings.js'
+
+/** Load as a service tells it. */
+export interface Load {
+  readonly inFlight: number
+  readonly queued: number
+}
+
+interface Sample {
+  readonly atMs: number
+  readonly load: Load
+}
+
+const MAX_SAMPLES = 4096
+
+/** The load that a stand-in reports: true, late, false or none. Keeps at most `MAX_SAMPLES` samples. */
+export class LoadReport {
+  private readonly settings: StandinSettings['load']
+  private readonly samples: Sample[] = []
+
+  /**
+   * @param settings Kind of the report.
+   */
+  public constructor (settings: StandinSettings['load']) {
+    this.settings = settings
+  }
+
+  /**
+   * Takes note of the true load; called at each change of it.
+   * @param load The load now.
+   * @param nowMs Monotonic milliseconds.
+   */
+  public record (load: Load, nowMs: number): void {
+    if (this.settings.mode !== 'lagging') return
+    this.samples.push({ atMs: nowMs, load })
+    if (this.samples.length > MAX_SAMPLES) this.samples.shift()
+  }
+
+  /**
+   * Returns what the service says of its load, or undefined when it says nothing.
+   * @param load The true load now.
+   * @param nowMs Monotonic milliseconds.
+   */
+  public tell (load: Load, nowMs: number): Load | undefined {
+    const tellers: Record<StandinSettings['load']['mode'], () => Load | undefined> = {
+      honest: () => load,
+      lagging: () => this.loadAt(nowMs - this.settings.lagMs),
+      lying: () => this.settings.lie,
+      none: () => undefined
+    }
+    return tellers[this.settings.mode]()
+  }
+
+  private loadAt (atMs: number): Load {
+    // Samples older than the newest that is due are never told again.
+    while (this.samples.length > 1 && (this.samples[1] as Sample).atMs <= atMs) this.samples.shift()
+    const oldest = this.samples[0]
+    return oldest !== undefined && oldest.atMs <= atMs ? oldest.load : { inFlight: 0, queued: 0 }
+  }
+}
--- /dev/null
+++ b/src/standin/ServiceTime.ts
@@ -0,0 +1,60 @@
+import { readFileSync } from 'node:fs'
+import type { Random } from '../parts/Types.js'
+import type { StandinSettings } from './StandinSettings.js'
+
+type Settings = StandinSettings['serviceTime']
+type Sampler = () => number
+
+/** Draws how long each run takes, with the slowness of a cold start. Memory is that of the trace. */
+export class ServiceTime {
+  private readonly sample: Sampler
+  private readonly coldStart: StandinSettings['coldStart']
+  private runs = 0
+
+  /**
+   * @param settings Distribution of the times.
+   * @param coldStart How much longer the first runs take.
+   * @param random Source of the exponential times.
+   */
+  public constructor (settings: Settings, coldStart: StandinSettings['coldStart'], random: Random) {
+    this.sample = samplerOf(settings, random)
+    this.coldStart = coldStart
+  }
+
+  /**
+   * Returns the time of the next run in milliseconds.
+   * @param slowFactor Multiplies the time.
+   */
+  public nextMs (slowFactor: number): number {
+    const cold = this.coldFactor()
+    this.runs++
+    return this.sample() * slowFactor * cold
+  }
+
+  private coldFactor (): number {
+    const { requests, factor } = this.coldStart
+    if (this.runs >= requests) return 1
+    return factor - (factor - 1) * this.runs / requests
+  }
+}
+
+function samplerOf (settings: Settings, random: Random): Sampler {
+  switch (settings.kind) {
+    case 'constant': return () => settings.ms
+    case 'exponential': return () => -Math.log(1 - random.next()) * settings.meanMs
+    case 'trace': return traceSampler(settings.file)
+  }
+}
+
+function traceSampler (file: string): Sampler {
+  const times = readFileSync(file, 'utf8').split('\n').filter(line => line.trim() !== '').map(Number)
+  if (times.length === 0 || times.some(time => !(time >= 0))) {
+    throw new RangeError(`${file}: expected one service time in milliseconds on each line`)
+  }
+  let next = 0
+  return () => {
+    const time = times[next] ?? 0
+    next = (next + 1) % times.length
+    return time
+  }
+}
--- /dev/null
+++ b/src/standin/Standin.test.ts
@@ -0,0 +1,148 @@
+import { createHash } from 'node:crypto'
+import { once } from 'node:events'
+import { mkdtempSync } from 'node:fs'
+import { connect } from 'node:net'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import express from 'express'
+import { request } from 'undici'
+import { expect, onTestFinished, test } from 'vitest'
+import { DownloadCheck } from '../load/DownloadCheck.js'
+import { AdminServer } from '../platform/AdminServer.js'
+import { DownloadBody } from '../platform/DownloadBody.js'
+import { readJournal } from './Journal.js'
+import { LoadReport } from './LoadReport.js'
+import { Standin } from './Standin.js'
+import { standinSettings } from './StandinSettings.js'
+
+interface Started {
+  readonly standin: Standin
+  readonly http: string
+  readonly admin: string
+  readonly journal: string
+}
+
+async function start (more: object): Promise<Started> {
+  const journal = join(mkdtempSync(join(tmpdir(), 'standin-')), 'journal.jsonl')
+  const settings = standinSettings.parse({
+    service: 'custody',
+    instance: 'custody-1',
+    listen: { http: '127.0.0.1:0', admin: '127.0.0.1:0' },
+    journal,
+    log: { level: 'silent' },
+    ...more
+  })
+  const standin = new Standin(settings)
+  const addresses = await standin.start()
+  onTestFinished(() => { standin.dispose() })
+  return { standin, ...addresses, journal }
+}
+
+async function behave (admin: string, change: object): Promise<unknown> {
+  const answer = await request(`http://${admin}/behaviour`, {
+    method: 'POST', body: JSON.stringify(change), headers: { 'content-type': 'application/json' }
+  })
+  return await answer.body.json()
+}
+
+test('a checkout echoes what proves that it is the caller\'s own, and is journalled', async () => {
+  const { http, journal } = await start({})
+  const answer = await request(`http://${http}/checkouts/die-7`, {
+    method: 'POST', body: 'press 4', headers: { 'x-request-id': 'r1', 'idempotency-key': 'k1' }
+  })
+  expect(await answer.body.json()).toMatchObject({
+    service: 'custody',
+    call: 'checkout',
+    id: 'die-7',
+    requestId: 'r1',
+    key: 'k1',
+    bodyDigest: createHash('sha256').update('press 4').digest('hex')
+  })
+  expect(readJournal(journal)).toMatchObject([
+    { event: 'start', run: 1, requestId: 'r1', key: 'k1', method: 'POST', target: '/checkouts/die-7' },
+    { event: 'end', run: 1, outcome: 'answered', status: 200 }
+  ])
+})
+
+test('a shed request says that it did not run, and the journal agrees', async () => {
+  const { http, admin, journal } = await start({})
+  await behave(admin, { shedShare: 1 })
+  const answer = await request(`http://${http}/lookups/1`)
+  await answer.body.dump()
+  expect([answer.statusCode, answer.headers['sassafras-shed']]).toEqual([503, 'not-run'])
+  expect(readJournal(journal)).toEqual([])
+})
+
+test('a deadline ends a lookup that runs too long', async () => {
+  const { http, journal } = await start({ serviceTime: { kind: 'constant', ms: 600_000 } })
+  const answer = await request(`http://${http}/lookups/1`, { headers: { 'sassafras-deadline-ms': '5' } })
+  await answer.body.dump()
+  expect(answer.statusCode).toBe(504)
+  expect(readJournal(journal)[1]).toMatchObject({ event: 'end', outcome: 'deadline' })
+})
+
+test('a download carries exactly the bytes of its length and seed', async () => {
+  const { http } = await start({})
+  const answer = await request(`http://${http}/downloads/200000?seed=9`)
+  const check = new DownloadCheck(new DownloadBody(200_000, 9))
+  const other = new DownloadCheck(new DownloadBody(200_000, 8))
+  const hash = createHash('sha256')
+  for await (const chunk of answer.body) {
+    check.update(chunk)
+    other.update(chunk)
+    hash.update(chunk)
+  }
+  expect(check.whole).toBe(true)
+  expect(other.whole).toBe(false)
+  expect(answer.headers['repr-digest']).toBe(`sha-256=:${hash.digest('base64')}:`)
+})
+
+test('a silent connection stays open and unanswered while a new one works', async () => {
+  const { http, admin } = await start({})
+  const [host, port] = http.split(':')
+  const socket = connect(Number(port), host)
+  let received = ''
+  socket.on('data', (chunk: Buffer) => { received += chunk.toString() })
+  socket.write('GET /load HTTP/1.1\r\nhost: a\r\n\r\n')
+  await once(socket, 'data')
+  expect(await behave(admin, { silence: 1 })).toMatchObject({ silenced: 1 })
+  const before = received.length
+  socket.write('GET /load HTTP/1.1\r\nhost: a\r\n\r\n')
+  const answer = await request(`http://${http}/load`)
+  await answer.body.dump()
+  expect(answer.statusCode).toBe(200)
+  expect(received.length).toBe(before)
+  expect(socket.readyState).toBe('open')
+  socket.destroy()
+})
+
+test('a stop announces the drain, finishes the download in flight and then ends', async () => {
+  const states: string[] = []
+  const node = new AdminServer({ health: () => ({ ok: true }), state: () => ({}) })
+  node.app.use(express.json())
+  node.app.post('/announce', (incoming, response) => {
+    states.push((incoming.body as { state: string }).state)
+    response.json({})
+  })
+  const nodeAdmin = await node.listen('127.0.0.1:0')
+  onTestFinished(() => { node.dispose() })
+  const beside = { admin: nodeAdmin, caller: nodeAdmin }
+  const { standin, http, journal } = await start({ node: beside, drain: { quietMs: 1 } })
+  const answer = await request(`http://${http}/downloads/400000?rate=2000000`)
+  const check = new DownloadCheck(new DownloadBody(400_000, 0))
+  const stopped = standin.stop()
+  for await (const chunk of answer.body) check.update(chunk)
+  await stopped
+  expect(check.whole).toBe(true)
+  expect(states.at(-1)).toBe('draining')
+  expect(readJournal(journal).map(line => line.event)).toEqual(['start', 'drain', 'end'])
+})
+
+test('a lagging report tells the load of the past', () => {
+  const report = new LoadReport(standinSettings.shape.load.parse({ mode: 'lagging', lagMs: 100 }))
+  report.record({ inFlight: 5, queued: 0 }, 1000)
+  report.record({ inFlight: 0, queued: 0 }, 1050)
+  expect(report.tell({ inFlight: 0, queued: 0 }, 1099)).toEqual({ inFlight: 0, queued: 0 })
+  expect(report.tell({ inFlight: 0, queued: 0 }, 1120)).toEqual({ inFlight: 5, queued: 0 })
+  expect(report.tell({ inFlight: 9, queued: 9 }, 1150)).toEqual({ inFlight: 0, queued: 0 })
+})
