--- /dev/null
+++ b/src/control/ControlMachine.ts
@@ -0,0 +1,136 @@
+import { Encoder } from 'cbor-x'
+import type { LogEntry } from '../parts/agreement/Types.js'
+import { ConfigurationRegister } from '../parts/configuration/ConfigurationRegister.js'
+import type { ChangeReply, ChangeRequest, RegisterSnapshot } from '../parts/configuration/Types.js'
+import { GroupClock } from '../parts/records/GroupClock.js'
+import { IdempotencyLedger } from '../parts/records/IdempotencyLedger.js'
+import type { LedgerLimits, LedgerSnapshot, RecordCommand, RecordReply } from '../parts/records/Types.js'
+import { Emitter } from '../platform/Emitter.js'
+import type { Clock } from '../platform/Types.js'
+import type { StateMachine } from './StateMachine.js'
+
+/** What a log entry holds. `atMs` is the leader's group time. */
+export type ControlCommand =
+  | { readonly type: 'change', readonly atMs: number, readonly change: ChangeRequest }
+  | { readonly type: 'record', readonly atMs: number, readonly command: RecordCommand }
+
+/** What the proposer of a command is told. */
+export type ControlReply =
+  | { readonly type: 'change', readonly reply: ChangeReply }
+  | { readonly type: 'record', readonly reply: RecordReply }
+
+/** Body of a snapshot of the group's state. */
+interface ControlSnapshot {
+  readonly format: 1
+  readonly atMs: number
+  readonly register: RegisterSnapshot
+  readonly ledger: LedgerSnapshot
+}
+
+type CommandHandlers = {
+  readonly [Type in ControlCommand['type']]:
+  (command: Extract<ControlCommand, { type: Type }>, term: number) => ControlReply
+}
+
+const CODEC = new Encoder({ useRecords: false, mapsAsObjects: true, tagUint8Array: false })
+
+/** State that control replicas agree on: the configuration, the records of guarded requests and group time. */
+export class ControlMachine implements StateMachine<ControlReply> {
+  public readonly register = new ConfigurationRegister()
+  public readonly ledger: IdempotencyLedger
+  private readonly _groupClock = new GroupClock()
+  private readonly _changes = new Emitter<void>()
+  private _atMs = 0
+
+  private readonly _commands: CommandHandlers = {
+    change: ({ change }, term) => this._change(change, term),
+    record: ({ command, atMs }) => ({ type: 'record', reply: this.ledger.apply(command, atMs) })
+  }
+
+  /** Fires when another configuration is in force. */
+  public readonly onChange = this._changes.event
+
+  /**
+   * @param limits Limits of the records, the same on all replicas of a group.
+   * @param _clock Clock of this process, for the group time that a leader stamps.
+   */
+  public constructor (
+    private readonly _limits: Partial<LedgerLimits>,
+    private readonly _clock: Clock
+  ) {
+    this.ledger = new IdempotencyLedger(_limits)
+  }
+
+  /**
+   * Encodes a change as a command, with the group time of now.
+   * @param change The change.
+   */
+  public encodeChange (change: ChangeRequest): Uint8Array {
+    return encode({ type: 'change', atMs: this._stamp(), change })
+  }
+
+  /**
+   * Encodes a record command, with the group time of now.
+   * @param command The command of a node.
+   */
+  public encodeRecord (command: RecordCommand): Uint8Array {
+    return encode({ type: 'record', atMs: this._stamp(), command })
+  }
+
+  /**
+   * Applies one committed command.
+   * @param entry The log entry.
+   */
+  public apply (entry: LogEntry): ControlReply {
+    const command = CODEC.decode(entry.data) as ControlCommand
+    this._observe(command.atMs)
+    const handler = this._commands[command.type] as (command: ControlCommand, term: number) => ControlReply
+    return handler(command, entry.term)
+  }
+
+  /** Encodes the whole state. */
+  public snapshot (): Uint8Array {
+    const register = this.register.snapshot()
+    const ledger = this.ledger.snapshot()
+    return encode({ format: 1, atMs: this._atMs, register, ledger } satisfies ControlSnapshot)
+  }
+
+  /**
+   * Replaces the whole state.
+   * @param data Encoded by `snapshot`; empty before any entry.
+   */
+  public restore (data: Uint8Array): void {
+    const { atMs, register, ledger } = data.length === 0 ? this._initial() : CODEC.decode(data) as ControlSnapshot
+    this._observe(atMs)
+    this.register.restore(register)
+    this.ledger.restore(ledger)
+    this._changes.fire()
+  }
+
+  private _change (change: ChangeRequest, term: number): ControlReply {
+    const before = this.register.inForce.version
+    const reply = this.register.apply(change, term)
+    if (this.register.inForce.version !== before) this._changes.fire()
+    return { type: 'change', reply }
+  }
+
+  private _initial (): ControlSnapshot {
+    const register = new ConfigurationRegister().snapshot()
+    const ledger = new IdempotencyLedger(this._limits).snapshot()
+    return { format: 1, atMs: 0, register, ledger }
+  }
+
+  private _observe (atMs: number): void {
+    this._atMs = Math.max(this._atMs, atMs)
+    this._groupClock.observe(atMs, this._clock.nowMs())
+  }
+
+  private _stamp (): number {
+    return Math.floor(this._groupClock.stamp(this._clock.nowMs()))
+  }
+}
+
+/** Copies the encoded bytes, since the encoder's are a view of a larger buffer that would stay in memory. */
+function encode (value: ControlCommand | ControlSnapshot): Uint8Array {
+  return new Uint8Array(CODEC.encode(value))
+}
--- a/src/control/ControlSettings.ts
+++ b/src/control/ControlSettings.ts
@@ -18,6 +18,10 @@
     horizonMs: 86_400_000,
     /** Longest answer that is kept whole. */
     maxAnswerBytes: 65_536
+  },
+  storage: {
+    /** Bytes of log after which a snapshot is taken, or twice the last snapshot if that is more. */
+    snapshotAfterBytes: 8_388_608
   }
 } as const
 
@@ -40,6 +44,10 @@
   maxAnswerBytes: byteCount.default(CONTROL_DEFAULTS.records.maxAnswerBytes)
 }).prefault({})
 
+const storage = z.strictObject({
+  snapshotAfterBytes: byteCount.default(CONTROL_DEFAULTS.storage.snapshotAfterBytes)
+}).prefault({})
+
 /** What the file of a control replica must hold. */
 export const controlSettings = z.strictObject({
   id: name,
@@ -57,7 +65,8 @@
   log,
   metrics,
   timing,
-  records
+  records,
+  storage
 })
 
 export type ControlSettings = z.output<typeof controlSettings>
--- /dev/null
+++ b/src/control/MembershipHost.ts
@@ -0,0 +1,119 @@
+import { ALL_SERVICES } from '../parts/membership/Constants.js'
+import { MembershipTable } from '../parts/membership/MembershipTable.js'
+import type { MembershipAction, MembershipEvent } from '../parts/membership/Types.js'
+import type { Incarnation, NodeId } from '../parts/Types.js'
+import type { Clock, Disposable } from '../platform/Types.js'
+import { MEMBERSHIP_TICK_MS } from './Constants.js'
+import type { MembershipFrame } from './Types.js'
+
+/** A peer of the membership table: an attached node or a fellow replica. */
+export interface MembershipPeer {
+  readonly id: string
+  readonly kind: 'node' | 'replica'
+  readonly send: (frame: MembershipFrame) => void
+}
+
+type FrameHandlers = {
+  readonly [Type in MembershipFrame['type']]:
+  (peer: MembershipPeer, frame: Extract<MembershipFrame, { type: Type }>) => void
+}
+
+type SendAction = Extract<MembershipAction, { readonly to: string }>
+
+/** Runs the membership table of a control replica between its nodes and its fellow replicas. */
+export class MembershipHost implements Disposable {
+  private readonly _table = new MembershipTable({ role: 'replica' })
+  private readonly _peers = new Map<string, MembershipPeer>()
+  private readonly _timer: NodeJS.Timeout
+
+  private readonly _frames: FrameHandlers = {
+    membership: (peer, frame) => this._takeMembers(peer, frame),
+    interest: (peer, { services, digests }) =>
+      this._step({ type: 'interest', from: peer.id, services, ...(digests === undefined ? {} : { digests }) }),
+    beats: (peer, { beats }) => this._step({ type: 'beats', from: peer.id, beats }),
+    digest: (peer, { digests }) => this._step({ type: 'digest', from: peer.id, digests }),
+    alive: (peer, { incarnation, sequence }) => this.alive(peer.id, incarnation, sequence)
+  }
+
+  /**
+   * @param _clock Clock of this process.
+   */
+  public constructor (private readonly _clock: Clock) {
+    this._timer = setInterval(() => this._step({ type: 'tick' }), MEMBERSHIP_TICK_MS)
+  }
+
+  /** The table, for dumps. */
+  public get table (): MembershipTable {
+    return this._table
+  }
+
+  /**
+   * Attaches a peer; a fellow replica hears of all services.
+   * @param peer The peer.
+   */
+  public attach (peer: MembershipPeer): void {
+    this._peers.set(peer.id, peer)
+    if (peer.kind === 'replica') this._step({ type: 'interest', from: peer.id, services: [ALL_SERVICES] })
+  }
+
+  /**
+   * Detaches a peer whose connection is gone.
+   * @param peer The peer as it was attached.
+   */
+  public detach (peer: MembershipPeer): void {
+    if (this._peers.get(peer.id) !== peer) return
+    this._peers.delete(peer.id)
+    this._step({ type: 'lost', from: peer.id })
+  }
+
+  /**
+   * Takes a frame of a peer.
+   * @param peer The peer.
+   * @param frame Its frame.
+   */
+  public take (peer: MembershipPeer, frame: MembershipFrame): void {
+    const handler = this._frames[frame.type] as (peer: MembershipPeer, frame: MembershipFrame) => void
+    handler(peer, frame)
+  }
+
+  /**
+   * Takes a node's sign of life.
+   * @param node The node.
+   * @param incarnation Its incarnation.
+   * @param sequence Sequence of its member.
+   */
+  public alive (node: NodeId, incarnation: Incarnation, sequence: number): void {
+    this._step({ type: 'heartbeat', node, incarnation, sequence })
+  }
+
+  /** Stops the clock of the table. */
+  public dispose (): void {
+    clearInterval(this._timer)
+  }
+
+  /** A node tells only of itself, so what it sends is its own announcement. */
+  private _takeMembers (peer: MembershipPeer, frame: Extract<MembershipFrame, { type: 'membership' }>): void {
+    const { members, whole } = frame
+    if (peer.kind === 'replica') {
+      this._step({ type: 'merge', from: peer.id, members, ...(whole === undefined ? {} : { whole }) })
+      return
+    }
+    for (const member of members) {
+      if (member.node === peer.id) this._step({ type: 'announce', member })
+    }
+  }
+
+  private _step (event: MembershipEvent): void {
+    for (const action of this._table.step(event, this._clock.nowMs())) {
+      if ('to' in action) this._send(action)
+    }
+  }
+
+  private _send (action: SendAction): void {
+    const peer = this._peers.get(action.to)
+    if (peer === undefined) return
+    if (action.type === 'sendBeats') peer.send({ type: 'beats', beats: action.beats })
+    else if (action.type === 'sendDigest') peer.send({ type: 'digest', digests: action.digests })
+    else peer.send({ type: 'membership', members: action.members, ...(action.whole ? { whole: action.whole } : {}) })
+  }
+}
--- /dev/null
+++ b/src/control/ReplicaLinks.ts
@@ -0,0 +1,159 @@
+import { nameOf } from '../parts/agreement/GroupFormation.js'
+import type { Random, ReplicaId } from '../parts/Types.js'
+import { Emitter } from '../platform/Emitter.js'
+import type { FrameChannel } from '../platform/FrameChannel.js'
+import { FrameClient } from '../platform/FrameClient.js'
+import type { Clock, Disposable } from '../platform/Types.js'
+import { HEARD_INTERVAL_MS, LINK_SILENCE_MS } from './Constants.js'
+import type { FromControl, ReplicaToReplica, ToControl } from './Types.js'
+
+/** First frame on a connection between replicas. */
+export type ReplicaHello = Extract<ReplicaToReplica, { type: 'replicaHello' }>
+
+/** Where a replica listens, as `host:port`. */
+export interface ReplicaAddress {
+  readonly name: string
+  readonly address: string
+  readonly admin: string
+}
+
+/** A frame of another replica. */
+export interface ReplicaFrame {
+  readonly from: ReplicaId
+  readonly frame: ReplicaToReplica
+}
+
+/** An accepted connection. */
+export type AcceptedChannel = FrameChannel<ToControl, FromControl>
+
+/** A connection that this replica opened. */
+interface Link {
+  readonly client: FrameClient<ReplicaToReplica, ReplicaToReplica>
+  readonly address: ReplicaAddress
+  congested: boolean
+  /** When something was first sent since the other end was last heard. */
+  unheardSinceMs: number | undefined
+}
+
+/**
+ * Connections between replicas. Each replica sends on connections that it opened itself and receives on
+ * those that it accepted. A connection that swallows frames in silence is opened anew. Frames for a
+ * replica that is not connected, or whose connection is congested, are dropped: the protocol repeats them.
+ */
+export class ReplicaLinks implements Disposable {
+  private readonly _links = new Map<string, Link>()
+  private readonly _frames = new Emitter<ReplicaFrame>()
+  private readonly _timer: NodeJS.Timeout
+
+  /** Fires with each frame of another replica. */
+  public readonly onFrame = this._frames.event
+
+  /**
+   * @param _hello First frame of this replica on each connection.
+   * @param _clock Clock of this process.
+   * @param _random Spreads reconnects.
+   */
+  public constructor (
+    private readonly _hello: ReplicaHello,
+    private readonly _clock: Clock,
+    private readonly _random: Random
+  ) {
+    this._timer = setInterval(() => this._checkSilence(), HEARD_INTERVAL_MS)
+  }
+
+  /** Names of the replicas that this one connects to. */
+  public get names (): string[] {
+    return [...this._links.keys()]
+  }
+
+  /**
+   * Connects to a replica; a known one is kept.
+   * @param address Where it listens.
+   */
+  public connect (address: ReplicaAddress): void {
+    if (address.name === nameOf(this._hello.replica)) return
+    const known = this._links.get(address.name)
+    if (known?.address.address === address.address) return
+    known?.client.dispose()
+    this._links.set(address.name, this._open(address))
+  }
+
+  /**
+   * Returns where a replica listens, if it is known.
+   * @param id The replica.
+   */
+  public addressOf (id: ReplicaId): ReplicaAddress | undefined {
+    return this._links.get(nameOf(id))?.address
+  }
+
+  /**
+   * Sends a frame to a replica, or drops it.
+   * @param to The replica.
+   * @param frame The frame.
+   */
+  public send (to: ReplicaId, frame: ReplicaToReplica): void {
+    const link = this._links.get(nameOf(to))
+    if (link !== undefined) this._sendOn(link, frame)
+  }
+
+  /**
+   * Sends a frame to all known replicas.
+   * @param frame The frame.
+   */
+  public broadcast (frame: ReplicaToReplica): void {
+    for (const link of this._links.values()) this._sendOn(link, frame)
+  }
+
+  /**
+   * Takes over a connection on which another replica has said hello.
+   * @param channel The connection.
+   * @param hello Its first frame.
+   */
+  public accept (channel: AcceptedChannel, hello: ReplicaHello): void {
+    this.connect({ name: nameOf(hello.replica), address: hello.address, admin: hello.admin })
+    let heardToldMs = -Infinity
+    channel.onMessage(frame => {
+      const nowMs = this._clock.nowMs()
+      if (nowMs - heardToldMs >= HEARD_INTERVAL_MS) {
+        heardToldMs = nowMs
+        channel.send({ type: 'heard' })
+      }
+      this._frames.fire({ from: hello.replica, frame: frame as ReplicaToReplica })
+    })
+  }
+
+  /** Closes all connections. */
+  public dispose (): void {
+    clearInterval(this._timer)
+    for (const link of this._links.values()) link.client.dispose()
+    this._links.clear()
+  }
+
+  private _open (address: ReplicaAddress): Link {
+    const client = new FrameClient<ReplicaToReplica, ReplicaToReplica>(address.address, this._clock, this._random)
+    const link: Link = { client, address, congested: false, unheardSinceMs: undefined }
+    client.onChannel(channel => {
+      link.congested = false
+      link.unheardSinceMs = undefined
+      channel.onDrain(() => { link.congested = false })
+      channel.onMessage(() => { link.unheardSinceMs = undefined })
+      channel.send(this._hello)
+    })
+    client.start()
+    return link
+  }
+
+  private _sendOn (link: Link, frame: ReplicaToReplica): void {
+    const { channel } = link.client
+    if (channel === undefined || link.congested) return
+    link.unheardSinceMs ??= this._clock.nowMs()
+    link.congested = !channel.send(frame)
+  }
+
+  private _checkSilence (): void {
+    const nowMs = this._clock.nowMs()
+    for (const { client, unheardSinceMs } of this._links.values()) {
+      if (unheardSinceMs !== undefined && nowMs - unheardSinceMs > LINK_SILENCE_MS) client.channel?.destroy('silent')
+    }
+  }
+}
--- a/src/control/Types.ts
+++ b/src/control/Types.ts
@@ -1,7 +1,7 @@
 import type { FormationNotice } from '../parts/agreement/GroupFormation.js'
 import type { AgreementMessage } from '../parts/agreement/Types.js'
 import type { ConfigurationDifference, InForce, Version, VersionedConfiguration } from '../parts/configuration/Types.js'
-import type { Member } from '../parts/membership/Types.js'
+import type { Beat, Member, ServiceDigest } from '../parts/membership/Types.js'
 import type { RecordCommand, RecordReply } from '../parts/records/Types.js'
 import type { Incarnation, NodeId, Place, ReplicaId, ServiceName } from '../parts/Types.js'
 
@@ -17,14 +17,22 @@
     readonly admin: string
   }
 
+/** Frames of the membership table, between nodes and replicas and between replicas. */
+export type MembershipFrame =
+  | { readonly type: 'membership', readonly members: readonly Member[], readonly whole?: readonly ServiceName[] }
+  | { readonly type: 'interest', readonly services: readonly ServiceName[], readonly digests?: readonly ServiceDigest[] }
+  | { readonly type: 'beats', readonly beats: readonly Beat[] }
+  | { readonly type: 'digest', readonly digests: readonly ServiceDigest[] }
+  /** A node's sign of life for its own member. */
+  | { readonly type: 'alive', readonly incarnation: Incarnation, readonly sequence: number }
+
 /** Frames from a node to a control replica. */
 export type NodeToControl =
   | ControlHello
   /** Sent every heartbeat; `version` is what the node has in force. The answer repeats `askedAtMs`. */
   | { readonly type: 'heartbeat', readonly version: Version, readonly term: number, readonly askedAtMs?: number }
   | { readonly type: 'record', readonly id: number, readonly command: RecordCommand }
-  | { readonly type: 'membership', readonly members: readonly Member[] }
-  | { readonly type: 'interest', readonly services: readonly ServiceName[] }
+  | MembershipFrame
   /** Asks for a whole copy after a difference did not fit. */
   | { readonly type: 'askCopy' }
 
@@ -47,7 +55,7 @@
   }
   /** Answer to a heartbeat, when a quorum stands behind it. */
   | { readonly type: 'confirm', readonly version: Version, readonly term: number, readonly askedAtMs?: number }
-  | { readonly type: 'membership', readonly members: readonly Member[] }
+  | MembershipFrame
 
 /** Frames between control replicas. */
 export type ReplicaToReplica =
@@ -58,8 +66,9 @@
   /** A follower asks its leader for an index that a quorum confirms. */
   | { readonly type: 'readIndex', readonly id: number }
   | { readonly type: 'readIndexReply', readonly id: number, readonly index?: number }
-  /** Soft state that is not agreed on: members heard of, and versions that nodes have in force. */
-  | { readonly type: 'gossip', readonly members: readonly Member[], readonly inForce: readonly InForce[] }
+  | MembershipFrame
+  /** Versions that the nodes attached to the sender have in force; not agreed on. */
+  | { readonly type: 'inForce', readonly inForce: readonly InForce[] }
   /** Sent back on an accepted connection, so that the other end knows that it is not silent. */
   | { readonly type: 'heard' }
 
