--- /dev/null
+++ b/src/control/NodeSessions.ts
@@ -0,0 +1,238 @@
+import type { InForce, Version } from '../parts/configuration/Types.js'
+import type { NodeId } from '../parts/Types.js'
+import type { Clock, Disposable } from '../platform/Types.js'
+import {
+  IN_FORCE_KEPT_MS, MAX_IN_FORCE, MAX_OPEN_RECORDS, MAX_SESSIONS, NODE_SILENCE_MS
+} from './Constants.js'
+import type { ControlMachine } from './ControlMachine.js'
+import type { MembershipHost, MembershipPeer } from './MembershipHost.js'
+import type { AcceptedChannel } from './ReplicaLinks.js'
+import type { ControlToNode, MembershipFrame, NodeToControl } from './Types.js'
+
+/** First frame of a node. */
+export type NodeHello = Extract<NodeToControl, { type: 'nodeHello' }>
+
+/** What the sessions need of the replica. */
+export interface SessionGroup {
+  /** Resolves to true when all committed before the call is applied here. */
+  readBarrier (): Promise<boolean>
+  /** Proposes a record command; undefined when it was not or may not have been applied. */
+  proposeRecord (frame: RecordFrame): Promise<ControlToNode>
+}
+
+/** A node's record command. */
+export type RecordFrame = Extract<NodeToControl, { type: 'record' }>
+
+/** A node's question whether what it has in force is the newest. */
+interface Question {
+  readonly askedAtMs: number | undefined
+}
+
+/** One attached node. */
+interface Session {
+  readonly node: NodeId
+  readonly channel: AcceptedChannel
+  readonly peer: MembershipPeer
+  version: Version
+  question: Question | undefined
+  openRecords: number
+}
+
+/** Version that a node was last heard to have in force. */
+interface HeardVersion {
+  readonly version: Version
+  readonly atMs: number
+}
+
+type FrameOf<Type extends NodeToControl['type']> = Extract<NodeToControl, { type: Type }>
+
+type FrameHandlers = {
+  readonly [Type in NodeToControl['type']]: (session: Session, frame: FrameOf<Type>) => void
+}
+
+/**
+ * Connections of nodes. A heartbeat is answered after a quorum read, one read for all that wait; a change
+ * is pushed at once to all, as a difference where one fits. Holds `MAX_SESSIONS` sessions and the versions
+ * of `MAX_IN_FORCE` nodes.
+ */
+export class NodeSessions implements Disposable {
+  private readonly _sessions = new Set<Session>()
+  private readonly _versions = new Map<NodeId, HeardVersion>()
+  private readonly _timer: NodeJS.Timeout
+  private _asking = false
+
+  private readonly _frames: FrameHandlers = {
+    nodeHello: () => {},
+    replicaHello: () => {},
+    heartbeat: (session, frame) => this._takeHeartbeat(session, frame),
+    record: (session, frame) => { this._takeRecord(session, frame).catch(() => session.channel.destroy('failed')) },
+    askCopy: session => this._sendCopy(session, false),
+    membership: (session, frame) => this._membership.take(session.peer, frame),
+    interest: (session, frame) => this._membership.take(session.peer, frame),
+    beats: () => {},
+    digest: (session, frame) => this._membership.take(session.peer, frame),
+    alive: (session, frame) => this._membership.take(session.peer, frame)
+  }
+
+  /**
+   * @param _machine State of the group.
+   * @param _membership Membership table of this replica.
+   * @param _group The replica.
+   * @param _clock Clock of this process.
+   */
+  public constructor (
+    private readonly _machine: ControlMachine,
+    private readonly _membership: MembershipHost,
+    private readonly _group: SessionGroup,
+    private readonly _clock: Clock
+  ) {
+    _machine.onChange(() => this._push())
+    this._timer = setInterval(() => this._closeSilent(), NODE_SILENCE_MS / 2)
+  }
+
+  /** Nodes attached now. */
+  public get size (): number {
+    return this._sessions.size
+  }
+
+  /**
+   * Takes over a connection on which a node has said hello.
+   * @param channel The connection.
+   * @param hello Its first frame.
+   */
+  public accept (channel: AcceptedChannel, hello: NodeHello): void {
+    if (this._sessions.size >= MAX_SESSIONS) return channel.destroy('too many nodes')
+    const send = (frame: MembershipFrame): void => { channel.send(frame) }
+    const peer: MembershipPeer = { id: hello.node, kind: 'node', send }
+    const session: Session = {
+      node: hello.node, channel, peer, version: hello.version, question: undefined, openRecords: 0
+    }
+    this._sessions.add(session)
+    this._membership.attach(peer)
+    this._note(hello.node, hello.version, this._clock.nowMs())
+    channel.onMessage(frame => this._take(session, frame as NodeToControl))
+    channel.onClose(() => this._drop(session))
+    if (hello.version < this._machine.register.inForce.version) this._sendNewest(session, false)
+  }
+
+  /** Versions of the nodes attached here, to be told to fellow replicas. */
+  public attached (): InForce[] {
+    return this.inForce().filter(item => [...this._sessions].some(session => session.node === item.node))
+  }
+
+  /**
+   * Takes what a fellow replica heard of its nodes.
+   * @param heard Versions of nodes.
+   */
+  public merge (heard: readonly InForce[]): void {
+    const nowMs = this._clock.nowMs()
+    heard.forEach(item => this._note(item.node, item.version, nowMs - item.heardMsAgo))
+  }
+
+  /** Which node has which version in force, as last heard. */
+  public inForce (): InForce[] {
+    const nowMs = this._clock.nowMs()
+    return [...this._versions].map(([node, { version, atMs }]) =>
+      ({ node, version, heardMsAgo: Math.round(nowMs - atMs) }))
+  }
+
+  /** Closes all connections. */
+  public dispose (): void {
+    clearInterval(this._timer)
+    for (const session of this._sessions) session.channel.dispose()
+  }
+
+  private _take (session: Session, frame: NodeToControl): void {
+    const handler = this._frames[frame.type] as ((session: Session, frame: NodeToControl) => void) | undefined
+    handler?.(session, frame)
+  }
+
+  private _takeHeartbeat (session: Session, frame: FrameOf<'heartbeat'>): void {
+    session.version = frame.version
+    session.question = { askedAtMs: frame.askedAtMs }
+    this._note(session.node, frame.version, this._clock.nowMs())
+    this._answerQuestions().catch(() => {})
+  }
+
+  /** One quorum read answers all that asked before it began. */
+  private async _answerQuestions (): Promise<void> {
+    if (this._asking) return
+    this._asking = true
+    const asked = [...this._sessions].filter(session => session.question !== undefined)
+    const questions = new Map(asked.map(session => [session, session.question]))
+    const confirmed = await this._group.readBarrier()
+    this._asking = false
+    for (const [session, question] of questions) {
+      if (confirmed) this._answer(session, question!)
+      if (session.question === question) session.question = undefined
+    }
+    if ([...this._sessions].some(session => session.question !== undefined)) await this._answerQuestions()
+  }
+
+  private _answer (session: Session, { askedAtMs }: Question): void {
+    const { version, term } = this._machine.register.inForce
+    if (session.version !== version) return this._sendNewest(session, true, askedAtMs)
+    session.channel.send({ type: 'confirm', version, term, ...askedAt(askedAtMs) })
+  }
+
+  private async _takeRecord (session: Session, frame: RecordFrame): Promise<void> {
+    if (session.openRecords >= MAX_OPEN_RECORDS) {
+      const reply = { type: 'refused', reason: 'overloaded', retryAfterMs: 100 } as const
+      session.channel.send({ type: 'recordReply', id: frame.id, reply })
+      return
+    }
+    session.openRecords++
+    const answer = await this._group.proposeRecord(frame)
+    session.openRecords--
+    session.channel.send(answer)
+  }
+
+  private _push (): void {
+    const { version } = this._machine.register.inForce
+    for (const session of this._sessions) {
+      if (session.version < version) this._sendNewest(session, false)
+    }
+  }
+
+  private _sendNewest (session: Session, confirmed: boolean, askedAtMs?: number): void {
+    const { register } = this._machine
+    const difference = register.differenceFrom(session.version)
+    if (difference === undefined) return this._sendCopy(session, confirmed, askedAtMs)
+    session.channel.send({ type: 'difference', confirmed, difference, ...askedAt(askedAtMs) })
+    // What was sent counts as had, so that the next difference follows on; a loss shows in the next heartbeat.
+    session.version = difference.version
+  }
+
+  private _sendCopy (session: Session, confirmed: boolean, askedAtMs?: number): void {
+    const copy = this._machine.register.inForce
+    session.channel.send({ type: 'copy', confirmed, copy, ...askedAt(askedAtMs) })
+    session.version = copy.version
+  }
+
+  private _note (node: NodeId, version: Version, atMs: number): void {
+    const known = this._versions.get(node)
+    if (known !== undefined && known.atMs >= atMs) return
+    this._versions.delete(node)
+    this._versions.set(node, { version, atMs })
+    if (this._versions.size > MAX_IN_FORCE) this._versions.delete(this._versions.keys().next().value as NodeId)
+  }
+
+  private _closeSilent (): void {
+    const nowMs = this._clock.nowMs()
+    for (const { channel } of this._sessions) {
+      if (nowMs - channel.lastReceivedMs > NODE_SILENCE_MS) channel.destroy('silent')
+    }
+    for (const [node, { atMs }] of this._versions) {
+      if (nowMs - atMs > IN_FORCE_KEPT_MS) this._versions.delete(node)
+    }
+  }
+
+  private _drop (session: Session): void {
+    this._sessions.delete(session)
+    this._membership.detach(session.peer)
+  }
+}
+
+function askedAt (askedAtMs: number | undefined): { readonly askedAtMs?: number } {
+  return askedAtMs === undefined ? {} : { askedAtMs }
+}
--- a/src/control/ReadBarrier.ts
+++ b/src/control/ReadBarrier.ts
@@ -73,7 +73,8 @@
 
   /** Gives up what waits. */
   public dispose (): void {
-    if (this._current !== undefined) this._finish(this._current, false)
+    this._next?.settle(false)
+    this._next = undefined
     if (this._current !== undefined) this._finish(this._current, false)
   }
 
@@ -82,7 +83,7 @@
     this._requestId++
     round.timer = setTimeout(() => this._finish(round, false), READ_TIMEOUT_MS)
     const leader = this._group.leader()
-    if (leader === this._group.id) void this._group.read().then(index => this._confirmed(round, index))
+    if (leader === this._group.id) this._group.read().then(index => this._confirmed(round, index), () => {})
     else if (leader === undefined) this._finish(round, false)
     else this._group.send(leader, { type: 'readIndex', id: this._requestId })
     return round.promise
@@ -102,7 +103,7 @@
     this._current = undefined
     this._next = undefined
     round.settle(confirmed)
-    if (next !== undefined) void this._begin(next)
+    if (next !== undefined) this._begin(next).catch(() => {})
   }
 }
 
