Replay traces with stated outcomes for admission, retries and quarantine

Six traces for hazards 11, 14, 20, 21 and 22, each replayed as it stands and again with the mechanism taken out (reports or drain not heard, deadlines and kinds of work not told apart, each layer retrying), where it must fail and does.

--- /dev/null
+++ b/src/parts/trace/TraceReplay.test.ts
@@ -0,0 +1,67 @@
+import { readdirSync, readFileSync } from 'node:fs'
+import { expect, test } from 'vitest'
+import { AdmissionController } from '../admission/AdmissionController.js'
+import { SeededRandom } from '../SeededRandom.js'
+import { PART_FACTORIES } from './PartFactories.js'
+import { TraceRecorder } from './TraceRecorder.js'
+import { TraceReplay } from './TraceReplay.js'
+import type { PartFactories } from './Types.js'
+
+const TRACES = new URL('../../../traces/', import.meta.url)
+
+const files = readdirSync(TRACES).filter(name => name.endsWith('.jsonl')).sort()
+
+function read (file: string): string {
+  return readFileSync(new URL(file, TRACES), 'utf8')
+}
+
+test.each(files)('replays %s', file => {
+  expect(TraceReplay.run(read(file), PART_FACTORIES)).toEqual([])
+})
+
+/** Makes every part deaf or blind to something, as a version without the mechanism is. */
+function faulty (change: (event: Record<string, unknown>) => object): PartFactories {
+  return Object.fromEntries(Object.entries(PART_FACTORIES).map(([part, make]) => [part, line => {
+    const inner = make(line)
+    return { step: (event, nowMs) => inner.step(change(event) as never, nowMs) }
+  }]))
+}
+
+function without (type: string): PartFactories {
+  return faulty(event => event.type === type ? { type: 'tick' } : event)
+}
+
+const IDLE: PartFactories = Object.fromEntries(
+  Object.keys(PART_FACTORIES).map(part => [part, () => ({ step: () => [] })])
+)
+
+const FAULTS: Readonly<Record<string, PartFactories>> = {
+  '11-crashing-request.jsonl': without('reported'),
+  '14-drain-with-a-queue.jsonl': without('drain'),
+  '20-overload.jsonl': faulty(event => ({ ...event, deadlineAtMs: Infinity })),
+  '20-retry-at-one-layer.jsonl': faulty(event => ({ ...event, retriesAbove: false })),
+  '21-downloads-beside-lookups.jsonl': faulty(event => ({ ...event, kind: 'lookup' })),
+  '22-caller-goes-away.jsonl': without('cancel')
+}
+
+test.each(files)('stated outcomes of %s fail without the mechanism', file => {
+  expect(TraceReplay.run(read(file), FAULTS[file] ?? IDLE)).not.toEqual([])
+})
+
+test('a recorded run replays, and not with a change in it', () => {
+  const lines: string[] = []
+  const part = new TraceRecorder(line => lines.push(line))
+    .record('admission', 3, { slots: 1 }, new AdmissionController(new SeededRandom(3), { slots: 1 }))
+  for (let call = 1; call <= 20; call++) {
+    part.step({ type: 'arrive', call, kind: 'lookup', deadlineAtMs: 50 }, call)
+    part.step({ type: 'finish', call: call - 2, outcome: 'ok', serviceMs: 2 }, call)
+  }
+  const text = lines.join('\n')
+  expect(TraceReplay.run(text, PART_FACTORIES)).toEqual([])
+  expect(TraceReplay.run(text.replace('"slots":1', '"slots":2'), PART_FACTORIES).length).toBeGreaterThan(0)
+})
+
+test('reports every finding with its line', () => {
+  const text = '{"part":"unknown","seed":1,"options":{}}\nnot JSON\n{"part":"retry","atMs":0,"event":{"type":"tick"}}'
+  expect(TraceReplay.run(text, PART_FACTORIES).map(finding => finding.place)).toEqual(['line 1', 'line 2', 'line 3'])
+})
