Add the load tool: open loop, own answers, and a count against the journals

Latencies count from the time that a call was due, so a stall counts against every call that was due in it. Each body is checked against its own request, downloads byte by byte. The audit holds what callers were told against what the stand-ins journalled.

--- /dev/null
+++ b/src/load/AnswerCheck.ts
@@ -0,0 +1,70 @@
+/** Checks that an answer is whole and belongs to its own request. */
+import { DownloadBody } from '../platform/DownloadBody.js'
+import { DownloadCheck } from './DownloadCheck.js'
+import type { PlannedCall } from './Types.js'
+
+/** Reads a body to its end and tells whether it is the call's own and whole. */
+export type BodyCheck = (call: PlannedCall, body: AsyncIterable<Uint8Array>) => Promise<boolean>
+
+interface Echo {
+  readonly service?: unknown
+  readonly call?: unknown
+  readonly id?: unknown
+  readonly requestId?: unknown
+  readonly key?: unknown
+  readonly depth?: unknown
+  readonly next?: { readonly status?: unknown, readonly body?: Echo }
+}
+
+/** Seed of the download of a call; differs between the calls of a run. */
+export function downloadSeed (call: PlannedCall): number {
+  return call.number >>> 0
+}
+
+/** Checks by kind of the stream. */
+export const BODY_CHECKS: Readonly<Record<PlannedCall['stream']['kind'], BodyCheck>> = {
+  lookup: async (call, body) => isOwn(await readEcho(body), call, 'lookup'),
+  guarded: async (call, body) => {
+    const echo = await readEcho(body)
+    return isOwn(echo, call, 'checkout') && echo?.key === call.id
+  },
+  download: checkDownload,
+  chain: async (call, body) => {
+    const echo = await readEcho(body)
+    return isOwn(echo, call, 'chain') && chainLength(echo, call) === depthOf(call)
+  }
+}
+
+async function checkDownload (call: PlannedCall, body: AsyncIterable<Uint8Array>): Promise<boolean> {
+  const length = call.stream.kind === 'download' ? call.stream.bytes : 0
+  const check = new DownloadCheck(new DownloadBody(length, downloadSeed(call)))
+  for await (const chunk of body) check.update(chunk)
+  return check.whole
+}
+
+async function readEcho (body: AsyncIterable<Uint8Array>): Promise<Echo | undefined> {
+  const chunks: Uint8Array[] = []
+  for await (const chunk of body) chunks.push(chunk)
+  try {
+    return JSON.parse(Buffer.concat(chunks).toString('utf8')) as Echo
+  } catch {
+    return undefined
+  }
+}
+
+function isOwn (echo: Echo | undefined, call: PlannedCall, name: string): boolean {
+  const id = name === 'chain' ? String(depthOf(call)) : call.id
+  return echo?.service === call.stream.service && echo.call === name && echo.id === id && echo.requestId === call.id
+}
+
+function depthOf (call: PlannedCall): number {
+  return call.stream.kind === 'chain' ? call.stream.depth : 0
+}
+
+/** Links below the first that answered with 200 and with the call's own id. */
+function chainLength (echo: Echo | undefined, call: PlannedCall): number {
+  const next = echo?.next
+  if (next === undefined) return 0
+  if (next.status !== 200 || next.body?.requestId !== call.id) return Number.NaN
+  return 1 + chainLength(next.body, call)
+}
--- /dev/null
+++ b/src/load/Caller.ts
@@ -0,0 +1,140 @@
+import { setTimeout as delay } from 'node:timers/promises'
+import { Agent } from 'undici'
+import type { Dispatcher } from 'undici'
+import type { Disposable } from '../platform/Types.js'
+import { BODY_CHECKS, downloadSeed } from './AnswerCheck.js'
+import type { LoadPlan } from './LoadPlan.js'
+import type { AttemptResult, CallEnd, CallResult, PlannedCall } from './Types.js'
+
+interface Request {
+  readonly method: 'GET' | 'POST'
+  readonly path: string
+  readonly body: string | null
+}
+
+const DISPOSITIONS: ReadonlySet<string> = new Set(['not-run', 'unknown', 'quarantined'])
+
+/** Ends that a caller may send again for. A guarded request keeps its key, so a repeat can't double it. */
+const REPEATABLE: ReadonlySet<CallEnd> = new Set<CallEnd>(['not-run', 'unknown', 'failed'])
+
+const REQUESTS: Readonly<Record<PlannedCall['stream']['kind'], (call: PlannedCall) => Request>> = {
+  lookup: call => ({ method: 'GET', path: `/lookups/${call.id}`, body: null }),
+  guarded: call => ({ method: 'POST', path: `/checkouts/${call.id}`, body: JSON.stringify({ order: call.id }) }),
+  download: call => ({ method: 'GET', path: downloadPath(call), body: null }),
+  chain: call => ({ method: 'GET', path: `/chain/${call.stream.kind === 'chain' ? call.stream.depth : 0}`, body: null })
+}
+
+/** Sends calls as a careful caller does: with a key, a deadline, and repeats after the time that an answer asks for. */
+export class Caller implements Disposable {
+  private readonly plan: LoadPlan
+  private readonly agent: Agent
+
+  /**
+   * @param plan Targets and how often a call is repeated.
+   */
+  public constructor (plan: LoadPlan) {
+    this.plan = plan
+    this.agent = new Agent({ connections: plan.connectionsPerTarget, bodyTimeout: 0, headersTimeout: 0 })
+  }
+
+  /**
+   * Sends a call, and again as its answers ask, until it has an end or its deadline has passed.
+   * @param call What to send.
+   * @param startedAtMs Monotonic time of the start of the run; the call's due time counts from it.
+   */
+  public async call (call: PlannedCall, startedAtMs: number): Promise<CallResult> {
+    const dueAtMs = startedAtMs + call.dueMs
+    const lateMs = performance.now() - dueAtMs
+    const deadlineAtMs = dueAtMs + call.stream.deadlineMs
+    let neverRun = true
+    let attempts = 0
+    let result: AttemptResult
+    do {
+      result = await this.attempt(call, attempts++, deadlineAtMs)
+      neverRun &&= result.end === 'not-run'
+    } while (await this.waitForRepeat(result, attempts, deadlineAtMs))
+    const latencyMs = performance.now() - dueAtMs
+    return { call, end: result.end, reason: result.reason, attempts, neverRun, latencyMs, lateMs }
+  }
+
+  /** Closes the connections. */
+  public dispose (): void {
+    this.agent.destroy().catch(() => {})
+  }
+
+  private async waitForRepeat (result: AttemptResult, attempts: number, deadlineAtMs: number): Promise<boolean> {
+    const { retry } = this.plan
+    if (!REPEATABLE.has(result.end) || attempts >= retry.attempts) return false
+    if (result.end === 'unknown' && result.retryAfterMs === undefined) return false
+    const waitMs = Math.min(result.retryAfterMs ?? retry.waitMs, retry.maxWaitMs)
+    if (performance.now() + waitMs >= deadlineAtMs) return false
+    await delay(waitMs)
+    return true
+  }
+
+  private async attempt (call: PlannedCall, attempt: number, deadlineAtMs: number): Promise<AttemptResult> {
+    const leftMs = deadlineAtMs - performance.now()
+    if (leftMs <= 0) return failed('deadline passed before it was sent')
+    const target = this.plan.targets[(call.target + attempt) % this.plan.targets.length] as string
+    const abort = new AbortController()
+    const timer = setTimeout(() => { abort.abort() }, leftMs)
+    try {
+      const answer = await this.agent.request({
+        origin: `http://${target}`,
+        ...REQUESTS[call.stream.kind](call),
+        headers: headersOf(call, leftMs),
+        signal: abort.signal
+      })
+      return await readAnswer(call, answer)
+    } catch (error) {
+      return failed((error as Error).message)
+    } finally {
+      clearTimeout(timer)
+    }
+  }
+}
+
+async function readAnswer (call: PlannedCall, answer: Dispatcher.ResponseData): Promise<AttemptResult> {
+  const status = answer.statusCode
+  const disposition = header(answer, 'sassafras-disposition')
+  if (status === 200 && disposition === '') {
+    const own = await BODY_CHECKS[call.stream.kind](call, answer.body)
+    return { end: own ? 'ok' : 'wrong', status, reason: own ? '' : 'body', retryAfterMs: undefined }
+  }
+  await answer.body.dump()
+  const end = DISPOSITIONS.has(disposition) ? disposition as CallEnd : 'error'
+  const reason = header(answer, 'sassafras-reason') || `status ${status}`
+  return { end, status, reason, retryAfterMs: retryAfterMsOf(answer) }
+}
+
+function retryAfterMsOf (answer: Dispatcher.ResponseData): number | undefined {
+  const milliseconds = header(answer, 'sassafras-retry-after-ms')
+  if (milliseconds !== '') return Number(milliseconds)
+  const seconds = header(answer, 'retry-after')
+  return seconds === '' ? undefined : Number(seconds) * 1000
+}
+
+function header (answer: Dispatcher.ResponseData, name: string): string {
+  const value = answer.headers[name]
+  return typeof value === 'string' ? value : ''
+}
+
+function headersOf (call: PlannedCall, leftMs: number): Record<string, string> {
+  const headers = {
+    host: `${call.stream.service}.mesh`,
+    'x-request-id': call.id,
+    'sassafras-deadline-ms': String(Math.max(1, Math.floor(leftMs)))
+  }
+  return call.stream.kind === 'guarded'
+    ? { ...headers, 'idempotency-key': call.id, 'content-type': 'application/json' }
+    : headers
+}
+
+function downloadPath (call: PlannedCall): string {
+  if (call.stream.kind !== 'download') return '/downloads/0'
+  return `/downloads/${call.stream.bytes}?rate=${call.stream.bytesPerSecond}&seed=${downloadSeed(call)}`
+}
+
+function failed (reason: string): AttemptResult {
+  return { end: 'failed', status: 0, reason, retryAfterMs: undefined }
+}
--- /dev/null
+++ b/src/load/JournalAudit.ts
@@ -0,0 +1,73 @@
+import { readJournal } from '../standin/Journal.js'
+import type { JournalLine } from '../standin/Types.js'
+import type { AuditCounts, CallResult } from './Types.js'
+
+const MAX_EXAMPLES = 20
+
+/** Counts lost and doubled runs by holding what callers were told against what the stand-ins ran. */
+export class JournalAudit {
+  private readonly starts = new Map<string, number>()
+
+  /**
+   * @param lines Lines of all journals.
+   */
+  public constructor (lines: readonly JournalLine[]) {
+    for (const line of lines) {
+      if (line.event === 'start') this.starts.set(line.requestId, (this.starts.get(line.requestId) ?? 0) + 1)
+    }
+  }
+
+  /**
+   * Reads journals from files.
+   * @param files Journals of all stand-ins that may have run a call.
+   */
+  public static ofFiles (files: readonly string[]): JournalAudit {
+    return new JournalAudit(files.flatMap(file => readJournal(file)))
+  }
+
+  /**
+   * Counts the faults among calls. A call that its caller sent twice counts as one.
+   * @param results All calls of one load run.
+   */
+  public count (results: readonly CallResult[]): AuditCounts {
+    const calls = Array.from(groupById(results), ([id, copies]) => ({ id, copies, runs: this.starts.get(id) ?? 0 }))
+    const examples: string[] = []
+    const countWhere = (name: string, isFault: (call: AuditedCall) => boolean): number => {
+      const faults = calls.filter(isFault)
+      examples.push(...faults.map(call => `${name}: ${call.id}`))
+      return faults.length
+    }
+    return {
+      runs: calls.reduce((sum, call) => sum + call.runs, 0),
+      doubled: countWhere('doubled', call => isGuarded(call) && call.runs > 1),
+      lost: countWhere('lost', ({ copies, runs }) => runs === 0 && copies.some(copy => copy.end === 'ok')),
+      falseNotRun: countWhere('falseNotRun', ({ copies, runs }) => runs > 0 && copies.every(copy => copy.neverRun)),
+      ranUnknown: countWhere('ranUnknown', call => isGuarded(call) && call.runs > 0 && call.copies.every(isUntold)),
+      examples: examples.slice(0, MAX_EXAMPLES)
+    }
+  }
+}
+
+interface AuditedCall {
+  readonly id: string
+  readonly copies: readonly CallResult[]
+  readonly runs: number
+}
+
+function groupById (results: readonly CallResult[]): Map<string, CallResult[]> {
+  const groups = new Map<string, CallResult[]>()
+  for (const result of results) {
+    const group = groups.get(result.call.id)
+    if (group === undefined) groups.set(result.call.id, [result])
+    else group.push(result)
+  }
+  return groups
+}
+
+function isGuarded ({ copies }: AuditedCall): boolean {
+  return copies.some(copy => copy.call.stream.kind === 'guarded')
+}
+
+function isUntold (copy: CallResult): boolean {
+  return copy.end === 'unknown' || copy.end === 'failed'
+}
--- /dev/null
+++ b/src/load/LatencyRecorder.ts
@@ -0,0 +1,93 @@
+import { build } from 'hdr-histogram-js'
+import type { Histogram } from 'hdr-histogram-js'
+
+const HIGHEST_US = 3_600_000_000
+const TIME_BUCKETS = 60
+const PERCENTILES = [50, 90, 99, 99.9] as const
+
+/** Latency of a set of calls, in milliseconds. */
+export interface LatencySummary {
+  readonly count: number
+  readonly p50Ms: number
+  readonly p90Ms: number
+  readonly p99Ms: number
+  readonly p999Ms: number
+  readonly maxMs: number
+}
+
+/** Latency in one slice of the run. */
+export interface LatencySlice extends LatencySummary {
+  readonly fromMs: number
+}
+
+/** Point of a percentile curve. */
+export interface PercentilePoint {
+  readonly percentile: number
+  readonly ms: number
+}
+
+/**
+ * Records latencies of one kind of call, as a whole and over time. Latencies count from the time that a call
+ * was due, which corrects for coordinated omission. Memory: `TIME_BUCKETS` + 1 histograms.
+ */
+export class LatencyRecorder {
+  private readonly whole = createHistogram(3)
+  private readonly slices: Histogram[] = []
+  private readonly sliceMs: number
+
+  /**
+   * @param durationMs Length of the run.
+   */
+  public constructor (durationMs: number) {
+    this.sliceMs = durationMs / TIME_BUCKETS
+  }
+
+  /**
+   * Records one call.
+   * @param dueMs When it was due, in milliseconds since the start.
+   * @param latencyMs From then to its end.
+   */
+  public record (dueMs: number, latencyMs: number): void {
+    const us = Math.min(HIGHEST_US, Math.max(1, Math.round(latencyMs * 1000)))
+    const index = Math.min(TIME_BUCKETS - 1, Math.floor(dueMs / this.sliceMs))
+    this.whole.recordValue(us)
+    this.slices[index] ??= createHistogram(2)
+    this.slices[index].recordValue(us)
+  }
+
+  /** Latency over the whole run. */
+  public summary (): LatencySummary {
+    return summaryOf(this.whole)
+  }
+
+  /** Latency over time; slices without calls are left out. */
+  public overTime (): LatencySlice[] {
+    return this.slices.flatMap((histogram, index) => [{ fromMs: index * this.sliceMs, ...summaryOf(histogram) }])
+  }
+
+  /** The percentile curve, closer towards the tail. */
+  public curve (): PercentilePoint[] {
+    const points: PercentilePoint[] = []
+    for (let nines = 0; nines < 4; nines += 0.1) {
+      const percentile = 100 * (1 - 10 ** -nines)
+      points.push({ percentile, ms: this.whole.getValueAtPercentile(percentile) / 1000 })
+    }
+    return points
+  }
+}
+
+function createHistogram (digits: 2 | 3): Histogram {
+  return build({ lowestDiscernibleValue: 1, highestTrackableValue: HIGHEST_US, numberOfSignificantValueDigits: digits })
+}
+
+function summaryOf (histogram: Histogram): LatencySummary {
+  const [p50Ms, p90Ms, p99Ms, p999Ms] = PERCENTILES.map(percentile => histogram.getValueAtPercentile(percentile) / 1000)
+  return {
+    count: histogram.totalCount,
+    p50Ms: p50Ms as number,
+    p90Ms: p90Ms as number,
+    p99Ms: p99Ms as number,
+    p999Ms: p999Ms as number,
+    maxMs: histogram.totalCount === 0 ? 0 : histogram.maxValue / 1000
+  }
+}
--- /dev/null
+++ b/src/load/LoadPlan.ts
@@ -0,0 +1,71 @@
+/** Plan of a load run, read from one TOML file. */
+import { z } from 'zod'
+import { address, durationMs, name, share } from '../platform/SettingsSchemas.js'
+
+/** Values for what the file leaves out. */
+export const LOAD_DEFAULTS = {
+  seed: 1,
+  maxInFlight: 512,
+  connectionsPerTarget: 64,
+  /** Time that a call may take in all, its repeats included. */
+  deadlineMs: 2000,
+  retry: {
+    attempts: 4,
+    /** Wait before a repeat that the answer gave no time for. */
+    waitMs: 50,
+    /** Longest wait that an answer may ask for. */
+    maxWaitMs: 2000
+  }
+} as const
+
+const common = {
+  service: name,
+  /** Calls in a second, sent at seeded random times whatever the answers do. */
+  rate: z.number().positive().max(100_000),
+  deadlineMs: durationMs.default(LOAD_DEFAULTS.deadlineMs)
+}
+
+const stream = z.discriminatedUnion('kind', [
+  z.strictObject({ kind: z.literal('lookup'), ...common }),
+  z.strictObject({
+    kind: z.literal('guarded'),
+    ...common,
+    /** Share of requests that their caller sends a second time at once, at another node. */
+    repeatShare: share.default(0)
+  }),
+  z.strictObject({
+    kind: z.literal('download'),
+    ...common,
+    bytes: z.number().int().min(0),
+    /** Rate limit of one download; 0 for none. */
+    bytesPerSecond: z.number().int().min(0).default(0)
+  }),
+  z.strictObject({ kind: z.literal('chain'), ...common, depth: z.number().int().min(1).max(7) })
+])
+
+/** What a plan must hold. */
+export const loadPlan = z.strictObject({
+  /** Addresses of nodes for callers. */
+  targets: z.array(address).min(1),
+  streams: z.array(stream).min(1),
+  durationMs: durationMs.max(3_600_000),
+  seed: z.number().int().min(0).default(LOAD_DEFAULTS.seed),
+  /** Calls in flight at once; later ones wait, and their wait counts as latency. */
+  maxInFlight: z.number().int().min(1).max(100_000).default(LOAD_DEFAULTS.maxInFlight),
+  connectionsPerTarget: z.number().int().min(1).default(LOAD_DEFAULTS.connectionsPerTarget),
+  retry: z.strictObject({
+    /** Most times that a call is sent. */
+    attempts: z.number().int().min(1).max(100).default(LOAD_DEFAULTS.retry.attempts),
+    waitMs: durationMs.default(LOAD_DEFAULTS.retry.waitMs),
+    maxWaitMs: durationMs.default(LOAD_DEFAULTS.retry.maxWaitMs)
+  }).prefault({}),
+  /** Journals of the stand-ins, to count lost and doubled runs. */
+  journals: z.array(z.string().min(1)).default([]),
+  /** Where the summary goes, beside standard output. */
+  summary: z.string().min(1).optional(),
+  /** Where the plot goes, as SVG. */
+  plot: z.string().min(1).optional()
+})
+
+export type LoadPlan = z.output<typeof loadPlan>
+export type LoadStream = LoadPlan['streams'][number]
--- /dev/null
+++ b/src/load/LoadSummary.ts
@@ -0,0 +1,49 @@
+/** What a load run has shown, as JSON. */
+import type { LoadStream } from './LoadPlan.js'
+import { LatencyRecorder } from './LatencyRecorder.js'
+import type { LatencySummary } from './LatencyRecorder.js'
+import type { AuditCounts, CallEnd, CallResult } from './Types.js'
+
+/** Calls of one stream or of all. */
+export interface StreamSummary {
+  readonly sent: number
+  readonly ends: Readonly<Record<CallEnd, number>>
+  readonly attempts: number
+  /** Reasons of all ends but `ok`, with how often each was given. */
+  readonly reasons: Readonly<Record<string, number>>
+  /** Calls that ended `ok`, from the time that they were due. */
+  readonly latency: LatencySummary
+}
+
+/** The summary of a run. */
+export interface LoadSummary {
+  readonly seed: number
+  readonly durationMs: number
+  readonly all: StreamSummary
+  readonly streams: ReadonlyArray<StreamSummary & { readonly service: string, readonly kind: LoadStream['kind'] }>
+  /** How late the load tool itself sent calls; when high, latencies show the tool and not the mesh. */
+  readonly lateMs: LatencySummary
+  /** Calls still waiting at the end of the run and not sent. */
+  readonly unsent: number
+  /** Undefined without journals. */
+  readonly audit: AuditCounts | undefined
+}
+
+/**
+ * Sums up calls.
+ * @param results The calls.
+ * @param durationMs Length of the run.
+ */
+export function summarize (results: readonly CallResult[], durationMs: number): StreamSummary {
+  const ends: Record<CallEnd, number> = { ok: 0, wrong: 0, error: 0, failed: 0, 'not-run': 0, unknown: 0, quarantined: 0 }
+  const reasons: Record<string, number> = {}
+  const recorder = new LatencyRecorder(durationMs)
+  let attempts = 0
+  for (const { call, end, reason, attempts: tried, latencyMs } of results) {
+    ends[end]++
+    attempts += tried
+    if (end === 'ok') recorder.record(call.dueMs, latencyMs)
+    else reasons[`${end}: ${reason}`] = (reasons[`${end}: ${reason}`] ?? 0) + 1
+  }
+  return { sent: results.length, ends, attempts, reasons, latency: recorder.summary() }
+}
