--- /dev/null
+++ b/src/node/MeasuringHost.ts
@@ -0,0 +1,42 @@
+import type { MeasuringBudget } from '../parts/budget/MeasuringBudget.js'
+import type { MeasuringKind } from '../parts/budget/Types.js'
+import type { MeasuringRule } from '../parts/configuration/Types.js'
+import type { Clock } from '../platform/Types.js'
+
+/** Bytes of one message of each kind with its answer, frame headers included. */
+const MESSAGE_BYTES: Readonly<Record<MeasuringKind, number>> = {
+  probe: 160,
+  poll: 400,
+  heartbeat: 80,
+  report: 160,
+  membership: 300
+}
+
+/** The one ledger of this VM's measuring work. */
+export class MeasuringHost {
+  private lastId = 0
+
+  public constructor (private readonly budget: MeasuringBudget, private readonly clock: Clock) {}
+
+  /** Asks for one message; false means that it must not be sent. */
+  public maySend (kind: MeasuringKind): boolean {
+    const id = ++this.lastId
+    const actions = this.budget.step({ type: 'request', id, kind, bytes: MESSAGE_BYTES[kind] }, this.clock.nowMs())
+    return actions.some(action => action.type === 'granted')
+  }
+
+  /** Counts a served call, which earns a share of a message. */
+  public countCall (): void {
+    this.budget.step({ type: 'served', calls: 1 }, this.clock.nowMs())
+  }
+
+  /** Takes the limits of a configuration. */
+  public configure (rule: MeasuringRule): void {
+    this.budget.step({ type: 'configure', ...rule }, this.clock.nowMs())
+  }
+
+  /** Bytes granted within the last second. */
+  public get spentBytes (): number {
+    return this.budget.spentBytes()
+  }
+}
--- /dev/null
+++ b/src/node/NodeAdmin.ts
@@ -0,0 +1,47 @@
+import type { Request, Response } from 'express'
+import { z } from 'zod'
+import { AdminServer } from '../platform/AdminServer.js'
+import type { AdminSource } from '../platform/AdminServer.js'
+import type { ConfigurationHost } from './control/ConfigurationHost.js'
+import type { UpstreamWatch } from './UpstreamWatch.js'
+
+const announcement = z.strictObject({
+  service: z.string().min(1),
+  address: z.string().regex(/^[^:]+:\d{1,5}$/),
+  slots: z.number().int().min(1),
+  connections: z.number().int().min(1),
+  state: z.enum(['starting', 'serving', 'draining'])
+})
+
+/** Builds the admin surface of a node: announcements, drain and the configuration in force. */
+export function buildNodeAdmin (
+  source: AdminSource, watch: UpstreamWatch, configuration: ConfigurationHost
+): AdminServer {
+  const admin = new AdminServer(source)
+  admin.app.post('/announce', (request: Request, response: Response) => {
+    const parsed = announcement.safeParse(request.body)
+    if (!parsed.success) {
+      const findings = parsed.error.issues.map(issue => ({
+        place: issue.path.join('.'), problem: issue.message, expected: 'see docs/ARCHITECTURE.md'
+      }))
+      response.status(422).json({ findings })
+      return
+    }
+    watch.take(parsed.data)
+    response.json({ drained: watch.isDrained })
+  })
+  admin.app.post('/drain', (_request: Request, response: Response) => {
+    watch.drain()
+    response.json({ drained: true })
+  })
+  admin.app.post('/resume', (_request: Request, response: Response) => {
+    watch.resume()
+    response.json({ drained: false })
+  })
+  admin.app.get('/configuration', (_request: Request, response: Response) => {
+    const copy = configuration.inForce
+    if (copy === undefined) response.status(503).json({ reason: 'unconfirmed' })
+    else response.json(copy)
+  })
+  return admin
+}
--- a/src/node/ingress/IngressServer.ts
+++ b/src/node/ingress/IngressServer.ts
@@ -139,8 +139,8 @@
       return
     }
     this.openCalls++
-    const call = new IngressCall(request, response, service.lane, this.targets, this.context, end => this.handleEnd(end))
-    call.begin()
+    const onEnd = (end: CallEnd): void => this.handleEnd(end)
+    new IngressCall(request, response, service.lane, this.targets, this.context, onEnd).begin()
   }
 
   private buildRequest (
--- a/src/node/ingress/ServiceLane.ts
+++ b/src/node/ingress/ServiceLane.ts
@@ -78,7 +78,11 @@
 
   /** Tells the chooser how an attempt ended. */
   public settle (
-    attempt: CallId, instance: InstanceId, outcome: AttemptOutcome, latencyMs: number, evidence: LoadEvidence | undefined
+    attempt: CallId,
+    instance: InstanceId,
+    outcome: AttemptOutcome,
+    latencyMs: number,
+    evidence: LoadEvidence | undefined
   ): void {
     const event = { type: 'answered', call: attempt, instance, outcome, latencyMs } as const
     this.stepChooser(evidence === undefined ? event : { ...event, evidence })
--- /dev/null
+++ b/src/node/mesh/PeerMesh.ts
@@ -0,0 +1,190 @@
+import type { CrashReport } from '../../parts/quarantine/Types.js'
+import type { Incarnation, InstanceId, LoadEvidence, NodeId, Random } from '../../parts/Types.js'
+import { Emitter } from '../../platform/Emitter.js'
+import type { FrameChannel } from '../../platform/FrameChannel.js'
+import type { Clock, Disposable, Log } from '../../platform/Types.js'
+import type { PeerSender } from '../control/ConfigurationHost.js'
+import type { TargetSource } from '../ingress/Types.js'
+import type { CallTarget } from '../Types.js'
+import { PeerLink } from './PeerLink.js'
+import type { PeerLinkOptions } from './PeerLink.js'
+import { PeerSession } from './PeerSession.js'
+import type { PeerHost } from './PeerSession.js'
+import type { PeerHello, SharedFrame, ToIngressSide, ToUpstreamSide } from './Types.js'
+
+/** Where another node can be reached. */
+export interface PeerAddress {
+  readonly node: NodeId
+  readonly address: string
+}
+
+/** A link that opened or was lost. */
+export interface LinkChange {
+  readonly node: NodeId
+  readonly open: boolean
+}
+
+/** Evidence that a node sent unasked or in answer to a probe. */
+export interface PeerEvidence {
+  readonly node: NodeId
+  readonly evidence: LoadEvidence
+}
+
+/** A frame from another node that belongs to no call. */
+export interface PeerFrame {
+  readonly from: NodeId
+  readonly frame: SharedFrame
+}
+
+/** What the mesh is made of. */
+export interface PeerMeshParts {
+  readonly node: NodeId
+  readonly incarnation: Incarnation
+  readonly clock: Clock
+  readonly random: Random
+  readonly log: Log
+  readonly options: PeerLinkOptions
+  readonly local: CallTarget
+  readonly hello: () => PeerHello
+  readonly localEvidence: PeerHost['evidence']
+  /** Asks the measuring budget for one message to another node. */
+  readonly mayMeasure: (kind: 'heartbeat' | 'probe') => boolean
+}
+
+/** Connections to and from other nodes: one outgoing link for each node of interest, and the accepted sessions. */
+export class PeerMesh implements TargetSource, PeerSender, PeerHost, Disposable {
+  public readonly target: CallTarget
+  private readonly links = new Map<NodeId, PeerLink>()
+  private readonly sessions = new Set<PeerSession>()
+  private readonly sessionNodes = new Map<PeerSession, NodeId>()
+  private readonly linkChanges = new Emitter<LinkChange>()
+  private readonly evidences = new Emitter<PeerEvidence>()
+  private readonly peerFrames = new Emitter<PeerFrame>()
+
+  public constructor (private readonly parts: PeerMeshParts) {
+    this.target = parts.local
+  }
+
+  /** Fires when a link opens or is lost. */
+  public readonly onLinkChange = this.linkChanges.event
+
+  /** Fires with the answers to probes. */
+  public readonly onEvidence = this.evidences.event
+
+  /** Fires with frames that belong to no call. */
+  public readonly onPeerFrame = this.peerFrames.event
+
+  /** Keeps links to exactly these nodes; a node that moved gets a new link. */
+  public setPeers (peers: readonly PeerAddress[]): void {
+    const wanted = new Map(peers.map(peer => [peer.node, peer.address]))
+    for (const [node, link] of this.links) {
+      if (wanted.get(node) === link.address) continue
+      this.links.delete(node)
+      link.dispose()
+    }
+    for (const { node, address } of peers) {
+      if (node !== this.parts.node && !this.links.has(node)) this.addLink(node, address)
+    }
+  }
+
+  /** Takes a connection from another node. */
+  public accept (channel: FrameChannel<ToUpstreamSide, ToIngressSide>): void {
+    const session = new PeerSession(channel, this)
+    this.sessions.add(session)
+    channel.onClose(() => {
+      this.sessions.delete(session)
+      this.sessionNodes.delete(session)
+    })
+  }
+
+  public hello (): PeerHello {
+    return this.parts.hello()
+  }
+
+  public evidence (service: string): LoadEvidence | undefined {
+    return this.parts.localEvidence(service)
+  }
+
+  public handleShared (frame: SharedFrame, session: PeerSession): void {
+    if (frame.type === 'peerHello') this.sessionNodes.set(session, frame.node)
+    const from = this.sessionNodes.get(session)
+    if (from !== undefined) this.peerFrames.fire({ from, frame })
+  }
+
+  public findTarget (instance: InstanceId): CallTarget | undefined {
+    const node = nodeOf(instance)
+    return node === this.parts.node ? this.parts.local : this.links.get(node)
+  }
+
+  public probe (instance: InstanceId): void {
+    const link = this.links.get(nodeOf(instance))
+    if (link?.isOpen === true && this.parts.mayMeasure('probe')) link.probe(serviceOf(instance))
+  }
+
+  public sendToPeer (node: NodeId, frame: SharedFrame): void {
+    const link = this.links.get(node)
+    if (link?.isOpen === true) {
+      link.send(frame)
+      return
+    }
+    for (const [session, from] of this.sessionNodes) {
+      if (from === node) session.send(frame)
+    }
+  }
+
+  public samplePeers (count: number): NodeId[] {
+    const open = [...this.links].filter(([, link]) => link.isOpen).map(([node]) => node)
+    const start = Math.floor(this.parts.random.next() * open.length)
+    return open.slice(start).concat(open.slice(0, start)).slice(0, count)
+  }
+
+  /** Passes a crash report on to all nodes with a connection. */
+  public spread (report: CrashReport): void {
+    const reached = new Set<NodeId>()
+    for (const [node, link] of this.links) {
+      if (!link.isOpen) continue
+      link.send({ type: 'crashReport', report })
+      reached.add(node)
+    }
+    for (const [session, node] of this.sessionNodes) {
+      if (!reached.has(node)) session.send({ type: 'crashReport', report })
+    }
+  }
+
+  /** Bounded description for the state dump. */
+  public describe (): object {
+    const links = [...this.links].slice(0, 100).map(([node, link]) => ({ node, open: link.isOpen, ...link.counters }))
+    return { links, sessions: this.sessions.size }
+  }
+
+  /** Sends what is waiting and closes all sessions. */
+  public end (): void {
+    for (const session of this.sessions) session.end()
+  }
+
+  /** Ends all connections at once. */
+  public dispose (): void {
+    for (const link of this.links.values()) link.dispose()
+    for (const session of this.sessions) session.dispose()
+  }
+
+  private addLink (node: NodeId, address: string): void {
+    const { hello, incarnation, options, clock, random, mayMeasure } = this.parts
+    const link = new PeerLink(address, hello, incarnation, options, clock, random, () => mayMeasure('heartbeat'))
+    link.onState(open => this.linkChanges.fire({ node, open }))
+    link.onEvidence(evidence => this.evidences.fire({ node, evidence }))
+    link.onShared(frame => this.peerFrames.fire({ from: node, frame }))
+    this.links.set(node, link)
+    link.connect()
+  }
+}
+
+/** Node of an instance `service/node`. */
+export function nodeOf (instance: InstanceId): NodeId {
+  return instance.slice(instance.indexOf('/') + 1)
+}
+
+/** Service of an instance `service/node`. */
+export function serviceOf (instance: InstanceId): string {
+  return instance.slice(0, instance.indexOf('/'))
+}
