Test a node over HTTP: whole answers, hop-by-hop headers, smuggling, limits, guarded calls

Cause: the node had no tests of its own. Found by them: a shed answer without Content-Length was streamed to the caller instead of counting as not run, because unknown lengths start streaming at once. Server errors are now collected first.

--- a/src/node/upstreamside/UpstreamClient.ts
+++ b/src/node/upstreamside/UpstreamClient.ts
@@ -149,11 +149,12 @@
     return (error as { code?: string }).code === 'UND_ERR_HEADERS_TIMEOUT' ? 'timeout' : 'lost'
   }
 
-  // An answer of unknown length may be slow to end, so it starts at once; a guarded one is collected for its record.
+  // An answer of unknown length may be slow to end, so it starts at once. A guarded one is collected for its record,
+  // and a server error because it may be a shed request, or be tried elsewhere.
   private mustStream (status: number, headers: RawHeaders): boolean {
     if (status === 204 || status === 304) return false
     const length = findHeader(headers, 'content-length')
-    return length === undefined ? !this.guarded : Number(length) > this.inlineLimit
+    return length === undefined ? !this.guarded && status < 500 : Number(length) > this.inlineLimit
   }
 
   private joinPieces (): Buffer {
--- /dev/null
+++ b/test/NodeHttp.test.ts
@@ -0,0 +1,156 @@
+import type { IncomingHttpHeaders, RequestListener } from 'node:http'
+import { connect } from 'node:net'
+import { afterAll, beforeAll, expect, test } from 'vitest'
+import { buildRule, FakeControl } from './support/FakeControl.js'
+import { call } from './support/HttpCall.js'
+import type { Answer, CallOptions } from './support/HttpCall.js'
+import { InProcessNode } from './support/InProcessNode.js'
+
+const control = new FakeControl([buildRule('dies')])
+const seenHeaders: IncomingHttpHeaders[] = []
+let node: InProcessNode
+let runs = 0
+
+const upstream: RequestListener = (message, response) => {
+  if (message.url === '/ready') {
+    response.end('ok')
+    return
+  }
+  runs++
+  seenHeaders.push(message.headers)
+  if (message.url === '/shed') {
+    response.writeHead(503, { 'sassafras-shed': 'not-run' }).end()
+    return
+  }
+  const pieces: Buffer[] = []
+  message.on('data', piece => pieces.push(piece as Buffer))
+  message.on('end', () => {
+    response.writeHead(200, { 'x-hop': 'drop', connection: 'x-hop', 'set-cookie': ['a=1', 'b=2'] })
+    response.end(`${message.method} ${message.url} ${Buffer.concat(pieces).toString()}`)
+  })
+}
+
+beforeAll(async () => {
+  node = await InProcessNode.start('n0', await control.listen(), 'dies', upstream, { maxHeaderBytes: 4096 })
+})
+
+afterAll(async () => {
+  await node.dispose()
+  control.dispose()
+})
+
+async function ask (path: string, options: Partial<CallOptions> = {}): Promise<Answer> {
+  return await call(path, { service: 'dies', port: node.callerPort, ...options })
+}
+
+async function sendRaw (text: string): Promise<string> {
+  return await new Promise((resolve, reject) => {
+    const socket = connect(node.callerPort, '127.0.0.1', () => socket.write(text))
+    const pieces: Buffer[] = []
+    socket.on('data', piece => pieces.push(piece))
+    socket.on('close', () => resolve(Buffer.concat(pieces).toString()))
+    socket.on('error', reject)
+  })
+}
+
+test('a lookup gets the whole answer with all its headers', async () => {
+  const answer = await ask('/lookups/1?x=2')
+  expect(answer).toMatchObject({ status: 200, body: 'GET /lookups/1?x=2 ' })
+  expect(answer.headers['set-cookie']).toEqual(['a=1', 'b=2'])
+})
+
+test('hop-by-hop headers stop at the node, in both directions', async () => {
+  const headers = { connection: 'x-secret', 'x-secret': '1', te: 'trailers', 'x-kept': '2', 'sassafras-call': 'forged' }
+  const answer = await ask('/hop', { headers })
+  const seen = seenHeaders.at(-1)
+  expect(seen).toMatchObject({ 'x-kept': '2' })
+  expect(seen).not.toHaveProperty('x-secret')
+  expect(seen).not.toHaveProperty('te')
+  expect(seen?.['sassafras-call']).not.toContain('forged')
+  expect(answer.headers).not.toHaveProperty('x-hop')
+})
+
+test('a body of several pieces reaches the upstream whole', async () => {
+  const body = 'x'.repeat(150_000)
+  const answer = await ask('/echo', { method: 'PUT', body })
+  expect(answer.body).toBe(`PUT /echo ${body}`)
+})
+
+test('too long a body is refused as not run', async () => {
+  const before = runs
+  const answer = await ask('/echo', { method: 'PUT', body: 'x'.repeat(200_001) })
+  expect(answer).toMatchObject({ status: 413 })
+  expect(JSON.parse(answer.body)).toMatchObject({ disposition: 'not-run', reason: 'too-large' })
+  expect(runs).toBe(before)
+})
+
+test('a guarded call needs a key, in every spelling of its path', async () => {
+  const before = runs
+  for (const path of ['/checkouts', '/checkouts/7', '//checkouts/7', '/%63heckouts', '/x/../checkouts', '/./checkouts?a=1']) {
+    const answer = await ask(path, { method: 'POST' })
+    expect([path, answer.status, answer.headers['sassafras-reason']]).toEqual([path, 400, 'key-missing'])
+  }
+  expect(runs).toBe(before)
+  expect((await ask('/checkouts-archive', { method: 'POST' })).status).toBe(200)
+})
+
+test('a guarded call asks for permission before its one run', async () => {
+  const before = runs
+  const answer = await ask('/checkouts/7', { method: 'POST', headers: { 'idempotency-key': 'k1' }, body: 'die 7' })
+  expect(answer.body).toBe('POST /checkouts/7 die 7')
+  expect(runs).toBe(before + 1)
+  expect(control.commands.filter(command => command.record.key === 'k1').map(command => command.type)[0]).toBe('begin')
+})
+
+test('a guarded call that control refuses is not run', async () => {
+  const before = runs
+  control.replies.set('k2', { type: 'inProgress', retryAfterMs: 700 })
+  const answer = await ask('/checkouts/8', { method: 'POST', headers: { 'idempotency-key': 'k2' } })
+  expect(answer.status).toBe(409)
+  expect(answer.headers).toMatchObject({ 'sassafras-disposition': 'unknown', 'retry-after': '1' })
+  expect(runs).toBe(before)
+})
+
+test('a shed request counts as not run', async () => {
+  const answer = await ask('/shed')
+  expect(answer.headers).toMatchObject({ 'sassafras-disposition': 'not-run', 'sassafras-reason': 'shedding' })
+  expect(Number(answer.headers['retry-after'])).toBeGreaterThanOrEqual(1)
+})
+
+test('an unknown service is told so', async () => {
+  const answer = await ask('/x', { service: 'nothing' })
+  expect(answer.status).toBe(404)
+  expect(answer.headers['sassafras-reason']).toBe('service-unknown')
+})
+
+test('requests that could be read in two ways get a 4xx and their connection ends', async () => {
+  const before = runs
+  const cases = [
+    'POST /a HTTP/1.1\r\nHost: dies.mesh\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /b',
+    'POST /a HTTP/1.1\r\nHost: dies.mesh\r\nContent-Length: 5\r\nContent-Length: 6\r\n\r\nhello!',
+    'POST /a HTTP/1.1\r\nHost: dies.mesh\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nhello\r\n0\r\n\r\n',
+    'GET /a HTTP/1.1\r\nHost: dies.mesh\r\nBad Header: 1\r\n\r\n',
+    'GET /a HTTP/1.1\r\n\r\n',
+    `GET /a HTTP/1.1\r\nHost: dies.mesh\r\nX-Long: ${'y'.repeat(8000)}\r\n\r\n`
+  ]
+  for (const text of cases) expect((await sendRaw(text)).slice(0, 12)).toMatch(/^HTTP\/1\.1 4\d\d/)
+  expect(runs).toBe(before)
+})
+
+test('a node without a confirmed configuration refuses guarded work as not run', async () => {
+  const lone = new FakeControl([buildRule('dies')])
+  const other = await InProcessNode.start('n9', await lone.listen(), 'dies', (_message, response) => { response.end('ok') })
+  lone.confirming = false
+  for (;;) {
+    const state = await other.state() as { configuration: { state: string } }
+    if (state.configuration.state === 'stale') break
+  }
+  const headers = { 'idempotency-key': 'k3' }
+  const guarded = await ask('/checkouts/1', { method: 'POST', port: other.callerPort, headers })
+  expect(guarded.headers).toMatchObject({ 'sassafras-disposition': 'not-run', 'sassafras-reason': 'stale-configuration' })
+  const read = await ask('/lookups/1', { port: other.callerPort })
+  expect(read.body).toBe('ok')
+  expect(lone.commands).toEqual([])
+  await other.dispose()
+  lone.dispose()
+})
--- /dev/null
+++ b/test/support/FakeControl.ts
@@ -0,0 +1,91 @@
+import type { ControlToNode, NodeToControl } from '../../src/control/Types.js'
+import type { Configuration, ServiceRule } from '../../src/parts/configuration/Types.js'
+import type { Member } from '../../src/parts/membership/Types.js'
+import type { RecordCommand, RecordReply } from '../../src/parts/records/Types.js'
+import type { FrameChannel } from '../../src/platform/FrameChannel.js'
+import { FrameServer } from '../../src/platform/FrameServer.js'
+import { SystemClock } from '../../src/platform/SystemClock.js'
+
+type Channel = FrameChannel<NodeToControl, ControlToNode>
+
+/** A rule with the values that most tests use. */
+export function buildRule (name: string, changes: Partial<ServiceRule> = {}): ServiceRule {
+  return {
+    name,
+    guarded: ['POST /checkouts'],
+    downloads: ['GET /downloads'],
+    keyless: 'refuse',
+    deadlineMs: 5000,
+    drainMs: 20_000,
+    retryShare: 0.2,
+    maxBodyBytes: 200_000,
+    ...changes
+  }
+}
+
+/** Stands in for one control replica that leads alone: confirms one configuration and grants every record once. */
+export class FakeControl {
+  /** Commands in the order received. */
+  public readonly commands: RecordCommand[] = []
+  /** Replies to `begin` instead of granting, by key. */
+  public readonly replies = new Map<string, RecordReply>()
+  /** False while heartbeats stay unanswered. */
+  public confirming = true
+  public version = 1
+  private readonly server = new FrameServer<NodeToControl, ControlToNode>(new SystemClock())
+  private readonly channels = new Set<Channel>()
+  private readonly members = new Map<string, Member>()
+
+  public constructor (private readonly services: readonly ServiceRule[]) {
+    this.server.onChannel(channel => this.accept(channel))
+  }
+
+  public async listen (): Promise<string> {
+    return await this.server.listen('127.0.0.1:0')
+  }
+
+  public dispose (): void {
+    this.server.dispose()
+  }
+
+  private get configuration (): Configuration {
+    return {
+      services: this.services,
+      zones: [{ region: 'r', zone: 'z' }],
+      measuring: { bytesPerSecond: 12_000, messagesPerCall: 0.01 }
+    }
+  }
+
+  private accept (channel: Channel): void {
+    this.channels.add(channel)
+    channel.onClose(() => this.channels.delete(channel))
+    channel.onMessage(frame => this.handleFrame(channel, frame))
+  }
+
+  private handleFrame (channel: Channel, frame: NodeToControl): void {
+    if (frame.type === 'heartbeat') this.handleHeartbeat(channel, frame)
+    if (frame.type === 'record') {
+      this.commands.push(frame.command)
+      channel.send({ type: 'recordReply', id: frame.id, reply: this.replyTo(frame.command) })
+    }
+    if (frame.type === 'membership') {
+      for (const member of frame.members) this.members.set(member.node, member)
+      for (const other of this.channels) other.send({ type: 'membership', members: frame.members })
+    }
+    if (frame.type === 'interest') channel.send({ type: 'membership', members: [...this.members.values()] })
+  }
+
+  private handleHeartbeat (channel: Channel, frame: Extract<NodeToControl, { type: 'heartbeat' }>): void {
+    if (!this.confirming) return
+    const { version, configuration } = this
+    const asked = frame.askedAtMs === undefined ? {} : { askedAtMs: frame.askedAtMs }
+    const copy = { version, term: 1, operation: `op${version}`, configuration }
+    if (frame.version < version) channel.send({ type: 'copy', confirmed: true, copy, ...asked })
+    else channel.send({ type: 'confirm', version, term: 1, ...asked })
+  }
+
+  private replyTo (command: RecordCommand): RecordReply {
+    if (command.type !== 'begin') return { type: 'recorded' }
+    return this.replies.get(command.record.key) ?? { type: 'granted' }
+  }
+}
--- /dev/null
+++ b/test/support/InProcessNode.ts
@@ -0,0 +1,100 @@
+import { createServer } from 'node:http'
+import type { RequestListener, Server } from 'node:http'
+import type { AddressInfo } from 'node:net'
+import { createServer as createTcpServer } from 'node:net'
+import { NodeDaemon } from '../../src/node/NodeDaemon.js'
+import { nodeSettings } from '../../src/node/NodeSettings.js'
+import { call } from './HttpCall.js'
+
+/** A free port on loopback. */
+export async function findPort (): Promise<number> {
+  const server = createTcpServer()
+  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
+  const { port } = server.address() as AddressInfo
+  await new Promise(resolve => server.close(resolve))
+  return port
+}
+
+/** A node inside the test's process, with a small HTTP server as its upstream. */
+export class InProcessNode {
+  private readonly upstream: Server
+
+  private constructor (
+    public readonly id: string,
+    public readonly callerPort: number,
+    public readonly peerAddress: string,
+    private readonly adminUrl: string,
+    private readonly daemon: NodeDaemon,
+    listener: RequestListener
+  ) {
+    this.upstream = createServer(listener)
+  }
+
+  /** Starts a node and its upstream; resolves when calls to the service can be answered. */
+  public static async start (
+    id: string,
+    control: string,
+    service: string,
+    listener: RequestListener,
+    limits: Readonly<Record<string, number>> = {}
+  ): Promise<InProcessNode> {
+    const [peer, caller, admin] = [await findPort(), await findPort(), await findPort()]
+    const settings = nodeSettings.parse({
+      id,
+      place: { region: 'r', zone: 'z' },
+      listen: { peer: `127.0.0.1:${peer}`, caller: `127.0.0.1:${caller}`, admin: `127.0.0.1:${admin}` },
+      control: [{ id: 'c0', address: control }],
+      log: { level: 'silent' },
+      metrics: { enabled: false },
+      timing: { heartbeatMs: 50, announceTimeoutMs: 60_000 },
+      limits
+    })
+    const daemon = await NodeDaemon.start(settings)
+    const node = new InProcessNode(id, caller, `127.0.0.1:${peer}`, `http://127.0.0.1:${admin}`, daemon, listener)
+    await node.announce(service, 'serving')
+    await node.waitUntilServing(service)
+    return node
+  }
+
+  /** Announces the upstream to its node. */
+  public async announce (service: string, state: 'starting' | 'serving' | 'draining', slots = 4): Promise<void> {
+    if (!this.upstream.listening) await new Promise<void>(resolve => this.upstream.listen(0, '127.0.0.1', resolve))
+    const { port } = this.upstream.address() as AddressInfo
+    const body = { service, address: `127.0.0.1:${port}`, slots, connections: 20, state }
+    const response = await fetch(`${this.adminUrl}/announce`, {
+      method: 'POST', headers: { 'content-type': 'application/json' }, body: JSON.stringify(body)
+    })
+    if (!response.ok) throw new Error(await response.text())
+  }
+
+  /** State dump of the node. */
+  public async state (): Promise<Record<string, unknown>> {
+    return await (await fetch(`${this.adminUrl}/state`)).json() as Record<string, unknown>
+  }
+
+  /** Planned stop of the node. */
+  public async stop (): Promise<void> {
+    await this.daemon.stop()
+  }
+
+  /** Ends the upstream too. */
+  public async dispose (): Promise<void> {
+    this.upstream.closeAllConnections()
+    await new Promise(resolve => this.upstream.close(resolve))
+    await this.stop()
+  }
+
+  /** Ends the upstream's process as a crash would: its listener and all connections at once. */
+  public async crashUpstream (): Promise<void> {
+    const closed = new Promise(resolve => this.upstream.close(resolve))
+    this.upstream.closeAllConnections()
+    await closed
+  }
+
+  private async waitUntilServing (service: string): Promise<void> {
+    for (;;) {
+      const answer = await call('/ready', { service, port: this.callerPort })
+      if (answer.headers['sassafras-disposition'] === undefined) return
+    }
+  }
+}
