Fuzz the replica by schedules over disks in memory

An earlier run found that a replica whose own removal was not yet committed refused to vote or stand, so that a healed group of two stayed without a leader: it now counts as a member until the removal is committed.

--- /dev/null
+++ b/bench/fuzz.ts
@@ -0,0 +1,46 @@
+import { readFileSync, writeFileSync } from 'node:fs'
+import { Cli, Command, Option } from 'clipanion'
+import fc from 'fast-check'
+import { GroupRun } from './fuzz/GroupRun.js'
+import { groupSchedules, type GroupSchedule } from './fuzz/GroupSchedule.js'
+
+const DEFAULT_SECONDS = '30'
+const MAX_RUNS = 1_000_000_000
+const SEED_RANGE = 2 ** 31
+
+/** Runs random schedules over the agreement part until the time is over or a promise is broken. */
+class FuzzCommand extends Command {
+  public static override paths = [Command.Default]
+
+  private readonly seconds = Option.String('--seconds', DEFAULT_SECONDS)
+  private readonly seed = Option.String('--seed')
+  private readonly replay = Option.String('--replay', { description: 'file with a schedule that an earlier run wrote' })
+  private readonly out = Option.String('--out', 'fuzz-failure.json', { description: 'where a failing schedule goes' })
+
+  public override async execute (): Promise<number> {
+    return this.replay === undefined ? this._search() : this._replaySchedule(this.replay)
+  }
+
+  private _replaySchedule (file: string): number {
+    new GroupRun(JSON.parse(readFileSync(file, 'utf8')) as GroupSchedule).run()
+    this.context.stdout.write('the schedule runs without a broken promise\n')
+    return 0
+  }
+
+  private _search (): number {
+    const seed = this.seed === undefined ? Date.now() % SEED_RANGE : Number(this.seed)
+    const property = fc.property(groupSchedules, schedule => new GroupRun(schedule).run())
+    const details = fc.check(property, {
+      seed, numRuns: MAX_RUNS, interruptAfterTimeLimit: Number(this.seconds) * 1000, markInterruptAsFailure: false
+    })
+    this.context.stdout.write(`seed ${seed}: ${details.numRuns} schedules\n`)
+    if (!details.failed) return 0
+    const [schedule] = details.counterexample!
+    writeFileSync(this.out, JSON.stringify(schedule, undefined, 1))
+    const error = details.errorInstance as Error | null
+    this.context.stdout.write(`${error?.message ?? 'failed'}\nshrunk schedule in ${this.out}:\n${JSON.stringify(schedule)}\n`)
+    return 1
+  }
+}
+
+await Cli.from([FuzzCommand]).runExit(process.argv.slice(2))
--- /dev/null
+++ b/bench/fuzz/GroupSchedule.ts
@@ -0,0 +1,86 @@
+import fc from 'fast-check'
+
+/** Stands for the replica that leads the newest term, in place of a replica's number. */
+export const LEADER = 100
+
+/** Stands for the replica that believes to lead the oldest term. */
+export const OLD_LEADER = 101
+
+/** One step of a schedule. Numbers that choose a replica or message count modulo how many there are. */
+export type ScheduleStep =
+  /** All clocks run on; messages are lost, repeated, held back and reordered as the numbers say. */
+  | { readonly op: 'run', readonly ms: number, readonly lossPercent: number, readonly load: number, readonly seed: number }
+  /** One replica's clock runs ahead alone, as seen by one that others have left behind: it may start an election. */
+  | { readonly op: 'lag', readonly replica: number, readonly ms: number }
+  | { readonly op: 'deliver', readonly pick: number, readonly count: number }
+  | { readonly op: 'sync', readonly replica: number }
+  | { readonly op: 'propose', readonly replica: number, readonly count: number }
+  | { readonly op: 'read', readonly replica: number }
+  | { readonly op: 'snapshot', readonly replica: number }
+  | { readonly op: 'cut', readonly from: number, readonly to: number }
+  | { readonly op: 'isolate', readonly replica: number }
+  | { readonly op: 'heal' }
+  | { readonly op: 'freeze', readonly replica: number }
+  | { readonly op: 'thaw' }
+  /** `power` loses what was not synced; a process alone loses only its memory. */
+  | { readonly op: 'crash', readonly replica: number, readonly power: boolean, readonly seed: number }
+  | { readonly op: 'restart' }
+  /** A crash and a restart at once. */
+  | { readonly op: 'bounce', readonly replica: number, readonly power: boolean, readonly seed: number }
+  /** The disk is lost; the replica comes back under a new identity. */
+  | { readonly op: 'wipe', readonly replica: number }
+  | { readonly op: 'addMember', readonly replica: number }
+  | { readonly op: 'removeMember', readonly replica: number }
+
+const replica = fc.oneof(
+  { weight: 4, arbitrary: fc.nat({ max: 4 }) },
+  { weight: 2, arbitrary: fc.constant(LEADER) },
+  { weight: 1, arbitrary: fc.constant(OLD_LEADER) }
+)
+const seed = fc.nat({ max: 9999 })
+
+const run = fc.record({
+  op: fc.constant('run' as const),
+  ms: fc.constantFrom(25, 75, 150, 400, 900),
+  lossPercent: fc.constantFrom(0, 0, 10, 40),
+  load: fc.constantFrom(0, 0, 1, 2),
+  seed
+})
+
+/** Steps in the shares in which they lead to trouble soonest. */
+const step: fc.Arbitrary<ScheduleStep> = fc.oneof(
+  { weight: 8, arbitrary: run },
+  { weight: 4, arbitrary: fc.record({ op: fc.constant('lag' as const), replica, ms: fc.constantFrom(100, 700) }) },
+  { weight: 5, arbitrary: fc.record({ op: fc.constant('deliver' as const), pick: seed, count: fc.nat({ max: 6 }) }) },
+  { weight: 3, arbitrary: fc.record({ op: fc.constant('sync' as const), replica }) },
+  { weight: 5, arbitrary: fc.record({ op: fc.constant('propose' as const), replica, count: fc.constantFrom(1, 1, 3) }) },
+  { weight: 3, arbitrary: fc.record({ op: fc.constant('read' as const), replica }) },
+  { weight: 2, arbitrary: fc.record({ op: fc.constant('snapshot' as const), replica }) },
+  { weight: 2, arbitrary: fc.record({ op: fc.constant('cut' as const), from: replica, to: replica }) },
+  { weight: 3, arbitrary: fc.record({ op: fc.constant('isolate' as const), replica }) },
+  { weight: 3, arbitrary: fc.constant({ op: 'heal' as const }) },
+  { weight: 2, arbitrary: fc.record({ op: fc.constant('freeze' as const), replica }) },
+  { weight: 2, arbitrary: fc.constant({ op: 'thaw' as const }) },
+  { weight: 3, arbitrary: fc.record({ op: fc.constant('crash' as const), replica, power: fc.boolean(), seed }) },
+  { weight: 3, arbitrary: fc.constant({ op: 'restart' as const }) },
+  { weight: 2, arbitrary: fc.record({ op: fc.constant('bounce' as const), replica, power: fc.boolean(), seed }) },
+  { weight: 1, arbitrary: fc.record({ op: fc.constant('wipe' as const), replica }) },
+  { weight: 2, arbitrary: fc.record({ op: fc.constant('addMember' as const), replica }) },
+  { weight: 2, arbitrary: fc.record({ op: fc.constant('removeMember' as const), replica }) }
+)
+
+/** A schedule of a group run. */
+export interface GroupSchedule {
+  /** Replicas that the group starts with. */
+  readonly size: number
+  /** Seed of all replicas' random numbers. */
+  readonly seed: number
+  readonly steps: readonly ScheduleStep[]
+}
+
+/** Schedules of up to 40 steps over groups of three, at times of five. */
+export const groupSchedules: fc.Arbitrary<GroupSchedule> = fc.record({
+  size: fc.constantFrom(3, 3, 3, 5),
+  seed,
+  steps: fc.array(step, { minLength: 8, maxLength: 40, size: 'max' })
+})
--- a/src/parts/agreement/ReplicaState.ts
+++ b/src/parts/agreement/ReplicaState.ts
@@ -88,9 +88,12 @@
     return this._sequence
   }
 
-  /** True when the members in force include this replica. */
+  /**
+   * True while this replica is a member, or was one as of the last commit: until its removal is committed
+   * it may hold the only log that can win an election.
+   */
   public get isMember (): boolean {
-    return this.log.members.includes(this.id)
+    return this.log.members.includes(this.id) || this.log.membersAt(this._commitIndex).includes(this.id)
   }
 
   /** The other members in force. */
