Add sassafrasctl: apply, get, diff, dump, drain, resume, members, check, trace

A change whose answer was lost is sent again with the same operation id until the time is up; then the operator is told 'unknown' with the command to give again, and 'nothing was changed' only when no replica can have taken it.

Seen to fail: without following 307 the redirect test; with each failure taken as unsent the tests of lost answers; with one attempt only the resend test.

--- a/src/bin/sassafras-load.ts
+++ b/src/bin/sassafras-load.ts
@@ -6,7 +6,8 @@
 import { loadPlan } from '../load/LoadPlan.js'
 import type { LoadPlan } from '../load/LoadPlan.js'
 import { LoadRun } from '../load/LoadRun.js'
-import { EXIT_CODES, packageVersion } from '../platform/DaemonProgram.js'
+import { EXIT_CODES } from '../platform/DaemonProgram.js'
+import { packageVersion } from '../platform/PackageVersion.js'
 import { renderFindings, SettingsFile } from '../platform/SettingsFile.js'
 
 class LoadCommand extends Command {
--- /dev/null
+++ b/src/ctl/AdminClient.ts
@@ -0,0 +1,108 @@
+import { setTimeout as delay } from 'node:timers/promises'
+import got from 'got'
+
+/** What a process answered. */
+export interface AdminAnswer {
+  readonly status: number
+  readonly body: unknown
+  /** Address that answered. */
+  readonly from: string
+}
+
+/** A request to the admin surface of one of several processes. */
+export interface AdminRequest {
+  readonly method: 'GET' | 'POST'
+  readonly path: string
+  readonly json?: object
+}
+
+/**
+ * How a request ended: with an answer; `unsent` when no process can have taken it;
+ * `lost` when one may have taken it and its answer did not come.
+ */
+export type AdminOutcome =
+  | { readonly type: 'answer', readonly answer: AdminAnswer }
+  | { readonly type: 'unsent', readonly problem: string }
+  | { readonly type: 'lost', readonly problem: string }
+
+const MAX_REDIRECTS = 5
+const ATTEMPT_TIMEOUT_MS = 3000
+const PAUSE_MS = 200
+/** An attempt with less time than this would only make a clear outcome unclear. */
+const LEAST_ATTEMPT_MS = 250
+
+/** Failures before anything was sent. */
+const UNSENT_CODES: ReadonlySet<string> = new Set(['ECONNREFUSED', 'ENOTFOUND', 'EHOSTUNREACH', 'ENETUNREACH'])
+
+/**
+ * Sends requests to the admin surfaces of processes. Follows 307 to the leader, and goes on to the next process,
+ * round after round, while none answers. A request that is sent again must be safe to repeat.
+ */
+export class AdminClient {
+  private readonly addresses: readonly string[]
+  private readonly timeoutMs: number
+
+  /**
+   * @param addresses Processes that can take the request, as `host:port`.
+   * @param timeoutMs Time in all.
+   */
+  public constructor (addresses: readonly string[], timeoutMs: number) {
+    this.addresses = addresses
+    this.timeoutMs = timeoutMs
+  }
+
+  /**
+   * Sends a request until a process answers with anything but 503, or the time is up.
+   * @param request What to send.
+   */
+  public async send (request: AdminRequest): Promise<AdminOutcome> {
+    const endAtMs = performance.now() + this.timeoutMs
+    let last: AdminOutcome = { type: 'unsent', problem: 'no address to ask' }
+    let lost: AdminOutcome | undefined
+    for (let round = 0; this.addresses.length > 0; round++) {
+      const address = this.addresses[round % this.addresses.length] as string
+      last = await this.attempt(address, request, endAtMs)
+      if (last.type === 'answer' && last.answer.status !== 503) return last
+      // 503 says that there is no quorum now; what was proposed before may still be committed.
+      if (last.type !== 'unsent') lost = last
+      const roundEnds = (round + 1) % this.addresses.length === 0
+      if (performance.now() + PAUSE_MS + LEAST_ATTEMPT_MS >= endAtMs) break
+      if (roundEnds) await delay(PAUSE_MS)
+    }
+    return lost ?? last
+  }
+
+  private async attempt (address: string, request: AdminRequest, endAtMs: number): Promise<AdminOutcome> {
+    let url = `http://${address}${request.path}`
+    try {
+      for (let hop = 0; hop <= MAX_REDIRECTS; hop++) {
+        const answer = await got(url, {
+          method: request.method,
+          ...(request.json === undefined ? {} : { json: request.json }),
+          followRedirect: false,
+          throwHttpErrors: false,
+          retry: { limit: 0 },
+          timeout: { request: Math.max(1, Math.min(ATTEMPT_TIMEOUT_MS, endAtMs - performance.now())) }
+        })
+        const location = answer.headers.location
+        if (answer.statusCode !== 307 || location === undefined) {
+          return { type: 'answer', answer: { status: answer.statusCode, body: parseBody(answer.body), from: new URL(url).host } }
+        }
+        url = new URL(location, url).href
+      }
+      return { type: 'unsent', problem: `${address} redirects in a circle` }
+    } catch (error) {
+      const { code, message } = error as Error & { code?: string }
+      const problem = `${url}: ${message}`
+      return UNSENT_CODES.has(code ?? '') ? { type: 'unsent', problem } : { type: 'lost', problem }
+    }
+  }
+}
+
+function parseBody (text: string): unknown {
+  try {
+    return JSON.parse(text)
+  } catch {
+    return text
+  }
+}
--- /dev/null
+++ b/src/ctl/ApplyCommand.ts
@@ -0,0 +1,114 @@
+import { randomUUID } from 'node:crypto'
+import { setTimeout as delay } from 'node:timers/promises'
+import { Command, Option } from 'clipanion'
+import type { ChangeReply, ChangeRequest } from '../parts/configuration/Types.js'
+import type { AdminOutcome } from './AdminClient.js'
+import { ConfigurationFile } from './ConfigurationFile.js'
+import { CtlCommand, errorReport, invalidReport } from './CtlCommand.js'
+import type { CtlReport } from './CtlCommand.js'
+import { CTL_EXIT } from './ExitCodes.js'
+import { InForceView } from './InForceView.js'
+
+type ReplyReports = { readonly [Type in ChangeReply['type']]: (reply: Extract<ChangeReply, { type: Type }>) => CtlReport }
+
+const WAIT_POLL_MS = 100
+
+/** `sassafrasctl apply`: hands over a new configuration. */
+export class ApplyCommand extends CtlCommand {
+  public static override paths = [['apply']]
+  public static override usage = Command.Usage({
+    description: 'Hand over a new configuration.',
+    details: 'The change is accepted only while --base is the version in force. When the answer is lost, give the ' +
+      'same command again with the same --operation: it is applied once, and the answer is that of the first.',
+    examples: [['Change version 4', 'sassafrasctl apply mesh.toml --base 4 --operation 2026-12-03-drain']]
+  })
+
+  public readonly file = Option.String()
+  public readonly base = Option.String('--base', { required: true, description: 'The version that the change starts from.' })
+  public readonly operation = Option.String('--operation', { description: 'Id of the change; a new one when left out.' })
+  public readonly waitMs = Option.String('--wait-ms', { description: 'Wait until every node has it, at most this long.' })
+
+  private readonly replies: ReplyReports = {
+    accepted: reply => ({ exit: CTL_EXIT.ok, text: `accepted: version ${reply.version} is in force`, json: reply }),
+    conflict: reply => ({ exit: CTL_EXIT.conflict, text: conflictText(reply), json: reply }),
+    invalid: reply => invalidReport(reply.findings),
+    unavailable: reply => ({ exit: CTL_EXIT.unknown, text: '', json: reply }),
+    operationReused: reply => ({
+      exit: CTL_EXIT.conflict,
+      text: 'refused: this operation id belongs to another change, accepted as version ' +
+        `${reply.version}\nNothing was changed. Give this change an operation id of its own.`,
+      json: reply
+    })
+  }
+
+  protected async work (): Promise<CtlReport> {
+    const base = Number(this.base)
+    if (!Number.isSafeInteger(base) || base < 0) {
+      return invalidReport([{ place: '--base', problem: `is "${this.base}"`, expected: 'a version, 0 or above' }])
+    }
+    const configuration = new ConfigurationFile(this.file).load()
+    if (!configuration.ok) return invalidReport(configuration.val)
+    const operation = this.operation ?? this.newOperation()
+    const change: ChangeRequest = { operation, base, configuration: configuration.val }
+    const outcome = await this.askControl({ method: 'POST', path: '/changes', json: change })
+    const report = this.replyReport(outcome, operation)
+    return report.exit === CTL_EXIT.ok && this.waitMs !== undefined ? await this.waitForNodes(report) : report
+  }
+
+  private newOperation (): string {
+    const operation = randomUUID()
+    // Told before the change is sent, so that it can be sent again when the answer is lost.
+    this.context.stderr.write(`operation ${operation}\n`)
+    return operation
+  }
+
+  private replyReport (outcome: AdminOutcome, operation: string): CtlReport {
+    if (outcome.type === 'unsent') {
+      return {
+        exit: CTL_EXIT.unavailable,
+        text: `unavailable: ${outcome.problem}\nNothing was changed. Try again.`,
+        json: { type: 'unavailable', operation, problem: outcome.problem }
+      }
+    }
+    if (outcome.type === 'lost') return unknownReport(operation, outcome.problem)
+    if (outcome.answer.status === 503) return unknownReport(operation, 'the control replicas have no quorum')
+    const reply = outcome.answer.body as ChangeReply
+    const report = this.replies[reply?.type] as ((reply: ChangeReply) => CtlReport) | undefined
+    return report === undefined ? errorReport(outcome.answer) : withOperation(report(reply), operation)
+  }
+
+  private async waitForNodes (report: CtlReport): Promise<CtlReport> {
+    const endAtMs = performance.now() + Number(this.waitMs)
+    const { version } = report.json as { version: number }
+    let view = await this.readInForce(version)
+    while (view.lagging.length > 0 && performance.now() < endAtMs) {
+      await delay(WAIT_POLL_MS)
+      view = await this.readInForce(version)
+    }
+    const exit = view.lagging.length === 0 ? CTL_EXIT.ok : CTL_EXIT.lagging
+    return { exit, text: `${report.text}\n${view.text()}`, json: { ...report.json, ...view.json() } }
+  }
+
+  private async readInForce (version: number): Promise<InForceView> {
+    return InForceView.ofOutcome(await this.askControl({ method: 'GET', path: '/in-force' }), version)
+  }
+}
+
+function conflictText (reply: Extract<ChangeReply, { type: 'conflict' }>): string {
+  const differs = reply.differs.map(path => `  ${path}`).join('\n')
+  return `conflict: version ${reply.inForce} is in force, not the base of this change; they differ in\n${differs}\n` +
+    `Nothing was changed. Look at it with "sassafrasctl get", then apply again with --base ${reply.inForce}.`
+}
+
+function unknownReport (operation: string, problem: string): CtlReport {
+  return {
+    exit: CTL_EXIT.unknown,
+    text: `unknown: the answer was lost (${problem}); the change may be in force\n` +
+      `Give the same command again with --operation ${operation}: it is applied once.`,
+    json: { type: 'unknown', operation, problem }
+  }
+}
+
+function withOperation (report: CtlReport, operation: string): CtlReport {
+  return { ...report, json: { ...report.json, operation } }
+}
--- /dev/null
+++ b/src/ctl/CheckCommand.ts
@@ -0,0 +1,47 @@
+import { Command, Option } from 'clipanion'
+import type { Finding } from '../parts/configuration/Types.js'
+import { controlSettings } from '../control/ControlSettings.js'
+import { loadPlan } from '../load/LoadPlan.js'
+import { nodeSettings } from '../node/NodeSettings.js'
+import { SettingsFile } from '../platform/SettingsFile.js'
+import type { Result } from '../platform/Results.js'
+import { standinSettings } from '../standin/StandinSettings.js'
+import { ConfigurationFile } from './ConfigurationFile.js'
+import { CtlCommand, invalidReport } from './CtlCommand.js'
+import type { CtlReport } from './CtlCommand.js'
+import { ctlSettings } from './CtlSettings.js'
+import { CTL_EXIT } from './ExitCodes.js'
+
+type Checker = (file: string) => Result<unknown, readonly Finding[]>
+
+const CHECKERS: Readonly<Record<string, Checker>> = {
+  configuration: file => new ConfigurationFile(file).load(),
+  node: file => new SettingsFile(file, nodeSettings).load(),
+  control: file => new SettingsFile(file, controlSettings).load(),
+  upstream: file => new SettingsFile(file, standinSettings).load(),
+  load: file => new SettingsFile(file, loadPlan).load(),
+  ctl: file => new SettingsFile(file, ctlSettings).load()
+}
+
+/** `sassafrasctl check`: checks a file without running anything. */
+export class CheckCommand extends CtlCommand {
+  public static override paths = [['check']]
+  public static override usage = Command.Usage({
+    description: 'Check a configuration, or with --kind the settings of a program.',
+    details: `Kinds: ${Object.keys(CHECKERS).join(', ')}. Exits with 2 and all findings when something is wrong.`
+  })
+
+  public readonly file = Option.String()
+  public readonly kind = Option.String('--kind', 'configuration', { description: 'What the file is.' })
+
+  protected async work (): Promise<CtlReport> {
+    const checker = CHECKERS[this.kind]
+    if (checker === undefined) {
+      const expected = `one of ${Object.keys(CHECKERS).join(', ')}`
+      return invalidReport([{ place: '--kind', problem: `is "${this.kind}"`, expected }])
+    }
+    const outcome = checker(this.file)
+    if (!outcome.ok) return invalidReport(outcome.val)
+    return { exit: CTL_EXIT.ok, text: `${this.file}: ok`, json: { type: 'ok', file: this.file } }
+  }
+}
--- /dev/null
+++ b/src/ctl/ConfigurationFile.ts
@@ -0,0 +1,77 @@
+/** Configuration files as operators write them, with defaults for what a service leaves out. */
+import { readFileSync } from 'node:fs'
+import { parse, TomlError } from 'smol-toml'
+import { checkConfiguration } from '../parts/configuration/ConfigurationCheck.js'
+import type { Configuration, Finding, ServiceRule } from '../parts/configuration/Types.js'
+import { Err, Ok } from '../platform/Results.js'
+import type { Result } from '../platform/Results.js'
+
+/** Values for what a service leaves out. */
+export const SERVICE_DEFAULTS: Omit<ServiceRule, 'name'> = {
+  guarded: [],
+  downloads: [],
+  keyless: 'refuse',
+  deadlineMs: 2000,
+  drainMs: 600_000,
+  retryShare: 0.1,
+  maxBodyBytes: 1_048_576
+}
+
+/** One TOML file with services, zones and the measuring rule. */
+export class ConfigurationFile {
+  private readonly file: string
+
+  /**
+   * @param file Path of the TOML file; it appears in the place of each finding.
+   */
+  public constructor (file: string) {
+    this.file = file
+  }
+
+  /** Reads and checks the file. The error holds every finding; nothing is thrown. */
+  public load (): Result<Configuration, readonly Finding[]> {
+    try {
+      return this.check(readFileSync(this.file, 'utf8'))
+    } catch (error) {
+      return Err([{ place: this.file, problem: `can't be read: ${(error as Error).message}`, expected: 'a readable file' }])
+    }
+  }
+
+  /**
+   * Checks text as if it were the file's.
+   * @param text A TOML document.
+   */
+  public check (text: string): Result<Configuration, readonly Finding[]> {
+    let document: unknown
+    try {
+      document = parse(text)
+    } catch (error) {
+      return Err([this.syntaxFinding(error)])
+    }
+    const configuration = withDefaults(document)
+    const findings = checkConfiguration(configuration)
+    if (findings.length === 0) return Ok(configuration as Configuration)
+    return Err(findings.map(finding => ({ ...finding, place: this.placeOf(finding) })))
+  }
+
+  private placeOf (finding: Finding): string {
+    return finding.place === '' ? this.file : `${this.file}: ${finding.place}`
+  }
+
+  private syntaxFinding (error: unknown): Finding {
+    if (!(error instanceof TomlError)) throw error
+    const place = `${this.file}:${error.line}:${error.column}`
+    return { place, problem: error.message.split('\n')[0] ?? '', expected: 'a TOML 1.0 document' }
+  }
+}
+
+function withDefaults (document: unknown): unknown {
+  const { services } = document as { readonly services?: unknown }
+  if (!Array.isArray(services)) return document
+  const complete = services.map((service: unknown) => isTable(service) ? { ...SERVICE_DEFAULTS, ...service } : service)
+  return { ...document as object, services: complete }
+}
+
+function isTable (value: unknown): value is object {
+  return typeof value === 'object' && value !== null && !Array.isArray(value)
+}
--- /dev/null
+++ b/src/ctl/CtlProgram.ts
@@ -0,0 +1,54 @@
+import { Builtins, Cli } from 'clipanion'
+import type { BaseContext, Command } from 'clipanion'
+import { packageVersion } from '../platform/PackageVersion.js'
+import { ApplyCommand } from './ApplyCommand.js'
+import { CheckCommand } from './CheckCommand.js'
+import { DiffCommand } from './DiffCommand.js'
+import { CTL_EXIT } from './ExitCodes.js'
+import { GetCommand } from './GetCommand.js'
+import { MembersCommand } from './MembersCommand.js'
+import { DrainCommand, DumpCommand, ResumeCommand } from './ProcessCommands.js'
+import { TraceCommand } from './TraceCommand.js'
+
+const COMMANDS = [
+  ApplyCommand,
+  CheckCommand,
+  DiffCommand,
+  DrainCommand,
+  DumpCommand,
+  GetCommand,
+  MembersCommand,
+  ResumeCommand,
+  TraceCommand
+]
+
+/** The command line of operators. */
+export class CtlProgram {
+  private readonly cli: Cli
+
+  /** Registers all commands. */
+  public constructor () {
+    this.cli = new Cli({ binaryName: 'sassafrasctl', binaryLabel: 'sassafrasctl', binaryVersion: packageVersion() })
+    for (const command of COMMANDS) this.cli.register(command)
+    this.cli.register(Builtins.HelpCommand)
+    this.cli.register(Builtins.VersionCommand)
+  }
+
+  /**
+   * Runs one command.
+   * @param args Arguments after the program's name.
+   * @param context Streams to write to.
+   * @returns One of `CTL_EXIT`.
+   */
+  public async run (args: readonly string[], context: Partial<BaseContext> = {}): Promise<number> {
+    const complete = { ...Cli.defaultContext, ...context }
+    let command: Command
+    try {
+      command = this.cli.process([...args], complete)
+    } catch (error) {
+      complete.stderr.write(this.cli.error(error))
+      return CTL_EXIT.invalid
+    }
+    return await this.cli.run(command, complete)
+  }
+}
--- /dev/null
+++ b/src/ctl/DiffCommand.ts
@@ -0,0 +1,33 @@
+import { Command, Option } from 'clipanion'
+import { differingPaths } from '../parts/configuration/ConfigurationDifference.js'
+import type { VersionedConfiguration } from '../parts/configuration/Types.js'
+import { ConfigurationFile } from './ConfigurationFile.js'
+import { answerOf, CtlCommand, errorReport, invalidReport } from './CtlCommand.js'
+import type { CtlReport } from './CtlCommand.js'
+import { CTL_EXIT } from './ExitCodes.js'
+
+/** `sassafrasctl diff`: names what a file would change. */
+export class DiffCommand extends CtlCommand {
+  public static override paths = [['diff']]
+  public static override usage = Command.Usage({
+    description: 'Name what a configuration file would change in what is in force.',
+    details: 'Exits with 0 when nothing would change and with 7 when something would.'
+  })
+
+  public readonly file = Option.String()
+
+  protected async work (): Promise<CtlReport> {
+    const configuration = new ConfigurationFile(this.file).load()
+    if (!configuration.ok) return invalidReport(configuration.val)
+    const answer = answerOf(await this.askControl({ method: 'GET', path: '/configuration' }))
+    if (answer.status !== 200) return errorReport(answer)
+    const inForce = answer.body as VersionedConfiguration
+    const differs = differingPaths(configuration.val, inForce.configuration)
+    const head = `version ${inForce.version} is in force`
+    return {
+      exit: differs.length === 0 ? CTL_EXIT.ok : CTL_EXIT.differs,
+      text: differs.length === 0 ? `${head}; the file changes nothing` : [`${head}; the file changes`, ...differs].join('\n  '),
+      json: { type: 'diff', inForce: inForce.version, differs }
+    }
+  }
+}
--- /dev/null
+++ b/src/ctl/InForceView.ts
@@ -0,0 +1,45 @@
+import type { InForce, Version } from '../parts/configuration/Types.js'
+import type { AdminOutcome } from './AdminClient.js'
+import { answerOf, CtlFailure, errorReport } from './CtlCommand.js'
+
+/** Which nodes have a version in force, and which lag behind it. */
+export class InForceView {
+  public readonly lagging: readonly InForce[]
+  private readonly nodes: readonly InForce[]
+  private readonly version: Version
+
+  /**
+   * @param nodes What the control replicas heard from the nodes.
+   * @param version The version that nodes should have.
+   */
+  public constructor (nodes: readonly InForce[], version: Version) {
+    this.nodes = nodes
+    this.version = version
+    this.lagging = nodes.filter(node => node.version < version)
+  }
+
+  /**
+   * Reads the answer to `GET /in-force`, or ends the command when there is none.
+   * @param outcome How the request ended.
+   * @param version The version that nodes should have.
+   */
+  public static ofOutcome (outcome: AdminOutcome, version: Version): InForceView {
+    const answer = answerOf(outcome)
+    if (!Array.isArray(answer.body)) throw new CtlFailure(errorReport(answer))
+    return new InForceView(answer.body as InForce[], version)
+  }
+
+  /** Tells it to a person. */
+  public text (): string {
+    const having = this.nodes.length - this.lagging.length
+    const head = `${having} of ${this.nodes.length} nodes have version ${this.version} in force`
+    if (this.lagging.length === 0) return head
+    const lines = this.lagging.map(node => `  ${node.node} has ${node.version}, heard ${Math.round(node.heardMsAgo)} ms ago`)
+    return [`${head}; lagging:`, ...lines].join('\n')
+  }
+
+  /** The same as JSON. */
+  public json (): object {
+    return { nodes: this.nodes.length, lagging: this.lagging }
+  }
+}
--- /dev/null
+++ b/src/ctl/MembersCommand.ts
@@ -0,0 +1,24 @@
+import { Command, Option } from 'clipanion'
+import type { Finding } from '../parts/configuration/Types.js'
+import { answerOf, CtlCommand, errorReport, invalidReport } from './CtlCommand.js'
+import type { CtlReport } from './CtlCommand.js'
+import { CTL_EXIT } from './ExitCodes.js'
+
+/** `sassafrasctl members`: changes the replicas of the control group. */
+export class MembersCommand extends CtlCommand {
+  public static override paths = [['members']]
+  public static override usage = Command.Usage({
+    description: 'Change the replicas of the control group, one at a time.',
+    examples: [['Replace c3 by c4, in two steps', 'sassafrasctl members c1 c2 c3 c4 && sassafrasctl members c1 c2 c4']]
+  })
+
+  public readonly members = Option.Rest({ required: 1 })
+
+  protected async work (): Promise<CtlReport> {
+    const json = { members: this.members }
+    const answer = answerOf(await this.askControl({ method: 'POST', path: '/members', json }))
+    if (answer.status === 422) return invalidReport((answer.body as { findings: Finding[] }).findings)
+    if (answer.status !== 200) return errorReport(answer)
+    return { exit: CTL_EXIT.ok, text: `the group is now ${this.members.join(', ')}`, json: answer.body as object }
+  }
+}
--- /dev/null
+++ b/src/ctl/TraceCommand.ts
@@ -0,0 +1,55 @@
+import { readFileSync } from 'node:fs'
+import { Command, Option } from 'clipanion'
+import { AdmissionController } from '../parts/admission/AdmissionController.js'
+import { MeasuringBudget } from '../parts/budget/MeasuringBudget.js'
+import { UpstreamChooser } from '../parts/choice/UpstreamChooser.js'
+import { ConfigurationFollower } from '../parts/configuration/ConfigurationFollower.js'
+import { MembershipTable } from '../parts/membership/MembershipTable.js'
+import { QuarantineTable } from '../parts/quarantine/QuarantineTable.js'
+import { RetryPolicy } from '../parts/retry/RetryPolicy.js'
+import { SeededRandom } from '../parts/SeededRandom.js'
+import { TraceReplay } from '../parts/trace/TraceReplay.js'
+import type { PartFactories } from '../parts/trace/Types.js'
+import type { Place } from '../parts/Types.js'
+import { renderFindings } from '../platform/SettingsFile.js'
+import { CtlCommand, invalidReport } from './CtlCommand.js'
+import type { CtlReport } from './CtlCommand.js'
+import { CTL_EXIT } from './ExitCodes.js'
+
+/** Makes the parts of a node anew, as a trace states them. */
+const FACTORIES: PartFactories = {
+  admission: ({ seed, options }) => new AdmissionController(new SeededRandom(seed), options),
+  budget: ({ options }) => new MeasuringBudget(options as never),
+  choice: ({ seed, options }) => {
+    const { place, ...others } = options as { readonly place: Place }
+    return new UpstreamChooser(place, new SeededRandom(seed), others)
+  },
+  configuration: ({ options }) => new ConfigurationFollower(options),
+  membership: ({ options }) => new MembershipTable(options),
+  quarantine: ({ options }) => new QuarantineTable(options as never),
+  retry: ({ options }) => new RetryPolicy(options)
+}
+
+/** `sassafrasctl trace`: replays a trace against the parts of this version. */
+export class TraceCommand extends CtlCommand {
+  public static override paths = [['trace']]
+  public static override usage = Command.Usage({
+    description: 'Replay a recorded trace and name each stated outcome that did not come about.',
+    details: 'Exits with 7 when there is one.'
+  })
+
+  public readonly file = Option.String()
+
+  protected async work (): Promise<CtlReport> {
+    let text: string
+    try {
+      text = readFileSync(this.file, 'utf8')
+    } catch (error) {
+      return invalidReport([{ place: this.file, problem: (error as Error).message, expected: 'a readable file' }])
+    }
+    const findings = TraceReplay.run(text, FACTORIES)
+    const lines = text.split('\n').filter(line => line !== '').length
+    if (findings.length === 0) return { exit: CTL_EXIT.ok, text: `${lines} lines, all as stated`, json: { type: 'ok', lines } }
+    return { exit: CTL_EXIT.differs, text: renderFindings(findings), json: { type: 'differs', lines, findings } }
+  }
+}
--- a/src/platform/DaemonProgram.ts
+++ b/src/platform/DaemonProgram.ts
@@ -1,7 +1,7 @@
 /** The command line that all daemons share: one TOML file, `--check`, `--help` and `--version`. */
-import { readFileSync } from 'node:fs'
 import { Builtins, Cli, Command, Option } from 'clipanion'
 import type { z } from 'zod'
+import { packageVersion } from './PackageVersion.js'
 import { renderFindings, SettingsFile } from './SettingsFile.js'
 
 /** Exit codes of the daemons. */
@@ -33,12 +33,6 @@
   start (settings: z.output<Schema>, file: string): Promise<RunningDaemon>
 }
 
-/** Version of the package, for `--version`. */
-export function packageVersion (): string {
-  const text = readFileSync(new URL('../../../package.json', import.meta.url), 'utf8')
-  return (JSON.parse(text) as { version: string }).version
-}
-
 /** Runs a daemon from the command line of this process until a signal stops it. */
 export class DaemonProgram<Schema extends z.ZodType> {
   private readonly spec: DaemonSpec<Schema>
@@ -63,12 +57,12 @@
       public static override usage = Command.Usage({
         description: spec.description,
         examples: [
-          ['Run with settings', `${spec.name} settings.toml`],
-          ['Only check the settings', `${spec.name} settings.toml --check`]
+          ['Run with settings', `${spec.name} --settings settings.toml`],
+          ['Only check the settings', `${spec.name} --settings settings.toml --check`]
         ]
       })
 
-      public readonly file = Option.String()
+      public readonly file = Option.String('--settings,-s', { required: true, description: 'TOML file of the settings.' })
       public readonly check = Option.Boolean('--check', false, { description: 'Check the settings and exit.' })
 
       public async execute (): Promise<number> {
