Add the demonstration and the example files of both deployments

It exits with 0 only when each caller got its own whole answer and the journals show nothing lost or doubled.

--- /dev/null
+++ b/src/ctl/Examples.test.ts
@@ -0,0 +1,24 @@
+import { readdirSync } from 'node:fs'
+import { expect, test, vi } from 'vitest'
+import { createRequire } from 'node:module'
+import { CtlProgram } from './CtlProgram.js'
+import { CTL_EXIT } from './ExitCodes.js'
+
+// The test runner resolves the package's ES modules, which Node.js can't load; programs get the CommonJS ones.
+vi.mock('clipanion', () => createRequire(import.meta.url)('clipanion'))
+
+const KINDS: ReadonlyArray<readonly [start: string, kind: string]> = [
+  ['mesh', 'configuration'], ['control', 'control'], ['node', 'node'], ['load', 'load'], ['sassafrasctl', 'ctl']
+]
+
+test('every example file is sound', async () => {
+  for (const deployment of ['kagamino', 'kaivoskeittio']) {
+    const files = readdirSync(`examples/${deployment}`)
+    expect(files).toHaveLength(KINDS.length)
+    for (const [start, kind] of KINDS) {
+      const file = files.find(name => name.startsWith(start)) ?? ''
+      const exit = await new CtlProgram().run(['check', `examples/${deployment}/${file}`, '--kind', kind])
+      expect([file, exit]).toEqual([file, CTL_EXIT.ok])
+    }
+  }
+})
--- a/src/load/Caller.ts
+++ b/src/load/Caller.ts
@@ -18,8 +18,8 @@
 const REPEATABLE: ReadonlySet<CallEnd> = new Set<CallEnd>(['not-run', 'unknown', 'failed'])
 
 const REQUESTS: Readonly<Record<PlannedCall['stream']['kind'], (call: PlannedCall) => Request>> = {
-  lookup: call => ({ method: 'GET', path: `/lookups/${call.id}`, body: null }),
-  guarded: call => ({ method: 'POST', path: `/checkouts/${call.id}`, body: JSON.stringify({ order: call.id }) }),
+  lookup: call => ({ method: 'GET', path: `${pathOf(call)}/${call.id}`, body: null }),
+  guarded: call => ({ method: 'POST', path: `${pathOf(call)}/${call.id}`, body: JSON.stringify({ order: call.id }) }),
   download: call => ({ method: 'GET', path: downloadPath(call), body: null }),
   chain: call => ({ method: 'GET', path: `/chain/${call.stream.kind === 'chain' ? call.stream.depth : 0}`, body: null })
 }
@@ -130,6 +130,10 @@
     : headers
 }
 
+function pathOf ({ stream }: PlannedCall): string {
+  return stream.kind === 'lookup' || stream.kind === 'guarded' ? stream.path : ''
+}
+
 function downloadPath (call: PlannedCall): string {
   if (call.stream.kind !== 'download') return '/downloads/0'
   return `/downloads/${call.stream.bytes}?rate=${call.stream.bytesPerSecond}&seed=${downloadSeed(call)}`
--- a/src/load/LoadPlan.ts
+++ b/src/load/LoadPlan.ts
@@ -26,10 +26,16 @@
 }
 
 const stream = z.discriminatedUnion('kind', [
-  z.strictObject({ kind: z.literal('lookup'), ...common }),
+  z.strictObject({
+    kind: z.literal('lookup'),
+    ...common,
+    /** Path that the id of the call follows. */
+    path: z.string().startsWith('/').default('/lookups')
+  }),
   z.strictObject({
     kind: z.literal('guarded'),
     ...common,
+    path: z.string().startsWith('/').default('/checkouts'),
     /** Share of requests that their caller sends a second time at once, at another node. */
     repeatShare: share.default(0)
   }),
--- a/src/load/Schedule.ts
+++ b/src/load/Schedule.ts
@@ -2,6 +2,9 @@
 import type { LoadPlan, LoadStream } from './LoadPlan.js'
 import type { PlannedCall } from './Types.js'
 
+const STREAM_SEEDS = 1009
+const SKIPPED_NUMBERS = 16
+
 interface Source {
   readonly stream: LoadStream
   readonly random: SeededRandom
@@ -23,7 +26,7 @@
     this.plan = plan
     this.runName = runName
     this.sources = plan.streams.map((stream, index) => {
-      const random = new SeededRandom(plan.seed * 1009 + index)
+      const random = seedStream(plan.seed, index)
       return { stream, random, nextMs: gapMs(stream, random) }
     })
   }
@@ -55,6 +58,13 @@
   }
 }
 
+/** The first numbers of neighbouring small seeds lie close together, so they are skipped. */
+function seedStream (seed: number, index: number): SeededRandom {
+  const random = new SeededRandom(seed * STREAM_SEEDS + index)
+  for (let skipped = 0; skipped < SKIPPED_NUMBERS; skipped++) random.next()
+  return random
+}
+
 /** Gaps of a Poisson process, so that calls come in small bursts as they do from people. */
 function gapMs (stream: LoadStream, random: SeededRandom): number {
   return -Math.log(1 - random.next()) * 1000 / stream.rate
--- a/src/standin/StandinServer.ts
+++ b/src/standin/StandinServer.ts
@@ -48,7 +48,9 @@
 
   private readonly handlers: Readonly<Record<string, Handler>> = {
     lookups: (run, number) => this.lookUp(run, number),
+    menus: (run, number) => this.lookUp(run, number),
     checkouts: (run, number) => this.checkOut(run, number),
+    orders: (run, number) => this.checkOut(run, number),
     downloads: run => this.downloads.send(run),
     chain: (run, number) => this.callChain(run, number)
   }
