--- a/src/parts/records/Constants.ts
+++ b/src/parts/records/Constants.ts
@@ -16,11 +16,11 @@
 /** Longest run time that a grant may have. */
 export const MAX_RUN_FOR_MS = 600_000
 
-/** How long the holder of an abandoned grant is refused a new one; longer than any message is under way. */
-export const ABANDONED_MS = 120_000
+/** How long a holder that gave up or was refused can't be granted; longer than any message is under way. */
+export const SPENT_HOLDER_MS = 120_000
 
-/** Holders of abandoned grants that are remembered; the oldest goes first. */
-export const MAX_ABANDONED = 65_536
+/** Such holders that are remembered; the oldest goes first. */
+export const MAX_SPENT_HOLDERS = 65_536
 
 /** Expired records removed by one command at most, which bounds the time of one command. */
 export const MAX_REMOVED_PER_COMMAND = 64
--- a/src/parts/records/IdempotencyLedger.ts
+++ b/src/parts/records/IdempotencyLedger.ts
@@ -1,10 +1,10 @@
 import type { Reason } from '../Types.js'
 import { answerBytes, fitAnswer } from './AnswerStore.js'
 import {
-  ABANDONED_MS,
+  SPENT_HOLDER_MS,
   FULL_RETRY_AFTER_MS,
   HORIZON_MS,
-  MAX_ABANDONED,
+  MAX_SPENT_HOLDERS,
   MAX_ANSWERS_BYTES,
   MAX_ANSWER_BYTES,
   MAX_KEY_LENGTH,
@@ -62,7 +62,7 @@
  * outcome is answered `unknown` from then on. Keys are kept for `horizonMs` after their run time; a full ledger
  * refuses new keys and forgets none inside the horizon.
  *
- * Memory: at most `maxRecords` records, `maxAnswersBytes` of answers and `MAX_ABANDONED` holders. Time is group
+ * Memory: at most `maxRecords` records, `maxAnswersBytes` of answers and `MAX_SPENT_HOLDERS` holders. Time is group
  * time, see `GroupClock`.
  */
 export class IdempotencyLedger {
@@ -70,7 +70,7 @@
   private atMs = 0
   private bytes = 0
   private records = new Map<string, Entry>()
-  private abandoned = new Map<string, { readonly holder: Holder, readonly atMs: number }>()
+  private spent = new Map<string, { readonly holder: Holder, readonly atMs: number }>()
 
   private readonly handlers: Handlers = {
     begin: (command, atMs) => this.begin(command, atMs),
@@ -116,7 +116,7 @@
   /** Returns the replicated state as plain data. */
   public snapshot (): LedgerSnapshot {
     const records = [...this.records.values()].map(storedOf)
-    return { format: 1, limits: this.limits, atMs: this.atMs, records, abandoned: [...this.abandoned.values()] }
+    return { format: 1, limits: this.limits, atMs: this.atMs, records, spent: [...this.spent.values()] }
   }
 
   /**
@@ -132,16 +132,21 @@
       this.records.set(textOf(stored.record), { ...stored, answer: stored.answer })
       this.bytes += stored.answer === undefined ? 0 : answerBytes(stored.answer)
     }
-    this.abandoned = new Map(snapshot.abandoned.map((entry) => [holderText(entry.holder), entry]))
+    this.spent = new Map(snapshot.spent.map((entry) => [holderText(entry.holder), entry]))
   }
 
   private begin (command: CommandOf<'begin'>, atMs: number): RecordReply {
-    if (this.abandoned.has(holderText(command.holder))) {
-      return refused('cancelled', 0)
-    }
     const entry = this.records.get(textOf(command.record))
-    if (entry !== undefined) {
-      return this.repeat(entry, command, atMs)
+    const reply = entry === undefined ? this.grant(command, atMs) : this.repeat(entry, command, atMs)
+    if (reply.type !== 'granted' && reply.type !== 'answered') {
+      this.noteSpent(command.holder, atMs)
+    }
+    return reply
+  }
+
+  private grant (command: CommandOf<'begin'>, atMs: number): RecordReply {
+    if (this.spent.has(holderText(command.holder))) {
+      return refused('cancelled', MIN_RETRY_AFTER_MS)
     }
     if (command.record.key.length > MAX_KEY_LENGTH) {
       return refused('bad-request', 0)
@@ -211,7 +216,7 @@
     if (entry !== undefined) {
       this.records.delete(textOf(command.record))
     }
-    this.noteAbandoned(command.holder, atMs)
+    this.noteSpent(command.holder, atMs)
     return RECORDED
   }
 
@@ -227,11 +232,11 @@
     this.bytes += answerBytes(entry.answer)
   }
 
-  /** A holder that gave up may have sent a `begin` that is still under way; it must not be granted. */
-  private noteAbandoned (holder: Holder, atMs: number): void {
-    this.abandoned.set(holderText(holder), { holder, atMs })
-    if (this.abandoned.size > MAX_ABANDONED) {
-      this.abandoned.delete(this.abandoned.keys().next().value as string)
+  /** A holder that gave up or was refused may have another `begin` under way, which nobody would act on. */
+  private noteSpent (holder: Holder, atMs: number): void {
+    this.spent.set(holderText(holder), { holder, atMs })
+    if (this.spent.size > MAX_SPENT_HOLDERS) {
+      this.spent.delete(this.spent.keys().next().value as string)
     }
   }
 
@@ -246,11 +251,11 @@
       this.bytes -= entry.answer === undefined ? 0 : answerBytes(entry.answer)
       removed += 1
     }
-    for (const [text, entry] of this.abandoned) {
-      if (entry.atMs + ABANDONED_MS > this.atMs) {
+    for (const [text, entry] of this.spent) {
+      if (entry.atMs + SPENT_HOLDER_MS > this.atMs) {
         break
       }
-      this.abandoned.delete(text)
+      this.spent.delete(text)
     }
   }
 }
--- a/src/parts/records/Types.ts
+++ b/src/parts/records/Types.ts
@@ -74,8 +74,8 @@
   readonly atMs: number
   /** Oldest first. */
   readonly records: readonly StoredRecord[]
-  /** Holders that gave up their grant and may not be granted again, oldest first. */
-  readonly abandoned: ReadonlyArray<{ readonly holder: Holder, readonly atMs: number }>
+  /** Holders that gave up or were refused and may not be granted, oldest first. */
+  readonly spent: ReadonlyArray<{ readonly holder: Holder, readonly atMs: number }>
 }
 
 /** What a run permit is for. */
