--- a/src/parts/configuration/ConfigurationCheck.ts
+++ b/src/parts/configuration/ConfigurationCheck.ts
@@ -12,7 +12,7 @@
   MAX_ZONES,
   MIN_DEADLINE_MS
 } from './Constants.js'
-import type { ChangeRequest, Configuration, Finding } from './Types.js'
+import type { Finding } from './Types.js'
 
 const NAME = `lower-case letters, digits and hyphens, at most ${MAX_NAME_LENGTH} characters`
 const PATTERN = 'METHOD /path-prefix, for example "POST /checkouts"'
@@ -56,10 +56,8 @@
  */
 export function checkConfiguration (input: unknown, place = ''): Finding[] {
   const parsed = configurationShape.safeParse(input)
-  if (!parsed.success) {
-    return parsed.error.issues.map((issue) => findingOf(issue, place))
-  }
-  return findRepeats(parsed.data as Configuration, place)
+  const findings = parsed.success ? [] : parsed.error.issues.map((issue) => findingOf(issue, place))
+  return [...findings, ...findRepeats(input, place)]
 }
 
 /**
@@ -69,27 +67,39 @@
 export function checkChange (input: unknown): Finding[] {
   const parsed = changeShape.safeParse(input)
   const findings = parsed.success ? [] : parsed.error.issues.map((issue) => findingOf(issue, ''))
-  const configuration = (input as Partial<ChangeRequest> | null | undefined)?.configuration
-  return [...findings, ...checkConfiguration(configuration, 'configuration')]
+  return [...findings, ...checkConfiguration(fieldOf(input, 'configuration'), 'configuration')]
 }
 
-function findRepeats (configuration: Configuration, place: string): Finding[] {
-  const names = configuration.services.map((rule) => rule.name)
-  const zones = configuration.zones.map((zone) => `${zone.region}/${zone.zone}`)
-  const findings = [...repeats(names, join(place, 'services'), 'name'), ...repeats(zones, join(place, 'zones'))]
-  configuration.services.forEach((rule, index) => {
+/** Looks at whatever has the right shape, so that repeats are told beside other findings. */
+function findRepeats (input: unknown, place: string): Finding[] {
+  const services = listOf(fieldOf(input, 'services'))
+  const zones = listOf(fieldOf(input, 'zones'))
+  const names = services.map((rule) => fieldOf(rule, 'name'))
+  const places = zones.map((zone) => `${fieldOf(zone, 'region')}/${fieldOf(zone, 'zone')}`)
+  const findings = [...repeats(names, join(place, 'services'), 'name'), ...repeats(places, join(place, 'zones'))]
+  services.forEach((rule, index) => {
     const at = join(place, `services[${index}]`)
-    findings.push(...repeats(rule.guarded, `${at}.guarded`), ...repeats(rule.downloads, `${at}.downloads`))
-    findings.push(...guardedDownloads(rule.guarded, rule.downloads, `${at}.downloads`))
+    const guarded = listOf(fieldOf(rule, 'guarded'))
+    const downloads = listOf(fieldOf(rule, 'downloads'))
+    findings.push(...repeats(guarded, `${at}.guarded`), ...repeats(downloads, `${at}.downloads`))
+    findings.push(...guardedDownloads(guarded, downloads, `${at}.downloads`))
   })
   return findings
 }
 
-function repeats (values: readonly string[], place: string, key?: string): Finding[] {
-  const seen = new Set<string>()
+function fieldOf (value: unknown, key: string): unknown {
+  return value !== null && typeof value === 'object' ? (value as Record<string, unknown>)[key] : undefined
+}
+
+function listOf (value: unknown): unknown[] {
+  return Array.isArray(value) ? value : []
+}
+
+function repeats (values: readonly unknown[], place: string, key?: string): Finding[] {
+  const seen = new Set<unknown>()
   const findings: Finding[] = []
   values.forEach((value, index) => {
-    if (seen.has(value)) {
+    if (typeof value === 'string' && seen.has(value)) {
       const at = `${place}[${index}]${key === undefined ? '' : `.${key}`}`
       findings.push({ place: at, problem: `"${value}" is there twice`, expected: 'each entry once' })
     }
@@ -98,10 +108,10 @@
   return findings
 }
 
-function guardedDownloads (guarded: readonly string[], downloads: readonly string[], place: string): Finding[] {
+function guardedDownloads (guarded: readonly unknown[], downloads: readonly unknown[], place: string): Finding[] {
   const findings: Finding[] = []
   downloads.forEach((download, index) => {
-    if (guarded.includes(download)) {
+    if (typeof download === 'string' && guarded.includes(download)) {
       const problem = `"${download}" is guarded too`
       findings.push({ place: `${place}[${index}]`, problem, expected: 'a pattern that is not guarded' })
     }
--- /dev/null
+++ b/src/parts/configuration/ConfigurationRegister.test.ts
@@ -0,0 +1,133 @@
+import fc from 'fast-check'
+import { expect, test } from 'vitest'
+import { checkChange, checkConfiguration } from './ConfigurationCheck.js'
+import { ConfigurationRegister } from './ConfigurationRegister.js'
+import type { ChangeReply, ChangeRequest, Configuration, RegisterSnapshot } from './Types.js'
+
+const SEED = 4_040
+const SCHEDULES = 1_500
+
+type Step = readonly [number, number, number]
+type Snapshot = (register: ConfigurationRegister) => RegisterSnapshot
+
+const RULE = {
+  name: 'custody',
+  guarded: ['POST /checkouts'],
+  downloads: ['GET /drawings'],
+  keyless: 'refuse' as const,
+  deadlineMs: 1_000,
+  drainMs: 60_000,
+  retryShare: 0.1,
+  maxBodyBytes: 1_048_576
+}
+
+function configurationOf (deadlineMs: number): Configuration {
+  const zones = [{ region: 'kyushu', zone: 'fukuoka' }]
+  return { services: [{ ...RULE, deadlineMs }], zones, measuring: { bytesPerSecond: 4_000, messagesPerCall: 0.2 } }
+}
+
+/** Two operators that race and send again, over replicas that restart from snapshots. */
+function raceOperators (steps: readonly Step[], snapshot: Snapshot): void {
+  let register = new ConfigurationRegister()
+  const sent: ChangeRequest[] = []
+  const first = new Map<string, ChangeReply>()
+  const accepted = new Map<number, string>()
+  const send = (change: ChangeRequest) => {
+    const before = register.inForce.version
+    const reply = register.apply(change, 1)
+    const earlier = first.get(change.operation)
+    if (earlier !== undefined && JSON.stringify(earlier) !== JSON.stringify(reply)) {
+      throw new Error('a repeat got another reply')
+    }
+    if (earlier !== undefined && register.inForce.version !== before) {
+      throw new Error('an operation was applied twice')
+    }
+    if (earlier === undefined && reply.type === 'accepted') {
+      expect([reply.version, change.base, accepted.has(reply.version)]).toEqual([before + 1, before, false])
+      accepted.set(reply.version, change.operation)
+    }
+    first.set(change.operation, reply)
+  }
+  for (const [kind, pick, lag] of steps) {
+    if (kind === 0) {
+      const next = new ConfigurationRegister()
+      next.restore(structuredClone(snapshot(register)))
+      register = next
+    } else if (kind === 1 && sent.length > 0) {
+      send(sent[pick % sent.length] as ChangeRequest)
+    } else {
+      const base = Math.max(0, register.inForce.version - lag % 2)
+      const change = { operation: `operation-${sent.length}`, base, configuration: configurationOf(1 + pick) }
+      sent.push(change)
+      send(change)
+    }
+  }
+}
+
+const steps = fc.array(fc.tuple(fc.nat(3), fc.nat(50), fc.nat(5)), { maxLength: 40, size: 'max' })
+
+test('each operation is applied once and answered the same', () => {
+  const property = fc.property(steps, (schedule) => raceOperators(schedule, (register) => register.snapshot()))
+  fc.assert(property, { seed: SEED, numRuns: SCHEDULES })
+})
+
+test('finds operation ids left out of the snapshot', () => {
+  const forget: Snapshot = (register) => ({ ...register.snapshot(), operations: [] })
+  const property = fc.property(steps, (schedule) => raceOperators(schedule, forget))
+  const result = fc.check(property, { seed: SEED, numRuns: SCHEDULES, endOnFailure: true })
+  expect(String(result.errorInstance)).toContain('a repeat got another reply')
+})
+
+test('of two changes from one version the second is told what is in force and what differs', () => {
+  const register = new ConfigurationRegister()
+  register.apply({ operation: 'a', base: 0, configuration: configurationOf(100) }, 1)
+  const late = { ...configurationOf(200), services: [{ ...RULE, deadlineMs: 200 }, { ...RULE, name: 'vault' }] }
+  expect(register.apply({ operation: 'b', base: 0, configuration: late }, 1)).toEqual({
+    type: 'conflict', inForce: 1, differs: ['services.custody.deadlineMs', 'services.vault']
+  })
+})
+
+test('an operation id with another content is told so', () => {
+  const register = new ConfigurationRegister()
+  register.apply({ operation: 'a', base: 0, configuration: configurationOf(100) }, 1)
+  const other = { operation: 'a', base: 0, configuration: configurationOf(101) }
+  expect(register.apply(other, 1)).toEqual({ type: 'operationReused', version: 1 })
+})
+
+test('past the horizon a repeat is a conflict and never a second change', () => {
+  const register = new ConfigurationRegister({ maxOperations: 3 })
+  for (let base = 0; base < 10; base += 1) {
+    register.apply({ operation: `operation-${base}`, base, configuration: configurationOf(100 + base) }, 1)
+  }
+  const repeat = (base: number) => {
+    return register.apply({ operation: `operation-${base}`, base, configuration: configurationOf(100 + base) }, 1)
+  }
+  expect(repeat(9)).toEqual({ type: 'accepted', version: 10 })
+  expect(repeat(0)).toMatchObject({ type: 'conflict', inForce: 10 })
+  expect(register.inForce.version).toBe(10)
+})
+
+test('a check reports every finding with its place', () => {
+  expect(checkChange({ operation: 'a', base: 0, configuration: configurationOf(10) })).toEqual([])
+  const wrong = { ...RULE, guarded: ['/checkouts'], retryShare: 2, deadlineMs: 0.5 }
+  const configuration = { ...configurationOf(10), services: [RULE, wrong, { ...RULE, extra: 1 }], zones: 'none' }
+  const places = checkChange({ operation: '', base: -1, configuration }).map((finding) => finding.place)
+  expect(places.sort()).toEqual([
+    'base',
+    'configuration.services[1].deadlineMs',
+    'configuration.services[1].guarded[0]',
+    'configuration.services[1].name',
+    'configuration.services[1].retryShare',
+    'configuration.services[2]',
+    'configuration.services[2].name',
+    'configuration.zones',
+    'operation'
+  ])
+})
+
+test('a check takes any input', () => {
+  fc.assert(fc.property(fc.anything(), (input) => {
+    expect(checkConfiguration(input).length).toBeGreaterThan(0)
+    expect(checkChange(input).length).toBeGreaterThan(0)
+  }), { seed: SEED, numRuns: 500 })
+})
