--- a/src/parts/membership/MemberStore.ts
+++ b/src/parts/membership/MemberStore.ts
@@ -15,6 +15,8 @@
 /** What is known of one node. */
 export interface Entry {
   member: Member
+  /** Visible text of the member. */
+  text: string
   life: LifeMark
   silent: boolean
   /** Local time of the last sign of life. */
@@ -168,6 +170,7 @@
     }
     const entry: Entry = {
       member: contentOf(member),
+      text: visibleText(member),
       life: lifeOf(member),
       silent: false,
       renewedAtMs: nowMs,
@@ -187,6 +190,7 @@
     const { service, node, state } = entry.member
     this.index.remove(service, node, textOf(entry))
     entry.member = member
+    entry.text = visibleText(member)
     this.index.add(member.service, node, textOf(entry))
     this.noteTombstone((member.state === 'left' ? 1 : 0) - (state === 'left' ? 1 : 0))
   }
@@ -204,6 +208,9 @@
   }
 
   private setSilent (entry: Entry, silent: boolean): void {
+    if (entry.silent === silent) {
+      return
+    }
     const { service, node } = entry.member
     this.index.remove(service, node, textOf(entry))
     entry.silent = silent
@@ -243,7 +250,7 @@
 
 function changeOf (entry: Entry, before: Description, newer: boolean, nowMs: number): Change {
   const after = describe(entry)
-  const visible = before.text !== after.text
+  const visible = before.presence !== after.presence || before.text !== after.text
   if (visible && after.presence !== 'present') {
     entry.goneAtMs = nowMs
   }
@@ -251,8 +258,7 @@
 }
 
 function describe (entry: Entry): Description {
-  const presence = presenceOf(entry)
-  return { text: `${presence}\n${visibleText(entry.member)}`, presence, incarnation: entry.member.incarnation }
+  return { text: entry.text, presence: presenceOf(entry), incarnation: entry.member.incarnation }
 }
 
 function presenceOf (entry: Entry): Presence {
@@ -263,7 +269,7 @@
 }
 
 function textOf (entry: Entry): string | undefined {
-  return isPresent(entry) ? visibleText(entry.member) : undefined
+  return isPresent(entry) ? entry.text : undefined
 }
 
 function actionOf (entry: Entry, before: Description): MembershipAction {
--- a/src/parts/membership/MembershipTable.ts
+++ b/src/parts/membership/MembershipTable.ts
@@ -70,6 +70,9 @@
   frozenMs: FROZEN_MS
 }
 
+/** Digest of a service without members. */
+const NO_MEMBERS = '0000000000000000'
+
 const NODE_RATE = { membersPerSecond: NODE_MEMBERS_PER_SECOND, burst: NODE_BURST }
 const REPLICA_RATE = { membersPerSecond: REPLICA_MEMBERS_PER_SECOND, burst: REPLICA_BURST }
 
@@ -179,7 +182,7 @@
     } else if (event.digests === undefined || outbox.all) {
       this.queueAll(outbox)
     } else {
-      this.queueDiffering(outbox, this.withMissing(event.digests, outbox.interest))
+      this.queueDiffering(outbox, [...event.digests, ...missingFrom(event.digests, outbox.interest)])
     }
     return []
   }
@@ -188,7 +191,8 @@
     const outbox = this.outboxes.get(event.from)
     if (this.options.role === 'replica') {
       if (outbox !== undefined && this.isWarm()) {
-        this.queueDiffering(outbox, event.digests)
+        const services = outbox.all ? this.store.index.names() : []
+        this.queueDiffering(outbox, [...event.digests, ...missingFrom(event.digests, services)])
       }
       return []
     }
@@ -260,11 +264,6 @@
     }
   }
 
-  private withMissing (digests: readonly ServiceDigest[], services: readonly ServiceName[]): ServiceDigest[] {
-    const told = new Map(digests.map((digest) => [digest.service, digest]))
-    return services.map((service) => told.get(service) ?? { service, digest: '' })
-  }
-
   private differs (digest: ServiceDigest): boolean {
     return this.store.index.digestOf(digest.service).digest !== digest.digest
   }
@@ -352,11 +351,19 @@
     return beats.length === 0 ? [] : replicas.map(([to]) => ({ type: 'sendBeats', to, beats }))
   }
 
+  /** A replica tells its digests; a node announces itself again, in case the announcement was lost. */
   private tellDigests (nowMs: number): MembershipAction[] {
-    if (this.options.role !== 'replica' || nowMs < this.nextDigestMs || !this.isWarm()) {
+    if (nowMs < this.nextDigestMs) {
       return []
     }
     this.nextDigestMs = nowMs + this.options.digestIntervalMs
+    if (this.options.role === 'node') {
+      this.outboxes.forEach((outbox) => this.queueSelf(outbox))
+    }
+    return this.options.role === 'replica' && this.isWarm() ? this.digestsForAll() : []
+  }
+
+  private digestsForAll (): MembershipAction[] {
     const actions: MembershipAction[] = []
     for (const [to, outbox] of this.outboxes) {
       const services = outbox.all ? this.store.index.names() : outbox.interest
@@ -402,3 +409,9 @@
     })
   }
 }
+
+/** A service that a peer does not name is one of which it knows no member. */
+function missingFrom (digests: readonly ServiceDigest[], services: readonly ServiceName[]): ServiceDigest[] {
+  const named = new Set(digests.map((digest) => digest.service))
+  return services.filter((service) => !named.has(service)).map((service) => ({ service, digest: NO_MEMBERS }))
+}
