Answer with the last refusal when nobody is left to ask

Cause: a shed call at a service with one instance was told no-upstream, since the second choice found none and its reason replaced the first's.

--- a/src/node/ingress/IngressCall.ts
+++ b/src/node/ingress/IngressCall.ts
@@ -42,6 +42,7 @@
   private attempts: Attempt[] = []
   private streaming: Attempt | undefined
   private heldAnswer: HeldAnswer | undefined
+  private lastRefusal: Refusal | undefined
   private unknown = false
   private ended = false
   private owedBytes = 0
@@ -140,6 +141,7 @@
       this.answerRefusal(refusal)
       return
     }
+    this.lastRefusal = refusal
     this.excluded.push(attempt.instance)
     this.reportFailure(refusal.disposition, refusal.reason, refusal.retryAfterMs)
   }
@@ -155,7 +157,7 @@
     const id = this.context.nextCall()
     const choice = this.lane.choose(id, this.excluded)
     if (choice.type === 'none') {
-      this.reportFailure('not-run', choice.reason, choice.retryAfterMs)
+      this.handleNoChoice(choice.reason, choice.retryAfterMs)
       return
     }
     const attempt = new Attempt(number, id, choice.instance, this.lane, this.context.clock, this)
@@ -168,6 +170,15 @@
     attempt.start(target, this.buildCall(id))
   }
 
+  // With nobody left to ask, what the last one said tells the caller more.
+  private handleNoChoice (reason: Reason, retryAfterMs: number): void {
+    const othersOut = this.attempts.some(attempt => attempt.isOpen)
+    if (othersOut) this.reportFailure('not-run', reason, retryAfterMs)
+    else if (this.lastRefusal !== undefined) this.giveUp(this.lastRefusal.reason, this.lastRefusal.retryAfterMs)
+    else if (this.heldAnswer !== undefined) this.giveUp(reason, retryAfterMs)
+    else this.reportFailure('not-run', reason, retryAfterMs)
+  }
+
   private hedge (number: number): void {
     const busy = this.attempts.filter(attempt => attempt.isOpen).map(attempt => attempt.instance)
     for (const instance of busy) this.excluded.push(instance)
