Measure what two nodes add to a call, beside two plain proxy chains

Cause: the target is 0.33 ms added at p99 and nothing measured it. Calls of all routes alternate in one open-loop run.

--- /dev/null
+++ b/bench/path.ts
@@ -0,0 +1,173 @@
+/**
+ * Measures what two nodes add to a call over calling the upstream directly, beside two plain proxies in a chain
+ * of the same length. All routes share one run; their calls alternate. `npm run bench:path -- [CALLS]`.
+ */
+import { spawn } from 'node:child_process'
+import type { ChildProcess } from 'node:child_process'
+import { mkdtempSync } from 'node:fs'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { fileURLToPath } from 'node:url'
+import { setTimeout as delay } from 'node:timers/promises'
+import { request } from 'undici'
+import { findFreeAddresses } from '../src/demo/FreePorts.js'
+import { ProcessGroup } from '../src/demo/ProcessGroup.js'
+import { SettingsWriter } from '../src/demo/SettingsWriter.js'
+import type { DemoLayout, PairLayout } from '../src/demo/Types.js'
+import { PairedLoad } from './support/PairedLoad.js'
+import type { Route, RouteResult } from './support/PairedLoad.js'
+import type { ProxyKind } from './support/BaselineProxy.js'
+import { writeResult } from './support/ResultFile.js'
+
+const RATES = [50, 100, 200, 400]
+const DEFAULT_CALLS = 4000
+const WARM_UP_CALLS = 1500
+const WARM_UP_RATE = 300
+const TARGET_ADDED_P99_MS = 0.33
+const PATH = '/lookups/1'
+const KINDS: readonly ProxyKind[] = ['express-got', 'http-undici']
+
+interface CpuUse {
+  readonly user: number
+  readonly system: number
+}
+
+interface RateResult {
+  readonly rate: number
+  readonly routes: readonly RouteResult[]
+  readonly added: ReadonlyArray<{ readonly name: string, readonly p50Ms: number, readonly p99Ms: number }>
+  /** Processor time of each node for one call, in microseconds. */
+  readonly ingressMicros: number
+  readonly upstreamSideMicros: number
+}
+
+async function statusOf (url: string, host: string): Promise<number> {
+  try {
+    const answer = await request(url, { headers: { host } })
+    await answer.body.dump()
+    return answer.statusCode
+  } catch {
+    return 0
+  }
+}
+
+async function waitFor (url: string, host: string): Promise<void> {
+  while (await statusOf(url, host) !== 200) await delay(50)
+}
+
+async function cpuOf (pair: PairLayout): Promise<number> {
+  const answer = await request(`http://${pair.admin}/state`)
+  const { cpuMicros } = await answer.body.json() as { cpuMicros: CpuUse }
+  return cpuMicros.user + cpuMicros.system
+}
+
+async function startMesh (group: ProcessGroup, folder: string): Promise<DemoLayout> {
+  const plan = { region: 'r', zones: ['z'], services: { echo: 1, front: 1 }, slots: 1, connections: 1, serviceTimeMs: 0 }
+  const layout = await new SettingsWriter(plan, folder).write()
+  for (const { id } of layout.replicas) group.start('sassafras-control', id)
+  for (const { id } of layout.pairs) group.start('sassafras-node', `node-${id}`)
+  for (const { admin } of layout.replicas) await waitFor(`http://${admin}/health`, '')
+  const body = JSON.stringify({ operation: 'bench', base: 0, configuration: buildConfiguration() })
+  await fetch(`http://${layout.replicas[0]?.admin}/changes`, {
+    method: 'POST', headers: { 'content-type': 'application/json' }, body
+  })
+  return layout
+}
+
+function portOf (address: string): string {
+  return address.split(':')[1] as string
+}
+
+function startProgram (name: string, args: readonly string[]): ChildProcess {
+  return spawn(process.execPath, [fileURLToPath(new URL(`support/${name}.js`, import.meta.url)), ...args])
+}
+
+function buildConfiguration (): object {
+  const rule = {
+    guarded: [], downloads: [], keyless: 'refuse', deadlineMs: 5000, drainMs: 1000, retryShare: 0.1, maxBodyBytes: 65536
+  }
+  return {
+    services: ['echo', 'front'].map(name => ({ name, ...rule })),
+    zones: [{ region: 'r', zone: 'z' }],
+    measuring: { bytesPerSecond: 12_000, messagesPerCall: 0.01 }
+  }
+}
+
+async function startProxies (target: string): Promise<{ routes: Route[], stop: () => void }> {
+  const routes: Route[] = []
+  const children: ChildProcess[] = []
+  for (const kind of KINDS) {
+    const [first, second] = await findFreeAddresses(2) as [string, string]
+    children.push(startProgram('BaselineProxy', [kind, portOf(first), portOf(second)]))
+    children.push(startProgram('BaselineProxy', [kind, portOf(second), portOf(target)]))
+    routes.push({ name: kind, origin: `http://${first}`, host: 'echo.mesh' })
+    await waitFor(`http://${first}${PATH}`, 'echo.mesh')
+  }
+  return { routes, stop: () => children.forEach(child => child.kill('SIGKILL')) }
+}
+
+async function measure (
+  load: PairedLoad, rate: number, calls: number, ingress: PairLayout, far: PairLayout
+): Promise<RateResult> {
+  const before = [await cpuOf(ingress), await cpuOf(far)] as const
+  const routes = await load.run(rate, calls)
+  const after = [await cpuOf(ingress), await cpuOf(far)] as const
+  const direct = routes[0] as RouteResult
+  const added = routes.slice(1).map(({ name, p50Ms, p99Ms }) => ({
+    name, p50Ms: p50Ms - direct.p50Ms, p99Ms: p99Ms - direct.p99Ms
+  }))
+  return {
+    rate,
+    routes,
+    added,
+    ingressMicros: (after[0] - before[0]) / calls,
+    upstreamSideMicros: (after[1] - before[1]) / calls
+  }
+}
+
+async function main (): Promise<void> {
+  const calls = Number(process.argv[2] ?? DEFAULT_CALLS)
+  const folder = mkdtempSync(join(tmpdir(), 'sassafras-path-'))
+  const group = new ProcessGroup(folder)
+  const layout = await startMesh(group, folder)
+  const [far, ingress] = layout.pairs as [PairLayout, PairLayout]
+  const echoes = layout.pairs.map(pair => startProgram('EchoServer', [pair.service, portOf(pair.upstream), pair.admin]))
+  await waitFor(`http://${ingress.caller}${PATH}`, 'echo.mesh')
+  const proxies = await startProxies(far.upstream)
+  const routes: Route[] = [
+    { name: 'direct', origin: `http://${far.upstream}`, host: 'echo.mesh' },
+    { name: 'nodes', origin: `http://${ingress.caller}`, host: 'echo.mesh' },
+    ...proxies.routes
+  ]
+  const load = new PairedLoad(routes, PATH, 1)
+  await load.run(WARM_UP_RATE, WARM_UP_CALLS)
+  const results: RateResult[] = []
+  for (const rate of RATES) results.push(await measure(load, rate, calls, ingress, far))
+  await load.dispose()
+  proxies.stop()
+  echoes.forEach(echo => echo.kill('SIGKILL'))
+  await group.stopAll()
+  report(results, calls)
+}
+
+function report (results: readonly RateResult[], calls: number): void {
+  const rows = results.flatMap(({ rate, routes, added, ingressMicros, upstreamSideMicros }) => added.map(extra => {
+    const route = routes.find(({ name }) => name === extra.name)
+    return {
+      rate,
+      route: extra.name,
+      addedP50Ms: extra.p50Ms.toFixed(3),
+      addedP99Ms: extra.p99Ms.toFixed(3),
+      failed: route?.failed,
+      ...(extra.name === 'nodes'
+        ? { ingressMicros: Math.round(ingressMicros), upstreamSideMicros: Math.round(upstreamSideMicros) }
+        : {})
+    }
+  }))
+  console.table(rows)
+  const worst = Math.max(...results.map(({ added }) => added[0]?.p99Ms ?? Number.NaN))
+  console.log(`target ${TARGET_ADDED_P99_MS} ms added at p99: ${worst <= TARGET_ADDED_P99_MS ? 'met' : `missed, ${worst.toFixed(3)} ms at worst`}`)
+  writeResult('path', 'npm run bench:path', { calls, targetAddedP99Ms: TARGET_ADDED_P99_MS, rates: results })
+}
+
+await main()
--- a/src/bin/sassafras-demo.ts
+++ b/src/bin/sassafras-demo.ts
@@ -14,7 +14,8 @@
   zones: ['fukuoka', 'kitakyushu', 'kumamoto'],
   services: { catalogue: 3, custody: 2, vault: 2 },
   slots: 6,
-  connections: 240
+  connections: 240,
+  serviceTimeMs: 2
 }, folder, EXAMPLE)
 
 try {
--- a/src/demo/SettingsWriter.ts
+++ b/src/demo/SettingsWriter.ts
@@ -84,7 +84,7 @@
   }
 
   private upstreamSettings (pair: PairLayout): object {
-    const { slots, connections } = this.plan
+    const { slots, connections, serviceTimeMs } = this.plan
     return {
       service: pair.service,
       instance: pair.id,
@@ -93,7 +93,7 @@
       slots,
       connections,
       journal: pair.journal,
-      serviceTime: { kind: 'exponential', meanMs: 2 },
+      serviceTime: serviceTimeMs > 0 ? { kind: 'exponential', meanMs: serviceTimeMs } : { kind: 'constant', ms: 0 },
       log: { level: LOG_LEVEL }
     }
   }
--- a/src/demo/Types.ts
+++ b/src/demo/Types.ts
@@ -37,4 +37,6 @@
   readonly services: Readonly<Record<string, number>>
   readonly slots: number
   readonly connections: number
+  /** Mean service time of the stand-ins; exponential unless 0. */
+  readonly serviceTimeMs: number
 }
