--- a/src/parts/storage/DurableLog.ts
+++ b/src/parts/storage/DurableLog.ts
@@ -1,6 +1,6 @@
 import type { HardState, LogEntry, Snapshot } from '../agreement/Types.js'
 import { ASIDE_SUFFIX, LOG_MAGIC, SNAPSHOT_MAGIC, SYNC_MARK_FILE } from './Constants.js'
-import { entriesAfter, LogReader, type Segment } from './LogReader.js'
+import { continues, LogReader, type Segment } from './LogReader.js'
 import { encodeHeader, encodeRecord } from './RecordFormat.js'
 import { StorageFault } from './StorageFault.js'
 import type { Corruption, Disk, Opened, Persistence, StoredRecord } from './Types.js'
@@ -176,7 +176,8 @@
   }
 
   private _recover (segment: Segment, snapshot: Snapshot): Opened {
-    const entries = entriesAfter(segment, snapshot)
+    const usable = continues(segment, snapshot)
+    const entries = usable ? segment.entries.filter(entry => entry.index > snapshot.index) : []
     this._identity = segment.base.identity
     this._hard = segment.hard
     this._entries = entries
@@ -186,7 +187,7 @@
     this._batch = segment.batch
     this._removeLeftovers()
     if (segment.tornBytes > 0) this._cut(segment)
-    if (segment.base.index !== snapshot.index) this._replace(snapshot, entries)
+    if (!usable) this._replace(snapshot, entries)
     const state = { hard: this._hard, snapshot, entries: [...entries] }
     return { type: 'recovered', identity: this._identity, state, cutBytes: segment.tornBytes }
   }
--- a/src/parts/storage/LogReader.ts
+++ b/src/parts/storage/LogReader.ts
@@ -121,15 +121,13 @@
 }
 
 /**
- * Returns the entries of a segment that follow a snapshot. Those of a segment from before a snapshot
- * which replaced the log are left out.
+ * Tells whether a segment goes on from a snapshot; one from before a snapshot that replaced the log does not.
  * @param segment The segment.
  * @param snapshot The snapshot in force.
  */
-export function entriesAfter (segment: Segment, snapshot: Snapshot): LogEntry[] {
-  const follows = segment.base.index === snapshot.index ||
+export function continues (segment: Segment, snapshot: Snapshot): boolean {
+  return segment.base.index === snapshot.index ||
     segment.entries.some(entry => entry.index === snapshot.index && entry.term === snapshot.term)
-  return follows ? segment.entries.filter(entry => entry.index > snapshot.index) : []
 }
 
 function corrupt (file: string, offset: number, problem: string): { type: 'corrupt', corruption: Corruption } {
