--- /dev/null
+++ b/bench/state.ts
@@ -0,0 +1,43 @@
+import { execFileSync } from 'node:child_process'
+import { mkdirSync, mkdtempSync, rmSync, writeFileSync } from 'node:fs'
+import { availableParallelism, tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { measureCatchUp } from './state/CatchUp.js'
+import { measureCommits } from './state/Commits.js'
+import { measureLeaderLoss } from './state/LeaderLoss.js'
+import { measureLog } from './state/LogWrites.js'
+import { measureRestart } from './state/Restart.js'
+import { measureSnapshots } from './state/Snapshots.js'
+
+const RESULT_FILE = 'bench/results/state.json'
+
+/** The measurements by name; each gets a folder of its own on the disk that is measured. */
+const MEASUREMENTS: Readonly<Record<string, (folder: string) => unknown>> = {
+  logWrites: measureLog,
+  snapshots: measureSnapshots,
+  commits: measureCommits,
+  leaderLoss: measureLeaderLoss,
+  catchUp: measureCatchUp,
+  restart: measureRestart
+}
+
+const chosen = process.argv.slice(2)
+const folder = mkdtempSync(join(process.env['STATE_BENCH_FOLDER'] ?? tmpdir(), 'sassafras-state-'))
+const results: Record<string, unknown> = {}
+for (const [name, measure] of Object.entries(MEASUREMENTS)) {
+  if (chosen.length > 0 && !chosen.includes(name)) continue
+  results[name] = await measure(join(folder, name))
+  console.log(JSON.stringify({ [name]: results[name] }))
+}
+rmSync(folder, { recursive: true, force: true })
+const commit = execFileSync('git', ['rev-parse', '--short', 'HEAD'], { encoding: 'utf8' }).trim()
+mkdirSync('bench/results', { recursive: true })
+writeFileSync(RESULT_FILE, JSON.stringify({
+  commit,
+  cores: availableParallelism(),
+  node: process.version,
+  date: new Date().toISOString(),
+  command: ['npm run bench:state', ...chosen].join(' '),
+  seeds: [1],
+  ...results
+}, undefined, 2) + '\n')
--- /dev/null
+++ b/bench/state/CatchUp.ts
@@ -0,0 +1,63 @@
+import { ControlGroup } from './ControlGroup.js'
+import { round } from './Quantiles.js'
+import { RecordClient } from './RecordClient.js'
+
+const LOG_LENGTHS = [1000, 4000, 16_000, 48_000]
+const IN_FLIGHT = 200
+
+/** Time that a replica takes from its start until it has all entries, in milliseconds. */
+interface CatchUpCost {
+  readonly entries: number
+  /** After a restart with its disk. */
+  readonly restartMs: number
+  /** With an empty disk: under a new identity, from a snapshot or the log, until it is a member. */
+  readonly emptyDiskMs: number
+}
+
+/**
+ * Measures catching up by the number of entries that were written while a follower was away.
+ * @param folder Folder on the disk to measure.
+ */
+export async function measureCatchUp (folder: string): Promise<CatchUpCost[]> {
+  const costs: CatchUpCost[] = []
+  for (const entries of LOG_LENGTHS) costs.push(await measure(`${folder}/${entries}`, entries))
+  return costs
+}
+
+async function measure (folder: string, entries: number): Promise<CatchUpCost> {
+  const group = await ControlGroup.create(folder, 3)
+  group.start()
+  const leader = await group.leader()
+  const follower = (leader + 1) % group.size
+  await group.awaitState(follower, state => state.replica.commitIndex > 0)
+  await group.kill(follower)
+  await write(group.addresses[leader]!, entries)
+  const restartMs = await timeToCatchUp(group, follower, entries)
+  await group.kill(follower)
+  group.wipe(follower)
+  const emptyDiskMs = await timeToCatchUp(group, follower, entries)
+  await group.stop()
+  return { entries, restartMs, emptyDiskMs }
+}
+
+async function timeToCatchUp (group: ControlGroup, follower: number, entries: number): Promise<number> {
+  const startMs = performance.now()
+  group.start(follower)
+  await group.awaitState(follower, ({ replica }) => replica.commitIndex >= entries && replica.role === 'follower')
+  return round(performance.now() - startMs)
+}
+
+async function write (address: string, entries: number): Promise<void> {
+  const client = new RecordClient(address, 'bench')
+  await client.connect()
+  let next = 0
+  const worker = async (): Promise<void> => {
+    while (next < entries) {
+      const call = next++
+      const reply = await client.begin(`key-${call}`, call)
+      if (reply?.type !== 'granted') throw new Error(`answered ${JSON.stringify(reply)}`)
+    }
+  }
+  await Promise.all(Array.from({ length: IN_FLIGHT }, worker))
+  client.dispose()
+}
--- /dev/null
+++ b/bench/state/ControlGroup.ts
@@ -0,0 +1,210 @@
+import { type ChildProcess, spawn } from 'node:child_process'
+import { once } from 'node:events'
+import { mkdirSync, openSync, rmSync, writeFileSync } from 'node:fs'
+import { createServer } from 'node:net'
+import { join } from 'node:path'
+import { fileURLToPath } from 'node:url'
+import type { ReplicaView } from '../../src/parts/agreement/Replica.js'
+import type { ChangeReply, ChangeRequest, VersionedConfiguration } from '../../src/parts/configuration/Types.js'
+
+/** What `GET /state` of a control replica holds, as far as it is used here. */
+export interface ControlState {
+  readonly replica: ReplicaView
+  readonly version: number
+  readonly corruptions: ReadonlyArray<{ readonly file: string, readonly offset: number, readonly problem: string }>
+  readonly records: { readonly count: number }
+}
+
+/** One replica process. */
+interface Member {
+  readonly id: string
+  readonly peer: string
+  readonly admin: string
+  readonly settings: string
+  readonly data: string
+  process: ChildProcess | undefined
+}
+
+const PROGRAM = fileURLToPath(new URL('../../src/bin/sassafras-control.js', import.meta.url))
+const BUILT_PROGRAM = fileURLToPath(new URL('../../dist/src/bin/sassafras-control.js', import.meta.url))
+const POLL_MS = 5
+const REQUEST_TIMEOUT_MS = 3000
+
+/** A control group of real processes on loopback, for benches and tests. */
+export class ControlGroup {
+  private constructor (private readonly _members: readonly Member[]) {}
+
+  /**
+   * Writes settings for a group with free ports.
+   * @param folder Where settings, data and logs go; it is emptied first.
+   * @param size Number of replicas.
+   * @param extra TOML lines for all replicas.
+   */
+  public static async create (folder: string, size: number, extra = ''): Promise<ControlGroup> {
+    rmSync(folder, { recursive: true, force: true })
+    mkdirSync(folder, { recursive: true })
+    const ports = await freePorts(2 * size)
+    const members = Array.from({ length: size }, (_, index): Member => {
+      const id = `c${index + 1}`
+      return {
+        id,
+        peer: `127.0.0.1:${ports[2 * index]}`,
+        admin: `127.0.0.1:${ports[2 * index + 1]}`,
+        settings: join(folder, `${id}.toml`),
+        data: join(folder, id),
+        process: undefined
+      }
+    })
+    members.forEach(member => writeFileSync(member.settings, settingsOf(member, members, extra)))
+    return new ControlGroup(members)
+  }
+
+  /** Number of replicas. */
+  public get size (): number {
+    return this._members.length
+  }
+
+  /** Peer listeners, as nodes use them. */
+  public get addresses (): string[] {
+    return this._members.map(member => member.peer)
+  }
+
+  /** Data folder of a replica. */
+  public dataOf (index: number): string {
+    return this._members[index]!.data
+  }
+
+  /** Starts one replica, or all. */
+  public start (index?: number): void {
+    const members = index === undefined ? this._members : [this._members[index]!]
+    for (const member of members) {
+      const log = openSync(`${member.settings}.log`, 'a')
+      const program = PROGRAM.includes('/dist/') ? PROGRAM : BUILT_PROGRAM
+      member.process = spawn(process.execPath, [program, '--settings', member.settings], { stdio: ['ignore', log, log] })
+    }
+  }
+
+  /** Sends a signal to one replica. */
+  public signal (index: number, signal: NodeJS.Signals): void {
+    this._members[index]!.process?.kill(signal)
+  }
+
+  /** Ends one replica and waits for its exit. */
+  public async kill (index: number, signal: NodeJS.Signals = 'SIGKILL'): Promise<void> {
+    const { process } = this._members[index]!
+    if (process === undefined || process.exitCode !== null || process.signalCode !== null) return
+    const exited = once(process, 'exit')
+    process.kill(signal)
+    await exited
+  }
+
+  /** Resolves with the exit status of one replica. */
+  public async exitOf (index: number): Promise<number | null> {
+    const { process } = this._members[index]!
+    if (process !== undefined && process.exitCode === null) await once(process, 'exit')
+    return process?.exitCode ?? null
+  }
+
+  /** Ends all replicas. */
+  public async stop (): Promise<void> {
+    this._members.forEach(member => member.process?.kill('SIGCONT'))
+    await Promise.all(this._members.map((_, index) => this.kill(index)))
+  }
+
+  /** Deletes the data folder of a replica that does not run. */
+  public wipe (index: number): void {
+    rmSync(this._members[index]!.data, { recursive: true, force: true })
+  }
+
+  /** State of one replica, or undefined when it does not answer. */
+  public async state (index: number): Promise<ControlState | undefined> {
+    return await this._ask<ControlState>(index, '/state', 200)
+  }
+
+  /** Configuration that one replica serves by quorum read, or undefined when it refuses. */
+  public async configuration (index: number): Promise<VersionedConfiguration | undefined> {
+    return await this._ask<VersionedConfiguration>(index, '/configuration', 200)
+  }
+
+  /** Sends a change to one replica, which sends on to the leader. */
+  public async change (index: number, change: ChangeRequest): Promise<ChangeReply | undefined> {
+    const body = JSON.stringify(change)
+    return await this._ask<ChangeReply>(index, '/changes', undefined, { method: 'POST', body })
+  }
+
+  /** Sends a change until it is answered with something else than `unavailable`. */
+  public async changeSurely (index: number, change: ChangeRequest): Promise<ChangeReply> {
+    for (;;) {
+      const reply = await this.change(index, change)
+      if (reply !== undefined && reply.type !== 'unavailable') return reply
+      await pause()
+    }
+  }
+
+  /** Waits for a condition on the state of one replica. */
+  public async awaitState (index: number, holds: (state: ControlState) => boolean): Promise<ControlState> {
+    for (;;) {
+      const state = await this.state(index)
+      if (state !== undefined && holds(state)) return state
+      await pause()
+    }
+  }
+
+  /** Waits for a leader, and returns its number. */
+  public async leader (): Promise<number> {
+    for (;;) {
+      const states = await Promise.all(this._members.map((_, index) => this.state(index)))
+      const terms = states.map(state => state?.replica.role === 'leader' ? state.replica.term : -1)
+      const newest = Math.max(...terms)
+      if (newest >= 0) return terms.indexOf(newest)
+      await pause()
+    }
+  }
+
+  private async _ask<Reply> (
+    index: number,
+    path: string,
+    status: number | undefined,
+    init: RequestInit = {}
+  ): Promise<Reply | undefined> {
+    try {
+      const headers = { 'content-type': 'application/json', connection: 'close' }
+      const signal = AbortSignal.timeout(REQUEST_TIMEOUT_MS)
+      const response = await fetch(`http://${this._members[index]!.admin}${path}`, { ...init, headers, signal })
+      const reply = await response.json() as Reply
+      return status === undefined || response.status === status ? reply : undefined
+    } catch {
+      return undefined
+    }
+  }
+}
+
+/** Lets other processes run before the next poll. */
+export async function pause (): Promise<void> {
+  await new Promise(resolve => setTimeout(resolve, POLL_MS))
+}
+
+function settingsOf (self: Member, members: readonly Member[], extra: string): string {
+  const replicas = members.map(({ id, peer, admin }) => `  { id = "${id}", address = "${peer}", admin = "${admin}" },`)
+  return `id = "${self.id}"
+place = { region = "kyushu", zone = "${self.id}" }
+listen = { peer = "${self.peer}", admin = "${self.admin}" }
+dataFolder = "${self.data}"
+replicas = [
+${replicas.join('\n')}
+]
+${extra}
+`
+}
+
+async function freePorts (count: number): Promise<number[]> {
+  const servers = await Promise.all(Array.from({ length: count }, async () => {
+    const server = createServer()
+    server.listen(0, '127.0.0.1')
+    await once(server, 'listening')
+    return server
+  }))
+  const ports = servers.map(server => (server.address() as { readonly port: number }).port)
+  servers.forEach(server => server.close())
+  return ports
+}
--- /dev/null
+++ b/bench/state/Snapshots.ts
@@ -0,0 +1,56 @@
+import { ControlMachine } from '../../src/control/ControlMachine.js'
+import { DurableLog } from '../../src/parts/storage/DurableLog.js'
+import { FileDisk } from '../../src/platform/FileDisk.js'
+import { SystemClock } from '../../src/platform/SystemClock.js'
+import { round } from './Quantiles.js'
+
+const RECORD_COUNTS = [1000, 10_000, 50_000, 100_000]
+const ANSWER_BYTES = 200
+
+/** Cost of a snapshot of one size, in milliseconds; the loop stands still for each of them. */
+interface SnapshotCost {
+  readonly records: number
+  readonly bytes: number
+  readonly encodeMs: number
+  readonly writeMs: number
+  readonly restoreMs: number
+}
+
+/**
+ * Measures encoding, writing and restoring the group's state by number of answered records.
+ * @param folder Folder on the disk to measure.
+ */
+export function measureSnapshots (folder: string): SnapshotCost[] {
+  return RECORD_COUNTS.map(records => {
+    const clock = new SystemClock()
+    const limits = { maxRecords: 200_000 }
+    const machine = new ControlMachine(limits, clock)
+    for (let index = 1; index <= records; index++) apply(machine, index)
+    const [encodeMs, data] = timed(() => machine.snapshot())
+    const disk = new FileDisk(`${folder}/${records}`)
+    const log = new DurableLog(disk)
+    log.create('bench')
+    const snapshot = { index: records, term: 1, members: ['a', 'b', 'c'], data }
+    const [writeMs] = timed(() => log.stage({ sequence: 1, entries: [], snapshot }))
+    disk.dispose()
+    const [restoreMs] = timed(() => new ControlMachine(limits, clock).restore(data))
+    return { records, bytes: data.length, encodeMs, writeMs, restoreMs }
+  })
+}
+
+function apply (machine: ControlMachine, index: number): void {
+  const record = { service: 'custody', key: `key-${index}` }
+  const holder = { node: 'bench', incarnation: 1, call: index }
+  const answer = { status: 200, headers: [], body: new Uint8Array(ANSWER_BYTES), truncated: false }
+  const commands = [
+    machine.encodeRecord({ type: 'begin', record, fingerprint: 'f'.repeat(16), holder, runForMs: 60_000 }),
+    machine.encodeRecord({ type: 'finish', record, holder, answer })
+  ]
+  commands.forEach((data, step) => machine.apply({ index: 2 * index + step, term: 1, kind: 'command', data }))
+}
+
+function timed<Result> (action: () => Result): [number, Result] {
+  const startMs = performance.now()
+  const result = action()
+  return [round(performance.now() - startMs), result]
+}
--- a/src/parts/agreement/ReplicaLog.ts
+++ b/src/parts/agreement/ReplicaLog.ts
@@ -191,13 +191,14 @@
   }
 
   /**
-   * Returns the last index at or before `from` whose term is at most `term`.
+   * Returns the last index at or before `from` whose term is at most `term`; one before the log in memory
+   * when there is none.
    * @param from Where the search starts.
    * @param term The term.
    */
   public lastAtMostTerm (from: number, term: number): number {
     let index = Math.min(from, this.lastIndex)
-    while (index > this._baseIndex && this.termAt(index)! > term) index--
+    while (index >= this._baseIndex && this.termAt(index)! > term) index--
     return index
   }
 }
