--- a/src/control/ControlMachine.ts
+++ b/src/control/ControlMachine.ts
@@ -19,14 +19,20 @@
   | { readonly type: 'change', readonly reply: ChangeReply }
   | { readonly type: 'record', readonly reply: RecordReply }
 
-/** Body of a snapshot of the group's state. */
-interface ControlSnapshot {
+/** First part of a snapshot of the group's state; lists of records follow. */
+interface SnapshotHead {
   readonly format: 1
   readonly atMs: number
   readonly register: RegisterSnapshot
+  /** Without the records. */
   readonly ledger: LedgerSnapshot
 }
 
+type SnapshotPart = SnapshotHead | LedgerSnapshot['records']
+
+/** Records in one part of a snapshot. */
+const RECORDS_PER_PART = 500
+
 type CommandHandlers = {
   readonly [Type in ControlCommand['type']]:
   (command: Extract<ControlCommand, { type: Type }>, term: number) => ControlReply
@@ -88,22 +94,24 @@
     return handler(command, entry.term)
   }
 
-  /** Encodes the whole state. */
-  public snapshot (): Uint8Array {
+  /** Encodes the whole state in parts. */
+  public snapshot (): Iterator<Uint8Array> {
+    const { records, ...ledger } = this.ledger.snapshot()
     const register = this.register.snapshot()
-    const ledger = this.ledger.snapshot()
-    return encode({ format: 1, atMs: this._atMs, register, ledger } satisfies ControlSnapshot)
+    const head: SnapshotHead = { format: 1, atMs: this._atMs, register, ledger: { ...ledger, records: [] } }
+    return encodeParts(head, records)
   }
 
   /**
    * Replaces the whole state.
-   * @param data Encoded by `snapshot`; empty before any entry.
+   * @param data All parts of `snapshot` in one; empty before any entry.
    */
   public restore (data: Uint8Array): void {
-    const { atMs, register, ledger } = data.length === 0 ? this._initial() : CODEC.decode(data) as ControlSnapshot
+    const [head, ...lists] = data.length === 0 ? [this._initial()] : CODEC.decodeMultiple(data) as SnapshotPart[]
+    const { atMs, register, ledger } = head as SnapshotHead
     this._observe(atMs)
     this.register.restore(register)
-    this.ledger.restore(ledger)
+    this.ledger.restore({ ...ledger, records: (lists as Array<LedgerSnapshot['records']>).flat() })
     this._changes.fire()
   }
 
@@ -114,7 +122,7 @@
     return { type: 'change', reply }
   }
 
-  private _initial (): ControlSnapshot {
+  private _initial (): SnapshotHead {
     const register = new ConfigurationRegister().snapshot()
     const ledger = new IdempotencyLedger(this._limits).snapshot()
     return { format: 1, atMs: 0, register, ledger }
@@ -131,6 +139,13 @@
 }
 
 /** Copies the encoded bytes, since the encoder's are a view of a larger buffer that would stay in memory. */
-function encode (value: ControlCommand | ControlSnapshot): Uint8Array {
+function encode (value: ControlCommand | SnapshotPart): Uint8Array {
   return new Uint8Array(CODEC.encode(value))
 }
+
+function * encodeParts (head: SnapshotHead, records: LedgerSnapshot['records']): Generator<Uint8Array> {
+  yield encode(head)
+  for (let start = 0; start < records.length; start += RECORDS_PER_PART) {
+    yield encode(records.slice(start, start + RECORDS_PER_PART))
+  }
+}
--- a/src/control/GroupHost.ts
+++ b/src/control/GroupHost.ts
@@ -38,6 +38,16 @@
   readonly onFault: (error: Error) => void
 }
 
+/** A snapshot that is being encoded and written, a part in each turn. */
+interface SnapshotJob {
+  readonly index: number
+  readonly parts: Iterator<Uint8Array>
+  readonly written: Uint8Array[]
+}
+
+/** Wait after a snapshot that the disk had no room for. */
+const SNAPSHOT_RETRY_MS = 10_000
+
 type ActionHandlers = {
   readonly [Type in AgreementAction['type']]: (action: Extract<AgreementAction, { type: Type }>) => void
 }
@@ -59,6 +69,8 @@
   private _timer: NodeJS.Timeout | undefined
   private _nextId = 1
   private _snapshotBytes = 0
+  private _job: SnapshotJob | undefined
+  private _snapshotAfterMs = 0
   private _diskFull = false
   private _stopped = false
 
@@ -178,7 +190,7 @@
       this._flush()
       this._queue.splice(0).forEach(event => this._step(event))
       this._stage()
-      this._takeSnapshot()
+      this._snapshotTurn()
       const { commitIndex } = this._replica.view
       if (commitIndex > before) this._applied.fire(commitIndex)
     } catch (error) {
@@ -186,7 +198,8 @@
       this._options.onFault(error as Error)
       return
     }
-    if (this._options.log.hasStaged) this._scheduled ??= setImmediate(() => this._turn())
+    const busy = this._options.log.hasStaged || this._job !== undefined
+    if (busy && !this._diskFull) this._scheduled ??= setImmediate(() => this._turn())
   }
 
   private _step (event: AgreementEvent): void {
@@ -209,7 +222,7 @@
     }
   }
 
-  /** A full disk is waited for: the work stays queued and is tried again at each turn. */
+  /** A full disk is waited for: the work stays queued and is tried again at each tick. */
   private _tryDisk (action: () => void): boolean {
     try {
       action()
@@ -222,15 +235,43 @@
     }
   }
 
-  private _takeSnapshot (): void {
-    const { log, machine, snapshotAfterBytes } = this._options
-    if (log.segmentBytes < Math.max(snapshotAfterBytes, 2 * this._snapshotBytes) || this._diskFull) return
-    const data = machine.snapshot()
+  /** Begins a snapshot when the log has grown, and goes on with one by a part. */
+  private _snapshotTurn (): void {
+    if (this._job === undefined) this._beginSnapshot()
+    else if (!this._tryDisk(() => this._snapshotPart(this._job!))) this._giveUpSnapshot()
+  }
+
+  private _beginSnapshot (): void {
+    const { log, machine, clock, snapshotAfterBytes } = this._options
+    const grown = log.segmentBytes >= Math.max(snapshotAfterBytes, 2 * this._snapshotBytes)
+    if (!grown || this._diskFull || clock.nowMs() < this._snapshotAfterMs) return
+    const index = this._replica.view.commitIndex
+    if (!this._tryDisk(() => log.beginSnapshot(index))) return this._giveUpSnapshot()
+    this._job = { index, parts: machine.snapshot(), written: [] }
+  }
+
+  private _snapshotPart (job: SnapshotJob): void {
+    const next = job.parts.next()
+    if (next.done !== true) {
+      job.written.push(next.value)
+      this._options.log.addSnapshotPart(next.value)
+      return
+    }
+    const data = Buffer.concat(job.written)
+    this._job = undefined
     this._snapshotBytes = data.length
-    this._step({ type: 'snapshotTaken', index: this._replica.view.commitIndex, data })
+    this._step({ type: 'snapshotTaken', index: job.index, data })
     this._stage()
   }
 
+  /** The earlier snapshot stays in force, and proposals go on while the log has room. */
+  private _giveUpSnapshot (): void {
+    this._job = undefined
+    this._options.log.abortSnapshot()
+    this._snapshotAfterMs = this._options.clock.nowMs() + SNAPSHOT_RETRY_MS
+    this._diskFull = this._unstaged.length > 0
+  }
+
   private _apply (action: Extract<AgreementAction, { type: 'commit' }>): void {
     const { entry, id } = action
     const settle = id === undefined ? undefined : this._proposals.get(id)
@@ -241,6 +282,7 @@
 
   private _restore (data: Uint8Array): void {
     this._snapshotBytes = data.length
+    this._job = undefined
     this._options.machine.restore(data)
   }
 
--- a/src/control/StateMachine.ts
+++ b/src/control/StateMachine.ts
@@ -12,12 +12,15 @@
    */
   apply (entry: LogEntry): Reply
 
-  /** Encodes the whole state. */
-  snapshot (): Uint8Array
+  /**
+   * Encodes the whole state, as it is at the call, in parts that are taken one by one while further
+   * entries are applied.
+   */
+  snapshot (): Iterator<Uint8Array>
 
   /**
    * Replaces the whole state.
-   * @param data Encoded by `snapshot`, of this or another replica; empty for the state before any entry.
+   * @param data The parts of `snapshot` in one, of this or another replica; empty for the state before any entry.
    */
   restore (data: Uint8Array): void
 }
--- a/src/parts/storage/Constants.ts
+++ b/src/parts/storage/Constants.ts
@@ -21,3 +21,6 @@
 
 /** Ending of files that are not in force yet. */
 export const ASIDE_SUFFIX = '.tmp'
+
+/** Bytes of a snapshot that are written and synced at once. */
+export const SNAPSHOT_PART_BYTES = 256 * 1024
--- a/src/parts/storage/DurableLog.ts
+++ b/src/parts/storage/DurableLog.ts
@@ -1,11 +1,21 @@
 import type { HardState, LogEntry, Snapshot } from '../agreement/Types.js'
-import { ASIDE_SUFFIX, LOG_MAGIC, SNAPSHOT_MAGIC, SYNC_MARK_FILE } from './Constants.js'
+import { ASIDE_SUFFIX, LOG_MAGIC, SYNC_MARK_FILE } from './Constants.js'
 import { continues, LogReader, type Segment } from './LogReader.js'
 import { encodeHeader, encodeRecord } from './RecordFormat.js'
+import { fileNumber, SnapshotWriter } from './SnapshotWriter.js'
 import { StorageFault } from './StorageFault.js'
 import type { Corruption, Disk, Opened, Persistence, StoredRecord } from './Types.js'
 
-const FILE_NUMBER_DIGITS = 15
+/** A snapshot that is being written while the log goes on. */
+interface PreparedSnapshot {
+  readonly writer: SnapshotWriter
+  /** What the next segment starts with, as of the beginning; the rest is copied from the old one. */
+  readonly head: readonly StoredRecord[]
+  /** Length of the segment at the beginning. */
+  readonly offset: number
+  readonly batch: number
+}
+
 const EMPTY_SNAPSHOT: Snapshot = { index: 0, term: 0, members: [], data: new Uint8Array(0) }
 
 /**
@@ -13,7 +23,7 @@
  * `flush` (group commit). A snapshot is written aside and renamed; then a new segment with what follows
  * it replaces the old one.
  *
- * Memory: the entries since the newest snapshot, which the replica holds anyway, and the staged bytes.
+ * Memory: references to the entries since the newest snapshot, which the replica holds anyway, and the staged bytes.
  *
  * Every method throws `StorageFault`. After `full` the staged records stay and `flush` may be tried
  * again; after `sync-failed` nothing works any more and the process must stop.
@@ -30,6 +40,7 @@
   private _staged: Uint8Array[] = []
   private _stagedSequence = 0
   private _flushedSequence = 0
+  private _prepared: PreparedSnapshot | undefined
   private _fault: StorageFault | undefined
 
   /**
@@ -63,10 +74,10 @@
     const segment = this._reader.readLog(logFile)
     const corruptions = [stored, segment].flatMap(item => item.type === 'corrupt' ? [item.corruption] : [])
     if (stored.type === 'corrupt' || segment.type === 'corrupt') return corrupted(...corruptions)
-    if (segment.content.base.index > stored.content.snapshot.index) {
+    if (segment.content.base.index > stored.content.index) {
       return corrupted({ file: logFile, offset: 0, problem: 'it follows a snapshot that is missing' })
     }
-    return this._recover(segment.content, stored.content.snapshot)
+    return this._recover(segment.content, stored.content)
   }
 
   /**
@@ -105,6 +116,35 @@
     return this._flushedSequence
   }
 
+  /**
+   * Starts to write a snapshot while the log goes on; it comes into force when it is staged.
+   * @param index Index that it will have.
+   */
+  public beginSnapshot (index: number): void {
+    this._check()
+    this.abortSnapshot()
+    if (this._staged.length > 0) this._writeStaged()
+    const head: StoredRecord[] = [{ type: 'hard', hard: this._hard }]
+    this._entries.filter(entry => entry.index > index).forEach(entry => head.push({ type: 'entry', entry }))
+    const writer = this._guard(() => new SnapshotWriter(this._disk, index))
+    this._prepared = { writer, head, offset: this._length, batch: this._batch }
+  }
+
+  /**
+   * Writes the next bytes of the snapshot that was begun.
+   * @param data Bytes of the state.
+   */
+  public addSnapshotPart (data: Uint8Array): void {
+    this._check()
+    this._guard(() => this._prepared?.writer.add(data))
+  }
+
+  /** Drops the snapshot that was begun, if there is one. */
+  public abortSnapshot (): void {
+    this._prepared?.writer.abort()
+    this._prepared = undefined
+  }
+
   private _stageHard (hard: HardState): void {
     this._hard = hard
     this._stageRecord({ type: 'hard', hard })
@@ -115,9 +155,14 @@
     this._stageRecord({ type: 'truncate', from })
   }
 
-  private _stageSnapshot (snapshot: Snapshot, truncateFrom = Infinity): void {
+  private _stageSnapshot (snapshot: Snapshot, truncateFrom?: number): void {
     if (this._staged.length > 0) this._writeStaged()
-    this._replace(snapshot, this._entries.filter(entry => entry.index > snapshot.index && entry.index < truncateFrom))
+    const { index, bytes } = this._prepared?.writer ?? {}
+    const ready = index === snapshot.index && bytes === snapshot.data.length && truncateFrom === undefined
+    if (ready) return this._adopt(this._prepared!, snapshot)
+    this.abortSnapshot()
+    const until = truncateFrom ?? Infinity
+    this._replace(snapshot, this._entries.filter(entry => entry.index > snapshot.index && entry.index < until))
   }
 
   private _stageRecord (record: StoredRecord): void {
@@ -126,31 +171,62 @@
 
   private _writeStaged (): void {
     const bytes = Buffer.concat(this._staged)
-    this._attempt(() => this._disk.append(this._file, bytes), () => this._disk.truncate(this._file, this._length))
-    this._sync(() => this._disk.sync(this._file))
+    this._guard(() => this._appendWhole(bytes))
+    this._guard(() => this._disk.sync(this._file))
     this._staged = []
     this._batch++
     this._length += bytes.length
     this._writeMark()
   }
 
+  /** Appends all or, on a full disk, nothing. */
+  private _appendWhole (bytes: Uint8Array): void {
+    try {
+      this._disk.append(this._file, bytes)
+    } catch (error) {
+      this._disk.truncate(this._file, this._length)
+      throw error
+    }
+  }
+
+  /** Puts a snapshot in force that was written beforehand; the segment's end is copied as it is. */
+  private _adopt (prepared: PreparedSnapshot, snapshot: Snapshot): void {
+    const { writer, head, offset, batch } = prepared
+    this._guard(() => writer.finish(snapshot, this._identity))
+    const tail = this._disk.read(this._file).subarray(offset, this._length)
+    this._startSegment(snapshot, head, batch, tail)
+    this._entries = this._entries.filter(entry => entry.index > snapshot.index)
+    this._prepared = undefined
+  }
+
   /** Writes a snapshot and a segment that follows it, then drops the old ones. */
   private _replace (snapshot: Snapshot, entries: LogEntry[]): void {
-    const snapshotFile = `snapshot-${fileNumber(snapshot.index)}`
-    const body = { identity: this._identity, snapshot }
-    this._writeAside(snapshotFile, [encodeHeader(SNAPSHOT_MAGIC), encodeRecord(body, 0)])
+    this._guard(() => {
+      const writer = new SnapshotWriter(this._disk, snapshot.index)
+      writer.add(snapshot.data)
+      writer.finish(snapshot, this._identity)
+    })
+    const head: StoredRecord[] = [{ type: 'hard', hard: this._hard }]
+    entries.forEach(entry => head.push({ type: 'entry', entry }))
+    this._batch++
+    this._startSegment(snapshot, head, this._batch, new Uint8Array(0))
+    this._entries = entries
+  }
+
+  private _startSegment (
+    { index, term }: Snapshot,
+    head: readonly StoredRecord[],
+    batch: number,
+    tail: Uint8Array
+  ): void {
     const number = this._number + 1
     const file = `log-${fileNumber(number)}`
-    const base: StoredRecord = { type: 'base', index: snapshot.index, term: snapshot.term, identity: this._identity }
-    const records: StoredRecord[] = [base, { type: 'hard', hard: this._hard }]
-    entries.forEach(entry => records.push({ type: 'entry', entry }))
-    const batch = this._batch + 1
-    const written = this._writeAside(file, [encodeHeader(LOG_MAGIC), ...records.map(item => encodeRecord(item, batch))])
-    this._entries = entries
+    const base: StoredRecord = { type: 'base', index, term, identity: this._identity }
+    const records = [base, ...head].map(record => encodeRecord(record, batch))
+    const length = this._writeAside(file, [encodeHeader(LOG_MAGIC), ...records, tail])
     this._file = file
     this._number = number
-    this._batch = batch
-    this._length = written
+    this._length = length
     this._removeLeftovers()
     this._writeMark()
   }
@@ -158,10 +234,12 @@
   private _writeAside (file: string, parts: readonly Uint8Array[]): number {
     const aside = file + ASIDE_SUFFIX
     const bytes = Buffer.concat(parts)
-    this._attempt(() => this._disk.write(aside, bytes), () => this._disk.remove(aside))
-    this._sync(() => this._disk.sync(aside))
-    this._disk.rename(aside, file)
-    this._sync(() => this._disk.syncFolder())
+    this._guard(() => {
+      this._disk.write(aside, bytes)
+      this._disk.sync(aside)
+      this._disk.rename(aside, file)
+      this._disk.syncFolder()
+    })
     return bytes.length
   }
 
@@ -194,30 +272,21 @@
 
   private _cut (segment: Segment): void {
     this._disk.truncate(segment.file, segment.length)
-    this._sync(() => this._disk.sync(segment.file))
+    this._guard(() => this._disk.sync(segment.file))
   }
 
   private _removeLeftovers (): void {
     this._reader.leftovers().forEach(file => this._disk.remove(file))
   }
 
-  private _attempt (write: () => void, undo: () => void): void {
+  /** A disk that is full may be tried again; after any other failure nothing is sure any more. */
+  private _guard<Result> (action: () => Result): Result {
     try {
-      write()
+      return action()
     } catch (error) {
-      undo()
-      throw error
-    }
-  }
-
-  private _sync (action: () => void): void {
-    try {
-      action()
-    } catch (error) {
-      this._fault = error instanceof StorageFault
-        ? error
-        : new StorageFault('sync-failed', this._file, String(error))
-      throw this._fault
+      const fault = error instanceof StorageFault ? error : new StorageFault('io', this._file, String(error))
+      if (fault.failure !== 'full') this._fault = fault
+      throw fault
     }
   }
 
@@ -229,7 +298,3 @@
 function corrupted (...corruptions: Corruption[]): Opened {
   return { type: 'corrupt', corruptions }
 }
-
-function fileNumber (number: number): string {
-  return String(number).padStart(FILE_NUMBER_DIGITS, '0')
-}
--- a/src/parts/storage/LogReader.ts
+++ b/src/parts/storage/LogReader.ts
@@ -1,7 +1,7 @@
 import type { HardState, LogEntry, Snapshot } from '../agreement/Types.js'
 import { ASIDE_SUFFIX, FILE_HEADER_BYTES, LOG_MAGIC, SNAPSHOT_MAGIC, SYNC_MARK_FILE } from './Constants.js'
 import { decodeRecord, hasLaterBatch, headerProblem } from './RecordFormat.js'
-import type { Corruption, Disk, StoredRecord, StoredSnapshot } from './Types.js'
+import type { Corruption, Disk, SnapshotRecord, StoredRecord } from './Types.js'
 
 /** Length up to which a segment was synced, as far as is known. */
 export interface SyncMark {
@@ -58,13 +58,20 @@
    * Reads a snapshot.
    * @param file Its file.
    */
-  public readSnapshot (file: string): Reading<StoredSnapshot> {
+  public readSnapshot (file: string): Reading<Snapshot> {
     const bytes = this._disk.read(file)
     const problem = headerProblem(bytes, SNAPSHOT_MAGIC)
     if (problem !== undefined) return corrupt(file, 0, problem)
-    const found = decodeRecord<StoredSnapshot>(bytes, FILE_HEADER_BYTES)
-    if (found === undefined) return corrupt(file, FILE_HEADER_BYTES, 'the snapshot does not match its checksum')
-    return { type: 'read', content: found.body }
+    const parts: Uint8Array[] = []
+    let offset = FILE_HEADER_BYTES
+    for (;;) {
+      const found = decodeRecord<SnapshotRecord>(bytes, offset)
+      if (found === undefined) return corrupt(file, offset, 'the record does not match its checksum')
+      const { body } = found
+      offset = found.end
+      if (body.type === 'part') parts.push(body.data)
+      else return finishSnapshot(file, body, parts, bytes.length - offset)
+    }
   }
 
   /**
@@ -130,6 +137,18 @@
     segment.entries.some(entry => entry.index === snapshot.index && entry.term === snapshot.term)
 }
 
+function finishSnapshot (
+  file: string,
+  end: Extract<SnapshotRecord, { type: 'end' }>,
+  parts: readonly Uint8Array[],
+  bytesAfter: number
+): Reading<Snapshot> {
+  const data = Buffer.concat(parts)
+  if (data.length !== end.bytes || bytesAfter > 0) return corrupt(file, 0, 'the file is not of the length that it tells')
+  const { index, term, members } = end
+  return { type: 'read', content: { index, term, members, data } }
+}
+
 function corrupt (file: string, offset: number, problem: string): { type: 'corrupt', corruption: Corruption } {
   return { type: 'corrupt', corruption: { file, offset, problem } }
 }
--- /dev/null
+++ b/src/parts/storage/SnapshotWriter.ts
@@ -0,0 +1,72 @@
+import type { Snapshot } from '../agreement/Types.js'
+import { ASIDE_SUFFIX, SNAPSHOT_MAGIC, SNAPSHOT_PART_BYTES } from './Constants.js'
+import { encodeHeader, encodeRecord } from './RecordFormat.js'
+import type { Disk, SnapshotRecord } from './Types.js'
+
+const FILE_NUMBER_DIGITS = 15
+
+/** Writes one snapshot aside, in parts that are synced one by one. It is not in force before `finish`. */
+export class SnapshotWriter {
+  public readonly file: string
+  private readonly _aside: string
+  private _bytes = 0
+
+  /**
+   * @param _disk Where the file goes.
+   * @param index Index of the snapshot.
+   */
+  public constructor (
+    private readonly _disk: Disk,
+    public readonly index: number
+  ) {
+    this.file = `snapshot-${fileNumber(index)}`
+    this._aside = this.file + ASIDE_SUFFIX
+    this._disk.write(this._aside, encodeHeader(SNAPSHOT_MAGIC))
+  }
+
+  /** Bytes of the state written so far. */
+  public get bytes (): number {
+    return this._bytes
+  }
+
+  /**
+   * Writes and syncs some of the state.
+   * @param data The next bytes of it.
+   */
+  public add (data: Uint8Array): void {
+    for (let offset = 0; offset < data.length; offset += SNAPSHOT_PART_BYTES) {
+      this._append({ type: 'part', data: data.subarray(offset, offset + SNAPSHOT_PART_BYTES) })
+    }
+    this._bytes += data.length
+    this._disk.sync(this._aside)
+  }
+
+  /**
+   * Ends the file and puts it in force.
+   * @param snapshot The snapshot whose state was added.
+   * @param identity Whose disk this is.
+   */
+  public finish ({ index, term, members }: Snapshot, identity: string): void {
+    this._append({ type: 'end', identity, index, term, members, bytes: this._bytes })
+    this._disk.sync(this._aside)
+    this._disk.rename(this._aside, this.file)
+    this._disk.syncFolder()
+  }
+
+  /** Drops what was written. */
+  public abort (): void {
+    this._disk.remove(this._aside)
+  }
+
+  private _append (record: SnapshotRecord): void {
+    this._disk.append(this._aside, encodeRecord(record, 0))
+  }
+}
+
+/**
+ * Returns a number as it stands in file names, so that names sort by it.
+ * @param number The number.
+ */
+export function fileNumber (number: number): string {
+  return String(number).padStart(FILE_NUMBER_DIGITS, '0')
+}
--- a/src/parts/storage/Types.ts
+++ b/src/parts/storage/Types.ts
@@ -37,11 +37,17 @@
   | { readonly type: 'entry', readonly entry: LogEntry }
   | { readonly type: 'truncate', readonly from: number }
 
-/** Body of a snapshot file. */
-export interface StoredSnapshot {
-  readonly identity: string
-  readonly snapshot: Snapshot
-}
+/** One record of a snapshot file: parts in order, then the end. */
+export type SnapshotRecord =
+  | { readonly type: 'part', readonly data: Uint8Array }
+  | {
+    readonly type: 'end',
+    readonly identity: string,
+    readonly index: number,
+    readonly term: number,
+    readonly members: Snapshot['members'],
+    readonly bytes: number
+  }
 
 /** What must be kept; the shape of the replica's `persist` action. */
 export interface Persistence {
