Forget members that control only knows as silent in an older sequence

A node knew a member in a sequence that died with its control replica. The next replica only knew an older sequence, as silent; the node refused that as stale, and each whole service counted as naming the member, so that a dead upstream stayed a candidate for good. Only live mentions count as naming now.

The schedules now cut the two replicas from each other, and let a node move without a new sequence.

Also: a register makes no difference from version 0, since a node without any version needs a whole copy, and a follower tells at most 8 peers at once of a new version; more would be told by the peers themselves.

--- a/src/parts/configuration/ConfigurationFollower.ts
+++ b/src/parts/configuration/ConfigurationFollower.ts
@@ -1,7 +1,7 @@
 import type { Part } from '../Types.js'
 import { applyDifference } from './ConfigurationDifference.js'
 import { digestOf } from './ConfigurationDigest.js'
-import { ASK_RETRY_MS, CONTROL_SOURCE, LEASE_MS, MAX_PEERS, PEER_COPY_DELAY_MS } from './Constants.js'
+import { ASK_RETRY_MS, CONTROL_SOURCE, LEASE_MS, MAX_OFFERS, MAX_PEERS, PEER_COPY_DELAY_MS } from './Constants.js'
 import type {
   FollowerAction,
   FollowerCounters,
@@ -244,15 +244,13 @@
     }
   }
 
+  /** Tells some peers that are behind; those told last stand at the end, so that the next change reaches others. */
   private offerToPeers (version: Version): FollowerAction[] {
-    const actions: FollowerAction[] = []
-    for (const [to, known] of this.peers) {
-      if (known < version) {
-        this.peers.set(to, version)
-        actions.push({ type: 'offer', to, version })
-      }
-    }
-    return actions
+    const behind = [...this.peers].filter(([, known]) => known < version).slice(0, MAX_OFFERS)
+    return behind.map(([to]) => {
+      this.notePeer(to, version)
+      return { type: 'offer', to, version }
+    })
   }
 
   private tellState (nowMs: number): FollowerAction[] {
--- a/src/parts/configuration/ConfigurationRegister.ts
+++ b/src/parts/configuration/ConfigurationRegister.ts
@@ -133,6 +133,10 @@
   }
 
   private keepHistory (): void {
+    // A receiver without any version has nothing that a difference could start from.
+    if (this.current.version === 0) {
+      return
+    }
     this.history.set(this.current.version, this.current)
     this.history.delete(this.current.version - MAX_HISTORY)
   }
--- a/src/parts/configuration/Constants.ts
+++ b/src/parts/configuration/Constants.ts
@@ -13,6 +13,9 @@
 /** Peers whose versions a follower remembers. */
 export const MAX_PEERS = 64
 
+/** Peers that are told at once of a version that came into force. */
+export const MAX_OFFERS = 8
+
 /** Operation ids that the register remembers; the oldest goes first. */
 export const MAX_OPERATIONS = 16_384
 
--- a/src/parts/membership/MemberStore.ts
+++ b/src/parts/membership/MemberStore.ts
@@ -109,7 +109,9 @@
     if (entry === undefined) {
       return this.add(member, direct, nowMs)
     }
-    entry.missingSinceMs = undefined
+    if (isLive(member)) {
+      entry.missingSinceMs = undefined
+    }
     const order = compareContent(member, entry.member)
     if (order < 0) {
       this.staleCount += 1
@@ -231,6 +233,14 @@
   }
 }
 
+/**
+ * Returns whether a member was sent as neither silent nor left.
+ * @param member Member as it was received.
+ */
+export function isLive (member: Member): boolean {
+  return member.silent !== true && member.state !== 'left'
+}
+
 /**
  * Returns whether a member is neither silent nor left.
  * @param entry Entry of a store.
--- a/src/parts/membership/MembershipTable.test.ts
+++ b/src/parts/membership/MembershipTable.test.ts
@@ -41,6 +41,7 @@
   private readonly upstreams = new Map<string, Upstream>()
   private network: Message[] = []
   private nowMs = 0
+  private cut = false
 
   private readonly kinds: ReadonlyArray<(pick: number) => void> = [
     (pick) => this.announce(pick),
@@ -55,7 +56,8 @@
     () => this.beat(),
     (pick) => this.tick(pick % 1_000),
     (pick) => { this.nowMs += pick % 5_000 },
-    (pick) => this.feed(REPLICAS[pick % 2] as string, { type: 'tick' })
+    (pick) => this.feed(REPLICAS[pick % 2] as string, { type: 'tick' }),
+    (pick) => this.cutReplicas(pick % 2 === 0)
   ]
 
   public constructor (fault: Fault) {
@@ -89,18 +91,23 @@
   }
 
   private joinReplicas (): void {
+    if (this.cut) {
+      return
+    }
     for (const [index, name] of REPLICAS.entries()) {
       const other = REPLICAS[1 - index] as string
       this.feed(name, { type: 'interest', from: other, services: ['*'] })
     }
   }
 
-  /** A node announces itself with a new sequence to the control replica that it attaches to. */
-  private connect (node: string, home: string): void {
+  /** A node attaches to a control replica; it may announce itself with a new sequence or with the old one. */
+  private connect (node: string, home: string, anew = true): void {
     const upstream = this.upstreams.get(node) as Upstream
     this.disconnect(node)
     upstream.home = home
-    this.tell(upstream, { state: upstream.member.state })
+    if (anew) {
+      this.tell(upstream, {})
+    }
     this.feed(node, { type: 'interest', from: home, services: ['*'] })
     const digests = (this.sites.get(node) as Site).table.digests()
     this.network.push({ from: node, to: home, event: { type: 'interest', from: node, services: SERVICES, digests } })
@@ -134,7 +141,7 @@
   private move (pick: number): void {
     const upstream = this.upstream(pick)
     if (upstream.alive) {
-      this.connect(upstream.member.node, REPLICAS[Math.floor(pick / 4) % 2] as string)
+      this.connect(upstream.member.node, REPLICAS[Math.floor(pick / 4) % 2] as string, pick % 3 === 0)
     }
   }
 
@@ -165,6 +172,23 @@
     attached.forEach((upstream) => this.connect(upstream.member.node, REPLICAS[1 - pick % 2] as string))
   }
 
+  private cutReplicas (cut: boolean): void {
+    if (this.cut === cut) {
+      return
+    }
+    this.cut = cut
+    this.joinReplicas()
+    this.network = this.network.filter((message) => !this.isCut(message))
+    if (cut) {
+      this.feed('r1', { type: 'lost', from: 'r2' })
+      this.feed('r2', { type: 'lost', from: 'r1' })
+    }
+  }
+
+  private isCut ({ from, to }: Pick<Message, 'from' | 'to'>): boolean {
+    return this.cut && REPLICAS.includes(from) && REPLICAS.includes(to)
+  }
+
   private beat (): void {
     for (const { member, alive, home } of this.upstreams.values()) {
       if (alive && home !== undefined) {
@@ -237,6 +261,7 @@
   }
 
   private settle (): void {
+    this.cutReplicas(false)
     for (const { member, alive, home } of this.upstreams.values()) {
       if (alive && home === undefined) {
         this.connect(member.node, REPLICAS[0] as string)
@@ -275,7 +300,7 @@
   return { node, service, incarnation: 1, sequence: 0, state: 'serving', address, place, slots: 9, ...change }
 }
 
-const steps = fc.array(fc.tuple(fc.nat(12), fc.nat(9_999)), { maxLength: STEPS, size: 'max' })
+const steps = fc.array(fc.tuple(fc.nat(13), fc.nat(9_999)), { maxLength: STEPS, size: 'max' })
 
 function holds (fault: Fault) {
   return fc.property(steps, (schedule) => new World(fault).run(schedule))
@@ -387,3 +412,16 @@
   const last = table.step({ type: 'tick' }, 3_000).flatMap((action) => action.type === 'send' ? action.members : [])
   expect([...sent, ...last].at(-1)?.slots).toBe(2_000)
 })
+
+test('a node forgets a member that control only knows as silent in an older sequence', () => {
+  const table = new MembershipTable({ role: 'node', self: 'n9' })
+  table.step({ type: 'merge', from: 'home', members: [memberOf('n1', 'menus', { sequence: 5 })] }, 0)
+  const whole = { from: 'home', members: [memberOf('n1', 'menus', { sequence: 4, silent: true })], whole: ['menus'] }
+  const forgotten: number[] = []
+  for (let nowMs = 0; nowMs <= 40_000; nowMs += 10_000) {
+    if (table.step({ type: 'merge', ...whole }, nowMs).some((action) => action.type === 'silent')) {
+      forgotten.push(nowMs)
+    }
+  }
+  expect([forgotten, table.membersOf('menus')]).toEqual([[30_000], []])
+})
--- a/src/parts/membership/MembershipTable.ts
+++ b/src/parts/membership/MembershipTable.ts
@@ -18,7 +18,7 @@
   WARM_UP_MS
 } from './Constants.js'
 import { MemberOutbox } from './MemberOutbox.js'
-import { type Change, MemberStore, isPresent, wireOf } from './MemberStore.js'
+import { type Change, MemberStore, isLive, isPresent, wireOf } from './MemberStore.js'
 import type { Beat, Member, MembershipAction, MembershipEvent, ServiceDigest } from './Types.js'
 
 /** Where the table runs: a `node` tells only of itself, a `replica` of control tells all and holds the leases. */
@@ -165,7 +165,8 @@
   private takeMerge (event: EventOf<'merge'>, nowMs: number): MembershipAction[] {
     const actions = event.members.flatMap((member) => this.take(member, event.from, nowMs))
     if (this.options.role === 'node' && event.whole !== undefined) {
-      actions.push(...this.dropMissing(event.whole, new Set(event.members.map((member) => member.node)), nowMs))
+      const live = event.members.filter(isLive).map((member) => member.node)
+      actions.push(...this.dropMissing(event.whole, new Set(live), nowMs))
     }
     return actions
   }
@@ -268,15 +269,19 @@
     return this.store.index.digestOf(digest.service).digest !== digest.digest
   }
 
+  /**
+   * Forgets members that the control replica does not know as live for long. It may know one only as silent in an
+   * older sequence, when the replica that heard the newer one is gone.
+   */
   private dropMissing (
     services: readonly ServiceName[],
-    named: ReadonlySet<NodeId>,
+    live: ReadonlySet<NodeId>,
     nowMs: number
   ): MembershipAction[] {
     const actions: MembershipAction[] = []
     for (const entry of services.flatMap((service) => this.store.entriesOf(service))) {
       const node = entry.member.node
-      if (named.has(node) || node === this.options.self || !isPresent(entry)) {
+      if (live.has(node) || node === this.options.self || !isPresent(entry)) {
         continue
       }
       entry.missingSinceMs ??= nowMs
