--- a/src/load/LoadRun.test.ts
+++ b/src/load/LoadRun.test.ts
@@ -115,6 +115,19 @@
   expect(second.nextDueMs).toBeUndefined()
 })
 
+test('over small seeds, the first call of a stream comes after its mean gap', () => {
+  const SEEDS = 200
+  const meanGapMs = 1000
+  let sumMs = 0
+  for (let seed = 0; seed < SEEDS; seed++) {
+    const streams = [{ kind: 'lookup', service: 'a', rate: 1 }]
+    const plan = loadPlan.parse({ targets: ['127.0.0.1:1'], durationMs: 3_600_000, seed, streams })
+    sumMs += new Schedule(plan, 'a').nextDueMs ?? Number.NaN
+  }
+  // Six standard deviations of the mean of exponential gaps.
+  expect(Math.abs(sumMs / SEEDS - meanGapMs)).toBeLessThan(6 * meanGapMs / Math.sqrt(SEEDS))
+})
+
 test('a stall counts against every call that was due in it', () => {
   const recorder = new LatencyRecorder(1000)
   for (let dueMs = 0; dueMs < 1000; dueMs++) recorder.record(dueMs, 1000 - dueMs)
