Measure ways of choosing in virtual time; weigh expected waits with their uncertainty

Change: the wait is the mean of the positive part of load minus slots under the uncertainty of old evidence, own calls still on the way are not counted as others', a slow-down is remembered as long as it has lasted, and what the newest service time explains is not held against an instance twice.

--- /dev/null
+++ b/bench/virtual/HostNode.ts
@@ -0,0 +1,103 @@
+import { AdmissionController } from '../../src/parts/admission/AdmissionController.js'
+import type { AdmissionAction } from '../../src/parts/admission/Types.js'
+import type { AttemptOutcome, Candidate, CandidateState } from '../../src/parts/choice/Types.js'
+import type { CallId, LoadEvidence, Place, Random, Reason } from '../../src/parts/Types.js'
+import { FakeUpstream } from './FakeUpstream.js'
+import type { VirtualClock } from './VirtualClock.js'
+import { Wakeup } from './Wakeup.js'
+
+/** What the upstream's node answers to an attempt. */
+export interface HostReply {
+  readonly outcome: AttemptOutcome
+  readonly evidence: LoadEvidence
+  readonly reason: Reason
+  readonly retryAfterMs: number
+}
+
+type Reply = (reply: HostReply) => void
+
+/** The upstream side of a node: admission in front of the fake upstream, and nothing else. */
+export class HostNode {
+  public readonly upstream: FakeUpstream
+  public state: CandidateState = 'serving'
+  /** Attempts on their way here, which only the oracle may see. */
+  public inTransit = 0
+  private readonly admission: AdmissionController
+  private readonly wakeup: Wakeup
+  private readonly replies = new Map<CallId, Reply>()
+
+  public constructor (
+    private readonly clock: VirtualClock,
+    random: Random,
+    public readonly index: number,
+    public readonly place: Place,
+    slots: number,
+    /** Slots that the upstream announces; more than it has when it lies. */
+    private readonly announcedSlots: number
+  ) {
+    this.upstream = new FakeUpstream(clock, random, slots)
+    this.wakeup = new Wakeup(clock, () => this.tick())
+    this.admission = new AdmissionController(random)
+    this.admission.step({ type: 'capacity', slots: announcedSlots }, clock.nowMs)
+  }
+
+  /** Entry of this instance in the list that choosers get. */
+  public candidate (): Candidate {
+    return { instance: String(this.index), place: this.place, state: this.state, slots: this.announcedSlots }
+  }
+
+  /** What the node knows of its load. */
+  public evidence (): LoadEvidence {
+    return this.admission.evidence()
+  }
+
+  /**
+   * @param call Names the attempt.
+   * @param deadlineAtMs When its caller gives up.
+   * @param reply Called once, unless the instance is lost.
+   */
+  public receive (call: CallId, deadlineAtMs: number, reply: Reply): void {
+    if (this.upstream.behaviour === 'lost') {
+      return
+    }
+    this.replies.set(call, reply)
+    this.apply(this.admission.step({ type: 'arrive', call, kind: 'lookup', deadlineAtMs }, this.clock.nowMs))
+  }
+
+  /** @param call Attempt that nobody waits for any more. */
+  public cancel (call: CallId): void {
+    this.apply(this.admission.step({ type: 'cancel', call }, this.clock.nowMs))
+  }
+
+  private apply (actions: readonly AdmissionAction[]): void {
+    for (const action of actions) {
+      if (action.type === 'start') {
+        this.upstream.start((ok, serviceMs) => this.finished(action.call, ok, serviceMs))
+      } else if (action.type === 'refuse') {
+        const outcome = action.reason === 'cancelled' ? 'cancelled' : 'refused'
+        this.reply(action.call, outcome, action.reason, action.retryAfterMs)
+      } else if (action.type === 'wake') {
+        this.wakeup.ask(action.atMs)
+      }
+    }
+  }
+
+  private tick (): void {
+    this.apply(this.admission.step({ type: 'tick' }, this.clock.nowMs))
+  }
+
+  private finished (call: CallId, ok: boolean, serviceMs: number): void {
+    const outcome = ok ? 'ok' : 'error'
+    const actions = this.admission.step({ type: 'finish', call, outcome, serviceMs }, this.clock.nowMs)
+    this.reply(call, outcome, 'upstream-failed', 0)
+    this.apply(actions)
+  }
+
+  private reply (call: CallId, outcome: AttemptOutcome, reason: Reason, retryAfterMs: number): void {
+    const reply = this.replies.get(call)
+    this.replies.delete(call)
+    if (this.upstream.behaviour !== 'lost') {
+      reply?.({ outcome, evidence: this.evidence(), reason, retryAfterMs })
+    }
+  }
+}
--- /dev/null
+++ b/bench/virtual/Mesh.ts
@@ -0,0 +1,216 @@
+import { MeasuringBudget } from '../../src/parts/budget/MeasuringBudget.js'
+import { SeededRandom } from '../../src/parts/SeededRandom.js'
+import type { Place } from '../../src/parts/Types.js'
+import { MEAN_WORK_MS } from './FakeUpstream.js'
+import { HostNode } from './HostNode.js'
+import { Ingress } from './Ingress.js'
+import { Stats } from './Stats.js'
+import { POLL_MS, createStrategy, learner } from './Strategies.js'
+import type { StrategyName } from './Strategies.js'
+import { VirtualClock } from './VirtualClock.js'
+
+/** Number of instances, their slots, and the nodes that callers come to. */
+export interface Size {
+  readonly name: string
+  readonly instances: number
+  readonly slots: number
+  readonly ingresses: number
+}
+
+/** What one run is made of. */
+export interface RunPlan {
+  readonly size: Size
+  readonly strategy: StrategyName
+  readonly seed: number
+  /** Offered load over the nominal capacity of the service. */
+  readonly load: number
+  /** How often callers come back after a refusal. */
+  readonly callerTries: number
+  /** Slots that instance 0 announces over those that it has. */
+  readonly announcedFactor: number
+  /** Whether instance 0 reports no load, whatever it has. */
+  readonly lies: boolean
+  readonly measureFromMs: number
+  readonly measureToMs: number
+}
+
+const ZONES = 3
+const SAME_ZONE_DELAY_MS = 0.1
+const OTHER_ZONE_DELAY_MS = 1
+const TICK_MS = 25
+const LINK_TIMEOUT_MS = 300
+const PROBE_BYTES = 64
+const POLL_BYTES = 200
+const BUDGET = { bytesPerSecond: 12_000, messagesPerCall: 0.01 }
+
+/** Joins hosts, ingress nodes and callers on one virtual clock, with constant delays. */
+export class Mesh {
+  public readonly clock = new VirtualClock()
+  public readonly hosts: HostNode[]
+  public readonly ingresses: Ingress[]
+  public readonly stats = new Stats()
+  public readonly deadlineMs = 1000
+  private readonly random: SeededRandom
+  private readonly linkUp: boolean[]
+  private readonly budgets: MeasuringBudget[]
+  private readonly reports: number[]
+  private lastId = 0
+
+  public constructor (public readonly plan: RunPlan) {
+    const { size, seed } = plan
+    this.random = new SeededRandom(seed * 7919 + 1)
+    this.hosts = Array.from({ length: size.instances }, (_none, index) => {
+      const announced = index === 0 ? size.slots * plan.announcedFactor : size.slots
+      const work = new SeededRandom(seed * 104_729 + index)
+      return new HostNode(this.clock, work, index, placeOf(index), size.slots, announced)
+    })
+    this.linkUp = this.hosts.map(() => true)
+    this.reports = this.hosts.map(() => 0)
+    this.ingresses = Array.from({ length: size.ingresses }, (_none, index) => {
+      return new Ingress(this, index, placeOf(index))
+    })
+    this.budgets = this.ingresses.map(() => new MeasuringBudget(BUDGET))
+    for (const ingress of this.ingresses) {
+      this.addStrategy(ingress)
+    }
+    this.startPolls()
+    this.startTicks()
+    this.startArrivals()
+  }
+
+  /** Calls a second that the service can take at normal speed. */
+  public get capacityPerSecond (): number {
+    const { instances, slots } = this.plan.size
+    return instances * slots * 1000 / MEAN_WORK_MS
+  }
+
+  /** Names of calls and attempts. */
+  public nextId (): number {
+    this.lastId += 1
+    return this.lastId
+  }
+
+  /** One-way delay between two places. */
+  public delayMs (from: Place, to: Place): number {
+    return from.zone === to.zone ? SAME_ZONE_DELAY_MS : OTHER_ZONE_DELAY_MS
+  }
+
+  /** @param count What to count if the moment lies in the measured span. */
+  public counting (count: (stats: Stats) => void): void {
+    const { measureFromMs, measureToMs } = this.plan
+    if (this.clock.nowMs >= measureFromMs && this.clock.nowMs < measureToMs) {
+      count(this.stats)
+    }
+  }
+
+  /** Tells all ingress nodes, after the time that news takes, of the members and links as they are then. */
+  public announce (afterMs: number): void {
+    this.clock.after(afterMs, () => {
+      for (const ingress of this.ingresses) {
+        ingress.changed(this.linkUp)
+      }
+    })
+  }
+
+  /** The instance and its node stop answering; links to it are found dead after the heartbeat limit. */
+  public lose (index: number): void {
+    const host = this.hosts[index]
+    if (host === undefined) {
+      return
+    }
+    host.upstream.behaviour = 'lost'
+    this.clock.after(LINK_TIMEOUT_MS, () => {
+      this.linkUp[index] = false
+      this.announce(0)
+      for (const ingress of this.ingresses) {
+        ingress.linkDown(host)
+      }
+    })
+  }
+
+  /** A caller that comes back; it goes to another node when its own is lost. */
+  public arriveAnywhere (ingress: Ingress, triesLeft: number): void {
+    const target = ingress.alive ? ingress : this.anyIngress()
+    target.arrive(triesLeft)
+  }
+
+  private addStrategy (ingress: Ingress): void {
+    ingress.strategy = createStrategy(this.plan.strategy, {
+      place: ingress.place,
+      random: new SeededRandom(this.plan.seed * 15_485_863 + ingress.index * 101 + 7),
+      hosts: this.hosts,
+      rttMs: host => 2 * this.delayMs(ingress.place, host.place),
+      report: host => this.reports[host.index] ?? 0,
+      probe: host => this.probe(ingress, host)
+    })
+    ingress.changed(this.linkUp)
+  }
+
+  private startArrivals (): void {
+    const perMs = this.capacityPerSecond * this.plan.load / 1000
+    const next = (): void => {
+      this.clock.after(-Math.log(1 - this.random.next()) / perMs, () => {
+        const ingress = this.anyIngress()
+        this.counting(stats => { stats.calls += 1 })
+        this.budgets[ingress.index]?.step({ type: 'served', calls: 1 }, this.clock.nowMs)
+        ingress.arrive(this.plan.callerTries)
+        next()
+      })
+    }
+    next()
+  }
+
+  private anyIngress (): Ingress {
+    const alive = this.ingresses.filter(ingress => ingress.alive)
+    return alive[Math.floor(this.random.next() * alive.length)] as Ingress
+  }
+
+  private startTicks (): void {
+    this.clock.after(TICK_MS, () => {
+      for (const ingress of this.ingresses) {
+        ingress.strategy?.tick(this.clock.nowMs)
+      }
+      this.startTicks()
+    })
+  }
+
+  /** Each ingress node polls each load endpoint; one poll stands for all, because all see the same lag. */
+  private startPolls (): void {
+    if (this.plan.strategy !== 'twoReport') {
+      return
+    }
+    this.hosts.forEach((host, index) => {
+      const lies = this.plan.lies && index === 0
+      this.reports[index] = lies ? 0 : host.evidence().inFlight + host.evidence().queued
+      this.measure(2 * this.ingresses.length, POLL_BYTES)
+    })
+    this.clock.after(POLL_MS, () => this.startPolls())
+  }
+
+  private measure (messages: number, bytesEach: number): void {
+    this.counting(stats => {
+      stats.measuringMessages += messages
+      stats.measuringBytes += messages * bytesEach
+    })
+  }
+
+  /** Asks a host's node for its evidence, if the budget of the asking VM grants it. */
+  private probe (ingress: Ingress, host: HostNode): void {
+    const request = { type: 'request', id: this.nextId(), kind: 'probe', bytes: 2 * PROBE_BYTES, messages: 2 } as const
+    const granted = this.budgets[ingress.index]?.step(request, this.clock.nowMs)[0]?.type === 'granted'
+    if (!granted) {
+      return
+    }
+    this.measure(2, PROBE_BYTES)
+    const delayMs = this.delayMs(ingress.place, host.place)
+    this.clock.after(2 * delayMs, () => {
+      if (host.upstream.behaviour !== 'lost' && ingress.strategy !== undefined) {
+        learner(ingress.strategy)?.learn(host.index, host.evidence(), this.clock.nowMs)
+      }
+    })
+  }
+}
+
+function placeOf (index: number): Place {
+  return { region: 'region', zone: `zone-${index % ZONES}` }
+}
--- /dev/null
+++ b/bench/virtual/Scenarios.ts
@@ -0,0 +1,111 @@
+import type { Mesh, RunPlan, Size } from './Mesh.js'
+
+/** Instant of the fault within a run. */
+export const FAULT_AT_MS = 1000
+
+/** Something that happens to the mesh, and what it is offered. */
+export interface Scenario {
+  readonly name: string
+  readonly load: number
+  /** What differs from a plain run. */
+  readonly plan?: Partial<RunPlan>
+  /** Sizes that it is run at. */
+  readonly sizes: readonly Size[]
+  /** Whether the p99 after the fault is held against the one before. */
+  readonly recovers?: boolean
+  /** Share of the nominal capacity that is left, for the goodput. */
+  arrange? (mesh: Mesh): void
+}
+
+/** The services of the two deployments; every node of a deployment is an ingress. */
+const CATALOGUE: Size = { name: '6x6', instances: 6, slots: 6, ingresses: 12 }
+const LEDGER: Size = { name: '3x6', instances: 3, slots: 6, ingresses: 12 }
+const MENUS: Size = { name: '4x9', instances: 4, slots: 9, ingresses: 10 }
+const ORDERS: Size = { name: '3x9', instances: 3, slots: 9, ingresses: 10 }
+const LARGE: Size = { name: '200x6', instances: 200, slots: 6, ingresses: 24 }
+
+const SMALL = [CATALOGUE, LEDGER, MENUS, ORDERS]
+const TWO = [CATALOGUE, MENUS]
+
+function slowDown (mesh: Mesh): void {
+  mesh.clock.after(FAULT_AT_MS, () => mesh.hosts[0]?.upstream.slowDown(10))
+}
+
+/** One instance after another is four times slower, for 5 to 50 ms each. */
+function hop (mesh: Mesh): void {
+  let turn = mesh.plan.seed
+  const next = (): void => {
+    turn = (turn * 1_103_515_245 + 12_345) % 2_147_483_648
+    const host = mesh.hosts[Math.floor(turn / 1000) % mesh.hosts.length]
+    host?.upstream.slowDown(4)
+    mesh.clock.after(5 + (turn / 7 % 1000) / 1000 * 45, () => {
+      host?.upstream.slowDown(1)
+      next()
+    })
+  }
+  next()
+}
+
+function failFast (mesh: Mesh): void {
+  mesh.clock.after(FAULT_AT_MS, () => {
+    const upstream = mesh.hosts[0]?.upstream
+    if (upstream !== undefined) {
+      upstream.behaviour = 'failing'
+    }
+  })
+}
+
+function loseTwo (mesh: Mesh): void {
+  mesh.clock.after(FAULT_AT_MS, () => mesh.lose(0))
+  mesh.clock.after(FAULT_AT_MS + 150, () => mesh.lose(1))
+}
+
+function loseZone (mesh: Mesh): void {
+  const lost = mesh.hosts[0]?.place.zone
+  mesh.clock.after(FAULT_AT_MS, () => {
+    mesh.hosts.filter(host => host.place.zone === lost).forEach(host => mesh.lose(host.index))
+    mesh.ingresses.filter(ingress => ingress.place.zone === lost).forEach(ingress => { ingress.alive = false })
+  })
+}
+
+/** One instance restarts and comes back cold, again and again. */
+function coldStarts (mesh: Mesh): void {
+  const host = mesh.hosts[0]
+  if (host === undefined) {
+    return
+  }
+  host.state = 'starting'
+  mesh.announce(0)
+  mesh.clock.after(250, () => {
+    host.upstream.restart(8, 60)
+    host.state = 'serving'
+    mesh.announce(0)
+  })
+  mesh.clock.after(1000, () => coldStarts(mesh))
+}
+
+/** All scenarios, in the order of the table. */
+export const SCENARIOS: readonly Scenario[] = [
+  { name: 'steady-50', load: 0.5, sizes: SMALL },
+  { name: 'steady-70', load: 0.7, sizes: SMALL },
+  { name: 'steady-85', load: 0.85, sizes: SMALL },
+  { name: 'steady-95', load: 0.95, sizes: SMALL },
+  { name: 'slow-tenfold', load: 0.6, sizes: TWO, recovers: true, arrange: slowDown },
+  { name: 'hopping', load: 0.6, sizes: TWO, arrange: hop },
+  { name: 'fail-fast', load: 0.6, sizes: TWO, arrange: failFast },
+  { name: 'lying-report', load: 0.7, plan: { lies: true, announcedFactor: 5 }, sizes: TWO },
+  { name: 'two-lost', load: 0.4, sizes: TWO, arrange: loseTwo },
+  { name: 'zone-lost', load: 0.45, sizes: TWO, arrange: loseZone },
+  { name: 'cold-start', load: 0.6, sizes: TWO, arrange: coldStarts },
+  { name: 'overload-130', load: 1.3, plan: { callerTries: 3 }, sizes: SMALL },
+  { name: 'herd-70', load: 0.7, plan: { measureToMs: 1200 }, sizes: [LARGE] },
+  { name: 'herd-85', load: 0.85, plan: { measureToMs: 1200 }, sizes: [LARGE] }
+]
+
+/**
+ * @param mesh Mesh that was just made.
+ * @param scenario What happens to it.
+ */
+export function arrange (mesh: Mesh, scenario: Scenario): void {
+  scenario.arrange?.(mesh)
+}
--- a/src/parts/budget/MeasuringBudget.ts
+++ b/src/parts/budget/MeasuringBudget.ts
@@ -80,7 +80,7 @@
     if (!(event.bytes >= 0)) {
       return nowMs + WINDOW_MS
     }
-    if (COUNTED_BY_CALLS[event.kind] && this.messageCredit < 1) {
+    if (COUNTED_BY_CALLS[event.kind] && this.messageCredit < (event.messages ?? 1)) {
       return nowMs + WINDOW_MS
     }
     const bytesPerWindow = this.limits.bytesPerSecond * WINDOW_MS / 1000
@@ -106,7 +106,7 @@
       this.unreserved.spend(event.bytes)
     }
     if (COUNTED_BY_CALLS[event.kind]) {
-      this.messageCredit -= 1
+      this.messageCredit -= event.messages ?? 1
     }
   }
 
--- a/src/parts/budget/Types.ts
+++ b/src/parts/budget/Types.ts
@@ -3,7 +3,14 @@
 
 /** Events of the measuring budget, one ledger for each VM. */
 export type BudgetEvent =
-  | { readonly type: 'request', readonly id: number, readonly kind: MeasuringKind, readonly bytes: number }
+  /** `messages` counts answers too and is 1 when left out; a probe and its answer are 2. */
+  | {
+    readonly type: 'request',
+    readonly id: number,
+    readonly kind: MeasuringKind,
+    readonly bytes: number,
+    readonly messages?: number
+  }
   /** A call was served; the message allowance is a share of these. */
   | { readonly type: 'served', readonly calls: number }
   | { readonly type: 'configure', readonly bytesPerSecond: number, readonly messagesPerCall: number }
--- a/src/parts/choice/CandidateLoad.ts
+++ b/src/parts/choice/CandidateLoad.ts
@@ -1,10 +1,13 @@
 import type { CallId, InstanceId, LoadEvidence } from '../Types.js'
 import type { Vitals } from '../detection/OutlierDetector.js'
 import {
-  COLD_RATIO, DEFAULT_SERVICE_MS, EVIDENCE_MEMORY_SERVICE_TIMES, REFUSED_MEMORY_MS, UNPROVEN_IN_FLIGHT, WARM_ANSWERS
+  ARRIVING_VARIANCE, COLD_RATIO, DEFAULT_SERVICE_MS, EVIDENCE_MEMORY_SERVICE_TIMES, REFUSED_MEMORY_MS,
+  UNPROVEN_IN_FLIGHT, WARM_ANSWERS
 } from './Constants.js'
 import type { Candidate, CandidateState } from './Types.js'
 
+const SQRT_TWO_PI = Math.sqrt(2 * Math.PI)
+
 /** A call that this ingress node has sent and that has not ended. */
 interface Outstanding {
   readonly startMs: number
@@ -82,7 +85,7 @@
    * @param nowMs Monotonic time in milliseconds.
    */
   public observe (evidence: LoadEvidence, nowMs: number): void {
-    this.othersLoad = Math.max(0, evidence.inFlight + evidence.queued - this.inFlight())
+    this.othersLoad = Math.max(0, evidence.inFlight + evidence.queued - this.arrived(nowMs))
     this.slots = Math.max(1, evidence.limit)
     if (evidence.serviceMs > 0) {
       this.serviceMs = evidence.serviceMs
@@ -90,6 +93,18 @@
     this.evidenceMs = nowMs
   }
 
+  /** Own calls in flight that the instance's node had counted when it sent what arrives now. */
+  private arrived (nowMs: number): number {
+    let count = 0
+    for (const record of this.outstanding.values()) {
+      if (record.startMs > nowMs - this.rttMs) {
+        break
+      }
+      count += 1
+    }
+    return count
+  }
+
   /** @param nowMs Time of a refusal that carried no evidence. */
   public refused (nowMs: number): void {
     this.othersLoad = Math.max(this.othersLoad, this.slots * 2)
@@ -97,22 +112,37 @@
   }
 
   /**
-   * Calls that are probably running or waiting there.
-   * @param meanOthersPerSlot Load that other nodes put on the service's slots, which old evidence fades to.
+   * Weight of the newest evidence, 0 to 1.
    * @param nowMs Monotonic time in milliseconds.
    */
-  public load (meanOthersPerSlot: number, nowMs: number): number {
+  public freshness (nowMs: number): number {
+    const ageMs = nowMs - this.evidenceMs
+    return ageMs <= 0 ? 1 : Math.exp(-ageMs / (EVIDENCE_MEMORY_SERVICE_TIMES * this.serviceMs))
+  }
+
+  /**
+   * Expected number of calls that wait before a call sent now, with the uncertainty of old evidence in it.
+   * @param meanOthersPerSlot Load that other nodes put on the service's slots.
+   * @param nowMs Monotonic time in milliseconds.
+   */
+  public waitingAhead (meanOthersPerSlot: number, nowMs: number): number {
     const usual = meanOthersPerSlot * this.slots
-    return this.inFlight() + usual + (this.othersLoad - usual) * this.freshness(nowMs)
+    const fresh = this.freshness(nowMs)
+    const others = usual + (this.othersLoad - usual) * fresh
+    const over = this.inFlight() + others + 1 - this.slots
+    const deviation = Math.sqrt(ARRIVING_VARIANCE + others * (1 - fresh * fresh))
+    return expectedExcess(over, deviation)
   }
 
   /**
-   * Weight of the newest evidence, 0 to 1.
+   * Service time expected now; evidence of a slow-down fades towards the mean of the service.
+   * @param meanMs Mean service time over the service.
    * @param nowMs Monotonic time in milliseconds.
    */
-  public freshness (nowMs: number): number {
-    const ageMs = nowMs - this.evidenceMs
-    return ageMs <= 0 ? 1 : Math.exp(-ageMs / (EVIDENCE_MEMORY_SERVICE_TIMES * this.serviceMs))
+  public serviceNow (meanMs: number, nowMs: number): number {
+    const excess = this.serviceMs - meanMs
+    const weight = this.vitals.slowness.weightAt(nowMs - this.evidenceMs)
+    return (meanMs + excess * weight) * this.coldRatio()
   }
 
   /** Load of other nodes on each slot, as last told. */
@@ -141,3 +171,18 @@
     this.vitals.slowness.reset()
   }
 }
+
+/** Mean of the positive part of a normally distributed number. */
+function expectedExcess (mean: number, deviation: number): number {
+  const unit = mean / deviation
+  if (unit > 4) {
+    return mean
+  }
+  if (unit < -4) {
+    return 0
+  }
+  const density = Math.exp(-unit * unit / 2) / SQRT_TWO_PI
+  // Logistic approximation of the normal distribution function.
+  const below = 1 / (1 + Math.exp(-1.702 * unit))
+  return Math.max(0, mean * below + deviation * density)
+}
--- a/src/parts/choice/Constants.ts
+++ b/src/parts/choice/Constants.ts
@@ -47,3 +47,18 @@
 
 /** Shortest expected latency, so that ratios stay finite. */
 export const MIN_EXPECTED_MS = 0.05
+
+/** Variance of the calls that other nodes have on the way to an instance when its evidence is fresh. */
+export const ARRIVING_VARIANCE = 1
+
+/** Queued calls for each slot from which an instance is likely to refuse. */
+export const REFUSAL_QUEUE_PER_SLOT = 1.5
+
+/** Cost of a call that waits beyond that, in service times for each queued call and slot. */
+export const REFUSAL_COST = 10
+
+/** Seen over expected latency that counts as usual, because latencies vary by themselves. */
+export const USUAL_RATIO = 1.7
+
+/** Spread of the random factor that keeps nodes from acting alike. */
+export const JITTER = 0.1
--- a/src/parts/choice/UpstreamChooser.ts
+++ b/src/parts/choice/UpstreamChooser.ts
@@ -3,8 +3,9 @@
 import type { DetectionAction, DetectionEvent } from '../detection/Types.js'
 import { CandidateLoad } from './CandidateLoad.js'
 import {
-  DEFAULT_SERVICE_MS, FAILURE_COST_SERVICE_TIMES, MIN_EXPECTED_MS, NONE_AVAILABLE_RETRY_MS, OTHER_REGION_RTT_MS,
-  PROBE_AFTER_MS, SAME_REGION_RTT_MS, SAME_ZONE_RTT_MS, SERVICE_TIME_WEIGHT, SUBSET_ELSEWHERE, SUBSET_SIZE
+  DEFAULT_SERVICE_MS, FAILURE_COST_SERVICE_TIMES, JITTER, MIN_EXPECTED_MS, NONE_AVAILABLE_RETRY_MS,
+  OTHER_REGION_RTT_MS, PROBE_AFTER_MS, REFUSAL_COST, REFUSAL_QUEUE_PER_SLOT, SAME_REGION_RTT_MS, SAME_ZONE_RTT_MS,
+  SERVICE_TIME_WEIGHT, SUBSET_ELSEWHERE, SUBSET_SIZE, USUAL_RATIO
 } from './Constants.js'
 import { SubsetSelector } from './SubsetSelector.js'
 import type { AttemptOutcome, Candidate, ChoiceAction, ChoiceEvent } from './Types.js'
@@ -171,20 +172,19 @@
 
   private cost (candidate: CandidateLoad, othersPerSlot: number, nowMs: number): number {
     const expected = this.expectedMs(candidate, othersPerSlot, nowMs)
-    const slow = Math.max(1, candidate.vitals.slowness.ratio(nowMs))
+    const slow = Math.max(1, candidate.vitals.slowness.ratio(nowMs) - USUAL_RATIO + 1)
     const failing = candidate.vitals.failureShare * FAILURE_COST_SERVICE_TIMES * this.serviceMs
-    // Evidence is rough: equal or nearly equal instances are told apart at random, so that nodes do not act alike.
-    const jitter = 1 + 0.1 * this.random.next()
+    // Evidence is rough: nearly equal instances are told apart at random, so that nodes do not act alike.
+    const jitter = 1 + JITTER * this.random.next()
     return (expected * slow + failing) * jitter
   }
 
   /** Round trip, wait and service at the load that is known of. */
   private expectedMs (candidate: CandidateLoad, othersPerSlot: number, nowMs: number): number {
-    const load = candidate.load(othersPerSlot, nowMs)
-    const busy = Math.min(1, load / candidate.slots)
-    const wait = Math.max(0, load + 1 - candidate.slots) / candidate.slots + 0.2 * busy * busy
-    const service = candidate.serviceMs * candidate.coldRatio()
-    return Math.max(MIN_EXPECTED_MS, candidate.rttMs + service * (1 + wait))
+    const wait = candidate.waitingAhead(othersPerSlot, nowMs) / candidate.slots
+    const refusal = REFUSAL_COST * Math.max(0, wait - REFUSAL_QUEUE_PER_SLOT)
+    const service = candidate.serviceNow(this.serviceMs, nowMs)
+    return Math.max(MIN_EXPECTED_MS, candidate.rttMs + service * (1 + wait + refusal))
   }
 
   private meanOthersPerSlot (): number {
@@ -208,7 +208,10 @@
     }
     if (event.outcome === 'ok' && sent !== undefined) {
       candidate.goodAnswers += 1
-      candidate.vitals.slowness.answered(nowMs, event.latencyMs / sent.expectedMs)
+      // What the newest service time explains is not held against the instance twice.
+      const expectedMs = Math.max(sent.expectedMs, candidate.rttMs + candidate.serviceMs)
+      candidate.vitals.slowness.answered(nowMs, event.latencyMs / expectedMs)
+      candidate.vitals.slowness.noteSpeed(nowMs, event.latencyMs / (candidate.rttMs + this.serviceMs))
     }
     if (sent === undefined) {
       return []
--- a/src/parts/detection/Constants.ts
+++ b/src/parts/detection/Constants.ts
@@ -34,10 +34,13 @@
 export const TRIAL_SUCCESSES = 2
 
 /** Ratio of seen to expected latency above which an instance counts as slow. */
-export const SLOW_RATIO = 4
+export const SLOW_RATIO = 2.5
 
-/** Time in which latency evidence loses most of its weight. */
-export const LATENCY_MEMORY_MS = 300
+/** Shortest time in which evidence on speed loses most of its weight. */
+export const SLOW_MEMORY_MIN_MS = 60
+
+/** Longest time in which evidence on speed loses most of its weight. */
+export const SLOW_MEMORY_MAX_MS = 10_000
 
 /** Most answers that the latency estimate weighs, so that a change shows at once. */
 export const LATENCY_MAX_COUNT = 6
--- a/src/parts/detection/SlownessEstimate.ts
+++ b/src/parts/detection/SlownessEstimate.ts
@@ -1,13 +1,17 @@
-import { EXPECTED_AGE_SHARE, LATENCY_MAX_COUNT, LATENCY_MEMORY_MS } from './Constants.js'
+import { EXPECTED_AGE_SHARE, LATENCY_MAX_COUNT, SLOW_MEMORY_MAX_MS, SLOW_MEMORY_MIN_MS, SLOW_RATIO } from './Constants.js'
 
 /**
  * Ratio of seen to expected latency at one instance. Calls that are still running count by their age, so a
- * slow-down shows before its first answer. Evidence fades towards a ratio of 1. Memory is constant.
+ * slow-down shows before its first answer. Evidence fades towards a ratio of 1, and the longer an instance has been
+ * slow, the slower it fades: a slow-down of 10 ms is forgotten soon, one of 10 s is tried again seldom.
+ * Memory is constant.
  */
 export class SlownessEstimate {
   private ratioSum = 0
   private count = 0
   private updatedMs = 0
+  private slowSinceMs = Number.POSITIVE_INFINITY
+  private memoryMs = SLOW_MEMORY_MIN_MS
   private running = 0
   private inverseSum = 0
   private startOverExpectedSum = 0
@@ -52,6 +56,31 @@
       this.ratioSum *= LATENCY_MAX_COUNT / this.count
       this.count = LATENCY_MAX_COUNT
     }
+    this.noteSpeed(nowMs, ratio)
+  }
+
+  /**
+   * Takes how slow the instance is now, from any evidence; 1 is as usual.
+   * @param nowMs Monotonic time in milliseconds.
+   * @param factor Its latency or service time over the usual one.
+   */
+  public noteSpeed (nowMs: number, factor: number): void {
+    if (factor < SLOW_RATIO) {
+      this.slowSinceMs = Number.POSITIVE_INFINITY
+      this.memoryMs = SLOW_MEMORY_MIN_MS
+      return
+    }
+    this.slowSinceMs = Math.min(this.slowSinceMs, nowMs)
+    const lastedMs = 2 * (nowMs - this.slowSinceMs)
+    this.memoryMs = Math.min(SLOW_MEMORY_MAX_MS, Math.max(SLOW_MEMORY_MIN_MS, lastedMs))
+  }
+
+  /**
+   * Weight of evidence on speed that is this old, 0 to 1.
+   * @param ageMs Milliseconds.
+   */
+  public weightAt (ageMs: number): number {
+    return ageMs <= 0 ? 1 : Math.exp(-ageMs / this.memoryMs)
   }
 
   /**
@@ -73,6 +102,6 @@
   }
 
   private keptShare (nowMs: number): number {
-    return Math.exp((this.updatedMs - nowMs) / LATENCY_MEMORY_MS)
+    return this.weightAt(nowMs - this.updatedMs)
   }
 }
