Weigh own calls in flight when choosing

Cause: with 0.3 own calls in flight for each instance, evidence alone left nodes acting alike and refused calls while load hopped. Change: each own call in flight costs service time over one more than the mean in flight.

--- a/src/parts/budget/Constants.ts
+++ b/src/parts/budget/Constants.ts
@@ -10,4 +10,4 @@
 export const HEARTBEAT_SHARE = 0.25
 
 /** Message credit that may pile up while calls are served and nothing is measured. */
-export const MESSAGE_BURST = 4
+export const MESSAGE_BURST = 2
--- a/src/parts/choice/Constants.ts
+++ b/src/parts/choice/Constants.ts
@@ -62,3 +62,6 @@
 
 /** Spread of the random factor that keeps nodes from acting alike. */
 export const JITTER = 0.1
+
+/** Cost of each own call in flight at an instance, in service times, over one more than the mean of the subset. */
+export const OWN_CALL_COST = 1.5
--- a/src/parts/choice/UpstreamChooser.ts
+++ b/src/parts/choice/UpstreamChooser.ts
@@ -4,8 +4,8 @@
 import { CandidateLoad } from './CandidateLoad.js'
 import {
   DEFAULT_SERVICE_MS, FAILURE_COST_SERVICE_TIMES, JITTER, MIN_EXPECTED_MS, NONE_AVAILABLE_RETRY_MS,
-  OTHER_REGION_RTT_MS, PROBE_AFTER_MS, REFUSAL_COST, REFUSAL_QUEUE_PER_SLOT, SAME_REGION_RTT_MS, SAME_ZONE_RTT_MS,
-  SERVICE_TIME_WEIGHT, SUBSET_ELSEWHERE, SUBSET_SIZE, USUAL_RATIO
+  OTHER_REGION_RTT_MS, OWN_CALL_COST, PROBE_AFTER_MS, REFUSAL_COST, REFUSAL_QUEUE_PER_SLOT, SAME_REGION_RTT_MS,
+  SAME_ZONE_RTT_MS, SERVICE_TIME_WEIGHT, SUBSET_ELSEWHERE, SUBSET_SIZE, USUAL_RATIO
 } from './Constants.js'
 import { SubsetSelector } from './SubsetSelector.js'
 import type { AttemptOutcome, Candidate, ChoiceAction, ChoiceEvent } from './Types.js'
@@ -55,6 +55,7 @@
   private readonly byInstance = new Map<InstanceId, CandidateLoad>()
   private subset: CandidateLoad[] = []
   private serviceMs = DEFAULT_SERVICE_MS
+  private callsInFlight = 0
 
   /**
    * @param place Place of this ingress node.
@@ -91,8 +92,9 @@
     const chosen = this.selector.select(usable)
     this.detector.step({ type: 'members', instances: chosen.map(candidate => candidate.instance) }, 0)
     const kept = new Set(chosen.map(candidate => candidate.instance))
-    for (const instance of this.byInstance.keys()) {
+    for (const [instance, load] of this.byInstance) {
       if (!kept.has(instance)) {
+        this.callsInFlight -= load.inFlight()
         this.byInstance.delete(instance)
       }
     }
@@ -134,6 +136,7 @@
       }]
     }
     const expectedMs = this.expectedMs(target, this.meanOthersPerSlot(), nowMs)
+    this.callsInFlight += 1
     target.sent(event.call, nowMs, expectedMs)
     this.detector.step({ type: 'started', instance: target.instance }, nowMs)
     return [{ type: 'chosen', call: event.call, instance: target.instance }]
@@ -176,7 +179,8 @@
     const failing = candidate.vitals.failureShare * FAILURE_COST_SERVICE_TIMES * this.serviceMs
     // Evidence is rough: nearly equal instances are told apart at random, so that nodes do not act alike.
     const jitter = 1 + JITTER * this.random.next()
-    return (expected * slow + failing) * jitter
+    const own = OWN_CALL_COST * this.serviceMs * candidate.inFlight() / (1 + this.meanInFlight())
+    return (expected * slow + own + failing) * jitter
   }
 
   /** Round trip, wait and service at the load that is known of. */
@@ -187,6 +191,10 @@
     return Math.max(MIN_EXPECTED_MS, candidate.rttMs + service * (1 + wait + refusal))
   }
 
+  private meanInFlight (): number {
+    return this.callsInFlight / Math.max(1, this.subset.length)
+  }
+
   private meanOthersPerSlot (): number {
     let sum = 0
     for (const candidate of this.subset) {
@@ -201,6 +209,7 @@
       return []
     }
     const sent = candidate.ended(event.call)
+    this.callsInFlight -= sent === undefined ? 0 : 1
     if (event.evidence !== undefined) {
       this.learn(candidate, event.evidence, nowMs)
     } else if (event.outcome === 'refused') {
