Ask for one tick at a time, and add the chain and overload bench

Cause: each tick asked again for a tick that the host already had. Admission and retries now remember the tick they asked for and ask again only for an earlier one.

The bench runs the chain of seven services with one retrying layer, with no retries and with retries at each layer, and one admission against an unbounded queue.

--- /dev/null
+++ b/bench/BenchReport.ts
@@ -0,0 +1,62 @@
+import { execFileSync } from 'node:child_process'
+import { mkdirSync, writeFileSync } from 'node:fs'
+import { availableParallelism } from 'node:os'
+
+/** Middle and ends of several repetitions. */
+export interface Spread {
+  readonly median: number
+  readonly min: number
+  readonly max: number
+}
+
+/**
+ * Summarises repetitions.
+ * @param values One number for each repetition, at least one.
+ */
+export function spreadOf (values: readonly number[]): Spread {
+  const sorted = [...values].sort((a, b) => a - b)
+  return {
+    median: rounded(sorted[Math.floor(sorted.length / 2)] ?? 0),
+    min: rounded(sorted[0] ?? 0),
+    max: rounded(sorted[sorted.length - 1] ?? 0)
+  }
+}
+
+/**
+ * Writes a bench's results with the commit, machine and command they came from.
+ * @param name File name under bench/results without its ending.
+ * @param content Seeds, settings and results.
+ */
+export function writeReport (name: string, content: object): void {
+  const header = {
+    commit: git(['rev-parse', '--short', 'HEAD']),
+    changed: git(['status', '--porcelain', '--', 'src', 'bench/*.ts', 'bench/**/*.ts']) !== '',
+    cores: availableParallelism(),
+    node: process.version,
+    date: new Date().toISOString(),
+    command: `npm run bench:${name}`
+  }
+  mkdirSync('bench/results', { recursive: true })
+  writeFileSync(`bench/results/${name}.json`, JSON.stringify({ ...header, ...content }, null, 2) + '\n')
+}
+
+/**
+ * Returns the value below which a share of the samples lies, 0 without samples.
+ * @param sorted Samples in ascending order.
+ * @param share 0 to 1.
+ */
+export function quantile (sorted: readonly number[], share: number): number {
+  return sorted[Math.min(sorted.length - 1, Math.floor(sorted.length * share))] ?? 0
+}
+
+function rounded (value: number): number {
+  return Number(value.toPrecision(4))
+}
+
+function git (args: string[]): string {
+  try {
+    return execFileSync('git', args, { encoding: 'utf8' }).trim()
+  } catch {
+    return 'unknown'
+  }
+}
--- /dev/null
+++ b/bench/chain/Chain.ts
@@ -0,0 +1,192 @@
+import { AdmissionController } from '../../src/parts/admission/AdmissionController.js'
+import { Deadline } from '../../src/parts/retry/Deadline.js'
+import type { RetryOptions } from '../../src/parts/retry/Types.js'
+import { SeededRandom } from '../../src/parts/SeededRandom.js'
+import type { Disposition, Random, Reason } from '../../src/parts/Types.js'
+import { quantile } from '../BenchReport.js'
+import { EventQueue } from './EventQueue.js'
+import { Instance } from './Instance.js'
+import { RetryHost } from './RetryHost.js'
+import type { Answer, Attempt } from './RetryHost.js'
+
+/** What is wrong with the last service of the chain. */
+export interface ChainScenario {
+  readonly name: string
+  /** Share of the last service's calls that fail. */
+  readonly failing: number
+  /** Factor on the service times of the last service's instances. */
+  readonly slowdown: readonly number[]
+  readonly leafSlots: number
+}
+
+/** Ways to retry that are compared. */
+export interface ChainPolicy {
+  readonly name: string
+  readonly options: Partial<RetryOptions>
+  /** Whether lower layers are told that one above them retries. */
+  readonly tellsLayers: boolean
+}
+
+/** What one run gave. */
+export interface ChainResult {
+  /** Attempts that reached the last service, for each first call. */
+  readonly leafAmplification: number
+  /** The most attempts of any one service, for each first call. */
+  readonly worstAmplification: number
+  /** First calls with a good answer in time. */
+  readonly answered: number
+  readonly p50Ms: number
+  readonly p99Ms: number
+  readonly hedgesPerCall: number
+}
+
+const DEPTH = 7
+
+const INSTANCES = 3
+
+const SLOTS = 24
+
+const CALLS_PER_SECOND = 200
+
+const SERVICE_MS = 2
+
+const NETWORK_MS = 1
+
+const DEADLINE_MS = 400
+
+const WARM_UP_MS = 2000
+
+const END_MS = 17_000
+
+/** A chain of services, each of whose calls makes one call to the next, on virtual time. */
+export class Chain {
+  private readonly _scenario: ChainScenario
+  private readonly _policy: ChainPolicy
+  private readonly _random: Random
+  private readonly _clock = new EventQueue()
+  private readonly _services: Instance[][] = []
+  /** By depth of the service that is called, then by instance of the calling one. */
+  private readonly _hosts: RetryHost[][] = []
+  private readonly _attempts = new Array<number>(DEPTH).fill(0)
+  private readonly _answeredMs: number[] = []
+  private _first = 0
+
+  /**
+   * @param scenario What is wrong with the last service.
+   * @param policy How calls are tried again.
+   * @param seed Seed of all that is random.
+   */
+  public constructor (scenario: ChainScenario, policy: ChainPolicy, seed: number) {
+    this._scenario = scenario
+    this._policy = policy
+    this._random = new SeededRandom(seed)
+    for (let depth = 0; depth < DEPTH; depth++) {
+      const slots = depth === DEPTH - 1 ? scenario.leafSlots : SLOTS
+      this._services.push(Array.from({ length: INSTANCES }, (_, index) => new Instance(
+        this._clock, new AdmissionController(new SeededRandom(seed + 100 * depth + index), { slots })
+      )))
+      this._hosts.push(Array.from({ length: INSTANCES }, () => new RetryHost(this._clock, policy.options)))
+    }
+  }
+
+  /** Runs the scenario to its end. */
+  public run (): ChainResult {
+    this._nextArrival()
+    this._clock.runUntil(END_MS)
+    const sorted = this._answeredMs.sort((a, b) => a - b)
+    const hedges = this._hosts.flat().reduce((sum, host) => sum + host.hedges, 0)
+    return {
+      leafAmplification: (this._attempts[DEPTH - 1] ?? 0) / this._first,
+      worstAmplification: Math.max(...this._attempts) / this._first,
+      answered: sorted.length / this._first,
+      p50Ms: quantile(sorted, 0.5),
+      p99Ms: quantile(sorted, 0.99),
+      hedgesPerCall: hedges / this._first
+    }
+  }
+
+  private _nextArrival (): void {
+    this._clock.at(this._clock.nowMs + this._exponential(1000 / CALLS_PER_SECOND), () => {
+      const startMs = this._clock.nowMs
+      const counted = startMs >= WARM_UP_MS
+      this._first += counted ? 1 : 0
+      this._call(0, this._pick(), startMs + DEADLINE_MS, counted, answer => {
+        if (counted && answer.type === 'good') {
+          this._answeredMs.push(this._clock.nowMs - startMs)
+        }
+      })
+      this._nextArrival()
+    })
+  }
+
+  private _call (
+    depth: number, caller: number, deadlineAtMs: number, counted: boolean, answered: (answer: Answer) => void
+  ): () => void {
+    const retriesAbove = depth > 0 && this._policy.tellsLayers
+    const attempt: Attempt = (answer) => this._attempt(depth, deadlineAtMs, counted, answer)
+    return (this._hosts[depth]?.[caller] as RetryHost).call({ deadlineAtMs, retriesAbove, attempt, answered })
+  }
+
+  /** Sends one attempt to a random instance; returns what cancels it. */
+  private _attempt (
+    depth: number, deadlineAtMs: number, counted: boolean, answer: (answer: Answer) => void
+  ): () => void {
+    const index = this._pick()
+    const instance = this._services[depth]?.[index] as Instance
+    let cancel = (): void => {}
+    let cancelled = false
+    this._attempts[depth] = (this._attempts[depth] ?? 0) + (counted ? 1 : 0)
+    const reply = (reply: Answer): void => this._clock.at(this._clock.nowMs + NETWORK_MS, () => answer(reply))
+    this._clock.at(this._clock.nowMs + NETWORK_MS, () => {
+      if (cancelled) {
+        return
+      }
+      const call = instance.arrive('lookup', deadlineAtMs, {
+        started: call => this._serve(depth, index, deadlineAtMs, counted, () => cancelled, result => {
+          instance.finish(call, result.type === 'good' ? 'ok' : 'error')
+          reply(result)
+        }),
+        refused: (reason, retryAfterMs) => reply(failure('not-run', reason, retryAfterMs))
+      })
+      cancel = () => instance.cancel(call)
+    })
+    return () => {
+      cancelled = true
+      this._clock.at(this._clock.nowMs + NETWORK_MS, () => cancel())
+    }
+  }
+
+  private _serve (
+    depth: number, index: number, deadlineAtMs: number, counted: boolean, cancelled: () => boolean,
+    done: (answer: Answer) => void
+  ): void {
+    const leaf = depth === DEPTH - 1
+    const factor = leaf ? this._scenario.slowdown[index] ?? 1 : 1
+    this._clock.at(this._clock.nowMs + this._exponential(SERVICE_MS * factor), () => {
+      const nowMs = this._clock.nowMs
+      if (leaf) {
+        const failed = this._random.next() < this._scenario.failing
+        done(failed ? failure('unknown', 'upstream-failed', 0) : { type: 'good' })
+      } else if (cancelled()) {
+        done(failure('unknown', 'cancelled', 0))
+      } else {
+        const nextDeadlineAtMs = nowMs + new Deadline(deadlineAtMs).forwardedMs(nowMs)
+        this._call(depth + 1, index, nextDeadlineAtMs, counted, answer => {
+          done(answer.type === 'good' ? answer : failure('unknown', 'upstream-failed', 0))
+        })
+      }
+    })
+  }
+
+  private _pick (): number {
+    return Math.floor(this._random.next() * INSTANCES)
+  }
+
+  private _exponential (meanMs: number): number {
+    return -meanMs * Math.log(1 - this._random.next())
+  }
+}
+
+function failure (disposition: Disposition, reason: Reason, retryAfterMs: number): Answer {
+  return { type: 'failed', disposition, reason, retryAfterMs }
+}
--- /dev/null
+++ b/bench/chain/EventQueue.ts
@@ -0,0 +1,75 @@
+/** A moment at which something happens. */
+interface Entry {
+  readonly atMs: number
+  /** Keeps entries of one moment in the order they were made. */
+  readonly order: number
+  readonly run: () => void
+}
+
+/** A virtual clock: runs what was scheduled in order of time, and time jumps from one entry to the next. */
+export class EventQueue {
+  private readonly _heap: Entry[] = []
+  private _order = 0
+  private _nowMs = 0
+
+  /** Virtual time in milliseconds. */
+  public get nowMs (): number {
+    return this._nowMs
+  }
+
+  /**
+   * Schedules something.
+   * @param atMs When; a time gone by counts as now.
+   * @param run What happens then.
+   */
+  public at (atMs: number, run: () => void): void {
+    const entry = { atMs: Math.max(atMs, this._nowMs), order: this._order++, run }
+    let index = this._heap.length
+    this._heap.push(entry)
+    while (index > 0) {
+      const parent = (index - 1) >> 1
+      if (!before(entry, this._heap[parent] as Entry)) {
+        break
+      }
+      this._heap[index] = this._heap[parent] as Entry
+      index = parent
+    }
+    this._heap[index] = entry
+  }
+
+  /** @param untilMs Entries up to this time run, with those that they add. */
+  public runUntil (untilMs: number): void {
+    let next = this._heap[0]
+    while (next !== undefined && next.atMs <= untilMs) {
+      this._removeFirst()
+      this._nowMs = next.atMs
+      next.run()
+      next = this._heap[0]
+    }
+    this._nowMs = untilMs
+  }
+
+  private _removeFirst (): void {
+    const last = this._heap.pop() as Entry
+    const size = this._heap.length
+    if (size === 0) {
+      return
+    }
+    let index = 0
+    for (let child = 1; child < size; child = 2 * index + 1) {
+      if (child + 1 < size && before(this._heap[child + 1] as Entry, this._heap[child] as Entry)) {
+        child++
+      }
+      if (!before(this._heap[child] as Entry, last)) {
+        break
+      }
+      this._heap[index] = this._heap[child] as Entry
+      index = child
+    }
+    this._heap[index] = last
+  }
+}
+
+function before (a: Entry, b: Entry): boolean {
+  return a.atMs < b.atMs || (a.atMs === b.atMs && a.order < b.order)
+}
--- /dev/null
+++ b/bench/chain/UnboundedQueue.ts
@@ -0,0 +1,29 @@
+import type { AdmissionAction, AdmissionEvent } from '../../src/parts/admission/Types.js'
+import type { CallId, Part } from '../../src/parts/Types.js'
+
+/** Baseline: first in, first out, without bound, and blind to deadlines and kinds of work. */
+export class UnboundedQueue implements Part<AdmissionEvent, AdmissionAction> {
+  private readonly _slots: number
+  private readonly _waiting: CallId[] = []
+  private _running = 0
+
+  /** @param slots Calls that run at once. */
+  public constructor (slots: number) {
+    this._slots = slots
+  }
+
+  /** @inheritdoc */
+  public step (event: AdmissionEvent): AdmissionAction[] {
+    if (event.type === 'arrive') {
+      this._waiting.push(event.call)
+    } else if (event.type === 'finish') {
+      this._running--
+    }
+    const actions: AdmissionAction[] = []
+    while (this._running < this._slots && this._waiting.length > 0) {
+      this._running++
+      actions.push({ type: 'start', call: this._waiting.shift() as CallId })
+    }
+    return actions
+  }
+}
--- a/src/parts/admission/AdmissionController.ts
+++ b/src/parts/admission/AdmissionController.ts
@@ -46,6 +46,8 @@
   private _shortStartSumMs = 0
   private _draining = false
   private _drainedTold = false
+  /** When the host was asked to send the next tick. */
+  private _wakeAtMs = Infinity
 
   private readonly _handlers: Handlers = {
     capacity: (event, nowMs, actions) => this._onCapacity(event, nowMs, actions),
@@ -146,6 +148,9 @@
   }
 
   private _onTick (nowMs: number, actions: AdmissionAction[]): void {
+    if (nowMs >= this._wakeAtMs) {
+      this._wakeAtMs = Infinity
+    }
     this._refuseOverdue(nowMs, actions)
     this._startWaiting(nowMs, actions)
     this._wakeForEarliest(actions)
@@ -174,7 +179,7 @@
     const refuseAtMs = Math.min(event.deadlineAtMs, nowMs + this._allowedDelayMs(lane))
     const { call, deadlineAtMs } = event
     this._waiting[lane].push({ call, deadlineAtMs, arrivedAtMs: nowMs, refuseAtMs })
-    actions.push({ type: 'wake', atMs: refuseAtMs })
+    this._wakeAt(refuseAtMs, actions)
   }
 
   /** Time until a call that joins the lane now is expected to start. */
@@ -309,7 +314,13 @@
         atMs = Math.min(atMs, waiting.refuseAtMs)
       }
     }
-    if (atMs < Infinity) {
+    this._wakeAt(atMs, actions)
+  }
+
+  /** Asks for a tick unless one is due by then. */
+  private _wakeAt (atMs: number, actions: AdmissionAction[]): void {
+    if (atMs < this._wakeAtMs) {
+      this._wakeAtMs = atMs
       actions.push({ type: 'wake', atMs })
     }
   }
--- a/src/parts/retry/RetryPolicy.ts
+++ b/src/parts/retry/RetryPolicy.ts
@@ -69,6 +69,8 @@
   private _timers: HedgeTimer[] = []
   private _firstTimer = 0
   private _noHedgeUntilMs = -Infinity
+  /** When the host was asked to send the next tick. */
+  private _wakeAtMs = Infinity
 
   private readonly _handlers: Handlers = {
     begin: (event, nowMs, actions) => this._onBegin(event, nowMs, actions),
@@ -155,6 +157,9 @@
   }
 
   private _onTick (nowMs: number, actions: RetryAction[]): void {
+    if (nowMs >= this._wakeAtMs) {
+      this._wakeAtMs = Infinity
+    }
     let timer = this._timers[this._firstTimer]
     while (timer !== undefined && (timer.tracked.ended || timer.dueAtMs <= nowMs)) {
       this._firstTimer++
@@ -163,7 +168,7 @@
     }
     this._dropSpentTimers()
     if (timer !== undefined) {
-      actions.push({ type: 'wake', atMs: timer.dueAtMs })
+      this._wakeAt(timer.dueAtMs, actions)
     }
   }
 
@@ -205,8 +210,14 @@
       return
     }
     this._timers.push({ tracked, dueAtMs })
-    if (this._timers.length - this._firstTimer === 1) {
-      actions.push({ type: 'wake', atMs: dueAtMs })
+    this._wakeAt(dueAtMs, actions)
+  }
+
+  /** Asks for a tick unless one is due by then. */
+  private _wakeAt (atMs: number, actions: RetryAction[]): void {
+    if (atMs < this._wakeAtMs) {
+      this._wakeAtMs = atMs
+      actions.push({ type: 'wake', atMs })
     }
   }
 
