Take a drained upstream back after it fell silent; choose ports outside the ephemeral range

Cause of the flaky test/PlannedStop: two faults. First, an upstream that drained and then fell silent was forgotten with its state, so the announcement after its restart did not end the drain and its node refused all work as draining. Second, ports of tests came from the range of outgoing connections, one of which could take the port before the upstream's restart (EADDRINUSE in its log).

Ruled out: making a move away from a draining instance free of the retry budget. It broke the property that retries never pass the budget and did not change the outcome; reverted. Kept: an instance that said it drains is passed over until members are read again.

--- a/src/demo/FreePorts.ts
+++ b/src/demo/FreePorts.ts
@@ -1,5 +1,17 @@
 import { createServer } from 'node:net'
-import type { AddressInfo, Server } from 'node:net'
+import type { Server } from 'node:net'
+
+/** Ports below those that the system gives to outgoing connections: none of them can take a port in between. */
+const FIRST_PORT = 12_000
+const LAST_PORT = 32_000
+
+// The process id spreads programs that look at the same time; no port is tried twice in a row by one of them.
+let cursor = (process.pid * 7919) % (LAST_PORT - FIRST_PORT)
+
+function takeNext (): number {
+  cursor = (cursor + 1) % (LAST_PORT - FIRST_PORT)
+  return FIRST_PORT + cursor
+}
 
 /**
  * Finds free ports on loopback. All are held until the last is found, so that none comes twice.
@@ -7,17 +19,27 @@
  * @returns Addresses as `host:port`.
  */
 export async function findFreeAddresses (count: number): Promise<string[]> {
-  const servers = await Promise.all(Array.from({ length: count }, listen))
-  const addresses = servers.map(server => `127.0.0.1:${(server.address() as AddressInfo).port}`)
+  const servers: Server[] = []
+  const addresses: string[] = []
+  while (addresses.length < count) {
+    const port = takeNext()
+    const server = await listen(port)
+    if (server !== undefined) {
+      servers.push(server)
+      addresses.push(`127.0.0.1:${port}`)
+    }
+  }
   await Promise.all(servers.map(async server => await new Promise(resolve => server.close(resolve))))
   return addresses
 }
 
-async function listen (): Promise<Server> {
+async function listen (port: number): Promise<Server | undefined> {
   const server = createServer()
-  await new Promise<void>((resolve, reject) => {
-    server.once('error', reject)
-    server.listen(0, '127.0.0.1', resolve)
+  return await new Promise((resolve, reject) => {
+    server.once('error', (error: NodeJS.ErrnoException) => {
+      if (error.code === 'EADDRINUSE') resolve(undefined)
+      else reject(error)
+    })
+    server.listen(port, '127.0.0.1', () => resolve(server))
   })
-  return server
 }
--- a/src/node/ingress/IngressCall.ts
+++ b/src/node/ingress/IngressCall.ts
@@ -141,6 +141,7 @@
       this.answerRefusal(refusal)
       return
     }
+    if (refusal.reason === 'draining') this.lane.avoid(attempt.instance)
     this.lastRefusal = refusal
     this.excluded.push(attempt.instance)
     this.reportFailure(refusal.disposition, refusal.reason, refusal.retryAfterMs)
--- a/src/node/ingress/ServiceLane.ts
+++ b/src/node/ingress/ServiceLane.ts
@@ -22,6 +22,7 @@
 
 /** Choice and retries of one service at one ingress node. Holds one entry for each call in flight. */
 export class ServiceLane implements Disposable {
+  private readonly leaving = new Set<InstanceId>()
   private readonly listeners = new Map<CallId, RetryListener>()
   private readonly retryTimer: PartTimer
   private readonly ticker: NodeJS.Timeout
@@ -41,6 +42,7 @@
 
   /** Replaces the instances that may be chosen. */
   public setCandidates (candidates: readonly Candidate[]): void {
+    this.leaving.clear()
     this.stepChooser({ type: 'members', candidates })
   }
 
@@ -67,6 +69,17 @@
 
   /** Picks an instance for an attempt, at once. */
   public choose (attempt: CallId, excluded: readonly InstanceId[]): Choice {
+    if (this.leaving.size === 0) return this.chooseAmong(attempt, excluded)
+    const choice = this.chooseAmong(attempt, excluded.concat(...this.leaving))
+    return choice.type === 'none' ? this.chooseAmong(attempt, excluded) : choice
+  }
+
+  /** An instance said that it drains; it is passed over until members are read again. */
+  public avoid (instance: InstanceId): void {
+    this.leaving.add(instance)
+  }
+
+  private chooseAmong (attempt: CallId, excluded: readonly InstanceId[]): Choice {
     for (const action of this.stepChooser({ type: 'choose', call: attempt, excluded })) {
       if (action.type === 'chosen') return action
       if (action.type !== 'noneAvailable') continue
--- a/src/node/upstreamside/UpstreamSide.ts
+++ b/src/node/upstreamside/UpstreamSide.ts
@@ -52,6 +52,7 @@
   private announcement: Announcement | undefined
   private crashCheck: CrashCheck | undefined
   private lastCall = 0
+  private draining = false
   private closing = false
 
   public constructor (private readonly parts: UpstreamSideParts) {
@@ -92,9 +93,8 @@
     this.announcement = announcement
     if (before?.address !== announcement.address || this.client === undefined) this.connect(announcement)
     if (before?.slots !== announcement.slots) this.stepAdmission({ type: 'capacity', slots: announcement.slots })
-    const drains = announcement.state === 'draining'
-    if (drains && before?.state !== 'draining') this.drain()
-    if (!drains && before?.state === 'draining') this.resume()
+    if (announcement.state === 'draining') this.drain()
+    else this.resume()
   }
 
   /** The upstream fell silent or left; calls in flight may still end. */
@@ -106,12 +106,16 @@
 
   /** Takes no new calls; those queued are refused as not run, those running finish. */
   public drain (): void {
+    if (this.draining) return
+    this.draining = true
     this.stepAdmission({ type: 'drain' })
   }
 
   /** Takes calls again. */
   public resume (): void {
-    if (!this.closing) this.stepAdmission({ type: 'resume' })
+    if (this.closing || !this.draining) return
+    this.draining = false
+    this.stepAdmission({ type: 'resume' })
   }
 
   /** Drains for good, before the process stops. */
--- a/test/NodeHttp.test.ts
+++ b/test/NodeHttp.test.ts
@@ -31,7 +31,7 @@
 }
 
 beforeAll(async () => {
-  node = await InProcessNode.start('n0', await control.listen(), 'dies', upstream, { maxHeaderBytes: 4096 })
+  node = await InProcessNode.start('n0', await control.listen(), 'dies', upstream, { limits: { maxHeaderBytes: 4096 } })
 })
 
 afterAll(async () => {
@@ -142,7 +142,7 @@
   const other = await InProcessNode.start('n9', await lone.listen(), 'dies', (_message, response) => { response.end('ok') })
   lone.confirming = false
   for (;;) {
-    const state = await other.state() as { configuration: { state: string } }
+    const state = await other.state()
     if (state.configuration.state === 'stale') break
   }
   const headers = { 'idempotency-key': 'k3' }
--- a/test/NodeMesh.test.ts
+++ b/test/NodeMesh.test.ts
@@ -2,11 +2,12 @@
 import type { IncomingMessage, RequestListener, ServerResponse } from 'node:http'
 import { request as httpRequest } from 'node:http'
 import { afterEach, expect, test } from 'vitest'
+import { findFreeAddresses } from '../src/demo/FreePorts.js'
 import { IDLE_CHECK_MS } from '../src/node/Constants.js'
 import { buildRule, FakeControl } from './support/FakeControl.js'
 import { call } from './support/HttpCall.js'
 import type { Answer } from './support/HttpCall.js'
-import { findPort, InProcessNode } from './support/InProcessNode.js'
+import { InProcessNode } from './support/InProcessNode.js'
 import { TcpRelay } from './support/TcpRelay.js'
 
 const DOWNLOAD_BYTES = 64 * 1024 * 1024
@@ -66,19 +67,19 @@
   readonly relay: TcpRelay
 }
 
-async function startMesh (services: readonly [string, string]): Promise<Mesh> {
+async function startMesh (services: readonly [string, string], announceTimeoutMs = 60_000): Promise<Mesh> {
   const names = [...new Set(services)]
   const control = new FakeControl(names.map(name => buildRule(name, { retryShare: 1 })))
   const address = await control.listen()
   disposals.push(() => control.dispose())
   const upstreams = [new NamedUpstream('u0'), new NamedUpstream('u1')] as const
-  const peerPort = await findPort()
-  const relay = new TcpRelay(`127.0.0.1:${peerPort}`)
+  const [peerAddress] = await findFreeAddresses(1) as [string]
+  const relay = new TcpRelay(peerAddress)
   control.addresses.set('n1', await relay.listen())
   disposals.push(async () => await relay.dispose())
   const n0 = await InProcessNode.start('n0', address, services[0], upstreams[0].listener)
   disposals.push(async () => await n0.dispose())
-  const n1 = await InProcessNode.start('n1', address, services[1], upstreams[1].listener, {}, peerPort)
+  const n1 = await InProcessNode.start('n1', address, services[1], upstreams[1].listener, { peerAddress, announceTimeoutMs })
   disposals.push(async () => await n1.dispose())
   for (const service of names) {
     for (const node of [n0, n1]) await untilOk(async () => await call('/ready', { service, port: node.callerPort }))
@@ -165,6 +166,15 @@
   expect(upstreams[1].seen.length).toBe(before)
 })
 
+test('an upstream that drained, fell silent and came back gets work again', async () => {
+  const { nodes, upstreams } = await startMesh(['dies', 'vault'], 500)
+  await nodes[1].announce('vault', 'draining')
+  while ((await nodes[1].state()).upstreamSide.upstream !== null);
+  await nodes[1].announce('vault', 'serving')
+  await untilOk(async () => await call('/lookups/back', { service: 'vault', port: nodes[0].callerPort }))
+  expect(upstreams[1].seen).toContain('GET /lookups/back')
+})
+
 test('a planned stop of the upstream\'s node cuts no download and no call', async () => {
   const { nodes, upstreams } = await startMesh(['dies', 'vault'])
   const release = holdUp(upstreams[1])
--- a/test/support/InProcessNode.ts
+++ b/test/support/InProcessNode.ts
@@ -1,18 +1,23 @@
 import { createServer } from 'node:http'
 import type { RequestListener, Server } from 'node:http'
 import type { AddressInfo } from 'node:net'
-import { createServer as createTcpServer } from 'node:net'
 import { NodeDaemon } from '../../src/node/NodeDaemon.js'
 import { nodeSettings } from '../../src/node/NodeSettings.js'
+import { findFreeAddresses } from '../../src/demo/FreePorts.js'
 import { call } from './HttpCall.js'
 
-/** A free port on loopback. */
-export async function findPort (): Promise<number> {
-  const server = createTcpServer()
-  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
-  const { port } = server.address() as AddressInfo
-  await new Promise(resolve => server.close(resolve))
-  return port
+/** Parts of the state dump that tests look at. */
+export interface NodeState {
+  readonly configuration: { readonly state: string }
+  readonly upstreamSide: { readonly upstream: object | null }
+}
+
+/** What may differ between nodes of tests. */
+export interface InProcessOptions {
+  readonly limits?: Readonly<Record<string, number>>
+  /** Listener for peers; a free one if left out. */
+  readonly peerAddress?: string
+  readonly announceTimeoutMs?: number
 }
 
 /** A node inside the test's process, with a small HTTP server as its upstream. */
@@ -22,7 +27,6 @@
   private constructor (
     public readonly id: string,
     public readonly callerPort: number,
-    public readonly peerAddress: string,
     private readonly adminUrl: string,
     private readonly daemon: NodeDaemon,
     listener: RequestListener
@@ -36,22 +40,22 @@
     control: string,
     service: string,
     listener: RequestListener,
-    limits: Readonly<Record<string, number>> = {},
-    peerPort?: number
+    options: InProcessOptions = {}
   ): Promise<InProcessNode> {
-    const [peer, caller, admin] = [peerPort ?? await findPort(), await findPort(), await findPort()]
+    const [freePeer, caller, admin] = await findFreeAddresses(3) as [string, string, string]
+    const peer = options.peerAddress ?? freePeer
     const settings = nodeSettings.parse({
       id,
       place: { region: 'r', zone: 'z' },
-      listen: { peer: `127.0.0.1:${peer}`, caller: `127.0.0.1:${caller}`, admin: `127.0.0.1:${admin}` },
+      listen: { peer, caller, admin },
       control: [{ id: 'c0', address: control }],
       log: { level: 'silent' },
       metrics: { enabled: false },
-      timing: { heartbeatMs: 50, announceTimeoutMs: 60_000 },
-      limits
+      timing: { heartbeatMs: 50, announceTimeoutMs: options.announceTimeoutMs ?? 60_000 },
+      limits: options.limits ?? {}
     })
     const daemon = await NodeDaemon.start(settings)
-    const node = new InProcessNode(id, caller, `127.0.0.1:${peer}`, `http://127.0.0.1:${admin}`, daemon, listener)
+    const node = new InProcessNode(id, Number(caller.split(':')[1]), `http://${admin}`, daemon, listener)
     await node.announce(service, 'serving')
     await node.waitUntilServing(service)
     return node
@@ -69,8 +73,8 @@
   }
 
   /** State dump of the node. */
-  public async state (): Promise<Record<string, unknown>> {
-    return await (await fetch(`${this.adminUrl}/state`)).json() as Record<string, unknown>
+  public async state (): Promise<NodeState> {
+    return await (await fetch(`${this.adminUrl}/state`)).json() as NodeState
   }
 
   /** Planned stop of the node. */
