--- a/src/bin/sassafras-demo.ts
+++ b/src/bin/sassafras-demo.ts
@@ -1,38 +1,65 @@
 #!/usr/bin/env node
 /**
- * Shows a mesh of separate processes on loopback, sized down from the Kagamino example.
- * With `--stay` the mesh runs until SIGINT, for trying commands by hand.
+ * Shows a mesh of separate processes on loopback, sized down from an example. With `--stay` the mesh runs until SIGINT,
+ * for trying commands by hand.
  */
 import { mkdirSync, mkdtempSync } from 'node:fs'
 import { join } from 'node:path'
+import { Builtins, Cli, Command, Option } from 'clipanion'
 import { Demo } from '../demo/Demo.js'
+import { DEMO_PLANS } from '../demo/DemoPlans.js'
+import { EXIT_CODES } from '../platform/DaemonProgram.js'
+import { packageVersion } from '../platform/PackageVersion.js'
 
 const RUN_FOLDER = 'run'
-const EXAMPLE = join('examples', 'kagamino', 'mesh.toml')
-
-mkdirSync(RUN_FOLDER, { recursive: true })
-const folder = mkdtempSync(join(RUN_FOLDER, 'demo-'))
-const demo = new Demo({
-  region: 'kyushu',
-  zones: ['fukuoka', 'kitakyushu', 'kumamoto'],
-  services: { catalogue: 3, custody: 2, vault: 2 },
-  slots: 6,
-  connections: 240,
-  serviceTimeMs: 2
-}, folder, EXAMPLE)
-
-const tell = (line: string): void => { process.stderr.write(`${line}\n`) }
-
-try {
-  if (process.argv.includes('--stay')) {
-    const ended = new Promise<void>(resolve => { process.once('SIGINT', resolve).once('SIGTERM', resolve) })
-    await demo.stay(tell, ended)
-  } else {
-    const summary = await demo.run(tell)
-    process.stdout.write(`${JSON.stringify(summary, null, 2)}\n`)
-    process.exitCode = summary.whole ? 0 : 1
+
+class DemoCommand extends Command {
+  public static override paths = [Command.Default]
+  public static override usage = Command.Usage({
+    description: 'Show a mesh of separate processes on loopback.',
+    details: 'Exits with 0 when each caller got its own whole answer and nothing was lost or doubled, and 1 otherwise.'
+  })
+
+  public readonly example = Option.String('--example', 'kagamino', {
+    description: `One of ${Object.keys(DEMO_PLANS).join(', ')}.`
+  })
+
+  public readonly stay = Option.Boolean('--stay', false, { description: 'Keep the mesh running until SIGINT.' })
+
+  public async execute (): Promise<number> {
+    const plan = DEMO_PLANS[this.example]
+    if (plan === undefined) {
+      this.context.stderr.write(`no example ${this.example}; there are ${Object.keys(DEMO_PLANS).join(', ')}\n`)
+      return EXIT_CODES.badSettings
+    }
+    mkdirSync(RUN_FOLDER, { recursive: true })
+    const demo = new Demo(plan, mkdtempSync(join(RUN_FOLDER, 'demo-')))
+    try {
+      return await this.run(demo)
+    } catch (error) {
+      this.tell((error as Error).message)
+      return EXIT_CODES.failed
+    }
+  }
+
+  private async run (demo: Demo): Promise<number> {
+    if (this.stay) {
+      const ended = new Promise<void>(resolve => { process.once('SIGINT', resolve).once('SIGTERM', resolve) })
+      await demo.stay(line => { this.tell(line) }, ended)
+      return EXIT_CODES.ok
+    }
+    const summary = await demo.run(line => { this.tell(line) })
+    this.context.stdout.write(`${JSON.stringify(summary, null, 2)}\n`)
+    return summary.whole ? EXIT_CODES.ok : EXIT_CODES.failed
+  }
+
+  private tell (line: string): void {
+    this.context.stderr.write(`${line}\n`)
   }
-} catch (error) {
-  process.stderr.write(`${(error as Error).message}\n`)
-  process.exitCode = 1
 }
+
+const cli = new Cli({ binaryName: 'sassafras-demo', binaryLabel: 'sassafras-demo', binaryVersion: packageVersion() })
+cli.register(DemoCommand)
+cli.register(Builtins.HelpCommand)
+cli.register(Builtins.VersionCommand)
+process.exitCode = await cli.run(process.argv.slice(2), Cli.defaultContext)
--- a/src/demo/Demo.ts
+++ b/src/demo/Demo.ts
@@ -22,24 +22,25 @@
 
 const LOAD_MS = 10_000
 const STOP_AT_MS = 4000
+/** Long enough for a repeat or two on a busy machine; what counts here is that answers are whole. */
+const DEADLINE_MS = 10_000
 const DOWNLOAD_BYTES = 2_000_000
 const DOWNLOAD_BYTES_PER_S = 1_000_000
 
 /** Runs a small mesh and drives calls through it. */
 export class Demo {
   private readonly mesh: LocalMesh
+  private readonly plan: DemoPlan
   private readonly folder: string
-  private readonly configurationFile: string
 
   /**
-   * @param plan Services and instances.
+   * @param plan Services, instances and calls.
    * @param folder Empty folder for settings, logs, journals and data.
-   * @param configurationFile Inventory and rules to hand over.
    */
-  public constructor (plan: DemoPlan, folder: string, configurationFile: string) {
+  public constructor (plan: DemoPlan, folder: string) {
     this.mesh = new LocalMesh(plan, folder)
+    this.plan = plan
     this.folder = folder
-    this.configurationFile = configurationFile
   }
 
   /**
@@ -48,9 +49,9 @@
    */
   public async run (tell: (line: string) => void): Promise<DemoSummary> {
     try {
-      const { layout, ...started } = await this.mesh.start(this.configurationFile, tell)
+      const { layout, ...started } = await this.mesh.start(this.plan.configurationFile, tell)
       tell(`sending calls for ${LOAD_MS / 1000} s`)
-      const run = new LoadRun(planOf(layout), `demo-${process.pid}`)
+      const run = new LoadRun(loadOf(this.plan, layout), `demo-${process.pid}`)
       const [load, stopped] = await Promise.all([run.run(), this.stopOne(layout, tell)])
       const ends = await this.mesh.group.stopAll()
       tell('stopped all processes')
@@ -67,7 +68,7 @@
    */
   public async stay (tell: (line: string) => void, ended: Promise<void>): Promise<void> {
     try {
-      const { layout } = await this.mesh.start(this.configurationFile, tell)
+      const { layout } = await this.mesh.start(this.plan.configurationFile, tell)
       for (const { id, caller } of layout.pairs) tell(`${id} takes calls at http://${caller}`)
       tell(`try: sassafrasctl get --settings ${join(this.folder, 'sassafrasctl.toml')}`)
       await ended
@@ -87,21 +88,21 @@
   }
 }
 
-function planOf (layout: DemoLayout): LoadPlan {
+function loadOf ({ lookup, guarded, download }: DemoPlan, layout: DemoLayout): LoadPlan {
   return loadPlan.parse({
     targets: layout.pairs.map(pair => pair.caller),
     journals: layout.pairs.map(pair => pair.journal),
     durationMs: LOAD_MS,
     streams: [
-      { kind: 'lookup', service: 'catalogue', rate: 100 },
-      { kind: 'guarded', service: 'custody', rate: 20, repeatShare: 0.2, deadlineMs: 5000 },
+      { kind: 'lookup', ...lookup, rate: 100, deadlineMs: DEADLINE_MS },
+      { kind: 'guarded', ...guarded, rate: 20, repeatShare: 0.2, deadlineMs: DEADLINE_MS },
       {
         kind: 'download',
-        service: 'vault',
+        ...download,
         rate: 1,
         bytes: DOWNLOAD_BYTES,
         bytesPerSecond: DOWNLOAD_BYTES_PER_S,
-        deadlineMs: 15_000
+        deadlineMs: 2 * DEADLINE_MS
       }
     ]
   })
--- a/src/demo/LocalMesh.ts
+++ b/src/demo/LocalMesh.ts
@@ -6,7 +6,7 @@
 import type { Disposable } from '../platform/Types.js'
 import { ProcessGroup } from './ProcessGroup.js'
 import { SettingsWriter } from './SettingsWriter.js'
-import type { DemoLayout, DemoPlan } from './Types.js'
+import type { DemoLayout, MeshPlan } from './Types.js'
 
 /** A mesh that serves. */
 export interface StartedMesh {
@@ -34,7 +34,7 @@
 /** A small mesh of separate processes on loopback: control replicas, nodes and stand-ins. */
 export class LocalMesh implements Disposable {
   public readonly group: ProcessGroup
-  private readonly plan: DemoPlan
+  private readonly plan: MeshPlan
   private readonly folder: string
 
   /**
@@ -42,7 +42,7 @@
    * @param folder Empty folder for settings, logs, journals and data.
    * @param binFolder Holds the built programs; those beside this module when left out.
    */
-  public constructor (plan: DemoPlan, folder: string, binFolder?: URL) {
+  public constructor (plan: MeshPlan, folder: string, binFolder?: URL) {
     this.plan = plan
     this.folder = folder
     this.group = new ProcessGroup(folder, binFolder)
--- a/src/demo/SettingsWriter.ts
+++ b/src/demo/SettingsWriter.ts
@@ -2,22 +2,22 @@
 import { join } from 'node:path'
 import { stringify } from 'smol-toml'
 import { findFreeAddresses } from './FreePorts.js'
-import type { DemoLayout, DemoPlan, PairLayout, ReplicaLayout } from './Types.js'
+import type { DemoLayout, MeshPlan, PairLayout, ReplicaLayout } from './Types.js'
 
 const REPLICAS = 3
 const ADDRESSES_PER_PAIR = 5
 const LOG_LEVEL = 'info'
 
-/** Lays a demonstration out on free loopback ports and writes the settings of its processes. */
+/** Lays a mesh out on free loopback ports and writes the settings of its processes. */
 export class SettingsWriter {
-  private readonly plan: DemoPlan
+  private readonly plan: MeshPlan
   private readonly folder: string
 
   /**
-   * @param plan What the demonstration is made of.
+   * @param plan What the mesh is made of.
    * @param folder Empty folder that takes all files.
    */
-  public constructor (plan: DemoPlan, folder: string) {
+  public constructor (plan: MeshPlan, folder: string) {
     this.plan = plan
     this.folder = folder
   }
--- a/src/demo/Types.ts
+++ b/src/demo/Types.ts
@@ -29,8 +29,8 @@
   readonly pairs: readonly PairLayout[]
 }
 
-/** What a demonstration is made of. */
-export interface DemoPlan {
+/** What a mesh is made of. */
+export interface MeshPlan {
   readonly region: string
   readonly zones: readonly string[]
   /** Instances by service. */
@@ -40,3 +40,12 @@
   /** Mean service time of the stand-ins; exponential unless 0. */
   readonly serviceTimeMs: number
 }
+
+/** What a demonstration is made of, and which calls it sends. */
+export interface DemoPlan extends MeshPlan {
+  /** Configuration file to hand over. */
+  readonly configurationFile: string
+  readonly lookup: { readonly service: string, readonly path: string }
+  readonly guarded: { readonly service: string, readonly path: string }
+  readonly download: { readonly service: string }
+}
