--- a/src/platform/DaemonProgram.ts
+++ b/src/platform/DaemonProgram.ts
@@ -15,12 +15,17 @@
 
 const STOP_SIGNALS = ['SIGTERM', 'SIGINT'] as const
 
+/** Makes a daemon write its state to standard output, as one JSON line among those of its log. */
+export const DUMP_SIGNAL = 'SIGUSR2'
+
 /** A daemon that has started. */
 export interface RunningDaemon {
   /** Stops in order; in-flight work is finished first. The process then exits with 0. */
   stop (): Promise<void>
   /** Resolves when the daemon has ended by itself, or rejects when it failed. */
   readonly ended?: Promise<void>
+  /** A bounded dump of the state, without bodies or secrets; `DUMP_SIGNAL` asks for it. */
+  state? (): object
 }
 
 /** What makes one daemon. */
@@ -96,6 +101,7 @@
     const stopped = nextSignal()
     try {
       const daemon = await this.spec.start(settings, file)
+      process.on(DUMP_SIGNAL, () => { dumpState(this.spec.name, daemon) })
       await Promise.race([stopped, daemon.ended ?? stopped])
       await daemon.stop()
       return EXIT_CODES.ok
@@ -106,6 +112,11 @@
   }
 }
 
+function dumpState (name: string, daemon: RunningDaemon): void {
+  const line = { process: name, msg: 'state', state: daemon.state?.() ?? {} }
+  process.stdout.write(`${JSON.stringify(line)}\n`)
+}
+
 async function nextSignal (): Promise<void> {
   await new Promise<void>(resolve => {
     for (const signal of STOP_SIGNALS) process.on(signal, () => { resolve() })
--- a/src/standin/Standin.ts
+++ b/src/standin/Standin.ts
@@ -81,7 +81,8 @@
     if (!this.draining) await this.announcer?.announce('serving')
   }
 
-  private state (): object {
+  /** A bounded dump of the state. */
+  public state (): object {
     const { service, instance, slots, node } = this.settings
     return {
       service,
