--- a/src/bin/sassafras-demo.ts
+++ b/src/bin/sassafras-demo.ts
@@ -26,6 +26,10 @@
 
   public readonly stay = Option.Boolean('--stay', false, { description: 'Keep the mesh running until SIGINT.' })
 
+  public readonly faults = Option.Boolean('--faults', false, {
+    description: 'Bring faults about while calls run, in place of the plain run.'
+  })
+
   public async execute (): Promise<number> {
     const plan = DEMO_PLANS[this.example]
     if (plan === undefined) {
@@ -48,6 +52,11 @@
       await demo.stay(line => { this.tell(line) }, ended)
       return EXIT_CODES.ok
     }
+    if (this.faults) {
+      const summaries = await demo.runFaults(line => { this.tell(line) })
+      this.context.stdout.write(`${JSON.stringify(summaries, null, 2)}\n`)
+      return summaries.every(({ kept }) => kept) ? EXIT_CODES.ok : EXIT_CODES.failed
+    }
     const summary = await demo.run(line => { this.tell(line) })
     this.context.stdout.write(`${JSON.stringify(summary, null, 2)}\n`)
     return summary.whole ? EXIT_CODES.ok : EXIT_CODES.failed
--- a/src/demo/Demo.ts
+++ b/src/demo/Demo.ts
@@ -1,9 +1,10 @@
 import { join } from 'node:path'
 import { setTimeout as delay } from 'node:timers/promises'
 import { LoadRun } from '../load/LoadRun.js'
-import { loadPlan } from '../load/LoadPlan.js'
-import type { LoadPlan } from '../load/LoadPlan.js'
 import type { LoadSummary } from '../load/LoadSummary.js'
+import { buildDemoLoad } from './DemoLoad.js'
+import { FaultRunner } from './FaultRunner.js'
+import type { FaultSummary } from './FaultRunner.js'
 import { LocalMesh } from './LocalMesh.js'
 import type { StartedMesh } from './LocalMesh.js'
 import type { ProcessEnd } from './ProcessGroup.js'
@@ -22,10 +23,6 @@
 
 const LOAD_MS = 10_000
 const STOP_AT_MS = 4000
-/** Long enough for a repeat or two on a busy machine; what counts here is that answers are whole. */
-const DEADLINE_MS = 10_000
-const DOWNLOAD_BYTES = 2_000_000
-const DOWNLOAD_BYTES_PER_S = 1_000_000
 
 /** Runs a small mesh and drives calls through it. */
 export class Demo {
@@ -51,7 +48,7 @@
     try {
       const { layout, ...started } = await this.mesh.start(this.plan.configurationFile, tell)
       tell(`sending calls for ${LOAD_MS / 1000} s`)
-      const run = new LoadRun(loadOf(this.plan, layout), `demo-${process.pid}`)
+      const run = new LoadRun(buildDemoLoad(this.plan, layout, LOAD_MS), `demo-${process.pid}`)
       const [load, stopped] = await Promise.all([run.run(), this.stopOne(layout, tell)])
       const ends = await this.mesh.group.stopAll()
       tell('stopped all processes')
@@ -61,6 +58,21 @@
     }
   }
 
+  /**
+   * Brings faults about one after the other while calls run.
+   * @param tell Called with a line on each step.
+   */
+  public async runFaults (tell: (line: string) => void): Promise<FaultSummary[]> {
+    try {
+      const { layout } = await this.mesh.start(this.plan.configurationFile, tell)
+      const summaries = await new FaultRunner(this.plan, layout, this.mesh).run(tell)
+      await this.mesh.group.stopAll()
+      return summaries
+    } finally {
+      this.mesh.dispose()
+    }
+  }
+
   /**
    * Starts the mesh and leaves it running, for trying commands by hand.
    * @param tell Called with a line on each step.
@@ -88,26 +100,6 @@
   }
 }
 
-function loadOf ({ lookup, guarded, download }: DemoPlan, layout: DemoLayout): LoadPlan {
-  return loadPlan.parse({
-    targets: layout.pairs.map(pair => pair.caller),
-    journals: layout.pairs.map(pair => pair.journal),
-    durationMs: LOAD_MS,
-    streams: [
-      { kind: 'lookup', ...lookup, rate: 100, deadlineMs: DEADLINE_MS },
-      { kind: 'guarded', ...guarded, rate: 20, repeatShare: 0.2, deadlineMs: DEADLINE_MS },
-      {
-        kind: 'download',
-        ...download,
-        rate: 1,
-        bytes: DOWNLOAD_BYTES,
-        bytesPerSecond: DOWNLOAD_BYTES_PER_S,
-        deadlineMs: 2 * DEADLINE_MS
-      }
-    ]
-  })
-}
-
 function isWhole ({ all, streams, unsent, audit }: LoadSummary): boolean {
   if (streams.some(stream => stream.sent === 0)) return false
   const faults = audit === undefined ? Number.NaN : audit.lost + audit.doubled + audit.falseNotRun
--- /dev/null
+++ b/src/demo/DemoLoad.ts
@@ -0,0 +1,42 @@
+/** The calls that demonstrations send. */
+import { loadPlan } from '../load/LoadPlan.js'
+import type { LoadPlan } from '../load/LoadPlan.js'
+import type { DemoLayout, DemoPlan, PairLayout } from './Types.js'
+
+/** Long enough for a repeat or two on a busy machine; what counts here is that answers are whole. */
+const DEADLINE_MS = 10_000
+const DOWNLOAD_BYTES = 2_000_000
+const DOWNLOAD_BYTES_PER_S = 1_000_000
+
+/**
+ * Builds a plan of lookups, guarded requests (a fifth of them sent twice at once) and downloads.
+ * @param plan Services to call.
+ * @param layout The mesh.
+ * @param durationMs Length of the run.
+ * @param targets Nodes that callers use; all when left out.
+ */
+export function buildDemoLoad (
+  { lookup, guarded, download }: DemoPlan,
+  layout: DemoLayout,
+  durationMs: number,
+  targets: readonly PairLayout[] = layout.pairs
+): LoadPlan {
+  return loadPlan.parse({
+    targets: targets.map(pair => pair.caller),
+    journals: layout.pairs.map(pair => pair.journal),
+    durationMs,
+    retry: { attempts: 10 },
+    streams: [
+      { kind: 'lookup', ...lookup, rate: 100, deadlineMs: DEADLINE_MS },
+      { kind: 'guarded', ...guarded, rate: 20, repeatShare: 0.2, deadlineMs: DEADLINE_MS },
+      {
+        kind: 'download',
+        ...download,
+        rate: 1,
+        bytes: DOWNLOAD_BYTES,
+        bytesPerSecond: DOWNLOAD_BYTES_PER_S,
+        deadlineMs: 2 * DEADLINE_MS
+      }
+    ]
+  })
+}
--- a/src/demo/LocalMesh.ts
+++ b/src/demo/LocalMesh.ts
@@ -28,6 +28,11 @@
   readonly membership: { readonly members: readonly KnownMember[] }
 }
 
+/** The part of a control replica's state dump that tells its role. */
+interface ReplicaState {
+  readonly replica: { readonly role: string }
+}
+
 const READY_TIMEOUT_MS = 20_000
 const POLL_MS = 50
 
@@ -80,6 +85,34 @@
     }))
   }
 
+  /**
+   * Starts a node again that was stopped, and waits until it serves and every node knows its upstream.
+   * @param layout The mesh.
+   * @param id Id of the node.
+   */
+  public async restartNode (layout: DemoLayout, id: string): Promise<void> {
+    this.group.start('sassafras-node', `node-${id}`)
+    await this.waitForHealth(layout.pairs.filter(pair => pair.id === id).map(pair => pair.admin))
+    await Promise.all(layout.pairs.map(async ({ admin }) => {
+      await this.waitUntil(`${admin} knows that ${id} serves`, async () => await isServing(admin, id))
+    }))
+  }
+
+  /**
+   * Finds the control replica that leads.
+   * @param layout The mesh.
+   * @returns Its id in the settings.
+   */
+  public async findLeader (layout: DemoLayout): Promise<string> {
+    let leader: string | undefined
+    await this.waitUntil('a control replica leads', async () => {
+      const roles = await Promise.all(layout.replicas.map(async ({ id, admin }) => ({ id, role: await roleOf(admin) })))
+      leader = roles.find(({ role }) => role === 'leader')?.id
+      return leader !== undefined
+    })
+    return leader as string
+  }
+
   /**
    * Starts a control replica again that was stopped, and waits until it is in its group.
    * @param layout The mesh.
@@ -148,6 +181,12 @@
   return membership.members.some(({ node, state, silent }) => node === id && state === 'serving' && !silent)
 }
 
+async function roleOf (admin: string): Promise<string> {
+  const answer = await request(`http://${admin}/state`)
+  const { replica } = await answer.body.json() as ReplicaState
+  return replica.role
+}
+
 async function statusOf (url: string, headers: Record<string, string>): Promise<number> {
   try {
     const answer = await request(url, { headers })
--- a/src/load/LoadPlan.ts
+++ b/src/load/LoadPlan.ts
@@ -49,6 +49,22 @@
   z.strictObject({ kind: z.literal('chain'), ...common, depth: z.number().int().min(1).max(7) })
 ])
 
+/** A change of a stand-in's behaviour in the middle of the run. */
+const change = z.strictObject({
+  /** When, in milliseconds since the start. */
+  atMs: z.number().int().min(0),
+  /** Admin address of the stand-in. */
+  upstream: address,
+  behaviour: z.strictObject({
+    /** Multiplies service times. */
+    slowFactor: z.number().min(0).optional(),
+    /** Share of requests shed without a run. */
+    shedShare: share.optional(),
+    /** How many open connections go silent, the oldest first. */
+    silence: z.number().int().min(1).optional()
+  })
+})
+
 /** What a plan must hold. */
 export const loadPlan = z.strictObject({
   /** Addresses of nodes for callers. */
@@ -65,6 +81,8 @@
     waitMs: durationMs.default(LOAD_DEFAULTS.retry.waitMs),
     maxWaitMs: durationMs.default(LOAD_DEFAULTS.retry.maxWaitMs)
   }).prefault({}),
+  /** What happens to the stand-ins while calls run. */
+  changes: z.array(change).default([]),
   /** Journals of the stand-ins, to count lost and doubled runs. */
   journals: z.array(z.string().min(1)).default([]),
   /** Where the summary goes, beside standard output. */
@@ -73,5 +91,7 @@
   plot: z.string().min(1).optional()
 })
 
+export type BehaviourChange = z.output<typeof change>
+
 export type LoadPlan = z.output<typeof loadPlan>
 export type LoadStream = LoadPlan['streams'][number]
--- a/src/load/LoadRun.test.ts
+++ b/src/load/LoadRun.test.ts
@@ -12,7 +12,7 @@
 import type { CallEnd, CallResult, PlannedCall } from './Types.js'
 import type { JournalLine } from '../standin/Types.js'
 
-type Answer = (request: IncomingMessage, response: ServerResponse) => void
+type Answer = (request: IncomingMessage, response: ServerResponse) => unknown
 
 async function serve (answer: Answer): Promise<string> {
   const server = createServer(answer)
@@ -85,6 +85,23 @@
   expect(all.reasons).toEqual({ 'unknown: peer-lost': all.sent })
 })
 
+test('changes of a plan reach the stand-ins, and one that fails is told', async () => {
+  const bodies: string[] = []
+  const target = await serve((request, response) => {
+    if (request.url !== '/behaviour') return response.end(echo(request, request.headers['x-request-id'] as string))
+    request.on('data', (chunk: Buffer) => { bodies.push(chunk.toString()) })
+    request.on('end', () => { response.end('{"slowFactor":10}') })
+  })
+  const changes = [
+    { atMs: 5, upstream: target, behaviour: { slowFactor: 10 } },
+    { atMs: 5, upstream: '127.0.0.1:1', behaviour: { shedShare: 1 } }
+  ]
+  const summary = await new LoadRun({ ...planOf(target, {}), changes }, 'changes').run()
+  expect(bodies).toEqual(['{"slowFactor":10}'])
+  expect(summary.changes[0]).toEqual({ atMs: 5, upstream: target, answer: '{"slowFactor":10}' })
+  expect(summary.changes[1]?.answer).toContain('ECONNREFUSED')
+})
+
 test('the audit tells lost, doubled and falsely refused runs apart', () => {
   const results = [
     resultOf('good', 'ok'),
--- a/src/load/LoadRun.ts
+++ b/src/load/LoadRun.ts
@@ -1,5 +1,7 @@
 import { setTimeout as delay } from 'node:timers/promises'
 import { Caller } from './Caller.js'
+import { ChangeSchedule } from './ChangeSchedule.js'
+import type { ChangeResult } from './ChangeSchedule.js'
 import { JournalAudit } from './JournalAudit.js'
 import { LatencyRecorder } from './LatencyRecorder.js'
 import type { LoadPlan } from './LoadPlan.js'
@@ -33,6 +35,7 @@
   /** Sends all calls when they are due, waits for their ends and sums up. */
   public async run (): Promise<LoadSummary> {
     this.startedAtMs = performance.now()
+    const changes = new ChangeSchedule(this.plan.changes).run()
     for (let dueMs = this.schedule.nextDueMs; dueMs !== undefined; dueMs = this.schedule.nextDueMs) {
       await this.sleepUntil(dueMs)
       this.waiting.push(this.schedule.take())
@@ -40,7 +43,7 @@
     }
     while (this.open.size > 0) await Promise.race(this.open)
     this.caller.dispose()
-    return this.summary()
+    return this.summary(await changes)
   }
 
   /** Latencies of all calls that were answered, for a plot. */
@@ -78,7 +81,7 @@
     this.results.push(...await Promise.all(copies))
   }
 
-  private summary (): LoadSummary {
+  private summary (changes: readonly ChangeResult[]): LoadSummary {
     const { plan, results } = this
     const late = new LatencyRecorder(plan.durationMs)
     for (const { call, lateMs } of results) late.record(call.dueMs, lateMs)
@@ -92,6 +95,7 @@
       }),
       lateMs: late.summary(),
       unsent: this.waiting.length,
+      changes,
       audit: plan.journals.length === 0 ? undefined : JournalAudit.ofFiles(plan.journals).count(results)
     }
   }
--- a/src/load/LoadSummary.ts
+++ b/src/load/LoadSummary.ts
@@ -1,4 +1,5 @@
 /** What a load run has shown, as JSON. */
+import type { ChangeResult } from './ChangeSchedule.js'
 import type { LoadStream } from './LoadPlan.js'
 import { LatencyRecorder } from './LatencyRecorder.js'
 import type { LatencySummary } from './LatencyRecorder.js'
@@ -25,6 +26,8 @@
   readonly lateMs: LatencySummary
   /** Calls still waiting at the end of the run and not sent. */
   readonly unsent: number
+  /** How the changes of the plan went. */
+  readonly changes: readonly ChangeResult[]
   /** Undefined without journals. */
   readonly audit: AuditCounts | undefined
 }
