Tell an accepted change as accepted whatever follows, and tell files by their keys

It now says accepted, and exits with 6. The new test fails without the catch.

check tells the kind of a file by its keys; all ten example files are told right. Numbers of the command line are checked.

--- a/src/ctl/ApplyCommand.ts
+++ b/src/ctl/ApplyCommand.ts
@@ -4,7 +4,7 @@
 import type { ChangeReply, ChangeRequest } from '../parts/configuration/Types.js'
 import type { AdminOutcome } from './AdminClient.js'
 import { ConfigurationFile } from './ConfigurationFile.js'
-import { CtlCommand, errorReport, invalidReport } from './CtlCommand.js'
+import { CtlCommand, CtlFailure, errorReport, invalidReport, wholeNumber } from './CtlCommand.js'
 import type { CtlReport } from './CtlCommand.js'
 import { CTL_EXIT } from './ExitCodes.js'
 import { InForceView } from './InForceView.js'
@@ -42,10 +42,8 @@
   }
 
   protected async work (): Promise<CtlReport> {
-    const base = Number(this.base)
-    if (!Number.isSafeInteger(base) || base < 0) {
-      return invalidReport([{ place: '--base', problem: `is "${this.base}"`, expected: 'a version, 0 or above' }])
-    }
+    const base = wholeNumber('--base', this.base)
+    if (this.waitMs !== undefined) wholeNumber('--wait-ms', this.waitMs)
     const configuration = new ConfigurationFile(this.file).load()
     if (!configuration.ok) return invalidReport(configuration.val)
     const operation = this.operation ?? this.newOperation()
@@ -78,15 +76,27 @@
   }
 
   private async waitForNodes (report: CtlReport): Promise<CtlReport> {
-    const endAtMs = performance.now() + Number(this.waitMs)
     const { version } = report.json as { version: number }
+    try {
+      const view = await this.pollNodes(version)
+      const exit = view.lagging.length === 0 ? CTL_EXIT.ok : CTL_EXIT.lagging
+      return { exit, text: `${report.text}\n${view.text()}`, json: { ...report.json, ...view.json() } }
+    } catch (error) {
+      if (!(error instanceof CtlFailure)) throw error
+      // The change itself was accepted, and that must not be hidden by what came after.
+      const text = `${report.text}\nwhich nodes have it could not be read: ${error.message}`
+      return { exit: CTL_EXIT.lagging, text, json: { ...report.json, problem: error.message } }
+    }
+  }
+
+  private async pollNodes (version: number): Promise<InForceView> {
+    const endAtMs = performance.now() + Number(this.waitMs)
     let view = await this.readInForce(version)
     while (view.lagging.length > 0 && performance.now() < endAtMs) {
       await delay(WAIT_POLL_MS)
       view = await this.readInForce(version)
     }
-    const exit = view.lagging.length === 0 ? CTL_EXIT.ok : CTL_EXIT.lagging
-    return { exit, text: `${report.text}\n${view.text()}`, json: { ...report.json, ...view.json() } }
+    return view
   }
 
   private async readInForce (version: number): Promise<InForceView> {
--- a/src/ctl/CheckCommand.ts
+++ b/src/ctl/CheckCommand.ts
@@ -1,4 +1,6 @@
+import { readFileSync } from 'node:fs'
 import { Command, Option } from 'clipanion'
+import { parse } from 'smol-toml'
 import type { Finding } from '../parts/configuration/Types.js'
 import { controlSettings } from '../control/ControlSettings.js'
 import { loadPlan } from '../load/LoadPlan.js'
@@ -23,25 +25,50 @@
   ctl: file => new SettingsFile(file, ctlSettings).load()
 }
 
+/** Keys that only files of one kind have, the most telling first. */
+const TELLING_KEYS: ReadonlyArray<readonly [key: string, kind: string]> = [
+  ['measuring', 'configuration'],
+  ['services', 'configuration'],
+  ['streams', 'load'],
+  ['dataFolder', 'control'],
+  ['replicas', 'control'],
+  ['journal', 'upstream'],
+  ['instance', 'upstream'],
+  ['listen', 'node'],
+  ['processes', 'ctl'],
+  ['timeoutMs', 'ctl']
+]
+
 /** `sassafrasctl check`: checks a file without running anything. */
 export class CheckCommand extends CtlCommand {
   public static override paths = [['check']]
   public static override usage = Command.Usage({
-    description: 'Check a configuration, or with --kind the settings of a program.',
+    description: 'Check a configuration, or the settings of a program.',
     details: `Kinds: ${Object.keys(CHECKERS).join(', ')}. Exits with 2 and all findings when something is wrong.`
   })
 
   public readonly file = Option.String()
-  public readonly kind = Option.String('--kind', 'configuration', { description: 'What the file is.' })
+  public readonly kind = Option.String('--kind', { description: 'What the file is; told by its keys when left out.' })
 
   protected async work (): Promise<CtlReport> {
-    const checker = CHECKERS[this.kind]
+    const kind = this.kind ?? kindOf(this.file)
+    const checker = CHECKERS[kind]
     if (checker === undefined) {
       const expected = `one of ${Object.keys(CHECKERS).join(', ')}`
-      return invalidReport([{ place: '--kind', problem: `is "${this.kind}"`, expected }])
+      return invalidReport([{ place: '--kind', problem: `is "${kind}"`, expected }])
     }
     const outcome = checker(this.file)
     if (!outcome.ok) return invalidReport(outcome.val)
-    return { exit: CTL_EXIT.ok, text: `${this.file}: ok`, json: { type: 'ok', file: this.file } }
+    return { exit: CTL_EXIT.ok, text: `${this.file}: ok (${kind})`, json: { type: 'ok', file: this.file, kind } }
+  }
+}
+
+/** A file that can't be read or parsed is told as such by any checker. */
+function kindOf (file: string): string {
+  try {
+    const document = parse(readFileSync(file, 'utf8'))
+    return TELLING_KEYS.find(([key]) => key in document)?.[1] ?? 'configuration'
+  } catch {
+    return 'configuration'
   }
 }
--- a/src/ctl/CtlCommand.ts
+++ b/src/ctl/CtlCommand.ts
@@ -88,7 +88,7 @@
   }
 
   private timeoutMs (settings: CtlSettings): number {
-    return this.timeout === undefined ? settings.timeoutMs : Number(this.timeout)
+    return this.timeout === undefined ? settings.timeoutMs : wholeNumber('--timeout-ms', this.timeout)
   }
 
   private loadSettings (): CtlSettings {
@@ -123,6 +123,16 @@
   })
 }
 
+/**
+ * Reads a number of the command line, or ends the command when it is none.
+ * @param option Name of the option.
+ * @param text What was given.
+ */
+export function wholeNumber (option: string, text: string): number {
+  if (/^\d{1,15}$/.test(text)) return Number(text)
+  throw new CtlFailure(invalidReport([{ place: option, problem: `is "${text}"`, expected: 'a whole number, 0 or above' }]))
+}
+
 /**
  * Reports findings.
  * @param findings What is wrong.
--- a/src/ctl/CtlProgram.test.ts
+++ b/src/ctl/CtlProgram.test.ts
@@ -153,6 +153,15 @@
   expect(JSON.parse(changed.out)).toMatchObject({ inForce: 5, differs: ['services.custody.drainMs'] })
 })
 
+test('an accepted change is told as accepted, also when the nodes can not be read', async () => {
+  const control = await serve(app => {
+    app.post('/changes', (_request, response) => { response.json({ type: 'accepted', version: 5 }) })
+    app.get('/in-force', (_request, response) => { response.status(503).json({}) })
+  })
+  const { exit, err } = await apply(control, '--wait-ms', '0', '--timeout-ms', '700')
+  expect([exit, err.split('\n')[0]]).toEqual([CTL_EXIT.lagging, 'accepted: version 5 is in force'])
+})
+
 test('processes go by their names in the settings', async () => {
   const posts: string[] = []
   const node = await serve(app => {
@@ -172,4 +181,5 @@
   expect((await run('apply', 'mesh.toml')).exit).toBe(CTL_EXIT.invalid)
   expect((await run('check', '/nonexistent', '--kind', 'node')).exit).toBe(CTL_EXIT.invalid)
   expect((await run('get')).exit).toBe(CTL_EXIT.invalid)
+  expect((await run('get', '--control', '127.0.0.1:1', '--timeout-ms', 'soon')).exit).toBe(CTL_EXIT.invalid)
 })
--- a/src/ctl/Examples.test.ts
+++ b/src/ctl/Examples.test.ts
@@ -1,4 +1,5 @@
 import { readdirSync } from 'node:fs'
+import { PassThrough } from 'node:stream'
 import { expect, test, vi } from 'vitest'
 import { createRequire } from 'node:module'
 import { CtlProgram } from './CtlProgram.js'
@@ -17,8 +18,10 @@
     expect(files).toHaveLength(KINDS.length)
     for (const [start, kind] of KINDS) {
       const file = files.find(name => name.startsWith(start)) ?? ''
-      const exit = await new CtlProgram().run(['check', `examples/${deployment}/${file}`, '--kind', kind])
-      expect([file, exit]).toEqual([file, CTL_EXIT.ok])
+      const stdout = new PassThrough()
+      const exit = await new CtlProgram().run(['check', `examples/${deployment}/${file}`, '--json'], { stdout })
+      const told = (JSON.parse(String(stdout.read())) as { kind: string }).kind
+      expect([file, exit, told]).toEqual([file, CTL_EXIT.ok, kind])
     }
   }
 })
--- a/src/ctl/GetCommand.ts
+++ b/src/ctl/GetCommand.ts
@@ -20,12 +20,16 @@
     const view = InForceView.ofOutcome(await this.askControl({ method: 'GET', path: '/in-force' }), inForce.version)
     return {
       exit: view.lagging.length === 0 ? CTL_EXIT.ok : CTL_EXIT.lagging,
-      text: [`version ${inForce.version}, operation ${inForce.operation}`, view.text(), ...servicesText(inForce)].join('\n'),
+      text: [versionText(inForce), view.text(), ...servicesText(inForce)].join('\n'),
       json: { ...inForce, ...view.json() }
     }
   }
 }
 
+function versionText ({ version, operation }: VersionedConfiguration): string {
+  return version === 0 ? 'version 0: no configuration was handed over yet' : `version ${version}, operation ${operation}`
+}
+
 function servicesText ({ configuration }: VersionedConfiguration): string[] {
   const { bytesPerSecond, messagesPerCall } = configuration.measuring
   return [
--- a/src/standin/ServiceTime.ts
+++ b/src/standin/ServiceTime.ts
@@ -3,8 +3,15 @@
 import type { StandinSettings } from './StandinSettings.js'
 
 type Settings = StandinSettings['serviceTime']
+type SettingsOf<K extends Settings['kind']> = Extract<Settings, { kind: K }>
 type Sampler = () => number
 
+const SAMPLERS: { readonly [K in Settings['kind']]: (settings: SettingsOf<K>, random: Random) => Sampler } = {
+  constant: ({ ms }) => () => ms,
+  exponential: ({ meanMs }, random) => () => -Math.log(1 - random.next()) * meanMs,
+  trace: ({ file }) => traceSampler(file)
+}
+
 /** Draws how long each run takes, with the slowness of a cold start. Memory is that of the trace. */
 export class ServiceTime {
   private readonly sample: Sampler
@@ -39,11 +46,8 @@
 }
 
 function samplerOf (settings: Settings, random: Random): Sampler {
-  switch (settings.kind) {
-    case 'constant': return () => settings.ms
-    case 'exponential': return () => -Math.log(1 - random.next()) * settings.meanMs
-    case 'trace': return traceSampler(settings.file)
-  }
+  const make = SAMPLERS[settings.kind] as (settings: Settings, random: Random) => Sampler
+  return make(settings, random)
 }
 
 function traceSampler (file: string): Sampler {
