--- /dev/null
+++ b/bench/spread.ts
@@ -0,0 +1,194 @@
+/** Measures what spreading configuration and membership costs by the number of nodes, on a virtual clock. */
+import { execFileSync } from 'node:child_process'
+import { mkdirSync, writeFileSync } from 'node:fs'
+import { cpus } from 'node:os'
+import { SpreadMesh } from './spread/SpreadMesh.js'
+import type { Endpoint } from './spread/VirtualNetwork.js'
+
+const CUT_REGION = 2
+const CUT_MS = 10_000
+const SIZES = [10, 50, 150, 500, 1_000]
+const REPLICAS = 5
+const SERVICES = 140
+const SEED = 71
+const DELAYS = { inRegionMs: 1, acrossMs: 30 }
+const CHANGES_PER_DAY = 9_100
+const MS_PER_DAY = 86_400_000
+const WARM_UP_MS = 15_000
+const REST_MS = 20_000
+const CHANGES = 10
+const RESTARTS = 10
+const RESTART_INTERVAL_MS = 2_000
+const REJOIN_MS = 20_000
+/** Resolution of the times until all nodes know. */
+const CHECK_MS = 50
+
+/** What one kind of process spent over a stretch of virtual time. */
+interface Cost {
+  readonly messagesPerSecond: number
+  readonly bytesPerSecond: number
+  /** Most bytes of any process in any one second. */
+  readonly peakBytesInOneSecond: number
+  readonly cpuPercentOfCore: number
+}
+
+interface Point {
+  readonly nodes: number
+  readonly scenario: string
+  readonly node: Cost
+  readonly replica: Cost
+  /** Virtual milliseconds until every node had what is new: median and longest. */
+  readonly spreadMs?: { readonly median: number, readonly max: number }
+}
+
+function costOf (endpoints: readonly Endpoint[], ms: number): Cost {
+  const seconds = ms / 1_000
+  const sum = (pick: (endpoint: Endpoint) => number) => endpoints.reduce((total, each) => total + pick(each), 0)
+  const perProcess = endpoints.length * seconds
+  return {
+    messagesPerSecond: round(sum((each) => each.spending.messages) / perProcess),
+    bytesPerSecond: round(sum((each) => each.spending.bytes) / perProcess),
+    peakBytesInOneSecond: Math.max(...endpoints.map((each) => each.spending.peakSecondBytes)),
+    cpuPercentOfCore: round(sum((each) => each.spending.cpuMs) / perProcess / 10)
+  }
+}
+
+function pointOf (mesh: SpreadMesh, scenario: string, ms: number, spread?: readonly number[]): Point {
+  const sorted = [...(spread ?? [])].sort((a, b) => a - b)
+  const median = sorted[Math.floor(sorted.length / 2)]
+  const times = median === undefined ? {} : { spreadMs: { median, max: sorted.at(-1) as number } }
+  const costs = { node: costOf(mesh.nodes, ms), replica: costOf(mesh.replicas, ms) }
+  return { nodes: mesh.nodes.length, scenario, ...costs, ...times }
+}
+
+function measureRest (mesh: SpreadMesh): Point {
+  mesh.resetSpending()
+  mesh.run(REST_MS)
+  return pointOf(mesh, 'rest', REST_MS)
+}
+
+function measureChanges (mesh: SpreadMesh): Point {
+  const intervalMs = Math.round(MS_PER_DAY / CHANGES_PER_DAY)
+  const first = mesh.committedAtMs.size + 1
+  mesh.resetSpending()
+  for (let change = 0; change < CHANGES; change += 1) {
+    mesh.change()
+    mesh.run(intervalMs)
+  }
+  const spread = Array.from({ length: CHANGES }, (_, index) => {
+    const version = first + index
+    const applied = mesh.nodes.map((node) => node.appliedAtMs.get(version) ?? Number.POSITIVE_INFINITY)
+    return Math.max(...applied) - (mesh.committedAtMs.get(version) as number)
+  })
+  return pointOf(mesh, 'changes at 9,100 a day', CHANGES * intervalMs, spread)
+}
+
+function measureRestarts (mesh: SpreadMesh): Point {
+  const spread: number[] = []
+  mesh.resetSpending()
+  for (let restart = 0; restart < RESTARTS; restart += 1) {
+    const node = mesh.nodes[(restart * 37) % mesh.nodes.length]
+    if (node !== undefined) mesh.restart(node)
+    spread.push(measureUntilAware(mesh, RESTART_INTERVAL_MS))
+  }
+  return pointOf(mesh, 'one restart every 2 s', RESTARTS * RESTART_INTERVAL_MS, spread)
+}
+
+function measureLostReplica (mesh: SpreadMesh): Point {
+  mesh.resetSpending()
+  const lost = mesh.replicas.at(-1)
+  const moved = lost === undefined ? [] : mesh.loseReplica(lost)
+  const spread = [measureUntilAware(mesh, REJOIN_MS)]
+  return pointOf(mesh, `${moved.length} nodes move to other replicas`, REJOIN_MS, spread)
+}
+
+function measureRejoin (mesh: SpreadMesh): Point {
+  mesh.resetSpending()
+  mesh.nodes.forEach((node) => mesh.restart(node))
+  return pointOf(mesh, 'all nodes restart at once', REJOIN_MS, [measureUntilAware(mesh, REJOIN_MS)])
+}
+
+/** The nodes of one region can't reach control, but their peers elsewhere can. */
+function measureCutOff (mesh: SpreadMesh): Point {
+  const cutOff = new Set(mesh.nodes.filter((node) => node.region === CUT_REGION).map((node) => node.name))
+  mesh.network.isCut = (from, to) => {
+    return (cutOff.has(from) && !to.startsWith('node-')) || (cutOff.has(to) && !from.startsWith('node-'))
+  }
+  mesh.resetSpending()
+  mesh.change()
+  mesh.run(CUT_MS)
+  mesh.network.isCut = () => false
+  const version = mesh.committedAtMs.size
+  const applied = mesh.nodes.map((node) => node.appliedAtMs.get(version) ?? Number.POSITIVE_INFINITY)
+  const spread = Math.max(...applied) - (mesh.committedAtMs.get(version) as number)
+  return pointOf(mesh, 'a region cut off from control hears of a change from peers', CUT_MS, [spread])
+}
+
+/** Runs for the whole time and returns when every node knew the live members and was current, or Infinity. */
+function measureUntilAware (mesh: SpreadMesh, ms: number): number {
+  const startedAtMs = mesh.network.nowMs
+  let awareAtMs = Number.POSITIVE_INFINITY
+  mesh.run(ms, () => {
+    const passedMs = mesh.network.nowMs - startedAtMs
+    if (awareAtMs === Number.POSITIVE_INFINITY && passedMs % CHECK_MS === 0 && passedMs > 0) {
+      const ready = mesh.nodes.every((node) => node.isCurrent) && mesh.allAware()
+      awareAtMs = ready ? passedMs : awareAtMs
+    }
+  })
+  return awareAtMs
+}
+
+/** Straight line through the points by least squares. */
+function slopeOf (points: readonly Point[], pick: (point: Point) => number) {
+  const meanX = points.reduce((sum, point) => sum + point.nodes, 0) / points.length
+  const meanY = points.reduce((sum, point) => sum + pick(point), 0) / points.length
+  const covariance = points.reduce((sum, point) => sum + (point.nodes - meanX) * (pick(point) - meanY), 0)
+  const variance = points.reduce((sum, point) => sum + (point.nodes - meanX) ** 2, 0)
+  const perNode = covariance / variance
+  return { perNode: round(perNode, 5), atZero: round(meanY - perNode * meanX, 2) }
+}
+
+function round (value: number, digits = 3): number {
+  return Number(value.toFixed(digits))
+}
+
+function measure (nodes: number): Point[] {
+  const mesh = new SpreadMesh({ nodes, replicas: REPLICAS, services: SERVICES, delays: DELAYS, seed: SEED })
+  mesh.attachAll()
+  mesh.run(WARM_UP_MS)
+  const scenarios = [measureRest, measureChanges, measureCutOff, measureRestarts, measureRejoin, measureLostReplica]
+  return scenarios.map((scenario) => scenario(mesh))
+}
+
+const sizes = process.argv.length > 2 ? process.argv.slice(2).map(Number) : SIZES
+const points = sizes.flatMap((nodes) => {
+  const measured = measure(nodes)
+  process.stdout.write(measured.map((point) => JSON.stringify(point)).join('\n') + '\n')
+  return measured
+})
+const scenarios = ['rest', 'changes at 9,100 a day', 'one restart every 2 s', 'all nodes restart at once']
+const slopes = scenarios.map((scenario) => {
+  const line = points.filter((point) => point.scenario === scenario)
+  return {
+    scenario,
+    nodeBytesPerSecond: slopeOf(line, (point) => point.node.bytesPerSecond),
+    nodeCpuPercent: slopeOf(line, (point) => point.node.cpuPercentOfCore),
+    nodePeakBytes: slopeOf(line, (point) => point.node.peakBytesInOneSecond),
+    replicaBytesPerSecond: slopeOf(line, (point) => point.replica.bytesPerSecond),
+    replicaCpuPercent: slopeOf(line, (point) => point.replica.cpuPercentOfCore)
+  }
+})
+const commit = execFileSync('git', ['rev-parse', '--short', 'HEAD']).toString().trim()
+const result = {
+  commit,
+  cores: cpus().length,
+  node: process.version,
+  date: new Date().toISOString().slice(0, 10),
+  command: 'npm run bench:spread',
+  seeds: [SEED],
+  setup: { replicas: REPLICAS, services: SERVICES, delays: DELAYS, clock: 'virtual; CPU is wall time of the steps' },
+  points,
+  slopes
+}
+mkdirSync('bench/results', { recursive: true })
+writeFileSync('bench/results/spread.json', JSON.stringify(result, null, 1) + '\n')
--- /dev/null
+++ b/bench/spread/SpreadMesh.ts
@@ -0,0 +1,190 @@
+/** Nodes and control replicas in three regions on one virtual clock. */
+import { ConfigurationRegister } from '../../src/parts/configuration/ConfigurationRegister.js'
+import type { Configuration, ServiceRule } from '../../src/parts/configuration/Types.js'
+import { SeededRandom } from '../../src/parts/SeededRandom.js'
+import { SpreadNode } from './SpreadNode.js'
+import { SpreadReplica } from './SpreadReplica.js'
+import { type Delays, VirtualNetwork } from './VirtualNetwork.js'
+
+const REGIONS = 3
+const NODES_PER_SERVICE = 2_200 / 140
+const INTEREST = 12
+const PEERS = 12
+const TICK_MS = 250
+const REPLICA_TICK_MS = 200
+
+/** Size and links of a mesh. */
+export interface MeshOptions {
+  readonly nodes: number
+  readonly replicas: number
+  readonly services: number
+  readonly delays: Delays
+  readonly seed: number
+}
+
+/** Real parts of many processes in one process. */
+export class SpreadMesh {
+  public readonly network: VirtualNetwork
+  public readonly nodes: SpreadNode[] = []
+  public readonly replicas: SpreadReplica[] = []
+  /** Virtual time at which each version was committed. */
+  public readonly committedAtMs = new Map<number, number>()
+  private readonly register = new ConfigurationRegister()
+  private readonly random: SeededRandom
+  /** Nodes by the millisecond of a tick interval at which their timers fire. */
+  private readonly nodesByPhase: SpreadNode[][] = Array.from({ length: TICK_MS }, () => [])
+  private pushes: Array<{ readonly atMs: number, readonly replica: SpreadReplica }> = []
+
+  public constructor (private readonly options: MeshOptions) {
+    this.network = new VirtualNetwork(options.delays)
+    this.random = new SeededRandom(options.seed)
+    this.change()
+    this.addReplicas()
+    this.addNodes()
+  }
+
+  /** Attaches every node to the replicas of its region in turn. */
+  public attachAll (): void {
+    this.nodes.forEach((node) => this.attach(node))
+  }
+
+  /** Restarts one node with a new incarnation. */
+  public restart (node: SpreadNode): void {
+    this.replicas.find((replica) => replica.name === node.home)?.detach(node.name)
+    node.restart()
+    this.attach(node)
+  }
+
+  /** Cuts one replica off from its nodes, which go to the others; returns those nodes. */
+  public loseReplica (lost: SpreadReplica): SpreadNode[] {
+    const moved = this.nodes.filter((node) => node.home === lost.name)
+    const others = this.replicas.filter((replica) => replica !== lost)
+    moved.forEach((node, index) => {
+      lost.detach(node.name)
+      node.attach((others[index % others.length] as SpreadReplica).name)
+    })
+    return moved
+  }
+
+  /** Commits a change of one rule; replicas apply it after their link's delay. */
+  public change (): void {
+    const { version } = this.register.inForce
+    const configuration = configurationOf(this.options.services, version)
+    this.register.apply({ operation: `operation-${version}`, base: version, configuration }, 1)
+    this.committedAtMs.set(version + 1, this.network.nowMs)
+    for (const replica of this.replicas) {
+      const delayMs = replica.region === 0 ? this.options.delays.inRegionMs : this.options.delays.acrossMs
+      this.pushes.push({ atMs: this.network.nowMs + delayMs, replica })
+    }
+  }
+
+  /** Runs the mesh for some virtual milliseconds. */
+  public run (ms: number, atEach: () => void = () => {}): void {
+    for (let passed = 0; passed < ms; passed += 1) {
+      atEach()
+      this.pushDue()
+      if (this.network.nowMs % REPLICA_TICK_MS === 0) {
+        this.replicas.forEach((replica) => this.network.charge(replica, () => replica.runTimers()))
+      }
+      const phase = (TICK_MS - this.network.nowMs % TICK_MS) % TICK_MS
+      this.nodesByPhase[phase]?.forEach((node) => this.network.charge(node, () => node.runTimers()))
+      this.network.advance()
+    }
+  }
+
+  /** Forgets what was spent so far. */
+  public resetSpending (): void {
+    for (const endpoint of [...this.nodes, ...this.replicas]) {
+      Object.assign(endpoint.spending, { messages: 0, bytes: 0, cpuMs: 0, secondBytes: 0, peakSecondBytes: 0 })
+    }
+  }
+
+  /** True when every node knows exactly the live members of its interest. */
+  public allAware (): boolean {
+    const wanted = new Map<string, string[]>()
+    for (const { member } of this.nodes) {
+      const texts = wanted.get(member.service) ?? []
+      wanted.set(member.service, texts)
+      texts.push(`${member.node} ${member.incarnation}`)
+    }
+    return this.nodes.every((node) => {
+      const known = new Set(node.known.map((member) => `${member.node} ${member.incarnation}`))
+      const expected = node.interest.flatMap((service) => wanted.get(service) ?? [])
+      return known.size === expected.length && expected.every((text) => known.has(text))
+    })
+  }
+
+  private attach (node: SpreadNode): void {
+    const near = this.replicas.filter((replica) => replica.region === node.region)
+    const index = Math.floor(this.random.next() * near.length)
+    node.attach((near[index] as SpreadReplica).name)
+  }
+
+  private pushDue (): void {
+    const due = this.pushes.filter((push) => push.atMs <= this.network.nowMs)
+    if (due.length > 0) {
+      this.pushes = this.pushes.filter((push) => push.atMs > this.network.nowMs)
+      due.forEach(({ replica }) => this.network.charge(replica, () => replica.push()))
+    }
+  }
+
+  private addReplicas (): void {
+    for (let index = 0; index < this.options.replicas; index += 1) {
+      const replica = new SpreadReplica(this.network, this.register, `replica-${index}`, index % REGIONS)
+      this.replicas.push(replica)
+      this.network.add(replica)
+    }
+    for (const replica of this.replicas) {
+      this.replicas.filter((other) => other !== replica).forEach((other) => replica.attachReplica(other.name))
+    }
+  }
+
+  private addNodes (): void {
+    const count = this.options.nodes
+    const services = Math.max(1, Math.round(count / NODES_PER_SERVICE))
+    for (let index = 0; index < count; index += 1) {
+      const first = Math.floor(this.random.next() * services)
+      const interest = Array.from({ length: Math.min(INTEREST, services) }, (_, step) => {
+        return serviceName((first + step) % services)
+      })
+      const peers = Array.from({ length: Math.min(PEERS, count - 1) }, (_, step) => {
+        return nodeName((index + 1 + step * 7) % count)
+      }).filter((name) => name !== nodeName(index))
+      const phaseMs = Math.floor(this.random.next() * 500)
+      const node = new SpreadNode(this.network, {
+        name: nodeName(index),
+        region: index % REGIONS,
+        service: serviceName(index % services),
+        interest,
+        peers,
+        phaseMs
+      })
+      this.nodesByPhase[phaseMs % TICK_MS]?.push(node)
+      this.nodes.push(node)
+      this.network.add(node)
+    }
+  }
+}
+
+function nodeName (index: number): string {
+  return `node-${String(index).padStart(4, '0')}`
+}
+
+function serviceName (index: number): string {
+  return `service-${String(index).padStart(3, '0')}`
+}
+
+function configurationOf (services: number, version: number): Configuration {
+  const rules: ServiceRule[] = Array.from({ length: services }, (_, index) => ({
+    name: serviceName(index),
+    guarded: ['POST /orders', 'PUT /orders', 'DELETE /orders'],
+    downloads: ['GET /catalogues', 'GET /manuals'],
+    keyless: 'refuse',
+    deadlineMs: index === version % services ? 1_000 + version : 1_000,
+    drainMs: 600_000,
+    retryShare: 0.1,
+    maxBodyBytes: 1_048_576
+  }))
+  const zones = Array.from({ length: 7 }, (_, index) => ({ region: `region-${index % 3}`, zone: `zone-${index}` }))
+  return { services: rules, zones, measuring: { bytesPerSecond: 12_000, messagesPerCall: 0.1 } }
+}
--- /dev/null
+++ b/bench/spread/VirtualNetwork.ts
@@ -0,0 +1,100 @@
+/** Links with fixed delays on a virtual clock; every message is really encoded and decoded, and counted. */
+import { Encoder } from 'cbor-x'
+
+const CODEC = new Encoder({ useRecords: false, mapsAsObjects: true, tagUint8Array: false })
+const FRAME_HEADER_BYTES = 4
+const MS_PER_SECOND = 1_000
+
+/** What one process has spent since the last reset. */
+export interface Spending {
+  messages: number
+  bytes: number
+  cpuMs: number
+  /** Bytes in the second that is under way, and the most of any second. */
+  second: number
+  secondBytes: number
+  peakSecondBytes: number
+}
+
+/** One process of the network. */
+export interface Endpoint {
+  readonly name: string
+  readonly region: number
+  readonly spending: Spending
+  /** Takes a decoded message. */
+  receive (from: string, message: unknown): void
+}
+
+interface Delivery {
+  readonly from: string
+  readonly to: string
+  readonly bytes: Uint8Array
+}
+
+/** Delays of the links in milliseconds. */
+export interface Delays {
+  readonly inRegionMs: number
+  readonly acrossMs: number
+}
+
+/** Returns spending of nothing. */
+export function noSpending (): Spending {
+  return { messages: 0, bytes: 0, cpuMs: 0, second: 0, secondBytes: 0, peakSecondBytes: 0 }
+}
+
+/** Delivers messages in the order of their virtual times and adds up what each process spends. */
+export class VirtualNetwork {
+  public nowMs = 0
+  /** Messages for which this returns true are lost. */
+  public isCut: (from: string, to: string) => boolean = () => false
+  private readonly endpoints = new Map<string, Endpoint>()
+  private readonly due = new Map<number, Delivery[]>()
+
+  public constructor (private readonly delays: Delays) {}
+
+  public add (endpoint: Endpoint): void {
+    this.endpoints.set(endpoint.name, endpoint)
+  }
+
+  /** Encodes a message at its sender and lets it arrive after the link's delay. */
+  public send (from: string, to: string, message: unknown): void {
+    const sender = this.endpoints.get(from) as Endpoint
+    const receiver = this.endpoints.get(to)
+    if (receiver === undefined || this.isCut(from, to)) return
+    const bytes = new Uint8Array(CODEC.encode(message))
+    this.count(sender.spending, bytes.length)
+    const delayMs = sender.region === receiver.region ? this.delays.inRegionMs : this.delays.acrossMs
+    const atMs = this.nowMs + delayMs
+    const bucket = this.due.get(atMs) ?? []
+    this.due.set(atMs, bucket)
+    bucket.push({ from, to, bytes })
+  }
+
+  /** Delivers what is due in this millisecond and goes on to the next. */
+  public advance (): void {
+    for (const { from, to, bytes } of this.due.get(this.nowMs) ?? []) {
+      const receiver = this.endpoints.get(to) as Endpoint
+      this.count(receiver.spending, bytes.length)
+      this.charge(receiver, () => receiver.receive(from, CODEC.decode(bytes)))
+    }
+    this.due.delete(this.nowMs)
+    this.nowMs += 1
+  }
+
+  /** Runs work of a process and charges its time, without what it causes elsewhere. */
+  public charge (endpoint: Endpoint, work: () => void): void {
+    const startedAtMs = performance.now()
+    work()
+    endpoint.spending.cpuMs += performance.now() - startedAtMs
+  }
+
+  private count (spending: Spending, bodyBytes: number): void {
+    const bytes = bodyBytes + FRAME_HEADER_BYTES
+    const second = Math.floor(this.nowMs / MS_PER_SECOND)
+    spending.messages += 1
+    spending.bytes += bytes
+    spending.secondBytes = second === spending.second ? spending.secondBytes + bytes : bytes
+    spending.second = second
+    spending.peakSecondBytes = Math.max(spending.peakSecondBytes, spending.secondBytes)
+  }
+}
--- a/src/parts/membership/MembershipTable.ts
+++ b/src/parts/membership/MembershipTable.ts
@@ -94,6 +94,7 @@
   private lastTickMs: number | undefined
   private leasesFromMs = Number.NEGATIVE_INFINITY
   private nextBeatsMs = 0
+  private nextSweepMs = 0
   private nextDigestMs = 0
   private frozen = 0
 
@@ -296,7 +297,10 @@
   private tick (nowMs: number): MembershipAction[] {
     this.noticeFreeze(nowMs)
     const actions = this.options.role === 'replica' ? this.expireLeases(nowMs) : []
-    this.removeGone(nowMs)
+    if (nowMs >= this.nextSweepMs) {
+      this.nextSweepMs = nowMs + this.options.beatIntervalMs
+      this.removeGone(nowMs)
+    }
     return [...actions, ...this.tellBeats(nowMs), ...this.tellDigests(nowMs)]
   }
 
