Grow subsets when few nodes call a large service, and weigh a sample for each call

Cause: 24 ingress nodes with subsets of 16 left one instance in seven of 200 without any caller, so 85% load was 100% for the rest. Change: each instance lies in 8 subsets on average, a decision weighs 16 of them from a random place on, and the mean load of others is kept as a running sum.

--- a/bench/virtual/Mesh.ts
+++ b/bench/virtual/Mesh.ts
@@ -139,6 +139,7 @@
       place: ingress.place,
       random: new SeededRandom(this.plan.seed * 15_485_863 + ingress.index * 101 + 7),
       hosts: this.hosts,
+      ingressNodes: this.ingresses.length,
       rttMs: host => 2 * this.delayMs(ingress.place, host.place),
       report: host => this.reports[host.index] ?? 0,
       probe: host => this.probe(ingress, host)
--- a/bench/virtual/Strategies.ts
+++ b/bench/virtual/Strategies.ts
@@ -31,6 +31,8 @@
   readonly place: Place
   readonly random: Random
   readonly hosts: readonly HostNode[]
+  /** Nodes that call the service. */
+  readonly ingressNodes: number
   rttMs (host: HostNode): number
   /** Lagging report of a host: its load when last polled, or what it lies. */
   report (host: HostNode): number
@@ -152,7 +154,7 @@
   private linkUp: readonly boolean[] = []
 
   public constructor (private readonly host: StrategyHost) {
-    this.chooser = new UpstreamChooser(host.place, host.random)
+    this.chooser = new UpstreamChooser(host.place, host.random, { ingressNodes: host.ingressNodes })
   }
 
   public choose (call: CallId, _usable: readonly HostNode[], excluded: readonly number[], nowMs: number): number {
--- a/src/parts/choice/Constants.ts
+++ b/src/parts/choice/Constants.ts
@@ -1,10 +1,19 @@
 /** Constants of choosing an upstream. */
 
-/** Instances that a chooser weighs when a service has more than these. */
+/** Instances that a chooser knows at least when a service has more than these. */
 export const SUBSET_SIZE = 16
 
-/** Members of a subset kept for instances of other availability zones. */
-export const SUBSET_ELSEWHERE = 6
+/** Share of a subset kept for instances of other availability zones, 0 to 1. */
+export const SUBSET_ELSEWHERE_SHARE = 0.375
+
+/** Subsets that each instance should be in, on average. */
+export const MIN_COVERAGE = 8
+
+/** Nodes that are taken to call a service when the host does not say how many there are. */
+export const DEFAULT_INGRESS_NODES = 1000
+
+/** Instances weighed for one call at most, so that a decision costs the same in a large subset. */
+export const WEIGHED_PER_CALL = 16
 
 /** Round trip to an instance of the same availability zone. */
 export const SAME_ZONE_RTT_MS = 0.2
--- a/src/parts/choice/SubsetSelector.ts
+++ b/src/parts/choice/SubsetSelector.ts
@@ -1,4 +1,5 @@
 import type { InstanceId, Place } from '../Types.js'
+import { MIN_COVERAGE } from './Constants.js'
 import type { Candidate } from './Types.js'
 
 const FNV_OFFSET = 0x811c9dc5
@@ -6,9 +7,12 @@
 
 /** How large a subset is. */
 export interface SubsetSize {
+  /** Members at least, as far as there are so many. */
   readonly total: number
-  /** Members kept for other availability zones. */
-  readonly elsewhere: number
+  /** Share of the members kept for other availability zones, 0 to 1. */
+  readonly elsewhereShare: number
+  /** Nodes that call the service; few of them need larger subsets to reach every instance. */
+  readonly ingressNodes: number
 }
 
 /**
@@ -28,16 +32,23 @@
     private readonly size: SubsetSize
   ) {}
 
-  /** @param candidates Instances that may be chosen now. */
+  /**
+   * @param candidates Instances that may be chosen now.
+   * @returns The subset, in an order in which near and far instances are mixed.
+   */
   public select (candidates: readonly Candidate[]): Candidate[] {
-    if (candidates.length <= this.size.total) {
-      return [...candidates]
-    }
+    const covering = Math.ceil(MIN_COVERAGE * candidates.length / Math.max(1, this.size.ingressNodes))
+    const total = Math.max(this.size.total, covering)
     const ranked = this.rank(candidates)
+    if (ranked.length <= total) {
+      return ranked
+    }
     const near = ranked.filter(candidate => this.isNear(candidate))
     const far = ranked.filter(candidate => !this.isNear(candidate))
-    const farCount = Math.max(Math.min(this.size.elsewhere, far.length), this.size.total - near.length)
-    return [...near.slice(0, this.size.total - farCount), ...far.slice(0, farCount)]
+    const wanted = Math.min(Math.ceil(total * this.size.elsewhereShare), far.length)
+    const farCount = Math.max(wanted, total - near.length)
+    const kept = new Set([...near.slice(0, total - farCount), ...far.slice(0, farCount)])
+    return ranked.filter(candidate => kept.has(candidate))
   }
 
   private rank (candidates: readonly Candidate[]): Candidate[] {
--- a/src/parts/choice/UpstreamChooser.ts
+++ b/src/parts/choice/UpstreamChooser.ts
@@ -3,9 +3,10 @@
 import type { DetectionAction, DetectionEvent } from '../detection/Types.js'
 import { CandidateLoad } from './CandidateLoad.js'
 import {
-  DEFAULT_SERVICE_MS, FAILURE_COST_SERVICE_TIMES, JITTER, MIN_EXPECTED_MS, NONE_AVAILABLE_RETRY_MS,
-  OTHER_REGION_RTT_MS, OWN_CALL_COST, PROBE_AFTER_MS, REFUSAL_COST, REFUSAL_QUEUE_PER_SLOT, SAME_REGION_RTT_MS,
-  SAME_ZONE_RTT_MS, SERVICE_TIME_WEIGHT, SUBSET_ELSEWHERE, SUBSET_SIZE, USUAL_RATIO
+  DEFAULT_INGRESS_NODES, DEFAULT_SERVICE_MS, FAILURE_COST_SERVICE_TIMES, JITTER, MIN_EXPECTED_MS,
+  NONE_AVAILABLE_RETRY_MS, OTHER_REGION_RTT_MS, OWN_CALL_COST, PROBE_AFTER_MS, REFUSAL_COST, REFUSAL_QUEUE_PER_SLOT,
+  SAME_REGION_RTT_MS, SAME_ZONE_RTT_MS, SERVICE_TIME_WEIGHT, SUBSET_ELSEWHERE_SHARE, SUBSET_SIZE, USUAL_RATIO,
+  WEIGHED_PER_CALL
 } from './Constants.js'
 import { SubsetSelector } from './SubsetSelector.js'
 import type { AttemptOutcome, Candidate, ChoiceAction, ChoiceEvent } from './Types.js'
@@ -16,7 +17,10 @@
 /** Options of an upstream chooser. Durations in milliseconds. */
 export interface ChooserOptions {
   readonly subsetSize: number
-  readonly subsetElsewhere: number
+  /** Share of the subset kept for other availability zones, 0 to 1. */
+  readonly subsetElsewhereShare: number
+  /** Nodes that call the service; subsets grow when there are few. */
+  readonly ingressNodes: number
   readonly sameZoneRttMs: number
   readonly sameRegionRttMs: number
   readonly otherRegionRttMs: number
@@ -25,7 +29,8 @@
 
 const DEFAULT_OPTIONS: ChooserOptions = {
   subsetSize: SUBSET_SIZE,
-  subsetElsewhere: SUBSET_ELSEWHERE,
+  subsetElsewhereShare: SUBSET_ELSEWHERE_SHARE,
+  ingressNodes: DEFAULT_INGRESS_NODES,
   sameZoneRttMs: SAME_ZONE_RTT_MS,
   sameRegionRttMs: SAME_REGION_RTT_MS,
   otherRegionRttMs: OTHER_REGION_RTT_MS,
@@ -56,6 +61,7 @@
   private subset: CandidateLoad[] = []
   private serviceMs = DEFAULT_SERVICE_MS
   private callsInFlight = 0
+  private othersPerSlotSum = 0
 
   /**
    * @param place Place of this ingress node.
@@ -69,8 +75,9 @@
   ) {
     this.options = { ...DEFAULT_OPTIONS, ...options }
     const salt = Math.floor(random.next() * 0x7fffffff)
-    const { subsetSize, subsetElsewhere } = this.options
-    this.selector = new SubsetSelector(place, salt, { total: subsetSize, elsewhere: subsetElsewhere })
+    const { subsetSize, subsetElsewhereShare, ingressNodes } = this.options
+    const size = { total: subsetSize, elsewhereShare: subsetElsewhereShare, ingressNodes }
+    this.selector = new SubsetSelector(place, salt, size)
   }
 
   /**
@@ -99,6 +106,7 @@
       }
     }
     this.subset = chosen.map(candidate => this.record(candidate))
+    this.othersPerSlotSum = this.subset.reduce((sum, load) => sum + load.othersPerSlot(), 0)
     return []
   }
 
@@ -126,7 +134,7 @@
   }
 
   private choose (event: EventOf<'choose'>, nowMs: number): ChoiceAction[] {
-    const target = this.best(event.excluded, nowMs, false) ?? this.best(event.excluded, nowMs, true)
+    const target = this.target(event.excluded, nowMs)
     if (target === undefined) {
       return [{
         type: 'noneAvailable',
@@ -135,26 +143,38 @@
         retryAfterMs: NONE_AVAILABLE_RETRY_MS
       }]
     }
-    const expectedMs = this.expectedMs(target, this.meanOthersPerSlot(), nowMs)
+    const expectedMs = this.expectedMs(target, nowMs)
     this.callsInFlight += 1
     target.sent(event.call, nowMs, expectedMs)
     this.detector.step({ type: 'started', instance: target.instance }, nowMs)
     return [{ type: 'chosen', call: event.call, instance: target.instance }]
   }
 
-  /** The instance with the lowest cost; `anyHealth` also takes ejected and unproven ones, as a last resort. */
-  private best (excluded: readonly InstanceId[], nowMs: number, anyHealth: boolean): CandidateLoad | undefined {
-    const othersPerSlot = this.meanOthersPerSlot()
+  /** The best of a sample; failing that, of the whole subset; failing that, of the ejected and unproven ones too. */
+  private target (excluded: readonly InstanceId[], nowMs: number): CandidateLoad | undefined {
+    return this.best(excluded, nowMs, WEIGHED_PER_CALL, false) ??
+      this.best(excluded, nowMs, this.subset.length, false) ??
+      this.best(excluded, nowMs, this.subset.length, true)
+  }
+
+  private best (
+    excluded: readonly InstanceId[], nowMs: number, sample: number, anyHealth: boolean
+  ): CandidateLoad | undefined {
+    const count = this.subset.length
+    const weighed = Math.min(sample, count)
+    let index = weighed < count ? Math.floor(this.random.next() * count) : 0
     let best: CandidateLoad | undefined
     let lowest = Number.POSITIVE_INFINITY
-    for (const candidate of this.subset) {
+    for (let seen = 0; seen < weighed; seen++) {
+      const candidate = this.subset[index] as CandidateLoad
+      index = index + 1 === count ? 0 : index + 1
       if (!isReachable(candidate) || excluded.includes(candidate.instance)) {
         continue
       }
       if (!anyHealth && !this.isWelcome(candidate)) {
         continue
       }
-      const cost = this.cost(candidate, othersPerSlot, nowMs)
+      const cost = this.cost(candidate, nowMs)
       if (cost < lowest) {
         lowest = cost
         best = candidate
@@ -173,8 +193,8 @@
     return candidate.withinRamp()
   }
 
-  private cost (candidate: CandidateLoad, othersPerSlot: number, nowMs: number): number {
-    const expected = this.expectedMs(candidate, othersPerSlot, nowMs)
+  private cost (candidate: CandidateLoad, nowMs: number): number {
+    const expected = this.expectedMs(candidate, nowMs)
     const slow = Math.max(1, candidate.vitals.slowness.ratio(nowMs) - USUAL_RATIO + 1)
     const failing = candidate.vitals.failureShare * FAILURE_COST_SERVICE_TIMES * this.serviceMs
     // Evidence is rough: nearly equal instances are told apart at random, so that nodes do not act alike.
@@ -184,8 +204,8 @@
   }
 
   /** Round trip, wait and service at the load that is known of. */
-  private expectedMs (candidate: CandidateLoad, othersPerSlot: number, nowMs: number): number {
-    const wait = candidate.waitingAhead(othersPerSlot, nowMs) / candidate.slots
+  private expectedMs (candidate: CandidateLoad, nowMs: number): number {
+    const wait = candidate.waitingAhead(this.meanOthersPerSlot(), nowMs) / candidate.slots
     const refusal = REFUSAL_COST * Math.max(0, wait - REFUSAL_QUEUE_PER_SLOT)
     const service = candidate.serviceNow(this.serviceMs, nowMs)
     return Math.max(MIN_EXPECTED_MS, candidate.rttMs + service * (1 + wait + refusal))
@@ -196,11 +216,7 @@
   }
 
   private meanOthersPerSlot (): number {
-    let sum = 0
-    for (const candidate of this.subset) {
-      sum += candidate.othersPerSlot()
-    }
-    return sum / Math.max(1, this.subset.length)
+    return Math.max(0, this.othersPerSlotSum) / Math.max(1, this.subset.length)
   }
 
   private answered (event: EventOf<'answered'>, nowMs: number): ChoiceAction[] {
@@ -213,7 +229,7 @@
     if (event.evidence !== undefined) {
       this.learn(candidate, event.evidence, nowMs)
     } else if (event.outcome === 'refused') {
-      candidate.refused(nowMs)
+      this.changeLoad(candidate, () => candidate.refused(nowMs))
     }
     if (event.outcome === 'ok' && sent !== undefined) {
       candidate.goodAnswers += 1
@@ -229,10 +245,16 @@
   }
 
   private learn (candidate: CandidateLoad, evidence: EventOf<'evidence'>['evidence'], nowMs: number): void {
-    candidate.observe(evidence, nowMs)
+    this.changeLoad(candidate, () => candidate.observe(evidence, nowMs))
     this.serviceMs += SERVICE_TIME_WEIGHT * (candidate.serviceMs - this.serviceMs)
   }
 
+  private changeLoad (candidate: CandidateLoad, change: () => void): void {
+    this.othersPerSlotSum -= candidate.othersPerSlot()
+    change()
+    this.othersPerSlotSum += candidate.othersPerSlot()
+  }
+
   private report (
     instance: InstanceId, outcome: AttemptOutcome, latencyMs: number, nowMs: number
   ): ChoiceAction[] {
