Forget short slow-downs sooner

Cause: load that hops every 5 to 50 ms left an instance avoided for 60 ms after it was fast again. Change: shortest memory of a slow-down 60 to 10 ms (it still grows with the slow-down), memory of load evidence from 2 to 1 service times.

--- a/src/parts/choice/Constants.ts
+++ b/src/parts/choice/Constants.ts
@@ -28,7 +28,7 @@
 export const DEFAULT_SERVICE_MS = 5
 
 /** Service times after which load evidence has lost most of its weight. */
-export const EVIDENCE_MEMORY_SERVICE_TIMES = 2
+export const EVIDENCE_MEMORY_SERVICE_TIMES = 1
 
 /** Latency that a failed attempt is counted as, in service times. */
 export const FAILURE_COST_SERVICE_TIMES = 40
--- a/src/parts/detection/Constants.ts
+++ b/src/parts/detection/Constants.ts
@@ -37,7 +37,7 @@
 export const SLOW_RATIO = 2.5
 
 /** Shortest time in which evidence on speed loses most of its weight. */
-export const SLOW_MEMORY_MIN_MS = 60
+export const SLOW_MEMORY_MIN_MS = 10
 
 /** Longest time in which evidence on speed loses most of its weight. */
 export const SLOW_MEMORY_MAX_MS = 10_000
