--- a/bench/virtual/Mesh.ts
+++ b/bench/virtual/Mesh.ts
@@ -151,6 +151,9 @@
     const perMs = this.capacityPerSecond * this.plan.load / 1000
     const next = (): void => {
       this.clock.after(-Math.log(1 - this.random.next()) / perMs, () => {
+        if (this.clock.nowMs >= this.plan.measureToMs) {
+          return
+        }
         const ingress = this.anyIngress()
         this.counting(stats => { stats.calls += 1 })
         this.budgets[ingress.index]?.step({ type: 'served', calls: 1 }, this.clock.nowMs)
--- /dev/null
+++ b/src/parts/choice/ChoiceTraces.test.ts
@@ -0,0 +1,75 @@
+import { readdirSync, readFileSync } from 'node:fs'
+import { expect, test } from 'vitest'
+import { MeasuringBudget } from '../budget/MeasuringBudget.js'
+import type { BudgetLimits } from '../budget/MeasuringBudget.js'
+import { SeededRandom } from '../SeededRandom.js'
+import { TraceReplay } from '../trace/TraceReplay.js'
+import type { PartFactories } from '../trace/Types.js'
+import type { CandidateLoad } from './CandidateLoad.js'
+import { UpstreamChooser } from './UpstreamChooser.js'
+
+const TRACES = new URL('../../../traces/decisions/', import.meta.url)
+const PLACE = { region: 'kyushu', zone: 'fukuoka' }
+
+const files = readdirSync(TRACES).sort()
+
+function read (file: string): string {
+  return readFileSync(new URL(file, TRACES), 'utf8')
+}
+
+const FACTORIES: PartFactories = {
+  choice: line => new UpstreamChooser(PLACE, new SeededRandom(line.seed), line.options),
+  budget: line => new MeasuringBudget(line.options as BudgetLimits)
+}
+
+test.each(files)('replays %s', file => {
+  expect(TraceReplay.run(read(file), FACTORIES)).toEqual([])
+})
+
+/** A chooser whose events are changed before it sees them. */
+function deaf (change: (event: Record<string, unknown>) => object): PartFactories {
+  return {
+    choice: line => {
+      const chooser = new UpstreamChooser(PLACE, new SeededRandom(line.seed), line.options)
+      return { step: (event, nowMs) => chooser.step(change(event) as never, nowMs) }
+    }
+  }
+}
+
+/** A chooser whose records of instances lack a mechanism. */
+function without (cripple: (load: CandidateLoad) => void): PartFactories {
+  return {
+    choice: line => {
+      const chooser = new UpstreamChooser(PLACE, new SeededRandom(line.seed), line.options)
+      const loads = Reflect.get(chooser, 'byInstance') as Map<string, CandidateLoad>
+      return {
+        step: (event, nowMs) => {
+          const actions = chooser.step(event, nowMs)
+          loads.forEach(load => cripple(load))
+          return actions
+        }
+      }
+    }
+  }
+}
+
+/** Each trace with the mechanism that it is about taken away. */
+const FAULTS: Readonly<Record<string, PartFactories>> = {
+  '16-fast-failure.jsonl': deaf(event => event['outcome'] === 'error' ? { ...event, outcome: 'ok' } : event),
+  '17-tenfold-slow-down.jsonl': without(load => { load.vitals.slowness.ratio = () => 1 }),
+  '18-herd-on-an-old-report.jsonl': without(load => { load.inFlight = () => 0 }),
+  '19-cold-start.jsonl': without(load => {
+    load.withinRamp = () => true
+    load.coldRatio = () => 1
+  }),
+  '23-measuring-storm.jsonl': {
+    budget: () => ({ step: (event: { type: string, id: number }) => [{ type: 'granted', id: event.id }] })
+  },
+  '24-zone-lost.jsonl': deaf(event => event['type'] === 'linkDown' ? { type: 'tick' } : event)
+}
+
+test.each(files)('stated outcomes of %s fail without the mechanism', file => {
+  const faults = FAULTS[file]
+  expect(faults).toBeDefined()
+  expect(TraceReplay.run(read(file), faults ?? FACTORIES)).not.toEqual([])
+})
--- a/src/parts/choice/Types.ts
+++ b/src/parts/choice/Types.ts
@@ -17,6 +17,7 @@
 
 /** Events of the upstream chooser, one chooser for each service and ingress node. */
 export type ChoiceEvent =
+  /** All members now. A new one counts as linked until `linkDown`, so the host repeats that for dead links. */
   | { readonly type: 'members', readonly candidates: readonly Candidate[] }
   | { readonly type: 'choose', readonly call: CallId, readonly excluded: readonly InstanceId[] }
   | {
