--- a/bench/decisions.ts
+++ b/bench/decisions.ts
@@ -1,6 +1,7 @@
 /**
- * Compares ways of choosing an upstream in virtual time.
- * Options: `--scenario NAME`, `--size NAME`, `--strategy NAME`, `--seeds N`, `--json`. Lists are split by commas. `--trial` writes no files; `--workers N` runs so many scenarios at once.
+ * Compares ways of choosing an upstream in virtual time. Options, with lists split by commas: `--scenario NAME`,
+ * `--size NAME`, `--strategy NAME`, `--seeds N`, `--json`; `--trial` writes no files; `--workers N` runs so many
+ * scenarios at once.
  */
 import { execFile } from 'node:child_process'
 import { writeFileSync } from 'node:fs'
