--- /dev/null
+++ b/src/demo/Demo.ts
@@ -0,0 +1,114 @@
+import { join } from 'node:path'
+import { setTimeout as delay } from 'node:timers/promises'
+import { LoadRun } from '../load/LoadRun.js'
+import { loadPlan } from '../load/LoadPlan.js'
+import type { LoadPlan } from '../load/LoadPlan.js'
+import type { LoadSummary } from '../load/LoadSummary.js'
+import { LocalMesh } from './LocalMesh.js'
+import type { StartedMesh } from './LocalMesh.js'
+import type { ProcessEnd } from './ProcessGroup.js'
+import type { DemoLayout, DemoPlan } from './Types.js'
+
+/** What a demonstration has shown. */
+export interface DemoSummary extends Omit<StartedMesh, 'layout'> {
+  /** The upstream that was stopped while calls ran, and how it ended. */
+  readonly stopped: { readonly upstream: string, readonly end: ProcessEnd }
+  readonly load: LoadSummary
+  /** How each process ended when the demonstration stopped it. */
+  readonly ends: Readonly<Record<string, ProcessEnd>>
+  /** True when each caller got its own whole answer, and nothing was lost or doubled. */
+  readonly whole: boolean
+}
+
+const LOAD_MS = 10_000
+const STOP_AT_MS = 4000
+const DOWNLOAD_BYTES = 2_000_000
+const DOWNLOAD_BYTES_PER_S = 1_000_000
+
+/** Runs a small mesh and drives calls through it. */
+export class Demo {
+  private readonly mesh: LocalMesh
+  private readonly folder: string
+  private readonly configurationFile: string
+
+  /**
+   * @param plan Services and instances.
+   * @param folder Empty folder for settings, logs, journals and data.
+   * @param configurationFile Inventory and rules to hand over.
+   */
+  public constructor (plan: DemoPlan, folder: string, configurationFile: string) {
+    this.mesh = new LocalMesh(plan, folder)
+    this.folder = folder
+    this.configurationFile = configurationFile
+  }
+
+  /**
+   * Runs the demonstration to its end; its processes have ended when this returns or throws.
+   * @param tell Called with a line on each step.
+   */
+  public async run (tell: (line: string) => void): Promise<DemoSummary> {
+    try {
+      const { layout, ...started } = await this.mesh.start(this.configurationFile, tell)
+      tell(`sending calls for ${LOAD_MS / 1000} s`)
+      const run = new LoadRun(planOf(layout), `demo-${process.pid}`)
+      const [load, stopped] = await Promise.all([run.run(), this.stopOne(layout, tell)])
+      const ends = await this.mesh.group.stopAll()
+      tell('stopped all processes')
+      return { ...started, stopped, load, ends, whole: isWhole(load) }
+    } finally {
+      this.mesh.dispose()
+    }
+  }
+
+  /**
+   * Starts the mesh and leaves it running, for trying commands by hand.
+   * @param tell Called with a line on each step.
+   * @param ended Resolves when the mesh is to stop.
+   */
+  public async stay (tell: (line: string) => void, ended: Promise<void>): Promise<void> {
+    try {
+      const { layout } = await this.mesh.start(this.configurationFile, tell)
+      for (const { id, caller } of layout.pairs) tell(`${id} takes calls at http://${caller}`)
+      tell(`try: sassafrasctl get --settings ${join(this.folder, 'sassafrasctl.toml')}`)
+      await ended
+      await this.mesh.group.stopAll()
+    } finally {
+      this.mesh.dispose()
+    }
+  }
+
+  /** Stops one upstream as an operator does, while calls run. */
+  private async stopOne (layout: DemoLayout, tell: (line: string) => void): Promise<DemoSummary['stopped']> {
+    const [first] = layout.pairs
+    if (first === undefined) throw new Error('no instances')
+    await delay(STOP_AT_MS)
+    tell(`stopping upstream ${first.id} with SIGTERM while calls run`)
+    return { upstream: first.id, end: await this.mesh.group.stop(`upstream-${first.id}`) }
+  }
+}
+
+function planOf (layout: DemoLayout): LoadPlan {
+  return loadPlan.parse({
+    targets: layout.pairs.map(pair => pair.caller),
+    journals: layout.pairs.map(pair => pair.journal),
+    durationMs: LOAD_MS,
+    streams: [
+      { kind: 'lookup', service: 'catalogue', rate: 100 },
+      { kind: 'guarded', service: 'custody', rate: 20, repeatShare: 0.2, deadlineMs: 5000 },
+      {
+        kind: 'download',
+        service: 'vault',
+        rate: 1,
+        bytes: DOWNLOAD_BYTES,
+        bytesPerSecond: DOWNLOAD_BYTES_PER_S,
+        deadlineMs: 15_000
+      }
+    ]
+  })
+}
+
+function isWhole ({ all, streams, unsent, audit }: LoadSummary): boolean {
+  if (streams.some(stream => stream.sent === 0)) return false
+  const faults = audit === undefined ? Number.NaN : audit.lost + audit.doubled + audit.falseNotRun
+  return all.ends.ok === all.sent && unsent === 0 && faults === 0
+}
