Hold speeds against a slow mean of the service, and scale memory with its usual latency

Cause: the mean service time took 5% of each answer, so a few answers of a slow instance made slow look usual. Change: it takes 1%, or more while there are few; the memory of a slow-down is half a usual latency at least, in place of 10 ms, and follows the latency seen, not its ratio to what was expected.

--- a/src/parts/choice/Constants.ts
+++ b/src/parts/choice/Constants.ts
@@ -36,8 +36,8 @@
 /** Time for which a refusal without evidence makes an instance count as full. */
 export const REFUSED_MEMORY_MS = 20
 
-/** Weight of the newest service time in the mean over the service. */
-export const SERVICE_TIME_WEIGHT = 0.05
+/** Smallest weight of the newest service time in the mean over the service; the first ones weigh more. */
+export const SERVICE_TIME_WEIGHT = 0.01
 
 /** Calls in flight allowed to an instance that has not answered yet. */
 export const UNPROVEN_IN_FLIGHT = 1
--- a/src/parts/choice/UpstreamChooser.ts
+++ b/src/parts/choice/UpstreamChooser.ts
@@ -60,6 +60,7 @@
   private readonly byInstance = new Map<InstanceId, CandidateLoad>()
   private subset: CandidateLoad[] = []
   private serviceMs = DEFAULT_SERVICE_MS
+  private serviceTimes = 0
   private callsInFlight = 0
   private othersPerSlotSum = 0
 
@@ -236,7 +237,7 @@
       // What the newest service time explains is not held against the instance twice.
       const expectedMs = Math.max(sent.expectedMs, candidate.rttMs + candidate.serviceMs)
       candidate.vitals.slowness.answered(nowMs, event.latencyMs / expectedMs)
-      candidate.vitals.slowness.noteSpeed(nowMs, event.latencyMs / (candidate.rttMs + this.serviceMs))
+      candidate.vitals.slowness.noteSpeed(nowMs, event.latencyMs, candidate.rttMs + this.serviceMs)
     }
     if (sent === undefined) {
       return []
@@ -246,7 +247,9 @@
 
   private learn (candidate: CandidateLoad, evidence: EventOf<'evidence'>['evidence'], nowMs: number): void {
     this.changeLoad(candidate, () => candidate.observe(evidence, nowMs))
-    this.serviceMs += SERVICE_TIME_WEIGHT * (candidate.serviceMs - this.serviceMs)
+    this.serviceTimes += 1
+    const weight = Math.max(SERVICE_TIME_WEIGHT, 1 / this.serviceTimes)
+    this.serviceMs += weight * (candidate.serviceMs - this.serviceMs)
   }
 
   private changeLoad (candidate: CandidateLoad, change: () => void): void {
--- a/src/parts/detection/Constants.ts
+++ b/src/parts/detection/Constants.ts
@@ -36,8 +36,14 @@
 /** Ratio of seen to expected latency above which an instance counts as slow. */
 export const SLOW_RATIO = 2.5
 
-/** Shortest time in which evidence on speed loses most of its weight. */
-export const SLOW_MEMORY_MIN_MS = 10
+/** Time in which evidence on speed loses most of its weight before any call was answered. */
+export const SLOW_MEMORY_START_MS = 10
+
+/** Shortest time in which evidence on speed loses most of its weight, in usual latencies. */
+export const SLOW_MEMORY_MIN_USUAL_TIMES = 0.5
+
+/** That time over the time for which the instance has been slow. */
+export const SLOW_MEMORY_OVER_LASTED = 2
 
 /** Longest time in which evidence on speed loses most of its weight. */
 export const SLOW_MEMORY_MAX_MS = 10_000
--- a/src/parts/detection/SlownessEstimate.ts
+++ b/src/parts/detection/SlownessEstimate.ts
@@ -1,4 +1,7 @@
-import { EXPECTED_AGE_SHARE, LATENCY_MAX_COUNT, SLOW_MEMORY_MAX_MS, SLOW_MEMORY_MIN_MS, SLOW_RATIO } from './Constants.js'
+import {
+  EXPECTED_AGE_SHARE, LATENCY_MAX_COUNT, SLOW_MEMORY_MAX_MS, SLOW_MEMORY_MIN_USUAL_TIMES, SLOW_MEMORY_OVER_LASTED,
+  SLOW_MEMORY_START_MS, SLOW_RATIO
+} from './Constants.js'
 
 /**
  * Ratio of seen to expected latency at one instance. Calls that are still running count by their age, so a
@@ -11,7 +14,7 @@
   private count = 0
   private updatedMs = 0
   private slowSinceMs = Number.POSITIVE_INFINITY
-  private memoryMs = SLOW_MEMORY_MIN_MS
+  private memoryMs = SLOW_MEMORY_START_MS
   private running = 0
   private inverseSum = 0
   private startOverExpectedSum = 0
@@ -56,23 +59,23 @@
       this.ratioSum *= LATENCY_MAX_COUNT / this.count
       this.count = LATENCY_MAX_COUNT
     }
-    this.noteSpeed(nowMs, ratio)
   }
 
   /**
-   * Takes how slow the instance is now, from any evidence; 1 is as usual.
+   * Takes how long a call took, which tells for how long to remember a slow-down.
    * @param nowMs Monotonic time in milliseconds.
-   * @param factor Its latency or service time over the usual one.
+   * @param latencyMs What the call took.
+   * @param usualMs What a call takes in this service.
    */
-  public noteSpeed (nowMs: number, factor: number): void {
-    if (factor < SLOW_RATIO) {
+  public noteSpeed (nowMs: number, latencyMs: number, usualMs: number): void {
+    this.memoryMs = SLOW_MEMORY_MIN_USUAL_TIMES * usualMs
+    if (latencyMs < SLOW_RATIO * usualMs) {
       this.slowSinceMs = Number.POSITIVE_INFINITY
-      this.memoryMs = SLOW_MEMORY_MIN_MS
       return
     }
     this.slowSinceMs = Math.min(this.slowSinceMs, nowMs)
-    const lastedMs = 2 * (nowMs - this.slowSinceMs)
-    this.memoryMs = Math.min(SLOW_MEMORY_MAX_MS, Math.max(SLOW_MEMORY_MIN_MS, lastedMs))
+    const lastedMs = SLOW_MEMORY_OVER_LASTED * (nowMs - this.slowSinceMs)
+    this.memoryMs = Math.min(SLOW_MEMORY_MAX_MS, Math.max(this.memoryMs, lastedMs))
   }
 
   /**
