Count processor time in the parts bench

Processor time leaves out the waiting, though not the sharing of caches. Memory of buffers outside the heap was tried and left out again: it is freed late and gave negative sizes.

--- a/bench/parts/Measure.ts
+++ b/bench/parts/Measure.ts
@@ -19,9 +19,10 @@
   readonly part: string
   readonly decision: string
   readonly size: number
+  /** Processor time. */
   readonly nanosecondsPerDecision: Spread
   readonly bytesPerDecision: Spread
-  /** Memory that the built part holds, in bytes, with its buffers. */
+  /** Heap that the built part holds, in bytes, without buffers outside the heap. */
   readonly heapBytes: Spread
 }
 
@@ -66,24 +67,24 @@
   const decide = partCase.build()
   const heapBytes = collectedBytes() - emptyBytes
   let decision = run(decide, 0, WARM_UP_DECISIONS)
-  const startNs = process.hrtime.bigint()
+  const startNs = processorNs()
   decision = run(decide, decision, TIMED_DECISIONS)
-  const nanoseconds = Number(process.hrtime.bigint() - startNs) / TIMED_DECISIONS
+  const nanoseconds = (processorNs() - startNs) / TIMED_DECISIONS
   const beforeBytes = collectedBytes()
   run(decide, decision, ALLOCATING_DECISIONS)
-  const bytes = Math.max(0, usedBytes() - beforeBytes) / ALLOCATING_DECISIONS
+  const bytes = Math.max(0, process.memoryUsage().heapUsed - beforeBytes) / ALLOCATING_DECISIONS
   return { nanoseconds, bytes, heapBytes }
 }
 
 function collectedBytes (): number {
   collect()
-  return usedBytes()
+  return process.memoryUsage().heapUsed
 }
 
-/** Heap and what buffers hold beside it. */
-function usedBytes (): number {
-  const { heapUsed, arrayBuffers } = process.memoryUsage()
-  return heapUsed + arrayBuffers
+/** Processor time of the whole process, with its collector's threads; waiting for a busy machine doesn't count. */
+function processorNs (): number {
+  const { user, system } = process.cpuUsage()
+  return (user + system) * 1000
 }
 
 function run (decide: (decision: number) => unknown, from: number, count: number): number {
