Prove the control group by real processes

Addresses of the settings now stay in force when a replica says another of itself: the relay of the cut test was passed by otherwise.

--- a/bench/fuzz/GroupRun.ts
+++ b/bench/fuzz/GroupRun.ts
@@ -180,11 +180,13 @@
   }
 
   private _station (number: number): Station {
+    return (number >= LEADER ? this._leader(number) : undefined) ?? this._stations[number % this._stations.length]!
+  }
+
+  private _leader (number: number): Station | undefined {
     const leaders = this._stations.filter(station => station.up && station.replica.view.role === 'leader')
     leaders.sort((a, b) => a.replica.view.term - b.replica.view.term)
-    const leader = number === LEADER ? leaders.at(-1) : leaders[0]
-    if (number >= LEADER && leader !== undefined) return leader
-    return this._stations[number % this._stations.length]!
+    return number === LEADER ? leaders.at(-1) : leaders[0]
   }
 
   private _step (station: Station, event: AgreementEvent): void {
@@ -249,12 +251,16 @@
 
   private _deliver ({ from, to, message }: Envelope): void {
     const target = this._stations.find(station => station.id === to)
-    const source = this._stations.find(station => station.id === from)
     if (target === undefined || !target.up || target.frozen) return
-    if (source !== undefined && this._cuts.has(`${source.slot}>${target.slot}`)) return
+    if (this._cuts.size > 0 && this._isCut(from, target)) return
     this._step(target, { type: 'message', from, message })
   }
 
+  private _isCut (from: ReplicaId, target: Station): boolean {
+    const source = this._stations.find(station => station.id === from)
+    return source !== undefined && this._cuts.has(`${source.slot}>${target.slot}`)
+  }
+
   private _lag (station: Station, ms: number): void {
     station.nowMs += ms
     if (station.up && !station.frozen) this._step(station, { type: 'tick' })
--- a/bench/state/ControlGroup.ts
+++ b/bench/state/ControlGroup.ts
@@ -25,6 +25,9 @@
   process: ChildProcess | undefined
 }
 
+/** Tells how one replica reaches another, by their numbers. */
+export type Route = (from: number, to: number, address: string) => Promise<string>
+
 const PROGRAM = fileURLToPath(new URL('../../src/bin/sassafras-control.js', import.meta.url))
 const BUILT_PROGRAM = fileURLToPath(new URL('../../dist/src/bin/sassafras-control.js', import.meta.url))
 const POLL_MS = 5
@@ -39,8 +42,14 @@
    * @param folder Where settings, data and logs go; it is emptied first.
    * @param size Number of replicas.
    * @param extra TOML lines for all replicas.
+   * @param route Address under which one replica reaches another's peer listener; the listener's own by default.
    */
-  public static async create (folder: string, size: number, extra = ''): Promise<ControlGroup> {
+  public static async create (
+    folder: string,
+    size: number,
+    extra = '',
+    route: Route = async (_from, _to, address) => address
+  ): Promise<ControlGroup> {
     rmSync(folder, { recursive: true, force: true })
     mkdirSync(folder, { recursive: true })
     const ports = await freePorts(2 * size)
@@ -55,7 +64,10 @@
         process: undefined
       }
     })
-    members.forEach(member => writeFileSync(member.settings, settingsOf(member, members, extra)))
+    for (const [from, member] of members.entries()) {
+      const seen = members.map(async (other, to) => ({ ...other, peer: await route(from, to, other.peer) }))
+      writeFileSync(member.settings, settingsOf(member, await Promise.all(seen), extra))
+    }
     return new ControlGroup(members)
   }
 
@@ -116,6 +128,11 @@
     rmSync(this._members[index]!.data, { recursive: true, force: true })
   }
 
+  /** Health of one replica: undefined when it does not answer. */
+  public async health (index: number): Promise<{ readonly status: string, readonly reason?: string } | undefined> {
+    return await this._ask(index, '/health', undefined)
+  }
+
   /** State of one replica, or undefined when it does not answer. */
   public async state (index: number): Promise<ControlState | undefined> {
     return await this._ask<ControlState>(index, '/state', 200)
--- a/src/control/ReplicaLinks.ts
+++ b/src/control/ReplicaLinks.ts
@@ -30,6 +30,7 @@
 interface Link {
   readonly client: FrameClient<ReplicaToReplica, ReplicaToReplica>
   readonly address: ReplicaAddress
+  readonly fromSettings: boolean
   congested: boolean
   /** When something was first sent since the other end was last heard. */
   unheardSinceMs: number | undefined
@@ -67,15 +68,13 @@
   }
 
   /**
-   * Connects to a replica; a known one is kept.
-   * @param address Where it listens.
+   * Connects to a replica of the settings.
+   * @param address Where it listens, as seen from here.
    */
   public connect (address: ReplicaAddress): void {
     if (address.name === nameOf(this._hello.replica)) return
-    const known = this._links.get(address.name)
-    if (known?.address.address === address.address) return
-    known?.client.dispose()
-    this._links.set(address.name, this._open(address))
+    this._links.get(address.name)?.client.dispose()
+    this._links.set(address.name, this._open(address, true))
   }
 
   /**
@@ -110,7 +109,7 @@
    * @param hello Its first frame.
    */
   public accept (channel: AcceptedChannel, hello: ReplicaHello): void {
-    this.connect({ name: nameOf(hello.replica), address: hello.address, admin: hello.admin })
+    this._learn({ name: nameOf(hello.replica), address: hello.address, admin: hello.admin })
     let heardToldMs = -Infinity
     channel.onMessage(frame => {
       const nowMs = this._clock.nowMs()
@@ -129,9 +128,17 @@
     this._links.clear()
   }
 
-  private _open (address: ReplicaAddress): Link {
+  /** Connects to a replica that the settings do not name, and follows it when it moves. */
+  private _learn (address: ReplicaAddress): void {
+    const known = this._links.get(address.name)
+    if (known?.fromSettings === true || known?.address.address === address.address) return
+    known?.client.dispose()
+    this._links.set(address.name, this._open(address, false))
+  }
+
+  private _open (address: ReplicaAddress, fromSettings: boolean): Link {
     const client = new FrameClient<ReplicaToReplica, ReplicaToReplica>(address.address, this._clock, this._random)
-    const link: Link = { client, address, congested: false, unheardSinceMs: undefined }
+    const link: Link = { client, address, fromSettings, congested: false, unheardSinceMs: undefined }
     client.onChannel(channel => {
       link.congested = false
       link.unheardSinceMs = undefined
--- a/src/parts/agreement/Members.ts
+++ b/src/parts/agreement/Members.ts
@@ -31,9 +31,13 @@
  * Returns the greatest value that a quorum has reached.
  * @param values One value for each member.
  */
-export function reachedByQuorum (values: number[]): number {
-  const sorted = values.sort((a, b) => b - a)
-  return sorted[Math.floor(sorted.length / 2)] ?? 0
+export function reachedByQuorum (values: readonly number[]): number {
+  const needed = Math.floor(values.length / 2) + 1
+  let best = -Infinity
+  for (const value of values) {
+    if (value > best && countAtLeast(values, value) >= needed) best = value
+  }
+  return values.length === 0 ? 0 : best
 }
 
 /**
@@ -47,3 +51,9 @@
     ...after.filter(id => !before.includes(id))
   ]
 }
+
+function countAtLeast (values: readonly number[], least: number): number {
+  let count = 0
+  for (const value of values) if (value >= least) count++
+  return count
+}
--- a/src/parts/storage/RecordFormat.ts
+++ b/src/parts/storage/RecordFormat.ts
@@ -4,6 +4,9 @@
 
 const CODEC = new Encoder({ useRecords: false, mapsAsObjects: true })
 
+const TEXT_ENCODER = new TextEncoder()
+const TEXT_DECODER = new TextDecoder()
+
 /** One record as found in a file. */
 export interface FoundRecord<Body> {
   readonly body: Body
@@ -19,7 +22,7 @@
 export function encodeHeader (magic: string): Uint8Array {
   const bytes = new Uint8Array(FILE_HEADER_BYTES)
   const view = new DataView(bytes.buffer)
-  bytes.set(new TextEncoder().encode(magic))
+  bytes.set(TEXT_ENCODER.encode(magic))
   view.setUint32(8, FORMAT_VERSION)
   view.setUint32(12, crc32(bytes.subarray(0, 12)))
   return bytes
@@ -35,7 +38,7 @@
   if (bytes.length < FILE_HEADER_BYTES) return 'the header is cut short'
   const view = viewOf(bytes)
   if (view.getUint32(12) !== crc32(bytes.subarray(0, 12))) return 'the header does not match its checksum'
-  if (new TextDecoder().decode(bytes.subarray(0, 8)) !== magic) return 'the file is of another kind'
+  if (TEXT_DECODER.decode(bytes.subarray(0, 8)) !== magic) return 'the file is of another kind'
   const version = view.getUint32(8)
   return version === FORMAT_VERSION ? undefined : `format version ${version} is not known`
 }
