--- a/bench/fuzz/GroupRun.ts
+++ b/bench/fuzz/GroupRun.ts
@@ -246,6 +246,8 @@
     for (let i = 0; i < count && this._bag.length > 0; i++) {
       const [envelope] = this._bag.splice((pick + i * 7) % this._bag.length, 1)
       this._deliver(envelope!)
+      const target = this._stations.find(station => station.id === envelope!.to)
+      if (target !== undefined && (pick + i) % 2 === 0) this._sync(target)
     }
   }
 
--- a/bench/fuzz/GroupSchedule.ts
+++ b/bench/fuzz/GroupSchedule.ts
@@ -84,3 +84,21 @@
   seed,
   steps: fc.array(step, { minLength: 8, maxLength: 40, size: 'max' })
 })
+
+/** Steps by which messages, syncs, elections and restarts interleave one by one. */
+const fineStep: fc.Arbitrary<ScheduleStep> = fc.oneof(
+  { weight: 12, arbitrary: fc.record({ op: fc.constant('deliver' as const), pick: seed, count: fc.nat({ max: 4 }) }) },
+  { weight: 6, arbitrary: fc.record({ op: fc.constant('sync' as const), replica }) },
+  { weight: 4, arbitrary: fc.record({ op: fc.constant('lag' as const), replica, ms: fc.constant(700) }) },
+  { weight: 3, arbitrary: fc.record({ op: fc.constant('bounce' as const), replica, power: fc.boolean(), seed }) },
+  { weight: 2, arbitrary: fc.record({ op: fc.constant('propose' as const), replica, count: fc.constant(1) }) },
+  { weight: 1, arbitrary: fc.record({ op: fc.constant('isolate' as const), replica }) },
+  { weight: 1, arbitrary: fc.constant({ op: 'heal' as const }) }
+)
+
+/** Schedules of up to 60 fine steps over groups of three. */
+export const fineSchedules: fc.Arbitrary<GroupSchedule> = fc.record({
+  size: fc.constant(3),
+  seed,
+  steps: fc.array(fineStep, { minLength: 20, maxLength: 60, size: 'max' })
+})
--- a/test/Control.test.ts
+++ b/test/Control.test.ts
@@ -101,17 +101,17 @@
   const relays = new Map<string, TcpRelay>()
   const group = await startGroup(async (from, to, address) => {
     if (from === to) return address
-    const relay = await TcpRelay.start(address)
-    disposables.push(() => relay.dispose())
+    const relay = new TcpRelay(address)
+    disposables.push(async () => await relay.dispose())
     relays.set(`${from}>${to}`, relay)
-    return relay.address
+    return await relay.listen()
   })
   await accept(group, 0, 0, 'before')
   const old = await group.leader()
   const other = (old + 1) % 3
   const around = [...relays].filter(([pair]) => pair.startsWith(`${old}>`) || pair.endsWith(`>${old}`))
   const lost = group.change(old, changeFrom(1, 'lost', 7))
-  around.forEach(([, relay]) => relay.cut())
+  around.forEach(([, relay]) => relay.silenceAll())
   await group.awaitState(other, ({ replica }) => replica.leader !== undefined && replica.term > 1)
   const inForce = await servedVersion(group, other)
   await accept(group, other, inForce, 'during')
--- a/test/support/TcpRelay.ts
+++ b/test/support/TcpRelay.ts
@@ -1,62 +1,73 @@
-import { once } from 'node:events'
-import { connect, createServer, type Server, type Socket } from 'node:net'
+import { connect, createServer } from 'node:net'
+import type { AddressInfo, Server, Socket } from 'node:net'
 
-/** Passes bytes on to one address, until it is told to swallow them in silence. */
+/** Passes TCP connections on to one address, until told to fall silent or to break them. */
 export class TcpRelay {
-  private readonly _sockets = new Set<Socket>()
-  private _silent = false
+  private readonly server: Server
+  private readonly pairs = new Set<readonly [Socket, Socket]>()
+  private silent = false
 
-  private constructor (
-    private readonly _server: Server,
-    private readonly _target: string
-  ) {
-    _server.on('connection', socket => this._pass(socket))
+  /** @param target `host:port`. */
+  public constructor (private readonly target: string) {
+    this.server = createServer(socket => this.join(socket))
   }
 
-  /**
-   * Starts a relay on a free port.
-   * @param target Address that it passes on to.
-   */
-  public static async start (target: string): Promise<TcpRelay> {
-    const server = createServer()
-    server.listen(0, '127.0.0.1')
-    await once(server, 'listening')
-    return new TcpRelay(server, target)
+  /** Starts to listen and returns the relay's address. */
+  public async listen (): Promise<string> {
+    await new Promise<void>(resolve => this.server.listen(0, '127.0.0.1', resolve))
+    return `127.0.0.1:${(this.server.address() as AddressInfo).port}`
   }
 
-  /** Address of the relay. */
-  public get address (): string {
-    return `127.0.0.1:${(this._server.address() as { readonly port: number }).port}`
+  /** Connections that are open now carry nothing more in either direction; new ones work. */
+  public silenceOpen (): void {
+    for (const pair of this.pairs) this.silencePair(pair)
   }
 
-  /** Swallows all bytes from now on; connections stay open, and new ones are taken. */
-  public cut (): void {
-    this._silent = true
+  /** All connections, also new ones, carry nothing until `heal`. */
+  public silenceAll (): void {
+    this.silent = true
+    this.silenceOpen()
   }
 
-  /** Passes bytes on again. Connections that lost some are closed, as no stream may have a gap. */
+  /** New connections work again; silent ones are broken. */
   public heal (): void {
-    this._silent = false
-    this._sockets.forEach(socket => socket.destroy())
+    this.silent = false
+    this.breakAll()
   }
 
-  /** Ends the relay. */
-  public dispose (): void {
-    this._server.close()
-    this._sockets.forEach(socket => socket.destroy())
+  /** Breaks all open connections. */
+  public breakAll (): void {
+    for (const pair of this.pairs) for (const socket of pair) socket.destroy()
   }
 
-  private _pass (near: Socket): void {
-    const [host, port] = this._target.split(':') as [string, string]
+  public async dispose (): Promise<void> {
+    this.breakAll()
+    await new Promise(resolve => this.server.close(resolve))
+  }
+
+  private join (near: Socket): void {
+    const [host, port] = this.target.split(':') as [string, string]
     const far = connect(Number(port), host)
-    for (const [from, to] of [[near, far], [far, near]] as const) {
-      this._sockets.add(from)
-      from.on('data', bytes => { if (!this._silent) to.write(bytes) })
-      from.on('error', () => {})
-      from.on('close', () => {
-        this._sockets.delete(from)
-        to.destroy()
+    const pair = [near, far] as const
+    this.pairs.add(pair)
+    near.pipe(far)
+    far.pipe(near)
+    for (const socket of pair) {
+      socket.setNoDelay(true)
+      socket.on('error', () => {})
+      socket.on('close', () => {
+        this.pairs.delete(pair)
+        near.destroy()
+        far.destroy()
       })
     }
+    if (this.silent) this.silencePair(pair)
+  }
+
+  private silencePair (pair: readonly [Socket, Socket]): void {
+    for (const socket of pair) {
+      socket.unpipe()
+      socket.pause()
+    }
   }
 }
