Wire the control replica by a container, with metrics and a dump on SIGUSR2

Nodes connect to every replica, so changes are now pushed only where a node's heartbeats go, and only such a connection counts as silent: the others were closed every 5 s.

--- a/src/control/Constants.ts
+++ b/src/control/Constants.ts
@@ -34,5 +34,5 @@
 /** Interval of the membership table's tick. */
 export const MEMBERSHIP_TICK_MS = 200
 
-/** File in the data folder that counts the starts of the process. */
-export const STARTS_FILE = 'starts'
+/** Sync of the log that is worth a line: long enough to cost a leader its lease. */
+export const SLOW_SYNC_MS = 100
--- a/src/control/ControlApi.ts
+++ b/src/control/ControlApi.ts
@@ -1,6 +1,9 @@
 import type { Express, Request, Response } from 'express'
 import type { ChangeReply, ChangeRequest } from '../parts/configuration/Types.js'
+import type { Metrics } from '../platform/Metrics.js'
+import type { Clock } from '../platform/Types.js'
 import { NO_LEADER_RETRY_MS } from './Constants.js'
+import type { ControlMetric } from './ControlMetrics.js'
 import type { ControlReplica } from './ControlReplica.js'
 import type { NodeSessions } from './NodeSessions.js'
 
@@ -18,10 +21,14 @@
   /**
    * @param _replica The replica.
    * @param _sessions Its nodes.
+   * @param _metrics Told of changes.
+   * @param _clock Clock of this process.
    */
   public constructor (
     private readonly _replica: ControlReplica,
-    private readonly _sessions: NodeSessions
+    private readonly _sessions: NodeSessions,
+    private readonly _metrics: Metrics<ControlMetric>,
+    private readonly _clock: Clock
   ) {}
 
   /**
@@ -37,7 +44,10 @@
 
   private async _change (request: Request, response: Response): Promise<void> {
     if (this._redirected(request, response)) return
+    const startMs = this._clock.nowMs()
     const reply = await this._replica.change(request.body as ChangeRequest)
+    this._metrics.send('changes', 1)
+    this._metrics.send('changeDuration', this._clock.nowMs() - startMs)
     if (reply.type === 'unavailable') return this._unavailable(response)
     response.status(STATUS[reply.type]).json(reply)
   }
--- a/src/control/ControlCommand.ts
+++ b/src/control/ControlCommand.ts
@@ -1,16 +1,11 @@
-import { randomInt } from 'node:crypto'
 import { readFileSync } from 'node:fs'
 import { Builtins, Cli, Command, Option } from 'clipanion'
-import { SeededRandom } from '../parts/SeededRandom.js'
-import { JsonLog, type LogLevel } from '../platform/JsonLog.js'
 import { renderFindings, SettingsFile } from '../platform/SettingsFile.js'
-import { SystemClock } from '../platform/SystemClock.js'
 import { ControlDaemon } from './ControlDaemon.js'
 import { controlSettings, type ControlSettings } from './ControlSettings.js'
 
 const EXIT_BAD_SETTINGS = 2
 const EXIT_FAULT = 3
-const SEED_RANGE = 2 ** 31 - 1
 
 /** Runs a control replica until it is told to stop. */
 class ControlCommand extends Command {
@@ -53,18 +48,16 @@
 }
 
 async function run (settings: ControlSettings): Promise<number> {
-  const logger = new JsonLog('sassafras-control', settings.id, settings.log.level as LogLevel)
   return await new Promise<number>((resolve, reject) => {
     const onFault = (error: Error): void => {
-      logger.error({ error: error.message, stack: error.stack }, 'fatal, stopping at once')
+      process.stderr.write(`${JSON.stringify({ fault: error.message, stack: error.stack })}\n`)
       process.exit(EXIT_FAULT)
     }
-    const random = new SeededRandom(randomInt(SEED_RANGE))
-    const daemon = new ControlDaemon({ settings, clock: new SystemClock(), random, logger, onFault })
+    const daemon = new ControlDaemon(settings, onFault)
     const stop = (): void => { daemon.stop().then(() => resolve(0), reject) }
     process.once('SIGTERM', stop)
     process.once('SIGINT', stop)
-    daemon.start().then(() => logger.info({ ...settings.listen }, 'listening'), onFault)
+    daemon.start().catch(onFault)
   })
 }
 
--- /dev/null
+++ b/src/control/ControlContainer.ts
@@ -0,0 +1,58 @@
+import { randomInt } from 'node:crypto'
+import { Container } from 'inversify'
+import { SeededRandom } from '../parts/SeededRandom.js'
+import type { Random } from '../parts/Types.js'
+import { FileDisk } from '../platform/FileDisk.js'
+import { JsonLog } from '../platform/JsonLog.js'
+import type { LogLevel } from '../platform/JsonLog.js'
+import { Metrics } from '../platform/Metrics.js'
+import { SystemClock } from '../platform/SystemClock.js'
+import type { Clock, Log } from '../platform/Types.js'
+import { ControlApi } from './ControlApi.js'
+import { CONTROL_METRICS } from './ControlMetrics.js'
+import { ControlReplica } from './ControlReplica.js'
+import type { ControlSettings } from './ControlSettings.js'
+import { FellowReplicas } from './FellowReplicas.js'
+import { MembershipHost } from './MembershipHost.js'
+import { NodeSessions } from './NodeSessions.js'
+
+/** Identifiers of what is not a class. */
+export const TOKENS = {
+  settings: Symbol('settings'),
+  clock: Symbol('clock'),
+  log: Symbol('log'),
+  random: Symbol('random')
+} as const
+
+const SEED_RANGE = 2 ** 31 - 1
+
+/**
+ * Wires a control replica together. Everything is built once, when it is first asked for.
+ * @param settings Its settings.
+ * @param onFault The process must stop: state may be lost or wrong.
+ */
+export function buildControlContainer (settings: ControlSettings, onFault: (error: Error) => void): Container {
+  const container = new Container({ defaultScope: 'Singleton' })
+  const clock = new SystemClock()
+  const logger = new JsonLog('sassafras-control', settings.id, settings.log.level as LogLevel)
+  const random = new SeededRandom(randomInt(SEED_RANGE))
+  container.bind<ControlSettings>(TOKENS.settings).toConstantValue(settings)
+  container.bind<Clock>(TOKENS.clock).toConstantValue(clock)
+  container.bind<Log>(TOKENS.log).toConstantValue(logger)
+  container.bind<Random>(TOKENS.random).toConstantValue(random)
+  container.bind(FileDisk).toDynamicValue(() => new FileDisk(settings.dataFolder))
+  container.bind(Metrics).toDynamicValue(() =>
+    new Metrics(CONTROL_METRICS, settings.metrics, [`replica:${settings.id}`]))
+  container.bind(ControlReplica).toDynamicValue(() =>
+    new ControlReplica({ settings, disk: container.get(FileDisk), clock, random, logger, onFault }))
+  container.bind(MembershipHost).toDynamicValue(() => new MembershipHost(clock))
+  container.bind(NodeSessions).toDynamicValue(() => {
+    const replica = container.get(ControlReplica)
+    return new NodeSessions(replica.machine, container.get(MembershipHost), replica, clock)
+  })
+  container.bind(FellowReplicas).toDynamicValue(() =>
+    new FellowReplicas(container.get(ControlReplica), container.get(MembershipHost), container.get(NodeSessions)))
+  container.bind(ControlApi).toDynamicValue(() =>
+    new ControlApi(container.get(ControlReplica), container.get(NodeSessions), container.get(Metrics), clock))
+  return container
+}
--- a/src/control/ControlDaemon.ts
+++ b/src/control/ControlDaemon.ts
@@ -1,56 +1,58 @@
-import type { Random } from '../parts/Types.js'
-import { AdminServer, type Health } from '../platform/AdminServer.js'
+import type { Container } from 'inversify'
+import { AdminServer, type AdminSource, type Health } from '../platform/AdminServer.js'
 import { FileDisk } from '../platform/FileDisk.js'
 import { FrameServer } from '../platform/FrameServer.js'
-import type { Child } from '../platform/Supervisor.js'
-import { Supervisor } from '../platform/Supervisor.js'
+import { Metrics } from '../platform/Metrics.js'
+import { type Child, Supervisor } from '../platform/Supervisor.js'
 import type { Clock, Log } from '../platform/Types.js'
-import { IN_FORCE_INTERVAL_MS } from './Constants.js'
 import { ControlApi } from './ControlApi.js'
+import { buildControlContainer, TOKENS } from './ControlContainer.js'
+import type { ControlMetric } from './ControlMetrics.js'
 import { ControlReplica } from './ControlReplica.js'
 import type { ControlSettings } from './ControlSettings.js'
-import { MembershipHost, type MembershipPeer } from './MembershipHost.js'
+import { FellowReplicas } from './FellowReplicas.js'
+import { MembershipHost } from './MembershipHost.js'
 import { type NodeHello, NodeSessions } from './NodeSessions.js'
-import type { AcceptedChannel, ReplicaFrame, ReplicaHello } from './ReplicaLinks.js'
-import type { FromControl, MembershipFrame, ReplicaToReplica, ToControl } from './Types.js'
+import type { AcceptedChannel, ReplicaHello } from './ReplicaLinks.js'
+import type { FromControl, ToControl } from './Types.js'
 
-/** What a control daemon is built with. */
-export interface ControlDaemonOptions {
-  readonly settings: ControlSettings
-  readonly clock: Clock
-  readonly random: Random
-  readonly logger: Log
-  /** The process must stop: state may be lost or wrong. */
-  readonly onFault: (error: Error) => void
-}
+const MAX_RESTARTS = 5
+const RESTART_WINDOW_MS = 10_000
+const LEVEL_INTERVAL_MS = 1000
 
-/** Kinds of membership frames that replicas exchange. */
-const MEMBERSHIP_FRAMES: ReadonlySet<string> = new Set(['membership', 'interest', 'beats', 'digest'])
+/** Writes the state dump to the log. */
+const DUMP_SIGNAL = 'SIGUSR2'
 
 /**
  * A control replica as a process: the replica takes the process down when it fails, the listeners are
  * started again within limits.
  */
-export class ControlDaemon {
+export class ControlDaemon implements AdminSource {
+  private readonly _container: Container
   private readonly _supervisor: Supervisor
-  private _replica: ControlReplica | undefined
-  private _membership: MembershipHost | undefined
-  private _sessions: NodeSessions | undefined
-  private readonly _fellows = new Map<string, MembershipPeer>()
+  private readonly _log: Log
 
   /**
-   * @param _options Settings, clock, random numbers and log.
+   * @param _settings Settings of the replica.
+   * @param onFault The process must stop: state may be lost or wrong.
    */
-  public constructor (private readonly _options: ControlDaemonOptions) {
-    const { clock, logger, onFault } = _options
-    this._supervisor = new Supervisor({ name: 'control', maxRestarts: 5, withinMs: 10_000 }, clock, logger, onFault)
+  public constructor (
+    private readonly _settings: ControlSettings,
+    onFault: (error: Error) => void
+  ) {
+    this._container = buildControlContainer(_settings, onFault)
+    this._log = this._container.get<Log>(TOKENS.log)
+    const options = { name: 'control', maxRestarts: MAX_RESTARTS, withinMs: RESTART_WINDOW_MS }
+    this._supervisor = new Supervisor(options, this._container.get<Clock>(TOKENS.clock), this._log, onFault)
   }
 
   /** Starts all parts; resolves when the listeners are open. */
   public async start (): Promise<void> {
-    await this._supervisor.add({ name: 'replica', rule: 'stop-process', start: fail => this._startReplica(fail) })
+    await this._supervisor.add({ name: 'replica', rule: 'stop-process', start: () => this._startReplica() })
     await this._supervisor.add({ name: 'peer-listener', rule: 'restart', start: () => this._startListener() })
     await this._supervisor.add({ name: 'admin', rule: 'restart', start: () => this._startAdmin() })
+    await this._supervisor.add({ name: 'levels', rule: 'restart', start: () => this._startLevels() })
+    this._log.info({ ...this._settings.listen }, 'listening')
   }
 
   /** Stops all parts. */
@@ -60,8 +62,7 @@
 
   /** A bounded dump, without records or answers. */
   public state (): object {
-    const replica = this._replica
-    if (replica === undefined) return { children: this._supervisor.describe() }
+    const replica = this._container.get(ControlReplica)
     const { register, ledger } = replica.machine
     return {
       replica: replica.view,
@@ -70,89 +71,97 @@
       version: register.inForce.version,
       operations: register.remembered,
       records: { count: ledger.size, answersBytes: ledger.answersBytes },
-      nodes: this._sessions?.size ?? 0,
-      members: this._membership?.table.members().length ?? 0,
+      nodes: this._container.get(NodeSessions).size,
+      members: this._container.get(MembershipHost).table.members().length,
       children: this._supervisor.describe()
     }
   }
 
-  private _startReplica (fail: (error: Error) => void): Child {
-    const { settings, clock, random, logger } = this._options
-    const disk = new FileDisk(settings.dataFolder)
-    const replica = new ControlReplica({ settings, disk, clock, random, logger, onFault: fail })
-    const membership = new MembershipHost(clock)
-    const sessions = new NodeSessions(replica.machine, membership, replica, clock)
-    this._replica = replica
-    this._membership = membership
-    this._sessions = sessions
-    replica.links.onFrame(frame => this._takeSoftState(frame))
-    const timer = setInterval(() => {
-      replica.links.broadcast({ type: 'inForce', inForce: sessions.attached() })
-    }, IN_FORCE_INTERVAL_MS)
+  public health (): Health {
+    const replica = this._container.get(ControlReplica)
+    const damage = replica.corruptions[0]
+    if (damage !== undefined) return { ok: false, reason: `${damage.file} at ${damage.offset}: ${damage.problem}` }
+    if (replica.diskFull) return { ok: false, reason: 'the disk is full' }
+    const { role, leader } = replica.view
+    if (role === 'recovering') return { ok: false, reason: 'not a member of the group' }
+    return leader === undefined ? { ok: false, reason: 'no leader' } : { ok: true }
+  }
+
+  private _startReplica (): Child {
+    const replica = this._container.get(ControlReplica)
+    const fellows = this._container.get(FellowReplicas)
     replica.start()
     return {
       stop: () => {
-        clearInterval(timer)
-        sessions.dispose()
-        membership.dispose()
+        fellows.dispose()
+        this._container.get(NodeSessions).dispose()
+        this._container.get(MembershipHost).dispose()
         replica.dispose()
-        disk.dispose()
+        this._container.get(FileDisk).dispose()
       }
     }
   }
 
   private async _startListener (): Promise<Child> {
-    const server = new FrameServer<ToControl, FromControl>(this._options.clock)
+    const server = new FrameServer<ToControl, FromControl>(this._container.get<Clock>(TOKENS.clock))
     server.onChannel(channel => this._greet(channel))
-    await server.listen(this._options.settings.listen.peer)
+    await server.listen(this._settings.listen.peer)
     return { stop: () => server.dispose() }
   }
 
   private async _startAdmin (): Promise<Child> {
-    const admin = new AdminServer({ health: () => this._health(), state: () => this.state() })
-    new ControlApi(this._replica!, this._sessions!).install(admin.app)
-    await admin.listen(this._options.settings.listen.admin)
-    return { stop: () => admin.dispose() }
+    const admin = new AdminServer(this)
+    this._container.get(ControlApi).install(admin.app)
+    await admin.listen(this._settings.listen.admin)
+    const dump = (): void => this._log.info({ state: JSON.stringify(this.state()) }, 'state')
+    process.on(DUMP_SIGNAL, dump)
+    return {
+      stop: () => {
+        process.off(DUMP_SIGNAL, dump)
+        admin.dispose()
+      }
+    }
+  }
+
+  private _startLevels (): Child {
+    const metrics = this._container.get<Metrics<ControlMetric>>(Metrics)
+    const timer = setInterval(() => this._sendLevels(), LEVEL_INTERVAL_MS)
+    const syncs = this._container.get(ControlReplica).onSync(ms => metrics.send('syncDuration', ms))
+    return {
+      stop: () => {
+        clearInterval(timer)
+        syncs.dispose()
+        this._container.get(Metrics).dispose()
+      }
+    }
+  }
+
+  private _sendLevels (): void {
+    const metrics = this._container.get<Metrics<ControlMetric>>(Metrics)
+    const replica = this._container.get(ControlReplica)
+    const { role, term, commitIndex, logBytes, openProposals } = replica.view
+    const { register, ledger } = replica.machine
+    const levels: ReadonlyArray<readonly [ControlMetric, number]> = [
+      ['leads', Number(role === 'leader')],
+      ['term', term],
+      ['commitIndex', commitIndex],
+      ['logBytes', logBytes],
+      ['openProposals', openProposals],
+      ['configurationVersion', register.inForce.version],
+      ['records', ledger.size],
+      ['nodes', this._container.get(NodeSessions).size],
+      ['diskFull', Number(replica.diskFull)]
+    ]
+    for (const [name, value] of levels) metrics.send(name, value)
   }
 
   /** The first frame tells whose connection it is. */
   private _greet (channel: AcceptedChannel): void {
     const first = channel.onMessage(frame => {
       first.dispose()
-      if (frame.type === 'nodeHello') this._sessions!.accept(channel, frame as NodeHello)
-      else if (frame.type === 'replicaHello') this._acceptReplica(channel, frame as ReplicaHello)
+      if (frame.type === 'nodeHello') this._container.get(NodeSessions).accept(channel, frame as NodeHello)
+      else if (frame.type === 'replicaHello') this._container.get(FellowReplicas).accept(channel, frame as ReplicaHello)
       else channel.destroy('no hello')
     })
   }
-
-  private _acceptReplica (channel: AcceptedChannel, hello: ReplicaHello): void {
-    this._replica!.links.accept(channel, hello)
-    const send = (frame: MembershipFrame): void => this._replica!.links.send(hello.replica, frame as ReplicaToReplica)
-    const peer: MembershipPeer = { id: hello.replica, kind: 'replica', send }
-    this._fellows.set(hello.replica, peer)
-    this._membership!.attach(peer)
-    channel.onClose(() => {
-      this._membership!.detach(peer)
-      if (this._fellows.get(hello.replica) === peer) this._fellows.delete(hello.replica)
-    })
-  }
-
-  private _takeSoftState ({ from, frame }: ReplicaFrame): void {
-    if (frame.type === 'inForce') this._sessions!.merge(frame.inForce)
-    const peer = this._fellows.get(from)
-    if (peer === undefined || !MEMBERSHIP_FRAMES.has(frame.type)) return
-    // The own registration stands for the fellow's: every replica hears of everything.
-    if (frame.type !== 'interest') this._membership!.take(peer, frame as MembershipFrame)
-  }
-
-  private _health (): Health {
-    const replica = this._replica
-    if (replica === undefined) return { ok: false, reason: 'starting' }
-    const damage = replica.corruptions[0]
-    if (damage !== undefined) return { ok: false, reason: `${damage.file} at ${damage.offset}: ${damage.problem}` }
-    if (replica.diskFull) return { ok: false, reason: 'the disk is full' }
-    const { role, leader } = replica.view
-    if (role === 'recovering') return { ok: false, reason: 'not a member of the group' }
-    return leader === undefined ? { ok: false, reason: 'no leader' } : { ok: true }
-  }
 }
--- a/src/control/ControlReplica.ts
+++ b/src/control/ControlReplica.ts
@@ -8,8 +8,9 @@
 import { DurableLog } from '../parts/storage/DurableLog.js'
 import type { Corruption, Disk } from '../parts/storage/Types.js'
 import type { Random, ReplicaId } from '../parts/Types.js'
+import { Emitter } from '../platform/Emitter.js'
 import type { Clock, Disposable, Log } from '../platform/Types.js'
-import { FORMATION_INTERVAL_MS, NO_LEADER_RETRY_MS } from './Constants.js'
+import { FORMATION_INTERVAL_MS, NO_LEADER_RETRY_MS, SLOW_SYNC_MS } from './Constants.js'
 import { type ControlReply, ControlMachine } from './ControlMachine.js'
 import type { ControlSettings } from './ControlSettings.js'
 import { GroupHost } from './GroupHost.js'
@@ -53,6 +54,7 @@
   private readonly _formation: GroupFormation
   private readonly _replacement: Replacement
   private readonly _timer: NodeJS.Timeout
+  private readonly _syncs = new Emitter<number>()
 
   private readonly _frames: FrameHandlers = {
     agreement: (from, { to, message }) => { if (to === this.id) this._host.receive(from, message) },
@@ -84,6 +86,7 @@
       send: (to, frame) => this.links.send(to, frame)
     })
     this._host.onApplied(() => this._barrier.applied())
+    this._host.onSync(ms => this._noteSync(ms))
     this._host.onRole(({ role, term, leader }) => logger.info({ role, term, leader }, 'role changed'))
     this._formation = new GroupFormation(this.id, settings.replicas.map(replica => replica.id))
     this._replacement = new Replacement(settings.replicas.map(replica => replica.id), this._host, logger)
@@ -96,6 +99,9 @@
     return this._host.view
   }
 
+  /** Fires with the milliseconds that each sync of the log took. */
+  public readonly onSync = this._syncs.event
+
   /** True while the disk takes no more. */
   public get diskFull (): boolean {
     return this._host.diskFull
@@ -233,6 +239,11 @@
     this._host.form(members)
   }
 
+  private _noteSync (ms: number): void {
+    this._syncs.fire(ms)
+    if (ms > SLOW_SYNC_MS) this._options.logger.warn({ ms: Math.round(ms) }, 'slow sync of the log')
+  }
+
   private _repeatedReply (change: ChangeRequest): ChangeReply | undefined {
     try {
       return this.machine.register.replyOf(change)
--- /dev/null
+++ b/src/control/FellowReplicas.ts
@@ -0,0 +1,65 @@
+import type { ReplicaId } from '../parts/Types.js'
+import type { Disposable } from '../platform/Types.js'
+import { IN_FORCE_INTERVAL_MS } from './Constants.js'
+import type { ControlReplica } from './ControlReplica.js'
+import type { MembershipHost, MembershipPeer } from './MembershipHost.js'
+import type { NodeSessions } from './NodeSessions.js'
+import type { AcceptedChannel, ReplicaFrame, ReplicaHello } from './ReplicaLinks.js'
+import type { MembershipFrame, ReplicaToReplica } from './Types.js'
+
+/** Kinds of membership frames that replicas exchange. */
+const MEMBERSHIP_FRAMES: ReadonlySet<string> = new Set(['membership', 'beats', 'digest'])
+
+/**
+ * What replicas tell each other beside the log: members heard of, and which node has which version. None
+ * of it is agreed on, and all of it may be lost.
+ */
+export class FellowReplicas implements Disposable {
+  private readonly _peers = new Map<ReplicaId, MembershipPeer>()
+  private readonly _timer: NodeJS.Timeout
+
+  /**
+   * @param _replica This replica.
+   * @param _membership Its membership table.
+   * @param _sessions Its nodes.
+   */
+  public constructor (
+    private readonly _replica: ControlReplica,
+    private readonly _membership: MembershipHost,
+    private readonly _sessions: NodeSessions
+  ) {
+    _replica.links.onFrame(frame => this._take(frame))
+    this._timer = setInterval(() => {
+      _replica.links.broadcast({ type: 'inForce', inForce: _sessions.attached() })
+    }, IN_FORCE_INTERVAL_MS)
+  }
+
+  /**
+   * Takes over a connection on which another replica has said hello.
+   * @param channel The connection.
+   * @param hello Its first frame.
+   */
+  public accept (channel: AcceptedChannel, hello: ReplicaHello): void {
+    const id = hello.replica
+    this._replica.links.accept(channel, hello)
+    const send = (frame: MembershipFrame): void => this._replica.links.send(id, frame as ReplicaToReplica)
+    const peer: MembershipPeer = { id, kind: 'replica', send }
+    this._peers.set(id, peer)
+    this._membership.attach(peer)
+    channel.onClose(() => {
+      this._membership.detach(peer)
+      if (this._peers.get(id) === peer) this._peers.delete(id)
+    })
+  }
+
+  /** Stops telling. */
+  public dispose (): void {
+    clearInterval(this._timer)
+  }
+
+  private _take ({ from, frame }: ReplicaFrame): void {
+    if (frame.type === 'inForce') this._sessions.merge(frame.inForce)
+    const peer = this._peers.get(from)
+    if (peer !== undefined && MEMBERSHIP_FRAMES.has(frame.type)) this._membership.take(peer, frame as MembershipFrame)
+  }
+}
--- a/src/control/GroupHost.ts
+++ b/src/control/GroupHost.ts
@@ -61,6 +61,7 @@
   private readonly _replica: Replica
   private readonly _roles = new Emitter<RoleChange>()
   private readonly _applied = new Emitter<number>()
+  private readonly _syncs = new Emitter<number>()
   private readonly _proposals = new Map<number, (outcome: ProposalOutcome<Reply>) => void>()
   private readonly _reads = new Map<number, (index: number | undefined) => void>()
   private _queue: AgreementEvent[] = []
@@ -90,6 +91,9 @@
   /** Fires with the index up to which entries were applied, once for each turn of the loop. */
   public readonly onApplied = this._applied.event
 
+  /** Fires with the milliseconds that each sync of the log took. */
+  public readonly onSync = this._syncs.event
+
   /**
    * @param _options Identity, storage, state machine, clock and callbacks.
    */
@@ -212,33 +216,45 @@
   /** Syncs what earlier turns staged, and tells the replica. */
   private _flush (): void {
     if (!this._options.log.hasStaged) return
-    this._tryDisk(() => this._step({ type: 'persisted', sequence: this._options.log.flush() }))
+    const { log, clock } = this._options
+    const startMs = clock.nowMs()
+    const synced = this._tryDisk(() => log.flush())
+    if (synced === undefined) return
+    this._syncs.fire(clock.nowMs() - startMs)
+    this._step({ type: 'persisted', sequence: synced })
   }
 
   private _stage (): void {
     while (this._unstaged.length > 0) {
-      if (!this._tryDisk(() => this._options.log.stage(this._unstaged[0]!))) return
+      if (!this._attempt(() => this._options.log.stage(this._unstaged[0]!))) return
       this._unstaged.shift()
     }
   }
 
   /** A full disk is waited for: the work stays queued and is tried again at each tick. */
-  private _tryDisk (action: () => void): boolean {
+  private _tryDisk<Result> (action: () => Result): Result | undefined {
     try {
-      action()
+      const result = action()
       this._diskFull = false
-      return true
+      return result
     } catch (error) {
       if (!(error instanceof StorageFault) || error.failure !== 'full') throw error
       this._diskFull = true
-      return false
+      return undefined
     }
   }
 
+  private _attempt (action: () => void): boolean {
+    return this._tryDisk(() => {
+      action()
+      return true
+    }) === true
+  }
+
   /** Begins a snapshot when the log has grown, and goes on with one by a part. */
   private _snapshotTurn (): void {
     if (this._job === undefined) this._beginSnapshot()
-    else if (!this._tryDisk(() => this._snapshotPart(this._job!))) this._giveUpSnapshot()
+    else if (!this._attempt(() => this._snapshotPart(this._job!))) this._giveUpSnapshot()
   }
 
   private _beginSnapshot (): void {
@@ -246,7 +262,7 @@
     const grown = log.segmentBytes >= Math.max(snapshotAfterBytes, 2 * this._snapshotBytes)
     if (!grown || this._diskFull || clock.nowMs() < this._snapshotAfterMs) return
     const index = this._replica.view.commitIndex
-    if (!this._tryDisk(() => log.beginSnapshot(index))) return this._giveUpSnapshot()
+    if (!this._attempt(() => log.beginSnapshot(index))) return this._giveUpSnapshot()
     this._job = { index, parts: machine.snapshot(), written: [] }
   }
 
--- a/src/control/NodeSessions.ts
+++ b/src/control/NodeSessions.ts
@@ -35,6 +35,8 @@
   readonly peer: MembershipPeer
   version: Version
   question: Question | undefined
+  /** True once the node has sent a heartbeat here; others of its connections are for records only. */
+  isHome: boolean
   openRecords: number
 }
 
@@ -51,9 +53,10 @@
 }
 
 /**
- * Connections of nodes. A heartbeat is answered after a quorum read, one read for all that wait; a change
- * is pushed at once to all, as a difference where one fits. Holds `MAX_SESSIONS` sessions and the versions
- * of `MAX_IN_FORCE` nodes.
+ * Connections of nodes. A node connects to every replica and sends heartbeats to one of them, its home. A
+ * heartbeat is answered after a quorum read, one read for all that wait; a change is pushed at once to all
+ * whose home this is, as a difference where one fits. Holds `MAX_SESSIONS` sessions and the versions of
+ * `MAX_IN_FORCE` nodes.
  */
 export class NodeSessions implements Disposable {
   private readonly _sessions = new Set<Session>()
@@ -105,19 +108,19 @@
     const send = (frame: MembershipFrame): void => { channel.send(frame) }
     const peer: MembershipPeer = { id: hello.node, kind: 'node', send }
     const session: Session = {
-      node: hello.node, channel, peer, version: hello.version, question: undefined, openRecords: 0
+      node: hello.node, channel, peer, version: hello.version, question: undefined, isHome: false, openRecords: 0
     }
     this._sessions.add(session)
     this._membership.attach(peer)
     this._note(hello.node, hello.version, this._clock.nowMs())
     channel.onMessage(frame => this._take(session, frame as NodeToControl))
     channel.onClose(() => this._drop(session))
-    if (hello.version < this._machine.register.inForce.version) this._sendNewest(session, false)
   }
 
   /** Versions of the nodes attached here, to be told to fellow replicas. */
   public attached (): InForce[] {
-    return this.inForce().filter(item => [...this._sessions].some(session => session.node === item.node))
+    const homes = new Set([...this._sessions].filter(session => session.isHome).map(session => session.node))
+    return this.inForce().filter(item => homes.has(item.node))
   }
 
   /**
@@ -148,6 +151,7 @@
   }
 
   private _takeHeartbeat (session: Session, frame: FrameOf<'heartbeat'>): void {
+    session.isHome = true
     session.version = frame.version
     session.question = { askedAtMs: frame.askedAtMs }
     this._note(session.node, frame.version, this._clock.nowMs())
@@ -190,7 +194,7 @@
   private _push (): void {
     const { version } = this._machine.register.inForce
     for (const session of this._sessions) {
-      if (session.version < version) this._sendNewest(session, false)
+      if (session.isHome && session.version < version) this._sendNewest(session, false)
     }
   }
 
@@ -219,8 +223,8 @@
 
   private _closeSilent (): void {
     const nowMs = this._clock.nowMs()
-    for (const { channel } of this._sessions) {
-      if (nowMs - channel.lastReceivedMs > NODE_SILENCE_MS) channel.destroy('silent')
+    for (const { channel, isHome } of this._sessions) {
+      if (isHome && nowMs - channel.lastReceivedMs > NODE_SILENCE_MS) channel.destroy('silent')
     }
     for (const [node, { atMs }] of this._versions) {
       if (nowMs - atMs > IN_FORCE_KEPT_MS) this._versions.delete(node)
