Let the probe of the control test send its heartbeats again

Cause: in one of two full runs on the busy machine 'nodes at all replicas hear of a change' timed out after 60 s; alone it passed 3 of 3. The probe sent one heartbeat, which a replica without a quorum at that moment does not answer, and waited for ever; a node repeats its heartbeats. The check is as strict as before: every replica must confirm, tell the change, and repeat the time of asking.

--- a/test/Control.test.ts
+++ b/test/Control.test.ts
@@ -61,19 +61,19 @@
   const nodes = group.addresses.map((address, index) => new NodeProbe(address, `node-${index}`))
   disposables.push(() => nodes.forEach(node => node.dispose()))
   await Promise.all(nodes.map(async node => await node.connect()))
-  const empty = nodes.map(async node => await node.await(frame => frame.type === 'confirm'))
-  nodes.forEach(node => node.send({ type: 'heartbeat', version: 0, term: 0 }))
+  const empty = nodes.map(async node => {
+    return await node.beat({ type: 'heartbeat', version: 0, term: 0 }, frame => frame.type === 'confirm')
+  })
   for (const frame of await Promise.all(empty)) expect(frame).toMatchObject({ version: 0 })
   const told = nodes.map(async node => await node.await(frame => frame.type === 'difference' || frame.type === 'copy'))
   await accept(group, 0, 0, 'told')
   for (const frame of await Promise.all(told)) expect(versionOf(frame)).toBe(1)
   for (const node of nodes) {
-    const confirmed = node.await(frame => frame.type === 'confirm')
-    node.send({ type: 'heartbeat', version: 1, term: 1, askedAtMs: 123 })
-    expect(await confirmed).toMatchObject({ version: 1, askedAtMs: 123 })
-    const behind = node.await(frame => frame.type === 'copy' || frame.type === 'difference')
-    node.send({ type: 'heartbeat', version: 0, term: 0 })
-    expect(await behind).toMatchObject({ confirmed: true })
+    const asked = { type: 'heartbeat', version: 1, term: 1, askedAtMs: 123 } as const
+    expect(await node.beat(asked, frame => frame.type === 'confirm')).toMatchObject({ version: 1, askedAtMs: 123 })
+    const behind = { type: 'heartbeat', version: 0, term: 0 } as const
+    const told = await node.beat(behind, frame => frame.type === 'copy' || frame.type === 'difference')
+    expect(told).toMatchObject({ confirmed: true })
   }
 })
 
--- a/test/support/NodeProbe.ts
+++ b/test/support/NodeProbe.ts
@@ -3,6 +3,8 @@
 import { FrameClient } from '../../src/platform/FrameClient.js'
 import { SystemClock } from '../../src/platform/SystemClock.js'
 
+const HEARTBEAT_MS = 200
+
 /** A node's connection to one control replica, with which a test awaits frames. */
 export class NodeProbe {
   private readonly client: FrameClient<ControlToNode, NodeToControl>
@@ -43,6 +45,16 @@
     })
   }
 
+  /** Sends a heartbeat, again and again as a node does, until an answer matches. */
+  public async beat (
+    frame: Extract<NodeToControl, { type: 'heartbeat' }>, matches: (frame: ControlToNode) => boolean
+  ): Promise<ControlToNode> {
+    const answer = this.await(matches)
+    const timer = setInterval(() => this.send(frame), HEARTBEAT_MS)
+    this.send(frame)
+    return await answer.finally(() => clearInterval(timer))
+  }
+
   /** Disconnects. */
   public dispose (): void {
     this.client.dispose()
