--- a/src/load/LoadPlan.ts
+++ b/src/load/LoadPlan.ts
@@ -71,6 +71,8 @@
   targets: z.array(address).min(1),
   streams: z.array(stream).min(1),
   durationMs: durationMs.max(3_600_000),
+  /** Calls due before this are sent and audited, and their latency is not counted. */
+  warmupMs: z.number().int().min(0).default(0),
   seed: z.number().int().min(0).default(LOAD_DEFAULTS.seed),
   /** Calls in flight at once; later ones wait, and their wait counts as latency. */
   maxInFlight: z.number().int().min(1).max(100_000).default(LOAD_DEFAULTS.maxInFlight),
@@ -81,6 +83,8 @@
     waitMs: durationMs.default(LOAD_DEFAULTS.retry.waitMs),
     maxWaitMs: durationMs.default(LOAD_DEFAULTS.retry.maxWaitMs)
   }).prefault({}),
+  /** Whether to spend processor time on sending each call within microseconds of its due time. */
+  precise: z.boolean().default(false),
   /** What happens to the stand-ins while calls run. */
   changes: z.array(change).default([]),
   /** Journals of the stand-ins, to count lost and doubled runs. */
--- a/src/load/LoadRun.test.ts
+++ b/src/load/LoadRun.test.ts
@@ -76,6 +76,17 @@
   expect(keys).toHaveLength(2 * all.sent)
 })
 
+test('a warm-up is sent and not counted as latency', async () => {
+  const target = await serve((request, response) => response.end(echo(request, request.headers['x-request-id'] as string)))
+  const plan = { ...planOf(target, {}), warmupMs: 50 }
+  const { all } = await new LoadRun(plan, 'warm').run()
+  const schedule = new Schedule(plan, 'warm')
+  const counted: number[] = []
+  while (schedule.nextDueMs !== undefined) counted.push(schedule.take().dueMs)
+  expect(all.ends.ok).toBe(counted.length)
+  expect(all.latency.count).toBe(counted.filter(dueMs => dueMs >= 50).length)
+})
+
 test('dispositions and reasons are counted', async () => {
   const target = await serve((_request, response) => {
     response.writeHead(503, { 'sassafras-disposition': 'unknown', 'sassafras-reason': 'peer-lost' }).end('{}')
--- a/src/load/LoadRun.ts
+++ b/src/load/LoadRun.ts
@@ -1,4 +1,4 @@
-import { setTimeout as delay } from 'node:timers/promises'
+import { setImmediate as turn, setTimeout as delay } from 'node:timers/promises'
 import { Caller } from './Caller.js'
 import { ChangeSchedule } from './ChangeSchedule.js'
 import type { ChangeResult } from './ChangeSchedule.js'
@@ -11,6 +11,8 @@
 import type { CallResult, PlannedCall } from './Types.js'
 
 const LONGEST_SLEEP_MS = 50
+/** Timers fire up to this much late. */
+const TIMER_STEP_MS = 2
 
 /** One load run. Results of all calls are kept until its end; the plan bounds their number. */
 export class LoadRun {
@@ -50,15 +52,17 @@
   public latencies (): LatencyRecorder {
     const recorder = new LatencyRecorder(this.plan.durationMs)
     for (const { call, end, latencyMs } of this.results) {
-      if (end === 'ok') recorder.record(call.dueMs, latencyMs)
+      if (end === 'ok' && call.dueMs >= this.plan.warmupMs) recorder.record(call.dueMs, latencyMs)
     }
     return recorder
   }
 
   private async sleepUntil (dueMs: number): Promise<void> {
+    const spinMs = this.plan.precise ? TIMER_STEP_MS : 0
     let leftMs = this.startedAtMs + dueMs - performance.now()
     while (leftMs > 0) {
-      await delay(Math.min(leftMs, LONGEST_SLEEP_MS))
+      if (leftMs <= spinMs) await turn()
+      else await delay(Math.min(leftMs - spinMs, LONGEST_SLEEP_MS))
       leftMs = this.startedAtMs + dueMs - performance.now()
     }
   }
@@ -84,14 +88,16 @@
   private summary (changes: readonly ChangeResult[]): LoadSummary {
     const { plan, results } = this
     const late = new LatencyRecorder(plan.durationMs)
-    for (const { call, lateMs } of results) late.record(call.dueMs, lateMs)
+    for (const { call, lateMs } of results) {
+      if (call.dueMs >= plan.warmupMs) late.record(call.dueMs, lateMs)
+    }
     return {
       seed: plan.seed,
       durationMs: plan.durationMs,
-      all: summarize(results, plan.durationMs),
+      all: summarize(results, plan),
       streams: plan.streams.map(stream => {
         const own = results.filter(result => result.call.stream === stream)
-        return { service: stream.service, kind: stream.kind, ...summarize(own, plan.durationMs) }
+        return { service: stream.service, kind: stream.kind, ...summarize(own, plan) }
       }),
       lateMs: late.summary(),
       unsent: this.waiting.length,
--- a/src/load/LoadSummary.ts
+++ b/src/load/LoadSummary.ts
@@ -1,6 +1,6 @@
 /** What a load run has shown, as JSON. */
 import type { ChangeResult } from './ChangeSchedule.js'
-import type { LoadStream } from './LoadPlan.js'
+import type { LoadPlan, LoadStream } from './LoadPlan.js'
 import { LatencyRecorder } from './LatencyRecorder.js'
 import type { LatencySummary } from './LatencyRecorder.js'
 import type { AuditCounts, CallEnd, CallResult } from './Types.js'
@@ -12,7 +12,7 @@
   readonly attempts: number
   /** Reasons of all ends but `ok`, with how often each was given. */
   readonly reasons: Readonly<Record<string, number>>
-  /** Calls that ended `ok`, from the time that they were due. */
+  /** Calls that ended `ok` and were due after the warm-up, from the time that they were due. */
   readonly latency: LatencySummary
 }
 
@@ -35,18 +35,19 @@
 /**
  * Sums up calls.
  * @param results The calls.
- * @param durationMs Length of the run.
+ * @param plan Length of the run and of its warm-up.
  */
-export function summarize (results: readonly CallResult[], durationMs: number): StreamSummary {
+export function summarize (results: readonly CallResult[], plan: LoadPlan): StreamSummary {
   const ends: Record<CallEnd, number> = { ok: 0, wrong: 0, error: 0, failed: 0, 'not-run': 0, unknown: 0, quarantined: 0 }
   const reasons: Record<string, number> = {}
-  const recorder = new LatencyRecorder(durationMs)
+  const recorder = new LatencyRecorder(plan.durationMs)
   let attempts = 0
   for (const { call, end, reason, attempts: tried, latencyMs } of results) {
     ends[end]++
     attempts += tried
-    if (end === 'ok') recorder.record(call.dueMs, latencyMs)
-    else reasons[`${end}: ${reason}`] = (reasons[`${end}: ${reason}`] ?? 0) + 1
+    if (end === 'ok') {
+      if (call.dueMs >= plan.warmupMs) recorder.record(call.dueMs, latencyMs)
+    } else reasons[`${end}: ${reason}`] = (reasons[`${end}: ${reason}`] ?? 0) + 1
   }
   return { sent: results.length, ends, attempts, reasons, latency: recorder.summary() }
 }
--- a/src/standin/Run.ts
+++ b/src/standin/Run.ts
@@ -62,6 +62,8 @@
    * @returns Whether the work was done to its end.
    */
   public async work (ms: number, signal: AbortSignal | undefined): Promise<boolean> {
+    // A timer takes at least a millisecond, which a service time of 0 must not.
+    if (ms <= 0) return signal?.aborted !== true
     try {
       await delay(ms, undefined, signal === undefined ? {} : { signal })
       return signal?.aborted !== true
