--- a/src/parts/choice/Constants.ts
+++ b/src/parts/choice/Constants.ts
@@ -1,10 +1,19 @@
 /** Constants of choosing an upstream. */
 
-/** Instances that a chooser weighs when a service has more than these. */
+/** Instances that a chooser knows at least when a service has more than these. */
 export const SUBSET_SIZE = 16
 
-/** Members of a subset kept for instances of other availability zones. */
-export const SUBSET_ELSEWHERE = 6
+/** Share of a subset kept for instances of other availability zones, 0 to 1. */
+export const SUBSET_ELSEWHERE_SHARE = 0.375
+
+/** Subsets that each instance should be in, on average. */
+export const MIN_COVERAGE = 8
+
+/** Nodes that are taken to call a service when the host does not say how many there are. */
+export const DEFAULT_INGRESS_NODES = 1000
+
+/** Instances weighed for one call at most, so that a decision costs the same in a large subset. */
+export const WEIGHED_PER_CALL = 16
 
 /** Round trip to an instance of the same availability zone. */
 export const SAME_ZONE_RTT_MS = 0.2
@@ -19,7 +28,7 @@
 export const DEFAULT_SERVICE_MS = 5
 
 /** Service times after which load evidence has lost most of its weight. */
-export const EVIDENCE_MEMORY_SERVICE_TIMES = 2
+export const EVIDENCE_MEMORY_SERVICE_TIMES = 1
 
 /** Latency that a failed attempt is counted as, in service times. */
 export const FAILURE_COST_SERVICE_TIMES = 40
@@ -27,8 +36,8 @@
 /** Time for which a refusal without evidence makes an instance count as full. */
 export const REFUSED_MEMORY_MS = 20
 
-/** Weight of the newest service time in the mean over the service. */
-export const SERVICE_TIME_WEIGHT = 0.05
+/** Smallest weight of the newest service time in the mean over the service; the first ones weigh more. */
+export const SERVICE_TIME_WEIGHT = 0.01
 
 /** Calls in flight allowed to an instance that has not answered yet. */
 export const UNPROVEN_IN_FLIGHT = 1
