--- a/bench/records.ts
+++ b/bench/records.ts
@@ -79,7 +79,8 @@
   const restoredAt = process.hrtime.bigint()
   new IdempotencyLedger().restore(CODEC.decode(snapshot) as LedgerSnapshot)
   const restoreMs = Number(process.hrtime.bigint() - restoredAt) / NS_PER_MS
-  const sizes = { records, answerBytes: ANSWER_BYTES, bytesPerRecord: Math.round(used / records), snapshotBytes: snapshot.length }
+  const bytesPerRecord = Math.round(used / records)
+  const sizes = { records, answerBytes: ANSWER_BYTES, bytesPerRecord, snapshotBytes: snapshot.length }
   const times = { copyMs: round(copyMs), encodeMs: round(encodeMs), restoreMs: round(restoreMs) }
   return { ...sizes, beginNs: round(beginNs), finishNs: round(finishNs), repeatNs: round(repeatNs), ...times }
 }
