Make a decision cheaper and measure choice without any probes

Cause: a choice drew a random number for each of 16 instances and worked out evidence too old to weigh. Change: one random number a call, spread by steps of the golden ratio; evidence ten memories old weighs nothing; 12 instances of a large subset are weighed.

--- a/bench/virtual/Mesh.ts
+++ b/bench/virtual/Mesh.ts
@@ -30,6 +30,8 @@
   readonly announcedFactor: number
   /** Whether instance 0 reports no load, whatever it has. */
   readonly lies: boolean
+  /** Measuring messages allowed for each call. */
+  readonly messagesPerCall: number
   readonly measureFromMs: number
   readonly measureToMs: number
 }
@@ -41,7 +43,7 @@
 const LINK_TIMEOUT_MS = 300
 const PROBE_BYTES = 64
 const POLL_BYTES = 200
-const BUDGET = { bytesPerSecond: 12_000, messagesPerCall: 0.01 }
+const BYTES_PER_SECOND = 12_000
 
 /** Joins hosts, ingress nodes and callers on one virtual clock, with constant delays. */
 export class Mesh {
@@ -69,7 +71,9 @@
     this.ingresses = Array.from({ length: size.ingresses }, (_none, index) => {
       return new Ingress(this, index, placeOf(index))
     })
-    this.budgets = this.ingresses.map(() => new MeasuringBudget(BUDGET))
+    this.budgets = this.ingresses.map(() => {
+      return new MeasuringBudget({ bytesPerSecond: BYTES_PER_SECOND, messagesPerCall: plan.messagesPerCall })
+    })
     for (const ingress of this.ingresses) {
       this.addStrategy(ingress)
     }
--- a/bench/virtual/Runner.ts
+++ b/bench/virtual/Runner.ts
@@ -58,6 +58,7 @@
     callerTries: 0,
     announcedFactor: 1,
     lies: false,
+    messagesPerCall: 0.01,
     measureFromMs: MEASURE_FROM_MS,
     measureToMs: MEASURE_TO_MS,
     ...scenario.plan
--- a/bench/virtual/Scenarios.ts
+++ b/bench/virtual/Scenarios.ts
@@ -97,6 +97,7 @@
   { name: 'two-lost', load: 0.4, sizes: TWO, arrange: loseTwo },
   { name: 'zone-lost', load: 0.45, sizes: TWO, arrange: loseZone },
   { name: 'cold-start', load: 0.6, sizes: TWO, arrange: coldStarts },
+  { name: 'budget-spent', load: 0.6, plan: { messagesPerCall: 0 }, sizes: TWO, arrange: coldStarts },
   { name: 'overload-130', load: 1.3, plan: { callerTries: 3 }, sizes: SMALL },
   { name: 'herd-70', load: 0.7, plan: { measureToMs: 800 }, sizes: [LARGE] },
   { name: 'herd-85', load: 0.85, plan: { measureToMs: 800 }, sizes: [LARGE] }
--- a/src/parts/choice/CandidateLoad.ts
+++ b/src/parts/choice/CandidateLoad.ts
@@ -6,6 +6,9 @@
 } from './Constants.js'
 import type { Candidate, CandidateState } from './Types.js'
 
+/** Evidence that is this many memories old weighs nothing. */
+const NEGLIGIBLE_AGE = 10
+
 const SQRT_TWO_PI = Math.sqrt(2 * Math.PI)
 
 /** A call that this ingress node has sent and that has not ended. */
@@ -117,7 +120,11 @@
    */
   public freshness (nowMs: number): number {
     const ageMs = nowMs - this.evidenceMs
-    return ageMs <= 0 ? 1 : Math.exp(-ageMs / (EVIDENCE_MEMORY_SERVICE_TIMES * this.serviceMs))
+    if (ageMs <= 0) {
+      return 1
+    }
+    const memoryMs = EVIDENCE_MEMORY_SERVICE_TIMES * this.serviceMs
+    return ageMs > NEGLIGIBLE_AGE * memoryMs ? 0 : Math.exp(-ageMs / memoryMs)
   }
 
   /**
--- a/src/parts/choice/Constants.ts
+++ b/src/parts/choice/Constants.ts
@@ -13,7 +13,7 @@
 export const DEFAULT_INGRESS_NODES = 1000
 
 /** Instances weighed for one call at most, so that a decision costs the same in a large subset. */
-export const WEIGHED_PER_CALL = 16
+export const WEIGHED_PER_CALL = 12
 
 /** Round trip to an instance of the same availability zone. */
 export const SAME_ZONE_RTT_MS = 0.2
--- a/src/parts/choice/UpstreamChooser.ts
+++ b/src/parts/choice/UpstreamChooser.ts
@@ -14,6 +14,8 @@
 type EventOf<T extends ChoiceEvent['type']> = Extract<ChoiceEvent, { type: T }>
 type Handlers = { readonly [T in ChoiceEvent['type']]: (event: EventOf<T>, nowMs: number) => ChoiceAction[] }
 
+const GOLDEN_RATIO = (Math.sqrt(5) - 1) / 2
+
 /** Options of an upstream chooser. Durations in milliseconds. */
 export interface ChooserOptions {
   readonly subsetSize: number
@@ -158,24 +160,28 @@
       this.best(excluded, nowMs, this.subset.length, true)
   }
 
+  /** The lowest cost among some; nearly equal ones are told apart at random, so that nodes do not act alike. */
   private best (
     excluded: readonly InstanceId[], nowMs: number, sample: number, anyHealth: boolean
   ): CandidateLoad | undefined {
     const count = this.subset.length
     const weighed = Math.min(sample, count)
     let index = weighed < count ? Math.floor(this.random.next() * count) : 0
+    // One random number a call; each instance gets its own by steps of the golden ratio.
+    let spread = this.random.next()
     let best: CandidateLoad | undefined
     let lowest = Number.POSITIVE_INFINITY
     for (let seen = 0; seen < weighed; seen++) {
       const candidate = this.subset[index] as CandidateLoad
       index = index + 1 === count ? 0 : index + 1
+      spread = spread < 1 - GOLDEN_RATIO ? spread + GOLDEN_RATIO : spread + GOLDEN_RATIO - 1
       if (!isReachable(candidate) || excluded.includes(candidate.instance)) {
         continue
       }
       if (!anyHealth && !this.isWelcome(candidate)) {
         continue
       }
-      const cost = this.cost(candidate, nowMs)
+      const cost = this.cost(candidate, nowMs) * (1 + JITTER * spread)
       if (cost < lowest) {
         lowest = cost
         best = candidate
@@ -198,10 +204,8 @@
     const expected = this.expectedMs(candidate, nowMs)
     const slow = Math.max(1, candidate.vitals.slowness.ratio(nowMs) - USUAL_RATIO + 1)
     const failing = candidate.vitals.failureShare * FAILURE_COST_SERVICE_TIMES * this.serviceMs
-    // Evidence is rough: nearly equal instances are told apart at random, so that nodes do not act alike.
-    const jitter = 1 + JITTER * this.random.next()
     const own = OWN_CALL_COST * this.serviceMs * candidate.inFlight() / (1 + this.meanInFlight())
-    return (expected * slow + own + failing) * jitter
+    return expected * slow + own + failing
   }
 
   /** Round trip, wait and service at the load that is known of. */
--- a/src/parts/detection/SlownessEstimate.ts
+++ b/src/parts/detection/SlownessEstimate.ts
@@ -3,6 +3,9 @@
   SLOW_MEMORY_START_MS, SLOW_RATIO
 } from './Constants.js'
 
+/** Evidence that is this many memories old weighs nothing. */
+const NEGLIGIBLE_AGE = 10
+
 /**
  * Ratio of seen to expected latency at one instance. Calls that are still running count by their age, so a
  * slow-down shows before its first answer. Evidence fades towards a ratio of 1, and the longer an instance has been
@@ -83,7 +86,10 @@
    * @param ageMs Milliseconds.
    */
   public weightAt (ageMs: number): number {
-    return ageMs <= 0 ? 1 : Math.exp(-ageMs / this.memoryMs)
+    if (ageMs <= 0) {
+      return 1
+    }
+    return ageMs > NEGLIGIBLE_AGE * this.memoryMs ? 0 : Math.exp(-ageMs / this.memoryMs)
   }
 
   /**
@@ -91,6 +97,9 @@
    * @param nowMs Monotonic time in milliseconds.
    */
   public ratio (nowMs: number): number {
+    if (this.running === 0 && this.count === 0) {
+      return 1
+    }
     const kept = this.keptShare(nowMs)
     const weight = 1 + this.count * kept
     const ages = nowMs * this.inverseSum - this.startOverExpectedSum
