Stop hedges by the share of refusals, not by each refusal

Cause: a single refusal for overload stopped hedges for 500 ms. Change: no hedge is sent while more than 5% of the last hundred or so attempts were refused.

--- a/src/parts/retry/Constants.ts
+++ b/src/parts/retry/Constants.ts
@@ -25,8 +25,11 @@
 /** One hedge in this many is still sent while too few answer first, to notice when that changes. */
 export const HEDGE_TRIAL_INTERVAL = 8
 
-/** Time without hedges after a refusal for overload. */
-export const HEDGE_PAUSE_MS = 500
+/** Share of attempts refused for overload from which no hedge is sent. */
+export const HEDGE_REFUSED_SHARE = 0.05
+
+/** Weight of the newest attempt in the share that was refused. */
+export const HEDGE_REFUSED_WEIGHT = 0.01
 
 /** Time kept back at each hop for the answer to travel, in milliseconds. */
 export const HOP_RESERVE_MS = 2
--- a/src/parts/retry/HedgeGate.ts
+++ b/src/parts/retry/HedgeGate.ts
@@ -1,17 +1,24 @@
-import { HEDGE_PAUSE_MS, HEDGE_TRIAL_INTERVAL, HEDGE_WIN_SHARE, HEDGE_WIN_WEIGHT } from './Constants.js'
+import {
+  HEDGE_REFUSED_SHARE, HEDGE_REFUSED_WEIGHT, HEDGE_TRIAL_INTERVAL, HEDGE_WIN_SHARE, HEDGE_WIN_WEIGHT
+} from './Constants.js'
 
 /**
- * Holds hedges back when they do no good: for a while after a refusal for overload, and while few of them answer before
- * the first attempt. Then only one in some is sent, as a trial.
+ * Holds hedges back when they do no good. None is sent while more than a few attempts are refused for overload; while
+ * few of them answer before the first attempt, one in some is sent as a trial.
  */
 export class HedgeGate {
   private _winShare = 2 * HEDGE_WIN_SHARE
   private _heldBack = 0
-  private _pausedUntilMs = -Infinity
+  private _refusedShare = 0
 
-  /** @param nowMs Monotonic time of a refusal for overload. */
-  public pause (nowMs: number): void {
-    this._pausedUntilMs = nowMs + HEDGE_PAUSE_MS
+  /** Counts a first attempt. */
+  public began (): void {
+    this._refusedShare *= 1 - HEDGE_REFUSED_WEIGHT
+  }
+
+  /** Counts an attempt that was refused for overload. */
+  public refused (): void {
+    this._refusedShare += HEDGE_REFUSED_WEIGHT
   }
 
   /** @param won Whether a hedge answered before the attempt that it was sent beside. */
@@ -19,12 +26,9 @@
     this._winShare += HEDGE_WIN_WEIGHT * ((won ? 1 : 0) - this._winShare)
   }
 
-  /**
-   * Returns whether the hedge that is due may be sent.
-   * @param nowMs Monotonic time.
-   */
-  public opens (nowMs: number): boolean {
-    if (nowMs < this._pausedUntilMs) {
+  /** Returns whether the hedge that is due may be sent. */
+  public opens (): boolean {
+    if (this._refusedShare >= HEDGE_REFUSED_SHARE) {
       return false
     }
     if (this._winShare >= HEDGE_WIN_SHARE) {
--- a/src/parts/retry/RetryPolicy.test.ts
+++ b/src/parts/retry/RetryPolicy.test.ts
@@ -340,3 +340,26 @@
   hedgesOf(200, 2)
   expect(hedgesOf(80, 2)).toBe(80)
 })
+
+test('no hedges while more than a few attempts are refused', () => {
+  const policy = new RetryPolicy({ retryShare: 1 })
+  let call = 0
+  const hedgesOf = (calls: number, refusedOneIn: number): number => {
+    let hedges = 0
+    for (const end = call + calls; call < end; call++) {
+      const atMs = call * 100
+      policy.step({ ...BEGIN, call, deadlineAtMs: atMs + 1000 }, atMs)
+      if (call % refusedOneIn === 0) {
+        policy.step({ ...OVERLOADED, call }, atMs)
+      }
+      hedges += policy.step({ type: 'tick' }, atMs + 50).filter(action => action.type === 'hedge').length
+      policy.step({ type: 'succeeded', call, latencyMs: 1, attempt: 2 }, atMs + 60)
+    }
+    return hedges
+  }
+  expect(hedgesOf(200, 100)).toBe(200)
+  hedgesOf(200, 5)
+  expect(hedgesOf(200, 5)).toBe(0)
+  hedgesOf(400, 100)
+  expect(hedgesOf(200, 100)).toBe(200)
+})
--- a/src/parts/retry/RetryPolicy.ts
+++ b/src/parts/retry/RetryPolicy.ts
@@ -107,6 +107,7 @@
 
   private _onBegin (event: EventOf<'begin'>, nowMs: number, actions: RetryAction[]): void {
     this._budget.earn(nowMs)
+    this._hedgeGate.began()
     if (event.deadlineAtMs <= nowMs) {
       actions.push({ type: 'giveUp', call: event.call, reason: 'deadline-exceeded', retryAfterMs: 0 })
       return
@@ -124,7 +125,7 @@
 
   private _onFailed (event: EventOf<'failed'>, nowMs: number, actions: RetryAction[]): void {
     if (REMEDIES[event.reason] === 'overload') {
-      this._hedgeGate.pause(nowMs)
+      this._hedgeGate.refused()
     }
     const tracked = this._calls.get(event.call)
     if (tracked === undefined) {
@@ -229,7 +230,7 @@
 
   private _hedge (tracked: TrackedCall, nowMs: number, actions: RetryAction[]): void {
     const single = !tracked.ended && tracked.inFlight === 1 && tracked.attempts < this._options.maxAttempts
-    if (!single || nowMs + this._median.estimateMs > tracked.deadlineAtMs || !this._hedgeGate.opens(nowMs)) {
+    if (!single || nowMs + this._median.estimateMs > tracked.deadlineAtMs || !this._hedgeGate.opens()) {
       return
     }
     // Half of the budget stays for calls that fail.
