--- a/bench/state.ts
+++ b/bench/state.ts
@@ -4,6 +4,7 @@
 import { writeReport } from './BenchReport.js'
 import { measureCatchUp } from './state/CatchUp.js'
 import { measureCommits } from './state/Commits.js'
+import { measureInForce } from './state/InForce.js'
 import { measureLeaderLoss } from './state/LeaderLoss.js'
 import { measureLog } from './state/LogWrites.js'
 import { measureRestart } from './state/Restart.js'
@@ -16,7 +17,8 @@
   commits: measureCommits,
   leaderLoss: measureLeaderLoss,
   catchUp: measureCatchUp,
-  restart: measureRestart
+  restart: measureRestart,
+  inForce: measureInForce
 }
 
 const chosen = process.argv.slice(2)
--- a/bench/state/ControlGroup.ts
+++ b/bench/state/ControlGroup.ts
@@ -81,6 +81,11 @@
     return this._members.map(member => member.peer)
   }
 
+  /** Process ids of the replicas that were started. */
+  public get pids (): number[] {
+    return this._members.flatMap(member => member.process?.pid ?? [])
+  }
+
   /** Data folder of a replica. */
   public dataOf (index: number): string {
     return this._members[index]!.data
--- a/bench/state/Restart.ts
+++ b/bench/state/Restart.ts
@@ -46,7 +46,11 @@
   }
 }
 
-function configurationOf (number: number): Configuration {
+/**
+ * A configuration of a few services that differs with the number.
+ * @param number Any number.
+ */
+export function configurationOf (number: number): Configuration {
   const services = Array.from({ length: SERVICES }, (_, index) => ({
     name: `service-${index}`,
     guarded: ['POST /checkouts'],
--- a/src/control/ControlReplica.ts
+++ b/src/control/ControlReplica.ts
@@ -36,6 +36,9 @@
   (from: ReplicaId, frame: Extract<ReplicaToReplica, { type: Type }>) => void
 }
 
+/** Range of the first number of questions to the leader. */
+const ID_RANGE = 2 ** 40
+
 const NOTHING_RECOVERED: RecoveredState = {
   hard: { term: 0, votedFor: undefined },
   snapshot: { index: 0, term: 0, members: [], data: new Uint8Array(0) },
@@ -84,7 +87,7 @@
       leader: () => this.view.leader,
       applied: () => this.view.commitIndex,
       send: (to, frame) => this.links.send(to, frame)
-    })
+    }, Math.floor(random.next() * ID_RANGE))
     this._host.onApplied(() => this._barrier.applied())
     this._host.onSync(ms => this._noteSync(ms))
     this._host.onRole(({ role, term, leader }) => logger.info({ role, term, leader }, 'role changed'))
@@ -220,7 +223,8 @@
   }
 
   private _notice (): Extract<ReplicaToReplica, { type: 'formation' }> {
-    return { type: 'formation', notice: { replica: this.id, members: this.view.members } }
+    const heard = this._formation.heard(this._options.clock.nowMs())
+    return { type: 'formation', notice: { replica: this.id, members: this.view.members, heard } }
   }
 
   private _takeNotice (notice: FormationNotice): void {
--- /dev/null
+++ b/src/control/GroupHost.test.ts
@@ -0,0 +1,138 @@
+import { expect, test } from 'vitest'
+import { SeededRandom } from '../parts/SeededRandom.js'
+import { DurableLog } from '../parts/storage/DurableLog.js'
+import { MemoryDisk } from '../parts/storage/MemoryDisk.js'
+import type { Clock } from '../platform/Types.js'
+import { GroupHost } from './GroupHost.js'
+import type { StateMachine } from './StateMachine.js'
+
+/** Counts the commands that it has applied. */
+class Counter implements StateMachine<number> {
+  public count = 0
+
+  public apply (): number {
+    return ++this.count
+  }
+
+  public * snapshot (): Generator<Uint8Array> {
+    const { count } = this
+    yield Uint8Array.of(count >> 8)
+    yield Uint8Array.of(count & 0xff)
+  }
+
+  public restore (data: Uint8Array): void {
+    this.count = data.length === 0 ? 0 : (data[0]! << 8) | data[1]!
+  }
+}
+
+/** A clock that runs a second at each look, so that an election is due at once and no real time counts. */
+class FastClock implements Clock {
+  private now = 0
+
+  public nowMs (): number {
+    this.now += 1000
+    return this.now
+  }
+
+  public wallMs (): number {
+    return 0
+  }
+}
+
+interface Fixture {
+  readonly host: GroupHost<number>
+  readonly machine: Counter
+  readonly fault: Promise<Error>
+}
+
+/** A group of one replica on a disk in memory. */
+function startHost (disk: MemoryDisk, snapshotAfterBytes = 1e9): Fixture {
+  const log = new DurableLog(disk)
+  const opened = log.open()
+  if (opened.type === 'empty') log.create('c1~a')
+  const empty = { index: 0, term: 0, members: ['c1~a'], data: new Uint8Array(0) }
+  const fresh = { hard: { term: 0, votedFor: undefined }, snapshot: empty, entries: [] }
+  const machine = new Counter()
+  let onFault: (error: Error) => void = () => {}
+  const fault = new Promise<Error>(resolve => { onFault = resolve })
+  const host = new GroupHost<number>({
+    id: 'c1~a',
+    recovered: opened.type === 'recovered' && opened.state.snapshot.index > 0 ? opened.state : fresh,
+    damaged: false,
+    log,
+    machine,
+    clock: new FastClock(),
+    random: new SeededRandom(1),
+    timing: {},
+    tickMs: 1,
+    snapshotAfterBytes,
+    send: () => {},
+    onFault
+  })
+  host.start()
+  return { host, machine, fault }
+}
+
+/** Proposes until the group has a leader and room. */
+async function applied (host: GroupHost<number>): Promise<number> {
+  for (;;) {
+    const outcome = await host.propose(Uint8Array.of(1))
+    if (outcome.type === 'applied') return outcome.reply
+    await new Promise(resolve => setImmediate(resolve))
+  }
+}
+
+test('a full disk refuses as not run and goes on when there is room', async () => {
+  const disk = new MemoryDisk()
+  const { host, machine } = startHost(disk)
+  const before = await applied(host)
+  disk.faults.freeBytes = 0
+  const stuck = host.propose(Uint8Array.of(1))
+  while (!host.diskFull) await new Promise(resolve => setImmediate(resolve))
+  expect(await host.propose(Uint8Array.of(1))).toEqual({ type: 'rejected', state: 'not-run' })
+  expect(machine.count).toBe(before)
+  disk.faults.freeBytes = Infinity
+  expect(await stuck).toEqual({ type: 'applied', reply: before + 1 })
+  host.dispose()
+})
+
+test('a failed sync stops the host before anything is told', async () => {
+  const disk = new MemoryDisk()
+  const { host, machine, fault } = startHost(disk)
+  const before = await applied(host)
+  disk.faults.syncFails = true
+  let told = false
+  host.propose(Uint8Array.of(1)).then(() => { told = true }, () => {})
+  expect(await fault).toMatchObject({ failure: 'sync-failed' })
+  expect([told, machine.count]).toEqual([false, before])
+  host.dispose()
+})
+
+test('snapshots are taken while proposals go on', async () => {
+  const disk = new MemoryDisk()
+  const first = startHost(disk, 400)
+  for (let count = 0; count < 300; count++) await applied(first.host)
+  while (first.host.view.snapshotIndex < 200) await applied(first.host)
+  const { count } = first.machine
+  first.host.dispose()
+  const second = startHost(disk)
+  expect(await applied(second.host)).toBeGreaterThan(count)
+  second.host.dispose()
+})
+
+test('a snapshot without room leaves proposals running', async () => {
+  const disk = new MemoryDisk()
+  const { host } = startHost(disk, 1)
+  await applied(host)
+  disk.write = (file, bytes) => {
+    if (file.startsWith('snapshot-')) disk.faults.freeBytes = 0
+    try {
+      MemoryDisk.prototype.write.call(disk, file, bytes)
+    } finally {
+      disk.faults.freeBytes = Infinity
+    }
+  }
+  const before = await applied(host)
+  for (let count = 1; count <= 20; count++) expect(await applied(host)).toBe(before + count)
+  host.dispose()
+})
--- a/src/control/ReadBarrier.ts
+++ b/src/control/ReadBarrier.ts
@@ -32,12 +32,18 @@
 export class ReadBarrier implements Disposable {
   private _current: Round | undefined
   private _next: Round | undefined
-  private _requestId = 0
+  private _requestId: number
 
   /**
    * @param _group The group as seen here.
+   * @param firstId Random number, so that an answer to an earlier run of this process matches no question.
    */
-  public constructor (private readonly _group: BarrierGroup) {}
+  public constructor (
+    private readonly _group: BarrierGroup,
+    firstId: number
+  ) {
+    this._requestId = firstId
+  }
 
   /** Resolves to true when all that was committed before this call is applied here, to false when none can tell. */
   public pass (): Promise<boolean> {
--- a/src/parts/agreement/GroupFormation.ts
+++ b/src/parts/agreement/GroupFormation.ts
@@ -11,6 +11,8 @@
   readonly replica: ReplicaId
   /** Empty while the replica belongs to no group. */
   readonly members: readonly ReplicaId[]
+  /** Replicas that it would form a group with now, itself among them, in order. */
+  readonly heard: readonly ReplicaId[]
 }
 
 /**
@@ -36,10 +38,12 @@
 }
 
 /**
- * Forms a group on empty disks. A replica takes part in a first group when it has heard at one time from
- * every replica of the settings and none of them belongs to a group, or when it hears of a group whose
- * members include its own id. As the id is bound to the disk, a replica that lost its disk is never
- * mistaken for the one that it was: it finds itself outside the group and waits to be added.
+ * Forms a group on empty disks. A replica takes part in a first group when every replica of the settings
+ * has told, while it belonged to none, that it would form the very same group; or when it hears of a group
+ * whose members include its own id. As an id is bound to its disk, a replica that lost its disk is never
+ * mistaken for the one that it was: it finds itself outside the group and waits to be added. As all must
+ * have heard of each other's present disks, an old notice of a replica that has joined a group since does
+ * not lead to a second group with a disk that is new.
  *
  * Memory: one notice for each replica of the settings.
  */
@@ -64,19 +68,34 @@
   public hear (notice: FormationNotice, nowMs: number): readonly ReplicaId[] | undefined {
     if (notice.members.includes(this._id)) return notice.members
     const name = nameOf(notice.replica)
-    if (this._names.includes(name)) this._heard.set(name, { ...notice, atMs: nowMs })
+    const isOther = name !== nameOf(this._id) && this._names.includes(name)
+    if (isOther) this._heard.set(name, { ...notice, atMs: nowMs })
     return this.ready(nowMs)
   }
 
   /**
-   * Returns the members of a first group once all replicas are there and none belongs to a group.
+   * Returns the members of a first group once all replicas would form it.
    * @param nowMs Monotonic time in milliseconds.
    */
   public ready (nowMs: number): readonly ReplicaId[] | undefined {
-    const others = this._names.filter(name => name !== nameOf(this._id))
-    const heard = others.map(name => this._heard.get(name))
-    const free = heard.every(notice =>
-      notice !== undefined && notice.members.length === 0 && nowMs - notice.atMs < NOTICE_VALID_MS)
-    return free ? [this._id, ...heard.map(notice => notice!.replica)].sort() : undefined
+    const group = this.heard(nowMs)
+    const agreed = this._fresh(nowMs).every(notice => notice.members.length === 0 && sameIds(notice.heard, group))
+    return agreed && group.length === this._names.length ? group : undefined
   }
+
+  /**
+   * Returns the replicas that this one would form a group with, itself among them, in order.
+   * @param nowMs Monotonic time in milliseconds.
+   */
+  public heard (nowMs: number): readonly ReplicaId[] {
+    return [this._id, ...this._fresh(nowMs).map(notice => notice.replica)].sort()
+  }
+
+  private _fresh (nowMs: number): HeardNotice[] {
+    return [...this._heard.values()].filter(notice => nowMs - notice.atMs < NOTICE_VALID_MS)
+  }
+}
+
+function sameIds (first: readonly ReplicaId[], second: readonly ReplicaId[]): boolean {
+  return first.length === second.length && first.every((id, index) => id === second[index])
 }
--- /dev/null
+++ b/test/ControlDisk.test.ts
@@ -0,0 +1,71 @@
+import { appendFileSync, readdirSync, readFileSync, writeFileSync } from 'node:fs'
+import { join } from 'node:path'
+import { expect, test } from 'vitest'
+import type { ControlGroup } from '../bench/state/ControlGroup.js'
+import { accept, servedVersion, startGroup } from './support/ControlFixture.js'
+
+function logOf (group: ControlGroup, index: number): string {
+  const folder = group.dataOf(index)
+  return join(folder, readdirSync(folder).filter(file => file.startsWith('log-')).sort().at(-1)!)
+}
+
+test('changes survive kill -9 of all replicas', async () => {
+  const group = await startGroup()
+  for (let base = 0; base < 20; base++) await accept(group, base % 3, base, `operation-${base}`)
+  await group.stop()
+  group.start()
+  for (let index = 0; index < 3; index++) expect(await servedVersion(group, index)).toBe(20)
+})
+
+test('a second disk is lost right after the first is repaired', async () => {
+  const group = await startGroup()
+  await accept(group, 0, 0, 'kept')
+  const founders = (await group.state(0))!.replica.members
+  for (const index of [0, 1]) {
+    await group.kill(index)
+    group.wipe(index)
+    group.start(index)
+    const state = await group.awaitState(index, ({ replica }) => replica.role !== 'recovering' && replica.members.length === 3)
+    expect(founders).not.toContain(state.replica.id)
+  }
+  expect(await servedVersion(group, 0)).toBe(1)
+  expect((await group.state(2))!.replica.members.filter(member => founders.includes(member))).toHaveLength(1)
+  await accept(group, 0, 1, 'after')
+})
+
+test('a torn last write is cut and the replica keeps its identity', async () => {
+  const group = await startGroup()
+  await accept(group, 0, 0, 'kept')
+  const before = (await group.awaitState(1, state => state.version === 1)).replica.id
+  await group.kill(1)
+  appendFileSync(logOf(group, 1), Buffer.from([0, 0, 1, 0, 1, 2, 3]))
+  group.start(1)
+  expect(await servedVersion(group, 1)).toBe(1)
+  expect((await group.state(1))!.replica.id).toBe(before)
+})
+
+for (const [name, damage] of Object.entries({
+  flipped: (bytes: Buffer) => { bytes[bytes.length - 5]! ^= 1; return bytes },
+  truncated: (bytes: Buffer) => bytes.subarray(0, bytes.length - 5)
+})) {
+  test(`a replica with a ${name} log tells the place and takes no part`, async () => {
+    const group = await startGroup()
+    await accept(group, 0, 0, 'kept')
+    await group.awaitState(1, state => state.version === 1)
+    await group.kill(1)
+    const file = logOf(group, 1)
+    writeFileSync(file, damage(readFileSync(file)))
+    group.start(1)
+    const state = await group.awaitState(1, ({ corruptions }) => corruptions.length > 0)
+    expect(state.replica.role).toBe('recovering')
+    expect(file).toContain(state.corruptions[0]!.file)
+    expect((await group.health(1))!.reason).toContain(` at ${state.corruptions[0]!.offset}: `)
+    await accept(group, 0, 1, 'without it')
+    expect((await group.state(1))!.version).toBe(0)
+    await group.kill(1)
+    group.wipe(1)
+    group.start(1)
+    await group.awaitState(1, ({ replica }) => replica.role === 'follower')
+    expect(await servedVersion(group, 1)).toBe(2)
+  })
+}
