--- a/bench/virtual/Mesh.ts
+++ b/bench/virtual/Mesh.ts
@@ -139,6 +139,7 @@
       place: ingress.place,
       random: new SeededRandom(this.plan.seed * 15_485_863 + ingress.index * 101 + 7),
       hosts: this.hosts,
+      ingressNodes: this.ingresses.length,
       rttMs: host => 2 * this.delayMs(ingress.place, host.place),
       report: host => this.reports[host.index] ?? 0,
       probe: host => this.probe(ingress, host)
@@ -150,6 +151,9 @@
     const perMs = this.capacityPerSecond * this.plan.load / 1000
     const next = (): void => {
       this.clock.after(-Math.log(1 - this.random.next()) / perMs, () => {
+        if (this.clock.nowMs >= this.plan.measureToMs) {
+          return
+        }
         const ingress = this.anyIngress()
         this.counting(stats => { stats.calls += 1 })
         this.budgets[ingress.index]?.step({ type: 'served', calls: 1 }, this.clock.nowMs)
