--- a/test/Control.test.ts
+++ b/test/Control.test.ts
@@ -1,5 +1,7 @@
 import { expect, test } from 'vitest'
-import { accept, changeFrom, disposables, servedVersion, startGroup } from './support/ControlFixture.js'
+import {
+  accept, changeFrom, disposables, servedVersion, SMALL_SNAPSHOTS, startGroup
+} from './support/ControlFixture.js'
 import { NodeProbe, versionOf } from './support/NodeProbe.js'
 import { TcpRelay } from './support/TcpRelay.js'
 
@@ -52,9 +54,11 @@
 })
 
 test('a change sent again gets the first reply', async () => {
-  const group = await startGroup()
+  const group = await startGroup(SMALL_SNAPSHOTS)
   await accept(group, 0, 0, 'first')
-  await accept(group, 0, 1, 'second')
+  const later = 15
+  for (let base = 1; base < later; base++) await accept(group, 0, base, `operation-${base}`)
+  for (const index of [0, 1, 2]) await group.awaitState(index, ({ replica }) => replica.snapshotIndex > 2)
   const again = async (): Promise<unknown> => await group.changeSurely(1, changeFrom(0, 'first', 1000))
   expect(await again()).toEqual({ type: 'accepted', version: 1 })
   await group.kill(await group.leader())
@@ -64,7 +68,7 @@
   await group.stop()
   group.start()
   expect(await again()).toEqual({ type: 'accepted', version: 1 })
-  expect(await servedVersion(group, 0)).toBe(2)
+  expect(await servedVersion(group, 0)).toBe(later)
 })
 
 test('a leader that was frozen serves nothing old', async () => {
@@ -86,7 +90,7 @@
 
 test('a leader cut off in silence neither serves nor commits', async () => {
   const relays = new Map<string, TcpRelay>()
-  const group = await startGroup(async (from, to, address) => {
+  const group = await startGroup('', async (from, to, address) => {
     if (from === to) return address
     const relay = new TcpRelay(address)
     disposables.push(async () => await relay.dispose())
--- a/test/ControlDisk.test.ts
+++ b/test/ControlDisk.test.ts
@@ -2,7 +2,7 @@
 import { join } from 'node:path'
 import { expect, test } from 'vitest'
 import type { ControlGroup } from '../bench/state/ControlGroup.js'
-import { accept, servedVersion, startGroup } from './support/ControlFixture.js'
+import { accept, servedVersion, SMALL_SNAPSHOTS, startGroup } from './support/ControlFixture.js'
 
 function logOf (group: ControlGroup, index: number): string {
   const folder = group.dataOf(index)
@@ -18,8 +18,10 @@
 })
 
 test('a second disk is lost right after the first is repaired', async () => {
-  const group = await startGroup()
-  await accept(group, 0, 0, 'kept')
+  const group = await startGroup(SMALL_SNAPSHOTS)
+  const kept = 15
+  for (let base = 0; base < kept; base++) await accept(group, 2, base, `operation-${base}`)
+  await group.awaitState(2, ({ replica }) => replica.snapshotIndex > 2)
   const founders = (await group.state(0))!.replica.members
   for (const index of [0, 1]) {
     await group.kill(index)
@@ -28,9 +30,9 @@
     const state = await group.awaitState(index, ({ replica }) => replica.role !== 'recovering' && replica.members.length === 3)
     expect(founders).not.toContain(state.replica.id)
   }
-  expect(await servedVersion(group, 0)).toBe(1)
+  expect(await servedVersion(group, 0)).toBe(kept)
   expect((await group.state(2))!.replica.members.filter(member => founders.includes(member))).toHaveLength(1)
-  await accept(group, 0, 1, 'after')
+  await accept(group, 0, kept, 'after')
 })
 
 test('a torn last write is cut and the replica keeps its identity', async () => {
--- a/test/support/ControlFixture.ts
+++ b/test/support/ControlFixture.ts
@@ -12,11 +12,18 @@
   for (const dispose of disposables.splice(0).reverse()) await dispose()
 })
 
-/** A running group whose processes and files go with the test. */
-export async function startGroup (route?: Route): Promise<ControlGroup> {
+/** Settings with which a snapshot is taken after a few changes. */
+export const SMALL_SNAPSHOTS = 'storage = { snapshotAfterBytes = 1500 }'
+
+/**
+ * A running group whose processes and files go with the test.
+ * @param extra TOML lines for all replicas.
+ * @param route How replicas reach each other.
+ */
+export async function startGroup (extra = '', route?: Route): Promise<ControlGroup> {
   const folder = mkdtempSync(join(tmpdir(), 'sassafras-control-'))
   disposables.push(() => rmSync(folder, { recursive: true, force: true }))
-  const group = await ControlGroup.create(join(folder, 'group'), 3, 'log = { level = "info" }', route)
+  const group = await ControlGroup.create(join(folder, 'group'), 3, extra, route)
   disposables.push(async () => await group.stop())
   group.start()
   await group.leader()
