--- a/bench/path.ts
+++ b/bench/path.ts
@@ -17,7 +17,7 @@
 import { PairedLoad } from './support/PairedLoad.js'
 import type { Route, RouteResult } from './support/PairedLoad.js'
 import type { ProxyKind } from './support/BaselineProxy.js'
-import { writeResult } from './support/ResultFile.js'
+import { writeReport } from './BenchReport.js'
 
 const RATES = [50, 100, 200, 400]
 const DEFAULT_CALLS = 4000
@@ -167,7 +167,7 @@
   console.table(rows)
   const worst = Math.max(...results.map(({ added }) => added[0]?.p99Ms ?? Number.NaN))
   console.log(`target ${TARGET_ADDED_P99_MS} ms added at p99: ${worst <= TARGET_ADDED_P99_MS ? 'met' : `missed, ${worst.toFixed(3)} ms at worst`}`)
-  writeResult('path', 'npm run bench:path', { calls, targetAddedP99Ms: TARGET_ADDED_P99_MS, rates: results })
+  writeReport('path', { calls, targetAddedP99Ms: TARGET_ADDED_P99_MS, rates: results })
 }
 
 await main()
--- a/bench/records.ts
+++ b/bench/records.ts
@@ -47,16 +47,9 @@
 
 /** Decodes each command as a replica does, outside of the time that is taken. */
 function applyAll (ledger: IdempotencyLedger, type: 'begin' | 'finish', from: number, count: number): number {
-<<<<<<< HEAD
-  const encoded = Array.from({ length: count }, (_, index) => {
-    return new Uint8Array(CODEC.encode(commandOf(type, from + index)))
-  })
-  const commands = encoded.map((bytes) => CODEC.decode(bytes) as RecordCommand)
-=======
   const commands = Array.from({ length: count }, (_, index) => {
     return CODEC.decode(new Uint8Array(CODEC.encode(commandOf(type, from + index)))) as RecordCommand
   })
->>>>>>> state
   const startedAt = process.hrtime.bigint()
   for (const command of commands) ledger.apply(command, 1)
   return Number(process.hrtime.bigint() - startedAt) / count
