Measure the footprint of nodes and replicas; tick an idle service no more; usage in every state dump

A profile of a node at rest with one service shows 98.7% idle, garbage collection 0.5%, the rest is the announcements over the admin surface. The chooser's 50 ms tick ran for each service also without calls; it now stops a second after the last call.

--- /dev/null
+++ b/bench/footprint.ts
@@ -0,0 +1,81 @@
+/**
+ * Measures what a node and a control replica take at rest and under load, as real processes:
+ * processor time, memory and bytes for control. `npm run bench:footprint`.
+ */
+import { mkdtempSync } from 'node:fs'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { setTimeout as delay } from 'node:timers/promises'
+import { request } from 'undici'
+import { LocalMesh } from '../src/demo/LocalMesh.js'
+import type { ProcessUsage } from '../src/platform/AdminServer.js'
+import { writeReport } from './BenchReport.js'
+import { PairedLoad } from './support/PairedLoad.js'
+
+const REST_MS = 15_000
+const LOAD_RATE = 195
+const LOAD_CALLS = 3000
+const PAIRS = [1, 2, 4]
+
+interface Footprint {
+  readonly cpuPercentOfCore: number
+  readonly memoryMegabytes: number
+}
+
+interface Point {
+  /** Nodes in the mesh, each with its upstream. */
+  readonly nodes: number
+  readonly nodeAtRest: Footprint
+  readonly nodeUnderLoad: Footprint
+  readonly replicaAtRest: Footprint
+}
+
+async function usageOf (admin: string): Promise<ProcessUsage> {
+  const answer = await request(`http://${admin}/state`)
+  return (await answer.body.json() as { readonly usage: ProcessUsage }).usage
+}
+
+async function measureWhile (admin: string, work: Promise<unknown>): Promise<Footprint> {
+  const before = await usageOf(admin)
+  const startMs = performance.now()
+  await work
+  const ms = performance.now() - startMs
+  const after = await usageOf(admin)
+  const total = ({ userMicros, systemMicros }: ProcessUsage): number => userMicros + systemMicros
+  return {
+    cpuPercentOfCore: Number(((total(after) - total(before)) / ms / 10).toFixed(2)),
+    memoryMegabytes: Math.round(after.memoryBytes / 1e6)
+  }
+}
+
+async function measure (pairs: number): Promise<Point> {
+  const plan = {
+    region: 'kyushu', zones: ['z'], services: { custody: pairs }, slots: 32, connections: 64, serviceTimeMs: 0
+  }
+  const mesh = new LocalMesh(plan, mkdtempSync(join(tmpdir(), 'sassafras-footprint-')))
+  const { layout } = await mesh.start(join('examples', 'kagamino', 'mesh.toml'), () => {})
+  const pair = layout.pairs[0] as typeof layout.pairs[number]
+  const replica = layout.replicas[0] as typeof layout.replicas[number]
+  const [nodeAtRest, replicaAtRest] = await Promise.all([
+    measureWhile(pair.admin, delay(REST_MS)), measureWhile(replica.admin, delay(REST_MS))
+  ])
+  const route = { name: 'lookup', origin: `http://${pair.caller}`, host: 'custody.mesh', method: 'GET', path: '/lookups/1' } as const
+  const load = new PairedLoad([route], 1)
+  const nodeUnderLoad = await measureWhile(pair.admin, load.run(LOAD_RATE, LOAD_CALLS))
+  await load.dispose()
+  await mesh.group.stopAll()
+  return { nodes: pairs, nodeAtRest, nodeUnderLoad, replicaAtRest }
+}
+
+const points: Point[] = []
+for (const pairs of PAIRS) points.push(await measure(pairs))
+console.table(points.map(({ nodes, nodeAtRest, nodeUnderLoad, replicaAtRest }) => ({
+  nodes,
+  restCpu: nodeAtRest.cpuPercentOfCore,
+  restMegabytes: nodeAtRest.memoryMegabytes,
+  loadCpu: nodeUnderLoad.cpuPercentOfCore,
+  loadMegabytes: nodeUnderLoad.memoryMegabytes,
+  replicaCpu: replicaAtRest.cpuPercentOfCore,
+  replicaMegabytes: replicaAtRest.memoryMegabytes
+})))
+writeReport('footprint', { loadRate: LOAD_RATE, points })
--- a/bench/path.ts
+++ b/bench/path.ts
@@ -17,26 +17,25 @@
 import { PairedLoad } from './support/PairedLoad.js'
 import type { Route, RouteResult } from './support/PairedLoad.js'
 import type { ProxyKind } from './support/BaselineProxy.js'
+import type { ProcessUsage } from '../src/platform/AdminServer.js'
 import { writeReport } from './BenchReport.js'
 
 const RATES = [50, 100, 200, 400]
 const DEFAULT_CALLS = 4000
 const WARM_UP_CALLS = 1500
 const WARM_UP_RATE = 300
+/** Routes that pass both nodes. */
+const NODE_ROUTES = 2
 const TARGET_ADDED_P99_MS = 0.33
 const PATH = '/lookups/1'
+const LOOKUP = { host: 'echo.mesh', method: 'GET', path: PATH } as const
 const KINDS: readonly ProxyKind[] = ['express-got', 'http-undici']
 
-interface CpuUse {
-  readonly user: number
-  readonly system: number
-}
-
 interface RateResult {
   readonly rate: number
   readonly routes: readonly RouteResult[]
   readonly added: ReadonlyArray<{ readonly name: string, readonly p50Ms: number, readonly p99Ms: number }>
-  /** Processor time of each node for one call, in microseconds. */
+  /** Processor time of each node for one call, lookups and guarded ones mixed, in microseconds. */
   readonly ingressMicros: number
   readonly upstreamSideMicros: number
 }
@@ -57,8 +56,8 @@
 
 async function cpuOf (pair: PairLayout): Promise<number> {
   const answer = await request(`http://${pair.admin}/state`)
-  const { cpuMicros } = await answer.body.json() as { cpuMicros: CpuUse }
-  return cpuMicros.user + cpuMicros.system
+  const { usage } = await answer.body.json() as { readonly usage: ProcessUsage }
+  return usage.userMicros + usage.systemMicros
 }
 
 async function startMesh (group: ProcessGroup, folder: string): Promise<DemoLayout> {
@@ -84,7 +83,7 @@
 
 function buildConfiguration (): object {
   const rule = {
-    guarded: [], downloads: [], keyless: 'refuse', deadlineMs: 5000, drainMs: 1000, retryShare: 0.1, maxBodyBytes: 65536
+    guarded: ['POST /checkouts'], downloads: [], keyless: 'refuse', deadlineMs: 5000, drainMs: 1000, retryShare: 0.1, maxBodyBytes: 65536
   }
   return {
     services: ['echo', 'front'].map(name => ({ name, ...rule })),
@@ -100,7 +99,7 @@
     const [first, second] = await findFreeAddresses(2) as [string, string]
     children.push(startProgram('BaselineProxy', [kind, portOf(first), portOf(second)]))
     children.push(startProgram('BaselineProxy', [kind, portOf(second), portOf(target)]))
-    routes.push({ name: kind, origin: `http://${first}`, host: 'echo.mesh' })
+    routes.push({ name: kind, origin: `http://${first}`, ...LOOKUP })
     await waitFor(`http://${first}${PATH}`, 'echo.mesh')
   }
   return { routes, stop: () => children.forEach(child => child.kill('SIGKILL')) }
@@ -120,8 +119,8 @@
     rate,
     routes,
     added,
-    ingressMicros: (after[0] - before[0]) / calls,
-    upstreamSideMicros: (after[1] - before[1]) / calls
+    ingressMicros: (after[0] - before[0]) / (NODE_ROUTES * calls),
+    upstreamSideMicros: (after[1] - before[1]) / (NODE_ROUTES * calls)
   }
 }
 
@@ -135,11 +134,12 @@
   await waitFor(`http://${ingress.caller}${PATH}`, 'echo.mesh')
   const proxies = await startProxies(far.upstream)
   const routes: Route[] = [
-    { name: 'direct', origin: `http://${far.upstream}`, host: 'echo.mesh' },
-    { name: 'nodes', origin: `http://${ingress.caller}`, host: 'echo.mesh' },
+    { name: 'direct', origin: `http://${far.upstream}`, ...LOOKUP },
+    { name: 'nodes', origin: `http://${ingress.caller}`, ...LOOKUP },
+    { name: 'nodes, guarded', origin: `http://${ingress.caller}`, ...LOOKUP, method: 'POST', path: '/checkouts' },
     ...proxies.routes
   ]
-  const load = new PairedLoad(routes, PATH, 1)
+  const load = new PairedLoad(routes, 1)
   await load.run(WARM_UP_RATE, WARM_UP_CALLS)
   const results: RateResult[] = []
   for (const rate of RATES) results.push(await measure(load, rate, calls, ingress, far))
--- a/bench/support/PairedLoad.ts
+++ b/bench/support/PairedLoad.ts
@@ -8,6 +8,9 @@
   readonly name: string
   readonly origin: string
   readonly host: string
+  /** `POST` calls carry a fresh Idempotency-Key each. */
+  readonly method: 'GET' | 'POST'
+  readonly path: string
 }
 
 /** Latencies of one route, in milliseconds. */
@@ -44,12 +47,12 @@
  */
 export class PairedLoad {
   private readonly tracks: Track[]
+  private lastKey = 0
 
   /**
-   * @param path Path of each call.
    * @param seed Of the gaps between calls, which are exponential.
    */
-  public constructor (routes: readonly Route[], private readonly path: string, private readonly seed: number) {
+  public constructor (routes: readonly Route[], private readonly seed: number) {
     this.tracks = routes.map(route => ({
       route,
       pool: new Pool(route.origin, { connections: CONNECTIONS, pipelining: 1 }),
@@ -101,7 +104,9 @@
     // The wait for this process's own timer is not the route's: it is the same on all routes and left out.
     const startMs = Math.max(dueMs, performance.now())
     try {
-      const answer = await track.pool.request({ path: this.path, method: 'GET', headers: { host: track.route.host } })
+      const { path, method, host } = track.route
+      const key = method === 'POST' ? { 'idempotency-key': `${this.seed}-${++this.lastKey}-${process.pid}` } : {}
+      const answer = await track.pool.request({ path, method, headers: { host, ...key } })
       await answer.body.arrayBuffer()
       if (answer.statusCode !== 200) track.failed++
       track.histogram.recordValue(Math.max(1, Math.round((performance.now() - startMs) * MICROS_PER_MS)))
--- a/src/node/NodeDaemon.ts
+++ b/src/node/NodeDaemon.ts
@@ -84,9 +84,7 @@
       mesh: container.get(PeerMesh).describe(),
       upstreamSide: container.get(UpstreamSide).describe(),
       ingress: { inFlight: container.get(IngressServer).inFlight, services: container.get(ServiceTable).describe() },
-      measuring: { bytesInLastSecond: container.get(MeasuringHost).spentBytes },
-      memoryBytes: process.memoryUsage().rss,
-      cpuMicros: process.cpuUsage()
+      measuring: { bytesInLastSecond: container.get(MeasuringHost).spentBytes }
     }
   }
 
--- a/src/node/ingress/ServiceLane.ts
+++ b/src/node/ingress/ServiceLane.ts
@@ -17,15 +17,19 @@
   handleRetryAction (action: RetryAction): void
 }
 
-/** Between ticks of the chooser, which age its evidence. */
+/** Between ticks of the chooser, which age its evidence, while calls are in flight or were lately. */
 const CHOOSER_TICK_MS = 50
 
+/** Ticks without a call after which the ticking stops: an idle service costs nothing. */
+const IDLE_TICKS = 20
+
 /** Choice and retries of one service at one ingress node. Holds one entry for each call in flight. */
 export class ServiceLane implements Disposable {
   private readonly leaving = new Set<InstanceId>()
   private readonly listeners = new Map<CallId, RetryListener>()
   private readonly retryTimer: PartTimer
-  private readonly ticker: NodeJS.Timeout
+  private ticker: NodeJS.Timeout | undefined
+  private idleTicks = 0
 
   public constructor (
     private readonly service: string,
@@ -36,8 +40,6 @@
     private readonly log: Log
   ) {
     this.retryTimer = new PartTimer(clock, () => this.stepRetries({ type: 'tick' }))
-    this.ticker = setInterval(() => this.stepChooser({ type: 'tick' }), CHOOSER_TICK_MS)
-    this.ticker.unref()
   }
 
   /** Replaces the instances that may be chosen. */
@@ -54,6 +56,8 @@
   /** Starts a call; its listener hears of retries and hedges until `end`. */
   public begin (event: Extract<RetryEvent, { type: 'begin' }>, listener: RetryListener): void {
     this.listeners.set(event.call, listener)
+    this.idleTicks = 0
+    this.ticker ??= setInterval(() => this.tick(), CHOOSER_TICK_MS)
     this.stepRetries(event)
   }
 
@@ -108,10 +112,21 @@
 
   /** Stops the timers. */
   public dispose (): void {
-    clearInterval(this.ticker)
+    this.stopTicking()
     this.retryTimer.dispose()
   }
 
+  private tick (): void {
+    this.stepChooser({ type: 'tick' })
+    if (this.listeners.size > 0) this.idleTicks = 0
+    else if (++this.idleTicks >= IDLE_TICKS) this.stopTicking()
+  }
+
+  private stopTicking (): void {
+    clearInterval(this.ticker)
+    this.ticker = undefined
+  }
+
   private stepChooser (event: ChoiceEvent): ChoiceAction[] {
     const actions = this.chooser.step(event, this.clock.nowMs())
     for (const action of actions) this.handleChoiceAction(action)
--- a/src/platform/AdminServer.ts
+++ b/src/platform/AdminServer.ts
@@ -20,6 +20,13 @@
   state (): object
 }
 
+/** Memory and processor time of this process, in every state dump. */
+export interface ProcessUsage {
+  readonly memoryBytes: number
+  readonly userMicros: number
+  readonly systemMicros: number
+}
+
 const MAX_ADMIN_BODY = '2mb'
 
 /** Admin surface of a process: `GET /health`, `GET /state` and what the process adds to `app`. */
@@ -36,7 +43,7 @@
       const health = source.health()
       response.status(health.ok ? 200 : 503).json({ status: health.ok ? 'ok' : 'failing', reason: health.reason })
     })
-    this.app.get('/state', (_request: Request, response: Response) => { response.json(source.state()) })
+    this.app.get('/state', (_request: Request, response: Response) => { response.json({ ...source.state(), usage: readUsage() }) })
     this.server = createServer(this.app)
   }
 
@@ -61,3 +68,8 @@
     this.server.closeAllConnections()
   }
 }
+
+function readUsage (): ProcessUsage {
+  const { user, system } = process.cpuUsage()
+  return { memoryBytes: process.memoryUsage.rss(), userMicros: user, systemMicros: system }
+}
