Compute docs/CAPACITY.md from measured results

Tables come from bench/results by formula; the page itself is written once all results are in, from a quiet machine.

--- /dev/null
+++ b/bench/capacity/Figures.ts
@@ -0,0 +1,249 @@
+import {
+  CALLS_PER_NODE, COMMITS_PER_GUARDED_CALL, CONFIGURATION_REPLICAS, DESIGN, LIMITS, RECORD_GROUPS
+} from './DesignSize.js'
+import { format, Line } from './Line.js'
+import type { Results, SpreadResult } from './ResultReader.js'
+
+/** One computed figure of the page. */
+export interface Figure {
+  readonly what: string
+  readonly value: string
+  /** How it was computed, and from which result. */
+  readonly from: string
+}
+
+/** A figure that stands against a limit. */
+export interface Judged extends Figure {
+  readonly limit: string
+  readonly met: boolean
+}
+
+const REST = 'rest'
+const CHANGES = 'changes at 9,100 a day'
+const REJOIN = 'all nodes restart at once'
+const MICROS_PER_SECOND = 1e6
+const MS_PER_DAY = 86_400_000
+
+/** Computes every figure of docs/CAPACITY.md from the measured results. */
+export class Figures {
+  public constructor (private readonly results: Results) {}
+
+  /** The limits of the letter, one by one. */
+  public limits (): Judged[] {
+    return [
+      this.addedLatency(),
+      this.inForce(),
+      this.nodeCpu(),
+      this.nodeMemory(),
+      this.nodeBytes(),
+      this.rejoinBytes()
+    ]
+  }
+
+  /** Work of the data path in each node: not control, and not under its limit. */
+  public dataPath (): Figure[] {
+    const nearest = this.nearestRate()
+    const percent = (micros: number): string => `${format(micros * CALLS_PER_NODE / MICROS_PER_SECOND * 100)}% of a core`
+    const from = (micros: number): string =>
+      `${format(micros)} µs a call (path.json, ${nearest.rate} calls/s) × ${format(CALLS_PER_NODE)} calls/s`
+    return [
+      { what: 'ingress side, processor', value: percent(nearest.ingressMicros), from: from(nearest.ingressMicros) },
+      { what: 'upstream side, processor', value: percent(nearest.upstreamSideMicros), from: from(nearest.upstreamSideMicros) },
+      ...this.decisions()
+    ]
+  }
+
+  /** Load of one control replica of the configuration group. */
+  public replica (): Figure[] {
+    const bytes = this.spreadLine(CHANGES, point => point.replica.bytesPerSecond)
+    const cpu = new Line(this.results.state.inForce.map(point => ({ x: point.nodes, y: point.controlCorePercent / 3 })))
+    const rejoin = this.spreadLine(REJOIN, point => point.replica.peakBytesInOneSecond)
+    const memory = Math.max(...this.results.footprint.points.map(point => point.replicaAtRest.memoryMegabytes))
+    const { nodes } = DESIGN
+    return [
+      {
+        what: `bytes a second, one of ${CONFIGURATION_REPLICAS}`,
+        value: format(bytes.at(nodes)),
+        from: `${bytes.explain(nodes, 'B/s')} (spread.json)`
+      },
+      {
+        what: 'processor, nodes at rest, one of 3',
+        value: `${format(cpu.at(nodes))}% of a core`,
+        from: `${cpu.explain(nodes, '%')} (state.json, real processes)`
+      },
+      {
+        what: 'bytes in the worst second when all nodes restart at once',
+        value: format(rejoin.at(nodes)),
+        from: `${rejoin.explain(nodes, 'B')} (spread.json)`
+      },
+      { what: 'memory of a replica without records', value: `${memory} MB`, from: 'footprint.json' }
+    ]
+  }
+
+  /** What one group, and all that fit on the VMs set aside, carry in guarded calls. */
+  public records (): Figure[] {
+    const { commits } = this.results.state
+    const best = commits.reduce((most, point) => point.commitsPerSecond > most.commitsPerSecond ? point : most)
+    const alone = commits[0] as typeof best
+    const perGroup = best.commitsPerSecond / COMMITS_PER_GUARDED_CALL
+    const all = perGroup * RECORD_GROUPS
+    const bytes = Math.max(...this.results.records.points.map(point => point.bytesPerRecord))
+    const share = (rate: number): string => `${format(rate)} calls/s, ${format(rate / DESIGN.callsPerSecond * 100)}% of all`
+    return [
+      {
+        what: 'latency that a permission adds, one at a time',
+        value: `${format(alone.latencyMs.p50)} ms at p50, ${format(alone.latencyMs.p99)} ms at p99`,
+        from: 'state.json, commits at 1 in flight; replicas on one machine, so without distance'
+      },
+      {
+        what: 'most guarded calls of one group (today\'s build)',
+        value: share(perGroup),
+        from: `${format(best.commitsPerSecond)} commits/s at ${best.inFlight} in flight ÷ ${COMMITS_PER_GUARDED_CALL} (state.json)`
+      },
+      {
+        what: `most guarded calls of ${RECORD_GROUPS} record groups beside the configuration group`,
+        value: share(all),
+        from: `${format(perGroup)} × ${RECORD_GROUPS} groups; needs the shard map, which is built but not hosted`
+      },
+      {
+        what: 'memory of one group\'s records kept a day at that rate',
+        value: `${format(perGroup * bytes * MS_PER_DAY / 1000 / 1e9)} GB`,
+        from: `${format(bytes)} B a record with 512 B of answer (records.json) × ${format(perGroup)}/s × 86,400 s`
+      },
+      {
+        what: 'rate that 8 GB of records hold for a day',
+        value: `${format(8e9 / bytes / 86_400)} calls/s a group`,
+        from: `8 GB ÷ ${format(bytes)} B ÷ 86,400 s`
+      }
+    ]
+  }
+
+  /** How long things stop when something fails. */
+  public recovery (): Figure[] {
+    const { leaderLoss, restart, catchUp, snapshots } = this.results.state
+    const longest = catchUp[catchUp.length - 1]
+    const largest = snapshots[snapshots.length - 1]
+    return [
+      {
+        what: 'without a leader after kill -9, until the next commit',
+        value: `${format(leaderLoss.untilCommitMs.p50)} ms at p50, ${format(leaderLoss.untilCommitMs.max)} ms at most`,
+        from: `${leaderLoss.kills} kills (state.json)`
+      },
+      {
+        what: `restart after ${format(restart.changes)} changes, until it serves`,
+        value: `${format(restart.untilServedMs)} ms`,
+        from: 'state.json'
+      },
+      {
+        what: `replica with an empty disk catches up ${format(longest?.entries ?? 0)} entries`,
+        value: `${format(longest?.emptyDiskMs ?? 0)} ms`,
+        from: 'state.json'
+      },
+      {
+        what: `longest pause for a snapshot of ${format(largest?.records ?? 0)} records`,
+        value: `${format(largest?.takeMs ?? 0)} ms to take, then parts of ${format(largest?.partMs.max ?? 0)} ms at most`,
+        from: 'state.json'
+      }
+    ]
+  }
+
+  private addedLatency (): Judged {
+    const nearest = this.nearestRate()
+    const added = nearest.added.find(route => route.name === 'nodes')?.p99Ms ?? Number.NaN
+    return {
+      what: 'added to a call by both nodes, p99',
+      value: `${format(added)} ms`,
+      limit: `${LIMITS.addedP99Ms} ms`,
+      met: added <= LIMITS.addedP99Ms,
+      from: `path.json at ${nearest.rate} calls/s, without distance`
+    }
+  }
+
+  private inForce (): Judged {
+    const line = new Line(this.results.state.inForce.map(point => ({ x: point.nodes, y: point.untilAllHaveMs.max })))
+    const value = line.at(DESIGN.nodes)
+    return {
+      what: 'change in force at every node, slowest of 20',
+      value: `${format(value)} ms`,
+      limit: `${format(LIMITS.inForceMs)} ms`,
+      met: value <= LIMITS.inForceMs,
+      from: `${line.explain(DESIGN.nodes, 'ms')} (state.json, real replicas, listening nodes in one process)`
+    }
+  }
+
+  private nodeCpu (): Judged {
+    const rest = Math.max(...this.results.footprint.points.map(point => point.nodeAtRest.cpuPercentOfCore))
+    const spread = this.spreadLine(CHANGES, point => point.node.cpuPercentOfCore)
+    const value = rest + spread.at(DESIGN.nodes)
+    return {
+      what: 'processor of a node for control',
+      value: `${format(value)}% of a core`,
+      limit: `${LIMITS.nodeCpuPercent}%`,
+      met: value <= LIMITS.nodeCpuPercent,
+      from: `${format(rest)}% at rest, worst mesh (footprint.json) + ${spread.explain(DESIGN.nodes, '%')} (spread.json)`
+    }
+  }
+
+  private nodeMemory (): Judged {
+    const value = Math.max(...this.results.footprint.points.map(point => point.nodeUnderLoad.memoryMegabytes))
+    return {
+      what: 'memory of a whole node under load',
+      value: `${value} MB`,
+      limit: `${LIMITS.nodeMegabytes} MB`,
+      met: value <= LIMITS.nodeMegabytes,
+      from: 'footprint.json, 195 calls/s; 2,200 members add less than 2 MB'
+    }
+  }
+
+  private nodeBytes (): Judged {
+    const line = this.spreadLine(CHANGES, point => point.node.bytesPerSecond)
+    const value = line.at(DESIGN.nodes)
+    return {
+      what: 'bytes of a node for control, at 9,100 changes a day',
+      value: `${format(value)} B/s`,
+      limit: `${format(LIMITS.nodeBytesPerSecond)} B/s`,
+      met: value <= LIMITS.nodeBytesPerSecond,
+      from: `${line.explain(DESIGN.nodes, 'B/s')} (spread.json)`
+    }
+  }
+
+  private rejoinBytes (): Judged {
+    const line = this.spreadLine(REJOIN, point => point.node.peakBytesInOneSecond)
+    const value = line.at(DESIGN.nodes)
+    return {
+      what: 'bytes of a node in the worst second when all nodes restart at once',
+      value: `${format(value)} B`,
+      limit: `${format(LIMITS.nodeBytesPerSecond)} B`,
+      met: value <= LIMITS.nodeBytesPerSecond,
+      from: `${line.explain(DESIGN.nodes, 'B')} (spread.json)`
+    }
+  }
+
+  private decisions (): Figure[] {
+    return this.results.parts.costs.map(({ part, decision, size, nanosecondsPerDecision: cost }) => ({
+      what: `${part}: ${decision}, size ${format(size)}`,
+      value: `${format(cost.median / 1000)} µs`,
+      from: `median; ${format(cost.min / 1000)} to ${format(cost.max / 1000)} (parts.json)`
+    }))
+  }
+
+  private nearestRate (): Results['path']['rates'][number] {
+    const distance = (rate: number): number => Math.abs(rate - CALLS_PER_NODE)
+    return this.results.path.rates.reduce((best, rate) => distance(rate.rate) < distance(best.rate) ? rate : best)
+  }
+
+  private spreadLine (scenario: string, pick: (point: SpreadResult['points'][number]) => number): Line {
+    const points = this.results.spread.points.filter(point => point.scenario === scenario)
+    return new Line(points.map(point => ({ x: point.nodes, y: pick(point) })))
+  }
+
+  /** Bytes of a node at rest. */
+  public rest (): Figure {
+    const line = this.spreadLine(REST, point => point.node.bytesPerSecond)
+    return {
+      what: 'bytes of a node at rest',
+      value: `${format(line.at(DESIGN.nodes))} B/s`,
+      from: `${line.explain(DESIGN.nodes, 'B/s')} (spread.json)`
+    }
+  }
+}
--- /dev/null
+++ b/bench/capacity/Line.ts
@@ -0,0 +1,57 @@
+/** One measured point. */
+export interface Point {
+  readonly x: number
+  readonly y: number
+}
+
+/** A straight line through measured points by least squares. */
+export class Line {
+  private readonly slope: number
+  private readonly atZero: number
+  private readonly largestX: number
+  private readonly count: number
+
+  /** @param points At least one; a single one gives a level line. */
+  public constructor (points: readonly Point[]) {
+    const meanX = mean(points.map(point => point.x))
+    const meanY = mean(points.map(point => point.y))
+    const covariance = sum(points.map(({ x, y }) => (x - meanX) * (y - meanY)))
+    const variance = sum(points.map(({ x }) => (x - meanX) ** 2))
+    this.slope = variance === 0 ? 0 : covariance / variance
+    this.atZero = meanY - this.slope * meanX
+    this.largestX = Math.max(...points.map(point => point.x))
+    this.count = new Set(points.map(point => point.x)).size
+  }
+
+  /** Value at x. */
+  public at (x: number): number {
+    return this.atZero + this.slope * x
+  }
+
+  /**
+   * Describes how the value at x was found: the formula, and what the reader must know of it.
+   * @param x Where it is read.
+   * @param unit Of the value.
+   */
+  public explain (x: number, unit: string): string {
+    const sign = this.slope < 0 ? '−' : '+'
+    const formula = `${format(this.atZero)} ${sign} ${format(Math.abs(this.slope))} × ${x} ${unit}`
+    const beyond = x > this.largestX ? `, extrapolated beyond ${this.largestX}` : ''
+    const few = this.count < 3 ? `, **only ${this.count} points**` : `, ${this.count} sizes`
+    return `${formula}${few}${beyond}`
+  }
+}
+
+/** A number with three digits that count. */
+export function format (value: number): string {
+  if (value === 0) return '0'
+  return Math.abs(value) >= 1000 ? Math.round(value).toLocaleString('en') : String(Number(value.toPrecision(3)))
+}
+
+function sum (values: readonly number[]): number {
+  return values.reduce((total, value) => total + value, 0)
+}
+
+function mean (values: readonly number[]): number {
+  return sum(values) / values.length
+}
