--- a/src/standin/Standin.test.ts
+++ b/src/standin/Standin.test.ts
@@ -6,7 +6,7 @@
 import { join } from 'node:path'
 import express from 'express'
 import { request } from 'undici'
-import { expect, onTestFinished, test } from 'vitest'
+import { expect, onTestFinished, test, vi } from 'vitest'
 import { DownloadCheck } from '../load/DownloadCheck.js'
 import { AdminServer } from '../platform/AdminServer.js'
 import { DownloadBody } from '../platform/DownloadBody.js'
@@ -15,6 +15,8 @@
 import { Standin } from './Standin.js'
 import { standinSettings } from './StandinSettings.js'
 
+const WAIT = { timeout: 30_000 }
+
 interface Started {
   readonly standin: Standin
   readonly http: string
@@ -116,6 +118,21 @@
   socket.destroy()
 })
 
+test('a request that runs when its connection goes silent is finished and not answered', async () => {
+  const { http, admin, journal } = await start({})
+  const [host, port] = http.split(':')
+  const socket = connect(Number(port), host)
+  let received = ''
+  socket.on('data', (chunk: Buffer) => { received += chunk.toString() })
+  socket.write('POST /checkouts/1?ms=2000 HTTP/1.1\r\nhost: a\r\ncontent-length: 0\r\n\r\n')
+  await vi.waitFor(() => { expect(readJournal(journal)).toHaveLength(1) }, WAIT)
+  await behave(admin, { silence: 1 })
+  await vi.waitFor(() => { expect(readJournal(journal)).toHaveLength(2) }, WAIT)
+  expect(readJournal(journal)[1]).toMatchObject({ event: 'end', outcome: 'undelivered' })
+  expect(received).toBe('')
+  socket.destroy()
+})
+
 test('a stop announces the drain, finishes the download in flight and then ends', async () => {
   const states: string[] = []
   const node = new AdminServer({ health: () => ({ ok: true }), state: () => ({}) })
--- /dev/null
+++ b/src/standin/StandinCalls.ts
@@ -0,0 +1,111 @@
+import { createHash } from 'node:crypto'
+import type { Disposable } from '../platform/Types.js'
+import { ChainEndpoint } from './ChainEndpoint.js'
+import { DownloadEndpoint } from './DownloadEndpoint.js'
+import type { Run } from './Run.js'
+import type { ServiceTime } from './ServiceTime.js'
+import type { StandinSettings } from './StandinSettings.js'
+import type { Behaviour } from './Types.js'
+
+/** Answers one kind of call and returns the status that was sent; 0 when nothing could be sent. */
+export type CallHandler = (run: Run, number: number) => Promise<number>
+
+/** The calls that a stand-in answers, by the first segment of the path. */
+export class StandinCalls implements Disposable {
+  private readonly settings: StandinSettings
+  private readonly behaviour: Behaviour
+  private readonly times: ServiceTime
+  private readonly isSilent: (run: Run) => boolean
+  private readonly chain: ChainEndpoint
+  private readonly downloads: DownloadEndpoint
+
+  private readonly handlers: Readonly<Record<string, CallHandler>> = {
+    lookups: (run, number) => this.lookUp(run, number),
+    menus: (run, number) => this.lookUp(run, number),
+    checkouts: (run, number) => this.checkOut(run, number),
+    orders: (run, number) => this.checkOut(run, number),
+    downloads: run => this.downloads.send(run),
+    chain: (run, number) => this.callChain(run, number)
+  }
+
+  /**
+   * @param settings Shape of the service.
+   * @param behaviour What may change while the process runs.
+   * @param times How long runs take.
+   * @param isSilent Whether the connection of a run must send nothing any more.
+   */
+  public constructor (
+    settings: StandinSettings,
+    behaviour: Behaviour,
+    times: ServiceTime,
+    isSilent: (run: Run) => boolean
+  ) {
+    this.settings = settings
+    this.behaviour = behaviour
+    this.times = times
+    this.isSilent = isSilent
+    this.chain = new ChainEndpoint(settings)
+    this.downloads = new DownloadEndpoint(isSilent)
+  }
+
+  /**
+   * Returns what answers a call, or undefined when the service has no such call.
+   * @param run The call.
+   */
+  public handlerOf (run: Run): CallHandler | undefined {
+    return this.handlers[run.segments[0] ?? '']
+  }
+
+  /** Closes connections to other services. */
+  public dispose (): void {
+    this.chain.dispose()
+  }
+
+  private async lookUp (run: Run, number: number): Promise<number> {
+    const done = await run.work(this.nextServiceMs(run), run.ended)
+    if (!done) return this.answerLate(run)
+    return this.answerOwn(run, number, 'lookup', {})
+  }
+
+  /** A checkout that has started is finished, whatever becomes of its caller. */
+  private async checkOut (run: Run, number: number): Promise<number> {
+    const body = await run.body()
+    await run.work(this.nextServiceMs(run), undefined)
+    const bodyDigest = createHash('sha256').update(body).digest('hex')
+    return this.answerOwn(run, number, 'checkout', { bodyBytes: body.length, bodyDigest })
+  }
+
+  private async callChain (run: Run, number: number): Promise<number> {
+    const done = await run.work(this.nextServiceMs(run), run.ended)
+    if (!done) return this.answerLate(run)
+    const next = await this.chain.call(run)
+    const depth = Number(run.header('sassafras-depth') || 0)
+    return this.answerOwn(run, number, 'chain', { depth, ...(next === undefined ? {} : { next }) })
+  }
+
+  private answerOwn (run: Run, number: number, call: string, more: object): number {
+    if (run.cancelled.aborted || this.isSilent(run)) return 0
+    run.answer(200, {
+      service: this.settings.service,
+      instance: this.settings.instance,
+      call,
+      id: run.segments[1] ?? '',
+      requestId: run.header('x-request-id'),
+      key: run.header('idempotency-key'),
+      run: number,
+      ...more
+    })
+    return 200
+  }
+
+  private answerLate (run: Run): number {
+    if (run.cancelled.aborted || this.isSilent(run)) return 0
+    run.answer(504, { problem: 'deadline passed while the request ran' })
+    return 504
+  }
+
+  private nextServiceMs (run: Run): number {
+    const asked = Number(run.url.searchParams.get('ms') ?? Number.NaN)
+    return asked >= 0 ? asked : this.times.nextMs(this.behaviour.slowFactor)
+  }
+}
--- a/src/standin/StandinServer.ts
+++ b/src/standin/StandinServer.ts
@@ -1,22 +1,19 @@
-import { createHash } from 'node:crypto'
 import { createServer } from 'node:http'
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
 import { SeededRandom } from '../parts/SeededRandom.js'
 import { parseAddress } from '../platform/Address.js'
 import type { Disposable } from '../platform/Types.js'
-import { ChainEndpoint } from './ChainEndpoint.js'
-import { DownloadEndpoint } from './DownloadEndpoint.js'
 import type { Journal } from './Journal.js'
 import { LoadReport } from './LoadReport.js'
 import { Run } from './Run.js'
 import { ServiceTime } from './ServiceTime.js'
 import { SlotPool } from './SlotPool.js'
+import { StandinCalls } from './StandinCalls.js'
+import type { CallHandler } from './StandinCalls.js'
 import type { StandinSettings } from './StandinSettings.js'
 import type { Behaviour, RunEnd, StandinCounts } from './Types.js'
 
-type Handler = (run: Run, number: number) => Promise<number>
-
 /** Status with which a process ends that a marked request crashes. */
 export const CRASH_EXIT_CODE = 70
 
@@ -33,10 +30,8 @@
   private readonly journal: Journal
   private readonly server: Server
   private readonly pool: SlotPool
-  private readonly times: ServiceTime
   private readonly report: LoadReport
-  private readonly chain: ChainEndpoint
-  private readonly downloads: DownloadEndpoint
+  private readonly calls: StandinCalls
   private readonly random: SeededRandom
   private readonly sockets = new Set<Socket>()
   private readonly silent = new WeakSet<Socket>()
@@ -46,15 +41,6 @@
   private draining = false
   private lastBusyMs = performance.now()
 
-  private readonly handlers: Readonly<Record<string, Handler>> = {
-    lookups: (run, number) => this.lookUp(run, number),
-    menus: (run, number) => this.lookUp(run, number),
-    checkouts: (run, number) => this.checkOut(run, number),
-    orders: (run, number) => this.checkOut(run, number),
-    downloads: run => this.downloads.send(run),
-    chain: (run, number) => this.callChain(run, number)
-  }
-
   /**
    * @param settings Shape of the service.
    * @param journal Where runs are written.
@@ -65,10 +51,9 @@
     this.behaviour = { slowFactor: 1, shedShare: settings.shed.share }
     this.random = new SeededRandom(settings.seed)
     this.pool = new SlotPool(settings.slots, settings.queue)
-    this.times = new ServiceTime(settings.serviceTime, settings.coldStart, this.random)
     this.report = new LoadReport(settings.load)
-    this.chain = new ChainEndpoint(settings)
-    this.downloads = new DownloadEndpoint(run => this.silent.has(run.request.socket))
+    const times = new ServiceTime(settings.serviceTime, settings.coldStart, this.random)
+    this.calls = new StandinCalls(settings, this.behaviour, times, run => this.silent.has(run.request.socket))
     this.server = createServer((request, response) => { this.accept(request, response) })
     this.server.keepAliveTimeout = HTTP_KEEP_ALIVE_MS
     this.server.maxConnections = settings.connections
@@ -126,7 +111,7 @@
   public dispose (): void {
     this.server.close()
     this.server.closeAllConnections()
-    this.chain.dispose()
+    this.calls.dispose()
   }
 
   private watch (socket: Socket): void {
@@ -151,7 +136,7 @@
       run.answer(200, this.report.tell(this.load(), performance.now()) ?? {})
       return
     }
-    const handler = this.handlers[run.segments[0] ?? '']
+    const handler = this.calls.handlerOf(run)
     if (handler === undefined) {
       run.answer(404, { problem: `no such call: ${run.request.method} ${run.url.pathname}` })
       return
@@ -168,7 +153,7 @@
     }
   }
 
-  private async runHandler (handler: Handler, run: Run): Promise<void> {
+  private async runHandler (handler: CallHandler, run: Run): Promise<void> {
     const number = ++this.runs
     this.noteLoad()
     this.writeStart(run, number)
@@ -196,54 +181,6 @@
     run.answer(503, { problem: 'shed, not run', service: this.settings.service })
   }
 
-  private async lookUp (run: Run, number: number): Promise<number> {
-    const done = await run.work(this.nextServiceMs(run), run.ended)
-    if (!done) return this.answerLate(run)
-    return this.answerOwn(run, number, 'lookup', {})
-  }
-
-  /** A checkout that has started is finished, whatever becomes of its caller. */
-  private async checkOut (run: Run, number: number): Promise<number> {
-    const body = await run.body()
-    await run.work(this.nextServiceMs(run), undefined)
-    const bodyDigest = createHash('sha256').update(body).digest('hex')
-    return this.answerOwn(run, number, 'checkout', { bodyBytes: body.length, bodyDigest })
-  }
-
-  private async callChain (run: Run, number: number): Promise<number> {
-    const done = await run.work(this.nextServiceMs(run), run.ended)
-    if (!done) return this.answerLate(run)
-    const next = await this.chain.call(run)
-    const depth = Number(run.header('sassafras-depth') || 0)
-    return this.answerOwn(run, number, 'chain', { depth, ...(next === undefined ? {} : { next }) })
-  }
-
-  private answerOwn (run: Run, number: number, call: string, more: object): number {
-    if (run.cancelled.aborted) return 0
-    run.answer(200, {
-      service: this.settings.service,
-      instance: this.settings.instance,
-      call,
-      id: run.segments[1] ?? '',
-      requestId: run.header('x-request-id'),
-      key: run.header('idempotency-key'),
-      run: number,
-      ...more
-    })
-    return 200
-  }
-
-  private answerLate (run: Run): number {
-    if (run.cancelled.aborted) return 0
-    run.answer(504, { problem: 'deadline passed while the request ran' })
-    return 504
-  }
-
-  private nextServiceMs (run: Run): number {
-    const asked = Number(run.url.searchParams.get('ms') ?? Number.NaN)
-    return asked >= 0 ? asked : this.times.nextMs(this.behaviour.slowFactor)
-  }
-
   private load (): { inFlight: number, queued: number } {
     return { inFlight: this.pool.inFlight, queued: this.pool.queued }
   }
@@ -277,5 +214,6 @@
 
 function outcomeOf (run: Run, status: number): RunEnd {
   if (run.cancelled.aborted) return 'cancelled'
+  if (status === 0) return 'undelivered'
   return status === 504 ? 'deadline' : 'answered'
 }
