--- a/src/demo/DemoLoad.ts
+++ b/src/demo/DemoLoad.ts
@@ -5,11 +5,12 @@
 
 /** Long enough for a repeat or two on a busy machine; what counts here is that answers are whole. */
 const DEADLINE_MS = 10_000
+const CHAIN_DEPTH = 6
 const DOWNLOAD_BYTES = 2_000_000
 const DOWNLOAD_BYTES_PER_S = 1_000_000
 
 /**
- * Builds a plan of lookups, guarded requests (a fifth of them sent twice at once) and downloads.
+ * Builds a plan of lookups, chains of 7 calls, guarded requests (a fifth of them sent twice at once) and downloads.
  * @param plan Services to call.
  * @param layout The mesh.
  * @param durationMs Length of the run.
@@ -28,6 +29,7 @@
     retry: { attempts: 10 },
     streams: [
       { kind: 'lookup', ...lookup, rate: 100, deadlineMs: DEADLINE_MS },
+      { kind: 'chain', service: lookup.service, rate: 5, depth: CHAIN_DEPTH, deadlineMs: DEADLINE_MS },
       { kind: 'guarded', ...guarded, rate: 20, repeatShare: 0.2, deadlineMs: DEADLINE_MS },
       {
         kind: 'download',
--- a/src/demo/SettingsWriter.ts
+++ b/src/demo/SettingsWriter.ts
@@ -84,7 +84,10 @@
   }
 
   private upstreamSettings (pair: PairLayout): object {
-    const { slots, connections, serviceTimeMs } = this.plan
+    const { slots, connections, services, serviceTimeMs } = this.plan
+    const names = Object.keys(services)
+    // Each service calls the next one, so that a chain may go as deep as a test asks.
+    const next = names[(names.indexOf(pair.service) + 1) % names.length] as string
     return {
       service: pair.service,
       instance: pair.id,
@@ -93,6 +96,7 @@
       slots,
       connections,
       journal: pair.journal,
+      chain: { next },
       serviceTime: serviceTimeMs > 0 ? { kind: 'exponential', meanMs: serviceTimeMs } : { kind: 'constant', ms: 0 },
       log: { level: LOG_LEVEL }
     }
--- a/src/load/Caller.ts
+++ b/src/load/Caller.ts
@@ -14,8 +14,19 @@
 
 const DISPOSITIONS: ReadonlySet<string> = new Set(['not-run', 'unknown', 'quarantined'])
 
-/** Ends that a caller may send again for. A guarded request keeps its key, so a repeat can't double it. */
-const REPEATABLE: ReadonlySet<CallEnd> = new Set<CallEnd>(['not-run', 'unknown', 'failed'])
+/**
+ * Ends for which a caller sends a call again. A guarded request keeps its key, so a repeat can't double it; its
+ * upstream's own errors are final.
+ */
+const REPEATABLE: Readonly<Record<CallEnd, (call: PlannedCall, asked: boolean) => boolean>> = {
+  ok: () => false,
+  wrong: () => false,
+  error: (call, asked) => asked && call.stream.kind !== 'guarded',
+  failed: () => true,
+  'not-run': () => true,
+  unknown: (_, asked) => asked,
+  quarantined: () => false
+}
 
 const REQUESTS: Readonly<Record<PlannedCall['stream']['kind'], (call: PlannedCall) => Request>> = {
   lookup: call => ({ method: 'GET', path: `${pathOf(call)}/${call.id}`, body: null }),
@@ -52,7 +63,7 @@
     do {
       result = await this.attempt(call, attempts++, deadlineAtMs)
       neverRun &&= result.end === 'not-run'
-    } while (await this.waitForRepeat(result, attempts, deadlineAtMs))
+    } while (await this.waitForRepeat(call, result, attempts, deadlineAtMs))
     const latencyMs = performance.now() - dueAtMs
     return { call, end: result.end, reason: result.reason, attempts, neverRun, latencyMs, lateMs }
   }
@@ -62,10 +73,11 @@
     this.agent.destroy().catch(() => {})
   }
 
-  private async waitForRepeat (result: AttemptResult, attempts: number, deadlineAtMs: number): Promise<boolean> {
+  private async waitForRepeat (
+    call: PlannedCall, result: AttemptResult, attempts: number, deadlineAtMs: number
+  ): Promise<boolean> {
     const { retry } = this.plan
-    if (!REPEATABLE.has(result.end) || attempts >= retry.attempts) return false
-    if (result.end === 'unknown' && result.retryAfterMs === undefined) return false
+    if (attempts >= retry.attempts || !isRepeatable(call, result)) return false
     const waitMs = Math.min(result.retryAfterMs ?? retry.waitMs, retry.maxWaitMs)
     if (performance.now() + waitMs >= deadlineAtMs) return false
     await delay(waitMs)
@@ -94,6 +106,10 @@
   }
 }
 
+function isRepeatable (call: PlannedCall, { end, retryAfterMs }: AttemptResult): boolean {
+  return REPEATABLE[end](call, retryAfterMs !== undefined)
+}
+
 async function readAnswer (call: PlannedCall, answer: Dispatcher.ResponseData): Promise<AttemptResult> {
   const status = answer.statusCode
   const disposition = header(answer, 'sassafras-disposition')
--- a/src/load/LoadRun.test.ts
+++ b/src/load/LoadRun.test.ts
@@ -76,6 +76,15 @@
   expect(keys).toHaveLength(2 * all.sent)
 })
 
+test('an error of the upstream that asks for a repeat is repeated, but never for a guarded request', async () => {
+  const target = await serve((_request, response) => response.writeHead(503, { 'retry-after': '0' }).end())
+  const guarded = await new LoadRun(planOf(target, {}), 'guarded').run()
+  expect(guarded.all.attempts).toBe(guarded.all.sent)
+  const lookups = await new LoadRun(planOf(target, { kind: 'lookup' }), 'lookup').run()
+  expect(lookups.all.ends.error).toBe(lookups.all.sent)
+  expect(lookups.all.attempts).toBe(2 * lookups.all.sent)
+})
+
 test('a warm-up is sent and not counted as latency', async () => {
   const target = await serve((request, response) => response.end(echo(request, request.headers['x-request-id'] as string)))
   const plan = { ...planOf(target, {}), warmupMs: 50 }
--- a/src/standin/ChainEndpoint.ts
+++ b/src/standin/ChainEndpoint.ts
@@ -7,6 +7,8 @@
 export interface ChainLink {
   readonly status: number
   readonly body: unknown
+  /** `Retry-After` of an answer that is not 200; empty when it has none. */
+  readonly retryAfter: string
 }
 
 /** Calls the next service through the local node's ingress side, as services that need others do. */
@@ -40,7 +42,7 @@
         'x-request-id': run.header('x-request-id')
       }
     })
-    return { status: answer.statusCode, body: await answer.body.json() }
+    return { status: answer.statusCode, body: await answer.body.json(), retryAfter: String(answer.headers['retry-after'] ?? '') }
   }
 
   /** Closes the connections. */
--- a/src/standin/StandinCalls.ts
+++ b/src/standin/StandinCalls.ts
@@ -1,6 +1,7 @@
 import { createHash } from 'node:crypto'
 import type { Disposable } from '../platform/Types.js'
 import { ChainEndpoint } from './ChainEndpoint.js'
+import type { ChainLink } from './ChainEndpoint.js'
 import { DownloadEndpoint } from './DownloadEndpoint.js'
 import type { Run } from './Run.js'
 import type { ServiceTime } from './ServiceTime.js'
@@ -79,6 +80,7 @@
     const done = await run.work(this.nextServiceMs(run), run.ended)
     if (!done) return this.answerLate(run)
     const next = await this.chain.call(run)
+    if (next !== undefined && next.status !== 200) return this.answerBroken(run, next)
     const depth = Number(run.header('sassafras-depth') || 0)
     return this.answerOwn(run, number, 'chain', { depth, ...(next === undefined ? {} : { next }) })
   }
@@ -98,6 +100,14 @@
     return 200
   }
 
+  /** A chain that broke further down may be asked for again from its top, where alone it is retried. */
+  private answerBroken (run: Run, next: ChainLink): number {
+    if (run.cancelled.aborted || this.isSilent(run)) return 0
+    if (next.retryAfter !== '') run.response.setHeader('retry-after', next.retryAfter)
+    run.answer(503, { problem: 'the next service did not answer', next })
+    return 503
+  }
+
   private answerLate (run: Run): number {
     if (run.cancelled.aborted || this.isSilent(run)) return 0
     run.answer(504, { problem: 'deadline passed while the request ran' })
