--- a/src/parts/records/Constants.ts
+++ b/src/parts/records/Constants.ts
@@ -2,16 +2,16 @@
 export const MAX_KEY_LENGTH = 256
 
 /** Records that a ledger keeps at once. */
-export const MAX_RECORDS = 500_000
+export const MAX_RECORDS = 200_000
 
 /** Body and headers of one kept answer, in bytes. */
 export const MAX_ANSWER_BYTES = 16_384
 
 /** All kept answers of a ledger, in bytes. */
-export const MAX_ANSWERS_BYTES = 536_870_912
+export const MAX_ANSWERS_BYTES = 134_217_728
 
 /** How long a key is kept after its run time has passed. */
-export const HORIZON_MS = 86_400_000
+export const HORIZON_MS = 3_600_000
 
 /** Longest run time that a grant may have. */
 export const MAX_RUN_FOR_MS = 600_000
--- a/src/parts/records/IdempotencyLedger.ts
+++ b/src/parts/records/IdempotencyLedger.ts
@@ -21,7 +21,6 @@
   RecordCommand,
   RecordKey,
   RecordReply,
-  RecordState,
   StoredAnswer,
   StoredRecord
 } from './Types.js'
@@ -32,16 +31,6 @@
   readonly [Type in RecordCommand['type']]: (command: CommandOf<Type>, atMs: number) => RecordReply
 }
 
-/** A record in memory; the key's text is the map's key. */
-interface Entry {
-  readonly record: RecordKey
-  readonly fingerprint: string
-  readonly holder: Holder
-  state: RecordState
-  readonly runUntilMs: number
-  answer: StoredAnswer | undefined
-}
-
 const DEFAULTS: LedgerLimits = {
   maxRecords: MAX_RECORDS,
   maxAnswerBytes: MAX_ANSWER_BYTES,
@@ -69,7 +58,8 @@
   private limits: LedgerLimits
   private atMs = 0
   private bytes = 0
-  private records = new Map<string, Entry>()
+  /** Records are replaced, never changed, so that a snapshot may share them. */
+  private records = new Map<string, StoredRecord>()
   private spent = new Map<string, { readonly holder: Holder, readonly atMs: number }>()
 
   private readonly handlers: Handlers = {
@@ -113,9 +103,9 @@
     return handler(command, this.atMs)
   }
 
-  /** Returns the replicated state as plain data. */
+  /** Returns the replicated state as plain data that later commands do not change; takes no copies. */
   public snapshot (): LedgerSnapshot {
-    const records = [...this.records.values()].map(storedOf)
+    const records = [...this.records.values()]
     return { format: 1, limits: this.limits, atMs: this.atMs, records, spent: [...this.spent.values()] }
   }
 
@@ -129,9 +119,10 @@
     this.bytes = 0
     this.records = new Map()
     for (const stored of snapshot.records) {
-      const answer = stored.answer === undefined ? undefined : fitAnswer(stored.answer, this.limits.maxAnswerBytes)
-      this.records.set(textOf(stored.record), { ...stored, answer })
-      this.bytes += answer === undefined ? 0 : answerBytes(answer)
+      this.records.set(textOf(stored.record), stored)
+      if (stored.answer !== undefined) {
+        this.keepAnswer(stored, stored.answer)
+      }
     }
     this.spent = new Map(snapshot.spent.map((entry) => [holderText(entry.holder), entry]))
   }
@@ -160,13 +151,12 @@
       fingerprint: command.fingerprint,
       holder: command.holder,
       state: 'running',
-      runUntilMs: atMs + Math.min(Math.max(0, command.runForMs), MAX_RUN_FOR_MS),
-      answer: undefined
+      runUntilMs: atMs + Math.min(Math.max(0, command.runForMs), MAX_RUN_FOR_MS)
     })
     return GRANTED
   }
 
-  private repeat (entry: Entry, command: CommandOf<'begin'>, atMs: number): RecordReply {
+  private repeat (entry: StoredRecord, command: CommandOf<'begin'>, atMs: number): RecordReply {
     if (entry.fingerprint !== command.fingerprint) {
       return refused('key-reused', 0)
     }
@@ -174,7 +164,8 @@
       return { type: 'answered', answer: entry.answer }
     }
     if (holderRestarted(entry.holder, command.holder)) {
-      entry.state = 'lost'
+      this.markLost(entry)
+      return UNKNOWN
     }
     if (entry.state === 'lost' || atMs >= entry.runUntilMs) {
       return UNKNOWN
@@ -204,7 +195,7 @@
       return refused('conflict', 0)
     }
     if (entry.state === 'running') {
-      entry.state = 'lost'
+      this.markLost(entry)
     }
     return RECORDED
   }
@@ -221,16 +212,20 @@
     return RECORDED
   }
 
-  private heldBy (command: { readonly record: RecordKey, readonly holder: Holder }): Entry | undefined {
+  private heldBy (command: { readonly record: RecordKey, readonly holder: Holder }): StoredRecord | undefined {
     const entry = this.records.get(textOf(command.record))
     return entry !== undefined && sameHolder(entry.holder, command.holder) ? entry : undefined
   }
 
-  private keepAnswer (entry: Entry, answer: StoredAnswer): void {
+  private keepAnswer (entry: StoredRecord, answer: StoredAnswer): void {
     const room = this.limits.maxAnswersBytes - this.bytes
-    entry.answer = fitAnswer(answer, Math.min(this.limits.maxAnswerBytes, room))
-    entry.state = 'answered'
-    this.bytes += answerBytes(entry.answer)
+    const kept = fitAnswer(answer, Math.min(this.limits.maxAnswerBytes, room))
+    this.records.set(textOf(entry.record), { ...entry, state: 'answered', answer: kept })
+    this.bytes += answerBytes(kept)
+  }
+
+  private markLost (entry: StoredRecord): void {
+    this.records.set(textOf(entry.record), { ...entry, state: 'lost' })
   }
 
   /** A holder that gave up or was refused may have another `begin` under way, which nobody would act on. */
@@ -281,8 +276,3 @@
 function refused (reason: Reason, retryAfterMs: number): RecordReply {
   return { type: 'refused', reason, retryAfterMs }
 }
-
-function storedOf (entry: Entry): StoredRecord {
-  const { answer, ...rest } = entry
-  return answer === undefined ? rest : { ...rest, answer }
-}
