--- a/bench/virtual/Mesh.ts
+++ b/bench/virtual/Mesh.ts
@@ -30,6 +30,8 @@
   readonly announcedFactor: number
   /** Whether instance 0 reports no load, whatever it has. */
   readonly lies: boolean
+  /** Measuring messages allowed for each call. */
+  readonly messagesPerCall: number
   readonly measureFromMs: number
   readonly measureToMs: number
 }
@@ -41,7 +43,7 @@
 const LINK_TIMEOUT_MS = 300
 const PROBE_BYTES = 64
 const POLL_BYTES = 200
-const BUDGET = { bytesPerSecond: 12_000, messagesPerCall: 0.01 }
+const BYTES_PER_SECOND = 12_000
 
 /** Joins hosts, ingress nodes and callers on one virtual clock, with constant delays. */
 export class Mesh {
@@ -69,7 +71,9 @@
     this.ingresses = Array.from({ length: size.ingresses }, (_none, index) => {
       return new Ingress(this, index, placeOf(index))
     })
-    this.budgets = this.ingresses.map(() => new MeasuringBudget(BUDGET))
+    this.budgets = this.ingresses.map(() => {
+      return new MeasuringBudget({ bytesPerSecond: BYTES_PER_SECOND, messagesPerCall: plan.messagesPerCall })
+    })
     for (const ingress of this.ingresses) {
       this.addStrategy(ingress)
     }
@@ -139,6 +143,7 @@
       place: ingress.place,
       random: new SeededRandom(this.plan.seed * 15_485_863 + ingress.index * 101 + 7),
       hosts: this.hosts,
+      ingressNodes: this.ingresses.length,
       rttMs: host => 2 * this.delayMs(ingress.place, host.place),
       report: host => this.reports[host.index] ?? 0,
       probe: host => this.probe(ingress, host)
@@ -150,6 +155,9 @@
     const perMs = this.capacityPerSecond * this.plan.load / 1000
     const next = (): void => {
       this.clock.after(-Math.log(1 - this.random.next()) / perMs, () => {
+        if (this.clock.nowMs >= this.plan.measureToMs) {
+          return
+        }
         const ingress = this.anyIngress()
         this.counting(stats => { stats.calls += 1 })
         this.budgets[ingress.index]?.step({ type: 'served', calls: 1 }, this.clock.nowMs)
