--- /dev/null
+++ b/bench/fuzzState.ts
@@ -0,0 +1,56 @@
+import { Cli, Command, Option } from 'clipanion'
+import fc from 'fast-check'
+import { followersHold } from './fuzz/FollowerWorld.js'
+import { tablesConverge } from './fuzz/MembershipWorld.js'
+import { permitsHold } from './fuzz/PermitWorld.js'
+
+const DEFAULT_SECONDS = '30'
+const MAX_RUNS = 1_000_000_000
+const MS_PER_SECOND = 1_000
+const SEED_RANGE = 2 ** 31
+
+/** What is fuzzed, by the name that the command line takes. */
+const PROPERTIES = {
+  configuration: followersHold,
+  membership: tablesConverge,
+  records: permitsHold
+}
+
+type PropertyName = keyof typeof PROPERTIES
+
+/** Runs random schedules over the parts for configuration, membership and records until the time is over. */
+class FuzzStateCommand extends Command {
+  public static override paths = [Command.Default]
+
+  private readonly seconds = Option.String('--seconds', DEFAULT_SECONDS, { description: 'for each part' })
+  private readonly seed = Option.String('--seed')
+  private readonly part = Option.String('--part', { description: Object.keys(PROPERTIES).join(', ') })
+  private readonly replay = Option.String('--replay', { description: 'path of a counterexample, with its seed and part' })
+
+  public override async execute (): Promise<number> {
+    const names = Object.keys(PROPERTIES) as PropertyName[]
+    const chosen = names.filter((name) => this.part === undefined || this.part === name)
+    const failed = chosen.filter((name) => !this.search(name))
+    return failed.length
+  }
+
+  private search (name: PropertyName): boolean {
+    const seed = this.seed === undefined ? Date.now() % SEED_RANGE : Number(this.seed)
+    const details = fc.check<unknown[]>(PROPERTIES[name]() as fc.IProperty<unknown[]>, {
+      seed,
+      numRuns: MAX_RUNS,
+      interruptAfterTimeLimit: Number(this.seconds) * MS_PER_SECOND,
+      markInterruptAsFailure: false,
+      ...(this.replay === undefined ? {} : { path: this.replay })
+    })
+    this.context.stdout.write(`${name}, seed ${seed}: ${details.numRuns} schedules\n`)
+    if (details.failed) {
+      const path = details.counterexamplePath ?? ''
+      const text = JSON.stringify(details.counterexample)
+      this.context.stdout.write(`${String(details.errorInstance)}\n--part ${name} --seed ${seed} --replay ${path}\n${text}\n`)
+    }
+    return !details.failed
+  }
+}
+
+await Cli.from([FuzzStateCommand]).runExit(process.argv.slice(2))
--- a/bench/records.ts
+++ b/bench/records.ts
@@ -1,11 +1,9 @@
 /** Measures what one record of a guarded call costs the ledger: time, memory and snapshot, by records kept. */
-import { execFileSync } from 'node:child_process'
-import { mkdirSync, writeFileSync } from 'node:fs'
-import { cpus } from 'node:os'
 import { setImmediate } from 'node:timers/promises'
 import { setFlagsFromString } from 'node:v8'
 import { runInNewContext } from 'node:vm'
 import { Encoder } from 'cbor-x'
+import { writeReport } from './BenchReport.js'
 import { IdempotencyLedger } from '../src/parts/records/IdempotencyLedger.js'
 import type { LedgerSnapshot, RecordCommand, StoredAnswer } from '../src/parts/records/Types.js'
 
@@ -104,14 +102,4 @@
   process.stdout.write(JSON.stringify(point) + '\n')
   points.push(point)
 }
-const result = {
-  commit: execFileSync('git', ['rev-parse', '--short', 'HEAD']).toString().trim(),
-  cores: cpus().length,
-  node: process.version,
-  date: new Date().toISOString().slice(0, 10),
-  command: 'npm run bench:records',
-  seeds: [],
-  points
-}
-mkdirSync('bench/results', { recursive: true })
-writeFileSync('bench/results/records.json', JSON.stringify(result, null, 1) + '\n')
+writeReport('records', { seeds: [], points })
--- a/bench/spread.ts
+++ b/bench/spread.ts
@@ -1,9 +1,7 @@
 /** Measures what spreading configuration and membership costs by the number of nodes, on a virtual clock. */
-import { execFileSync } from 'node:child_process'
-import { mkdirSync, writeFileSync } from 'node:fs'
-import { cpus } from 'node:os'
 import { deflateRawSync } from 'node:zlib'
 import { Encoder } from 'cbor-x'
+import { writeReport } from './BenchReport.js'
 import { SpreadMesh } from './spread/SpreadMesh.js'
 import type { Endpoint } from './spread/VirtualNetwork.js'
 
@@ -202,18 +200,10 @@
     replicaCpuPercent: slopeOf(line, (point) => point.replica.cpuPercentOfCore)
   }
 })
-const commit = execFileSync('git', ['rev-parse', '--short', 'HEAD']).toString().trim()
-const result = {
-  commit,
-  cores: cpus().length,
-  node: process.version,
-  date: new Date().toISOString().slice(0, 10),
-  command: 'npm run bench:spread',
-  seeds: [SEED],
-  setup: { replicas: REPLICAS, services: SERVICES, delays: DELAYS, clock: 'virtual; CPU is wall time of the steps' },
-  startFrames: frames,
-  points,
-  slopes
-}
-mkdirSync('bench/results', { recursive: true })
-writeFileSync('bench/results/spread.json', JSON.stringify(result, null, 1) + '\n')
+const setup = {
+  replicas: REPLICAS,
+  services: SERVICES,
+  delays: DELAYS,
+  clock: 'virtual; CPU is the time that the steps took on the machine'
+}
+writeReport('spread', { seeds: [SEED], setup, startFrames: frames, points, slopes })
