Pass crash reports on from node to node, and clear only by calls that ran

Two gaps found by reading the events that a node sends: - A node that refuses or loses a call tells the table that it finished. While a crashed upstream restarts, the crashing request comes back, can't be sent, and each such end halved its suspicion. finished now says with ran: false that the upstream did not run the call to its end, and clears nothing then. - Reports went to the direct links of the crashed upstream's node only. The table now asks its host to pass on each report that it hears for the first time; on a line of six nodes all refuse, at two messages per node and report.

--- a/src/parts/quarantine/QuarantineTable.test.ts
+++ b/src/parts/quarantine/QuarantineTable.test.ts
@@ -182,6 +182,39 @@
   expect(nodes.asks(1, POISON, 1)).toBe('refuse')
 })
 
+test('reports reach nodes that have no link to the crashed one, and stop', () => {
+  const line = Array.from({ length: 6 }, (_, node) => new QuarantineTable({ node: `n${node}`, incarnation: 1 }))
+  let messages = 0
+  const spread = (from: number, actions: readonly QuarantineAction[]): void => {
+    for (const action of actions) {
+      for (const to of action.type === 'report' ? [from - 1, from + 1] : []) {
+        messages++
+        const heard = action.type === 'report' ? { type: 'reported' as const, report: action.report } : undefined
+        spread(to, heard === undefined ? [] : line[to]?.step(heard, 1) ?? [])
+      }
+    }
+  }
+  for (const call of [1, 2]) {
+    line[0]?.step({ type: 'dispatched', call, instance: 's/n0', fingerprint: POISON }, 0)
+    spread(0, line[0]?.step({ type: 'crashed', instance: 's/n0' }, 0) ?? [])
+  }
+  for (const table of line) {
+    expect(table.step({ type: 'ask', call: 9, fingerprint: POISON }, 2)).toMatchObject([{ type: 'refuse' }])
+  }
+  expect(messages).toBe(2 * 2 * line.length)
+})
+
+test('a call that did not run to its end clears nothing', () => {
+  const nodes = new Nodes()
+  for (const ran of [false, undefined]) {
+    nodes.dispatch(0, POISON, 0)
+    nodes.crash(0, 0)
+    const call = nodes.dispatch(0, POISON, 1)
+    nodes.table(0).step(ran === undefined ? { type: 'finished', call } : { type: 'finished', call, ran }, 2)
+  }
+  expect(nodes.asks(0, POISON, 3)).toBe('refuse')
+})
+
 test('a report counts once, also after its sender restarted', () => {
   const nodes = new Nodes()
   nodes.dispatch(0, POISON, 0)
--- a/src/parts/quarantine/QuarantineTable.ts
+++ b/src/parts/quarantine/QuarantineTable.ts
@@ -31,9 +31,10 @@
 
 /**
  * Keeps requests that crash upstreams from being run again. A crash puts suspicion on each request in flight; a request
- * that gathers enough is quarantined at every node, because the reports are passed on. The request that was already
- * the most suspect takes the most blame, and each call that finishes halves the suspicion of its fingerprint, so that
- * a request that only was there at the time is cleared. `crashed` comes from the node of the instance alone.
+ * that gathers enough is quarantined at every node, because each table passes on what it hears for the first time. The
+ * request that was already the most suspect takes the most blame, and each call that runs to its end halves the
+ * suspicion of its fingerprint, so that a request that only was there at the time is cleared. `crashed` comes from the
+ * node of the instance alone.
  *
  * Memory: `maxFingerprints` suspects with 4 reports each, `maxDispatched` calls and `maxRuns` report windows.
  * Suspicion and quarantine are forgotten `retentionMs` after the last crash.
@@ -106,7 +107,7 @@
   private _onFinished (event: EventOf<'finished'>, nowMs: number, actions: QuarantineAction[]): void {
     const fingerprint = this._take(event.call)
     const suspect = fingerprint === undefined ? undefined : this._suspects.get(fingerprint)
-    if (suspect === undefined || suspect.quarantined) {
+    if (suspect === undefined || suspect.quarantined || event.ran === false) {
       return
     }
     this._clear(suspect)
@@ -155,6 +156,7 @@
     if (nowMs - crashedAtMs >= this._options.retentionMs || !this._seen.admit(event.report)) {
       return
     }
+    actions.push({ type: 'report', report: event.report })
     if (event.report.cleared !== true) {
       this._blame(event.report, crashedAtMs, actions)
       return
--- a/src/parts/quarantine/Types.ts
+++ b/src/parts/quarantine/Types.ts
@@ -21,7 +21,8 @@
 /** Events of the quarantine table. */
 export type QuarantineEvent =
   | { readonly type: 'dispatched', readonly call: CallId, readonly instance: InstanceId, readonly fingerprint: Fingerprint }
-  | { readonly type: 'finished', readonly call: CallId }
+  /** With `ran` false the upstream did not run the call to its end (unsent, shed, cut off), which clears nothing. */
+  | { readonly type: 'finished', readonly call: CallId, readonly ran?: boolean }
   /** The instance crashed with all its dispatched calls in flight. */
   | { readonly type: 'crashed', readonly instance: InstanceId }
   | { readonly type: 'reported', readonly report: CrashReport }
@@ -32,6 +33,7 @@
 export type QuarantineAction =
   | { readonly type: 'allow', readonly call: CallId }
   | { readonly type: 'refuse', readonly call: CallId, readonly retryAfterMs: number }
+  /** Goes to every node that has a link to this one: own reports, and others' when they are heard for the first time. */
   | { readonly type: 'report', readonly report: CrashReport }
   | { readonly type: 'quarantined', readonly fingerprint: Fingerprint, readonly untilMs: number }
 
