--- a/bench/BenchReport.ts
+++ b/bench/BenchReport.ts
@@ -1,6 +1,8 @@
-import { execFileSync } from 'node:child_process'
 import { mkdirSync, writeFileSync } from 'node:fs'
-import { availableParallelism } from 'node:os'
+import { describeRun } from './support/ResultFile.js'
+
+/** Read when the bench starts, since commits may be made while it runs. */
+const STARTED_FROM = describeRun('')
 
 /** Middle and ends of several repetitions. */
 export interface Spread {
@@ -28,14 +30,7 @@
  * @param content Seeds, settings and results.
  */
 export function writeReport (name: string, content: object): void {
-  const header = {
-    commit: git(['rev-parse', '--short', 'HEAD']),
-    changed: git(['status', '--porcelain', '--', 'src', 'bench/*.ts', 'bench/**/*.ts']) !== '',
-    cores: availableParallelism(),
-    node: process.version,
-    date: new Date().toISOString(),
-    command: `npm run bench:${name}`
-  }
+  const header = { ...STARTED_FROM, command: `npm run bench:${name}` }
   mkdirSync('bench/results', { recursive: true })
   writeFileSync(`bench/results/${name}.json`, JSON.stringify({ ...header, ...content }, null, 2) + '\n')
 }
@@ -52,11 +47,3 @@
 function rounded (value: number): number {
   return Number(value.toPrecision(4))
 }
-
-function git (args: string[]): string {
-  try {
-    return execFileSync('git', args, { encoding: 'utf8' }).trim()
-  } catch {
-    return 'unknown'
-  }
-}
--- a/src/parts/quarantine/Types.ts
+++ b/src/parts/quarantine/Types.ts
@@ -33,7 +33,7 @@
 export type QuarantineAction =
   | { readonly type: 'allow', readonly call: CallId }
   | { readonly type: 'refuse', readonly call: CallId, readonly retryAfterMs: number }
-  /** Goes to every node that has a link to this one: own reports, and others' when they are heard for the first time. */
+  /** Goes to every node that has a link to this one: own reports, and others' when heard for the first time. */
   | { readonly type: 'report', readonly report: CrashReport }
   | { readonly type: 'quarantined', readonly fingerprint: Fingerprint, readonly untilMs: number }
 
