--- a/src/parts/admission/AdmissionController.ts
+++ b/src/parts/admission/AdmissionController.ts
@@ -2,7 +2,10 @@
 import { ConcurrencyLimit } from './ConcurrencyLimit.js'
 import { ADMISSION_DEFAULTS, SERVICE_TIME_WEIGHT } from './Constants.js'
 import { RetryAfter } from './RetryAfter.js'
-import type { AdmissionAction, AdmissionEvent, AdmissionOptions, AdmissionView } from './Types.js'
+import { RunningCalls } from './RunningCalls.js'
+import type { RunningCall } from './RunningCalls.js'
+import type { AdmissionAction, AdmissionEvent, AdmissionOptions, AdmissionView, Lane } from './Types.js'
+import { WaitingCalls } from './WaitingCalls.js'
 
 type EventOf<T extends AdmissionEvent['type']> = Extract<AdmissionEvent, { type: T }>
 
@@ -10,22 +13,6 @@
   readonly [T in AdmissionEvent['type']]: (event: EventOf<T>, nowMs: number, actions: AdmissionAction[]) => void
 }
 
-/** Calls that share a queue: short work in order of arrival, and downloads. */
-type Lane = 'short' | 'download'
-
-interface WaitingCall {
-  readonly call: CallId
-  readonly deadlineAtMs: number
-  readonly arrivedAtMs: number
-  /** When it is refused if it has not started. */
-  readonly refuseAtMs: number
-}
-
-interface RunningCall {
-  readonly lane: Lane
-  readonly startedAtMs: number
-}
-
 const LANE_OF_KIND: { readonly [K in CallKind]: Lane } = { lookup: 'short', guarded: 'short', download: 'download' }
 
 /**
@@ -39,11 +26,9 @@
   private readonly _options: AdmissionOptions
   private readonly _limit: ConcurrencyLimit
   private readonly _retryAfter: RetryAfter
-  private readonly _running = new Map<CallId, RunningCall>()
-  private readonly _waiting: { readonly [L in Lane]: WaitingCall[] } = { short: [], download: [] }
+  private readonly _running = new RunningCalls()
+  private readonly _waiting = new WaitingCalls()
   private readonly _serviceMs: { [L in Lane]: number }
-  private _runningDownloads = 0
-  private _shortStartSumMs = 0
   private _draining = false
   private _drainedTold = false
   /** When the host was asked to send the next tick. */
@@ -83,7 +68,7 @@
   public evidence (): LoadEvidence {
     return {
       inFlight: this._running.size,
-      queued: this._queued(),
+      queued: this._waiting.size,
       limit: this._draining ? 0 : this._limit.current,
       serviceMs: this._serviceMs.short
     }
@@ -99,7 +84,7 @@
   }
 
   private _onArrive (event: EventOf<'arrive'>, nowMs: number, actions: AdmissionAction[]): void {
-    if (this._running.has(event.call)) {
+    if (this._running.get(event.call) !== undefined) {
       return
     }
     const lane = LANE_OF_KIND[event.kind]
@@ -108,7 +93,7 @@
       this._refuse(event.call, lane, reason, nowMs, actions)
       return
     }
-    if (this._waiting[lane].length === 0 && this._mayStart(lane)) {
+    if (this._waiting.sizeOf(lane) === 0 && this._mayStart(lane)) {
       this._start(event.call, lane, nowMs, actions)
       return
     }
@@ -121,18 +106,14 @@
       return
     }
     this._learn(event, running, nowMs)
-    this._remove(event.call, running)
+    this._running.remove(event.call)
     this._startWaiting(nowMs, actions)
     this._tellDrained(actions)
   }
 
   private _onCancel (event: EventOf<'cancel'>, actions: AdmissionAction[]): void {
-    for (const lane of ['short', 'download'] as const) {
-      const index = this._waiting[lane].findIndex(waiting => waiting.call === event.call)
-      if (index >= 0) {
-        this._waiting[lane].splice(index, 1)
-        actions.push({ type: 'refuse', call: event.call, reason: 'cancelled', retryAfterMs: 0 })
-      }
+    if (this._waiting.remove(event.call)) {
+      actions.push({ type: 'refuse', call: event.call, reason: 'cancelled', retryAfterMs: 0 })
     }
   }
 
@@ -153,7 +134,7 @@
     }
     this._refuseOverdue(nowMs, actions)
     this._startWaiting(nowMs, actions)
-    this._wakeForEarliest(actions)
+    this._wakeAt(this._waiting.earliestRefusalMs(), actions)
   }
 
   private _reasonToRefuse (lane: Lane, deadlineAtMs: number, nowMs: number): Reason | undefined {
@@ -166,37 +147,36 @@
     if (deadlineAtMs <= nowMs) {
       return 'deadline-exceeded'
     }
-    if (this._waiting[lane].length === 0 && this._mayStart(lane)) {
+    if (this._waiting.sizeOf(lane) === 0 && this._mayStart(lane)) {
       return undefined
     }
     const waitMs = this._expectedWaitMs(lane, nowMs)
     const late = nowMs + waitMs + this._serviceMs[lane] > deadlineAtMs
-    const full = this._queued() >= this._options.maxQueued
+    const full = this._waiting.size >= this._options.maxQueued
     return late || full || waitMs > this._allowedDelayMs(lane) ? 'overloaded' : undefined
   }
 
   private _enqueue (event: EventOf<'arrive'>, lane: Lane, nowMs: number, actions: AdmissionAction[]): void {
     const refuseAtMs = Math.min(event.deadlineAtMs, nowMs + this._allowedDelayMs(lane))
     const { call, deadlineAtMs } = event
-    this._waiting[lane].push({ call, deadlineAtMs, arrivedAtMs: nowMs, refuseAtMs })
+    this._waiting.add({ call, lane, deadlineAtMs, arrivedAtMs: nowMs, refuseAtMs })
     this._wakeAt(refuseAtMs, actions)
   }
 
   /** Time until a call that joins the lane now is expected to start. */
   private _expectedWaitMs (lane: Lane, nowMs: number): number {
-    return (this._waiting[lane].length + 1) * this._msPerCall(lane, nowMs)
+    return (this._waiting.sizeOf(lane) + 1) * this._msPerCall(lane, nowMs)
   }
 
   /** Expected time between two starts of the lane while calls of it wait. */
   private _msPerCall (lane: Lane, nowMs: number): number {
     if (lane === 'download') {
       // Beside waiting lookups, downloads get fewer slots than they may take.
-      return this._serviceMs.download / Math.max(1, this._runningDownloads)
+      return this._serviceMs.download / Math.max(1, this._running.downloads)
     }
     // Calls that have run longer than usual tell of a slow-down before they finish.
-    const shortRunning = this._running.size - this._runningDownloads
-    const ageMs = shortRunning === 0 ? 0 : nowMs - this._shortStartSumMs / shortRunning
-    return Math.max(this._serviceMs.short, ageMs) / Math.max(1, this._limit.current - this._runningDownloads)
+    const serviceMs = Math.max(this._serviceMs.short, this._running.meanShortAgeMs(nowMs))
+    return serviceMs / Math.max(1, this._limit.current - this._running.downloads)
   }
 
   private _allowedDelayMs (lane: Lane): number {
@@ -211,7 +191,7 @@
     if (this._running.size >= this._limit.current) {
       return false
     }
-    return lane === 'short' || this._runningDownloads < this._downloadSlots()
+    return lane === 'short' || this._running.downloads < this._downloadSlots()
   }
 
   /** Slots that downloads may take: all but the reserve; a single slot is shared in order of arrival. */
@@ -222,13 +202,13 @@
   }
 
   private _startWaiting (nowMs: number, actions: AdmissionAction[]): void {
-    if (this._queued() === 0) {
+    if (this._waiting.size === 0) {
       return
     }
     this._refuseOverdue(nowMs, actions)
     let lane = this._nextLane()
     while (lane !== undefined) {
-      const next = this._waiting[lane].shift()
+      const next = this._waiting.takeFirst(lane)
       if (next !== undefined) {
         this._start(next.call, lane, nowMs, actions)
       }
@@ -238,36 +218,22 @@
 
   /** Short work goes first, but while no download runs the one that waited longest goes first. */
   private _nextLane (): Lane | undefined {
-    const short = this._mayStart('short') ? this._waiting.short[0] : undefined
-    const download = this._mayStart('download') ? this._waiting.download[0] : undefined
+    const short = this._mayStart('short') ? this._waiting.first('short') : undefined
+    const download = this._mayStart('download') ? this._waiting.first('download') : undefined
     if (short === undefined) {
       return download === undefined ? undefined : 'download'
     }
-    if (download === undefined || this._runningDownloads > 0) {
+    if (download === undefined || this._running.downloads > 0) {
       return 'short'
     }
     return download.arrivedAtMs < short.arrivedAtMs ? 'download' : 'short'
   }
 
   private _start (call: CallId, lane: Lane, nowMs: number, actions: AdmissionAction[]): void {
-    this._running.set(call, { lane, startedAtMs: nowMs })
-    if (lane === 'download') {
-      this._runningDownloads++
-    } else {
-      this._shortStartSumMs += nowMs
-    }
+    this._running.add(call, lane, nowMs)
     actions.push({ type: 'start', call })
   }
 
-  private _remove (call: CallId, running: RunningCall): void {
-    this._running.delete(call)
-    if (running.lane === 'download') {
-      this._runningDownloads--
-    } else {
-      this._shortStartSumMs -= running.startedAtMs
-    }
-  }
-
   private _learn (event: EventOf<'finish'>, running: RunningCall, nowMs: number): void {
     if (event.outcome === 'shed') {
       this._limit.shed(this._running.size, running.startedAtMs, nowMs)
@@ -280,44 +246,23 @@
   }
 
   private _refuseOverdue (nowMs: number, actions: AdmissionAction[]): void {
-    for (const lane of ['short', 'download'] as const) {
-      const waiting = this._waiting[lane]
-      for (let index = 0; index < waiting.length;) {
-        const call = waiting[index] as WaitingCall
-        if (call.refuseAtMs > nowMs) {
-          index++
-          continue
-        }
-        waiting.splice(index, 1)
-        this._refuse(call.call, lane, call.deadlineAtMs <= nowMs ? 'deadline-exceeded' : 'overloaded', nowMs, actions)
-      }
+    for (const { call, lane, deadlineAtMs } of this._waiting.takeOverdue(nowMs)) {
+      this._refuse(call, lane, deadlineAtMs <= nowMs ? 'deadline-exceeded' : 'overloaded', nowMs, actions)
     }
   }
 
   private _refuseAll (reason: Reason, nowMs: number, actions: AdmissionAction[]): void {
-    for (const lane of ['short', 'download'] as const) {
-      for (const waiting of this._waiting[lane].splice(0)) {
-        this._refuse(waiting.call, lane, reason, nowMs, actions)
-      }
+    for (const { call, lane } of this._waiting.takeOverdue(Infinity)) {
+      this._refuse(call, lane, reason, nowMs, actions)
     }
   }
 
   private _refuse (call: CallId, lane: Lane, reason: Reason, nowMs: number, actions: AdmissionAction[]): void {
     const msPerCall = this._msPerCall(lane, nowMs)
-    const waitMs = this._waiting[lane].length * msPerCall
+    const waitMs = this._waiting.sizeOf(lane) * msPerCall
     actions.push({ type: 'refuse', call, reason, retryAfterMs: this._retryAfter.next(waitMs, msPerCall, nowMs) })
   }
 
-  private _wakeForEarliest (actions: AdmissionAction[]): void {
-    let atMs = Infinity
-    for (const lane of ['short', 'download'] as const) {
-      for (const waiting of this._waiting[lane]) {
-        atMs = Math.min(atMs, waiting.refuseAtMs)
-      }
-    }
-    this._wakeAt(atMs, actions)
-  }
-
   /** Asks for a tick unless one is due by then. */
   private _wakeAt (atMs: number, actions: AdmissionAction[]): void {
     if (atMs < this._wakeAtMs) {
@@ -332,8 +277,4 @@
       actions.push({ type: 'drained' })
     }
   }
-
-  private _queued (): number {
-    return this._waiting.short.length + this._waiting.download.length
-  }
 }
--- /dev/null
+++ b/src/parts/admission/RunningCalls.ts
@@ -0,0 +1,67 @@
+import type { CallId } from '../Types.js'
+import type { Lane } from './Types.js'
+
+/** A call that holds a slot. */
+export interface RunningCall {
+  readonly lane: Lane
+  readonly startedAtMs: number
+}
+
+/** Calls that hold a slot of the upstream, with what admission needs to know of them at hand. */
+export class RunningCalls {
+  private readonly _calls = new Map<CallId, RunningCall>()
+  private _downloads = 0
+  private _shortStartSumMs = 0
+
+  /** Slots held. */
+  public get size (): number {
+    return this._calls.size
+  }
+
+  /** Slots held by downloads. */
+  public get downloads (): number {
+    return this._downloads
+  }
+
+  /** @param call Number of the call. */
+  public get (call: CallId): RunningCall | undefined {
+    return this._calls.get(call)
+  }
+
+  /**
+   * @param call Number of the call.
+   * @param lane Its lane.
+   * @param nowMs Monotonic time.
+   */
+  public add (call: CallId, lane: Lane, nowMs: number): void {
+    this._calls.set(call, { lane, startedAtMs: nowMs })
+    if (lane === 'download') {
+      this._downloads++
+    } else {
+      this._shortStartSumMs += nowMs
+    }
+  }
+
+  /** @param call Number of a call that has ended. */
+  public remove (call: CallId): void {
+    const running = this._calls.get(call)
+    if (running === undefined) {
+      return
+    }
+    this._calls.delete(call)
+    if (running.lane === 'download') {
+      this._downloads--
+    } else {
+      this._shortStartSumMs -= running.startedAtMs
+    }
+  }
+
+  /**
+   * Returns how long the short calls have run on average, 0 when there are none.
+   * @param nowMs Monotonic time.
+   */
+  public meanShortAgeMs (nowMs: number): number {
+    const count = this._calls.size - this._downloads
+    return count === 0 ? 0 : nowMs - this._shortStartSumMs / count
+  }
+}
--- a/src/parts/admission/Types.ts
+++ b/src/parts/admission/Types.ts
@@ -47,3 +47,6 @@
   readonly minRetryAfterMs: number
   readonly maxRetryAfterMs: number
 }
+
+/** Calls that share a queue: short work (lookups and guarded calls), and downloads. */
+export type Lane = 'short' | 'download'
