Check that no slot stays free beside waiting lookups

The property now compares the evidence with the host's own count after each step, and holds that no short call waits beside a free slot. Both new checks have a fault that they catch; the fault of a slot that isn't freed is now caught by the evidence, earlier than by the end of the drain.

--- a/src/parts/admission/AdmissionController.test.ts
+++ b/src/parts/admission/AdmissionController.test.ts
@@ -4,9 +4,9 @@
 import type { CallId, CallKind, Part, Random } from '../Types.js'
 import { AdmissionController } from './AdmissionController.js'
 import { ADMISSION_DEFAULTS } from './Constants.js'
-import type { AdmissionAction, AdmissionEvent, AdmissionOptions, RunOutcome } from './Types.js'
+import type { AdmissionAction, AdmissionEvent, AdmissionOptions, AdmissionView, RunOutcome } from './Types.js'
 
-type Controller = Part<AdmissionEvent, AdmissionAction>
+type Controller = Part<AdmissionEvent, AdmissionAction> & AdmissionView
 
 /** Short enough that many calls of a random run reach it. */
 const QUEUE_DELAY_MS = 20
@@ -143,6 +143,10 @@
     const overdue = [...this.calls.values()].some(call => call.state === 'waiting' && call.deadlineAtMs < this._nowMs)
     expect(overdue && event.type === 'tick', 'given up in time').toBe(false)
     expect(this._draining && this._count('waiting') > 0, 'nothing waits in a drain').toBe(false)
+    const { inFlight, queued, limit } = this._part.evidence()
+    expect({ inFlight, queued }, 'evidence').toEqual({ inFlight: this._count('running'), queued: this._count('waiting') })
+    const idle = limit > inFlight && this._count('waiting') > this._count('waiting', 'download')
+    expect(idle, 'no free slot beside waiting lookups').toBe(false)
     expect(this._count('waiting'), 'queue bounded').toBeLessThanOrEqual(ADMISSION_DEFAULTS.maxQueued)
   }
 
@@ -181,7 +185,7 @@
 
 /** Changes events on their way in, as a controller without the mechanism would see them. */
 function faultyEvents (change: (event: AdmissionEvent) => AdmissionEvent): Fault {
-  return inner => ({ step: (event, nowMs) => inner.step(change(event), nowMs) })
+  return inner => ({ step: (event, nowMs) => inner.step(change(event), nowMs), evidence: () => inner.evidence() })
 }
 
 function holds (fault: Fault, options: Partial<AdmissionOptions> = {}): void {
@@ -218,16 +222,28 @@
   },
   'slot not freed': {
     fault: faultyEvents(event => event.type === 'finish' && event.outcome === 'lost' ? { type: 'tick' } : event),
-    broken: 'drained told'
+    broken: 'evidence'
   },
   'refused after start': {
     fault: inner => ({
       step: (event, nowMs) => event.type === 'cancel'
         ? [{ type: 'refuse', call: event.call, reason: 'cancelled', retryAfterMs: 0 }]
-        : inner.step(event, nowMs)
+        : inner.step(event, nowMs),
+      evidence: () => inner.evidence()
     }),
     broken: 'refused calls were not run'
   },
+  'start not told': {
+    fault: inner => ({
+      step: (event, nowMs) => inner.step(event, nowMs).filter(({ type }) => type !== 'start' || event.type !== 'finish'),
+      evidence: () => inner.evidence()
+    }),
+    broken: 'evidence'
+  },
+  'freed slot not used': {
+    fault: inner => Object.assign(inner, { _startWaiting: () => {} }),
+    broken: 'no free slot beside waiting lookups'
+  },
   'queue not bounded by delay': {
     fault: inner => inner,
     options: { queueDelayServiceTimes: 1000, maxQueueDelayMs: 10_000 },
