--- a/src/control/GroupHost.ts
+++ b/src/control/GroupHost.ts
@@ -1,3 +1,4 @@
+import { DEFAULT_LIMITS } from '../parts/agreement/Constants.js'
 import { Replica, type ReplicaView } from '../parts/agreement/Replica.js'
 import type {
   AgreementAction, AgreementEvent, AgreementMessage, RecoveredState, ReplicaTiming
@@ -30,7 +31,7 @@
   readonly random: Random
   readonly timing: Partial<ReplicaTiming>
   readonly tickMs: number
-  /** Bytes of log after which a snapshot is taken, or the size of the last snapshot if that is more. */
+  /** Bytes of log after which a snapshot is taken, or twice the size of the last snapshot if that is more. */
   readonly snapshotAfterBytes: number
   /** Sends to another replica; may drop. */
   readonly send: (to: ReplicaId, message: AgreementMessage) => void
@@ -45,6 +46,9 @@
   readonly written: Uint8Array[]
 }
 
+/** Log after which a snapshot is taken however large the last one was: the replica refuses proposals at twice this. */
+const MAX_SEGMENT_BYTES = DEFAULT_LIMITS.maxLogBytes / 2
+
 /** Wait after a snapshot that the disk had no room for. */
 const SNAPSHOT_RETRY_MS = 10_000
 
@@ -259,7 +263,8 @@
 
   private _beginSnapshot (): void {
     const { log, machine, clock, snapshotAfterBytes } = this._options
-    const grown = log.segmentBytes >= Math.max(snapshotAfterBytes, 2 * this._snapshotBytes)
+    const due = Math.max(snapshotAfterBytes, 2 * this._snapshotBytes)
+    const grown = log.segmentBytes >= Math.min(due, MAX_SEGMENT_BYTES)
     if (!grown || this._diskFull || clock.nowMs() < this._snapshotAfterMs) return
     const index = this._replica.view.commitIndex
     if (!this._attempt(() => log.beginSnapshot(index))) return this._giveUpSnapshot()
