--- a/bench/BenchReport.ts
+++ b/bench/BenchReport.ts
@@ -1,8 +1,8 @@
 import { mkdirSync, writeFileSync } from 'node:fs'
-import { describeRun } from './support/ResultFile.js'
+import { describeRun } from './Provenance.js'
 
 /** Read when the bench starts, since commits may be made while it runs. */
-const STARTED_FROM = describeRun('')
+const STARTED_FROM = describeRun()
 
 /** Middle and ends of several repetitions. */
 export interface Spread {
--- a/bench/capacity.ts
+++ b/bench/capacity.ts
@@ -24,10 +24,11 @@
 }
 
 function sourceTable (results: Results): string {
-  const rows = Object.entries(results).map(([name, { command, commit, cores, date }]) => {
-    return [`${name}.json`, `\`${command}\``, commit, String(cores), date.slice(0, 10)]
+  const rows = Object.entries(results).map(([name, { command, commit, changed, cores, date, loadAverage }]) => {
+    const state = changed ? `${commit} with changes` : commit
+    return [`${name}.json`, `\`${command}\``, state, String(cores), String(loadAverage), date.slice(0, 10)]
   })
-  return tableOf(['result', 'command', 'commit', 'cores', 'date'], rows)
+  return tableOf(['result', 'command', 'commit', 'cores', 'load average', 'date'], rows)
 }
 
 const results = readResults(join('bench', 'results'))
