Look the per-call listeners up once

Cause: a profile of the ingress node under 400 calls/s showed handleCallEnd asking the container for three objects on every call (18 ms of 13.5 s sampled).

--- a/src/node/NodeDaemon.ts
+++ b/src/node/NodeDaemon.ts
@@ -204,7 +204,7 @@
       else container.get(ConfigurationHost).takePeerFrame(from, frame)
     })
     side.onQuarantine(action => { if (action.type === 'report') mesh.spread(action.report) })
-    container.get(IngressServer).onEnd(end => this.handleCallEnd(end))
+    this.reportCallEnds()
     services.names.forEach(name => services.refresh(name))
   }
 
@@ -239,15 +239,20 @@
     }
   }
 
-  private handleCallEnd (end: CallEnd): void {
-    this.container.get(MeasuringHost).countCall()
+  // Looked up once: this runs for every call.
+  private reportCallEnds (): void {
+    const measuring = this.container.get(MeasuringHost)
     const metrics = this.container.get<Metrics<NodeMetric>>(Metrics)
-    metrics.send('callsEnded', 1)
-    metrics.send('callDuration', end.durationMs)
-    if (end.attempts > 0) metrics.send('callAttempts', end.attempts)
-    if (end.disposition === undefined) return
-    metrics.send(DISPOSITION_METRICS[end.disposition], 1)
-    this.log.info({ ...end, version: this.container.get(ServiceTable).version }, 'call answered by the system')
+    const services = this.container.get(ServiceTable)
+    this.container.get(IngressServer).onEnd(end => {
+      measuring.countCall()
+      metrics.send('callsEnded', 1)
+      metrics.send('callDuration', end.durationMs)
+      if (end.attempts > 0) metrics.send('callAttempts', end.attempts)
+      if (end.disposition === undefined) return
+      metrics.send(DISPOSITION_METRICS[end.disposition], 1)
+      this.log.info({ ...end, version: services.version }, 'call answered by the system')
+    })
   }
 
   private sendLevels (metrics: Metrics<NodeMetric>): void {
