Let callers repeat idempotent calls whose outcome is unknown

The call was idempotent, so its caller may send it again within its own deadline; a guarded request still waits to be asked. The lookup half of the new test was not seen to fail without the change; it would count one attempt.

--- a/src/load/Caller.ts
+++ b/src/load/Caller.ts
@@ -24,7 +24,7 @@
   error: (call, asked) => asked && call.stream.kind !== 'guarded',
   failed: () => true,
   'not-run': () => true,
-  unknown: (_, asked) => asked,
+  unknown: (call, asked) => asked || call.stream.kind !== 'guarded',
   quarantined: () => false
 }
 
--- a/src/load/LoadRun.test.ts
+++ b/src/load/LoadRun.test.ts
@@ -85,6 +85,14 @@
   expect(lookups.all.attempts).toBe(2 * lookups.all.sent)
 })
 
+test('an unknown outcome is repeated for a lookup, and for a guarded request only when the answer asks', async () => {
+  const target = await serve((_request, response) => response.writeHead(504, { 'sassafras-disposition': 'unknown' }).end())
+  const guarded = await new LoadRun(planOf(target, {}), 'guarded').run()
+  expect(guarded.all.attempts).toBe(guarded.all.sent)
+  const lookups = await new LoadRun(planOf(target, { kind: 'lookup' }), 'lookup').run()
+  expect(lookups.all.attempts).toBe(2 * lookups.all.sent)
+})
+
 test('a warm-up is sent and not counted as latency', async () => {
   const target = await serve((request, response) => response.end(echo(request, request.headers['x-request-id'] as string)))
   const plan = { ...planOf(target, {}), warmupMs: 50 }
