Return the outcome of a difference as a Result

The module ts-results/result.js loads without the missing dependency, so the union that stood in for it can go.

--- a/src/parts/configuration/ConfigurationDifference.ts
+++ b/src/parts/configuration/ConfigurationDifference.ts
@@ -1,12 +1,13 @@
+import results, { type Result } from 'ts-results/result.js'
 import { canonicalText, digestOf } from './ConfigurationDigest.js'
 import { MAX_DIFFERING_PATHS } from './Constants.js'
 import type { Configuration, ConfigurationDifference, ServiceRule, VersionedConfiguration } from './Types.js'
 
-/** Outcome of applying a difference; the faults ask for a whole copy. */
-export type DifferenceOutcome =
-  | { readonly type: 'applied', readonly copy: VersionedConfiguration }
-  | { readonly type: 'otherBase' }
-  | { readonly type: 'digestMismatch' }
+// The package's main file needs a module on which it does not depend, and is CommonJS.
+const { Err, Ok } = results
+
+/** Why a difference can't be applied; both ask for a whole copy. */
+export type DifferenceFault = 'other-base' | 'digest-mismatch'
 
 /**
  * Makes the difference that leads from one committed configuration to a later one.
@@ -39,16 +40,16 @@
 export function applyDifference (
   base: VersionedConfiguration,
   difference: ConfigurationDifference
-): DifferenceOutcome {
+): Result<VersionedConfiguration, DifferenceFault> {
   if (base.version !== difference.from) {
-    return { type: 'otherBase' }
+    return Err('other-base')
   }
   const configuration = merge(base.configuration, difference)
   if (digestOf(configuration) !== difference.digest) {
-    return { type: 'digestMismatch' }
+    return Err('digest-mismatch')
   }
   const { version, term, operation } = difference
-  return { type: 'applied', copy: { version, term, operation, configuration } }
+  return Ok({ version, term, operation, configuration })
 }
 
 /**
--- a/src/parts/configuration/ConfigurationFollower.ts
+++ b/src/parts/configuration/ConfigurationFollower.ts
@@ -119,12 +119,12 @@
       this.noteOlder(difference.version)
       return this.afterNews(event, difference.version, nowMs)
     }
-    const outcome = base === undefined ? undefined : applyDifference(base, difference)
-    if (outcome?.type !== 'applied') {
+    const result = base === undefined ? undefined : applyDifference(base, difference)
+    if (result?.ok !== true) {
       this.mismatched += 1
       return this.ask(event.from, difference.version, nowMs)
     }
-    return [...this.adopt(outcome.copy), ...this.afterNews(event, difference.version, nowMs)]
+    return [...this.adopt(result.val), ...this.afterNews(event, difference.version, nowMs)]
   }
 
   private afterNews (
