Time lookups only, so that long downloads do not look slow or silent

Cause: found on reading: a download of seconds counted as a lookup that ran too long, so its instance was avoided and then ejected as silent. Change: choose takes the kind of the call; only lookups are timed, a download may take for ever, other calls twenty times what was expected; an answer ends silence at once; a node that allows no calls (limit 0) is passed over until it says otherwise. Seen to fail without: the test for downloads states that the same call as a lookup has its instance ejected.

--- a/src/parts/choice/CandidateLoad.ts
+++ b/src/parts/choice/CandidateLoad.ts
@@ -15,6 +15,8 @@
 interface Outstanding {
   readonly startMs: number
   readonly expectedMs: number
+  /** Whether its latency tells of the instance's speed. */
+  readonly timed: boolean
 }
 
 /**
@@ -64,10 +66,13 @@
    * @param call Call that is sent.
    * @param nowMs Monotonic time in milliseconds.
    * @param expectedMs Latency expected for it.
+   * @param timed Whether its latency tells of the instance's speed.
    */
-  public sent (call: CallId, nowMs: number, expectedMs: number): void {
-    this.outstanding.set(call, { startMs: nowMs, expectedMs })
-    this.vitals.slowness.started(nowMs, expectedMs)
+  public sent (call: CallId, nowMs: number, expectedMs: number, timed: boolean): void {
+    this.outstanding.set(call, { startMs: nowMs, expectedMs, timed })
+    if (timed) {
+      this.vitals.slowness.started(nowMs, expectedMs)
+    }
   }
 
   /**
@@ -78,6 +83,8 @@
     const record = this.outstanding.get(call)
     if (record !== undefined) {
       this.outstanding.delete(call)
+    }
+    if (record?.timed === true) {
       this.vitals.slowness.ended(record.startMs, record.expectedMs)
     }
     return record
@@ -88,8 +95,13 @@
    * @param nowMs Monotonic time in milliseconds.
    */
   public observe (evidence: LoadEvidence, nowMs: number): void {
+    if (evidence.limit <= 0) {
+      // It drains or has no upstream; its members entry follows.
+      this.refused(nowMs)
+      return
+    }
     this.othersLoad = Math.max(0, evidence.inFlight + evidence.queued - this.arrived(nowMs))
-    this.slots = Math.max(1, evidence.limit)
+    this.slots = evidence.limit
     if (evidence.serviceMs > 0) {
       this.serviceMs = evidence.serviceMs
     }
--- a/src/parts/choice/Types.ts
+++ b/src/parts/choice/Types.ts
@@ -1,4 +1,4 @@
-import type { CallId, InstanceId, LoadEvidence, Place, Reason } from '../Types.js'
+import type { CallId, CallKind, InstanceId, LoadEvidence, Place, Reason } from '../Types.js'
 
 /** State in which a node announces its upstream. */
 export type CandidateState = 'starting' | 'serving' | 'draining'
@@ -19,7 +19,13 @@
 export type ChoiceEvent =
   /** All members now. A new one counts as linked until `linkDown`, so the host repeats that for dead links. */
   | { readonly type: 'members', readonly candidates: readonly Candidate[] }
-  | { readonly type: 'choose', readonly call: CallId, readonly excluded: readonly InstanceId[] }
+  /** `kind` is lookup when left out; only lookups are held against the usual latency. */
+  | {
+    readonly type: 'choose',
+    readonly call: CallId,
+    readonly excluded: readonly InstanceId[],
+    readonly kind?: CallKind
+  }
   | {
     readonly type: 'answered',
     readonly call: CallId,
--- a/src/parts/choice/UpstreamChooser.test.ts
+++ b/src/parts/choice/UpstreamChooser.test.ts
@@ -1,5 +1,6 @@
 import fc from 'fast-check'
 import { expect, test } from 'vitest'
+import type { OutlierDetector } from '../detection/OutlierDetector.js'
 import { SeededRandom } from '../SeededRandom.js'
 import type { InstanceId, LoadEvidence, Part } from '../Types.js'
 import { SUBSET_SIZE } from './Constants.js'
@@ -204,3 +205,25 @@
   // An instance that leaves is replaced by one other, in the subsets that held it.
   expect(moved).toBe(users.get(nameOf(0)))
 })
+
+test('a long download does not turn lookups away from its instance', () => {
+  const health = (kind: 'download' | 'lookup'): string => {
+    const chooser = new UpstreamChooser(PLACE, new SeededRandom(3))
+    chooser.step({ type: 'members', candidates: [candidateOf(0, 'serving'), candidateOf(2, 'serving')] }, 0)
+    chooser.step({ type: 'choose', call: 1, excluded: [nameOf(2)], kind }, 0)
+    chooser.step({ type: 'tick' }, 60_000)
+    return (Reflect.get(chooser, 'detector') as OutlierDetector).health(nameOf(0), 60_000)
+  }
+  expect(health('download')).toBe('healthy')
+  // Without the kind, the same call would have it ejected.
+  expect(health('lookup')).toBe('silent')
+})
+
+test('an instance whose node allows no calls is passed over at once', () => {
+  const chooser = new UpstreamChooser(PLACE, new SeededRandom(3))
+  chooser.step({ type: 'members', candidates: [candidateOf(0, 'serving'), candidateOf(2, 'serving')] }, 0)
+  const closed = { inFlight: 2, queued: 0, limit: 0, serviceMs: 5 }
+  chooser.step({ type: 'evidence', instance: nameOf(0), evidence: closed }, 0)
+  const actions = chooser.step({ type: 'choose', call: 1, excluded: [] }, 1)
+  expect(actions).toEqual([{ type: 'chosen', call: 1, instance: nameOf(2) }])
+})
--- a/src/parts/choice/UpstreamChooser.ts
+++ b/src/parts/choice/UpstreamChooser.ts
@@ -1,19 +1,25 @@
-import type { InstanceId, Part, Place, Random } from '../Types.js'
+import type { CallKind, InstanceId, Part, Place, Random } from '../Types.js'
 import { OutlierDetector, isEjected } from '../detection/OutlierDetector.js'
 import type { DetectionAction, DetectionEvent } from '../detection/Types.js'
 import { CandidateLoad } from './CandidateLoad.js'
 import {
-  DEFAULT_INGRESS_NODES, DEFAULT_SERVICE_MS, FAILURE_COST_SERVICE_TIMES, JITTER, MIN_EXPECTED_MS,
-  NONE_AVAILABLE_RETRY_MS, OTHER_REGION_RTT_MS, OWN_CALL_COST, PROBE_AFTER_MS, REFUSAL_COST, REFUSAL_QUEUE_PER_SLOT,
-  SAME_REGION_RTT_MS, SAME_ZONE_RTT_MS, SERVICE_TIME_WEIGHT, SUBSET_ELSEWHERE_SHARE, SUBSET_SIZE, USUAL_RATIO,
-  WEIGHED_PER_CALL
+  DEFAULT_INGRESS_NODES, JITTER, NONE_AVAILABLE_RETRY_MS, OTHER_REGION_RTT_MS, PROBE_AFTER_MS, SAME_REGION_RTT_MS,
+  SAME_ZONE_RTT_MS, SUBSET_ELSEWHERE_SHARE, SUBSET_SIZE, WEIGHED_PER_CALL
 } from './Constants.js'
+import { LatencyModel } from './LatencyModel.js'
 import { SubsetSelector } from './SubsetSelector.js'
-import type { AttemptOutcome, Candidate, ChoiceAction, ChoiceEvent } from './Types.js'
+import type { Candidate, ChoiceAction, ChoiceEvent } from './Types.js'
 
 type EventOf<T extends ChoiceEvent['type']> = Extract<ChoiceEvent, { type: T }>
 type Handlers = { readonly [T in ChoiceEvent['type']]: (event: EventOf<T>, nowMs: number) => ChoiceAction[] }
 
+/** How long the first answer may take, for each kind of call; a download's answer comes at its end. */
+const EXPECTED_MS: Readonly<Record<CallKind, (lookupMs: number) => number>> = {
+  lookup: lookupMs => lookupMs,
+  guarded: lookupMs => lookupMs,
+  download: () => Number.POSITIVE_INFINITY
+}
+
 const GOLDEN_RATIO = (Math.sqrt(5) - 1) / 2
 
 /** Options of an upstream chooser. Durations in milliseconds. */
@@ -61,10 +67,7 @@
 
   private readonly byInstance = new Map<InstanceId, CandidateLoad>()
   private subset: CandidateLoad[] = []
-  private serviceMs = DEFAULT_SERVICE_MS
-  private serviceTimes = 0
-  private callsInFlight = 0
-  private othersPerSlotSum = 0
+  private readonly model = new LatencyModel()
 
   /**
    * @param place Place of this ingress node.
@@ -102,14 +105,13 @@
     const chosen = this.selector.select(usable)
     this.detector.step({ type: 'members', instances: chosen.map(candidate => candidate.instance) }, 0)
     const kept = new Set(chosen.map(candidate => candidate.instance))
-    for (const [instance, load] of this.byInstance) {
+    for (const instance of this.byInstance.keys()) {
       if (!kept.has(instance)) {
-        this.callsInFlight -= load.inFlight()
         this.byInstance.delete(instance)
       }
     }
     this.subset = chosen.map(candidate => this.record(candidate))
-    this.othersPerSlotSum = this.subset.reduce((sum, load) => sum + load.othersPerSlot(), 0)
+    this.model.setSubset(this.subset)
     return []
   }
 
@@ -124,7 +126,7 @@
       throw new Error(`detector does not know ${candidate.instance}`)
     }
     const created = new CandidateLoad(candidate, this.rttMs(candidate.place), vitals)
-    created.serviceMs = this.serviceMs
+    created.serviceMs = this.model.serviceMs
     this.byInstance.set(candidate.instance, created)
     return created
   }
@@ -146,10 +148,11 @@
         retryAfterMs: NONE_AVAILABLE_RETRY_MS
       }]
     }
-    const expectedMs = this.expectedMs(target, nowMs)
-    this.callsInFlight += 1
-    target.sent(event.call, nowMs, expectedMs)
-    this.detector.step({ type: 'started', instance: target.instance }, nowMs)
+    const expectedMs = this.model.expectedMs(target, nowMs)
+    this.model.sent()
+    const kind = event.kind ?? 'lookup'
+    target.sent(event.call, nowMs, expectedMs, kind === 'lookup')
+    this.detector.step({ type: 'started', instance: target.instance, expectedMs: EXPECTED_MS[kind](expectedMs) }, nowMs)
     return [{ type: 'chosen', call: event.call, instance: target.instance }]
   }
 
@@ -181,7 +184,7 @@
       if (!anyHealth && !this.isWelcome(candidate)) {
         continue
       }
-      const cost = this.cost(candidate, nowMs) * (1 + JITTER * spread)
+      const cost = this.model.cost(candidate, nowMs) * (1 + JITTER * spread)
       if (cost < lowest) {
         lowest = cost
         best = candidate
@@ -200,84 +203,47 @@
     return candidate.withinRamp()
   }
 
-  private cost (candidate: CandidateLoad, nowMs: number): number {
-    const expected = this.expectedMs(candidate, nowMs)
-    const slow = Math.max(1, candidate.vitals.slowness.ratio(nowMs) - USUAL_RATIO + 1)
-    const failing = candidate.vitals.failureShare * FAILURE_COST_SERVICE_TIMES * this.serviceMs
-    const own = OWN_CALL_COST * this.serviceMs * candidate.inFlight() / (1 + this.meanInFlight())
-    return expected * slow + own + failing
-  }
-
-  /** Round trip, wait and service at the load that is known of. */
-  private expectedMs (candidate: CandidateLoad, nowMs: number): number {
-    const wait = candidate.waitingAhead(this.meanOthersPerSlot(), nowMs) / candidate.slots
-    const refusal = REFUSAL_COST * Math.max(0, wait - REFUSAL_QUEUE_PER_SLOT)
-    const service = candidate.serviceNow(this.serviceMs, nowMs)
-    return Math.max(MIN_EXPECTED_MS, candidate.rttMs + service * (1 + wait + refusal))
-  }
-
-  private meanInFlight (): number {
-    return this.callsInFlight / Math.max(1, this.subset.length)
-  }
-
-  private meanOthersPerSlot (): number {
-    return Math.max(0, this.othersPerSlotSum) / Math.max(1, this.subset.length)
-  }
-
   private answered (event: EventOf<'answered'>, nowMs: number): ChoiceAction[] {
     const candidate = this.byInstance.get(event.instance)
     if (candidate === undefined) {
       return []
     }
     const sent = candidate.ended(event.call)
-    this.callsInFlight -= sent === undefined ? 0 : 1
+    if (sent !== undefined) {
+      this.model.ended()
+    }
     if (event.evidence !== undefined) {
-      this.learn(candidate, event.evidence, nowMs)
+      this.model.learn(candidate, event.evidence, nowMs)
     } else if (event.outcome === 'refused') {
-      this.changeLoad(candidate, () => candidate.refused(nowMs))
+      this.model.refused(candidate, nowMs)
     }
     if (event.outcome === 'ok' && sent !== undefined) {
       candidate.goodAnswers += 1
+    }
+    if (event.outcome === 'ok' && sent?.timed === true) {
       // What the newest service time explains is not held against the instance twice.
       const expectedMs = Math.max(sent.expectedMs, candidate.rttMs + candidate.serviceMs)
       candidate.vitals.slowness.answered(nowMs, event.latencyMs / expectedMs)
-      candidate.vitals.slowness.noteSpeed(nowMs, event.latencyMs, candidate.rttMs + this.serviceMs)
+      candidate.vitals.slowness.noteSpeed(nowMs, event.latencyMs, candidate.rttMs + this.model.serviceMs)
     }
     if (sent === undefined) {
       return []
     }
-    return this.report(event.instance, event.outcome, event.latencyMs, nowMs)
-  }
-
-  private learn (candidate: CandidateLoad, evidence: EventOf<'evidence'>['evidence'], nowMs: number): void {
-    this.changeLoad(candidate, () => candidate.observe(evidence, nowMs))
-    this.serviceTimes += 1
-    const weight = Math.max(SERVICE_TIME_WEIGHT, 1 / this.serviceTimes)
-    this.serviceMs += weight * (candidate.serviceMs - this.serviceMs)
-  }
-
-  private changeLoad (candidate: CandidateLoad, change: () => void): void {
-    this.othersPerSlotSum -= candidate.othersPerSlot()
-    change()
-    this.othersPerSlotSum += candidate.othersPerSlot()
-  }
-
-  private report (
-    instance: InstanceId, outcome: AttemptOutcome, latencyMs: number, nowMs: number
-  ): ChoiceAction[] {
+    const { instance, outcome, latencyMs } = event
     return this.detect({ type: 'outcome', instance, outcome, latencyMs }, nowMs)
   }
 
   private evidence (event: EventOf<'evidence'>, nowMs: number): ChoiceAction[] {
     const candidate = this.byInstance.get(event.instance)
     if (candidate !== undefined) {
-      this.learn(candidate, event.evidence, nowMs)
+      this.model.learn(candidate, event.evidence, nowMs)
     }
     return []
   }
 
   private detect (event: DetectionEvent, nowMs: number): ChoiceAction[] {
-    return this.detector.step(event, nowMs).flatMap(action => fromDetection(action))
+    const actions = this.detector.step(event, nowMs)
+    return actions.length === 0 ? [] : actions.flatMap(action => fromDetection(action))
   }
 
   private tick (nowMs: number): ChoiceAction[] {
--- a/src/parts/detection/Constants.ts
+++ b/src/parts/detection/Constants.ts
@@ -15,9 +15,12 @@
 /** Attempts seen before the failure share counts. */
 export const FAILURE_SHARE_MIN_ATTEMPTS = 6
 
-/** Silence with calls outstanding after which an instance counts as silent. */
+/** Shortest silence with calls outstanding after which an instance counts as silent. */
 export const SILENT_MS = 400
 
+/** Silence after which an instance counts as silent, in expected latencies of the longest call outstanding. */
+export const SILENT_EXPECTED_TIMES = 20
+
 /** First time that an instance stays ejected; doubles with each ejection that follows a failed trial. */
 export const EJECT_MS = 500
 
--- a/src/parts/detection/OutlierDetector.test.ts
+++ b/src/parts/detection/OutlierDetector.test.ts
@@ -116,3 +116,16 @@
   expect(detector.step({ type: 'outcome', instance: 'dies/0', outcome: 'ok', latencyMs: 1 }, nowMs))
     .toEqual([{ type: 'restored', instance: 'dies/0' }])
 })
+
+test('a call that may take long does not make its instance silent, and an answer ends silence', () => {
+  const detector = new OutlierDetector()
+  detector.step({ type: 'members', instances: names(4) }, 0)
+  detector.step({ type: 'started', instance: 'dies/0', expectedMs: Infinity }, 0)
+  detector.step({ type: 'started', instance: 'dies/1', expectedMs: 1000 }, 0)
+  detector.step({ type: 'started', instance: 'dies/2', expectedMs: 5 }, 0)
+  detector.step({ type: 'tick' }, 10_000)
+  expect(names(4).map(name => detector.health(name, 10_000))).toEqual(['healthy', 'healthy', 'silent', 'healthy'])
+  expect(detector.step({ type: 'outcome', instance: 'dies/2', outcome: 'ok', latencyMs: 10_001 }, 10_001))
+    .toEqual([{ type: 'restored', instance: 'dies/2' }])
+  expect(detector.ejected()).toBe(0)
+})
--- a/src/parts/detection/OutlierDetector.ts
+++ b/src/parts/detection/OutlierDetector.ts
@@ -2,7 +2,8 @@
 import type { AttemptOutcome } from '../choice/Types.js'
 import {
   EJECT_FORGET_MS, EJECT_MAX_MS, EJECT_MAX_SHARE, EJECT_MS, FAILURE_SHARE, FAILURE_SHARE_ABOVE_SERVICE,
-  FAILURE_SHARE_MIN_ATTEMPTS, FAILURE_WEIGHT, FAILURES_IN_A_ROW, SILENT_MS, SLOW_RATIO, TRIAL_SUCCESSES
+  FAILURE_SHARE_MIN_ATTEMPTS, FAILURE_WEIGHT, FAILURES_IN_A_ROW, SILENT_EXPECTED_TIMES, SILENT_MS, SLOW_RATIO,
+  TRIAL_SUCCESSES
 } from './Constants.js'
 import { SlownessEstimate } from './SlownessEstimate.js'
 import type { DetectionAction, DetectionEvent, Health } from './Types.js'
@@ -19,6 +20,8 @@
   outstanding: number
   /** Since when calls are outstanding without any answer. */
   waitingSinceMs: number
+  /** Silence that is still usual, for the calls outstanding. */
+  silentAfterMs: number
   attempts: number
   failureShare: number
   failuresInARow: number
@@ -123,8 +126,10 @@
     }
     if (vitals.outstanding === 0) {
       vitals.waitingSinceMs = nowMs
+      vitals.silentAfterMs = SILENT_MS
     }
     vitals.outstanding += 1
+    vitals.silentAfterMs = Math.max(vitals.silentAfterMs, SILENT_EXPECTED_TIMES * (event.expectedMs ?? 0))
     return []
   }
 
@@ -150,8 +155,12 @@
     if (vitals.health === 'healthy') {
       return []
     }
+    if (vitals.health === 'silent') {
+      this.ejectedCount -= 1
+      return this.restore(vitals, nowMs)
+    }
     if (isEjected(vitals)) {
-      // An answer to a call that was sent before the ejection proves nothing about now.
+      // An answer to a call that was sent before the ejection does not undo the failures after it.
       return []
     }
     vitals.trialSuccesses += 1
@@ -209,7 +218,7 @@
     if (isEjected(vitals)) {
       return nowMs >= vitals.ejectedUntilMs ? this.startTrial(vitals, nowMs) : []
     }
-    if (vitals.outstanding > 0 && nowMs - vitals.waitingSinceMs > SILENT_MS) {
+    if (vitals.outstanding > 0 && nowMs - vitals.waitingSinceMs > vitals.silentAfterMs) {
       return this.eject(vitals, 'silent', nowMs)
     }
     if (vitals.ejections > 0 && nowMs - vitals.lastFailureMs > EJECT_FORGET_MS) {
@@ -264,6 +273,7 @@
     linkUp: true,
     outstanding: 0,
     waitingSinceMs: 0,
+    silentAfterMs: SILENT_MS,
     attempts: 0,
     failureShare: 0,
     failuresInARow: 0,
--- a/src/parts/detection/Types.ts
+++ b/src/parts/detection/Types.ts
@@ -13,8 +13,11 @@
     readonly outcome: AttemptOutcome,
     readonly latencyMs: number
   }
-  /** An attempt was sent; its outcome follows. Tells a silent instance from an idle one. */
-  | { readonly type: 'started', readonly instance: InstanceId }
+  /**
+   * An attempt was sent; its outcome follows, after `expectedMs` as a rule. Tells a silent instance from an idle one.
+   * An attempt that may take for ever has an infinite `expectedMs`.
+   */
+  | { readonly type: 'started', readonly instance: InstanceId, readonly expectedMs?: number }
   | { readonly type: 'linkDown', readonly instance: InstanceId }
   | { readonly type: 'linkUp', readonly instance: InstanceId }
   | { readonly type: 'tick' }
