--- a/bench/fuzz.ts
+++ b/bench/fuzz.ts
@@ -2,7 +2,7 @@
 import { Cli, Command, Option } from 'clipanion'
 import fc from 'fast-check'
 import { GroupRun } from './fuzz/GroupRun.js'
-import { groupSchedules, type GroupSchedule } from './fuzz/GroupSchedule.js'
+import { fineSchedules, groupSchedules, type GroupSchedule } from './fuzz/GroupSchedule.js'
 
 const DEFAULT_SECONDS = '30'
 const MAX_RUNS = 1_000_000_000
@@ -29,7 +29,7 @@
 
   private _search (): number {
     const seed = this.seed === undefined ? Date.now() % SEED_RANGE : Number(this.seed)
-    const property = fc.property(groupSchedules, schedule => new GroupRun(schedule).run())
+    const property = fc.property(fc.oneof(groupSchedules, fineSchedules), schedule => new GroupRun(schedule).run())
     const details = fc.check(property, {
       seed, numRuns: MAX_RUNS, interruptAfterTimeLimit: Number(this.seconds) * 1000, markInterruptAsFailure: false
     })
--- a/bench/state.ts
+++ b/bench/state.ts
@@ -1,16 +1,15 @@
-import { execFileSync } from 'node:child_process'
-import { mkdirSync, mkdtempSync, rmSync, writeFileSync } from 'node:fs'
-import { availableParallelism, tmpdir } from 'node:os'
+import { mkdtempSync, rmSync } from 'node:fs'
+import { tmpdir } from 'node:os'
 import { join } from 'node:path'
+import { writeReport } from './BenchReport.js'
 import { measureCatchUp } from './state/CatchUp.js'
 import { measureCommits } from './state/Commits.js'
+import { measureInForce } from './state/InForce.js'
 import { measureLeaderLoss } from './state/LeaderLoss.js'
 import { measureLog } from './state/LogWrites.js'
 import { measureRestart } from './state/Restart.js'
 import { measureSnapshots } from './state/Snapshots.js'
 
-const RESULT_FILE = 'bench/results/state.json'
-
 /** The measurements by name; each gets a folder of its own on the disk that is measured. */
 const MEASUREMENTS: Readonly<Record<string, (folder: string) => unknown>> = {
   logWrites: measureLog,
@@ -18,7 +17,8 @@
   commits: measureCommits,
   leaderLoss: measureLeaderLoss,
   catchUp: measureCatchUp,
-  restart: measureRestart
+  restart: measureRestart,
+  inForce: measureInForce
 }
 
 const chosen = process.argv.slice(2)
@@ -30,14 +30,4 @@
   console.log(JSON.stringify({ [name]: results[name] }))
 }
 rmSync(folder, { recursive: true, force: true })
-const commit = execFileSync('git', ['rev-parse', '--short', 'HEAD'], { encoding: 'utf8' }).trim()
-mkdirSync('bench/results', { recursive: true })
-writeFileSync(RESULT_FILE, JSON.stringify({
-  commit,
-  cores: availableParallelism(),
-  node: process.version,
-  date: new Date().toISOString(),
-  command: ['npm run bench:state', ...chosen].join(' '),
-  seeds: [1],
-  ...results
-}, undefined, 2) + '\n')
+writeReport('state', { arguments: chosen, seeds: [1], ...results })
--- a/src/demo/Demo.ts
+++ b/src/demo/Demo.ts
@@ -1,9 +1,10 @@
 import { join } from 'node:path'
 import { setTimeout as delay } from 'node:timers/promises'
 import { LoadRun } from '../load/LoadRun.js'
-import { loadPlan } from '../load/LoadPlan.js'
-import type { LoadPlan } from '../load/LoadPlan.js'
 import type { LoadSummary } from '../load/LoadSummary.js'
+import { buildDemoLoad } from './DemoLoad.js'
+import { FaultRunner } from './FaultRunner.js'
+import type { FaultSummary } from './FaultRunner.js'
 import { LocalMesh } from './LocalMesh.js'
 import type { StartedMesh } from './LocalMesh.js'
 import type { ProcessEnd } from './ProcessGroup.js'
@@ -22,24 +23,21 @@
 
 const LOAD_MS = 10_000
 const STOP_AT_MS = 4000
-const DOWNLOAD_BYTES = 2_000_000
-const DOWNLOAD_BYTES_PER_S = 1_000_000
 
 /** Runs a small mesh and drives calls through it. */
 export class Demo {
   private readonly mesh: LocalMesh
+  private readonly plan: DemoPlan
   private readonly folder: string
-  private readonly configurationFile: string
 
   /**
-   * @param plan Services and instances.
+   * @param plan Services, instances and calls.
    * @param folder Empty folder for settings, logs, journals and data.
-   * @param configurationFile Inventory and rules to hand over.
    */
-  public constructor (plan: DemoPlan, folder: string, configurationFile: string) {
+  public constructor (plan: DemoPlan, folder: string) {
     this.mesh = new LocalMesh(plan, folder)
+    this.plan = plan
     this.folder = folder
-    this.configurationFile = configurationFile
   }
 
   /**
@@ -48,9 +46,9 @@
    */
   public async run (tell: (line: string) => void): Promise<DemoSummary> {
     try {
-      const { layout, ...started } = await this.mesh.start(this.configurationFile, tell)
+      const { layout, ...started } = await this.mesh.start(this.plan.configurationFile, tell)
       tell(`sending calls for ${LOAD_MS / 1000} s`)
-      const run = new LoadRun(planOf(layout), `demo-${process.pid}`)
+      const run = new LoadRun(buildDemoLoad(this.plan, layout, LOAD_MS), `demo-${process.pid}`)
       const [load, stopped] = await Promise.all([run.run(), this.stopOne(layout, tell)])
       const ends = await this.mesh.group.stopAll()
       tell('stopped all processes')
@@ -60,6 +58,21 @@
     }
   }
 
+  /**
+   * Brings faults about one after the other while calls run.
+   * @param tell Called with a line on each step.
+   */
+  public async runFaults (tell: (line: string) => void): Promise<FaultSummary[]> {
+    try {
+      const { layout } = await this.mesh.start(this.plan.configurationFile, tell)
+      const summaries = await new FaultRunner(this.plan, layout, this.mesh).run(tell)
+      await this.mesh.group.stopAll()
+      return summaries
+    } finally {
+      this.mesh.dispose()
+    }
+  }
+
   /**
    * Starts the mesh and leaves it running, for trying commands by hand.
    * @param tell Called with a line on each step.
@@ -67,7 +80,7 @@
    */
   public async stay (tell: (line: string) => void, ended: Promise<void>): Promise<void> {
     try {
-      const { layout } = await this.mesh.start(this.configurationFile, tell)
+      const { layout } = await this.mesh.start(this.plan.configurationFile, tell)
       for (const { id, caller } of layout.pairs) tell(`${id} takes calls at http://${caller}`)
       tell(`try: sassafrasctl get --settings ${join(this.folder, 'sassafrasctl.toml')}`)
       await ended
@@ -87,26 +100,6 @@
   }
 }
 
-function planOf (layout: DemoLayout): LoadPlan {
-  return loadPlan.parse({
-    targets: layout.pairs.map(pair => pair.caller),
-    journals: layout.pairs.map(pair => pair.journal),
-    durationMs: LOAD_MS,
-    streams: [
-      { kind: 'lookup', service: 'catalogue', rate: 100 },
-      { kind: 'guarded', service: 'custody', rate: 20, repeatShare: 0.2, deadlineMs: 5000 },
-      {
-        kind: 'download',
-        service: 'vault',
-        rate: 1,
-        bytes: DOWNLOAD_BYTES,
-        bytesPerSecond: DOWNLOAD_BYTES_PER_S,
-        deadlineMs: 15_000
-      }
-    ]
-  })
-}
-
 function isWhole ({ all, streams, unsent, audit }: LoadSummary): boolean {
   if (streams.some(stream => stream.sent === 0)) return false
   const faults = audit === undefined ? Number.NaN : audit.lost + audit.doubled + audit.falseNotRun
--- a/src/demo/SettingsWriter.ts
+++ b/src/demo/SettingsWriter.ts
@@ -2,22 +2,22 @@
 import { join } from 'node:path'
 import { stringify } from 'smol-toml'
 import { findFreeAddresses } from './FreePorts.js'
-import type { DemoLayout, DemoPlan, PairLayout, ReplicaLayout } from './Types.js'
+import type { DemoLayout, MeshPlan, PairLayout, ReplicaLayout } from './Types.js'
 
 const REPLICAS = 3
 const ADDRESSES_PER_PAIR = 5
 const LOG_LEVEL = 'info'
 
-/** Lays a demonstration out on free loopback ports and writes the settings of its processes. */
+/** Lays a mesh out on free loopback ports and writes the settings of its processes. */
 export class SettingsWriter {
-  private readonly plan: DemoPlan
+  private readonly plan: MeshPlan
   private readonly folder: string
 
   /**
-   * @param plan What the demonstration is made of.
+   * @param plan What the mesh is made of.
    * @param folder Empty folder that takes all files.
    */
-  public constructor (plan: DemoPlan, folder: string) {
+  public constructor (plan: MeshPlan, folder: string) {
     this.plan = plan
     this.folder = folder
   }
@@ -84,7 +84,10 @@
   }
 
   private upstreamSettings (pair: PairLayout): object {
-    const { slots, connections, serviceTimeMs } = this.plan
+    const { slots, connections, services, serviceTimeMs } = this.plan
+    const names = Object.keys(services)
+    // Each service calls the next one, so that a chain may go as deep as a test asks.
+    const next = names[(names.indexOf(pair.service) + 1) % names.length] as string
     return {
       service: pair.service,
       instance: pair.id,
@@ -93,6 +96,7 @@
       slots,
       connections,
       journal: pair.journal,
+      chain: { next },
       serviceTime: serviceTimeMs > 0 ? { kind: 'exponential', meanMs: serviceTimeMs } : { kind: 'constant', ms: 0 },
       log: { level: LOG_LEVEL }
     }
--- a/src/load/LoadRun.test.ts
+++ b/src/load/LoadRun.test.ts
@@ -12,7 +12,7 @@
 import type { CallEnd, CallResult, PlannedCall } from './Types.js'
 import type { JournalLine } from '../standin/Types.js'
 
-type Answer = (request: IncomingMessage, response: ServerResponse) => void
+type Answer = (request: IncomingMessage, response: ServerResponse) => unknown
 
 async function serve (answer: Answer): Promise<string> {
   const server = createServer(answer)
@@ -76,6 +76,26 @@
   expect(keys).toHaveLength(2 * all.sent)
 })
 
+test('an error of the upstream that asks for a repeat is repeated, but never for a guarded request', async () => {
+  const target = await serve((_request, response) => response.writeHead(503, { 'retry-after': '0' }).end())
+  const guarded = await new LoadRun(planOf(target, {}), 'guarded').run()
+  expect(guarded.all.attempts).toBe(guarded.all.sent)
+  const lookups = await new LoadRun(planOf(target, { kind: 'lookup' }), 'lookup').run()
+  expect(lookups.all.ends.error).toBe(lookups.all.sent)
+  expect(lookups.all.attempts).toBe(2 * lookups.all.sent)
+})
+
+test('a warm-up is sent and not counted as latency', async () => {
+  const target = await serve((request, response) => response.end(echo(request, request.headers['x-request-id'] as string)))
+  const plan = { ...planOf(target, {}), warmupMs: 50 }
+  const { all } = await new LoadRun(plan, 'warm').run()
+  const schedule = new Schedule(plan, 'warm')
+  const counted: number[] = []
+  while (schedule.nextDueMs !== undefined) counted.push(schedule.take().dueMs)
+  expect(all.ends.ok).toBe(counted.length)
+  expect(all.latency.count).toBe(counted.filter(dueMs => dueMs >= 50).length)
+})
+
 test('dispositions and reasons are counted', async () => {
   const target = await serve((_request, response) => {
     response.writeHead(503, { 'sassafras-disposition': 'unknown', 'sassafras-reason': 'peer-lost' }).end('{}')
@@ -85,6 +105,23 @@
   expect(all.reasons).toEqual({ 'unknown: peer-lost': all.sent })
 })
 
+test('changes of a plan reach the stand-ins, and one that fails is told', async () => {
+  const bodies: string[] = []
+  const target = await serve((request, response) => {
+    if (request.url !== '/behaviour') return response.end(echo(request, request.headers['x-request-id'] as string))
+    request.on('data', (chunk: Buffer) => { bodies.push(chunk.toString()) })
+    request.on('end', () => { response.end('{"slowFactor":10}') })
+  })
+  const changes = [
+    { atMs: 5, upstream: target, behaviour: { slowFactor: 10 } },
+    { atMs: 5, upstream: '127.0.0.1:1', behaviour: { shedShare: 1 } }
+  ]
+  const summary = await new LoadRun({ ...planOf(target, {}), changes }, 'changes').run()
+  expect(bodies).toEqual(['{"slowFactor":10}'])
+  expect(summary.changes[0]).toEqual({ atMs: 5, upstream: target, answer: '{"slowFactor":10}' })
+  expect(summary.changes[1]?.answer).toContain('ECONNREFUSED')
+})
+
 test('the audit tells lost, doubled and falsely refused runs apart', () => {
   const results = [
     resultOf('good', 'ok'),
--- a/src/load/LoadRun.ts
+++ b/src/load/LoadRun.ts
@@ -1,5 +1,7 @@
-import { setTimeout as delay } from 'node:timers/promises'
+import { setImmediate as turn, setTimeout as delay } from 'node:timers/promises'
 import { Caller } from './Caller.js'
+import { ChangeSchedule } from './ChangeSchedule.js'
+import type { ChangeResult } from './ChangeSchedule.js'
 import { JournalAudit } from './JournalAudit.js'
 import { LatencyRecorder } from './LatencyRecorder.js'
 import type { LoadPlan } from './LoadPlan.js'
@@ -9,6 +11,8 @@
 import type { CallResult, PlannedCall } from './Types.js'
 
 const LONGEST_SLEEP_MS = 50
+/** Timers fire up to this much late. */
+const TIMER_STEP_MS = 2
 
 /** One load run. Results of all calls are kept until its end; the plan bounds their number. */
 export class LoadRun {
@@ -33,6 +37,7 @@
   /** Sends all calls when they are due, waits for their ends and sums up. */
   public async run (): Promise<LoadSummary> {
     this.startedAtMs = performance.now()
+    const changes = new ChangeSchedule(this.plan.changes).run()
     for (let dueMs = this.schedule.nextDueMs; dueMs !== undefined; dueMs = this.schedule.nextDueMs) {
       await this.sleepUntil(dueMs)
       this.waiting.push(this.schedule.take())
@@ -40,22 +45,24 @@
     }
     while (this.open.size > 0) await Promise.race(this.open)
     this.caller.dispose()
-    return this.summary()
+    return this.summary(await changes)
   }
 
   /** Latencies of all calls that were answered, for a plot. */
   public latencies (): LatencyRecorder {
     const recorder = new LatencyRecorder(this.plan.durationMs)
     for (const { call, end, latencyMs } of this.results) {
-      if (end === 'ok') recorder.record(call.dueMs, latencyMs)
+      if (end === 'ok' && call.dueMs >= this.plan.warmupMs) recorder.record(call.dueMs, latencyMs)
     }
     return recorder
   }
 
   private async sleepUntil (dueMs: number): Promise<void> {
+    const spinMs = this.plan.precise ? TIMER_STEP_MS : 0
     let leftMs = this.startedAtMs + dueMs - performance.now()
     while (leftMs > 0) {
-      await delay(Math.min(leftMs, LONGEST_SLEEP_MS))
+      if (leftMs <= spinMs) await turn()
+      else await delay(Math.min(leftMs - spinMs, LONGEST_SLEEP_MS))
       leftMs = this.startedAtMs + dueMs - performance.now()
     }
   }
@@ -78,20 +85,23 @@
     this.results.push(...await Promise.all(copies))
   }
 
-  private summary (): LoadSummary {
+  private summary (changes: readonly ChangeResult[]): LoadSummary {
     const { plan, results } = this
     const late = new LatencyRecorder(plan.durationMs)
-    for (const { call, lateMs } of results) late.record(call.dueMs, lateMs)
+    for (const { call, lateMs } of results) {
+      if (call.dueMs >= plan.warmupMs) late.record(call.dueMs, lateMs)
+    }
     return {
       seed: plan.seed,
       durationMs: plan.durationMs,
-      all: summarize(results, plan.durationMs),
+      all: summarize(results, plan),
       streams: plan.streams.map(stream => {
         const own = results.filter(result => result.call.stream === stream)
-        return { service: stream.service, kind: stream.kind, ...summarize(own, plan.durationMs) }
+        return { service: stream.service, kind: stream.kind, ...summarize(own, plan) }
       }),
       lateMs: late.summary(),
       unsent: this.waiting.length,
+      changes,
       audit: plan.journals.length === 0 ? undefined : JournalAudit.ofFiles(plan.journals).count(results)
     }
   }
