Size the retry budget's bucket by recent calls, so that many quiet nodes make no storm

Cause: at the design size one service is called by very many nodes, each a little. Every node had a bucket of 10 and earned 0.2 a second for nothing; at 1.4 calls a second each, over a failing minute, that made 1.34 attempts for each first call, past the 1.2 allowed, though no single node passed its budget. Change: the bucket holds what the first attempts of the last seconds earned, at least 2 and at most 10, and the floor is 0.05 a second.

--- a/src/parts/retry/Constants.ts
+++ b/src/parts/retry/Constants.ts
@@ -3,7 +3,7 @@
 /** Defaults of the retry policy. */
 export const RETRY_DEFAULTS: RetryOptions = {
   retryShare: 0.08,
-  floorPerSecond: 0.2,
+  floorPerSecond: 0.05,
   burst: 10,
   maxAttempts: 3,
   hedging: true,
@@ -13,6 +13,15 @@
   maxCalls: 65_536
 }
 
+/** Share of the budget that hedges and retries after overload leave for calls that fail. */
+export const SHARE_FOR_FAILURES = 0.5
+
+/** Tokens that the budget of a quiet service holds at most. */
+export const MIN_BURST = 2
+
+/** Time after which half of the first attempts no longer count towards the size of the budget's bucket. */
+export const BURST_HALF_LIFE_MS = 7000
+
 /** Step of the quantile estimate, relative to the estimate. */
 export const QUANTILE_STEP = 0.05
 
--- a/src/parts/retry/RetryBudget.ts
+++ b/src/parts/retry/RetryBudget.ts
@@ -1,6 +1,9 @@
+import { BURST_HALF_LIFE_MS, MIN_BURST } from './Constants.js'
+
 /**
  * Token bucket for retries and hedges of one service. Over every window, what is taken is at most
- * `burst + share * first attempts + floorPerSecond * seconds`.
+ * `burst + share * first attempts + floorPerSecond * seconds`. The bucket of a quiet service is smaller: it holds what
+ * the first attempts of the last seconds earned, so that many quiet nodes don't make a storm together.
  */
 export class RetryBudget {
   private readonly _share: number
@@ -8,17 +11,18 @@
   private readonly _burst: number
   private _tokens: number
   private _filledAtMs: number | undefined
+  private _recentAttempts = 0
 
   /**
    * @param share Tokens earned by each first attempt.
    * @param floorPerSecond Tokens earned in each second without any attempt.
-   * @param burst Tokens held at most, and at the start.
+   * @param burst Tokens held at most.
    */
   public constructor (share: number, floorPerSecond: number, burst: number) {
     this._share = share
     this._floorPerMs = floorPerSecond / 1000
     this._burst = burst
-    this._tokens = burst
+    this._tokens = this._room()
   }
 
   /** Tokens held after the last event. */
@@ -32,17 +36,18 @@
    */
   public earn (nowMs: number): void {
     this._fill(nowMs)
-    this._tokens = Math.min(this._burst, this._tokens + this._share)
+    this._recentAttempts++
+    this._tokens = Math.min(this._room(), this._tokens + this._share)
   }
 
   /**
    * Takes one token and returns true, or returns false and takes none.
    * @param nowMs Monotonic time.
-   * @param keep Tokens that must remain afterwards.
+   * @param keepShare Share of the bucket that must remain afterwards, 0 to 1.
    */
-  public take (nowMs: number, keep: number): boolean {
+  public take (nowMs: number, keepShare: number): boolean {
     this._fill(nowMs)
-    if (this._tokens < 1 + keep) {
+    if (this._tokens < 1 + keepShare * this._room()) {
       return false
     }
     this._tokens--
@@ -52,6 +57,12 @@
   private _fill (nowMs: number): void {
     const elapsedMs = nowMs - (this._filledAtMs ?? nowMs)
     this._filledAtMs = nowMs
-    this._tokens = Math.min(this._burst, this._tokens + elapsedMs * this._floorPerMs)
+    this._recentAttempts *= 0.5 ** (elapsedMs / BURST_HALF_LIFE_MS)
+    this._tokens = Math.min(this._room(), this._tokens + elapsedMs * this._floorPerMs)
+  }
+
+  /** Tokens that the bucket holds at most now. */
+  private _room (): number {
+    return Math.min(this._burst, Math.max(MIN_BURST, this._share * this._recentAttempts))
   }
 }
--- a/src/parts/retry/RetryPolicy.ts
+++ b/src/parts/retry/RetryPolicy.ts
@@ -1,5 +1,5 @@
 import type { CallId, Part, Reason } from '../Types.js'
-import { RETRY_DEFAULTS } from './Constants.js'
+import { RETRY_DEFAULTS, SHARE_FOR_FAILURES } from './Constants.js'
 import { HedgeGate } from './HedgeGate.js'
 import { LatencyQuantile } from './LatencyQuantile.js'
 import { RetryBudget } from './RetryBudget.js'
@@ -187,9 +187,9 @@
     if (!this._mayRetry(event, tracked) || tracked.deadlineAtMs - nowMs < this._median.estimateMs) {
       return event.reason
     }
-    const keep = REMEDIES[event.reason] === 'overload' ? this._options.burst / 2 : 0
-    if (!this._budget.take(nowMs, keep)) {
-      return keep > 0 ? event.reason : 'retry-budget'
+    const keepShare = REMEDIES[event.reason] === 'overload' ? SHARE_FOR_FAILURES : 0
+    if (!this._budget.take(nowMs, keepShare)) {
+      return keepShare > 0 ? event.reason : 'retry-budget'
     }
     return undefined
   }
@@ -233,8 +233,7 @@
     if (!single || nowMs + this._median.estimateMs > tracked.deadlineAtMs || !this._hedgeGate.opens()) {
       return
     }
-    // Half of the budget stays for calls that fail.
-    if (!this._budget.take(nowMs, this._options.burst / 2)) {
+    if (!this._budget.take(nowMs, SHARE_FOR_FAILURES)) {
       return
     }
     tracked.attempts++
