--- a/bench/BenchReport.ts
+++ b/bench/BenchReport.ts
@@ -1,8 +1,15 @@
+import { execFileSync } from 'node:child_process'
 import { mkdirSync, writeFileSync } from 'node:fs'
-import { describeRun } from './support/ResultFile.js'
+import { availableParallelism } from 'node:os'
 
 /** Read when the bench starts, since commits may be made while it runs. */
-const STARTED_FROM = describeRun('')
+const STARTED_FROM = {
+  commit: git(['rev-parse', '--short', 'HEAD']),
+  changed: git(['status', '--porcelain', '--', 'src', 'bench/*.ts', 'bench/**/*.ts']) !== '',
+  cores: availableParallelism(),
+  node: process.version,
+  date: new Date().toISOString()
+}
 
 /** Middle and ends of several repetitions. */
 export interface Spread {
@@ -47,3 +54,11 @@
 function rounded (value: number): number {
   return Number(value.toPrecision(4))
 }
+
+function git (args: string[]): string {
+  try {
+    return execFileSync('git', args, { encoding: 'utf8' }).trim()
+  } catch {
+    return 'unknown'
+  }
+}
