--- a/bench/state/ControlGroup.ts
+++ b/bench/state/ControlGroup.ts
@@ -33,6 +33,10 @@
 const POLL_MS = 5
 const REQUEST_TIMEOUT_MS = 3000
 
+/** A bench or test that fails must not leave processes behind. */
+const STARTED = new Set<ChildProcess>()
+process.once('exit', () => STARTED.forEach(child => child.kill('SIGKILL')))
+
 /** A control group of real processes on loopback, for benches and tests. */
 export class ControlGroup {
   private constructor (private readonly _members: readonly Member[]) {}
@@ -98,6 +102,7 @@
       const log = openSync(`${member.settings}.log`, 'a')
       const program = PROGRAM.includes('/dist/') ? PROGRAM : BUILT_PROGRAM
       member.process = spawn(process.execPath, [program, '--settings', member.settings], { stdio: ['ignore', log, log] })
+      STARTED.add(member.process)
     }
   }
 
