Form the group also when entries came before the notice

The entries are kept: the notice names the founding members at index 0, under which the leader was elected.

--- a/src/parts/agreement/GroupFormation.test.ts
+++ b/src/parts/agreement/GroupFormation.test.ts
@@ -1,6 +1,9 @@
 import fc from 'fast-check'
 import { expect, test } from 'vitest'
+import { SeededRandom } from '../SeededRandom.js'
 import { type FormationNotice, GroupFormation, makeReplicaId, nameOf } from './GroupFormation.js'
+import { Replica } from './Replica.js'
+import type { LogEntry } from './Types.js'
 
 const SEED = 5
 const NAMES = ['c1', 'c2', 'c3']
@@ -100,3 +103,20 @@
 test('found: old notices taken for agreement', () => {
   expect(fc.check(oneGroup(Credulous), { seed: SEED, numRuns: 6000, endOnFailure: true }).failed).toBe(true)
 })
+
+test('a replica that took entries before the notice joins the group', () => {
+  const empty = { index: 0, term: 0, members: [], data: new Uint8Array(0) }
+  const recovered = { hard: { term: 0, votedFor: undefined }, snapshot: empty, entries: [] }
+  const replica = new Replica({ id: 'c', random: new SeededRandom(1), recovered })
+  const append = (prevIndex: number, commit: number, entries: readonly LogEntry[]) => ({
+    type: 'append', term: 1, prevIndex, prevTerm: prevIndex === 0 ? 0 : 1, entries, commit, round: 1, sentAtMs: 1
+  }) as const
+  const first = { index: 1, term: 1, kind: 'empty', data: new Uint8Array(0) } as const
+  const heard = replica.step({ type: 'message', from: 'a', message: append(0, 0, [first]) }, 1)
+  const persist = heard.find(action => action.type === 'persist')
+  if (persist?.type === 'persist') replica.step({ type: 'persisted', sequence: persist.sequence }, 2)
+  replica.step({ type: 'form', members: ['a', 'b', 'c'] }, 3)
+  expect(replica.view).toMatchObject({ role: 'follower', members: ['a', 'b', 'c'] })
+  const later = replica.step({ type: 'message', from: 'a', message: append(1, 1, []) }, 4)
+  expect(later.some(action => action.type === 'commit' && action.entry.index === 1)).toBe(true)
+})
--- a/src/parts/agreement/Replica.ts
+++ b/src/parts/agreement/Replica.ts
@@ -196,7 +196,8 @@
 
   private _form (members: readonly ReplicaId[]): void {
     const { log, term } = this._state
-    if (this._damaged || log.members.length > 0 || log.lastIndex > 0) return
+    // Entries may have come before the notice, from a leader that the others elected; they are kept.
+    if (this._damaged || log.members.length > 0) return
     this._state.restore({ index: 0, term: 0, members, data: new Uint8Array(0) })
     this._state.follow(term, undefined)
   }
