--- a/src/control/ControlSettings.ts
+++ b/src/control/ControlSettings.ts
@@ -1,5 +1,6 @@
 /** Settings of `sassafras-control`, read from one TOML file. */
 import { z } from 'zod'
+import { HORIZON_MS, MAX_RECORDS } from '../parts/records/Constants.js'
 import { address, byteCount, durationMs, log, metrics, name, place } from '../platform/SettingsSchemas.js'
 
 /** Values for what the file leaves out. */
@@ -13,9 +14,9 @@
     leaseMs: 250
   },
   records: {
-    capacity: 100_000,
+    capacity: MAX_RECORDS,
     /** How long a finished record is kept. */
-    horizonMs: 86_400_000,
+    horizonMs: HORIZON_MS,
     /** Longest answer that is kept whole. */
     maxAnswerBytes: 65_536
   },
--- a/src/control/FellowReplicas.ts
+++ b/src/control/FellowReplicas.ts
@@ -1,3 +1,4 @@
+import { nameOf } from '../parts/agreement/GroupFormation.js'
 import type { ReplicaId } from '../parts/Types.js'
 import type { Disposable } from '../platform/Types.js'
 import { IN_FORCE_INTERVAL_MS } from './Constants.js'
@@ -29,6 +30,7 @@
     private readonly _sessions: NodeSessions
   ) {
     _replica.links.onFrame(frame => this._take(frame))
+    _replica.links.onOpen(name => this._tellAll(name))
     this._timer = setInterval(() => {
       _replica.links.broadcast({ type: 'inForce', inForce: _sessions.attached() })
     }, IN_FORCE_INTERVAL_MS)
@@ -57,6 +59,12 @@
     clearInterval(this._timer)
   }
 
+  private _tellAll (name: string): void {
+    for (const [id, peer] of this._peers) {
+      if (nameOf(id) === name) this._membership.attach(peer)
+    }
+  }
+
   private _take ({ from, frame }: ReplicaFrame): void {
     if (frame.type === 'inForce') this._sessions.merge(frame.inForce)
     const peer = this._peers.get(from)
--- a/src/control/ReplicaLinks.ts
+++ b/src/control/ReplicaLinks.ts
@@ -44,11 +44,15 @@
 export class ReplicaLinks implements Disposable {
   private readonly _links = new Map<string, Link>()
   private readonly _frames = new Emitter<ReplicaFrame>()
+  private readonly _opens = new Emitter<string>()
   private readonly _timer: NodeJS.Timeout
 
   /** Fires with each frame of another replica. */
   public readonly onFrame = this._frames.event
 
+  /** Fires with the name of a replica when this one has connected to it: what was sent before was lost. */
+  public readonly onOpen = this._opens.event
+
   /**
    * @param _hello First frame of this replica on each connection.
    * @param _clock Clock of this process.
@@ -145,6 +149,7 @@
       channel.onDrain(() => { link.congested = false })
       channel.onMessage(() => { link.unheardSinceMs = undefined })
       channel.send(this._hello)
+      this._opens.fire(address.name)
     })
     client.start()
     return link
--- a/src/node/Types.ts
+++ b/src/node/Types.ts
@@ -40,6 +40,8 @@
   readonly disposition: Disposition
   readonly reason: Reason
   readonly retryAfterMs: number
+  /** Status of the first answer to a repeated guarded request, when its body was not kept. */
+  readonly firstStatus?: number
 }
 
 /** Where the answer to a call goes. After `onRefused`, `onAnswer`, `onEnd` or `onAbort` nothing more comes. */
--- a/src/node/control/ControlLinks.ts
+++ b/src/node/control/ControlLinks.ts
@@ -57,7 +57,8 @@
       recordReply: frame => this.settle(frame.id, frame.reply),
       notLeader: frame => this.redirect(frame.id, frame.leader),
       confirm: (frame, from) => this.takeFromHome(frame, from),
-      copy: (frame, from) => this.takeFromHome(frame, from)
+      copy: (frame, from) => this.takeFromHome(frame, from),
+      difference: (frame, from) => this.takeFromHome(frame, from)
     }
   }
 
--- a/src/node/control/MembershipHost.ts
+++ b/src/node/control/MembershipHost.ts
@@ -101,9 +101,17 @@
   private greetHome (): void {
     this.step({ type: 'lost', from: HOME })
     this.step({ type: 'interest', from: HOME, services: [ALL_SERVICES] })
+    this.renew()
     this.tellInterest()
   }
 
+  // A new home may hold the silence that another saw: only a later sequence ends that for certain.
+  private renew (): void {
+    if (this.announced === undefined) return
+    this.announced = { ...this.announced, sequence: ++this.sequence }
+    this.step({ type: 'announce', member: this.announced })
+  }
+
   private tellInterest (): void {
     const known = new Set(this.interest)
     const digests = this.table.digests().filter(digest => known.has(digest.service))
--- a/src/node/ingress/IngressCall.ts
+++ b/src/node/ingress/IngressCall.ts
@@ -32,6 +32,9 @@
 /** Answers that say that another instance may do better. */
 const RETRYABLE_STATUS: ReadonlySet<number> = new Set([502, 503, 504])
 
+/** Upstreams that may be lost under one call; a request that crashes them must not reach a whole service. */
+const MAX_LOSSES = 2
+
 /** One caller's request, from the first attempt to the last byte of its answer. It is answered exactly once. */
 export class IngressCall implements AttemptListener, RetryListener {
   private readonly id: CallId
@@ -44,6 +47,7 @@
   private heldAnswer: HeldAnswer | undefined
   private lastRefusal: Refusal | undefined
   private unknown = false
+  private losses = 0
   private ended = false
   private owedBytes = 0
   private timer: NodeJS.Timeout | undefined
@@ -141,6 +145,10 @@
       this.answerRefusal(refusal)
       return
     }
+    if (refusal.disposition === 'unknown' && ++this.losses >= MAX_LOSSES) {
+      this.answerRefusal(refusal)
+      return
+    }
     if (refusal.reason === 'draining') this.lane.avoid(attempt.instance)
     this.lastRefusal = refusal
     this.excluded.push(attempt.instance)
@@ -216,7 +224,7 @@
 
   private giveUp (reason: Reason, retryAfterMs: number): void {
     if (this.heldAnswer !== undefined) this.sendAnswer(this.heldAnswer.head, this.heldAnswer.body)
-    else this.answerRefusal({ disposition: this.unknown ? 'unknown' : 'not-run', reason, retryAfterMs })
+    else this.answerRefusal({ ...this.lastRefusal, disposition: this.unknown ? 'unknown' : 'not-run', reason, retryAfterMs })
   }
 
   private sendAnswer ({ status, headers }: AnswerHead, body: Uint8Array): void {
--- a/src/node/ingress/SystemAnswer.ts
+++ b/src/node/ingress/SystemAnswer.ts
@@ -51,7 +51,8 @@
     'content-length': Buffer.byteLength(text),
     'sassafras-disposition': disposition,
     'sassafras-reason': reason,
-    ...(retryAfterMs > 0 ? buildRetryHeaders(retryAfterMs) : {})
+    ...(retryAfterMs > 0 ? buildRetryHeaders(retryAfterMs) : {}),
+    ...(refusal.firstStatus === undefined ? {} : { 'sassafras-first-status': String(refusal.firstStatus) })
   })
   response.end(text)
 }
--- a/src/node/upstreamside/UpstreamRun.ts
+++ b/src/node/upstreamside/UpstreamRun.ts
@@ -20,6 +20,8 @@
   /** Undefined once the upstream has gone. */
   readonly client: UpstreamClient | undefined
   evidence (): LoadEvidence
+  /** False while the configuration is not confirmed; asked right before a guarded run. */
+  mayRunGuarded (): boolean
   createTimer (onWake: () => void): PartTimer
   /** The request is about to reach the upstream. */
   handleDispatch (run: UpstreamRun): void
@@ -165,6 +167,11 @@
 
   private dispatch (): void {
     const client = this.host.client
+    // The process may have been frozen past its lease between the arrival and now.
+    if (this.permit !== undefined && !this.host.mayRunGuarded()) {
+      this.handleProof('error', 'stale-configuration')
+      return
+    }
     if (client === undefined) {
       this.handleProof('error', 'no-upstream')
       return
@@ -247,10 +254,11 @@
     this.sink.onAnswer(head, answer.body, this.host.evidence())
   }
 
-  private tellRefusal ({ disposition, reason, retryAfterMs }: Refusal): void {
+  private tellRefusal ({ disposition, reason, retryAfterMs, firstStatus }: Refusal): void {
     if (!this.open) return
     this.open = false
-    this.sink.onRefused({ disposition, reason, retryAfterMs }, this.host.evidence())
+    const first = firstStatus === undefined ? {} : { firstStatus }
+    this.sink.onRefused({ disposition, reason, retryAfterMs, ...first }, this.host.evidence())
   }
 }
 
--- a/src/node/upstreamside/UpstreamSide.ts
+++ b/src/node/upstreamside/UpstreamSide.ts
@@ -129,6 +129,10 @@
     return this.parts.admission.evidence()
   }
 
+  public mayRunGuarded (): boolean {
+    return this.parts.mayRunGuarded()
+  }
+
   /** Hears of a crash or verdict from another node. */
   public takeQuarantine (event: QuarantineEvent): void {
     this.stepQuarantine(event)
@@ -204,7 +208,7 @@
     if (this.announcement?.service !== request.service) return refuseNotRun('no-upstream')
     if (this.closing) return refuseNotRun('draining')
     if (this.runs.size >= MAX_HELD_CALLS) return refuseNotRun('overloaded')
-    if (request.kind === 'guarded' && !this.parts.mayRunGuarded()) return refuseNotRun('stale-configuration')
+    if (request.kind === 'guarded' && !this.mayRunGuarded()) return refuseNotRun('stale-configuration')
     return undefined
   }
 
