--- a/bench/parts.ts
+++ b/bench/parts.ts
@@ -1,5 +1,4 @@
 /** Time and memory of one decision of each part, with a newly built part for each repetition. */
-import { loadavg } from 'node:os'
 import { writeReport } from './BenchReport.js'
 import { INGRESS_CASES } from './parts/IngressCases.js'
 import { measure } from './parts/Measure.js'
@@ -33,8 +32,7 @@
   const choiceNs = choice?.nanosecondsPerDecision.median ?? Infinity
   console.log(`choice among ${LIMITED_SIZE}: median ${choiceNs} ns, limit ${DECISION_LIMIT_NS} ns`)
 
-  // Other work on the machine slows all of this, so its load stands beside the figures.
   writeReport('parts', {
-    loadAverage: loadavg(), limitNs: DECISION_LIMIT_NS, met: choiceNs <= DECISION_LIMIT_NS, costs
+    limitNs: DECISION_LIMIT_NS, met: choiceNs <= DECISION_LIMIT_NS, costs
   })
 }
