--- a/src/node/NodeDaemon.ts
+++ b/src/node/NodeDaemon.ts
@@ -195,9 +195,10 @@
     const side = container.get(UpstreamSide)
     container.get(ConfigurationHost).onApply(copy => this.applyConfiguration(copy))
     members.onChange(service => this.handleMembers(service))
-    mesh.onLinkChange(({ node, open }) => this.tellServices(node, instance => {
-      return { type: open ? 'linkUp' : 'linkDown', instance }
-    }))
+    mesh.onLinkChange(({ node, open }) => {
+      this.tellServices(node, instance => ({ type: open ? 'linkUp' : 'linkDown', instance }))
+      if (open) for (const report of side.crashReports()) mesh.sendToPeer(node, { type: 'crashReport', report })
+    })
     mesh.onEvidence(({ node, evidence }) => this.tellServices(node, instance => ({ type: 'evidence', instance, evidence })))
     mesh.onPeerFrame(({ from, frame }) => {
       if (frame.type === 'crashReport') side.takeQuarantine({ type: 'reported', report: frame.report })
--- a/src/node/ingress/IngressCall.ts
+++ b/src/node/ingress/IngressCall.ts
@@ -91,7 +91,9 @@
       call: this.id,
       idempotent: request.kind !== 'guarded',
       deadlineAtMs: request.deadlineAtMs,
-      retriesAbove: request.depth > 0
+      retriesAbove: request.depth > 0,
+      // A second run of a large download would cost more than it gains.
+      hedge: request.kind === 'lookup'
     }, this)
     if (!this.ended) this.attempt(1)
   }
--- a/src/node/upstreamside/UpstreamRun.ts
+++ b/src/node/upstreamside/UpstreamRun.ts
@@ -25,8 +25,15 @@
   createTimer (onWake: () => void): PartTimer
   /** The request is about to reach the upstream. */
   handleDispatch (run: UpstreamRun): void
-  /** The upstream is through with the request, or the run was given up while it waited. */
-  handleFinish (run: UpstreamRun, outcome: RunOutcome, serviceMs: number): void
+  /** True when the request is quarantined by now. */
+  isQuarantined (run: UpstreamRun): boolean
+  /**
+   * The upstream is through with the request, or the run was given up while it waited.
+   * @param ran True only when the upstream ran it to its end.
+   */
+  handleFinish (run: UpstreamRun, outcome: RunOutcome, serviceMs: number, ran: boolean): void
+  /** The request was cancelled at the upstream, which may work on it for a while. */
+  handleCancel (run: UpstreamRun, serviceMs: number): void
   /** The caller went away while the call waited in the queue. */
   handleWithdrawal (run: UpstreamRun): void
   /** Nothing is left to do for the run. */
@@ -107,7 +114,8 @@
     }
     if (this.state !== 'running') return
     this.handle?.cancel()
-    this.finish('cancelled')
+    this.state = 'finished'
+    this.host.handleCancel(this, this.host.clock.nowMs() - this.startedAtMs)
     this.host.handleDone(this)
   }
 
@@ -121,7 +129,7 @@
       this.handleProof('shed', 'shedding')
       return
     }
-    this.finish(head.status >= 500 ? 'error' : 'ok')
+    this.finish(head.status >= 500 ? 'error' : 'ok', true)
     if (this.permit !== undefined) {
       this.stepPermit({ type: 'answered', answer: buildStoredAnswer(head, body, false) })
       return
@@ -142,7 +150,7 @@
 
   public onEnd (): void {
     const head = this.streamedHead as AnswerHead
-    this.finish(head.status >= 500 ? 'error' : 'ok')
+    this.finish(head.status >= 500 ? 'error' : 'ok', true)
     if (this.open) this.sink.onEnd()
     this.open = false
     this.settleStreamed(head)
@@ -176,6 +184,11 @@
       this.handleProof('error', 'no-upstream')
       return
     }
+    // Verdicts may have come while the call waited.
+    if (this.host.isQuarantined(this)) {
+      this.handleProof('error', 'quarantined')
+      return
+    }
     this.state = 'running'
     this.host.handleDispatch(this)
     const leftMs = Math.max(1, this.deadlineAtMs - this.host.clock.nowMs())
@@ -188,14 +201,15 @@
   private handleProof (outcome: RunOutcome, reason: Reason): void {
     this.finish(outcome)
     const retryAfterMs = DEFAULT_RETRY_AFTER_MS
+    const disposition = reason === 'quarantined' ? 'quarantined' : 'not-run'
     if (this.permit !== undefined) this.stepPermit({ type: 'notRun', reason, retryAfterMs })
-    else this.refuse({ disposition: 'not-run', reason, retryAfterMs })
+    else this.refuse({ disposition, reason, retryAfterMs })
   }
 
-  private finish (outcome: RunOutcome): void {
+  private finish (outcome: RunOutcome, ran = false): void {
     if (this.state === 'finished') return
     this.state = 'finished'
-    this.host.handleFinish(this, outcome, this.host.clock.nowMs() - this.startedAtMs)
+    this.host.handleFinish(this, outcome, this.host.clock.nowMs() - this.startedAtMs, ran)
   }
 
   private settleStreamed (head: AnswerHead): void {
@@ -232,7 +246,7 @@
       dispatch: () => this.dispatch(),
       answer: action => {
         // A repeated answer used the slot only to ask control.
-        this.finish('ok')
+        this.finish('cancelled')
         this.tellAnswer(action.answer)
       },
       refuse: action => {
--- a/src/node/upstreamside/UpstreamSide.ts
+++ b/src/node/upstreamside/UpstreamSide.ts
@@ -1,7 +1,7 @@
 import type { AdmissionController } from '../../parts/admission/AdmissionController.js'
 import type { AdmissionAction, AdmissionEvent, RunOutcome } from '../../parts/admission/Types.js'
 import type { QuarantineTable } from '../../parts/quarantine/QuarantineTable.js'
-import type { QuarantineAction, QuarantineEvent } from '../../parts/quarantine/Types.js'
+import type { CrashReport, QuarantineAction, QuarantineEvent } from '../../parts/quarantine/Types.js'
 import type { CallId, Incarnation, LoadEvidence, NodeId } from '../../parts/Types.js'
 import { Emitter } from '../../platform/Emitter.js'
 import { PartTimer } from '../../platform/PartTimer.js'
@@ -17,6 +17,12 @@
 /** Connections and slots are those of the announcement; this is how many more calls may wait here in all. */
 const MAX_HELD_CALLS = 10_000
 
+/** Longest time for which the slot of a cancelled call is held. */
+const MAX_CANCEL_WAIT_MS = 1000
+
+/** Between ticks of the quarantine table, which forgets what is old. */
+const QUARANTINE_TICK_MS = 1000
+
 const NO_HANDLE: CallHandle = { cancel: () => {}, grant: () => {} }
 
 type AdmissionHandlers = { [Type in AdmissionAction['type']]: (action: Extract<AdmissionAction, { type: Type }>) => void }
@@ -48,6 +54,7 @@
   private readonly quarantineEvents = new Emitter<QuarantineAction>()
   private readonly emptied = new Emitter<void>()
   private readonly timer: PartTimer
+  private readonly quarantineTimer: NodeJS.Timeout
   private readonly admissionHandlers: AdmissionHandlers
   private announcement: Announcement | undefined
   private crashCheck: CrashCheck | undefined
@@ -61,6 +68,7 @@
     this.incarnation = parts.incarnation
     this.records = parts.records
     this.timer = new PartTimer(parts.clock, () => this.stepAdmission({ type: 'tick' }))
+    this.quarantineTimer = setInterval(() => this.stepQuarantine({ type: 'tick' }), QUARANTINE_TICK_MS)
     this.admissionHandlers = {
       start: action => this.runs.get(action.call)?.begin(),
       refuse: action => this.runs.get(action.call)?.refuse({
@@ -138,6 +146,11 @@
     this.stepQuarantine(event)
   }
 
+  /** Crash reports in force, for a node that has just connected. */
+  public crashReports (): CrashReport[] {
+    return this.parts.quarantine.reports(this.clock.nowMs())
+  }
+
   /** Takes a call for the local upstream. */
   public start (request: CallRequest, sink: CallSink): CallHandle {
     const refusal = this.findRefusal(request)
@@ -167,12 +180,25 @@
     this.stepQuarantine({ type: 'dispatched', call: run.call, instance: this.instanceOf(service), fingerprint })
   }
 
-  public handleFinish (run: UpstreamRun, outcome: RunOutcome, serviceMs: number): void {
+  public isQuarantined (run: UpstreamRun): boolean {
+    const { call, request } = run
+    const actions = this.stepQuarantine({ type: 'ask', call, fingerprint: request.fingerprint })
+    return actions.some(action => action.type === 'refuse')
+  }
+
+  public handleFinish (run: UpstreamRun, outcome: RunOutcome, serviceMs: number, ran: boolean): void {
     if (outcome === 'lost') this.checkCrash(run)
-    else this.stepQuarantine({ type: 'finished', call: run.call })
+    else this.stepQuarantine({ type: 'finished', call: run.call, ran })
     this.stepAdmission({ type: 'finish', call: run.call, outcome, serviceMs })
   }
 
+  // An upstream that loses its caller needs about a service time to notice; until then its slot is not free.
+  public handleCancel ({ call }: UpstreamRun, serviceMs: number): void {
+    this.stepQuarantine({ type: 'finished', call, ran: false })
+    const waitMs = Math.min(this.evidence().serviceMs, MAX_CANCEL_WAIT_MS)
+    setTimeout(() => this.stepAdmission({ type: 'finish', call, outcome: 'cancelled', serviceMs }), waitMs)
+  }
+
   public handleWithdrawal (run: UpstreamRun): void {
     this.stepAdmission({ type: 'cancel', call: run.call })
   }
@@ -195,6 +221,7 @@
   /** Ends all connections to the upstream at once. */
   public dispose (): void {
     this.timer.dispose()
+    clearInterval(this.quarantineTimer)
     this.client?.dispose()
   }
 
@@ -221,7 +248,7 @@
     const instance = this.instanceOf(run.request.service)
     this.crashCheck?.run(crashed => {
       if (crashed) this.stepQuarantine({ type: 'crashed', instance })
-      this.stepQuarantine({ type: 'finished', call: run.call })
+      this.stepQuarantine({ type: 'finished', call: run.call, ran: false })
     })
   }
 
--- a/src/parts/retry/RetryPolicy.ts
+++ b/src/parts/retry/RetryPolicy.ts
@@ -118,7 +118,7 @@
     const { call, idempotent, deadlineAtMs, retriesAbove } = event
     const tracked = { call, idempotent, deadlineAtMs, retriesAbove, attempts: 1, inFlight: 1, hedge: 0, ended: false }
     this._calls.set(call, tracked)
-    if (this._mayHedge(tracked)) {
+    if (event.hedge !== false && this._mayHedge(tracked)) {
       this._setHedgeTimer(tracked, nowMs, actions)
     }
   }
--- a/src/parts/retry/Types.ts
+++ b/src/parts/retry/Types.ts
@@ -8,7 +8,9 @@
     readonly call: CallId,
     readonly idempotent: boolean,
     readonly deadlineAtMs: number,
-    readonly retriesAbove: boolean
+    readonly retriesAbove: boolean,
+    /** False for work that must not be started twice for the sake of speed; true when left out. */
+    readonly hedge?: boolean
   }
   | {
     readonly type: 'failed',
