--- a/src/node/MeasuringHost.ts
+++ b/src/node/MeasuringHost.ts
@@ -3,13 +3,18 @@
 import type { MeasuringRule } from '../parts/configuration/Types.js'
 import type { Clock } from '../platform/Types.js'
 
-/** Bytes of one message of each kind with its answer, frame headers included. */
-const MESSAGE_BYTES: Readonly<Record<MeasuringKind, number>> = {
-  probe: 160,
-  poll: 400,
-  heartbeat: 80,
-  report: 160,
-  membership: 300
+interface MessageCost {
+  readonly bytes: number
+  readonly messages: number
+}
+
+/** Cost of each kind with its answer, frame headers included. */
+const MESSAGES: Readonly<Record<MeasuringKind, MessageCost>> = {
+  probe: { bytes: 160, messages: 2 },
+  poll: { bytes: 400, messages: 2 },
+  heartbeat: { bytes: 80, messages: 2 },
+  report: { bytes: 160, messages: 1 },
+  membership: { bytes: 300, messages: 1 }
 }
 
 /** The one ledger of this VM's measuring work. */
@@ -21,7 +26,8 @@
   /** Asks for one message; false means that it must not be sent. */
   public maySend (kind: MeasuringKind): boolean {
     const id = ++this.lastId
-    const actions = this.budget.step({ type: 'request', id, kind, bytes: MESSAGE_BYTES[kind] }, this.clock.nowMs())
+    const { bytes, messages } = MESSAGES[kind]
+    const actions = this.budget.step({ type: 'request', id, kind, bytes, messages }, this.clock.nowMs())
     return actions.some(action => action.type === 'granted')
   }
 
--- a/src/node/NodeContainer.ts
+++ b/src/node/NodeContainer.ts
@@ -73,6 +73,7 @@
 function bindControl (container: Container, settings: NodeSettings): void {
   const get = accessors(container)
   const { id: node, place, listen, timing } = settings
+  const mayBeat = (): boolean => container.get(MeasuringHost).maySend('heartbeat')
   const replicas = settings.control.map(replica => replica.address)
   container.bind(ControlLinks).toDynamicValue(() => {
     const version = (): number => container.get(ConfigurationHost).inForce?.version ?? 0
@@ -81,11 +82,11 @@
     return new ControlLinks(replicas, hello, get.clock(), get.random())
   })
   container.bind(ConfigurationHost).toDynamicValue(() => new ConfigurationHost(
-    container.get(ControlLinks), container.get(PeerMesh), get.clock(), get.log(), timing
+    container.get(ControlLinks), container.get(PeerMesh), get.clock(), get.log(), timing, mayBeat
   ))
   container.bind(MembershipHost).toDynamicValue(() => {
     const identity = { node, incarnation: get.incarnation(), place, address: listen.peer }
-    return new MembershipHost(identity, container.get(ControlLinks), get.clock(), get.log())
+    return new MembershipHost(identity, container.get(ControlLinks), get.clock(), get.log(), mayBeat)
   })
 }
 
--- a/src/node/NodeDaemon.ts
+++ b/src/node/NodeDaemon.ts
@@ -220,6 +220,16 @@
   private handleMembers (service: ServiceName): void {
     this.container.get(ServiceTable).refresh(service)
     this.connectPeers()
+    this.tellDeadLinks(service)
+  }
+
+  // The chooser takes a new instance for linked until it hears otherwise.
+  private tellDeadLinks (service: ServiceName): void {
+    const mesh = this.container.get(PeerMesh)
+    for (const { node } of this.container.get(MembershipHost).membersOf(service)) {
+      const instance = `${service}/${node}`
+      if (!mesh.isLinked(instance)) this.container.get(ServiceTable).tell(service, { type: 'linkDown', instance })
+    }
   }
 
   private connectPeers (): void {
--- a/src/node/control/ConfigurationHost.ts
+++ b/src/node/control/ConfigurationHost.ts
@@ -28,14 +28,15 @@
   private readonly timer: NodeJS.Timeout
 
   /**
-   * @param heartbeatMs Between heartbeats to control.
+   * @param mayBeat Asks the measuring budget for one heartbeat.
    */
   public constructor (
     private readonly links: ControlLinks,
     private readonly peers: PeerSender,
     private readonly clock: Clock,
     private readonly log: Log,
-    options: { readonly heartbeatMs: number, readonly leaseMs: number }
+    options: { readonly heartbeatMs: number, readonly leaseMs: number },
+    private readonly mayBeat: () => boolean
   ) {
     this.follower = new ConfigurationFollower({ leaseMs: options.leaseMs })
     this.handlers = {
@@ -90,6 +91,7 @@
 
   private beat (): void {
     this.step({ type: 'tick' })
+    if (!this.mayBeat()) return
     const copy = this.inForce
     this.links.beat(copy?.version ?? 0, copy?.term ?? 0)
     if (copy === undefined) return
--- a/src/node/control/MembershipHost.ts
+++ b/src/node/control/MembershipHost.ts
@@ -39,7 +39,8 @@
     private readonly identity: Identity,
     private readonly links: ControlLinks,
     private readonly clock: Clock,
-    private readonly log: Log
+    private readonly log: Log,
+    private readonly mayBeat: () => boolean
   ) {
     this.table = new MembershipTable({ role: 'node', self: identity.node })
     links.onFrame(frame => this.handleFrame(frame))
@@ -88,7 +89,7 @@
 
   private tick (): void {
     this.step({ type: 'tick' })
-    if (++this.ticks % TICKS_PER_SIGN !== 0 || this.announced === undefined) return
+    if (++this.ticks % TICKS_PER_SIGN !== 0 || this.announced === undefined || !this.mayBeat()) return
     const { incarnation, sequence } = this.announced
     this.links.sendHome({ type: 'alive', incarnation, sequence })
   }
--- a/src/node/ingress/IngressCall.ts
+++ b/src/node/ingress/IngressCall.ts
@@ -166,7 +166,7 @@
 
   private attempt (number: number): void {
     const id = this.context.nextCall()
-    const choice = this.lane.choose(id, this.excluded)
+    const choice = this.lane.choose(id, this.request.kind, this.excluded)
     if (choice.type === 'none') {
       this.handleNoChoice(choice.reason, choice.retryAfterMs)
       return
--- a/src/node/ingress/ServiceLane.ts
+++ b/src/node/ingress/ServiceLane.ts
@@ -2,7 +2,7 @@
 import type { AttemptOutcome, Candidate, ChoiceAction, ChoiceEvent } from '../../parts/choice/Types.js'
 import type { RetryPolicy } from '../../parts/retry/RetryPolicy.js'
 import type { RetryAction, RetryEvent } from '../../parts/retry/Types.js'
-import type { CallId, InstanceId, LoadEvidence, Reason } from '../../parts/Types.js'
+import type { CallId, CallKind, InstanceId, LoadEvidence, Reason } from '../../parts/Types.js'
 import { PartTimer } from '../../platform/PartTimer.js'
 import type { Clock, Disposable, Log } from '../../platform/Types.js'
 import type { TargetSource } from './Types.js'
@@ -72,10 +72,10 @@
   }
 
   /** Picks an instance for an attempt, at once. */
-  public choose (attempt: CallId, excluded: readonly InstanceId[]): Choice {
-    if (this.leaving.size === 0) return this.chooseAmong(attempt, excluded)
-    const choice = this.chooseAmong(attempt, excluded.concat(...this.leaving))
-    return choice.type === 'none' ? this.chooseAmong(attempt, excluded) : choice
+  public choose (attempt: CallId, kind: CallKind, excluded: readonly InstanceId[]): Choice {
+    if (this.leaving.size === 0) return this.chooseAmong(attempt, kind, excluded)
+    const choice = this.chooseAmong(attempt, kind, excluded.concat(...this.leaving))
+    return choice.type === 'none' ? this.chooseAmong(attempt, kind, excluded) : choice
   }
 
   /** An instance said that it drains; it is passed over until members are read again. */
@@ -83,8 +83,8 @@
     this.leaving.add(instance)
   }
 
-  private chooseAmong (attempt: CallId, excluded: readonly InstanceId[]): Choice {
-    for (const action of this.stepChooser({ type: 'choose', call: attempt, excluded })) {
+  private chooseAmong (attempt: CallId, kind: CallKind, excluded: readonly InstanceId[]): Choice {
+    for (const action of this.stepChooser({ type: 'choose', call: attempt, kind, excluded })) {
       if (action.type === 'chosen') return action
       if (action.type !== 'noneAvailable') continue
       const { reason, retryAfterMs } = action
--- a/src/node/mesh/PeerMesh.ts
+++ b/src/node/mesh/PeerMesh.ts
@@ -116,6 +116,12 @@
     return node === this.parts.node ? this.parts.local : this.links.get(node)
   }
 
+  /** True while a call to the instance can be sent. */
+  public isLinked (instance: InstanceId): boolean {
+    const node = nodeOf(instance)
+    return node === this.parts.node || this.links.get(node)?.isOpen === true
+  }
+
   public probe (instance: InstanceId): void {
     const link = this.links.get(nodeOf(instance))
     if (link?.isOpen === true && this.parts.mayMeasure('probe')) link.probe(serviceOf(instance))
