--- a/bench/capacity/Figures.ts
+++ b/bench/capacity/Figures.ts
@@ -26,39 +26,40 @@
 
 /** Computes every figure of docs/CAPACITY.md from the measured results. */
 export class Figures {
-  public constructor (private readonly results: Results) {}
+  public constructor (private readonly _results: Results) {}
 
   /** The limits of the letter, one by one. */
   public limits (): Judged[] {
     return [
-      this.addedLatency(),
-      this.inForce(),
-      this.nodeCpu(),
-      this.nodeMemory(),
-      this.nodeBytes(),
-      this.rejoinBytes()
+      this._addedLatency(),
+      this._inForce(),
+      this._nodeCpu(),
+      this._nodeMemory(),
+      this._nodeBytes(),
+      this._rejoinBytes()
     ]
   }
 
   /** Work of the data path in each node: not control, and not under its limit. */
   public dataPath (): Figure[] {
-    const nearest = this.nearestRate()
+    const nearest = this._nearestRate()
     const percent = (micros: number): string => `${format(micros * CALLS_PER_NODE / MICROS_PER_SECOND * 100)}% of a core`
     const from = (micros: number): string =>
       `${format(micros)} µs a call (path.json, ${nearest.rate} calls/s) × ${format(CALLS_PER_NODE)} calls/s`
     return [
       { what: 'ingress side, processor', value: percent(nearest.ingressMicros), from: from(nearest.ingressMicros) },
       { what: 'upstream side, processor', value: percent(nearest.upstreamSideMicros), from: from(nearest.upstreamSideMicros) },
-      ...this.decisions()
+      ...this._decisions()
     ]
   }
 
   /** Load of one control replica of the configuration group. */
   public replica (): Figure[] {
-    const bytes = this.spreadLine(CHANGES, point => point.replica.bytesPerSecond)
-    const cpu = new Line(this.results.state.inForce.map(point => ({ x: point.nodes, y: point.controlCorePercent / 3 })))
-    const rejoin = this.spreadLine(REJOIN, point => point.replica.peakBytesInOneSecond)
-    const memory = Math.max(...this.results.footprint.points.map(point => point.replicaAtRest.memoryMegabytes))
+    const bytes = this._spreadLine(CHANGES, point => point.replica.bytesPerSecond)
+    const { inForce } = this._results.state
+    const cpu = new Line(inForce.map(point => ({ x: point.nodes, y: point.controlCorePercent / 3 })))
+    const rejoin = this._spreadLine(REJOIN, point => point.replica.peakBytesInOneSecond)
+    const memory = Math.max(...this._results.footprint.points.map(point => point.replicaAtRest.memoryMegabytes))
     const { nodes } = DESIGN
     return [
       {
@@ -82,12 +83,12 @@
 
   /** What one group, and all that fit on the VMs set aside, carry in guarded calls. */
   public records (): Figure[] {
-    const { commits } = this.results.state
+    const { commits } = this._results.state
     const best = commits.reduce((most, point) => point.commitsPerSecond > most.commitsPerSecond ? point : most)
     const alone = commits[0] as typeof best
     const perGroup = best.commitsPerSecond / COMMITS_PER_GUARDED_CALL
     const all = perGroup * RECORD_GROUPS
-    const bytes = Math.max(...this.results.records.points.map(point => point.bytesPerRecord))
+    const bytes = Math.max(...this._results.records.points.map(point => point.bytesPerRecord))
     const share = (rate: number): string => `${format(rate)} calls/s, ${format(rate / DESIGN.callsPerSecond * 100)}% of all`
     return [
       {
@@ -120,7 +121,7 @@
 
   /** How long things stop when something fails. */
   public recovery (): Figure[] {
-    const { leaderLoss, restart, catchUp, snapshots } = this.results.state
+    const { leaderLoss, restart, catchUp, snapshots } = this._results.state
     const longest = catchUp[catchUp.length - 1]
     const largest = snapshots[snapshots.length - 1]
     return [
@@ -147,8 +148,8 @@
     ]
   }
 
-  private addedLatency (): Judged {
-    const nearest = this.nearestRate()
+  private _addedLatency (): Judged {
+    const nearest = this._nearestRate()
     const added = nearest.added.find(route => route.name === 'nodes')?.p99Ms ?? Number.NaN
     return {
       what: 'added to a call by both nodes, p99',
@@ -159,8 +160,8 @@
     }
   }
 
-  private inForce (): Judged {
-    const line = new Line(this.results.state.inForce.map(point => ({ x: point.nodes, y: point.untilAllHaveMs.max })))
+  private _inForce (): Judged {
+    const line = new Line(this._results.state.inForce.map(point => ({ x: point.nodes, y: point.untilAllHaveMs.max })))
     const value = line.at(DESIGN.nodes)
     return {
       what: 'change in force at every node, slowest of 20',
@@ -171,9 +172,9 @@
     }
   }
 
-  private nodeCpu (): Judged {
-    const rest = Math.max(...this.results.footprint.points.map(point => point.nodeAtRest.cpuPercentOfCore))
-    const spread = this.spreadLine(CHANGES, point => point.node.cpuPercentOfCore)
+  private _nodeCpu (): Judged {
+    const rest = Math.max(...this._results.footprint.points.map(point => point.nodeAtRest.cpuPercentOfCore))
+    const spread = this._spreadLine(CHANGES, point => point.node.cpuPercentOfCore)
     const value = rest + spread.at(DESIGN.nodes)
     return {
       what: 'processor of a node for control',
@@ -184,8 +185,8 @@
     }
   }
 
-  private nodeMemory (): Judged {
-    const value = Math.max(...this.results.footprint.points.map(point => point.nodeUnderLoad.memoryMegabytes))
+  private _nodeMemory (): Judged {
+    const value = Math.max(...this._results.footprint.points.map(point => point.nodeUnderLoad.memoryMegabytes))
     return {
       what: 'memory of a whole node under load',
       value: `${value} MB`,
@@ -195,8 +196,8 @@
     }
   }
 
-  private nodeBytes (): Judged {
-    const line = this.spreadLine(CHANGES, point => point.node.bytesPerSecond)
+  private _nodeBytes (): Judged {
+    const line = this._spreadLine(CHANGES, point => point.node.bytesPerSecond)
     const value = line.at(DESIGN.nodes)
     return {
       what: 'bytes of a node for control, at 9,100 changes a day',
@@ -207,8 +208,8 @@
     }
   }
 
-  private rejoinBytes (): Judged {
-    const line = this.spreadLine(REJOIN, point => point.node.peakBytesInOneSecond)
+  private _rejoinBytes (): Judged {
+    const line = this._spreadLine(REJOIN, point => point.node.peakBytesInOneSecond)
     const value = line.at(DESIGN.nodes)
     return {
       what: 'bytes of a node in the worst second when all nodes restart at once',
@@ -219,27 +220,27 @@
     }
   }
 
-  private decisions (): Figure[] {
-    return this.results.parts.costs.map(({ part, decision, size, nanosecondsPerDecision: cost }) => ({
+  private _decisions (): Figure[] {
+    return this._results.parts.costs.map(({ part, decision, size, nanosecondsPerDecision: cost }) => ({
       what: `${part}: ${decision}, size ${format(size)}`,
       value: `${format(cost.median / 1000)} µs`,
       from: `median; ${format(cost.min / 1000)} to ${format(cost.max / 1000)} (parts.json)`
     }))
   }
 
-  private nearestRate (): Results['path']['rates'][number] {
+  private _nearestRate (): Results['path']['rates'][number] {
     const distance = (rate: number): number => Math.abs(rate - CALLS_PER_NODE)
-    return this.results.path.rates.reduce((best, rate) => distance(rate.rate) < distance(best.rate) ? rate : best)
+    return this._results.path.rates.reduce((best, rate) => distance(rate.rate) < distance(best.rate) ? rate : best)
   }
 
-  private spreadLine (scenario: string, pick: (point: SpreadResult['points'][number]) => number): Line {
-    const points = this.results.spread.points.filter(point => point.scenario === scenario)
+  private _spreadLine (scenario: string, pick: (point: SpreadResult['points'][number]) => number): Line {
+    const points = this._results.spread.points.filter(point => point.scenario === scenario)
     return new Line(points.map(point => ({ x: point.nodes, y: pick(point) })))
   }
 
   /** Bytes of a node at rest. */
   public rest (): Figure {
-    const line = this.spreadLine(REST, point => point.node.bytesPerSecond)
+    const line = this._spreadLine(REST, point => point.node.bytesPerSecond)
     return {
       what: 'bytes of a node at rest',
       value: `${format(line.at(DESIGN.nodes))} B/s`,
--- a/bench/capacity/Line.ts
+++ b/bench/capacity/Line.ts
@@ -6,10 +6,10 @@
 
 /** A straight line through measured points by least squares. */
 export class Line {
-  private readonly slope: number
-  private readonly atZero: number
-  private readonly largestX: number
-  private readonly count: number
+  private readonly _slope: number
+  private readonly _atZero: number
+  private readonly _largestX: number
+  private readonly _count: number
 
   /** @param points At least one; a single one gives a level line. */
   public constructor (points: readonly Point[]) {
@@ -17,15 +17,15 @@
     const meanY = mean(points.map(point => point.y))
     const covariance = sum(points.map(({ x, y }) => (x - meanX) * (y - meanY)))
     const variance = sum(points.map(({ x }) => (x - meanX) ** 2))
-    this.slope = variance === 0 ? 0 : covariance / variance
-    this.atZero = meanY - this.slope * meanX
-    this.largestX = Math.max(...points.map(point => point.x))
-    this.count = new Set(points.map(point => point.x)).size
+    this._slope = variance === 0 ? 0 : covariance / variance
+    this._atZero = meanY - this._slope * meanX
+    this._largestX = Math.max(...points.map(point => point.x))
+    this._count = new Set(points.map(point => point.x)).size
   }
 
   /** Value at x. */
   public at (x: number): number {
-    return this.atZero + this.slope * x
+    return this._atZero + this._slope * x
   }
 
   /**
@@ -34,10 +34,10 @@
    * @param unit Of the value.
    */
   public explain (x: number, unit: string): string {
-    const sign = this.slope < 0 ? '−' : '+'
-    const formula = `${format(this.atZero)} ${sign} ${format(Math.abs(this.slope))} × ${x} ${unit}`
-    const beyond = x > this.largestX ? `, extrapolated beyond ${this.largestX}` : ''
-    const few = this.count < 3 ? `, **only ${this.count} points**` : `, ${this.count} sizes`
+    const sign = this._slope < 0 ? '−' : '+'
+    const formula = `${format(this._atZero)} ${sign} ${format(Math.abs(this._slope))} × ${x} ${unit}`
+    const beyond = x > this._largestX ? `, extrapolated beyond ${this._largestX}` : ''
+    const few = this._count < 3 ? `, **only ${this._count} points**` : `, ${this._count} sizes`
     return `${formula}${few}${beyond}`
   }
 }
--- a/bench/fuzz.ts
+++ b/bench/fuzz.ts
@@ -12,13 +12,13 @@
 class FuzzCommand extends Command {
   public static override paths = [Command.Default]
 
-  private readonly seconds = Option.String('--seconds', DEFAULT_SECONDS)
-  private readonly seed = Option.String('--seed')
-  private readonly replay = Option.String('--replay', { description: 'file with a schedule that an earlier run wrote' })
-  private readonly out = Option.String('--out', 'fuzz-failure.json', { description: 'where a failing schedule goes' })
+  private readonly _seconds = Option.String('--seconds', DEFAULT_SECONDS)
+  private readonly _seed = Option.String('--seed')
+  private readonly _replay = Option.String('--replay', { description: 'file with a schedule that an earlier run wrote' })
+  private readonly _out = Option.String('--out', 'fuzz-failure.json', { description: 'where a failing schedule goes' })
 
   public override async execute (): Promise<number> {
-    return this.replay === undefined ? this._search() : this._replaySchedule(this.replay)
+    return this._replay === undefined ? this._search() : this._replaySchedule(this._replay)
   }
 
   private _replaySchedule (file: string): number {
@@ -28,17 +28,17 @@
   }
 
   private _search (): number {
-    const seed = this.seed === undefined ? Date.now() % SEED_RANGE : Number(this.seed)
+    const seed = this._seed === undefined ? Date.now() % SEED_RANGE : Number(this._seed)
     const property = fc.property(fc.oneof(groupSchedules, fineSchedules), schedule => new GroupRun(schedule).run())
     const details = fc.check(property, {
-      seed, numRuns: MAX_RUNS, interruptAfterTimeLimit: Number(this.seconds) * 1000, markInterruptAsFailure: false
+      seed, numRuns: MAX_RUNS, interruptAfterTimeLimit: Number(this._seconds) * 1000, markInterruptAsFailure: false
     })
     this.context.stdout.write(`seed ${seed}: ${details.numRuns} schedules\n`)
     if (!details.failed) return 0
     const [schedule] = details.counterexample!
-    writeFileSync(this.out, JSON.stringify(schedule, undefined, 1))
+    writeFileSync(this._out, JSON.stringify(schedule, undefined, 1))
     const error = details.errorInstance as Error | null
-    this.context.stdout.write(`${error?.message ?? 'failed'}\nshrunk schedule in ${this.out}:\n${JSON.stringify(schedule)}\n`)
+    this.context.stdout.write(`${error?.message ?? 'failed'}\nshrunk schedule in ${this._out}:\n${JSON.stringify(schedule)}\n`)
     return 1
   }
 }
--- a/bench/fuzz/FollowerWorld.ts
+++ b/bench/fuzz/FollowerWorld.ts
@@ -27,40 +27,40 @@
 
 /** Three nodes that hear committed configurations in any order, delayed, lost and repeated. */
 export class FollowerWorld {
-  private readonly fault: FollowerFault
-  private readonly register = new ConfigurationRegister()
-  private readonly committed: VersionedConfiguration[] = [this.register.inForce]
-  private readonly committedAtMs: number[] = [0]
-  private readonly nodes: Node[] = []
-  private network: Message[] = []
-  private nowMs = 1
-  private term = 1
-
-  private readonly kinds: ReadonlyArray<(node: number, pick: number) => void> = [
-    (_node, pick) => this.commit(pick),
-    (node, pick) => this.send(node, { type: 'copy', from: 'lagging', confirmed: false, copy: this.some(pick) }),
-    (node) => this.send(node, { type: 'copy', from: 'control', ...this.read(), copy: this.newest() }),
-    (node) => this.send(node, { type: 'confirm', version: this.newest().version, term: this.term, ...this.read() }),
-    (node, pick) => this.difference(node, pick, false),
-    (node, pick) => this.difference(node, pick, true),
-    (node, pick) => this.passOn(node, pick),
-    (node, pick) => this.send(node, { type: 'peerVersion', from: 'peer', version: this.some(pick).version }),
-    (_node, pick) => this.deliver(pick, false),
-    (_node, pick) => this.deliver(pick, false),
-    (_node, pick) => this.deliver(pick, true),
-    (_node, pick) => { this.network.splice(pick % (this.network.length || 1), 1) },
-    (_node, pick) => this.pass(pick % 1_500),
-    (node) => this.feed(node, { type: 'tick' }),
-    (node) => this.restart(node)
+  private readonly _fault: FollowerFault
+  private readonly _register = new ConfigurationRegister()
+  private readonly _committed: VersionedConfiguration[] = [this._register.inForce]
+  private readonly _committedAtMs: number[] = [0]
+  private readonly _nodes: Node[] = []
+  private _network: Message[] = []
+  private _nowMs = 1
+  private _term = 1
+
+  private readonly _kinds: ReadonlyArray<(node: number, pick: number) => void> = [
+    (_node, pick) => this._commit(pick),
+    (node, pick) => this._send(node, { type: 'copy', from: 'lagging', confirmed: false, copy: this._some(pick) }),
+    (node) => this._send(node, { type: 'copy', from: 'control', ...this._read(), copy: this._newest() }),
+    (node) => this._send(node, { type: 'confirm', version: this._newest().version, term: this._term, ...this._read() }),
+    (node, pick) => this._difference(node, pick, false),
+    (node, pick) => this._difference(node, pick, true),
+    (node, pick) => this._passOn(node, pick),
+    (node, pick) => this._send(node, { type: 'peerVersion', from: 'peer', version: this._some(pick).version }),
+    (_node, pick) => this._deliver(pick, false),
+    (_node, pick) => this._deliver(pick, false),
+    (_node, pick) => this._deliver(pick, true),
+    (_node, pick) => { this._network.splice(pick % (this._network.length || 1), 1) },
+    (_node, pick) => this._pass(pick % 1_500),
+    (node) => this._feed(node, { type: 'tick' }),
+    (node) => this._restart(node)
   ]
 
   /**
    * @param fault Takes a mechanism away, or does nothing.
    */
   public constructor (fault: FollowerFault) {
-    this.fault = fault
+    this._fault = fault
     for (let node = 0; node < FOLLOWERS; node += 1) {
-      this.nodes.push(this.started())
+      this._nodes.push(this._started())
     }
   }
 
@@ -70,87 +70,87 @@
    */
   public run (steps: readonly FollowerStep[]): void {
     for (const [kind, node, pick] of steps) {
-      const act = this.kinds[kind % this.kinds.length] as (node: number, pick: number) => void
+      const act = this._kinds[kind % this._kinds.length] as (node: number, pick: number) => void
       act(node % FOLLOWERS, pick)
-      this.check()
+      this._check()
     }
-    this.settle()
+    this._settle()
   }
 
-  private started (): Node {
+  private _started (): Node {
     const follower = new ConfigurationFollower()
-    this.fault(follower)
-    return { follower, version: 0, newestAtStart: this.newest().version }
+    this._fault(follower)
+    return { follower, version: 0, newestAtStart: this._newest().version }
   }
 
-  private commit (pick: number): void {
-    this.term += pick % 5 === 0 ? 1 : 0
-    const base = this.register.inForce.version
+  private _commit (pick: number): void {
+    this._term += pick % 5 === 0 ? 1 : 0
+    const base = this._register.inForce.version
     const operation = `operation-${base}`
-    this.register.apply({ operation, base, configuration: configurationOf(pick) }, this.term)
-    this.committed.push(this.register.inForce)
-    this.committedAtMs.push(this.nowMs)
+    this._register.apply({ operation, base, configuration: configurationOf(pick) }, this._term)
+    this._committed.push(this._register.inForce)
+    this._committedAtMs.push(this._nowMs)
   }
 
-  private newest (): VersionedConfiguration {
-    return this.committed.at(-1) as VersionedConfiguration
+  private _newest (): VersionedConfiguration {
+    return this._committed.at(-1) as VersionedConfiguration
   }
 
-  private some (pick: number): VersionedConfiguration {
-    return this.committed[pick % this.committed.length] as VersionedConfiguration
+  private _some (pick: number): VersionedConfiguration {
+    return this._committed[pick % this._committed.length] as VersionedConfiguration
   }
 
   /** A quorum read that answers what a node asks now; the answer may be long under way. */
-  private read () {
-    return { confirmed: true, askedAtMs: this.nowMs }
+  private _read () {
+    return { confirmed: true, askedAtMs: this._nowMs }
   }
 
-  private difference (node: number, pick: number, confirmed: boolean): void {
-    const to = confirmed ? this.newest() : this.some(pick)
-    const base = this.committed[(pick * 31) % (to.version || 1)] as VersionedConfiguration
+  private _difference (node: number, pick: number, confirmed: boolean): void {
+    const to = confirmed ? this._newest() : this._some(pick)
+    const base = this._committed[(pick * 31) % (to.version || 1)] as VersionedConfiguration
     const difference = makeDifference(base, to)
-    this.send(node, { type: 'difference', from: 'control', difference, ...(confirmed ? this.read() : { confirmed }) })
+    this._send(node, { type: 'difference', from: 'control', difference, ...(confirmed ? this._read() : { confirmed }) })
   }
 
-  private passOn (node: number, pick: number): void {
-    const copy = this.nodes[pick % FOLLOWERS]?.follower.inForce
+  private _passOn (node: number, pick: number): void {
+    const copy = this._nodes[pick % FOLLOWERS]?.follower.inForce
     if (copy !== undefined) {
-      this.send(node, { type: 'copy', from: 'peer', confirmed: false, copy })
+      this._send(node, { type: 'copy', from: 'peer', confirmed: false, copy })
     }
   }
 
-  private send (to: number, event: FollowerEvent): void {
-    this.network.push({ to, event })
+  private _send (to: number, event: FollowerEvent): void {
+    this._network.push({ to, event })
   }
 
-  private deliver (pick: number, keep: boolean): void {
-    const index = pick % (this.network.length || 1)
-    const message = this.network[index]
+  private _deliver (pick: number, keep: boolean): void {
+    const index = pick % (this._network.length || 1)
+    const message = this._network[index]
     if (message === undefined) {
       return
     }
     if (!keep) {
-      this.network.splice(index, 1)
+      this._network.splice(index, 1)
     }
-    this.feed(message.to, message.event)
+    this._feed(message.to, message.event)
   }
 
-  private feed (index: number, event: FollowerEvent): FollowerAction[] {
-    const node = this.nodes[index] as Node
-    const actions = node.follower.step(event, this.nowMs)
+  private _feed (index: number, event: FollowerEvent): FollowerAction[] {
+    const node = this._nodes[index] as Node
+    const actions = node.follower.step(event, this._nowMs)
     for (const action of actions) {
       if (action.type === 'apply') {
-        this.checkApply(node, action.copy)
+        this._checkApply(node, action.copy)
       }
     }
     return actions
   }
 
-  private checkApply (node: Node, copy: VersionedConfiguration): void {
+  private _checkApply (node: Node, copy: VersionedConfiguration): void {
     if (copy.version <= node.version) {
       throw new Error('a version went back')
     }
-    if (JSON.stringify(copy) !== JSON.stringify(this.committed[copy.version])) {
+    if (JSON.stringify(copy) !== JSON.stringify(this._committed[copy.version])) {
       throw new Error('applied what was never committed')
     }
     if (node.version === 0 && copy.version < node.newestAtStart) {
@@ -159,41 +159,41 @@
     node.version = copy.version
   }
 
-  private check (): void {
-    for (const { follower, version } of this.nodes) {
-      if (follower.state(this.nowMs) === 'current' && version < this.newestBefore(this.nowMs - LEASE_MS)) {
+  private _check (): void {
+    for (const { follower, version } of this._nodes) {
+      if (follower.state(this._nowMs) === 'current' && version < this._newestBefore(this._nowMs - LEASE_MS)) {
         throw new Error('current past its lease')
       }
     }
   }
 
-  private newestBefore (atMs: number): number {
-    return this.committedAtMs.findLastIndex((committedAtMs) => committedAtMs < atMs)
+  private _newestBefore (atMs: number): number {
+    return this._committedAtMs.findLastIndex((committedAtMs) => committedAtMs < atMs)
   }
 
-  private pass (ms: number): void {
-    this.nowMs += ms
+  private _pass (ms: number): void {
+    this._nowMs += ms
   }
 
-  private restart (index: number): void {
-    this.nodes[index] = this.started()
-    this.network = this.network.filter((message) => message.to !== index)
+  private _restart (index: number): void {
+    this._nodes[index] = this._started()
+    this._network = this._network.filter((message) => message.to !== index)
   }
 
   /** With control in reach every node comes to the newest version; askCopy is answered. */
-  private settle (): void {
-    this.commit(1)
+  private _settle (): void {
+    this._commit(1)
     for (let index = 0; index < FOLLOWERS; index += 1) {
       for (let round = 0; round < 3; round += 1) {
-        this.pass(600)
-        const confirm = { type: 'confirm', version: this.newest().version, term: this.term, ...this.read() } as const
-        const asks = this.feed(index, confirm).some((action) => action.type === 'askCopy')
+        this._pass(600)
+        const confirm = { type: 'confirm', version: this._newest().version, term: this._term, ...this._read() } as const
+        const asks = this._feed(index, confirm).some((action) => action.type === 'askCopy')
         if (asks) {
-          this.feed(index, { type: 'copy', from: 'control', ...this.read(), copy: this.newest() })
+          this._feed(index, { type: 'copy', from: 'control', ...this._read(), copy: this._newest() })
         }
       }
-      const { follower } = this.nodes[index] as Node
-      if (follower.version !== this.newest().version || follower.state(this.nowMs) !== 'current') {
+      const { follower } = this._nodes[index] as Node
+      if (follower.version !== this._newest().version || follower.state(this._nowMs) !== 'current') {
         throw new Error('a node does not come to the newest version')
       }
     }
--- a/bench/fuzz/MembershipWorld.ts
+++ b/bench/fuzz/MembershipWorld.ts
@@ -34,42 +34,42 @@
 
 /** Two control replicas and four nodes, joined by links that delay, lose, repeat and reorder. */
 export class MembershipWorld {
-  private readonly fault: TableFault
-  private readonly sites = new Map<string, Site>()
-  private readonly upstreams = new Map<string, Upstream>()
-  private network: Message[] = []
-  private nowMs = 0
-  private cut = false
-
-  private readonly kinds: ReadonlyArray<(pick: number) => void> = [
-    (pick) => this.announce(pick),
-    (pick) => this.move(pick),
-    (pick) => this.restart(pick),
-    (pick) => this.crash(pick),
-    (pick) => this.restartReplica(pick),
-    (pick) => this.deliver(pick, false),
-    (pick) => this.deliver(pick, false),
-    (pick) => this.deliver(pick, true),
-    (pick) => this.lose(pick),
-    () => this.beat(),
-    (pick) => this.tick(pick % 1_000),
-    (pick) => { this.nowMs += pick % 5_000 },
-    (pick) => this.feed(REPLICAS[pick % 2] as string, { type: 'tick' }),
-    (pick) => this.cutReplicas(pick % 2 === 0)
+  private readonly _fault: TableFault
+  private readonly _sites = new Map<string, Site>()
+  private readonly _upstreams = new Map<string, Upstream>()
+  private _network: Message[] = []
+  private _nowMs = 0
+  private _cut = false
+
+  private readonly _kinds: ReadonlyArray<(pick: number) => void> = [
+    (pick) => this._announce(pick),
+    (pick) => this._move(pick),
+    (pick) => this._restart(pick),
+    (pick) => this._crash(pick),
+    (pick) => this._restartReplica(pick),
+    (pick) => this._deliver(pick, false),
+    (pick) => this._deliver(pick, false),
+    (pick) => this._deliver(pick, true),
+    (pick) => this._lose(pick),
+    () => this._beat(),
+    (pick) => this._tick(pick % 1_000),
+    (pick) => { this._nowMs += pick % 5_000 },
+    (pick) => this._feed(REPLICAS[pick % 2] as string, { type: 'tick' }),
+    (pick) => this._cutReplicas(pick % 2 === 0)
   ]
 
   /**
    * @param fault Takes a mechanism away, or does nothing.
    */
   public constructor (fault: TableFault) {
-    this.fault = fault
-    REPLICAS.forEach((name) => this.site(name, { role: 'replica' }))
-    this.joinReplicas()
+    this._fault = fault
+    REPLICAS.forEach((name) => this._site(name, { role: 'replica' }))
+    this._joinReplicas()
     NODES.forEach((node, index) => {
       const service = SERVICES[index % 2] as string
-      this.upstreams.set(node, { member: memberOf(node, service), alive: true, home: undefined })
-      this.site(node, { role: 'node', self: node })
-      this.connect(node, REPLICAS[index % 2] as string)
+      this._upstreams.set(node, { member: memberOf(node, service), alive: true, home: undefined })
+      this._site(node, { role: 'node', self: node })
+      this._connect(node, REPLICAS[index % 2] as string)
     })
   }
 
@@ -79,186 +79,186 @@
    */
   public run (steps: readonly MembershipStep[]): void {
     for (const [kind, pick] of steps) {
-      const act = this.kinds[kind % this.kinds.length] as (pick: number) => void
+      const act = this._kinds[kind % this._kinds.length] as (pick: number) => void
       act(pick)
     }
-    this.settle()
+    this._settle()
   }
 
-  private site (name: string, options: Partial<TableOptions>): void {
+  private _site (name: string, options: Partial<TableOptions>): void {
     const table = new MembershipTable(options)
-    this.fault(table)
-    this.sites.set(name, { table, seen: new Map() })
+    this._fault(table)
+    this._sites.set(name, { table, seen: new Map() })
   }
 
-  private upstream (pick: number): Upstream {
-    return this.upstreams.get(NODES[pick % NODES.length] as string) as Upstream
+  private _upstream (pick: number): Upstream {
+    return this._upstreams.get(NODES[pick % NODES.length] as string) as Upstream
   }
 
-  private joinReplicas (): void {
-    if (this.cut) {
+  private _joinReplicas (): void {
+    if (this._cut) {
       return
     }
     for (const [index, name] of REPLICAS.entries()) {
       const other = REPLICAS[1 - index] as string
-      this.feed(name, { type: 'interest', from: other, services: ['*'] })
+      this._feed(name, { type: 'interest', from: other, services: ['*'] })
     }
   }
 
   /** A node attaches to a control replica; it may announce itself with a new sequence or with the old one. */
-  private connect (node: string, home: string, anew = true): void {
-    const upstream = this.upstreams.get(node) as Upstream
-    this.disconnect(node)
+  private _connect (node: string, home: string, anew = true): void {
+    const upstream = this._upstreams.get(node) as Upstream
+    this._disconnect(node)
     upstream.home = home
     if (anew) {
-      this.tell(upstream, {})
+      this._tell(upstream, {})
     }
-    this.feed(node, { type: 'interest', from: home, services: ['*'] })
-    const digests = (this.sites.get(node) as Site).table.digests()
-    this.network.push({ from: node, to: home, event: { type: 'interest', from: node, services: SERVICES, digests } })
+    this._feed(node, { type: 'interest', from: home, services: ['*'] })
+    const digests = (this._sites.get(node) as Site).table.digests()
+    this._network.push({ from: node, to: home, event: { type: 'interest', from: node, services: SERVICES, digests } })
   }
 
-  private disconnect (node: string): void {
-    const upstream = this.upstreams.get(node) as Upstream
+  private _disconnect (node: string): void {
+    const upstream = this._upstreams.get(node) as Upstream
     const { home } = upstream
     if (home === undefined) {
       return
     }
     upstream.home = undefined
-    this.feed(home, { type: 'lost', from: node })
-    this.feed(node, { type: 'lost', from: home })
-    this.network = this.network.filter(({ from, to }) => from !== node && to !== node)
+    this._feed(home, { type: 'lost', from: node })
+    this._feed(node, { type: 'lost', from: home })
+    this._network = this._network.filter(({ from, to }) => from !== node && to !== node)
   }
 
-  private tell (upstream: Upstream, change: Partial<Member>): void {
+  private _tell (upstream: Upstream, change: Partial<Member>): void {
     upstream.member = { ...upstream.member, sequence: upstream.member.sequence + 1, ...change }
-    this.feed(upstream.member.node, { type: 'announce', member: upstream.member })
+    this._feed(upstream.member.node, { type: 'announce', member: upstream.member })
   }
 
-  private announce (pick: number): void {
-    const upstream = this.upstream(pick)
+  private _announce (pick: number): void {
+    const upstream = this._upstream(pick)
     const states: MemberState[] = ['starting', 'serving', 'draining', 'left']
     if (upstream.alive) {
-      this.tell(upstream, { state: states[Math.floor(pick / 4) % 4] as MemberState })
+      this._tell(upstream, { state: states[Math.floor(pick / 4) % 4] as MemberState })
     }
   }
 
-  private move (pick: number): void {
-    const upstream = this.upstream(pick)
+  private _move (pick: number): void {
+    const upstream = this._upstream(pick)
     if (upstream.alive) {
-      this.connect(upstream.member.node, REPLICAS[Math.floor(pick / 4) % 2] as string, pick % 3 === 0)
+      this._connect(upstream.member.node, REPLICAS[Math.floor(pick / 4) % 2] as string, pick % 3 === 0)
     }
   }
 
-  private restart (pick: number): void {
-    const upstream = this.upstream(pick)
+  private _restart (pick: number): void {
+    const upstream = this._upstream(pick)
     const { node, incarnation } = upstream.member
-    this.disconnect(node)
-    this.site(node, { role: 'node', self: node })
+    this._disconnect(node)
+    this._site(node, { role: 'node', self: node })
     upstream.member = { ...upstream.member, incarnation: incarnation + 1, sequence: 0, state: 'serving' }
     upstream.alive = true
-    this.connect(node, REPLICAS[Math.floor(pick / 4) % 2] as string)
+    this._connect(node, REPLICAS[Math.floor(pick / 4) % 2] as string)
   }
 
-  private crash (pick: number): void {
-    const upstream = this.upstream(pick)
-    this.disconnect(upstream.member.node)
+  private _crash (pick: number): void {
+    const upstream = this._upstream(pick)
+    this._disconnect(upstream.member.node)
     upstream.alive = false
   }
 
-  private restartReplica (pick: number): void {
+  private _restartReplica (pick: number): void {
     const name = REPLICAS[pick % 2] as string
-    const attached = [...this.upstreams.values()].filter((upstream) => upstream.home === name)
-    attached.forEach((upstream) => this.disconnect(upstream.member.node))
-    this.network = this.network.filter(({ from, to }) => from !== name && to !== name)
-    this.feed(REPLICAS[1 - pick % 2] as string, { type: 'lost', from: name })
-    this.site(name, { role: 'replica' })
-    this.joinReplicas()
-    attached.forEach((upstream) => this.connect(upstream.member.node, REPLICAS[1 - pick % 2] as string))
+    const attached = [...this._upstreams.values()].filter((upstream) => upstream.home === name)
+    attached.forEach((upstream) => this._disconnect(upstream.member.node))
+    this._network = this._network.filter(({ from, to }) => from !== name && to !== name)
+    this._feed(REPLICAS[1 - pick % 2] as string, { type: 'lost', from: name })
+    this._site(name, { role: 'replica' })
+    this._joinReplicas()
+    attached.forEach((upstream) => this._connect(upstream.member.node, REPLICAS[1 - pick % 2] as string))
   }
 
-  private cutReplicas (cut: boolean): void {
-    if (this.cut === cut) {
+  private _cutReplicas (cut: boolean): void {
+    if (this._cut === cut) {
       return
     }
-    this.cut = cut
-    this.joinReplicas()
-    this.network = this.network.filter((message) => !this.isCut(message))
+    this._cut = cut
+    this._joinReplicas()
+    this._network = this._network.filter((message) => !this._isCut(message))
     if (cut) {
-      this.feed('r1', { type: 'lost', from: 'r2' })
-      this.feed('r2', { type: 'lost', from: 'r1' })
+      this._feed('r1', { type: 'lost', from: 'r2' })
+      this._feed('r2', { type: 'lost', from: 'r1' })
     }
   }
 
-  private isCut ({ from, to }: Pick<Message, 'from' | 'to'>): boolean {
-    return this.cut && REPLICAS.includes(from) && REPLICAS.includes(to)
+  private _isCut ({ from, to }: Pick<Message, 'from' | 'to'>): boolean {
+    return this._cut && REPLICAS.includes(from) && REPLICAS.includes(to)
   }
 
-  private beat (): void {
-    for (const { member, alive, home } of this.upstreams.values()) {
+  private _beat (): void {
+    for (const { member, alive, home } of this._upstreams.values()) {
       if (alive && home !== undefined) {
         const { node, incarnation, sequence } = member
-        this.network.push({ from: node, to: home, event: { type: 'heartbeat', node, incarnation, sequence } })
+        this._network.push({ from: node, to: home, event: { type: 'heartbeat', node, incarnation, sequence } })
       }
     }
   }
 
-  private tick (ms: number): void {
-    this.nowMs += ms
-    for (const name of this.sites.keys()) {
-      if (this.upstreams.get(name)?.alive !== false) {
-        this.feed(name, { type: 'tick' })
+  private _tick (ms: number): void {
+    this._nowMs += ms
+    for (const name of this._sites.keys()) {
+      if (this._upstreams.get(name)?.alive !== false) {
+        this._feed(name, { type: 'tick' })
       }
     }
   }
 
-  private deliver (pick: number, keep: boolean): void {
-    const index = pick % (this.network.length || 1)
-    const message = this.network[index]
+  private _deliver (pick: number, keep: boolean): void {
+    const index = pick % (this._network.length || 1)
+    const message = this._network[index]
     if (message === undefined) {
       return
     }
     if (!keep) {
-      this.network.splice(index, 1)
+      this._network.splice(index, 1)
     }
-    this.feed(message.to, message.event)
+    this._feed(message.to, message.event)
   }
 
   /** The interest opens a connection: it can't be lost while the connection stays. */
-  private lose (pick: number): void {
-    const index = pick % (this.network.length || 1)
-    if (this.network[index]?.event.type !== 'interest') {
-      this.network.splice(index, 1)
+  private _lose (pick: number): void {
+    const index = pick % (this._network.length || 1)
+    if (this._network[index]?.event.type !== 'interest') {
+      this._network.splice(index, 1)
     }
   }
 
-  private feed (name: string, event: MembershipEvent): void {
-    const site = this.sites.get(name) as Site
-    const actions = site.table.step(event, this.nowMs)
+  private _feed (name: string, event: MembershipEvent): void {
+    const site = this._sites.get(name) as Site
+    const actions = site.table.step(event, this._nowMs)
     // Only these bring content; what a table holds is compared with all that it ever held.
     if (event.type === 'announce' || event.type === 'merge') {
-      this.checkOrder(site)
+      this._checkOrder(site)
     }
     for (const action of actions) {
-      this.send(name, action)
+      this._send(name, action)
     }
   }
 
-  private send (from: string, action: MembershipAction): void {
+  private _send (from: string, action: MembershipAction): void {
     if (action.type === 'sendBeats') {
-      this.network.push({ from, to: action.to, event: { type: 'beats', from, beats: action.beats } })
+      this._network.push({ from, to: action.to, event: { type: 'beats', from, beats: action.beats } })
     } else if (action.type === 'sendDigest') {
-      this.network.push({ from, to: action.to, event: { type: 'digest', from, digests: action.digests } })
+      this._network.push({ from, to: action.to, event: { type: 'digest', from, digests: action.digests } })
     } else if (action.type === 'send') {
       const own = action.members[0]
       const event: MembershipEvent = own?.node === from
         ? { type: 'announce', member: own }
         : { type: 'merge', from, members: action.members, ...(action.whole ? { whole: action.whole } : {}) }
-      this.network.push({ from, to: action.to, event })
+      this._network.push({ from, to: action.to, event })
     }
   }
 
-  private checkOrder (site: Site): void {
+  private _checkOrder (site: Site): void {
     for (const member of site.table.members()) {
       const seen = site.seen.get(member.node)
       if (seen !== undefined && compareContent(member, seen) < 0) {
@@ -268,25 +268,25 @@
     }
   }
 
-  private settle (): void {
-    this.cutReplicas(false)
-    for (const { member, alive, home } of this.upstreams.values()) {
+  private _settle (): void {
+    this._cutReplicas(false)
+    for (const { member, alive, home } of this._upstreams.values()) {
       if (alive && home === undefined) {
-        this.connect(member.node, REPLICAS[0] as string)
+        this._connect(member.node, REPLICAS[0] as string)
       }
     }
     for (let passed = 0; passed < SETTLE_MS; passed += TICK_MS) {
-      this.beat()
-      this.tick(TICK_MS)
-      while (this.network.length > 0) {
-        this.deliver(0, false)
+      this._beat()
+      this._tick(TICK_MS)
+      while (this._network.length > 0) {
+        this._deliver(0, false)
       }
     }
-    const wanted = this.truth()
-    for (const [name, site] of this.sites) {
+    const wanted = this._truth()
+    for (const [name, site] of this._sites) {
       const { table } = site
-      this.checkOrder(site)
-      if (this.upstreams.get(name)?.alive !== false) {
+      this._checkOrder(site)
+      if (this._upstreams.get(name)?.alive !== false) {
         const known = SERVICES.flatMap((service) => table.membersOf(service).map(told)).sort()
         if (known.join() !== wanted.join()) {
           throw new Error(`${name} knows ${known.join()} where ${wanted.join()} live`)
@@ -295,8 +295,8 @@
     }
   }
 
-  private truth (): string[] {
-    return [...this.upstreams.values()]
+  private _truth (): string[] {
+    return [...this._upstreams.values()]
       .filter(({ member, alive }) => alive && member.state !== 'left')
       .map(({ member }) => told(member))
       .sort()
--- a/bench/fuzzState.ts
+++ b/bench/fuzzState.ts
@@ -22,26 +22,26 @@
 class FuzzStateCommand extends Command {
   public static override paths = [Command.Default]
 
-  private readonly seconds = Option.String('--seconds', DEFAULT_SECONDS, { description: 'for each part' })
-  private readonly seed = Option.String('--seed')
-  private readonly part = Option.String('--part', { description: Object.keys(PROPERTIES).join(', ') })
-  private readonly replay = Option.String('--replay', { description: 'path of a counterexample, with its seed and part' })
+  private readonly _seconds = Option.String('--seconds', DEFAULT_SECONDS, { description: 'for each part' })
+  private readonly _seed = Option.String('--seed')
+  private readonly _part = Option.String('--part', { description: Object.keys(PROPERTIES).join(', ') })
+  private readonly _replay = Option.String('--replay', { description: 'path of a counterexample, with its seed and part' })
 
   public override async execute (): Promise<number> {
     const names = Object.keys(PROPERTIES) as PropertyName[]
-    const chosen = names.filter((name) => this.part === undefined || this.part === name)
-    const failed = chosen.filter((name) => !this.search(name))
+    const chosen = names.filter((name) => this._part === undefined || this._part === name)
+    const failed = chosen.filter((name) => !this._search(name))
     return failed.length
   }
 
-  private search (name: PropertyName): boolean {
-    const seed = this.seed === undefined ? Date.now() % SEED_RANGE : Number(this.seed)
+  private _search (name: PropertyName): boolean {
+    const seed = this._seed === undefined ? Date.now() % SEED_RANGE : Number(this._seed)
     const details = fc.check<unknown[]>(PROPERTIES[name]() as fc.IProperty<unknown[]>, {
       seed,
       numRuns: MAX_RUNS,
-      interruptAfterTimeLimit: Number(this.seconds) * MS_PER_SECOND,
+      interruptAfterTimeLimit: Number(this._seconds) * MS_PER_SECOND,
       markInterruptAsFailure: false,
-      ...(this.replay === undefined ? {} : { path: this.replay })
+      ...(this._replay === undefined ? {} : { path: this._replay })
     })
     this.context.stdout.write(`${name}, seed ${seed}: ${details.numRuns} schedules\n`)
     if (details.failed) {
--- a/bench/spread/SpreadMesh.ts
+++ b/bench/spread/SpreadMesh.ts
@@ -29,35 +29,35 @@
   public readonly replicas: SpreadReplica[] = []
   /** Virtual time at which each version was committed. */
   public readonly committedAtMs = new Map<number, number>()
-  private readonly register = new ConfigurationRegister()
-  private readonly random: SeededRandom
+  private readonly _register = new ConfigurationRegister()
+  private readonly _random: SeededRandom
   /** Nodes by the millisecond of a tick interval at which their timers fire. */
-  private readonly nodesByPhase: SpreadNode[][] = Array.from({ length: TICK_MS }, () => [])
-  private pushes: Array<{ readonly atMs: number, readonly replica: SpreadReplica }> = []
+  private readonly _nodesByPhase: SpreadNode[][] = Array.from({ length: TICK_MS }, () => [])
+  private _pushes: Array<{ readonly atMs: number, readonly replica: SpreadReplica }> = []
 
-  public constructor (private readonly options: MeshOptions) {
-    this.network = new VirtualNetwork(options.delays)
-    this.random = new SeededRandom(options.seed)
+  public constructor (private readonly _options: MeshOptions) {
+    this.network = new VirtualNetwork(_options.delays)
+    this._random = new SeededRandom(_options.seed)
     this.change()
-    this.addReplicas()
-    this.addNodes()
+    this._addReplicas()
+    this._addNodes()
   }
 
   /** The configuration in force at control. */
   public get inForce (): VersionedConfiguration {
-    return this.register.inForce
+    return this._register.inForce
   }
 
   /** Attaches every node to the replicas of its region in turn. */
   public attachAll (): void {
-    this.nodes.forEach((node) => this.attach(node))
+    this.nodes.forEach((node) => this._attach(node))
   }
 
   /** Restarts one node with a new incarnation. */
   public restart (node: SpreadNode): void {
     this.replicas.find((replica) => replica.name === node.home)?.detach(node.name)
     node.restart()
-    this.attach(node)
+    this._attach(node)
   }
 
   /** Cuts one replica off from its nodes, which go to the others; returns those nodes. */
@@ -73,13 +73,13 @@
 
   /** Commits a change of one rule; replicas apply it after their link's delay. */
   public change (): void {
-    const { version } = this.register.inForce
-    const configuration = configurationOf(this.options.services, version)
-    this.register.apply({ operation: `operation-${version}`, base: version, configuration }, 1)
+    const { version } = this._register.inForce
+    const configuration = configurationOf(this._options.services, version)
+    this._register.apply({ operation: `operation-${version}`, base: version, configuration }, 1)
     this.committedAtMs.set(version + 1, this.network.nowMs)
     for (const replica of this.replicas) {
-      const delayMs = replica.region === 0 ? this.options.delays.inRegionMs : this.options.delays.acrossMs
-      this.pushes.push({ atMs: this.network.nowMs + delayMs, replica })
+      const delayMs = replica.region === 0 ? this._options.delays.inRegionMs : this._options.delays.acrossMs
+      this._pushes.push({ atMs: this.network.nowMs + delayMs, replica })
     }
   }
 
@@ -87,12 +87,12 @@
   public run (ms: number, atEach: () => void = () => {}): void {
     for (let passed = 0; passed < ms; passed += 1) {
       atEach()
-      this.pushDue()
+      this._pushDue()
       if (this.network.nowMs % REPLICA_TICK_MS === 0) {
         this.replicas.forEach((replica) => this.network.charge(replica, () => replica.runTimers()))
       }
       const phase = (TICK_MS - this.network.nowMs % TICK_MS) % TICK_MS
-      this.nodesByPhase[phase]?.forEach((node) => this.network.charge(node, () => node.runTimers()))
+      this._nodesByPhase[phase]?.forEach((node) => this.network.charge(node, () => node.runTimers()))
       this.network.advance()
     }
   }
@@ -119,23 +119,23 @@
     })
   }
 
-  private attach (node: SpreadNode): void {
+  private _attach (node: SpreadNode): void {
     const near = this.replicas.filter((replica) => replica.region === node.region)
-    const index = Math.floor(this.random.next() * near.length)
+    const index = Math.floor(this._random.next() * near.length)
     node.attach((near[index] as SpreadReplica).name)
   }
 
-  private pushDue (): void {
-    const due = this.pushes.filter((push) => push.atMs <= this.network.nowMs)
+  private _pushDue (): void {
+    const due = this._pushes.filter((push) => push.atMs <= this.network.nowMs)
     if (due.length > 0) {
-      this.pushes = this.pushes.filter((push) => push.atMs > this.network.nowMs)
+      this._pushes = this._pushes.filter((push) => push.atMs > this.network.nowMs)
       due.forEach(({ replica }) => this.network.charge(replica, () => replica.push()))
     }
   }
 
-  private addReplicas (): void {
-    for (let index = 0; index < this.options.replicas; index += 1) {
-      const replica = new SpreadReplica(this.network, this.register, `replica-${index}`, index % REGIONS)
+  private _addReplicas (): void {
+    for (let index = 0; index < this._options.replicas; index += 1) {
+      const replica = new SpreadReplica(this.network, this._register, `replica-${index}`, index % REGIONS)
       this.replicas.push(replica)
       this.network.add(replica)
     }
@@ -144,18 +144,18 @@
     }
   }
 
-  private addNodes (): void {
-    const count = this.options.nodes
+  private _addNodes (): void {
+    const count = this._options.nodes
     const services = Math.max(1, Math.round(count / NODES_PER_SERVICE))
     for (let index = 0; index < count; index += 1) {
-      const first = Math.floor(this.random.next() * services)
+      const first = Math.floor(this._random.next() * services)
       const interest = Array.from({ length: Math.min(INTEREST, services) }, (_, step) => {
         return serviceName((first + step) % services)
       })
       const peers = Array.from({ length: Math.min(PEERS, count - 1) }, (_, step) => {
         return nodeName((index + 1 + step * 7) % count)
       }).filter((name) => name !== nodeName(index))
-      const phaseMs = Math.floor(this.random.next() * 500)
+      const phaseMs = Math.floor(this._random.next() * 500)
       const node = new SpreadNode(this.network, {
         name: nodeName(index),
         region: index % REGIONS,
@@ -164,7 +164,7 @@
         peers,
         phaseMs
       })
-      this.nodesByPhase[phaseMs % TICK_MS]?.push(node)
+      this._nodesByPhase[phaseMs % TICK_MS]?.push(node)
       this.nodes.push(node)
       this.network.add(node)
     }
--- a/bench/spread/SpreadReplica.ts
+++ b/bench/spread/SpreadReplica.ts
@@ -11,100 +11,100 @@
   public readonly spending = noSpending()
   /** Members that this replica knows as live. */
   public readonly table = new MembershipTable({ role: 'replica' })
-  private readonly sessions = new Map<string, { version: number }>()
+  private readonly _sessions = new Map<string, { version: number }>()
 
   public constructor (
-    private readonly network: VirtualNetwork,
-    private readonly register: ConfigurationRegister,
+    private readonly _network: VirtualNetwork,
+    private readonly _register: ConfigurationRegister,
     public readonly name: string,
     public readonly region: number
   ) {}
 
   public attachReplica (other: string): void {
-    this.step({ type: 'interest', from: other, services: [ALL_SERVICES] })
+    this._step({ type: 'interest', from: other, services: [ALL_SERVICES] })
   }
 
   public detach (peer: string): void {
-    this.sessions.delete(peer)
-    this.step({ type: 'lost', from: peer })
+    this._sessions.delete(peer)
+    this._step({ type: 'lost', from: peer })
   }
 
   public runTimers (): void {
-    this.step({ type: 'tick' })
+    this._step({ type: 'tick' })
   }
 
   /** The change is committed and applied here. */
   public push (): void {
-    for (const [node, session] of this.sessions) {
-      if (session.version < this.register.inForce.version) {
-        this.sendNewest(node, session, false)
+    for (const [node, session] of this._sessions) {
+      if (session.version < this._register.inForce.version) {
+        this._sendNewest(node, session, false)
       }
     }
   }
 
   public receive (from: string, message: unknown): void {
     const frame = message as NodeToControl
-    const session = this.sessions.get(from)
+    const session = this._sessions.get(from)
     if (frame.type === 'nodeHello') {
       const opened = { version: frame.version }
-      this.sessions.set(from, opened)
-      if (frame.version < this.register.inForce.version) this.sendNewest(from, opened, false)
+      this._sessions.set(from, opened)
+      if (frame.version < this._register.inForce.version) this._sendNewest(from, opened, false)
     } else if (frame.type === 'heartbeat' && session !== undefined) {
-      this.answer(from, session, frame.version, frame.askedAtMs)
+      this._answer(from, session, frame.version, frame.askedAtMs)
     } else if (frame.type === 'askCopy') {
-      this.toNode(from, { type: 'copy', confirmed: false, copy: this.register.inForce })
+      this._toNode(from, { type: 'copy', confirmed: false, copy: this._register.inForce })
     } else {
-      this.receiveMembership(from, frame as MembershipFrame)
+      this._receiveMembership(from, frame as MembershipFrame)
     }
   }
 
-  private receiveMembership (from: string, frame: MembershipFrame): void {
+  private _receiveMembership (from: string, frame: MembershipFrame): void {
     if (frame.type === 'membership' && from.startsWith('node-')) {
-      frame.members.forEach((member) => this.step({ type: 'announce', member }))
+      frame.members.forEach((member) => this._step({ type: 'announce', member }))
     } else if (frame.type === 'membership') {
-      this.step({ ...frame, type: 'merge', from })
+      this._step({ ...frame, type: 'merge', from })
     } else if (frame.type === 'alive') {
-      this.step({ type: 'heartbeat', node: from, incarnation: frame.incarnation, sequence: frame.sequence })
+      this._step({ type: 'heartbeat', node: from, incarnation: frame.incarnation, sequence: frame.sequence })
     } else if (frame.type === 'interest' || frame.type === 'digest' || frame.type === 'beats') {
-      this.step({ ...frame, from } as MembershipEvent)
+      this._step({ ...frame, from } as MembershipEvent)
     }
   }
 
-  private answer (node: string, session: { version: number }, version: number, askedAtMs: number | undefined): void {
-    const { inForce } = this.register
+  private _answer (node: string, session: { version: number }, version: number, askedAtMs: number | undefined): void {
+    const { inForce } = this._register
     session.version = version
     const asked = askedAtMs === undefined ? {} : { askedAtMs }
     if (version !== inForce.version) {
-      this.sendNewest(node, session, true, askedAtMs)
+      this._sendNewest(node, session, true, askedAtMs)
       return
     }
-    this.toNode(node, { type: 'confirm', version, term: inForce.term, ...asked })
+    this._toNode(node, { type: 'confirm', version, term: inForce.term, ...asked })
   }
 
-  private sendNewest (node: string, session: { version: number }, confirmed: boolean, askedAtMs?: number): void {
+  private _sendNewest (node: string, session: { version: number }, confirmed: boolean, askedAtMs?: number): void {
     const asked = askedAtMs === undefined ? {} : { askedAtMs }
-    const difference = this.register.differenceFrom(session.version)
+    const difference = this._register.differenceFrom(session.version)
     if (difference === undefined) {
-      this.toNode(node, { type: 'copy', confirmed, copy: this.register.inForce, ...asked })
+      this._toNode(node, { type: 'copy', confirmed, copy: this._register.inForce, ...asked })
     } else {
-      this.toNode(node, { type: 'difference', confirmed, difference, ...asked })
+      this._toNode(node, { type: 'difference', confirmed, difference, ...asked })
     }
-    session.version = this.register.inForce.version
+    session.version = this._register.inForce.version
   }
 
-  private toNode (node: string, frame: ControlToNode): void {
-    this.network.send(this.name, node, frame)
+  private _toNode (node: string, frame: ControlToNode): void {
+    this._network.send(this.name, node, frame)
   }
 
-  private step (event: MembershipEvent): void {
-    for (const action of this.table.step(event, this.network.nowMs)) {
+  private _step (event: MembershipEvent): void {
+    for (const action of this.table.step(event, this._network.nowMs)) {
       if (action.type === 'send') {
         const whole = action.whole === undefined ? {} : { whole: action.whole }
-        this.network.send(this.name, action.to, { type: 'membership', members: action.members, ...whole })
+        this._network.send(this.name, action.to, { type: 'membership', members: action.members, ...whole })
       } else if (action.type === 'sendBeats') {
-        this.network.send(this.name, action.to, { type: 'beats', beats: action.beats })
+        this._network.send(this.name, action.to, { type: 'beats', beats: action.beats })
       } else if (action.type === 'sendDigest') {
-        this.network.send(this.name, action.to, { type: 'digest', digests: action.digests })
+        this._network.send(this.name, action.to, { type: 'digest', digests: action.digests })
       }
     }
   }
--- a/bench/spread/VirtualNetwork.ts
+++ b/bench/spread/VirtualNetwork.ts
@@ -47,37 +47,37 @@
   public nowMs = 0
   /** Messages for which this returns true are lost. */
   public isCut: (from: string, to: string) => boolean = () => false
-  private readonly endpoints = new Map<string, Endpoint>()
-  private readonly due = new Map<number, Delivery[]>()
+  private readonly _endpoints = new Map<string, Endpoint>()
+  private readonly _due = new Map<number, Delivery[]>()
 
-  public constructor (private readonly delays: Delays) {}
+  public constructor (private readonly _delays: Delays) {}
 
   public add (endpoint: Endpoint): void {
-    this.endpoints.set(endpoint.name, endpoint)
+    this._endpoints.set(endpoint.name, endpoint)
   }
 
   /** Encodes a message at its sender and lets it arrive after the link's delay. */
   public send (from: string, to: string, message: unknown): void {
-    const sender = this.endpoints.get(from) as Endpoint
-    const receiver = this.endpoints.get(to)
+    const sender = this._endpoints.get(from) as Endpoint
+    const receiver = this._endpoints.get(to)
     if (receiver === undefined || this.isCut(from, to)) return
     const bytes = new Uint8Array(CODEC.encode(message))
-    this.count(sender.spending, bytes.length)
-    const delayMs = sender.region === receiver.region ? this.delays.inRegionMs : this.delays.acrossMs
+    this._count(sender.spending, bytes.length)
+    const delayMs = sender.region === receiver.region ? this._delays.inRegionMs : this._delays.acrossMs
     const atMs = this.nowMs + delayMs
-    const bucket = this.due.get(atMs) ?? []
-    this.due.set(atMs, bucket)
+    const bucket = this._due.get(atMs) ?? []
+    this._due.set(atMs, bucket)
     bucket.push({ from, to, bytes })
   }
 
   /** Delivers what is due in this millisecond and goes on to the next. */
   public advance (): void {
-    for (const { from, to, bytes } of this.due.get(this.nowMs) ?? []) {
-      const receiver = this.endpoints.get(to) as Endpoint
-      this.count(receiver.spending, bytes.length)
+    for (const { from, to, bytes } of this._due.get(this.nowMs) ?? []) {
+      const receiver = this._endpoints.get(to) as Endpoint
+      this._count(receiver.spending, bytes.length)
       this.charge(receiver, () => receiver.receive(from, CODEC.decode(bytes)))
     }
-    this.due.delete(this.nowMs)
+    this._due.delete(this.nowMs)
     this.nowMs += 1
   }
 
@@ -88,7 +88,7 @@
     endpoint.spending.cpuMs += performance.now() - startedAtMs
   }
 
-  private count (spending: Spending, bodyBytes: number): void {
+  private _count (spending: Spending, bodyBytes: number): void {
     const bytes = bodyBytes + FRAME_HEADER_BYTES
     const second = Math.floor(this.nowMs / MS_PER_SECOND)
     spending.messages += 1
--- a/bench/support/PairedLoad.ts
+++ b/bench/support/PairedLoad.ts
@@ -46,14 +46,14 @@
  * A call's time counts from the moment at which it was due.
  */
 export class PairedLoad {
-  private readonly tracks: Track[]
-  private lastKey = 0
+  private readonly _tracks: Track[]
+  private _lastKey = 0
 
   /**
-   * @param seed Of the gaps between calls, which are exponential.
+   * @param _seed Of the gaps between calls, which are exponential.
    */
-  public constructor (routes: readonly Route[], private readonly seed: number) {
-    this.tracks = routes.map(route => ({
+  public constructor (routes: readonly Route[], private readonly _seed: number) {
+    this._tracks = routes.map(route => ({
       route,
       pool: new Pool(route.origin, { connections: CONNECTIONS, pipelining: 1 }),
       histogram: build(HISTOGRAM),
@@ -67,28 +67,28 @@
    * @param calls Calls on each route.
    */
   public async run (rate: number, calls: number): Promise<RouteResult[]> {
-    for (const track of this.tracks) {
+    for (const track of this._tracks) {
       track.histogram.reset()
       track.failed = 0
     }
-    await this.send(rate * this.tracks.length, calls * this.tracks.length)
-    return this.tracks.map(summarize)
+    await this._send(rate * this._tracks.length, calls * this._tracks.length)
+    return this._tracks.map(summarize)
   }
 
   /** Ends all connections. */
   public async dispose (): Promise<void> {
-    await Promise.all(this.tracks.map(async track => await track.pool.destroy()))
+    await Promise.all(this._tracks.map(async track => await track.pool.destroy()))
   }
 
-  private async send (rate: number, calls: number): Promise<void> {
-    const random = new SeededRandom(this.seed)
+  private async _send (rate: number, calls: number): Promise<void> {
+    const random = new SeededRandom(this._seed)
     const pending: Array<Promise<void>> = []
     let dueMs = performance.now()
     let sent = 0
     await new Promise<void>(resolve => {
       const timer = setInterval(() => {
         while (sent < calls && dueMs <= performance.now()) {
-          pending.push(this.call(this.tracks[sent % this.tracks.length] as Track, dueMs))
+          pending.push(this._call(this._tracks[sent % this._tracks.length] as Track, dueMs))
           dueMs += -Math.log(1 - random.next()) * 1000 / rate
           sent++
         }
@@ -100,12 +100,12 @@
     await Promise.all(pending)
   }
 
-  private async call (track: Track, dueMs: number): Promise<void> {
+  private async _call (track: Track, dueMs: number): Promise<void> {
     // The wait for this process's own timer is not the route's: it is the same on all routes and left out.
     const startMs = Math.max(dueMs, performance.now())
     try {
       const { path, method, host } = track.route
-      const key = method === 'POST' ? { 'idempotency-key': `${this.seed}-${++this.lastKey}-${process.pid}` } : {}
+      const key = method === 'POST' ? { 'idempotency-key': `${this._seed}-${++this._lastKey}-${process.pid}` } : {}
       const answer = await track.pool.request({ path, method, headers: { host, ...key } })
       await answer.body.arrayBuffer()
       if (answer.statusCode !== 200) track.failed++
--- a/bench/virtual/FakeUpstream.ts
+++ b/bench/virtual/FakeUpstream.ts
@@ -27,47 +27,47 @@
   /** Extra work of the calls after a cold start, as a factor that falls to 1 over `coldCalls`. */
   public coldFactor = 1
   public coldCalls = 0
-  private slowdown = 1
-  private ran = 0
-  private readonly running = new Set<Run>()
-  private readonly waiting: Run[] = []
+  private _slowdown = 1
+  private _ran = 0
+  private readonly _running = new Set<Run>()
+  private readonly _waiting: Run[] = []
 
   public constructor (
-    private readonly clock: VirtualClock,
-    private readonly random: Random,
+    private readonly _clock: VirtualClock,
+    private readonly _random: Random,
     public readonly slots: number
   ) {}
 
   /** Calls inside, running or waiting. */
   public get load (): number {
-    return this.running.size + this.waiting.length
+    return this._running.size + this._waiting.length
   }
 
   /** Factor by which work takes longer now, cold start included. */
   public get workFactor (): number {
-    return this.slowdown * this.coldNow()
+    return this._slowdown * this._coldNow()
   }
 
   /** @param done Called once, unless the upstream is lost. */
   public start (done: (ok: boolean, serviceMs: number) => void): void {
-    const workMs = this.behaviour === 'failing' ? FAIL_FAST_MS : this.drawWork() * this.coldNow()
-    this.ran += 1
-    const run: Run = { remainingMs: workMs, sinceMs: 0, startedMs: this.clock.nowMs, timer: undefined, done }
-    if (this.running.size < this.slots) {
-      this.begin(run)
+    const workMs = this.behaviour === 'failing' ? FAIL_FAST_MS : this._drawWork() * this._coldNow()
+    this._ran += 1
+    const run: Run = { remainingMs: workMs, sinceMs: 0, startedMs: this._clock.nowMs, timer: undefined, done }
+    if (this._running.size < this.slots) {
+      this._begin(run)
     } else {
-      this.waiting.push(run)
+      this._waiting.push(run)
     }
   }
 
   /** @param factor Factor by which all work takes longer from now on. */
   public slowDown (factor: number): void {
-    for (const run of this.running) {
-      run.remainingMs -= (this.clock.nowMs - run.sinceMs) / this.slowdown
+    for (const run of this._running) {
+      run.remainingMs -= (this._clock.nowMs - run.sinceMs) / this._slowdown
     }
-    this.slowdown = factor
-    for (const run of this.running) {
-      this.schedule(run)
+    this._slowdown = factor
+    for (const run of this._running) {
+      this._schedule(run)
     }
   }
 
@@ -75,43 +75,43 @@
   public restart (coldFactor: number, coldCalls: number): void {
     this.coldFactor = coldFactor
     this.coldCalls = coldCalls
-    this.ran = 0
+    this._ran = 0
   }
 
-  private begin (run: Run): void {
-    this.running.add(run)
-    this.schedule(run)
+  private _begin (run: Run): void {
+    this._running.add(run)
+    this._schedule(run)
   }
 
-  private schedule (run: Run): void {
+  private _schedule (run: Run): void {
     if (run.timer !== undefined) {
-      this.clock.cancel(run.timer)
+      this._clock.cancel(run.timer)
     }
-    run.sinceMs = this.clock.nowMs
-    run.timer = this.clock.after(run.remainingMs * this.slowdown, () => this.finish(run))
+    run.sinceMs = this._clock.nowMs
+    run.timer = this._clock.after(run.remainingMs * this._slowdown, () => this._finish(run))
   }
 
-  private finish (run: Run): void {
-    this.running.delete(run)
-    const next = this.waiting.shift()
+  private _finish (run: Run): void {
+    this._running.delete(run)
+    const next = this._waiting.shift()
     if (next !== undefined) {
-      this.begin(next)
+      this._begin(next)
     }
     if (this.behaviour !== 'lost') {
-      run.done(this.behaviour === 'up', this.clock.nowMs - run.startedMs)
+      run.done(this.behaviour === 'up', this._clock.nowMs - run.startedMs)
     }
   }
 
-  private coldNow (): number {
-    if (this.ran >= this.coldCalls) {
+  private _coldNow (): number {
+    if (this._ran >= this.coldCalls) {
       return 1
     }
-    return this.coldFactor + (1 - this.coldFactor) * this.ran / this.coldCalls
+    return this.coldFactor + (1 - this.coldFactor) * this._ran / this.coldCalls
   }
 
-  private drawWork (): number {
-    const first = Math.max(1e-12, this.random.next())
-    const normal = Math.sqrt(-2 * Math.log(first)) * Math.cos(2 * Math.PI * this.random.next())
+  private _drawWork (): number {
+    const first = Math.max(1e-12, this._random.next())
+    const normal = Math.sqrt(-2 * Math.log(first)) * Math.cos(2 * Math.PI * this._random.next())
     return MEAN_WORK_MS * Math.exp(WORK_SIGMA * normal - WORK_SIGMA * WORK_SIGMA / 2)
   }
 }
--- a/bench/virtual/HostNode.ts
+++ b/bench/virtual/HostNode.ts
@@ -22,33 +22,33 @@
   public state: CandidateState = 'serving'
   /** Attempts on their way here, which only the oracle may see. */
   public inTransit = 0
-  private readonly admission: AdmissionController
-  private readonly wakeup: Wakeup
-  private readonly replies = new Map<CallId, Reply>()
+  private readonly _admission: AdmissionController
+  private readonly _wakeup: Wakeup
+  private readonly _replies = new Map<CallId, Reply>()
 
   public constructor (
-    private readonly clock: VirtualClock,
+    private readonly _clock: VirtualClock,
     random: Random,
     public readonly index: number,
     public readonly place: Place,
     slots: number,
     /** Slots that the upstream announces; more than it has when it lies. */
-    private readonly announcedSlots: number
+    private readonly _announcedSlots: number
   ) {
-    this.upstream = new FakeUpstream(clock, random, slots)
-    this.wakeup = new Wakeup(clock, () => this.tick())
-    this.admission = new AdmissionController(random)
-    this.admission.step({ type: 'capacity', slots: announcedSlots }, clock.nowMs)
+    this.upstream = new FakeUpstream(_clock, random, slots)
+    this._wakeup = new Wakeup(_clock, () => this._tick())
+    this._admission = new AdmissionController(random)
+    this._admission.step({ type: 'capacity', slots: _announcedSlots }, _clock.nowMs)
   }
 
   /** Entry of this instance in the list that choosers get. */
   public candidate (): Candidate {
-    return { instance: String(this.index), place: this.place, state: this.state, slots: this.announcedSlots }
+    return { instance: String(this.index), place: this.place, state: this.state, slots: this._announcedSlots }
   }
 
   /** What the node knows of its load. */
   public evidence (): LoadEvidence {
-    return this.admission.evidence()
+    return this._admission.evidence()
   }
 
   /**
@@ -60,42 +60,42 @@
     if (this.upstream.behaviour === 'lost') {
       return
     }
-    this.replies.set(call, reply)
-    this.apply(this.admission.step({ type: 'arrive', call, kind: 'lookup', deadlineAtMs }, this.clock.nowMs))
+    this._replies.set(call, reply)
+    this._apply(this._admission.step({ type: 'arrive', call, kind: 'lookup', deadlineAtMs }, this._clock.nowMs))
   }
 
   /** @param call Attempt that nobody waits for any more. */
   public cancel (call: CallId): void {
-    this.apply(this.admission.step({ type: 'cancel', call }, this.clock.nowMs))
+    this._apply(this._admission.step({ type: 'cancel', call }, this._clock.nowMs))
   }
 
-  private apply (actions: readonly AdmissionAction[]): void {
+  private _apply (actions: readonly AdmissionAction[]): void {
     for (const action of actions) {
       if (action.type === 'start') {
-        this.upstream.start((ok, serviceMs) => this.finished(action.call, ok, serviceMs))
+        this.upstream.start((ok, serviceMs) => this._finished(action.call, ok, serviceMs))
       } else if (action.type === 'refuse') {
         const outcome = action.reason === 'cancelled' ? 'cancelled' : 'refused'
-        this.reply(action.call, outcome, action.reason, action.retryAfterMs)
+        this._reply(action.call, outcome, action.reason, action.retryAfterMs)
       } else if (action.type === 'wake') {
-        this.wakeup.ask(action.atMs)
+        this._wakeup.ask(action.atMs)
       }
     }
   }
 
-  private tick (): void {
-    this.apply(this.admission.step({ type: 'tick' }, this.clock.nowMs))
+  private _tick (): void {
+    this._apply(this._admission.step({ type: 'tick' }, this._clock.nowMs))
   }
 
-  private finished (call: CallId, ok: boolean, serviceMs: number): void {
+  private _finished (call: CallId, ok: boolean, serviceMs: number): void {
     const outcome = ok ? 'ok' : 'error'
-    const actions = this.admission.step({ type: 'finish', call, outcome, serviceMs }, this.clock.nowMs)
-    this.reply(call, outcome, 'upstream-failed', 0)
-    this.apply(actions)
+    const actions = this._admission.step({ type: 'finish', call, outcome, serviceMs }, this._clock.nowMs)
+    this._reply(call, outcome, 'upstream-failed', 0)
+    this._apply(actions)
   }
 
-  private reply (call: CallId, outcome: AttemptOutcome, reason: Reason, retryAfterMs: number): void {
-    const reply = this.replies.get(call)
-    this.replies.delete(call)
+  private _reply (call: CallId, outcome: AttemptOutcome, reason: Reason, retryAfterMs: number): void {
+    const reply = this._replies.get(call)
+    this._replies.delete(call)
     if (this.upstream.behaviour !== 'lost') {
       reply?.({ outcome, evidence: this.evidence(), reason, retryAfterMs })
     }
--- a/bench/virtual/Ingress.ts
+++ b/bench/virtual/Ingress.ts
@@ -27,31 +27,31 @@
 export class Ingress {
   public alive = true
   public strategy: Strategy | undefined
-  private readonly retry = new RetryPolicy()
-  private readonly calls = new Map<CallId, Call>()
-  private usable: HostNode[] = []
-  private readonly wakeup: Wakeup
+  private readonly _retry = new RetryPolicy()
+  private readonly _calls = new Map<CallId, Call>()
+  private _usable: HostNode[] = []
+  private readonly _wakeup: Wakeup
 
   public constructor (
-    private readonly mesh: Mesh,
+    private readonly _mesh: Mesh,
     public readonly index: number,
     public readonly place: Place
   ) {
-    this.wakeup = new Wakeup(mesh.clock, () => this.apply(this.retry.step({ type: 'tick' }, mesh.clock.nowMs)))
+    this._wakeup = new Wakeup(_mesh.clock, () => this._apply(this._retry.step({ type: 'tick' }, _mesh.clock.nowMs)))
   }
 
   /** @param linkUp Which hosts this node has a link to. */
   public changed (linkUp: readonly boolean[]): void {
-    this.usable = this.mesh.hosts.filter(host => host.state === 'serving' && linkUp[host.index])
-    this.strategy?.changed(this.mesh.hosts, linkUp, this.mesh.clock.nowMs)
+    this._usable = this._mesh.hosts.filter(host => host.state === 'serving' && linkUp[host.index])
+    this.strategy?.changed(this._mesh.hosts, linkUp, this._mesh.clock.nowMs)
   }
 
   /** @param host Host whose link was found dead; what is open there ends. */
   public linkDown (host: HostNode): void {
-    for (const call of [...this.calls.values()]) {
+    for (const call of [...this._calls.values()]) {
       for (const attempt of call.attempts) {
         if (attempt.host === host && attempt.open) {
-          this.end(call, attempt, undefined)
+          this._end(call, attempt, undefined)
         }
       }
     }
@@ -59,47 +59,47 @@
 
   /** @param triesLeft How often the caller comes back after a refusal. */
   public arrive (triesLeft: number): void {
-    const nowMs = this.mesh.clock.nowMs
-    const id = this.mesh.nextId()
-    const deadlineAtMs = nowMs + this.mesh.deadlineMs
+    const nowMs = this._mesh.clock.nowMs
+    const id = this._mesh.nextId()
+    const deadlineAtMs = nowMs + this._mesh.deadlineMs
     const call: Call = { id, arrivedMs: nowMs, deadlineAtMs, triesLeft, attempts: [], done: false }
-    this.calls.set(id, call)
-    const actions = this.retry.step({
+    this._calls.set(id, call)
+    const actions = this._retry.step({
       type: 'begin', call: id, idempotent: true, deadlineAtMs: call.deadlineAtMs, retriesAbove: false
     }, nowMs)
-    this.attempt(call, 1)
-    this.apply(actions)
+    this._attempt(call, 1)
+    this._apply(actions)
   }
 
-  private attempt (call: Call, number: number): void {
-    const nowMs = this.mesh.clock.nowMs
-    const id = this.mesh.nextId()
+  private _attempt (call: Call, number: number): void {
+    const nowMs = this._mesh.clock.nowMs
+    const id = this._mesh.nextId()
     const excluded = call.attempts.map(attempt => attempt.host.index)
-    const index = this.strategy?.choose(id, this.usable, excluded, nowMs) ?? -1
-    const host = this.mesh.hosts[index]
+    const index = this.strategy?.choose(id, this._usable, excluded, nowMs) ?? -1
+    const host = this._mesh.hosts[index]
     if (host === undefined) {
-      this.failed(call, 'no-upstream', 100)
+      this._failed(call, 'no-upstream', 100)
       return
     }
     const attempt = { id, number, host, startMs: nowMs, open: true }
     call.attempts.push(attempt)
-    this.mesh.counting(stats => { stats.attempts += 1 })
-    const delayMs = this.mesh.delayMs(this.place, host.place)
+    this._mesh.counting(stats => { stats.attempts += 1 })
+    const delayMs = this._mesh.delayMs(this.place, host.place)
     host.inTransit += 1
-    this.mesh.clock.after(delayMs, () => {
+    this._mesh.clock.after(delayMs, () => {
       host.inTransit -= 1
       host.receive(id, call.deadlineAtMs, reply => {
-        this.mesh.clock.after(delayMs, () => this.end(call, attempt, reply))
+        this._mesh.clock.after(delayMs, () => this._end(call, attempt, reply))
       })
     })
   }
 
-  private end (call: Call, attempt: Attempt, reply: HostReply | undefined): void {
+  private _end (call: Call, attempt: Attempt, reply: HostReply | undefined): void {
     if (!attempt.open) {
       return
     }
     attempt.open = false
-    const nowMs = this.mesh.clock.nowMs
+    const nowMs = this._mesh.clock.nowMs
     const outcome = reply?.outcome ?? 'unreachable'
     this.strategy?.ended({
       call: attempt.id, host: attempt.host.index, outcome, latencyMs: nowMs - attempt.startMs, evidence: reply?.evidence
@@ -108,69 +108,69 @@
       return
     }
     if (outcome === 'ok') {
-      this.succeeded(call, attempt)
+      this._succeeded(call, attempt)
     } else {
-      this.failed(call, reply?.reason ?? 'peer-lost', reply?.retryAfterMs ?? 0, outcome === 'refused')
+      this._failed(call, reply?.reason ?? 'peer-lost', reply?.retryAfterMs ?? 0, outcome === 'refused')
     }
   }
 
-  private succeeded (call: Call, attempt: Attempt): void {
-    const nowMs = this.mesh.clock.nowMs
+  private _succeeded (call: Call, attempt: Attempt): void {
+    const nowMs = this._mesh.clock.nowMs
     const latencyMs = nowMs - call.arrivedMs
-    this.finish(call)
-    this.mesh.counting(stats => stats.answered(call.arrivedMs, latencyMs))
-    this.apply(this.retry.step({ type: 'succeeded', call: call.id, latencyMs, attempt: attempt.number }, nowMs))
+    this._finish(call)
+    this._mesh.counting(stats => stats.answered(call.arrivedMs, latencyMs))
+    this._apply(this._retry.step({ type: 'succeeded', call: call.id, latencyMs, attempt: attempt.number }, nowMs))
     for (const other of call.attempts) {
       if (other.open) {
-        this.mesh.clock.after(this.mesh.delayMs(this.place, other.host.place), () => other.host.cancel(other.id))
+        this._mesh.clock.after(this._mesh.delayMs(this.place, other.host.place), () => other.host.cancel(other.id))
       }
     }
   }
 
-  private failed (call: Call, reason: Reason, retryAfterMs: number, notRun = true): void {
-    this.apply(this.retry.step({
+  private _failed (call: Call, reason: Reason, retryAfterMs: number, notRun = true): void {
+    this._apply(this._retry.step({
       type: 'failed',
       call: call.id,
       disposition: notRun ? 'not-run' : 'unknown',
       reason,
       retryAfterMs,
       responseStarted: false
-    }, this.mesh.clock.nowMs))
+    }, this._mesh.clock.nowMs))
   }
 
-  private giveUp (call: Call, reason: Reason, retryAfterMs: number): void {
+  private _giveUp (call: Call, reason: Reason, retryAfterMs: number): void {
     if (call.done) {
       return
     }
-    this.finish(call)
+    this._finish(call)
     if (call.triesLeft > 0) {
-      this.mesh.counting(stats => { stats.callerRetries += 1 })
-      this.mesh.clock.after(retryAfterMs, () => this.mesh.arriveAnywhere(this, call.triesLeft - 1))
+      this._mesh.counting(stats => { stats.callerRetries += 1 })
+      this._mesh.clock.after(retryAfterMs, () => this._mesh.arriveAnywhere(this, call.triesLeft - 1))
       return
     }
     const ran = reason === 'upstream-failed' || reason === 'peer-lost'
-    this.mesh.counting(stats => { stats[ran ? 'failed' : 'refused'] += 1 })
+    this._mesh.counting(stats => { stats[ran ? 'failed' : 'refused'] += 1 })
   }
 
-  private finish (call: Call): void {
+  private _finish (call: Call): void {
     call.done = true
-    this.calls.delete(call.id)
+    this._calls.delete(call.id)
   }
 
-  private apply (actions: readonly RetryAction[]): void {
+  private _apply (actions: readonly RetryAction[]): void {
     for (const action of actions) {
       if (action.type === 'wake') {
-        this.wakeup.ask(action.atMs)
+        this._wakeup.ask(action.atMs)
         continue
       }
-      const call = this.calls.get(action.call)
+      const call = this._calls.get(action.call)
       if (call === undefined) {
         continue
       }
       if (action.type === 'giveUp') {
-        this.giveUp(call, action.reason, action.retryAfterMs)
+        this._giveUp(call, action.reason, action.retryAfterMs)
       } else if (action.type === 'retry' || action.type === 'hedge') {
-        this.attempt(call, action.attempt)
+        this._attempt(call, action.attempt)
       }
     }
   }
--- a/bench/virtual/Mesh.ts
+++ b/bench/virtual/Mesh.ts
@@ -52,34 +52,34 @@
   public readonly ingresses: Ingress[]
   public readonly stats = new Stats()
   public readonly deadlineMs = 1000
-  private readonly random: SeededRandom
-  private readonly linkUp: boolean[]
-  private readonly budgets: MeasuringBudget[]
-  private readonly reports: number[]
-  private lastId = 0
+  private readonly _random: SeededRandom
+  private readonly _linkUp: boolean[]
+  private readonly _budgets: MeasuringBudget[]
+  private readonly _reports: number[]
+  private _lastId = 0
 
   public constructor (public readonly plan: RunPlan) {
     const { size, seed } = plan
-    this.random = new SeededRandom(seed * 7919 + 1)
+    this._random = new SeededRandom(seed * 7919 + 1)
     this.hosts = Array.from({ length: size.instances }, (_none, index) => {
       const announced = index === 0 ? size.slots * plan.announcedFactor : size.slots
       const work = new SeededRandom(seed * 104_729 + index)
       return new HostNode(this.clock, work, index, placeOf(index), size.slots, announced)
     })
-    this.linkUp = this.hosts.map(() => true)
-    this.reports = this.hosts.map(() => 0)
+    this._linkUp = this.hosts.map(() => true)
+    this._reports = this.hosts.map(() => 0)
     this.ingresses = Array.from({ length: size.ingresses }, (_none, index) => {
       return new Ingress(this, index, placeOf(index))
     })
-    this.budgets = this.ingresses.map(() => {
+    this._budgets = this.ingresses.map(() => {
       return new MeasuringBudget({ bytesPerSecond: BYTES_PER_SECOND, messagesPerCall: plan.messagesPerCall })
     })
     for (const ingress of this.ingresses) {
-      this.addStrategy(ingress)
+      this._addStrategy(ingress)
     }
-    this.startPolls()
-    this.startTicks()
-    this.startArrivals()
+    this._startPolls()
+    this._startTicks()
+    this._startArrivals()
   }
 
   /** Calls a second that the service can take at normal speed. */
@@ -90,8 +90,8 @@
 
   /** Names of calls and attempts. */
   public nextId (): number {
-    this.lastId += 1
-    return this.lastId
+    this._lastId += 1
+    return this._lastId
   }
 
   /** One-way delay between two places. */
@@ -111,7 +111,7 @@
   public announce (afterMs: number): void {
     this.clock.after(afterMs, () => {
       for (const ingress of this.ingresses) {
-        ingress.changed(this.linkUp)
+        ingress.changed(this._linkUp)
       }
     })
   }
@@ -124,7 +124,7 @@
     }
     host.upstream.behaviour = 'lost'
     this.clock.after(LINK_TIMEOUT_MS, () => {
-      this.linkUp[index] = false
+      this._linkUp[index] = false
       this.announce(0)
       for (const ingress of this.ingresses) {
         ingress.linkDown(host)
@@ -134,33 +134,33 @@
 
   /** A caller that comes back; it goes to another node when its own is lost. */
   public arriveAnywhere (ingress: Ingress, triesLeft: number): void {
-    const target = ingress.alive ? ingress : this.anyIngress()
+    const target = ingress.alive ? ingress : this._anyIngress()
     target.arrive(triesLeft)
   }
 
-  private addStrategy (ingress: Ingress): void {
+  private _addStrategy (ingress: Ingress): void {
     ingress.strategy = createStrategy(this.plan.strategy, {
       place: ingress.place,
       random: new SeededRandom(this.plan.seed * 15_485_863 + ingress.index * 101 + 7),
       hosts: this.hosts,
       ingressNodes: this.ingresses.length,
       rttMs: host => 2 * this.delayMs(ingress.place, host.place),
-      report: host => this.reports[host.index] ?? 0,
-      probe: host => this.probe(ingress, host)
+      report: host => this._reports[host.index] ?? 0,
+      probe: host => this._probe(ingress, host)
     })
-    ingress.changed(this.linkUp)
+    ingress.changed(this._linkUp)
   }
 
-  private startArrivals (): void {
+  private _startArrivals (): void {
     const perMs = this.capacityPerSecond * this.plan.load / 1000
     const next = (): void => {
-      this.clock.after(-Math.log(1 - this.random.next()) / perMs, () => {
+      this.clock.after(-Math.log(1 - this._random.next()) / perMs, () => {
         if (this.clock.nowMs >= this.plan.measureToMs) {
           return
         }
-        const ingress = this.anyIngress()
+        const ingress = this._anyIngress()
         this.counting(stats => { stats.calls += 1 })
-        this.budgets[ingress.index]?.step({ type: 'served', calls: 1 }, this.clock.nowMs)
+        this._budgets[ingress.index]?.step({ type: 'served', calls: 1 }, this.clock.nowMs)
         ingress.arrive(this.plan.callerTries)
         next()
       })
@@ -168,34 +168,34 @@
     next()
   }
 
-  private anyIngress (): Ingress {
+  private _anyIngress (): Ingress {
     const alive = this.ingresses.filter(ingress => ingress.alive)
-    return alive[Math.floor(this.random.next() * alive.length)] as Ingress
+    return alive[Math.floor(this._random.next() * alive.length)] as Ingress
   }
 
-  private startTicks (): void {
+  private _startTicks (): void {
     this.clock.after(TICK_MS, () => {
       for (const ingress of this.ingresses) {
         ingress.strategy?.tick(this.clock.nowMs)
       }
-      this.startTicks()
+      this._startTicks()
     })
   }
 
   /** Each ingress node polls each load endpoint; one poll stands for all, because all see the same lag. */
-  private startPolls (): void {
+  private _startPolls (): void {
     if (this.plan.strategy !== 'twoReport') {
       return
     }
     this.hosts.forEach((host, index) => {
       const lies = this.plan.lies && index === 0
-      this.reports[index] = lies ? 0 : host.evidence().inFlight + host.evidence().queued
-      this.measure(2 * this.ingresses.length, POLL_BYTES)
+      this._reports[index] = lies ? 0 : host.evidence().inFlight + host.evidence().queued
+      this._measure(2 * this.ingresses.length, POLL_BYTES)
     })
-    this.clock.after(POLL_MS, () => this.startPolls())
+    this.clock.after(POLL_MS, () => this._startPolls())
   }
 
-  private measure (messages: number, bytesEach: number): void {
+  private _measure (messages: number, bytesEach: number): void {
     this.counting(stats => {
       stats.measuringMessages += messages
       stats.measuringBytes += messages * bytesEach
@@ -203,13 +203,13 @@
   }
 
   /** Asks a host's node for its evidence, if the budget of the asking VM grants it. */
-  private probe (ingress: Ingress, host: HostNode): void {
+  private _probe (ingress: Ingress, host: HostNode): void {
     const request = { type: 'request', id: this.nextId(), kind: 'probe', bytes: 2 * PROBE_BYTES, messages: 2 } as const
-    const granted = this.budgets[ingress.index]?.step(request, this.clock.nowMs)[0]?.type === 'granted'
+    const granted = this._budgets[ingress.index]?.step(request, this.clock.nowMs)[0]?.type === 'granted'
     if (!granted) {
       return
     }
-    this.measure(2, PROBE_BYTES)
+    this._measure(2, PROBE_BYTES)
     const delayMs = this.delayMs(ingress.place, host.place)
     this.clock.after(2 * delayMs, () => {
       if (host.upstream.behaviour !== 'lost' && ingress.strategy !== undefined) {
--- a/bench/virtual/Strategies.ts
+++ b/bench/virtual/Strategies.ts
@@ -104,11 +104,11 @@
 }
 
 class RoundRobin extends Baseline {
-  private turn = Math.floor(this.host.random.next() * 1000)
+  private _turn = Math.floor(this.host.random.next() * 1000)
 
   protected pick (open: readonly HostNode[]): HostNode {
-    this.turn += 1
-    return open[this.turn % open.length] as HostNode
+    this._turn += 1
+    return open[this._turn % open.length] as HostNode
   }
 }
 
@@ -133,10 +133,10 @@
 /** Knows the true load, speed, health and what is on its way, at the moment of choice. */
 class Oracle extends Baseline {
   protected pick (open: readonly HostNode[]): HostNode {
-    return this.lowest(open, host => this.latency(host))
+    return this.lowest(open, host => this._latency(host))
   }
 
-  private latency (host: HostNode): number {
+  private _latency (host: HostNode): number {
     const upstream = host.upstream
     if (upstream.behaviour !== 'up') {
       return Number.MAX_VALUE
@@ -150,15 +150,15 @@
 
 /** The parts of this project. */
 class Ours implements Strategy {
-  private readonly chooser: UpstreamChooser
-  private linkUp: readonly boolean[] = []
+  private readonly _chooser: UpstreamChooser
+  private _linkUp: readonly boolean[] = []
 
-  public constructor (private readonly host: StrategyHost) {
-    this.chooser = new UpstreamChooser(host.place, host.random, { ingressNodes: host.ingressNodes })
+  public constructor (private readonly _host: StrategyHost) {
+    this._chooser = new UpstreamChooser(_host.place, _host.random, { ingressNodes: _host.ingressNodes })
   }
 
   public choose (call: CallId, _usable: readonly HostNode[], excluded: readonly number[], nowMs: number): number {
-    const actions = this.chooser.step({ type: 'choose', call, excluded: excluded.map(String) }, nowMs)
+    const actions = this._chooser.step({ type: 'choose', call, excluded: excluded.map(String) }, nowMs)
     const chosen = actions.find(action => action.type === 'chosen')
     return chosen === undefined ? -1 : Number(chosen.instance)
   }
@@ -166,33 +166,33 @@
   public ended (end: AttemptEnd, nowMs: number): void {
     const { call, outcome, latencyMs, evidence } = end
     const event = { type: 'answered', call, instance: String(end.host), outcome, latencyMs } as const
-    this.apply(this.chooser.step(evidence === undefined ? event : { ...event, evidence }, nowMs))
+    this._apply(this._chooser.step(evidence === undefined ? event : { ...event, evidence }, nowMs))
   }
 
   public changed (hosts: readonly HostNode[], linkUp: readonly boolean[], nowMs: number): void {
-    this.chooser.step({ type: 'members', candidates: hosts.map(host => host.candidate()) }, nowMs)
+    this._chooser.step({ type: 'members', candidates: hosts.map(host => host.candidate()) }, nowMs)
     linkUp.forEach((up, index) => {
-      if (up !== (this.linkUp[index] ?? true)) {
-        this.chooser.step({ type: up ? 'linkUp' : 'linkDown', instance: String(index) }, nowMs)
+      if (up !== (this._linkUp[index] ?? true)) {
+        this._chooser.step({ type: up ? 'linkUp' : 'linkDown', instance: String(index) }, nowMs)
       }
     })
-    this.linkUp = [...linkUp]
+    this._linkUp = [...linkUp]
   }
 
   public tick (nowMs: number): void {
-    this.apply(this.chooser.step({ type: 'tick' }, nowMs))
+    this._apply(this._chooser.step({ type: 'tick' }, nowMs))
   }
 
   /** Evidence that came by itself or was probed for. */
   public learn (host: number, evidence: LoadEvidence, nowMs: number): void {
-    this.apply(this.chooser.step({ type: 'evidence', instance: String(host), evidence }, nowMs))
+    this._apply(this._chooser.step({ type: 'evidence', instance: String(host), evidence }, nowMs))
   }
 
-  private apply (actions: readonly ChoiceAction[]): void {
+  private _apply (actions: readonly ChoiceAction[]): void {
     for (const action of actions) {
-      const host = action.type === 'probe' ? this.host.hosts[Number(action.instance)] : undefined
+      const host = action.type === 'probe' ? this._host.hosts[Number(action.instance)] : undefined
       if (host !== undefined) {
-        this.host.probe(host)
+        this._host.probe(host)
       }
     }
   }
--- a/bench/virtual/VirtualClock.ts
+++ b/bench/virtual/VirtualClock.ts
@@ -7,13 +7,13 @@
 
 /** Virtual time: a heap of events, run in order of time and then of their making. */
 export class VirtualClock {
-  private readonly heap: Timer[] = []
-  private sequence = 0
-  private currentMs = 0
+  private readonly _heap: Timer[] = []
+  private _sequence = 0
+  private _currentMs = 0
 
   /** Virtual milliseconds since the start. */
   public get nowMs (): number {
-    return this.currentMs
+    return this._currentMs
   }
 
   /**
@@ -21,7 +21,7 @@
    * @param run What happens then.
    */
   public after (delayMs: number, run: () => void): Timer {
-    return this.at(this.currentMs + delayMs, run)
+    return this.at(this._currentMs + delayMs, run)
   }
 
   /**
@@ -29,9 +29,9 @@
    * @param run What happens then.
    */
   public at (atMs: number, run: () => void): Timer {
-    const timer = { atMs: Math.max(this.currentMs, atMs), sequence: this.sequence++, run }
-    this.heap.push(timer)
-    this.siftUp(this.heap.length - 1)
+    const timer = { atMs: Math.max(this._currentMs, atMs), sequence: this._sequence++, run }
+    this._heap.push(timer)
+    this._siftUp(this._heap.length - 1)
     return timer
   }
 
@@ -42,59 +42,59 @@
 
   /** @param untilMs Virtual time at which to stop. */
   public run (untilMs: number): void {
-    let next = this.heap[0]
+    let next = this._heap[0]
     while (next !== undefined && next.atMs <= untilMs) {
-      this.pop()
-      this.currentMs = next.atMs
+      this._pop()
+      this._currentMs = next.atMs
       next.run?.()
-      next = this.heap[0]
+      next = this._heap[0]
     }
-    this.currentMs = untilMs
+    this._currentMs = untilMs
   }
 
-  private pop (): void {
-    const last = this.heap.pop()
-    if (last !== undefined && this.heap.length > 0) {
-      this.heap[0] = last
-      this.siftDown()
+  private _pop (): void {
+    const last = this._heap.pop()
+    if (last !== undefined && this._heap.length > 0) {
+      this._heap[0] = last
+      this._siftDown()
     }
   }
 
-  private siftUp (from: number): void {
-    const timer = this.heap[from] as Timer
+  private _siftUp (from: number): void {
+    const timer = this._heap[from] as Timer
     let index = from
     while (index > 0) {
       const parentIndex = (index - 1) >> 1
-      const parent = this.heap[parentIndex] as Timer
+      const parent = this._heap[parentIndex] as Timer
       if (!isBefore(timer, parent)) {
         break
       }
-      this.heap[index] = parent
+      this._heap[index] = parent
       index = parentIndex
     }
-    this.heap[index] = timer
+    this._heap[index] = timer
   }
 
-  private siftDown (): void {
-    const timer = this.heap[0] as Timer
+  private _siftDown (): void {
+    const timer = this._heap[0] as Timer
     let index = 0
     for (;;) {
       let childIndex = 2 * index + 1
-      if (childIndex >= this.heap.length) {
+      if (childIndex >= this._heap.length) {
         break
       }
-      const right = this.heap[childIndex + 1]
-      if (right !== undefined && isBefore(right, this.heap[childIndex] as Timer)) {
+      const right = this._heap[childIndex + 1]
+      if (right !== undefined && isBefore(right, this._heap[childIndex] as Timer)) {
         childIndex += 1
       }
-      const child = this.heap[childIndex] as Timer
+      const child = this._heap[childIndex] as Timer
       if (!isBefore(child, timer)) {
         break
       }
-      this.heap[index] = child
+      this._heap[index] = child
       index = childIndex
     }
-    this.heap[index] = timer
+    this._heap[index] = timer
   }
 }
 
--- a/bench/virtual/Wakeup.ts
+++ b/bench/virtual/Wakeup.ts
@@ -2,21 +2,21 @@
 
 /** Ticks a part at the earliest time that it asked for, once. */
 export class Wakeup {
-  private timer: Timer | undefined
+  private _timer: Timer | undefined
 
-  public constructor (private readonly clock: VirtualClock, private readonly tick: () => void) {}
+  public constructor (private readonly _clock: VirtualClock, private readonly _tick: () => void) {}
 
   /** @param atMs When the part wants its tick. */
   public ask (atMs: number): void {
-    if (this.timer !== undefined) {
-      if (this.timer.atMs <= atMs) {
+    if (this._timer !== undefined) {
+      if (this._timer.atMs <= atMs) {
         return
       }
-      this.clock.cancel(this.timer)
+      this._clock.cancel(this._timer)
     }
-    this.timer = this.clock.at(atMs, () => {
-      this.timer = undefined
-      this.tick()
+    this._timer = this._clock.at(atMs, () => {
+      this._timer = undefined
+      this._tick()
     })
   }
 }
--- a/examples/embedding/LimitedWorker.ts
+++ b/examples/embedding/LimitedWorker.ts
@@ -17,18 +17,18 @@
  * what its actions say.
  */
 export class LimitedWorker {
-  private readonly admission: AdmissionController
-  private readonly waiting = new Map<number, (refusal: Refusal | undefined) => void>()
-  private timer: NodeJS.Timeout | undefined
-  private nextCall = 1
+  private readonly _admission: AdmissionController
+  private readonly _waiting = new Map<number, (refusal: Refusal | undefined) => void>()
+  private _timer: NodeJS.Timeout | undefined
+  private _nextCall = 1
 
   /**
    * @param slots Pieces of work that run at once.
    * @param random Source of random numbers, for spreading retries.
    */
   public constructor (slots: number, random: Random) {
-    this.admission = new AdmissionController(random, { slots })
-    this.handle(this.admission.step({ type: 'capacity', slots }, performance.now()))
+    this._admission = new AdmissionController(random, { slots })
+    this._handle(this._admission.step({ type: 'capacity', slots }, performance.now()))
   }
 
   /**
@@ -37,8 +37,8 @@
    * @param deadlineMs Time that it may take in all, its wait included.
    */
   public async run<T> (work: () => Promise<T>, deadlineMs: number): Promise<WorkOutcome<T>> {
-    const call = this.nextCall++
-    const refusal = await this.arrive(call, deadlineMs)
+    const call = this._nextCall++
+    const refusal = await this._arrive(call, deadlineMs)
     if (refusal !== undefined) return { type: 'refused', reason: refusal.reason, retryAfterMs: refusal.retryAfterMs }
     const startedAtMs = performance.now()
     try {
@@ -46,36 +46,36 @@
     } finally {
       const nowMs = performance.now()
       const finish = { type: 'finish', call, outcome: 'ok', serviceMs: nowMs - startedAtMs } as const
-      this.handle(this.admission.step(finish, nowMs))
+      this._handle(this._admission.step(finish, nowMs))
     }
   }
 
-  private async arrive (call: number, deadlineMs: number): Promise<Refusal | undefined> {
+  private async _arrive (call: number, deadlineMs: number): Promise<Refusal | undefined> {
     return await new Promise(resolve => {
-      this.waiting.set(call, resolve)
+      this._waiting.set(call, resolve)
       const nowMs = performance.now()
       const arrive = { type: 'arrive', call, kind: 'lookup', deadlineAtMs: nowMs + deadlineMs } as const
-      this.handle(this.admission.step(arrive, nowMs))
+      this._handle(this._admission.step(arrive, nowMs))
     })
   }
 
-  private handle (actions: readonly Action[]): void {
+  private _handle (actions: readonly Action[]): void {
     for (const action of actions) {
-      if (action.type === 'start') this.settle(action.call, undefined)
-      if (action.type === 'refuse') this.settle(action.call, action)
-      if (action.type === 'wake') this.wakeAt(action.atMs)
+      if (action.type === 'start') this._settle(action.call, undefined)
+      if (action.type === 'refuse') this._settle(action.call, action)
+      if (action.type === 'wake') this._wakeAt(action.atMs)
     }
   }
 
-  private settle (call: number, refusal: Refusal | undefined): void {
-    this.waiting.get(call)?.(refusal)
-    this.waiting.delete(call)
+  private _settle (call: number, refusal: Refusal | undefined): void {
+    this._waiting.get(call)?.(refusal)
+    this._waiting.delete(call)
   }
 
-  private wakeAt (atMs: number): void {
-    clearTimeout(this.timer)
-    const tick = (): void => { this.handle(this.admission.step({ type: 'tick' }, performance.now())) }
-    this.timer = setTimeout(tick, Math.max(0, atMs - performance.now()))
+  private _wakeAt (atMs: number): void {
+    clearTimeout(this._timer)
+    const tick = (): void => { this._handle(this._admission.step({ type: 'tick' }, performance.now())) }
+    this._timer = setTimeout(tick, Math.max(0, atMs - performance.now()))
   }
 }
 
--- a/src/bin/sassafras-demo.ts
+++ b/src/bin/sassafras-demo.ts
@@ -39,30 +39,30 @@
     mkdirSync(RUN_FOLDER, { recursive: true })
     const demo = new Demo(plan, mkdtempSync(join(RUN_FOLDER, 'demo-')))
     try {
-      return await this.run(demo)
+      return await this._run(demo)
     } catch (error) {
-      this.tell((error as Error).message)
+      this._tell((error as Error).message)
       return EXIT_CODES.failed
     }
   }
 
-  private async run (demo: Demo): Promise<number> {
+  private async _run (demo: Demo): Promise<number> {
     if (this.stay) {
       const ended = new Promise<void>(resolve => { process.once('SIGINT', resolve).once('SIGTERM', resolve) })
-      await demo.stay(line => { this.tell(line) }, ended)
+      await demo.stay(line => { this._tell(line) }, ended)
       return EXIT_CODES.ok
     }
     if (this.faults) {
-      const summaries = await demo.runFaults(line => { this.tell(line) })
+      const summaries = await demo.runFaults(line => { this._tell(line) })
       this.context.stdout.write(`${JSON.stringify(summaries, null, 2)}\n`)
       return summaries.every(({ kept }) => kept) ? EXIT_CODES.ok : EXIT_CODES.failed
     }
-    const summary = await demo.run(line => { this.tell(line) })
+    const summary = await demo.run(line => { this._tell(line) })
     this.context.stdout.write(`${JSON.stringify(summary, null, 2)}\n`)
     return summary.whole ? EXIT_CODES.ok : EXIT_CODES.failed
   }
 
-  private tell (line: string): void {
+  private _tell (line: string): void {
     this.context.stderr.write(`${line}\n`)
   }
 }
--- a/src/bin/sassafras-load.ts
+++ b/src/bin/sassafras-load.ts
@@ -32,10 +32,10 @@
       this.context.stdout.write(`${this.file}: ok\n`)
       return EXIT_CODES.ok
     }
-    return await this.runPlan(plan.val)
+    return await this._runPlan(plan.val)
   }
 
-  private async runPlan (plan: LoadPlan): Promise<number> {
+  private async _runPlan (plan: LoadPlan): Promise<number> {
     const run = new LoadRun(plan, `load-${process.pid}-${Date.now().toString(36)}`)
     const summary = await run.run()
     const json = `${JSON.stringify(summary, null, 2)}\n`
--- a/src/control/ControlCommand.ts
+++ b/src/control/ControlCommand.ts
@@ -20,16 +20,16 @@
     ]
   })
 
-  private readonly settingsFile = Option.String('--settings,-s', { required: true, description: 'TOML file' })
-  private readonly check = Option.Boolean('--check', false, { description: 'check the settings and end' })
+  private readonly _settingsFile = Option.String('--settings,-s', { required: true, description: 'TOML file' })
+  private readonly _check = Option.Boolean('--check', false, { description: 'check the settings and end' })
 
   public override async execute (): Promise<number> {
-    const outcome = new SettingsFile(this.settingsFile, controlSettings).load()
+    const outcome = new SettingsFile(this._settingsFile, controlSettings).load()
     if (!outcome.ok) {
       this.context.stderr.write(`${renderFindings(outcome.val)}\n`)
       return EXIT_BAD_SETTINGS
     }
-    if (!this.check) return await run(outcome.val)
+    if (!this._check) return await run(outcome.val)
     this.context.stdout.write('the settings are sound\n')
     return 0
   }
--- a/src/control/GroupHost.test.ts
+++ b/src/control/GroupHost.test.ts
@@ -27,11 +27,11 @@
 
 /** A clock that runs a second at each look, so that an election is due at once and no real time counts. */
 class FastClock implements Clock {
-  private now = 0
+  private _now = 0
 
   public nowMs (): number {
-    this.now += 1000
-    return this.now
+    this._now += 1000
+    return this._now
   }
 
   public wallMs (): number {
--- a/src/ctl/AdminClient.ts
+++ b/src/ctl/AdminClient.ts
@@ -39,16 +39,16 @@
  * round after round, while none answers. A request that is sent again must be safe to repeat.
  */
 export class AdminClient {
-  private readonly addresses: readonly string[]
-  private readonly timeoutMs: number
+  private readonly _addresses: readonly string[]
+  private readonly _timeoutMs: number
 
   /**
    * @param addresses Processes that can take the request, as `host:port`.
    * @param timeoutMs Time in all.
    */
   public constructor (addresses: readonly string[], timeoutMs: number) {
-    this.addresses = addresses
-    this.timeoutMs = timeoutMs
+    this._addresses = addresses
+    this._timeoutMs = timeoutMs
   }
 
   /**
@@ -56,23 +56,23 @@
    * @param request What to send.
    */
   public async send (request: AdminRequest): Promise<AdminOutcome> {
-    const endAtMs = performance.now() + this.timeoutMs
+    const endAtMs = performance.now() + this._timeoutMs
     let last: AdminOutcome = { type: 'unsent', problem: 'no address to ask' }
     let lost: AdminOutcome | undefined
-    for (let round = 0; this.addresses.length > 0; round++) {
-      const address = this.addresses[round % this.addresses.length] as string
-      last = await this.attempt(address, request, endAtMs)
+    for (let round = 0; this._addresses.length > 0; round++) {
+      const address = this._addresses[round % this._addresses.length] as string
+      last = await this._attempt(address, request, endAtMs)
       if (last.type === 'answer' && last.answer.status !== 503) return last
       // 503 says that there is no quorum now; what was proposed before may still be committed.
       if (last.type !== 'unsent') lost = last
-      const roundEnds = (round + 1) % this.addresses.length === 0
+      const roundEnds = (round + 1) % this._addresses.length === 0
       if (performance.now() + PAUSE_MS + LEAST_ATTEMPT_MS >= endAtMs) break
       if (roundEnds) await delay(PAUSE_MS)
     }
     return lost ?? last
   }
 
-  private async attempt (address: string, request: AdminRequest, endAtMs: number): Promise<AdminOutcome> {
+  private async _attempt (address: string, request: AdminRequest, endAtMs: number): Promise<AdminOutcome> {
     let url = `http://${address}${request.path}`
     try {
       for (let hop = 0; hop <= MAX_REDIRECTS; hop++) {
--- a/src/ctl/ApplyCommand.ts
+++ b/src/ctl/ApplyCommand.ts
@@ -28,7 +28,7 @@
   public readonly operation = Option.String('--operation', { description: 'Id of the change; a new one when left out.' })
   public readonly waitMs = Option.String('--wait-ms', { description: 'Wait until every node has it, at most this long.' })
 
-  private readonly replies: ReplyReports = {
+  private readonly _replies: ReplyReports = {
     accepted: reply => ({ exit: CTL_EXIT.ok, text: `accepted: version ${reply.version} is in force`, json: reply }),
     conflict: reply => ({ exit: CTL_EXIT.conflict, text: conflictText(reply), json: reply }),
     invalid: reply => invalidReport(reply.findings),
@@ -46,21 +46,21 @@
     if (this.waitMs !== undefined) wholeNumber('--wait-ms', this.waitMs)
     const configuration = new ConfigurationFile(this.file).load()
     if (!configuration.ok) return invalidReport(configuration.val)
-    const operation = this.operation ?? this.newOperation()
+    const operation = this.operation ?? this._newOperation()
     const change: ChangeRequest = { operation, base, configuration: configuration.val }
     const outcome = await this.askControl({ method: 'POST', path: '/changes', json: change })
-    const report = this.replyReport(outcome, operation)
-    return report.exit === CTL_EXIT.ok && this.waitMs !== undefined ? await this.waitForNodes(report) : report
+    const report = this._replyReport(outcome, operation)
+    return report.exit === CTL_EXIT.ok && this.waitMs !== undefined ? await this._waitForNodes(report) : report
   }
 
-  private newOperation (): string {
+  private _newOperation (): string {
     const operation = randomUUID()
     // Told before the change is sent, so that it can be sent again when the answer is lost.
     this.context.stderr.write(`operation ${operation}\n`)
     return operation
   }
 
-  private replyReport (outcome: AdminOutcome, operation: string): CtlReport {
+  private _replyReport (outcome: AdminOutcome, operation: string): CtlReport {
     if (outcome.type === 'unsent') {
       return {
         exit: CTL_EXIT.unavailable,
@@ -71,14 +71,14 @@
     if (outcome.type === 'lost') return unknownReport(operation, outcome.problem)
     if (outcome.answer.status === 503) return unknownReport(operation, 'the control replicas have no quorum')
     const reply = outcome.answer.body as ChangeReply
-    const report = this.replies[reply?.type] as ((reply: ChangeReply) => CtlReport) | undefined
+    const report = this._replies[reply?.type] as ((reply: ChangeReply) => CtlReport) | undefined
     return report === undefined ? errorReport(outcome.answer) : withOperation(report(reply), operation)
   }
 
-  private async waitForNodes (report: CtlReport): Promise<CtlReport> {
+  private async _waitForNodes (report: CtlReport): Promise<CtlReport> {
     const { version } = report.json as { version: number }
     try {
-      const view = await this.pollNodes(version)
+      const view = await this._pollNodes(version)
       const exit = view.lagging.length === 0 ? CTL_EXIT.ok : CTL_EXIT.lagging
       return { exit, text: `${report.text}\n${view.text()}`, json: { ...report.json, ...view.json() } }
     } catch (error) {
@@ -89,17 +89,17 @@
     }
   }
 
-  private async pollNodes (version: number): Promise<InForceView> {
+  private async _pollNodes (version: number): Promise<InForceView> {
     const endAtMs = performance.now() + Number(this.waitMs)
-    let view = await this.readInForce(version)
+    let view = await this._readInForce(version)
     while (view.lagging.length > 0 && performance.now() < endAtMs) {
       await delay(WAIT_POLL_MS)
-      view = await this.readInForce(version)
+      view = await this._readInForce(version)
     }
     return view
   }
 
-  private async readInForce (version: number): Promise<InForceView> {
+  private async _readInForce (version: number): Promise<InForceView> {
     return InForceView.ofOutcome(await this.askControl({ method: 'GET', path: '/in-force' }), version)
   }
 }
--- a/src/ctl/ConfigurationFile.ts
+++ b/src/ctl/ConfigurationFile.ts
@@ -19,21 +19,21 @@
 
 /** One TOML file with services, zones and the measuring rule. */
 export class ConfigurationFile {
-  private readonly file: string
+  private readonly _file: string
 
   /**
    * @param file Path of the TOML file; it appears in the place of each finding.
    */
   public constructor (file: string) {
-    this.file = file
+    this._file = file
   }
 
   /** Reads and checks the file. The error holds every finding; nothing is thrown. */
   public load (): Result<Configuration, readonly Finding[]> {
     try {
-      return this.check(readFileSync(this.file, 'utf8'))
+      return this.check(readFileSync(this._file, 'utf8'))
     } catch (error) {
-      return Err([{ place: this.file, problem: `can't be read: ${(error as Error).message}`, expected: 'a readable file' }])
+      return Err([{ place: this._file, problem: `can't be read: ${(error as Error).message}`, expected: 'a readable file' }])
     }
   }
 
@@ -46,21 +46,21 @@
     try {
       document = parse(text)
     } catch (error) {
-      return Err([this.syntaxFinding(error)])
+      return Err([this._syntaxFinding(error)])
     }
     const configuration = withDefaults(document)
     const findings = checkConfiguration(configuration)
     if (findings.length === 0) return Ok(configuration as Configuration)
-    return Err(findings.map(finding => ({ ...finding, place: this.placeOf(finding) })))
+    return Err(findings.map(finding => ({ ...finding, place: this._placeOf(finding) })))
   }
 
-  private placeOf (finding: Finding): string {
-    return finding.place === '' ? this.file : `${this.file}: ${finding.place}`
+  private _placeOf (finding: Finding): string {
+    return finding.place === '' ? this._file : `${this._file}: ${finding.place}`
   }
 
-  private syntaxFinding (error: unknown): Finding {
+  private _syntaxFinding (error: unknown): Finding {
     if (!(error instanceof TomlError)) throw error
-    const place = `${this.file}:${error.line}:${error.column}`
+    const place = `${this._file}:${error.line}:${error.column}`
     return { place, problem: error.message.split('\n')[0] ?? '', expected: 'a TOML 1.0 document' }
   }
 }
--- a/src/ctl/CtlCommand.ts
+++ b/src/ctl/CtlCommand.ts
@@ -50,7 +50,7 @@
 
   /** Runs the command and tells its report. */
   public override async execute (): Promise<number> {
-    const report = await this.reportOf()
+    const report = await this._reportOf()
     const output = this.json ? JSON.stringify({ exit: report.exit, ...report.json }) : report.text
     const stream = report.exit === CTL_EXIT.ok || this.json ? this.context.stdout : this.context.stderr
     stream.write(`${output}\n`)
@@ -62,13 +62,13 @@
    * @param request What to send; must be safe to repeat.
    */
   protected async askControl (request: AdminRequest): Promise<AdminOutcome> {
-    const settings = this.loadSettings()
+    const settings = this._loadSettings()
     const addresses = this.controlAddresses ?? settings.control
     if (addresses.length === 0) {
       const finding = { place: 'control', problem: 'names no replica', expected: '--control host:port, or control in the settings' }
       throw new CtlFailure(invalidReport([finding]))
     }
-    return await new AdminClient(addresses, this.timeoutMs(settings)).send(request)
+    return await new AdminClient(addresses, this._timeoutMs(settings)).send(request)
   }
 
   /**
@@ -77,21 +77,21 @@
    * @param request What to send; must be safe to repeat.
    */
   protected async askProcess (process: string, request: AdminRequest): Promise<AdminAnswer> {
-    const settings = this.loadSettings()
+    const settings = this._loadSettings()
     const address = settings.processes[process] ?? (ADDRESS.test(process) ? process : undefined)
     if (address === undefined) {
       const known = Object.keys(settings.processes).join(', ') || 'none'
       const finding = { place: process, problem: 'is not a known process', expected: `host:port, or a name in the settings (${known})` }
       throw new CtlFailure(invalidReport([finding]))
     }
-    return answerOf(await new AdminClient([address], this.timeoutMs(settings)).send(request))
+    return answerOf(await new AdminClient([address], this._timeoutMs(settings)).send(request))
   }
 
-  private timeoutMs (settings: CtlSettings): number {
+  private _timeoutMs (settings: CtlSettings): number {
     return this.timeout === undefined ? settings.timeoutMs : wholeNumber('--timeout-ms', this.timeout)
   }
 
-  private loadSettings (): CtlSettings {
+  private _loadSettings (): CtlSettings {
     const file = this.settingsFile ?? (existsSync(CTL_SETTINGS_FILE) ? CTL_SETTINGS_FILE : undefined)
     if (file === undefined) return ctlSettings.parse({})
     const settings = new SettingsFile(file, ctlSettings).load()
@@ -99,7 +99,7 @@
     return settings.val
   }
 
-  private async reportOf (): Promise<CtlReport> {
+  private async _reportOf (): Promise<CtlReport> {
     try {
       return await this.work()
     } catch (error) {
--- a/src/ctl/CtlProgram.ts
+++ b/src/ctl/CtlProgram.ts
@@ -24,14 +24,14 @@
 
 /** The command line of operators. */
 export class CtlProgram {
-  private readonly cli: Cli
+  private readonly _cli: Cli
 
   /** Registers all commands. */
   public constructor () {
-    this.cli = new Cli({ binaryName: 'sassafrasctl', binaryLabel: 'sassafrasctl', binaryVersion: packageVersion() })
-    for (const command of COMMANDS) this.cli.register(command)
-    this.cli.register(Builtins.HelpCommand)
-    this.cli.register(Builtins.VersionCommand)
+    this._cli = new Cli({ binaryName: 'sassafrasctl', binaryLabel: 'sassafrasctl', binaryVersion: packageVersion() })
+    for (const command of COMMANDS) this._cli.register(command)
+    this._cli.register(Builtins.HelpCommand)
+    this._cli.register(Builtins.VersionCommand)
   }
 
   /**
@@ -44,11 +44,11 @@
     const complete = { ...Cli.defaultContext, ...context }
     let command: Command
     try {
-      command = this.cli.process([...args], complete)
+      command = this._cli.process([...args], complete)
     } catch (error) {
-      complete.stderr.write(this.cli.error(error))
+      complete.stderr.write(this._cli.error(error))
       return CTL_EXIT.invalid
     }
-    return await this.cli.run(command, complete)
+    return await this._cli.run(command, complete)
   }
 }
--- a/src/ctl/InForceView.ts
+++ b/src/ctl/InForceView.ts
@@ -5,16 +5,16 @@
 /** Which nodes have a version in force, and which lag behind it. */
 export class InForceView {
   public readonly lagging: readonly InForce[]
-  private readonly nodes: readonly InForce[]
-  private readonly version: Version
+  private readonly _nodes: readonly InForce[]
+  private readonly _version: Version
 
   /**
    * @param nodes What the control replicas heard from the nodes.
    * @param version The version that nodes should have.
    */
   public constructor (nodes: readonly InForce[], version: Version) {
-    this.nodes = nodes
-    this.version = version
+    this._nodes = nodes
+    this._version = version
     this.lagging = nodes.filter(node => node.version < version)
   }
 
@@ -31,8 +31,8 @@
 
   /** Tells it to a person. */
   public text (): string {
-    const having = this.nodes.length - this.lagging.length
-    const head = `${having} of ${this.nodes.length} nodes have version ${this.version} in force`
+    const having = this._nodes.length - this.lagging.length
+    const head = `${having} of ${this._nodes.length} nodes have version ${this._version} in force`
     if (this.lagging.length === 0) return head
     const lines = this.lagging.map(node => `  ${node.node} has ${node.version}, heard ${Math.round(node.heardMsAgo)} ms ago`)
     return [`${head}; lagging:`, ...lines].join('\n')
@@ -40,6 +40,6 @@
 
   /** The same as JSON. */
   public json (): object {
-    return { nodes: this.nodes.length, lagging: this.lagging }
+    return { nodes: this._nodes.length, lagging: this.lagging }
   }
 }
--- a/src/demo/Demo.ts
+++ b/src/demo/Demo.ts
@@ -26,18 +26,18 @@
 
 /** Runs a small mesh and drives calls through it. */
 export class Demo {
-  private readonly mesh: LocalMesh
-  private readonly plan: DemoPlan
-  private readonly folder: string
+  private readonly _mesh: LocalMesh
+  private readonly _plan: DemoPlan
+  private readonly _folder: string
 
   /**
    * @param plan Services, instances and calls.
    * @param folder Empty folder for settings, logs, journals and data.
    */
   public constructor (plan: DemoPlan, folder: string) {
-    this.mesh = new LocalMesh(plan, folder)
-    this.plan = plan
-    this.folder = folder
+    this._mesh = new LocalMesh(plan, folder)
+    this._plan = plan
+    this._folder = folder
   }
 
   /**
@@ -46,15 +46,15 @@
    */
   public async run (tell: (line: string) => void): Promise<DemoSummary> {
     try {
-      const { layout, ...started } = await this.mesh.start(this.plan.configurationFile, tell)
+      const { layout, ...started } = await this._mesh.start(this._plan.configurationFile, tell)
       tell(`sending calls for ${LOAD_MS / 1000} s`)
-      const run = new LoadRun(buildDemoLoad(this.plan, layout, LOAD_MS), `demo-${process.pid}`)
-      const [load, stopped] = await Promise.all([run.run(), this.stopOne(layout, tell)])
-      const ends = await this.mesh.group.stopAll()
+      const run = new LoadRun(buildDemoLoad(this._plan, layout, LOAD_MS), `demo-${process.pid}`)
+      const [load, stopped] = await Promise.all([run.run(), this._stopOne(layout, tell)])
+      const ends = await this._mesh.group.stopAll()
       tell('stopped all processes')
       return { ...started, stopped, load, ends, whole: isWhole(load) }
     } finally {
-      this.mesh.dispose()
+      this._mesh.dispose()
     }
   }
 
@@ -64,12 +64,12 @@
    */
   public async runFaults (tell: (line: string) => void): Promise<FaultSummary[]> {
     try {
-      const { layout } = await this.mesh.start(this.plan.configurationFile, tell)
-      const summaries = await new FaultRunner(this.plan, layout, this.mesh).run(tell)
-      await this.mesh.group.stopAll()
+      const { layout } = await this._mesh.start(this._plan.configurationFile, tell)
+      const summaries = await new FaultRunner(this._plan, layout, this._mesh).run(tell)
+      await this._mesh.group.stopAll()
       return summaries
     } finally {
-      this.mesh.dispose()
+      this._mesh.dispose()
     }
   }
 
@@ -80,23 +80,23 @@
    */
   public async stay (tell: (line: string) => void, ended: Promise<void>): Promise<void> {
     try {
-      const { layout } = await this.mesh.start(this.plan.configurationFile, tell)
+      const { layout } = await this._mesh.start(this._plan.configurationFile, tell)
       for (const { id, caller } of layout.pairs) tell(`${id} takes calls at http://${caller}`)
-      tell(`try: sassafrasctl get --settings ${join(this.folder, 'sassafrasctl.toml')}`)
+      tell(`try: sassafrasctl get --settings ${join(this._folder, 'sassafrasctl.toml')}`)
       await ended
-      await this.mesh.group.stopAll()
+      await this._mesh.group.stopAll()
     } finally {
-      this.mesh.dispose()
+      this._mesh.dispose()
     }
   }
 
   /** Stops one upstream as an operator does, while calls run. */
-  private async stopOne (layout: DemoLayout, tell: (line: string) => void): Promise<DemoSummary['stopped']> {
+  private async _stopOne (layout: DemoLayout, tell: (line: string) => void): Promise<DemoSummary['stopped']> {
     const [first] = layout.pairs
     if (first === undefined) throw new Error('no instances')
     await delay(STOP_AT_MS)
     tell(`stopping upstream ${first.id} with SIGTERM while calls run`)
-    return { upstream: first.id, end: await this.mesh.group.stop(`upstream-${first.id}`) }
+    return { upstream: first.id, end: await this._mesh.group.stop(`upstream-${first.id}`) }
   }
 }
 
--- a/src/demo/FaultRunner.ts
+++ b/src/demo/FaultRunner.ts
@@ -37,17 +37,17 @@
 
 /** Brings faults about in a mesh while callers use it, and counts what they got. */
 export class FaultRunner {
-  private readonly plan: DemoPlan
-  private readonly layout: DemoLayout
-  private readonly mesh: LocalMesh
-
-  private readonly handlers: Readonly<Record<FaultName, FaultHandler>> = {
-    'upstream-slow': async () => await this.slowDown(),
-    'connections-silent': async notes => await this.silence(notes),
-    'upstream-killed': async () => await this.killUpstream(),
-    'node-killed': async () => await this.killNode(),
-    'control-killed': async notes => await this.killLeader(notes),
-    'crashing-request': async notes => await this.sendCrashing(notes)
+  private readonly _plan: DemoPlan
+  private readonly _layout: DemoLayout
+  private readonly _mesh: LocalMesh
+
+  private readonly _handlers: Readonly<Record<FaultName, FaultHandler>> = {
+    'upstream-slow': async () => await this._slowDown(),
+    'connections-silent': async notes => await this._silence(notes),
+    'upstream-killed': async () => await this._killUpstream(),
+    'node-killed': async () => await this._killNode(),
+    'control-killed': async notes => await this._killLeader(notes),
+    'crashing-request': async notes => await this._sendCrashing(notes)
   }
 
   /**
@@ -56,9 +56,9 @@
    * @param mesh Its processes.
    */
   public constructor (plan: DemoPlan, layout: DemoLayout, mesh: LocalMesh) {
-    this.plan = plan
-    this.layout = layout
-    this.mesh = mesh
+    this._plan = plan
+    this._layout = layout
+    this._mesh = mesh
   }
 
   /**
@@ -67,89 +67,89 @@
    */
   public async run (tell: (line: string) => void): Promise<FaultSummary[]> {
     const summaries: FaultSummary[] = []
-    for (const fault of Object.keys(this.handlers) as FaultName[]) {
+    for (const fault of Object.keys(this._handlers) as FaultName[]) {
       tell(`fault: ${fault}`)
-      summaries.push(await this.runFault(fault))
+      summaries.push(await this._runFault(fault))
     }
     return summaries
   }
 
-  private async runFault (fault: FaultName): Promise<FaultSummary> {
+  private async _runFault (fault: FaultName): Promise<FaultSummary> {
     const notes: string[] = []
     // Callers of a node that dies have no way to tell what it did; they are not what is counted here.
-    const targets = fault === 'node-killed' ? this.layout.pairs.filter(pair => pair !== this.guardedPair()) : undefined
-    const run = new LoadRun(buildDemoLoad(this.plan, this.layout, LOAD_MS, targets), `${fault}-${process.pid}`)
+    const targets = fault === 'node-killed' ? this._layout.pairs.filter(pair => pair !== this._guardedPair()) : undefined
+    const run = new LoadRun(buildDemoLoad(this._plan, this._layout, LOAD_MS, targets), `${fault}-${process.pid}`)
     const running = run.run()
     await delay(FAULT_AT_MS)
-    const mend = await this.handlers[fault](notes)
+    const mend = await this._handlers[fault](notes)
     const load = await running
     await mend()
     return { fault, load, kept: isKept(load), notes }
   }
 
-  private async slowDown (): Promise<() => Promise<void>> {
-    const { upstreamAdmin } = this.lookupPair()
+  private async _slowDown (): Promise<() => Promise<void>> {
+    const { upstreamAdmin } = this._lookupPair()
     await behave(upstreamAdmin, { slowFactor: SLOW_FACTOR })
     return async () => { await behave(upstreamAdmin, { slowFactor: 1 }) }
   }
 
-  private async silence (notes: string[]): Promise<() => Promise<void>> {
-    for (const { id, upstreamAdmin } of [this.lookupPair(), this.guardedPair()]) {
+  private async _silence (notes: string[]): Promise<() => Promise<void>> {
+    for (const { id, upstreamAdmin } of [this._lookupPair(), this._guardedPair()]) {
       notes.push(`${id}: ${await behave(upstreamAdmin, { silence: ALL_CONNECTIONS })}`)
     }
     return async () => {}
   }
 
-  private async killUpstream (): Promise<() => Promise<void>> {
-    const { id } = this.guardedPair()
-    await this.mesh.group.stop(`upstream-${id}`, 'SIGKILL')
-    return async () => { await this.mesh.restartUpstream(this.layout, id) }
+  private async _killUpstream (): Promise<() => Promise<void>> {
+    const { id } = this._guardedPair()
+    await this._mesh.group.stop(`upstream-${id}`, 'SIGKILL')
+    return async () => { await this._mesh.restartUpstream(this._layout, id) }
   }
 
-  private async killNode (): Promise<() => Promise<void>> {
-    const { id } = this.guardedPair()
-    await this.mesh.group.stop(`node-${id}`, 'SIGKILL')
-    return async () => { await this.mesh.restartNode(this.layout, id) }
+  private async _killNode (): Promise<() => Promise<void>> {
+    const { id } = this._guardedPair()
+    await this._mesh.group.stop(`node-${id}`, 'SIGKILL')
+    return async () => { await this._mesh.restartNode(this._layout, id) }
   }
 
-  private async killLeader (notes: string[]): Promise<() => Promise<void>> {
-    const leader = await this.mesh.findLeader(this.layout)
+  private async _killLeader (notes: string[]): Promise<() => Promise<void>> {
+    const leader = await this._mesh.findLeader(this._layout)
     notes.push(`${leader} led`)
-    await this.mesh.group.stop(leader, 'SIGKILL')
-    return async () => { await this.mesh.restartReplica(this.layout, leader) }
+    await this._mesh.group.stop(leader, 'SIGKILL')
+    return async () => { await this._mesh.restartReplica(this._layout, leader) }
   }
 
   /** One caller sends a request that crashes each upstream that runs it, again and again. */
-  private async sendCrashing (notes: string[]): Promise<() => Promise<void>> {
-    const { service, path } = this.plan.lookup
-    const url = `http://${this.guardedPair().caller}${path}/crash`
+  private async _sendCrashing (notes: string[]): Promise<() => Promise<void>> {
+    const { service, path } = this._plan.lookup
+    const url = `http://${this._guardedPair().caller}${path}/crash`
     const crashed = new Set<string>()
     for (let repeat = 0; repeat < CRASH_REPEATS; repeat++) {
       const answer = await request(url, { headers: { host: `${service}.mesh`, 'x-crash': '1' } })
       await answer.body.dump()
       await delay(CRASH_PAUSE_MS)
-      for (const name of this.mesh.group.ended()) crashed.add(name)
+      for (const name of this._mesh.group.ended()) crashed.add(name)
       notes.push(`answer ${answer.statusCode} ${String(answer.headers['sassafras-disposition'])}, ${crashed.size} crashed`)
-      await Promise.all(this.mesh.group.ended().map(async name => await this.startAgain(name)))
+      await Promise.all(this._mesh.group.ended().map(async name => await this._startAgain(name)))
     }
     return async () => {}
   }
 
-  private async startAgain (name: string): Promise<void> {
-    await this.mesh.group.stop(name)
-    await this.mesh.restartUpstream(this.layout, name.replace('upstream-', ''))
+  private async _startAgain (name: string): Promise<void> {
+    await this._mesh.group.stop(name)
+    await this._mesh.restartUpstream(this._layout, name.replace('upstream-', ''))
   }
 
-  private lookupPair (): PairLayout {
-    return this.pairOf(this.plan.lookup.service)
+  private _lookupPair (): PairLayout {
+    return this._pairOf(this._plan.lookup.service)
   }
 
-  private guardedPair (): PairLayout {
-    return this.pairOf(this.plan.guarded.service)
+  private _guardedPair (): PairLayout {
+    return this._pairOf(this._plan.guarded.service)
   }
 
-  private pairOf (service: string): PairLayout {
-    return this.layout.pairs.find(pair => pair.service === service) as PairLayout
+  private _pairOf (service: string): PairLayout {
+    return this._layout.pairs.find(pair => pair.service === service) as PairLayout
   }
 }
 
--- a/src/demo/LocalMesh.ts
+++ b/src/demo/LocalMesh.ts
@@ -39,8 +39,8 @@
 /** A small mesh of separate processes on loopback: control replicas, nodes and stand-ins. */
 export class LocalMesh implements Disposable {
   public readonly group: ProcessGroup
-  private readonly plan: MeshPlan
-  private readonly folder: string
+  private readonly _plan: MeshPlan
+  private readonly _folder: string
 
   /**
    * @param plan Services and instances.
@@ -48,8 +48,8 @@
    * @param binFolder Holds the built programs; those beside this module when left out.
    */
   public constructor (plan: MeshPlan, folder: string, binFolder?: URL) {
-    this.plan = plan
-    this.folder = folder
+    this._plan = plan
+    this._folder = folder
     this.group = new ProcessGroup(folder, binFolder)
   }
 
@@ -60,14 +60,14 @@
    */
   public async start (configurationFile: string, tell: (line: string) => void): Promise<StartedMesh> {
     const startedAtMs = performance.now()
-    const layout = await new SettingsWriter(this.plan, this.folder).write()
-    const processes = this.startAll(layout)
-    tell(`started ${processes} processes; settings and logs are in ${this.folder}`)
-    await this.waitForHealth(layout.replicas.map(replica => replica.admin))
-    const version = await this.apply(configurationFile)
+    const layout = await new SettingsWriter(this._plan, this._folder).write()
+    const processes = this._startAll(layout)
+    tell(`started ${processes} processes; settings and logs are in ${this._folder}`)
+    await this._waitForHealth(layout.replicas.map(replica => replica.admin))
+    const version = await this._apply(configurationFile)
     tell(`a quorum accepted version ${version}`)
-    await this.waitForHealth(layout.pairs.map(pair => pair.admin))
-    await this.waitForAnswers(layout)
+    await this._waitForHealth(layout.pairs.map(pair => pair.admin))
+    await this._waitForAnswers(layout)
     const startedInMs = Math.round(performance.now() - startedAtMs)
     tell(`every node reaches every service after ${startedInMs} ms`)
     return { layout, processes, version, startedInMs }
@@ -81,7 +81,7 @@
   public async restartUpstream (layout: DemoLayout, id: string): Promise<void> {
     this.group.start('sassafras-upstream', `upstream-${id}`)
     await Promise.all(layout.pairs.map(async ({ admin }) => {
-      await this.waitUntil(`${admin} knows that ${id} serves`, async () => await isServing(admin, id))
+      await this._waitUntil(`${admin} knows that ${id} serves`, async () => await isServing(admin, id))
     }))
   }
 
@@ -92,9 +92,9 @@
    */
   public async restartNode (layout: DemoLayout, id: string): Promise<void> {
     this.group.start('sassafras-node', `node-${id}`)
-    await this.waitForHealth(layout.pairs.filter(pair => pair.id === id).map(pair => pair.admin))
+    await this._waitForHealth(layout.pairs.filter(pair => pair.id === id).map(pair => pair.admin))
     await Promise.all(layout.pairs.map(async ({ admin }) => {
-      await this.waitUntil(`${admin} knows that ${id} serves`, async () => await isServing(admin, id))
+      await this._waitUntil(`${admin} knows that ${id} serves`, async () => await isServing(admin, id))
     }))
   }
 
@@ -105,7 +105,7 @@
    */
   public async findLeader (layout: DemoLayout): Promise<string> {
     let leader: string | undefined
-    await this.waitUntil('a control replica leads', async () => {
+    await this._waitUntil('a control replica leads', async () => {
       const roles = await Promise.all(layout.replicas.map(async ({ id, admin }) => ({ id, role: await roleOf(admin) })))
       leader = roles.find(({ role }) => role === 'leader')?.id
       return leader !== undefined
@@ -120,7 +120,7 @@
    */
   public async restartReplica (layout: DemoLayout, id: string): Promise<void> {
     this.group.start('sassafras-control', id)
-    await this.waitForHealth(layout.replicas.filter(replica => replica.id === id).map(replica => replica.admin))
+    await this._waitForHealth(layout.replicas.filter(replica => replica.id === id).map(replica => replica.admin))
   }
 
   /** Ends all processes at once. */
@@ -128,7 +128,7 @@
     this.group.kill()
   }
 
-  private startAll (layout: DemoLayout): number {
+  private _startAll (layout: DemoLayout): number {
     for (const { id } of layout.replicas) this.group.start('sassafras-control', id)
     for (const { id } of layout.pairs) {
       this.group.start('sassafras-node', `node-${id}`)
@@ -137,8 +137,8 @@
     return layout.replicas.length + 2 * layout.pairs.length
   }
 
-  private async apply (configurationFile: string): Promise<number> {
-    const settings = join(this.folder, 'sassafrasctl.toml')
+  private async _apply (configurationFile: string): Promise<number> {
+    const settings = join(this._folder, 'sassafrasctl.toml')
     const args = ['apply', configurationFile, '--base', '0', '--operation', 'demo-1', '--settings', settings, '--json']
     const stdout = new PassThrough()
     const exit = await new CtlProgram().run(args, { stdout })
@@ -147,28 +147,28 @@
     return (JSON.parse(report) as { readonly version: number }).version
   }
 
-  private async waitForHealth (addresses: readonly string[]): Promise<void> {
+  private async _waitForHealth (addresses: readonly string[]): Promise<void> {
     await Promise.all(addresses.map(async address => {
       const isHealthy = async (): Promise<boolean> => await statusOf(`http://${address}/health`, {}) === 200
-      await this.waitUntil(`${address} is healthy`, isHealthy)
+      await this._waitUntil(`${address} is healthy`, isHealthy)
     }))
   }
 
   /** Waits until each node has reached each service, so that the calls that count meet a complete mesh. */
-  private async waitForAnswers (layout: DemoLayout): Promise<void> {
-    const services = Object.keys(this.plan.services)
+  private async _waitForAnswers (layout: DemoLayout): Promise<void> {
+    const services = Object.keys(this._plan.services)
     await Promise.all(layout.pairs.flatMap(({ id, caller }) => services.map(async service => {
       const headers = { host: `${service}.mesh` }
       const answers = async (): Promise<boolean> => await statusOf(`http://${caller}/lookups/warm`, headers) === 200
-      await this.waitUntil(`${id} reaches ${service}`, answers)
+      await this._waitUntil(`${id} reaches ${service}`, answers)
     })))
   }
 
-  private async waitUntil (what: string, holds: () => Promise<boolean>): Promise<void> {
+  private async _waitUntil (what: string, holds: () => Promise<boolean>): Promise<void> {
     const endAtMs = performance.now() + READY_TIMEOUT_MS
     while (!await holds()) {
       const ended = this.group.ended()
-      if (ended.length > 0) throw new Error(`${ended.join(', ')} ended; see the logs in ${this.folder}`)
+      if (ended.length > 0) throw new Error(`${ended.join(', ')} ended; see the logs in ${this._folder}`)
       if (performance.now() > endAtMs) throw new Error(`not within ${READY_TIMEOUT_MS} ms: ${what}`)
       await delay(POLL_MS)
     }
--- a/src/demo/SettingsWriter.ts
+++ b/src/demo/SettingsWriter.ts
@@ -10,33 +10,33 @@
 
 /** Lays a mesh out on free loopback ports and writes the settings of its processes. */
 export class SettingsWriter {
-  private readonly plan: MeshPlan
-  private readonly folder: string
+  private readonly _plan: MeshPlan
+  private readonly _folder: string
 
   /**
    * @param plan What the mesh is made of.
    * @param folder Empty folder that takes all files.
    */
   public constructor (plan: MeshPlan, folder: string) {
-    this.plan = plan
-    this.folder = folder
+    this._plan = plan
+    this._folder = folder
   }
 
   /** Writes all settings and returns the layout. */
   public async write (): Promise<DemoLayout> {
-    const layout = await this.layOut()
-    mkdirSync(this.folder, { recursive: true })
-    for (const replica of layout.replicas) this.writeFile(replica.id, this.controlSettings(replica, layout))
+    const layout = await this._layOut()
+    mkdirSync(this._folder, { recursive: true })
+    for (const replica of layout.replicas) this._writeFile(replica.id, this._controlSettings(replica, layout))
     for (const pair of layout.pairs) {
-      this.writeFile(`node-${pair.id}`, this.nodeSettings(pair, layout))
-      this.writeFile(`upstream-${pair.id}`, this.upstreamSettings(pair))
+      this._writeFile(`node-${pair.id}`, this._nodeSettings(pair, layout))
+      this._writeFile(`upstream-${pair.id}`, this._upstreamSettings(pair))
     }
-    this.writeFile('sassafrasctl', ctlSettings(layout))
+    this._writeFile('sassafrasctl', ctlSettings(layout))
     return layout
   }
 
-  private async layOut (): Promise<DemoLayout> {
-    const { region, zones, services } = this.plan
+  private async _layOut (): Promise<DemoLayout> {
+    const { region, zones, services } = this._plan
     const instances = Object.entries(services).flatMap(([service, count]) => {
       return Array.from({ length: count }, (_, index) => ({ service, id: `${service}-${index + 1}` }))
     })
@@ -45,7 +45,7 @@
     const zoneOf = (index: number): string => zones[index % zones.length] as string
     const replicas = Array.from({ length: REPLICAS }, (_, index) => {
       const id = `control-${index + 1}`
-      return { id, zone: zoneOf(index), peer: next(), admin: next(), dataFolder: join(this.folder, 'data', id) }
+      return { id, zone: zoneOf(index), peer: next(), admin: next(), dataFolder: join(this._folder, 'data', id) }
     })
     const pairs = instances.map(({ service, id }, index) => ({
       id,
@@ -56,12 +56,12 @@
       admin: next(),
       upstream: next(),
       upstreamAdmin: next(),
-      journal: join(this.folder, `journal-${id}.jsonl`)
+      journal: join(this._folder, `journal-${id}.jsonl`)
     }))
-    return { folder: this.folder, region, replicas, pairs }
+    return { folder: this._folder, region, replicas, pairs }
   }
 
-  private controlSettings (replica: ReplicaLayout, layout: DemoLayout): object {
+  private _controlSettings (replica: ReplicaLayout, layout: DemoLayout): object {
     mkdirSync(replica.dataFolder, { recursive: true })
     return {
       id: replica.id,
@@ -73,7 +73,7 @@
     }
   }
 
-  private nodeSettings (pair: PairLayout, layout: DemoLayout): object {
+  private _nodeSettings (pair: PairLayout, layout: DemoLayout): object {
     return {
       id: pair.id,
       place: { region: layout.region, zone: pair.zone },
@@ -83,8 +83,8 @@
     }
   }
 
-  private upstreamSettings (pair: PairLayout): object {
-    const { slots, connections, services, serviceTimeMs } = this.plan
+  private _upstreamSettings (pair: PairLayout): object {
+    const { slots, connections, services, serviceTimeMs } = this._plan
     const names = Object.keys(services)
     // Each service calls the next one, so that a chain may go as deep as a test asks.
     const next = names[(names.indexOf(pair.service) + 1) % names.length] as string
@@ -102,8 +102,8 @@
     }
   }
 
-  private writeFile (name: string, settings: object): void {
-    writeFileSync(join(this.folder, `${name}.toml`), stringify(settings))
+  private _writeFile (name: string, settings: object): void {
+    writeFileSync(join(this._folder, `${name}.toml`), stringify(settings))
   }
 }
 
--- a/src/load/Caller.ts
+++ b/src/load/Caller.ts
@@ -37,15 +37,15 @@
 
 /** Sends calls as a careful caller does: with a key, a deadline, and repeats after the time that an answer asks for. */
 export class Caller implements Disposable {
-  private readonly plan: LoadPlan
-  private readonly agent: Agent
+  private readonly _plan: LoadPlan
+  private readonly _agent: Agent
 
   /**
    * @param plan Targets and how often a call is repeated.
    */
   public constructor (plan: LoadPlan) {
-    this.plan = plan
-    this.agent = new Agent({ connections: plan.connectionsPerTarget, bodyTimeout: 0, headersTimeout: 0 })
+    this._plan = plan
+    this._agent = new Agent({ connections: plan.connectionsPerTarget, bodyTimeout: 0, headersTimeout: 0 })
   }
 
   /**
@@ -61,22 +61,22 @@
     let attempts = 0
     let result: AttemptResult
     do {
-      result = await this.attempt(call, attempts++, deadlineAtMs)
+      result = await this._attempt(call, attempts++, deadlineAtMs)
       neverRun &&= result.end === 'not-run'
-    } while (await this.waitForRepeat(call, result, attempts, deadlineAtMs))
+    } while (await this._waitForRepeat(call, result, attempts, deadlineAtMs))
     const latencyMs = performance.now() - dueAtMs
     return { call, end: result.end, reason: result.reason, attempts, neverRun, latencyMs, lateMs }
   }
 
   /** Closes the connections. */
   public dispose (): void {
-    this.agent.destroy().catch(() => {})
+    this._agent.destroy().catch(() => {})
   }
 
-  private async waitForRepeat (
+  private async _waitForRepeat (
     call: PlannedCall, result: AttemptResult, attempts: number, deadlineAtMs: number
   ): Promise<boolean> {
-    const { retry } = this.plan
+    const { retry } = this._plan
     if (attempts >= retry.attempts || !isRepeatable(call, result)) return false
     const waitMs = Math.min(result.retryAfterMs ?? retry.waitMs, retry.maxWaitMs)
     if (performance.now() + waitMs >= deadlineAtMs) return false
@@ -84,14 +84,14 @@
     return true
   }
 
-  private async attempt (call: PlannedCall, attempt: number, deadlineAtMs: number): Promise<AttemptResult> {
+  private async _attempt (call: PlannedCall, attempt: number, deadlineAtMs: number): Promise<AttemptResult> {
     const leftMs = deadlineAtMs - performance.now()
     if (leftMs <= 0) return failed('deadline passed before it was sent')
-    const target = this.plan.targets[(call.target + attempt) % this.plan.targets.length] as string
+    const target = this._plan.targets[(call.target + attempt) % this._plan.targets.length] as string
     const abort = new AbortController()
     const timer = setTimeout(() => { abort.abort() }, leftMs)
     try {
-      const answer = await this.agent.request({
+      const answer = await this._agent.request({
         origin: `http://${target}`,
         ...REQUESTS[call.stream.kind](call),
         headers: headersOf(call, leftMs),
--- a/src/load/ChangeSchedule.ts
+++ b/src/load/ChangeSchedule.ts
@@ -13,24 +13,24 @@
 
 /** Changes the behaviour of stand-ins at set times of a run, over their admin surfaces. */
 export class ChangeSchedule {
-  private readonly changes: readonly BehaviourChange[]
+  private readonly _changes: readonly BehaviourChange[]
 
   /**
    * @param changes What to change and when.
    */
   public constructor (changes: readonly BehaviourChange[]) {
-    this.changes = changes
+    this._changes = changes
   }
 
   /** Starts the schedule; resolves after the last change with how each went. */
   public async run (): Promise<ChangeResult[]> {
-    return await Promise.all(this.changes.map(async change => {
+    return await Promise.all(this._changes.map(async change => {
       await new Promise(resolve => { setTimeout(resolve, change.atMs) })
-      return await this.send(change)
+      return await this._send(change)
     }))
   }
 
-  private async send ({ atMs, upstream, behaviour }: BehaviourChange): Promise<ChangeResult> {
+  private async _send ({ atMs, upstream, behaviour }: BehaviourChange): Promise<ChangeResult> {
     try {
       const answer = await got.post(`http://${upstream}/behaviour`, {
         json: behaviour,
--- a/src/load/DownloadCheck.ts
+++ b/src/load/DownloadCheck.ts
@@ -3,17 +3,17 @@
 
 /** Checks a body against what it must be while it arrives. Keeps one block. */
 export class DownloadCheck {
-  private readonly body: DownloadBody
-  private received = 0
-  private sound = true
-  private expected: Buffer = Buffer.alloc(0)
-  private expectedIndex = -1
+  private readonly _body: DownloadBody
+  private _received = 0
+  private _sound = true
+  private _expected: Buffer = Buffer.alloc(0)
+  private _expectedIndex = -1
 
   /**
    * @param body What must arrive.
    */
   public constructor (body: DownloadBody) {
-    this.body = body
+    this._body = body
   }
 
   /**
@@ -22,27 +22,27 @@
    */
   public update (chunk: Uint8Array): void {
     let offset = 0
-    while (offset < chunk.length && this.sound) {
-      const inBlock = this.received % DOWNLOAD_BLOCK_BYTES
-      const expected = this.blockAt(Math.floor(this.received / DOWNLOAD_BLOCK_BYTES))
+    while (offset < chunk.length && this._sound) {
+      const inBlock = this._received % DOWNLOAD_BLOCK_BYTES
+      const expected = this._blockAt(Math.floor(this._received / DOWNLOAD_BLOCK_BYTES))
       const length = Math.min(chunk.length - offset, expected.length - inBlock)
       const wanted = expected.subarray(inBlock, inBlock + length)
-      this.sound = length > 0 && wanted.equals(chunk.subarray(offset, offset + length))
-      this.received += length
+      this._sound = length > 0 && wanted.equals(chunk.subarray(offset, offset + length))
+      this._received += length
       offset += length
     }
   }
 
   /** Whether exactly the whole body has arrived. */
   public get whole (): boolean {
-    return this.sound && this.received === this.body.length
+    return this._sound && this._received === this._body.length
   }
 
-  private blockAt (index: number): Buffer {
-    if (index !== this.expectedIndex) {
-      this.expectedIndex = index
-      this.expected = index < this.body.blocks ? this.body.block(index) : Buffer.alloc(0)
+  private _blockAt (index: number): Buffer {
+    if (index !== this._expectedIndex) {
+      this._expectedIndex = index
+      this._expected = index < this._body.blocks ? this._body.block(index) : Buffer.alloc(0)
     }
-    return this.expected
+    return this._expected
   }
 }
--- a/src/load/JournalAudit.ts
+++ b/src/load/JournalAudit.ts
@@ -6,14 +6,14 @@
 
 /** Counts lost and doubled runs by holding what callers were told against what the stand-ins ran. */
 export class JournalAudit {
-  private readonly starts = new Map<string, number>()
+  private readonly _starts = new Map<string, number>()
 
   /**
    * @param lines Lines of all journals.
    */
   public constructor (lines: readonly JournalLine[]) {
     for (const line of lines) {
-      if (line.event === 'start') this.starts.set(line.requestId, (this.starts.get(line.requestId) ?? 0) + 1)
+      if (line.event === 'start') this._starts.set(line.requestId, (this._starts.get(line.requestId) ?? 0) + 1)
     }
   }
 
@@ -30,7 +30,7 @@
    * @param results All calls of one load run.
    */
   public count (results: readonly CallResult[]): AuditCounts {
-    const calls = Array.from(groupById(results), ([id, copies]) => ({ id, copies, runs: this.starts.get(id) ?? 0 }))
+    const calls = Array.from(groupById(results), ([id, copies]) => ({ id, copies, runs: this._starts.get(id) ?? 0 }))
     const examples: string[] = []
     const countWhere = (name: string, isFault: (call: AuditedCall) => boolean): number => {
       const faults = calls.filter(isFault)
--- a/src/load/LatencyPlot.ts
+++ b/src/load/LatencyPlot.ts
@@ -18,9 +18,9 @@
 
 /** Draws latency over time and by percentile as one SVG document. */
 export class LatencyPlot {
-  private readonly recorder: LatencyRecorder
-  private readonly durationMs: number
-  private readonly title: string
+  private readonly _recorder: LatencyRecorder
+  private readonly _durationMs: number
+  private readonly _title: string
 
   /**
    * @param recorder Latencies of one run.
@@ -28,9 +28,9 @@
    * @param title Stands above the plot.
    */
   public constructor (recorder: LatencyRecorder, durationMs: number, title: string) {
-    this.recorder = recorder
-    this.durationMs = durationMs
-    this.title = title
+    this._recorder = recorder
+    this._durationMs = durationMs
+    this._title = title
   }
 
   /** Returns the SVG document. */
@@ -39,18 +39,18 @@
     return [
       `<svg xmlns="http://www.w3.org/2000/svg" width="${WIDTH}" height="${height}" font-family="sans-serif" font-size="12">`,
       `<rect width="${WIDTH}" height="${height}" fill="white"/>`,
-      text(WIDTH / 2, 18, escape(this.title), 'middle'),
-      ...this.timePanel(),
-      ...this.curvePanel(),
+      text(WIDTH / 2, 18, escape(this._title), 'middle'),
+      ...this._timePanel(),
+      ...this._curvePanel(),
       '</svg>',
       ''
     ].join('\n')
   }
 
-  private timePanel (): string[] {
-    const slices = this.recorder.overTime()
-    const scale = createScale(slices.flatMap(slice => [slice.p50Ms, slice.maxMs]), this.durationMs, 0)
-    const seconds = [0, 0.25, 0.5, 0.75, 1].map(part => part * this.durationMs)
+  private _timePanel (): string[] {
+    const slices = this._recorder.overTime()
+    const scale = createScale(slices.flatMap(slice => [slice.p50Ms, slice.maxMs]), this._durationMs, 0)
+    const seconds = [0, 0.25, 0.5, 0.75, 1].map(part => part * this._durationMs)
     return [
       ...grid(scale),
       ...seconds.map(ms => text(scale.x(ms), scale.top + PANEL_HEIGHT - 28, `${(ms / 1000).toFixed(1)} s`, 'middle')),
@@ -59,8 +59,8 @@
     ]
   }
 
-  private curvePanel (): string[] {
-    const points = this.recorder.curve()
+  private _curvePanel (): string[] {
+    const points = this._recorder.curve()
     const scale = createScale(points.map(point => point.ms), 4, PANEL_HEIGHT)
     const nines = [['0', 0], ['90', 1], ['99', 2], ['99.9', 3], ['99.99', 4]] as const
     const line = points.map((point, index) => `${scale.x(index * 0.1).toFixed(1)},${scale.y(point.ms).toFixed(1)}`)
--- a/src/load/LatencyRecorder.ts
+++ b/src/load/LatencyRecorder.ts
@@ -31,15 +31,15 @@
  * was due, which corrects for coordinated omission. Memory: `TIME_BUCKETS` + 1 histograms.
  */
 export class LatencyRecorder {
-  private readonly whole = createHistogram(3)
-  private readonly slices: Histogram[] = []
-  private readonly sliceMs: number
+  private readonly _whole = createHistogram(3)
+  private readonly _slices: Histogram[] = []
+  private readonly _sliceMs: number
 
   /**
    * @param durationMs Length of the run.
    */
   public constructor (durationMs: number) {
-    this.sliceMs = durationMs / TIME_BUCKETS
+    this._sliceMs = durationMs / TIME_BUCKETS
   }
 
   /**
@@ -49,20 +49,20 @@
    */
   public record (dueMs: number, latencyMs: number): void {
     const us = Math.min(HIGHEST_US, Math.max(1, Math.round(latencyMs * 1000)))
-    const index = Math.min(TIME_BUCKETS - 1, Math.floor(dueMs / this.sliceMs))
-    this.whole.recordValue(us)
-    this.slices[index] ??= createHistogram(2)
-    this.slices[index].recordValue(us)
+    const index = Math.min(TIME_BUCKETS - 1, Math.floor(dueMs / this._sliceMs))
+    this._whole.recordValue(us)
+    this._slices[index] ??= createHistogram(2)
+    this._slices[index].recordValue(us)
   }
 
   /** Latency over the whole run. */
   public summary (): LatencySummary {
-    return summaryOf(this.whole)
+    return summaryOf(this._whole)
   }
 
   /** Latency over time; slices without calls are left out. */
   public overTime (): LatencySlice[] {
-    return this.slices.flatMap((histogram, index) => [{ fromMs: index * this.sliceMs, ...summaryOf(histogram) }])
+    return this._slices.flatMap((histogram, index) => [{ fromMs: index * this._sliceMs, ...summaryOf(histogram) }])
   }
 
   /** The percentile curve, closer towards the tail. */
@@ -70,7 +70,7 @@
     const points: PercentilePoint[] = []
     for (let nines = 0; nines < 4; nines += 0.1) {
       const percentile = 100 * (1 - 10 ** -nines)
-      points.push({ percentile, ms: this.whole.getValueAtPercentile(percentile) / 1000 })
+      points.push({ percentile, ms: this._whole.getValueAtPercentile(percentile) / 1000 })
     }
     return points
   }
--- a/src/load/LoadRun.ts
+++ b/src/load/LoadRun.ts
@@ -16,77 +16,77 @@
 
 /** One load run. Results of all calls are kept until its end; the plan bounds their number. */
 export class LoadRun {
-  private readonly plan: LoadPlan
-  private readonly schedule: Schedule
-  private readonly caller: Caller
-  private readonly results: CallResult[] = []
-  private readonly waiting: PlannedCall[] = []
-  private readonly open = new Set<Promise<void>>()
-  private startedAtMs = 0
+  private readonly _plan: LoadPlan
+  private readonly _schedule: Schedule
+  private readonly _caller: Caller
+  private readonly _results: CallResult[] = []
+  private readonly _waiting: PlannedCall[] = []
+  private readonly _open = new Set<Promise<void>>()
+  private _startedAtMs = 0
 
   /**
    * @param plan What to send.
    * @param runName Starts the id of each call; must differ between runs against the same upstreams.
    */
   public constructor (plan: LoadPlan, runName: string) {
-    this.plan = plan
-    this.schedule = new Schedule(plan, runName)
-    this.caller = new Caller(plan)
+    this._plan = plan
+    this._schedule = new Schedule(plan, runName)
+    this._caller = new Caller(plan)
   }
 
   /** Sends all calls when they are due, waits for their ends and sums up. */
   public async run (): Promise<LoadSummary> {
-    this.startedAtMs = performance.now()
-    const changes = new ChangeSchedule(this.plan.changes).run()
-    for (let dueMs = this.schedule.nextDueMs; dueMs !== undefined; dueMs = this.schedule.nextDueMs) {
-      await this.sleepUntil(dueMs)
-      this.waiting.push(this.schedule.take())
-      this.sendWaiting()
+    this._startedAtMs = performance.now()
+    const changes = new ChangeSchedule(this._plan.changes).run()
+    for (let dueMs = this._schedule.nextDueMs; dueMs !== undefined; dueMs = this._schedule.nextDueMs) {
+      await this._sleepUntil(dueMs)
+      this._waiting.push(this._schedule.take())
+      this._sendWaiting()
     }
-    while (this.open.size > 0) await Promise.race(this.open)
-    this.caller.dispose()
-    return this.summary(await changes)
+    while (this._open.size > 0) await Promise.race(this._open)
+    this._caller.dispose()
+    return this._summary(await changes)
   }
 
   /** Latencies of all calls that were answered, for a plot. */
   public latencies (): LatencyRecorder {
-    const recorder = new LatencyRecorder(this.plan.durationMs)
-    for (const { call, end, latencyMs } of this.results) {
-      if (end === 'ok' && call.dueMs >= this.plan.warmupMs) recorder.record(call.dueMs, latencyMs)
+    const recorder = new LatencyRecorder(this._plan.durationMs)
+    for (const { call, end, latencyMs } of this._results) {
+      if (end === 'ok' && call.dueMs >= this._plan.warmupMs) recorder.record(call.dueMs, latencyMs)
     }
     return recorder
   }
 
-  private async sleepUntil (dueMs: number): Promise<void> {
-    const spinMs = this.plan.precise ? TIMER_STEP_MS : 0
-    let leftMs = this.startedAtMs + dueMs - performance.now()
+  private async _sleepUntil (dueMs: number): Promise<void> {
+    const spinMs = this._plan.precise ? TIMER_STEP_MS : 0
+    let leftMs = this._startedAtMs + dueMs - performance.now()
     while (leftMs > 0) {
       if (leftMs <= spinMs) await turn()
       else await delay(Math.min(leftMs - spinMs, LONGEST_SLEEP_MS))
-      leftMs = this.startedAtMs + dueMs - performance.now()
+      leftMs = this._startedAtMs + dueMs - performance.now()
     }
   }
 
-  private sendWaiting (): void {
-    while (this.open.size < this.plan.maxInFlight) {
-      const call = this.waiting.shift()
+  private _sendWaiting (): void {
+    while (this._open.size < this._plan.maxInFlight) {
+      const call = this._waiting.shift()
       if (call === undefined) return
-      const ended: Promise<void> = this.send(call).finally(() => {
-        this.open.delete(ended)
-        this.sendWaiting()
+      const ended: Promise<void> = this._send(call).finally(() => {
+        this._open.delete(ended)
+        this._sendWaiting()
       })
-      this.open.add(ended)
+      this._open.add(ended)
     }
   }
 
-  private async send (call: PlannedCall): Promise<void> {
-    const copies = [this.caller.call(call, this.startedAtMs)]
-    if (call.repeated) copies.push(this.caller.call({ ...call, target: call.target + 1 }, this.startedAtMs))
-    this.results.push(...await Promise.all(copies))
+  private async _send (call: PlannedCall): Promise<void> {
+    const copies = [this._caller.call(call, this._startedAtMs)]
+    if (call.repeated) copies.push(this._caller.call({ ...call, target: call.target + 1 }, this._startedAtMs))
+    this._results.push(...await Promise.all(copies))
   }
 
-  private summary (changes: readonly ChangeResult[]): LoadSummary {
-    const { plan, results } = this
+  private _summary (changes: readonly ChangeResult[]): LoadSummary {
+    const { _plan: plan, _results: results } = this
     const late = new LatencyRecorder(plan.durationMs)
     for (const { call, lateMs } of results) {
       if (call.dueMs >= plan.warmupMs) late.record(call.dueMs, lateMs)
@@ -100,7 +100,7 @@
         return { service: stream.service, kind: stream.kind, ...summarize(own, plan) }
       }),
       lateMs: late.summary(),
-      unsent: this.waiting.length,
+      unsent: this._waiting.length,
       changes,
       audit: plan.journals.length === 0 ? undefined : JournalAudit.ofFiles(plan.journals).count(results)
     }
--- a/src/load/Schedule.ts
+++ b/src/load/Schedule.ts
@@ -13,19 +13,19 @@
 
 /** Draws the calls of a plan in the order in which they are due; the same seed gives the same calls. */
 export class Schedule {
-  private readonly plan: LoadPlan
-  private readonly runName: string
-  private readonly sources: Source[]
-  private count = 0
+  private readonly _plan: LoadPlan
+  private readonly _runName: string
+  private readonly _sources: Source[]
+  private _count = 0
 
   /**
    * @param plan Streams, duration and seed.
    * @param runName Starts the id of each call; must differ between runs against the same upstreams.
    */
   public constructor (plan: LoadPlan, runName: string) {
-    this.plan = plan
-    this.runName = runName
-    this.sources = plan.streams.map((stream, index) => {
+    this._plan = plan
+    this._runName = runName
+    this._sources = plan.streams.map((stream, index) => {
       const random = seedStream(plan.seed, index)
       return { stream, random, nextMs: gapMs(stream, random) }
     })
@@ -33,28 +33,28 @@
 
   /** When the next call is due, in milliseconds since the start; undefined after the last. */
   public get nextDueMs (): number | undefined {
-    const due = this.earliest().nextMs
-    return due < this.plan.durationMs ? due : undefined
+    const due = this._earliest().nextMs
+    return due < this._plan.durationMs ? due : undefined
   }
 
   /** Takes the next call; to be called only while `nextDueMs` is defined. */
   public take (): PlannedCall {
-    const source = this.earliest()
+    const source = this._earliest()
     const { stream, random, nextMs } = source
     source.nextMs += gapMs(stream, random)
-    const number = this.count++
+    const number = this._count++
     return {
-      id: `${this.runName}-${number}`,
+      id: `${this._runName}-${number}`,
       number,
       stream,
       dueMs: nextMs,
-      target: Math.floor(random.next() * this.plan.targets.length),
+      target: Math.floor(random.next() * this._plan.targets.length),
       repeated: stream.kind === 'guarded' && random.next() < stream.repeatShare
     }
   }
 
-  private earliest (): Source {
-    return this.sources.reduce((first, source) => source.nextMs < first.nextMs ? source : first)
+  private _earliest (): Source {
+    return this._sources.reduce((first, source) => source.nextMs < first.nextMs ? source : first)
   }
 }
 
--- a/src/node/MeasuringHost.ts
+++ b/src/node/MeasuringHost.ts
@@ -19,30 +19,30 @@
 
 /** The one ledger of this VM's measuring work. */
 export class MeasuringHost {
-  private lastId = 0
+  private _lastId = 0
 
-  public constructor (private readonly budget: MeasuringBudget, private readonly clock: Clock) {}
+  public constructor (private readonly _budget: MeasuringBudget, private readonly _clock: Clock) {}
 
   /** Asks for one message; false means that it must not be sent. */
   public maySend (kind: MeasuringKind): boolean {
-    const id = ++this.lastId
+    const id = ++this._lastId
     const { bytes, messages } = MESSAGES[kind]
-    const actions = this.budget.step({ type: 'request', id, kind, bytes, messages }, this.clock.nowMs())
+    const actions = this._budget.step({ type: 'request', id, kind, bytes, messages }, this._clock.nowMs())
     return actions.some(action => action.type === 'granted')
   }
 
   /** Counts a served call, which earns a share of a message. */
   public countCall (): void {
-    this.budget.step({ type: 'served', calls: 1 }, this.clock.nowMs())
+    this._budget.step({ type: 'served', calls: 1 }, this._clock.nowMs())
   }
 
   /** Takes the limits of a configuration. */
   public configure (rule: MeasuringRule): void {
-    this.budget.step({ type: 'configure', ...rule }, this.clock.nowMs())
+    this._budget.step({ type: 'configure', ...rule }, this._clock.nowMs())
   }
 
   /** Bytes granted within the last second. */
   public get spentBytes (): number {
-    return this.budget.spentBytes()
+    return this._budget.spentBytes()
   }
 }
--- a/src/node/NodeDaemon.ts
+++ b/src/node/NodeDaemon.ts
@@ -42,42 +42,42 @@
 export class NodeDaemon implements AdminSource {
   /** Rejects when the supervisor gives up. */
   public readonly ended: Promise<void>
-  private readonly container: Container
-  private readonly supervisor: Supervisor
-  private readonly log: Log
-  private fail: (error: Error) => void = () => {}
+  private readonly _container: Container
+  private readonly _supervisor: Supervisor
+  private readonly _log: Log
+  private _fail: (error: Error) => void = () => {}
 
   /**
    * @param fingerprints Ready hash for fingerprints; see `RequestFingerprint.load`.
    */
-  public constructor (private readonly settings: NodeSettings, fingerprints: RequestFingerprint) {
-    this.container = buildNodeContainer(settings, fingerprints)
-    this.log = this.container.get<Log>(TOKENS.log)
-    this.ended = new Promise((_resolve, reject) => { this.fail = reject })
+  public constructor (private readonly _settings: NodeSettings, fingerprints: RequestFingerprint) {
+    this._container = buildNodeContainer(_settings, fingerprints)
+    this._log = this._container.get<Log>(TOKENS.log)
+    this.ended = new Promise((_resolve, reject) => { this._fail = reject })
     const options = { name: 'node', maxRestarts: MAX_RESTARTS, withinMs: RESTART_WINDOW_MS }
-    const clock = this.container.get<Clock>(TOKENS.clock)
-    this.supervisor = new Supervisor(options, clock, this.log, error => this.fail(error))
+    const clock = this._container.get<Clock>(TOKENS.clock)
+    this._supervisor = new Supervisor(options, clock, this._log, error => this._fail(error))
   }
 
   /** Builds and starts a node from its settings. */
   public static async start (settings: NodeSettings): Promise<NodeDaemon> {
     const daemon = new NodeDaemon(settings, await RequestFingerprint.load())
-    await daemon.run()
+    await daemon._run()
     return daemon
   }
 
   public health (): Health {
-    const state = this.container.get(ConfigurationHost).state
+    const state = this._container.get(ConfigurationHost).state
     return state === 'current' ? { ok: true } : { ok: false, reason: `configuration ${state}` }
   }
 
   public state (): object {
-    const { container } = this
+    const { _container: container } = this
     return {
-      node: this.settings.id,
-      place: this.settings.place,
+      node: this._settings.id,
+      place: this._settings.place,
       incarnation: container.get(TOKENS.incarnation),
-      children: this.supervisor.describe(),
+      children: this._supervisor.describe(),
       configuration: container.get(ConfigurationHost).describe(),
       control: { home: container.get(ControlLinks).homeAddress, pending: container.get(ControlLinks).pendingRecords },
       membership: container.get(MembershipHost).describe(),
@@ -90,38 +90,38 @@
 
   /** Stops in order: the listener for callers goes first, calls in flight end, then the connections close. */
   public async stop (): Promise<void> {
-    this.log.info({}, 'stopping')
-    const { container } = this
+    this._log.info({}, 'stopping')
+    const { _container: container } = this
     const ingress = container.get(IngressServer)
     const side = container.get(UpstreamSide)
     ingress.close()
     container.get(UpstreamWatch).drain()
     side.close()
-    await this.waitUntilEmpty(ingress, side)
+    await this._waitUntilEmpty(ingress, side)
     container.get(MembershipHost).leave()
     await new Promise(resolve => setTimeout(resolve, FLUSH_MS))
-    process.off(DUMP_SIGNAL, this.dumpState)
-    await this.supervisor.stop()
-    this.log.info({}, 'stopped')
+    process.off(DUMP_SIGNAL, this._dumpState)
+    await this._supervisor.stop()
+    this._log.info({}, 'stopped')
   }
 
-  private async run (): Promise<void> {
-    this.connectParts()
-    await this.supervisor.add({ name: 'control', rule: 'restart', start: () => this.startControl() })
-    await this.supervisor.add({ name: 'mesh', rule: 'restart', start: () => this.startMesh() })
-    await this.supervisor.add({ name: 'ingress', rule: 'stop-process', start: () => this.startIngress() })
-    await this.supervisor.add({ name: 'admin', rule: 'restart', start: () => this.startAdmin() })
-    await this.supervisor.add({ name: 'metrics', rule: 'restart', start: () => this.startMetrics() })
-    process.on(DUMP_SIGNAL, this.dumpState)
+  private async _run (): Promise<void> {
+    this._connectParts()
+    await this._supervisor.add({ name: 'control', rule: 'restart', start: () => this._startControl() })
+    await this._supervisor.add({ name: 'mesh', rule: 'restart', start: () => this._startMesh() })
+    await this._supervisor.add({ name: 'ingress', rule: 'stop-process', start: () => this._startIngress() })
+    await this._supervisor.add({ name: 'admin', rule: 'restart', start: () => this._startAdmin() })
+    await this._supervisor.add({ name: 'metrics', rule: 'restart', start: () => this._startMetrics() })
+    process.on(DUMP_SIGNAL, this._dumpState)
   }
 
-  private readonly dumpState = (): void => {
-    this.log.info({ state: JSON.stringify(this.state()) }, 'state')
+  private readonly _dumpState = (): void => {
+    this._log.info({ state: JSON.stringify(this.state()) }, 'state')
   }
 
-  private startControl (): Child {
-    const links = this.container.get(ControlLinks)
-    const hosts = [this.container.get(ConfigurationHost), this.container.get(MembershipHost)]
+  private _startControl (): Child {
+    const links = this._container.get(ControlLinks)
+    const hosts = [this._container.get(ConfigurationHost), this._container.get(MembershipHost)]
     links.start()
     return {
       stop: () => {
@@ -131,13 +131,13 @@
     }
   }
 
-  private async startMesh (): Promise<Child> {
-    const server = this.container.get<FrameServer<ToUpstreamSide, ToIngressSide>>(TOKENS.peerServer)
-    const mesh = this.container.get(PeerMesh)
-    const side = this.container.get(UpstreamSide)
+  private async _startMesh (): Promise<Child> {
+    const server = this._container.get<FrameServer<ToUpstreamSide, ToIngressSide>>(TOKENS.peerServer)
+    const mesh = this._container.get(PeerMesh)
+    const side = this._container.get(UpstreamSide)
     server.onChannel(channel => mesh.accept(channel))
-    const address = await server.listen(this.settings.listen.peer)
-    this.log.info({ address }, 'listening for nodes')
+    const address = await server.listen(this._settings.listen.peer)
+    this._log.info({ address }, 'listening for nodes')
     return {
       stop: () => {
         server.close()
@@ -149,11 +149,11 @@
     }
   }
 
-  private async startIngress (): Promise<Child> {
-    const ingress = this.container.get(IngressServer)
-    const services = this.container.get(ServiceTable)
-    const address = await ingress.listen(this.settings.listen.caller)
-    this.log.info({ address }, 'listening for callers')
+  private async _startIngress (): Promise<Child> {
+    const ingress = this._container.get(IngressServer)
+    const services = this._container.get(ServiceTable)
+    const address = await ingress.listen(this._settings.listen.caller)
+    this._log.info({ address }, 'listening for callers')
     return {
       stop: () => {
         services.dispose()
@@ -162,11 +162,11 @@
     }
   }
 
-  private async startAdmin (): Promise<Child> {
-    const watch = this.container.get(UpstreamWatch)
-    const admin = buildNodeAdmin(this, watch, this.container.get(ConfigurationHost))
-    const address = await admin.listen(this.settings.listen.admin)
-    this.log.info({ address }, 'listening for operators')
+  private async _startAdmin (): Promise<Child> {
+    const watch = this._container.get(UpstreamWatch)
+    const admin = buildNodeAdmin(this, watch, this._container.get(ConfigurationHost))
+    const address = await admin.listen(this._settings.listen.admin)
+    this._log.info({ address }, 'listening for operators')
     return {
       stop: () => {
         watch.dispose()
@@ -175,9 +175,9 @@
     }
   }
 
-  private startMetrics (): Child {
-    const metrics = this.container.get<Metrics<NodeMetric>>(Metrics)
-    const timer = setInterval(() => this.sendLevels(metrics), LEVEL_INTERVAL_MS)
+  private _startMetrics (): Child {
+    const metrics = this._container.get<Metrics<NodeMetric>>(Metrics)
+    const timer = setInterval(() => this._sendLevels(metrics), LEVEL_INTERVAL_MS)
     return {
       stop: () => {
         clearInterval(timer)
@@ -187,98 +187,98 @@
   }
 
   // The parts tell each other what they see through typed events.
-  private connectParts (): void {
-    const { container } = this
+  private _connectParts (): void {
+    const { _container: container } = this
     const services = container.get(ServiceTable)
     const members = container.get(MembershipHost)
     const mesh = container.get(PeerMesh)
     const side = container.get(UpstreamSide)
-    container.get(ConfigurationHost).onApply(copy => this.applyConfiguration(copy))
-    members.onChange(service => this.handleMembers(service))
+    container.get(ConfigurationHost).onApply(copy => this._applyConfiguration(copy))
+    members.onChange(service => this._handleMembers(service))
     mesh.onLinkChange(({ node, open }) => {
-      this.tellServices(node, instance => ({ type: open ? 'linkUp' : 'linkDown', instance }))
+      this._tellServices(node, instance => ({ type: open ? 'linkUp' : 'linkDown', instance }))
       if (open) for (const report of side.crashReports()) mesh.sendToPeer(node, { type: 'crashReport', report })
     })
-    mesh.onEvidence(({ node, evidence }) => this.tellServices(node, instance => ({ type: 'evidence', instance, evidence })))
+    mesh.onEvidence(({ node, evidence }) => this._tellServices(node, instance => ({ type: 'evidence', instance, evidence })))
     mesh.onPeerFrame(({ from, frame }) => {
       if (frame.type === 'crashReport') side.takeQuarantine({ type: 'reported', report: frame.report })
       else container.get(ConfigurationHost).takePeerFrame(from, frame)
     })
     side.onQuarantine(action => { if (action.type === 'report') mesh.spread(action.report) })
-    this.reportCallEnds()
+    this._reportCallEnds()
     services.names.forEach(name => services.refresh(name))
   }
 
-  private applyConfiguration (copy: VersionedConfiguration): void {
-    const { container } = this
+  private _applyConfiguration (copy: VersionedConfiguration): void {
+    const { _container: container } = this
     container.get(MeasuringHost).configure(copy.configuration.measuring)
     container.get(ServiceTable).apply(copy)
     container.get(MembershipHost).setInterest(copy.configuration.services.map(service => service.name))
-    this.connectPeers()
+    this._connectPeers()
   }
 
-  private handleMembers (service: ServiceName): void {
-    this.container.get(ServiceTable).refresh(service)
-    this.connectPeers()
-    this.tellDeadLinks(service)
+  private _handleMembers (service: ServiceName): void {
+    this._container.get(ServiceTable).refresh(service)
+    this._connectPeers()
+    this._tellDeadLinks(service)
   }
 
   // The chooser takes a new instance for linked until it hears otherwise.
-  private tellDeadLinks (service: ServiceName): void {
-    const mesh = this.container.get(PeerMesh)
-    for (const { node } of this.container.get(MembershipHost).membersOf(service)) {
+  private _tellDeadLinks (service: ServiceName): void {
+    const mesh = this._container.get(PeerMesh)
+    for (const { node } of this._container.get(MembershipHost).membersOf(service)) {
       const instance = `${service}/${node}`
-      if (!mesh.isLinked(instance)) this.container.get(ServiceTable).tell(service, { type: 'linkDown', instance })
+      if (!mesh.isLinked(instance)) this._container.get(ServiceTable).tell(service, { type: 'linkDown', instance })
     }
   }
 
-  private connectPeers (): void {
-    const members = this.container.get(MembershipHost)
-    const peers = this.container.get(ServiceTable).names
+  private _connectPeers (): void {
+    const members = this._container.get(MembershipHost)
+    const peers = this._container.get(ServiceTable).names
       .flatMap(service => members.membersOf(service))
       .map(({ node, address }) => ({ node, address }))
-    this.container.get(PeerMesh).setPeers(peers)
+    this._container.get(PeerMesh).setPeers(peers)
   }
 
-  private tellServices (
+  private _tellServices (
     node: string, build: (instance: string) => Parameters<ServiceTable['tell']>[1]
   ): void {
-    const services = this.container.get(ServiceTable)
-    const members = this.container.get(MembershipHost)
+    const services = this._container.get(ServiceTable)
+    const members = this._container.get(MembershipHost)
     for (const service of services.names) {
       if (members.membersOf(service).some(member => member.node === node)) services.tell(service, build(`${service}/${node}`))
     }
   }
 
   // Looked up once: this runs for every call.
-  private reportCallEnds (): void {
-    const measuring = this.container.get(MeasuringHost)
-    const metrics = this.container.get<Metrics<NodeMetric>>(Metrics)
-    const services = this.container.get(ServiceTable)
-    this.container.get(IngressServer).onEnd(end => {
+  private _reportCallEnds (): void {
+    const measuring = this._container.get(MeasuringHost)
+    const metrics = this._container.get<Metrics<NodeMetric>>(Metrics)
+    const services = this._container.get(ServiceTable)
+    this._container.get(IngressServer).onEnd(end => {
       measuring.countCall()
       metrics.send('callsEnded', 1)
       metrics.send('callDuration', end.durationMs)
       if (end.attempts > 0) metrics.send('callAttempts', end.attempts)
       if (end.disposition === undefined) return
       metrics.send(DISPOSITION_METRICS[end.disposition], 1)
-      this.log.info({ ...end, version: services.version }, 'call answered by the system')
+      this._log.info({ ...end, version: services.version }, 'call answered by the system')
     })
   }
 
-  private sendLevels (metrics: Metrics<NodeMetric>): void {
-    const evidence = this.container.get(UpstreamSide).evidence()
+  private _sendLevels (metrics: Metrics<NodeMetric>): void {
+    const evidence = this._container.get(UpstreamSide).evidence()
     metrics.send('upstreamRunning', evidence.inFlight)
     metrics.send('upstreamQueued', evidence.queued)
-    metrics.send('configurationVersion', this.container.get(ServiceTable).version ?? 0)
-    metrics.send('measuringBytes', this.container.get(MeasuringHost).spentBytes)
+    metrics.send('configurationVersion', this._container.get(ServiceTable).version ?? 0)
+    metrics.send('measuringBytes', this._container.get(MeasuringHost).spentBytes)
   }
 
-  private async waitUntilEmpty (ingress: IngressServer, side: UpstreamSide): Promise<void> {
+  private async _waitUntilEmpty (ingress: IngressServer, side: UpstreamSide): Promise<void> {
     const isEmpty = (): boolean => ingress.inFlight === 0 && side.heldCalls === 0
     if (isEmpty()) return
     await new Promise<void>(resolve => {
-      const timer = setTimeout(resolve, this.drainLimitMs())
+      const timer = setTimeout(resolve, this._drainLimitMs())
       const check = (): void => {
         if (!isEmpty()) return
         clearTimeout(timer)
@@ -289,8 +289,8 @@
     })
   }
 
-  private drainLimitMs (): number {
-    const services = this.container.get(ServiceTable)
+  private _drainLimitMs (): number {
+    const services = this._container.get(ServiceTable)
     return Math.max(DEFAULT_DRAIN_MS, ...services.names.map(name => services.ruleOf(name)?.drainMs ?? 0))
   }
 }
--- a/src/node/UpstreamWatch.ts
+++ b/src/node/UpstreamWatch.ts
@@ -7,61 +7,61 @@
 
 /** Follows the local upstream by its announcements: tells members of it, drains it, and notices its silence. */
 export class UpstreamWatch implements Disposable {
-  private readonly timer: NodeJS.Timeout
-  private last: Announcement | undefined
-  private heardAtMs = 0
-  private drained = false
+  private readonly _timer: NodeJS.Timeout
+  private _last: Announcement | undefined
+  private _heardAtMs = 0
+  private _drained = false
 
   /**
-   * @param timeoutMs Silence after which the upstream counts as gone.
+   * @param _timeoutMs Silence after which the upstream counts as gone.
    */
   public constructor (
-    private readonly side: UpstreamSide,
-    private readonly members: MembershipHost,
-    private readonly clock: Clock,
-    private readonly log: Log,
-    private readonly timeoutMs: number
+    private readonly _side: UpstreamSide,
+    private readonly _members: MembershipHost,
+    private readonly _clock: Clock,
+    private readonly _log: Log,
+    private readonly _timeoutMs: number
   ) {
-    this.timer = setInterval(() => this.check(), CHECK_INTERVAL_MS)
+    this._timer = setInterval(() => this._check(), CHECK_INTERVAL_MS)
   }
 
   /** True while an operator or a planned stop keeps the upstream drained. */
   public get isDrained (): boolean {
-    return this.drained
+    return this._drained
   }
 
   /** Takes an announcement. */
   public take (announcement: Announcement): void {
-    this.heardAtMs = this.clock.nowMs()
-    this.last = announcement
-    const shown = this.drained ? { ...announcement, state: 'draining' as const } : announcement
-    this.side.setUpstream(shown)
-    this.members.announce(shown, shown.state)
+    this._heardAtMs = this._clock.nowMs()
+    this._last = announcement
+    const shown = this._drained ? { ...announcement, state: 'draining' as const } : announcement
+    this._side.setUpstream(shown)
+    this._members.announce(shown, shown.state)
   }
 
   /** Drains the local upstream until `resume`. */
   public drain (): void {
-    this.drained = true
-    this.side.drain()
-    if (this.last !== undefined) this.take(this.last)
+    this._drained = true
+    this._side.drain()
+    if (this._last !== undefined) this.take(this._last)
   }
 
   /** Takes the local upstream back. */
   public resume (): void {
-    this.drained = false
-    if (this.last !== undefined) this.take(this.last)
+    this._drained = false
+    if (this._last !== undefined) this.take(this._last)
   }
 
   /** Stops watching. */
   public dispose (): void {
-    clearInterval(this.timer)
+    clearInterval(this._timer)
   }
 
-  private check (): void {
-    if (this.last === undefined || this.clock.nowMs() - this.heardAtMs < this.timeoutMs) return
-    this.log.warn({ service: this.last.service, address: this.last.address }, 'upstream is silent')
-    this.last = undefined
-    this.side.loseUpstream()
-    this.members.leave()
+  private _check (): void {
+    if (this._last === undefined || this._clock.nowMs() - this._heardAtMs < this._timeoutMs) return
+    this._log.warn({ service: this._last.service, address: this._last.address }, 'upstream is silent')
+    this._last = undefined
+    this._side.loseUpstream()
+    this._members.leave()
   }
 }
--- a/src/node/control/ConfigurationHost.ts
+++ b/src/node/control/ConfigurationHost.ts
@@ -22,98 +22,98 @@
 
 /** Hosts the configuration follower: hears control and peers, and tells when a version comes into force. */
 export class ConfigurationHost implements Disposable {
-  private readonly follower: ConfigurationFollower
-  private readonly applied = new Emitter<VersionedConfiguration>()
-  private readonly handlers: ActionHandlers
-  private readonly timer: NodeJS.Timeout
+  private readonly _follower: ConfigurationFollower
+  private readonly _applied = new Emitter<VersionedConfiguration>()
+  private readonly _handlers: ActionHandlers
+  private readonly _timer: NodeJS.Timeout
 
   /**
-   * @param mayBeat Asks the measuring budget for one heartbeat.
+   * @param _mayBeat Asks the measuring budget for one heartbeat.
    */
   public constructor (
-    private readonly links: ControlLinks,
-    private readonly peers: PeerSender,
-    private readonly clock: Clock,
-    private readonly log: Log,
+    private readonly _links: ControlLinks,
+    private readonly _peers: PeerSender,
+    private readonly _clock: Clock,
+    private readonly _log: Log,
     options: { readonly heartbeatMs: number, readonly leaseMs: number },
-    private readonly mayBeat: () => boolean
+    private readonly _mayBeat: () => boolean
   ) {
-    this.follower = new ConfigurationFollower({ leaseMs: options.leaseMs })
-    this.handlers = {
-      apply: action => this.apply(action.copy),
-      askCopy: action => this.askCopy(action.from),
-      offer: action => this.peers.sendToPeer(action.to, { type: 'peerVersion', version: action.version }),
-      state: action => this.log.info({ state: action.state, version: this.follower.version }, 'configuration state')
+    this._follower = new ConfigurationFollower({ leaseMs: options.leaseMs })
+    this._handlers = {
+      apply: action => this._apply(action.copy),
+      askCopy: action => this._askCopy(action.from),
+      offer: action => this._peers.sendToPeer(action.to, { type: 'peerVersion', version: action.version }),
+      state: action => this._log.info({ state: action.state, version: this._follower.version }, 'configuration state')
     }
-    links.onFrame(frame => this.handleFrame(frame))
-    links.onHome(() => this.beat())
-    this.timer = setInterval(() => this.beat(), options.heartbeatMs)
+    _links.onFrame(frame => this._handleFrame(frame))
+    _links.onHome(() => this._beat())
+    this._timer = setInterval(() => this._beat(), options.heartbeatMs)
   }
 
   /** Fires with each configuration that comes into force here. */
-  public readonly onApply = this.applied.event
+  public readonly onApply = this._applied.event
 
   /** The configuration in force; undefined until one is confirmed. */
   public get inForce (): VersionedConfiguration | undefined {
-    return this.follower.inForce
+    return this._follower.inForce
   }
 
   /** State at this moment. */
   public get state (): FollowerState {
-    return this.follower.state(this.clock.nowMs())
+    return this._follower.state(this._clock.nowMs())
   }
 
   /** Hears another node's frame about configuration. */
   public takePeerFrame (from: NodeId, frame: SharedFrame): void {
     if (frame.type === 'peerVersion' || frame.type === 'peerHello') {
-      this.step({ type: 'peerVersion', from, version: frame.version })
+      this._step({ type: 'peerVersion', from, version: frame.version })
     }
-    if (frame.type === 'copy') this.step({ type: 'copy', from, confirmed: false, copy: frame.copy })
+    if (frame.type === 'copy') this._step({ type: 'copy', from, confirmed: false, copy: frame.copy })
     if (frame.type === 'askCopy' && this.inForce !== undefined) {
-      this.peers.sendToPeer(from, { type: 'copy', copy: this.inForce })
+      this._peers.sendToPeer(from, { type: 'copy', copy: this.inForce })
     }
   }
 
   /** Bounded description for the state dump. */
   public describe (): object {
-    return { state: this.state, version: this.follower.version, counters: this.follower.counters }
+    return { state: this.state, version: this._follower.version, counters: this._follower.counters }
   }
 
   /** Stops the heartbeats. */
   public dispose (): void {
-    clearInterval(this.timer)
+    clearInterval(this._timer)
   }
 
-  private handleFrame (frame: ControlToNode): void {
-    if (frame.type === 'copy' || frame.type === 'difference') this.step({ ...frame, from: CONTROL_SOURCE })
-    if (frame.type === 'confirm') this.step(frame)
+  private _handleFrame (frame: ControlToNode): void {
+    if (frame.type === 'copy' || frame.type === 'difference') this._step({ ...frame, from: CONTROL_SOURCE })
+    if (frame.type === 'confirm') this._step(frame)
   }
 
-  private beat (): void {
-    this.step({ type: 'tick' })
-    if (!this.mayBeat()) return
+  private _beat (): void {
+    this._step({ type: 'tick' })
+    if (!this._mayBeat()) return
     const copy = this.inForce
-    this.links.beat(copy?.version ?? 0, copy?.term ?? 0)
+    this._links.beat(copy?.version ?? 0, copy?.term ?? 0)
     if (copy === undefined) return
-    for (const node of this.peers.samplePeers(VERSION_FANOUT)) {
-      this.peers.sendToPeer(node, { type: 'peerVersion', version: copy.version })
+    for (const node of this._peers.samplePeers(VERSION_FANOUT)) {
+      this._peers.sendToPeer(node, { type: 'peerVersion', version: copy.version })
     }
   }
 
-  private step (event: FollowerEvent): void {
-    for (const action of this.follower.step(event, this.clock.nowMs())) {
-      const handler = this.handlers[action.type] as (action: FollowerAction) => void
+  private _step (event: FollowerEvent): void {
+    for (const action of this._follower.step(event, this._clock.nowMs())) {
+      const handler = this._handlers[action.type] as (action: FollowerAction) => void
       handler(action)
     }
   }
 
-  private apply (copy: VersionedConfiguration): void {
-    this.log.info({ version: copy.version, operation: copy.operation }, 'configuration in force')
-    this.applied.fire(copy)
+  private _apply (copy: VersionedConfiguration): void {
+    this._log.info({ version: copy.version, operation: copy.operation }, 'configuration in force')
+    this._applied.fire(copy)
   }
 
-  private askCopy (from: string): void {
-    if (from === CONTROL_SOURCE) this.links.sendHome({ type: 'askCopy' })
-    else this.peers.sendToPeer(from, { type: 'askCopy' })
+  private _askCopy (from: string): void {
+    if (from === CONTROL_SOURCE) this._links.sendHome({ type: 'askCopy' })
+    else this._peers.sendToPeer(from, { type: 'askCopy' })
   }
 }
--- a/src/node/control/ControlLinks.ts
+++ b/src/node/control/ControlLinks.ts
@@ -32,118 +32,118 @@
  * changes when it stops confirming. Records go to the leader. Holds one entry for each command without a reply.
  */
 export class ControlLinks implements RecordSender, Disposable {
-  private readonly clients: readonly Client[]
-  private readonly pending = new Map<number, PendingRecord>()
-  private readonly frames = new Emitter<ControlToNode>()
-  private readonly homes = new Emitter<void>()
-  private readonly handlers: Handlers
-  private home: Client | undefined
-  private leader: Client | undefined
-  private lastId = 0
-  private unconfirmed = 0
+  private readonly _clients: readonly Client[]
+  private readonly _pending = new Map<number, PendingRecord>()
+  private readonly _frames = new Emitter<ControlToNode>()
+  private readonly _homes = new Emitter<void>()
+  private readonly _handlers: Handlers
+  private _home: Client | undefined
+  private _leader: Client | undefined
+  private _lastId = 0
+  private _unconfirmed = 0
 
   /**
    * @param addresses Peer listeners of the replicas, `host:port`.
-   * @param hello First frame on each connection.
+   * @param _hello First frame on each connection.
    */
   public constructor (
     addresses: readonly string[],
-    private readonly hello: () => NodeToControl,
-    private readonly clock: Clock,
-    private readonly random: Random
+    private readonly _hello: () => NodeToControl,
+    private readonly _clock: Clock,
+    private readonly _random: Random
   ) {
-    this.clients = addresses.map(address => this.createClient(address))
-    this.handlers = {
-      recordReply: frame => this.settle(frame.id, frame.reply),
-      notLeader: frame => this.redirect(frame.id, frame.leader),
-      confirm: (frame, from) => this.takeFromHome(frame, from),
-      copy: (frame, from) => this.takeFromHome(frame, from),
-      difference: (frame, from) => this.takeFromHome(frame, from)
+    this._clients = addresses.map(address => this._createClient(address))
+    this._handlers = {
+      recordReply: frame => this._settle(frame.id, frame.reply),
+      notLeader: frame => this._redirect(frame.id, frame.leader),
+      confirm: (frame, from) => this._takeFromHome(frame, from),
+      copy: (frame, from) => this._takeFromHome(frame, from),
+      difference: (frame, from) => this._takeFromHome(frame, from)
     }
   }
 
   /** Fires with frames about configuration and membership. */
-  public readonly onFrame = this.frames.event
+  public readonly onFrame = this._frames.event
 
   /** Fires when another replica has become the home, or the home has connected again. */
-  public readonly onHome = this.homes.event
+  public readonly onHome = this._homes.event
 
   /** Starts to connect to all replicas. */
   public start (): void {
-    for (const client of this.clients) client.start()
+    for (const client of this._clients) client.start()
   }
 
   /** Address of the home, for the state dump. */
   public get homeAddress (): string | undefined {
-    return this.home?.address
+    return this._home?.address
   }
 
   /** Commands without a reply. */
   public get pendingRecords (): number {
-    return this.pending.size
+    return this._pending.size
   }
 
   /** Sends a frame to the home; dropped while there is none. */
   public sendHome (frame: NodeToControl): void {
-    this.home?.channel?.send(frame)
+    this._home?.channel?.send(frame)
   }
 
   /** Sends a heartbeat to the home, or looks for another home when it no longer confirms. */
   public beat (version: number, term: number): void {
-    this.dropOverdue()
-    if (this.home?.channel === undefined || this.unconfirmed >= MISSED_CONFIRMATIONS) this.changeHome()
-    this.unconfirmed++
-    this.sendHome({ type: 'heartbeat', version, term, askedAtMs: this.clock.nowMs() })
+    this._dropOverdue()
+    if (this._home?.channel === undefined || this._unconfirmed >= MISSED_CONFIRMATIONS) this._changeHome()
+    this._unconfirmed++
+    this.sendHome({ type: 'heartbeat', version, term, askedAtMs: this._clock.nowMs() })
   }
 
   /** Sends a command to the leader, as far as it is known. */
   public sendRecord (command: RecordCommand, onReply: (reply: RecordReply | undefined) => void): void {
-    this.sendTo(this.leader ?? this.home, command, onReply, 0)
+    this._sendTo(this._leader ?? this._home, command, onReply, 0)
   }
 
   /** Ends all connections. */
   public dispose (): void {
-    for (const client of this.clients) client.dispose()
+    for (const client of this._clients) client.dispose()
   }
 
-  private createClient (address: string): Client {
-    const client: Client = new FrameClient(address, this.clock, this.random)
-    client.onChannel(channel => this.open(client, channel))
-    client.onLoss(() => this.handleLoss(client))
+  private _createClient (address: string): Client {
+    const client: Client = new FrameClient(address, this._clock, this._random)
+    client.onChannel(channel => this._open(client, channel))
+    client.onLoss(() => this._handleLoss(client))
     return client
   }
 
-  private open (client: Client, channel: FrameChannel<ControlToNode, NodeToControl>): void {
-    channel.send(this.hello())
-    channel.onMessage(frame => this.handleFrame(frame, client))
-    if (this.home === undefined) this.setHome(client)
-    else if (this.home === client) this.homes.fire()
+  private _open (client: Client, channel: FrameChannel<ControlToNode, NodeToControl>): void {
+    channel.send(this._hello())
+    channel.onMessage(frame => this._handleFrame(frame, client))
+    if (this._home === undefined) this._setHome(client)
+    else if (this._home === client) this._homes.fire()
   }
 
-  private handleFrame (frame: ControlToNode, from: Client): void {
-    const handler = this.handlers[frame.type] as ((frame: ControlToNode, from: Client) => void) | undefined
-    if (handler === undefined) this.frames.fire(frame)
+  private _handleFrame (frame: ControlToNode, from: Client): void {
+    const handler = this._handlers[frame.type] as ((frame: ControlToNode, from: Client) => void) | undefined
+    if (handler === undefined) this._frames.fire(frame)
     else handler(frame, from)
   }
 
-  private takeFromHome (frame: ControlToNode, from: Client): void {
-    if (from === this.home) this.unconfirmed = 0
-    this.frames.fire(frame)
+  private _takeFromHome (frame: ControlToNode, from: Client): void {
+    if (from === this._home) this._unconfirmed = 0
+    this._frames.fire(frame)
   }
 
-  private setHome (client: Client): void {
-    this.home = client
-    this.unconfirmed = 0
-    this.homes.fire()
+  private _setHome (client: Client): void {
+    this._home = client
+    this._unconfirmed = 0
+    this._homes.fire()
   }
 
-  private changeHome (): void {
-    const others = this.clients.filter(client => client !== this.home && client.channel !== undefined)
-    const next = others[Math.floor(this.random.next() * others.length)]
-    if (next !== undefined) this.setHome(next)
+  private _changeHome (): void {
+    const others = this._clients.filter(client => client !== this._home && client.channel !== undefined)
+    const next = others[Math.floor(this._random.next() * others.length)]
+    if (next !== undefined) this._setHome(next)
   }
 
-  private sendTo (
+  private _sendTo (
     client: Client | undefined,
     command: RecordCommand,
     onReply: (reply: RecordReply | undefined) => void,
@@ -153,45 +153,45 @@
       onReply(undefined)
       return
     }
-    const id = ++this.lastId
-    this.pending.set(id, { command, onReply, client, sentAtMs: this.clock.nowMs(), redirects })
+    const id = ++this._lastId
+    this._pending.set(id, { command, onReply, client, sentAtMs: this._clock.nowMs(), redirects })
     client.channel.send({ type: 'record', id, command })
   }
 
-  private settle (id: number, reply: RecordReply | undefined): void {
-    const record = this.pending.get(id)
+  private _settle (id: number, reply: RecordReply | undefined): void {
+    const record = this._pending.get(id)
     if (record === undefined) return
-    this.pending.delete(id)
-    if (reply !== undefined) this.leader = record.client
+    this._pending.delete(id)
+    if (reply !== undefined) this._leader = record.client
     record.onReply(reply)
   }
 
-  private redirect (id: number, address: string | undefined): void {
-    const record = this.pending.get(id)
+  private _redirect (id: number, address: string | undefined): void {
+    const record = this._pending.get(id)
     if (record === undefined) return
-    const leader = this.clients.find(client => client.address === address)
-    this.leader = leader
+    const leader = this._clients.find(client => client.address === address)
+    this._leader = leader
     if (leader === undefined || record.redirects >= MAX_REDIRECTS) {
-      this.settle(id, undefined)
+      this._settle(id, undefined)
       return
     }
-    this.pending.delete(id)
-    this.sendTo(leader, record.command, record.onReply, record.redirects + 1)
+    this._pending.delete(id)
+    this._sendTo(leader, record.command, record.onReply, record.redirects + 1)
   }
 
-  private handleLoss (client: Client): void {
-    if (this.leader === client) this.leader = undefined
-    for (const [id, record] of this.pending) {
-      if (record.client === client) this.settle(id, undefined)
+  private _handleLoss (client: Client): void {
+    if (this._leader === client) this._leader = undefined
+    for (const [id, record] of this._pending) {
+      if (record.client === client) this._settle(id, undefined)
     }
-    if (this.home === client) this.changeHome()
+    if (this._home === client) this._changeHome()
   }
 
-  private dropOverdue (): void {
-    const limit = this.clock.nowMs() - PENDING_LIMIT_MS
-    for (const [id, record] of this.pending) {
+  private _dropOverdue (): void {
+    const limit = this._clock.nowMs() - PENDING_LIMIT_MS
+    for (const [id, record] of this._pending) {
       if (record.sentAtMs > limit) return
-      this.settle(id, undefined)
+      this._settle(id, undefined)
     }
   }
 }
