--- a/src/node/control/MembershipHost.ts
+++ b/src/node/control/MembershipHost.ts
@@ -27,114 +27,114 @@
 
 /** Hosts the membership table: announces the local upstream and keeps the members of the services of interest. */
 export class MembershipHost implements Disposable {
-  private readonly table: MembershipTable
-  private readonly changes = new Emitter<ServiceName>()
-  private readonly timer: NodeJS.Timeout
-  private interest: readonly ServiceName[] = []
-  private sequence = 0
-  private ticks = 0
-  private announced: Member | undefined
+  private readonly _table: MembershipTable
+  private readonly _changes = new Emitter<ServiceName>()
+  private readonly _timer: NodeJS.Timeout
+  private _interest: readonly ServiceName[] = []
+  private _sequence = 0
+  private _ticks = 0
+  private _announced: Member | undefined
 
   public constructor (
-    private readonly identity: Identity,
-    private readonly links: ControlLinks,
-    private readonly clock: Clock,
-    private readonly log: Log,
-    private readonly mayBeat: () => boolean
+    private readonly _identity: Identity,
+    private readonly _links: ControlLinks,
+    private readonly _clock: Clock,
+    private readonly _log: Log,
+    private readonly _mayBeat: () => boolean
   ) {
-    this.table = new MembershipTable({ role: 'node', self: identity.node })
-    links.onFrame(frame => this.handleFrame(frame))
-    links.onHome(() => this.greetHome())
-    this.timer = setInterval(() => this.tick(), TICK_MS)
+    this._table = new MembershipTable({ role: 'node', self: _identity.node })
+    _links.onFrame(frame => this._handleFrame(frame))
+    _links.onHome(() => this._greetHome())
+    this._timer = setInterval(() => this._tick(), TICK_MS)
   }
 
   /** Fires with the service whose members changed. */
-  public readonly onChange = this.changes.event
+  public readonly onChange = this._changes.event
 
   /** Members of a service that are neither silent nor left. */
   public membersOf (service: ServiceName): Member[] {
-    return this.table.membersOf(service)
+    return this._table.membersOf(service)
   }
 
   /** Asks for the members of these services. */
   public setInterest (services: readonly ServiceName[]): void {
-    this.interest = services
-    this.tellInterest()
+    this._interest = services
+    this._tellInterest()
   }
 
   /** Tells others of the local upstream. A repeated announcement costs nothing. */
   public announce (announcement: Pick<Announcement, 'service' | 'slots'>, state: MemberState): void {
     const { service, slots } = announcement
-    const before = this.announced
+    const before = this._announced
     if (before?.service === service && before.slots === slots && before.state === state) return
-    this.announced = { ...this.identity, service, slots, state, sequence: ++this.sequence }
-    this.step({ type: 'announce', member: this.announced })
+    this._announced = { ...this._identity, service, slots, state, sequence: ++this._sequence }
+    this._step({ type: 'announce', member: this._announced })
   }
 
   /** Tells others that the local upstream has left. */
   public leave (): void {
-    if (this.announced !== undefined) this.announce(this.announced, 'left')
+    if (this._announced !== undefined) this.announce(this._announced, 'left')
   }
 
   /** Bounded description for the state dump. */
   public describe (): object {
-    const members = this.table.members().map(({ node, service, state, silent }) => ({ node, service, state, silent }))
-    return { interest: this.interest, counters: this.table.counters, members: members.slice(0, 200) }
+    const members = this._table.members().map(({ node, service, state, silent }) => ({ node, service, state, silent }))
+    return { interest: this._interest, counters: this._table.counters, members: members.slice(0, 200) }
   }
 
   /** Stops the ticks. */
   public dispose (): void {
-    clearInterval(this.timer)
+    clearInterval(this._timer)
   }
 
-  private tick (): void {
-    this.step({ type: 'tick' })
-    if (++this.ticks % TICKS_PER_SIGN !== 0 || this.announced === undefined || !this.mayBeat()) return
-    const { incarnation, sequence } = this.announced
-    this.links.sendHome({ type: 'alive', incarnation, sequence })
+  private _tick (): void {
+    this._step({ type: 'tick' })
+    if (++this._ticks % TICKS_PER_SIGN !== 0 || this._announced === undefined || !this._mayBeat()) return
+    const { incarnation, sequence } = this._announced
+    this._links.sendHome({ type: 'alive', incarnation, sequence })
   }
 
-  private handleFrame (frame: ControlToNode): void {
-    if (frame.type === 'membership') this.step({ ...frame, type: 'merge', from: HOME })
-    if (frame.type === 'digest') this.step({ type: 'digest', from: HOME, digests: frame.digests })
+  private _handleFrame (frame: ControlToNode): void {
+    if (frame.type === 'membership') this._step({ ...frame, type: 'merge', from: HOME })
+    if (frame.type === 'digest') this._step({ type: 'digest', from: HOME, digests: frame.digests })
   }
 
-  private greetHome (): void {
-    this.step({ type: 'lost', from: HOME })
-    this.step({ type: 'interest', from: HOME, services: [ALL_SERVICES] })
-    this.renew()
-    this.tellInterest()
+  private _greetHome (): void {
+    this._step({ type: 'lost', from: HOME })
+    this._step({ type: 'interest', from: HOME, services: [ALL_SERVICES] })
+    this._renew()
+    this._tellInterest()
   }
 
   // A new home may hold the silence that another saw: only a later sequence ends that for certain.
-  private renew (): void {
-    if (this.announced === undefined) return
-    this.announced = { ...this.announced, sequence: ++this.sequence }
-    this.step({ type: 'announce', member: this.announced })
+  private _renew (): void {
+    if (this._announced === undefined) return
+    this._announced = { ...this._announced, sequence: ++this._sequence }
+    this._step({ type: 'announce', member: this._announced })
   }
 
-  private tellInterest (): void {
-    const known = new Set(this.interest)
-    const digests = this.table.digests().filter(digest => known.has(digest.service))
-    this.links.sendHome({ type: 'interest', services: this.interest, digests })
+  private _tellInterest (): void {
+    const known = new Set(this._interest)
+    const digests = this._table.digests().filter(digest => known.has(digest.service))
+    this._links.sendHome({ type: 'interest', services: this._interest, digests })
   }
 
-  private step (event: MembershipEvent): void {
-    for (const action of this.table.step(event, this.clock.nowMs())) this.handleAction(action)
+  private _step (event: MembershipEvent): void {
+    for (const action of this._table.step(event, this._clock.nowMs())) this._handleAction(action)
   }
 
-  private handleAction (action: MembershipAction): void {
+  private _handleAction (action: MembershipAction): void {
     if (action.type === 'send') {
-      this.links.sendHome({ type: 'membership', members: action.members })
+      this._links.sendHome({ type: 'membership', members: action.members })
       return
     }
     if (action.type === 'sendDigest') {
-      this.links.sendHome({ type: 'digest', digests: action.digests })
+      this._links.sendHome({ type: 'digest', digests: action.digests })
       return
     }
     if (action.type === 'sendBeats') return
     const { node, service, state } = action.member
-    this.log.info({ node, service, state }, `member ${action.type}`)
-    this.changes.fire(service)
+    this._log.info({ node, service, state }, `member ${action.type}`)
+    this._changes.fire(service)
   }
 }
--- a/src/node/ingress/Attempt.ts
+++ b/src/node/ingress/Attempt.ts
@@ -16,10 +16,10 @@
 
 /** One try of a call at one instance. Tells the chooser exactly once how it ended. */
 export class Attempt implements CallSink {
-  private readonly startedAtMs: number
-  private handle: CallHandle | undefined
-  private owedBytes = 0
-  private settled = false
+  private readonly _startedAtMs: number
+  private _handle: CallHandle | undefined
+  private _owedBytes = 0
+  private _settled = false
 
   /**
    * @param number 1 for the first attempt of the call.
@@ -29,77 +29,77 @@
     public readonly number: number,
     public readonly id: CallId,
     public readonly instance: InstanceId,
-    private readonly lane: ServiceLane,
-    private readonly clock: Clock,
-    private readonly listener: AttemptListener
+    private readonly _lane: ServiceLane,
+    private readonly _clock: Clock,
+    private readonly _listener: AttemptListener
   ) {
-    this.startedAtMs = clock.nowMs()
+    this._startedAtMs = _clock.nowMs()
   }
 
   /** True until the attempt has ended. */
   public get isOpen (): boolean {
-    return !this.settled
+    return !this._settled
   }
 
   /** Milliseconds since the start. */
   public get elapsedMs (): number {
-    return this.clock.nowMs() - this.startedAtMs
+    return this._clock.nowMs() - this._startedAtMs
   }
 
   /** Sends the call. */
   public start (target: CallTarget, request: CallRequest): void {
-    this.handle = target.start(request, this)
-    if (this.owedBytes > 0) this.handle.grant(this.owedBytes)
+    this._handle = target.start(request, this)
+    if (this._owedBytes > 0) this._handle.grant(this._owedBytes)
   }
 
   /** Gives the attempt up. */
   public cancel (): void {
-    if (this.settled) return
-    this.settle('cancelled', undefined)
-    this.handle?.cancel()
+    if (this._settled) return
+    this._settle('cancelled', undefined)
+    this._handle?.cancel()
   }
 
   /** Allows more of the body to be sent. */
   public grant (bytes: number): void {
-    if (this.handle === undefined) this.owedBytes += bytes
-    else this.handle.grant(bytes)
+    if (this._handle === undefined) this._owedBytes += bytes
+    else this._handle.grant(bytes)
   }
 
   public onAnswer (head: AnswerHead, body: Uint8Array, evidence: LoadEvidence): void {
-    if (this.settled) return
-    this.settle(outcomeOf(head), evidence)
-    this.listener.handleAnswer(this, head, body)
+    if (this._settled) return
+    this._settle(outcomeOf(head), evidence)
+    this._listener.handleAnswer(this, head, body)
   }
 
   public onHead (head: AnswerHead): void {
-    if (!this.settled) this.listener.handleHead(this, head)
+    if (!this._settled) this._listener.handleHead(this, head)
   }
 
   public onBody (bytes: Uint8Array): void {
-    if (!this.settled) this.listener.handleBody(this, bytes)
+    if (!this._settled) this._listener.handleBody(this, bytes)
   }
 
   public onEnd (): void {
-    if (this.settled) return
-    this.settle('ok', undefined)
-    this.listener.handleEnd(this)
+    if (this._settled) return
+    this._settle('ok', undefined)
+    this._listener.handleEnd(this)
   }
 
   public onRefused (refusal: Refusal, evidence: LoadEvidence | undefined): void {
-    if (this.settled) return
-    this.settle(outcomeOfRefusal(refusal), evidence)
-    this.listener.handleRefused(this, refusal)
+    if (this._settled) return
+    this._settle(outcomeOfRefusal(refusal), evidence)
+    this._listener.handleRefused(this, refusal)
   }
 
   public onAbort (reason: string): void {
-    if (this.settled) return
-    this.settle('error', undefined)
-    this.listener.handleAbort(this, reason)
+    if (this._settled) return
+    this._settle('error', undefined)
+    this._listener.handleAbort(this, reason)
   }
 
-  private settle (outcome: AttemptOutcome, evidence: LoadEvidence | undefined): void {
-    this.settled = true
-    this.lane.settle(this.id, this.instance, outcome, this.elapsedMs, evidence)
+  private _settle (outcome: AttemptOutcome, evidence: LoadEvidence | undefined): void {
+    this._settled = true
+    this._lane.settle(this.id, this.instance, outcome, this.elapsedMs, evidence)
   }
 }
 
--- a/src/node/ingress/IngressCall.ts
+++ b/src/node/ingress/IngressCall.ts
@@ -37,176 +37,176 @@
 
 /** One caller's request, from the first attempt to the last byte of its answer. It is answered exactly once. */
 export class IngressCall implements AttemptListener, RetryListener {
-  private readonly id: CallId
-  private readonly deadline: Deadline
-  private readonly startedAtMs: number
-  private readonly excluded: InstanceId[] = []
-  private readonly handlers: RetryHandlers
-  private attempts: Attempt[] = []
-  private streaming: Attempt | undefined
-  private heldAnswer: HeldAnswer | undefined
-  private lastRefusal: Refusal | undefined
-  private unknown = false
-  private losses = 0
-  private ended = false
-  private owedBytes = 0
-  private timer: NodeJS.Timeout | undefined
+  private readonly _id: CallId
+  private readonly _deadline: Deadline
+  private readonly _startedAtMs: number
+  private readonly _excluded: InstanceId[] = []
+  private readonly _handlers: RetryHandlers
+  private _attempts: Attempt[] = []
+  private _streaming: Attempt | undefined
+  private _heldAnswer: HeldAnswer | undefined
+  private _lastRefusal: Refusal | undefined
+  private _unknown = false
+  private _losses = 0
+  private _ended = false
+  private _owedBytes = 0
+  private _timer: NodeJS.Timeout | undefined
 
   /**
-   * @param onEnd Called once when the caller has its answer or has gone away.
+   * @param _onEnd Called once when the caller has its answer or has gone away.
    */
   public constructor (
-    private readonly request: IngressRequest,
-    private readonly response: ServerResponse,
-    private readonly lane: ServiceLane,
-    private readonly targets: TargetSource,
-    private readonly context: IngressContext,
-    private readonly onEnd: (end: CallEnd) => void
+    private readonly _request: IngressRequest,
+    private readonly _response: ServerResponse,
+    private readonly _lane: ServiceLane,
+    private readonly _targets: TargetSource,
+    private readonly _context: IngressContext,
+    private readonly _onEnd: (end: CallEnd) => void
   ) {
-    this.id = context.nextCall()
-    this.startedAtMs = context.clock.nowMs()
-    this.deadline = new Deadline(request.deadlineAtMs)
-    this.handlers = {
-      retry: action => this.attempt(action.attempt),
-      hedge: action => this.hedge(action.attempt),
-      giveUp: action => this.giveUp(action.reason, action.retryAfterMs),
+    this._id = _context.nextCall()
+    this._startedAtMs = _context.clock.nowMs()
+    this._deadline = new Deadline(_request.deadlineAtMs)
+    this._handlers = {
+      retry: action => this._attempt(action.attempt),
+      hedge: action => this._hedge(action.attempt),
+      giveUp: action => this._giveUp(action.reason, action.retryAfterMs),
       cancelAttempts: () => {}
     }
   }
 
   /** Name of the call for log lines and answers. */
   public get name (): string {
-    return `${this.context.incarnation}-${this.id}`
+    return `${this._context.incarnation}-${this._id}`
   }
 
   /** Starts the first attempt. */
   public begin (): void {
-    const { request } = this
-    this.response.once('close', () => this.handleClose())
-    this.response.on('drain', () => this.grantOwed())
-    const leftMs = this.deadline.leftMs(this.context.clock.nowMs())
-    this.timer = setTimeout(() => this.handleDeadline(), Math.max(1, leftMs))
-    this.lane.begin({
+    const { _request: request } = this
+    this._response.once('close', () => this._handleClose())
+    this._response.on('drain', () => this._grantOwed())
+    const leftMs = this._deadline.leftMs(this._context.clock.nowMs())
+    this._timer = setTimeout(() => this._handleDeadline(), Math.max(1, leftMs))
+    this._lane.begin({
       type: 'begin',
-      call: this.id,
+      call: this._id,
       idempotent: request.kind !== 'guarded',
       deadlineAtMs: request.deadlineAtMs,
       retriesAbove: request.depth > 0,
       // A second run of a large download would cost more than it gains.
       hedge: request.kind === 'lookup'
     }, this)
-    if (!this.ended) this.attempt(1)
+    if (!this._ended) this._attempt(1)
   }
 
   public handleRetryAction (action: RetryAction): void {
-    if (this.ended || action.type === 'wake') return
-    const handler = this.handlers[action.type] as (action: RetryAction) => void
+    if (this._ended || action.type === 'wake') return
+    const handler = this._handlers[action.type] as (action: RetryAction) => void
     handler(action)
   }
 
   public handleAnswer (attempt: Attempt, head: AnswerHead, body: Uint8Array): void {
-    if (this.ended) return
-    if (RETRYABLE_STATUS.has(head.status) && this.request.kind !== 'guarded') {
-      this.heldAnswer = { head, body }
-      this.excluded.push(attempt.instance)
-      this.reportFailure('unknown', 'upstream-failed', 0)
+    if (this._ended) return
+    if (RETRYABLE_STATUS.has(head.status) && this._request.kind !== 'guarded') {
+      this._heldAnswer = { head, body }
+      this._excluded.push(attempt.instance)
+      this._reportFailure('unknown', 'upstream-failed', 0)
       return
     }
-    this.reportSuccess(attempt)
-    this.sendAnswer(head, body)
+    this._reportSuccess(attempt)
+    this._sendAnswer(head, body)
   }
 
   public handleHead (attempt: Attempt, head: AnswerHead): void {
-    if (this.streaming !== undefined) {
+    if (this._streaming !== undefined) {
       attempt.cancel()
       return
     }
-    this.streaming = attempt
+    this._streaming = attempt
     // The body may take longer than the deadline, which bounds the wait for the head.
-    clearTimeout(this.timer)
-    this.reportSuccess(attempt)
-    this.cancelAttempts(attempt)
-    this.response.writeHead(head.status, head.headers as string[])
-    this.response.flushHeaders()
+    clearTimeout(this._timer)
+    this._reportSuccess(attempt)
+    this._cancelAttempts(attempt)
+    this._response.writeHead(head.status, head.headers as string[])
+    this._response.flushHeaders()
   }
 
   public handleBody (attempt: Attempt, bytes: Uint8Array): void {
-    if (this.response.write(bytes)) attempt.grant(bytes.length)
-    else this.owedBytes += bytes.length
+    if (this._response.write(bytes)) attempt.grant(bytes.length)
+    else this._owedBytes += bytes.length
   }
 
   public handleEnd (): void {
-    this.response.end()
-    this.end({ status: this.response.statusCode })
+    this._response.end()
+    this._end({ status: this._response.statusCode })
   }
 
   public handleRefused (attempt: Attempt, refusal: Refusal): void {
-    if (this.ended) return
-    if (refusal.disposition === 'unknown') this.unknown = true
+    if (this._ended) return
+    if (refusal.disposition === 'unknown') this._unknown = true
     if (refusal.disposition === 'quarantined') {
-      this.answerRefusal(refusal)
+      this._answerRefusal(refusal)
       return
     }
-    if (refusal.disposition === 'unknown' && ++this.losses >= MAX_LOSSES) {
-      this.answerRefusal(refusal)
+    if (refusal.disposition === 'unknown' && ++this._losses >= MAX_LOSSES) {
+      this._answerRefusal(refusal)
       return
     }
-    if (refusal.reason === 'draining') this.lane.avoid(attempt.instance)
-    this.lastRefusal = refusal
-    this.excluded.push(attempt.instance)
-    this.reportFailure(refusal.disposition, refusal.reason, refusal.retryAfterMs)
+    if (refusal.reason === 'draining') this._lane.avoid(attempt.instance)
+    this._lastRefusal = refusal
+    this._excluded.push(attempt.instance)
+    this._reportFailure(refusal.disposition, refusal.reason, refusal.retryAfterMs)
   }
 
   public handleAbort (_attempt: Attempt, reason: string): void {
     // The head is out: breaking the connection is the only way left to tell the caller.
-    this.context.log.warn({ call: this.name, reason }, 'answer broke off')
-    this.response.destroy()
-    this.end({ status: this.response.statusCode, reason: 'upstream-failed' })
+    this._context.log.warn({ call: this.name, reason }, 'answer broke off')
+    this._response.destroy()
+    this._end({ status: this._response.statusCode, reason: 'upstream-failed' })
   }
 
-  private attempt (number: number): void {
-    const id = this.context.nextCall()
-    const choice = this.lane.choose(id, this.request.kind, this.excluded)
+  private _attempt (number: number): void {
+    const id = this._context.nextCall()
+    const choice = this._lane.choose(id, this._request.kind, this._excluded)
     if (choice.type === 'none') {
-      this.handleNoChoice(choice.reason, choice.retryAfterMs)
+      this._handleNoChoice(choice.reason, choice.retryAfterMs)
       return
     }
-    const attempt = new Attempt(number, id, choice.instance, this.lane, this.context.clock, this)
-    this.attempts.push(attempt)
-    const target = this.targets.findTarget(choice.instance)
+    const attempt = new Attempt(number, id, choice.instance, this._lane, this._context.clock, this)
+    this._attempts.push(attempt)
+    const target = this._targets.findTarget(choice.instance)
     if (target === undefined) {
       attempt.onRefused({ disposition: 'not-run', reason: 'peer-lost', retryAfterMs: 0 }, undefined)
       return
     }
-    attempt.start(target, this.buildCall(id))
+    attempt.start(target, this._buildCall(id))
   }
 
   // With nobody left to ask, what the last one said tells the caller more.
-  private handleNoChoice (reason: Reason, retryAfterMs: number): void {
-    const othersOut = this.attempts.some(attempt => attempt.isOpen)
-    if (othersOut) this.reportFailure('not-run', reason, retryAfterMs)
-    else if (this.lastRefusal !== undefined) this.giveUp(this.lastRefusal.reason, this.lastRefusal.retryAfterMs)
-    else if (this.heldAnswer !== undefined) this.giveUp(reason, retryAfterMs)
-    else this.reportFailure('not-run', reason, retryAfterMs)
+  private _handleNoChoice (reason: Reason, retryAfterMs: number): void {
+    const othersOut = this._attempts.some(attempt => attempt.isOpen)
+    if (othersOut) this._reportFailure('not-run', reason, retryAfterMs)
+    else if (this._lastRefusal !== undefined) this._giveUp(this._lastRefusal.reason, this._lastRefusal.retryAfterMs)
+    else if (this._heldAnswer !== undefined) this._giveUp(reason, retryAfterMs)
+    else this._reportFailure('not-run', reason, retryAfterMs)
   }
 
-  private hedge (number: number): void {
-    const busy = this.attempts.filter(attempt => attempt.isOpen).map(attempt => attempt.instance)
-    for (const instance of busy) this.excluded.push(instance)
-    this.attempt(number)
+  private _hedge (number: number): void {
+    const busy = this._attempts.filter(attempt => attempt.isOpen).map(attempt => attempt.instance)
+    for (const instance of busy) this._excluded.push(instance)
+    this._attempt(number)
   }
 
-  private buildCall (id: CallId): Parameters<Attempt['start']>[1] {
-    const { service, method, target, headers, body, kind, key, fingerprint, depth, version } = this.request
+  private _buildCall (id: CallId): Parameters<Attempt['start']>[1] {
+    const { service, method, target, headers, body, kind, key, fingerprint, depth, version } = this._request
     return {
       id,
-      from: this.context.incarnation,
+      from: this._context.incarnation,
       service,
       method,
       target,
       headers,
       body,
-      deadlineMs: this.deadline.forwardedMs(this.context.clock.nowMs()),
+      deadlineMs: this._deadline.forwardedMs(this._context.clock.nowMs()),
       depth,
       kind,
       ...(key === undefined ? {} : { key }),
@@ -215,66 +215,66 @@
     }
   }
 
-  private reportFailure (disposition: Disposition, reason: Reason, retryAfterMs: number): void {
-    const responseStarted = this.response.headersSent
-    this.lane.report({ type: 'failed', call: this.id, disposition, reason, retryAfterMs, responseStarted })
+  private _reportFailure (disposition: Disposition, reason: Reason, retryAfterMs: number): void {
+    const responseStarted = this._response.headersSent
+    this._lane.report({ type: 'failed', call: this._id, disposition, reason, retryAfterMs, responseStarted })
   }
 
-  private reportSuccess (attempt: Attempt): void {
-    this.lane.report({ type: 'succeeded', call: this.id, latencyMs: attempt.elapsedMs, attempt: attempt.number })
+  private _reportSuccess (attempt: Attempt): void {
+    this._lane.report({ type: 'succeeded', call: this._id, latencyMs: attempt.elapsedMs, attempt: attempt.number })
   }
 
-  private giveUp (reason: Reason, retryAfterMs: number): void {
-    if (this.heldAnswer !== undefined) this.sendAnswer(this.heldAnswer.head, this.heldAnswer.body)
-    else this.answerRefusal({ ...this.lastRefusal, disposition: this.unknown ? 'unknown' : 'not-run', reason, retryAfterMs })
+  private _giveUp (reason: Reason, retryAfterMs: number): void {
+    if (this._heldAnswer !== undefined) this._sendAnswer(this._heldAnswer.head, this._heldAnswer.body)
+    else this._answerRefusal({ ...this._lastRefusal, disposition: this._unknown ? 'unknown' : 'not-run', reason, retryAfterMs })
   }
 
-  private sendAnswer ({ status, headers }: AnswerHead, body: Uint8Array): void {
-    const bodiless = this.request.method === 'HEAD' || status === 204 || status === 304
+  private _sendAnswer ({ status, headers }: AnswerHead, body: Uint8Array): void {
+    const bodiless = this._request.method === 'HEAD' || status === 204 || status === 304
     const all = headers.slice()
     if (!bodiless && findHeader(headers, 'content-length') === undefined) all.push('content-length', String(body.length))
-    this.response.writeHead(status, all)
-    this.response.end(body)
-    this.end({ status })
+    this._response.writeHead(status, all)
+    this._response.end(body)
+    this._end({ status })
   }
 
-  private answerRefusal (refusal: Refusal): void {
-    if (this.ended) return
-    sendSystemAnswer(this.response, refusal, this.name)
-    this.end({ status: this.response.statusCode, disposition: refusal.disposition, reason: refusal.reason })
+  private _answerRefusal (refusal: Refusal): void {
+    if (this._ended) return
+    sendSystemAnswer(this._response, refusal, this.name)
+    this._end({ status: this._response.statusCode, disposition: refusal.disposition, reason: refusal.reason })
   }
 
-  private handleDeadline (): void {
-    if (this.ended) return
+  private _handleDeadline (): void {
+    if (this._ended) return
     // An attempt that is still out may have run.
-    const out = this.attempts.some(attempt => attempt.isOpen)
-    const disposition = this.unknown || out ? 'unknown' : 'not-run'
-    this.answerRefusal({ disposition, reason: 'deadline-exceeded', retryAfterMs: 0 })
+    const out = this._attempts.some(attempt => attempt.isOpen)
+    const disposition = this._unknown || out ? 'unknown' : 'not-run'
+    this._answerRefusal({ disposition, reason: 'deadline-exceeded', retryAfterMs: 0 })
   }
 
-  private handleClose (): void {
-    if (!this.ended) this.end({ status: 499, reason: 'cancelled' })
+  private _handleClose (): void {
+    if (!this._ended) this._end({ status: 499, reason: 'cancelled' })
   }
 
-  private grantOwed (): void {
-    if (this.owedBytes === 0) return
-    this.streaming?.grant(this.owedBytes)
-    this.owedBytes = 0
+  private _grantOwed (): void {
+    if (this._owedBytes === 0) return
+    this._streaming?.grant(this._owedBytes)
+    this._owedBytes = 0
   }
 
-  private cancelAttempts (except: Attempt | undefined): void {
-    for (const attempt of this.attempts) {
+  private _cancelAttempts (except: Attempt | undefined): void {
+    for (const attempt of this._attempts) {
       if (attempt !== except) attempt.cancel()
     }
   }
 
-  private end (result: Pick<CallEnd, 'status' | 'disposition' | 'reason'>): void {
-    if (this.ended) return
-    this.ended = true
-    clearTimeout(this.timer)
-    this.cancelAttempts(undefined)
-    this.lane.end(this.id)
-    const durationMs = this.context.clock.nowMs() - this.startedAtMs
-    this.onEnd({ ...result, call: this.name, attempts: this.attempts.length, durationMs })
+  private _end (result: Pick<CallEnd, 'status' | 'disposition' | 'reason'>): void {
+    if (this._ended) return
+    this._ended = true
+    clearTimeout(this._timer)
+    this._cancelAttempts(undefined)
+    this._lane.end(this._id)
+    const durationMs = this._context.clock.nowMs() - this._startedAtMs
+    this._onEnd({ ...result, call: this.name, attempts: this._attempts.length, durationMs })
   }
 }
--- a/src/node/ingress/IngressServer.ts
+++ b/src/node/ingress/IngressServer.ts
@@ -50,40 +50,40 @@
 
 /** Serves callers over HTTP/1.1. Bodies of requests are held in memory up to the service's limit. */
 export class IngressServer implements Disposable {
-  private readonly server: Server
-  private readonly ends = new Emitter<CallEnd>()
-  private readonly emptied = new Emitter<void>()
-  private openCalls = 0
-  private closing = false
+  private readonly _server: Server
+  private readonly _ends = new Emitter<CallEnd>()
+  private readonly _emptied = new Emitter<void>()
+  private _openCalls = 0
+  private _closing = false
 
   public constructor (
-    private readonly limits: IngressLimits,
-    private readonly services: ServiceDirectory,
-    private readonly targets: TargetSource,
-    private readonly fingerprints: RequestFingerprint,
-    private readonly context: IngressContext
+    private readonly _limits: IngressLimits,
+    private readonly _services: ServiceDirectory,
+    private readonly _targets: TargetSource,
+    private readonly _fingerprints: RequestFingerprint,
+    private readonly _context: IngressContext
   ) {
-    this.server = createServer({
-      maxHeaderSize: limits.maxHeaderBytes,
-      headersTimeout: limits.headerTimeoutMs,
+    this._server = createServer({
+      maxHeaderSize: _limits.maxHeaderBytes,
+      headersTimeout: _limits.headerTimeoutMs,
       requestTimeout: 0,
-      keepAliveTimeout: limits.idleTimeoutMs,
+      keepAliveTimeout: _limits.idleTimeoutMs,
       noDelay: true
     })
-    this.server.maxConnections = limits.maxConnections
-    this.server.on('request', (message, response) => this.handleRequest(message, response))
-    this.server.on('clientError', (error, socket) => this.handleClientError(error, socket))
+    this._server.maxConnections = _limits.maxConnections
+    this._server.on('request', (message, response) => this._handleRequest(message, response))
+    this._server.on('clientError', (error, socket) => this._handleClientError(error, socket))
   }
 
   /** Fires when a call has ended. */
-  public readonly onEnd = this.ends.event
+  public readonly onEnd = this._ends.event
 
   /** Fires when the last open call has ended. */
-  public readonly onEmpty = this.emptied.event
+  public readonly onEmpty = this._emptied.event
 
   /** Calls that were read and are not answered yet. */
   public get inFlight (): number {
-    return this.openCalls
+    return this._openCalls
   }
 
   /**
@@ -93,57 +93,57 @@
   public async listen (address: string): Promise<string> {
     const { host, port } = parseAddress(address)
     await new Promise<void>((resolve, reject) => {
-      this.server.once('error', reject)
-      this.server.listen(port, host, resolve)
+      this._server.once('error', reject)
+      this._server.listen(port, host, resolve)
     })
-    const bound = this.server.address()
+    const bound = this._server.address()
     return typeof bound === 'object' && bound !== null ? `${host}:${bound.port}` : address
   }
 
   /** Takes no new connections, closes idle ones, and lets calls in flight end. */
   public close (): void {
-    this.closing = true
-    this.server.close()
-    this.server.closeIdleConnections()
+    this._closing = true
+    this._server.close()
+    this._server.closeIdleConnections()
   }
 
   /** Ends everything at once. */
   public dispose (): void {
-    this.server.close()
-    this.server.closeAllConnections()
+    this._server.close()
+    this._server.closeAllConnections()
   }
 
-  private handleRequest (message: IncomingMessage, response: ServerResponse): void {
-    if (this.closing) response.setHeader('connection', 'close')
+  private _handleRequest (message: IncomingMessage, response: ServerResponse): void {
+    if (this._closing) response.setHeader('connection', 'close')
     const name = serviceOf(message)
-    const service = this.services.findService(name)
+    const service = this._services.findService(name)
     if (service === undefined) {
-      const reason = this.services.version === undefined ? 'stale-configuration' : 'service-unknown'
-      this.refuse(message, response, reason)
+      const reason = this._services.version === undefined ? 'stale-configuration' : 'service-unknown'
+      this._refuse(message, response, reason)
       return
     }
-    const limit = Math.min(service.classifier.rule.maxBodyBytes, this.limits.maxBodyBytes)
+    const limit = Math.min(service.classifier.rule.maxBodyBytes, this._limits.maxBodyBytes)
     readBody(message, limit, result => {
-      if (result.type === 'whole') this.handleBody(message, response, name, service, result.bytes)
-      if (result.type === 'tooLarge') this.refuse(message, response, 'too-large')
+      if (result.type === 'whole') this._handleBody(message, response, name, service, result.bytes)
+      if (result.type === 'tooLarge') this._refuse(message, response, 'too-large')
     })
   }
 
-  private handleBody (
+  private _handleBody (
     message: IncomingMessage, response: ServerResponse, name: ServiceName, service: IngressService, body: Buffer
   ): void {
-    const request = this.buildRequest(message, name, service, body)
-    const refused = this.findRefusal(request, service.classifier.rule)
+    const request = this._buildRequest(message, name, service, body)
+    const refused = this._findRefusal(request, service.classifier.rule)
     if (refused !== undefined) {
-      this.refuse(message, response, refused)
+      this._refuse(message, response, refused)
       return
     }
-    this.openCalls++
-    const onEnd = (end: CallEnd): void => this.handleEnd(end)
-    new IngressCall(request, response, service.lane, this.targets, this.context, onEnd).begin()
+    this._openCalls++
+    const onEnd = (end: CallEnd): void => this._handleEnd(end)
+    new IngressCall(request, response, service.lane, this._targets, this._context, onEnd).begin()
   }
 
-  private buildRequest (
+  private _buildRequest (
     message: IncomingMessage, name: ServiceName, { classifier }: IngressService, body: Buffer
   ): IngressRequest {
     const { rule } = classifier
@@ -152,7 +152,7 @@
     const key = headerOf(message, 'idempotency-key')
     const classified = classifier.classify(method, target)
     const unguarded = classified === 'guarded' && key === undefined && rule.keyless === 'run-unguarded'
-    const nowMs = this.context.clock.nowMs()
+    const nowMs = this._context.clock.nowMs()
     return {
       service: name,
       rule,
@@ -162,35 +162,35 @@
       body,
       kind: unguarded ? 'lookup' : classified,
       ...(key === undefined ? {} : { key }),
-      fingerprint: this.fingerprints.of(name, method, target, body, body.length),
+      fingerprint: this._fingerprints.of(name, method, target, body, body.length),
       deadlineAtMs: Deadline.fromHeader(headerOf(message, 'sassafras-deadline-ms'), rule.deadlineMs, nowMs).atMs,
       depth: Number(headerOf(message, 'sassafras-depth') ?? 0) || 0,
-      version: this.services.version ?? 0
+      version: this._services.version ?? 0
     }
   }
 
-  private findRefusal (request: IngressRequest, rule: ServiceRule): Reason | undefined {
+  private _findRefusal (request: IngressRequest, rule: ServiceRule): Reason | undefined {
     if (request.kind !== 'guarded') return undefined
     if (request.key === undefined && rule.keyless === 'refuse') return 'key-missing'
-    return this.services.mayRunGuarded ? undefined : 'stale-configuration'
+    return this._services.mayRunGuarded ? undefined : 'stale-configuration'
   }
 
-  private refuse (message: IncomingMessage, response: ServerResponse, reason: Reason): void {
+  private _refuse (message: IncomingMessage, response: ServerResponse, reason: Reason): void {
     // The rest of a body that won't be read must not be taken for the next request.
     if (!message.complete) response.setHeader('connection', 'close')
     const refusal: Refusal = { disposition: 'not-run', reason, retryAfterMs: retryAfterOf(reason) }
-    const call = `${this.context.incarnation}-${this.context.nextCall()}`
+    const call = `${this._context.incarnation}-${this._context.nextCall()}`
     sendSystemAnswer(response, refusal, call)
-    this.ends.fire({ call, status: response.statusCode, disposition: 'not-run', reason, attempts: 0, durationMs: 0 })
+    this._ends.fire({ call, status: response.statusCode, disposition: 'not-run', reason, attempts: 0, durationMs: 0 })
   }
 
-  private handleEnd (end: CallEnd): void {
-    this.openCalls--
-    this.ends.fire(end)
-    if (this.openCalls === 0) this.emptied.fire()
+  private _handleEnd (end: CallEnd): void {
+    this._openCalls--
+    this._ends.fire(end)
+    if (this._openCalls === 0) this._emptied.fire()
   }
 
-  private handleClientError (error: Error & { code?: string }, socket: Duplex): void {
+  private _handleClientError (error: Error & { code?: string }, socket: Duplex): void {
     if (error.code === 'ECONNRESET' || !socket.writable) {
       socket.destroy()
       return
--- a/src/node/ingress/RequestClassifier.ts
+++ b/src/node/ingress/RequestClassifier.ts
@@ -8,12 +8,12 @@
 
 /** Tells guarded requests, downloads and lookups apart by a service's rule. */
 export class RequestClassifier {
-  private readonly guarded: readonly Pattern[]
-  private readonly downloads: readonly Pattern[]
+  private readonly _guarded: readonly Pattern[]
+  private readonly _downloads: readonly Pattern[]
 
   public constructor (public readonly rule: ServiceRule) {
-    this.guarded = rule.guarded.map(parsePattern)
-    this.downloads = rule.downloads.map(parsePattern)
+    this._guarded = rule.guarded.map(parsePattern)
+    this._downloads = rule.downloads.map(parsePattern)
   }
 
   /**
@@ -21,8 +21,8 @@
    */
   public classify (method: string, target: string): CallKind {
     const path = normalizePath(target)
-    if (this.guarded.some(pattern => matches(pattern, method, path))) return 'guarded'
-    return this.downloads.some(pattern => matches(pattern, method, path)) ? 'download' : 'lookup'
+    if (this._guarded.some(pattern => matches(pattern, method, path))) return 'guarded'
+    return this._downloads.some(pattern => matches(pattern, method, path)) ? 'download' : 'lookup'
   }
 }
 
--- a/src/node/ingress/ServiceLane.ts
+++ b/src/node/ingress/ServiceLane.ts
@@ -25,66 +25,66 @@
 
 /** Choice and retries of one service at one ingress node. Holds one entry for each call in flight. */
 export class ServiceLane implements Disposable {
-  private readonly leaving = new Set<InstanceId>()
-  private readonly listeners = new Map<CallId, RetryListener>()
-  private readonly retryTimer: PartTimer
-  private ticker: NodeJS.Timeout | undefined
-  private idleTicks = 0
+  private readonly _leaving = new Set<InstanceId>()
+  private readonly _listeners = new Map<CallId, RetryListener>()
+  private readonly _retryTimer: PartTimer
+  private _ticker: NodeJS.Timeout | undefined
+  private _idleTicks = 0
 
   public constructor (
-    private readonly service: string,
-    private readonly chooser: UpstreamChooser,
-    private readonly retries: RetryPolicy,
-    private readonly targets: TargetSource,
-    private readonly clock: Clock,
-    private readonly log: Log
+    private readonly _service: string,
+    private readonly _chooser: UpstreamChooser,
+    private readonly _retries: RetryPolicy,
+    private readonly _targets: TargetSource,
+    private readonly _clock: Clock,
+    private readonly _log: Log
   ) {
-    this.retryTimer = new PartTimer(clock, () => this.stepRetries({ type: 'tick' }))
+    this._retryTimer = new PartTimer(_clock, () => this._stepRetries({ type: 'tick' }))
   }
 
   /** Replaces the instances that may be chosen. */
   public setCandidates (candidates: readonly Candidate[]): void {
-    this.leaving.clear()
-    this.stepChooser({ type: 'members', candidates })
+    this._leaving.clear()
+    this._stepChooser({ type: 'members', candidates })
   }
 
   /** Tells the chooser of a link or of fresh evidence. */
   public tell (event: Extract<ChoiceEvent, { type: 'linkUp' | 'linkDown' | 'evidence' }>): void {
-    this.stepChooser(event)
+    this._stepChooser(event)
   }
 
   /** Starts a call; its listener hears of retries and hedges until `end`. */
   public begin (event: Extract<RetryEvent, { type: 'begin' }>, listener: RetryListener): void {
-    this.listeners.set(event.call, listener)
-    this.idleTicks = 0
-    this.ticker ??= setInterval(() => this.tick(), CHOOSER_TICK_MS)
-    this.stepRetries(event)
+    this._listeners.set(event.call, listener)
+    this._idleTicks = 0
+    this._ticker ??= setInterval(() => this._tick(), CHOOSER_TICK_MS)
+    this._stepRetries(event)
   }
 
   /** Tells the policy of a failure or a success. */
   public report (event: Extract<RetryEvent, { type: 'failed' | 'succeeded' }>): void {
-    this.stepRetries(event)
+    this._stepRetries(event)
   }
 
   /** Forgets a call. */
   public end (call: CallId): void {
-    if (this.listeners.delete(call)) this.stepRetries({ type: 'ended', call })
+    if (this._listeners.delete(call)) this._stepRetries({ type: 'ended', call })
   }
 
   /** Picks an instance for an attempt, at once. */
   public choose (attempt: CallId, kind: CallKind, excluded: readonly InstanceId[]): Choice {
-    if (this.leaving.size === 0) return this.chooseAmong(attempt, kind, excluded)
-    const choice = this.chooseAmong(attempt, kind, excluded.concat(...this.leaving))
-    return choice.type === 'none' ? this.chooseAmong(attempt, kind, excluded) : choice
+    if (this._leaving.size === 0) return this._chooseAmong(attempt, kind, excluded)
+    const choice = this._chooseAmong(attempt, kind, excluded.concat(...this._leaving))
+    return choice.type === 'none' ? this._chooseAmong(attempt, kind, excluded) : choice
   }
 
   /** An instance said that it drains; it is passed over until members are read again. */
   public avoid (instance: InstanceId): void {
-    this.leaving.add(instance)
+    this._leaving.add(instance)
   }
 
-  private chooseAmong (attempt: CallId, kind: CallKind, excluded: readonly InstanceId[]): Choice {
-    for (const action of this.stepChooser({ type: 'choose', call: attempt, kind, excluded })) {
+  private _chooseAmong (attempt: CallId, kind: CallKind, excluded: readonly InstanceId[]): Choice {
+    for (const action of this._stepChooser({ type: 'choose', call: attempt, kind, excluded })) {
       if (action.type === 'chosen') return action
       if (action.type !== 'noneAvailable') continue
       const { reason, retryAfterMs } = action
@@ -102,48 +102,48 @@
     evidence: LoadEvidence | undefined
   ): void {
     const event = { type: 'answered', call: attempt, instance, outcome, latencyMs } as const
-    this.stepChooser(evidence === undefined ? event : { ...event, evidence })
+    this._stepChooser(evidence === undefined ? event : { ...event, evidence })
   }
 
   /** Calls in flight. */
   public get inFlight (): number {
-    return this.listeners.size
+    return this._listeners.size
   }
 
   /** Stops the timers. */
   public dispose (): void {
-    this.stopTicking()
-    this.retryTimer.dispose()
+    this._stopTicking()
+    this._retryTimer.dispose()
   }
 
-  private tick (): void {
-    this.stepChooser({ type: 'tick' })
-    if (this.listeners.size > 0) this.idleTicks = 0
-    else if (++this.idleTicks >= IDLE_TICKS) this.stopTicking()
+  private _tick (): void {
+    this._stepChooser({ type: 'tick' })
+    if (this._listeners.size > 0) this._idleTicks = 0
+    else if (++this._idleTicks >= IDLE_TICKS) this._stopTicking()
   }
 
-  private stopTicking (): void {
-    clearInterval(this.ticker)
-    this.ticker = undefined
+  private _stopTicking (): void {
+    clearInterval(this._ticker)
+    this._ticker = undefined
   }
 
-  private stepChooser (event: ChoiceEvent): ChoiceAction[] {
-    const actions = this.chooser.step(event, this.clock.nowMs())
-    for (const action of actions) this.handleChoiceAction(action)
+  private _stepChooser (event: ChoiceEvent): ChoiceAction[] {
+    const actions = this._chooser.step(event, this._clock.nowMs())
+    for (const action of actions) this._handleChoiceAction(action)
     return actions
   }
 
-  private handleChoiceAction (action: ChoiceAction): void {
-    if (action.type === 'probe') this.targets.probe(action.instance)
+  private _handleChoiceAction (action: ChoiceAction): void {
+    if (action.type === 'probe') this._targets.probe(action.instance)
     if (action.type === 'ejected' || action.type === 'restored') {
-      this.log.info({ service: this.service, instance: action.instance }, `instance ${action.type}`)
+      this._log.info({ service: this._service, instance: action.instance }, `instance ${action.type}`)
     }
   }
 
-  private stepRetries (event: RetryEvent): void {
-    for (const action of this.retries.step(event, this.clock.nowMs())) {
-      if (action.type === 'wake') this.retryTimer.wakeAt(action.atMs)
-      else this.listeners.get(action.call)?.handleRetryAction(action)
+  private _stepRetries (event: RetryEvent): void {
+    for (const action of this._retries.step(event, this._clock.nowMs())) {
+      if (action.type === 'wake') this._retryTimer.wakeAt(action.atMs)
+      else this._listeners.get(action.call)?.handleRetryAction(action)
     }
   }
 }
--- a/src/node/ingress/ServiceTable.ts
+++ b/src/node/ingress/ServiceTable.ts
@@ -23,77 +23,77 @@
 
 /** Services of the configuration in force, each with its lane. Lanes live through changes of their rule. */
 export class ServiceTable implements ServiceDirectory, Disposable {
-  private services = new Map<ServiceName, IngressService>()
-  private inForce: VersionedConfiguration | undefined
+  private _services = new Map<ServiceName, IngressService>()
+  private _inForce: VersionedConfiguration | undefined
 
-  public constructor (private readonly parts: ServiceTableParts) {}
+  public constructor (private readonly _parts: ServiceTableParts) {}
 
   public get version (): number | undefined {
-    return this.inForce?.version
+    return this._inForce?.version
   }
 
   public get mayRunGuarded (): boolean {
-    return this.parts.mayRunGuarded()
+    return this._parts.mayRunGuarded()
   }
 
   /** Names of all services. */
   public get names (): ServiceName[] {
-    return [...this.services.keys()]
+    return [...this._services.keys()]
   }
 
   public findService (name: ServiceName): IngressService | undefined {
-    return this.services.get(name)
+    return this._services.get(name)
   }
 
   /** Puts a configuration in force. Calls in flight keep the rule under which they came. */
   public apply (copy: VersionedConfiguration): void {
-    this.inForce = copy
-    const before = this.services
-    this.services = new Map()
+    this._inForce = copy
+    const before = this._services
+    this._services = new Map()
     for (const rule of copy.configuration.services) {
-      this.services.set(rule.name, this.build(rule, before.get(rule.name)))
+      this._services.set(rule.name, this._build(rule, before.get(rule.name)))
     }
     for (const [name, service] of before) {
-      if (!this.services.has(name)) service.lane.dispose()
+      if (!this._services.has(name)) service.lane.dispose()
     }
   }
 
   /** Reads the members of a service again. */
   public refresh (service: ServiceName): void {
-    const lane = this.services.get(service)?.lane
-    lane?.setCandidates(this.parts.membersOf(service).map(toCandidate))
+    const lane = this._services.get(service)?.lane
+    lane?.setCandidates(this._parts.membersOf(service).map(toCandidate))
   }
 
   /** Tells the lane of an instance's service. */
   public tell (service: ServiceName, event: Extract<ChoiceEvent, { type: 'linkUp' | 'linkDown' | 'evidence' }>): void {
-    this.services.get(service)?.lane.tell(event)
+    this._services.get(service)?.lane.tell(event)
   }
 
   /** Rule of a service. */
   public ruleOf (service: ServiceName): ServiceRule | undefined {
-    return this.services.get(service)?.classifier.rule
+    return this._services.get(service)?.classifier.rule
   }
 
   /** Bounded description for the state dump. */
   public describe (): object {
-    return [...this.services].map(([name, { lane }]) => ({ name, inFlight: lane.inFlight }))
+    return [...this._services].map(([name, { lane }]) => ({ name, inFlight: lane.inFlight }))
   }
 
   /** Stops all lanes. */
   public dispose (): void {
-    for (const { lane } of this.services.values()) lane.dispose()
+    for (const { lane } of this._services.values()) lane.dispose()
   }
 
-  private build (rule: ServiceRule, before: IngressService | undefined): IngressService {
+  private _build (rule: ServiceRule, before: IngressService | undefined): IngressService {
     const classifier = new RequestClassifier(rule)
     const sameShare = before?.classifier.rule.retryShare === rule.retryShare
     if (before !== undefined && sameShare) return { classifier, lane: before.lane }
     before?.lane.dispose()
-    return { classifier, lane: this.buildLane(rule) }
+    return { classifier, lane: this._buildLane(rule) }
   }
 
-  private buildLane (rule: ServiceRule): ServiceLane {
-    const { place, clock, random, log, targets, membersOf } = this.parts
+  private _buildLane (rule: ServiceRule): ServiceLane {
+    const { place, clock, random, log, targets, membersOf } = this._parts
     const chooser = new UpstreamChooser(place, random)
     const retries = new RetryPolicy({ retryShare: rule.retryShare })
     const lane = new ServiceLane(rule.name, chooser, retries, targets, clock, log)
--- a/src/node/mesh/PeerLink.ts
+++ b/src/node/mesh/PeerLink.ts
@@ -44,69 +44,69 @@
  * Holds one entry for each call in flight.
  */
 export class PeerLink implements CallTarget, Disposable {
-  private readonly exchanges = new Map<number, Exchange>()
-  private readonly client: FrameClient<ToIngressSide, ToUpstreamSide>
-  private readonly shared = new Emitter<SharedFrame>()
-  private readonly reports = new Emitter<LoadEvidence>()
-  private readonly states = new Emitter<boolean>()
-  private readonly handlers: Handlers
-  private heartbeat: NodeJS.Timeout | undefined
-  private sequence = 0
-  private pongs = new Map<number, () => void>()
-  private droppedAnswers = 0
-  private measuredBytes = 0
+  private readonly _exchanges = new Map<number, Exchange>()
+  private readonly _client: FrameClient<ToIngressSide, ToUpstreamSide>
+  private readonly _shared = new Emitter<SharedFrame>()
+  private readonly _reports = new Emitter<LoadEvidence>()
+  private readonly _states = new Emitter<boolean>()
+  private readonly _handlers: Handlers
+  private _heartbeat: NodeJS.Timeout | undefined
+  private _sequence = 0
+  private _pongs = new Map<number, () => void>()
+  private _droppedAnswers = 0
+  private _measuredBytes = 0
 
   /**
    * @param address Peer listener of the other node, `host:port`.
-   * @param hello Sent first on each connection.
-   * @param incarnation Of this process; answers to an earlier run are dropped.
-   * @param mayPing Asks the measuring budget for one heartbeat.
+   * @param _hello Sent first on each connection.
+   * @param _incarnation Of this process; answers to an earlier run are dropped.
+   * @param _mayPing Asks the measuring budget for one heartbeat.
    */
   public constructor (
     public readonly address: string,
-    private readonly hello: () => PeerHello,
-    private readonly incarnation: Incarnation,
-    private readonly options: PeerLinkOptions,
-    private readonly clock: Clock,
+    private readonly _hello: () => PeerHello,
+    private readonly _incarnation: Incarnation,
+    private readonly _options: PeerLinkOptions,
+    private readonly _clock: Clock,
     random: Random,
-    private readonly mayPing: () => boolean
+    private readonly _mayPing: () => boolean
   ) {
-    this.client = new FrameClient(address, clock, random)
-    this.handlers = this.buildHandlers()
-    this.client.onChannel(channel => this.open(channel))
-    this.client.onLoss(reason => this.handleLoss(reason))
+    this._client = new FrameClient(address, _clock, random)
+    this._handlers = this._buildHandlers()
+    this._client.onChannel(channel => this._open(channel))
+    this._client.onLoss(reason => this._handleLoss(reason))
   }
 
   /** Fires with frames that don't belong to a call. */
-  public readonly onShared = this.shared.event
+  public readonly onShared = this._shared.event
 
   /** Fires with evidence that answers a probe. */
-  public readonly onEvidence = this.reports.event
+  public readonly onEvidence = this._reports.event
 
   /** Fires with true when the link opens and with false when it is lost. */
-  public readonly onState = this.states.event
+  public readonly onState = this._states.event
 
   /** Starts to connect. */
   public connect (): void {
-    this.client.start()
+    this._client.start()
   }
 
   /** True while a call can be sent. */
   public get isOpen (): boolean {
-    return this.client.channel !== undefined
+    return this._client.channel !== undefined
   }
 
   /** Counts since the start. */
   public get counters (): LinkCounters {
-    return { droppedAnswers: this.droppedAnswers, measuredBytes: this.measuredBytes, inFlight: this.exchanges.size }
+    return { droppedAnswers: this._droppedAnswers, measuredBytes: this._measuredBytes, inFlight: this._exchanges.size }
   }
 
   /** Sends a call; without a connection it is refused at once as not run. */
   public start (request: CallRequest, sink: CallSink): CallHandle {
-    const channel = this.client.channel
-    if (channel === undefined) return this.refuseUnsent(sink)
-    if (request.kind === 'guarded' && this.isIdle(channel)) return this.startChecked(channel, request, sink)
-    return this.startOn(channel, request, sink)
+    const channel = this._client.channel
+    if (channel === undefined) return this._refuseUnsent(sink)
+    if (request.kind === 'guarded' && this._isIdle(channel)) return this._startChecked(channel, request, sink)
+    return this._startOn(channel, request, sink)
   }
 
   /** Asks the other node for its load. */
@@ -116,39 +116,39 @@
 
   /** Sends a frame that belongs to no call; dropped while there is no connection. */
   public send (frame: ToUpstreamSide): void {
-    this.client.channel?.send(frame)
+    this._client.channel?.send(frame)
   }
 
   /** Ends the link; calls in flight hear that it was lost. */
   public dispose (): void {
-    this.client.dispose()
-    this.stopHeartbeat()
+    this._client.dispose()
+    this._stopHeartbeat()
   }
 
-  private startOn (channel: Channel, request: CallRequest, sink: CallSink): CallHandle {
+  private _startOn (channel: Channel, request: CallRequest, sink: CallSink): CallHandle {
     const { id } = request
-    this.exchanges.set(id, { request, sink, headSeen: false })
-    this.sendCall(channel, request)
-    this.startHeartbeat()
+    this._exchanges.set(id, { request, sink, headSeen: false })
+    this._sendCall(channel, request)
+    this._startHeartbeat()
     return {
-      cancel: () => { if (this.exchanges.delete(id)) this.send({ type: 'cancel', id }) },
-      grant: bytes => { if (this.exchanges.has(id)) this.send({ type: 'credit', id, bytes }) }
+      cancel: () => { if (this._exchanges.delete(id)) this.send({ type: 'cancel', id }) },
+      grant: bytes => { if (this._exchanges.has(id)) this.send({ type: 'credit', id, bytes }) }
     }
   }
 
   // A guarded call must not go out on a connection that died in silence: its outcome would stay unknown.
-  private startChecked (channel: Channel, request: CallRequest, sink: CallSink): CallHandle {
+  private _startChecked (channel: Channel, request: CallRequest, sink: CallSink): CallHandle {
     let handle: CallHandle | undefined
     let cancelled = false
-    const sequence = ++this.sequence
+    const sequence = ++this._sequence
     const timer = setTimeout(() => {
-      this.pongs.delete(sequence)
-      if (!cancelled) this.refuseUnsent(sink)
+      this._pongs.delete(sequence)
+      if (!cancelled) this._refuseUnsent(sink)
       channel.destroy('no answer to an idle check')
     }, IDLE_CHECK_TIMEOUT_MS)
-    this.pongs.set(sequence, () => {
+    this._pongs.set(sequence, () => {
       clearTimeout(timer)
-      if (!cancelled) handle = this.startOn(channel, request, sink)
+      if (!cancelled) handle = this._startOn(channel, request, sink)
     })
     this.send({ type: 'ping', sequence })
     return {
@@ -160,7 +160,7 @@
     }
   }
 
-  private sendCall (channel: Channel, request: CallRequest): void {
+  private _sendCall (channel: Channel, request: CallRequest): void {
     if (request.body.length <= BODY_PIECE_BYTES) {
       channel.send({ type: 'call', request, pieces: 0 })
       return
@@ -172,27 +172,27 @@
     }
   }
 
-  private refuseUnsent (sink: CallSink): CallHandle {
+  private _refuseUnsent (sink: CallSink): CallHandle {
     const refusal = { disposition: 'not-run', reason: 'peer-lost', retryAfterMs: DEFAULT_RETRY_AFTER_MS } as const
     queueMicrotask(() => sink.onRefused(refusal, undefined))
     return { cancel: () => {}, grant: () => {} }
   }
 
-  private isIdle (channel: Channel): boolean {
-    return this.clock.nowMs() - channel.lastReceivedMs > IDLE_CHECK_MS
+  private _isIdle (channel: Channel): boolean {
+    return this._clock.nowMs() - channel.lastReceivedMs > IDLE_CHECK_MS
   }
 
-  private open (channel: Channel): void {
+  private _open (channel: Channel): void {
     channel.onMessage(frame => {
-      const handler = this.handlers[frame.type] as ((frame: ToIngressSide) => void) | undefined
+      const handler = this._handlers[frame.type] as ((frame: ToIngressSide) => void) | undefined
       handler?.(frame)
     })
-    channel.send(this.hello())
-    this.states.fire(true)
+    channel.send(this._hello())
+    this._states.fire(true)
   }
 
-  private buildHandlers (): Handlers {
-    const share = (frame: SharedFrame): void => this.shared.fire(frame)
+  private _buildHandlers (): Handlers {
+    const share = (frame: SharedFrame): void => this._shared.fire(frame)
     return {
       peerHello: share,
       peerVersion: share,
@@ -200,15 +200,15 @@
       copy: share,
       crashReport: share,
       ping: frame => this.send({ type: 'pong', sequence: frame.sequence }),
-      pong: frame => this.handlePong(frame.sequence),
-      evidence: frame => this.reports.fire(frame.evidence),
-      answer: frame => this.finish(frame)?.sink.onAnswer(frame.head, frame.body, frame.evidence),
-      refused: frame => this.finish(frame)?.sink.onRefused(frame.refusal, frame.evidence),
-      end: frame => this.finish(frame)?.sink.onEnd(),
-      abort: frame => this.finish(frame)?.sink.onAbort(frame.reason),
-      body: frame => this.find(frame)?.sink.onBody(frame.bytes),
+      pong: frame => this._handlePong(frame.sequence),
+      evidence: frame => this._reports.fire(frame.evidence),
+      answer: frame => this._finish(frame)?.sink.onAnswer(frame.head, frame.body, frame.evidence),
+      refused: frame => this._finish(frame)?.sink.onRefused(frame.refusal, frame.evidence),
+      end: frame => this._finish(frame)?.sink.onEnd(),
+      abort: frame => this._finish(frame)?.sink.onAbort(frame.reason),
+      body: frame => this._find(frame)?.sink.onBody(frame.bytes),
       head: frame => {
-        const exchange = this.find(frame)
+        const exchange = this._find(frame)
         if (exchange === undefined) return
         exchange.headSeen = true
         exchange.sink.onHead(frame.head, frame.evidence)
@@ -216,57 +216,57 @@
     }
   }
 
-  private find (frame: { readonly id: number, readonly from: Incarnation }): Exchange | undefined {
-    const exchange = frame.from === this.incarnation ? this.exchanges.get(frame.id) : undefined
-    if (exchange === undefined) this.droppedAnswers++
+  private _find (frame: { readonly id: number, readonly from: Incarnation }): Exchange | undefined {
+    const exchange = frame.from === this._incarnation ? this._exchanges.get(frame.id) : undefined
+    if (exchange === undefined) this._droppedAnswers++
     return exchange
   }
 
-  private finish (frame: { readonly id: number, readonly from: Incarnation }): Exchange | undefined {
-    const exchange = this.find(frame)
-    if (exchange !== undefined) this.exchanges.delete(frame.id)
-    if (this.exchanges.size === 0) this.stopHeartbeat()
+  private _finish (frame: { readonly id: number, readonly from: Incarnation }): Exchange | undefined {
+    const exchange = this._find(frame)
+    if (exchange !== undefined) this._exchanges.delete(frame.id)
+    if (this._exchanges.size === 0) this._stopHeartbeat()
     return exchange
   }
 
-  private handleLoss (reason: string): void {
-    this.stopHeartbeat()
-    const lost = [...this.exchanges.values()]
-    this.exchanges.clear()
+  private _handleLoss (reason: string): void {
+    this._stopHeartbeat()
+    const lost = [...this._exchanges.values()]
+    this._exchanges.clear()
     for (const { sink, headSeen } of lost) {
       if (headSeen) sink.onAbort(reason)
       else sink.onRefused({ disposition: 'unknown', reason: 'peer-lost', retryAfterMs: DEFAULT_RETRY_AFTER_MS }, undefined)
     }
-    this.states.fire(false)
+    this._states.fire(false)
   }
 
-  private startHeartbeat (): void {
-    if (this.heartbeat !== undefined) return
-    this.heartbeat = setInterval(() => this.beat(), this.options.heartbeatMs)
+  private _startHeartbeat (): void {
+    if (this._heartbeat !== undefined) return
+    this._heartbeat = setInterval(() => this._beat(), this._options.heartbeatMs)
   }
 
-  private stopHeartbeat (): void {
-    clearInterval(this.heartbeat)
-    this.heartbeat = undefined
+  private _stopHeartbeat (): void {
+    clearInterval(this._heartbeat)
+    this._heartbeat = undefined
   }
 
-  private beat (): void {
-    const channel = this.client.channel
+  private _beat (): void {
+    const channel = this._client.channel
     if (channel === undefined) return
-    const silentMs = this.clock.nowMs() - channel.lastReceivedMs
-    if (silentMs > this.options.timeoutMs) {
+    const silentMs = this._clock.nowMs() - channel.lastReceivedMs
+    if (silentMs > this._options.timeoutMs) {
       channel.destroy('no answer within the heartbeat limit')
       return
     }
-    if (silentMs < this.options.heartbeatMs || !this.mayPing()) return
+    if (silentMs < this._options.heartbeatMs || !this._mayPing()) return
     const before = channel.bytes.sent
-    channel.send({ type: 'ping', sequence: ++this.sequence })
-    this.measuredBytes += channel.bytes.sent - before
+    channel.send({ type: 'ping', sequence: ++this._sequence })
+    this._measuredBytes += channel.bytes.sent - before
   }
 
-  private handlePong (sequence: number): void {
-    const waiter = this.pongs.get(sequence)
-    this.pongs.delete(sequence)
+  private _handlePong (sequence: number): void {
+    const waiter = this._pongs.get(sequence)
+    this._pongs.delete(sequence)
     waiter?.()
   }
 }
--- a/src/node/mesh/PeerMesh.ts
+++ b/src/node/mesh/PeerMesh.ts
@@ -54,133 +54,133 @@
 /** Connections to and from other nodes: one outgoing link for each node of interest, and the accepted sessions. */
 export class PeerMesh implements TargetSource, PeerSender, PeerHost, Disposable {
   public readonly target: CallTarget
-  private readonly links = new Map<NodeId, PeerLink>()
-  private readonly sessions = new Set<PeerSession>()
-  private readonly sessionNodes = new Map<PeerSession, NodeId>()
-  private readonly linkChanges = new Emitter<LinkChange>()
-  private readonly evidences = new Emitter<PeerEvidence>()
-  private readonly peerFrames = new Emitter<PeerFrame>()
+  private readonly _links = new Map<NodeId, PeerLink>()
+  private readonly _sessions = new Set<PeerSession>()
+  private readonly _sessionNodes = new Map<PeerSession, NodeId>()
+  private readonly _linkChanges = new Emitter<LinkChange>()
+  private readonly _evidences = new Emitter<PeerEvidence>()
+  private readonly _peerFrames = new Emitter<PeerFrame>()
 
-  public constructor (private readonly parts: PeerMeshParts) {
-    this.target = parts.local
+  public constructor (private readonly _parts: PeerMeshParts) {
+    this.target = _parts.local
   }
 
   /** Fires when a link opens or is lost. */
-  public readonly onLinkChange = this.linkChanges.event
+  public readonly onLinkChange = this._linkChanges.event
 
   /** Fires with the answers to probes. */
-  public readonly onEvidence = this.evidences.event
+  public readonly onEvidence = this._evidences.event
 
   /** Fires with frames that belong to no call. */
-  public readonly onPeerFrame = this.peerFrames.event
+  public readonly onPeerFrame = this._peerFrames.event
 
   /** Keeps links to exactly these nodes; a node that moved gets a new link. */
   public setPeers (peers: readonly PeerAddress[]): void {
     const wanted = new Map(peers.map(peer => [peer.node, peer.address]))
-    for (const [node, link] of this.links) {
+    for (const [node, link] of this._links) {
       if (wanted.get(node) === link.address) continue
-      this.links.delete(node)
+      this._links.delete(node)
       link.dispose()
     }
     for (const { node, address } of peers) {
-      if (node !== this.parts.node && !this.links.has(node)) this.addLink(node, address)
+      if (node !== this._parts.node && !this._links.has(node)) this._addLink(node, address)
     }
   }
 
   /** Takes a connection from another node. */
   public accept (channel: FrameChannel<ToUpstreamSide, ToIngressSide>): void {
     const session = new PeerSession(channel, this)
-    this.sessions.add(session)
+    this._sessions.add(session)
     channel.onClose(() => {
-      this.sessions.delete(session)
-      this.sessionNodes.delete(session)
+      this._sessions.delete(session)
+      this._sessionNodes.delete(session)
     })
   }
 
   public hello (): PeerHello {
-    return this.parts.hello()
+    return this._parts.hello()
   }
 
   public evidence (service: string): LoadEvidence | undefined {
-    return this.parts.localEvidence(service)
+    return this._parts.localEvidence(service)
   }
 
   public handleShared (frame: SharedFrame, session: PeerSession): void {
-    if (frame.type === 'peerHello') this.sessionNodes.set(session, frame.node)
-    const from = this.sessionNodes.get(session)
-    if (from !== undefined) this.peerFrames.fire({ from, frame })
+    if (frame.type === 'peerHello') this._sessionNodes.set(session, frame.node)
+    const from = this._sessionNodes.get(session)
+    if (from !== undefined) this._peerFrames.fire({ from, frame })
   }
 
   public findTarget (instance: InstanceId): CallTarget | undefined {
     const node = nodeOf(instance)
-    return node === this.parts.node ? this.parts.local : this.links.get(node)
+    return node === this._parts.node ? this._parts.local : this._links.get(node)
   }
 
   /** True while a call to the instance can be sent. */
   public isLinked (instance: InstanceId): boolean {
     const node = nodeOf(instance)
-    return node === this.parts.node || this.links.get(node)?.isOpen === true
+    return node === this._parts.node || this._links.get(node)?.isOpen === true
   }
 
   public probe (instance: InstanceId): void {
-    const link = this.links.get(nodeOf(instance))
-    if (link?.isOpen === true && this.parts.mayMeasure('probe')) link.probe(serviceOf(instance))
+    const link = this._links.get(nodeOf(instance))
+    if (link?.isOpen === true && this._parts.mayMeasure('probe')) link.probe(serviceOf(instance))
   }
 
   public sendToPeer (node: NodeId, frame: SharedFrame): void {
-    const link = this.links.get(node)
+    const link = this._links.get(node)
     if (link?.isOpen === true) {
       link.send(frame)
       return
     }
-    for (const [session, from] of this.sessionNodes) {
+    for (const [session, from] of this._sessionNodes) {
       if (from === node) session.send(frame)
     }
   }
 
   public samplePeers (count: number): NodeId[] {
-    const open = [...this.links].filter(([, link]) => link.isOpen).map(([node]) => node)
-    const start = Math.floor(this.parts.random.next() * open.length)
+    const open = [...this._links].filter(([, link]) => link.isOpen).map(([node]) => node)
+    const start = Math.floor(this._parts.random.next() * open.length)
     return open.slice(start).concat(open.slice(0, start)).slice(0, count)
   }
 
   /** Passes a crash report on to all nodes with a connection. */
   public spread (report: CrashReport): void {
     const reached = new Set<NodeId>()
-    for (const [node, link] of this.links) {
+    for (const [node, link] of this._links) {
       if (!link.isOpen) continue
       link.send({ type: 'crashReport', report })
       reached.add(node)
     }
-    for (const [session, node] of this.sessionNodes) {
+    for (const [session, node] of this._sessionNodes) {
       if (!reached.has(node)) session.send({ type: 'crashReport', report })
     }
   }
 
   /** Bounded description for the state dump. */
   public describe (): object {
-    const links = [...this.links].slice(0, 100).map(([node, link]) => ({ node, open: link.isOpen, ...link.counters }))
-    return { links, sessions: this.sessions.size }
+    const links = [...this._links].slice(0, 100).map(([node, link]) => ({ node, open: link.isOpen, ...link.counters }))
+    return { links, sessions: this._sessions.size }
   }
 
   /** Sends what is waiting and closes all sessions. */
   public end (): void {
-    for (const session of this.sessions) session.end()
+    for (const session of this._sessions) session.end()
   }
 
   /** Ends all connections at once. */
   public dispose (): void {
-    for (const link of this.links.values()) link.dispose()
-    for (const session of this.sessions) session.dispose()
+    for (const link of this._links.values()) link.dispose()
+    for (const session of this._sessions) session.dispose()
   }
 
-  private addLink (node: NodeId, address: string): void {
-    const { hello, incarnation, options, clock, random, mayMeasure } = this.parts
+  private _addLink (node: NodeId, address: string): void {
+    const { hello, incarnation, options, clock, random, mayMeasure } = this._parts
     const link = new PeerLink(address, hello, incarnation, options, clock, random, () => mayMeasure('heartbeat'))
-    link.onState(open => this.linkChanges.fire({ node, open }))
-    link.onEvidence(evidence => this.evidences.fire({ node, evidence }))
-    link.onShared(frame => this.peerFrames.fire({ from: node, frame }))
-    this.links.set(node, link)
+    link.onState(open => this._linkChanges.fire({ node, open }))
+    link.onEvidence(evidence => this._evidences.fire({ node, evidence }))
+    link.onShared(frame => this._peerFrames.fire({ from: node, frame }))
+    this._links.set(node, link)
     link.connect()
   }
 }
--- a/src/node/mesh/PeerSession.ts
+++ b/src/node/mesh/PeerSession.ts
@@ -24,46 +24,46 @@
 
 /** The upstream side's end of a connection from another node: runs its calls and sends the answers back. */
 export class PeerSession implements Disposable {
-  private readonly running = new Map<number, CallHandle>()
-  private readonly assemblies = new Map<number, Assembly>()
-  private readonly handlers: Handlers
-  private starting: number | undefined
+  private readonly _running = new Map<number, CallHandle>()
+  private readonly _assemblies = new Map<number, Assembly>()
+  private readonly _handlers: Handlers
+  private _starting: number | undefined
 
   public constructor (
-    private readonly channel: FrameChannel<ToUpstreamSide, ToIngressSide>,
-    private readonly host: PeerHost
+    private readonly _channel: FrameChannel<ToUpstreamSide, ToIngressSide>,
+    private readonly _host: PeerHost
   ) {
-    this.handlers = this.buildHandlers()
-    channel.onMessage(frame => {
-      const handler = this.handlers[frame.type] as ((frame: ToUpstreamSide) => void) | undefined
+    this._handlers = this._buildHandlers()
+    _channel.onMessage(frame => {
+      const handler = this._handlers[frame.type] as ((frame: ToUpstreamSide) => void) | undefined
       handler?.(frame)
     })
-    channel.onClose(() => this.cancelAll())
-    channel.send(host.hello())
+    _channel.onClose(() => this._cancelAll())
+    _channel.send(_host.hello())
   }
 
   /** Sends a frame that belongs to no call. */
   public send (frame: ToIngressSide): void {
-    this.channel.send(frame)
+    this._channel.send(frame)
   }
 
   /** Calls that run for the other node. */
   public get inFlight (): number {
-    return this.running.size
+    return this._running.size
   }
 
   /** Sends what is waiting and closes. */
   public end (): void {
-    this.channel.end()
+    this._channel.end()
   }
 
   /** Closes at once; running calls are cancelled. */
   public dispose (): void {
-    this.channel.dispose()
+    this._channel.dispose()
   }
 
-  private buildHandlers (): Handlers {
-    const share = (frame: SharedFrame): void => this.host.handleShared(frame, this)
+  private _buildHandlers (): Handlers {
+    const share = (frame: SharedFrame): void => this._host.handleShared(frame, this)
     return {
       peerHello: share,
       peerVersion: share,
@@ -72,58 +72,58 @@
       crashReport: share,
       pong: () => {},
       ping: frame => this.send({ type: 'pong', sequence: frame.sequence }),
-      probe: frame => this.answerProbe(frame.service),
-      call: frame => this.handleCall(frame.request, frame.pieces),
-      callBody: frame => this.handlePiece(frame.id, frame.bytes),
-      cancel: frame => this.handleCancel(frame.id),
-      credit: frame => this.running.get(frame.id)?.grant(frame.bytes)
+      probe: frame => this._answerProbe(frame.service),
+      call: frame => this._handleCall(frame.request, frame.pieces),
+      callBody: frame => this._handlePiece(frame.id, frame.bytes),
+      cancel: frame => this._handleCancel(frame.id),
+      credit: frame => this._running.get(frame.id)?.grant(frame.bytes)
     }
   }
 
-  private answerProbe (service: ServiceName): void {
-    const evidence = this.host.evidence(service)
+  private _answerProbe (service: ServiceName): void {
+    const evidence = this._host.evidence(service)
     if (evidence !== undefined) this.send({ type: 'evidence', service, evidence })
   }
 
-  private handleCall (request: CallRequest, pieces: number): void {
-    if (pieces === 0) this.run(request)
-    else this.assemblies.set(request.id, { request, pieces: [], expected: pieces })
+  private _handleCall (request: CallRequest, pieces: number): void {
+    if (pieces === 0) this._run(request)
+    else this._assemblies.set(request.id, { request, pieces: [], expected: pieces })
   }
 
-  private handlePiece (id: number, bytes: Uint8Array): void {
-    const assembly = this.assemblies.get(id)
+  private _handlePiece (id: number, bytes: Uint8Array): void {
+    const assembly = this._assemblies.get(id)
     if (assembly === undefined) return
     assembly.pieces.push(bytes)
     if (assembly.pieces.length < assembly.expected) return
-    this.assemblies.delete(id)
-    this.run({ ...assembly.request, body: Buffer.concat(assembly.pieces) })
+    this._assemblies.delete(id)
+    this._run({ ...assembly.request, body: Buffer.concat(assembly.pieces) })
   }
 
-  private handleCancel (id: number): void {
-    this.assemblies.delete(id)
-    const handle = this.running.get(id)
-    this.running.delete(id)
+  private _handleCancel (id: number): void {
+    this._assemblies.delete(id)
+    const handle = this._running.get(id)
+    this._running.delete(id)
     handle?.cancel()
   }
 
-  private run (request: CallRequest): void {
+  private _run (request: CallRequest): void {
     // A refusal may come before `start` returns; such a call must not be kept.
-    this.starting = request.id
-    const handle = this.host.target.start(request, this.buildSink(request))
-    if (this.starting === request.id) this.running.set(request.id, handle)
-    this.starting = undefined
+    this._starting = request.id
+    const handle = this._host.target.start(request, this._buildSink(request))
+    if (this._starting === request.id) this._running.set(request.id, handle)
+    this._starting = undefined
   }
 
-  private buildSink ({ id, from }: CallRequest): CallSink {
+  private _buildSink ({ id, from }: CallRequest): CallSink {
     const finish = (frame: ToIngressSide): void => {
-      this.running.delete(id)
-      if (this.starting === id) this.starting = undefined
-      this.channel.send(frame)
+      this._running.delete(id)
+      if (this._starting === id) this._starting = undefined
+      this._channel.send(frame)
     }
     return {
       onAnswer: (head, body, evidence) => finish({ type: 'answer', id, from, head, body, evidence }),
-      onHead: (head, evidence) => { this.channel.send({ type: 'head', id, from, head, evidence }) },
-      onBody: bytes => { this.channel.send({ type: 'body', id, from, bytes }) },
+      onHead: (head, evidence) => { this._channel.send({ type: 'head', id, from, head, evidence }) },
+      onBody: bytes => { this._channel.send({ type: 'body', id, from, bytes }) },
       onEnd: () => finish({ type: 'end', id, from }),
       onAbort: reason => finish({ type: 'abort', id, from, reason }),
       onRefused: (refusal, evidence) => {
@@ -132,9 +132,9 @@
     }
   }
 
-  private cancelAll (): void {
-    for (const handle of this.running.values()) handle.cancel()
-    this.running.clear()
-    this.assemblies.clear()
+  private _cancelAll (): void {
+    for (const handle of this._running.values()) handle.cancel()
+    this._running.clear()
+    this._assemblies.clear()
   }
 }
--- a/src/node/upstreamside/CrashCheck.ts
+++ b/src/node/upstreamside/CrashCheck.ts
@@ -9,29 +9,29 @@
  * Checks that are asked for while one runs share its result.
  */
 export class CrashCheck {
-  private waiters: Array<(crashed: boolean) => void> = []
+  private _waiters: Array<(crashed: boolean) => void> = []
 
   /**
-   * @param address `host:port` of the upstream.
+   * @param _address `host:port` of the upstream.
    */
-  public constructor (private readonly address: string) {}
+  public constructor (private readonly _address: string) {}
 
   /**
    * Checks once.
    * @param onResult True when nothing listens there any more.
    */
   public run (onResult: (crashed: boolean) => void): void {
-    this.waiters.push(onResult)
-    if (this.waiters.length === 1) this.check()
+    this._waiters.push(onResult)
+    if (this._waiters.length === 1) this._check()
   }
 
-  private check (): void {
-    const socket = connect(parseAddress(this.address))
+  private _check (): void {
+    const socket = connect(parseAddress(this._address))
     const finish = (crashed: boolean): void => {
       clearTimeout(timer)
       socket.destroy()
-      const waiters = this.waiters
-      this.waiters = []
+      const waiters = this._waiters
+      this._waiters = []
       for (const waiter of waiters) waiter(crashed)
     }
     const timer = setTimeout(() => finish(true), CHECK_TIMEOUT_MS)
--- a/src/node/upstreamside/UpstreamClient.ts
+++ b/src/node/upstreamside/UpstreamClient.ts
@@ -29,8 +29,8 @@
 
 /** HTTP/1.1 connections to the local upstream. */
 export class UpstreamClient implements Disposable {
-  private readonly kept: Pool
-  private readonly fresh: Pool
+  private readonly _kept: Pool
+  private readonly _fresh: Pool
 
   /**
    * @param address `host:port` of the upstream.
@@ -39,9 +39,9 @@
   public constructor (public readonly address: string, connections: number) {
     const origin = `http://${address}`
     const shared = { connections, bodyTimeout: BODY_TIMEOUT_MS }
-    this.kept = new Pool(origin, { ...shared, pipelining: 1, keepAliveTimeout: KEEP_ALIVE_MS })
+    this._kept = new Pool(origin, { ...shared, pipelining: 1, keepAliveTimeout: KEEP_ALIVE_MS })
     // A guarded request never goes out on an old connection: one that died in silence would leave its outcome unknown.
-    this.fresh = new Pool(origin, { ...shared, pipelining: 0 })
+    this._fresh = new Pool(origin, { ...shared, pipelining: 0 })
   }
 
   /**
@@ -51,11 +51,11 @@
    */
   public run (request: CallRequest, deadlineMs: number, listener: RunListener): CallHandle {
     const exchange = new Exchange(listener, request.kind === 'guarded')
-    const pool = request.kind === 'guarded' ? this.fresh : this.kept
+    const pool = request.kind === 'guarded' ? this._fresh : this._kept
     pool.dispatch({
       path: request.target,
       method: request.method as Dispatcher.HttpMethod,
-      headers: this.buildHeaders(request, deadlineMs),
+      headers: this._buildHeaders(request, deadlineMs),
       body: request.body.length === 0 ? null : request.body,
       headersTimeout: Math.max(1, Math.ceil(deadlineMs))
     }, exchange)
@@ -64,17 +64,17 @@
 
   /** Closes idle connections and, when their requests end, the others. */
   public close (): void {
-    this.kept.close().catch(() => {})
-    this.fresh.close().catch(() => {})
+    this._kept.close().catch(() => {})
+    this._fresh.close().catch(() => {})
   }
 
   /** Closes all connections at once. */
   public dispose (): void {
-    this.kept.destroy().catch(() => {})
-    this.fresh.destroy().catch(() => {})
+    this._kept.destroy().catch(() => {})
+    this._fresh.destroy().catch(() => {})
   }
 
-  private buildHeaders (request: CallRequest, deadlineMs: number): string[] {
+  private _buildHeaders (request: CallRequest, deadlineMs: number): string[] {
     const headers = request.headers.slice()
     headers.push('sassafras-call', `${request.from}-${request.id}`)
     headers.push('sassafras-deadline-ms', String(Math.floor(deadlineMs)))
@@ -85,99 +85,99 @@
 
 /** One request and its answer; short answers are collected and told in one go. */
 class Exchange implements Dispatcher.DispatchHandler, CallHandle {
-  private controller: Dispatcher.DispatchController | undefined
-  private head: AnswerHead | undefined
-  private pieces: Buffer[] = []
-  private collected = 0
-  private streaming = false
-  private sent = 0
-  private granted = BODY_WINDOW_BYTES
-  private ended = false
-  private dispatched = false
-  private readonly inlineLimit: number
+  private _controller: Dispatcher.DispatchController | undefined
+  private _head: AnswerHead | undefined
+  private _pieces: Buffer[] = []
+  private _collected = 0
+  private _streaming = false
+  private _sent = 0
+  private _granted = BODY_WINDOW_BYTES
+  private _ended = false
+  private _dispatched = false
+  private readonly _inlineLimit: number
 
-  public constructor (private readonly listener: RunListener, private readonly guarded: boolean) {
-    this.inlineLimit = guarded ? RECORDED_ANSWER_BYTES : INLINE_ANSWER_BYTES
+  public constructor (private readonly _listener: RunListener, private readonly _guarded: boolean) {
+    this._inlineLimit = _guarded ? RECORDED_ANSWER_BYTES : INLINE_ANSWER_BYTES
   }
 
   public onRequestStart (controller: Dispatcher.DispatchController): void {
-    this.controller = controller
-    this.dispatched = true
-    if (this.ended) controller.abort(new Error('cancelled'))
+    this._controller = controller
+    this._dispatched = true
+    if (this._ended) controller.abort(new Error('cancelled'))
   }
 
   public onResponseStart (controller: Dispatcher.DispatchController, status: number): void {
     if (status < 200) return
     const raw = (controller.rawHeaders ?? []) as Array<Buffer | string>
     const headers = selectEndToEnd(raw.map(part => typeof part === 'string' ? part : part.toString('latin1')))
-    this.head = { status, headers }
-    if (this.mustStream(status, headers)) this.startStream()
+    this._head = { status, headers }
+    if (this._mustStream(status, headers)) this._startStream()
   }
 
   public onResponseData (_controller: Dispatcher.DispatchController, chunk: Buffer): void {
-    if (this.ended) return
-    if (this.streaming) this.sendPiece(chunk)
-    else this.collect(chunk)
+    if (this._ended) return
+    if (this._streaming) this._sendPiece(chunk)
+    else this._collect(chunk)
   }
 
   public onResponseEnd (): void {
-    if (this.ended || this.head === undefined) return
-    this.ended = true
-    if (this.streaming) this.listener.onEnd()
-    else this.listener.onAnswer(this.head, this.joinPieces())
+    if (this._ended || this._head === undefined) return
+    this._ended = true
+    if (this._streaming) this._listener.onEnd()
+    else this._listener.onAnswer(this._head, this._joinPieces())
   }
 
   public onResponseError (_controller: Dispatcher.DispatchController, error: Error): void {
-    if (this.ended) return
-    this.ended = true
-    this.listener.onFailure(this.classify(error), error.message)
+    if (this._ended) return
+    this._ended = true
+    this._listener.onFailure(this._classify(error), error.message)
   }
 
   public cancel (): void {
-    if (this.ended) return
-    this.ended = true
-    this.controller?.abort(new Error('cancelled'))
+    if (this._ended) return
+    this._ended = true
+    this._controller?.abort(new Error('cancelled'))
   }
 
   public grant (bytes: number): void {
-    this.granted += bytes
-    if (this.sent < this.granted && this.controller?.paused === true) this.controller.resume()
+    this._granted += bytes
+    if (this._sent < this._granted && this._controller?.paused === true) this._controller.resume()
   }
 
-  private classify (error: Error): RunFailure {
-    if (!this.dispatched) return 'unsent'
+  private _classify (error: Error): RunFailure {
+    if (!this._dispatched) return 'unsent'
     return (error as { code?: string }).code === 'UND_ERR_HEADERS_TIMEOUT' ? 'timeout' : 'lost'
   }
 
   // An answer of unknown length may be slow to end, so it starts at once. A guarded one is collected for its record,
   // and a server error because it may be a shed request, or be tried elsewhere.
-  private mustStream (status: number, headers: RawHeaders): boolean {
+  private _mustStream (status: number, headers: RawHeaders): boolean {
     if (status === 204 || status === 304) return false
     const length = findHeader(headers, 'content-length')
-    return length === undefined ? !this.guarded && status < 500 : Number(length) > this.inlineLimit
+    return length === undefined ? !this._guarded && status < 500 : Number(length) > this._inlineLimit
   }
 
-  private joinPieces (): Buffer {
-    const only = this.pieces[0]
-    return this.pieces.length === 1 && only !== undefined ? only : Buffer.concat(this.pieces)
+  private _joinPieces (): Buffer {
+    const only = this._pieces[0]
+    return this._pieces.length === 1 && only !== undefined ? only : Buffer.concat(this._pieces)
   }
 
-  private collect (chunk: Buffer): void {
-    this.pieces.push(chunk)
-    this.collected += chunk.length
-    if (this.collected > this.inlineLimit) this.startStream()
+  private _collect (chunk: Buffer): void {
+    this._pieces.push(chunk)
+    this._collected += chunk.length
+    if (this._collected > this._inlineLimit) this._startStream()
   }
 
-  private startStream (): void {
-    this.streaming = true
-    this.listener.onHead(this.head as AnswerHead)
-    for (const piece of this.pieces) this.sendPiece(piece)
-    this.pieces = []
+  private _startStream (): void {
+    this._streaming = true
+    this._listener.onHead(this._head as AnswerHead)
+    for (const piece of this._pieces) this._sendPiece(piece)
+    this._pieces = []
   }
 
-  private sendPiece (chunk: Buffer): void {
-    this.sent += chunk.length
-    this.listener.onBody(chunk)
-    if (this.sent >= this.granted) this.controller?.pause()
+  private _sendPiece (chunk: Buffer): void {
+    this._sent += chunk.length
+    this._listener.onBody(chunk)
+    if (this._sent >= this._granted) this._controller?.pause()
   }
 }
--- a/src/node/upstreamside/UpstreamRun.ts
+++ b/src/node/upstreamside/UpstreamRun.ts
@@ -53,14 +53,14 @@
 export class UpstreamRun implements CallHandle, RunListener {
   /** When the caller stops waiting, on this node's clock. */
   public readonly deadlineAtMs: number
-  private state: RunState = 'queued'
-  private open = true
-  private startedAtMs = 0
-  private handle: CallHandle | undefined
-  private permit: RunPermit | undefined
-  private timer: PartTimer | undefined
-  private streamedHead: AnswerHead | undefined
-  private readonly permitHandlers: PermitHandlers
+  private _state: RunState = 'queued'
+  private _open = true
+  private _startedAtMs = 0
+  private _handle: CallHandle | undefined
+  private _permit: RunPermit | undefined
+  private _timer: PartTimer | undefined
+  private _streamedHead: AnswerHead | undefined
+  private readonly _permitHandlers: PermitHandlers
 
   /**
    * @param call Id of the call within this process.
@@ -68,158 +68,158 @@
   public constructor (
     public readonly call: CallId,
     public readonly request: CallRequest,
-    private readonly sink: CallSink,
-    private readonly host: RunHost
+    private readonly _sink: CallSink,
+    private readonly _host: RunHost
   ) {
-    this.deadlineAtMs = host.clock.nowMs() + request.deadlineMs
-    this.permitHandlers = this.buildPermitHandlers()
+    this.deadlineAtMs = _host.clock.nowMs() + request.deadlineMs
+    this._permitHandlers = this._buildPermitHandlers()
   }
 
   /** True while the upstream may be working on the request. */
   public get isRunning (): boolean {
-    return this.state === 'running'
+    return this._state === 'running'
   }
 
   /** Starts the run; admission has given it a slot. */
   public begin (): void {
-    this.startedAtMs = this.host.clock.nowMs()
+    this._startedAtMs = this._host.clock.nowMs()
     if (this.request.kind !== 'guarded') {
-      this.dispatch()
+      this._dispatch()
       return
     }
-    this.state = 'permitting'
-    this.permit = this.createPermit()
-    this.stepPermit({ type: 'start' })
+    this._state = 'permitting'
+    this._permit = this._createPermit()
+    this._stepPermit({ type: 'start' })
   }
 
   /** Answers without a run. */
   public refuse (refusal: Refusal): void {
-    this.state = 'finished'
-    this.tellRefusal(refusal)
-    this.host.handleDone(this)
+    this._state = 'finished'
+    this._tellRefusal(refusal)
+    this._host.handleDone(this)
   }
 
   /** The caller went away. A guarded run that has started goes on, for its record. */
   public cancel (): void {
-    this.open = false
-    if (this.state === 'queued') {
-      this.state = 'finished'
-      this.host.handleWithdrawal(this)
-      this.host.handleDone(this)
+    this._open = false
+    if (this._state === 'queued') {
+      this._state = 'finished'
+      this._host.handleWithdrawal(this)
+      this._host.handleDone(this)
       return
     }
-    if (this.permit !== undefined) {
-      this.stepPermit({ type: 'callerGone' })
+    if (this._permit !== undefined) {
+      this._stepPermit({ type: 'callerGone' })
       return
     }
-    if (this.state !== 'running') return
-    this.handle?.cancel()
-    this.state = 'finished'
-    this.host.handleCancel(this, this.host.clock.nowMs() - this.startedAtMs)
-    this.host.handleDone(this)
+    if (this._state !== 'running') return
+    this._handle?.cancel()
+    this._state = 'finished'
+    this._host.handleCancel(this, this._host.clock.nowMs() - this._startedAtMs)
+    this._host.handleDone(this)
   }
 
   /** Allows more of the body to be sent. */
   public grant (bytes: number): void {
-    this.handle?.grant(bytes)
+    this._handle?.grant(bytes)
   }
 
   public onAnswer (head: AnswerHead, body: Uint8Array): void {
     if (findHeader(head.headers, 'sassafras-shed') === 'not-run') {
-      this.handleProof('shed', 'shedding')
+      this._handleProof('shed', 'shedding')
       return
     }
-    this.finish(head.status >= 500 ? 'error' : 'ok', true)
-    if (this.permit !== undefined) {
-      this.stepPermit({ type: 'answered', answer: buildStoredAnswer(head, body, false) })
+    this._finish(head.status >= 500 ? 'error' : 'ok', true)
+    if (this._permit !== undefined) {
+      this._stepPermit({ type: 'answered', answer: buildStoredAnswer(head, body, false) })
       return
     }
-    if (this.open) this.sink.onAnswer(head, body, this.host.evidence())
-    this.host.handleDone(this)
+    if (this._open) this._sink.onAnswer(head, body, this._host.evidence())
+    this._host.handleDone(this)
   }
 
   public onHead (head: AnswerHead): void {
-    this.streamedHead = head
-    if (this.open) this.sink.onHead(head, this.host.evidence())
+    this._streamedHead = head
+    if (this._open) this._sink.onHead(head, this._host.evidence())
   }
 
   public onBody (bytes: Uint8Array): void {
-    if (this.open) this.sink.onBody(bytes)
-    else this.handle?.grant(bytes.length)
+    if (this._open) this._sink.onBody(bytes)
+    else this._handle?.grant(bytes.length)
   }
 
   public onEnd (): void {
-    const head = this.streamedHead as AnswerHead
-    this.finish(head.status >= 500 ? 'error' : 'ok', true)
-    if (this.open) this.sink.onEnd()
-    this.open = false
-    this.settleStreamed(head)
+    const head = this._streamedHead as AnswerHead
+    this._finish(head.status >= 500 ? 'error' : 'ok', true)
+    if (this._open) this._sink.onEnd()
+    this._open = false
+    this._settleStreamed(head)
   }
 
   public onFailure (failure: RunFailure, message: string): void {
     if (failure === 'unsent') {
-      this.handleProof('error', 'upstream-failed')
+      this._handleProof('error', 'upstream-failed')
       return
     }
-    this.finish('lost')
-    if (this.streamedHead !== undefined) {
-      if (this.open) this.sink.onAbort(message)
-      this.open = false
+    this._finish('lost')
+    if (this._streamedHead !== undefined) {
+      if (this._open) this._sink.onAbort(message)
+      this._open = false
     }
-    if (this.permit !== undefined) {
-      this.stepPermit({ type: 'upstreamLost' })
+    if (this._permit !== undefined) {
+      this._stepPermit({ type: 'upstreamLost' })
       return
     }
     this.refuse({ ...FAILURES[failure], retryAfterMs: DEFAULT_RETRY_AFTER_MS })
   }
 
-  private dispatch (): void {
-    const client = this.host.client
+  private _dispatch (): void {
+    const client = this._host.client
     // The process may have been frozen past its lease between the arrival and now.
-    if (this.permit !== undefined && !this.host.mayRunGuarded()) {
-      this.handleProof('error', 'stale-configuration')
+    if (this._permit !== undefined && !this._host.mayRunGuarded()) {
+      this._handleProof('error', 'stale-configuration')
       return
     }
     if (client === undefined) {
-      this.handleProof('error', 'no-upstream')
+      this._handleProof('error', 'no-upstream')
       return
     }
     // Verdicts may have come while the call waited.
-    if (this.host.isQuarantined(this)) {
-      this.handleProof('error', 'quarantined')
+    if (this._host.isQuarantined(this)) {
+      this._handleProof('error', 'quarantined')
       return
     }
-    this.state = 'running'
-    this.host.handleDispatch(this)
-    const leftMs = Math.max(1, this.deadlineAtMs - this.host.clock.nowMs())
+    this._state = 'running'
+    this._host.handleDispatch(this)
+    const leftMs = Math.max(1, this.deadlineAtMs - this._host.clock.nowMs())
     // A guarded run that outlives its caller is still recorded, so it gets more time than the caller has.
-    const graceMs = this.permit === undefined ? 0 : RUN_GRACE_MS
-    this.handle = client.run(this.request, leftMs + graceMs, this)
+    const graceMs = this._permit === undefined ? 0 : RUN_GRACE_MS
+    this._handle = client.run(this.request, leftMs + graceMs, this)
   }
 
   // The upstream proved that it did not run the request.
-  private handleProof (outcome: RunOutcome, reason: Reason): void {
-    this.finish(outcome)
+  private _handleProof (outcome: RunOutcome, reason: Reason): void {
+    this._finish(outcome)
     const retryAfterMs = DEFAULT_RETRY_AFTER_MS
     const disposition = reason === 'quarantined' ? 'quarantined' : 'not-run'
-    if (this.permit !== undefined) this.stepPermit({ type: 'notRun', reason, retryAfterMs })
+    if (this._permit !== undefined) this._stepPermit({ type: 'notRun', reason, retryAfterMs })
     else this.refuse({ disposition, reason, retryAfterMs })
   }
 
-  private finish (outcome: RunOutcome, ran = false): void {
-    if (this.state === 'finished') return
-    this.state = 'finished'
-    this.host.handleFinish(this, outcome, this.host.clock.nowMs() - this.startedAtMs, ran)
+  private _finish (outcome: RunOutcome, ran = false): void {
+    if (this._state === 'finished') return
+    this._state = 'finished'
+    this._host.handleFinish(this, outcome, this._host.clock.nowMs() - this._startedAtMs, ran)
   }
 
-  private settleStreamed (head: AnswerHead): void {
-    if (this.permit === undefined) this.host.handleDone(this)
-    else this.stepPermit({ type: 'answered', answer: buildStoredAnswer(head, new Uint8Array(0), true) })
+  private _settleStreamed (head: AnswerHead): void {
+    if (this._permit === undefined) this._host.handleDone(this)
+    else this._stepPermit({ type: 'answered', answer: buildStoredAnswer(head, new Uint8Array(0), true) })
   }
 
-  private createPermit (): RunPermit {
-    const { request, host } = this
-    this.timer = host.createTimer(() => this.stepPermit({ type: 'tick' }))
+  private _createPermit (): RunPermit {
+    const { request, _host: host } = this
+    this._timer = host.createTimer(() => this._stepPermit({ type: 'tick' }))
     return new RunPermit({
       record: { service: request.service, key: request.key as string },
       fingerprint: request.fingerprint,
@@ -229,50 +229,50 @@
     })
   }
 
-  private stepPermit (event: PermitEvent): void {
-    if (this.permit === undefined) return
-    for (const action of this.permit.step(event, this.host.clock.nowMs())) {
-      const handler = this.permitHandlers[action.type] as (action: PermitAction) => void
+  private _stepPermit (event: PermitEvent): void {
+    if (this._permit === undefined) return
+    for (const action of this._permit.step(event, this._host.clock.nowMs())) {
+      const handler = this._permitHandlers[action.type] as (action: PermitAction) => void
       handler(action)
     }
   }
 
-  private buildPermitHandlers (): PermitHandlers {
+  private _buildPermitHandlers (): PermitHandlers {
     return {
-      send: action => this.host.records.sendRecord(action.command, reply => {
+      send: action => this._host.records.sendRecord(action.command, reply => {
         const { sequence } = action
-        this.stepPermit(reply === undefined ? { type: 'unanswered', sequence } : { type: 'reply', sequence, reply })
+        this._stepPermit(reply === undefined ? { type: 'unanswered', sequence } : { type: 'reply', sequence, reply })
       }),
-      dispatch: () => this.dispatch(),
+      dispatch: () => this._dispatch(),
       answer: action => {
         // A repeated answer used the slot only to ask control.
-        this.finish('cancelled')
-        this.tellAnswer(action.answer)
+        this._finish('cancelled')
+        this._tellAnswer(action.answer)
       },
       refuse: action => {
-        if (!this.isRunning) this.finish('cancelled')
-        this.tellRefusal(action)
+        if (!this.isRunning) this._finish('cancelled')
+        this._tellRefusal(action)
       },
-      wake: action => this.timer?.wakeAt(action.atMs),
+      wake: action => this._timer?.wakeAt(action.atMs),
       done: () => {
-        this.timer?.dispose()
-        this.host.handleDone(this)
+        this._timer?.dispose()
+        this._host.handleDone(this)
       }
     }
   }
 
-  private tellAnswer (answer: StoredAnswer): void {
-    if (!this.open) return
-    this.open = false
+  private _tellAnswer (answer: StoredAnswer): void {
+    if (!this._open) return
+    this._open = false
     const head = { status: answer.status, headers: answer.headers.flat() }
-    this.sink.onAnswer(head, answer.body, this.host.evidence())
+    this._sink.onAnswer(head, answer.body, this._host.evidence())
   }
 
-  private tellRefusal ({ disposition, reason, retryAfterMs, firstStatus }: Refusal): void {
-    if (!this.open) return
-    this.open = false
+  private _tellRefusal ({ disposition, reason, retryAfterMs, firstStatus }: Refusal): void {
+    if (!this._open) return
+    this._open = false
     const first = firstStatus === undefined ? {} : { firstStatus }
-    this.sink.onRefused({ disposition, reason, retryAfterMs, ...first }, this.host.evidence())
+    this._sink.onRefused({ disposition, reason, retryAfterMs, ...first }, this._host.evidence())
   }
 }
 
--- a/src/node/upstreamside/UpstreamSide.ts
+++ b/src/node/upstreamside/UpstreamSide.ts
@@ -50,124 +50,124 @@
   public readonly incarnation: Incarnation
   public readonly records: RecordSender
   public client: UpstreamClient | undefined
-  private readonly runs = new Map<CallId, UpstreamRun>()
-  private readonly quarantineEvents = new Emitter<QuarantineAction>()
-  private readonly emptied = new Emitter<void>()
-  private readonly timer: PartTimer
-  private readonly quarantineTimer: NodeJS.Timeout
-  private readonly admissionHandlers: AdmissionHandlers
-  private announcement: Announcement | undefined
-  private crashCheck: CrashCheck | undefined
-  private lastCall = 0
-  private draining = false
-  private closing = false
-
-  public constructor (private readonly parts: UpstreamSideParts) {
-    this.clock = parts.clock
-    this.node = parts.node
-    this.incarnation = parts.incarnation
-    this.records = parts.records
-    this.timer = new PartTimer(parts.clock, () => this.stepAdmission({ type: 'tick' }))
-    this.quarantineTimer = setInterval(() => this.stepQuarantine({ type: 'tick' }), QUARANTINE_TICK_MS)
-    this.admissionHandlers = {
-      start: action => this.runs.get(action.call)?.begin(),
-      refuse: action => this.runs.get(action.call)?.refuse({
+  private readonly _runs = new Map<CallId, UpstreamRun>()
+  private readonly _quarantineEvents = new Emitter<QuarantineAction>()
+  private readonly _emptied = new Emitter<void>()
+  private readonly _timer: PartTimer
+  private readonly _quarantineTimer: NodeJS.Timeout
+  private readonly _admissionHandlers: AdmissionHandlers
+  private _announcement: Announcement | undefined
+  private _crashCheck: CrashCheck | undefined
+  private _lastCall = 0
+  private _draining = false
+  private _closing = false
+
+  public constructor (private readonly _parts: UpstreamSideParts) {
+    this.clock = _parts.clock
+    this.node = _parts.node
+    this.incarnation = _parts.incarnation
+    this.records = _parts.records
+    this._timer = new PartTimer(_parts.clock, () => this._stepAdmission({ type: 'tick' }))
+    this._quarantineTimer = setInterval(() => this._stepQuarantine({ type: 'tick' }), QUARANTINE_TICK_MS)
+    this._admissionHandlers = {
+      start: action => this._runs.get(action.call)?.begin(),
+      refuse: action => this._runs.get(action.call)?.refuse({
         disposition: 'not-run', reason: action.reason, retryAfterMs: action.retryAfterMs
       }),
-      wake: action => this.timer.wakeAt(action.atMs),
-      drained: () => this.parts.log.info({}, 'upstream drained')
+      wake: action => this._timer.wakeAt(action.atMs),
+      drained: () => this._parts.log.info({}, 'upstream drained')
     }
   }
 
   /** Fires with crash reports and verdicts that other nodes must hear of. */
-  public readonly onQuarantine = this.quarantineEvents.event
+  public readonly onQuarantine = this._quarantineEvents.event
 
   /** Fires whenever the last held call is done. */
-  public readonly onEmpty = this.emptied.event
+  public readonly onEmpty = this._emptied.event
 
   /** Service of the local upstream, if there is one. */
   public get service (): string | undefined {
-    return this.announcement?.service
+    return this._announcement?.service
   }
 
   /** Calls held here: queued, running, or with a record still to write. */
   public get heldCalls (): number {
-    return this.runs.size
+    return this._runs.size
   }
 
   /** Takes the upstream's announcement: its address, slots and state. */
   public setUpstream (announcement: Announcement): void {
-    const before = this.announcement
-    this.announcement = announcement
-    if (before?.address !== announcement.address || this.client === undefined) this.connect(announcement)
-    if (before?.slots !== announcement.slots) this.stepAdmission({ type: 'capacity', slots: announcement.slots })
+    const before = this._announcement
+    this._announcement = announcement
+    if (before?.address !== announcement.address || this.client === undefined) this._connect(announcement)
+    if (before?.slots !== announcement.slots) this._stepAdmission({ type: 'capacity', slots: announcement.slots })
     if (announcement.state === 'draining') this.drain()
     else this.resume()
   }
 
   /** The upstream fell silent or left; calls in flight may still end. */
   public loseUpstream (): void {
-    this.announcement = undefined
+    this._announcement = undefined
     this.client?.close()
     this.client = undefined
   }
 
   /** Takes no new calls; those queued are refused as not run, those running finish. */
   public drain (): void {
-    if (this.draining) return
-    this.draining = true
-    this.stepAdmission({ type: 'drain' })
+    if (this._draining) return
+    this._draining = true
+    this._stepAdmission({ type: 'drain' })
   }
 
   /** Takes calls again. */
   public resume (): void {
-    if (this.closing || !this.draining) return
-    this.draining = false
-    this.stepAdmission({ type: 'resume' })
+    if (this._closing || !this._draining) return
+    this._draining = false
+    this._stepAdmission({ type: 'resume' })
   }
 
   /** Drains for good, before the process stops. */
   public close (): void {
-    this.closing = true
+    this._closing = true
     this.drain()
   }
 
   /** Load to attach to answers. */
   public evidence (): LoadEvidence {
-    return this.parts.admission.evidence()
+    return this._parts.admission.evidence()
   }
 
   public mayRunGuarded (): boolean {
-    return this.parts.mayRunGuarded()
+    return this._parts.mayRunGuarded()
   }
 
   /** Hears of a crash or verdict from another node. */
   public takeQuarantine (event: QuarantineEvent): void {
-    this.stepQuarantine(event)
+    this._stepQuarantine(event)
   }
 
   /** Crash reports in force, for a node that has just connected. */
   public crashReports (): CrashReport[] {
-    return this.parts.quarantine.reports(this.clock.nowMs())
+    return this._parts.quarantine.reports(this.clock.nowMs())
   }
 
   /** Takes a call for the local upstream. */
   public start (request: CallRequest, sink: CallSink): CallHandle {
-    const refusal = this.findRefusal(request)
+    const refusal = this._findRefusal(request)
     if (refusal !== undefined) {
       sink.onRefused(refusal, this.evidence())
       return NO_HANDLE
     }
-    const call = ++this.lastCall
+    const call = ++this._lastCall
     const run = new UpstreamRun(call, request, sink, this)
-    const verdict = this.stepQuarantine({ type: 'ask', call, fingerprint: request.fingerprint })
+    const verdict = this._stepQuarantine({ type: 'ask', call, fingerprint: request.fingerprint })
     const refused = verdict.find(action => action.type === 'refuse')
     if (refused?.type === 'refuse') {
       sink.onRefused({ disposition: 'quarantined', reason: 'quarantined', retryAfterMs: refused.retryAfterMs }, this.evidence())
       return NO_HANDLE
     }
-    this.runs.set(call, run)
-    this.stepAdmission({ type: 'arrive', call, kind: request.kind, deadlineAtMs: run.deadlineAtMs })
+    this._runs.set(call, run)
+    this._stepAdmission({ type: 'arrive', call, kind: request.kind, deadlineAtMs: run.deadlineAtMs })
     return run
   }
 
@@ -177,92 +177,92 @@
 
   public handleDispatch (run: UpstreamRun): void {
     const { fingerprint, service } = run.request
-    this.stepQuarantine({ type: 'dispatched', call: run.call, instance: this.instanceOf(service), fingerprint })
+    this._stepQuarantine({ type: 'dispatched', call: run.call, instance: this._instanceOf(service), fingerprint })
   }
 
   public isQuarantined (run: UpstreamRun): boolean {
     const { call, request } = run
-    const actions = this.stepQuarantine({ type: 'ask', call, fingerprint: request.fingerprint })
+    const actions = this._stepQuarantine({ type: 'ask', call, fingerprint: request.fingerprint })
     return actions.some(action => action.type === 'refuse')
   }
 
   public handleFinish (run: UpstreamRun, outcome: RunOutcome, serviceMs: number, ran: boolean): void {
-    if (outcome === 'lost') this.checkCrash(run)
-    else this.stepQuarantine({ type: 'finished', call: run.call, ran })
-    this.stepAdmission({ type: 'finish', call: run.call, outcome, serviceMs })
+    if (outcome === 'lost') this._checkCrash(run)
+    else this._stepQuarantine({ type: 'finished', call: run.call, ran })
+    this._stepAdmission({ type: 'finish', call: run.call, outcome, serviceMs })
   }
 
   // An upstream that loses its caller needs about a service time to notice; until then its slot is not free.
   public handleCancel ({ call }: UpstreamRun, serviceMs: number): void {
-    this.stepQuarantine({ type: 'finished', call, ran: false })
+    this._stepQuarantine({ type: 'finished', call, ran: false })
     const waitMs = Math.min(this.evidence().serviceMs, MAX_CANCEL_WAIT_MS)
-    setTimeout(() => this.stepAdmission({ type: 'finish', call, outcome: 'cancelled', serviceMs }), waitMs)
+    setTimeout(() => this._stepAdmission({ type: 'finish', call, outcome: 'cancelled', serviceMs }), waitMs)
   }
 
   public handleWithdrawal (run: UpstreamRun): void {
-    this.stepAdmission({ type: 'cancel', call: run.call })
+    this._stepAdmission({ type: 'cancel', call: run.call })
   }
 
   public handleDone (run: UpstreamRun): void {
-    if (this.runs.delete(run.call) && this.runs.size === 0) this.emptied.fire()
+    if (this._runs.delete(run.call) && this._runs.size === 0) this._emptied.fire()
   }
 
   /** Bounded description for the state dump. */
   public describe (): object {
     return {
-      upstream: this.announcement ?? null,
-      heldCalls: this.runs.size,
-      running: [...this.runs.values()].filter(run => run.isRunning).length,
+      upstream: this._announcement ?? null,
+      heldCalls: this._runs.size,
+      running: [...this._runs.values()].filter(run => run.isRunning).length,
       evidence: this.evidence(),
-      closing: this.closing
+      closing: this._closing
     }
   }
 
   /** Ends all connections to the upstream at once. */
   public dispose (): void {
-    this.timer.dispose()
-    clearInterval(this.quarantineTimer)
+    this._timer.dispose()
+    clearInterval(this._quarantineTimer)
     this.client?.dispose()
   }
 
-  private connect (announcement: Announcement): void {
+  private _connect (announcement: Announcement): void {
     this.client?.close()
     this.client = new UpstreamClient(announcement.address, announcement.connections)
-    this.crashCheck = new CrashCheck(announcement.address)
+    this._crashCheck = new CrashCheck(announcement.address)
   }
 
-  private findRefusal (request: CallRequest): Refusal | undefined {
-    if (this.announcement?.service !== request.service) return refuseNotRun('no-upstream')
-    if (this.closing) return refuseNotRun('draining')
-    if (this.runs.size >= MAX_HELD_CALLS) return refuseNotRun('overloaded')
+  private _findRefusal (request: CallRequest): Refusal | undefined {
+    if (this._announcement?.service !== request.service) return refuseNotRun('no-upstream')
+    if (this._closing) return refuseNotRun('draining')
+    if (this._runs.size >= MAX_HELD_CALLS) return refuseNotRun('overloaded')
     if (request.kind === 'guarded' && !this.mayRunGuarded()) return refuseNotRun('stale-configuration')
     return undefined
   }
 
-  private instanceOf (service: string): string {
+  private _instanceOf (service: string): string {
     return `${service}/${this.node}`
   }
 
   // A lost connection is blamed on the requests in flight only if the upstream itself is gone.
-  private checkCrash (run: UpstreamRun): void {
-    const instance = this.instanceOf(run.request.service)
-    this.crashCheck?.run(crashed => {
-      if (crashed) this.stepQuarantine({ type: 'crashed', instance })
-      this.stepQuarantine({ type: 'finished', call: run.call, ran: false })
+  private _checkCrash (run: UpstreamRun): void {
+    const instance = this._instanceOf(run.request.service)
+    this._crashCheck?.run(crashed => {
+      if (crashed) this._stepQuarantine({ type: 'crashed', instance })
+      this._stepQuarantine({ type: 'finished', call: run.call, ran: false })
     })
   }
 
-  private stepAdmission (event: AdmissionEvent): void {
-    for (const action of this.parts.admission.step(event, this.clock.nowMs())) {
-      const handler = this.admissionHandlers[action.type] as (action: AdmissionAction) => void
+  private _stepAdmission (event: AdmissionEvent): void {
+    for (const action of this._parts.admission.step(event, this.clock.nowMs())) {
+      const handler = this._admissionHandlers[action.type] as (action: AdmissionAction) => void
       handler(action)
     }
   }
 
-  private stepQuarantine (event: QuarantineEvent): QuarantineAction[] {
-    const actions = this.parts.quarantine.step(event, this.clock.nowMs())
+  private _stepQuarantine (event: QuarantineEvent): QuarantineAction[] {
+    const actions = this._parts.quarantine.step(event, this.clock.nowMs())
     for (const action of actions) {
-      if (action.type === 'report' || action.type === 'quarantined') this.quarantineEvents.fire(action)
+      if (action.type === 'report' || action.type === 'quarantined') this._quarantineEvents.fire(action)
     }
     return actions
   }
--- a/src/parts/SeededRandom.ts
+++ b/src/parts/SeededRandom.ts
@@ -6,17 +6,17 @@
 
 /** A repeatable source of random numbers. */
 export class SeededRandom implements Random {
-  private readonly generator
+  private readonly _generator
 
   /**
    * @param seed Whole number; the same seed gives the same sequence.
    */
   public constructor (seed: number) {
-    this.generator = xoroshiro128plus(seed)
+    this._generator = xoroshiro128plus(seed)
   }
 
   /** Returns the next number in [0, 1). */
   public next (): number {
-    return uniformInt(this.generator, 0, RANGE - 1) / RANGE
+    return uniformInt(this._generator, 0, RANGE - 1) / RANGE
   }
 }
--- a/src/parts/agreement/GroupFormation.test.ts
+++ b/src/parts/agreement/GroupFormation.test.ts
@@ -27,18 +27,18 @@
 
 /** Forms a group as soon as all others have told that they belong to none, whatever they have heard themselves. */
 class Credulous extends GroupFormation {
-  private readonly notices = new Map<string, FormationNotice>()
+  private readonly _notices = new Map<string, FormationNotice>()
 
-  public constructor (private readonly id: string, names: readonly string[]) {
-    super(id, names)
+  public constructor (private readonly _self: string, names: readonly string[]) {
+    super(_self, names)
   }
 
   public override hear (notice: FormationNotice): readonly string[] | undefined {
-    if (notice.members.includes(this.id)) return notice.members
-    this.notices.set(nameOf(notice.replica), notice)
-    const others = [...this.notices.values()]
+    if (notice.members.includes(this._self)) return notice.members
+    this._notices.set(nameOf(notice.replica), notice)
+    const others = [...this._notices.values()]
     const free = others.length === NAMES.length - 1 && others.every(({ members }) => members.length === 0)
-    return free ? [this.id, ...others.map(({ replica }) => replica)].sort() : undefined
+    return free ? [this._self, ...others.map(({ replica }) => replica)].sort() : undefined
   }
 }
 
--- a/src/parts/budget/MeasuringBudget.test.ts
+++ b/src/parts/budget/MeasuringBudget.test.ts
@@ -79,19 +79,19 @@
 
 /** A token bucket that holds one second's worth: in some second it grants nearly twice that. */
 class FullBucket implements Budget {
-  private tokens = BYTES
-  private lastMs = 0
+  private _tokens = BYTES
+  private _lastMs = 0
 
   public step (event: BudgetEvent, nowMs: number): BudgetAction[] {
     if (event.type !== 'request') {
       return []
     }
-    this.tokens = Math.min(BYTES, this.tokens + (nowMs - this.lastMs) * BYTES / 1000)
-    this.lastMs = nowMs
-    if (event.kind !== 'membership' || this.tokens < event.bytes) {
+    this._tokens = Math.min(BYTES, this._tokens + (nowMs - this._lastMs) * BYTES / 1000)
+    this._lastMs = nowMs
+    if (event.kind !== 'membership' || this._tokens < event.bytes) {
       return [{ type: 'denied', id: event.id, retryAtMs: nowMs + 1 }]
     }
-    this.tokens -= event.bytes
+    this._tokens -= event.bytes
     return [{ type: 'granted', id: event.id }]
   }
 }
--- a/src/parts/budget/MeasuringBudget.ts
+++ b/src/parts/budget/MeasuringBudget.ts
@@ -29,20 +29,20 @@
  * Memory is constant.
  */
 export class MeasuringBudget implements Part<BudgetEvent, BudgetAction> {
-  private readonly all = new SlidingWindow()
-  private readonly unreserved = new SlidingWindow()
-  private readonly handlers: Handlers = {
-    request: (event, nowMs) => this.request(event, nowMs),
-    served: event => this.served(event),
-    configure: event => this.configure(event)
+  private readonly _all = new SlidingWindow()
+  private readonly _unreserved = new SlidingWindow()
+  private readonly _handlers: Handlers = {
+    request: (event, nowMs) => this._request(event, nowMs),
+    served: event => this._served(event),
+    configure: event => this._configure(event)
   }
 
-  private limits: BudgetLimits
-  private messageCredit = 0
+  private _limits: BudgetLimits
+  private _messageCredit = 0
 
   /** @param limits Budget until the first `configure`. */
   public constructor (limits: BudgetLimits) {
-    this.limits = limits
+    this._limits = limits
   }
 
   /**
@@ -50,49 +50,49 @@
    * @param nowMs Monotonic time in milliseconds.
    */
   public step (event: BudgetEvent, nowMs: number): BudgetAction[] {
-    const handler = this.handlers[event.type] as (event: BudgetEvent, nowMs: number) => BudgetAction[]
+    const handler = this._handlers[event.type] as (event: BudgetEvent, nowMs: number) => BudgetAction[]
     return handler(event, nowMs)
   }
 
   /** Bytes granted in the window that ends now, for the state dump. */
   public spentBytes (): number {
-    return this.all.total()
+    return this._all.total()
   }
 
   /** Messages that calls served so far still allow, for the state dump. */
   public messagesLeft (): number {
-    return this.messageCredit
+    return this._messageCredit
   }
 
-  private request (event: EventOf<'request'>, nowMs: number): BudgetAction[] {
-    this.all.advance(nowMs)
-    this.unreserved.advance(nowMs)
-    const retryAtMs = this.earliestMs(event, nowMs)
+  private _request (event: EventOf<'request'>, nowMs: number): BudgetAction[] {
+    this._all.advance(nowMs)
+    this._unreserved.advance(nowMs)
+    const retryAtMs = this._earliestMs(event, nowMs)
     if (retryAtMs > nowMs) {
       return [{ type: 'denied', id: event.id, retryAtMs }]
     }
-    this.charge(event)
+    this._charge(event)
     return [{ type: 'granted', id: event.id }]
   }
 
   /** The time from which the request may be granted, or `nowMs` when it may be granted now. */
-  private earliestMs (event: EventOf<'request'>, nowMs: number): number {
+  private _earliestMs (event: EventOf<'request'>, nowMs: number): number {
     if (!(event.bytes >= 0)) {
       return nowMs + WINDOW_MS
     }
-    if (COUNTED_BY_CALLS[event.kind] && this.messageCredit < (event.messages ?? 1)) {
+    if (COUNTED_BY_CALLS[event.kind] && this._messageCredit < (event.messages ?? 1)) {
       return nowMs + WINDOW_MS
     }
-    const bytesPerWindow = this.limits.bytesPerSecond * WINDOW_MS / 1000
-    const wholeAtMs = this.fitsAtMs(this.all, bytesPerWindow, event.bytes, nowMs)
+    const bytesPerWindow = this._limits.bytesPerSecond * WINDOW_MS / 1000
+    const wholeAtMs = this._fitsAtMs(this._all, bytesPerWindow, event.bytes, nowMs)
     if (event.kind === 'heartbeat') {
       return wholeAtMs
     }
     const sharedBytes = bytesPerWindow * (1 - HEARTBEAT_SHARE)
-    return Math.max(wholeAtMs, this.fitsAtMs(this.unreserved, sharedBytes, event.bytes, nowMs))
+    return Math.max(wholeAtMs, this._fitsAtMs(this._unreserved, sharedBytes, event.bytes, nowMs))
   }
 
-  private fitsAtMs (window: SlidingWindow, limit: number, bytes: number, nowMs: number): number {
+  private _fitsAtMs (window: SlidingWindow, limit: number, bytes: number, nowMs: number): number {
     const excess = window.total() + bytes - limit
     if (excess <= 0) {
       return nowMs
@@ -100,24 +100,24 @@
     return Math.max(nowMs + 1, window.freeAtMs(excess))
   }
 
-  private charge (event: EventOf<'request'>): void {
-    this.all.spend(event.bytes)
+  private _charge (event: EventOf<'request'>): void {
+    this._all.spend(event.bytes)
     if (event.kind !== 'heartbeat') {
-      this.unreserved.spend(event.bytes)
+      this._unreserved.spend(event.bytes)
     }
     if (COUNTED_BY_CALLS[event.kind]) {
-      this.messageCredit -= event.messages ?? 1
+      this._messageCredit -= event.messages ?? 1
     }
   }
 
-  private served (event: EventOf<'served'>): BudgetAction[] {
-    const earned = Math.max(0, event.calls) * this.limits.messagesPerCall
-    this.messageCredit = Math.min(MESSAGE_BURST, this.messageCredit + earned)
+  private _served (event: EventOf<'served'>): BudgetAction[] {
+    const earned = Math.max(0, event.calls) * this._limits.messagesPerCall
+    this._messageCredit = Math.min(MESSAGE_BURST, this._messageCredit + earned)
     return []
   }
 
-  private configure (event: EventOf<'configure'>): BudgetAction[] {
-    this.limits = { bytesPerSecond: event.bytesPerSecond, messagesPerCall: event.messagesPerCall }
+  private _configure (event: EventOf<'configure'>): BudgetAction[] {
+    this._limits = { bytesPerSecond: event.bytesPerSecond, messagesPerCall: event.messagesPerCall }
     return []
   }
 }
--- a/src/parts/budget/SlidingWindow.ts
+++ b/src/parts/budget/SlidingWindow.ts
@@ -8,9 +8,9 @@
  * Memory: `WINDOW_STEPS + 1` numbers.
  */
 export class SlidingWindow {
-  private readonly spentByStep = new Float64Array(WINDOW_STEPS + 1)
-  private step = 0
-  private spent = 0
+  private readonly _spentByStep = new Float64Array(WINDOW_STEPS + 1)
+  private _step = 0
+  private _spent = 0
 
   /**
    * Forgets the steps that left the window.
@@ -18,23 +18,23 @@
    */
   public advance (nowMs: number): void {
     const target = Math.floor(nowMs / STEP_MS)
-    const steps = Math.min(target - this.step, this.spentByStep.length)
+    const steps = Math.min(target - this._step, this._spentByStep.length)
     for (let passed = 0; passed < steps; passed++) {
-      this.clearStep(target - passed)
+      this._clearStep(target - passed)
     }
-    this.step = Math.max(this.step, target)
+    this._step = Math.max(this._step, target)
   }
 
   /** What was spent within the window. */
   public total (): number {
-    return this.spent
+    return this._spent
   }
 
   /** @param amount What is spent in the current step. */
   public spend (amount: number): void {
-    const index = this.step % this.spentByStep.length
-    this.spentByStep[index] = (this.spentByStep[index] ?? 0) + amount
-    this.spent += amount
+    const index = this._step % this._spentByStep.length
+    this._spentByStep[index] = (this._spentByStep[index] ?? 0) + amount
+    this._spent += amount
   }
 
   /**
@@ -44,22 +44,22 @@
   public freeAtMs (amount: number): number {
     let freed = 0
     for (let age = WINDOW_STEPS; age >= 0; age--) {
-      freed += this.spentByStep[this.indexOf(this.step - age)] ?? 0
+      freed += this._spentByStep[this._indexOf(this._step - age)] ?? 0
       if (freed >= amount) {
-        return (this.step - age + WINDOW_STEPS + 1) * STEP_MS
+        return (this._step - age + WINDOW_STEPS + 1) * STEP_MS
       }
     }
-    return (this.step + WINDOW_STEPS + 1) * STEP_MS
+    return (this._step + WINDOW_STEPS + 1) * STEP_MS
   }
 
-  private clearStep (step: number): void {
-    const index = this.indexOf(step)
-    this.spent -= this.spentByStep[index] ?? 0
-    this.spentByStep[index] = 0
+  private _clearStep (step: number): void {
+    const index = this._indexOf(step)
+    this._spent -= this._spentByStep[index] ?? 0
+    this._spentByStep[index] = 0
   }
 
-  private indexOf (step: number): number {
-    const length = this.spentByStep.length
+  private _indexOf (step: number): number {
+    const length = this._spentByStep.length
     return ((step % length) + length) % length
   }
 }
--- a/src/parts/choice/CandidateLoad.ts
+++ b/src/parts/choice/CandidateLoad.ts
@@ -32,8 +32,8 @@
   public serviceMs = DEFAULT_SERVICE_MS
   public evidenceMs = Number.NEGATIVE_INFINITY
   public goodAnswers = 0
-  private readonly outstanding = new Map<CallId, Outstanding>()
-  private othersLoad = 0
+  private readonly _outstanding = new Map<CallId, Outstanding>()
+  private _othersLoad = 0
 
   /**
    * @param candidate Member that the record stands for.
@@ -50,7 +50,7 @@
 
   /** Calls that this node has in flight there. */
   public inFlight (): number {
-    return this.outstanding.size
+    return this._outstanding.size
   }
 
   /** @param candidate Newer announcement of the same instance. */
@@ -69,7 +69,7 @@
    * @param timed Whether its latency tells of the instance's speed.
    */
   public sent (call: CallId, nowMs: number, expectedMs: number, timed: boolean): void {
-    this.outstanding.set(call, { startMs: nowMs, expectedMs, timed })
+    this._outstanding.set(call, { startMs: nowMs, expectedMs, timed })
     if (timed) {
       this.vitals.slowness.started(nowMs, expectedMs)
     }
@@ -80,9 +80,9 @@
    * @returns What was expected of it, or undefined when it was not in flight here.
    */
   public ended (call: CallId): Outstanding | undefined {
-    const record = this.outstanding.get(call)
+    const record = this._outstanding.get(call)
     if (record !== undefined) {
-      this.outstanding.delete(call)
+      this._outstanding.delete(call)
     }
     if (record?.timed === true) {
       this.vitals.slowness.ended(record.startMs, record.expectedMs)
@@ -100,7 +100,7 @@
       this.refused(nowMs)
       return
     }
-    this.othersLoad = Math.max(0, evidence.inFlight + evidence.queued - this.arrived(nowMs))
+    this._othersLoad = Math.max(0, evidence.inFlight + evidence.queued - this._arrived(nowMs))
     this.slots = evidence.limit
     if (evidence.serviceMs > 0) {
       this.serviceMs = evidence.serviceMs
@@ -109,9 +109,9 @@
   }
 
   /** Own calls in flight that the instance's node had counted when it sent what arrives now. */
-  private arrived (nowMs: number): number {
+  private _arrived (nowMs: number): number {
     let count = 0
-    for (const record of this.outstanding.values()) {
+    for (const record of this._outstanding.values()) {
       if (record.startMs > nowMs - this.rttMs) {
         break
       }
@@ -122,7 +122,7 @@
 
   /** @param nowMs Time of a refusal that carried no evidence. */
   public refused (nowMs: number): void {
-    this.othersLoad = Math.max(this.othersLoad, this.slots * 2)
+    this._othersLoad = Math.max(this._othersLoad, this.slots * 2)
     this.evidenceMs = nowMs + REFUSED_MEMORY_MS
   }
 
@@ -147,7 +147,7 @@
   public waitingAhead (meanOthersPerSlot: number, nowMs: number): number {
     const usual = meanOthersPerSlot * this.slots
     const fresh = this.freshness(nowMs)
-    const others = usual + (this.othersLoad - usual) * fresh
+    const others = usual + (this._othersLoad - usual) * fresh
     const over = this.inFlight() + others + 1 - this.slots
     const deviation = Math.sqrt(ARRIVING_VARIANCE + others * (1 - fresh * fresh))
     return expectedExcess(over, deviation)
@@ -166,7 +166,7 @@
 
   /** Load of other nodes on each slot, as last told. */
   public othersPerSlot (): number {
-    return this.othersLoad / this.slots
+    return this._othersLoad / this.slots
   }
 
   /** Expected latency of a cold instance over that of a warm one. */
@@ -185,7 +185,7 @@
   /** Forgets what was learnt of an earlier run. */
   public restarted (): void {
     this.goodAnswers = 0
-    this.othersLoad = 0
+    this._othersLoad = 0
     this.evidenceMs = Number.NEGATIVE_INFINITY
     this.vitals.slowness.reset()
   }
--- a/src/parts/choice/ChoiceTraces.test.ts
+++ b/src/parts/choice/ChoiceTraces.test.ts
@@ -41,7 +41,7 @@
   return {
     choice: line => {
       const chooser = new UpstreamChooser(PLACE, new SeededRandom(line.seed), line.options)
-      const loads = Reflect.get(chooser, 'byInstance') as Map<string, CandidateLoad>
+      const loads = Reflect.get(chooser, '_byInstance') as Map<string, CandidateLoad>
       return {
         step: (event, nowMs) => {
           const actions = chooser.step(event, nowMs)
--- a/src/parts/choice/LatencyModel.ts
+++ b/src/parts/choice/LatencyModel.ts
@@ -12,26 +12,26 @@
 export class LatencyModel {
   /** Mean service time over the service in milliseconds. */
   public serviceMs = DEFAULT_SERVICE_MS
-  private serviceTimes = 0
-  private callsInFlight = 0
-  private othersPerSlotSum = 0
-  private instances = 1
+  private _serviceTimes = 0
+  private _callsInFlight = 0
+  private _othersPerSlotSum = 0
+  private _instances = 1
 
   /** @param subset All instances that are weighed from now on. */
   public setSubset (subset: readonly CandidateLoad[]): void {
-    this.instances = Math.max(1, subset.length)
-    this.callsInFlight = subset.reduce((sum, load) => sum + load.inFlight(), 0)
-    this.othersPerSlotSum = subset.reduce((sum, load) => sum + load.othersPerSlot(), 0)
+    this._instances = Math.max(1, subset.length)
+    this._callsInFlight = subset.reduce((sum, load) => sum + load.inFlight(), 0)
+    this._othersPerSlotSum = subset.reduce((sum, load) => sum + load.othersPerSlot(), 0)
   }
 
   /** A call was sent. */
   public sent (): void {
-    this.callsInFlight += 1
+    this._callsInFlight += 1
   }
 
   /** A call that was sent has ended. */
   public ended (): void {
-    this.callsInFlight -= 1
+    this._callsInFlight -= 1
   }
 
   /**
@@ -42,9 +42,9 @@
   public learn (candidate: CandidateLoad, evidence: LoadEvidence, nowMs: number): void {
     const before = candidate.othersPerSlot()
     candidate.observe(evidence, nowMs)
-    this.othersPerSlotSum += candidate.othersPerSlot() - before
-    this.serviceTimes += 1
-    const weight = Math.max(SERVICE_TIME_WEIGHT, 1 / this.serviceTimes)
+    this._othersPerSlotSum += candidate.othersPerSlot() - before
+    this._serviceTimes += 1
+    const weight = Math.max(SERVICE_TIME_WEIGHT, 1 / this._serviceTimes)
     this.serviceMs += weight * (candidate.serviceMs - this.serviceMs)
   }
 
@@ -55,7 +55,7 @@
   public refused (candidate: CandidateLoad, nowMs: number): void {
     const before = candidate.othersPerSlot()
     candidate.refused(nowMs)
-    this.othersPerSlotSum += candidate.othersPerSlot() - before
+    this._othersPerSlotSum += candidate.othersPerSlot() - before
   }
 
   /**
@@ -66,7 +66,7 @@
   public cost (candidate: CandidateLoad, nowMs: number): number {
     const slow = Math.max(1, candidate.vitals.slowness.ratio(nowMs) - USUAL_RATIO + 1)
     const failing = candidate.vitals.failureShare * FAILURE_COST_SERVICE_TIMES * this.serviceMs
-    const meanInFlight = this.callsInFlight / this.instances
+    const meanInFlight = this._callsInFlight / this._instances
     const own = OWN_CALL_COST * this.serviceMs * candidate.inFlight() / (1 + meanInFlight)
     return this.expectedMs(candidate, nowMs) * slow + own + failing
   }
@@ -77,7 +77,7 @@
    * @param nowMs Monotonic time in milliseconds.
    */
   public expectedMs (candidate: CandidateLoad, nowMs: number): number {
-    const meanOthersPerSlot = Math.max(0, this.othersPerSlotSum) / this.instances
+    const meanOthersPerSlot = Math.max(0, this._othersPerSlotSum) / this._instances
     const wait = candidate.waitingAhead(meanOthersPerSlot, nowMs) / candidate.slots
     const refusal = REFUSAL_COST * Math.max(0, wait - REFUSAL_QUEUE_PER_SLOT)
     const service = candidate.serviceNow(this.serviceMs, nowMs)
--- a/src/parts/choice/SubsetSelector.ts
+++ b/src/parts/choice/SubsetSelector.ts
@@ -22,14 +22,14 @@
  */
 export class SubsetSelector {
   /**
-   * @param place Place of the ingress node.
-   * @param salt Number that differs between ingress nodes.
-   * @param size How large a subset is.
+   * @param _place Place of the ingress node.
+   * @param _salt Number that differs between ingress nodes.
+   * @param _size How large a subset is.
    */
   public constructor (
-    private readonly place: Place,
-    private readonly salt: number,
-    private readonly size: SubsetSize
+    private readonly _place: Place,
+    private readonly _salt: number,
+    private readonly _size: SubsetSize
   ) {}
 
   /**
@@ -37,29 +37,29 @@
    * @returns The subset, in an order in which near and far instances are mixed.
    */
   public select (candidates: readonly Candidate[]): Candidate[] {
-    const covering = Math.ceil(MIN_COVERAGE * candidates.length / Math.max(1, this.size.ingressNodes))
-    const total = Math.max(this.size.total, covering)
-    const ranked = this.rank(candidates)
+    const covering = Math.ceil(MIN_COVERAGE * candidates.length / Math.max(1, this._size.ingressNodes))
+    const total = Math.max(this._size.total, covering)
+    const ranked = this._rank(candidates)
     if (ranked.length <= total) {
       return ranked
     }
-    const near = ranked.filter(candidate => this.isNear(candidate))
-    const far = ranked.filter(candidate => !this.isNear(candidate))
-    const wanted = Math.min(Math.ceil(total * this.size.elsewhereShare), far.length)
+    const near = ranked.filter(candidate => this._isNear(candidate))
+    const far = ranked.filter(candidate => !this._isNear(candidate))
+    const wanted = Math.min(Math.ceil(total * this._size.elsewhereShare), far.length)
     const farCount = Math.max(wanted, total - near.length)
     const kept = new Set([...near.slice(0, total - farCount), ...far.slice(0, farCount)])
     return ranked.filter(candidate => kept.has(candidate))
   }
 
-  private rank (candidates: readonly Candidate[]): Candidate[] {
+  private _rank (candidates: readonly Candidate[]): Candidate[] {
     return candidates
-      .map(candidate => ({ candidate, hash: hashOf(this.salt, candidate.instance) }))
+      .map(candidate => ({ candidate, hash: hashOf(this._salt, candidate.instance) }))
       .sort((first, second) => first.hash - second.hash)
       .map(ranked => ranked.candidate)
   }
 
-  private isNear (candidate: Candidate): boolean {
-    return candidate.place.zone === this.place.zone && candidate.place.region === this.place.region
+  private _isNear (candidate: Candidate): boolean {
+    return candidate.place.zone === this._place.zone && candidate.place.region === this._place.region
   }
 }
 
--- a/src/parts/choice/UpstreamChooser.test.ts
+++ b/src/parts/choice/UpstreamChooser.test.ts
@@ -43,56 +43,56 @@
 
 /** Hosts a chooser as a node does, and checks every choice. */
 class Host {
-  private readonly usable = new Set<InstanceId>()
-  private readonly down = new Set<InstanceId>()
-  private readonly open: Array<{ call: number, instance: InstanceId, sentMs: number }> = []
-  private nowMs = 0
-  private calls = 0
+  private readonly _usable = new Set<InstanceId>()
+  private readonly _down = new Set<InstanceId>()
+  private readonly _open: Array<{ call: number, instance: InstanceId, sentMs: number }> = []
+  private _nowMs = 0
+  private _calls = 0
 
-  public constructor (private readonly chooser: Chooser) {}
+  public constructor (private readonly _chooser: Chooser) {}
 
   public run (command: Command): void {
     if (command.act === 'members') {
-      this.members(command.states)
+      this._members(command.states)
     } else if (command.act === 'choose') {
-      this.choose(command.excluded.map(nameOf))
+      this._choose(command.excluded.map(nameOf))
     } else if (command.act === 'answer') {
-      this.answer(command.pick, command.outcome, command.evidence)
+      this._answer(command.pick, command.outcome, command.evidence)
     } else if (command.act === 'wait') {
-      this.nowMs += command.ms
-      this.chooser.step({ type: 'tick' }, this.nowMs)
+      this._nowMs += command.ms
+      this._chooser.step({ type: 'tick' }, this._nowMs)
     } else {
-      this.link(command.act, nameOf(command.pick))
+      this._link(command.act, nameOf(command.pick))
     }
   }
 
-  private members (states: ReadonlyArray<CandidateState | 'absent'>): void {
+  private _members (states: ReadonlyArray<CandidateState | 'absent'>): void {
     const candidates = states.flatMap((state, index) => state === 'absent' ? [] : [candidateOf(index, state)])
-    this.usable.clear()
+    this._usable.clear()
     for (const candidate of candidates) {
       if (candidate.state === 'serving') {
-        this.usable.add(candidate.instance)
+        this._usable.add(candidate.instance)
       }
     }
-    this.forgetLinks(candidates)
-    this.chooser.step({ type: 'members', candidates }, this.nowMs)
+    this._forgetLinks(candidates)
+    this._chooser.step({ type: 'members', candidates }, this._nowMs)
   }
 
   /** An instance that left and comes back has a new link, which is up until the host says otherwise. */
-  private forgetLinks (candidates: readonly Candidate[]): void {
+  private _forgetLinks (candidates: readonly Candidate[]): void {
     const known = new Set(candidates.filter(each => each.state !== 'starting').map(each => each.instance))
-    for (const instance of this.down) {
+    for (const instance of this._down) {
       if (!known.has(instance)) {
-        this.down.delete(instance)
+        this._down.delete(instance)
       }
     }
   }
 
-  private choose (excluded: readonly InstanceId[]): void {
-    const call = ++this.calls
-    const actions = this.chooser.step({ type: 'choose', call, excluded }, this.nowMs)
+  private _choose (excluded: readonly InstanceId[]): void {
+    const call = ++this._calls
+    const actions = this._chooser.step({ type: 'choose', call, excluded }, this._nowMs)
     expect(actions).toHaveLength(1)
-    const open = [...this.usable].filter(name => !this.down.has(name) && !excluded.includes(name))
+    const open = [...this._usable].filter(name => !this._down.has(name) && !excluded.includes(name))
     const action = actions[0]
     if (open.length === 0) {
       expect(action).toMatchObject({ type: 'noneAvailable', call })
@@ -101,28 +101,28 @@
     expect(action).toMatchObject({ type: 'chosen', call })
     if (action?.type === 'chosen') {
       expect(open).toContain(action.instance)
-      this.open.push({ call, instance: action.instance, sentMs: this.nowMs })
+      this._open.push({ call, instance: action.instance, sentMs: this._nowMs })
     }
   }
 
-  private answer (pick: number, outcome: AttemptOutcome, evidence?: LoadEvidence): void {
-    const [sent] = this.open.splice(pick % Math.max(1, this.open.length), 1)
+  private _answer (pick: number, outcome: AttemptOutcome, evidence?: LoadEvidence): void {
+    const [sent] = this._open.splice(pick % Math.max(1, this._open.length), 1)
     if (sent === undefined) {
       return
     }
-    const latencyMs = this.nowMs - sent.sentMs
+    const latencyMs = this._nowMs - sent.sentMs
     const event = { type: 'answered', call: sent.call, instance: sent.instance, outcome, latencyMs } as const
-    this.chooser.step(evidence === undefined ? event : { ...event, evidence }, this.nowMs)
+    this._chooser.step(evidence === undefined ? event : { ...event, evidence }, this._nowMs)
   }
 
-  private link (act: 'linkDown' | 'linkUp', instance: InstanceId): void {
+  private _link (act: 'linkDown' | 'linkUp', instance: InstanceId): void {
     // A link belongs to a member; the part forgets the links of instances that left.
-    if (this.usable.has(instance)) {
-      this.chooser.step({ type: act, instance }, this.nowMs)
+    if (this._usable.has(instance)) {
+      this._chooser.step({ type: act, instance }, this._nowMs)
       if (act === 'linkDown') {
-        this.down.add(instance)
+        this._down.add(instance)
       } else {
-        this.down.delete(instance)
+        this._down.delete(instance)
       }
     }
   }
@@ -161,7 +161,7 @@
 
 test('memory follows the subset and the calls in flight', () => {
   const chooser = new UpstreamChooser(PLACE, new SeededRandom(5))
-  const loads = Reflect.get(chooser, 'byInstance') as Map<InstanceId, unknown>
+  const loads = Reflect.get(chooser, '_byInstance') as Map<InstanceId, unknown>
   for (let generation = 0; generation < 30; generation++) {
     const candidates = Array.from({ length: 500 }, (_none, index) => candidateOf(generation * 500 + index, 'serving'))
     chooser.step({ type: 'members', candidates }, generation)
@@ -212,7 +212,7 @@
     chooser.step({ type: 'members', candidates: [candidateOf(0, 'serving'), candidateOf(2, 'serving')] }, 0)
     chooser.step({ type: 'choose', call: 1, excluded: [nameOf(2)], kind }, 0)
     chooser.step({ type: 'tick' }, 60_000)
-    return (Reflect.get(chooser, 'detector') as OutlierDetector).health(nameOf(0), 60_000)
+    return (Reflect.get(chooser, '_detector') as OutlierDetector).health(nameOf(0), 60_000)
   }
   expect(health('download')).toBe('healthy')
   // Without the kind, the same call would have it ejected.
--- a/src/parts/choice/UpstreamChooser.ts
+++ b/src/parts/choice/UpstreamChooser.ts
@@ -52,38 +52,38 @@
  * Memory: one record for each instance of the subset and for each call in flight, and the list of candidates.
  */
 export class UpstreamChooser implements Part<ChoiceEvent, ChoiceAction> {
-  private readonly detector = new OutlierDetector()
-  private readonly options: ChooserOptions
-  private readonly selector: SubsetSelector
-  private readonly handlers: Handlers = {
-    members: event => this.members(event),
-    choose: (event, nowMs) => this.choose(event, nowMs),
-    answered: (event, nowMs) => this.answered(event, nowMs),
-    evidence: (event, nowMs) => this.evidence(event, nowMs),
-    linkDown: (event, nowMs) => this.detect(event, nowMs),
-    linkUp: (event, nowMs) => this.detect(event, nowMs),
-    tick: (_event, nowMs) => this.tick(nowMs)
+  private readonly _detector = new OutlierDetector()
+  private readonly _options: ChooserOptions
+  private readonly _selector: SubsetSelector
+  private readonly _handlers: Handlers = {
+    members: event => this._members(event),
+    choose: (event, nowMs) => this._choose(event, nowMs),
+    answered: (event, nowMs) => this._answered(event, nowMs),
+    evidence: (event, nowMs) => this._evidence(event, nowMs),
+    linkDown: (event, nowMs) => this._detect(event, nowMs),
+    linkUp: (event, nowMs) => this._detect(event, nowMs),
+    tick: (_event, nowMs) => this._tick(nowMs)
   }
 
-  private readonly byInstance = new Map<InstanceId, CandidateLoad>()
-  private subset: CandidateLoad[] = []
-  private readonly model = new LatencyModel()
+  private readonly _byInstance = new Map<InstanceId, CandidateLoad>()
+  private _subset: CandidateLoad[] = []
+  private readonly _model = new LatencyModel()
 
   /**
-   * @param place Place of this ingress node.
-   * @param random Source of random numbers; also salts the subset.
+   * @param _place Place of this ingress node.
+   * @param _random Source of random numbers; also salts the subset.
    * @param options What differs from the defaults.
    */
   public constructor (
-    private readonly place: Place,
-    private readonly random: Random,
+    private readonly _place: Place,
+    private readonly _random: Random,
     options: Partial<ChooserOptions> = {}
   ) {
-    this.options = { ...DEFAULT_OPTIONS, ...options }
-    const salt = Math.floor(random.next() * 0x7fffffff)
-    const { subsetSize, subsetElsewhereShare, ingressNodes } = this.options
+    this._options = { ...DEFAULT_OPTIONS, ...options }
+    const salt = Math.floor(_random.next() * 0x7fffffff)
+    const { subsetSize, subsetElsewhereShare, ingressNodes } = this._options
     const size = { total: subsetSize, elsewhereShare: subsetElsewhereShare, ingressNodes }
-    this.selector = new SubsetSelector(place, salt, size)
+    this._selector = new SubsetSelector(_place, salt, size)
   }
 
   /**
@@ -91,55 +91,55 @@
    * @param nowMs Monotonic time in milliseconds.
    */
   public step (event: ChoiceEvent, nowMs: number): ChoiceAction[] {
-    const handler = this.handlers[event.type] as (event: ChoiceEvent, nowMs: number) => ChoiceAction[]
+    const handler = this._handlers[event.type] as (event: ChoiceEvent, nowMs: number) => ChoiceAction[]
     return handler(event, nowMs)
   }
 
   /** Calls in flight from this node to an instance, for the state dump. */
   public inFlight (instance: InstanceId): number {
-    return this.byInstance.get(instance)?.inFlight() ?? 0
+    return this._byInstance.get(instance)?.inFlight() ?? 0
   }
 
-  private members (event: EventOf<'members'>): ChoiceAction[] {
+  private _members (event: EventOf<'members'>): ChoiceAction[] {
     const usable = event.candidates.filter(candidate => candidate.state !== 'starting')
-    const chosen = this.selector.select(usable)
-    this.detector.step({ type: 'members', instances: chosen.map(candidate => candidate.instance) }, 0)
+    const chosen = this._selector.select(usable)
+    this._detector.step({ type: 'members', instances: chosen.map(candidate => candidate.instance) }, 0)
     const kept = new Set(chosen.map(candidate => candidate.instance))
-    for (const instance of this.byInstance.keys()) {
+    for (const instance of this._byInstance.keys()) {
       if (!kept.has(instance)) {
-        this.byInstance.delete(instance)
+        this._byInstance.delete(instance)
       }
     }
-    this.subset = chosen.map(candidate => this.record(candidate))
-    this.model.setSubset(this.subset)
+    this._subset = chosen.map(candidate => this._record(candidate))
+    this._model.setSubset(this._subset)
     return []
   }
 
-  private record (candidate: Candidate): CandidateLoad {
-    const known = this.byInstance.get(candidate.instance)
+  private _record (candidate: Candidate): CandidateLoad {
+    const known = this._byInstance.get(candidate.instance)
     if (known !== undefined) {
       known.update(candidate)
       return known
     }
-    const vitals = this.detector.vitals(candidate.instance)
+    const vitals = this._detector.vitals(candidate.instance)
     if (vitals === undefined) {
       throw new Error(`detector does not know ${candidate.instance}`)
     }
-    const created = new CandidateLoad(candidate, this.rttMs(candidate.place), vitals)
-    created.serviceMs = this.model.serviceMs
-    this.byInstance.set(candidate.instance, created)
+    const created = new CandidateLoad(candidate, this._rttMs(candidate.place), vitals)
+    created.serviceMs = this._model.serviceMs
+    this._byInstance.set(candidate.instance, created)
     return created
   }
 
-  private rttMs (place: Place): number {
-    if (place.region !== this.place.region) {
-      return this.options.otherRegionRttMs
+  private _rttMs (place: Place): number {
+    if (place.region !== this._place.region) {
+      return this._options.otherRegionRttMs
     }
-    return place.zone === this.place.zone ? this.options.sameZoneRttMs : this.options.sameRegionRttMs
+    return place.zone === this._place.zone ? this._options.sameZoneRttMs : this._options.sameRegionRttMs
   }
 
-  private choose (event: EventOf<'choose'>, nowMs: number): ChoiceAction[] {
-    const target = this.target(event.excluded, nowMs)
+  private _choose (event: EventOf<'choose'>, nowMs: number): ChoiceAction[] {
+    const target = this._target(event.excluded, nowMs)
     if (target === undefined) {
       return [{
         type: 'noneAvailable',
@@ -148,43 +148,43 @@
         retryAfterMs: NONE_AVAILABLE_RETRY_MS
       }]
     }
-    const expectedMs = this.model.expectedMs(target, nowMs)
-    this.model.sent()
+    const expectedMs = this._model.expectedMs(target, nowMs)
+    this._model.sent()
     const kind = event.kind ?? 'lookup'
     target.sent(event.call, nowMs, expectedMs, kind === 'lookup')
-    this.detector.step({ type: 'started', instance: target.instance, expectedMs: EXPECTED_MS[kind](expectedMs) }, nowMs)
+    this._detector.step({ type: 'started', instance: target.instance, expectedMs: EXPECTED_MS[kind](expectedMs) }, nowMs)
     return [{ type: 'chosen', call: event.call, instance: target.instance }]
   }
 
   /** The best of a sample; failing that, of the whole subset; failing that, of the ejected and unproven ones too. */
-  private target (excluded: readonly InstanceId[], nowMs: number): CandidateLoad | undefined {
-    return this.best(excluded, nowMs, WEIGHED_PER_CALL, false) ??
-      this.best(excluded, nowMs, this.subset.length, false) ??
-      this.best(excluded, nowMs, this.subset.length, true)
+  private _target (excluded: readonly InstanceId[], nowMs: number): CandidateLoad | undefined {
+    return this._best(excluded, nowMs, WEIGHED_PER_CALL, false) ??
+      this._best(excluded, nowMs, this._subset.length, false) ??
+      this._best(excluded, nowMs, this._subset.length, true)
   }
 
   /** The lowest cost among some; nearly equal ones are told apart at random, so that nodes do not act alike. */
-  private best (
+  private _best (
     excluded: readonly InstanceId[], nowMs: number, sample: number, anyHealth: boolean
   ): CandidateLoad | undefined {
-    const count = this.subset.length
+    const count = this._subset.length
     const weighed = Math.min(sample, count)
-    let index = weighed < count ? Math.floor(this.random.next() * count) : 0
+    let index = weighed < count ? Math.floor(this._random.next() * count) : 0
     // One random number a call; each instance gets its own by steps of the golden ratio.
-    let spread = this.random.next()
+    let spread = this._random.next()
     let best: CandidateLoad | undefined
     let lowest = Number.POSITIVE_INFINITY
     for (let seen = 0; seen < weighed; seen++) {
-      const candidate = this.subset[index] as CandidateLoad
+      const candidate = this._subset[index] as CandidateLoad
       index = index + 1 === count ? 0 : index + 1
       spread = spread < 1 - GOLDEN_RATIO ? spread + GOLDEN_RATIO : spread + GOLDEN_RATIO - 1
       if (!isReachable(candidate) || excluded.includes(candidate.instance)) {
         continue
       }
-      if (!anyHealth && !this.isWelcome(candidate)) {
+      if (!anyHealth && !this._isWelcome(candidate)) {
         continue
       }
-      const cost = this.model.cost(candidate, nowMs) * (1 + JITTER * spread)
+      const cost = this._model.cost(candidate, nowMs) * (1 + JITTER * spread)
       if (cost < lowest) {
         lowest = cost
         best = candidate
@@ -193,7 +193,7 @@
     return best
   }
 
-  private isWelcome (candidate: CandidateLoad): boolean {
+  private _isWelcome (candidate: CandidateLoad): boolean {
     if (isEjected(candidate.vitals)) {
       return false
     }
@@ -203,19 +203,19 @@
     return candidate.withinRamp()
   }
 
-  private answered (event: EventOf<'answered'>, nowMs: number): ChoiceAction[] {
-    const candidate = this.byInstance.get(event.instance)
+  private _answered (event: EventOf<'answered'>, nowMs: number): ChoiceAction[] {
+    const candidate = this._byInstance.get(event.instance)
     if (candidate === undefined) {
       return []
     }
     const sent = candidate.ended(event.call)
     if (sent !== undefined) {
-      this.model.ended()
+      this._model.ended()
     }
     if (event.evidence !== undefined) {
-      this.model.learn(candidate, event.evidence, nowMs)
+      this._model.learn(candidate, event.evidence, nowMs)
     } else if (event.outcome === 'refused') {
-      this.model.refused(candidate, nowMs)
+      this._model.refused(candidate, nowMs)
     }
     if (event.outcome === 'ok' && sent !== undefined) {
       candidate.goodAnswers += 1
@@ -224,31 +224,31 @@
       // What the newest service time explains is not held against the instance twice.
       const expectedMs = Math.max(sent.expectedMs, candidate.rttMs + candidate.serviceMs)
       candidate.vitals.slowness.answered(nowMs, event.latencyMs / expectedMs)
-      candidate.vitals.slowness.noteSpeed(nowMs, event.latencyMs, candidate.rttMs + this.model.serviceMs)
+      candidate.vitals.slowness.noteSpeed(nowMs, event.latencyMs, candidate.rttMs + this._model.serviceMs)
     }
     if (sent === undefined) {
       return []
     }
     const { instance, outcome, latencyMs } = event
-    return this.detect({ type: 'outcome', instance, outcome, latencyMs }, nowMs)
+    return this._detect({ type: 'outcome', instance, outcome, latencyMs }, nowMs)
   }
 
-  private evidence (event: EventOf<'evidence'>, nowMs: number): ChoiceAction[] {
-    const candidate = this.byInstance.get(event.instance)
+  private _evidence (event: EventOf<'evidence'>, nowMs: number): ChoiceAction[] {
+    const candidate = this._byInstance.get(event.instance)
     if (candidate !== undefined) {
-      this.model.learn(candidate, event.evidence, nowMs)
+      this._model.learn(candidate, event.evidence, nowMs)
     }
     return []
   }
 
-  private detect (event: DetectionEvent, nowMs: number): ChoiceAction[] {
-    const actions = this.detector.step(event, nowMs)
+  private _detect (event: DetectionEvent, nowMs: number): ChoiceAction[] {
+    const actions = this._detector.step(event, nowMs)
     return actions.length === 0 ? [] : actions.flatMap(action => fromDetection(action))
   }
 
-  private tick (nowMs: number): ChoiceAction[] {
-    const actions = this.detect({ type: 'tick' }, nowMs)
-    const stale = this.stalest(nowMs)
+  private _tick (nowMs: number): ChoiceAction[] {
+    const actions = this._detect({ type: 'tick' }, nowMs)
+    const stale = this._stalest(nowMs)
     if (stale !== undefined) {
       actions.push({ type: 'probe', instance: stale.instance })
     }
@@ -256,10 +256,10 @@
   }
 
   /** The reachable instance whose evidence is oldest, if it is old enough for a probe. */
-  private stalest (nowMs: number): CandidateLoad | undefined {
+  private _stalest (nowMs: number): CandidateLoad | undefined {
     let stalest: CandidateLoad | undefined
-    let oldestMs = nowMs - this.options.probeAfterMs
-    for (const candidate of this.subset) {
+    let oldestMs = nowMs - this._options.probeAfterMs
+    for (const candidate of this._subset) {
       if (isReachable(candidate) && candidate.evidenceMs < oldestMs) {
         oldestMs = candidate.evidenceMs
         stalest = candidate
--- a/src/parts/configuration/ConfigurationFollower.test.ts
+++ b/src/parts/configuration/ConfigurationFollower.test.ts
@@ -19,20 +19,20 @@
 })
 
 test('finds an older version accepted', () => {
-  expect(finding((follower) => { follower['isNewer'] = () => true })).toContain('went back')
+  expect(finding((follower) => { follower['_isNewer'] = () => true })).toContain('went back')
 })
 
 test('finds a version applied before a quorum confirms it', () => {
   expect(finding((follower) => {
-    const adopt = follower['adopt'].bind(follower)
-    follower['adopt'] = (copy) => [...adopt(copy), ...follower['applyCandidate']()]
+    const adopt = follower['_adopt'].bind(follower)
+    follower['_adopt'] = (copy) => [...adopt(copy), ...follower['_applyCandidate']()]
   })).toContain('older version than a quorum confirms')
 })
 
 test('finds a lease counted from the receipt', () => {
   expect(finding((follower) => {
-    const take = follower['takeConfirm'].bind(follower)
-    follower['takeConfirm'] = (version, _askedAtMs, nowMs) => take(version, nowMs, nowMs)
+    const take = follower['_takeConfirm'].bind(follower)
+    follower['_takeConfirm'] = (version, _askedAtMs, nowMs) => take(version, nowMs, nowMs)
   })).toContain('current past its lease')
 })
 
--- a/src/parts/configuration/ConfigurationFollower.ts
+++ b/src/parts/configuration/ConfigurationFollower.ts
@@ -41,47 +41,47 @@
  * Memory: two configurations and the versions of `MAX_PEERS` peers.
  */
 export class ConfigurationFollower implements Part<FollowerEvent, FollowerAction> {
-  private readonly options: FollowerOptions
-  private readonly peers = new Map<string, Version>()
-  private applied: VersionedConfiguration | undefined
-  private candidate: VersionedConfiguration | undefined
-  private leaseUntilMs = Number.NEGATIVE_INFINITY
-  private told: FollowerState = 'unconfirmed'
-  private askedAtMs = Number.NEGATIVE_INFINITY
-  private askedFor: Version = 0
-  private behindPeer: { from: string, version: Version, sinceMs: number } | undefined
-  private older = 0
-  private contradicting = 0
-  private mismatched = 0
+  private readonly _options: FollowerOptions
+  private readonly _peers = new Map<string, Version>()
+  private _applied: VersionedConfiguration | undefined
+  private _candidate: VersionedConfiguration | undefined
+  private _leaseUntilMs = Number.NEGATIVE_INFINITY
+  private _told: FollowerState = 'unconfirmed'
+  private _askedAtMs = Number.NEGATIVE_INFINITY
+  private _askedFor: Version = 0
+  private _behindPeer: { from: string, version: Version, sinceMs: number } | undefined
+  private _older = 0
+  private _contradicting = 0
+  private _mismatched = 0
 
-  private readonly handlers: Handlers = {
-    copy: (event, nowMs) => this.takeCopy(event, nowMs),
-    difference: (event, nowMs) => this.takeDifference(event, nowMs),
-    confirm: (event, nowMs) => this.takeConfirm(event.version, event.askedAtMs, nowMs),
-    peerVersion: (event, nowMs) => this.takePeerVersion(event, nowMs),
-    tick: (_event, nowMs) => this.askOverdue(nowMs)
+  private readonly _handlers: Handlers = {
+    copy: (event, nowMs) => this._takeCopy(event, nowMs),
+    difference: (event, nowMs) => this._takeDifference(event, nowMs),
+    confirm: (event, nowMs) => this._takeConfirm(event.version, event.askedAtMs, nowMs),
+    peerVersion: (event, nowMs) => this._takePeerVersion(event, nowMs),
+    tick: (_event, nowMs) => this._askOverdue(nowMs)
   }
 
   /**
    * @param options Durations that replace the defaults.
    */
   public constructor (options: Partial<FollowerOptions> = {}) {
-    this.options = { ...DEFAULTS, ...options }
+    this._options = { ...DEFAULTS, ...options }
   }
 
   /** The configuration in force here; undefined until one is confirmed. */
   public get inForce (): VersionedConfiguration | undefined {
-    return this.applied
+    return this._applied
   }
 
   /** Version in force here, for heartbeats; 0 until one is confirmed. */
   public get version (): Version {
-    return this.applied?.version ?? 0
+    return this._applied?.version ?? 0
   }
 
   /** Events that were refused, counted since the start. */
   public get counters (): FollowerCounters {
-    return { older: this.older, contradicting: this.contradicting, mismatched: this.mismatched }
+    return { older: this._older, contradicting: this._contradicting, mismatched: this._mismatched }
   }
 
   /**
@@ -90,10 +90,10 @@
    * @param nowMs Monotonic time in milliseconds.
    */
   public state (nowMs: number): FollowerState {
-    if (this.applied === undefined) {
+    if (this._applied === undefined) {
       return 'unconfirmed'
     }
-    return nowMs < this.leaseUntilMs ? 'current' : 'stale'
+    return nowMs < this._leaseUntilMs ? 'current' : 'stale'
   }
 
   /**
@@ -102,163 +102,163 @@
    * @param nowMs Monotonic time in milliseconds.
    */
   public step (event: FollowerEvent, nowMs: number): FollowerAction[] {
-    const handler = this.handlers[event.type] as (event: FollowerEvent, nowMs: number) => FollowerAction[]
+    const handler = this._handlers[event.type] as (event: FollowerEvent, nowMs: number) => FollowerAction[]
     const actions = handler(event, nowMs)
-    return [...actions, ...this.tellState(nowMs)]
+    return [...actions, ...this._tellState(nowMs)]
   }
 
-  private takeCopy (event: EventOf<'copy'>, nowMs: number): FollowerAction[] {
-    const actions = this.adopt(event.copy)
-    return [...actions, ...this.afterNews(event, event.copy.version, nowMs)]
+  private _takeCopy (event: EventOf<'copy'>, nowMs: number): FollowerAction[] {
+    const actions = this._adopt(event.copy)
+    return [...actions, ...this._afterNews(event, event.copy.version, nowMs)]
   }
 
-  private takeDifference (event: EventOf<'difference'>, nowMs: number): FollowerAction[] {
+  private _takeDifference (event: EventOf<'difference'>, nowMs: number): FollowerAction[] {
     const { difference } = event
-    const base = this.newest()
+    const base = this._newest()
     if (difference.version <= (base?.version ?? -1)) {
-      this.noteOlder(difference.version)
-      return this.afterNews(event, difference.version, nowMs)
+      this._noteOlder(difference.version)
+      return this._afterNews(event, difference.version, nowMs)
     }
     const result = base === undefined ? undefined : applyDifference(base, difference)
     if (result?.ok !== true) {
-      this.mismatched += 1
-      return this.ask(event.from, difference.version, nowMs)
+      this._mismatched += 1
+      return this._ask(event.from, difference.version, nowMs)
     }
-    return [...this.adopt(result.val), ...this.afterNews(event, difference.version, nowMs)]
+    return [...this._adopt(result.val), ...this._afterNews(event, difference.version, nowMs)]
   }
 
-  private afterNews (
+  private _afterNews (
     event: EventOf<'copy'> | EventOf<'difference'>,
     version: Version,
     nowMs: number
   ): FollowerAction[] {
-    return event.confirmed ? this.takeConfirm(version, event.askedAtMs, nowMs) : []
+    return event.confirmed ? this._takeConfirm(version, event.askedAtMs, nowMs) : []
   }
 
   /** A confirmation proves that nothing newer than its version was committed when it was asked for. */
-  private takeConfirm (version: Version, askedAtMs: number | undefined, nowMs: number): FollowerAction[] {
-    const newest = this.newest()
+  private _takeConfirm (version: Version, askedAtMs: number | undefined, nowMs: number): FollowerAction[] {
+    const newest = this._newest()
     if (newest === undefined || newest.version < version) {
-      return this.ask(CONTROL_SOURCE, version, nowMs)
+      return this._ask(CONTROL_SOURCE, version, nowMs)
     }
     if (askedAtMs === undefined && newest.version !== version) {
-      this.noteOlder(version)
+      this._noteOlder(version)
       return []
     }
-    this.leaseUntilMs = Math.max(this.leaseUntilMs, (askedAtMs ?? nowMs) + this.options.leaseMs)
-    return this.applyCandidate()
+    this._leaseUntilMs = Math.max(this._leaseUntilMs, (askedAtMs ?? nowMs) + this._options.leaseMs)
+    return this._applyCandidate()
   }
 
-  private takePeerVersion (event: EventOf<'peerVersion'>, nowMs: number): FollowerAction[] {
-    this.notePeer(event.from, event.version)
-    const mine = this.newest()?.version ?? 0
+  private _takePeerVersion (event: EventOf<'peerVersion'>, nowMs: number): FollowerAction[] {
+    this._notePeer(event.from, event.version)
+    const mine = this._newest()?.version ?? 0
     if (event.version < this.version) {
       return [{ type: 'offer', to: event.from, version: this.version }]
     }
-    if (event.version > mine && (this.behindPeer?.version ?? mine) < event.version) {
-      const sinceMs = this.behindPeer?.sinceMs ?? nowMs
-      this.behindPeer = { from: event.from, version: event.version, sinceMs }
+    if (event.version > mine && (this._behindPeer?.version ?? mine) < event.version) {
+      const sinceMs = this._behindPeer?.sinceMs ?? nowMs
+      this._behindPeer = { from: event.from, version: event.version, sinceMs }
     }
-    return this.askOverdue(nowMs)
+    return this._askOverdue(nowMs)
   }
 
   /** Asks a peer only when control's own difference has not come in time: a whole copy is many times larger. */
-  private askOverdue (nowMs: number): FollowerAction[] {
-    const mine = this.newest()?.version ?? 0
-    if (this.behindPeer !== undefined && this.behindPeer.version <= mine) {
-      this.behindPeer = undefined
+  private _askOverdue (nowMs: number): FollowerAction[] {
+    const mine = this._newest()?.version ?? 0
+    if (this._behindPeer !== undefined && this._behindPeer.version <= mine) {
+      this._behindPeer = undefined
     }
-    if (this.behindPeer !== undefined && nowMs - this.behindPeer.sinceMs >= this.options.peerCopyDelayMs) {
-      return this.ask(this.behindPeer.from, this.behindPeer.version, nowMs)
+    if (this._behindPeer !== undefined && nowMs - this._behindPeer.sinceMs >= this._options.peerCopyDelayMs) {
+      return this._ask(this._behindPeer.from, this._behindPeer.version, nowMs)
     }
-    if (this.askedFor > mine) {
-      return this.ask(CONTROL_SOURCE, this.askedFor, nowMs)
+    if (this._askedFor > mine) {
+      return this._ask(CONTROL_SOURCE, this._askedFor, nowMs)
     }
     return []
   }
 
-  private ask (from: string, version: Version, nowMs: number): FollowerAction[] {
-    this.askedFor = Math.max(this.askedFor, version)
+  private _ask (from: string, version: Version, nowMs: number): FollowerAction[] {
+    this._askedFor = Math.max(this._askedFor, version)
     // Before the first change there is nothing to ask for: the node stays unconfirmed.
-    if (version === 0 || nowMs - this.askedAtMs < this.options.askRetryMs) {
+    if (version === 0 || nowMs - this._askedAtMs < this._options.askRetryMs) {
       return []
     }
-    this.askedAtMs = nowMs
+    this._askedAtMs = nowMs
     return [{ type: 'askCopy', from }]
   }
 
-  private adopt (copy: VersionedConfiguration): FollowerAction[] {
-    if (!this.isNewer(copy)) {
+  private _adopt (copy: VersionedConfiguration): FollowerAction[] {
+    if (!this._isNewer(copy)) {
       return []
     }
-    this.askedAtMs = Number.NEGATIVE_INFINITY
-    this.candidate = copy
-    return this.applied === undefined ? [] : this.applyCandidate()
+    this._askedAtMs = Number.NEGATIVE_INFINITY
+    this._candidate = copy
+    return this._applied === undefined ? [] : this._applyCandidate()
   }
 
-  private applyCandidate (): FollowerAction[] {
-    const copy = this.candidate
+  private _applyCandidate (): FollowerAction[] {
+    const copy = this._candidate
     if (copy === undefined) {
       return []
     }
-    this.candidate = undefined
-    this.applied = copy
-    return [{ type: 'apply', copy }, ...this.offerToPeers(copy.version)]
+    this._candidate = undefined
+    this._applied = copy
+    return [{ type: 'apply', copy }, ...this._offerToPeers(copy.version)]
   }
 
-  private isNewer (copy: VersionedConfiguration): boolean {
-    const newest = this.newest()
+  private _isNewer (copy: VersionedConfiguration): boolean {
+    const newest = this._newest()
     if (newest === undefined) {
       return copy.version > 0
     }
     if (copy.version < newest.version) {
-      this.noteOlder(copy.version)
+      this._noteOlder(copy.version)
       return false
     }
     if (copy.version === newest.version) {
-      this.contradicting += digestOf(copy) === digestOf(newest) ? 0 : 1
+      this._contradicting += digestOf(copy) === digestOf(newest) ? 0 : 1
       return false
     }
     if (copy.term < newest.term) {
-      this.contradicting += 1
+      this._contradicting += 1
       return false
     }
     return true
   }
 
-  private newest (): VersionedConfiguration | undefined {
-    return this.candidate ?? this.applied
+  private _newest (): VersionedConfiguration | undefined {
+    return this._candidate ?? this._applied
   }
 
-  private noteOlder (version: Version): void {
-    if (version < (this.newest()?.version ?? 0)) {
-      this.older += 1
+  private _noteOlder (version: Version): void {
+    if (version < (this._newest()?.version ?? 0)) {
+      this._older += 1
     }
   }
 
-  private notePeer (from: string, version: Version): void {
-    this.peers.delete(from)
-    this.peers.set(from, version)
-    if (this.peers.size > MAX_PEERS) {
-      this.peers.delete(this.peers.keys().next().value as string)
+  private _notePeer (from: string, version: Version): void {
+    this._peers.delete(from)
+    this._peers.set(from, version)
+    if (this._peers.size > MAX_PEERS) {
+      this._peers.delete(this._peers.keys().next().value as string)
     }
   }
 
   /** Tells some peers that are behind; those told last stand at the end, so that the next change reaches others. */
-  private offerToPeers (version: Version): FollowerAction[] {
-    const behind = [...this.peers].filter(([, known]) => known < version).slice(0, MAX_OFFERS)
+  private _offerToPeers (version: Version): FollowerAction[] {
+    const behind = [...this._peers].filter(([, known]) => known < version).slice(0, MAX_OFFERS)
     return behind.map(([to]) => {
-      this.notePeer(to, version)
+      this._notePeer(to, version)
       return { type: 'offer', to, version }
     })
   }
 
-  private tellState (nowMs: number): FollowerAction[] {
+  private _tellState (nowMs: number): FollowerAction[] {
     const state = this.state(nowMs)
-    if (state === this.told) {
+    if (state === this._told) {
       return []
     }
-    this.told = state
+    this._told = state
     return [{ type: 'state', state }]
   }
 }
--- a/src/parts/configuration/ConfigurationRegister.ts
+++ b/src/parts/configuration/ConfigurationRegister.ts
@@ -35,27 +35,27 @@
  * which share unchanged services only when the proposer's copies do.
  */
 export class ConfigurationRegister {
-  private readonly options: RegisterOptions
-  private current: VersionedConfiguration = NOTHING
-  private operations = new Map<string, RememberedOperation>()
-  private history = new Map<Version, VersionedConfiguration>()
-  private lastDifference: ConfigurationDifference | undefined
+  private readonly _options: RegisterOptions
+  private _current: VersionedConfiguration = NOTHING
+  private _operations = new Map<string, RememberedOperation>()
+  private _history = new Map<Version, VersionedConfiguration>()
+  private _lastDifference: ConfigurationDifference | undefined
 
   /**
    * @param options Limits; the same on all replicas of a group.
    */
   public constructor (options: Partial<RegisterOptions> = {}) {
-    this.options = { ...DEFAULTS, ...options }
+    this._options = { ...DEFAULTS, ...options }
   }
 
   /** The configuration in force at this replica. */
   public get inForce (): VersionedConfiguration {
-    return this.current
+    return this._current
   }
 
   /** Operation ids that are remembered. */
   public get remembered (): number {
-    return this.operations.size
+    return this._operations.size
   }
 
   /**
@@ -68,8 +68,8 @@
     if (earlier !== undefined) {
       return earlier
     }
-    const reply = this.decide(change, term)
-    this.remember({ operation: change.operation, content: contentOf(change), reply })
+    const reply = this._decide(change, term)
+    this._remember({ operation: change.operation, content: contentOf(change), reply })
     return reply
   }
 
@@ -78,7 +78,7 @@
    * @param change Change as the operator sent it.
    */
   public replyOf (change: ChangeRequest): ChangeReply | undefined {
-    const earlier = this.operations.get(change.operation)
+    const earlier = this._operations.get(change.operation)
     if (earlier === undefined) {
       return undefined
     }
@@ -94,20 +94,20 @@
    * @param version Version that the receiver has in force.
    */
   public differenceFrom (version: Version): ConfigurationDifference | undefined {
-    if (this.lastDifference?.from === version && this.lastDifference.version === this.current.version) {
-      return this.lastDifference
+    if (this._lastDifference?.from === version && this._lastDifference.version === this._current.version) {
+      return this._lastDifference
     }
-    const from = this.history.get(version)
+    const from = this._history.get(version)
     if (from === undefined) {
       return undefined
     }
-    this.lastDifference = makeDifference(from, this.current)
-    return this.lastDifference
+    this._lastDifference = makeDifference(from, this._current)
+    return this._lastDifference
   }
 
   /** Returns the replicated state as plain data. */
   public snapshot (): RegisterSnapshot {
-    return { format: 1, inForce: this.current, operations: [...this.operations.values()] }
+    return { format: 1, inForce: this._current, operations: [...this._operations.values()] }
   }
 
   /**
@@ -115,37 +115,37 @@
    * @param snapshot State from `snapshot`, of this or another replica.
    */
   public restore (snapshot: RegisterSnapshot): void {
-    this.current = snapshot.inForce
-    this.operations = new Map(snapshot.operations.map((operation) => [operation.operation, operation]))
-    this.history = new Map()
-    this.lastDifference = undefined
+    this._current = snapshot.inForce
+    this._operations = new Map(snapshot.operations.map((operation) => [operation.operation, operation]))
+    this._history = new Map()
+    this._lastDifference = undefined
   }
 
-  private decide (change: ChangeRequest, term: number): ChangeReply {
-    const inForce = this.current.version
+  private _decide (change: ChangeRequest, term: number): ChangeReply {
+    const inForce = this._current.version
     if (change.base !== inForce) {
-      return { type: 'conflict', inForce, differs: differingPaths(change.configuration, this.current.configuration) }
+      return { type: 'conflict', inForce, differs: differingPaths(change.configuration, this._current.configuration) }
     }
-    this.keepHistory()
+    this._keepHistory()
     const configuration = normalise(change.configuration)
-    this.current = { version: inForce + 1, term, operation: change.operation, configuration }
+    this._current = { version: inForce + 1, term, operation: change.operation, configuration }
     return { type: 'accepted', version: inForce + 1 }
   }
 
-  private keepHistory (): void {
+  private _keepHistory (): void {
     // A receiver without any version has nothing that a difference could start from.
-    if (this.current.version === 0) {
+    if (this._current.version === 0) {
       return
     }
-    this.history.set(this.current.version, this.current)
-    this.history.delete(this.current.version - MAX_HISTORY)
+    this._history.set(this._current.version, this._current)
+    this._history.delete(this._current.version - MAX_HISTORY)
   }
 
-  private remember (operation: RememberedOperation): void {
-    this.operations.set(operation.operation, operation)
-    if (this.operations.size > this.options.maxOperations) {
-      const oldest = this.operations.keys().next().value as string
-      this.operations.delete(oldest)
+  private _remember (operation: RememberedOperation): void {
+    this._operations.set(operation.operation, operation)
+    if (this._operations.size > this._options.maxOperations) {
+      const oldest = this._operations.keys().next().value as string
+      this._operations.delete(oldest)
     }
   }
 }
--- a/src/parts/detection/OutlierDetector.test.ts
+++ b/src/parts/detection/OutlierDetector.test.ts
@@ -65,7 +65,7 @@
 test('the property finds a detector that does not count what it ejected', () => {
   const result = fc.check(fc.property(commands, list => {
     const detector = new OutlierDetector()
-    Object.defineProperty(detector, 'ejectedCount', { get: () => 0, set: () => {} })
+    Object.defineProperty(detector, '_ejectedCount', { get: () => 0, set: () => {} })
     expect(mostEjectedBeyondLimit(detector, list)).toBeLessThanOrEqual(0)
   }), { seed: 20_262, numRuns: 300 })
   expect(result.failed).toBe(true)
--- a/src/parts/detection/OutlierDetector.ts
+++ b/src/parts/detection/OutlierDetector.ts
@@ -46,25 +46,25 @@
  * ratio in `Vitals` makes the chooser send elsewhere. Memory: one record for each member.
  */
 export class OutlierDetector implements Part<DetectionEvent, DetectionAction> {
-  private readonly byInstance = new Map<InstanceId, Vitals>()
-  private readonly handlers: Handlers = {
-    members: event => this.members(event),
-    started: (event, nowMs) => this.started(event, nowMs),
-    outcome: (event, nowMs) => this.outcome(event, nowMs),
-    linkDown: event => this.link(event.instance, false),
-    linkUp: event => this.link(event.instance, true),
-    tick: (_event, nowMs) => this.tick(nowMs)
+  private readonly _byInstance = new Map<InstanceId, Vitals>()
+  private readonly _handlers: Handlers = {
+    members: event => this._members(event),
+    started: (event, nowMs) => this._started(event, nowMs),
+    outcome: (event, nowMs) => this._outcome(event, nowMs),
+    linkDown: event => this._link(event.instance, false),
+    linkUp: event => this._link(event.instance, true),
+    tick: (_event, nowMs) => this._tick(nowMs)
   }
 
-  private ejectedCount = 0
-  private serviceFailureShare = 0
+  private _ejectedCount = 0
+  private _serviceFailureShare = 0
 
   /**
    * @param event What happened.
    * @param nowMs Monotonic time in milliseconds.
    */
   public step (event: DetectionEvent, nowMs: number): DetectionAction[] {
-    const handler = this.handlers[event.type] as (event: DetectionEvent, nowMs: number) => DetectionAction[]
+    const handler = this._handlers[event.type] as (event: DetectionEvent, nowMs: number) => DetectionAction[]
     return handler(event, nowMs)
   }
 
@@ -73,7 +73,7 @@
    * @param instance Member to look up.
    */
   public vitals (instance: InstanceId): Vitals | undefined {
-    return this.byInstance.get(instance)
+    return this._byInstance.get(instance)
   }
 
   /**
@@ -82,7 +82,7 @@
    * @param nowMs Monotonic time in milliseconds.
    */
   public health (instance: InstanceId, nowMs: number): Health {
-    const vitals = this.byInstance.get(instance)
+    const vitals = this._byInstance.get(instance)
     if (vitals === undefined || !vitals.linkUp) {
       return 'gone'
     }
@@ -94,33 +94,33 @@
 
   /** Instances ejected now. */
   public ejected (): number {
-    return this.ejectedCount
+    return this._ejectedCount
   }
 
-  private members (event: EventOf<'members'>): DetectionAction[] {
+  private _members (event: EventOf<'members'>): DetectionAction[] {
     const wanted = new Set(event.instances)
-    for (const [instance, vitals] of this.byInstance) {
+    for (const [instance, vitals] of this._byInstance) {
       if (!wanted.has(instance)) {
-        this.forget(vitals)
+        this._forget(vitals)
       }
     }
     for (const instance of event.instances) {
-      if (!this.byInstance.has(instance)) {
-        this.byInstance.set(instance, newVitals(instance))
+      if (!this._byInstance.has(instance)) {
+        this._byInstance.set(instance, newVitals(instance))
       }
     }
     return []
   }
 
-  private forget (vitals: Vitals): void {
-    this.byInstance.delete(vitals.instance)
+  private _forget (vitals: Vitals): void {
+    this._byInstance.delete(vitals.instance)
     if (isEjected(vitals)) {
-      this.ejectedCount -= 1
+      this._ejectedCount -= 1
     }
   }
 
-  private started (event: EventOf<'started'>, nowMs: number): DetectionAction[] {
-    const vitals = this.byInstance.get(event.instance)
+  private _started (event: EventOf<'started'>, nowMs: number): DetectionAction[] {
+    const vitals = this._byInstance.get(event.instance)
     if (vitals === undefined) {
       return []
     }
@@ -133,8 +133,8 @@
     return []
   }
 
-  private outcome (event: EventOf<'outcome'>, nowMs: number): DetectionAction[] {
-    const vitals = this.byInstance.get(event.instance)
+  private _outcome (event: EventOf<'outcome'>, nowMs: number): DetectionAction[] {
+    const vitals = this._byInstance.get(event.instance)
     if (vitals === undefined) {
       return []
     }
@@ -146,80 +146,80 @@
     if (verdict === 'none') {
       return []
     }
-    return verdict === 'good' ? this.good(vitals, nowMs) : this.bad(vitals, nowMs)
+    return verdict === 'good' ? this._good(vitals, nowMs) : this._bad(vitals, nowMs)
   }
 
-  private good (vitals: Vitals, nowMs: number): DetectionAction[] {
-    this.count(vitals, 0)
+  private _good (vitals: Vitals, nowMs: number): DetectionAction[] {
+    this._count(vitals, 0)
     vitals.failuresInARow = 0
     if (vitals.health === 'healthy') {
       return []
     }
     if (vitals.health === 'silent') {
-      this.ejectedCount -= 1
-      return this.restore(vitals, nowMs)
+      this._ejectedCount -= 1
+      return this._restore(vitals, nowMs)
     }
     if (isEjected(vitals)) {
       // An answer to a call that was sent before the ejection does not undo the failures after it.
       return []
     }
     vitals.trialSuccesses += 1
-    return vitals.trialSuccesses >= TRIAL_SUCCESSES ? this.restore(vitals, nowMs) : []
+    return vitals.trialSuccesses >= TRIAL_SUCCESSES ? this._restore(vitals, nowMs) : []
   }
 
-  private bad (vitals: Vitals, nowMs: number): DetectionAction[] {
-    this.count(vitals, 1)
+  private _bad (vitals: Vitals, nowMs: number): DetectionAction[] {
+    this._count(vitals, 1)
     vitals.failuresInARow += 1
     vitals.lastFailureMs = nowMs
     if (vitals.health === 'trial') {
-      return this.eject(vitals, 'failing', nowMs)
+      return this._eject(vitals, 'failing', nowMs)
     }
-    if (vitals.health === 'healthy' && this.failsMoreThanService(vitals)) {
-      return this.eject(vitals, 'failing', nowMs)
+    if (vitals.health === 'healthy' && this._failsMoreThanService(vitals)) {
+      return this._eject(vitals, 'failing', nowMs)
     }
     return []
   }
 
-  private count (vitals: Vitals, failed: 0 | 1): void {
+  private _count (vitals: Vitals, failed: 0 | 1): void {
     vitals.attempts += 1
     vitals.failureShare += FAILURE_WEIGHT * (failed - vitals.failureShare)
-    const serviceWeight = FAILURE_WEIGHT / Math.max(1, this.byInstance.size)
-    this.serviceFailureShare += serviceWeight * (failed - this.serviceFailureShare)
+    const serviceWeight = FAILURE_WEIGHT / Math.max(1, this._byInstance.size)
+    this._serviceFailureShare += serviceWeight * (failed - this._serviceFailureShare)
   }
 
-  private failsMoreThanService (vitals: Vitals): boolean {
-    if (this.serviceFailureShare > 1 - FAILURE_SHARE_ABOVE_SERVICE) {
+  private _failsMoreThanService (vitals: Vitals): boolean {
+    if (this._serviceFailureShare > 1 - FAILURE_SHARE_ABOVE_SERVICE) {
       return false
     }
     if (vitals.failuresInARow >= FAILURES_IN_A_ROW) {
       return true
     }
-    const limit = Math.max(FAILURE_SHARE, this.serviceFailureShare + FAILURE_SHARE_ABOVE_SERVICE)
+    const limit = Math.max(FAILURE_SHARE, this._serviceFailureShare + FAILURE_SHARE_ABOVE_SERVICE)
     return vitals.attempts >= FAILURE_SHARE_MIN_ATTEMPTS && vitals.failureShare > limit
   }
 
-  private link (instance: InstanceId, up: boolean): DetectionAction[] {
-    const vitals = this.byInstance.get(instance)
+  private _link (instance: InstanceId, up: boolean): DetectionAction[] {
+    const vitals = this._byInstance.get(instance)
     if (vitals !== undefined) {
       vitals.linkUp = up
     }
     return []
   }
 
-  private tick (nowMs: number): DetectionAction[] {
+  private _tick (nowMs: number): DetectionAction[] {
     const actions: DetectionAction[] = []
-    for (const vitals of this.byInstance.values()) {
-      actions.push(...this.review(vitals, nowMs))
+    for (const vitals of this._byInstance.values()) {
+      actions.push(...this._review(vitals, nowMs))
     }
     return actions
   }
 
-  private review (vitals: Vitals, nowMs: number): DetectionAction[] {
+  private _review (vitals: Vitals, nowMs: number): DetectionAction[] {
     if (isEjected(vitals)) {
-      return nowMs >= vitals.ejectedUntilMs ? this.startTrial(vitals, nowMs) : []
+      return nowMs >= vitals.ejectedUntilMs ? this._startTrial(vitals, nowMs) : []
     }
     if (vitals.outstanding > 0 && nowMs - vitals.waitingSinceMs > vitals.silentAfterMs) {
-      return this.eject(vitals, 'silent', nowMs)
+      return this._eject(vitals, 'silent', nowMs)
     }
     if (vitals.ejections > 0 && nowMs - vitals.lastFailureMs > EJECT_FORGET_MS) {
       vitals.ejections = 0
@@ -227,12 +227,12 @@
     return []
   }
 
-  private eject (vitals: Vitals, health: Health, nowMs: number): DetectionAction[] {
-    const limit = Math.floor(this.byInstance.size * EJECT_MAX_SHARE)
-    if (this.ejectedCount >= limit) {
+  private _eject (vitals: Vitals, health: Health, nowMs: number): DetectionAction[] {
+    const limit = Math.floor(this._byInstance.size * EJECT_MAX_SHARE)
+    if (this._ejectedCount >= limit) {
       return []
     }
-    this.ejectedCount += 1
+    this._ejectedCount += 1
     vitals.health = health
     vitals.lastFailureMs = nowMs
     vitals.ejectedUntilMs = nowMs + Math.min(EJECT_MAX_MS, EJECT_MS * 2 ** vitals.ejections)
@@ -240,15 +240,15 @@
     return [{ type: 'ejected', instance: vitals.instance, health, untilMs: vitals.ejectedUntilMs }]
   }
 
-  private startTrial (vitals: Vitals, nowMs: number): DetectionAction[] {
-    this.ejectedCount -= 1
+  private _startTrial (vitals: Vitals, nowMs: number): DetectionAction[] {
+    this._ejectedCount -= 1
     vitals.health = 'trial'
     vitals.trialSuccesses = 0
     vitals.waitingSinceMs = nowMs
     return [{ type: 'trial', instance: vitals.instance }]
   }
 
-  private restore (vitals: Vitals, nowMs: number): DetectionAction[] {
+  private _restore (vitals: Vitals, nowMs: number): DetectionAction[] {
     vitals.health = 'healthy'
     vitals.attempts = 0
     vitals.failureShare = 0
--- a/src/parts/detection/SlownessEstimate.ts
+++ b/src/parts/detection/SlownessEstimate.ts
@@ -13,14 +13,14 @@
  * Memory is constant.
  */
 export class SlownessEstimate {
-  private ratioSum = 0
-  private count = 0
-  private updatedMs = 0
-  private slowSinceMs = Number.POSITIVE_INFINITY
-  private memoryMs = SLOW_MEMORY_START_MS
-  private running = 0
-  private inverseSum = 0
-  private startOverExpectedSum = 0
+  private _ratioSum = 0
+  private _count = 0
+  private _updatedMs = 0
+  private _slowSinceMs = Number.POSITIVE_INFINITY
+  private _memoryMs = SLOW_MEMORY_START_MS
+  private _running = 0
+  private _inverseSum = 0
+  private _startOverExpectedSum = 0
 
   /**
    * A call starts.
@@ -28,9 +28,9 @@
    * @param expectedMs Latency that was expected for it, above 0.
    */
   public started (nowMs: number, expectedMs: number): void {
-    this.running += 1
-    this.inverseSum += 1 / expectedMs
-    this.startOverExpectedSum += nowMs / expectedMs
+    this._running += 1
+    this._inverseSum += 1 / expectedMs
+    this._startOverExpectedSum += nowMs / expectedMs
   }
 
   /**
@@ -39,12 +39,12 @@
    * @param expectedMs Latency given to `started`.
    */
   public ended (startMs: number, expectedMs: number): void {
-    this.running -= 1
-    this.inverseSum -= 1 / expectedMs
-    this.startOverExpectedSum -= startMs / expectedMs
-    if (this.running === 0) {
-      this.inverseSum = 0
-      this.startOverExpectedSum = 0
+    this._running -= 1
+    this._inverseSum -= 1 / expectedMs
+    this._startOverExpectedSum -= startMs / expectedMs
+    if (this._running === 0) {
+      this._inverseSum = 0
+      this._startOverExpectedSum = 0
     }
   }
 
@@ -54,13 +54,13 @@
    * @param ratio Seen latency over expected latency.
    */
   public answered (nowMs: number, ratio: number): void {
-    const kept = this.keptShare(nowMs)
-    this.ratioSum = this.ratioSum * kept + ratio
-    this.count = this.count * kept + 1
-    this.updatedMs = nowMs
-    if (this.count > LATENCY_MAX_COUNT) {
-      this.ratioSum *= LATENCY_MAX_COUNT / this.count
-      this.count = LATENCY_MAX_COUNT
+    const kept = this._keptShare(nowMs)
+    this._ratioSum = this._ratioSum * kept + ratio
+    this._count = this._count * kept + 1
+    this._updatedMs = nowMs
+    if (this._count > LATENCY_MAX_COUNT) {
+      this._ratioSum *= LATENCY_MAX_COUNT / this._count
+      this._count = LATENCY_MAX_COUNT
     }
   }
 
@@ -71,14 +71,14 @@
    * @param usualMs What a call takes in this service.
    */
   public noteSpeed (nowMs: number, latencyMs: number, usualMs: number): void {
-    this.memoryMs = SLOW_MEMORY_MIN_USUAL_TIMES * usualMs
+    this._memoryMs = SLOW_MEMORY_MIN_USUAL_TIMES * usualMs
     if (latencyMs < SLOW_RATIO * usualMs) {
-      this.slowSinceMs = Number.POSITIVE_INFINITY
+      this._slowSinceMs = Number.POSITIVE_INFINITY
       return
     }
-    this.slowSinceMs = Math.min(this.slowSinceMs, nowMs)
-    const lastedMs = SLOW_MEMORY_OVER_LASTED * (nowMs - this.slowSinceMs)
-    this.memoryMs = Math.min(SLOW_MEMORY_MAX_MS, Math.max(this.memoryMs, lastedMs))
+    this._slowSinceMs = Math.min(this._slowSinceMs, nowMs)
+    const lastedMs = SLOW_MEMORY_OVER_LASTED * (nowMs - this._slowSinceMs)
+    this._memoryMs = Math.min(SLOW_MEMORY_MAX_MS, Math.max(this._memoryMs, lastedMs))
   }
 
   /**
@@ -89,7 +89,7 @@
     if (ageMs <= 0) {
       return 1
     }
-    return ageMs > NEGLIGIBLE_AGE * this.memoryMs ? 0 : Math.exp(-ageMs / this.memoryMs)
+    return ageMs > NEGLIGIBLE_AGE * this._memoryMs ? 0 : Math.exp(-ageMs / this._memoryMs)
   }
 
   /**
@@ -97,23 +97,23 @@
    * @param nowMs Monotonic time in milliseconds.
    */
   public ratio (nowMs: number): number {
-    if (this.running === 0 && this.count === 0) {
+    if (this._running === 0 && this._count === 0) {
       return 1
     }
-    const kept = this.keptShare(nowMs)
-    const weight = 1 + this.count * kept
-    const ages = nowMs * this.inverseSum - this.startOverExpectedSum
-    const excess = Math.max(0, ages - this.running * EXPECTED_AGE_SHARE)
-    return (1 + this.ratioSum * kept + excess) / weight
+    const kept = this._keptShare(nowMs)
+    const weight = 1 + this._count * kept
+    const ages = nowMs * this._inverseSum - this._startOverExpectedSum
+    const excess = Math.max(0, ages - this._running * EXPECTED_AGE_SHARE)
+    return (1 + this._ratioSum * kept + excess) / weight
   }
 
   /** Forgets all answers, for an instance that was restored or restarted. */
   public reset (): void {
-    this.ratioSum = 0
-    this.count = 0
+    this._ratioSum = 0
+    this._count = 0
   }
 
-  private keptShare (nowMs: number): number {
-    return this.weightAt(nowMs - this.updatedMs)
+  private _keptShare (nowMs: number): number {
+    return this.weightAt(nowMs - this._updatedMs)
   }
 }
--- a/src/parts/membership/MemberOutbox.ts
+++ b/src/parts/membership/MemberOutbox.ts
@@ -17,12 +17,12 @@
  */
 export class MemberOutbox {
   public readonly all: boolean
-  private readonly services: ReadonlySet<ServiceName>
-  private readonly rate: OutboxRate
-  private readonly members = new Set<NodeId>()
-  private readonly wholes = new Set<ServiceName>()
-  private tokens: number
-  private filledAtMs: number
+  private readonly _services: ReadonlySet<ServiceName>
+  private readonly _rate: OutboxRate
+  private readonly _members = new Set<NodeId>()
+  private readonly _wholes = new Set<ServiceName>()
+  private _tokens: number
+  private _filledAtMs: number
 
   /**
    * @param services Services of interest, or `*`.
@@ -30,21 +30,21 @@
    * @param nowMs Monotonic time in milliseconds.
    */
   public constructor (services: readonly ServiceName[], rate: OutboxRate, nowMs: number) {
-    this.services = new Set(services)
-    this.all = this.services.has(ALL_SERVICES)
-    this.rate = rate
-    this.tokens = rate.burst
-    this.filledAtMs = nowMs
+    this._services = new Set(services)
+    this.all = this._services.has(ALL_SERVICES)
+    this._rate = rate
+    this._tokens = rate.burst
+    this._filledAtMs = nowMs
   }
 
   /** Names of the services of interest, without `*`. */
   public get interest (): ServiceName[] {
-    return [...this.services].filter((name) => name !== ALL_SERVICES)
+    return [...this._services].filter((name) => name !== ALL_SERVICES)
   }
 
   /** True when nothing waits. */
   public get empty (): boolean {
-    return this.members.size === 0 && this.wholes.size === 0
+    return this._members.size === 0 && this._wholes.size === 0
   }
 
   /**
@@ -52,7 +52,7 @@
    * @param service Service.
    */
   public wants (service: ServiceName): boolean {
-    return this.all || this.services.has(service)
+    return this.all || this._services.has(service)
   }
 
   /**
@@ -60,7 +60,7 @@
    * @param node Node of the member.
    */
   public addMember (node: NodeId): void {
-    this.members.add(node)
+    this._members.add(node)
   }
 
   /**
@@ -68,7 +68,7 @@
    * @param service Service.
    */
   public addWhole (service: ServiceName): void {
-    this.wholes.add(service)
+    this._wholes.add(service)
   }
 
   /**
@@ -76,14 +76,14 @@
    * @param nowMs Monotonic time in milliseconds.
    */
   public takeMembers (nowMs: number): NodeId[] {
-    this.fill(nowMs)
+    this._fill(nowMs)
     const taken: NodeId[] = []
-    for (const node of this.members) {
-      if (this.tokens < 1) {
+    for (const node of this._members) {
+      if (this._tokens < 1) {
         break
       }
-      this.tokens -= 1
-      this.members.delete(node)
+      this._tokens -= 1
+      this._members.delete(node)
       taken.push(node)
     }
     return taken
@@ -95,19 +95,19 @@
    * @param sizeOf Returns how many members a service has.
    */
   public takeWhole (nowMs: number, sizeOf: (service: ServiceName) => number): ServiceName | undefined {
-    this.fill(nowMs)
-    const next = this.wholes.values().next().value
-    if (next === undefined || this.tokens < 1) {
+    this._fill(nowMs)
+    const next = this._wholes.values().next().value
+    if (next === undefined || this._tokens < 1) {
       return undefined
     }
-    this.wholes.delete(next)
-    this.tokens -= Math.max(1, sizeOf(next))
+    this._wholes.delete(next)
+    this._tokens -= Math.max(1, sizeOf(next))
     return next
   }
 
-  private fill (nowMs: number): void {
-    const gained = (nowMs - this.filledAtMs) * this.rate.membersPerSecond / MS_PER_SECOND
-    this.tokens = Math.min(this.rate.burst, this.tokens + gained)
-    this.filledAtMs = nowMs
+  private _fill (nowMs: number): void {
+    const gained = (nowMs - this._filledAtMs) * this._rate.membersPerSecond / MS_PER_SECOND
+    this._tokens = Math.min(this._rate.burst, this._tokens + gained)
+    this._filledAtMs = nowMs
   }
 }
