--- a/src/parts/membership/MemberStore.ts
+++ b/src/parts/membership/MemberStore.ts
@@ -54,32 +54,32 @@
  */
 export class MemberStore {
   public readonly index = new ServiceIndex()
-  private readonly limits: StoreLimits
-  private readonly entries = new Map<NodeId, Entry>()
-  private tombstones = 0
-  private staleCount = 0
-  private overflowCount = 0
+  private readonly _limits: StoreLimits
+  private readonly _entries = new Map<NodeId, Entry>()
+  private _tombstones = 0
+  private _staleCount = 0
+  private _overflowCount = 0
 
   /**
    * @param limits Bounds on members and on members that left.
    */
   public constructor (limits: StoreLimits) {
-    this.limits = limits
+    this._limits = limits
   }
 
   /** Members of an older (incarnation, sequence) than the known one, counted since the start. */
   public get stale (): number {
-    return this.staleCount
+    return this._staleCount
   }
 
   /** New members that were not taken since the store was full. */
   public get overflow (): number {
-    return this.overflowCount
+    return this._overflowCount
   }
 
   /** All entries, oldest first. */
   public all (): Entry[] {
-    return [...this.entries.values()]
+    return [...this._entries.values()]
   }
 
   /**
@@ -87,7 +87,7 @@
    * @param node Node.
    */
   public get (node: NodeId): Entry | undefined {
-    return this.entries.get(node)
+    return this._entries.get(node)
   }
 
   /**
@@ -95,7 +95,7 @@
    * @param service Service.
    */
   public entriesOf (service: ServiceName): Entry[] {
-    return this.index.nodesOf(service).map((node) => this.entries.get(node) as Entry)
+    return this.index.nodesOf(service).map((node) => this._entries.get(node) as Entry)
   }
 
   /**
@@ -105,24 +105,24 @@
    * @param nowMs Monotonic time in milliseconds.
    */
   public take (member: Member, direct: boolean, nowMs: number): Change | undefined {
-    const entry = this.entries.get(member.node)
+    const entry = this._entries.get(member.node)
     if (entry === undefined) {
-      return this.add(member, direct, nowMs)
+      return this._add(member, direct, nowMs)
     }
     if (isLive(member)) {
       entry.missingSinceMs = undefined
     }
     const order = compareContent(member, entry.member)
     if (order < 0) {
-      this.staleCount += 1
+      this._staleCount += 1
       return undefined
     }
     const before = describe(entry)
     if (order > 0) {
-      this.replace(entry, contentOf(member))
+      this._replace(entry, contentOf(member))
     }
     entry.heardHere = direct || (entry.heardHere && order === 0)
-    this.takeLife(entry, lifeOf(member), member.silent === true, nowMs)
+    this._takeLife(entry, lifeOf(member), member.silent === true, nowMs)
     return changeOf(entry, before, order > 0, nowMs)
   }
 
@@ -132,12 +132,12 @@
    * @param nowMs Monotonic time in milliseconds.
    */
   public renew (beat: Beat, nowMs: number): Change | undefined {
-    const entry = this.entries.get(beat.node)
+    const entry = this._entries.get(beat.node)
     if (entry === undefined || beat.incarnation !== entry.member.incarnation || entry.member.state === 'left') {
       return undefined
     }
     const before = describe(entry)
-    this.takeLife(entry, lifeOf(beat), false, nowMs)
+    this._takeLife(entry, lifeOf(beat), false, nowMs)
     return changeOf(entry, before, false, nowMs)
   }
 
@@ -148,7 +148,7 @@
    */
   public silence (entry: Entry, nowMs: number): Change {
     const before = describe(entry)
-    this.setSilent(entry, true)
+    this._setSilent(entry, true)
     return changeOf(entry, before, false, nowMs)
   }
 
@@ -157,17 +157,17 @@
    * @param entry Entry of this store.
    */
   public remove (entry: Entry): void {
-    this.entries.delete(entry.member.node)
+    this._entries.delete(entry.member.node)
     this.index.remove(entry.member.service, entry.member.node, textOf(entry))
-    this.tombstones -= entry.member.state === 'left' ? 1 : 0
+    this._tombstones -= entry.member.state === 'left' ? 1 : 0
   }
 
-  private add (member: Member, direct: boolean, nowMs: number): Change | undefined {
+  private _add (member: Member, direct: boolean, nowMs: number): Change | undefined {
     if (member.silent === true) {
       return undefined
     }
-    if (this.entries.size - this.tombstones >= this.limits.maxMembers) {
-      this.overflowCount += 1
+    if (this._entries.size - this._tombstones >= this._limits.maxMembers) {
+      this._overflowCount += 1
       return undefined
     }
     const entry: Entry = {
@@ -181,23 +181,23 @@
       heardHere: direct,
       passedOn: undefined
     }
-    this.entries.set(member.node, entry)
+    this._entries.set(member.node, entry)
     this.index.add(member.service, member.node, textOf(entry))
     const left = member.state === 'left'
-    this.noteTombstone(left ? 1 : 0)
+    this._noteTombstone(left ? 1 : 0)
     return { entry, visible: true, newer: true, actions: left ? [] : [{ type: 'joined', member: entry.member }] }
   }
 
-  private replace (entry: Entry, member: Member): void {
+  private _replace (entry: Entry, member: Member): void {
     const { service, node, state } = entry.member
     this.index.remove(service, node, textOf(entry))
     entry.member = member
     entry.text = visibleText(member)
     this.index.add(member.service, node, textOf(entry))
-    this.noteTombstone((member.state === 'left' ? 1 : 0) - (state === 'left' ? 1 : 0))
+    this._noteTombstone((member.state === 'left' ? 1 : 0) - (state === 'left' ? 1 : 0))
   }
 
-  private takeLife (entry: Entry, life: LifeMark, silent: boolean, nowMs: number): void {
+  private _takeLife (entry: Entry, life: LifeMark, silent: boolean, nowMs: number): void {
     const order = compareLife(life, entry.life)
     if (order < 0 || (order === 0 && !silent)) {
       return
@@ -206,10 +206,10 @@
       entry.renewedAtMs = nowMs
     }
     entry.life = life
-    this.setSilent(entry, silent)
+    this._setSilent(entry, silent)
   }
 
-  private setSilent (entry: Entry, silent: boolean): void {
+  private _setSilent (entry: Entry, silent: boolean): void {
     if (entry.silent === silent) {
       return
     }
@@ -219,12 +219,12 @@
     this.index.add(service, node, textOf(entry))
   }
 
-  private noteTombstone (change: number): void {
-    this.tombstones += change
-    if (this.tombstones <= this.limits.maxTombstones) {
+  private _noteTombstone (change: number): void {
+    this._tombstones += change
+    if (this._tombstones <= this._limits.maxTombstones) {
       return
     }
-    for (const entry of this.entries.values()) {
+    for (const entry of this._entries.values()) {
       if (entry.member.state === 'left') {
         this.remove(entry)
         return
--- a/src/parts/membership/MembershipTable.test.ts
+++ b/src/parts/membership/MembershipTable.test.ts
@@ -20,12 +20,12 @@
 
 test('finds stale news that resurrects', () => {
   expect(finding((table) => {
-    const { store } = { store: table['store'] }
+    const { store } = { store: table['_store'] }
     const take = store.take.bind(store)
     store.take = (member, direct, nowMs) => {
       const entry = store.get(member.node)
       if (entry !== undefined && compareContent(member, entry.member) < 0) {
-        store['replace'](entry, member)
+        store['_replace'](entry, member)
       }
       return take(member, direct, nowMs)
     }
@@ -33,22 +33,22 @@
 })
 
 test('finds silence that nobody notices', () => {
-  expect(finding((table) => { table['expireLeases'] = () => [] })).toContain(' live')
+  expect(finding((table) => { table['_expireLeases'] = () => [] })).toContain(' live')
 })
 
 test('finds lost messages that no digest repairs', () => {
-  expect(finding((table) => { table['tellDigests'] = () => [] })).toContain(' live')
+  expect(finding((table) => { table['_tellDigests'] = () => [] })).toContain(' live')
 })
 
 test('finds silence of a cut-off replica taken over later signs of life', () => {
   expect(finding((table) => {
-    const { store } = { store: table['store'] }
+    const { store } = { store: table['_store'] }
     const take = store.take.bind(store)
     store.take = (member, direct, nowMs) => {
       const entry = store.get(member.node)
       return entry !== undefined && member.silent ? store.silence(entry, nowMs) : take(member, direct, nowMs)
     }
-    table['renew'] = () => []
+    table['_renew'] = () => []
   })).toContain(' live')
 })
 
--- a/src/parts/membership/MembershipTable.ts
+++ b/src/parts/membership/MembershipTable.ts
@@ -87,39 +87,39 @@
  * Memory: `maxMembers` members, `maxTombstones` members that left, `MAX_DESTINATIONS` outboxes.
  */
 export class MembershipTable implements Part<MembershipEvent, MembershipAction> {
-  private readonly options: TableOptions
-  private readonly store: MemberStore
-  private readonly outboxes = new Map<string, MemberOutbox>()
-  private startedAtMs: number | undefined
-  private lastTickMs: number | undefined
-  private leasesFromMs = Number.NEGATIVE_INFINITY
-  private nextBeatsMs = 0
-  private nextSweepMs = 0
-  private nextDigestMs = 0
-  private frozen = 0
-
-  private readonly handlers: Handlers = {
-    announce: (event, nowMs) => this.take(event.member, undefined, nowMs),
-    heartbeat: (event, nowMs) => this.takeHeartbeat(event, nowMs),
-    merge: (event, nowMs) => this.takeMerge(event, nowMs),
-    beats: (event, nowMs) => event.beats.flatMap((beat) => this.renew(beat, nowMs)),
-    interest: (event, nowMs) => this.takeInterest(event, nowMs),
-    digest: (event) => this.takeDigest(event),
-    lost: (event) => this.takeLost(event),
-    tick: (_event, nowMs) => this.tick(nowMs)
+  private readonly _options: TableOptions
+  private readonly _store: MemberStore
+  private readonly _outboxes = new Map<string, MemberOutbox>()
+  private _startedAtMs: number | undefined
+  private _lastTickMs: number | undefined
+  private _leasesFromMs = Number.NEGATIVE_INFINITY
+  private _nextBeatsMs = 0
+  private _nextSweepMs = 0
+  private _nextDigestMs = 0
+  private _frozen = 0
+
+  private readonly _handlers: Handlers = {
+    announce: (event, nowMs) => this._take(event.member, undefined, nowMs),
+    heartbeat: (event, nowMs) => this._takeHeartbeat(event, nowMs),
+    merge: (event, nowMs) => this._takeMerge(event, nowMs),
+    beats: (event, nowMs) => event.beats.flatMap((beat) => this._renew(beat, nowMs)),
+    interest: (event, nowMs) => this._takeInterest(event, nowMs),
+    digest: (event) => this._takeDigest(event),
+    lost: (event) => this._takeLost(event),
+    tick: (_event, nowMs) => this._tick(nowMs)
   }
 
   /**
    * @param options Role, durations and limits that replace the defaults.
    */
   public constructor (options: Partial<TableOptions> = {}) {
-    this.options = { ...DEFAULTS, ...options }
-    this.store = new MemberStore(this.options)
+    this._options = { ...DEFAULTS, ...options }
+    this._store = new MemberStore(this._options)
   }
 
   /** Refused news, counted since the start. */
   public get counters (): TableCounters {
-    return { stale: this.store.stale, overflow: this.store.overflow, frozen: this.frozen }
+    return { stale: this._store.stale, overflow: this._store.overflow, frozen: this._frozen }
   }
 
   /**
@@ -127,17 +127,17 @@
    * @param service Service.
    */
   public membersOf (service: ServiceName): Member[] {
-    return this.store.entriesOf(service).filter(isPresent).map((entry) => entry.member)
+    return this._store.entriesOf(service).filter(isPresent).map((entry) => entry.member)
   }
 
   /** Returns all that is known, with signs of life, for the state dump. */
   public members (): Member[] {
-    return this.store.all().map(wireOf)
+    return this._store.all().map(wireOf)
   }
 
   /** Returns the digests of all services, to be told with a new interest. */
   public digests (): ServiceDigest[] {
-    return this.store.index.names().map((service) => this.store.index.digestOf(service))
+    return this._store.index.names().map((service) => this._store.index.digestOf(service))
   }
 
   /**
@@ -146,99 +146,99 @@
    * @param nowMs Monotonic time in milliseconds.
    */
   public step (event: MembershipEvent, nowMs: number): MembershipAction[] {
-    this.startedAtMs ??= nowMs
-    const handler = this.handlers[event.type] as (event: MembershipEvent, nowMs: number) => MembershipAction[]
+    this._startedAtMs ??= nowMs
+    const handler = this._handlers[event.type] as (event: MembershipEvent, nowMs: number) => MembershipAction[]
     const actions = handler(event, nowMs)
-    return [...actions, ...this.flush(nowMs)]
+    return [...actions, ...this._flush(nowMs)]
   }
 
-  private takeHeartbeat (event: EventOf<'heartbeat'>, nowMs: number): MembershipAction[] {
-    const entry = this.store.get(event.node)
+  private _takeHeartbeat (event: EventOf<'heartbeat'>, nowMs: number): MembershipAction[] {
+    const entry = this._store.get(event.node)
     if (entry === undefined) {
       return []
     }
     const { node, incarnation, sequence } = event
     const same = entry.life.incarnation === incarnation && entry.life.sequence === sequence
     entry.heardHere = true
-    return this.renew({ node, incarnation, sequence, beat: same ? entry.life.beat + 1 : 1 }, nowMs)
+    return this._renew({ node, incarnation, sequence, beat: same ? entry.life.beat + 1 : 1 }, nowMs)
   }
 
-  private takeMerge (event: EventOf<'merge'>, nowMs: number): MembershipAction[] {
-    const actions = event.members.flatMap((member) => this.take(member, event.from, nowMs))
-    if (this.options.role === 'node' && event.whole !== undefined) {
+  private _takeMerge (event: EventOf<'merge'>, nowMs: number): MembershipAction[] {
+    const actions = event.members.flatMap((member) => this._take(member, event.from, nowMs))
+    if (this._options.role === 'node' && event.whole !== undefined) {
       const live = event.members.filter(isLive).map((member) => member.node)
-      actions.push(...this.dropMissing(event.whole, new Set(live), nowMs))
+      actions.push(...this._dropMissing(event.whole, new Set(live), nowMs))
     }
     return actions
   }
 
-  private takeInterest (event: EventOf<'interest'>, nowMs: number): MembershipAction[] {
-    if (!this.outboxes.has(event.from) && this.outboxes.size >= MAX_DESTINATIONS) {
+  private _takeInterest (event: EventOf<'interest'>, nowMs: number): MembershipAction[] {
+    if (!this._outboxes.has(event.from) && this._outboxes.size >= MAX_DESTINATIONS) {
       return []
     }
     const rate = event.services.includes(ALL_SERVICES) ? REPLICA_RATE : NODE_RATE
     const outbox = new MemberOutbox(event.services, rate, nowMs)
-    this.outboxes.set(event.from, outbox)
-    if (this.options.role === 'node') {
-      this.queueSelf(outbox)
+    this._outboxes.set(event.from, outbox)
+    if (this._options.role === 'node') {
+      this._queueSelf(outbox)
     } else if (event.digests === undefined || outbox.all) {
-      this.queueAll(outbox)
+      this._queueAll(outbox)
     } else {
-      this.queueDiffering(outbox, [...event.digests, ...missingFrom(event.digests, outbox.interest)])
+      this._queueDiffering(outbox, [...event.digests, ...missingFrom(event.digests, outbox.interest)])
     }
     return []
   }
 
-  private takeDigest (event: EventOf<'digest'>): MembershipAction[] {
-    const outbox = this.outboxes.get(event.from)
-    if (this.options.role === 'replica') {
-      if (outbox !== undefined && this.isWarm()) {
-        const services = outbox.all ? this.store.index.names() : []
-        this.queueDiffering(outbox, [...event.digests, ...missingFrom(event.digests, services)])
+  private _takeDigest (event: EventOf<'digest'>): MembershipAction[] {
+    const outbox = this._outboxes.get(event.from)
+    if (this._options.role === 'replica') {
+      if (outbox !== undefined && this._isWarm()) {
+        const services = outbox.all ? this._store.index.names() : []
+        this._queueDiffering(outbox, [...event.digests, ...missingFrom(event.digests, services)])
       }
       return []
     }
-    const differing = event.digests.filter((digest) => this.differs(digest))
-    const mine = differing.map((digest) => this.store.index.digestOf(digest.service))
+    const differing = event.digests.filter((digest) => this._differs(digest))
+    const mine = differing.map((digest) => this._store.index.digestOf(digest.service))
     return mine.length === 0 ? [] : [{ type: 'sendDigest', to: event.from, digests: mine }]
   }
 
-  private takeLost (event: EventOf<'lost'>): MembershipAction[] {
-    this.outboxes.delete(event.from)
+  private _takeLost (event: EventOf<'lost'>): MembershipAction[] {
+    this._outboxes.delete(event.from)
     return []
   }
 
   /** Takes a member from its own announcement (`from` undefined) or from a peer. */
-  private take (member: Member, from: string | undefined, nowMs: number): MembershipAction[] {
-    if (this.options.role === 'node' && member.node === this.options.self && from !== undefined) {
+  private _take (member: Member, from: string | undefined, nowMs: number): MembershipAction[] {
+    if (this._options.role === 'node' && member.node === this._options.self && from !== undefined) {
       return []
     }
-    return this.spread(this.store.take(member, from === undefined, nowMs), from)
+    return this._spread(this._store.take(member, from === undefined, nowMs), from)
   }
 
-  private renew (beat: Beat, nowMs: number): MembershipAction[] {
-    return this.spread(this.store.renew(beat, nowMs), undefined)
+  private _renew (beat: Beat, nowMs: number): MembershipAction[] {
+    return this._spread(this._store.renew(beat, nowMs), undefined)
   }
 
   /** Lets interested peers be told of a change, and tells the host. */
-  private spread (change: Change | undefined, from: string | undefined): MembershipAction[] {
+  private _spread (change: Change | undefined, from: string | undefined): MembershipAction[] {
     if (change === undefined) {
       return []
     }
     if (change.visible || change.newer) {
-      this.queueChange(change, from)
+      this._queueChange(change, from)
     }
     return change.actions
   }
 
   /** Peers that are nodes hear what is visible; fellow replicas hear each new sequence, from its first replica. */
-  private queueChange (change: Change, from: string | undefined): void {
+  private _queueChange (change: Change, from: string | undefined): void {
     const { node, service } = change.entry.member
-    if (this.options.role === 'node' && node !== this.options.self) {
+    if (this._options.role === 'node' && node !== this._options.self) {
       return
     }
-    const fromReplica = from !== undefined && this.outboxes.get(from)?.all === true
-    for (const [to, outbox] of this.outboxes) {
+    const fromReplica = from !== undefined && this._outboxes.get(from)?.all === true
+    for (const [to, outbox] of this._outboxes) {
       const due = outbox.all ? !fromReplica : change.visible
       if (due && to !== from && outbox.wants(service)) {
         outbox.addMember(node)
@@ -246,174 +246,174 @@
     }
   }
 
-  private queueSelf (outbox: MemberOutbox): void {
-    if (this.store.get(this.options.self) !== undefined) {
-      outbox.addMember(this.options.self)
+  private _queueSelf (outbox: MemberOutbox): void {
+    if (this._store.get(this._options.self) !== undefined) {
+      outbox.addMember(this._options.self)
     }
   }
 
-  private queueAll (outbox: MemberOutbox): void {
-    for (const service of outbox.all ? this.store.index.names() : outbox.interest) {
+  private _queueAll (outbox: MemberOutbox): void {
+    for (const service of outbox.all ? this._store.index.names() : outbox.interest) {
       outbox.addWhole(service)
     }
   }
 
-  private queueDiffering (outbox: MemberOutbox, digests: readonly ServiceDigest[]): void {
+  private _queueDiffering (outbox: MemberOutbox, digests: readonly ServiceDigest[]): void {
     for (const digest of digests) {
-      if (outbox.wants(digest.service) && this.differs(digest)) {
+      if (outbox.wants(digest.service) && this._differs(digest)) {
         outbox.addWhole(digest.service)
       }
     }
   }
 
-  private differs (digest: ServiceDigest): boolean {
-    return this.store.index.digestOf(digest.service).digest !== digest.digest
+  private _differs (digest: ServiceDigest): boolean {
+    return this._store.index.digestOf(digest.service).digest !== digest.digest
   }
 
   /**
    * Forgets members that the control replica does not know as live for long. It may know one only as silent in an
    * older sequence, when the replica that heard the newer one is gone.
    */
-  private dropMissing (
+  private _dropMissing (
     services: readonly ServiceName[],
     live: ReadonlySet<NodeId>,
     nowMs: number
   ): MembershipAction[] {
     const actions: MembershipAction[] = []
-    for (const entry of services.flatMap((service) => this.store.entriesOf(service))) {
+    for (const entry of services.flatMap((service) => this._store.entriesOf(service))) {
       const node = entry.member.node
-      if (live.has(node) || node === this.options.self || !isPresent(entry)) {
+      if (live.has(node) || node === this._options.self || !isPresent(entry)) {
         continue
       }
       entry.missingSinceMs ??= nowMs
-      if (nowMs - entry.missingSinceMs >= this.options.missingMs) {
-        this.store.remove(entry)
+      if (nowMs - entry.missingSinceMs >= this._options.missingMs) {
+        this._store.remove(entry)
         actions.push({ type: 'silent', member: entry.member })
       }
     }
     return actions
   }
 
-  private tick (nowMs: number): MembershipAction[] {
-    this.noticeFreeze(nowMs)
-    const actions = this.options.role === 'replica' ? this.expireLeases(nowMs) : []
-    if (nowMs >= this.nextSweepMs) {
-      this.nextSweepMs = nowMs + this.options.beatIntervalMs
-      this.removeGone(nowMs)
+  private _tick (nowMs: number): MembershipAction[] {
+    this._noticeFreeze(nowMs)
+    const actions = this._options.role === 'replica' ? this._expireLeases(nowMs) : []
+    if (nowMs >= this._nextSweepMs) {
+      this._nextSweepMs = nowMs + this._options.beatIntervalMs
+      this._removeGone(nowMs)
     }
-    return [...actions, ...this.tellBeats(nowMs), ...this.tellDigests(nowMs)]
+    return [...actions, ...this._tellBeats(nowMs), ...this._tellDigests(nowMs)]
   }
 
   /** A process that was frozen has not heard anyone: it may not call the others silent for that. */
-  private noticeFreeze (nowMs: number): void {
-    const pauseMs = nowMs - (this.lastTickMs ?? nowMs)
-    this.lastTickMs = nowMs
-    if (pauseMs < this.options.frozenMs) {
+  private _noticeFreeze (nowMs: number): void {
+    const pauseMs = nowMs - (this._lastTickMs ?? nowMs)
+    this._lastTickMs = nowMs
+    if (pauseMs < this._options.frozenMs) {
       return
     }
-    this.frozen += 1
-    this.leasesFromMs = nowMs
-    if (pauseMs >= this.options.tombstoneMs) {
-      this.forgetOthers()
+    this._frozen += 1
+    this._leasesFromMs = nowMs
+    if (pauseMs >= this._options.tombstoneMs) {
+      this._forgetOthers()
     }
   }
 
   /** After so long a freeze others have forgotten who left; what is known here could bring those back. */
-  private forgetOthers (): void {
-    for (const entry of this.store.all()) {
-      if (entry.member.node !== this.options.self) {
-        this.store.remove(entry)
+  private _forgetOthers (): void {
+    for (const entry of this._store.all()) {
+      if (entry.member.node !== this._options.self) {
+        this._store.remove(entry)
       }
     }
   }
 
-  private expireLeases (nowMs: number): MembershipAction[] {
+  private _expireLeases (nowMs: number): MembershipAction[] {
     const actions: MembershipAction[] = []
-    for (const entry of this.store.all()) {
-      const heardAtMs = Math.max(entry.renewedAtMs, this.leasesFromMs)
-      if (isPresent(entry) && nowMs - heardAtMs >= this.options.leaseMs) {
-        actions.push(...this.spread(this.store.silence(entry, nowMs), undefined))
+    for (const entry of this._store.all()) {
+      const heardAtMs = Math.max(entry.renewedAtMs, this._leasesFromMs)
+      if (isPresent(entry) && nowMs - heardAtMs >= this._options.leaseMs) {
+        actions.push(...this._spread(this._store.silence(entry, nowMs), undefined))
       }
     }
     return actions
   }
 
-  private removeGone (nowMs: number): void {
-    for (const entry of this.store.all()) {
-      if (!isPresent(entry) && nowMs - entry.goneAtMs >= this.options.tombstoneMs) {
-        this.store.remove(entry)
+  private _removeGone (nowMs: number): void {
+    for (const entry of this._store.all()) {
+      if (!isPresent(entry) && nowMs - entry.goneAtMs >= this._options.tombstoneMs) {
+        this._store.remove(entry)
       }
     }
   }
 
-  private tellBeats (nowMs: number): MembershipAction[] {
-    if (this.options.role !== 'replica' || nowMs < this.nextBeatsMs) {
+  private _tellBeats (nowMs: number): MembershipAction[] {
+    if (this._options.role !== 'replica' || nowMs < this._nextBeatsMs) {
       return []
     }
-    this.nextBeatsMs = nowMs + this.options.beatIntervalMs
-    const heard = this.store.all().filter((entry) => entry.heardHere && entry.passedOn !== entry.life)
+    this._nextBeatsMs = nowMs + this._options.beatIntervalMs
+    const heard = this._store.all().filter((entry) => entry.heardHere && entry.passedOn !== entry.life)
     for (const entry of heard) {
       entry.passedOn = entry.life
     }
     const beats = heard.map((entry) => ({ node: entry.member.node, ...entry.life }))
-    const replicas = [...this.outboxes].filter(([, outbox]) => outbox.all)
+    const replicas = [...this._outboxes].filter(([, outbox]) => outbox.all)
     return beats.length === 0 ? [] : replicas.map(([to]) => ({ type: 'sendBeats', to, beats }))
   }
 
   /** A replica tells its digests; a node announces itself again, in case the announcement was lost. */
-  private tellDigests (nowMs: number): MembershipAction[] {
-    if (nowMs < this.nextDigestMs) {
+  private _tellDigests (nowMs: number): MembershipAction[] {
+    if (nowMs < this._nextDigestMs) {
       return []
     }
-    this.nextDigestMs = nowMs + this.options.digestIntervalMs
-    if (this.options.role === 'node') {
-      this.outboxes.forEach((outbox) => this.queueSelf(outbox))
+    this._nextDigestMs = nowMs + this._options.digestIntervalMs
+    if (this._options.role === 'node') {
+      this._outboxes.forEach((outbox) => this._queueSelf(outbox))
     }
-    return this.options.role === 'replica' && this.isWarm() ? this.digestsForAll() : []
+    return this._options.role === 'replica' && this._isWarm() ? this._digestsForAll() : []
   }
 
-  private digestsForAll (): MembershipAction[] {
+  private _digestsForAll (): MembershipAction[] {
     const actions: MembershipAction[] = []
-    for (const [to, outbox] of this.outboxes) {
-      const services = outbox.all ? this.store.index.names() : outbox.interest
-      actions.push({ type: 'sendDigest', to, digests: services.map((service) => this.store.index.digestOf(service)) })
+    for (const [to, outbox] of this._outboxes) {
+      const services = outbox.all ? this._store.index.names() : outbox.interest
+      actions.push({ type: 'sendDigest', to, digests: services.map((service) => this._store.index.digestOf(service)) })
     }
     return actions
   }
 
-  private isWarm (): boolean {
-    return (this.lastTickMs ?? 0) - (this.startedAtMs ?? 0) >= this.options.warmUpMs
+  private _isWarm (): boolean {
+    return (this._lastTickMs ?? 0) - (this._startedAtMs ?? 0) >= this._options.warmUpMs
   }
 
-  private flush (nowMs: number): MembershipAction[] {
+  private _flush (nowMs: number): MembershipAction[] {
     const actions: MembershipAction[] = []
-    for (const [to, outbox] of this.outboxes) {
+    for (const [to, outbox] of this._outboxes) {
       if (!outbox.empty) {
-        this.flushOne(to, outbox, nowMs, actions)
+        this._flushOne(to, outbox, nowMs, actions)
       }
     }
     return actions
   }
 
-  private flushOne (to: string, outbox: MemberOutbox, nowMs: number, actions: MembershipAction[]): void {
-    const sizeOf = (service: ServiceName) => this.store.index.nodesOf(service).length
+  private _flushOne (to: string, outbox: MemberOutbox, nowMs: number, actions: MembershipAction[]): void {
+    const sizeOf = (service: ServiceName) => this._store.index.nodesOf(service).length
     let service = outbox.takeWhole(nowMs, sizeOf)
     while (service !== undefined) {
-      const members = this.store.entriesOf(service).map(wireOf)
-      const whole = this.options.role === 'replica' && this.isWarm() ? { whole: [service] } : {}
+      const members = this._store.entriesOf(service).map(wireOf)
+      const whole = this._options.role === 'replica' && this._isWarm() ? { whole: [service] } : {}
       actions.push({ type: 'send', to, members, ...whole })
       service = outbox.takeWhole(nowMs, sizeOf)
     }
     const nodes = outbox.takeMembers(nowMs)
     for (let start = 0; start < nodes.length; start += MAX_MEMBERS_PER_MESSAGE) {
-      const members = this.wiresOf(nodes.slice(start, start + MAX_MEMBERS_PER_MESSAGE))
+      const members = this._wiresOf(nodes.slice(start, start + MAX_MEMBERS_PER_MESSAGE))
       actions.push({ type: 'send', to, members })
     }
   }
 
-  private wiresOf (nodes: readonly NodeId[]): Member[] {
+  private _wiresOf (nodes: readonly NodeId[]): Member[] {
     return nodes.flatMap((node) => {
-      const entry = this.store.get(node)
+      const entry = this._store.get(node)
       return entry === undefined ? [] : [wireOf(entry)]
     })
   }
--- a/src/parts/membership/ServiceIndex.ts
+++ b/src/parts/membership/ServiceIndex.ts
@@ -17,11 +17,11 @@
  * exclusive or of 64-bit hashes of the members' visible texts, so the order does not matter.
  */
 export class ServiceIndex {
-  private readonly services = new Map<ServiceName, Service>()
+  private readonly _services = new Map<ServiceName, Service>()
 
   /** Names of the services that have a member. */
   public names (): ServiceName[] {
-    return [...this.services.keys()]
+    return [...this._services.keys()]
   }
 
   /**
@@ -29,7 +29,7 @@
    * @param name Service.
    */
   public nodesOf (name: ServiceName): NodeId[] {
-    return [...(this.services.get(name)?.nodes.keys() ?? [])]
+    return [...(this._services.get(name)?.nodes.keys() ?? [])]
   }
 
   /**
@@ -39,8 +39,8 @@
    * @param text Visible text, or undefined for a member that is silent or has left.
    */
   public add (name: ServiceName, node: NodeId, text: string | undefined): void {
-    const service = this.services.get(name) ?? { nodes: new Map(), low: 0, high: 0 }
-    this.services.set(name, service)
+    const service = this._services.get(name) ?? { nodes: new Map(), low: 0, high: 0 }
+    this._services.set(name, service)
     service.nodes.set(node, text !== undefined)
     toggle(service, text)
   }
@@ -52,14 +52,14 @@
    * @param text Visible text under which it was added.
    */
   public remove (name: ServiceName, node: NodeId, text: string | undefined): void {
-    const service = this.services.get(name)
+    const service = this._services.get(name)
     if (service === undefined) {
       return
     }
     service.nodes.delete(node)
     toggle(service, text)
     if (service.nodes.size === 0) {
-      this.services.delete(name)
+      this._services.delete(name)
     }
   }
 
@@ -68,7 +68,7 @@
    * @param name Service.
    */
   public digestOf (name: ServiceName): ServiceDigest {
-    const service = this.services.get(name)
+    const service = this._services.get(name)
     return { service: name, digest: hex(service?.high ?? 0) + hex(service?.low ?? 0) }
   }
 }
--- a/src/parts/records/GroupClock.ts
+++ b/src/parts/records/GroupClock.ts
@@ -6,8 +6,8 @@
  * Every replica observes the time of each entry that it applies; the leader stamps new entries with `stamp`.
  */
 export class GroupClock {
-  private lastMs = 0
-  private observedAtMs: number | undefined
+  private _lastMs = 0
+  private _observedAtMs: number | undefined
 
   /**
    * Takes note of the time of an applied entry, or of a restored snapshot.
@@ -15,9 +15,9 @@
    * @param nowMs This replica's monotonic time in milliseconds.
    */
   public observe (atMs: number, nowMs: number): void {
-    if (this.observedAtMs === undefined || atMs > this.stamp(nowMs)) {
-      this.lastMs = Math.max(this.lastMs, atMs)
-      this.observedAtMs = nowMs
+    if (this._observedAtMs === undefined || atMs > this.stamp(nowMs)) {
+      this._lastMs = Math.max(this._lastMs, atMs)
+      this._observedAtMs = nowMs
     }
   }
 
@@ -26,9 +26,9 @@
    * @param nowMs This replica's monotonic time in milliseconds.
    */
   public stamp (nowMs: number): number {
-    if (this.observedAtMs === undefined) {
-      this.observedAtMs = nowMs
+    if (this._observedAtMs === undefined) {
+      this._observedAtMs = nowMs
     }
-    return this.lastMs + Math.max(0, nowMs - this.observedAtMs)
+    return this._lastMs + Math.max(0, nowMs - this._observedAtMs)
   }
 }
--- a/src/parts/records/IdempotencyLedger.ts
+++ b/src/parts/records/IdempotencyLedger.ts
@@ -55,40 +55,40 @@
  * time, see `GroupClock`.
  */
 export class IdempotencyLedger {
-  private limits: LedgerLimits
-  private atMs = 0
-  private bytes = 0
+  private _limits: LedgerLimits
+  private _atMs = 0
+  private _bytes = 0
   /** Records are replaced, never changed, so that a snapshot may share them. */
-  private records = new Map<string, StoredRecord>()
-  private spent = new Map<string, { readonly holder: Holder, readonly atMs: number }>()
+  private _records = new Map<string, StoredRecord>()
+  private _spent = new Map<string, { readonly holder: Holder, readonly atMs: number }>()
 
-  private readonly handlers: Handlers = {
-    begin: (command, atMs) => this.begin(command, atMs),
-    finish: (command, atMs) => this.finish(command, atMs),
-    lose: (command, atMs) => this.lose(command, atMs),
-    abandon: (command, atMs) => this.abandon(command, atMs)
+  private readonly _handlers: Handlers = {
+    begin: (command, atMs) => this._begin(command, atMs),
+    finish: (command, atMs) => this._finish(command, atMs),
+    lose: (command, atMs) => this._lose(command, atMs),
+    abandon: (command, atMs) => this._abandon(command, atMs)
   }
 
   /**
    * @param limits Limits that replace the defaults; the same on all replicas of a group.
    */
   public constructor (limits: Partial<LedgerLimits> = {}) {
-    this.limits = { ...DEFAULTS, ...limits }
+    this._limits = { ...DEFAULTS, ...limits }
   }
 
   /** Records kept now. */
   public get size (): number {
-    return this.records.size
+    return this._records.size
   }
 
   /** Bytes of the answers kept now. */
   public get answersBytes (): number {
-    return this.bytes
+    return this._bytes
   }
 
   /** Group time of the last applied entry in milliseconds. */
   public get timeMs (): number {
-    return this.atMs
+    return this._atMs
   }
 
   /**
@@ -97,16 +97,16 @@
    * @param atMs Group time of the entry in milliseconds; an earlier time than the last one counts as the last one.
    */
   public apply (command: RecordCommand, atMs: number): RecordReply {
-    this.atMs = Math.max(this.atMs, atMs)
-    this.removeExpired()
-    const handler = this.handlers[command.type] as (command: RecordCommand, atMs: number) => RecordReply
-    return handler(command, this.atMs)
+    this._atMs = Math.max(this._atMs, atMs)
+    this._removeExpired()
+    const handler = this._handlers[command.type] as (command: RecordCommand, atMs: number) => RecordReply
+    return handler(command, this._atMs)
   }
 
   /** Returns the replicated state as plain data that later commands do not change; takes no copies. */
   public snapshot (): LedgerSnapshot {
-    const records = [...this.records.values()]
-    return { format: 1, limits: this.limits, atMs: this.atMs, records, spent: [...this.spent.values()] }
+    const records = [...this._records.values()]
+    return { format: 1, limits: this._limits, atMs: this._atMs, records, spent: [...this._spent.values()] }
   }
 
   /**
@@ -114,39 +114,39 @@
    * @param snapshot State from `snapshot`, of this or another replica.
    */
   public restore (snapshot: LedgerSnapshot): void {
-    this.limits = snapshot.limits
-    this.atMs = snapshot.atMs
-    this.bytes = 0
-    this.records = new Map()
+    this._limits = snapshot.limits
+    this._atMs = snapshot.atMs
+    this._bytes = 0
+    this._records = new Map()
     for (const stored of snapshot.records) {
-      this.records.set(textOf(stored.record), stored)
+      this._records.set(textOf(stored.record), stored)
       if (stored.answer !== undefined) {
-        this.keepAnswer(stored, stored.answer)
+        this._keepAnswer(stored, stored.answer)
       }
     }
-    this.spent = new Map(snapshot.spent.map((entry) => [holderText(entry.holder), entry]))
+    this._spent = new Map(snapshot.spent.map((entry) => [holderText(entry.holder), entry]))
   }
 
-  private begin (command: CommandOf<'begin'>, atMs: number): RecordReply {
-    const entry = this.records.get(textOf(command.record))
-    const reply = entry === undefined ? this.grant(command, atMs) : this.repeat(entry, command, atMs)
+  private _begin (command: CommandOf<'begin'>, atMs: number): RecordReply {
+    const entry = this._records.get(textOf(command.record))
+    const reply = entry === undefined ? this._grant(command, atMs) : this._repeat(entry, command, atMs)
     if (reply.type !== 'granted' && reply.type !== 'answered') {
-      this.noteSpent(command.holder, atMs)
+      this._noteSpent(command.holder, atMs)
     }
     return reply
   }
 
-  private grant (command: CommandOf<'begin'>, atMs: number): RecordReply {
-    if (this.spent.has(holderText(command.holder))) {
+  private _grant (command: CommandOf<'begin'>, atMs: number): RecordReply {
+    if (this._spent.has(holderText(command.holder))) {
       return refused('cancelled', MIN_RETRY_AFTER_MS)
     }
     if (command.record.key.length > MAX_KEY_LENGTH) {
       return refused('bad-request', 0)
     }
-    if (this.records.size >= this.limits.maxRecords) {
+    if (this._records.size >= this._limits.maxRecords) {
       return refused('records-full', FULL_RETRY_AFTER_MS)
     }
-    this.records.set(textOf(command.record), {
+    this._records.set(textOf(command.record), {
       record: command.record,
       fingerprint: command.fingerprint,
       holder: command.holder,
@@ -156,7 +156,7 @@
     return GRANTED
   }
 
-  private repeat (entry: StoredRecord, command: CommandOf<'begin'>, atMs: number): RecordReply {
+  private _repeat (entry: StoredRecord, command: CommandOf<'begin'>, atMs: number): RecordReply {
     if (entry.fingerprint !== command.fingerprint) {
       return refused('key-reused', 0)
     }
@@ -164,7 +164,7 @@
       return { type: 'answered', answer: entry.answer }
     }
     if (holderRestarted(entry.holder, command.holder)) {
-      this.markLost(entry)
+      this._markLost(entry)
       return UNKNOWN
     }
     if (entry.state === 'lost' || atMs >= entry.runUntilMs) {
@@ -178,80 +178,80 @@
     return { type: 'inProgress', retryAfterMs }
   }
 
-  private finish (command: CommandOf<'finish'>, _atMs: number): RecordReply {
-    const entry = this.heldBy(command)
+  private _finish (command: CommandOf<'finish'>, _atMs: number): RecordReply {
+    const entry = this._heldBy(command)
     if (entry === undefined) {
       return refused('conflict', 0)
     }
     if (entry.answer === undefined) {
-      this.keepAnswer(entry, command.answer)
+      this._keepAnswer(entry, command.answer)
     }
     return RECORDED
   }
 
-  private lose (command: CommandOf<'lose'>, _atMs: number): RecordReply {
-    const entry = this.heldBy(command)
+  private _lose (command: CommandOf<'lose'>, _atMs: number): RecordReply {
+    const entry = this._heldBy(command)
     if (entry === undefined) {
       return refused('conflict', 0)
     }
     if (entry.state === 'running') {
-      this.markLost(entry)
+      this._markLost(entry)
     }
     return RECORDED
   }
 
-  private abandon (command: CommandOf<'abandon'>, atMs: number): RecordReply {
-    const entry = this.heldBy(command)
+  private _abandon (command: CommandOf<'abandon'>, atMs: number): RecordReply {
+    const entry = this._heldBy(command)
     if (entry !== undefined && entry.state !== 'running') {
       return refused('conflict', 0)
     }
     if (entry !== undefined) {
-      this.records.delete(textOf(command.record))
+      this._records.delete(textOf(command.record))
     }
-    this.noteSpent(command.holder, atMs)
+    this._noteSpent(command.holder, atMs)
     return RECORDED
   }
 
-  private heldBy (command: { readonly record: RecordKey, readonly holder: Holder }): StoredRecord | undefined {
-    const entry = this.records.get(textOf(command.record))
+  private _heldBy (command: { readonly record: RecordKey, readonly holder: Holder }): StoredRecord | undefined {
+    const entry = this._records.get(textOf(command.record))
     return entry !== undefined && sameHolder(entry.holder, command.holder) ? entry : undefined
   }
 
-  private keepAnswer (entry: StoredRecord, answer: StoredAnswer): void {
-    const room = this.limits.maxAnswersBytes - this.bytes
-    const kept = fitAnswer(answer, Math.min(this.limits.maxAnswerBytes, room))
-    this.records.set(textOf(entry.record), { ...entry, state: 'answered', answer: kept })
-    this.bytes += answerBytes(kept)
+  private _keepAnswer (entry: StoredRecord, answer: StoredAnswer): void {
+    const room = this._limits.maxAnswersBytes - this._bytes
+    const kept = fitAnswer(answer, Math.min(this._limits.maxAnswerBytes, room))
+    this._records.set(textOf(entry.record), { ...entry, state: 'answered', answer: kept })
+    this._bytes += answerBytes(kept)
   }
 
-  private markLost (entry: StoredRecord): void {
-    this.records.set(textOf(entry.record), { ...entry, state: 'lost' })
+  private _markLost (entry: StoredRecord): void {
+    this._records.set(textOf(entry.record), { ...entry, state: 'lost' })
   }
 
   /** A holder that gave up or was refused may have another `begin` under way, which nobody would act on. */
-  private noteSpent (holder: Holder, atMs: number): void {
-    this.spent.set(holderText(holder), { holder, atMs })
-    if (this.spent.size > MAX_SPENT_HOLDERS) {
-      this.spent.delete(this.spent.keys().next().value as string)
+  private _noteSpent (holder: Holder, atMs: number): void {
+    this._spent.set(holderText(holder), { holder, atMs })
+    if (this._spent.size > MAX_SPENT_HOLDERS) {
+      this._spent.delete(this._spent.keys().next().value as string)
     }
   }
 
   /** Records stand in the order of their grants; one with a longer run time keeps later ones a little longer. */
-  private removeExpired (): void {
+  private _removeExpired (): void {
     let removed = 0
-    for (const [text, entry] of this.records) {
-      if (removed >= MAX_REMOVED_PER_COMMAND || entry.runUntilMs + this.limits.horizonMs > this.atMs) {
+    for (const [text, entry] of this._records) {
+      if (removed >= MAX_REMOVED_PER_COMMAND || entry.runUntilMs + this._limits.horizonMs > this._atMs) {
         break
       }
-      this.records.delete(text)
-      this.bytes -= entry.answer === undefined ? 0 : answerBytes(entry.answer)
+      this._records.delete(text)
+      this._bytes -= entry.answer === undefined ? 0 : answerBytes(entry.answer)
       removed += 1
     }
-    for (const [text, entry] of this.spent) {
-      if (entry.atMs + SPENT_HOLDER_MS > this.atMs) {
+    for (const [text, entry] of this._spent) {
+      if (entry.atMs + SPENT_HOLDER_MS > this._atMs) {
         break
       }
-      this.spent.delete(text)
+      this._spent.delete(text)
     }
   }
 }
--- a/src/parts/records/RunPermit.test.ts
+++ b/src/parts/records/RunPermit.test.ts
@@ -59,7 +59,7 @@
   const ledger = ledgerWith((state, command, atMs) => {
     const stored = recordOf(state, command)
     if (command.type === 'begin' && stored?.state === 'running' && atMs >= stored.runUntilMs) {
-      state['records'].delete(`s\n${command.record.key}`)
+      state['_records'].delete(`s\n${command.record.key}`)
     }
     return command
   })
@@ -76,7 +76,7 @@
 
 test('finds an abandoned holder that is granted by a late message', () => {
   const ledger = ledgerWith((state, command) => {
-    state['spent'].clear()
+    state['_spent'].clear()
     return command
   })
   expect(finding({ ledger })).toContain('free key was refused')
--- a/src/parts/records/RunPermit.ts
+++ b/src/parts/records/RunPermit.ts
@@ -56,36 +56,36 @@
  * Memory: one command, with at most `maxAnswerBytes` of answer.
  */
 export class RunPermit implements Part<PermitEvent, PermitAction> {
-  private readonly request: PermitRequest
-  private readonly options: PermitOptions
-  private current: PermitState = 'new'
-  private command: RecordCommand | undefined
-  private sequence = 0
-  private firstSequence = 0
-  private sendAtMs = Number.POSITIVE_INFINITY
-  private waitMs: number
-  private beganAtMs = 0
-  private settledAtMs: number | undefined
-  private told = false
+  private readonly _request: PermitRequest
+  private readonly _options: PermitOptions
+  private _current: PermitState = 'new'
+  private _command: RecordCommand | undefined
+  private _sequence = 0
+  private _firstSequence = 0
+  private _sendAtMs = Number.POSITIVE_INFINITY
+  private _waitMs: number
+  private _beganAtMs = 0
+  private _settledAtMs: number | undefined
+  private _told = false
 
-  private readonly handlers: Handlers = {
-    start: (_event, nowMs) => this.start(nowMs),
-    reply: (event, nowMs) => this.takeReply(event, nowMs),
-    unanswered: (event, nowMs) => this.takeUnanswered(event, nowMs),
-    answered: (event, nowMs) => this.takeAnswer(event.answer, nowMs),
-    upstreamLost: (_event, nowMs) => this.takeLoss('upstream-failed', nowMs),
-    notRun: (event, nowMs) => this.takeProof(event, nowMs),
-    callerGone: (_event, nowMs) => this.takeCallerGone(nowMs),
+  private readonly _handlers: Handlers = {
+    start: (_event, nowMs) => this._start(nowMs),
+    reply: (event, nowMs) => this._takeReply(event, nowMs),
+    unanswered: (event, nowMs) => this._takeUnanswered(event, nowMs),
+    answered: (event, nowMs) => this._takeAnswer(event.answer, nowMs),
+    upstreamLost: (_event, nowMs) => this._takeLoss('upstream-failed', nowMs),
+    notRun: (event, nowMs) => this._takeProof(event, nowMs),
+    callerGone: (_event, nowMs) => this._takeCallerGone(nowMs),
     tick: () => []
   }
 
-  private readonly beginReplies: ReplyHandlers = {
-    granted: () => this.takeGrant(),
-    answered: (reply) => this.end(this.repeatAnswer(reply.answer)),
-    inProgress: (reply) => this.end(this.refuse('unknown', 'in-progress', reply.retryAfterMs)),
-    unknown: () => this.end(this.refuse('unknown', 'peer-lost', 0)),
+  private readonly _beginReplies: ReplyHandlers = {
+    granted: () => this._takeGrant(),
+    answered: (reply) => this._end(this._repeatAnswer(reply.answer)),
+    inProgress: (reply) => this._end(this._refuse('unknown', 'in-progress', reply.retryAfterMs)),
+    unknown: () => this._end(this._refuse('unknown', 'peer-lost', 0)),
     recorded: () => [],
-    refused: (reply) => this.end(this.refuse('not-run', reply.reason, reply.retryAfterMs))
+    refused: (reply) => this._end(this._refuse('not-run', reply.reason, reply.retryAfterMs))
   }
 
   /**
@@ -93,14 +93,14 @@
    * @param options Durations and limits that replace the defaults.
    */
   public constructor (request: PermitRequest, options: Partial<PermitOptions> = {}) {
-    this.request = request
-    this.options = { ...DEFAULTS, ...options }
-    this.waitMs = this.options.retryMs
+    this._request = request
+    this._options = { ...DEFAULTS, ...options }
+    this._waitMs = this._options.retryMs
   }
 
   /** State for the dump. */
   public get state (): PermitState {
-    return this.current
+    return this._current
   }
 
   /**
@@ -109,189 +109,189 @@
    * @param nowMs Monotonic time in milliseconds.
    */
   public step (event: PermitEvent, nowMs: number): PermitAction[] {
-    const wasDone = this.current === 'done'
-    const overdue = this.passTime(nowMs)
-    const handler = this.handlers[event.type] as (event: PermitEvent, nowMs: number) => PermitAction[]
+    const wasDone = this._current === 'done'
+    const overdue = this._passTime(nowMs)
+    const handler = this._handlers[event.type] as (event: PermitEvent, nowMs: number) => PermitAction[]
     const actions = [...overdue, ...handler(event, nowMs)]
-    if (this.current === 'done') {
+    if (this._current === 'done') {
       return wasDone ? actions : [...actions, { type: 'done' }]
     }
-    return [...actions, ...this.wake()]
+    return [...actions, ...this._wake()]
   }
 
-  private start (nowMs: number): PermitAction[] {
-    if (this.current !== 'new') {
+  private _start (nowMs: number): PermitAction[] {
+    if (this._current !== 'new') {
       return []
     }
-    if (nowMs >= this.request.deadlineAtMs) {
-      return this.end(this.refuse('not-run', 'deadline-exceeded', 0))
+    if (nowMs >= this._request.deadlineAtMs) {
+      return this._end(this._refuse('not-run', 'deadline-exceeded', 0))
     }
-    const { record, fingerprint, holder, runForMs } = this.request
-    this.current = 'asking'
-    this.beganAtMs = nowMs
-    this.firstSequence = 1
-    return this.send({ type: 'begin', record, fingerprint, holder, runForMs }, nowMs)
+    const { record, fingerprint, holder, runForMs } = this._request
+    this._current = 'asking'
+    this._beganAtMs = nowMs
+    this._firstSequence = 1
+    return this._send({ type: 'begin', record, fingerprint, holder, runForMs }, nowMs)
   }
 
-  private takeReply (event: EventOf<'reply'>, nowMs: number): PermitAction[] {
+  private _takeReply (event: EventOf<'reply'>, nowMs: number): PermitAction[] {
     // A reply to an earlier copy of the same command is as good as one to the last copy.
-    if (event.sequence < this.firstSequence || this.command === undefined) {
+    if (event.sequence < this._firstSequence || this._command === undefined) {
       return []
     }
-    if (this.current === 'asking') {
-      const handler = this.beginReplies[event.reply.type] as (reply: RecordReply, nowMs: number) => PermitAction[]
+    if (this._current === 'asking') {
+      const handler = this._beginReplies[event.reply.type] as (reply: RecordReply, nowMs: number) => PermitAction[]
       return handler(event.reply, nowMs)
     }
     const settled = event.reply.type === 'recorded' || event.reply.type === 'refused'
-    return settled && this.current !== 'dispatched' ? this.end([]) : []
+    return settled && this._current !== 'dispatched' ? this._end([]) : []
   }
 
-  private takeUnanswered (event: EventOf<'unanswered'>, nowMs: number): PermitAction[] {
-    if (event.sequence === this.sequence && this.command !== undefined) {
-      this.sendAtMs = Math.min(this.sendAtMs, nowMs + this.options.retryMs)
+  private _takeUnanswered (event: EventOf<'unanswered'>, nowMs: number): PermitAction[] {
+    if (event.sequence === this._sequence && this._command !== undefined) {
+      this._sendAtMs = Math.min(this._sendAtMs, nowMs + this._options.retryMs)
     }
     return []
   }
 
-  private takeGrant (): PermitAction[] {
+  private _takeGrant (): PermitAction[] {
     // An overdue call has been given up by `passTime` before its reply is looked at.
-    this.command = undefined
-    this.sendAtMs = Number.POSITIVE_INFINITY
-    this.current = 'dispatched'
+    this._command = undefined
+    this._sendAtMs = Number.POSITIVE_INFINITY
+    this._current = 'dispatched'
     return [{ type: 'dispatch' }]
   }
 
-  private takeAnswer (answer: StoredAnswer, nowMs: number): PermitAction[] {
-    if (this.current !== 'dispatched') {
+  private _takeAnswer (answer: StoredAnswer, nowMs: number): PermitAction[] {
+    if (this._current !== 'dispatched') {
       return []
     }
-    const actions: PermitAction[] = this.told ? [] : [{ type: 'answer', answer, repeated: false }]
-    this.told = true
-    this.current = 'answering'
-    const kept = fitAnswer(answer, this.options.maxAnswerBytes)
-    return [...actions, ...this.settle({ type: 'finish', ...this.ownership(), answer: kept }, nowMs)]
+    const actions: PermitAction[] = this._told ? [] : [{ type: 'answer', answer, repeated: false }]
+    this._told = true
+    this._current = 'answering'
+    const kept = fitAnswer(answer, this._options.maxAnswerBytes)
+    return [...actions, ...this._settle({ type: 'finish', ...this._ownership(), answer: kept }, nowMs)]
   }
 
-  private takeLoss (reason: Reason, nowMs: number): PermitAction[] {
-    if (this.current !== 'dispatched') {
+  private _takeLoss (reason: Reason, nowMs: number): PermitAction[] {
+    if (this._current !== 'dispatched') {
       return []
     }
-    this.current = 'losing'
-    const told = this.refuse('unknown', reason, 0)
-    return [...told, ...this.settle({ type: 'lose', ...this.ownership() }, nowMs)]
+    this._current = 'losing'
+    const told = this._refuse('unknown', reason, 0)
+    return [...told, ...this._settle({ type: 'lose', ...this._ownership() }, nowMs)]
   }
 
-  private takeProof (event: EventOf<'notRun'>, nowMs: number): PermitAction[] {
-    if (this.current !== 'dispatched') {
+  private _takeProof (event: EventOf<'notRun'>, nowMs: number): PermitAction[] {
+    if (this._current !== 'dispatched') {
       return []
     }
-    const told = this.refuse('not-run', event.reason, event.retryAfterMs)
-    return [...told, ...this.giveBack(nowMs)]
+    const told = this._refuse('not-run', event.reason, event.retryAfterMs)
+    return [...told, ...this._giveBack(nowMs)]
   }
 
   /** A call that has started is finished and recorded; one that has not gives its grant back. */
-  private takeCallerGone (nowMs: number): PermitAction[] {
-    if (this.current === 'new') {
-      this.told = true
-      return this.end([])
+  private _takeCallerGone (nowMs: number): PermitAction[] {
+    if (this._current === 'new') {
+      this._told = true
+      return this._end([])
     }
-    if (this.current !== 'asking') {
-      this.told = true
+    if (this._current !== 'asking') {
+      this._told = true
       return []
     }
-    return [...this.refuse('not-run', 'cancelled', 0), ...this.giveBack(nowMs)]
+    return [...this._refuse('not-run', 'cancelled', 0), ...this._giveBack(nowMs)]
   }
 
-  private passTime (nowMs: number): PermitAction[] {
-    if (this.current === 'asking' && nowMs >= this.request.deadlineAtMs) {
-      const reason = this.sequence > 1 ? 'control-unavailable' : 'deadline-exceeded'
-      return [...this.refuse('not-run', reason, UNAVAILABLE_RETRY_AFTER_MS), ...this.giveBack(nowMs)]
+  private _passTime (nowMs: number): PermitAction[] {
+    if (this._current === 'asking' && nowMs >= this._request.deadlineAtMs) {
+      const reason = this._sequence > 1 ? 'control-unavailable' : 'deadline-exceeded'
+      return [...this._refuse('not-run', reason, UNAVAILABLE_RETRY_AFTER_MS), ...this._giveBack(nowMs)]
     }
-    if (this.current === 'dispatched') {
-      return this.passRunTime(nowMs)
+    if (this._current === 'dispatched') {
+      return this._passRunTime(nowMs)
     }
-    if (this.settledAtMs !== undefined && nowMs - this.settledAtMs >= this.options.recordForMs) {
-      return this.end([])
+    if (this._settledAtMs !== undefined && nowMs - this._settledAtMs >= this._options.recordForMs) {
+      return this._end([])
     }
-    return nowMs >= this.sendAtMs && this.command !== undefined ? this.sendAgain(this.command, nowMs) : []
+    return nowMs >= this._sendAtMs && this._command !== undefined ? this._sendAgain(this._command, nowMs) : []
   }
 
-  private passRunTime (nowMs: number): PermitAction[] {
-    if (nowMs - this.beganAtMs >= this.request.runForMs && nowMs >= this.request.deadlineAtMs) {
-      return this.takeLoss('deadline-exceeded', nowMs)
+  private _passRunTime (nowMs: number): PermitAction[] {
+    if (nowMs - this._beganAtMs >= this._request.runForMs && nowMs >= this._request.deadlineAtMs) {
+      return this._takeLoss('deadline-exceeded', nowMs)
     }
-    return nowMs >= this.request.deadlineAtMs ? this.refuse('unknown', 'deadline-exceeded', 0) : []
+    return nowMs >= this._request.deadlineAtMs ? this._refuse('unknown', 'deadline-exceeded', 0) : []
   }
 
-  private giveBack (nowMs: number): PermitAction[] {
-    this.current = 'giving-back'
-    return this.settle({ type: 'abandon', ...this.ownership() }, nowMs)
+  private _giveBack (nowMs: number): PermitAction[] {
+    this._current = 'giving-back'
+    return this._settle({ type: 'abandon', ...this._ownership() }, nowMs)
   }
 
-  private settle (command: RecordCommand, nowMs: number): PermitAction[] {
-    this.settledAtMs = nowMs
-    this.waitMs = this.options.retryMs
-    this.firstSequence = this.sequence + 1
-    return this.send(command, nowMs)
+  private _settle (command: RecordCommand, nowMs: number): PermitAction[] {
+    this._settledAtMs = nowMs
+    this._waitMs = this._options.retryMs
+    this._firstSequence = this._sequence + 1
+    return this._send(command, nowMs)
   }
 
-  private sendAgain (command: RecordCommand, nowMs: number): PermitAction[] {
-    this.waitMs = Math.min(this.waitMs * 2, this.options.maxRetryMs)
-    return this.send(command, nowMs)
+  private _sendAgain (command: RecordCommand, nowMs: number): PermitAction[] {
+    this._waitMs = Math.min(this._waitMs * 2, this._options.maxRetryMs)
+    return this._send(command, nowMs)
   }
 
-  private send (command: RecordCommand, nowMs: number): PermitAction[] {
-    this.command = command
-    this.sequence += 1
-    this.sendAtMs = nowMs + this.waitMs
-    return [{ type: 'send', sequence: this.sequence, command }]
+  private _send (command: RecordCommand, nowMs: number): PermitAction[] {
+    this._command = command
+    this._sequence += 1
+    this._sendAtMs = nowMs + this._waitMs
+    return [{ type: 'send', sequence: this._sequence, command }]
   }
 
-  private ownership () {
-    return { record: this.request.record, holder: this.request.holder }
+  private _ownership () {
+    return { record: this._request.record, holder: this._request.holder }
   }
 
-  private repeatAnswer (answer: StoredAnswer): PermitAction[] {
+  private _repeatAnswer (answer: StoredAnswer): PermitAction[] {
     if (answer.truncated) {
-      return this.refuse('unknown', 'too-large', 0, answer.status)
+      return this._refuse('unknown', 'too-large', 0, answer.status)
     }
-    this.told = true
+    this._told = true
     return [{ type: 'answer', answer, repeated: true }]
   }
 
-  private refuse (
+  private _refuse (
     disposition: Disposition,
     reason: Reason,
     retryAfterMs: number,
     firstStatus?: number
   ): PermitAction[] {
-    if (this.told) {
+    if (this._told) {
       return []
     }
-    this.told = true
+    this._told = true
     const status = firstStatus === undefined ? {} : { firstStatus }
     return [{ type: 'refuse', disposition, reason, retryAfterMs, ...status }]
   }
 
-  private end (actions: PermitAction[]): PermitAction[] {
-    this.current = 'done'
-    this.command = undefined
-    this.sendAtMs = Number.POSITIVE_INFINITY
+  private _end (actions: PermitAction[]): PermitAction[] {
+    this._current = 'done'
+    this._command = undefined
+    this._sendAtMs = Number.POSITIVE_INFINITY
     return actions
   }
 
-  private wake (): PermitAction[] {
-    const atMs = Math.min(this.sendAtMs, this.nextLimitMs())
+  private _wake (): PermitAction[] {
+    const atMs = Math.min(this._sendAtMs, this._nextLimitMs())
     return Number.isFinite(atMs) ? [{ type: 'wake', atMs }] : []
   }
 
-  private nextLimitMs (): number {
-    if (this.current === 'asking' || (this.current === 'dispatched' && !this.told)) {
-      return this.request.deadlineAtMs
+  private _nextLimitMs (): number {
+    if (this._current === 'asking' || (this._current === 'dispatched' && !this._told)) {
+      return this._request.deadlineAtMs
     }
-    if (this.current === 'dispatched') {
-      return Math.max(this.beganAtMs + this.request.runForMs, this.request.deadlineAtMs)
+    if (this._current === 'dispatched') {
+      return Math.max(this._beganAtMs + this._request.runForMs, this._request.deadlineAtMs)
     }
-    return this.settledAtMs === undefined ? Number.POSITIVE_INFINITY : this.settledAtMs + this.options.recordForMs
+    return this._settledAtMs === undefined ? Number.POSITIVE_INFINITY : this._settledAtMs + this._options.recordForMs
   }
 }
--- a/src/parts/records/ShardMap.ts
+++ b/src/parts/records/ShardMap.ts
@@ -9,7 +9,7 @@
  * takes effect for new keys only after both maps have been asked for one horizon.
  */
 export class ShardMap {
-  private readonly groups: readonly string[]
+  private readonly _groups: readonly string[]
 
   /**
    * @param groups Names of the groups; the order does not matter.
@@ -18,7 +18,7 @@
     if (groups.length === 0) {
       throw new RangeError('a shard map needs at least one group')
     }
-    this.groups = [...groups].sort()
+    this._groups = [...groups].sort()
   }
 
   /**
@@ -27,9 +27,9 @@
    */
   public groupOf (record: RecordKey): string {
     const text = `${record.service}\n${record.key}`
-    let best = this.groups[0] as string
+    let best = this._groups[0] as string
     let bestScore = -1
-    for (const group of this.groups) {
+    for (const group of this._groups) {
       const score = hasher.h32(`${group}\n${text}`)
       if (score > bestScore) {
         best = group
--- a/src/platform/AdminServer.ts
+++ b/src/platform/AdminServer.ts
@@ -33,7 +33,7 @@
 export class AdminServer implements Disposable {
   /** Routes of the process are added here before `listen`. */
   public readonly app: Express
-  private readonly server: Server
+  private readonly _server: Server
 
   public constructor (source: AdminSource) {
     this.app = express()
@@ -44,7 +44,7 @@
       response.status(health.ok ? 200 : 503).json({ status: health.ok ? 'ok' : 'failing', reason: health.reason })
     })
     this.app.get('/state', (_request: Request, response: Response) => { response.json({ ...source.state(), usage: readUsage() }) })
-    this.server = createServer(this.app)
+    this._server = createServer(this.app)
   }
 
   /**
@@ -55,17 +55,17 @@
   public async listen (address: string): Promise<string> {
     const { host, port } = parseAddress(address)
     await new Promise<void>((resolve, reject) => {
-      this.server.once('error', reject)
-      this.server.listen(port, host, resolve)
+      this._server.once('error', reject)
+      this._server.listen(port, host, resolve)
     })
-    const bound = this.server.address()
+    const bound = this._server.address()
     return typeof bound === 'object' && bound !== null ? `${host}:${bound.port}` : address
   }
 
   /** Ends the listener and its connections. */
   public dispose (): void {
-    this.server.close()
-    this.server.closeAllConnections()
+    this._server.close()
+    this._server.closeAllConnections()
   }
 }
 
--- a/src/platform/DaemonProgram.ts
+++ b/src/platform/DaemonProgram.ts
@@ -40,13 +40,13 @@
 
 /** Runs a daemon from the command line of this process until a signal stops it. */
 export class DaemonProgram<Schema extends z.ZodType> {
-  private readonly spec: DaemonSpec<Schema>
+  private readonly _spec: DaemonSpec<Schema>
 
   /**
    * @param spec What the daemon is and how it starts.
    */
   public constructor (spec: DaemonSpec<Schema>) {
-    this.spec = spec
+    this._spec = spec
   }
 
   /**
@@ -54,8 +54,8 @@
    * @param args Arguments after the program's name.
    */
   public async run (args: readonly string[]): Promise<void> {
-    const runFile = (file: string, checkOnly: boolean): Promise<number> => this.runFile(file, checkOnly)
-    const spec = this.spec
+    const runFile = (file: string, checkOnly: boolean): Promise<number> => this._runFile(file, checkOnly)
+    const spec = this._spec
 
     class RunCommand extends Command {
       public static override paths = [Command.Default]
@@ -84,8 +84,8 @@
     process.exit()
   }
 
-  private async runFile (file: string, checkOnly: boolean): Promise<number> {
-    const settings = new SettingsFile(file, this.spec.schema).load()
+  private async _runFile (file: string, checkOnly: boolean): Promise<number> {
+    const settings = new SettingsFile(file, this._spec.schema).load()
     if (!settings.ok) {
       process.stderr.write(`${renderFindings(settings.val)}\n`)
       return EXIT_CODES.badSettings
@@ -94,19 +94,19 @@
       process.stdout.write(`${file}: ok\n`)
       return EXIT_CODES.ok
     }
-    return await this.runUntilStopped(settings.val, file)
+    return await this._runUntilStopped(settings.val, file)
   }
 
-  private async runUntilStopped (settings: z.output<Schema>, file: string): Promise<number> {
+  private async _runUntilStopped (settings: z.output<Schema>, file: string): Promise<number> {
     const stopped = nextSignal()
     try {
-      const daemon = await this.spec.start(settings, file)
-      process.on(DUMP_SIGNAL, () => { dumpState(this.spec.name, daemon) })
+      const daemon = await this._spec.start(settings, file)
+      process.on(DUMP_SIGNAL, () => { dumpState(this._spec.name, daemon) })
       await Promise.race([stopped, daemon.ended ?? stopped])
       await daemon.stop()
       return EXIT_CODES.ok
     } catch (error) {
-      process.stderr.write(`${this.spec.name}: ${(error as Error).stack ?? String(error)}\n`)
+      process.stderr.write(`${this._spec.name}: ${(error as Error).stack ?? String(error)}\n`)
       return EXIT_CODES.failed
     }
   }
--- a/src/platform/DownloadBody.ts
+++ b/src/platform/DownloadBody.ts
@@ -10,7 +10,7 @@
 /** The body of one download: its bytes follow from its length and its seed. */
 export class DownloadBody {
   public readonly length: number
-  private readonly seed: number
+  private readonly _seed: number
 
   /**
    * @param length Length in bytes.
@@ -18,7 +18,7 @@
    */
   public constructor (length: number, seed: number) {
     this.length = length
-    this.seed = seed >>> 0
+    this._seed = seed >>> 0
   }
 
   /**
@@ -29,7 +29,7 @@
     const start = index * DOWNLOAD_BLOCK_BYTES
     const bytes = Buffer.from(FILLER.subarray(0, Math.min(DOWNLOAD_BLOCK_BYTES, this.length - start)))
     const stamp = Buffer.alloc(STAMP_BYTES)
-    stamp.writeUInt32BE(this.seed, 0)
+    stamp.writeUInt32BE(this._seed, 0)
     stamp.writeUInt32BE(index, 4)
     stamp.copy(bytes)
     return bytes
--- a/src/platform/FrameChannel.ts
+++ b/src/platform/FrameChannel.ts
@@ -15,57 +15,57 @@
  * @typeParam Out Messages that this end sends.
  */
 export class FrameChannel<In extends object, Out extends object> implements Disposable {
-  private readonly decoder = new FrameDecoder(MAX_FRAME_BYTES)
-  private readonly messages = new Emitter<In>()
-  private readonly closes = new Emitter<string>()
-  private readonly drains = new Emitter<void>()
-  private corked = false
-  private closed = false
-  private reason = 'closed by the other end'
-  private received = 0
-  private sent = 0
-  private receivedAtMs: number
+  private readonly _decoder = new FrameDecoder(MAX_FRAME_BYTES)
+  private readonly _messages = new Emitter<In>()
+  private readonly _closes = new Emitter<string>()
+  private readonly _drains = new Emitter<void>()
+  private _corked = false
+  private _closed = false
+  private _reason = 'closed by the other end'
+  private _received = 0
+  private _sent = 0
+  private _receivedAtMs: number
 
   /**
-   * @param socket Connected socket; the channel owns it from now on.
-   * @param clock Tells when something was last received.
+   * @param _socket Connected socket; the channel owns it from now on.
+   * @param _clock Tells when something was last received.
    */
-  public constructor (private readonly socket: Socket, private readonly clock: Clock) {
-    this.receivedAtMs = clock.nowMs()
-    socket.setNoDelay(true)
-    socket.on('data', chunk => this.handleData(chunk as Buffer))
-    socket.on('drain', () => this.drains.fire())
-    socket.on('error', error => { this.reason = error.message })
-    socket.on('close', () => this.handleClose())
+  public constructor (private readonly _socket: Socket, private readonly _clock: Clock) {
+    this._receivedAtMs = _clock.nowMs()
+    _socket.setNoDelay(true)
+    _socket.on('data', chunk => this._handleData(chunk as Buffer))
+    _socket.on('drain', () => this._drains.fire())
+    _socket.on('error', error => { this._reason = error.message })
+    _socket.on('close', () => this._handleClose())
   }
 
   /** Fires with each message, in the order sent. */
-  public readonly onMessage = this.messages.event
+  public readonly onMessage = this._messages.event
 
   /** Fires once with the reason when the connection has ended. */
-  public readonly onClose = this.closes.event
+  public readonly onClose = this._closes.event
 
   /** Fires when a congested channel can take more. */
-  public readonly onDrain = this.drains.event
+  public readonly onDrain = this._drains.event
 
   /** Bytes received and sent so far, frame headers included. */
   public get bytes (): { readonly received: number, readonly sent: number } {
-    return { received: this.received, sent: this.sent }
+    return { received: this._received, sent: this._sent }
   }
 
   /** Monotonic time of the last bytes from the other end. */
   public get lastReceivedMs (): number {
-    return this.receivedAtMs
+    return this._receivedAtMs
   }
 
   /** True when no more messages can be sent. */
   public get isClosed (): boolean {
-    return this.closed
+    return this._closed
   }
 
   /** Address of the other end as `host:port`. */
   public get remote (): string {
-    return `${this.socket.remoteAddress ?? '?'}:${this.socket.remotePort ?? 0}`
+    return `${this._socket.remoteAddress ?? '?'}:${this._socket.remotePort ?? 0}`
   }
 
   /**
@@ -73,20 +73,20 @@
    * @returns False when the channel is congested; wait for `onDrain` before bulk data.
    */
   public send (message: Out): boolean {
-    if (this.closed) return false
+    if (this._closed) return false
     const body = codec.encode(message)
     const frame = Buffer.allocUnsafe(FRAME_HEADER_BYTES + body.length)
     frame.writeUInt32BE(body.length, 0)
     frame.set(body, FRAME_HEADER_BYTES)
-    this.cork()
-    this.sent += frame.length
-    this.socket.write(frame)
-    return this.socket.writableLength < CHANNEL_HIGH_WATER_BYTES
+    this._cork()
+    this._sent += frame.length
+    this._socket.write(frame)
+    return this._socket.writableLength < CHANNEL_HIGH_WATER_BYTES
   }
 
   /** Sends what is waiting, then closes. */
   public end (): void {
-    this.socket.end()
+    this._socket.end()
   }
 
   /**
@@ -94,8 +94,8 @@
    * @param reason Given to `onClose`.
    */
   public destroy (reason: string): void {
-    this.reason = reason
-    this.socket.destroy()
+    this._reason = reason
+    this._socket.destroy()
   }
 
   /** Closes at once. */
@@ -104,29 +104,29 @@
   }
 
   // Frames sent in one turn of the loop leave in one system call.
-  private cork (): void {
-    if (this.corked) return
-    this.corked = true
-    this.socket.cork()
+  private _cork (): void {
+    if (this._corked) return
+    this._corked = true
+    this._socket.cork()
     process.nextTick(() => {
-      this.corked = false
-      this.socket.uncork()
+      this._corked = false
+      this._socket.uncork()
     })
   }
 
-  private handleData (chunk: Buffer): void {
-    this.received += chunk.length
-    this.receivedAtMs = this.clock.nowMs()
+  private _handleData (chunk: Buffer): void {
+    this._received += chunk.length
+    this._receivedAtMs = this._clock.nowMs()
     try {
-      this.decoder.push(chunk, frame => this.messages.fire(codec.decode(frame) as In))
+      this._decoder.push(chunk, frame => this._messages.fire(codec.decode(frame) as In))
     } catch (error) {
       this.destroy(`bad frame: ${(error as Error).message}`)
     }
   }
 
-  private handleClose (): void {
-    if (this.closed) return
-    this.closed = true
-    this.closes.fire(this.reason)
+  private _handleClose (): void {
+    if (this._closed) return
+    this._closed = true
+    this._closes.fire(this._reason)
   }
 }
--- a/src/platform/FrameDecoder.ts
+++ b/src/platform/FrameDecoder.ts
@@ -13,49 +13,49 @@
  * Holds at most one incomplete frame.
  */
 export class FrameDecoder {
-  private chunks: Buffer[] = []
-  private buffered = 0
-  private wanted = -1
+  private _chunks: Buffer[] = []
+  private _buffered = 0
+  private _wanted = -1
 
   /**
-   * @param maxFrameBytes Longest frame that is accepted.
+   * @param _maxFrameBytes Longest frame that is accepted.
    */
-  public constructor (private readonly maxFrameBytes: number) {}
+  public constructor (private readonly _maxFrameBytes: number) {}
 
   /**
    * Takes bytes as they come and calls `onFrame` with each whole frame.
    * @throws FrameTooLong when the announced length passes the limit.
    */
   public push (chunk: Buffer, onFrame: (frame: Buffer) => void): void {
-    this.chunks.push(chunk)
-    this.buffered += chunk.length
-    while (this.readLength() && this.buffered >= this.wanted) {
-      const frame = this.take(this.wanted)
-      this.wanted = -1
+    this._chunks.push(chunk)
+    this._buffered += chunk.length
+    while (this._readLength() && this._buffered >= this._wanted) {
+      const frame = this._take(this._wanted)
+      this._wanted = -1
       onFrame(frame)
     }
   }
 
-  private readLength (): boolean {
-    if (this.wanted >= 0) return true
-    if (this.buffered < FRAME_HEADER_BYTES) return false
-    this.wanted = this.take(FRAME_HEADER_BYTES).readUInt32BE(0)
-    if (this.wanted > this.maxFrameBytes) throw new FrameTooLong(this.wanted, this.maxFrameBytes)
+  private _readLength (): boolean {
+    if (this._wanted >= 0) return true
+    if (this._buffered < FRAME_HEADER_BYTES) return false
+    this._wanted = this._take(FRAME_HEADER_BYTES).readUInt32BE(0)
+    if (this._wanted > this._maxFrameBytes) throw new FrameTooLong(this._wanted, this._maxFrameBytes)
     return true
   }
 
-  private take (length: number): Buffer {
-    const first = this.chunks[0]
+  private _take (length: number): Buffer {
+    const first = this._chunks[0]
     // Most frames arrive whole in one chunk: a view of it saves the copy.
     if (first !== undefined && first.length >= length) {
-      this.buffered -= length
-      if (first.length === length) this.chunks.shift()
-      else this.chunks[0] = first.subarray(length)
+      this._buffered -= length
+      if (first.length === length) this._chunks.shift()
+      else this._chunks[0] = first.subarray(length)
       return first.subarray(0, length)
     }
-    const all = Buffer.concat(this.chunks, this.buffered)
-    this.buffered -= length
-    this.chunks = this.buffered > 0 ? [all.subarray(length)] : []
+    const all = Buffer.concat(this._chunks, this._buffered)
+    this._buffered -= length
+    this._chunks = this._buffered > 0 ? [all.subarray(length)] : []
     return all.subarray(0, length)
   }
 }
--- a/src/platform/FrameServer.ts
+++ b/src/platform/FrameServer.ts
@@ -7,16 +7,16 @@
 
 /** Accepts frame channels on one address. */
 export class FrameServer<In extends object, Out extends object> implements Disposable {
-  private readonly channels = new Set<FrameChannel<In, Out>>()
-  private readonly connections = new Emitter<FrameChannel<In, Out>>()
-  private readonly server: Server
+  private readonly _channels = new Set<FrameChannel<In, Out>>()
+  private readonly _connections = new Emitter<FrameChannel<In, Out>>()
+  private readonly _server: Server
 
-  public constructor (private readonly clock: Clock) {
-    this.server = createServer(socket => this.accept(new FrameChannel<In, Out>(socket, this.clock)))
+  public constructor (private readonly _clock: Clock) {
+    this._server = createServer(socket => this._accept(new FrameChannel<In, Out>(socket, this._clock)))
   }
 
   /** Fires with each accepted channel. */
-  public readonly onChannel = this.connections.event
+  public readonly onChannel = this._connections.event
 
   /**
    * Starts to listen.
@@ -26,27 +26,27 @@
   public async listen (address: string): Promise<string> {
     const { host, port } = parseAddress(address)
     await new Promise<void>((resolve, reject) => {
-      this.server.once('error', reject)
-      this.server.listen(port, host, resolve)
+      this._server.once('error', reject)
+      this._server.listen(port, host, resolve)
     })
-    const bound = this.server.address()
+    const bound = this._server.address()
     return typeof bound === 'object' && bound !== null ? `${host}:${bound.port}` : address
   }
 
   /** Takes no new connections; the open ones live on. */
   public close (): void {
-    if (this.server.listening) this.server.close()
+    if (this._server.listening) this._server.close()
   }
 
   /** Ends the listener and all channels. */
   public dispose (): void {
     this.close()
-    for (const channel of this.channels) channel.dispose()
+    for (const channel of this._channels) channel.dispose()
   }
 
-  private accept (channel: FrameChannel<In, Out>): void {
-    this.channels.add(channel)
-    channel.onClose(() => { this.channels.delete(channel) })
-    this.connections.fire(channel)
+  private _accept (channel: FrameChannel<In, Out>): void {
+    this._channels.add(channel)
+    channel.onClose(() => { this._channels.delete(channel) })
+    this._connections.fire(channel)
   }
 }
--- a/src/platform/JsonLog.ts
+++ b/src/platform/JsonLog.ts
@@ -7,7 +7,7 @@
 
 /** Log lines as JSON on standard output. */
 export class JsonLog implements Log {
-  private readonly logger: Logger
+  private readonly _logger: Logger
 
   /**
    * @param process Name of the program, for example `sassafras-node`.
@@ -15,22 +15,22 @@
    * @param level Lines below it are dropped.
    */
   public constructor (process: string, id: string, level: LogLevel) {
-    this.logger = pino({ level, base: { process, id }, timestamp: pino.stdTimeFunctions.isoTime })
+    this._logger = pino({ level, base: { process, id }, timestamp: pino.stdTimeFunctions.isoTime })
   }
 
   public debug (fields: LogFields, message: string): void {
-    this.logger.debug(fields, message)
+    this._logger.debug(fields, message)
   }
 
   public info (fields: LogFields, message: string): void {
-    this.logger.info(fields, message)
+    this._logger.info(fields, message)
   }
 
   public warn (fields: LogFields, message: string): void {
-    this.logger.warn(fields, message)
+    this._logger.warn(fields, message)
   }
 
   public error (fields: LogFields, message: string): void {
-    this.logger.error(fields, message)
+    this._logger.error(fields, message)
   }
 }
--- a/src/platform/Metrics.ts
+++ b/src/platform/Metrics.ts
@@ -30,19 +30,19 @@
 
 /** Metrics by name, sent over StatsD; only names of the table may be sent. */
 export class Metrics<Name extends string> implements Disposable {
-  private readonly client: StatsD | undefined
+  private readonly _client: StatsD | undefined
 
   /**
-   * @param table All names with their units.
-   * @param tags Sent with each value, for example `['node:fukuoka-1']`.
+   * @param _table All names with their units.
+   * @param _tags Sent with each value, for example `['node:fukuoka-1']`.
    */
   public constructor (
-    private readonly table: Readonly<Record<Name, MetricLine>>,
+    private readonly _table: Readonly<Record<Name, MetricLine>>,
     options: MetricsOptions,
-    private readonly tags: string[]
+    private readonly _tags: string[]
   ) {
     if (!options.enabled) return
-    this.client = new StatsD({
+    this._client = new StatsD({
       host: options.host,
       port: options.port,
       prefix: options.prefix,
@@ -55,13 +55,13 @@
 
   /** Sends one value in the unit of the table. */
   public send (name: Name, value: number): void {
-    if (this.client === undefined) return
-    const line = this.table[name]
-    SENDERS[line.unit](this.client, line.name, value, this.tags)
+    if (this._client === undefined) return
+    const line = this._table[name]
+    SENDERS[line.unit](this._client, line.name, value, this._tags)
   }
 
   /** Flushes and closes the socket. */
   public dispose (): void {
-    this.client?.close(() => {})
+    this._client?.close(() => {})
   }
 }
--- a/src/platform/SettingsFile.ts
+++ b/src/platform/SettingsFile.ts
@@ -29,24 +29,24 @@
 
 /** One TOML file with the schema that it must meet. */
 export class SettingsFile<Schema extends z.ZodType> {
-  private readonly file: string
-  private readonly schema: Schema
+  private readonly _file: string
+  private readonly _schema: Schema
 
   /**
    * @param file Path of the TOML file; it appears in the place of each finding.
    * @param schema What the file must hold; its defaults fill what the file leaves out.
    */
   public constructor (file: string, schema: Schema) {
-    this.file = file
-    this.schema = schema
+    this._file = file
+    this._schema = schema
   }
 
   /** Reads and checks the file. The error holds every finding; nothing is thrown. */
   public load (): Result<z.output<Schema>, readonly Finding[]> {
     try {
-      return this.check(readFileSync(this.file, 'utf8'))
+      return this.check(readFileSync(this._file, 'utf8'))
     } catch (error) {
-      return Err([{ place: this.file, problem: `can't be read: ${(error as Error).message}`, expected: 'a readable file' }])
+      return Err([{ place: this._file, problem: `can't be read: ${(error as Error).message}`, expected: 'a readable file' }])
     }
   }
 
@@ -59,34 +59,34 @@
     try {
       document = parse(text)
     } catch (error) {
-      return Err([this.syntaxFinding(error)])
+      return Err([this._syntaxFinding(error)])
     }
-    const outcome = this.schema.safeParse(document)
+    const outcome = this._schema.safeParse(document)
     if (outcome.success) return Ok(outcome.data)
-    return Err(outcome.error.issues.flatMap(issue => this.findingsOf(issue, document)))
+    return Err(outcome.error.issues.flatMap(issue => this._findingsOf(issue, document)))
   }
 
-  private syntaxFinding (error: unknown): Finding {
+  private _syntaxFinding (error: unknown): Finding {
     if (!(error instanceof TomlError)) throw error
     const summary = error.message.split('\n')[0] ?? ''
     return {
-      place: `${this.file}:${error.line}:${error.column}`,
+      place: `${this._file}:${error.line}:${error.column}`,
       problem: summary.replace(/^Invalid TOML document: /, ''),
       expected: 'a TOML 1.0 document'
     }
   }
 
-  private findingsOf (issue: Issue, document: unknown): Finding[] {
+  private _findingsOf (issue: Issue, document: unknown): Finding[] {
     const paths = issue.code === 'unrecognized_keys' ? issue.keys.map(key => [...issue.path, key]) : [issue.path]
-    return paths.map(path => this.findingAt(path, issue, document))
+    return paths.map(path => this._findingAt(path, issue, document))
   }
 
-  private findingAt (path: Path, issue: Issue, document: unknown): Finding {
+  private _findingAt (path: Path, issue: Issue, document: unknown): Finding {
     const found = valueAt(document, path)
     const problem = PROBLEMS[issue.code] as ((issue: Issue, found: unknown) => string) | undefined
     const expectation = EXPECTATIONS[issue.code] as ((issue: Issue) => string) | undefined
     return {
-      place: path.length === 0 ? this.file : `${this.file}: ${keyPath(path)}`,
+      place: path.length === 0 ? this._file : `${this._file}: ${keyPath(path)}`,
       problem: found === undefined ? 'is missing' : (problem?.(issue, found) ?? `is ${describe(found)}`),
       expected: expectation?.(issue) ?? issue.message
     }
--- a/src/platform/Supervisor.ts
+++ b/src/platform/Supervisor.ts
@@ -34,17 +34,17 @@
  * past it, or when its rule says so, the supervisor itself fails.
  */
 export class Supervisor implements Disposable {
-  private readonly slots: Slot[] = []
-  private stopping = false
+  private readonly _slots: Slot[] = []
+  private _stopping = false
 
   /**
-   * @param onFailure Called once when the supervisor gives up.
+   * @param _onFailure Called once when the supervisor gives up.
    */
   public constructor (
-    private readonly options: SupervisorOptions,
-    private readonly clock: Clock,
-    private readonly log: Log,
-    private readonly onFailure: (error: Error) => void
+    private readonly _options: SupervisorOptions,
+    private readonly _clock: Clock,
+    private readonly _log: Log,
+    private readonly _onFailure: (error: Error) => void
   ) {}
 
   /**
@@ -53,14 +53,14 @@
    */
   public async add (spec: ChildSpec): Promise<void> {
     const slot: Slot = { spec, child: undefined, restarts: [] }
-    this.slots.push(slot)
-    await this.startSlot(slot)
+    this._slots.push(slot)
+    await this._startSlot(slot)
   }
 
   /** Names and restarts of all children, for the state dump. */
   public describe (): ReadonlyArray<{ readonly name: string, readonly running: boolean, readonly restarts: number }> {
-    return this.slots.map(slot => ({
-      name: `${this.options.name}/${slot.spec.name}`,
+    return this._slots.map(slot => ({
+      name: `${this._options.name}/${slot.spec.name}`,
       running: slot.child !== undefined,
       restarts: slot.restarts.length
     }))
@@ -68,8 +68,8 @@
 
   /** Stops all children, the last started first. */
   public async stop (): Promise<void> {
-    this.stopping = true
-    for (const slot of this.slots.slice().reverse()) {
+    this._stopping = true
+    for (const slot of this._slots.slice().reverse()) {
       const child = slot.child
       slot.child = undefined
       await child?.stop()
@@ -78,40 +78,40 @@
 
   /** Stops without waiting. */
   public dispose (): void {
-    this.stop().catch((error: Error) => this.log.error({ error: error.message }, 'stop failed'))
+    this.stop().catch((error: Error) => this._log.error({ error: error.message }, 'stop failed'))
   }
 
-  private async startSlot (slot: Slot): Promise<void> {
+  private async _startSlot (slot: Slot): Promise<void> {
     let failed = false
     slot.child = await slot.spec.start(error => {
       if (failed) return
       failed = true
-      this.handleFailure(slot, error)
+      this._handleFailure(slot, error)
     })
   }
 
-  private handleFailure (slot: Slot, error: Error): void {
-    if (this.stopping) return
-    this.log.error({ child: slot.spec.name, error: error.message }, 'child failed')
-    const now = this.clock.nowMs()
-    slot.restarts = slot.restarts.filter(at => now - at < this.options.withinMs)
+  private _handleFailure (slot: Slot, error: Error): void {
+    if (this._stopping) return
+    this._log.error({ child: slot.spec.name, error: error.message }, 'child failed')
+    const now = this._clock.nowMs()
+    slot.restarts = slot.restarts.filter(at => now - at < this._options.withinMs)
     slot.restarts.push(now)
-    if (slot.spec.rule === 'stop-process' || slot.restarts.length > this.options.maxRestarts) {
-      this.stopping = true
-      this.onFailure(error)
+    if (slot.spec.rule === 'stop-process' || slot.restarts.length > this._options.maxRestarts) {
+      this._stopping = true
+      this._onFailure(error)
       return
     }
-    this.restart(slot).catch((error: Error) => this.onFailure(error))
+    this._restart(slot).catch((error: Error) => this._onFailure(error))
   }
 
-  private async restart (slot: Slot): Promise<void> {
+  private async _restart (slot: Slot): Promise<void> {
     const child = slot.child
     slot.child = undefined
     try {
       await child?.stop()
-      await this.startSlot(slot)
+      await this._startSlot(slot)
     } catch (error) {
-      this.handleFailure(slot, error as Error)
+      this._handleFailure(slot, error as Error)
     }
   }
 }
--- a/src/standin/Announcer.ts
+++ b/src/standin/Announcer.ts
@@ -18,12 +18,12 @@
 
 /** Announces a service to the node beside it, again and again as a heartbeat. */
 export class Announcer implements Disposable {
-  private readonly admin: string
-  private readonly announcement: Omit<Announcement, 'state'>
-  private readonly log: Log
-  private state: AnnouncedState = 'starting'
-  private reached: boolean | undefined
-  private timer: NodeJS.Timeout | undefined
+  private readonly _admin: string
+  private readonly _announcement: Omit<Announcement, 'state'>
+  private readonly _log: Log
+  private _state: AnnouncedState = 'starting'
+  private _reached: boolean | undefined
+  private _timer: NodeJS.Timeout | undefined
 
   /**
    * @param admin Admin address of the node as `host:port`.
@@ -31,9 +31,9 @@
    * @param log Told when the node is reached and when it no longer is.
    */
   public constructor (admin: string, announcement: Omit<Announcement, 'state'>, log: Log) {
-    this.admin = admin
-    this.announcement = announcement
-    this.log = log
+    this._admin = admin
+    this._announcement = announcement
+    this._log = log
   }
 
   /**
@@ -41,8 +41,8 @@
    * @param everyMs Time between two announcements.
    */
   public start (everyMs: number): void {
-    this.timer = setInterval(() => { this.send().catch(() => {}) }, everyMs)
-    this.send().catch(() => {})
+    this._timer = setInterval(() => { this._send().catch(() => {}) }, everyMs)
+    this._send().catch(() => {})
   }
 
   /**
@@ -50,32 +50,32 @@
    * @param state The new state.
    */
   public async announce (state: AnnouncedState): Promise<void> {
-    this.state = state
-    await this.send()
+    this._state = state
+    await this._send()
   }
 
   /** Stops to announce. */
   public dispose (): void {
-    clearInterval(this.timer)
+    clearInterval(this._timer)
   }
 
-  private async send (): Promise<void> {
+  private async _send (): Promise<void> {
     try {
-      await got.post(`http://${this.admin}/announce`, {
-        json: { ...this.announcement, state: this.state },
+      await got.post(`http://${this._admin}/announce`, {
+        json: { ...this._announcement, state: this._state },
         timeout: { request: ANNOUNCE_TIMEOUT_MS },
         retry: { limit: 0 }
       })
-      this.noteReached(true, '')
+      this._noteReached(true, '')
     } catch (error) {
-      this.noteReached(false, (error as Error).message)
+      this._noteReached(false, (error as Error).message)
     }
   }
 
-  private noteReached (reached: boolean, problem: string): void {
-    if (reached === this.reached) return
-    this.reached = reached
-    if (reached) this.log.info({ admin: this.admin, state: this.state }, 'announced to the node')
-    else this.log.warn({ admin: this.admin, problem }, 'node can not be reached')
+  private _noteReached (reached: boolean, problem: string): void {
+    if (reached === this._reached) return
+    this._reached = reached
+    if (reached) this._log.info({ admin: this._admin, state: this._state }, 'announced to the node')
+    else this._log.warn({ admin: this._admin, problem }, 'node can not be reached')
   }
 }
--- a/src/standin/ChainEndpoint.ts
+++ b/src/standin/ChainEndpoint.ts
@@ -13,14 +13,14 @@
 
 /** Calls the next service through the local node's ingress side, as services that need others do. */
 export class ChainEndpoint implements Disposable {
-  private readonly settings: StandinSettings
-  private readonly agent = new Agent({ connections: 64 })
+  private readonly _settings: StandinSettings
+  private readonly _agent = new Agent({ connections: 64 })
 
   /**
    * @param settings Name of the next service and address of the node.
    */
   public constructor (settings: StandinSettings) {
-    this.settings = settings
+    this._settings = settings
   }
 
   /**
@@ -29,11 +29,11 @@
    */
   public async call (run: Run): Promise<ChainLink | undefined> {
     const left = Number(run.segments[1])
-    const { chain, node } = this.settings
+    const { chain, node } = this._settings
     if (!(left > 0) || chain === undefined || node === undefined) return undefined
     const depth = Number(run.header('sassafras-depth') || 0) + 1
     const answer = await request(`http://${node.caller}/chain/${left - 1}`, {
-      dispatcher: this.agent,
+      dispatcher: this._agent,
       signal: run.ended,
       headers: {
         host: `${chain.next}.mesh`,
@@ -47,6 +47,6 @@
 
   /** Closes the connections. */
   public dispose (): void {
-    this.agent.destroy().catch(() => {})
+    this._agent.destroy().catch(() => {})
   }
 }
--- a/src/standin/DownloadEndpoint.ts
+++ b/src/standin/DownloadEndpoint.ts
@@ -9,13 +9,13 @@
 
 /** Sends `GET /downloads/SIZE?rate=BYTES_PER_S&seed=N`: bytes that both ends can compute, at a limited rate. */
 export class DownloadEndpoint {
-  private readonly isSilent: (run: Run) => boolean
+  private readonly _isSilent: (run: Run) => boolean
 
   /**
    * @param isSilent Whether the connection of a run must send nothing any more.
    */
   public constructor (isSilent: (run: Run) => boolean) {
-    this.isSilent = isSilent
+    this._isSilent = isSilent
   }
 
   /**
@@ -34,22 +34,22 @@
     }
     const body = new DownloadBody(size, seed)
     run.response.writeHead(200, headersOf(body, seed))
-    await this.sendBlocks(run, body, rate)
+    await this._sendBlocks(run, body, rate)
     return 200
   }
 
-  private async sendBlocks (run: Run, body: DownloadBody, rate: number): Promise<void> {
+  private async _sendBlocks (run: Run, body: DownloadBody, rate: number): Promise<void> {
     const startedAt = performance.now()
     for (let index = 0; index < body.blocks && !run.cancelled.aborted; index++) {
       const dueMs = rate === 0 ? 0 : startedAt + index * DOWNLOAD_BLOCK_BYTES / rate * 1000
-      await this.waitUntil(dueMs, run)
+      await this._waitUntil(dueMs, run)
       if (!run.response.write(body.block(index))) await drained(run)
     }
     if (!run.cancelled.aborted) run.response.end()
   }
 
-  private async waitUntil (dueMs: number, run: Run): Promise<void> {
-    while (!run.cancelled.aborted && (performance.now() < dueMs || this.isSilent(run))) await delay(PAUSE_MS)
+  private async _waitUntil (dueMs: number, run: Run): Promise<void> {
+    while (!run.cancelled.aborted && (performance.now() < dueMs || this._isSilent(run))) await delay(PAUSE_MS)
   }
 }
 
--- a/src/standin/Journal.ts
+++ b/src/standin/Journal.ts
@@ -7,26 +7,26 @@
  * so that a crash of the process can't hide a run.
  */
 export class Journal implements Disposable {
-  private readonly descriptor: number
-  private closed = false
+  private readonly _descriptor: number
+  private _closed = false
 
   /**
    * @param file Appended to; created when missing.
    */
   public constructor (file: string) {
-    this.descriptor = openSync(file, 'a')
+    this._descriptor = openSync(file, 'a')
   }
 
   /** Appends one line. */
   public write (line: JournalLine): void {
-    appendFileSync(this.descriptor, `${JSON.stringify(line)}\n`)
+    appendFileSync(this._descriptor, `${JSON.stringify(line)}\n`)
   }
 
   /** Closes the file. */
   public dispose (): void {
-    if (this.closed) return
-    this.closed = true
-    closeSync(this.descriptor)
+    if (this._closed) return
+    this._closed = true
+    closeSync(this._descriptor)
   }
 }
 
--- a/src/standin/LoadReport.ts
+++ b/src/standin/LoadReport.ts
@@ -15,14 +15,14 @@
 
 /** The load that a stand-in reports: true, late, false or none. Keeps at most `MAX_SAMPLES` samples. */
 export class LoadReport {
-  private readonly settings: StandinSettings['load']
-  private readonly samples: Sample[] = []
+  private readonly _settings: StandinSettings['load']
+  private readonly _samples: Sample[] = []
 
   /**
    * @param settings Kind of the report.
    */
   public constructor (settings: StandinSettings['load']) {
-    this.settings = settings
+    this._settings = settings
   }
 
   /**
@@ -31,9 +31,9 @@
    * @param nowMs Monotonic milliseconds.
    */
   public record (load: Load, nowMs: number): void {
-    if (this.settings.mode !== 'lagging') return
-    this.samples.push({ atMs: nowMs, load })
-    if (this.samples.length > MAX_SAMPLES) this.samples.shift()
+    if (this._settings.mode !== 'lagging') return
+    this._samples.push({ atMs: nowMs, load })
+    if (this._samples.length > MAX_SAMPLES) this._samples.shift()
   }
 
   /**
@@ -44,17 +44,17 @@
   public tell (load: Load, nowMs: number): Load | undefined {
     const tellers: Record<StandinSettings['load']['mode'], () => Load | undefined> = {
       honest: () => load,
-      lagging: () => this.loadAt(nowMs - this.settings.lagMs),
-      lying: () => this.settings.lie,
+      lagging: () => this._loadAt(nowMs - this._settings.lagMs),
+      lying: () => this._settings.lie,
       none: () => undefined
     }
-    return tellers[this.settings.mode]()
+    return tellers[this._settings.mode]()
   }
 
-  private loadAt (atMs: number): Load {
+  private _loadAt (atMs: number): Load {
     // Samples older than the newest that is due are never told again.
-    while (this.samples.length > 1 && (this.samples[1] as Sample).atMs <= atMs) this.samples.shift()
-    const oldest = this.samples[0]
+    while (this._samples.length > 1 && (this._samples[1] as Sample).atMs <= atMs) this._samples.shift()
+    const oldest = this._samples[0]
     return oldest !== undefined && oldest.atMs <= atMs ? oldest.load : { inFlight: 0, queued: 0 }
   }
 }
--- a/src/standin/Run.ts
+++ b/src/standin/Run.ts
@@ -13,7 +13,7 @@
   public readonly cancelled: AbortSignal
   /** Ends when the client closes the connection or the deadline has passed. */
   public readonly ended: AbortSignal
-  private readonly deadlineAtMs: number
+  private readonly _deadlineAtMs: number
 
   /**
    * @param request What came in.
@@ -32,7 +32,7 @@
       if (!response.writableFinished) cancel.abort()
     })
     this.cancelled = cancel.signal
-    this.deadlineAtMs = performance.now() + leftMs
+    this._deadlineAtMs = performance.now() + leftMs
     this.ended = AbortSignal.any([cancel.signal, deadline.signal])
   }
 
@@ -43,7 +43,7 @@
 
   /** Milliseconds left until the deadline. */
   public get leftMs (): number {
-    return Math.max(0, this.deadlineAtMs - performance.now())
+    return Math.max(0, this._deadlineAtMs - performance.now())
   }
 
   /**
--- a/src/standin/ServiceTime.ts
+++ b/src/standin/ServiceTime.ts
@@ -14,9 +14,9 @@
 
 /** Draws how long each run takes, with the slowness of a cold start. Memory is that of the trace. */
 export class ServiceTime {
-  private readonly sample: Sampler
-  private readonly coldStart: StandinSettings['coldStart']
-  private runs = 0
+  private readonly _sample: Sampler
+  private readonly _coldStart: StandinSettings['coldStart']
+  private _runs = 0
 
   /**
    * @param settings Distribution of the times.
@@ -24,8 +24,8 @@
    * @param random Source of the exponential times.
    */
   public constructor (settings: Settings, coldStart: StandinSettings['coldStart'], random: Random) {
-    this.sample = samplerOf(settings, random)
-    this.coldStart = coldStart
+    this._sample = samplerOf(settings, random)
+    this._coldStart = coldStart
   }
 
   /**
@@ -33,15 +33,15 @@
    * @param slowFactor Multiplies the time.
    */
   public nextMs (slowFactor: number): number {
-    const cold = this.coldFactor()
-    this.runs++
-    return this.sample() * slowFactor * cold
+    const cold = this._coldFactor()
+    this._runs++
+    return this._sample() * slowFactor * cold
   }
 
-  private coldFactor (): number {
-    const { requests, factor } = this.coldStart
-    if (this.runs >= requests) return 1
-    return factor - (factor - 1) * this.runs / requests
+  private _coldFactor (): number {
+    const { requests, factor } = this._coldStart
+    if (this._runs >= requests) return 1
+    return factor - (factor - 1) * this._runs / requests
   }
 }
 
--- a/src/standin/SlotPool.ts
+++ b/src/standin/SlotPool.ts
@@ -9,28 +9,28 @@
 
 /** Slots of a service with a bounded queue, first come first served. */
 export class SlotPool {
-  private readonly slots: number
-  private readonly maxQueue: number
-  private taken = 0
-  private waiters: Waiter[] = []
+  private readonly _slots: number
+  private readonly _maxQueue: number
+  private _taken = 0
+  private _waiters: Waiter[] = []
 
   /**
    * @param slots Requests that run at once.
    * @param maxQueue Requests that may wait.
    */
   public constructor (slots: number, maxQueue: number) {
-    this.slots = slots
-    this.maxQueue = maxQueue
+    this._slots = slots
+    this._maxQueue = maxQueue
   }
 
   /** Requests that run now. */
   public get inFlight (): number {
-    return this.taken
+    return this._taken
   }
 
   /** Requests that wait now. */
   public get queued (): number {
-    return this.waiters.length
+    return this._waiters.length
   }
 
   /**
@@ -40,31 +40,31 @@
    */
   public async acquire (signal: AbortSignal): Promise<SlotRefusal | undefined> {
     if (signal.aborted) return 'aborted'
-    if (this.taken < this.slots) {
-      this.taken++
+    if (this._taken < this._slots) {
+      this._taken++
       return undefined
     }
-    if (this.waiters.length >= this.maxQueue) return 'full'
+    if (this._waiters.length >= this._maxQueue) return 'full'
     return await new Promise(resolve => {
-      const waiter: Waiter = { resolve, signal, abort: () => { this.dropWaiter(waiter) } }
-      this.waiters.push(waiter)
+      const waiter: Waiter = { resolve, signal, abort: () => { this._dropWaiter(waiter) } }
+      this._waiters.push(waiter)
       signal.addEventListener('abort', waiter.abort, { once: true })
     })
   }
 
   /** Gives a slot back; the oldest waiter gets it. */
   public release (): void {
-    const waiter = this.waiters.shift()
+    const waiter = this._waiters.shift()
     if (waiter === undefined) {
-      this.taken--
+      this._taken--
       return
     }
     waiter.signal.removeEventListener('abort', waiter.abort)
     waiter.resolve(undefined)
   }
 
-  private dropWaiter (waiter: Waiter): void {
-    this.waiters = this.waiters.filter(other => other !== waiter)
+  private _dropWaiter (waiter: Waiter): void {
+    this._waiters = this._waiters.filter(other => other !== waiter)
     waiter.resolve('aborted')
   }
 }
--- a/src/standin/Standin.ts
+++ b/src/standin/Standin.ts
@@ -19,24 +19,24 @@
 
 /** A stand-in service: its HTTP server, its admin surface, its journal and its announcements. */
 export class Standin implements RunningDaemon {
-  private readonly settings: StandinSettings
-  private readonly log: JsonLog
-  private readonly journal: Journal
-  private readonly server: StandinServer
-  private readonly admin: AdminServer
-  private announcer: Announcer | undefined
-  private draining = false
+  private readonly _settings: StandinSettings
+  private readonly _log: JsonLog
+  private readonly _journal: Journal
+  private readonly _server: StandinServer
+  private readonly _admin: AdminServer
+  private _announcer: Announcer | undefined
+  private _draining = false
 
   /**
    * @param settings Shape of the service.
    */
   public constructor (settings: StandinSettings) {
-    this.settings = settings
-    this.log = new JsonLog('sassafras-upstream', settings.instance, settings.log.level)
-    this.journal = new Journal(settings.journal)
-    this.server = new StandinServer(settings, this.journal)
-    this.admin = new AdminServer({ health: () => ({ ok: true }), state: () => this.state() })
-    this.admin.app.post('/behaviour', (request: Request, response: Response) => { this.changeBehaviour(request, response) })
+    this._settings = settings
+    this._log = new JsonLog('sassafras-upstream', settings.instance, settings.log.level)
+    this._journal = new Journal(settings.journal)
+    this._server = new StandinServer(settings, this._journal)
+    this._admin = new AdminServer({ health: () => ({ ok: true }), state: () => this.state() })
+    this._admin.app.post('/behaviour', (request: Request, response: Response) => { this._changeBehaviour(request, response) })
   }
 
   /**
@@ -44,68 +44,69 @@
    * @returns Addresses in use.
    */
   public async start (): Promise<{ readonly http: string, readonly admin: string }> {
-    const http = await this.server.listen(this.settings.listen.http)
-    const admin = await this.admin.listen(this.settings.listen.admin)
-    this.log.info({ http, admin, service: this.settings.service }, 'listening')
-    const { node, service, slots, connections, announceMs, coldStart } = this.settings
+    const http = await this._server.listen(this._settings.listen.http)
+    const admin = await this._admin.listen(this._settings.listen.admin)
+    this._log.info({ http, admin, service: this._settings.service }, 'listening')
+    const { node, service, slots, connections, announceMs, coldStart } = this._settings
     if (node !== undefined) {
-      this.announcer = new Announcer(node.admin, { service, address: http, slots, connections }, this.log)
-      this.announcer.start(announceMs)
-      this.serveAfter(coldStart.startingMs).catch(() => {})
+      this._announcer = new Announcer(node.admin, { service, address: http, slots, connections }, this._log)
+      this._announcer.start(announceMs)
+      this._serveAfter(coldStart.startingMs).catch(() => {})
     }
     return { http, admin }
   }
 
   /** Announces the drain, finishes what is in flight, then ends. */
   public async stop (): Promise<void> {
-    this.draining = true
-    this.server.startDrain()
-    this.log.info({ inFlight: this.server.counts.inFlight }, 'draining')
-    await this.announcer?.announce('draining')
-    const endAtMs = performance.now() + this.settings.drain.maxMs
-    while (this.server.quietMs < this.settings.drain.quietMs && performance.now() < endAtMs) await delay(DRAIN_CHECK_MS)
-    this.log.info({ inFlight: this.server.counts.inFlight }, 'drained')
+    this._draining = true
+    this._server.startDrain()
+    this._log.info({ inFlight: this._server.counts.inFlight }, 'draining')
+    await this._announcer?.announce('draining')
+    const endAtMs = performance.now() + this._settings.drain.maxMs
+    const { quietMs } = this._settings.drain
+    while (this._server.quietMs < quietMs && performance.now() < endAtMs) await delay(DRAIN_CHECK_MS)
+    this._log.info({ inFlight: this._server.counts.inFlight }, 'drained')
     this.dispose()
   }
 
   /** Ends at once. */
   public dispose (): void {
-    this.announcer?.dispose()
-    this.server.dispose()
-    this.admin.dispose()
-    this.journal.dispose()
+    this._announcer?.dispose()
+    this._server.dispose()
+    this._admin.dispose()
+    this._journal.dispose()
   }
 
-  private async serveAfter (startingMs: number): Promise<void> {
+  private async _serveAfter (startingMs: number): Promise<void> {
     await delay(startingMs)
-    if (!this.draining) await this.announcer?.announce('serving')
+    if (!this._draining) await this._announcer?.announce('serving')
   }
 
   /** A bounded dump of the state. */
   public state (): object {
-    const { service, instance, slots, node } = this.settings
+    const { service, instance, slots, node } = this._settings
     return {
       service,
       instance,
       slots,
       node,
-      draining: this.draining,
-      connections: this.server.connections,
-      behaviour: this.server.behaviour,
-      ...this.server.counts
+      draining: this._draining,
+      connections: this._server.connections,
+      behaviour: this._server.behaviour,
+      ...this._server.counts
     }
   }
 
-  private changeBehaviour (request: Request, response: Response): void {
+  private _changeBehaviour (request: Request, response: Response): void {
     const change = behaviourChange.safeParse(request.body)
     if (!change.success) {
       response.status(400).json({ findings: change.error.issues.map(issue => issue.message) })
       return
     }
     const { slowFactor, shedShare, silence } = change.data
-    if (slowFactor !== undefined) this.server.behaviour.slowFactor = slowFactor
-    if (shedShare !== undefined) this.server.behaviour.shedShare = shedShare
-    const silenced = silence === undefined ? 0 : this.server.silence(silence)
-    response.json({ ...this.server.behaviour, silenced })
+    if (slowFactor !== undefined) this._server.behaviour.slowFactor = slowFactor
+    if (shedShare !== undefined) this._server.behaviour.shedShare = shedShare
+    const silenced = silence === undefined ? 0 : this._server.silence(silence)
+    response.json({ ...this._server.behaviour, silenced })
   }
 }
--- a/src/standin/StandinCalls.ts
+++ b/src/standin/StandinCalls.ts
@@ -13,20 +13,20 @@
 
 /** The calls that a stand-in answers, by the first segment of the path. */
 export class StandinCalls implements Disposable {
-  private readonly settings: StandinSettings
-  private readonly behaviour: Behaviour
-  private readonly times: ServiceTime
-  private readonly isSilent: (run: Run) => boolean
-  private readonly chain: ChainEndpoint
-  private readonly downloads: DownloadEndpoint
+  private readonly _settings: StandinSettings
+  private readonly _behaviour: Behaviour
+  private readonly _times: ServiceTime
+  private readonly _isSilent: (run: Run) => boolean
+  private readonly _chain: ChainEndpoint
+  private readonly _downloads: DownloadEndpoint
 
-  private readonly handlers: Readonly<Record<string, CallHandler>> = {
-    lookups: (run, number) => this.lookUp(run, number),
-    menus: (run, number) => this.lookUp(run, number),
-    checkouts: (run, number) => this.checkOut(run, number),
-    orders: (run, number) => this.checkOut(run, number),
-    downloads: run => this.downloads.send(run),
-    chain: (run, number) => this.callChain(run, number)
+  private readonly _handlers: Readonly<Record<string, CallHandler>> = {
+    lookups: (run, number) => this._lookUp(run, number),
+    menus: (run, number) => this._lookUp(run, number),
+    checkouts: (run, number) => this._checkOut(run, number),
+    orders: (run, number) => this._checkOut(run, number),
+    downloads: run => this._downloads.send(run),
+    chain: (run, number) => this._callChain(run, number)
   }
 
   /**
@@ -41,12 +41,12 @@
     times: ServiceTime,
     isSilent: (run: Run) => boolean
   ) {
-    this.settings = settings
-    this.behaviour = behaviour
-    this.times = times
-    this.isSilent = isSilent
-    this.chain = new ChainEndpoint(settings)
-    this.downloads = new DownloadEndpoint(isSilent)
+    this._settings = settings
+    this._behaviour = behaviour
+    this._times = times
+    this._isSilent = isSilent
+    this._chain = new ChainEndpoint(settings)
+    this._downloads = new DownloadEndpoint(isSilent)
   }
 
   /**
@@ -54,42 +54,42 @@
    * @param run The call.
    */
   public handlerOf (run: Run): CallHandler | undefined {
-    return this.handlers[run.segments[0] ?? '']
+    return this._handlers[run.segments[0] ?? '']
   }
 
   /** Closes connections to other services. */
   public dispose (): void {
-    this.chain.dispose()
+    this._chain.dispose()
   }
 
-  private async lookUp (run: Run, number: number): Promise<number> {
-    const done = await run.work(this.nextServiceMs(run), run.ended)
-    if (!done) return this.answerLate(run)
-    return this.answerOwn(run, number, 'lookup', {})
+  private async _lookUp (run: Run, number: number): Promise<number> {
+    const done = await run.work(this._nextServiceMs(run), run.ended)
+    if (!done) return this._answerLate(run)
+    return this._answerOwn(run, number, 'lookup', {})
   }
 
   /** A checkout that has started is finished, whatever becomes of its caller. */
-  private async checkOut (run: Run, number: number): Promise<number> {
+  private async _checkOut (run: Run, number: number): Promise<number> {
     const body = await run.body()
-    await run.work(this.nextServiceMs(run), undefined)
+    await run.work(this._nextServiceMs(run), undefined)
     const bodyDigest = createHash('sha256').update(body).digest('hex')
-    return this.answerOwn(run, number, 'checkout', { bodyBytes: body.length, bodyDigest })
+    return this._answerOwn(run, number, 'checkout', { bodyBytes: body.length, bodyDigest })
   }
 
-  private async callChain (run: Run, number: number): Promise<number> {
-    const done = await run.work(this.nextServiceMs(run), run.ended)
-    if (!done) return this.answerLate(run)
-    const next = await this.chain.call(run)
-    if (next !== undefined && next.status !== 200) return this.answerBroken(run, next)
+  private async _callChain (run: Run, number: number): Promise<number> {
+    const done = await run.work(this._nextServiceMs(run), run.ended)
+    if (!done) return this._answerLate(run)
+    const next = await this._chain.call(run)
+    if (next !== undefined && next.status !== 200) return this._answerBroken(run, next)
     const depth = Number(run.header('sassafras-depth') || 0)
-    return this.answerOwn(run, number, 'chain', { depth, ...(next === undefined ? {} : { next }) })
+    return this._answerOwn(run, number, 'chain', { depth, ...(next === undefined ? {} : { next }) })
   }
 
-  private answerOwn (run: Run, number: number, call: string, more: object): number {
-    if (run.cancelled.aborted || this.isSilent(run)) return 0
+  private _answerOwn (run: Run, number: number, call: string, more: object): number {
+    if (run.cancelled.aborted || this._isSilent(run)) return 0
     run.answer(200, {
-      service: this.settings.service,
-      instance: this.settings.instance,
+      service: this._settings.service,
+      instance: this._settings.instance,
       call,
       id: run.segments[1] ?? '',
       requestId: run.header('x-request-id'),
@@ -101,21 +101,21 @@
   }
 
   /** A chain that broke further down may be asked for again from its top, where alone it is retried. */
-  private answerBroken (run: Run, next: ChainLink): number {
-    if (run.cancelled.aborted || this.isSilent(run)) return 0
+  private _answerBroken (run: Run, next: ChainLink): number {
+    if (run.cancelled.aborted || this._isSilent(run)) return 0
     if (next.retryAfter !== '') run.response.setHeader('retry-after', next.retryAfter)
     run.answer(503, { problem: 'the next service did not answer', next })
     return 503
   }
 
-  private answerLate (run: Run): number {
-    if (run.cancelled.aborted || this.isSilent(run)) return 0
+  private _answerLate (run: Run): number {
+    if (run.cancelled.aborted || this._isSilent(run)) return 0
     run.answer(504, { problem: 'deadline passed while the request ran' })
     return 504
   }
 
-  private nextServiceMs (run: Run): number {
+  private _nextServiceMs (run: Run): number {
     const asked = Number(run.url.searchParams.get('ms') ?? Number.NaN)
-    return asked >= 0 ? asked : this.times.nextMs(this.behaviour.slowFactor)
+    return asked >= 0 ? asked : this._times.nextMs(this._behaviour.slowFactor)
   }
 }
--- a/src/standin/StandinServer.ts
+++ b/src/standin/StandinServer.ts
@@ -26,53 +26,53 @@
  */
 export class StandinServer implements Disposable {
   public readonly behaviour: Behaviour
-  private readonly settings: StandinSettings
-  private readonly journal: Journal
-  private readonly server: Server
-  private readonly pool: SlotPool
-  private readonly report: LoadReport
-  private readonly calls: StandinCalls
-  private readonly random: SeededRandom
-  private readonly sockets = new Set<Socket>()
-  private readonly silent = new WeakSet<Socket>()
-  private runs = 0
-  private sheds = 0
-  private open = 0
-  private draining = false
-  private lastBusyMs = performance.now()
+  private readonly _settings: StandinSettings
+  private readonly _journal: Journal
+  private readonly _server: Server
+  private readonly _pool: SlotPool
+  private readonly _report: LoadReport
+  private readonly _calls: StandinCalls
+  private readonly _random: SeededRandom
+  private readonly _sockets = new Set<Socket>()
+  private readonly _silent = new WeakSet<Socket>()
+  private _runs = 0
+  private _sheds = 0
+  private _open = 0
+  private _draining = false
+  private _lastBusyMs = performance.now()
 
   /**
    * @param settings Shape of the service.
    * @param journal Where runs are written.
    */
   public constructor (settings: StandinSettings, journal: Journal) {
-    this.settings = settings
-    this.journal = journal
+    this._settings = settings
+    this._journal = journal
     this.behaviour = { slowFactor: 1, shedShare: settings.shed.share }
-    this.random = new SeededRandom(settings.seed)
-    this.pool = new SlotPool(settings.slots, settings.queue)
-    this.report = new LoadReport(settings.load)
-    const times = new ServiceTime(settings.serviceTime, settings.coldStart, this.random)
-    this.calls = new StandinCalls(settings, this.behaviour, times, run => this.silent.has(run.request.socket))
-    this.server = createServer((request, response) => { this.accept(request, response) })
-    this.server.keepAliveTimeout = HTTP_KEEP_ALIVE_MS
-    this.server.maxConnections = settings.connections
-    this.server.on('connection', socket => { this.watch(socket) })
+    this._random = new SeededRandom(settings.seed)
+    this._pool = new SlotPool(settings.slots, settings.queue)
+    this._report = new LoadReport(settings.load)
+    const times = new ServiceTime(settings.serviceTime, settings.coldStart, this._random)
+    this._calls = new StandinCalls(settings, this.behaviour, times, run => this._silent.has(run.request.socket))
+    this._server = createServer((request, response) => { this._accept(request, response) })
+    this._server.keepAliveTimeout = HTTP_KEEP_ALIVE_MS
+    this._server.maxConnections = settings.connections
+    this._server.on('connection', socket => { this._watch(socket) })
   }
 
   /** What the service does now and has done. */
   public get counts (): StandinCounts {
-    return { inFlight: this.pool.inFlight, queued: this.pool.queued, runs: this.runs, sheds: this.sheds }
+    return { inFlight: this._pool.inFlight, queued: this._pool.queued, runs: this._runs, sheds: this._sheds }
   }
 
   /** Open connections of clients. */
   public get connections (): number {
-    return this.sockets.size
+    return this._sockets.size
   }
 
   /** Milliseconds since the last request was open; 0 while one is. */
   public get quietMs (): number {
-    return this.open > 0 ? 0 : performance.now() - this.lastBusyMs
+    return this._open > 0 ? 0 : performance.now() - this._lastBusyMs
   }
 
   /**
@@ -83,10 +83,10 @@
   public async listen (address: string): Promise<string> {
     const { host, port } = parseAddress(address)
     await new Promise<void>((resolve, reject) => {
-      this.server.once('error', reject)
-      this.server.listen(port, host, resolve)
+      this._server.once('error', reject)
+      this._server.listen(port, host, resolve)
     })
-    const bound = this.server.address()
+    const bound = this._server.address()
     return typeof bound === 'object' && bound !== null ? `${host}:${bound.port}` : address
   }
 
@@ -96,69 +96,69 @@
    * @returns How many went silent.
    */
   public silence (count: number): number {
-    const chosen = [...this.sockets].filter(socket => !this.silent.has(socket)).slice(0, count)
-    for (const socket of chosen) this.silent.add(socket)
+    const chosen = [...this._sockets].filter(socket => !this._silent.has(socket)).slice(0, count)
+    for (const socket of chosen) this._silent.add(socket)
     return chosen.length
   }
 
   /** Notes the start of a drain; requests that still come are run, and their connections close after them. */
   public startDrain (): void {
-    this.draining = true
-    this.journal.write({ event: 'drain', atMs: Date.now(), process: process.pid, inFlight: this.pool.inFlight })
+    this._draining = true
+    this._journal.write({ event: 'drain', atMs: Date.now(), process: process.pid, inFlight: this._pool.inFlight })
   }
 
   /** Ends the listener and all connections. */
   public dispose (): void {
-    this.server.close()
-    this.server.closeAllConnections()
-    this.calls.dispose()
+    this._server.close()
+    this._server.closeAllConnections()
+    this._calls.dispose()
   }
 
-  private watch (socket: Socket): void {
-    this.sockets.add(socket)
-    socket.once('close', () => { this.sockets.delete(socket) })
+  private _watch (socket: Socket): void {
+    this._sockets.add(socket)
+    socket.once('close', () => { this._sockets.delete(socket) })
   }
 
-  private accept (request: IncomingMessage, response: ServerResponse): void {
-    if (this.silent.has(request.socket)) return
-    this.open++
+  private _accept (request: IncomingMessage, response: ServerResponse): void {
+    if (this._silent.has(request.socket)) return
+    this._open++
     response.once('close', () => {
-      this.open--
-      this.lastBusyMs = performance.now()
+      this._open--
+      this._lastBusyMs = performance.now()
     })
     const run = new Run(request, response)
-    this.serve(run).catch(() => { response.destroy() })
+    this._serve(run).catch(() => { response.destroy() })
   }
 
-  private async serve (run: Run): Promise<void> {
-    if (this.draining) run.response.setHeader('connection', 'close')
+  private async _serve (run: Run): Promise<void> {
+    if (this._draining) run.response.setHeader('connection', 'close')
     if (run.url.pathname === '/load') {
-      run.answer(200, this.report.tell(this.load(), performance.now()) ?? {})
+      run.answer(200, this._report.tell(this._load(), performance.now()) ?? {})
       return
     }
-    const handler = this.calls.handlerOf(run)
+    const handler = this._calls.handlerOf(run)
     if (handler === undefined) {
       run.answer(404, { problem: `no such call: ${run.request.method} ${run.url.pathname}` })
       return
     }
-    if (this.random.next() < this.behaviour.shedShare || await this.pool.acquire(run.ended) !== undefined) {
-      this.shed(run)
+    if (this._random.next() < this.behaviour.shedShare || await this._pool.acquire(run.ended) !== undefined) {
+      this._shed(run)
       return
     }
     try {
-      await this.runHandler(handler, run)
+      await this._runHandler(handler, run)
     } finally {
-      this.pool.release()
-      this.noteLoad()
+      this._pool.release()
+      this._noteLoad()
     }
   }
 
-  private async runHandler (handler: CallHandler, run: Run): Promise<void> {
-    const number = ++this.runs
-    this.noteLoad()
-    this.writeStart(run, number)
+  private async _runHandler (handler: CallHandler, run: Run): Promise<void> {
+    const number = ++this._runs
+    this._noteLoad()
+    this._writeStart(run, number)
     if (run.header('x-crash') === '1') process.exit(CRASH_EXIT_CODE)
-    this.tellLoad(run)
+    this._tellLoad(run)
     let status = 0
     let broken = false
     try {
@@ -168,41 +168,41 @@
       run.response.destroy()
     }
     const outcome = broken ? 'undelivered' : outcomeOf(run, status)
-    this.journal.write({ event: 'end', atMs: Date.now(), run: number, process: process.pid, outcome, status })
+    this._journal.write({ event: 'end', atMs: Date.now(), run: number, process: process.pid, outcome, status })
   }
 
   /** Refuses a request that has not run; only this answer carries the header that proves it. */
-  private shed (run: Run): void {
-    this.sheds++
+  private _shed (run: Run): void {
+    this._sheds++
     if (run.cancelled.aborted) return
     run.response.setHeader('sassafras-shed', 'not-run')
     run.response.setHeader('retry-after', SHED_RETRY_AFTER_S)
-    this.tellLoad(run)
-    run.answer(503, { problem: 'shed, not run', service: this.settings.service })
+    this._tellLoad(run)
+    run.answer(503, { problem: 'shed, not run', service: this._settings.service })
   }
 
-  private load (): { inFlight: number, queued: number } {
-    return { inFlight: this.pool.inFlight, queued: this.pool.queued }
+  private _load (): { inFlight: number, queued: number } {
+    return { inFlight: this._pool.inFlight, queued: this._pool.queued }
   }
 
-  private noteLoad (): void {
-    this.report.record(this.load(), performance.now())
+  private _noteLoad (): void {
+    this._report.record(this._load(), performance.now())
   }
 
-  private tellLoad (run: Run): void {
-    const load = this.report.tell(this.load(), performance.now())
+  private _tellLoad (run: Run): void {
+    const load = this._report.tell(this._load(), performance.now())
     if (load === undefined) return
     run.response.setHeader('sassafras-load', `inFlight=${load.inFlight},queued=${load.queued}`)
   }
 
-  private writeStart (run: Run, number: number): void {
-    this.journal.write({
+  private _writeStart (run: Run, number: number): void {
+    this._journal.write({
       event: 'start',
       atMs: Date.now(),
       run: number,
       process: process.pid,
-      service: this.settings.service,
-      instance: this.settings.instance,
+      service: this._settings.service,
+      instance: this._settings.instance,
       method: run.request.method ?? '',
       target: run.request.url ?? '',
       requestId: run.header('x-request-id'),
--- a/test/NodeMesh.test.ts
+++ b/test/NodeMesh.test.ts
@@ -24,7 +24,7 @@
   public hold: Promise<void> | undefined
   public readonly closed: string[] = []
 
-  public constructor (private readonly name: string) {}
+  public constructor (private readonly _name: string) {}
 
   public readonly listener: RequestListener = (message, response) => {
     if (message.url === '/ready') {
@@ -38,18 +38,18 @@
       return
     }
     if (message.url?.startsWith('/downloads') === true) {
-      this.sendDownload(response).catch(() => {})
+      this._sendDownload(response).catch(() => {})
       return
     }
-    this.answer(message, response).catch(() => {})
+    this._answer(message, response).catch(() => {})
   }
 
-  private async answer (message: IncomingMessage, response: ServerResponse): Promise<void> {
+  private async _answer (message: IncomingMessage, response: ServerResponse): Promise<void> {
     if (message.url?.startsWith('/held') === true || message.method === 'POST') await this.hold
-    response.end(this.name)
+    response.end(this._name)
   }
 
-  private async sendDownload (response: ServerResponse): Promise<void> {
+  private async _sendDownload (response: ServerResponse): Promise<void> {
     response.writeHead(200, { 'content-length': DOWNLOAD_BYTES })
     for (let sent = 0; sent < DOWNLOAD_BYTES; sent += PIECE.length) {
       if (sent === DOWNLOAD_BYTES / 2) await this.hold
--- a/test/support/FakeControl.ts
+++ b/test/support/FakeControl.ts
@@ -34,64 +34,64 @@
   public version = 1
   /** Addresses to tell in place of those that nodes announce, by node. */
   public readonly addresses = new Map<string, string>()
-  private readonly server = new FrameServer<NodeToControl, ControlToNode>(new SystemClock())
-  private readonly channels = new Set<Channel>()
-  private readonly members = new Map<string, Member>()
+  private readonly _server = new FrameServer<NodeToControl, ControlToNode>(new SystemClock())
+  private readonly _channels = new Set<Channel>()
+  private readonly _members = new Map<string, Member>()
 
-  public constructor (private readonly services: readonly ServiceRule[]) {
-    this.server.onChannel(channel => this.accept(channel))
+  public constructor (private readonly _services: readonly ServiceRule[]) {
+    this._server.onChannel(channel => this._accept(channel))
   }
 
   public async listen (): Promise<string> {
-    return await this.server.listen('127.0.0.1:0')
+    return await this._server.listen('127.0.0.1:0')
   }
 
   public dispose (): void {
-    this.server.dispose()
+    this._server.dispose()
   }
 
-  private get configuration (): Configuration {
+  private get _configuration (): Configuration {
     return {
-      services: this.services,
+      services: this._services,
       zones: [{ region: 'r', zone: 'z' }],
       measuring: { bytesPerSecond: 12_000, messagesPerCall: 0.01 }
     }
   }
 
-  private accept (channel: Channel): void {
-    this.channels.add(channel)
-    channel.onClose(() => this.channels.delete(channel))
-    channel.onMessage(frame => this.handleFrame(channel, frame))
+  private _accept (channel: Channel): void {
+    this._channels.add(channel)
+    channel.onClose(() => this._channels.delete(channel))
+    channel.onMessage(frame => this._handleFrame(channel, frame))
   }
 
-  private handleFrame (channel: Channel, frame: NodeToControl): void {
-    if (frame.type === 'heartbeat') this.handleHeartbeat(channel, frame)
+  private _handleFrame (channel: Channel, frame: NodeToControl): void {
+    if (frame.type === 'heartbeat') this._handleHeartbeat(channel, frame)
     if (frame.type === 'record') {
       this.commands.push(frame.command)
-      channel.send({ type: 'recordReply', id: frame.id, reply: this.replyTo(frame.command) })
+      channel.send({ type: 'recordReply', id: frame.id, reply: this._replyTo(frame.command) })
     }
     if (frame.type === 'membership') {
-      for (const member of frame.members) this.tell(member)
+      for (const member of frame.members) this._tell(member)
     }
-    if (frame.type === 'interest') channel.send({ type: 'membership', members: [...this.members.values()] })
+    if (frame.type === 'interest') channel.send({ type: 'membership', members: [...this._members.values()] })
   }
 
-  private tell (member: Member): void {
+  private _tell (member: Member): void {
     const told = { ...member, address: this.addresses.get(member.node) ?? member.address }
-    this.members.set(member.node, told)
-    for (const channel of this.channels) channel.send({ type: 'membership', members: [told] })
+    this._members.set(member.node, told)
+    for (const channel of this._channels) channel.send({ type: 'membership', members: [told] })
   }
 
-  private handleHeartbeat (channel: Channel, frame: Extract<NodeToControl, { type: 'heartbeat' }>): void {
+  private _handleHeartbeat (channel: Channel, frame: Extract<NodeToControl, { type: 'heartbeat' }>): void {
     if (!this.confirming) return
-    const { version, configuration } = this
+    const { version, _configuration: configuration } = this
     const asked = frame.askedAtMs === undefined ? {} : { askedAtMs: frame.askedAtMs }
     const copy = { version, term: 1, operation: `op${version}`, configuration }
     if (frame.version < version) channel.send({ type: 'copy', confirmed: true, copy, ...asked })
     else channel.send({ type: 'confirm', version, term: 1, ...asked })
   }
 
-  private replyTo (command: RecordCommand): RecordReply {
+  private _replyTo (command: RecordCommand): RecordReply {
     if (command.type !== 'begin') return { type: 'recorded' }
     return this.replies.get(command.record.key) ?? { type: 'granted' }
   }
--- a/test/support/InProcessNode.ts
+++ b/test/support/InProcessNode.ts
@@ -22,16 +22,16 @@
 
 /** A node inside the test's process, with a small HTTP server as its upstream. */
 export class InProcessNode {
-  private readonly upstream: Server
+  private readonly _upstream: Server
 
   private constructor (
     public readonly id: string,
     public readonly callerPort: number,
-    private readonly adminUrl: string,
-    private readonly daemon: NodeDaemon,
+    private readonly _adminUrl: string,
+    private readonly _daemon: NodeDaemon,
     listener: RequestListener
   ) {
-    this.upstream = createServer(listener)
+    this._upstream = createServer(listener)
   }
 
   /** Starts a node and its upstream; resolves when calls to the service can be answered. */
@@ -57,16 +57,16 @@
     const daemon = await NodeDaemon.start(settings)
     const node = new InProcessNode(id, Number(caller.split(':')[1]), `http://${admin}`, daemon, listener)
     await node.announce(service, 'serving')
-    await node.waitUntilServing(service)
+    await node._waitUntilServing(service)
     return node
   }
 
   /** Announces the upstream to its node. */
   public async announce (service: string, state: 'starting' | 'serving' | 'draining', slots = 4): Promise<void> {
-    if (!this.upstream.listening) await new Promise<void>(resolve => this.upstream.listen(0, '127.0.0.1', resolve))
-    const { port } = this.upstream.address() as AddressInfo
+    if (!this._upstream.listening) await new Promise<void>(resolve => this._upstream.listen(0, '127.0.0.1', resolve))
+    const { port } = this._upstream.address() as AddressInfo
     const body = { service, address: `127.0.0.1:${port}`, slots, connections: 20, state }
-    const response = await fetch(`${this.adminUrl}/announce`, {
+    const response = await fetch(`${this._adminUrl}/announce`, {
       method: 'POST', headers: { 'content-type': 'application/json' }, body: JSON.stringify(body)
     })
     if (!response.ok) throw new Error(await response.text())
@@ -74,29 +74,29 @@
 
   /** State dump of the node. */
   public async state (): Promise<NodeState> {
-    return await (await fetch(`${this.adminUrl}/state`)).json() as NodeState
+    return await (await fetch(`${this._adminUrl}/state`)).json() as NodeState
   }
 
   /** Planned stop of the node. */
   public async stop (): Promise<void> {
-    await this.daemon.stop()
+    await this._daemon.stop()
   }
 
   /** Ends the upstream too. */
   public async dispose (): Promise<void> {
-    this.upstream.closeAllConnections()
-    await new Promise(resolve => this.upstream.close(resolve))
+    this._upstream.closeAllConnections()
+    await new Promise(resolve => this._upstream.close(resolve))
     await this.stop()
   }
 
   /** Ends the upstream's process as a crash would: its listener and all connections at once. */
   public async crashUpstream (): Promise<void> {
-    const closed = new Promise(resolve => this.upstream.close(resolve))
-    this.upstream.closeAllConnections()
+    const closed = new Promise(resolve => this._upstream.close(resolve))
+    this._upstream.closeAllConnections()
     await closed
   }
 
-  private async waitUntilServing (service: string): Promise<void> {
+  private async _waitUntilServing (service: string): Promise<void> {
     for (;;) {
       const answer = await call('/ready', { service, port: this.callerPort })
       if (answer.headers['sassafras-disposition'] === undefined) return
--- a/test/support/NodeProbe.ts
+++ b/test/support/NodeProbe.ts
@@ -7,37 +7,37 @@
 
 /** A node's connection to one control replica, with which a test awaits frames. */
 export class NodeProbe {
-  private readonly client: FrameClient<ControlToNode, NodeToControl>
-  private waiting: Array<(frame: ControlToNode) => boolean> = []
+  private readonly _client: FrameClient<ControlToNode, NodeToControl>
+  private _waiting: Array<(frame: ControlToNode) => boolean> = []
 
   /**
    * @param address Peer listener of the replica.
    * @param node Name to say hello with.
    */
   public constructor (address: string, node: string) {
-    this.client = new FrameClient(address, new SystemClock(), new SeededRandom(1))
-    this.client.onChannel(channel => {
-      channel.onMessage(frame => { this.waiting = this.waiting.filter(take => !take(frame)) })
+    this._client = new FrameClient(address, new SystemClock(), new SeededRandom(1))
+    this._client.onChannel(channel => {
+      channel.onMessage(frame => { this._waiting = this._waiting.filter(take => !take(frame)) })
       channel.send({ type: 'nodeHello', node, incarnation: 1, place: { region: 'kyushu', zone: 'fukuoka' }, version: 0 })
     })
   }
 
   /** Connects and says hello. */
   public async connect (): Promise<void> {
-    const connected = new Promise<void>(resolve => this.client.onChannel(() => resolve()))
-    this.client.start()
+    const connected = new Promise<void>(resolve => this._client.onChannel(() => resolve()))
+    this._client.start()
     await connected
   }
 
   /** Sends a frame. */
   public send (frame: NodeToControl): void {
-    this.client.channel?.send(frame)
+    this._client.channel?.send(frame)
   }
 
   /** Resolves with the next frame that matches. */
   public async await (matches: (frame: ControlToNode) => boolean): Promise<ControlToNode> {
     return await new Promise(resolve => {
-      this.waiting.push(frame => {
+      this._waiting.push(frame => {
         if (!matches(frame)) return false
         resolve(frame)
         return true
@@ -57,7 +57,7 @@
 
   /** Disconnects. */
   public dispose (): void {
-    this.client.dispose()
+    this._client.dispose()
   }
 }
 
