--- a/src/bin/sassafras-control.ts
+++ b/src/bin/sassafras-control.ts
@@ -1,4 +1,5 @@
 #!/usr/bin/env node
-import { runControlCommand } from '../control/ControlCommand.js'
+/** A control replica. */
+import { CONTROL_PROGRAM } from '../control/ControlProgram.js'
 
-await runControlCommand(process.argv.slice(2))
+await CONTROL_PROGRAM.run(process.argv.slice(2))
--- a/src/control/ControlDaemon.ts
+++ b/src/control/ControlDaemon.ts
@@ -20,9 +20,6 @@
 const RESTART_WINDOW_MS = 10_000
 const LEVEL_INTERVAL_MS = 1000
 
-/** Writes the state dump to the log. */
-const DUMP_SIGNAL = 'SIGUSR2'
-
 /**
  * A control replica as a process: the replica takes the process down when it fails, the listeners are
  * started again within limits.
@@ -113,14 +110,7 @@
     const admin = new AdminServer(this)
     this._container.get(ControlApi).install(admin.app)
     await admin.listen(this._settings.listen.admin)
-    const dump = (): void => this._log.info({ state: JSON.stringify(this.state()) }, 'state')
-    process.on(DUMP_SIGNAL, dump)
-    return {
-      stop: () => {
-        process.off(DUMP_SIGNAL, dump)
-        admin.dispose()
-      }
-    }
+    return { stop: () => admin.dispose() }
   }
 
   private _startLevels (): Child {
--- a/src/ctl/CtlProgram.test.ts
+++ b/src/ctl/CtlProgram.test.ts
@@ -1,4 +1,3 @@
-import { createRequire } from 'node:module'
 import { mkdtempSync, writeFileSync } from 'node:fs'
 import { createServer } from 'node:http'
 import type { AddressInfo } from 'node:net'
@@ -7,15 +6,12 @@
 import { PassThrough } from 'node:stream'
 import express from 'express'
 import type { Express, Request, Response } from 'express'
-import { expect, onTestFinished, test, vi } from 'vitest'
+import { expect, onTestFinished, test } from 'vitest'
 import type { ChangeReply, ChangeRequest } from '../parts/configuration/Types.js'
 import { ConfigurationFile } from './ConfigurationFile.js'
 import { CtlProgram } from './CtlProgram.js'
 import { CTL_EXIT } from './ExitCodes.js'
 
-// The test runner resolves the package's ES modules, which Node.js can't load; programs get the CommonJS ones.
-vi.mock('clipanion', () => createRequire(import.meta.url)('clipanion'))
-
 const CONFIGURATION = `
 zones = [{ region = "kyushu", zone = "fukuoka" }]
 measuring = { bytesPerSecond = 12000, messagesPerCall = 0.1 }
--- a/src/ctl/Examples.test.ts
+++ b/src/ctl/Examples.test.ts
@@ -1,13 +1,9 @@
 import { readdirSync } from 'node:fs'
 import { PassThrough } from 'node:stream'
-import { expect, test, vi } from 'vitest'
-import { createRequire } from 'node:module'
+import { expect, test } from 'vitest'
 import { CtlProgram } from './CtlProgram.js'
 import { CTL_EXIT } from './ExitCodes.js'
 
-// The test runner resolves the package's ES modules, which Node.js can't load; programs get the CommonJS ones.
-vi.mock('clipanion', () => createRequire(import.meta.url)('clipanion'))
-
 const KINDS: ReadonlyArray<readonly [start: string, kind: string]> = [
   ['mesh', 'configuration'], ['control', 'control'], ['node', 'node'], ['load', 'load'], ['sassafrasctl', 'ctl']
 ]
--- a/src/demo/LocalMesh.ts
+++ b/src/demo/LocalMesh.ts
@@ -181,10 +181,15 @@
   return membership.members.some(({ node, state, silent }) => node === id && state === 'serving' && !silent)
 }
 
-async function roleOf (admin: string): Promise<string> {
-  const answer = await request(`http://${admin}/state`)
-  const { replica } = await answer.body.json() as ReplicaState
-  return replica.role
+/** Undefined while the replica can't be reached. */
+async function roleOf (admin: string): Promise<string | undefined> {
+  try {
+    const answer = await request(`http://${admin}/state`)
+    const { replica } = await answer.body.json() as ReplicaState
+    return replica.role
+  } catch {
+    return undefined
+  }
 }
 
 async function statusOf (url: string, headers: Record<string, string>): Promise<number> {
--- a/src/node/NodeDaemon.ts
+++ b/src/node/NodeDaemon.ts
@@ -27,9 +27,6 @@
 /** Longest time that a planned stop waits for calls when no rule says otherwise. */
 const DEFAULT_DRAIN_MS = 30_000
 
-/** Writes the state dump to the log. */
-const DUMP_SIGNAL = 'SIGUSR2'
-
 const LEVEL_INTERVAL_MS = 1000
 
 const MAX_RESTARTS = 5
@@ -100,7 +97,6 @@
     await this._waitUntilEmpty(ingress, side)
     container.get(MembershipHost).leave()
     await new Promise(resolve => setTimeout(resolve, FLUSH_MS))
-    process.off(DUMP_SIGNAL, this._dumpState)
     await this._supervisor.stop()
     this._log.info({}, 'stopped')
   }
@@ -112,11 +108,6 @@
     await this._supervisor.add({ name: 'ingress', rule: 'stop-process', start: () => this._startIngress() })
     await this._supervisor.add({ name: 'admin', rule: 'restart', start: () => this._startAdmin() })
     await this._supervisor.add({ name: 'metrics', rule: 'restart', start: () => this._startMetrics() })
-    process.on(DUMP_SIGNAL, this._dumpState)
-  }
-
-  private readonly _dumpState = (): void => {
-    this._log.info({ state: JSON.stringify(this.state()) }, 'state')
   }
 
   private _startControl (): Child {
--- a/src/node/ingress/IngressServer.ts
+++ b/src/node/ingress/IngressServer.ts
@@ -5,7 +5,7 @@
 import type { RequestFingerprint } from '../../parts/quarantine/RequestFingerprint.js'
 import { Deadline } from '../../parts/retry/Deadline.js'
 import type { Reason, ServiceName } from '../../parts/Types.js'
-import { parseAddress } from '../../platform/Address.js'
+import { listenOn } from '../../platform/Listen.js'
 import { Emitter } from '../../platform/Emitter.js'
 import type { Disposable } from '../../platform/Types.js'
 import { DEFAULT_RETRY_AFTER_MS } from '../Constants.js'
@@ -91,13 +91,7 @@
    * @returns The address in use.
    */
   public async listen (address: string): Promise<string> {
-    const { host, port } = parseAddress(address)
-    await new Promise<void>((resolve, reject) => {
-      this._server.once('error', reject)
-      this._server.listen(port, host, resolve)
-    })
-    const bound = this._server.address()
-    return typeof bound === 'object' && bound !== null ? `${host}:${bound.port}` : address
+    return await listenOn(this._server, address)
   }
 
   /** Takes no new connections, closes idle ones, and lets calls in flight end. */
--- a/src/node/upstreamside/UpstreamRun.ts
+++ b/src/node/upstreamside/UpstreamRun.ts
@@ -40,6 +40,10 @@
   handleDone (run: UpstreamRun): void
 }
 
+/** Wait that a repeat is told while the first run goes on: this many service times, and at least this long. */
+const IN_PROGRESS_SERVICE_TIMES = 4
+const MIN_IN_PROGRESS_WAIT_MS = 20
+
 type RunState = 'queued' | 'permitting' | 'running' | 'finished'
 type PermitHandlers = { [Type in PermitAction['type']]: (action: Extract<PermitAction, { type: Type }>) => void }
 
@@ -251,7 +255,7 @@
       },
       refuse: action => {
         if (!this.isRunning) this._finish('cancelled')
-        this._tellRefusal(action)
+        this._tellRefusal(action.reason === 'in-progress' ? this._withShortWait(action) : action)
       },
       wake: action => this._timer?.wakeAt(action.atMs),
       done: () => {
@@ -261,6 +265,12 @@
     }
   }
 
+  // The first run is likely to be over after a few service times, long before its run time has passed.
+  private _withShortWait (refusal: Refusal): Refusal {
+    const likelyMs = Math.max(MIN_IN_PROGRESS_WAIT_MS, IN_PROGRESS_SERVICE_TIMES * this._host.evidence().serviceMs)
+    return { ...refusal, retryAfterMs: Math.min(refusal.retryAfterMs, likelyMs) }
+  }
+
   private _tellAnswer (answer: StoredAnswer): void {
     if (!this._open) return
     this._open = false
--- a/src/platform/AdminServer.ts
+++ b/src/platform/AdminServer.ts
@@ -2,7 +2,7 @@
 import type { Server } from 'node:http'
 import express from 'express'
 import type { Express, Request, Response } from 'express'
-import { parseAddress } from './Address.js'
+import { listenOn } from './Listen.js'
 import type { Disposable } from './Types.js'
 
 /** Health of a process as its admin surface tells it. */
@@ -53,13 +53,7 @@
    * @returns The address in use.
    */
   public async listen (address: string): Promise<string> {
-    const { host, port } = parseAddress(address)
-    await new Promise<void>((resolve, reject) => {
-      this._server.once('error', reject)
-      this._server.listen(port, host, resolve)
-    })
-    const bound = this._server.address()
-    return typeof bound === 'object' && bound !== null ? `${host}:${bound.port}` : address
+    return await listenOn(this._server, address)
   }
 
   /** Ends the listener and its connections. */
--- a/src/platform/FrameServer.ts
+++ b/src/platform/FrameServer.ts
@@ -2,7 +2,7 @@
 import type { Server } from 'node:net'
 import { FrameChannel } from './FrameChannel.js'
 import { Emitter } from './Emitter.js'
-import { parseAddress } from './Address.js'
+import { listenOn } from './Listen.js'
 import type { Clock, Disposable } from './Types.js'
 
 /** Accepts frame channels on one address. */
@@ -24,13 +24,7 @@
    * @returns The address in use.
    */
   public async listen (address: string): Promise<string> {
-    const { host, port } = parseAddress(address)
-    await new Promise<void>((resolve, reject) => {
-      this._server.once('error', reject)
-      this._server.listen(port, host, resolve)
-    })
-    const bound = this._server.address()
-    return typeof bound === 'object' && bound !== null ? `${host}:${bound.port}` : address
+    return await listenOn(this._server, address)
   }
 
   /** Takes no new connections; the open ones live on. */
--- a/test/PlannedStop.test.ts
+++ b/test/PlannedStop.test.ts
@@ -1,10 +1,9 @@
 import { mkdtempSync } from 'node:fs'
-import { createRequire } from 'node:module'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { request } from 'undici'
 import type { Dispatcher } from 'undici'
-import { afterAll, beforeAll, expect, test, vi } from 'vitest'
+import { afterAll, beforeAll, expect, test } from 'vitest'
 import { LocalMesh } from '../src/demo/LocalMesh.js'
 import type { DemoLayout, PairLayout } from '../src/demo/Types.js'
 import { DownloadCheck } from '../src/load/DownloadCheck.js'
@@ -14,9 +13,6 @@
 import { DownloadBody } from '../src/platform/DownloadBody.js'
 import { readJournal } from '../src/standin/Journal.js'
 
-// The test runner resolves the package's ES modules, which Node.js can't load; programs get the CommonJS ones.
-vi.mock('clipanion', () => createRequire(import.meta.url)('clipanion'))
-
 const DOWNLOAD_BYTES = 64 * 1024 * 1024
 const DOWNLOAD_BYTES_PER_S = 16 * 1024 * 1024
 const BACKGROUND_MS = 3000
