--- a/src/node/UpstreamWatch.ts
+++ b/src/node/UpstreamWatch.ts
@@ -3,7 +3,7 @@
 import type { Announcement } from './upstreamside/Types.js'
 import type { UpstreamSide } from './upstreamside/UpstreamSide.js'
 
-const CHECK_INTERVAL_MS = 250
+const CHECK_INTERVAL_MS = 100
 
 /** Follows the local upstream by its announcements: tells members of it, drains it, and notices its silence. */
 export class UpstreamWatch implements Disposable {
--- a/src/node/control/ConfigurationHost.ts
+++ b/src/node/control/ConfigurationHost.ts
@@ -17,13 +17,11 @@
 
 type ActionHandlers = { [Type in FollowerAction['type']]: (action: Extract<FollowerAction, { type: Type }>) => void }
 
-/** Nodes that hear which version this node has, and heartbeats between two such rounds. */
+/** Nodes that hear at each heartbeat which version this node has. */
 const VERSION_FANOUT = 2
-const BEATS_PER_GOSSIP = 2
 
 /** Hosts the configuration follower: hears control and peers, and tells when a version comes into force. */
 export class ConfigurationHost implements Disposable {
-  private _beats = 0
   private readonly _follower: ConfigurationFollower
   private readonly _applied = new Emitter<VersionedConfiguration>()
   private readonly _handlers: ActionHandlers
@@ -96,7 +94,7 @@
     if (!this._mayBeat()) return
     const copy = this.inForce
     this._links.beat(copy?.version ?? 0, copy?.term ?? 0)
-    if (copy === undefined || ++this._beats % BEATS_PER_GOSSIP !== 0) return
+    if (copy === undefined) return
     for (const node of this._peers.samplePeers(VERSION_FANOUT)) {
       this._peers.sendToPeer(node, { type: 'peerVersion', version: copy.version })
     }
--- a/src/node/control/MembershipHost.ts
+++ b/src/node/control/MembershipHost.ts
@@ -20,8 +20,10 @@
 /** Name under which the table knows the control replica that is the home. */
 const HOME = 'home'
 
-/** Between ticks of the table; each also sends a sign of life to the home. */
-const TICK_MS = 500
+const TICK_MS = 250
+
+/** Ticks between two signs of life to the home. */
+const TICKS_PER_SIGN = 2
 
 /** Hosts the membership table: announces the local upstream and keeps the members of the services of interest. */
 export class MembershipHost implements Disposable {
@@ -30,6 +32,7 @@
   private readonly _timer: NodeJS.Timeout
   private _interest: readonly ServiceName[] = []
   private _sequence = 0
+  private _ticks = 0
   private _announced: Member | undefined
 
   public constructor (
@@ -86,7 +89,7 @@
 
   private _tick (): void {
     this._step({ type: 'tick' })
-    if (this._announced === undefined || !this._mayBeat()) return
+    if (++this._ticks % TICKS_PER_SIGN !== 0 || this._announced === undefined || !this._mayBeat()) return
     const { incarnation, sequence } = this._announced
     this._links.sendHome({ type: 'alive', incarnation, sequence })
   }
