--- a/src/node/mesh/PeerMesh.ts
+++ b/src/node/mesh/PeerMesh.ts
@@ -160,7 +160,8 @@
   /** Bounded description for the state dump. */
   public describe (): object {
     const links = [...this._links].slice(0, 100).map(([node, link]) => ({ node, open: link.isOpen, ...link.counters }))
-    return { links, sessions: this._sessions.size }
+    const sessionCalls = [...this._sessions].reduce((sum, session) => sum + session.inFlight, 0)
+    return { links, sessions: this._sessions.size, sessionCalls }
   }
 
   /** Sends what is waiting and closes all sessions. */
--- a/test/NodeMesh.test.ts
+++ b/test/NodeMesh.test.ts
@@ -69,7 +69,7 @@
 
 async function startMesh (services: readonly [string, string], announceTimeoutMs = 60_000): Promise<Mesh> {
   const names = [...new Set(services)]
-  const control = new FakeControl(names.map(name => buildRule(name, { retryShare: 1 })))
+  const control = new FakeControl(names.map(name => buildRule(name, { retryShare: 1, deadlineMs: 600_000 })))
   const address = await control.listen()
   disposals.push(() => control.dispose())
   const upstreams = [new NamedUpstream('u0'), new NamedUpstream('u1')] as const
@@ -230,6 +230,7 @@
   request.end()
   await until(() => upstreams[1].seen.includes('POST /checkouts/2'))
   request.destroy()
+  while ((await nodes[1].state()).mesh.sessionCalls > 0);
   release()
   await until(() => control.commands.some(command => command.type === 'finish' && command.record.key === 'gone'))
   expect(upstreams[1].closed).toEqual([])
--- a/test/support/InProcessNode.ts
+++ b/test/support/InProcessNode.ts
@@ -10,6 +10,7 @@
 export interface NodeState {
   readonly configuration: { readonly state: string }
   readonly upstreamSide: { readonly upstream: object | null }
+  readonly mesh: { readonly sessionCalls: number }
 }
 
 /** What may differ between nodes of tests. */
