--- a/bench/capacity/Figures.ts
+++ b/bench/capacity/Figures.ts
@@ -56,12 +56,24 @@
   /** Load of one control replica of the configuration group. */
   public replica (): Figure[] {
     const bytes = this._spreadLine(CHANGES, point => point.replica.bytesPerSecond)
+    const messages = this._spreadLine(CHANGES, point => point.replica.messagesPerSecond)
+    const nodeMessages = this._spreadLine(CHANGES, point => point.node.messagesPerSecond)
     const { inForce } = this._results.state
     const cpu = new Line(inForce.map(point => ({ x: point.nodes, y: point.controlCorePercent / 3 })))
     const rejoin = this._spreadLine(REJOIN, point => point.replica.peakBytesInOneSecond)
     const memory = Math.max(...this._results.footprint.points.map(point => point.replicaAtRest.memoryMegabytes))
     const { nodes } = DESIGN
     return [
+      {
+        what: 'messages a second of a node',
+        value: format(nodeMessages.at(nodes)),
+        from: `${nodeMessages.explain(nodes, 'a second')} (spread.json)`
+      },
+      {
+        what: `messages a second, one of ${CONFIGURATION_REPLICAS}`,
+        value: format(messages.at(nodes)),
+        from: `${messages.explain(nodes, 'a second')} (spread.json)`
+      },
       {
         what: `bytes a second, one of ${CONFIGURATION_REPLICAS}`,
         value: format(bytes.at(nodes)),
--- a/bench/capacity/ResultReader.ts
+++ b/bench/capacity/ResultReader.ts
@@ -33,6 +33,7 @@
 
 /** Cost of one process in a virtual mesh. */
 export interface SpreadCost {
+  readonly messagesPerSecond: number
   readonly bytesPerSecond: number
   readonly peakBytesInOneSecond: number
   readonly cpuPercentOfCore: number
