Take the control tests' ports outside the ephemeral range too

Its group took ports from the range of outgoing connections, as test/PlannedStop once did, so a replica could fail to bind and its group never form. The duplicate port finder is gone.

Seen: test/Control and test/ControlDisk, 11 passed.

--- a/bench/state/ControlGroup.ts
+++ b/bench/state/ControlGroup.ts
@@ -1,9 +1,9 @@
 import { type ChildProcess, spawn } from 'node:child_process'
 import { once } from 'node:events'
 import { mkdirSync, openSync, rmSync, writeFileSync } from 'node:fs'
-import { createServer } from 'node:net'
 import { join } from 'node:path'
 import { fileURLToPath } from 'node:url'
+import { findFreeAddresses } from '../../src/demo/FreePorts.js'
 import type { ReplicaView } from '../../src/parts/agreement/Replica.js'
 import type { ChangeReply, ChangeRequest, VersionedConfiguration } from '../../src/parts/configuration/Types.js'
 
@@ -56,13 +56,13 @@
   ): Promise<ControlGroup> {
     rmSync(folder, { recursive: true, force: true })
     mkdirSync(folder, { recursive: true })
-    const ports = await freePorts(2 * size)
+    const addresses = await findFreeAddresses(2 * size)
     const members = Array.from({ length: size }, (_, index): Member => {
       const id = `c${index + 1}`
       return {
         id,
-        peer: `127.0.0.1:${ports[2 * index]}`,
-        admin: `127.0.0.1:${ports[2 * index + 1]}`,
+        peer: addresses[2 * index] as string,
+        admin: addresses[2 * index + 1] as string,
         settings: join(folder, `${id}.toml`),
         data: join(folder, id),
         process: undefined
@@ -223,15 +223,3 @@
 ${extra}
 `
 }
-
-async function freePorts (count: number): Promise<number[]> {
-  const servers = await Promise.all(Array.from({ length: count }, async () => {
-    const server = createServer()
-    server.listen(0, '127.0.0.1')
-    await once(server, 'listening')
-    return server
-  }))
-  const ports = servers.map(server => (server.address() as { readonly port: number }).port)
-  servers.forEach(server => server.close())
-  return ports
-}
