--- a/bench/footprint.ts
+++ b/bench/footprint.ts
@@ -8,7 +8,7 @@
 import { setTimeout as delay } from 'node:timers/promises'
 import { request } from 'undici'
 import { LocalMesh } from '../src/demo/LocalMesh.js'
-import type { ProcessUsage } from '../src/platform/AdminServer.js'
+import type { ProcessUsage } from '../src/runtime/AdminServer.js'
 import { writeReport } from './BenchReport.js'
 import { PairedLoad } from './support/PairedLoad.js'
 
--- a/bench/path.ts
+++ b/bench/path.ts
@@ -17,7 +17,7 @@
 import { PairedLoad } from './support/PairedLoad.js'
 import type { Route, RouteResult } from './support/PairedLoad.js'
 import type { ProxyKind } from './support/BaselineProxy.js'
-import type { ProcessUsage } from '../src/platform/AdminServer.js'
+import type { ProcessUsage } from '../src/runtime/AdminServer.js'
 import { writeReport } from './BenchReport.js'
 
 const RATES = [50, 100, 200, 400]
--- a/bench/state/LogWrites.ts
+++ b/bench/state/LogWrites.ts
@@ -1,5 +1,5 @@
 import { DurableLog } from '../../src/parts/storage/DurableLog.js'
-import { FileDisk } from '../../src/platform/FileDisk.js'
+import { FileDisk } from '../../src/runtime/FileDisk.js'
 import { round, type Spread, spreadOf } from './Quantiles.js'
 
 const BATCHES = [1, 4, 16, 64, 256]
--- a/bench/state/RecordClient.ts
+++ b/bench/state/RecordClient.ts
@@ -1,8 +1,8 @@
 import type { ControlToNode, NodeToControl } from '../../src/control/Types.js'
 import type { RecordCommand, RecordReply } from '../../src/parts/records/Types.js'
 import { SeededRandom } from '../../src/parts/SeededRandom.js'
-import { FrameClient } from '../../src/platform/FrameClient.js'
-import { SystemClock } from '../../src/platform/SystemClock.js'
+import { FrameClient } from '../../src/runtime/FrameClient.js'
+import { SystemClock } from '../../src/runtime/SystemClock.js'
 
 /** Sends record commands to one control replica as a node would. */
 export class RecordClient {
--- a/bench/state/Snapshots.ts
+++ b/bench/state/Snapshots.ts
@@ -1,7 +1,7 @@
 import { ControlMachine } from '../../src/control/ControlMachine.js'
 import { DurableLog } from '../../src/parts/storage/DurableLog.js'
-import { FileDisk } from '../../src/platform/FileDisk.js'
-import { SystemClock } from '../../src/platform/SystemClock.js'
+import { FileDisk } from '../../src/runtime/FileDisk.js'
+import { SystemClock } from '../../src/runtime/SystemClock.js'
 import { round, type Spread, spreadOf } from './Quantiles.js'
 
 const RECORD_COUNTS = [1000, 10_000, 50_000, 100_000]
--- a/src/bin/sassafras-demo.ts
+++ b/src/bin/sassafras-demo.ts
@@ -8,8 +8,8 @@
 import { Builtins, Cli, Command, Option } from 'clipanion'
 import { Demo } from '../demo/Demo.js'
 import { DEMO_PLANS } from '../demo/DemoPlans.js'
-import { EXIT_CODES } from '../platform/DaemonProgram.js'
-import { packageVersion } from '../platform/PackageVersion.js'
+import { EXIT_CODES } from '../runtime/DaemonProgram.js'
+import { packageVersion } from '../runtime/PackageVersion.js'
 
 const RUN_FOLDER = 'run'
 
--- a/src/bin/sassafras-load.ts
+++ b/src/bin/sassafras-load.ts
@@ -6,9 +6,9 @@
 import { loadPlan } from '../load/LoadPlan.js'
 import type { LoadPlan } from '../load/LoadPlan.js'
 import { LoadRun } from '../load/LoadRun.js'
-import { EXIT_CODES } from '../platform/DaemonProgram.js'
-import { packageVersion } from '../platform/PackageVersion.js'
-import { renderFindings, SettingsFile } from '../platform/SettingsFile.js'
+import { EXIT_CODES } from '../runtime/DaemonProgram.js'
+import { packageVersion } from '../runtime/PackageVersion.js'
+import { renderFindings, SettingsFile } from '../runtime/SettingsFile.js'
 
 class LoadCommand extends Command {
   public static override paths = [Command.Default]
--- a/src/bin/sassafras-node.ts
+++ b/src/bin/sassafras-node.ts
@@ -2,7 +2,7 @@
 /** The node: the process beside each upstream. */
 import { NodeDaemon } from '../node/NodeDaemon.js'
 import { nodeSettings } from '../node/NodeSettings.js'
-import { DaemonProgram } from '../platform/DaemonProgram.js'
+import { DaemonProgram } from '../runtime/DaemonProgram.js'
 
 const program = new DaemonProgram({
   name: 'sassafras-node',
--- a/src/bin/sassafras-upstream.ts
+++ b/src/bin/sassafras-upstream.ts
@@ -1,6 +1,6 @@
 #!/usr/bin/env node
 /** The stand-in service. */
-import { DaemonProgram } from '../platform/DaemonProgram.js'
+import { DaemonProgram } from '../runtime/DaemonProgram.js'
 import { Standin } from '../standin/Standin.js'
 import { standinSettings } from '../standin/StandinSettings.js'
 
--- a/src/control/ControlMachine.test.ts
+++ b/src/control/ControlMachine.test.ts
@@ -1,7 +1,7 @@
 import fc from 'fast-check'
 import { expect, test } from 'vitest'
 import type { RecordCommand } from '../parts/records/Types.js'
-import type { Clock } from '../platform/Types.js'
+import type { Clock } from '../runtime/Types.js'
 import { ControlMachine } from './ControlMachine.js'
 
 const SEED = 3
--- a/src/control/ControlMachine.ts
+++ b/src/control/ControlMachine.ts
@@ -5,8 +5,8 @@
 import { GroupClock } from '../parts/records/GroupClock.js'
 import { IdempotencyLedger } from '../parts/records/IdempotencyLedger.js'
 import type { LedgerLimits, LedgerSnapshot, RecordCommand, RecordReply } from '../parts/records/Types.js'
-import { Emitter } from '../platform/Emitter.js'
-import type { Clock } from '../platform/Types.js'
+import { Emitter } from '../runtime/Emitter.js'
+import type { Clock } from '../runtime/Types.js'
 import type { StateMachine } from './StateMachine.js'
 
 /** What a log entry holds. `atMs` is the leader's group time. */
--- a/src/control/ControlProgram.ts
+++ b/src/control/ControlProgram.ts
@@ -1,5 +1,5 @@
-import { DaemonProgram, EXIT_CODES } from '../platform/DaemonProgram.js'
-import type { RunningDaemon } from '../platform/DaemonProgram.js'
+import { DaemonProgram, EXIT_CODES } from '../runtime/DaemonProgram.js'
+import type { RunningDaemon } from '../runtime/DaemonProgram.js'
 import { ControlDaemon } from './ControlDaemon.js'
 import { controlSettings } from './ControlSettings.js'
 import type { ControlSettings } from './ControlSettings.js'
--- a/src/control/ControlSettings.ts
+++ b/src/control/ControlSettings.ts
@@ -1,7 +1,7 @@
 /** Settings of `sassafras-control`, read from one TOML file. */
 import { z } from 'zod'
 import { HORIZON_MS, MAX_RECORDS } from '../parts/records/Constants.js'
-import { address, byteCount, durationMs, log, metrics, name, place } from '../platform/SettingsSchemas.js'
+import { address, byteCount, durationMs, log, metrics, name, place } from '../runtime/SettingsSchemas.js'
 
 /** Values for what the file leaves out. */
 export const CONTROL_DEFAULTS = {
--- a/src/control/FellowReplicas.ts
+++ b/src/control/FellowReplicas.ts
@@ -1,6 +1,6 @@
 import { nameOf } from '../parts/agreement/GroupFormation.js'
 import type { ReplicaId } from '../parts/Types.js'
-import type { Disposable } from '../platform/Types.js'
+import type { Disposable } from '../runtime/Types.js'
 import { IN_FORCE_INTERVAL_MS } from './Constants.js'
 import type { ControlReplica } from './ControlReplica.js'
 import type { MembershipHost, MembershipPeer } from './MembershipHost.js'
--- a/src/control/GroupHost.test.ts
+++ b/src/control/GroupHost.test.ts
@@ -2,7 +2,7 @@
 import { SeededRandom } from '../parts/SeededRandom.js'
 import { DurableLog } from '../parts/storage/DurableLog.js'
 import { MemoryDisk } from '../parts/storage/MemoryDisk.js'
-import type { Clock } from '../platform/Types.js'
+import type { Clock } from '../runtime/Types.js'
 import { GroupHost } from './GroupHost.js'
 import type { StateMachine } from './StateMachine.js'
 
--- a/src/control/GroupHost.ts
+++ b/src/control/GroupHost.ts
@@ -7,8 +7,8 @@
 import { StorageFault } from '../parts/storage/StorageFault.js'
 import type { Persistence } from '../parts/storage/Types.js'
 import type { Random, ReplicaId } from '../parts/Types.js'
-import { Emitter } from '../platform/Emitter.js'
-import type { Clock, Disposable } from '../platform/Types.js'
+import { Emitter } from '../runtime/Emitter.js'
+import type { Clock, Disposable } from '../runtime/Types.js'
 import type { StateMachine } from './StateMachine.js'
 
 /** How a proposal ended. */
--- a/src/control/MembershipHost.ts
+++ b/src/control/MembershipHost.ts
@@ -2,7 +2,7 @@
 import { MembershipTable } from '../parts/membership/MembershipTable.js'
 import type { MembershipAction, MembershipEvent } from '../parts/membership/Types.js'
 import type { Incarnation, NodeId } from '../parts/Types.js'
-import type { Clock, Disposable } from '../platform/Types.js'
+import type { Clock, Disposable } from '../runtime/Types.js'
 import { MEMBERSHIP_TICK_MS } from './Constants.js'
 import type { MembershipFrame } from './Types.js'
 
--- a/src/control/NodeSessions.ts
+++ b/src/control/NodeSessions.ts
@@ -1,6 +1,6 @@
 import type { InForce, Version } from '../parts/configuration/Types.js'
 import type { NodeId } from '../parts/Types.js'
-import type { Clock, Disposable } from '../platform/Types.js'
+import type { Clock, Disposable } from '../runtime/Types.js'
 import {
   IN_FORCE_KEPT_MS, MAX_IN_FORCE, MAX_OPEN_RECORDS, MAX_SESSIONS, NODE_SILENCE_MS
 } from './Constants.js'
--- a/src/control/ReadBarrier.ts
+++ b/src/control/ReadBarrier.ts
@@ -1,5 +1,5 @@
 import type { ReplicaId } from '../parts/Types.js'
-import type { Disposable } from '../platform/Types.js'
+import type { Disposable } from '../runtime/Types.js'
 import { READ_TIMEOUT_MS } from './Constants.js'
 import type { ReplicaToReplica } from './Types.js'
 
--- a/src/control/Replacement.ts
+++ b/src/control/Replacement.ts
@@ -1,7 +1,7 @@
 import { nameOf } from '../parts/agreement/GroupFormation.js'
 import type { ReplicaView } from '../parts/agreement/Replica.js'
 import type { ReplicaId } from '../parts/Types.js'
-import type { Log } from '../platform/Types.js'
+import type { Log } from '../runtime/Types.js'
 import type { ProposalOutcome } from './GroupHost.js'
 
 /** What a replacement needs of the group. */
--- a/src/control/ReplicaLinks.ts
+++ b/src/control/ReplicaLinks.ts
@@ -1,9 +1,9 @@
 import { nameOf } from '../parts/agreement/GroupFormation.js'
 import type { Random, ReplicaId } from '../parts/Types.js'
-import { Emitter } from '../platform/Emitter.js'
-import type { FrameChannel } from '../platform/FrameChannel.js'
-import { FrameClient } from '../platform/FrameClient.js'
-import type { Clock, Disposable } from '../platform/Types.js'
+import { Emitter } from '../runtime/Emitter.js'
+import type { FrameChannel } from '../runtime/FrameChannel.js'
+import { FrameClient } from '../runtime/FrameClient.js'
+import type { Clock, Disposable } from '../runtime/Types.js'
 import { HEARD_INTERVAL_MS, LINK_SILENCE_MS } from './Constants.js'
 import type { FromControl, ReplicaToReplica, ToControl } from './Types.js'
 
--- a/src/ctl/ConfigurationFile.ts
+++ b/src/ctl/ConfigurationFile.ts
@@ -3,8 +3,8 @@
 import { parse, TomlError } from 'smol-toml'
 import { checkConfiguration } from '../parts/configuration/ConfigurationCheck.js'
 import type { Configuration, Finding, ServiceRule } from '../parts/configuration/Types.js'
-import { Err, Ok } from '../platform/Results.js'
-import type { Result } from '../platform/Results.js'
+import { Err, Ok } from '../runtime/Results.js'
+import type { Result } from '../runtime/Results.js'
 
 /** Values for what a service leaves out. */
 export const SERVICE_DEFAULTS: Omit<ServiceRule, 'name'> = {
--- a/src/ctl/CtlCommand.ts
+++ b/src/ctl/CtlCommand.ts
@@ -1,7 +1,7 @@
 import { existsSync } from 'node:fs'
 import { Command, Option } from 'clipanion'
 import type { Finding } from '../parts/configuration/Types.js'
-import { renderFindings, SettingsFile } from '../platform/SettingsFile.js'
+import { renderFindings, SettingsFile } from '../runtime/SettingsFile.js'
 import { AdminClient } from './AdminClient.js'
 import type { AdminAnswer, AdminOutcome, AdminRequest } from './AdminClient.js'
 import { CTL_EXIT } from './ExitCodes.js'
--- a/src/ctl/CtlProgram.ts
+++ b/src/ctl/CtlProgram.ts
@@ -1,6 +1,6 @@
 import { Builtins, Cli } from 'clipanion'
 import type { BaseContext, Command } from 'clipanion'
-import { packageVersion } from '../platform/PackageVersion.js'
+import { packageVersion } from '../runtime/PackageVersion.js'
 import { ApplyCommand } from './ApplyCommand.js'
 import { CheckCommand } from './CheckCommand.js'
 import { DiffCommand } from './DiffCommand.js'
--- a/src/ctl/CtlSettings.ts
+++ b/src/ctl/CtlSettings.ts
@@ -1,6 +1,6 @@
 /** Settings of `sassafrasctl`, read from one TOML file. */
 import { z } from 'zod'
-import { address, durationMs, name } from '../platform/SettingsSchemas.js'
+import { address, durationMs, name } from '../runtime/SettingsSchemas.js'
 
 /** Where settings are looked for when the command line names no file. */
 export const CTL_SETTINGS_FILE = 'sassafrasctl.toml'
--- a/src/load/AnswerCheck.ts
+++ b/src/load/AnswerCheck.ts
@@ -1,5 +1,5 @@
 /** Checks that an answer is whole and belongs to its own request. */
-import { DownloadBody } from '../platform/DownloadBody.js'
+import { DownloadBody } from '../runtime/DownloadBody.js'
 import { DownloadCheck } from './DownloadCheck.js'
 import type { PlannedCall } from './Types.js'
 
--- a/src/load/Caller.ts
+++ b/src/load/Caller.ts
@@ -1,7 +1,7 @@
 import { setTimeout as delay } from 'node:timers/promises'
 import { Agent } from 'undici'
 import type { Dispatcher } from 'undici'
-import type { Disposable } from '../platform/Types.js'
+import type { Disposable } from '../runtime/Types.js'
 import { BODY_CHECKS, downloadSeed } from './AnswerCheck.js'
 import type { LoadPlan } from './LoadPlan.js'
 import type { AttemptResult, CallEnd, CallResult, PlannedCall } from './Types.js'
--- a/src/load/DownloadCheck.ts
+++ b/src/load/DownloadCheck.ts
@@ -1,5 +1,5 @@
-import { DOWNLOAD_BLOCK_BYTES } from '../platform/DownloadBody.js'
-import type { DownloadBody } from '../platform/DownloadBody.js'
+import { DOWNLOAD_BLOCK_BYTES } from '../runtime/DownloadBody.js'
+import type { DownloadBody } from '../runtime/DownloadBody.js'
 
 /** Checks a body against what it must be while it arrives. Keeps one block. */
 export class DownloadCheck {
--- a/src/load/LoadPlan.ts
+++ b/src/load/LoadPlan.ts
@@ -1,6 +1,6 @@
 /** Plan of a load run, read from one TOML file. */
 import { z } from 'zod'
-import { address, durationMs, name, share } from '../platform/SettingsSchemas.js'
+import { address, durationMs, name, share } from '../runtime/SettingsSchemas.js'
 
 /** Values for what the file leaves out. */
 export const LOAD_DEFAULTS = {
--- a/src/node/MeasuringHost.ts
+++ b/src/node/MeasuringHost.ts
@@ -1,7 +1,7 @@
 import type { MeasuringBudget } from '../parts/budget/MeasuringBudget.js'
 import type { MeasuringKind } from '../parts/budget/Types.js'
 import type { MeasuringRule } from '../parts/configuration/Types.js'
-import type { Clock } from '../platform/Types.js'
+import type { Clock } from '../runtime/Types.js'
 
 interface MessageCost {
   readonly bytes: number
--- a/src/node/NodeAdmin.ts
+++ b/src/node/NodeAdmin.ts
@@ -1,7 +1,7 @@
 import type { Request, Response } from 'express'
 import { z } from 'zod'
-import { AdminServer } from '../platform/AdminServer.js'
-import type { AdminSource } from '../platform/AdminServer.js'
+import { AdminServer } from '../runtime/AdminServer.js'
+import type { AdminSource } from '../runtime/AdminServer.js'
 import type { ConfigurationHost } from './control/ConfigurationHost.js'
 import type { UpstreamWatch } from './UpstreamWatch.js'
 
--- a/src/node/NodeMetrics.ts
+++ b/src/node/NodeMetrics.ts
@@ -1,4 +1,4 @@
-import type { MetricLine } from '../platform/Metrics.js'
+import type { MetricLine } from '../runtime/Metrics.js'
 
 /** Names under which a node sends metrics. */
 export type NodeMetric =
--- a/src/node/NodeSettings.ts
+++ b/src/node/NodeSettings.ts
@@ -1,6 +1,6 @@
 /** Settings of `sassafras-node`, read from one TOML file. */
 import { z } from 'zod'
-import { address, byteCount, durationMs, log, metrics, name, place } from '../platform/SettingsSchemas.js'
+import { address, byteCount, durationMs, log, metrics, name, place } from '../runtime/SettingsSchemas.js'
 
 /** Values for what the file leaves out. */
 export const NODE_DEFAULTS = {
--- a/src/node/UpstreamWatch.ts
+++ b/src/node/UpstreamWatch.ts
@@ -1,4 +1,4 @@
-import type { Clock, Disposable, Log } from '../platform/Types.js'
+import type { Clock, Disposable, Log } from '../runtime/Types.js'
 import type { MembershipHost } from './control/MembershipHost.js'
 import type { Announcement } from './upstreamside/Types.js'
 import type { UpstreamSide } from './upstreamside/UpstreamSide.js'
--- a/src/node/control/ConfigurationHost.ts
+++ b/src/node/control/ConfigurationHost.ts
@@ -3,8 +3,8 @@
 import { CONTROL_SOURCE } from '../../parts/configuration/Constants.js'
 import type { FollowerAction, FollowerEvent, FollowerState, VersionedConfiguration } from '../../parts/configuration/Types.js'
 import type { NodeId } from '../../parts/Types.js'
-import { Emitter } from '../../platform/Emitter.js'
-import type { Clock, Disposable, Log } from '../../platform/Types.js'
+import { Emitter } from '../../runtime/Emitter.js'
+import type { Clock, Disposable, Log } from '../../runtime/Types.js'
 import type { SharedFrame } from '../mesh/Types.js'
 import type { ControlLinks } from './ControlLinks.js'
 
--- a/src/node/control/ControlLinks.ts
+++ b/src/node/control/ControlLinks.ts
@@ -1,10 +1,10 @@
 import type { ControlToNode, NodeToControl } from '../../control/Types.js'
 import type { RecordCommand, RecordReply } from '../../parts/records/Types.js'
 import type { Random } from '../../parts/Types.js'
-import { Emitter } from '../../platform/Emitter.js'
-import type { FrameChannel } from '../../platform/FrameChannel.js'
-import { FrameClient } from '../../platform/FrameClient.js'
-import type { Clock, Disposable } from '../../platform/Types.js'
+import { Emitter } from '../../runtime/Emitter.js'
+import type { FrameChannel } from '../../runtime/FrameChannel.js'
+import { FrameClient } from '../../runtime/FrameClient.js'
+import type { Clock, Disposable } from '../../runtime/Types.js'
 import type { RecordSender } from '../upstreamside/Types.js'
 
 type Client = FrameClient<ControlToNode, NodeToControl>
--- a/src/node/ingress/Attempt.ts
+++ b/src/node/ingress/Attempt.ts
@@ -1,6 +1,6 @@
 import type { AttemptOutcome } from '../../parts/choice/Types.js'
 import type { CallId, InstanceId, LoadEvidence } from '../../parts/Types.js'
-import type { Clock } from '../../platform/Types.js'
+import type { Clock } from '../../runtime/Types.js'
 import type { AnswerHead, CallHandle, CallRequest, CallSink, CallTarget, Refusal } from '../Types.js'
 import type { ServiceLane } from './ServiceLane.js'
 
--- a/src/node/ingress/ServiceLane.ts
+++ b/src/node/ingress/ServiceLane.ts
@@ -3,8 +3,8 @@
 import type { RetryPolicy } from '../../parts/retry/RetryPolicy.js'
 import type { RetryAction, RetryEvent } from '../../parts/retry/Types.js'
 import type { CallId, CallKind, InstanceId, LoadEvidence, Reason } from '../../parts/Types.js'
-import { PartTimer } from '../../platform/PartTimer.js'
-import type { Clock, Disposable, Log } from '../../platform/Types.js'
+import { PartTimer } from '../../runtime/PartTimer.js'
+import type { Clock, Disposable, Log } from '../../runtime/Types.js'
 import type { TargetSource } from './Types.js'
 
 /** Answer to a choice. */
--- a/src/node/ingress/ServiceTable.ts
+++ b/src/node/ingress/ServiceTable.ts
@@ -4,7 +4,7 @@
 import type { Member } from '../../parts/membership/Types.js'
 import { RetryPolicy } from '../../parts/retry/RetryPolicy.js'
 import type { Place, Random, ServiceName } from '../../parts/Types.js'
-import type { Clock, Disposable, Log } from '../../platform/Types.js'
+import type { Clock, Disposable, Log } from '../../runtime/Types.js'
 import type { IngressService, ServiceDirectory } from './IngressServer.js'
 import { RequestClassifier } from './RequestClassifier.js'
 import { ServiceLane } from './ServiceLane.js'
--- a/src/node/ingress/Types.ts
+++ b/src/node/ingress/Types.ts
@@ -1,6 +1,6 @@
 import type { ServiceRule } from '../../parts/configuration/Types.js'
 import type { CallId, CallKind, Incarnation, InstanceId, ServiceName } from '../../parts/Types.js'
-import type { Clock, Log } from '../../platform/Types.js'
+import type { Clock, Log } from '../../runtime/Types.js'
 import type { CallTarget, RawHeaders } from '../Types.js'
 
 /** A caller's request once it has been read and classified. */
--- a/src/node/mesh/PeerLink.ts
+++ b/src/node/mesh/PeerLink.ts
@@ -1,7 +1,7 @@
-import type { FrameChannel } from '../../platform/FrameChannel.js'
-import { FrameClient } from '../../platform/FrameClient.js'
-import { Emitter } from '../../platform/Emitter.js'
-import type { Clock, Disposable } from '../../platform/Types.js'
+import type { FrameChannel } from '../../runtime/FrameChannel.js'
+import { FrameClient } from '../../runtime/FrameClient.js'
+import { Emitter } from '../../runtime/Emitter.js'
+import type { Clock, Disposable } from '../../runtime/Types.js'
 import type { Incarnation, LoadEvidence, Random } from '../../parts/Types.js'
 import {
   BODY_PIECE_BYTES, DEFAULT_RETRY_AFTER_MS, IDLE_CHECK_MS, IDLE_CHECK_TIMEOUT_MS
--- a/src/node/mesh/PeerSession.ts
+++ b/src/node/mesh/PeerSession.ts
@@ -1,5 +1,5 @@
-import type { FrameChannel } from '../../platform/FrameChannel.js'
-import type { Disposable } from '../../platform/Types.js'
+import type { FrameChannel } from '../../runtime/FrameChannel.js'
+import type { Disposable } from '../../runtime/Types.js'
 import type { LoadEvidence, ServiceName } from '../../parts/Types.js'
 import type { CallHandle, CallRequest, CallSink, CallTarget } from '../Types.js'
 import type { PeerHello, SharedFrame, ToIngressSide, ToUpstreamSide } from './Types.js'
--- a/src/node/upstreamside/CrashCheck.ts
+++ b/src/node/upstreamside/CrashCheck.ts
@@ -1,5 +1,5 @@
 import { connect } from 'node:net'
-import { parseAddress } from '../../platform/Address.js'
+import { parseAddress } from '../../runtime/Address.js'
 
 /** Time that an upstream has to take a connection before it counts as crashed. */
 const CHECK_TIMEOUT_MS = 500
--- a/src/node/upstreamside/UpstreamClient.ts
+++ b/src/node/upstreamside/UpstreamClient.ts
@@ -1,6 +1,6 @@
 import { Pool } from 'undici'
 import type { Dispatcher } from 'undici'
-import type { Disposable } from '../../platform/Types.js'
+import type { Disposable } from '../../runtime/Types.js'
 import { BODY_WINDOW_BYTES, INLINE_ANSWER_BYTES } from '../Constants.js'
 import { findHeader, selectEndToEnd } from '../EndToEndHeaders.js'
 import type { AnswerHead, CallHandle, CallRequest, RawHeaders } from '../Types.js'
--- a/src/standin/Announcer.ts
+++ b/src/standin/Announcer.ts
@@ -1,5 +1,5 @@
 import got from 'got'
-import type { Disposable, Log } from '../platform/Types.js'
+import type { Disposable, Log } from '../runtime/Types.js'
 
 /** State that a service announces. */
 export type AnnouncedState = 'starting' | 'serving' | 'draining'
--- a/src/standin/ChainEndpoint.ts
+++ b/src/standin/ChainEndpoint.ts
@@ -1,5 +1,5 @@
 import { Agent, request } from 'undici'
-import type { Disposable } from '../platform/Types.js'
+import type { Disposable } from '../runtime/Types.js'
 import type { Run } from './Run.js'
 import type { StandinSettings } from './StandinSettings.js'
 
--- a/src/standin/DownloadEndpoint.ts
+++ b/src/standin/DownloadEndpoint.ts
@@ -1,6 +1,6 @@
 import { once } from 'node:events'
 import { setTimeout as delay } from 'node:timers/promises'
-import { DOWNLOAD_BLOCK_BYTES, DownloadBody } from '../platform/DownloadBody.js'
+import { DOWNLOAD_BLOCK_BYTES, DownloadBody } from '../runtime/DownloadBody.js'
 import type { Run } from './Run.js'
 
 const MAX_DOWNLOAD_BYTES = 4 * 1024 ** 3
--- a/src/standin/Journal.ts
+++ b/src/standin/Journal.ts
@@ -1,5 +1,5 @@
 import { appendFileSync, closeSync, openSync, readFileSync } from 'node:fs'
-import type { Disposable } from '../platform/Types.js'
+import type { Disposable } from '../runtime/Types.js'
 import type { JournalLine } from './Types.js'
 
 /**
--- a/src/standin/StandinCalls.ts
+++ b/src/standin/StandinCalls.ts
@@ -1,5 +1,5 @@
 import { createHash } from 'node:crypto'
-import type { Disposable } from '../platform/Types.js'
+import type { Disposable } from '../runtime/Types.js'
 import { ChainEndpoint } from './ChainEndpoint.js'
 import type { ChainLink } from './ChainEndpoint.js'
 import { DownloadEndpoint } from './DownloadEndpoint.js'
--- a/src/standin/StandinSettings.ts
+++ b/src/standin/StandinSettings.ts
@@ -1,6 +1,6 @@
 /** Settings of `sassafras-upstream`, read from one TOML file. */
 import { z } from 'zod'
-import { address, durationMs, log, name, share } from '../platform/SettingsSchemas.js'
+import { address, durationMs, log, name, share } from '../runtime/SettingsSchemas.js'
 
 /** Values for what the file leaves out. */
 export const STANDIN_DEFAULTS = {
--- a/test/PeerLink.test.ts
+++ b/test/PeerLink.test.ts
@@ -3,8 +3,8 @@
 import type { ToIngressSide, ToUpstreamSide } from '../src/node/mesh/Types.js'
 import type { CallRequest, CallSink } from '../src/node/Types.js'
 import { SeededRandom } from '../src/parts/SeededRandom.js'
-import { FrameServer } from '../src/platform/FrameServer.js'
-import { SystemClock } from '../src/platform/SystemClock.js'
+import { FrameServer } from '../src/runtime/FrameServer.js'
+import { SystemClock } from '../src/runtime/SystemClock.js'
 
 const INCARNATION = 7
 const EVIDENCE = { inFlight: 0, queued: 0, limit: 1, serviceMs: 1 }
--- a/test/PlannedStop.test.ts
+++ b/test/PlannedStop.test.ts
@@ -10,7 +10,7 @@
 import { loadPlan } from '../src/load/LoadPlan.js'
 import { LoadRun } from '../src/load/LoadRun.js'
 import type { LoadSummary } from '../src/load/LoadSummary.js'
-import { DownloadBody } from '../src/platform/DownloadBody.js'
+import { DownloadBody } from '../src/runtime/DownloadBody.js'
 import { readJournal } from '../src/standin/Journal.js'
 
 const DOWNLOAD_BYTES = 64 * 1024 * 1024
--- a/test/support/FakeControl.ts
+++ b/test/support/FakeControl.ts
@@ -2,9 +2,9 @@
 import type { Configuration, ServiceRule } from '../../src/parts/configuration/Types.js'
 import type { Member } from '../../src/parts/membership/Types.js'
 import type { RecordCommand, RecordReply } from '../../src/parts/records/Types.js'
-import type { FrameChannel } from '../../src/platform/FrameChannel.js'
-import { FrameServer } from '../../src/platform/FrameServer.js'
-import { SystemClock } from '../../src/platform/SystemClock.js'
+import type { FrameChannel } from '../../src/runtime/FrameChannel.js'
+import { FrameServer } from '../../src/runtime/FrameServer.js'
+import { SystemClock } from '../../src/runtime/SystemClock.js'
 
 type Channel = FrameChannel<NodeToControl, ControlToNode>
 
--- a/test/support/NodeProbe.ts
+++ b/test/support/NodeProbe.ts
@@ -1,7 +1,7 @@
 import type { ControlToNode, NodeToControl } from '../../src/control/Types.js'
 import { SeededRandom } from '../../src/parts/SeededRandom.js'
-import { FrameClient } from '../../src/platform/FrameClient.js'
-import { SystemClock } from '../../src/platform/SystemClock.js'
+import { FrameClient } from '../../src/runtime/FrameClient.js'
+import { SystemClock } from '../../src/runtime/SystemClock.js'
 
 const HEARTBEAT_MS = 200
 
