--- a/src/control/Types.ts
+++ b/src/control/Types.ts
@@ -1,7 +1,9 @@
 import type { FormationNotice } from '../parts/agreement/GroupFormation.js'
 import type { AgreementMessage } from '../parts/agreement/Types.js'
 import type { ConfigurationDifference, InForce, Version, VersionedConfiguration } from '../parts/configuration/Types.js'
+import type { NodeEntry } from '../parts/instances/Types.js'
 import type { Beat, Member, ServiceDigest } from '../parts/membership/Types.js'
+import type { FeedToNode, NodeToFeed } from '../routecontrol/Types.js'
 import type { RecordCommand, RecordReply } from '../parts/records/Types.js'
 import type { Incarnation, NodeId, Place, ReplicaId, ServiceName } from '../parts/Types.js'
 
@@ -71,9 +73,13 @@
   | { readonly type: 'inForce', readonly inForce: readonly InForce[] }
   /** Sent back on an accepted connection, so that the other end knows that it is not silent. */
   | { readonly type: 'heard' }
+  /** Asks the leader to take the sender into the group. */
+  | { readonly type: 'join', readonly replica: ReplicaId }
+  /** News of nodes, from the replica that heard it first; `whole` repeats all that the sender knows. */
+  | { readonly type: 'nodeEntries', readonly entries: readonly NodeEntry[], readonly whole: boolean }
 
 /** All frames that a control replica's listener takes. */
-export type ToControl = NodeToControl | ReplicaToReplica
+export type ToControl = NodeToControl | ReplicaToReplica | NodeToFeed
 
 /** All frames that it sends on accepted connections. */
-export type FromControl = ControlToNode | ReplicaToReplica
+export type FromControl = ControlToNode | ReplicaToReplica | FeedToNode
--- a/src/parts/budget/MeasuringBudget.ts
+++ b/src/parts/budget/MeasuringBudget.ts
@@ -1,5 +1,5 @@
 import type { Part } from '../Types.js'
-import { HEARTBEAT_SHARE, MESSAGE_BURST, WINDOW_MS } from './Constants.js'
+import { HEARTBEAT_SHARE, MESSAGE_BURST, WINDOW_MS, WINDOW_STEPS } from './Constants.js'
 import { SlidingWindow } from './SlidingWindow.js'
 import type { BudgetAction, BudgetEvent, MeasuringKind } from './Types.js'
 
@@ -29,8 +29,8 @@
  * Memory is constant.
  */
 export class MeasuringBudget implements Part<BudgetEvent, BudgetAction> {
-  private readonly _all = new SlidingWindow()
-  private readonly _unreserved = new SlidingWindow()
+  private readonly _all = new SlidingWindow(WINDOW_MS, WINDOW_STEPS)
+  private readonly _unreserved = new SlidingWindow(WINDOW_MS, WINDOW_STEPS)
   private readonly _handlers: Handlers = {
     request: (event, nowMs) => this._request(event, nowMs),
     served: event => this._served(event),
--- /dev/null
+++ b/src/parts/budget/RepeatBudget.ts
@@ -0,0 +1,64 @@
+import { SlidingWindow } from './SlidingWindow.js'
+
+/** Steps of the window; the sum covers one step more than the window, which errs on the safe side. */
+const WINDOW_STEPS = 20
+
+/** Bounds on repeated sends of one service, summed over all nodes. */
+export interface RepeatLimits {
+  /** Repeats allowed as a share of requests. */
+  readonly ratio: number
+  /** Repeats allowed beside that share, over all nodes together. */
+  readonly slack: number
+  /** Length of the sliding window in milliseconds. */
+  readonly windowMs: number
+}
+
+/**
+ * Part of the shared bound that this node leaves unused: nodes that come and go count the others wrongly for a
+ * while, and calls that a repeated run makes count as repeats elsewhere.
+ */
+const SAFETY_SHARE = 0.5
+
+/**
+ * A node's part of the budget for sending requests of one service again. The share of requests is this node's own;
+ * the slack is divided by the number of nodes.
+ *
+ * Memory: two windows.
+ */
+export class RepeatBudget {
+  private readonly _requests: SlidingWindow
+  private readonly _repeats: SlidingWindow
+
+  /**
+   * @param _limits Bounds over all nodes.
+   */
+  public constructor (private readonly _limits: RepeatLimits) {
+    this._requests = new SlidingWindow(_limits.windowMs, WINDOW_STEPS)
+    this._repeats = new SlidingWindow(_limits.windowMs, WINDOW_STEPS)
+  }
+
+  /**
+   * Counts a request of a caller.
+   * @param nowMs Monotonic time in milliseconds.
+   */
+  public countRequest (nowMs: number): void {
+    this._requests.advance(nowMs)
+    this._requests.spend(1)
+  }
+
+  /**
+   * Takes one repeat from the budget.
+   * @param nodes Nodes that share the slack.
+   * @param nowMs Monotonic time in milliseconds.
+   * @returns False when the request must not be sent again.
+   */
+  public tryRepeat (nodes: number, nowMs: number): boolean {
+    this._requests.advance(nowMs)
+    this._repeats.advance(nowMs)
+    const { ratio, slack } = this._limits
+    const allowed = SAFETY_SHARE * (ratio * this._requests.total() + slack / Math.max(1, nodes))
+    if (this._repeats.total() + 1 > allowed) return false
+    this._repeats.spend(1)
+    return true
+  }
+}
--- a/src/parts/budget/SlidingWindow.ts
+++ b/src/parts/budget/SlidingWindow.ts
@@ -1,23 +1,29 @@
-import { WINDOW_MS, WINDOW_STEPS } from './Constants.js'
-
-const STEP_MS = WINDOW_MS / WINDOW_STEPS
-
 /**
- * Sum of what was spent in the last window. Any span of `WINDOW_MS` overlaps at most `WINDOW_STEPS + 1`
+ * Sum of what was spent in the last window. Any span of the window's length overlaps at most `steps + 1`
  * steps, and the sum covers as many, so a limit on the sum is a limit on every such span.
- * Memory: `WINDOW_STEPS + 1` numbers.
+ * Memory: `steps + 1` numbers.
  */
 export class SlidingWindow {
-  private readonly _spentByStep = new Float64Array(WINDOW_STEPS + 1)
+  private readonly _spentByStep: Float64Array
+  private readonly _stepMs: number
   private _step = 0
   private _spent = 0
 
+  /**
+   * @param windowMs Length of the window in milliseconds.
+   * @param _steps Steps that the window is divided into.
+   */
+  public constructor (windowMs: number, private readonly _steps: number) {
+    this._spentByStep = new Float64Array(_steps + 1)
+    this._stepMs = windowMs / _steps
+  }
+
   /**
    * Forgets the steps that left the window.
    * @param nowMs Monotonic time in milliseconds; an earlier time than before changes nothing.
    */
   public advance (nowMs: number): void {
-    const target = Math.floor(nowMs / STEP_MS)
+    const target = Math.floor(nowMs / this._stepMs)
     const steps = Math.min(target - this._step, this._spentByStep.length)
     for (let passed = 0; passed < steps; passed++) {
       this._clearStep(target - passed)
@@ -43,13 +49,13 @@
    */
   public freeAtMs (amount: number): number {
     let freed = 0
-    for (let age = WINDOW_STEPS; age >= 0; age--) {
+    for (let age = this._steps; age >= 0; age--) {
       freed += this._spentByStep[this._indexOf(this._step - age)] ?? 0
       if (freed >= amount) {
-        return (this._step - age + WINDOW_STEPS + 1) * STEP_MS
+        return (this._step - age + this._steps + 1) * this._stepMs
       }
     }
-    return (this._step + WINDOW_STEPS + 1) * STEP_MS
+    return (this._step + this._steps + 1) * this._stepMs
   }
 
   private _clearStep (step: number): void {
--- /dev/null
+++ b/src/parts/gate/Constants.ts
@@ -0,0 +1,20 @@
+/**
+ * Share of an instance's slots that is filled by calls of callers. Instances that share their machine slow down in
+ * the last fifth of their slots, so that a full one finishes less than one filled to four fifths.
+ */
+export const FILLED_SHARE = 0.8
+
+/** Weight of a new sample in the smoothed work time. */
+export const WORK_WEIGHT = 0.1
+
+/** Work time assumed before the first sample, in milliseconds: the usual size of an interactive request. */
+export const INITIAL_WORK_MS = 50
+
+/** A VM this many times slower than usual hands calls back that may go elsewhere: a move gains more than it costs. */
+export const SLOW_FACTOR = 2.5
+
+/** Age after which a slowness figure says nothing, in milliseconds; it changes several times a second. */
+export const SLOWNESS_VALID_MS = 150
+
+/** Calls that may wait in all; bounds memory. */
+export const MAX_WAITING = 1000
--- /dev/null
+++ b/src/parts/gate/RunGate.ts
@@ -0,0 +1,163 @@
+import type { CallId, Part } from '../Types.js'
+import { FILLED_SHARE, MAX_WAITING, SLOWNESS_VALID_MS, SLOW_FACTOR } from './Constants.js'
+import type { GateAction, GateCall, GateEvent, GateLoad, TurnAwayReason } from './Types.js'
+import { WaitingLine } from './WaitingLine.js'
+import { WorkEstimate } from './WorkEstimate.js'
+
+type Handlers = {
+  readonly [Type in GateEvent['type']]: (event: Extract<GateEvent, { type: Type }>) => void
+}
+
+/**
+ * Decides at the upstream's node, the only way in to its instance, which calls run, wait or are turned away. It
+ * answers load that shifts within milliseconds: the choice of an instance was made on older evidence, so a call
+ * that may go elsewhere is handed back at once when it would have to wait here, or when the machine is slow at the
+ * moment. Calls that can't be served before their deadline are turned away as soon as that is known.
+ *
+ * Memory: the calls that run, at most the slots, and `MAX_WAITING` that wait.
+ */
+export class RunGate implements Part<GateEvent, GateAction> {
+  private readonly _line = new WaitingLine()
+  private readonly _running = new Map<CallId, GateCall>()
+  private readonly _estimate = new WorkEstimate()
+  private _actions: GateAction[] = []
+  private _nowMs = 0
+  private _slots = 0
+  private _slowness = 1
+  private _slownessAtMs = -Infinity
+  private _wakeAtMs = Infinity
+
+  private readonly _handlers: Handlers = {
+    offer: event => this._offer(event.call),
+    finished: event => this._finish(event.id, event.workMs),
+    cancelled: event => this._cancel(event.id),
+    slots: event => this._setSlots(event.slots),
+    slowness: event => {
+      this._slowness = event.slowness
+      this._slownessAtMs = this._nowMs
+    },
+    tick: () => this._tick()
+  }
+
+  /** @inheritdoc */
+  public step (event: GateEvent, nowMs: number): GateAction[] {
+    this._nowMs = nowMs
+    this._actions = []
+    const handler = this._handlers[event.type] as (event: GateEvent) => void
+    handler(event)
+    return this._actions
+  }
+
+  /** Load to attach to answers. */
+  public load (nowMs: number): GateLoad {
+    return {
+      running: this._running.size,
+      queued: this._line.size,
+      limit: this._limit(),
+      slowness: nowMs - this._slownessAtMs < SLOWNESS_VALID_MS ? this._slowness : 1,
+      workMs: this._estimate.overallMs
+    }
+  }
+
+  private _offer (call: GateCall): void {
+    if (this._slots === 0) return this._turnAway(call, 'no-slots')
+    if (this._hasRoom(call)) {
+      if (call.mayDecline && this._isSlow() && !call.nested) return this._turnAway(call, 'slow')
+      return this._start(call)
+    }
+    if (call.mayDecline) return this._turnAway(call, 'busy')
+    const finishAtMs = this._nowMs + this._waitMs(call) + this._estimate.of(call.work)
+    if (finishAtMs > call.deadlineAtMs || this._line.size >= MAX_WAITING) return this._turnAway(call, 'too-late')
+    this._line.add(call, this._nowMs)
+    this._wakeAt(this._latestStartMs(call))
+  }
+
+  private _finish (id: CallId, workMs: number | undefined): void {
+    const call = this._running.get(id)
+    if (call === undefined) return
+    this._running.delete(id)
+    if (workMs !== undefined) this._estimate.learn(call.work, workMs)
+    this._startWaiting()
+  }
+
+  private _cancel (id: CallId): void {
+    if (this._line.remove(id)) return
+    if (this._running.delete(id)) this._startWaiting()
+  }
+
+  private _setSlots (slots: number): void {
+    this._slots = slots
+    if (slots === 0) this._line.takeAll(() => true).forEach(call => this._turnAway(call, 'no-slots'))
+    else this._startWaiting()
+  }
+
+  private _tick (): void {
+    if (this._nowMs >= this._wakeAtMs) this._wakeAtMs = Infinity
+    this._dropOverdue()
+    this._startWaiting()
+    if (this._line.size > 0) this._wakeAt(this._line.earliestDeadlineMs())
+  }
+
+  private _startWaiting (): void {
+    if (this._line.size === 0) return
+    this._dropOverdue()
+    let next = this._takeNext()
+    while (next !== undefined) {
+      this._start(next)
+      next = this._takeNext()
+    }
+  }
+
+  private _takeNext (): GateCall | undefined {
+    return this._line.takeNext(call => this._isReachable(call), call => this._hasRoom(call))
+  }
+
+  /** A call that could not finish in time any more would only take a slot from one that can. */
+  private _dropOverdue (): void {
+    for (const call of this._line.takeAll(call => this._latestStartMs(call) <= this._nowMs)) {
+      this._turnAway(call, 'too-late')
+    }
+  }
+
+  private _start (call: GateCall): void {
+    this._running.set(call.id, call)
+    this._actions.push({ type: 'start', call })
+  }
+
+  private _turnAway (call: GateCall, reason: TurnAwayReason): void {
+    this._actions.push({ type: 'turnAway', call, reason, retryAfterMs: this._waitMs(call) })
+  }
+
+  private _limit (): number {
+    return this._slots === 0 ? 0 : Math.max(1, Math.floor(this._slots * FILLED_SHARE))
+  }
+
+  /** Nested calls may take the last slots: their parents hold slots elsewhere until they are answered. */
+  private _hasRoom (call: GateCall): boolean {
+    return this._running.size < (call.nested ? this._slots : this._limit())
+  }
+
+  private _isSlow (): boolean {
+    return this._nowMs - this._slownessAtMs < SLOWNESS_VALID_MS && this._slowness >= SLOW_FACTOR
+  }
+
+  private _isReachable (call: GateCall): boolean {
+    return this._nowMs + this._estimate.of(call.work) <= call.objectiveAtMs
+  }
+
+  private _latestStartMs (call: GateCall): number {
+    return call.deadlineAtMs - this._estimate.of(call.work) / 2
+  }
+
+  /** Expected time until a call that joins the line now starts. */
+  private _waitMs (call: GateCall): number {
+    const ahead = this._line.countAhead(call, waiting => this._isReachable(waiting))
+    return (ahead + 1) * this._estimate.overallMs / Math.max(1, this._limit())
+  }
+
+  private _wakeAt (atMs: number): void {
+    if (atMs >= this._wakeAtMs) return
+    this._wakeAtMs = atMs
+    this._actions.push({ type: 'wake', atMs })
+  }
+}
--- /dev/null
+++ b/src/parts/gate/Types.ts
@@ -0,0 +1,50 @@
+import type { CallId } from '../Types.js'
+
+/** A call that asks for a slot of the upstream. */
+export interface GateCall {
+  readonly id: CallId
+  /** Calls of one kind take alike long; names the estimate that is used. */
+  readonly work: string
+  /** The call was made by an instance in the middle of a run, which waits for it. */
+  readonly nested: boolean
+  /** 0 is the most urgent. */
+  readonly priority: number
+  /** Until then the answer is worth its full value, in monotonic milliseconds. */
+  readonly objectiveAtMs: number
+  /** After that nobody waits for the answer, in monotonic milliseconds. */
+  readonly deadlineAtMs: number
+  /** True when its sender would rather ask another instance than wait here. */
+  readonly mayDecline: boolean
+}
+
+/** What the node reports of its upstream's load, on each answer. */
+export interface GateLoad {
+  readonly running: number
+  readonly queued: number
+  /** Calls that may run at once; 0 while none is taken. */
+  readonly limit: number
+  /** Time that work takes on this machine now, relative to usual; 1 is usual. */
+  readonly slowness: number
+  /** Smoothed time of a run in milliseconds, at usual speed. */
+  readonly workMs: number
+}
+
+/** Events of the gate. */
+export type GateEvent =
+  | { readonly type: 'offer', readonly call: GateCall }
+  /** The upstream is done with a call; `workMs` is undefined when it did not run to its end. */
+  | { readonly type: 'finished', readonly id: CallId, readonly workMs: number | undefined }
+  | { readonly type: 'cancelled', readonly id: CallId }
+  | { readonly type: 'slots', readonly slots: number }
+  | { readonly type: 'slowness', readonly slowness: number }
+  | { readonly type: 'tick' }
+
+/** Why a call was turned away. */
+export type TurnAwayReason = 'busy' | 'slow' | 'no-slots' | 'too-late'
+
+/** Actions of the gate. Every call ends by `turnAway`, or by `start` and the host's `finished`. */
+export type GateAction =
+  | { readonly type: 'start', readonly call: GateCall }
+  /** The call has not run. `retryAfterMs` tells when room is expected. */
+  | { readonly type: 'turnAway', readonly call: GateCall, readonly reason: TurnAwayReason, readonly retryAfterMs: number }
+  | { readonly type: 'wake', readonly atMs: number }
--- /dev/null
+++ b/src/parts/gate/WaitingLine.ts
@@ -0,0 +1,99 @@
+import type { CallId } from '../Types.js'
+import type { GateCall } from './Types.js'
+
+/** A call in the line. */
+export interface WaitingCall {
+  readonly call: GateCall
+  readonly arrivedAtMs: number
+}
+
+/**
+ * Calls that wait for a slot. Calls of instances in the middle of a run go first: half of their work is paid for.
+ * Then those that can still meet their objective, by priority and age; a call past its objective fills what is left.
+ *
+ * Memory: one entry for each call.
+ */
+export class WaitingLine {
+  private readonly _calls = new Map<CallId, WaitingCall>()
+
+  /** Calls that wait. */
+  public get size (): number {
+    return this._calls.size
+  }
+
+  /**
+   * Adds a call at its place.
+   * @param call The call.
+   * @param nowMs Monotonic time in milliseconds.
+   */
+  public add (call: GateCall, nowMs: number): void {
+    this._calls.set(call.id, { call, arrivedAtMs: nowMs })
+  }
+
+  /**
+   * Takes a call out.
+   * @param id The call.
+   */
+  public remove (id: CallId): boolean {
+    return this._calls.delete(id)
+  }
+
+  /**
+   * Returns how many calls would start before a new one.
+   * @param call The new call.
+   * @param isReachable Tells whether a call can still meet its objective.
+   */
+  public countAhead (call: GateCall, isReachable: (call: GateCall) => boolean): number {
+    const reachable = isReachable(call)
+    let ahead = 0
+    for (const waiting of this._calls.values()) {
+      if (!precedes(call, reachable, waiting.call, isReachable(waiting.call))) ahead++
+    }
+    return ahead
+  }
+
+  /**
+   * Takes the next call to start.
+   * @param isReachable Tells whether a call can still meet its objective.
+   * @param mayStart Tells whether a call may start now.
+   */
+  public takeNext (
+    isReachable: (call: GateCall) => boolean, mayStart: (call: GateCall) => boolean
+  ): GateCall | undefined {
+    let best: GateCall | undefined
+    let bestReachable = false
+    for (const { call } of this._calls.values()) {
+      if (!mayStart(call)) continue
+      const reachable = isReachable(call)
+      if (best !== undefined && !precedes(call, reachable, best, bestReachable)) continue
+      best = call
+      bestReachable = reachable
+    }
+    if (best !== undefined) this._calls.delete(best.id)
+    return best
+  }
+
+  /**
+   * Takes all calls out that meet a condition.
+   * @param condition Tells whether a call leaves.
+   */
+  public takeAll (condition: (call: GateCall) => boolean): GateCall[] {
+    const taken = [...this._calls.values()].map(waiting => waiting.call).filter(condition)
+    taken.forEach(call => this._calls.delete(call.id))
+    return taken
+  }
+
+  /** Earliest deadline of a call that waits; infinite when none does. */
+  public earliestDeadlineMs (): number {
+    let earliest = Infinity
+    for (const { call } of this._calls.values()) earliest = Math.min(earliest, call.deadlineAtMs)
+    return earliest
+  }
+}
+
+/** A call goes before another only by rank: among equals the one that came first stays ahead. */
+function precedes (call: GateCall, reachable: boolean, other: GateCall, otherReachable: boolean): boolean {
+  if (call.nested !== other.nested) return call.nested
+  if (reachable !== otherReachable) return reachable
+  return call.priority < other.priority
+}
--- /dev/null
+++ b/src/parts/instances/NodeDirectory.ts
@@ -0,0 +1,79 @@
+import type { NodeId, ServiceName } from '../Types.js'
+import type { NodeEntry } from './Types.js'
+
+/** Entries of nodes that are gone stay this long, so that late news of them is recognised, in milliseconds. */
+const GONE_KEPT_MS = 60_000
+
+/**
+ * All nodes with their instances, merged from publications that come late, twice and by several ways. The newest
+ * publication of a node wins, by epoch and revision.
+ *
+ * Memory: one entry for each node, those gone within `GONE_KEPT_MS` included.
+ */
+export class NodeDirectory {
+  private readonly _entries = new Map<NodeId, NodeEntry>()
+  private readonly _goneAtMs = new Map<NodeId, number>()
+
+  /** All entries, those of nodes that are gone included. */
+  public get entries (): NodeEntry[] {
+    return [...this._entries.values()]
+  }
+
+  /** Nodes that are not gone. */
+  public get size (): number {
+    return this._entries.size - this._goneAtMs.size
+  }
+
+  /**
+   * Returns the entry of a node.
+   * @param node The node.
+   */
+  public find (node: NodeId): NodeEntry | undefined {
+    return this._entries.get(node)
+  }
+
+  /**
+   * Merges publications.
+   * @param entries What was heard.
+   * @param nowMs Monotonic time in milliseconds.
+   * @returns The entries that were news.
+   */
+  public merge (entries: readonly NodeEntry[], nowMs: number): NodeEntry[] {
+    this._forget(nowMs)
+    return entries.filter(entry => this._take(entry, nowMs))
+  }
+
+  /**
+   * Returns the nodes beside which a service has an instance that takes new work.
+   * @param service The service.
+   */
+  public readyNodesOf (service: ServiceName): NodeEntry[] {
+    return this.entries.filter(({ state, instance }) => {
+      return state === 'up' && instance?.service === service && instance.state === 'ready'
+    })
+  }
+
+  private _take (entry: NodeEntry, nowMs: number): boolean {
+    const before = this._entries.get(entry.node)
+    if (before !== undefined && !isNewer(entry, before)) return false
+    this._entries.set(entry.node, entry)
+    if (entry.state === 'gone') this._goneAtMs.set(entry.node, nowMs)
+    else this._goneAtMs.delete(entry.node)
+    return true
+  }
+
+  private _forget (nowMs: number): void {
+    for (const [node, atMs] of this._goneAtMs) {
+      if (nowMs - atMs < GONE_KEPT_MS) continue
+      this._goneAtMs.delete(node)
+      this._entries.delete(node)
+    }
+  }
+}
+
+/** A node that was found gone under some publication comes back only with a newer one. */
+function isNewer (entry: NodeEntry, before: NodeEntry): boolean {
+  if (entry.epoch !== before.epoch) return entry.epoch > before.epoch
+  if (entry.revision !== before.revision) return entry.revision > before.revision
+  return entry.state === 'gone' && before.state !== 'gone'
+}
--- /dev/null
+++ b/src/parts/placement/Types.ts
@@ -0,0 +1,22 @@
+import type { GateLoad } from '../gate/Types.js'
+import type { NodeId } from '../Types.js'
+
+/** An instance that may be chosen, by the node beside it. */
+export interface PlacementCandidate {
+  readonly node: NodeId
+  /** Round trip to its node in milliseconds, before any is measured. */
+  readonly roundTripMs: number
+  readonly slots: number
+}
+
+/** What a call asks for. */
+export interface PlacementQuery {
+  /** Nodes that were asked already. */
+  readonly excluded: readonly NodeId[]
+}
+
+/** Load of an instance as its node told it. */
+export type { GateLoad }
+
+/** How an attempt ended, as far as the choice of the next one cares. */
+export type PlacementOutcome = 'answered' | 'failed' | 'unreachable' | 'declined' | 'cancelled'
--- /dev/null
+++ b/src/parts/routing/RoutingCheck.ts
@@ -0,0 +1,77 @@
+import { MAX_OBJECTIVE_EXCESS_MS, MAX_ROUTE_TIMEOUT_MS } from './Constants.js'
+import type { Finding, Route, RoutingConfiguration } from './Types.js'
+
+type RouteRule = (route: Route, services: ReadonlySet<string>) => Omit<Finding, 'place'> & { readonly field: string } | undefined
+
+/** Rules that each route must meet, in the order in which findings are told. */
+const ROUTE_RULES: readonly RouteRule[] = [
+  route => route.host === ''
+    ? { field: 'host', problem: 'is empty', expected: 'a host name' }
+    : undefined,
+  route => route.pathPrefix.startsWith('/') && route.pathPrefix.endsWith('/')
+    ? undefined
+    : { field: 'pathPrefix', problem: `is "${route.pathPrefix}"`, expected: 'a path that begins and ends with a slash' },
+  route => route.timeoutMs > 0 && route.timeoutMs <= MAX_ROUTE_TIMEOUT_MS
+    ? undefined
+    : { field: 'timeout', problem: `is ${route.timeoutMs} ms`, expected: `above 0 and at most ${MAX_ROUTE_TIMEOUT_MS} ms` },
+  route => route.latencyObjectiveMs - route.timeoutMs < MAX_OBJECTIVE_EXCESS_MS
+    ? undefined
+    : {
+        field: 'latencyObjective',
+        problem: `is ${route.latencyObjectiveMs - route.timeoutMs} ms above the timeout`,
+        expected: `less than ${MAX_OBJECTIVE_EXCESS_MS} ms above it`
+      },
+  (route, services) => {
+    const unknown = servicesOf(route).find(service => !services.has(service))
+    return unknown === undefined
+      ? undefined
+      : { field: 'destination', problem: `names the unknown service "${unknown}"`, expected: 'a service of this configuration' }
+  },
+  route => {
+    const { destination } = route
+    if (destination.type === 'service' || destination.shares.some(share => share.weight > 0)) return undefined
+    return { field: 'destination', problem: 'has no weight above 0', expected: 'a share that takes requests' }
+  }
+]
+
+/**
+ * Checks a whole configuration.
+ * @returns Every finding; empty when it may come into force.
+ */
+export function checkRouting ({ routes, services }: RoutingConfiguration): Finding[] {
+  const known = new Set(services.map(service => service.name))
+  const findings = routes.flatMap((route, index) => checkRoute(route, index, known))
+  findings.push(...findRepeats('routes', 'name', routes.map(route => route.name)))
+  findings.push(...findRepeats('routes', 'host and pathPrefix', routes.map(route => `${route.host}${route.pathPrefix}`)))
+  findings.push(...findRepeats('services', 'name', services.map(service => service.name)))
+  return findings
+}
+
+/**
+ * Returns the services that a route may send requests to.
+ * @param route The route.
+ */
+export function servicesOf ({ destination }: Route): readonly string[] {
+  return destination.type === 'service' ? [destination.service] : destination.shares.map(share => share.service)
+}
+
+function checkRoute (route: Route, index: number, services: ReadonlySet<string>): Finding[] {
+  return ROUTE_RULES.flatMap(rule => {
+    const finding = rule(route, services)
+    if (finding === undefined) return []
+    const { field, problem, expected } = finding
+    return [{ place: `routes[${index}].${field}`, problem, expected }]
+  })
+}
+
+function findRepeats (list: string, field: string, values: readonly string[]): Finding[] {
+  const seen = new Map<string, number>()
+  return values.flatMap((value, index) => {
+    const first = seen.get(value)
+    if (first === undefined) {
+      seen.set(value, index)
+      return []
+    }
+    return [{ place: `${list}[${index}]`, problem: `repeats the ${field} of ${list}[${first}]`, expected: `a ${field} of its own` }]
+  })
+}
--- /dev/null
+++ b/src/parts/routing/RoutingRegister.ts
@@ -0,0 +1,88 @@
+import { DEFAULT_CALLER_LIMITS, MAX_ACCEPTED_CHANGES, MAX_DIFFERENCES } from './Constants.js'
+import { checkRouting } from './RoutingCheck.js'
+import { applyEdit, findDifference } from './RoutingDifference.js'
+import type {
+  RoutingChange, RoutingConfiguration, RoutingDifference, RoutingReply, RoutingSnapshot, VersionedRouting
+} from './Types.js'
+
+const NOTHING: VersionedRouting = {
+  version: 0,
+  configuration: { routes: [], services: [], limits: DEFAULT_CALLER_LIMITS }
+}
+
+/**
+ * Routing in force, as a deterministic state machine that every control replica applies in log order. A change is
+ * accepted when its base is the version in force, its own version is above it, and the result is valid. A change
+ * with the content of an accepted one is acknowledged again, whatever has come since.
+ *
+ * Memory: one configuration, `MAX_ACCEPTED_CHANGES` digests and `MAX_DIFFERENCES` differences.
+ */
+export class RoutingRegister {
+  private _current = NOTHING
+  private _accepted = new Map<string, number>()
+  private _differences: RoutingDifference[] = []
+
+  /** The configuration in force; version 0 before the first. */
+  public get inForce (): VersionedRouting {
+    return this._current
+  }
+
+  /**
+   * Applies one committed change.
+   * @param change The change.
+   * @param digest Hash of the whole change, the same for the same content.
+   */
+  public apply (change: RoutingChange, digest: string): RoutingReply {
+    const earlier = this._accepted.get(digest)
+    if (earlier !== undefined) return { type: 'accepted', version: earlier }
+    const inForce = this._current.version
+    if (change.base !== inForce) return { type: 'conflict', inForce }
+    const configuration = resultOf(change, this._current.configuration)
+    const findings = checkRouting(configuration)
+    if (change.version <= inForce) {
+      findings.push({ place: 'version', problem: `is ${change.version}`, expected: `above ${inForce}, the version in force` })
+    }
+    if (findings.length > 0) return { type: 'invalid', findings }
+    this._accept({ version: change.version, configuration }, digest)
+    return { type: 'accepted', version: change.version }
+  }
+
+  /**
+   * Returns the changes from a version to the one in force, or undefined when a whole copy is needed.
+   * @param version Version at the receiver.
+   */
+  public differencesFrom (version: number): readonly RoutingDifference[] | undefined {
+    if (version === this._current.version) return []
+    const start = this._differences.findIndex(difference => difference.from === version)
+    return start < 0 ? undefined : this._differences.slice(start)
+  }
+
+  /** Returns the replicated state as plain data. */
+  public snapshot (): RoutingSnapshot {
+    return { format: 1, inForce: this._current, accepted: [...this._accepted] }
+  }
+
+  /**
+   * Replaces the whole state.
+   * @param snapshot State of this or another replica; undefined for the state before any change.
+   */
+  public restore (snapshot: RoutingSnapshot | undefined): void {
+    this._current = snapshot?.inForce ?? NOTHING
+    this._accepted = new Map(snapshot?.accepted)
+    this._differences = []
+  }
+
+  private _accept (next: VersionedRouting, digest: string): void {
+    this._differences.push(findDifference(this._current, next))
+    if (this._differences.length > MAX_DIFFERENCES) this._differences.shift()
+    this._current = next
+    this._accepted.set(digest, next.version)
+    if (this._accepted.size <= MAX_ACCEPTED_CHANGES) return
+    const oldest = this._accepted.keys().next().value as string
+    this._accepted.delete(oldest)
+  }
+}
+
+function resultOf (change: RoutingChange, current: RoutingConfiguration): RoutingConfiguration {
+  return change.type === 'replace' ? change.configuration : applyEdit(current, change)
+}
--- /dev/null
+++ b/src/routecontrol/NodeFeed.ts
@@ -0,0 +1,181 @@
+import type { AcceptedChannel } from '../control/ReplicaLinks.js'
+import { NodeDirectory } from '../parts/instances/NodeDirectory.js'
+import type { NodeEntry } from '../parts/instances/Types.js'
+import type { NodeId } from '../parts/Types.js'
+import type { Clock, Disposable, Log } from '../runtime/Types.js'
+import { NODE_CHECK_MS, NODE_GONE_MS, NODE_SILENCE_MS } from './Constants.js'
+import type { SeededReplica } from './SeededReplica.js'
+import type { FeedToNode, NodeToFeed } from './Types.js'
+
+/** First frame of a node. */
+export type FeedHello = Extract<NodeToFeed, { type: 'feedHello' }>
+
+interface Session {
+  readonly node: NodeId
+  readonly channel: AcceptedChannel
+  /** False until a quorum has confirmed what this replica holds. */
+  welcomed: boolean
+  /** Version that the node has, or is being sent. */
+  version: number
+}
+
+type Handlers = {
+  readonly [Type in NodeToFeed['type']]?: (session: Session, frame: Extract<NodeToFeed, { type: Type }>) => void
+}
+
+/**
+ * Tells nodes of routing and of each other. Each node takes its news from one replica; replicas pass on what nodes
+ * publish. What nodes publish is not agreed on: it is merged by epoch and revision, and nodes publish it again
+ * wherever they connect.
+ *
+ * Memory: the directory and one session for each connected node.
+ */
+export class NodeFeed implements Disposable {
+  private readonly _directory = new NodeDirectory()
+  private readonly _sessions = new Map<NodeId, Session>()
+  private readonly _lostAtMs = new Map<NodeId, number>()
+  private readonly _timer: NodeJS.Timeout
+  private _controls = ''
+
+  private readonly _handlers: Handlers = {
+    publish: (_session, { entry }) => this._takeOwn([entry]),
+    feedPing: session => this._send(session, { type: 'feedPong', fit: this._replica.isFit }),
+    askRouting: session => {
+      session.version = 0
+      this._sendRouting(session)
+    }
+  }
+
+  public constructor (
+    private readonly _replica: SeededReplica,
+    private readonly _clock: Clock,
+    private readonly _log: Log
+  ) {
+    _replica.onNews(({ entries, whole }) => this._takeNews(entries, whole))
+    _replica.onLinkOpen(() => _replica.spread(this._directory.entries, true))
+    _replica.machine.onChange(() => this._sendRoutingToAll())
+    this._timer = setInterval(() => this._check(), NODE_CHECK_MS)
+  }
+
+  /** Connected nodes. */
+  public get size (): number {
+    return this._sessions.size
+  }
+
+  /** Nodes with their instances, as known here. */
+  public get directory (): NodeDirectory {
+    return this._directory
+  }
+
+  /**
+   * Takes over a connection on which a node has said hello.
+   * @param channel The connection.
+   * @param hello Its first frame.
+   */
+  public accept (channel: AcceptedChannel, { entry, version }: FeedHello): void {
+    const session: Session = { node: entry.node, channel, welcomed: false, version }
+    this._sessions.get(entry.node)?.channel.destroy('replaced by another connection')
+    this._sessions.set(entry.node, session)
+    channel.onMessage(frame => {
+      const handler = this._handlers[frame.type as NodeToFeed['type']] as ((session: Session, frame: object) => void) | undefined
+      handler?.(session, frame)
+    })
+    channel.onClose(() => this._handleClose(session))
+    this._welcome(session, entry).catch((error: Error) => channel.destroy(`not welcomed: ${error.message}`))
+  }
+
+  /** Closes all connections. */
+  public dispose (): void {
+    clearInterval(this._timer)
+    for (const { channel } of this._sessions.values()) channel.dispose()
+  }
+
+  private async _welcome (session: Session, entry: NodeEntry): Promise<void> {
+    const own = this._directory.find(entry.node)
+    const confirmed = await this._replica.readBarrier()
+    if (!confirmed) return this._send(session, { type: 'feedPong', fit: false })
+    const entries = this._directory.entries.filter(other => other.state !== 'gone')
+    const welcome = { type: 'welcome', entries, controls: this._replica.addresses } as const
+    this._send(session, own === undefined ? welcome : { ...welcome, own })
+    session.welcomed = true
+    this._sendRouting(session)
+    this._takeOwn([entry])
+  }
+
+  private _handleClose (session: Session): void {
+    if (this._sessions.get(session.node) !== session) return
+    this._sessions.delete(session.node)
+    this._lostAtMs.set(session.node, this._clock.nowMs())
+  }
+
+  /** Takes what a connected node says of itself and passes it on. */
+  private _takeOwn (entries: readonly NodeEntry[]): void {
+    const news = this._directory.merge(entries, this._clock.nowMs())
+    if (news.length === 0) return
+    this._replica.spread(news, false)
+    this._sendToAll({ type: 'entries', entries: news })
+    for (const { node, epoch, revision, state, instance } of news) {
+      this._log.info({ node, epoch, revision, state, instance: instance?.id, instanceState: instance?.state }, 'node published')
+    }
+  }
+
+  private _takeNews (entries: readonly NodeEntry[], whole: boolean): void {
+    const news = this._directory.merge(entries, this._clock.nowMs())
+    if (news.length === 0) return
+    this._log.debug({ count: news.length, whole }, 'news of nodes from another replica')
+    this._sendToAll({ type: 'entries', entries: news })
+  }
+
+  private _check (): void {
+    const nowMs = this._clock.nowMs()
+    for (const { channel } of this._sessions.values()) {
+      if (nowMs - channel.lastReceivedMs > NODE_SILENCE_MS) channel.destroy('the node is silent')
+    }
+    this._dropLost(nowMs)
+    this._tellControls()
+  }
+
+  /** A node that came back published a newer entry, here or at another replica, which outlives this notice. */
+  private _dropLost (nowMs: number): void {
+    for (const [node, atMs] of this._lostAtMs) {
+      if (nowMs - atMs < NODE_GONE_MS) continue
+      this._lostAtMs.delete(node)
+      const entry = this._directory.find(node)
+      if (entry !== undefined && !this._sessions.has(node)) this._takeOwn([{ ...entry, state: 'gone' }])
+    }
+  }
+
+  private _tellControls (): void {
+    const controls = this._replica.addresses
+    const text = controls.join()
+    if (text === this._controls) return
+    this._controls = text
+    this._sendToAll({ type: 'controls', controls })
+  }
+
+  private _sendRoutingToAll (): void {
+    for (const session of this._sessions.values()) {
+      if (session.welcomed) this._sendRouting(session)
+    }
+  }
+
+  private _sendRouting (session: Session): void {
+    const { register } = this._replica.machine
+    const { inForce } = register
+    if (inForce.version <= session.version) return
+    const differences = session.version === 0 ? undefined : register.differencesFrom(session.version)
+    session.version = inForce.version
+    if (differences === undefined) this._send(session, { type: 'routing', routing: inForce })
+    else this._send(session, { type: 'routingDifferences', differences })
+  }
+
+  private _sendToAll (frame: FeedToNode): void {
+    for (const session of this._sessions.values()) {
+      if (session.welcomed) this._send(session, frame)
+    }
+  }
+
+  private _send (session: Session, frame: FeedToNode): void {
+    session.channel.send(frame)
+  }
+}
--- /dev/null
+++ b/src/routecontrol/SeededReplica.ts
@@ -0,0 +1,330 @@
+import { randomBytes } from 'node:crypto'
+import { GroupHost } from '../control/GroupHost.js'
+import { ReadBarrier } from '../control/ReadBarrier.js'
+import { type AcceptedChannel, type ReplicaFrame, type ReplicaHello, ReplicaLinks } from '../control/ReplicaLinks.js'
+import type { ReplicaToReplica } from '../control/Types.js'
+import { GroupFormation, makeReplicaId, nameOf } from '../parts/agreement/GroupFormation.js'
+import type { FormationNotice } from '../parts/agreement/GroupFormation.js'
+import type { ReplicaView } from '../parts/agreement/Replica.js'
+import type { RecoveredState } from '../parts/agreement/Types.js'
+import { VoterPlan } from '../parts/agreement/VoterPlan.js'
+import type { NodeEntry } from '../parts/instances/Types.js'
+import type { RoutingChange, RoutingReply } from '../parts/routing/Types.js'
+import { DurableLog } from '../parts/storage/DurableLog.js'
+import type { Corruption, Disk } from '../parts/storage/Types.js'
+import type { Random, ReplicaId } from '../parts/Types.js'
+import { Emitter } from '../runtime/Emitter.js'
+import type { Clock, Disposable, Log } from '../runtime/Types.js'
+import {
+  ANNOUNCE_INTERVAL_MS, GROUP_TICK_MS, GROUP_TIMING, JOIN_INTERVAL_MS, LEADERLESS_JOIN_MS, SNAPSHOT_AFTER_BYTES
+} from './Constants.js'
+import { RoutingMachine } from './RoutingMachine.js'
+
+/** What is known of the group from the start. */
+export interface SeedSettings {
+  /** Where this replica listens for replicas and nodes, `host:port`; also its name. */
+  readonly address: string
+  /** Replicas to ask first, `host:port`. */
+  readonly seeds: readonly string[]
+  /** True only when the whole system starts for the first time; an empty disk may then form a group. */
+  readonly bootstrap: boolean
+  /** Replicas that may be lost at once. */
+  readonly toleratedLosses: number
+}
+
+/** What a replica is built with. */
+export interface SeededReplicaOptions {
+  readonly settings: SeedSettings
+  readonly disk: Disk
+  readonly clock: Clock
+  readonly random: Random
+  readonly log: Log
+  /** The process must stop: state may be lost or wrong. */
+  readonly onFault: (error: Error) => void
+}
+
+/** How a change ended. `unknown` may still come into force. */
+export type ChangeOutcome =
+  | { readonly type: 'decided', readonly reply: RoutingReply }
+  | { readonly type: 'undecided', readonly state: 'not-run' | 'unknown' }
+
+/** News of nodes from another replica. */
+export interface ReplicaNews {
+  readonly from: ReplicaId
+  readonly entries: readonly NodeEntry[]
+  readonly whole: boolean
+}
+
+type FrameHandlers = {
+  readonly [Type in ReplicaToReplica['type']]?:
+  (from: ReplicaId, frame: Extract<ReplicaToReplica, { type: Type }>) => void
+}
+
+/** Range of the first number of questions to the leader. */
+const ID_RANGE = 2 ** 40
+
+const NOTHING_RECOVERED: RecoveredState = {
+  hard: { term: 0, votedFor: undefined },
+  snapshot: { index: 0, term: 0, members: [], data: new Uint8Array(0) },
+  entries: []
+}
+
+/**
+ * A control replica that knows only some seeds and how many losses to tolerate. The seeds form the first group;
+ * other replicas join through any member and become voters while the group needs them. A replica whose disk is
+ * empty takes another identity, so it never votes in place of the one that it was.
+ */
+export class SeededReplica implements Disposable {
+  public readonly id: ReplicaId
+  public readonly machine = new RoutingMachine()
+  /** Damage found at start; the replica then takes no part. */
+  public readonly corruptions: readonly Corruption[]
+  private readonly _links: ReplicaLinks
+  private readonly _host: GroupHost<RoutingReply>
+  private readonly _barrier: ReadBarrier
+  private readonly _formation: GroupFormation | undefined
+  private readonly _plan: VoterPlan
+  private readonly _heardMs = new Map<ReplicaId, number>()
+  private readonly _news = new Emitter<ReplicaNews>()
+  private readonly _linkOpens = new Emitter<void>()
+  private _announceTimer: NodeJS.Timeout | undefined
+  private _joinTimer: NodeJS.Timeout | undefined
+  private _leaderSeenMs: number
+  private _changingMembers = false
+
+  private readonly _frames: FrameHandlers = {
+    agreement: (from, { to, message }) => { if (to === this.id) this._host.receive(from, message) },
+    formation: (from, { notice }) => this._takeNotice(from, notice),
+    join: (_from, { replica }) => this._plan.hear(replica, this._options.clock.nowMs()),
+    readIndex: (from, { id }) => {
+      this._barrier.answer(from, id).catch((error: Error) => this._options.log.warn({ error: error.message }, 'read failed'))
+    },
+    readIndexReply: (_from, { id, index }) => this._barrier.take(id, index),
+    nodeEntries: (from, { entries, whole }) => this._news.fire({ from, entries, whole })
+  }
+
+  /**
+   * @param _options Settings, disk, clock, random numbers and log.
+   * @throws StorageFault when the disk fails.
+   */
+  public constructor (private readonly _options: SeededReplicaOptions) {
+    const { settings, disk, clock, random, log } = _options
+    const storage = new DurableLog(disk)
+    const opened = storage.open()
+    this.corruptions = opened.type === 'corrupt' ? opened.corruptions : []
+    this.id = opened.type === 'recovered'
+      ? opened.identity
+      : makeReplicaId(settings.address, randomBytes(6).toString('hex'))
+    if (opened.type === 'empty') storage.create(this.id)
+    this._links = new ReplicaLinks(this._hello(), clock, random)
+    this._links.onFrame(frame => this._take(frame))
+    this._links.onOpen(() => this._linkOpens.fire())
+    this._host = this._makeHost(storage, opened.type === 'recovered' ? opened.state : NOTHING_RECOVERED)
+    this._barrier = new ReadBarrier({
+      id: this.id,
+      read: () => this._host.read(),
+      leader: () => this.view.leader,
+      applied: () => this.view.commitIndex,
+      send: (to, frame) => this._links.send(to, frame)
+    }, Math.floor(random.next() * ID_RANGE))
+    this._host.onApplied(() => this._barrier.applied())
+    this._host.onRole(({ role, term, leader }) => log.info({ role, term, leader }, 'role changed'))
+    const forms = opened.type === 'empty' && settings.bootstrap && settings.seeds.includes(settings.address)
+    this._formation = forms ? new GroupFormation(this.id, settings.seeds) : undefined
+    this._plan = new VoterPlan(2 * settings.toleratedLosses + 1)
+    this._leaderSeenMs = clock.nowMs()
+    const cutBytes = opened.type === 'recovered' ? opened.cutBytes : 0
+    log.info({ replica: this.id, members: this.view.members, commitIndex: this.view.commitIndex, cutBytes }, 'log opened')
+    this.corruptions.forEach(item => log.error({ ...item }, 'log is damaged, taking no part'))
+  }
+
+  /** Fires with news of nodes from other replicas. */
+  public readonly onNews = this._news.event
+
+  /** Fires when a connection to another replica has opened: what was sent to it before may be lost. */
+  public readonly onLinkOpen = this._linkOpens.event
+
+  /** Bounded view of the replica. */
+  public get view (): ReplicaView {
+    return this._host.view
+  }
+
+  /** True while a leader is known and this replica belongs to its group: what it applies is fresh. */
+  public get isFit (): boolean {
+    return this.view.leader !== undefined && this.view.members.includes(this.id)
+  }
+
+  /** Addresses of the members, `host:port`. */
+  public get addresses (): string[] {
+    return this.view.members.map(nameOf)
+  }
+
+  /** Where the leader listens, `host:port`, when it is another replica. */
+  public get leaderElsewhere (): string | undefined {
+    const { leader } = this.view
+    return leader === undefined || leader === this.id ? undefined : nameOf(leader)
+  }
+
+  /** Connects to the seeds and the members, and starts the clock. */
+  public start (): void {
+    this.setSeeds(this._options.settings.seeds)
+    this.addresses.forEach(address => this._connect(address))
+    this._host.start()
+    this._announceTimer = setInterval(() => this._announce(), ANNOUNCE_INTERVAL_MS)
+    this._joinTimer = setInterval(() => this._tickMembership(), JOIN_INTERVAL_MS)
+  }
+
+  /**
+   * Connects to replicas that the settings name by now.
+   * @param seeds Addresses, `host:port`.
+   */
+  public setSeeds (seeds: readonly string[]): void {
+    seeds.forEach(address => this._connect(address))
+  }
+
+  /** Resolves to true when a quorum has confirmed that all committed before this call is applied here. */
+  public readBarrier (): Promise<boolean> {
+    return this._barrier.pass()
+  }
+
+  /**
+   * Proposes a change at the leader.
+   * @param change The change, decoded.
+   */
+  public async change (change: RoutingChange): Promise<ChangeOutcome> {
+    const outcome = await this._host.propose(this.machine.encode(change))
+    return outcome.type === 'applied'
+      ? { type: 'decided', reply: outcome.reply }
+      : { type: 'undecided', state: outcome.state }
+  }
+
+  /**
+   * Takes over a connection on which another replica has said hello.
+   * @param channel The connection.
+   * @param hello Its first frame.
+   */
+  public accept (channel: AcceptedChannel, hello: ReplicaHello): void {
+    this._links.accept(channel, hello)
+  }
+
+  /**
+   * Sends news of nodes to all other replicas.
+   * @param entries The news.
+   * @param whole True when it is all that this replica knows.
+   */
+  public spread (entries: readonly NodeEntry[], whole: boolean): void {
+    this._links.broadcast({ type: 'nodeEntries', entries, whole })
+  }
+
+  /** Stops without finishing anything. */
+  public dispose (): void {
+    clearInterval(this._announceTimer)
+    clearInterval(this._joinTimer)
+    this._barrier.dispose()
+    this._host.dispose()
+    this._links.dispose()
+  }
+
+  private _makeHost (storage: DurableLog, recovered: RecoveredState): GroupHost<RoutingReply> {
+    const { clock, random, onFault } = this._options
+    return new GroupHost<RoutingReply>({
+      id: this.id,
+      recovered,
+      damaged: this.corruptions.length > 0,
+      log: storage,
+      machine: this.machine,
+      clock,
+      random,
+      timing: GROUP_TIMING,
+      tickMs: GROUP_TICK_MS,
+      snapshotAfterBytes: SNAPSHOT_AFTER_BYTES,
+      send: (to, message) => {
+        this._connect(nameOf(to))
+        this._links.send(to, { type: 'agreement', to, message })
+      },
+      onFault
+    })
+  }
+
+  private _hello (): ReplicaHello {
+    const { address } = this._options.settings
+    return { type: 'replicaHello', replica: this.id, incarnation: this._options.clock.wallMs(), address, admin: address }
+  }
+
+  private _connect (address: string): void {
+    if (address === this._options.settings.address || this._links.names.includes(address)) return
+    this._links.connect({ name: address, address, admin: address })
+  }
+
+  private _take ({ from, frame }: ReplicaFrame): void {
+    this._heardMs.set(from, this._options.clock.nowMs())
+    const handler = this._frames[frame.type] as ((from: ReplicaId, frame: ReplicaToReplica) => void) | undefined
+    handler?.(from, frame)
+  }
+
+  /** Only a replica outside of any group announces itself; members answer with theirs. */
+  private _announce (): void {
+    if (this.corruptions.length > 0 || this.view.members.length > 0) return
+    this._tryToForm(this._formation?.ready(this._options.clock.nowMs()))
+    this._links.broadcast(this._notice())
+  }
+
+  private _notice (): Extract<ReplicaToReplica, { type: 'formation' }> {
+    const heard = this._formation?.heard(this._options.clock.nowMs()) ?? []
+    return { type: 'formation', notice: { replica: this.id, members: this.view.members, heard } }
+  }
+
+  private _takeNotice (from: ReplicaId, notice: FormationNotice): void {
+    notice.members.forEach(member => this._connect(nameOf(member)))
+    if (this.corruptions.length > 0) return
+    if (this.view.members.length > 0) {
+      if (notice.members.length === 0) this._links.send(from, this._notice())
+      return
+    }
+    this._tryToForm(this._formation?.hear(notice, this._options.clock.nowMs()))
+  }
+
+  private _tryToForm (members: readonly ReplicaId[] | undefined): void {
+    if (members === undefined) return
+    this._options.log.info({ members }, 'forming the group')
+    this._host.form(members)
+  }
+
+  private _tickMembership (): void {
+    const nowMs = this._options.clock.nowMs()
+    const { leader, role } = this.view
+    if (leader !== undefined) this._leaderSeenMs = nowMs
+    if (this.corruptions.length > 0) return
+    if (role === 'leader') return this._planMembers(nowMs)
+    const outside = !this.view.members.includes(this.id)
+    const cutOff = nowMs - this._leaderSeenMs > LEADERLESS_JOIN_MS
+    if (outside || cutOff) this._links.broadcast({ type: 'join', replica: this.id })
+  }
+
+  private _planMembers (nowMs: number): void {
+    if (this._changingMembers) return
+    const sight = {
+      self: this.id,
+      members: this.view.members,
+      silenceMs: (member: ReplicaId) => nowMs - (this._heardMs.get(member) ?? this._leaderSinceMs(nowMs, member))
+    }
+    const members = this._plan.next(sight, nowMs)
+    if (members !== undefined) this._changeMembers(members)
+  }
+
+  /** A member that was never heard counts as silent from the first look on. */
+  private _leaderSinceMs (nowMs: number, member: ReplicaId): number {
+    this._heardMs.set(member, nowMs)
+    return nowMs
+  }
+
+  private _changeMembers (members: readonly ReplicaId[]): void {
+    this._changingMembers = true
+    this._options.log.info({ before: this.view.members, members }, 'changing the members')
+    this._host.changeMembers(members).then(outcome => {
+      this._options.log.info({ members, outcome: outcome.type }, 'members change ended')
+    }).catch((error: Error) => {
+      this._options.log.error({ error: error.message }, 'members change failed')
+    }).finally(() => { this._changingMembers = false })
+  }
+}
--- /dev/null
+++ b/src/routenode/CallServer.ts
@@ -0,0 +1,73 @@
+import type { CallId } from '../parts/Types.js'
+import type { FrameChannel } from '../runtime/FrameChannel.js'
+import { FrameServer } from '../runtime/FrameServer.js'
+import type { Clock, Disposable } from '../runtime/Types.js'
+import type { FromInstanceNode, RoutedCall, RoutedCallHandle, RoutedCallTarget, ToInstanceNode } from './Types.js'
+
+type Channel = FrameChannel<ToInstanceNode, FromInstanceNode>
+
+/** Takes calls of other nodes for the instance on this VM. A connection that ends cancels its calls. */
+export class CallServer implements Disposable {
+  private readonly _server: FrameServer<ToInstanceNode, FromInstanceNode>
+  private readonly _channels = new Set<Channel>()
+  private _stopping = false
+
+  /**
+   * @param _port The way in to the instance.
+   */
+  public constructor (private readonly _port: RoutedCallTarget, clock: Clock) {
+    this._server = new FrameServer(clock)
+    this._server.onChannel(channel => this._accept(channel))
+  }
+
+  /** Starts to listen on `host:port`. */
+  public async listen (address: string): Promise<void> {
+    await this._server.listen(address)
+  }
+
+  /** Tells all connected nodes that this one stops. */
+  public announceStop (): void {
+    this._stopping = true
+    for (const channel of this._channels) channel.send({ type: 'stopping' })
+  }
+
+  /** Ends the listener and all connections. */
+  public dispose (): void {
+    this._server.dispose()
+  }
+
+  private _accept (channel: Channel): void {
+    const running = new Map<CallId, RoutedCallHandle>()
+    this._channels.add(channel)
+    channel.onClose(() => {
+      this._channels.delete(channel)
+      for (const handle of running.values()) handle.cancel()
+      running.clear()
+    })
+    channel.onMessage(frame => {
+      if (frame.type === 'call') this._start(channel, running, frame.call)
+      if (frame.type === 'ping') channel.send({ type: 'pong' })
+      if (frame.type !== 'cancel') return
+      running.get(frame.id)?.cancel()
+      running.delete(frame.id)
+    })
+    if (this._stopping) channel.send({ type: 'stopping' })
+  }
+
+  private _start (channel: Channel, running: Map<CallId, RoutedCallHandle>, call: RoutedCall): void {
+    const { id } = call
+    let ended = false
+    const finish = (frame: FromInstanceNode): void => {
+      ended = true
+      running.delete(id)
+      channel.send(frame)
+    }
+    const handle = this._port.start(call, {
+      onAnswer: (answer, load) => finish({ type: 'answer', id, answer, load }),
+      onTurnedAway: (reason, retryAfterMs, load) => finish({ type: 'turnedAway', id, reason, retryAfterMs, load }),
+      onFailed: (proof, reason, load) => finish({ type: 'failed', id, proof, reason, load: load as NonNullable<typeof load> })
+    })
+    // The port may have answered before it returned.
+    if (!ended) running.set(id, handle)
+  }
+}
--- /dev/null
+++ b/src/routenode/Constants.ts
@@ -0,0 +1,50 @@
+/** Interval of pings on a link while calls are out and nothing is heard, in milliseconds. */
+export const LINK_PING_MS = 300
+
+/** Silence on a link with calls out after which it counts as lost, in milliseconds: three pings. */
+export const LINK_SILENCE_MS = 1000
+
+/** Longest connect to the instance on the same VM, in milliseconds; it takes well below one. */
+export const INSTANCE_CONNECT_MS = 400
+
+/** Idle time after which a connection is not used for a call that must not run twice, in milliseconds. */
+export const ONCE_MAX_IDLE_MS = 1000
+
+/** Idle connections to the instance that are kept. */
+export const MAX_IDLE_CONNECTIONS = 32
+
+/** Interval of health checks of an instance that was lost or is not known yet, in milliseconds. */
+export const RECOVERY_CHECK_MS = 250
+
+/** Longest wait for a health check, in milliseconds. */
+export const HEALTH_TIMEOUT_MS = 500
+
+/** Interval of pings to the control replica that a node takes its news from, in milliseconds. */
+export const FEED_PING_MS = 500
+
+/** Silence of that replica after which the node looks for another, in milliseconds. */
+export const FEED_SILENCE_MS = 1200
+
+/** Longest wait for a connection and a welcome, in milliseconds. */
+export const FEED_WELCOME_MS = 1500
+
+/** Pause before the next replica is tried, in milliseconds. */
+export const FEED_RETRY_MS = 100
+
+/** Instances that may hand one call back before it is made to wait at the best of them. */
+export const MAX_DECLINES = 2
+
+/** Largest answer that is relayed, in bytes; a node holds it whole until its caller has it. */
+export const MAX_ANSWER_BYTES = 15 * 1024 * 1024
+
+/** Retry-After of a node that has no configuration yet, in milliseconds: the usual time to get one. */
+export const NOT_READY_RETRY_MS = 300
+
+/** Time after a stop signal for which new requests are still taken, in milliseconds: callers ask each second, twice. */
+export const STOP_LINGER_MS = 3000
+
+/** Share of the objective that a Retry-After is spread over, so that refused callers do not come back together. */
+export const RETRY_SPREAD = 0.5
+
+/** Share of the time left that callers wait at most before they come back. */
+export const RETRY_MAX_SHARE = 1 / 3
--- /dev/null
+++ b/src/routenode/ControlFeed.ts
@@ -0,0 +1,179 @@
+import { connect } from 'node:net'
+import type { Socket } from 'node:net'
+import type { NodeEntry } from '../parts/instances/Types.js'
+import type { RoutingDifference, VersionedRouting } from '../parts/routing/Types.js'
+import { applyEdit } from '../parts/routing/RoutingDifference.js'
+import type { Random } from '../parts/Types.js'
+import type { FeedToNode, NodeToFeed } from '../routecontrol/Types.js'
+import { parseAddress } from '../runtime/Address.js'
+import { Emitter } from '../runtime/Emitter.js'
+import { FrameChannel } from '../runtime/FrameChannel.js'
+import type { Clock, Disposable, Log } from '../runtime/Types.js'
+import { FEED_PING_MS, FEED_RETRY_MS, FEED_SILENCE_MS, FEED_WELCOME_MS } from './Constants.js'
+
+/** What a replica said when it took this node in. */
+export type FeedWelcome = Extract<FeedToNode, { type: 'welcome' }>
+
+type Channel = FrameChannel<FeedToNode, NodeToFeed>
+
+type Handlers = {
+  readonly [Type in FeedToNode['type']]: (frame: Extract<FeedToNode, { type: Type }>) => void
+}
+
+/**
+ * News from control: routing in force and the other nodes. The node takes them from one replica at a time and goes
+ * to another when that one falls silent or has lost its group. What was applied stays in force meanwhile; versions
+ * only go up.
+ */
+export class ControlFeed implements Disposable {
+  private readonly _welcomes = new Emitter<FeedWelcome>()
+  private readonly _entries = new Emitter<readonly NodeEntry[]>()
+  private readonly _routings = new Emitter<VersionedRouting>()
+  private _controls: string[]
+  private _channel: Channel | undefined
+  private _socket: Socket | undefined
+  private _pingTimer: NodeJS.Timeout | undefined
+  private _welcomeTimer: NodeJS.Timeout | undefined
+  private _retryTimer: NodeJS.Timeout | undefined
+  private _routing: VersionedRouting | undefined
+  private _next = 0
+  private _disposed = false
+  private _welcomed = false
+
+  private readonly _handlers: Handlers = {
+    welcome: frame => this._handleWelcome(frame),
+    routing: ({ routing }) => this._apply(routing),
+    routingDifferences: ({ differences }) => this._applyDifferences(differences),
+    entries: ({ entries }) => this._entries.fire(entries),
+    controls: ({ controls }) => this._learn(controls),
+    feedPong: ({ fit }) => { if (!fit) this._channel?.destroy('the replica has no leader') }
+  }
+
+  /**
+   * @param _seeds Replicas to ask first, `host:port`.
+   * @param _entry What this node publishes of itself, asked at each connection.
+   */
+  public constructor (
+    private _seeds: readonly string[],
+    private readonly _entry: () => NodeEntry,
+    private readonly _clock: Clock,
+    random: Random,
+    private readonly _log: Log
+  ) {
+    this._controls = [..._seeds]
+    this._next = Math.floor(random.next() * Math.max(1, _seeds.length))
+  }
+
+  /** Fires when a replica has taken this node in. */
+  public readonly onWelcome = this._welcomes.event
+
+  /** Fires with news of nodes. */
+  public readonly onEntries = this._entries.event
+
+  /** Fires with each newer version. */
+  public readonly onRouting = this._routings.event
+
+  /** Routing in force at this node. */
+  public get routing (): VersionedRouting | undefined {
+    return this._routing
+  }
+
+  /** The replica that news come from, `host:port`. */
+  public get home (): string | undefined {
+    return this._welcomed ? this._channel?.remote : undefined
+  }
+
+  /** Starts to connect. */
+  public start (): void {
+    this._pingTimer = setInterval(() => this._ping(), FEED_PING_MS)
+    this._connect()
+  }
+
+  /** Takes the seeds that the settings name by now. */
+  public setSeeds (seeds: readonly string[]): void {
+    this._seeds = seeds
+    this._learn(this._controls)
+  }
+
+  /** Publishes what this node says of itself; after a reconnect that happens by itself. */
+  public publish (): void {
+    if (this._welcomed) this._channel?.send({ type: 'publish', entry: this._entry() })
+  }
+
+  /** Ends the connection. */
+  public dispose (): void {
+    this._disposed = true
+    clearInterval(this._pingTimer)
+    clearTimeout(this._welcomeTimer)
+    clearTimeout(this._retryTimer)
+    this._socket?.destroy()
+  }
+
+  private _connect (): void {
+    if (this._disposed || this._controls.length === 0) return
+    const address = this._controls[this._next++ % this._controls.length]!
+    const socket = connect(parseAddress(address))
+    this._socket = socket
+    this._welcomeTimer = setTimeout(() => socket.destroy(new Error('no welcome')), FEED_WELCOME_MS)
+    socket.on('error', error => this._log.debug({ address, error: error.message }, 'control connection failed'))
+    socket.once('close', () => this._handleClose(address))
+    socket.once('connect', () => this._greet(socket))
+  }
+
+  private _greet (socket: Socket): void {
+    const channel = new FrameChannel<FeedToNode, NodeToFeed>(socket, this._clock)
+    this._channel = channel
+    channel.onMessage(frame => {
+      const handler = this._handlers[frame.type] as ((frame: FeedToNode) => void) | undefined
+      handler?.(frame)
+    })
+    channel.send({ type: 'feedHello', entry: this._entry(), version: this._routing?.version ?? 0 })
+  }
+
+  private _handleClose (address: string): void {
+    clearTimeout(this._welcomeTimer)
+    if (this._welcomed) this._log.warn({ address, version: this._routing?.version }, 'control connection lost')
+    this._welcomed = false
+    this._channel = undefined
+    if (!this._disposed) this._retryTimer = setTimeout(() => this._connect(), FEED_RETRY_MS)
+  }
+
+  private _handleWelcome (frame: FeedWelcome): void {
+    clearTimeout(this._welcomeTimer)
+    this._welcomed = true
+    this._learn(frame.controls)
+    this._log.info({ home: this._channel?.remote, nodes: frame.entries.length }, 'control connection open')
+    this._welcomes.fire(frame)
+    this._entries.fire(frame.entries)
+  }
+
+  private _learn (controls: readonly string[]): void {
+    this._controls = [...new Set([...controls, ...this._seeds])]
+  }
+
+  private _ping (): void {
+    const channel = this._channel
+    if (channel === undefined || !this._welcomed) return
+    const silentMs = this._clock.nowMs() - channel.lastReceivedMs
+    if (silentMs > FEED_SILENCE_MS) channel.destroy('the replica is silent')
+    else channel.send({ type: 'feedPing' })
+  }
+
+  private _applyDifferences (differences: readonly RoutingDifference[]): void {
+    let routing = this._routing
+    for (const difference of differences) {
+      if (routing === undefined || routing.version !== difference.from) continue
+      routing = { version: difference.version, configuration: applyEdit(routing.configuration, difference) }
+    }
+    const target = differences.at(-1)?.version ?? 0
+    if (routing === undefined || routing.version < target) this._channel?.send({ type: 'askRouting' })
+    else this._apply(routing)
+  }
+
+  private _apply (routing: VersionedRouting): void {
+    if (routing.version <= (this._routing?.version ?? 0)) return
+    this._routing = routing
+    this._log.info({ version: routing.version, routes: routing.configuration.routes.length }, 'configuration in force')
+    this._routings.fire(routing)
+  }
+}
--- /dev/null
+++ b/src/routenode/InstanceAgent.ts
@@ -0,0 +1,65 @@
+import { Agent } from 'node:http'
+import type { ClientRequest } from 'node:http'
+import type { Socket } from 'node:net'
+import { MAX_IDLE_CONNECTIONS } from './Constants.js'
+
+/**
+ * Connections to the instance on the same VM. A connection on which anything arrives while no request is out is
+ * closed: it belongs to no request, and the next one must not take it for its answer.
+ */
+export class InstanceAgent extends Agent {
+  private readonly _idleSince = new Map<Socket, number>()
+  private readonly _guards = new Map<Socket, () => void>()
+
+  public constructor () {
+    super({ keepAlive: true, maxFreeSockets: MAX_IDLE_CONNECTIONS, scheduling: 'lifo' })
+  }
+
+  /**
+   * Closes connections that have been idle for longer.
+   * @param beforeMs Monotonic time in milliseconds; connections idle since before it are closed.
+   */
+  public closeIdleSince (beforeMs: number): void {
+    for (const [socket, sinceMs] of this._idleSince) {
+      if (sinceMs < beforeMs) this._drop(socket)
+    }
+  }
+
+  /** @inheritdoc */
+  public override keepSocketAlive (socket: Socket): boolean {
+    // Bytes behind the whole answer are nobody's.
+    if (socket.readableLength > 0 || super.keepSocketAlive(socket) === false) return false
+    const guard = (): void => this._drop(socket)
+    this._guards.set(socket, guard)
+    this._idleSince.set(socket, performance.now())
+    socket.on('data', guard)
+    socket.once('close', () => this._forget(socket))
+    return true
+  }
+
+  /** @inheritdoc */
+  public override reuseSocket (socket: Socket, request: ClientRequest): void {
+    this._forget(socket)
+    super.reuseSocket(socket, request)
+  }
+
+  private _drop (socket: Socket): void {
+    this._forget(socket)
+    socket.destroy()
+  }
+
+  private _forget (socket: Socket): void {
+    const guard = this._guards.get(socket)
+    if (guard !== undefined) socket.off('data', guard)
+    this._guards.delete(socket)
+    this._idleSince.delete(socket)
+  }
+}
+
+declare module 'node:http' {
+  interface Agent {
+    /** Called when a request is done; false closes the connection. Documented, but missing in the types. */
+    keepSocketAlive (socket: Socket): boolean
+    reuseSocket (socket: Socket, request: ClientRequest): void
+  }
+}
--- /dev/null
+++ b/src/routenode/InstanceClient.ts
@@ -0,0 +1,235 @@
+import { request as sendRequest } from 'node:http'
+import type { ClientRequest, IncomingMessage } from 'node:http'
+import { findHeader, selectEndToEnd } from '../node/EndToEndHeaders.js'
+import { parseAddress } from '../runtime/Address.js'
+import type { Clock, Disposable } from '../runtime/Types.js'
+import { HEALTH_TIMEOUT_MS, INSTANCE_CONNECT_MS, MAX_ANSWER_BYTES, ONCE_MAX_IDLE_MS } from './Constants.js'
+import { InstanceAgent } from './InstanceAgent.js'
+import { parseLoad } from './LoadHeader.js'
+import type { InstanceLoad } from './LoadHeader.js'
+import type { FailureProof, FailureReason, HeaderNames, RoutedAnswer, RoutedCall, RoutedCallHandle } from './Types.js'
+
+/** Hears how one request at the instance ends; exactly one of the first two is called, once. */
+export interface InstanceListener {
+  onAnswer (answer: RoutedAnswer): void
+  onFailure (proof: FailureProof, reason: FailureReason, detail: string): void
+  /** The instance told its load. */
+  onLoad (load: InstanceLoad): void
+}
+
+/** What a health check found. */
+export interface InstanceHealth {
+  readonly id: string
+  readonly load: InstanceLoad | undefined
+}
+
+const SAFE_TO_REPEAT = 'idempotent'
+const MISDIRECTED = 421
+
+/** HTTP/1.1 to the instance on the same VM. An answer counts only when it is whole and repeats the request's id. */
+export class InstanceClient implements Disposable {
+  private readonly _agent = new InstanceAgent()
+  private readonly _host: string
+  private readonly _port: number
+
+  /**
+   * @param address Where the instance listens, `host:port`.
+   * @param _names Header names.
+   */
+  public constructor (address: string, private readonly _names: HeaderNames, private readonly _clock: Clock) {
+    const { host, port } = parseAddress(address)
+    this._host = host
+    this._port = port
+  }
+
+  /**
+   * Sends one call.
+   * @param call The call.
+   * @param instance Id of the instance that must run it.
+   * @param leftMs Milliseconds until nobody waits any more.
+   */
+  public run (call: RoutedCall, instance: string, leftMs: number, listener: InstanceListener): RoutedCallHandle {
+    if (call.kind === 'once') this._agent.closeIdleSince(performance.now() - ONCE_MAX_IDLE_MS)
+    const deadlineAtMs = this._clock.nowMs() + leftMs
+    return new InstanceExchange(call, deadlineAtMs, listener, this._names, this._clock, () => sendRequest({
+      agent: this._agent,
+      host: this._host,
+      port: this._port,
+      method: call.method,
+      path: call.target,
+      headers: this._headersOf(call, instance, deadlineAtMs) as unknown as Record<string, string>
+    }))
+  }
+
+  /**
+   * Asks the instance for its health.
+   * @param path Path of the health check.
+   * @param onResult Called once; undefined unless the instance says that it is well.
+   */
+  public check (path: string, onResult: (health: InstanceHealth | undefined) => void): void {
+    const request = sendRequest({ host: this._host, port: this._port, path, agent: false, timeout: HEALTH_TIMEOUT_MS })
+    let done = false
+    const finish = (health: InstanceHealth | undefined): void => {
+      if (done) return
+      done = true
+      request.destroy()
+      onResult(health)
+    }
+    request.on('timeout', () => finish(undefined))
+    request.on('error', () => finish(undefined))
+    request.on('response', response => {
+      response.resume()
+      const id = response.headers[this._names.instanceId]
+      const load = parseLoad(response.headers[this._names.load] as string | undefined)
+      finish(response.statusCode === 200 && typeof id === 'string' ? { id, load } : undefined)
+    })
+    request.end()
+  }
+
+  /** Closes all idle connections; one of them was found silent. */
+  public closeIdle (): void {
+    this._agent.closeIdleSince(Infinity)
+  }
+
+  /** Closes all connections at once. */
+  public dispose (): void {
+    this._agent.destroy()
+  }
+
+  private _headersOf (call: RoutedCall, instance: string, deadlineAtMs: number): string[] {
+    const headers = call.headers.slice()
+    const leftMs = Math.max(1, Math.floor(deadlineAtMs - this._clock.nowMs()))
+    headers.push(this._names.deadlineMs, String(leftMs), this._names.targetInstance, instance)
+    const announced = findHeader(headers, 'content-length') !== undefined
+    if (!announced && call.body.length > 0) headers.push('content-length', String(call.body.length))
+    headers.push('connection', 'keep-alive')
+    return headers
+  }
+}
+
+/** One request at the instance. */
+class InstanceExchange implements RoutedCallHandle {
+  private _request: ClientRequest
+  private _timer: NodeJS.Timeout | undefined
+  private _connected = false
+  private _repeated = false
+  private _ended = false
+
+  public constructor (
+    private readonly _call: RoutedCall,
+    private readonly _deadlineAtMs: number,
+    private readonly _listener: InstanceListener,
+    private readonly _names: HeaderNames,
+    private readonly _clock: Clock,
+    private readonly _open: () => ClientRequest
+  ) {
+    this._request = this._send()
+  }
+
+  public cancel (): void {
+    this._ended = true
+    clearTimeout(this._timer)
+    this._request.destroy()
+  }
+
+  private _send (): ClientRequest {
+    const request = this._open()
+    request.once('socket', socket => {
+      this._connected = !socket.connecting
+      if (this._connected) return this._startTimer(this._leftMs())
+      this._startTimer(Math.min(INSTANCE_CONNECT_MS, this._leftMs()))
+      socket.once('connect', () => {
+        this._connected = true
+        this._startTimer(this._leftMs())
+      })
+    })
+    request.on('error', error => this._handleError(request, error))
+    request.once('response', response => this._handleResponse(request, response))
+    request.end(this._call.body.length > 0 ? this._call.body : undefined)
+    return request
+  }
+
+  private _leftMs (): number {
+    return this._deadlineAtMs - this._clock.nowMs()
+  }
+
+  private _startTimer (ms: number): void {
+    clearTimeout(this._timer)
+    if (this._ended) return
+    this._timer = setTimeout(() => this._handleTimeout(), Math.max(1, ms))
+  }
+
+  private _handleTimeout (): void {
+    if (this._connected) this._fail('unknown', 'timeout', 'no answer within the deadline')
+    else this._fail('unsent', 'instance-unreachable', 'connect timed out')
+  }
+
+  private _handleError (request: ClientRequest, error: Error): void {
+    if (this._ended || request !== this._request) return
+    // A kept connection that the instance has closed meanwhile; the request never reached it.
+    if (request.reusedSocket && !this._repeated && this._call.kind === SAFE_TO_REPEAT) {
+      this._repeated = true
+      this._request = this._send()
+      return
+    }
+    if (this._connected) this._fail('unknown', 'instance-lost', error.message)
+    else this._fail('unsent', 'instance-unreachable', error.message)
+  }
+
+  private _handleResponse (request: ClientRequest, response: IncomingMessage): void {
+    const pieces: Buffer[] = []
+    let length = 0
+    this._repeated = true
+    const load = parseLoad(response.headers[this._names.load] as string | undefined)
+    if (load !== undefined) this._listener.onLoad(load)
+    response.on('data', (piece: Buffer) => {
+      length += piece.length
+      if (length > MAX_ANSWER_BYTES) this._fail('unknown', 'answer-invalid', 'the answer is too large')
+      else pieces.push(piece)
+    })
+    response.on('error', error => this._fail('unknown', 'instance-lost', error.message))
+    response.once('close', () => {
+      if (response.complete) this._take(response, Buffer.concat(pieces, length))
+      else this._fail('unknown', 'instance-lost', 'the answer broke off')
+    })
+  }
+
+  private _take (response: IncomingMessage, body: Buffer): void {
+    const status = response.statusCode ?? 0
+    const { headers } = response
+    if (headers[this._names.requestId] !== this._call.requestId) {
+      const proved = headers[this._names.requestId] === undefined && this._isRejection(response)
+      if (!proved) return this._fail('unknown', 'answer-foreign', 'the answer names another request')
+    }
+    if (this._isRejection(response)) {
+      const reason = status === MISDIRECTED ? 'instance-replaced' : 'instance-rejected'
+      return this._fail('rejected', reason, `status ${status}`)
+    }
+    const signed = headers[this._names.signature] !== undefined
+    const encoded = headers['content-encoding'] !== undefined
+    if (status < 200 || (status < 300 && !signed) || encoded) {
+      return this._fail('unknown', 'answer-invalid', `status ${status}${signed ? '' : ' without a signature'}`)
+    }
+    this._end()
+    this._listener.onAnswer({ status, headers: selectEndToEnd(response.rawHeaders, DROPPED), body })
+  }
+
+  private _isRejection ({ statusCode, headers }: IncomingMessage): boolean {
+    return headers[this._names.notExecuted] !== undefined || statusCode === MISDIRECTED
+  }
+
+  private _fail (proof: FailureProof, reason: FailureReason, detail: string): void {
+    if (this._ended) return
+    this._end()
+    this._request.destroy()
+    this._listener.onFailure(proof, reason, detail)
+  }
+
+  private _end (): void {
+    this._ended = true
+    clearTimeout(this._timer)
+  }
+}
+
+/** The length is told anew, from the body that was read. */
+const DROPPED: ReadonlySet<string> = new Set(['content-length'])
--- /dev/null
+++ b/src/routenode/InstancePort.ts
@@ -0,0 +1,266 @@
+import { RunGate } from '../parts/gate/RunGate.js'
+import type { GateAction, GateCall, GateEvent, GateLoad } from '../parts/gate/Types.js'
+import { InstanceRegister, type ReportOutcome } from '../parts/instances/InstanceRegister.js'
+import type { InstanceReport, PublishedInstance } from '../parts/instances/Types.js'
+import type { CallId, ServiceName } from '../parts/Types.js'
+import { Emitter } from '../runtime/Emitter.js'
+import { PartTimer } from '../runtime/PartTimer.js'
+import type { Clock, Disposable, Log } from '../runtime/Types.js'
+import { RECOVERY_CHECK_MS } from './Constants.js'
+import { InstanceClient, type InstanceHealth } from './InstanceClient.js'
+import type { InstanceLoad } from './LoadHeader.js'
+import type {
+  FailureProof, FailureReason, HeaderNames, RoutedAnswer, RoutedCall, RoutedCallHandle, RoutedCallSink, RoutedCallTarget
+} from './Types.js'
+
+/** What the port is made of. */
+export interface InstancePortParts {
+  /** Where the instance on this VM listens, `host:port`. */
+  readonly address: string
+  /** Service of that instance, until it reports one itself. */
+  readonly service: ServiceName
+  readonly names: HeaderNames
+  readonly clock: Clock
+  readonly log: Log
+  /** Path of a service's health check; undefined while no configuration names the service. */
+  readonly healthPathOf: (service: ServiceName) => string | undefined
+}
+
+interface HeldCall {
+  readonly call: RoutedCall
+  readonly sink: RoutedCallSink
+  readonly deadlineAtMs: number
+  startedAtMs: number
+  slownessAtStart: number
+  handle: RoutedCallHandle | undefined
+}
+
+type GateHandlers = {
+  readonly [Type in GateAction['type']]: (action: Extract<GateAction, { type: Type }>) => void
+}
+
+/** Failures that tell that the instance itself is gone. */
+const LOST_INSTANCE: ReadonlySet<FailureReason> = new Set(['instance-unreachable', 'instance-replaced'])
+
+/**
+ * The only way in to the instance on this VM. It alone knows what runs there, so slots, order and drain are
+ * enforced here: from the moment at which a report that the instance leaves is taken, nothing new is let in.
+ *
+ * Memory: the calls that run and those that wait; see `RunGate`.
+ */
+export class InstancePort implements RoutedCallTarget, Disposable {
+  private readonly _register: InstanceRegister
+  private readonly _client: InstanceClient
+  private readonly _gate = new RunGate()
+  private readonly _held = new Map<CallId, HeldCall>()
+  private readonly _wake: PartTimer
+  private readonly _changes = new Emitter<void>()
+  private readonly _gateHandlers: GateHandlers
+  private _recoveryTimer: NodeJS.Timeout | undefined
+  private _reachable = true
+  private _slots = 0
+  private _slowness = 1
+  private _lastCall = 0
+
+  public constructor (private readonly _parts: InstancePortParts) {
+    this._register = new InstanceRegister(_parts.address)
+    this._client = new InstanceClient(_parts.address, _parts.names, _parts.clock)
+    this._wake = new PartTimer(_parts.clock, () => this._step({ type: 'tick' }))
+    this._gateHandlers = {
+      start: action => this._run(action.call.id),
+      turnAway: action => {
+        const held = this._take(action.call.id)
+        held?.sink.onTurnedAway(action.reason, action.retryAfterMs, this.load())
+      },
+      wake: action => this._wake.wakeAt(action.atMs)
+    }
+  }
+
+  /** Fires when what other nodes must know of the instance has changed. */
+  public readonly onChange = this._changes.event
+
+  /** What other nodes are told. */
+  public get published (): PublishedInstance | undefined {
+    return this._register.published
+  }
+
+  /** Service of the instance on this VM. */
+  public get service (): ServiceName {
+    return this._register.current?.service ?? this._parts.service
+  }
+
+  /** Calls that wait or run here. */
+  public get heldCalls (): number {
+    return this._held.size
+  }
+
+  /** Load to attach to answers. */
+  public load (): GateLoad {
+    return this._gate.load(this._parts.clock.nowMs())
+  }
+
+  /** Takes what an earlier run of this process had published, so that a leaving instance is not taken back. */
+  public restore (published: PublishedInstance): void {
+    if (this._register.current !== undefined) return
+    this._register.report({ ...published, address: this._parts.address, sequence: -1, coldMs: 0 })
+    this._reachable = false
+    this._applySlots()
+  }
+
+  /** Looks for the instance by its health check until it is found or reports itself. */
+  public discover (): void {
+    if (this._register.current !== undefined && this._reachable) return
+    this._recoveryTimer ??= setInterval(() => this._checkHealth(), RECOVERY_CHECK_MS)
+    this._checkHealth()
+  }
+
+  /** Takes a report of an instance. */
+  public report (report: InstanceReport): ReportOutcome {
+    const outcome = this._register.report(report)
+    if (outcome === 'applied') this._handleReport()
+    return outcome
+  }
+
+  /** Takes the notice that an instance leaves. */
+  public leave (id: string, bornMs: number | undefined): ReportOutcome {
+    const outcome = this._register.leave(id, bornMs)
+    if (outcome === 'applied') this._handleReport()
+    return outcome
+  }
+
+  /** Takes a call for the instance. */
+  public start (call: RoutedCall, sink: RoutedCallSink): RoutedCallHandle {
+    const nowMs = this._parts.clock.nowMs()
+    const id = ++this._lastCall
+    const deadlineAtMs = nowMs + call.leftMs
+    if (call.service !== this.service) {
+      sink.onTurnedAway('no-slots', 0, this.load())
+      return { cancel: () => {} }
+    }
+    this._held.set(id, { call, sink, deadlineAtMs, startedAtMs: nowMs, slownessAtStart: 1, handle: undefined })
+    const gateCall: GateCall = {
+      id,
+      work: call.work,
+      nested: call.nested,
+      priority: call.priority,
+      objectiveAtMs: nowMs + call.objectiveLeftMs,
+      deadlineAtMs,
+      mayDecline: call.mayDecline
+    }
+    this._step({ type: 'offer', call: gateCall })
+    return { cancel: () => this._cancel(id) }
+  }
+
+  /** Ends all connections at once. */
+  public dispose (): void {
+    clearInterval(this._recoveryTimer)
+    this._wake.dispose()
+    this._client.dispose()
+  }
+
+  private _handleReport (): void {
+    const { current } = this._register
+    this._reachable = true
+    clearInterval(this._recoveryTimer)
+    this._recoveryTimer = undefined
+    this._applySlots()
+    this._changes.fire()
+    const { id, state, sequence } = current ?? {}
+    this._parts.log.debug({ instance: id, state, sequence }, 'instance reported')
+  }
+
+  private _applySlots (): void {
+    const { current } = this._register
+    const slots = current?.state === 'ready' && this._reachable ? current.slots : 0
+    if (slots === this._slots) return
+    this._slots = slots
+    const { id, state } = current ?? {}
+    this._parts.log.info({ instance: id, state, reachable: this._reachable, slots }, 'slots changed')
+    this._step({ type: 'slots', slots })
+  }
+
+  private _run (id: CallId): void {
+    const held = this._held.get(id)
+    const instance = this._register.current
+    if (held === undefined || instance === undefined) return
+    held.startedAtMs = this._parts.clock.nowMs()
+    held.slownessAtStart = this._slowness
+    held.handle = this._client.run(held.call, instance.id, held.deadlineAtMs - held.startedAtMs, {
+      onAnswer: answer => this._handleAnswer(id, held, answer),
+      onFailure: (proof, reason, detail) => this._handleFailure(id, held, proof, reason, detail),
+      onLoad: load => this._handleLoad(load)
+    })
+  }
+
+  private _handleAnswer (id: CallId, held: HeldCall, answer: RoutedAnswer): void {
+    this._held.delete(id)
+    const ranMs = this._parts.clock.nowMs() - held.startedAtMs
+    const workMs = answer.status < 500 ? ranMs / Math.max(1, held.slownessAtStart) : undefined
+    this._step({ type: 'finished', id, workMs })
+    held.sink.onAnswer(answer, this.load())
+  }
+
+  private _handleFailure (
+    id: CallId, held: HeldCall, proof: FailureProof, reason: FailureReason, detail: string
+  ): void {
+    this._held.delete(id)
+    const { requestId } = held.call
+    this._parts.log.info({ requestId, instance: this._register.current?.id, proof, reason, detail }, 'run failed')
+    if (LOST_INSTANCE.has(reason)) this._loseInstance()
+    if (reason === 'timeout') this._client.closeIdle()
+    this._step({ type: 'finished', id, workMs: undefined })
+    held.sink.onFailed(proof, reason, this.load())
+  }
+
+  private _handleLoad (load: InstanceLoad): void {
+    this._slowness = load.slowness
+    this._step({ type: 'slowness', slowness: load.slowness })
+  }
+
+  private _cancel (id: CallId): void {
+    const held = this._take(id)
+    if (held === undefined) return
+    held.handle?.cancel()
+    this._step({ type: 'cancelled', id })
+  }
+
+  private _take (id: CallId): HeldCall | undefined {
+    const held = this._held.get(id)
+    this._held.delete(id)
+    return held
+  }
+
+  /** The instance refuses connections or is another one: nothing goes there until it reports or is found well. */
+  private _loseInstance (): void {
+    if (!this._reachable) return
+    this._reachable = false
+    this._applySlots()
+    this.discover()
+  }
+
+  private _checkHealth (): void {
+    const path = this._parts.healthPathOf(this.service)
+    if (path === undefined) return
+    this._client.check(path, health => { if (health !== undefined) this._handleHealth(health) })
+  }
+
+  private _handleHealth ({ id, load }: InstanceHealth): void {
+    if (this._recoveryTimer === undefined) return
+    const { current } = this._register
+    if (current?.id === id) {
+      this._handleReport()
+      return
+    }
+    // Its first report will tell when it started; until then it counts as just newer than the one before.
+    const bornMs = (current?.bornMs ?? 0) + 1
+    const { address, service } = this._parts
+    this.report({ id, bornMs, sequence: -1, service, address, slots: load?.slots ?? 1, state: 'ready', coldMs: 0 })
+  }
+
+  private _step (event: GateEvent): void {
+    for (const action of this._gate.step(event, this._parts.clock.nowMs())) {
+      const handler = this._gateHandlers[action.type] as (action: GateAction) => void
+      handler(action)
+    }
+  }
+}
--- a/src/runtime/JsonLog.ts
+++ b/src/runtime/JsonLog.ts
@@ -1,5 +1,5 @@
 import { pino } from 'pino'
-import type { Logger } from 'pino'
+import type { DestinationStream, Logger } from 'pino'
 import type { Log, LogFields } from './Types.js'
 
 /** Levels that settings may name. */
@@ -13,9 +13,11 @@
    * @param process Name of the program, for example `sassafras-node`.
    * @param id Id of the process in the mesh.
    * @param level Lines below it are dropped.
+   * @param destination Takes the lines; standard output, written at once, by default.
    */
-  public constructor (process: string, id: string, level: LogLevel) {
-    this._logger = pino({ level, base: { process, id }, timestamp: pino.stdTimeFunctions.isoTime })
+  public constructor (process: string, id: string, level: LogLevel, destination?: DestinationStream) {
+    const options = { level, base: { process, id }, timestamp: pino.stdTimeFunctions.isoTime }
+    this._logger = destination === undefined ? pino(options) : pino(options, destination)
   }
 
   public debug (fields: LogFields, message: string): void {
