--- a/deploy/bundle.js
+++ b/deploy/bundle.js
@@ -10,7 +10,10 @@
   target: 'node20',
   format: 'cjs',
   legalComments: 'none',
-  // The optional native decoder costs more at start than it saves on short frames.
-  alias: { 'cbor-extract': './deploy/no-native-decoder.cjs' },
+  alias: {
+    // The optional native decoder costs more at start than it saves on short frames.
+    'cbor-extract': './deploy/no-native-decoder.cjs',
+    'ts-results/result.js': './deploy/ts-results.js'
+  },
   logLevel: 'warning'
 })
