--- /dev/null
+++ b/src/routenode/CallLink.test.ts
@@ -0,0 +1,109 @@
+import { afterEach, expect, test } from 'vitest'
+import { findFreeAddresses } from '../demo/FreePorts.js'
+import { SeededRandom } from '../parts/SeededRandom.js'
+import { FrameServer } from '../runtime/FrameServer.js'
+import { SystemClock } from '../runtime/SystemClock.js'
+import type { Clock, Disposable } from '../runtime/Types.js'
+import { CallLink } from './CallLink.js'
+import { LINK_PING_MS, LINK_SILENCE_MS } from './Constants.js'
+import type { FromInstanceNode, RoutedCall, RoutedCallSink, ToInstanceNode } from './Types.js'
+
+const open: Disposable[] = []
+
+afterEach(() => {
+  open.splice(0).forEach(item => item.dispose())
+})
+
+const CALL: RoutedCall = {
+  id: 1,
+  service: 'ledger',
+  method: 'POST',
+  target: '/',
+  headers: [],
+  body: new Uint8Array(0),
+  requestId: 'r',
+  work: 'w',
+  kind: 'once',
+  nested: false,
+  priority: 1,
+  leftMs: 10_000,
+  objectiveLeftMs: 100,
+  mayDecline: true
+}
+
+const LOAD = { running: 0, queued: 0, limit: 4, slowness: 1, workMs: 50 }
+
+/** The clock of this machine, moved on by hand as far as liveness is concerned. */
+class ShiftedClock implements Clock {
+  public shiftMs = 0
+  private readonly _clock = new SystemClock()
+
+  public nowMs (): number {
+    return this._clock.nowMs() + this.shiftMs
+  }
+
+  public wallMs (): number {
+    return this._clock.wallMs()
+  }
+}
+
+interface Peer {
+  readonly link: CallLink
+  readonly clock: ShiftedClock
+  readonly server: FrameServer<ToInstanceNode, FromInstanceNode>
+}
+
+async function connectLink (answer: (frame: ToInstanceNode) => FromInstanceNode | undefined): Promise<Peer> {
+  const [address] = await findFreeAddresses(1) as [string]
+  const clock = new ShiftedClock()
+  const server = new FrameServer<ToInstanceNode, FromInstanceNode>(clock)
+  server.onChannel(channel => channel.onMessage(frame => {
+    const reply = answer(frame)
+    if (reply !== undefined) channel.send(reply)
+  }))
+  await server.listen(address)
+  const link = new CallLink(address, 'self', clock, new SeededRandom(1))
+  open.push(link, server)
+  const opened = new Promise<void>(resolve => link.onOpen(resolve))
+  link.connect()
+  await opened
+  return { link, clock, server }
+}
+
+async function outcomeOf (link: CallLink): Promise<string> {
+  return await new Promise(resolve => {
+    const sink: RoutedCallSink = {
+      onAnswer: ({ status }) => resolve(`answer ${status}`),
+      onTurnedAway: reason => resolve(`turned away ${reason}`),
+      onFailed: (proof, reason) => resolve(`${proof} ${reason}`)
+    }
+    link.start(CALL, sink)
+  })
+}
+
+test('a call on a link that was idle for long is not lost while the other end answers pings', async () => {
+  let pings = 0
+  const peer = await connectLink(frame => {
+    if (frame.type !== 'ping') return undefined
+    pings++
+    // The answer comes only after the link was looked at more than once.
+    return pings === 2 ? { type: 'answer', id: 1, answer: { status: 200, headers: [], body: new Uint8Array(0) }, load: LOAD } : { type: 'pong' }
+  })
+  peer.clock.shiftMs = 10 * LINK_SILENCE_MS
+  expect(await outcomeOf(peer.link)).toBe('answer 200')
+})
+
+test('a link that does not answer pings is lost and its calls may have run', async () => {
+  const peer = await connectLink(frame => {
+    if (frame.type === 'ping') peer.clock.shiftMs += LINK_SILENCE_MS + LINK_PING_MS
+    return undefined
+  })
+  expect(await outcomeOf(peer.link)).toBe('unknown link-lost')
+})
+
+test('a call without a connection is unsent', async () => {
+  const [address] = await findFreeAddresses(1) as [string]
+  const link = new CallLink(address, 'self', new SystemClock(), new SeededRandom(1))
+  open.push(link)
+  expect(await outcomeOf(link)).toBe('unsent link-lost')
+})
--- a/src/routenode/CallLink.ts
+++ b/src/routenode/CallLink.ts
@@ -25,6 +25,8 @@
   private readonly _opens = new Emitter<void>()
   private readonly _stops = new Emitter<void>()
   private _timer: NodeJS.Timeout | undefined
+  /** When the first ping that nothing has followed was sent; infinite when none is open. */
+  private _pingedAtMs = Infinity
 
   private readonly _handlers: Handlers = {
     answer: ({ id, answer, load }) => this._take(id)?.onAnswer(answer, load),
@@ -90,6 +92,7 @@
   }
 
   private _open (channel: Channel): void {
+    this._pingedAtMs = Infinity
     channel.onMessage(frame => {
       const handler = this._handlers[frame.type] as ((frame: FromInstanceNode) => void) | undefined
       handler?.(frame)
@@ -111,9 +114,15 @@
       this._timer = undefined
       return
     }
-    const silentMs = this._clock.nowMs() - channel.lastReceivedMs
-    if (silentMs > LINK_SILENCE_MS + LINK_PING_MS) channel.destroy('no answer to pings')
-    else if (silentMs >= LINK_PING_MS) channel.send({ type: 'ping' })
+    const nowMs = this._clock.nowMs()
+    if (channel.lastReceivedMs >= this._pingedAtMs) this._pingedAtMs = Infinity
+    if (nowMs - this._pingedAtMs > LINK_SILENCE_MS) channel.destroy('no answer to pings')
+    else if (nowMs - channel.lastReceivedMs >= LINK_PING_MS) this._ping(channel, nowMs)
+  }
+
+  private _ping (channel: Channel, nowMs: number): void {
+    this._pingedAtMs = Math.min(this._pingedAtMs, nowMs)
+    channel.send({ type: 'ping' })
   }
 
   private _lose (): void {
