--- a/src/parts/gate/Constants.ts
+++ b/src/parts/gate/Constants.ts
@@ -18,3 +18,6 @@
 
 /** Calls that may wait in all; bounds memory. */
 export const MAX_WAITING = 1000
+
+/** Weight of a new figure in the smoothed slowness: some seconds of figures. */
+export const SLOWNESS_WEIGHT = 0.02
--- a/src/parts/gate/RunGate.ts
+++ b/src/parts/gate/RunGate.ts
@@ -1,5 +1,5 @@
 import type { CallId, Part } from '../Types.js'
-import { FILLED_SHARE, MAX_WAITING, SLOWNESS_VALID_MS, SLOW_FACTOR } from './Constants.js'
+import { FILLED_SHARE, MAX_WAITING, SLOWNESS_VALID_MS, SLOWNESS_WEIGHT, SLOW_FACTOR } from './Constants.js'
 import type { GateAction, GateCall, GateEvent, GateLoad, TurnAwayReason } from './Types.js'
 import { WaitingLine } from './WaitingLine.js'
 import { WorkEstimate } from './WorkEstimate.js'
@@ -25,6 +25,7 @@
   private _slots = 0
   private _slowness = 1
   private _slownessAtMs = -Infinity
+  private _usualSlowness = 1
   private _wakeAtMs = Infinity
 
   private readonly _handlers: Handlers = {
@@ -35,6 +36,7 @@
     slowness: event => {
       this._slowness = event.slowness
       this._slownessAtMs = this._nowMs
+      this._usualSlowness += SLOWNESS_WEIGHT * (event.slowness - this._usualSlowness)
     },
     tick: () => this._tick()
   }
@@ -54,8 +56,8 @@
       running: this._running.size,
       queued: this._line.size,
       limit: this._limit(),
-      slowness: nowMs - this._slownessAtMs < SLOWNESS_VALID_MS ? this._slowness : 1,
-      workMs: this._estimate.overallMs
+      slowness: nowMs - this._slownessAtMs < SLOWNESS_VALID_MS ? this._slowness : this._usualSlowness,
+      workMs: this._estimate.overallMs / this._usualSlowness
     }
   }
 
@@ -66,8 +68,8 @@
       return this._start(call)
     }
     if (call.mayDecline) return this._turnAway(call, 'busy')
-    const finishAtMs = this._nowMs + this._waitMs(call) + this._estimate.of(call.work)
-    if (finishAtMs > call.deadlineAtMs || this._line.size >= MAX_WAITING) return this._turnAway(call, 'too-late')
+    const startAtMs = this._nowMs + this._waitMs(call)
+    if (startAtMs > this._latestStartMs(call) || this._line.size >= MAX_WAITING) return this._turnAway(call, 'too-late')
     this._line.add(call, this._nowMs)
     this._wakeAt(this._latestStartMs(call))
   }
@@ -95,7 +97,7 @@
     if (this._nowMs >= this._wakeAtMs) this._wakeAtMs = Infinity
     this._dropOverdue()
     this._startWaiting()
-    if (this._line.size > 0) this._wakeAt(this._line.earliestDeadlineMs())
+    if (this._line.size > 0) this._wakeAt(this._line.earliest(call => this._latestStartMs(call)))
   }
 
   private _startWaiting (): void {
@@ -145,8 +147,13 @@
     return this._nowMs + this._estimate.of(call.work) <= call.objectiveAtMs
   }
 
+  /**
+   * Until then a call may wait. One that can't meet its objective any more is better off elsewhere or later, and one
+   * that would be given up in the middle of its run would only take a slot from others.
+   */
   private _latestStartMs (call: GateCall): number {
-    return call.deadlineAtMs - this._estimate.of(call.work) / 2
+    const workMs = this._estimate.of(call.work)
+    return Math.min(call.objectiveAtMs - workMs / 2, call.deadlineAtMs - workMs)
   }
 
   /** Expected time until a call that joins the line now starts. */
--- a/src/parts/gate/Types.ts
+++ b/src/parts/gate/Types.ts
@@ -25,7 +25,7 @@
   readonly limit: number
   /** Time that work takes on this machine now, relative to usual; 1 is usual. */
   readonly slowness: number
-  /** Smoothed time of a run in milliseconds, at usual speed. */
+  /** Smoothed time of a run in milliseconds, at usual speed of the VM. */
   readonly workMs: number
 }
 
--- a/src/parts/gate/WaitingLine.ts
+++ b/src/parts/gate/WaitingLine.ts
@@ -83,10 +83,13 @@
     return taken
   }
 
-  /** Earliest deadline of a call that waits; infinite when none does. */
-  public earliestDeadlineMs (): number {
+  /**
+   * Returns the earliest of some time over all calls; infinite when none waits.
+   * @param timeOf Returns the time of one call.
+   */
+  public earliest (timeOf: (call: GateCall) => number): number {
     let earliest = Infinity
-    for (const { call } of this._calls.values()) earliest = Math.min(earliest, call.deadlineAtMs)
+    for (const { call } of this._calls.values()) earliest = Math.min(earliest, timeOf(call))
     return earliest
   }
 }
--- a/src/parts/gate/WorkEstimate.ts
+++ b/src/parts/gate/WorkEstimate.ts
@@ -4,7 +4,7 @@
 const MAX_ESTIMATES = 1024
 
 /**
- * Smoothed time of runs by kind of work, slow-downs of the machine taken out as far as they were known.
+ * Smoothed time of runs by kind of work, slow-downs of the VM included.
  *
  * Memory: one number for each of at most `MAX_ESTIMATES` kinds.
  */
--- /dev/null
+++ b/src/parts/instances/NodeDirectory.test.ts
@@ -0,0 +1,42 @@
+import { expect, test } from 'vitest'
+import { NodeDirectory } from './NodeDirectory.js'
+import type { NodeEntry } from './Types.js'
+
+const INSTANCE = { id: 'i-1', bornMs: 1, service: 'ledger', slots: 6, state: 'ready' } as const
+
+function makeEntry (changes: Partial<NodeEntry>): NodeEntry {
+  return { node: 'n:1', zone: 'a', epoch: 1, revision: 1, state: 'up', instance: INSTANCE, ...changes }
+}
+
+test('a later publication wins, an earlier one is dropped', () => {
+  const directory = new NodeDirectory()
+  directory.merge([makeEntry({ revision: 2, instance: { ...INSTANCE, state: 'draining' } })], 0)
+  expect(directory.merge([makeEntry({ revision: 1 })], 1)).toEqual([])
+  expect(directory.readyNodesOf('ledger')).toEqual([])
+})
+
+test('a restarted node with a later epoch wins over any revision', () => {
+  const directory = new NodeDirectory()
+  directory.merge([makeEntry({ revision: 50 })], 0)
+  const [news] = directory.merge([makeEntry({ epoch: 2, revision: 1 })], 1)
+  expect(news?.epoch).toBe(2)
+})
+
+test('a node that is gone comes back only with a newer publication', () => {
+  const directory = new NodeDirectory()
+  directory.merge([makeEntry({})], 0)
+  directory.merge([makeEntry({ state: 'gone' })], 1)
+  expect(directory.merge([makeEntry({})], 2)).toEqual([])
+  expect(directory.readyNodesOf('ledger')).toEqual([])
+  directory.merge([makeEntry({ revision: 2 })], 3)
+  expect(directory.readyNodesOf('ledger')).toHaveLength(1)
+})
+
+test('a node that published elsewhere is not lost with an earlier connection', () => {
+  const directory = new NodeDirectory()
+  const first = makeEntry({ revision: 1 })
+  directory.merge([first], 0)
+  expect(directory.isNewest(first)).toBe(true)
+  directory.merge([makeEntry({ revision: 2 })], 1)
+  expect(directory.isNewest(first)).toBe(false)
+})
--- a/src/parts/instances/NodeDirectory.ts
+++ b/src/parts/instances/NodeDirectory.ts
@@ -32,6 +32,16 @@
     return this._entries.get(node)
   }
 
+  /**
+   * Tells whether nothing newer is known of a node. One that has published anything since, by whatever way, is not
+   * lost with the connection on which it published this.
+   * @param entry What it published.
+   */
+  public isNewest (entry: NodeEntry): boolean {
+    const known = this._entries.get(entry.node)
+    return known !== undefined && known.epoch === entry.epoch && known.revision === entry.revision
+  }
+
   /**
    * Merges publications.
    * @param entries What was heard.
--- a/src/routecontrol/NodeFeed.ts
+++ b/src/routecontrol/NodeFeed.ts
@@ -17,6 +17,14 @@
   welcomed: boolean
   /** Version that the node has, or is being sent. */
   version: number
+  /** What the node published last on this connection. */
+  published: NodeEntry
+}
+
+/** What a node had published when its connection ended. */
+interface LostNode {
+  readonly entry: NodeEntry
+  readonly atMs: number
 }
 
 type Handlers = {
@@ -33,12 +41,15 @@
 export class NodeFeed implements Disposable {
   private readonly _directory = new NodeDirectory()
   private readonly _sessions = new Map<NodeId, Session>()
-  private readonly _lostAtMs = new Map<NodeId, number>()
+  private readonly _lost = new Map<NodeId, LostNode>()
   private readonly _timer: NodeJS.Timeout
   private _controls = ''
 
   private readonly _handlers: Handlers = {
-    publish: (_session, { entry }) => this._takeOwn([entry]),
+    publish: (session, { entry }) => {
+      session.published = entry
+      this._takeOwn([entry])
+    },
     feedPing: session => this._send(session, { type: 'feedPong', fit: this._replica.isFit }),
     askRouting: session => {
       session.version = 0
@@ -73,7 +84,7 @@
    * @param hello Its first frame.
    */
   public accept (channel: AcceptedChannel, { entry, version }: FeedHello): void {
-    const session: Session = { node: entry.node, channel, welcomed: false, version }
+    const session: Session = { node: entry.node, channel, welcomed: false, version, published: entry }
     this._sessions.get(entry.node)?.channel.destroy('replaced by another connection')
     this._sessions.set(entry.node, session)
     channel.onMessage(frame => {
@@ -105,7 +116,7 @@
   private _handleClose (session: Session): void {
     if (this._sessions.get(session.node) !== session) return
     this._sessions.delete(session.node)
-    this._lostAtMs.set(session.node, this._clock.nowMs())
+    this._lost.set(session.node, { entry: session.published, atMs: this._clock.nowMs() })
   }
 
   /** Takes what a connected node says of itself and passes it on. */
@@ -135,13 +146,11 @@
     this._tellControls()
   }
 
-  /** A node that came back published a newer entry, here or at another replica, which outlives this notice. */
   private _dropLost (nowMs: number): void {
-    for (const [node, atMs] of this._lostAtMs) {
+    for (const [node, { entry, atMs }] of this._lost) {
       if (nowMs - atMs < NODE_GONE_MS) continue
-      this._lostAtMs.delete(node)
-      const entry = this._directory.find(node)
-      if (entry !== undefined && !this._sessions.has(node)) this._takeOwn([{ ...entry, state: 'gone' }])
+      this._lost.delete(node)
+      if (this._directory.isNewest(entry)) this._takeOwn([{ ...entry, state: 'gone' }])
     }
   }
 
--- a/src/routenode/Gateway.ts
+++ b/src/routenode/Gateway.ts
@@ -33,6 +33,8 @@
   readonly log: Log
   /** Service of the instance on this VM, where all requests begin. */
   readonly callerService: () => ServiceName
+  /** Tells whether the instance on this VM runs a request now. */
+  readonly runs: (requestId: string) => boolean
 }
 
 /** Serves the callers on this VM over HTTP/1.1. */
@@ -129,8 +131,9 @@
     const deadline = Number(message.headers[names.deadlineMs])
     const headers = selectEndToEnd(message.rawHeaders, this._droppedHeaders)
     headers.push(names.callerService, callerService())
+    const requestId = headerOf(message, names.requestId) ?? ''
     return {
-      requestId: headerOf(message, names.requestId) ?? '',
+      requestId,
       method: message.method ?? 'GET',
       target: message.url ?? '/',
       headers,
@@ -138,12 +141,18 @@
       route: entry.route,
       service: entry.nextService(),
       version: table.version,
-      nested: false,
+      nested: this._isNested(requestId),
       deadlineMs: Number.isFinite(deadline) && deadline > 0 ? deadline : NO_DEADLINE_MS,
       arrivedAtMs
     }
   }
 
+  /** An instance names its own calls by the request that it runs, a dot, and a part of their own. */
+  private _isNested (requestId: string): boolean {
+    const dot = requestId.lastIndexOf('.')
+    return dot > 0 && this._parts.runs(requestId.slice(0, dot))
+  }
+
   private _start (message: IncomingMessage, response: ServerResponse, request: GatewayRequest): void {
     this._open++
     let ended = false
--- a/src/routenode/InstanceClient.ts
+++ b/src/routenode/InstanceClient.ts
@@ -189,7 +189,7 @@
     })
     response.on('error', error => this._fail('unknown', 'instance-lost', error.message))
     response.once('close', () => {
-      if (response.complete) this._take(response, Buffer.concat(pieces, length))
+      if (isWhole(response, request)) this._take(response, Buffer.concat(pieces, length))
       else this._fail('unknown', 'instance-lost', 'the answer broke off')
     })
   }
@@ -233,3 +233,10 @@
 
 /** The length is told anew, from the body that was read. */
 const DROPPED: ReadonlySet<string> = new Set(['content-length'])
+
+/** An answer without a length ends with its connection; the parser takes a reset for such an end too. */
+function isWhole (response: IncomingMessage, { socket }: ClientRequest): boolean {
+  const { headers } = response
+  const framed = headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined
+  return response.complete && (framed || socket === null || socket.errored === null)
+}
--- a/src/routenode/InstancePort.ts
+++ b/src/routenode/InstancePort.ts
@@ -31,7 +31,6 @@
   readonly sink: RoutedCallSink
   readonly deadlineAtMs: number
   startedAtMs: number
-  slownessAtStart: number
   handle: RoutedCallHandle | undefined
 }
 
@@ -53,13 +52,13 @@
   private readonly _client: InstanceClient
   private readonly _gate = new RunGate()
   private readonly _held = new Map<CallId, HeldCall>()
+  private readonly _runningIds = new Set<string>()
   private readonly _wake: PartTimer
   private readonly _changes = new Emitter<void>()
   private readonly _gateHandlers: GateHandlers
   private _recoveryTimer: NodeJS.Timeout | undefined
   private _reachable = true
   private _slots = 0
-  private _slowness = 1
   private _lastCall = 0
 
   public constructor (private readonly _parts: InstancePortParts) {
@@ -99,9 +98,12 @@
     return this._gate.load(this._parts.clock.nowMs())
   }
 
-  /** Takes what an earlier run of this process had published, so that a leaving instance is not taken back. */
+  /**
+   * Takes what an earlier run of this process had published, so that a leaving instance is not taken back. An entry
+   * of another service is of another VM that had this address before.
+   */
   public restore (published: PublishedInstance): void {
-    if (this._register.current !== undefined) return
+    if (this._register.current !== undefined || published.service !== this._parts.service) return
     this._register.report({ ...published, address: this._parts.address, sequence: -1, coldMs: 0 })
     this._reachable = false
     this._applySlots()
@@ -114,6 +116,14 @@
     this._checkHealth()
   }
 
+  /**
+   * Tells whether the instance runs a request now.
+   * @param requestId Id of the request.
+   */
+  public runs (requestId: string): boolean {
+    return this._runningIds.has(requestId)
+  }
+
   /** Takes a report of an instance. */
   public report (report: InstanceReport): ReportOutcome {
     const outcome = this._register.report(report)
@@ -137,7 +147,7 @@
       sink.onTurnedAway('no-slots', 0, this.load())
       return { cancel: () => {} }
     }
-    this._held.set(id, { call, sink, deadlineAtMs, startedAtMs: nowMs, slownessAtStart: 1, handle: undefined })
+    this._held.set(id, { call, sink, deadlineAtMs, startedAtMs: nowMs, handle: undefined })
     const gateCall: GateCall = {
       id,
       work: call.work,
@@ -184,7 +194,7 @@
     const instance = this._register.current
     if (held === undefined || instance === undefined) return
     held.startedAtMs = this._parts.clock.nowMs()
-    held.slownessAtStart = this._slowness
+    this._runningIds.add(held.call.requestId)
     held.handle = this._client.run(held.call, instance.id, held.deadlineAtMs - held.startedAtMs, {
       onAnswer: answer => this._handleAnswer(id, held, answer),
       onFailure: (proof, reason, detail) => this._handleFailure(id, held, proof, reason, detail),
@@ -193,9 +203,8 @@
   }
 
   private _handleAnswer (id: CallId, held: HeldCall, answer: RoutedAnswer): void {
-    this._held.delete(id)
-    const ranMs = this._parts.clock.nowMs() - held.startedAtMs
-    const workMs = answer.status < 500 ? ranMs / Math.max(1, held.slownessAtStart) : undefined
+    this._forget(id, held)
+    const workMs = answer.status < 500 ? this._parts.clock.nowMs() - held.startedAtMs : undefined
     this._step({ type: 'finished', id, workMs })
     held.sink.onAnswer(answer, this.load())
   }
@@ -203,7 +212,7 @@
   private _handleFailure (
     id: CallId, held: HeldCall, proof: FailureProof, reason: FailureReason, detail: string
   ): void {
-    this._held.delete(id)
+    this._forget(id, held)
     const { requestId } = held.call
     this._parts.log.info({ requestId, instance: this._register.current?.id, proof, reason, detail }, 'run failed')
     if (LOST_INSTANCE.has(reason)) this._loseInstance()
@@ -213,7 +222,6 @@
   }
 
   private _handleLoad (load: InstanceLoad): void {
-    this._slowness = load.slowness
     this._step({ type: 'slowness', slowness: load.slowness })
   }
 
@@ -226,10 +234,15 @@
 
   private _take (id: CallId): HeldCall | undefined {
     const held = this._held.get(id)
-    this._held.delete(id)
+    if (held !== undefined) this._forget(id, held)
     return held
   }
 
+  private _forget (id: CallId, { call }: HeldCall): void {
+    this._held.delete(id)
+    this._runningIds.delete(call.requestId)
+  }
+
   /** The instance refuses connections or is another one: nothing goes there until it reports or is found well. */
   private _loseInstance (): void {
     if (!this._reachable) return
--- a/src/routenode/RouteNodeDaemon.ts
+++ b/src/routenode/RouteNodeDaemon.ts
@@ -82,6 +82,7 @@
       placement: this._placement,
       budgets: new RepeatBudgets(settings.repeats),
       callerService: () => this._port.service,
+      runs: requestId => this._port.runs(requestId),
       nextCall: () => ++this._lastCall,
       nodes: () => this._directory.size
     })
