--- a/src/routenode/InstanceAgent.ts
+++ b/src/routenode/InstanceAgent.ts
@@ -1,6 +1,6 @@
 import { Agent } from 'node:http'
 import type { ClientRequest } from 'node:http'
-import type { Socket } from 'node:net'
+import type { NetConnectOpts, Socket } from 'node:net'
 import { MAX_IDLE_CONNECTIONS } from './Constants.js'
 
 /**
@@ -10,6 +10,7 @@
 export class InstanceAgent extends Agent {
   private readonly _idleSince = new Map<Socket, number>()
   private readonly _guards = new Map<Socket, () => void>()
+  private readonly _reset = new WeakSet<Socket>()
 
   public constructor () {
     super({ keepAlive: true, maxFreeSockets: MAX_IDLE_CONNECTIONS, scheduling: 'lifo' })
@@ -25,6 +26,23 @@
     }
   }
 
+  /**
+   * Tells whether a connection was reset. A reset that arrives together with data is reported as an end, but a socket
+   * that was reset has no peer any more; that is looked at before the socket is ended from this side.
+   * @param socket The connection; null when it is gone.
+   */
+  public wasReset (socket: Socket | null): boolean {
+    return socket === null || this._reset.has(socket)
+  }
+
+  /** @inheritdoc */
+  public override createConnection (options: NetConnectOpts, onOpen: () => void): Socket {
+    const socket = super.createConnection(options, onOpen)
+    socket.prependOnceListener('end', () => { if (socket.remoteAddress === undefined) this._reset.add(socket) })
+    socket.once('error', () => { this._reset.add(socket) })
+    return socket
+  }
+
   /** @inheritdoc */
   public override keepSocketAlive (socket: Socket): boolean {
     // Bytes behind the whole answer are nobody's.
@@ -61,5 +79,6 @@
     /** Called when a request is done; false closes the connection. Documented, but missing in the types. */
     keepSocketAlive (socket: Socket): boolean
     reuseSocket (socket: Socket, request: ClientRequest): void
+    createConnection (options: NetConnectOpts, onOpen: () => void): Socket
   }
 }
--- /dev/null
+++ b/src/routenode/InstanceClient.test.ts
@@ -0,0 +1,163 @@
+import { createServer } from 'node:net'
+import type { Server, Socket } from 'node:net'
+import { afterEach, expect, test } from 'vitest'
+import { findFreeAddresses } from '../demo/FreePorts.js'
+import { parseAddress } from '../runtime/Address.js'
+import { SystemClock } from '../runtime/SystemClock.js'
+import { InstanceClient } from './InstanceClient.js'
+import type { HeaderNames, RoutedCall } from './Types.js'
+
+const NAMES: HeaderNames = {
+  requestId: 'call-id',
+  deadlineMs: 'deadline-ms',
+  targetInstance: 'target',
+  instanceId: 'instance',
+  notExecuted: 'not-run',
+  load: 'load',
+  callerService: 'caller',
+  signature: 'signature'
+}
+
+let server: Server | undefined
+const sockets = new Set<Socket>()
+
+afterEach(() => {
+  server?.close()
+  sockets.forEach(socket => socket.destroy())
+  sockets.clear()
+})
+
+/** Starts an instance that answers the n-th request with the n-th reaction. */
+async function startInstance (...reactions: Array<(socket: Socket, id: string) => void>): Promise<InstanceClient> {
+  const [address] = await findFreeAddresses(1) as [string]
+  const { host, port } = parseAddress(address)
+  server = createServer(socket => {
+    sockets.add(socket)
+    socket.on('error', () => {})
+    let text = ''
+    socket.on('data', chunk => {
+      text += chunk.toString('latin1')
+      if (!text.includes('\r\n\r\n')) return
+      const id = /call-id: (\S+)/i.exec(text)?.[1] ?? ''
+      text = ''
+      reactions.shift()?.(socket, id)
+    })
+  })
+  await new Promise<void>(resolve => server?.listen(port, host, resolve))
+  return new InstanceClient(address, NAMES, new SystemClock())
+}
+
+async function run (client: InstanceClient, requestId: string, kind: RoutedCall['kind'] = 'once'): Promise<string> {
+  const call: RoutedCall = {
+    id: 1,
+    service: 's',
+    method: 'GET',
+    target: '/a',
+    headers: ['Host', 'h', 'Call-Id', requestId],
+    body: new Uint8Array(0),
+    requestId,
+    work: 'w',
+    kind,
+    nested: false,
+    priority: 0,
+    leftMs: 5000,
+    objectiveLeftMs: 100,
+    mayDecline: false
+  }
+  return await new Promise(resolve => {
+    client.run(call, 'i-1', 5000, {
+      onAnswer: ({ status, body }) => resolve(`${status} ${Buffer.from(body).toString()}`),
+      onFailure: (proof, reason) => resolve(`${proof} ${reason}`),
+      onLoad: () => {}
+    })
+  })
+}
+
+const head = (id: string, rest: string): string => `HTTP/1.1 200 OK\r\nCall-Id: ${id}\r\nSignature: s\r\n${rest}`
+
+test('an answer without a length that ends with its connection is whole', async () => {
+  const client = await startInstance((socket, id) => socket.end(head(id, '\r\nwhole')))
+  expect(await run(client, 'a')).toBe('200 whole')
+})
+
+test('an answer without a length whose connection is reset is not whole', async () => {
+  const client = await startInstance((socket, id) => {
+    socket.write(head(id, '\r\npart'), () => setTimeout(() => socket.resetAndDestroy(), 20))
+  })
+  expect(await run(client, 'a')).toBe('unknown instance-lost')
+})
+
+test('a reset that arrives together with the bytes before it is not taken for an end', async () => {
+  const client = await startInstance((socket, id) => {
+    socket.write(head(id, '\r\npart'), () => {
+      socket.resetAndDestroy()
+      // The client sees both in one turn of its loop.
+      const untilMs = performance.now() + 30
+      while (performance.now() < untilMs);
+    })
+  })
+  expect(await run(client, 'a')).toBe('unknown instance-lost')
+})
+
+test('an answer that breaks off before its length is not whole', async () => {
+  const client = await startInstance((socket, id) => socket.end(head(id, 'Content-Length: 10\r\n\r\npart')))
+  expect(await run(client, 'a')).toBe('unknown instance-lost')
+})
+
+test('an answer that names another request is not taken', async () => {
+  const client = await startInstance(socket => socket.end(head('b', 'Content-Length: 0\r\n\r\n')))
+  expect(await run(client, 'a')).toBe('unknown answer-foreign')
+})
+
+test('bytes after a whole answer end the connection and reach no other request', async () => {
+  const answer = (id: string): string => head(id, 'Content-Length: 2\r\n\r\nok')
+  const client = await startInstance(
+    (socket, id) => {
+      socket.write(answer(id))
+      setTimeout(() => socket.write(answer('extra')), 20)
+    },
+    (socket, id) => socket.write(answer(id))
+  )
+  expect(await run(client, 'a')).toBe('200 ok')
+  await new Promise(resolve => [...sockets][0]?.once('close', resolve))
+  expect(await run(client, 'b')).toBe('200 ok')
+})
+
+test('a success without a signature is not taken', async () => {
+  const client = await startInstance((socket, id) => socket.end(`HTTP/1.1 200 OK\r\nCall-Id: ${id}\r\nContent-Length: 0\r\n\r\n`))
+  expect(await run(client, 'a')).toBe('unknown answer-invalid')
+})
+
+test('a rejection that proves that nothing ran is told as such', async () => {
+  const client = await startInstance((socket, id) => {
+    socket.end(`HTTP/1.1 503 Busy\r\nCall-Id: ${id}\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n`)
+  })
+  expect(await run(client, 'a')).toBe('rejected instance-rejected')
+})
+
+test('a refused connection proves that nothing was sent', async () => {
+  const [address] = await findFreeAddresses(1) as [string]
+  expect(await run(new InstanceClient(address, NAMES, new SystemClock()), 'a')).toBe('unsent instance-unreachable')
+})
+
+test('a request that may run again is sent once more when its kept connection was closed', async () => {
+  const answer = (id: string): string => head(id, 'Content-Length: 2\r\n\r\nok')
+  const client = await startInstance(
+    (socket, id) => socket.write(answer(id)),
+    socket => socket.resetAndDestroy(),
+    (socket, id) => socket.write(answer(id))
+  )
+  expect(await run(client, 'a')).toBe('200 ok')
+  expect(await run(client, 'b', 'idempotent')).toBe('200 ok')
+})
+
+test('a request that must run once is not sent again on a reset', async () => {
+  const answer = (id: string): string => head(id, 'Content-Length: 2\r\n\r\nok')
+  const client = await startInstance(
+    (socket, id) => socket.write(answer(id)),
+    socket => socket.resetAndDestroy(),
+    (socket, id) => socket.write(answer(id))
+  )
+  expect(await run(client, 'a')).toBe('200 ok')
+  expect(await run(client, 'b', 'once')).toBe('unknown instance-lost')
+})
--- a/src/routenode/InstanceClient.ts
+++ b/src/routenode/InstanceClient.ts
@@ -51,14 +51,16 @@
   public run (call: RoutedCall, instance: string, leftMs: number, listener: InstanceListener): RoutedCallHandle {
     if (call.kind === 'once') this._agent.closeIdleSince(performance.now() - ONCE_MAX_IDLE_MS)
     const deadlineAtMs = this._clock.nowMs() + leftMs
-    return new InstanceExchange(call, deadlineAtMs, listener, this._names, this._clock, () => sendRequest({
+    const open = (): ClientRequest => sendRequest({
       agent: this._agent,
       host: this._host,
       port: this._port,
       method: call.method,
       path: call.target,
       headers: this._headersOf(call, instance, deadlineAtMs) as unknown as Record<string, string>
-    }))
+    })
+    const wasReset = ({ socket }: ClientRequest): boolean => this._agent.wasReset(socket)
+    return new InstanceExchange(call, deadlineAtMs, listener, this._names, this._clock, open, wasReset)
   }
 
   /**
@@ -121,7 +123,8 @@
     private readonly _listener: InstanceListener,
     private readonly _names: HeaderNames,
     private readonly _clock: Clock,
-    private readonly _open: () => ClientRequest
+    private readonly _open: () => ClientRequest,
+    private readonly _wasReset: (request: ClientRequest) => boolean
   ) {
     this._request = this._send()
   }
@@ -189,7 +192,8 @@
     })
     response.on('error', error => this._fail('unknown', 'instance-lost', error.message))
     response.once('close', () => {
-      if (isWhole(response, request)) this._take(response, Buffer.concat(pieces, length))
+      const whole = response.complete && (isFramed(response) || !this._wasReset(request))
+      if (whole) this._take(response, Buffer.concat(pieces, length))
       else this._fail('unknown', 'instance-lost', 'the answer broke off')
     })
   }
@@ -234,9 +238,7 @@
 /** The length is told anew, from the body that was read. */
 const DROPPED: ReadonlySet<string> = new Set(['content-length'])
 
-/** An answer without a length ends with its connection; the parser takes a reset for such an end too. */
-function isWhole (response: IncomingMessage, { socket }: ClientRequest): boolean {
-  const { headers } = response
-  const framed = headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined
-  return response.complete && (framed || socket === null || socket.errored === null)
+/** An answer that is not framed ends with its connection. */
+function isFramed ({ headers }: IncomingMessage): boolean {
+  return headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined
 }
