--- a/src/parts/gate/Constants.ts
+++ b/src/parts/gate/Constants.ts
@@ -21,3 +21,6 @@
 
 /** Weight of a new figure in the smoothed slowness: some seconds of figures. */
 export const SLOWNESS_WEIGHT = 0.02
+
+/** Reported slowness is told in steps of a quarter, which short numbers hold exactly. */
+export const SLOWNESS_STEPS = 4
--- a/src/parts/gate/RunGate.ts
+++ b/src/parts/gate/RunGate.ts
@@ -1,5 +1,5 @@
 import type { CallId, Part } from '../Types.js'
-import { FILLED_SHARE, MAX_WAITING, SLOWNESS_VALID_MS, SLOWNESS_WEIGHT, SLOW_FACTOR } from './Constants.js'
+import { FILLED_SHARE, MAX_WAITING, SLOWNESS_STEPS, SLOWNESS_VALID_MS, SLOWNESS_WEIGHT, SLOW_FACTOR } from './Constants.js'
 import type { GateAction, GateCall, GateEvent, GateLoad, TurnAwayReason } from './Types.js'
 import { WaitingLine } from './WaitingLine.js'
 import { WorkEstimate } from './WorkEstimate.js'
@@ -56,8 +56,8 @@
       running: this._running.size,
       queued: this._line.size,
       limit: this._limit(),
-      slowness: nowMs - this._slownessAtMs < SLOWNESS_VALID_MS ? this._slowness : this._usualSlowness,
-      workMs: this._estimate.overallMs / this._usualSlowness
+      slowness: Math.round(SLOWNESS_STEPS * this._slownessNow(nowMs)) / SLOWNESS_STEPS,
+      workMs: Math.round(this._estimate.overallMs / this._usualSlowness)
     }
   }
 
@@ -139,6 +139,10 @@
     return this._running.size < (call.nested ? this._slots : this._limit())
   }
 
+  private _slownessNow (nowMs: number): number {
+    return nowMs - this._slownessAtMs < SLOWNESS_VALID_MS ? this._slowness : this._usualSlowness
+  }
+
   private _isSlow (): boolean {
     return this._nowMs - this._slownessAtMs < SLOWNESS_VALID_MS && this._slowness >= SLOW_FACTOR
   }
--- a/src/parts/placement/Constants.ts
+++ b/src/parts/placement/Constants.ts
@@ -24,3 +24,12 @@
 
 /** Largest share of a service's instances that may be passed over for failing. */
 export const MAX_EJECTED_SHARE = 0.5
+
+/**
+ * Delay that is accepted to keep a kilobyte within its availability zone, in milliseconds. Bytes between zones are
+ * paid for: a small call stays where the nearest instance is some runs slower, a large answer unless that one is full.
+ */
+export const CROSSING_MS_PER_KB = 40
+
+/** Bytes in a kilobyte. */
+export const KB = 1024
--- a/src/parts/placement/InstanceChooser.ts
+++ b/src/parts/placement/InstanceChooser.ts
@@ -1,7 +1,7 @@
 import type { NodeId, Random } from '../Types.js'
 import {
-  EJECT_SHARE, FAILURE_COST, FAILURE_WEIGHT, LOAD_HALF_LIFE_MS, MAX_EJECTED_SHARE, SLOWNESS_HALF_LIFE_MS,
-  TRIAL_INTERVAL_MS, UNKNOWN_SLOWNESS, UNREACHABLE_MS
+  CROSSING_MS_PER_KB, EJECT_SHARE, FAILURE_COST, FAILURE_WEIGHT, KB, LOAD_HALF_LIFE_MS, MAX_EJECTED_SHARE,
+  SLOWNESS_HALF_LIFE_MS, TRIAL_INTERVAL_MS, UNKNOWN_SLOWNESS, UNREACHABLE_MS
 } from './Constants.js'
 import type { GateLoad, PlacementCandidate, PlacementOutcome, PlacementQuery } from './Types.js'
 
@@ -63,7 +63,7 @@
       trial.nextTrialMs = nowMs + TRIAL_INTERVAL_MS
       return trial.candidate.node
     }
-    return this._cheapest(this._withoutEjected(open), nowMs)?.candidate.node
+    return this._cheapest(this._withoutEjected(open), query.bytes, nowMs)?.candidate.node
   }
 
   /** Notes that a call went to a node. */
@@ -123,11 +123,12 @@
     return kept.length === 0 || tooMany ? open : kept
   }
 
-  private _cheapest (standings: readonly Standing[], nowMs: number): Standing | undefined {
+  private _cheapest (standings: readonly Standing[], bytes: number, nowMs: number): Standing | undefined {
     let best: Standing | undefined
     let bestCost = Infinity
     for (const standing of standings) {
-      const cost = this._costMs(standing, nowMs) * (1 + 0.05 * this._random.next())
+      const crossingMs = standing.candidate.crossesZones ? CROSSING_MS_PER_KB * bytes / KB : 0
+      const cost = this._costMs(standing, nowMs) * (1 + TIE_SPREAD * this._random.next()) + crossingMs
       if (cost >= bestCost) continue
       best = standing
       bestCost = cost
@@ -162,6 +163,9 @@
   }
 }
 
+/** Costs this close to each other, as a share, count as equal. */
+const TIE_SPREAD = 0.05
+
 function makeStanding (candidate: PlacementCandidate): Standing {
   return {
     candidate,
--- a/src/parts/placement/Types.ts
+++ b/src/parts/placement/Types.ts
@@ -7,12 +7,16 @@
   /** Round trip to its node in milliseconds, before any is measured. */
   readonly roundTripMs: number
   readonly slots: number
+  /** True when a call and its answer pass between availability zones. */
+  readonly crossesZones: boolean
 }
 
 /** What a call asks for. */
 export interface PlacementQuery {
   /** Nodes that were asked already. */
   readonly excluded: readonly NodeId[]
+  /** Bytes that the call and its answer are expected to have together. */
+  readonly bytes: number
 }
 
 /** Load of an instance as its node told it. */
--- a/src/routenode/Gateway.ts
+++ b/src/routenode/Gateway.ts
@@ -12,6 +12,7 @@
 import type { Disposable, Log } from '../runtime/Types.js'
 import { NOT_READY_RETRY_MS } from './Constants.js'
 import { GatewayCall, type GatewayContext, type GatewayReason, type GatewayRequest, type GatewayResult } from './GatewayCall.js'
+import { AnswerSizes } from './AnswerSizes.js'
 import type { HeaderNames, RoutedAnswer } from './Types.js'
 
 /** Largest header that is read; configurations ask for less. */
@@ -42,6 +43,7 @@
   private readonly _server: Server
   private readonly _emptied = new Emitter<void>()
   private readonly _droppedHeaders: ReadonlySet<string>
+  private readonly _sizes = new AnswerSizes()
   private _table: RouteTable | undefined
   private _limits: CallerLimits = DEFAULT_CALLER_LIMITS
   private _open = 0
@@ -143,7 +145,8 @@
       version: table.version,
       nested: this._isNested(requestId),
       deadlineMs: Number.isFinite(deadline) && deadline > 0 ? deadline : NO_DEADLINE_MS,
-      arrivedAtMs
+      arrivedAtMs,
+      expectedBytes: body.length + this._sizes.of(entry.route.name)
     }
   }
 
@@ -160,6 +163,7 @@
       if (ended) return
       ended = true
       if (result !== undefined) this._send(message, response, result)
+      if (result?.type === 'answer') this._sizes.learn(request.route.name, result.answer.body.length)
       this._log(request, call, result)
       this._open--
       if (this._open === 0) this._emptied.fire()
--- a/src/routenode/GatewayCall.ts
+++ b/src/routenode/GatewayCall.ts
@@ -6,7 +6,7 @@
 import { MAX_DECLINES, RETRY_MAX_SHARE, RETRY_SPREAD } from './Constants.js'
 import type { Placement } from './Placement.js'
 import type { RepeatBudgets } from './RepeatBudgets.js'
-import type { FailureProof, FailureReason, RawHeaders, RoutedAnswer, RoutedCallHandle } from './Types.js'
+import type { FailureProof, FailureReason, RawHeaders, RoutedAnswer, RoutedCall, RoutedCallHandle } from './Types.js'
 
 /** A request of a caller, read whole and routed. */
 export interface GatewayRequest {
@@ -22,6 +22,8 @@
   /** Milliseconds that the caller waits, counted from `arrivedAtMs`. */
   readonly deadlineMs: number
   readonly arrivedAtMs: number
+  /** Bytes that the request and its answer are expected to have together. */
+  readonly expectedBytes: number
 }
 
 /** Why the system answered in place of an instance. */
@@ -127,10 +129,11 @@
     const { placement, clock } = this._context
     const chooser = placement.chooserOf(this._request.service)
     const nowMs = clock.nowMs()
-    const node = chooser?.choose({ excluded: this._asked }, nowMs)
+    const bytes = this._request.expectedBytes
+    const node = chooser?.choose({ excluded: this._asked, bytes }, nowMs)
     if (node !== undefined) return this._ask(node)
     // All were asked: the one that is expected to finish first must take the call into its line.
-    const fallback = this._forced ? undefined : chooser?.choose({ excluded: [] }, nowMs)
+    const fallback = this._forced ? undefined : chooser?.choose({ excluded: [], bytes }, nowMs)
     this._forced = true
     if (fallback === undefined || this._sends > 0) this._giveUp('no-instance', 0)
     else this._ask(fallback)
@@ -172,7 +175,7 @@
     }
   }
 
-  private _buildCall (id: CallId): Parameters<NonNullable<ReturnType<Placement['targetOf']>>['start']>[0] {
+  private _buildCall (id: CallId): RoutedCall {
     const { requestId, method, target, headers, body, route, service, nested, arrivedAtMs } = this._request
     const nowMs = this._context.clock.nowMs()
     return {
@@ -187,8 +190,9 @@
       kind: route.kind,
       nested,
       priority: route.priority,
-      leftMs: Math.max(1, this._timeoutAtMs - nowMs),
-      objectiveLeftMs: arrivedAtMs + route.latencyObjectiveMs - nowMs,
+      // Whole numbers take a third of the bytes of others.
+      leftMs: Math.max(1, Math.floor(this._timeoutAtMs - nowMs)),
+      objectiveLeftMs: Math.floor(arrivedAtMs + route.latencyObjectiveMs - nowMs),
       mayDecline: !this._forced && this._declines < MAX_DECLINES
     }
   }
--- a/src/routenode/Placement.ts
+++ b/src/routenode/Placement.ts
@@ -85,7 +85,8 @@
     return ready.map(entry => ({
       node: entry.node,
       slots: entry.instance?.slots ?? 1,
-      roundTripMs: this._roundTripMs(entry.node, entry.zone)
+      roundTripMs: this._roundTripMs(entry.node, entry.zone),
+      crossesZones: entry.zone !== this._parts.zone
     }))
   }
 
--- a/src/runtime/FrameChannel.ts
+++ b/src/runtime/FrameChannel.ts
@@ -3,11 +3,12 @@
 import { Encoder } from 'cbor-x'
 import { CHANNEL_HIGH_WATER_BYTES, FRAME_HEADER_BYTES, MAX_FRAME_BYTES } from './Constants.js'
 import { Emitter } from './Emitter.js'
+import { FRAME_KEYS } from './FrameKeys.js'
 import { FrameDecoder } from './FrameDecoder.js'
 import type { Clock, Disposable } from './Types.js'
 
 // Plain maps, so that each frame can be read on its own; byte strings are views of the frame.
-const codec = new Encoder({ useRecords: false, mapsAsObjects: true, tagUint8Array: false })
+const codec = new Encoder({ useRecords: false, mapsAsObjects: true, tagUint8Array: false, keyMap: FRAME_KEYS })
 
 /**
  * Messages over one TCP connection: length-prefixed CBOR, in order, each with a `type`.
