Rank callers that come back behind new ones, and keep nested calls within the filled share

Cause: a ledger instance filled past four fifths of its slots by nested calls finishes less than one filled to four (1.7 times the work time at 5 or 6 of 6), so the service that all lookups wait for collapsed first.

--- a/src/parts/gate/Constants.ts
+++ b/src/parts/gate/Constants.ts
@@ -16,6 +16,12 @@
 /** Age after which a slowness figure says nothing, in milliseconds; it changes several times a second. */
 export const SLOWNESS_VALID_MS = 150
 
+/** Share of the limit that calls past their objective leave free, for those that can still meet theirs. */
+export const LATE_RESERVE_SHARE = 0.25
+
+/** Calls past their objective that may wait, as a share of the slots: they start only when no other call waits. */
+export const LATE_LINE_SHARE = 1
+
 /** Calls that may wait in all; bounds memory. */
 export const MAX_WAITING = 1000
 
--- a/src/parts/gate/RunGate.ts
+++ b/src/parts/gate/RunGate.ts
@@ -1,5 +1,8 @@
 import type { CallId, Part } from '../Types.js'
-import { FILLED_SHARE, MAX_WAITING, SLOWNESS_STEPS, SLOWNESS_VALID_MS, SLOWNESS_WEIGHT, SLOW_FACTOR } from './Constants.js'
+import {
+  FILLED_SHARE, LATE_LINE_SHARE, LATE_RESERVE_SHARE, MAX_WAITING,
+  SLOWNESS_STEPS, SLOWNESS_VALID_MS, SLOWNESS_WEIGHT, SLOW_FACTOR
+} from './Constants.js'
 import type { GateAction, GateCall, GateEvent, GateLoad, TurnAwayReason } from './Types.js'
 import { WaitingLine } from './WaitingLine.js'
 import { WorkEstimate } from './WorkEstimate.js'
@@ -68,8 +71,7 @@
       return this._start(call)
     }
     if (call.mayDecline) return this._turnAway(call, 'busy')
-    const startAtMs = this._nowMs + this._waitMs(call)
-    if (startAtMs > this._latestStartMs(call) || this._line.size >= MAX_WAITING) return this._turnAway(call, 'too-late')
+    if (!this._mayWait(call)) return this._turnAway(call, 'too-late')
     this._line.add(call, this._nowMs)
     this._wakeAt(this._latestStartMs(call))
   }
@@ -134,9 +136,14 @@
     return this._slots === 0 ? 0 : Math.max(1, Math.floor(this._slots * FILLED_SHARE))
   }
 
-  /** Nested calls may take the last slots: their parents hold slots elsewhere until they are answered. */
   private _hasRoom (call: GateCall): boolean {
-    return this._running.size < (call.nested ? this._slots : this._limit())
+    return this._running.size < this._limitOf(call)
+  }
+
+  private _limitOf (call: GateCall): number {
+    const limit = this._limit()
+    if (call.nested || this._isReachable(call)) return limit
+    return Math.max(1, limit - Math.ceil(limit * LATE_RESERVE_SHARE))
   }
 
   private _slownessNow (nowMs: number): number {
@@ -151,13 +158,17 @@
     return this._nowMs + this._estimate.of(call.work) <= call.objectiveAtMs
   }
 
-  /**
-   * Until then a call may wait. One that can't meet its objective any more is better off elsewhere or later, and one
-   * that would be given up in the middle of its run would only take a slot from others.
-   */
+  /** A call that starts later would be given up in the middle of its run, and only take a slot from others. */
   private _latestStartMs (call: GateCall): number {
-    const workMs = this._estimate.of(call.work)
-    return Math.min(call.objectiveAtMs - workMs / 2, call.deadlineAtMs - workMs)
+    return call.deadlineAtMs - this._estimate.of(call.work)
+  }
+
+  /** A call waits while it can meet its objective, or at least its deadline and not many others that are late wait. */
+  private _mayWait (call: GateCall): boolean {
+    const startAtMs = this._nowMs + this._waitMs(call)
+    if (startAtMs > this._latestStartMs(call) || this._line.size >= MAX_WAITING) return false
+    if (startAtMs + this._estimate.of(call.work) <= call.objectiveAtMs) return true
+    return this._line.count(waiting => !this._isReachable(waiting)) < this._slots * LATE_LINE_SHARE
   }
 
   /** Expected time until a call that joins the line now starts. */
--- a/src/parts/gate/WaitingLine.ts
+++ b/src/parts/gate/WaitingLine.ts
@@ -52,6 +52,16 @@
     return ahead
   }
 
+  /**
+   * Counts calls.
+   * @param condition Tells which count.
+   */
+  public count (condition: (call: GateCall) => boolean): number {
+    let count = 0
+    for (const { call } of this._calls.values()) count += Number(condition(call))
+    return count
+  }
+
   /**
    * Takes the next call to start.
    * @param isReachable Tells whether a call can still meet its objective.
--- a/src/routenode/Gateway.ts
+++ b/src/routenode/Gateway.ts
@@ -3,6 +3,7 @@
 import type { Duplex } from 'node:stream'
 import { selectEndToEnd } from '../node/EndToEndHeaders.js'
 import { readBody } from '../node/ingress/BodyReader.js'
+import { ElapsedEstimate } from '../parts/routing/ElapsedEstimate.js'
 import { DEFAULT_CALLER_LIMITS } from '../parts/routing/Constants.js'
 import type { CallerLimits } from '../parts/routing/Types.js'
 import type { RouteEntry, RouteTable } from '../parts/routing/RouteTable.js'
@@ -44,6 +45,7 @@
   private readonly _emptied = new Emitter<void>()
   private readonly _droppedHeaders: ReadonlySet<string>
   private readonly _sizes = new AnswerSizes()
+  private readonly _elapsed = new ElapsedEstimate()
   private _table: RouteTable | undefined
   private _limits: CallerLimits = DEFAULT_CALLER_LIMITS
   private _open = 0
@@ -130,7 +132,9 @@
     message: IncomingMessage, entry: RouteEntry, table: RouteTable, body: Uint8Array, arrivedAtMs: number
   ): GatewayRequest {
     const { names, callerService } = this._parts
-    const deadline = Number(message.headers[names.deadlineMs])
+    const { route } = entry
+    const deadlineMs = deadlineOf(message, names.deadlineMs)
+    const elapsedMs = deadlineMs === undefined ? 0 : this._elapsed.take(route.name, deadlineMs, arrivedAtMs)
     const headers = selectEndToEnd(message.rawHeaders, this._droppedHeaders)
     headers.push(names.callerService, callerService())
     const requestId = headerOf(message, names.requestId) ?? ''
@@ -140,13 +144,14 @@
       target: message.url ?? '/',
       headers,
       body,
-      route: entry.route,
+      route,
       service: entry.nextService(),
       version: table.version,
       nested: this._isNested(requestId),
-      deadlineMs: Number.isFinite(deadline) && deadline > 0 ? deadline : NO_DEADLINE_MS,
+      deadlineMs: deadlineMs ?? NO_DEADLINE_MS,
       arrivedAtMs,
-      expectedBytes: body.length + this._sizes.of(entry.route.name)
+      objectiveAtMs: arrivedAtMs - elapsedMs + route.latencyObjectiveMs,
+      expectedBytes: body.length + this._sizes.of(route.name)
     }
   }
 
@@ -235,6 +240,11 @@
   return message.method === 'HEAD' || status === 204 || status === 304
 }
 
+function deadlineOf (message: IncomingMessage, name: string): number | undefined {
+  const deadlineMs = Number(message.headers[name])
+  return Number.isFinite(deadlineMs) && deadlineMs > 0 ? deadlineMs : undefined
+}
+
 function headerOf (message: IncomingMessage, name: string): string | undefined {
   const value = message.headers[name]
   return Array.isArray(value) ? value[0] : value
--- a/src/routenode/GatewayCall.ts
+++ b/src/routenode/GatewayCall.ts
@@ -22,6 +22,8 @@
   /** Milliseconds that the caller waits, counted from `arrivedAtMs`. */
   readonly deadlineMs: number
   readonly arrivedAtMs: number
+  /** Until then the answer is worth its full value, counted from the caller's first attempt. */
+  readonly objectiveAtMs: number
   /** Bytes that the request and its answer are expected to have together. */
   readonly expectedBytes: number
 }
@@ -176,7 +178,7 @@
   }
 
   private _buildCall (id: CallId): RoutedCall {
-    const { requestId, method, target, headers, body, route, service, nested, arrivedAtMs } = this._request
+    const { requestId, method, target, headers, body, route, service, nested, objectiveAtMs } = this._request
     const nowMs = this._context.clock.nowMs()
     return {
       id,
@@ -192,7 +194,7 @@
       priority: route.priority,
       // Whole numbers take a third of the bytes of others.
       leftMs: Math.max(1, Math.floor(this._timeoutAtMs - nowMs)),
-      objectiveLeftMs: Math.floor(arrivedAtMs + route.latencyObjectiveMs - nowMs),
+      objectiveLeftMs: Math.floor(objectiveAtMs - nowMs),
       mayDecline: !this._forced && this._declines < MAX_DECLINES
     }
   }
