--- a/src/parts/gate/Constants.ts
+++ b/src/parts/gate/Constants.ts
@@ -1,8 +1,18 @@
+/** Share of an instance's slots above which some slow down, as their operators say. */
+export const KNEE_SHARE = 0.8
+
+/** Runs above that share that are looked at before they are judged; their times differ by more than half. */
+export const MIN_UPPER_RUNS = 15
+
+/** Weight of a run in the smoothed time above that share. */
+export const RATIO_WEIGHT = 0.05
+
 /**
- * Share of an instance's slots that is filled by calls of callers. Instances that share their machine slow down in
- * the last fifth of their slots, so that a full one finishes less than one filled to four fifths.
+ * First and longest time after which slots that did not pay are tried again, in milliseconds. Conditions on a shared
+ * VM change, but each try costs some slow runs, so that it becomes rarer.
  */
-export const FILLED_SHARE = 0.8
+export const FIRST_HOLD_MS = 20_000
+export const LONGEST_HOLD_MS = 300_000
 
 /** Weight of a new sample in the smoothed work time. */
 export const WORK_WEIGHT = 0.1
--- a/src/parts/gate/RunGate.ts
+++ b/src/parts/gate/RunGate.ts
@@ -1,9 +1,10 @@
 import type { CallId, Part } from '../Types.js'
 import {
-  FILLED_SHARE, LATE_LINE_SHARE, LATE_RESERVE_SHARE, MAX_WAITING,
+  LATE_LINE_SHARE, LATE_RESERVE_SHARE, MAX_WAITING,
   SLOWNESS_STEPS, SLOWNESS_VALID_MS, SLOWNESS_WEIGHT, SLOW_FACTOR
 } from './Constants.js'
 import type { GateAction, GateCall, GateEvent, GateLoad, TurnAwayReason } from './Types.js'
+import { SlotLimit } from './SlotLimit.js'
 import { WaitingLine } from './WaitingLine.js'
 import { WorkEstimate } from './WorkEstimate.js'
 
@@ -22,6 +23,9 @@
 export class RunGate implements Part<GateEvent, GateAction> {
   private readonly _line = new WaitingLine()
   private readonly _running = new Map<CallId, GateCall>()
+  private readonly _limit = new SlotLimit()
+  /** Calls that ran, each one included, when a call started. */
+  private readonly _runningAtStart = new Map<CallId, number>()
   private readonly _estimate = new WorkEstimate()
   private _actions: GateAction[] = []
   private _nowMs = 0
@@ -58,7 +62,7 @@
     return {
       running: this._running.size,
       queued: this._line.size,
-      limit: this._limit(),
+      limit: this._limit.current(nowMs),
       slowness: Math.round(SLOWNESS_STEPS * this._slownessNow(nowMs)) / SLOWNESS_STEPS,
       workMs: Math.round(this._estimate.overallMs / this._usualSlowness)
     }
@@ -80,17 +84,20 @@
     const call = this._running.get(id)
     if (call === undefined) return
     this._running.delete(id)
-    if (workMs !== undefined) this._estimate.learn(call.work, workMs)
+    if (workMs !== undefined) this._learn(call, workMs)
+    this._runningAtStart.delete(id)
     this._startWaiting()
   }
 
   private _cancel (id: CallId): void {
     if (this._line.remove(id)) return
+    this._runningAtStart.delete(id)
     if (this._running.delete(id)) this._startWaiting()
   }
 
   private _setSlots (slots: number): void {
     this._slots = slots
+    this._limit.announce(slots)
     if (slots === 0) this._line.takeAll(() => true).forEach(call => this._turnAway(call, 'no-slots'))
     else this._startWaiting()
   }
@@ -125,6 +132,7 @@
 
   private _start (call: GateCall): void {
     this._running.set(call.id, call)
+    this._runningAtStart.set(call.id, this._running.size)
     this._actions.push({ type: 'start', call })
   }
 
@@ -132,8 +140,10 @@
     this._actions.push({ type: 'turnAway', call, reason, retryAfterMs: this._waitMs(call) })
   }
 
-  private _limit (): number {
-    return this._slots === 0 ? 0 : Math.max(1, Math.floor(this._slots * FILLED_SHARE))
+  private _learn (call: GateCall, workMs: number): void {
+    const running = this._runningAtStart.get(call.id) ?? 1
+    this._limit.learn(running, call.work, workMs, this._nowMs)
+    this._estimate.learn(call.work, workMs)
   }
 
   private _hasRoom (call: GateCall): boolean {
@@ -141,7 +151,7 @@
   }
 
   private _limitOf (call: GateCall): number {
-    const limit = this._limit()
+    const limit = this._limit.current(this._nowMs)
     if (call.nested || this._isReachable(call)) return limit
     return Math.max(1, limit - Math.ceil(limit * LATE_RESERVE_SHARE))
   }
@@ -174,7 +184,7 @@
   /** Expected time until a call that joins the line now starts. */
   private _waitMs (call: GateCall): number {
     const ahead = this._line.countAhead(call, waiting => this._isReachable(waiting))
-    return (ahead + 1) * this._estimate.overallMs / Math.max(1, this._limit())
+    return (ahead + 1) * this._estimate.overallMs / Math.max(1, this._limit.current(this._nowMs))
   }
 
   private _wakeAt (atMs: number): void {
--- a/src/parts/placement/Constants.ts
+++ b/src/parts/placement/Constants.ts
@@ -20,7 +20,7 @@
 export const EJECT_SHARE = 0.6
 
 /** Wait between trials of an instance that fails, in milliseconds. */
-export const TRIAL_INTERVAL_MS = 500
+export const TRIAL_INTERVAL_MS = 1500
 
 /** Largest share of a service's instances that may be passed over for failing. */
 export const MAX_EJECTED_SHARE = 0.5
--- a/src/parts/placement/InstanceChooser.ts
+++ b/src/parts/placement/InstanceChooser.ts
@@ -58,7 +58,9 @@
     const open = [...this._standings.values()].filter(standing => {
       return !query.excluded.includes(standing.candidate.node) && standing.unreachableUntilMs <= nowMs
     })
-    const trial = open.find(standing => this._isEjected(standing) && standing.nextTrialMs <= nowMs)
+    const trial = query.mayTry
+      ? open.find(standing => this._isEjected(standing) && standing.nextTrialMs <= nowMs)
+      : undefined
     if (trial !== undefined) {
       trial.nextTrialMs = nowMs + TRIAL_INTERVAL_MS
       return trial.candidate.node
--- a/src/parts/placement/Types.ts
+++ b/src/parts/placement/Types.ts
@@ -15,6 +15,8 @@
 export interface PlacementQuery {
   /** Nodes that were asked already. */
   readonly excluded: readonly NodeId[]
+  /** True when the call may run again, so that it may try an instance that fails. */
+  readonly mayTry: boolean
   /** Bytes that the call and its answer are expected to have together. */
   readonly bytes: number
 }
--- a/src/parts/routing/ElapsedEstimate.ts
+++ b/src/parts/routing/ElapsedEstimate.ts
@@ -1,6 +1,9 @@
 /** Length of one period over which the longest deadline is kept, in milliseconds; two periods are looked at. */
 const PERIOD_MS = 10_000
 
+/** Share of the longest deadline by which those of first attempts differ; callers do not all wait alike. */
+const SPREAD = 0.2
+
 /** Routes that are kept apart. */
 const MAX_ROUTES = 4096
 
@@ -12,9 +15,9 @@
 
 /**
  * Estimates for how long a caller has been waiting already. Callers of one route start with like deadlines and tell
- * what is left of them, so one that tells less than the longest has spent the difference, most often on an attempt
- * that was refused. Its answer is worth less by then, while a new request can still be answered in time: this answers
- * the load of callers that come back during an overload.
+ * what is left of them, so one that tells much less than the longest has spent the difference, most often on an
+ * attempt that was refused. Its answer is worth less by then, while a new request can still be answered in time: this
+ * answers the load of callers that come back during an overload.
  *
  * Memory: one entry for each of at most `MAX_ROUTES` routes.
  */
@@ -31,7 +34,8 @@
     const longest = this._longestOf(route, nowMs)
     if (longest === undefined) return 0
     longest.now = Math.max(longest.now, deadlineMs)
-    return Math.max(longest.now, longest.before) - deadlineMs
+    const fullMs = Math.max(longest.now, longest.before)
+    return deadlineMs >= (1 - SPREAD) * fullMs ? 0 : (1 - SPREAD / 2) * fullMs - deadlineMs
   }
 
   private _longestOf (route: string, nowMs: number): Longest | undefined {
--- a/src/routenode/GatewayCall.ts
+++ b/src/routenode/GatewayCall.ts
@@ -131,11 +131,11 @@
     const { placement, clock } = this._context
     const chooser = placement.chooserOf(this._request.service)
     const nowMs = clock.nowMs()
-    const bytes = this._request.expectedBytes
-    const node = chooser?.choose({ excluded: this._asked, bytes }, nowMs)
+    const query = { bytes: this._request.expectedBytes, mayTry: this._request.route.kind !== 'once' }
+    const node = chooser?.choose({ ...query, excluded: this._asked }, nowMs)
     if (node !== undefined) return this._ask(node)
     // All were asked: the one that is expected to finish first must take the call into its line.
-    const fallback = this._forced ? undefined : chooser?.choose({ excluded: [], bytes }, nowMs)
+    const fallback = this._forced ? undefined : chooser?.choose({ ...query, excluded: [] }, nowMs)
     this._forced = true
     if (fallback === undefined || this._sends > 0) this._giveUp('no-instance', 0)
     else this._ask(fallback)
--- a/src/routenode/InstancePort.ts
+++ b/src/routenode/InstancePort.ts
@@ -1,3 +1,4 @@
+import { type BreakerState, InstanceBreaker } from '../parts/gate/InstanceBreaker.js'
 import { RunGate } from '../parts/gate/RunGate.js'
 import type { GateAction, GateCall, GateEvent, GateLoad } from '../parts/gate/Types.js'
 import { InstanceRegister, type ReportOutcome } from '../parts/instances/InstanceRegister.js'
@@ -38,9 +39,12 @@
   readonly [Type in GateAction['type']]: (action: Extract<GateAction, { type: Type }>) => void
 }
 
-/** Failures that tell that the instance itself is gone. */
+/** Failures that tell at once that the instance itself is gone. */
 const LOST_INSTANCE: ReadonlySet<FailureReason> = new Set(['instance-unreachable', 'instance-replaced'])
 
+/** Failures of which a few in a row tell that. */
+const SILENT_INSTANCE: ReadonlySet<FailureReason> = new Set(['timeout', 'instance-lost'])
+
 /**
  * The only way in to the instance on this VM. It alone knows what runs there, so slots, order and drain are
  * enforced here: from the moment at which a report that the instance leaves is taken, nothing new is let in.
@@ -56,8 +60,8 @@
   private readonly _wake: PartTimer
   private readonly _changes = new Emitter<void>()
   private readonly _gateHandlers: GateHandlers
+  private readonly _breaker = new InstanceBreaker()
   private _recoveryTimer: NodeJS.Timeout | undefined
-  private _reachable = true
   private _slots = 0
   private _lastCall = 0
 
@@ -105,13 +109,13 @@
   public restore (published: PublishedInstance): void {
     if (this._register.current !== undefined || published.service !== this._parts.service) return
     this._register.report({ ...published, address: this._parts.address, sequence: -1, coldMs: 0 })
-    this._reachable = false
+    this._breaker.open(this._parts.clock.nowMs())
     this._applySlots()
   }
 
   /** Looks for the instance by its health check until it is found or reports itself. */
   public discover (): void {
-    if (this._register.current !== undefined && this._reachable) return
+    if (this._register.current !== undefined && this._breaker.state !== 'open') return
     this._recoveryTimer ??= setInterval(() => this._checkHealth(), RECOVERY_CHECK_MS)
     this._checkHealth()
   }
@@ -126,8 +130,12 @@
 
   /** Takes a report of an instance. */
   public report (report: InstanceReport): ReportOutcome {
+    const before = this._register.current
     const outcome = this._register.report(report)
-    if (outcome === 'applied') this._handleReport()
+    if (outcome !== 'applied') return outcome
+    const restarted = before?.id !== report.id || before.bornMs !== report.bornMs
+    if (restarted) this._breaker.succeed()
+    this._handleReport()
     return outcome
   }
 
@@ -163,16 +171,13 @@
 
   /** Ends all connections at once. */
   public dispose (): void {
-    clearInterval(this._recoveryTimer)
+    this._stopRecovery()
     this._wake.dispose()
     this._client.dispose()
   }
 
   private _handleReport (): void {
     const { current } = this._register
-    this._reachable = true
-    clearInterval(this._recoveryTimer)
-    this._recoveryTimer = undefined
     this._applySlots()
     this._changes.fire()
     const { id, state, sequence } = current ?? {}
@@ -181,11 +186,11 @@
 
   private _applySlots (): void {
     const { current } = this._register
-    const slots = current?.state === 'ready' && this._reachable ? current.slots : 0
+    const slots = current?.state === 'ready' ? SLOTS_BY_BREAKER[this._breaker.state](current.slots) : 0
     if (slots === this._slots) return
     this._slots = slots
     const { id, state } = current ?? {}
-    this._parts.log.info({ instance: id, state, reachable: this._reachable, slots }, 'slots changed')
+    this._parts.log.info({ instance: id, state, breaker: this._breaker.state, slots }, 'slots changed')
     this._step({ type: 'slots', slots })
   }
 
@@ -204,6 +209,7 @@
 
   private _handleAnswer (id: CallId, held: HeldCall, answer: RoutedAnswer): void {
     this._forget(id, held)
+    this._noteSuccess()
     const workMs = answer.status < 500 ? this._parts.clock.nowMs() - held.startedAtMs : undefined
     this._step({ type: 'finished', id, workMs })
     held.sink.onAnswer(answer, this.load())
@@ -215,8 +221,8 @@
     this._forget(id, held)
     const { requestId } = held.call
     this._parts.log.info({ requestId, instance: this._register.current?.id, proof, reason, detail }, 'run failed')
-    if (LOST_INSTANCE.has(reason)) this._loseInstance()
     if (reason === 'timeout') this._client.closeIdle()
+    this._noteFailure(reason)
     this._step({ type: 'finished', id, workMs: undefined })
     held.sink.onFailed(proof, reason, this.load())
   }
@@ -243,17 +249,27 @@
     this._runningIds.delete(call.requestId)
   }
 
-  /** The instance refuses connections or is another one: nothing goes there until it reports or is found well. */
-  private _loseInstance (): void {
-    if (!this._reachable) return
-    this._reachable = false
+  private _noteSuccess (): void {
+    if (this._breaker.state === 'closed') return this._breaker.succeed()
+    this._breaker.succeed()
+    this._applySlots()
+  }
+
+  /** An instance that is lost gets nothing until it starts anew, or is found well. */
+  private _noteFailure (reason: FailureReason): void {
+    const nowMs = this._parts.clock.nowMs()
+    if (LOST_INSTANCE.has(reason)) this._breaker.open(nowMs)
+    else if (SILENT_INSTANCE.has(reason)) this._breaker.fail(nowMs)
+    if (this._breaker.state !== 'open') return
     this._applySlots()
     this.discover()
   }
 
   private _checkHealth (): void {
     const path = this._parts.healthPathOf(this.service)
-    if (path === undefined) return
+    const known = this._register.current !== undefined
+    if (known && this._breaker.state !== 'open') return this._stopRecovery()
+    if (path === undefined || (known && !this._breaker.isDue(this._parts.clock.nowMs()))) return
     this._client.check(path, health => { if (health !== undefined) this._handleHealth(health) })
   }
 
@@ -261,6 +277,7 @@
     if (this._recoveryTimer === undefined) return
     const { current } = this._register
     if (current?.id === id) {
+      this._breaker.tryAgain()
       this._handleReport()
       return
     }
@@ -270,6 +287,11 @@
     this.report({ id, bornMs, sequence: -1, service, address, slots: load?.slots ?? 1, state: 'ready', coldMs: 0 })
   }
 
+  private _stopRecovery (): void {
+    clearInterval(this._recoveryTimer)
+    this._recoveryTimer = undefined
+  }
+
   private _step (event: GateEvent): void {
     for (const action of this._gate.step(event, this._parts.clock.nowMs())) {
       const handler = this._gateHandlers[action.type] as (action: GateAction) => void
@@ -277,3 +299,9 @@
     }
   }
 }
+
+const SLOTS_BY_BREAKER: { readonly [State in BreakerState]: (slots: number) => number } = {
+  closed: slots => slots,
+  open: () => 0,
+  trial: () => 1
+}
