--- /dev/null
+++ b/src/parts/budget/RepeatBudget.test.ts
@@ -0,0 +1,23 @@
+import { expect, test } from 'vitest'
+import { RepeatBudget } from './RepeatBudget.js'
+
+const LIMITS = { ratio: 0.2, slack: 60, windowMs: 10_000 }
+
+test('all nodes together stay within the bound in every window', () => {
+  const nodes = 12
+  const budgets = Array.from({ length: nodes }, () => new RepeatBudget(LIMITS))
+  const repeats: number[] = []
+  const requests: number[] = []
+  for (let nowMs = 0; nowMs < 60_000; nowMs += 10) {
+    const budget = budgets[nowMs / 10 % nodes] as RepeatBudget
+    budget.countRequest(nowMs)
+    requests.push(nowMs)
+    for (let i = 0; i < 3; i++) if (budget.tryRepeat(nodes, nowMs)) repeats.push(nowMs)
+  }
+  for (let endMs = 10_000; endMs <= 60_000; endMs += 500) {
+    const inWindow = (atMs: number): boolean => atMs > endMs - 10_000 && atMs <= endMs
+    const allowed = LIMITS.ratio * requests.filter(inWindow).length + LIMITS.slack
+    expect(repeats.filter(inWindow).length).toBeLessThanOrEqual(allowed)
+  }
+  expect(repeats.length).toBeGreaterThan(0)
+})
--- /dev/null
+++ b/src/parts/gate/RunGate.test.ts
@@ -0,0 +1,190 @@
+import fc from 'fast-check'
+import { expect, test } from 'vitest'
+import { RunGate } from './RunGate.js'
+import type { GateAction, GateCall } from './Types.js'
+
+let lastId = 0
+
+function makeCall (changes: Partial<GateCall> = {}): GateCall {
+  return {
+    id: ++lastId,
+    work: 'route',
+    nested: false,
+    priority: 1,
+    objectiveAtMs: 300,
+    deadlineAtMs: 1000,
+    mayDecline: false,
+    ...changes
+  }
+}
+
+function makeGate (slots: number): RunGate {
+  const gate = new RunGate()
+  gate.step({ type: 'slots', slots }, 0)
+  return gate
+}
+
+function kinds (actions: readonly GateAction[]): string[] {
+  return actions.map(action => action.type)
+}
+
+function fill (gate: RunGate, count: number): GateCall[] {
+  return Array.from({ length: count }, () => {
+    const call = makeCall()
+    gate.step({ type: 'offer', call }, 0)
+    return call
+  })
+}
+
+function startedIds (actions: readonly GateAction[]): number[] {
+  return actions.flatMap(action => action.type === 'start' ? [action.call.id] : [])
+}
+
+test('a call starts while there is room', () => {
+  expect(kinds(makeGate(2).step({ type: 'offer', call: makeCall() }, 0))).toEqual(['start'])
+})
+
+test('a call that may go elsewhere is handed back at once when it would wait', () => {
+  const gate = makeGate(2)
+  fill(gate, 2)
+  expect(gate.step({ type: 'offer', call: makeCall({ mayDecline: true }) }, 0)).toMatchObject([{ type: 'turnAway', reason: 'busy' }])
+})
+
+test('a call that may go elsewhere is handed back while the VM is slow', () => {
+  const gate = makeGate(4)
+  gate.step({ type: 'slowness', slowness: 5 }, 0)
+  expect(gate.step({ type: 'offer', call: makeCall({ mayDecline: true }) }, 1)).toMatchObject([{ type: 'turnAway', reason: 'slow' }])
+  expect(kinds(gate.step({ type: 'offer', call: makeCall({ mayDecline: false }) }, 1))).toEqual(['start'])
+  expect(kinds(gate.step({ type: 'offer', call: makeCall({ mayDecline: true }) }, 500))).toEqual(['start'])
+})
+
+test('without slots every call is turned away, those that wait too', () => {
+  const gate = makeGate(1)
+  fill(gate, 1)
+  const waiting = makeCall()
+  gate.step({ type: 'offer', call: waiting }, 0)
+  const actions = gate.step({ type: 'slots', slots: 0 }, 1)
+  expect(actions).toMatchObject([{ type: 'turnAway', call: { id: waiting.id }, reason: 'no-slots' }])
+  expect(gate.step({ type: 'offer', call: makeCall() }, 2)).toMatchObject([{ type: 'turnAway', reason: 'no-slots' }])
+})
+
+test('nested calls go first, then the more urgent, then the earlier', () => {
+  const gate = makeGate(1)
+  const [running] = fill(gate, 1) as [GateCall]
+  const late = makeCall({ priority: 2 })
+  const urgent = makeCall({ priority: 1 })
+  const nested = makeCall({ priority: 3, nested: true })
+  for (const call of [late, urgent, nested]) gate.step({ type: 'offer', call }, 0)
+  const order: number[] = []
+  let next = running.id
+  for (let i = 0; i < 3; i++) {
+    const [id] = startedIds(gate.step({ type: 'finished', id: next, workMs: 1 }, i)) as [number]
+    order.push(id)
+    next = id
+  }
+  expect(order).toEqual([nested.id, urgent.id, late.id])
+})
+
+test('a call past its objective starts only when no other waits', () => {
+  const gate = makeGate(1)
+  const [running] = fill(gate, 1) as [GateCall]
+  const late = makeCall({ objectiveAtMs: -1 })
+  const inTime = makeCall({ priority: 5 })
+  gate.step({ type: 'offer', call: late }, 0)
+  gate.step({ type: 'offer', call: inTime }, 0)
+  expect(startedIds(gate.step({ type: 'finished', id: running.id, workMs: 10 }, 1))).toEqual([inTime.id])
+  expect(startedIds(gate.step({ type: 'finished', id: inTime.id, workMs: 10 }, 2))).toEqual([late.id])
+})
+
+test('a call past its objective leaves slots free for others', () => {
+  const gate = makeGate(4)
+  const late = Array.from({ length: 4 }, () => makeCall({ objectiveAtMs: -1 }))
+  const started = late.flatMap(call => startedIds(gate.step({ type: 'offer', call }, 0)))
+  expect(started).toHaveLength(3)
+  expect(kinds(gate.step({ type: 'offer', call: makeCall() }, 0))).toEqual(['start'])
+})
+
+test('a call that could not finish before its deadline is turned away at once', () => {
+  const gate = makeGate(1)
+  fill(gate, 1)
+  const call = makeCall({ deadlineAtMs: 10, objectiveAtMs: 10 })
+  expect(gate.step({ type: 'offer', call }, 0)).toMatchObject([{ type: 'turnAway', reason: 'too-late' }])
+})
+
+test('a call that waits is turned away while its sender can still be told before the deadline', () => {
+  const gate = makeGate(1)
+  fill(gate, 1)
+  const call = makeCall({ deadlineAtMs: 400 })
+  const actions = gate.step({ type: 'offer', call }, 0)
+  const [wake] = actions.filter(action => action.type === 'wake')
+  expect(wake?.atMs).toBeLessThan(400)
+  const woken = gate.step({ type: 'tick' }, wake?.atMs ?? 0)
+  expect(woken).toMatchObject([{ type: 'turnAway', call: { id: call.id }, reason: 'too-late' }])
+})
+
+test('a cancelled call frees its place', () => {
+  const gate = makeGate(1)
+  const [running] = fill(gate, 1) as [GateCall]
+  const gone = makeCall()
+  const next = makeCall()
+  gate.step({ type: 'offer', call: gone }, 0)
+  gate.step({ type: 'offer', call: next }, 0)
+  gate.step({ type: 'cancelled', id: gone.id }, 1)
+  expect(startedIds(gate.step({ type: 'cancelled', id: running.id }, 2))).toEqual([next.id])
+})
+
+test('every call ends once and no more run than the slots', () => {
+  const operation = fc.record({
+    kind: fc.constantFrom('offer', 'finish', 'cancel', 'tick', 'slots'),
+    pick: fc.nat(50),
+    stepMs: fc.nat(200),
+    nested: fc.boolean(),
+    priority: fc.nat(2),
+    leftMs: fc.integer({ min: 1, max: 800 }),
+    objectiveLeftMs: fc.integer({ min: -300, max: 400 }),
+    mayDecline: fc.boolean()
+  })
+  fc.assert(fc.property(fc.array(operation, { maxLength: 200 }), operations => {
+    const gate = new RunGate()
+    const open = new Map<number, 'waiting' | 'running'>()
+    let slots = 6
+    let nowMs = 0
+    const take = (actions: readonly GateAction[]): void => {
+      for (const action of actions) {
+        if (action.type === 'wake') continue
+        expect(open.get(action.call.id)).toBe('waiting')
+        if (action.type === 'start') open.set(action.call.id, 'running')
+        else open.delete(action.call.id)
+      }
+    }
+    take(gate.step({ type: 'slots', slots }, 0))
+    operations.forEach((item, index) => {
+      nowMs += item.stepMs
+      const ids = [...open.keys()]
+      const id = ids[item.pick % Math.max(1, ids.length)]
+      if (item.kind === 'offer') {
+        open.set(index, 'waiting')
+        const { nested, priority, mayDecline } = item
+        const objectiveAtMs = nowMs + item.objectiveLeftMs
+        const deadlineAtMs = nowMs + item.leftMs
+        const call = { id: index, work: 'w', nested, priority, objectiveAtMs, deadlineAtMs, mayDecline }
+        take(gate.step({ type: 'offer', call }, nowMs))
+      }
+      if (item.kind === 'finish' && id !== undefined && open.get(id) === 'running') {
+        open.delete(id)
+        take(gate.step({ type: 'finished', id, workMs: item.stepMs }, nowMs))
+      }
+      if (item.kind === 'cancel' && id !== undefined) {
+        open.delete(id)
+        take(gate.step({ type: 'cancelled', id }, nowMs))
+      }
+      if (item.kind === 'tick') take(gate.step({ type: 'tick' }, nowMs))
+      if (item.kind === 'slots') {
+        slots = item.priority * 3
+        take(gate.step({ type: 'slots', slots }, nowMs))
+      }
+      const running = [...open.values()].filter(state => state === 'running').length
+      expect(gate.load(nowMs)).toMatchObject({ running, queued: open.size - running })
+    })
+  }), { seed: 7, numRuns: 200 })
+})
--- a/src/parts/gate/SlotLimit.ts
+++ b/src/parts/gate/SlotLimit.ts
@@ -48,6 +48,8 @@
       this._usual.learn(work, workMs)
       return
     }
+    // Runs that started before the limit was lowered have had their say.
+    if (nowMs < this._heldUntilMs) return
     this._upperRuns++
     // Plain mean at first, so that the start value does not count.
     const weight = Math.max(RATIO_WEIGHT, 1 / this._upperRuns)
--- /dev/null
+++ b/src/parts/routing/RouteTable.test.ts
@@ -0,0 +1,74 @@
+import { expect, test } from 'vitest'
+import { SeededRandom } from '../SeededRandom.js'
+import { DEFAULT_CALLER_LIMITS } from './Constants.js'
+import { ElapsedEstimate } from './ElapsedEstimate.js'
+import { RouteTable } from './RouteTable.js'
+import { SplitRotation } from './SplitRotation.js'
+import type { Destination, Route } from './Types.js'
+
+function makeRoute (name: string, host: string, pathPrefix: string, destination?: Destination): Route {
+  return {
+    name,
+    host,
+    pathPrefix,
+    kind: 'idempotent',
+    timeoutMs: 1000,
+    latencyObjectiveMs: 300,
+    priority: 1,
+    maxAttempts: 2,
+    destination: destination ?? { type: 'service', service: 's' }
+  }
+}
+
+function makeTable (routes: Route[], before?: RouteTable): RouteTable {
+  const configuration = { routes, services: [], limits: DEFAULT_CALLER_LIMITS }
+  return new RouteTable({ version: 1, configuration }, new SeededRandom(1), before)
+}
+
+test('the longest prefix of the host wins', () => {
+  const table = makeTable([makeRoute('short', 'h', '/a/'), makeRoute('long', 'h', '/a/b/'), makeRoute('other', 'g', '/a/b/c/')])
+  expect(table.find('h', '/a/b/c/d')?.route.name).toBe('long')
+  expect(table.find('h', '/a/x')?.route.name).toBe('short')
+  expect(table.find('h', '/ab')).toBeUndefined()
+  expect(table.find('unknown', '/a/')).toBeUndefined()
+})
+
+test('a split keeps its weights over any short run of requests', () => {
+  const rotation = new SplitRotation([{ service: 'x', weight: 90 }, { service: 'y', weight: 10 }], 0.37)
+  for (let run = 0; run < 20; run++) {
+    const chosen = Array.from({ length: 20 }, () => rotation.next())
+    const share = chosen.filter(service => service === 'y').length / chosen.length
+    expect(Math.abs(share - 0.1)).toBeLessThanOrEqual(0.05)
+  }
+})
+
+test('a weight of zero takes nothing', () => {
+  const rotation = new SplitRotation([{ service: 'x', weight: 1 }, { service: 'y', weight: 0 }], 0.5)
+  expect(new Set(Array.from({ length: 50 }, () => rotation.next()))).toEqual(new Set(['x']))
+})
+
+test('a rotation goes on through a change that leaves its split as it is', () => {
+  const split: Destination = { type: 'split', shares: [{ service: 'x', weight: 1 }, { service: 'y', weight: 1 }] }
+  let table = makeTable([makeRoute('r', 'h', '/', split)])
+  const chosen: string[] = []
+  for (let i = 0; i < 10; i++) {
+    chosen.push(table.find('h', '/')?.nextService() ?? '')
+    table = makeTable([makeRoute('r', 'h', '/', split), makeRoute(`more-${i}`, 'g', '/')], table)
+  }
+  expect(chosen.filter(service => service === 'x')).toHaveLength(5)
+})
+
+test('a caller that tells much less than the longest deadline has waited already', () => {
+  const estimate = new ElapsedEstimate()
+  expect(estimate.take('r', 2000, 0)).toBe(0)
+  expect(estimate.take('r', 1700, 1)).toBe(0)
+  expect(estimate.take('r', 1200, 2)).toBeGreaterThan(500)
+  expect(estimate.take('other', 1200, 3)).toBe(0)
+})
+
+test('a longest deadline that does not come again is forgotten', () => {
+  const estimate = new ElapsedEstimate()
+  estimate.take('r', 9000, 0)
+  estimate.take('r', 2000, 10_000)
+  expect(estimate.take('r', 2000, 20_001)).toBe(0)
+})
--- /dev/null
+++ b/src/parts/routing/RoutingRegister.test.ts
@@ -0,0 +1,133 @@
+import fc from 'fast-check'
+import { expect, test } from 'vitest'
+import { DEFAULT_CALLER_LIMITS, MAX_DIFFERENCES } from './Constants.js'
+import { applyEdit } from './RoutingDifference.js'
+import { RoutingRegister } from './RoutingRegister.js'
+import type { Route, RoutingChange, RoutingConfiguration } from './Types.js'
+
+const SERVICE = { name: 's', healthPath: '/h', maxConnections: 10, protocol: 'h1', tls: false }
+
+function makeRoute (name: string, changes: Partial<Route> = {}): Route {
+  return {
+    name,
+    host: 'h',
+    pathPrefix: `/${name}/`,
+    kind: 'idempotent',
+    timeoutMs: 1000,
+    latencyObjectiveMs: 300,
+    priority: 1,
+    maxAttempts: 2,
+    destination: { type: 'service', service: 's' },
+    ...changes
+  }
+}
+
+function makeConfiguration (...routes: Route[]): RoutingConfiguration {
+  return { routes, services: [SERVICE], limits: DEFAULT_CALLER_LIMITS }
+}
+
+function replace (version: number, base: number, ...routes: Route[]): RoutingChange {
+  return { type: 'replace', version, base, configuration: makeConfiguration(...routes) }
+}
+
+function patch (version: number, base: number, upsertRoutes: Route[], removeRoutes: string[] = []): RoutingChange {
+  return { type: 'patch', version, base, upsertRoutes, removeRoutes, upsertServices: [], removeServices: [] }
+}
+
+const apply = (register: RoutingRegister, change: RoutingChange): ReturnType<RoutingRegister['apply']> => {
+  return register.apply(change, JSON.stringify(change))
+}
+
+test('of two changes on one version one is accepted', () => {
+  const register = new RoutingRegister()
+  expect(apply(register, replace(3, 0, makeRoute('a')))).toEqual({ type: 'accepted', version: 3 })
+  expect(apply(register, replace(3, 0, makeRoute('b')))).toEqual({ type: 'conflict', inForce: 3 })
+})
+
+test('a change sent again is acknowledged again, also after others and a snapshot', () => {
+  const register = new RoutingRegister()
+  const first = replace(2, 0, makeRoute('a'))
+  apply(register, first)
+  apply(register, patch(5, 2, [makeRoute('b')]))
+  const restored = new RoutingRegister()
+  restored.restore(register.snapshot())
+  expect(apply(restored, first)).toEqual({ type: 'accepted', version: 2 })
+  expect(restored.inForce.version).toBe(5)
+})
+
+test('a refused change stays refused and changes nothing', () => {
+  const register = new RoutingRegister()
+  apply(register, replace(2, 0, makeRoute('a')))
+  const stale = replace(1, 2, makeRoute('b'))
+  expect(apply(register, stale)).toMatchObject({ type: 'invalid', findings: [{ place: 'version' }] })
+  expect(register.inForce.version).toBe(2)
+})
+
+test('an invalid configuration is refused with every finding', () => {
+  const bad = makeRoute('a', {
+    host: '', timeoutMs: 700_000, destination: { type: 'service', service: 'nobody' }
+  })
+  const reply = apply(new RoutingRegister(), replace(1, 0, bad))
+  expect(reply).toMatchObject({ type: 'invalid' })
+  const places = reply.type === 'invalid' ? reply.findings.map(finding => finding.place) : []
+  expect(places).toEqual(['routes[0].host', 'routes[0].timeout', 'routes[0].destination'])
+})
+
+test('an objective a minute above its timeout is refused', () => {
+  const reply = apply(new RoutingRegister(), replace(1, 0, makeRoute('a', { latencyObjectiveMs: 61_000 })))
+  expect(reply).toMatchObject({ type: 'invalid', findings: [{ place: 'routes[0].latencyObjective' }] })
+})
+
+test('a patch that removes a service in use is refused', () => {
+  const register = new RoutingRegister()
+  apply(register, replace(1, 0, makeRoute('a')))
+  const change: RoutingChange = { ...patch(2, 1, []), type: 'patch', removeServices: ['s'] } as RoutingChange
+  expect(apply(register, change)).toMatchObject({ type: 'invalid' })
+})
+
+test('a patch keeps what it does not name', () => {
+  const register = new RoutingRegister()
+  apply(register, replace(1, 0, makeRoute('a'), makeRoute('b')))
+  apply(register, patch(2, 1, [makeRoute('b', { priority: 9 }), makeRoute('c')], ['a']))
+  const { routes } = register.inForce.configuration
+  expect(routes.map(({ name, priority }) => [name, priority])).toEqual([['b', 9], ['c', 1]])
+})
+
+test('differences lead from any version that is kept to the one in force', () => {
+  const names = fc.constantFrom('a', 'b', 'c', 'd')
+  const step = fc.record({
+    upsert: fc.array(names, { maxLength: 3 }), remove: fc.array(names, { maxLength: 2 }), priority: fc.nat(5)
+  })
+  fc.assert(fc.property(fc.array(step, { minLength: 1, maxLength: 20 }), steps => {
+    const register = new RoutingRegister()
+    const seen = [register.inForce]
+    steps.forEach(({ upsert, remove, priority }, index) => {
+      const routes = [...new Set(upsert)].map(name => makeRoute(name, { priority }))
+      const services = index === 0 ? [SERVICE] : []
+      const change: RoutingChange = {
+        ...patch(index + 1, index, routes, remove), type: 'patch', upsertServices: services
+      } as RoutingChange
+      expect(apply(register, change).type).toBe('accepted')
+      seen.push(register.inForce)
+    })
+    for (const from of seen) {
+      const differences = register.differencesFrom(from.version) ?? []
+      const result = differences.reduce((before, edit) => applyEdit(before, edit), from.configuration)
+      expect(byName(result)).toEqual(byName(register.inForce.configuration))
+    }
+  }), { seed: 11, numRuns: 100 })
+})
+
+test('a version that is no longer kept asks for a whole copy', () => {
+  const register = new RoutingRegister()
+  apply(register, replace(1, 0, makeRoute('a')))
+  for (let version = 2; version <= MAX_DIFFERENCES + 3; version++) {
+    apply(register, patch(version, version - 1, [makeRoute('a', { priority: version })]))
+  }
+  expect(register.differencesFrom(1)).toBeUndefined()
+  expect(register.differencesFrom(register.inForce.version)).toEqual([])
+})
+
+function byName ({ routes, services, limits }: RoutingConfiguration): object {
+  return { routes: Object.fromEntries(routes.map(route => [route.name, route])), services, limits }
+}
