--- a/src/parts/gate/Constants.ts
+++ b/src/parts/gate/Constants.ts
@@ -8,11 +8,11 @@
 export const RATIO_WEIGHT = 0.05
 
 /**
- * First and longest time after which slots that did not pay are tried again, in milliseconds. Conditions on a shared
- * VM change, but each try costs some slow runs, so that it becomes rarer.
+ * First and longest time after which slots that did not pay are tried again, in milliseconds. That an instance slows
+ * down when nearly full rarely changes, and each try costs some slow runs at a busy time.
  */
-export const FIRST_HOLD_MS = 20_000
-export const LONGEST_HOLD_MS = 300_000
+export const FIRST_HOLD_MS = 60_000
+export const LONGEST_HOLD_MS = 600_000
 
 /** Weight of a new sample in the smoothed work time. */
 export const WORK_WEIGHT = 0.1
--- a/src/routecontrol/RouteControlDaemon.ts
+++ b/src/routecontrol/RouteControlDaemon.ts
@@ -19,6 +19,16 @@
   readonly onFault: (error: Error) => void
 }
 
+/** Figures of a replica for metrics. */
+export interface ControlLevels {
+  readonly leads: boolean
+  readonly term: number
+  readonly commitIndex: number
+  readonly members: number
+  readonly version: number
+  readonly nodes: number
+}
+
 /** Answer to a read of the routing in force. */
 export type ReadOutcome =
   | { readonly type: 'confirmed', readonly routing: VersionedRouting }
@@ -46,6 +56,19 @@
     })
   }
 
+  /** Figures for metrics. */
+  public get levels (): ControlLevels {
+    const { term, commitIndex, members } = this._replica.view
+    return {
+      leads: this.leads,
+      term,
+      commitIndex,
+      members: members.length,
+      version: this._replica.machine.register.inForce.version,
+      nodes: this._feed.size
+    }
+  }
+
   /** Opens the listener and starts the replica. */
   public async start (): Promise<void> {
     await this._server.listen(this._options.settings.address)
--- a/src/routenode/Gateway.ts
+++ b/src/routenode/Gateway.ts
@@ -14,6 +14,7 @@
 import { NOT_READY_RETRY_MS } from './Constants.js'
 import { GatewayCall, type GatewayContext, type GatewayReason, type GatewayRequest, type GatewayResult } from './GatewayCall.js'
 import { AnswerSizes } from './AnswerSizes.js'
+import type { RouteNodeMetrics } from './RouteNodeMetrics.js'
 import type { HeaderNames, RoutedAnswer } from './Types.js'
 
 /** Largest header that is read; configurations ask for less. */
@@ -35,6 +36,7 @@
   readonly log: Log
   /** Service of the instance on this VM, where all requests begin. */
   readonly callerService: () => ServiceName
+  readonly metrics: RouteNodeMetrics
   /** Tells whether the instance on this VM runs a request now. */
   readonly runs: (requestId: string) => boolean
 }
@@ -163,13 +165,14 @@
 
   private _start (message: IncomingMessage, response: ServerResponse, request: GatewayRequest): void {
     this._open++
+    this._parts.metrics.countAsked()
     let ended = false
     const finish = (result: GatewayResult | undefined): void => {
       if (ended) return
       ended = true
       if (result !== undefined) this._send(message, response, result)
       if (result?.type === 'answer') this._sizes.learn(request.route.name, result.answer.body.length)
-      this._log(request, call, result)
+      this._record(request, call, result)
       this._open--
       if (this._open === 0) this._emptied.fire()
     }
@@ -214,13 +217,15 @@
     response.end(text)
   }
 
-  private _log (request: GatewayRequest, call: GatewayCall, result: GatewayResult | undefined): void {
-    const { requestId, route, service, version, arrivedAtMs } = request
+  private _record (request: GatewayRequest, call: GatewayCall, result: GatewayResult | undefined): void {
+    const { requestId, route, service, version, arrivedAtMs, nested } = request
     const tookMs = Math.round(this._parts.clock.nowMs() - arrivedAtMs)
     const { sends, declines, lastNode } = call
-    const fields = { requestId, route: route.name, service, version, sends, declines, node: lastNode, tookMs }
-    if (result?.type === 'answer') this._parts.log.debug({ ...fields, status: result.answer.status }, 'answered')
-    else this._parts.log.info({ ...fields, outcome: result?.type ?? 'gone', reason: result?.reason ?? 'caller-gone' }, 'not answered')
+    const fields = { requestId, route: route.name, service, version, nested, sends, declines, node: lastNode, tookMs }
+    const outcome = OUTCOMES[result?.type ?? 'gone']
+    this._parts.metrics.countEnded(outcome, tookMs, sends, declines)
+    if (result?.type === 'answer') this._parts.log.info({ ...fields, status: result.answer.status }, 'answered')
+    else this._parts.log.info({ ...fields, outcome, reason: result?.reason ?? 'caller-gone' }, 'not answered')
   }
 
   private _handleClientError (error: Error & { code?: string }, socket: Duplex): void {
@@ -233,6 +238,8 @@
   }
 }
 
+const OUTCOMES = { answer: 'answered', refused: 'refused', failed: 'failed', gone: 'gone' } as const
+
 /** Statuses that promise that a request has not run and never will. */
 const PROMISES: ReadonlySet<number> = new Set([408, 421, 429, 503])
 
--- a/src/routenode/RouteNodeDaemon.ts
+++ b/src/routenode/RouteNodeDaemon.ts
@@ -12,6 +12,7 @@
 import { Gateway } from './Gateway.js'
 import { InstancePort } from './InstancePort.js'
 import { Placement } from './Placement.js'
+import { type NodeLevels, RouteNodeMetrics } from './RouteNodeMetrics.js'
 import { RepeatBudgets } from './RepeatBudgets.js'
 import type { HeaderNames } from './Types.js'
 
@@ -47,6 +48,8 @@
 
 /** The node of a VM as a process: gateway for callers, the way in to the instance, links to nodes and control. */
 export class RouteNodeDaemon implements Disposable {
+  /** Counters, levels and latencies. */
+  public readonly metrics = new RouteNodeMetrics(() => this._levels())
   private readonly _directory = new NodeDirectory()
   private readonly _port: InstancePort
   private readonly _placement: Placement
@@ -79,6 +82,7 @@
       clock,
       random,
       log,
+      metrics: this.metrics,
       placement: this._placement,
       budgets: new RepeatBudgets(settings.repeats),
       callerService: () => this._port.service,
@@ -162,6 +166,16 @@
     this._port.dispose()
   }
 
+  private _levels (): NodeLevels {
+    return {
+      ready: this.isReady,
+      version: this._feed.routing?.version ?? 0,
+      nodes: this._directory.size,
+      inFlight: this._gateway.inFlight,
+      load: this._port.load()
+    }
+  }
+
   private _connectParts (): void {
     this._port.onChange(() => this._publish())
     this._feed.onWelcome(welcome => this._handleWelcome(welcome))
--- /dev/null
+++ b/src/routenode/RouteNodeMetrics.ts
@@ -0,0 +1,88 @@
+import { Counter, Gauge, Histogram, Registry } from 'prom-client'
+import type { GateLoad } from '../parts/gate/Types.js'
+
+/** How a request of a caller ended; each ends in exactly one way. */
+export type RequestOutcome = 'answered' | 'refused' | 'failed' | 'gone'
+
+/** Levels that are read when the metrics are fetched. */
+export interface NodeLevels {
+  readonly ready: boolean
+  readonly version: number
+  readonly nodes: number
+  readonly inFlight: number
+  readonly load: GateLoad
+}
+
+/** Upper bounds of the latency buckets, in seconds: around the usual objectives of a tenth to a few seconds. */
+const LATENCY_BUCKETS_S = [0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 1, 2, 4]
+
+/** Counters, levels and latencies of a node, as text for a monitoring system. `docs/METRICS.md` lists them. */
+export class RouteNodeMetrics {
+  private readonly _registry = new Registry()
+  private readonly _asked: Counter
+  private readonly _ended: Counter<'outcome'>
+  private readonly _latency: Histogram<'outcome'>
+  private readonly _sends: Counter
+  private readonly _declines: Counter
+
+  /**
+   * @param levels Reads the levels.
+   */
+  public constructor (levels: () => NodeLevels) {
+    const registers = [this._registry]
+    this._asked = new Counter({ name: 'sassafras_requests_asked_total', help: 'Requests read', registers })
+    this._ended = new Counter({
+      name: 'sassafras_requests_ended_total', help: 'Requests by how they ended', labelNames: ['outcome'], registers
+    })
+    this._latency = new Histogram({
+      name: 'sassafras_request_seconds',
+      help: 'Time from the head of a request to its end',
+      labelNames: ['outcome'],
+      buckets: LATENCY_BUCKETS_S,
+      registers
+    })
+    this._sends = new Counter({ name: 'sassafras_sends_total', help: 'Requests sent to instances', registers })
+    this._declines = new Counter({ name: 'sassafras_declines_total', help: 'Calls handed back by gates', registers })
+    this._addLevels(levels)
+  }
+
+  /** Content type of the text. */
+  public get contentType (): string {
+    return this._registry.contentType
+  }
+
+  /** Counts a request that was read. */
+  public countAsked (): void {
+    this._asked.inc()
+  }
+
+  /** Counts a request that ended, with its time in milliseconds. */
+  public countEnded (outcome: RequestOutcome, tookMs: number, sends: number, declines: number): void {
+    this._ended.inc({ outcome })
+    this._latency.observe({ outcome }, tookMs / 1000)
+    if (sends > 0) this._sends.inc(sends)
+    if (declines > 0) this._declines.inc(declines)
+  }
+
+  /** All metrics as text. */
+  public async text (): Promise<string> {
+    return await this._registry.metrics()
+  }
+
+  private _addLevels (levels: () => NodeLevels): void {
+    const readings: ReadonlyArray<readonly [string, string, (levels: NodeLevels) => number]> = [
+      ['sassafras_ready', '1 while new callers are taken', ({ ready }) => Number(ready)],
+      ['sassafras_configuration_version', 'Version in force', ({ version }) => version],
+      ['sassafras_nodes', 'Nodes known', ({ nodes }) => nodes],
+      ['sassafras_requests_in_flight', 'Requests not ended yet', ({ inFlight }) => inFlight],
+      ['sassafras_gate_running', 'Calls that run at the instance', ({ load }) => load.running],
+      ['sassafras_gate_queued', 'Calls that wait for the instance', ({ load }) => load.queued],
+      ['sassafras_gate_limit', 'Calls that may run at once', ({ load }) => load.limit],
+      ['sassafras_vm_slowness', 'Time that work takes relative to usual', ({ load }) => load.slowness]
+    ]
+    for (const [name, help, read] of readings) {
+      const collect = (): void => gauge.set(read(levels()))
+      const gauge: Gauge = new Gauge({ name, help, registers: [this._registry], collect })
+    }
+  }
+}
--- /dev/null
+++ b/src/runtime/BudgetedLog.test.ts
@@ -0,0 +1,48 @@
+import { expect, test } from 'vitest'
+import { BudgetedLog } from './BudgetedLog.js'
+import type { Log, LogFields } from './Types.js'
+
+interface Line {
+  readonly fields: LogFields
+  readonly message: string
+}
+
+function makeLog (): { readonly log: BudgetedLog, readonly lines: Line[], readonly clock: { now: number } } {
+  const lines: Line[] = []
+  const clock = { now: 0 }
+  const take = (fields: LogFields, message: string): void => { lines.push({ fields, message }) }
+  const target: Log = { debug: take, info: take, warn: take, error: take }
+  const log = new BudgetedLog(target, { nowMs: () => clock.now, wallMs: () => clock.now })
+  return { log, lines, clock }
+}
+
+/** Writes for ten seconds at a rate and returns the lines. */
+function linesAt (perSecond: number): number {
+  const { log, lines, clock } = makeLog()
+  for (let i = 0; i < 10 * perSecond; i++) {
+    clock.now = i * 1000 / perSecond
+    log.info({}, 'not answered')
+  }
+  return lines.length
+}
+
+test('ten times the load does not bring ten times the lines', () => {
+  expect(linesAt(10)).toBe(100)
+  expect(linesAt(1000)).toBeLessThanOrEqual(2 * linesAt(100))
+})
+
+test('what was left out is told in the next line of the same message', () => {
+  const { log, lines, clock } = makeLog()
+  for (let i = 0; i < 50; i++) log.info({ i }, 'not answered')
+  log.info({}, 'another')
+  clock.now = 1000
+  log.info({}, 'not answered')
+  expect(lines.filter(line => line.message === 'another')).toHaveLength(1)
+  expect(lines.at(-1)?.fields).toEqual({ omitted: 30 })
+})
+
+test('errors are never left out', () => {
+  const { log, lines } = makeLog()
+  for (let i = 0; i < 100; i++) log.error({}, 'fault')
+  expect(lines).toHaveLength(100)
+})
