--- /dev/null
+++ b/test/RouteMesh.test.ts
@@ -0,0 +1,128 @@
+import { afterEach, expect, test } from 'vitest'
+import { request } from 'node:http'
+import { makeRoute, NAMES, pause, RouteMesh } from './support/RouteMesh.js'
+
+let mesh: RouteMesh | undefined
+
+afterEach(() => {
+  mesh?.dispose()
+  mesh = undefined
+})
+
+async function startMesh (count: number): Promise<RouteMesh> {
+  mesh = await RouteMesh.start(count)
+  return mesh
+}
+
+test('an answer comes back whole, and the instance hears whose VM the request began at', async () => {
+  const { nodes, call } = bind(await startMesh(2))
+  const answer = await call(nodes[0]!, '/read/x')
+  expect(answer.statusCode).toBe(200)
+  expect(answer.body).toMatch(/^i-\d svc$/)
+  expect(answer.headers[NAMES.signature]).toBe('s')
+})
+
+test('a request that must run once is not sent again when its answer is lost', async () => {
+  const started = await startMesh(3)
+  for (const { instance } of started.nodes) instance.behaviour = (_request, response) => response.destroy()
+  const answer = await started.call(started.nodes[0]!, '/once/x')
+  expect([answer.statusCode, started.runs]).toEqual([502, 1])
+})
+
+test('a request that may run again goes to another instance when its answer is lost', async () => {
+  const started = await startMesh(2)
+  started.nodes[0]!.instance.behaviour = (_request, response) => response.destroy()
+  started.nodes[1]!.instance.behaviour = undefined
+  for (let i = 0; i < 10; i++) {
+    expect((await started.call(started.nodes[0]!, '/read/x')).statusCode).toBe(200)
+  }
+})
+
+test('a rejection that proves that nothing ran lets a request that must run once go on', async () => {
+  const started = await startMesh(2)
+  const rejected: string[] = []
+  started.nodes[0]!.instance.behaviour = ({ headers }, response, instance) => {
+    rejected.push(String(headers[NAMES.requestId]))
+    instance.ran.pop()
+    response.writeHead(503, { [NAMES.requestId]: String(headers[NAMES.requestId]), [NAMES.notExecuted]: '1' }).end()
+  }
+  while (rejected.length === 0) expect((await started.call(started.nodes[0]!, '/once/x')).statusCode).toBe(200)
+})
+
+test('a status that promises not-run is passed on only with the proof', async () => {
+  const started = await startMesh(1)
+  started.nodes[0]!.instance.behaviour = ({ headers }, response) => {
+    response.writeHead(503, { [NAMES.requestId]: String(headers[NAMES.requestId]), [NAMES.signature]: 's' }).end()
+  }
+  const answer = await started.call(started.nodes[0]!, '/once/x')
+  expect([answer.statusCode, answer.headers[NAMES.signature]]).toEqual([502, undefined])
+})
+
+test('an instance that leaves gets nothing new from the moment of the acknowledgement', async () => {
+  const started = await startMesh(2)
+  const [leaving] = started.nodes as [RouteMesh['nodes'][0]]
+  leaving.daemon.report({
+    id: leaving.instance.id,
+    bornMs: 1,
+    sequence: 2,
+    service: 'svc',
+    address: leaving.instance.address,
+    slots: 6,
+    state: 'draining',
+    coldMs: 0
+  })
+  for (const node of started.nodes) {
+    for (let i = 0; i < 20; i++) expect((await started.call(node, '/read/x')).statusCode).toBe(200)
+  }
+  expect(leaving.instance.ran).toEqual([])
+})
+
+test('a request past the timeout of its route is answered at once', async () => {
+  const started = await startMesh(1)
+  await started.configure(makeRoute('read', 'idempotent', { timeoutMs: 200 }))
+  started.nodes[0]!.instance.behaviour = () => {}
+  // Whichever of the two nodes sees it first; both statuses promise nothing.
+  expect([502, 504]).toContain((await started.call(started.nodes[0]!, '/read/x')).statusCode)
+})
+
+test('a caller that goes away ends the run at the instance', async () => {
+  const started = await startMesh(2)
+  for (const { instance } of started.nodes) instance.behaviour = () => {}
+  const caller = request(`${started.nodes[0]!.callers}/read/x`, { headers: { host: 'h.example', [NAMES.requestId]: 'leaving' } })
+  caller.on('error', () => {})
+  caller.end()
+  while (started.runs === 0) await pause()
+  caller.destroy()
+  const cut = (): string[] => started.nodes.flatMap(({ instance }) => instance.cut)
+  while (cut().length === 0) await pause()
+  expect(cut()).toEqual(['leaving'])
+})
+
+test('a route that is not in force is answered 404, and one that was added is served', async () => {
+  const started = await startMesh(1)
+  expect((await started.call(started.nodes[0]!, '/new/x')).statusCode).toBe(404)
+  await started.configure(makeRoute('read', 'idempotent'), makeRoute('new', 'idempotent'))
+  expect((await started.call(started.nodes[0]!, '/new/x')).statusCode).toBe(200)
+})
+
+test('a planned stop of a node cuts no request, at its callers or at its instance', async () => {
+  const started = await startMesh(2)
+  const statuses: number[] = []
+  const stop = { done: false }
+  for (const { instance } of started.nodes) {
+    instance.behaviour = (incoming, response) => { setTimeout(() => instance.answer(incoming, response), 30) }
+  }
+  // More at once than the instance beside them takes.
+  const callers = Array.from({ length: 10 }, async () => {
+    while (!stop.done) statuses.push((await started.call(started.nodes[0]!, '/once/x')).statusCode)
+  })
+  while (started.nodes[1]!.instance.ran.length === 0) await pause()
+  await started.nodes[1]!.daemon.stop()
+  stop.done = true
+  await Promise.all(callers)
+  expect(new Set(statuses)).toEqual(new Set([200]))
+})
+
+function bind (started: RouteMesh): Pick<RouteMesh, 'nodes' | 'call'> {
+  return { nodes: started.nodes, call: async (node, path, deadlineMs) => await started.call(node, path, deadlineMs) }
+}
--- /dev/null
+++ b/test/support/RouteMesh.ts
@@ -0,0 +1,213 @@
+import { createServer } from 'node:http'
+import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+import got from 'got'
+import type { Response } from 'got'
+import { findFreeAddresses } from '../../src/demo/FreePorts.js'
+import type { Route, RoutingChange } from '../../src/parts/routing/Types.js'
+import { SeededRandom } from '../../src/parts/SeededRandom.js'
+import { MemoryDisk } from '../../src/parts/storage/MemoryDisk.js'
+import { RouteControlDaemon } from '../../src/routecontrol/RouteControlDaemon.js'
+import { RouteNodeDaemon } from '../../src/routenode/RouteNodeDaemon.js'
+import type { HeaderNames } from '../../src/routenode/Types.js'
+import { parseAddress } from '../../src/runtime/Address.js'
+import { SystemClock } from '../../src/runtime/SystemClock.js'
+import type { Log } from '../../src/runtime/Types.js'
+
+const SILENT: Log = { debug: () => {}, info: () => {}, warn: () => {}, error: () => {} }
+
+export const NAMES: HeaderNames = {
+  requestId: 'call-id',
+  deadlineMs: 'deadline-ms',
+  targetInstance: 'target-instance',
+  instanceId: 'instance-id',
+  notExecuted: 'not-executed',
+  load: 'instance-load',
+  callerService: 'caller-service',
+  signature: 'signature'
+}
+
+/** How an instance treats a request that it runs; undefined answers it at once. */
+export type Behaviour =
+  ((request: IncomingMessage, response: ServerResponse, instance: StandinInstance) => void) | undefined
+
+/** An instance that writes down what it ran. */
+export class StandinInstance {
+  public readonly ran: string[] = []
+  public readonly cut: string[] = []
+  public behaviour: Behaviour
+  private readonly _server: Server
+
+  public constructor (public readonly id: string, public readonly address: string) {
+    this._server = createServer((request, response) => this._handle(request, response))
+  }
+
+  public async listen (): Promise<void> {
+    const { host, port } = parseAddress(this.address)
+    await new Promise<void>(resolve => this._server.listen(port, host, resolve))
+  }
+
+  /** Answers a request as a sound instance does. */
+  public answer (request: IncomingMessage, response: ServerResponse): void {
+    response.writeHead(200, {
+      [NAMES.requestId]: String(request.headers[NAMES.requestId]), [NAMES.signature]: 's', [NAMES.load]: '1,0,6,100'
+    })
+    response.end(`${this.id} ${request.headers[NAMES.callerService]}`)
+  }
+
+  public dispose (): void {
+    this._server.close()
+    this._server.closeAllConnections()
+  }
+
+  private _handle (request: IncomingMessage, response: ServerResponse): void {
+    if (request.url === '/healthz') {
+      response.writeHead(200, { [NAMES.instanceId]: this.id, [NAMES.load]: '0,0,6,100' }).end()
+      return
+    }
+    const id = String(request.headers[NAMES.requestId])
+    if (request.headers[NAMES.targetInstance] !== this.id) {
+      response.writeHead(421, { [NAMES.requestId]: id }).end()
+      return
+    }
+    this.ran.push(id)
+    response.once('close', () => { if (!response.writableFinished) this.cut.push(id) })
+    if (this.behaviour === undefined) this.answer(request, response)
+    else this.behaviour(request, response, this)
+  }
+}
+
+/** A node with the instance beside it. */
+export interface MeshNode {
+  readonly daemon: RouteNodeDaemon
+  readonly instance: StandinInstance
+  readonly callers: string
+}
+
+/** What the tests look at in a node's state. */
+interface NodeState {
+  readonly version: number
+  readonly placement: {
+    readonly links: ReadonlyArray<{ readonly isOpen: boolean }>
+    readonly services: Readonly<Record<string, readonly unknown[]>>
+  }
+}
+
+/** A control replica and nodes of one service in this process, on loopback. */
+export class RouteMesh {
+  public readonly nodes: MeshNode[] = []
+  private _control!: RouteControlDaemon
+  private _version = 0
+  private _lastId = 0
+  private _seed = 0
+
+  /** Starts a control replica and nodes, and puts two routes in force: `/read/` and, at most once, `/once/`. */
+  public static async start (count: number): Promise<RouteMesh> {
+    const mesh = new RouteMesh()
+    const [seed] = await findFreeAddresses(1) as [string]
+    mesh._control = new RouteControlDaemon({
+      settings: { address: seed, seeds: [seed], bootstrap: true, toleratedLosses: 0 },
+      disk: Object.assign(new MemoryDisk(), { dispose: () => {} }),
+      clock: new SystemClock(),
+      random: new SeededRandom(1),
+      log: SILENT,
+      onFault: error => { throw error }
+    })
+    await mesh._control.start()
+    for (let i = 0; i < count; i++) await mesh._addNode(seed, i)
+    await mesh.configure(makeRoute('read', 'idempotent'), makeRoute('once', 'once'))
+    for (const node of mesh.nodes) await mesh.knows(node, count)
+    return mesh
+  }
+
+  /** Puts routes in force and waits until every node has them. */
+  public async configure (...routes: Route[]): Promise<void> {
+    const services = [{ name: 'svc', healthPath: '/healthz', maxConnections: 100, protocol: 'h1', tls: false }]
+    const limits = { maxHeaderBytes: 16384, maxBodyBytes: 1e6, headerTimeoutMs: 3000, idleTimeoutMs: 15000 }
+    const base = this._version++
+    const change: RoutingChange = { type: 'replace', version: base + 1, base, configuration: { routes, services, limits } }
+    for (;;) {
+      const outcome = await this._control.change(change)
+      if (outcome.type === 'decided') break
+      await pause()
+    }
+    const versions = (): number[] => this.nodes.map(({ daemon }) => (daemon.state() as NodeState).version)
+    while (versions().some(version => version < this._version)) await pause()
+  }
+
+  /** Sends a request to a node as a caller does. */
+  public async call (node: MeshNode, path: string, deadlineMs = 5000): Promise<Response<string>> {
+    return await got(`${node.callers}${path}`, {
+      headers: { host: 'h.example', [NAMES.requestId]: `r-${++this._lastId}`, [NAMES.deadlineMs]: String(deadlineMs) },
+      throwHttpErrors: false,
+      retry: { limit: 0 }
+    })
+  }
+
+  /** How often an instance ran any request, over all instances. */
+  public get runs (): number {
+    return this.nodes.reduce((sum, { instance }) => sum + instance.ran.length, 0)
+  }
+
+  /** Waits until a node can choose among as many instances. */
+  public async knows (node: MeshNode, count: number): Promise<void> {
+    const known = (): number => (node.daemon.state() as NodeState).placement.services['svc']?.length ?? 0
+    const links = (): number => (node.daemon.state() as NodeState).placement.links.filter(link => link.isOpen).length
+    while (known() < count || links() < count - 1) await pause()
+  }
+
+  public dispose (): void {
+    this.nodes.forEach(({ daemon, instance }) => {
+      daemon.dispose()
+      instance.dispose()
+    })
+    this._control.dispose()
+  }
+
+  private async _addNode (seed: string, index: number): Promise<void> {
+    const [callers, peers, upstream] = await findFreeAddresses(3) as [string, string, string]
+    const instance = new StandinInstance(`i-${index}`, upstream)
+    await instance.listen()
+    const daemon = new RouteNodeDaemon({
+      settings: {
+        callerAddress: callers,
+        nodeAddress: peers,
+        instanceAddress: upstream,
+        service: 'svc',
+        zone: 'a',
+        seeds: [seed],
+        repeats: { ratio: 1, slack: 1000, windowMs: 10_000 },
+        names: NAMES,
+        stopLimitMs: 6000
+      },
+      clock: new SystemClock(),
+      random: new SeededRandom(++this._seed),
+      log: SILENT
+    })
+    await daemon.start()
+    this.nodes.push({ daemon, instance, callers: `http://${callers}` })
+    daemon.report({
+      id: instance.id, bornMs: 1, sequence: 1, service: 'svc', address: upstream, slots: 6, state: 'ready', coldMs: 0
+    })
+  }
+}
+
+/** A route of the one service. */
+export function makeRoute (name: string, kind: Route['kind'], changes: Partial<Route> = {}): Route {
+  return {
+    name,
+    host: 'h.example',
+    pathPrefix: `/${name}/`,
+    kind,
+    timeoutMs: 4000,
+    latencyObjectiveMs: 1000,
+    priority: 1,
+    maxAttempts: 2,
+    destination: { type: 'service', service: 'svc' },
+    ...changes
+  }
+}
+
+/** Waits for a turn of the loops. */
+export async function pause (): Promise<void> {
+  await new Promise(resolve => setTimeout(resolve, 10))
+}
