--- a/src/routenode/GatewayCall.ts
+++ b/src/routenode/GatewayCall.ts
@@ -220,6 +220,8 @@
     if (proof === 'unsent') return this._next()
     this._sends++
     if (proof === 'unknown') this._mayHaveRun = true
+    // The deadline is that of the whole request: there is no time left for another instance.
+    if (reason === 'timeout') return this._giveUp(reason, 0)
     const repeatable = proof === 'rejected' || this._request.route.kind !== 'once'
     if (repeatable && this._mayRepeat()) this._next()
     else this._giveUp(reason, 0)
