--- a/src/ctl/CtlProgram.ts
+++ b/src/ctl/CtlProgram.ts
@@ -5,6 +5,7 @@
 import { CheckCommand } from './CheckCommand.js'
 import { DiffCommand } from './DiffCommand.js'
 import { CTL_EXIT } from './ExitCodes.js'
+import { ExplainCommand } from './ExplainCommand.js'
 import { GetCommand } from './GetCommand.js'
 import { MembersCommand } from './MembersCommand.js'
 import { DrainCommand, DumpCommand, ResumeCommand } from './ProcessCommands.js'
@@ -16,6 +17,7 @@
   DiffCommand,
   DrainCommand,
   DumpCommand,
+  ExplainCommand,
   GetCommand,
   MembersCommand,
   ResumeCommand,
--- a/src/ctl/ExitCodes.ts
+++ b/src/ctl/ExitCodes.ts
@@ -8,7 +8,7 @@
   invalid: 2,
   /** Another change came first, or the operation id belongs to another change. Nothing was changed. */
   conflict: 3,
-  /** No process answered, or there is no quorum. Nothing was changed. */
+  /** No process answered, there is no quorum, or no log names the request. Nothing was changed. */
   unavailable: 4,
   /** The answer was lost: the change may be in force. Send it again with the same operation id. */
   unknown: 5,
--- /dev/null
+++ b/src/ctl/ExplainCommand.ts
@@ -0,0 +1,42 @@
+import { readFileSync } from 'node:fs'
+import { Command, Option } from 'clipanion'
+import { CtlCommand, CtlFailure, invalidReport } from './CtlCommand.js'
+import type { CtlReport } from './CtlCommand.js'
+import { CTL_EXIT } from './ExitCodes.js'
+import { findTrail, type TrailLine } from './RequestTrail.js'
+
+/** `sassafrasctl explain`: a request's way through the logs of several processes. */
+export class ExplainCommand extends CtlCommand {
+  public static override paths = [['explain']]
+  public static override usage = Command.Usage({
+    description: 'Print what the logs of several processes say of one request, in order of time.',
+    details: 'Exits with 4 when no log names the request: its lines may have been left out under load, see omitted.',
+    examples: [['Explain a request', 'sassafrasctl explain 9c41d07be2a35f68 node-a.log node-b.log']]
+  })
+
+  public readonly requestId = Option.String()
+  public readonly files = Option.Rest({ required: 1 })
+
+  protected async work (): Promise<CtlReport> {
+    const trail = findTrail(this.requestId, this.files.map(readLog))
+    return {
+      exit: trail.length === 0 ? CTL_EXIT.unavailable : CTL_EXIT.ok,
+      text: trail.length === 0 ? `no log names the request ${this.requestId}` : trail.map(describe).join('\n'),
+      json: { type: 'explain', requestId: this.requestId, trail }
+    }
+  }
+}
+
+function readLog (file: string): string {
+  try {
+    return readFileSync(file, 'utf8')
+  } catch (error) {
+    const finding = { place: file, problem: (error as Error).message, expected: 'a log file that can be read' }
+    throw new CtlFailure(invalidReport([finding]))
+  }
+}
+
+function describe ({ time, process, message, fields }: TrailLine): string {
+  const rest = Object.entries(fields).map(([name, value]) => `${name}=${String(value)}`)
+  return [time, process, `${message}:`, ...rest].join(' ')
+}
