--- a/src/routenode/InstanceAgent.ts
+++ b/src/routenode/InstanceAgent.ts
@@ -40,6 +40,7 @@
     const socket = super.createConnection(options, onOpen)
     socket.prependOnceListener('end', () => { if (socket.remoteAddress === undefined) this._reset.add(socket) })
     socket.once('error', () => { this._reset.add(socket) })
+    socket.once('close', () => this._forget(socket))
     return socket
   }
 
@@ -51,7 +52,6 @@
     this._guards.set(socket, guard)
     this._idleSince.set(socket, performance.now())
     socket.on('data', guard)
-    socket.once('close', () => this._forget(socket))
     return true
   }
 
--- a/src/routenode/InstanceClient.test.ts
+++ b/src/routenode/InstanceClient.test.ts
@@ -123,6 +123,20 @@
   expect(await run(client, 'b')).toBe('200 ok')
 })
 
+test('a connection that is used often gathers no listeners', async () => {
+  const warnings: string[] = []
+  const note = (warning: Error): void => { warnings.push(warning.name) }
+  process.on('warning', note)
+  const answer = (id: string): string => head(id, 'Content-Length: 2\r\n\r\nok')
+  const client = await startInstance(...Array.from({ length: 30 }, () => (socket: Socket, id: string) => {
+    socket.write(answer(id))
+  }))
+  for (let i = 0; i < 30; i++) expect(await run(client, `r${i}`, 'idempotent')).toBe('200 ok')
+  await new Promise(resolve => setImmediate(resolve))
+  process.off('warning', note)
+  expect([sockets.size, warnings]).toEqual([1, []])
+})
+
 test('a success without a signature is not taken', async () => {
   const client = await startInstance((socket, id) => socket.end(`HTTP/1.1 200 OK\r\nCall-Id: ${id}\r\nContent-Length: 0\r\n\r\n`))
   expect(await run(client, 'a')).toBe('unknown answer-invalid')
