Hand a call back only when the move costs less than staying

And a call that several gates had handed back was made to wait at one after the other: one was held for 819 ms before it was refused.

Ruled out: the frames between nodes and the control traffic (some KB a second); a higher price of a crossing in the chooser, which was 40 ms a KB already.

Change: the sender tells what a move costs as a delay; the gate weighs it against the wait and against the slowness. The answer of a gate to a call without that figure is final. `sends` counts what is out at the timeout, and requests that were not routed have reasons of their own.

--- a/src/parts/gate/RunGate.test.ts
+++ b/src/parts/gate/RunGate.test.ts
@@ -13,7 +13,7 @@
     priority: 1,
     objectiveAtMs: 300,
     deadlineAtMs: 1000,
-    mayDecline: false,
+    moveMs: undefined,
     ...changes
   }
 }
@@ -47,15 +47,25 @@
 test('a call that may go elsewhere is handed back at once when it would wait', () => {
   const gate = makeGate(2)
   fill(gate, 2)
-  expect(gate.step({ type: 'offer', call: makeCall({ mayDecline: true }) }, 0)).toMatchObject([{ type: 'turnAway', reason: 'busy' }])
+  expect(gate.step({ type: 'offer', call: makeCall({ moveMs: 0 }) }, 0)).toMatchObject([{ type: 'turnAway', reason: 'busy' }])
 })
 
 test('a call that may go elsewhere is handed back while the VM is slow', () => {
   const gate = makeGate(4)
   gate.step({ type: 'slowness', slowness: 5 }, 0)
-  expect(gate.step({ type: 'offer', call: makeCall({ mayDecline: true }) }, 1)).toMatchObject([{ type: 'turnAway', reason: 'slow' }])
-  expect(kinds(gate.step({ type: 'offer', call: makeCall({ mayDecline: false }) }, 1))).toEqual(['start'])
-  expect(kinds(gate.step({ type: 'offer', call: makeCall({ mayDecline: true }) }, 500))).toEqual(['start'])
+  expect(gate.step({ type: 'offer', call: makeCall({ moveMs: 0 }) }, 1)).toMatchObject([{ type: 'turnAway', reason: 'slow' }])
+  expect(kinds(gate.step({ type: 'offer', call: makeCall({ moveMs: undefined }) }, 1))).toEqual(['start'])
+  expect(kinds(gate.step({ type: 'offer', call: makeCall({ moveMs: 0 }) }, 500))).toEqual(['start'])
+})
+
+test('a call that is dear to move stays on a VM that is slow, and waits while it can still meet its objective', () => {
+  const gate = makeGate(1)
+  gate.step({ type: 'slowness', slowness: 5 }, 0)
+  const dear = makeCall({ moveMs: 1000 })
+  expect(kinds(gate.step({ type: 'offer', call: dear }, 1))).toEqual(['start'])
+  expect(kinds(gate.step({ type: 'offer', call: makeCall({ moveMs: 1000 }) }, 1))).toEqual(['wake'])
+  const late = makeCall({ moveMs: 1000, objectiveAtMs: 60 })
+  expect(gate.step({ type: 'offer', call: late }, 1)).toMatchObject([{ type: 'turnAway', reason: 'busy' }])
 })
 
 test('without slots every call is turned away, those that wait too', () => {
@@ -142,7 +152,7 @@
     priority: fc.nat(2),
     leftMs: fc.integer({ min: 1, max: 800 }),
     objectiveLeftMs: fc.integer({ min: -300, max: 400 }),
-    mayDecline: fc.boolean()
+    moveMs: fc.option(fc.nat(500), { nil: undefined })
   })
   fc.assert(fc.property(fc.array(operation, { maxLength: 200 }), operations => {
     const gate = new RunGate()
@@ -164,10 +174,10 @@
       const id = ids[item.pick % Math.max(1, ids.length)]
       if (item.kind === 'offer') {
         open.set(index, 'waiting')
-        const { nested, priority, mayDecline } = item
+        const { nested, priority, moveMs } = item
         const objectiveAtMs = nowMs + item.objectiveLeftMs
         const deadlineAtMs = nowMs + item.leftMs
-        const call = { id: index, work: 'w', nested, priority, objectiveAtMs, deadlineAtMs, mayDecline }
+        const call = { id: index, work: 'w', nested, priority, objectiveAtMs, deadlineAtMs, moveMs }
         take(gate.step({ type: 'offer', call }, nowMs))
       }
       if (item.kind === 'finish' && id !== undefined && open.get(id) === 'running') {
--- a/src/parts/gate/RunGate.ts
+++ b/src/parts/gate/RunGate.ts
@@ -15,8 +15,8 @@
 /**
  * Decides at the upstream's node, the only way in to its instance, which calls run, wait or are turned away. It
  * answers load that shifts within milliseconds: the choice of an instance was made on older evidence, so a call
- * that may go elsewhere is handed back at once when it would have to wait here, or when the machine is slow at the
- * moment. Calls that can't be served before their deadline are turned away as soon as that is known.
+ * that may go elsewhere is handed back at once when waiting here, or running on a machine that is slow at the moment,
+ * costs more than the move. Calls that can't be served before their deadline are turned away as soon as that is known.
  *
  * Memory: the calls that run, at most the slots, and `MAX_WAITING` that wait.
  */
@@ -71,10 +71,11 @@
   private _offer (call: GateCall): void {
     if (this._slots === 0) return this._turnAway(call, 'no-slots')
     if (this._hasRoom(call)) {
-      if (call.mayDecline && this._isSlow() && !call.nested) return this._turnAway(call, 'slow')
+      if (this._isWorthMoving(call, this._slowLossMs()) && !call.nested) return this._turnAway(call, 'slow')
       return this._start(call)
     }
-    if (call.mayDecline) return this._turnAway(call, 'busy')
+    const inTime = this._nowMs + this._waitMs(call) + this._estimate.of(call.work) <= call.objectiveAtMs
+    if (this._isWorthMoving(call, inTime ? this._waitMs(call) : Infinity)) return this._turnAway(call, 'busy')
     if (!this._mayWait(call)) return this._turnAway(call, 'too-late')
     this._line.add(call, this._nowMs)
     this._wakeAt(this._latestStartMs(call))
@@ -160,8 +161,14 @@
     return nowMs - this._slownessAtMs < SLOWNESS_VALID_MS ? this._slowness : this._usualSlowness
   }
 
-  private _isSlow (): boolean {
-    return this._nowMs - this._slownessAtMs < SLOWNESS_VALID_MS && this._slowness >= SLOW_FACTOR
+  private _isWorthMoving (call: GateCall, lossMs: number): boolean {
+    return call.moveMs !== undefined && lossMs > call.moveMs
+  }
+
+  /** Time that a run loses to the present slowness of the VM, which lasts about as long as a figure is valid. */
+  private _slowLossMs (): number {
+    const isSlow = this._nowMs - this._slownessAtMs < SLOWNESS_VALID_MS && this._slowness >= SLOW_FACTOR
+    return isSlow ? SLOWNESS_VALID_MS * (1 - 1 / this._slowness) : 0
   }
 
   private _isReachable (call: GateCall): boolean {
--- a/src/parts/gate/Types.ts
+++ b/src/parts/gate/Types.ts
@@ -13,8 +13,11 @@
   readonly objectiveAtMs: number
   /** After that nobody waits for the answer, in monotonic milliseconds. */
   readonly deadlineAtMs: number
-  /** True when its sender would rather ask another instance than wait here. */
-  readonly mayDecline: boolean
+  /**
+   * What asking another instance costs the sender, as a delay in milliseconds: it rather waits here while that takes
+   * less. Undefined when it asks no other.
+   */
+  readonly moveMs: number | undefined
 }
 
 /** What the node reports of its upstream's load, on each answer. */
--- a/src/parts/placement/InstanceChooser.ts
+++ b/src/parts/placement/InstanceChooser.ts
@@ -55,9 +55,7 @@
    * @param nowMs Monotonic time in milliseconds.
    */
   public choose (query: PlacementQuery, nowMs: number): NodeId | undefined {
-    const open = [...this._standings.values()].filter(standing => {
-      return !query.excluded.includes(standing.candidate.node) && standing.unreachableUntilMs <= nowMs
-    })
+    const open = this._open(query, nowMs)
     const trial = query.mayTry
       ? open.find(standing => this._isEjected(standing) && standing.nextTrialMs <= nowMs)
       : undefined
@@ -68,6 +66,19 @@
     return this._cheapest(this._withoutEjected(open), query.bytes, nowMs)?.candidate.node
   }
 
+  /**
+   * Returns what it costs to take the next best instance instead of a chosen one, as a delay in milliseconds: the
+   * difference of the ways, with bytes between availability zones priced. Undefined when there is no other.
+   * @param chosen The instance that was chosen.
+   */
+  public moveMs (chosen: NodeId, query: PlacementQuery, nowMs: number): number | undefined {
+    const standing = this._standings.get(chosen)
+    const others = this._withoutEjected(this._open(query, nowMs)).filter(other => other !== standing)
+    if (standing === undefined || others.length === 0) return undefined
+    const cheapestMs = others.reduce((least, other) => Math.min(least, wayMs(other, query.bytes)), Infinity)
+    return Math.max(0, Math.round(cheapestMs - wayMs(standing, query.bytes)))
+  }
+
   /** Notes that a call went to a node. */
   public begin (node: NodeId): void {
     const standing = this._standings.get(node)
@@ -109,6 +120,12 @@
     })
   }
 
+  private _open (query: PlacementQuery, nowMs: number): Standing[] {
+    return [...this._standings.values()].filter(standing => {
+      return !query.excluded.includes(standing.candidate.node) && standing.unreachableUntilMs <= nowMs
+    })
+  }
+
   private _learn (standing: Standing, failed: boolean): void {
     const wasEjected = this._isEjected(standing)
     const weight = wasEjected && !failed ? 2 * FAILURE_WEIGHT : FAILURE_WEIGHT
@@ -129,8 +146,7 @@
     let best: Standing | undefined
     let bestCost = Infinity
     for (const standing of standings) {
-      const crossingMs = standing.candidate.crossesZones ? CROSSING_MS_PER_KB * bytes / KB : 0
-      const cost = this._costMs(standing, nowMs) * (1 + TIE_SPREAD * this._random.next()) + crossingMs
+      const cost = this._costMs(standing, nowMs) * (1 + TIE_SPREAD * this._random.next()) + wayMs(standing, bytes)
       if (cost >= bestCost) continue
       best = standing
       bestCost = cost
@@ -138,7 +154,7 @@
     return best
   }
 
-  /** Expected time to an answer in milliseconds, failures priced in. */
+  /** Expected time at the instance in milliseconds, failures priced in. */
   private _costMs (standing: Standing, nowMs: number): number {
     const { candidate, load, failureShare } = standing
     const workMs = load?.workMs ?? 50
@@ -147,7 +163,7 @@
     const waitRuns = Math.max(0, busy + 1 - limit) / limit
     const crowding = 0.3 * Math.min(1, busy / limit)
     const runs = this._slowness(standing, nowMs) * (1 + waitRuns + crowding)
-    return candidate.roundTripMs + workMs * (runs + FAILURE_COST * failureShare)
+    return workMs * (runs + FAILURE_COST * failureShare)
   }
 
   private _busy ({ load, loadAtMs, outstanding, outstandingAtLoad }: Standing, nowMs: number): number {
@@ -168,6 +184,11 @@
 /** Costs this close to each other, as a share, count as equal. */
 const TIE_SPREAD = 0.05
 
+/** Cost of the way to an instance and back, as a delay in milliseconds. */
+function wayMs ({ candidate }: Standing, bytes: number): number {
+  return candidate.roundTripMs + (candidate.crossesZones ? CROSSING_MS_PER_KB * bytes / KB : 0)
+}
+
 function makeStanding (candidate: PlacementCandidate): Standing {
   return {
     candidate,
--- a/src/routenode/CallLink.test.ts
+++ b/src/routenode/CallLink.test.ts
@@ -28,7 +28,7 @@
   priority: 1,
   leftMs: 10_000,
   objectiveLeftMs: 100,
-  mayDecline: true
+  moveMs: 0
 }
 
 const LOAD = { running: 0, queued: 0, limit: 4, slowness: 1, workMs: 50 }
--- a/src/routenode/Constants.ts
+++ b/src/routenode/Constants.ts
@@ -31,8 +31,8 @@
 /** Pause before the next replica is tried, in milliseconds. */
 export const FEED_RETRY_MS = 100
 
-/** Instances that may hand one call back before it is made to wait at the best of them. */
-export const MAX_DECLINES = 2
+/** Instances that may hand one call back before the answer of the next one is final; each costs a round trip. */
+export const MAX_DECLINES = 3
 
 /** Largest answer that is relayed, in bytes; a node holds it whole until its caller has it. */
 export const MAX_ANSWER_BYTES = 15 * 1024 * 1024
--- a/src/routenode/Gateway.ts
+++ b/src/routenode/Gateway.ts
@@ -114,11 +114,11 @@
     const arrivedAtMs = this._parts.clock.nowMs()
     if (this._closing) response.setHeader('connection', 'close')
     const table = this._table
-    if (table === undefined) return this._refuse(message, response, 503, 'no-instance', NOT_READY_RETRY_MS)
+    if (table === undefined) return this._refuse(message, response, 503, 'no-configuration', NOT_READY_RETRY_MS)
     const entry = this._findRoute(table, message)
-    if (entry === undefined) return this._refuse(message, response, 404, 'no-instance')
+    if (entry === undefined) return this._refuse(message, response, 404, 'no-route')
     readBody(message, this._limits.maxBodyBytes, result => {
-      if (result.type === 'tooLarge') this._refuse(message, response, 413, 'no-instance')
+      if (result.type === 'tooLarge') this._refuse(message, response, 413, 'body-too-large')
       if (result.type === 'whole') this._start(message, response, this._buildRequest(message, entry, table, result.bytes, arrivedAtMs))
     })
   }
--- /dev/null
+++ b/src/routenode/GatewayCall.test.ts
@@ -0,0 +1,117 @@
+import { afterEach, beforeEach, expect, test, vi } from 'vitest'
+import type { GateLoad } from '../parts/gate/Types.js'
+import { InstanceChooser } from '../parts/placement/InstanceChooser.js'
+import type { Route } from '../parts/routing/Types.js'
+import { SeededRandom } from '../parts/SeededRandom.js'
+import type { NodeId } from '../parts/Types.js'
+import { MAX_DECLINES } from './Constants.js'
+import { GatewayCall, type GatewayContext, type GatewayResult } from './GatewayCall.js'
+import type { Placement } from './Placement.js'
+import { RepeatBudgets } from './RepeatBudgets.js'
+import type { RoutedAnswer, RoutedCall, RoutedCallSink } from './Types.js'
+
+const IDLE: GateLoad = { running: 0, queued: 0, limit: 4, slowness: 1, workMs: 50 }
+const ANSWER: RoutedAnswer = { status: 200, headers: [], body: new Uint8Array(0) }
+const clock = { nowMs: () => Date.now(), wallMs: () => Date.now() }
+
+/** A call that reached a node, in the order in which they did. */
+interface Asked {
+  readonly node: NodeId
+  readonly call: RoutedCall
+  readonly sink: RoutedCallSink
+  cancelled: boolean
+}
+
+let asked: Asked[] = []
+let result: GatewayResult | undefined
+
+beforeEach(() => { vi.useFakeTimers({ now: 1000 }) })
+
+afterEach(() => {
+  vi.useRealTimers()
+  asked = []
+  result = undefined
+})
+
+function start (nodes: readonly NodeId[], changes: Partial<Route> = {}): GatewayCall {
+  const random = new SeededRandom(1)
+  const chooser = new InstanceChooser(random)
+  chooser.setCandidates(nodes.map(node => ({ node, roundTripMs: 1, slots: 6, crossesZones: false })))
+  const targetOf = (node: NodeId): object => ({
+    start: (call: RoutedCall, sink: RoutedCallSink) => {
+      const entry: Asked = { node, call, sink, cancelled: false }
+      asked.push(entry)
+      return { cancel: () => { entry.cancelled = true } }
+    }
+  })
+  let lastId = 0
+  const context: GatewayContext = {
+    clock,
+    random,
+    placement: { chooserOf: () => chooser, targetOf } as unknown as Placement,
+    budgets: new RepeatBudgets({ ratio: 1, slack: 100, windowMs: 10_000 }),
+    nextCall: () => ++lastId,
+    nodes: () => 1
+  }
+  const route: Route = {
+    name: 'r',
+    host: 'h',
+    pathPrefix: '/',
+    kind: 'idempotent',
+    timeoutMs: 1000,
+    latencyObjectiveMs: 500,
+    priority: 1,
+    maxAttempts: 2,
+    destination: { type: 'service', service: 's' },
+    ...changes
+  }
+  const call = new GatewayCall({
+    requestId: 'x',
+    method: 'GET',
+    target: '/',
+    headers: [],
+    body: new Uint8Array(0),
+    route,
+    service: 's',
+    version: 1,
+    nested: false,
+    deadlineMs: 1000,
+    arrivedAtMs: clock.nowMs(),
+    objectiveAtMs: clock.nowMs() + 500,
+    expectedBytes: 1000
+  }, context, ended => { result = ended })
+  call.begin()
+  return call
+}
+
+function turnAway (index: number, reason: 'busy' | 'too-late'): void {
+  asked[index]?.sink.onTurnedAway(reason, 40, IDLE)
+}
+
+test('the answer of a gate that may not hand the call back is final, and passed on at once', () => {
+  const call = start(['a', 'b', 'c', 'd', 'e', 'f'])
+  for (let i = 0; i < MAX_DECLINES; i++) turnAway(i, 'busy')
+  expect(asked.map(({ call: { moveMs } }) => moveMs !== undefined)).toEqual([true, true, true, false])
+  turnAway(MAX_DECLINES, 'too-late')
+  expect(asked).toHaveLength(MAX_DECLINES + 1)
+  expect(result).toMatchObject({ type: 'refused', reason: 'too-late' })
+  expect(call.declines).toBe(MAX_DECLINES + 1)
+})
+
+test('a call that has no other instance to go to is not handed back', () => {
+  start(['a'])
+  expect(asked[0]?.call.moveMs).toBeUndefined()
+})
+
+test('a call that is out at the timeout counts as sent', () => {
+  const call = start(['a', 'b'])
+  vi.advanceTimersByTime(1001)
+  expect([result, call.sends, asked[0]?.cancelled]).toMatchObject([{ type: 'failed', reason: 'timeout' }, 1, true])
+})
+
+test('a request that may run again is answered by another instance after a failure', () => {
+  start(['a', 'b'])
+  asked[0]?.sink.onFailed('unknown', 'instance-lost', IDLE)
+  asked[1]?.sink.onAnswer(ANSWER, IDLE)
+  expect(result).toMatchObject({ type: 'answer' })
+})
--- a/src/routenode/GatewayCall.ts
+++ b/src/routenode/GatewayCall.ts
@@ -28,8 +28,11 @@
   readonly expectedBytes: number
 }
 
+/** Why a request was not even routed. */
+export type RequestFault = 'no-configuration' | 'no-route' | 'body-too-large'
+
 /** Why the system answered in place of an instance. */
-export type GatewayReason = FailureReason | TurnAwayReason | 'no-instance' | 'retry-budget' | 'caller-gone'
+export type GatewayReason = FailureReason | TurnAwayReason | RequestFault | 'no-instance' | 'retry-budget' | 'caller-gone'
 
 /** What the caller gets. */
 export type GatewayResult =
@@ -54,6 +57,8 @@
 interface Turn {
   readonly id: CallId
   readonly node: NodeId
+  /** What the gate answers is final: the call has nowhere else to go. */
+  readonly isFinal: boolean
   handle: RoutedCallHandle | undefined
   open: boolean
 }
@@ -78,7 +83,7 @@
   private readonly _asked: NodeId[] = []
   private _turn: Turn | undefined
   private _declines = 0
-  private _forced = false
+  private _askedAll = false
   /** Instances that a send may have reached. */
   private _sends = 0
   private _mayHaveRun = false
@@ -98,7 +103,7 @@
     this._timer = setTimeout(() => this._handleTimeout(), Math.max(1, this._timeoutAtMs - _context.clock.nowMs()))
   }
 
-  /** Instances that the request was sent to. */
+  /** Times that it may have reached an instance. */
   public get sends (): number {
     return this._sends
   }
@@ -131,21 +136,31 @@
     const { placement, clock } = this._context
     const chooser = placement.chooserOf(this._request.service)
     const nowMs = clock.nowMs()
-    const query = { bytes: this._request.expectedBytes, mayTry: this._request.route.kind !== 'once' }
-    const node = chooser?.choose({ ...query, excluded: this._asked }, nowMs)
-    if (node !== undefined) return this._ask(node)
+    const mayTry = this._request.route.kind !== 'once'
+    const query = { bytes: this._request.expectedBytes, mayTry, excluded: this._asked }
+    const node = chooser?.choose(query, nowMs)
+    if (node !== undefined) {
+      const moveMs = this._declines < MAX_DECLINES ? chooser?.moveMs(node, query, nowMs) : undefined
+      return this._ask(node, moveMs)
+    }
     // All were asked: the one that is expected to finish first must take the call into its line.
-    const fallback = this._forced ? undefined : chooser?.choose({ ...query, excluded: [] }, nowMs)
-    this._forced = true
-    if (fallback === undefined || this._sends > 0) this._giveUp('no-instance', 0)
-    else this._ask(fallback)
+    const mayAskAgain = this._sends === 0 && !this._askedAll
+    this._askedAll = true
+    const fallback = mayAskAgain ? chooser?.choose({ ...query, excluded: [] }, nowMs) : undefined
+    if (fallback === undefined) this._giveUp('no-instance', 0)
+    else this._ask(fallback, undefined)
   }
 
-  private _ask (node: NodeId): void {
+  /**
+   * @param moveMs See `GateCall.moveMs`. The gate's answer to a call without it is final: callers that are given up are
+   * told at once, not after they have waited at one gate after the other.
+   */
+  private _ask (node: NodeId, moveMs: number | undefined): void {
     const { placement, clock } = this._context
     const target = placement.targetOf(node)
     const chooser = placement.chooserOf(this._request.service)
-    const turn: Turn = { id: this._context.nextCall(), node, handle: undefined, open: true }
+    const id = this._context.nextCall()
+    const turn: Turn = { id, node, isFinal: moveMs === undefined, handle: undefined, open: true }
     this._turn = turn
     this._asked.push(node)
     chooser?.begin(node)
@@ -161,14 +176,14 @@
       },
       onTurnedAway: (reason: TurnAwayReason, retryAfterMs: number, load: GateLoad) => {
         const outcome = reason === 'no-slots' ? 'unreachable' : 'declined'
-        if (settle(outcome, load)) this._handleTurnedAway(reason, retryAfterMs)
+        if (settle(outcome, load)) this._handleTurnedAway(turn, reason, retryAfterMs)
       },
       onFailed: (proof: FailureProof, reason: FailureReason, load: GateLoad | undefined) => {
         if (settle(PLACEMENT_OUTCOME[proof], load)) this._handleFailed(proof, reason)
       }
     }
     if (target === undefined) return sink.onFailed('unsent', 'node-unknown', undefined)
-    const handle = target.start(this._buildCall(turn.id), sink)
+    const handle = target.start(this._buildCall(turn.id, moveMs), sink)
     turn.handle = {
       cancel: () => {
         handle.cancel()
@@ -177,7 +192,7 @@
     }
   }
 
-  private _buildCall (id: CallId): RoutedCall {
+  private _buildCall (id: CallId, moveMs: number | undefined): RoutedCall {
     const { requestId, method, target, headers, body, route, service, nested, objectiveAtMs } = this._request
     const nowMs = this._context.clock.nowMs()
     return {
@@ -195,7 +210,7 @@
       // Whole numbers take a third of the bytes of others.
       leftMs: Math.max(1, Math.floor(this._timeoutAtMs - nowMs)),
       objectiveLeftMs: Math.floor(objectiveAtMs - nowMs),
-      mayDecline: !this._forced && this._declines < MAX_DECLINES
+      moveMs
     }
   }
 
@@ -210,9 +225,9 @@
     this._finish({ type: 'answer', answer })
   }
 
-  private _handleTurnedAway (reason: TurnAwayReason, retryAfterMs: number): void {
+  private _handleTurnedAway ({ isFinal }: Turn, reason: TurnAwayReason, retryAfterMs: number): void {
     this._declines++
-    if (this._forced && reason !== 'no-slots') this._giveUp(reason, retryAfterMs)
+    if (isFinal && reason !== 'no-slots') this._giveUp(reason, retryAfterMs)
     else this._next()
   }
 
@@ -262,7 +277,9 @@
   }
 
   private _cancelTurn (): void {
-    if (this._turn?.open === true) this._turn.handle?.cancel()
+    if (this._turn?.open !== true) return
+    this._sends++
+    this._turn.handle?.cancel()
   }
 
   private _finish (result: GatewayResult): void {
--- a/src/routenode/InstanceClient.test.ts
+++ b/src/routenode/InstanceClient.test.ts
@@ -62,7 +62,7 @@
     priority: 0,
     leftMs: 5000,
     objectiveLeftMs: 100,
-    mayDecline: false
+    moveMs: undefined
   }
   return await new Promise(resolve => {
     client.run(call, 'i-1', 5000, {
--- a/src/routenode/InstancePort.ts
+++ b/src/routenode/InstancePort.ts
@@ -163,7 +163,7 @@
       priority: call.priority,
       objectiveAtMs: nowMs + call.objectiveLeftMs,
       deadlineAtMs,
-      mayDecline: call.mayDecline
+      moveMs: call.moveMs
     }
     this._step({ type: 'offer', call: gateCall })
     return { cancel: () => this._cancel(id) }
--- a/src/routenode/Types.ts
+++ b/src/routenode/Types.ts
@@ -44,7 +44,8 @@
   readonly leftMs: number
   /** Milliseconds within which an answer is worth its full value; negative when it is late. */
   readonly objectiveLeftMs: number
-  readonly mayDecline: boolean
+  /** See `GateCall.moveMs`; a gate's answer to a call without it is final. */
+  readonly moveMs: number | undefined
 }
 
 /** A whole answer of an instance. */
--- a/src/runtime/FrameKeys.ts
+++ b/src/runtime/FrameKeys.ts
@@ -6,7 +6,8 @@
   'type', 'id', 'load', 'running', 'queued', 'limit', 'slowness', 'workMs', 'answer', 'status', 'headers', 'body',
   'call', 'service', 'method', 'target', 'requestId', 'work', 'kind', 'nested', 'priority', 'leftMs',
   'objectiveLeftMs', 'mayDecline', 'reason', 'retryAfterMs', 'proof', 'to', 'message', 'term', 'prevIndex', 'prevTerm',
-  'entries', 'commit', 'round', 'sentAtMs', 'success', 'match', 'conflictIndex', 'conflictTerm', 'fit', 'version'
+  'entries', 'commit', 'round', 'sentAtMs', 'success', 'match', 'conflictIndex', 'conflictTerm', 'fit', 'version',
+  'moveMs'
 ] as const
 
 /** Numbers by field name, as the codec takes them. */
