Send a duplicate of a slow request that may run again

Change: `HedgePlan` learns the times of a route and says when a first attempt counts as slow; a duplicate takes only room that would stay free, is paid from the budget of repeats (a part stays for failures), and its own calls count as repeats there. The one that loses is cancelled. The budget's safety share is lower, as repeated calls are counted.

--- a/src/parts/budget/RepeatBudget.test.ts
+++ b/src/parts/budget/RepeatBudget.test.ts
@@ -3,6 +3,19 @@
 
 const LIMITS = { ratio: 0.2, slack: 60, windowMs: 10_000 }
 
+test('repeats of one purpose leave a part of the budget to others, and one that was given back can be taken again', () => {
+  const budget = new RepeatBudget({ ratio: 0, slack: 10, windowMs: 10_000 })
+  const take = (share: number): number => {
+    let taken = 0
+    while (budget.tryRepeat(1, 0, share)) taken++
+    return taken
+  }
+  expect(take(0.5)).toBe(3)
+  expect(take(1)).toBe(4)
+  budget.refund()
+  expect(take(1)).toBe(1)
+})
+
 test('all nodes together stay within the bound in every window', () => {
   const nodes = 12
   const budgets = Array.from({ length: nodes }, () => new RepeatBudget(LIMITS))
--- a/src/parts/budget/RepeatBudget.ts
+++ b/src/parts/budget/RepeatBudget.ts
@@ -13,11 +13,8 @@
   readonly windowMs: number
 }
 
-/**
- * Part of the shared bound that this node leaves unused: nodes that come and go count the others wrongly for a
- * while, and calls that a repeated run makes count as repeats elsewhere.
- */
-const SAFETY_SHARE = 0.5
+/** Part of the shared bound that this node uses: nodes that come and go count the others wrongly for a while. */
+const SAFETY_SHARE = 0.7
 
 /**
  * A node's part of the budget for sending requests of one service again. The share of requests is this node's own;
@@ -50,15 +47,21 @@
    * Takes one repeat from the budget.
    * @param nodes Nodes that share the slack.
    * @param nowMs Monotonic time in milliseconds.
+   * @param share Part of the budget that repeats of this purpose may fill.
    * @returns False when the request must not be sent again.
    */
-  public tryRepeat (nodes: number, nowMs: number): boolean {
+  public tryRepeat (nodes: number, nowMs: number, share = 1): boolean {
     this._requests.advance(nowMs)
     this._repeats.advance(nowMs)
     const { ratio, slack } = this._limits
-    const allowed = SAFETY_SHARE * (ratio * this._requests.total() + slack / Math.max(1, nodes))
+    const allowed = share * SAFETY_SHARE * (ratio * this._requests.total() + slack / Math.max(1, nodes))
     if (this._repeats.total() + 1 > allowed) return false
     this._repeats.spend(1)
     return true
   }
+
+  /** Gives a repeat back that reached no instance. */
+  public refund (): void {
+    if (this._repeats.total() > 0) this._repeats.spend(-1)
+  }
 }
--- a/src/parts/gate/Constants.ts
+++ b/src/parts/gate/Constants.ts
@@ -23,6 +23,9 @@
 /** A VM this many times slower than usual hands calls back that may go elsewhere: a move gains more than it costs. */
 export const SLOW_FACTOR = 2.5
 
+/** Share of the limit that duplicates leave free: a burst must find room before they have ended. */
+export const SPARE_RESERVE_SHARE = 0.3
+
 /** Age after which a slowness figure says nothing, in milliseconds; it changes several times a second. */
 export const SLOWNESS_VALID_MS = 150
 
--- a/src/parts/gate/RunGate.test.ts
+++ b/src/parts/gate/RunGate.test.ts
@@ -14,6 +14,7 @@
     objectiveAtMs: 300,
     deadlineAtMs: 1000,
     moveMs: undefined,
+    spare: false,
     ...changes
   }
 }
@@ -68,6 +69,17 @@
   expect(gate.step({ type: 'offer', call: late }, 1)).toMatchObject([{ type: 'turnAway', reason: 'busy' }])
 })
 
+test('a duplicate takes only room that would stay free', () => {
+  const gate = makeGate(4)
+  const spare = (): GateCall => makeCall({ spare: true })
+  expect(kinds(gate.step({ type: 'offer', call: spare() }, 0))).toEqual(['start'])
+  fill(gate, 1)
+  expect(gate.step({ type: 'offer', call: spare() }, 0)).toMatchObject([{ type: 'turnAway', reason: 'busy' }])
+  const slow = makeGate(4)
+  slow.step({ type: 'slowness', slowness: 5 }, 0)
+  expect(slow.step({ type: 'offer', call: spare() }, 1)).toMatchObject([{ type: 'turnAway', reason: 'busy' }])
+})
+
 test('without slots every call is turned away, those that wait too', () => {
   const gate = makeGate(1)
   fill(gate, 1)
@@ -152,7 +164,8 @@
     priority: fc.nat(2),
     leftMs: fc.integer({ min: 1, max: 800 }),
     objectiveLeftMs: fc.integer({ min: -300, max: 400 }),
-    moveMs: fc.option(fc.nat(500), { nil: undefined })
+    moveMs: fc.option(fc.nat(500), { nil: undefined }),
+    spare: fc.boolean()
   })
   fc.assert(fc.property(fc.array(operation, { maxLength: 200 }), operations => {
     const gate = new RunGate()
@@ -174,10 +187,10 @@
       const id = ids[item.pick % Math.max(1, ids.length)]
       if (item.kind === 'offer') {
         open.set(index, 'waiting')
-        const { nested, priority, moveMs } = item
+        const { nested, priority, moveMs, spare } = item
         const objectiveAtMs = nowMs + item.objectiveLeftMs
         const deadlineAtMs = nowMs + item.leftMs
-        const call = { id: index, work: 'w', nested, priority, objectiveAtMs, deadlineAtMs, moveMs }
+        const call = { id: index, work: 'w', nested, priority, objectiveAtMs, deadlineAtMs, moveMs, spare }
         take(gate.step({ type: 'offer', call }, nowMs))
       }
       if (item.kind === 'finish' && id !== undefined && open.get(id) === 'running') {
--- a/src/parts/gate/RunGate.ts
+++ b/src/parts/gate/RunGate.ts
@@ -1,7 +1,7 @@
 import type { CallId, Part } from '../Types.js'
 import {
   LATE_LINE_SHARE, LATE_RESERVE_SHARE, MAX_WAITING,
-  SLOWNESS_STEPS, SLOWNESS_VALID_MS, SLOWNESS_WEIGHT, SLOW_FACTOR
+  SLOWNESS_STEPS, SLOWNESS_VALID_MS, SLOWNESS_WEIGHT, SLOW_FACTOR, SPARE_RESERVE_SHARE
 } from './Constants.js'
 import type { GateAction, GateCall, GateEvent, GateLoad, TurnAwayReason } from './Types.js'
 import { SlotLimit } from './SlotLimit.js'
@@ -70,6 +70,7 @@
 
   private _offer (call: GateCall): void {
     if (this._slots === 0) return this._turnAway(call, 'no-slots')
+    if (call.spare) return this._hasSpareRoom() ? this._start(call) : this._turnAway(call, 'busy')
     if (this._hasRoom(call)) {
       if (this._isWorthMoving(call, this._slowLossMs()) && !call.nested) return this._turnAway(call, 'slow')
       return this._start(call)
@@ -151,6 +152,11 @@
     return this._running.size < this._limitOf(call)
   }
 
+  private _hasSpareRoom (): boolean {
+    const limit = this._limit.current(this._nowMs)
+    return this._slowLossMs() === 0 && this._running.size < limit - Math.ceil(limit * SPARE_RESERVE_SHARE)
+  }
+
   private _limitOf (call: GateCall): number {
     const limit = this._limit.current(this._nowMs)
     if (call.nested || this._isReachable(call)) return limit
--- a/src/parts/gate/Types.ts
+++ b/src/parts/gate/Types.ts
@@ -18,6 +18,8 @@
    * less. Undefined when it asks no other.
    */
   readonly moveMs: number | undefined
+  /** A duplicate, sent in case that the first attempt is slow: it takes only room that would stay free. */
+  readonly spare: boolean
 }
 
 /** What the node reports of its upstream's load, on each answer. */
--- a/src/parts/placement/InstanceChooser.ts
+++ b/src/parts/placement/InstanceChooser.ts
@@ -63,7 +63,7 @@
       trial.nextTrialMs = nowMs + TRIAL_INTERVAL_MS
       return trial.candidate.node
     }
-    return this._cheapest(this._withoutEjected(open), query.bytes, nowMs)?.candidate.node
+    return this._cheapest(this._withoutEjected(open), query, nowMs)?.candidate.node
   }
 
   /**
@@ -142,9 +142,11 @@
     return kept.length === 0 || tooMany ? open : kept
   }
 
-  private _cheapest (standings: readonly Standing[], bytes: number, nowMs: number): Standing | undefined {
+  private _cheapest (
+    standings: readonly Standing[], { bytes, withinMs }: PlacementQuery, nowMs: number
+  ): Standing | undefined {
     let best: Standing | undefined
-    let bestCost = Infinity
+    let bestCost = withinMs ?? Infinity
     for (const standing of standings) {
       const cost = this._costMs(standing, nowMs) * (1 + TIE_SPREAD * this._random.next()) + wayMs(standing, bytes)
       if (cost >= bestCost) continue
--- a/src/parts/placement/Types.ts
+++ b/src/parts/placement/Types.ts
@@ -19,6 +19,8 @@
   readonly mayTry: boolean
   /** Bytes that the call and its answer are expected to have together. */
   readonly bytes: number
+  /** Instances whose answer would take longer are left out, in milliseconds with the cost of the way. */
+  readonly withinMs?: number
 }
 
 /** Load of an instance as its node told it. */
--- a/src/parts/retry/Constants.ts
+++ b/src/parts/retry/Constants.ts
@@ -40,6 +40,15 @@
 /** Weight of the newest attempt in the share that was refused. */
 export const HEDGE_REFUSED_WEIGHT = 0.01
 
+/** Quantile of a route's times after which an attempt counts as slow. */
+export const HEDGE_LATE_QUANTILE = 0.8
+
+/** Samples of a route from which the estimate of its times is used: it has moved by a factor of two by then. */
+export const HEDGE_MIN_SAMPLES = 20
+
+/** Routes whose times are kept; those beyond it are not hedged. */
+export const MAX_HEDGE_ROUTES = 4096
+
 /** Time kept back at each hop for the answer to travel, in milliseconds. */
 export const HOP_RESERVE_MS = 2
 
--- a/src/routenode/CallLink.test.ts
+++ b/src/routenode/CallLink.test.ts
@@ -28,7 +28,8 @@
   priority: 1,
   leftMs: 10_000,
   objectiveLeftMs: 100,
-  moveMs: 0
+  moveMs: 0,
+  attempt: 'first'
 }
 
 const LOAD = { running: 0, queued: 0, limit: 4, slowness: 1, workMs: 50 }
--- a/src/routenode/Constants.ts
+++ b/src/routenode/Constants.ts
@@ -34,6 +34,12 @@
 /** Instances that may hand one call back before the answer of the next one is final; each costs a round trip. */
 export const MAX_DECLINES = 3
 
+/** Part of the budget that duplicates may fill; the rest is for requests that have failed. */
+export const HEDGE_BUDGET_SHARE = 0.7
+
+/** Instances that may hand a duplicate back before it is given up. */
+export const MAX_HEDGE_DECLINES = 2
+
 /** Largest answer that is relayed, in bytes; a node holds it whole until its caller has it. */
 export const MAX_ANSWER_BYTES = 15 * 1024 * 1024
 
--- a/src/routenode/Gateway.ts
+++ b/src/routenode/Gateway.ts
@@ -15,7 +15,7 @@
 import { GatewayCall, type GatewayContext, type GatewayReason, type GatewayRequest, type GatewayResult } from './GatewayCall.js'
 import { AnswerSizes } from './AnswerSizes.js'
 import type { RouteNodeMetrics } from './RouteNodeMetrics.js'
-import type { HeaderNames, RoutedAnswer } from './Types.js'
+import type { Attempt, HeaderNames, RoutedAnswer } from './Types.js'
 
 /** Largest header that is read; configurations ask for less. */
 const MAX_HEADER_BYTES = 64 * 1024
@@ -37,8 +37,8 @@
   /** Service of the instance on this VM, where all requests begin. */
   readonly callerService: () => ServiceName
   readonly metrics: RouteNodeMetrics
-  /** Tells whether the instance on this VM runs a request now. */
-  readonly runs: (requestId: string) => boolean
+  /** Which attempt of a request the instance on this VM runs now, undefined when it doesn't run it. */
+  readonly attemptOf: (requestId: string) => Attempt | undefined
 }
 
 /** Serves the callers on this VM over HTTP/1.1. */
@@ -149,7 +149,7 @@
       route,
       service: entry.nextService(),
       version: table.version,
-      nested: this._isNested(requestId),
+      parent: this._parentAttempt(requestId),
       deadlineMs: deadlineMs ?? NO_DEADLINE_MS,
       arrivedAtMs,
       objectiveAtMs: arrivedAtMs - elapsedMs + route.latencyObjectiveMs,
@@ -158,9 +158,9 @@
   }
 
   /** An instance names its own calls by the request that it runs, a dot, and a part of their own. */
-  private _isNested (requestId: string): boolean {
+  private _parentAttempt (requestId: string): Attempt | undefined {
     const dot = requestId.lastIndexOf('.')
-    return dot > 0 && this._parts.runs(requestId.slice(0, dot))
+    return dot > 0 ? this._parts.attemptOf(requestId.slice(0, dot)) : undefined
   }
 
   private _start (message: IncomingMessage, response: ServerResponse, request: GatewayRequest): void {
@@ -218,10 +218,11 @@
   }
 
   private _record (request: GatewayRequest, call: GatewayCall, result: GatewayResult | undefined): void {
-    const { requestId, route, service, version, arrivedAtMs, nested } = request
+    const { requestId, route, service, version, arrivedAtMs, parent } = request
     const tookMs = Math.round(this._parts.clock.nowMs() - arrivedAtMs)
-    const { sends, declines, lastNode } = call
-    const fields = { requestId, route: route.name, service, version, nested, sends, declines, node: lastNode, tookMs }
+    const { sends, declines, lastNode, hedge } = call
+    const origin = { requestId, route: route.name, service, version, nested: parent !== undefined }
+    const fields = { ...origin, sends, declines, hedge, node: lastNode, tookMs }
     const outcome = OUTCOMES[result?.type ?? 'gone']
     this._parts.metrics.countEnded(outcome, tookMs, sends, declines)
     if (result?.type === 'answer') this._parts.log.info({ ...fields, status: result.answer.status }, 'answered')
--- a/src/routenode/GatewayCall.test.ts
+++ b/src/routenode/GatewayCall.test.ts
@@ -1,6 +1,7 @@
 import { afterEach, beforeEach, expect, test, vi } from 'vitest'
 import type { GateLoad } from '../parts/gate/Types.js'
 import { InstanceChooser } from '../parts/placement/InstanceChooser.js'
+import { HedgePlan } from '../parts/retry/HedgePlan.js'
 import type { Route } from '../parts/routing/Types.js'
 import { SeededRandom } from '../parts/SeededRandom.js'
 import type { NodeId } from '../parts/Types.js'
@@ -23,6 +24,7 @@
 }
 
 let asked: Asked[] = []
+let hedges = new HedgePlan()
 let result: GatewayResult | undefined
 
 beforeEach(() => { vi.useFakeTimers({ now: 1000 }) })
@@ -30,6 +32,7 @@
 afterEach(() => {
   vi.useRealTimers()
   asked = []
+  hedges = new HedgePlan()
   result = undefined
 })
 
@@ -49,6 +52,7 @@
     clock,
     random,
     placement: { chooserOf: () => chooser, targetOf } as unknown as Placement,
+    hedges,
     budgets: new RepeatBudgets({ ratio: 1, slack: 100, windowMs: 10_000 }),
     nextCall: () => ++lastId,
     nodes: () => 1
@@ -74,7 +78,7 @@
     route,
     service: 's',
     version: 1,
-    nested: false,
+    parent: undefined,
     deadlineMs: 1000,
     arrivedAtMs: clock.nowMs(),
     objectiveAtMs: clock.nowMs() + 500,
@@ -115,3 +119,65 @@
   asked[1]?.sink.onAnswer(ANSWER, IDLE)
   expect(result).toMatchObject({ type: 'answer' })
 })
+
+/** Makes 100 ms the usual time of the route. */
+function learnTimes (): void {
+  for (let i = 0; i < 200; i++) hedges.learnTime('r', 100)
+}
+
+test('a slow first attempt is overtaken by a second, and cancelled', () => {
+  learnTimes()
+  const call = start(['a', 'b'])
+  vi.advanceTimersByTime(50)
+  expect(asked).toHaveLength(1)
+  vi.advanceTimersByTime(100)
+  expect(asked.map(({ call: { attempt } }) => attempt)).toEqual(['first', 'hedge'])
+  asked[1]?.sink.onAnswer(ANSWER, IDLE)
+  expect(result).toMatchObject({ type: 'answer' })
+  expect([asked[0]?.cancelled, call.hedge]).toEqual([true, 'won'])
+})
+
+test('a request that must run once has one turn, however slow', () => {
+  learnTimes()
+  start(['a', 'b'], { kind: 'once' })
+  vi.advanceTimersByTime(900)
+  expect(asked).toHaveLength(1)
+})
+
+test('no more instances run a request than its route allows', () => {
+  learnTimes()
+  start(['a', 'b'], { maxAttempts: 1 })
+  vi.advanceTimersByTime(900)
+  expect(asked).toHaveLength(1)
+})
+
+test('an attempt that fails leaves the request to the one beside it', () => {
+  learnTimes()
+  start(['a', 'b', 'c'])
+  vi.advanceTimersByTime(150)
+  asked[0]?.sink.onFailed('unknown', 'instance-lost', IDLE)
+  expect([result, asked.length]).toEqual([undefined, 2])
+  asked[1]?.sink.onAnswer(ANSWER, IDLE)
+  expect(result).toMatchObject({ type: 'answer' })
+})
+
+test('a duplicate that finds no room is tried at one more instance, and the first attempt goes on', () => {
+  learnTimes()
+  const call = start(['a', 'b', 'c', 'd'])
+  vi.advanceTimersByTime(150)
+  turnAway(1, 'busy')
+  turnAway(2, 'busy')
+  expect([asked.length, call.hedge, result]).toEqual([3, 'declined', undefined])
+  asked[0]?.sink.onAnswer(ANSWER, IDLE)
+  expect(result).toMatchObject({ type: 'answer' })
+})
+
+test('a first attempt that a gate turns away late leaves the request to its duplicate', () => {
+  learnTimes()
+  start(['a', 'b'])
+  vi.advanceTimersByTime(150)
+  turnAway(0, 'too-late')
+  expect(result).toBeUndefined()
+  turnAway(1, 'busy')
+  expect(result).toMatchObject({ type: 'refused' })
+})
--- a/src/routenode/GatewayCall.ts
+++ b/src/routenode/GatewayCall.ts
@@ -1,12 +1,15 @@
 import type { GateLoad, TurnAwayReason } from '../parts/gate/Types.js'
-import type { PlacementOutcome } from '../parts/placement/Types.js'
+import type { PlacementOutcome, PlacementQuery } from '../parts/placement/Types.js'
+import type { HedgePlan } from '../parts/retry/HedgePlan.js'
 import type { Route } from '../parts/routing/Types.js'
 import type { CallId, NodeId, Random, ServiceName } from '../parts/Types.js'
 import type { Clock } from '../runtime/Types.js'
-import { MAX_DECLINES, RETRY_MAX_SHARE, RETRY_SPREAD } from './Constants.js'
+import { HEDGE_BUDGET_SHARE, MAX_DECLINES, MAX_HEDGE_DECLINES, RETRY_MAX_SHARE, RETRY_SPREAD } from './Constants.js'
 import type { Placement } from './Placement.js'
 import type { RepeatBudgets } from './RepeatBudgets.js'
-import type { FailureProof, FailureReason, RawHeaders, RoutedAnswer, RoutedCall, RoutedCallHandle } from './Types.js'
+import type {
+  Attempt, FailureProof, FailureReason, RawHeaders, RoutedAnswer, RoutedCall, RoutedCallHandle, RoutedCallSink
+} from './Types.js'
 
 /** A request of a caller, read whole and routed. */
 export interface GatewayRequest {
@@ -18,7 +21,8 @@
   readonly route: Route
   readonly service: ServiceName
   readonly version: number
-  readonly nested: boolean
+  /** The attempt in whose run the instance on this VM makes this call; undefined when a caller makes it. */
+  readonly parent: Attempt | undefined
   /** Milliseconds that the caller waits, counted from `arrivedAtMs`. */
   readonly deadlineMs: number
   readonly arrivedAtMs: number
@@ -48,6 +52,7 @@
   readonly random: Random
   readonly placement: Placement
   readonly budgets: RepeatBudgets
+  readonly hedges: HedgePlan
   nextCall (): CallId
   /** Nodes that share the budgets. */
   nodes (): number
@@ -57,10 +62,11 @@
 interface Turn {
   readonly id: CallId
   readonly node: NodeId
+  readonly attempt: Attempt
   /** What the gate answers is final: the call has nowhere else to go. */
   readonly isFinal: boolean
+  readonly startedAtMs: number
   handle: RoutedCallHandle | undefined
-  open: boolean
 }
 
 /** How much better the answer of another instance may be: its own trouble, not that of the request. */
@@ -72,16 +78,23 @@
   unknown: 'failed'
 }
 
+/** How a duplicate fared; undefined when none was sent. */
+export type HedgeOutcome = 'declined' | 'sent' | 'won'
+
 /**
  * One request of a caller on its way: placed, handed back by gates and placed anew, sent again where its route and
  * the budget allow, answered exactly once. A request that must run once is sent to another instance only when the
- * one before is proved not to have run it.
+ * one before is proved not to have run it; one that may run again may have a second turn beside a slow first.
  */
 export class GatewayCall {
   private readonly _timeoutAtMs: number
   private readonly _timer: NodeJS.Timeout
   private readonly _asked: NodeId[] = []
-  private _turn: Turn | undefined
+  /** Turns that are out: the first or its replacement, and a duplicate. */
+  private readonly _turns = new Set<Turn>()
+  private _hedgeTimer: NodeJS.Timeout | undefined
+  private _hedge: HedgeOutcome | undefined
+  private _hedgeDeclines = 0
   private _declines = 0
   private _askedAll = false
   /** Instances that a send may have reached. */
@@ -113,6 +126,11 @@
     return this._declines
   }
 
+  /** How its duplicate fared. */
+  public get hedge (): HedgeOutcome | undefined {
+    return this._hedge
+  }
+
   /** Node of the last instance asked. */
   public get lastNode (): NodeId | undefined {
     return this._asked.at(-1)
@@ -120,80 +138,91 @@
 
   /** Starts the first turn. */
   public begin (): void {
-    const { budgets, clock } = this._context
-    if (!this._request.nested) budgets.of(this._request.service).countRequest(clock.nowMs())
-    this._next()
+    const { budgets, clock, hedges, nodes } = this._context
+    const { parent, service } = this._request
+    const budget = budgets.of(service)
+    hedges.gateOf(service).began()
+    if (parent === undefined) budget.countRequest(clock.nowMs())
+    // What a repeated run calls is repeated work for the service that it calls.
+    const isRepeat = parent !== undefined && parent !== 'first'
+    if (isRepeat && !budget.tryRepeat(nodes(), clock.nowMs())) this._giveUp('retry-budget', 0)
+    else this._next(parent ?? 'first')
   }
 
   /** The caller went away: what is out is cancelled, what waits never starts. */
   public abandon (): void {
     if (this._ended) return
+    this._cancelTurns()
     this._end()
-    this._cancelTurn()
   }
 
-  private _next (): void {
+  private _next (attempt: Attempt): void {
     const { placement, clock } = this._context
     const chooser = placement.chooserOf(this._request.service)
     const nowMs = clock.nowMs()
-    const mayTry = this._request.route.kind !== 'once'
-    const query = { bytes: this._request.expectedBytes, mayTry, excluded: this._asked }
+    const query = this._buildQuery()
     const node = chooser?.choose(query, nowMs)
     if (node !== undefined) {
       const moveMs = this._declines < MAX_DECLINES ? chooser?.moveMs(node, query, nowMs) : undefined
-      return this._ask(node, moveMs)
+      return this._ask(node, attempt, moveMs)
     }
     // All were asked: the one that is expected to finish first must take the call into its line.
     const mayAskAgain = this._sends === 0 && !this._askedAll
     this._askedAll = true
     const fallback = mayAskAgain ? chooser?.choose({ ...query, excluded: [] }, nowMs) : undefined
     if (fallback === undefined) this._giveUp('no-instance', 0)
-    else this._ask(fallback, undefined)
+    else this._ask(fallback, attempt, undefined)
+  }
+
+  private _buildQuery (): PlacementQuery {
+    const { expectedBytes, route } = this._request
+    return { bytes: expectedBytes, mayTry: route.kind !== 'once', excluded: this._asked }
   }
 
   /**
    * @param moveMs See `GateCall.moveMs`. The gate's answer to a call without it is final: callers that are given up are
    * told at once, not after they have waited at one gate after the other.
    */
-  private _ask (node: NodeId, moveMs: number | undefined): void {
+  private _ask (node: NodeId, attempt: Attempt, moveMs: number | undefined): void {
     const { placement, clock } = this._context
-    const target = placement.targetOf(node)
-    const chooser = placement.chooserOf(this._request.service)
     const id = this._context.nextCall()
-    const turn: Turn = { id, node, isFinal: moveMs === undefined, handle: undefined, open: true }
-    this._turn = turn
+    const startedAtMs = clock.nowMs()
+    const turn: Turn = { id, node, attempt, isFinal: moveMs === undefined, startedAtMs, handle: undefined }
+    this._turns.add(turn)
     this._asked.push(node)
-    chooser?.begin(node)
-    const settle = (outcome: PlacementOutcome, load: GateLoad | undefined): boolean => {
-      const current = turn.open && this._turn === turn
-      if (turn.open) chooser?.end(node, outcome, load, clock.nowMs())
-      turn.open = false
-      return current && !this._ended
-    }
-    const sink = {
-      onAnswer: (answer: RoutedAnswer, load: GateLoad) => {
-        if (settle(answer.status >= 500 ? 'failed' : 'answered', load)) this._handleAnswer(answer)
+    placement.chooserOf(this._request.service)?.begin(node)
+    const sink = this._buildSink(turn)
+    const target = placement.targetOf(node)
+    if (target === undefined) return sink.onFailed('unsent', 'node-unknown', undefined)
+    turn.handle = target.start(this._buildCall(turn, moveMs), sink)
+    if (attempt !== 'hedge') this._armHedge()
+  }
+
+  private _buildSink (turn: Turn): RoutedCallSink {
+    return {
+      onAnswer: (answer, load) => {
+        if (this._settle(turn, answer.status >= 500 ? 'failed' : 'answered', load)) this._handleAnswer(turn, answer)
       },
-      onTurnedAway: (reason: TurnAwayReason, retryAfterMs: number, load: GateLoad) => {
+      onTurnedAway: (reason, retryAfterMs, load) => {
         const outcome = reason === 'no-slots' ? 'unreachable' : 'declined'
-        if (settle(outcome, load)) this._handleTurnedAway(turn, reason, retryAfterMs)
+        if (this._settle(turn, outcome, load)) this._handleTurnedAway(turn, reason, retryAfterMs)
       },
-      onFailed: (proof: FailureProof, reason: FailureReason, load: GateLoad | undefined) => {
-        if (settle(PLACEMENT_OUTCOME[proof], load)) this._handleFailed(proof, reason)
-      }
-    }
-    if (target === undefined) return sink.onFailed('unsent', 'node-unknown', undefined)
-    const handle = target.start(this._buildCall(turn.id, moveMs), sink)
-    turn.handle = {
-      cancel: () => {
-        handle.cancel()
-        settle('cancelled', undefined)
+      onFailed: (proof, reason, load) => {
+        if (this._settle(turn, PLACEMENT_OUTCOME[proof], load)) this._handleFailed(turn, proof, reason)
       }
     }
   }
 
-  private _buildCall (id: CallId, moveMs: number | undefined): RoutedCall {
-    const { requestId, method, target, headers, body, route, service, nested, objectiveAtMs } = this._request
+  /** Closes a turn; returns whether its outcome still matters. */
+  private _settle (turn: Turn, outcome: PlacementOutcome, load: GateLoad | undefined): boolean {
+    if (!this._turns.delete(turn)) return false
+    const { placement, clock } = this._context
+    placement.chooserOf(this._request.service)?.end(turn.node, outcome, load, clock.nowMs())
+    return !this._ended
+  }
+
+  private _buildCall ({ id, attempt }: Turn, moveMs: number | undefined): RoutedCall {
+    const { requestId, method, target, headers, body, route, service, parent, objectiveAtMs } = this._request
     const nowMs = this._context.clock.nowMs()
     return {
       id,
@@ -205,40 +234,87 @@
       requestId,
       work: route.name,
       kind: route.kind,
-      nested,
+      nested: parent !== undefined,
       priority: route.priority,
       // Whole numbers take a third of the bytes of others.
       leftMs: Math.max(1, Math.floor(this._timeoutAtMs - nowMs)),
       objectiveLeftMs: Math.floor(objectiveAtMs - nowMs),
-      moveMs
+      moveMs,
+      attempt
     }
   }
 
-  private _handleAnswer (answer: RoutedAnswer): void {
+  private _armHedge (): void {
+    const { route, objectiveAtMs } = this._request
+    if (route.kind === 'once' || this._hedge !== undefined) return
+    const delayMs = this._context.hedges.delayMs(route.name, objectiveAtMs - this._context.clock.nowMs())
+    clearTimeout(this._hedgeTimer)
+    if (delayMs !== undefined) this._hedgeTimer = setTimeout(() => this._sendHedge(), delayMs)
+  }
+
+  /** Sends a duplicate to another instance while the first attempt is out, if that may help and the budget allows. */
+  private _sendHedge (): void {
+    const { placement, clock, hedges, budgets, nodes } = this._context
+    const { route, service } = this._request
+    if (this._turns.size !== 1 || this._sends + this._turns.size >= route.maxAttempts) return
+    if (!hedges.gateOf(service).opens()) return
+    const nowMs = clock.nowMs()
+    const query = { ...this._buildQuery(), mayTry: false, withinMs: this._timeoutAtMs - nowMs }
+    const node = placement.chooserOf(service)?.choose(query, nowMs)
+    if (node === undefined || !budgets.of(service).tryRepeat(nodes(), nowMs, HEDGE_BUDGET_SHARE)) return
+    this._hedge = 'sent'
+    this._ask(node, 'hedge', undefined)
+  }
+
+  private _handleAnswer (turn: Turn, answer: RoutedAnswer): void {
     this._sends++
     this._mayHaveRun = true
-    if (this._isRepeatable(answer) && this._mayRepeat()) {
+    if (this._isRepeatable(answer)) {
       this._heldAnswer = answer
-      this._next()
-      return
+      if (this._turns.size > 0) return
+      if (this._mayRepeat()) return this._next('repeat')
     }
+    this._learn(turn)
     this._finish({ type: 'answer', answer })
   }
 
-  private _handleTurnedAway ({ isFinal }: Turn, reason: TurnAwayReason, retryAfterMs: number): void {
+  /** Learns from the attempt that answered, and from the one that it has overtaken. */
+  private _learn (winner: Turn): void {
+    const { hedges, clock } = this._context
+    const { route, service } = this._request
+    const nowMs = clock.nowMs()
+    const first = winner.attempt === 'first' ? winner : [...this._turns].find(({ attempt }) => attempt === 'first')
+    if (first !== undefined) hedges.learnTime(route.name, nowMs - first.startedAtMs)
+    if (this._hedge !== 'sent') return
+    const won = winner.attempt === 'hedge'
+    hedges.gateOf(service).learn(won)
+    if (won) this._hedge = 'won'
+  }
+
+  private _handleTurnedAway (turn: Turn, reason: TurnAwayReason, retryAfterMs: number): void {
     this._declines++
-    if (isFinal && reason !== 'no-slots') this._giveUp(reason, retryAfterMs)
-    else this._next()
+    if (turn.attempt === 'hedge' && this._hedge !== undefined) return this._handleHedgeDeclined(reason, retryAfterMs)
+    if (this._turns.size > 0) return
+    if (turn.isFinal && reason !== 'no-slots') this._giveUp(reason, retryAfterMs)
+    else this._next(turn.attempt)
   }
 
-  private _handleFailed (proof: FailureProof, reason: FailureReason): void {
-    if (proof === 'unsent') return this._next()
-    this._sends++
+  private _handleHedgeDeclined (reason: TurnAwayReason, retryAfterMs: number): void {
+    this._context.budgets.of(this._request.service).refund()
+    this._hedge = 'declined'
+    if (this._turns.size === 0) return this._giveUp(reason, retryAfterMs)
+    if (++this._hedgeDeclines < MAX_HEDGE_DECLINES) this._sendHedge()
+  }
+
+  private _handleFailed (turn: Turn, proof: FailureProof, reason: FailureReason): void {
+    if (proof !== 'unsent') this._sends++
     if (proof === 'unknown') this._mayHaveRun = true
+    if (this._turns.size > 0) return
+    if (proof === 'unsent') return this._next(turn.attempt)
     // The deadline is that of the whole request: there is no time left for another instance.
     if (reason === 'timeout') return this._giveUp(reason, 0)
     const repeatable = proof === 'rejected' || this._request.route.kind !== 'once'
-    if (repeatable && this._mayRepeat()) this._next()
+    if (repeatable && this._mayRepeat()) this._next('repeat')
     else this._giveUp(reason, 0)
   }
 
@@ -254,6 +330,7 @@
   }
 
   private _giveUp (reason: GatewayReason, retryAfterMs: number): void {
+    if (REFUSED_FOR_LOAD.has(reason)) this._context.hedges.gateOf(this._request.service).refused()
     if (this._heldAnswer !== undefined) this._finish({ type: 'answer', answer: this._heldAnswer })
     else if (this._mayHaveRun) this._finish({ type: 'failed', reason, timedOut: reason === 'timeout' })
     else this._finish({ type: 'refused', reason, retryAfterMs: this._spread(retryAfterMs) })
@@ -269,21 +346,24 @@
 
   private _handleTimeout (): void {
     if (this._ended) return
-    const out = this._turn?.open === true
-    this._cancelTurn()
+    const out = this._turns.size > 0
+    this._cancelTurns()
     if (this._heldAnswer !== undefined) this._finish({ type: 'answer', answer: this._heldAnswer })
     else if (out || this._mayHaveRun) this._finish({ type: 'failed', reason: 'timeout', timedOut: true })
     else this._finish({ type: 'refused', reason: 'timeout', retryAfterMs: 0 })
   }
 
-  private _cancelTurn (): void {
-    if (this._turn?.open !== true) return
-    this._sends++
-    this._turn.handle?.cancel()
+  private _cancelTurns (): void {
+    for (const turn of [...this._turns]) {
+      this._sends++
+      turn.handle?.cancel()
+      this._settle(turn, 'cancelled', undefined)
+    }
   }
 
   private _finish (result: GatewayResult): void {
     if (this._ended) return
+    this._cancelTurns()
     this._end()
     this._onEnd(result)
   }
@@ -291,5 +371,9 @@
   private _end (): void {
     this._ended = true
     clearTimeout(this._timer)
+    clearTimeout(this._hedgeTimer)
   }
 }
+
+/** Reasons that tell of too much load rather than of a failure. */
+const REFUSED_FOR_LOAD: ReadonlySet<GatewayReason> = new Set(['busy', 'too-late'])
--- a/src/routenode/InstanceClient.test.ts
+++ b/src/routenode/InstanceClient.test.ts
@@ -62,7 +62,8 @@
     priority: 0,
     leftMs: 5000,
     objectiveLeftMs: 100,
-    moveMs: undefined
+    moveMs: undefined,
+    attempt: 'first'
   }
   return await new Promise(resolve => {
     client.run(call, 'i-1', 5000, {
--- a/src/routenode/InstancePort.ts
+++ b/src/routenode/InstancePort.ts
@@ -11,7 +11,8 @@
 import { InstanceClient, type InstanceHealth } from './InstanceClient.js'
 import type { InstanceLoad } from './LoadHeader.js'
 import type {
-  FailureProof, FailureReason, HeaderNames, RoutedAnswer, RoutedCall, RoutedCallHandle, RoutedCallSink, RoutedCallTarget
+  Attempt, FailureProof, FailureReason, HeaderNames, RoutedAnswer, RoutedCall, RoutedCallHandle, RoutedCallSink,
+  RoutedCallTarget
 } from './Types.js'
 
 /** What the port is made of. */
@@ -56,7 +57,7 @@
   private readonly _client: InstanceClient
   private readonly _gate = new RunGate()
   private readonly _held = new Map<CallId, HeldCall>()
-  private readonly _runningIds = new Set<string>()
+  private readonly _attempts = new Map<string, Attempt>()
   private readonly _wake: PartTimer
   private readonly _changes = new Emitter<void>()
   private readonly _gateHandlers: GateHandlers
@@ -121,11 +122,11 @@
   }
 
   /**
-   * Tells whether the instance runs a request now.
+   * Returns which attempt of a request the instance runs now, undefined when it doesn't run it.
    * @param requestId Id of the request.
    */
-  public runs (requestId: string): boolean {
-    return this._runningIds.has(requestId)
+  public attemptOf (requestId: string): Attempt | undefined {
+    return this._attempts.get(requestId)
   }
 
   /** Takes a report of an instance. */
@@ -163,7 +164,8 @@
       priority: call.priority,
       objectiveAtMs: nowMs + call.objectiveLeftMs,
       deadlineAtMs,
-      moveMs: call.moveMs
+      moveMs: call.moveMs,
+      spare: call.attempt === 'hedge'
     }
     this._step({ type: 'offer', call: gateCall })
     return { cancel: () => this._cancel(id) }
@@ -199,7 +201,7 @@
     const instance = this._register.current
     if (held === undefined || instance === undefined) return
     held.startedAtMs = this._parts.clock.nowMs()
-    this._runningIds.add(held.call.requestId)
+    this._attempts.set(held.call.requestId, held.call.attempt)
     held.handle = this._client.run(held.call, instance.id, held.deadlineAtMs - held.startedAtMs, {
       onAnswer: answer => this._handleAnswer(id, held, answer),
       onFailure: (proof, reason, detail) => this._handleFailure(id, held, proof, reason, detail),
@@ -246,7 +248,7 @@
 
   private _forget (id: CallId, { call }: HeldCall): void {
     this._held.delete(id)
-    this._runningIds.delete(call.requestId)
+    this._attempts.delete(call.requestId)
   }
 
   private _noteSuccess (): void {
--- a/src/routenode/RouteNodeDaemon.ts
+++ b/src/routenode/RouteNodeDaemon.ts
@@ -2,6 +2,7 @@
 import type { ReportOutcome } from '../parts/instances/InstanceRegister.js'
 import { NodeDirectory } from '../parts/instances/NodeDirectory.js'
 import type { InstanceReport, NodeEntry } from '../parts/instances/Types.js'
+import { HedgePlan } from '../parts/retry/HedgePlan.js'
 import { RouteTable } from '../parts/routing/RouteTable.js'
 import type { VersionedRouting } from '../parts/routing/Types.js'
 import type { Random, ServiceName } from '../parts/Types.js'
@@ -85,8 +86,9 @@
       metrics: this.metrics,
       placement: this._placement,
       budgets: new RepeatBudgets(settings.repeats),
+      hedges: new HedgePlan(),
       callerService: () => this._port.service,
-      runs: requestId => this._port.runs(requestId),
+      attemptOf: requestId => this._port.attemptOf(requestId),
       nextCall: () => ++this._lastCall,
       nodes: () => this._directory.size
     })
--- a/src/routenode/Types.ts
+++ b/src/routenode/Types.ts
@@ -25,6 +25,12 @@
   readonly signature: string
 }
 
+/**
+ * Which send of a request a run belongs to: the first, one that replaces a failed one, or a duplicate sent in case
+ * that the first is slow. Calls that a run makes belong to the same.
+ */
+export type Attempt = 'first' | 'repeat' | 'hedge'
+
 /** One call on its way to an instance. */
 export interface RoutedCall {
   readonly id: CallId
@@ -46,6 +52,7 @@
   readonly objectiveLeftMs: number
   /** See `GateCall.moveMs`; a gate's answer to a call without it is final. */
   readonly moveMs: number | undefined
+  readonly attempt: Attempt
 }
 
 /** A whole answer of an instance. */
