Hold a call while its VM is slow, as a run keeps the pace at which it starts

A run keeps the slowness that its VM has when it starts, and that changes several times a second. The gate started calls on slow VMs when they had nowhere else to go, and on figures up to 150 ms old. Each such run also holds its slot five times as long.

Change: `MachinePace` keeps the figure and its age. A VM that is never slow is not asked. Work times are learned at the usual pace.

The tests of the gate for a slow VM changed with the decision: a call with nowhere else to go is held, where it was started at once before; a duplicate is refused as slow, where it was refused as busy.

--- a/src/parts/gate/Constants.ts
+++ b/src/parts/gate/Constants.ts
@@ -20,15 +20,30 @@
 /** Work time assumed before the first sample, in milliseconds: the usual size of an interactive request. */
 export const INITIAL_WORK_MS = 50
 
-/** A VM this many times slower than usual hands calls back that may go elsewhere: a move gains more than it costs. */
-export const SLOW_FACTOR = 2.5
-
 /** Share of the limit that duplicates leave free: a burst must find room before they have ended. */
 export const SPARE_RESERVE_SHARE = 0.3
 
 /** Age after which a slowness figure says nothing, in milliseconds; it changes several times a second. */
 export const SLOWNESS_VALID_MS = 150
 
+/** Age up to which a figure tells the pace of a run that starts now, in milliseconds: an eighth of its life. */
+export const PACE_FRESH_MS = 20
+
+/** Wait before a VM that was slow is asked again, in milliseconds: a few times while a figure is valid. */
+export const PACE_RECHECK_MS = 30
+
+/** Expected time until a slow VM is back at its usual pace, in milliseconds; a run that loses less starts at once. */
+export const PACE_STAY_MS = 100
+
+/** Longest time that a call is held for a better pace, in milliseconds: two changes of a figure. */
+export const PACE_PATIENCE_MS = 300
+
+/** Time for which calls start without a figure after a measurement has failed, in milliseconds. */
+export const BLIND_MS = 1000
+
+/** Half-life of the highest slowness seen, in milliseconds. */
+export const PEAK_HALF_LIFE_MS = 10_000
+
 /** Share of the limit that calls past their objective leave free, for those that can still meet theirs. */
 export const LATE_RESERVE_SHARE = 0.25
 
@@ -38,8 +53,5 @@
 /** Calls that may wait in all; bounds memory. */
 export const MAX_WAITING = 1000
 
-/** Weight of a new figure in the smoothed slowness: some seconds of figures. */
-export const SLOWNESS_WEIGHT = 0.02
-
 /** Reported slowness is told in steps of a quarter, which short numbers hold exactly. */
 export const SLOWNESS_STEPS = 4
--- a/src/parts/gate/RunGate.test.ts
+++ b/src/parts/gate/RunGate.test.ts
@@ -1,5 +1,6 @@
 import fc from 'fast-check'
 import { expect, test } from 'vitest'
+import { PACE_PATIENCE_MS, PACE_RECHECK_MS } from './Constants.js'
 import { RunGate } from './RunGate.js'
 import type { GateAction, GateCall } from './Types.js'
 
@@ -55,15 +56,41 @@
   const gate = makeGate(4)
   gate.step({ type: 'slowness', slowness: 5 }, 0)
   expect(gate.step({ type: 'offer', call: makeCall({ moveMs: 0 }) }, 1)).toMatchObject([{ type: 'turnAway', reason: 'slow' }])
-  expect(kinds(gate.step({ type: 'offer', call: makeCall({ moveMs: undefined }) }, 1))).toEqual(['start'])
-  expect(kinds(gate.step({ type: 'offer', call: makeCall({ moveMs: 0 }) }, 500))).toEqual(['start'])
 })
 
-test('a call that is dear to move stays on a VM that is slow, and waits while it can still meet its objective', () => {
-  const gate = makeGate(1)
+test('a call that stays is held until the VM is back at its usual pace', () => {
+  const gate = makeGate(4)
   gate.step({ type: 'slowness', slowness: 5 }, 0)
-  const dear = makeCall({ moveMs: 1000 })
-  expect(kinds(gate.step({ type: 'offer', call: dear }, 1))).toEqual(['start'])
+  const calls = [makeCall(), makeCall({ moveMs: 1000 })]
+  for (const call of calls) expect(kinds(gate.step({ type: 'offer', call }, 1))).not.toContain('start')
+  expect(kinds(gate.step({ type: 'tick' }, PACE_RECHECK_MS))).toContain('measure')
+  expect(kinds(gate.step({ type: 'measured', slowness: 5 }, PACE_RECHECK_MS + 1))).not.toContain('start')
+  expect(kinds(gate.step({ type: 'tick' }, 2 * PACE_RECHECK_MS + 1))).toContain('measure')
+  expect(startedIds(gate.step({ type: 'measured', slowness: 1 }, 70))).toEqual(calls.map(({ id }) => id))
+})
+
+test('a call is not held for ever by a VM that stays slow, nor by one that tells nothing', () => {
+  const gate = makeGate(4)
+  gate.step({ type: 'slowness', slowness: 5 }, 0)
+  const call = makeCall({ objectiveAtMs: 2000, deadlineAtMs: 3000 })
+  gate.step({ type: 'offer', call }, 1)
+  gate.step({ type: 'tick' }, PACE_RECHECK_MS)
+  gate.step({ type: 'measured', slowness: 5 }, PACE_PATIENCE_MS)
+  expect(startedIds(gate.step({ type: 'tick' }, PACE_PATIENCE_MS + 1))).toEqual([call.id])
+  const blind = makeCall({ objectiveAtMs: 2000, deadlineAtMs: 3000 })
+  expect(kinds(gate.step({ type: 'offer', call: blind }, 1000))).toContain('measure')
+  expect(startedIds(gate.step({ type: 'measured', slowness: undefined }, 1020))).toEqual([blind.id])
+})
+
+test('a VM whose pace never changes is not asked for it', () => {
+  const gate = makeGate(4)
+  gate.step({ type: 'slowness', slowness: 1 }, 0)
+  expect(kinds(gate.step({ type: 'offer', call: makeCall() }, 5000))).toEqual(['start'])
+})
+
+test('a call that is dear to move waits while it can still meet its objective', () => {
+  const gate = makeGate(1)
+  fill(gate, 1)
   expect(kinds(gate.step({ type: 'offer', call: makeCall({ moveMs: 1000 }) }, 1))).toEqual(['wake'])
   const late = makeCall({ moveMs: 1000, objectiveAtMs: 60 })
   expect(gate.step({ type: 'offer', call: late }, 1)).toMatchObject([{ type: 'turnAway', reason: 'busy' }])
@@ -77,7 +104,7 @@
   expect(gate.step({ type: 'offer', call: spare() }, 0)).toMatchObject([{ type: 'turnAway', reason: 'busy' }])
   const slow = makeGate(4)
   slow.step({ type: 'slowness', slowness: 5 }, 0)
-  expect(slow.step({ type: 'offer', call: spare() }, 1)).toMatchObject([{ type: 'turnAway', reason: 'busy' }])
+  expect(slow.step({ type: 'offer', call: spare() }, 1)).toMatchObject([{ type: 'turnAway', reason: 'slow' }])
 })
 
 test('without slots every call is turned away, those that wait too', () => {
@@ -157,7 +184,7 @@
 
 test('every call ends once and no more run than the slots', () => {
   const operation = fc.record({
-    kind: fc.constantFrom('offer', 'finish', 'cancel', 'tick', 'slots'),
+    kind: fc.constantFrom('offer', 'finish', 'cancel', 'tick', 'slots', 'measured'),
     pick: fc.nat(50),
     stepMs: fc.nat(200),
     nested: fc.boolean(),
@@ -174,7 +201,7 @@
     let nowMs = 0
     const take = (actions: readonly GateAction[]): void => {
       for (const action of actions) {
-        if (action.type === 'wake') continue
+        if (action.type === 'wake' || action.type === 'measure') continue
         expect(open.get(action.call.id)).toBe('waiting')
         if (action.type === 'start') open.set(action.call.id, 'running')
         else open.delete(action.call.id)
@@ -201,6 +228,7 @@
         open.delete(id)
         take(gate.step({ type: 'cancelled', id }, nowMs))
       }
+      if (item.kind === 'measured') take(gate.step({ type: 'measured', slowness: [undefined, 1, 5][item.priority] }, nowMs))
       if (item.kind === 'tick') take(gate.step({ type: 'tick' }, nowMs))
       if (item.kind === 'slots') {
         slots = item.priority * 3
--- a/src/parts/gate/RunGate.ts
+++ b/src/parts/gate/RunGate.ts
@@ -1,9 +1,9 @@
 import type { CallId, Part } from '../Types.js'
 import {
-  LATE_LINE_SHARE, LATE_RESERVE_SHARE, MAX_WAITING,
-  SLOWNESS_STEPS, SLOWNESS_VALID_MS, SLOWNESS_WEIGHT, SLOW_FACTOR, SPARE_RESERVE_SHARE
+  LATE_LINE_SHARE, LATE_RESERVE_SHARE, MAX_WAITING, PACE_PATIENCE_MS, PACE_STAY_MS, SLOWNESS_STEPS, SPARE_RESERVE_SHARE
 } from './Constants.js'
 import type { GateAction, GateCall, GateEvent, GateLoad, TurnAwayReason } from './Types.js'
+import { MachinePace } from './MachinePace.js'
 import { SlotLimit } from './SlotLimit.js'
 import { WaitingLine } from './WaitingLine.js'
 import { WorkEstimate } from './WorkEstimate.js'
@@ -16,7 +16,8 @@
  * Decides at the upstream's node, the only way in to its instance, which calls run, wait or are turned away. It
  * answers load that shifts within milliseconds: the choice of an instance was made on older evidence, so a call
  * that may go elsewhere is handed back at once when waiting here, or running on a machine that is slow at the moment,
- * costs more than the move. Calls that can't be served before their deadline are turned away as soon as that is known.
+ * costs more than the move; one that stays is held until the machine is quick again. Calls that can't be served before
+ * their deadline are turned away as soon as that is known.
  *
  * Memory: the calls that run, at most the slots, and `MAX_WAITING` that wait.
  */
@@ -24,15 +25,12 @@
   private readonly _line = new WaitingLine()
   private readonly _running = new Map<CallId, GateCall>()
   private readonly _limit = new SlotLimit()
-  /** Calls that ran, each one included, when a call started. */
-  private readonly _runningAtStart = new Map<CallId, number>()
+  private readonly _starts = new Map<CallId, Start>()
   private readonly _estimate = new WorkEstimate()
+  private readonly _pace = new MachinePace()
   private _actions: GateAction[] = []
   private _nowMs = 0
   private _slots = 0
-  private _slowness = 1
-  private _slownessAtMs = -Infinity
-  private _usualSlowness = 1
   private _wakeAtMs = Infinity
 
   private readonly _handlers: Handlers = {
@@ -41,9 +39,12 @@
     cancelled: event => this._cancel(event.id),
     slots: event => this._setSlots(event.slots),
     slowness: event => {
-      this._slowness = event.slowness
-      this._slownessAtMs = this._nowMs
-      this._usualSlowness += SLOWNESS_WEIGHT * (event.slowness - this._usualSlowness)
+      this._pace.learn(event.slowness, this._nowMs)
+      this._handlePace()
+    },
+    measured: event => {
+      this._pace.measured(event.slowness, this._nowMs)
+      this._handlePace()
     },
     tick: () => this._tick()
   }
@@ -54,6 +55,7 @@
     this._actions = []
     const handler = this._handlers[event.type] as (event: GateEvent) => void
     handler(event)
+    this._measureIfNeeded()
     return this._actions
   }
 
@@ -63,21 +65,30 @@
       running: this._running.size,
       queued: this._line.size,
       limit: this._limit.current(nowMs),
-      slowness: Math.round(SLOWNESS_STEPS * this._slownessNow(nowMs)) / SLOWNESS_STEPS,
-      workMs: Math.round(this._estimate.overallMs / this._usualSlowness)
+      slowness: Math.round(SLOWNESS_STEPS * this._pace.slowness(nowMs)) / SLOWNESS_STEPS,
+      workMs: Math.round(this._estimate.overallMs)
     }
   }
 
   private _offer (call: GateCall): void {
     if (this._slots === 0) return this._turnAway(call, 'no-slots')
-    if (call.spare) return this._hasSpareRoom() ? this._start(call) : this._turnAway(call, 'busy')
-    if (this._hasRoom(call)) {
-      if (this._isWorthMoving(call, this._slowLossMs()) && !call.nested) return this._turnAway(call, 'slow')
-      return this._start(call)
-    }
+    if (this._hasRoom(call)) return this._offerRoom(call)
+    if (call.spare) return this._turnAway(call, 'busy')
     const inTime = this._nowMs + this._waitMs(call) + this._estimate.of(call.work) <= call.objectiveAtMs
-    if (this._isWorthMoving(call, inTime ? this._waitMs(call) : Infinity)) return this._turnAway(call, 'busy')
+    if (isWorthMoving(call, inTime ? this._waitMs(call) : Infinity)) return this._turnAway(call, 'busy')
     if (!this._mayWait(call)) return this._turnAway(call, 'too-late')
+    this._hold(call)
+  }
+
+  private _offerRoom (call: GateCall): void {
+    const lossMs = this._lossMs(call)
+    if (lossMs !== undefined && lossMs <= PACE_STAY_MS) return this._start(call)
+    if (lossMs !== undefined && this._leavesSlow(call)) return this._turnAway(call, 'slow')
+    if (this._latestStartMs(call) <= this._nowMs) return this._turnAway(call, 'too-late')
+    this._hold(call)
+  }
+
+  private _hold (call: GateCall): void {
     this._line.add(call, this._nowMs)
     this._wakeAt(this._latestStartMs(call))
   }
@@ -87,13 +98,13 @@
     if (call === undefined) return
     this._running.delete(id)
     if (workMs !== undefined) this._learn(call, workMs)
-    this._runningAtStart.delete(id)
+    this._starts.delete(id)
     this._startWaiting()
   }
 
   private _cancel (id: CallId): void {
     if (this._line.remove(id)) return
-    this._runningAtStart.delete(id)
+    this._starts.delete(id)
     if (this._running.delete(id)) this._startWaiting()
   }
 
@@ -111,6 +122,16 @@
     if (this._line.size > 0) this._wakeAt(this._line.earliest(call => this._latestStartMs(call)))
   }
 
+  private _handlePace (): void {
+    if (this._line.size === 0) return
+    const leaving = this._line.takeAll(call => {
+      const lossMs = this._hasRoom(call) ? this._lossMs(call) : undefined
+      return lossMs !== undefined && lossMs > PACE_STAY_MS && this._leavesSlow(call)
+    })
+    leaving.forEach(call => this._turnAway(call, 'slow'))
+    this._startWaiting()
+  }
+
   private _startWaiting (): void {
     if (this._line.size === 0) return
     this._dropOverdue()
@@ -122,7 +143,26 @@
   }
 
   private _takeNext (): GateCall | undefined {
-    return this._line.takeNext(call => this._isReachable(call), call => this._hasRoom(call))
+    return this._line.takeNext(
+      call => this._isReachable(call),
+      (call, arrivedAtMs) => this._hasRoom(call) && this._isPaceGood(call, arrivedAtMs)
+    )
+  }
+
+  private _isPaceGood (call: GateCall, arrivedAtMs: number): boolean {
+    if (this._nowMs - arrivedAtMs >= PACE_PATIENCE_MS) return true
+    const lossMs = this._lossMs(call)
+    return lossMs !== undefined && lossMs <= PACE_STAY_MS
+  }
+
+  /** Asks for the next figure while a call has room and waits for nothing else. */
+  private _measureIfNeeded (): void {
+    if (this._line.size === 0 || this._line.count(call => this._hasRoom(call)) === 0) return
+    const dueMs = this._pace.nextMeasureMs(this._nowMs)
+    if (dueMs === undefined) return
+    if (dueMs > this._nowMs) return this._wakeAt(dueMs)
+    this._pace.beginMeasuring()
+    this._actions.push({ type: 'measure' })
   }
 
   /** A call that could not finish in time any more would only take a slot from one that can. */
@@ -134,7 +174,8 @@
 
   private _start (call: GateCall): void {
     this._running.set(call.id, call)
-    this._runningAtStart.set(call.id, this._running.size)
+    const slowness = this._pace.isKnown(this._nowMs) ? this._pace.slowness(this._nowMs) : undefined
+    this._starts.set(call.id, { running: this._running.size, slowness })
     this._actions.push({ type: 'start', call })
   }
 
@@ -142,39 +183,34 @@
     this._actions.push({ type: 'turnAway', call, reason, retryAfterMs: this._waitMs(call) })
   }
 
+  /** Times are learned at the usual pace, so that they tell about the work and the instance. */
   private _learn (call: GateCall, workMs: number): void {
-    const running = this._runningAtStart.get(call.id) ?? 1
-    this._limit.learn(running, call.work, workMs, this._nowMs)
-    this._estimate.learn(call.work, workMs)
+    const start = this._starts.get(call.id)
+    if (start?.slowness === undefined) return
+    const usualMs = workMs / start.slowness
+    this._limit.learn(start.running, call.work, usualMs, this._nowMs)
+    this._estimate.learn(call.work, usualMs)
   }
 
   private _hasRoom (call: GateCall): boolean {
     return this._running.size < this._limitOf(call)
   }
 
-  private _hasSpareRoom (): boolean {
-    const limit = this._limit.current(this._nowMs)
-    return this._slowLossMs() === 0 && this._running.size < limit - Math.ceil(limit * SPARE_RESERVE_SHARE)
-  }
-
   private _limitOf (call: GateCall): number {
     const limit = this._limit.current(this._nowMs)
+    if (call.spare) return limit - Math.ceil(limit * SPARE_RESERVE_SHARE)
     if (call.nested || this._isReachable(call)) return limit
     return Math.max(1, limit - Math.ceil(limit * LATE_RESERVE_SHARE))
   }
 
-  private _slownessNow (nowMs: number): number {
-    return nowMs - this._slownessAtMs < SLOWNESS_VALID_MS ? this._slowness : this._usualSlowness
+  /** What the call loses when it starts now; undefined when a figure is needed to tell. */
+  private _lossMs (call: GateCall): number | undefined {
+    return this._pace.lossMs(this._estimate.of(call.work), this._nowMs)
   }
 
-  private _isWorthMoving (call: GateCall, lossMs: number): boolean {
-    return call.moveMs !== undefined && lossMs > call.moveMs
-  }
-
-  /** Time that a run loses to the present slowness of the VM, which lasts about as long as a figure is valid. */
-  private _slowLossMs (): number {
-    const isSlow = this._nowMs - this._slownessAtMs < SLOWNESS_VALID_MS && this._slowness >= SLOW_FACTOR
-    return isSlow ? SLOWNESS_VALID_MS * (1 - 1 / this._slowness) : 0
+  /** A call leaves a VM that is slow when the move costs less than the wait for a better pace. */
+  private _leavesSlow (call: GateCall): boolean {
+    return call.spare || (!call.nested && isWorthMoving(call, PACE_STAY_MS))
   }
 
   private _isReachable (call: GateCall): boolean {
@@ -206,3 +242,15 @@
     this._actions.push({ type: 'wake', atMs })
   }
 }
+
+/** What a call's start is remembered for. */
+interface Start {
+  /** Calls that ran, this one included. */
+  readonly running: number
+  /** Pace of the VM; undefined when it was not known. */
+  readonly slowness: number | undefined
+}
+
+function isWorthMoving (call: GateCall, lossMs: number): boolean {
+  return call.moveMs !== undefined && lossMs > call.moveMs
+}
--- a/src/parts/gate/Types.ts
+++ b/src/parts/gate/Types.ts
@@ -30,7 +30,7 @@
   readonly limit: number
   /** Time that work takes on this machine now, relative to usual; 1 is usual. */
   readonly slowness: number
-  /** Smoothed time of a run in milliseconds, at usual speed of the VM. */
+  /** Smoothed time of a run in milliseconds, at the usual pace of the VM. */
   readonly workMs: number
 }
 
@@ -42,6 +42,8 @@
   | { readonly type: 'cancelled', readonly id: CallId }
   | { readonly type: 'slots', readonly slots: number }
   | { readonly type: 'slowness', readonly slowness: number }
+  /** Ends a `measure`; undefined when no figure came. */
+  | { readonly type: 'measured', readonly slowness: number | undefined }
   | { readonly type: 'tick' }
 
 /** Why a call was turned away. */
@@ -52,4 +54,6 @@
   | { readonly type: 'start', readonly call: GateCall }
   /** The call has not run. `retryAfterMs` tells when room is expected. */
   | { readonly type: 'turnAway', readonly call: GateCall, readonly reason: TurnAwayReason, readonly retryAfterMs: number }
+  /** Asks for the present slowness of the VM; to be ended by `measured`. */
+  | { readonly type: 'measure' }
   | { readonly type: 'wake', readonly atMs: number }
--- a/src/parts/gate/WaitingLine.ts
+++ b/src/parts/gate/WaitingLine.ts
@@ -65,15 +65,15 @@
   /**
    * Takes the next call to start.
    * @param isReachable Tells whether a call can still meet its objective.
-   * @param mayStart Tells whether a call may start now.
+   * @param mayStart Tells whether a call that has waited since a time may start now.
    */
   public takeNext (
-    isReachable: (call: GateCall) => boolean, mayStart: (call: GateCall) => boolean
+    isReachable: (call: GateCall) => boolean, mayStart: (call: GateCall, arrivedAtMs: number) => boolean
   ): GateCall | undefined {
     let best: GateCall | undefined
     let bestReachable = false
-    for (const { call } of this._calls.values()) {
-      if (!mayStart(call)) continue
+    for (const { call, arrivedAtMs } of this._calls.values()) {
+      if (!mayStart(call, arrivedAtMs)) continue
       const reachable = isReachable(call)
       if (best !== undefined && !precedes(call, reachable, best, bestReachable)) continue
       best = call
--- a/src/parts/gate/WorkEstimate.ts
+++ b/src/parts/gate/WorkEstimate.ts
@@ -4,7 +4,7 @@
 const MAX_ESTIMATES = 1024
 
 /**
- * Smoothed time of runs by kind of work, slow-downs of the VM included.
+ * Smoothed time of runs by kind of work, at the usual pace of the VM.
  *
  * Memory: one number for each of at most `MAX_ESTIMATES` kinds.
  */
--- a/src/routenode/Constants.ts
+++ b/src/routenode/Constants.ts
@@ -19,6 +19,9 @@
 /** Longest wait for a health check, in milliseconds. */
 export const HEALTH_TIMEOUT_MS = 500
 
+/** Longest wait for a figure of load, in milliseconds; calls wait for it, and it takes one or two. */
+export const MEASURE_TIMEOUT_MS = 20
+
 /** Interval of pings to the control replica that a node takes its news from, in milliseconds. */
 export const FEED_PING_MS = 500
 
--- a/src/routenode/InstanceClient.ts
+++ b/src/routenode/InstanceClient.ts
@@ -1,9 +1,9 @@
 import { request as sendRequest } from 'node:http'
-import type { ClientRequest, IncomingMessage } from 'node:http'
+import type { Agent, ClientRequest, IncomingMessage } from 'node:http'
 import { findHeader, selectEndToEnd } from '../node/EndToEndHeaders.js'
 import { parseAddress } from '../runtime/Address.js'
 import type { Clock, Disposable } from '../runtime/Types.js'
-import { HEALTH_TIMEOUT_MS, INSTANCE_CONNECT_MS, MAX_ANSWER_BYTES, ONCE_MAX_IDLE_MS } from './Constants.js'
+import { HEALTH_TIMEOUT_MS, INSTANCE_CONNECT_MS, MAX_ANSWER_BYTES, MEASURE_TIMEOUT_MS, ONCE_MAX_IDLE_MS } from './Constants.js'
 import { InstanceAgent } from './InstanceAgent.js'
 import { parseLoad } from './LoadHeader.js'
 import type { InstanceLoad } from './LoadHeader.js'
@@ -29,6 +29,8 @@
 /** HTTP/1.1 to the instance on the same VM. An answer counts only when it is whole and repeats the request's id. */
 export class InstanceClient implements Disposable {
   private readonly _agent = new InstanceAgent()
+  /** A measurement must not wait for a connection that a run holds. */
+  private readonly _measuringAgent = new InstanceAgent()
   private readonly _host: string
   private readonly _port: number
 
@@ -64,28 +66,26 @@
   }
 
   /**
-   * Asks the instance for its health.
+   * Asks the instance for its health, on a connection of its own.
    * @param path Path of the health check.
    * @param onResult Called once; undefined unless the instance says that it is well.
    */
   public check (path: string, onResult: (health: InstanceHealth | undefined) => void): void {
-    const request = sendRequest({ host: this._host, port: this._port, path, agent: false, timeout: HEALTH_TIMEOUT_MS })
-    let done = false
-    const finish = (health: InstanceHealth | undefined): void => {
-      if (done) return
-      done = true
-      request.destroy()
-      onResult(health)
-    }
-    request.on('timeout', () => finish(undefined))
-    request.on('error', () => finish(undefined))
-    request.on('response', response => {
-      response.resume()
-      const id = response.headers[this._names.instanceId]
-      const load = parseLoad(response.headers[this._names.load] as string | undefined)
-      finish(response.statusCode === 200 && typeof id === 'string' ? { id, load } : undefined)
+    this._ask(path, false, HEALTH_TIMEOUT_MS, response => {
+      const id = response?.headers[this._names.instanceId]
+      onResult(response?.statusCode === 200 && typeof id === 'string' ? { id, load: this._loadOf(response) } : undefined)
+    })
+  }
+
+  /**
+   * Asks the instance for its load, whether it is well or not, on a connection that is kept.
+   * @param path Path of the health check.
+   * @param onResult Called once; undefined when no load is told in time.
+   */
+  public measure (path: string, onResult: (load: InstanceLoad | undefined) => void): void {
+    this._ask(path, this._measuringAgent, MEASURE_TIMEOUT_MS, response => {
+      onResult(response === undefined ? undefined : this._loadOf(response))
     })
-    request.end()
   }
 
   /** Closes all idle connections; one of them was found silent. */
@@ -96,6 +96,30 @@
   /** Closes all connections at once. */
   public dispose (): void {
     this._agent.destroy()
+    this._measuringAgent.destroy()
+  }
+
+  private _ask (
+    path: string, agent: Agent | false, timeoutMs: number, onResponse: (response: IncomingMessage | undefined) => void
+  ): void {
+    const request = sendRequest({ host: this._host, port: this._port, path, agent })
+    let done = false
+    const finish = (response: IncomingMessage | undefined): void => {
+      if (done) return
+      done = true
+      clearTimeout(timer)
+      if (response === undefined || agent === false) request.destroy()
+      else response.resume()
+      onResponse(response)
+    }
+    const timer = setTimeout(() => finish(undefined), timeoutMs)
+    request.on('error', () => finish(undefined))
+    request.on('response', response => finish(response))
+    request.end()
+  }
+
+  private _loadOf ({ headers }: IncomingMessage): InstanceLoad | undefined {
+    return parseLoad(headers[this._names.load] as string | undefined)
   }
 
   private _headersOf (call: RoutedCall, instance: string, deadlineAtMs: number): string[] {
--- a/src/routenode/InstancePort.ts
+++ b/src/routenode/InstancePort.ts
@@ -76,6 +76,7 @@
         const held = this._take(action.call.id)
         held?.sink.onTurnedAway(action.reason, action.retryAfterMs, this.load())
       },
+      measure: () => this._measurePace(),
       wake: action => this._wake.wakeAt(action.atMs)
     }
   }
@@ -289,6 +290,12 @@
     this.report({ id, bornMs, sequence: -1, service, address, slots: load?.slots ?? 1, state: 'ready', coldMs: 0 })
   }
 
+  private _measurePace (): void {
+    const path = this._parts.healthPathOf(this.service)
+    if (path === undefined) return this._step({ type: 'measured', slowness: undefined })
+    this._client.measure(path, load => this._step({ type: 'measured', slowness: load?.slowness }))
+  }
+
   private _stopRecovery (): void {
     clearInterval(this._recoveryTimer)
     this._recoveryTimer = undefined
