Elect a first leader sooner after a restart, and wait for no VM that stays slow

Ruled out: the start of the processes (1 to 5 ms after their first line), the nodes' way to the configuration (under 0.1 s after the leader).

Change: a replica that has heard no leader since its start waits for 150 to 300 ms; pre-votes beside a live leader change nothing. `MachinePace` compares with the least slowness of the last two periods, which waiting can't mend.

--- /dev/null
+++ b/src/parts/agreement/FirstElection.test.ts
@@ -0,0 +1,42 @@
+import { expect, test } from 'vitest'
+import { SeededRandom } from '../SeededRandom.js'
+import { Replica } from './Replica.js'
+import type { AgreementMessage } from './Types.js'
+
+const TIMING = { heartbeatMs: 100, electionMinMs: 500, electionMaxMs: 900, leaseMs: 450, firstElectionMs: 300 }
+const MEMBERS = ['a', 'b', 'c']
+
+function makeReplica (seed: number): Replica {
+  const snapshot = { index: 0, term: 0, members: MEMBERS, data: new Uint8Array(0) }
+  const recovered = { hard: { term: 3, votedFor: undefined }, snapshot, entries: [] }
+  return new Replica({ id: 'a', random: new SeededRandom(seed), recovered, timing: TIMING })
+}
+
+/** When a replica first asks for votes, in milliseconds from its start. */
+function firstAskMs (replica: Replica, hears: (nowMs: number) => AgreementMessage | undefined): number {
+  for (let nowMs = 0; nowMs < 5000; nowMs += 10) {
+    const message = hears(nowMs)
+    const heard = message === undefined ? [] : replica.step({ type: 'message', from: 'b', message }, nowMs)
+    const actions = [...heard, ...replica.step({ type: 'tick' }, nowMs)]
+    if (actions.some(action => action.type === 'send' && action.message.type === 'preVote')) return nowMs
+  }
+  return Infinity
+}
+
+test('a replica that restarts without a leader asks for votes soon', () => {
+  for (let seed = 1; seed <= 20; seed++) {
+    const askMs = firstAskMs(makeReplica(seed), () => undefined)
+    expect(askMs).toBeGreaterThanOrEqual(150)
+    expect(askMs).toBeLessThanOrEqual(320)
+  }
+})
+
+test('a leader that is heard gets the usual patience', () => {
+  const beat: AgreementMessage = {
+    type: 'append', term: 3, prevIndex: 0, prevTerm: 0, entries: [], commit: 0, round: 1, sentAtMs: 0
+  }
+  for (let seed = 1; seed <= 20; seed++) {
+    const askMs = firstAskMs(makeReplica(seed), nowMs => nowMs === 100 ? beat : undefined)
+    expect(askMs).toBeGreaterThanOrEqual(600)
+  }
+})
--- a/src/parts/agreement/ReplicaState.ts
+++ b/src/parts/agreement/ReplicaState.ts
@@ -214,8 +214,10 @@
 
   /** Draws the time of the next election. */
   public delayElection (): void {
-    const { electionMinMs, electionMaxMs } = this.timing
-    this.electionDueMs = this.nowMs + electionMinMs + (electionMaxMs - electionMinMs) * this.random.next()
+    const { electionMinMs, electionMaxMs, firstElectionMs } = this.timing
+    const isFirst = this.leaderHeardMs === undefined && firstElectionMs !== undefined
+    const [leastMs, longestMs] = isFirst ? [firstElectionMs / 2, firstElectionMs] : [electionMinMs, electionMaxMs]
+    this.electionDueMs = this.nowMs + leastMs + (longestMs - leastMs) * this.random.next()
   }
 
   /**
--- a/src/parts/agreement/Types.ts
+++ b/src/parts/agreement/Types.ts
@@ -47,6 +47,11 @@
   readonly electionMinMs: number
   /** Longest such silence; the wait is drawn between the two. */
   readonly electionMaxMs: number
+  /**
+   * Longest wait before an election while no leader was heard since the start; half of it is the least. A group whose
+   * replicas all restart has no leader to wait for. Undefined: as long as later.
+   */
+  readonly firstElectionMs?: number
   /** A leader that no quorum has answered for this long steps down; below `electionMinMs`. */
   readonly leaseMs: number
   /** Longest catch-up of a new replica before its addition is given up. */
--- a/src/parts/gate/Constants.ts
+++ b/src/parts/gate/Constants.ts
@@ -41,6 +41,12 @@
 /** Time for which calls start without a figure after a measurement has failed, in milliseconds. */
 export const BLIND_MS = 1000
 
+/**
+ * Length of a period over which the least slowness is kept, in milliseconds; two periods are looked at. A VM that was
+ * never quicker for that long, as after a start, stays as it is, and waiting for it brings nothing.
+ */
+export const FLOOR_PERIOD_MS = 300
+
 /** Half-life of the highest slowness seen, in milliseconds. */
 export const PEAK_HALF_LIFE_MS = 10_000
 
--- a/src/parts/gate/MachinePace.ts
+++ b/src/parts/gate/MachinePace.ts
@@ -1,4 +1,6 @@
-import { BLIND_MS, PACE_FRESH_MS, PACE_RECHECK_MS, PACE_STAY_MS, PEAK_HALF_LIFE_MS, SLOWNESS_VALID_MS } from './Constants.js'
+import {
+  BLIND_MS, FLOOR_PERIOD_MS, PACE_FRESH_MS, PACE_RECHECK_MS, PACE_STAY_MS, PEAK_HALF_LIFE_MS, SLOWNESS_VALID_MS
+} from './Constants.js'
 
 /**
  * How slow the VM of an instance is at the moment. Its neighbours change that several times a second, and a run keeps
@@ -13,6 +15,10 @@
   private _atMs = -Infinity
   /** Highest slowness seen, fading: a VM that is never slow need not be asked. */
   private _peak = 1
+  /** Least slowness of the present period and of the one before. */
+  private _floor = Infinity
+  private _floorBefore = Infinity
+  private _periodStartMs = -Infinity
   private _isMeasuring = false
   private _blindUntilMs = -Infinity
 
@@ -23,6 +29,7 @@
    */
   public learn (slowness: number, nowMs: number): void {
     this._peak = Math.max(slowness, this._peakAt(nowMs))
+    this._learnFloor(slowness, nowMs)
     this._slowness = slowness
     this._atMs = nowMs
   }
@@ -50,12 +57,13 @@
   }
 
   /**
-   * Returns what a run loses when it starts now, in milliseconds; undefined when a figure is needed to tell.
+   * Returns what a run loses when it starts now rather than once the VM is quicker again, in milliseconds; undefined
+   * when a figure is needed to tell.
    * @param workMs Time of the run at the usual pace.
    */
   public lossMs (workMs: number, nowMs: number): number | undefined {
     if (workMs * (this._peakAt(nowMs) - 1) <= PACE_STAY_MS || nowMs < this._blindUntilMs) return 0
-    return this._isFresh(nowMs) ? workMs * Math.max(0, this._slowness - 1) : undefined
+    return this._isFresh(nowMs) ? workMs * Math.max(0, this._slowness - this._lastingSlowness()) : undefined
   }
 
   /** When the next figure is due, for a call that waits for one; undefined while a measurement is under way. */
@@ -65,6 +73,21 @@
     return isSlow ? this._atMs + PACE_RECHECK_MS : this._atMs + PACE_FRESH_MS
   }
 
+  private _learnFloor (slowness: number, nowMs: number): void {
+    const ageMs = nowMs - this._periodStartMs
+    if (ageMs >= FLOOR_PERIOD_MS) {
+      this._floorBefore = ageMs < 2 * FLOOR_PERIOD_MS ? this._floor : Infinity
+      this._floor = Infinity
+      this._periodStartMs = nowMs
+    }
+    this._floor = Math.min(this._floor, slowness)
+  }
+
+  /** Slowness that waiting does not mend; that of a single period is taken for passing. */
+  private _lastingSlowness (): number {
+    return this._floorBefore === Infinity ? 1 : Math.min(this._floor, this._floorBefore)
+  }
+
   private _isFresh (nowMs: number): boolean {
     return nowMs - this._atMs < PACE_FRESH_MS
   }
--- a/src/routecontrol/Constants.ts
+++ b/src/routecontrol/Constants.ts
@@ -8,6 +8,8 @@
   heartbeatMs: 100,
   electionMinMs: 500,
   electionMaxMs: 900,
+  // Three heartbeats: a leader that is there is heard by then, and a pre-vote beside one changes nothing.
+  firstElectionMs: 300,
   leaseMs: 450,
   catchUpTimeoutMs: 4000
 }
