Tell late callers at once during an overload, and re-arm the gate's timer

Beside it a fault: a timer that fired a fraction of a millisecond early left the gate without one, and calls waited for the next event.

A tick always asks for the next wake-up. The test plays an overload and checks how long refused callers were held.

--- a/src/parts/gate/Constants.ts
+++ b/src/parts/gate/Constants.ts
@@ -53,8 +53,11 @@
 /** Share of the limit that calls past their objective leave free, for those that can still meet theirs. */
 export const LATE_RESERVE_SHARE = 0.25
 
-/** Calls past their objective that may wait, as a share of the slots: they start only when no other call waits. */
-export const LATE_LINE_SHARE = 1
+/** Calls past their objective that may wait at first; they start only when no other call waits. */
+export const FIRST_LATE_ROOM = 3
+
+/** What each such call that starts adds to the number. */
+export const LATE_ROOM_STEP = 0.5
 
 /** Calls that may wait in all; bounds memory. */
 export const MAX_WAITING = 1000
--- a/src/parts/gate/RunGate.test.ts
+++ b/src/parts/gate/RunGate.test.ts
@@ -153,6 +153,33 @@
   expect(kinds(gate.step({ type: 'offer', call: makeCall() }, 0))).toEqual(['start'])
 })
 
+test('during an overload callers past their objective are told at once instead of held until their deadline', () => {
+  const gate = makeGate(1)
+  const heldMs: number[] = []
+  const offeredAtMs = new Map<number, number>()
+  let running: number | undefined
+  const take = (actions: readonly GateAction[], nowMs: number): void => {
+    for (const action of actions) {
+      if (action.type === 'start') running = action.call.id
+      if (action.type === 'turnAway') heldMs.push(nowMs - (offeredAtMs.get(action.call.id) ?? nowMs))
+    }
+  }
+  for (let nowMs = 0; nowMs < 20_000; nowMs += 25) {
+    if (nowMs % 50 === 0 && running !== undefined) {
+      const id = running
+      running = undefined
+      take(gate.step({ type: 'finished', id, workMs: 50 }, nowMs), nowMs)
+    }
+    const call = makeCall({ objectiveAtMs: nowMs % 100 === 0 ? nowMs - 1 : nowMs + 120, deadlineAtMs: nowMs + 1000 })
+    offeredAtMs.set(call.id, nowMs)
+    take(gate.step({ type: 'offer', call }, nowMs), nowMs)
+    take(gate.step({ type: 'tick' }, nowMs), nowMs)
+  }
+  const long = heldMs.filter(ms => ms > 500).length
+  expect(heldMs.length).toBeGreaterThan(200)
+  expect(long / heldMs.length).toBeLessThan(0.02)
+})
+
 test('a call that could not finish before its deadline is turned away at once', () => {
   const gate = makeGate(1)
   fill(gate, 1)
--- a/src/parts/gate/RunGate.ts
+++ b/src/parts/gate/RunGate.ts
@@ -1,8 +1,9 @@
 import type { CallId, Part } from '../Types.js'
 import {
-  LATE_LINE_SHARE, LATE_RESERVE_SHARE, MAX_WAITING, PACE_PATIENCE_MS, PACE_STAY_MS, SLOWNESS_STEPS, SPARE_RESERVE_SHARE
+  LATE_RESERVE_SHARE, MAX_WAITING, PACE_PATIENCE_MS, PACE_STAY_MS, SLOWNESS_STEPS, SPARE_RESERVE_SHARE
 } from './Constants.js'
 import type { GateAction, GateCall, GateEvent, GateLoad, TurnAwayReason } from './Types.js'
+import { LateRoom } from './LateRoom.js'
 import { MachinePace } from './MachinePace.js'
 import { SlotLimit } from './SlotLimit.js'
 import { WaitingLine } from './WaitingLine.js'
@@ -28,6 +29,7 @@
   private readonly _starts = new Map<CallId, Start>()
   private readonly _estimate = new WorkEstimate()
   private readonly _pace = new MachinePace()
+  private readonly _lateRoom = new LateRoom()
   private _actions: GateAction[] = []
   private _nowMs = 0
   private _slots = 0
@@ -116,7 +118,8 @@
   }
 
   private _tick (): void {
-    if (this._nowMs >= this._wakeAtMs) this._wakeAtMs = Infinity
+    // A timer may fire a little early; what is still due is asked for again.
+    this._wakeAtMs = Infinity
     this._dropOverdue()
     this._startWaiting()
     if (this._line.size > 0) this._wakeAt(this._line.earliest(call => this._latestStartMs(call)))
@@ -137,9 +140,11 @@
     this._dropOverdue()
     let next = this._takeNext()
     while (next !== undefined) {
+      if (!this._isReachable(next)) this._lateRoom.served(this._slots)
       this._start(next)
       next = this._takeNext()
     }
+    if (this._line.size === 0) this._lateRoom.idle()
   }
 
   private _takeNext (): GateCall | undefined {
@@ -168,8 +173,18 @@
   /** A call that could not finish in time any more would only take a slot from one that can. */
   private _dropOverdue (): void {
     for (const call of this._line.takeAll(call => this._latestStartMs(call) <= this._nowMs)) {
+      if (!this._isReachable(call)) this._lateRoom.starved()
       this._turnAway(call, 'too-late')
     }
+    this._dropLate()
+  }
+
+  /** Calls that became late while they waited leave as well, the newest first, when too many of them wait. */
+  private _dropLate (): void {
+    const isLate = (call: GateCall): boolean => !call.nested && !this._isReachable(call)
+    const surplus = this._line.count(isLate) - this._lateRoom.size
+    if (surplus <= 0) return
+    for (const call of this._line.takeLast(surplus, isLate)) this._turnAway(call, 'too-late')
   }
 
   private _start (call: GateCall): void {
@@ -227,7 +242,7 @@
     const startAtMs = this._nowMs + this._waitMs(call)
     if (startAtMs > this._latestStartMs(call) || this._line.size >= MAX_WAITING) return false
     if (startAtMs + this._estimate.of(call.work) <= call.objectiveAtMs) return true
-    return this._line.count(waiting => !this._isReachable(waiting)) < this._slots * LATE_LINE_SHARE
+    return this._line.count(waiting => !this._isReachable(waiting)) < this._lateRoom.size
   }
 
   /** Expected time until a call that joins the line now starts. */
--- a/src/parts/gate/WaitingLine.ts
+++ b/src/parts/gate/WaitingLine.ts
@@ -93,6 +93,17 @@
     return taken
   }
 
+  /**
+   * Takes the calls out that joined last.
+   * @param count How many at most.
+   * @param condition Tells which calls may leave.
+   */
+  public takeLast (count: number, condition: (call: GateCall) => boolean): GateCall[] {
+    const taken = [...this._calls.values()].map(waiting => waiting.call).filter(condition).slice(-count)
+    taken.forEach(call => this._calls.delete(call.id))
+    return taken
+  }
+
   /**
    * Returns the earliest of some time over all calls; infinite when none waits.
    * @param timeOf Returns the time of one call.
