--- a/src/routenode/InstancePort.test.ts
+++ b/src/routenode/InstancePort.test.ts
@@ -52,6 +52,18 @@
   expect([port.published, port.service]).toEqual([undefined, 'ledger'])
 })
 
+test('a report that repeats the one before is not news for other nodes', () => {
+  const port = makePort()
+  let news = 0
+  port.onChange(() => { news++ })
+  for (let sequence = 1; sequence < 5; sequence++) {
+    port.report({ ...BEFORE, address: ADDRESS, sequence, state: 'ready', coldMs: 0 })
+  }
+  expect(news).toBe(1)
+  port.report({ ...BEFORE, address: ADDRESS, sequence: 5, coldMs: 0 })
+  expect([news, port.published?.state]).toEqual([2, 'draining'])
+})
+
 test('a call for another service is turned away', () => {
   const port = makePort()
   port.report({ ...BEFORE, address: ADDRESS, sequence: 1, state: 'ready', coldMs: 0 })
--- a/src/routenode/InstancePort.ts
+++ b/src/routenode/InstancePort.ts
@@ -64,6 +64,7 @@
   private readonly _breaker = new InstanceBreaker()
   private _recoveryTimer: NodeJS.Timeout | undefined
   private _slots = 0
+  private _publishedText: string | undefined
   private _lastCall = 0
 
   public constructor (private readonly _parts: InstancePortParts) {
@@ -182,11 +183,19 @@
   private _handleReport (): void {
     const { current } = this._register
     this._applySlots()
-    this._changes.fire()
+    this._publishChange()
     const { id, state, sequence } = current ?? {}
     this._parts.log.debug({ instance: id, state, sequence }, 'instance reported')
   }
 
+  /** Most reports repeat the one before; passing them on would cost each node bytes for each instance there is. */
+  private _publishChange (): void {
+    const text = JSON.stringify(this._register.published)
+    if (text === this._publishedText) return
+    this._publishedText = text
+    this._changes.fire()
+  }
+
   private _applySlots (): void {
     const { current } = this._register
     const slots = current?.state === 'ready' ? SLOTS_BY_BREAKER[this._breaker.state](current.slots) : 0
