Serve the calls of the same requests first at all gates

Change: among calls of instances that wait, those of the same requests go first at every gate, by a number drawn from the id of the caller's request. The hash is the one of the subsets, moved to a file of its own.

--- /dev/null
+++ b/src/parts/TextHash.ts
@@ -0,0 +1,17 @@
+const FNV_OFFSET = 0x811c9dc5
+const FNV_PRIME = 0x01000193
+
+/**
+ * Mixes a salt and a text to 32 bits (FNV-1a with a final avalanche), for spreading; not against an attacker.
+ * @param salt Number that differs between users of the same texts.
+ * @param text Any text.
+ */
+export function hashOf (salt: number, text: string): number {
+  let hash = FNV_OFFSET ^ salt
+  for (let index = 0; index < text.length; index++) {
+    hash = Math.imul(hash ^ text.charCodeAt(index), FNV_PRIME)
+  }
+  hash = Math.imul(hash ^ (hash >>> 16), 0x85ebca6b)
+  hash = Math.imul(hash ^ (hash >>> 13), 0xc2b2ae35)
+  return (hash ^ (hash >>> 16)) >>> 0
+}
--- a/src/parts/choice/SubsetSelector.ts
+++ b/src/parts/choice/SubsetSelector.ts
@@ -1,10 +1,8 @@
-import type { InstanceId, Place } from '../Types.js'
+import type { Place } from '../Types.js'
+import { hashOf } from '../TextHash.js'
 import { MIN_COVERAGE } from './Constants.js'
 import type { Candidate } from './Types.js'
 
-const FNV_OFFSET = 0x811c9dc5
-const FNV_PRIME = 0x01000193
-
 /** How large a subset is. */
 export interface SubsetSize {
   /** Members at least, as far as there are so many. */
@@ -62,14 +60,3 @@
     return candidate.place.zone === this._place.zone && candidate.place.region === this._place.region
   }
 }
-
-/** Mixes the salt and the instance to 32 bits. */
-function hashOf (salt: number, instance: InstanceId): number {
-  let hash = FNV_OFFSET ^ salt
-  for (let index = 0; index < instance.length; index++) {
-    hash = Math.imul(hash ^ instance.charCodeAt(index), FNV_PRIME)
-  }
-  hash = Math.imul(hash ^ (hash >>> 16), 0x85ebca6b)
-  hash = Math.imul(hash ^ (hash >>> 13), 0xc2b2ae35)
-  return (hash ^ (hash >>> 16)) >>> 0
-}
--- a/src/parts/gate/RunGate.test.ts
+++ b/src/parts/gate/RunGate.test.ts
@@ -1,6 +1,8 @@
 import fc from 'fast-check'
 import { expect, test } from 'vitest'
 import { PACE_PATIENCE_MS, PACE_RECHECK_MS } from './Constants.js'
+import { SeededRandom } from '../SeededRandom.js'
+import { drawLot } from './Lot.js'
 import { RunGate } from './RunGate.js'
 import type { GateAction, GateCall } from './Types.js'
 
@@ -11,6 +13,7 @@
     id: ++lastId,
     work: 'route',
     nested: false,
+    lot: 0.5,
     priority: 1,
     objectiveAtMs: 300,
     deadlineAtMs: 1000,
@@ -134,6 +137,40 @@
   expect(order).toEqual([nested.id, urgent.id, late.id])
 })
 
+test('requests that make several calls get all of them or none when there is not room for all', () => {
+  const gates = [makeGate(2), makeGate(2)]
+  const random = new SeededRandom(9)
+  const done = new Map<string, number>()
+  const ends: Array<{ atMs: number, gate: RunGate, call: GateCall }> = []
+  const parents = new Map<number, string>()
+  let asked = 0
+  for (let nowMs = 0; nowMs < 60_000; nowMs++) {
+    const take = (gate: RunGate, actions: readonly GateAction[]): void => {
+      for (const action of actions) if (action.type === 'start') ends.push({ atMs: nowMs + 20, gate, call: action.call })
+    }
+    while ((ends[0]?.atMs ?? Infinity) <= nowMs) {
+      const { gate, call } = ends.shift() as typeof ends[0]
+      const parent = parents.get(call.id) ?? ''
+      done.set(parent, (done.get(parent) ?? 0) + 1)
+      take(gate, gate.step({ type: 'finished', id: call.id, workMs: 20 }, nowMs))
+    }
+    for (const gate of gates) take(gate, gate.step({ type: 'tick' }, nowMs))
+    // Each makes two calls; the gates have room for two in three.
+    if (random.next() > 0.15) continue
+    const parent = `r${++asked}`
+    for (let i = 0; i < 2; i++) {
+      const gate = gates[Math.floor(2 * random.next())] as RunGate
+      const call = makeCall({ nested: true, lot: drawLot(`${parent}.${i}`), objectiveAtMs: nowMs + 100, deadlineAtMs: nowMs + 250 })
+      parents.set(call.id, parent)
+      take(gate, gate.step({ type: 'offer', call }, nowMs))
+    }
+  }
+  const counts = [...done.values()]
+  const whole = counts.filter(count => count === 2).length
+  expect(whole / asked).toBeGreaterThan(0.55)
+  expect((counts.length - whole) / asked).toBeLessThan(0.2)
+})
+
 test('a call past its objective starts only when no other waits', () => {
   const gate = makeGate(1)
   const [running] = fill(gate, 1) as [GateCall]
@@ -244,7 +281,7 @@
         const { nested, priority, moveMs, spare } = item
         const objectiveAtMs = nowMs + item.objectiveLeftMs
         const deadlineAtMs = nowMs + item.leftMs
-        const call = { id: index, work: 'w', nested, priority, objectiveAtMs, deadlineAtMs, moveMs, spare }
+        const call = { id: index, work: 'w', lot: 0.5, nested, priority, objectiveAtMs, deadlineAtMs, moveMs, spare }
         take(gate.step({ type: 'offer', call }, nowMs))
       }
       if (item.kind === 'finish' && id !== undefined && open.get(id) === 'running') {
--- a/src/parts/gate/Types.ts
+++ b/src/parts/gate/Types.ts
@@ -7,6 +7,8 @@
   readonly work: string
   /** The call was made by an instance in the middle of a run, which waits for it. */
   readonly nested: boolean
+  /** Number from 0 to 1 drawn from the caller's request; the same for all calls that its runs make, at any gate. */
+  readonly lot: number
   /** 0 is the most urgent. */
   readonly priority: number
   /** Until then the answer is worth its full value, in monotonic milliseconds. */
--- a/src/parts/gate/WaitingLine.ts
+++ b/src/parts/gate/WaitingLine.ts
@@ -8,7 +8,9 @@
 }
 
 /**
- * Calls that wait for a slot. Calls of instances in the middle of a run go first: half of their work is paid for.
+ * Calls that wait for a slot. Calls of instances in the middle of a run go first: half of their work is paid for. Among
+ * these, the same requests go first at all gates: one that makes several calls needs all of them, and when there is not
+ * room for all, some requests should get every call rather than all requests a part of theirs.
  * Then those that can still meet their objective, by priority and age; a call past its objective fills what is left.
  *
  * Memory: one entry for each call.
@@ -118,6 +120,7 @@
 /** A call goes before another only by rank: among equals the one that came first stays ahead. */
 function precedes (call: GateCall, reachable: boolean, other: GateCall, otherReachable: boolean): boolean {
   if (call.nested !== other.nested) return call.nested
+  if (call.nested) return call.lot < other.lot
   if (reachable !== otherReachable) return reachable
   return call.priority < other.priority
 }
--- a/src/routenode/InstancePort.ts
+++ b/src/routenode/InstancePort.ts
@@ -1,4 +1,5 @@
 import { type BreakerState, InstanceBreaker } from '../parts/gate/InstanceBreaker.js'
+import { drawLot } from '../parts/gate/Lot.js'
 import { RunGate } from '../parts/gate/RunGate.js'
 import type { GateAction, GateCall, GateEvent, GateLoad } from '../parts/gate/Types.js'
 import { InstanceRegister, type ReportOutcome } from '../parts/instances/InstanceRegister.js'
@@ -163,6 +164,7 @@
       id,
       work: call.work,
       nested: call.nested,
+      lot: drawLot(call.requestId),
       priority: call.priority,
       objectiveAtMs: nowMs + call.objectiveLeftMs,
       deadlineAtMs,
