Publish on each welcome, and now and then without a change

Cause: with news sent only on a change, what an instance reported between a node's hello and its welcome was told to nobody; before, the next heartbeat healed it. That this gap is the whole cause isn't shown yet.

Change: a node publishes on each welcome, and every ten seconds.

--- a/src/routenode/Constants.ts
+++ b/src/routenode/Constants.ts
@@ -31,6 +31,12 @@
 /** Longest wait for a connection and a welcome, in milliseconds. */
 export const FEED_WELCOME_MS = 1500
 
+/**
+ * Interval at which a node tells of itself though nothing has changed, in milliseconds: news that were lost between
+ * replicas are missed no longer than that. Each costs every node a frame, so it is rarer than reports of instances.
+ */
+export const REPUBLISH_MS = 10_000
+
 /** Pause before the next replica is tried, in milliseconds. */
 export const FEED_RETRY_MS = 100
 
--- a/src/routenode/RouteNodeDaemon.ts
+++ b/src/routenode/RouteNodeDaemon.ts
@@ -8,7 +8,7 @@
 import type { Random, ServiceName } from '../parts/Types.js'
 import type { Clock, Disposable, Log } from '../runtime/Types.js'
 import { CallServer } from './CallServer.js'
-import { STOP_LINGER_MS } from './Constants.js'
+import { REPUBLISH_MS, STOP_LINGER_MS } from './Constants.js'
 import { ControlFeed, type FeedWelcome } from './ControlFeed.js'
 import { Gateway } from './Gateway.js'
 import { InstancePort } from './InstancePort.js'
@@ -63,6 +63,7 @@
   private _state: NodeEntry['state'] = 'up'
   private _ready = false
   private _lastCall = 0
+  private _republishTimer: NodeJS.Timeout | undefined
 
   public constructor (private readonly _options: RouteNodeOptions) {
     const { settings, clock, random, log } = _options
@@ -99,6 +100,7 @@
 
   /** Opens the listeners and connects to control. */
   public async start (): Promise<void> {
+    this._republishTimer = setInterval(() => this._publish(), REPUBLISH_MS)
     const { settings } = this._options
     await this._server.listen(settings.nodeAddress)
     await this._gateway.listen(settings.callerAddress)
@@ -161,6 +163,7 @@
 
   /** Ends everything at once. */
   public dispose (): void {
+    clearInterval(this._republishTimer)
     this._feed.dispose()
     this._gateway.dispose()
     this._server.dispose()
@@ -194,10 +197,10 @@
   }
 
   private _handleWelcome ({ own }: FeedWelcome): void {
-    if (own === undefined) return
-    if (own.instance !== undefined) this._port.restore(own.instance)
+    if (own?.instance !== undefined) this._port.restore(own.instance)
     // The time of day may have gone back since an earlier run: this one must still count as later.
-    if (own.epoch > this._epoch) this._epoch = own.epoch + 1
+    if (own !== undefined && own.epoch > this._epoch) this._epoch = own.epoch + 1
+    // What has changed since the hello was not told to anyone.
     this._publish()
   }
 
