Tell callers of a node without a configuration when to come back, spread; count duplicates

Cause: a node that has just started told all callers to come back after 300 ms; most were refused again, which uses up the few attempts that they have, and they came back together. Now the wait is as long as the caller can bear, at most 1.5 s, and spread. No effect measured yet.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -5,7 +5,7 @@
 const IMPURE_MODULES = ['node:*', 'net', 'fs', 'http', 'dgram', 'undici', 'got', 'express', 'pino']
 
 export default [
-  { ignores: ['dist/**', 'node_modules/**', 'bench/results/**'] },
+  { ignores: ['dist/**', 'target/**', 'node_modules/**', 'bench/results/**'] },
   ...neostandard({ ts: true }),
   {
     files: ['**/*.ts'],
--- a/src/routenode/Constants.ts
+++ b/src/routenode/Constants.ts
@@ -52,8 +52,8 @@
 /** Largest answer that is relayed, in bytes; a node holds it whole until its caller has it. */
 export const MAX_ANSWER_BYTES = 15 * 1024 * 1024
 
-/** Retry-After of a node that has no configuration yet, in milliseconds: the usual time to get one. */
-export const NOT_READY_RETRY_MS = 300
+/** Longest Retry-After of a node that has no configuration yet, in milliseconds: most have one by then. */
+export const NOT_READY_RETRY_MS = 1500
 
 /** Time after a stop signal for which new requests are still taken, in milliseconds: callers ask each second, twice. */
 export const STOP_LINGER_MS = 3000
--- a/src/routenode/Gateway.ts
+++ b/src/routenode/Gateway.ts
@@ -11,7 +11,7 @@
 import { Emitter } from '../runtime/Emitter.js'
 import { listenOn } from '../runtime/Listen.js'
 import type { Disposable, Log } from '../runtime/Types.js'
-import { NOT_READY_RETRY_MS } from './Constants.js'
+import { NOT_READY_RETRY_MS, RETRY_MAX_SHARE, RETRY_SPREAD } from './Constants.js'
 import { GatewayCall, type GatewayContext, type GatewayReason, type GatewayRequest, type GatewayResult } from './GatewayCall.js'
 import { AnswerSizes } from './AnswerSizes.js'
 import type { RouteNodeMetrics } from './RouteNodeMetrics.js'
@@ -114,7 +114,7 @@
     const arrivedAtMs = this._parts.clock.nowMs()
     if (this._closing) response.setHeader('connection', 'close')
     const table = this._table
-    if (table === undefined) return this._refuse(message, response, 503, 'no-configuration', NOT_READY_RETRY_MS)
+    if (table === undefined) return this._refuse(message, response, 503, 'no-configuration', this._notReadyRetryMs(message))
     const entry = this._findRoute(table, message)
     if (entry === undefined) return this._refuse(message, response, 404, 'no-route')
     readBody(message, this._limits.maxBodyBytes, result => {
@@ -123,6 +123,13 @@
     })
   }
 
+  /** As late as the caller can bear: a configuration comes within a second or two of a start. */
+  private _notReadyRetryMs (message: IncomingMessage): number {
+    const deadlineMs = deadlineOf(message, this._parts.names.deadlineMs) ?? NO_DEADLINE_MS
+    const spread = 1 - RETRY_SPREAD * this._parts.random.next()
+    return spread * Math.min(NOT_READY_RETRY_MS, deadlineMs * RETRY_MAX_SHARE)
+  }
+
   private _findRoute (table: RouteTable, message: IncomingMessage): RouteEntry | undefined {
     const host = (message.headers.host ?? '').replace(/:\d+$/, '').toLowerCase()
     const target = message.url ?? '/'
@@ -225,6 +232,7 @@
     const fields = { ...origin, sends, declines, hedge, node: lastNode, tookMs }
     const outcome = OUTCOMES[result?.type ?? 'gone']
     this._parts.metrics.countEnded(outcome, tookMs, sends, declines)
+    if (hedge !== undefined) this._parts.metrics.countHedge(hedge)
     if (result?.type === 'answer') this._parts.log.info({ ...fields, status: result.answer.status }, 'answered')
     else this._parts.log.info({ ...fields, outcome, reason: result?.reason ?? 'caller-gone' }, 'not answered')
   }
--- a/src/routenode/InstancePort.test.ts
+++ b/src/routenode/InstancePort.test.ts
@@ -29,7 +29,8 @@
 
 function offer (port: InstancePort, service: string): string {
   let outcome = 'held'
-  const call = { id: 1, service, work: 'w', leftMs: 1000, objectiveLeftMs: 300, nested: false, priority: 1, moveMs: 0, attempt: 'first' }
+  const gate = { work: 'w', leftMs: 1000, objectiveLeftMs: 300, nested: false, priority: 1, moveMs: 0, attempt: 'first' }
+  const call = { id: 1, service, requestId: 'r', ...gate }
   port.start(call as RoutedCall, {
     onAnswer: () => { outcome = 'answered' },
     onTurnedAway: reason => { outcome = reason },
--- a/src/routenode/RouteNodeMetrics.ts
+++ b/src/routenode/RouteNodeMetrics.ts
@@ -1,5 +1,6 @@
 import { Counter, Gauge, Histogram, Registry } from 'prom-client'
 import type { GateLoad } from '../parts/gate/Types.js'
+import type { HedgeOutcome } from './GatewayCall.js'
 
 /** How a request of a caller ended; each ends in exactly one way. */
 export type RequestOutcome = 'answered' | 'refused' | 'failed' | 'gone'
@@ -24,6 +25,7 @@
   private readonly _latency: Histogram<'outcome'>
   private readonly _sends: Counter
   private readonly _declines: Counter
+  private readonly _hedges: Counter<'outcome'>
 
   /**
    * @param levels Reads the levels.
@@ -43,6 +45,9 @@
     })
     this._sends = new Counter({ name: 'sassafras_sends_total', help: 'Requests sent to instances', registers })
     this._declines = new Counter({ name: 'sassafras_declines_total', help: 'Calls handed back by gates', registers })
+    this._hedges = new Counter({
+      name: 'sassafras_hedges_total', help: 'Duplicates of slow requests by how they fared', labelNames: ['outcome'], registers
+    })
     this._addLevels(levels)
   }
 
@@ -64,6 +69,11 @@
     if (declines > 0) this._declines.inc(declines)
   }
 
+  /** Counts a request that was due a duplicate. */
+  public countHedge (outcome: HedgeOutcome): void {
+    this._hedges.inc({ outcome })
+  }
+
   /** All metrics as text. */
   public async text (): Promise<string> {
     return await this._registry.metrics()
