Replace a first attempt that failed when its duplicate finds no room

Cause: read, not seen in a play: such a request was given up, though its route and the budget allowed another attempt; and one whose duplicate reached no instance went on as a duplicate, which may not wait. The test failed before: the request ended refused after two instances.

--- a/src/routenode/GatewayCall.ts
+++ b/src/routenode/GatewayCall.ts
@@ -302,15 +302,23 @@
   private _handleHedgeDeclined (reason: TurnAwayReason, retryAfterMs: number): void {
     this._context.budgets.of(this._request.service).refund()
     this._hedge = 'declined'
-    if (this._turns.size === 0) return this._giveUp(reason, retryAfterMs)
+    if (this._turns.size === 0) return this._replaceFirst(reason, retryAfterMs)
     if (++this._hedgeDeclines < MAX_HEDGE_DECLINES) this._sendHedge()
   }
 
+  /** The first attempt has failed and its duplicate found no room: what is left is an attempt that may wait. */
+  private _replaceFirst (reason: TurnAwayReason, retryAfterMs: number): void {
+    if (this._mayRepeat()) this._next('repeat')
+    else this._giveUp(reason, retryAfterMs)
+  }
+
   private _handleFailed (turn: Turn, proof: FailureProof, reason: FailureReason): void {
     if (proof !== 'unsent') this._sends++
     if (proof === 'unknown') this._mayHaveRun = true
     if (this._turns.size > 0) return
-    if (proof === 'unsent') return this._next(turn.attempt)
+    // A duplicate was paid for as a repeat, and is the only attempt by now.
+    const attempt = turn.attempt === 'hedge' && this._hedge !== undefined ? 'repeat' : turn.attempt
+    if (proof === 'unsent') return this._next(attempt)
     // The deadline is that of the whole request: there is no time left for another instance.
     if (reason === 'timeout') return this._giveUp(reason, 0)
     const repeatable = proof === 'rejected' || this._request.route.kind !== 'once'
