--- a/src/parts/gate/RunGate.test.ts
+++ b/src/parts/gate/RunGate.test.ts
@@ -235,6 +235,14 @@
   expect(woken).toMatchObject([{ type: 'turnAway', call: { id: call.id }, reason: 'too-late' }])
 })
 
+test('a timer that fires a little early is asked for again', () => {
+  const gate = makeGate(1)
+  fill(gate, 1)
+  const [wake] = gate.step({ type: 'offer', call: makeCall({ deadlineAtMs: 400 }) }, 0)
+  const dueMs = wake?.type === 'wake' ? wake.atMs : 0
+  expect(gate.step({ type: 'tick' }, dueMs - 0.3)).toContainEqual({ type: 'wake', atMs: dueMs })
+})
+
 test('a cancelled call frees its place', () => {
   const gate = makeGate(1)
   const [running] = fill(gate, 1) as [GateCall]
--- a/src/routenode/GatewayCall.test.ts
+++ b/src/routenode/GatewayCall.test.ts
@@ -9,7 +9,7 @@
 import { GatewayCall, type GatewayContext, type GatewayResult } from './GatewayCall.js'
 import type { Placement } from './Placement.js'
 import { RepeatBudgets } from './RepeatBudgets.js'
-import type { RoutedAnswer, RoutedCall, RoutedCallSink } from './Types.js'
+import type { Attempt, RoutedAnswer, RoutedCall, RoutedCallSink } from './Types.js'
 
 const IDLE: GateLoad = { running: 0, queued: 0, limit: 4, slowness: 1, workMs: 50 }
 const ANSWER: RoutedAnswer = { status: 200, headers: [], body: new Uint8Array(0) }
@@ -36,7 +36,7 @@
   result = undefined
 })
 
-function start (nodes: readonly NodeId[], changes: Partial<Route> = {}): GatewayCall {
+function start (nodes: readonly NodeId[], changes: Partial<Route> = {}, parent?: Attempt, slack = 100): GatewayCall {
   const random = new SeededRandom(1)
   const chooser = new InstanceChooser(random)
   chooser.setCandidates(nodes.map(node => ({ node, roundTripMs: 1, slots: 6, crossesZones: false })))
@@ -53,7 +53,7 @@
     random,
     placement: { chooserOf: () => chooser, targetOf } as unknown as Placement,
     hedges,
-    budgets: new RepeatBudgets({ ratio: 1, slack: 100, windowMs: 10_000 }),
+    budgets: new RepeatBudgets({ ratio: 1, slack, windowMs: 10_000 }),
     nextCall: () => ++lastId,
     nodes: () => 1
   }
@@ -78,7 +78,7 @@
     route,
     service: 's',
     version: 1,
-    parent: undefined,
+    parent,
     deadlineMs: 1000,
     arrivedAtMs: clock.nowMs(),
     objectiveAtMs: clock.nowMs() + 500,
@@ -192,3 +192,16 @@
   asked[2]?.sink.onAnswer(ANSWER, IDLE)
   expect(result).toMatchObject({ type: 'answer' })
 })
+
+test('a call that a repeated run makes is paid from the budget, and refused when that is spent', () => {
+  start(['a', 'b'], {}, 'repeat')
+  expect(asked[0]?.call).toMatchObject({ nested: true, attempt: 'repeat' })
+  start(['a', 'b'], {}, 'hedge', 0)
+  expect(asked).toHaveLength(1)
+  expect(result).toMatchObject({ type: 'refused', reason: 'retry-budget' })
+})
+
+test('a call that a first run makes is not', () => {
+  start(['a', 'b'], {}, 'first', 0)
+  expect(asked[0]?.call).toMatchObject({ nested: true, attempt: 'first' })
+})
