--- a/soak/Soak.ts
+++ b/soak/Soak.ts
@@ -38,6 +38,9 @@
 /** Time after an acknowledgement by which every node knows a version, in milliseconds, with a second's slack. */
 const KNOWN_MS = 3000
 
+/** Tries of the first change, five a second: the group forms meanwhile. */
+const FORMING_TRIES = 150
+
 /** Delay of a slow connection, for each piece of data, in milliseconds. */
 const DELAY_MS = 100
 
@@ -122,11 +125,16 @@
     return this._outcome()
   }
 
+  /** Ends all processes of this soak at once. */
+  public abort (): void {
+    for (const { process } of [...this._nodes, ...this._controls]) process.signal('SIGKILL')
+  }
+
   private async _startAll (): Promise<void> {
     for (const control of this._controls) control.process.start()
     for (let index = 0; index < NODES; index++) this._nodes.push(await this._makeNode(index))
     for (const { process } of this._nodes) process.start()
-    if (!await this._operator.change(150)) throw new Error('the group did not form')
+    if (!await this._operator.change(FORMING_TRIES)) throw new Error('the group did not form')
     for (const { vm, settings, folder } of this._controls) {
       writeFileSync(settings, controlSettings(vm, this._seeds(), folder, false))
     }
--- a/soak/SoakOperator.ts
+++ b/soak/SoakOperator.ts
@@ -3,8 +3,13 @@
 import type { SoakLedger } from './SoakLedger.js'
 import type { VmAddresses } from './Types.js'
 
+/** Longest wait for an answer, in milliseconds. */
 const CALL_TIMEOUT_MS = 2000
 
+/** Tries of a change, and the pause between them in milliseconds; a change without a clear answer is sent again. */
+const CHANGE_TRIES = 40
+const TRY_PAUSE_MS = 200
+
 interface OperatorAnswer {
   readonly status: number
   readonly location: string | undefined
@@ -38,7 +43,7 @@
   }
 
   /** Adds a route for the next version; the same change is sent until it has a clear answer. */
-  public async change (tries = 40): Promise<boolean> {
+  public async change (tries = CHANGE_TRIES): Promise<boolean> {
     if (this._busy) return false
     this._busy = true
     const version = this._acknowledged + 1
@@ -56,7 +61,7 @@
         this._ledger.report('accepted-change-kept', `version ${version} on ${this._base} was answered ${answer.status} ${answer.body}`)
         break
       }
-      await new Promise(resolve => setTimeout(resolve, 200))
+      await new Promise(resolve => setTimeout(resolve, TRY_PAUSE_MS))
     }
     this._busy = false
     return this._acknowledged === version
@@ -64,10 +69,10 @@
 
   /** Reads the configuration back: nothing that was acknowledged may be gone. */
   public async checkKept (): Promise<void> {
-    for (let i = 0; i < 60; i++) {
+    for (let i = 0; i < CHANGE_TRIES; i++) {
       const answer = await this._send('GET', '/api/Config.Get', '', i)
       if (answer?.status === 200) return this._compare(JSON.parse(answer.body) as ReadBack)
-      await new Promise(resolve => setTimeout(resolve, 200))
+      await new Promise(resolve => setTimeout(resolve, TRY_PAUSE_MS))
     }
     this._ledger.report('accepted-change-kept', 'the configuration could not be read back')
   }
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -14,6 +14,9 @@
 
 const MS_PER_SECOND = 1000
 
+/** Exit code after a signal, by the shells' convention. */
+const EXIT_INTERRUPTED = 130
+
 class SoakCommand extends Command {
   public static override paths = [Command.Default]
   public static override usage = Command.Usage({
@@ -46,7 +49,16 @@
       : JSON.parse(readFileSync(this.replay, 'utf8')) as Fault[]
     const schedule = join(folder, 'schedule.json')
     writeFileSync(schedule, JSON.stringify(faults, null, 1))
-    const outcome = await new Soak(seed, faults, folder, FIRST_NETWORK + process.pid % NETWORKS).run()
+    const soak = new Soak(seed, faults, folder, FIRST_NETWORK + process.pid % NETWORKS)
+    const interrupt = (): void => {
+      soak.abort()
+      process.exit(EXIT_INTERRUPTED)
+    }
+    process.once('SIGINT', interrupt)
+    process.once('SIGTERM', interrupt)
+    const outcome = await soak.run()
+    process.off('SIGINT', interrupt)
+    process.off('SIGTERM', interrupt)
     this._print(outcome, schedule)
     return outcome.violations.length === 0
   }
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -4,7 +4,7 @@
 export default defineConfig({
   test: {
     reporters: ['default', './test/support/PlainSummary.ts'],
-    include: ['src/**/*.test.ts', 'platform/**/*.test.ts', 'bench/**/*.test.ts', 'test/**/*.test.ts'],
+    include: ['src/**/*.test.ts', 'soak/**/*.test.ts', 'platform/**/*.test.ts', 'bench/**/*.test.ts', 'test/**/*.test.ts'],
     // The package's own module files import a folder, which only its CommonJS files can.
     alias: { clipanion: createRequire(import.meta.url).resolve('clipanion') },
     server: { deps: { inline: ['clipanion'] } },
