Tell no request that was sent twice as not run

A request that may run again is sent once more by the client when its kept connection breaks; when the second send is rejected, or finds nobody, the first may still have run before the instance ended. It was told as not run.

Change: after a second send each failure has an unknown outcome. The test failed before: rejected, instance-replaced.

--- a/src/routenode/InstanceClient.test.ts
+++ b/src/routenode/InstanceClient.test.ts
@@ -176,3 +176,14 @@
   expect(await run(client, 'a')).toBe('200 ok')
   expect(await run(client, 'b', 'once')).toBe('unknown instance-lost')
 })
+
+test('a rejection of the second send does not tell that the first has not run', async () => {
+  const answer = (id: string): string => head(id, 'Content-Length: 2\r\n\r\nok')
+  const client = await startInstance(
+    (socket, id) => socket.write(answer(id)),
+    socket => socket.resetAndDestroy(),
+    (socket, id) => socket.write(`HTTP/1.1 421 Other\r\nCall-Id: ${id}\r\nContent-Length: 0\r\n\r\n`)
+  )
+  expect(await run(client, 'a')).toBe('200 ok')
+  expect(await run(client, 'b', 'idempotent')).toBe('unknown instance-replaced')
+})
--- a/src/routenode/InstanceClient.ts
+++ b/src/routenode/InstanceClient.ts
@@ -139,6 +139,8 @@
   private _timer: NodeJS.Timeout | undefined
   private _connected = false
   private _repeated = false
+  /** Sent once more after its connection broke: whatever comes of that, the first send may have run. */
+  private _wasResent = false
   private _ended = false
 
   public constructor (
@@ -193,9 +195,10 @@
 
   private _handleError (request: ClientRequest, error: Error): void {
     if (this._ended || request !== this._request) return
-    // A kept connection that the instance has closed meanwhile; the request never reached it.
+    // A kept connection that the instance has closed meanwhile; most often the request never reached it.
     if (request.reusedSocket && !this._repeated && this._call.kind === SAFE_TO_REPEAT) {
       this._repeated = true
+      this._wasResent = true
       this._request = this._send()
       return
     }
@@ -250,7 +253,7 @@
     if (this._ended) return
     this._end()
     this._request.destroy()
-    this._listener.onFailure(proof, reason, detail)
+    this._listener.onFailure(this._wasResent ? 'unknown' : proof, reason, detail)
   }
 
   private _end (): void {
