Hold no more calls for a better pace than there is room for

Cause: found by reading: calls that are held did not count against the room, so while a VM was slow each call that came was held, past the bound on calls that wait, instead of being handed back to its sender.

--- a/src/parts/gate/RunGate.test.ts
+++ b/src/parts/gate/RunGate.test.ts
@@ -72,6 +72,14 @@
   expect(startedIds(gate.step({ type: 'measured', slowness: 1 }, 70))).toEqual(calls.map(({ id }) => id))
 })
 
+test('no more calls are held for a better pace than there is room for', () => {
+  const gate = makeGate(2)
+  gate.step({ type: 'slowness', slowness: 5 }, 0)
+  const offer = (): string[] => kinds(gate.step({ type: 'offer', call: makeCall({ moveMs: 1000, objectiveAtMs: 100 }) }, 1))
+  expect([...offer(), ...offer()]).not.toContain('turnAway')
+  expect(offer()).toContain('turnAway')
+})
+
 test('a call is not held for ever by a VM that stays slow, nor by one that tells nothing', () => {
   const gate = makeGate(4)
   gate.step({ type: 'slowness', slowness: 5 }, 0)
--- a/src/parts/gate/RunGate.ts
+++ b/src/parts/gate/RunGate.ts
@@ -74,7 +74,7 @@
 
   private _offer (call: GateCall): void {
     if (this._slots === 0) return this._turnAway(call, 'no-slots')
-    if (this._hasRoom(call)) return this._offerRoom(call)
+    if (this._keepsRoomFor(call)) return this._offerRoom(call)
     if (call.spare) return this._turnAway(call, 'busy')
     const inTime = this._nowMs + this._waitMs(call) + this._estimate.of(call.work) <= call.objectiveAtMs
     if (isWorthMoving(call, inTime ? this._waitMs(call) : Infinity)) return this._turnAway(call, 'busy')
@@ -211,6 +211,12 @@
     return this._running.size < this._limitOf(call)
   }
 
+  /** Calls that are held for a better pace will need their room. */
+  private _keepsRoomFor (call: GateCall): boolean {
+    const ahead = this._line.countAhead(call, waiting => this._isReachable(waiting))
+    return this._running.size + ahead < this._limitOf(call)
+  }
+
   private _limitOf (call: GateCall): number {
     const limit = this._limit.current(this._nowMs)
     if (call.spare) return limit - Math.ceil(limit * SPARE_RESERVE_SHARE)
--- a/src/routenode/InstancePort.ts
+++ b/src/routenode/InstancePort.ts
@@ -204,7 +204,7 @@
     if (slots === this._slots) return
     this._slots = slots
     const { id, state } = current ?? {}
-    this._parts.log.info({ instance: id, state, breaker: this._breaker.state, slots }, 'slots changed')
+    this._parts.log.info({ service: this.service, instance: id, state, breaker: this._breaker.state, slots }, 'slots changed')
     this._step({ type: 'slots', slots })
   }
 
