--- a/soak/Constants.ts
+++ b/soak/Constants.ts
@@ -23,6 +23,13 @@
 /** Time that a caller waits for an answer, in milliseconds. */
 export const CALLER_DEADLINE_MS = 2000
 
+/** Time past its deadline after which a caller gives up, in milliseconds: the answer's way on a busy machine. */
+export const CALLER_SLACK_MS = 500
+
+/** Shares of requests that may run again and that must run once; the rest ask for the newest routes. */
+export const READ_SHARE = 0.4
+export const ONCE_SHARE = 0.5
+
 /** Time between a drain's acknowledgement and the last request that may arrive, in milliseconds; a platform's bound. */
 export const DRAIN_MS = 2000
 
--- a/soak/Soak.ts
+++ b/soak/Soak.ts
@@ -41,6 +41,12 @@
 /** Tries of the first change, five a second: the group forms meanwhile. */
 const FORMING_TRIES = 150
 
+/** Time for which a replaced instance leaves its node without one, in milliseconds. */
+const REPLACEMENT_MS = 500
+
+/** Pauses between looks at whether a node serves, in milliseconds. */
+const PROBE_PAUSE_MS = 100
+
 /** Delay of a slow connection, for each piece of data, in milliseconds. */
 const DELAY_MS = 100
 
@@ -138,7 +144,7 @@
     for (const { vm, settings, folder } of this._controls) {
       writeFileSync(settings, controlSettings(vm, this._seeds(), folder, false))
     }
-    for (const node of this._nodes) while (await this._probe(node) !== 'answered') await this._sleep(50)
+    for (const node of this._nodes) while (await this._probe(node) !== 'answered') await this._sleep(PROBE_PAUSE_MS)
   }
 
   private async _probe (node: NodeVm): Promise<CallerEnd> {
@@ -214,7 +220,8 @@
     if (generation === 0) return
     if (end === 'answered') node.served = { incarnation, generation: Math.max(node.served.generation, generation) }
     if (status === 404 && node.served.incarnation === incarnation && node.served.generation >= generation) {
-      this._ledger.report('no-version-back', `${node.vm.name} has served version ${node.served.generation} and has no route of ${generation}`)
+      const detail = `${node.vm.name} has served version ${node.served.generation} and has no route of ${generation}`
+      this._ledger.report('no-version-back', detail)
     }
   }
 
@@ -276,10 +283,10 @@
   }
 
   /** One disk at a time is lost, and only while the others hold a quorum. */
-  private async _wipe (control: ControlVm, { forMs }: Fault): Promise<void> {
+  private async _wipe (control: ControlVm, fault: Fault): Promise<void> {
     if (this._controls.some(({ busy }) => busy) || this._recovering) return
     this._recovering = true
-    await this._outage(control, { ...TEMPLATE, forMs }, async process => {
+    await this._outage(control, fault, async process => {
       await process.kill()
       rmSync(control.folder, { recursive: true })
       mkdirSync(control.folder)
@@ -292,7 +299,7 @@
   private async _replaceInstance (node: NodeVm, end: (instance: SoakInstance) => Promise<void>): Promise<void> {
     if (node.busy) return
     node.busy = true
-    this._noteUnplanned(500)
+    this._noteUnplanned(REPLACEMENT_MS)
     await end(node.instance)
     node.instance = await this._makeInstance(node.vm)
     node.busy = false
@@ -314,7 +321,7 @@
   private async _checkRecovery (): Promise<void> {
     const untilMs = this._nowMs() + RECOVER_MS
     for (const node of this._nodes) {
-      while (await this._probe(node) !== 'answered' && this._nowMs() < untilMs) await this._sleep(100)
+      while (await this._probe(node) !== 'answered' && this._nowMs() < untilMs) await this._sleep(PROBE_PAUSE_MS)
     }
     const calls = this._nodes.flatMap(({ callers }) => callers).map(async caller => {
       let answered = 0
@@ -363,5 +370,3 @@
     await new Promise(resolve => setTimeout(resolve, Math.max(0, ms)))
   }
 }
-
-const TEMPLATE: Fault = { atMs: 0, kind: 'wipeControl', pick: 0, forMs: 0 }
--- a/soak/SoakCaller.ts
+++ b/soak/SoakCaller.ts
@@ -1,6 +1,6 @@
 import { Agent, request } from 'node:http'
 import type { Random } from '../src/parts/Types.js'
-import { CALLER_DEADLINE_MS, CALLER_PAUSE_MS } from './Constants.js'
+import { CALLER_DEADLINE_MS, CALLER_PAUSE_MS, CALLER_SLACK_MS, ONCE_SHARE, READ_SHARE } from './Constants.js'
 import type { SoakLedger } from './SoakLedger.js'
 
 /** How a request ended for its caller. */
@@ -15,7 +15,7 @@
   readonly port: number
   readonly ledger: SoakLedger
   readonly random: Random
-  /** Newest configuration that the operator's change was acknowledged for, and that this node must know by now. */
+  /** Newest version that was acknowledged long enough ago for this node to know it. */
   readonly expectedGeneration: () => number
   readonly onEnd: (end: CallerEnd, status: number | undefined, path: string) => void
 }
@@ -67,14 +67,14 @@
           if (NOT_RUN.has(status)) ledger.refused(id)
           const echoed = answer.headers['x-request-id'] as string | undefined
           const signed = answer.headers['x-response-signature'] === `s-${id}`
-          if (status >= 200 && status < 300) ledger.answered(id, Buffer.concat(pieces).toString(), echoed, signed)
-          finish(END_BY_CLASS[Math.floor(status / 100)] ?? (NOT_RUN.has(status) ? 'refused' : 'failed'), status)
+          if (endOf(status) === 'answered') ledger.answered(id, Buffer.concat(pieces).toString(), echoed, signed)
+          finish(endOf(status), status)
         })
       })
       const timer = setTimeout(() => {
         call.destroy()
         finish('timeout')
-      }, CALLER_DEADLINE_MS + 500)
+      }, CALLER_DEADLINE_MS + CALLER_SLACK_MS)
       call.on('error', () => finish('cut'))
       call.end()
     })
@@ -83,10 +83,13 @@
   private _drawPath (): string {
     const { random, expectedGeneration } = this._context
     const share = random.next()
-    if (share < 0.4) return '/read/x'
-    if (share < 0.9) return '/once/x'
+    if (share < READ_SHARE) return '/read/x'
+    if (share < READ_SHARE + ONCE_SHARE) return '/once/x'
     return `/gen-${expectedGeneration()}/x`
   }
 }
 
-const END_BY_CLASS: Readonly<Record<number, CallerEnd>> = { 2: 'answered' }
+function endOf (status: number): CallerEnd {
+  if (status >= 200 && status < 300) return 'answered'
+  return NOT_RUN.has(status) ? 'refused' : 'failed'
+}
--- a/soak/SoakInstance.ts
+++ b/soak/SoakInstance.ts
@@ -18,6 +18,17 @@
 
 type State = 'ready' | 'draining' | 'gone'
 
+/** Share of the answers that tell of a slow moment, and the slowness told then and otherwise, in percent. */
+const SLOW_MOMENTS = 0.3
+const SLOW_PERCENT = 500
+const USUAL_PERCENT = 100
+
+/** Share of long runs, and the times of runs in milliseconds: long ones outlast most faults' beginnings. */
+const LONG_RUNS = 0.1
+const LONG_RUN_MS = 300
+const LEAST_RUN_MS = 5
+const RUN_SPREAD_MS = 30
+
 /** Faults of an instance by the share of requests that it does to them. */
 const LOST_ANSWERS = 0.01
 const REJECTIONS = 0.02
@@ -69,7 +80,7 @@
 
   private _handle (message: IncomingMessage, response: ServerResponse): void {
     response.setHeader('x-instance-id', this.id)
-    response.setHeader('x-instance-load', `${this._running},0,${SLOTS},${this._random.next() < 0.3 ? 500 : 100}`)
+    response.setHeader('x-instance-load', `${this._running},0,${SLOTS},${this._random.next() < SLOW_MOMENTS ? SLOW_PERCENT : USUAL_PERCENT}`)
     const id = String(message.headers['x-request-id'])
     const answer = this._answerWithoutRun(message)
     if (message.url !== '/healthz') response.setHeader('x-request-id', id)
@@ -80,7 +91,7 @@
     }
     this._ledger.run(id, this.id)
     this._running++
-    const workMs = this._random.next() < 0.1 ? 300 : 5 + 30 * this._random.next()
+    const workMs = this._random.next() < LONG_RUNS ? LONG_RUN_MS : LEAST_RUN_MS + RUN_SPREAD_MS * this._random.next()
     setTimeout(() => this._answer(id, response), workMs)
   }
 
--- a/src/parts/budget/RepeatBudget.ts
+++ b/src/parts/budget/RepeatBudget.ts
@@ -13,7 +13,7 @@
   readonly windowMs: number
 }
 
-/** Part of the shared bound that this node uses: nodes that come and go count the others wrongly for a while. */
+/** Part of the shared bound that this node uses: the bound holds while each node knows seven in ten of the others. */
 const SAFETY_SHARE = 0.7
 
 /**
--- a/src/parts/gate/Constants.ts
+++ b/src/parts/gate/Constants.ts
@@ -20,7 +20,7 @@
 /** Work time assumed before the first sample, in milliseconds: the usual size of an interactive request. */
 export const INITIAL_WORK_MS = 50
 
-/** Share of the limit that duplicates leave free: a burst must find room before they have ended. */
+/** Share of the limit that duplicates leave free, about a third: a burst must find room before they have ended. */
 export const SPARE_RESERVE_SHARE = 0.3
 
 /** Age after which a slowness figure says nothing, in milliseconds; it changes several times a second. */
@@ -38,7 +38,7 @@
 /** Longest time that a call is held for a better pace, in milliseconds: two changes of a figure. */
 export const PACE_PATIENCE_MS = 300
 
-/** Time for which calls start without a figure after a measurement has failed, in milliseconds. */
+/** Time for which calls start without a figure after a measurement failed, in milliseconds: tens of rechecks. */
 export const BLIND_MS = 1000
 
 /**
@@ -47,16 +47,16 @@
  */
 export const FLOOR_PERIOD_MS = 300
 
-/** Half-life of the highest slowness seen, in milliseconds. */
+/** Half-life of the highest slowness seen, in milliseconds: tens of changes; a VM that stops changing is left alone. */
 export const PEAK_HALF_LIFE_MS = 10_000
 
 /** Share of the limit that calls past their objective leave free, for those that can still meet theirs. */
 export const LATE_RESERVE_SHARE = 0.25
 
-/** Calls past their objective that may wait at first; they start only when no other call waits. */
+/** Calls past their objective that may wait at first, about half of a small instance's slots. */
 export const FIRST_LATE_ROOM = 3
 
-/** What each such call that starts adds to the number. */
+/** What each such call that starts adds to the number: two must get their turn for one more to wait. */
 export const LATE_ROOM_STEP = 0.5
 
 /** Calls that may wait in all; bounds memory. */
--- a/src/parts/gate/MachinePace.ts
+++ b/src/parts/gate/MachinePace.ts
@@ -98,5 +98,5 @@
   }
 }
 
-/** Slowness above which runs are notably longer than usual. */
+/** Slowness above which runs are notably longer than usual: more than their times differ by themselves. */
 const NOTABLE_PEAK = 1.3
--- a/src/parts/gate/Types.ts
+++ b/src/parts/gate/Types.ts
@@ -16,11 +16,11 @@
   /** After that nobody waits for the answer, in monotonic milliseconds. */
   readonly deadlineAtMs: number
   /**
-   * What asking another instance costs the sender, as a delay in milliseconds: it rather waits here while that takes
-   * less. Undefined when it asks no other.
+   * What asking another instance costs the sender, as a delay in milliseconds: while waiting here takes less, the call
+   * stays. Undefined when its sender asks no other.
    */
   readonly moveMs: number | undefined
-  /** A duplicate, sent in case that the first attempt is slow: it takes only room that would stay free. */
+  /** A duplicate beside a slow first attempt: it takes only room that would stay free. */
   readonly spare: boolean
 }
 
--- a/src/parts/retry/Constants.ts
+++ b/src/parts/retry/Constants.ts
@@ -40,7 +40,7 @@
 /** Weight of the newest attempt in the share that was refused. */
 export const HEDGE_REFUSED_WEIGHT = 0.01
 
-/** Quantile of a route's times after which an attempt counts as slow. */
+/** Quantile of a route's times after which an attempt counts as slow: budgets of repeats pay for about a fifth. */
 export const HEDGE_LATE_QUANTILE = 0.8
 
 /** Samples of a route from which the estimate of its times is used: it has moved by a factor of two by then. */
--- a/src/routenode/Constants.ts
+++ b/src/routenode/Constants.ts
@@ -46,10 +46,10 @@
 /** Instances that may hand one call back before the answer of the next one is final; each costs a round trip. */
 export const MAX_DECLINES = 3
 
-/** Part of the budget that duplicates may fill; the rest is for requests that have failed. */
+/** Part of the budget that duplicates may fill; the rest is left for requests that fail, which are fewer. */
 export const HEDGE_BUDGET_SHARE = 0.7
 
-/** Instances that may hand a duplicate back before it is given up. */
+/** Instances that may hand a duplicate back before it is given up; each costs a round trip and gains less. */
 export const MAX_HEDGE_DECLINES = 2
 
 /** Largest answer that is relayed, in bytes; a node holds it whole until its caller has it. */
--- a/src/routenode/GatewayCall.ts
+++ b/src/routenode/GatewayCall.ts
@@ -69,7 +69,7 @@
   handle: RoutedCallHandle | undefined
 }
 
-/** How much better the answer of another instance may be: its own trouble, not that of the request. */
+/** Failures that are likely those of the instance rather than of the request, so that another may answer better. */
 const REPEATABLE_STATUS: ReadonlySet<number> = new Set([500, 502, 503])
 
 const PLACEMENT_OUTCOME: { readonly [Proof in FailureProof]: PlacementOutcome } = {
--- a/src/routenode/InstanceClient.test.ts
+++ b/src/routenode/InstanceClient.test.ts
@@ -155,35 +155,30 @@
   expect(await run(new InstanceClient(address, NAMES, new SystemClock()), 'a')).toBe('unsent instance-unreachable')
 })
 
-test('a request that may run again is sent once more when its kept connection was closed', async () => {
-  const answer = (id: string): string => head(id, 'Content-Length: 2\r\n\r\nok')
-  const client = await startInstance(
-    (socket, id) => socket.write(answer(id)),
-    socket => socket.resetAndDestroy(),
-    (socket, id) => socket.write(answer(id))
-  )
+/** An instance that answers, resets the second request on the kept connection, and then reacts as given. */
+async function startResetting (reaction: (socket: Socket, id: string) => void): Promise<InstanceClient> {
+  const client = await startInstance(answerOk, socket => socket.resetAndDestroy(), reaction)
   expect(await run(client, 'a')).toBe('200 ok')
+  return client
+}
+
+function answerOk (socket: Socket, id: string): void {
+  socket.write(head(id, 'Content-Length: 2\r\n\r\nok'))
+}
+
+test('a request that may run again is sent once more when its kept connection was closed', async () => {
+  const client = await startResetting(answerOk)
   expect(await run(client, 'b', 'idempotent')).toBe('200 ok')
 })
 
 test('a request that must run once is not sent again on a reset', async () => {
-  const answer = (id: string): string => head(id, 'Content-Length: 2\r\n\r\nok')
-  const client = await startInstance(
-    (socket, id) => socket.write(answer(id)),
-    socket => socket.resetAndDestroy(),
-    (socket, id) => socket.write(answer(id))
-  )
-  expect(await run(client, 'a')).toBe('200 ok')
+  const client = await startResetting(answerOk)
   expect(await run(client, 'b', 'once')).toBe('unknown instance-lost')
 })
 
 test('a rejection of the second send does not tell that the first has not run', async () => {
-  const answer = (id: string): string => head(id, 'Content-Length: 2\r\n\r\nok')
-  const client = await startInstance(
-    (socket, id) => socket.write(answer(id)),
-    socket => socket.resetAndDestroy(),
-    (socket, id) => socket.write(`HTTP/1.1 421 Other\r\nCall-Id: ${id}\r\nContent-Length: 0\r\n\r\n`)
-  )
-  expect(await run(client, 'a')).toBe('200 ok')
+  const client = await startResetting((socket, id) => {
+    socket.write(`HTTP/1.1 421 Other\r\nCall-Id: ${id}\r\nContent-Length: 0\r\n\r\n`)
+  })
   expect(await run(client, 'b', 'idempotent')).toBe('unknown instance-replaced')
 })
