Finish a planned stop only when receivers have their answers; guard unlisted unsafe methods

A stop closed connections as soon as the last answer had been passed to the socket: inFlight counts an answer as ended when it is written, and Server.close and closeIdleConnections of Node.js destroy a connection whose response was ended although its bytes are still in the send buffer. A caller or another node on a slow link lost the rest (seen as a cut download 3.2 s after SIGTERM on a grown site). Ruled out: the limit of the grace time, which had 2.8 s left. CallerConnections now closes a connection after its last byte; the links of other nodes are half-closed and awaited.

RequestClassifier took any request that no pattern lists for a lookup, which may be sent again. Unlisted requests are now lookups only if their method is safe (RFC 9110), at-most-once otherwise. Absolute-form targets and paths with one malformed escape are matched too.

--- a/src/node/ingress/RequestClassifier.ts
+++ b/src/node/ingress/RequestClassifier.ts
@@ -6,7 +6,13 @@
   readonly prefix: string
 }
 
-/** Classifies requests as at-most-once (`guarded`), download or lookup by the patterns of a service's rule. */
+/** Methods that change nothing at the upstream (RFC 9110, section 9.2.1), so that a request may be repeated. */
+const SAFE_METHODS: ReadonlySet<string> = new Set(['GET', 'HEAD', 'OPTIONS', 'TRACE'])
+
+/**
+ * Classifies requests as at-most-once (`guarded`), download or lookup by the patterns of a service's rule. A request
+ * that no pattern lists is a lookup when its method is safe, and at-most-once otherwise.
+ */
 export class RequestClassifier {
   private readonly _guarded: readonly Pattern[]
   private readonly _downloads: readonly Pattern[]
@@ -23,7 +29,8 @@
   public classify (method: string, target: string): CallKind {
     const path = normalizePath(target)
     if (this._guarded.some(pattern => matches(pattern, method, path))) return 'guarded'
-    return this._downloads.some(pattern => matches(pattern, method, path)) ? 'download' : 'lookup'
+    if (this._downloads.some(pattern => matches(pattern, method, path))) return 'download'
+    return SAFE_METHODS.has(method) ? 'lookup' : 'guarded'
   }
 }
 
@@ -42,11 +49,15 @@
 
 const NEEDS_NORMALIZING = /%|\/\/|\/\.|\\/
 
+/** Scheme and authority of a target in absolute form (RFC 9112, section 3.2.2). */
+const ORIGIN = /^[a-z][a-z0-9+.-]*:\/\/[^/?#]*/i
+
 // An upstream may read `/%63heckouts` or `//checkouts` as `/checkouts`. Without normalising, an at-most-once request in
-// such a spelling would be classified as a lookup. A path with a malformed escape is not decoded.
+// such a spelling would be classified as a lookup.
 function normalizePath (target: string): string {
-  const end = target.search(/[?#]/)
-  const path = end < 0 ? target : target.slice(0, end)
+  const relative = target.replace(ORIGIN, '')
+  const end = relative.search(/[?#]/)
+  const path = end < 0 ? relative : relative.slice(0, end)
   if (!NEEDS_NORMALIZING.test(path)) return path
   const segments: string[] = []
   for (const segment of decodePath(path).split(/[/\\]+/)) {
@@ -56,10 +67,18 @@
   return `/${segments.join('/')}`
 }
 
+// Each run of escapes is decoded on its own, so that a malformed one does not keep the others encoded.
 function decodePath (path: string): string {
-  try {
-    return decodeURIComponent(path)
-  } catch {
-    return path
-  }
+  return path.replace(/(?:%[0-9a-f]{2})+/gi, escapes => {
+    try {
+      return decodeURIComponent(escapes)
+    } catch {
+      return decodeBytes(escapes)
+    }
+  })
+}
+
+/** Decodes escapes that are not valid UTF-8 byte by byte. */
+function decodeBytes (escapes: string): string {
+  return escapes.replace(/%([0-9a-f]{2})/gi, (_, hex: string) => String.fromCharCode(parseInt(hex, 16)))
 }
--- a/src/routenode/CallServer.ts
+++ b/src/routenode/CallServer.ts
@@ -15,6 +15,7 @@
   private readonly _server: FrameServer<CallClientFrame, CallServerFrame>
   private readonly _channels = new Set<Channel>()
   private _isStopping = false
+  private _isEnded = false
 
   /**
    * @param _target Proxy of the instance.
@@ -35,7 +36,13 @@
     for (const channel of this._channels) channel.send({ type: 'stopping' })
   }
 
-  /** Closes the listener and all connections. */
+  /** Closes the listener, and each connection once the frames for it have arrived at the other node. */
+  public async end (): Promise<void> {
+    this._isEnded = true
+    await this._server.end()
+  }
+
+  /** Closes the listener and all connections at once. */
   public dispose (): void {
     this._server.dispose()
   }
@@ -49,6 +56,8 @@
       handles.clear()
     })
     channel.onMessage(frame => {
+      // Its answer could not be sent any more.
+      if (frame.type === 'call' && this._isEnded) return
       if (frame.type === 'call') this._start(channel, handles, frame.call)
       if (frame.type === 'ping') channel.send({ type: 'pong' })
       if (frame.type !== 'cancel') return
--- a/src/routenode/Gateway.ts
+++ b/src/routenode/Gateway.ts
@@ -8,12 +8,12 @@
 import type { CallerLimits } from '../parts/routing/Types.js'
 import type { RouteEntry, RouteTable } from '../parts/routing/RouteTable.js'
 import type { ServiceName } from '../parts/Types.js'
-import { Emitter } from '../runtime/Emitter.js'
 import { listenOn } from '../runtime/Listen.js'
 import type { Disposable, Log } from '../runtime/Types.js'
 import { NOT_READY_RETRY_AFTER_MS, RETRY_AFTER_MAX_SHARE, RETRY_AFTER_JITTER } from './Constants.js'
 import { GatewayCall, type GatewayContext, type GatewayReason, type GatewayRequest, type GatewayResult } from './GatewayCall.js'
 import { AnswerSizeEstimate } from './AnswerSizeEstimate.js'
+import { CallerConnections } from './CallerConnections.js'
 import type { RouteNodeMetrics } from './RouteNodeMetrics.js'
 import type { AttemptKind, HeaderNames, RoutedAnswer } from './Types.js'
 
@@ -49,7 +49,7 @@
  */
 export class Gateway implements Disposable {
   private readonly _server: Server
-  private readonly _emptyEmitter = new Emitter<void>()
+  private readonly _connections: CallerConnections
   private readonly _droppedHeaders: ReadonlySet<string>
   private readonly _answerSizes = new AnswerSizeEstimate()
   private readonly _callerWaitEstimate = new CallerWaitEstimate()
@@ -68,13 +68,11 @@
       keepAliveTimeout: this._callerLimits.idleTimeoutMs,
       noDelay: true
     })
+    this._connections = new CallerConnections(this._server)
     this._server.on('request', (message, response) => this._onRequest(message, response))
     this._server.on('clientError', (error, socket) => this._onClientError(error, socket))
   }
 
-  /** Fires when the last open request has ended. The shutdown of a node does not use it: it polls `inFlight`. */
-  public readonly onEmpty = this._emptyEmitter.event
-
   /** Number of requests that were read and are not answered yet. */
   public get inFlight (): number {
     return this._openRequestCount
@@ -102,11 +100,13 @@
     this._isClosing = true
   }
 
-  /** Closes the listener and idle connections; requests that were read are still answered. */
-  public close (): void {
+  /**
+   * Closes the listener, and each connection once the requests on it are answered. Resolves when all connections have
+   * closed.
+   */
+  public async close (): Promise<void> {
     this._isClosing = true
-    this._server.close()
-    this._server.closeIdleConnections()
+    await this._connections.close()
   }
 
   /** Closes the listener and all connections at once. */
@@ -188,7 +188,6 @@
       if (result?.type === 'answer') this._answerSizes.recordAnswer(request.route.name, result.answer.body.length)
       this._recordEnd(request, call, result)
       this._openRequestCount--
-      if (this._openRequestCount === 0) this._emptyEmitter.fire()
     }
     const call = new GatewayCall(request, this._options, finish)
     response.once('close', () => {
--- a/src/routenode/RouteNodeDaemon.ts
+++ b/src/routenode/RouteNodeDaemon.ts
@@ -155,7 +155,8 @@
 
   /**
    * Shuts down gracefully: callers and other nodes are notified, so that they use other nodes; requests that arrive
-   * meanwhile are served; then the listener closes and open requests and calls finish, up to `stopLimitMs`.
+   * meanwhile are served; then the listener closes and open requests and calls finish, up to `stopLimitMs`. A request
+   * or call has finished when the receiver of its answer has all of it.
    */
   public async stop (): Promise<void> {
     const { settings, clock, log } = this._options
@@ -166,10 +167,7 @@
     this._callServer.announceStop()
     this._gateway.announceClose()
     await delay(SHUTDOWN_DELAY_MS)
-    this._gateway.close()
-    while (
-      this._gateway.inFlight + this._instanceProxy.pendingCallCount > 0 && clock.nowMs() < untilMs
-    ) await delay(STOP_POLL_INTERVAL_MS)
+    await Promise.race([this._finishOpenWork(), delay(untilMs - clock.nowMs())])
     log.info({ inFlight: this._gateway.inFlight, held: this._instanceProxy.pendingCallCount }, 'stopped')
     this.dispose()
   }
@@ -184,6 +182,12 @@
     this._instanceProxy.dispose()
   }
 
+  private async _finishOpenWork (): Promise<void> {
+    await this._gateway.close()
+    while (this._instanceProxy.pendingCallCount > 0) await delay(STOP_POLL_INTERVAL_MS)
+    await this._callServer.end()
+  }
+
   private _readGauges (): NodeGauges {
     return {
       ready: this.isReady,
@@ -239,7 +243,7 @@
   }
 }
 
-/** Interval at which a shutdown checks whether all requests and calls have ended, in milliseconds. */
+/** Interval at which a shutdown checks whether all calls have ended, in milliseconds. */
 const STOP_POLL_INTERVAL_MS = 20
 
 async function delay (ms: number): Promise<void> {
--- a/src/runtime/FrameServer.ts
+++ b/src/runtime/FrameServer.ts
@@ -32,6 +32,17 @@
     if (this._server.listening) this._server.close()
   }
 
+  /** Stops listening, and closes each channel once its buffered messages are sent and the other end has closed too. */
+  public async end (): Promise<void> {
+    this.close()
+    await Promise.all([...this._channels].map(async channel => {
+      await new Promise<void>(resolve => {
+        channel.onClose(() => resolve())
+        channel.end()
+      })
+    }))
+  }
+
   /** Stops listening and closes all channels. */
   public dispose (): void {
     this.close()
--- a/test/RouteMesh.test.ts
+++ b/test/RouteMesh.test.ts
@@ -1,6 +1,12 @@
 import { afterEach, expect, test } from 'vitest'
 import { request } from 'node:http'
-import { makeRoute, HEADER_NAMES, pause, RouteMesh } from './support/RouteMesh.js'
+import type { IncomingMessage } from 'node:http'
+import { connect } from 'node:net'
+import { makeRoute, HEADER_NAMES, type MeshNode, pause, RouteMesh } from './support/RouteMesh.js'
+import { parseAddress } from '../src/runtime/Address.js'
+import { FrameChannel } from '../src/runtime/FrameChannel.js'
+import { SystemClock } from '../src/runtime/SystemClock.js'
+import type { CallClientFrame, CallServerFrame, RoutedCall } from '../src/routenode/Types.js'
 
 let mesh: RouteMesh | undefined
 
@@ -122,6 +128,100 @@
   expect(new Set(statuses)).toEqual(new Set([200]))
 })
 
+test('a planned stop of a node waits for a caller that reads its answer slowly', async () => {
+  const started = await startMesh(1)
+  const [node] = started.nodes as [MeshNode]
+  answerWith(node, LARGE_BODY)
+  const answer = await startRequest(node, '/read/x')
+  answer.pause()
+  const stopped = node.daemon.stop()
+  await refusesConnections(node.callerUrl)
+  expect(await readLength(answer)).toBe(LARGE_BODY.length)
+  await stopped
+})
+
+test('a planned stop of a node waits for another node that reads an answer slowly', async () => {
+  const started = await startMesh(1)
+  const [node] = started.nodes as [MeshNode]
+  answerWith(node, LARGE_BODY)
+  const socket = connect(parseAddress(node.nodeAddress))
+  const channel = new FrameChannel<CallServerFrame, CallClientFrame>(socket, new SystemClock())
+  channel.send({ type: 'callHello', node: 'other' })
+  channel.send({ type: 'call', call: LARGE_CALL })
+  while (started.startedCount === 0) await pause()
+  socket.pause()
+  const answered = new Promise<number | undefined>(resolve => {
+    channel.onMessage(frame => { if (frame.type === 'answer') resolve(frame.answer.body.length) })
+    channel.onClose(() => resolve(undefined))
+  })
+  const stopped = node.daemon.stop()
+  await refusesConnections(node.callerUrl)
+  socket.resume()
+  expect(await answered).toBe(LARGE_BODY.length)
+  await stopped
+})
+
+/** More than the socket buffers of a connection hold. */
+const LARGE_BODY = Buffer.alloc(14 * 1024 * 1024, 'x')
+
+const LARGE_CALL: RoutedCall = {
+  id: 1,
+  service: 'svc',
+  method: 'GET',
+  target: '/read/x',
+  headers: ['Host', 'h.example', HEADER_NAMES.requestId, 'large'],
+  body: new Uint8Array(0),
+  requestId: 'large',
+  work: 'read',
+  kind: 'idempotent',
+  nested: false,
+  priority: 1,
+  leftMs: 20_000,
+  objectiveLeftMs: 10_000,
+  moveMs: undefined,
+  attempt: 'first'
+}
+
+function answerWith ({ instance }: MeshNode, body: Buffer): void {
+  instance.behaviour = ({ headers }, response) => {
+    const id = String(headers[HEADER_NAMES.requestId])
+    response.writeHead(200, { [HEADER_NAMES.requestId]: id, [HEADER_NAMES.signature]: 's', 'content-length': body.length })
+    response.end(body)
+  }
+}
+
+async function startRequest (node: MeshNode, path: string): Promise<IncomingMessage> {
+  return await new Promise((resolve, reject) => {
+    const headers = { host: 'h.example', [HEADER_NAMES.requestId]: 'slow-reader' }
+    request(`${node.callerUrl}${path}`, { headers, agent: false }).on('response', resolve).on('error', reject).end()
+  })
+}
+
+/** Returns the length of the body, or that of the part that arrived before the connection broke. */
+async function readLength (answer: IncomingMessage): Promise<number> {
+  let length = 0
+  answer.on('data', (chunk: Buffer) => { length += chunk.length })
+  answer.on('error', () => {})
+  const closed = new Promise(resolve => answer.once('close', resolve))
+  answer.resume()
+  await closed
+  return length
+}
+
+/** Waits until the listener at a URL is closed. */
+async function refusesConnections (url: string): Promise<void> {
+  const { hostname, port } = new URL(url)
+  for (;;) {
+    const isRefused = await new Promise<boolean>(resolve => {
+      const socket = connect(Number(port), hostname)
+      socket.once('connect', () => resolve(false)).once('error', () => resolve(true))
+      socket.once('connect', () => socket.destroy())
+    })
+    if (isRefused) return
+    await pause()
+  }
+}
+
 function bindCall (started: RouteMesh): Pick<RouteMesh, 'nodes' | 'call'> {
   return { nodes: started.nodes, call: async (node, path, deadlineMs) => await started.call(node, path, deadlineMs) }
 }
