Bound the answers to load queries and to the operators' requests

A load query took its result from the head and left the connection open to drain a body without end, outside any timeout; its connection is now closed at the timeout of the query or after 16 KiB. An answer to an operator's request was collected without a limit until the request's timeout. Tests send a head, a header line, a status line, a series of informational responses and three kinds of body without end to calls, health checks and load queries: 3 of the 21 failed before (the load query's three bodies), all pass now.

--- a/src/ctl/AdminClient.ts
+++ b/src/ctl/AdminClient.ts
@@ -31,6 +31,9 @@
 /** No attempt starts with less time left: it would likely time out and turn a known outcome into `lost`. */
 const MIN_ATTEMPT_MS = 250
 
+/** Largest answer of a process, in bytes; a configuration of thousands of routes has some megabytes. */
+const MAX_ANSWER_BYTES = 64 * 1024 * 1024
+
 /** Error codes of connections that failed before anything was sent. */
 const UNSENT_ERROR_CODES: ReadonlySet<string> = new Set(['ECONNREFUSED', 'ENOTFOUND', 'EHOSTUNREACH', 'ENETUNREACH'])
 
@@ -76,7 +79,7 @@
     let url = `http://${address}${request.path}`
     try {
       for (let redirects = 0; redirects <= MAX_REDIRECTS; redirects++) {
-        const answer = await got(url, {
+        const pending = got(url, {
           method: request.method,
           ...(request.json === undefined ? {} : { json: request.json }),
           followRedirect: false,
@@ -84,6 +87,10 @@
           retry: { limit: 0 },
           timeout: { request: Math.max(1, Math.min(ATTEMPT_TIMEOUT_MS, deadlineAtMs - performance.now())) }
         })
+        pending.on('downloadProgress', ({ transferred }) => {
+          if (transferred > MAX_ANSWER_BYTES) pending.cancel(`answer is larger than ${MAX_ANSWER_BYTES} bytes`)
+        }).catch(() => {}) // The failure is reported where the answer is awaited.
+        const answer = await pending
         const location = answer.headers.location
         if (answer.statusCode !== 307 || location === undefined) {
           return { type: 'answer', answer: { status: answer.statusCode, body: parseBody(answer.body), from: new URL(url).host } }
--- a/src/routenode/Constants.ts
+++ b/src/routenode/Constants.ts
@@ -62,6 +62,9 @@
 /** Largest answer that is relayed, in bytes; a node keeps all of it in memory until its caller has received it. */
 export const MAX_ANSWER_BYTES = 15 * 1024 * 1024
 
+/** Largest answer to a load query whose connection is kept, in bytes; such answers are nearly empty. */
+export const MAX_QUERY_ANSWER_BYTES = 16 * 1024
+
 /**
  * Longest Retry-After of a node that has no configuration yet, in milliseconds: a configuration arrives within a second
  * or two of a start, so most nodes have one by then.
--- a/src/routenode/InstanceClient.test.ts
+++ b/src/routenode/InstanceClient.test.ts
@@ -47,7 +47,7 @@
   return new InstanceClient(address, NAMES, new SystemClock())
 }
 
-async function run (client: InstanceClient, requestId: string, kind: RoutedCall['kind'] = 'once'): Promise<string> {
+async function run (client: InstanceClient, requestId: string, kind: RoutedCall['kind'] = 'once', timeoutMs = 5000): Promise<string> {
   const call: RoutedCall = {
     id: 1,
     service: 's',
@@ -66,7 +66,7 @@
     attempt: 'first'
   }
   return await new Promise(resolve => {
-    client.run(call, 'i-1', 5000, {
+    client.run(call, 'i-1', timeoutMs, {
       onAnswer: ({ status, body }) => resolve(`${status} ${Buffer.from(body).toString()}`),
       onFailure: (proof, reason) => resolve(`${proof} ${reason}`),
       onLoad: () => {}
@@ -76,6 +76,55 @@
 
 const head = (id: string, rest: string): string => `HTTP/1.1 200 OK\r\nCall-Id: ${id}\r\nSignature: s\r\n${rest}`
 
+/** Writes to a connection until the other end closes it; resolves then. */
+async function writeWithoutEnd (socket: Socket, piece: string): Promise<void> {
+  const timer = setInterval(() => { if (!socket.destroyed) socket.write(piece) }, 1)
+  await new Promise(resolve => socket.once('close', resolve))
+  clearInterval(timer)
+}
+
+const ENDLESS: ReadonlyArray<readonly [string, string, string]> = [
+  ['body with a length', 'HTTP/1.1 200 OK\r\nLoad: 1,0,6,100\r\nContent-Length: 1000000000\r\n\r\n', 'x'.repeat(100)],
+  ['chunked body', 'HTTP/1.1 200 OK\r\nLoad: 1,0,6,100\r\nTransfer-Encoding: chunked\r\n\r\n', '1\r\nx\r\n'],
+  ['body up to the end of the connection', 'HTTP/1.1 200 OK\r\nLoad: 1,0,6,100\r\n\r\n', 'x'],
+  ['head', 'HTTP/1.1 200 OK\r\n', 'A: b\r\n'],
+  ['head line', 'HTTP/1.1 200 OK\r\nA: ', 'b'],
+  ['series of informational responses', '', 'HTTP/1.1 103 Early Hints\r\n\r\n'],
+  ['status line', 'HTTP/1.1 200 ', 'O']
+]
+
+for (const [part, start, piece] of ENDLESS) {
+  test(`a load query closes the connection on a ${part} without end`, async () => {
+    let closed: Promise<void> | undefined
+    const client = await startInstance(socket => {
+      socket.write(start)
+      closed = writeWithoutEnd(socket, piece)
+    })
+    await new Promise(resolve => client.queryLoad('/health', resolve))
+    await closed
+  })
+
+  test(`a health check closes the connection on a ${part} without end`, async () => {
+    let closed: Promise<void> | undefined
+    const client = await startInstance(socket => {
+      socket.write(start)
+      closed = writeWithoutEnd(socket, piece)
+    })
+    await new Promise(resolve => client.checkHealth('/health', resolve))
+    await closed
+  })
+
+  test(`a call fails at its deadline on a ${part} without end, and the connection is closed`, async () => {
+    let closed: Promise<void> | undefined
+    const client = await startInstance((socket, id) => {
+      socket.write(start.replace('Load: 1,0,6,100', `Call-Id: ${id}\r\nSignature: s`))
+      closed = writeWithoutEnd(socket, piece)
+    })
+    expect(await run(client, 'a', 'once', 300)).toMatch(/^unknown /)
+    await closed
+  })
+}
+
 test('an answer without a length is complete when its connection ends', async () => {
   const client = await startInstance((socket, id) => socket.end(head(id, '\r\nwhole')))
   expect(await run(client, 'a')).toBe('200 whole')
--- a/src/routenode/InstanceClient.ts
+++ b/src/routenode/InstanceClient.ts
@@ -3,7 +3,10 @@
 import { findHeader, selectEndToEnd } from '../node/EndToEndHeaders.js'
 import { parseAddress } from '../runtime/Address.js'
 import type { Clock, Disposable } from '../runtime/Types.js'
-import { HEALTH_CHECK_TIMEOUT_MS, INSTANCE_CONNECT_TIMEOUT_MS, MAX_ANSWER_BYTES, LOAD_QUERY_TIMEOUT_MS, AT_MOST_ONCE_MAX_IDLE_MS } from './Constants.js'
+import {
+  AT_MOST_ONCE_MAX_IDLE_MS, HEALTH_CHECK_TIMEOUT_MS, INSTANCE_CONNECT_TIMEOUT_MS, LOAD_QUERY_TIMEOUT_MS,
+  MAX_ANSWER_BYTES, MAX_QUERY_ANSWER_BYTES
+} from './Constants.js'
 import { InstanceAgent } from './InstanceAgent.js'
 import { parseLoadHeader } from './LoadHeader.js'
 import type { InstanceLoad } from './LoadHeader.js'
@@ -112,12 +115,15 @@
     const finish = (response: IncomingMessage | undefined): void => {
       if (done) return
       done = true
-      clearTimeout(timer)
       if (response === undefined || agent === false) request.destroy()
-      else response.resume()
+      else readToEnd(request, response)
       onResponse(response)
     }
-    const timer = setTimeout(() => finish(undefined), timeoutMs)
+    const timer = setTimeout(() => {
+      request.destroy()
+      finish(undefined)
+    }, timeoutMs)
+    request.once('close', () => clearTimeout(timer))
     request.on('error', () => finish(undefined))
     request.on('response', response => finish(response))
     request.end()
@@ -138,6 +144,15 @@
   }
 }
 
+/** Reads the body of a query's answer, so that the connection can be kept; a larger one than usual closes it. */
+function readToEnd (request: ClientRequest, response: IncomingMessage): void {
+  let receivedBytes = 0
+  response.on('data', (chunk: Buffer) => {
+    receivedBytes += chunk.length
+    if (receivedBytes > MAX_QUERY_ANSWER_BYTES) request.destroy()
+  })
+}
+
 /** One request to the instance and its answer. */
 class InstanceExchange implements RoutedCallHandle {
   private _request: ClientRequest
