Let an instance work until its node stops; elect the first leader by rank

After a restart of all replicas two or three of them became candidates in the same tick, at half to the whole of firstElectionMs, and split the votes: leader 0.5 s after the start, in the second term. The first timeout now grows with the rank of the member, and a candidate for pre-votes yields to a lower id.

--- a/src/parts/agreement/Election.ts
+++ b/src/parts/agreement/Election.ts
@@ -43,13 +43,20 @@
     this._countVote(this._state.id)
   }
 
-  /** Answers a pre-vote request; changes no state here. */
+  /**
+   * Answers a pre-vote request. In a first election, a replica that asks for pre-votes itself withdraws in favour of a
+   * member with a lower id, since two candidates would split the votes.
+   */
   public onPreVote (from: ReplicaId, message: PreVoteRequest): void {
     const state = this._state
     const granted = state.role !== 'recovering' &&
       message.term > state.term &&
       !this.hasRecentLeader() &&
       this._isUpToDate(message)
+    if (granted && state.isFirstElection && from < state.id) {
+      if (this._phase === 'preVote') this._phase = 'idle'
+      state.resetElectionTimer()
+    }
     state.send(from, { type: 'preVoteReply', term: granted ? message.term : state.term, granted })
   }
 
--- a/src/parts/agreement/ReplicaState.ts
+++ b/src/parts/agreement/ReplicaState.ts
@@ -207,12 +207,17 @@
     if (losesLeadership) this._stepDown()
   }
 
-  /** Restarts the election timeout with a random duration. */
+  /** Restarts the election timeout: with a random duration, or for a first election with one by the replica's rank. */
   public resetElectionTimer (): void {
     const { electionMinMs, electionMaxMs, firstElectionMs } = this.timing
-    const isFirst = this.lastLeaderContactMs === undefined && firstElectionMs !== undefined
-    const [minMs, maxMs] = isFirst ? [firstElectionMs / 2, firstElectionMs] : [electionMinMs, electionMaxMs]
-    this.electionDueMs = this.nowMs + minMs + (maxMs - minMs) * this.random.next()
+    this.electionDueMs = this.nowMs + (this.isFirstElection && firstElectionMs !== undefined
+      ? firstElectionMs * (this._rank() + 1)
+      : electionMinMs + (electionMaxMs - electionMinMs) * this.random.next())
+  }
+
+  /** True until the first message from a leader since the start, if the timing sets `firstElectionMs`. */
+  public get isFirstElection (): boolean {
+    return this.lastLeaderContactMs === undefined && this.timing.firstElectionMs !== undefined
   }
 
   /**
@@ -260,6 +265,11 @@
     this.emit({ type: 'rejected', id, state, leader: this.leader })
   }
 
+  /** Number of members whose ids sort before that of this replica. */
+  private _rank (): number {
+    return this.log.members.filter(member => member < this.id).length
+  }
+
   private _stepDown (): void {
     this.resetElectionTimer()
     for (const id of this._proposals.values()) this.reject(id, 'unknown')
--- a/src/parts/agreement/Types.ts
+++ b/src/parts/agreement/Types.ts
@@ -54,8 +54,9 @@
   /** Maximum election timeout; the actual one is drawn at random between the two. */
   readonly electionMaxMs: number
   /**
-   * Maximum election timeout until the first message from a leader since the start; the minimum is half of it. A group
-   * whose replicas all restart has no leader to wait for. If undefined, the usual timeouts apply.
+   * Election timeout of the member with the lowest id until the first message from a leader since its start; that of
+   * each following member is longer by as much. A group whose replicas all restart has no leader to wait for, and
+   * members that are candidates at the same time split the votes. If undefined, the usual timeouts apply.
    */
   readonly firstElectionMs?: number
   /** A leader steps down when no quorum has answered it for this long; must be below `electionMinMs`. */
--- a/src/routecontrol/Constants.ts
+++ b/src/routecontrol/Constants.ts
@@ -8,8 +8,8 @@
   heartbeatMs: 100,
   electionMinMs: 500,
   electionMaxMs: 900,
-  // Three heartbeats: an existing leader has been heard by then, and a pre-vote while there is one changes nothing.
-  firstElectionMs: 300,
+  // Two ticks, and enough for the links to open. A pre-vote while there is a leader changes nothing.
+  firstElectionMs: 100,
   leaseMs: 450,
   catchUpTimeoutMs: 4000
 }
--- a/src/routenode/CallServer.ts
+++ b/src/routenode/CallServer.ts
@@ -2,6 +2,7 @@
 import type { FrameChannel } from '../runtime/FrameChannel.js'
 import { FrameServer } from '../runtime/FrameServer.js'
 import type { Clock, Disposable } from '../runtime/Types.js'
+import { LINK_TIMEOUT_MS } from './Constants.js'
 import type { CallClientFrame, CallServerFrame, RoutedCall, RoutedCallHandle, RoutedCallTarget } from './Types.js'
 
 type Channel = FrameChannel<CallClientFrame, CallServerFrame>
@@ -15,7 +16,7 @@
   private readonly _server: FrameServer<CallClientFrame, CallServerFrame>
   private readonly _channels = new Set<Channel>()
   private _isStopping = false
-  private _isEnded = false
+  private _isFinishing = false
 
   /**
    * @param _target Proxy of the instance.
@@ -37,9 +38,9 @@
   }
 
   /** Closes the listener, and each connection once the frames for it have arrived at the other node. */
-  public async end (): Promise<void> {
-    this._isEnded = true
-    await this._server.end()
+  public async finish (): Promise<void> {
+    this._isFinishing = true
+    await this._server.finish(LINK_TIMEOUT_MS)
   }
 
   /** Closes the listener and all connections at once. */
@@ -57,7 +58,7 @@
     })
     channel.onMessage(frame => {
       // Its answer could not be sent any more.
-      if (frame.type === 'call' && this._isEnded) return
+      if (frame.type === 'call' && this._isFinishing) return
       if (frame.type === 'call') this._start(channel, handles, frame.call)
       if (frame.type === 'ping') channel.send({ type: 'pong' })
       if (frame.type !== 'cancel') return
--- a/src/routenode/CallerConnections.ts
+++ b/src/routenode/CallerConnections.ts
@@ -59,5 +59,5 @@
 }
 
 function closeIfIdle (socket: Socket, { openRequests, bytesReadWhenIdle }: ConnectionUse): void {
-  if (openRequests === 0 && socket.bytesRead === bytesReadWhenIdle) socket.end()
+  if (openRequests === 0 && socket.bytesRead === bytesReadWhenIdle) socket.destroySoon()
 }
--- a/src/routenode/Constants.ts
+++ b/src/routenode/Constants.ts
@@ -77,6 +77,12 @@
  */
 export const SHUTDOWN_DELAY_MS = 3000
 
+/**
+ * Time before the end of `SHUTDOWN_DELAY_MS` at which other nodes are notified, in milliseconds: the notice takes a
+ * round trip to reach them, more while they are busy, and the instance gets no new calls from then on.
+ */
+export const STOP_NOTICE_MS = 300
+
 /**
  * Jitter of Retry-After, so that refused callers do not come back together: up to this share of the latency objective
  * is added, or, while there is no configuration, up to this share of the delay is taken off.
--- a/src/routenode/RouteNodeDaemon.ts
+++ b/src/routenode/RouteNodeDaemon.ts
@@ -8,7 +8,7 @@
 import type { Random, ServiceName } from '../parts/Types.js'
 import type { Clock, Disposable, Log } from '../runtime/Types.js'
 import { CallServer } from './CallServer.js'
-import { REPUBLISH_INTERVAL_MS, SHUTDOWN_DELAY_MS } from './Constants.js'
+import { REPUBLISH_INTERVAL_MS, SHUTDOWN_DELAY_MS, STOP_NOTICE_MS } from './Constants.js'
 import { ControlFeed, type FeedWelcome } from './ControlFeed.js'
 import { Gateway } from './Gateway.js'
 import { InstanceProxy } from './InstanceProxy.js'
@@ -67,6 +67,7 @@
   private _revision = 0
   private _state: NodeEntry['state'] = 'up'
   private _isConfigured = false
+  private _isStopping = false
   private _lastCallId = 0
   private _republishTimer: NodeJS.Timeout | undefined
 
@@ -120,7 +121,7 @@
 
   /** True while this node accepts new callers: it has a configuration and is not shutting down. */
   public get isReady (): boolean {
-    return this._isConfigured && this._state === 'up'
+    return this._isConfigured && !this._isStopping
   }
 
   /** Handles a report of the instance on this VM; once this returns, a draining instance gets no new calls. */
@@ -154,19 +155,21 @@
   }
 
   /**
-   * Shuts down gracefully: callers and other nodes are notified, so that they use other nodes; requests that arrive
-   * meanwhile are served; then the listener closes and open requests and calls finish, up to `stopLimitMs`. A request
-   * or call has finished when the receiver of its answer has all of it.
+   * Shuts down gracefully: callers are notified, so that they use other nodes, and requests that arrive meanwhile are
+   * served. The instance keeps working for other nodes, which are notified last. Then the listener closes, and open
+   * requests and calls finish, up to `stopLimitMs`; one has finished when the receiver of its answer has all of it.
    */
   public async stop (): Promise<void> {
     const { settings, clock, log } = this._options
     const untilMs = clock.nowMs() + settings.stopLimitMs - STOP_RESERVE_MS
     log.info({ inFlight: this._gateway.inFlight, held: this._instanceProxy.pendingCallCount }, 'stopping')
+    this._isStopping = true
+    this._gateway.announceClose()
+    await delay(SHUTDOWN_DELAY_MS - STOP_NOTICE_MS)
     this._state = 'stopping'
     this._publish()
     this._callServer.announceStop()
-    this._gateway.announceClose()
-    await delay(SHUTDOWN_DELAY_MS)
+    await delay(STOP_NOTICE_MS)
     await Promise.race([this._finishOpenWork(), delay(untilMs - clock.nowMs())])
     log.info({ inFlight: this._gateway.inFlight, held: this._instanceProxy.pendingCallCount }, 'stopped')
     this.dispose()
@@ -185,7 +188,7 @@
   private async _finishOpenWork (): Promise<void> {
     await this._gateway.close()
     while (this._instanceProxy.pendingCallCount > 0) await delay(STOP_POLL_INTERVAL_MS)
-    await this._callServer.end()
+    await this._callServer.finish()
   }
 
   private _readGauges (): NodeGauges {
--- a/src/runtime/FrameChannel.ts
+++ b/src/runtime/FrameChannel.ts
@@ -92,6 +92,23 @@
     this._socket.end()
   }
 
+  /**
+   * Sends all buffered messages, then waits for the other end to close, since bytes of the other end that arrive after
+   * this end has closed would reset the connection and discard what is still on its way.
+   * @param lingerMs Longest wait after the last byte was passed to the operating system, in milliseconds.
+   */
+  public async finish (lingerMs: number): Promise<void> {
+    if (this._closed) return
+    await new Promise<void>(resolve => {
+      let timer: NodeJS.Timeout | undefined
+      this.onClose(() => {
+        clearTimeout(timer)
+        resolve()
+      })
+      this._socket.end(() => { timer = setTimeout(() => this.destroy('the other end did not close'), lingerMs) })
+    })
+  }
+
   /**
    * Closes at once; buffered messages are dropped.
    * @param reason Passed to `onClose`.
--- a/src/runtime/FrameServer.ts
+++ b/src/runtime/FrameServer.ts
@@ -32,15 +32,10 @@
     if (this._server.listening) this._server.close()
   }
 
-  /** Stops listening, and closes each channel once its buffered messages are sent and the other end has closed too. */
-  public async end (): Promise<void> {
+  /** Stops listening and finishes all channels; see `FrameChannel.finish`. */
+  public async finish (lingerMs: number): Promise<void> {
     this.close()
-    await Promise.all([...this._channels].map(async channel => {
-      await new Promise<void>(resolve => {
-        channel.onClose(() => resolve())
-        channel.end()
-      })
-    }))
+    await Promise.all([...this._channels].map(async channel => await channel.finish(lingerMs)))
   }
 
   /** Stops listening and closes all channels. */
--- a/test/RouteMesh.test.ts
+++ b/test/RouteMesh.test.ts
@@ -128,6 +128,22 @@
   expect(new Set(statuses)).toEqual(new Set([200]))
 })
 
+test('during a planned stop of a node, its instance keeps working for other nodes', async () => {
+  const started = await startMesh(2)
+  const [other, stopping] = started.nodes as [MeshNode, MeshNode]
+  for (const { instance } of started.nodes) {
+    instance.behaviour = (incoming, response) => { setTimeout(() => instance.answer(incoming, response), 30) }
+  }
+  const stopped = stopping.daemon.stop()
+  // More than one instance runs at a time, in two rounds so that a notice of the stop had time to arrive.
+  for (let round = 0; round < 2; round++) {
+    const answers = await Promise.all(Array.from({ length: 10 }, async () => await started.call(other, '/read/x')))
+    expect(answers.map(({ statusCode }) => statusCode)).toEqual(Array(10).fill(200))
+  }
+  expect(stopping.instance.ran.length).toBeGreaterThanOrEqual(6)
+  await stopped
+})
+
 test('a planned stop of a node waits for a caller that reads its answer slowly', async () => {
   const started = await startMesh(1)
   const [node] = started.nodes as [MeshNode]
