Retry an idempotent request once the node of its instance does not answer pings

Ruled out: hedging before the latency is known, which adds load right after a restart of all nodes. The new tests fail before, as nothing was sent.

--- a/src/routenode/CallLink.test.ts
+++ b/src/routenode/CallLink.test.ts
@@ -71,12 +71,13 @@
   return { link, clock, server }
 }
 
-async function runCall (link: CallLink): Promise<string> {
+async function runCall (link: CallLink, onUnresponsive: () => void = () => {}): Promise<string> {
   return await new Promise(resolve => {
     const listener: RoutedCallListener = {
       onAnswer: ({ status }) => resolve(`answer ${status}`),
       onDeclined: reason => resolve(`declined ${reason}`),
-      onFailed: (proof, reason) => resolve(`${proof} ${reason}`)
+      onFailed: (proof, reason) => resolve(`${proof} ${reason}`),
+      onUnresponsive
     }
     link.start(CALL, listener)
   })
@@ -120,9 +121,9 @@
   })
   const responsive = new Promise<void>(resolve => peer.link.onResponsive(resolve))
   peer.link.onUnresponsive(() => { events.push('unresponsive') })
-  const outcome = runCall(peer.link)
+  const outcome = runCall(peer.link, () => { events.push('call') })
   await responsive
-  expect(events).toEqual(['unresponsive'])
+  expect(events).toEqual(['unresponsive', 'call'])
   peer.link.dispose()
   expect(await outcome).toBe('unknown link-lost')
 })
--- a/src/routenode/CallLink.ts
+++ b/src/routenode/CallLink.ts
@@ -137,8 +137,9 @@
   private _setUnresponsive (isUnresponsive: boolean): void {
     if (isUnresponsive === this._isUnresponsive) return
     this._isUnresponsive = isUnresponsive
-    if (isUnresponsive) this._unresponsiveEmitter.fire()
-    else this._responsiveEmitter.fire()
+    if (!isUnresponsive) return this._responsiveEmitter.fire()
+    this._unresponsiveEmitter.fire()
+    for (const listener of [...this._listeners.values()]) listener.onUnresponsive?.()
   }
 
   private _ping (channel: Channel, nowMs: number): void {
--- a/src/routenode/GatewayCall.test.ts
+++ b/src/routenode/GatewayCall.test.ts
@@ -124,6 +124,47 @@
   expect(result).toMatchObject({ type: 'answer' })
 })
 
+// A VM that is gone answers no ping; waiting for the link to fail takes most of a short deadline.
+test('an idempotent request is retried once the node of its instance is unresponsive, and takes the first answer', () => {
+  for (const answering of [0, 1]) {
+    start(['a', 'b'])
+    sentCalls[0]?.listener.onUnresponsive?.()
+    expect(sentCalls.map(({ call: { attempt } }) => attempt)).toEqual(['first', 'repeat'])
+    sentCalls[answering]?.listener.onAnswer(ANSWER, IDLE)
+    expect([result?.type, sentCalls[1 - answering]?.cancelled]).toEqual(['answer', true])
+    sentCalls = []
+  }
+})
+
+test('an at-most-once request and one without a retry left wait for an unresponsive node', () => {
+  for (const route of [{ kind: 'once' }, { maxAttempts: 1 }] as const) {
+    start(['a', 'b'], route)
+    sentCalls[0]?.listener.onUnresponsive?.()
+    expect(sentCalls).toHaveLength(1)
+    sentCalls[0]?.listener.onAnswer(ANSWER, IDLE)
+    expect(result?.type).toBe('answer')
+    sentCalls = []
+  }
+})
+
+test('a retry beside an unresponsive attempt goes to a third instance when it is declined', () => {
+  start(['a', 'b', 'c'])
+  sentCalls[0]?.listener.onUnresponsive?.()
+  decline(1, 'busy')
+  sentCalls[2]?.listener.onAnswer(ANSWER, IDLE)
+  expect(result?.type).toBe('answer')
+})
+
+test('a request whose retry is refused keeps its unresponsive attempt, and is never refused as not run', () => {
+  start(['a', 'b'])
+  sentCalls[0]?.listener.onUnresponsive?.()
+  decline(1, 'too-late')
+  expect(result).toBeUndefined()
+  sentCalls[0]?.listener.onFailed('unknown', 'link-lost', undefined)
+  expect(result?.type).not.toBe('refused')
+  sentCalls.forEach(({ node, listener }) => { if (node === 'b') listener.onAnswer(ANSWER, IDLE) })
+})
+
 /** Makes 100 ms the usual latency of the route. */
 function recordUsualLatency (): void {
   for (let i = 0; i < 200; i++) hedgePolicy.recordLatency('r', 100)
--- a/src/routenode/GatewayCall.ts
+++ b/src/routenode/GatewayCall.ts
@@ -69,6 +69,8 @@
   /** True when a decline by the gate is final, since the request goes to no other instance. */
   readonly isFinal: boolean
   readonly startedAtMs: number
+  /** True once the node of the instance did not answer a ping; the attempt may still end. */
+  isUnresponsive: boolean
   handle: RoutedCallHandle | undefined
 }
 
@@ -95,7 +97,7 @@
   private readonly _timeoutAtMs: number
   private readonly _timeoutTimer: NodeJS.Timeout
   private readonly _triedNodes: NodeId[] = []
-  /** At most two: the first attempt or its retry, and a hedge. */
+  /** At most two: the first attempt or its retry, and a hedge, or a retry beside an unresponsive attempt. */
   private readonly _pendingAttempts = new Set<PendingAttempt>()
   private _hedgeTimer: NodeJS.Timeout | undefined
   private _hedgeOutcome: HedgeOutcome | undefined
@@ -194,7 +196,9 @@
     const { placement, clock } = this._context
     const id = this._context.nextCallId()
     const startedAtMs = clock.nowMs()
-    const pending: PendingAttempt = { id, node, kind, isFinal: moveMs === undefined, startedAtMs, handle: undefined }
+    const pending: PendingAttempt = {
+      id, node, kind, isFinal: moveMs === undefined, startedAtMs, isUnresponsive: false, handle: undefined
+    }
     this._pendingAttempts.add(pending)
     this._triedNodes.push(node)
     placement.findChooser(this._request.service)?.recordSent(node)
@@ -216,10 +220,23 @@
       },
       onFailed: (proof, reason, load) => {
         if (this._endAttempt(pending, PLACEMENT_OUTCOME[proof], load)) this._onFailed(pending, proof, reason)
-      }
+      },
+      onUnresponsive: () => this._onUnresponsive(pending)
     }
   }
 
+  /** The node may be gone: a request that may run twice is retried without waiting for the link to fail. */
+  private _onUnresponsive (pending: PendingAttempt): void {
+    if (this._isEnded || !this._pendingAttempts.has(pending)) return
+    pending.isUnresponsive = true
+    if (this._request.route.kind === 'once' || this._hasResponsiveAttempt()) return
+    if (this._tryWithdrawRetry()) this._startAttempt('repeat')
+  }
+
+  private _hasResponsiveAttempt (): boolean {
+    return [...this._pendingAttempts].some(({ isUnresponsive }) => !isUnresponsive)
+  }
+
   /** Removes a pending attempt and records its outcome; returns whether the outcome still matters to the request. */
   private _endAttempt (pending: PendingAttempt, outcome: PlacementOutcome, load: GateLoad | undefined): boolean {
     if (!this._pendingAttempts.delete(pending)) return false
@@ -306,7 +323,7 @@
   private _onDeclined (pending: PendingAttempt, reason: DeclineReason, retryAfterMs: number): void {
     this._declines++
     if (pending.kind === 'hedge' && this._hedgeOutcome !== undefined) return this._onHedgeDeclined(reason, retryAfterMs)
-    if (this._pendingAttempts.size > 0) return
+    if (this._hasResponsiveAttempt()) return
     if (pending.isFinal && reason !== 'no-slots') this._giveUp(reason, retryAfterMs)
     else this._startAttempt(pending.kind)
   }
@@ -327,7 +344,7 @@
   private _onFailed (pending: PendingAttempt, proof: FailureProof, reason: FailureReason): void {
     if (proof !== 'unsent') this._sends++
     if (proof === 'unknown') this._mayHaveRun = true
-    if (this._pendingAttempts.size > 0) return
+    if (this._hasResponsiveAttempt()) return
     // The hedge was the last pending attempt and its budget token is spent, so its replacement counts as a retry.
     const kind = pending.kind === 'hedge' && this._hedgeOutcome !== undefined ? 'repeat' : pending.kind
     if (proof === 'unsent') return this._startAttempt(kind)
@@ -345,11 +362,13 @@
   private _tryWithdrawRetry (): boolean {
     const { retryBudgets, clock, nodeCount } = this._context
     const { route, service } = this._request
-    if (this._sends >= route.maxAttempts) return false
+    if (this._sends + this._pendingAttempts.size >= route.maxAttempts) return false
     return retryBudgets.budgetFor(service).tryWithdraw(nodeCount(), clock.nowMs())
   }
 
+  /** Ends the request without an answer, unless an unresponsive attempt is left that may still bring one. */
   private _giveUp (reason: GatewayReason, retryAfterMs: number): void {
+    if (this._pendingAttempts.size > 0) return
     if (OVERLOAD_REASONS.has(reason)) this._context.hedgePolicy.throttleFor(this._request.service).recordOverload()
     if (this._failedAnswer !== undefined) this._finish({ type: 'answer', answer: this._failedAnswer })
     else if (this._mayHaveRun) this._finish({ type: 'failed', reason, timedOut: reason === 'timeout' })
--- a/src/routenode/Types.ts
+++ b/src/routenode/Types.ts
@@ -84,12 +84,14 @@
   | 'timeout'
   | 'quarantined'
 
-/** Receives the outcome of one call: exactly one method is called, exactly once. */
+/** Receives the outcome of one call: exactly one of the first three methods is called, exactly once. */
 export interface RoutedCallListener {
   onAnswer (answer: RoutedAnswer, load: GateLoad): void
   /** The gate of the instance declined the call, which has not run. */
   onDeclined (reason: DeclineReason, retryAfterMs: number, load: GateLoad): void
   onFailed (proof: FailureProof, reason: FailureReason, load: GateLoad | undefined): void
+  /** The node of the instance does not answer pings. The call may still end in any way. */
+  onUnresponsive? (): void
 }
 
 /** A call that was started and can be cancelled. */
