Keep what a node hears and holds from growing with the mesh

Read in the code: each node published every 10 s and twice at each connect, control sent every publication in a frame of its own to all nodes, each frame made each node rebuild the candidates of all services, and each node connected to every node with a candidate. A mesh of 200 nodes at rest exchanged 4,000 frames a second, and a restart of all opened 38,000 connections.

Control collects changed entries for 20 ms and encodes them once for all its nodes. What replicas may have lost is sent again between them, not to nodes. A node publishes after its welcome only if something has changed. A changed entry touches only its own candidate. Of a large service a node uses a subset of 24 instances (rendezvous hashing, most in its own availability zone), and opens a link for the first call; the call waits for it. A restarted node gets a new link at once in place of one that waits to reconnect.

--- a/src/parts/placement/Constants.ts
+++ b/src/parts/placement/Constants.ts
@@ -34,3 +34,12 @@
 
 /** Bytes in a kilobyte. */
 export const BYTES_PER_KB = 1024
+
+/**
+ * Instances of a service that one node sends its calls to. Enough that a call that several gates decline finds others,
+ * few enough that a node with some calls a second meets each of them again soon.
+ */
+export const SUBSET_SIZE = 24
+
+/** Instances of the subset that are in other availability zones, if this one has enough. */
+export const FAR_SUBSET_SIZE = 8
--- a/src/parts/placement/InstanceChooser.ts
+++ b/src/parts/placement/InstanceChooser.ts
@@ -1,14 +1,17 @@
+import { hashText } from '../TextHash.js'
 import type { NodeId, Random } from '../Types.js'
 import {
   BYTES_PER_KB, CROSS_ZONE_COST_MS_PER_KB, DEFAULT_SLOWNESS, EJECTION_FAILURE_SHARE, FAILURE_COST_RUNS,
-  FAILURE_EWMA_WEIGHT, LOAD_HALF_LIFE_MS, MAX_EJECTED_SHARE, SLOWNESS_HALF_LIFE_MS, TRIAL_INTERVAL_MS,
-  UNREACHABLE_COOLDOWN_MS
+  FAILURE_EWMA_WEIGHT, FAR_SUBSET_SIZE, LOAD_HALF_LIFE_MS, MAX_EJECTED_SHARE, SLOWNESS_HALF_LIFE_MS, SUBSET_SIZE,
+  TRIAL_INTERVAL_MS, UNREACHABLE_COOLDOWN_MS
 } from './Constants.js'
 import type { GateLoad, PlacementCandidate, PlacementOutcome, PlacementQuery } from './Types.js'
 
 /** What this node knows of a candidate. */
 interface CandidateRecord {
   candidate: PlacementCandidate
+  /** Hash of this node and the candidate. */
+  readonly rendezvousHash: number
   /** Calls from this node that are not answered yet. */
   outstanding: number
   load: GateLoad | undefined
@@ -28,15 +31,22 @@
  *
  * Instances that fail too often are ejected and get only occasional trial calls.
  *
+ * Of a large service, a node uses a subset of the instances, most of them in its own availability zone: with all of
+ * them it would meet each one so rarely that it knew nothing of its load, and would hold a connection to every node.
+ * The subsets of the nodes are drawn by rendezvous hashing, so each instance is in about as many of them.
+ *
  * Memory: one entry for each instance.
  */
 export class InstanceChooser {
-  private _records = new Map<NodeId, CandidateRecord>()
+  private readonly _records = new Map<NodeId, CandidateRecord>()
+  /** Instances that this node sends its calls to; undefined when the candidates have changed. */
+  private _subset: readonly CandidateRecord[] | undefined
 
   /**
+   * @param _self Name of this node; it determines the subset.
    * @param _random Source of jitter, so that nodes with the same load evidence do not all choose the same instance.
    */
-  public constructor (private readonly _random: Random) {}
+  public constructor (private readonly _self: NodeId, private readonly _random: Random) {}
 
   /** Number of candidates. */
   public get size (): number {
@@ -44,16 +54,19 @@
   }
 
   /**
-   * Replaces the candidates and keeps the records of those that stay.
-   * @param candidates Instances that take new calls.
+   * Adds a candidate or replaces its description; its record is kept.
+   * @param candidate An instance that takes new calls.
    */
-  public setCandidates (candidates: readonly PlacementCandidate[]): void {
-    this._records = new Map(candidates.map(candidate => {
-      const known = this._records.get(candidate.node)
-      return [
-        candidate.node, known === undefined ? makeCandidateRecord(candidate) : Object.assign(known, { candidate })
-      ]
-    }))
+  public setCandidate (candidate: PlacementCandidate): void {
+    const known = this._records.get(candidate.node)
+    if (known !== undefined) known.candidate = candidate
+    else this._records.set(candidate.node, makeCandidateRecord(candidate, this._self))
+    this._subset = undefined
+  }
+
+  /** Removes a candidate, if it is one. */
+  public removeCandidate (node: NodeId): void {
+    if (this._records.delete(node)) this._subset = undefined
   }
 
   /**
@@ -134,10 +147,15 @@
     })
   }
 
+  /** Returns eligible instances of the subset, or of all candidates when the subset has none. */
   private _eligible (query: PlacementQuery, nowMs: number): CandidateRecord[] {
-    return [...this._records.values()].filter(record => {
+    this._subset ??= chooseSubset([...this._records.values()])
+    const isEligible = (record: CandidateRecord): boolean => {
       return !query.excluded.includes(record.candidate.node) && record.unreachableUntilMs <= nowMs
-    })
+    }
+    const eligible = this._subset.filter(isEligible)
+    if (eligible.length > 0 || this._subset.length === this._records.size) return eligible
+    return [...this._records.values()].filter(isEligible)
   }
 
   private _recordOutcome (record: CandidateRecord, failed: boolean): void {
@@ -153,7 +171,7 @@
 
   private _withoutEjected (eligible: readonly CandidateRecord[]): readonly CandidateRecord[] {
     const kept = eligible.filter(record => !this._isEjected(record))
-    const exceedsEjectionLimit = eligible.length - kept.length > this._records.size * MAX_EJECTED_SHARE
+    const exceedsEjectionLimit = eligible.length - kept.length > (this._subset?.length ?? 0) * MAX_EJECTED_SHARE
     return kept.length === 0 || exceedsEjectionLimit ? eligible : kept
   }
 
@@ -212,9 +230,20 @@
   return candidate.roundTripMs + (candidate.crossesZones ? CROSS_ZONE_COST_MS_PER_KB * bytes / BYTES_PER_KB : 0)
 }
 
-function makeCandidateRecord (candidate: PlacementCandidate): CandidateRecord {
+/** Returns the candidates with the lowest hashes, at most so many in this availability zone and in all others. */
+function chooseSubset (records: readonly CandidateRecord[]): CandidateRecord[] {
+  const takeLowest = (crossesZones: boolean, count: number): CandidateRecord[] => records
+    .filter(record => record.candidate.crossesZones === crossesZones)
+    .sort((a, b) => a.rendezvousHash - b.rendezvousHash)
+    .slice(0, count)
+  const near = takeLowest(false, SUBSET_SIZE - FAR_SUBSET_SIZE)
+  return [...near, ...takeLowest(true, SUBSET_SIZE - near.length)]
+}
+
+function makeCandidateRecord (candidate: PlacementCandidate, self: NodeId): CandidateRecord {
   return {
     candidate,
+    rendezvousHash: hashText(0, `${self} ${candidate.node}`),
     outstanding: 0,
     load: undefined,
     reportedAtMs: 0,
--- a/src/routecontrol/Constants.ts
+++ b/src/routecontrol/Constants.ts
@@ -52,3 +52,9 @@
  * second. Not used: nothing enforces this limit.
  */
 export const CHANGE_TIMEOUT_MS = 3000
+
+/** Time for which changed entries of nodes are collected before they are sent, in milliseconds. */
+export const ENTRY_BATCH_MS = 20
+
+/** Interval at which a replica sends the entries of its nodes to the other replicas again, in milliseconds. */
+export const ENTRY_RESEND_INTERVAL_MS = 10_000
--- a/src/routecontrol/NodeFeed.ts
+++ b/src/routecontrol/NodeFeed.ts
@@ -2,8 +2,11 @@
 import { NodeDirectory } from '../parts/instances/NodeDirectory.js'
 import type { NodeEntry } from '../parts/instances/Types.js'
 import type { NodeId } from '../parts/Types.js'
+import { encodeMessage } from '../runtime/FrameChannel.js'
 import type { Clock, Disposable, Log } from '../runtime/Types.js'
-import { NODE_CHECK_INTERVAL_MS, NODE_GONE_MS, NODE_TIMEOUT_MS } from './Constants.js'
+import {
+  ENTRY_BATCH_MS, ENTRY_RESEND_INTERVAL_MS, NODE_CHECK_INTERVAL_MS, NODE_GONE_MS, NODE_TIMEOUT_MS
+} from './Constants.js'
 import type { RoutingReplica } from './RoutingReplica.js'
 import type { FeedToNode, NodeToFeed } from './Types.js'
 
@@ -39,14 +42,20 @@
  * consensus: they are merged by epoch and revision, and a node publishes its entry again at each replica that it
  * connects to.
  *
- * Memory: the directory, one session for each connected node, and one entry for each node that disconnected within
- * `NODE_GONE_MS`.
+ * Memory: the directory, one session for each connected node, one entry for each node that disconnected within
+ * `NODE_GONE_MS`, and the changed entries of `ENTRY_BATCH_MS`.
  */
 export class NodeFeed implements Disposable {
   private readonly _directory = new NodeDirectory()
   private readonly _sessions = new Map<NodeId, NodeSession>()
   private readonly _disconnected = new Map<NodeId, DisconnectedNode>()
   private readonly _timer: NodeJS.Timeout
+  /** Changed entries that nodes have not been sent yet. */
+  private readonly _unsentEntries = new Map<NodeId, NodeEntry>()
+  /** Those of them that other replicas have not been sent yet either. */
+  private readonly _unforwardedEntries = new Map<NodeId, NodeEntry>()
+  private _batchTimer: NodeJS.Timeout | undefined
+  private readonly _resendTimer: NodeJS.Timeout
   /** Addresses of the control replicas that were sent to nodes last, joined by commas. */
   private _sentControls = ''
 
@@ -75,6 +84,7 @@
     _replica.onLinkOpen(() => _replica.broadcastEntries(this._directory.entries, true))
     _replica.machine.onChange(() => this._sendRoutingToAll())
     this._timer = setInterval(() => this._checkNodes(), NODE_CHECK_INTERVAL_MS)
+    this._resendTimer = setInterval(() => this._resendEntries(), ENTRY_RESEND_INTERVAL_MS)
   }
 
   /** Number of connected nodes. */
@@ -107,6 +117,8 @@
   /** Closes all connections. */
   public dispose (): void {
     clearInterval(this._timer)
+    clearInterval(this._resendTimer)
+    clearTimeout(this._batchTimer)
     for (const { channel } of this._sessions.values()) channel.dispose()
   }
 
@@ -130,11 +142,10 @@
 
   /** Merges the entry of a connected node and forwards it to other replicas and nodes. */
   private _mergePublished (entries: readonly NodeEntry[]): void {
-    const updates = this._directory.merge(entries, this._clock.nowMs())
-    if (updates.length === 0) return
-    this._replica.broadcastEntries(updates, false)
-    this._sendToAll({ type: 'entries', entries: updates })
-    for (const { node, epoch, revision, state, instance } of updates) {
+    for (const entry of this._directory.merge(entries, this._clock.nowMs())) {
+      this._unforwardedEntries.set(entry.node, entry)
+      this._queueForNodes(entry)
+      const { node, epoch, revision, state, instance } = entry
       this._log.info({ node, epoch, revision, state, instance: instance?.id, instanceState: instance?.state }, 'node published')
     }
   }
@@ -143,8 +154,30 @@
   private _mergeFromReplica (entries: readonly NodeEntry[], whole: boolean): void {
     const updates = this._directory.merge(entries, this._clock.nowMs())
     if (updates.length === 0) return
-    this._log.debug({ count: updates.length, whole }, 'news of nodes from another replica')
-    this._sendToAll({ type: 'entries', entries: updates })
+    this._log.debug({ count: updates.length, whole }, 'entries of nodes from another replica')
+    updates.forEach(entry => this._queueForNodes(entry))
+  }
+
+  /** Each frame costs every node processor time, so the changes of a short while share one. */
+  private _queueForNodes (entry: NodeEntry): void {
+    this._unsentEntries.set(entry.node, entry)
+    this._batchTimer ??= setTimeout(() => this._sendBatch(), ENTRY_BATCH_MS)
+  }
+
+  private _sendBatch (): void {
+    this._batchTimer = undefined
+    const unforwarded = [...this._unforwardedEntries.values()]
+    if (unforwarded.length > 0) this._replica.broadcastEntries(unforwarded, false)
+    this._sendToAll({ type: 'entries', entries: [...this._unsentEntries.values()] })
+    this._unforwardedEntries.clear()
+    this._unsentEntries.clear()
+  }
+
+  /** Frames between replicas may be dropped; what others know already changes nothing there. */
+  private _resendEntries (): void {
+    const welcomed = [...this._sessions.values()].filter(({ isWelcomed }) => isWelcomed)
+    const entries = welcomed.map(({ lastPublished }) => lastPublished)
+    if (entries.length > 0) this._replica.broadcastEntries(entries, false)
   }
 
   private _checkNodes (): void {
@@ -192,8 +225,9 @@
   }
 
   private _sendToAll (frame: FeedToNode): void {
+    const encoded = encodeMessage(frame)
     for (const session of this._sessions.values()) {
-      if (session.isWelcomed) this._send(session, frame)
+      if (session.isWelcomed) session.channel.sendEncoded(encoded)
     }
   }
 
--- a/src/routenode/CallLink.test.ts
+++ b/src/routenode/CallLink.test.ts
@@ -127,3 +127,48 @@
   peer.link.dispose()
   expect(await outcome).toBe('unknown link-lost')
 })
+
+test('a call that is started while the first connection opens is sent on it', async () => {
+  const [address] = await findFreeAddresses(1) as [string]
+  const clock = new SystemClock()
+  const server = new FrameServer<CallClientFrame, CallServerFrame>(clock)
+  const answer = { status: 200, headers: [], body: new Uint8Array(0) }
+  server.onChannel(channel => channel.onMessage(frame => {
+    if (frame.type === 'call') channel.send({ type: 'answer', id: frame.call.id, answer, load: LOAD })
+  }))
+  await server.listen(address)
+  const link = new CallLink(address, 'self', clock, new SeededRandom(1))
+  disposables.push(link, server)
+  link.connect()
+  expect(await runCall(link)).toBe('answer 200')
+})
+
+test('a call that waits for the first connection fails as unsent when none is possible', async () => {
+  const [address] = await findFreeAddresses(1) as [string]
+  const link = new CallLink(address, 'self', new SystemClock(), new SeededRandom(1))
+  disposables.push(link)
+  link.connect()
+  expect(await runCall(link)).toBe('unsent link-lost')
+  expect(await runCall(link)).toBe('unsent link-lost')
+})
+
+test('a call that waits for a connection can be cancelled, and is then never sent', async () => {
+  const [address] = await findFreeAddresses(1) as [string]
+  const frames: string[] = []
+  const server = new FrameServer<CallClientFrame, CallServerFrame>(new SystemClock())
+  const pinged = new Promise<void>(resolve => {
+    server.onChannel(channel => channel.onMessage(({ type }) => {
+      frames.push(type)
+      if (type === 'ping') resolve()
+    }))
+  })
+  await server.listen(address)
+  const link = new CallLink(address, 'self', new SystemClock(), new SeededRandom(1))
+  disposables.push(link, server)
+  const listener = { onAnswer: () => {}, onDeclined: () => {}, onFailed: () => { frames.push('failed') } }
+  link.connect()
+  link.start(CALL, listener).cancel()
+  link.start({ ...CALL, id: 2 }, { ...listener, onFailed: () => {} })
+  await pinged
+  expect(frames).toEqual(['callHello', 'call', 'ping'])
+})
--- a/src/routenode/CallLink.ts
+++ b/src/routenode/CallLink.ts
@@ -3,7 +3,7 @@
 import type { FrameChannel } from '../runtime/FrameChannel.js'
 import { FrameClient } from '../runtime/FrameClient.js'
 import type { Clock, Disposable } from '../runtime/Types.js'
-import { LINK_PING_INTERVAL_MS, LINK_TIMEOUT_MS } from './Constants.js'
+import { LINK_OPEN_WAIT_MS, LINK_PING_INTERVAL_MS, LINK_TIMEOUT_MS } from './Constants.js'
 import type {
   CallClientFrame, CallServerFrame, RoutedCall, RoutedCallHandle, RoutedCallListener, RoutedCallTarget
 } from './Types.js'
@@ -14,16 +14,25 @@
   readonly [Type in CallServerFrame['type']]: (frame: Extract<CallServerFrame, { type: Type }>) => void
 }
 
+/** A call that waits for the first connection. */
+interface WaitingCall {
+  readonly call: RoutedCall
+  readonly listener: RoutedCallListener
+  readonly sinceMs: number
+}
+
 /**
  * Connection to another node for calls to its instance. Answers are matched by call id within one connection, so an
  * answer from before a reconnect matches no call. A link that times out while calls are outstanding is closed; those
- * calls may have run.
+ * calls may have run. Calls that are started while the first connection opens wait for it for a short time.
  *
- * Memory: one entry for each outstanding call.
+ * Memory: one entry for each outstanding or waiting call.
  */
 export class CallLink implements RoutedCallTarget, Disposable {
   private readonly _client: FrameClient<CallServerFrame, CallClientFrame>
   private readonly _listeners = new Map<CallId, RoutedCallListener>()
+  private readonly _waitingCalls = new Map<CallId, WaitingCall>()
+  private _waitTimer: NodeJS.Timeout | undefined
   private readonly _openEmitter = new Emitter<void>()
   private readonly _stoppingEmitter = new Emitter<void>()
   private readonly _unresponsiveEmitter = new Emitter<void>()
@@ -53,7 +62,10 @@
   ) {
     this._client = new FrameClient(node, _clock, random)
     this._client.onChannel(channel => this._onChannel(channel))
-    this._client.onDisconnect(() => this._failOutstanding())
+    this._client.onDisconnect(() => {
+      this._failWaiting()
+      this._failOutstanding()
+    })
   }
 
   /** Fires when a connection has opened. */
@@ -73,32 +85,26 @@
     return this._client.channel !== undefined
   }
 
-  /** Starts to connect. */
+  /** Starts to connect; may be called once. */
   public connect (): void {
+    this._waitTimer = setTimeout(() => this._failWaiting(), LINK_OPEN_WAIT_MS)
     this._client.start()
   }
 
-  /** Sends a call; without a connection it fails at once as `unsent`. */
+  /** Sends a call. Without a connection it fails as `unsent`; while the first one opens, after a short wait. */
   public start (call: RoutedCall, listener: RoutedCallListener): RoutedCallHandle {
     const { channel } = this._client
-    if (channel === undefined) {
-      listener.onFailed('unsent', 'link-lost', undefined)
-      return { cancel: () => {} }
-    }
-    this._listeners.set(call.id, listener)
-    channel.send({ type: 'call', call })
-    this._pingTimer ??= setInterval(() => this._checkLiveness(), LINK_PING_INTERVAL_MS)
-    return {
-      cancel: () => {
-        if (this._listeners.delete(call.id)) channel.send({ type: 'cancel', id: call.id })
-      }
-    }
+    if (channel !== undefined) this._send(channel, call, listener)
+    else if (this._waitTimer === undefined) listener.onFailed('unsent', 'link-lost', undefined)
+    else this._waitingCalls.set(call.id, { call, listener, sinceMs: this._clock.nowMs() })
+    return { cancel: () => this._cancel(call.id) }
   }
 
   /** Closes the link; outstanding calls fail as `unknown`. */
   public dispose (): void {
     clearInterval(this._pingTimer)
     this._client.dispose()
+    this._failWaiting()
     this._failOutstanding()
   }
 
@@ -112,6 +118,39 @@
     })
     channel.send({ type: 'callHello', node: this._self })
     this._openEmitter.fire()
+    this._sendWaiting(channel)
+  }
+
+  private _send (channel: Channel, call: RoutedCall, listener: RoutedCallListener): void {
+    this._listeners.set(call.id, listener)
+    channel.send({ type: 'call', call })
+    this._pingTimer ??= setInterval(() => this._checkLiveness(), LINK_PING_INTERVAL_MS)
+  }
+
+  private _cancel (id: CallId): void {
+    if (this._waitingCalls.delete(id)) return
+    if (this._listeners.delete(id)) this._client.channel?.send({ type: 'cancel', id })
+  }
+
+  private _sendWaiting (channel: Channel): void {
+    const nowMs = this._clock.nowMs()
+    for (const { call, listener, sinceMs } of this._endWaiting()) {
+      const waitedMs = Math.ceil(nowMs - sinceMs)
+      const leftMs = Math.max(1, call.leftMs - waitedMs)
+      this._send(channel, { ...call, leftMs, objectiveLeftMs: call.objectiveLeftMs - waitedMs }, listener)
+    }
+  }
+
+  private _failWaiting (): void {
+    for (const { listener } of this._endWaiting()) listener.onFailed('unsent', 'link-lost', undefined)
+  }
+
+  private _endWaiting (): WaitingCall[] {
+    clearTimeout(this._waitTimer)
+    this._waitTimer = undefined
+    const waiting = [...this._waitingCalls.values()]
+    this._waitingCalls.clear()
+    return waiting
   }
 
   private _takeListener (id: CallId): RoutedCallListener | undefined {
--- a/src/routenode/Constants.ts
+++ b/src/routenode/Constants.ts
@@ -10,6 +10,12 @@
  */
 export const LINK_TIMEOUT_MS = 1000
 
+/**
+ * Time for which calls wait for the first connection of a link, in milliseconds: some round trips and the work of busy
+ * nodes at both ends. After that they go to other nodes.
+ */
+export const LINK_OPEN_WAIT_MS = 150
+
 /** Timeout of a connect to the instance on the same VM, in milliseconds; a connect usually takes well under 1 ms. */
 export const INSTANCE_CONNECT_TIMEOUT_MS = 400
 
@@ -40,13 +46,6 @@
 /** Timeout of a connect to a control replica, its welcome included, in milliseconds. */
 export const FEED_WELCOME_TIMEOUT_MS = 1500
 
-/**
- * Interval at which a node publishes its entry although nothing has changed, in milliseconds. An update that was lost
- * between control replicas is missing for no longer than that. Each publication costs every node a frame, so they are
- * rarer than the reports of instances.
- */
-export const REPUBLISH_INTERVAL_MS = 10_000
-
 /** Delay before a connect to the next control replica, in milliseconds. */
 export const FEED_RECONNECT_DELAY_MS = 100
 
--- a/src/routenode/ControlFeed.ts
+++ b/src/routenode/ControlFeed.ts
@@ -53,7 +53,7 @@
 
   /**
    * @param _seeds Addresses of the replicas to connect to first, `host:port`.
-   * @param _nextEntry Returns the entry of this node to publish; called at each connect and publication.
+   * @param _nextEntry Returns the entry of this node to publish; called at each connect.
    */
   public constructor (
     private _seeds: readonly string[],
@@ -97,9 +97,14 @@
     this._setReplicaAddresses(this._replicaAddresses)
   }
 
-  /** Publishes the entry of this node. Does nothing without a connection, since each new one begins with the entry. */
-  public publish (): void {
-    if (this._isWelcomed) this._channel?.send({ type: 'publish', entry: this._nextEntry() })
+  /**
+   * Publishes an entry of this node.
+   * @returns False without a connection; each new one begins with the entry.
+   */
+  public publish (entry: NodeEntry): boolean {
+    if (!this._isWelcomed || this._channel === undefined) return false
+    this._channel.send({ type: 'publish', entry })
+    return true
   }
 
   /** Closes the connection. */
--- a/src/routenode/GatewayCall.ts
+++ b/src/routenode/GatewayCall.ts
@@ -203,9 +203,7 @@
     this._triedNodes.push(node)
     placement.findChooser(this._request.service)?.recordSent(node)
     const listener = this._buildListener(pending)
-    const target = placement.findTarget(node)
-    if (target === undefined) return listener.onFailed('unsent', 'node-unknown', undefined)
-    pending.handle = target.start(this._buildCall(pending, moveMs), listener)
+    pending.handle = placement.findTarget(node).start(this._buildCall(pending, moveMs), listener)
     if (kind !== 'hedge') this._scheduleHedge()
   }
 
--- a/src/routenode/Placement.ts
+++ b/src/routenode/Placement.ts
@@ -1,6 +1,6 @@
 import type { NodeDirectory } from '../parts/instances/NodeDirectory.js'
+import type { NodeEntry } from '../parts/instances/Types.js'
 import { InstanceChooser } from '../parts/placement/InstanceChooser.js'
-import type { PlacementCandidate } from '../parts/placement/Types.js'
 import type { NodeId, Random, ServiceName } from '../parts/Types.js'
 import type { Clock, Disposable, Log } from '../runtime/Types.js'
 import { CallLink } from './CallLink.js'
@@ -25,40 +25,44 @@
 
 /**
  * Keeps what is needed to send calls: one chooser for each routed service, with its ready instances as candidates, and
- * a link to the node of each of these instances.
+ * a link to each node that calls are sent to, opened for the first of them.
  *
- * Memory: one chooser for each such service, one link for each such node.
+ * Memory: one chooser for each such service, one link and one number for each such node.
  */
 export class Placement implements Disposable {
   private readonly _links = new Map<NodeId, CallLink>()
   private readonly _choosers = new Map<ServiceName, InstanceChooser>()
   private readonly _stoppingNodes = new Set<NodeId>()
+  /** Epochs of the nodes to which there is a link. */
+  private readonly _epochs = new Map<NodeId, number>()
 
   public constructor (private readonly _options: PlacementOptions) {}
 
   /** Sets the services that requests may be routed to. */
   public setServices (services: Iterable<ServiceName>): void {
+    const { directory, self, random } = this._options
     const wanted = new Set(services)
     for (const service of this._choosers.keys()) {
       if (!wanted.has(service)) this._choosers.delete(service)
     }
     for (const service of wanted) {
-      if (!this._choosers.has(service)) this._choosers.set(service, new InstanceChooser(this._options.random))
+      if (this._choosers.has(service)) continue
+      this._choosers.set(service, new InstanceChooser(self, random))
+      directory.readyNodes(service).forEach(entry => this._updateCandidate(entry))
     }
-    this.refresh()
   }
 
-  /** Updates candidates and links from the current entries of the directory. */
-  public refresh (): void {
-    const needed = new Set<NodeId>()
-    for (const [service, chooser] of this._choosers) {
-      const candidates = this._listCandidates(service)
-      candidates.forEach(candidate => needed.add(candidate.node))
-      chooser.setCandidates(candidates)
+  /**
+   * Updates the candidates.
+   * @param entries Entries of the directory that have changed.
+   */
+  public update (entries: readonly NodeEntry[]): void {
+    for (const entry of entries) {
+      const hasRestarted = (this._epochs.get(entry.node) ?? entry.epoch) < entry.epoch
+      // A new link opens at once, while the old one may wait for its next attempt to reconnect.
+      if (entry.state === 'gone' || hasRestarted) this._closeLink(entry.node)
+      this._updateCandidate(entry)
     }
-    needed.delete(this._options.self)
-    needed.forEach(node => this._ensureLink(node))
-    this._closeUnusedLinks(needed)
   }
 
   /** Returns the chooser of a service; undefined when no route leads to it. */
@@ -66,9 +70,9 @@
     return this._choosers.get(service)
   }
 
-  /** Returns the destination of calls to the instance beside a node; undefined when the node is unknown. */
-  public findTarget (node: NodeId): RoutedCallTarget | undefined {
-    return node === this._options.self ? this._options.local : this._links.get(node)
+  /** Returns the destination of calls to the instance beside a node. */
+  public findTarget (node: NodeId): RoutedCallTarget {
+    return node === this._options.self ? this._options.local : this._links.get(node) ?? this._openLink(node)
   }
 
   /** Returns a description for the state dump: at most 100 links, and all routed services. */
@@ -84,14 +88,20 @@
     for (const link of this._links.values()) link.dispose()
   }
 
-  private _listCandidates (service: ServiceName): PlacementCandidate[] {
-    const ready = this._options.directory.readyNodes(service).filter(entry => !this._stoppingNodes.has(entry.node))
-    return ready.map(entry => ({
-      node: entry.node,
-      slots: entry.instance?.slots ?? 1,
-      roundTripMs: this._roundTripMs(entry.node, entry.zone),
-      crossesZones: entry.zone !== this._options.zone
-    }))
+  private _updateCandidate (entry: NodeEntry): void {
+    const { node, zone, state, instance } = entry
+    const isReady = state === 'up' && instance?.state === 'ready' && !this._stoppingNodes.has(node)
+    for (const [service, chooser] of this._choosers) {
+      if (!isReady || instance.service !== service) chooser.removeCandidate(node)
+      else {
+        chooser.setCandidate({
+          node,
+          slots: instance.slots,
+          roundTripMs: this._roundTripMs(node, zone),
+          crossesZones: zone !== this._options.zone
+        })
+      }
+    }
   }
 
   private _roundTripMs (node: NodeId, zone: string): number {
@@ -99,20 +109,21 @@
     return zone === this._options.zone ? ASSUMED_ROUND_TRIP_MS.zone : ASSUMED_ROUND_TRIP_MS.other
   }
 
-  private _ensureLink (node: NodeId): void {
-    if (this._links.has(node)) return
+  private _openLink (node: NodeId): CallLink {
     const link = new CallLink(node, this._options.self, this._options.clock, this._options.random)
     link.onOpen(() => this._onOpen(node))
     link.onStopping(() => this._onStopping(node))
     link.onUnresponsive(() => this._onUnresponsive(node))
     link.onResponsive(() => this._onResponsive(node))
     this._links.set(node, link)
+    this._epochs.set(node, this._options.directory.find(node)?.epoch ?? 0)
     link.connect()
+    return link
   }
 
   /** The node may have restarted before this connection, so it counts as accepting calls again. */
   private _onOpen (node: NodeId): void {
-    if (this._stoppingNodes.delete(node)) this.refresh()
+    if (this._stoppingNodes.delete(node)) this._updateKnown(node)
     this._onResponsive(node)
   }
 
@@ -128,17 +139,19 @@
   private _onStopping (node: NodeId): void {
     this._options.log.debug({ node }, 'node stops')
     this._stoppingNodes.add(node)
-    this.refresh()
+    this._updateKnown(node)
   }
 
-  /** A link that is not needed stays until its node is gone: the node may come back, or calls may be outstanding. */
-  private _closeUnusedLinks (needed: ReadonlySet<NodeId>): void {
-    for (const [node, link] of this._links) {
-      const entry = this._options.directory.find(node)
-      if (needed.has(node) || (entry !== undefined && entry.state !== 'gone')) continue
-      this._links.delete(node)
-      this._stoppingNodes.delete(node)
-      link.dispose()
-    }
+  private _updateKnown (node: NodeId): void {
+    const entry = this._options.directory.find(node)
+    if (entry !== undefined) this._updateCandidate(entry)
+  }
+
+  /** A link stays until its node is gone: the node may come back, or calls may be outstanding. */
+  private _closeLink (node: NodeId): void {
+    this._links.get(node)?.dispose()
+    this._links.delete(node)
+    this._epochs.delete(node)
+    this._stoppingNodes.delete(node)
   }
 }
--- a/src/routenode/RouteNodeDaemon.ts
+++ b/src/routenode/RouteNodeDaemon.ts
@@ -8,7 +8,7 @@
 import type { Random, ServiceName } from '../parts/Types.js'
 import type { Clock, Disposable, Log } from '../runtime/Types.js'
 import { CallServer } from './CallServer.js'
-import { REPUBLISH_INTERVAL_MS, SHUTDOWN_DELAY_MS, STOP_NOTICE_MS } from './Constants.js'
+import { SHUTDOWN_DELAY_MS, STOP_NOTICE_MS } from './Constants.js'
 import { ControlFeed, type FeedWelcome } from './ControlFeed.js'
 import { Gateway } from './Gateway.js'
 import { InstanceProxy } from './InstanceProxy.js'
@@ -69,7 +69,8 @@
   private _isConfigured = false
   private _isStopping = false
   private _lastCallId = 0
-  private _republishTimer: NodeJS.Timeout | undefined
+  /** Entry that was sent to a control replica last, in a hello frame or on its own. */
+  private _sentEntry: NodeEntry | undefined
 
   public constructor (private readonly _options: RouteNodeOptions) {
     const { settings, clock, random, log } = _options
@@ -106,13 +107,12 @@
       nodeCount: () => this._directory.size
     })
     this._callServer = new CallServer(this._instanceProxy, clock)
-    this._controlFeed = new ControlFeed(settings.seeds, () => this._nextEntry(), clock, random, log)
+    this._controlFeed = new ControlFeed(settings.seeds, () => this._makeHelloEntry(), clock, random, log)
     this._subscribe()
   }
 
   /** Opens the listeners and starts to connect to a control replica. */
   public async start (): Promise<void> {
-    this._republishTimer = setInterval(() => this._publish(), REPUBLISH_INTERVAL_MS)
     const { settings } = this._options
     await this._callServer.listen(settings.nodeAddress)
     await this._gateway.listen(settings.callerAddress)
@@ -177,7 +177,6 @@
 
   /** Closes all listeners and connections at once. */
   public dispose (): void {
-    clearInterval(this._republishTimer)
     this._controlFeed.dispose()
     this._gateway.dispose()
     this._callServer.dispose()
@@ -221,31 +220,44 @@
     // The wall clock may have been set back since an earlier run, but this run must have the later epoch.
     if (own !== undefined && own.epoch > this._epoch) this._epoch = own.epoch + 1
     // The instance may have reported after the hello frame was sent; such a report has not been published yet.
-    this._publish()
+    if (!isSamePublication(this._sentEntry, this._makeEntry())) this._publish()
   }
 
   private _onEntries (entries: readonly NodeEntry[]): void {
     const others = entries.filter(entry => entry.node !== this._options.settings.nodeAddress)
-    this._directory.merge(others, this._options.clock.nowMs())
-    this._placement.refresh()
+    this._placement.update(this._directory.merge(others, this._options.clock.nowMs()))
   }
 
   private _publish (): void {
-    this._directory.merge([this._nextEntry()], this._options.clock.nowMs())
-    this._placement.refresh()
-    this._controlFeed.publish()
+    const entry = this._nextEntry()
+    this._placement.update(this._directory.merge([entry], this._options.clock.nowMs()))
+    if (this._controlFeed.publish(entry)) this._sentEntry = entry
   }
 
   /** Each entry has a higher revision than all before, so that it also replaces an entry that marks this node gone. */
   private _nextEntry (): NodeEntry {
+    this._revision++
+    return this._makeEntry()
+  }
+
+  private _makeHelloEntry (): NodeEntry {
+    this._sentEntry = this._nextEntry()
+    return this._sentEntry
+  }
+
+  private _makeEntry (): NodeEntry {
     const { nodeAddress, zone } = this._options.settings
-    const revision = ++this._revision
-    const base = { node: nodeAddress, zone, epoch: this._epoch, revision, state: this._state }
+    const base = { node: nodeAddress, zone, epoch: this._epoch, revision: this._revision, state: this._state }
     const instance = this._instanceProxy.published
     return instance === undefined ? base : { ...base, instance }
   }
 }
 
+/** Returns whether two entries of one node differ at most in their revision. */
+function isSamePublication (a: NodeEntry | undefined, b: NodeEntry): boolean {
+  return JSON.stringify({ ...a, revision: 0 }) === JSON.stringify({ ...b, revision: 0 })
+}
+
 /** Interval at which a shutdown checks whether all calls have ended, in milliseconds. */
 const STOP_POLL_INTERVAL_MS = 20
 
--- a/src/routenode/Types.ts
+++ b/src/routenode/Types.ts
@@ -80,7 +80,6 @@
   | 'answer-invalid'
   | 'answer-foreign'
   | 'link-lost'
-  | 'node-unknown'
   | 'timeout'
   | 'quarantined'
 
--- a/src/runtime/FrameChannel.ts
+++ b/src/runtime/FrameChannel.ts
@@ -11,6 +11,18 @@
 // Byte strings are decoded as views of the frame.
 const codec = new Encoder({ useRecords: false, mapsAsObjects: true, tagUint8Array: false, keyMap: FRAME_KEYS })
 
+/** A message in the form in which it is sent, so that one encoding can be sent on many channels. */
+export type EncodedMessage = Buffer
+
+/** Encodes a message for `FrameChannel.sendEncoded`. */
+export function encodeMessage (message: object): EncodedMessage {
+  const body = codec.encode(message)
+  const frame = Buffer.allocUnsafe(FRAME_HEADER_BYTES + body.length)
+  frame.writeUInt32BE(body.length, 0)
+  frame.set(body, FRAME_HEADER_BYTES)
+  return frame
+}
+
 /**
  * Sends and receives messages over one TCP connection, as length-prefixed CBOR frames. Messages arrive in the order
  * sent and have a `type` field.
@@ -76,11 +88,15 @@
    * @returns False when the channel is closed or congested; wait for `onDrain` before sending bulk data.
    */
   public send (message: Out): boolean {
+    return !this._closed && this.sendEncoded(encodeMessage(message))
+  }
+
+  /**
+   * Sends a message that was encoded before; see `send`.
+   * @param frame Result of `encodeMessage` for a message that the other end expects.
+   */
+  public sendEncoded (frame: EncodedMessage): boolean {
     if (this._closed) return false
-    const body = codec.encode(message)
-    const frame = Buffer.allocUnsafe(FRAME_HEADER_BYTES + body.length)
-    frame.writeUInt32BE(body.length, 0)
-    frame.set(body, FRAME_HEADER_BYTES)
     this._corkUntilNextTick()
     this._sentBytes += frame.length
     this._socket.write(frame)
