Find a route by the parts of its path

RouteTable compared a path with every route of its host in turn. Prefixes end with a slash, so the parts of the path up to each of its slashes are looked up, the longest first. A property test compares it with a search through all routes.

--- a/src/parts/routing/RouteTable.test.ts
+++ b/src/parts/routing/RouteTable.test.ts
@@ -1,3 +1,4 @@
+import fc from 'fast-check'
 import { expect, test } from 'vitest'
 import { SeededRandom } from '../SeededRandom.js'
 import { DEFAULT_CALLER_LIMITS } from './Constants.js'
@@ -33,6 +34,17 @@
   expect(table.find('unknown', '/a/')).toBeUndefined()
 })
 
+test('the table finds the same route as a search through all of them', () => {
+  const segments = fc.array(fc.constantFrom('a', 'b', 'ab', ''), { maxLength: 4 })
+  const prefixes = fc.uniqueArray(segments.map(parts => parts.length === 0 ? '/' : `/${parts.join('/')}/`), { maxLength: 12 })
+  const paths = fc.tuple(segments, fc.constantFrom('', '/')).map(([parts, end]) => `/${parts.join('/')}${end}`)
+  fc.assert(fc.property(prefixes, paths, (pathPrefixes, path) => {
+    const table = makeTable(pathPrefixes.map(prefix => makeRoute(prefix, 'h', prefix)))
+    const matching = pathPrefixes.filter(prefix => path.startsWith(prefix)).sort((x, y) => y.length - x.length)
+    expect(table.find('h', path)?.route.name).toBe(matching[0])
+  }), { seed: 5, numRuns: 500 })
+})
+
 test('a weighted round robin keeps its weights over any short sequence of requests', () => {
   const roundRobin = new WeightedRoundRobin([{ service: 'x', weight: 90 }, { service: 'y', weight: 10 }], 0.37)
   for (let run = 0; run < 20; run++) {
--- a/src/parts/routing/RouteTable.ts
+++ b/src/parts/routing/RouteTable.ts
@@ -17,7 +17,8 @@
 export class RouteTable {
   public readonly version: number
   private readonly _services: ReadonlyMap<ServiceName, RoutedService>
-  private readonly _byHost = new Map<string, RouteEntry[]>()
+  /** Routes of each host by their path prefix. */
+  private readonly _byHost = new Map<string, Map<string, RouteEntry>>()
 
   /**
    * @param routing Configuration in force.
@@ -29,7 +30,6 @@
     this._services = new Map(routing.configuration.services.map(service => [service.name, service]))
     const earlier = new Map(previous?._entries().map(entry => [entry.route.name, entry]))
     for (const route of routing.configuration.routes) this._add(route, earlier.get(route.name), random)
-    for (const entries of this._byHost.values()) entries.sort(compareByPrefixLength)
   }
 
   /** Names of all services. */
@@ -51,18 +51,26 @@
    * @param path Path of the request, without a query.
    */
   public find (host: string, path: string): RouteEntry | undefined {
-    return this._byHost.get(host)?.find(entry => path.startsWith(entry.route.pathPrefix))
+    const byPrefix = this._byHost.get(host)
+    if (byPrefix === undefined) return undefined
+    // Prefixes end with a slash, so only the parts of the path up to one of its slashes can match.
+    for (let end = path.lastIndexOf('/'); end >= 0; end = path.lastIndexOf('/', end - 1)) {
+      const entry = byPrefix.get(path.slice(0, end + 1))
+      if (entry !== undefined) return entry
+      if (end === 0) return undefined
+    }
+    return undefined
   }
 
   private _entries (): RouteEntry[] {
-    return [...this._byHost.values()].flat()
+    return [...this._byHost.values()].flatMap(byPrefix => [...byPrefix.values()])
   }
 
   private _add (route: Route, earlier: RouteEntry | undefined, random: Random): void {
     const host = route.host.toLowerCase()
-    const entries = this._byHost.get(host) ?? []
-    entries.push(makeEntry(route, earlier, random))
-    this._byHost.set(host, entries)
+    const byPrefix = this._byHost.get(host) ?? new Map<string, RouteEntry>()
+    if (!byPrefix.has(route.pathPrefix)) byPrefix.set(route.pathPrefix, makeEntry(route, earlier, random))
+    this._byHost.set(host, byPrefix)
   }
 }
 
@@ -74,7 +82,3 @@
   const roundRobin = new WeightedRoundRobin(destination.shares, random.next())
   return { route, nextService: () => roundRobin.next() }
 }
-
-function compareByPrefixLength (a: RouteEntry, b: RouteEntry): number {
-  return b.route.pathPrefix.length - a.route.pathPrefix.length
-}
