--- a/src/routenode/Constants.ts
+++ b/src/routenode/Constants.ts
@@ -52,6 +52,12 @@
 /** Instances that may decline a request before the answer of the next one is final; each costs a round trip. */
 export const MAX_DECLINES = 3
 
+/**
+ * Time after which a call that waited at its last gate in vain tries one more instance, in milliseconds: long enough
+ * that the load of the instances that declined it before has changed.
+ */
+export const LAST_TRY_MIN_WAIT_MS = 20
+
 /** Share of the retry budget that hedges may use; the rest is kept for retries of failed requests, which are fewer. */
 export const HEDGE_BUDGET_SHARE = 0.7
 
--- a/src/routenode/GatewayCall.test.ts
+++ b/src/routenode/GatewayCall.test.ts
@@ -105,6 +105,18 @@
   expect(call.declines).toBe(MAX_DECLINES + 1)
 })
 
+test('a call that waited at its last gate in vain tries one more instance, where it must not wait', () => {
+  start(['a', 'b', 'c', 'd', 'e', 'f'], { kind: 'once' })
+  for (let i = 0; i < MAX_DECLINES; i++) decline(i, 'busy')
+  vi.advanceTimersByTime(245)
+  decline(MAX_DECLINES, 'too-late')
+  expect(sentCalls.at(-1)?.call).toMatchObject({ moveMs: 0, attempt: 'first' })
+  expect(sentCalls.at(-1)?.node).not.toBe(sentCalls[MAX_DECLINES]?.node)
+  decline(MAX_DECLINES + 1, 'busy')
+  expect(sentCalls).toHaveLength(MAX_DECLINES + 2)
+  expect(result).toMatchObject({ type: 'refused', reason: 'busy' })
+})
+
 test('a call is sent without a move cost when there is no other instance', () => {
   start(['a'])
   expect(sentCalls[0]?.call.moveMs).toBeUndefined()
--- a/src/routenode/GatewayCall.ts
+++ b/src/routenode/GatewayCall.ts
@@ -4,7 +4,9 @@
 import type { Route } from '../parts/routing/Types.js'
 import type { CallId, NodeId, Random, ServiceName } from '../parts/Types.js'
 import type { Clock } from '../runtime/Types.js'
-import { HEDGE_BUDGET_SHARE, MAX_DECLINES, MAX_HEDGE_DECLINES, RETRY_AFTER_MAX_SHARE, RETRY_AFTER_JITTER } from './Constants.js'
+import {
+  HEDGE_BUDGET_SHARE, LAST_TRY_MIN_WAIT_MS, MAX_DECLINES, MAX_HEDGE_DECLINES, RETRY_AFTER_JITTER, RETRY_AFTER_MAX_SHARE
+} from './Constants.js'
 import type { Placement } from './Placement.js'
 import type { SharedRetryBudgets } from './SharedRetryBudgets.js'
 import type {
@@ -104,6 +106,7 @@
   private _hedgeDeclines = 0
   private _declines = 0
   private _hasQueuedAtTriedInstance = false
+  private _hasTriedLast = false
   /** Attempts that may have reached an instance. */
   private _sends = 0
   private _mayHaveRun = false
@@ -191,13 +194,14 @@
    * Sends an attempt to the instance beside a node.
    * @param moveMs See `GateCall.moveMs`. When undefined, a decline is final, so that the caller is refused at once
    * instead of waiting at one gate after the other.
+   * @param isFinal True when the request goes to no other instance if the gate declines.
    */
-  private _sendTo (node: NodeId, kind: AttemptKind, moveMs: number | undefined): void {
+  private _sendTo (node: NodeId, kind: AttemptKind, moveMs: number | undefined, isFinal = moveMs === undefined): void {
     const { placement, clock } = this._context
     const id = this._context.nextCallId()
     const startedAtMs = clock.nowMs()
     const pending: PendingAttempt = {
-      id, node, kind, isFinal: moveMs === undefined, startedAtMs, isUnresponsive: false, handle: undefined
+      id, node, kind, isFinal, startedAtMs, isUnresponsive: false, handle: undefined
     }
     this._pendingAttempts.add(pending)
     this._triedNodes.push(node)
@@ -322,8 +326,23 @@
     this._declines++
     if (pending.kind === 'hedge' && this._hedgeOutcome !== undefined) return this._onHedgeDeclined(reason, retryAfterMs)
     if (this._hasResponsiveAttempt()) return
-    if (pending.isFinal && reason !== 'no-slots') this._giveUp(reason, retryAfterMs)
-    else this._startAttempt(pending.kind)
+    if (!pending.isFinal || reason === 'no-slots') return this._startAttempt(pending.kind)
+    const waitedMs = this._context.clock.nowMs() - pending.startedAtMs
+    if (waitedMs >= LAST_TRY_MIN_WAIT_MS && !this._hasTriedLast) this._tryLast(pending, reason, retryAfterMs)
+    else this._giveUp(reason, retryAfterMs)
+  }
+
+  /**
+   * Tries one more instance after a call has waited at a gate in vain, because its instance has slowed down: others may
+   * be idle by now. The call must not wait again, so it only takes a free slot.
+   */
+  private _tryLast (declined: PendingAttempt, reason: DeclineReason, retryAfterMs: number): void {
+    const { placement, clock } = this._context
+    this._hasTriedLast = true
+    const query = { ...this._buildQuery(), excluded: [declined.node] }
+    const node = placement.findChooser(this._request.service)?.choose(query, clock.nowMs())
+    if (node === undefined) this._giveUp(reason, retryAfterMs)
+    else this._sendTo(node, declined.kind, 0, true)
   }
 
   private _onHedgeDeclined (reason: DeclineReason, retryAfterMs: number): void {
