Rename what said too little, and share what stood twice between the replicas

Echo, NeverLine, Note, Place, TrailLine, Vitals and loseTwo become EchoedCall, ForbiddenActionLine, NoteMessage, ProcessLocation, RequestLogLine, HealthRecord and stopTwoUpstreams. The empty state of a replica, the range of its read requests and the table of its frame handlers stand once. GatewayCall keeps its class; what it takes and returns is with the folder's types.

--- a/bench/virtual/HostNode.ts
+++ b/bench/virtual/HostNode.ts
@@ -1,7 +1,7 @@
 import { AdmissionController } from '../../src/parts/admission/AdmissionController.js'
 import type { AdmissionAction } from '../../src/parts/admission/Types.js'
 import type { AttemptOutcome, Candidate, CandidateState } from '../../src/parts/choice/Types.js'
-import type { CallId, LoadEvidence, Place, Random, Reason } from '../../src/parts/Types.js'
+import type { CallId, LoadEvidence, ProcessLocation, Random, Reason } from '../../src/parts/Types.js'
 import { FakeUpstream } from './FakeUpstream.js'
 import type { VirtualClock } from './VirtualClock.js'
 import { Wakeup } from './Wakeup.js'
@@ -30,7 +30,7 @@
     private readonly _clock: VirtualClock,
     random: Random,
     public readonly index: number,
-    public readonly place: Place,
+    public readonly place: ProcessLocation,
     slots: number,
     /** Slots that the upstream announces; some scenarios announce more than it has. */
     private readonly _announcedSlots: number
--- a/bench/virtual/IngressNode.ts
+++ b/bench/virtual/IngressNode.ts
@@ -1,4 +1,4 @@
-import type { CallId, Place, Reason } from '../../src/parts/Types.js'
+import type { CallId, ProcessLocation, Reason } from '../../src/parts/Types.js'
 import { RetryPolicy } from '../../src/parts/retry/RetryPolicy.js'
 import type { RetryAction } from '../../src/parts/retry/Types.js'
 import type { HostNode, AttemptReply } from './HostNode.js'
@@ -37,7 +37,7 @@
   public constructor (
     private readonly _mesh: Mesh,
     public readonly index: number,
-    public readonly place: Place
+    public readonly place: ProcessLocation
   ) {
     this._wakeup = new Wakeup(_mesh.clock, () => this._apply(this._retry.step({ type: 'tick' }, _mesh.clock.nowMs)))
   }
--- a/bench/virtual/Mesh.ts
+++ b/bench/virtual/Mesh.ts
@@ -1,6 +1,6 @@
 import { MeasuringBudget } from '../../src/parts/budget/MeasuringBudget.js'
 import { SeededRandom } from '../../src/parts/SeededRandom.js'
-import type { Place } from '../../src/parts/Types.js'
+import type { ProcessLocation } from '../../src/parts/Types.js'
 import { MEAN_WORK_MS } from './FakeUpstream.js'
 import { HostNode } from './HostNode.js'
 import { IngressNode } from './IngressNode.js'
@@ -95,7 +95,7 @@
   }
 
   /** One-way network delay between two places. */
-  public delayMs (from: Place, to: Place): number {
+  public delayMs (from: ProcessLocation, to: ProcessLocation): number {
     return from.zone === to.zone ? SAME_ZONE_DELAY_MS : OTHER_ZONE_DELAY_MS
   }
 
@@ -222,6 +222,6 @@
   }
 }
 
-function placeForIndex (index: number): Place {
+function placeForIndex (index: number): ProcessLocation {
   return { region: 'region', zone: `zone-${index % ZONES}` }
 }
--- a/bench/virtual/Scenarios.ts
+++ b/bench/virtual/Scenarios.ts
@@ -58,7 +58,7 @@
 }
 
 /** Stops two instances, 150 ms apart. */
-function loseTwo (mesh: Mesh): void {
+function stopTwoUpstreams (mesh: Mesh): void {
   mesh.clock.after(FAULT_AT_MS, () => mesh.crashHost(0))
   mesh.clock.after(FAULT_AT_MS + 150, () => mesh.crashHost(1))
 }
@@ -98,7 +98,7 @@
   { name: 'hopping', load: 0.6, sizes: FAULT_SIZES, injectFault: moveSlowdown },
   { name: 'fail-fast', load: 0.6, sizes: FAULT_SIZES, injectFault: failFast },
   { name: 'lying-report', load: 0.7, plan: { reportsNoLoad: true, announcedFactor: 5 }, sizes: FAULT_SIZES },
-  { name: 'two-lost', load: 0.4, sizes: FAULT_SIZES, injectFault: loseTwo },
+  { name: 'two-lost', load: 0.4, sizes: FAULT_SIZES, injectFault: stopTwoUpstreams },
   { name: 'zone-lost', load: 0.45, sizes: FAULT_SIZES, injectFault: loseZone },
   { name: 'cold-start', load: 0.6, sizes: FAULT_SIZES, injectFault: coldStarts },
   { name: 'budget-spent', load: 0.6, plan: { messagesPerCall: 0 }, sizes: FAULT_SIZES, injectFault: coldStarts },
--- a/bench/virtual/Strategies.ts
+++ b/bench/virtual/Strategies.ts
@@ -1,6 +1,6 @@
 import { UpstreamChooser } from '../../src/parts/choice/UpstreamChooser.js'
 import type { AttemptOutcome, ChoiceAction } from '../../src/parts/choice/Types.js'
-import type { CallId, LoadEvidence, Place, Random } from '../../src/parts/Types.js'
+import type { CallId, LoadEvidence, ProcessLocation, Random } from '../../src/parts/Types.js'
 import type { HostNode } from './HostNode.js'
 import { MEAN_WORK_MS } from './FakeUpstream.js'
 
@@ -32,7 +32,7 @@
 
 /** What the simulation provides to a strategy. */
 export interface StrategyContext {
-  readonly place: Place
+  readonly place: ProcessLocation
   readonly random: Random
   readonly hosts: readonly HostNode[]
   /** Number of ingress nodes that call the service. */
--- a/src/control/Constants.ts
+++ b/src/control/Constants.ts
@@ -39,3 +39,9 @@
 
 /** Duration above which a sync of the log is logged: a leader can lose its lease meanwhile. */
 export const SLOW_SYNC_MS = 100
+
+/**
+ * Read requests to the leader are numbered from a random start below this, so that late replies to an earlier run of
+ * this process match none.
+ */
+export const READ_REQUEST_ID_RANGE = 2 ** 40
--- a/src/control/ControlReplica.ts
+++ b/src/control/ControlReplica.ts
@@ -2,6 +2,7 @@
 import { GroupFormation, makeReplicaId, replicaName } from '../parts/agreement/GroupFormation.js'
 import type { FormationNotice } from '../parts/agreement/GroupFormation.js'
 import type { ReplicaView } from '../parts/agreement/Replica.js'
+import { EMPTY_RECOVERED_STATE } from '../parts/agreement/Constants.js'
 import type { RecoveredState } from '../parts/agreement/Types.js'
 import { checkChange } from '../parts/configuration/ConfigurationCheck.js'
 import type { ChangeReply, ChangeRequest } from '../parts/configuration/Types.js'
@@ -10,7 +11,7 @@
 import type { Random, ReplicaId } from '../parts/Types.js'
 import { Emitter } from '../runtime/Emitter.js'
 import type { Clock, Disposable, Log } from '../runtime/Types.js'
-import { FORMATION_INTERVAL_MS, NO_LEADER_RETRY_MS, SLOW_SYNC_MS } from './Constants.js'
+import { FORMATION_INTERVAL_MS, NO_LEADER_RETRY_MS, READ_REQUEST_ID_RANGE, SLOW_SYNC_MS } from './Constants.js'
 import type { ControlSettings } from './ControlSettings.js'
 import { type ControlReply, ControlStateMachine } from './ControlStateMachine.js'
 import { MemberReplacement } from './MemberReplacement.js'
@@ -18,7 +19,7 @@
 import { ReadBarrier } from './ReadBarrier.js'
 import { ReplicaHost } from './ReplicaHost.js'
 import { ReplicaLinks, type ReplicaAddress, type ReplicaFrame } from './ReplicaLinks.js'
-import type { ControlToNode, ReplicaToReplica } from './Types.js'
+import type { ControlToNode, ReplicaFrameHandlers, ReplicaToReplica } from './Types.js'
 
 /** Settings and dependencies of a control replica. */
 export interface ControlReplicaOptions {
@@ -31,24 +32,6 @@
   readonly onFault: (error: Error) => void
 }
 
-type FrameHandlers = {
-  readonly [Type in ReplicaToReplica['type']]?:
-  (from: ReplicaId, frame: Extract<ReplicaToReplica, { type: Type }>) => void
-}
-
-/**
- * Read requests to the leader are numbered from a random start below this, so that late replies to an earlier run of
- * this process match none.
- */
-const REQUEST_ID_RANGE = 2 ** 40
-
-/** State of a replica whose log holds nothing yet. */
-const EMPTY_STATE: RecoveredState = {
-  hard: { term: 0, votedFor: undefined },
-  snapshot: { index: 0, term: 0, members: [], data: new Uint8Array(0) },
-  entries: []
-}
-
 /**
  * One replica of the control group: its log, its replicated state and its connections to the other replicas. Forms the
  * first group with the replicas of the settings and, as leader, replaces members whose disks were lost.
@@ -69,7 +52,7 @@
   private readonly _formationTimer: NodeJS.Timeout
   private readonly _syncs = new Emitter<number>()
 
-  private readonly _handlers: FrameHandlers = {
+  private readonly _handlers: ReplicaFrameHandlers = {
     agreement: (from, { to, message }) => { if (to === this.id) this._host.receive(from, message) },
     formation: (from, { notice }) => this._onFormationNotice(notice),
     readIndex: (from, { id }) => { this._barrier.replyToFollower(from, id).catch(() => {}) },
@@ -91,14 +74,14 @@
     this.stateMachine = new ControlStateMachine(makeLedgerLimits(settings), clock)
     this.links = new ReplicaLinks(this._makeHello(), clock, random)
     this.links.onFrame(frame => this._onFrame(frame))
-    this._host = this._makeHost(log, opened.type === 'recovered' ? opened.state : EMPTY_STATE)
+    this._host = this._makeHost(log, opened.type === 'recovered' ? opened.state : EMPTY_RECOVERED_STATE)
     this._barrier = new ReadBarrier({
       id: this.id,
       confirmReadIndex: () => this._host.confirmReadIndex(),
       leader: () => this.view.leader,
       appliedIndex: () => this.view.commitIndex,
       send: (to, frame) => this.links.send(to, frame)
-    }, Math.floor(random.next() * REQUEST_ID_RANGE))
+    }, Math.floor(random.next() * READ_REQUEST_ID_RANGE))
     this._host.onApplied(() => this._barrier.notifyApplied())
     this._host.onSync(ms => this._recordSync(ms))
     this._host.onRoleChange(({ role, term, leader }) => logger.info({ role, term, leader }, 'role changed'))
--- a/src/control/Types.ts
+++ b/src/control/Types.ts
@@ -5,11 +5,11 @@
 import type { Heartbeat, Member, ServiceDigest } from '../parts/membership/Types.js'
 import type { FeedToNode, NodeToFeed } from '../routecontrol/Types.js'
 import type { RecordCommand, RecordReply } from '../parts/records/Types.js'
-import type { Incarnation, NodeId, Place, ReplicaId, ServiceName } from '../parts/Types.js'
+import type { Incarnation, NodeId, ProcessLocation, ReplicaId, ServiceName } from '../parts/Types.js'
 
 /** First frame on each connection to a control replica. */
 export type ControlHello =
-  | { readonly type: 'nodeHello', readonly node: NodeId, readonly incarnation: Incarnation, readonly place: Place, readonly version: Version }
+  | { readonly type: 'nodeHello', readonly node: NodeId, readonly incarnation: Incarnation, readonly place: ProcessLocation, readonly version: Version }
   /** `address` and `admin` are the replica's listeners, `host:port`. */
   | {
     readonly type: 'replicaHello',
@@ -96,3 +96,9 @@
 
 /** Frames that a control replica sends on accepted connections. */
 export type FromControl = ControlToNode | ReplicaToReplica | FeedToNode
+
+/** Handlers of the frames of other replicas, by type. */
+export type ReplicaFrameHandlers = {
+  readonly [Type in ReplicaToReplica['type']]?:
+  (from: ReplicaId, frame: Extract<ReplicaToReplica, { type: Type }>) => void
+}
--- a/src/ctl/ExplainCommand.ts
+++ b/src/ctl/ExplainCommand.ts
@@ -3,7 +3,7 @@
 import { CtlCommand, CtlFailure, invalidReport } from './CtlCommand.js'
 import type { CtlReport } from './CtlCommand.js'
 import { CTL_EXIT_CODES } from './ExitCodes.js'
-import { findTrail, type TrailLine } from './RequestTrail.js'
+import { findTrail, type RequestLogLine } from './RequestTrail.js'
 
 /** `sassafrasctl explain`: prints the log lines of several processes about one request. */
 export class ExplainCommand extends CtlCommand {
@@ -36,7 +36,7 @@
   }
 }
 
-function formatLine ({ time, process, message, fields }: TrailLine): string {
+function formatLine ({ time, process, message, fields }: RequestLogLine): string {
   const rest = Object.entries(fields).map(([name, value]) => `${name}=${String(value)}`)
   return [time, process, `${message}:`, ...rest].join(' ')
 }
--- a/src/ctl/RequestTrail.ts
+++ b/src/ctl/RequestTrail.ts
@@ -1,5 +1,5 @@
 /** One log line about a request. */
-export interface TrailLine {
+export interface RequestLogLine {
   /** Wall-clock time of the process that wrote the line; clocks of different VMs may differ. */
   readonly time: string
   readonly process: string
@@ -16,12 +16,12 @@
  * @param requestId Id of the request.
  * @param texts Logs of several processes: JSON lines, each with an optional prefix before the object.
  */
-export function findTrail (requestId: string, texts: readonly string[]): TrailLine[] {
+export function findTrail (requestId: string, texts: readonly string[]): RequestLogLine[] {
   const lines = texts.flatMap(text => text.split('\n').flatMap(line => matchLine(requestId, line)))
   return lines.sort((a, b) => a.time.localeCompare(b.time))
 }
 
-function matchLine (requestId: string, line: string): TrailLine[] {
+function matchLine (requestId: string, line: string): RequestLogLine[] {
   if (!line.includes(requestId)) return []
   const entry = parseEntry(line.slice(Math.max(0, line.indexOf('{'))))
   const loggedRequestId = entry?.['requestId']
--- a/src/ctl/TraceCommand.ts
+++ b/src/ctl/TraceCommand.ts
@@ -10,7 +10,7 @@
 import { SeededRandom } from '../parts/SeededRandom.js'
 import { TraceReplay } from '../parts/trace/TraceReplay.js'
 import type { PartFactories } from '../parts/trace/Types.js'
-import type { Place } from '../parts/Types.js'
+import type { ProcessLocation } from '../parts/Types.js'
 import { renderFindings } from '../runtime/SettingsFile.js'
 import { CtlCommand, invalidReport } from './CtlCommand.js'
 import type { CtlReport } from './CtlCommand.js'
@@ -21,7 +21,7 @@
   admission: ({ seed, options }) => new AdmissionController(new SeededRandom(seed), options),
   budget: ({ options }) => new MeasuringBudget(options as never),
   choice: ({ seed, options }) => {
-    const { place, ...others } = options as { readonly place: Place }
+    const { place, ...others } = options as { readonly place: ProcessLocation }
     return new UpstreamChooser(place, new SeededRandom(seed), others)
   },
   configuration: ({ options }) => new ConfigurationFollower(options),
--- a/src/load/AnswerCheck.ts
+++ b/src/load/AnswerCheck.ts
@@ -7,14 +7,14 @@
 export type BodyCheck = (call: PlannedCall, body: AsyncIterable<Uint8Array>) => Promise<boolean>
 
 /** JSON body of a test upstream: it echoes what identifies the request. */
-interface Echo {
+interface EchoedCall {
   readonly service?: unknown
   readonly call?: unknown
   readonly id?: unknown
   readonly requestId?: unknown
   readonly key?: unknown
   readonly depth?: unknown
-  readonly next?: { readonly status?: unknown, readonly body?: Echo }
+  readonly next?: { readonly status?: unknown, readonly body?: EchoedCall }
 }
 
 /** Returns the seed of a call's download body, which differs between the calls of a run. */
@@ -43,17 +43,17 @@
   return check.isComplete
 }
 
-async function readEcho (body: AsyncIterable<Uint8Array>): Promise<Echo | undefined> {
+async function readEcho (body: AsyncIterable<Uint8Array>): Promise<EchoedCall | undefined> {
   const chunks: Uint8Array[] = []
   for await (const chunk of body) chunks.push(chunk)
   try {
-    return JSON.parse(Buffer.concat(chunks).toString('utf8')) as Echo
+    return JSON.parse(Buffer.concat(chunks).toString('utf8')) as EchoedCall
   } catch {
     return undefined
   }
 }
 
-function matchesCall (echo: Echo | undefined, call: PlannedCall, callName: string): boolean {
+function matchesCall (echo: EchoedCall | undefined, call: PlannedCall, callName: string): boolean {
   const id = callName === 'chain' ? String(chainDepth(call)) : call.id
   return echo?.service === call.stream.service && echo.call === callName && echo.id === id && echo.requestId === call.id
 }
@@ -63,7 +63,7 @@
 }
 
 /** Counts the links below the first; NaN when one answered another status than 200 or for another request. */
-function countAnsweredLinks (echo: Echo | undefined, call: PlannedCall): number {
+function countAnsweredLinks (echo: EchoedCall | undefined, call: PlannedCall): number {
   const next = echo?.next
   if (next === undefined) return 0
   if (next.status !== 200 || next.body?.requestId !== call.id) return Number.NaN
--- a/src/node/control/MembershipHost.ts
+++ b/src/node/control/MembershipHost.ts
@@ -2,7 +2,7 @@
 import { ALL_SERVICES } from '../../parts/membership/Constants.js'
 import { MembershipTable } from '../../parts/membership/MembershipTable.js'
 import type { Member, MembershipAction, MembershipEvent, MemberState } from '../../parts/membership/Types.js'
-import type { Incarnation, NodeId, Place, ServiceName } from '../../parts/Types.js'
+import type { Incarnation, NodeId, ProcessLocation, ServiceName } from '../../parts/Types.js'
 import { Emitter } from '../../runtime/Emitter.js'
 import type { Clock, Disposable, Log } from '../../runtime/Types.js'
 import type { Announcement } from '../upstreamside/Types.js'
@@ -12,7 +12,7 @@
 export interface NodeIdentity {
   readonly node: NodeId
   readonly incarnation: Incarnation
-  readonly place: Place
+  readonly place: ProcessLocation
   /** Peer listener, `host:port`. */
   readonly address: string
 }
--- a/src/node/ingress/ServiceTable.ts
+++ b/src/node/ingress/ServiceTable.ts
@@ -3,7 +3,7 @@
 import type { ServiceRule, VersionedConfiguration } from '../../parts/configuration/Types.js'
 import type { Member } from '../../parts/membership/Types.js'
 import { RetryPolicy } from '../../parts/retry/RetryPolicy.js'
-import type { Place, Random, ServiceName } from '../../parts/Types.js'
+import type { ProcessLocation, Random, ServiceName } from '../../parts/Types.js'
 import type { Clock, Disposable, Log } from '../../runtime/Types.js'
 import type { IngressService, ServiceDirectory } from './IngressServer.js'
 import { RequestClassifier } from './RequestClassifier.js'
@@ -12,7 +12,7 @@
 
 /** Dependencies of the table and of the balancers that it creates. */
 export interface ServiceTableDependencies {
-  readonly place: Place
+  readonly place: ProcessLocation
   readonly clock: Clock
   readonly random: Random
   readonly log: Log
--- a/src/parts/Types.ts
+++ b/src/parts/Types.ts
@@ -38,7 +38,7 @@
 export type Incarnation = number
 
 /** Location of a process: an availability zone within a region. */
-export interface Place {
+export interface ProcessLocation {
   readonly region: string
   readonly zone: string
 }
--- a/src/parts/agreement/Constants.ts
+++ b/src/parts/agreement/Constants.ts
@@ -1,4 +1,4 @@
-import type { ReplicaTiming, ReplicaLimits } from './Types.js'
+import type { RecoveredState, ReplicaLimits, ReplicaTiming } from './Types.js'
 
 /** Default timing of a replica. */
 export const DEFAULT_TIMING: ReplicaTiming = {
@@ -26,3 +26,10 @@
 
 /** Bytes that an entry counts in addition to its data, for `maxLogBytes` and `maxAppendBytes`. */
 export const ENTRY_OVERHEAD_BYTES = 64
+
+/** State of a replica whose log holds nothing yet. */
+export const EMPTY_RECOVERED_STATE: RecoveredState = {
+  hard: { term: 0, votedFor: undefined },
+  snapshot: { index: 0, term: 0, members: [], data: new Uint8Array(0) },
+  entries: []
+}
--- a/src/parts/choice/CandidateLoad.ts
+++ b/src/parts/choice/CandidateLoad.ts
@@ -1,5 +1,5 @@
 import type { CallId, InstanceId, LoadEvidence } from '../Types.js'
-import type { Vitals } from '../detection/OutlierDetector.js'
+import type { HealthRecord } from '../detection/OutlierDetector.js'
 import {
   COLD_LATENCY_RATIO, DEFAULT_SERVICE_MS, EVIDENCE_DECAY_SERVICE_TIMES, IN_TRANSIT_VARIANCE, REFUSAL_HOLD_MS,
   SLOW_START_ANSWERS, SLOW_START_IN_FLIGHT
@@ -26,7 +26,7 @@
 export class CandidateLoad {
   public readonly instance: InstanceId
   public readonly rttMs: number
-  public readonly vitals: Vitals
+  public readonly vitals: HealthRecord
   public state: CandidateState
   /** Calls that run at once there: the limit in the newest evidence, or else the announced slots. */
   public slots: number
@@ -44,7 +44,7 @@
    * @param rttMs Round trip to its node in milliseconds.
    * @param vitals Its record in the outlier detector.
    */
-  public constructor (candidate: Candidate, rttMs: number, vitals: Vitals) {
+  public constructor (candidate: Candidate, rttMs: number, vitals: HealthRecord) {
     this.instance = candidate.instance
     this.rttMs = rttMs
     this.vitals = vitals
--- a/src/parts/choice/SubsetSelector.ts
+++ b/src/parts/choice/SubsetSelector.ts
@@ -1,4 +1,4 @@
-import type { Place } from '../Types.js'
+import type { ProcessLocation } from '../Types.js'
 import { hashText } from '../TextHash.js'
 import { MIN_COVERAGE } from './Constants.js'
 import type { Candidate } from './Types.js'
@@ -20,12 +20,12 @@
  */
 export class SubsetSelector {
   /**
-   * @param _place Place of the ingress node.
+   * @param _place Location of the ingress node.
    * @param _salt Number that differs between ingress nodes.
    * @param _size Size of the subset.
    */
   public constructor (
-    private readonly _place: Place,
+    private readonly _place: ProcessLocation,
     private readonly _salt: number,
     private readonly _size: SubsetSize
   ) {}
--- a/src/parts/choice/Types.ts
+++ b/src/parts/choice/Types.ts
@@ -1,4 +1,4 @@
-import type { CallId, CallKind, InstanceId, LoadEvidence, Place, Reason } from '../Types.js'
+import type { CallId, CallKind, InstanceId, LoadEvidence, ProcessLocation, Reason } from '../Types.js'
 
 /** State of an upstream that its node announces. */
 export type CandidateState = 'starting' | 'serving' | 'draining'
@@ -6,7 +6,7 @@
 /** One instance that a chooser may choose. */
 export interface Candidate {
   readonly instance: InstanceId
-  readonly place: Place
+  readonly place: ProcessLocation
   readonly state: CandidateState
   /** Calls that the upstream may run at once, as announced. */
   readonly slots: number
--- a/src/parts/choice/UpstreamChooser.ts
+++ b/src/parts/choice/UpstreamChooser.ts
@@ -1,4 +1,4 @@
-import type { CallKind, InstanceId, Part, Place, Random } from '../Types.js'
+import type { CallKind, InstanceId, Part, ProcessLocation, Random } from '../Types.js'
 import { OutlierDetector, isEjected } from '../detection/OutlierDetector.js'
 import type { DetectionAction, DetectionEvent } from '../detection/Types.js'
 import { CandidateLoad } from './CandidateLoad.js'
@@ -78,7 +78,7 @@
    * @param options Options that differ from the defaults.
    */
   public constructor (
-    private readonly _place: Place,
+    private readonly _place: ProcessLocation,
     private readonly _random: Random,
     options: Partial<ChooserOptions> = {}
   ) {
@@ -135,7 +135,7 @@
     return created
   }
 
-  private _rttMs (place: Place): number {
+  private _rttMs (place: ProcessLocation): number {
     if (place.region !== this._place.region) {
       return this._options.otherRegionRttMs
     }
--- a/src/parts/detection/OutlierDetector.ts
+++ b/src/parts/detection/OutlierDetector.ts
@@ -12,7 +12,7 @@
 type Handlers = { readonly [T in DetectionEvent['type']]: (event: EventOf<T>, nowMs: number) => DetectionAction[] }
 
 /** Health record of one instance. The chooser reads it and feeds `slowness`; only the detector changes the rest. */
-export interface Vitals {
+export interface HealthRecord {
   readonly instance: InstanceId
   readonly slowness: SlownessEstimate
   health: Health
@@ -48,11 +48,11 @@
 /**
  * Outlier ejection for the instances of one service: distinguishes slow, failing, silent and disconnected instances.
  * Failing and silent ones are ejected for a time that doubles, at most half of the service at once, and return through
- * a trial. A slow one is not ejected: its slowness in `Vitals` makes the chooser prefer others.
+ * a trial. A slow one is not ejected: its slowness in `HealthRecord` makes the chooser prefer others.
  * Memory: one record for each instance.
  */
 export class OutlierDetector implements Part<DetectionEvent, DetectionAction> {
-  private readonly _byInstance = new Map<InstanceId, Vitals>()
+  private readonly _byInstance = new Map<InstanceId, HealthRecord>()
   private readonly _handlers: Handlers = {
     members: event => this._onMembers(event),
     started: (event, nowMs) => this._onStarted(event, nowMs),
@@ -79,7 +79,7 @@
    * Returns the record of an instance, which later events update, or undefined for an unknown instance.
    * @param instance Instance to look up.
    */
-  public vitals (instance: InstanceId): Vitals | undefined {
+  public vitals (instance: InstanceId): HealthRecord | undefined {
     return this._byInstance.get(instance)
   }
 
@@ -113,13 +113,13 @@
     }
     for (const instance of event.instances) {
       if (!this._byInstance.has(instance)) {
-        this._byInstance.set(instance, createVitals(instance))
+        this._byInstance.set(instance, createHealthRecord(instance))
       }
     }
     return []
   }
 
-  private _remove (vitals: Vitals): void {
+  private _remove (vitals: HealthRecord): void {
     this._byInstance.delete(vitals.instance)
     if (isEjected(vitals)) {
       this._ejectedCount -= 1
@@ -156,7 +156,7 @@
     return effect === 'good' ? this._recordSuccess(vitals, nowMs) : this._recordFailure(vitals, nowMs)
   }
 
-  private _recordSuccess (vitals: Vitals, nowMs: number): DetectionAction[] {
+  private _recordSuccess (vitals: HealthRecord, nowMs: number): DetectionAction[] {
     this._updateFailureShares(vitals, 0)
     vitals.failuresInARow = 0
     if (vitals.health === 'healthy') {
@@ -174,7 +174,7 @@
     return vitals.trialSuccesses >= TRIAL_SUCCESSES ? this._restore(vitals, nowMs) : []
   }
 
-  private _recordFailure (vitals: Vitals, nowMs: number): DetectionAction[] {
+  private _recordFailure (vitals: HealthRecord, nowMs: number): DetectionAction[] {
     this._updateFailureShares(vitals, 1)
     vitals.failuresInARow += 1
     vitals.lastFailureMs = nowMs
@@ -187,7 +187,7 @@
     return []
   }
 
-  private _updateFailureShares (vitals: Vitals, failed: 0 | 1): void {
+  private _updateFailureShares (vitals: HealthRecord, failed: 0 | 1): void {
     vitals.attempts += 1
     vitals.failureShare += FAILURE_EWMA_WEIGHT * (failed - vitals.failureShare)
     const serviceWeight = FAILURE_EWMA_WEIGHT / Math.max(1, this._byInstance.size)
@@ -195,7 +195,7 @@
   }
 
   /** Returns whether the instance fails so much more than its service that it must be ejected. */
-  private _failsMoreThanService (vitals: Vitals): boolean {
+  private _failsMoreThanService (vitals: HealthRecord): boolean {
     // No failure share can exceed that of the service by enough: the cause is not this instance alone.
     if (this._serviceFailureShare > 1 - EJECT_SHARE_ABOVE_SERVICE) {
       return false
@@ -223,7 +223,7 @@
     return actions
   }
 
-  private _checkMember (vitals: Vitals, nowMs: number): DetectionAction[] {
+  private _checkMember (vitals: HealthRecord, nowMs: number): DetectionAction[] {
     if (isEjected(vitals)) {
       return nowMs >= vitals.ejectedUntilMs ? this._startTrial(vitals, nowMs) : []
     }
@@ -236,7 +236,7 @@
     return []
   }
 
-  private _eject (vitals: Vitals, health: Health, nowMs: number): DetectionAction[] {
+  private _eject (vitals: HealthRecord, health: Health, nowMs: number): DetectionAction[] {
     const limit = Math.floor(this._byInstance.size * EJECT_MAX_SHARE)
     if (this._ejectedCount >= limit) {
       return []
@@ -249,7 +249,7 @@
     return [{ type: 'ejected', instance: vitals.instance, health, untilMs: vitals.ejectedUntilMs }]
   }
 
-  private _startTrial (vitals: Vitals, nowMs: number): DetectionAction[] {
+  private _startTrial (vitals: HealthRecord, nowMs: number): DetectionAction[] {
     this._ejectedCount -= 1
     vitals.health = 'trial'
     vitals.trialSuccesses = 0
@@ -257,7 +257,7 @@
     return [{ type: 'trial', instance: vitals.instance }]
   }
 
-  private _restore (vitals: Vitals, nowMs: number): DetectionAction[] {
+  private _restore (vitals: HealthRecord, nowMs: number): DetectionAction[] {
     vitals.health = 'healthy'
     vitals.attempts = 0
     vitals.failureShare = 0
@@ -270,11 +270,11 @@
  * Returns true while an instance is ejected, and false during its trial.
  * @param vitals Record of the instance.
  */
-export function isEjected (vitals: Vitals): boolean {
+export function isEjected (vitals: HealthRecord): boolean {
   return vitals.health === 'failing' || vitals.health === 'silent'
 }
 
-function createVitals (instance: InstanceId): Vitals {
+function createHealthRecord (instance: InstanceId): HealthRecord {
   return {
     instance,
     slowness: new SlownessEstimate(),
--- a/src/parts/membership/Types.ts
+++ b/src/parts/membership/Types.ts
@@ -1,4 +1,4 @@
-import type { Incarnation, NodeId, Place, ServiceName } from '../Types.js'
+import type { Incarnation, NodeId, ProcessLocation, ServiceName } from '../Types.js'
 
 /** State that a node announces for its upstream. */
 export type MemberState = 'starting' | 'serving' | 'draining' | 'left'
@@ -16,7 +16,7 @@
   readonly state: MemberState
   /** Host and port of the node's listener for peers. */
   readonly address: string
-  readonly place: Place
+  readonly place: ProcessLocation
   readonly slots: number
   /**
    * Number of the latest heartbeat that the sender knows within (incarnation, sequence). It orders heartbeats and
--- a/src/parts/trace/TraceReplay.ts
+++ b/src/parts/trace/TraceReplay.ts
@@ -1,11 +1,11 @@
 import type { Finding } from '../configuration/Types.js'
 import type {
-  EventLine, ExpectLine, NeverLine, NoteLine, PartFactories, PartLine, ReplayedPart, TraceLine
+  EventLine, ExpectLine, ForbiddenActionLine, NoteLine, PartFactories, PartLine, ReplayedPart, TraceLine
 } from './Types.js'
 
 type LineKind = 'part' | 'event' | 'expect' | 'never' | 'note'
 
-type LineByKind = { part: PartLine, event: EventLine, expect: ExpectLine, never: NeverLine, note: NoteLine }
+type LineByKind = { part: PartLine, event: EventLine, expect: ExpectLine, never: ForbiddenActionLine, note: NoteLine }
 
 type Handlers = { readonly [K in LineKind]: (line: LineByKind[K], place: string) => void }
 
@@ -103,7 +103,7 @@
     }
   }
 
-  private _onNever (line: NeverLine, place: string): void {
+  private _onNever (line: ForbiddenActionLine, place: string): void {
     const action = this._actions.find(action => matches(action, line.never))
     if (action !== undefined) {
       this._addFinding(place, JSON.stringify(action), `never ${JSON.stringify(line.never)}`)
--- a/src/parts/trace/Types.ts
+++ b/src/parts/trace/Types.ts
@@ -24,7 +24,7 @@
 }
 
 /** Expectation for all events so far: none of them led to an action with these fields. */
-export interface NeverLine {
+export interface ForbiddenActionLine {
   readonly never: object
 }
 
@@ -34,7 +34,7 @@
 }
 
 /** One line of a trace file, as JSON. */
-export type TraceLine = PartLine | EventLine | ExpectLine | NeverLine | NoteLine
+export type TraceLine = PartLine | EventLine | ExpectLine | ForbiddenActionLine | NoteLine
 
 /** A part that is driven by the events of a trace. */
 export interface ReplayedPart {
--- a/src/routecontrol/Constants.ts
+++ b/src/routecontrol/Constants.ts
@@ -47,12 +47,6 @@
 /** Interval of the checks for silent and disconnected nodes, in milliseconds. */
 export const NODE_CHECK_INTERVAL_MS = 1000
 
-/**
- * Intended limit on the time that an operator's change waits for its commit, in milliseconds; operators give up after a
- * second. Not used: nothing enforces this limit.
- */
-export const CHANGE_TIMEOUT_MS = 3000
-
 /** Time for which changed entries of nodes are collected before they are sent, in milliseconds. */
 export const ENTRY_BATCH_MS = 20
 
--- a/src/routecontrol/RoutingReplica.ts
+++ b/src/routecontrol/RoutingReplica.ts
@@ -2,7 +2,9 @@
 import { ReplicaHost } from '../control/ReplicaHost.js'
 import { ReadBarrier } from '../control/ReadBarrier.js'
 import { type AcceptedChannel, type ReplicaFrame, type ReplicaHello, ReplicaLinks } from '../control/ReplicaLinks.js'
-import type { ReplicaToReplica } from '../control/Types.js'
+import { READ_REQUEST_ID_RANGE } from '../control/Constants.js'
+import type { ReplicaFrameHandlers, ReplicaToReplica } from '../control/Types.js'
+import { EMPTY_RECOVERED_STATE } from '../parts/agreement/Constants.js'
 import { GroupFormation, makeReplicaId, replicaName } from '../parts/agreement/GroupFormation.js'
 import type { FormationNotice } from '../parts/agreement/GroupFormation.js'
 import type { ReplicaView } from '../parts/agreement/Replica.js'
@@ -57,24 +59,6 @@
   readonly whole: boolean
 }
 
-type FrameHandlers = {
-  readonly [Type in ReplicaToReplica['type']]?:
-  (from: ReplicaId, frame: Extract<ReplicaToReplica, { type: Type }>) => void
-}
-
-/**
- * Read requests to the leader are numbered from a random start below this, so that late replies to an earlier run of
- * this process match none.
- */
-const REQUEST_ID_RANGE = 2 ** 40
-
-/** State of a replica whose log holds nothing yet. */
-const EMPTY_STATE: RecoveredState = {
-  hard: { term: 0, votedFor: undefined },
-  snapshot: { index: 0, term: 0, members: [], data: new Uint8Array(0) },
-  entries: []
-}
-
 /**
  * A replica of the consensus group (Raft) that stores the routing configuration. Its settings name only some seeds and
  * the number of losses to tolerate. The seeds form the first group; other replicas join through any member and become
@@ -107,7 +91,7 @@
   private _leaderKnownMs: number
   private _isChangingMembers = false
 
-  private readonly _handlers: FrameHandlers = {
+  private readonly _handlers: ReplicaFrameHandlers = {
     agreement: (from, { to, message }) => { if (to === this.id) this._host.receive(from, message) },
     formation: (from, { notice }) => this._handleNotice(from, notice),
     join: (_from, { replica }) => this._voterPlanner.recordJoinRequest(replica, this._options.clock.nowMs()),
@@ -135,14 +119,14 @@
     this._links = new ReplicaLinks(this._makeHello(), clock, random)
     this._links.onFrame(frame => this._handleFrame(frame))
     this._links.onOpen(() => this._linkOpenEmitter.fire())
-    this._host = this._makeHost(storage, opened.type === 'recovered' ? opened.state : EMPTY_STATE)
+    this._host = this._makeHost(storage, opened.type === 'recovered' ? opened.state : EMPTY_RECOVERED_STATE)
     this._barrier = new ReadBarrier({
       id: this.id,
       confirmReadIndex: () => this._host.confirmReadIndex(),
       leader: () => this.view.leader,
       appliedIndex: () => this.view.commitIndex,
       send: (to, frame) => this._links.send(to, frame)
-    }, Math.floor(random.next() * REQUEST_ID_RANGE))
+    }, Math.floor(random.next() * READ_REQUEST_ID_RANGE))
     this._host.onApplied(() => this._barrier.notifyApplied())
     this._host.onRoleChange(({ role, term, leader }) => {
       log.info({ role, term, leader }, 'role changed')
--- a/src/routenode/Gateway.ts
+++ b/src/routenode/Gateway.ts
@@ -11,11 +11,11 @@
 import { listenOn } from '../runtime/Listen.js'
 import type { Disposable, Log } from '../runtime/Types.js'
 import { NOT_READY_RETRY_AFTER_MS, RETRY_AFTER_MAX_SHARE, RETRY_AFTER_JITTER } from './Constants.js'
-import { GatewayCall, type GatewayContext, type GatewayReason, type GatewayRequest, type GatewayResult } from './GatewayCall.js'
+import { GatewayCall, type GatewayContext } from './GatewayCall.js'
 import { AnswerSizeEstimate } from './AnswerSizeEstimate.js'
 import { CallerConnections } from './CallerConnections.js'
 import type { RouteNodeMetrics } from './RouteNodeMetrics.js'
-import type { AttemptKind, HeaderNames, RoutedAnswer } from './Types.js'
+import type { AttemptKind, GatewayReason, GatewayRequest, GatewayResult, HeaderNames, RoutedAnswer } from './Types.js'
 
 /** Largest header of a request that is accepted, in bytes; `maxHeaderBytes` of the configuration isn't enforced. */
 const MAX_HEADER_BYTES = 64 * 1024
--- a/src/routenode/GatewayCall.test.ts
+++ b/src/routenode/GatewayCall.test.ts
@@ -6,10 +6,10 @@
 import { SeededRandom } from '../parts/SeededRandom.js'
 import type { NodeId } from '../parts/Types.js'
 import { MAX_DECLINES } from './Constants.js'
-import { GatewayCall, type GatewayContext, type GatewayResult } from './GatewayCall.js'
+import { GatewayCall, type GatewayContext } from './GatewayCall.js'
 import type { Placement } from './Placement.js'
 import { SharedRetryBudgets } from './SharedRetryBudgets.js'
-import type { AttemptKind, RoutedAnswer, RoutedCall, RoutedCallListener } from './Types.js'
+import type { AttemptKind, GatewayResult, RoutedAnswer, RoutedCall, RoutedCallListener } from './Types.js'
 
 const IDLE: GateLoad = { running: 0, queued: 0, limit: 4, slowness: 1, workMs: 50 }
 const ANSWER: RoutedAnswer = { status: 200, headers: [], body: new Uint8Array(0) }
--- a/src/routenode/GatewayCall.ts
+++ b/src/routenode/GatewayCall.ts
@@ -1,8 +1,7 @@
 import type { DeclineReason, GateLoad } from '../parts/gate/Types.js'
 import type { PlacementOutcome, PlacementQuery } from '../parts/placement/Types.js'
 import type { HedgePolicy } from '../parts/retry/HedgePolicy.js'
-import type { Route } from '../parts/routing/Types.js'
-import type { CallId, NodeId, Random, ServiceName } from '../parts/Types.js'
+import type { CallId, NodeId, Random } from '../parts/Types.js'
 import type { Clock } from '../runtime/Types.js'
 import {
   HEDGE_BUDGET_SHARE, LAST_TRY_MIN_WAIT_MS, MAX_DECLINES, MAX_HEDGE_DECLINES, RETRY_AFTER_JITTER, RETRY_AFTER_MAX_SHARE
@@ -10,46 +9,10 @@
 import type { Placement } from './Placement.js'
 import type { SharedRetryBudgets } from './SharedRetryBudgets.js'
 import type {
-  AttemptKind, FailureProof, FailureReason, RawHeaders, RoutedAnswer, RoutedCall, RoutedCallHandle, RoutedCallListener
+  AttemptKind, FailureProof, FailureReason, GatewayReason, GatewayRequest, GatewayResult, RoutedAnswer, RoutedCall,
+  RoutedCallHandle, RoutedCallListener
 } from './Types.js'
 
-/** A request of a caller that was read completely and routed. */
-export interface GatewayRequest {
-  readonly requestId: string
-  readonly method: string
-  readonly target: string
-  readonly headers: RawHeaders
-  readonly body: Uint8Array
-  readonly route: Route
-  readonly service: ServiceName
-  /** Version of the routing configuration by which the request was routed. */
-  readonly version: number
-  /** Kind of the attempt whose run makes this nested call on this VM; undefined for any other request. */
-  readonly parentAttemptKind: AttemptKind | undefined
-  /** Milliseconds that the caller waits, counted from `arrivedAtMs`. */
-  readonly deadlineMs: number
-  /** When the request arrived, in monotonic milliseconds. */
-  readonly arrivedAtMs: number
-  /** When the latency objective ends, in monotonic milliseconds; it is counted from the caller's first attempt. */
-  readonly objectiveAtMs: number
-  /** Expected size of the request and its answer together, in bytes. */
-  readonly expectedBytes: number
-}
-
-/** Why a request was refused before it was routed. */
-export type RoutingRefusalReason = 'no-configuration' | 'no-route' | 'body-too-large'
-
-/** Why the node answered in place of an instance. */
-export type GatewayReason = FailureReason | DeclineReason | RoutingRefusalReason | 'no-instance' | 'retry-budget' | 'caller-gone'
-
-/** Result that the caller receives. */
-export type GatewayResult =
-  | { readonly type: 'answer', readonly answer: RoutedAnswer }
-  /** The request is proved not to have run. */
-  | { readonly type: 'refused', readonly reason: GatewayReason, readonly retryAfterMs: number }
-  /** The request may have run. */
-  | { readonly type: 'failed', readonly reason: GatewayReason, readonly timedOut: boolean }
-
 /** What a `GatewayCall` needs of its node. */
 export interface GatewayContext {
   readonly clock: Clock
--- a/src/routenode/Types.ts
+++ b/src/routenode/Types.ts
@@ -1,5 +1,5 @@
 import type { DeclineReason, GateLoad } from '../parts/gate/Types.js'
-import type { RouteKind } from '../parts/routing/Types.js'
+import type { Route, RouteKind } from '../parts/routing/Types.js'
 import type { CallId, ServiceName } from '../parts/Types.js'
 
 /** Header names and values, alternating, as received. */
@@ -131,3 +131,40 @@
   /** The node is shutting down: it finishes the calls that it has and should get no new ones. */
   | { readonly type: 'stopping' }
   | { readonly type: 'pong' }
+
+/** A request of a caller that was read completely and routed. */
+export interface GatewayRequest {
+  readonly requestId: string
+  readonly method: string
+  readonly target: string
+  readonly headers: RawHeaders
+  readonly body: Uint8Array
+  readonly route: Route
+  readonly service: ServiceName
+  /** Version of the routing configuration by which the request was routed. */
+  readonly version: number
+  /** Kind of the attempt whose run makes this nested call on this VM; undefined for any other request. */
+  readonly parentAttemptKind: AttemptKind | undefined
+  /** Milliseconds that the caller waits, counted from `arrivedAtMs`. */
+  readonly deadlineMs: number
+  /** When the request arrived, in monotonic milliseconds. */
+  readonly arrivedAtMs: number
+  /** When the latency objective ends, in monotonic milliseconds; it is counted from the caller's first attempt. */
+  readonly objectiveAtMs: number
+  /** Expected size of the request and its answer together, in bytes. */
+  readonly expectedBytes: number
+}
+
+/** Why a request was refused before it was routed. */
+export type RoutingRefusalReason = 'no-configuration' | 'no-route' | 'body-too-large'
+
+/** Why the node answered in place of an instance. */
+export type GatewayReason = FailureReason | DeclineReason | RoutingRefusalReason | 'no-instance' | 'retry-budget' | 'caller-gone'
+
+/** Result that the caller receives. */
+export type GatewayResult =
+  | { readonly type: 'answer', readonly answer: RoutedAnswer }
+  /** The request is proved not to have run. */
+  | { readonly type: 'refused', readonly reason: GatewayReason, readonly retryAfterMs: number }
+  /** The request may have run. */
+  | { readonly type: 'failed', readonly reason: GatewayReason, readonly timedOut: boolean }
--- a/src/runtime/FrameChannel.test.ts
+++ b/src/runtime/FrameChannel.test.ts
@@ -9,7 +9,7 @@
 import { FrameServer } from './FrameServer.js'
 import { SystemClock } from './SystemClock.js'
 
-interface Note { readonly type: 'note', readonly number: number, readonly bytes: Uint8Array }
+interface NoteMessage { readonly type: 'note', readonly number: number, readonly bytes: Uint8Array }
 
 function encodeFrame (body: Uint8Array): Buffer {
   const frame = Buffer.alloc(4 + body.length)
@@ -45,9 +45,9 @@
 
 test('messages arrive in order, also after the client has reconnected', async () => {
   const clock = new SystemClock()
-  const server = new FrameServer<Note, Note>(clock)
+  const server = new FrameServer<NoteMessage, NoteMessage>(clock)
   const address = await server.listen('127.0.0.1:0')
-  const client = new FrameClient<Note, Note>(address, clock, new SeededRandom(1))
+  const client = new FrameClient<NoteMessage, NoteMessage>(address, clock, new SeededRandom(1))
   server.onChannel(channel => { channel.onMessage(note => { channel.send(note) }) })
   for (let round = 0; round < 2; round++) {
     const connected = new Promise<void>(resolve => client.onChannel(() => resolve()))
@@ -72,7 +72,7 @@
 })
 
 test('a frame above the length limit closes its connection with that reason', async () => {
-  const server = new FrameServer<Note, Note>(new SystemClock())
+  const server = new FrameServer<NoteMessage, NoteMessage>(new SystemClock())
   const address = await server.listen('127.0.0.1:0')
   const closed = new Promise<string>(resolve => server.onChannel(channel => { channel.onClose(resolve) }))
   const socket = connect(parseAddress(address))
