Let calls end on a link whose node is announced as restarted

The link is now replaced for new calls and closed when its calls have ended; the same when a node is announced as gone. The test fails before (unknown link-lost).

--- a/src/routenode/CallLink.ts
+++ b/src/routenode/CallLink.ts
@@ -38,6 +38,7 @@
   private readonly _unresponsiveEmitter = new Emitter<void>()
   private readonly _responsiveEmitter = new Emitter<void>()
   private _isUnresponsive = false
+  private _isRetired = false
   private _pingTimer: NodeJS.Timeout | undefined
   /** When the first ping was sent after which nothing was received, in monotonic milliseconds; Infinity if none. */
   private _unansweredPingAtMs = Infinity
@@ -65,6 +66,7 @@
     this._client.onDisconnect(() => {
       this._failWaiting()
       this._failOutstanding()
+      this._disposeIfRetired()
     })
   }
 
@@ -100,6 +102,12 @@
     return { cancel: () => this._cancel(call.id) }
   }
 
+  /** Closes the link once its outstanding calls have ended; no more are started. */
+  public retire (): void {
+    this._isRetired = true
+    this._disposeIfRetired()
+  }
+
   /** Closes the link; outstanding calls fail as `unknown`. */
   public dispose (): void {
     clearInterval(this._pingTimer)
@@ -128,8 +136,9 @@
   }
 
   private _cancel (id: CallId): void {
-    if (this._waitingCalls.delete(id)) return
     if (this._listeners.delete(id)) this._client.channel?.send({ type: 'cancel', id })
+    this._waitingCalls.delete(id)
+    this._disposeIfRetired()
   }
 
   private _sendWaiting (channel: Channel): void {
@@ -156,9 +165,14 @@
   private _takeListener (id: CallId): RoutedCallListener | undefined {
     const listener = this._listeners.get(id)
     this._listeners.delete(id)
+    this._disposeIfRetired()
     return listener
   }
 
+  private _disposeIfRetired (): void {
+    if (this._isRetired && this._listeners.size + this._waitingCalls.size === 0) this.dispose()
+  }
+
   private _checkLiveness (): void {
     const { channel } = this._client
     if (channel === undefined || this._listeners.size === 0) {
--- a/src/routenode/Placement.test.ts
+++ b/src/routenode/Placement.test.ts
@@ -88,3 +88,32 @@
   expect(placement.findChooser('svc')?.choose(QUERY, 0)).toBe(address)
   expect(placement.findTarget(address)).not.toBe(link)
 })
+
+// The restarted node may be connected before control announces its restart; its calls must not be cut by that.
+test('calls on a link that was opened after the restart end on it when the restart is announced', async () => {
+  const [address] = await findFreeAddresses(1) as [string]
+  const server = new FrameServer<CallClientFrame, CallServerFrame>(new SystemClock())
+  let answer = (): void => {}
+  const received = new Promise<void>(resolve => {
+    server.onChannel(channel => channel.onMessage(frame => {
+      if (frame.type !== 'call') return
+      const load = { running: 0, queued: 0, limit: 4, slowness: 1, workMs: 50 }
+      answer = () => channel.send({ type: 'answer', id: 1, answer: { status: 200, headers: [], body: new Uint8Array(0) }, load })
+      resolve()
+    }))
+  })
+  await server.listen(address)
+  const { placement, directory } = makePlacement([makeEntry(address)])
+  disposables.push(server)
+  const call = { id: 1 } as unknown as Parameters<CallLink['start']>[0]
+  const outcome = new Promise<string>(resolve => {
+    placement.findTarget(address).start(call, {
+      onAnswer: ({ status }) => resolve(`answer ${status}`), onDeclined: resolve, onFailed: (proof, reason) => resolve(`${proof} ${reason}`)
+    })
+  })
+  await received
+  placement.update(directory.merge([makeEntry(address, { epoch: 2 })], 0))
+  placement.update(directory.merge([makeEntry(address, { epoch: 2, state: 'gone' })], 0))
+  answer()
+  expect(await outcome).toBe('answer 200')
+})
--- a/src/routenode/Placement.ts
+++ b/src/routenode/Placement.ts
@@ -59,8 +59,8 @@
   public update (entries: readonly NodeEntry[]): void {
     for (const entry of entries) {
       const hasRestarted = (this._epochs.get(entry.node) ?? entry.epoch) < entry.epoch
-      // A new link opens at once, while the old one may wait for its next attempt to reconnect.
-      if (entry.state === 'gone' || hasRestarted) this._closeLink(entry.node)
+      // A new link opens at once, while the old one may wait for its next attempt to reconnect or be half-open.
+      if (entry.state === 'gone' || hasRestarted) this._retireLink(entry.node)
       this._updateCandidate(entry)
     }
   }
@@ -111,10 +111,11 @@
 
   private _openLink (node: NodeId): CallLink {
     const link = new CallLink(node, this._options.self, this._options.clock, this._options.random)
-    link.onOpen(() => this._onOpen(node))
-    link.onStopping(() => this._onStopping(node))
-    link.onUnresponsive(() => this._onUnresponsive(node))
-    link.onResponsive(() => this._onResponsive(node))
+    const ifCurrent = (handler: () => void) => () => { if (this._links.get(node) === link) handler() }
+    link.onOpen(ifCurrent(() => this._onOpen(node)))
+    link.onStopping(ifCurrent(() => this._onStopping(node)))
+    link.onUnresponsive(ifCurrent(() => this._onUnresponsive(node)))
+    link.onResponsive(ifCurrent(() => this._onResponsive(node)))
     this._links.set(node, link)
     this._epochs.set(node, this._options.directory.find(node)?.epoch ?? 0)
     link.connect()
@@ -147,9 +148,9 @@
     if (entry !== undefined) this._updateCandidate(entry)
   }
 
-  /** A link stays until its node is gone: the node may come back, or calls may be outstanding. */
-  private _closeLink (node: NodeId): void {
-    this._links.get(node)?.dispose()
+  /** The old link may already be connected to the restarted node, so its calls end on it. */
+  private _retireLink (node: NodeId): void {
+    this._links.get(node)?.retire()
     this._links.delete(node)
     this._epochs.delete(node)
     this._stoppingNodes.delete(node)
