Report the share of failing runs with the load of an instance

The gate now reports the share of its recent runs that failed with every answer, and the choice counts it like the node's own failures, with a half-life of a second so that a recovered instance is tried again. Both tests fail before (the failing instance was preferred to a loaded one).

--- a/src/parts/gate/Constants.ts
+++ b/src/parts/gate/Constants.ts
@@ -66,5 +66,11 @@
 /** Queued calls in all; bounds memory. */
 export const MAX_QUEUED_CALLS = 1000
 
+/** EWMA weight of a run in the reported share of runs that fail: a second of a usual load. */
+export const FAILING_EWMA_WEIGHT = 0.1
+
+/** The reported share of runs that fail is rounded to this fraction of one, as slowness is. */
+export const FAILING_STEPS = 16
+
 /** Reported slowness is rounded to quarters, which short floating-point numbers represent exactly. */
 export const SLOWNESS_STEPS_PER_UNIT = 4
--- a/src/parts/gate/InstanceGate.test.ts
+++ b/src/parts/gate/InstanceGate.test.ts
@@ -322,3 +322,17 @@
     })
   }), { seed: 7, numRuns: 200 })
 })
+
+test('the load report tells the share of the recent runs that failed', () => {
+  const gate = makeGate(1)
+  const run = (workMs: number | undefined): void => {
+    const call = makeCall()
+    gate.step({ type: 'offer', call }, 0)
+    gate.step({ type: 'finished', id: call.id, workMs }, 0)
+  }
+  for (let i = 0; i < 40; i++) run(i % 2 === 0 ? undefined : 50)
+  expect(gate.load(0).failing).toBeGreaterThan(0.35)
+  expect(gate.load(0).failing).toBeLessThan(0.65)
+  for (let i = 0; i < 60; i++) run(50)
+  expect(gate.load(0).failing).toBe(0)
+})
--- a/src/parts/gate/InstanceGate.ts
+++ b/src/parts/gate/InstanceGate.ts
@@ -1,7 +1,7 @@
 import type { CallId, Part } from '../Types.js'
 import {
-  HEDGE_RESERVE_SHARE, LATE_RESERVE_SHARE, MAX_QUEUED_CALLS, MAX_SLOWNESS_WAIT_MS, SLOWNESS_RECOVERY_MS,
-  SLOWNESS_STEPS_PER_UNIT
+  FAILING_EWMA_WEIGHT, FAILING_STEPS, HEDGE_RESERVE_SHARE, LATE_RESERVE_SHARE, MAX_QUEUED_CALLS, MAX_SLOWNESS_WAIT_MS,
+  SLOWNESS_RECOVERY_MS, SLOWNESS_STEPS_PER_UNIT
 } from './Constants.js'
 import { CallQueue } from './CallQueue.js'
 import { LateQueueLimit } from './LateQueueLimit.js'
@@ -37,6 +37,8 @@
   private _nowMs = 0
   private _slots = 0
   private _wakeAtMs = Infinity
+  /** Share of the recent runs that brought no usable answer. */
+  private _failing = 0
 
   private readonly _handlers: Handlers = {
     offer: event => this._offer(event.call),
@@ -71,7 +73,8 @@
       queued: this._queue.size,
       limit: this._limit.current(nowMs),
       slowness: Math.round(SLOWNESS_STEPS_PER_UNIT * this._vmSlowness.current(nowMs)) / SLOWNESS_STEPS_PER_UNIT,
-      workMs: Math.round(this._workTimes.overallMs)
+      workMs: Math.round(this._workTimes.overallMs),
+      failing: Math.round(FAILING_STEPS * this._failing) / FAILING_STEPS
     }
   }
 
@@ -103,6 +106,7 @@
     const call = this._running.get(id)
     if (call === undefined) return
     this._running.delete(id)
+    this._failing += FAILING_EWMA_WEIGHT * (Number(workMs === undefined) - this._failing)
     if (workMs !== undefined) this._recordWorkTime(call, workMs)
     this._runStarts.delete(id)
     this._startQueued()
--- a/src/parts/gate/Types.ts
+++ b/src/parts/gate/Types.ts
@@ -37,6 +37,8 @@
   readonly slowness: number
   /** Moving average of the run time in milliseconds, at a slowness of 1. */
   readonly workMs: number
+  /** Share of the recent runs that brought no usable answer, 0 to 1. */
+  readonly failing: number
 }
 
 /** Events of the gate. */
--- a/src/parts/placement/Constants.ts
+++ b/src/parts/placement/Constants.ts
@@ -13,6 +13,12 @@
 /** Cost of a certain failure, in run times: an instance that fails fast looks idle and must not attract calls. */
 export const FAILURE_COST_RUNS = 12
 
+/**
+ * Half-life of a reported share of failing runs, in milliseconds. An instance that all nodes avoid reports nothing new,
+ * so what it reported must lose its weight for a call to find out whether it has recovered.
+ */
+export const FAILING_HALF_LIFE_MS = 1000
+
 /** Time for which an instance is not chosen after its node was unreachable, in milliseconds. */
 export const UNREACHABLE_COOLDOWN_MS = 1000
 
--- a/src/parts/placement/InstanceChooser.test.ts
+++ b/src/parts/placement/InstanceChooser.test.ts
@@ -1,10 +1,10 @@
 import { expect, test } from 'vitest'
 import { SeededRandom } from '../SeededRandom.js'
-import { SUBSET_SIZE, TRIAL_INTERVAL_MS, UNREACHABLE_COOLDOWN_MS } from './Constants.js'
+import { FAILING_HALF_LIFE_MS, SUBSET_SIZE, TRIAL_INTERVAL_MS, UNREACHABLE_COOLDOWN_MS } from './Constants.js'
 import { InstanceChooser } from './InstanceChooser.js'
 import type { PlacementCandidate } from './Types.js'
 
-const IDLE = { running: 0, queued: 0, limit: 4, slowness: 1, workMs: 50 }
+const IDLE = { running: 0, queued: 0, limit: 4, slowness: 1, workMs: 50, failing: 0 }
 const SMALL = { excluded: [], allowsTrial: true, bytes: 1000 }
 
 function makeChooser (...candidates: Array<Partial<PlacementCandidate> & { node: string }>): InstanceChooser {
@@ -62,6 +62,15 @@
   expect(measureShare(chooser, 'a', 100, 32)).toBe(0)
 })
 
+// An instance that rejects calls at once looks idle. Each node of a large mesh would have to fail there several times.
+test('an instance whose node reports failing runs is avoided at once, and tried again after a while', () => {
+  const chooser = makeChooser({ node: 'a' }, { node: 'b' })
+  chooser.recordEnd('a', 'declined', { ...IDLE, failing: 0.5 }, 0)
+  chooser.recordLoad('b', { ...IDLE, running: 3, queued: 4 }, 0)
+  expect(measureShare(chooser, 'a', 50, 1)).toBe(0)
+  expect(measureShare(chooser, 'a', 50, 6 * FAILING_HALF_LIFE_MS)).toBeGreaterThan(0)
+})
+
 test('an ejected instance gets occasional trials, by calls that allow one', () => {
   const chooser = makeChooser({ node: 'a' }, { node: 'b' }, { node: 'c' })
   for (let i = 0; i < 30; i++) chooser.recordEnd('a', 'failed', IDLE, i)
--- a/src/parts/placement/InstanceChooser.ts
+++ b/src/parts/placement/InstanceChooser.ts
@@ -1,9 +1,9 @@
 import { hashText } from '../TextHash.js'
 import type { NodeId, Random } from '../Types.js'
 import {
-  BYTES_PER_KB, CROSS_ZONE_COST_MS_PER_KB, DEFAULT_SLOWNESS, EJECTION_FAILURE_SHARE, FAILURE_COST_RUNS,
-  FAILURE_EWMA_WEIGHT, FAR_SUBSET_SIZE, LOAD_HALF_LIFE_MS, MAX_EJECTED_SHARE, SLOWNESS_HALF_LIFE_MS, SUBSET_SIZE,
-  TRIAL_INTERVAL_MS, UNREACHABLE_COOLDOWN_MS
+  BYTES_PER_KB, CROSS_ZONE_COST_MS_PER_KB, DEFAULT_SLOWNESS, EJECTION_FAILURE_SHARE, FAILING_HALF_LIFE_MS,
+  FAILURE_COST_RUNS, FAILURE_EWMA_WEIGHT, FAR_SUBSET_SIZE, LOAD_HALF_LIFE_MS, MAX_EJECTED_SHARE,
+  SLOWNESS_HALF_LIFE_MS, SUBSET_SIZE, TRIAL_INTERVAL_MS, UNREACHABLE_COOLDOWN_MS
 } from './Constants.js'
 import type { GateLoad, PlacementCandidate, PlacementOutcome, PlacementQuery } from './Types.js'
 
@@ -192,7 +192,7 @@
 
   /** Expected time at the instance in milliseconds, plus the cost of the failures to expect. */
   private _costMs (record: CandidateRecord, nowMs: number): number {
-    const { candidate, load, failureShare } = record
+    const { candidate, load } = record
     // Without a report, the initial work time and the knee of the gate are assumed.
     const workMs = load?.workMs ?? 50
     const limit = load === undefined || load.limit === 0 ? Math.max(1, candidate.slots * 0.8) : load.limit
@@ -201,7 +201,16 @@
     // Runs take up to 30 % longer as the instance fills up.
     const contention = 0.3 * Math.min(1, concurrency / limit)
     const runs = this._slowness(record, nowMs) * (1 + waitRuns + contention)
-    return workMs * (runs + FAILURE_COST_RUNS * failureShare)
+    return workMs * (runs + FAILURE_COST_RUNS * this._failureShare(record, nowMs))
+  }
+
+  /**
+   * Share of calls that fail: of this node's own, or of all calls as the instance's node reports it. In a large mesh, a
+   * node has few calls of its own to each instance.
+   */
+  private _failureShare ({ load, reportedAtMs, failureShare }: CandidateRecord, nowMs: number): number {
+    if (load === undefined) return failureShare
+    return Math.max(failureShare, load.failing * 0.5 ** ((nowMs - reportedAtMs) / FAILING_HALF_LIFE_MS))
   }
 
   /** Estimated calls at the instance; as a report ages, calls of other nodes count as at most half the limit. */
--- a/src/routenode/CallLink.test.ts
+++ b/src/routenode/CallLink.test.ts
@@ -32,7 +32,7 @@
   attempt: 'first'
 }
 
-const LOAD = { running: 0, queued: 0, limit: 4, slowness: 1, workMs: 50 }
+const LOAD = { running: 0, queued: 0, limit: 4, slowness: 1, workMs: 50, failing: 0 }
 
 /** System clock whose monotonic time can be advanced by hand, to reach timeouts of the link. */
 class ShiftedClock implements Clock {
--- a/src/routenode/GatewayCall.test.ts
+++ b/src/routenode/GatewayCall.test.ts
@@ -11,7 +11,7 @@
 import { SharedRetryBudgets } from './SharedRetryBudgets.js'
 import type { AttemptKind, GatewayResult, RoutedAnswer, RoutedCall, RoutedCallListener } from './Types.js'
 
-const IDLE: GateLoad = { running: 0, queued: 0, limit: 4, slowness: 1, workMs: 50 }
+const IDLE: GateLoad = { running: 0, queued: 0, limit: 4, slowness: 1, workMs: 50, failing: 0 }
 const ANSWER: RoutedAnswer = { status: 200, headers: [], body: new Uint8Array(0) }
 const clock = { nowMs: () => Date.now(), wallMs: () => Date.now() }
 
--- a/src/routenode/Placement.test.ts
+++ b/src/routenode/Placement.test.ts
@@ -97,7 +97,7 @@
   const received = new Promise<void>(resolve => {
     server.onChannel(channel => channel.onMessage(frame => {
       if (frame.type !== 'call') return
-      const load = { running: 0, queued: 0, limit: 4, slowness: 1, workMs: 50 }
+      const load = { running: 0, queued: 0, limit: 4, slowness: 1, workMs: 50, failing: 0 }
       answer = () => channel.send({ type: 'answer', id: 1, answer: { status: 200, headers: [], body: new Uint8Array(0) }, load })
       resolve()
     }))
