--- a/src/parts/gate/Constants.ts
+++ b/src/parts/gate/Constants.ts
@@ -17,12 +17,6 @@
 /** EWMA weight of a sample in the average work time. */
 export const WORK_TIME_EWMA_WEIGHT = 0.1
 
-/** EWMA weight of a wait in the correction of estimated waits. */
-export const WAIT_EWMA_WEIGHT = 0.05
-
-/** Largest correction of an estimated wait; a class that seldom starts is then declined unless the queue is empty. */
-export const MAX_WAIT_FACTOR = 8
-
 /** Work time assumed before the first sample, in milliseconds: that of a usual interactive request. */
 export const INITIAL_WORK_MS = 50
 
--- a/src/parts/gate/InstanceGate.ts
+++ b/src/parts/gate/InstanceGate.ts
@@ -8,7 +8,6 @@
 import { SlotLimit } from './SlotLimit.js'
 import type { DeclineReason, GateAction, GateCall, GateEvent, GateLoad } from './Types.js'
 import { VmSlowness } from './VmSlowness.js'
-import { WaitCorrection } from './WaitCorrection.js'
 import { WorkTimeEstimate } from './WorkTimeEstimate.js'
 
 type Handlers = {
@@ -24,8 +23,7 @@
  * than the move; a call that stays is queued until the VM has recovered. Calls that can't finish before their deadline
  * are declined as soon as that is known.
  *
- * Memory: the running calls, at most the slots, up to `MAX_QUEUED_CALLS` queued calls, and the estimates of work times
- * and waits.
+ * Memory: the running calls, at most the slots, up to `MAX_QUEUED_CALLS` queued calls, and the work time estimates.
  */
 export class InstanceGate implements Part<GateEvent, GateAction> {
   private readonly _queue = new CallQueue()
@@ -34,8 +32,6 @@
   private readonly _runStarts = new Map<CallId, RunStart>()
   private readonly _workTimes = new WorkTimeEstimate()
   private readonly _vmSlowness = new VmSlowness()
-  private readonly _waitCorrection = new WaitCorrection()
-  private readonly _waits = new Map<CallId, QueueWait>()
   private readonly _lateQueueLimit = new LateQueueLimit()
   private _actions: GateAction[] = []
   private _nowMs = 0
@@ -102,7 +98,6 @@
   }
 
   private _enqueue (call: GateCall): void {
-    this._waits.set(call.id, { sinceMs: this._nowMs, estimatedMs: this._uncorrectedWaitMs(call) })
     this._queue.add(call, this._nowMs)
     this._wakeAt(this._latestStartMs(call))
   }
@@ -118,7 +113,6 @@
   }
 
   private _cancel (id: CallId): void {
-    this._waits.delete(id)
     if (this._queue.remove(id)) return
     this._runStarts.delete(id)
     if (this._running.delete(id)) this._startQueued()
@@ -204,15 +198,7 @@
     for (const call of this._queue.takeLast(surplus, isLate)) this._decline(call, 'too-late')
   }
 
-  private _endWait (call: GateCall): void {
-    const wait = this._waits.get(call.id)
-    if (wait === undefined) return
-    this._waits.delete(call.id)
-    this._waitCorrection.record(waitClass(call), wait.estimatedMs, this._nowMs - wait.sinceMs)
-  }
-
   private _start (call: GateCall): void {
-    this._endWait(call)
     this._running.set(call.id, call)
     const slowness = this._vmSlowness.isKnown(this._nowMs) ? this._vmSlowness.current(this._nowMs) : undefined
     this._runStarts.set(call.id, { running: this._running.size, slowness })
@@ -220,7 +206,6 @@
   }
 
   private _decline (call: GateCall, reason: DeclineReason): void {
-    this._endWait(call)
     this._actions.push({ type: 'decline', call, reason, retryAfterMs: this._expectedWaitMs(call) })
   }
 
@@ -282,11 +267,6 @@
 
   /** Expected time until a call that is queued now starts, in milliseconds. */
   private _expectedWaitMs (call: GateCall): number {
-    return this._uncorrectedWaitMs(call) * this._waitCorrection.factor(waitClass(call))
-  }
-
-  /** Wait that the calls ahead explain, in milliseconds. */
-  private _uncorrectedWaitMs (call: GateCall): number {
     const ahead = this._queue.countAhead(call, queued => this._canMeetObjective(queued))
     return (ahead + 1) * this._workTimes.overallMs / Math.max(1, this._limit.current(this._nowMs))
   }
@@ -298,14 +278,6 @@
   }
 }
 
-/** Wait of a queued call. */
-interface QueueWait {
-  /** When it joined the queue, in monotonic milliseconds. */
-  readonly sinceMs: number
-  /** Wait that the calls ahead of it explained, in milliseconds. */
-  readonly estimatedMs: number
-}
-
 /** Conditions under which a call started. */
 interface RunStart {
   /** Running calls, this one included. */
@@ -314,11 +286,6 @@
   readonly slowness: number | undefined
 }
 
-/** Calls of one class wait behind the same calls: nested ones go first, the others by priority. */
-function waitClass ({ nested, priority }: GateCall): number {
-  return nested ? -1 : priority
-}
-
 function isWorthMoving (call: GateCall, stayMs: number): boolean {
   return call.moveMs !== undefined && stayMs > call.moveMs
 }
