--- a/src/parts/configuration/Types.ts
+++ b/src/parts/configuration/Types.ts
@@ -6,7 +6,10 @@
 /** How the requests of one service are handled. Durations are in milliseconds. */
 export interface ServiceRule {
   readonly name: ServiceName
-  /** Requests that must run at most once, as `METHOD /path-prefix`, for example `POST /checkouts`. */
+  /**
+   * Requests that must run at most once, as `METHOD /path-prefix`, for example `POST /checkouts`. A request that no
+   * pattern of the rule lists must run at most once unless its method is GET, HEAD, OPTIONS or TRACE.
+   */
   readonly guarded: readonly string[]
   /** Requests that are queued as downloads, in the same notation. */
   readonly downloads: readonly string[]
