End a request to an upstream at its deadline also during informational responses

undici starts its timeout for the head of an answer anew with each informational response, so an upstream that sends them without end held the request and its connection for ever (nothing after 5 s at a deadline of 300 ms). The client now has a timer of its own. The test fails before.

--- /dev/null
+++ b/src/node/upstreamside/UpstreamClient.test.ts
@@ -0,0 +1,52 @@
+import { createServer } from 'node:net'
+import type { Server, Socket } from 'node:net'
+import { afterEach, expect, test } from 'vitest'
+import { findFreeAddresses } from '../../demo/FreePorts.js'
+import { parseAddress } from '../../runtime/Address.js'
+import type { CallRequest } from '../Types.js'
+import { UpstreamClient } from './UpstreamClient.js'
+
+const REQUEST = {
+  kind: 'lookup', target: '/', method: 'GET', headers: [], body: new Uint8Array(0), from: 'node', id: 1, depth: 0
+} as unknown as CallRequest
+
+let server: Server | undefined
+let client: UpstreamClient | undefined
+
+afterEach(() => {
+  client?.dispose()
+  server?.close()
+})
+
+const ENDLESS: ReadonlyArray<readonly [string, string, string]> = [
+  ['series of informational responses', '', 'HTTP/1.1 103 Early Hints\r\n\r\n'],
+  ['head', 'HTTP/1.1 200 OK\r\n', 'A: b\r\n'],
+  ['head line', 'HTTP/1.1 200 OK\r\nA: ', 'b']
+]
+
+for (const [part, start, piece] of ENDLESS) {
+  test(`a request fails at its deadline on a ${part} without end, and its connection is closed`, async () => {
+    const [address] = await findFreeAddresses(1) as [string]
+    const { host, port } = parseAddress(address)
+    let closed: Promise<unknown> | undefined
+    const writeWithoutEnd = (socket: Socket): void => {
+      const timer = setInterval(() => { if (!socket.destroyed) socket.write(piece) }, 1)
+      closed = new Promise<void>(resolve => socket.once('close', resolve)).then(() => clearInterval(timer))
+    }
+    server = createServer(socket => {
+      socket.on('error', () => {})
+      socket.once('data', () => {
+        socket.write(start)
+        writeWithoutEnd(socket)
+      })
+    })
+    await new Promise<void>(resolve => server?.listen(port, host, resolve))
+    client = new UpstreamClient(address, 2)
+    const failure = await new Promise<string>(resolve => {
+      const fail = (): void => resolve('answer')
+      client?.run(REQUEST, 200, { onFailure: resolve, onAnswer: fail, onHead: fail, onBody: fail, onEnd: fail })
+    })
+    expect(failure).toBe('timeout')
+    await closed
+  })
+}
--- a/src/node/upstreamside/UpstreamClient.ts
+++ b/src/node/upstreamside/UpstreamClient.ts
@@ -50,7 +50,7 @@
    * @param deadlineMs Time within which the head of the answer must be received, in milliseconds.
    */
   public run (request: CallRequest, deadlineMs: number, listener: RunListener): CallHandle {
-    const upstreamRequest = new UpstreamRequest(listener, request.kind === 'guarded')
+    const upstreamRequest = new UpstreamRequest(listener, request.kind === 'guarded', deadlineMs)
     const pool = request.kind === 'guarded' ? this._freshPool : this._keepAlivePool
     pool.dispatch({
       path: request.target,
@@ -95,9 +95,17 @@
   private _ended = false
   private _dispatched = false
   private readonly _inlineLimit: number
+  /** The timeout of undici starts anew with each informational response. */
+  private readonly _headTimer: NodeJS.Timeout
 
-  public constructor (private readonly _listener: RunListener, private readonly _guarded: boolean) {
+  /**
+   * @param headTimeoutMs Time within which the head of the answer must be received, in milliseconds.
+   */
+  public constructor (
+    private readonly _listener: RunListener, private readonly _guarded: boolean, headTimeoutMs: number
+  ) {
     this._inlineLimit = _guarded ? MAX_RECORDED_ANSWER_BYTES : MAX_INLINE_ANSWER_BYTES
+    this._headTimer = setTimeout(() => this._onHeadTimeout(), Math.max(1, headTimeoutMs))
   }
 
   public onRequestStart (controller: Dispatcher.DispatchController): void {
@@ -108,6 +116,7 @@
 
   public onResponseStart (controller: Dispatcher.DispatchController, status: number): void {
     if (status < 200) return
+    clearTimeout(this._headTimer)
     const raw = (controller.rawHeaders ?? []) as Array<Buffer | string>
     const headers = selectEndToEnd(raw.map(part => typeof part === 'string' ? part : part.toString('latin1')))
     this._head = { status, headers }
@@ -130,12 +139,14 @@
   public onResponseError (_controller: Dispatcher.DispatchController, error: Error): void {
     if (this._ended) return
     this._ended = true
+    clearTimeout(this._headTimer)
     this._listener.onFailure(this._classifyError(error), error.message)
   }
 
   public cancel (): void {
     if (this._ended) return
     this._ended = true
+    clearTimeout(this._headTimer)
     this._controller?.abort(new Error('cancelled'))
   }
 
@@ -144,6 +155,13 @@
     if (this._sentBytes < this._grantedBytes && this._controller?.paused === true) this._controller.resume()
   }
 
+  private _onHeadTimeout (): void {
+    if (this._ended || this._head !== undefined) return
+    this._ended = true
+    this._controller?.abort(new Error('no head of an answer within the deadline'))
+    this._listener.onFailure(this._dispatched ? 'timeout' : 'unsent', 'no head of an answer within the deadline')
+  }
+
   private _classifyError (error: Error): RunFailure {
     if (!this._dispatched) return 'unsent'
     return (error as { code?: string }).code === 'UND_ERR_HEADERS_TIMEOUT' ? 'timeout' : 'lost'
