Split what a membership table sends from what it knows; name the figures of the choice of an instance

MembershipTable merged members and kept leases, and also held the outboxes of its peers; these are MemberDistribution now. InstanceChooser repeated two constants of the gate and had a figure without a name. No behaviour changes; the property tests of the membership and all tests of the choice pass.

--- a/src/parts/membership/MembershipTable.ts
+++ b/src/parts/membership/MembershipTable.ts
@@ -1,30 +1,11 @@
 import type { NodeId, Part, ServiceName } from '../Types.js'
 import {
-  ALL_SERVICES,
-  DIGEST_INTERVAL_MS,
-  FREEZE_THRESHOLD_MS,
-  HEARTBEAT_RELAY_INTERVAL_MS,
-  MAX_MEMBERS,
-  MAX_MEMBERS_PER_MESSAGE,
-  MAX_PEERS,
-  MAX_TOMBSTONES,
-  MISSING_MEMBER_TIMEOUT_MS,
-  NODE_BURST,
-  NODE_LEASE_MS,
-  NODE_MEMBERS_PER_SECOND,
-  REPLICA_BURST,
-  REPLICA_MEMBERS_PER_SECOND,
-  TOMBSTONE_RETENTION_MS,
-  WARM_UP_MS
+  DIGEST_INTERVAL_MS, FREEZE_THRESHOLD_MS, HEARTBEAT_RELAY_INTERVAL_MS, MAX_MEMBERS, MAX_TOMBSTONES,
+  MISSING_MEMBER_TIMEOUT_MS, NODE_LEASE_MS, TOMBSTONE_RETENTION_MS, WARM_UP_MS
 } from './Constants.js'
-import { MemberOutbox } from './MemberOutbox.js'
+import { MemberDistribution } from './MemberDistribution.js'
 import { isLive, isPresent, type MemberChange, MemberStore, toWireMember } from './MemberStore.js'
-import type { Heartbeat, Member, MembershipAction, MembershipEvent, ServiceDigest } from './Types.js'
-
-/**
- * Where the table runs: a `node` sends only its own member; a control `replica` sends all members and expires leases.
- */
-export type TableRole = 'node' | 'replica'
+import type { Heartbeat, Member, MembershipAction, MembershipEvent, ServiceDigest, TableRole } from './Types.js'
 
 /** Role, durations in milliseconds and bounds of the table. */
 export interface TableOptions {
@@ -78,12 +59,6 @@
   frozenMs: FREEZE_THRESHOLD_MS
 }
 
-/** Digest of a service without present members. */
-const EMPTY_DIGEST = '0000000000000000'
-
-const NODE_RATE = { membersPerSecond: NODE_MEMBERS_PER_SECOND, burst: NODE_BURST }
-const REPLICA_RATE = { membersPerSecond: REPLICA_MEMBERS_PER_SECOND, burst: REPLICA_BURST }
-
 /**
  * Upstreams with their nodes, as known at one node or control replica.
  *
@@ -92,12 +67,12 @@
  * with any duplicates converge, and an older update never replaces a newer one. A silent node becomes present again
  * with a later heartbeat; one that left is added again only with a higher sequence or incarnation.
  *
- * Memory: `maxMembers` members, `maxTombstones` members that left, `MAX_PEERS` outboxes.
+ * Memory: `maxMembers` members, `maxTombstones` members that left, and those of `MemberDistribution`.
  */
 export class MembershipTable implements Part<MembershipEvent, MembershipAction> {
   private readonly _options: TableOptions
   private readonly _store: MemberStore
-  private readonly _outboxes = new Map<string, MemberOutbox>()
+  private readonly _distribution: MemberDistribution
   private _startedAtMs: number | undefined
   private _lastTickAtMs: number | undefined
   private _earliestLeaseStartMs = Number.NEGATIVE_INFINITY
@@ -111,9 +86,15 @@
     heartbeat: (event, nowMs) => this._handleHeartbeat(event, nowMs),
     merge: (event, nowMs) => this._handleMerge(event, nowMs),
     beats: (event, nowMs) => event.beats.flatMap((beat) => this._applyHeartbeat(beat, nowMs)),
-    interest: (event, nowMs) => this._handleInterest(event, nowMs),
-    digest: (event) => this._handleDigest(event),
-    lost: (event) => this._handleLost(event),
+    interest: (event, nowMs) => {
+      this._distribution.subscribe(event, nowMs)
+      return []
+    },
+    digest: (event) => this._distribution.compareDigests(event),
+    lost: (event) => {
+      this._distribution.unsubscribe(event.from)
+      return []
+    },
     tick: (_event, nowMs) => this._handleTick(nowMs)
   }
 
@@ -123,6 +104,8 @@
   public constructor (options: Partial<TableOptions> = {}) {
     this._options = { ...DEFAULT_OPTIONS, ...options }
     this._store = new MemberStore(this._options)
+    const { role, self } = this._options
+    this._distribution = new MemberDistribution(this._store, role, self, () => this._isWarmedUp())
   }
 
   /** Dropped updates and late ticks since the start. */
@@ -157,7 +140,7 @@
     this._startedAtMs ??= nowMs
     const handler = this._handlers[event.type] as (event: MembershipEvent, nowMs: number) => MembershipAction[]
     const actions = handler(event, nowMs)
-    return [...actions, ...this._flushOutboxes(nowMs)]
+    return [...actions, ...this._distribution.flush(nowMs)]
   }
 
   private _handleHeartbeat (event: EventOf<'heartbeat'>, nowMs: number): MembershipAction[] {
@@ -182,44 +165,6 @@
     return actions
   }
 
-  private _handleInterest (event: EventOf<'interest'>, nowMs: number): MembershipAction[] {
-    if (!this._outboxes.has(event.from) && this._outboxes.size >= MAX_PEERS) {
-      return []
-    }
-    const rate = event.services.includes(ALL_SERVICES) ? REPLICA_RATE : NODE_RATE
-    const outbox = new MemberOutbox(event.services, rate, nowMs)
-    this._outboxes.set(event.from, outbox)
-    if (this._options.role === 'node') {
-      this._queueSelf(outbox)
-    } else if (event.digests === undefined || outbox.all) {
-      this._queueAllServices(outbox)
-    } else {
-      this._queueDifferingServices(
-        outbox, [...event.digests, ...emptyDigestsForUnlisted(event.digests, outbox.interest)]
-      )
-    }
-    return []
-  }
-
-  private _handleDigest (event: EventOf<'digest'>): MembershipAction[] {
-    const outbox = this._outboxes.get(event.from)
-    if (this._options.role === 'replica') {
-      if (outbox !== undefined && this._isWarmedUp()) {
-        const services = outbox.all ? this._store.index.names() : []
-        this._queueDifferingServices(outbox, [...event.digests, ...emptyDigestsForUnlisted(event.digests, services)])
-      }
-      return []
-    }
-    const differing = event.digests.filter((digest) => this._hasDifferentDigest(digest))
-    const ownDigests = differing.map((digest) => this._store.index.getDigest(digest.service))
-    return ownDigests.length === 0 ? [] : [{ type: 'sendDigest', to: event.from, digests: ownDigests }]
-  }
-
-  private _handleLost (event: EventOf<'lost'>): MembershipAction[] {
-    this._outboxes.delete(event.from)
-    return []
-  }
-
   /** Merges a member from its own announcement (`from` undefined) or from a peer. */
   private _mergeMember (member: Member, from: string | undefined, nowMs: number): MembershipAction[] {
     if (this._options.role === 'node' && member.node === this._options.self && from !== undefined) {
@@ -238,53 +183,11 @@
       return []
     }
     if (change.isVisible || change.isNewer) {
-      this._queueChange(change, from)
+      this._distribution.queueChange(change, from)
     }
     return change.actions
   }
 
-  /**
-   * Nodes are sent visible changes. Peer replicas are sent every new sequence, but only by the replica that received it
-   * from the node itself.
-   */
-  private _queueChange (change: MemberChange, from: string | undefined): void {
-    const { node, service } = change.entry.member
-    if (this._options.role === 'node' && node !== this._options.self) {
-      return
-    }
-    const isFromReplica = from !== undefined && this._outboxes.get(from)?.all === true
-    for (const [to, outbox] of this._outboxes) {
-      const mustSend = outbox.all ? !isFromReplica : change.isVisible
-      if (mustSend && to !== from && outbox.wants(service)) {
-        outbox.addMember(node)
-      }
-    }
-  }
-
-  private _queueSelf (outbox: MemberOutbox): void {
-    if (this._store.get(this._options.self) !== undefined) {
-      outbox.addMember(this._options.self)
-    }
-  }
-
-  private _queueAllServices (outbox: MemberOutbox): void {
-    for (const service of outbox.all ? this._store.index.names() : outbox.interest) {
-      outbox.addService(service)
-    }
-  }
-
-  private _queueDifferingServices (outbox: MemberOutbox, digests: readonly ServiceDigest[]): void {
-    for (const digest of digests) {
-      if (outbox.wants(digest.service) && this._hasDifferentDigest(digest)) {
-        outbox.addService(digest.service)
-      }
-    }
-  }
-
-  private _hasDifferentDigest (digest: ServiceDigest): boolean {
-    return this._store.index.getDigest(digest.service).digest !== digest.digest
-  }
-
   /**
    * Removes members that the control replica has not listed as live for `missingMs`. It may know such a member only as
    * silent in an older sequence, when the replica that received the newer one is gone.
@@ -375,8 +278,8 @@
       entry.lastRelayed = entry.heartbeat
     }
     const beats = unrelayed.map((entry) => ({ node: entry.member.node, ...entry.heartbeat }))
-    const replicas = [...this._outboxes].filter(([, outbox]) => outbox.all)
-    return beats.length === 0 ? [] : replicas.map(([to]) => ({ type: 'sendBeats', to, beats }))
+    const replicas = this._distribution.peersOfAllServices()
+    return beats.length === 0 ? [] : replicas.map((to) => ({ type: 'sendBeats', to, beats }))
   }
 
   /** A replica sends its digests; a node sends its announcement again, in case an earlier one was lost. */
@@ -385,64 +288,10 @@
       return []
     }
     this._nextDigestsAtMs = nowMs + this._options.digestIntervalMs
-    if (this._options.role === 'node') {
-      this._outboxes.forEach((outbox) => this._queueSelf(outbox))
-    }
-    return this._options.role === 'replica' && this._isWarmedUp() ? this._createDigestActions() : []
-  }
-
-  private _createDigestActions (): MembershipAction[] {
-    const actions: MembershipAction[] = []
-    for (const [to, outbox] of this._outboxes) {
-      const services = outbox.all ? this._store.index.names() : outbox.interest
-      actions.push({ type: 'sendDigest', to, digests: services.map((service) => this._store.index.getDigest(service)) })
-    }
-    return actions
+    return this._distribution.announce()
   }
 
   private _isWarmedUp (): boolean {
     return (this._lastTickAtMs ?? 0) - (this._startedAtMs ?? 0) >= this._options.warmUpMs
   }
-
-  private _flushOutboxes (nowMs: number): MembershipAction[] {
-    const actions: MembershipAction[] = []
-    for (const [to, outbox] of this._outboxes) {
-      if (!outbox.isEmpty) {
-        this._flushOutbox(to, outbox, nowMs, actions)
-      }
-    }
-    return actions
-  }
-
-  private _flushOutbox (to: string, outbox: MemberOutbox, nowMs: number, actions: MembershipAction[]): void {
-    const countMembers = (service: ServiceName) => this._store.index.getNodes(service).length
-    let service = outbox.takeService(nowMs, countMembers)
-    while (service !== undefined) {
-      const members = this._store.getEntries(service).map(toWireMember)
-      const whole = this._options.role === 'replica' && this._isWarmedUp() ? { whole: [service] } : {}
-      actions.push({ type: 'send', to, members, ...whole })
-      service = outbox.takeService(nowMs, countMembers)
-    }
-    const nodes = outbox.takeMembers(nowMs)
-    for (let start = 0; start < nodes.length; start += MAX_MEMBERS_PER_MESSAGE) {
-      const members = this._toWireMembers(nodes.slice(start, start + MAX_MEMBERS_PER_MESSAGE))
-      actions.push({ type: 'send', to, members })
-    }
-  }
-
-  private _toWireMembers (nodes: readonly NodeId[]): Member[] {
-    return nodes.flatMap((node) => {
-      const entry = this._store.get(node)
-      return entry === undefined ? [] : [toWireMember(entry)]
-    })
-  }
-}
-
-/** Returns empty digests for the services that a peer did not list: it knows no member of them. */
-function emptyDigestsForUnlisted (
-  digests: readonly ServiceDigest[],
-  services: readonly ServiceName[]
-): ServiceDigest[] {
-  const listed = new Set(digests.map((digest) => digest.service))
-  return services.filter((service) => !listed.has(service)).map((service) => ({ service, digest: EMPTY_DIGEST }))
 }
--- a/src/parts/membership/Types.ts
+++ b/src/parts/membership/Types.ts
@@ -91,3 +91,8 @@
   }
   | { readonly type: 'sendBeats', readonly to: string, readonly beats: readonly Heartbeat[] }
   | { readonly type: 'sendDigest', readonly to: string, readonly digests: readonly ServiceDigest[] }
+
+/**
+ * Where the table runs: a `node` sends only its own member; a control `replica` sends all members and expires leases.
+ */
+export type TableRole = 'node' | 'replica'
--- a/src/parts/placement/Constants.ts
+++ b/src/parts/placement/Constants.ts
@@ -7,6 +7,9 @@
 /** Slowness assumed without a recent report; above 1, so that a VM known to run at its usual speed is preferred. */
 export const DEFAULT_SLOWNESS = 1.5
 
+/** Share by which runs take longer on a full instance than on an idle one. */
+export const MAX_CONTENTION = 0.3
+
 /** EWMA weight of an outcome in the failure share. */
 export const FAILURE_EWMA_WEIGHT = 0.15
 
--- a/src/parts/placement/InstanceChooser.ts
+++ b/src/parts/placement/InstanceChooser.ts
@@ -1,8 +1,9 @@
+import { INITIAL_WORK_MS, KNEE_SHARE } from '../gate/Constants.js'
 import { hashText } from '../TextHash.js'
 import type { NodeId, Random } from '../Types.js'
 import {
   BYTES_PER_KB, CROSS_ZONE_COST_MS_PER_KB, DEFAULT_SLOWNESS, EJECTION_FAILURE_SHARE, FAILING_HALF_LIFE_MS,
-  FAILURE_COST_RUNS, FAILURE_EWMA_WEIGHT, FAR_SUBSET_SIZE, LOAD_HALF_LIFE_MS, MAX_EJECTED_SHARE,
+  FAILURE_COST_RUNS, FAILURE_EWMA_WEIGHT, FAR_SUBSET_SIZE, LOAD_HALF_LIFE_MS, MAX_CONTENTION, MAX_EJECTED_SHARE,
   SLOWNESS_HALF_LIFE_MS, SUBSET_SIZE, TRIAL_INTERVAL_MS, UNREACHABLE_COOLDOWN_MS
 } from './Constants.js'
 import type { GateLoad, PlacementCandidate, PlacementOutcome, PlacementQuery } from './Types.js'
@@ -194,12 +195,11 @@
   private _costMs (record: CandidateRecord, nowMs: number): number {
     const { candidate, load } = record
     // Without a report, the initial work time and the knee of the gate are assumed.
-    const workMs = load?.workMs ?? 50
-    const limit = load === undefined || load.limit === 0 ? Math.max(1, candidate.slots * 0.8) : load.limit
+    const workMs = load?.workMs ?? INITIAL_WORK_MS
+    const limit = load === undefined || load.limit === 0 ? Math.max(1, candidate.slots * KNEE_SHARE) : load.limit
     const concurrency = this._estimateConcurrency(record, nowMs)
     const waitRuns = Math.max(0, concurrency + 1 - limit) / limit
-    // Runs take up to 30 % longer as the instance fills up.
-    const contention = 0.3 * Math.min(1, concurrency / limit)
+    const contention = MAX_CONTENTION * Math.min(1, concurrency / limit)
     const runs = this._slowness(record, nowMs) * (1 + waitRuns + contention)
     return workMs * (runs + FAILURE_COST_RUNS * this._failureShare(record, nowMs))
   }
