--- a/src/routecontrol/RouteControlDaemon.test.ts
+++ b/src/routecontrol/RouteControlDaemon.test.ts
@@ -158,6 +158,24 @@
   expect(await Promise.all(answers)).toEqual(['welcome', 'welcome', 'welcome'])
 })
 
+function findLeader (): string | undefined {
+  return [...daemons].find(([, daemon]) => daemon.isLeader)?.[0]
+}
+
+test('a replica outside a full group redirects operators to the leader', async () => {
+  const [outsider, ...seeds] = await findFreeAddresses(4) as [string, string, string, string]
+  for (const seed of seeds) await start(seed, seeds, true)
+  await changeRouting(1, 0)
+  await start(outsider, seeds, false)
+  for (let i = 0; i < 100 && daemons.get(outsider)?.remoteLeaderAddress === undefined; i++) await pause()
+  expect(daemons.get(outsider)?.remoteLeaderAddress).toBe(findLeader())
+  const leader = findLeader() as string
+  stop(leader)
+  while (findLeader() === undefined) await pause()
+  for (let i = 0; i < 100 && daemons.get(outsider)?.remoteLeaderAddress !== findLeader(); i++) await pause()
+  expect(daemons.get(outsider)?.remoteLeaderAddress).toBe(findLeader())
+})
+
 // Otherwise replicas that lost their disks could form a second group with an empty configuration.
 test('replicas with empty disks form no group without bootstrap', async () => {
   const seeds = await findFreeAddresses(3)
