Redirect operators also at replicas outside a full group

Operators saw 503 from each replica that is not a voter, although the group was well: such a replica receives nothing from the leader, so it knew none. With more control processes than voters, as on the larger sites, most tries were lost that way, and each lengthens the operator's backoff until its change has no acknowledgement in time; on small sites the replica that comes in for a lost one does so until it has been added.

A member now names the leader in its answer to a request to join, which a replica outside repeats every 300 ms, and the outsider redirects changes and reads to it. A name is used for 750 ms only, and a wrong one costs one more redirect.

--- a/src/parts/agreement/GroupFormation.ts
+++ b/src/parts/agreement/GroupFormation.ts
@@ -11,6 +11,8 @@
   readonly replica: ReplicaId
   /** Members of the sender's group; empty while it belongs to none. */
   readonly members: readonly ReplicaId[]
+  /** Leader of the sender's group; absent while the sender knows none. */
+  readonly leader?: ReplicaId
   /** Replicas with which the sender would form a group now, including itself, sorted by id. */
   readonly heard: readonly ReplicaId[]
 }
--- a/src/routecontrol/Constants.ts
+++ b/src/routecontrol/Constants.ts
@@ -38,6 +38,12 @@
  */
 export const LEADERLESS_JOIN_MS = 3000
 
+/**
+ * Time for which a replica outside the group redirects operators to the leader that a member named, in milliseconds:
+ * two join intervals and their round trips. A member that has lost its leader names none.
+ */
+export const LEADER_NOTICE_TTL_MS = 750
+
 /** Time without any frame after which a node's connection is closed, in milliseconds; nodes ping every 500 ms. */
 export const NODE_TIMEOUT_MS = 3000
 
--- a/src/routecontrol/RouteControlDaemon.ts
+++ b/src/routecontrol/RouteControlDaemon.ts
@@ -92,6 +92,11 @@
     return this._replica.remoteLeaderAddress
   }
 
+  /** True while this replica is a voter of the group; others can't confirm reads. */
+  public get isMember (): boolean {
+    return this._replica.isMember
+  }
+
   /** True while this replica is the leader. */
   public get isLeader (): boolean {
     return this._replica.view.role === 'leader'
--- a/src/routecontrol/RoutingReplica.ts
+++ b/src/routecontrol/RoutingReplica.ts
@@ -19,7 +19,7 @@
 import type { Clock, Disposable, Log } from '../runtime/Types.js'
 import {
   ANNOUNCE_INTERVAL_MS, FIRST_LEADER_WAIT_MS, GROUP_TICK_MS, GROUP_TIMING, JOIN_INTERVAL_MS, LEADERLESS_JOIN_MS,
-  SNAPSHOT_AFTER_BYTES
+  LEADER_NOTICE_TTL_MS, SNAPSHOT_AFTER_BYTES
 } from './Constants.js'
 import { RoutingStateMachine } from './RoutingStateMachine.js'
 
@@ -90,11 +90,17 @@
   /** When a leader was last known. */
   private _leaderKnownMs: number
   private _isChangingMembers = false
+  /** Leader that a member named last, and when. */
+  private _noticedLeader: { readonly leader: ReplicaId, readonly atMs: number } | undefined
 
   private readonly _handlers: ReplicaFrameHandlers = {
     agreement: (from, { to, message }) => { if (to === this.id) this._host.receive(from, message) },
     formation: (from, { notice }) => this._handleNotice(from, notice),
-    join: (_from, { replica }) => this._voterPlanner.recordJoinRequest(replica, this._options.clock.nowMs()),
+    join: (from, { replica }) => {
+      this._voterPlanner.recordJoinRequest(replica, this._options.clock.nowMs())
+      // The sender may stay outside a full group, and must still know where to redirect operators.
+      if (this.view.leader !== undefined) this._links.send(from, this._makeNotice())
+    },
     readIndex: (from, { id }) => {
       this._barrier.replyToFollower(from, id).catch((error: Error) => this._options.log.warn({ error: error.message }, 'read failed'))
     },
@@ -159,7 +165,7 @@
    * that was cut off still knows its old leader for a while.
    */
   public get canServeNodes (): boolean {
-    return this.view.leader !== undefined && this.view.members.includes(this.id)
+    return this.view.leader !== undefined && this.isMember
   }
 
   /** Addresses of all members, `host:port`. */
@@ -167,9 +173,17 @@
     return this.view.members.map(replicaName)
   }
 
-  /** Address of the leader, `host:port`; undefined when this replica leads or no leader is known. */
+  /** True while this replica is a voter of the group. */
+  public get isMember (): boolean {
+    return this.view.members.includes(this.id)
+  }
+
+  /**
+   * Address of the leader, `host:port`; undefined when this replica leads or no leader is known. A replica outside the
+   * group receives nothing from the leader and goes by what the members say.
+   */
   public get remoteLeaderAddress (): string | undefined {
-    const { leader } = this.view
+    const leader = this.view.leader ?? this._recentlyNoticedLeader()
     return leader === undefined || leader === this.id ? undefined : replicaName(leader)
   }
 
@@ -200,7 +214,7 @@
 
   /** Like `readBarrier`, but a member that has just started waits for its first leader. */
   public async firstReadBarrier (): Promise<boolean> {
-    if (this.view.members.includes(this.id)) await this._firstLeader
+    if (this.isMember) await this._firstLeader
     return await this.readBarrier()
   }
 
@@ -289,11 +303,20 @@
 
   private _makeNotice (): Extract<ReplicaToReplica, { type: 'formation' }> {
     const heard = this._formation?.proposedGroup(this._options.clock.nowMs()) ?? []
-    return { type: 'formation', notice: { replica: this.id, members: this.view.members, heard } }
+    const { members, leader } = this.view
+    const notice = { replica: this.id, members, heard }
+    return { type: 'formation', notice: leader === undefined ? notice : { ...notice, leader } }
+  }
+
+  private _recentlyNoticedLeader (): ReplicaId | undefined {
+    if (this._noticedLeader === undefined) return undefined
+    const { leader, atMs } = this._noticedLeader
+    return this._options.clock.nowMs() - atMs < LEADER_NOTICE_TTL_MS ? leader : undefined
   }
 
   private _handleNotice (from: ReplicaId, notice: FormationNotice): void {
     notice.members.forEach(member => this._connect(replicaName(member)))
+    if (notice.leader !== undefined) this._noticedLeader = { leader: notice.leader, atMs: this._options.clock.nowMs() }
     if (this.corruptions.length > 0) return
     if (this.view.members.length > 0) {
       if (notice.members.length === 0) this._links.send(from, this._makeNotice())
@@ -315,7 +338,7 @@
     if (leader !== undefined) this._leaderKnownMs = nowMs
     if (this.corruptions.length > 0) return
     if (role === 'leader') return this._adjustMembers(nowMs)
-    const isOutside = !this.view.members.includes(this.id)
+    const isOutside = !this.isMember
     const isLeaderless = nowMs - this._leaderKnownMs > LEADERLESS_JOIN_MS
     if (isOutside || isLeaderless) this._links.broadcast({ type: 'join', replica: this.id })
   }
