--- a/src/routenode/InstanceClient.test.ts
+++ b/src/routenode/InstanceClient.test.ts
@@ -15,7 +15,8 @@
   notExecuted: 'not-run',
   load: 'load',
   callerService: 'caller',
-  signature: 'signature'
+  signature: 'signature',
+  requestLimit: 'request-limit'
 }
 
 let server: Server | undefined
--- a/src/routenode/Types.ts
+++ b/src/routenode/Types.ts
@@ -23,6 +23,8 @@
   readonly callerService: string
   /** Signature that proves that an answer comes from an instance. */
   readonly signature: string
+  /** Requests a second that the instance takes from all nodes together, while its answers name it. */
+  readonly requestLimit: string
 }
 
 /**
--- a/test/support/RouteMesh.ts
+++ b/test/support/RouteMesh.ts
@@ -7,7 +7,7 @@
 import { SeededRandom } from '../../src/parts/SeededRandom.js'
 import { MemoryDisk } from '../../src/parts/storage/MemoryDisk.js'
 import { RouteControlDaemon } from '../../src/routecontrol/RouteControlDaemon.js'
-import { RouteNodeDaemon } from '../../src/routenode/RouteNodeDaemon.js'
+import { RouteNodeDaemon, type RouteNodeSettings } from '../../src/routenode/RouteNodeDaemon.js'
 import type { HeaderNames } from '../../src/routenode/Types.js'
 import { parseAddress } from '../../src/runtime/Address.js'
 import { SystemClock } from '../../src/runtime/SystemClock.js'
@@ -24,7 +24,8 @@
   notExecuted: 'not-executed',
   load: 'instance-load',
   callerService: 'caller-service',
-  signature: 'signature'
+  signature: 'signature',
+  requestLimit: 'request-limit'
 }
 
 /** Handles a request that an instance runs; undefined answers it at once. */
@@ -49,10 +50,15 @@
     await new Promise<void>(resolve => this._server.listen(port, host, resolve))
   }
 
-  /** Answers a request as a healthy instance does. */
-  public answer (request: IncomingMessage, response: ServerResponse): void {
+  /** Answers a request as a healthy instance does, with additional headers. */
+  public answer (
+    request: IncomingMessage, response: ServerResponse, headers: Readonly<Record<string, string>> = {}
+  ): void {
     response.writeHead(200, {
-      [HEADER_NAMES.requestId]: String(request.headers[HEADER_NAMES.requestId]), [HEADER_NAMES.signature]: 's', [HEADER_NAMES.load]: '1,0,6,100'
+      [HEADER_NAMES.requestId]: String(request.headers[HEADER_NAMES.requestId]),
+      [HEADER_NAMES.signature]: 's',
+      [HEADER_NAMES.load]: '1,0,6,100',
+      ...headers
     })
     response.end(`${this.id} ${request.headers[HEADER_NAMES.callerService]}`)
   }
@@ -81,7 +87,9 @@
 
 /** A node and the instance on its VM. */
 export interface MeshNode {
-  readonly daemon: RouteNodeDaemon
+  /** Replaced when the node is restarted. */
+  daemon: RouteNodeDaemon
+  readonly settings: RouteNodeSettings
   readonly instance: MockInstance
   /** URL of the node's listener for callers. */
   readonly callerUrl: string
@@ -159,6 +167,14 @@
     while (instances() < count) await pause()
   }
 
+  /** Ends a node at once and starts it anew, while its instance keeps running and reports itself again. */
+  public async restart (node: MeshNode): Promise<void> {
+    node.daemon.dispose()
+    node.daemon = await this._startDaemon(node.settings)
+    reportReady(node.daemon, node.instance, 2)
+    await this.awaitInstances(node, this.nodes.length)
+  }
+
   public dispose (): void {
     this.nodes.forEach(({ daemon, instance }) => {
       daemon.dispose()
@@ -171,30 +187,34 @@
     const [callerAddress, nodeAddress, instanceAddress] = await findFreeAddresses(3) as [string, string, string]
     const instance = new MockInstance(`i-${index}`, instanceAddress)
     await instance.listen()
-    const daemon = new RouteNodeDaemon({
-      settings: {
-        callerAddress,
-        nodeAddress,
-        instanceAddress,
-        service: 'svc',
-        zone: 'a',
-        seeds: [seed],
-        retryLimits: { ratio: 1, slack: 1000, windowMs: 10_000 },
-        names: HEADER_NAMES,
-        stopLimitMs: 6000
-      },
-      clock: new SystemClock(),
-      random: new SeededRandom(++this._seed),
-      log: SILENT_LOG
-    })
+    const settings: RouteNodeSettings = {
+      callerAddress,
+      nodeAddress,
+      instanceAddress,
+      service: 'svc',
+      zone: 'a',
+      seeds: [seed],
+      retryLimits: { ratio: 1, slack: 1000, windowMs: 10_000 },
+      names: HEADER_NAMES,
+      stopLimitMs: 6000
+    }
+    const daemon = await this._startDaemon(settings)
+    this.nodes.push({ daemon, settings, instance, callerUrl: `http://${callerAddress}`, nodeAddress })
+    reportReady(daemon, instance, 1)
+  }
+
+  private async _startDaemon (settings: RouteNodeSettings): Promise<RouteNodeDaemon> {
+    const random = new SeededRandom(++this._seed)
+    const daemon = new RouteNodeDaemon({ settings, clock: new SystemClock(), random, log: SILENT_LOG })
     await daemon.start()
-    this.nodes.push({ daemon, instance, callerUrl: `http://${callerAddress}`, nodeAddress })
-    daemon.report({
-      id: instance.id, bornMs: 1, sequence: 1, service: 'svc', address: instanceAddress, slots: 6, state: 'ready', coldMs: 0
-    })
+    return daemon
   }
 }
 
+function reportReady (daemon: RouteNodeDaemon, { id, address }: MockInstance, sequence: number): void {
+  daemon.report({ id, bornMs: 1, sequence, service: 'svc', address, slots: 6, state: 'ready', coldMs: 0 })
+}
+
 /** Builds a route to the mesh's one service. */
 export function makeRoute (name: string, kind: Route['kind'], changes: Partial<Route> = {}): Route {
   return {
