Hold all nodes together to the request limit that an instance names

Instances that named a limit got up to twice what is allowed in 4 s: nothing read the header, and their gates went on admitting what the slots allow. It is not a matter of nodes limiting each for itself or of retries passing beside a limit: there was none.

The gate beside an instance sees first attempts, retries, hedges, nested calls and resends alike, so it keeps one token bucket for the named rate and declines at once what is beyond; the caller's node tries another instance or, when all are at their limits, refuses with the time until there is room. The bucket starts empty. A limit is lifted only by an answer to a request that was sent after it was named. The gate's node may restart and forget: a caller's node remembers the limit that it passed on, and each of its calls carries it until the instance itself has answered the restarted node.

--- a/src/parts/gate/Constants.ts
+++ b/src/parts/gate/Constants.ts
@@ -54,6 +54,15 @@
  */
 export const PEAK_SLOWNESS_HALF_LIFE_MS = 10_000
 
+/** Time over which an instance with a request limit may be sent what it was not sent before, in milliseconds. */
+export const REQUEST_BURST_MS = 1000
+
+/**
+ * Requests a second that are sent to an instance even when it names a lower limit: without any answer, nobody would
+ * learn that the limit has ended.
+ */
+export const MIN_REQUESTS_PER_S = 0.5
+
 /** Share of the limit that late calls leave free for calls that can still meet their latency objective. */
 export const LATE_RESERVE_SHARE = 0.25
 
--- a/src/parts/gate/InstanceGate.test.ts
+++ b/src/parts/gate/InstanceGate.test.ts
@@ -336,3 +336,62 @@
   for (let i = 0; i < 60; i++) run(50)
   expect(gate.load(0).failing).toBe(0)
 })
+
+/** Offers calls and finishes them at once, every 10 ms, and returns when each call started. */
+function playLimited (gate: InstanceGate, untilMs: number): number[] {
+  const startsMs: number[] = []
+  for (let nowMs = 0; nowMs < untilMs; nowMs += 10) {
+    const call = makeCall({ nested: nowMs % 3 === 0, isHedge: nowMs % 7 === 0, deadlineAtMs: nowMs + 1000 })
+    for (const id of startedIds(gate.step({ type: 'offer', call }, nowMs))) {
+      startsMs.push(nowMs)
+      gate.step({ type: 'finished', id, workMs: 5 }, nowMs + 5)
+    }
+  }
+  return startsMs
+}
+
+test('first attempts, hedges and nested calls together start within the request limit', () => {
+  const gate = makeGate(6)
+  gate.step({ type: 'requestLimit', perS: 5 }, 0)
+  const startsMs = playLimited(gate, 12_000)
+  for (const fromMs of startsMs) {
+    expect(startsMs.filter(ms => ms >= fromMs && ms < fromMs + 4000).length).toBeLessThanOrEqual(1.5 * 5 * 4 + 5)
+  }
+  expect(startsMs.length).toBeGreaterThan(0.9 * 5 * 12)
+})
+
+test('a call beyond the request limit is declined at once, with the time until one is allowed', () => {
+  const gate = makeGate(6)
+  gate.step({ type: 'requestLimit', perS: 4 }, 0)
+  expect(gate.step({ type: 'offer', call: makeCall({ nested: true }) }, 0)).toMatchObject([
+    { type: 'decline', reason: 'rate-limited', retryAfterMs: 251 }
+  ])
+  expect(gate.load(0).closedForMs).toBe(251)
+  expect(actionTypes(gate.step({ type: 'offer', call: makeCall() }, 250))).toEqual(['start'])
+})
+
+test('calls that are queued when a request limit is named are declined beyond it', () => {
+  const gate = makeGate(1)
+  fill(gate, 3)
+  const actions = gate.step({ type: 'requestLimit', perS: 5 }, 0)
+  expect(actions).toMatchObject([{ type: 'decline', reason: 'rate-limited' }, { type: 'decline', reason: 'rate-limited' }])
+})
+
+test('a queued call keeps its place under the request limit', () => {
+  const gate = makeGate(1)
+  gate.step({ type: 'requestLimit', perS: 2 }, 0)
+  const running = makeCall({ deadlineAtMs: 5000, objectiveAtMs: 5000 })
+  const queued = makeCall({ deadlineAtMs: 5000, objectiveAtMs: 5000 })
+  gate.step({ type: 'offer', call: running }, 1000)
+  expect(actionTypes(gate.step({ type: 'offer', call: queued }, 1000))).not.toContain('decline')
+  expect(gate.step({ type: 'offer', call: makeCall({ deadlineAtMs: 5000 }) }, 1000)).toMatchObject([{ type: 'decline' }])
+  expect(startedIds(gate.step({ type: 'finished', id: running.id, workMs: 50 }, 1050))).toEqual([queued.id])
+})
+
+test('a request that is sent to the instance once more counts against the request limit', () => {
+  const gate = makeGate(6)
+  gate.step({ type: 'requestLimit', perS: 2 }, 0)
+  expect(gate.load(500).closedForMs).toBe(undefined)
+  gate.step({ type: 'resent' }, 500)
+  expect(gate.load(500).closedForMs).toBe(501)
+})
--- a/src/parts/gate/InstanceGate.ts
+++ b/src/parts/gate/InstanceGate.ts
@@ -5,6 +5,7 @@
 } from './Constants.js'
 import { CallQueue } from './CallQueue.js'
 import { LateQueueLimit } from './LateQueueLimit.js'
+import { RequestRateLimit } from './RequestRateLimit.js'
 import { SlotLimit } from './SlotLimit.js'
 import type { DeclineReason, GateAction, GateCall, GateEvent, GateLoad } from './Types.js'
 import { VmSlowness } from './VmSlowness.js'
@@ -21,7 +22,8 @@
  * Load shifts within milliseconds, and the caller's node chose the instance on older load evidence. A call that may go
  * to another instance is therefore declined at once when queueing here, or running while the VM is slow, costs more
  * than the move; a call that stays is queued until the VM has recovered. Calls that can't finish before their deadline
- * are declined as soon as that is known.
+ * are declined as soon as that is known. While the instance names a limit on requests, a call that it does not allow is
+ * declined at once.
  *
  * Memory: the running calls, at most the slots, up to `MAX_QUEUED_CALLS` queued calls, and the work time estimates.
  */
@@ -33,6 +35,7 @@
   private readonly _workTimes = new WorkTimeEstimate()
   private readonly _vmSlowness = new VmSlowness()
   private readonly _lateQueueLimit = new LateQueueLimit()
+  private readonly _requestRateLimit = new RequestRateLimit()
   private _actions: GateAction[] = []
   private _nowMs = 0
   private _slots = 0
@@ -45,6 +48,8 @@
     finished: event => this._finish(event.id, event.workMs),
     cancelled: event => this._cancel(event.id),
     slots: event => this._setSlots(event.slots),
+    requestLimit: event => this._setRequestLimit(event.perS),
+    resent: () => this._requestRateLimit.take(this._nowMs),
     slowness: event => {
       this._vmSlowness.recordSample(event.slowness, this._nowMs)
       this._handleSlowness()
@@ -68,7 +73,8 @@
 
   /** Returns the load report that is attached to answers. */
   public load (nowMs: number): GateLoad {
-    return {
+    const closedForMs = this._requestRateLimit.waitMs(this._queue.size + 1, nowMs)
+    const load = {
       running: this._running.size,
       queued: this._queue.size,
       limit: this._limit.current(nowMs),
@@ -76,10 +82,13 @@
       workMs: Math.round(this._workTimes.overallMs),
       failing: Math.round(FAILING_STEPS * this._failing) / FAILING_STEPS
     }
+    return closedForMs > 0 ? { ...load, closedForMs } : load
   }
 
   private _offer (call: GateCall): void {
     if (this._slots === 0) return this._decline(call, 'no-slots')
+    // Each queued call will take one of the available requests.
+    if (this._requestRateLimit.available(this._nowMs) < this._queue.size + 1) return this._decline(call, 'rate-limited')
     if (this._hasFreeSlotFor(call)) return this._offerFreeSlot(call)
     if (call.isHedge) return this._decline(call, 'busy')
     const meetsObjective =
@@ -125,6 +134,13 @@
     else this._startQueued()
   }
 
+  private _setRequestLimit (perS: number | undefined): void {
+    this._requestRateLimit.set(perS, this._nowMs)
+    const surplus = this._queue.size - Math.floor(this._requestRateLimit.available(this._nowMs))
+    if (surplus <= 0) return
+    for (const call of this._queue.takeLast(surplus, () => true)) this._decline(call, 'rate-limited')
+  }
+
   private _tick (): void {
     // A timer may fire slightly early, so a wake-up that is still due is requested again.
     this._wakeAtMs = Infinity
@@ -199,6 +215,7 @@
   }
 
   private _start (call: GateCall): void {
+    this._requestRateLimit.take(this._nowMs)
     this._running.set(call.id, call)
     const slowness = this._vmSlowness.isKnown(this._nowMs) ? this._vmSlowness.current(this._nowMs) : undefined
     this._runStarts.set(call.id, { running: this._running.size, slowness })
@@ -206,7 +223,9 @@
   }
 
   private _decline (call: GateCall, reason: DeclineReason): void {
-    this._actions.push({ type: 'decline', call, reason, retryAfterMs: this._expectedWaitMs(call) })
+    const limitWaitMs = this._requestRateLimit.waitMs(this._queue.size + 1, this._nowMs)
+    const retryAfterMs = Math.max(limitWaitMs, this._expectedWaitMs(call))
+    this._actions.push({ type: 'decline', call, reason, retryAfterMs })
   }
 
   /** Records a run's time, normalised to a slowness of 1 so that it reflects the work and the instance, not the VM. */
--- a/src/parts/gate/Types.ts
+++ b/src/parts/gate/Types.ts
@@ -39,6 +39,8 @@
   readonly workMs: number
   /** Share of the recent runs that brought no usable answer, 0 to 1. */
   readonly failing: number
+  /** Time until the request limit of the instance allows another call, in milliseconds; absent while it does. */
+  readonly closedForMs?: number
 }
 
 /** Events of the gate. */
@@ -51,6 +53,10 @@
   | { readonly type: 'cancelled', readonly id: CallId }
   /** The number of slots that the instance reports; 0 while it takes no calls. */
   | { readonly type: 'slots', readonly slots: number }
+  /** The instance names a limit on requests a second from all nodes together, or none any more. */
+  | { readonly type: 'requestLimit', readonly perS: number | undefined }
+  /** A running call was sent to the instance once more. */
+  | { readonly type: 'resent' }
   /** A sample of the VM's slowness that was not requested by `measure`. */
   | { readonly type: 'slowness', readonly slowness: number }
   /** Result of a `measure` action; undefined when the measurement failed. */
@@ -59,7 +65,7 @@
   | { readonly type: 'tick' }
 
 /** Why a call was declined. */
-export type DeclineReason = 'busy' | 'slow' | 'no-slots' | 'too-late'
+export type DeclineReason = 'busy' | 'slow' | 'no-slots' | 'rate-limited' | 'too-late'
 
 /** Actions of the gate. Unless the host cancels it, each call is either declined, or started and then `finished`. */
 export type GateAction =
--- a/src/parts/placement/InstanceChooser.test.ts
+++ b/src/parts/placement/InstanceChooser.test.ts
@@ -147,3 +147,11 @@
   expect(tried.size).toBe(count)
   expect(chooser.choose({ ...SMALL, excluded: [...tried] }, 0)).toBeUndefined()
 })
+
+test('an instance whose request limit allows no further call is not chosen until it does', () => {
+  const chooser = makeChooser({ node: 'a' }, { node: 'b' })
+  chooser.recordLoad('a', { ...IDLE, closedForMs: 250 }, 0)
+  expect([measureShare(chooser, 'b', 20, 249), chooser.untilOpenMs(100)]).toEqual([1, 150])
+  chooser.recordLoad('b', { ...IDLE, closedForMs: 500 }, 0)
+  expect([chooser.choose(SMALL, 200), chooser.choose(SMALL, 250)]).toEqual([undefined, 'a'])
+})
--- a/src/parts/placement/InstanceChooser.ts
+++ b/src/parts/placement/InstanceChooser.ts
@@ -22,6 +22,8 @@
   failureShare: number
   nextTrialAtMs: number
   unreachableUntilMs: number
+  /** Until when the request limit of the instance allows no further call. */
+  closedUntilMs: number
 }
 
 /**
@@ -101,6 +103,15 @@
     return Math.max(0, Math.round(cheapestMs - networkCostMs(record, query.bytes)))
   }
 
+  /**
+   * Returns the time in milliseconds until the first instance whose request limit allows no further call allows one;
+   * undefined when there is no such instance.
+   */
+  public untilOpenMs (nowMs: number): number | undefined {
+    const closedUntilMs = [...this._records.values()].map(record => record.closedUntilMs).filter(ms => ms > nowMs)
+    return closedUntilMs.length === 0 ? undefined : Math.min(...closedUntilMs) - nowMs
+  }
+
   /** Records that a call was sent to a node. */
   public recordSent (node: NodeId): void {
     const record = this._records.get(node)
@@ -127,6 +138,7 @@
     record.load = load
     record.reportedAtMs = nowMs
     record.outstandingAtReport = record.outstanding
+    record.closedUntilMs = load.closedForMs === undefined ? 0 : nowMs + load.closedForMs
   }
 
   /** Records that a node is unreachable or unresponsive; its instance is not chosen for a while. */
@@ -152,7 +164,8 @@
   private _eligible (query: PlacementQuery, nowMs: number): CandidateRecord[] {
     this._subset ??= chooseSubset([...this._records.values()])
     const isEligible = (record: CandidateRecord): boolean => {
-      return !query.excluded.includes(record.candidate.node) && record.unreachableUntilMs <= nowMs
+      const isClosed = record.unreachableUntilMs > nowMs || record.closedUntilMs > nowMs
+      return !isClosed && !query.excluded.includes(record.candidate.node)
     }
     const eligible = this._subset.filter(isEligible)
     if (eligible.length > 0 || this._subset.length === this._records.size) return eligible
@@ -259,6 +272,7 @@
     outstandingAtReport: 0,
     failureShare: 0,
     nextTrialAtMs: 0,
-    unreachableUntilMs: 0
+    unreachableUntilMs: 0,
+    closedUntilMs: 0
   }
 }
--- a/src/routenode/GatewayCall.ts
+++ b/src/routenode/GatewayCall.ts
@@ -1,4 +1,4 @@
-import type { DeclineReason, GateLoad } from '../parts/gate/Types.js'
+import type { DeclineReason } from '../parts/gate/Types.js'
 import type { PlacementOutcome, PlacementQuery } from '../parts/placement/Types.js'
 import type { HedgePolicy } from '../parts/retry/HedgePolicy.js'
 import type { CallId, NodeId, Random } from '../parts/Types.js'
@@ -9,8 +9,8 @@
 import type { Placement } from './Placement.js'
 import type { SharedRetryBudgets } from './SharedRetryBudgets.js'
 import type {
-  AttemptKind, FailureProof, FailureReason, GatewayReason, GatewayRequest, GatewayResult, RoutedAnswer, RoutedCall,
-  RoutedCallHandle, RoutedCallListener
+  AttemptKind, FailureProof, FailureReason, GatewayReason, GatewayRequest, GatewayResult, InstanceStatus, RoutedAnswer,
+  RoutedCall, RoutedCallHandle, RoutedCallListener
 } from './Types.js'
 
 /** What a `GatewayCall` needs of its node. */
@@ -144,8 +144,10 @@
     const mayQueueAtTriedInstance = this._sends === 0 && !this._hasQueuedAtTriedInstance
     this._hasQueuedAtTriedInstance = true
     const fallback = mayQueueAtTriedInstance ? chooser?.choose({ ...query, excluded: [] }, nowMs) : undefined
-    if (fallback === undefined) this._giveUp('no-instance', 0)
-    else this._sendTo(fallback, kind, undefined)
+    if (fallback !== undefined) return this._sendTo(fallback, kind, undefined)
+    const untilOpenMs = chooser?.untilOpenMs(nowMs)
+    if (untilOpenMs === undefined) this._giveUp('no-instance', 0)
+    else this._giveUp('rate-limited', untilOpenMs)
   }
 
   private _buildQuery (): PlacementQuery {
@@ -177,7 +179,8 @@
   private _buildListener (pending: PendingAttempt): RoutedCallListener {
     return {
       onAnswer: (answer, load) => {
-        if (this._endAttempt(pending, answer.status >= 500 ? 'failed' : 'answered', load)) this._onAnswer(pending, answer)
+        const outcome = answer.status >= 500 ? 'failed' : 'answered'
+        if (this._endAttempt(pending, outcome, load, true)) this._onAnswer(pending, answer)
       },
       onDeclined: (reason, retryAfterMs, load) => {
         const outcome = reason === 'no-slots' ? 'unreachable' : 'declined'
@@ -203,17 +206,22 @@
   }
 
   /** Removes a pending attempt and records its outcome; returns whether the outcome still matters to the request. */
-  private _endAttempt (pending: PendingAttempt, outcome: PlacementOutcome, load: GateLoad | undefined): boolean {
+  private _endAttempt (
+    pending: PendingAttempt, outcome: PlacementOutcome, load: InstanceStatus | undefined, isAnswer = false
+  ): boolean {
     if (!this._pendingAttempts.delete(pending)) return false
     const { placement, clock } = this._context
+    if (load !== undefined) placement.recordLimit(pending.node, load, isAnswer)
     placement.findChooser(this._request.service)?.recordEnd(pending.node, outcome, load, clock.nowMs())
     return !this._isEnded
   }
 
-  private _buildCall ({ id, kind }: PendingAttempt, moveMs: number | undefined): RoutedCall {
+  private _buildCall ({ id, kind, node }: PendingAttempt, moveMs: number | undefined): RoutedCall {
     const { requestId, method, target, headers, body, route, service, parentAttemptKind, objectiveAtMs } = this._request
     const nowMs = this._context.clock.nowMs()
+    const knownLimit = this._context.placement.findKnownLimit(node)
     return {
+      ...(knownLimit === undefined ? {} : { knownLimit }),
       id,
       service,
       method,
@@ -289,7 +297,7 @@
     this._declines++
     if (pending.kind === 'hedge' && this._hedgeOutcome !== undefined) return this._onHedgeDeclined(reason, retryAfterMs)
     if (this._hasResponsiveAttempt()) return
-    if (!pending.isFinal || reason === 'no-slots') return this._startAttempt(pending.kind)
+    if (!pending.isFinal || NEVER_FINAL_REASONS.has(reason)) return this._startAttempt(pending.kind)
     const waitedMs = this._context.clock.nowMs() - pending.startedAtMs
     if (waitedMs >= LAST_TRY_MIN_WAIT_MS && !this._hasTriedLast) this._tryLast(pending, reason, retryAfterMs)
     else this._giveUp(reason, retryAfterMs)
@@ -394,5 +402,8 @@
   }
 }
 
+/** Reasons for which an instance declines calls without regard to its queue, so that another may take them at once. */
+const NEVER_FINAL_REASONS: ReadonlySet<DeclineReason> = new Set(['no-slots', 'rate-limited'])
+
 /** Reasons that stem from overload rather than from a failure. */
 const OVERLOAD_REASONS: ReadonlySet<GatewayReason> = new Set(['busy', 'too-late'])
--- a/src/routenode/InstanceClient.ts
+++ b/src/routenode/InstanceClient.ts
@@ -18,6 +18,10 @@
   onFailure (proof: FailureProof, reason: FailureReason, detail: string): void
   /** Called when an answer reports the load of the instance. */
   onLoad (load: InstanceLoad): void
+  /** Called before the outcome for each answer that belongs to the request, with its header for the request limit. */
+  onRequestLimit (header: string | undefined): void
+  /** Returns whether the request may be sent once more; it then counts as a further request to the instance. */
+  mayResend (): boolean
 }
 
 /** Result of a health check that succeeded. */
@@ -217,7 +221,8 @@
   private _onError (request: ClientRequest, error: Error): void {
     if (this._isEnded || request !== this._request) return
     // The instance has closed the kept connection meanwhile; most often the request never reached it.
-    if (request.reusedSocket && !this._isResendRuledOut && this._call.kind === RESENDABLE_KIND) {
+    const isResendable = request.reusedSocket && !this._isResendRuledOut && this._call.kind === RESENDABLE_KIND
+    if (isResendable && this._listener.mayResend()) {
       this._isResendRuledOut = true
       this._wasResent = true
       this._request = this._send()
@@ -254,6 +259,7 @@
       const isProvenRejection = headers[this._names.requestId] === undefined && this._isRejection(response)
       if (!isProvenRejection) return this._fail('unknown', 'answer-foreign', 'answer does not repeat the id of the request')
     }
+    if (!this._isEnded) this._listener.onRequestLimit(headers[this._names.requestLimit] as string | undefined)
     if (this._isRejection(response)) {
       const reason = status === MISDIRECTED_STATUS ? 'instance-replaced' : 'instance-rejected'
       return this._fail('rejected', reason, `status ${status}`)
--- a/src/routenode/InstanceProxy.ts
+++ b/src/routenode/InstanceProxy.ts
@@ -1,8 +1,9 @@
 import { type BreakerState, InstanceBreaker } from '../parts/gate/InstanceBreaker.js'
 import { computeRequestRank } from '../parts/gate/RequestRank.js'
 import { InstanceGate } from '../parts/gate/InstanceGate.js'
-import type { GateAction, GateCall, GateEvent, GateLoad } from '../parts/gate/Types.js'
+import type { GateAction, GateCall, GateEvent } from '../parts/gate/Types.js'
 import { InstanceRegistry, type ReportOutcome } from '../parts/instances/InstanceRegistry.js'
+import { NamedLimit } from '../parts/instances/NamedLimit.js'
 import type { InstanceReport, PublishedInstance } from '../parts/instances/Types.js'
 import type { CallId, ServiceName } from '../parts/Types.js'
 import { Emitter } from '../runtime/Emitter.js'
@@ -11,9 +12,10 @@
 import { RECOVERY_CHECK_INTERVAL_MS } from './Constants.js'
 import { InstanceClient, type InstanceHealth } from './InstanceClient.js'
 import type { InstanceLoad } from './LoadHeader.js'
+import { parseRequestLimit } from './RequestLimitHeader.js'
 import type {
-  AttemptKind, FailureProof, FailureReason, HeaderNames, RoutedAnswer, RoutedCall, RoutedCallHandle, RoutedCallListener,
-  RoutedCallTarget
+  AttemptKind, FailureProof, FailureReason, HeaderNames, InstanceLimit, InstanceStatus, RoutedAnswer, RoutedCall,
+  RoutedCallHandle, RoutedCallListener, RoutedCallTarget
 } from './Types.js'
 
 /** What the proxy needs of its node. */
@@ -66,6 +68,10 @@
   private readonly _gateHandlers: GateHandlers
   private readonly _breaker = new InstanceBreaker()
   private _recoveryTimer: NodeJS.Timeout | undefined
+  /** Limits that other nodes know, kept until an instance of that id is the current one: the last one told. */
+  private _hearsay: InstanceLimit | undefined
+  private _namedLimit = new NamedLimit()
+  private _appliedLimitPerS: number | undefined
   private _slots = 0
   private _lastPublishedJson: string | undefined
   private _lastCallId = 0
@@ -103,9 +109,12 @@
     return this._pendingCalls.size
   }
 
-  /** Returns the load to attach to answers. */
-  public load (): GateLoad {
-    return this._gate.load(this._options.clock.nowMs())
+  /** Returns the status of the instance to attach to replies. */
+  public load (): InstanceStatus {
+    const load = this._gate.load(this._options.clock.nowMs())
+    const instance = this._registry.current?.id
+    const perS = this._namedLimit.perS
+    return instance === undefined || perS === undefined ? load : { ...load, requestLimit: { instance, perS } }
   }
 
   /**
@@ -144,6 +153,7 @@
     if (outcome !== 'applied') return outcome
     const restarted = previous?.id !== report.id || previous.bornMs !== report.bornMs
     if (restarted) this._breaker.recordSuccess()
+    if (previous !== undefined && previous.id !== report.id) this._forgetLimit()
     this._onInstanceChange()
     return outcome
   }
@@ -160,6 +170,7 @@
     const nowMs = this._options.clock.nowMs()
     const id = ++this._lastCallId
     const deadlineAtMs = nowMs + call.leftMs
+    if (call.knownLimit !== undefined) this._recordHearsay(call.knownLimit)
     if (call.service !== this.service) {
       listener.onDeclined('no-slots', 0, this.load())
       return { cancel: () => {} }
@@ -189,6 +200,7 @@
 
   private _onInstanceChange (): void {
     const { current } = this._registry
+    this._applyHearsay()
     this._applySlots()
     this._publishChange()
     const { id, state, sequence } = current ?? {}
@@ -222,7 +234,9 @@
     pending.handle = this._client.run(pending.call, instance.id, pending.deadlineAtMs - pending.startedAtMs, {
       onAnswer: answer => this._onAnswer(id, pending, answer),
       onFailure: (proof, reason, detail) => this._onFailure(id, pending, proof, reason, detail),
-      onLoad: load => this._onLoad(load)
+      onLoad: load => this._onLoad(load),
+      onRequestLimit: header => this._onRequestLimit(instance.id, pending, header),
+      mayResend: () => this._mayResend()
     })
   }
 
@@ -250,6 +264,47 @@
     this._step({ type: 'slowness', slowness: load.slowness })
   }
 
+  private _onRequestLimit (instance: string, { startedAtMs }: PendingCall, header: string | undefined): void {
+    if (instance !== this._registry.current?.id) return
+    const perS = header === undefined ? undefined : parseRequestLimit(header)
+    if (header !== undefined && perS === undefined) {
+      return this._options.log.warn({ instance, header }, 'request limit is malformed, the one before stays')
+    }
+    this._namedLimit.recordAnswer(perS, startedAtMs, this._options.clock.nowMs())
+    this._applyLimit()
+  }
+
+  /** The instance may not be known yet after a restart of this node; other nodes know its limit already. */
+  private _recordHearsay (limit: InstanceLimit): void {
+    this._hearsay = limit
+    this._applyHearsay()
+  }
+
+  private _applyHearsay (): void {
+    if (this._hearsay === undefined || this._hearsay.instance !== this._registry.current?.id) return
+    this._namedLimit.recordHearsay(this._hearsay.perS, this._options.clock.nowMs())
+    this._applyLimit()
+  }
+
+  private _forgetLimit (): void {
+    this._namedLimit = new NamedLimit()
+    this._applyLimit()
+  }
+
+  private _applyLimit (): void {
+    const { perS } = this._namedLimit
+    if (perS === this._appliedLimitPerS) return
+    this._appliedLimitPerS = perS
+    this._options.log.info({ instance: this._registry.current?.id, perS }, 'request limit changed')
+    this._step({ type: 'requestLimit', perS })
+  }
+
+  private _mayResend (): boolean {
+    if (this.load().closedForMs !== undefined) return false
+    this._step({ type: 'resent' })
+    return true
+  }
+
   private _cancel (id: CallId): void {
     const pending = this._removeCall(id)
     if (pending === undefined) return
--- a/src/routenode/Placement.ts
+++ b/src/routenode/Placement.ts
@@ -4,7 +4,7 @@
 import type { NodeId, Random, ServiceName } from '../parts/Types.js'
 import type { Clock, Disposable, Log } from '../runtime/Types.js'
 import { CallLink } from './CallLink.js'
-import type { RoutedCallTarget } from './Types.js'
+import type { InstanceLimit, InstanceStatus, RoutedCallTarget } from './Types.js'
 
 /** Round trips assumed to instances on the same VM, in the same availability zone and elsewhere, in milliseconds. */
 const ASSUMED_ROUND_TRIP_MS = { vm: 0.1, zone: 0.6, other: 2.2 } as const
@@ -27,12 +27,14 @@
  * Keeps what is needed to send calls: one chooser for each routed service, with its ready instances as candidates, and
  * a link to each node that calls are sent to, opened for the first of them.
  *
- * Memory: one chooser for each such service, one link and one number for each such node.
+ * Memory: one chooser for each such service, one link, one number and one limit for each such node.
  */
 export class Placement implements Disposable {
   private readonly _links = new Map<NodeId, CallLink>()
   private readonly _choosers = new Map<ServiceName, InstanceChooser>()
   private readonly _stoppingNodes = new Set<NodeId>()
+  /** Limits that instances have named to this node. They outlive links, as the node beside the instance may restart. */
+  private readonly _knownLimits = new Map<NodeId, InstanceLimit>()
   /** Epochs of the nodes to which there is a link. */
   private readonly _epochs = new Map<NodeId, number>()
 
@@ -70,6 +72,21 @@
     return this._choosers.get(service)
   }
 
+  /** Returns the limit that the instance beside a node has named in its last answer to this node, if it did. */
+  public findKnownLimit (node: NodeId): InstanceLimit | undefined {
+    return this._knownLimits.get(node)
+  }
+
+  /**
+   * Records the limit of the instance beside a node.
+   * @param isAnswer True when the status came with an answer of the instance: only then does a missing limit mean that
+   * it has none, as a node that has just restarted does not know.
+   */
+  public recordLimit (node: NodeId, { requestLimit }: InstanceStatus, isAnswer: boolean): void {
+    if (requestLimit !== undefined) this._knownLimits.set(node, requestLimit)
+    else if (isAnswer) this._knownLimits.delete(node)
+  }
+
   /** Returns the destination of calls to the instance beside a node. */
   public findTarget (node: NodeId): RoutedCallTarget {
     return node === this._options.self ? this._options.local : this._links.get(node) ?? this._openLink(node)
--- a/src/routenode/Types.ts
+++ b/src/routenode/Types.ts
@@ -33,6 +33,20 @@
  */
 export type AttemptKind = 'first' | 'repeat' | 'hedge'
 
+/** Limit on requests that an instance names in its answers. */
+export interface InstanceLimit {
+  /** Id of the instance. */
+  readonly instance: string
+  /** Requests a second from all nodes together. */
+  readonly perS: number
+}
+
+/** Status of an instance that its node attaches to all that it replies. */
+export interface InstanceStatus extends GateLoad {
+  /** Absent while the instance names no limit. */
+  readonly requestLimit?: InstanceLimit
+}
+
 /** One attempt of a request, as it is sent to the node of an instance; "call" means such an attempt in this folder. */
 export interface RoutedCall {
   readonly id: CallId
@@ -57,6 +71,8 @@
   /** See `GateCall.moveMs`. When undefined, a decline is final: the request goes to no other instance. */
   readonly moveMs: number | undefined
   readonly attempt: AttemptKind
+  /** Limit that the instance has named to the sender; the node beside the instance may have lost it in a restart. */
+  readonly knownLimit?: InstanceLimit
 }
 
 /** A complete answer of an instance. */
@@ -87,10 +103,10 @@
 
 /** Receives the outcome of one call: exactly one of the first three methods is called, exactly once. */
 export interface RoutedCallListener {
-  onAnswer (answer: RoutedAnswer, load: GateLoad): void
+  onAnswer (answer: RoutedAnswer, load: InstanceStatus): void
   /** The gate of the instance declined the call, which has not run. */
-  onDeclined (reason: DeclineReason, retryAfterMs: number, load: GateLoad): void
-  onFailed (proof: FailureProof, reason: FailureReason, load: GateLoad | undefined): void
+  onDeclined (reason: DeclineReason, retryAfterMs: number, load: InstanceStatus): void
+  onFailed (proof: FailureProof, reason: FailureReason, load: InstanceStatus | undefined): void
   /** The node of the instance does not answer pings. The call may still end in any way. */
   onUnresponsive? (): void
 }
@@ -115,20 +131,20 @@
 
 /** Frames from the node of the instance back to the node that sent the calls. */
 export type CallServerFrame =
-  | { readonly type: 'answer', readonly id: CallId, readonly answer: RoutedAnswer, readonly load: GateLoad }
+  | { readonly type: 'answer', readonly id: CallId, readonly answer: RoutedAnswer, readonly load: InstanceStatus }
   | {
     readonly type: 'turnedAway',
     readonly id: CallId,
     readonly reason: DeclineReason,
     readonly retryAfterMs: number,
-    readonly load: GateLoad
+    readonly load: InstanceStatus
   }
   | {
     readonly type: 'failed',
     readonly id: CallId,
     readonly proof: FailureProof,
     readonly reason: FailureReason,
-    readonly load: GateLoad
+    readonly load: InstanceStatus
   }
   /** The node is shutting down: it finishes the calls that it has and should get no new ones. */
   | { readonly type: 'stopping' }
