--- a/src/routenode/InstanceClient.test.ts
+++ b/src/routenode/InstanceClient.test.ts
@@ -16,7 +16,8 @@
   load: 'load',
   callerService: 'caller',
   signature: 'signature',
-  requestLimit: 'request-limit'
+  requestLimit: 'request-limit',
+  leaving: 'leaving'
 }
 
 let server: Server | undefined
--- a/src/routenode/Types.ts
+++ b/src/routenode/Types.ts
@@ -25,6 +25,8 @@
   readonly signature: string
   /** Requests a second that the instance takes from all nodes together, while its answers name it. */
   readonly requestLimit: string
+  /** Present in an answer when the instance is about to stop. */
+  readonly leaving: string
 }
 
 /**
--- a/test/support/RouteMesh.ts
+++ b/test/support/RouteMesh.ts
@@ -25,7 +25,8 @@
   load: 'instance-load',
   callerService: 'caller-service',
   signature: 'signature',
-  requestLimit: 'request-limit'
+  requestLimit: 'request-limit',
+  leaving: 'leaving'
 }
 
 /** Handles a request that an instance runs; undefined answers it at once. */
@@ -167,12 +168,15 @@
     while (instances() < count) await pause()
   }
 
-  /** Ends a node at once and starts it anew, while its instance keeps running and reports itself again. */
-  public async restart (node: MeshNode): Promise<void> {
+  /**
+   * Ends a node at once and starts it anew, while its instance keeps running and reports itself again.
+   * @param instances Instances that the node must know before it counts as started.
+   */
+  public async restart (node: MeshNode, instances = this.nodes.length): Promise<void> {
     node.daemon.dispose()
     node.daemon = await this._startDaemon(node.settings)
     reportReady(node.daemon, node.instance, 2)
-    await this.awaitInstances(node, this.nodes.length)
+    await this.awaitInstances(node, instances)
   }
 
   public dispose (): void {
