Send no request to an instance that says in its answers that it leaves

An instance that said so went on to get requests until it reported that it drains, or after its node had restarted. Nothing read the header.

The node beside the instance now takes such an answer like a report that the instance drains, so its gate declines calls at once and all nodes learn of it. Each caller's node besides remembers the instance by its id and start, from the reply that brought the answer: that holds while control is out of reach, and after a restart of the instance's node, which may hear from the instance that it is still ready. A new start of the instance is another one.

--- a/src/parts/instances/InstanceRegistry.test.ts
+++ b/src/parts/instances/InstanceRegistry.test.ts
@@ -51,3 +51,12 @@
   expect(registry.deregister('i-9', undefined)).toBe('foreign')
   expect(registry.published?.state).toBe('ready')
 })
+
+test('an incarnation that says that it leaves is draining, whatever it reports', () => {
+  const registry = new InstanceRegistry(ADDRESS)
+  registry.recordReport(makeReport())
+  expect(registry.drain('i-1', 99)).toBe('foreign')
+  expect([registry.drain('i-1', 100), registry.drain('i-1', 100)]).toEqual(['applied', 'stale'])
+  registry.recordReport(makeReport({ sequence: 2 }))
+  expect(registry.published?.state).toBe('draining')
+})
--- a/src/parts/instances/InstanceRegistry.ts
+++ b/src/parts/instances/InstanceRegistry.ts
@@ -1,4 +1,4 @@
-import type { InstanceReport, PublishedInstance } from './Types.js'
+import type { InstanceIncarnation, InstanceReport, PublishedInstance } from './Types.js'
 
 /** Result of a report: `foreign` ones are for another instance, `stale` ones are older than what is known. */
 export type ReportOutcome = 'applied' | 'stale' | 'foreign'
@@ -56,12 +56,24 @@
     return this._apply({ ...known, state: 'left' })
   }
 
+  /**
+   * Marks an instance as `draining` that has said so by other means than a report.
+   * @param id Id of the instance.
+   * @param bornMs Its start in Unix milliseconds.
+   */
+  public drain (id: string, bornMs: number): ReportOutcome {
+    const known = this._current
+    if (known === undefined || !isSameIncarnation(known, { id, bornMs })) return 'foreign'
+    return known.state === 'ready' ? this._apply({ ...known, state: 'draining' }) : 'stale'
+  }
+
   private _apply (report: InstanceReport): ReportOutcome {
     this._current = report
     return 'applied'
   }
 }
 
-function isSameIncarnation (a: InstanceReport, b: InstanceReport): boolean {
-  return a.id === b.id && a.bornMs === b.bornMs
+/** Returns whether two descriptions are of one life of an instance. */
+export function isSameIncarnation (a: InstanceIncarnation | undefined, b: InstanceIncarnation): boolean {
+  return a?.id === b.id && a.bornMs === b.bornMs
 }
--- a/src/parts/instances/Types.ts
+++ b/src/parts/instances/Types.ts
@@ -6,11 +6,15 @@
  */
 export type InstanceState = 'ready' | 'draining' | 'left'
 
-/** Report of an instance about itself. */
-export interface InstanceReport {
+/** One life of an instance. */
+export interface InstanceIncarnation {
   readonly id: string
   /** Start of the instance in Unix milliseconds; a later start under the same id is another incarnation. */
   readonly bornMs: number
+}
+
+/** Report of an instance about itself. */
+export interface InstanceReport extends InstanceIncarnation {
   /** Increases with each report of one incarnation. */
   readonly sequence: number
   readonly service: ServiceName
@@ -23,9 +27,7 @@
 }
 
 /** Part of an instance's report that its node publishes to other nodes. */
-export interface PublishedInstance {
-  readonly id: string
-  readonly bornMs: number
+export interface PublishedInstance extends InstanceIncarnation {
   readonly service: ServiceName
   readonly slots: number
   readonly state: InstanceState
--- a/src/routenode/GatewayCall.test.ts
+++ b/src/routenode/GatewayCall.test.ts
@@ -54,7 +54,7 @@
     clock,
     random,
     placement: {
-      findChooser: () => chooser, findTarget, findKnownLimit: () => undefined, recordLimit: () => {}
+      findChooser: () => chooser, findTarget, findKnownLimit: () => undefined, recordStatus: () => {}
     } as unknown as Placement,
     hedgePolicy,
     retryBudgets: new SharedRetryBudgets({ ratio: 1, slack, windowMs: 10_000 }),
--- a/src/routenode/GatewayCall.ts
+++ b/src/routenode/GatewayCall.ts
@@ -211,7 +211,7 @@
   ): boolean {
     if (!this._pendingAttempts.delete(pending)) return false
     const { placement, clock } = this._context
-    if (load !== undefined) placement.recordLimit(pending.node, load, isAnswer)
+    if (load !== undefined) placement.recordStatus(pending.node, load, isAnswer)
     placement.findChooser(this._request.service)?.recordEnd(pending.node, outcome, load, clock.nowMs())
     return !this._isEnded
   }
--- a/src/routenode/InstanceClient.test.ts
+++ b/src/routenode/InstanceClient.test.ts
@@ -75,6 +75,7 @@
       onFailure: (proof, reason) => resolve(`${proof} ${reason}`),
       onLoad: () => {},
       onRequestLimit: () => {},
+      onLeaving: () => {},
       mayResend: () => mayResend
     })
   })
--- a/src/routenode/InstanceClient.ts
+++ b/src/routenode/InstanceClient.ts
@@ -1,5 +1,5 @@
 import { request as sendRequest } from 'node:http'
-import type { Agent, ClientRequest, IncomingMessage } from 'node:http'
+import type { Agent, ClientRequest, IncomingHttpHeaders, IncomingMessage } from 'node:http'
 import { findHeader, selectEndToEnd } from '../node/EndToEndHeaders.js'
 import { parseAddress } from '../runtime/Address.js'
 import type { Clock, Disposable } from '../runtime/Types.js'
@@ -20,6 +20,8 @@
   onLoad (load: InstanceLoad): void
   /** Called before the outcome for each answer that belongs to the request, with its header for the request limit. */
   onRequestLimit (header: string | undefined): void
+  /** Called before the outcome when an answer that belongs to the request says that the instance is about to stop. */
+  onLeaving (): void
   /** Returns whether the request may be sent once more; it then counts as a further request to the instance. */
   mayResend (): boolean
 }
@@ -33,6 +35,9 @@
 /** Kind of the calls that may be sent again when their connection breaks. */
 const RESENDABLE_KIND = 'idempotent'
 
+/** Value of the header with which an instance says that it is about to stop. */
+const LEAVING = '1'
+
 /** Misdirected Request: another instance than the target listens at the address. */
 const MISDIRECTED_STATUS = 421
 
@@ -259,7 +264,7 @@
       const isProvenRejection = headers[this._names.requestId] === undefined && this._isRejection(response)
       if (!isProvenRejection) return this._fail('unknown', 'answer-foreign', 'answer does not repeat the id of the request')
     }
-    if (!this._isEnded) this._listener.onRequestLimit(headers[this._names.requestLimit] as string | undefined)
+    if (!this._isEnded) this._reportNotices(headers)
     if (this._isRejection(response)) {
       const reason = status === MISDIRECTED_STATUS ? 'instance-replaced' : 'instance-rejected'
       return this._fail('rejected', reason, `status ${status}`)
@@ -273,6 +278,11 @@
     this._listener.onAnswer({ status, headers: selectEndToEnd(response.rawHeaders, REPLACED_HEADERS), body })
   }
 
+  private _reportNotices (headers: IncomingHttpHeaders): void {
+    this._listener.onRequestLimit(headers[this._names.requestLimit] as string | undefined)
+    if (headers[this._names.leaving] === LEAVING) this._listener.onLeaving()
+  }
+
   private _isRejection ({ statusCode, headers }: IncomingMessage): boolean {
     return headers[this._names.notExecuted] !== undefined || statusCode === MISDIRECTED_STATUS
   }
--- a/src/routenode/InstanceProxy.ts
+++ b/src/routenode/InstanceProxy.ts
@@ -4,7 +4,7 @@
 import type { GateAction, GateCall, GateEvent } from '../parts/gate/Types.js'
 import { InstanceRegistry, type ReportOutcome } from '../parts/instances/InstanceRegistry.js'
 import { NamedLimit } from '../parts/instances/NamedLimit.js'
-import type { InstanceReport, PublishedInstance } from '../parts/instances/Types.js'
+import type { InstanceIncarnation, InstanceReport, PublishedInstance } from '../parts/instances/Types.js'
 import type { CallId, ServiceName } from '../parts/Types.js'
 import { Emitter } from '../runtime/Emitter.js'
 import { PartTimer } from '../runtime/PartTimer.js'
@@ -112,9 +112,15 @@
   /** Returns the status of the instance to attach to replies. */
   public load (): InstanceStatus {
     const load = this._gate.load(this._options.clock.nowMs())
-    const instance = this._registry.current?.id
+    const { current } = this._registry
+    if (current === undefined) return load
+    const { id, bornMs, state } = current
     const perS = this._namedLimit.perS
-    return instance === undefined || perS === undefined ? load : { ...load, requestLimit: { instance, perS } }
+    return {
+      ...load,
+      ...(perS === undefined ? {} : { requestLimit: { instance: id, perS } }),
+      ...(state === 'ready' ? {} : { leaving: { id, bornMs } })
+    }
   }
 
   /**
@@ -236,6 +242,7 @@
       onFailure: (proof, reason, detail) => this._onFailure(id, pending, proof, reason, detail),
       onLoad: load => this._onLoad(load),
       onRequestLimit: header => this._onRequestLimit(instance.id, pending, header),
+      onLeaving: () => this._onLeaving(instance),
       mayResend: () => this._mayResend()
     })
   }
@@ -274,6 +281,12 @@
     this._applyLimit()
   }
 
+  private _onLeaving ({ id, bornMs }: InstanceIncarnation): void {
+    if (this._registry.drain(id, bornMs) !== 'applied') return
+    this._options.log.info({ instance: id, bornMs }, 'instance says in an answer that it leaves')
+    this._onInstanceChange()
+  }
+
   /** The instance may not be known yet after a restart of this node; other nodes know its limit already. */
   private _recordHearsay (limit: InstanceLimit): void {
     this._hearsay = limit
--- a/src/routenode/Placement.test.ts
+++ b/src/routenode/Placement.test.ts
@@ -117,3 +117,28 @@
   answer()
   expect(await outcome).toBe('answer 200')
 })
+
+// The restarted node has forgotten what its instance said, and the instance may still report that it is ready.
+test('an instance that leaves is no candidate after a restart of its node, but its successor is', () => {
+  const { placement, directory } = makePlacement([makeEntry('a'), makeEntry('b')])
+  const update = (entry: NodeEntry): void => placement.update(directory.merge([entry], 0))
+  const status = { running: 0, queued: 0, limit: 4, slowness: 1, workMs: 50, failing: 0 }
+  placement.recordStatus('a', { ...status, leaving: { id: 'i-a', bornMs: 1 } }, true)
+  expect(placement.findChooser('svc')?.size).toBe(1)
+  update(makeEntry('a', { epoch: 2 }))
+  placement.recordStatus('a', status, true)
+  expect(placement.findChooser('svc')?.size).toBe(1)
+  update(makeEntry('a', { epoch: 2, revision: 2, instance: { id: 'i-a', bornMs: 2, service: 'svc', slots: 4, state: 'ready' } }))
+  expect(placement.findChooser('svc')?.size).toBe(2)
+})
+
+test('a limit that an instance has named is kept until an answer of the instance names none', () => {
+  const { placement } = makePlacement([makeEntry('a')])
+  const status = { running: 0, queued: 0, limit: 4, slowness: 1, workMs: 50, failing: 0 }
+  const requestLimit = { instance: 'i-a', perS: 5 }
+  placement.recordStatus('a', { ...status, requestLimit }, true)
+  placement.recordStatus('a', status, false)
+  expect(placement.findKnownLimit('a')).toEqual(requestLimit)
+  placement.recordStatus('a', status, true)
+  expect(placement.findKnownLimit('a')).toBe(undefined)
+})
--- a/src/routenode/Placement.ts
+++ b/src/routenode/Placement.ts
@@ -1,5 +1,6 @@
 import type { NodeDirectory } from '../parts/instances/NodeDirectory.js'
-import type { NodeEntry } from '../parts/instances/Types.js'
+import { isSameIncarnation } from '../parts/instances/InstanceRegistry.js'
+import type { InstanceIncarnation, NodeEntry } from '../parts/instances/Types.js'
 import { InstanceChooser } from '../parts/placement/InstanceChooser.js'
 import type { NodeId, Random, ServiceName } from '../parts/Types.js'
 import type { Clock, Disposable, Log } from '../runtime/Types.js'
@@ -27,7 +28,7 @@
  * Keeps what is needed to send calls: one chooser for each routed service, with its ready instances as candidates, and
  * a link to each node that calls are sent to, opened for the first of them.
  *
- * Memory: one chooser for each such service, one link, one number and one limit for each such node.
+ * Memory: one chooser for each such service; one link, one number, one limit and one incarnation for each such node.
  */
 export class Placement implements Disposable {
   private readonly _links = new Map<NodeId, CallLink>()
@@ -35,6 +36,8 @@
   private readonly _stoppingNodes = new Set<NodeId>()
   /** Limits that instances have named to this node. They outlive links, as the node beside the instance may restart. */
   private readonly _knownLimits = new Map<NodeId, InstanceLimit>()
+  /** Instances that leave, by node, as this node was told: their own nodes may forget it in a restart. */
+  private readonly _leavingInstances = new Map<NodeId, InstanceIncarnation>()
   /** Epochs of the nodes to which there is a link. */
   private readonly _epochs = new Map<NodeId, number>()
 
@@ -78,13 +81,16 @@
   }
 
   /**
-   * Records the limit of the instance beside a node.
+   * Records what the instance beside a node asks of all nodes.
    * @param isAnswer True when the status came with an answer of the instance: only then does a missing limit mean that
    * it has none, as a node that has just restarted does not know.
    */
-  public recordLimit (node: NodeId, { requestLimit }: InstanceStatus, isAnswer: boolean): void {
+  public recordStatus (node: NodeId, { requestLimit, leaving }: InstanceStatus, isAnswer: boolean): void {
     if (requestLimit !== undefined) this._knownLimits.set(node, requestLimit)
     else if (isAnswer) this._knownLimits.delete(node)
+    if (leaving === undefined || isSameIncarnation(this._leavingInstances.get(node), leaving)) return
+    this._leavingInstances.set(node, leaving)
+    this._updateKnown(node)
   }
 
   /** Returns the destination of calls to the instance beside a node. */
@@ -107,7 +113,8 @@
 
   private _updateCandidate (entry: NodeEntry): void {
     const { node, zone, state, instance } = entry
-    const isReady = state === 'up' && instance?.state === 'ready' && !this._stoppingNodes.has(node)
+    const isLeaving = instance !== undefined && isSameIncarnation(this._leavingInstances.get(node), instance)
+    const isReady = state === 'up' && instance?.state === 'ready' && !isLeaving && !this._stoppingNodes.has(node)
     for (const [service, chooser] of this._choosers) {
       if (!isReady || instance.service !== service) chooser.removeCandidate(node)
       else {
--- a/src/routenode/Types.ts
+++ b/src/routenode/Types.ts
@@ -1,4 +1,5 @@
 import type { DeclineReason, GateLoad } from '../parts/gate/Types.js'
+import type { InstanceIncarnation } from '../parts/instances/Types.js'
 import type { Route, RouteKind } from '../parts/routing/Types.js'
 import type { CallId, ServiceName } from '../parts/Types.js'
 
@@ -47,6 +48,8 @@
 export interface InstanceStatus extends GateLoad {
   /** Absent while the instance names no limit. */
   readonly requestLimit?: InstanceLimit
+  /** The instance, once it takes no new calls for good. */
+  readonly leaving?: InstanceIncarnation
 }
 
 /** One attempt of a request, as it is sent to the node of an instance; "call" means such an attempt in this folder. */
--- a/src/runtime/FrameKeys.ts
+++ b/src/runtime/FrameKeys.ts
@@ -7,7 +7,8 @@
   'call', 'service', 'method', 'target', 'requestId', 'work', 'kind', 'nested', 'priority', 'leftMs',
   'objectiveLeftMs', 'mayDecline', 'reason', 'retryAfterMs', 'proof', 'to', 'message', 'term', 'prevIndex', 'prevTerm',
   'entries', 'commit', 'round', 'sentAtMs', 'success', 'match', 'conflictIndex', 'conflictTerm', 'fit', 'version',
-  'moveMs', 'attempt', 'failing', 'closedForMs', 'requestLimit', 'knownLimit', 'instance', 'perS'
+  'moveMs', 'attempt', 'failing', 'closedForMs', 'requestLimit', 'knownLimit', 'instance', 'perS',
+  'leaving', 'bornMs'
 ] as const
 
 /** Number of each field name, in the form of the codec's `keyMap` option. */
