Take the first report of an instance that was found by a health check as of the same instance

After a restart of its node, an instance is found by a health check before its next report, with an assumed start. Its first report, with the true start, then looked like that of a later incarnation, so an instance that had said that it leaves was ready again; and its deregistration was ignored as one of an earlier incarnation, so that it went on to get requests.

The start is now marked as assumed, and an incarnation with an assumed start is the same as any other of its id. Both tests of InstanceProxy failed before (expected 'stale' to be 'applied', expected 'ready' to be 'left').

--- a/src/parts/instances/InstanceRegistry.test.ts
+++ b/src/parts/instances/InstanceRegistry.test.ts
@@ -55,8 +55,18 @@
 test('an incarnation that says that it leaves is draining, whatever it reports', () => {
   const registry = new InstanceRegistry(ADDRESS)
   registry.recordReport(makeReport())
-  expect(registry.drain('i-1', 99)).toBe('foreign')
-  expect([registry.drain('i-1', 100), registry.drain('i-1', 100)]).toEqual(['applied', 'stale'])
+  expect(registry.drain({ id: 'i-1', bornMs: 99 })).toBe('foreign')
+  expect([registry.drain({ id: 'i-1', bornMs: 100 }), registry.drain({ id: 'i-1', bornMs: 100 })]).toEqual(['applied', 'stale'])
   registry.recordReport(makeReport({ sequence: 2 }))
   expect(registry.published?.state).toBe('draining')
 })
+
+test('the first report of an instance that was found by a health check tells its start and keeps its state', () => {
+  const registry = new InstanceRegistry(ADDRESS)
+  registry.recordReport(makeReport({ bornMs: 1, isBornAssumed: true, sequence: -1 }))
+  registry.drain({ id: 'i-1', bornMs: 1 })
+  expect(registry.recordReport(makeReport())).toBe('applied')
+  expect(registry.published).toEqual({ id: 'i-1', bornMs: 100, service: 's', slots: 6, state: 'draining' })
+  expect(registry.recordReport(makeReport({ bornMs: 200 }))).toBe('applied')
+  expect(registry.published?.state).toBe('ready')
+})
--- a/src/parts/instances/InstanceRegistry.ts
+++ b/src/parts/instances/InstanceRegistry.ts
@@ -26,8 +26,8 @@
   /** What the node publishes to other nodes; undefined before the first report. */
   public get published (): PublishedInstance | undefined {
     if (this._current === undefined) return undefined
-    const { id, bornMs, service, slots, state } = this._current
-    return { id, bornMs, service, slots, state }
+    const { id, bornMs, isBornAssumed, service, slots, state } = this._current
+    return { id, bornMs, ...(isBornAssumed === true ? { isBornAssumed } : {}), service, slots, state }
   }
 
   /**
@@ -51,19 +51,15 @@
   public deregister (id: string, bornMs: number | undefined): ReportOutcome {
     const known = this._current
     if (known === undefined || known.id !== id) return 'foreign'
-    if (bornMs !== undefined && bornMs !== known.bornMs) return 'stale'
+    if (bornMs !== undefined && !isSameIncarnation(known, { id, bornMs })) return 'stale'
     if (known.state === 'left') return 'stale'
     return this._apply({ ...known, state: 'left' })
   }
 
-  /**
-   * Marks an instance as `draining` that has said so by other means than a report.
-   * @param id Id of the instance.
-   * @param bornMs Its start in Unix milliseconds.
-   */
-  public drain (id: string, bornMs: number): ReportOutcome {
+  /** Marks an instance as `draining` that has said so by other means than a report. */
+  public drain (instance: InstanceIncarnation): ReportOutcome {
     const known = this._current
-    if (known === undefined || !isSameIncarnation(known, { id, bornMs })) return 'foreign'
+    if (known === undefined || !isSameIncarnation(known, instance)) return 'foreign'
     return known.state === 'ready' ? this._apply({ ...known, state: 'draining' }) : 'stale'
   }
 
@@ -75,5 +71,5 @@
 
 /** Returns whether two descriptions are of one life of an instance. */
 export function isSameIncarnation (a: InstanceIncarnation | undefined, b: InstanceIncarnation): boolean {
-  return a?.id === b.id && a.bornMs === b.bornMs
+  return a?.id === b.id && (a.bornMs === b.bornMs || a.isBornAssumed === true || b.isBornAssumed === true)
 }
--- a/src/parts/instances/Types.ts
+++ b/src/parts/instances/Types.ts
@@ -11,6 +11,8 @@
   readonly id: string
   /** Start of the instance in Unix milliseconds; a later start under the same id is another incarnation. */
   readonly bornMs: number
+  /** Present when the instance was found by a health check, which does not tell its start: any start then fits. */
+  readonly isBornAssumed?: true
 }
 
 /** Report of an instance about itself. */
--- a/src/routenode/InstanceProxy.test.ts
+++ b/src/routenode/InstanceProxy.test.ts
@@ -1,5 +1,9 @@
+import { createServer } from 'node:http'
+import type { Server } from 'node:http'
 import { afterEach, expect, test } from 'vitest'
+import { findFreeAddresses } from '../demo/FreePorts.js'
 import type { PublishedInstance } from '../parts/instances/Types.js'
+import { parseAddress } from '../runtime/Address.js'
 import { SystemClock } from '../runtime/SystemClock.js'
 import type { Clock, Log } from '../runtime/Types.js'
 import { InstanceProxy } from './InstanceProxy.js'
@@ -14,9 +18,14 @@
 const PUBLISHED_BEFORE: PublishedInstance = { id: 'i-1', bornMs: 100, service: 'ledger', slots: 6, state: 'draining' }
 
 const proxies: InstanceProxy[] = []
+const instances: Server[] = []
 
 afterEach(() => {
   proxies.splice(0).forEach(proxy => proxy.dispose())
+  instances.splice(0).forEach(instance => {
+    instance.close()
+    instance.closeAllConnections()
+  })
 })
 
 /** A clock that stands still. */
@@ -93,3 +102,38 @@
   expect(offer(proxy, 'other', { instance: 'i-1', perS: 5 })).toBe('no-slots')
   expect(proxy.load().closedForMs).toBe(undefined)
 })
+
+/** Starts an instance that answers health checks, and a proxy that finds it by one, as after a restart of the node. */
+async function startRecovered (): Promise<{ proxy: InstanceProxy, address: string }> {
+  const [address] = await findFreeAddresses(1) as [string]
+  const { host, port } = parseAddress(address)
+  const instance = createServer((_request, response) => {
+    response.writeHead(200, { 'instance-id': 'i-1', 'instance-load': '0,0,6,100' }).end()
+  })
+  await new Promise<void>(resolve => instance.listen(port, host, resolve))
+  instances.push(instance)
+  const names = { instanceId: 'instance-id', load: 'instance-load' } as HeaderNames
+  const proxy = new InstanceProxy({
+    address, service: 'ledger', names, clock: new SystemClock(), log: SILENT, findHealthPath: () => '/healthz'
+  })
+  proxies.push(proxy)
+  const found = new Promise<void>(resolve => proxy.onChange(resolve))
+  proxy.startRecovery()
+  await found
+  return { proxy, address }
+}
+
+test('an instance that was found by a health check after a restart of its node can deregister', async () => {
+  const { proxy } = await startRecovered()
+  expect(proxy.published?.state).toBe('ready')
+  expect(proxy.deregister('i-1', 500)).toBe('applied')
+  expect(proxy.published?.state).toBe('left')
+})
+
+test('an instance that was found by a health check and leaves is not ready by its first report', async () => {
+  const { proxy, address } = await startRecovered()
+  const { id, bornMs } = proxy.published as PublishedInstance
+  expect(proxy.deregister(id, bornMs)).toBe('applied')
+  proxy.report({ ...PUBLISHED_BEFORE, bornMs: 500, address, sequence: 1, state: 'ready', coldMs: 0 })
+  expect(proxy.published?.state).toBe('left')
+})
--- a/src/routenode/InstanceProxy.ts
+++ b/src/routenode/InstanceProxy.ts
@@ -114,12 +114,13 @@
     const load = this._gate.load(this._options.clock.nowMs())
     const { current } = this._registry
     if (current === undefined) return load
-    const { id, bornMs, state } = current
+    const { id, bornMs, isBornAssumed, state } = current
     const perS = this._namedLimit.perS
+    const leaving = isBornAssumed === true ? { id, bornMs, isBornAssumed } : { id, bornMs }
     return {
       ...load,
       ...(perS === undefined ? {} : { requestLimit: { instance: id, perS } }),
-      ...(state === 'ready' ? {} : { leaving: { id, bornMs } })
+      ...(state === 'ready' ? {} : { leaving })
     }
   }
 
@@ -281,8 +282,9 @@
     this._applyLimit()
   }
 
-  private _onLeaving ({ id, bornMs }: InstanceIncarnation): void {
-    if (this._registry.drain(id, bornMs) !== 'applied') return
+  private _onLeaving (instance: InstanceIncarnation): void {
+    if (this._registry.drain(instance) !== 'applied') return
+    const { id, bornMs } = instance
     this._options.log.info({ instance: id, bornMs }, 'instance says in an answer that it leaves')
     this._onInstanceChange()
   }
@@ -371,7 +373,8 @@
     // Its start time is unknown until its first report; this value is just later than that of the previous instance.
     const bornMs = (current?.bornMs ?? 0) + 1
     const { address, service } = this._options
-    this.report({ id, bornMs, sequence: -1, service, address, slots: load?.slots ?? 1, state: 'ready', coldMs: 0 })
+    const slots = load?.slots ?? 1
+    this.report({ id, bornMs, isBornAssumed: true, sequence: -1, service, address, slots, state: 'ready', coldMs: 0 })
   }
 
   private _measureSlowness (): void {
--- a/src/routenode/Placement.test.ts
+++ b/src/routenode/Placement.test.ts
@@ -132,6 +132,15 @@
   expect(placement.findChooser('svc')?.size).toBe(2)
 })
 
+test('an instance that was told to leave before its start was known is no candidate once it is known', () => {
+  const { placement, directory } = makePlacement([makeEntry('a'), makeEntry('b')])
+  const status = { running: 0, queued: 0, limit: 4, slowness: 1, workMs: 50, failing: 0 }
+  placement.recordStatus('a', { ...status, leaving: { id: 'i-a', bornMs: 1, isBornAssumed: true } }, true)
+  const instance = { id: 'i-a', bornMs: 500, service: 'svc', slots: 4, state: 'ready' } as const
+  placement.update(directory.merge([makeEntry('a', { revision: 2, instance })], 0))
+  expect(placement.findChooser('svc')?.size).toBe(1)
+})
+
 test('a limit that an instance has named is kept until an answer of the instance names none', () => {
   const { placement } = makePlacement([makeEntry('a')])
   const status = { running: 0, queued: 0, limit: 4, slowness: 1, workMs: 50, failing: 0 }
