Tell nodes where the group is when a replica outside it turns them away

A node whose settings name only replicas outside the group never got a configuration: each closed its connection and named no other, so the node refused all its callers until its settings changed. With six or seven control processes for three voters, three names drawn at random miss all voters in 5 to 11 of 100 cases.

Such a replica knows the members from their notices; it now sends their addresses before it closes, and the node adds them to those that it tries.

--- a/src/routecontrol/NodeFeed.ts
+++ b/src/routecontrol/NodeFeed.ts
@@ -124,7 +124,7 @@
 
   private async _sendWelcome (session: NodeSession, entry: NodeEntry): Promise<void> {
     const confirmed = await this._replica.firstReadBarrier()
-    if (!confirmed) return this._send(session, { type: 'feedPong', fit: false })
+    if (!confirmed) return this._turnAway(session)
     const known = this._directory.find(entry.node)
     const entries = this._directory.entries.filter(other => other.state !== 'gone')
     const welcome = { type: 'welcome', entries, controls: this._replica.memberAddresses } as const
@@ -134,6 +134,13 @@
     this._mergePublished([entry])
   }
 
+  /** The node may know no member of the group, so it is told where they are. */
+  private _turnAway (session: NodeSession): void {
+    const controls = this._replica.memberAddresses
+    if (controls.length > 0) this._send(session, { type: 'controls', controls })
+    this._send(session, { type: 'feedPong', fit: false })
+  }
+
   private _handleClose (session: NodeSession): void {
     if (this._sessions.get(session.node) !== session) return
     this._sessions.delete(session.node)
--- a/src/routecontrol/RouteControlDaemon.test.ts
+++ b/src/routecontrol/RouteControlDaemon.test.ts
@@ -2,7 +2,9 @@
 import { findFreeAddresses } from '../demo/FreePorts.js'
 import { MemoryDisk } from '../parts/storage/MemoryDisk.js'
 import { SeededRandom } from '../parts/SeededRandom.js'
+import type { NodeEntry } from '../parts/instances/Types.js'
 import type { RoutingChange } from '../parts/routing/Types.js'
+import { ControlFeed } from '../routenode/ControlFeed.js'
 import type { Disposable, Log } from '../runtime/Types.js'
 import { FrameClient } from '../runtime/FrameClient.js'
 import { SystemClock } from '../runtime/SystemClock.js'
@@ -176,6 +178,21 @@
   expect(daemons.get(outsider)?.remoteLeaderAddress).toBe(findLeader())
 })
 
+// The settings of a restarted node may name only replicas that are no voters; without a configuration it serves nobody.
+test('a node whose seeds are all outside a full group finds the group', async () => {
+  const [outsider, ...seeds] = await findFreeAddresses(4) as [string, string, string, string]
+  for (const seed of seeds) await start(seed, seeds, true)
+  await changeRouting(1, 0)
+  await start(outsider, seeds, false)
+  const entry: NodeEntry = { node: 'n', zone: 'a', epoch: 1, revision: 1, state: 'up' }
+  const feed = new ControlFeed([outsider], () => entry, new SystemClock(), new SeededRandom(1), SILENT_LOG)
+  feed.start()
+  for (let i = 0; i < 150 && feed.routing === undefined; i++) await pause()
+  const { routing } = feed
+  feed.dispose()
+  expect(routing?.version).toBe(1)
+})
+
 // Otherwise replicas that lost their disks could form a second group with an empty configuration.
 test('replicas with empty disks form no group without bootstrap', async () => {
   const seeds = await findFreeAddresses(3)
--- a/src/routecontrol/RoutingReplica.ts
+++ b/src/routecontrol/RoutingReplica.ts
@@ -92,6 +92,8 @@
   private _isChangingMembers = false
   /** Leader that a member named last, and when. */
   private _noticedLeader: { readonly leader: ReplicaId, readonly atMs: number } | undefined
+  /** Members of the group as a member named them last; empty before. */
+  private _noticedMembers: readonly ReplicaId[] = []
 
   private readonly _handlers: ReplicaFrameHandlers = {
     agreement: (from, { to, message }) => { if (to === this.id) this._host.receive(from, message) },
@@ -168,9 +170,10 @@
     return this.view.leader !== undefined && this.isMember
   }
 
-  /** Addresses of all members, `host:port`. */
+  /** Addresses of all members, `host:port`. A replica outside the group goes by what the members say. */
   public get memberAddresses (): string[] {
-    return this.view.members.map(replicaName)
+    const members = this.isMember || this._noticedMembers.length === 0 ? this.view.members : this._noticedMembers
+    return members.map(replicaName)
   }
 
   /** True while this replica is a voter of the group. */
@@ -316,6 +319,7 @@
 
   private _handleNotice (from: ReplicaId, notice: FormationNotice): void {
     notice.members.forEach(member => this._connect(replicaName(member)))
+    if (notice.members.length > 0) this._noticedMembers = notice.members
     if (notice.leader !== undefined) this._noticedLeader = { leader: notice.leader, atMs: this._options.clock.nowMs() }
     if (this.corruptions.length > 0) return
     if (this.view.members.length > 0) {
--- a/src/routecontrol/Types.ts
+++ b/src/routecontrol/Types.ts
@@ -30,7 +30,10 @@
   | { readonly type: 'routingDifferences', readonly differences: readonly RoutingDelta[] }
   /** Changed entries of nodes. */
   | { readonly type: 'entries', readonly entries: readonly NodeEntry[] }
-  /** Addresses of the control replicas after the members have changed, `host:port`. */
+  /**
+   * Addresses of the control replicas after the members have changed, `host:port`; also sent before a refusal by
+   * `feedPong`, as the replica knows them.
+   */
   | { readonly type: 'controls', readonly controls: readonly string[] }
   /**
    * Answer to a ping, or to a hello that no quorum confirmed. A replica that has no leader or is no member isn't `fit`:
--- a/src/routenode/ControlFeed.ts
+++ b/src/routenode/ControlFeed.ts
@@ -47,7 +47,10 @@
     routing: ({ routing }) => this._apply(routing),
     routingDifferences: ({ differences }) => this._applyDeltas(differences),
     entries: ({ entries }) => this._entriesEmitter.fire(entries),
-    controls: ({ controls }) => this._setReplicaAddresses(controls),
+    // A replica that turns this node away may itself have an old list, so its list adds to what is known.
+    controls: ({ controls }) => this._setReplicaAddresses(
+      this._isWelcomed ? controls : [...controls, ...this._replicaAddresses]
+    ),
     feedPong: ({ fit }) => {
       if (!fit) this._channel?.destroy('control replica has no leader, is no member, or could not confirm that it is up to date')
     }
