--- a/src/routenode/RouteNodeMetrics.ts
+++ b/src/routenode/RouteNodeMetrics.ts
@@ -1,6 +1,6 @@
 import { Counter, Gauge, Histogram, Registry } from 'prom-client'
-import type { GateLoad } from '../parts/gate/Types.js'
 import type { HedgeOutcome } from './GatewayCall.js'
+import type { InstanceStatus } from './Types.js'
 
 /** The single outcome of a caller's request; `gone` means that the caller disconnected first. */
 export type RequestOutcome = 'answered' | 'refused' | 'failed' | 'gone'
@@ -11,7 +11,7 @@
   readonly version: number
   readonly nodes: number
   readonly inFlight: number
-  readonly load: GateLoad
+  readonly load: InstanceStatus
 }
 
 /** Upper bounds of the latency buckets in seconds, around usual latency objectives of a tenth to a few seconds. */
@@ -93,6 +93,11 @@
       ['sassafras_gate_running', 'Calls that run at the instance', ({ load }) => load.running],
       ['sassafras_gate_queued', 'Calls that wait for the instance', ({ load }) => load.queued],
       ['sassafras_gate_limit', 'Calls that may run at once', ({ load }) => load.limit],
+      [
+        'sassafras_instance_request_limit',
+        'Requests a second that the instance takes, infinite while it names no limit',
+        ({ load }) => load.requestLimit?.perS ?? Infinity
+      ],
       ['sassafras_vm_slowness', 'Time that work takes relative to usual', ({ load }) => load.slowness]
     ]
     for (const [name, help, read] of definitions) {
