Let instances of the soak name limits and departures, and check both rules

An instance of the soak now names a limit for some seconds, or says that it leaves while it still reports to be ready; nodes beside it are killed, paused and stopped meanwhile. The ledger checks both rules from what instances receive and callers are told, per node where a request began.

--- a/soak/Constants.ts
+++ b/soak/Constants.ts
@@ -39,6 +39,22 @@
  */
 export const DRAIN_GRACE_MS = 2000
 
+/** Time after an instance has named a limit from which it binds, in milliseconds. The platform sets this bound. */
+export const STABLE_WINDOW_MS = 3000
+
+/**
+ * Bound on the requests that an instance with a limit gets in a time window from nodes that had passed the limit on
+ * `settleMs` before: `ratio` times what the limit allows, plus `slack`. The platform sets this bound.
+ */
+export const LIMIT_RULE = { windowMs: 4000, ratio: 1.5, slack: 5, settleMs: 500 } as const
+
+/** Lowest limit that an instance names, and the range above it, in requests a second; the load is ten times that. */
+export const MIN_LIMIT_PER_S = 2
+export const LIMIT_RANGE_PER_S = 6
+
+/** Time for which an instance names a limit, besides that of the fault, in milliseconds: twice the time to bind. */
+export const LIMIT_MS = 6000
+
 /** Longest duration of a planned stop, and what a busy machine may add to it, in milliseconds. */
 export const STOP_TIMEOUT_MS = 6000
 export const STOP_SLACK_MS = 1500
--- a/soak/FaultSchedule.ts
+++ b/soak/FaultSchedule.ts
@@ -22,6 +22,8 @@
   wipeControl: 1,
   crashInstance: 2,
   drainInstance: 3,
+  limitInstance: 3,
+  leaveInstance: 2,
   silenceInstance: 2,
   muteInstance: 2,
   resetInstance: 2,
--- a/soak/Soak.ts
+++ b/soak/Soak.ts
@@ -2,7 +2,7 @@
 import { join } from 'node:path'
 import { SeededRandom } from '../src/parts/SeededRandom.js'
 import {
-  CALLERS_PER_NODE, STOP_TIMEOUT_MS, STOP_SLACK_MS, NODE_COUNT, PORTS, MIN_RECOVERED_SHARE,
+  CALLERS_PER_NODE, DRAIN_GRACE_MS, LIMIT_MS, STOP_TIMEOUT_MS, STOP_SLACK_MS, NODE_COUNT, PORTS, MIN_RECOVERED_SHARE,
   RECOVERY_TIMEOUT_MS, REPLICA_COUNT, FAULT_SETTLE_MS
 } from './Constants.js'
 import { type CallOutcome, SoakCaller } from './SoakCaller.js'
@@ -28,6 +28,8 @@
   stopping: boolean
   /** True while a fault affects the node or its instance; other such faults are skipped meanwhile. */
   busy: boolean
+  /** True while the instance leaves, during which faults may affect the node but not replace the instance. */
+  isInstanceLeaving: boolean
   /** Newest configuration version whose route this incarnation of the node has served. */
   served: { incarnation: number, version: number }
 }
@@ -94,6 +96,8 @@
     wipeControl: fault => this._wipeDisk(this._pickControl(fault), fault),
     crashInstance: fault => this._replaceInstance(this._pickNode(fault), async instance => await instance.crash()),
     drainInstance: fault => this._replaceInstance(this._pickNode(fault), async instance => await instance.drain()),
+    limitInstance: async fault => await this._pickNode(fault).instance.limit(LIMIT_MS + fault.forMs),
+    leaveInstance: fault => this._leaveInstance(this._pickNode(fault), fault),
     silenceInstance: fault => this._impair(fault, this._pickNode(fault).instanceRelay, relay => relay.silenceAll()),
     muteInstance: fault => this._impair(fault, this._pickNode(fault).instanceRelay, relay => relay.blockResponses()),
     resetInstance: fault => this._impair(fault, this._pickNode(fault).instanceRelay, relay => relay.resetAll()),
@@ -199,6 +203,7 @@
       instance: await this._makeInstance(vm),
       stopping: false,
       busy: false,
+      isInstanceLeaving: false,
       served: { incarnation: 0, version: 0 }
     }
     for (let i = 0; i < CALLERS_PER_NODE; i++) node.callers.push(this._makeCaller(node, i))
@@ -219,6 +224,7 @@
     return new SoakCaller(`s${this._seed}-${node.vm.name}-c${index}`, {
       host: node.vm.host,
       port: PORTS.entry,
+      node: node.vm.name,
       ledger: this._ledger,
       random: this._random,
       expectedVersion: () => this._operator.versionAcknowledgedFor(PROPAGATION_TIMEOUT_MS),
@@ -255,6 +261,7 @@
     target.busy = true
     this._recordUnplannedFault(forMs)
     await stop(target.process)
+    this._ledger.notices.excuse(target.vm.name)
     await this._sleep(forMs)
     target.process.start()
     target.busy = false
@@ -266,6 +273,7 @@
     this._recordUnplannedFault(forMs)
     target.process.signal('SIGSTOP')
     await this._sleep(forMs)
+    this._ledger.notices.excuse(target.vm.name)
     target.process.signal('SIGCONT')
     target.busy = false
   }
@@ -275,6 +283,7 @@
     node.busy = true
     node.stopping = true
     await this._stopProcess(node.process)
+    this._ledger.notices.excuse(node.vm.name)
     node.stopping = false
     node.process.start()
     node.busy = false
@@ -312,7 +321,7 @@
   }
 
   private async _replaceInstance (node: NodeVm, stop: (instance: SoakInstance) => Promise<void>): Promise<void> {
-    if (node.busy) return
+    if (node.busy || node.isInstanceLeaving) return
     node.busy = true
     this._recordUnplannedFault(INSTANCE_REPLACEMENT_MS)
     await stop(node.instance)
@@ -320,6 +329,17 @@
     node.busy = false
   }
 
+  /** The instance says that it leaves until after the grace, and drains only then. */
+  private async _leaveInstance (node: NodeVm, { forMs }: Fault): Promise<void> {
+    if (node.busy || node.isInstanceLeaving) return
+    node.isInstanceLeaving = true
+    node.instance.announceLeaving()
+    await this._sleep(DRAIN_GRACE_MS + forMs)
+    while (node.busy) await this._sleep(PROBE_INTERVAL_MS)
+    node.isInstanceLeaving = false
+    await this._replaceInstance(node, async instance => await instance.drain())
+  }
+
   private async _impair ({ forMs }: Fault, relay: TcpRelay, applyFault: (relay: TcpRelay) => void): Promise<void> {
     this._recordUnplannedFault(forMs)
     applyFault(relay)
--- a/soak/SoakCaller.ts
+++ b/soak/SoakCaller.ts
@@ -13,6 +13,8 @@
 export interface CallerContext {
   readonly host: string
   readonly port: number
+  /** Name of the node that the caller uses. */
+  readonly node: string
   readonly ledger: SoakLedger
   readonly random: Random
   /** Returns the newest version that was acknowledged long enough ago for every node to know it. */
@@ -44,9 +46,9 @@
 
   /** Sends one request and checks its answer. */
   public async call (path: string): Promise<CallOutcome> {
-    const { host, port, ledger, onEnd } = this._context
+    const { host, port, node, ledger, onEnd } = this._context
     const id = `${this._name}-${++this._requestCount}`
-    ledger.recordRequest(id, path.startsWith('/once/'))
+    ledger.recordRequest(id, path.startsWith('/once/'), node)
     return await new Promise(resolve => {
       let isEnded = false
       const finish = (outcome: CallOutcome, status?: number): void => {
@@ -66,6 +68,11 @@
           const status = answer.statusCode ?? 0
           if (NOT_RUN_STATUSES.has(status)) ledger.recordRefusal(id)
           const echoedId = answer.headers['x-request-id'] as string | undefined
+          const instance = answer.headers['x-instance-id'] as string | undefined
+          if (instance !== undefined) {
+            const namesLimit = answer.headers['server-limit'] !== undefined
+            ledger.notices.recordAnswer(node, instance, { namesLimit, isLeaving: answer.headers['server-leaving'] === '1' })
+          }
           const isSigned = answer.headers['x-response-signature'] === `s-${id}`
           if (classifyStatus(status) === 'answered') ledger.recordAnswer(id, Buffer.concat(chunks).toString(), echoedId, isSigned)
           finish(classifyStatus(status), status)
--- a/soak/SoakInstance.ts
+++ b/soak/SoakInstance.ts
@@ -1,7 +1,7 @@
 import { createServer, request } from 'node:http'
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import type { Random } from '../src/parts/Types.js'
-import { DRAIN_GRACE_MS, PORTS } from './Constants.js'
+import { DRAIN_GRACE_MS, LIMIT_RANGE_PER_S, MIN_LIMIT_PER_S, PORTS } from './Constants.js'
 import { expectedBody, type SoakLedger } from './SoakLedger.js'
 
 /** Interval of the reports to the node and the timeout of their acknowledgement, in milliseconds. */
@@ -42,6 +42,8 @@
   private _state: InstanceState = 'ready'
   private _sequence = 0
   private _running = 0
+  private _limitPerS: number | undefined
+  private _isLeaving = false
   private readonly _startedAtMs = Date.now()
 
   public constructor (
@@ -72,6 +74,21 @@
     await this.crash()
   }
 
+  /** Names a limit in its answers for some time. */
+  public async limit (forMs: number): Promise<void> {
+    if (this._limitPerS !== undefined) return
+    this._limitPerS = MIN_LIMIT_PER_S + LIMIT_RANGE_PER_S * this._random.next()
+    this._ledger.notices.setLimit(this.id, this._limitPerS)
+    await new Promise(resolve => setTimeout(resolve, forMs))
+    this._limitPerS = undefined
+    this._ledger.notices.setLimit(this.id, undefined)
+  }
+
+  /** Says in its answers that it leaves, from now on; its reports still say that it is ready. */
+  public announceLeaving (): void {
+    this._isLeaving = true
+  }
+
   /** Closes the listener and all connections at once. */
   public async crash (): Promise<void> {
     this._state = 'gone'
@@ -85,7 +102,12 @@
     response.setHeader('x-instance-load', `${this._running},0,${SLOTS},${this._random.next() < SLOW_ANSWER_SHARE ? HIGH_SLOWNESS_PERCENT : USUAL_SLOWNESS_PERCENT}`)
     const id = String(message.headers['x-request-id'])
     const answer = this._answerWithoutRun(message)
-    if (message.url !== '/healthz') response.setHeader('x-request-id', id)
+    if (this._limitPerS !== undefined) response.setHeader('server-limit', this._limitPerS.toFixed(1))
+    if (this._isLeaving) response.setHeader('server-leaving', '1')
+    if (message.url !== '/healthz') {
+      response.setHeader('x-request-id', id)
+      this._ledger.recordArrival(id, this.id)
+    }
     if (answer !== undefined) {
       response.writeHead(answer.status, answer.headers)
       response.end()
--- a/soak/SoakLedger.ts
+++ b/soak/SoakLedger.ts
@@ -1,9 +1,13 @@
 import { RETRY_BUDGET, DRAIN_GRACE_MS } from './Constants.js'
+import { NoticeLedger } from './NoticeLedger.js'
 import type { Rule, Violation } from './Types.js'
 
 /** What is known of one request. */
 interface RequestRecord {
   readonly once: boolean
+  /** Node where the request began. */
+  readonly node: string
+  readonly sentAtMs: number
   readonly runs: Array<{ readonly atMs: number, readonly instance: string }>
   /** True when a caller was answered that the request has not run. */
   notRun: boolean
@@ -18,6 +22,8 @@
 /** Records what callers sent and instances ran, and reports each violated guarantee. Keeps every request in memory. */
 export class SoakLedger {
   public readonly violations: Violation[] = []
+  /** Checks what instances ask of all nodes. */
+  public readonly notices = new NoticeLedger(() => this._nowMs(), (rule, detail) => this.recordViolation(rule, detail))
   private readonly _requests = new Map<string, RequestRecord>()
   private readonly _drainedAtMs = new Map<string, number>()
 
@@ -39,9 +45,16 @@
   /**
    * Records that a caller is about to send a request.
    * @param once True for an at-most-once request.
+   * @param node Node that the caller sends it to.
    */
-  public recordRequest (id: string, once: boolean): void {
-    this._requests.set(id, { once, runs: [], notRun: false })
+  public recordRequest (id: string, once: boolean, node = ''): void {
+    this._requests.set(id, { once, node, sentAtMs: this._nowMs(), runs: [], notRun: false })
+  }
+
+  /** Records that a request has reached an instance, which may still reject it. */
+  public recordArrival (id: string, instance: string): void {
+    const request = this._requests.get(id)
+    if (request !== undefined) this.notices.recordArrival(instance, request.node, request.sentAtMs)
   }
 
   /** Records that an instance started to run a request. */
--- a/soak/Types.ts
+++ b/soak/Types.ts
@@ -1,11 +1,12 @@
 /**
- * Kinds of faults, named after what is done and to which target. `mute` blocks answers only, `silence` both directions,
- * `hangUp` sends SIGHUP to a node, and `change` changes the configuration.
+ * Kinds of faults, named after what is done and to which target. `mute` blocks answers only, `silence` both directions.
+ * After `limit` and `leave`, answers of an instance name a limit or its departure. `hangUp` sends SIGHUP to a node, and
+ * `change` changes the configuration.
  */
 export type FaultKind =
   | 'killNode' | 'pauseNode' | 'stopNode'
   | 'killControl' | 'pauseControl' | 'stopControl' | 'wipeControl'
-  | 'crashInstance' | 'drainInstance'
+  | 'crashInstance' | 'drainInstance' | 'limitInstance' | 'leaveInstance'
   | 'silenceInstance' | 'muteInstance' | 'resetInstance' | 'delayInstance'
   | 'silenceCallers' | 'resetCallers' | 'delayCallers'
   | 'hangUp' | 'change'
@@ -29,9 +30,18 @@
   readonly detail: string
 }
 
+/** What an answer says about the instance that gave it. */
+export interface InstanceNotice {
+  /** True when the instance names a limit on requests. */
+  readonly namesLimit: boolean
+  /** True when the instance says that it leaves. */
+  readonly isLeaving: boolean
+}
+
 /** Guarantees that are checked from what callers, instances and the operator observe. */
 export type Rule =
-  | 'whole-own-answer' | 'at-most-once' | 'true-not-run' | 'no-run-after-drain' | 'budget'
+  | 'whole-own-answer' | 'at-most-once' | 'true-not-run' | 'no-run-after-drain' | 'no-run-after-leaving' | 'budget'
+  | 'request-limit'
   | 'accepted-change-kept' | 'no-version-back' | 'planned-stop-cuts-nothing' | 'exit' | 'recovery'
 
 /** Name of a VM and the loopback address on which all its processes listen. */
