Forget what instances have said together with their nodes

Each node keeps the limits and departures that it was told of by the address of the other node. Nothing removed those of nodes that never come back, so the maps grew with every replaced node. The test failed before (the limit was still there).

--- a/src/routenode/Placement.test.ts
+++ b/src/routenode/Placement.test.ts
@@ -151,3 +151,14 @@
   placement.recordStatus('a', status, true)
   expect(placement.findKnownLimit('a')).toBe(undefined)
 })
+
+// Instances leave and nodes are replaced every day of a process that runs for months.
+test('what instances have said is forgotten together with their nodes', () => {
+  const { placement, directory } = makePlacement([makeEntry('a')])
+  const status = { running: 0, queued: 0, limit: 4, slowness: 1, workMs: 50, failing: 0 }
+  placement.recordStatus('a', { ...status, requestLimit: { instance: 'i-a', perS: 5 } }, true)
+  placement.update(directory.merge([makeEntry('a', { state: 'gone' })], 0))
+  placement.update(directory.merge([makeEntry('b')], 1_000_000))
+  placement.recordStatus('b', { ...status, leaving: { id: 'i-b', bornMs: 1 } }, true)
+  expect(placement.findKnownLimit('a')).toBe(undefined)
+})
--- a/src/routenode/Placement.ts
+++ b/src/routenode/Placement.ts
@@ -90,6 +90,7 @@
     else if (isAnswer) this._knownLimits.delete(node)
     if (leaving === undefined || isSameIncarnation(this._leavingInstances.get(node), leaving)) return
     this._leavingInstances.set(node, leaving)
+    this._forgetRemovedNodes()
     this._updateKnown(node)
   }
 
@@ -111,6 +112,15 @@
     for (const link of this._links.values()) link.dispose()
   }
 
+  /** Nodes are replaced for as long as this process runs; the directory forgets those that are gone after a while. */
+  private _forgetRemovedNodes (): void {
+    for (const statements of [this._knownLimits, this._leavingInstances]) {
+      for (const node of statements.keys()) {
+        if (this._options.directory.find(node) === undefined) statements.delete(node)
+      }
+    }
+  }
+
   private _updateCandidate (entry: NodeEntry): void {
     const { node, zone, state, instance } = entry
     const isLeaving = instance !== undefined && isSameIncarnation(this._leavingInstances.get(node), instance)
