--- a/src/parts/instances/Types.ts
+++ b/src/parts/instances/Types.ts
@@ -28,6 +28,14 @@
   readonly coldMs: number
 }
 
+/** Limit on requests that an instance names in its answers. */
+export interface InstanceLimit {
+  /** Id of the instance. */
+  readonly instance: string
+  /** Requests a second from all nodes together. */
+  readonly perS: number
+}
+
 /** Part of an instance's report that its node publishes to other nodes. */
 export interface PublishedInstance extends InstanceIncarnation {
   readonly service: ServiceName
--- a/src/routenode/GatewayCall.test.ts
+++ b/src/routenode/GatewayCall.test.ts
@@ -266,3 +266,21 @@
   start(['a', 'b'], {}, 'first', 0)
   expect(sentCalls[0]?.call).toMatchObject({ nested: true, attempt: 'first' })
 })
+
+test('a call whose last gate has reached its request limit meanwhile queues at another instance', () => {
+  start(['a', 'b'])
+  decline(0, 'busy')
+  sentCalls[1]!.listener.onDeclined('rate-limited', 200, { ...IDLE, closedForMs: 200 })
+  expect(sentCalls).toHaveLength(3)
+  expect([sentCalls[2]!.node, sentCalls[2]!.call.moveMs]).toEqual([sentCalls[0]!.node, undefined])
+})
+
+test('a call that the request limits of all instances exclude is refused with the time until the first allows one', () => {
+  start(['a', 'b'])
+  sentCalls[0]!.listener.onDeclined('rate-limited', 200, { ...IDLE, closedForMs: 200 })
+  sentCalls[1]!.listener.onDeclined('rate-limited', 100, { ...IDLE, closedForMs: 100 })
+  expect([sentCalls.length, result]).toMatchObject([2, { type: 'refused', reason: 'rate-limited' }])
+  const { retryAfterMs } = result as { retryAfterMs: number }
+  expect(retryAfterMs).toBeGreaterThanOrEqual(100)
+  expect(retryAfterMs).toBeLessThan(1000 / 3)
+})
--- a/src/routenode/InstanceProxy.test.ts
+++ b/src/routenode/InstanceProxy.test.ts
@@ -2,12 +2,12 @@
 import type { Server } from 'node:http'
 import { afterEach, expect, test } from 'vitest'
 import { findFreeAddresses } from '../demo/FreePorts.js'
-import type { PublishedInstance } from '../parts/instances/Types.js'
+import type { InstanceLimit, PublishedInstance } from '../parts/instances/Types.js'
 import { parseAddress } from '../runtime/Address.js'
 import { SystemClock } from '../runtime/SystemClock.js'
 import type { Clock, Log } from '../runtime/Types.js'
 import { InstanceProxy } from './InstanceProxy.js'
-import type { HeaderNames, InstanceLimit, RoutedCall } from './Types.js'
+import type { HeaderNames, RoutedCall } from './Types.js'
 
 const SILENT: Log = { debug: () => {}, info: () => {}, warn: () => {}, error: () => {} }
 
--- a/src/routenode/InstanceProxy.ts
+++ b/src/routenode/InstanceProxy.ts
@@ -14,8 +14,8 @@
 import type { InstanceLoad } from './LoadHeader.js'
 import { parseRequestLimit } from './RequestLimitHeader.js'
 import type {
-  AttemptKind, FailureProof, FailureReason, HeaderNames, InstanceLimit, InstanceStatus, RoutedAnswer, RoutedCall,
-  RoutedCallHandle, RoutedCallListener, RoutedCallTarget
+  AttemptKind, FailureProof, FailureReason, HeaderNames, InstanceStatus, RoutedAnswer, RoutedCall, RoutedCallHandle,
+  RoutedCallListener, RoutedCallTarget
 } from './Types.js'
 
 /** What the proxy needs of its node. */
@@ -68,9 +68,7 @@
   private readonly _gateHandlers: GateHandlers
   private readonly _breaker = new InstanceBreaker()
   private _recoveryTimer: NodeJS.Timeout | undefined
-  /** Limits that other nodes know, kept until an instance of that id is the current one: the last one told. */
-  private _hearsay: InstanceLimit | undefined
-  private _namedLimit = new NamedLimit()
+  private readonly _namedLimit = new NamedLimit()
   private _appliedLimitPerS: number | undefined
   private _slots = 0
   private _lastPublishedJson: string | undefined
@@ -160,7 +158,6 @@
     if (outcome !== 'applied') return outcome
     const restarted = previous?.id !== report.id || previous.bornMs !== report.bornMs
     if (restarted) this._breaker.recordSuccess()
-    if (previous !== undefined && previous.id !== report.id) this._forgetLimit()
     this._onInstanceChange()
     return outcome
   }
@@ -177,7 +174,8 @@
     const nowMs = this._options.clock.nowMs()
     const id = ++this._lastCallId
     const deadlineAtMs = nowMs + call.leftMs
-    if (call.knownLimit !== undefined) this._recordHearsay(call.knownLimit)
+    if (call.knownLimit !== undefined) this._namedLimit.recordHearsay(call.knownLimit, nowMs)
+    this._applyLimit()
     if (call.service !== this.service) {
       listener.onDeclined('no-slots', 0, this.load())
       return { cancel: () => {} }
@@ -207,7 +205,7 @@
 
   private _onInstanceChange (): void {
     const { current } = this._registry
-    this._applyHearsay()
+    this._applyLimit()
     this._applySlots()
     this._publishChange()
     const { id, state, sequence } = current ?? {}
@@ -289,28 +287,13 @@
     this._onInstanceChange()
   }
 
-  /** The instance may not be known yet after a restart of this node; other nodes know its limit already. */
-  private _recordHearsay (limit: InstanceLimit): void {
-    this._hearsay = limit
-    this._applyHearsay()
-  }
-
-  private _applyHearsay (): void {
-    if (this._hearsay === undefined || this._hearsay.instance !== this._registry.current?.id) return
-    this._namedLimit.recordHearsay(this._hearsay.perS, this._options.clock.nowMs())
-    this._applyLimit()
-  }
-
-  private _forgetLimit (): void {
-    this._namedLimit = new NamedLimit()
-    this._applyLimit()
-  }
-
   private _applyLimit (): void {
+    const instance = this._registry.current?.id
+    this._namedLimit.setInstance(instance, this._options.clock.nowMs())
     const { perS } = this._namedLimit
     if (perS === this._appliedLimitPerS) return
     this._appliedLimitPerS = perS
-    this._options.log.info({ instance: this._registry.current?.id, perS }, 'request limit changed')
+    this._options.log.info({ instance, perS }, 'request limit changed')
     this._step({ type: 'requestLimit', perS })
   }
 
--- a/src/routenode/Placement.ts
+++ b/src/routenode/Placement.ts
@@ -1,11 +1,11 @@
 import type { NodeDirectory } from '../parts/instances/NodeDirectory.js'
 import { isSameIncarnation } from '../parts/instances/InstanceRegistry.js'
-import type { InstanceIncarnation, NodeEntry } from '../parts/instances/Types.js'
+import type { InstanceIncarnation, InstanceLimit, NodeEntry } from '../parts/instances/Types.js'
 import { InstanceChooser } from '../parts/placement/InstanceChooser.js'
 import type { NodeId, Random, ServiceName } from '../parts/Types.js'
 import type { Clock, Disposable, Log } from '../runtime/Types.js'
 import { CallLink } from './CallLink.js'
-import type { InstanceLimit, InstanceStatus, RoutedCallTarget } from './Types.js'
+import type { InstanceStatus, RoutedCallTarget } from './Types.js'
 
 /** Round trips assumed to instances on the same VM, in the same availability zone and elsewhere, in milliseconds. */
 const ASSUMED_ROUND_TRIP_MS = { vm: 0.1, zone: 0.6, other: 2.2 } as const
--- a/src/routenode/Types.ts
+++ b/src/routenode/Types.ts
@@ -1,5 +1,5 @@
 import type { DeclineReason, GateLoad } from '../parts/gate/Types.js'
-import type { InstanceIncarnation } from '../parts/instances/Types.js'
+import type { InstanceIncarnation, InstanceLimit } from '../parts/instances/Types.js'
 import type { Route, RouteKind } from '../parts/routing/Types.js'
 import type { CallId, ServiceName } from '../parts/Types.js'
 
@@ -36,14 +36,6 @@
  */
 export type AttemptKind = 'first' | 'repeat' | 'hedge'
 
-/** Limit on requests that an instance names in its answers. */
-export interface InstanceLimit {
-  /** Id of the instance. */
-  readonly instance: string
-  /** Requests a second from all nodes together. */
-  readonly perS: number
-}
-
 /** Status of an instance that its node attaches to all that it replies. */
 export interface InstanceStatus extends GateLoad {
   /** Absent while the instance names no limit. */
