Log what a read of the configuration at a control replica was confirmed with

A line for each read: members, term and leader tell apart reads in another group, the commit index those that were confirmed too early, and the index that the state machine reflects a state that lacks entries.

--- a/src/control/ReplicaHost.ts
+++ b/src/control/ReplicaHost.ts
@@ -1,7 +1,7 @@
 import { DEFAULT_LIMITS } from '../parts/agreement/Constants.js'
 import { Replica, type ReplicaView } from '../parts/agreement/Replica.js'
 import type {
-  AgreementAction, AgreementEvent, AgreementMessage, RecoveredState, ReplicaTiming
+  AgreementAction, AgreementEvent, AgreementMessage, RecoveredState, ReplicaTiming, Snapshot
 } from '../parts/agreement/Types.js'
 import type { DurableLog } from '../parts/storage/DurableLog.js'
 import { StorageFault } from '../parts/storage/StorageFault.js'
@@ -82,13 +82,14 @@
   private _snapshotJob: SnapshotJob | undefined
   private _nextSnapshotMs = 0
   private _diskFull = false
+  private _appliedIndex = 0
   private _stopped = false
 
   private readonly _handlers: ActionHandlers = {
     send: action => this._options.send(action.to, action.message),
     persist: action => { this._unstagedRequests.push(action) },
     commit: action => this._onCommit(action),
-    restore: action => this._onRestore(action.snapshot.data),
+    restore: action => this._onRestore(action.snapshot),
     rejected: action => this._onRejected(action.id, action.state),
     readable: action => this._settleRead(action.id, action.index),
     became: action => this._roleChanges.fire(action)
@@ -111,6 +112,7 @@
     this._replica = new Replica({ id, random, recovered, damaged: isCorrupt, timing })
     this._lastSnapshotBytes = recovered.snapshot.data.length
     _options.stateMachine.restore(recovered.snapshot.data)
+    this._appliedIndex = recovered.snapshot.index
   }
 
   /** State of the replica, bounded in size. */
@@ -118,6 +120,11 @@
     return this._replica.view
   }
 
+  /** Index of the last log entry whose effect the state machine contains. */
+  public get appliedIndex (): number {
+    return this._appliedIndex
+  }
+
   /** True while the disk is full; proposals are then rejected as not run. */
   public get diskFull (): boolean {
     return this._diskFull
@@ -304,13 +311,15 @@
     const settle = id === undefined ? undefined : this._pendingProposals.get(id)
     if (id !== undefined) this._pendingProposals.delete(id)
     const reply = entry.kind === 'command' ? this._options.stateMachine.apply(entry) : undefined
+    this._appliedIndex = entry.index
     settle?.({ type: 'applied', reply: reply as Reply })
   }
 
-  private _onRestore (data: Uint8Array): void {
+  private _onRestore ({ index, data }: Snapshot): void {
     this._lastSnapshotBytes = data.length
     this._snapshotJob = undefined
     this._options.stateMachine.restore(data)
+    this._appliedIndex = index
   }
 
   private _onRejected (id: number, state: 'not-run' | 'unknown'): void {
--- a/src/routecontrol/RouteControlDaemon.ts
+++ b/src/routecontrol/RouteControlDaemon.ts
@@ -115,6 +115,7 @@
   /** Reads the routing configuration in force, after a quorum has confirmed that this replica is up to date. */
   public async read (): Promise<ReadOutcome> {
     const confirmed = await this._replica.readBarrier()
+    this._logRead(confirmed)
     return confirmed ? { type: 'confirmed', routing: this._replica.machine.store.inForce } : { type: 'unconfirmed' }
   }
 
@@ -136,4 +137,12 @@
     this._server.dispose()
     this._options.disk.dispose()
   }
+
+  /** Tells apart reads in another group, reads that were confirmed too early and a state that lacks log entries. */
+  private _logRead (confirmed: boolean): void {
+    const { id: replica, members, term, leader, commitIndex } = this._replica.view
+    const { appliedIndex, machine } = this._replica
+    const { version } = machine.store.inForce
+    this._options.log.info({ confirmed, version, appliedIndex, commitIndex, term, leader, replica, members }, 'configuration read')
+  }
 }
--- a/src/routecontrol/RoutingReplica.ts
+++ b/src/routecontrol/RoutingReplica.ts
@@ -162,6 +162,11 @@
     return this._host.view
   }
 
+  /** Index of the last log entry whose effect `machine` contains. */
+  public get appliedIndex (): number {
+    return this._host.appliedIndex
+  }
+
   /**
    * True while a leader is known and this replica is a member, so that it normally receives new commits soon. A member
    * that was cut off still knows its old leader for a while.
