--- a/src/control/ReplicaHost.test.ts
+++ b/src/control/ReplicaHost.test.ts
@@ -1,4 +1,5 @@
 import { expect, test } from 'vitest'
+import type { AppendRequest, LogEntry } from '../parts/agreement/Types.js'
 import { SeededRandom } from '../parts/SeededRandom.js'
 import { DurableLog } from '../parts/storage/DurableLog.js'
 import { MemoryDisk } from '../parts/storage/MemoryDisk.js'
@@ -45,12 +46,12 @@
   readonly fault: Promise<Error>
 }
 
-/** Starts a group of one replica on an in-memory disk. */
-function startHost (disk: MemoryDisk, snapshotAfterBytes = 1e9): Fixture {
+/** Starts a replica on an in-memory disk: of a group of one, unless it knows other members or none yet. */
+function startHost (disk: MemoryDisk, snapshotAfterBytes = 1e9, members: readonly string[] = ['c1~a']): Fixture {
   const log = new DurableLog(disk)
   const opened = log.open()
   if (opened.type === 'empty') log.create('c1~a')
-  const empty = { index: 0, term: 0, members: ['c1~a'], data: new Uint8Array(0) }
+  const empty = { index: 0, term: 0, members, data: new Uint8Array(0) }
   const fresh = { hard: { term: 0, votedFor: undefined }, snapshot: empty, entries: [] }
   const stateMachine = new Counter()
   let onFault: (error: Error) => void = () => {}
@@ -142,3 +143,18 @@
   for (let count = 1; count <= 20; count++) expect(await proposeUntilApplied(host)).toBe(countBefore + count)
   host.dispose()
 })
+
+test('a replica that learns of its group after the first commits keeps the state that they led to', async () => {
+  const { host, stateMachine } = startHost(new MemoryDisk(), 1e9, [])
+  const entry = (index: number, kind: LogEntry['kind']): LogEntry => ({ index, term: 1, kind, data: Uint8Array.of(1) })
+  const append = (prevIndex: number, entries: readonly LogEntry[]): AppendRequest => ({
+    type: 'append', term: 1, prevIndex, prevTerm: Math.min(prevIndex, 1), entries, commit: prevIndex + entries.length, round: 1, sentAtMs: 1
+  })
+  host.receive('c2~b', append(0, [entry(1, 'empty'), entry(2, 'command')]))
+  host.formGroup(['c1~a', 'c2~b', 'c3~c'])
+  host.receive('c2~b', append(2, [entry(3, 'command')]))
+  while (host.view.commitIndex < 3) await new Promise(resolve => setImmediate(resolve))
+  expect(host.view.members).toHaveLength(3)
+  expect(stateMachine.count).toBe(2)
+  host.dispose()
+})
