Keep what a control replica has applied when it forms its group

Callers saw an old configuration: a control replica answered confirmed reads with version 0, and the nodes that it feeds refused added routes with 404 until it restarted.

Cause: seeds form the group one after the other, and the first ones may elect a leader and commit changes before the last one learns of the group.

All later changes conflicted at this replica alone, and reads were confirmed by the commit index.

Change: forming the group sets the members and leaves the state alone.

--- a/bench/fuzz/GroupRun.ts
+++ b/bench/fuzz/GroupRun.ts
@@ -18,6 +18,8 @@
   identityAfterWipe (slot: number, generation: number, before: ReplicaId): ReplicaId
   /** Returns the initial members that a replica with an empty disk assumes. */
   membersAfterWipe (initialMembers: readonly ReplicaId[]): readonly ReplicaId[]
+  /** Number of initial members, fewer than half, that learn of their group only after its first commits. */
+  readonly lateMembers: number
   /** True when the host reports data as synced before it is. */
   readonly reportsSyncEarly: boolean
   /** Returns the action that the host executes in place of the given one. */
@@ -30,6 +32,7 @@
   recover: state => state,
   identityAfterWipe: (slot, generation) => `r${slot}~${generation}`,
   membersAfterWipe: () => [],
+  lateMembers: 0,
   reportsSyncEarly: false,
   onAction: action => action
 }
@@ -152,6 +155,7 @@
   /** Runs all steps, then ends all faults and checks that the group commits again. */
   public run (): void {
     this._run(FIRST_ELECTION_MS, 0, 0, new SeededRandom(this._schedule.seed))
+    this._formLateMembers()
     for (const step of this._schedule.steps) {
       const handler = this._stepHandlers[step.op] as (step: ScheduleStep) => void
       handler(step)
@@ -172,11 +176,23 @@
     } as unknown as ReplicaHost
     host.log.create(id)
     host.replica = this._createReplica(host, emptyState([]))
-    if (this._initialMembers.includes(id)) this._step(host, { type: 'form', members: this._initialMembers })
+    if (slot < this._schedule.size - this._hooks.lateMembers) this._form(host)
     this._sync(host)
     return host
   }
 
+  private _form (host: ReplicaHost): void {
+    this._step(host, { type: 'form', members: this._initialMembers })
+  }
+
+  private _formLateMembers (): void {
+    if (this._hooks.lateMembers === 0) return
+    this._propose(this._selectHost(NEWEST_LEADER))
+    this._run(4 * TICK_MS, 0, 0, new SeededRandom(this._schedule.seed))
+    const lateHosts = this._hosts.slice(this._schedule.size - this._hooks.lateMembers, this._schedule.size)
+    lateHosts.forEach(host => this._form(host))
+  }
+
   private _createReplica (host: ReplicaHost, recovered: RecoveredState): Replica {
     const random = new SeededRandom(Math.floor(this._random.next() * 1e9))
     return this._hooks.makeReplica({ id: host.id, random, recovered, limits: LIMITS })
--- a/src/parts/agreement/Replica.test.ts
+++ b/src/parts/agreement/Replica.test.ts
@@ -21,6 +21,12 @@
   })
 }
 
+test('invariants hold when a member learns of its group after the first commits', () => {
+  const hooks = { ...DEFAULT_GROUP_HOOKS, lateMembers: 1 }
+  fc.assert(invariantsHold(groupSchedules, hooks), { seed: 15, numRuns: COARSE_RUNS })
+  fc.assert(invariantsHold(fineSchedules, hooks), { seed: 15, numRuns: COARSE_RUNS })
+})
+
 /** Private members of the replica's modules that the faults replace. */
 interface Internals {
   readonly _state: {
--- a/src/parts/agreement/Replica.ts
+++ b/src/parts/agreement/Replica.ts
@@ -196,9 +196,8 @@
 
   private _form (members: readonly ReplicaId[]): void {
     const { log, term } = this._state
-    // The other members may have elected a leader already, whose entries arrived before this event; they are kept.
     if (this._damaged || log.members.length > 0) return
-    this._state.restore({ index: 0, term: 0, members, data: new Uint8Array(0) })
+    this._state.setFirstMembers(members)
     this._state.follow(term, undefined)
   }
 
--- a/src/parts/agreement/ReplicaState.ts
+++ b/src/parts/agreement/ReplicaState.ts
@@ -247,15 +247,22 @@
 
   /**
    * Installs a snapshot and has the host restore its state machine from it.
-   * @param snapshot Snapshot from the leader, or the empty one of a new group.
+   * @param snapshot Snapshot from the leader, beyond the commit index.
    */
   public restore (snapshot: Snapshot): void {
-    const keepsLaterEntries = this.log.installSnapshot(snapshot)
-    this._commitIndex = Math.max(this._commitIndex, snapshot.index)
-    this.persist(keepsLaterEntries ? { snapshot } : { snapshot, truncateFrom: snapshot.index + 1 })
+    this._install(snapshot)
+    this._commitIndex = snapshot.index
     this.emit({ type: 'restore', snapshot })
   }
 
+  /**
+   * Sets the members of a new group. Its leader may have been elected, and its first entries committed, before this
+   * replica has learned of the group; these entries and the state of the host are kept.
+   */
+  public setFirstMembers (members: readonly ReplicaId[]): void {
+    this._install({ index: 0, term: 0, members, data: new Uint8Array(0) })
+  }
+
   /**
    * Rejects a request of the host.
    * @param id The host's id for the request.
@@ -265,6 +272,11 @@
     this.emit({ type: 'rejected', id, state, leader: this.leader })
   }
 
+  private _install (snapshot: Snapshot): void {
+    const keepsLaterEntries = this.log.installSnapshot(snapshot)
+    this.persist(keepsLaterEntries ? { snapshot } : { snapshot, truncateFrom: snapshot.index + 1 })
+  }
+
   /** Number of members whose ids sort before that of this replica. */
   private _rank (): number {
     return this.log.members.filter(member => member < this.id).length
