Confirm reads of a control replica by what its state machine has applied

The read barrier compared the confirmed index with the commit index, which stood for the state only as long as nothing else changed that. With the index of the last applied entry, a state that is behind leaves reads unconfirmed instead of old.

--- a/src/control/ControlReplica.ts
+++ b/src/control/ControlReplica.ts
@@ -79,7 +79,7 @@
       id: this.id,
       confirmReadIndex: () => this._host.confirmReadIndex(),
       leader: () => this.view.leader,
-      appliedIndex: () => this.view.commitIndex,
+      appliedIndex: () => this._host.appliedIndex,
       send: (to, frame) => this.links.send(to, frame)
     }, Math.floor(random.next() * READ_REQUEST_ID_RANGE))
     this._host.onApplied(() => this._barrier.notifyApplied())
--- a/src/control/ReplicaHost.test.ts
+++ b/src/control/ReplicaHost.test.ts
@@ -154,7 +154,7 @@
   host.formGroup(['c1~a', 'c2~b', 'c3~c'])
   host.receive('c2~b', append(2, [entry(3, 'command')]))
   while (host.view.commitIndex < 3) await new Promise(resolve => setImmediate(resolve))
-  expect(host.view.members).toHaveLength(3)
+  expect([host.view.members.length, host.appliedIndex]).toEqual([3, 3])
   expect(stateMachine.count).toBe(2)
   host.dispose()
 })
--- a/src/routecontrol/RoutingReplica.ts
+++ b/src/routecontrol/RoutingReplica.ts
@@ -132,7 +132,7 @@
       id: this.id,
       confirmReadIndex: () => this._host.confirmReadIndex(),
       leader: () => this.view.leader,
-      appliedIndex: () => this.view.commitIndex,
+      appliedIndex: () => this._host.appliedIndex,
       send: (to, frame) => this._links.send(to, frame)
     }, Math.floor(random.next() * READ_REQUEST_ID_RANGE))
     this._host.onApplied(() => this._barrier.notifyApplied())
