--- a/test/support/RouteMesh.ts
+++ b/test/support/RouteMesh.ts
@@ -40,10 +40,18 @@
   /** Ids of the requests whose connection was closed before their answer was complete. */
   public readonly cut: string[] = []
   public behaviour: Behaviour
-  private readonly _server: Server
+  /** Number of times that the instance has crashed. */
+  public crashes = 0
+  private _server = this._createServer()
 
-  public constructor (public readonly id: string, public readonly address: string) {
-    this._server = createServer((request, response) => this._handle(request, response))
+  /**
+   * @param _name Beginning of the id of each incarnation.
+   */
+  public constructor (private readonly _name: string, public readonly address: string) {}
+
+  /** Id of the incarnation that runs now. */
+  public get id (): string {
+    return this.crashes === 0 ? this._name : `${this._name}.${this.crashes}`
   }
 
   public async listen (): Promise<void> {
@@ -64,11 +72,22 @@
     response.end(`${this.id} ${request.headers[HEADER_NAMES.callerService]}`)
   }
 
+  /** Ends all connections and the listener at once; the next incarnation listens after `listen`. */
+  public crash (): void {
+    this.dispose()
+    this.crashes++
+    this._server = this._createServer()
+  }
+
   public dispose (): void {
     this._server.close()
     this._server.closeAllConnections()
   }
 
+  private _createServer (): Server {
+    return createServer((request, response) => this._handle(request, response))
+  }
+
   private _handle (request: IncomingMessage, response: ServerResponse): void {
     if (request.url === '/healthz') {
       response.writeHead(200, { [HEADER_NAMES.instanceId]: this.id, [HEADER_NAMES.load]: '0,0,6,100' }).end()
@@ -179,6 +198,14 @@
     await this.awaitInstances(node, instances)
   }
 
+  /** Crashes an instance; its next incarnation starts and reports itself after a short while. */
+  public async crash ({ daemon, instance }: MeshNode): Promise<void> {
+    instance.crash()
+    await pause()
+    await instance.listen()
+    reportReady(daemon, instance, 1)
+  }
+
   public dispose (): void {
     this.nodes.forEach(({ daemon, instance }) => {
       daemon.dispose()
@@ -215,8 +242,8 @@
   }
 }
 
-function reportReady (daemon: RouteNodeDaemon, { id, address }: MockInstance, sequence: number): void {
-  daemon.report({ id, bornMs: 1, sequence, service: 'svc', address, slots: 6, state: 'ready', coldMs: 0 })
+function reportReady (daemon: RouteNodeDaemon, { id, address, crashes }: MockInstance, sequence: number): void {
+  daemon.report({ id, bornMs: 1 + crashes, sequence, service: 'svc', address, slots: 6, state: 'ready', coldMs: 0 })
 }
 
 /** Builds a route to the mesh's one service. */
