Hand on the reports of a quarantine so that a node that starts takes all of them

A table takes a report far behind the newest of its sender for a duplicate, and the reports for a node that has just connected came in the order of the suspects: one whose first crash lay more than 31 reports back arrived with half of its suspicion, so the node ran what others refused. They now come in the order of their sequence, and their weights add up to the present suspicion also when older reports are no longer kept. The new test fails without the order.

--- a/src/parts/quarantine/QuarantineTable.test.ts
+++ b/src/parts/quarantine/QuarantineTable.test.ts
@@ -254,6 +254,17 @@
   }
 })
 
+test('a node that starts learns of a quarantine also when many reports have followed it', () => {
+  const nodes = new NodeGroup()
+  const between = Array.from({ length: 100 }, (_, index) => `other-${index}`)
+  for (const fingerprint of [POISON, ...between, POISON]) {
+    nodes.dispatch(0, fingerprint, 0)
+    nodes.crash(0, 0)
+  }
+  nodes.restart(2, 4)
+  expect(nodes.ask(2, POISON, 5)).toBe('refuse')
+})
+
 test('memory stays bounded under many crashes', () => {
   const nodes = new NodeGroup({ maxFingerprints: 50, maxDispatched: 20 })
   for (let crash = 0; crash < 300; crash++) {
--- a/src/parts/quarantine/QuarantineTable.ts
+++ b/src/parts/quarantine/QuarantineTable.ts
@@ -82,7 +82,9 @@
    */
   public reports (nowMs: number): CrashReport[] {
     this._removeExpired(nowMs)
-    return [...this._suspects.values()].flatMap(suspect => buildReports(suspect, nowMs))
+    const reports = [...this._suspects.values()].flatMap(suspect => buildReports(suspect, nowMs))
+    // The receiver takes reports far behind the newest of the same incarnation for duplicates.
+    return reports.sort((a, b) => a.sequence - b.sequence)
   }
 
   /** Fingerprints under suspicion or quarantine. */
@@ -245,13 +247,15 @@
   }
 }
 
-/** Returns the reports of a suspect with their current ages, and weights reduced by calls that have finished since. */
+/**
+ * Returns the reports of a suspect with their current ages. Their weights add up to its present suspicion, which calls
+ * that finished have reduced since and reports that are no longer kept have raised.
+ */
 function buildReports (suspect: Suspect, nowMs: number): CrashReport[] {
   const total = suspect.reports.reduce((sum, report) => sum + (report.weight ?? SINGLE_REQUEST_WEIGHT), 0)
-  const remainingShare = suspect.quarantined ? 1 : Math.min(1, suspect.suspicion / total)
   return suspect.reports.map(report => ({
     ...report,
-    weight: (report.weight ?? SINGLE_REQUEST_WEIGHT) * remainingShare,
+    weight: Math.min(SINGLE_REQUEST_WEIGHT, (report.weight ?? SINGLE_REQUEST_WEIGHT) * suspect.suspicion / total),
     ageMs: nowMs - (report.ageMs ?? 0)
   }))
 }
