Do not keep innocent requests in quarantine, nor blame what ran well before

An innocent request could be turned away for ten minutes: one that is in flight everywhere when several instances are lost together, or one that runs long and is always in flight beside a poison request. Nothing but time ended that.

A call that runs to its end now also lifts a quarantine, if it was sent before or as a trial. A request that ran to its end at the same node before, and was not suspect when it was sent, gets a quarter of the suspicion. What stays quarantined is tried at one node 30 s after its last crash and once more four minutes later. Five new tests, each failing without its mechanism.

--- a/src/parts/quarantine/Constants.ts
+++ b/src/parts/quarantine/Constants.ts
@@ -5,6 +5,7 @@
   retentionMs: 600_000,
   maxFingerprints: 4096,
   maxDispatched: 65_536,
+  maxCompleted: 4096,
   maxRuns: 4096
 }
 
@@ -14,6 +15,12 @@
 /** Suspicion added to the most suspect of several requests in flight at a crash. */
 export const CONCURRENT_REQUEST_WEIGHT = 2 / 3
 
+/**
+ * Share of that suspicion for a request that has run to its end at the same node before and was not suspect when it was
+ * sent: several instances that are lost at the same moment say little about what all of them ran.
+ */
+export const COMPLETED_REQUEST_SHARE = 0.25
+
 /** Least share of that suspicion added to each request in flight, however suspect another one was before. */
 export const MIN_SUSPICION_SHARE = 0.75
 
@@ -23,6 +30,15 @@
  */
 export const QUARANTINE_THRESHOLD = 1.99
 
+/** Time from the last crash until a quarantined request may run once more, in milliseconds. */
+export const TRIAL_DELAY_MS = 30_000
+
+/** Factor by which that time grows with each crash since the quarantine. */
+export const TRIAL_BACKOFF = 8
+
+/** Crashes since the quarantine after which the request is not tried again. */
+export const MAX_TRIALS = 2
+
 /** Suspicion from which a node runs only one call of a fingerprint at a time. */
 export const SINGLE_CALL_THRESHOLD = 0.99
 
--- a/src/parts/quarantine/QuarantineTable.test.ts
+++ b/src/parts/quarantine/QuarantineTable.test.ts
@@ -64,7 +64,10 @@
   }
 
   public finishCall (node: number, fingerprint: Fingerprint, nowMs: number): void {
-    const call = this.dispatch(node, fingerprint, nowMs)
+    this.endCall(node, this.dispatch(node, fingerprint, nowMs), nowMs)
+  }
+
+  public endCall (node: number, call: CallId, nowMs: number): void {
     this._deliver(this.table(node).step({ type: 'finished', call }, nowMs), nowMs)
   }
 
@@ -254,6 +257,69 @@
   }
 })
 
+test('a request that also runs to its end elsewhere leaves the quarantine', () => {
+  const nodes = new NodeGroup()
+  const call = nodes.dispatch(3, POISON, 0)
+  for (const node of [0, 1, 2]) {
+    nodes.dispatch(node, POISON, 0)
+    nodes.crash(node, 0)
+  }
+  expect(nodes.ask(0, POISON, 1)).toBe('refuse')
+  nodes.endCall(3, call, 2)
+  for (let node = 0; node < NODES; node++) expect(nodes.ask(node, POISON, 3)).toBe('allow')
+})
+
+// When a rack loses power, what runs everywhere must not be taken for the cause.
+test('instances that crash together do not quarantine a request that ran to its end there before', () => {
+  const nodes = new NodeGroup()
+  for (let node = 0; node < NODES; node++) nodes.finishCall(node, 'popular', 0)
+  for (let node = 0; node < NODES; node++) nodes.dispatch(node, 'popular', 1)
+  for (let node = 0; node < NODES; node++) nodes.crash(node, 2)
+  expect(nodes.ask(0, 'popular', 3)).toBe('allow')
+})
+
+test('a request that starts to crash instances after it ran well is quarantined within five crashes', () => {
+  const nodes = new NodeGroup()
+  for (let node = 0; node < NODES; node++) nodes.finishCall(node, POISON, 0)
+  for (let crash = 0; nodes.ask(crash % NODES, POISON, crash) === 'allow'; crash++) {
+    nodes.dispatch(crash % NODES, POISON, crash)
+    nodes.dispatch(crash % NODES, `other-${crash}`, crash)
+    nodes.crash(crash % NODES, crash)
+  }
+  expect(nodes.crashes).toBeLessThanOrEqual(5)
+})
+
+test('a quarantined request is tried at one node and at most twice', () => {
+  const nodes = new NodeGroup()
+  for (let crash = 0; crash < 2; crash++) {
+    nodes.dispatch(crash, POISON, crash)
+    nodes.crash(crash, crash)
+  }
+  const trials: number[] = []
+  for (let atMs = 0; atMs < QUARANTINE_DEFAULTS.retentionMs; atMs += 1000) {
+    const allowed = [0, 1, 2, 3].filter(node => nodes.ask(node, POISON, atMs) === 'allow')
+    expect(allowed.length).toBeLessThanOrEqual(1)
+    for (const node of allowed) {
+      trials.push(atMs)
+      nodes.dispatch(node, POISON, atMs)
+      expect(nodes.ask(node, POISON, atMs)).toBe('refuse')
+      nodes.crash(node, atMs)
+    }
+  }
+  expect(trials).toEqual([31_000, 271_000])
+})
+
+test('a trial that runs to its end clears the request at all nodes', () => {
+  const nodes = new NodeGroup()
+  for (let crash = 0; crash < 2; crash++) {
+    nodes.dispatch(0, POISON, crash)
+    nodes.crash(0, crash)
+  }
+  expect([0, 1].map(node => nodes.ask(node, POISON, 40_000))).toEqual(['allow', 'refuse'])
+  nodes.finishCall(0, POISON, 40_000)
+  expect([0, 1].map(node => nodes.ask(node, POISON, 40_001))).toEqual(['allow', 'allow'])
+})
+
 test('a node that starts learns of a quarantine also when many reports have followed it', () => {
   const nodes = new NodeGroup()
   const between = Array.from({ length: 100 }, (_, index) => `other-${index}`)
--- a/src/parts/quarantine/QuarantineTable.ts
+++ b/src/parts/quarantine/QuarantineTable.ts
@@ -1,7 +1,8 @@
 import type { CallId, InstanceId, Part } from '../Types.js'
 import {
-  CONCURRENT_REQUEST_WEIGHT, MAX_REPORTS_KEPT, MAX_REPORTS_PER_CRASH, MIN_SUSPICION_SHARE, MIN_SUSPICION,
-  QUARANTINE_DEFAULTS, QUARANTINE_THRESHOLD, SINGLE_CALL_THRESHOLD, SINGLE_REQUEST_WEIGHT, SUSPECT_RETRY_AFTER_MS
+  COMPLETED_REQUEST_SHARE, CONCURRENT_REQUEST_WEIGHT, MAX_REPORTS_KEPT, MAX_REPORTS_PER_CRASH, MAX_TRIALS,
+  MIN_SUSPICION_SHARE, MIN_SUSPICION, QUARANTINE_DEFAULTS, QUARANTINE_THRESHOLD, SINGLE_CALL_THRESHOLD,
+  SINGLE_REQUEST_WEIGHT, SUSPECT_RETRY_AFTER_MS, TRIAL_BACKOFF, TRIAL_DELAY_MS
 } from './Constants.js'
 import { ReportWindow } from './ReportWindow.js'
 import type { CrashReport, Fingerprint, QuarantineAction, QuarantineEvent, QuarantineOptions } from './Types.js'
@@ -19,6 +20,10 @@
   /** Monotonic time of the last crash in milliseconds. */
   crashedAtMs: number
   quarantined: boolean
+  /** Crashes since the quarantine began. */
+  crashesInQuarantine: number
+  /** Monotonic time in milliseconds from which one call may run while the fingerprint is quarantined. */
+  trialAtMs: number
   /** Calls running at this node that were dispatched while the fingerprint was suspect. */
   running: number
   /** Latest crash reports, for nodes that connect later. */
@@ -31,6 +36,8 @@
   readonly fingerprint: Fingerprint
   /** Suspect whose `running` includes this call. */
   readonly suspect: Suspect | undefined
+  /** True when its end tells something: it was sent before a quarantine of its fingerprint, or as a trial. */
+  readonly isEvidence: boolean
 }
 
 /**
@@ -38,10 +45,11 @@
  * request with enough suspicion is quarantined. Each table forwards every report that it receives for the first time,
  * so all nodes quarantine the request. The request that was the most suspect before a crash gets the largest share, and
  * each call that runs to its end halves the suspicion of its fingerprint; a request that was in flight by chance is
- * thus cleared. Only the host at the node of an instance passes `crashed` for it.
+ * thus cleared, also from quarantine. One that never ends well is tried once more after a while, at a single node.
+ * Only the host at the node of an instance passes `crashed` for it.
  *
- * Memory: at most `maxFingerprints` suspects with 4 reports each, `maxDispatched` calls and `maxRuns` report windows.
- * Suspicion and quarantine expire `retentionMs` after the last crash.
+ * Memory: at most `maxFingerprints` suspects with 4 reports each, `maxDispatched` calls, `maxCompleted` fingerprints
+ * and `maxRuns` report windows. Suspicion and quarantine expire `retentionMs` after the last crash.
  */
 export class QuarantineTable implements Part<QuarantineEvent, QuarantineAction> {
   private readonly _options: QuarantineOptions
@@ -50,10 +58,12 @@
   private readonly _suspects = new Map<Fingerprint, Suspect>()
   private readonly _dispatched = new Map<CallId, DispatchedCall>()
   private readonly _callsByInstance = new Map<InstanceId, Set<CallId>>()
+  /** Fingerprints whose calls have run to their end here, the least recent first. */
+  private readonly _completed = new Set<Fingerprint>()
   private _sequence = 0
 
   private readonly _handlers: Handlers = {
-    dispatched: event => this._onDispatched(event),
+    dispatched: (event, nowMs) => this._onDispatched(event, nowMs),
     finished: (event, nowMs, actions) => this._onFinished(event, nowMs, actions),
     crashed: (event, nowMs, actions) => this._onCrashed(event, nowMs, actions),
     reported: (event, nowMs, actions) => this._onReported(event, nowMs, actions),
@@ -92,36 +102,47 @@
     return this._suspects.size
   }
 
-  private _onDispatched (event: EventOf<'dispatched'>): void {
+  private _onDispatched (event: EventOf<'dispatched'>, nowMs: number): void {
     if (this._dispatched.size >= this._options.maxDispatched || this._dispatched.has(event.call)) {
       return
     }
     const { call, instance, fingerprint } = event
     const suspect = this._suspects.get(fingerprint)
-    this._dispatched.set(call, { instance, fingerprint, suspect })
+    const isEvidence = suspect?.quarantined !== true || nowMs >= suspect.trialAtMs
+    this._dispatched.set(call, { instance, fingerprint, suspect, isEvidence })
     const calls = this._callsByInstance.get(event.instance)
     if (calls === undefined) {
       this._callsByInstance.set(event.instance, new Set([event.call]))
     } else {
       calls.add(event.call)
     }
-    if (suspect !== undefined) {
-      suspect.running++
-    }
+    if (suspect === undefined) return
+    suspect.running++
+    // A trial whose outcome stays unknown is not repeated soon.
+    if (suspect.quarantined) suspect.trialAtMs = nowMs + TRIAL_DELAY_MS * TRIAL_BACKOFF
   }
 
   private _onFinished (event: EventOf<'finished'>, nowMs: number, actions: QuarantineAction[]): void {
-    const fingerprint = this._removeDispatched(event.call)
-    const suspect = fingerprint === undefined ? undefined : this._suspects.get(fingerprint)
-    if (suspect === undefined || suspect.quarantined || event.ran === false) {
-      return
-    }
+    const { fingerprint, isEvidence } = this._removeDispatched(event.call) ?? {}
+    if (fingerprint === undefined || event.ran === false || isEvidence === false) return
+    this._recordCompleted(fingerprint)
+    const suspect = this._suspects.get(fingerprint)
+    if (suspect === undefined) return
     this._halveSuspicion(suspect)
     this._publishReport({ fingerprint: suspect.fingerprint, cleared: true }, actions)
   }
 
+  private _recordCompleted (fingerprint: Fingerprint): void {
+    this._completed.delete(fingerprint)
+    this._completed.add(fingerprint)
+    if (this._completed.size > this._options.maxCompleted) {
+      this._completed.delete(this._completed.values().next().value as Fingerprint)
+    }
+  }
+
   private _halveSuspicion (suspect: Suspect): void {
     suspect.suspicion /= 2
+    suspect.quarantined &&= suspect.suspicion >= QUARANTINE_THRESHOLD
     if (suspect.suspicion < MIN_SUSPICION) {
       this._suspects.delete(suspect.fingerprint)
     }
@@ -130,18 +151,21 @@
   private _onCrashed (event: EventOf<'crashed'>, nowMs: number, actions: QuarantineAction[]): void {
     this._removeExpired(nowMs)
     const calls = [...(this._callsByInstance.get(event.instance) ?? [])]
-    const fingerprints = new Set(calls.map(call => this._removeDispatched(call)).filter(taken => taken !== undefined))
+      .map(call => this._removeDispatched(call)).filter(call => call !== undefined)
+    const fingerprints = new Set(calls.map(({ fingerprint }) => fingerprint))
+    const sentAsSuspects = new Set(calls.filter(({ suspect }) => suspect !== undefined).map(call => call.fingerprint))
     const priorSuspicions = [...fingerprints].map(fingerprint => this._suspects.get(fingerprint)?.suspicion ?? 0)
     const maxPriorSuspicion = Math.max(0, ...priorSuspicions)
     const maxWeight = fingerprints.size === 1 ? SINGLE_REQUEST_WEIGHT : CONCURRENT_REQUEST_WEIGHT
     const ranked = [...fingerprints].map((fingerprint, index) => ({
       fingerprint,
       // A request that was suspect before is a more likely cause of the crash than one that was not.
-      weight: maxWeight * Math.max(
+      weight: maxWeight * this._completedShare(fingerprint, sentAsSuspects) * Math.max(
         MIN_SUSPICION_SHARE,
         (MIN_SUSPICION + (priorSuspicions[index] ?? 0)) / (MIN_SUSPICION + maxPriorSuspicion)
       )
     }))
+    fingerprints.forEach(fingerprint => this._completed.delete(fingerprint))
     ranked.sort((a, b) => b.weight - a.weight)
     for (const { fingerprint, weight } of ranked.slice(0, MAX_REPORTS_PER_CRASH)) {
       const report = this._publishReport({ fingerprint, weight }, actions)
@@ -149,6 +173,11 @@
     }
   }
 
+  private _completedShare (fingerprint: Fingerprint, sentAsSuspects: ReadonlySet<Fingerprint>): number {
+    const isUnlikely = this._completed.has(fingerprint) && !sentAsSuspects.has(fingerprint)
+    return isUnlikely ? COMPLETED_REQUEST_SHARE : 1
+  }
+
   private _publishReport (
     content: Pick<CrashReport, 'fingerprint' | 'weight' | 'cleared'>, actions: QuarantineAction[]
   ): CrashReport {
@@ -171,9 +200,7 @@
       return
     }
     const suspect = this._suspects.get(event.report.fingerprint)
-    if (suspect !== undefined && !suspect.quarantined) {
-      this._halveSuspicion(suspect)
-    }
+    if (suspect !== undefined) this._halveSuspicion(suspect)
   }
 
   private _addSuspicion (report: CrashReport, crashedAtMs: number, actions: QuarantineAction[]): void {
@@ -182,7 +209,12 @@
     suspect.crashedAtMs = Math.max(suspect.crashedAtMs, crashedAtMs)
     // Stored with the time of the crash as `ageMs`, since the age itself changes; `buildReports` converts it back.
     suspect.reports = [...suspect.reports, { ...report, ageMs: crashedAtMs }].slice(-MAX_REPORTS_KEPT)
-    if (!suspect.quarantined && suspect.suspicion >= QUARANTINE_THRESHOLD) {
+    const isQuarantined = suspect.suspicion >= QUARANTINE_THRESHOLD
+    suspect.crashesInQuarantine = suspect.quarantined ? suspect.crashesInQuarantine + 1 : 0
+    suspect.trialAtMs = suspect.crashesInQuarantine < MAX_TRIALS
+      ? suspect.crashedAtMs + TRIAL_DELAY_MS * TRIAL_BACKOFF ** suspect.crashesInQuarantine
+      : Infinity
+    if (isQuarantined && !suspect.quarantined) {
       suspect.quarantined = true
       const untilMs = suspect.crashedAtMs + this._options.retentionMs
       actions.push({ type: 'quarantined', fingerprint: report.fingerprint, untilMs })
@@ -192,7 +224,14 @@
   private _getOrAddSuspect (fingerprint: Fingerprint): Suspect {
     const existing = this._suspects.get(fingerprint)
     const suspect = existing ?? {
-      fingerprint, suspicion: 0, crashedAtMs: -Infinity, quarantined: false, running: 0, reports: []
+      fingerprint,
+      suspicion: 0,
+      crashedAtMs: -Infinity,
+      quarantined: false,
+      crashesInQuarantine: 0,
+      trialAtMs: Infinity,
+      running: 0,
+      reports: []
     }
     this._suspects.delete(fingerprint)
     this._suspects.set(fingerprint, suspect)
@@ -210,7 +249,13 @@
       return
     }
     if (suspect.quarantined) {
-      actions.push({ type: 'refuse', call: event.call, retryAfterMs: untilMs - nowMs })
+      const allowsTrial = nowMs >= suspect.trialAtMs && (event.isRelayed === true || this._mayTry(suspect))
+      if (allowsTrial) actions.push({ type: 'allow', call: event.call })
+      else actions.push({ type: 'refuse', call: event.call, retryAfterMs: untilMs - nowMs })
+      return
+    }
+    if (event.isRelayed === true) {
+      actions.push({ type: 'allow', call: event.call })
       return
     }
     if (suspect.suspicion >= SINGLE_CALL_THRESHOLD && suspect.running > 0) {
@@ -220,8 +265,15 @@
     actions.push({ type: 'allow', call: event.call })
   }
 
-  /** Stops tracking a dispatched call and returns its fingerprint, or undefined for an unknown call. */
-  private _removeDispatched (call: CallId): Fingerprint | undefined {
+  /** Of the nodes that reported the crashes only one tries, unless it has restarted since. */
+  private _mayTry ({ running, reports }: Suspect): boolean {
+    const { node, incarnation } = this._options
+    const [first] = reports.toSorted((a, b) => a.node < b.node ? -1 : Number(a.node > b.node))
+    return running === 0 && first?.node === node && first.incarnation === incarnation
+  }
+
+  /** Stops tracking a dispatched call and returns it, or undefined for an unknown call. */
+  private _removeDispatched (call: CallId): DispatchedCall | undefined {
     const dispatched = this._dispatched.get(call)
     if (dispatched === undefined) {
       return undefined
@@ -235,7 +287,7 @@
     if (dispatched.suspect !== undefined) {
       dispatched.suspect.running--
     }
-    return dispatched.fingerprint
+    return dispatched
   }
 
   private _removeExpired (nowMs: number): void {
--- a/src/parts/quarantine/Types.ts
+++ b/src/parts/quarantine/Types.ts
@@ -28,8 +28,11 @@
   | { readonly type: 'crashed', readonly instance: InstanceId }
   /** A report arrived from another node. */
   | { readonly type: 'reported', readonly report: CrashReport }
-  /** Asks whether a call may run; `allow` or `refuse` is the reply. */
-  | { readonly type: 'ask', readonly call: CallId, readonly fingerprint: Fingerprint }
+  /**
+   * Asks whether a call may run; `allow` or `refuse` is the reply. `isRelayed` is true when the node only passes the
+   * call on, so that the node beside the instance decides on a trial.
+   */
+  | { readonly type: 'ask', readonly call: CallId, readonly fingerprint: Fingerprint, readonly isRelayed?: boolean }
   | { readonly type: 'tick' }
 
 /** Actions of the quarantine table. */
@@ -51,6 +54,8 @@
   readonly maxFingerprints: number
   /** Most dispatched calls tracked; further ones are not tracked. */
   readonly maxDispatched: number
+  /** Most fingerprints remembered whose calls have run to their end here. */
+  readonly maxCompleted: number
   /** Most incarnations of nodes whose report sequences are tracked. */
   readonly maxRuns: number
 }
