Forget what was known of an instance when its next incarnation starts

Callers were refused with no-instance although all instances were up again: a node goes on avoiding an instance for a second after a failed connection, and for longer after failed runs, also when its next incarnation has been published meanwhile. When all instances of a service crash within that second, nothing is left to choose.

A candidate now names its incarnation, and a new one starts without a record.

--- a/src/parts/placement/InstanceChooser.test.ts
+++ b/src/parts/placement/InstanceChooser.test.ts
@@ -9,7 +9,7 @@
 
 function makeChooser (...candidates: Array<Partial<PlacementCandidate> & { node: string }>): InstanceChooser {
   const chooser = new InstanceChooser('self', new SeededRandom(1))
-  candidates.forEach(item => chooser.setCandidate({ roundTripMs: 1, slots: 6, crossesZones: false, ...item }))
+  candidates.forEach(item => chooser.setCandidate({ incarnation: '1', roundTripMs: 1, slots: 6, crossesZones: false, ...item }))
   return chooser
 }
 
@@ -108,7 +108,7 @@
   for (let index = 0; index < nodes; index++) {
     const chooser = new InstanceChooser(`node-${index}`, new SeededRandom(index))
     for (let i = 0; i < count; i++) {
-      chooser.setCandidate({ node: `i-${i}`, roundTripMs: 1, slots: 4, crossesZones: i % 5 !== index % 5 })
+      chooser.setCandidate({ node: `i-${i}`, incarnation: '1', roundTripMs: 1, slots: 4, crossesZones: i % 5 !== index % 5 })
     }
     const used = new Set<string>()
     for (let call = 0; call < 300; call++) {
@@ -136,7 +136,7 @@
   const chooser = new InstanceChooser('self', new SeededRandom(1))
   const count = 2 * SUBSET_SIZE
   for (let i = 0; i < count; i++) {
-    chooser.setCandidate({ node: `i-${i}`, roundTripMs: 1, slots: 4, crossesZones: i % 3 === 0 })
+    chooser.setCandidate({ node: `i-${i}`, incarnation: '1', roundTripMs: 1, slots: 4, crossesZones: i % 3 === 0 })
   }
   const tried = new Set<string>()
   for (let i = 0; i < count; i++) {
@@ -155,3 +155,15 @@
   chooser.recordLoad('b', { ...IDLE, closedForMs: 500 }, 0)
   expect([chooser.choose(SMALL, 200), chooser.choose(SMALL, 250)]).toEqual([undefined, 'a'])
 })
+
+test('an instance that starts anew is chosen at once, whatever became of the one before', () => {
+  const chooser = makeChooser({ node: 'a' })
+  for (let i = 0; i < 20; i++) chooser.recordEnd('a', 'failed', { ...IDLE, limit: 0, failing: 1 }, 0)
+  chooser.recordSent('a')
+  chooser.recordEnd('a', 'unreachable', undefined, 0)
+  chooser.setCandidate({ node: 'a', incarnation: '1', roundTripMs: 1, slots: 6, crossesZones: false })
+  expect(chooser.choose(SMALL, 1)).toBeUndefined()
+  chooser.setCandidate({ node: 'a', incarnation: '2', roundTripMs: 1, slots: 6, crossesZones: false })
+  expect(chooser.choose(SMALL, 1)).toBe('a')
+  expect(chooser.describe()).toMatchObject([{ failureShare: 0, load: null }])
+})
--- a/src/parts/placement/InstanceChooser.ts
+++ b/src/parts/placement/InstanceChooser.ts
@@ -57,13 +57,16 @@
   }
 
   /**
-   * Adds a candidate or replaces its description; its record is kept.
+   * Adds a candidate or replaces its description; its record is kept while it is the same incarnation.
    * @param candidate An instance that takes new calls.
    */
   public setCandidate (candidate: PlacementCandidate): void {
     const known = this._records.get(candidate.node)
-    if (known !== undefined) known.candidate = candidate
-    else this._records.set(candidate.node, makeCandidateRecord(candidate, this._self))
+    if (known?.candidate.incarnation === candidate.incarnation) known.candidate = candidate
+    else {
+      const outstanding = known?.outstanding ?? 0
+      this._records.set(candidate.node, { ...makeCandidateRecord(candidate, this._self), outstanding })
+    }
     this._subset = undefined
   }
 
--- a/src/parts/placement/Types.ts
+++ b/src/parts/placement/Types.ts
@@ -4,6 +4,8 @@
 /** An instance that may be chosen, identified by the node beside it. */
 export interface PlacementCandidate {
   readonly node: NodeId
+  /** Distinguishes the lives of the instance: what is known of one says nothing about the next. */
+  readonly incarnation: string
   /** Assumed round-trip time to its node, in milliseconds. */
   readonly roundTripMs: number
   readonly slots: number
--- a/src/routenode/GatewayCall.test.ts
+++ b/src/routenode/GatewayCall.test.ts
@@ -44,7 +44,7 @@
 ): GatewayCall {
   const random = new SeededRandom(1)
   const chooser = new InstanceChooser('self', random)
-  nodes.forEach(node => chooser.setCandidate({ node, roundTripMs: 1, slots: 6, crossesZones: false }))
+  nodes.forEach(node => chooser.setCandidate({ node, incarnation: '1', roundTripMs: 1, slots: 6, crossesZones: false }))
   const findTarget = (node: NodeId): object => ({
     start: (call: RoutedCall, listener: RoutedCallListener) => {
       const entry: SentCall = { node, call, listener, cancelled: false }
--- a/src/routenode/Placement.ts
+++ b/src/routenode/Placement.ts
@@ -130,6 +130,7 @@
       else {
         chooser.setCandidate({
           node,
+          incarnation: `${instance.id}@${instance.bornMs}`,
           slots: instance.slots,
           roundTripMs: this._roundTripMs(node, zone),
           crossesZones: zone !== this._options.zone
