Keep an instance that leaves out of use when the node beside it restarts

Callers' requests reached an instance that had said in an answer that it leaves, after the node beside it had restarted: in one mesh of three nodes 4 of 480.

An instance goes on reporting that it is ready. When such a report reached the restarted node before the welcome of a control replica, the node ignored what the replica knew, and published the instance as ready under a later epoch; nodes that had not passed on the answer themselves believed that. Now the node takes over that an incarnation leaves also after a report, and no directory lets an incarnation that leaves become ready again by a newer publication of its node. Three new tests failed before.

--- a/src/parts/instances/NodeDirectory.test.ts
+++ b/src/parts/instances/NodeDirectory.test.ts
@@ -41,3 +41,18 @@
   directory.merge([makeEntry({ revision: 2 })], 1)
   expect(directory.isNewest(first)).toBe(false)
 })
+
+test('an instance that leaves does not become ready again when its node restarts', () => {
+  const directory = new NodeDirectory()
+  directory.merge([makeEntry({ instance: { ...INSTANCE, state: 'draining' } })], 0)
+  const [update] = directory.merge([makeEntry({ epoch: 2 })], 1)
+  expect(update?.instance?.state).toBe('draining')
+  expect(directory.readyNodes('ledger')).toEqual([])
+})
+
+test('the next incarnation of an instance that left is ready', () => {
+  const directory = new NodeDirectory()
+  directory.merge([makeEntry({ instance: { ...INSTANCE, state: 'left' } })], 0)
+  directory.merge([makeEntry({ revision: 2, instance: { ...INSTANCE, bornMs: 2 } })], 1)
+  expect(directory.readyNodes('ledger')).toHaveLength(1)
+})
--- a/src/parts/instances/NodeDirectory.ts
+++ b/src/parts/instances/NodeDirectory.ts
@@ -1,12 +1,14 @@
 import type { NodeId, ServiceName } from '../Types.js'
-import type { NodeEntry } from './Types.js'
+import { isSameIncarnation } from './InstanceRegistry.js'
+import type { NodeEntry, PublishedInstance } from './Types.js'
 
 /** Retention time of entries of gone nodes, in milliseconds, so that delayed publications are recognised as old. */
 const GONE_RETENTION_MS = 60_000
 
 /**
  * Directory of all nodes with their instances. It merges publications that may be delayed, duplicated and received on
- * several paths; the newest publication of a node wins, by epoch and revision.
+ * several paths; the newest publication of a node wins, by epoch and revision. An instance that leaves does not become
+ * ready again by a publication of a restarted node, which may not know of it.
  *
  * Memory: one entry for each node. Those gone for `GONE_RETENTION_MS` are removed at the next `merge`.
  */
@@ -50,7 +52,7 @@
    */
   public merge (entries: readonly NodeEntry[], nowMs: number): NodeEntry[] {
     this._removeExpired(nowMs)
-    return entries.filter(entry => this._mergeEntry(entry, nowMs))
+    return entries.flatMap(entry => this._mergeEntry(entry, nowMs) ?? [])
   }
 
   /**
@@ -63,13 +65,14 @@
     })
   }
 
-  private _mergeEntry (entry: NodeEntry, nowMs: number): boolean {
+  private _mergeEntry (entry: NodeEntry, nowMs: number): NodeEntry | undefined {
     const known = this._entries.get(entry.node)
-    if (known !== undefined && !isNewer(entry, known)) return false
-    this._entries.set(entry.node, entry)
+    if (known !== undefined && !isNewer(entry, known)) return undefined
+    const merged = keepLeaving(entry, known?.instance)
+    this._entries.set(entry.node, merged)
     if (entry.state === 'gone') this._goneAtMs.set(entry.node, nowMs)
     else this._goneAtMs.delete(entry.node)
-    return true
+    return merged
   }
 
   private _removeExpired (nowMs: number): void {
@@ -87,3 +90,11 @@
   if (entry.revision !== known.revision) return entry.revision > known.revision
   return entry.state === 'gone' && known.state !== 'gone'
 }
+
+function keepLeaving (entry: NodeEntry, known: PublishedInstance | undefined): NodeEntry {
+  const { instance } = entry
+  if (instance === undefined || known === undefined || known.state === 'ready') return entry
+  return isSameIncarnation(known, instance) && instance.state === 'ready'
+    ? { ...entry, instance: { ...instance, state: known.state } }
+    : entry
+}
--- a/src/routenode/InstanceProxy.test.ts
+++ b/src/routenode/InstanceProxy.test.ts
@@ -74,6 +74,15 @@
   expect(offer(proxy, 'ledger')).toBe('no-slots')
 })
 
+// The instance may report itself to the restarted node before a control replica tells what was known.
+test('an instance that was draining before its node restarted stops taking calls after an earlier report', () => {
+  const proxy = makeProxy()
+  proxy.report({ ...PUBLISHED_BEFORE, address: ADDRESS, sequence: 7, state: 'ready', coldMs: 0 })
+  proxy.restore(PUBLISHED_BEFORE)
+  expect(proxy.published?.state).toBe('draining')
+  expect(offer(proxy, 'ledger')).toBe('no-slots')
+})
+
 test('the instance of another service that had this address before is not restored', () => {
   const proxy = makeProxy()
   proxy.restore({ ...PUBLISHED_BEFORE, service: 'catalogue' })
--- a/src/routenode/InstanceProxy.ts
+++ b/src/routenode/InstanceProxy.ts
@@ -137,12 +137,20 @@
    * ready again. An entry of another service is ignored: it belongs to another VM that had this address before.
    */
   public restore (published: PublishedInstance): void {
-    if (this._registry.current !== undefined || published.service !== this._options.service) return
+    const { current } = this._registry
+    if (current !== undefined) return this._restoreLeaving(current, published)
+    if (published.service !== this._options.service) return
     this._registry.recordReport({ ...published, address: this._options.address, sequence: -1, coldMs: 0 })
     this._breaker.open(this._options.clock.nowMs())
     this._applySlots()
   }
 
+  /** The instance has reported itself to this run before; that report may not tell that it leaves. */
+  private _restoreLeaving (current: InstanceIncarnation, published: PublishedInstance): void {
+    if (published.state === 'ready' || !isSameIncarnation(current, published)) return
+    if (this._registry.drain(current) === 'applied') this._onInstanceChange()
+  }
+
   /**
    * Starts the recovery of an instance that is lost or unknown: sends health checks until one succeeds or the instance
    * reports itself.
--- a/test/LeavingInstance.test.ts
+++ b/test/LeavingInstance.test.ts
@@ -60,3 +60,14 @@
   for (let i = 0; i < BATCHES; i++) await callBatch(started, caller)
   expect(ran.length - before).toBe(0)
 }, 60_000)
+
+test('after such a restart the instance gets no requests of callers whose node was not told itself', async () => {
+  const { started, ran } = await startLeaving(3)
+  const [beside, told, caller] = started.nodes as [MeshNode, MeshNode, MeshNode]
+  await tell(started, told)
+  while (started.readyCount(caller) > 2) await pause()
+  const before = ran.length
+  await started.restart(beside, 2)
+  for (let i = 0; i < BATCHES; i++) await callBatch(started, caller)
+  expect(ran.length - before).toBe(0)
+}, 60_000)
--- a/test/support/RouteMesh.ts
+++ b/test/support/RouteMesh.ts
@@ -184,8 +184,12 @@
 
   /** Waits until a node knows `count` instances. */
   public async awaitInstances (node: MeshNode, count: number): Promise<void> {
-    const instances = (): number => (node.daemon.state() as NodeState).placement.services['svc']?.length ?? 0
-    while (instances() < count) await pause()
+    while (this.readyCount(node) < count) await pause()
+  }
+
+  /** Number of instances that a node sends requests to. */
+  public readyCount ({ daemon }: MeshNode): number {
+    return (daemon.state() as NodeState).placement.services['svc']?.length ?? 0
   }
 
   /**
