Bound what a process that connects is told of suspects to what a restart of all nodes bears

A welcome could carry the reports of 256 suspects. When all nodes restart after a loss of power, each needs its welcome before it serves, over links of some Mbit/s. It carries at most 64 now, quarantined requests first, and the field names of a report are numbered: at most 256 reports, 18 kB, in a welcome.

--- a/src/parts/quarantine/Constants.ts
+++ b/src/parts/quarantine/Constants.ts
@@ -54,8 +54,11 @@
 /** Most reports kept of one fingerprint, for nodes that connect later. */
 export const MAX_REPORTS_KEPT = 4
 
-/** Most suspects whose reports are handed to a process that connects: about 100 kB. */
-export const MAX_SUSPECTS_HANDED_ON = 256
+/**
+ * Most suspects whose reports are handed to a process that connects: some 20 kB, since all nodes need them at once when
+ * they restart together.
+ */
+export const MAX_SUSPECTS_HANDED_ON = 64
 
 /** Bytes at the beginning of a body that the fingerprint covers. */
 export const FINGERPRINT_BODY_BYTES = 4096
--- a/src/parts/quarantine/QuarantineTable.test.ts
+++ b/src/parts/quarantine/QuarantineTable.test.ts
@@ -1,7 +1,7 @@
 import fc from 'fast-check'
 import { expect, test } from 'vitest'
 import type { CallId } from '../Types.js'
-import { QUARANTINE_DEFAULTS } from './Constants.js'
+import { MAX_SUSPECTS_HANDED_ON, QUARANTINE_DEFAULTS } from './Constants.js'
 import { QuarantineTable } from './QuarantineTable.js'
 import { RequestFingerprint } from './RequestFingerprint.js'
 import type { CrashReport, Fingerprint, QuarantineAction, QuarantineOptions } from './Types.js'
@@ -331,6 +331,18 @@
   expect(nodes.ask(2, POISON, 5)).toBe('refuse')
 })
 
+test('what is handed to a process that connects is bounded and holds the quarantined requests', () => {
+  const nodes = new NodeGroup()
+  const innocents = Array.from({ length: 500 }, (_, index) => `other-${index}`)
+  for (const fingerprint of [POISON, POISON, ...innocents]) {
+    nodes.dispatch(0, fingerprint, 0)
+    nodes.crash(0, 0)
+  }
+  const reports = nodes.table(1).reports(1)
+  expect(new Set(reports.map(({ fingerprint }) => fingerprint)).size).toBe(MAX_SUSPECTS_HANDED_ON)
+  expect(reports.filter(({ fingerprint }) => fingerprint === POISON)).toHaveLength(2)
+})
+
 test('memory stays bounded under many crashes', () => {
   const nodes = new NodeGroup({ maxFingerprints: 50, maxDispatched: 20 })
   for (let crash = 0; crash < 300; crash++) {
--- a/src/parts/quarantine/QuarantineTable.ts
+++ b/src/parts/quarantine/QuarantineTable.ts
@@ -308,6 +308,6 @@
   return suspect.reports.map(report => ({
     ...report,
     weight: Math.min(SINGLE_REQUEST_WEIGHT, (report.weight ?? SINGLE_REQUEST_WEIGHT) * suspect.suspicion / total),
-    ageMs: nowMs - (report.ageMs ?? 0)
+    ageMs: Math.round(nowMs - (report.ageMs ?? 0))
   }))
 }
--- a/src/runtime/FrameKeys.ts
+++ b/src/runtime/FrameKeys.ts
@@ -8,7 +8,8 @@
   'objectiveLeftMs', 'mayDecline', 'reason', 'retryAfterMs', 'proof', 'to', 'message', 'term', 'prevIndex', 'prevTerm',
   'entries', 'commit', 'round', 'sentAtMs', 'success', 'match', 'conflictIndex', 'conflictTerm', 'fit', 'version',
   'moveMs', 'attempt', 'failing', 'closedForMs', 'requestLimit', 'knownLimit', 'instance', 'perS',
-  'leaving', 'bornMs', 'isBornAssumed'
+  'leaving', 'bornMs', 'isBornAssumed', 'reports', 'fingerprint', 'node', 'incarnation', 'sequence', 'weight', 'ageMs',
+  'cleared'
 ] as const
 
 /** Number of each field name, in the form of the codec's `keyMap` option. */
