Let callers of the soak repeat a request that crashes instances, and check its quarantine

A new kind of fault asks for a path at one node after the other; each instance that runs it crashes and is replaced. The rule bounds its runs as the users do.

--- a/soak/Constants.ts
+++ b/soak/Constants.ts
@@ -73,3 +73,16 @@
 
 /** Least share of the requests that must be answered after the recovery. */
 export const MIN_RECOVERED_SHARE = 0.9
+
+/** Beginning of the paths that crash the instance that runs them. */
+export const POISON_PATH = '/read/poison-'
+
+/** Time for which such a path is asked for, besides that of the fault, and the pause between requests; milliseconds. */
+export const POISON_MS = 7000
+export const POISON_PAUSE_MS = 300
+
+/**
+ * Bound on the runs of a path after it has crashed `crashes` instances: `runs` later than `STABLE_WINDOW_MS` after the
+ * last of these. The platform sets this bound.
+ */
+export const QUARANTINE_RULE = { crashes: 3, runs: 3 } as const
--- a/soak/FaultSchedule.ts
+++ b/soak/FaultSchedule.ts
@@ -31,6 +31,7 @@
   silenceCallers: 1,
   resetCallers: 1,
   delayCallers: 1,
+  poisonRequest: 1,
   hangUp: 2,
   change: 6
 }
--- a/soak/Soak.ts
+++ b/soak/Soak.ts
@@ -2,8 +2,8 @@
 import { join } from 'node:path'
 import { SeededRandom } from '../src/parts/SeededRandom.js'
 import {
-  CALLERS_PER_NODE, DRAIN_GRACE_MS, LIMIT_MS, STOP_TIMEOUT_MS, STOP_SLACK_MS, NODE_COUNT, PORTS, MIN_RECOVERED_SHARE,
-  RECOVERY_TIMEOUT_MS, REPLICA_COUNT, FAULT_SETTLE_MS
+  CALLERS_PER_NODE, DRAIN_GRACE_MS, LIMIT_MS, STOP_TIMEOUT_MS, STOP_SLACK_MS, NODE_COUNT, POISON_MS, POISON_PATH,
+  POISON_PAUSE_MS, PORTS, MIN_RECOVERED_SHARE, RECOVERY_TIMEOUT_MS, REPLICA_COUNT, FAULT_SETTLE_MS
 } from './Constants.js'
 import { type CallOutcome, SoakCaller } from './SoakCaller.js'
 import { SoakInstance } from './SoakInstance.js'
@@ -83,6 +83,7 @@
   /** Until then lost answers and failed stops may be the effect of an unplanned fault; since the start of the soak. */
   private _unplannedUntilMs = 0
   private _instanceCount = 0
+  private _poisonCount = 0
   private _isReplicaRecovering = false
   private readonly _activeFaults: Array<Promise<void>> = []
 
@@ -105,6 +106,7 @@
     silenceCallers: fault => this._impair(fault, this._pickNode(fault).callerRelay, relay => relay.silenceAll()),
     resetCallers: fault => this._impair(fault, this._pickNode(fault).callerRelay, relay => relay.resetAll()),
     delayCallers: fault => this._impair(fault, this._pickNode(fault).callerRelay, relay => relay.delay(DELAY_MS)),
+    poisonRequest: fault => this._sendPoison(fault),
     hangUp: async fault => this._pickNode(fault).process.signal('SIGHUP'),
     change: async () => { await this._operator.change() }
   }
@@ -137,7 +139,8 @@
         await this._sleep(startMs + fault.atMs - this._nowMs())
         this._activeFaults.push(this._handlers[fault.kind](fault))
       }
-      await Promise.all(this._activeFaults)
+      // A fault may add others, such as crashes of instances.
+      for (let ended = 0; ended < this._activeFaults.length;) ended = (await Promise.all(this._activeFaults)).length
       this._nodes.flatMap(node => node.callers).forEach(caller => caller.stop())
       await Promise.all(callers)
       await this._checkRecovery()
@@ -206,7 +209,7 @@
       isInstanceLeaving: false,
       served: { incarnation: 0, version: 0 }
     }
-    for (let i = 0; i < CALLERS_PER_NODE; i++) node.callers.push(this._makeCaller(node, i))
+    for (let i = 0; i < CALLERS_PER_NODE; i++) node.callers.push(this._makeCaller(node, `c${i}`))
     return node
   }
 
@@ -215,13 +218,15 @@
   }
 
   private async _makeInstance (vm: VmAddress): Promise<SoakInstance> {
-    const instance = new SoakInstance(`i-${++this._instanceCount}`, vm.host, this._ledger, this._random)
+    const instance = new SoakInstance(
+      `i-${++this._instanceCount}`, vm.host, this._ledger, this._random, crashing => this._onPoison(crashing)
+    )
     await instance.listen()
     return instance
   }
 
-  private _makeCaller (node: NodeVm, index: number): SoakCaller {
-    return new SoakCaller(`s${this._seed}-${node.vm.name}-c${index}`, {
+  private _makeCaller (node: NodeVm, name: string): SoakCaller {
+    return new SoakCaller(`s${this._seed}-${node.vm.name}-${name}`, {
       host: node.vm.host,
       port: PORTS.entry,
       node: node.vm.name,
@@ -329,6 +334,32 @@
     node.busy = false
   }
 
+  /** Asks for a path that crashes instances, at one node after the other, each time on a new connection. */
+  private async _sendPoison ({ forMs }: Fault): Promise<void> {
+    const path = `${POISON_PATH}${++this._poisonCount}`
+    const untilMs = this._nowMs() + POISON_MS + forMs
+    for (let index = 0; this._nowMs() < untilMs; index++) {
+      const node = this._nodes[index % this._nodes.length] as NodeVm
+      const caller = this._makeCaller(node, `p${path.slice(POISON_PATH.length)}-${index}`)
+      await Promise.all([caller.call(path), this._sleep(POISON_PAUSE_MS)])
+      caller.dispose()
+    }
+  }
+
+  private _onPoison (instance: SoakInstance): void {
+    const node = this._nodes.find(other => other.instance === instance)
+    if (node !== undefined) this._activeFaults.push(this._crashByPoison(node, instance))
+  }
+
+  /** The instance crashes whatever else happens to its node; other faults that replace it go first. */
+  private async _crashByPoison (node: NodeVm, instance: SoakInstance): Promise<void> {
+    this._recordUnplannedFault(INSTANCE_REPLACEMENT_MS)
+    await instance.crash()
+    while (node.busy || node.isInstanceLeaving) await this._sleep(PROBE_INTERVAL_MS)
+    if (node.instance !== instance) return
+    await this._replaceInstance(node, async () => await this._sleep(INSTANCE_REPLACEMENT_MS))
+  }
+
   /** The instance says that it leaves until after the grace, and drains only then. */
   private async _leaveInstance (node: NodeVm, { forMs }: Fault): Promise<void> {
     if (node.busy || node.isInstanceLeaving) return
--- a/soak/SoakCaller.ts
+++ b/soak/SoakCaller.ts
@@ -44,6 +44,11 @@
     this._isStopped = true
   }
 
+  /** Closes the connection. */
+  public dispose (): void {
+    this._agent.destroy()
+  }
+
   /** Sends one request and checks its answer. */
   public async call (path: string): Promise<CallOutcome> {
     const { host, port, node, ledger, onEnd } = this._context
--- a/soak/SoakInstance.ts
+++ b/soak/SoakInstance.ts
@@ -1,7 +1,7 @@
 import { createServer, request } from 'node:http'
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import type { Random } from '../src/parts/Types.js'
-import { DRAIN_GRACE_MS, LIMIT_RANGE_PER_S, MIN_LIMIT_PER_S, PORTS } from './Constants.js'
+import { DRAIN_GRACE_MS, LIMIT_RANGE_PER_S, MIN_LIMIT_PER_S, POISON_PATH, PORTS } from './Constants.js'
 import { expectedBody, type SoakLedger } from './SoakLedger.js'
 
 /** Interval of the reports to the node and the timeout of their acknowledgement, in milliseconds. */
@@ -50,7 +50,8 @@
     public readonly id: string,
     private readonly _host: string,
     private readonly _ledger: SoakLedger,
-    private readonly _random: Random
+    private readonly _random: Random,
+    private readonly _onPoison: (instance: SoakInstance) => void
   ) {
     this._server = createServer({ keepAliveTimeout: 10_000 }, (message, response) => this._handle(message, response))
     this._timer = setInterval(() => this._sendReport(), REPORT_INTERVAL_MS)
@@ -115,6 +116,11 @@
     }
     this._ledger.recordRun(id, this.id)
     this._running++
+    if (message.url?.startsWith(POISON_PATH) === true) {
+      this._ledger.recordPoisonRun(message.url)
+      setTimeout(() => this._onPoison(this), MIN_RUN_MS)
+      return
+    }
     const workMs = this._random.next() < LONG_RUN_SHARE ? LONG_RUN_MS : MIN_RUN_MS + RUN_JITTER_MS * this._random.next()
     setTimeout(() => this._answer(id, response), workMs)
   }
--- a/soak/SoakLedger.test.ts
+++ b/soak/SoakLedger.test.ts
@@ -1,5 +1,5 @@
 import { expect, test } from 'vitest'
-import { RETRY_BUDGET, DRAIN_GRACE_MS } from './Constants.js'
+import { DRAIN_GRACE_MS, QUARANTINE_RULE, RETRY_BUDGET, STABLE_WINDOW_MS } from './Constants.js'
 import { expectedBody, SoakLedger } from './SoakLedger.js'
 import type { Rule } from './Types.js'
 
@@ -73,3 +73,14 @@
     ledger.checkRetryBudget()
   })).toEqual(['budget'])
 })
+
+test('a path that goes on crashing instances after it has crashed three is a violation', () => {
+  const crashFor = (count: number) => (ledger: SoakLedger, wait: (ms: number) => void): void => {
+    for (let i = 0; i < count; i++) {
+      ledger.recordPoisonRun('/p')
+      wait(i < QUARANTINE_RULE.crashes - 1 ? 0 : STABLE_WINDOW_MS + 1)
+    }
+  }
+  expect(findBrokenRules(crashFor(QUARANTINE_RULE.crashes + QUARANTINE_RULE.runs))).toEqual([])
+  expect(findBrokenRules(crashFor(QUARANTINE_RULE.crashes + QUARANTINE_RULE.runs + 1))).toEqual(['quarantine'])
+})
--- a/soak/SoakLedger.ts
+++ b/soak/SoakLedger.ts
@@ -1,4 +1,4 @@
-import { RETRY_BUDGET, DRAIN_GRACE_MS } from './Constants.js'
+import { RETRY_BUDGET, DRAIN_GRACE_MS, QUARANTINE_RULE, STABLE_WINDOW_MS } from './Constants.js'
 import { NoticeLedger } from './NoticeLedger.js'
 import type { Rule, Violation } from './Types.js'
 
@@ -26,6 +26,8 @@
   public readonly notices = new NoticeLedger(() => this._nowMs(), (rule, detail) => this.recordViolation(rule, detail))
   private readonly _requests = new Map<string, RequestRecord>()
   private readonly _drainedAtMs = new Map<string, number>()
+  /** Times of the runs of each path that crashes instances. */
+  private readonly _poisonRuns = new Map<string, number[]>()
 
   /**
    * @param _nowMs Milliseconds since the start of the soak.
@@ -71,6 +73,16 @@
     }
   }
 
+  /** Records a run of a path that crashes the instance. */
+  public recordPoisonRun (path: string): void {
+    const nowMs = this._nowMs()
+    const runs = [...this._poisonRuns.get(path) ?? [], nowMs]
+    this._poisonRuns.set(path, runs)
+    const boundSinceMs = (runs[QUARANTINE_RULE.crashes - 1] ?? Infinity) + STABLE_WINDOW_MS
+    const late = runs.filter(atMs => atMs > boundSinceMs).length
+    if (late > QUARANTINE_RULE.runs) this.recordViolation('quarantine', `${path} crashes an instance for the ${runs.length}th time`)
+  }
+
   /** Records that a node acknowledged the drain of an instance. */
   public recordDrain (instance: string): void {
     if (!this._drainedAtMs.has(instance)) this._drainedAtMs.set(instance, this._nowMs())
