--- a/src/ctl/RequestTrail.test.ts
+++ b/src/ctl/RequestTrail.test.ts
@@ -21,3 +21,8 @@
 test('a request that no log mentions has an empty trail', () => {
   expect(findTrail('r9', [NODE_A, NODE_B])).toEqual([])
 })
+
+test('a line about several requests belongs to the trail of each', () => {
+  const judged = '{"time":"2026-01-01T00:00:02.000Z","process":"sassafras-node","id":"a","requests":["r1","r2"],"msg":"lost connection judged"}'
+  expect(findTrail('r2', [judged]).map(({ message }) => message)).toEqual(['lost connection judged'])
+})
--- a/src/ctl/RequestTrail.ts
+++ b/src/ctl/RequestTrail.ts
@@ -24,13 +24,16 @@
 function matchLine (requestId: string, line: string): RequestLogLine[] {
   if (!line.includes(requestId)) return []
   const entry = parseEntry(line.slice(Math.max(0, line.indexOf('{'))))
-  const loggedRequestId = entry?.['requestId']
-  if (entry === undefined || typeof loggedRequestId !== 'string') return []
-  if (loggedRequestId !== requestId && !loggedRequestId.startsWith(`${requestId}.`)) return []
+  if (entry === undefined || !listRequestIds(entry).some(id => id === requestId || id.startsWith(`${requestId}.`))) return []
   const fields = Object.fromEntries(Object.entries(entry).filter(([name]) => !COMMON_FIELDS.has(name)))
   return [{ time: String(entry['time']), process: String(entry['id']), message: String(entry['msg']), fields }]
 }
 
+/** A line is about one request, or about several that ran together. */
+function listRequestIds ({ requestId, requests }: Record<string, unknown>): string[] {
+  return [requestId, ...Array.isArray(requests) ? requests : []].filter(id => typeof id === 'string')
+}
+
 /** Returns undefined for a line that is not a JSON object, which logs may contain. */
 function parseEntry (text: string): Record<string, unknown> | undefined {
   try {
--- a/src/routenode/Quarantine.ts
+++ b/src/routenode/Quarantine.ts
@@ -6,8 +6,9 @@
 import type { Clock, Log } from '../runtime/Types.js'
 import { QUARANTINE_SWEEP_INTERVAL_MS } from './Constants.js'
 
-/** What the fingerprint of a request is computed from. */
+/** A request, with what its fingerprint is computed from. */
 export interface FingerprintedRequest {
+  readonly requestId: string
   readonly service: ServiceName
   readonly method: string
   readonly target: string
@@ -57,8 +58,14 @@
   public check (request: FingerprintedRequest, isRelayed: boolean): QuarantineRefusal | undefined {
     if (this._table.size === 0) return undefined
     this._sweep()
-    const [action] = this._step({ type: 'ask', call: 0, fingerprint: this._fingerprintOf(request), isRelayed })
-    return action?.type === 'refuse' ? action : undefined
+    const fingerprint = this._fingerprintOf(request)
+    const [action] = this._step({ type: 'ask', call: 0, fingerprint, isRelayed })
+    if (action?.type !== 'refuse') return undefined
+    const { reason, retryAfterMs } = action
+    const { requestId } = request
+    const fields = { requestId, fingerprint, reason, retryAfterMs: Math.round(retryAfterMs), isRelayed }
+    this._options.log.info(fields, 'request refused by the quarantine')
+    return action
   }
 
   /**
@@ -79,7 +86,10 @@
 
   /** Records that the instance has crashed; the calls that were sent to it and have not ended become suspect. */
   public recordCrash (instance: string): void {
-    this._publish(this._step({ type: 'crashed', instance }))
+    const actions = this._step({ type: 'crashed', instance })
+    const suspects = actions.flatMap(action => action.type === 'report' ? [action.report.fingerprint] : [])
+    this._options.log.info({ instance, suspects }, 'crash blamed on requests')
+    this._publish(actions)
   }
 
   /** Handles crash reports of other nodes. */
