Do not count a refused connection as cut by a planned stop in the soak

In a replay of 605 with the relays telling what they saw, every call that counted as cut came after the node had closed its listener: its connection was refused, so the node has read nothing of it. Only these are excused now, by the port of the connection.

--- a/soak/Soak.ts
+++ b/soak/Soak.ts
@@ -233,14 +233,18 @@
       ledger: this._ledger,
       random: this._random,
       expectedVersion: () => this._operator.versionAcknowledgedFor(PROPAGATION_TIMEOUT_MS),
-      onEnd: (end, status, path) => this._onCallEnd(node, end, status, path)
+      onEnd: (end, status, path, localPort) => this._onCallEnd(node, end, status, path, localPort)
     })
   }
 
-  private _onCallEnd (node: NodeVm, outcome: CallOutcome, status: number | undefined, path: string): void {
+  private _onCallEnd (
+    node: NodeVm, outcome: CallOutcome, status: number | undefined, path: string, localPort: number | undefined
+  ): void {
     this._outcomeCounts[outcome]++
     const isPlannedOnly = node.stopping && this._nowMs() > this._unplannedUntilMs
-    if (outcome === 'cut' && isPlannedOnly) this._ledger.recordViolation('planned-stop-cuts-nothing', `${node.vm.name} ${path}`)
+    // The node has not read what came after it had closed its listener.
+    const isCut = outcome === 'cut' && !node.callerRelay.hasRefused(localPort)
+    if (isCut && isPlannedOnly) this._ledger.recordViolation('planned-stop-cuts-nothing', `${node.vm.name} ${path}`)
     const version = Number(/^\/gen-(\d+)\//.exec(path)?.[1] ?? 0)
     const { incarnation } = node.process
     if (version === 0) return
--- a/soak/SoakCaller.ts
+++ b/soak/SoakCaller.ts
@@ -19,7 +19,10 @@
   readonly random: Random
   /** Returns the newest version that was acknowledged long enough ago for every node to know it. */
   readonly expectedVersion: () => number
-  readonly onEnd: (outcome: CallOutcome, status: number | undefined, path: string) => void
+  /** Called with the local port of the connection once a request has ended. */
+  readonly onEnd: (
+    outcome: CallOutcome, status: number | undefined, path: string, localPort: number | undefined
+  ) => void
 }
 
 /** A caller on a VM that sends one request at a time on a persistent connection, and reconnects when that is lost. */
@@ -56,11 +59,12 @@
     ledger.recordRequest(id, path.startsWith('/once/'), node)
     return await new Promise(resolve => {
       let isEnded = false
+      let localPort: number | undefined
       const finish = (outcome: CallOutcome, status?: number): void => {
         if (isEnded) return
         isEnded = true
         clearTimeout(timer)
-        onEnd(outcome, status, path)
+        onEnd(outcome, status, path, localPort)
         resolve(outcome)
       }
       const headers = { host: 'h.example', 'x-request-id': id, 'x-deadline-ms': String(CALLER_TIMEOUT_MS) }
@@ -87,6 +91,11 @@
         call.destroy()
         finish('timeout')
       }, CALLER_TIMEOUT_MS + CALLER_TIMEOUT_SLACK_MS)
+      call.once('socket', socket => {
+        const readPort = (): void => { localPort = socket.localPort }
+        if (socket.connecting) socket.once('connect', readPort)
+        else readPort()
+      })
       call.on('error', () => finish('cut'))
       call.end()
     })
--- a/soak/TcpRelay.ts
+++ b/soak/TcpRelay.ts
@@ -6,6 +6,8 @@
 export class TcpRelay {
   private readonly _server: Server
   private readonly _pairs = new Set<readonly [Socket, Socket]>()
+  /** Local ports of the clients whose connection the target has refused. */
+  private readonly _refusedPorts = new Set<number>()
   private _isSilent = false
   private _delayMs = 0
 
@@ -27,6 +29,11 @@
     return `${host}:${(this._server.address() as AddressInfo).port}`
   }
 
+  /** Returns whether the target has refused the connection of the client with this local port. */
+  public hasRefused (port: number | undefined): boolean {
+    return port !== undefined && this._refusedPorts.has(port)
+  }
+
   /** Delays each chunk by so many milliseconds; 0 turns the delay off. */
   public delay (ms: number): void {
     this._delayMs = ms
@@ -78,6 +85,13 @@
     const [host, port] = this._target.split(':') as [string, string]
     const target = connect(Number(port), host)
     const pair = [client, target] as const
+    const { remotePort } = client
+    if (remotePort !== undefined) {
+      this._refusedPorts.delete(remotePort)
+      target.once('error', (error: Error & { code?: string }) => {
+        if (error.code === 'ECONNREFUSED') this._refusedPorts.add(remotePort)
+      })
+    }
     this._pairs.add(pair)
     client.pipe(this._createDelay()).pipe(target)
     target.pipe(this._createDelay()).pipe(client)
