Do not take a pause of this process for silence of the other node

A call that was out when its node was paused or starved ended as peer-lost, also when the answer had arrived meanwhile: the liveness check of a link compared the time of the last frame with the present, and timers run before sockets are read.

A check that runs late now starts the count anew. The test of a pause failed before. This is one cause of the known red test of stops beside busy processes; whether it is all isn't shown, so the entry stays.

--- a/src/node/mesh/PeerLink.ts
+++ b/src/node/mesh/PeerLink.ts
@@ -38,6 +38,9 @@
 
 const NO_BYTES = new Uint8Array(0)
 
+/** Heartbeat intervals between two liveness checks after which this process counts as starved. */
+const LATE_CHECK_INTERVALS = 2
+
 /**
  * The ingress side's connection to one other node, over which calls are sent. An answer is accepted only if its call id
  * and incarnation match a call in flight on the same connection; others are dropped and counted. Memory: one entry for
@@ -51,6 +54,10 @@
   private readonly _stateChanges = new Emitter<boolean>()
   private readonly _handlers: Handlers
   private _heartbeat: NodeJS.Timeout | undefined
+  /** When the last liveness check ran, in monotonic milliseconds. */
+  private _checkedAtMs = 0
+  /** Silence counts from here on: before, this process itself did not run in time. */
+  private _attentiveSinceMs = 0
   private _lastSequence = 0
   private _pongWaiters = new Map<number, () => void>()
   private _droppedAnswers = 0
@@ -247,6 +254,7 @@
 
   private _startHeartbeat (): void {
     if (this._heartbeat !== undefined) return
+    this._checkedAtMs = this._clock.nowMs()
     this._heartbeat = setInterval(() => this._checkLiveness(), this._options.heartbeatMs)
   }
 
@@ -258,7 +266,11 @@
   private _checkLiveness (): void {
     const channel = this._client.channel
     if (channel === undefined) return
-    const silentMs = this._clock.nowMs() - channel.lastReceivedMs
+    const nowMs = this._clock.nowMs()
+    // Frames that arrived while this process was paused or starved have not been read yet.
+    if (nowMs - this._checkedAtMs > LATE_CHECK_INTERVALS * this._options.heartbeatMs) this._attentiveSinceMs = nowMs
+    this._checkedAtMs = nowMs
+    const silentMs = nowMs - Math.max(channel.lastReceivedMs, this._attentiveSinceMs)
     if (silentMs > this._options.timeoutMs) {
       channel.destroy('no frame received within the peer timeout')
       return
