--- a/src/routenode/CallLink.test.ts
+++ b/src/routenode/CallLink.test.ts
@@ -1,9 +1,10 @@
 import { afterEach, expect, test } from 'vitest'
 import { findFreeAddresses } from '../demo/FreePorts.js'
 import { SeededRandom } from '../parts/SeededRandom.js'
+import { ShiftedClock } from '../../test/support/ShiftedClock.js'
 import { FrameServer } from '../runtime/FrameServer.js'
 import { SystemClock } from '../runtime/SystemClock.js'
-import type { Clock, Disposable } from '../runtime/Types.js'
+import type { Disposable } from '../runtime/Types.js'
 import { CallLink } from './CallLink.js'
 import { LINK_PING_INTERVAL_MS, LINK_TIMEOUT_MS } from './Constants.js'
 import type { CallClientFrame, CallServerFrame, RoutedCall, RoutedCallListener } from './Types.js'
@@ -34,20 +35,6 @@
 
 const LOAD = { running: 0, queued: 0, limit: 4, slowness: 1, workMs: 50, failing: 0 }
 
-/** System clock whose monotonic time can be advanced by hand, to reach timeouts of the link. */
-class ShiftedClock implements Clock {
-  public shiftMs = 0
-  private readonly _clock = new SystemClock()
-
-  public nowMs (): number {
-    return this._clock.nowMs() + this.shiftMs
-  }
-
-  public wallMs (): number {
-    return this._clock.wallMs()
-  }
-}
-
 interface Peer {
   readonly link: CallLink
   readonly clock: ShiftedClock
--- a/test/PeerLink.test.ts
+++ b/test/PeerLink.test.ts
@@ -3,9 +3,11 @@
 import type { ToIngressSide, ToUpstreamSide } from '../src/node/mesh/Types.js'
 import type { CallRequest, CallListener } from '../src/node/Types.js'
 import { SeededRandom } from '../src/parts/SeededRandom.js'
+import type { FrameChannel } from '../src/runtime/FrameChannel.js'
 import { FrameServer } from '../src/runtime/FrameServer.js'
 import { SystemClock } from '../src/runtime/SystemClock.js'
 import type { Clock } from '../src/runtime/Types.js'
+import { ShiftedClock } from './support/ShiftedClock.js'
 
 const INCARNATION = 7
 const EVIDENCE = { inFlight: 0, queued: 0, limit: 1, serviceMs: 1 }
@@ -82,49 +84,41 @@
 
 const HELLO = { type: 'peerHello', node: 'n0', incarnation: INCARNATION, version: 1 } as const
 
-/** System clock that can be set forward, as after a pause of the process. */
-class ShiftedClock implements Clock {
-  public shiftMs = 0
-  private readonly _clock = new SystemClock()
-
-  public nowMs (): number {
-    return this._clock.nowMs() + this.shiftMs
-  }
+interface Peer {
+  readonly link: PeerLink
+  readonly server: FrameServer<ToUpstreamSide, ToIngressSide>
+}
 
-  public wallMs (): number {
-    return this._clock.wallMs()
-  }
+/** Connects a link to a server; both have the same clock. */
+async function connectLink (
+  clock: Clock, timeoutMs: number, onChannel: (channel: FrameChannel<ToUpstreamSide, ToIngressSide>) => void = () => {}
+): Promise<Peer> {
+  const server = new FrameServer<ToUpstreamSide, ToIngressSide>(clock)
+  server.onChannel(onChannel)
+  const address = await server.listen('127.0.0.1:0')
+  const options = { heartbeatMs: 20, timeoutMs }
+  const link = new PeerLink(address, () => HELLO, INCARNATION, options, clock, new SeededRandom(1), () => true)
+  const open = new Promise<void>(resolve => link.onStateChange(() => resolve()))
+  link.connect()
+  await open
+  return { link, server }
 }
 
 test('a pause of this process is not taken for silence of the other node', async () => {
   const clock = new ShiftedClock()
-  const server = new FrameServer<ToUpstreamSide, ToIngressSide>(clock)
-  server.onChannel(channel => {
+  const { link, server } = await connectLink(clock, 1000, channel => {
     channel.onMessage(frame => {
       if (frame.type === 'call') clock.shiftMs = 10_000
       if (frame.type === 'ping') channel.send(buildAnswer(1, INCARNATION, 'late'))
     })
   })
-  const address = await server.listen('127.0.0.1:0')
-  const options = { heartbeatMs: 20, timeoutMs: 1000 }
-  const link = new PeerLink(address, () => HELLO, INCARNATION, options, clock, new SeededRandom(1), () => true)
-  const open = new Promise<void>(resolve => link.onStateChange(() => resolve()))
-  link.connect()
-  await open
   expect(await startAndReadBody(link, 1)).toBe('late')
   link.dispose()
   server.dispose()
 })
 
 test('a link on which nothing arrives is lost after its timeout', async () => {
-  const clock = new SystemClock()
-  const server = new FrameServer<ToUpstreamSide, ToIngressSide>(clock)
-  const address = await server.listen('127.0.0.1:0')
-  const options = { heartbeatMs: 20, timeoutMs: 100 }
-  const link = new PeerLink(address, () => HELLO, INCARNATION, options, clock, new SeededRandom(1), () => true)
-  const open = new Promise<void>(resolve => link.onStateChange(() => resolve()))
-  link.connect()
-  await open
+  const { link, server } = await connectLink(new SystemClock(), 100)
   await expect(startAndReadBody(link, 1)).rejects.toThrow('not an answer')
   link.dispose()
   server.dispose()
