--- a/bench/fuzz.ts
+++ b/bench/fuzz.ts
@@ -1,7 +1,7 @@
 import { readFileSync, writeFileSync } from 'node:fs'
 import { Cli, Command, Option } from 'clipanion'
 import fc from 'fast-check'
-import { GroupRun } from './fuzz/GroupRun.js'
+import { DEFAULT_GROUP_HOOKS, type GroupHooks, GroupRun } from './fuzz/GroupRun.js'
 import { fineSchedules, groupSchedules, type GroupSchedule } from './fuzz/GroupSchedule.js'
 
 const DEFAULT_SECONDS = '30'
@@ -14,6 +14,10 @@
 
   private readonly _seconds = Option.String('--seconds', DEFAULT_SECONDS)
   private readonly _seed = Option.String('--seed')
+  private readonly _lateMembers = Option.String('--late-members', '0', {
+    description: 'members, fewer than half, that learn of their group only after its first commits'
+  })
+
   private readonly _replay = Option.String('--replay', { description: 'file with a schedule that an earlier run wrote' })
   private readonly _out = Option.String('--out', 'fuzz-failure.json', { description: 'where a failing schedule goes' })
 
@@ -22,16 +26,20 @@
   }
 
   private _replaySchedule (file: string): number {
-    new GroupRun(JSON.parse(readFileSync(file, 'utf8')) as GroupSchedule).run()
+    new GroupRun(JSON.parse(readFileSync(file, 'utf8')) as GroupSchedule, this._hooks()).run()
     this.context.stdout.write('the schedule runs without a broken promise\n')
     return 0
   }
 
+  private _hooks (): GroupHooks {
+    return { ...DEFAULT_GROUP_HOOKS, lateMembers: Number(this._lateMembers) }
+  }
+
   private _search (): number {
     const seed = this._seed === undefined ? Date.now() % SEED_RANGE : Number(this._seed)
     const property = fc.property(
       fc.oneof(groupSchedules, fineSchedules),
-      schedule => new GroupRun(schedule).run()
+      schedule => new GroupRun(schedule, this._hooks()).run()
     )
     const details = fc.check(property, {
       seed, numRuns: MAX_RUNS, interruptAfterTimeLimit: Number(this._seconds) * 1000, markInterruptAsFailure: false
