--- a/test/MalformedFrames.test.ts
+++ b/test/MalformedFrames.test.ts
@@ -59,3 +59,29 @@
   await started.restart(started.nodes[1]!)
   for (const node of started.nodes) expect((await started.call(node, '/read/x')).statusCode).toBe(200)
 })
+
+/** Sends bytes on a new connection and resolves when the other end has closed it. */
+async function sendBytes (address: string, bytes: Uint8Array): Promise<void> {
+  const { host, port } = parseAddress(address)
+  await new Promise<void>(resolve => {
+    const socket = connect(port, host, () => socket.end(bytes))
+    socket.on('error', () => {})
+    socket.on('close', () => resolve())
+    socket.resume()
+  })
+}
+
+test('bytes that are neither a frame nor a request end their connection at most', async () => {
+  const started = await RouteMesh.start(2)
+  mesh = started
+  const [first] = started.nodes
+  const bytes = fc.oneof(
+    fc.uint8Array({ maxLength: 300 }),
+    fc.string().map(text => Buffer.from(`GET /read/${text} HTTP/1.1\r\nhost: h.example\r\n${text}\r\n\r\n`))
+  )
+  const callers = first!.callerUrl.replace('http://', '')
+  for (const address of [callers, first!.nodeAddress, first!.settings.seeds[0]!]) {
+    for (const stream of fc.sample(bytes, { seed: SEED, numRuns: FRAMES })) await sendBytes(address, stream)
+  }
+  for (const node of started.nodes) expect((await started.call(node, '/read/x')).statusCode).toBe(200)
+})
