--- a/test/MalformedFrames.test.ts
+++ b/test/MalformedFrames.test.ts
@@ -5,6 +5,7 @@
 import { FrameChannel } from '../src/runtime/FrameChannel.js'
 import { SystemClock } from '../src/runtime/SystemClock.js'
 import { RouteMesh } from './support/RouteMesh.js'
+import { sendBytes } from './support/SendBytes.js'
 
 const SEED = 28
 const FRAMES = 150
@@ -60,17 +61,6 @@
   for (const node of started.nodes) expect((await started.call(node, '/read/x')).statusCode).toBe(200)
 })
 
-/** Sends bytes on a new connection and resolves when the other end has closed it. */
-async function sendBytes (address: string, bytes: Uint8Array): Promise<void> {
-  const { host, port } = parseAddress(address)
-  await new Promise<void>(resolve => {
-    const socket = connect(port, host, () => socket.end(bytes))
-    socket.on('error', () => {})
-    socket.on('close', () => resolve())
-    socket.resume()
-  })
-}
-
 test('bytes that are neither a frame nor a request end their connection at most', async () => {
   const started = await RouteMesh.start(2)
   mesh = started
