--- a/src/routenode/GatewayCall.ts
+++ b/src/routenode/GatewayCall.ts
@@ -63,7 +63,7 @@
  * One request of a caller, from the choice of an instance to its only answer. When a gate declines an attempt, the
  * request goes to another instance; when an attempt fails, it is retried where the route and the retry budget allow it.
  * An at-most-once request goes to another instance only when the one before is proved not to have run it. An idempotent
- * request may be hedged when its first attempt is slow.
+ * request may be hedged when its first attempt is slow. A quarantined request is refused before each of them.
  */
 export class GatewayCall {
   private readonly _timeoutAtMs: number
--- a/src/routenode/InstanceProxy.ts
+++ b/src/routenode/InstanceProxy.ts
@@ -59,7 +59,8 @@
 /**
  * Proxy in front of the instance on this VM. All calls to the instance pass through it, so it alone knows what runs
  * there, and it enforces the concurrency limit, the order of queued calls and draining: once it has applied a report
- * that the instance drains or stops, it lets no new call in.
+ * that the instance drains or stops, it lets no new call in. It also knows which calls ran when the instance crashed,
+ * and keeps quarantined requests from running.
  *
  * Memory: the running and the queued calls; see `InstanceGate` for their bounds.
  */
