--- a/bench/parts/UpstreamCases.ts
+++ b/bench/parts/UpstreamCases.ts
@@ -1,6 +1,7 @@
 import { AdmissionController } from '../../src/parts/admission/AdmissionController.js'
 import { QuarantineTable } from '../../src/parts/quarantine/QuarantineTable.js'
 import { RequestFingerprint } from '../../src/parts/quarantine/RequestFingerprint.js'
+import { computeSha1 } from '../../src/runtime/Digest.js'
 import { SeededRandom } from '../../src/parts/SeededRandom.js'
 import type { PartCase } from './Measure.js'
 
@@ -11,7 +12,7 @@
 
 const INSTANCE = 'dies/n1'
 
-const fingerprints = await RequestFingerprint.load()
+const fingerprints = new RequestFingerprint(computeSha1)
 
 const BODY = new Uint8Array(200).fill(7)
 
--- a/src/node/NodeDaemon.ts
+++ b/src/node/NodeDaemon.ts
@@ -1,5 +1,6 @@
 import type { Container } from 'inversify'
 import { RequestFingerprint } from '../parts/quarantine/RequestFingerprint.js'
+import { computeSha1 } from '../runtime/Digest.js'
 import type { VersionedConfiguration } from '../parts/configuration/Types.js'
 import type { ServiceName } from '../parts/Types.js'
 import type { AdminSource, Health } from '../runtime/AdminServer.js'
@@ -51,7 +52,7 @@
   private _rejectEnded: (error: Error) => void = () => {}
 
   /**
-   * @param fingerprints Request hash, already loaded; see `RequestFingerprint.load`.
+   * @param fingerprints Hash of requests.
    */
   public constructor (private readonly _settings: NodeSettings, fingerprints: RequestFingerprint) {
     this._container = buildNodeContainer(_settings, fingerprints)
@@ -64,7 +65,7 @@
 
   /** Creates a node from its settings and starts it. */
   public static async start (settings: NodeSettings): Promise<NodeDaemon> {
-    const daemon = new NodeDaemon(settings, await RequestFingerprint.load())
+    const daemon = new NodeDaemon(settings, new RequestFingerprint(computeSha1))
     await daemon._run()
     return daemon
   }
--- a/src/parts/quarantine/QuarantineTable.test.ts
+++ b/src/parts/quarantine/QuarantineTable.test.ts
@@ -4,6 +4,7 @@
 import { MAX_SUSPECTS_HANDED_ON, QUARANTINE_DEFAULTS } from './Constants.js'
 import { QuarantineTable } from './QuarantineTable.js'
 import { RequestFingerprint } from './RequestFingerprint.js'
+import { computeSha1 } from '../../runtime/Digest.js'
 import type { CrashReport, Fingerprint, QuarantineAction, QuarantineOptions } from './Types.js'
 
 const NODES = 4
@@ -353,7 +354,7 @@
 })
 
 test('the fingerprint differs by service, method, target and body', async () => {
-  const fingerprint = await RequestFingerprint.load()
+  const fingerprint = new RequestFingerprint(computeSha1)
   const bodies = ['', 'a', 'b', 'a'.repeat(5000), 'a'.repeat(5001)].map(text => new TextEncoder().encode(text))
   const fingerprints = ['dies', 'custody'].flatMap(service => ['GET', 'POST'].flatMap(method => ['/', '/a'].flatMap(target =>
     bodies.map(body => fingerprint.of(service, method, target, body, body.length)))))
--- a/src/parts/quarantine/RequestFingerprint.ts
+++ b/src/parts/quarantine/RequestFingerprint.ts
@@ -1,27 +1,23 @@
-import xxhash from 'xxhash-wasm'
-import type { XXHashAPI } from 'xxhash-wasm'
 import { FINGERPRINT_BODY_BYTES, FINGERPRINT_HEAD_BYTES } from './Constants.js'
 import type { Fingerprint } from './Types.js'
 
+/** Hexadecimal digits of a fingerprint: 64 bits. */
+const FINGERPRINT_DIGITS = 16
+
 /**
- * Computes the fingerprint of a request: a 64-bit xxHash of service, method, target, body length and the first 4 KiB of
- * the body. With 4,096 quarantined fingerprints, another request collides with one of them with a probability of
- * 4,096 / 2^64, about 2e-16. The hash isn't cryptographic: a caller can produce collisions among its own requests.
+ * Computes the fingerprint of a request: 64 bits of a hash of service, method, target, body length and the first
+ * 4 KiB of the body. With 4,096 quarantined fingerprints, another request collides with one of them with a probability
+ * of 4,096 / 2^64, about 2e-16. A caller can produce collisions among its own requests.
  */
 export class RequestFingerprint {
-  private readonly _hash: XXHashAPI
   private readonly _encoder = new TextEncoder()
   /** Reused for all requests; a longer head gets its own buffer. */
   private readonly _buffer = new Uint8Array(FINGERPRINT_HEAD_BYTES + FINGERPRINT_BODY_BYTES)
 
-  private constructor (hash: XXHashAPI) {
-    this._hash = hash
-  }
-
-  /** Loads the WebAssembly module of the hash. Call it once when the process starts. */
-  public static async load (): Promise<RequestFingerprint> {
-    return new RequestFingerprint(await xxhash())
-  }
+  /**
+   * @param _hash Returns the hash of some bytes in at least 16 hexadecimal digits.
+   */
+  public constructor (private readonly _hash: (bytes: Uint8Array) => string) {}
 
   /**
    * Returns the fingerprint of a request.
@@ -34,8 +30,7 @@
   public of (service: string, method: string, target: string, body: Uint8Array, bodyBytes: number): Fingerprint {
     const head = `${service}\0${method}\0${target}\0${bodyBytes}\0`
     const prefix = body.subarray(0, FINGERPRINT_BODY_BYTES)
-    const digest = this._hash.h64Raw(this._join(head, prefix))
-    return digest.toString(16).padStart(16, '0')
+    return this._hash(this._join(head, prefix)).slice(0, FINGERPRINT_DIGITS)
   }
 
   private _join (head: string, prefix: Uint8Array): Uint8Array {
--- a/src/routenode/InstanceProxy.test.ts
+++ b/src/routenode/InstanceProxy.test.ts
@@ -4,6 +4,7 @@
 import { findFreeAddresses } from '../demo/FreePorts.js'
 import type { InstanceLimit, PublishedInstance } from '../parts/instances/Types.js'
 import { RequestFingerprint } from '../parts/quarantine/RequestFingerprint.js'
+import { computeSha1 } from '../runtime/Digest.js'
 import { parseAddress } from '../runtime/Address.js'
 import { SystemClock } from '../runtime/SystemClock.js'
 import type { Clock, Log } from '../runtime/Types.js'
@@ -19,7 +20,7 @@
 
 const PUBLISHED_BEFORE: PublishedInstance = { id: 'i-1', bornMs: 100, service: 'ledger', slots: 6, state: 'draining' }
 
-const fingerprint = await RequestFingerprint.load()
+const fingerprint = new RequestFingerprint(computeSha1)
 
 function makeQuarantine (clock: Clock): Quarantine {
   return new Quarantine({ node: 'n', incarnation: 1, fingerprint, clock, log: SILENT })
--- a/src/routenode/RouteNodeDaemon.test.ts
+++ b/src/routenode/RouteNodeDaemon.test.ts
@@ -1,6 +1,7 @@
 import { afterEach, expect, test } from 'vitest'
 import { findFreeAddresses } from '../demo/FreePorts.js'
 import { RequestFingerprint } from '../parts/quarantine/RequestFingerprint.js'
+import { computeSha1 } from '../runtime/Digest.js'
 import { SeededRandom } from '../parts/SeededRandom.js'
 import type { FeedToNode, NodeToFeed } from '../routecontrol/Types.js'
 import type { FrameChannel } from '../runtime/FrameChannel.js'
@@ -35,7 +36,7 @@
     clock: new SystemClock(),
     random: new SeededRandom(1),
     log: SILENT,
-    fingerprint: await RequestFingerprint.load()
+    fingerprint: new RequestFingerprint(computeSha1)
   })
   opened.push(daemon, server)
   const report = { id: 'i', bornMs: 1, sequence: 1, service: 'svc', address: instance, slots: 6, coldMs: 0 }
--- a/test/support/RouteMesh.ts
+++ b/test/support/RouteMesh.ts
@@ -4,6 +4,7 @@
 import type { Response } from 'got'
 import { findFreeAddresses } from '../../src/demo/FreePorts.js'
 import { RequestFingerprint } from '../../src/parts/quarantine/RequestFingerprint.js'
+import { computeSha1 } from '../../src/runtime/Digest.js'
 import type { Route, RoutingChange } from '../../src/parts/routing/Types.js'
 import { SeededRandom } from '../../src/parts/SeededRandom.js'
 import { MemoryDisk } from '../../src/parts/storage/MemoryDisk.js'
@@ -241,7 +242,7 @@
 
   private async _startDaemon (settings: RouteNodeSettings): Promise<RouteNodeDaemon> {
     const random = new SeededRandom(++this._seed)
-    const fingerprint = await RequestFingerprint.load()
+    const fingerprint = new RequestFingerprint(computeSha1)
     const daemon = new RouteNodeDaemon({ settings, clock: new SystemClock(), random, log: SILENT_LOG, fingerprint })
     await daemon.start()
     return daemon
