Identify callers by the API keys of workspaces, and take uploads as a kind of route

Cause: a configuration with uploads was refused with 400, so nothing was served; API keys were passed on to instances, the workspace was not named, and withdrawn or unknown keys were served.

Change: the routing configuration holds workspaces with their keys, quotas and priorities, public routes and the limits of cold instances; uploads run at most once. Nodes get digests of the keys and look requests up by them, remove the key, name the workspace, and answer 401 without a key in force, or 503 while they have no control replica. Calls of instances belong to the workspace of their parent. Nothing changes without workspaces in the configuration.

--- a/src/parts/routing/RoutingDelta.ts
+++ b/src/parts/routing/RoutingDelta.ts
@@ -16,7 +16,8 @@
   return {
     routes: mergeByName(configuration.routes, patch.upsertRoutes, patch.removeRoutes),
     services: mergeByName(configuration.services, patch.upsertServices, patch.removeServices),
-    limits: patch.limits ?? configuration.limits
+    limits: patch.limits ?? configuration.limits,
+    ...mergeWorkspaces(configuration, patch)
   }
 }
 
@@ -36,10 +37,32 @@
     upsertServices: findChanged(from.services, to.services),
     removeRoutes: findMissing(from.routes, to.routes),
     removeServices: findMissing(from.services, to.services),
+    ...computeWorkspaceDelta(from, to),
     ...(limitsUnchanged ? {} : { limits: to.limits })
   }
 }
 
+/** A configuration that has had workspaces keeps an empty list: removing the last one does not lift the keys. */
+function mergeWorkspaces (
+  { workspaces }: RoutingConfiguration, { upsertWorkspaces, removeWorkspaces }: RoutingPatch
+): Pick<RoutingConfiguration, 'workspaces'> {
+  const isUnchanged = upsertWorkspaces === undefined && removeWorkspaces === undefined
+  if (isUnchanged) return workspaces === undefined ? {} : { workspaces }
+  return { workspaces: mergeByName(workspaces ?? [], upsertWorkspaces ?? [], removeWorkspaces ?? []) }
+}
+
+/** Nothing is added where neither version has workspaces. */
+function computeWorkspaceDelta (
+  from: RoutingConfiguration, to: RoutingConfiguration
+): Pick<RoutingDelta, 'upsertWorkspaces' | 'removeWorkspaces'> {
+  if (from.workspaces === to.workspaces || to.workspaces === undefined) return {}
+  const before = from.workspaces ?? []
+  return {
+    upsertWorkspaces: findChanged(before, to.workspaces),
+    removeWorkspaces: findMissing(before, to.workspaces)
+  }
+}
+
 function mergeByName<Item extends NamedItem> (
   items: readonly Item[], upserts: readonly Item[], removals: readonly string[]
 ): readonly Item[] {
--- a/src/parts/routing/RoutingStore.test.ts
+++ b/src/parts/routing/RoutingStore.test.ts
@@ -3,7 +3,7 @@
 import { DEFAULT_CALLER_LIMITS, MAX_DELTAS } from './Constants.js'
 import { applyPatch } from './RoutingDelta.js'
 import { RoutingStore } from './RoutingStore.js'
-import type { Route, RoutingChange, RoutingConfiguration } from './Types.js'
+import type { Route, RoutingChange, RoutingConfiguration, Workspace } from './Types.js'
 
 const SERVICE = { name: 's', healthPath: '/h', maxConnections: 10, protocol: 'h1', tls: false }
 
@@ -132,3 +132,67 @@
 function indexByName ({ routes, services, limits }: RoutingConfiguration): object {
   return { routes: Object.fromEntries(routes.map(route => [route.name, route])), services, limits }
 }
+
+function makeWorkspaces (...names: string[]): Workspace[] {
+  return names.map(name => ({ name, keys: [`key of ${name}`] }))
+}
+
+function replaceWorkspaces (version: number, base: number, workspaces: Workspace[] | undefined): RoutingChange {
+  const configuration = makeConfiguration(makeRoute('a'))
+  return { type: 'replace', version, base, configuration: workspaces === undefined ? configuration : { ...configuration, workspaces } }
+}
+
+function patchWorkspaces (version: number, base: number, upserts: Workspace[], removals: string[]): RoutingChange {
+  return { ...patch(version, base, []), upsertWorkspaces: upserts, removeWorkspaces: removals } as RoutingChange
+}
+
+test('two workspaces with one key are invalid, and the finding does not tell the key', () => {
+  const [first, second] = makeWorkspaces('first', 'second') as [Workspace, Workspace]
+  const reply = apply(new RoutingStore(), replaceWorkspaces(1, 0, [first, { ...second, keys: ['other', ...first.keys] }]))
+  expect(reply.type).toBe('invalid')
+  const text = JSON.stringify(reply)
+  expect(text).toContain('first')
+  expect(text).toContain('second')
+  expect(text).not.toContain('key of')
+})
+
+test('a workspace may repeat a key of its own', () => {
+  const reply = apply(new RoutingStore(), replaceWorkspaces(1, 0, [{ name: 'w', keys: ['k', 'k'] }]))
+  expect(reply.type).toBe('accepted')
+})
+
+// A withdrawn key would stay in use at nodes if deltas left it out.
+test('deltas bring workspaces to a node as they are at the store', () => {
+  const store = new RoutingStore()
+  apply(store, replaceWorkspaces(1, 0, makeWorkspaces('a', 'b')))
+  const before = store.inForce.configuration
+  apply(store, patchWorkspaces(2, 1, [{ name: 'a', keys: ['new'] }, ...makeWorkspaces('c')], ['b']))
+  apply(store, patch(3, 2, [makeRoute('z')]))
+  const after = (store.deltasSince(1) ?? []).reduce(applyPatch, before)
+  expect(after).toEqual(store.inForce.configuration)
+  expect(after.workspaces?.map(({ name }) => name)).toEqual(['a', 'c'])
+})
+
+test('removing the last workspace leaves an empty list, so that callers still need keys', () => {
+  const store = new RoutingStore()
+  apply(store, replaceWorkspaces(1, 0, makeWorkspaces('a')))
+  apply(store, patchWorkspaces(2, 1, [], ['a']))
+  expect(store.inForce.configuration.workspaces).toEqual([])
+})
+
+test('a configuration that drops workspaces is sent to nodes as a full copy', () => {
+  const store = new RoutingStore()
+  apply(store, replaceWorkspaces(1, 0, makeWorkspaces('a')))
+  apply(store, replaceWorkspaces(2, 1, undefined))
+  expect(store.deltasSince(1)).toBeUndefined()
+  apply(store, patch(3, 2, [makeRoute('z')]))
+  expect(store.deltasSince(1)).toBeUndefined()
+  expect(store.deltasSince(2)).toHaveLength(1)
+})
+
+test('without workspaces, deltas and configurations have no field for them', () => {
+  const store = new RoutingStore()
+  apply(store, replace(1, 0, makeRoute('a')))
+  apply(store, patch(2, 1, [makeRoute('b')]))
+  expect(JSON.stringify([store.deltasSince(1), store.inForce])).not.toContain('orkspaces')
+})
--- a/src/parts/routing/RoutingStore.ts
+++ b/src/parts/routing/RoutingStore.ts
@@ -74,7 +74,10 @@
   }
 
   private _accept (next: VersionedRouting, digest: string): void {
-    this._deltas.push(computeDelta(this._current, next))
+    // A delta can't say that a configuration has no workspaces any more, which differs from having none at present.
+    const hadWorkspaces = this._current.configuration.workspaces !== undefined
+    if (hadWorkspaces && next.configuration.workspaces === undefined) this._deltas = []
+    else this._deltas.push(computeDelta(this._current, next))
     if (this._deltas.length > MAX_DELTAS) this._deltas.shift()
     this._current = next
     this._accepted.set(digest, next.version)
--- a/src/parts/routing/RoutingValidation.ts
+++ b/src/parts/routing/RoutingValidation.ts
@@ -1,5 +1,5 @@
 import { MAX_OBJECTIVE_EXCESS_MS, MAX_ROUTE_TIMEOUT_MS } from './Constants.js'
-import type { Finding, Route, RoutingConfiguration } from './Types.js'
+import type { Finding, Route, RoutingConfiguration, Workspace } from './Types.js'
 
 /** Checks one property of a route; undefined when the route meets the rule. */
 type RouteRule = (route: Route, services: ReadonlySet<string>) => Omit<Finding, 'place'> & { readonly field: string } | undefined
@@ -39,12 +39,14 @@
  * Validates a complete configuration.
  * @returns All findings; empty when the configuration is valid.
  */
-export function validateRouting ({ routes, services }: RoutingConfiguration): Finding[] {
+export function validateRouting ({ routes, services, workspaces = [] }: RoutingConfiguration): Finding[] {
   const serviceNames = new Set(services.map(service => service.name))
   const findings = routes.flatMap((route, index) => validateRoute(route, index, serviceNames))
   findings.push(...findDuplicates('routes', 'name', routes.map(route => route.name)))
   findings.push(...findDuplicates('routes', 'host and pathPrefix', routes.map(route => `${route.host}${route.pathPrefix}`)))
   findings.push(...findDuplicates('services', 'name', services.map(service => service.name)))
+  findings.push(...findDuplicates('workspaces', 'name', workspaces.map(workspace => workspace.name)))
+  findings.push(...findSharedKeys(workspaces))
   return findings
 }
 
@@ -65,6 +67,21 @@
   })
 }
 
+/** Names the workspaces rather than the key, which must not appear in an answer or a log. */
+function findSharedKeys (workspaces: readonly Workspace[]): Finding[] {
+  const ownerByKey = new Map<string, string>()
+  return workspaces.flatMap(({ name, keys }, index) => {
+    const owner = keys.map(key => ownerByKey.get(key)).find(other => other !== undefined)
+    keys.forEach(key => ownerByKey.set(key, name))
+    if (owner === undefined || owner === name) return []
+    return [{
+      place: `workspaces[${index}].keys`,
+      problem: `has a key in common with the workspace "${owner}", here "${name}"`,
+      expected: 'keys that no other workspace has'
+    }]
+  })
+}
+
 function findDuplicates (list: string, field: string, values: readonly string[]): Finding[] {
   const seen = new Map<string, number>()
   return values.flatMap((value, index) => {
--- a/src/parts/routing/Types.ts
+++ b/src/parts/routing/Types.ts
@@ -5,9 +5,10 @@
 
 /**
  * How requests of a route may be retried: `idempotent` ones may run several times, `once` ones at most once for each
- * attempt of the caller, and `download` ones may run several times and have large answers.
+ * attempt of the caller, `download` ones may run several times and have large answers, and `upload` ones have large
+ * bodies and run at most once for each attempt of the caller.
  */
-export type RouteKind = 'idempotent' | 'once' | 'download'
+export type RouteKind = 'idempotent' | 'once' | 'download' | 'upload'
 
 /** One share of a weighted split. */
 export interface SplitShare {
@@ -37,6 +38,8 @@
   /** Most instances that one request may be sent to. */
   readonly maxAttempts: number
   readonly destination: Destination
+  /** Whether requests need no API key; absent where the operator does not say. It matters only beside workspaces. */
+  readonly isPublic?: boolean
 }
 
 /** A service that routes may send requests to. */
@@ -48,6 +51,23 @@
   readonly maxConnections: number
   readonly protocol: string
   readonly tls: boolean
+  /** How long an instance is cold after it starts, in milliseconds; absent where the operator does not say. */
+  readonly coldStartMs?: number
+  /** Requests a second that an instance tolerates while it is cold; absent or 0 for no limit. */
+  readonly coldPerS?: number
+}
+
+/** A customer of the services, whose callers identify themselves by API keys and share one quota. */
+export interface Workspace {
+  readonly name: string
+  /** API keys; in the configuration that nodes receive, their digests. */
+  readonly keys: readonly string[]
+  /** Goes before the priority of a route; 0 is the most urgent. */
+  readonly priority?: number
+  /** Requests a second over all nodes; absent or 0 for no limit. */
+  readonly ratePerS?: number
+  /** Requests that may be sent beyond the rate, over all nodes. */
+  readonly burst?: number
 }
 
 /** Limits on the size of callers' requests, and on the time for which connections wait for them. */
@@ -63,6 +83,8 @@
   readonly routes: readonly Route[]
   readonly services: readonly RoutedService[]
   readonly limits: CallerLimits
+  /** Absent where callers need no API keys. */
+  readonly workspaces?: readonly Workspace[]
 }
 
 /** A configuration change as an operator sends it; `base` is the version that it was made for. */
@@ -81,6 +103,8 @@
     readonly upsertServices: readonly RoutedService[],
     readonly removeRoutes: readonly string[],
     readonly removeServices: readonly ServiceName[],
+    readonly upsertWorkspaces?: readonly Workspace[],
+    readonly removeWorkspaces?: readonly string[],
     readonly limits?: CallerLimits
   }
 
@@ -104,6 +128,8 @@
   readonly upsertServices: readonly RoutedService[]
   readonly removeRoutes: readonly string[]
   readonly removeServices: readonly ServiceName[]
+  readonly upsertWorkspaces?: readonly Workspace[]
+  readonly removeWorkspaces?: readonly string[]
   readonly limits?: CallerLimits
 }
 
--- a/src/routecontrol/NodeFeed.ts
+++ b/src/routecontrol/NodeFeed.ts
@@ -2,6 +2,7 @@
 import { NodeDirectory } from '../parts/instances/NodeDirectory.js'
 import type { NodeEntry } from '../parts/instances/Types.js'
 import type { CrashReport } from '../parts/quarantine/Types.js'
+import type { VersionedRouting } from '../parts/routing/Types.js'
 import type { NodeId } from '../parts/Types.js'
 import { encodeMessage } from '../runtime/FrameChannel.js'
 import type { Clock, Disposable, Log } from '../runtime/Types.js'
@@ -9,6 +10,7 @@
   ENTRY_BATCH_MS, ENTRY_RESEND_INTERVAL_MS, NODE_CHECK_INTERVAL_MS, NODE_GONE_MS, NODE_TIMEOUT_MS
 } from './Constants.js'
 import { CrashReportStore } from './CrashReportStore.js'
+import { redactDeltaKeys, redactKeys } from './KeyRedaction.js'
 import type { RoutingReplica } from './RoutingReplica.js'
 import type { FeedToNode, NodeToFeed } from './Types.js'
 
@@ -65,6 +67,8 @@
   private readonly _resendTimer: NodeJS.Timeout
   /** Addresses of the control replicas that were sent to nodes last, joined by commas. */
   private _sentControls = ''
+  /** Configuration in force as nodes receive it, as far as it was sent. */
+  private _redacted: VersionedRouting | undefined
 
   private readonly _handlers: Handlers = {
     publish: (session, { entry }) => {
@@ -267,8 +271,14 @@
     if (inForce.version <= session.version) return
     const differences = session.version === 0 ? undefined : store.deltasSince(session.version)
     session.version = inForce.version
-    if (differences === undefined) this._send(session, { type: 'routing', routing: inForce })
-    else this._send(session, { type: 'routingDifferences', differences })
+    if (differences === undefined) this._send(session, { type: 'routing', routing: this._redact(inForce) })
+    else this._send(session, { type: 'routingDifferences', differences: differences.map(redactDeltaKeys) })
+  }
+
+  /** Many nodes ask for the same version at once after a restart, so the last one is kept. */
+  private _redact (routing: VersionedRouting): VersionedRouting {
+    if (this._redacted?.version !== routing.version) this._redacted = redactKeys(routing)
+    return this._redacted
   }
 
   private _sendToAll (frame: FeedToNode): void {
--- a/src/routenode/Gateway.ts
+++ b/src/routenode/Gateway.ts
@@ -5,9 +5,11 @@
 import { readBody } from '../node/ingress/BodyReader.js'
 import { CallerWaitEstimate } from '../parts/routing/CallerWaitEstimate.js'
 import { DEFAULT_CALLER_LIMITS } from '../parts/routing/Constants.js'
-import type { CallerLimits } from '../parts/routing/Types.js'
+import type { CallerLimits, Route, Workspace } from '../parts/routing/Types.js'
 import type { RouteEntry, RouteTable } from '../parts/routing/RouteTable.js'
 import type { ServiceName } from '../parts/Types.js'
+import type { KeyTable } from '../parts/workspaces/KeyTable.js'
+import { computeKeyDigest } from '../runtime/Digest.js'
 import { listenOn } from '../runtime/Listen.js'
 import type { Disposable, Log } from '../runtime/Types.js'
 import { NOT_READY_RETRY_AFTER_MS, RETRY_AFTER_MAX_SHARE, RETRY_AFTER_JITTER } from './Constants.js'
@@ -15,7 +17,9 @@
 import { AnswerSizeEstimate } from './AnswerSizeEstimate.js'
 import { CallerConnections } from './CallerConnections.js'
 import type { RouteNodeMetrics } from './RouteNodeMetrics.js'
-import type { AttemptKind, GatewayReason, GatewayRequest, GatewayResult, HeaderNames, RoutedAnswer } from './Types.js'
+import type {
+  CallerWorkspace, GatewayReason, GatewayRequest, GatewayResult, HeaderNames, RoutedAnswer, RoutedCall
+} from './Types.js'
 
 /** Largest header of a request that is accepted, in bytes; `maxHeaderBytes` of the configuration isn't enforced. */
 const MAX_HEADER_BYTES = 64 * 1024
@@ -38,8 +42,10 @@
   /** Returns the service of the instance on this VM, where all requests originate. */
   readonly callerService: () => ServiceName
   readonly metrics: RouteNodeMetrics
-  /** Returns the kind of the attempt of a request that the instance on this VM runs now, if it runs one. */
-  readonly findRunningAttemptKind: (requestId: string) => AttemptKind | undefined
+  /** Returns the call of a request that the instance on this VM runs now, if it runs one. */
+  readonly findRunning: (requestId: string) => RoutedCall | undefined
+  /** Returns whether this node is connected to a control replica, so that its configuration is current. */
+  readonly isInTouch: () => boolean
 }
 
 /**
@@ -51,9 +57,11 @@
   private readonly _server: Server
   private readonly _connections: CallerConnections
   private readonly _droppedHeaders: ReadonlySet<string>
+  private readonly _droppedWithKeys: ReadonlySet<string>
   private readonly _answerSizes = new AnswerSizeEstimate()
   private readonly _callerWaitEstimate = new CallerWaitEstimate()
   private _routeTable: RouteTable | undefined
+  private _keys: KeyTable | undefined
   private _callerLimits: CallerLimits = DEFAULT_CALLER_LIMITS
   private _openRequestCount = 0
   private _isClosing = false
@@ -61,6 +69,7 @@
   public constructor (private readonly _options: GatewayOptions) {
     const { names } = _options
     this._droppedHeaders = new Set([names.deadlineMs, names.targetInstance, names.callerService])
+    this._droppedWithKeys = new Set([...this._droppedHeaders, names.apiKey, names.workspace])
     this._server = createServer({
       maxHeaderSize: MAX_HEADER_BYTES,
       requestTimeout: 0,
@@ -87,9 +96,11 @@
    * Applies a configuration to requests that arrive from now on.
    * @param table Routes to services.
    * @param limits Limits on the connections and requests of callers.
+   * @param keys API keys in force; undefined when callers need none.
    */
-  public apply (table: RouteTable, limits: CallerLimits): void {
+  public apply (table: RouteTable, limits: CallerLimits, keys: KeyTable | undefined): void {
     this._routeTable = table
+    this._keys = keys
     this._callerLimits = limits
     this._server.keepAliveTimeout = limits.idleTimeoutMs
     this._server.headersTimeout = limits.headerTimeoutMs
@@ -122,12 +133,33 @@
     if (table === undefined) return this._refuse(message, response, 503, 'no-configuration', this._notReadyRetryAfterMs(message))
     const entry = this._findRoute(table, message)
     if (entry === undefined) return this._refuse(message, response, 404, 'no-route')
+    const origin = this._identify(message, entry.route)
+    if (origin === undefined) return this._refuseUnknownKey(message, response)
     readBody(message, this._callerLimits.maxBodyBytes, result => {
       if (result.type === 'tooLarge') this._refuse(message, response, 413, 'body-too-large')
-      if (result.type === 'whole') this._start(message, response, this._buildRequest(message, entry, table, result.bytes, arrivedAtMs))
+      if (result.type !== 'whole') return
+      const request = this._buildRequest(message, entry, table, origin, result.bytes, arrivedAtMs)
+      this._start(message, response, request)
     })
   }
 
+  /** Returns where a request comes from, or undefined when it needs an API key and has none in force. */
+  private _identify (message: IncomingMessage, { isPublic }: Route): RequestOrigin | undefined {
+    const parent = this._findParent(readHeader(message, this._options.names.requestId) ?? '')
+    const keys = this._keys
+    if (parent !== undefined) return { parent, keys, workspace: workspaceOf(parent) }
+    const key = keys === undefined ? undefined : readHeader(message, this._options.names.apiKey)
+    const workspace = key === undefined ? undefined : keys?.find(computeKeyDigest(key))
+    if (workspace !== undefined) return { parent, keys, workspace: toCallerWorkspace(workspace) }
+    return keys === undefined || isPublic === true ? { parent, keys, workspace: undefined } : undefined
+  }
+
+  /** A node that has lost its control replica may not know a new key yet. */
+  private _refuseUnknownKey (message: IncomingMessage, response: ServerResponse): void {
+    if (this._options.isInTouch()) this._refuse(message, response, 401, 'unknown-key')
+    else this._refuse(message, response, 503, 'unknown-key', this._notReadyRetryAfterMs(message))
+  }
+
   /** Returns a delay within which a starting node usually has a configuration, at most a share of the deadline. */
   private _notReadyRetryAfterMs (message: IncomingMessage): number {
     const deadlineMs = readDeadlineMs(message, this._options.names.deadlineMs) ?? DEFAULT_DEADLINE_MS
@@ -143,7 +175,12 @@
   }
 
   private _buildRequest (
-    message: IncomingMessage, entry: RouteEntry, table: RouteTable, body: Uint8Array, arrivedAtMs: number
+    message: IncomingMessage,
+    entry: RouteEntry,
+    table: RouteTable,
+    { parent, keys, workspace }: RequestOrigin,
+    body: Uint8Array,
+    arrivedAtMs: number
   ): GatewayRequest {
     const { names, callerService } = this._options
     const { route } = entry
@@ -151,8 +188,10 @@
     const waitedMs = deadlineMs === undefined
       ? 0
       : this._callerWaitEstimate.recordDeadline(route.name, deadlineMs, arrivedAtMs)
-    const headers = selectEndToEnd(message.rawHeaders, this._droppedHeaders)
+    const dropped = keys === undefined ? this._droppedHeaders : this._droppedWithKeys
+    const headers = selectEndToEnd(message.rawHeaders, dropped)
     headers.push(names.callerService, callerService())
+    if (workspace !== undefined) headers.push(names.workspace, workspace.name)
     const requestId = readHeader(message, names.requestId) ?? ''
     return {
       requestId,
@@ -163,7 +202,8 @@
       route,
       service: entry.nextService(),
       version: table.version,
-      parentAttemptKind: this._findParentAttemptKind(requestId),
+      parentAttemptKind: parent?.attempt,
+      workspace,
       deadlineMs: deadlineMs ?? DEFAULT_DEADLINE_MS,
       arrivedAtMs,
       objectiveAtMs: arrivedAtMs - waitedMs + route.latencyObjectiveMs,
@@ -172,9 +212,9 @@
   }
 
   /** The id of a nested call is the id of the request that the instance runs, a dot, and a suffix of its own. */
-  private _findParentAttemptKind (requestId: string): AttemptKind | undefined {
+  private _findParent (requestId: string): RoutedCall | undefined {
     const dot = requestId.lastIndexOf('.')
-    return dot > 0 ? this._options.findRunningAttemptKind(requestId.slice(0, dot)) : undefined
+    return dot > 0 ? this._options.findRunning(requestId.slice(0, dot)) : undefined
   }
 
   private _start (message: IncomingMessage, response: ServerResponse, request: GatewayRequest): void {
@@ -254,6 +294,24 @@
   }
 }
 
+/** Where a request comes from. */
+interface RequestOrigin {
+  /** Call whose run makes this nested call. */
+  readonly parent: RoutedCall | undefined
+  /** API keys in force when the request arrived; undefined when callers need none. */
+  readonly keys: KeyTable | undefined
+  readonly workspace: CallerWorkspace | undefined
+}
+
+function toCallerWorkspace ({ name, priority = 0, ratePerS = 0, burst = 0 }: Workspace): CallerWorkspace {
+  return ratePerS === 0 ? { name, priority } : { name, priority, quota: { ratePerS, burst } }
+}
+
+/** A nested call has no quota of its own: its parent has used it. */
+function workspaceOf ({ workspace, workspacePriority = 0 }: RoutedCall): CallerWorkspace | undefined {
+  return workspace === undefined ? undefined : { name: workspace, priority: workspacePriority }
+}
+
 const OUTCOME_BY_RESULT = { answer: 'answered', refused: 'refused', failed: 'failed', gone: 'gone' } as const
 
 /** Statuses that guarantee that a request has not run and never will. */
--- a/src/routenode/GatewayCall.test.ts
+++ b/src/routenode/GatewayCall.test.ts
@@ -87,6 +87,7 @@
     service: 's',
     version: 1,
     parentAttemptKind,
+    workspace: undefined,
     deadlineMs: 1000,
     arrivedAtMs: clock.nowMs(),
     objectiveAtMs: clock.nowMs() + 500,
--- a/src/routenode/GatewayCall.ts
+++ b/src/routenode/GatewayCall.ts
@@ -1,5 +1,6 @@
 import type { PlacementOutcome, PlacementQuery } from '../parts/placement/Types.js'
 import type { HedgePolicy } from '../parts/retry/HedgePolicy.js'
+import { isAtMostOnce } from '../parts/routing/RouteKinds.js'
 import type { CallId, NodeId, Random } from '../parts/Types.js'
 import type { Clock } from '../runtime/Types.js'
 import {
@@ -161,7 +162,7 @@
 
   private _buildQuery (): PlacementQuery {
     const { expectedBytes, route } = this._request
-    return { bytes: expectedBytes, allowsTrial: route.kind !== 'once', excluded: this._triedNodes }
+    return { bytes: expectedBytes, allowsTrial: !isAtMostOnce(route.kind), excluded: this._triedNodes }
   }
 
   /**
@@ -206,7 +207,7 @@
   private _onUnresponsive (pending: PendingAttempt): void {
     if (this._isEnded || !this._pendingAttempts.has(pending)) return
     pending.isUnresponsive = true
-    if (this._request.route.kind === 'once' || this._hasResponsiveAttempt()) return
+    if (isAtMostOnce(this._request.route.kind) || this._hasResponsiveAttempt()) return
     if (this._tryWithdrawRetry()) this._startAttempt('repeat')
   }
 
@@ -226,11 +227,13 @@
   }
 
   private _buildCall ({ id, kind, node }: PendingAttempt, moveMs: number | undefined): RoutedCall {
-    const { requestId, method, target, headers, body, route, service, parentAttemptKind, objectiveAtMs } = this._request
+    const { requestId, method, target, headers, body, route, service, workspace } = this._request
+    const { parentAttemptKind, objectiveAtMs } = this._request
     const nowMs = this._context.clock.nowMs()
     const knownLimit = this._context.placement.findKnownLimit(node)
     return {
       ...(knownLimit === undefined ? {} : { knownLimit }),
+      ...(workspace === undefined ? {} : { workspace: workspace.name, workspacePriority: workspace.priority }),
       id,
       service,
       method,
@@ -252,7 +255,7 @@
 
   private _scheduleHedge (): void {
     const { route, objectiveAtMs } = this._request
-    if (route.kind === 'once' || this._hedgeOutcome !== undefined) return
+    if (isAtMostOnce(route.kind) || this._hedgeOutcome !== undefined) return
     const delayMs = this._context.hedgePolicy.delayMs(route.name, objectiveAtMs - this._context.clock.nowMs())
     clearTimeout(this._hedgeTimer)
     if (delayMs !== undefined) this._hedgeTimer = setTimeout(() => this._sendHedge(), delayMs)
@@ -348,13 +351,13 @@
     if (proof === 'unsent') return this._startAttempt(kind)
     // The deadline holds for the whole request: no time is left for another instance.
     if (reason === 'timeout') return this._giveUp(reason, 0)
-    const isRetryable = proof === 'rejected' || this._request.route.kind !== 'once'
+    const isRetryable = proof === 'rejected' || !isAtMostOnce(this._request.route.kind)
     if (isRetryable && this._tryWithdrawRetry()) this._startAttempt('repeat')
     else this._giveUp(reason, 0)
   }
 
   private _isRetryable ({ status }: RoutedAnswer): boolean {
-    return RETRYABLE_STATUSES.has(status) && this._request.route.kind !== 'once'
+    return RETRYABLE_STATUSES.has(status) && !isAtMostOnce(this._request.route.kind)
   }
 
   private _tryWithdrawRetry (): boolean {
--- a/src/routenode/InstanceClient.test.ts
+++ b/src/routenode/InstanceClient.test.ts
@@ -17,7 +17,10 @@
   callerService: 'caller',
   signature: 'signature',
   requestLimit: 'request-limit',
-  leaving: 'leaving'
+  leaving: 'leaving',
+  apiKey: 'api-key',
+  workspace: 'workspace',
+  coldMs: 'cold-ms'
 }
 
 let server: Server | undefined
--- a/src/routenode/InstanceClient.ts
+++ b/src/routenode/InstanceClient.ts
@@ -2,6 +2,7 @@
 import type { Agent, ClientRequest, IncomingHttpHeaders, IncomingMessage } from 'node:http'
 import { connect } from 'node:net'
 import { findHeader, selectEndToEnd } from '../node/EndToEndHeaders.js'
+import { isAtMostOnce } from '../parts/routing/RouteKinds.js'
 import { parseAddress } from '../runtime/Address.js'
 import type { Clock, Disposable } from '../runtime/Types.js'
 import {
@@ -69,7 +70,7 @@
    * @param timeoutMs Time until the caller stops waiting, in milliseconds.
    */
   public run (call: RoutedCall, instance: string, timeoutMs: number, listener: InstanceListener): RoutedCallHandle {
-    if (call.kind === 'once') this._agent.closeIdleSince(performance.now() - AT_MOST_ONCE_MAX_IDLE_MS)
+    if (isAtMostOnce(call.kind)) this._agent.closeIdleSince(performance.now() - AT_MOST_ONCE_MAX_IDLE_MS)
     const deadlineAtMs = this._clock.nowMs() + timeoutMs
     const openRequest = (): ClientRequest => sendRequest({
       agent: this._agent,
--- a/src/routenode/InstanceProxy.ts
+++ b/src/routenode/InstanceProxy.ts
@@ -16,7 +16,7 @@
 import type { Quarantine, QuarantineRefusal } from './Quarantine.js'
 import { parseRequestLimit } from './RequestLimitHeader.js'
 import type {
-  AttemptKind, FailureProof, FailureReason, HeaderNames, InstanceStatus, RoutedAnswer, RoutedCall, RoutedCallHandle,
+  FailureProof, FailureReason, HeaderNames, InstanceStatus, RoutedAnswer, RoutedCall, RoutedCallHandle,
   RoutedCallListener, RoutedCallTarget
 } from './Types.js'
 
@@ -69,7 +69,7 @@
   private readonly _client: InstanceClient
   private readonly _gate = new InstanceGate()
   private readonly _pendingCalls = new Map<CallId, PendingCall>()
-  private readonly _runningKindByRequestId = new Map<string, AttemptKind>()
+  private readonly _runningByRequestId = new Map<string, RoutedCall>()
   private readonly _wakeTimer: PartTimer
   private readonly _changeEmitter = new Emitter<void>()
   private readonly _gateHandlers: GateHandlers
@@ -163,11 +163,11 @@
   }
 
   /**
-   * Returns the kind of the attempt of a request that the instance runs now; undefined when it runs none.
+   * Returns the call of a request that the instance runs now; undefined when it runs none.
    * @param requestId Id of the request.
    */
-  public findRunningAttemptKind (requestId: string): AttemptKind | undefined {
-    return this._runningKindByRequestId.get(requestId)
+  public findRunning (requestId: string): RoutedCall | undefined {
+    return this._runningByRequestId.get(requestId)
   }
 
   /** Handles a report of an instance. */
@@ -270,7 +270,7 @@
     }
     this._crashAttribution.recordStart(id, instance.id, pending.call)
     pending.startedAtMs = this._options.clock.nowMs()
-    this._runningKindByRequestId.set(pending.call.requestId, pending.call.attempt)
+    this._runningByRequestId.set(pending.call.requestId, pending.call)
     pending.handle = this._client.run(pending.call, instance.id, pending.deadlineAtMs - pending.startedAtMs, {
       onAnswer: answer => this._onAnswer(id, pending, answer),
       onFailure: (proof, reason, detail) => this._onFailure(id, pending, proof, reason, detail),
@@ -368,7 +368,7 @@
 
   private _deleteCall (id: CallId, { call }: PendingCall): void {
     this._pendingCalls.delete(id)
-    this._runningKindByRequestId.delete(call.requestId)
+    this._runningByRequestId.delete(call.requestId)
   }
 
   private _recordSuccess (): void {
--- a/src/routenode/RouteNodeDaemon.ts
+++ b/src/routenode/RouteNodeDaemon.ts
@@ -5,8 +5,9 @@
 import type { RequestFingerprint } from '../parts/quarantine/RequestFingerprint.js'
 import { HedgePolicy } from '../parts/retry/HedgePolicy.js'
 import { RouteTable } from '../parts/routing/RouteTable.js'
-import type { VersionedRouting } from '../parts/routing/Types.js'
+import type { VersionedRouting, Workspace } from '../parts/routing/Types.js'
 import type { Random, ServiceName } from '../parts/Types.js'
+import { KeyTable } from '../parts/workspaces/KeyTable.js'
 import type { Clock, Disposable, Log } from '../runtime/Types.js'
 import { CallServer } from './CallServer.js'
 import { SHUTDOWN_DELAY_MS, STOP_NOTICE_MS } from './Constants.js'
@@ -67,6 +68,8 @@
   private readonly _callServer: CallServer
   private readonly _controlFeed: ControlFeed
   private _routeTable: RouteTable | undefined
+  private _workspaces: readonly Workspace[] | undefined
+  private _keys: KeyTable | undefined
   private _epoch: number
   private _revision = 0
   private _state: NodeEntry['state'] = 'up'
@@ -109,7 +112,8 @@
       hedgePolicy: new HedgePolicy(),
       quarantine: this._quarantine,
       callerService: () => this._instanceProxy.service,
-      findRunningAttemptKind: requestId => this._instanceProxy.findRunningAttemptKind(requestId),
+      findRunning: requestId => this._instanceProxy.findRunning(requestId),
+      isInTouch: () => this._controlFeed.replicaAddress !== undefined,
       nextCallId: () => ++this._lastCallId,
       nodeCount: () => this._directory.size
     })
@@ -222,12 +226,22 @@
 
   private _apply (routing: VersionedRouting): void {
     this._routeTable = new RouteTable(routing, this._options.random, this._routeTable)
-    this._gateway.apply(this._routeTable, routing.configuration.limits)
+    const { limits, workspaces } = routing.configuration
+    this._gateway.apply(this._routeTable, limits, this._updateKeys(workspaces))
     this._placement.setServices(this._routeTable.services)
     this._instanceProxy.startRecovery()
     this._isConfigured = true
   }
 
+  /** Most versions change no workspace. */
+  private _updateKeys (workspaces: readonly Workspace[] | undefined): KeyTable | undefined {
+    if (workspaces !== this._workspaces) {
+      this._workspaces = workspaces
+      this._keys = workspaces === undefined ? undefined : new KeyTable(workspaces)
+    }
+    return this._keys
+  }
+
   private _onWelcome ({ own }: FeedWelcome): void {
     if (own?.instance !== undefined) this._instanceProxy.restore(own.instance)
     // The wall clock may have been set back since an earlier run, but this run must have the later epoch.
--- a/src/routenode/Types.ts
+++ b/src/routenode/Types.ts
@@ -28,6 +28,12 @@
   readonly requestLimit: string
   /** Present in an answer when the instance is about to stop. */
   readonly leaving: string
+  /** API key of the caller; never forwarded. */
+  readonly apiKey: string
+  /** Name of the workspace that holds the caller's API key. */
+  readonly workspace: string
+  /** How long the instance stays cold, in milliseconds; in answers to health checks. */
+  readonly coldMs: string
 }
 
 /**
@@ -68,6 +74,10 @@
   /** See `GateCall.moveMs`. When undefined, a decline is final: the request goes to no other instance. */
   readonly moveMs: number | undefined
   readonly attempt: AttemptKind
+  /** Name of the caller's workspace; absent without one. A nested call has the workspace of its parent. */
+  readonly workspace?: string
+  /** Goes before `priority`; absent without a workspace. */
+  readonly workspacePriority?: number
   /** Limit that the instance has named to the sender; the node beside the instance may have lost it in a restart. */
   readonly knownLimit?: InstanceLimit
 }
@@ -149,6 +159,23 @@
   | { readonly type: 'stopping' }
   | { readonly type: 'pong' }
 
+/** Limit on the requests of a workspace over all nodes together. */
+export interface WorkspaceQuota {
+  /** Requests a second; above 0. */
+  readonly ratePerS: number
+  /** Requests beyond the rate. */
+  readonly burst: number
+}
+
+/** What a node keeps of the workspace of a request while it is served. */
+export interface CallerWorkspace {
+  readonly name: string
+  /** Goes before the priority of the route; 0 is the most urgent. */
+  readonly priority: number
+  /** Absent for a workspace without a quota, and for nested calls. */
+  readonly quota?: WorkspaceQuota
+}
+
 /** A request of a caller that was read completely and routed. */
 export interface GatewayRequest {
   readonly requestId: string
@@ -162,6 +189,8 @@
   readonly version: number
   /** Kind of the attempt whose run makes this nested call on this VM; undefined for any other request. */
   readonly parentAttemptKind: AttemptKind | undefined
+  /** Workspace of the caller, or of the parent of a nested call; undefined without one. */
+  readonly workspace: CallerWorkspace | undefined
   /** Milliseconds that the caller waits, counted from `arrivedAtMs`. */
   readonly deadlineMs: number
   /** When the request arrived, in monotonic milliseconds. */
@@ -173,7 +202,7 @@
 }
 
 /** Why a request was refused before it was routed. */
-export type RoutingRefusalReason = 'no-configuration' | 'no-route' | 'body-too-large'
+export type RoutingRefusalReason = 'no-configuration' | 'no-route' | 'body-too-large' | 'unknown-key'
 
 /** Why the node answered in place of an instance. */
 export type GatewayReason = FailureReason | RefusalReason | RoutingRefusalReason | 'no-instance' | 'retry-budget' | 'caller-gone'
--- a/src/runtime/Digest.ts
+++ b/src/runtime/Digest.ts
@@ -4,3 +4,11 @@
 export function computeSha1 (bytes: Uint8Array): string {
   return hash('sha1', bytes, 'hex')
 }
+
+/** Characters of a key digest: 132 bits, so that no two keys share one in practice. */
+const KEY_DIGEST_LENGTH = 22
+
+/** Returns the digest by which an API key is looked up. */
+export function computeKeyDigest (key: string): string {
+  return hash('sha256', key, 'base64url').slice(0, KEY_DIGEST_LENGTH)
+}
--- a/test/support/RouteMesh.ts
+++ b/test/support/RouteMesh.ts
@@ -5,7 +5,7 @@
 import { findFreeAddresses } from '../../src/demo/FreePorts.js'
 import { RequestFingerprint } from '../../src/parts/quarantine/RequestFingerprint.js'
 import { computeSha1 } from '../../src/runtime/Digest.js'
-import type { Route, RoutingChange } from '../../src/parts/routing/Types.js'
+import type { Route, RoutingChange, RoutingConfiguration } from '../../src/parts/routing/Types.js'
 import { SeededRandom } from '../../src/parts/SeededRandom.js'
 import { MemoryDisk } from '../../src/parts/storage/MemoryDisk.js'
 import { RouteControlDaemon } from '../../src/routecontrol/RouteControlDaemon.js'
@@ -28,7 +28,10 @@
   callerService: 'caller-service',
   signature: 'signature',
   requestLimit: 'request-limit',
-  leaving: 'leaving'
+  leaving: 'leaving',
+  apiKey: 'api-key',
+  workspace: 'workspace',
+  coldMs: 'cold-ms'
 }
 
 /** Handles a request that an instance runs; undefined answers it at once. */
@@ -156,10 +159,19 @@
 
   /** Replaces all routes and waits until they are in force at every node. */
   public async configure (...routes: Route[]): Promise<void> {
+    await this.configureWith({ routes })
+  }
+
+  /**
+   * Replaces the configuration and waits until it is in force at every node.
+   * @param changes What differs from one service, default limits and no workspaces.
+   */
+  public async configureWith (changes: Partial<RoutingConfiguration> & Pick<RoutingConfiguration, 'routes'>): Promise<void> {
     const services = [{ name: 'svc', healthPath: '/healthz', maxConnections: 100, protocol: 'h1', tls: false }]
     const limits = { maxHeaderBytes: 16384, maxBodyBytes: 1e6, headerTimeoutMs: 3000, idleTimeoutMs: 15000 }
     const base = this._version++
-    const change: RoutingChange = { type: 'replace', version: base + 1, base, configuration: { routes, services, limits } }
+    const configuration = { services, limits, ...changes }
+    const change: RoutingChange = { type: 'replace', version: base + 1, base, configuration }
     for (;;) {
       const outcome = await this._control.change(change)
       if (outcome.type === 'decided') break
@@ -170,9 +182,12 @@
   }
 
   /** Sends a request to a node as a caller does, without retries. */
-  public async call (node: MeshNode, path: string, deadlineMs = 5000): Promise<Response<string>> {
+  public async call (
+    node: MeshNode, path: string, deadlineMs = 5000, headers: Readonly<Record<string, string>> = {}
+  ): Promise<Response<string>> {
+    const id = `r-${++this._lastId}`
     return await got(`${node.callerUrl}${path}`, {
-      headers: { host: 'h.example', [HEADER_NAMES.requestId]: `r-${++this._lastId}`, [HEADER_NAMES.deadlineMs]: String(deadlineMs) },
+      headers: { host: 'h.example', [HEADER_NAMES.requestId]: id, [HEADER_NAMES.deadlineMs]: String(deadlineMs), ...headers },
       throwHttpErrors: false,
       retry: { limit: 0 }
     })
