Keep calls away from availability zones that are silent

Change: a zone counts as silent once two of its nodes have stopped answering and none has been heard from since. Its nodes then get no calls; a few open links are probed every 250 ms, and any sign of life opens the zone again. Only where the settings say that the loss of a zone has to be borne.

--- a/src/parts/placement/Constants.ts
+++ b/src/parts/placement/Constants.ts
@@ -52,3 +52,15 @@
 
 /** Instances of the subset that are in other availability zones, if this one has enough. */
 export const FAR_SUBSET_SIZE = 8
+
+/**
+ * Nodes of an availability zone that must have stopped answering before the zone counts as silent. One may have
+ * crashed; a zone that is suspected wrongly gets no calls for one probe interval.
+ */
+export const MIN_SILENT_NODES = 2
+
+/** Time after the last evidence at which a silent zone is tried again, in milliseconds: about the length of a cut. */
+export const ZONE_SUSPICION_MS = 5000
+
+/** Interval at which a silent zone is probed, in milliseconds: a fraction of the objective of usual calls. */
+export const ZONE_PROBE_INTERVAL_MS = 250
--- a/src/routenode/CallLink.ts
+++ b/src/routenode/CallLink.ts
@@ -87,6 +87,16 @@
     return this._client.channel !== undefined
   }
 
+  /** When anything was last received, in monotonic milliseconds; undefined without a connection. */
+  public get lastReceivedMs (): number | undefined {
+    return this._client.channel?.lastReceivedMs
+  }
+
+  /** Asks the other node for a sign of life, also when no call is outstanding. */
+  public probe (): void {
+    this._client.channel?.send({ type: 'ping' })
+  }
+
   /** Starts to connect; may be called once. */
   public connect (): void {
     this._waitTimer = setTimeout(() => this._failWaiting(), LINK_OPEN_WAIT_MS)
--- a/src/routenode/Placement.test.ts
+++ b/src/routenode/Placement.test.ts
@@ -27,7 +27,7 @@
   directory.merge(entries, 0)
   const local: RoutedCallTarget = { start: () => ({ cancel: () => {} }) }
   const placement = new Placement({
-    self: 'self', zone: 'a', local, directory, clock: new SystemClock(), random: new SeededRandom(1), log: SILENT
+    self: 'self', zone: 'a', toleratesZoneLoss: true, local, directory, clock: new SystemClock(), random: new SeededRandom(1), log: SILENT
   })
   placement.setServices(['svc'])
   disposables.push(placement)
--- a/src/routenode/Placement.ts
+++ b/src/routenode/Placement.ts
@@ -6,6 +6,7 @@
 import type { Clock, Disposable, Log } from '../runtime/Types.js'
 import { CallLink } from './CallLink.js'
 import type { InstanceStatus, RoutedCallTarget } from './Types.js'
+import { ZoneProbe } from './ZoneProbe.js'
 
 /** Round trips assumed to instances on the same VM, in the same availability zone and elsewhere, in milliseconds. */
 const ASSUMED_ROUND_TRIP_MS = { vm: 0.1, zone: 0.6, other: 2.2 } as const
@@ -16,6 +17,8 @@
   readonly self: NodeId
   /** Availability zone of this node. */
   readonly zone: string
+  /** Whether the loss of a whole zone has to be borne, so that zones are watched for silence. */
+  readonly toleratesZoneLoss: boolean
   /** Destination of calls to the instance on this VM. */
   readonly local: RoutedCallTarget
   readonly directory: NodeDirectory
@@ -40,8 +43,16 @@
   private readonly _leavingInstances = new Map<NodeId, InstanceIncarnation>()
   /** Epochs of the nodes to which there is a link. */
   private readonly _epochs = new Map<NodeId, number>()
+  private readonly _zoneProbe: ZoneProbe | undefined
 
-  public constructor (private readonly _options: PlacementOptions) {}
+  public constructor (private readonly _options: PlacementOptions) {
+    if (!_options.toleratesZoneLoss) return
+    this._zoneProbe = new ZoneProbe({
+      ..._options,
+      links: () => this._links.values(),
+      setReachable: (nodes, isReachable) => nodes.forEach(node => this._setReachable(node, isReachable))
+    })
+  }
 
   /** Sets the services that requests may be routed to. */
   public setServices (services: Iterable<ServiceName>): void {
@@ -86,6 +97,7 @@
    * it has none, as a node that has just restarted does not know.
    */
   public recordStatus (node: NodeId, { requestLimit, leaving }: InstanceStatus, isAnswer: boolean): void {
+    this._zoneProbe?.recordHeard(node)
     if (requestLimit !== undefined) this._knownLimits.set(node, requestLimit)
     else if (isAnswer) this._knownLimits.delete(node)
     if (leaving === undefined || isSameIncarnation(this._leavingInstances.get(node), leaving)) return
@@ -109,6 +121,7 @@
 
   /** Closes all links. */
   public dispose (): void {
+    this._zoneProbe?.dispose()
     for (const link of this._links.values()) link.dispose()
   }
 
@@ -164,12 +177,21 @@
   }
 
   private _onUnresponsive (node: NodeId): void {
-    const nowMs = this._options.clock.nowMs()
-    for (const chooser of this._choosers.values()) chooser.markUnreachable(node, nowMs)
+    this._setReachable(node, false)
+    this._zoneProbe?.recordSilent(node)
   }
 
   private _onResponsive (node: NodeId): void {
-    for (const chooser of this._choosers.values()) chooser.markReachable(node)
+    this._setReachable(node, true)
+    this._zoneProbe?.recordHeard(node)
+  }
+
+  private _setReachable (node: NodeId, isReachable: boolean): void {
+    const nowMs = this._options.clock.nowMs()
+    for (const chooser of this._choosers.values()) {
+      if (isReachable) chooser.markReachable(node)
+      else chooser.markUnreachable(node, nowMs)
+    }
   }
 
   private _onStopping (node: NodeId): void {
--- a/src/routenode/RouteNodeDaemon.ts
+++ b/src/routenode/RouteNodeDaemon.ts
@@ -32,6 +32,8 @@
   readonly service: ServiceName
   /** Availability zone of the VM. */
   readonly zone: string
+  /** Whether the loss of a whole availability zone has to be borne. */
+  readonly toleratesZoneLoss: boolean
   /** Addresses of the control replicas to connect to first, `host:port`. */
   readonly seeds: readonly string[]
   /** Limits on the retries and hedges to each service, for all nodes together. */
@@ -95,6 +97,7 @@
     this._placement = new Placement({
       self: settings.nodeAddress,
       zone: settings.zone,
+      toleratesZoneLoss: settings.toleratesZoneLoss,
       local: this._instanceProxy,
       directory: this._directory,
       clock,
--- a/test/support/RouteMesh.ts
+++ b/test/support/RouteMesh.ts
@@ -245,6 +245,7 @@
       instanceAddress,
       service: 'svc',
       zone: 'a',
+      toleratesZoneLoss: false,
       seeds: [seed],
       retryLimits: { ratio: 1, slack: 1000, windowMs: 10_000 },
       names: HEADER_NAMES,
