--- a/src/parts/gate/InstanceGate.test.ts
+++ b/src/parts/gate/InstanceGate.test.ts
@@ -395,3 +395,24 @@
   gate.step({ type: 'resent' }, 500)
   expect(gate.load(500).closedForMs).toBe(501)
 })
+
+// Without it, the gate would take bodies that can't arrive in time, and start late calls before those in time.
+test('the time to move a body counts towards the deadline and the objective of a call', () => {
+  const gate = makeGate(1)
+  const late = makeCall({ deadlineAtMs: 600, transferMs: 560 })
+  expect(gate.step({ type: 'offer', call: late }, 0)).toMatchObject([{ type: 'decline', reason: 'too-late' }])
+  const [running] = fill(gate, 1) as [GateCall]
+  const large = makeCall({ objectiveAtMs: 600, deadlineAtMs: 5000, transferMs: 600 })
+  const small = makeCall({ objectiveAtMs: 600, deadlineAtMs: 5000, transferMs: 50 })
+  for (const call of [large, small]) gate.step({ type: 'offer', call }, 0)
+  expect(startedIds(gate.step({ type: 'finished', id: running.id, workMs: 10 }, 1))).toEqual([small.id])
+})
+
+test('a queued call with a body to move is declined when the body can not arrive before the deadline any more', () => {
+  const gate = makeGate(1)
+  fill(gate, 1)
+  const call = makeCall({ deadlineAtMs: 2000, objectiveAtMs: 2000, transferMs: 1000 })
+  const [wake] = gate.step({ type: 'offer', call }, 0)
+  expect(wake).toEqual({ type: 'wake', atMs: 950 })
+  expect(gate.step({ type: 'tick' }, 950)).toMatchObject([{ type: 'decline', reason: 'too-late' }])
+})
--- a/src/parts/gate/InstanceGate.ts
+++ b/src/parts/gate/InstanceGate.ts
@@ -92,13 +92,15 @@
     if (this._hasFreeSlotFor(call)) return this._offerFreeSlot(call)
     if (call.isHedge) return this._decline(call, 'busy')
     const meetsObjective =
-      this._nowMs + this._expectedWaitMs(call) + this._workTimes.expectedMs(call.work) <= call.objectiveAtMs
+      this._nowMs + this._expectedWaitMs(call) + this._expectedStayMs(call) <= call.objectiveAtMs
     if (isWorthMoving(call, meetsObjective ? this._expectedWaitMs(call) : Infinity)) return this._decline(call, 'busy')
     if (!this._mayQueue(call)) return this._decline(call, 'too-late')
     this._enqueue(call)
   }
 
   private _offerFreeSlot (call: GateCall): void {
+    // Its bytes would be moved in vain.
+    if (call.transferMs !== undefined && this._latestStartMs(call) <= this._nowMs) return this._decline(call, 'too-late')
     const extraRunMs = this._extraRunMs(call)
     if (extraRunMs !== undefined && extraRunMs <= SLOWNESS_RECOVERY_MS) return this._start(call)
     if (extraRunMs !== undefined && this._shouldLeaveSlowVm(call)) return this._decline(call, 'slow')
@@ -264,8 +266,13 @@
     return call.isHedge || (!call.nested && isWorthMoving(call, SLOWNESS_RECOVERY_MS))
   }
 
+  /** Expected time from the start of a call to its end, in milliseconds, with the transfer of its body. */
+  private _expectedStayMs (call: GateCall): number {
+    return this._workTimes.expectedMs(call.work) + (call.transferMs ?? 0)
+  }
+
   private _canMeetObjective (call: GateCall): boolean {
-    return this._nowMs + this._workTimes.expectedMs(call.work) <= call.objectiveAtMs
+    return this._nowMs + this._expectedStayMs(call) <= call.objectiveAtMs
   }
 
   /**
@@ -273,14 +280,14 @@
    * starts later would time out while it runs, and take a slot for nothing.
    */
   private _latestStartMs (call: GateCall): number {
-    return call.deadlineAtMs - this._workTimes.expectedMs(call.work)
+    return call.deadlineAtMs - this._expectedStayMs(call)
   }
 
   /** A call may queue when it can meet its objective, or its deadline while few other late calls are queued. */
   private _mayQueue (call: GateCall): boolean {
     const startAtMs = this._nowMs + this._expectedWaitMs(call)
     if (startAtMs > this._latestStartMs(call) || this._queue.size >= MAX_QUEUED_CALLS) return false
-    if (startAtMs + this._workTimes.expectedMs(call.work) <= call.objectiveAtMs) return true
+    if (startAtMs + this._expectedStayMs(call) <= call.objectiveAtMs) return true
     return this._queue.count(queued => !this._canMeetObjective(queued)) < this._lateQueueLimit.current
   }
 
--- a/src/parts/gate/Types.ts
+++ b/src/parts/gate/Types.ts
@@ -23,6 +23,8 @@
    * declined only when waiting costs more. Undefined when the sender has no other instance to try.
    */
   readonly moveMs: number | undefined
+  /** Time to move the body to this VM once the call has a slot, in milliseconds; absent when the body came with it. */
+  readonly transferMs?: number
   /** True for a hedged request, which only uses slots that would otherwise stay free. */
   readonly isHedge: boolean
 }
--- a/src/parts/placement/InstanceChooser.test.ts
+++ b/src/parts/placement/InstanceChooser.test.ts
@@ -167,3 +167,14 @@
   expect(chooser.choose(SMALL, 1)).toBe('a')
   expect(chooser.describe()).toMatchObject([{ failureShare: 0, load: null }])
 })
+
+// The body of an upload is moved to another VM only after the call has a slot there.
+test('the time to move a body counts for instances on other VMs, not for the one on this VM', () => {
+  const chooser = makeChooser({ node: 'self' }, { node: 'other' })
+  chooser.recordLoad('self', { ...IDLE, running: 4, queued: 1 }, 0)
+  chooser.recordLoad('other', IDLE, 0)
+  expect(chooser.choose({ ...SMALL, transferMs: 650 }, 1)).toBe('self')
+  expect(chooser.choose(SMALL, 1)).toBe('other')
+  expect(chooser.moveCostMs('self', { ...SMALL, transferMs: 650 }, 1)).toBe(650)
+  expect(chooser.moveCostMs('other', { ...SMALL, transferMs: 650 }, 1)).toBe(0)
+})
--- a/src/parts/placement/InstanceChooser.ts
+++ b/src/parts/placement/InstanceChooser.ts
@@ -102,8 +102,8 @@
     const record = this._records.get(chosen)
     const others = this._withoutEjected(this._eligible(query, nowMs)).filter(other => other !== record)
     if (record === undefined || others.length === 0) return undefined
-    const cheapestMs = others.reduce((least, other) => Math.min(least, networkCostMs(other, query.bytes)), Infinity)
-    return Math.max(0, Math.round(cheapestMs - networkCostMs(record, query.bytes)))
+    const cheapestMs = others.reduce((least, other) => Math.min(least, this._networkCostMs(other, query)), Infinity)
+    return Math.max(0, Math.round(cheapestMs - this._networkCostMs(record, query)))
   }
 
   /**
@@ -193,13 +193,13 @@
   }
 
   private _cheapest (
-    records: readonly CandidateRecord[], { bytes, maxCostMs }: PlacementQuery, nowMs: number
+    records: readonly CandidateRecord[], query: PlacementQuery, nowMs: number
   ): CandidateRecord | undefined {
     let best: CandidateRecord | undefined
-    let bestCostMs = maxCostMs ?? Infinity
+    let bestCostMs = query.maxCostMs ?? Infinity
     for (const record of records) {
       const costMs = this._costMs(record, nowMs) * (1 + TIE_JITTER * this._random.next()) +
-        networkCostMs(record, bytes)
+        this._networkCostMs(record, query)
       if (costMs >= bestCostMs) continue
       best = record
       bestCostMs = costMs
@@ -207,6 +207,13 @@
     return best
   }
 
+  /** Time on the network, plus the price of traffic between availability zones as a delay, in milliseconds. */
+  private _networkCostMs ({ candidate }: CandidateRecord, { bytes, transferMs = 0 }: PlacementQuery): number {
+    const moveMs = candidate.node === this._self ? 0 : transferMs
+    const priceMs = candidate.crossesZones ? CROSS_ZONE_COST_MS_PER_KB * bytes / BYTES_PER_KB : 0
+    return candidate.roundTripMs + moveMs + priceMs
+  }
+
   /** Expected time at the instance in milliseconds, plus the cost of the failures to expect. */
   private _costMs (record: CandidateRecord, nowMs: number): number {
     const { candidate, load } = record
@@ -250,11 +257,6 @@
 /** Largest random increase of a cost, as a share of it, so that nearly equal instances get about as many calls. */
 const TIE_JITTER = 0.05
 
-/** Round-trip time plus the price of traffic between availability zones, as a delay in milliseconds. */
-function networkCostMs ({ candidate }: CandidateRecord, bytes: number): number {
-  return candidate.roundTripMs + (candidate.crossesZones ? CROSS_ZONE_COST_MS_PER_KB * bytes / BYTES_PER_KB : 0)
-}
-
 /** Returns the candidates with the lowest hashes, at most so many in this availability zone and in all others. */
 function chooseSubset (records: readonly CandidateRecord[]): CandidateRecord[] {
   const takeLowest = (crossesZones: boolean, count: number): CandidateRecord[] => records
--- a/src/parts/placement/Types.ts
+++ b/src/parts/placement/Types.ts
@@ -21,6 +21,8 @@
   readonly allowsTrial: boolean
   /** Expected size of the call and its answer together, in bytes. */
   readonly bytes: number
+  /** Time to move the body to an instance on another VM, in milliseconds; absent when that is not counted. */
+  readonly transferMs?: number
   /** Largest expected time until the answer, network cost included, in milliseconds; slower instances are skipped. */
   readonly maxCostMs?: number
 }
--- a/src/routenode/CallLink.ts
+++ b/src/routenode/CallLink.ts
@@ -1,8 +1,10 @@
+import type { BodyLease } from '../parts/transfer/BodyMemory.js'
 import type { CallId, NodeId, Random } from '../parts/Types.js'
 import { Emitter } from '../runtime/Emitter.js'
 import type { FrameChannel } from '../runtime/FrameChannel.js'
 import { FrameClient } from '../runtime/FrameClient.js'
 import type { Clock, Disposable } from '../runtime/Types.js'
+import { type BodyResources, BodyTransfer, makeDefaultBodyResources } from './BodyTransfer.js'
 import { LINK_OPEN_WAIT_MS, LINK_PING_INTERVAL_MS, LINK_TIMEOUT_MS } from './Constants.js'
 import type {
   CallClientFrame, CallServerFrame, RoutedCall, RoutedCallHandle, RoutedCallListener, RoutedCallTarget
@@ -21,17 +23,34 @@
   readonly sinceMs: number
 }
 
+/** Body of an outstanding call that is sent once the call has a slot. */
+interface Upload {
+  readonly body: Uint8Array
+  /** True once the last chunk was passed to the connection: from then on the call may run. */
+  isSent: boolean
+}
+
+const NO_BYTES = new Uint8Array(0)
+
 /**
  * Connection to another node for calls to its instance. Answers are matched by call id within one connection, so an
  * answer from before a reconnect matches no call. A link that times out while calls are outstanding is closed; those
- * calls may have run. Calls that are started while the first connection opens wait for it for a short time.
+ * calls may have run, except uploads whose body was not sent completely. Calls that are started while the first
+ * connection opens wait for it for a short time.
+ *
+ * The body of an upload is sent when the other node asks for it, in chunks, and a large answer to one is received so.
  *
- * Memory: one entry for each outstanding or waiting call.
+ * Memory: one entry for each outstanding or waiting call, the bodies of uploads among them.
  */
 export class CallLink implements RoutedCallTarget, Disposable {
   private readonly _client: FrameClient<CallServerFrame, CallClientFrame>
   private readonly _listeners = new Map<CallId, RoutedCallListener>()
   private readonly _waitingCalls = new Map<CallId, WaitingCall>()
+  private readonly _uploads = new Map<CallId, Upload>()
+  /** Memory of the answers that are being received. */
+  private readonly _answerLeases = new Map<CallId, BodyLease>()
+  /** Transfers of bodies on the open connection. */
+  private _transfer: BodyTransfer | undefined
   private _waitTimer: NodeJS.Timeout | undefined
   private readonly _openEmitter = new Emitter<void>()
   private readonly _stoppingEmitter = new Emitter<void>()
@@ -44,7 +63,10 @@
   private _unansweredPingAtMs = Infinity
 
   private readonly _handlers: Handlers = {
-    answer: ({ id, answer, load }) => this._takeListener(id)?.onAnswer(answer, load),
+    answer: frame => this._onAnswer(frame),
+    sendBody: ({ id }) => this._sendBody(id),
+    bodyChunk: frame => this._transfer?.handle(frame),
+    chunkAck: frame => this._transfer?.handle(frame),
     turnedAway: ({ id, reason, retryAfterMs, load }) => this._takeListener(id)?.onDeclined(reason, retryAfterMs, load),
     failed: ({ id, proof, reason, load }) => this._takeListener(id)?.onFailed(proof, reason, load),
     stopping: () => this._stoppingEmitter.fire(),
@@ -59,7 +81,8 @@
     public readonly node: NodeId,
     private readonly _self: NodeId,
     private readonly _clock: Clock,
-    random: Random
+    random: Random,
+    private readonly _bodies: BodyResources = makeDefaultBodyResources()
   ) {
     this._client = new FrameClient(node, _clock, random)
     this._client.onChannel(channel => this._onChannel(channel))
@@ -99,7 +122,8 @@
     if (channel !== undefined) this._send(channel, call, listener)
     else if (this._waitTimer === undefined) listener.onFailed('unsent', 'link-lost', undefined)
     else this._waitingCalls.set(call.id, { call, listener, sinceMs: this._clock.nowMs() })
-    return { cancel: () => this._cancel(call.id) }
+    const handle = { cancel: () => this._cancel(call.id) }
+    return isTransferred(call) ? { ...handle, isUnsent: () => this._isUnsent(call.id) } : handle
   }
 
   /** Closes the link once its outstanding calls have ended; no more are started. */
@@ -124,6 +148,7 @@
       const handler = this._handlers[frame.type] as ((frame: CallServerFrame) => void) | undefined
       handler?.(frame)
     })
+    this._transfer = new BodyTransfer(frame => { channel.send(frame) }, this._clock, this._bodies.metrics)
     channel.send({ type: 'callHello', node: this._self })
     this._openEmitter.fire()
     this._sendWaiting(channel)
@@ -131,13 +156,17 @@
 
   private _send (channel: Channel, call: RoutedCall, listener: RoutedCallListener): void {
     this._listeners.set(call.id, listener)
-    channel.send({ type: 'call', call })
+    if (isTransferred(call)) {
+      this._uploads.set(call.id, { body: call.body, isSent: false })
+      channel.send({ type: 'call', call: { ...call, body: NO_BYTES, bodyBytes: call.body.length } })
+    } else channel.send({ type: 'call', call })
     this._pingTimer ??= setInterval(() => this._checkLiveness(), LINK_PING_INTERVAL_MS)
   }
 
   private _cancel (id: CallId): void {
     if (this._listeners.delete(id)) this._client.channel?.send({ type: 'cancel', id })
     this._waitingCalls.delete(id)
+    this._endTransfers(id)
     this._disposeIfRetired()
   }
 
@@ -165,10 +194,39 @@
   private _takeListener (id: CallId): RoutedCallListener | undefined {
     const listener = this._listeners.get(id)
     this._listeners.delete(id)
+    this._endTransfers(id)
     this._disposeIfRetired()
     return listener
   }
 
+  private _isUnsent (id: CallId): boolean {
+    return this._waitingCalls.has(id) || this._uploads.get(id)?.isSent === false
+  }
+
+  private _sendBody (id: CallId): void {
+    const upload = this._uploads.get(id)
+    if (upload !== undefined) this._transfer?.sendBody(id, upload.body, () => { upload.isSent = true })
+  }
+
+  private _onAnswer ({ id, answer, bodyBytes, load }: Extract<CallServerFrame, { type: 'answer' }>): void {
+    if (bodyBytes === undefined) return this._takeListener(id)?.onAnswer(answer, load)
+    if (!this._listeners.has(id)) return
+    // The call has run: its answer is received even if its memory exceeds the bound.
+    const lease = this._bodies.memory.lease()
+    lease.grow(bodyBytes)
+    this._answerLeases.set(id, lease)
+    this._transfer?.expectBody(id, bodyBytes, {
+      onWhole: body => this._takeListener(id)?.onAnswer({ ...answer, body }, load)
+    })
+  }
+
+  private _endTransfers (id: CallId): void {
+    this._uploads.delete(id)
+    this._transfer?.drop(id)
+    this._answerLeases.get(id)?.release()
+    this._answerLeases.delete(id)
+  }
+
   private _disposeIfRetired (): void {
     if (this._isRetired && this._listeners.size + this._waitingCalls.size === 0) this.dispose()
   }
@@ -201,8 +259,18 @@
   }
 
   private _failOutstanding (): void {
-    const outstanding = [...this._listeners.values()]
+    this._transfer?.dispose()
+    this._transfer = undefined
+    const outstanding = [...this._listeners].map(([id, listener]) => ({ listener, isUnsent: this._isUnsent(id) }))
+    for (const id of this._listeners.keys()) this._endTransfers(id)
     this._listeners.clear()
-    for (const listener of outstanding) listener.onFailed('unknown', 'link-lost', undefined)
+    for (const { listener, isUnsent } of outstanding) {
+      listener.onFailed(isUnsent ? 'unsent' : 'unknown', 'link-lost', undefined)
+    }
   }
 }
+
+/** Returns whether the body of a call is sent apart from it, once it has a slot. */
+function isTransferred ({ kind, body }: RoutedCall): boolean {
+  return kind === 'upload' && body.length > 0
+}
--- a/src/routenode/CallServer.ts
+++ b/src/routenode/CallServer.ts
@@ -1,31 +1,58 @@
+import { CHUNK_BYTES } from '../parts/transfer/Constants.js'
 import type { CallId } from '../parts/Types.js'
 import type { FrameChannel } from '../runtime/FrameChannel.js'
 import { FrameServer } from '../runtime/FrameServer.js'
 import type { Clock, Disposable } from '../runtime/Types.js'
+import { type BodyResources, BodyTransfer, makeDefaultBodyResources } from './BodyTransfer.js'
 import { LINK_TIMEOUT_MS } from './Constants.js'
-import type { CallClientFrame, CallServerFrame, RoutedCall, RoutedCallHandle, RoutedCallTarget } from './Types.js'
+import type {
+  CallClientFrame, CallServerFrame, InstanceStatus, RoutedAnswer, RoutedCall, RoutedCallHandle, RoutedCallTarget
+} from './Types.js'
 
 type Channel = FrameChannel<CallClientFrame, CallServerFrame>
 
+type FrameHandlers = {
+  readonly [Type in CallClientFrame['type']]: (frame: Extract<CallClientFrame, { type: Type }>) => void
+}
+
+/** Connection of another node with its calls. */
+interface CallSession {
+  readonly channel: Channel
+  readonly handles: Map<CallId, RoutedCallHandle>
+  readonly transfer: BodyTransfer
+}
+
+const NO_BYTES = new Uint8Array(0)
+
 /**
- * Accepts calls of other nodes for the instance on this VM. When a connection closes, its calls are cancelled.
+ * Accepts calls of other nodes for the instance on this VM. When a connection closes, its calls are cancelled. The body
+ * of an upload is requested once the call has a slot; a large answer to one is sent in chunks.
  *
- * Memory: one handle for each call in progress.
+ * Memory: one handle for each call in progress, and the large answers that are being sent.
  */
 export class CallServer implements Disposable {
   private readonly _server: FrameServer<CallClientFrame, CallServerFrame>
-  private readonly _channels = new Set<Channel>()
+  private readonly _sessions = new Set<CallSession>()
   private _isStopping = false
   private _isFinishing = false
 
   /**
    * @param _target Proxy of the instance.
    */
-  public constructor (private readonly _target: RoutedCallTarget, clock: Clock) {
-    this._server = new FrameServer(clock)
+  public constructor (
+    private readonly _target: RoutedCallTarget,
+    private readonly _clock: Clock,
+    private readonly _bodies: BodyResources = makeDefaultBodyResources()
+  ) {
+    this._server = new FrameServer(_clock)
     this._server.onChannel(channel => this._onChannel(channel))
   }
 
+  /** Number of large answers that are not sent completely. */
+  public get outgoingAnswerCount (): number {
+    return [...this._sessions].reduce((sum, { transfer }) => sum + transfer.outgoingCount, 0)
+  }
+
   /** Starts to listen on `host:port`. */
   public async listen (address: string): Promise<void> {
     await this._server.listen(address)
@@ -34,7 +61,7 @@
   /** Notifies all connected nodes that this one is shutting down. */
   public announceStop (): void {
     this._isStopping = true
-    for (const channel of this._channels) channel.send({ type: 'stopping' })
+    for (const { channel } of this._sessions) channel.send({ type: 'stopping' })
   }
 
   /** Closes the listener, and each connection once the frames for it have arrived at the other node. */
@@ -49,39 +76,81 @@
   }
 
   private _onChannel (channel: Channel): void {
-    const handles = new Map<CallId, RoutedCallHandle>()
-    this._channels.add(channel)
+    const transfer = new BodyTransfer(frame => { channel.send(frame) }, this._clock, this._bodies.metrics)
+    const session: CallSession = { channel, handles: new Map(), transfer }
+    const handlers = this._makeHandlers(session)
+    this._sessions.add(session)
     channel.onClose(() => {
-      this._channels.delete(channel)
-      for (const handle of handles.values()) handle.cancel()
-      handles.clear()
+      this._sessions.delete(session)
+      transfer.dispose()
+      for (const handle of session.handles.values()) handle.cancel()
+      session.handles.clear()
     })
     channel.onMessage(frame => {
-      // Its answer could not be sent any more.
-      if (frame.type === 'call' && this._isFinishing) return
-      if (frame.type === 'call') this._start(channel, handles, frame.call)
-      if (frame.type === 'ping') channel.send({ type: 'pong' })
-      if (frame.type !== 'cancel') return
-      handles.get(frame.id)?.cancel()
-      handles.delete(frame.id)
+      const handler = handlers[frame.type] as ((frame: CallClientFrame) => void) | undefined
+      handler?.(frame)
     })
     if (this._isStopping) channel.send({ type: 'stopping' })
   }
 
-  private _start (channel: Channel, handles: Map<CallId, RoutedCallHandle>, call: RoutedCall): void {
+  private _makeHandlers (session: CallSession): FrameHandlers {
+    const { channel, handles, transfer } = session
+    return {
+      callHello: () => {},
+      call: ({ call }) => {
+        // Its answer could not be sent any more.
+        if (!this._isFinishing) this._start(session, call)
+      },
+      cancel: ({ id }) => {
+        transfer.drop(id)
+        handles.get(id)?.cancel()
+        handles.delete(id)
+      },
+      ping: () => { channel.send({ type: 'pong' }) },
+      bodyChunk: frame => transfer.handle(frame),
+      chunkAck: frame => transfer.handle(frame)
+    }
+  }
+
+  private _start (session: CallSession, call: RoutedCall): void {
+    const { channel, handles, transfer } = session
     const { id } = call
     let ended = false
     const finish = (frame: CallServerFrame): void => {
       ended = true
       handles.delete(id)
+      transfer.drop(id)
       channel.send(frame)
     }
     const handle = this._target.start(call, {
-      onAnswer: (answer, load) => finish({ type: 'answer', id, answer, load }),
+      onAnswer: (answer, load) => {
+        finish(buildAnswerFrame(call, answer, load))
+        if (isChunked(call, answer)) transfer.sendBody(id, answer.body, () => {})
+      },
       onDeclined: (reason, retryAfterMs, load) => finish({ type: 'turnedAway', id, reason, retryAfterMs, load }),
-      onFailed: (proof, reason, load) => finish({ type: 'failed', id, proof, reason, load: load as NonNullable<typeof load> })
+      onFailed: (proof, reason, load) => finish({ type: 'failed', id, proof, reason, load: load as NonNullable<typeof load> }),
+      onBodyWanted: () => this._requestBody(session, call)
     })
     // The target may have answered before it returned.
     if (!ended) handles.set(id, handle)
   }
+
+  private _requestBody ({ channel, handles, transfer }: CallSession, { id, bodyBytes = 0 }: RoutedCall): void {
+    transfer.expectBody(id, bodyBytes, {
+      onWhole: body => handles.get(id)?.supplyBody?.(body),
+      onStalled: () => handles.get(id)?.supplyBody?.(undefined)
+    })
+    channel.send({ type: 'sendBody', id })
+  }
+}
+
+/** Returns whether the body of an answer is sent in chunks. */
+function isChunked ({ kind }: RoutedCall, { body }: RoutedAnswer): boolean {
+  return kind === 'upload' && body.length > CHUNK_BYTES
+}
+
+function buildAnswerFrame (call: RoutedCall, answer: RoutedAnswer, load: InstanceStatus): CallServerFrame {
+  const frame = { type: 'answer', id: call.id, answer, load } as const
+  if (!isChunked(call, answer)) return frame
+  return { ...frame, answer: { ...answer, body: NO_BYTES }, bodyBytes: answer.body.length }
 }
--- a/src/routenode/Constants.ts
+++ b/src/routenode/Constants.ts
@@ -100,5 +100,14 @@
 /** Delay of the second check whether an instance that closed a connection still listens, in milliseconds. */
 export const LISTENER_CHECK_DELAY_MS = 50
 
+/**
+ * Time without a chunk after which the sender of a body counts as stalled, in milliseconds: a chunk takes 30 ms on a
+ * link of 4.41 Mbit/s, and the bodies of several nodes may share the link.
+ */
+export const BODY_STALL_MS = 1000
+
+/** Retry-After of a body that is refused for memory while the rate of the link is not known, in milliseconds. */
+export const BODY_RETRY_AFTER_MS = 1000
+
 /** Interval at which expired suspects are removed while requests arrive, in milliseconds. */
 export const QUARANTINE_SWEEP_INTERVAL_MS = 1000
--- a/src/routenode/Gateway.ts
+++ b/src/routenode/Gateway.ts
@@ -7,12 +7,15 @@
 import { DEFAULT_CALLER_LIMITS } from '../parts/routing/Constants.js'
 import type { CallerLimits, Route, Workspace } from '../parts/routing/Types.js'
 import type { RouteEntry, RouteTable } from '../parts/routing/RouteTable.js'
+import type { BodyLease } from '../parts/transfer/BodyMemory.js'
+import { computeTransferMs } from '../parts/transfer/TransferTime.js'
 import type { ServiceName } from '../parts/Types.js'
 import type { KeyTable } from '../parts/workspaces/KeyTable.js'
 import { computeKeyDigest } from '../runtime/Digest.js'
 import { listenOn } from '../runtime/Listen.js'
 import type { Disposable, Log } from '../runtime/Types.js'
-import { NOT_READY_RETRY_AFTER_MS, RETRY_AFTER_MAX_SHARE, RETRY_AFTER_JITTER } from './Constants.js'
+import type { BodyResources } from './BodyTransfer.js'
+import { BODY_RETRY_AFTER_MS, NOT_READY_RETRY_AFTER_MS, RETRY_AFTER_MAX_SHARE, RETRY_AFTER_JITTER } from './Constants.js'
 import { GatewayCall, type GatewayContext } from './GatewayCall.js'
 import { AnswerSizeEstimate } from './AnswerSizeEstimate.js'
 import { CallerConnections } from './CallerConnections.js'
@@ -46,12 +49,14 @@
   readonly findRunning: (requestId: string) => RoutedCall | undefined
   /** Returns whether this node is connected to a control replica, so that its configuration is current. */
   readonly isInTouch: () => boolean
+  readonly bodies: BodyResources
 }
 
 /**
  * HTTP/1.1 proxy for the callers on this VM: it routes each request to an instance of a service and relays the answer.
  *
- * Memory: the body and the answer of each open request, at most `maxBodyBytes` and `MAX_ANSWER_BYTES`.
+ * Memory: the body and the answer of each open request, at most `maxBodyBytes` and `MAX_ANSWER_BYTES`. An upload is
+ * refused when `BodyMemory` has no room for its body, and when its body takes longer to arrive than its caller waits.
  */
 export class Gateway implements Disposable {
   private readonly _server: Server
@@ -135,12 +140,52 @@
     if (entry === undefined) return this._refuse(message, response, 404, 'no-route')
     const origin = this._identify(message, entry.route)
     if (origin === undefined) return this._refuseUnknownKey(message, response)
+    const lease = this._options.bodies.memory.lease()
+    const isUpload = entry.route.kind === 'upload'
+    const timer = isUpload ? this._limitReading(message, response, entry.route, lease) : undefined
     readBody(message, this._callerLimits.maxBodyBytes, result => {
+      clearTimeout(timer)
+      // A request that was refused as late must not run.
+      if (result.type !== 'whole' || response.writableEnded) lease.release()
       if (result.type === 'tooLarge') this._refuse(message, response, 413, 'body-too-large')
-      if (result.type !== 'whole') return
+      if (result.type === 'noRoom') this._refuseForMemory(message, response, entry.route)
+      if (result.type !== 'whole' || response.writableEnded) return
+      if (!isUpload) lease.grow(result.bytes.length)
       const request = this._buildRequest(message, entry, table, origin, result.bytes, arrivedAtMs)
-      this._start(message, response, request)
-    })
+      this._start(message, response, request, lease)
+    }, isUpload ? lease : undefined)
+  }
+
+  /** Refuses an upload whose body has not arrived when its caller stops waiting, so that its memory becomes free. */
+  private _limitReading (
+    message: IncomingMessage, response: ServerResponse, route: Route, lease: BodyLease
+  ): NodeJS.Timeout {
+    const { names, log } = this._options
+    const limitMs = Math.min(readDeadlineMs(message, names.deadlineMs) ?? DEFAULT_DEADLINE_MS, route.timeoutMs)
+    return setTimeout(() => {
+      if (message.complete || response.destroyed) return
+      log.info({ requestId: readHeader(message, names.requestId), route: route.name, limitMs }, 'upload did not arrive in time')
+      this._refuse(message, response, 503, 'body-late', 0)
+      // Node.js does not tell the end of a message whose response has ended.
+      lease.release()
+    }, limitMs)
+  }
+
+  /** Room for a body is expected when as many bytes have been moved over the link. */
+  private _refuseForMemory (message: IncomingMessage, response: ServerResponse, route: Route): void {
+    const { names, log, random, bodies } = this._options
+    const { memory: { heldBytes, limitBytes }, linkMbps, metrics } = bodies
+    const bodyBytes = Number(message.headers['content-length'] ?? 0)
+    const transferMs = computeTransferMs(bodyBytes, linkMbps)
+    const deadlineMs = readDeadlineMs(message, names.deadlineMs) ?? DEFAULT_DEADLINE_MS
+    const jitterFactor = 1 + RETRY_AFTER_JITTER * random.next()
+    const retryAfterMs = Math.min(
+      jitterFactor * (transferMs > 0 ? transferMs : BODY_RETRY_AFTER_MS), deadlineMs * RETRY_AFTER_MAX_SHARE
+    )
+    const requestId = readHeader(message, names.requestId)
+    metrics.countBodyRefused('caller')
+    log.info({ requestId, route: route.name, bodyBytes, heldBytes, limitBytes, retryAfterMs }, 'upload refused for memory')
+    this._refuse(message, response, 503, 'body-memory', retryAfterMs)
   }
 
   /** Returns where a request comes from, or undefined when it needs an API key and has none in force. */
@@ -217,13 +262,16 @@
     return dot > 0 ? this._options.findRunning(requestId.slice(0, dot)) : undefined
   }
 
-  private _start (message: IncomingMessage, response: ServerResponse, request: GatewayRequest): void {
+  private _start (
+    message: IncomingMessage, response: ServerResponse, request: GatewayRequest, lease: BodyLease
+  ): void {
     this._openRequestCount++
     this._options.metrics.countReceived()
     let ended = false
     const finish = (result: GatewayResult | undefined): void => {
       if (ended) return
       ended = true
+      lease.release()
       if (result !== undefined) this._send(message, response, result)
       if (result?.type === 'answer') this._answerSizes.recordAnswer(request.route.name, result.answer.body.length)
       this._recordEnd(request, call, result)
@@ -260,8 +308,9 @@
     message: IncomingMessage, response: ServerResponse, status: number, reason: GatewayReason, retryAfterMs?: number
   ): void {
     if (response.headersSent || response.destroyed) return
-    // The unread rest of a body must not be parsed as the next request.
-    if (!message.complete) response.setHeader('connection', 'close')
+    // The unread rest of a body must not be parsed as the next request. One that has no room is read and discarded: its
+    // caller may read the refusal only after it has sent the body.
+    if (!message.complete && reason !== 'body-memory') response.setHeader('connection', 'close')
     const requestId = readHeader(message, this._options.names.requestId)
     if (requestId !== undefined) response.setHeader(this._options.names.requestId, requestId)
     if (retryAfterMs !== undefined) response.setHeader('retry-after', (retryAfterMs / MS_PER_SECOND).toFixed(3))
@@ -275,7 +324,8 @@
     const tookMs = Math.round(this._options.clock.nowMs() - arrivedAtMs)
     const { sends, declines, lastNode, hedge } = call
     const origin = { requestId, route: route.name, service, version, nested: parentAttemptKind !== undefined }
-    const fields = { ...origin, sends, declines, hedge, node: lastNode, tookMs }
+    const bodyBytes = route.kind === 'upload' ? request.body.length : undefined
+    const fields = { ...origin, sends, declines, hedge, node: lastNode, tookMs, bodyBytes }
     const outcome = OUTCOME_BY_RESULT[result?.type ?? 'gone']
     this._options.metrics.countEnded(outcome, tookMs, sends, declines)
     if (hedge !== undefined) this._options.metrics.countHedge(hedge)
--- a/src/routenode/GatewayCall.test.ts
+++ b/src/routenode/GatewayCall.test.ts
@@ -22,6 +22,8 @@
   readonly call: RoutedCall
   readonly listener: RoutedCallListener
   cancelled: boolean
+  /** True while the body of an upload is not sent completely. */
+  isUnsent: boolean
 }
 
 let sentCalls: SentCall[] = []
@@ -47,9 +49,9 @@
   nodes.forEach(node => chooser.setCandidate({ node, incarnation: '1', roundTripMs: 1, slots: 6, crossesZones: false }))
   const findTarget = (node: NodeId): object => ({
     start: (call: RoutedCall, listener: RoutedCallListener) => {
-      const entry: SentCall = { node, call, listener, cancelled: false }
+      const entry: SentCall = { node, call, listener, cancelled: false, isUnsent: false }
       sentCalls.push(entry)
-      return { cancel: () => { entry.cancelled = true } }
+      return { cancel: () => { entry.cancelled = true }, isUnsent: () => entry.isUnsent }
     }
   })
   let lastId = 0
@@ -313,3 +315,23 @@
   expect(sentCalls).toHaveLength(1)
   expect(result).toEqual({ type: 'refused', reason: 'quarantined', retryAfterMs: 500_000 })
 })
+
+// A caller whose upload is proved not to have run may send it again; after 504 it may not.
+test('an upload that times out while its body is moved is refused, after that its outcome is unknown', () => {
+  start(['a', 'b'], { kind: 'upload' })
+  sentCalls[0]!.isUnsent = true
+  vi.advanceTimersByTime(1000)
+  expect([result, sentCalls[0]?.cancelled]).toMatchObject([{ type: 'refused', reason: 'timeout' }, true])
+  const call = start(['a', 'b'], { kind: 'upload' })
+  vi.advanceTimersByTime(1000)
+  expect([result, call.sends]).toMatchObject([{ type: 'failed', reason: 'timeout' }, 1])
+})
+
+test('an upload whose body was not moved completely goes to another instance, and is not retried after that', () => {
+  start(['a', 'b', 'c'], { kind: 'upload' })
+  sentCalls[0]?.listener.onFailed('unsent', 'link-lost', undefined)
+  expect(sentCalls[1]?.node).not.toBe(sentCalls[0]?.node)
+  sentCalls[1]?.listener.onFailed('unknown', 'link-lost', undefined)
+  expect(sentCalls).toHaveLength(2)
+  expect(result).toMatchObject({ type: 'failed', reason: 'link-lost' })
+})
--- a/src/routenode/GatewayCall.ts
+++ b/src/routenode/GatewayCall.ts
@@ -1,8 +1,10 @@
 import type { PlacementOutcome, PlacementQuery } from '../parts/placement/Types.js'
 import type { HedgePolicy } from '../parts/retry/HedgePolicy.js'
 import { isAtMostOnce } from '../parts/routing/RouteKinds.js'
+import { computeTransferMs } from '../parts/transfer/TransferTime.js'
 import type { CallId, NodeId, Random } from '../parts/Types.js'
 import type { Clock } from '../runtime/Types.js'
+import type { BodyResources } from './BodyTransfer.js'
 import {
   HEDGE_BUDGET_SHARE, LAST_TRY_MIN_WAIT_MS, MAX_DECLINES, MAX_HEDGE_DECLINES, RETRY_AFTER_JITTER, RETRY_AFTER_MAX_SHARE
 } from './Constants.js'
@@ -22,6 +24,8 @@
   readonly retryBudgets: SharedRetryBudgets
   readonly hedgePolicy: HedgePolicy
   readonly quarantine: Pick<Quarantine, 'check'>
+  /** Rate of the link of this VM, among others; absent when that is not counted. */
+  readonly bodies?: BodyResources
   /** Returns an id that no other call of this node has. */
   nextCallId (): CallId
   /** Returns the number of nodes that share the retry budgets. */
@@ -161,8 +165,10 @@
   }
 
   private _buildQuery (): PlacementQuery {
-    const { expectedBytes, route } = this._request
-    return { bytes: expectedBytes, allowsTrial: !isAtMostOnce(route.kind), excluded: this._triedNodes }
+    const { expectedBytes, route, body } = this._request
+    const query = { bytes: expectedBytes, allowsTrial: !isAtMostOnce(route.kind), excluded: this._triedNodes }
+    if (route.kind !== 'upload') return query
+    return { ...query, transferMs: computeTransferMs(body.length, this._context.bodies?.linkMbps) }
   }
 
   /**
@@ -390,7 +396,7 @@
 
   private _onTimeout (): void {
     if (this._isEnded) return
-    const hasPending = this._pendingAttempts.size > 0
+    const hasPending = [...this._pendingAttempts].some(({ handle }) => handle?.isUnsent?.() !== true)
     this._cancelAttempts()
     if (this._failedAnswer !== undefined) this._finish({ type: 'answer', answer: this._failedAnswer })
     else if (hasPending || this._mayHaveRun) this._finish({ type: 'failed', reason: 'timeout', timedOut: true })
@@ -399,7 +405,7 @@
 
   private _cancelAttempts (): void {
     for (const pending of [...this._pendingAttempts]) {
-      this._sends++
+      if (pending.handle?.isUnsent?.() !== true) this._sends++
       pending.handle?.cancel()
       this._endAttempt(pending, 'cancelled', undefined)
     }
--- a/src/routenode/InstanceClient.ts
+++ b/src/routenode/InstanceClient.ts
@@ -290,6 +290,8 @@
       return this._fail('unknown', 'answer-invalid', `status ${status}${isSigned ? '' : ' without a signature'}`)
     }
     this._end()
+    // The instance has answered without reading the whole body, so the connection can't be used again.
+    if (this._call.kind === 'upload' && !this._request.writableFinished) this._request.destroy()
     this._listener.onAnswer({ status, headers: selectEndToEnd(response.rawHeaders, REPLACED_HEADERS), body })
   }
 
--- a/src/routenode/InstanceProxy.test.ts
+++ b/src/routenode/InstanceProxy.test.ts
@@ -4,13 +4,16 @@
 import { findFreeAddresses } from '../demo/FreePorts.js'
 import type { InstanceLimit, PublishedInstance } from '../parts/instances/Types.js'
 import { RequestFingerprint } from '../parts/quarantine/RequestFingerprint.js'
+import { BodyMemory } from '../parts/transfer/BodyMemory.js'
 import { computeSha1 } from '../runtime/Digest.js'
+import { ShiftedClock } from '../../test/support/ShiftedClock.js'
 import { parseAddress } from '../runtime/Address.js'
 import { SystemClock } from '../runtime/SystemClock.js'
 import type { Clock, Log } from '../runtime/Types.js'
+import { makeDefaultBodyResources } from './BodyTransfer.js'
 import { InstanceProxy } from './InstanceProxy.js'
 import { Quarantine } from './Quarantine.js'
-import type { HeaderNames, RoutedCall } from './Types.js'
+import type { HeaderNames, RoutedCall, RoutedCallHandle } from './Types.js'
 
 const SILENT: Log = { debug: () => {}, info: () => {}, warn: () => {}, error: () => {} }
 
@@ -167,3 +170,153 @@
   proxy.report({ ...PUBLISHED_BEFORE, bornMs: 500, address, sequence: 1, state: 'ready', coldMs: 0 })
   expect(proxy.published?.state).toBe('left')
 })
+
+/** An upload of another node, whose body is announced by its size. */
+const ANNOUNCED: RoutedCall = {
+  id: 1,
+  service: 'ledger',
+  method: 'POST',
+  target: '/',
+  headers: ['Host', 'h.example'],
+  body: new Uint8Array(0),
+  bodyBytes: 1000,
+  requestId: 'r',
+  work: 'w',
+  kind: 'upload',
+  nested: false,
+  priority: 1,
+  leftMs: 5000,
+  objectiveLeftMs: 1000,
+  moveMs: undefined,
+  attempt: 'first'
+}
+
+/** A proxy with an instance of one slot that records the deadlines that it is given and the sizes of the bodies. */
+interface UploadFixture {
+  readonly proxy: InstanceProxy
+  readonly clock: ShiftedClock
+  readonly memory: BodyMemory
+  readonly events: string[]
+  readonly deadlinesMs: number[]
+  readonly bodySizes: number[]
+  /** Reports the instance in another state. */
+  report (state: PublishedInstance['state']): void
+  start (changes?: Partial<RoutedCall>): RoutedCallHandle
+}
+
+async function startForUploads (linkMbps?: number): Promise<UploadFixture> {
+  const [address] = await findFreeAddresses(1) as [string]
+  const { host, port } = parseAddress(address)
+  const deadlinesMs: number[] = []
+  const bodySizes: number[] = []
+  const instance = createServer((request, response) => {
+    let size = 0
+    deadlinesMs.push(Number(request.headers['deadline-ms']))
+    request.on('data', (chunk: Buffer) => { size += chunk.length })
+    request.once('end', () => {
+      bodySizes.push(size)
+      response.writeHead(200, { 'request-id': 'r', signature: 's' }).end()
+    })
+  })
+  await new Promise<void>(resolve => instance.listen(port, host, resolve))
+  instances.push(instance)
+  const clock = new ShiftedClock()
+  // A quarter of it holds four bodies.
+  const memory = new BodyMemory(16_000 / 1024 / 1024)
+  const names = { requestId: 'request-id', deadlineMs: 'deadline-ms', targetInstance: 'target', signature: 'signature' }
+  const proxy = new InstanceProxy({
+    address,
+    service: 'ledger',
+    names: names as HeaderNames,
+    clock,
+    log: SILENT,
+    quarantine: makeQuarantine(clock),
+    findHealthPath: () => undefined,
+    bodies: { ...makeDefaultBodyResources(), memory, linkMbps }
+  })
+  proxies.push(proxy)
+  const events: string[] = []
+  let sequence = 0
+  const report = (state: PublishedInstance['state']): void => {
+    proxy.report({ id: 'i-1', bornMs: 100, service: 'ledger', slots: 1, state, address, sequence: ++sequence, coldMs: 0 })
+  }
+  const start = (changes: Partial<RoutedCall> = {}): RoutedCallHandle => proxy.start({ ...ANNOUNCED, ...changes }, {
+    onAnswer: ({ status }) => { events.push(`answer ${status}`) },
+    onDeclined: reason => { events.push(`declined ${reason}`) },
+    onFailed: (proof, reason) => { events.push(`${proof} ${reason}`) },
+    onBodyWanted: () => { events.push('wanted') }
+  })
+  report('ready')
+  return { proxy, clock, memory, events, deadlinesMs, bodySizes, report, start }
+}
+
+// The transfer takes part of the time that the caller waits.
+test('an instance gets an upload when its body is whole, with what is left of the deadline by then', async () => {
+  const { clock, memory, events, deadlinesMs, bodySizes, start } = await startForUploads()
+  const { supplyBody } = start()
+  expect([events, memory.heldBytes]).toEqual([['wanted'], 1000])
+  clock.shiftMs += 3000
+  supplyBody?.(new Uint8Array(1000))
+  while (events.length < 2) await new Promise(resolve => setImmediate(resolve))
+  expect([events[1], bodySizes, memory.heldBytes]).toEqual(['answer 200', [1000], 0])
+  expect(deadlinesMs[0]).toBeLessThanOrEqual(2000)
+})
+
+test('an upload whose body arrives after its deadline does not run', async () => {
+  const { clock, memory, events, deadlinesMs, start } = await startForUploads()
+  const { supplyBody } = start()
+  clock.shiftMs += 5000
+  supplyBody?.(new Uint8Array(1000))
+  expect([events, memory.heldBytes, deadlinesMs]).toEqual([['wanted', 'declined too-late'], 0, []])
+})
+
+test('an upload that waits for its body has the slot, and gives it back when its sender cancels or stalls', async () => {
+  const { proxy, memory, events, start } = await startForUploads()
+  const cancelled = start()
+  const stalled = start({ id: 2 })
+  start({ id: 3 })
+  expect([events, proxy.load().running]).toEqual([['wanted'], 1])
+  cancelled.cancel()
+  expect(events).toEqual(['wanted', 'wanted'])
+  stalled.supplyBody?.(undefined)
+  expect([...events].sort()).toEqual(['unsent body-stalled', 'wanted', 'wanted', 'wanted'])
+  expect([proxy.load().running, memory.heldBytes]).toEqual([1, 1000])
+})
+
+// Its bytes would be moved in vain, and a draining instance must get no new request.
+test('an upload that waits for its body is declined at once when the instance drains', async () => {
+  const { proxy, memory, events, deadlinesMs, report, start } = await startForUploads()
+  const { supplyBody } = start()
+  report('draining')
+  supplyBody?.(new Uint8Array(1000))
+  expect([events, deadlinesMs]).toEqual([['wanted', 'declined no-slots'], []])
+  expect([proxy.pendingCallCount, memory.heldBytes]).toEqual([0, 0])
+})
+
+test('an upload that the memory has no room for is declined before its body is requested', async () => {
+  const { proxy, memory, events, start } = await startForUploads()
+  const other = memory.lease()
+  other.grow(3500)
+  start()
+  expect([events, proxy.pendingCallCount]).toEqual([['declined body-memory'], 0])
+  other.release()
+  start()
+  expect(events).toEqual(['declined body-memory', 'wanted'])
+})
+
+test('an upload that was queued while there was room is declined when there is none once it has a slot', async () => {
+  const { memory, events, start } = await startForUploads()
+  const running = start()
+  start({ id: 2 })
+  memory.lease().grow(3500)
+  running.cancel()
+  expect(events).toEqual(['wanted', 'declined body-memory'])
+})
+
+// 1,000 bytes take 80 ms at 0.1 Mbit/s, and a run is expected to take 50 ms at first.
+test('an upload whose body can not arrive before its deadline is declined before any of it is moved', async () => {
+  const { events, start } = await startForUploads(0.1)
+  start({ leftMs: 120 })
+  start({ leftMs: 200 })
+  expect(events).toEqual(['declined too-late', 'wanted'])
+})
--- a/src/routenode/InstanceProxy.ts
+++ b/src/routenode/InstanceProxy.ts
@@ -5,11 +5,14 @@
 import { InstanceRegistry, isSameIncarnation, type ReportOutcome } from '../parts/instances/InstanceRegistry.js'
 import { NamedLimit } from '../parts/instances/NamedLimit.js'
 import type { InstanceIncarnation, InstanceReport, PublishedInstance } from '../parts/instances/Types.js'
+import type { BodyLease } from '../parts/transfer/BodyMemory.js'
+import { computeTransferMs } from '../parts/transfer/TransferTime.js'
 import type { CallId, ServiceName } from '../parts/Types.js'
 import { Emitter } from '../runtime/Emitter.js'
 import { PartTimer } from '../runtime/PartTimer.js'
 import type { Clock, Disposable, Log } from '../runtime/Types.js'
-import { RECOVERY_CHECK_INTERVAL_MS } from './Constants.js'
+import { type BodyResources, makeDefaultBodyResources } from './BodyTransfer.js'
+import { BODY_RETRY_AFTER_MS, RECOVERY_CHECK_INTERVAL_MS } from './Constants.js'
 import { CrashAttribution } from './CrashAttribution.js'
 import { InstanceClient, type InstanceHealth } from './InstanceClient.js'
 import type { InstanceLoad } from './LoadHeader.js'
@@ -32,15 +35,20 @@
   readonly quarantine: Quarantine
   /** Returns the path of a service's health check; undefined while no configuration names the service. */
   readonly findHealthPath: (service: ServiceName) => string | undefined
+  /** Bound on the memory for bodies, rate of the link and metrics; defaults when absent. */
+  readonly bodies?: BodyResources
 }
 
-/** A call that waits in the queue of the gate or runs. */
+/** A call that waits in the queue of the gate, or for its body while it has a slot, or runs. */
 interface PendingCall {
-  readonly call: RoutedCall
+  /** Without `bodyBytes` once its body has arrived. */
+  call: RoutedCall
   readonly listener: RoutedCallListener
   readonly deadlineAtMs: number
   startedAtMs: number
   handle: RoutedCallHandle | undefined
+  /** Memory of its body; undefined until the body is requested, and for a call that came with its body. */
+  lease: BodyLease | undefined
 }
 
 type GateHandlers = {
@@ -62,6 +70,9 @@
  * that the instance drains or stops, it lets no new call in. It also knows which calls ran when the instance crashed,
  * and keeps quarantined requests from running.
  *
+ * An upload of another node comes without its body. Its slot is taken when the gate starts it, then the body is
+ * requested, and only the whole body is passed to the instance; until then it is certain that the call has not run.
+ *
  * Memory: the running and the queued calls; see `InstanceGate` for their bounds.
  */
 export class InstanceProxy implements RoutedCallTarget, Disposable {
@@ -77,6 +88,7 @@
   private _recoveryTimer: NodeJS.Timeout | undefined
   private readonly _namedLimit = new NamedLimit()
   private readonly _crashAttribution: CrashAttribution
+  private readonly _bodies: BodyResources
   private _appliedLimitPerS: number | undefined
   private _slots = 0
   private _lastPublishedJson: string | undefined
@@ -85,6 +97,7 @@
   public constructor (private readonly _options: InstanceProxyOptions) {
     this._registry = new InstanceRegistry(_options.address)
     this._client = new InstanceClient(_options.address, _options.names, _options.clock)
+    this._bodies = _options.bodies ?? makeDefaultBodyResources()
     this._crashAttribution = new CrashAttribution({
       ..._options, checkListener: onResult => this._client.checkListener(onResult)
     })
@@ -202,12 +215,18 @@
       listener.onDeclined('no-slots', 0, this.load())
       return { cancel: () => {} }
     }
-    const refusal = this._options.quarantine.check(call, false)
+    // The fingerprint of a request needs its body, so that of an upload is checked when its body has arrived.
+    const refusal = call.bodyBytes === undefined ? this._options.quarantine.check(call, false) : undefined
     if (refusal !== undefined) {
       this._refuse(listener, refusal)
       return { cancel: () => {} }
     }
-    this._pendingCalls.set(id, { call, listener, deadlineAtMs, startedAtMs: nowMs, handle: undefined })
+    if (call.bodyBytes !== undefined && !this._bodies.memory.hasRoomFor(call.bodyBytes)) {
+      this._declineForMemory(call, listener)
+      return { cancel: () => {} }
+    }
+    const pending = { call, listener, deadlineAtMs, startedAtMs: nowMs, handle: undefined, lease: undefined }
+    this._pendingCalls.set(id, pending)
     const gateCall: GateCall = {
       id,
       work: call.work,
@@ -217,10 +236,11 @@
       objectiveAtMs: nowMs + call.objectiveLeftMs,
       deadlineAtMs,
       moveMs: call.moveMs,
-      isHedge: call.attempt === 'hedge'
+      isHedge: call.attempt === 'hedge',
+      ...(call.bodyBytes === undefined ? {} : { transferMs: computeTransferMs(call.bodyBytes, this._bodies.linkMbps) })
     }
     this._step({ type: 'offer', call: gateCall })
-    return { cancel: () => this._cancel(id) }
+    return { cancel: () => this._cancel(id), supplyBody: body => this._supplyBody(id, body) }
   }
 
   /** Closes all connections at once. */
@@ -256,12 +276,14 @@
     const { id, state } = current ?? {}
     this._options.log.info({ service: this.service, instance: id, state, breaker: this._breaker.state, slots }, 'slots changed')
     this._step({ type: 'slots', slots })
+    if (slots === 0) this._declineAwaitingBodies()
   }
 
   private _run (id: CallId): void {
     const pending = this._pendingCalls.get(id)
     const instance = this._registry.current
     if (pending === undefined || instance === undefined) return
+    if (pending.call.bodyBytes !== undefined) return this._requestBody(id, pending, pending.call.bodyBytes)
     // The request may have been quarantined while the call was queued.
     const refusal = this._options.quarantine.check(pending.call, false)
     if (refusal !== undefined) {
@@ -281,6 +303,51 @@
     })
   }
 
+  /** The call has a slot now, which it keeps until its body has arrived and has run. */
+  private _requestBody (id: CallId, pending: PendingCall, bytes: number): void {
+    const lease = this._bodies.memory.lease()
+    if (!lease.tryGrow(bytes)) {
+      this._cancel(id)
+      return this._declineForMemory(pending.call, pending.listener)
+    }
+    pending.lease = lease
+    pending.listener.onBodyWanted?.()
+  }
+
+  private _supplyBody (id: CallId, body: Uint8Array | undefined): void {
+    const pending = this._pendingCalls.get(id)
+    if (pending?.call.bodyBytes === undefined) return
+    const { requestId, bodyBytes, ...call } = pending.call
+    if (body === undefined) {
+      this._options.log.info({ requestId, bodyBytes }, 'sender of a body has stalled')
+      this._cancel(id)
+      return pending.listener.onFailed('unsent', 'body-stalled', this.load())
+    }
+    if (this._options.clock.nowMs() >= pending.deadlineAtMs) {
+      this._cancel(id)
+      return pending.listener.onDeclined('too-late', 0, this.load())
+    }
+    pending.call = { ...call, requestId, body }
+    this._run(id)
+  }
+
+  /** The instance takes no calls any more, so that bodies on their way to it would be moved in vain. */
+  private _declineAwaitingBodies (): void {
+    for (const [id, { call, listener }] of [...this._pendingCalls]) {
+      if (call.bodyBytes === undefined) continue
+      this._cancel(id)
+      listener.onDeclined('no-slots', 0, this.load())
+    }
+  }
+
+  private _declineForMemory ({ requestId, bodyBytes = 0 }: RoutedCall, listener: RoutedCallListener): void {
+    const { memory: { heldBytes, limitBytes }, linkMbps, metrics } = this._bodies
+    metrics.countBodyRefused('node')
+    this._options.log.info({ requestId, bodyBytes, heldBytes, limitBytes }, 'call declined for memory')
+    const retryAfterMs = linkMbps === undefined ? BODY_RETRY_AFTER_MS : computeTransferMs(bodyBytes, linkMbps)
+    listener.onDeclined('body-memory', retryAfterMs, this.load())
+  }
+
   private _refuse (listener: RoutedCallListener, { reason, retryAfterMs }: QuarantineRefusal): void {
     listener.onDeclined(reason === 'suspect' ? 'busy' : reason, retryAfterMs, this.load())
   }
@@ -366,7 +433,8 @@
     return pending
   }
 
-  private _deleteCall (id: CallId, { call }: PendingCall): void {
+  private _deleteCall (id: CallId, { call, lease }: PendingCall): void {
+    lease?.release()
     this._pendingCalls.delete(id)
     this._runningByRequestId.delete(call.requestId)
   }
--- a/src/routenode/Placement.ts
+++ b/src/routenode/Placement.ts
@@ -4,6 +4,7 @@
 import { InstanceChooser } from '../parts/placement/InstanceChooser.js'
 import type { NodeId, Random, ServiceName } from '../parts/Types.js'
 import type { Clock, Disposable, Log } from '../runtime/Types.js'
+import type { BodyResources } from './BodyTransfer.js'
 import { CallLink } from './CallLink.js'
 import type { InstanceStatus, RoutedCallTarget } from './Types.js'
 
@@ -22,6 +23,8 @@
   readonly clock: Clock
   readonly random: Random
   readonly log: Log
+  /** Bound on the memory for bodies, rate of the link and metrics; defaults when absent. */
+  readonly bodies?: BodyResources
 }
 
 /**
@@ -145,7 +148,8 @@
   }
 
   private _openLink (node: NodeId): CallLink {
-    const link = new CallLink(node, this._options.self, this._options.clock, this._options.random)
+    const { self, clock, random, bodies } = this._options
+    const link = new CallLink(node, self, clock, random, bodies)
     const ifCurrent = (handler: () => void) => () => { if (this._links.get(node) === link) handler() }
     link.onOpen(ifCurrent(() => this._onOpen(node)))
     link.onStopping(ifCurrent(() => this._onStopping(node)))
--- a/src/routenode/RouteNodeDaemon.ts
+++ b/src/routenode/RouteNodeDaemon.ts
@@ -6,9 +6,11 @@
 import { HedgePolicy } from '../parts/retry/HedgePolicy.js'
 import { RouteTable } from '../parts/routing/RouteTable.js'
 import type { VersionedRouting, Workspace } from '../parts/routing/Types.js'
+import { BodyMemory } from '../parts/transfer/BodyMemory.js'
 import type { Random, ServiceName } from '../parts/Types.js'
 import { KeyTable } from '../parts/workspaces/KeyTable.js'
 import type { Clock, Disposable, Log } from '../runtime/Types.js'
+import type { BodyResources } from './BodyTransfer.js'
 import { CallServer } from './CallServer.js'
 import { SHUTDOWN_DELAY_MS, STOP_NOTICE_MS } from './Constants.js'
 import { ControlFeed, type FeedWelcome } from './ControlFeed.js'
@@ -39,6 +41,10 @@
   readonly names: HeaderNames
   /** Longest duration of a graceful shutdown, in milliseconds. */
   readonly stopLimitMs: number
+  /** Memory of the node in megabytes, a quarter of which bodies may take; a default when absent. */
+  readonly memoryMb?: number | undefined
+  /** Rate of the VM's link in Mbit/s; when absent, the time to move bodies is not counted. */
+  readonly linkMbps?: number | undefined
 }
 
 /** Settings and system services of a node. */
@@ -60,6 +66,7 @@
 export class RouteNodeDaemon implements Disposable {
   /** Metrics of this node. */
   public readonly metrics = new RouteNodeMetrics(() => this._readGauges())
+  private readonly _bodies: BodyResources
   private readonly _directory = new NodeDirectory()
   private readonly _quarantine: Quarantine
   private readonly _instanceProxy: InstanceProxy
@@ -82,6 +89,8 @@
   public constructor (private readonly _options: RouteNodeOptions) {
     const { settings, clock, random, log, fingerprint } = _options
     this._epoch = Math.floor(clock.wallMs())
+    const { memoryMb, linkMbps } = settings
+    this._bodies = { memory: new BodyMemory(memoryMb), linkMbps, metrics: this.metrics }
     this._quarantine = new Quarantine({ node: settings.nodeAddress, incarnation: this._epoch, fingerprint, clock, log })
     this._instanceProxy = new InstanceProxy({
       address: settings.instanceAddress,
@@ -90,7 +99,8 @@
       clock,
       log,
       quarantine: this._quarantine,
-      findHealthPath: service => this._routeTable?.findService(service)?.healthPath
+      findHealthPath: service => this._routeTable?.findService(service)?.healthPath,
+      bodies: this._bodies
     })
     this._placement = new Placement({
       self: settings.nodeAddress,
@@ -99,7 +109,8 @@
       directory: this._directory,
       clock,
       random,
-      log
+      log,
+      bodies: this._bodies
     })
     this._gateway = new Gateway({
       names: settings.names,
@@ -115,9 +126,10 @@
       findRunning: requestId => this._instanceProxy.findRunning(requestId),
       isInTouch: () => this._controlFeed.replicaAddress !== undefined,
       nextCallId: () => ++this._lastCallId,
-      nodeCount: () => this._directory.size
+      nodeCount: () => this._directory.size,
+      bodies: this._bodies
     })
-    this._callServer = new CallServer(this._instanceProxy, clock)
+    this._callServer = new CallServer(this._instanceProxy, clock, this._bodies)
     this._controlFeed = new ControlFeed(settings.seeds, {
       nextEntry: () => this._makeHelloEntry(),
       crashReports: () => this._quarantine.reports()
@@ -164,6 +176,7 @@
       load: this._instanceProxy.load(),
       held: this._instanceProxy.pendingCallCount,
       inFlight: this._gateway.inFlight,
+      bodies: { heldBytes: this._bodies.memory.heldBytes, openTransfers: this.metrics.openTransfers },
       placement: this._placement.describe()
     }
   }
@@ -200,7 +213,8 @@
 
   private async _finishOpenWork (): Promise<void> {
     await this._gateway.close()
-    while (this._instanceProxy.pendingCallCount > 0) await delay(STOP_POLL_INTERVAL_MS)
+    const countOpen = (): number => this._instanceProxy.pendingCallCount + this._callServer.outgoingAnswerCount
+    while (countOpen() > 0) await delay(STOP_POLL_INTERVAL_MS)
     await this._callServer.finish()
   }
 
@@ -211,6 +225,7 @@
       nodes: this._directory.size,
       inFlight: this._gateway.inFlight,
       suspects: this._quarantine.size,
+      bodyBytes: this._bodies.memory.heldBytes,
       load: this._instanceProxy.load()
     }
   }
--- a/src/routenode/RouteNodeMetrics.ts
+++ b/src/routenode/RouteNodeMetrics.ts
@@ -1,4 +1,5 @@
 import { Counter, Gauge, Histogram, Registry } from 'prom-client'
+import type { TransferDirection, TransferMetrics } from './BodyTransfer.js'
 import type { HedgeOutcome } from './GatewayCall.js'
 import type { InstanceStatus } from './Types.js'
 
@@ -13,6 +14,8 @@
   readonly inFlight: number
   /** Requests that are suspected of crashes or quarantined. */
   readonly suspects: number
+  /** Bytes of the bodies that are held. */
+  readonly bodyBytes: number
   readonly load: InstanceStatus
 }
 
@@ -20,7 +23,7 @@
 const LATENCY_BUCKETS_S = [0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 1, 2, 4]
 
 /** Metrics of a node in the Prometheus text format. `docs/METRICS.md` lists them. */
-export class RouteNodeMetrics {
+export class RouteNodeMetrics implements TransferMetrics {
   private readonly _registry = new Registry()
   private readonly _received: Counter
   private readonly _ended: Counter<'outcome'>
@@ -29,6 +32,9 @@
   private readonly _declines: Counter
   private readonly _hedges: Counter<'outcome'>
   private readonly _quarantined: Counter
+  private readonly _bodyBytes: Counter<'direction'>
+  private readonly _bodiesRefused: Counter<'origin'>
+  private _openTransfers = 0
 
   /**
    * @param readGauges Returns the current values of the gauges.
@@ -54,6 +60,12 @@
     this._quarantined = new Counter({
       name: 'sassafras_requests_quarantined_total', help: 'Requests ended because they crash instances', registers
     })
+    this._bodyBytes = new Counter({
+      name: 'sassafras_body_bytes_moved_total', help: 'Bytes of bodies moved in chunks', labelNames: ['direction'], registers
+    })
+    this._bodiesRefused = new Counter({
+      name: 'sassafras_bodies_refused_total', help: 'Bodies refused for memory', labelNames: ['origin'], registers
+    })
     this._addGauges(readGauges)
   }
 
@@ -90,6 +102,26 @@
     this._quarantined.inc()
   }
 
+  /** Number of bodies that are being sent or received. */
+  public get openTransfers (): number {
+    return this._openTransfers
+  }
+
+  /** @inheritdoc */
+  public countBodyBytes (direction: TransferDirection, bytes: number): void {
+    this._bodyBytes.inc({ direction }, bytes)
+  }
+
+  /** @inheritdoc */
+  public changeOpenTransfers (change: number): void {
+    this._openTransfers += change
+  }
+
+  /** @inheritdoc */
+  public countBodyRefused (origin: 'caller' | 'node'): void {
+    this._bodiesRefused.inc({ origin })
+  }
+
   /** Returns all metrics as text. */
   public async text (): Promise<string> {
     return await this._registry.metrics()
@@ -102,6 +134,8 @@
       ['sassafras_nodes', 'Nodes known', ({ nodes }) => nodes],
       ['sassafras_requests_in_flight', 'Requests not ended yet', ({ inFlight }) => inFlight],
       ['sassafras_suspect_requests', 'Requests suspected of crashes or quarantined', ({ suspects }) => suspects],
+      ['sassafras_body_bytes_held', 'Bytes of the bodies held', ({ bodyBytes }) => bodyBytes],
+      ['sassafras_body_transfers_open', 'Bodies being moved in chunks', () => this._openTransfers],
       ['sassafras_gate_running', 'Calls that run at the instance', ({ load }) => load.running],
       ['sassafras_gate_queued', 'Calls that wait for the instance', ({ load }) => load.queued],
       ['sassafras_gate_limit', 'Calls that may run at once', ({ load }) => load.limit],
--- a/src/routenode/Types.ts
+++ b/src/routenode/Types.ts
@@ -58,6 +58,8 @@
   readonly target: string
   readonly headers: RawHeaders
   readonly body: Uint8Array
+  /** Size of a body that follows once the call has a slot, while `body` is empty; absent when `body` holds it. */
+  readonly bodyBytes?: number
   /** Id of the caller's attempt; it is logged, and the instance must repeat it in its answer. */
   readonly requestId: string
   /** Name of the route. Run times are estimated for each route, since its calls take similar times. */
@@ -105,10 +107,11 @@
   | 'answer-invalid'
   | 'answer-foreign'
   | 'link-lost'
+  | 'body-stalled'
   | 'timeout'
 
 /** Why the node of an instance turned a call away that has not run. */
-export type RefusalReason = DeclineReason | 'quarantined'
+export type RefusalReason = DeclineReason | 'quarantined' | 'body-memory'
 
 /** Receives the outcome of one call: exactly one of the first three methods is called, exactly once. */
 export interface RoutedCallListener {
@@ -118,12 +121,21 @@
   onFailed (proof: FailureProof, reason: FailureReason, load: InstanceStatus | undefined): void
   /** The node of the instance does not answer pings. The call may still end in any way. */
   onUnresponsive? (): void
+  /** The call has a slot, and its body is expected by `supplyBody`; only called for a call with `bodyBytes`. */
+  onBodyWanted? (): void
 }
 
 /** A call that was started and can be cancelled. */
 export interface RoutedCallHandle {
   /** Cancels the call, since nobody waits for it any more. The listener is not called after this. */
   cancel (): void
+  /** Returns whether the call is certain not to have run, and not to run when it is cancelled now; absent: it may. */
+  isUnsent? (): boolean
+  /**
+   * Passes the body of a call with `bodyBytes`, after `onBodyWanted`.
+   * @param body The whole body, or undefined when its sender has stalled.
+   */
+  supplyBody? (body: Uint8Array | undefined): void
 }
 
 /** Destination of calls: the proxy of the instance on this VM, or a link to another node. */
@@ -131,8 +143,17 @@
   start (call: RoutedCall, listener: RoutedCallListener): RoutedCallHandle
 }
 
+/**
+ * Frames that move a body in either direction. Every chunk is acknowledged, in the order of arrival; see
+ * `ChunkWindow`. The chunks of a body follow each other in order, and its size was announced before.
+ */
+export type BodyFrame =
+  | { readonly type: 'bodyChunk', readonly id: CallId, readonly body: Uint8Array }
+  | { readonly type: 'chunkAck' }
+
 /** Frames from the node that sends calls to the node of the instance that runs them. */
 export type CallClientFrame =
+  | BodyFrame
   | { readonly type: 'callHello', readonly node: string }
   | { readonly type: 'call', readonly call: RoutedCall }
   | { readonly type: 'cancel', readonly id: CallId }
@@ -140,7 +161,17 @@
 
 /** Frames from the node of the instance back to the node that sent the calls. */
 export type CallServerFrame =
-  | { readonly type: 'answer', readonly id: CallId, readonly answer: RoutedAnswer, readonly load: InstanceStatus }
+  | BodyFrame
+  /** The call has a slot: its body is to be sent. */
+  | { readonly type: 'sendBody', readonly id: CallId }
+  | {
+    readonly type: 'answer',
+    readonly id: CallId,
+    readonly answer: RoutedAnswer,
+    /** Size of the answer's body when it follows in chunks, while that of `answer` is empty. */
+    readonly bodyBytes?: number,
+    readonly load: InstanceStatus
+  }
   | {
     readonly type: 'turnedAway',
     readonly id: CallId,
@@ -202,7 +233,7 @@
 }
 
 /** Why a request was refused before it was routed. */
-export type RoutingRefusalReason = 'no-configuration' | 'no-route' | 'body-too-large' | 'unknown-key'
+export type RoutingRefusalReason = 'no-configuration' | 'no-route' | 'body-too-large' | 'unknown-key' | 'body-late'
 
 /** Why the node answered in place of an instance. */
 export type GatewayReason = FailureReason | RefusalReason | RoutingRefusalReason | 'no-instance' | 'retry-budget' | 'caller-gone'
--- a/src/runtime/FrameChannel.ts
+++ b/src/runtime/FrameChannel.ts
@@ -96,7 +96,8 @@
    * @param frame Result of `encodeMessage` for a message that the other end expects.
    */
   public sendEncoded (frame: EncodedMessage): boolean {
-    if (this._closed) return false
+    // A write after `finish` would destroy the socket, and with it what is still on its way.
+    if (this._closed || this._socket.writableEnded) return false
     this._corkUntilNextTick()
     this._sentBytes += frame.length
     this._socket.write(frame)
--- a/test/support/RouteMesh.ts
+++ b/test/support/RouteMesh.ts
@@ -138,8 +138,13 @@
   private _lastId = 0
   private _seed = 0
 
-  /** Starts a control replica and nodes with two routes: `/read/` is idempotent, `/once/` runs at most once. */
-  public static async start (count: number): Promise<RouteMesh> {
+  /**
+   * Starts a control replica and nodes with two routes: `/read/` is idempotent, `/once/` runs at most once.
+   * @param changes Returns what differs in the settings of a node.
+   */
+  public static async start (
+    count: number, changes: (index: number) => Partial<RouteNodeSettings> = () => ({})
+  ): Promise<RouteMesh> {
     const mesh = new RouteMesh()
     const [seed] = await findFreeAddresses(1) as [string]
     mesh._control = new RouteControlDaemon({
@@ -151,9 +156,10 @@
       onFault: error => { throw error }
     })
     await mesh._control.start()
-    for (let i = 0; i < count; i++) await mesh._addNode(seed, i)
+    for (let i = 0; i < count; i++) await mesh._addNode(seed, i, changes(i))
     await mesh.configure(makeRoute('read', 'idempotent'), makeRoute('once', 'once'))
-    for (const node of mesh.nodes) await mesh.awaitInstances(node, count)
+    const instanceCount = mesh.nodes.filter(({ settings }) => settings.service === 'svc').length
+    for (const node of mesh.nodes) await mesh.awaitInstances(node, instanceCount)
     return mesh
   }
 
@@ -235,7 +241,7 @@
     this._control.dispose()
   }
 
-  private async _addNode (seed: string, index: number): Promise<void> {
+  private async _addNode (seed: string, index: number, changes: Partial<RouteNodeSettings>): Promise<void> {
     const [callerAddress, nodeAddress, instanceAddress] = await findFreeAddresses(3) as [string, string, string]
     const instance = new MockInstance(`i-${index}`, instanceAddress)
     await instance.listen()
@@ -248,11 +254,12 @@
       seeds: [seed],
       retryLimits: { ratio: 1, slack: 1000, windowMs: 10_000 },
       names: HEADER_NAMES,
-      stopLimitMs: 6000
+      stopLimitMs: 6000,
+      ...changes
     }
     const daemon = await this._startDaemon(settings)
     this.nodes.push({ daemon, settings, instance, callerUrl: `http://${callerAddress}`, nodeAddress })
-    reportReady(daemon, instance, 1)
+    reportReady(daemon, instance, 1, settings.service)
   }
 
   private async _startDaemon (settings: RouteNodeSettings): Promise<RouteNodeDaemon> {
@@ -264,8 +271,10 @@
   }
 }
 
-function reportReady (daemon: RouteNodeDaemon, { id, address, crashes }: MockInstance, sequence: number): void {
-  daemon.report({ id, bornMs: 1 + crashes, sequence, service: 'svc', address, slots: 6, state: 'ready', coldMs: 0 })
+function reportReady (
+  daemon: RouteNodeDaemon, { id, address, crashes }: MockInstance, sequence: number, service = 'svc'
+): void {
+  daemon.report({ id, bornMs: 1 + crashes, sequence, service, address, slots: 6, state: 'ready', coldMs: 0 })
 }
 
 /** Builds a route to the mesh's one service. */
