Send large configurations compressed to nodes with slow links

Cause: a change that adds 976 routes takes 147 KB, which keeps a link of 2 Mbit/s busy for 0.6 s at every node at once; the calls of all nodes wait behind it, and pings of links go unanswered meanwhile. Each replica encoded it anew for each node.

Change: a node whose settings name a link below 100 Mbit/s asks for it, and gets frames with the routing configuration deflated when they are large. Replicas keep the encoded frames of the version in force for all nodes.

FrameCompression and SlowLink tests; other nodes get the frames that they got before.

--- a/src/routecontrol/NodeFeed.ts
+++ b/src/routecontrol/NodeFeed.ts
@@ -2,9 +2,9 @@
 import { NodeDirectory } from '../parts/instances/NodeDirectory.js'
 import type { NodeEntry } from '../parts/instances/Types.js'
 import type { CrashReport } from '../parts/quarantine/Types.js'
-import type { VersionedRouting } from '../parts/routing/Types.js'
 import type { NodeId } from '../parts/Types.js'
-import { encodeMessage } from '../runtime/FrameChannel.js'
+import { type EncodedMessage, encodeMessage } from '../runtime/FrameChannel.js'
+import { encodeCompressed } from '../runtime/FrameCompression.js'
 import type { Clock, Disposable, Log } from '../runtime/Types.js'
 import {
   ENTRY_BATCH_MS, ENTRY_RESEND_INTERVAL_MS, NODE_CHECK_INTERVAL_MS, NODE_GONE_MS, NODE_TIMEOUT_MS
@@ -23,6 +23,8 @@
   readonly channel: AcceptedChannel
   /** False until a quorum has confirmed that this replica is up to date and the welcome frame is sent. */
   isWelcomed: boolean
+  /** True when large frames to this node are compressed. */
+  readonly compresses: boolean
   /** Routing version that the node has or that was sent to it; 0 for none. */
   version: number
   /** Entry that the node published last on this connection. */
@@ -47,7 +49,8 @@
  * connects to.
  *
  * Memory: the directory, the crash reports, one session for each connected node, one entry for each node that
- * disconnected within `NODE_GONE_MS`, and the changed entries of `ENTRY_BATCH_MS`.
+ * disconnected within `NODE_GONE_MS`, the changed entries of `ENTRY_BATCH_MS`, and the frames that bring nodes from
+ * other versions to the one in force, at most one for each of `MAX_DELTAS` versions and a full copy.
  */
 export class NodeFeed implements Disposable {
   private readonly _directory = new NodeDirectory()
@@ -67,8 +70,9 @@
   private readonly _resendTimer: NodeJS.Timeout
   /** Addresses of the control replicas that were sent to nodes last, joined by commas. */
   private _sentControls = ''
-  /** Configuration in force as nodes receive it, as far as it was sent. */
-  private _redacted: VersionedRouting | undefined
+  /** Frames with the routing configuration, by the version of the receiver and whether they are compressed. */
+  private readonly _encodedRoutings = new Map<string, EncodedMessage>()
+  private _encodedVersion = 0
 
   private readonly _handlers: Handlers = {
     publish: (session, { entry }) => {
@@ -116,8 +120,10 @@
    * @param channel The connection.
    * @param hello The node's first frame.
    */
-  public accept (channel: AcceptedChannel, { entry, version, reports }: FeedHello): void {
-    const session: NodeSession = { node: entry.node, channel, isWelcomed: false, version, lastPublished: entry }
+  public accept (channel: AcceptedChannel, { entry, version, reports, compress }: FeedHello): void {
+    const { node } = entry
+    const compresses = compress === true
+    const session: NodeSession = { node, channel, isWelcomed: false, compresses, version, lastPublished: entry }
     this._sessions.get(entry.node)?.channel.destroy('replaced by a newer connection of the node')
     this._sessions.set(entry.node, session)
     channel.onMessage(frame => {
@@ -266,19 +272,29 @@
 
   /** Sends the version in force: as differences where they are still kept, otherwise as a full copy. */
   private _sendRouting (session: NodeSession): void {
-    const { store } = this._replica.machine
-    const { inForce } = store
+    const { inForce } = this._replica.machine.store
     if (inForce.version <= session.version) return
-    const differences = session.version === 0 ? undefined : store.deltasSince(session.version)
+    const frame = this._encodeRouting(session.version, session.compresses)
     session.version = inForce.version
-    if (differences === undefined) this._send(session, { type: 'routing', routing: this._redact(inForce) })
-    else this._send(session, { type: 'routingDifferences', differences: differences.map(redactDeltaKeys) })
+    session.channel.sendEncoded(frame)
   }
 
-  /** Many nodes ask for the same version at once after a restart, so the last one is kept. */
-  private _redact (routing: VersionedRouting): VersionedRouting {
-    if (this._redacted?.version !== routing.version) this._redacted = redactKeys(routing)
-    return this._redacted
+  /** Many nodes need the same frame, after a change or a restart, so the frames of the version in force are kept. */
+  private _encodeRouting (fromVersion: number, compresses: boolean): EncodedMessage {
+    const { store } = this._replica.machine
+    const { inForce } = store
+    if (this._encodedVersion !== inForce.version) this._encodedRoutings.clear()
+    this._encodedVersion = inForce.version
+    const differences = fromVersion === 0 ? undefined : store.deltasSince(fromVersion)
+    const key = `${differences === undefined ? 0 : fromVersion} ${compresses}`
+    const kept = this._encodedRoutings.get(key)
+    if (kept !== undefined) return kept
+    const frame: FeedToNode = differences === undefined
+      ? { type: 'routing', routing: redactKeys(inForce) }
+      : { type: 'routingDifferences', differences: differences.map(redactDeltaKeys) }
+    const encoded = compresses ? encodeCompressed(frame) : encodeMessage(frame)
+    this._encodedRoutings.set(key, encoded)
+    return encoded
   }
 
   private _sendToAll (frame: FeedToNode): void {
--- a/src/routecontrol/Types.ts
+++ b/src/routecontrol/Types.ts
@@ -1,6 +1,7 @@
 import type { NodeEntry } from '../parts/instances/Types.js'
 import type { CrashReport } from '../parts/quarantine/Types.js'
 import type { RoutingDelta, VersionedRouting } from '../parts/routing/Types.js'
+import type { CompressedFrame } from '../runtime/FrameCompression.js'
 
 /** Reports of requests that may have crashed instances; a receiver ignores those that it has received before. */
 export interface CrashReportsFrame {
@@ -12,12 +13,14 @@
 export type NodeToFeed =
   /**
    * First frame of a connection; `version` is the routing version in force at the node, 0 for none. `reports` are those
-   * of suspect requests, absent when there are none.
+   * of suspect requests, absent when there are none. `compress` is present when the node has a slow link, so that large
+   * frames should be compressed.
    */
   | {
     readonly type: 'feedHello',
     readonly entry: NodeEntry,
     readonly version: number,
+    readonly compress?: true,
     readonly reports?: readonly CrashReport[]
   }
   | CrashReportsFrame
@@ -30,6 +33,7 @@
 
 /** Frames from a control replica to a node. */
 export type FeedToNode =
+  | CompressedFrame
   /**
    * Sent once a quorum has confirmed that the replica is up to date. `own` is the entry that the replica already has
    * of the node, from an earlier run or connection; `controls` are the addresses of the control replicas, `host:port`;
--- a/src/routenode/Constants.ts
+++ b/src/routenode/Constants.ts
@@ -111,3 +111,9 @@
 
 /** Interval at which expired suspects are removed while requests arrive, in milliseconds. */
 export const QUARANTINE_SWEEP_INTERVAL_MS = 1000
+
+/**
+ * Rate of a link below which large frames of the control replica are compressed, in Mbit/s: a thousand routes, about
+ * 100 KB, keep such a link busy for more than 10 ms.
+ */
+export const SLOW_LINK_MBPS = 100
--- a/src/routenode/ControlFeed.ts
+++ b/src/routenode/ControlFeed.ts
@@ -10,6 +10,7 @@
 import { CONNECT_TIMEOUT_MAX_MS, CONNECT_TIMEOUT_MIN_MS } from '../runtime/Constants.js'
 import { Emitter } from '../runtime/Emitter.js'
 import { FrameChannel } from '../runtime/FrameChannel.js'
+import { decodeCompressed } from '../runtime/FrameCompression.js'
 import type { Clock, Disposable, Log } from '../runtime/Types.js'
 import { FEED_PING_INTERVAL_MS, FEED_RECONNECT_DELAY_MS, FEED_TIMEOUT_MS, FEED_WELCOME_TIMEOUT_MS } from './Constants.js'
 
@@ -18,6 +19,8 @@
 
 /** What a node tells each control replica that it connects to. */
 export interface FeedSource {
+  /** True when the link of this VM is so slow that large frames should be compressed; absent means false. */
+  readonly hasSlowLink?: boolean
   /** Returns the entry of this node to publish. */
   nextEntry (): NodeEntry
   /** Returns the reports of requests that may have crashed instances. */
@@ -53,6 +56,7 @@
   private _isWelcomed = false
 
   private readonly _handlers: Handlers = {
+    compressed: frame => this._handle(decodeCompressed(frame) as FeedToNode),
     welcome: frame => this._onWelcome(frame),
     routing: ({ routing }) => this._apply(routing),
     routingDifferences: ({ differences }) => this._applyDeltas(differences),
@@ -162,13 +166,16 @@
     }, FEED_WELCOME_TIMEOUT_MS)
     const channel = new FrameChannel<FeedToNode, NodeToFeed>(socket, this._clock)
     this._channel = channel
-    channel.onMessage(frame => {
-      const handler = this._handlers[frame.type] as ((frame: FeedToNode) => void) | undefined
-      handler?.(frame)
-    })
+    channel.onMessage(frame => this._handle(frame))
     const hello = { type: 'feedHello', entry: this._source.nextEntry(), version: this._routing?.version ?? 0 } as const
     const reports = this._source.crashReports()
-    channel.send(reports.length === 0 ? hello : { ...hello, reports })
+    const compress = this._source.hasSlowLink ? { compress: true as const } : {}
+    channel.send({ ...hello, ...compress, ...(reports.length === 0 ? {} : { reports }) })
+  }
+
+  private _handle (frame: FeedToNode): void {
+    const handler = this._handlers[frame.type] as ((frame: FeedToNode) => void) | undefined
+    handler?.(frame)
   }
 
   private _onClose (address: string): void {
--- a/src/routenode/RouteNodeDaemon.ts
+++ b/src/routenode/RouteNodeDaemon.ts
@@ -12,7 +12,7 @@
 import type { Clock, Disposable, Log } from '../runtime/Types.js'
 import type { BodyResources } from './BodyTransfer.js'
 import { CallServer } from './CallServer.js'
-import { SHUTDOWN_DELAY_MS, STOP_NOTICE_MS } from './Constants.js'
+import { SHUTDOWN_DELAY_MS, SLOW_LINK_MBPS, STOP_NOTICE_MS } from './Constants.js'
 import { ControlFeed, type FeedWelcome } from './ControlFeed.js'
 import { Gateway } from './Gateway.js'
 import { InstanceProxy } from './InstanceProxy.js'
@@ -134,6 +134,7 @@
     })
     this._callServer = new CallServer(this._instanceProxy, clock, this._bodies)
     this._controlFeed = new ControlFeed(settings.seeds, {
+      hasSlowLink: (settings.linkMbps ?? Infinity) < SLOW_LINK_MBPS,
       nextEntry: () => this._makeHelloEntry(),
       crashReports: () => this._quarantine.reports()
     }, clock, random, log)
--- a/src/runtime/FrameChannel.ts
+++ b/src/runtime/FrameChannel.ts
@@ -14,9 +14,19 @@
 /** A message in the form in which it is sent, so that one encoding can be sent on many channels. */
 export type EncodedMessage = Buffer
 
+/** Encodes a message without the length that precedes it in a frame. */
+export function encodeBody (message: object): Buffer {
+  return codec.encode(message)
+}
+
+/** Decodes what `encodeBody` returned. */
+export function decodeBody (body: Uint8Array): unknown {
+  return codec.decode(body)
+}
+
 /** Encodes a message for `FrameChannel.sendEncoded`. */
 export function encodeMessage (message: object): EncodedMessage {
-  const body = codec.encode(message)
+  const body = encodeBody(message)
   const frame = Buffer.allocUnsafe(FRAME_HEADER_BYTES + body.length)
   frame.writeUInt32BE(body.length, 0)
   frame.set(body, FRAME_HEADER_BYTES)
