Evacuate availability zones by orders of operators

Cause: operators could not empty a zone; its instances got requests until their VMs were gone.

Change: Evacuations.Start and Evacuations.End are commands in the replicated log, for zones of the settings (Network.Zones). Replicas send the evacuated zones with a revision in the welcome, before the configuration, and at each change. Choices leave a zone, and return to it, linearly within 2 s; the gates there admit nothing from 2.5 s after their node has learned of it, neither queued calls nor a second send on a broken connection. A node that has just started applies what it learns at once, and one that was disconnected applies it by its age.

--- a/src/parts/placement/InstanceChooser.test.ts
+++ b/src/parts/placement/InstanceChooser.test.ts
@@ -2,7 +2,7 @@
 import { SeededRandom } from '../SeededRandom.js'
 import { FAILING_HALF_LIFE_MS, SUBSET_SIZE, TRIAL_INTERVAL_MS, UNREACHABLE_COOLDOWN_MS } from './Constants.js'
 import { InstanceChooser } from './InstanceChooser.js'
-import type { PlacementCandidate } from './Types.js'
+import type { PlacementCandidate, PlacementQuery } from './Types.js'
 
 const IDLE = { running: 0, queued: 0, limit: 4, slowness: 1, workMs: 50, failing: 0 }
 const SMALL = { excluded: [], allowsTrial: true, bytes: 1000 }
@@ -167,3 +167,27 @@
   expect(chooser.choose(SMALL, 1)).toBe('a')
   expect(chooser.describe()).toMatchObject([{ failureShare: 0, load: null }])
 })
+
+function exclude (closedZones: string[], avoidedZones: string[] = []): PlacementQuery {
+  return { ...SMALL, exclusion: { closedZones: new Set(closedZones), avoidedZones: new Set(avoidedZones) } }
+}
+
+test('closed zones are left out, and avoided ones while there is another instance', () => {
+  const chooser = makeChooser({ node: 'a', zone: 'a' }, { node: 'b', zone: 'b' })
+  for (let i = 0; i < 10; i++) expect(chooser.choose(exclude(['a']), 0)).toBe('b')
+  for (let i = 0; i < 10; i++) expect(chooser.choose(exclude([], ['b']), 0)).toBe('a')
+  expect([chooser.choose(exclude(['a'], ['b']), 0), chooser.choose(exclude(['a', 'b']), 0)]).toEqual(['b', undefined])
+  expect([chooser.isClosed(exclude(['a'])), chooser.isClosed(exclude(['a', 'b'])), chooser.isClosed(SMALL)]).toEqual([false, true, false])
+})
+
+// The subset of a node has most of its instances in the node's own zone, which may be the evacuated one.
+test('a node finds instances outside its subset when all of the subset is in closed or avoided zones', () => {
+  const candidate = { incarnation: '1', roundTripMs: 1, slots: 4, crossesZones: true }
+  // The one instance in another zone is in the subset of some of these nodes only.
+  for (let index = 0; index < 20; index++) {
+    const chooser = new InstanceChooser(`node-${index}`, new SeededRandom(1))
+    for (let i = 0; i < 2 * SUBSET_SIZE; i++) chooser.setCandidate({ ...candidate, node: `i-${i}`, zone: 'a' })
+    chooser.setCandidate({ ...candidate, node: 'other', zone: 'b' })
+    expect([chooser.choose(exclude(['a']), 0), chooser.choose(exclude([], ['a']), 0)]).toEqual(['other', 'other'])
+  }
+})
--- a/src/parts/placement/InstanceChooser.ts
+++ b/src/parts/placement/InstanceChooser.ts
@@ -106,6 +106,12 @@
     return Math.max(0, Math.round(cheapestMs - networkCostMs(record, query.bytes)))
   }
 
+  /** Returns whether there are instances, all of them in zones that take no calls. */
+  public isClosed ({ exclusion }: PlacementQuery): boolean {
+    if (exclusion === undefined || this._records.size === 0) return false
+    return [...this._records.values()].every(({ candidate }) => isInZones(exclusion.closedZones, candidate))
+  }
+
   /**
    * Returns the time in milliseconds until the first instance whose request limit allows no further call allows one;
    * undefined when there is no such instance.
@@ -163,16 +169,26 @@
     })
   }
 
-  /** Returns eligible instances of the subset, or of all candidates when the subset has none. */
+  /**
+   * Returns eligible instances of the subset, or of all candidates when the subset has none; those in avoided zones
+   * only when there are no others.
+   */
   private _eligible (query: PlacementQuery, nowMs: number): CandidateRecord[] {
     this._subset ??= chooseSubset([...this._records.values()])
-    const isEligible = (record: CandidateRecord): boolean => {
-      const isClosed = record.unreachableUntilMs > nowMs || record.closedUntilMs > nowMs
-      return !isClosed && !query.excluded.includes(record.candidate.node)
+    const { excluded, exclusion } = query
+    const isEligible = ({ candidate, unreachableUntilMs, closedUntilMs }: CandidateRecord): boolean => {
+      const isClosed = unreachableUntilMs > nowMs || closedUntilMs > nowMs
+      return !isClosed && !excluded.includes(candidate.node) && !isInZones(exclusion?.closedZones, candidate)
     }
+    const isPreferred = ({ candidate }: CandidateRecord): boolean => !isInZones(exclusion?.avoidedZones, candidate)
     const eligible = this._subset.filter(isEligible)
-    if (eligible.length > 0 || this._subset.length === this._records.size) return eligible
-    return [...this._records.values()].filter(isEligible)
+    const preferred = eligible.filter(isPreferred)
+    if (preferred.length > 0) return preferred
+    if (this._subset.length === this._records.size) return eligible
+    const allEligible = [...this._records.values()].filter(isEligible)
+    const allPreferred = allEligible.filter(isPreferred)
+    if (allPreferred.length > 0) return allPreferred
+    return eligible.length > 0 ? eligible : allEligible
   }
 
   private _recordOutcome (record: CandidateRecord, failed: boolean): void {
@@ -255,6 +271,10 @@
   return candidate.roundTripMs + (candidate.crossesZones ? CROSS_ZONE_COST_MS_PER_KB * bytes / BYTES_PER_KB : 0)
 }
 
+function isInZones (zones: ReadonlySet<string> | undefined, { zone }: PlacementCandidate): boolean {
+  return zones !== undefined && zone !== undefined && zones.has(zone)
+}
+
 /** Returns the candidates with the lowest hashes, at most so many in this availability zone and in all others. */
 function chooseSubset (records: readonly CandidateRecord[]): CandidateRecord[] {
   const takeLowest = (crossesZones: boolean, count: number): CandidateRecord[] => records
--- a/src/parts/placement/Types.ts
+++ b/src/parts/placement/Types.ts
@@ -1,3 +1,4 @@
+import type { ZoneExclusion } from '../evacuation/Types.js'
 import type { GateLoad } from '../gate/Types.js'
 import type { NodeId } from '../Types.js'
 
@@ -11,6 +12,8 @@
   readonly slots: number
   /** True when a call to it crosses availability zones. */
   readonly crossesZones: boolean
+  /** Its availability zone; one without can't be excluded by its zone. */
+  readonly zone?: string
 }
 
 /** Requirements of a call on the instance to choose. */
@@ -23,6 +26,8 @@
   readonly bytes: number
   /** Largest expected time until the answer, network cost included, in milliseconds; slower instances are skipped. */
   readonly maxCostMs?: number
+  /** Zones that the choice leaves out; absent when it may select all of them. */
+  readonly exclusion?: ZoneExclusion
 }
 
 /** Load of an instance as its node reports it. */
--- a/src/routecontrol/NodeFeed.test.ts
+++ b/src/routecontrol/NodeFeed.test.ts
@@ -1,5 +1,6 @@
 import { afterEach, beforeEach, expect, test, vi } from 'vitest'
 import type { AcceptedChannel } from '../control/ReplicaLinks.js'
+import type { EvacuationState } from '../parts/evacuation/Types.js'
 import type { NodeEntry } from '../parts/instances/Types.js'
 import type { CrashReport } from '../parts/quarantine/Types.js'
 import { Emitter } from '../runtime/Emitter.js'
@@ -15,6 +16,8 @@
 let nodeEntries = new Emitter<NodeEntriesUpdate>()
 let crashReports = new Emitter<readonly CrashReport[]>()
 let linkOpen = new Emitter<void>()
+let evacuations = new Emitter<EvacuationState>()
+let evacuation: EvacuationState = { revision: 0, zones: [] }
 let broadcasts: Array<readonly NodeEntry[]> = []
 let reportBroadcasts: Array<readonly CrashReport[]> = []
 let feed: NodeFeed
@@ -24,13 +27,20 @@
   nodeEntries = new Emitter()
   crashReports = new Emitter()
   linkOpen = new Emitter()
+  evacuations = new Emitter()
+  evacuation = { revision: 0, zones: [] }
   broadcasts = []
   reportBroadcasts = []
   feed = new NodeFeed({
     onNodeEntries: nodeEntries.event,
     onCrashReports: crashReports.event,
     onLinkOpen: linkOpen.event,
-    machine: { onChange: new Emitter<void>().event, store: { inForce: { version: 0 } } },
+    machine: {
+      onChange: new Emitter<void>().event,
+      onEvacuation: evacuations.event,
+      get evacuation () { return evacuation },
+      store: { inForce: { version: 0 } }
+    },
     memberAddresses: [],
     firstReadBarrier: async () => true,
     broadcastEntries: (entries: readonly NodeEntry[]) => broadcasts.push(entries),
@@ -148,3 +158,29 @@
   linkOpen.fire()
   expect(reportBroadcasts[1]).toMatchObject([{ sequence: 1 }])
 })
+
+function evacuate (state: EvacuationState): void {
+  evacuation = state
+  evacuations.fire(state)
+}
+
+// Frames must stay as they were where nobody ever orders an evacuation.
+test('a welcome names evacuated zones only after an order', async () => {
+  const before = connectNode(0)
+  await vi.advanceTimersByTimeAsync(0)
+  expect(Object.keys(before.frames[0]!)).toEqual(['type', 'entries', 'controls'])
+  evacuate({ revision: 1, zones: ['a'] })
+  expect(before.encodedFrames).toBe(1)
+  await vi.advanceTimersByTimeAsync(700)
+  const later = connectNode(1)
+  await vi.advanceTimersByTimeAsync(0)
+  expect(later.frames[0]).toMatchObject({ type: 'welcome', evacuation: { revision: 1, zones: ['a'] }, evacuationAgeMs: 700 })
+})
+
+test('a replica that has not seen the order itself does not tell its age', async () => {
+  evacuation = { revision: 4, zones: ['a'] }
+  const node = connectNode(0)
+  await vi.advanceTimersByTimeAsync(0)
+  expect(node.frames[0]).toMatchObject({ evacuation: { revision: 4, zones: ['a'] } })
+  expect(node.frames[0]).not.toHaveProperty('evacuationAgeMs')
+})
--- a/src/routecontrol/NodeFeed.ts
+++ b/src/routecontrol/NodeFeed.ts
@@ -1,4 +1,5 @@
 import type { AcceptedChannel } from '../control/ReplicaLinks.js'
+import type { EvacuationState } from '../parts/evacuation/Types.js'
 import { NodeDirectory } from '../parts/instances/NodeDirectory.js'
 import type { NodeEntry } from '../parts/instances/Types.js'
 import type { CrashReport } from '../parts/quarantine/Types.js'
@@ -17,6 +18,9 @@
 /** First frame that a node sends on a connection. */
 export type FeedHello = Extract<NodeToFeed, { type: 'feedHello' }>
 
+/** Frame by which a node is accepted. */
+type FeedWelcome = Extract<FeedToNode, { type: 'welcome' }>
+
 /** A connected node. */
 interface NodeSession {
   readonly node: NodeId
@@ -41,10 +45,10 @@
 }
 
 /**
- * Sends the routing configuration and the entries of other nodes to the connected nodes. Each node is connected to one
- * control replica, and replicas forward to each other what nodes publish. Published entries don't go through
- * consensus: they are merged by epoch and revision, and a node publishes its entry again at each replica that it
- * connects to.
+ * Sends the routing configuration, the evacuated zones and the entries of other nodes to the connected nodes. Each node
+ * is connected to one control replica, and replicas forward to each other what nodes publish. Published entries don't
+ * go through consensus: they are merged by epoch and revision, and a node publishes its entry again at each replica
+ * that it connects to.
  *
  * Memory: the directory, the crash reports, one session for each connected node, one entry for each node that
  * disconnected within `NODE_GONE_MS`, and the changed entries of `ENTRY_BATCH_MS`.
@@ -69,6 +73,8 @@
   private _sentControls = ''
   /** Configuration in force as nodes receive it, as far as it was sent. */
   private _redacted: VersionedRouting | undefined
+  /** When this replica applied the last change of the evacuated zones, in monotonic milliseconds. */
+  private _evacuationAtMs: number | undefined
 
   private readonly _handlers: Handlers = {
     publish: (session, { entry }) => {
@@ -97,6 +103,7 @@
     _replica.onNodeEntries(({ entries, whole }) => this._mergeFromReplica(entries, whole))
     _replica.onLinkOpen(() => this._sendAllToReplicas())
     _replica.machine.onChange(() => this._sendRoutingToAll())
+    _replica.machine.onEvacuation(evacuation => this._sendEvacuation(evacuation))
     this._timer = setInterval(() => this._checkNodes(), NODE_CHECK_INTERVAL_MS)
     this._resendTimer = setInterval(() => this._resendEntries(), ENTRY_RESEND_INTERVAL_MS)
   }
@@ -148,7 +155,8 @@
       entries,
       controls: this._replica.memberAddresses,
       ...(known === undefined ? {} : { own: known }),
-      ...(reports.length === 0 ? {} : { reports })
+      ...(reports.length === 0 ? {} : { reports }),
+      ...this._describeEvacuation()
     })
     session.isWelcomed = true
     this._sendRouting(session)
@@ -275,6 +283,20 @@
     else this._send(session, { type: 'routingDifferences', differences: differences.map(redactDeltaKeys) })
   }
 
+  private _sendEvacuation (evacuation: EvacuationState): void {
+    this._evacuationAtMs = this._clock.nowMs()
+    this._log.info({ ...evacuation, nodes: this._sessions.size }, 'evacuated zones changed')
+    this._sendToAll({ type: 'evacuation', evacuation })
+  }
+
+  /** Fields of the welcome that name the evacuated zones; none before the first order. */
+  private _describeEvacuation (): Pick<FeedWelcome, 'evacuation' | 'evacuationAgeMs'> {
+    const { evacuation } = this._replica.machine
+    if (evacuation.revision === 0) return {}
+    if (this._evacuationAtMs === undefined) return { evacuation }
+    return { evacuation, evacuationAgeMs: Math.round(this._clock.nowMs() - this._evacuationAtMs) }
+  }
+
   /** Many nodes ask for the same version at once after a restart, so the last one is kept. */
   private _redact (routing: VersionedRouting): VersionedRouting {
     if (this._redacted?.version !== routing.version) this._redacted = redactKeys(routing)
--- a/src/routecontrol/RouteControlDaemon.ts
+++ b/src/routecontrol/RouteControlDaemon.ts
@@ -1,12 +1,13 @@
 import { FrameServer } from '../runtime/FrameServer.js'
 import type { FromControl, ToControl } from '../control/Types.js'
 import type { ReplicaHello } from '../control/ReplicaLinks.js'
+import type { EvacuationOrder, EvacuationState } from '../parts/evacuation/Types.js'
 import type { RoutingChange, VersionedRouting } from '../parts/routing/Types.js'
 import type { Disk } from '../parts/storage/Types.js'
 import type { Random } from '../parts/Types.js'
 import type { Clock, Disposable, Log } from '../runtime/Types.js'
 import { type FeedHello, NodeFeed } from './NodeFeed.js'
-import { type ChangeOutcome, type GroupSettings, RoutingReplica } from './RoutingReplica.js'
+import { type ChangeOutcome, type EvacuationOutcome, type GroupSettings, RoutingReplica } from './RoutingReplica.js'
 
 /** Settings and services that a daemon needs. */
 export interface RouteControlOptions {
@@ -29,6 +30,8 @@
   readonly version: number
   /** Nodes connected to this replica. */
   readonly nodes: number
+  /** Evacuated zones according to this replica. */
+  readonly evacuation: EvacuationState
 }
 
 /** Result of a read of the routing configuration in force. */
@@ -74,7 +77,8 @@
       commitIndex,
       members: members.length,
       version: this._replica.machine.store.inForce.version,
-      nodes: this._feed.size
+      nodes: this._feed.size,
+      evacuation: this._replica.machine.evacuation
     }
   }
 
@@ -112,6 +116,11 @@
     return await this._replica.change(change)
   }
 
+  /** Proposes an order about an availability zone; succeeds only at the leader. */
+  public async evacuate (order: EvacuationOrder): Promise<EvacuationOutcome> {
+    return await this._replica.evacuate(order)
+  }
+
   /** Reads the routing configuration in force, after a quorum has confirmed that this replica is up to date. */
   public async read (): Promise<ReadOutcome> {
     const confirmed = await this._replica.readBarrier()
@@ -125,6 +134,7 @@
       replica: this._replica.view,
       corruptions: this._replica.corruptions,
       version: this._replica.machine.store.inForce.version,
+      evacuation: this._replica.machine.evacuation,
       nodes: this._feed.size,
       directory: this._feed.directory.size
     }
--- a/src/routecontrol/RouteControlMetrics.ts
+++ b/src/routecontrol/RouteControlMetrics.ts
@@ -15,7 +15,13 @@
       ['sassafras_control_commit_index', 'Entries committed', ({ commitIndex }) => commitIndex],
       ['sassafras_control_members', 'Voters of the group', ({ members }) => members],
       ['sassafras_control_version', 'Version in force', ({ version }) => version],
-      ['sassafras_control_nodes', 'Nodes connected here', ({ nodes }) => nodes]
+      ['sassafras_control_nodes', 'Nodes connected here', ({ nodes }) => nodes],
+      [
+        'sassafras_control_evacuation_revision',
+        'Changes of the set of evacuated zones',
+        ({ evacuation }) => evacuation.revision
+      ],
+      ['sassafras_control_evacuated_zones', 'Evacuated zones', ({ evacuation }) => evacuation.zones.length]
     ]
     for (const [name, help, read] of definitions) {
       const collect = (): void => gauge.set(read(readGauges()))
--- a/src/routecontrol/RoutingReplica.ts
+++ b/src/routecontrol/RoutingReplica.ts
@@ -9,6 +9,7 @@
 import type { FormationNotice } from '../parts/agreement/GroupFormation.js'
 import type { ReplicaView } from '../parts/agreement/Replica.js'
 import type { RecoveredState } from '../parts/agreement/Types.js'
+import type { EvacuationOrder } from '../parts/evacuation/Types.js'
 import { VoterPlanner } from '../parts/agreement/VoterPlanner.js'
 import type { NodeEntry } from '../parts/instances/Types.js'
 import type { CrashReport } from '../parts/quarantine/Types.js'
@@ -22,7 +23,7 @@
   ANNOUNCE_INTERVAL_MS, FIRST_LEADER_WAIT_MS, GROUP_TICK_MS, GROUP_TIMING, JOIN_INTERVAL_MS, LEADERLESS_JOIN_MS,
   LEADER_NOTICE_TTL_MS, SNAPSHOT_AFTER_BYTES
 } from './Constants.js'
-import { RoutingStateMachine } from './RoutingStateMachine.js'
+import { type EvacuationReply, type MachineReply, RoutingStateMachine } from './RoutingStateMachine.js'
 
 /** Settings from which a replica finds or forms its group. */
 export interface GroupSettings {
@@ -47,11 +48,17 @@
   readonly onFault: (error: Error) => void
 }
 
-/** Result of a proposed change. `not-run` never comes into force; `unknown` may still do so. */
-export type ChangeOutcome =
-  | { readonly type: 'decided', readonly reply: RoutingReply }
+/** Result of a proposed command. `not-run` never comes into force; `unknown` may still do so. */
+export type CommandOutcome<Reply> =
+  | { readonly type: 'decided', readonly reply: Reply }
   | { readonly type: 'undecided', readonly state: 'not-run' | 'unknown' }
 
+/** Result of a proposed change. */
+export type ChangeOutcome = CommandOutcome<RoutingReply>
+
+/** Result of a proposed order about an availability zone. */
+export type EvacuationOutcome = CommandOutcome<EvacuationReply>
+
 /** Entries of nodes that another replica sent. */
 export interface NodeEntriesUpdate {
   readonly from: ReplicaId
@@ -61,10 +68,10 @@
 }
 
 /**
- * A replica of the consensus group (Raft) that stores the routing configuration. Its settings name only some seeds and
- * the number of losses to tolerate. The seeds form the first group; other replicas join through any member and become
- * voters while the group needs them. A replica that starts with an empty disk takes a new identity, so that it never
- * votes under the identity whose log and votes it has lost.
+ * A replica of the consensus group (Raft) that stores the routing configuration and the evacuated zones. Its settings
+ * name only some seeds and the number of losses to tolerate. The seeds form the first group; other replicas join
+ * through any member and become voters while the group needs them. A replica that starts with an empty disk takes a new
+ * identity, so that it never votes under the identity whose log and votes it has lost.
  */
 export class RoutingReplica implements Disposable {
   /** Identity of this replica, bound to its disk. */
@@ -74,7 +81,7 @@
   /** Corruptions found in the log at start; a replica with any takes no part in the group. */
   public readonly corruptions: readonly Corruption[]
   private readonly _links: ReplicaLinks
-  private readonly _host: ReplicaHost<RoutingReply>
+  private readonly _host: ReplicaHost<MachineReply>
   private readonly _barrier: ReadBarrier
   private readonly _formation: GroupFormation | undefined
   private readonly _voterPlanner: VoterPlanner
@@ -237,10 +244,12 @@
    * @param change The change, decoded.
    */
   public async change (change: RoutingChange): Promise<ChangeOutcome> {
-    const outcome = await this._host.propose(this.machine.encode(change))
-    return outcome.type === 'applied'
-      ? { type: 'decided', reply: outcome.reply }
-      : { type: 'undecided', state: outcome.state }
+    return await this._propose<RoutingReply>(this.machine.encode(change))
+  }
+
+  /** Proposes an order about an availability zone; succeeds only at the leader. */
+  public async evacuate (order: EvacuationOrder): Promise<EvacuationOutcome> {
+    return await this._propose<EvacuationReply>(this.machine.encodeOrder(order))
   }
 
   /**
@@ -276,9 +285,17 @@
     this._links.dispose()
   }
 
-  private _makeHost (storage: DurableLog, recovered: RecoveredState): ReplicaHost<RoutingReply> {
+  /** @typeParam Reply Replies of the machine to commands of this kind. */
+  private async _propose<Reply extends MachineReply> (data: Uint8Array): Promise<CommandOutcome<Reply>> {
+    const outcome = await this._host.propose(data)
+    return outcome.type === 'applied'
+      ? { type: 'decided', reply: outcome.reply as Reply }
+      : { type: 'undecided', state: outcome.state }
+  }
+
+  private _makeHost (storage: DurableLog, recovered: RecoveredState): ReplicaHost<MachineReply> {
     const { clock, random, onFault } = this._options
-    return new ReplicaHost<RoutingReply>({
+    return new ReplicaHost<MachineReply>({
       id: this.id,
       recovered,
       isCorrupt: this.corruptions.length > 0,
--- a/src/routecontrol/Types.ts
+++ b/src/routecontrol/Types.ts
@@ -1,3 +1,4 @@
+import type { EvacuationState } from '../parts/evacuation/Types.js'
 import type { NodeEntry } from '../parts/instances/Types.js'
 import type { CrashReport } from '../parts/quarantine/Types.js'
 import type { RoutingDelta, VersionedRouting } from '../parts/routing/Types.js'
@@ -33,16 +34,21 @@
   /**
    * Sent once a quorum has confirmed that the replica is up to date. `own` is the entry that the replica already has
    * of the node, from an earlier run or connection; `controls` are the addresses of the control replicas, `host:port`;
-   * `reports` are those of suspect requests, absent when there are none.
+   * `reports` are those of suspect requests, absent when there are none. `evacuation` is absent before the first order,
+   * and `evacuationAgeMs`, the time since the replica applied its last change, where that was in an earlier run.
    */
   | {
     readonly type: 'welcome',
     readonly entries: readonly NodeEntry[],
     readonly controls: readonly string[],
     readonly own?: NodeEntry,
-    readonly reports?: readonly CrashReport[]
+    readonly reports?: readonly CrashReport[],
+    readonly evacuation?: EvacuationState,
+    readonly evacuationAgeMs?: number
   }
   | CrashReportsFrame
+  /** Evacuated zones after a change. */
+  | { readonly type: 'evacuation', readonly evacuation: EvacuationState }
   /** A full copy of the configuration in force. */
   | { readonly type: 'routing', readonly routing: VersionedRouting }
   /** Changes from the version that the node has to the one in force, oldest first. */
--- a/src/routenode/Constants.ts
+++ b/src/routenode/Constants.ts
@@ -76,6 +76,12 @@
  */
 export const NOT_READY_RETRY_AFTER_MS = 1500
 
+/**
+ * Retry-After while all instances of a service are in evacuated zones, in milliseconds. An evacuation usually lasts
+ * longer, so the limit by the deadline of the caller decides in most cases.
+ */
+export const EVACUATED_RETRY_AFTER_MS = 2000
+
 /**
  * Time after a stop signal for which new requests are still accepted, in milliseconds: callers poll the readiness of
  * the node every second, and two polls must fit in.
--- a/src/routenode/ControlFeed.ts
+++ b/src/routenode/ControlFeed.ts
@@ -1,5 +1,6 @@
 import { connect } from 'node:net'
 import type { Socket } from 'node:net'
+import type { EvacuationState } from '../parts/evacuation/Types.js'
 import type { NodeEntry } from '../parts/instances/Types.js'
 import type { CrashReport } from '../parts/quarantine/Types.js'
 import type { RoutingDelta, VersionedRouting } from '../parts/routing/Types.js'
@@ -24,6 +25,13 @@
   crashReports (): readonly CrashReport[]
 }
 
+/** Evacuated zones as a control replica has sent them. */
+export interface EvacuationUpdate {
+  readonly evacuation: EvacuationState
+  /** How long they have been in force; infinite for a node that has just started or when the replica does not know. */
+  readonly ageMs: number
+}
+
 type Channel = FrameChannel<FeedToNode, NodeToFeed>
 
 type Handlers = {
@@ -31,15 +39,17 @@
 }
 
 /**
- * Subscription to the routing configuration and to the entries of the other nodes. The node is connected to one control
- * replica at a time, and connects to the next one when that replica times out or cannot serve it. The configuration
- * that was applied stays in force meanwhile; its version never decreases.
+ * Subscription to the routing configuration, the evacuated zones and the entries of the other nodes. The node is
+ * connected to one control replica at a time, and connects to the next one when that replica times out or cannot serve
+ * it. The configuration and the evacuated zones that were applied stay in force meanwhile; the version of the one and
+ * the revision of the others never decrease.
  */
 export class ControlFeed implements Disposable {
   private readonly _welcomeEmitter = new Emitter<FeedWelcome>()
   private readonly _entriesEmitter = new Emitter<readonly NodeEntry[]>()
   private readonly _crashReportsEmitter = new Emitter<readonly CrashReport[]>()
   private readonly _routingEmitter = new Emitter<VersionedRouting>()
+  private readonly _evacuationEmitter = new Emitter<EvacuationUpdate>()
   private _replicaAddresses: string[]
   private _channel: Channel | undefined
   private _socket: Socket | undefined
@@ -47,6 +57,8 @@
   private _welcomeTimer: NodeJS.Timeout | undefined
   private _reconnectTimer: NodeJS.Timeout | undefined
   private _routing: VersionedRouting | undefined
+  /** Revision of the evacuated zones that this node knows; undefined before the first welcome. */
+  private _evacuationRevision: number | undefined
   private _nextAddressIndex = 0
   private _connectTimeoutMs = CONNECT_TIMEOUT_MIN_MS
   private _isDisposed = false
@@ -58,6 +70,7 @@
     routingDifferences: ({ differences }) => this._applyDeltas(differences),
     entries: ({ entries }) => this._entriesEmitter.fire(entries),
     crashReports: ({ reports }) => this._crashReportsEmitter.fire(reports),
+    evacuation: ({ evacuation }) => this._applyEvacuation(evacuation, 0),
     // A replica that turns this node away may itself have an old list, so its list adds to what is known.
     controls: ({ controls }) => this._setReplicaAddresses(
       this._isWelcomed ? controls : [...controls, ...this._replicaAddresses]
@@ -94,6 +107,9 @@
   /** Fires with each newer version of the routing configuration. */
   public readonly onRouting = this._routingEmitter.event
 
+  /** Fires with each newer revision of the evacuated zones. */
+  public readonly onEvacuation = this._evacuationEmitter.event
+
   /** Routing configuration in force at this node; undefined before the first one. */
   public get routing (): VersionedRouting | undefined {
     return this._routing
@@ -184,11 +200,25 @@
     this._isWelcomed = true
     this._setReplicaAddresses(frame.controls)
     this._log.info({ home: this._channel?.remoteAddress, nodes: frame.entries.length }, 'control connection open')
+    this._applyWelcomedEvacuation(frame)
     this._welcomeEmitter.fire(frame)
     if (frame.reports !== undefined) this._crashReportsEmitter.fire(frame.reports)
     this._entriesEmitter.fire(frame.entries)
   }
 
+  /** A node that has just started must not send a share of its requests to zones that were evacuated before. */
+  private _applyWelcomedEvacuation ({ evacuation, evacuationAgeMs = Infinity }: FeedWelcome): void {
+    const ageMs = this._evacuationRevision === undefined ? Infinity : evacuationAgeMs
+    this._evacuationRevision ??= 0
+    if (evacuation !== undefined) this._applyEvacuation(evacuation, ageMs)
+  }
+
+  private _applyEvacuation (evacuation: EvacuationState, ageMs: number): void {
+    if (evacuation.revision <= (this._evacuationRevision ?? 0)) return
+    this._evacuationRevision = evacuation.revision
+    this._evacuationEmitter.fire({ evacuation, ageMs })
+  }
+
   private _setReplicaAddresses (addresses: readonly string[]): void {
     this._replicaAddresses = [...new Set([...addresses, ...this._seeds])]
   }
--- a/src/routenode/GatewayCall.test.ts
+++ b/src/routenode/GatewayCall.test.ts
@@ -1,4 +1,5 @@
 import { afterEach, beforeEach, expect, test, vi } from 'vitest'
+import type { ZoneExclusion } from '../parts/evacuation/Types.js'
 import type { GateLoad } from '../parts/gate/Types.js'
 import { InstanceChooser } from '../parts/placement/InstanceChooser.js'
 import { HedgePolicy } from '../parts/retry/HedgePolicy.js'
@@ -28,6 +29,7 @@
 let hedgePolicy = new HedgePolicy()
 let result: GatewayResult | undefined
 let refusal: QuarantineRefusal | undefined
+let exclusion: ZoneExclusion | undefined
 
 beforeEach(() => { vi.useFakeTimers({ now: 1000 }) })
 
@@ -37,6 +39,7 @@
   hedgePolicy = new HedgePolicy()
   result = undefined
   refusal = undefined
+  exclusion = undefined
 })
 
 function start (
@@ -44,7 +47,9 @@
 ): GatewayCall {
   const random = new SeededRandom(1)
   const chooser = new InstanceChooser('self', random)
-  nodes.forEach(node => chooser.setCandidate({ node, incarnation: '1', roundTripMs: 1, slots: 6, crossesZones: false }))
+  const candidate = { incarnation: '1', roundTripMs: 1, slots: 6, crossesZones: false }
+  // Nodes are named after their zones here.
+  nodes.forEach(node => chooser.setCandidate({ ...candidate, node, zone: node }))
   const findTarget = (node: NodeId): object => ({
     start: (call: RoutedCall, listener: RoutedCallListener) => {
       const entry: SentCall = { node, call, listener, cancelled: false }
@@ -57,7 +62,11 @@
     clock,
     random,
     placement: {
-      findChooser: () => chooser, findTarget, findKnownLimit: () => undefined, recordStatus: () => {}
+      findChooser: () => chooser,
+      drawExclusion: () => exclusion === undefined ? {} : { exclusion },
+      findTarget,
+      findKnownLimit: () => undefined,
+      recordStatus: () => {}
     } as unknown as Placement,
     hedgePolicy,
     quarantine: { check: () => refusal },
@@ -313,3 +322,18 @@
   expect(sentCalls).toHaveLength(1)
   expect(result).toEqual({ type: 'refused', reason: 'quarantined', retryAfterMs: 500_000 })
 })
+
+test('a request whose instances are all in evacuated zones is refused with the reason', () => {
+  exclusion = { closedZones: new Set(['a', 'b']), avoidedZones: new Set() }
+  start(['a', 'b'])
+  expect(sentCalls).toEqual([])
+  expect(result).toMatchObject({ type: 'refused', reason: 'zones-evacuated' })
+})
+
+test('a request declined in an evacuated zone goes to another zone', () => {
+  start(['a', 'b'])
+  const [first] = sentCalls as [SentCall]
+  exclusion = { closedZones: new Set([first.node]), avoidedZones: new Set() }
+  first.listener.onDeclined('no-slots', 0, { ...IDLE, limit: 0 })
+  expect(sentCalls.map(({ node }) => node).sort()).toEqual(['a', 'b'])
+})
--- a/src/routenode/GatewayCall.ts
+++ b/src/routenode/GatewayCall.ts
@@ -4,7 +4,8 @@
 import type { CallId, NodeId, Random } from '../parts/Types.js'
 import type { Clock } from '../runtime/Types.js'
 import {
-  HEDGE_BUDGET_SHARE, LAST_TRY_MIN_WAIT_MS, MAX_DECLINES, MAX_HEDGE_DECLINES, RETRY_AFTER_JITTER, RETRY_AFTER_MAX_SHARE
+  EVACUATED_RETRY_AFTER_MS, HEDGE_BUDGET_SHARE, LAST_TRY_MIN_WAIT_MS, MAX_DECLINES, MAX_HEDGE_DECLINES,
+  RETRY_AFTER_JITTER, RETRY_AFTER_MAX_SHARE
 } from './Constants.js'
 import type { Placement } from './Placement.js'
 import type { Quarantine } from './Quarantine.js'
@@ -155,6 +156,7 @@
     this._hasQueuedAtTriedInstance = true
     const fallback = mayQueueAtTriedInstance ? chooser?.choose({ ...query, excluded: [] }, nowMs) : undefined
     if (fallback !== undefined) return this._sendTo(fallback, kind, undefined)
+    if (chooser?.isClosed(query) === true) return this._giveUp('zones-evacuated', EVACUATED_RETRY_AFTER_MS)
     const untilOpenMs = chooser?.untilOpenMs(nowMs)
     if (untilOpenMs === undefined) this._giveUp('no-instance', 0)
     else this._giveUp('rate-limited', untilOpenMs)
@@ -162,7 +164,8 @@
 
   private _buildQuery (): PlacementQuery {
     const { expectedBytes, route } = this._request
-    return { bytes: expectedBytes, allowsTrial: !isAtMostOnce(route.kind), excluded: this._triedNodes }
+    const exclusion = this._context.placement.drawExclusion()
+    return { bytes: expectedBytes, allowsTrial: !isAtMostOnce(route.kind), excluded: this._triedNodes, ...exclusion }
   }
 
   /**
--- a/src/routenode/InstanceProxy.ts
+++ b/src/routenode/InstanceProxy.ts
@@ -32,6 +32,8 @@
   readonly quarantine: Quarantine
   /** Returns the path of a service's health check; undefined while no configuration names the service. */
   readonly findHealthPath: (service: ServiceName) => string | undefined
+  /** Returns whether the instance must get no calls, since its zone is evacuated; absent where that never happens. */
+  readonly isZoneClosed?: () => boolean
 }
 
 /** A call that waits in the queue of the gate or runs. */
@@ -191,6 +193,16 @@
     return outcome
   }
 
+  /** Closes the gate, also to queued calls, or opens it, as the evacuation of this zone demands. */
+  public applyZoneClosure (): void {
+    this._applySlots()
+  }
+
+  /** Called when the evacuation of this zone has ended: an instance without calls may have become cold meanwhile. */
+  public assumeCold (): void {
+    this._options.log.info({ instance: this._registry.current?.id }, 'instance assumed cold')
+  }
+
   /** Offers a call to the gate of the instance. */
   public start (call: RoutedCall, listener: RoutedCallListener): RoutedCallHandle {
     const nowMs = this._options.clock.nowMs()
@@ -202,6 +214,10 @@
       listener.onDeclined('no-slots', 0, this.load())
       return { cancel: () => {} }
     }
+    if (this._isZoneClosed()) {
+      this._declineInClosedZone(call, listener)
+      return { cancel: () => {} }
+    }
     const refusal = this._options.quarantine.check(call, false)
     if (refusal !== undefined) {
       this._refuse(listener, refusal)
@@ -250,11 +266,13 @@
 
   private _applySlots (): void {
     const { current } = this._registry
-    const slots = current?.state === 'ready' ? SLOTS_BY_BREAKER_STATE[this._breaker.state](current.slots) : 0
+    const isZoneClosed = this._isZoneClosed()
+    const slots = current?.state === 'ready' && !isZoneClosed ? SLOTS_BY_BREAKER_STATE[this._breaker.state](current.slots) : 0
     if (slots === this._slots) return
     this._slots = slots
     const { id, state } = current ?? {}
-    this._options.log.info({ service: this.service, instance: id, state, breaker: this._breaker.state, slots }, 'slots changed')
+    const closure = isZoneClosed ? { isZoneClosed } : {}
+    this._options.log.info({ service: this.service, instance: id, state, breaker: this._breaker.state, slots, ...closure }, 'slots changed')
     this._step({ type: 'slots', slots })
   }
 
@@ -262,6 +280,11 @@
     const pending = this._pendingCalls.get(id)
     const instance = this._registry.current
     if (pending === undefined || instance === undefined) return
+    // The timer that closes the gate may be late.
+    if (this._isZoneClosed()) {
+      this._cancel(id)
+      return this._declineInClosedZone(pending.call, pending.listener)
+    }
     // The request may have been quarantined while the call was queued.
     const refusal = this._options.quarantine.check(pending.call, false)
     if (refusal !== undefined) {
@@ -281,6 +304,15 @@
     })
   }
 
+  private _isZoneClosed (): boolean {
+    return this._options.isZoneClosed?.() === true
+  }
+
+  private _declineInClosedZone ({ requestId }: RoutedCall, listener: RoutedCallListener): void {
+    this._options.log.info({ requestId, instance: this._registry.current?.id }, 'call declined in an evacuated zone')
+    listener.onDeclined('no-slots', 0, this.load())
+  }
+
   private _refuse (listener: RoutedCallListener, { reason, retryAfterMs }: QuarantineRefusal): void {
     listener.onDeclined(reason === 'suspect' ? 'busy' : reason, retryAfterMs, this.load())
   }
@@ -347,7 +379,7 @@
   }
 
   private _mayResend (): boolean {
-    if (this.load().closedForMs !== undefined) return false
+    if (this.load().closedForMs !== undefined || this._isZoneClosed()) return false
     this._step({ type: 'resent' })
     return true
   }
--- a/src/routenode/Placement.ts
+++ b/src/routenode/Placement.ts
@@ -1,7 +1,9 @@
 import type { NodeDirectory } from '../parts/instances/NodeDirectory.js'
+import type { ZoneExclusion } from '../parts/evacuation/Types.js'
 import { isSameIncarnation } from '../parts/instances/InstanceRegistry.js'
 import type { InstanceIncarnation, InstanceLimit, NodeEntry } from '../parts/instances/Types.js'
 import { InstanceChooser } from '../parts/placement/InstanceChooser.js'
+import type { PlacementQuery } from '../parts/placement/Types.js'
 import type { NodeId, Random, ServiceName } from '../parts/Types.js'
 import type { Clock, Disposable, Log } from '../runtime/Types.js'
 import { CallLink } from './CallLink.js'
@@ -22,6 +24,8 @@
   readonly clock: Clock
   readonly random: Random
   readonly log: Log
+  /** Draws the evacuated zones that one choice leaves out; absent where none is ever evacuated. */
+  readonly drawExclusion?: () => ZoneExclusion | undefined
 }
 
 /**
@@ -75,6 +79,12 @@
     return this._choosers.get(service)
   }
 
+  /** Draws the evacuated zones that one choice leaves out, in the form of a part of its query. */
+  public drawExclusion (): Pick<PlacementQuery, 'exclusion'> {
+    const exclusion = this._options.drawExclusion?.()
+    return exclusion === undefined ? {} : { exclusion }
+  }
+
   /** Returns the limit that the instance beside a node has named in its last answer to this node, if it did. */
   public findKnownLimit (node: NodeId): InstanceLimit | undefined {
     return this._knownLimits.get(node)
@@ -133,7 +143,8 @@
           incarnation: `${instance.id}@${instance.bornMs}`,
           slots: instance.slots,
           roundTripMs: this._roundTripMs(node, zone),
-          crossesZones: zone !== this._options.zone
+          crossesZones: zone !== this._options.zone,
+          zone
         })
       }
     }
--- a/src/routenode/RouteNodeDaemon.ts
+++ b/src/routenode/RouteNodeDaemon.ts
@@ -19,6 +19,7 @@
 import { type NodeGauges, RouteNodeMetrics } from './RouteNodeMetrics.js'
 import { SharedRetryBudgets } from './SharedRetryBudgets.js'
 import type { HeaderNames } from './Types.js'
+import { ZoneEvacuation } from './ZoneEvacuation.js'
 
 /** Settings of the node of a VM. */
 export interface RouteNodeSettings {
@@ -62,6 +63,7 @@
   public readonly metrics = new RouteNodeMetrics(() => this._readGauges())
   private readonly _directory = new NodeDirectory()
   private readonly _quarantine: Quarantine
+  private readonly _evacuation: ZoneEvacuation
   private readonly _instanceProxy: InstanceProxy
   private readonly _placement: Placement
   private readonly _gateway: Gateway
@@ -83,6 +85,7 @@
     const { settings, clock, random, log, fingerprint } = _options
     this._epoch = Math.floor(clock.wallMs())
     this._quarantine = new Quarantine({ node: settings.nodeAddress, incarnation: this._epoch, fingerprint, clock, log })
+    this._evacuation = new ZoneEvacuation({ zone: settings.zone, clock, random, log })
     this._instanceProxy = new InstanceProxy({
       address: settings.instanceAddress,
       service: settings.service,
@@ -90,7 +93,8 @@
       clock,
       log,
       quarantine: this._quarantine,
-      findHealthPath: service => this._routeTable?.findService(service)?.healthPath
+      findHealthPath: service => this._routeTable?.findService(service)?.healthPath,
+      isZoneClosed: () => this._evacuation.isGateClosed
     })
     this._placement = new Placement({
       self: settings.nodeAddress,
@@ -99,7 +103,8 @@
       directory: this._directory,
       clock,
       random,
-      log
+      log,
+      drawExclusion: () => this._evacuation.drawExclusion()
     })
     this._gateway = new Gateway({
       names: settings.names,
@@ -159,6 +164,7 @@
       node: this._options.settings.nodeAddress,
       ready: this.isReady,
       version: this._controlFeed.routing?.version ?? 0,
+      evacuation: this._evacuation.state,
       home: this._controlFeed.replicaAddress ?? null,
       instance: this._instanceProxy.published ?? null,
       load: this._instanceProxy.load(),
@@ -195,6 +201,7 @@
     this._gateway.dispose()
     this._callServer.dispose()
     this._placement.dispose()
+    this._evacuation.dispose()
     this._instanceProxy.dispose()
   }
 
@@ -211,7 +218,9 @@
       nodes: this._directory.size,
       inFlight: this._gateway.inFlight,
       suspects: this._quarantine.size,
-      load: this._instanceProxy.load()
+      load: this._instanceProxy.load(),
+      evacuation: this._evacuation.state,
+      isZoneClosed: this._evacuation.isGateClosed
     }
   }
 
@@ -221,6 +230,9 @@
     this._controlFeed.onEntries(entries => this._onEntries(entries))
     this._controlFeed.onCrashReports(reports => this._quarantine.receive(reports))
     this._quarantine.onReports(reports => this._controlFeed.publishCrashReports(reports))
+    this._controlFeed.onEvacuation(update => this._evacuation.apply(update))
+    this._evacuation.onGateChange(() => this._instanceProxy.applyZoneClosure())
+    this._evacuation.onEnd(() => this._instanceProxy.assumeCold())
     this._controlFeed.onRouting(routing => this._apply(routing))
   }
 
--- a/src/routenode/RouteNodeMetrics.ts
+++ b/src/routenode/RouteNodeMetrics.ts
@@ -1,4 +1,5 @@
 import { Counter, Gauge, Histogram, Registry } from 'prom-client'
+import type { EvacuationState } from '../parts/evacuation/Types.js'
 import type { HedgeOutcome } from './GatewayCall.js'
 import type { InstanceStatus } from './Types.js'
 
@@ -14,6 +15,10 @@
   /** Requests that are suspected of crashes or quarantined. */
   readonly suspects: number
   readonly load: InstanceStatus
+  /** Evacuated zones that this node knows. */
+  readonly evacuation: EvacuationState
+  /** True while the gate admits nothing because the zone of this node is evacuated. */
+  readonly isZoneClosed: boolean
 }
 
 /** Upper bounds of the latency buckets in seconds, around usual latency objectives of a tenth to a few seconds. */
@@ -110,7 +115,18 @@
         'Requests a second that the instance takes, infinite while it names no limit',
         ({ load }) => load.requestLimit?.perS ?? Infinity
       ],
-      ['sassafras_vm_slowness', 'Time that work takes relative to usual', ({ load }) => load.slowness]
+      ['sassafras_vm_slowness', 'Time that work takes relative to usual', ({ load }) => load.slowness],
+      [
+        'sassafras_evacuation_revision',
+        'Changes of the set of evacuated zones, as far as the node knows',
+        ({ evacuation }) => evacuation.revision
+      ],
+      ['sassafras_evacuated_zones', 'Evacuated zones', ({ evacuation }) => evacuation.zones.length],
+      [
+        'sassafras_zone_closed',
+        '1 while the instance gets no calls because its zone is evacuated',
+        ({ isZoneClosed }) => Number(isZoneClosed)
+      ]
     ]
     for (const [name, help, read] of definitions) {
       const collect = (): void => gauge.set(read(readGauges()))
--- a/src/routenode/Types.ts
+++ b/src/routenode/Types.ts
@@ -205,7 +205,9 @@
 export type RoutingRefusalReason = 'no-configuration' | 'no-route' | 'body-too-large' | 'unknown-key'
 
 /** Why the node answered in place of an instance. */
-export type GatewayReason = FailureReason | RefusalReason | RoutingRefusalReason | 'no-instance' | 'retry-budget' | 'caller-gone'
+export type GatewayReason =
+  | FailureReason | RefusalReason | RoutingRefusalReason
+  | 'no-instance' | 'zones-evacuated' | 'retry-budget' | 'caller-gone'
 
 /** Result that the caller receives. */
 export type GatewayResult =
--- a/test/support/RouteMesh.ts
+++ b/test/support/RouteMesh.ts
@@ -5,6 +5,7 @@
 import { findFreeAddresses } from '../../src/demo/FreePorts.js'
 import { RequestFingerprint } from '../../src/parts/quarantine/RequestFingerprint.js'
 import { computeSha1 } from '../../src/runtime/Digest.js'
+import type { EvacuationState } from '../../src/parts/evacuation/Types.js'
 import type { Route, RoutingChange, RoutingConfiguration } from '../../src/parts/routing/Types.js'
 import { SeededRandom } from '../../src/parts/SeededRandom.js'
 import { MemoryDisk } from '../../src/parts/storage/MemoryDisk.js'
@@ -14,6 +15,7 @@
 import { parseAddress } from '../../src/runtime/Address.js'
 import { SystemClock } from '../../src/runtime/SystemClock.js'
 import type { Log } from '../../src/runtime/Types.js'
+import type { ControlGroup } from './ControlGroup.js'
 
 const SILENT_LOG: Log = { debug: () => {}, info: () => {}, warn: () => {}, error: () => {} }
 
@@ -122,9 +124,18 @@
   readonly nodeAddress: string
 }
 
+/** What may differ from nodes in one zone with one control replica. */
+export interface MeshOptions {
+  /** Availability zones; each node is in the next one. */
+  readonly zones?: readonly string[]
+  /** Control replicas that are running already; the mesh does not end them. */
+  readonly group?: ControlGroup
+}
+
 /** Fields of a node's state that the tests check. */
 interface NodeState {
   readonly version: number
+  readonly evacuation: EvacuationState
   readonly placement: {
     readonly services: Readonly<Record<string, readonly unknown[]>>
   }
@@ -133,25 +144,18 @@
 /** A control replica and nodes with instances of one service, all in this process and on loopback. */
 export class RouteMesh {
   public readonly nodes: MeshNode[] = []
-  private _control!: RouteControlDaemon
+  private _control!: Pick<RouteControlDaemon, 'change'>
+  private _ownControl: RouteControlDaemon | undefined
   private _version = 0
   private _lastId = 0
   private _seed = 0
 
   /** Starts a control replica and nodes with two routes: `/read/` is idempotent, `/once/` runs at most once. */
-  public static async start (count: number): Promise<RouteMesh> {
+  public static async start (count: number, { zones = ['a'], group }: MeshOptions = {}): Promise<RouteMesh> {
     const mesh = new RouteMesh()
-    const [seed] = await findFreeAddresses(1) as [string]
-    mesh._control = new RouteControlDaemon({
-      settings: { address: seed, seeds: [seed], bootstrap: true, toleratedLosses: 0 },
-      disk: Object.assign(new MemoryDisk(), { dispose: () => {} }),
-      clock: new SystemClock(),
-      random: new SeededRandom(1),
-      log: SILENT_LOG,
-      onFault: error => { throw error }
-    })
-    await mesh._control.start()
-    for (let i = 0; i < count; i++) await mesh._addNode(seed, i)
+    const seeds = group?.addresses ?? await findFreeAddresses(1)
+    mesh._control = group ?? await mesh._startControl(seeds[0] as string)
+    for (let i = 0; i < count; i++) await mesh._addNode(seeds, i, zones[i % zones.length] as string)
     await mesh.configure(makeRoute('read', 'idempotent'), makeRoute('once', 'once'))
     for (const node of mesh.nodes) await mesh.awaitInstances(node, count)
     return mesh
@@ -203,6 +207,12 @@
     while (this.readyCount(node) < count) await pause()
   }
 
+  /** Waits until every node knows exactly these zones as evacuated. */
+  public async awaitEvacuated (...zones: string[]): Promise<void> {
+    const known = (): string[] => this.nodes.map(({ daemon }) => (daemon.state() as NodeState).evacuation.zones.join())
+    while (known().some(names => names !== zones.join())) await pause()
+  }
+
   /** Number of instances that a node sends requests to. */
   public readyCount ({ daemon }: MeshNode): number {
     return (daemon.state() as NodeState).placement.services['svc']?.length ?? 0
@@ -232,10 +242,23 @@
       daemon.dispose()
       instance.dispose()
     })
-    this._control.dispose()
+    this._ownControl?.dispose()
+  }
+
+  private async _startControl (seed: string): Promise<RouteControlDaemon> {
+    this._ownControl = new RouteControlDaemon({
+      settings: { address: seed, seeds: [seed], bootstrap: true, toleratedLosses: 0 },
+      disk: Object.assign(new MemoryDisk(), { dispose: () => {} }),
+      clock: new SystemClock(),
+      random: new SeededRandom(1),
+      log: SILENT_LOG,
+      onFault: error => { throw error }
+    })
+    await this._ownControl.start()
+    return this._ownControl
   }
 
-  private async _addNode (seed: string, index: number): Promise<void> {
+  private async _addNode (seeds: readonly string[], index: number, zone: string): Promise<void> {
     const [callerAddress, nodeAddress, instanceAddress] = await findFreeAddresses(3) as [string, string, string]
     const instance = new MockInstance(`i-${index}`, instanceAddress)
     await instance.listen()
@@ -244,8 +267,8 @@
       nodeAddress,
       instanceAddress,
       service: 'svc',
-      zone: 'a',
-      seeds: [seed],
+      zone,
+      seeds,
       retryLimits: { ratio: 1, slack: 1000, windowMs: 10_000 },
       names: HEADER_NAMES,
       stopLimitMs: 6000
