--- a/src/routenode/GatewayCall.test.ts
+++ b/src/routenode/GatewayCall.test.ts
@@ -1,4 +1,5 @@
 import { afterEach, beforeEach, expect, test, vi } from 'vitest'
+import type { ZoneExclusion } from '../parts/evacuation/Types.js'
 import type { GateLoad } from '../parts/gate/Types.js'
 import { InstanceChooser } from '../parts/placement/InstanceChooser.js'
 import { HedgePolicy } from '../parts/retry/HedgePolicy.js'
@@ -30,6 +31,7 @@
 let hedgePolicy = new HedgePolicy()
 let result: GatewayResult | undefined
 let refusal: QuarantineRefusal | undefined
+let exclusion: ZoneExclusion | undefined
 
 beforeEach(() => { vi.useFakeTimers({ now: 1000 }) })
 
@@ -39,6 +41,7 @@
   hedgePolicy = new HedgePolicy()
   result = undefined
   refusal = undefined
+  exclusion = undefined
 })
 
 function start (
@@ -46,7 +49,9 @@
 ): GatewayCall {
   const random = new SeededRandom(1)
   const chooser = new InstanceChooser('self', random)
-  nodes.forEach(node => chooser.setCandidate({ node, incarnation: '1', roundTripMs: 1, slots: 6, crossesZones: false }))
+  const candidate = { incarnation: '1', roundTripMs: 1, slots: 6, crossesZones: false }
+  // Nodes are named after their zones here.
+  nodes.forEach(node => chooser.setCandidate({ ...candidate, node, zone: node }))
   const findTarget = (node: NodeId): object => ({
     start: (call: RoutedCall, listener: RoutedCallListener) => {
       const entry: SentCall = { node, call, listener, cancelled: false, isUnsent: false }
@@ -59,7 +64,11 @@
     clock,
     random,
     placement: {
-      findChooser: () => chooser, findTarget, findKnownLimit: () => undefined, recordStatus: () => {}
+      findChooser: () => chooser,
+      drawExclusion: () => exclusion === undefined ? {} : { exclusion },
+      findTarget,
+      findKnownLimit: () => undefined,
+      recordStatus: () => {}
     } as unknown as Placement,
     hedgePolicy,
     quarantine: { check: () => refusal },
@@ -335,3 +344,18 @@
   expect(sentCalls).toHaveLength(2)
   expect(result).toMatchObject({ type: 'failed', reason: 'link-lost' })
 })
+
+test('a request whose instances are all in evacuated zones is refused with the reason', () => {
+  exclusion = { closedZones: new Set(['a', 'b']), avoidedZones: new Set() }
+  start(['a', 'b'])
+  expect(sentCalls).toEqual([])
+  expect(result).toMatchObject({ type: 'refused', reason: 'zones-evacuated' })
+})
+
+test('a request declined in an evacuated zone goes to another zone', () => {
+  start(['a', 'b'])
+  const [first] = sentCalls as [SentCall]
+  exclusion = { closedZones: new Set([first.node]), avoidedZones: new Set() }
+  first.listener.onDeclined('no-slots', 0, { ...IDLE, limit: 0 })
+  expect(sentCalls.map(({ node }) => node).sort()).toEqual(['a', 'b'])
+})
--- a/src/routenode/GatewayCall.ts
+++ b/src/routenode/GatewayCall.ts
@@ -6,7 +6,8 @@
 import type { Clock } from '../runtime/Types.js'
 import type { BodyResources } from './BodyTransfer.js'
 import {
-  HEDGE_BUDGET_SHARE, LAST_TRY_MIN_WAIT_MS, MAX_DECLINES, MAX_HEDGE_DECLINES, RETRY_AFTER_JITTER, RETRY_AFTER_MAX_SHARE
+  EVACUATED_RETRY_AFTER_MS, HEDGE_BUDGET_SHARE, LAST_TRY_MIN_WAIT_MS, MAX_DECLINES, MAX_HEDGE_DECLINES,
+  RETRY_AFTER_JITTER, RETRY_AFTER_MAX_SHARE
 } from './Constants.js'
 import type { Placement } from './Placement.js'
 import type { Quarantine } from './Quarantine.js'
@@ -159,6 +160,7 @@
     this._hasQueuedAtTriedInstance = true
     const fallback = mayQueueAtTriedInstance ? chooser?.choose({ ...query, excluded: [] }, nowMs) : undefined
     if (fallback !== undefined) return this._sendTo(fallback, kind, undefined)
+    if (chooser?.isClosed(query) === true) return this._giveUp('zones-evacuated', EVACUATED_RETRY_AFTER_MS)
     const untilOpenMs = chooser?.untilOpenMs(nowMs)
     if (untilOpenMs === undefined) this._giveUp('no-instance', 0)
     else this._giveUp('rate-limited', untilOpenMs)
@@ -166,9 +168,15 @@
 
   private _buildQuery (): PlacementQuery {
     const { expectedBytes, route, body } = this._request
-    const query = { bytes: expectedBytes, allowsTrial: !isAtMostOnce(route.kind), excluded: this._triedNodes }
+    const { placement, bodies } = this._context
+    const query = {
+      bytes: expectedBytes,
+      allowsTrial: !isAtMostOnce(route.kind),
+      excluded: this._triedNodes,
+      ...placement.drawExclusion()
+    }
     if (route.kind !== 'upload') return query
-    return { ...query, transferMs: computeTransferMs(body.length, this._context.bodies?.linkMbps) }
+    return { ...query, transferMs: computeTransferMs(body.length, bodies?.linkMbps) }
   }
 
   /**
--- a/src/routenode/InstanceProxy.ts
+++ b/src/routenode/InstanceProxy.ts
@@ -37,6 +37,8 @@
   readonly findHealthPath: (service: ServiceName) => string | undefined
   /** Bound on the memory for bodies, rate of the link and metrics; defaults when absent. */
   readonly bodies?: BodyResources
+  /** Returns whether the instance must get no calls, since its zone is evacuated; absent where that never happens. */
+  readonly isZoneClosed?: () => boolean
 }
 
 /** A call that waits in the queue of the gate, or for its body while it has a slot, or runs. */
@@ -204,6 +206,16 @@
     return outcome
   }
 
+  /** Closes the gate, also to queued calls, or opens it, as the evacuation of this zone demands. */
+  public applyZoneClosure (): void {
+    this._applySlots()
+  }
+
+  /** Called when the evacuation of this zone has ended: an instance without calls may have become cold meanwhile. */
+  public assumeCold (): void {
+    this._options.log.info({ instance: this._registry.current?.id }, 'instance assumed cold')
+  }
+
   /** Offers a call to the gate of the instance. */
   public start (call: RoutedCall, listener: RoutedCallListener): RoutedCallHandle {
     const nowMs = this._options.clock.nowMs()
@@ -215,6 +227,10 @@
       listener.onDeclined('no-slots', 0, this.load())
       return { cancel: () => {} }
     }
+    if (this._isZoneClosed()) {
+      this._declineInClosedZone(call, listener)
+      return { cancel: () => {} }
+    }
     // The fingerprint of a request needs its body, so that of an upload is checked when its body has arrived.
     const refusal = call.bodyBytes === undefined ? this._options.quarantine.check(call, false) : undefined
     if (refusal !== undefined) {
@@ -270,11 +286,13 @@
 
   private _applySlots (): void {
     const { current } = this._registry
-    const slots = current?.state === 'ready' ? SLOTS_BY_BREAKER_STATE[this._breaker.state](current.slots) : 0
+    const isZoneClosed = this._isZoneClosed()
+    const slots = current?.state === 'ready' && !isZoneClosed ? SLOTS_BY_BREAKER_STATE[this._breaker.state](current.slots) : 0
     if (slots === this._slots) return
     this._slots = slots
     const { id, state } = current ?? {}
-    this._options.log.info({ service: this.service, instance: id, state, breaker: this._breaker.state, slots }, 'slots changed')
+    const closure = isZoneClosed ? { isZoneClosed } : {}
+    this._options.log.info({ service: this.service, instance: id, state, breaker: this._breaker.state, slots, ...closure }, 'slots changed')
     this._step({ type: 'slots', slots })
     if (slots === 0) this._declineAwaitingBodies()
   }
@@ -283,6 +301,11 @@
     const pending = this._pendingCalls.get(id)
     const instance = this._registry.current
     if (pending === undefined || instance === undefined) return
+    // The timer that closes the gate may be late.
+    if (this._isZoneClosed()) {
+      this._cancel(id)
+      return this._declineInClosedZone(pending.call, pending.listener)
+    }
     if (pending.call.bodyBytes !== undefined) return this._requestBody(id, pending, pending.call.bodyBytes)
     // The request may have been quarantined while the call was queued.
     const refusal = this._options.quarantine.check(pending.call, false)
@@ -348,6 +371,15 @@
     listener.onDeclined('body-memory', retryAfterMs, this.load())
   }
 
+  private _isZoneClosed (): boolean {
+    return this._options.isZoneClosed?.() === true
+  }
+
+  private _declineInClosedZone ({ requestId }: RoutedCall, listener: RoutedCallListener): void {
+    this._options.log.info({ requestId, instance: this._registry.current?.id }, 'call declined in an evacuated zone')
+    listener.onDeclined('no-slots', 0, this.load())
+  }
+
   private _refuse (listener: RoutedCallListener, { reason, retryAfterMs }: QuarantineRefusal): void {
     listener.onDeclined(reason === 'suspect' ? 'busy' : reason, retryAfterMs, this.load())
   }
@@ -414,7 +446,7 @@
   }
 
   private _mayResend (): boolean {
-    if (this.load().closedForMs !== undefined) return false
+    if (this.load().closedForMs !== undefined || this._isZoneClosed()) return false
     this._step({ type: 'resent' })
     return true
   }
--- a/src/routenode/RouteNodeDaemon.ts
+++ b/src/routenode/RouteNodeDaemon.ts
@@ -21,6 +21,7 @@
 import { type NodeGauges, RouteNodeMetrics } from './RouteNodeMetrics.js'
 import { SharedRetryBudgets } from './SharedRetryBudgets.js'
 import type { HeaderNames } from './Types.js'
+import { ZoneEvacuation } from './ZoneEvacuation.js'
 
 /** Settings of the node of a VM. */
 export interface RouteNodeSettings {
@@ -71,6 +72,7 @@
   private readonly _bodies: BodyResources
   private readonly _directory = new NodeDirectory()
   private readonly _quarantine: Quarantine
+  private readonly _evacuation: ZoneEvacuation
   private readonly _instanceProxy: InstanceProxy
   private readonly _placement: Placement
   private readonly _gateway: Gateway
@@ -94,6 +96,7 @@
     const { memoryMb, linkMbps } = settings
     this._bodies = { memory: new BodyMemory(memoryMb), linkMbps, metrics: this.metrics }
     this._quarantine = new Quarantine({ node: settings.nodeAddress, incarnation: this._epoch, fingerprint, clock, log })
+    this._evacuation = new ZoneEvacuation({ zone: settings.zone, clock, random, log })
     this._instanceProxy = new InstanceProxy({
       address: settings.instanceAddress,
       service: settings.service,
@@ -102,7 +105,8 @@
       log,
       quarantine: this._quarantine,
       findHealthPath: service => this._routeTable?.findService(service)?.healthPath,
-      bodies: this._bodies
+      bodies: this._bodies,
+      isZoneClosed: () => this._evacuation.isGateClosed
     })
     this._placement = new Placement({
       self: settings.nodeAddress,
@@ -113,7 +117,8 @@
       clock,
       random,
       log,
-      bodies: this._bodies
+      bodies: this._bodies,
+      drawExclusion: () => this._evacuation.drawExclusion()
     })
     this._gateway = new Gateway({
       names: settings.names,
@@ -175,6 +180,7 @@
       node: this._options.settings.nodeAddress,
       ready: this.isReady,
       version: this._controlFeed.routing?.version ?? 0,
+      evacuation: this._evacuation.state,
       home: this._controlFeed.replicaAddress ?? null,
       instance: this._instanceProxy.published ?? null,
       load: this._instanceProxy.load(),
@@ -212,6 +218,7 @@
     this._gateway.dispose()
     this._callServer.dispose()
     this._placement.dispose()
+    this._evacuation.dispose()
     this._instanceProxy.dispose()
   }
 
@@ -230,7 +237,9 @@
       inFlight: this._gateway.inFlight,
       suspects: this._quarantine.size,
       bodyBytes: this._bodies.memory.heldBytes,
-      load: this._instanceProxy.load()
+      load: this._instanceProxy.load(),
+      evacuation: this._evacuation.state,
+      isZoneClosed: this._evacuation.isGateClosed
     }
   }
 
@@ -240,6 +249,9 @@
     this._controlFeed.onEntries(entries => this._onEntries(entries))
     this._controlFeed.onCrashReports(reports => this._quarantine.receive(reports))
     this._quarantine.onReports(reports => this._controlFeed.publishCrashReports(reports))
+    this._controlFeed.onEvacuation(update => this._evacuation.apply(update))
+    this._evacuation.onGateChange(() => this._instanceProxy.applyZoneClosure())
+    this._evacuation.onEnd(() => this._instanceProxy.assumeCold())
     this._controlFeed.onRouting(routing => this._apply(routing))
   }
 
--- a/test/LargeBodies.test.ts
+++ b/test/LargeBodies.test.ts
@@ -34,7 +34,7 @@
 async function startMesh (
   count: number, settings: { readonly memoryMb?: number, readonly linkMbps?: number } = {}
 ): Promise<{ started: RouteMesh, caller: MeshNode, recorder: BodyRecorder }> {
-  mesh = await RouteMesh.start(count, () => settings)
+  mesh = await RouteMesh.start(count, { settings: () => settings })
   const limits = { maxHeaderBytes: 16384, maxBodyBytes: 64 * 1024 * 1024, headerTimeoutMs: 3000, idleTimeoutMs: 15_000 }
   await mesh.configureWith({ routes: [makeRoute('upload', 'upload', { timeoutMs: 20_000 })], limits })
   const recorder = new BodyRecorder()
@@ -352,8 +352,8 @@
 // The load of the users: 28 uploads a second from the callers of 40 nodes to 7 instances.
 test('under many uploads to few instances none runs twice, refused ones have not run, and memory stays in bounds', async () => {
   const isInstance = (index: number): boolean => index < INSTANCE_COUNT
-  mesh = await RouteMesh.start(INSTANCE_COUNT + CALLER_COUNT, index => {
-    return { service: isInstance(index) ? 'svc' : 'idle', memoryMb: LOADED_MEMORY_MB, linkMbps: 4.41 }
+  mesh = await RouteMesh.start(INSTANCE_COUNT + CALLER_COUNT, {
+    settings: index => ({ service: isInstance(index) ? 'svc' : 'idle', memoryMb: LOADED_MEMORY_MB, linkMbps: 4.41 })
   })
   const { nodes } = mesh
   await mesh.configure(makeRoute('upload', 'upload'))
--- a/test/SlowLink.test.ts
+++ b/test/SlowLink.test.ts
@@ -12,7 +12,7 @@
 
 /** Starts a node with a link of such a rate, brings a thousand routes into force there, and calls the last of them. */
 async function callWithManyRoutes (linkMbps: number): Promise<number> {
-  mesh = await RouteMesh.start(1, () => ({ linkMbps }))
+  mesh = await RouteMesh.start(1, { settings: () => ({ linkMbps }) })
   const routes = Array.from({ length: 1000 }, (_, i) => makeRoute(`read-${i}`, 'idempotent'))
   await mesh.configure(...routes)
   return (await mesh.call(mesh.nodes[0] as MeshNode, '/read-999/x')).statusCode
