Order the calls of a gate by workspace priority and used share while capacity is insufficient

Cause: a gate did not know workspaces, so a workspace that sent many times its usual traffic took the slots of all others, and a gate that was full refused whoever came last.

Change: a call carries the priority of its workspace and the share that the workspace has used. The gate orders by them after the latency objective; while the offered load can be served, shares do not count, since any order but that of age makes calls late then. An arriving call that goes first displaces the last one at a request limit, in a full queue, or when that one can no longer start in time. For calls with a workspace, the expected wait counts the calls that will overtake, from those accepted lately, so that most refusals are told at once. Calls without a workspace are served as before.

--- a/src/parts/gate/CallQueue.ts
+++ b/src/parts/gate/CallQueue.ts
@@ -1,4 +1,5 @@
 import type { CallId } from '../Types.js'
+import { compareCalls, hasWorkspace } from './CallOrder.js'
 import type { GateCall } from './Types.js'
 
 /** A call in the queue, with the time when it joined. */
@@ -8,16 +9,13 @@
 }
 
 /**
- * Priority queue of the calls that wait for a slot.
- *
- * Nested calls go first, since about half of the work of their request is done already. Among them, the rank of the
- * request decides, which is the same at all gates: a request that makes several nested calls needs all of them, and
- * when there are too few slots, some requests should get every call rather than all requests a part of theirs. Next
- * come calls that can still meet their objective, then calls past it, both by priority and age.
+ * Priority queue of the calls that wait for a slot, in the order of `compareCalls` and then of age.
  *
  * Memory: one entry for each queued call; the caller bounds their number.
  */
 export class CallQueue {
+  /** Whether the shares that workspaces have used decide. */
+  public ordersByShare = false
   private readonly _calls = new Map<CallId, QueuedCall>()
 
   /** Number of queued calls. */
@@ -51,7 +49,7 @@
     const meetsObjective = canMeetObjective(call)
     let ahead = 0
     for (const queued of this._calls.values()) {
-      if (!precedes(call, meetsObjective, queued.call, canMeetObjective(queued.call))) ahead++
+      if (this._compare(call, meetsObjective, queued.call, canMeetObjective(queued.call)) >= 0) ahead++
     }
     return ahead
   }
@@ -79,7 +77,7 @@
     for (const { call, arrivedAtMs } of this._calls.values()) {
       if (!mayStart(call, arrivedAtMs)) continue
       const meetsObjective = canMeetObjective(call)
-      if (best !== undefined && !precedes(call, meetsObjective, best, bestMeetsObjective)) continue
+      if (best !== undefined && this._compare(call, meetsObjective, best, bestMeetsObjective) >= 0) continue
       best = call
       bestMeetsObjective = meetsObjective
     }
@@ -98,16 +96,44 @@
   }
 
   /**
-   * Removes and returns the calls that joined last.
+   * Removes and returns the calls that are last in the order; where no workspace is known, those that joined last.
    * @param count Most calls to remove.
    * @param predicate Returns whether a call may be removed.
+   * @param canMeetObjective Returns whether a call can still meet its objective.
    */
-  public takeLast (count: number, predicate: (call: GateCall) => boolean): GateCall[] {
-    const removed = [...this._calls.values()].map(queued => queued.call).filter(predicate).slice(-count)
+  public takeLast (
+    count: number, predicate: (call: GateCall) => boolean, canMeetObjective: (call: GateCall) => boolean
+  ): GateCall[] {
+    const candidates = [...this._calls.values()].map(queued => queued.call).filter(predicate)
+    if (candidates.some(hasWorkspace)) {
+      candidates.sort((a, b) => this._compare(a, canMeetObjective(a), b, canMeetObjective(b)))
+    }
+    const removed = candidates.slice(-count)
     removed.forEach(call => this._calls.delete(call.id))
     return removed
   }
 
+  /**
+   * Returns the last call in the order, the newest of those with the same place; undefined when none meets the
+   * condition.
+   * @param canMeetObjective Returns whether a call can still meet its objective.
+   * @param predicate Returns whether a call counts.
+   */
+  public last (
+    canMeetObjective: (call: GateCall) => boolean, predicate: (call: GateCall) => boolean
+  ): GateCall | undefined {
+    let last: GateCall | undefined
+    let lastMeetsObjective = false
+    for (const { call } of this._calls.values()) {
+      if (!predicate(call)) continue
+      const meetsObjective = canMeetObjective(call)
+      if (last !== undefined && this._compare(call, meetsObjective, last, lastMeetsObjective) < 0) continue
+      last = call
+      lastMeetsObjective = meetsObjective
+    }
+    return last
+  }
+
   /**
    * Returns the earliest of a time over all queued calls; infinite when the queue is empty.
    * @param timeOf Returns the time of one call.
@@ -117,12 +143,8 @@
     for (const { call } of this._calls.values()) earliest = Math.min(earliest, timeOf(call))
     return earliest
   }
-}
 
-/** True only when a call goes strictly before another, so that calls of the same order stay first in, first out. */
-function precedes (call: GateCall, meetsObjective: boolean, other: GateCall, otherMeetsObjective: boolean): boolean {
-  if (call.nested !== other.nested) return call.nested
-  if (call.nested) return call.requestRank < other.requestRank
-  if (meetsObjective !== otherMeetsObjective) return meetsObjective
-  return call.priority < other.priority
+  private _compare (call: GateCall, meetsObjective: boolean, other: GateCall, otherMeetsObjective: boolean): number {
+    return compareCalls(call, meetsObjective, other, otherMeetsObjective, this.ordersByShare)
+  }
 }
--- a/src/parts/gate/Constants.ts
+++ b/src/parts/gate/Constants.ts
@@ -83,3 +83,27 @@
 
 /** Reported slowness is rounded to quarters, which short floating-point numbers represent exactly. */
 export const SLOWNESS_STEPS_PER_UNIT = 4
+
+/** Fractions of one in which used shares are compared. */
+export const SHARE_STEPS = 8
+
+/**
+ * Share of its quota that a workspace usually uses, by its operators. A call whose node names no share counts as one of
+ * a workspace with its usual traffic.
+ */
+export const USUAL_SHARE = 5 / 8
+
+/** Accepted calls from which a gate estimates how many overtake a waiting one: about a second of a usual load. */
+export const ACCEPTED_CALLS_KEPT = 64
+
+/** Least share of the slots that a waiting call is expected to compete for; keeps its expected wait finite. */
+export const MIN_REMAINING_SHARE = 0.05
+
+/**
+ * Backlog from which calls compete for an instance, in milliseconds: about what usual objectives leave for waiting.
+ * Below it, all calls can be served in time in the order of their age, and any other order makes some of them late.
+ */
+export const CONTENTION_BACKLOG_MS = 300
+
+/** Largest backlog, in milliseconds; it is worked off within seconds once the overload is over. */
+export const MAX_BACKLOG_MS = 1000
--- a/src/parts/gate/InstanceGate.ts
+++ b/src/parts/gate/InstanceGate.ts
@@ -1,10 +1,13 @@
 import type { CallId, Part } from '../Types.js'
 import {
   FAILING_EWMA_WEIGHT, FAILING_STEPS, HEDGE_RESERVE_SHARE, LATE_RESERVE_SHARE, MAX_QUEUED_CALLS, MAX_SLOWNESS_WAIT_MS,
-  SLOWNESS_RECOVERY_MS, SLOWNESS_STEPS_PER_UNIT
+  MIN_REMAINING_SHARE, SLOWNESS_RECOVERY_MS, SLOWNESS_STEPS_PER_UNIT
 } from './Constants.js'
+import { AcceptedCalls } from './AcceptedCalls.js'
+import { compareCalls, hasWorkspace } from './CallOrder.js'
 import { CallQueue } from './CallQueue.js'
 import { LateQueueLimit } from './LateQueueLimit.js'
+import { OfferedLoad } from './OfferedLoad.js'
 import { RequestRateLimit } from './RequestRateLimit.js'
 import { SlotLimit } from './SlotLimit.js'
 import type { DeclineReason, GateAction, GateCall, GateEvent, GateLoad } from './Types.js'
@@ -36,6 +39,8 @@
   private readonly _vmSlowness = new VmSlowness()
   private readonly _lateQueueLimit = new LateQueueLimit()
   private readonly _requestRateLimit = new RequestRateLimit()
+  private readonly _acceptedCalls = new AcceptedCalls()
+  private readonly _offeredLoad = new OfferedLoad()
   private _actions: GateAction[] = []
   private _nowMs = 0
   private _slots = 0
@@ -44,7 +49,10 @@
   private _failing = 0
 
   private readonly _handlers: Handlers = {
-    offer: event => this._offer(event.call),
+    offer: event => {
+      this._offer(event.call)
+      this._recordOffer(event.call)
+    },
     finished: event => this._finish(event.id, event.workMs),
     cancelled: event => this._cancel(event.id),
     slots: event => this._setSlots(event.slots),
@@ -65,6 +73,7 @@
   public step (event: GateEvent, nowMs: number): GateAction[] {
     this._nowMs = nowMs
     this._actions = []
+    this._queue.ordersByShare = this._offeredLoad.isContended(nowMs)
     const handler = this._handlers[event.type] as (event: GateEvent) => void
     handler(event)
     this._measureIfNeeded()
@@ -88,7 +97,9 @@
   private _offer (call: GateCall): void {
     if (this._slots === 0) return this._decline(call, 'no-slots')
     // Each queued call will take one of the available requests.
-    if (this._requestRateLimit.available(this._nowMs) < this._queue.size + 1) return this._decline(call, 'rate-limited')
+    const available = this._requestRateLimit.available(this._nowMs)
+    const isOverLimit = available < this._queue.size + 1
+    if (isOverLimit && (available < 1 || !this._mayDisplace(call))) return this._decline(call, 'rate-limited')
     if (this._hasFreeSlotFor(call)) return this._offerFreeSlot(call)
     if (call.isHedge) return this._decline(call, 'busy')
     const meetsObjective =
@@ -98,9 +109,21 @@
     this._enqueue(call)
   }
 
+  /** A call that goes to another instance is offered there. */
+  private _recordOffer (call: GateCall): void {
+    const isMoved = this._actions.some(action => action.type === 'decline' && action.call === call) &&
+      (call.moveMs !== undefined || call.isHedge)
+    if (isMoved) return
+    const slots = Math.max(1, this._limit.current(this._nowMs))
+    this._offeredLoad.record(this._workTimes.expectedMs(call.work) / slots, this._nowMs)
+  }
+
   private _offerFreeSlot (call: GateCall): void {
     const extraRunMs = this._extraRunMs(call)
-    if (extraRunMs !== undefined && extraRunMs <= SLOWNESS_RECOVERY_MS) return this._start(call)
+    if (extraRunMs !== undefined && extraRunMs <= SLOWNESS_RECOVERY_MS) {
+      this._start(call)
+      return this._onAccepted(call)
+    }
     if (extraRunMs !== undefined && this._shouldLeaveSlowVm(call)) return this._decline(call, 'slow')
     if (this._latestStartMs(call) <= this._nowMs) return this._decline(call, 'too-late')
     this._enqueue(call)
@@ -109,6 +132,12 @@
   private _enqueue (call: GateCall): void {
     this._queue.add(call, this._nowMs)
     this._wakeAt(this._latestStartMs(call))
+    this._onAccepted(call)
+  }
+
+  private _onAccepted (call: GateCall): void {
+    this._acceptedCalls.record(call, this._canMeetObjective(call), this._nowMs)
+    this._declineDisplaced(call)
   }
 
   private _finish (id: CallId, workMs: number | undefined): void {
@@ -136,9 +165,7 @@
 
   private _setRequestLimit (perS: number | undefined): void {
     this._requestRateLimit.set(perS, this._nowMs)
-    const surplus = this._queue.size - Math.floor(this._requestRateLimit.available(this._nowMs))
-    if (surplus <= 0) return
-    for (const call of this._queue.takeLast(surplus, () => true)) this._decline(call, 'rate-limited')
+    this._declineSurplus(Math.floor(this._requestRateLimit.available(this._nowMs)), 'rate-limited')
   }
 
   private _tick (): void {
@@ -206,12 +233,51 @@
     this._declineSurplusLate()
   }
 
-  /** Declines queued late calls that exceed the limit on them, the newest first. */
+  /** Declines queued late calls that exceed the limit on them. */
   private _declineSurplusLate (): void {
     const isLate = (call: GateCall): boolean => !call.nested && !this._canMeetObjective(call)
-    const surplus = this._queue.count(isLate) - this._lateQueueLimit.current
+    this._declineSurplus(this._lateQueueLimit.current, 'too-late', isLate)
+    const last = this._queue.last(call => this._canMeetObjective(call), isLate)
+    if (last === undefined || this._remainingShare(last) > MIN_REMAINING_SHARE) return
+    this._queue.remove(last.id)
+    this._lateQueueLimit.recordExpired()
+    this._decline(last, 'too-late')
+  }
+
+  /** Declines queued calls that exceed a limit on those that meet a condition. */
+  private _declineSurplus (
+    limit: number, reason: DeclineReason, predicate: (call: GateCall) => boolean = () => true
+  ): void {
+    const surplus = this._queue.count(predicate) - limit
     if (surplus <= 0) return
-    for (const call of this._queue.takeLast(surplus, isLate)) this._decline(call, 'too-late')
+    const declined = this._queue.takeLast(surplus, predicate, call => this._canMeetObjective(call))
+    declined.forEach(call => this._decline(call, reason))
+  }
+
+  /** True when a call goes before a queued one, which can be declined in its place. */
+  private _mayDisplace (call: GateCall, predicate: (queued: GateCall) => boolean = () => true): boolean {
+    if (!hasWorkspace(call)) return false
+    const last = this._queue.last(queued => this._canMeetObjective(queued), predicate)
+    if (last === undefined) return false
+    const lastMeetsObjective = this._canMeetObjective(last)
+    return compareCalls(call, this._canMeetObjective(call), last, lastMeetsObjective, this._queue.ordersByShare) < 0
+  }
+
+  /**
+   * Declines the queued calls that an accepted call displaces: those beyond a limit, and those at the end that can't be
+   * expected to start in time any more. Their callers learn it now rather than after a wait in vain.
+   */
+  private _declineDisplaced (accepted: GateCall): void {
+    if (!hasWorkspace(accepted) || this._queue.size === 0) return
+    this._declineSurplus(Math.floor(this._requestRateLimit.available(this._nowMs)), 'rate-limited')
+    this._declineSurplus(MAX_QUEUED_CALLS, 'displaced')
+    this._declineSurplusLate()
+    const canMeetObjective = (call: GateCall): boolean => this._canMeetObjective(call)
+    const findLast = (): GateCall | undefined => this._queue.last(canMeetObjective, call => !call.nested)
+    for (let last = findLast(); last !== undefined && last !== accepted && !this._mayStay(last); last = findLast()) {
+      this._queue.remove(last.id)
+      this._decline(last, 'displaced')
+    }
   }
 
   private _start (call: GateCall): void {
@@ -243,8 +309,7 @@
 
   /** Counts queued calls that go first as running: those that wait for the VM to recover will need their slots. */
   private _hasFreeSlotFor (call: GateCall): boolean {
-    const ahead = this._queue.countAhead(call, queued => this._canMeetObjective(queued))
-    return this._running.size + ahead < this._limitFor(call)
+    return this._running.size + this._countAhead(call) < this._limitFor(call)
   }
 
   private _limitFor (call: GateCall): number {
@@ -278,16 +343,70 @@
 
   /** A call may queue when it can meet its objective, or its deadline while few other late calls are queued. */
   private _mayQueue (call: GateCall): boolean {
-    const startAtMs = this._nowMs + this._expectedWaitMs(call)
-    if (startAtMs > this._latestStartMs(call) || this._queue.size >= MAX_QUEUED_CALLS) return false
-    if (startAtMs + this._workTimes.expectedMs(call.work) <= call.objectiveAtMs) return true
-    return this._queue.count(queued => !this._canMeetObjective(queued)) < this._lateQueueLimit.current
+    if (this._queue.size >= MAX_QUEUED_CALLS && !this._mayDisplace(call)) return false
+    const outlook = this._outlook(call, this._expectedWaitMs(call))
+    if (outlook !== 'late') return outlook === 'inTime'
+    const lateLimit = this._lateQueueLimit.current
+    if (this._canMeetObjective(call) && this._remainingShare(call) < 1) {
+      // Where others overtake, the calls before this one are not late yet either, but will be.
+      const ahead = Math.max(0, this._countAhead(call) - lateLimit)
+      if (this._outlook(call, this._waitMs(call, ahead)) !== 'inTime') return false
+    }
+    const isLate = (queued: GateCall): boolean => !this._canMeetObjective(queued)
+    return this._queue.count(isLate) < lateLimit || this._mayDisplace(call, isLate)
+  }
+
+  /**
+   * The same for the last queued call after another one has gone before it. Calls still to come do not count here, so
+   * that a call isn't accepted and declined by turns.
+   */
+  private _mayStay (last: GateCall): boolean {
+    const outlook = this._outlook(last, this._queue.size * this._startIntervalMs)
+    if (outlook !== 'late') return outlook === 'inTime'
+    const isOtherLate = (queued: GateCall): boolean => queued !== last && !this._canMeetObjective(queued)
+    return this._queue.count(isOtherLate) < this._lateQueueLimit.current
+  }
+
+  /** Whether a call that starts after a wait is expected to meet its objective, only its deadline, or neither. */
+  private _outlook (call: GateCall, waitMs: number): 'inTime' | 'late' | 'tooLate' {
+    const startAtMs = this._nowMs + waitMs
+    if (startAtMs > this._latestStartMs(call)) return 'tooLate'
+    return startAtMs + this._workTimes.expectedMs(call.work) <= call.objectiveAtMs ? 'inTime' : 'late'
+  }
+
+  /** Number of queued calls that go before one. */
+  private _countAhead (call: GateCall): number {
+    return this._queue.countAhead(call, queued => this._canMeetObjective(queued))
   }
 
   /** Expected time until a call that is queued now starts, in milliseconds. */
   private _expectedWaitMs (call: GateCall): number {
-    const ahead = this._queue.countAhead(call, queued => this._canMeetObjective(queued))
-    return (ahead + 1) * this._workTimes.overallMs / Math.max(1, this._limit.current(this._nowMs))
+    return this._waitMs(call, this._countAhead(call))
+  }
+
+  /** Expected time until a call starts that so many queued ones go before, in milliseconds. */
+  private _waitMs (call: GateCall, ahead: number): number {
+    return (ahead + 1) * this._startIntervalMs / this._remainingShare(call)
+  }
+
+  /**
+   * Share of the starts that a call and those ahead of it get, while the rest goes to calls that overtake it. Nested
+   * calls are not counted out this way: refusing one wastes the work of its request.
+   */
+  private _remainingShare (call: GateCall): number {
+    if (call.nested || !hasWorkspace(call)) return 1
+    const overtakingRate = this._overtakingRate(call)
+    return Math.max(MIN_REMAINING_SHARE, 1 - overtakingRate * this._startIntervalMs)
+  }
+
+  private _overtakingRate (call: GateCall): number {
+    const meetsObjective = this._canMeetObjective(call)
+    return this._acceptedCalls.overtakingRate(call, meetsObjective, this._queue.ordersByShare, this._nowMs)
+  }
+
+  /** Expected time between the starts of two calls while the queue is not empty, in milliseconds. */
+  private get _startIntervalMs (): number {
+    return this._workTimes.overallMs / Math.max(1, this._limit.current(this._nowMs))
   }
 
   private _wakeAt (atMs: number): void {
--- a/src/parts/gate/Types.ts
+++ b/src/parts/gate/Types.ts
@@ -14,6 +14,10 @@
   readonly requestRank: number
   /** 0 is the most urgent. */
   readonly priority: number
+  /** Priority of the caller's workspace, which goes before `priority`; 0 is the most urgent. Absent counts as 0. */
+  readonly workspacePriority?: number
+  /** Share of its quota or usual traffic that the workspace has used, 0 to 1. Absent counts as the usual share. */
+  readonly shareUsed?: number
   /** Latency objective: until then the answer is worth its full value, in monotonic milliseconds. */
   readonly objectiveAtMs: number
   /** Deadline: after that nobody waits for the answer, in monotonic milliseconds. */
@@ -64,8 +68,8 @@
   /** A requested wake-up is due. */
   | { readonly type: 'tick' }
 
-/** Why a call was declined. */
-export type DeclineReason = 'busy' | 'slow' | 'no-slots' | 'rate-limited' | 'too-late'
+/** Why a call was declined; `displaced` means that a call that goes before it took its place in the queue. */
+export type DeclineReason = 'busy' | 'slow' | 'no-slots' | 'rate-limited' | 'too-late' | 'displaced'
 
 /** Actions of the gate. Unless the host cancels it, each call is either declined, or started and then `finished`. */
 export type GateAction =
--- a/src/routenode/GatewayCall.ts
+++ b/src/routenode/GatewayCall.ts
@@ -423,4 +423,4 @@
 const NEVER_FINAL_REASONS: ReadonlySet<RefusalReason> = new Set(['no-slots', 'rate-limited'])
 
 /** Reasons that stem from overload rather than from a failure. */
-const OVERLOAD_REASONS: ReadonlySet<GatewayReason> = new Set(['busy', 'too-late'])
+const OVERLOAD_REASONS: ReadonlySet<GatewayReason> = new Set(['busy', 'too-late', 'displaced'])
--- a/src/routenode/InstanceProxy.ts
+++ b/src/routenode/InstanceProxy.ts
@@ -214,6 +214,8 @@
       nested: call.nested,
       requestRank: computeRequestRank(call.requestId),
       priority: call.priority,
+      ...(call.workspacePriority === undefined ? {} : { workspacePriority: call.workspacePriority }),
+      ...(call.shareUsed === undefined ? {} : { shareUsed: call.shareUsed }),
       objectiveAtMs: nowMs + call.objectiveLeftMs,
       deadlineAtMs,
       moveMs: call.moveMs,
--- a/src/routenode/Types.ts
+++ b/src/routenode/Types.ts
@@ -78,6 +78,11 @@
   readonly workspace?: string
   /** Goes before `priority`; absent without a workspace. */
   readonly workspacePriority?: number
+  /**
+   * Share of its quota that the workspace has used over all nodes, or of its usual traffic where it has no quota; 0 to
+   * 1, rounded to eighths. Absent when it is not known.
+   */
+  readonly shareUsed?: number
   /** Limit that the instance has named to the sender; the node beside the instance may have lost it in a restart. */
   readonly knownLimit?: InstanceLimit
 }
