Count the calls that will overtake in the expected wait of every call during an overload

Cause: a gate promised a call the wait that the queue ahead explains. During an overload by urgent calls, others kept going before it, so that it waited in vain until its objective had passed and was then refused.

Change: the expected wait counts the calls that overtake, as it did for calls with a workspace, for all calls but nested ones. It does so only while the instance is offered more than it can serve. This changes the gates of deployments without workspaces too, during overloads only.

Ruled out: the same at any load.

--- a/src/parts/gate/InstanceGate.ts
+++ b/src/parts/gate/InstanceGate.ts
@@ -390,11 +390,11 @@
   }
 
   /**
-   * Share of the starts that a call and those ahead of it get, while the rest goes to calls that overtake it. Nested
-   * calls are not counted out this way: refusing one wastes the work of its request.
+   * Share of the starts that a call and those ahead of it get, while the rest goes to calls that overtake it. It counts
+   * only while calls compete for the instance, and not for nested calls: refusing one wastes the work of its request.
    */
   private _remainingShare (call: GateCall): number {
-    if (call.nested || !hasWorkspace(call)) return 1
+    if (call.nested || !this._queue.ordersByShare) return 1
     const overtakingRate = this._overtakingRate(call)
     return Math.max(MIN_REMAINING_SHARE, 1 - overtakingRate * this._startIntervalMs)
   }
