Limit the requests to cold instances at their gates

A service may name how many requests a second an instance tolerates while it is cold. An instance is cold after a start and may become so at any moment; only its reports, every 1.5 s, and its answers to health checks tell.

ColdLimit at the gate takes each request, health checks and load queries included, from one of two stocks: a token bucket of the cold rate, and an allowance of what the bound (1.5 times the rate and 8 in a second) leaves beside it, which only a health check that proves the instance warm renews. So the bound holds before the node knows that its instance has become cold, and over restarts of the node, and an instance with few requests costs no checks. ColdState merges reports, answers and restarts; ColdMonitor hosts both at the proxy. Calls carry the limit, since a restarted node gets some before its configuration. Nothing changes for a service without such a limit.

--- a/src/parts/gate/Constants.ts
+++ b/src/parts/gate/Constants.ts
@@ -63,6 +63,45 @@
  */
 export const MIN_REQUESTS_PER_S = 0.5
 
+/** Window in which the requests to a cold instance are bounded, in milliseconds. */
+export const COLD_WINDOW_MS = 1000
+
+/**
+ * Bound on the requests that a cold instance gets from all nodes in that window: `ratio` times its limit, plus `slack`.
+ * The platform sets it (`ColdOvershoot`, `ColdSlack`).
+ */
+export const COLD_BOUND = { ratio: 1.5, slack: 8 } as const
+
+/**
+ * Requests that may be sent to a cold instance at once: `requests`, or what the limit allows in `ms` milliseconds if
+ * that is more. Two, so that a request that arrives shortly before the next interval does not lose one.
+ */
+export const COLD_BURST = { requests: 2, ms: 50 } as const
+
+/**
+ * Requests of the bound that are left unused: the first probe after a start of the node is sent without an allowance,
+ * and a node may restart twice within the window.
+ */
+export const COLD_RESERVE = 2
+
+/**
+ * Requests that the allowance still has when the gate asks whether the instance is warm: one for a call that arrives
+ * meanwhile. A call beyond is held for the answer, which usually takes 1 or 2 ms.
+ */
+export const COLD_CHECK_AT = 1
+
+/** Shortest time between two such questions, in milliseconds; an instance takes at most 60 health checks a second. */
+export const MIN_COLD_CHECK_INTERVAL_MS = 25
+
+/** Time until the gate asks again after a question without an answer, in milliseconds. */
+export const COLD_CHECK_RETRY_MS = 100
+
+/**
+ * Longest time for which a cold instance tells a caller's node to stay away, in milliseconds: an instance that is warm
+ * again must get its full share within a second.
+ */
+export const MAX_COLD_CLOSED_MS = 750
+
 /** Share of the limit that late calls leave free for calls that can still meet their latency objective. */
 export const LATE_RESERVE_SHARE = 0.25
 
--- a/src/parts/gate/InstanceGate.ts
+++ b/src/parts/gate/InstanceGate.ts
@@ -3,6 +3,7 @@
   FAILING_EWMA_WEIGHT, FAILING_STEPS, HEDGE_RESERVE_SHARE, LATE_RESERVE_SHARE, MAX_QUEUED_CALLS, MAX_SLOWNESS_WAIT_MS,
   SLOWNESS_RECOVERY_MS, SLOWNESS_STEPS_PER_UNIT
 } from './Constants.js'
+import { ColdLimit, type ColdTicket, PACED } from './ColdLimit.js'
 import { CallQueue } from './CallQueue.js'
 import { LateQueueLimit } from './LateQueueLimit.js'
 import { RequestRateLimit } from './RequestRateLimit.js'
@@ -23,7 +24,7 @@
  * to another instance is therefore declined at once when queueing here, or running while the VM is slow, costs more
  * than the move; a call that stays is queued until the VM has recovered. Calls that can't finish before their deadline
  * are declined as soon as that is known. While the instance names a limit on requests, a call that it does not allow is
- * declined at once.
+ * declined at once. The same holds for calls beyond the limit of a cold instance; see `ColdLimit`.
  *
  * Memory: the running calls, at most the slots, up to `MAX_QUEUED_CALLS` queued calls, and the work time estimates.
  */
@@ -36,6 +37,7 @@
   private readonly _vmSlowness = new VmSlowness()
   private readonly _lateQueueLimit = new LateQueueLimit()
   private readonly _requestRateLimit = new RequestRateLimit()
+  private readonly _coldLimit = new ColdLimit()
   private _actions: GateAction[] = []
   private _nowMs = 0
   private _slots = 0
@@ -49,7 +51,13 @@
     cancelled: event => this._cancel(event.id),
     slots: event => this._setSlots(event.slots),
     requestLimit: event => this._setRequestLimit(event.perS),
-    resent: () => this._requestRateLimit.take(this._nowMs),
+    coldLimit: event => this._setColdLimit(event.perS, event.coldUntilMs),
+    probed: event => this._finishProbe(event.ticket, event.isWarm),
+    misdirected: event => this._coldLimit.refund(this._runStarts.get(event.id)?.coldTicket ?? PACED, this._nowMs),
+    resent: () => {
+      this._requestRateLimit.take(this._nowMs)
+      this._coldLimit.take(this._nowMs)
+    },
     slowness: event => {
       this._vmSlowness.recordSample(event.slowness, this._nowMs)
       this._handleSlowness()
@@ -68,12 +76,26 @@
     const handler = this._handlers[event.type] as (event: GateEvent) => void
     handler(event)
     this._measureIfNeeded()
+    this._checkColdIfNeeded()
     return this._actions
   }
 
+  /** Returns whether a request may be sent once more; `resent` tells that it was. */
+  public mayResend (nowMs: number): boolean {
+    return this.load(nowMs).closedForMs === undefined && this._coldLimit.canSend(nowMs)
+  }
+
+  /**
+   * Takes a health check or a load query from the limit of a cold instance; `probed` tells its result.
+   * @returns Undefined when it must not be sent now.
+   */
+  public takeProbe (nowMs: number): ColdTicket | undefined {
+    return this._coldLimit.takeProbe(nowMs)
+  }
+
   /** Returns the load report that is attached to answers. */
   public load (nowMs: number): GateLoad {
-    const closedForMs = this._requestRateLimit.waitMs(this._queue.size + 1, nowMs)
+    const closedForMs = this._closedForMs(nowMs)
     const load = {
       running: this._running.size,
       queued: this._queue.size,
@@ -89,6 +111,8 @@
     if (this._slots === 0) return this._decline(call, 'no-slots')
     // Each queued call will take one of the available requests.
     if (this._requestRateLimit.available(this._nowMs) < this._queue.size + 1) return this._decline(call, 'rate-limited')
+    if (!this._coldLimit.accepts(this._queue.size, this._nowMs)) return this._declineCold(call)
+    if (call.isHedge && !this._maySendHedge()) return this._decline(call, 'busy')
     if (this._hasFreeSlotFor(call)) return this._offerFreeSlot(call)
     if (call.isHedge) return this._decline(call, 'busy')
     const meetsObjective =
@@ -99,6 +123,8 @@
   }
 
   private _offerFreeSlot (call: GateCall): void {
+    // It waits until a check has shown whether the instance is warm.
+    if (!this._coldLimit.canSend(this._nowMs)) return this._enqueue(call)
     const extraRunMs = this._extraRunMs(call)
     if (extraRunMs !== undefined && extraRunMs <= SLOWNESS_RECOVERY_MS) return this._start(call)
     if (extraRunMs !== undefined && this._shouldLeaveSlowVm(call)) return this._decline(call, 'slow')
@@ -141,6 +167,42 @@
     for (const call of this._queue.takeLast(surplus, () => true)) this._decline(call, 'rate-limited')
   }
 
+  private _setColdLimit (perS: number | undefined, coldUntilMs: number): void {
+    this._coldLimit.set(perS, coldUntilMs, this._nowMs)
+    this._startQueued()
+    this._declineColdSurplus()
+  }
+
+  private _finishProbe (ticket: ColdTicket, isWarm: boolean): void {
+    this._coldLimit.endProbe(ticket, isWarm, this._nowMs)
+    this._startQueued()
+    this._declineColdSurplus()
+  }
+
+  private _declineColdSurplus (): void {
+    const surplus = this._coldLimit.surplus(this._queue.size, this._nowMs)
+    if (surplus > 0) this._queue.takeLast(surplus, () => true).forEach(call => this._declineCold(call))
+  }
+
+  private _declineCold (call: GateCall): void {
+    this._coldLimit.promise(this._nowMs)
+    this._decline(call, 'rate-limited')
+  }
+
+  /** The requests that a cold instance tolerates are kept for first attempts. */
+  private _maySendHedge (): boolean {
+    return !this._coldLimit.isPaced(this._nowMs) && this._coldLimit.canSend(this._nowMs)
+  }
+
+  /** Requests a check of the instance while it is needed, and a wake-up for calls that wait for its result. */
+  private _checkColdIfNeeded (): void {
+    if (!this._coldLimit.isSet) return
+    const ticket = this._coldLimit.startCheck(this._nowMs)
+    if (ticket !== undefined) this._actions.push({ type: 'checkCold', ticket })
+    const isHeld = this._queue.size > 0 && !this._coldLimit.canSend(this._nowMs)
+    if (isHeld) this._wakeAt(this._coldLimit.nextWakeMs(this._nowMs))
+  }
+
   private _tick (): void {
     // A timer may fire slightly early, so a wake-up that is still due is requested again.
     this._wakeAtMs = Infinity
@@ -174,7 +236,8 @@
   private _takeNext (): GateCall | undefined {
     return this._queue.takeNext(
       call => this._canMeetObjective(call),
-      (call, arrivedAtMs) => this._isBelowLimit(call) && this._isSlownessAcceptable(call, arrivedAtMs)
+      (call, arrivedAtMs) => this._coldLimit.canSend(this._nowMs) && this._isBelowLimit(call) &&
+        this._isSlownessAcceptable(call, arrivedAtMs)
     )
   }
 
@@ -216,18 +279,24 @@
 
   private _start (call: GateCall): void {
     this._requestRateLimit.take(this._nowMs)
+    const coldTicket = this._coldLimit.take(this._nowMs)
     this._running.set(call.id, call)
     const slowness = this._vmSlowness.isKnown(this._nowMs) ? this._vmSlowness.current(this._nowMs) : undefined
-    this._runStarts.set(call.id, { running: this._running.size, slowness })
+    this._runStarts.set(call.id, { running: this._running.size, slowness, coldTicket })
     this._actions.push({ type: 'start', call })
   }
 
   private _decline (call: GateCall, reason: DeclineReason): void {
-    const limitWaitMs = this._requestRateLimit.waitMs(this._queue.size + 1, this._nowMs)
-    const retryAfterMs = Math.max(limitWaitMs, this._expectedWaitMs(call))
+    const retryAfterMs = Math.max(this._closedForMs(this._nowMs), this._expectedWaitMs(call))
     this._actions.push({ type: 'decline', call, reason, retryAfterMs })
   }
 
+  /** Time until the limits allow a call beside those that are queued; 0 when they do. */
+  private _closedForMs (nowMs: number): number {
+    const count = this._queue.size + 1
+    return Math.max(this._requestRateLimit.waitMs(count, nowMs), this._coldLimit.closedForMs(count, nowMs))
+  }
+
   /** Records a run's time, normalised to a slowness of 1 so that it reflects the work and the instance, not the VM. */
   private _recordWorkTime (call: GateCall, workMs: number): void {
     const runStart = this._runStarts.get(call.id)
@@ -303,6 +372,7 @@
   readonly running: number
   /** Slowness of the VM; undefined when it was not known. */
   readonly slowness: number | undefined
+  readonly coldTicket: ColdTicket
 }
 
 function isWorthMoving (call: GateCall, stayMs: number): boolean {
--- a/src/parts/gate/RequestRateLimit.ts
+++ b/src/parts/gate/RequestRateLimit.ts
@@ -6,9 +6,9 @@
 const ROUNDING_MS = 0.001
 
 /**
- * Token bucket for the limit that an instance names on the requests that it takes from all nodes together. All requests
- * to the instance pass through its gate, so one bucket counts them all. It starts empty, so that a node that has
- * restarted does not allow a second burst.
+ * Token bucket for a limit on the requests that an instance takes from all nodes together. All requests to the instance
+ * pass through its gate, so one bucket counts them all. It starts empty, so that a node that has restarted does not
+ * allow a second burst.
  *
  * Memory: a few numbers.
  */
@@ -17,6 +17,11 @@
   private _tokens = Infinity
   private _refilledAtMs = 0
 
+  /**
+   * @param _burstOf Returns the requests that may be sent at once, from the limit in requests a second; at least 1.
+   */
+  public constructor (private readonly _burstOf = usualBurst) {}
+
   /** True while the instance names a limit. */
   public get isSet (): boolean {
     return this._perS !== Infinity
@@ -51,6 +56,11 @@
     if (this.isSet) this._tokens = this.available(nowMs) - 1
   }
 
+  /** Returns a request to what is available, since it does not count after all. */
+  public refund (nowMs: number): void {
+    if (this.isSet) this._tokens = Math.min(this._burst, this.available(nowMs) + 1)
+  }
+
   /** Returns the time until so many requests are available, in whole milliseconds; 0 when they are. */
   public waitMs (count: number, nowMs: number): number {
     const missing = count - this.available(nowMs)
@@ -58,6 +68,10 @@
   }
 
   private get _burst (): number {
-    return Math.max(1, this._perS * REQUEST_BURST_MS / MS_PER_SECOND)
+    return this._burstOf(this._perS)
   }
 }
+
+function usualBurst (perS: number): number {
+  return Math.max(1, perS * REQUEST_BURST_MS / MS_PER_SECOND)
+}
--- a/src/parts/gate/Types.ts
+++ b/src/parts/gate/Types.ts
@@ -1,4 +1,5 @@
 import type { CallId } from '../Types.js'
+import type { ColdTicket } from './ColdLimit.js'
 
 /** A call that asks for a slot of the instance. */
 export interface GateCall {
@@ -39,7 +40,10 @@
   readonly workMs: number
   /** Share of the recent runs that brought no usable answer, 0 to 1. */
   readonly failing: number
-  /** Time until the request limit of the instance allows another call, in milliseconds; absent while it does. */
+  /**
+   * Time until the request limit of the instance, or its limit while it is cold, allows another call, in milliseconds;
+   * absent while they do.
+   */
   readonly closedForMs?: number
 }
 
@@ -55,6 +59,15 @@
   | { readonly type: 'slots', readonly slots: number }
   /** The instance names a limit on requests a second from all nodes together, or none any more. */
   | { readonly type: 'requestLimit', readonly perS: number | undefined }
+  /**
+   * Limit on requests a second while the instance is cold, and until when it is taken as cold, in monotonic
+   * milliseconds; undefined for a service without such a limit.
+   */
+  | { readonly type: 'coldLimit', readonly perS: number | undefined, readonly coldUntilMs: number }
+  /** A probe (see `InstanceGate.takeProbe`) has ended; `isWarm` when it proves the instance warm after it was sent. */
+  | { readonly type: 'probed', readonly ticket: ColdTicket, readonly isWarm: boolean }
+  /** Another instance has rejected a running call by status 421; such requests don't count for the cold limit. */
+  | { readonly type: 'misdirected', readonly id: CallId }
   /** A running call was sent to the instance once more. */
   | { readonly type: 'resent' }
   /** A sample of the VM's slowness that was not requested by `measure`. */
@@ -74,5 +87,7 @@
   | { readonly type: 'decline', readonly call: GateCall, readonly reason: DeclineReason, readonly retryAfterMs: number }
   /** Requests a measurement of the VM's slowness; the host answers with `measured`. */
   | { readonly type: 'measure' }
+  /** Requests a health check that shows whether the instance is cold; the host answers with `probed`. */
+  | { readonly type: 'checkCold', readonly ticket: ColdTicket }
   /** Requests a `tick` at this time. */
   | { readonly type: 'wake', readonly atMs: number }
--- a/src/routenode/Constants.ts
+++ b/src/routenode/Constants.ts
@@ -34,6 +34,13 @@
 /** Timeout of a health check, in milliseconds. */
 export const HEALTH_CHECK_TIMEOUT_MS = 500
 
+/**
+ * Interval of health checks while an instance is taken as cold without having said so in one, in milliseconds, and the
+ * timeout of a check that shows whether it is cold: calls wait for it, but a busy VM may take tens of milliseconds.
+ */
+export const COLD_STATE_CHECK_INTERVAL_MS = 250
+export const COLD_CHECK_TIMEOUT_MS = 100
+
 /** Timeout of a load query, in milliseconds; calls wait for its result, which usually takes 1 or 2 ms. */
 export const LOAD_QUERY_TIMEOUT_MS = 20
 
--- a/src/routenode/GatewayCall.test.ts
+++ b/src/routenode/GatewayCall.test.ts
@@ -57,7 +57,11 @@
     clock,
     random,
     placement: {
-      findChooser: () => chooser, findTarget, findKnownLimit: () => undefined, recordStatus: () => {}
+      findChooser: () => chooser,
+      findTarget,
+      findKnownLimit: () => undefined,
+      findColdPerS: () => undefined,
+      recordStatus: () => {}
     } as unknown as Placement,
     hedgePolicy,
     quarantine: { check: () => refusal },
--- a/src/routenode/GatewayCall.ts
+++ b/src/routenode/GatewayCall.ts
@@ -231,7 +231,9 @@
     const { parentAttemptKind, objectiveAtMs } = this._request
     const nowMs = this._context.clock.nowMs()
     const knownLimit = this._context.placement.findKnownLimit(node)
+    const coldPerS = this._context.placement.findColdPerS(service)
     return {
+      ...(coldPerS === undefined ? {} : { coldPerS }),
       ...(knownLimit === undefined ? {} : { knownLimit }),
       ...(workspace === undefined ? {} : { workspace: workspace.name, workspacePriority: workspace.priority }),
       id,
--- a/src/routenode/InstanceClient.ts
+++ b/src/routenode/InstanceClient.ts
@@ -5,6 +5,7 @@
 import { isAtMostOnce } from '../parts/routing/RouteKinds.js'
 import { parseAddress } from '../runtime/Address.js'
 import type { Clock, Disposable } from '../runtime/Types.js'
+import type { ColdNotice } from './ColdHeader.js'
 import {
   AT_MOST_ONCE_MAX_IDLE_MS, HEALTH_CHECK_TIMEOUT_MS, INSTANCE_CONNECT_TIMEOUT_MS, LOAD_QUERY_TIMEOUT_MS,
   MAX_ANSWER_BYTES, MAX_QUERY_ANSWER_BYTES
@@ -87,12 +88,16 @@
   /**
    * Checks the health of the instance on a connection of its own.
    * @param path Path of the health check.
-   * @param onResult Called once; with undefined unless the instance answers in time that it is healthy.
+   * @param onResult Called once; without health unless the instance answers in time that it is healthy, and without a
+   * notice unless it answers in time.
    */
-  public checkHealth (path: string, onResult: (health: InstanceHealth | undefined) => void): void {
+  public checkHealth (
+    path: string, onResult: (health: InstanceHealth | undefined, notice: ColdNotice | undefined) => void
+  ): void {
     this._query(path, false, HEALTH_CHECK_TIMEOUT_MS, response => {
       const id = response?.headers[this._names.instanceId]
-      onResult(response?.statusCode === 200 && typeof id === 'string' ? { id, load: this._readLoad(response) } : undefined)
+      const isHealthy = response?.statusCode === 200 && typeof id === 'string'
+      onResult(isHealthy ? { id, load: this._readLoad(response) } : undefined, this._readColdNotice(response))
     })
   }
 
@@ -112,11 +117,16 @@
   /**
    * Queries the load of the instance, healthy or not, on a kept connection.
    * @param path Path of the health check.
-   * @param onResult Called once; with undefined when no load is reported in time.
+   * @param onResult Called once; without a load when none is reported in time, and without a notice when no answer
+   * comes in time.
    */
-  public queryLoad (path: string, onResult: (load: InstanceLoad | undefined) => void): void {
-    this._query(path, this._loadQueryAgent, LOAD_QUERY_TIMEOUT_MS, response => {
-      onResult(response === undefined ? undefined : this._readLoad(response))
+  public queryLoad (
+    path: string,
+    onResult: (load: InstanceLoad | undefined, notice: ColdNotice | undefined) => void,
+    timeoutMs = LOAD_QUERY_TIMEOUT_MS
+  ): void {
+    this._query(path, this._loadQueryAgent, timeoutMs, response => {
+      onResult(response === undefined ? undefined : this._readLoad(response), this._readColdNotice(response))
     })
   }
 
@@ -157,6 +167,12 @@
     return parseLoadHeader(headers[this._names.load] as string | undefined)
   }
 
+  private _readColdNotice (response: IncomingMessage | undefined): ColdNotice | undefined {
+    if (response === undefined) return undefined
+    const { [this._names.instanceId]: instance, [this._names.coldMs]: header } = response.headers
+    return { instance: instance as string | undefined, header: header as string | undefined }
+  }
+
   private _buildHeaders (call: RoutedCall, instance: string, deadlineAtMs: number): string[] {
     const headers = call.headers.slice()
     const leftMs = Math.max(1, Math.floor(deadlineAtMs - this._clock.nowMs()))
--- a/src/routenode/InstanceProxy.ts
+++ b/src/routenode/InstanceProxy.ts
@@ -9,7 +9,8 @@
 import { Emitter } from '../runtime/Emitter.js'
 import { PartTimer } from '../runtime/PartTimer.js'
 import type { Clock, Disposable, Log } from '../runtime/Types.js'
-import { RECOVERY_CHECK_INTERVAL_MS } from './Constants.js'
+import { type ColdFigures, ColdMonitor, type ColdSetting } from './ColdMonitor.js'
+import { COLD_CHECK_TIMEOUT_MS, RECOVERY_CHECK_INTERVAL_MS } from './Constants.js'
 import { CrashAttribution } from './CrashAttribution.js'
 import { InstanceClient, type InstanceHealth } from './InstanceClient.js'
 import type { InstanceLoad } from './LoadHeader.js'
@@ -32,6 +33,8 @@
   readonly quarantine: Quarantine
   /** Returns the path of a service's health check; undefined while no configuration names the service. */
   readonly findHealthPath: (service: ServiceName) => string | undefined
+  /** Returns the limit for cold instances of a service; undefined while no configuration names the service. */
+  readonly findColdSetting?: (service: ServiceName) => ColdSetting | undefined
 }
 
 /** A call that waits in the queue of the gate or runs. */
@@ -77,6 +80,7 @@
   private _recoveryTimer: NodeJS.Timeout | undefined
   private readonly _namedLimit = new NamedLimit()
   private readonly _crashAttribution: CrashAttribution
+  private readonly _cold: ColdMonitor
   private _appliedLimitPerS: number | undefined
   private _slots = 0
   private _lastPublishedJson: string | undefined
@@ -88,14 +92,27 @@
     this._crashAttribution = new CrashAttribution({
       ..._options, checkListener: onResult => this._client.checkListener(onResult)
     })
+    this._cold = new ColdMonitor({
+      ..._options,
+      findSetting: () => _options.findColdSetting?.(this.service),
+      takeProbe: () => this._gate.takeProbe(_options.clock.nowMs()),
+      checkHealth: onResult => {
+        const path = _options.findHealthPath(this.service)
+        if (path === undefined) onResult(undefined)
+        else this._client.queryLoad(path, (_load, notice) => onResult(notice), COLD_CHECK_TIMEOUT_MS)
+      },
+      step: event => this._step(event)
+    })
     this._wakeTimer = new PartTimer(_options.clock, () => this._step({ type: 'tick' }))
     this._gateHandlers = {
       start: action => this._run(action.call.id),
       decline: action => {
         const pending = this._removeCall(action.call.id)
+        if (action.reason === 'rate-limited') this._cold.countDecline()
         pending?.listener.onDeclined(action.reason, action.retryAfterMs, this.load())
       },
       measure: () => this._measureSlowness(),
+      checkCold: action => this._cold.check(action.ticket),
       wake: action => this._wakeTimer.wakeAt(action.atMs)
     }
   }
@@ -118,6 +135,21 @@
     return this._pendingCalls.size
   }
 
+  /** Figures on the cold state of the instance for the metrics. */
+  public get coldFigures (): ColdFigures {
+    return this._cold.figures
+  }
+
+  /** Takes the instance as cold until it says otherwise, for instance after it has got no requests for some time. */
+  public assumeCold (): void {
+    this._cold.assumeCold()
+  }
+
+  /** Applies the limit for cold instances of a new configuration. */
+  public applyColdSetting (): void {
+    this._cold.apply()
+  }
+
   /** Returns the status of the instance to attach to replies. */
   public load (): InstanceStatus {
     const load = this._gate.load(this._options.clock.nowMs())
@@ -141,7 +173,9 @@
     const { current } = this._registry
     if (current !== undefined) return this._restoreLeaving(current, published)
     if (published.service !== this._options.service) return
-    this._registry.recordReport({ ...published, address: this._options.address, sequence: -1, coldMs: 0 })
+    const assumed = { ...published, address: this._options.address, sequence: -1, coldMs: 0 }
+    this._registry.recordReport(assumed)
+    this._cold.recordReport(assumed)
     this._breaker.open(this._options.clock.nowMs())
     this._applySlots()
   }
@@ -175,6 +209,7 @@
     const previous = this._registry.current
     const outcome = this._registry.recordReport(report)
     if (outcome !== 'applied') return outcome
+    this._cold.recordReport(report)
     const restarted = previous?.id !== report.id || previous.bornMs !== report.bornMs
     if (restarted) this._breaker.recordSuccess()
     if (previous !== undefined && !isSameIncarnation(previous, report)) {
@@ -197,6 +232,7 @@
     const id = ++this._lastCallId
     const deadlineAtMs = nowMs + call.leftMs
     if (call.knownLimit !== undefined) this._namedLimit.recordHearsay(call.knownLimit, nowMs)
+    if (call.coldPerS !== undefined) this._cold.recordToldLimit(call.coldPerS)
     this._applyLimit()
     if (call.service !== this.service) {
       listener.onDeclined('no-slots', 0, this.load())
@@ -227,6 +263,7 @@
   public dispose (): void {
     this._stopRecovery()
     this._crashAttribution.dispose()
+    this._cold.dispose()
     this._wakeTimer.dispose()
     this._client.dispose()
   }
@@ -303,6 +340,7 @@
     if (reason === 'timeout') this._client.closeIdleConnections()
     this._recordCrashEvidence(id, proof, reason)
     this._recordFailure(reason)
+    if (reason === 'instance-replaced') this._step({ type: 'misdirected', id })
     this._step({ type: 'finished', id, workMs: undefined })
     pending.listener.onFailed(proof, reason, this.load())
   }
@@ -347,7 +385,7 @@
   }
 
   private _mayResend (): boolean {
-    if (this.load().closedForMs !== undefined) return false
+    if (!this._gate.mayResend(this._options.clock.nowMs())) return false
     this._step({ type: 'resent' })
     return true
   }
@@ -392,7 +430,12 @@
     const isKnown = this._registry.current !== undefined
     if (isKnown && this._breaker.state !== 'open') return this._stopRecovery()
     if (path === undefined || (isKnown && !this._breaker.isTrialDue(this._options.clock.nowMs()))) return
-    this._client.checkHealth(path, health => { if (health !== undefined) this._onHealth(health) })
+    const probe = this._cold.startProbe()
+    if (probe === undefined) return
+    this._client.checkHealth(path, (health, notice) => {
+      this._cold.endProbe(probe, notice)
+      if (health !== undefined) this._onHealth(health)
+    })
   }
 
   private _onHealth ({ id, load }: InstanceHealth): void {
@@ -412,8 +455,13 @@
 
   private _measureSlowness (): void {
     const path = this._options.findHealthPath(this.service)
-    if (path === undefined) return this._step({ type: 'measured', slowness: undefined })
-    this._client.queryLoad(path, load => this._step({ type: 'measured', slowness: load?.slowness }))
+    // Load queries would use up what a cold instance tolerates.
+    const probe = path === undefined || this._cold.isCold ? undefined : this._cold.startProbe()
+    if (path === undefined || probe === undefined) return this._step({ type: 'measured', slowness: undefined })
+    this._client.queryLoad(path, (load, notice) => {
+      this._cold.endProbe(probe, notice)
+      this._step({ type: 'measured', slowness: load?.slowness })
+    })
   }
 
   private _stopRecovery (): void {
--- a/src/routenode/Placement.ts
+++ b/src/routenode/Placement.ts
@@ -38,13 +38,22 @@
   private readonly _knownLimits = new Map<NodeId, InstanceLimit>()
   /** Instances that leave, by node, as this node was told: their own nodes may forget it in a restart. */
   private readonly _leavingInstances = new Map<NodeId, InstanceIncarnation>()
+  /** Returns the requests a second that cold instances of a service tolerate; undefined without a limit. */
+  private _findColdPerS: (service: ServiceName) => number | undefined = () => undefined
   /** Epochs of the nodes to which there is a link. */
   private readonly _epochs = new Map<NodeId, number>()
 
   public constructor (private readonly _options: PlacementOptions) {}
 
-  /** Sets the services that requests may be routed to. */
-  public setServices (services: Iterable<ServiceName>): void {
+  /**
+   * Sets the services that requests may be routed to.
+   * @param findColdPerS Returns the requests a second that cold instances of a service tolerate; undefined without a
+   * limit.
+   */
+  public setServices (
+    services: Iterable<ServiceName>, findColdPerS: (service: ServiceName) => number | undefined = () => undefined
+  ): void {
+    this._findColdPerS = findColdPerS
     const { directory, self, random } = this._options
     const wanted = new Set(services)
     for (const service of this._choosers.keys()) {
@@ -75,6 +84,11 @@
     return this._choosers.get(service)
   }
 
+  /** Returns the requests a second that cold instances of a service tolerate; undefined without a limit. */
+  public findColdPerS (service: ServiceName): number | undefined {
+    return this._findColdPerS(service)
+  }
+
   /** Returns the limit that the instance beside a node has named in its last answer to this node, if it did. */
   public findKnownLimit (node: NodeId): InstanceLimit | undefined {
     return this._knownLimits.get(node)
--- a/src/routenode/RouteNodeDaemon.ts
+++ b/src/routenode/RouteNodeDaemon.ts
@@ -90,7 +90,11 @@
       clock,
       log,
       quarantine: this._quarantine,
-      findHealthPath: service => this._routeTable?.findService(service)?.healthPath
+      findHealthPath: service => this._routeTable?.findService(service)?.healthPath,
+      findColdSetting: name => {
+        const service = this._routeTable?.findService(name)
+        return service === undefined ? undefined : { perS: service.coldPerS, startMs: service.coldStartMs }
+      }
     })
     this._placement = new Placement({
       self: settings.nodeAddress,
@@ -211,7 +215,8 @@
       nodes: this._directory.size,
       inFlight: this._gateway.inFlight,
       suspects: this._quarantine.size,
-      load: this._instanceProxy.load()
+      load: this._instanceProxy.load(),
+      cold: this._instanceProxy.coldFigures
     }
   }
 
@@ -228,7 +233,9 @@
     this._routeTable = new RouteTable(routing, this._options.random, this._routeTable)
     const { limits, workspaces } = routing.configuration
     this._gateway.apply(this._routeTable, limits, this._updateKeys(workspaces))
-    this._placement.setServices(this._routeTable.services)
+    const table = this._routeTable
+    this._placement.setServices(table.services, service => table.findService(service)?.coldPerS)
+    this._instanceProxy.applyColdSetting()
     this._instanceProxy.startRecovery()
     this._isConfigured = true
   }
--- a/src/routenode/RouteNodeMetrics.ts
+++ b/src/routenode/RouteNodeMetrics.ts
@@ -1,4 +1,5 @@
 import { Counter, Gauge, Histogram, Registry } from 'prom-client'
+import type { ColdFigures } from './ColdMonitor.js'
 import type { HedgeOutcome } from './GatewayCall.js'
 import type { InstanceStatus } from './Types.js'
 
@@ -14,6 +15,7 @@
   /** Requests that are suspected of crashes or quarantined. */
   readonly suspects: number
   readonly load: InstanceStatus
+  readonly cold: ColdFigures
 }
 
 /** Upper bounds of the latency buckets in seconds, around usual latency objectives of a tenth to a few seconds. */
@@ -110,11 +112,22 @@
         'Requests a second that the instance takes, infinite while it names no limit',
         ({ load }) => load.requestLimit?.perS ?? Infinity
       ],
+      ['sassafras_instance_cold_seconds', 'Time that the instance stays cold, as known', ({ cold }) => cold.coldForMs / 1000],
       ['sassafras_vm_slowness', 'Time that work takes relative to usual', ({ load }) => load.slowness]
     ]
     for (const [name, help, read] of definitions) {
       const collect = (): void => gauge.set(read(readGauges()))
       const gauge: Gauge = new Gauge({ name, help, registers: [this._registry], collect })
     }
+    this._addCounter('sassafras_cold_checks_total', 'Health checks to learn the cold state', () => readGauges().cold.checks)
+    this._addCounter('sassafras_limit_declines_total', 'Calls declined by request limits', () => readGauges().cold.declined)
+  }
+
+  private _addCounter (name: string, help: string, read: () => number): void {
+    const collect = (): void => {
+      counter.reset()
+      counter.inc(read())
+    }
+    const counter: Counter = new Counter({ name, help, registers: [this._registry], collect })
   }
 }
--- a/src/routenode/Types.ts
+++ b/src/routenode/Types.ts
@@ -80,6 +80,8 @@
   readonly workspacePriority?: number
   /** Limit that the instance has named to the sender; the node beside the instance may have lost it in a restart. */
   readonly knownLimit?: InstanceLimit
+  /** Requests a second for a cold instance, as its node may have no configuration yet; absent without a limit. */
+  readonly coldPerS?: number
 }
 
 /** A complete answer of an instance. */
