Test the limit of cold instances with a mesh of nodes

A mock instance counts what reaches it, health checks included, while all nodes send far more than it tolerates: over a restart of its node, when it becomes cold while it is busy, and when it starts anew.

The test found that a call which is held for the check of a cold instance requested a measurement of the VM, whose immediate failure requested the next until the stack was used up. The gate now measures only for calls that could start.

--- a/src/parts/gate/InstanceGate.test.ts
+++ b/src/parts/gate/InstanceGate.test.ts
@@ -431,6 +431,14 @@
   expect(startedIds(warm)).toEqual(calls.map(({ id }) => id))
 })
 
+// A host that can't measure at once answers at once, and each further request would end in another such answer.
+test('a call that is held for the check of a cold instance does not request a measurement', () => {
+  const gate = makeGate(20)
+  gate.step({ type: 'coldLimit', perS: 5, coldUntilMs: -Infinity }, 0)
+  expect(actionTypes(gate.step({ type: 'offer', call: makeCall() }, 1))).not.toContain('measure')
+  expect(actionTypes(gate.step({ type: 'measured', slowness: undefined }, 1))).not.toContain('measure')
+})
+
 test('calls that are held are declined when the instance turns out to be cold or gives no answer', () => {
   for (const coldUntilMs of [5000, -Infinity]) {
     const gate = makeGate(20)
--- a/src/parts/gate/InstanceGate.ts
+++ b/src/parts/gate/InstanceGate.ts
@@ -249,7 +249,8 @@
 
   /** Requests a measurement while a queued call is below its limit, so that only the VM's slowness holds it back. */
   private _measureIfNeeded (): void {
-    if (this._queue.size === 0 || this._queue.count(call => this._isBelowLimit(call)) === 0) return
+    if (this._queue.size === 0 || !this._coldLimit.canSend(this._nowMs)) return
+    if (this._queue.count(call => this._isBelowLimit(call)) === 0) return
     const measureAtMs = this._vmSlowness.nextMeasurementAtMs(this._nowMs)
     if (measureAtMs === undefined) return
     if (measureAtMs > this._nowMs) return this._wakeAt(measureAtMs)
--- a/test/support/RouteMesh.ts
+++ b/test/support/RouteMesh.ts
@@ -45,6 +45,10 @@
   /** Ids of the requests whose connection was closed before their answer was complete. */
   public readonly cut: string[] = []
   public behaviour: Behaviour
+  /** All requests that reached the instance, health checks included, but for those answered with 421. */
+  public readonly arrivals: Array<{ readonly atMs: number, readonly isCold: boolean }> = []
+  /** Until when the instance is cold, as its answers to health checks tell, in monotonic milliseconds. */
+  public coldUntilMs: number | undefined
   /** Number of times that the instance has crashed. */
   public crashes = 0
   private _server = this._createServer()
@@ -89,13 +93,25 @@
     this._server.closeAllConnections()
   }
 
+  /** How long the instance stays cold, in whole milliseconds. */
+  public get coldMs (): number {
+    return Math.ceil(Math.max(0, (this.coldUntilMs ?? 0) - performance.now()))
+  }
+
+  private _recordArrival (): void {
+    this.arrivals.push({ atMs: performance.now(), isCold: this.coldMs > 0 })
+  }
+
   private _createServer (): Server {
     return createServer((request, response) => this._handle(request, response))
   }
 
   private _handle (request: IncomingMessage, response: ServerResponse): void {
     if (request.url === '/healthz') {
-      response.writeHead(200, { [HEADER_NAMES.instanceId]: this.id, [HEADER_NAMES.load]: '0,0,6,100' }).end()
+      this._recordArrival()
+      const headers = { [HEADER_NAMES.instanceId]: this.id, [HEADER_NAMES.load]: '0,0,6,100' }
+      const coldMs = this.coldUntilMs === undefined ? {} : { [HEADER_NAMES.coldMs]: String(this.coldMs) }
+      response.writeHead(200, { ...headers, ...coldMs }).end()
       return
     }
     const id = String(request.headers[HEADER_NAMES.requestId])
@@ -103,6 +119,7 @@
       response.writeHead(421, { [HEADER_NAMES.requestId]: id }).end()
       return
     }
+    this._recordArrival()
     this.ran.push(id)
     response.once('close', () => { if (!response.writableFinished) this.cut.push(id) })
     if (this.behaviour === undefined) this.answer(request, response)
