--- a/src/routenode/GatewayCall.test.ts
+++ b/src/routenode/GatewayCall.test.ts
@@ -68,6 +68,7 @@
       drawExclusion: () => exclusion === undefined ? {} : { exclusion },
       findTarget,
       findKnownLimit: () => undefined,
+      findColdPerS: () => undefined,
       recordStatus: () => {}
     } as unknown as Placement,
     hedgePolicy,
--- a/src/routenode/RouteNodeDaemon.ts
+++ b/src/routenode/RouteNodeDaemon.ts
@@ -106,7 +106,11 @@
       quarantine: this._quarantine,
       findHealthPath: service => this._routeTable?.findService(service)?.healthPath,
       bodies: this._bodies,
-      isZoneClosed: () => this._evacuation.isGateClosed
+      isZoneClosed: () => this._evacuation.isGateClosed,
+      findColdSetting: name => {
+        const service = this._routeTable?.findService(name)
+        return service === undefined ? undefined : { perS: service.coldPerS, startMs: service.coldStartMs }
+      }
     })
     this._placement = new Placement({
       self: settings.nodeAddress,
@@ -239,7 +243,8 @@
       bodyBytes: this._bodies.memory.heldBytes,
       load: this._instanceProxy.load(),
       evacuation: this._evacuation.state,
-      isZoneClosed: this._evacuation.isGateClosed
+      isZoneClosed: this._evacuation.isGateClosed,
+      cold: this._instanceProxy.coldFigures
     }
   }
 
@@ -259,7 +264,9 @@
     this._routeTable = new RouteTable(routing, this._options.random, this._routeTable)
     const { limits, workspaces } = routing.configuration
     this._gateway.apply(this._routeTable, limits, this._updateKeys(workspaces))
-    this._placement.setServices(this._routeTable.services)
+    const table = this._routeTable
+    this._placement.setServices(table.services, service => table.findService(service)?.coldPerS)
+    this._instanceProxy.applyColdSetting()
     this._instanceProxy.startRecovery()
     this._isConfigured = true
   }
--- a/src/routenode/RouteNodeMetrics.ts
+++ b/src/routenode/RouteNodeMetrics.ts
@@ -1,6 +1,7 @@
 import { Counter, Gauge, Histogram, Registry } from 'prom-client'
 import type { TransferDirection, TransferMetrics } from './BodyTransfer.js'
 import type { EvacuationState } from '../parts/evacuation/Types.js'
+import type { ColdFigures } from './ColdMonitor.js'
 import type { HedgeOutcome } from './GatewayCall.js'
 import type { InstanceStatus } from './Types.js'
 
@@ -22,6 +23,7 @@
   readonly evacuation: EvacuationState
   /** True while the gate admits nothing because the zone of this node is evacuated. */
   readonly isZoneClosed: boolean
+  readonly cold: ColdFigures
 }
 
 /** Upper bounds of the latency buckets in seconds, around usual latency objectives of a tenth to a few seconds. */
@@ -160,11 +162,22 @@
         'sassafras_zone_closed',
         '1 while the instance gets no calls because its zone is evacuated',
         ({ isZoneClosed }) => Number(isZoneClosed)
-      ]
+      ],
+      ['sassafras_instance_cold_seconds', 'Time that the instance stays cold, as known', ({ cold }) => cold.coldForMs / 1000]
     ]
     for (const [name, help, read] of definitions) {
       const collect = (): void => gauge.set(read(readGauges()))
       const gauge: Gauge = new Gauge({ name, help, registers: [this._registry], collect })
     }
+    this._addCounter('sassafras_cold_checks_total', 'Health checks to learn the cold state', () => readGauges().cold.checks)
+    this._addCounter('sassafras_limit_declines_total', 'Calls declined by request limits', () => readGauges().cold.declined)
+  }
+
+  private _addCounter (name: string, help: string, read: () => number): void {
+    const collect = (): void => {
+      counter.reset()
+      counter.inc(read())
+    }
+    const counter: Counter = new Counter({ name, help, registers: [this._registry], collect })
   }
 }
