Hold callers to the quotas of their workspaces

Cause: the gateway knew the quota of a request's workspace and did not apply it.

Change: the gateway asks for a credit before the first attempt, and refuses with 429, reason and Retry-After. A request that ends refused gives its credit back once, and so does a caller that leaves before anything was sent. Nodes send their messages over the feed, replicas pass them to the leader in one frame every 5 ms. A leader that stood still, by either clock, asks a quorum before it grants anything more. A call carries the used share of its workspace's quota in eighths. Without workspaces that have a quota nothing is sent and no timer runs.

--- a/src/control/Types.ts
+++ b/src/control/Types.ts
@@ -3,7 +3,7 @@
 import type { ConfigurationDelta, NodeVersion, Version, VersionedConfiguration } from '../parts/configuration/Types.js'
 import type { NodeEntry } from '../parts/instances/Types.js'
 import type { Heartbeat, Member, ServiceDigest } from '../parts/membership/Types.js'
-import type { CrashReportsFrame, FeedToNode, NodeToFeed } from '../routecontrol/Types.js'
+import type { CrashReportsFrame, FeedToNode, NodeToFeed, QuotaReplicaFrame } from '../routecontrol/Types.js'
 import type { RecordCommand, RecordReply } from '../parts/records/Types.js'
 import type { Incarnation, NodeId, ProcessLocation, ReplicaId, ServiceName } from '../parts/Types.js'
 
@@ -92,6 +92,8 @@
   | { readonly type: 'nodeEntries', readonly entries: readonly NodeEntry[], readonly whole: boolean }
   /** Route control only. */
   | CrashReportsFrame
+  /** Route control only. */
+  | QuotaReplicaFrame
 
 /** Frames that a control replica receives on accepted connections. */
 export type ToControl = NodeToControl | ReplicaToReplica | NodeToFeed
--- a/src/routecontrol/Constants.ts
+++ b/src/routecontrol/Constants.ts
@@ -56,5 +56,17 @@
 /** Time for which changed entries of nodes are collected before they are sent, in milliseconds. */
 export const ENTRY_BATCH_MS = 20
 
+/** Time for which messages of nodes about quotas are collected before they are sent to the leader, in milliseconds. */
+export const QUOTA_BATCH_MS = 5
+
+/**
+ * Time between two ticks of a leader after which another may have been elected, in milliseconds: it asks a quorum
+ * before it grants anything more.
+ */
+export const QUOTA_CONFIRM_AFTER_MS = 300
+
+/** Messages of nodes that wait for that confirmation; further ones are dropped. */
+export const MAX_DEFERRED_QUOTA_MESSAGES = 10_000
+
 /** Interval at which a replica sends the entries of its nodes to the other replicas again, in milliseconds. */
 export const ENTRY_RESEND_INTERVAL_MS = 10_000
--- a/src/routecontrol/NodeFeed.ts
+++ b/src/routecontrol/NodeFeed.ts
@@ -4,6 +4,7 @@
 import type { CrashReport } from '../parts/quarantine/Types.js'
 import type { VersionedRouting } from '../parts/routing/Types.js'
 import type { NodeId } from '../parts/Types.js'
+import { Emitter } from '../runtime/Emitter.js'
 import { encodeMessage } from '../runtime/FrameChannel.js'
 import type { Clock, Disposable, Log } from '../runtime/Types.js'
 import {
@@ -12,7 +13,7 @@
 import { CrashReportStore } from './CrashReportStore.js'
 import { redactDeltaKeys, redactKeys } from './KeyRedaction.js'
 import type { RoutingReplica } from './RoutingReplica.js'
-import type { FeedToNode, NodeToFeed } from './Types.js'
+import type { FeedToNode, ForwardedQuotaMessage, NodeToFeed } from './Types.js'
 
 /** First frame that a node sends on a connection. */
 export type FeedHello = Extract<NodeToFeed, { type: 'feedHello' }>
@@ -69,6 +70,7 @@
   private _sentControls = ''
   /** Configuration in force as nodes receive it, as far as it was sent. */
   private _redacted: VersionedRouting | undefined
+  private readonly _quotaMessageEmitter = new Emitter<ForwardedQuotaMessage>()
 
   private readonly _handlers: Handlers = {
     publish: (session, { entry }) => {
@@ -76,6 +78,7 @@
       this._mergePublished([entry])
     },
     crashReports: (_session, { reports }) => this._addReports(reports, true),
+    quotaAsk: ({ node }, { message }) => this._quotaMessageEmitter.fire({ node, message }),
     feedPing: session => this._send(session, { type: 'feedPong', fit: this._replica.canServeNodes }),
     askRouting: session => {
       session.version = 0
@@ -101,6 +104,9 @@
     this._resendTimer = setInterval(() => this._resendEntries(), ENTRY_RESEND_INTERVAL_MS)
   }
 
+  /** Fires with the messages of connected nodes about quotas. */
+  public readonly onQuotaMessage = this._quotaMessageEmitter.event
+
   /** Number of connected nodes. */
   public get size (): number {
     return this._sessions.size
@@ -129,6 +135,17 @@
     this._sendWelcome(session, entry).catch((error: Error) => channel.destroy(`welcome failed: ${error.message}`))
   }
 
+  /** Sends a frame to a node, if it is connected to this replica. */
+  public sendToNode (node: NodeId, frame: FeedToNode): void {
+    const session = this._sessions.get(node)
+    if (session?.isWelcomed === true) this._send(session, frame)
+  }
+
+  /** Sends a frame to all nodes that are connected to this replica. */
+  public sendToNodes (frame: FeedToNode): void {
+    if (this._sessions.size > 0) this._sendToAll(frame)
+  }
+
   /** Closes all connections. */
   public dispose (): void {
     clearInterval(this._timer)
--- a/src/routecontrol/RouteControlDaemon.ts
+++ b/src/routecontrol/RouteControlDaemon.ts
@@ -6,6 +6,7 @@
 import type { Random } from '../parts/Types.js'
 import type { Clock, Disposable, Log } from '../runtime/Types.js'
 import { type FeedHello, NodeFeed } from './NodeFeed.js'
+import { QuotaHost } from './QuotaHost.js'
 import { type ChangeOutcome, type GroupSettings, RoutingReplica } from './RoutingReplica.js'
 
 /** Settings and services that a daemon needs. */
@@ -44,6 +45,7 @@
 export class RouteControlDaemon implements Disposable {
   private readonly _replica: RoutingReplica
   private readonly _feed: NodeFeed
+  private readonly _quotas: QuotaHost
   private readonly _server: FrameServer<ToControl, FromControl>
 
   /**
@@ -54,6 +56,7 @@
     const { clock, log } = _options
     this._replica = new RoutingReplica(_options)
     this._feed = new NodeFeed(this._replica, clock, log)
+    this._quotas = new QuotaHost(this._replica, this._feed, clock, log)
     this._server = new FrameServer(clock)
     this._server.onChannel(channel => {
       const first = channel.onMessage(frame => {
@@ -132,6 +135,7 @@
 
   /** Stops at once without completing pending work; changes that aren't synced to disk were never acknowledged. */
   public dispose (): void {
+    this._quotas.dispose()
     this._feed.dispose()
     this._replica.dispose()
     this._server.dispose()
--- a/src/routecontrol/RoutingReplica.ts
+++ b/src/routecontrol/RoutingReplica.ts
@@ -23,6 +23,7 @@
   LEADER_NOTICE_TTL_MS, SNAPSHOT_AFTER_BYTES
 } from './Constants.js'
 import { RoutingStateMachine } from './RoutingStateMachine.js'
+import type { QuotaReplicaFrame } from './Types.js'
 
 /** Settings from which a replica finds or forms its group. */
 export interface GroupSettings {
@@ -60,6 +61,12 @@
   readonly whole: boolean
 }
 
+/** A frame about quotas that another replica sent. */
+export interface ReceivedQuotaFrame {
+  readonly from: ReplicaId
+  readonly frame: QuotaReplicaFrame
+}
+
 /**
  * A replica of the consensus group (Raft) that stores the routing configuration. Its settings name only some seeds and
  * the number of losses to tolerate. The seeds form the first group; other replicas join through any member and become
@@ -82,6 +89,7 @@
   private readonly _lastReceivedMs = new Map<ReplicaId, number>()
   private readonly _nodeEntriesEmitter = new Emitter<NodeEntriesUpdate>()
   private readonly _crashReportsEmitter = new Emitter<readonly CrashReport[]>()
+  private readonly _quotaFrameEmitter = new Emitter<ReceivedQuotaFrame>()
   private readonly _linkOpenEmitter = new Emitter<void>()
   private readonly _firstLeaderEmitter = new Emitter<void>()
   /** Resolves when a leader is known for the first time, or after `FIRST_LEADER_WAIT_MS`. */
@@ -110,7 +118,10 @@
     },
     readIndexReply: (_from, { id, index }) => this._barrier.receiveReply(id, index),
     nodeEntries: (from, { entries, whole }) => this._nodeEntriesEmitter.fire({ from, entries, whole }),
-    crashReports: (_from, { reports }) => this._crashReportsEmitter.fire(reports)
+    crashReports: (_from, { reports }) => this._crashReportsEmitter.fire(reports),
+    quotaForward: (from, frame) => this._quotaFrameEmitter.fire({ from, frame }),
+    quotaReturn: (from, frame) => this._quotaFrameEmitter.fire({ from, frame }),
+    quotaCollect: (from, frame) => this._quotaFrameEmitter.fire({ from, frame })
   }
 
   /**
@@ -160,6 +171,9 @@
   /** Fires with the crash reports that other replicas send. */
   public readonly onCrashReports = this._crashReportsEmitter.event
 
+  /** Fires with the frames about quotas that other replicas send. */
+  public readonly onQuotaFrame = this._quotaFrameEmitter.event
+
   /** Fires when a connection to another replica has opened; frames that were sent to it before may be lost. */
   public readonly onLinkOpen = this._linkOpenEmitter.event
 
@@ -265,6 +279,16 @@
     this._links.broadcast({ type: 'crashReports', reports })
   }
 
+  /** Sends a frame about quotas to another replica; it may be dropped. */
+  public sendQuotaFrame (to: ReplicaId, frame: QuotaReplicaFrame): void {
+    this._links.send(to, frame)
+  }
+
+  /** Sends a frame about quotas to all other replicas; each may be dropped. */
+  public broadcastQuotaFrame (frame: QuotaReplicaFrame): void {
+    this._links.broadcast(frame)
+  }
+
   /** Stops at once without completing pending work. */
   public dispose (): void {
     clearInterval(this._announceTimer)
--- a/src/routecontrol/Types.ts
+++ b/src/routecontrol/Types.ts
@@ -1,6 +1,8 @@
 import type { NodeEntry } from '../parts/instances/Types.js'
 import type { CrashReport } from '../parts/quarantine/Types.js'
+import type { QuotaAnswer, QuotaMessage } from '../parts/quota/Types.js'
 import type { RoutingDelta, VersionedRouting } from '../parts/routing/Types.js'
+import type { NodeId } from '../parts/Types.js'
 
 /** Reports of requests that may have crashed instances; a receiver ignores those that it has received before. */
 export interface CrashReportsFrame {
@@ -8,6 +10,27 @@
   readonly reports: readonly CrashReport[]
 }
 
+/** A message of a node on its way to the leader. */
+export interface ForwardedQuotaMessage {
+  readonly node: NodeId
+  readonly message: QuotaMessage
+}
+
+/** An answer of the leader on its way to a node. */
+export interface ReturnedQuotaAnswer {
+  readonly node: NodeId
+  readonly answer: QuotaAnswer
+}
+
+/** Frames between replicas about quotas; those that are lost are not sent again. */
+export type QuotaReplicaFrame =
+  /** Messages of nodes that are connected to the sender, for the leader. */
+  | { readonly type: 'quotaForward', readonly messages: readonly ForwardedQuotaMessage[] }
+  /** Answers of the leader for nodes that are connected to the receiver. */
+  | { readonly type: 'quotaReturn', readonly answers: readonly ReturnedQuotaAnswer[] }
+  /** Call of the leader for reports, for all nodes that are connected to the receiver. */
+  | { readonly type: 'quotaCollect', readonly answer: QuotaAnswer }
+
 /** Frames from a node to the control replica that it receives updates from. */
 export type NodeToFeed =
   /**
@@ -21,6 +44,7 @@
     readonly reports?: readonly CrashReport[]
   }
   | CrashReportsFrame
+  | { readonly type: 'quotaAsk', readonly message: QuotaMessage }
   /** A changed entry of the node. */
   | { readonly type: 'publish', readonly entry: NodeEntry }
   /** Checks that the replica is reachable and has a leader. */
@@ -43,6 +67,7 @@
     readonly reports?: readonly CrashReport[]
   }
   | CrashReportsFrame
+  | { readonly type: 'quotaAnswer', readonly answer: QuotaAnswer }
   /** A full copy of the configuration in force. */
   | { readonly type: 'routing', readonly routing: VersionedRouting }
   /** Changes from the version that the node has to the one in force, oldest first. */
--- a/src/routenode/Constants.ts
+++ b/src/routenode/Constants.ts
@@ -102,3 +102,12 @@
 
 /** Interval at which expired suspects are removed while requests arrive, in milliseconds. */
 export const QUARANTINE_SWEEP_INTERVAL_MS = 1000
+
+/**
+ * Step of the wall clock against the monotonic clock after which the process may have been suspended, in milliseconds:
+ * above what a time service corrects between two events of a node.
+ */
+export const CLOCK_STEP_MS = 100
+
+/** Interval at which the position of a node among all nodes is computed anew while it is needed, in milliseconds. */
+export const RANK_INTERVAL_MS = 1000
--- a/src/routenode/ControlFeed.ts
+++ b/src/routenode/ControlFeed.ts
@@ -2,6 +2,7 @@
 import type { Socket } from 'node:net'
 import type { NodeEntry } from '../parts/instances/Types.js'
 import type { CrashReport } from '../parts/quarantine/Types.js'
+import type { QuotaAnswer, QuotaMessage } from '../parts/quota/Types.js'
 import type { RoutingDelta, VersionedRouting } from '../parts/routing/Types.js'
 import { applyPatch } from '../parts/routing/RoutingDelta.js'
 import type { Random } from '../parts/Types.js'
@@ -39,6 +40,7 @@
   private readonly _welcomeEmitter = new Emitter<FeedWelcome>()
   private readonly _entriesEmitter = new Emitter<readonly NodeEntry[]>()
   private readonly _crashReportsEmitter = new Emitter<readonly CrashReport[]>()
+  private readonly _quotaAnswerEmitter = new Emitter<QuotaAnswer>()
   private readonly _routingEmitter = new Emitter<VersionedRouting>()
   private _replicaAddresses: string[]
   private _channel: Channel | undefined
@@ -58,6 +60,7 @@
     routingDifferences: ({ differences }) => this._applyDeltas(differences),
     entries: ({ entries }) => this._entriesEmitter.fire(entries),
     crashReports: ({ reports }) => this._crashReportsEmitter.fire(reports),
+    quotaAnswer: ({ answer }) => this._quotaAnswerEmitter.fire(answer),
     // A replica that turns this node away may itself have an old list, so its list adds to what is known.
     controls: ({ controls }) => this._setReplicaAddresses(
       this._isWelcomed ? controls : [...controls, ...this._replicaAddresses]
@@ -91,6 +94,9 @@
   /** Fires with reports of requests that may have crashed instances. */
   public readonly onCrashReports = this._crashReportsEmitter.event
 
+  /** Fires with the answers of the leader about quotas. */
+  public readonly onQuotaAnswer = this._quotaAnswerEmitter.event
+
   /** Fires with each newer version of the routing configuration. */
   public readonly onRouting = this._routingEmitter.event
 
@@ -131,6 +137,11 @@
     this._channel?.send({ type: 'crashReports', reports })
   }
 
+  /** Sends a message about quotas, unless there is no connection. */
+  public sendQuotaMessage (message: QuotaMessage): void {
+    if (this._isWelcomed) this._channel?.send({ type: 'quotaAsk', message })
+  }
+
   /** Closes the connection. */
   public dispose (): void {
     this._isDisposed = true
--- a/src/routenode/Gateway.ts
+++ b/src/routenode/Gateway.ts
@@ -16,6 +16,7 @@
 import { GatewayCall, type GatewayContext } from './GatewayCall.js'
 import { AnswerSizeEstimate } from './AnswerSizeEstimate.js'
 import { CallerConnections } from './CallerConnections.js'
+import type { QuotaHost } from './QuotaHost.js'
 import type { RouteNodeMetrics } from './RouteNodeMetrics.js'
 import type {
   CallerWorkspace, GatewayReason, GatewayRequest, GatewayResult, HeaderNames, RoutedAnswer, RoutedCall
@@ -42,6 +43,7 @@
   /** Returns the service of the instance on this VM, where all requests originate. */
   readonly callerService: () => ServiceName
   readonly metrics: RouteNodeMetrics
+  readonly quotas: QuotaHost
   /** Returns the call of a request that the instance on this VM runs now, if it runs one. */
   readonly findRunning: (requestId: string) => RoutedCall | undefined
   /** Returns whether this node is connected to a control replica, so that its configuration is current. */
@@ -224,22 +226,28 @@
     const finish = (result: GatewayResult | undefined): void => {
       if (ended) return
       ended = true
+      credit.end(result === undefined ? call.sends === 0 : result.type === 'refused')
       if (result !== undefined) this._send(message, response, result)
       if (result?.type === 'answer') this._answerSizes.recordAnswer(request.route.name, result.answer.body.length)
       this._recordEnd(request, call, result)
       this._openRequestCount--
     }
+    const credit = this._options.quotas.openCredit(request)
     const call = new GatewayCall(request, this._options, finish)
     response.once('close', () => {
       if (ended) return
       call.cancel()
       finish(undefined)
     })
-    call.start()
+    credit.request(() => call.start(), refusal => {
+      call.cancel()
+      finish(refusal)
+    })
   }
 
   private _send (message: IncomingMessage, response: ServerResponse, result: GatewayResult): void {
     if (result.type === 'answer') return this._sendAnswer(message, response, result.answer)
+    if (result.type === 'limited') return this._refuse(message, response, 429, result.reason, result.retryAfterMs)
     if (result.type === 'refused') return this._refuse(message, response, 503, result.reason, result.retryAfterMs)
     this._refuse(message, response, result.timedOut ? 504 : 502, result.reason)
   }
@@ -265,7 +273,7 @@
     const requestId = readHeader(message, this._options.names.requestId)
     if (requestId !== undefined) response.setHeader(this._options.names.requestId, requestId)
     if (retryAfterMs !== undefined) response.setHeader('retry-after', (retryAfterMs / MS_PER_SECOND).toFixed(3))
-    const text = JSON.stringify({ reason, notRun: status === 503 })
+    const text = JSON.stringify({ reason, notRun: status === 503 || status === 429 })
     response.writeHead(status, { 'content-type': 'application/json', 'content-length': Buffer.byteLength(text) })
     response.end(text)
   }
@@ -280,10 +288,17 @@
     this._options.metrics.countEnded(outcome, tookMs, sends, declines)
     if (hedge !== undefined) this._options.metrics.countHedge(hedge)
     if (result?.type !== 'answer' && result?.reason === 'quarantined') this._options.metrics.countQuarantined()
+    if (result?.type === 'limited') Object.assign(fields, this._describeQuota(request))
     if (result?.type === 'answer') this._options.log.info({ ...fields, status: result.answer.status }, 'answered')
     else this._options.log.info({ ...fields, outcome, reason: result?.reason ?? 'caller-gone' }, 'not answered')
   }
 
+  private _describeQuota ({ workspace }: GatewayRequest): { workspace?: string, shareUsed?: number } {
+    if (workspace === undefined) return {}
+    const shareUsed = this._options.quotas.shareUsed(workspace.name)
+    return { workspace: workspace.name, ...(shareUsed === undefined ? {} : { shareUsed }) }
+  }
+
   private _onClientError (error: Error & { code?: string }, socket: Duplex): void {
     if (error.code === 'ECONNRESET' || !socket.writable) {
       socket.destroy()
@@ -312,7 +327,9 @@
   return workspace === undefined ? undefined : { name: workspace, priority: workspacePriority }
 }
 
-const OUTCOME_BY_RESULT = { answer: 'answered', refused: 'refused', failed: 'failed', gone: 'gone' } as const
+const OUTCOME_BY_RESULT = {
+  answer: 'answered', refused: 'refused', limited: 'refused', failed: 'failed', gone: 'gone'
+} as const
 
 /** Statuses that guarantee that a request has not run and never will. */
 const NOT_EXECUTED_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503])
--- a/src/routenode/GatewayCall.test.ts
+++ b/src/routenode/GatewayCall.test.ts
@@ -10,7 +10,9 @@
 import type { Placement } from './Placement.js'
 import type { QuarantineRefusal } from './Quarantine.js'
 import { SharedRetryBudgets } from './SharedRetryBudgets.js'
-import type { AttemptKind, GatewayResult, RoutedAnswer, RoutedCall, RoutedCallListener } from './Types.js'
+import type {
+  AttemptKind, CallerWorkspace, GatewayResult, RoutedAnswer, RoutedCall, RoutedCallListener
+} from './Types.js'
 
 const IDLE: GateLoad = { running: 0, queued: 0, limit: 4, slowness: 1, workMs: 50, failing: 0 }
 const ANSWER: RoutedAnswer = { status: 200, headers: [], body: new Uint8Array(0) }
@@ -28,6 +30,7 @@
 let hedgePolicy = new HedgePolicy()
 let result: GatewayResult | undefined
 let refusal: QuarantineRefusal | undefined
+let workspace: CallerWorkspace | undefined
 
 beforeEach(() => { vi.useFakeTimers({ now: 1000 }) })
 
@@ -37,6 +40,7 @@
   hedgePolicy = new HedgePolicy()
   result = undefined
   refusal = undefined
+  workspace = undefined
 })
 
 function start (
@@ -62,6 +66,7 @@
     hedgePolicy,
     quarantine: { check: () => refusal },
     retryBudgets: new SharedRetryBudgets({ ratio: 1, slack, windowMs: 10_000 }),
+    shareUsed: name => name === 'acme' ? 0.375 : undefined,
     nextCallId: () => ++lastId,
     nodeCount: () => 1
   }
@@ -87,7 +92,7 @@
     service: 's',
     version: 1,
     parentAttemptKind,
-    workspace: undefined,
+    workspace,
     deadlineMs: 1000,
     arrivedAtMs: clock.nowMs(),
     objectiveAtMs: clock.nowMs() + 500,
@@ -313,3 +318,12 @@
   expect(sentCalls).toHaveLength(1)
   expect(result).toEqual({ type: 'refused', reason: 'quarantined', retryAfterMs: 500_000 })
 })
+
+// The gate of the instance orders workspaces by it.
+test('a call tells which share of its quota the workspace has used, where that is known', () => {
+  workspace = { name: 'acme', priority: 0 }
+  start(['a'])
+  workspace = { name: 'other', priority: 0 }
+  start(['a'])
+  expect(sentCalls.map(({ call }) => call.shareUsed)).toEqual([0.375, undefined])
+})
--- a/src/routenode/GatewayCall.ts
+++ b/src/routenode/GatewayCall.ts
@@ -22,6 +22,8 @@
   readonly retryBudgets: SharedRetryBudgets
   readonly hedgePolicy: HedgePolicy
   readonly quarantine: Pick<Quarantine, 'check'>
+  /** Returns the used share of a workspace's quota; undefined where it is not known. */
+  shareUsed? (workspace: string): number | undefined
   /** Returns an id that no other call of this node has. */
   nextCallId (): CallId
   /** Returns the number of nodes that share the retry budgets. */
@@ -231,9 +233,11 @@
     const { parentAttemptKind, objectiveAtMs } = this._request
     const nowMs = this._context.clock.nowMs()
     const knownLimit = this._context.placement.findKnownLimit(node)
+    const shareUsed = workspace === undefined ? undefined : this._context.shareUsed?.(workspace.name)
     return {
       ...(knownLimit === undefined ? {} : { knownLimit }),
       ...(workspace === undefined ? {} : { workspace: workspace.name, workspacePriority: workspace.priority }),
+      ...(shareUsed === undefined ? {} : { shareUsed }),
       id,
       service,
       method,
--- a/src/routenode/RouteNodeDaemon.ts
+++ b/src/routenode/RouteNodeDaemon.ts
@@ -16,6 +16,7 @@
 import { InstanceProxy } from './InstanceProxy.js'
 import { Placement } from './Placement.js'
 import { Quarantine } from './Quarantine.js'
+import { QuotaHost } from './QuotaHost.js'
 import { type NodeGauges, RouteNodeMetrics } from './RouteNodeMetrics.js'
 import { SharedRetryBudgets } from './SharedRetryBudgets.js'
 import type { HeaderNames } from './Types.js'
@@ -64,6 +65,7 @@
   private readonly _quarantine: Quarantine
   private readonly _instanceProxy: InstanceProxy
   private readonly _placement: Placement
+  private readonly _quotas: QuotaHost
   private readonly _gateway: Gateway
   private readonly _callServer: CallServer
   private readonly _controlFeed: ControlFeed
@@ -101,6 +103,15 @@
       random,
       log
     })
+    this._quotas = new QuotaHost({
+      self: settings.nodeAddress,
+      incarnation: () => this._epoch,
+      directory: this._directory,
+      clock,
+      random,
+      metrics: this.metrics,
+      send: message => this._controlFeed.sendQuotaMessage(message)
+    })
     this._gateway = new Gateway({
       names: settings.names,
       clock,
@@ -111,6 +122,8 @@
       retryBudgets: new SharedRetryBudgets(settings.retryLimits),
       hedgePolicy: new HedgePolicy(),
       quarantine: this._quarantine,
+      quotas: this._quotas,
+      shareUsed: workspace => this._quotas.shareUsed(workspace),
       callerService: () => this._instanceProxy.service,
       findRunning: requestId => this._instanceProxy.findRunning(requestId),
       isInTouch: () => this._controlFeed.replicaAddress !== undefined,
@@ -192,6 +205,7 @@
   /** Closes all listeners and connections at once. */
   public dispose (): void {
     this._controlFeed.dispose()
+    this._quotas.dispose()
     this._gateway.dispose()
     this._callServer.dispose()
     this._placement.dispose()
@@ -221,6 +235,7 @@
     this._controlFeed.onEntries(entries => this._onEntries(entries))
     this._controlFeed.onCrashReports(reports => this._quarantine.receive(reports))
     this._quarantine.onReports(reports => this._controlFeed.publishCrashReports(reports))
+    this._controlFeed.onQuotaAnswer(answer => this._quotas.receive(answer))
     this._controlFeed.onRouting(routing => this._apply(routing))
   }
 
@@ -248,6 +263,7 @@
     if (own !== undefined && own.epoch > this._epoch) this._epoch = own.epoch + 1
     // The instance may have reported after the hello frame was sent; such a report has not been published yet.
     if (!isSamePublication(this._sentEntry, this._makeEntry())) this._publish()
+    this._quotas.notifyConnected()
   }
 
   private _onEntries (entries: readonly NodeEntry[]): void {
--- a/src/routenode/RouteNodeMetrics.ts
+++ b/src/routenode/RouteNodeMetrics.ts
@@ -5,6 +5,12 @@
 /** The single outcome of a caller's request; `gone` means that the caller disconnected first. */
 export type RequestOutcome = 'answered' | 'refused' | 'failed' | 'gone'
 
+/**
+ * What became of a request that needs a credit: `requested` counts all, `fallback` those that a node without contact
+ * admitted, and `returned` those whose credit was given back.
+ */
+export type QuotaOutcome = 'requested' | 'granted' | 'refused' | 'fallback' | 'returned'
+
 /** Values of the gauges, read when the metrics are fetched. */
 export interface NodeGauges {
   readonly ready: boolean
@@ -29,6 +35,7 @@
   private readonly _declines: Counter
   private readonly _hedges: Counter<'outcome'>
   private readonly _quarantined: Counter
+  private readonly _quota: Counter<'outcome'>
 
   /**
    * @param readGauges Returns the current values of the gauges.
@@ -54,6 +61,12 @@
     this._quarantined = new Counter({
       name: 'sassafras_requests_quarantined_total', help: 'Requests ended because they crash instances', registers
     })
+    this._quota = new Counter({
+      name: 'sassafras_quota_requests_total',
+      help: 'Requests of workspaces with a quota by what became of their credits',
+      labelNames: ['outcome'],
+      registers
+    })
     this._addGauges(readGauges)
   }
 
@@ -90,6 +103,11 @@
     this._quarantined.inc()
   }
 
+  /** Counts a request that needs a credit of its workspace. */
+  public countQuota (outcome: QuotaOutcome): void {
+    this._quota.inc({ outcome })
+  }
+
   /** Returns all metrics as text. */
   public async text (): Promise<string> {
     return await this._registry.metrics()
--- a/src/routenode/Types.ts
+++ b/src/routenode/Types.ts
@@ -1,5 +1,6 @@
 import type { DeclineReason, GateLoad } from '../parts/gate/Types.js'
 import type { InstanceIncarnation, InstanceLimit } from '../parts/instances/Types.js'
+import type { QuotaRefusalReason } from '../parts/quota/Types.js'
 import type { Route, RouteKind } from '../parts/routing/Types.js'
 import type { CallId, ServiceName } from '../parts/Types.js'
 
@@ -78,6 +79,8 @@
   readonly workspace?: string
   /** Goes before `priority`; absent without a workspace. */
   readonly workspacePriority?: number
+  /** Used share of the workspace's quota, from 0 to 1 in eighths; absent where it is not known. */
+  readonly shareUsed?: number
   /** Limit that the instance has named to the sender; the node beside the instance may have lost it in a restart. */
   readonly knownLimit?: InstanceLimit
 }
@@ -205,12 +208,21 @@
 export type RoutingRefusalReason = 'no-configuration' | 'no-route' | 'body-too-large' | 'unknown-key'
 
 /** Why the node answered in place of an instance. */
-export type GatewayReason = FailureReason | RefusalReason | RoutingRefusalReason | 'no-instance' | 'retry-budget' | 'caller-gone'
+export type GatewayReason =
+  | FailureReason
+  | RefusalReason
+  | RoutingRefusalReason
+  | QuotaRefusalReason
+  | 'no-instance'
+  | 'retry-budget'
+  | 'caller-gone'
 
 /** Result that the caller receives. */
 export type GatewayResult =
   | { readonly type: 'answer', readonly answer: RoutedAnswer }
   /** The request is proved not to have run. */
   | { readonly type: 'refused', readonly reason: GatewayReason, readonly retryAfterMs: number }
+  /** The workspace of the request has no credit; the request has not run. */
+  | { readonly type: 'limited', readonly reason: QuotaRefusalReason, readonly retryAfterMs: number }
   /** The request may have run. */
   | { readonly type: 'failed', readonly reason: GatewayReason, readonly timedOut: boolean }
--- a/test/support/RouteMesh.ts
+++ b/test/support/RouteMesh.ts
@@ -134,6 +134,8 @@
 export class RouteMesh {
   public readonly nodes: MeshNode[] = []
   private _control!: RouteControlDaemon
+  private _seedAddress = ''
+  private readonly _disk = Object.assign(new MemoryDisk(), { dispose: () => {} })
   private _version = 0
   private _lastId = 0
   private _seed = 0
@@ -142,15 +144,8 @@
   public static async start (count: number): Promise<RouteMesh> {
     const mesh = new RouteMesh()
     const [seed] = await findFreeAddresses(1) as [string]
-    mesh._control = new RouteControlDaemon({
-      settings: { address: seed, seeds: [seed], bootstrap: true, toleratedLosses: 0 },
-      disk: Object.assign(new MemoryDisk(), { dispose: () => {} }),
-      clock: new SystemClock(),
-      random: new SeededRandom(1),
-      log: SILENT_LOG,
-      onFault: error => { throw error }
-    })
-    await mesh._control.start()
+    mesh._seedAddress = seed
+    await mesh._startControl()
     for (let i = 0; i < count; i++) await mesh._addNode(seed, i)
     await mesh.configure(makeRoute('read', 'idempotent'), makeRoute('once', 'once'))
     for (const node of mesh.nodes) await mesh.awaitInstances(node, count)
@@ -219,6 +214,12 @@
     await this.awaitInstances(node, instances)
   }
 
+  /** Ends the control replica at once and starts it anew with its disk. */
+  public async restartControl (): Promise<void> {
+    this._control.dispose()
+    await this._startControl()
+  }
+
   /** Crashes an instance; its next incarnation starts and reports itself after a short while. */
   public async crash ({ daemon, instance }: MeshNode): Promise<void> {
     instance.crash()
@@ -235,6 +236,18 @@
     this._control.dispose()
   }
 
+  private async _startControl (): Promise<void> {
+    this._control = new RouteControlDaemon({
+      settings: { address: this._seedAddress, seeds: [this._seedAddress], bootstrap: true, toleratedLosses: 0 },
+      disk: this._disk,
+      clock: new SystemClock(),
+      random: new SeededRandom(1),
+      log: SILENT_LOG,
+      onFault: error => { throw error }
+    })
+    await this._control.start()
+  }
+
   private async _addNode (seed: string, index: number): Promise<void> {
     const [callerAddress, nodeAddress, instanceAddress] = await findFreeAddresses(3) as [string, string, string]
     const instance = new MockInstance(`i-${index}`, instanceAddress)
