--- a/src/routenode/Constants.ts
+++ b/src/routenode/Constants.ts
@@ -130,3 +130,12 @@
  * 100 KB, keep such a link busy for more than 10 ms.
  */
 export const SLOW_LINK_MBPS = 100
+
+/**
+ * Step of the wall clock against the monotonic clock after which the process may have been suspended, in milliseconds:
+ * above what a time service corrects between two events of a node.
+ */
+export const CLOCK_STEP_MS = 100
+
+/** Interval at which the position of a node among all nodes is computed anew while it is needed, in milliseconds. */
+export const RANK_INTERVAL_MS = 1000
--- a/src/routenode/ControlFeed.ts
+++ b/src/routenode/ControlFeed.ts
@@ -3,6 +3,7 @@
 import type { EvacuationState } from '../parts/evacuation/Types.js'
 import type { NodeEntry } from '../parts/instances/Types.js'
 import type { CrashReport } from '../parts/quarantine/Types.js'
+import type { QuotaAnswer, QuotaMessage } from '../parts/quota/Types.js'
 import type { RoutingDelta, VersionedRouting } from '../parts/routing/Types.js'
 import { applyPatch } from '../parts/routing/RoutingDelta.js'
 import type { Random } from '../parts/Types.js'
@@ -51,6 +52,7 @@
   private readonly _welcomeEmitter = new Emitter<FeedWelcome>()
   private readonly _entriesEmitter = new Emitter<readonly NodeEntry[]>()
   private readonly _crashReportsEmitter = new Emitter<readonly CrashReport[]>()
+  private readonly _quotaAnswerEmitter = new Emitter<QuotaAnswer>()
   private readonly _routingEmitter = new Emitter<VersionedRouting>()
   private readonly _evacuationEmitter = new Emitter<EvacuationUpdate>()
   private _replicaAddresses: string[]
@@ -75,6 +77,7 @@
     entries: ({ entries }) => this._entriesEmitter.fire(entries),
     crashReports: ({ reports }) => this._crashReportsEmitter.fire(reports),
     evacuation: ({ evacuation }) => this._applyEvacuation(evacuation, 0),
+    quotaAnswer: ({ answer }) => this._quotaAnswerEmitter.fire(answer),
     // A replica that turns this node away may itself have an old list, so its list adds to what is known.
     controls: ({ controls }) => this._setReplicaAddresses(
       this._isWelcomed ? controls : [...controls, ...this._replicaAddresses]
@@ -108,6 +111,9 @@
   /** Fires with reports of requests that may have crashed instances. */
   public readonly onCrashReports = this._crashReportsEmitter.event
 
+  /** Fires with the answers of the leader about quotas. */
+  public readonly onQuotaAnswer = this._quotaAnswerEmitter.event
+
   /** Fires with each newer version of the routing configuration. */
   public readonly onRouting = this._routingEmitter.event
 
@@ -151,6 +157,11 @@
     this._channel?.send({ type: 'crashReports', reports })
   }
 
+  /** Sends a message about quotas, unless there is no connection. */
+  public sendQuotaMessage (message: QuotaMessage): void {
+    if (this._isWelcomed) this._channel?.send({ type: 'quotaAsk', message })
+  }
+
   /** Closes the connection. */
   public dispose (): void {
     this._isDisposed = true
--- a/src/routenode/GatewayCall.test.ts
+++ b/src/routenode/GatewayCall.test.ts
@@ -11,7 +11,9 @@
 import type { Placement } from './Placement.js'
 import type { QuarantineRefusal } from './Quarantine.js'
 import { SharedRetryBudgets } from './SharedRetryBudgets.js'
-import type { AttemptKind, GatewayResult, RoutedAnswer, RoutedCall, RoutedCallListener } from './Types.js'
+import type {
+  AttemptKind, CallerWorkspace, GatewayResult, RoutedAnswer, RoutedCall, RoutedCallListener
+} from './Types.js'
 
 const IDLE: GateLoad = { running: 0, queued: 0, limit: 4, slowness: 1, workMs: 50, failing: 0 }
 const ANSWER: RoutedAnswer = { status: 200, headers: [], body: new Uint8Array(0) }
@@ -32,6 +34,7 @@
 let result: GatewayResult | undefined
 let refusal: QuarantineRefusal | undefined
 let exclusion: ZoneExclusion | undefined
+let workspace: CallerWorkspace | undefined
 
 beforeEach(() => { vi.useFakeTimers({ now: 1000 }) })
 
@@ -42,6 +45,7 @@
   result = undefined
   refusal = undefined
   exclusion = undefined
+  workspace = undefined
 })
 
 function start (
@@ -74,6 +78,7 @@
     hedgePolicy,
     quarantine: { check: () => refusal },
     retryBudgets: new SharedRetryBudgets({ ratio: 1, slack, windowMs: 10_000 }),
+    shareUsed: name => name === 'acme' ? 0.375 : undefined,
     nextCallId: () => ++lastId,
     nodeCount: () => 1
   }
@@ -99,7 +104,7 @@
     service: 's',
     version: 1,
     parentAttemptKind,
-    workspace: undefined,
+    workspace,
     deadlineMs: 1000,
     arrivedAtMs: clock.nowMs(),
     objectiveAtMs: clock.nowMs() + 500,
@@ -360,3 +365,12 @@
   first.listener.onDeclined('no-slots', 0, { ...IDLE, limit: 0 })
   expect(sentCalls.map(({ node }) => node).sort()).toEqual(['a', 'b'])
 })
+
+// The gate of the instance orders workspaces by it.
+test('a call tells which share of its quota the workspace has used, where that is known', () => {
+  workspace = { name: 'acme', priority: 0 }
+  start(['a'])
+  workspace = { name: 'other', priority: 0 }
+  start(['a'])
+  expect(sentCalls.map(({ call }) => call.shareUsed)).toEqual([0.375, undefined])
+})
--- a/src/routenode/GatewayCall.ts
+++ b/src/routenode/GatewayCall.ts
@@ -27,6 +27,8 @@
   readonly quarantine: Pick<Quarantine, 'check'>
   /** Rate of the link of this VM, among others; absent when that is not counted. */
   readonly bodies?: BodyResources
+  /** Returns the used share of a workspace's quota; undefined where it is not known. */
+  shareUsed? (workspace: string): number | undefined
   /** Returns an id that no other call of this node has. */
   nextCallId (): CallId
   /** Returns the number of nodes that share the retry budgets. */
@@ -246,10 +248,12 @@
     const nowMs = this._context.clock.nowMs()
     const knownLimit = this._context.placement.findKnownLimit(node)
     const coldPerS = this._context.placement.findColdPerS(service)
+    const shareUsed = workspace === undefined ? undefined : this._context.shareUsed?.(workspace.name)
     return {
       ...(coldPerS === undefined ? {} : { coldPerS }),
       ...(knownLimit === undefined ? {} : { knownLimit }),
       ...(workspace === undefined ? {} : { workspace: workspace.name, workspacePriority: workspace.priority }),
+      ...(shareUsed === undefined ? {} : { shareUsed }),
       id,
       service,
       method,
--- a/src/routenode/RouteNodeDaemon.ts
+++ b/src/routenode/RouteNodeDaemon.ts
@@ -18,6 +18,7 @@
 import { InstanceProxy } from './InstanceProxy.js'
 import { Placement } from './Placement.js'
 import { Quarantine } from './Quarantine.js'
+import { QuotaHost } from './QuotaHost.js'
 import { type NodeGauges, RouteNodeMetrics } from './RouteNodeMetrics.js'
 import { SharedRetryBudgets } from './SharedRetryBudgets.js'
 import type { HeaderNames } from './Types.js'
@@ -75,6 +76,7 @@
   private readonly _evacuation: ZoneEvacuation
   private readonly _instanceProxy: InstanceProxy
   private readonly _placement: Placement
+  private readonly _quotas: QuotaHost
   private readonly _gateway: Gateway
   private readonly _callServer: CallServer
   private readonly _controlFeed: ControlFeed
@@ -124,6 +126,15 @@
       bodies: this._bodies,
       drawExclusion: () => this._evacuation.drawExclusion()
     })
+    this._quotas = new QuotaHost({
+      self: settings.nodeAddress,
+      incarnation: () => this._epoch,
+      directory: this._directory,
+      clock,
+      random,
+      metrics: this.metrics,
+      send: message => this._controlFeed.sendQuotaMessage(message)
+    })
     this._gateway = new Gateway({
       names: settings.names,
       clock,
@@ -134,6 +145,8 @@
       retryBudgets: new SharedRetryBudgets(settings.retryLimits),
       hedgePolicy: new HedgePolicy(),
       quarantine: this._quarantine,
+      quotas: this._quotas,
+      shareUsed: workspace => this._quotas.shareUsed(workspace),
       callerService: () => this._instanceProxy.service,
       findRunning: requestId => this._instanceProxy.findRunning(requestId),
       isInTouch: () => this._controlFeed.replicaAddress !== undefined,
@@ -219,6 +232,7 @@
   /** Closes all listeners and connections at once. */
   public dispose (): void {
     this._controlFeed.dispose()
+    this._quotas.dispose()
     this._gateway.dispose()
     this._callServer.dispose()
     this._placement.dispose()
@@ -257,6 +271,7 @@
     this._controlFeed.onEvacuation(update => this._evacuation.apply(update))
     this._evacuation.onGateChange(() => this._instanceProxy.applyZoneClosure())
     this._evacuation.onEnd(() => this._instanceProxy.assumeCold())
+    this._controlFeed.onQuotaAnswer(answer => this._quotas.receive(answer))
     this._controlFeed.onRouting(routing => this._apply(routing))
   }
 
@@ -286,6 +301,7 @@
     if (own !== undefined && own.epoch > this._epoch) this._epoch = own.epoch + 1
     // The instance may have reported after the hello frame was sent; such a report has not been published yet.
     if (!isSamePublication(this._sentEntry, this._makeEntry())) this._publish()
+    this._quotas.notifyConnected()
   }
 
   private _onEntries (entries: readonly NodeEntry[]): void {
--- a/src/routenode/RouteNodeMetrics.ts
+++ b/src/routenode/RouteNodeMetrics.ts
@@ -8,6 +8,12 @@
 /** The single outcome of a caller's request; `gone` means that the caller disconnected first. */
 export type RequestOutcome = 'answered' | 'refused' | 'failed' | 'gone'
 
+/**
+ * What became of a request that needs a credit: `requested` counts all, `fallback` those that a node without contact
+ * admitted, and `returned` those whose credit was given back.
+ */
+export type QuotaOutcome = 'requested' | 'granted' | 'refused' | 'fallback' | 'returned'
+
 /** Values of the gauges, read when the metrics are fetched. */
 export interface NodeGauges {
   readonly ready: boolean
@@ -42,6 +48,7 @@
   private readonly _bodyBytes: Counter<'direction'>
   private readonly _bodiesRefused: Counter<'origin'>
   private _openTransfers = 0
+  private readonly _quota: Counter<'outcome'>
 
   /**
    * @param readGauges Returns the current values of the gauges.
@@ -73,6 +80,12 @@
     this._bodiesRefused = new Counter({
       name: 'sassafras_bodies_refused_total', help: 'Bodies refused for memory', labelNames: ['origin'], registers
     })
+    this._quota = new Counter({
+      name: 'sassafras_quota_requests_total',
+      help: 'Requests of workspaces with a quota by what became of their credits',
+      labelNames: ['outcome'],
+      registers
+    })
     this._addGauges(readGauges)
   }
 
@@ -129,6 +142,11 @@
     this._bodiesRefused.inc({ origin })
   }
 
+  /** Counts a request that needs a credit of its workspace. */
+  public countQuota (outcome: QuotaOutcome): void {
+    this._quota.inc({ outcome })
+  }
+
   /** Returns all metrics as text. */
   public async text (): Promise<string> {
     return await this._registry.metrics()
--- a/src/routenode/Types.ts
+++ b/src/routenode/Types.ts
@@ -1,5 +1,6 @@
 import type { DeclineReason, GateLoad } from '../parts/gate/Types.js'
 import type { InstanceIncarnation, InstanceLimit } from '../parts/instances/Types.js'
+import type { QuotaRefusalReason } from '../parts/quota/Types.js'
 import type { Route, RouteKind } from '../parts/routing/Types.js'
 import type { CallId, ServiceName } from '../parts/Types.js'
 
@@ -244,13 +245,21 @@
 
 /** Why the node answered in place of an instance. */
 export type GatewayReason =
-  | FailureReason | RefusalReason | RoutingRefusalReason
-  | 'no-instance' | 'zones-evacuated' | 'retry-budget' | 'caller-gone'
+  | FailureReason
+  | RefusalReason
+  | RoutingRefusalReason
+  | QuotaRefusalReason
+  | 'no-instance'
+  | 'zones-evacuated'
+  | 'retry-budget'
+  | 'caller-gone'
 
 /** Result that the caller receives. */
 export type GatewayResult =
   | { readonly type: 'answer', readonly answer: RoutedAnswer }
   /** The request is proved not to have run. */
   | { readonly type: 'refused', readonly reason: GatewayReason, readonly retryAfterMs: number }
+  /** The workspace of the request has no credit; the request has not run. */
+  | { readonly type: 'limited', readonly reason: QuotaRefusalReason, readonly retryAfterMs: number }
   /** The request may have run. */
   | { readonly type: 'failed', readonly reason: GatewayReason, readonly timedOut: boolean }
--- a/test/support/RouteMesh.ts
+++ b/test/support/RouteMesh.ts
@@ -165,6 +165,8 @@
   public readonly nodes: MeshNode[] = []
   private _control!: Pick<RouteControlDaemon, 'change'>
   private _ownControl: RouteControlDaemon | undefined
+  private _seedAddress = ''
+  private readonly _disk = Object.assign(new MemoryDisk(), { dispose: () => {} })
   private _version = 0
   private _lastId = 0
   private _seed = 0
@@ -175,7 +177,8 @@
   ): Promise<RouteMesh> {
     const mesh = new RouteMesh()
     const seeds = group?.addresses ?? await findFreeAddresses(1)
-    mesh._control = group ?? await mesh._startControl(seeds[0] as string)
+    mesh._seedAddress = seeds[0] as string
+    mesh._control = group ?? await mesh._startControl()
     for (let i = 0; i < count; i++) {
       await mesh._addNode(seeds, i, { zone: zones[i % zones.length] as string, ...settings(i) })
     }
@@ -253,6 +256,12 @@
     await this.awaitInstances(node, instances)
   }
 
+  /** Ends the control replica at once and starts it anew with its disk. */
+  public async restartControl (): Promise<void> {
+    this._ownControl?.dispose()
+    this._control = await this._startControl()
+  }
+
   /** Crashes an instance; its next incarnation starts and reports itself after a short while. */
   public async crash ({ daemon, instance }: MeshNode): Promise<void> {
     instance.crash()
@@ -269,10 +278,10 @@
     this._ownControl?.dispose()
   }
 
-  private async _startControl (seed: string): Promise<RouteControlDaemon> {
+  private async _startControl (): Promise<RouteControlDaemon> {
     this._ownControl = new RouteControlDaemon({
-      settings: { address: seed, seeds: [seed], bootstrap: true, toleratedLosses: 0 },
-      disk: Object.assign(new MemoryDisk(), { dispose: () => {} }),
+      settings: { address: this._seedAddress, seeds: [this._seedAddress], bootstrap: true, toleratedLosses: 0 },
+      disk: this._disk,
       clock: new SystemClock(),
       random: new SeededRandom(1),
       log: SILENT_LOG,
