Send uploads in the soak, and end refusals of bodies without a reset

Cause: no run on real processes sent bodies. A refusal before the body was read closed the connection while its caller was sending, so that a caller that reads after it has sent got EPIPE in place of the 503. Bodies that come with their calls were not counted, and the gate expected slots of uploads to be free as soon as those of other calls.

Change: a fifth of the soak's requests are uploads with bodies up to 360 KB, derived from their ids; the rule `whole-upload` compares what instances read, `at-most-once` counts their runs. Nodes there have 4 MB, so that memory refuses some. A refused body is read and discarded for at most 5 s before its connection closes. The expected wait at a gate includes the time for which slots are held before the run.

`test/LargeBodies.test.ts` (reads nothing) fails with EPIPE when the refusal ends at once.

--- a/soak/Constants.ts
+++ b/soak/Constants.ts
@@ -29,9 +29,20 @@
 /** Time past the timeout until a caller gives up, in milliseconds: an answer may arrive late on a busy machine. */
 export const CALLER_TIMEOUT_SLACK_MS = 500
 
-/** Shares of idempotent and of at-most-once requests; the others use the newest route that their node must know. */
+/**
+ * Shares of idempotent requests, of at-most-once requests and of uploads; the others use the newest route that their
+ * node must know.
+ */
 export const READ_SHARE = 0.4
-export const AT_MOST_ONCE_SHARE = 0.5
+export const AT_MOST_ONCE_SHARE = 0.3
+export const UPLOAD_SHARE = 0.2
+
+/** Beginning of the paths of uploads, and the size of their largest bodies in bytes: that of the users. */
+export const UPLOAD_PATH = '/upload/'
+export const MAX_UPLOAD_BYTES = 360 * 1024
+
+/** Memory of a node in megabytes, of which bodies may take a quarter: some of the uploads are refused. */
+export const NODE_MEMORY_MB = 4
 
 /**
  * Time after the acknowledgement of a drain in which an instance may still receive requests, in milliseconds. The
--- a/soak/SoakCaller.ts
+++ b/soak/SoakCaller.ts
@@ -1,7 +1,10 @@
 import { Agent, request } from 'node:http'
 import type { Random } from '../src/parts/Types.js'
-import { CALLER_TIMEOUT_MS, MAX_CALLER_PAUSE_MS, CALLER_TIMEOUT_SLACK_MS, AT_MOST_ONCE_SHARE, READ_SHARE } from './Constants.js'
-import type { SoakLedger } from './SoakLedger.js'
+import {
+  AT_MOST_ONCE_SHARE, CALLER_TIMEOUT_MS, CALLER_TIMEOUT_SLACK_MS, MAX_CALLER_PAUSE_MS, READ_SHARE, UPLOAD_PATH,
+  UPLOAD_SHARE
+} from './Constants.js'
+import { type SoakLedger, uploadBody } from './SoakLedger.js'
 
 /** Outcome of a request for its caller: `cut` is a lost connection, `refused` a status that promises no run. */
 export type CallOutcome = 'answered' | 'refused' | 'failed' | 'cut' | 'timeout'
@@ -56,7 +59,8 @@
   public async call (path: string): Promise<CallOutcome> {
     const { host, port, node, ledger, onEnd } = this._context
     const id = `${this._name}-${++this._requestCount}`
-    ledger.recordRequest(id, path.startsWith('/once/'), node)
+    const body = path.startsWith(UPLOAD_PATH) ? uploadBody(id) : undefined
+    ledger.recordRequest(id, body !== undefined || path.startsWith('/once/'), node)
     return await new Promise(resolve => {
       let isEnded = false
       let localPort: number | undefined
@@ -68,7 +72,8 @@
         resolve(outcome)
       }
       const headers = { host: 'h.example', 'x-request-id': id, 'x-deadline-ms': String(CALLER_TIMEOUT_MS) }
-      const call = request({ host, port, path, headers, agent: this._agent }, answer => {
+      const method = body === undefined ? 'GET' : 'POST'
+      const call = request({ host, port, path, method, headers, agent: this._agent }, answer => {
         const chunks: Buffer[] = []
         answer.on('data', (chunk: Buffer) => chunks.push(chunk))
         answer.on('error', () => finish('cut'))
@@ -97,7 +102,7 @@
         else readPort()
       })
       call.on('error', () => finish('cut'))
-      call.end()
+      call.end(body)
     })
   }
 
@@ -106,6 +111,7 @@
     const share = random.next()
     if (share < READ_SHARE) return '/read/x'
     if (share < READ_SHARE + AT_MOST_ONCE_SHARE) return '/once/x'
+    if (share < READ_SHARE + AT_MOST_ONCE_SHARE + UPLOAD_SHARE) return `${UPLOAD_PATH}x`
     return `/gen-${expectedVersion()}/x`
   }
 }
--- a/soak/SoakInstance.ts
+++ b/soak/SoakInstance.ts
@@ -1,7 +1,7 @@
 import { createServer, request } from 'node:http'
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import type { Random } from '../src/parts/Types.js'
-import { DRAIN_GRACE_MS, LIMIT_RANGE_PER_S, MIN_LIMIT_PER_S, POISON_PATH, PORTS } from './Constants.js'
+import { DRAIN_GRACE_MS, LIMIT_RANGE_PER_S, MIN_LIMIT_PER_S, POISON_PATH, PORTS, UPLOAD_PATH } from './Constants.js'
 import { expectedBody, type SoakLedger } from './SoakLedger.js'
 
 /** Interval of the reports to the node and the timeout of their acknowledgement, in milliseconds. */
@@ -122,7 +122,20 @@
       return
     }
     const workMs = this._random.next() < LONG_RUN_SHARE ? LONG_RUN_MS : MIN_RUN_MS + RUN_JITTER_MS * this._random.next()
-    setTimeout(() => this._answer(id, response), workMs)
+    const run = (): void => { setTimeout(() => this._answer(id, response), workMs) }
+    if (message.url?.startsWith(UPLOAD_PATH) === true) this._readUpload(id, message, run)
+    else run()
+  }
+
+  private _readUpload (id: string, message: IncomingMessage, onWhole: () => void): void {
+    const chunks: Buffer[] = []
+    message.on('data', (chunk: Buffer) => chunks.push(chunk))
+    message.on('error', () => {})
+    message.once('end', () => {
+      this._ledger.recordUpload(id, this.id, Buffer.concat(chunks))
+      onWhole()
+    })
+    message.once('close', () => { if (!message.complete) this._running-- })
   }
 
   private _answerWithoutRun (message: IncomingMessage): ResponseHead | undefined {
--- a/soak/SoakLedger.test.ts
+++ b/soak/SoakLedger.test.ts
@@ -1,6 +1,6 @@
 import { expect, test } from 'vitest'
 import { DRAIN_GRACE_MS, QUARANTINE_RULE, RETRY_BUDGET, STABLE_WINDOW_MS } from './Constants.js'
-import { expectedBody, SoakLedger } from './SoakLedger.js'
+import { expectedBody, SoakLedger, uploadBody } from './SoakLedger.js'
 import type { Rule } from './Types.js'
 
 /** Returns the rules that were violated by what `record` does to a ledger. */
@@ -84,3 +84,13 @@
   expect(findBrokenRules(crashFor(QUARANTINE_RULE.crashes + QUARANTINE_RULE.runs))).toEqual([])
   expect(findBrokenRules(crashFor(QUARANTINE_RULE.crashes + QUARANTINE_RULE.runs + 1))).toEqual(['quarantine'])
 })
+
+test('an upload that an instance reads with a lost or changed byte is a violation', () => {
+  expect(findBrokenRules(ledger => {
+    const body = uploadBody('a')
+    ledger.recordUpload('a', 'i', body)
+    ledger.recordUpload('a', 'i', body.subarray(1))
+    body[0] = (body[0] ?? 0) ^ 1
+    ledger.recordUpload('a', 'i', body)
+  })).toEqual(['whole-upload', 'whole-upload'])
+})
--- a/soak/SoakLedger.ts
+++ b/soak/SoakLedger.ts
@@ -1,4 +1,6 @@
-import { RETRY_BUDGET, DRAIN_GRACE_MS, QUARANTINE_RULE, STABLE_WINDOW_MS } from './Constants.js'
+import { SeededRandom } from '../src/parts/SeededRandom.js'
+import { hashText } from '../src/parts/TextHash.js'
+import { RETRY_BUDGET, DRAIN_GRACE_MS, MAX_UPLOAD_BYTES, QUARANTINE_RULE, STABLE_WINDOW_MS } from './Constants.js'
 import { NoticeLedger } from './NoticeLedger.js'
 import type { Rule, Violation } from './Types.js'
 
@@ -19,6 +21,17 @@
   return `${id}|`.repeat(Math.ceil(length / (id.length + 1))).slice(0, length)
 }
 
+/** Returns the body of an upload; its length and content vary with the id, so that lost or mixed-up chunks show. */
+export function uploadBody (id: string): Buffer {
+  const random = new SeededRandom(hashText(0, id))
+  const body = Buffer.alloc(1 + Math.floor(MAX_UPLOAD_BYTES * random.next() ** 2))
+  for (let i = 0; i < body.length; i += UPLOAD_MARK_STEP) body[i] = 256 * random.next()
+  return body
+}
+
+/** Distance between the bytes of an upload that vary, in bytes: some in each chunk. */
+const UPLOAD_MARK_STEP = 1000
+
 /** Records what callers sent and instances ran, and reports each violated guarantee. Keeps every request in memory. */
 export class SoakLedger {
   public readonly violations: Violation[] = []
@@ -73,6 +86,13 @@
     }
   }
 
+  /** Records that an instance has read the body of an upload to its end. */
+  public recordUpload (id: string, instance: string, body: Buffer): void {
+    const expected = uploadBody(id)
+    if (body.equals(expected)) return
+    this.recordViolation('whole-upload', `${instance} read ${body.length} bytes of ${id}, expected other ${expected.length}`)
+  }
+
   /** Records a run of a path that crashes the instance. */
   public recordPoisonRun (path: string): void {
     const nowMs = this._nowMs()
--- a/soak/SoakOperator.ts
+++ b/soak/SoakOperator.ts
@@ -103,7 +103,7 @@
   }
 }
 
-/** Builds the configuration of a version: one route for each version so far, and two that stay. */
+/** Builds the configuration of a version: one route for each version so far, and three that stay. */
 function buildConfiguration (version: number, base: string | number): object {
   const route = (name: string, kind: string): object => ({
     Name: name,
@@ -120,7 +120,7 @@
   return {
     Version: `r${version}`,
     BaseVersion: base,
-    Routes: [route('read', 'idempotent'), route('once', 'non_idempotent'), ...versionRoutes],
+    Routes: [route('read', 'idempotent'), route('once', 'non_idempotent'), route('upload', 'upload'), ...versionRoutes],
     Services: [{ Name: 'svc', HealthPath: '/healthz', MaxConnections: 200, Protocol: 'h1', Tls: false }],
     Limits: { MaxHeaderBytes: 16384, MaxBodyBytes: 1_000_000, HeaderTimeout: '3000ms', IdleTimeout: '15000ms' }
   }
--- a/soak/SoakSettings.ts
+++ b/soak/SoakSettings.ts
@@ -1,4 +1,4 @@
-import { RETRY_BUDGET, STOP_TIMEOUT_MS, PORTS } from './Constants.js'
+import { NODE_MEMORY_MB, RETRY_BUDGET, STOP_TIMEOUT_MS, PORTS } from './Constants.js'
 import type { VmAddress } from './Types.js'
 
 /** Settings that nodes and control replicas share. */
@@ -30,6 +30,7 @@
 Zone = "${zone}"
 AppAddr = "${host}:${PORTS.instanceEntry}"
 Service = "svc"
+MemoryMb = ${NODE_MEMORY_MB}
 ${commonSettings(seeds, host)}`
 }
 
--- a/soak/Types.ts
+++ b/soak/Types.ts
@@ -40,7 +40,7 @@
 
 /** Guarantees that are checked from what callers, instances and the operator observe. */
 export type Rule =
-  | 'whole-own-answer' | 'at-most-once' | 'true-not-run' | 'no-run-after-drain' | 'no-run-after-leaving' | 'budget'
+  | 'whole-own-answer' | 'whole-upload' | 'at-most-once' | 'true-not-run' | 'no-run-after-drain' | 'no-run-after-leaving' | 'budget'
   | 'request-limit' | 'quarantine'
   | 'accepted-change-kept' | 'no-version-back' | 'planned-stop-cuts-nothing' | 'exit' | 'recovery'
 
--- a/src/parts/gate/InstanceGate.test.ts
+++ b/src/parts/gate/InstanceGate.test.ts
@@ -416,3 +416,19 @@
   expect(wake).toEqual({ type: 'wake', atMs: 950 })
   expect(gate.step({ type: 'tick' }, 950)).toMatchObject([{ type: 'decline', reason: 'too-late' }])
 })
+
+// A slot is held from the promise of a start, so a call that may move must not wait behind several transfers.
+test('calls that wait behind bodies to move are expected to wait longer', () => {
+  const waits = [0, 600].map(transferMs => {
+    const gate = makeGate(1)
+    for (let i = 0; i < 50; i++) {
+      const call = makeCall({ deadlineAtMs: 10_000, transferMs })
+      gate.step({ type: 'offer', call }, 0)
+      gate.step({ type: 'finished', id: call.id, workMs: 50 }, 0)
+    }
+    fill(gate, 1)
+    const [action] = gate.step({ type: 'offer', call: makeCall({ moveMs: 0 }) }, 0)
+    return action?.type === 'decline' ? action.retryAfterMs : NaN
+  }) as [number, number]
+  expect(waits[1] - waits[0]).toBeGreaterThan(500)
+})
--- a/src/parts/gate/InstanceGate.ts
+++ b/src/parts/gate/InstanceGate.ts
@@ -1,7 +1,7 @@
 import type { CallId, Part } from '../Types.js'
 import {
   FAILING_EWMA_WEIGHT, FAILING_STEPS, HEDGE_RESERVE_SHARE, LATE_RESERVE_SHARE, MAX_QUEUED_CALLS, MAX_SLOWNESS_WAIT_MS,
-  SLOWNESS_RECOVERY_MS, SLOWNESS_STEPS_PER_UNIT
+  SLOWNESS_RECOVERY_MS, SLOWNESS_STEPS_PER_UNIT, WORK_TIME_EWMA_WEIGHT
 } from './Constants.js'
 import { CallQueue } from './CallQueue.js'
 import { LateQueueLimit } from './LateQueueLimit.js'
@@ -33,6 +33,8 @@
   private readonly _limit = new SlotLimit()
   private readonly _runStarts = new Map<CallId, RunStart>()
   private readonly _workTimes = new WorkTimeEstimate()
+  /** Moving average of the time for which calls hold their slot before they run, in milliseconds. */
+  private _transferMs = 0
   private readonly _vmSlowness = new VmSlowness()
   private readonly _lateQueueLimit = new LateQueueLimit()
   private readonly _requestRateLimit = new RequestRateLimit()
@@ -117,6 +119,7 @@
     const call = this._running.get(id)
     if (call === undefined) return
     this._running.delete(id)
+    this._transferMs += WORK_TIME_EWMA_WEIGHT * ((call.transferMs ?? 0) - this._transferMs)
     this._failing += FAILING_EWMA_WEIGHT * (Number(workMs === undefined) - this._failing)
     if (workMs !== undefined) this._recordWorkTime(call, workMs)
     this._runStarts.delete(id)
@@ -294,7 +297,8 @@
   /** Expected time until a call that is queued now starts, in milliseconds. */
   private _expectedWaitMs (call: GateCall): number {
     const ahead = this._queue.countAhead(call, queued => this._canMeetObjective(queued))
-    return (ahead + 1) * this._workTimes.overallMs / Math.max(1, this._limit.current(this._nowMs))
+    const slotMs = this._workTimes.overallMs + this._transferMs
+    return (ahead + 1) * slotMs / Math.max(1, this._limit.current(this._nowMs))
   }
 
   private _wakeAt (atMs: number): void {
--- a/src/routenode/CallServer.ts
+++ b/src/routenode/CallServer.ts
@@ -115,13 +115,21 @@
   private _start (session: CallSession, call: RoutedCall): void {
     const { channel, handles, transfer } = session
     const { id } = call
+    const lease = this._bodies.memory.lease()
     let ended = false
     const finish = (frame: CallServerFrame): void => {
       ended = true
+      lease.release()
       handles.delete(id)
       transfer.drop(id)
       channel.send(frame)
     }
+    const cancel = (): void => {
+      lease.release()
+      handle.cancel()
+    }
+    // A body that came with its call is held in any case.
+    lease.grow(call.body.length)
     const handle = this._target.start(call, {
       onAnswer: (answer, load) => {
         finish(buildAnswerFrame(call, answer, load))
@@ -132,7 +140,7 @@
       onBodyWanted: () => this._requestBody(session, call)
     })
     // The target may have answered before it returned.
-    if (!ended) handles.set(id, handle)
+    if (!ended) handles.set(id, { ...handle, cancel })
   }
 
   private _requestBody ({ channel, handles, transfer }: CallSession, { id, bodyBytes = 0 }: RoutedCall): void {
--- a/src/routenode/Constants.ts
+++ b/src/routenode/Constants.ts
@@ -109,5 +109,11 @@
 /** Retry-After of a body that is refused for memory while the rate of the link is not known, in milliseconds. */
 export const BODY_RETRY_AFTER_MS = 1000
 
+/**
+ * Time for which the rest of a body is read and discarded after its upload was refused, in milliseconds: a connection
+ * that is closed while its caller sends is reset, and the caller may not get the refusal.
+ */
+export const REFUSED_BODY_LINGER_MS = 5000
+
 /** Interval at which expired suspects are removed while requests arrive, in milliseconds. */
 export const QUARANTINE_SWEEP_INTERVAL_MS = 1000
--- a/src/routenode/Gateway.ts
+++ b/src/routenode/Gateway.ts
@@ -15,7 +15,9 @@
 import { listenOn } from '../runtime/Listen.js'
 import type { Disposable, Log } from '../runtime/Types.js'
 import type { BodyResources } from './BodyTransfer.js'
-import { BODY_RETRY_AFTER_MS, NOT_READY_RETRY_AFTER_MS, RETRY_AFTER_MAX_SHARE, RETRY_AFTER_JITTER } from './Constants.js'
+import {
+  BODY_RETRY_AFTER_MS, NOT_READY_RETRY_AFTER_MS, REFUSED_BODY_LINGER_MS, RETRY_AFTER_MAX_SHARE, RETRY_AFTER_JITTER
+} from './Constants.js'
 import { GatewayCall, type GatewayContext } from './GatewayCall.js'
 import { AnswerSizeEstimate } from './AnswerSizeEstimate.js'
 import { CallerConnections } from './CallerConnections.js'
@@ -146,10 +148,11 @@
     readBody(message, this._callerLimits.maxBodyBytes, result => {
       clearTimeout(timer)
       // A request that was refused as late must not run.
-      if (result.type !== 'whole' || response.writableEnded) lease.release()
+      const isRefused = response.headersSent
+      if (result.type !== 'whole' || isRefused) lease.release()
       if (result.type === 'tooLarge') this._refuse(message, response, 413, 'body-too-large')
       if (result.type === 'noRoom') this._refuseForMemory(message, response, entry.route)
-      if (result.type !== 'whole' || response.writableEnded) return
+      if (result.type !== 'whole' || isRefused) return
       if (!isUpload) lease.grow(result.bytes.length)
       const request = this._buildRequest(message, entry, table, origin, result.bytes, arrivedAtMs)
       this._start(message, response, request, lease)
@@ -163,11 +166,11 @@
     const { names, log } = this._options
     const limitMs = Math.min(readDeadlineMs(message, names.deadlineMs) ?? DEFAULT_DEADLINE_MS, route.timeoutMs)
     return setTimeout(() => {
-      if (message.complete || response.destroyed) return
+      if (message.complete || response.headersSent || response.destroyed) return
       log.info({ requestId: readHeader(message, names.requestId), route: route.name, limitMs }, 'upload did not arrive in time')
+      // Node.js may not tell the end of a message whose response has ended.
+      response.once('close', () => lease.release())
       this._refuse(message, response, 503, 'body-late', 0)
-      // Node.js does not tell the end of a message whose response has ended.
-      lease.release()
     }, limitMs)
   }
 
@@ -308,15 +311,15 @@
     message: IncomingMessage, response: ServerResponse, status: number, reason: GatewayReason, retryAfterMs?: number
   ): void {
     if (response.headersSent || response.destroyed) return
-    // The unread rest of a body must not be parsed as the next request. One that has no room is read and discarded: its
-    // caller may read the refusal only after it has sent the body.
-    if (!message.complete && reason !== 'body-memory') response.setHeader('connection', 'close')
+    // The unread rest of a body must not be parsed as the next request.
+    if (!message.complete) response.setHeader('connection', 'close')
     const requestId = readHeader(message, this._options.names.requestId)
     if (requestId !== undefined) response.setHeader(this._options.names.requestId, requestId)
     if (retryAfterMs !== undefined) response.setHeader('retry-after', (retryAfterMs / MS_PER_SECOND).toFixed(3))
     const text = JSON.stringify({ reason, notRun: status === 503 })
     response.writeHead(status, { 'content-type': 'application/json', 'content-length': Buffer.byteLength(text) })
-    response.end(text)
+    if (message.complete || !LINGERING_REASONS.has(reason)) response.end(text)
+    else endAfterBody(message, response, text)
   }
 
   private _recordEnd (request: GatewayRequest, call: GatewayCall, result: GatewayResult | undefined): void {
@@ -364,6 +367,18 @@
 
 const OUTCOME_BY_RESULT = { answer: 'answered', refused: 'refused', failed: 'failed', gone: 'gone' } as const
 
+/** Reasons to refuse a request whose body is still arriving. */
+const LINGERING_REASONS: ReadonlySet<GatewayReason> = new Set(['body-memory', 'body-late'])
+
+/** Sends a refusal at once, and ends the response, which closes the connection, when the body has been discarded. */
+function endAfterBody (message: IncomingMessage, response: ServerResponse, text: string): void {
+  const timer = setTimeout(() => message.socket.destroy(), REFUSED_BODY_LINGER_MS)
+  message.once('end', () => response.end())
+  response.once('close', () => clearTimeout(timer))
+  message.resume()
+  response.write(text)
+}
+
 /** Statuses that guarantee that a request has not run and never will. */
 const NOT_EXECUTED_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503])
 
--- a/test/LargeBodies.test.ts
+++ b/test/LargeBodies.test.ts
@@ -306,13 +306,33 @@
   await awaitNoBodies(started)
 })
 
-// A caller that sends its whole body before it reads must find the refusal, not a reset.
-test('a caller that sends its body in spite of the refusal receives it', async () => {
+// A connection that is closed while its caller sends is reset, which takes the refusal with it.
+test('a caller that reads nothing before it has sent its body receives the refusal, also during a planned stop', async () => {
   const { caller } = await startMesh(2, { memoryMb: SMALL_MEMORY_MB })
-  for (let i = 0; i < 5; i++) expect((await startUpload(caller, makeBody(HUGE_BYTES)).result).status).toBe(503)
+  expect(await sendBeforeReading(caller, HUGE_BYTES)).toMatch(/^HTTP\/1.1 503 /)
+  const stopped = caller.daemon.stop()
+  expect(await sendBeforeReading(caller, HUGE_BYTES)).toMatch(/^HTTP\/1.1 503 /)
+  await stopped
   expect(readBodies(caller).heldBytes).toBe(0)
 })
 
+/** Sends an upload and then reads; returns the beginning of the answer, or the error of the connection. */
+async function sendBeforeReading ({ settings }: MeshNode, bytes: number): Promise<string> {
+  const socket = connect(parseAddress(settings.callerAddress))
+  return await new Promise(resolve => {
+    socket.once('error', error => resolve(error.message))
+    socket.pause()
+    socket.write(`POST /upload/x HTTP/1.1\r\nhost: h.example\r\n${HEADER_NAMES.requestId}: raw\r\ncontent-length: ${bytes}\r\n\r\n`)
+    socket.write(makeBody(bytes), () => {
+      socket.once('data', chunk => {
+        resolve(String(chunk))
+        socket.destroy()
+      })
+      socket.resume()
+    })
+  })
+}
+
 test('a body of unknown length is refused once the memory has no room for what has arrived', async () => {
   const { started, caller } = await startMesh(2, { memoryMb: SMALL_MEMORY_MB })
   const upload = openUpload(caller, undefined)
