Test large answers at a stop, late bodies and answers before the body is read

Change: tests of a planned stop while another node receives a large answer, of a body that is completed after its refusal, of the connection of an instance that answers early, and of a message that is sent while a channel finishes.

--- a/src/runtime/FrameChannel.test.ts
+++ b/src/runtime/FrameChannel.test.ts
@@ -81,3 +81,28 @@
   socket.destroy()
   server.dispose()
 })
+
+// A write after the end destroys the socket: a reply to a late ping must not take a large answer with it.
+test('a message that is sent while the channel finishes is dropped, and those before it arrive', async () => {
+  const clock = new SystemClock()
+  const server = new FrameServer<NoteMessage, NoteMessage>(clock)
+  const address = await server.listen('127.0.0.1:0')
+  const client = new FrameClient<NoteMessage, NoteMessage>(address, clock, new SeededRandom(1))
+  const large = { type: 'note', number: 1, bytes: new Uint8Array(12 * 1024 * 1024) } as const
+  server.onChannel(channel => channel.onMessage(() => {
+    channel.send(large)
+    channel.finish(1000).catch(() => {})
+    channel.send({ ...large, number: 2 })
+  }))
+  const received: number[] = []
+  const closed = new Promise<void>(resolve => client.onDisconnect(() => resolve()))
+  client.onChannel(channel => {
+    channel.onMessage(({ number }) => received.push(number))
+    channel.send({ ...large, bytes: new Uint8Array(1) })
+  })
+  client.start()
+  await closed
+  client.dispose()
+  server.dispose()
+  expect(received).toEqual([1])
+})
--- a/test/LargeBodies.test.ts
+++ b/test/LargeBodies.test.ts
@@ -95,16 +95,20 @@
   await awaitNoBodies(started)
 })
 
-test('an instance may answer before it has read the body', async () => {
+// The rest of the body would keep the connection and its memory for as long as the instance does not read.
+test('an instance may answer before it has read the body, whose rest is not sent', async () => {
   const { started, caller } = await startMesh(2)
   const [, { instance }] = started.nodes as [MeshNode, MeshNode]
+  const closedConnections: Array<Promise<number>> = []
   instance.behaviour = (incoming, response) => {
-    incoming.pause()
+    const { socket } = incoming
+    closedConnections.push(new Promise(resolve => socket.once('close', () => resolve(socket.bytesRead))))
     instance.answer(incoming, response)
   }
   for (let i = 0; i < 3; i++) expect((await startUpload(caller, makeBody(HUGE_BYTES)).result).status).toBe(200)
   expect(instance.ran).toHaveLength(3)
   await awaitNoBodies(started)
+  for (const readBytes of await Promise.all(closedConnections)) expect(readBytes).toBeLessThan(HUGE_BYTES)
 })
 
 function reject ({ headers }: IncomingMessage, response: ServerResponse, instance: MockInstance): void {
@@ -268,6 +272,39 @@
   await stopped
 })
 
+test('a planned stop of the instance\'s node waits for another node that receives a large answer slowly', async () => {
+  const { started } = await startMesh(2)
+  const [, stopping] = started.nodes as [MeshNode, MeshNode]
+  const answer = makeBody(LARGE_BYTES)
+  stopping.instance.behaviour = ({ headers }, response) => {
+    const id = String(headers[HEADER_NAMES.requestId])
+    response.writeHead(200, { [HEADER_NAMES.requestId]: id, [HEADER_NAMES.signature]: 's', 'content-length': answer.length })
+    response.end(answer)
+  }
+  const socket = connect(parseAddress(stopping.nodeAddress))
+  const channel = new FrameChannel<CallServerFrame, CallClientFrame>(socket, new SystemClock())
+  const chunks: Uint8Array[] = []
+  let acknowledge = (): void => {}
+  const closed = new Promise(resolve => channel.onClose(resolve))
+  const begun = new Promise<void>(resolve => channel.onMessage(frame => {
+    if (frame.type === 'sendBody') channel.send({ type: 'bodyChunk', id: 1, body: new Uint8Array(1) })
+    if (frame.type !== 'bodyChunk') return
+    chunks.push(Uint8Array.from(frame.body))
+    acknowledge()
+    resolve()
+  }))
+  channel.send({ type: 'call', call: { ...ANNOUNCED, bodyBytes: 1 } })
+  await begun
+  const stopped = stopping.daemon.stop()
+  await refusesConnections(stopping.callerUrl)
+  expect(chunks).toHaveLength(1)
+  acknowledge = () => { channel.send({ type: 'chunkAck' }) }
+  acknowledge()
+  await closed
+  expect(Buffer.concat(chunks).equals(answer)).toBe(true)
+  await stopped
+})
+
 /** A call of another node for an upload. */
 const ANNOUNCED: RoutedCall = {
   id: 1,
@@ -356,6 +393,24 @@
   expect(started.startedCount).toBe(0)
 })
 
+// The caller reads the refusal and knows that nothing has run.
+test('an upload that was refused as late does not run when its body is completed after all', async () => {
+  const { started } = await startMesh(2)
+  // The instance on its VM would run it at once, on the connection that is open already.
+  const [, caller] = started.nodes as [MeshNode, MeshNode]
+  expect((await startUpload(caller, makeBody(1)).result).status).toBe(200)
+  const socket = connect(parseAddress(caller.settings.callerAddress))
+  const head = ['POST /upload/x HTTP/1.1', 'host: h.example', `${HEADER_NAMES.deadlineMs}: 200`, 'content-length: 2']
+  socket.write(`${head.join('\r\n')}\r\n\r\na`)
+  const refusal = await new Promise<string>(resolve => socket.once('data', chunk => resolve(String(chunk))))
+  const closed = new Promise(resolve => socket.once('close', resolve))
+  socket.end('b')
+  await closed
+  expect(refusal).toMatch(/^HTTP\/1.1 503 /)
+  await awaitNoBodies(started)
+  expect(started.startedCount).toBe(1)
+})
+
 /** Sizes of the bodies in use: 60 KB in the mean, up to 360 KB. */
 const COMMON_BYTES = 30 * 1024
 const TAIL_SHARE = 0.1
