--- a/src/parts/evacuation/ZoneTraffic.ts
+++ b/src/parts/evacuation/ZoneTraffic.ts
@@ -30,11 +30,14 @@
 
   /**
    * Applies the state that a control replica has sent; an older one than the newest is ignored.
-   * @param ageMs How long the state has been in force; shifts of traffic that should have ended by then are skipped.
-   * @returns What has changed; undefined when the state was ignored.
+   * @param ageMs How long the state has been in force, at least; shifts of traffic that should have ended by then are
+   * skipped, also when the state itself is known: the clock of a suspended node stands still.
+   * @returns What has changed; undefined when the state is not newer.
    */
   public apply (state: EvacuationState, nowMs: number, ageMs = 0): ZoneChanges | undefined {
-    if (state.revision <= this._state.revision) return undefined
+    if (state.revision < this._state.revision) return undefined
+    this._advance(state.zones, nowMs - ageMs)
+    if (state.revision === this._state.revision) return undefined
     const before = this._state.zones
     const started = state.zones.filter(zone => !before.includes(zone))
     const ended = before.filter(zone => !state.zones.includes(zone))
@@ -84,6 +87,14 @@
     return { closedZones, avoidedZones }
   }
 
+  /** Moves zones on that have been evacuated since a time or longer. */
+  private _advance (zones: readonly string[], sinceMs: number): void {
+    for (const zone of zones) {
+      const shift = this._shifts.get(zone)
+      if (shift?.isEvacuated === true && shift.sinceMs > sinceMs) this._shifts.set(zone, { ...shift, sinceMs })
+    }
+  }
+
   private _startShift (zone: string, isEvacuated: boolean, nowMs: number, sinceMs: number): void {
     this._shifts.set(zone, { isEvacuated, sinceMs, initialShare: this.share(zone, nowMs) })
   }
--- a/src/parts/placement/InstanceChooser.ts
+++ b/src/parts/placement/InstanceChooser.ts
@@ -180,13 +180,12 @@
       const isClosed = unreachableUntilMs > nowMs || closedUntilMs > nowMs
       return !isClosed && !excluded.includes(candidate.node) && !isInZones(exclusion?.closedZones, candidate)
     }
-    const isPreferred = ({ candidate }: CandidateRecord): boolean => !isInZones(exclusion?.avoidedZones, candidate)
     const eligible = this._subset.filter(isEligible)
-    const preferred = eligible.filter(isPreferred)
+    const preferred = withoutZones(eligible, exclusion?.avoidedZones)
     if (preferred.length > 0) return preferred
     if (this._subset.length === this._records.size) return eligible
     const allEligible = [...this._records.values()].filter(isEligible)
-    const allPreferred = allEligible.filter(isPreferred)
+    const allPreferred = withoutZones(allEligible, exclusion?.avoidedZones)
     if (allPreferred.length > 0) return allPreferred
     return eligible.length > 0 ? eligible : allEligible
   }
@@ -275,6 +274,11 @@
   return zones !== undefined && zone !== undefined && zones.has(zone)
 }
 
+function withoutZones (records: CandidateRecord[], zones: ReadonlySet<string> | undefined): CandidateRecord[] {
+  if (zones === undefined || zones.size === 0) return records
+  return records.filter(({ candidate }) => !isInZones(zones, candidate))
+}
+
 /** Returns the candidates with the lowest hashes, at most so many in this availability zone and in all others. */
 function chooseSubset (records: readonly CandidateRecord[]): CandidateRecord[] {
   const takeLowest = (crossesZones: boolean, count: number): CandidateRecord[] => records
--- a/src/routenode/ControlFeed.ts
+++ b/src/routenode/ControlFeed.ts
@@ -107,7 +107,7 @@
   /** Fires with each newer version of the routing configuration. */
   public readonly onRouting = this._routingEmitter.event
 
-  /** Fires with each newer revision of the evacuated zones. */
+  /** Fires with the evacuated zones that a replica has sent, unless their revision is older than one before. */
   public readonly onEvacuation = this._evacuationEmitter.event
 
   /** Routing configuration in force at this node; undefined before the first one. */
@@ -214,7 +214,7 @@
   }
 
   private _applyEvacuation (evacuation: EvacuationState, ageMs: number): void {
-    if (evacuation.revision <= (this._evacuationRevision ?? 0)) return
+    if (evacuation.revision < (this._evacuationRevision ?? 0)) return
     this._evacuationRevision = evacuation.revision
     this._evacuationEmitter.fire({ evacuation, ageMs })
   }
--- a/src/routenode/ZoneEvacuation.test.ts
+++ b/src/routenode/ZoneEvacuation.test.ts
@@ -53,6 +53,16 @@
   expect(events).toEqual(['closed'])
 })
 
+test('the gate of a node that was suspended closes by the age that it hears when it connects again', () => {
+  apply(1, ['a'])
+  vi.advanceTimersByTime(500)
+  apply(1, ['a'], GATE_CLOSE_DELAY_MS - 100)
+  vi.advanceTimersByTime(99)
+  expect(events).toEqual([])
+  vi.advanceTimersByTime(1)
+  expect(events).toEqual(['closed'])
+})
+
 test('other zones and older revisions do not change the gate', () => {
   apply(2, ['b'])
   apply(1, ['a', 'b'])
--- a/src/routenode/ZoneEvacuation.ts
+++ b/src/routenode/ZoneEvacuation.ts
@@ -52,14 +52,12 @@
     const { zone, clock, log } = this._options
     const wasClosed = this.isGateClosed
     const changes = this._traffic.apply(evacuation, clock.nowMs(), ageMs)
-    if (changes === undefined) return
-    const { started, ended } = changes
-    const { revision, zones } = evacuation
     // Infinity has no form in JSON.
-    log.info({ revision, zones, started, ended, zone, ageMs: Number.isFinite(ageMs) ? ageMs : null }, 'evacuated zones in force')
+    const loggedAgeMs = Number.isFinite(ageMs) ? ageMs : null
+    if (changes !== undefined) log.info({ ...evacuation, ...changes, zone, ageMs: loggedAgeMs }, 'evacuated zones in force')
     this._scheduleGate()
     if (this.isGateClosed !== wasClosed) this._gateChangeEmitter.fire()
-    if (ended.includes(zone)) this._endEmitter.fire()
+    if (changes?.ended.includes(zone) === true) this._endEmitter.fire()
   }
 
   /** Draws the zones that one choice leaves out; undefined when it may select all of them. */
