Let the soak order evacuations and check that the zone is empty

Cause: evacuations had only been seen beside restarts one at a time, in one process.

Change: the fault evacuate orders the evacuation of a zone and its end, one at a time; the rule evacuated-zone-empty checks at the instances that none in the zone gets a request from 5 s after the acknowledgement. A quorum that is lost within these 5 s excuses the zone for that time.

--- a/soak/Constants.ts
+++ b/soak/Constants.ts
@@ -17,6 +17,18 @@
 export const NODE_COUNT = 5
 export const REPLICA_COUNT = 3
 
+/** Availability zones; nodes are in each of them in turn. */
+export const ZONES = ['zone-0', 'zone-1'] as const
+
+/**
+ * Time after the acknowledgement of an evacuation from which no instance in the zone gets a request, in milliseconds.
+ * The platform sets this bound.
+ */
+export const EMPTY_AFTER_MS = 5000
+
+/** Length of an evacuation, besides that of the fault, in milliseconds; the zone must be empty for the rest of it. */
+export const EVACUATION_MS = EMPTY_AFTER_MS + 1500
+
 /** Callers on each node's VM; each keeps one connection open. */
 export const CALLERS_PER_NODE = 3
 
--- a/soak/FaultSchedule.ts
+++ b/soak/FaultSchedule.ts
@@ -33,7 +33,8 @@
   delayCallers: 1,
   poisonRequest: 1,
   hangUp: 2,
-  change: 6
+  change: 6,
+  evacuate: 3
 }
 
 /**
--- a/soak/Soak.ts
+++ b/soak/Soak.ts
@@ -3,9 +3,10 @@
 import { SeededRandom } from '../src/parts/SeededRandom.js'
 import {
   CALLERS_PER_NODE, DRAIN_GRACE_MS, LIMIT_MS, STOP_TIMEOUT_MS, STOP_SLACK_MS, NODE_COUNT, POISON_MS, POISON_PATH,
-  POISON_PAUSE_MS, PORTS, MIN_RECOVERED_SHARE, RECOVERY_TIMEOUT_MS, REPLICA_COUNT, FAULT_SETTLE_MS
+  POISON_PAUSE_MS, PORTS, MIN_RECOVERED_SHARE, RECOVERY_TIMEOUT_MS, REPLICA_COUNT, FAULT_SETTLE_MS, ZONES
 } from './Constants.js'
 import { type CallOutcome, SoakCaller } from './SoakCaller.js'
+import { SoakEvacuations } from './SoakEvacuations.js'
 import { SoakInstance } from './SoakInstance.js'
 import { SoakLedger } from './SoakLedger.js'
 import { SoakOperator } from './SoakOperator.js'
@@ -17,6 +18,8 @@
 /** A VM with a node, its instance and its callers. */
 interface NodeVm {
   readonly vm: VmAddress
+  /** Its availability zone. */
+  readonly zone: string
   readonly process: SoakProcess
   /** Relay between the node and its instance. */
   readonly instanceRelay: TcpRelay
@@ -51,6 +54,9 @@
 /** Attempts of the first change, five a second: the control replicas form their group meanwhile. */
 const BOOTSTRAP_ATTEMPTS = 150
 
+/** Control replicas that may be out of work at the same time; `Machines` in the settings. */
+const TOLERATED_LOSSES = 1
+
 /** Time for which a node has no instance while its instance is replaced, in milliseconds. */
 const INSTANCE_REPLACEMENT_MS = 500
 
@@ -76,6 +82,7 @@
   private readonly _nodes: NodeVm[] = []
   private readonly _controls: ControlVm[] = []
   private readonly _operator: SoakOperator
+  private readonly _evacuations: SoakEvacuations
   private readonly _outcomeCounts: Record<CallOutcome, number> = {
     answered: 0, refused: 0, failed: 0, cut: 0, timeout: 0
   }
@@ -84,7 +91,8 @@
   private _unplannedUntilMs = 0
   private _instanceCount = 0
   private _poisonCount = 0
-  private _isReplicaRecovering = false
+  /** Replica whose disk was wiped, until it is a voter again. */
+  private _recoveringReplica: ControlVm | undefined
   private readonly _activeFaults: Array<Promise<void>> = []
 
   private readonly _handlers: FaultHandlers = {
@@ -108,7 +116,8 @@
     delayCallers: fault => this._impair(fault, this._pickNode(fault).callerRelay, relay => relay.delay(DELAY_MS)),
     poisonRequest: fault => this._sendPoison(fault),
     hangUp: async fault => this._pickNode(fault).process.signal('SIGHUP'),
-    change: async () => { await this._operator.change() }
+    change: async () => { await this._operator.change() },
+    evacuate: async fault => await this._evacuations.run(fault)
   }
 
   /**
@@ -126,6 +135,7 @@
     this._random = new SeededRandom(_seed)
     const replicas = Array.from({ length: REPLICA_COUNT }, (_, index) => this._vmAddress('control', index, 200))
     this._operator = new SoakOperator(replicas, this._ledger, () => this._nowMs())
+    this._evacuations = new SoakEvacuations(this._operator, this._ledger, async ms => await this._sleep(ms))
     for (const vm of replicas) this._controls.push(this._makeControl(vm, replicas))
   }
 
@@ -192,18 +202,20 @@
   private async _makeNode (index: number): Promise<NodeVm> {
     const vm = this._vmAddress('node', index, 1)
     const settings = join(this._folder, `${vm.name}.toml`)
-    writeFileSync(settings, nodeSettings(vm, `zone-${index % 2}`, this._controlAddresses()))
+    const zone = ZONES[index % ZONES.length] as string
+    writeFileSync(settings, nodeSettings(vm, zone, this._controlAddresses()))
     const instanceRelay = new TcpRelay(`${vm.host}:${PORTS.instance}`)
     const callerRelay = new TcpRelay(`${vm.host}:${PORTS.callers}`)
     await instanceRelay.listen(vm.host, PORTS.instanceEntry)
     await callerRelay.listen(vm.host, PORTS.entry)
     const node: NodeVm = {
       vm,
+      zone,
       process: this._makeProcess(vm, 'node', settings),
       instanceRelay,
       callerRelay,
       callers: [],
-      instance: await this._makeInstance(vm),
+      instance: await this._makeInstance(vm, zone),
       stopping: false,
       busy: false,
       isInstanceLeaving: false,
@@ -217,10 +229,11 @@
     return new SoakProcess(vm.name, join('target', `${program}.cjs`), settings, join(this._folder, `${vm.name}.log`))
   }
 
-  private async _makeInstance (vm: VmAddress): Promise<SoakInstance> {
+  private async _makeInstance (vm: VmAddress, zone: string): Promise<SoakInstance> {
     const instance = new SoakInstance(
       `i-${++this._instanceCount}`, vm.host, this._ledger, this._random, crashing => this._onPoison(crashing)
     )
+    this._ledger.evacuations.recordInstance(instance.id, zone)
     await instance.listen()
     return instance
   }
@@ -268,22 +281,26 @@
   ): Promise<void> {
     if (target.busy) return
     target.busy = true
+    this._checkQuorum()
     this._recordUnplannedFault(forMs)
     await stop(target.process)
     this._ledger.notices.excuse(target.vm.name)
     await this._sleep(forMs)
     target.process.start()
+    this._checkQuorum()
     target.busy = false
   }
 
   private async _pause (target: NodeVm | ControlVm, { forMs }: Fault): Promise<void> {
     if (target.busy) return
     target.busy = true
+    this._checkQuorum()
     this._recordUnplannedFault(forMs)
     target.process.signal('SIGSTOP')
     await this._sleep(forMs)
     this._ledger.notices.excuse(target.vm.name)
     target.process.signal('SIGCONT')
+    this._checkQuorum()
     target.busy = false
   }
 
@@ -301,8 +318,10 @@
   private async _stopControl (control: ControlVm): Promise<void> {
     if (control.busy) return
     control.busy = true
+    this._checkQuorum()
     await this._stopProcess(control.process)
     control.process.start()
+    this._checkQuorum()
     control.busy = false
   }
 
@@ -315,10 +334,16 @@
     if (code !== 0 && startMs > this._unplannedUntilMs) this._ledger.recordViolation('exit', `${process.name} exited with ${String(code)} after SIGTERM, expected 0`)
   }
 
+  /** With more replicas out of work than are tolerated, nodes may hear late of an order that was acknowledged. */
+  private _checkQuorum (): void {
+    const lost = this._controls.filter(control => control.busy || control === this._recoveringReplica)
+    if (lost.length > TOLERATED_LOSSES) this._ledger.evacuations.recordQuorumLoss(FAULT_SETTLE_MS)
+  }
+
   /** Wipes one disk at a time, and only while the other replicas hold a quorum. */
   private async _wipeDisk (control: ControlVm, fault: Fault): Promise<void> {
-    if (this._controls.some(({ busy }) => busy) || this._isReplicaRecovering) return
-    this._isReplicaRecovering = true
+    if (this._controls.some(({ busy }) => busy) || this._recoveringReplica !== undefined) return
+    this._recoveringReplica = control
     await this._runOutage(control, fault, async process => {
       await process.kill()
       rmSync(control.folder, { recursive: true })
@@ -326,7 +351,7 @@
     })
     // Until the new replica is a voter, the loss of a second disk would exceed the tolerated losses.
     await this._sleep(RECOVERY_TIMEOUT_MS)
-    this._isReplicaRecovering = false
+    this._recoveringReplica = undefined
   }
 
   private async _replaceInstance (node: NodeVm, stop: (instance: SoakInstance) => Promise<void>): Promise<void> {
@@ -334,7 +359,7 @@
     node.busy = true
     this._recordUnplannedFault(INSTANCE_REPLACEMENT_MS)
     await stop(node.instance)
-    node.instance = await this._makeInstance(node.vm)
+    node.instance = await this._makeInstance(node.vm, node.zone)
     node.busy = false
   }
 
--- a/soak/SoakLedger.ts
+++ b/soak/SoakLedger.ts
@@ -1,4 +1,5 @@
 import { RETRY_BUDGET, DRAIN_GRACE_MS, QUARANTINE_RULE, STABLE_WINDOW_MS } from './Constants.js'
+import { EvacuationLedger } from './EvacuationLedger.js'
 import { NoticeLedger } from './NoticeLedger.js'
 import type { Rule, Violation } from './Types.js'
 
@@ -24,6 +25,10 @@
   public readonly violations: Violation[] = []
   /** Checks what instances ask of all nodes. */
   public readonly notices = new NoticeLedger(() => this._nowMs(), (rule, detail) => this.recordViolation(rule, detail))
+  /** Checks that evacuated zones are empty. */
+  public readonly evacuations =
+    new EvacuationLedger(() => this._nowMs(), (rule, detail) => this.recordViolation(rule, detail))
+
   private readonly _requests = new Map<string, RequestRecord>()
   private readonly _drainedAtMs = new Map<string, number>()
   /** Times of the runs of each path that crashes instances. */
@@ -55,6 +60,7 @@
 
   /** Records that a request has reached an instance, which may still reject it. */
   public recordArrival (id: string, instance: string): void {
+    this.evacuations.recordArrival(instance, id)
     const request = this._requests.get(id)
     if (request !== undefined) this.notices.recordArrival(instance, request.node, request.sentAtMs)
   }
--- a/soak/SoakOperator.ts
+++ b/soak/SoakOperator.ts
@@ -72,6 +72,16 @@
     return this._acknowledgedVersion === version
   }
 
+  /** Sends an order about a zone to one replica after the other and returns whether it was acknowledged. */
+  public async order (type: 'Start' | 'End', zone: string): Promise<boolean> {
+    for (let i = 0; i < CHANGE_ATTEMPTS; i++) {
+      const answer = await this._send('POST', `/api/Evacuations.${type}/${zone}`, '', i)
+      if (answer?.status === 200) return true
+      await new Promise(resolve => setTimeout(resolve, ATTEMPT_PAUSE_MS))
+    }
+    return false
+  }
+
   /** Reads the configuration back and checks that it holds every acknowledged change. */
   public async checkAcknowledgedKept (): Promise<void> {
     for (let i = 0; i < CHANGE_ATTEMPTS; i++) {
--- a/soak/SoakSettings.ts
+++ b/soak/SoakSettings.ts
@@ -1,4 +1,4 @@
-import { RETRY_BUDGET, STOP_TIMEOUT_MS, PORTS } from './Constants.js'
+import { RETRY_BUDGET, STOP_TIMEOUT_MS, PORTS, ZONES } from './Constants.js'
 import type { VmAddress } from './Types.js'
 
 /** Settings that nodes and control replicas share. */
@@ -7,6 +7,7 @@
 [Network]
 InternalPortRange = [${PORTS.replicas}, ${PORTS.replicas + 15}]
 Seeds = [${seeds.map(seed => `"${seed.host}:${PORTS.control}"`).join(', ')}]
+Zones = [${ZONES.map(zone => `"${zone}"`).join(', ')}]
 [Network.Listen]
 Inbound = "${host}:${PORTS.nodes}"
 Outbound = "${host}:${PORTS.callers}"
--- a/soak/Types.ts
+++ b/soak/Types.ts
@@ -1,7 +1,8 @@
 /**
  * Kinds of faults, named after what is done and to which target. `mute` blocks answers only, `silence` both directions.
  * After `limit` and `leave`, answers of an instance name a limit or its departure. `poisonRequest` repeats a request
- * that crashes each instance that runs it, `hangUp` sends SIGHUP to a node, and `change` changes the configuration.
+ * that crashes each instance that runs it, `hangUp` sends SIGHUP to a node, `change` changes the configuration, and
+ * `evacuate` evacuates an availability zone for some time.
  */
 export type FaultKind =
   | 'killNode' | 'pauseNode' | 'stopNode'
@@ -9,7 +10,7 @@
   | 'crashInstance' | 'drainInstance' | 'limitInstance' | 'leaveInstance'
   | 'silenceInstance' | 'muteInstance' | 'resetInstance' | 'delayInstance'
   | 'silenceCallers' | 'resetCallers' | 'delayCallers'
-  | 'poisonRequest' | 'hangUp' | 'change'
+  | 'poisonRequest' | 'hangUp' | 'change' | 'evacuate'
 
 /** One entry of a schedule, which is stored as JSON. */
 export interface Fault {
@@ -41,7 +42,7 @@
 /** Guarantees that are checked from what callers, instances and the operator observe. */
 export type Rule =
   | 'whole-own-answer' | 'at-most-once' | 'true-not-run' | 'no-run-after-drain' | 'no-run-after-leaving' | 'budget'
-  | 'request-limit' | 'quarantine'
+  | 'request-limit' | 'quarantine' | 'evacuated-zone-empty'
   | 'accepted-change-kept' | 'no-version-back' | 'planned-stop-cuts-nothing' | 'exit' | 'recovery'
 
 /** Name of a VM and the loopback address on which all its processes listen. */
