Tell the proxy of the end of an evacuation before its gate opens

Cause: the gate opened before InstanceProxy.assumeCold was called, so a limit for cold instances would have been set after the first calls could be admitted; no test saw that it is called at all.

Change: the order of the two events, and a check in test/Evacuation.test.ts that each node of the zone is told once.

--- a/src/routenode/ZoneEvacuation.test.ts
+++ b/src/routenode/ZoneEvacuation.test.ts
@@ -27,6 +27,7 @@
 }
 
 // Without a timer, queued calls would start after the gate should have closed.
+// At its end, the host must know that the instance may be cold before the gate admits calls.
 test('the gate closes after the delay and opens at once at the end', () => {
   apply(1, ['a'])
   vi.advanceTimersByTime(GATE_CLOSE_DELAY_MS - 1)
@@ -34,7 +35,7 @@
   vi.advanceTimersByTime(1)
   expect(events).toEqual(['closed'])
   apply(2, [])
-  expect(events).toEqual(['closed', 'open', 'end'])
+  expect(events).toEqual(['closed', 'end', 'open'])
 })
 
 test('an evacuation that ends before the gate has closed leaves it open, and the next one counts anew', () => {
--- a/src/routenode/ZoneEvacuation.ts
+++ b/src/routenode/ZoneEvacuation.ts
@@ -33,7 +33,7 @@
   /** Fires when the gate of the instance on this VM must close or may open. */
   public readonly onGateChange = this._gateChangeEmitter.event
 
-  /** Fires when the evacuation of this node's zone has ended. */
+  /** Fires when the evacuation of this node's zone has ended, before its gate opens. */
   public readonly onEnd = this._endEmitter.event
 
   /** Evacuated zones that this node knows. */
@@ -56,8 +56,8 @@
     const loggedAgeMs = Number.isFinite(ageMs) ? ageMs : null
     if (changes !== undefined) log.info({ ...evacuation, ...changes, zone, ageMs: loggedAgeMs }, 'evacuated zones in force')
     this._scheduleGate()
-    if (this.isGateClosed !== wasClosed) this._gateChangeEmitter.fire()
     if (changes?.ended.includes(zone) === true) this._endEmitter.fire()
+    if (this.isGateClosed !== wasClosed) this._gateChangeEmitter.fire()
   }
 
   /** Draws the zones that one choice leaves out; undefined when it may select all of them. */
--- a/test/Evacuation.test.ts
+++ b/test/Evacuation.test.ts
@@ -1,4 +1,5 @@
-import { afterEach, expect, test } from 'vitest'
+import { afterEach, expect, test, vi } from 'vitest'
+import { InstanceProxy } from '../src/routenode/InstanceProxy.js'
 import { ControlGroup } from './support/ControlGroup.js'
 import { HEADER_NAMES, type MeshNode, pause, RouteMesh } from './support/RouteMesh.js'
 
@@ -15,6 +16,7 @@
 let traffic: Traffic | undefined
 
 afterEach(() => {
+  vi.restoreAllMocks()
   traffic?.stop()
   traffic = undefined
   mesh.dispose()
@@ -132,8 +134,11 @@
   while (performance.now() < acknowledgedMs + EMPTY_AFTER_MS) await pause()
   expect(await callers.awaitAnswers()).toEqual(new Set(['b', 'c']))
   expect(callers.countRuns('a', acknowledgedMs + EMPTY_AFTER_MS)).toBe(0)
+  const assumeCold = vi.spyOn(InstanceProxy.prototype, 'assumeCold')
   await group.orderUntilDone('end', 'a')
   await callers.awaitRun('a')
+  await mesh.awaitEvacuated()
+  expect(assumeCold).toHaveBeenCalledTimes(nodesIn('a').length)
   callers.stop()
   expect(new Set(callers.statuses)).toEqual(new Set([200]))
   expect(new Set(callers.nestedStatuses)).toEqual(new Set([200]))
