--- a/soak/SoakSettings.ts
+++ b/soak/SoakSettings.ts
@@ -1,4 +1,4 @@
-import { NODE_MEMORY_MB, RETRY_BUDGET, STOP_TIMEOUT_MS, PORTS } from './Constants.js'
+import { NODE_MEMORY_MB, RETRY_BUDGET, STOP_TIMEOUT_MS, PORTS, ZONES } from './Constants.js'
 import type { VmAddress } from './Types.js'
 
 /** Settings that nodes and control replicas share. */
@@ -7,6 +7,8 @@
 [Network]
 InternalPortRange = [${PORTS.replicas}, ${PORTS.replicas + 15}]
 Seeds = [${seeds.map(seed => `"${seed.host}:${PORTS.control}"`).join(', ')}]
+[Network.Zones]
+${ZONES.map(zone => `${zone} = "soak"`).join('\n')}
 [Network.Listen]
 Inbound = "${host}:${PORTS.nodes}"
 Outbound = "${host}:${PORTS.callers}"
@@ -30,6 +32,7 @@
 Zone = "${zone}"
 AppAddr = "${host}:${PORTS.instanceEntry}"
 Service = "svc"
+[Self.Limits]
 MemoryMb = ${NODE_MEMORY_MB}
 ${commonSettings(seeds, host)}`
 }
