Tell operators of the workspaces of requests, and compute their shares at the gateway

Cause: nothing told which workspace a refused request belonged to, and requests that were refused before they were routed left no line at all, so that "why was this customer refused?" had no answer. The share used that gates order by was not set.

Change: the gateway takes the share of each caller's request from `WorkspaceUsage` and gives refused ones back; a quota share, once there is one, goes in as `CallerWorkspace.shareUsed`. `answered` and `not answered` lines name the workspace, its priority and the share used, refusals their `retryAfterMs`; `request refused` is written for what is refused before routing. Metrics count requests and refusals by kind for the 18 largest workspaces of a node, the others together, and those without a key.

--- a/src/parts/workspaces/Constants.ts
+++ b/src/parts/workspaces/Constants.ts
@@ -4,12 +4,6 @@
 /** Time constant of the usual use of a workspace, in milliseconds. */
 export const USUAL_USE_MS = 60_000
 
-/**
- * Time constant of a longer average, in milliseconds. Refusals lower the average over a minute; the longer one keeps a
- * workspace from losing its claim when an overload lasts for minutes.
- */
-export const LASTING_USE_MS = 600_000
-
 /**
  * Requests that are added to both the recent and the usual use. A workspace with less than one request in
  * `RECENT_USE_MS` must not count as hot for a few requests in a row.
@@ -34,3 +28,15 @@
 
 /** Workspaces that are tracked; those without a request for longest are forgotten. */
 export const MAX_TRACKED_WORKSPACES = 16_384
+
+/** Workspaces with metrics of their own; with the other ones and requests without a key, metrics have 20 labels. */
+export const MAX_NAMED_WORKSPACES = 18
+
+/** Names whose recent requests are counted to find the largest workspaces. */
+export const MAX_CANDIDATES = 128
+
+/** Time after which a request counts half when the largest workspaces are determined, in milliseconds. */
+export const COUNT_HALF_LIFE_MS = 60_000
+
+/** Factor by which a workspace must be larger to replace another one in the metrics, so that they don't alternate. */
+export const REPLACEMENT_FACTOR = 2
--- a/src/parts/workspaces/WorkspaceUsage.ts
+++ b/src/parts/workspaces/WorkspaceUsage.ts
@@ -1,7 +1,7 @@
 import { SHARE_STEPS, USUAL_SHARE } from '../gate/Constants.js'
 import {
-  LASTING_USE_MS, MAX_REPEAT_SHARE, MAX_TRACKED_WORKSPACES, RECENT_USE_MS, REFUSALS_PER_SHARE,
-  SHARE_PER_USUAL_USE, USE_ALLOWANCE, USUAL_USE_MS
+  MAX_REPEAT_SHARE, MAX_TRACKED_WORKSPACES, RECENT_USE_MS, REFUSALS_PER_SHARE, SHARE_PER_USUAL_USE, USE_ALLOWANCE,
+  USUAL_USE_MS
 } from './Constants.js'
 
 /** Exponentially decaying counts of the requests of one workspace, by their time constants. */
@@ -10,8 +10,6 @@
   recent: number
   /** `USUAL_USE_MS`. */
   usual: number
-  /** `LASTING_USE_MS`. */
-  lasting: number
   /** Refused requests; `RECENT_USE_MS`. */
   refused: number
   countedAtMs: number
@@ -26,7 +24,7 @@
  * its requests are refused, the sooner the next one goes. So that this is no reason to repeat requests at once, many
  * refusals for each request that is served raise the share, also that of workspaces with a quota.
  *
- * Memory: five numbers for each of at most `MAX_TRACKED_WORKSPACES` workspaces. Each event costs the same for any
+ * Memory: four numbers for each of at most `MAX_TRACKED_WORKSPACES` workspaces. Each event costs the same for any
  * number of them.
  */
 export class WorkspaceUsage {
@@ -53,7 +51,6 @@
     const share = (quotaShare ?? computeShare(use, nowMs - this._firstAtMs)) + computeRepeatShare(use)
     use.recent++
     use.usual++
-    use.lasting++
     return Math.min(SHARE_STEPS, Math.round(SHARE_STEPS * share)) / SHARE_STEPS
   }
 
@@ -70,7 +67,6 @@
     const ageMs = nowMs - takenAtMs
     use.recent = Math.max(0, use.recent - Math.exp(-ageMs / RECENT_USE_MS))
     use.usual = Math.max(0, use.usual - Math.exp(-ageMs / USUAL_USE_MS))
-    use.lasting = Math.max(0, use.lasting - Math.exp(-ageMs / LASTING_USE_MS))
     use.refused++
   }
 
@@ -79,7 +75,7 @@
       this._older = this._uses
       this._uses = new Map()
     }
-    const use = this._older.get(workspace) ?? { recent: 0, usual: 0, lasting: 0, refused: 0, countedAtMs: nowMs }
+    const use = this._older.get(workspace) ?? { recent: 0, usual: 0, refused: 0, countedAtMs: nowMs }
     this._older.delete(workspace)
     this._uses.set(workspace, use)
     return use
@@ -90,9 +86,9 @@
  * Returns the share used of a workspace without a quota.
  * @param knownMs Time since the first request of any workspace; shortly after a start, the counts cover only that.
  */
-function computeShare ({ recent, usual, lasting }: Use, knownMs: number): number {
-  const usualPerMs = Math.max(usual / coveredMs(USUAL_USE_MS, knownMs), lasting / coveredMs(LASTING_USE_MS, knownMs))
-  const useRatio = (recent + USE_ALLOWANCE) / (usualPerMs * RECENT_USE_MS + USE_ALLOWANCE)
+function computeShare ({ recent, usual }: Use, knownMs: number): number {
+  const coveredMs = USUAL_USE_MS * (1 - Math.exp(-Math.max(RECENT_USE_MS, knownMs) / USUAL_USE_MS))
+  const useRatio = (recent + USE_ALLOWANCE) / (usual * RECENT_USE_MS / coveredMs + USE_ALLOWANCE)
   return USUAL_SHARE + SHARE_PER_USUAL_USE * (useRatio - 1)
 }
 
@@ -101,11 +97,6 @@
   return Math.min(MAX_REPEAT_SHARE, refused / (recent + 1) / REFUSALS_PER_SHARE)
 }
 
-/** Time that a count with a time constant covers after a time, in milliseconds. */
-function coveredMs (timeConstantMs: number, knownMs: number): number {
-  return timeConstantMs * (1 - Math.exp(-Math.max(RECENT_USE_MS, knownMs) / timeConstantMs))
-}
-
 function decay (use: Use, nowMs: number): void {
   const elapsedMs = nowMs - use.countedAtMs
   if (elapsedMs <= 0) return
@@ -113,6 +104,5 @@
   use.recent *= recentFactor
   use.refused *= recentFactor
   use.usual *= Math.exp(-elapsedMs / USUAL_USE_MS)
-  use.lasting *= Math.exp(-elapsedMs / LASTING_USE_MS)
   use.countedAtMs = nowMs
 }
--- a/src/routenode/Gateway.ts
+++ b/src/routenode/Gateway.ts
@@ -9,9 +9,10 @@
 import type { RouteEntry, RouteTable } from '../parts/routing/RouteTable.js'
 import type { ServiceName } from '../parts/Types.js'
 import type { KeyTable } from '../parts/workspaces/KeyTable.js'
+import { WorkspaceUsage } from '../parts/workspaces/WorkspaceUsage.js'
 import { computeKeyDigest } from '../runtime/Digest.js'
 import { listenOn } from '../runtime/Listen.js'
-import type { Disposable, Log } from '../runtime/Types.js'
+import type { Disposable, Log, LogFields } from '../runtime/Types.js'
 import { NOT_READY_RETRY_AFTER_MS, RETRY_AFTER_MAX_SHARE, RETRY_AFTER_JITTER } from './Constants.js'
 import { GatewayCall, type GatewayContext } from './GatewayCall.js'
 import { AnswerSizeEstimate } from './AnswerSizeEstimate.js'
@@ -60,6 +61,7 @@
   private readonly _droppedWithKeys: ReadonlySet<string>
   private readonly _answerSizes = new AnswerSizeEstimate()
   private readonly _callerWaitEstimate = new CallerWaitEstimate()
+  private readonly _workspaceUsage = new WorkspaceUsage()
   private _routeTable: RouteTable | undefined
   private _keys: KeyTable | undefined
   private _callerLimits: CallerLimits = DEFAULT_CALLER_LIMITS
@@ -130,13 +132,15 @@
     const arrivedAtMs = this._options.clock.nowMs()
     if (this._isClosing) response.setHeader('connection', 'close')
     const table = this._routeTable
-    if (table === undefined) return this._refuse(message, response, 503, 'no-configuration', this._notReadyRetryAfterMs(message))
+    if (table === undefined) {
+      return this._refuseUnrouted(message, response, 503, 'no-configuration', this._notReadyRetryAfterMs(message))
+    }
     const entry = this._findRoute(table, message)
-    if (entry === undefined) return this._refuse(message, response, 404, 'no-route')
+    if (entry === undefined) return this._refuseUnrouted(message, response, 404, 'no-route')
     const origin = this._identify(message, entry.route)
     if (origin === undefined) return this._refuseUnknownKey(message, response)
     readBody(message, this._callerLimits.maxBodyBytes, result => {
-      if (result.type === 'tooLarge') this._refuse(message, response, 413, 'body-too-large')
+      if (result.type === 'tooLarge') this._refuseUnrouted(message, response, 413, 'body-too-large')
       if (result.type !== 'whole') return
       const request = this._buildRequest(message, entry, table, origin, result.bytes, arrivedAtMs)
       this._start(message, response, request)
@@ -156,8 +160,24 @@
 
   /** A node that has lost its control replica may not know a new key yet. */
   private _refuseUnknownKey (message: IncomingMessage, response: ServerResponse): void {
-    if (this._options.isInTouch()) this._refuse(message, response, 401, 'unknown-key')
-    else this._refuse(message, response, 503, 'unknown-key', this._notReadyRetryAfterMs(message))
+    this._options.metrics.countWorkspaceRefusal(undefined, 'unknown-key')
+    if (this._options.isInTouch()) this._refuseUnrouted(message, response, 401, 'unknown-key')
+    else this._refuseUnrouted(message, response, 503, 'unknown-key', this._notReadyRetryAfterMs(message))
+  }
+
+  private _refuseUnrouted (
+    message: IncomingMessage, response: ServerResponse, status: number, reason: GatewayReason, retryAfterMs?: number
+  ): void {
+    const requestId = readHeader(message, this._options.names.requestId)
+    this._options.log.info({ requestId, status, reason, retryAfterMs }, 'request refused')
+    this._refuse(message, response, status, reason, retryAfterMs)
+  }
+
+  /** Counts the use of a caller's request; a nested call has been counted with its parent. */
+  private _withShareUsed (workspace: CallerWorkspace, nowMs: number): CallerWorkspace {
+    const shareUsed = this._workspaceUsage.take(workspace.name, workspace.shareUsed, nowMs)
+    this._options.metrics.countWorkspaceRequest(workspace.name, shareUsed, nowMs)
+    return { ...workspace, shareUsed }
   }
 
   /** Returns a delay within which a starting node usually has a configuration, at most a share of the deadline. */
@@ -203,7 +223,9 @@
       service: entry.nextService(),
       version: table.version,
       parentAttemptKind: parent?.attempt,
-      workspace,
+      workspace: parent === undefined && workspace !== undefined
+        ? this._withShareUsed(workspace, arrivedAtMs)
+        : workspace,
       deadlineMs: deadlineMs ?? DEFAULT_DEADLINE_MS,
       arrivedAtMs,
       objectiveAtMs: arrivedAtMs - waitedMs + route.latencyObjectiveMs,
@@ -271,19 +293,34 @@
   }
 
   private _recordEnd (request: GatewayRequest, call: GatewayCall, result: GatewayResult | undefined): void {
-    const { requestId, route, service, version, arrivedAtMs, parentAttemptKind } = request
+    const { requestId, route, service, version, arrivedAtMs, parentAttemptKind, workspace } = request
     const tookMs = Math.round(this._options.clock.nowMs() - arrivedAtMs)
     const { sends, declines, lastNode, hedge } = call
-    const origin = { requestId, route: route.name, service, version, nested: parentAttemptKind !== undefined }
+    const { name, priority, shareUsed } = workspace ?? {}
+    const nested = parentAttemptKind !== undefined
+    const caller = { workspace: name, workspacePriority: priority, shareUsed }
+    const origin = { requestId, route: route.name, service, version, nested, ...caller }
     const fields = { ...origin, sends, declines, hedge, node: lastNode, tookMs }
     const outcome = OUTCOME_BY_RESULT[result?.type ?? 'gone']
     this._options.metrics.countEnded(outcome, tookMs, sends, declines)
     if (hedge !== undefined) this._options.metrics.countHedge(hedge)
     if (result?.type !== 'answer' && result?.reason === 'quarantined') this._options.metrics.countQuarantined()
     if (result?.type === 'answer') this._options.log.info({ ...fields, status: result.answer.status }, 'answered')
+    else if (result?.type === 'refused') this._recordRefusal(request, result, fields)
     else this._options.log.info({ ...fields, outcome, reason: result?.reason ?? 'caller-gone' }, 'not answered')
   }
 
+  private _recordRefusal (
+    request: GatewayRequest, { reason, retryAfterMs }: Extract<GatewayResult, { type: 'refused' }>, fields: LogFields
+  ): void {
+    const { workspace, parentAttemptKind, arrivedAtMs } = request
+    const { log, metrics, clock } = this._options
+    log.info({ ...fields, outcome: 'refused', reason, retryAfterMs: Math.round(retryAfterMs) }, 'not answered')
+    if (workspace === undefined || parentAttemptKind !== undefined) return
+    this._workspaceUsage.giveBack(workspace.name, arrivedAtMs, clock.nowMs())
+    metrics.countWorkspaceRefusal(workspace.name, reason)
+  }
+
   private _onClientError (error: Error & { code?: string }, socket: Duplex): void {
     if (error.code === 'ECONNRESET' || !socket.writable) {
       socket.destroy()
@@ -308,8 +345,9 @@
 }
 
 /** A nested call has no quota of its own: its parent has used it. */
-function workspaceOf ({ workspace, workspacePriority = 0 }: RoutedCall): CallerWorkspace | undefined {
-  return workspace === undefined ? undefined : { name: workspace, priority: workspacePriority }
+function workspaceOf ({ workspace, workspacePriority = 0, shareUsed }: RoutedCall): CallerWorkspace | undefined {
+  if (workspace === undefined) return undefined
+  return { name: workspace, priority: workspacePriority, ...(shareUsed === undefined ? {} : { shareUsed }) }
 }
 
 const OUTCOME_BY_RESULT = { answer: 'answered', refused: 'refused', failed: 'failed', gone: 'gone' } as const
--- a/src/routenode/GatewayCall.ts
+++ b/src/routenode/GatewayCall.ts
@@ -234,6 +234,7 @@
     return {
       ...(knownLimit === undefined ? {} : { knownLimit }),
       ...(workspace === undefined ? {} : { workspace: workspace.name, workspacePriority: workspace.priority }),
+      ...(workspace?.shareUsed === undefined ? {} : { shareUsed: workspace.shareUsed }),
       id,
       service,
       method,
--- a/src/routenode/RouteNodeMetrics.ts
+++ b/src/routenode/RouteNodeMetrics.ts
@@ -1,6 +1,7 @@
 import { Counter, Gauge, Histogram, Registry } from 'prom-client'
+import { REFUSAL_KINDS, type RefusalKind, WorkspaceCounts } from '../parts/workspaces/WorkspaceCounts.js'
 import type { HedgeOutcome } from './GatewayCall.js'
-import type { InstanceStatus } from './Types.js'
+import type { GatewayReason, InstanceStatus } from './Types.js'
 
 /** The single outcome of a caller's request; `gone` means that the caller disconnected first. */
 export type RequestOutcome = 'answered' | 'refused' | 'failed' | 'gone'
@@ -29,6 +30,7 @@
   private readonly _declines: Counter
   private readonly _hedges: Counter<'outcome'>
   private readonly _quarantined: Counter
+  private readonly _workspaceCounts = new WorkspaceCounts()
 
   /**
    * @param readGauges Returns the current values of the gauges.
@@ -55,6 +57,7 @@
       name: 'sassafras_requests_quarantined_total', help: 'Requests ended because they crash instances', registers
     })
     this._addGauges(readGauges)
+    this._addWorkspaceMetrics()
   }
 
   /** Content type of the metrics text. */
@@ -90,6 +93,23 @@
     this._quarantined.inc()
   }
 
+  /**
+   * Counts a request of a workspace.
+   * @param shareUsed See `RoutedCall.shareUsed`.
+   * @param nowMs Monotonic time in milliseconds.
+   */
+  public countWorkspaceRequest (workspace: string, shareUsed: number | undefined, nowMs: number): void {
+    this._workspaceCounts.countRequest(workspace, shareUsed, nowMs)
+  }
+
+  /**
+   * Counts a refused request of a workspace.
+   * @param workspace Name of the workspace; undefined for a request without a key in force.
+   */
+  public countWorkspaceRefusal (workspace: string | undefined, reason: GatewayReason): void {
+    this._workspaceCounts.countRefusal(workspace, toRefusalKind(reason))
+  }
+
   /** Returns all metrics as text. */
   public async text (): Promise<string> {
     return await this._registry.metrics()
@@ -117,4 +137,54 @@
       const gauge: Gauge = new Gauge({ name, help, registers: [this._registry], collect })
     }
   }
+
+  /** The rows change with the largest workspaces, so the metrics are rebuilt from them at each fetch. */
+  private _addWorkspaceMetrics (): void {
+    const registers = [this._registry]
+    const counts = this._workspaceCounts
+    const requests: Counter<'workspace'> = new Counter({
+      name: 'sassafras_workspace_requests_total',
+      help: 'Requests of callers by workspace',
+      labelNames: ['workspace'],
+      registers,
+      collect: () => {
+        requests.reset()
+        for (const row of counts.rows) requests.inc({ workspace: row.workspace }, row.requests)
+      }
+    })
+    const refusals: Counter<'workspace' | 'reason'> = new Counter({
+      name: 'sassafras_workspace_refusals_total',
+      help: 'Requests of callers that were refused, by workspace and reason',
+      labelNames: ['workspace', 'reason'],
+      registers,
+      collect: () => {
+        refusals.reset()
+        for (const { workspace, refusals: refused } of counts.rows) {
+          const reasons = REFUSAL_KINDS.filter(reason => refused[reason] > 0)
+          reasons.forEach(reason => refusals.inc({ workspace, reason }, refused[reason]))
+        }
+      }
+    })
+    const shares: Gauge<'workspace'> = new Gauge({
+      name: 'sassafras_workspace_share_used',
+      help: 'Share of its quota, or of its usual traffic, that the workspace had used at its last request',
+      labelNames: ['workspace'],
+      registers,
+      collect: () => {
+        shares.reset()
+        for (const { workspace, shareUsed } of counts.rows) {
+          if (shareUsed !== undefined) shares.set({ workspace }, shareUsed)
+        }
+      }
+    })
+  }
+}
+
+/** Reasons that stem from a lack of capacity. */
+const SHARE_REASONS: ReadonlySet<GatewayReason> = new Set(['busy', 'slow', 'too-late', 'displaced', 'rate-limited'])
+
+function toRefusalKind (reason: GatewayReason): RefusalKind {
+  if (reason === 'unknown-key') return 'key'
+  if (reason.startsWith('quota')) return 'quota'
+  return SHARE_REASONS.has(reason) ? 'share' : 'other'
 }
--- a/src/routenode/Types.ts
+++ b/src/routenode/Types.ts
@@ -179,6 +179,8 @@
   readonly priority: number
   /** Absent for a workspace without a quota, and for nested calls. */
   readonly quota?: WorkspaceQuota
+  /** See `RoutedCall.shareUsed`; when the request arrived. */
+  readonly shareUsed?: number
 }
 
 /** A request of a caller that was read completely and routed. */
--- a/test/support/RouteMesh.ts
+++ b/test/support/RouteMesh.ts
@@ -13,7 +13,7 @@
 import type { HeaderNames } from '../../src/routenode/Types.js'
 import { parseAddress } from '../../src/runtime/Address.js'
 import { SystemClock } from '../../src/runtime/SystemClock.js'
-import type { Log } from '../../src/runtime/Types.js'
+import type { Log, LogFields } from '../../src/runtime/Types.js'
 
 const SILENT_LOG: Log = { debug: () => {}, info: () => {}, warn: () => {}, error: () => {} }
 
@@ -133,6 +133,12 @@
 /** A control replica and nodes with instances of one service, all in this process and on loopback. */
 export class RouteMesh {
   public readonly nodes: MeshNode[] = []
+  /** Lines of the information level that the nodes have logged. */
+  public readonly logLines: Array<{ readonly message: string, readonly fields: LogFields }> = []
+  private readonly _log: Log = {
+    ...SILENT_LOG, info: (fields, message) => { this.logLines.push({ message, fields }) }
+  }
+
   private _control!: RouteControlDaemon
   private _version = 0
   private _lastId = 0
@@ -258,7 +264,7 @@
   private async _startDaemon (settings: RouteNodeSettings): Promise<RouteNodeDaemon> {
     const random = new SeededRandom(++this._seed)
     const fingerprint = new RequestFingerprint(computeSha1)
-    const daemon = new RouteNodeDaemon({ settings, clock: new SystemClock(), random, log: SILENT_LOG, fingerprint })
+    const daemon = new RouteNodeDaemon({ settings, clock: new SystemClock(), random, log: this._log, fingerprint })
     await daemon.start()
     return daemon
   }
