--- a/test/support/WorkspaceLoad.ts
+++ b/test/support/WorkspaceLoad.ts
@@ -265,7 +265,7 @@
 }
 
 /** Binary heap of events by time; those of the same time stay first in, first out. */
-class EventHeap {
+export class EventHeap {
   private readonly _heap: TimedEvent[] = []
   private _sequence = 0
 
