Keep requests available for calls that go first at the request limit of an instance

Cause: at a request limit no call is queued, so the order had no say: a hot workspace took most of what became available.

Change: while an instance is offered more than its limit allows, a call with a workspace must leave as many requests available as the calls that go before it take up of the limit. The offered load counts the limit, and nothing while the instance has no slots. Calls without a workspace are not affected.

The new test fails in the order by age.

--- a/src/parts/gate/FairShares.test.ts
+++ b/src/parts/gate/FairShares.test.ts
@@ -196,3 +196,16 @@
     expect(refusedShare(0.95, { hasQuotas })).toBeLessThan(refusedShare(0.95, { order: 'today' }) + 0.03)
   }
 })
+
+// There is no queue at a request limit, so a hot workspace would take whatever becomes available.
+test('at the request limits of instances, a hot workspace leaves requests to the others', () => {
+  for (const overload of [1.3, 2]) {
+    const requestLimitPerS = CAPACITY_PER_S / 3
+    const plan = makePlan(overload / 3, { hot: LARGEST, hasQuotas: true, requestLimitPerS })
+    const calmShare = answeredShare(without(playLoad(calmDown(plan)), LARGEST))
+    const outcomes = playLoad(plan)
+    expect(answeredShare(without(outcomes, LARGEST))).toBeGreaterThan(0.9 * calmShare)
+    expect(sumOf(outcomes, ({ answered }) => answered)).toBeGreaterThan(0.9 * requestLimitPerS * MEASURED_MS / 1000)
+    expect(answeredShare(without(playLoad({ ...plan, order: 'today' }), LARGEST))).toBeLessThan(0.9 * calmShare)
+  }
+})
--- a/src/parts/gate/InstanceGate.ts
+++ b/src/parts/gate/InstanceGate.ts
@@ -98,7 +98,7 @@
     if (this._slots === 0) return this._decline(call, 'no-slots')
     // Each queued call will take one of the available requests.
     const available = this._requestRateLimit.available(this._nowMs)
-    const isOverLimit = available < this._queue.size + 1
+    const isOverLimit = available < this._queue.size + 1 + this._reservedRequests(call)
     if (isOverLimit && (available < 1 || !this._mayDisplace(call))) return this._decline(call, 'rate-limited')
     if (this._hasFreeSlotFor(call)) return this._offerFreeSlot(call)
     if (call.isHedge) return this._decline(call, 'busy')
@@ -113,9 +113,16 @@
   private _recordOffer (call: GateCall): void {
     const isMoved = this._actions.some(action => action.type === 'decline' && action.call === call) &&
       (call.moveMs !== undefined || call.isHedge)
-    if (isMoved) return
-    const slots = Math.max(1, this._limit.current(this._nowMs))
-    this._offeredLoad.record(this._workTimes.expectedMs(call.work) / slots, this._nowMs)
+    if (isMoved || this._slots === 0) return
+    const capacityMs = this._workTimes.expectedMs(call.work) / Math.max(1, this._limit.current(this._nowMs))
+    this._offeredLoad.record(Math.max(capacityMs, this._requestRateLimit.intervalMs), this._nowMs)
+  }
+
+  /** Available requests that are kept for calls which go before a call, as far as they take up the request limit. */
+  private _reservedRequests (call: GateCall): number {
+    if (!this._requestRateLimit.isSet || !this._queue.ordersByShare || !hasWorkspace(call) || call.nested) return 0
+    const takenShare = Math.min(1, this._overtakingRate(call) * this._requestRateLimit.intervalMs)
+    return takenShare * (this._requestRateLimit.burst - 1)
   }
 
   private _offerFreeSlot (call: GateCall): void {
--- a/src/parts/gate/RequestRateLimit.ts
+++ b/src/parts/gate/RequestRateLimit.ts
@@ -22,6 +22,16 @@
     return this._perS !== Infinity
   }
 
+  /** Time for which one request takes up the limit, in milliseconds; 0 without a limit. */
+  public get intervalMs (): number {
+    return MS_PER_SECOND / this._perS
+  }
+
+  /** Requests that may be available at once. Infinite without a limit. */
+  public get burst (): number {
+    return Math.max(1, this._perS * REQUEST_BURST_MS / MS_PER_SECOND)
+  }
+
   /**
    * Sets or lifts the limit.
    * @param perS Requests a second; undefined when the instance names no limit any more.
@@ -34,14 +44,14 @@
     }
     const tokens = this.isSet ? this.available(nowMs) : 0
     this._perS = Math.max(MIN_REQUESTS_PER_S, perS)
-    this._tokens = Math.min(tokens, this._burst)
+    this._tokens = Math.min(tokens, this.burst)
     this._refilledAtMs = nowMs
   }
 
   /** Returns the requests that may be sent now; a fraction counts as none. Infinite without a limit. */
   public available (nowMs: number): number {
     if (!this.isSet) return Infinity
-    this._tokens = Math.min(this._burst, this._tokens + (nowMs - this._refilledAtMs) * this._perS / MS_PER_SECOND)
+    this._tokens = Math.min(this.burst, this._tokens + (nowMs - this._refilledAtMs) * this._perS / MS_PER_SECOND)
     this._refilledAtMs = nowMs
     return this._tokens
   }
@@ -56,8 +66,4 @@
     const missing = count - this.available(nowMs)
     return missing <= 0 ? 0 : Math.ceil(missing * MS_PER_SECOND / this._perS + ROUNDING_MS)
   }
-
-  private get _burst (): number {
-    return Math.max(1, this._perS * REQUEST_BURST_MS / MS_PER_SECOND)
-  }
 }
--- a/test/support/WorkspaceLoad.ts
+++ b/test/support/WorkspaceLoad.ts
@@ -32,6 +32,8 @@
   readonly order: 'today' | 'shares'
   readonly warmUpMs: number
   readonly measuredMs: number
+  /** Limit that each instance names. */
+  readonly requestLimitPerS?: number
   /** Routes with the share of the requests, priority and work time of each. */
   readonly routes: ReadonlyArray<{ readonly share: number, readonly priority: number, readonly workMs: number }>
 }
@@ -124,7 +126,10 @@
   }
 
   public play (): LoadOutcome[] {
-    this._gates.forEach((_, gate) => this._step(gate, { type: 'slots', slots: SLOTS }, 0))
+    this._gates.forEach((_, gate) => {
+      this._step(gate, { type: 'slots', slots: SLOTS }, 0)
+      this._step(gate, { type: 'requestLimit', perS: this._plan.requestLimitPerS }, 0)
+    })
     this._plan.workspaces.forEach((_, workspace) => this._scheduleArrival(workspace, 0))
     const { warmUpMs, measuredMs } = this._plan
     let event = this._events.take()
