--- a/src/parts/gate/InstanceGate.test.ts
+++ b/src/parts/gate/InstanceGate.test.ts
@@ -4,47 +4,9 @@
 import { SeededRandom } from '../SeededRandom.js'
 import { computeRequestRank } from './RequestRank.js'
 import { InstanceGate } from './InstanceGate.js'
+import { actionTypes, fill, makeCall, makeGate, startedIds } from '../../../test/support/GateCalls.js'
 import type { GateAction, GateCall } from './Types.js'
 
-let lastId = 0
-
-function makeCall (changes: Partial<GateCall> = {}): GateCall {
-  return {
-    id: ++lastId,
-    work: 'route',
-    nested: false,
-    requestRank: 0.5,
-    priority: 1,
-    objectiveAtMs: 300,
-    deadlineAtMs: 1000,
-    moveMs: undefined,
-    isHedge: false,
-    ...changes
-  }
-}
-
-function makeGate (slots: number): InstanceGate {
-  const gate = new InstanceGate()
-  gate.step({ type: 'slots', slots }, 0)
-  return gate
-}
-
-function actionTypes (actions: readonly GateAction[]): string[] {
-  return actions.map(action => action.type)
-}
-
-function fill (gate: InstanceGate, count: number): GateCall[] {
-  return Array.from({ length: count }, () => {
-    const call = makeCall()
-    gate.step({ type: 'offer', call }, 0)
-    return call
-  })
-}
-
-function startedIds (actions: readonly GateAction[]): number[] {
-  return actions.flatMap(action => action.type === 'start' ? [action.call.id] : [])
-}
-
 test('a call starts while a slot is free', () => {
   expect(actionTypes(makeGate(2).step({ type: 'offer', call: makeCall() }, 0))).toEqual(['start'])
 })
@@ -284,7 +246,7 @@
     let nowMs = 0
     const handle = (actions: readonly GateAction[]): void => {
       for (const action of actions) {
-        if (action.type === 'wake' || action.type === 'measure') continue
+        if (action.type !== 'start' && action.type !== 'decline') continue
         expect(open.get(action.call.id)).toBe('queued')
         if (action.type === 'start') open.set(action.call.id, 'running')
         else open.delete(action.call.id)
@@ -395,3 +357,40 @@
   gate.step({ type: 'resent' }, 500)
   expect(gate.load(500).closedForMs).toBe(501)
 })
+
+// Without it, the gate would take bodies that can't arrive in time, and start late calls before those in time.
+test('the time to move a body counts towards the deadline and the objective of a call', () => {
+  const gate = makeGate(1)
+  const late = makeCall({ deadlineAtMs: 600, transferMs: 560 })
+  expect(gate.step({ type: 'offer', call: late }, 0)).toMatchObject([{ type: 'decline', reason: 'too-late' }])
+  const [running] = fill(gate, 1) as [GateCall]
+  const large = makeCall({ objectiveAtMs: 600, deadlineAtMs: 5000, transferMs: 600 })
+  const small = makeCall({ objectiveAtMs: 600, deadlineAtMs: 5000, transferMs: 50 })
+  for (const call of [large, small]) gate.step({ type: 'offer', call }, 0)
+  expect(startedIds(gate.step({ type: 'finished', id: running.id, workMs: 10 }, 1))).toEqual([small.id])
+})
+
+test('a queued call with a body to move is declined when the body can not arrive before the deadline any more', () => {
+  const gate = makeGate(1)
+  fill(gate, 1)
+  const call = makeCall({ deadlineAtMs: 2000, objectiveAtMs: 2000, transferMs: 1000 })
+  const [wake] = gate.step({ type: 'offer', call }, 0)
+  expect(wake).toEqual({ type: 'wake', atMs: 950 })
+  expect(gate.step({ type: 'tick' }, 950)).toMatchObject([{ type: 'decline', reason: 'too-late' }])
+})
+
+// A slot is held from the promise of a start, so a call that may move must not wait behind several transfers.
+test('calls that wait behind bodies to move are expected to wait longer', () => {
+  const waits = [0, 600].map(transferMs => {
+    const gate = makeGate(1)
+    for (let i = 0; i < 50; i++) {
+      const call = makeCall({ deadlineAtMs: 10_000, transferMs })
+      gate.step({ type: 'offer', call }, 0)
+      gate.step({ type: 'finished', id: call.id, workMs: 50 }, 0)
+    }
+    fill(gate, 1)
+    const [action] = gate.step({ type: 'offer', call: makeCall({ moveMs: 0 }) }, 0)
+    return action?.type === 'decline' ? action.retryAfterMs : NaN
+  }) as [number, number]
+  expect(waits[1] - waits[0]).toBeGreaterThan(500)
+})
--- a/src/parts/placement/InstanceChooser.ts
+++ b/src/parts/placement/InstanceChooser.ts
@@ -102,8 +102,14 @@
     const record = this._records.get(chosen)
     const others = this._withoutEjected(this._eligible(query, nowMs)).filter(other => other !== record)
     if (record === undefined || others.length === 0) return undefined
-    const cheapestMs = others.reduce((least, other) => Math.min(least, networkCostMs(other, query.bytes)), Infinity)
-    return Math.max(0, Math.round(cheapestMs - networkCostMs(record, query.bytes)))
+    const cheapestMs = others.reduce((least, other) => Math.min(least, this._networkCostMs(other, query)), Infinity)
+    return Math.max(0, Math.round(cheapestMs - this._networkCostMs(record, query)))
+  }
+
+  /** Returns whether there are instances, all of them in zones that take no calls. */
+  public isClosed ({ exclusion }: PlacementQuery): boolean {
+    if (exclusion === undefined || this._records.size === 0) return false
+    return [...this._records.values()].every(({ candidate }) => isInZones(exclusion.closedZones, candidate))
   }
 
   /**
@@ -163,16 +169,25 @@
     })
   }
 
-  /** Returns eligible instances of the subset, or of all candidates when the subset has none. */
+  /**
+   * Returns eligible instances of the subset, or of all candidates when the subset has none; those in avoided zones
+   * only when there are no others.
+   */
   private _eligible (query: PlacementQuery, nowMs: number): CandidateRecord[] {
     this._subset ??= chooseSubset([...this._records.values()])
-    const isEligible = (record: CandidateRecord): boolean => {
-      const isClosed = record.unreachableUntilMs > nowMs || record.closedUntilMs > nowMs
-      return !isClosed && !query.excluded.includes(record.candidate.node)
+    const { excluded, exclusion } = query
+    const isEligible = ({ candidate, unreachableUntilMs, closedUntilMs }: CandidateRecord): boolean => {
+      const isClosed = unreachableUntilMs > nowMs || closedUntilMs > nowMs
+      return !isClosed && !excluded.includes(candidate.node) && !isInZones(exclusion?.closedZones, candidate)
     }
     const eligible = this._subset.filter(isEligible)
-    if (eligible.length > 0 || this._subset.length === this._records.size) return eligible
-    return [...this._records.values()].filter(isEligible)
+    const preferred = withoutZones(eligible, exclusion?.avoidedZones)
+    if (preferred.length > 0) return preferred
+    if (this._subset.length === this._records.size) return eligible
+    const allEligible = [...this._records.values()].filter(isEligible)
+    const allPreferred = withoutZones(allEligible, exclusion?.avoidedZones)
+    if (allPreferred.length > 0) return allPreferred
+    return eligible.length > 0 ? eligible : allEligible
   }
 
   private _recordOutcome (record: CandidateRecord, failed: boolean): void {
@@ -193,13 +208,13 @@
   }
 
   private _cheapest (
-    records: readonly CandidateRecord[], { bytes, maxCostMs }: PlacementQuery, nowMs: number
+    records: readonly CandidateRecord[], query: PlacementQuery, nowMs: number
   ): CandidateRecord | undefined {
     let best: CandidateRecord | undefined
-    let bestCostMs = maxCostMs ?? Infinity
+    let bestCostMs = query.maxCostMs ?? Infinity
     for (const record of records) {
       const costMs = this._costMs(record, nowMs) * (1 + TIE_JITTER * this._random.next()) +
-        networkCostMs(record, bytes)
+        this._networkCostMs(record, query)
       if (costMs >= bestCostMs) continue
       best = record
       bestCostMs = costMs
@@ -207,6 +222,13 @@
     return best
   }
 
+  /** Time on the network, plus the price of traffic between availability zones as a delay, in milliseconds. */
+  private _networkCostMs ({ candidate }: CandidateRecord, { bytes, transferMs = 0 }: PlacementQuery): number {
+    const moveMs = candidate.node === this._self ? 0 : transferMs
+    const priceMs = candidate.crossesZones ? CROSS_ZONE_COST_MS_PER_KB * bytes / BYTES_PER_KB : 0
+    return candidate.roundTripMs + moveMs + priceMs
+  }
+
   /** Expected time at the instance in milliseconds, plus the cost of the failures to expect. */
   private _costMs (record: CandidateRecord, nowMs: number): number {
     const { candidate, load } = record
@@ -250,9 +272,13 @@
 /** Largest random increase of a cost, as a share of it, so that nearly equal instances get about as many calls. */
 const TIE_JITTER = 0.05
 
-/** Round-trip time plus the price of traffic between availability zones, as a delay in milliseconds. */
-function networkCostMs ({ candidate }: CandidateRecord, bytes: number): number {
-  return candidate.roundTripMs + (candidate.crossesZones ? CROSS_ZONE_COST_MS_PER_KB * bytes / BYTES_PER_KB : 0)
+function isInZones (zones: ReadonlySet<string> | undefined, { zone }: PlacementCandidate): boolean {
+  return zones !== undefined && zone !== undefined && zones.has(zone)
+}
+
+function withoutZones (records: CandidateRecord[], zones: ReadonlySet<string> | undefined): CandidateRecord[] {
+  if (zones === undefined || zones.size === 0) return records
+  return records.filter(({ candidate }) => !isInZones(zones, candidate))
 }
 
 /** Returns the candidates with the lowest hashes, at most so many in this availability zone and in all others. */
--- a/src/routecontrol/NodeFeed.ts
+++ b/src/routecontrol/NodeFeed.ts
@@ -1,10 +1,12 @@
 import type { AcceptedChannel } from '../control/ReplicaLinks.js'
+import type { EvacuationState } from '../parts/evacuation/Types.js'
 import { NodeDirectory } from '../parts/instances/NodeDirectory.js'
 import type { NodeEntry } from '../parts/instances/Types.js'
 import type { CrashReport } from '../parts/quarantine/Types.js'
-import type { VersionedRouting } from '../parts/routing/Types.js'
 import type { NodeId } from '../parts/Types.js'
-import { encodeMessage } from '../runtime/FrameChannel.js'
+import { Emitter } from '../runtime/Emitter.js'
+import { type EncodedMessage, encodeMessage } from '../runtime/FrameChannel.js'
+import { encodeCompressed } from '../runtime/FrameCompression.js'
 import type { Clock, Disposable, Log } from '../runtime/Types.js'
 import {
   ENTRY_BATCH_MS, ENTRY_RESEND_INTERVAL_MS, NODE_CHECK_INTERVAL_MS, NODE_GONE_MS, NODE_TIMEOUT_MS
@@ -12,17 +14,22 @@
 import { CrashReportStore } from './CrashReportStore.js'
 import { redactDeltaKeys, redactKeys } from './KeyRedaction.js'
 import type { RoutingReplica } from './RoutingReplica.js'
-import type { FeedToNode, NodeToFeed } from './Types.js'
+import type { FeedToNode, ForwardedQuotaMessage, NodeToFeed } from './Types.js'
 
 /** First frame that a node sends on a connection. */
 export type FeedHello = Extract<NodeToFeed, { type: 'feedHello' }>
 
+/** Frame by which a node is accepted. */
+type FeedWelcome = Extract<FeedToNode, { type: 'welcome' }>
+
 /** A connected node. */
 interface NodeSession {
   readonly node: NodeId
   readonly channel: AcceptedChannel
   /** False until a quorum has confirmed that this replica is up to date and the welcome frame is sent. */
   isWelcomed: boolean
+  /** True when large frames to this node are compressed. */
+  readonly compresses: boolean
   /** Routing version that the node has or that was sent to it; 0 for none. */
   version: number
   /** Entry that the node published last on this connection. */
@@ -41,13 +48,14 @@
 }
 
 /**
- * Sends the routing configuration and the entries of other nodes to the connected nodes. Each node is connected to one
- * control replica, and replicas forward to each other what nodes publish. Published entries don't go through
- * consensus: they are merged by epoch and revision, and a node publishes its entry again at each replica that it
- * connects to.
+ * Sends the routing configuration, the evacuated zones and the entries of other nodes to the connected nodes. Each node
+ * is connected to one control replica, and replicas forward to each other what nodes publish. Published entries don't
+ * go through consensus: they are merged by epoch and revision, and a node publishes its entry again at each replica
+ * that it connects to.
  *
  * Memory: the directory, the crash reports, one session for each connected node, one entry for each node that
- * disconnected within `NODE_GONE_MS`, and the changed entries of `ENTRY_BATCH_MS`.
+ * disconnected within `NODE_GONE_MS`, the changed entries of `ENTRY_BATCH_MS`, and the frames that bring nodes from
+ * other versions to the one in force, at most one for each of `MAX_DELTAS` versions and a full copy.
  */
 export class NodeFeed implements Disposable {
   private readonly _directory = new NodeDirectory()
@@ -67,8 +75,12 @@
   private readonly _resendTimer: NodeJS.Timeout
   /** Addresses of the control replicas that were sent to nodes last, joined by commas. */
   private _sentControls = ''
-  /** Configuration in force as nodes receive it, as far as it was sent. */
-  private _redacted: VersionedRouting | undefined
+  /** Frames with the routing configuration, by the version of the receiver and whether they are compressed. */
+  private readonly _encodedRoutings = new Map<string, EncodedMessage>()
+  private _encodedVersion = 0
+  /** When this replica applied the last change of the evacuated zones, in monotonic milliseconds. */
+  private _evacuationAtMs: number | undefined
+  private readonly _quotaMessageEmitter = new Emitter<ForwardedQuotaMessage>()
 
   private readonly _handlers: Handlers = {
     publish: (session, { entry }) => {
@@ -76,6 +88,7 @@
       this._mergePublished([entry])
     },
     crashReports: (_session, { reports }) => this._addReports(reports, true),
+    quotaAsk: ({ node }, { message }) => this._quotaMessageEmitter.fire({ node, message }),
     feedPing: session => this._send(session, { type: 'feedPong', fit: this._replica.canServeNodes }),
     askRouting: session => {
       session.version = 0
@@ -97,10 +110,14 @@
     _replica.onNodeEntries(({ entries, whole }) => this._mergeFromReplica(entries, whole))
     _replica.onLinkOpen(() => this._sendAllToReplicas())
     _replica.machine.onChange(() => this._sendRoutingToAll())
+    _replica.machine.onEvacuation(evacuation => this._sendEvacuation(evacuation))
     this._timer = setInterval(() => this._checkNodes(), NODE_CHECK_INTERVAL_MS)
     this._resendTimer = setInterval(() => this._resendEntries(), ENTRY_RESEND_INTERVAL_MS)
   }
 
+  /** Fires with the messages of connected nodes about quotas. */
+  public readonly onQuotaMessage = this._quotaMessageEmitter.event
+
   /** Number of connected nodes. */
   public get size (): number {
     return this._sessions.size
@@ -116,8 +133,10 @@
    * @param channel The connection.
    * @param hello The node's first frame.
    */
-  public accept (channel: AcceptedChannel, { entry, version, reports }: FeedHello): void {
-    const session: NodeSession = { node: entry.node, channel, isWelcomed: false, version, lastPublished: entry }
+  public accept (channel: AcceptedChannel, { entry, version, reports, compress }: FeedHello): void {
+    const { node } = entry
+    const compresses = compress === true
+    const session: NodeSession = { node, channel, isWelcomed: false, compresses, version, lastPublished: entry }
     this._sessions.get(entry.node)?.channel.destroy('replaced by a newer connection of the node')
     this._sessions.set(entry.node, session)
     channel.onMessage(frame => {
@@ -129,6 +148,17 @@
     this._sendWelcome(session, entry).catch((error: Error) => channel.destroy(`welcome failed: ${error.message}`))
   }
 
+  /** Sends a frame to a node, if it is connected to this replica. */
+  public sendToNode (node: NodeId, frame: FeedToNode): void {
+    const session = this._sessions.get(node)
+    if (session?.isWelcomed === true) this._send(session, frame)
+  }
+
+  /** Sends a frame to all nodes that are connected to this replica. */
+  public sendToNodes (frame: FeedToNode): void {
+    if (this._sessions.size > 0) this._sendToAll(frame)
+  }
+
   /** Closes all connections. */
   public dispose (): void {
     clearInterval(this._timer)
@@ -148,7 +178,8 @@
       entries,
       controls: this._replica.memberAddresses,
       ...(known === undefined ? {} : { own: known }),
-      ...(reports.length === 0 ? {} : { reports })
+      ...(reports.length === 0 ? {} : { reports }),
+      ...this._describeEvacuation()
     })
     session.isWelcomed = true
     this._sendRouting(session)
@@ -266,19 +297,43 @@
 
   /** Sends the version in force: as differences where they are still kept, otherwise as a full copy. */
   private _sendRouting (session: NodeSession): void {
-    const { store } = this._replica.machine
-    const { inForce } = store
+    const { inForce } = this._replica.machine.store
     if (inForce.version <= session.version) return
-    const differences = session.version === 0 ? undefined : store.deltasSince(session.version)
+    const frame = this._encodeRouting(session.version, session.compresses)
     session.version = inForce.version
-    if (differences === undefined) this._send(session, { type: 'routing', routing: this._redact(inForce) })
-    else this._send(session, { type: 'routingDifferences', differences: differences.map(redactDeltaKeys) })
+    session.channel.sendEncoded(frame)
+  }
+
+  /** Many nodes need the same frame, after a change or a restart, so the frames of the version in force are kept. */
+  private _encodeRouting (fromVersion: number, compresses: boolean): EncodedMessage {
+    const { store } = this._replica.machine
+    const { inForce } = store
+    if (this._encodedVersion !== inForce.version) this._encodedRoutings.clear()
+    this._encodedVersion = inForce.version
+    const differences = fromVersion === 0 ? undefined : store.deltasSince(fromVersion)
+    const key = `${differences === undefined ? 0 : fromVersion} ${compresses}`
+    const kept = this._encodedRoutings.get(key)
+    if (kept !== undefined) return kept
+    const frame: FeedToNode = differences === undefined
+      ? { type: 'routing', routing: redactKeys(inForce) }
+      : { type: 'routingDifferences', differences: differences.map(redactDeltaKeys) }
+    const encoded = compresses ? encodeCompressed(frame) : encodeMessage(frame)
+    this._encodedRoutings.set(key, encoded)
+    return encoded
+  }
+
+  private _sendEvacuation (evacuation: EvacuationState): void {
+    this._evacuationAtMs = this._clock.nowMs()
+    this._log.info({ ...evacuation, nodes: this._sessions.size }, 'evacuated zones changed')
+    this._sendToAll({ type: 'evacuation', evacuation })
   }
 
-  /** Many nodes ask for the same version at once after a restart, so the last one is kept. */
-  private _redact (routing: VersionedRouting): VersionedRouting {
-    if (this._redacted?.version !== routing.version) this._redacted = redactKeys(routing)
-    return this._redacted
+  /** Fields of the welcome that name the evacuated zones; none before the first order. */
+  private _describeEvacuation (): Pick<FeedWelcome, 'evacuation' | 'evacuationAgeMs'> {
+    const { evacuation } = this._replica.machine
+    if (evacuation.revision === 0) return {}
+    if (this._evacuationAtMs === undefined) return { evacuation }
+    return { evacuation, evacuationAgeMs: Math.round(this._clock.nowMs() - this._evacuationAtMs) }
   }
 
   private _sendToAll (frame: FeedToNode): void {
--- a/src/routecontrol/RouteControlDaemon.ts
+++ b/src/routecontrol/RouteControlDaemon.ts
@@ -1,12 +1,14 @@
 import { FrameServer } from '../runtime/FrameServer.js'
 import type { FromControl, ToControl } from '../control/Types.js'
 import type { ReplicaHello } from '../control/ReplicaLinks.js'
+import type { EvacuationOrder, EvacuationState } from '../parts/evacuation/Types.js'
 import type { RoutingChange, VersionedRouting } from '../parts/routing/Types.js'
 import type { Disk } from '../parts/storage/Types.js'
 import type { Random } from '../parts/Types.js'
 import type { Clock, Disposable, Log } from '../runtime/Types.js'
 import { type FeedHello, NodeFeed } from './NodeFeed.js'
-import { type ChangeOutcome, type GroupSettings, RoutingReplica } from './RoutingReplica.js'
+import { QuotaHost } from './QuotaHost.js'
+import { type ChangeOutcome, type EvacuationOutcome, type GroupSettings, RoutingReplica } from './RoutingReplica.js'
 
 /** Settings and services that a daemon needs. */
 export interface RouteControlOptions {
@@ -29,6 +31,8 @@
   readonly version: number
   /** Nodes connected to this replica. */
   readonly nodes: number
+  /** Evacuated zones according to this replica. */
+  readonly evacuation: EvacuationState
 }
 
 /** Result of a read of the routing configuration in force. */
@@ -44,6 +48,7 @@
 export class RouteControlDaemon implements Disposable {
   private readonly _replica: RoutingReplica
   private readonly _feed: NodeFeed
+  private readonly _quotas: QuotaHost
   private readonly _server: FrameServer<ToControl, FromControl>
 
   /**
@@ -54,6 +59,7 @@
     const { clock, log } = _options
     this._replica = new RoutingReplica(_options)
     this._feed = new NodeFeed(this._replica, clock, log)
+    this._quotas = new QuotaHost(this._replica, this._feed, clock, log)
     this._server = new FrameServer(clock)
     this._server.onChannel(channel => {
       const first = channel.onMessage(frame => {
@@ -74,7 +80,8 @@
       commitIndex,
       members: members.length,
       version: this._replica.machine.store.inForce.version,
-      nodes: this._feed.size
+      nodes: this._feed.size,
+      evacuation: this._replica.machine.evacuation
     }
   }
 
@@ -112,6 +119,11 @@
     return await this._replica.change(change)
   }
 
+  /** Proposes an order about an availability zone; succeeds only at the leader. */
+  public async evacuate (order: EvacuationOrder): Promise<EvacuationOutcome> {
+    return await this._replica.evacuate(order)
+  }
+
   /** Reads the routing configuration in force, after a quorum has confirmed that this replica is up to date. */
   public async read (): Promise<ReadOutcome> {
     const confirmed = await this._replica.readBarrier()
@@ -125,6 +137,7 @@
       replica: this._replica.view,
       corruptions: this._replica.corruptions,
       version: this._replica.machine.store.inForce.version,
+      evacuation: this._replica.machine.evacuation,
       nodes: this._feed.size,
       directory: this._feed.directory.size
     }
@@ -132,6 +145,7 @@
 
   /** Stops at once without completing pending work; changes that aren't synced to disk were never acknowledged. */
   public dispose (): void {
+    this._quotas.dispose()
     this._feed.dispose()
     this._replica.dispose()
     this._server.dispose()
--- a/src/routecontrol/Types.ts
+++ b/src/routecontrol/Types.ts
@@ -1,6 +1,10 @@
+import type { EvacuationState } from '../parts/evacuation/Types.js'
 import type { NodeEntry } from '../parts/instances/Types.js'
 import type { CrashReport } from '../parts/quarantine/Types.js'
+import type { QuotaAnswer, QuotaMessage } from '../parts/quota/Types.js'
 import type { RoutingDelta, VersionedRouting } from '../parts/routing/Types.js'
+import type { NodeId } from '../parts/Types.js'
+import type { CompressedFrame } from '../runtime/FrameCompression.js'
 
 /** Reports of requests that may have crashed instances; a receiver ignores those that it has received before. */
 export interface CrashReportsFrame {
@@ -8,19 +12,43 @@
   readonly reports: readonly CrashReport[]
 }
 
+/** A message of a node on its way to the leader. */
+export interface ForwardedQuotaMessage {
+  readonly node: NodeId
+  readonly message: QuotaMessage
+}
+
+/** An answer of the leader on its way to a node. */
+export interface ReturnedQuotaAnswer {
+  readonly node: NodeId
+  readonly answer: QuotaAnswer
+}
+
+/** Frames between replicas about quotas; those that are lost are not sent again. */
+export type QuotaReplicaFrame =
+  /** Messages of nodes that are connected to the sender, for the leader. */
+  | { readonly type: 'quotaForward', readonly messages: readonly ForwardedQuotaMessage[] }
+  /** Answers of the leader for nodes that are connected to the receiver. */
+  | { readonly type: 'quotaReturn', readonly answers: readonly ReturnedQuotaAnswer[] }
+  /** Call of the leader for reports, for all nodes that are connected to the receiver. */
+  | { readonly type: 'quotaCollect', readonly answer: QuotaAnswer }
+
 /** Frames from a node to the control replica that it receives updates from. */
 export type NodeToFeed =
   /**
    * First frame of a connection; `version` is the routing version in force at the node, 0 for none. `reports` are those
-   * of suspect requests, absent when there are none.
+   * of suspect requests, absent when there are none. `compress` is present when the node has a slow link, so that large
+   * frames should be compressed.
    */
   | {
     readonly type: 'feedHello',
     readonly entry: NodeEntry,
     readonly version: number,
+    readonly compress?: true,
     readonly reports?: readonly CrashReport[]
   }
   | CrashReportsFrame
+  | { readonly type: 'quotaAsk', readonly message: QuotaMessage }
   /** A changed entry of the node. */
   | { readonly type: 'publish', readonly entry: NodeEntry }
   /** Checks that the replica is reachable and has a leader. */
@@ -30,19 +58,26 @@
 
 /** Frames from a control replica to a node. */
 export type FeedToNode =
+  | CompressedFrame
   /**
    * Sent once a quorum has confirmed that the replica is up to date. `own` is the entry that the replica already has
    * of the node, from an earlier run or connection; `controls` are the addresses of the control replicas, `host:port`;
-   * `reports` are those of suspect requests, absent when there are none.
+   * `reports` are those of suspect requests, absent when there are none. `evacuation` is absent before the first order,
+   * and `evacuationAgeMs`, the time since the replica applied its last change, where that was in an earlier run.
    */
   | {
     readonly type: 'welcome',
     readonly entries: readonly NodeEntry[],
     readonly controls: readonly string[],
     readonly own?: NodeEntry,
-    readonly reports?: readonly CrashReport[]
+    readonly reports?: readonly CrashReport[],
+    readonly evacuation?: EvacuationState,
+    readonly evacuationAgeMs?: number
   }
   | CrashReportsFrame
+  /** Evacuated zones after a change. */
+  | { readonly type: 'evacuation', readonly evacuation: EvacuationState }
+  | { readonly type: 'quotaAnswer', readonly answer: QuotaAnswer }
   /** A full copy of the configuration in force. */
   | { readonly type: 'routing', readonly routing: VersionedRouting }
   /** Changes from the version that the node has to the one in force, oldest first. */
--- a/src/routenode/Constants.ts
+++ b/src/routenode/Constants.ts
@@ -34,6 +34,13 @@
 /** Timeout of a health check, in milliseconds. */
 export const HEALTH_CHECK_TIMEOUT_MS = 500
 
+/**
+ * Interval of health checks while an instance is taken as cold without having said so in one, in milliseconds, and the
+ * timeout of a check that shows whether it is cold: calls wait for it, but a busy VM may take tens of milliseconds.
+ */
+export const COLD_STATE_CHECK_INTERVAL_MS = 250
+export const COLD_CHECK_TIMEOUT_MS = 100
+
 /** Timeout of a load query, in milliseconds; calls wait for its result, which usually takes 1 or 2 ms. */
 export const LOAD_QUERY_TIMEOUT_MS = 20
 
@@ -76,6 +83,12 @@
  */
 export const NOT_READY_RETRY_AFTER_MS = 1500
 
+/**
+ * Retry-After while all instances of a service are in evacuated zones, in milliseconds. An evacuation usually lasts
+ * longer, so the limit by the deadline of the caller decides in most cases.
+ */
+export const EVACUATED_RETRY_AFTER_MS = 2000
+
 /**
  * Time after a stop signal for which new requests are still accepted, in milliseconds: callers poll the readiness of
  * the node every second, and two polls must fit in.
@@ -100,5 +113,35 @@
 /** Delay of the second check whether an instance that closed a connection still listens, in milliseconds. */
 export const LISTENER_CHECK_DELAY_MS = 50
 
+/**
+ * Time without a chunk after which the sender of a body counts as stalled, in milliseconds: a chunk takes 30 ms on a
+ * link of 4.41 Mbit/s, and the bodies of several nodes may share the link.
+ */
+export const BODY_STALL_MS = 1000
+
+/** Retry-After of a body that is refused for memory while the rate of the link is not known, in milliseconds. */
+export const BODY_RETRY_AFTER_MS = 1000
+
+/**
+ * Time for which the rest of a body is read and discarded after its upload was refused, in milliseconds: a connection
+ * that is closed while its caller sends is reset, and the caller may not get the refusal.
+ */
+export const REFUSED_BODY_LINGER_MS = 5000
+
 /** Interval at which expired suspects are removed while requests arrive, in milliseconds. */
 export const QUARANTINE_SWEEP_INTERVAL_MS = 1000
+
+/**
+ * Rate of a link below which large frames of the control replica are compressed, in Mbit/s: a thousand routes, about
+ * 100 KB, keep such a link busy for more than 10 ms.
+ */
+export const SLOW_LINK_MBPS = 100
+
+/**
+ * Step of the wall clock against the monotonic clock after which the process may have been suspended, in milliseconds:
+ * above what a time service corrects between two events of a node.
+ */
+export const CLOCK_STEP_MS = 100
+
+/** Interval at which the position of a node among all nodes is computed anew while it is needed, in milliseconds. */
+export const RANK_INTERVAL_MS = 1000
--- a/src/routenode/ControlFeed.ts
+++ b/src/routenode/ControlFeed.ts
@@ -1,7 +1,9 @@
 import { connect } from 'node:net'
 import type { Socket } from 'node:net'
+import type { EvacuationState } from '../parts/evacuation/Types.js'
 import type { NodeEntry } from '../parts/instances/Types.js'
 import type { CrashReport } from '../parts/quarantine/Types.js'
+import type { QuotaAnswer, QuotaMessage } from '../parts/quota/Types.js'
 import type { RoutingDelta, VersionedRouting } from '../parts/routing/Types.js'
 import { applyPatch } from '../parts/routing/RoutingDelta.js'
 import type { Random } from '../parts/Types.js'
@@ -10,6 +12,7 @@
 import { CONNECT_TIMEOUT_MAX_MS, CONNECT_TIMEOUT_MIN_MS } from '../runtime/Constants.js'
 import { Emitter } from '../runtime/Emitter.js'
 import { FrameChannel } from '../runtime/FrameChannel.js'
+import { decodeCompressed } from '../runtime/FrameCompression.js'
 import type { Clock, Disposable, Log } from '../runtime/Types.js'
 import { FEED_PING_INTERVAL_MS, FEED_RECONNECT_DELAY_MS, FEED_TIMEOUT_MS, FEED_WELCOME_TIMEOUT_MS } from './Constants.js'
 
@@ -18,12 +21,21 @@
 
 /** What a node tells each control replica that it connects to. */
 export interface FeedSource {
+  /** True when the link of this VM is so slow that large frames should be compressed; absent means false. */
+  readonly hasSlowLink?: boolean
   /** Returns the entry of this node to publish. */
   nextEntry (): NodeEntry
   /** Returns the reports of requests that may have crashed instances. */
   crashReports (): readonly CrashReport[]
 }
 
+/** Evacuated zones as a control replica has sent them. */
+export interface EvacuationUpdate {
+  readonly evacuation: EvacuationState
+  /** How long they have been in force; infinite for a node that has just started or when the replica does not know. */
+  readonly ageMs: number
+}
+
 type Channel = FrameChannel<FeedToNode, NodeToFeed>
 
 type Handlers = {
@@ -31,15 +43,18 @@
 }
 
 /**
- * Subscription to the routing configuration and to the entries of the other nodes. The node is connected to one control
- * replica at a time, and connects to the next one when that replica times out or cannot serve it. The configuration
- * that was applied stays in force meanwhile; its version never decreases.
+ * Subscription to the routing configuration, the evacuated zones and the entries of the other nodes. The node is
+ * connected to one control replica at a time, and connects to the next one when that replica times out or cannot serve
+ * it. The configuration and the evacuated zones that were applied stay in force meanwhile; the version of the one and
+ * the revision of the others never decrease.
  */
 export class ControlFeed implements Disposable {
   private readonly _welcomeEmitter = new Emitter<FeedWelcome>()
   private readonly _entriesEmitter = new Emitter<readonly NodeEntry[]>()
   private readonly _crashReportsEmitter = new Emitter<readonly CrashReport[]>()
+  private readonly _quotaAnswerEmitter = new Emitter<QuotaAnswer>()
   private readonly _routingEmitter = new Emitter<VersionedRouting>()
+  private readonly _evacuationEmitter = new Emitter<EvacuationUpdate>()
   private _replicaAddresses: string[]
   private _channel: Channel | undefined
   private _socket: Socket | undefined
@@ -47,17 +62,22 @@
   private _welcomeTimer: NodeJS.Timeout | undefined
   private _reconnectTimer: NodeJS.Timeout | undefined
   private _routing: VersionedRouting | undefined
+  /** Revision of the evacuated zones that this node knows; undefined before the first welcome. */
+  private _evacuationRevision: number | undefined
   private _nextAddressIndex = 0
   private _connectTimeoutMs = CONNECT_TIMEOUT_MIN_MS
   private _isDisposed = false
   private _isWelcomed = false
 
   private readonly _handlers: Handlers = {
+    compressed: frame => this._handle(decodeCompressed(frame) as FeedToNode),
     welcome: frame => this._onWelcome(frame),
     routing: ({ routing }) => this._apply(routing),
     routingDifferences: ({ differences }) => this._applyDeltas(differences),
     entries: ({ entries }) => this._entriesEmitter.fire(entries),
     crashReports: ({ reports }) => this._crashReportsEmitter.fire(reports),
+    evacuation: ({ evacuation }) => this._applyEvacuation(evacuation, 0),
+    quotaAnswer: ({ answer }) => this._quotaAnswerEmitter.fire(answer),
     // A replica that turns this node away may itself have an old list, so its list adds to what is known.
     controls: ({ controls }) => this._setReplicaAddresses(
       this._isWelcomed ? controls : [...controls, ...this._replicaAddresses]
@@ -91,9 +111,15 @@
   /** Fires with reports of requests that may have crashed instances. */
   public readonly onCrashReports = this._crashReportsEmitter.event
 
+  /** Fires with the answers of the leader about quotas. */
+  public readonly onQuotaAnswer = this._quotaAnswerEmitter.event
+
   /** Fires with each newer version of the routing configuration. */
   public readonly onRouting = this._routingEmitter.event
 
+  /** Fires with the evacuated zones that a replica has sent, unless their revision is older than one before. */
+  public readonly onEvacuation = this._evacuationEmitter.event
+
   /** Routing configuration in force at this node; undefined before the first one. */
   public get routing (): VersionedRouting | undefined {
     return this._routing
@@ -131,6 +157,11 @@
     this._channel?.send({ type: 'crashReports', reports })
   }
 
+  /** Sends a message about quotas, unless there is no connection. */
+  public sendQuotaMessage (message: QuotaMessage): void {
+    if (this._isWelcomed) this._channel?.send({ type: 'quotaAsk', message })
+  }
+
   /** Closes the connection. */
   public dispose (): void {
     this._isDisposed = true
@@ -162,13 +193,16 @@
     }, FEED_WELCOME_TIMEOUT_MS)
     const channel = new FrameChannel<FeedToNode, NodeToFeed>(socket, this._clock)
     this._channel = channel
-    channel.onMessage(frame => {
-      const handler = this._handlers[frame.type] as ((frame: FeedToNode) => void) | undefined
-      handler?.(frame)
-    })
+    channel.onMessage(frame => this._handle(frame))
     const hello = { type: 'feedHello', entry: this._source.nextEntry(), version: this._routing?.version ?? 0 } as const
     const reports = this._source.crashReports()
-    channel.send(reports.length === 0 ? hello : { ...hello, reports })
+    const compress = this._source.hasSlowLink ? { compress: true as const } : {}
+    channel.send({ ...hello, ...compress, ...(reports.length === 0 ? {} : { reports }) })
+  }
+
+  private _handle (frame: FeedToNode): void {
+    const handler = this._handlers[frame.type] as ((frame: FeedToNode) => void) | undefined
+    handler?.(frame)
   }
 
   private _onClose (address: string): void {
@@ -184,11 +218,25 @@
     this._isWelcomed = true
     this._setReplicaAddresses(frame.controls)
     this._log.info({ home: this._channel?.remoteAddress, nodes: frame.entries.length }, 'control connection open')
+    this._applyWelcomedEvacuation(frame)
     this._welcomeEmitter.fire(frame)
     if (frame.reports !== undefined) this._crashReportsEmitter.fire(frame.reports)
     this._entriesEmitter.fire(frame.entries)
   }
 
+  /** A node that has just started must not send a share of its requests to zones that were evacuated before. */
+  private _applyWelcomedEvacuation ({ evacuation, evacuationAgeMs = Infinity }: FeedWelcome): void {
+    const ageMs = this._evacuationRevision === undefined ? Infinity : evacuationAgeMs
+    this._evacuationRevision ??= 0
+    if (evacuation !== undefined) this._applyEvacuation(evacuation, ageMs)
+  }
+
+  private _applyEvacuation (evacuation: EvacuationState, ageMs: number): void {
+    if (evacuation.revision < (this._evacuationRevision ?? 0)) return
+    this._evacuationRevision = evacuation.revision
+    this._evacuationEmitter.fire({ evacuation, ageMs })
+  }
+
   private _setReplicaAddresses (addresses: readonly string[]): void {
     this._replicaAddresses = [...new Set([...addresses, ...this._seeds])]
   }
--- a/src/routenode/Gateway.ts
+++ b/src/routenode/Gateway.ts
@@ -7,16 +7,22 @@
 import { DEFAULT_CALLER_LIMITS } from '../parts/routing/Constants.js'
 import type { CallerLimits, Route, Workspace } from '../parts/routing/Types.js'
 import type { RouteEntry, RouteTable } from '../parts/routing/RouteTable.js'
+import type { BodyLease } from '../parts/transfer/BodyMemory.js'
+import { computeTransferMs } from '../parts/transfer/TransferTime.js'
 import type { ServiceName } from '../parts/Types.js'
 import type { KeyTable } from '../parts/workspaces/KeyTable.js'
 import { WorkspaceUsage } from '../parts/workspaces/WorkspaceUsage.js'
 import { computeKeyDigest } from '../runtime/Digest.js'
 import { listenOn } from '../runtime/Listen.js'
 import type { Disposable, Log, LogFields } from '../runtime/Types.js'
-import { NOT_READY_RETRY_AFTER_MS, RETRY_AFTER_MAX_SHARE, RETRY_AFTER_JITTER } from './Constants.js'
+import type { BodyResources } from './BodyTransfer.js'
+import {
+  BODY_RETRY_AFTER_MS, NOT_READY_RETRY_AFTER_MS, REFUSED_BODY_LINGER_MS, RETRY_AFTER_MAX_SHARE, RETRY_AFTER_JITTER
+} from './Constants.js'
 import { GatewayCall, type GatewayContext } from './GatewayCall.js'
 import { AnswerSizeEstimate } from './AnswerSizeEstimate.js'
 import { CallerConnections } from './CallerConnections.js'
+import type { QuotaHost } from './QuotaHost.js'
 import type { RouteNodeMetrics } from './RouteNodeMetrics.js'
 import type {
   CallerWorkspace, GatewayReason, GatewayRequest, GatewayResult, HeaderNames, RoutedAnswer, RoutedCall
@@ -43,16 +49,19 @@
   /** Returns the service of the instance on this VM, where all requests originate. */
   readonly callerService: () => ServiceName
   readonly metrics: RouteNodeMetrics
+  readonly quotas: QuotaHost
   /** Returns the call of a request that the instance on this VM runs now, if it runs one. */
   readonly findRunning: (requestId: string) => RoutedCall | undefined
   /** Returns whether this node is connected to a control replica, so that its configuration is current. */
   readonly isInTouch: () => boolean
+  readonly bodies: BodyResources
 }
 
 /**
  * HTTP/1.1 proxy for the callers on this VM: it routes each request to an instance of a service and relays the answer.
  *
- * Memory: the body and the answer of each open request, at most `maxBodyBytes` and `MAX_ANSWER_BYTES`.
+ * Memory: the body and the answer of each open request, at most `maxBodyBytes` and `MAX_ANSWER_BYTES`. An upload is
+ * refused when `BodyMemory` has no room for its body, and when its body takes longer to arrive than its caller waits.
  */
 export class Gateway implements Disposable {
   private readonly _server: Server
@@ -139,12 +148,53 @@
     if (entry === undefined) return this._refuseUnrouted(message, response, 404, 'no-route')
     const origin = this._identify(message, entry.route)
     if (origin === undefined) return this._refuseUnknownKey(message, response)
+    const lease = this._options.bodies.memory.lease()
+    const isUpload = entry.route.kind === 'upload'
+    const timer = isUpload ? this._limitReading(message, response, entry.route, lease) : undefined
     readBody(message, this._callerLimits.maxBodyBytes, result => {
+      clearTimeout(timer)
+      // A request that was refused as late must not run.
+      const isRefused = response.headersSent
+      if (result.type !== 'whole' || isRefused) lease.release()
       if (result.type === 'tooLarge') this._refuseUnrouted(message, response, 413, 'body-too-large')
-      if (result.type !== 'whole') return
+      if (result.type === 'noRoom') this._refuseForMemory(message, response, entry.route)
+      if (result.type !== 'whole' || isRefused) return
+      if (!isUpload) lease.grow(result.bytes.length)
       const request = this._buildRequest(message, entry, table, origin, result.bytes, arrivedAtMs)
-      this._start(message, response, request)
-    })
+      this._start(message, response, request, lease)
+    }, isUpload ? lease : undefined)
+  }
+
+  /** Refuses an upload whose body has not arrived when its caller stops waiting, so that its memory becomes free. */
+  private _limitReading (
+    message: IncomingMessage, response: ServerResponse, route: Route, lease: BodyLease
+  ): NodeJS.Timeout {
+    const { names, log } = this._options
+    const limitMs = Math.min(readDeadlineMs(message, names.deadlineMs) ?? DEFAULT_DEADLINE_MS, route.timeoutMs)
+    return setTimeout(() => {
+      if (message.complete || response.headersSent || response.destroyed) return
+      log.info({ requestId: readHeader(message, names.requestId), route: route.name, limitMs }, 'upload did not arrive in time')
+      // Node.js may not tell the end of a message whose response has ended.
+      response.once('close', () => lease.release())
+      this._refuse(message, response, 503, 'body-late', 0)
+    }, limitMs)
+  }
+
+  /** Room for a body is expected when as many bytes have been moved over the link. */
+  private _refuseForMemory (message: IncomingMessage, response: ServerResponse, route: Route): void {
+    const { names, log, random, bodies } = this._options
+    const { memory: { heldBytes, limitBytes }, linkMbps, metrics } = bodies
+    const bodyBytes = Number(message.headers['content-length'] ?? 0)
+    const transferMs = computeTransferMs(bodyBytes, linkMbps)
+    const deadlineMs = readDeadlineMs(message, names.deadlineMs) ?? DEFAULT_DEADLINE_MS
+    const jitterFactor = 1 + RETRY_AFTER_JITTER * random.next()
+    const retryAfterMs = Math.min(
+      jitterFactor * (transferMs > 0 ? transferMs : BODY_RETRY_AFTER_MS), deadlineMs * RETRY_AFTER_MAX_SHARE
+    )
+    const requestId = readHeader(message, names.requestId)
+    metrics.countBodyRefused('caller')
+    log.info({ requestId, route: route.name, bodyBytes, heldBytes, limitBytes, retryAfterMs }, 'upload refused for memory')
+    this._refuse(message, response, 503, 'body-memory', retryAfterMs)
   }
 
   /** Returns where a request comes from, or undefined when it needs an API key and has none in force. */
@@ -175,7 +225,8 @@
 
   /** Counts the use of a caller's request; a nested call has been counted with its parent. */
   private _withShareUsed (workspace: CallerWorkspace, nowMs: number): CallerWorkspace {
-    const shareUsed = this._workspaceUsage.take(workspace.name, workspace.shareUsed, nowMs)
+    const quotaShare = workspace.quota === undefined ? undefined : this._options.quotas.shareUsed(workspace.name)
+    const shareUsed = this._workspaceUsage.take(workspace.name, quotaShare, nowMs)
     this._options.metrics.countWorkspaceRequest(workspace.name, shareUsed, nowMs)
     return { ...workspace, shareUsed }
   }
@@ -239,29 +290,38 @@
     return dot > 0 ? this._options.findRunning(requestId.slice(0, dot)) : undefined
   }
 
-  private _start (message: IncomingMessage, response: ServerResponse, request: GatewayRequest): void {
+  private _start (
+    message: IncomingMessage, response: ServerResponse, request: GatewayRequest, lease: BodyLease
+  ): void {
     this._openRequestCount++
     this._options.metrics.countReceived()
     let ended = false
     const finish = (result: GatewayResult | undefined): void => {
       if (ended) return
       ended = true
+      lease.release()
+      credit.end(result === undefined ? call.sends === 0 : result.type === 'refused')
       if (result !== undefined) this._send(message, response, result)
       if (result?.type === 'answer') this._answerSizes.recordAnswer(request.route.name, result.answer.body.length)
       this._recordEnd(request, call, result)
       this._openRequestCount--
     }
+    const credit = this._options.quotas.openCredit(request)
     const call = new GatewayCall(request, this._options, finish)
     response.once('close', () => {
       if (ended) return
       call.cancel()
       finish(undefined)
     })
-    call.start()
+    credit.request(() => call.start(), refusal => {
+      call.cancel()
+      finish(refusal)
+    })
   }
 
   private _send (message: IncomingMessage, response: ServerResponse, result: GatewayResult): void {
     if (result.type === 'answer') return this._sendAnswer(message, response, result.answer)
+    if (result.type === 'limited') return this._refuse(message, response, 429, result.reason, result.retryAfterMs)
     if (result.type === 'refused') return this._refuse(message, response, 503, result.reason, result.retryAfterMs)
     this._refuse(message, response, result.timedOut ? 504 : 502, result.reason)
   }
@@ -287,9 +347,10 @@
     const requestId = readHeader(message, this._options.names.requestId)
     if (requestId !== undefined) response.setHeader(this._options.names.requestId, requestId)
     if (retryAfterMs !== undefined) response.setHeader('retry-after', (retryAfterMs / MS_PER_SECOND).toFixed(3))
-    const text = JSON.stringify({ reason, notRun: status === 503 })
+    const text = JSON.stringify({ reason, notRun: status === 503 || status === 429 })
     response.writeHead(status, { 'content-type': 'application/json', 'content-length': Buffer.byteLength(text) })
-    response.end(text)
+    if (message.complete || !LINGERING_REASONS.has(reason)) response.end(text)
+    else endAfterBody(message, response, text)
   }
 
   private _recordEnd (request: GatewayRequest, call: GatewayCall, result: GatewayResult | undefined): void {
@@ -300,18 +361,21 @@
     const nested = parentAttemptKind !== undefined
     const caller = { workspace: name, workspacePriority: priority, shareUsed }
     const origin = { requestId, route: route.name, service, version, nested, ...caller }
-    const fields = { ...origin, sends, declines, hedge, node: lastNode, tookMs }
+    const bodyBytes = route.kind === 'upload' ? request.body.length : undefined
+    const fields = { ...origin, sends, declines, hedge, node: lastNode, tookMs, bodyBytes }
     const outcome = OUTCOME_BY_RESULT[result?.type ?? 'gone']
     this._options.metrics.countEnded(outcome, tookMs, sends, declines)
     if (hedge !== undefined) this._options.metrics.countHedge(hedge)
     if (result?.type !== 'answer' && result?.reason === 'quarantined') this._options.metrics.countQuarantined()
     if (result?.type === 'answer') this._options.log.info({ ...fields, status: result.answer.status }, 'answered')
-    else if (result?.type === 'refused') this._recordRefusal(request, result, fields)
+    else if (result?.type === 'refused' || result?.type === 'limited') this._recordRefusal(request, result, fields)
     else this._options.log.info({ ...fields, outcome, reason: result?.reason ?? 'caller-gone' }, 'not answered')
   }
 
   private _recordRefusal (
-    request: GatewayRequest, { reason, retryAfterMs }: Extract<GatewayResult, { type: 'refused' }>, fields: LogFields
+    request: GatewayRequest,
+    { reason, retryAfterMs }: Extract<GatewayResult, { type: 'refused' | 'limited' }>,
+    fields: LogFields
   ): void {
     const { workspace, parentAttemptKind, arrivedAtMs } = request
     const { log, metrics, clock } = this._options
@@ -350,7 +414,21 @@
   return { name: workspace, priority: workspacePriority, ...(shareUsed === undefined ? {} : { shareUsed }) }
 }
 
-const OUTCOME_BY_RESULT = { answer: 'answered', refused: 'refused', failed: 'failed', gone: 'gone' } as const
+const OUTCOME_BY_RESULT = {
+  answer: 'answered', refused: 'refused', limited: 'refused', failed: 'failed', gone: 'gone'
+} as const
+
+/** Reasons to refuse a request whose body is still arriving. */
+const LINGERING_REASONS: ReadonlySet<GatewayReason> = new Set(['body-memory', 'body-late'])
+
+/** Sends a refusal at once, and ends the response, which closes the connection, when the body has been discarded. */
+function endAfterBody (message: IncomingMessage, response: ServerResponse, text: string): void {
+  const timer = setTimeout(() => message.socket.destroy(), REFUSED_BODY_LINGER_MS)
+  message.once('end', () => response.end())
+  response.once('close', () => clearTimeout(timer))
+  message.resume()
+  response.write(text)
+}
 
 /** Statuses that guarantee that a request has not run and never will. */
 const NOT_EXECUTED_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503])
--- a/src/routenode/GatewayCall.test.ts
+++ b/src/routenode/GatewayCall.test.ts
@@ -1,4 +1,5 @@
 import { afterEach, beforeEach, expect, test, vi } from 'vitest'
+import type { ZoneExclusion } from '../parts/evacuation/Types.js'
 import type { GateLoad } from '../parts/gate/Types.js'
 import { InstanceChooser } from '../parts/placement/InstanceChooser.js'
 import { HedgePolicy } from '../parts/retry/HedgePolicy.js'
@@ -10,7 +11,9 @@
 import type { Placement } from './Placement.js'
 import type { QuarantineRefusal } from './Quarantine.js'
 import { SharedRetryBudgets } from './SharedRetryBudgets.js'
-import type { AttemptKind, GatewayResult, RoutedAnswer, RoutedCall, RoutedCallListener } from './Types.js'
+import type {
+  AttemptKind, CallerWorkspace, GatewayResult, RoutedAnswer, RoutedCall, RoutedCallListener
+} from './Types.js'
 
 const IDLE: GateLoad = { running: 0, queued: 0, limit: 4, slowness: 1, workMs: 50, failing: 0 }
 const ANSWER: RoutedAnswer = { status: 200, headers: [], body: new Uint8Array(0) }
@@ -22,12 +25,16 @@
   readonly call: RoutedCall
   readonly listener: RoutedCallListener
   cancelled: boolean
+  /** True while the body of an upload is not sent completely. */
+  isUnsent: boolean
 }
 
 let sentCalls: SentCall[] = []
 let hedgePolicy = new HedgePolicy()
 let result: GatewayResult | undefined
 let refusal: QuarantineRefusal | undefined
+let exclusion: ZoneExclusion | undefined
+let workspace: CallerWorkspace | undefined
 
 beforeEach(() => { vi.useFakeTimers({ now: 1000 }) })
 
@@ -37,6 +44,8 @@
   hedgePolicy = new HedgePolicy()
   result = undefined
   refusal = undefined
+  exclusion = undefined
+  workspace = undefined
 })
 
 function start (
@@ -44,12 +53,14 @@
 ): GatewayCall {
   const random = new SeededRandom(1)
   const chooser = new InstanceChooser('self', random)
-  nodes.forEach(node => chooser.setCandidate({ node, incarnation: '1', roundTripMs: 1, slots: 6, crossesZones: false }))
+  const candidate = { incarnation: '1', roundTripMs: 1, slots: 6, crossesZones: false }
+  // Nodes are named after their zones here.
+  nodes.forEach(node => chooser.setCandidate({ ...candidate, node, zone: node }))
   const findTarget = (node: NodeId): object => ({
     start: (call: RoutedCall, listener: RoutedCallListener) => {
-      const entry: SentCall = { node, call, listener, cancelled: false }
+      const entry: SentCall = { node, call, listener, cancelled: false, isUnsent: false }
       sentCalls.push(entry)
-      return { cancel: () => { entry.cancelled = true } }
+      return { cancel: () => { entry.cancelled = true }, isUnsent: () => entry.isUnsent }
     }
   })
   let lastId = 0
@@ -57,11 +68,17 @@
     clock,
     random,
     placement: {
-      findChooser: () => chooser, findTarget, findKnownLimit: () => undefined, recordStatus: () => {}
+      findChooser: () => chooser,
+      drawExclusion: () => exclusion === undefined ? {} : { exclusion },
+      findTarget,
+      findKnownLimit: () => undefined,
+      findColdPerS: () => undefined,
+      recordStatus: () => {}
     } as unknown as Placement,
     hedgePolicy,
     quarantine: { check: () => refusal },
     retryBudgets: new SharedRetryBudgets({ ratio: 1, slack, windowMs: 10_000 }),
+    shareUsed: name => name === 'acme' ? 0.375 : undefined,
     nextCallId: () => ++lastId,
     nodeCount: () => 1
   }
@@ -87,7 +104,7 @@
     service: 's',
     version: 1,
     parentAttemptKind,
-    workspace: undefined,
+    workspace,
     deadlineMs: 1000,
     arrivedAtMs: clock.nowMs(),
     objectiveAtMs: clock.nowMs() + 500,
@@ -313,3 +330,47 @@
   expect(sentCalls).toHaveLength(1)
   expect(result).toEqual({ type: 'refused', reason: 'quarantined', retryAfterMs: 500_000 })
 })
+
+// A caller whose upload is proved not to have run may send it again; after 504 it may not.
+test('an upload that times out while its body is moved is refused, after that its outcome is unknown', () => {
+  start(['a', 'b'], { kind: 'upload' })
+  sentCalls[0]!.isUnsent = true
+  vi.advanceTimersByTime(1000)
+  expect([result, sentCalls[0]?.cancelled]).toMatchObject([{ type: 'refused', reason: 'timeout' }, true])
+  const call = start(['a', 'b'], { kind: 'upload' })
+  vi.advanceTimersByTime(1000)
+  expect([result, call.sends]).toMatchObject([{ type: 'failed', reason: 'timeout' }, 1])
+})
+
+test('an upload whose body was not moved completely goes to another instance, and is not retried after that', () => {
+  start(['a', 'b', 'c'], { kind: 'upload' })
+  sentCalls[0]?.listener.onFailed('unsent', 'link-lost', undefined)
+  expect(sentCalls[1]?.node).not.toBe(sentCalls[0]?.node)
+  sentCalls[1]?.listener.onFailed('unknown', 'link-lost', undefined)
+  expect(sentCalls).toHaveLength(2)
+  expect(result).toMatchObject({ type: 'failed', reason: 'link-lost' })
+})
+
+test('a request whose instances are all in evacuated zones is refused with the reason', () => {
+  exclusion = { closedZones: new Set(['a', 'b']), avoidedZones: new Set() }
+  start(['a', 'b'])
+  expect(sentCalls).toEqual([])
+  expect(result).toMatchObject({ type: 'refused', reason: 'zones-evacuated' })
+})
+
+test('a request declined in an evacuated zone goes to another zone', () => {
+  start(['a', 'b'])
+  const [first] = sentCalls as [SentCall]
+  exclusion = { closedZones: new Set([first.node]), avoidedZones: new Set() }
+  first.listener.onDeclined('no-slots', 0, { ...IDLE, limit: 0 })
+  expect(sentCalls.map(({ node }) => node).sort()).toEqual(['a', 'b'])
+})
+
+// The gate of the instance orders workspaces by it.
+test('a call tells which share of its quota the workspace has used, where that is known', () => {
+  workspace = { name: 'acme', priority: 0 }
+  start(['a'])
+  workspace = { name: 'other', priority: 0 }
+  start(['a'])
+  expect(sentCalls.map(({ call }) => call.shareUsed)).toEqual([0.375, undefined])
+})
--- a/src/routenode/GatewayCall.ts
+++ b/src/routenode/GatewayCall.ts
@@ -1,10 +1,13 @@
 import type { PlacementOutcome, PlacementQuery } from '../parts/placement/Types.js'
 import type { HedgePolicy } from '../parts/retry/HedgePolicy.js'
 import { isAtMostOnce } from '../parts/routing/RouteKinds.js'
+import { computeTransferMs } from '../parts/transfer/TransferTime.js'
 import type { CallId, NodeId, Random } from '../parts/Types.js'
 import type { Clock } from '../runtime/Types.js'
+import type { BodyResources } from './BodyTransfer.js'
 import {
-  HEDGE_BUDGET_SHARE, LAST_TRY_MIN_WAIT_MS, MAX_DECLINES, MAX_HEDGE_DECLINES, RETRY_AFTER_JITTER, RETRY_AFTER_MAX_SHARE
+  EVACUATED_RETRY_AFTER_MS, HEDGE_BUDGET_SHARE, LAST_TRY_MIN_WAIT_MS, MAX_DECLINES, MAX_HEDGE_DECLINES,
+  RETRY_AFTER_JITTER, RETRY_AFTER_MAX_SHARE
 } from './Constants.js'
 import type { Placement } from './Placement.js'
 import type { Quarantine } from './Quarantine.js'
@@ -22,6 +25,10 @@
   readonly retryBudgets: SharedRetryBudgets
   readonly hedgePolicy: HedgePolicy
   readonly quarantine: Pick<Quarantine, 'check'>
+  /** Rate of the link of this VM, among others; absent when that is not counted. */
+  readonly bodies?: BodyResources
+  /** Returns the used share of a workspace's quota; undefined where it is not known. */
+  shareUsed? (workspace: string): number | undefined
   /** Returns an id that no other call of this node has. */
   nextCallId (): CallId
   /** Returns the number of nodes that share the retry budgets. */
@@ -155,14 +162,23 @@
     this._hasQueuedAtTriedInstance = true
     const fallback = mayQueueAtTriedInstance ? chooser?.choose({ ...query, excluded: [] }, nowMs) : undefined
     if (fallback !== undefined) return this._sendTo(fallback, kind, undefined)
+    if (chooser?.isClosed(query) === true) return this._giveUp('zones-evacuated', EVACUATED_RETRY_AFTER_MS)
     const untilOpenMs = chooser?.untilOpenMs(nowMs)
     if (untilOpenMs === undefined) this._giveUp('no-instance', 0)
     else this._giveUp('rate-limited', untilOpenMs)
   }
 
   private _buildQuery (): PlacementQuery {
-    const { expectedBytes, route } = this._request
-    return { bytes: expectedBytes, allowsTrial: !isAtMostOnce(route.kind), excluded: this._triedNodes }
+    const { expectedBytes, route, body } = this._request
+    const { placement, bodies } = this._context
+    const query = {
+      bytes: expectedBytes,
+      allowsTrial: !isAtMostOnce(route.kind),
+      excluded: this._triedNodes,
+      ...placement.drawExclusion()
+    }
+    if (route.kind !== 'upload') return query
+    return { ...query, transferMs: computeTransferMs(body.length, bodies?.linkMbps) }
   }
 
   /**
@@ -231,10 +247,13 @@
     const { parentAttemptKind, objectiveAtMs } = this._request
     const nowMs = this._context.clock.nowMs()
     const knownLimit = this._context.placement.findKnownLimit(node)
+    const coldPerS = this._context.placement.findColdPerS(service)
+    const shareUsed = workspace?.shareUsed ?? (workspace && this._context.shareUsed?.(workspace.name))
     return {
+      ...(coldPerS === undefined ? {} : { coldPerS }),
       ...(knownLimit === undefined ? {} : { knownLimit }),
       ...(workspace === undefined ? {} : { workspace: workspace.name, workspacePriority: workspace.priority }),
-      ...(workspace?.shareUsed === undefined ? {} : { shareUsed: workspace.shareUsed }),
+      ...(shareUsed === undefined ? {} : { shareUsed }),
       id,
       service,
       method,
@@ -391,7 +410,7 @@
 
   private _onTimeout (): void {
     if (this._isEnded) return
-    const hasPending = this._pendingAttempts.size > 0
+    const hasPending = [...this._pendingAttempts].some(({ handle }) => handle?.isUnsent?.() !== true)
     this._cancelAttempts()
     if (this._failedAnswer !== undefined) this._finish({ type: 'answer', answer: this._failedAnswer })
     else if (hasPending || this._mayHaveRun) this._finish({ type: 'failed', reason: 'timeout', timedOut: true })
@@ -400,7 +419,7 @@
 
   private _cancelAttempts (): void {
     for (const pending of [...this._pendingAttempts]) {
-      this._sends++
+      if (pending.handle?.isUnsent?.() !== true) this._sends++
       pending.handle?.cancel()
       this._endAttempt(pending, 'cancelled', undefined)
     }
--- a/src/routenode/InstanceProxy.ts
+++ b/src/routenode/InstanceProxy.ts
@@ -1,19 +1,23 @@
 import { type BreakerState, InstanceBreaker } from '../parts/gate/InstanceBreaker.js'
-import { computeRequestRank } from '../parts/gate/RequestRank.js'
 import { InstanceGate } from '../parts/gate/InstanceGate.js'
-import type { GateAction, GateCall, GateEvent } from '../parts/gate/Types.js'
+import type { GateAction, GateEvent } from '../parts/gate/Types.js'
 import { InstanceRegistry, isSameIncarnation, type ReportOutcome } from '../parts/instances/InstanceRegistry.js'
 import { NamedLimit } from '../parts/instances/NamedLimit.js'
 import type { InstanceIncarnation, InstanceReport, PublishedInstance } from '../parts/instances/Types.js'
+import { computeTransferMs } from '../parts/transfer/TransferTime.js'
 import type { CallId, ServiceName } from '../parts/Types.js'
 import { Emitter } from '../runtime/Emitter.js'
 import { PartTimer } from '../runtime/PartTimer.js'
 import type { Clock, Disposable, Log } from '../runtime/Types.js'
-import { RECOVERY_CHECK_INTERVAL_MS } from './Constants.js'
+import { type BodyResources, makeDefaultBodyResources } from './BodyTransfer.js'
+import { type ColdFigures, ColdMonitor, type ColdSetting } from './ColdMonitor.js'
+import { BODY_RETRY_AFTER_MS, COLD_CHECK_TIMEOUT_MS, RECOVERY_CHECK_INTERVAL_MS } from './Constants.js'
 import { CrashAttribution } from './CrashAttribution.js'
+import { buildGateCall } from './GateCalls.js'
 import { InstanceClient, type InstanceHealth } from './InstanceClient.js'
 import type { InstanceLoad } from './LoadHeader.js'
 import type { Quarantine, QuarantineRefusal } from './Quarantine.js'
+import type { PendingCall } from './PendingCall.js'
 import { parseRequestLimit } from './RequestLimitHeader.js'
 import type {
   FailureProof, FailureReason, HeaderNames, InstanceStatus, RoutedAnswer, RoutedCall, RoutedCallHandle,
@@ -32,15 +36,12 @@
   readonly quarantine: Quarantine
   /** Returns the path of a service's health check; undefined while no configuration names the service. */
   readonly findHealthPath: (service: ServiceName) => string | undefined
-}
-
-/** A call that waits in the queue of the gate or runs. */
-interface PendingCall {
-  readonly call: RoutedCall
-  readonly listener: RoutedCallListener
-  readonly deadlineAtMs: number
-  startedAtMs: number
-  handle: RoutedCallHandle | undefined
+  /** Bound on the memory for bodies, rate of the link and metrics; defaults when absent. */
+  readonly bodies?: BodyResources
+  /** Returns whether the instance must get no calls, since its zone is evacuated; absent where that never happens. */
+  readonly isZoneClosed?: () => boolean
+  /** Returns the limit for cold instances of a service; undefined while no configuration names the service. */
+  readonly findColdSetting?: (service: ServiceName) => ColdSetting | undefined
 }
 
 type GateHandlers = {
@@ -62,6 +63,9 @@
  * that the instance drains or stops, it lets no new call in. It also knows which calls ran when the instance crashed,
  * and keeps quarantined requests from running.
  *
+ * An upload of another node comes without its body. Its slot is taken when the gate starts it, then the body is
+ * requested, and only the whole body is passed to the instance; until then it is certain that the call has not run.
+ *
  * Memory: the running and the queued calls; see `InstanceGate` for their bounds.
  */
 export class InstanceProxy implements RoutedCallTarget, Disposable {
@@ -77,6 +81,8 @@
   private _recoveryTimer: NodeJS.Timeout | undefined
   private readonly _namedLimit = new NamedLimit()
   private readonly _crashAttribution: CrashAttribution
+  private readonly _bodies: BodyResources
+  private readonly _cold: ColdMonitor
   private _appliedLimitPerS: number | undefined
   private _slots = 0
   private _lastPublishedJson: string | undefined
@@ -85,17 +91,31 @@
   public constructor (private readonly _options: InstanceProxyOptions) {
     this._registry = new InstanceRegistry(_options.address)
     this._client = new InstanceClient(_options.address, _options.names, _options.clock)
+    this._bodies = _options.bodies ?? makeDefaultBodyResources()
     this._crashAttribution = new CrashAttribution({
       ..._options, checkListener: onResult => this._client.checkListener(onResult)
     })
+    this._cold = new ColdMonitor({
+      ..._options,
+      findSetting: () => _options.findColdSetting?.(this.service),
+      takeProbe: () => this._gate.takeProbe(_options.clock.nowMs()),
+      checkHealth: onResult => {
+        const path = _options.findHealthPath(this.service)
+        if (path === undefined) onResult(undefined)
+        else this._client.queryLoad(path, (_load, notice) => onResult(notice), COLD_CHECK_TIMEOUT_MS)
+      },
+      step: event => this._step(event)
+    })
     this._wakeTimer = new PartTimer(_options.clock, () => this._step({ type: 'tick' }))
     this._gateHandlers = {
       start: action => this._run(action.call.id),
       decline: action => {
         const pending = this._removeCall(action.call.id)
+        if (action.reason === 'rate-limited') this._cold.countDecline()
         pending?.listener.onDeclined(action.reason, action.retryAfterMs, this.load())
       },
       measure: () => this._measureSlowness(),
+      checkCold: action => this._cold.check(action.ticket),
       wake: action => this._wakeTimer.wakeAt(action.atMs)
     }
   }
@@ -118,6 +138,21 @@
     return this._pendingCalls.size
   }
 
+  /** Figures on the cold state of the instance for the metrics. */
+  public get coldFigures (): ColdFigures {
+    return this._cold.figures
+  }
+
+  /** Takes the instance as cold until it says otherwise, since it may have become cold while its zone was evacuated. */
+  public assumeCold (): void {
+    this._cold.assumeCold()
+  }
+
+  /** Applies the limit for cold instances of a new configuration. */
+  public applyColdSetting (): void {
+    this._cold.apply()
+  }
+
   /** Returns the status of the instance to attach to replies. */
   public load (): InstanceStatus {
     const load = this._gate.load(this._options.clock.nowMs())
@@ -141,7 +176,9 @@
     const { current } = this._registry
     if (current !== undefined) return this._restoreLeaving(current, published)
     if (published.service !== this._options.service) return
-    this._registry.recordReport({ ...published, address: this._options.address, sequence: -1, coldMs: 0 })
+    const assumed = { ...published, address: this._options.address, sequence: -1, coldMs: 0 }
+    this._registry.recordReport(assumed)
+    this._cold.recordReport(assumed)
     this._breaker.open(this._options.clock.nowMs())
     this._applySlots()
   }
@@ -175,6 +212,7 @@
     const previous = this._registry.current
     const outcome = this._registry.recordReport(report)
     if (outcome !== 'applied') return outcome
+    this._cold.recordReport(report)
     const restarted = previous?.id !== report.id || previous.bornMs !== report.bornMs
     if (restarted) this._breaker.recordSuccess()
     if (previous !== undefined && !isSameIncarnation(previous, report)) {
@@ -191,44 +229,48 @@
     return outcome
   }
 
+  /** Closes the gate, also to queued calls, or opens it, as the evacuation of this zone demands. */
+  public applyZoneClosure (): void {
+    this._applySlots()
+  }
+
   /** Offers a call to the gate of the instance. */
   public start (call: RoutedCall, listener: RoutedCallListener): RoutedCallHandle {
     const nowMs = this._options.clock.nowMs()
     const id = ++this._lastCallId
     const deadlineAtMs = nowMs + call.leftMs
     if (call.knownLimit !== undefined) this._namedLimit.recordHearsay(call.knownLimit, nowMs)
+    if (call.coldPerS !== undefined) this._cold.recordToldLimit(call.coldPerS)
     this._applyLimit()
     if (call.service !== this.service) {
       listener.onDeclined('no-slots', 0, this.load())
       return { cancel: () => {} }
     }
-    const refusal = this._options.quarantine.check(call, false)
+    if (this._isZoneClosed()) {
+      this._declineInClosedZone(call, listener)
+      return { cancel: () => {} }
+    }
+    // The fingerprint of a request needs its body, so that of an upload is checked when its body has arrived.
+    const refusal = call.bodyBytes === undefined ? this._options.quarantine.check(call, false) : undefined
     if (refusal !== undefined) {
       this._refuse(listener, refusal)
       return { cancel: () => {} }
     }
-    this._pendingCalls.set(id, { call, listener, deadlineAtMs, startedAtMs: nowMs, handle: undefined })
-    const gateCall: GateCall = {
-      id,
-      work: call.work,
-      nested: call.nested,
-      requestRank: computeRequestRank(call.requestId),
-      priority: call.priority,
-      ...(call.workspacePriority === undefined ? {} : { workspacePriority: call.workspacePriority }),
-      ...(call.shareUsed === undefined ? {} : { shareUsed: call.shareUsed }),
-      objectiveAtMs: nowMs + call.objectiveLeftMs,
-      deadlineAtMs,
-      moveMs: call.moveMs,
-      isHedge: call.attempt === 'hedge'
+    if (call.bodyBytes !== undefined && !this._bodies.memory.hasRoomFor(call.bodyBytes)) {
+      this._declineForMemory(call, listener)
+      return { cancel: () => {} }
     }
-    this._step({ type: 'offer', call: gateCall })
-    return { cancel: () => this._cancel(id) }
+    const pending = { call, listener, deadlineAtMs, startedAtMs: nowMs, handle: undefined, lease: undefined }
+    this._pendingCalls.set(id, pending)
+    this._step({ type: 'offer', call: buildGateCall(id, call, nowMs, this._bodies.linkMbps) })
+    return { cancel: () => this._cancel(id), supplyBody: body => this._supplyBody(id, body) }
   }
 
   /** Closes all connections at once. */
   public dispose (): void {
     this._stopRecovery()
     this._crashAttribution.dispose()
+    this._cold.dispose()
     this._wakeTimer.dispose()
     this._client.dispose()
   }
@@ -252,18 +294,27 @@
 
   private _applySlots (): void {
     const { current } = this._registry
-    const slots = current?.state === 'ready' ? SLOTS_BY_BREAKER_STATE[this._breaker.state](current.slots) : 0
+    const isZoneClosed = this._isZoneClosed()
+    const slots = current?.state === 'ready' && !isZoneClosed ? SLOTS_BY_BREAKER_STATE[this._breaker.state](current.slots) : 0
     if (slots === this._slots) return
     this._slots = slots
     const { id, state } = current ?? {}
-    this._options.log.info({ service: this.service, instance: id, state, breaker: this._breaker.state, slots }, 'slots changed')
+    const closure = isZoneClosed ? { isZoneClosed } : {}
+    this._options.log.info({ service: this.service, instance: id, state, breaker: this._breaker.state, slots, ...closure }, 'slots changed')
     this._step({ type: 'slots', slots })
+    if (slots === 0) this._declineAwaitingBodies()
   }
 
   private _run (id: CallId): void {
     const pending = this._pendingCalls.get(id)
     const instance = this._registry.current
     if (pending === undefined || instance === undefined) return
+    // The timer that closes the gate may be late.
+    if (this._isZoneClosed()) {
+      this._cancel(id)
+      return this._declineInClosedZone(pending.call, pending.listener)
+    }
+    if (pending.call.bodyBytes !== undefined) return this._requestBody(id, pending, pending.call.bodyBytes)
     // The request may have been quarantined while the call was queued.
     const refusal = this._options.quarantine.check(pending.call, false)
     if (refusal !== undefined) {
@@ -283,6 +334,60 @@
     })
   }
 
+  /** The call has a slot now, which it keeps until its body has arrived and has run. */
+  private _requestBody (id: CallId, pending: PendingCall, bytes: number): void {
+    const lease = this._bodies.memory.lease()
+    if (!lease.tryGrow(bytes)) {
+      this._cancel(id)
+      return this._declineForMemory(pending.call, pending.listener)
+    }
+    pending.lease = lease
+    pending.listener.onBodyWanted?.()
+  }
+
+  private _supplyBody (id: CallId, body: Uint8Array | undefined): void {
+    const pending = this._pendingCalls.get(id)
+    if (pending?.call.bodyBytes === undefined) return
+    const { requestId, bodyBytes, ...call } = pending.call
+    if (body === undefined) {
+      this._options.log.info({ requestId, bodyBytes }, 'sender of a body has stalled')
+      this._cancel(id)
+      return pending.listener.onFailed('unsent', 'body-stalled', this.load())
+    }
+    if (this._options.clock.nowMs() >= pending.deadlineAtMs) {
+      this._cancel(id)
+      return pending.listener.onDeclined('too-late', 0, this.load())
+    }
+    pending.call = { ...call, requestId, body }
+    this._run(id)
+  }
+
+  /** The instance takes no calls any more, so that bodies on their way to it would be moved in vain. */
+  private _declineAwaitingBodies (): void {
+    for (const [id, { call, listener }] of [...this._pendingCalls]) {
+      if (call.bodyBytes === undefined) continue
+      this._cancel(id)
+      listener.onDeclined('no-slots', 0, this.load())
+    }
+  }
+
+  private _declineForMemory ({ requestId, bodyBytes = 0 }: RoutedCall, listener: RoutedCallListener): void {
+    const { memory: { heldBytes, limitBytes }, linkMbps, metrics } = this._bodies
+    metrics.countBodyRefused('node')
+    this._options.log.info({ requestId, bodyBytes, heldBytes, limitBytes }, 'call declined for memory')
+    const retryAfterMs = linkMbps === undefined ? BODY_RETRY_AFTER_MS : computeTransferMs(bodyBytes, linkMbps)
+    listener.onDeclined('body-memory', retryAfterMs, this.load())
+  }
+
+  private _isZoneClosed (): boolean {
+    return this._options.isZoneClosed?.() === true
+  }
+
+  private _declineInClosedZone ({ requestId }: RoutedCall, listener: RoutedCallListener): void {
+    this._options.log.info({ requestId, instance: this._registry.current?.id }, 'call declined in an evacuated zone')
+    listener.onDeclined('no-slots', 0, this.load())
+  }
+
   private _refuse (listener: RoutedCallListener, { reason, retryAfterMs }: QuarantineRefusal): void {
     listener.onDeclined(reason === 'suspect' ? 'busy' : reason, retryAfterMs, this.load())
   }
@@ -305,6 +410,7 @@
     if (reason === 'timeout') this._client.closeIdleConnections()
     this._recordCrashEvidence(id, proof, reason)
     this._recordFailure(reason)
+    if (reason === 'instance-replaced') this._step({ type: 'misdirected', id })
     this._step({ type: 'finished', id, workMs: undefined })
     pending.listener.onFailed(proof, reason, this.load())
   }
@@ -349,7 +455,7 @@
   }
 
   private _mayResend (): boolean {
-    if (this.load().closedForMs !== undefined) return false
+    if (this._isZoneClosed() || !this._gate.mayResend(this._options.clock.nowMs())) return false
     this._step({ type: 'resent' })
     return true
   }
@@ -368,7 +474,8 @@
     return pending
   }
 
-  private _deleteCall (id: CallId, { call }: PendingCall): void {
+  private _deleteCall (id: CallId, { call, lease }: PendingCall): void {
+    lease?.release()
     this._pendingCalls.delete(id)
     this._runningByRequestId.delete(call.requestId)
   }
@@ -394,7 +501,12 @@
     const isKnown = this._registry.current !== undefined
     if (isKnown && this._breaker.state !== 'open') return this._stopRecovery()
     if (path === undefined || (isKnown && !this._breaker.isTrialDue(this._options.clock.nowMs()))) return
-    this._client.checkHealth(path, health => { if (health !== undefined) this._onHealth(health) })
+    const probe = this._cold.startProbe()
+    if (probe === undefined) return
+    this._client.checkHealth(path, (health, notice) => {
+      this._cold.endProbe(probe, notice)
+      if (health !== undefined) this._onHealth(health)
+    })
   }
 
   private _onHealth ({ id, load }: InstanceHealth): void {
@@ -414,8 +526,13 @@
 
   private _measureSlowness (): void {
     const path = this._options.findHealthPath(this.service)
-    if (path === undefined) return this._step({ type: 'measured', slowness: undefined })
-    this._client.queryLoad(path, load => this._step({ type: 'measured', slowness: load?.slowness }))
+    // Load queries would use up what a cold instance tolerates.
+    const probe = path === undefined || this._cold.isCold ? undefined : this._cold.startProbe()
+    if (path === undefined || probe === undefined) return this._step({ type: 'measured', slowness: undefined })
+    this._client.queryLoad(path, (load, notice) => {
+      this._cold.endProbe(probe, notice)
+      this._step({ type: 'measured', slowness: load?.slowness })
+    })
   }
 
   private _stopRecovery (): void {
--- a/src/routenode/Placement.ts
+++ b/src/routenode/Placement.ts
@@ -1,11 +1,15 @@
 import type { NodeDirectory } from '../parts/instances/NodeDirectory.js'
+import type { ZoneExclusion } from '../parts/evacuation/Types.js'
 import { isSameIncarnation } from '../parts/instances/InstanceRegistry.js'
 import type { InstanceIncarnation, InstanceLimit, NodeEntry } from '../parts/instances/Types.js'
 import { InstanceChooser } from '../parts/placement/InstanceChooser.js'
+import type { PlacementQuery } from '../parts/placement/Types.js'
 import type { NodeId, Random, ServiceName } from '../parts/Types.js'
 import type { Clock, Disposable, Log } from '../runtime/Types.js'
+import type { BodyResources } from './BodyTransfer.js'
 import { CallLink } from './CallLink.js'
 import type { InstanceStatus, RoutedCallTarget } from './Types.js'
+import { ZoneProbe } from './ZoneProbe.js'
 
 /** Round trips assumed to instances on the same VM, in the same availability zone and elsewhere, in milliseconds. */
 const ASSUMED_ROUND_TRIP_MS = { vm: 0.1, zone: 0.6, other: 2.2 } as const
@@ -16,12 +20,18 @@
   readonly self: NodeId
   /** Availability zone of this node. */
   readonly zone: string
+  /** Whether the loss of a whole zone has to be borne, so that zones are watched for silence. */
+  readonly toleratesZoneLoss: boolean
   /** Destination of calls to the instance on this VM. */
   readonly local: RoutedCallTarget
   readonly directory: NodeDirectory
   readonly clock: Clock
   readonly random: Random
   readonly log: Log
+  /** Bound on the memory for bodies, rate of the link and metrics; defaults when absent. */
+  readonly bodies?: BodyResources
+  /** Draws the evacuated zones that one choice leaves out; absent where none is ever evacuated. */
+  readonly drawExclusion?: () => ZoneExclusion | undefined
 }
 
 /**
@@ -38,13 +48,30 @@
   private readonly _knownLimits = new Map<NodeId, InstanceLimit>()
   /** Instances that leave, by node, as this node was told: their own nodes may forget it in a restart. */
   private readonly _leavingInstances = new Map<NodeId, InstanceIncarnation>()
+  /** Returns the requests a second that cold instances of a service tolerate; undefined without a limit. */
+  private _findColdPerS: (service: ServiceName) => number | undefined = () => undefined
   /** Epochs of the nodes to which there is a link. */
   private readonly _epochs = new Map<NodeId, number>()
+  private readonly _zoneProbe: ZoneProbe | undefined
 
-  public constructor (private readonly _options: PlacementOptions) {}
+  public constructor (private readonly _options: PlacementOptions) {
+    if (!_options.toleratesZoneLoss) return
+    this._zoneProbe = new ZoneProbe({
+      ..._options,
+      links: () => this._links.values(),
+      setReachable: (nodes, isReachable) => nodes.forEach(node => this._setReachable(node, isReachable))
+    })
+  }
 
-  /** Sets the services that requests may be routed to. */
-  public setServices (services: Iterable<ServiceName>): void {
+  /**
+   * Sets the services that requests may be routed to.
+   * @param findColdPerS Returns the requests a second that cold instances of a service tolerate; undefined without a
+   * limit.
+   */
+  public setServices (
+    services: Iterable<ServiceName>, findColdPerS: (service: ServiceName) => number | undefined = () => undefined
+  ): void {
+    this._findColdPerS = findColdPerS
     const { directory, self, random } = this._options
     const wanted = new Set(services)
     for (const service of this._choosers.keys()) {
@@ -75,6 +102,17 @@
     return this._choosers.get(service)
   }
 
+  /** Draws the evacuated zones that one choice leaves out, in the form of a part of its query. */
+  public drawExclusion (): Pick<PlacementQuery, 'exclusion'> {
+    const exclusion = this._options.drawExclusion?.()
+    return exclusion === undefined ? {} : { exclusion }
+  }
+
+  /** Returns the requests a second that cold instances of a service tolerate; undefined without a limit. */
+  public findColdPerS (service: ServiceName): number | undefined {
+    return this._findColdPerS(service)
+  }
+
   /** Returns the limit that the instance beside a node has named in its last answer to this node, if it did. */
   public findKnownLimit (node: NodeId): InstanceLimit | undefined {
     return this._knownLimits.get(node)
@@ -86,6 +124,7 @@
    * it has none, as a node that has just restarted does not know.
    */
   public recordStatus (node: NodeId, { requestLimit, leaving }: InstanceStatus, isAnswer: boolean): void {
+    this._zoneProbe?.recordHeard(node)
     if (requestLimit !== undefined) this._knownLimits.set(node, requestLimit)
     else if (isAnswer) this._knownLimits.delete(node)
     if (leaving === undefined || isSameIncarnation(this._leavingInstances.get(node), leaving)) return
@@ -109,6 +148,7 @@
 
   /** Closes all links. */
   public dispose (): void {
+    this._zoneProbe?.dispose()
     for (const link of this._links.values()) link.dispose()
   }
 
@@ -133,7 +173,8 @@
           incarnation: `${instance.id}@${instance.bornMs}`,
           slots: instance.slots,
           roundTripMs: this._roundTripMs(node, zone),
-          crossesZones: zone !== this._options.zone
+          crossesZones: zone !== this._options.zone,
+          zone
         })
       }
     }
@@ -145,7 +186,8 @@
   }
 
   private _openLink (node: NodeId): CallLink {
-    const link = new CallLink(node, this._options.self, this._options.clock, this._options.random)
+    const { self, clock, random, bodies } = this._options
+    const link = new CallLink(node, self, clock, random, bodies)
     const ifCurrent = (handler: () => void) => () => { if (this._links.get(node) === link) handler() }
     link.onOpen(ifCurrent(() => this._onOpen(node)))
     link.onStopping(ifCurrent(() => this._onStopping(node)))
@@ -164,12 +206,21 @@
   }
 
   private _onUnresponsive (node: NodeId): void {
-    const nowMs = this._options.clock.nowMs()
-    for (const chooser of this._choosers.values()) chooser.markUnreachable(node, nowMs)
+    this._setReachable(node, false)
+    this._zoneProbe?.recordSilent(node)
   }
 
   private _onResponsive (node: NodeId): void {
-    for (const chooser of this._choosers.values()) chooser.markReachable(node)
+    this._setReachable(node, true)
+    this._zoneProbe?.recordHeard(node)
+  }
+
+  private _setReachable (node: NodeId, isReachable: boolean): void {
+    const nowMs = this._options.clock.nowMs()
+    for (const chooser of this._choosers.values()) {
+      if (isReachable) chooser.markReachable(node)
+      else chooser.markUnreachable(node, nowMs)
+    }
   }
 
   private _onStopping (node: NodeId): void {
--- a/src/routenode/RouteNodeDaemon.ts
+++ b/src/routenode/RouteNodeDaemon.ts
@@ -6,19 +6,23 @@
 import { HedgePolicy } from '../parts/retry/HedgePolicy.js'
 import { RouteTable } from '../parts/routing/RouteTable.js'
 import type { VersionedRouting, Workspace } from '../parts/routing/Types.js'
+import { BodyMemory } from '../parts/transfer/BodyMemory.js'
 import type { Random, ServiceName } from '../parts/Types.js'
 import { KeyTable } from '../parts/workspaces/KeyTable.js'
 import type { Clock, Disposable, Log } from '../runtime/Types.js'
+import type { BodyResources } from './BodyTransfer.js'
 import { CallServer } from './CallServer.js'
-import { SHUTDOWN_DELAY_MS, STOP_NOTICE_MS } from './Constants.js'
+import { SHUTDOWN_DELAY_MS, SLOW_LINK_MBPS, STOP_NOTICE_MS } from './Constants.js'
 import { ControlFeed, type FeedWelcome } from './ControlFeed.js'
 import { Gateway } from './Gateway.js'
 import { InstanceProxy } from './InstanceProxy.js'
 import { Placement } from './Placement.js'
 import { Quarantine } from './Quarantine.js'
+import { QuotaHost } from './QuotaHost.js'
 import { type NodeGauges, RouteNodeMetrics } from './RouteNodeMetrics.js'
 import { SharedRetryBudgets } from './SharedRetryBudgets.js'
 import type { HeaderNames } from './Types.js'
+import { ZoneEvacuation } from './ZoneEvacuation.js'
 
 /** Settings of the node of a VM. */
 export interface RouteNodeSettings {
@@ -32,6 +36,8 @@
   readonly service: ServiceName
   /** Availability zone of the VM. */
   readonly zone: string
+  /** Whether the loss of a whole availability zone has to be borne. */
+  readonly toleratesZoneLoss: boolean
   /** Addresses of the control replicas to connect to first, `host:port`. */
   readonly seeds: readonly string[]
   /** Limits on the retries and hedges to each service, for all nodes together. */
@@ -39,6 +45,10 @@
   readonly names: HeaderNames
   /** Longest duration of a graceful shutdown, in milliseconds. */
   readonly stopLimitMs: number
+  /** Memory of the node in megabytes, a quarter of which bodies may take; a default when absent. */
+  readonly memoryMb?: number | undefined
+  /** Rate of the VM's link in Mbit/s; when absent, the time to move bodies is not counted. */
+  readonly linkMbps?: number | undefined
 }
 
 /** Settings and system services of a node. */
@@ -60,10 +70,13 @@
 export class RouteNodeDaemon implements Disposable {
   /** Metrics of this node. */
   public readonly metrics = new RouteNodeMetrics(() => this._readGauges())
+  private readonly _bodies: BodyResources
   private readonly _directory = new NodeDirectory()
   private readonly _quarantine: Quarantine
+  private readonly _evacuation: ZoneEvacuation
   private readonly _instanceProxy: InstanceProxy
   private readonly _placement: Placement
+  private readonly _quotas: QuotaHost
   private readonly _gateway: Gateway
   private readonly _callServer: CallServer
   private readonly _controlFeed: ControlFeed
@@ -82,7 +95,10 @@
   public constructor (private readonly _options: RouteNodeOptions) {
     const { settings, clock, random, log, fingerprint } = _options
     this._epoch = Math.floor(clock.wallMs())
+    const { memoryMb, linkMbps } = settings
+    this._bodies = { memory: new BodyMemory(memoryMb), linkMbps, metrics: this.metrics }
     this._quarantine = new Quarantine({ node: settings.nodeAddress, incarnation: this._epoch, fingerprint, clock, log })
+    this._evacuation = new ZoneEvacuation({ zone: settings.zone, clock, random, log })
     this._instanceProxy = new InstanceProxy({
       address: settings.instanceAddress,
       service: settings.service,
@@ -90,16 +106,34 @@
       clock,
       log,
       quarantine: this._quarantine,
-      findHealthPath: service => this._routeTable?.findService(service)?.healthPath
+      findHealthPath: service => this._routeTable?.findService(service)?.healthPath,
+      bodies: this._bodies,
+      isZoneClosed: () => this._evacuation.isGateClosed,
+      findColdSetting: name => {
+        const service = this._routeTable?.findService(name)
+        return service === undefined ? undefined : { perS: service.coldPerS, startMs: service.coldStartMs }
+      }
     })
     this._placement = new Placement({
       self: settings.nodeAddress,
       zone: settings.zone,
+      toleratesZoneLoss: settings.toleratesZoneLoss,
       local: this._instanceProxy,
       directory: this._directory,
       clock,
       random,
-      log
+      log,
+      bodies: this._bodies,
+      drawExclusion: () => this._evacuation.drawExclusion()
+    })
+    this._quotas = new QuotaHost({
+      self: settings.nodeAddress,
+      incarnation: () => this._epoch,
+      directory: this._directory,
+      clock,
+      random,
+      metrics: this.metrics,
+      send: message => this._controlFeed.sendQuotaMessage(message)
     })
     this._gateway = new Gateway({
       names: settings.names,
@@ -111,14 +145,18 @@
       retryBudgets: new SharedRetryBudgets(settings.retryLimits),
       hedgePolicy: new HedgePolicy(),
       quarantine: this._quarantine,
+      quotas: this._quotas,
+      shareUsed: workspace => this._quotas.shareUsed(workspace),
       callerService: () => this._instanceProxy.service,
       findRunning: requestId => this._instanceProxy.findRunning(requestId),
       isInTouch: () => this._controlFeed.replicaAddress !== undefined,
       nextCallId: () => ++this._lastCallId,
-      nodeCount: () => this._directory.size
+      nodeCount: () => this._directory.size,
+      bodies: this._bodies
     })
-    this._callServer = new CallServer(this._instanceProxy, clock)
+    this._callServer = new CallServer(this._instanceProxy, clock, this._bodies)
     this._controlFeed = new ControlFeed(settings.seeds, {
+      hasSlowLink: (settings.linkMbps ?? Infinity) < SLOW_LINK_MBPS,
       nextEntry: () => this._makeHelloEntry(),
       crashReports: () => this._quarantine.reports()
     }, clock, random, log)
@@ -159,11 +197,13 @@
       node: this._options.settings.nodeAddress,
       ready: this.isReady,
       version: this._controlFeed.routing?.version ?? 0,
+      evacuation: this._evacuation.state,
       home: this._controlFeed.replicaAddress ?? null,
       instance: this._instanceProxy.published ?? null,
       load: this._instanceProxy.load(),
       held: this._instanceProxy.pendingCallCount,
       inFlight: this._gateway.inFlight,
+      bodies: { heldBytes: this._bodies.memory.heldBytes, openTransfers: this.metrics.openTransfers },
       placement: this._placement.describe()
     }
   }
@@ -192,15 +232,18 @@
   /** Closes all listeners and connections at once. */
   public dispose (): void {
     this._controlFeed.dispose()
+    this._quotas.dispose()
     this._gateway.dispose()
     this._callServer.dispose()
     this._placement.dispose()
+    this._evacuation.dispose()
     this._instanceProxy.dispose()
   }
 
   private async _finishOpenWork (): Promise<void> {
     await this._gateway.close()
-    while (this._instanceProxy.pendingCallCount > 0) await delay(STOP_POLL_INTERVAL_MS)
+    const countOpen = (): number => this._instanceProxy.pendingCallCount + this._callServer.outgoingAnswerCount
+    while (countOpen() > 0) await delay(STOP_POLL_INTERVAL_MS)
     await this._callServer.finish()
   }
 
@@ -211,7 +254,11 @@
       nodes: this._directory.size,
       inFlight: this._gateway.inFlight,
       suspects: this._quarantine.size,
-      load: this._instanceProxy.load()
+      bodyBytes: this._bodies.memory.heldBytes,
+      load: this._instanceProxy.load(),
+      evacuation: this._evacuation.state,
+      isZoneClosed: this._evacuation.isGateClosed,
+      cold: this._instanceProxy.coldFigures
     }
   }
 
@@ -221,6 +268,10 @@
     this._controlFeed.onEntries(entries => this._onEntries(entries))
     this._controlFeed.onCrashReports(reports => this._quarantine.receive(reports))
     this._quarantine.onReports(reports => this._controlFeed.publishCrashReports(reports))
+    this._controlFeed.onEvacuation(update => this._evacuation.apply(update))
+    this._evacuation.onGateChange(() => this._instanceProxy.applyZoneClosure())
+    this._evacuation.onEnd(() => this._instanceProxy.assumeCold())
+    this._controlFeed.onQuotaAnswer(answer => this._quotas.receive(answer))
     this._controlFeed.onRouting(routing => this._apply(routing))
   }
 
@@ -228,7 +279,9 @@
     this._routeTable = new RouteTable(routing, this._options.random, this._routeTable)
     const { limits, workspaces } = routing.configuration
     this._gateway.apply(this._routeTable, limits, this._updateKeys(workspaces))
-    this._placement.setServices(this._routeTable.services)
+    const table = this._routeTable
+    this._placement.setServices(table.services, service => table.findService(service)?.coldPerS)
+    this._instanceProxy.applyColdSetting()
     this._instanceProxy.startRecovery()
     this._isConfigured = true
   }
@@ -248,6 +301,7 @@
     if (own !== undefined && own.epoch > this._epoch) this._epoch = own.epoch + 1
     // The instance may have reported after the hello frame was sent; such a report has not been published yet.
     if (!isSamePublication(this._sentEntry, this._makeEntry())) this._publish()
+    this._quotas.notifyConnected()
   }
 
   private _onEntries (entries: readonly NodeEntry[]): void {
--- a/src/routenode/RouteNodeMetrics.ts
+++ b/src/routenode/RouteNodeMetrics.ts
@@ -1,4 +1,7 @@
 import { Counter, Gauge, Histogram, Registry } from 'prom-client'
+import type { TransferDirection, TransferMetrics } from './BodyTransfer.js'
+import type { EvacuationState } from '../parts/evacuation/Types.js'
+import type { ColdFigures } from './ColdMonitor.js'
 import { REFUSAL_KINDS, type RefusalKind, WorkspaceCounts } from '../parts/workspaces/WorkspaceCounts.js'
 import type { HedgeOutcome } from './GatewayCall.js'
 import type { GatewayReason, InstanceStatus } from './Types.js'
@@ -6,6 +9,12 @@
 /** The single outcome of a caller's request; `gone` means that the caller disconnected first. */
 export type RequestOutcome = 'answered' | 'refused' | 'failed' | 'gone'
 
+/**
+ * What became of a request that needs a credit: `requested` counts all, `fallback` those that a node without contact
+ * admitted, and `returned` those whose credit was given back.
+ */
+export type QuotaOutcome = 'requested' | 'granted' | 'refused' | 'fallback' | 'returned'
+
 /** Values of the gauges, read when the metrics are fetched. */
 export interface NodeGauges {
   readonly ready: boolean
@@ -14,14 +23,21 @@
   readonly inFlight: number
   /** Requests that are suspected of crashes or quarantined. */
   readonly suspects: number
+  /** Bytes of the bodies that are held. */
+  readonly bodyBytes: number
   readonly load: InstanceStatus
+  /** Evacuated zones that this node knows. */
+  readonly evacuation: EvacuationState
+  /** True while the gate admits nothing because the zone of this node is evacuated. */
+  readonly isZoneClosed: boolean
+  readonly cold: ColdFigures
 }
 
 /** Upper bounds of the latency buckets in seconds, around usual latency objectives of a tenth to a few seconds. */
 const LATENCY_BUCKETS_S = [0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 1, 2, 4]
 
 /** Metrics of a node in the Prometheus text format. `docs/METRICS.md` lists them. */
-export class RouteNodeMetrics {
+export class RouteNodeMetrics implements TransferMetrics {
   private readonly _registry = new Registry()
   private readonly _received: Counter
   private readonly _ended: Counter<'outcome'>
@@ -31,6 +47,10 @@
   private readonly _hedges: Counter<'outcome'>
   private readonly _quarantined: Counter
   private readonly _workspaceCounts = new WorkspaceCounts()
+  private readonly _bodyBytes: Counter<'direction'>
+  private readonly _bodiesRefused: Counter<'origin'>
+  private _openTransfers = 0
+  private readonly _quota: Counter<'outcome'>
 
   /**
    * @param readGauges Returns the current values of the gauges.
@@ -56,6 +76,18 @@
     this._quarantined = new Counter({
       name: 'sassafras_requests_quarantined_total', help: 'Requests ended because they crash instances', registers
     })
+    this._bodyBytes = new Counter({
+      name: 'sassafras_body_bytes_moved_total', help: 'Bytes of bodies moved in chunks', labelNames: ['direction'], registers
+    })
+    this._bodiesRefused = new Counter({
+      name: 'sassafras_bodies_refused_total', help: 'Bodies refused for memory', labelNames: ['origin'], registers
+    })
+    this._quota = new Counter({
+      name: 'sassafras_quota_requests_total',
+      help: 'Requests of workspaces with a quota by what became of their credits',
+      labelNames: ['outcome'],
+      registers
+    })
     this._addGauges(readGauges)
     this._addWorkspaceMetrics()
   }
@@ -110,6 +142,31 @@
     this._workspaceCounts.countRefusal(workspace, toRefusalKind(reason))
   }
 
+  /** Number of bodies that are being sent or received. */
+  public get openTransfers (): number {
+    return this._openTransfers
+  }
+
+  /** @inheritdoc */
+  public countBodyBytes (direction: TransferDirection, bytes: number): void {
+    this._bodyBytes.inc({ direction }, bytes)
+  }
+
+  /** @inheritdoc */
+  public changeOpenTransfers (change: number): void {
+    this._openTransfers += change
+  }
+
+  /** @inheritdoc */
+  public countBodyRefused (origin: 'caller' | 'node'): void {
+    this._bodiesRefused.inc({ origin })
+  }
+
+  /** Counts a request that needs a credit of its workspace. */
+  public countQuota (outcome: QuotaOutcome): void {
+    this._quota.inc({ outcome })
+  }
+
   /** Returns all metrics as text. */
   public async text (): Promise<string> {
     return await this._registry.metrics()
@@ -122,6 +179,8 @@
       ['sassafras_nodes', 'Nodes known', ({ nodes }) => nodes],
       ['sassafras_requests_in_flight', 'Requests not ended yet', ({ inFlight }) => inFlight],
       ['sassafras_suspect_requests', 'Requests suspected of crashes or quarantined', ({ suspects }) => suspects],
+      ['sassafras_body_bytes_held', 'Bytes of the bodies held', ({ bodyBytes }) => bodyBytes],
+      ['sassafras_body_transfers_open', 'Bodies being moved in chunks', () => this._openTransfers],
       ['sassafras_gate_running', 'Calls that run at the instance', ({ load }) => load.running],
       ['sassafras_gate_queued', 'Calls that wait for the instance', ({ load }) => load.queued],
       ['sassafras_gate_limit', 'Calls that may run at once', ({ load }) => load.limit],
@@ -130,12 +189,34 @@
         'Requests a second that the instance takes, infinite while it names no limit',
         ({ load }) => load.requestLimit?.perS ?? Infinity
       ],
-      ['sassafras_vm_slowness', 'Time that work takes relative to usual', ({ load }) => load.slowness]
+      ['sassafras_vm_slowness', 'Time that work takes relative to usual', ({ load }) => load.slowness],
+      [
+        'sassafras_evacuation_revision',
+        'Changes of the set of evacuated zones, as far as the node knows',
+        ({ evacuation }) => evacuation.revision
+      ],
+      ['sassafras_evacuated_zones', 'Evacuated zones', ({ evacuation }) => evacuation.zones.length],
+      [
+        'sassafras_zone_closed',
+        '1 while the instance gets no calls because its zone is evacuated',
+        ({ isZoneClosed }) => Number(isZoneClosed)
+      ],
+      ['sassafras_instance_cold_seconds', 'Time that the instance stays cold, as known', ({ cold }) => cold.coldForMs / 1000]
     ]
     for (const [name, help, read] of definitions) {
       const collect = (): void => gauge.set(read(readGauges()))
       const gauge: Gauge = new Gauge({ name, help, registers: [this._registry], collect })
     }
+    this._addCounter('sassafras_cold_checks_total', 'Health checks to learn the cold state', () => readGauges().cold.checks)
+    this._addCounter('sassafras_limit_declines_total', 'Calls declined by request limits', () => readGauges().cold.declined)
+  }
+
+  private _addCounter (name: string, help: string, read: () => number): void {
+    const collect = (): void => {
+      counter.reset()
+      counter.inc(read())
+    }
+    const counter: Counter = new Counter({ name, help, registers: [this._registry], collect })
   }
 
   /** The rows change with the largest workspaces, so the metrics are rebuilt from them at each fetch. */
--- a/test/support/RouteMesh.ts
+++ b/test/support/RouteMesh.ts
@@ -5,6 +5,7 @@
 import { findFreeAddresses } from '../../src/demo/FreePorts.js'
 import { RequestFingerprint } from '../../src/parts/quarantine/RequestFingerprint.js'
 import { computeSha1 } from '../../src/runtime/Digest.js'
+import type { EvacuationState } from '../../src/parts/evacuation/Types.js'
 import type { Route, RoutingChange, RoutingConfiguration } from '../../src/parts/routing/Types.js'
 import { SeededRandom } from '../../src/parts/SeededRandom.js'
 import { MemoryDisk } from '../../src/parts/storage/MemoryDisk.js'
@@ -14,6 +15,7 @@
 import { parseAddress } from '../../src/runtime/Address.js'
 import { SystemClock } from '../../src/runtime/SystemClock.js'
 import type { Log, LogFields } from '../../src/runtime/Types.js'
+import type { ControlGroup } from './ControlGroup.js'
 
 const SILENT_LOG: Log = { debug: () => {}, info: () => {}, warn: () => {}, error: () => {} }
 
@@ -45,6 +47,10 @@
   /** Ids of the requests whose connection was closed before their answer was complete. */
   public readonly cut: string[] = []
   public behaviour: Behaviour
+  /** All requests that reached the instance, health checks included, but for those answered with 421. */
+  public readonly arrivals: Array<{ readonly atMs: number, readonly isCold: boolean }> = []
+  /** Until when the instance is cold, as its answers to health checks tell, in monotonic milliseconds. */
+  public coldUntilMs: number | undefined
   /** Number of times that the instance has crashed. */
   public crashes = 0
   private _server = this._createServer()
@@ -89,13 +95,25 @@
     this._server.closeAllConnections()
   }
 
+  /** How long the instance stays cold, in whole milliseconds. */
+  public get coldMs (): number {
+    return Math.ceil(Math.max(0, (this.coldUntilMs ?? 0) - performance.now()))
+  }
+
+  private _recordArrival (): void {
+    this.arrivals.push({ atMs: performance.now(), isCold: this.coldMs > 0 })
+  }
+
   private _createServer (): Server {
     return createServer((request, response) => this._handle(request, response))
   }
 
   private _handle (request: IncomingMessage, response: ServerResponse): void {
     if (request.url === '/healthz') {
-      response.writeHead(200, { [HEADER_NAMES.instanceId]: this.id, [HEADER_NAMES.load]: '0,0,6,100' }).end()
+      this._recordArrival()
+      const headers = { [HEADER_NAMES.instanceId]: this.id, [HEADER_NAMES.load]: '0,0,6,100' }
+      const coldMs = this.coldUntilMs === undefined ? {} : { [HEADER_NAMES.coldMs]: String(this.coldMs) }
+      response.writeHead(200, { ...headers, ...coldMs }).end()
       return
     }
     const id = String(request.headers[HEADER_NAMES.requestId])
@@ -103,6 +121,7 @@
       response.writeHead(421, { [HEADER_NAMES.requestId]: id }).end()
       return
     }
+    this._recordArrival()
     this.ran.push(id)
     response.once('close', () => { if (!response.writableFinished) this.cut.push(id) })
     if (this.behaviour === undefined) this.answer(request, response)
@@ -122,9 +141,20 @@
   readonly nodeAddress: string
 }
 
+/** What may differ from nodes in one zone with one control replica. */
+export interface MeshOptions {
+  /** Availability zones; each node is in the next one. */
+  readonly zones?: readonly string[]
+  /** Control replicas that are running already; the mesh does not end them. */
+  readonly group?: ControlGroup
+  /** Returns what differs in the settings of a node. */
+  readonly settings?: (index: number) => Partial<RouteNodeSettings>
+}
+
 /** Fields of a node's state that the tests check. */
 interface NodeState {
   readonly version: number
+  readonly evacuation: EvacuationState
   readonly placement: {
     readonly services: Readonly<Record<string, readonly unknown[]>>
   }
@@ -139,27 +169,28 @@
     ...SILENT_LOG, info: (fields, message) => { this.logLines.push({ message, fields }) }
   }
 
-  private _control!: RouteControlDaemon
+  private _control!: Pick<RouteControlDaemon, 'change'>
+  private _ownControl: RouteControlDaemon | undefined
+  private _seedAddress = ''
+  private readonly _disk = Object.assign(new MemoryDisk(), { dispose: () => {} })
   private _version = 0
   private _lastId = 0
   private _seed = 0
 
   /** Starts a control replica and nodes with two routes: `/read/` is idempotent, `/once/` runs at most once. */
-  public static async start (count: number): Promise<RouteMesh> {
+  public static async start (
+    count: number, { zones = ['a'], group, settings = () => ({}) }: MeshOptions = {}
+  ): Promise<RouteMesh> {
     const mesh = new RouteMesh()
-    const [seed] = await findFreeAddresses(1) as [string]
-    mesh._control = new RouteControlDaemon({
-      settings: { address: seed, seeds: [seed], bootstrap: true, toleratedLosses: 0 },
-      disk: Object.assign(new MemoryDisk(), { dispose: () => {} }),
-      clock: new SystemClock(),
-      random: new SeededRandom(1),
-      log: SILENT_LOG,
-      onFault: error => { throw error }
-    })
-    await mesh._control.start()
-    for (let i = 0; i < count; i++) await mesh._addNode(seed, i)
+    const seeds = group?.addresses ?? await findFreeAddresses(1)
+    mesh._seedAddress = seeds[0] as string
+    mesh._control = group ?? await mesh._startControl()
+    for (let i = 0; i < count; i++) {
+      await mesh._addNode(seeds, i, { zone: zones[i % zones.length] as string, ...settings(i) })
+    }
     await mesh.configure(makeRoute('read', 'idempotent'), makeRoute('once', 'once'))
-    for (const node of mesh.nodes) await mesh.awaitInstances(node, count)
+    const instanceCount = mesh.nodes.filter(({ settings }) => settings.service === 'svc').length
+    for (const node of mesh.nodes) await mesh.awaitInstances(node, instanceCount)
     return mesh
   }
 
@@ -209,6 +240,12 @@
     while (this.readyCount(node) < count) await pause()
   }
 
+  /** Waits until every node knows exactly these zones as evacuated. */
+  public async awaitEvacuated (...zones: string[]): Promise<void> {
+    const known = (): string[] => this.nodes.map(({ daemon }) => (daemon.state() as NodeState).evacuation.zones.join())
+    while (known().some(names => names !== zones.join())) await pause()
+  }
+
   /** Number of instances that a node sends requests to. */
   public readyCount ({ daemon }: MeshNode): number {
     return (daemon.state() as NodeState).placement.services['svc']?.length ?? 0
@@ -225,6 +262,12 @@
     await this.awaitInstances(node, instances)
   }
 
+  /** Ends the control replica at once and starts it anew with its disk. */
+  public async restartControl (): Promise<void> {
+    this._ownControl?.dispose()
+    this._control = await this._startControl()
+  }
+
   /** Crashes an instance; its next incarnation starts and reports itself after a short while. */
   public async crash ({ daemon, instance }: MeshNode): Promise<void> {
     instance.crash()
@@ -238,10 +281,23 @@
       daemon.dispose()
       instance.dispose()
     })
-    this._control.dispose()
+    this._ownControl?.dispose()
+  }
+
+  private async _startControl (): Promise<RouteControlDaemon> {
+    this._ownControl = new RouteControlDaemon({
+      settings: { address: this._seedAddress, seeds: [this._seedAddress], bootstrap: true, toleratedLosses: 0 },
+      disk: this._disk,
+      clock: new SystemClock(),
+      random: new SeededRandom(1),
+      log: SILENT_LOG,
+      onFault: error => { throw error }
+    })
+    await this._ownControl.start()
+    return this._ownControl
   }
 
-  private async _addNode (seed: string, index: number): Promise<void> {
+  private async _addNode (seeds: readonly string[], index: number, changes: Partial<RouteNodeSettings>): Promise<void> {
     const [callerAddress, nodeAddress, instanceAddress] = await findFreeAddresses(3) as [string, string, string]
     const instance = new MockInstance(`i-${index}`, instanceAddress)
     await instance.listen()
@@ -251,14 +307,16 @@
       instanceAddress,
       service: 'svc',
       zone: 'a',
-      seeds: [seed],
+      toleratesZoneLoss: false,
+      seeds,
       retryLimits: { ratio: 1, slack: 1000, windowMs: 10_000 },
       names: HEADER_NAMES,
-      stopLimitMs: 6000
+      stopLimitMs: 6000,
+      ...changes
     }
     const daemon = await this._startDaemon(settings)
     this.nodes.push({ daemon, settings, instance, callerUrl: `http://${callerAddress}`, nodeAddress })
-    reportReady(daemon, instance, 1)
+    reportReady(daemon, instance, 1, settings.service)
   }
 
   private async _startDaemon (settings: RouteNodeSettings): Promise<RouteNodeDaemon> {
@@ -270,8 +328,10 @@
   }
 }
 
-function reportReady (daemon: RouteNodeDaemon, { id, address, crashes }: MockInstance, sequence: number): void {
-  daemon.report({ id, bornMs: 1 + crashes, sequence, service: 'svc', address, slots: 6, state: 'ready', coldMs: 0 })
+function reportReady (
+  daemon: RouteNodeDaemon, { id, address, crashes }: MockInstance, sequence: number, service = 'svc'
+): void {
+  daemon.report({ id, bornMs: 1 + crashes, sequence, service, address, slots: 6, state: 'ready', coldMs: 0 })
 }
 
 /** Builds a route to the mesh's one service. */
