--- a/src/parts/gate/RequestRateLimit.ts
+++ b/src/parts/gate/RequestRateLimit.ts
@@ -27,6 +27,16 @@
     return this._perS !== Infinity
   }
 
+  /** Time for which one request takes up the limit, in milliseconds; 0 without a limit. */
+  public get intervalMs (): number {
+    return MS_PER_SECOND / this._perS
+  }
+
+  /** Requests that may be available at once. Infinite without a limit. */
+  public get burst (): number {
+    return this._burstOf(this._perS)
+  }
+
   /**
    * Sets or lifts the limit.
    * @param perS Requests a second; undefined when the instance names no limit any more.
@@ -39,14 +49,14 @@
     }
     const tokens = this.isSet ? this.available(nowMs) : 0
     this._perS = Math.max(MIN_REQUESTS_PER_S, perS)
-    this._tokens = Math.min(tokens, this._burst)
+    this._tokens = Math.min(tokens, this.burst)
     this._refilledAtMs = nowMs
   }
 
   /** Returns the requests that may be sent now; a fraction counts as none. Infinite without a limit. */
   public available (nowMs: number): number {
     if (!this.isSet) return Infinity
-    this._tokens = Math.min(this._burst, this._tokens + (nowMs - this._refilledAtMs) * this._perS / MS_PER_SECOND)
+    this._tokens = Math.min(this.burst, this._tokens + (nowMs - this._refilledAtMs) * this._perS / MS_PER_SECOND)
     this._refilledAtMs = nowMs
     return this._tokens
   }
@@ -58,7 +68,7 @@
 
   /** Returns a request to what is available, since it does not count after all. */
   public refund (nowMs: number): void {
-    if (this.isSet) this._tokens = Math.min(this._burst, this.available(nowMs) + 1)
+    if (this.isSet) this._tokens = Math.min(this.burst, this.available(nowMs) + 1)
   }
 
   /** Returns the time until so many requests are available, in whole milliseconds; 0 when they are. */
@@ -66,10 +76,6 @@
     const missing = count - this.available(nowMs)
     return missing <= 0 ? 0 : Math.ceil(missing * MS_PER_SECOND / this._perS + ROUNDING_MS)
   }
-
-  private get _burst (): number {
-    return this._burstOf(this._perS)
-  }
 }
 
 function usualBurst (perS: number): number {
--- a/src/routenode/GatewayCall.ts
+++ b/src/routenode/GatewayCall.ts
@@ -248,7 +248,7 @@
     const nowMs = this._context.clock.nowMs()
     const knownLimit = this._context.placement.findKnownLimit(node)
     const coldPerS = this._context.placement.findColdPerS(service)
-    const shareUsed = workspace === undefined ? undefined : this._context.shareUsed?.(workspace.name)
+    const shareUsed = workspace?.shareUsed ?? (workspace && this._context.shareUsed?.(workspace.name))
     return {
       ...(coldPerS === undefined ? {} : { coldPerS }),
       ...(knownLimit === undefined ? {} : { knownLimit }),
