Count the failures of an instance anew when it starts, unless it flaps

An instance that was lost twice within 30 s is flapping; its failures still count, which keeps the choosers away at each return.

--- a/src/parts/gate/InstanceBreaker.test.ts
+++ b/src/parts/gate/InstanceBreaker.test.ts
@@ -25,6 +25,16 @@
   expect(breaker.isTrialDue(250 + 500)).toBe(true)
 })
 
+test('an instance that is lost twice within a while is flapping, also after it has answered', () => {
+  const breaker = new InstanceBreaker()
+  breaker.open(1000)
+  breaker.recordSuccess()
+  expect(breaker.isFlapping(1100)).toBe(false)
+  breaker.open(5000)
+  breaker.recordSuccess()
+  expect([breaker.isFlapping(5100), breaker.isFlapping(40_000)]).toEqual([true, false])
+})
+
 test('an answered trial closes the breaker and resets the backoff', () => {
   const breaker = new InstanceBreaker()
   breaker.open(0)
--- a/src/parts/gate/InstanceBreaker.ts
+++ b/src/parts/gate/InstanceBreaker.ts
@@ -5,6 +5,9 @@
 const INITIAL_BACKOFF_MS = 250
 const MAX_BACKOFF_MS = 4000
 
+/** Time within which an instance that is lost twice counts as flapping, in milliseconds. */
+const FLAPPING_WINDOW_MS = 30_000
+
 /** `trial` is the half-open state: one call at a time is let in until one is answered. */
 export type BreakerState = 'closed' | 'open' | 'trial'
 
@@ -19,13 +22,19 @@
   private _state: BreakerState = 'closed'
   private _consecutiveFailures = 0
   private _backoffMs = INITIAL_BACKOFF_MS
-  private _openedAtMs = 0
+  private _openedAtMs = -Infinity
+  private _previousOpenedAtMs = -Infinity
 
   /** Current state, which decides how many calls are let in. */
   public get state (): BreakerState {
     return this._state
   }
 
+  /** True when the instance was lost at least twice of late, so that its failures still count when it returns. */
+  public isFlapping (nowMs: number): boolean {
+    return nowMs - this._previousOpenedAtMs < FLAPPING_WINDOW_MS
+  }
+
   /** True when the backoff of an open breaker has passed, so the instance's health may be checked. */
   public isTrialDue (nowMs: number): boolean {
     return this._state === 'open' && nowMs - this._openedAtMs >= this._backoffMs
@@ -56,6 +65,7 @@
     if (this._state === 'open') return
     this._state = 'open'
     this._consecutiveFailures = 0
+    this._previousOpenedAtMs = this._openedAtMs
     this._openedAtMs = nowMs
   }
 
--- a/src/parts/gate/InstanceGate.ts
+++ b/src/parts/gate/InstanceGate.ts
@@ -53,6 +53,7 @@
     requestLimit: event => this._setRequestLimit(event.perS),
     coldLimit: event => this._setColdLimit(event.perS, event.coldUntilMs),
     probed: event => this._finishProbe(event.ticket, event.isWarm),
+    restarted: () => { if (this._coldLimit.isSet) this._failing = 0 },
     misdirected: event => this._coldLimit.refund(this._runStarts.get(event.id)?.coldTicket ?? PACED, this._nowMs),
     resent: () => {
       this._requestRateLimit.take(this._nowMs)
--- a/src/parts/gate/Types.ts
+++ b/src/parts/gate/Types.ts
@@ -68,6 +68,11 @@
   | { readonly type: 'probed', readonly ticket: ColdTicket, readonly isWarm: boolean }
   /** Another instance has rejected a running call by status 421; such requests don't count for the cold limit. */
   | { readonly type: 'misdirected', readonly id: CallId }
+  /**
+   * Another incarnation of the instance has started, of which the failures of the one before say nothing. It has an
+   * effect only with a limit for cold instances: few calls to a cold instance would take long to show that it works.
+   */
+  | { readonly type: 'restarted' }
   /** A running call was sent to the instance once more. */
   | { readonly type: 'resent' }
   /** A sample of the VM's slowness that was not requested by `measure`. */
--- a/src/routenode/InstanceProxy.ts
+++ b/src/routenode/InstanceProxy.ts
@@ -212,6 +212,7 @@
     this._cold.recordReport(report)
     const restarted = previous?.id !== report.id || previous.bornMs !== report.bornMs
     if (restarted) this._breaker.recordSuccess()
+    if (restarted && !this._breaker.isFlapping(this._options.clock.nowMs())) this._step({ type: 'restarted' })
     if (previous !== undefined && !isSameIncarnation(previous, report)) {
       this._crashAttribution.recordRestart(previous.state === 'ready')
     }
