Check the limit of cold instances in the soak, and describe it

The instances of the soak are cold for 1.5 s after a start and now and then for 1 s later, and count what reaches them meanwhile, health checks included.

--- a/soak/Constants.ts
+++ b/soak/Constants.ts
@@ -48,6 +48,16 @@
  */
 export const LIMIT_RULE = { windowMs: 4000, ratio: 1.5, slack: 5, settleMs: 500 } as const
 
+/**
+ * Bound on the requests that a cold instance gets in a time window: `ratio` times `perS`, plus `slack`. The platform
+ * sets this bound. `startMs` is how long an instance is cold after its start.
+ */
+export const COLD_RULE = { perS: 6, startMs: 1500, windowMs: 1000, ratio: 1.5, slack: 8 } as const
+
+/** Pause until another instance becomes cold in the middle of its life, and for how long, in milliseconds. */
+export const COLD_PAUSE_MS = 1500
+export const COLD_AGAIN_MS = 1000
+
 /** Lowest limit that an instance names, and the range above it, in requests a second; the load is ten times that. */
 export const MIN_LIMIT_PER_S = 2
 export const LIMIT_RANGE_PER_S = 6
--- a/soak/Soak.ts
+++ b/soak/Soak.ts
@@ -2,8 +2,9 @@
 import { join } from 'node:path'
 import { SeededRandom } from '../src/parts/SeededRandom.js'
 import {
-  CALLERS_PER_NODE, DRAIN_GRACE_MS, LIMIT_MS, STOP_TIMEOUT_MS, STOP_SLACK_MS, NODE_COUNT, POISON_MS, POISON_PATH,
-  POISON_PAUSE_MS, PORTS, MIN_RECOVERED_SHARE, RECOVERY_TIMEOUT_MS, REPLICA_COUNT, FAULT_SETTLE_MS
+  CALLERS_PER_NODE, COLD_AGAIN_MS, COLD_PAUSE_MS, DRAIN_GRACE_MS, LIMIT_MS, STOP_TIMEOUT_MS, STOP_SLACK_MS, NODE_COUNT,
+  POISON_MS, POISON_PATH, POISON_PAUSE_MS, PORTS, MIN_RECOVERED_SHARE, RECOVERY_TIMEOUT_MS, REPLICA_COUNT,
+  FAULT_SETTLE_MS
 } from './Constants.js'
 import { type CallOutcome, SoakCaller } from './SoakCaller.js'
 import { SoakInstance } from './SoakInstance.js'
@@ -135,10 +136,12 @@
       await this._startAll()
       const startMs = this._nowMs()
       const callers = this._nodes.flatMap(node => node.callers).map(async caller => await caller.run())
+      const cooling = setInterval(() => this._coolInstance(), COLD_PAUSE_MS)
       for (const fault of this._faults) {
         await this._sleep(startMs + fault.atMs - this._nowMs())
         this._activeFaults.push(this._handlers[fault.kind](fault))
       }
+      clearInterval(cooling)
       // A fault may add others, such as crashes of instances.
       for (let ended = 0; ended < this._activeFaults.length;) ended = (await Promise.all(this._activeFaults)).length
       this._nodes.flatMap(node => node.callers).forEach(caller => caller.stop())
@@ -255,6 +258,11 @@
     }
   }
 
+  private _coolInstance (): void {
+    const node = this._nodes[Math.floor(this._random.next() * this._nodes.length)] as NodeVm
+    node.instance.becomeCold(COLD_AGAIN_MS)
+  }
+
   private _pickNode ({ pick }: Fault): NodeVm {
     return this._nodes[Math.floor(pick * this._nodes.length)] as NodeVm
   }
--- a/soak/SoakInstance.ts
+++ b/soak/SoakInstance.ts
@@ -1,7 +1,7 @@
 import { createServer, request } from 'node:http'
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import type { Random } from '../src/parts/Types.js'
-import { DRAIN_GRACE_MS, LIMIT_RANGE_PER_S, MIN_LIMIT_PER_S, POISON_PATH, PORTS } from './Constants.js'
+import { COLD_RULE, DRAIN_GRACE_MS, LIMIT_RANGE_PER_S, MIN_LIMIT_PER_S, POISON_PATH, PORTS } from './Constants.js'
 import { expectedBody, type SoakLedger } from './SoakLedger.js'
 
 /** Interval of the reports to the node and the timeout of their acknowledgement, in milliseconds. */
@@ -45,6 +45,7 @@
   private _limitPerS: number | undefined
   private _isLeaving = false
   private readonly _startedAtMs = Date.now()
+  private _coldUntilMs = performance.now() + COLD_RULE.startMs
 
   public constructor (
     public readonly id: string,
@@ -85,6 +86,11 @@
     this._ledger.notices.setLimit(this.id, undefined)
   }
 
+  /** Becomes cold for some time in the middle of its life. */
+  public becomeCold (ms: number): void {
+    this._coldUntilMs = Math.max(this._coldUntilMs, performance.now() + ms)
+  }
+
   /** Says in its answers that it leaves, from now on; its reports still say that it is ready. */
   public announceLeaving (): void {
     this._isLeaving = true
@@ -101,8 +107,10 @@
   private _handle (message: IncomingMessage, response: ServerResponse): void {
     response.setHeader('x-instance-id', this.id)
     response.setHeader('x-instance-load', `${this._running},0,${SLOTS},${this._random.next() < SLOW_ANSWER_SHARE ? HIGH_SLOWNESS_PERCENT : USUAL_SLOWNESS_PERCENT}`)
+    response.setHeader('x-cold-ms', String(this._coldMs()))
     const id = String(message.headers['x-request-id'])
     const answer = this._answerWithoutRun(message)
+    if (answer?.status !== 421) this._ledger.cold.recordArrival(this.id, this._coldMs() > 0)
     if (this._limitPerS !== undefined) response.setHeader('server-limit', this._limitPerS.toFixed(1))
     if (this._isLeaving) response.setHeader('server-leaving', '1')
     if (message.url !== '/healthz') {
@@ -125,6 +133,10 @@
     setTimeout(() => this._answer(id, response), workMs)
   }
 
+  private _coldMs (): number {
+    return Math.ceil(Math.max(0, this._coldUntilMs - performance.now()))
+  }
+
   private _answerWithoutRun (message: IncomingMessage): ResponseHead | undefined {
     if (message.url === '/healthz') return { status: this._state === 'ready' ? 200 : 503 }
     if (message.headers['x-target-instance'] !== this.id) return { status: 421 }
@@ -150,7 +162,7 @@
       Address: `${this._host}:${PORTS.instanceEntry}`,
       Slots: SLOTS,
       State: this._state,
-      ColdRemaining: '0ms',
+      ColdRemaining: `${this._coldMs()}ms`,
       Seq: ++this._sequence,
       born: this._startedAtMs
     })
--- a/soak/SoakLedger.ts
+++ b/soak/SoakLedger.ts
@@ -1,4 +1,5 @@
 import { RETRY_BUDGET, DRAIN_GRACE_MS, QUARANTINE_RULE, STABLE_WINDOW_MS } from './Constants.js'
+import { ColdLedger } from './ColdLedger.js'
 import { NoticeLedger } from './NoticeLedger.js'
 import type { Rule, Violation } from './Types.js'
 
@@ -24,6 +25,8 @@
   public readonly violations: Violation[] = []
   /** Checks what instances ask of all nodes. */
   public readonly notices = new NoticeLedger(() => this._nowMs(), (rule, detail) => this.recordViolation(rule, detail))
+  /** Checks the limit of cold instances. */
+  public readonly cold = new ColdLedger(() => this._nowMs(), (rule, detail) => this.recordViolation(rule, detail))
   private readonly _requests = new Map<string, RequestRecord>()
   private readonly _drainedAtMs = new Map<string, number>()
   /** Times of the runs of each path that crashes instances. */
--- a/soak/SoakOperator.ts
+++ b/soak/SoakOperator.ts
@@ -1,5 +1,5 @@
 import { request } from 'node:http'
-import { PORTS } from './Constants.js'
+import { COLD_RULE, PORTS } from './Constants.js'
 import type { SoakLedger } from './SoakLedger.js'
 import type { VmAddress } from './Types.js'
 
@@ -121,7 +121,15 @@
     Version: `r${version}`,
     BaseVersion: base,
     Routes: [route('read', 'idempotent'), route('once', 'non_idempotent'), ...versionRoutes],
-    Services: [{ Name: 'svc', HealthPath: '/healthz', MaxConnections: 200, Protocol: 'h1', Tls: false }],
+    Services: [{
+      Name: 'svc',
+      HealthPath: '/healthz',
+      MaxConnections: 200,
+      Protocol: 'h1',
+      Tls: false,
+      ColdStart: `${COLD_RULE.startMs}ms`,
+      ColdPerS: COLD_RULE.perS
+    }],
     Limits: { MaxHeaderBytes: 16384, MaxBodyBytes: 1_000_000, HeaderTimeout: '3000ms', IdleTimeout: '15000ms' }
   }
 }
--- a/soak/Types.ts
+++ b/soak/Types.ts
@@ -41,7 +41,7 @@
 /** Guarantees that are checked from what callers, instances and the operator observe. */
 export type Rule =
   | 'whole-own-answer' | 'at-most-once' | 'true-not-run' | 'no-run-after-drain' | 'no-run-after-leaving' | 'budget'
-  | 'request-limit' | 'quarantine'
+  | 'request-limit' | 'cold-limit' | 'quarantine'
   | 'accepted-change-kept' | 'no-version-back' | 'planned-stop-cuts-nothing' | 'exit' | 'recovery'
 
 /** Name of a VM and the loopback address on which all its processes listen. */
