Let callers' nodes return to an instance soon after its cold time

In a soak, an instance that was warm again stayed closed to the nodes that it had declined for up to 750 ms, while all other instances were cold and callers were refused. The order in which declined nodes return now ends 250 ms after the cold time. The test of that bound fails without it; the tests of the returning zone give the same verdict.

--- a/src/parts/gate/ColdLimit.test.ts
+++ b/src/parts/gate/ColdLimit.test.ts
@@ -1,7 +1,7 @@
 import fc from 'fast-check'
 import { expect, test } from 'vitest'
 import { ColdLimit } from './ColdLimit.js'
-import { COLD_BOUND, COLD_WINDOW_MS, MAX_COLD_CLOSED_MS } from './Constants.js'
+import { COLD_BOUND, COLD_WINDOW_MS, MAX_COLD_CLOSED_MS, WARM_RETURN_MS } from './Constants.js'
 
 const PER_S = 5
 
@@ -134,7 +134,7 @@
   limit.promise(0)
   expect(limit.closedForMs(1, 0)).toBeLessThanOrEqual(1000)
   limit.promise(900)
-  expect(limit.closedForMs(1, 900)).toBeLessThanOrEqual(MAX_COLD_CLOSED_MS)
+  expect(limit.closedForMs(1, 900)).toBeLessThanOrEqual(100 + WARM_RETURN_MS)
 })
 
 test('while no check is answered, calls get what a cold instance tolerates, and checks go on', () => {
--- a/src/parts/gate/ColdLimit.ts
+++ b/src/parts/gate/ColdLimit.ts
@@ -1,6 +1,6 @@
 import {
   COLD_BOUND, COLD_BURST, COLD_CHECK_AT, COLD_CHECK_RETRY_MS, COLD_RESERVE, COLD_WINDOW_MS, MAX_COLD_CLOSED_MS,
-  MIN_COLD_CHECK_INTERVAL_MS
+  MIN_COLD_CHECK_INTERVAL_MS, WARM_RETURN_MS
 } from './Constants.js'
 import { RequestRateLimit } from './RequestRateLimit.js'
 
@@ -175,10 +175,11 @@
   public promise (nowMs: number): void {
     if (!this.isPaced(nowMs) || this._perS === undefined) return
     const nextMs = Math.max(nowMs + this._bucket.waitMs(1, nowMs), this._promisedAtMs + MS_PER_SECOND / this._perS)
-    if (nextMs <= nowMs + MAX_COLD_CLOSED_MS) this._promisedAtMs = nextMs
+    const longestMs = this._longestClosedMs(nowMs)
+    if (nextMs <= nowMs + longestMs) this._promisedAtMs = nextMs
     else {
       this._spread = (this._spread + SPREAD_STEP) % 1
-      this._promisedAtMs = nowMs + MAX_COLD_CLOSED_MS * (1 + this._spread) / 2
+      this._promisedAtMs = nowMs + longestMs * (1 + this._spread) / 2
     }
   }
 
@@ -189,9 +190,15 @@
    */
   public closedForMs (count: number, nowMs: number): number {
     if (this.accepts(count - 1, nowMs)) return 0
-    const promisedMs = Math.min(MAX_COLD_CLOSED_MS, this._promisedAtMs - nowMs)
+    const longestMs = this._longestClosedMs(nowMs)
+    const promisedMs = Math.min(longestMs, this._promisedAtMs - nowMs)
     const closedMs = Math.max(this._bucket.waitMs(count, nowMs), promisedMs)
-    return Math.ceil(Math.min(closedMs, Math.max(MAX_COLD_CLOSED_MS, this._coldUntilMs - nowMs)))
+    return Math.ceil(Math.min(closedMs, Math.max(longestMs, this._coldUntilMs - nowMs)))
+  }
+
+  /** Longest time for which the order of return may keep a caller's node away. */
+  private _longestClosedMs (nowMs: number): number {
+    return Math.min(MAX_COLD_CLOSED_MS, Math.max(0, this._coldUntilMs - nowMs) + WARM_RETURN_MS)
   }
 
   private _takeAllowed (nowMs: number): ColdTicket {
--- a/src/parts/gate/Constants.ts
+++ b/src/parts/gate/Constants.ts
@@ -102,6 +102,12 @@
  */
 export const MAX_COLD_CLOSED_MS = 750
 
+/**
+ * Time after the end of the cold time over which callers' nodes return that were told to stay away, in milliseconds:
+ * some run times, so that they do not all come at once.
+ */
+export const WARM_RETURN_MS = 250
+
 /** Share of the limit that late calls leave free for calls that can still meet their latency objective. */
 export const LATE_RESERVE_SHARE = 0.25
 
