Test what the proxy and the client of an instance learn of its cold state

The header of health checks and load queries, the order of report, check and assumption with their log lines, and the limit that a call tells before there is a configuration.

--- a/src/routenode/InstanceClient.test.ts
+++ b/src/routenode/InstanceClient.test.ts
@@ -246,3 +246,13 @@
   expect(await run(client, 'r-1', 'idempotent')).toBe('200 ')
   expect(await run(client, 'r-2', 'idempotent', 5000, false)).toBe('unknown instance-lost')
 })
+
+for (const query of ['queryLoad', 'checkHealth'] as const) {
+  test(`${query} passes on what the answer says of the cold state, whether the instance is healthy or not`, async () => {
+    const client = await startInstance(socket => {
+      socket.write('HTTP/1.1 503 Busy\r\nInstance: i-1\r\nCold-Ms: 250\r\nContent-Length: 0\r\n\r\n')
+    })
+    const notice = await new Promise(resolve => client[query]('/health', (_result: unknown, told: unknown) => resolve(told)))
+    expect(notice).toEqual({ instance: 'i-1', header: '250' })
+  })
+}
--- a/src/routenode/InstanceProxy.test.ts
+++ b/src/routenode/InstanceProxy.test.ts
@@ -54,10 +54,11 @@
   return proxy
 }
 
-function offer (proxy: InstanceProxy, service: string, knownLimit?: InstanceLimit): string {
+function offer (proxy: InstanceProxy, service: string, knownLimit?: InstanceLimit, coldPerS?: number): string {
   let outcome = 'pending'
   const gateFields = { work: 'w', leftMs: 1000, objectiveLeftMs: 300, nested: false, priority: 1, moveMs: 0, attempt: 'first' }
-  const call = { id: 1, service, requestId: 'r', ...gateFields, ...(knownLimit === undefined ? {} : { knownLimit }) }
+  const told = { ...(knownLimit === undefined ? {} : { knownLimit }), ...(coldPerS === undefined ? {} : { coldPerS }) }
+  const call = { id: 1, service, requestId: 'r', ...gateFields, ...told }
   proxy.start(call as RoutedCall, {
     onAnswer: () => { outcome = 'answered' },
     onDeclined: reason => { outcome = reason },
@@ -167,3 +168,63 @@
   proxy.report({ ...PUBLISHED_BEFORE, bornMs: 500, address, sequence: 1, state: 'ready', coldMs: 0 })
   expect(proxy.published?.state).toBe('left')
 })
+
+/** Starts an instance that tells in health checks how long it is cold, and a proxy that knows it by a report. */
+async function startWithColdLimit (
+  coldMs: () => number, makeLog: (lines: object[]) => Log = () => SILENT
+): Promise<{ proxy: InstanceProxy, lines: object[] }> {
+  const [address] = await findFreeAddresses(1) as [string]
+  const { host, port } = parseAddress(address)
+  const instance = createServer((_request, response) => {
+    response.writeHead(200, { 'instance-id': 'i-1', 'cold-ms': String(coldMs()) }).end()
+  })
+  await new Promise<void>(resolve => instance.listen(port, host, resolve))
+  instances.push(instance)
+  const lines: object[] = []
+  const proxy = new InstanceProxy({
+    address,
+    service: 'ledger',
+    names: { instanceId: 'instance-id', coldMs: 'cold-ms', load: 'instance-load' } as HeaderNames,
+    clock: new SystemClock(),
+    log: makeLog(lines),
+    quarantine: makeQuarantine(new SystemClock()),
+    findHealthPath: () => '/healthz',
+    findColdSetting: () => ({ perS: 5, startMs: 60_000 })
+  })
+  proxies.push(proxy)
+  proxy.report({ ...PUBLISHED_BEFORE, address, sequence: 1, state: 'ready', coldMs: 5000 })
+  return { proxy, lines }
+}
+
+/** Waits until the proxy takes its instance as cold for a time in a range. */
+async function awaitColdFor (proxy: InstanceProxy, minMs: number, maxMs: number): Promise<void> {
+  for (;;) {
+    const { coldForMs } = proxy.coldFigures
+    if (coldForMs >= minMs && coldForMs <= maxMs) return
+    await new Promise(resolve => setTimeout(resolve, 5))
+  }
+}
+
+test('the cold time that a health check tells replaces that of a report, and is logged at each change', async () => {
+  const cold = { ms: 20_000 }
+  const { proxy, lines } = await startWithColdLimit(() => cold.ms, written => ({
+    ...SILENT, info: (fields, message) => { if (message === 'cold state changed') written.push(fields) }
+  }))
+  await awaitColdFor(proxy, 10_000, 20_000)
+  expect(offer(proxy, 'ledger')).toBe('rate-limited')
+  cold.ms = 0
+  proxy.assumeCold()
+  await awaitColdFor(proxy, 0, 0)
+  expect(lines).toMatchObject([
+    { instance: 'i-1', isCold: true, perS: 5, source: 'report', forMs: expect.any(Number) },
+    { instance: 'i-1', isCold: false, perS: 5, source: 'health' }
+  ])
+})
+
+// A restarted node gets calls before its configuration.
+test('until a configuration names the service, the limit that a call tells holds', () => {
+  const proxy = makeProxy(STILL_CLOCK)
+  proxy.report({ ...PUBLISHED_BEFORE, address: ADDRESS, sequence: 1, state: 'ready', coldMs: 9000 })
+  expect(offer(proxy, 'ledger', undefined, 5)).toBe('rate-limited')
+  expect(proxy.load().closedForMs).toBe(201)
+})
