Do not let a model of a restarted node go on in the tests of cold instances

A test shows that what a control replica knows of an instance does not count as its report; it fails when it does.

--- a/src/routenode/InstanceProxy.test.ts
+++ b/src/routenode/InstanceProxy.test.ts
@@ -8,6 +8,7 @@
 import { parseAddress } from '../runtime/Address.js'
 import { SystemClock } from '../runtime/SystemClock.js'
 import type { Clock, Log } from '../runtime/Types.js'
+import type { ColdSetting } from './ColdMonitor.js'
 import { InstanceProxy } from './InstanceProxy.js'
 import { Quarantine } from './Quarantine.js'
 import type { HeaderNames, RoutedCall } from './Types.js'
@@ -40,7 +41,7 @@
 /** A clock that stands still. */
 const STILL_CLOCK: Clock = { nowMs: () => 0, wallMs: () => 0 }
 
-function makeProxy (clock: Clock = new SystemClock()): InstanceProxy {
+function makeProxy (clock: Clock = new SystemClock(), coldSetting?: ColdSetting): InstanceProxy {
   const proxy = new InstanceProxy({
     address: ADDRESS,
     service: 'ledger',
@@ -48,7 +49,8 @@
     clock,
     log: SILENT,
     quarantine: makeQuarantine(clock),
-    findHealthPath: () => undefined
+    findHealthPath: () => undefined,
+    findColdSetting: () => coldSetting
   })
   proxies.push(proxy)
   return proxy
@@ -228,3 +230,12 @@
   expect(offer(proxy, 'ledger', undefined, 5)).toBe('rate-limited')
   expect(proxy.load().closedForMs).toBe(201)
 })
+
+// What control replicas know of an instance does not include its cold state.
+test('an instance that its node knows only from a control replica is assumed cold', () => {
+  const proxy = makeProxy(STILL_CLOCK, { perS: 5, startMs: 60_000 })
+  proxy.restore({ ...PUBLISHED_BEFORE, state: 'ready' })
+  expect(proxy.coldFigures.coldForMs).toBe(60_000)
+  proxy.report({ ...PUBLISHED_BEFORE, address: ADDRESS, sequence: 1, state: 'ready', coldMs: 0 })
+  expect(proxy.coldFigures.coldForMs).toBe(0)
+})
--- a/test/support/ColdVm.ts
+++ b/test/support/ColdVm.ts
@@ -166,6 +166,8 @@
   }
 
   private _step (gate: InstanceGate, event: GateEvent): void {
+    // The process of the node that had this gate has ended.
+    if (gate !== this._gate) return
     for (const action of gate.step(event, Date.now())) {
       if (action.type === 'start') this._run(gate, action.call.id)
       if (action.type === 'decline') this.declined++
