--- a/soak/SoakLedger.ts
+++ b/soak/SoakLedger.ts
@@ -2,6 +2,7 @@
 import { hashText } from '../src/parts/TextHash.js'
 import { RETRY_BUDGET, DRAIN_GRACE_MS, MAX_UPLOAD_BYTES, QUARANTINE_RULE, STABLE_WINDOW_MS } from './Constants.js'
 import { EvacuationLedger } from './EvacuationLedger.js'
+import { ColdLedger } from './ColdLedger.js'
 import { NoticeLedger } from './NoticeLedger.js'
 import type { Rule, Violation } from './Types.js'
 
@@ -42,6 +43,9 @@
   public readonly evacuations =
     new EvacuationLedger(() => this._nowMs(), (rule, detail) => this.recordViolation(rule, detail))
 
+  /** Checks the limit of cold instances. */
+  public readonly cold = new ColdLedger(() => this._nowMs(), (rule, detail) => this.recordViolation(rule, detail))
+
   private readonly _requests = new Map<string, RequestRecord>()
   private readonly _drainedAtMs = new Map<string, number>()
   /** Times of the runs of each path that crashes instances. */
--- a/soak/Types.ts
+++ b/soak/Types.ts
@@ -42,7 +42,7 @@
 /** Guarantees that are checked from what callers, instances and the operator observe. */
 export type Rule =
   | 'whole-own-answer' | 'whole-upload' | 'at-most-once' | 'true-not-run' | 'no-run-after-drain' | 'no-run-after-leaving'
-  | 'budget' | 'request-limit' | 'quarantine' | 'evacuated-zone-empty'
+  | 'budget' | 'request-limit' | 'cold-limit' | 'quarantine' | 'evacuated-zone-empty'
   | 'accepted-change-kept' | 'no-version-back' | 'planned-stop-cuts-nothing' | 'exit' | 'recovery'
 
 /** Name of a VM and the loopback address on which all its processes listen. */
