--- a/src/parts/quota/LedgerRow.ts
+++ b/src/parts/quota/LedgerRow.ts
@@ -101,6 +101,8 @@
    * @param asOfMs Time as of which uses had left the window.
    */
   public hold (asOfMs: number): void {
+    this.removeExpired(asOfMs)
+    if (this._counters.size === 0) return
     this._held = new Map()
     for (const [workspace, counter] of this._counters) {
       const count = counter.sum(asOfMs)
--- a/src/parts/quota/QuotaLedger.ts
+++ b/src/parts/quota/QuotaLedger.ts
@@ -28,6 +28,9 @@
 const RETURN_BEFORE_MS = 250
 const RETURN_AFTER_MS = ADVANCE_STAMP_MS + 250
 
+/** Interval at which counters of unused workspaces are removed, in milliseconds; they are too many for each tick. */
+const SWEEP_INTERVAL_MS = 1000
+
 /** Time before a message within which credits of a node show its rate, in milliseconds. */
 const RATE_WINDOW_MS = 1000
 
@@ -96,7 +99,8 @@
     if (!this._isOpen && !this._tryOpen(nowMs)) return
     if (!row.isReported) return this._answer(node, { term, sequence, needsReport: true, grants: [] })
     const grants = asks.map(ask => this._grant(row, ask, nowMs))
-    this._answer(node, { term, sequence, atMs: nowMs, id: row.lastReport, grants })
+    // An integer takes half the bytes of a fraction; an earlier time only makes the ledger count for longer.
+    this._answer(node, { term, sequence, atMs: Math.floor(nowMs), id: row.lastReport, grants })
   }
 
   private _takeReport (row: LedgerRow, { id, uses, returns, allowances, upMs = 0 }: QuotaReport, nowMs: number): void {
@@ -227,21 +231,23 @@
   private _check (nowMs: number): void {
     this._lastCheckMs = nowMs
     this._hasNews = true
+    const isSweep = nowMs - this._lastSweepMs >= SWEEP_INTERVAL_MS
     for (const row of this._rows.values()) {
       const silentMs = nowMs - row.heardMs
       const isSilent = silentMs > HOLD_AFTER_MS && row.isUsed
       if (!row.isHeld && isSilent) row.hold(Math.min(nowMs, row.heardMs + ALLOWANCE_GAP_MS))
       if (row.isHeld && silentMs > HOLD_LIFETIME_MS) row.release(nowMs)
-      if (!row.isHeld) row.removeExpired(nowMs)
-    }
-    if (nowMs - this._lastSweepMs >= HOLD_LIFETIME_MS) this._removeGone(nowMs)
-    for (const [workspace, total] of this._totals) {
-      if (total.count(nowMs) === 0 && total.advances.sum(nowMs) === 0) this._totals.delete(workspace)
+      if (isSweep && !row.isHeld) row.removeExpired(nowMs)
     }
+    if (isSweep) this._sweep(nowMs)
   }
 
-  private _removeGone (nowMs: number): void {
+  /** Removes what is not counted any more. */
+  private _sweep (nowMs: number): void {
     this._lastSweepMs = nowMs
+    for (const [workspace, total] of this._totals) {
+      if (total.count(nowMs) === 0 && total.advances.sum(nowMs) === 0) this._totals.delete(workspace)
+    }
     const nodes = new Set(this._options.listNodes())
     for (const [node, row] of this._rows) {
       if (!row.isUsed && !nodes.has(node)) this._rows.delete(node)
--- a/src/parts/quota/SlidingCounter.test.ts
+++ b/src/parts/quota/SlidingCounter.test.ts
@@ -9,7 +9,7 @@
 
 test('the sum is never below the requests of the window, and counts none for longer than a step beyond it', () => {
   fc.assert(fc.property(uses, fc.nat(12_000), (entries, nowMs) => {
-    const counter = new SlidingCounter(WINDOW_MS, STEP_MS)
+    const counter = new SlidingCounter(WINDOW_MS)
     entries.forEach(({ atMs, count }) => counter.add(count, atMs))
     const countAfter = (fromMs: number): number => {
       return entries.filter(({ atMs }) => atMs > fromMs).reduce((sum, { count }) => sum + count, 0)
@@ -21,7 +21,7 @@
 })
 
 test('memory is bounded by the steps, for any number of requests', () => {
-  const counter = new SlidingCounter(WINDOW_MS, STEP_MS)
+  const counter = new SlidingCounter(WINDOW_MS)
   for (let atMs = 0; atMs < 60_000; atMs++) {
     counter.add(1, atMs)
     counter.sum(atMs)
@@ -30,7 +30,7 @@
 })
 
 test('removed requests are the earliest of their span, and no more than there are', () => {
-  const counter = new SlidingCounter(WINDOW_MS, STEP_MS)
+  const counter = new SlidingCounter(WINDOW_MS)
   counter.add(2, 1000)
   counter.add(3, 1200)
   counter.add(4, 3000)
@@ -41,7 +41,7 @@
 })
 
 test('it tells when a number of requests will have left the window', () => {
-  const counter = new SlidingCounter(WINDOW_MS, STEP_MS)
+  const counter = new SlidingCounter(WINDOW_MS)
   counter.add(2, 1050)
   counter.add(3, 2000)
   expect(counter.freeAtMs(1)).toBe(6100)
--- a/src/parts/quota/SlidingCounter.ts
+++ b/src/parts/quota/SlidingCounter.ts
@@ -1,12 +1,5 @@
 import { QUOTA_STEP_MS, QUOTA_WINDOW_MS } from './Constants.js'
 
-/** Requests within one step. */
-interface Bucket {
-  /** Start of the step, in steps since time 0. */
-  readonly step: number
-  count: number
-}
-
 /** Requests with a time that lies within their step. */
 export interface TimedCount {
   readonly atMs: number
@@ -18,50 +11,46 @@
  * memory only for steps with requests. A request leaves the sum when the window has passed since the end of its step,
  * so the sum is never below the number of requests in the window.
  *
- * Memory: one bucket for each step of the window with requests, and for each step in the future.
+ * Memory: two numbers for each step of the window with requests, and for each such step in the future.
  */
 export class SlidingCounter {
-  /** In the order of their steps. */
-  private readonly _buckets: Bucket[] = []
-  private _total = 0
+  /** Steps since time 0 and their counts, alternating, in the order of the steps: a ledger has many counters. */
+  private readonly _buckets: number[] = []
 
   /**
    * @param _windowMs Length of the window in milliseconds.
-   * @param _stepMs Length of a step in milliseconds.
    */
-  public constructor (private readonly _windowMs = QUOTA_WINDOW_MS, private readonly _stepMs = QUOTA_STEP_MS) {}
+  public constructor (private readonly _windowMs = QUOTA_WINDOW_MS) {}
 
-  /** Number of buckets in memory. */
+  /** Number of steps in memory. */
   public get size (): number {
-    return this._buckets.length
+    return this._buckets.length / 2
   }
 
   /** Adds requests at a time, in monotonic milliseconds. */
   public add (count: number, atMs: number): void {
-    const step = Math.floor(atMs / this._stepMs)
+    const step = Math.floor(atMs / QUOTA_STEP_MS)
     let index = this._buckets.length
-    while (index > 0 && this._buckets[index - 1]!.step > step) index--
-    const bucket = this._buckets[index - 1]
-    if (bucket?.step === step) bucket.count += count
-    else this._buckets.splice(index, 0, { step, count })
-    this._total += count
+    while (index > 0 && this._buckets[index - 2]! > step) index -= 2
+    if (index > 0 && this._buckets[index - 2] === step) this._buckets[index - 1]! += count
+    else if (index === this._buckets.length) this._buckets.push(step, count)
+    else this._buckets.splice(index, 0, step, count)
   }
 
-  /** Removes expired buckets and returns the sum of the others. */
+  /** Removes expired steps and returns the sum of the others. */
   public sum (nowMs: number): number {
-    while (this._buckets.length > 0 && this._expiryMs(this._buckets[0]!) <= nowMs) {
-      this._total -= this._buckets.shift()!.count
-    }
-    return this._total
+    let expired = 0
+    while (expired < this._buckets.length && this._expiryMs(this._buckets[expired]!) <= nowMs) expired += 2
+    if (expired > 0) this._buckets.splice(0, expired)
+    return this.sumFrom(-Infinity)
   }
 
-  /** Returns the sum of the buckets whose steps begin at or after a time. */
+  /** Returns the sum of the steps that begin at or after a time. */
   public sumFrom (fromMs: number): number {
     let sum = 0
-    for (let index = this._buckets.length - 1; index >= 0; index--) {
-      const { step, count } = this._buckets[index]!
-      if (step * this._stepMs < fromMs) break
-      sum += count
+    for (let index = this._buckets.length - 2; index >= 0; index -= 2) {
+      if (this._buckets[index]! * QUOTA_STEP_MS < fromMs) break
+      sum += this._buckets[index + 1]!
     }
     return sum
   }
@@ -73,36 +62,41 @@
   public remove (count: number, fromMs: number, toMs: number): TimedCount[] {
     const removed: TimedCount[] = []
     let left = count
-    for (const bucket of [...this._buckets]) {
-      const atMs = bucket.step * this._stepMs
-      if (left === 0 || atMs > toMs) break
-      if (atMs + this._stepMs <= fromMs) continue
-      const taken = Math.min(left, bucket.count)
-      bucket.count -= taken
+    for (let index = 0; index < this._buckets.length && left > 0;) {
+      const atMs = this._buckets[index]! * QUOTA_STEP_MS
+      const found = this._buckets[index + 1]!
+      const taken = atMs > toMs || atMs + QUOTA_STEP_MS <= fromMs ? 0 : Math.min(left, found)
       left -= taken
-      this._total -= taken
       if (taken > 0) removed.push({ atMs, count: taken })
-      if (bucket.count === 0) this._buckets.splice(this._buckets.indexOf(bucket), 1)
+      if (taken === found) this._buckets.splice(index, 2)
+      else {
+        this._buckets[index + 1] = found - taken
+        index += 2
+      }
     }
     return removed
   }
 
   /** Returns the requests by step; their time is the start of the step. */
   public entries (): TimedCount[] {
-    return this._buckets.map(({ step, count }) => ({ atMs: step * this._stepMs, count }))
+    const entries: TimedCount[] = []
+    for (let index = 0; index < this._buckets.length; index += 2) {
+      entries.push({ atMs: this._buckets[index]! * QUOTA_STEP_MS, count: this._buckets[index + 1]! })
+    }
+    return entries
   }
 
   /** Returns when the sum will have fallen by at least `amount`, or undefined when it holds less. */
   public freeAtMs (amount: number): number | undefined {
     let freed = 0
-    for (const bucket of this._buckets) {
-      freed += bucket.count
-      if (freed >= amount) return this._expiryMs(bucket)
+    for (let index = 0; index < this._buckets.length; index += 2) {
+      freed += this._buckets[index + 1]!
+      if (freed >= amount) return this._expiryMs(this._buckets[index]!)
     }
     return undefined
   }
 
-  private _expiryMs ({ step }: Bucket): number {
-    return (step + 1) * this._stepMs + this._windowMs
+  private _expiryMs (step: number): number {
+    return (step + 1) * QUOTA_STEP_MS + this._windowMs
   }
 }
--- a/src/runtime/FrameKeys.ts
+++ b/src/runtime/FrameKeys.ts
@@ -9,7 +9,7 @@
   'entries', 'commit', 'round', 'sentAtMs', 'success', 'match', 'conflictIndex', 'conflictTerm', 'fit', 'version',
   'moveMs', 'attempt', 'failing', 'closedForMs', 'requestLimit', 'knownLimit', 'instance', 'perS',
   'leaving', 'bornMs', 'isBornAssumed', 'reports', 'fingerprint', 'node', 'incarnation', 'sequence', 'weight', 'ageMs',
-  'cleared'
+  'cleared', 'workspace', 'count', 'asks', 'heardMs', 'grants', 'eighths', 'atMs'
 ] as const
 
 /** Number of each field name, in the form of the codec's `keyMap` option. */
