Let the uses of a node leave the window also while its answers are slow

Cause: the ledger keeps all uses of a node that has acknowledged no answer for 350 ms, and let them go only at an acknowledgement younger than that. A node whose answers always take longer never sent one, so its uses added up until its workspaces got nothing.

Change: each later acknowledgement moves the window on, as of its time. A disposed host of a node starts no timers any more.

--- a/src/parts/quota/QuotaLedger.test.ts
+++ b/src/parts/quota/QuotaLedger.test.ts
@@ -125,6 +125,19 @@
   expect(grantTo('b', 110).count).toBe(110)
 })
 
+// Uses of a node that is always late would otherwise add up until its workspaces get nothing.
+test('uses leave the window also while all acknowledgements are late', () => {
+  open()
+  const answeredAtMs: number[] = []
+  for (let i = 0; i < 300; i++) {
+    tick(200)
+    const late = answeredAtMs.at(-3)
+    const { count } = grantTo('a', 2, late === undefined ? {} : { heardMs: late })
+    expect(count).toBe(2)
+    answeredAtMs.push(nowMs)
+  }
+})
+
 test('returned credits are granted again, once for each report', () => {
   open()
   expect(grantTo('a', 110).count).toBe(110)
--- a/src/parts/quota/QuotaLedger.ts
+++ b/src/parts/quota/QuotaLedger.ts
@@ -125,8 +125,14 @@
 
   private _takeAcknowledgement (row: LedgerRow, { term, heardMs }: QuotaMessage, nowMs: number): void {
     if (term !== this._options.term || heardMs === undefined) return
+    const isNews = heardMs > row.heardMs
     row.heardMs = Math.max(row.heardMs, heardMs)
-    if (row.isHeld && nowMs - row.heardMs <= HOLD_AFTER_MS) row.release(nowMs)
+    const isSilent = nowMs - row.heardMs > HOLD_AFTER_MS
+    if (!row.isHeld || (isSilent && !isNews)) return
+    // With slow answers, each acknowledgement is late already; the uses before it must leave the window nevertheless.
+    const asOfMs = Math.min(nowMs, row.heardMs + ALLOWANCE_GAP_MS)
+    row.release(asOfMs)
+    if (isSilent) row.hold(asOfMs)
   }
 
   private _grant (row: LedgerRow, { workspace, count }: QuotaAsk, nowMs: number): QuotaGrant {
--- a/src/routenode/QuotaHost.ts
+++ b/src/routenode/QuotaHost.ts
@@ -54,6 +54,7 @@
   private _clockOffsetMs: number
   private _rank: NodeRank = { index: 0, count: 1 }
   private _rankAtMs = -Infinity
+  private _isDisposed = false
 
   public constructor (private readonly _options: QuotaHostOptions) {
     const { clock, incarnation, random } = _options
@@ -109,13 +110,15 @@
     this._step({ type: 'opened' })
   }
 
-  /** Stops the timers. */
+  /** Stops the timers; requests that wait are not decided any more. */
   public dispose (): void {
+    this._isDisposed = true
     clearTimeout(this._timer)
     clearImmediate(this._flush)
   }
 
   private _step (event: QuotaClientEvent): void {
+    if (this._isDisposed) return
     const nowMs = this._options.clock.nowMs()
     if (this._hasClockStepped(nowMs)) this._carryOut(this._client.step({ type: 'suspended' }, nowMs), nowMs)
     this._carryOut(this._client.step(event, nowMs), nowMs)
