Let a new leader grant whole quotas while nodes are being replaced

Change: what an earlier run was granted since the leader started is in its own ledger, so it waits for a window after its start at most, not after the start of each node. A node that a replica has first seen after its start, while it watched for a window, has no earlier run.

Without the first change the new test finds the ledger incomplete.

--- a/src/parts/quota/QuotaLedger.test.ts
+++ b/src/parts/quota/QuotaLedger.test.ts
@@ -200,3 +200,27 @@
   }
   expect(ledger.size).toEqual({ workspaces: 0, nodes: 1, buckets: 0 })
 })
+
+// While nodes were replaced one after the other, a new leader granted no more than what had been used before.
+test('nodes that start keep a new leader from granting the whole quota for little more than a window', () => {
+  send('a', 0, { report: report() })
+  send('b', 0, { report: report({ upMs: 500 }) })
+  nodes.push('c')
+  tick(QUOTA_WINDOW_MS - 1000)
+  send('c', 0, { report: report({ upMs: 500 }) })
+  tick(1600)
+  expect(ledger.isComplete).toBe(true)
+  expect(grantTo('a', 110).count).toBe(110)
+})
+
+test('before all nodes have reported, a node that starts anew holds the quota back, and a new one does not', () => {
+  for (const isNewNode of [false, true]) {
+    ledger = new QuotaLedger({
+      term: TERM, startedAtMs: nowMs, findQuota: () => QUOTA, listNodes: () => nodes, isNewNode: () => isNewNode
+    })
+    send('a', 0, { report: report() })
+    send('b', 0, { report: report({ upMs: 500 }) })
+    tick(COLLECT_MS)
+    expect(ledger.isComplete).toBe(isNewNode)
+  }
+})
--- a/src/parts/quota/QuotaLedger.ts
+++ b/src/parts/quota/QuotaLedger.ts
@@ -19,6 +19,8 @@
   readonly findQuota: (workspace: string) => Quota | undefined
   /** Returns the nodes that are up. */
   readonly listNodes: () => readonly string[]
+  /** Returns whether a node is known not to have run before its process started; absent where that is never known. */
+  readonly isNewNode?: (node: string, upMs: number) => boolean
 }
 
 /** Time after a grant at which a credit in advance counts as used: its validity and a slow answer. */
@@ -94,7 +96,7 @@
     if (row === undefined) this._rows.set(node, row = new LedgerRow(workspace => this._total(workspace), nowMs))
     if (incarnation < row.incarnation) return
     if (incarnation > row.incarnation) row.restart(incarnation, nowMs)
-    if (report !== undefined && report.id > row.lastReport) this._takeReport(row, report, nowMs)
+    if (report !== undefined && report.id > row.lastReport) this._takeReport(node, row, report, nowMs)
     this._takeAcknowledgement(row, message, nowMs)
     if (!this._isOpen && !this._tryOpen(nowMs)) return
     if (!row.isReported) return this._answer(node, { term, sequence, needsReport: true, grants: [] })
@@ -103,7 +105,8 @@
     this._answer(node, { term, sequence, atMs: Math.floor(nowMs), id: row.lastReport, grants })
   }
 
-  private _takeReport (row: LedgerRow, { id, uses, returns, allowances, upMs = 0 }: QuotaReport, nowMs: number): void {
+  private _takeReport (node: string, row: LedgerRow, report: QuotaReport, nowMs: number): void {
+    const { id, uses, returns, allowances, upMs = 0 } = report
     row.lastReport = id
     this._hasNews = true
     for (const use of uses) this._addUse(row, use, nowMs)
@@ -111,14 +114,23 @@
       row.remove(workspace, count, nowMs - ageMs - RETURN_BEFORE_MS, nowMs - ageMs + RETURN_AFTER_MS)
     }
     if (allowances === undefined || row.isReported) return
-    // An earlier run of the node may have used the workspaces within the window before the report.
-    row.completeAtMs = nowMs + Math.max(0, QUOTA_WINDOW_MS - upMs)
+    row.completeAtMs = this._completeAtMs(node, upMs, nowMs)
     for (const { workspace, count } of allowances) {
       row.holdAtLeast(workspace, count)
       this._pool.set(workspace, (this._pool.get(workspace) ?? 0) + count)
     }
   }
 
+  /**
+   * An earlier run of the node may have used the workspaces within the window before the report. What it was granted
+   * since this leader started is known, and what it was granted before has left the window some time after that start.
+   */
+  private _completeAtMs (node: string, upMs: number, nowMs: number): number {
+    if (this._options.isNewNode?.(node, upMs) === true) return nowMs
+    const untilMs = nowMs + Math.max(0, QUOTA_WINDOW_MS - upMs)
+    return Math.min(untilMs, Math.max(nowMs, this._options.startedAtMs + QUOTA_WINDOW_MS + ALLOWANCE_GAP_MS))
+  }
+
   private _addUse (row: LedgerRow, { workspace, count, ageMs }: QuotaUse, nowMs: number): void {
     if (ageMs <= QUOTA_WINDOW_MS) row.add(workspace, count, nowMs - ageMs)
   }
--- a/src/routecontrol/QuotaHost.ts
+++ b/src/routecontrol/QuotaHost.ts
@@ -1,4 +1,5 @@
 import { LEDGER_TICK_MS } from '../parts/quota/Constants.js'
+import { NodeSightings } from '../parts/quota/NodeSightings.js'
 import { QuotaLedger } from '../parts/quota/QuotaLedger.js'
 import type { Quota, QuotaLedgerAction, QuotaLedgerEvent, QuotaMessage } from '../parts/quota/Types.js'
 import type { Workspace } from '../parts/routing/Types.js'
@@ -29,6 +30,7 @@
   private readonly _quotas = new Map<string, Quota>()
   private _workspaces: readonly Workspace[] | undefined
   private _ledger: { readonly term: number, readonly ledger: QuotaLedger } | undefined
+  private _sightings: NodeSightings
   private _unsent: ForwardedQuotaMessage[] = []
   private _batchTimer: NodeJS.Timeout | undefined
   private _tickTimer: NodeJS.Timeout | undefined
@@ -49,6 +51,7 @@
     private readonly _clock: Clock,
     private readonly _log: Log
   ) {
+    this._sightings = new NodeSightings(_clock.nowMs())
     _feed.onQuotaMessage(({ node, message }) => this._onNodeMessage(node, message))
     _replica.onQuotaFrame(frame => this._onReplicaFrame(frame))
     _replica.machine.onChange(() => this._updateQuotas())
@@ -76,6 +79,7 @@
       this._ledger = undefined
     } else if (this._tickTimer === undefined) {
       this._lastTickMs = this._clock.nowMs()
+      this._sightings = new NodeSightings(this._lastTickMs)
       this._clockOffsetMs = this._clock.wallMs() - this._lastTickMs
       this._tickTimer = setInterval(() => this._tick(), LEDGER_TICK_MS)
     }
@@ -117,6 +121,7 @@
     const ledger = this._currentLedger()
     this._checkSuspension()
     this._lastTickMs = this._clock.nowMs()
+    this._sightings.record(this._feed.directory.entries.map(({ node }) => node), this._lastTickMs)
     if (ledger !== undefined && this._deferred === undefined) this._step(ledger, { type: 'tick' }, [])
   }
 
@@ -156,6 +161,7 @@
       term,
       startedAtMs: this._clock.nowMs(),
       findQuota: workspace => this._quotas.get(workspace),
+      isNewNode: (node, upMs) => this._sightings.isNew(node, upMs, this._clock.nowMs()),
       listNodes: () => this._feed.directory.entries.filter(({ state }) => state !== 'gone').map(({ node }) => node)
     })
   }
