Refuse requests whose header names contain a space

Cause: both listeners left the check of header names to the parser of Node.js, and its releases differ.

Change: both answer such a request with 400 and close its connection, whatever the parser does.

--- a/src/node/ingress/IngressServer.ts
+++ b/src/node/ingress/IngressServer.ts
@@ -12,6 +12,7 @@
 import { selectRequestHeaders } from '../EndToEndHeaders.js'
 import type { Refusal } from '../Types.js'
 import { readBody } from './BodyReader.js'
+import { refuseMalformedHead } from './MalformedHead.js'
 import { IngressCall } from './IngressCall.js'
 import type { CallSummary } from './IngressCall.js'
 import type { RequestClassifier } from './RequestClassifier.js'
@@ -113,6 +114,7 @@
   }
 
   private _onRequest (message: IncomingMessage, response: ServerResponse): void {
+    if (refuseMalformedHead(message, response)) return
     if (this._closing) response.setHeader('connection', 'close')
     const name = readServiceName(message)
     const service = this._services.findService(name)
--- a/src/routenode/Gateway.ts
+++ b/src/routenode/Gateway.ts
@@ -3,6 +3,7 @@
 import type { Duplex } from 'node:stream'
 import { selectEndToEnd } from '../node/EndToEndHeaders.js'
 import { readBody } from '../node/ingress/BodyReader.js'
+import { refuseMalformedHead } from '../node/ingress/MalformedHead.js'
 import { CallerWaitEstimate } from '../parts/routing/CallerWaitEstimate.js'
 import { DEFAULT_CALLER_LIMITS } from '../parts/routing/Constants.js'
 import type { CallerLimits, Route, Workspace } from '../parts/routing/Types.js'
@@ -138,6 +139,7 @@
   }
 
   private _onRequest (message: IncomingMessage, response: ServerResponse): void {
+    if (refuseMalformedHead(message, response)) return
     const arrivedAtMs = this._options.clock.nowMs()
     if (this._isClosing) response.setHeader('connection', 'close')
     const table = this._routeTable
