--- a/src/routecontrol/RouteControlDaemon.ts
+++ b/src/routecontrol/RouteControlDaemon.ts
@@ -1,3 +1,4 @@
+import { Emitter } from '../runtime/Emitter.js'
 import { FrameServer } from '../runtime/FrameServer.js'
 import type { FromControl, ToControl } from '../control/Types.js'
 import type { ReplicaHello } from '../control/ReplicaLinks.js'
@@ -8,7 +9,9 @@
 import type { Clock, Disposable, Log } from '../runtime/Types.js'
 import { type FeedHello, NodeFeed } from './NodeFeed.js'
 import { QuotaHost } from './QuotaHost.js'
-import { type ChangeOutcome, type EvacuationOutcome, type GroupSettings, RoutingReplica } from './RoutingReplica.js'
+import {
+  type ChangeOutcome, type CommandOutcome, type EvacuationOutcome, type GroupSettings, RoutingReplica
+} from './RoutingReplica.js'
 
 /** Settings and services that a daemon needs. */
 export interface RouteControlOptions {
@@ -35,6 +38,13 @@
   readonly evacuation: EvacuationState
 }
 
+/** An order that the leader has decided or could not decide, for metrics. */
+export interface OrderDecision {
+  readonly outcome: CommandOutcome<unknown>['type']
+  /** Time from the receipt to the outcome, in milliseconds. */
+  readonly durationMs: number
+}
+
 /** Result of a read of the routing configuration in force. */
 export type ReadOutcome =
   | { readonly type: 'confirmed', readonly routing: VersionedRouting }
@@ -50,6 +60,10 @@
   private readonly _feed: NodeFeed
   private readonly _quotas: QuotaHost
   private readonly _server: FrameServer<ToControl, FromControl>
+  private readonly _decisionEmitter = new Emitter<OrderDecision>()
+
+  /** Fires when a change or an order that was proposed here has an outcome. */
+  public readonly onDecision = this._decisionEmitter.event
 
   /**
    * @param _options Settings, disk, clock, random numbers and log.
@@ -116,12 +130,12 @@
 
   /** Proposes a change of the routing configuration; succeeds only at the leader. */
   public async change (change: RoutingChange): Promise<ChangeOutcome> {
-    return await this._replica.change(change)
+    return await this._measure(this._replica.change(change))
   }
 
   /** Proposes an order about an availability zone; succeeds only at the leader. */
   public async evacuate (order: EvacuationOrder): Promise<EvacuationOutcome> {
-    return await this._replica.evacuate(order)
+    return await this._measure(this._replica.evacuate(order))
   }
 
   /** Reads the routing configuration in force, after a quorum has confirmed that this replica is up to date. */
@@ -152,6 +166,13 @@
     this._options.disk.dispose()
   }
 
+  private async _measure<Outcome extends CommandOutcome<unknown>> (pending: Promise<Outcome>): Promise<Outcome> {
+    const startedAtMs = this._options.clock.nowMs()
+    const outcome = await pending
+    this._decisionEmitter.fire({ outcome: outcome.type, durationMs: this._options.clock.nowMs() - startedAtMs })
+    return outcome
+  }
+
   /** Tells apart reads in another group, reads that were confirmed too early and a state that lacks log entries. */
   private _logRead (confirmed: boolean): void {
     const { id: replica, members, term, leader, commitIndex } = this._replica.view
--- a/src/routecontrol/RouteControlMetrics.ts
+++ b/src/routecontrol/RouteControlMetrics.ts
@@ -1,9 +1,19 @@
-import { Gauge, Registry } from 'prom-client'
-import type { ControlGauges } from './RouteControlDaemon.js'
+import { Gauge, Histogram, Registry } from 'prom-client'
+import type { ControlGauges, OrderDecision } from './RouteControlDaemon.js'
+
+/** Upper bounds of the buckets of the decision times, in seconds: a sync, a lease, the wait of an operator. */
+const DECISION_BUCKETS_S = [0.005, 0.02, 0.1, 0.25, 0.5, 1, 4]
 
 /** Metrics of a control replica in the text format of Prometheus. `docs/METRICS.md` lists them. */
 export class RouteControlMetrics {
   private readonly _registry = new Registry()
+  private readonly _decisions = new Histogram({
+    name: 'sassafras_control_decision_seconds',
+    help: 'Time from the receipt of a change or an order at the leader to its outcome',
+    labelNames: ['outcome'],
+    buckets: DECISION_BUCKETS_S,
+    registers: [this._registry]
+  })
 
   /**
    * @param readGauges Returns the current values; called at each scrape.
@@ -34,6 +44,11 @@
     return this._registry.contentType
   }
 
+  /** Counts a change or an order. */
+  public countDecision ({ outcome, durationMs }: OrderDecision): void {
+    this._decisions.observe({ outcome }, durationMs / 1000)
+  }
+
   /** Returns all metrics as text. */
   public async text (): Promise<string> {
     return await this._registry.metrics()
