Take calls of operators at any node and pass them on to the leader

Callers saw: a valid change had no acknowledgement for over 4 s of calm while one control replica stood still.

Cause: a process that stands still keeps accepting connections, so a call there costs its operator a second and a growing pause. Only the three control replicas took calls, and a follower redirected to the leader. A third of the calls went to the frozen replica, and a redirected call touched two of three replicas, so that after a lost acknowledgement only the frozen one had not been asked. A follower also redirected to a leader that stood still until its election timeout had passed. Class: a caller's next attempt depends on what one process happens to be doing, although others could answer for it.

Change: nodes and replicas take calls and answer them themselves. They pass a call on to the leader, ask another replica when one does not reply within 200 ms, ask again while a leader may be elected, and give up after 900 ms, or at once when all that reply have had no leader for long. A relay makes a queued call at a paused process dangerous, since it would now be executed: calls whose operator has closed the connection are dropped after a pause, by relays and by the replica that is asked.

Why it works: of 15 processes one is frozen in place of one of three, a call touches one process, and a live process answers with the decision.

--- a/bench/acknowledgements/OperatedGroup.ts
+++ b/bench/acknowledgements/OperatedGroup.ts
@@ -82,14 +82,13 @@
   /** Returns the body of the next change; each builds on the one before. */
   public nextChange (): string {
     const base = this._version
-    this._version++
-    return JSON.stringify({
-      Version: `r${this._version}`,
-      BaseVersion: base === 0 ? 0 : `r${base}`,
-      Routes: [],
-      Services: [],
-      Limits: { MaxHeaderBytes: 16384 + this._version, MaxBodyBytes: 1000, HeaderTimeout: '3000ms', IdleTimeout: '15000ms' }
-    })
+    this._version += 2
+    return formatChange(this._version, base)
+  }
+
+  /** Returns the body of a change on the current version that `nextChange` does not count. */
+  public changeOnCurrent (): string {
+    return formatChange(this._version + 1, this._version)
   }
 
   /** Kills all processes. */
@@ -104,6 +103,16 @@
   }
 }
 
+function formatChange (version: number, base: number): string {
+  return JSON.stringify({
+    Version: `r${version}`,
+    BaseVersion: base === 0 ? 0 : `r${base}`,
+    Routes: [],
+    Services: [],
+    Limits: { MaxHeaderBytes: 16384 + version, MaxBodyBytes: 1000, HeaderTimeout: '3000ms', IdleTimeout: '15000ms' }
+  })
+}
+
 function startVm (
   vm: { readonly name: string, readonly host: string }, program: string, folder: string, settings: string
 ): Vm {
--- a/src/control/Types.ts
+++ b/src/control/Types.ts
@@ -3,7 +3,9 @@
 import type { ConfigurationDelta, NodeVersion, Version, VersionedConfiguration } from '../parts/configuration/Types.js'
 import type { NodeEntry } from '../parts/instances/Types.js'
 import type { Heartbeat, Member, ServiceDigest } from '../parts/membership/Types.js'
-import type { CrashReportsFrame, FeedToNode, NodeToFeed, QuotaReplicaFrame } from '../routecontrol/Types.js'
+import type {
+  CrashReportsFrame, FeedToNode, FromOperatorServer, NodeToFeed, QuotaReplicaFrame, ToOperatorServer
+} from '../routecontrol/Types.js'
 import type { RecordCommand, RecordReply } from '../parts/records/Types.js'
 import type { Incarnation, NodeId, ProcessLocation, ReplicaId, ServiceName } from '../parts/Types.js'
 
@@ -96,10 +98,10 @@
   | QuotaReplicaFrame
 
 /** Frames that a control replica receives on accepted connections. */
-export type ToControl = NodeToControl | ReplicaToReplica | NodeToFeed
+export type ToControl = NodeToControl | ReplicaToReplica | NodeToFeed | ToOperatorServer
 
 /** Frames that a control replica sends on accepted connections. */
-export type FromControl = ControlToNode | ReplicaToReplica | FeedToNode
+export type FromControl = ControlToNode | ReplicaToReplica | FeedToNode | FromOperatorServer
 
 /** Handlers of the frames of other replicas, by type. */
 export type ReplicaFrameHandlers = {
--- /dev/null
+++ b/src/parts/relay/RelayedCall.ts
@@ -0,0 +1,135 @@
+import type { Part } from '../Types.js'
+import { RELAY_LIMIT_MS, REPLY_PATIENCE_MS, RETRY_INTERVAL_MS } from './Constants.js'
+import type { ReplicaRanking } from './ReplicaRanking.js'
+import type { RelayAction, RelayEvent, ReplyKind } from './Types.js'
+
+type EventHandlers = {
+  readonly [Type in RelayEvent['type']]: (event: Extract<RelayEvent, { type: Type }>, nowMs: number) => RelayAction[]
+}
+
+type ReplyHandlers = {
+  readonly [Type in ReplyKind['type']]: (
+    replica: string, reply: Extract<ReplyKind, { type: Type }>, nowMs: number
+  ) => RelayAction[]
+}
+
+/**
+ * Takes one operator's call to the replica that decides it, within `RELAY_LIMIT_MS`: follows replicas to the leader,
+ * asks another one when a replica does not reply in time, and asks again while a leader is being elected. When all that
+ * reply have known no leader for long, it gives up at once. A replica is never asked twice at the same time. The call
+ * must be one that may be decided twice with the same result.
+ *
+ * Memory: one entry for each replica.
+ */
+export class RelayedCall implements Part<RelayEvent, RelayAction> {
+  /** Replicas that were asked and have not replied, with the time of the question. */
+  private readonly _openAskedAtMs = new Map<string, number>()
+  /** When replicas that could not decide the call may be asked again. */
+  private readonly _retryAtMs = new Map<string, number>()
+  /** Replicas that have known no leader for long. */
+  private readonly _leaderless = new Set<string>()
+  private _limitAtMs = 0
+  private _hasEnded = false
+  private _mayBeDecided = false
+
+  private readonly _handlers: EventHandlers = {
+    start: (_event, nowMs) => {
+      this._limitAtMs = nowMs + RELAY_LIMIT_MS
+      return this._askNext(nowMs)
+    },
+    reply: ({ replica, reply }, nowMs) => {
+      this._openAskedAtMs.delete(replica)
+      this._leaderless.delete(replica)
+      this._ranking.recordReply(replica)
+      const handler = this._replyHandlers[reply.type] as
+        (replica: string, reply: ReplyKind, nowMs: number) => RelayAction[]
+      return handler(replica, reply, nowMs)
+    },
+    failed: ({ replica, wasSent }, nowMs) => {
+      this._openAskedAtMs.delete(replica)
+      if (wasSent) this._mayBeDecided = true
+      this._ranking.recordSilence(replica, nowMs)
+      return this._retryLater(replica, nowMs)
+    },
+    wake: (_event, nowMs) => nowMs < this._limitAtMs ? this._askNext(nowMs) : this._giveUp()
+  }
+
+  private readonly _replyHandlers: ReplyHandlers = {
+    final: replica => {
+      this._ranking.recordLeader(replica)
+      this._hasEnded = true
+      return [{ type: 'deliver' }]
+    },
+    notLeader: (replica, { leader, isLeaderless }, nowMs) => {
+      if (isLeaderless === true) this._leaderless.add(replica)
+      if (leader !== undefined) this._ranking.recordLeader(leader)
+      return this._retryLater(replica, nowMs)
+    },
+    undecided: (replica, { state }, nowMs) => {
+      if (state === 'unknown') this._mayBeDecided = true
+      return this._retryLater(replica, nowMs)
+    }
+  }
+
+  /**
+   * @param _listReplicas Returns the addresses of the replicas, those to prefer first.
+   * @param _ranking Order of the replicas, shared by all calls.
+   */
+  public constructor (
+    private readonly _listReplicas: () => readonly string[],
+    private readonly _ranking: ReplicaRanking
+  ) {}
+
+  /** @inheritdoc */
+  public step (event: RelayEvent, nowMs: number): RelayAction[] {
+    if (this._hasEnded) return []
+    const handler = this._handlers[event.type] as (event: RelayEvent, nowMs: number) => RelayAction[]
+    return handler(event, nowMs)
+  }
+
+  private _retryLater (replica: string, nowMs: number): RelayAction[] {
+    this._retryAtMs.set(replica, nowMs + RETRY_INTERVAL_MS)
+    return this._askNext(nowMs)
+  }
+
+  /** Asks the next replica unless a reply may still come soon. */
+  private _askNext (nowMs: number): RelayAction[] {
+    const expectedByMs = this._awaitReplies(nowMs)
+    if (expectedByMs !== undefined) return [this._wakeAt(expectedByMs)]
+    const replicas = this._ranking.sort(this._listReplicas(), nowMs)
+    const mayDecide = replicas.filter(replica => !this._leaderless.has(replica))
+    const isHopeless = this._leaderless.size > 0 && mayDecide.every(replica => this._ranking.isSuspect(replica, nowMs))
+    if (isHopeless) return this._giveUp()
+    const idle = replicas.filter(replica => !this._openAskedAtMs.has(replica))
+    const next = idle.find(replica => (this._retryAtMs.get(replica) ?? 0) <= nowMs)
+    if (next === undefined) {
+      return [this._wakeAt(Math.min(...idle.map(replica => this._retryAtMs.get(replica) ?? nowMs)))]
+    }
+    // A suspect is asked only once all others have failed to decide, so nobody waits for its reply.
+    const patienceMs = this._ranking.isSuspect(next, nowMs) ? RETRY_INTERVAL_MS : REPLY_PATIENCE_MS
+    this._openAskedAtMs.set(next, nowMs)
+    return [{ type: 'ask', replica: next }, this._wakeAt(nowMs + patienceMs)]
+  }
+
+  /** Returns until when a reply is expected; a replica that has not replied by then counts as silent. */
+  private _awaitReplies (nowMs: number): number | undefined {
+    let expectedByMs: number | undefined
+    for (const [replica, askedAtMs] of this._openAskedAtMs) {
+      if (this._ranking.isSuspect(replica, nowMs)) continue
+      const untilMs = askedAtMs + REPLY_PATIENCE_MS
+      if (untilMs > nowMs) expectedByMs = Math.max(expectedByMs ?? 0, untilMs)
+      else this._ranking.recordSilence(replica, nowMs)
+    }
+    return expectedByMs
+  }
+
+  private _wakeAt (atMs: number): RelayAction {
+    return { type: 'wakeAt', atMs: Math.min(atMs, this._limitAtMs) }
+  }
+
+  private _giveUp (): RelayAction[] {
+    this._hasEnded = true
+    const state = this._mayBeDecided || this._openAskedAtMs.size > 0 ? 'unknown' : 'not-run'
+    return [{ type: 'giveUp', state }]
+  }
+}
--- /dev/null
+++ b/src/parts/relay/Types.ts
@@ -0,0 +1,28 @@
+/** What a replica made of a call, as far as it decides whom to ask next. */
+export type ReplyKind =
+  /** The reply is the caller's. */
+  | { readonly type: 'final' }
+  /**
+   * The replica does not decide calls; `leader` is the address of the leader as it knows it. `isLeaderless` when it has
+   * known none for longer than elections take.
+   */
+  | { readonly type: 'notLeader', readonly leader?: string, readonly isLeaderless?: true }
+  /** The replica leads and could not decide the call; with `unknown` it may still be decided. */
+  | { readonly type: 'undecided', readonly state: 'not-run' | 'unknown' }
+
+/** Events of a relayed call. Replicas are named by their addresses. */
+export type RelayEvent =
+  | { readonly type: 'start' }
+  | { readonly type: 'reply', readonly replica: string, readonly reply: ReplyKind }
+  /** The connection could not be opened, or was closed before the reply: `wasSent` when it had been open. */
+  | { readonly type: 'failed', readonly replica: string, readonly wasSent: boolean }
+  | { readonly type: 'wake' }
+
+/** Actions that the host carries out for a relayed call. */
+export type RelayAction =
+  | { readonly type: 'ask', readonly replica: string }
+  | { readonly type: 'wakeAt', readonly atMs: number }
+  /** Pass the last reply on to the caller. */
+  | { readonly type: 'deliver' }
+  /** No replica decided in time; `unknown` when one may still do so. */
+  | { readonly type: 'giveUp', readonly state: 'not-run' | 'unknown' }
--- a/src/routecontrol/Constants.ts
+++ b/src/routecontrol/Constants.ts
@@ -39,7 +39,7 @@
 export const LEADERLESS_JOIN_MS = 3000
 
 /**
- * Time for which a replica outside the group redirects operators to the leader that a member named, in milliseconds:
+ * Time for which a replica outside the group sends operators' calls to the leader that a member named, in ms:
  * two join intervals and their round trips. A member that has lost its leader names none.
  */
 export const LEADER_NOTICE_TTL_MS = 750
@@ -70,3 +70,6 @@
 
 /** Interval at which a replica sends the entries of its nodes to the other replicas again, in milliseconds. */
 export const ENTRY_RESEND_INTERVAL_MS = 10_000
+
+/** Calls of operators that one process passes on at the same time; further ones are turned away. */
+export const MAX_RELAYED_CALLS = 256
--- /dev/null
+++ b/src/routecontrol/OperatorRelay.ts
@@ -0,0 +1,158 @@
+import { connect } from 'node:net'
+import { RelayedCall } from '../parts/relay/RelayedCall.js'
+import { ReplicaRanking } from '../parts/relay/ReplicaRanking.js'
+import type { RelayAction, RelayEvent } from '../parts/relay/Types.js'
+import { parseAddress } from '../runtime/Address.js'
+import { FrameChannel } from '../runtime/FrameChannel.js'
+import { PartTimer } from '../runtime/PartTimer.js'
+import type { Clock, Disposable, Log } from '../runtime/Types.js'
+import { MAX_RELAYED_CALLS } from './Constants.js'
+import type { FromOperatorServer, OperatorCall, OperatorReply, RelayOutcome, ToOperatorServer } from './Types.js'
+
+/** Dependencies of a relay. */
+export interface OperatorRelayOptions {
+  /** Returns the addresses of the control replicas, `host:port`, those to prefer first. */
+  readonly listReplicas: () => readonly string[]
+  /** Handles a call in this process, when it is a replica, under its own address. */
+  readonly local?: {
+    readonly address: string
+    readonly execute: (call: OperatorCall) => Promise<OperatorReply>
+  }
+  readonly clock: Clock
+  readonly log: Log
+}
+
+type ActionHandlers = {
+  readonly [Type in RelayAction['type']]: (action: Extract<RelayAction, { type: Type }>) => void
+}
+
+/**
+ * Passes calls of operators on to the control replica that decides them, so that operators may call any node and any
+ * replica. Each replica is asked on a connection of its own, since one that is kept open may have gone silent.
+ */
+export class OperatorRelay implements Disposable {
+  private readonly _ranking = new ReplicaRanking()
+  private readonly _exchanges = new Set<RelayExchange>()
+
+  /**
+   * @param _options Replicas, clock and log.
+   */
+  public constructor (private readonly _options: OperatorRelayOptions) {}
+
+  /** Resolves with the reply of the replica that decided a call, or with what is known when none did in time. */
+  public async send (call: OperatorCall): Promise<RelayOutcome> {
+    if (this._exchanges.size >= MAX_RELAYED_CALLS) return { type: 'undecided', state: 'not-run' }
+    const exchange = new RelayExchange(call, this._ranking, this._options)
+    this._exchanges.add(exchange)
+    try {
+      return await exchange.outcome
+    } finally {
+      this._exchanges.delete(exchange)
+    }
+  }
+
+  /** Gives up on all calls. */
+  public dispose (): void {
+    for (const exchange of this._exchanges) exchange.dispose()
+  }
+}
+
+/** One call on its way, with its connections to replicas. */
+class RelayExchange implements Disposable {
+  /** Resolves once. */
+  public readonly outcome: Promise<RelayOutcome>
+  private readonly _part: RelayedCall
+  private readonly _timer: PartTimer
+  private readonly _channels = new Set<Disposable>()
+  private readonly _startedAtMs: number
+  private readonly _asked: string[] = []
+  private _settle: (outcome: RelayOutcome) => void = () => {}
+  private _lastReply: OperatorReply | undefined
+
+  private readonly _handlers: ActionHandlers = {
+    ask: ({ replica }) => this._ask(replica),
+    wakeAt: ({ atMs }) => this._timer.wakeAt(atMs),
+    deliver: () => this._end(this._lastReply as RelayOutcome),
+    giveUp: ({ state }) => this._end({ type: 'undecided', state })
+  }
+
+  public constructor (
+    private readonly _call: OperatorCall,
+    ranking: ReplicaRanking,
+    private readonly _options: OperatorRelayOptions
+  ) {
+    const { clock, listReplicas } = _options
+    this._startedAtMs = clock.nowMs()
+    this.outcome = new Promise(resolve => { this._settle = resolve })
+    this._part = new RelayedCall(listReplicas, ranking)
+    this._timer = new PartTimer(clock, () => this._step({ type: 'wake' }))
+    this._step({ type: 'start' })
+  }
+
+  public dispose (): void {
+    this._end({ type: 'undecided', state: 'unknown' })
+  }
+
+  private _step (event: RelayEvent): void {
+    for (const action of this._part.step(event, this._options.clock.nowMs())) {
+      const handler = this._handlers[action.type] as (action: RelayAction) => void
+      handler(action)
+    }
+  }
+
+  private _ask (replica: string): void {
+    const { local } = this._options
+    this._asked.push(replica)
+    if (replica !== local?.address) return this._askRemote(replica)
+    local.execute(this._call)
+      .then(reply => this._receive(replica, reply))
+      .catch((error: Error) => {
+        this._options.log.error({ operation: this._call.operation, error: error.message }, 'operator call failed')
+        this._step({ type: 'failed', replica, wasSent: true })
+      })
+  }
+
+  private _askRemote (replica: string): void {
+    const socket = connect(parseAddress(replica))
+    let wasSent = false
+    let hasReplied = false
+    const onClose = (): void => {
+      if (!hasReplied) this._step({ type: 'failed', replica, wasSent })
+    }
+    socket.on('error', error => this._options.log.debug({ replica, error: error.message }, 'operator call interrupted'))
+    socket.once('close', onClose)
+    const connection = {
+      dispose: () => {
+        hasReplied = true
+        socket.destroy()
+      }
+    }
+    this._channels.add(connection)
+    socket.once('connect', () => {
+      wasSent = true
+      const channel = new FrameChannel<FromOperatorServer, ToOperatorServer>(socket, this._options.clock)
+      channel.onMessage(({ reply }) => {
+        this._channels.delete(connection)
+        connection.dispose()
+        this._receive(replica, reply)
+      })
+      channel.send({ type: 'operatorCall', call: this._call })
+    })
+  }
+
+  private _receive (replica: string, reply: OperatorReply): void {
+    this._lastReply = reply
+    this._step({ type: 'reply', replica, reply })
+  }
+
+  private _end (outcome: RelayOutcome): void {
+    this._timer.dispose()
+    for (const channel of this._channels) channel.dispose()
+    this._channels.clear()
+    const durationMs = Math.round(this._options.clock.nowMs() - this._startedAtMs)
+    const { operation } = this._call
+    const result = outcome.type === 'final' ? outcome.status : outcome.state
+    this._options.log.info({ operation, result, durationMs, asked: this._asked }, 'operator call relayed')
+    this._settle(outcome)
+  }
+}
--- a/src/routecontrol/RouteControlDaemon.ts
+++ b/src/routecontrol/RouteControlDaemon.ts
@@ -1,17 +1,19 @@
 import { Emitter } from '../runtime/Emitter.js'
 import { FrameServer } from '../runtime/FrameServer.js'
 import type { FromControl, ToControl } from '../control/Types.js'
-import type { ReplicaHello } from '../control/ReplicaLinks.js'
+import type { AcceptedChannel, ReplicaHello } from '../control/ReplicaLinks.js'
 import type { EvacuationOrder, EvacuationState } from '../parts/evacuation/Types.js'
 import type { RoutingChange, VersionedRouting } from '../parts/routing/Types.js'
 import type { Disk } from '../parts/storage/Types.js'
 import type { Random } from '../parts/Types.js'
 import type { Clock, Disposable, Log } from '../runtime/Types.js'
 import { type FeedHello, NodeFeed } from './NodeFeed.js'
+import { OperatorRelay } from './OperatorRelay.js'
 import { QuotaHost } from './QuotaHost.js'
 import {
   type ChangeOutcome, type CommandOutcome, type EvacuationOutcome, type GroupSettings, RoutingReplica
 } from './RoutingReplica.js'
+import type { OperatorCall, OperatorReply, ToOperatorServer } from './Types.js'
 
 /** Settings and services that a daemon needs. */
 export interface RouteControlOptions {
@@ -45,6 +47,9 @@
   readonly durationMs: number
 }
 
+/** Handles a call of an operator at this replica. */
+export type OperatorCallExecutor = (call: OperatorCall) => Promise<OperatorReply>
+
 /** Result of a read of the routing configuration in force. */
 export type ReadOutcome =
   | { readonly type: 'confirmed', readonly routing: VersionedRouting }
@@ -61,6 +66,7 @@
   private readonly _quotas: QuotaHost
   private readonly _server: FrameServer<ToControl, FromControl>
   private readonly _decisionEmitter = new Emitter<OrderDecision>()
+  private _executor: OperatorCallExecutor | undefined
 
   /** Fires when a change or an order that was proposed here has an outcome. */
   public readonly onDecision = this._decisionEmitter.event
@@ -80,6 +86,7 @@
         first.dispose()
         if (frame.type === 'replicaHello') this._replica.accept(channel, frame as ReplicaHello)
         else if (frame.type === 'feedHello') this._feed.accept(channel, frame as FeedHello)
+        else if (frame.type === 'operatorCall') this._replyTo(channel, frame)
         else channel.destroy('the first frame is not a hello')
       })
     })
@@ -113,6 +120,11 @@
     return this._replica.remoteLeaderAddress
   }
 
+  /** True when this replica has known no leader for longer than elections take. */
+  public get isLeaderless (): boolean {
+    return this._replica.isLeaderless
+  }
+
   /** True while this replica is a voter of the group; others can't confirm reads. */
   public get isMember (): boolean {
     return this._replica.isMember
@@ -128,6 +140,17 @@
     this._replica.setSeeds(seeds)
   }
 
+  /**
+   * Handles the calls of operators that nodes and other replicas pass on.
+   * @returns A relay that passes calls on from this replica.
+   */
+  public serveOperators (execute: OperatorCallExecutor): OperatorRelay {
+    const { settings: { address }, clock, log } = this._options
+    this._executor = execute
+    const listReplicas = (): string[] => [address, ...this._replica.memberAddresses]
+    return new OperatorRelay({ listReplicas, local: { address, execute }, clock, log })
+  }
+
   /** Proposes a change of the routing configuration; succeeds only at the leader. */
   public async change (change: RoutingChange): Promise<ChangeOutcome> {
     return await this._measure(this._replica.change(change))
@@ -166,6 +189,22 @@
     this._options.disk.dispose()
   }
 
+  private _replyTo (channel: AcceptedChannel, { call }: ToOperatorServer): void {
+    if (this._executor === undefined) return channel.destroy('this replica serves no operators')
+    const execute = this._executor
+    // The asker may have given up while this process was paused; its connection then closes in the next turns.
+    setImmediate(() => setImmediate(() => { if (!channel.isClosed) this._execute(execute, channel, call) }))
+  }
+
+  private _execute (execute: OperatorCallExecutor, channel: AcceptedChannel, call: OperatorCall): void {
+    execute(call).then(reply => {
+      channel.send({ type: 'operatorReply', reply })
+    }).catch((error: Error) => {
+      this._options.log.error({ operation: call.operation, error: error.message }, 'operator call failed')
+      channel.destroy('the operator call failed')
+    })
+  }
+
   private async _measure<Outcome extends CommandOutcome<unknown>> (pending: Promise<Outcome>): Promise<Outcome> {
     const startedAtMs = this._options.clock.nowMs()
     const outcome = await pending
--- a/src/routecontrol/RoutingReplica.ts
+++ b/src/routecontrol/RoutingReplica.ts
@@ -117,7 +117,7 @@
     formation: (from, { notice }) => this._handleNotice(from, notice),
     join: (from, { replica }) => {
       this._voterPlanner.recordJoinRequest(replica, this._options.clock.nowMs())
-      // The sender may stay outside a full group, and must still know where to redirect operators.
+      // The sender may stay outside a full group, and must still know the leader for operators' calls.
       if (this.view.leader !== undefined) this._links.send(from, this._makeNotice())
     },
     readIndex: (from, { id }) => {
@@ -222,6 +222,12 @@
     return leader === undefined || leader === this.id ? undefined : replicaName(leader)
   }
 
+  /** True when no leader has been known for longer than elections take. */
+  public get isLeaderless (): boolean {
+    const leaderlessMs = this._options.clock.nowMs() - this._leaderKnownMs
+    return this.remoteLeaderAddress === undefined && leaderlessMs > LEADERLESS_JOIN_MS
+  }
+
   /** Connects to the seeds and the members, and starts the timers. */
   public start (): void {
     this.setSeeds(this._options.settings.seeds)
--- a/src/routecontrol/Types.ts
+++ b/src/routecontrol/Types.ts
@@ -94,3 +94,38 @@
    * the node connects to another.
    */
   | { readonly type: 'feedPong', readonly fit: boolean }
+
+/** A call of an operator as it was received; its content is only read by the replica that decides it. */
+export interface OperatorCall {
+  /** Name of the operation, as the platform's interface names it. */
+  readonly operation: string
+  /** Parameter of the path; empty when the operation has none. */
+  readonly parameter: string
+  readonly body: string
+}
+
+/** What a replica made of an operator's call. */
+export type OperatorReply =
+  /** Response for the operator: status and body. */
+  | { readonly type: 'final', readonly status: number, readonly body: string }
+  /**
+   * The replica does not decide calls; `leader` is the leader's address, `host:port`, if it knows one. `isLeaderless`
+   * when it has known none for longer than elections take.
+   */
+  | { readonly type: 'notLeader', readonly leader?: string, readonly isLeaderless?: true }
+  | { readonly type: 'undecided', readonly state: 'not-run' | 'unknown' }
+
+/** Result of a relayed call. */
+export type RelayOutcome = Exclude<OperatorReply, { type: 'notLeader' }>
+
+/** Frame with an operator's call to a control replica; the only one on its connection. */
+export interface ToOperatorServer {
+  readonly type: 'operatorCall'
+  readonly call: OperatorCall
+}
+
+/** Frame with the reply. */
+export interface FromOperatorServer {
+  readonly type: 'operatorReply'
+  readonly reply: OperatorReply
+}
--- a/src/routenode/ControlFeed.ts
+++ b/src/routenode/ControlFeed.ts
@@ -130,6 +130,12 @@
     return this._isWelcomed ? this._channel?.remoteAddress : undefined
   }
 
+  /** Addresses of all replicas that this node knows, `host:port`; the one that it is connected to goes first. */
+  public get replicaAddresses (): string[] {
+    const home = this.replicaAddress
+    return home === undefined ? [...this._replicaAddresses] : [...new Set([home, ...this._replicaAddresses])]
+  }
+
   /** Starts to connect. */
   public start (): void {
     this._pingTimer = setInterval(() => this._checkLiveness(), FEED_PING_INTERVAL_MS)
--- a/src/routenode/RouteNodeDaemon.ts
+++ b/src/routenode/RouteNodeDaemon.ts
@@ -9,6 +9,7 @@
 import { BodyMemory } from '../parts/transfer/BodyMemory.js'
 import type { Random, ServiceName } from '../parts/Types.js'
 import { KeyTable } from '../parts/workspaces/KeyTable.js'
+import { OperatorRelay } from '../routecontrol/OperatorRelay.js'
 import type { Clock, Disposable, Log } from '../runtime/Types.js'
 import type { BodyResources } from './BodyTransfer.js'
 import { CallServer } from './CallServer.js'
@@ -92,6 +93,9 @@
   /** Entry that was sent to a control replica last, in a hello frame or on its own. */
   private _sentEntry: NodeEntry | undefined
 
+  /** Passes calls of operators on to the control replicas. */
+  public readonly operators: OperatorRelay
+
   public constructor (private readonly _options: RouteNodeOptions) {
     const { settings, clock, random, log, fingerprint } = _options
     this._epoch = Math.floor(clock.wallMs())
@@ -160,6 +164,7 @@
       nextEntry: () => this._makeHelloEntry(),
       crashReports: () => this._quarantine.reports()
     }, clock, random, log)
+    this.operators = new OperatorRelay({ listReplicas: () => this._controlFeed.replicaAddresses, clock, log })
     this._subscribe()
   }
 
--- a/test/Acknowledgements.test.ts
+++ b/test/Acknowledgements.test.ts
@@ -69,3 +69,18 @@
   }))
   expect(Math.max(...times.flat())).toBeLessThan(LIMIT_MS)
 })
+
+// Otherwise an order that its operator has since replaced by another one comes into force again.
+test('a call whose operator has left is not passed on when a paused process runs again', async () => {
+  const { group, followers } = await startWithStoppedLeader(1)
+  const operator = makeOperator(group, 1, 0)
+  const [other] = followers as [string]
+  for (const paused of [group.nodeHosts[0]!, group.leaderHost!]) {
+    group.freeze(paused)
+    expect(await operator.attempt(paused, CHANGE, group.changeOnCurrent())).toMatchObject({ status: 0 })
+    group.thaw(paused)
+    expect(await operator.attempt(paused, '/api/Config.Get', '')).toMatchObject({ status: 200 })
+    await pause(500)
+    expect(await operator.attempt(other, CHANGE, group.nextChange())).toMatchObject({ status: 200 })
+  }
+})
