Take a refusal as proof only where no earlier request can have caused it

Callers saw (report of other operators, shown here by a test): an instance wrote an earlier refusal once more on a kept connection. The node told the caller that nothing had run, or sent the request to a second instance, while it ran at the first.

Cause: a rejection without an id was believed on any connection, also one on which an earlier request had been sent; and a connection stayed in use after a rejection, so that a repeated one met a later request, even one with the same id.

Change: a rejection without an id is proof only on a connection that carried no request before, and a rejection ends its connection.

--- a/src/routenode/InstanceClient.test.ts
+++ b/src/routenode/InstanceClient.test.ts
@@ -203,6 +203,36 @@
   expect(await run(client, 'a')).toBe('rejected instance-rejected')
 })
 
+const refusal = (idHeader: string): string => `HTTP/1.1 503 Busy\r\n${idHeader}Not-Run: 1\r\nContent-Length: 0\r\n\r\n`
+
+// A faulty instance may write an earlier refusal once more, while it runs the next request on the connection.
+test('a refusal without an id is no proof on a connection that was used before', async () => {
+  const client = await startInstance(
+    (socket, id) => socket.write(head(id, 'Content-Length: 2\r\n\r\nok')),
+    socket => socket.write(refusal(''))
+  )
+  expect(await run(client, 'a')).toBe('200 ok')
+  expect(await run(client, 'b')).toBe('unknown answer-foreign')
+  expect(sockets.size).toBe(1)
+})
+
+test('a refusal without an id is proof on a new connection', async () => {
+  const client = await startInstance(socket => socket.write(refusal('')))
+  expect(await run(client, 'a')).toBe('rejected instance-rejected')
+})
+
+test('a refusal that is repeated does not reach the next request, also when that has the same id', async () => {
+  const client = await startInstance(
+    (socket, id) => {
+      socket.write(refusal(`Call-Id: ${id}\r\n`))
+      setTimeout(() => { if (!socket.destroyed) socket.write(refusal(`Call-Id: ${id}\r\n`)) }, 20)
+    },
+    (socket, id) => setTimeout(() => socket.write(head(id, 'Content-Length: 2\r\n\r\nok')), 60)
+  )
+  expect(await run(client, 'a')).toBe('rejected instance-rejected')
+  expect(await run(client, 'a')).toBe('200 ok')
+})
+
 test('a call fails as unsent when the connection is refused', async () => {
   const [address] = await findFreeAddresses(1) as [string]
   expect(await run(new InstanceClient(address, NAMES, new SystemClock()), 'a')).toBe('unsent instance-unreachable')
--- a/src/routenode/InstanceClient.ts
+++ b/src/routenode/InstanceClient.ts
@@ -46,7 +46,8 @@
 
 /**
  * HTTP/1.1 client of the instance on the same VM. An answer is valid only when it is complete, repeats the id of the
- * request, is signed if its status is 2xx, and has no content encoding. A rejection may lack the id.
+ * request, is signed if its status is 2xx, and has no content encoding. A rejection ends its connection, and may lack
+ * the id on a new one.
  */
 export class InstanceClient implements Disposable {
   private readonly _agent = new InstanceAgent()
@@ -274,6 +275,8 @@
     this._isResendRuledOut = true
     const load = parseLoadHeader(response.headers[this._names.load] as string | undefined)
     if (load !== undefined) this._listener.onLoad(load)
+    // A faulty instance may write a rejection once more, which would reach the next request on the connection.
+    if (this._isRejection(response)) request.shouldKeepAlive = false
     response.on('data', (chunk: Buffer) => {
       receivedBytes += chunk.length
       if (receivedBytes > MAX_ANSWER_BYTES) this._fail('unknown', 'answer-invalid', 'answer is larger than the limit')
@@ -282,17 +285,18 @@
     response.on('error', error => this._fail('unknown', 'instance-lost', error.message))
     response.once('close', () => {
       const isComplete = response.complete && (isFramed(response) || !this._wasReset(request))
-      if (isComplete) this._validateAnswer(response, Buffer.concat(chunks, receivedBytes))
+      if (isComplete) this._validateAnswer(request, response, Buffer.concat(chunks, receivedBytes))
       else this._fail('unknown', 'instance-lost', 'connection closed before the answer was complete')
     })
   }
 
-  private _validateAnswer (response: IncomingMessage, body: Buffer): void {
+  private _validateAnswer (request: ClientRequest, response: IncomingMessage, body: Buffer): void {
     const status = response.statusCode ?? 0
     const { headers } = response
     if (headers[this._names.requestId] !== this._call.requestId) {
-      // A rejection may lack the id, but must not carry another one.
-      const isProvenRejection = headers[this._names.requestId] === undefined && this._isRejection(response)
+      // A rejection may lack the id, but must not carry another one, nor belong to an earlier request.
+      const isUnnamed = headers[this._names.requestId] === undefined && !request.reusedSocket
+      const isProvenRejection = isUnnamed && this._isRejection(response)
       if (!isProvenRejection) return this._fail('unknown', 'answer-foreign', 'answer does not repeat the id of the request')
     }
     if (!this._isEnded) this._reportNotices(headers)
