Close the connection on which an upstream has shed a request

A shed that an upstream repeats on a kept connection was the answer of the next lookup there: 'not-run' for a request that runs. Guarded calls were not affected, as each has a connection of its own.

Change: the answer is taken when its head says shed, and the connection is closed.

--- a/src/node/upstreamside/UpstreamClient.test.ts
+++ b/src/node/upstreamside/UpstreamClient.test.ts
@@ -50,3 +50,28 @@
     await closed
   })
 }
+
+// A faulty upstream may write a shed once more, while it runs the next request on the connection.
+test('a shed that is repeated does not reach the next request', async () => {
+  const [address] = await findFreeAddresses(1) as [string]
+  const { host, port } = parseAddress(address)
+  const shed = 'HTTP/1.1 503 Busy\r\nSassafras-Shed: not-run\r\nContent-Length: 0\r\n\r\n'
+  let requests = 0
+  server = createServer(socket => {
+    socket.on('error', () => {})
+    socket.on('data', () => {
+      if (requests++ === 0) {
+        socket.write(shed)
+        setTimeout(() => { if (!socket.destroyed) socket.write(shed) }, 20)
+      } else setTimeout(() => socket.write('HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n'), 60)
+    })
+  })
+  await new Promise<void>(resolve => server?.listen(port, host, resolve))
+  client = new UpstreamClient(address, 1)
+  const send = async (): Promise<number | string> => await new Promise(resolve => {
+    const ignore = (): void => {}
+    const onAnswer = ({ status }: { readonly status: number }): void => resolve(status)
+    client?.run(REQUEST, 1000, { onFailure: resolve, onAnswer, onHead: ignore, onBody: ignore, onEnd: ignore })
+  })
+  expect([await send(), await send()]).toEqual([503, 200])
+})
--- a/src/node/upstreamside/UpstreamClient.ts
+++ b/src/node/upstreamside/UpstreamClient.ts
@@ -120,6 +120,7 @@
     const raw = (controller.rawHeaders ?? []) as Array<Buffer | string>
     const headers = selectEndToEnd(raw.map(part => typeof part === 'string' ? part : part.toString('latin1')))
     this._head = { status, headers }
+    if (findHeader(headers, 'sassafras-shed') !== undefined) return this._endConnection(controller)
     if (this._mustStream(status, headers)) this._startStream()
   }
 
@@ -155,6 +156,13 @@
     if (this._sentBytes < this._grantedBytes && this._controller?.paused === true) this._controller.resume()
   }
 
+  /** A faulty upstream may write a shed once more, which would reach the next request on the connection. */
+  private _endConnection (controller: Dispatcher.DispatchController): void {
+    this._ended = true
+    this._listener.onAnswer(this._head as AnswerHead, new Uint8Array(0))
+    controller.abort(new Error('the upstream has shed the request'))
+  }
+
   private _onHeadTimeout (): void {
     if (this._ended || this._head !== undefined) return
     this._ended = true
