Let nodes tell where the control replicas are, since seeds may be nodes

Cause: settings name as seeds processes that serve operators, and since these are mostly nodes. After the seeds had been exchanged and all processes had lost their memory, nodes knew only addresses at which nothing listened.

Change: a node listens where a replica would and names the replicas that it knows. Replicas announce themselves to seeds that are nodes, at once and every second.

--- a/src/control/Constants.ts
+++ b/src/control/Constants.ts
@@ -7,6 +7,9 @@
  */
 export const LINK_ACK_INTERVAL_MS = 250
 
+/** Interval at which a replica announces itself to nodes that the settings name as seeds. */
+export const DIRECTORY_ANNOUNCE_INTERVAL_MS = 1000
+
 /** Interval at which a replica outside the group broadcasts its formation notice. */
 export const FORMATION_INTERVAL_MS = 100
 
--- a/src/control/ReplicaLinks.ts
+++ b/src/control/ReplicaLinks.ts
@@ -4,7 +4,7 @@
 import type { FrameChannel } from '../runtime/FrameChannel.js'
 import { FrameClient } from '../runtime/FrameClient.js'
 import type { Clock, Disposable } from '../runtime/Types.js'
-import { LINK_ACK_INTERVAL_MS, LINK_TIMEOUT_MS } from './Constants.js'
+import { DIRECTORY_ANNOUNCE_INTERVAL_MS, LINK_ACK_INTERVAL_MS, LINK_TIMEOUT_MS } from './Constants.js'
 import type { FromControl, ReplicaToReplica, ToControl } from './Types.js'
 
 /** First frame on a connection between replicas. */
@@ -31,12 +31,14 @@
 
 /** A connection that this replica opened. */
 interface Link {
-  readonly client: FrameClient<ReplicaToReplica, ReplicaToReplica>
+  readonly client: FrameClient<FromControl, ReplicaToReplica>
   readonly address: ReplicaAddress
   /** True when the replica is named by the settings; its address is then not replaced by one that it announces. */
   readonly isConfigured: boolean
   /** True while the send buffer of the connection is full. */
   isCongested: boolean
+  /** True when a node listens at the address, which tells where the replicas are and takes no other frames. */
+  isDirectory: boolean
   /** Monotonic time of the first frame sent since the last acknowledgement; undefined when all are acknowledged. */
   unacknowledgedSinceMs: number | undefined
 }
@@ -51,7 +53,9 @@
   private readonly _links = new Map<string, Link>()
   private readonly _frames = new Emitter<ReplicaFrame>()
   private readonly _opens = new Emitter<string>()
+  private readonly _directories = new Emitter<readonly string[]>()
   private readonly _timer: NodeJS.Timeout
+  private _announcedAtMs = 0
 
   /** Fires with each frame received from another replica. */
   public readonly onFrame = this._frames.event
@@ -59,6 +63,9 @@
   /** Fires with the name of a replica when a connection to it has opened; frames sent before may be lost. */
   public readonly onOpen = this._opens.event
 
+  /** Fires with the addresses of the replicas that a node knows, `host:port`. */
+  public readonly onDirectory = this._directories.event
+
   /**
    * @param _hello First frame of this replica on each connection.
    * @param _random Random numbers for the jitter of reconnects.
@@ -68,7 +75,7 @@
     private readonly _clock: Clock,
     private readonly _random: Random
   ) {
-    this._timer = setInterval(() => this._closeTimedOut(), LINK_ACK_INTERVAL_MS)
+    this._timer = setInterval(() => this._checkLinks(), LINK_ACK_INTERVAL_MS)
   }
 
   /** Names of the replicas that this one connects to. */
@@ -135,29 +142,43 @@
   }
 
   private _openLink (address: ReplicaAddress, isConfigured: boolean): Link {
-    const client = new FrameClient<ReplicaToReplica, ReplicaToReplica>(address.address, this._clock, this._random)
-    const link: Link = { client, address, isConfigured, isCongested: false, unacknowledgedSinceMs: undefined }
+    const client = new FrameClient<FromControl, ReplicaToReplica>(address.address, this._clock, this._random)
+    const link: Link = {
+      client, address, isConfigured, isCongested: false, isDirectory: false, unacknowledgedSinceMs: undefined
+    }
     client.onChannel(channel => {
       link.isCongested = false
       link.unacknowledgedSinceMs = undefined
       channel.onDrain(() => { link.isCongested = false })
-      channel.onMessage(() => { link.unacknowledgedSinceMs = undefined })
+      channel.onMessage(frame => this._onReply(link, frame))
       channel.send(this._hello)
-      this._opens.fire(address.name)
+      if (!link.isDirectory) this._opens.fire(address.name)
     })
     client.start()
     return link
   }
 
+  private _onReply (link: Link, frame: FromControl): void {
+    link.unacknowledgedSinceMs = undefined
+    link.isDirectory = frame.type === 'controls'
+    if (frame.type === 'controls') this._directories.fire(frame.controls)
+  }
+
   private _sendOn (link: Link, frame: ReplicaToReplica): void {
     const { channel } = link.client
     if (channel === undefined || link.isCongested) return
+    if (link.isDirectory && frame.type !== 'replicaHello') return
     link.unacknowledgedSinceMs ??= this._clock.nowMs()
     link.isCongested = !channel.send(frame)
   }
 
-  private _closeTimedOut (): void {
+  /** Closes connections that stay unacknowledged, and announces this replica to nodes, which may have restarted. */
+  private _checkLinks (): void {
     const nowMs = this._clock.nowMs()
+    if (nowMs - this._announcedAtMs >= DIRECTORY_ANNOUNCE_INTERVAL_MS) {
+      this._announcedAtMs = nowMs
+      for (const link of this._links.values()) if (link.isDirectory) this._sendOn(link, this._hello)
+    }
     for (const { client, unacknowledgedSinceMs } of this._links.values()) {
       if (unacknowledgedSinceMs !== undefined && nowMs - unacknowledgedSinceMs > LINK_TIMEOUT_MS) client.channel?.destroy('no acknowledgement within the link timeout')
     }
--- a/src/routecontrol/RoutingReplica.ts
+++ b/src/routecontrol/RoutingReplica.ts
@@ -148,6 +148,9 @@
     this._links = new ReplicaLinks(this._makeHello(), clock, random)
     this._links.onFrame(frame => this._handleFrame(frame))
     this._links.onOpen(() => this._linkOpenEmitter.fire())
+    this._links.onDirectory(addresses => {
+      if (this.view.leader === undefined) addresses.forEach(address => this._connect(address))
+    })
     this._host = this._makeHost(storage, opened.type === 'recovered' ? opened.state : EMPTY_RECOVERED_STATE)
     this._barrier = new ReadBarrier({
       id: this.id,
--- a/src/routenode/ControlFeed.ts
+++ b/src/routenode/ControlFeed.ts
@@ -56,6 +56,8 @@
   private readonly _routingEmitter = new Emitter<VersionedRouting>()
   private readonly _evacuationEmitter = new Emitter<EvacuationUpdate>()
   private _replicaAddresses: string[]
+  /** Addresses that control named or that replicas announced, without those that only the settings name. */
+  private _memberAddresses: readonly string[] = []
   private _channel: Channel | undefined
   private _socket: Socket | undefined
   private _pingTimer: NodeJS.Timeout | undefined
@@ -79,9 +81,10 @@
     evacuation: ({ evacuation }) => this._applyEvacuation(evacuation, 0),
     quotaAnswer: ({ answer }) => this._quotaAnswerEmitter.fire(answer),
     // A replica that turns this node away may itself have an old list, so its list adds to what is known.
-    controls: ({ controls }) => this._setReplicaAddresses(
-      this._isWelcomed ? controls : [...controls, ...this._replicaAddresses]
-    ),
+    controls: ({ controls }) => {
+      if (this._isWelcomed) this._setMembers(controls)
+      else this._addMembers(controls)
+    },
     feedPong: ({ fit }) => {
       if (!fit) this._channel?.destroy('control replica has no leader, is no member, or could not confirm that it is up to date')
     }
@@ -136,6 +139,16 @@
     return home === undefined ? [...this._replicaAddresses] : [...new Set([home, ...this._replicaAddresses])]
   }
 
+  /** Addresses of the replicas that control named or that announced themselves, `host:port`. */
+  public get knownReplicas (): readonly string[] {
+    return this._memberAddresses
+  }
+
+  /** Takes over the address of a replica that has announced itself; the list of a connected replica goes before it. */
+  public addReplica (address: string): void {
+    if (!this._isWelcomed && !this._memberAddresses.includes(address)) this._addMembers([address])
+  }
+
   /** Starts to connect. */
   public start (): void {
     this._pingTimer = setInterval(() => this._checkLiveness(), FEED_PING_INTERVAL_MS)
@@ -222,7 +235,7 @@
   private _onWelcome (frame: FeedWelcome): void {
     clearTimeout(this._welcomeTimer)
     this._isWelcomed = true
-    this._setReplicaAddresses(frame.controls)
+    this._setMembers(frame.controls)
     this._log.info({ home: this._channel?.remoteAddress, nodes: frame.entries.length }, 'control connection open')
     this._applyWelcomedEvacuation(frame)
     this._welcomeEmitter.fire(frame)
@@ -243,6 +256,18 @@
     this._evacuationEmitter.fire({ evacuation, ageMs })
   }
 
+  private _setMembers (addresses: readonly string[]): void {
+    this._memberAddresses = addresses
+    this._setReplicaAddresses(addresses)
+  }
+
+  /** Adds replicas while none has accepted this node; they are connected to before any seed. */
+  private _addMembers (addresses: readonly string[]): void {
+    this._memberAddresses = [...new Set([...addresses, ...this._memberAddresses])]
+    this._setReplicaAddresses([...this._memberAddresses, ...this._replicaAddresses])
+    this._nextAddressIndex = 0
+  }
+
   private _setReplicaAddresses (addresses: readonly string[]): void {
     this._replicaAddresses = [...new Set([...addresses, ...this._seeds])]
   }
--- a/src/routenode/RouteNodeDaemon.ts
+++ b/src/routenode/RouteNodeDaemon.ts
@@ -16,6 +16,7 @@
 import { SHUTDOWN_DELAY_MS, SLOW_LINK_MBPS, STOP_NOTICE_MS } from './Constants.js'
 import { ControlFeed, type FeedWelcome } from './ControlFeed.js'
 import { Gateway } from './Gateway.js'
+import { GroupDirectory } from './GroupDirectory.js'
 import { InstanceProxy } from './InstanceProxy.js'
 import { Placement } from './Placement.js'
 import { Quarantine } from './Quarantine.js'
@@ -41,6 +42,8 @@
   readonly toleratesZoneLoss: boolean
   /** Addresses of the control replicas to connect to first, `host:port`. */
   readonly seeds: readonly string[]
+  /** Address at which a control replica would listen on this VM; when absent, this node can't be named as a seed. */
+  readonly directoryAddress?: string | undefined
   /** Limits on the retries and hedges to each service, for all nodes together. */
   readonly retryLimits: RetryLimits
   readonly names: HeaderNames
@@ -81,6 +84,7 @@
   private readonly _gateway: Gateway
   private readonly _callServer: CallServer
   private readonly _controlFeed: ControlFeed
+  private readonly _groupDirectory: GroupDirectory
   private _routeTable: RouteTable | undefined
   private _workspaces: readonly Workspace[] | undefined
   private _keys: KeyTable | undefined
@@ -164,6 +168,7 @@
       nextEntry: () => this._makeHelloEntry(),
       crashReports: () => this._quarantine.reports()
     }, clock, random, log)
+    this._groupDirectory = new GroupDirectory(this._controlFeed, clock)
     this.operators = new OperatorRelay({ listReplicas: () => this._controlFeed.replicaAddresses, clock, log })
     this._subscribe()
   }
@@ -173,6 +178,7 @@
     const { settings } = this._options
     await this._callServer.listen(settings.nodeAddress)
     await this._gateway.listen(settings.callerAddress)
+    if (settings.directoryAddress !== undefined) await this._groupDirectory.listen(settings.directoryAddress)
     this._controlFeed.start()
   }
 
@@ -237,6 +243,7 @@
   /** Closes all listeners and connections at once. */
   public dispose (): void {
     this._controlFeed.dispose()
+    this._groupDirectory.dispose()
     this._quotas.dispose()
     this._gateway.dispose()
     this._callServer.dispose()
