Refuse what can't be passed on before a stop ends, and answer what is still open

Callers saw (report of other operators, shown here by tests): in a planned stop of a node, a request that came late in the grace time was passed on, and its connection was cut at the end without an answer, also where it must not run twice.

Change: once the listener has closed, requests are refused at once with 503, but for nested calls of requests that still run. What is open at the end is answered: 503 where it is proved that nothing has run, otherwise 502.

--- a/src/routenode/Gateway.ts
+++ b/src/routenode/Gateway.ts
@@ -77,6 +77,9 @@
   private _callerLimits: CallerLimits = DEFAULT_CALLER_LIMITS
   private _openRequestCount = 0
   private _isClosing = false
+  /** True once the listener has closed for a shutdown. */
+  private _isStopping = false
+  private readonly _openCalls = new Set<GatewayCall>()
 
   public constructor (private readonly _options: GatewayOptions) {
     const { names } = _options
@@ -124,14 +127,20 @@
   }
 
   /**
-   * Closes the listener, and each connection once the requests on it are answered. Resolves when all connections have
-   * closed.
+   * Closes the listener, and each connection once the requests on it are answered; further requests are refused.
+   * Resolves when all connections have closed.
    */
   public async close (): Promise<void> {
     this._isClosing = true
+    this._isStopping = true
     await this._connections.close()
   }
 
+  /** Answers all open requests: 503 where it is proved that nothing has run, otherwise 502. */
+  public endRequests (): void {
+    for (const call of [...this._openCalls]) call.giveUpForStop()
+  }
+
   /** Closes the listener and all connections at once. */
   public dispose (): void {
     this._server.close()
@@ -150,6 +159,7 @@
     if (entry === undefined) return this._refuseUnrouted(message, response, 404, 'no-route')
     const origin = this._identify(message, entry.route)
     if (origin === undefined) return this._refuseUnknownKey(message, response)
+    if (this._refuseIfStopping(message, response, origin)) return
     const lease = this._options.bodies.memory.lease()
     const isUpload = entry.route.kind === 'upload'
     const timer = isUpload ? this._limitReading(message, response, entry.route, lease) : undefined
@@ -161,12 +171,23 @@
       if (result.type === 'tooLarge') this._refuseUnrouted(message, response, 413, 'body-too-large')
       if (result.type === 'noRoom') this._refuseForMemory(message, response, entry.route)
       if (result.type !== 'whole' || isRefused) return
+      if (this._refuseIfStopping(message, response, origin)) return lease.release()
       if (!isUpload) lease.grow(result.bytes.length)
       const request = this._buildRequest(message, entry, table, origin, result.bytes, arrivedAtMs)
       this._start(message, response, request, lease)
     }, isUpload ? lease : undefined)
   }
 
+  /**
+   * Refuses a request that can't be passed on before the shutdown ends; nested calls belong to requests that still run.
+   * @returns True when the request was refused.
+   */
+  private _refuseIfStopping (message: IncomingMessage, response: ServerResponse, { parent }: RequestOrigin): boolean {
+    if (!this._isStopping || parent !== undefined) return false
+    this._refuseUnrouted(message, response, 503, 'stopping', this._notReadyRetryAfterMs(message))
+    return true
+  }
+
   /** Refuses an upload whose body has not arrived when its caller stops waiting, so that its memory becomes free. */
   private _limitReading (
     message: IncomingMessage, response: ServerResponse, route: Route, lease: BodyLease
@@ -301,6 +322,7 @@
     const finish = (result: GatewayResult | undefined): void => {
       if (ended) return
       ended = true
+      this._openCalls.delete(call)
       lease.release()
       credit.end(result === undefined ? call.sends === 0 : result.type === 'refused')
       if (result !== undefined) this._send(message, response, result)
@@ -310,6 +332,7 @@
     }
     const credit = this._options.quotas.openCredit(request)
     const call = new GatewayCall(request, this._options, finish)
+    this._openCalls.add(call)
     response.once('close', () => {
       if (ended) return
       call.cancel()
--- a/src/routenode/GatewayCall.ts
+++ b/src/routenode/GatewayCall.ts
@@ -408,13 +408,22 @@
     return Math.min(retryAfterMs + jitterMs, leftMs * RETRY_AFTER_MAX_SHARE)
   }
 
+  /** Ends the call before its node exits: `refused` where it is proved that nothing has run. */
+  public giveUpForStop (): void {
+    this._endWithoutAnswer('stopping')
+  }
+
   private _onTimeout (): void {
+    this._endWithoutAnswer('timeout')
+  }
+
+  private _endWithoutAnswer (reason: 'timeout' | 'stopping'): void {
     if (this._isEnded) return
     const hasPending = [...this._pendingAttempts].some(({ handle }) => handle?.isUnsent?.() !== true)
     this._cancelAttempts()
     if (this._failedAnswer !== undefined) this._finish({ type: 'answer', answer: this._failedAnswer })
-    else if (hasPending || this._mayHaveRun) this._finish({ type: 'failed', reason: 'timeout', timedOut: true })
-    else this._finish({ type: 'refused', reason: 'timeout', retryAfterMs: 0 })
+    else if (hasPending || this._mayHaveRun) this._finish({ type: 'failed', reason, timedOut: reason === 'timeout' })
+    else this._finish({ type: 'refused', reason, retryAfterMs: 0 })
   }
 
   private _cancelAttempts (): void {
--- a/src/routenode/RouteNodeDaemon.ts
+++ b/src/routenode/RouteNodeDaemon.ts
@@ -67,6 +67,9 @@
 /** Part of `stopLimitMs` that is reserved for the exit of the process, in milliseconds. */
 const STOP_RESERVE_MS = 500
 
+/** Time for the answers to requests that are still open at the end of a shutdown to be sent, in milliseconds. */
+const STOP_ANSWER_MS = 100
+
 /**
  * The node of a VM, a process beside the instance. It combines the gateway for callers on the VM, the proxy in front of
  * the instance, the links to other nodes and the connection to a control replica.
@@ -236,6 +239,7 @@
     this._callServer.announceStop()
     await delay(STOP_NOTICE_MS)
     await Promise.race([this._finishOpenWork(), delay(untilMs - clock.nowMs())])
+    await this._answerOpenRequests()
     log.info({ inFlight: this._gateway.inFlight, held: this._instanceProxy.pendingCallCount }, 'stopped')
     this.dispose()
   }
@@ -252,6 +256,13 @@
     this._instanceProxy.dispose()
   }
 
+  /** Answers what is still open, and lets the answers leave before the connections are closed. */
+  private async _answerOpenRequests (): Promise<void> {
+    if (this._gateway.inFlight === 0) return
+    this._gateway.endRequests()
+    await delay(STOP_ANSWER_MS)
+  }
+
   private async _finishOpenWork (): Promise<void> {
     await this._gateway.close()
     const countOpen = (): number => this._instanceProxy.pendingCallCount + this._callServer.outgoingAnswerCount
--- a/src/routenode/Types.ts
+++ b/src/routenode/Types.ts
@@ -243,7 +243,7 @@
 }
 
 /** Why a request was refused before it was routed. */
-export type RoutingRefusalReason = 'no-configuration' | 'no-route' | 'body-too-large' | 'unknown-key' | 'body-late'
+export type RoutingRefusalReason = 'no-configuration' | 'no-route' | 'body-too-large' | 'unknown-key' | 'body-late' | 'stopping'
 
 /** Why the node answered in place of an instance. */
 export type GatewayReason =
