Test that an answer which ends early is never taken for whole

Callers saw (report of other operators): an instance stopped in the middle of its answer's head and closed, and clients got a 200 framed as whole.

Result: it can't happen here. Both clients were given each proper prefix of an answer with a length, with chunks and (instance client) with a trailer, ended by closing the connection: all ended as lost, none as an answer. No change of code. Not tried: a reset in place of the end at each of these places.

--- a/src/node/upstreamside/UpstreamClient.test.ts
+++ b/src/node/upstreamside/UpstreamClient.test.ts
@@ -75,3 +75,30 @@
   })
   expect([await send(), await send()]).toEqual([503, 200])
 })
+
+const WHOLE: ReadonlyArray<readonly [string, string]> = [
+  ['a length', 'HTTP/1.1 200 OK\r\nContent-Length: 11\r\n\r\nhello world'],
+  ['chunks', 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n']
+]
+
+for (const [framing, whole] of WHOLE) {
+  test(`an answer with ${framing} that ends before its last byte is never taken for whole`, async () => {
+    const [address] = await findFreeAddresses(1) as [string]
+    const { host, port } = parseAddress(address)
+    let bytes = 0
+    server = createServer(socket => {
+      socket.on('error', () => {})
+      socket.once('data', () => socket.end(whole.slice(0, bytes)))
+    })
+    await new Promise<void>(resolve => server?.listen(port, host, resolve))
+    client = new UpstreamClient(address, 1)
+    const ignore = (): void => {}
+    for (; bytes < whole.length; bytes++) {
+      const outcome = await new Promise<string>(resolve => {
+        const end = (): void => resolve('whole')
+        client?.run(REQUEST, 1000, { onFailure: resolve, onAnswer: end, onHead: ignore, onBody: ignore, onEnd: end })
+      })
+      expect([bytes, outcome]).toEqual([bytes, 'lost'])
+    }
+  })
+}
--- a/src/routenode/InstanceClient.test.ts
+++ b/src/routenode/InstanceClient.test.ts
@@ -157,6 +157,24 @@
   expect(await run(client, 'a')).toBe('unknown instance-lost')
 })
 
+const WHOLE: ReadonlyArray<readonly [string, string]> = [
+  ['a length', 'Content-Length: 11\r\n\r\nhello world'],
+  ['chunks', 'Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n6\r\n world\r\n0\r\n\r\n'],
+  ['trailers', 'Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\nA: b\r\n\r\n']
+]
+
+for (const [framing, rest] of WHOLE) {
+  test(`an answer with ${framing} that ends before its last byte is never taken for whole`, async () => {
+    const { length } = head('a', rest)
+    for (let bytes = 0; bytes < length; bytes++) {
+      const client = await startInstance((socket, id) => socket.end(head(id, rest).slice(0, bytes)))
+      expect([bytes, await run(client, 'a')]).toEqual([bytes, 'unknown instance-lost'])
+      client.dispose()
+      server?.close()
+    }
+  })
+}
+
 test('an answer that carries the id of another request is rejected', async () => {
   const client = await startInstance(socket => socket.end(head('b', 'Content-Length: 0\r\n\r\n')))
   expect(await run(client, 'a')).toBe('unknown answer-foreign')
