Go on to the next replica when one turns a node away repeatedly

Callers saw: nothing; found by reading before a landing. A node whose replica has no leader, such as one cut off with a minority, got a list of replicas with each refusal, began its round anew with that replica, and never reached another.

Change: only replicas that were not known are connected to next. A process passes on at most 32 calls of operators at once, as each may hold a large body.

Result: the new test of ControlFeed.test.ts timed out before and passes.

--- a/src/routecontrol/Constants.ts
+++ b/src/routecontrol/Constants.ts
@@ -71,5 +71,5 @@
 /** Interval at which a replica sends the entries of its nodes to the other replicas again, in milliseconds. */
 export const ENTRY_RESEND_INTERVAL_MS = 10_000
 
-/** Calls of operators that one process passes on at the same time; further ones are turned away. */
-export const MAX_RELAYED_CALLS = 256
+/** Calls of operators that one process passes on at once; more are turned away, as each may have a large body. */
+export const MAX_RELAYED_CALLS = 32
--- a/src/routenode/ControlFeed.test.ts
+++ b/src/routenode/ControlFeed.test.ts
@@ -78,3 +78,24 @@
   )
   expect(received).toEqual([{ evacuation: newer, ageMs: Infinity }, { evacuation: newer, ageMs: 900 }, 'routing'])
 })
+
+test('a node that a replica turns away again and again goes on to the next replica', async () => {
+  const [first, second] = await findFreeAddresses(2) as [string, string]
+  for (const address of [first, second]) {
+    const server = new FrameServer<NodeToFeed, FeedToNode>(new SystemClock())
+    await server.listen(address)
+    disposables.push(server)
+    server.onChannel(channel => channel.onMessage(() => {
+      if (address === second) return channel.send({ type: 'welcome', entries: [], controls: [first, second] })
+      channel.send({ type: 'controls', controls: [first, second] })
+      channel.send({ type: 'feedPong', fit: false })
+    }))
+  }
+  const source = { nextEntry: () => ENTRY, crashReports: () => [] }
+  const feed = new ControlFeed([first], source, new SystemClock(), new SeededRandom(1), SILENT)
+  disposables.push(feed)
+  const welcomed = new Promise(resolve => feed.onWelcome(resolve))
+  feed.start()
+  await welcomed
+  expect(feed.replicaAddress).toBe(second)
+})
--- a/src/routenode/ControlFeed.ts
+++ b/src/routenode/ControlFeed.ts
@@ -261,9 +261,11 @@
     this._setReplicaAddresses(addresses)
   }
 
-  /** Adds replicas while none has accepted this node; they are connected to before any seed. */
+  /** Adds replicas while none has accepted this node; those that were not known are connected to next. */
   private _addMembers (addresses: readonly string[]): void {
-    this._memberAddresses = [...new Set([...addresses, ...this._memberAddresses])]
+    const added = addresses.filter(address => !this._memberAddresses.includes(address))
+    if (added.length === 0) return
+    this._memberAddresses = [...added, ...this._memberAddresses]
     this._setReplicaAddresses([...this._memberAddresses, ...this._replicaAddresses])
     this._nextAddressIndex = 0
   }
