--- a/bench/acknowledgements.ts
+++ b/bench/acknowledgements.ts
@@ -31,6 +31,9 @@
 /** Changes in a round, between the freeze of one replica and that of the next. */
 const ROUND_CHANGES = 20
 
+/** Second octet of the loopback addresses of the first group; the soak and the tests use lower ones. */
+const FIRST_NETWORK = 230
+
 /** Time for a thawed replica to follow the leader again, in milliseconds. */
 const SETTLE_MS = 1500
 
@@ -53,7 +56,7 @@
   const group = new OperatedGroup({
     folder: join(folder, `group-${index}`),
     programs: values.programs,
-    network: 60 + index,
+    network: FIRST_NETWORK + index,
     replicas: Number(values.replicas),
     nodes: Number(values.nodes)
   })
--- a/soak/Soak.ts
+++ b/soak/Soak.ts
@@ -135,7 +135,8 @@
   ) {
     this._random = new SeededRandom(_seed)
     const replicas = Array.from({ length: REPLICA_COUNT }, (_, index) => this._vmAddress('control', index, 200))
-    this._operator = new SoakOperator(replicas, this._ledger, () => this._nowMs())
+    const nodes = Array.from({ length: NODE_COUNT }, (_, index) => this._vmAddress('node', index, 1))
+    this._operator = new SoakOperator([...replicas, ...nodes], this._ledger, () => this._nowMs())
     this._evacuations = new SoakEvacuations(this._operator, this._ledger, async ms => await this._sleep(ms))
     for (const vm of replicas) this._controls.push(this._makeControl(vm, replicas))
   }
--- a/soak/SoakOperator.ts
+++ b/soak/SoakOperator.ts
@@ -12,7 +12,6 @@
 
 interface OperatorAnswer {
   readonly status: number
-  readonly location: string | undefined
   readonly body: string
 }
 
@@ -31,8 +30,11 @@
   private _isChanging = false
   private _acknowledgedAtMs = 0
 
+  /**
+   * @param _vms VMs whose processes serve operators.
+   */
   public constructor (
-    private readonly _replicas: readonly VmAddress[],
+    private readonly _vms: readonly VmAddress[],
     private readonly _ledger: SoakLedger,
     private readonly _nowMs: () => number
   ) {}
@@ -72,7 +74,7 @@
     return this._acknowledgedVersion === version
   }
 
-  /** Sends an order about a zone to one replica after the other and returns whether it was acknowledged. */
+  /** Sends an order about a zone to one process after the other and returns whether it was acknowledged. */
   public async order (type: 'Start' | 'End', zone: string): Promise<boolean> {
     for (let i = 0; i < CHANGE_ATTEMPTS; i++) {
       const answer = await this._send('POST', `/api/Evacuations.${type}/${zone}`, '', i)
@@ -89,7 +91,7 @@
       if (answer?.status === 200) return this._checkReadBack(JSON.parse(answer.body) as ConfigurationDocument)
       await new Promise(resolve => setTimeout(resolve, ATTEMPT_PAUSE_MS))
     }
-    this._ledger.recordViolation('accepted-change-kept', 'the configuration could not be read back from any replica')
+    this._ledger.recordViolation('accepted-change-kept', 'the configuration could not be read back from any process')
   }
 
   private _checkReadBack ({ Version, Routes }: ConfigurationDocument): void {
@@ -106,10 +108,8 @@
   private async _send (
     method: string, path: string, body: string, attempt: number
   ): Promise<OperatorAnswer | undefined> {
-    const replica = this._replicas[attempt % this._replicas.length] as VmAddress
-    const answer = await sendRequest(replica.host, method, path, body)
-    if (answer?.status !== 307 || answer.location === undefined) return answer
-    return await sendRequest(new URL(answer.location).hostname, method, path, body)
+    const { host } = this._vms[attempt % this._vms.length] as VmAddress
+    return await sendRequest(host, method, path, body)
   }
 }
 
@@ -144,7 +144,7 @@
   }
 }
 
-/** Sends one request to a control replica; returns undefined when it gets no answer. */
+/** Sends one request to a process; returns undefined when it gets no answer. */
 async function sendRequest (
   host: string, method: string, path: string, body: string
 ): Promise<OperatorAnswer | undefined> {
@@ -153,9 +153,9 @@
       let text = ''
       answer.setEncoding('utf8')
       answer.on('data', (chunk: string) => { text += chunk })
-      answer.on('close', () => resolve({ status: answer.statusCode ?? 0, location: answer.headers.location, body: text }))
+      answer.on('close', () => resolve({ status: answer.statusCode ?? 0, body: text }))
     })
-    call.on('timeout', () => call.destroy(new Error('the control replica did not answer in time')))
+    call.on('timeout', () => call.destroy(new Error('the process did not answer in time')))
     call.on('error', () => resolve(undefined))
     call.end(body)
   })
--- a/test/Acknowledgements.test.ts
+++ b/test/Acknowledgements.test.ts
@@ -11,7 +11,8 @@
 
 const folder = mkdtempSync(join(tmpdir(), 'acknowledgements-'))
 const groups: OperatedGroup[] = []
-let networks = 40
+/** Second octet of the loopback addresses; the soak uses lower ones. */
+let networks = 222
 
 afterEach(async () => {
   await Promise.all(groups.splice(0).map(async group => await group.dispose()))
