--- a/src/routecontrol/OperatorRelay.ts
+++ b/src/routecontrol/OperatorRelay.ts
@@ -63,7 +63,7 @@
   public readonly outcome: Promise<RelayOutcome>
   private readonly _part: RelayedCall
   private readonly _timer: PartTimer
-  private readonly _channels = new Set<Disposable>()
+  private readonly _connections = new Set<Disposable>()
   private readonly _startedAtMs: number
   private readonly _asked: string[] = []
   private _settle: (outcome: RelayOutcome) => void = () => {}
@@ -115,24 +115,23 @@
   private _askRemote (replica: string): void {
     const socket = connect(parseAddress(replica))
     let wasSent = false
-    let hasReplied = false
-    const onClose = (): void => {
-      if (!hasReplied) this._step({ type: 'failed', replica, wasSent })
-    }
-    socket.on('error', error => this._options.log.debug({ replica, error: error.message }, 'operator call interrupted'))
-    socket.once('close', onClose)
+    let isDisposed = false
     const connection = {
       dispose: () => {
-        hasReplied = true
+        isDisposed = true
         socket.destroy()
       }
     }
-    this._channels.add(connection)
+    this._connections.add(connection)
+    socket.on('error', error => this._options.log.debug({ replica, error: error.message }, 'operator call interrupted'))
+    socket.once('close', () => {
+      this._connections.delete(connection)
+      if (!isDisposed) this._step({ type: 'failed', replica, wasSent })
+    })
     socket.once('connect', () => {
       wasSent = true
       const channel = new FrameChannel<FromOperatorServer, ToOperatorServer>(socket, this._options.clock)
       channel.onMessage(({ reply }) => {
-        this._channels.delete(connection)
         connection.dispose()
         this._receive(replica, reply)
       })
@@ -147,8 +146,8 @@
 
   private _end (outcome: RelayOutcome): void {
     this._timer.dispose()
-    for (const channel of this._channels) channel.dispose()
-    this._channels.clear()
+    for (const connection of this._connections) connection.dispose()
+    this._connections.clear()
     const durationMs = Math.round(this._options.clock.nowMs() - this._startedAtMs)
     const { operation } = this._call
     const result = outcome.type === 'final' ? outcome.status : outcome.state
