--- a/bench/acknowledgements.ts
+++ b/bench/acknowledgements.ts
@@ -12,6 +12,9 @@
 import { writeReport } from './BenchReport.js'
 import { computeQuantiles } from './state/Quantiles.js'
 
+/** Folder of the programs of this version. */
+const DEFAULT_PROGRAMS = 'dist/platform'
+
 const { values } = parseArgs({
   options: {
     changes: { type: 'string', default: '1000' },
@@ -19,7 +22,7 @@
     replicas: { type: 'string', default: '3' },
     nodes: { type: 'string', default: '12' },
     loss: { type: 'string', default: '0.6' },
-    programs: { type: 'string', default: 'dist/platform' },
+    programs: { type: 'string', default: DEFAULT_PROGRAMS },
     /** Hosts that the operator calls. */
     operators: { type: 'string', default: 'all' }
   }
@@ -91,7 +94,8 @@
 rmSync(folder, { recursive: true, force: true })
 const times = acknowledgements.map(({ afterMs }) => afterMs)
 const report = {
-  settings: values,
+  // The folder of the programs is a path of this machine.
+  settings: { ...values, programs: values.programs === DEFAULT_PROGRAMS ? 'this version' : 'another version' },
   afterMs: computeQuantiles(times),
   p90Ms: Math.round([...times].sort((a, b) => a - b)[Math.floor(0.9 * times.length)]!),
   overLimit: times.filter(ms => ms > ACKNOWLEDGEMENT_LIMIT_MS).length,
--- a/src/node/ingress/IngressServer.ts
+++ b/src/node/ingress/IngressServer.ts
@@ -6,6 +6,7 @@
 import { Deadline } from '../../parts/retry/Deadline.js'
 import type { Reason, ServiceName } from '../../parts/Types.js'
 import { listenOn } from '../../runtime/Listen.js'
+import { readHeader } from '../../runtime/RequestHeader.js'
 import { Emitter } from '../../runtime/Emitter.js'
 import type { Disposable } from '../../runtime/Types.js'
 import { DEFAULT_RETRY_AFTER_MS } from '../Constants.js'
@@ -206,11 +207,6 @@
   return end < 0 ? host : host.slice(0, end)
 }
 
-function readHeader (message: IncomingMessage, name: string): string | undefined {
-  const value = message.headers[name]
-  return Array.isArray(value) ? value[0] : value
-}
-
 const RETRYABLE_REASONS: ReadonlySet<Reason> = new Set(['stale-configuration'])
 
 function findRetryAfterMs (reason: Reason): number {
--- /dev/null
+++ b/src/routenode/CallerResponder.ts
@@ -0,0 +1,84 @@
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import { readHeader } from '../runtime/RequestHeader.js'
+import { REFUSED_BODY_LINGER_MS } from './Constants.js'
+import type { GatewayReason, GatewayResult, RoutedAnswer } from './Types.js'
+
+const MS_PER_SECOND = 1000
+
+/** Writes the answers and the refusals of a node to its callers. */
+export class CallerResponder {
+  private _isClosing = false
+
+  /**
+   * @param _requestIdHeader Name of the header with the id of a request, which refusals repeat.
+   */
+  public constructor (private readonly _requestIdHeader: string) {}
+
+  /** From now on each answer closes its connection. */
+  public closeConnections (): void {
+    this._isClosing = true
+  }
+
+  /** Prepares the response to a request that has arrived. */
+  public prepare (response: ServerResponse): void {
+    if (this._isClosing) response.setHeader('connection', 'close')
+  }
+
+  /** Writes the result of a request: 503 and 429 only where nothing has run. */
+  public send (message: IncomingMessage, response: ServerResponse, result: GatewayResult): void {
+    if (result.type === 'answer') return this._sendAnswer(message, response, result.answer)
+    if (result.type === 'limited') return this.refuse(message, response, 429, result.reason, result.retryAfterMs)
+    if (result.type === 'refused') return this.refuse(message, response, 503, result.reason, result.retryAfterMs)
+    this.refuse(message, response, result.timedOut ? 504 : 502, result.reason)
+  }
+
+  private _sendAnswer (message: IncomingMessage, response: ServerResponse, answer: RoutedAnswer): void {
+    if (NOT_EXECUTED_STATUSES.has(answer.status)) {
+      // These statuses guarantee that the request has not run, which only a proof by the instance could show.
+      return this.refuse(message, response, 502, 'answer-invalid')
+    }
+    const headers = answer.headers.slice()
+    if (!isBodiless(message, answer.status)) headers.push('content-length', String(answer.body.length))
+    if (this._isClosing) headers.push('connection', 'close')
+    response.writeHead(answer.status, headers)
+    response.end(answer.body)
+  }
+
+  /**
+   * Writes a refusal.
+   * @param retryAfterMs Delay after which the caller may come back; none when absent.
+   */
+  public refuse (
+    message: IncomingMessage, response: ServerResponse, status: number, reason: GatewayReason, retryAfterMs?: number
+  ): void {
+    if (response.headersSent || response.destroyed) return
+    // The unread rest of a body must not be parsed as the next request.
+    if (!message.complete) response.setHeader('connection', 'close')
+    const requestId = readHeader(message, this._requestIdHeader)
+    if (requestId !== undefined) response.setHeader(this._requestIdHeader, requestId)
+    if (retryAfterMs !== undefined) response.setHeader('retry-after', (retryAfterMs / MS_PER_SECOND).toFixed(3))
+    const text = JSON.stringify({ reason, notRun: status === 503 || status === 429 })
+    response.writeHead(status, { 'content-type': 'application/json', 'content-length': Buffer.byteLength(text) })
+    if (message.complete || !LINGERING_REASONS.has(reason)) response.end(text)
+    else endAfterBody(message, response, text)
+  }
+}
+
+/** Reasons to refuse a request whose body is still arriving. */
+const LINGERING_REASONS: ReadonlySet<GatewayReason> = new Set(['body-memory', 'body-late'])
+
+/** Sends a refusal at once, and ends the response, which closes the connection, when the body has been discarded. */
+function endAfterBody (message: IncomingMessage, response: ServerResponse, text: string): void {
+  const timer = setTimeout(() => message.socket.destroy(), REFUSED_BODY_LINGER_MS)
+  message.once('end', () => response.end())
+  response.once('close', () => clearTimeout(timer))
+  message.resume()
+  response.write(text)
+}
+
+/** Statuses that guarantee that a request has not run and never will. */
+const NOT_EXECUTED_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503])
+
+function isBodiless (message: IncomingMessage, status: number): boolean {
+  return message.method === 'HEAD' || status === 204 || status === 304
+}
--- a/src/routenode/Gateway.ts
+++ b/src/routenode/Gateway.ts
@@ -15,18 +15,20 @@
 import { WorkspaceUsage } from '../parts/workspaces/WorkspaceUsage.js'
 import { computeKeyDigest } from '../runtime/Digest.js'
 import { listenOn } from '../runtime/Listen.js'
+import { readHeader } from '../runtime/RequestHeader.js'
 import type { Disposable, Log, LogFields } from '../runtime/Types.js'
 import type { BodyResources } from './BodyTransfer.js'
 import {
-  BODY_RETRY_AFTER_MS, NOT_READY_RETRY_AFTER_MS, REFUSED_BODY_LINGER_MS, RETRY_AFTER_MAX_SHARE, RETRY_AFTER_JITTER
+  BODY_RETRY_AFTER_MS, NOT_READY_RETRY_AFTER_MS, RETRY_AFTER_MAX_SHARE, RETRY_AFTER_JITTER
 } from './Constants.js'
 import { GatewayCall, type GatewayContext } from './GatewayCall.js'
 import { AnswerSizeEstimate } from './AnswerSizeEstimate.js'
 import { CallerConnections } from './CallerConnections.js'
+import { CallerResponder } from './CallerResponder.js'
 import type { QuotaHost } from './QuotaHost.js'
 import type { RouteNodeMetrics } from './RouteNodeMetrics.js'
 import type {
-  CallerWorkspace, GatewayReason, GatewayRequest, GatewayResult, HeaderNames, RoutedAnswer, RoutedCall
+  CallerWorkspace, GatewayReason, GatewayRequest, GatewayResult, HeaderNames, RoutedCall
 } from './Types.js'
 
 /** Largest header of a request that is accepted, in bytes; `maxHeaderBytes` of the configuration isn't enforced. */
@@ -35,8 +37,6 @@
 /** Deadline assumed for a request that names none, in milliseconds; no timeout of a route is longer. */
 const DEFAULT_DEADLINE_MS = 600_000
 
-const MS_PER_SECOND = 1000
-
 /** Status line for a request that the HTTP parser rejects, by error code; other errors get 400. */
 const STATUS_LINE_BY_ERROR_CODE: Readonly<Record<string, string>> = {
   HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
@@ -67,6 +67,7 @@
 export class Gateway implements Disposable {
   private readonly _server: Server
   private readonly _connections: CallerConnections
+  private readonly _responder: CallerResponder
   private readonly _droppedHeaders: ReadonlySet<string>
   private readonly _droppedWithKeys: ReadonlySet<string>
   private readonly _answerSizes = new AnswerSizeEstimate()
@@ -76,7 +77,6 @@
   private _keys: KeyTable | undefined
   private _callerLimits: CallerLimits = DEFAULT_CALLER_LIMITS
   private _openRequestCount = 0
-  private _isClosing = false
   /** True once the listener has closed for a shutdown. */
   private _isStopping = false
   private readonly _openCalls = new Set<GatewayCall>()
@@ -93,6 +93,7 @@
       noDelay: true
     })
     this._connections = new CallerConnections(this._server)
+    this._responder = new CallerResponder(names.requestId)
     this._server.on('request', (message, response) => this._onRequest(message, response))
     this._server.on('clientError', (error, socket) => this._onClientError(error, socket))
   }
@@ -123,7 +124,7 @@
 
   /** Announces the shutdown to callers: from now on each answer closes its connection. */
   public announceClose (): void {
-    this._isClosing = true
+    this._responder.closeConnections()
   }
 
   /**
@@ -131,14 +132,14 @@
    * Resolves when all connections have closed.
    */
   public async close (): Promise<void> {
-    this._isClosing = true
+    this._responder.closeConnections()
     this._isStopping = true
     await this._connections.close()
   }
 
   /** Answers all open requests: 503 where it is proved that nothing has run, otherwise 502. */
   public endRequests (): void {
-    for (const call of [...this._openCalls]) call.giveUpForStop()
+    for (const call of [...this._openCalls]) call.endWithoutAnswer('stopping')
   }
 
   /** Closes the listener and all connections at once. */
@@ -150,7 +151,7 @@
   private _onRequest (message: IncomingMessage, response: ServerResponse): void {
     if (refuseMalformedHead(message, response)) return
     const arrivedAtMs = this._options.clock.nowMs()
-    if (this._isClosing) response.setHeader('connection', 'close')
+    this._responder.prepare(response)
     const table = this._routeTable
     if (table === undefined) {
       return this._refuseUnrouted(message, response, 503, 'no-configuration', this._notReadyRetryAfterMs(message))
@@ -199,7 +200,7 @@
       log.info({ requestId: readHeader(message, names.requestId), route: route.name, limitMs }, 'upload did not arrive in time')
       // Node.js may not tell the end of a message whose response has ended.
       response.once('close', () => lease.release())
-      this._refuse(message, response, 503, 'body-late', 0)
+      this._responder.refuse(message, response, 503, 'body-late', 0)
     }, limitMs)
   }
 
@@ -217,7 +218,7 @@
     const requestId = readHeader(message, names.requestId)
     metrics.countBodyRefused('caller')
     log.info({ requestId, route: route.name, bodyBytes, heldBytes, limitBytes, retryAfterMs }, 'upload refused for memory')
-    this._refuse(message, response, 503, 'body-memory', retryAfterMs)
+    this._responder.refuse(message, response, 503, 'body-memory', retryAfterMs)
   }
 
   /** Returns where a request comes from, or undefined when it needs an API key and has none in force. */
@@ -243,7 +244,7 @@
   ): void {
     const requestId = readHeader(message, this._options.names.requestId)
     this._options.log.info({ requestId, status, reason, retryAfterMs }, 'request refused')
-    this._refuse(message, response, status, reason, retryAfterMs)
+    this._responder.refuse(message, response, status, reason, retryAfterMs)
   }
 
   /** Counts the use of a caller's request; a nested call has been counted with its parent. */
@@ -325,7 +326,7 @@
       this._openCalls.delete(call)
       lease.release()
       credit.end(result === undefined ? call.sends === 0 : result.type === 'refused')
-      if (result !== undefined) this._send(message, response, result)
+      if (result !== undefined) this._responder.send(message, response, result)
       if (result?.type === 'answer') this._answerSizes.recordAnswer(request.route.name, result.answer.body.length)
       this._recordEnd(request, call, result)
       this._openRequestCount--
@@ -344,40 +345,6 @@
     })
   }
 
-  private _send (message: IncomingMessage, response: ServerResponse, result: GatewayResult): void {
-    if (result.type === 'answer') return this._sendAnswer(message, response, result.answer)
-    if (result.type === 'limited') return this._refuse(message, response, 429, result.reason, result.retryAfterMs)
-    if (result.type === 'refused') return this._refuse(message, response, 503, result.reason, result.retryAfterMs)
-    this._refuse(message, response, result.timedOut ? 504 : 502, result.reason)
-  }
-
-  private _sendAnswer (message: IncomingMessage, response: ServerResponse, answer: RoutedAnswer): void {
-    if (NOT_EXECUTED_STATUSES.has(answer.status)) {
-      // These statuses guarantee that the request has not run, which only a proof by the instance could show.
-      return this._refuse(message, response, 502, 'answer-invalid')
-    }
-    const headers = answer.headers.slice()
-    if (!isBodiless(message, answer.status)) headers.push('content-length', String(answer.body.length))
-    if (this._isClosing) headers.push('connection', 'close')
-    response.writeHead(answer.status, headers)
-    response.end(answer.body)
-  }
-
-  private _refuse (
-    message: IncomingMessage, response: ServerResponse, status: number, reason: GatewayReason, retryAfterMs?: number
-  ): void {
-    if (response.headersSent || response.destroyed) return
-    // The unread rest of a body must not be parsed as the next request.
-    if (!message.complete) response.setHeader('connection', 'close')
-    const requestId = readHeader(message, this._options.names.requestId)
-    if (requestId !== undefined) response.setHeader(this._options.names.requestId, requestId)
-    if (retryAfterMs !== undefined) response.setHeader('retry-after', (retryAfterMs / MS_PER_SECOND).toFixed(3))
-    const text = JSON.stringify({ reason, notRun: status === 503 || status === 429 })
-    response.writeHead(status, { 'content-type': 'application/json', 'content-length': Buffer.byteLength(text) })
-    if (message.complete || !LINGERING_REASONS.has(reason)) response.end(text)
-    else endAfterBody(message, response, text)
-  }
-
   private _recordEnd (request: GatewayRequest, call: GatewayCall, result: GatewayResult | undefined): void {
     const { requestId, route, service, version, arrivedAtMs, parentAttemptKind, workspace } = request
     const tookMs = Math.round(this._options.clock.nowMs() - arrivedAtMs)
@@ -443,31 +410,7 @@
   answer: 'answered', refused: 'refused', limited: 'refused', failed: 'failed', gone: 'gone'
 } as const
 
-/** Reasons to refuse a request whose body is still arriving. */
-const LINGERING_REASONS: ReadonlySet<GatewayReason> = new Set(['body-memory', 'body-late'])
-
-/** Sends a refusal at once, and ends the response, which closes the connection, when the body has been discarded. */
-function endAfterBody (message: IncomingMessage, response: ServerResponse, text: string): void {
-  const timer = setTimeout(() => message.socket.destroy(), REFUSED_BODY_LINGER_MS)
-  message.once('end', () => response.end())
-  response.once('close', () => clearTimeout(timer))
-  message.resume()
-  response.write(text)
-}
-
-/** Statuses that guarantee that a request has not run and never will. */
-const NOT_EXECUTED_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503])
-
-function isBodiless (message: IncomingMessage, status: number): boolean {
-  return message.method === 'HEAD' || status === 204 || status === 304
-}
-
 function readDeadlineMs (message: IncomingMessage, name: string): number | undefined {
   const deadlineMs = Number(message.headers[name])
   return Number.isFinite(deadlineMs) && deadlineMs > 0 ? deadlineMs : undefined
 }
-
-function readHeader (message: IncomingMessage, name: string): string | undefined {
-  const value = message.headers[name]
-  return Array.isArray(value) ? value[0] : value
-}
--- a/src/routenode/GatewayCall.ts
+++ b/src/routenode/GatewayCall.ts
@@ -102,7 +102,7 @@
   ) {
     const { route, deadlineMs, arrivedAtMs } = _request
     this._timeoutAtMs = arrivedAtMs + Math.min(deadlineMs, route.timeoutMs)
-    this._timeoutTimer = setTimeout(() => this._onTimeout(), Math.max(1, this._timeoutAtMs - _context.clock.nowMs()))
+    this._timeoutTimer = setTimeout(() => this.endWithoutAnswer('timeout'), Math.max(1, this._timeoutAtMs - _context.clock.nowMs()))
   }
 
   /** Number of attempts that may have reached an instance. */
@@ -408,16 +408,8 @@
     return Math.min(retryAfterMs + jitterMs, leftMs * RETRY_AFTER_MAX_SHARE)
   }
 
-  /** Ends the call before its node exits: `refused` where it is proved that nothing has run. */
-  public giveUpForStop (): void {
-    this._endWithoutAnswer('stopping')
-  }
-
-  private _onTimeout (): void {
-    this._endWithoutAnswer('timeout')
-  }
-
-  private _endWithoutAnswer (reason: 'timeout' | 'stopping'): void {
+  /** Ends the call at its timeout or before its node exits: `refused` where it is proved that nothing has run. */
+  public endWithoutAnswer (reason: 'timeout' | 'stopping'): void {
     if (this._isEnded) return
     const hasPending = [...this._pendingAttempts].some(({ handle }) => handle?.isUnsent?.() !== true)
     this._cancelAttempts()
