review: hundreds of large changes stop the control group for good

Change: review/3 sends changes of a configuration with 1,460 routes.

With 8 routes, 400 changes are acknowledged.

--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,2 @@
+#!/bin/sh
+exec node "$(dirname "$0")/run.js"
