--- a/review/3/run.js
+++ b/review/3/run.js
@@ -11,6 +11,9 @@
 /** Time within which an order must be acknowledged, in milliseconds: `Ack`, and 3 ms for each route. */
 const ackLimitMs = routes => 4000 + 3 * routes
 
+/** Time for which the first change without an acknowledgement is sent again, in milliseconds. */
+const RESEND_MS = 8000
+
 const SERVICES = ['huvo11a', 'kafi81c', 'wuno96b']
 
 function makeVersion (routeCount, change) {
@@ -39,9 +42,9 @@
     if (answer.status !== 200) {
       if (change === 1) throw new Error('the first configuration was not acknowledged')
       deployment.record(`change ${change} has no acknowledgement within ${limitMs} ms: ${answer.status} ${answer.body}`)
-      answer = await operator.put(configuration, version + 2, version, 15_000, `change ${change} sent again for 15 s`)
+      answer = await operator.put(configuration, version + 2, version, RESEND_MS, `change ${change} sent again`)
       const running = machines.filter(({ child }) => child.exitCode === null && child.signalCode === null).length
-      const text = `${change - 1} changes acknowledged, the next one after 15 s more: ${answer.status}; ${running} of 3 processes run`
+      const text = `${change - 1} changes acknowledged, the next one after ${RESEND_MS / 1000} s more: ${answer.status}; ${running} of 3 processes run`
       return { held: false, text }
     }
     version += 2
--- a/review/support/Deployment.js
+++ b/review/support/Deployment.js
@@ -8,6 +8,9 @@
 /** Longest duration of a script, in milliseconds; the processes are ended when it passes. */
 const SCRIPT_LIMIT_MS = 115_000
 
+/** Most attempts to find addresses with free ports. */
+const MAX_ADDRESS_ATTEMPTS = 20
+
 /** Exit codes of a script. */
 export const EXIT_CODE = { held: 0, broken: 1, notRun: 2 }
 
@@ -88,12 +91,9 @@
   async open () {
     this.runLines = readRunLines(join(this.root, 'deploy/system.toml'))
     if (!existsSync(join(this.root, 'target/control.cjs'))) throw new Error('target/ is not built')
-    const block = () => 1 + Math.floor(250 * Math.random())
-    this.network = `127.${block()}.${block()}`
-    const base = 10_000 + 50 * Math.floor(400 * Math.random())
-    this.ports = { inside: base, control: base + 20, inbound: base + 24, ready: base + 25, app: base + 28, outbound: base + 29, metrics: base + 40 }
-    for (const port of Object.values(this.ports)) {
-      if (!await isFree(`${this.network}.1`, port)) throw new Error(`port ${port} is in use`)
+    for (let attempt = 1; ; attempt++) {
+      if (await this.#chooseAddresses()) return
+      if (attempt === MAX_ADDRESS_ATTEMPTS) throw new Error('no free ports were found')
     }
   }
 
@@ -168,6 +168,20 @@
     process.exit(code)
   }
 
+  /** Returns whether the chosen ports are free. */
+  async #chooseAddresses () {
+    const block = () => 1 + Math.floor(250 * Math.random())
+    this.network = `127.${block()}.${block()}`
+    const base = 10_000 + 50 * Math.floor(400 * Math.random())
+    this.ports = {
+      inside: base, control: base + 20, inbound: base + 24, ready: base + 25, app: base + 28, outbound: base + 29, metrics: base + 40
+    }
+    for (const port of Object.values(this.ports)) {
+      if (!await isFree(`${this.network}.1`, port)) return false
+    }
+    return true
+  }
+
   #makeSettings (machine, { role, seeds, bootstrap, faultTolerance, dataDir }) {
     const isNode = role === 'node'
     const listen = listener => `"${this.address(machine, listener)}"`
