--- a/review/2/run.js
+++ b/review/2/run.js
@@ -8,8 +8,11 @@
 /** One in so many answers of the faulty instance is spoiled: a share of 0.02. */
 const SPOIL_EVERY = 50
 
-/** Time for which clients send requests, in milliseconds. */
-const TRAFFIC_MS = 30_000
+/** Time for which the instance is faulty, in milliseconds. */
+const FAULTY_MS = 5500
+
+/** Time for which clients send requests before and after that, in milliseconds. */
+const CALM_MS = { before: 2000, after: 6000 }
 
 /** Delay before the platform starts a process again that has ended, in milliseconds. */
 const RESTART_DELAY_MS = 500
@@ -17,6 +20,10 @@
 /** Lost requests that the rule allows. */
 const ALLOWED_LOST = 3
 
+/** Clients with kept connections, whose requests go to sound instances and to the faulty one. */
+const LEDGER_CLIENTS = 12
+const CATALOGUE_CLIENTS = 8
+
 const HOST = 'jepu9.example'
 
 const CONFIGURATION = makeConfiguration([
@@ -42,9 +49,9 @@
   nodes.forEach(machine => keepRunning(machine, { role: 'node', seeds: cores, bootstrap: true }))
 
   let answers = 0
+  let isFaulty = false
   const spoil = text => {
-    answers++
-    if (!hasTrouble || answers % SPOIL_EVERY !== 0) return undefined
+    if (!isFaulty || ++answers % SPOIL_EVERY !== 0) return undefined
     return text.replace('x-instance-load', 'x instance-load')
   }
   const faulty = new Instance(deployment, nodes[0], { id: 'i-1', workMs: 30, spoil })
@@ -55,11 +62,15 @@
   if (accepted.status !== 200 || !await waitUntilReady(deployment, nodes, 10_000)) throw new Error('the deployment is not ready')
   await delay(4000)
 
-  const clients = Array.from({ length: 16 }, (_, index) => new KeptClient(deployment, nodes[0], `c${index + 1}`))
-  const runs = clients.map((client, index) => index < 8
-    ? client.run(count => ({ host: HOST, path: `/ledger/${index}`, method: 'POST', body: `order ${index} ${count}` }), 100)
+  const clients = Array.from({ length: LEDGER_CLIENTS + CATALOGUE_CLIENTS }, (_, index) => new KeptClient(deployment, nodes[0], `c${index + 1}`))
+  const runs = clients.map((client, index) => index < LEDGER_CLIENTS
+    ? client.run(count => ({ host: HOST, path: `/ledger/${index}`, method: 'POST', body: `order ${index} ${count}` }), 20)
     : client.run(count => ({ host: HOST, path: `/catalogue/${index}/${count}` }), 200))
-  await delay(TRAFFIC_MS)
+  await delay(CALM_MS.before)
+  isFaulty = hasTrouble
+  await delay(FAULTY_MS)
+  isFaulty = false
+  await delay(CALM_MS.after)
   isOver = true
   clients.forEach(client => client.stop())
   await Promise.all(runs)
