--- a/src/control/ReplicaHost.test.ts
+++ b/src/control/ReplicaHost.test.ts
@@ -1,4 +1,5 @@
 import { expect, test } from 'vitest'
+import { DEFAULT_LIMITS } from '../parts/agreement/Constants.js'
 import type { AppendRequest, LogEntry } from '../parts/agreement/Types.js'
 import { SeededRandom } from '../parts/SeededRandom.js'
 import { DurableLog } from '../parts/storage/DurableLog.js'
@@ -7,6 +8,8 @@
 import { ReplicaHost } from './ReplicaHost.js'
 import type { StateMachine } from './StateMachine.js'
 
+const BYTES_PER_MB = 1024 * 1024
+
 /** State machine that counts the commands it has applied. */
 class Counter implements StateMachine<number> {
   public count = 0
@@ -144,6 +147,16 @@
   host.dispose()
 })
 
+test('the log has room for large commands without end, since compaction also bounds the bytes that it retains', async () => {
+  const { host } = startHost(new MemoryDisk(), 8 * BYTES_PER_MB)
+  await proposeUntilApplied(host)
+  const command = new Uint8Array(BYTES_PER_MB / 2)
+  for (let bytes = 0; bytes < 2 * DEFAULT_LIMITS.maxLogBytes; bytes += command.length) {
+    expect(await host.propose(command)).toMatchObject({ type: 'applied' })
+  }
+  host.dispose()
+})
+
 test('a replica that learns of its group after the first commits keeps the state that they led to', async () => {
   const { host, stateMachine } = startHost(new MemoryDisk(), 1e9, [])
   const entry = (index: number, kind: LogEntry['kind']): LogEntry => ({ index, term: 1, kind, data: Uint8Array.of(1) })
--- a/src/parts/agreement/Constants.ts
+++ b/src/parts/agreement/Constants.ts
@@ -21,6 +21,7 @@
   snapshotChunkBytes: 256 * 1024,
   maxSnapshotBytes: 256 * 1024 * 1024,
   retainedEntries: 2048,
+  retainedBytes: 8 * 1024 * 1024,
   catchUpSlackEntries: 256
 }
 
--- a/src/parts/agreement/Replica.ts
+++ b/src/parts/agreement/Replica.ts
@@ -44,9 +44,9 @@
  * with `persisted`, delivers messages (which may be delayed, duplicated, reordered or lost), applies `commit` actions
  * in order, and sends `tick` at least every `heartbeatMs / 4`.
  *
- * Memory: the newest snapshot, the entries since it and `retainedEntries` before it (proposals are rejected beyond
- * `maxLogBytes`), at most `maxUncommittedEntries` proposals, `maxReads` reads, one incomplete incoming snapshot, and
- * one older snapshot for each follower that is being sent one.
+ * Memory: the newest snapshot, the entries since it and at most `retainedEntries` of `retainedBytes` before it
+ * (proposals are rejected beyond `maxLogBytes`), at most `maxUncommittedEntries` proposals, `maxReads` reads, one
+ * incomplete incoming snapshot, and one older snapshot for each follower that is being sent one.
  */
 export class Replica implements Part<AgreementEvent, AgreementAction> {
   private readonly _state: ReplicaState
@@ -205,7 +205,7 @@
     const { log, commitIndex, limits } = this._state
     if (index <= log.snapshot.index || index > commitIndex) return
     const snapshot = { index, term: log.termAt(index)!, members: log.membersAt(index), data }
-    log.compact(snapshot, limits.retainedEntries)
+    log.compact(snapshot, limits.retainedEntries, limits.retainedBytes)
     this._state.persist({ snapshot })
   }
 
--- a/src/parts/agreement/ReplicaLog.ts
+++ b/src/parts/agreement/ReplicaLog.ts
@@ -135,17 +135,19 @@
   }
 
   /**
-   * Sets a snapshot of this replica's own state as the newest one and drops the entries before it, except some.
+   * Sets a snapshot of this replica's own state as the newest one and drops the entries before it, except the last
+   * ones.
    * @param snapshot Snapshot whose index is in the log.
-   * @param retainedEntries Number of entries before it that stay in memory.
+   * @param retainedEntries Most entries before it that stay in memory.
+   * @param retainedBytes Most bytes of these entries.
    */
-  public compact (snapshot: Snapshot, retainedEntries: number): void {
+  public compact (snapshot: Snapshot, retainedEntries: number, retainedBytes: number): void {
     this._snapshot = snapshot
     this._memberships = [
       { index: snapshot.index, members: snapshot.members },
       ...this._memberships.filter(item => item.index > snapshot.index)
     ]
-    const base = Math.max(this._baseIndex, snapshot.index - retainedEntries)
+    const base = this._retainedBase(snapshot.index, retainedEntries, retainedBytes)
     const term = this.termAt(base)!
     const removed = this._entries.splice(0, base - this._baseIndex)
     removed.forEach(entry => { this._bytes -= entryBytes(entry) })
@@ -160,7 +162,7 @@
   public installSnapshot (snapshot: Snapshot): boolean {
     const holdsLastEntry = this.termAt(snapshot.index) === snapshot.term
     if (holdsLastEntry) {
-      this.compact(snapshot, 0)
+      this.compact(snapshot, 0, 0)
       return true
     }
     this._snapshot = snapshot
@@ -194,6 +196,19 @@
     while (index >= this._baseIndex && this.termAt(index)! > term) index--
     return index
   }
+
+  /** Returns the index just before the entries that stay in memory before a snapshot. */
+  private _retainedBase (snapshotIndex: number, retainedEntries: number, retainedBytes: number): number {
+    const lowest = Math.max(this._baseIndex, snapshotIndex - retainedEntries)
+    let base = snapshotIndex
+    let bytes = 0
+    while (base > lowest) {
+      bytes += entryBytes(this.entryAt(base)!)
+      if (bytes > retainedBytes) break
+      base--
+    }
+    return base
+  }
 }
 
 /** Returns the size in bytes at which an entry counts against the limits. */
--- a/src/parts/agreement/Types.ts
+++ b/src/parts/agreement/Types.ts
@@ -81,8 +81,10 @@
   readonly snapshotChunkBytes: number
   /** A follower ignores a leader's snapshot that is larger. */
   readonly maxSnapshotBytes: number
-  /** Entries before the snapshot that stay in memory for followers that lag slightly behind. */
+  /** Most entries before the snapshot that stay in memory for followers that lag slightly behind. */
   readonly retainedEntries: number
+  /** Most bytes of these entries; must leave room below `maxLogBytes` for the entries until the next snapshot. */
+  readonly retainedBytes: number
   /** A new replica has caught up when it lacks at most this many entries. */
   readonly catchUpSlackEntries: number
 }
