Keep no more deltas of the configuration than a full copy costs

Deltas are dropped, oldest first, once they hold more items together than the configuration; such a node gets the full copy. The test failed before with two deltas kept for version 8.

--- a/src/parts/routing/Constants.ts
+++ b/src/parts/routing/Constants.ts
@@ -12,6 +12,9 @@
 /** Deltas kept for nodes that lag: 5 s at one change every 80 ms. */
 export const MAX_DELTAS = 64
 
+/** Items that the kept deltas may have together, also where the configuration has fewer. */
+export const MIN_DELTA_ITEMS = 256
+
 /** Limits on callers that apply before the first configuration. */
 export const DEFAULT_CALLER_LIMITS: CallerLimits = {
   maxHeaderBytes: 16_384,
--- a/src/parts/routing/RoutingDelta.ts
+++ b/src/parts/routing/RoutingDelta.ts
@@ -1,4 +1,4 @@
-import type { RoutingConfiguration, RoutingDelta, VersionedRouting } from './Types.js'
+import type { RoutingConfiguration, RoutingDelta, VersionedRouting, Workspace } from './Types.js'
 
 interface NamedItem {
   readonly name: string
@@ -42,6 +42,18 @@
   }
 }
 
+/** Returns the number of routes, services, workspaces and keys of a configuration, as a measure of its size. */
+export function countItems ({ routes, services, workspaces = [] }: RoutingConfiguration): number {
+  return routes.length + services.length + countWorkspaceItems(workspaces)
+}
+
+/** Returns the number of items that a delta adds, replaces or removes, counted as by `countItems`. */
+export function countDeltaItems (delta: RoutingDelta): number {
+  const { upsertRoutes, removeRoutes, upsertServices, removeServices, upsertWorkspaces = [], removeWorkspaces = [] } = delta
+  const lists = [upsertRoutes, removeRoutes, upsertServices, removeServices, removeWorkspaces]
+  return lists.reduce((items, list) => items + list.length, countWorkspaceItems(upsertWorkspaces))
+}
+
 /** A configuration that has had workspaces keeps an empty list: removing the last one does not lift the keys. */
 function mergeWorkspaces (
   { workspaces }: RoutingConfiguration, { upsertWorkspaces, removeWorkspaces }: RoutingPatch
@@ -87,3 +99,7 @@
   const kept = new Set(after.map(item => item.name))
   return before.filter(item => !kept.has(item.name)).map(item => item.name)
 }
+
+function countWorkspaceItems (workspaces: readonly Workspace[]): number {
+  return workspaces.reduce((items, { keys }) => items + 1 + keys.length, 0)
+}
--- a/src/parts/routing/RoutingStore.test.ts
+++ b/src/parts/routing/RoutingStore.test.ts
@@ -1,6 +1,6 @@
 import fc from 'fast-check'
 import { expect, test } from 'vitest'
-import { DEFAULT_CALLER_LIMITS, MAX_DELTAS } from './Constants.js'
+import { DEFAULT_CALLER_LIMITS, MAX_DELTAS, MIN_DELTA_ITEMS } from './Constants.js'
 import { applyPatch } from './RoutingDelta.js'
 import { RoutingStore } from './RoutingStore.js'
 import type { Route, RoutingChange, RoutingConfiguration, Workspace } from './Types.js'
@@ -129,6 +129,16 @@
   expect(store.deltasSince(store.inForce.version)).toEqual([])
 })
 
+test('deltas of changes to all routes together hold no more than one full copy', () => {
+  const store = new RoutingStore()
+  const names = Array.from({ length: 2 * MIN_DELTA_ITEMS }, (_, index) => `r${index}`)
+  for (let version = 1; version <= 10; version++) {
+    apply(store, replace(version, version - 1, ...names.map(name => makeRoute(name, { priority: version }))))
+  }
+  expect(store.deltasSince(8)).toBeUndefined()
+  expect(store.deltasSince(9)).toHaveLength(1)
+})
+
 function indexByName ({ routes, services, limits }: RoutingConfiguration): object {
   return { routes: Object.fromEntries(routes.map(route => [route.name, route])), services, limits }
 }
--- a/src/parts/routing/RoutingStore.ts
+++ b/src/parts/routing/RoutingStore.ts
@@ -1,6 +1,6 @@
-import { DEFAULT_CALLER_LIMITS, MAX_ACCEPTED_CHANGES, MAX_DELTAS } from './Constants.js'
+import { DEFAULT_CALLER_LIMITS, MAX_ACCEPTED_CHANGES, MAX_DELTAS, MIN_DELTA_ITEMS } from './Constants.js'
 import { validateRouting } from './RoutingValidation.js'
-import { applyPatch, computeDelta } from './RoutingDelta.js'
+import { applyPatch, computeDelta, countDeltaItems, countItems } from './RoutingDelta.js'
 import type {
   RoutingChange, RoutingConfiguration, RoutingDelta, RoutingReply, RoutingSnapshot, VersionedRouting
 } from './Types.js'
@@ -16,7 +16,8 @@
  * is above it, and the result is valid. A change with the content of one of the last `MAX_ACCEPTED_CHANGES` accepted
  * ones is acknowledged again, even after later changes.
  *
- * Memory: one configuration, `MAX_ACCEPTED_CHANGES` digests and `MAX_DELTAS` deltas.
+ * Memory: one configuration, `MAX_ACCEPTED_CHANGES` digests, and at most `MAX_DELTAS` deltas with no more items together
+ * than the configuration has, or `MIN_DELTA_ITEMS` if that is more.
  */
 export class RoutingStore {
   private _current = EMPTY_ROUTING
@@ -78,13 +79,24 @@
     const hadWorkspaces = this._current.configuration.workspaces !== undefined
     if (hadWorkspaces && next.configuration.workspaces === undefined) this._deltas = []
     else this._deltas.push(computeDelta(this._current, next))
-    if (this._deltas.length > MAX_DELTAS) this._deltas.shift()
     this._current = next
+    this._dropCostlyDeltas()
     this._accepted.set(digest, next.version)
     if (this._accepted.size <= MAX_ACCEPTED_CHANGES) return
     const oldest = this._accepted.keys().next().value as string
     this._accepted.delete(oldest)
   }
+
+  /** Drops the oldest deltas that cost a receiver more than a full copy. */
+  private _dropCostlyDeltas (): void {
+    const maxItems = Math.max(MIN_DELTA_ITEMS, countItems(this._current.configuration))
+    let items = 0
+    const firstCheap = 1 + this._deltas.findLastIndex((delta, index) => {
+      items += countDeltaItems(delta)
+      return items > maxItems || this._deltas.length - index > MAX_DELTAS
+    })
+    this._deltas.splice(0, firstCheap)
+  }
 }
 
 function applyChange (change: RoutingChange, current: RoutingConfiguration): RoutingConfiguration {
