--- a/src/parts/routing/RoutingDelta.ts
+++ b/src/parts/routing/RoutingDelta.ts
@@ -49,8 +49,8 @@
 
 /** Returns the number of items that a delta adds, replaces or removes, counted as by `countItems`. */
 export function countDeltaItems (delta: RoutingDelta): number {
-  const { upsertRoutes, removeRoutes, upsertServices, removeServices, upsertWorkspaces = [], removeWorkspaces = [] } = delta
-  const lists = [upsertRoutes, removeRoutes, upsertServices, removeServices, removeWorkspaces]
+  const { upsertWorkspaces = [], removeWorkspaces = [] } = delta
+  const lists = [delta.upsertRoutes, delta.removeRoutes, delta.upsertServices, delta.removeServices, removeWorkspaces]
   return lists.reduce((items, list) => items + list.length, countWorkspaceItems(upsertWorkspaces))
 }
 
--- a/src/parts/routing/RoutingStore.ts
+++ b/src/parts/routing/RoutingStore.ts
@@ -16,8 +16,8 @@
  * is above it, and the result is valid. A change with the content of one of the last `MAX_ACCEPTED_CHANGES` accepted
  * ones is acknowledged again, even after later changes.
  *
- * Memory: one configuration, `MAX_ACCEPTED_CHANGES` digests, and at most `MAX_DELTAS` deltas with no more items together
- * than the configuration has, or `MIN_DELTA_ITEMS` if that is more.
+ * Memory: one configuration, `MAX_ACCEPTED_CHANGES` digests, and at most `MAX_DELTAS` deltas that together hold no more
+ * items than the configuration, or `MIN_DELTA_ITEMS` if that is more.
  */
 export class RoutingStore {
   private _current = EMPTY_ROUTING
