Send a call again on a new connection only within the limits of a retry

Cause: the client of the instance sends an idempotent request once more when its kept connection breaks, a decision of its own beside the retries of the gateway. It asked for the limits of the instance and for its zone, not whether the instance still takes calls, whether the deadline has passed, whether the request is quarantined, and no budget paid for it.

The second send now needs all of these, and is paid from the budget that the node shares with all others, whose sum is the bound of the service. Where it isn't allowed the gateway decides on a retry elsewhere.

--- a/src/routenode/InstanceProxy.ts
+++ b/src/routenode/InstanceProxy.ts
@@ -40,6 +40,11 @@
   readonly bodies?: BodyResources
   /** Returns whether the instance must get no calls, since its zone is evacuated; absent where that never happens. */
   readonly isZoneClosed?: () => boolean
+  /**
+   * Withdraws one repeat from the retry budget of a service; false when it is used up. Absent where repeats are not
+   * bounded.
+   */
+  readonly withdrawRepeat?: (service: ServiceName) => boolean
   /** Returns the limit for cold instances of a service; undefined while no configuration names the service. */
   readonly findColdSetting?: (service: ServiceName) => ColdSetting | undefined
 }
@@ -331,7 +336,7 @@
       onLoad: load => this._onLoad(load),
       onRequestLimit: header => this._onRequestLimit(instance.id, pending, header),
       onLeaving: () => this._onLeaving(instance),
-      mayResend: () => this._mayResend()
+      mayResend: () => this._mayResend(pending, instance)
     })
   }
 
@@ -455,8 +460,13 @@
     this._step({ type: 'requestLimit', perS })
   }
 
-  private _mayResend (): boolean {
-    if (this._isZoneClosed() || !this._gate.mayResend(this._options.clock.nowMs())) return false
+  /** A call whose kept connection broke may have run, so a second send has all the limits of a retry. */
+  private _mayResend ({ call, deadlineAtMs }: PendingCall, instance: InstanceIncarnation): boolean {
+    const { clock, quarantine, withdrawRepeat } = this._options
+    const nowMs = clock.nowMs()
+    const takesCalls = this._slots > 0 && isSameIncarnation(this._registry.current, instance) && !this._isZoneClosed()
+    if (!takesCalls || nowMs >= deadlineAtMs || !this._gate.mayResend(nowMs)) return false
+    if (quarantine.check(call, false) !== undefined || withdrawRepeat?.(call.service) === false) return false
     this._step({ type: 'resent' })
     return true
   }
--- a/src/routenode/RouteNodeDaemon.ts
+++ b/src/routenode/RouteNodeDaemon.ts
@@ -110,6 +110,7 @@
     this._bodies = { memory: new BodyMemory(memoryMb), linkMbps, metrics: this.metrics }
     this._quarantine = new Quarantine({ node: settings.nodeAddress, incarnation: this._epoch, fingerprint, clock, log })
     this._evacuation = new ZoneEvacuation({ zone: settings.zone, clock, random, log })
+    const retryBudgets = new SharedRetryBudgets(settings.retryLimits)
     this._instanceProxy = new InstanceProxy({
       address: settings.instanceAddress,
       service: settings.service,
@@ -120,6 +121,7 @@
       findHealthPath: service => this._routeTable?.findService(service)?.healthPath,
       bodies: this._bodies,
       isZoneClosed: () => this._evacuation.isGateClosed,
+      withdrawRepeat: name => retryBudgets.budgetFor(name).tryWithdraw(this._directory.size, clock.nowMs()),
       findColdSetting: name => {
         const service = this._routeTable?.findService(name)
         return service === undefined ? undefined : { perS: service.coldPerS, startMs: service.coldStartMs }
@@ -153,7 +155,7 @@
       log,
       metrics: this.metrics,
       placement: this._placement,
-      retryBudgets: new SharedRetryBudgets(settings.retryLimits),
+      retryBudgets,
       hedgePolicy: new HedgePolicy(),
       quarantine: this._quarantine,
       quotas: this._quotas,
