Ask the new leader when the leader changes during a read

A read barrier at a follower sent its request to the leader that it knew at the start and then waited for up to READ_TIMEOUT_MS (2 s). When that leader had failed, the round lasted until the timeout although a new leader was known after one election timeout, and every caller that arrived meanwhile waited for the round after it. A node that connected to such a replica gave up after FEED_WELCOME_TIMEOUT_MS (1.5 s) and served an older configuration for as long, and reads of operators got no answer.

The round now asks again when the known leader changes, unless its index is confirmed already; without a leader it waits for the next one, up to the same timeout. Replies to the earlier request are ignored by their id.

The new test failed before: the method did not exist and only one request was sent.

--- a/src/control/ControlReplica.ts
+++ b/src/control/ControlReplica.ts
@@ -84,7 +84,10 @@
     }, Math.floor(random.next() * READ_REQUEST_ID_RANGE))
     this._host.onApplied(() => this._barrier.notifyApplied())
     this._host.onSync(ms => this._recordSync(ms))
-    this._host.onRoleChange(({ role, term, leader }) => logger.info({ role, term, leader }, 'role changed'))
+    this._host.onRoleChange(({ role, term, leader }) => {
+      logger.info({ role, term, leader }, 'role changed')
+      this._barrier.notifyLeader()
+    })
     this._formation = new GroupFormation(this.id, settings.replicas.map(replica => replica.id))
     this._replacement = new MemberReplacement(settings.replicas.map(replica => replica.id), this._host, logger)
     this._formationTimer = setInterval(() => this._onFormationTick(), FORMATION_INTERVAL_MS)
--- a/src/control/ReadBarrier.test.ts
+++ b/src/control/ReadBarrier.test.ts
@@ -91,3 +91,33 @@
   barrier.receiveReply(follower.requestIds[0]!, undefined)
   expect(await read).toBe(false)
 })
+
+// The request to a leader that has failed is lost; a node that connects meanwhile would get no configuration for seconds.
+test('a read during which the leader changes asks the new leader', async () => {
+  const follower = new Follower()
+  const barrier = new ReadBarrier(follower, FIRST_REQUEST_ID)
+  const read = barrier.wait()
+  follower.knownLeader = undefined
+  barrier.notifyLeader()
+  expect(await isSettled(read)).toBe(false)
+  follower.knownLeader = 'c3~a'
+  barrier.notifyLeader()
+  expect(follower.requestIds).toHaveLength(2)
+  barrier.receiveReply(follower.requestIds[0]!, 0)
+  expect(await isSettled(read)).toBe(false)
+  barrier.receiveReply(follower.requestIds[1]!, 0)
+  expect(await read).toBe(true)
+})
+
+test('a read whose index is confirmed does not begin anew when the leader changes', async () => {
+  const follower = new Follower()
+  const barrier = new ReadBarrier(follower, FIRST_REQUEST_ID)
+  const read = barrier.wait()
+  barrier.receiveReply(follower.requestIds[0]!, 5)
+  follower.knownLeader = 'c3~a'
+  barrier.notifyLeader()
+  expect(follower.requestIds).toHaveLength(1)
+  follower.index = 5
+  barrier.notifyApplied()
+  expect(await read).toBe(true)
+})
--- a/src/control/ReadBarrier.ts
+++ b/src/control/ReadBarrier.ts
@@ -82,6 +82,16 @@
     if (round?.index !== undefined && this._group.appliedIndex() >= round.index) this._endRound(round, true)
   }
 
+  /**
+   * Asks the new leader in place of the old one, which may have lost the request. Must be called when the known leader
+   * has changed; while none is known, the round waits for the next one.
+   */
+  public notifyLeader (): void {
+    const round = this._currentRound
+    if (round === undefined || round.index !== undefined || this._group.leader() === undefined) return
+    this._ask(round)
+  }
+
   /** Fails all pending reads. */
   public dispose (): void {
     this._nextRound?.settle(false)
@@ -91,15 +101,19 @@
 
   private _startRound (round: Round): Promise<boolean> {
     this._currentRound = round
-    this._requestId++
     round.timer = setTimeout(() => this._endRound(round, false), READ_TIMEOUT_MS)
-    const leader = this._group.leader()
-    if (leader === this._group.id) this._group.confirmReadIndex().then(index => this._onIndex(round, index), () => {})
-    else if (leader === undefined) this._endRound(round, false)
-    else this._group.send(leader, { type: 'readIndex', id: this._requestId })
+    this._ask(round)
     return round.promise
   }
 
+  private _ask (round: Round): void {
+    const id = ++this._requestId
+    const leader = this._group.leader()
+    if (leader === undefined) this._endRound(round, false)
+    else if (leader !== this._group.id) this._group.send(leader, { type: 'readIndex', id })
+    else this._group.confirmReadIndex().then(index => { if (id === this._requestId) this._onIndex(round, index) }, () => {})
+  }
+
   private _onIndex (round: Round, index: number | undefined): void {
     if (this._currentRound !== round) return
     if (index === undefined) return this._endRound(round, false)
--- a/src/routecontrol/RoutingReplica.ts
+++ b/src/routecontrol/RoutingReplica.ts
@@ -163,6 +163,7 @@
     this._host.onRoleChange(({ role, term, leader }) => {
       log.info({ role, term, leader }, 'role changed')
       if (leader !== undefined) this._firstLeaderEmitter.fire()
+      this._barrier.notifyLeader()
     })
     this._firstLeader = new Promise(resolve => this._firstLeaderEmitter.event(resolve))
     this._firstLeaderTimer = setTimeout(() => this._firstLeaderEmitter.fire(), FIRST_LEADER_WAIT_MS)
