Leave silent control replicas before a change is late at the node

With two of five control replicas frozen, nodes handled requests by an older configuration later than ConfigDeadline (2 s) after an acknowledgement and StableWindow (3 s) after the freeze: with real processes, 24 nodes and 5 replicas, a change reached nodes up to 3.3 s after its acknowledgement, and 8 requests to added or removed routes were handled by the older version by nodes in touch.

A feed noticed the silence after 1.2 s or at the next check, up to 0.5 s later, connected to the next address of a list that may have changed its order, so that it could be the same replica again, and waited 1.5 s for each welcome.

The silence is now checked every 100 ms; the replica whose last attempt is longest ago is tried next, at random between equals, so that the nodes of a lost replica spread; and a node that has been connected before waits 400 ms for the first welcome, then twice as long, up to 1.5 s. After a pause of its own process a node reads what has arrived before it takes its replica as silent.

--- a/src/control/ReadBarrier.test.ts
+++ b/src/control/ReadBarrier.test.ts
@@ -92,7 +92,7 @@
   expect(await read).toBe(false)
 })
 
-// The request to a leader that has failed is lost; a node that connects meanwhile would get no configuration for seconds.
+// The request to a leader that has failed is lost; a node that connects meanwhile would be welcomed seconds later.
 test('a read during which the leader changes asks the new leader', async () => {
   const follower = new Follower()
   const barrier = new ReadBarrier(follower, FIRST_REQUEST_ID)
--- a/src/control/ReadBarrier.ts
+++ b/src/control/ReadBarrier.ts
@@ -109,9 +109,11 @@
   private _ask (round: Round): void {
     const id = ++this._requestId
     const leader = this._group.leader()
-    if (leader === undefined) this._endRound(round, false)
-    else if (leader !== this._group.id) this._group.send(leader, { type: 'readIndex', id })
-    else this._group.confirmReadIndex().then(index => { if (id === this._requestId) this._onIndex(round, index) }, () => {})
+    if (leader === undefined) return this._endRound(round, false)
+    if (leader !== this._group.id) return this._group.send(leader, { type: 'readIndex', id })
+    this._group.confirmReadIndex().then(index => {
+      if (id === this._requestId) this._onIndex(round, index)
+    }, () => {})
   }
 
   private _onIndex (round: Round, index: number | undefined): void {
--- a/src/routenode/Constants.ts
+++ b/src/routenode/Constants.ts
@@ -47,12 +47,21 @@
 /** Interval of pings to the control replica that a node is connected to, in milliseconds. */
 export const FEED_PING_INTERVAL_MS = 500
 
+/** Interval at which a node checks whether that replica is silent, in milliseconds; it adds to `FEED_TIMEOUT_MS`. */
+export const FEED_CHECK_INTERVAL_MS = 100
+
 /** Time without a frame from that replica after which the node connects to another, in milliseconds. */
 export const FEED_TIMEOUT_MS = 1200
 
-/** Time from the connect to a control replica until its welcome, in milliseconds. */
+/** Longest time from the connect to a control replica until its welcome, in milliseconds. */
 export const FEED_WELCOME_TIMEOUT_MS = 1500
 
+/**
+ * Time until the welcome after which a node that has been connected before tries the next replica, in milliseconds; it
+ * doubles up to `FEED_WELCOME_TIMEOUT_MS`. Two more silent replicas then end within 3 s of the first one's last frame.
+ */
+export const FEED_WELCOME_TIMEOUT_MIN_MS = 400
+
 /** Delay before a connect to the next control replica, in milliseconds. */
 export const FEED_RECONNECT_DELAY_MS = 100
 
--- a/src/routenode/ControlFeed.test.ts
+++ b/src/routenode/ControlFeed.test.ts
@@ -1,11 +1,12 @@
 import { afterEach, expect, test } from 'vitest'
+import { ShiftedClock } from '../../test/support/ShiftedClock.js'
 import { findFreeAddresses } from '../demo/FreePorts.js'
 import { SeededRandom } from '../parts/SeededRandom.js'
 import type { FeedToNode, NodeToFeed } from '../routecontrol/Types.js'
 import type { FrameChannel } from '../runtime/FrameChannel.js'
 import { FrameServer } from '../runtime/FrameServer.js'
 import { SystemClock } from '../runtime/SystemClock.js'
-import type { Disposable } from '../runtime/Types.js'
+import type { Clock, Disposable } from '../runtime/Types.js'
 import { ControlFeed, type EvacuationUpdate } from './ControlFeed.js'
 
 const SILENT = { debug: () => {}, info: () => {}, warn: () => {}, error: () => {} }
@@ -19,6 +20,11 @@
 /** The part of a welcome that tells of evacuations. */
 type Evacuations = Pick<Extract<FeedToNode, { type: 'welcome' }>, 'evacuation' | 'evacuationAgeMs'>
 
+function makeFeed (seed: string, randomSeed: number, clock: Clock = new SystemClock()): ControlFeed {
+  const source = { nextEntry: () => ENTRY, crashReports: () => [] }
+  return new ControlFeed([seed], source, clock, new SeededRandom(randomSeed), SILENT)
+}
+
 /** Connects a feed to a replica that sends one welcome on each connection, and on the last one other frames. */
 async function receive (
   welcomes: readonly Evacuations[], later: readonly FeedToNode[] = []
@@ -99,3 +105,60 @@
   await welcomed
   expect(feed.replicaAddress).toBe(second)
 })
+
+// A node whose replica is frozen must have a change that is acknowledged one second later within its deadline, two
+// seconds, although other replicas are frozen too.
+test('a node leaves a silent replica within three seconds, also when two more are silent', async () => {
+  const [home, silent, other, sound] = await findFreeAddresses(4) as [string, string, string, string]
+  const controls = [home, silent, other, sound]
+  let isHomeSilent = false
+  for (const address of controls) {
+    const server = new FrameServer<NodeToFeed, FeedToNode>(new SystemClock())
+    await server.listen(address)
+    disposables.push(server)
+    server.onChannel(channel => channel.onMessage(({ type }) => {
+      if (address === silent || address === other || (address === home && isHomeSilent)) return
+      channel.send(type === 'feedPing' ? { type: 'feedPong', fit: true } : { type: 'welcome', entries: [], controls })
+    }))
+  }
+  const feeds = Array.from({ length: 12 }, (_, seed) => makeFeed(home, seed))
+  disposables.push(...feeds)
+  const welcomes = feeds.map(async feed => await new Promise(resolve => feed.onWelcome(resolve)))
+  feeds.forEach(feed => feed.start())
+  await Promise.all(welcomes)
+  isHomeSilent = true
+  const silentSinceMs = performance.now()
+  const moves = feeds.map(async feed => await new Promise<number>(resolve => {
+    feed.onWelcome(() => resolve(performance.now() - silentSinceMs))
+  }))
+  expect(Math.max(...await Promise.all(moves))).toBeLessThan(3000)
+  expect(new Set(feeds.map(feed => feed.replicaAddress))).toEqual(new Set([sound]))
+}, 15_000)
+
+// The frames that arrived during a pause are read only after the timers; a new connection would delay them further.
+test('a node that was paused keeps its connection to a replica that is not silent', async () => {
+  const server = new FrameServer<NodeToFeed, FeedToNode>(new SystemClock())
+  const address = await server.listen((await findFreeAddresses(1))[0] as string)
+  const clock = new ShiftedClock()
+  let connections = 0
+  const answered = new Promise<void>(resolve => {
+    server.onChannel(channel => {
+      connections++
+      channel.onMessage(({ type }) => {
+        if (type === 'feedHello') return channel.send({ type: 'welcome', entries: [], controls: [address] })
+        channel.send({ type: 'feedPong', fit: true })
+        if (clock.shiftMs > 0) resolve()
+      })
+    })
+  })
+  const feed = makeFeed(address, 1, clock)
+  disposables.push(feed, server)
+  const welcomed = new Promise(resolve => feed.onWelcome(resolve))
+  feed.start()
+  await welcomed
+  clock.shiftMs = 5000
+  await answered
+  await new Promise(resolve => setTimeout(resolve, 500))
+  expect(connections).toBe(1)
+  expect(feed.replicaAddress).toBe(address)
+})
--- a/src/routenode/ControlFeed.ts
+++ b/src/routenode/ControlFeed.ts
@@ -14,7 +14,11 @@
 import { FrameChannel } from '../runtime/FrameChannel.js'
 import { decodeCompressed } from '../runtime/FrameCompression.js'
 import type { Clock, Disposable, Log } from '../runtime/Types.js'
-import { FEED_PING_INTERVAL_MS, FEED_RECONNECT_DELAY_MS, FEED_TIMEOUT_MS, FEED_WELCOME_TIMEOUT_MS } from './Constants.js'
+import {
+  FEED_CHECK_INTERVAL_MS, FEED_PING_INTERVAL_MS, FEED_RECONNECT_DELAY_MS, FEED_TIMEOUT_MS, FEED_WELCOME_TIMEOUT_MIN_MS,
+  FEED_WELCOME_TIMEOUT_MS
+} from './Constants.js'
+import { ReplicaChoice } from './ReplicaChoice.js'
 
 /** Frame by which a control replica accepts this node. */
 export type FeedWelcome = Extract<FeedToNode, { type: 'welcome' }>
@@ -44,7 +48,7 @@
 
 /**
  * Subscription to the routing configuration, the evacuated zones and the entries of the other nodes. The node is
- * connected to one control replica at a time, and connects to the next one when that replica times out or cannot serve
+ * connected to one control replica at a time, and connects to another one when that replica times out or cannot serve
  * it. The configuration and the evacuated zones that were applied stay in force meanwhile; the version of the one and
  * the revision of the others never decrease.
  */
@@ -66,8 +70,12 @@
   private _routing: VersionedRouting | undefined
   /** Revision of the evacuated zones that this node knows; undefined before the first welcome. */
   private _evacuationRevision: number | undefined
-  private _nextAddressIndex = 0
+  private readonly _choice: ReplicaChoice
   private _connectTimeoutMs = CONNECT_TIMEOUT_MIN_MS
+  /** A node that has never been connected waits for the first leader of a group that starts. */
+  private _welcomeTimeoutMs = FEED_WELCOME_TIMEOUT_MS
+  private _lastCheckMs = 0
+  private _lastPingMs = 0
   private _isDisposed = false
   private _isWelcomed = false
 
@@ -102,7 +110,7 @@
     private readonly _log: Log
   ) {
     this._replicaAddresses = [..._seeds]
-    this._nextAddressIndex = Math.floor(random.next() * Math.max(1, _seeds.length))
+    this._choice = new ReplicaChoice(random)
   }
 
   /** Fires when a replica has accepted this node. */
@@ -151,7 +159,7 @@
 
   /** Starts to connect. */
   public start (): void {
-    this._pingTimer = setInterval(() => this._checkLiveness(), FEED_PING_INTERVAL_MS)
+    this._pingTimer = setInterval(() => this._checkLiveness(), FEED_CHECK_INTERVAL_MS)
     this._connect()
   }
 
@@ -192,7 +200,7 @@
 
   private _connect (): void {
     if (this._isDisposed || this._replicaAddresses.length === 0) return
-    const address = this._replicaAddresses[this._nextAddressIndex++ % this._replicaAddresses.length]!
+    const address = this._choice.next(this._replicaAddresses, this._memberAddresses)
     const socket = connect(parseAddress(address))
     this._socket = socket
     this._welcomeTimer = setTimeout(() => {
@@ -208,8 +216,9 @@
     clearTimeout(this._welcomeTimer)
     this._connectTimeoutMs = CONNECT_TIMEOUT_MIN_MS
     this._welcomeTimer = setTimeout(() => {
+      this._welcomeTimeoutMs = Math.min(2 * this._welcomeTimeoutMs, FEED_WELCOME_TIMEOUT_MS)
       socket.destroy(new Error('no welcome from the control replica in time'))
-    }, FEED_WELCOME_TIMEOUT_MS)
+    }, this._welcomeTimeoutMs)
     const channel = new FrameChannel<FeedToNode, NodeToFeed>(socket, this._clock)
     this._channel = channel
     channel.onMessage(frame => this._handle(frame))
@@ -234,6 +243,7 @@
 
   private _onWelcome (frame: FeedWelcome): void {
     clearTimeout(this._welcomeTimer)
+    this._welcomeTimeoutMs = FEED_WELCOME_TIMEOUT_MIN_MS
     this._isWelcomed = true
     this._setMembers(frame.controls)
     this._log.info({ home: this._channel?.remoteAddress, nodes: frame.entries.length }, 'control connection open')
@@ -267,7 +277,6 @@
     if (added.length === 0) return
     this._memberAddresses = [...added, ...this._memberAddresses]
     this._setReplicaAddresses([...this._memberAddresses, ...this._replicaAddresses])
-    this._nextAddressIndex = 0
   }
 
   private _setReplicaAddresses (addresses: readonly string[]): void {
@@ -276,10 +285,17 @@
 
   private _checkLiveness (): void {
     const channel = this._channel
+    const nowMs = this._clock.nowMs()
+    const sinceCheckMs = nowMs - this._lastCheckMs
+    this._lastCheckMs = nowMs
     if (channel === undefined || !this._isWelcomed) return
-    const silentMs = this._clock.nowMs() - channel.lastReceivedMs
-    if (silentMs > FEED_TIMEOUT_MS) channel.destroy('control replica timed out')
-    else channel.send({ type: 'feedPing' })
+    // After a pause of this process, timers run before the frames that have arrived meanwhile are read.
+    const wasPaused = sinceCheckMs > FEED_TIMEOUT_MS / 2
+    const silentMs = nowMs - channel.lastReceivedMs
+    if (silentMs > FEED_TIMEOUT_MS && !wasPaused) return channel.destroy('control replica timed out')
+    if (nowMs - this._lastPingMs < FEED_PING_INTERVAL_MS) return
+    this._lastPingMs = nowMs
+    channel.send({ type: 'feedPing' })
   }
 
   private _applyDeltas (deltas: readonly RoutingDelta[]): void {
