Replace a control voter before its process stops, and a lost one within CatchUp

Callers saw: after two planned replacements of control machines, the second 4.02 s after the end of the first, no read was confirmed and no change acknowledged any more.

Cause: nothing told the leader that a replica stops for good, and a silent voter was replaced only after 4 s of silence, counted by a check every 300 ms, its successor first. So a removed machine kept its vote for 4.2 to 4.7 s, longer than the 4 s after which the next machine may be lost. From reading: a replica that was replaced while it was away asked to join only after 3 s without a leader.

Change: a replica that gets SIGTERM asks the leader to leave and goes on as a voter until it is removed; the leader adds a replica that asks to join, removes the leaver once that is committed, and tells it. Without a replica that asks to join the leader says so at once: the voter keeps its vote and the process ends, since a restart with its disk begins in the same way; its request still lets the next joiner take its place at once. A stop without a leader's reply ends after a second. A voter that is silent for 1.5 s is replaced; silence counts from the loss of the last leader, as members send to their leader only, not during a pause of the leader itself, and not in a leader's first second. Checks run every 100 ms and follow each other without a wait. Voters move from RoutingReplica to VoterHost.

--- a/src/control/Types.ts
+++ b/src/control/Types.ts
@@ -4,7 +4,7 @@
 import type { NodeEntry } from '../parts/instances/Types.js'
 import type { Heartbeat, Member, ServiceDigest } from '../parts/membership/Types.js'
 import type {
-  CrashReportsFrame, FeedToNode, FromOperatorServer, NodeToFeed, QuotaReplicaFrame, ToOperatorServer
+  CrashReportsFrame, FeedToNode, FromOperatorServer, LeaveState, NodeToFeed, QuotaReplicaFrame, ToOperatorServer
 } from '../routecontrol/Types.js'
 import type { RecordCommand, RecordReply } from '../parts/records/Types.js'
 import type { Incarnation, NodeId, ProcessLocation, ReplicaId, ServiceName } from '../parts/Types.js'
@@ -87,6 +87,10 @@
   | { readonly type: 'heard' }
   /** Route control only: asks the leader to add the sender to the group. */
   | { readonly type: 'join', readonly replica: ReplicaId }
+  /** Route control only: the sender is about to stop and asks to be replaced, or withdraws its request to join. */
+  | { readonly type: 'leave' }
+  /** Route control only: the leader's reply. */
+  | { readonly type: 'leaveReply', readonly state: LeaveState }
   /**
    * Route control only: entries of nodes, from the replica that received them first; `whole` when these are all that
    * the sender has.
--- a/src/parts/agreement/Replica.ts
+++ b/src/parts/agreement/Replica.ts
@@ -26,6 +26,8 @@
   readonly term: number
   readonly leader: ReplicaId | undefined
   readonly members: readonly ReplicaId[]
+  /** Index of the log entry that set the members. */
+  readonly membersIndex: number
   readonly commitIndex: number
   readonly lastIndex: number
   readonly snapshotIndex: number
@@ -110,6 +112,7 @@
       term,
       leader,
       members: log.members,
+      membersIndex: log.membersIndex,
       commitIndex,
       lastIndex: log.lastIndex,
       snapshotIndex: log.snapshot.index,
--- a/src/routecontrol/Constants.ts
+++ b/src/routecontrol/Constants.ts
@@ -29,9 +29,27 @@
 /** Interval at which a replica that belongs to no group announces itself, in milliseconds. */
 export const ANNOUNCE_INTERVAL_MS = 100
 
-/** Interval of the membership checks, in milliseconds: a replica outside the group or without a leader asks to join. */
+/** Interval of the membership checks, in milliseconds; a voter is replaced at one of them. */
+export const MEMBERSHIP_TICK_MS = 100
+
+/** Interval at which a replica outside the group or without a leader asks to join, in milliseconds. */
 export const JOIN_INTERVAL_MS = 300
 
+/** Delay of a membership check above which this process counts as having been paused, in milliseconds. */
+export const PAUSE_MS = 500
+
+/**
+ * Time for which a replica must lead before it takes a voter for silent, in milliseconds: connections that broke with
+ * the former leader are open again by then.
+ */
+export const SETTLED_LEADER_MS = 1000
+
+/** Interval at which a replica that stops asks to leave, in milliseconds. */
+export const LEAVE_INTERVAL_MS = 100
+
+/** Time without a leader's reply after which a replica stops without leaving, in ms: an election is shorter. */
+export const LEAVE_REPLY_TIMEOUT_MS = 1000
+
 /**
  * Time without a leader after which a member asks to join, as it may have been removed, in milliseconds; long enough
  * for two elections.
--- a/src/routecontrol/RouteControlDaemon.ts
+++ b/src/routecontrol/RouteControlDaemon.ts
@@ -29,6 +29,9 @@
 /** Gauges of a control replica for metrics. */
 export interface ControlGauges {
   readonly isLeader: boolean
+  readonly isVoter: boolean
+  /** Voters that the leader has not heard for some time; 0 at other replicas. */
+  readonly silentVoters: number
   readonly term: number
   readonly commitIndex: number
   readonly members: number
@@ -97,6 +100,8 @@
     const { term, commitIndex, members } = this._replica.view
     return {
       isLeader: this.isLeader,
+      isVoter: this.isMember,
+      silentVoters: this._replica.silentVoters,
       term,
       commitIndex,
       members: members.length,
@@ -180,6 +185,14 @@
     }
   }
 
+  /**
+   * Asks the group to replace this replica, which goes on meanwhile. Resolves when the process may stop.
+   * @param limitMs Longest duration in milliseconds.
+   */
+  public async leave (limitMs: number): Promise<void> {
+    await this._replica.leave(limitMs)
+  }
+
   /** Stops at once without completing pending work; changes that aren't synced to disk were never acknowledged. */
   public dispose (): void {
     this._quotas.dispose()
--- a/src/routecontrol/RoutingReplica.ts
+++ b/src/routecontrol/RoutingReplica.ts
@@ -10,7 +10,6 @@
 import type { ReplicaView } from '../parts/agreement/Replica.js'
 import type { RecoveredState } from '../parts/agreement/Types.js'
 import type { EvacuationOrder } from '../parts/evacuation/Types.js'
-import { VoterPlanner } from '../parts/agreement/VoterPlanner.js'
 import type { NodeEntry } from '../parts/instances/Types.js'
 import type { CrashReport } from '../parts/quarantine/Types.js'
 import type { RoutingChange, RoutingReply } from '../parts/routing/Types.js'
@@ -20,11 +19,11 @@
 import { Emitter } from '../runtime/Emitter.js'
 import type { Clock, Disposable, Log } from '../runtime/Types.js'
 import {
-  ANNOUNCE_INTERVAL_MS, FIRST_LEADER_WAIT_MS, GROUP_TICK_MS, GROUP_TIMING, JOIN_INTERVAL_MS, LEADERLESS_JOIN_MS,
-  LEADER_NOTICE_TTL_MS, SNAPSHOT_AFTER_BYTES
+  ANNOUNCE_INTERVAL_MS, FIRST_LEADER_WAIT_MS, GROUP_TICK_MS, GROUP_TIMING, LEADER_NOTICE_TTL_MS, SNAPSHOT_AFTER_BYTES
 } from './Constants.js'
 import { type EvacuationReply, type MachineReply, RoutingStateMachine } from './RoutingStateMachine.js'
 import type { QuotaReplicaFrame } from './Types.js'
+import { VoterHost } from './VoterHost.js'
 
 /** Settings from which a replica finds or forms its group. */
 export interface GroupSettings {
@@ -91,9 +90,7 @@
   private readonly _host: ReplicaHost<MachineReply>
   private readonly _barrier: ReadBarrier
   private readonly _formation: GroupFormation | undefined
-  private readonly _voterPlanner: VoterPlanner
-  /** When a frame of each replica was last received. */
-  private readonly _lastReceivedMs = new Map<ReplicaId, number>()
+  private readonly _voters: VoterHost
   private readonly _nodeEntriesEmitter = new Emitter<NodeEntriesUpdate>()
   private readonly _crashReportsEmitter = new Emitter<readonly CrashReport[]>()
   private readonly _quotaFrameEmitter = new Emitter<ReceivedQuotaFrame>()
@@ -103,23 +100,27 @@
   private readonly _firstLeader: Promise<void>
   private readonly _firstLeaderTimer: NodeJS.Timeout
   private _announceTimer: NodeJS.Timeout | undefined
-  private _joinTimer: NodeJS.Timeout | undefined
-  /** When a leader was last known. */
-  private _leaderKnownMs: number
-  private _isChangingMembers = false
   /** Leader that a member named last, and when. */
   private _noticedLeader: { readonly leader: ReplicaId, readonly atMs: number } | undefined
   /** Members of the group as a member named them last; empty before. */
   private _noticedMembers: readonly ReplicaId[] = []
 
   private readonly _handlers: ReplicaFrameHandlers = {
-    agreement: (from, { to, message }) => { if (to === this.id) this._host.receive(from, message) },
+    agreement: (from, { to, message }) => {
+      if (to !== this.id) return
+      this._host.receive(from, message)
+      // A replica that was replaced while it was away learns of it here, and asks to join again.
+      const isFormerMember = message.type === 'preVote' && !this.view.members.includes(from)
+      if (isFormerMember && this.view.role === 'leader') this._links.send(from, this._makeNotice())
+    },
     formation: (from, { notice }) => this._handleNotice(from, notice),
     join: (from, { replica }) => {
-      this._voterPlanner.recordJoinRequest(replica, this._options.clock.nowMs())
+      this._voters.recordJoinRequest(replica)
       // The sender may stay outside a full group, and must still know the leader for operators' calls.
       if (this.view.leader !== undefined) this._links.send(from, this._makeNotice())
     },
+    leave: from => this._voters.recordLeaveRequest(from),
+    leaveReply: (_from, { state }) => this._voters.receiveLeaveReply(state),
     readIndex: (from, { id }) => {
       this._barrier.replyToFollower(from, id).catch((error: Error) => this._options.log.warn({ error: error.message }, 'read failed'))
     },
@@ -147,7 +148,10 @@
     if (opened.type === 'empty') storage.create(this.id)
     this._links = new ReplicaLinks(this._makeHello(), clock, random)
     this._links.onFrame(frame => this._handleFrame(frame))
-    this._links.onOpen(() => this._linkOpenEmitter.fire())
+    this._links.onOpen(() => {
+      this._linkOpenEmitter.fire()
+      this._voters.handleLinkOpen()
+    })
     this._links.onDirectory(addresses => {
       if (this.view.leader === undefined) addresses.forEach(address => this._connect(address))
     })
@@ -168,8 +172,7 @@
     this._firstLeaderTimer = setTimeout(() => this._firstLeaderEmitter.fire(), FIRST_LEADER_WAIT_MS)
     const formsGroup = opened.type === 'empty' && settings.bootstrap && settings.seeds.includes(settings.address)
     this._formation = formsGroup ? new GroupFormation(this.id, settings.seeds) : undefined
-    this._voterPlanner = new VoterPlanner(2 * settings.toleratedLosses + 1)
-    this._leaderKnownMs = clock.nowMs()
+    this._voters = this._makeVoters()
     const cutBytes = opened.type === 'recovered' ? opened.cutBytes : 0
     log.info({ replica: this.id, members: this.view.members, commitIndex: this.view.commitIndex, cutBytes }, 'log opened')
     this.corruptions.forEach(item => log.error({ ...item }, 'log is damaged, taking no part'))
@@ -227,8 +230,7 @@
 
   /** True when no leader has been known for longer than elections take. */
   public get isLeaderless (): boolean {
-    const leaderlessMs = this._options.clock.nowMs() - this._leaderKnownMs
-    return this.remoteLeaderAddress === undefined && leaderlessMs > LEADERLESS_JOIN_MS
+    return this.remoteLeaderAddress === undefined && this._voters.isLeaderless
   }
 
   /** Connects to the seeds and the members, and starts the timers. */
@@ -237,7 +239,7 @@
     this.memberAddresses.forEach(address => this._connect(address))
     this._host.start()
     this._announceTimer = setInterval(() => this._announce(), ANNOUNCE_INTERVAL_MS)
-    this._joinTimer = setInterval(() => this._checkMembership(), JOIN_INTERVAL_MS)
+    if (this.corruptions.length === 0) this._voters.start()
   }
 
   /**
@@ -307,10 +309,23 @@
     this._links.broadcast(frame)
   }
 
+  /**
+   * Asks the group to replace this replica as a voter, before the process stops for good.
+   * @param limitMs Longest duration in milliseconds.
+   */
+  public async leave (limitMs: number): Promise<void> {
+    if (this.corruptions.length === 0) await this._voters.leave(limitMs)
+  }
+
+  /** Voters that the leader has not heard for some time; 0 at other replicas. */
+  public get silentVoters (): number {
+    return this._voters.silentVoters
+  }
+
   /** Stops at once without completing pending work. */
   public dispose (): void {
     clearInterval(this._announceTimer)
-    clearInterval(this._joinTimer)
+    this._voters.dispose()
     clearTimeout(this._firstLeaderTimer)
     this._firstLeaderEmitter.fire()
     this._barrier.dispose()
@@ -347,6 +362,19 @@
     })
   }
 
+  private _makeVoters (): VoterHost {
+    const group = (): ReplicaView => this.view
+    const isExcluded = (): boolean => this._isExcluded()
+    return new VoterHost({
+      id: this.id,
+      get view () { return group() },
+      get isExcluded () { return isExcluded() },
+      changeMembers: members => this._host.changeMembers(members),
+      send: (to, frame) => this._links.send(to, frame),
+      broadcast: frame => this._links.broadcast(frame)
+    }, this._options.settings.toleratedLosses, this._options.clock, this._options.log)
+  }
+
   private _makeHello (): ReplicaHello {
     const { address } = this._options.settings
     return { type: 'replicaHello', replica: this.id, incarnation: this._options.clock.wallMs(), address, admin: address }
@@ -358,7 +386,7 @@
   }
 
   private _handleFrame ({ from, frame }: ReplicaFrame): void {
-    this._lastReceivedMs.set(from, this._options.clock.nowMs())
+    this._voters.recordFrame(from)
     const handler = this._handlers[frame.type] as ((from: ReplicaId, frame: ReplicaToReplica) => void) | undefined
     handler?.(from, frame)
   }
@@ -377,6 +405,11 @@
     return { type: 'formation', notice: leader === undefined ? notice : { ...notice, leader } }
   }
 
+  /** True when this replica takes itself for a member, knows no leader, and a member has named others than it. */
+  private _isExcluded (): boolean {
+    return this.view.leader === undefined && this._noticedMembers.length > 0 && !this._noticedMembers.includes(this.id)
+  }
+
   private _recentlyNoticedLeader (): ReplicaId | undefined {
     if (this._noticedLeader === undefined) return undefined
     const { leader, atMs } = this._noticedLeader
@@ -400,44 +433,4 @@
     this._options.log.info({ members }, 'forming the group')
     this._host.formGroup(members)
   }
-
-  /** Adjusts the members at the leader; elsewhere asks to join when outside the group or without a leader for long. */
-  private _checkMembership (): void {
-    const nowMs = this._options.clock.nowMs()
-    const { leader, role } = this.view
-    if (leader !== undefined) this._leaderKnownMs = nowMs
-    if (this.corruptions.length > 0) return
-    if (role === 'leader') return this._adjustMembers(nowMs)
-    const isOutside = !this.isMember
-    const isLeaderless = nowMs - this._leaderKnownMs > LEADERLESS_JOIN_MS
-    if (isOutside || isLeaderless) this._links.broadcast({ type: 'join', replica: this.id })
-  }
-
-  private _adjustMembers (nowMs: number): void {
-    if (this._isChangingMembers) return
-    const group = {
-      self: this.id,
-      members: this.view.members,
-      silenceMs: (member: ReplicaId) =>
-        nowMs - (this._lastReceivedMs.get(member) ?? this._startSilenceTimer(nowMs, member))
-    }
-    const members = this._voterPlanner.nextMembers(group, nowMs)
-    if (members !== undefined) this._changeMembers(members)
-  }
-
-  /** A member that has sent nothing yet counts as silent from the first check on. */
-  private _startSilenceTimer (nowMs: number, member: ReplicaId): number {
-    this._lastReceivedMs.set(member, nowMs)
-    return nowMs
-  }
-
-  private _changeMembers (members: readonly ReplicaId[]): void {
-    this._isChangingMembers = true
-    this._options.log.info({ before: this.view.members, members }, 'changing the members')
-    this._host.changeMembers(members).then(outcome => {
-      this._options.log.info({ members, outcome: outcome.type }, 'members change ended')
-    }).catch((error: Error) => {
-      this._options.log.error({ error: error.message }, 'members change failed')
-    }).finally(() => { this._isChangingMembers = false })
-  }
 }
--- a/src/routecontrol/Types.ts
+++ b/src/routecontrol/Types.ts
@@ -33,6 +33,12 @@
   /** Call of the leader for reports, for all nodes that are connected to the receiver. */
   | { readonly type: 'quotaCollect', readonly answer: QuotaAnswer }
 
+/**
+ * Reply of the leader to a replica that is about to stop. `pending`: it is being replaced; `left`: it is no voter any
+ * more; `alone`: there is no replacement, so it stays a voter, and a restart with its disk changes nothing.
+ */
+export type LeaveState = 'pending' | 'left' | 'alone'
+
 /** Frames from a node to the control replica that it receives updates from. */
 export type NodeToFeed =
   /**
