Validate node entries and addresses where they are received

What callers saw: a node entry with the port 70000, -1 or none, sent to a control replica, was handed to all nodes. Each node that chose such an instance ended with "RangeError: not an address" in FrameClient.start, and again after each restart, as the replicas send the entry to every node that connects. With real processes (3 control replicas, 4 nodes) two nodes ended for each of the three entries, and 12 of 24 requests had no answer.

Cause: frames of other processes were taken as typed without a check, and parseAddress throws outside of any frame handler: in a request, in the timer that reconnects to a control replica, in the relay of operators' calls.

Change: NodeFeed and ControlFeed decode entries and addresses of replicas once, to their known fields and with ranges; an odd one is dropped with a log line and the others hold. A node publishes only itself. connectTo reports an address that is invalid as an error of the socket, like any that can't be reached.

Tests: the fixtures of NodeFeed, ControlFeed, ConnectTimeout, GroupDirectory, RouteControlDaemon, QuotaGroup and MalformedFrames named nodes 'n' or 'stranger', which are no addresses; they are now 'n:1' and 'stranger:1', so that their entries pass the check. What they expect is unchanged.

--- a/src/routecontrol/NodeFeed.test.ts
+++ b/src/routecontrol/NodeFeed.test.ts
@@ -54,7 +54,7 @@
 })
 
 function makeEntry (index: number, revision = 1): NodeEntry {
-  return { node: `n${index}`, zone: 'a', epoch: 1, revision, state: 'up' }
+  return { node: `n${index}:1`, zone: 'a', epoch: 1, revision, state: 'up' }
 }
 
 function makeReport (sequence: number): CrashReport {
@@ -128,6 +128,28 @@
   expect(broadcasts).toEqual([[makeEntry(0, 5)]])
 })
 
+test('an odd entry is dropped, and those beside it are taken', async () => {
+  const node = connectNode(0)
+  await vi.advanceTimersByTimeAsync(1000)
+  const before = node.encodedFrames
+  const odd = [{ ...makeEntry(1), node: 'n1:70000' }, { ...makeEntry(2), epoch: 1e308 }, 'odd', null] as NodeEntry[]
+  nodeEntries.fire({ from: 'other', entries: odd, whole: true })
+  await vi.advanceTimersByTimeAsync(100)
+  expect([node.encodedFrames - before, feed.directory.size]).toEqual([0, 1])
+  nodeEntries.fire({ from: 'other', entries: [...odd, makeEntry(3)], whole: true })
+  await vi.advanceTimersByTimeAsync(100)
+  expect([node.encodedFrames - before, feed.directory.size]).toEqual([1, 2])
+})
+
+test('a node cannot publish that another one is gone', async () => {
+  const [node] = [connectNode(0), connectNode(1)]
+  await vi.advanceTimersByTimeAsync(1000)
+  broadcasts = []
+  node!.publish({ ...makeEntry(1, 9), state: 'gone' })
+  await vi.advanceTimersByTimeAsync(100)
+  expect([broadcasts, feed.directory.size]).toEqual([[], 2])
+})
+
 test('crash reports of a node reach the other nodes, the other replicas and nodes that connect later', async () => {
   const [reporter, other] = [connectNode(0), connectNode(1)]
   await vi.advanceTimersByTimeAsync(1000)
--- a/src/routecontrol/NodeFeed.ts
+++ b/src/routecontrol/NodeFeed.ts
@@ -12,6 +12,7 @@
   ENTRY_BATCH_MS, ENTRY_RESEND_INTERVAL_MS, NODE_CHECK_INTERVAL_MS, NODE_GONE_MS, NODE_TIMEOUT_MS
 } from './Constants.js'
 import { CrashReportStore } from './CrashReportStore.js'
+import { decodeEntries } from './EntryDecoder.js'
 import { redactDeltaKeys, redactKeys } from './KeyRedaction.js'
 import type { RoutingReplica } from './RoutingReplica.js'
 import type { FeedToNode, ForwardedQuotaMessage, NodeToFeed } from './Types.js'
@@ -83,7 +84,10 @@
   private readonly _quotaMessageEmitter = new Emitter<ForwardedQuotaMessage>()
 
   private readonly _handlers: Handlers = {
-    publish: (session, { entry }) => {
+    publish: (session, frame) => {
+      const [entry] = decodeEntries([frame.entry], session.node, this._log)
+      // A node publishes only itself.
+      if (entry?.node !== session.node) return
       session.lastPublished = entry
       this._mergePublished([entry])
     },
@@ -107,7 +111,9 @@
   ) {
     this._crashReports = new CrashReportStore(_replica.id, _clock)
     _replica.onCrashReports(reports => this._addReports(reports, false))
-    _replica.onNodeEntries(({ entries, whole }) => this._mergeFromReplica(entries, whole))
+    _replica.onNodeEntries(({ from, entries, whole }) => {
+      this._mergeFromReplica(decodeEntries(entries, from, _log), whole)
+    })
     _replica.onLinkOpen(() => this._sendAllToReplicas())
     _replica.machine.onChange(() => this._sendRoutingToAll())
     _replica.machine.onEvacuation(evacuation => this._sendEvacuation(evacuation))
@@ -133,7 +139,10 @@
    * @param channel The connection.
    * @param hello The node's first frame.
    */
-  public accept (channel: AcceptedChannel, { entry, version, reports, compress }: FeedHello): void {
+  public accept (channel: AcceptedChannel, hello: FeedHello): void {
+    const { version, reports, compress } = hello
+    const [entry] = decodeEntries([hello.entry], channel.remoteAddress, this._log)
+    if (entry === undefined) return channel.destroy('the entry of the node is invalid')
     const { node } = entry
     const compresses = compress === true
     const session: NodeSession = { node, channel, isWelcomed: false, compresses, version, lastPublished: entry }
--- a/src/routecontrol/OperatorRelay.ts
+++ b/src/routecontrol/OperatorRelay.ts
@@ -1,8 +1,7 @@
-import { connect } from 'node:net'
 import { RelayedCall } from '../parts/relay/RelayedCall.js'
 import { ReplicaRanking } from '../parts/relay/ReplicaRanking.js'
 import type { RelayAction, RelayEvent } from '../parts/relay/Types.js'
-import { parseAddress } from '../runtime/Address.js'
+import { connectTo } from '../runtime/Address.js'
 import { FrameChannel } from '../runtime/FrameChannel.js'
 import { PartTimer } from '../runtime/PartTimer.js'
 import type { Clock, Disposable, Log } from '../runtime/Types.js'
@@ -113,7 +112,7 @@
   }
 
   private _askRemote (replica: string): void {
-    const socket = connect(parseAddress(replica))
+    const socket = connectTo(replica)
     let wasSent = false
     let isDisposed = false
     const connection = {
--- a/src/routecontrol/QuotaGroup.test.ts
+++ b/src/routecontrol/QuotaGroup.test.ts
@@ -69,7 +69,7 @@
 
   public constructor (index: number, replica: string) {
     const random = new SeededRandom(index + 10)
-    const entry = { node: `n${index}`, zone: 'a', epoch: 1, revision: 1, state: 'up' } as const
+    const entry = { node: `n${index}:1`, zone: 'a', epoch: 1, revision: 1, state: 'up' } as const
     this._feed = new ControlFeed([replica], {
       nextEntry: () => entry, crashReports: () => []
     }, clock, random, SILENT_LOG)
--- a/src/routecontrol/RouteControlDaemon.test.ts
+++ b/src/routecontrol/RouteControlDaemon.test.ts
@@ -135,7 +135,7 @@
   const answer = new Promise<string>(resolve => {
     client.onChannel(channel => {
       channel.onMessage(({ type }) => resolve(type))
-      channel.send({ type: 'feedHello', entry: { node: 'n', zone: 'a', epoch: 1, revision: 1, state: 'up' }, version: 0 })
+      channel.send({ type: 'feedHello', entry: { node: 'n:1', zone: 'a', epoch: 1, revision: 1, state: 'up' }, version: 0 })
     })
   })
   client.start()
@@ -184,7 +184,7 @@
   for (const seed of seeds) await start(seed, seeds, true)
   await changeRouting(1, 0)
   await start(outsider, seeds, false)
-  const entry: NodeEntry = { node: 'n', zone: 'a', epoch: 1, revision: 1, state: 'up' }
+  const entry: NodeEntry = { node: 'n:1', zone: 'a', epoch: 1, revision: 1, state: 'up' }
   const source = { nextEntry: () => entry, crashReports: () => [] }
   const feed = new ControlFeed([outsider], source, new SystemClock(), new SeededRandom(1), SILENT_LOG)
   feed.start()
--- a/src/routenode/ConnectTimeout.test.ts
+++ b/src/routenode/ConnectTimeout.test.ts
@@ -39,7 +39,7 @@
 // After a loss of power, the first attempts reach machines that have not started yet. With one long timeout, all nodes
 // stayed without a configuration for as long.
 test('a node whose connect to a control replica gets no answer tries the next one soon, and then more slowly', () => {
-  const entry = { node: 'n', zone: 'a', epoch: 1, revision: 1, state: 'up' } as const
+  const entry = { node: 'n:1', zone: 'a', epoch: 1, revision: 1, state: 'up' } as const
   const feed = new ControlFeed(['h:1', 'h:2', 'h:3'], { nextEntry: () => entry, crashReports: () => [] }, clock, new SeededRandom(1), SILENT)
   client = feed
   feed.start()
--- a/src/routenode/ControlFeed.test.ts
+++ b/src/routenode/ControlFeed.test.ts
@@ -9,7 +9,7 @@
 import { ControlFeed, type EvacuationUpdate } from './ControlFeed.js'
 
 const SILENT = { debug: () => {}, info: () => {}, warn: () => {}, error: () => {} }
-const ENTRY = { node: 'n', zone: 'a', epoch: 1, revision: 1, state: 'up' } as const
+const ENTRY = { node: 'n:1', zone: 'a', epoch: 1, revision: 1, state: 'up' } as const
 const LIMITS = { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 }
 
 const disposables: Disposable[] = []
--- a/src/routenode/ControlFeed.ts
+++ b/src/routenode/ControlFeed.ts
@@ -1,4 +1,3 @@
-import { connect } from 'node:net'
 import type { Socket } from 'node:net'
 import type { EvacuationState } from '../parts/evacuation/Types.js'
 import type { NodeEntry } from '../parts/instances/Types.js'
@@ -7,8 +6,9 @@
 import type { RoutingDelta, VersionedRouting } from '../parts/routing/Types.js'
 import { applyPatch } from '../parts/routing/RoutingDelta.js'
 import type { Random } from '../parts/Types.js'
+import { decodeAddresses, decodeEntries } from '../routecontrol/EntryDecoder.js'
 import type { FeedToNode, NodeToFeed } from '../routecontrol/Types.js'
-import { parseAddress } from '../runtime/Address.js'
+import { connectTo } from '../runtime/Address.js'
 import { CONNECT_TIMEOUT_MAX_MS, CONNECT_TIMEOUT_MIN_MS } from '../runtime/Constants.js'
 import { Emitter } from '../runtime/Emitter.js'
 import { FrameChannel } from '../runtime/FrameChannel.js'
@@ -76,12 +76,13 @@
     welcome: frame => this._onWelcome(frame),
     routing: ({ routing }) => this._apply(routing),
     routingDifferences: ({ differences }) => this._applyDeltas(differences),
-    entries: ({ entries }) => this._entriesEmitter.fire(entries),
+    entries: ({ entries }) => this._entriesEmitter.fire(decodeEntries(entries, this._home, this._log)),
     crashReports: ({ reports }) => this._crashReportsEmitter.fire(reports),
     evacuation: ({ evacuation }) => this._applyEvacuation(evacuation, 0),
     quotaAnswer: ({ answer }) => this._quotaAnswerEmitter.fire(answer),
     // A replica that turns this node away may itself have an old list, so its list adds to what is known.
-    controls: ({ controls }) => {
+    controls: frame => {
+      const controls = decodeAddresses(frame.controls, this._home, this._log)
       if (this._isWelcomed) this._setMembers(controls)
       else this._addMembers(controls)
     },
@@ -146,7 +147,8 @@
 
   /** Takes over the address of a replica that has announced itself; the list of a connected replica goes before it. */
   public addReplica (address: string): void {
-    if (!this._isWelcomed && !this._memberAddresses.includes(address)) this._addMembers([address])
+    if (this._isWelcomed || this._memberAddresses.includes(address)) return
+    this._addMembers(decodeAddresses([address], 'replica', this._log))
   }
 
   /** Starts to connect. */
@@ -193,7 +195,7 @@
   private _connect (): void {
     if (this._isDisposed || this._replicaAddresses.length === 0) return
     const address = this._replicaAddresses[this._nextAddressIndex++ % this._replicaAddresses.length]!
-    const socket = connect(parseAddress(address))
+    const socket = connectTo(address)
     this._socket = socket
     this._welcomeTimer = setTimeout(() => {
       this._connectTimeoutMs = Math.min(2 * this._connectTimeoutMs, CONNECT_TIMEOUT_MAX_MS)
@@ -232,15 +234,23 @@
     if (!this._isDisposed) this._reconnectTimer = setTimeout(() => this._connect(), FEED_RECONNECT_DELAY_MS)
   }
 
-  private _onWelcome (frame: FeedWelcome): void {
+  private get _home (): string {
+    return this._channel?.remoteAddress ?? ''
+  }
+
+  private _onWelcome (received: FeedWelcome): void {
+    const { own: receivedOwn, ...fields } = received
+    const entries = decodeEntries(received.entries, this._home, this._log)
+    const [own] = receivedOwn === undefined ? [] : decodeEntries([receivedOwn], this._home, this._log)
+    const frame: FeedWelcome = { ...fields, entries, ...(own === undefined ? {} : { own }) }
     clearTimeout(this._welcomeTimer)
     this._isWelcomed = true
-    this._setMembers(frame.controls)
-    this._log.info({ home: this._channel?.remoteAddress, nodes: frame.entries.length }, 'control connection open')
+    this._setMembers(decodeAddresses(frame.controls, this._home, this._log))
+    this._log.info({ home: this._home, nodes: entries.length }, 'control connection open')
     this._applyWelcomedEvacuation(frame)
     this._welcomeEmitter.fire(frame)
     if (frame.reports !== undefined) this._crashReportsEmitter.fire(frame.reports)
-    this._entriesEmitter.fire(frame.entries)
+    this._entriesEmitter.fire(entries)
   }
 
   /** A node that has just started must not send a share of its requests to zones that were evacuated before. */
--- a/src/routenode/GroupDirectory.test.ts
+++ b/src/routenode/GroupDirectory.test.ts
@@ -43,7 +43,7 @@
 
 /** Starts what a node knows of control, with a directory at an address. */
 async function startNode (name: string, directoryAddress: string, seeds: readonly string[]): Promise<ControlFeed> {
-  const entry = { node: name, zone: 'a', epoch: 1, revision: 1, state: 'up' } as const
+  const entry = { node: `${name}:1`, zone: 'a', epoch: 1, revision: 1, state: 'up' } as const
   const source = { nextEntry: () => entry, crashReports: () => [] }
   const feed = new ControlFeed(seeds, source, new SystemClock(), new SeededRandom(disposables.size + 1), SILENT)
   const directory = new GroupDirectory(feed, new SystemClock())
--- a/src/runtime/FrameClient.ts
+++ b/src/runtime/FrameClient.ts
@@ -1,6 +1,5 @@
-import { connect } from 'node:net'
 import type { Socket } from 'node:net'
-import { parseAddress } from './Address.js'
+import { connectTo } from './Address.js'
 import { CONNECT_TIMEOUT_MAX_MS, CONNECT_TIMEOUT_MIN_MS, RECONNECT_MAX_MS, RECONNECT_MIN_MS } from './Constants.js'
 import { Emitter } from './Emitter.js'
 import { FrameChannel } from './FrameChannel.js'
@@ -42,7 +41,7 @@
   /** Starts to connect; does nothing while a connection is open or being opened, or after `dispose`. */
   public start (): void {
     if (this._disposed || this._socket !== undefined) return
-    const socket = connect(parseAddress(this.address))
+    const socket = connectTo(this.address)
     this._socket = socket
     const timeout = setTimeout(() => {
       this._connectTimeoutMs = Math.min(2 * this._connectTimeoutMs, CONNECT_TIMEOUT_MAX_MS)
--- a/test/MalformedFrames.test.ts
+++ b/test/MalformedFrames.test.ts
@@ -54,7 +54,7 @@
     for (const item of frames) await sendFrames(address, [item])
     const hello = address === first!.nodeAddress
       ? { type: 'callHello', node: 'stranger' }
-      : { type: 'feedHello', entry: { node: 'stranger', zone: 'a', epoch: 1, revision: 1, state: 'stopping' }, version: 0 }
+      : { type: 'feedHello', entry: { node: 'stranger:1', zone: 'a', epoch: 1, revision: 1, state: 'stopping' }, version: 0 }
     for (const item of frames) await sendFrames(address, [hello, item])
   }
   await started.restart(started.nodes[1]!)
--- /dev/null
+++ b/test/OddEntries.test.ts
@@ -0,0 +1,57 @@
+import { connect } from 'node:net'
+import { afterEach, expect, test } from 'vitest'
+import { SeededRandom } from '../src/parts/SeededRandom.js'
+import { ControlFeed } from '../src/routenode/ControlFeed.js'
+import { parseAddress } from '../src/runtime/Address.js'
+import { FrameChannel } from '../src/runtime/FrameChannel.js'
+import { SystemClock } from '../src/runtime/SystemClock.js'
+import { RouteMesh } from './support/RouteMesh.js'
+
+const INSTANCE = { id: 'i-x', bornMs: 5, service: 'svc', slots: 1000, state: 'ready' }
+
+const SILENT = { debug: () => {}, info: () => {}, warn: () => {}, error: () => {} }
+
+let mesh: RouteMesh | undefined
+
+afterEach(() => {
+  mesh?.dispose()
+  mesh = undefined
+})
+
+/** Sends frames on a connection of their own, which stays open until the other end closes it or a while has passed. */
+async function sendFrames (address: string, frames: readonly object[]): Promise<void> {
+  const { host, port } = parseAddress(address)
+  const socket = connect(port, host)
+  await new Promise(resolve => socket.once('connect', resolve))
+  const channel = new FrameChannel<object, object>(socket, new SystemClock())
+  for (const frame of frames) channel.send(frame)
+  await new Promise(resolve => setTimeout(resolve, 400))
+  channel.dispose()
+}
+
+// Nodes threw an uncaught error when they chose such an instance, and again after each restart.
+test('an entry whose port is out of range ends no process and takes no requests', async () => {
+  const started = await RouteMesh.start(2)
+  mesh = started
+  for (const node of ['127.0.0.1:70000', '127.0.0.1:-1', '127.0.0.1', 'stranger']) {
+    const entry = { node, zone: 'a', epoch: 1, revision: 1, state: 'up', instance: INSTANCE }
+    await sendFrames(started.nodes[0]!.settings.seeds[0]!, [{ type: 'feedHello', entry, version: 0 }])
+  }
+  for (let count = 0; count < 8; count++) {
+    for (const node of started.nodes) expect((await started.call(node, '/read/x')).statusCode).toBe(200)
+  }
+})
+
+test('an address of a control replica that cannot be connected to ends no node', async () => {
+  const started = await RouteMesh.start(1)
+  mesh = started
+  const entry = { node: '127.0.0.1:9', zone: 'a', epoch: 1, revision: 1, state: 'stopping' } as const
+  const seeds = ['127.0.0.1:70000', ...started.nodes[0]!.settings.seeds]
+  const source = { nextEntry: () => entry, crashReports: () => [] }
+  const feed = new ControlFeed(seeds, source, new SystemClock(), new SeededRandom(1), SILENT)
+  const welcomed = new Promise<void>(resolve => feed.onWelcome(() => resolve()))
+  feed.addReplica('127.0.0.1:-1')
+  feed.start()
+  await welcomed
+  feed.dispose()
+})
