Keep the order of packets in the paced relay of the tests

Timers that are set while the event loop is busy are based on a time that is behind the clock, so that a later packet could be written before an earlier one: a test in the process that also sent large frames saw 'invalid frame: Invalid property name type object' on an intact connection. Each timer now writes the packet at the head of the queue. Rates and tests are unchanged.

--- a/test/support/PacedRelay.ts
+++ b/test/support/PacedRelay.ts
@@ -44,12 +44,15 @@
     from.on('error', () => {})
     from.once('close', () => to.destroy())
     let freeAtMs = 0
+    // Timers that were set while the event loop was busy may fire out of order.
+    const packets: Buffer[] = []
     from.on('data', (chunk: Buffer) => {
       for (let start = 0; start < chunk.length; start += PACKET_BYTES) {
         const packet = chunk.subarray(start, start + PACKET_BYTES)
         const nowMs = performance.now()
         freeAtMs = Math.max(nowMs, freeAtMs) + packet.length * BITS_PER_BYTE / (this._mbps * BITS_PER_MS_AND_MBPS)
-        setTimeout(() => { to.write(packet) }, freeAtMs - nowMs)
+        packets.push(packet)
+        setTimeout(() => { to.write(packets.shift()!) }, freeAtMs - nowMs)
       }
     })
   }
