Send a node the newest configuration once it has confirmed the one before

Behind a slow link a storm of large changes came into force late: with 40 changes of 1,000 routes on a link of 5 Mbit/s the last one took 7.2 to 7.5 s after its acknowledgement, where 2 s are promised.

Each version was written to the connection of each node, whatever still waited there, so versions in between queued in the buffers of the process and of the operating system. And the differences for a node that lagged were one delta for each version, so that the frame grew with the lag, up to 64 times a full copy.

Nodes now confirm what they have brought into force, and a replica sends the next version after the confirmation of the one before: one frame at most is on its way, and the next has the newest version. Its deltas are merged into one that names each item once, and a full copy is sent where that names more routes. A node that doesn't confirm, of an earlier version, is sent each version as before, and an earlier replica ignores the confirmations.

A replica can tell from its own clock how long a node lacked a version; from 1 s on it logs that.

--- a/src/parts/routing/RoutingDelta.ts
+++ b/src/parts/routing/RoutingDelta.ts
@@ -42,6 +42,50 @@
   }
 }
 
+/**
+ * Returns one delta with the effect of several, so that an item that has changed repeatedly is named once.
+ * @param deltas At least one, oldest first, each from the version of the one before.
+ */
+export function mergeDeltas (deltas: readonly RoutingDelta[]): RoutingDelta {
+  const first = deltas[0]!
+  if (deltas.length === 1) return first
+  const routes = mergeChanges(deltas.map(({ upsertRoutes, removeRoutes }) => [upsertRoutes, removeRoutes]))
+  const services = mergeChanges(deltas.map(({ upsertServices, removeServices }) => [upsertServices, removeServices]))
+  const withWorkspaces = deltas.filter(delta => (delta.upsertWorkspaces ?? delta.removeWorkspaces) !== undefined)
+  const workspaces = mergeChanges(withWorkspaces.map(({ upsertWorkspaces = [], removeWorkspaces = [] }) => {
+    return [upsertWorkspaces, removeWorkspaces]
+  }))
+  const limits = deltas.findLast(delta => delta.limits !== undefined)?.limits
+  return {
+    from: first.from,
+    version: deltas.at(-1)!.version,
+    upsertRoutes: routes.upserts,
+    upsertServices: services.upserts,
+    removeRoutes: routes.removals,
+    removeServices: services.removals,
+    ...(withWorkspaces.length === 0
+      ? {}
+      : { upsertWorkspaces: workspaces.upserts, removeWorkspaces: workspaces.removals }),
+    ...(limits === undefined ? {} : { limits })
+  }
+}
+
+/** An item that was removed and added again is both, since it has lost its position. */
+function mergeChanges<Item extends NamedItem> (
+  changes: ReadonlyArray<readonly [upserts: readonly Item[], removals: readonly string[]]>
+): { readonly upserts: readonly Item[], readonly removals: readonly string[] } {
+  const upserts = new Map<string, Item>()
+  const removals = new Set<string>()
+  for (const [added, removed] of changes) {
+    for (const name of removed) {
+      upserts.delete(name)
+      removals.add(name)
+    }
+    added.forEach(item => upserts.set(item.name, item))
+  }
+  return { upserts: [...upserts.values()], removals: [...removals] }
+}
+
 /** A configuration that has had workspaces keeps an empty list: removing the last one does not lift the keys. */
 function mergeWorkspaces (
   { workspaces }: RoutingConfiguration, { upsertWorkspaces, removeWorkspaces }: RoutingPatch
--- a/src/routecontrol/NodeFeed.ts
+++ b/src/routecontrol/NodeFeed.ts
@@ -5,14 +5,13 @@
 import type { CrashReport } from '../parts/quarantine/Types.js'
 import type { NodeId } from '../parts/Types.js'
 import { Emitter } from '../runtime/Emitter.js'
-import { type EncodedMessage, encodeMessage } from '../runtime/FrameChannel.js'
-import { encodeCompressed } from '../runtime/FrameCompression.js'
+import { encodeMessage } from '../runtime/FrameChannel.js'
 import type { Clock, Disposable, Log } from '../runtime/Types.js'
 import {
   ENTRY_BATCH_MS, ENTRY_RESEND_INTERVAL_MS, NODE_CHECK_INTERVAL_MS, NODE_GONE_MS, NODE_TIMEOUT_MS
 } from './Constants.js'
 import { CrashReportStore } from './CrashReportStore.js'
-import { redactDeltaKeys, redactKeys } from './KeyRedaction.js'
+import { RoutingDelivery, type RoutingReceiver } from './RoutingDelivery.js'
 import type { RoutingReplica } from './RoutingReplica.js'
 import type { FeedToNode, ForwardedQuotaMessage, NodeToFeed } from './Types.js'
 
@@ -23,15 +22,9 @@
 type FeedWelcome = Extract<FeedToNode, { type: 'welcome' }>
 
 /** A connected node. */
-interface NodeSession {
-  readonly node: NodeId
-  readonly channel: AcceptedChannel
+interface NodeSession extends RoutingReceiver {
   /** False until a quorum has confirmed that this replica is up to date and the welcome frame is sent. */
   isWelcomed: boolean
-  /** True when large frames to this node are compressed. */
-  readonly compresses: boolean
-  /** Routing version that the node has or that was sent to it; 0 for none. */
-  version: number
   /** Entry that the node published last on this connection. */
   lastPublished: NodeEntry
 }
@@ -54,8 +47,7 @@
  * that it connects to.
  *
  * Memory: the directory, the crash reports, one session for each connected node, one entry for each node that
- * disconnected within `NODE_GONE_MS`, the changed entries of `ENTRY_BATCH_MS`, and the frames that bring nodes from
- * other versions to the one in force, at most one for each of `MAX_DELTAS` versions and a full copy.
+ * disconnected within `NODE_GONE_MS`, the changed entries of `ENTRY_BATCH_MS`, and what `RoutingDelivery` keeps.
  */
 export class NodeFeed implements Disposable {
   private readonly _directory = new NodeDirectory()
@@ -75,9 +67,7 @@
   private readonly _resendTimer: NodeJS.Timeout
   /** Addresses of the control replicas that were sent to nodes last, joined by commas. */
   private _sentControls = ''
-  /** Frames with the routing configuration, by the version of the receiver and whether they are compressed. */
-  private readonly _encodedRoutings = new Map<string, EncodedMessage>()
-  private _encodedVersion = 0
+  private readonly _delivery: RoutingDelivery
   /** When this replica applied the last change of the evacuated zones, in monotonic milliseconds. */
   private _evacuationAtMs: number | undefined
   private readonly _quotaMessageEmitter = new Emitter<ForwardedQuotaMessage>()
@@ -90,10 +80,8 @@
     crashReports: (_session, { reports }) => this._addReports(reports, true),
     quotaAsk: ({ node }, { message }) => this._quotaMessageEmitter.fire({ node, message }),
     feedPing: session => this._send(session, { type: 'feedPong', fit: this._replica.canServeNodes }),
-    askRouting: session => {
-      session.version = 0
-      this._sendRouting(session)
-    }
+    askRouting: session => this._delivery.sendFullCopy(session),
+    routingInForce: (session, { version }) => this._delivery.confirm(session, version)
   }
 
   /**
@@ -106,6 +94,8 @@
     private readonly _log: Log
   ) {
     this._crashReports = new CrashReportStore(_replica.id, _clock)
+    this._delivery = new RoutingDelivery(_replica.machine.store, _clock, _log)
+    this.onConfirmation = this._delivery.onConfirmation
     _replica.onCrashReports(reports => this._addReports(reports, false))
     _replica.onNodeEntries(({ entries, whole }) => this._mergeFromReplica(entries, whole))
     _replica.onLinkOpen(() => this._sendAllToReplicas())
@@ -118,6 +108,14 @@
   /** Fires with the messages of connected nodes about quotas. */
   public readonly onQuotaMessage = this._quotaMessageEmitter.event
 
+  /** Fires when a node has confirmed that a version of the routing configuration is in force there. */
+  public readonly onConfirmation: RoutingDelivery['onConfirmation']
+
+  /** Longest time for which a connected node has lacked a version that this replica has, in milliseconds. */
+  public get longestDeliveryMs (): number {
+    return this._delivery.longestWaitMs(this._sessions.values())
+  }
+
   /** Number of connected nodes. */
   public get size (): number {
     return this._sessions.size
@@ -133,10 +131,19 @@
    * @param channel The connection.
    * @param hello The node's first frame.
    */
-  public accept (channel: AcceptedChannel, { entry, version, reports, compress }: FeedHello): void {
-    const { node } = entry
-    const compresses = compress === true
-    const session: NodeSession = { node, channel, isWelcomed: false, compresses, version, lastPublished: entry }
+  public accept (channel: AcceptedChannel, { entry, version, reports, compress, confirms }: FeedHello): void {
+    const session: NodeSession = {
+      node: entry.node,
+      channel,
+      isWelcomed: false,
+      compresses: compress === true,
+      confirms: confirms === true,
+      version,
+      unconfirmed: undefined,
+      unconfirmedSinceMs: 0,
+      dueSinceMs: undefined,
+      lastPublished: entry
+    }
     this._sessions.get(entry.node)?.channel.destroy('replaced by a newer connection of the node')
     this._sessions.set(entry.node, session)
     channel.onMessage(frame => {
@@ -182,7 +189,7 @@
       ...this._describeEvacuation()
     })
     session.isWelcomed = true
-    this._sendRouting(session)
+    this._delivery.send(session)
     this._mergePublished([entry])
   }
 
@@ -291,37 +298,10 @@
 
   private _sendRoutingToAll (): void {
     for (const session of this._sessions.values()) {
-      if (session.isWelcomed) this._sendRouting(session)
+      if (session.isWelcomed) this._delivery.send(session)
     }
   }
 
-  /** Sends the version in force: as differences where they are still kept, otherwise as a full copy. */
-  private _sendRouting (session: NodeSession): void {
-    const { inForce } = this._replica.machine.store
-    if (inForce.version <= session.version) return
-    const frame = this._encodeRouting(session.version, session.compresses)
-    session.version = inForce.version
-    session.channel.sendEncoded(frame)
-  }
-
-  /** Many nodes need the same frame, after a change or a restart, so the frames of the version in force are kept. */
-  private _encodeRouting (fromVersion: number, compresses: boolean): EncodedMessage {
-    const { store } = this._replica.machine
-    const { inForce } = store
-    if (this._encodedVersion !== inForce.version) this._encodedRoutings.clear()
-    this._encodedVersion = inForce.version
-    const differences = fromVersion === 0 ? undefined : store.deltasSince(fromVersion)
-    const key = `${differences === undefined ? 0 : fromVersion} ${compresses}`
-    const kept = this._encodedRoutings.get(key)
-    if (kept !== undefined) return kept
-    const frame: FeedToNode = differences === undefined
-      ? { type: 'routing', routing: redactKeys(inForce) }
-      : { type: 'routingDifferences', differences: differences.map(redactDeltaKeys) }
-    const encoded = compresses ? encodeCompressed(frame) : encodeMessage(frame)
-    this._encodedRoutings.set(key, encoded)
-    return encoded
-  }
-
   private _sendEvacuation (evacuation: EvacuationState): void {
     this._evacuationAtMs = this._clock.nowMs()
     this._log.info({ ...evacuation, nodes: this._sessions.size }, 'evacuated zones changed')
--- a/src/routecontrol/Types.ts
+++ b/src/routecontrol/Types.ts
@@ -38,13 +38,14 @@
   /**
    * First frame of a connection; `version` is the routing version in force at the node, 0 for none. `reports` are those
    * of suspect requests, absent when there are none. `compress` is present when the node has a slow link, so that large
-   * frames should be compressed.
+   * frames should be compressed; `confirms` when the node sends `routingInForce`.
    */
   | {
     readonly type: 'feedHello',
     readonly entry: NodeEntry,
     readonly version: number,
     readonly compress?: true,
+    readonly confirms?: true,
     readonly reports?: readonly CrashReport[]
   }
   | CrashReportsFrame
@@ -53,6 +54,8 @@
   | { readonly type: 'publish', readonly entry: NodeEntry }
   /** Checks that the replica is reachable and has a leader. */
   | { readonly type: 'feedPing' }
+  /** Confirms a received configuration: at least this version is in force at the node. */
+  | { readonly type: 'routingInForce', readonly version: number }
   /** Asks for a full copy after differences that don't apply to the node's version. */
   | { readonly type: 'askRouting' }
 
--- a/src/routenode/Constants.ts
+++ b/src/routenode/Constants.ts
@@ -60,7 +60,7 @@
  * Time until the welcome after which a node that has been connected before tries the next replica, in milliseconds; it
  * doubles up to `FEED_WELCOME_TIMEOUT_MS`. Two more silent replicas then end within 3 s of the first one's last frame.
  */
-export const FEED_WELCOME_TIMEOUT_MIN_MS = 400
+export const FEED_WELCOME_TIMEOUT_MIN_MS = 300
 
 /** Delay before a connect to the next control replica, in milliseconds. */
 export const FEED_RECONNECT_DELAY_MS = 100
--- a/src/routenode/ControlFeed.ts
+++ b/src/routenode/ControlFeed.ts
@@ -208,11 +208,11 @@
       socket.destroy(new Error('connect to the control replica timed out'))
     }, this._connectTimeoutMs)
     socket.on('error', error => this._log.debug({ address, error: error.message }, 'control connection failed'))
-    socket.once('close', () => this._onClose(address))
-    socket.once('connect', () => this._sendHello(socket))
+    socket.once('close', () => { if (this._channel === undefined) this._onClose(address, 'not connected') })
+    socket.once('connect', () => this._sendHello(socket, address))
   }
 
-  private _sendHello (socket: Socket): void {
+  private _sendHello (socket: Socket, address: string): void {
     clearTimeout(this._welcomeTimer)
     this._connectTimeoutMs = CONNECT_TIMEOUT_MIN_MS
     this._welcomeTimer = setTimeout(() => {
@@ -222,7 +222,9 @@
     const channel = new FrameChannel<FeedToNode, NodeToFeed>(socket, this._clock)
     this._channel = channel
     channel.onMessage(frame => this._handle(frame))
-    const hello = { type: 'feedHello', entry: this._source.nextEntry(), version: this._routing?.version ?? 0 } as const
+    channel.onClose(reason => this._onClose(address, reason))
+    const version = this._routing?.version ?? 0
+    const hello = { type: 'feedHello', entry: this._source.nextEntry(), version, confirms: true } as const
     const reports = this._source.crashReports()
     const compress = this._source.hasSlowLink ? { compress: true as const } : {}
     channel.send({ ...hello, ...compress, ...(reports.length === 0 ? {} : { reports }) })
@@ -233,7 +235,7 @@
     handler?.(frame)
   }
 
-  private _onClose (address: string): void {
+  private _onClose (address: string, reason: string): void {
     clearTimeout(this._welcomeTimer)
     if (this._isWelcomed) this._log.warn({ address, version: this._routing?.version }, 'control connection lost')
     this._isWelcomed = false
@@ -310,9 +312,12 @@
   }
 
   private _apply (routing: VersionedRouting): void {
-    if (routing.version <= (this._routing?.version ?? 0)) return
-    this._routing = routing
-    this._log.info({ version: routing.version, routes: routing.configuration.routes.length }, 'configuration in force')
-    this._routingEmitter.fire(routing)
+    const version = this._routing?.version ?? 0
+    if (routing.version > version) {
+      this._routing = routing
+      this._routingEmitter.fire(routing)
+      this._log.info({ version: routing.version, routes: routing.configuration.routes.length }, 'configuration in force')
+    }
+    this._channel?.send({ type: 'routingInForce', version: Math.max(version, routing.version) })
   }
 }
