Report a configuration as in force only when it is

A node counted a version as in force before its listeners had taken it over. When one of them failed, the connection was closed, the node named the new version to the next replica, and it was never sent again: the node served the older version and reported the newer one. The version is now set after the listeners; the reason for which a control connection ended is logged.

The new test failed before: the second hello named version 1, and no configuration followed.

--- a/src/routenode/ControlFeed.test.ts
+++ b/src/routenode/ControlFeed.test.ts
@@ -162,3 +162,26 @@
   expect(connections).toBe(1)
   expect(feed.replicaAddress).toBe(address)
 })
+
+test('a version that failed to come into force is not reported as in force and is sent again', async () => {
+  const server = new FrameServer<NodeToFeed, FeedToNode>(new SystemClock())
+  const address = await server.listen((await findFreeAddresses(1))[0] as string)
+  const versions: number[] = []
+  const configuration = { routes: [], services: [], limits: LIMITS }
+  server.onChannel(channel => channel.onMessage(frame => {
+    if (frame.type !== 'feedHello') return
+    versions.push(frame.version)
+    channel.send({ type: 'welcome', entries: [], controls: [address] })
+    if (frame.version < 1) channel.send({ type: 'routing', routing: { version: 1, configuration } })
+  }))
+  const feed = makeFeed(address, 1)
+  disposables.push(feed, server)
+  let attempts = 0
+  const applied = new Promise<void>(resolve => feed.onRouting(() => {
+    if (++attempts === 1) throw new Error('listener failed')
+    resolve()
+  }))
+  feed.start()
+  await applied
+  expect(versions).toEqual([0, 0])
+})
--- a/src/routenode/ControlFeed.ts
+++ b/src/routenode/ControlFeed.ts
@@ -237,7 +237,7 @@
 
   private _onClose (address: string, reason: string): void {
     clearTimeout(this._welcomeTimer)
-    if (this._isWelcomed) this._log.warn({ address, version: this._routing?.version }, 'control connection lost')
+    if (this._isWelcomed) this._log.warn({ address, version: this._routing?.version, reason }, 'control connection lost')
     this._isWelcomed = false
     this._channel = undefined
     if (!this._isDisposed) this._reconnectTimer = setTimeout(() => this._connect(), FEED_RECONNECT_DELAY_MS)
@@ -314,8 +314,9 @@
   private _apply (routing: VersionedRouting): void {
     const version = this._routing?.version ?? 0
     if (routing.version > version) {
-      this._routing = routing
+      // A listener that fails leaves the earlier version in force, so that this one is sent again.
       this._routingEmitter.fire(routing)
+      this._routing = routing
       this._log.info({ version: routing.version, routes: routing.configuration.routes.length }, 'configuration in force')
     }
     this._channel?.send({ type: 'routingInForce', version: Math.max(version, routing.version) })
