Route requests in absolute form, and hosts with a final dot or a port

A request in absolute form (RFC 9112, section 3.2.2), as a caller sends it that treats its node as a proxy, and one whose Host ends with the dot of a fully qualified name, got 404 for a route that is in the configuration; a route whose host names a port could never be found, since the port of the request was cut off.

The target is now read in one place: the authority of an absolute target replaces the Host header, instances get the path with the query, hosts are compared in lower case without a final dot, and routes whose host has the port of the request go before those without a port.

--- a/src/parts/routing/RouteTable.ts
+++ b/src/parts/routing/RouteTable.ts
@@ -1,4 +1,5 @@
 import type { Random, ServiceName } from '../Types.js'
+import { normalizeHost, withoutPort } from './RequestTarget.js'
 import { WeightedRoundRobin } from './WeightedRoundRobin.js'
 import type { Route, RoutedService, VersionedRouting } from './Types.js'
 
@@ -47,10 +48,16 @@
 
   /**
    * Returns the route of a request, or undefined when none matches.
-   * @param host Host of the request, in lower case and without a port.
+   * @param host Host of the request, with or without a port. Routes whose host has that port go before the others.
    * @param path Path of the request, without a query.
    */
   public find (host: string, path: string): RouteEntry | undefined {
+    const normalized = normalizeHost(host)
+    const hostOnly = withoutPort(normalized)
+    return this._findAt(normalized, path) ?? (hostOnly === normalized ? undefined : this._findAt(hostOnly, path))
+  }
+
+  private _findAt (host: string, path: string): RouteEntry | undefined {
     const byPrefix = this._byHost.get(host)
     if (byPrefix === undefined) return undefined
     // Prefixes end with a slash, so only the parts of the path up to one of its slashes can match.
@@ -67,7 +74,7 @@
   }
 
   private _add (route: Route, earlier: RouteEntry | undefined, random: Random): void {
-    const host = route.host.toLowerCase()
+    const host = normalizeHost(route.host)
     const byPrefix = this._byHost.get(host) ?? new Map<string, RouteEntry>()
     if (!byPrefix.has(route.pathPrefix)) byPrefix.set(route.pathPrefix, makeEntry(route, earlier, random))
     this._byHost.set(host, byPrefix)
--- a/src/routenode/Gateway.ts
+++ b/src/routenode/Gateway.ts
@@ -7,6 +7,7 @@
 import { CallerWaitEstimate } from '../parts/routing/CallerWaitEstimate.js'
 import { DEFAULT_CALLER_LIMITS } from '../parts/routing/Constants.js'
 import type { CallerLimits, Route, Workspace } from '../parts/routing/Types.js'
+import { parseRequestTarget, type RequestTarget } from '../parts/routing/RequestTarget.js'
 import type { RouteEntry, RouteTable } from '../parts/routing/RouteTable.js'
 import type { BodyLease } from '../parts/transfer/BodyMemory.js'
 import { computeTransferMs } from '../parts/transfer/TransferTime.js'
@@ -156,7 +157,8 @@
     if (table === undefined) {
       return this._refuseUnrouted(message, response, 503, 'no-configuration', this._notReadyRetryAfterMs(message))
     }
-    const entry = this._findRoute(table, message)
+    const target = parseRequestTarget(message.url ?? '/', message.headers.host)
+    const entry = table.find(target.host, target.path)
     if (entry === undefined) return this._refuseUnrouted(message, response, 404, 'no-route')
     const origin = this._identify(message, entry.route)
     if (origin === undefined) return this._refuseUnknownKey(message, response)
@@ -174,7 +176,7 @@
       if (result.type !== 'whole' || isRefused) return
       if (this._refuseIfStopping(message, response, origin)) return lease.release()
       if (!isUpload) lease.grow(result.bytes.length)
-      const request = this._buildRequest(message, entry, table, origin, result.bytes, arrivedAtMs)
+      const request = this._buildRequest(message, target, entry, table, origin, result.bytes, arrivedAtMs)
       this._start(message, response, request, lease)
     }, isUpload ? lease : undefined)
   }
@@ -262,15 +264,9 @@
     return jitterFactor * Math.min(NOT_READY_RETRY_AFTER_MS, deadlineMs * RETRY_AFTER_MAX_SHARE)
   }
 
-  private _findRoute (table: RouteTable, message: IncomingMessage): RouteEntry | undefined {
-    const host = (message.headers.host ?? '').replace(/:\d+$/, '').toLowerCase()
-    const target = message.url ?? '/'
-    const query = target.indexOf('?')
-    return table.find(host, query < 0 ? target : target.slice(0, query))
-  }
-
   private _buildRequest (
     message: IncomingMessage,
+    target: RequestTarget,
     entry: RouteEntry,
     table: RouteTable,
     { parent, keys, workspace }: RequestOrigin,
@@ -284,14 +280,15 @@
       ? 0
       : this._callerWaitEstimate.recordDeadline(route.name, deadlineMs, arrivedAtMs)
     const dropped = keys === undefined ? this._droppedHeaders : this._droppedWithKeys
-    const headers = selectEndToEnd(message.rawHeaders, dropped)
+    const headers = selectEndToEnd(message.rawHeaders, target.isAbsolute ? new Set([...dropped, 'host']) : dropped)
+    if (target.isAbsolute) headers.push('host', target.host)
     headers.push(names.callerService, callerService())
     if (workspace !== undefined) headers.push(names.workspace, workspace.name)
     const requestId = readHeader(message, names.requestId) ?? ''
     return {
       requestId,
       method: message.method ?? 'GET',
-      target: message.url ?? '/',
+      target: target.originForm,
       headers,
       body,
       route,
