Begin weighted round robins at different steps whatever the scale of the weights

Nodes that began a round robin together, after a change of the weights or a start, sent their first requests to the same service when the weights added up to much more than 1,000 or to less than 1: with 12345 and 12345 over nodes that had one request each, one service got 0.99 of them instead of 0.5, where 0.2 off is allowed.

The number of skipped steps was the phase times the sum of the weights, cut at 1,000, so that nearly all nodes skipped 1,000 steps, a multiple of most sequences, or none. It is now the phase times 1,000.

--- a/src/parts/routing/WeightedRoundRobin.ts
+++ b/src/parts/routing/WeightedRoundRobin.ts
@@ -18,8 +18,8 @@
   public constructor (private readonly _shares: readonly SplitShare[], phase: number) {
     this._totalWeight = _shares.reduce((sum, share) => sum + share.weight, 0)
     this._currentWeights = _shares.map(() => 0)
-    const skipped = Math.floor(phase * this._totalWeight)
-    for (let i = 0; i < Math.min(skipped, MAX_INITIAL_SKIP); i++) this.next()
+    const skipped = Math.floor(phase * INITIAL_SKIPS)
+    for (let i = 0; i < skipped; i++) this.next()
   }
 
   /** Returns the service of the next request. */
@@ -34,5 +34,8 @@
   }
 }
 
-/** Most steps that the phase skips; the sequence of percentage weights repeats after 100. */
-const MAX_INITIAL_SKIP = 1000
+/**
+ * Steps among which the phase chooses the first one, whatever the scale of the weights: several times the length of
+ * most sequences; that of percentage weights repeats after 100.
+ */
+const INITIAL_SKIPS = 1000
