Check what is forwarded as HTTP where it is received

What callers saw: one byte of an instance's answer (a space in a header name, or an empty name) ended the node beside it with ERR_INVALID_HTTP_TOKEN, with all requests that it held; an answer of another node's instance broke the link with all calls on it. A tab or a form feed in a request target (ERR_UNESCAPED_CHARACTERS), and an empty header name in a request, did the same.

Cause: Node.js reads heads that it refuses to write, and the error is thrown where the head is written: in the responder, in http.request or in a frame handler.

Change: HeadSyntax has the syntax that can be written, and each receiver checks it: the gateway (400), the client of the instance (502 answer-invalid, and the connection is not used again), the link to another node (the call fails as unknown) and the proxy of the instance, for names that the configuration adds (503 request-invalid; the instance counts as neither unreachable nor declining). Frames of calls and their outcomes are checked field by field; a malformed one fails its call, not the link. An id that can't be sent as a header in a health answer finds no instance.

Tests: the call in InstanceProxy.test.ts had no method, target and headers; it has them now, as the proxy reads them. What it expects is unchanged.

--- a/src/node/ingress/MalformedHead.ts
+++ b/src/node/ingress/MalformedHead.ts
@@ -1,12 +1,13 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
+import { areWritableHeaders, isWritableTarget } from '../HeadSyntax.js'
 
 /**
- * Answers a request with 400 and closes its connection when a header name contains a space. Some releases of Node.js 20
- * accept such names, and an upstream could read them as other headers.
+ * Answers a request with 400 and closes its connection when its head can't be forwarded: some releases of Node.js 20
+ * accept spaces and empty texts as header names, which an upstream could read as other headers, and tabs in targets.
  * @returns True when the request was answered.
  */
 export function refuseMalformedHead (message: IncomingMessage, response: ServerResponse): boolean {
-  const isMalformed = message.rawHeaders.some((text, index) => index % 2 === 0 && text.includes(' '))
+  const isMalformed = !areWritableHeaders(message.rawHeaders) || !isWritableTarget(message.url)
   if (isMalformed) response.writeHead(400, { connection: 'close', 'content-length': 0 }).end()
   return isMalformed
 }
--- a/src/routenode/CallLink.test.ts
+++ b/src/routenode/CallLink.test.ts
@@ -159,3 +159,27 @@
   await pinged
   expect(frames).toEqual(['callHello', 'call', 'ping'])
 })
+
+const ODD_OUTCOMES: readonly object[] = [
+  { type: 'answer', answer: { status: 200, headers: ['a b', 'c'], body: new Uint8Array(0) }, load: LOAD },
+  { type: 'answer', answer: { status: 99, headers: [], body: new Uint8Array(0) }, load: LOAD },
+  { type: 'answer', answer: { status: 200, headers: ['a'], body: new Uint8Array(0) }, load: LOAD },
+  { type: 'answer', answer: { status: 200, headers: [], body: 'text' }, load: LOAD },
+  { type: 'answer', answer: { status: 200, headers: [], body: new Uint8Array(0) }, bodyBytes: -1, load: LOAD },
+  { type: 'answer', load: LOAD },
+  { type: 'turnedAway', reason: 'busy', retryAfterMs: 0, load: { ...LOAD, workMs: 'x' } },
+  { type: 'turnedAway', reason: 'busy', retryAfterMs: NaN, load: LOAD },
+  { type: 'failed', proof: 'other', reason: 'timeout', load: LOAD }
+]
+
+test('a malformed outcome of a call fails that call and keeps the link', async () => {
+  const outcomes = [...ODD_OUTCOMES]
+  const peer = await connectLink(frame => {
+    if (frame.type !== 'call') return undefined
+    const odd = outcomes.shift() ?? { type: 'failed', proof: 'unsent', reason: 'request-invalid' }
+    return { ...odd, id: frame.call.id } as CallServerFrame
+  })
+  for (const outcome of ODD_OUTCOMES) expect([outcome, await runCall(peer.link)]).toEqual([outcome, 'unknown answer-invalid'])
+  expect(await runCall(peer.link)).toBe('unsent request-invalid')
+  expect(peer.link.isOpen).toBe(true)
+})
--- a/src/routenode/CallLink.ts
+++ b/src/routenode/CallLink.ts
@@ -6,6 +6,7 @@
 import type { Clock, Disposable } from '../runtime/Types.js'
 import { type BodyResources, BodyTransfer, makeDefaultBodyResources } from './BodyTransfer.js'
 import { LINK_OPEN_WAIT_MS, LINK_PING_INTERVAL_MS, LINK_TIMEOUT_MS } from './Constants.js'
+import { isOutcomeFrame } from './FrameChecks.js'
 import type {
   CallClientFrame, CallServerFrame, RoutedCall, RoutedCallHandle, RoutedCallListener, RoutedCallTarget
 } from './Types.js'
@@ -32,6 +33,9 @@
 
 const NO_BYTES = new Uint8Array(0)
 
+/** Frames that end a call. */
+const OUTCOME_TYPES: ReadonlySet<unknown> = new Set<CallServerFrame['type']>(['answer', 'turnedAway', 'failed'])
+
 /**
  * Connection to another node for calls to its instance. Answers are matched by call id within one connection, so an
  * answer from before a reconnect matches no call. A link that times out while calls are outstanding is closed; those
@@ -155,6 +159,7 @@
     this._isUnresponsive = false
     channel.onMessage(frame => {
       this._setUnresponsive(false)
+      if (OUTCOME_TYPES.has(frame.type) && !isOutcomeFrame(frame)) return this._failMalformed(frame)
       const handler = this._handlers[frame.type] as ((frame: CallServerFrame) => void) | undefined
       handler?.(frame)
     })
@@ -173,6 +178,12 @@
     this._pingTimer ??= setInterval(() => this._checkLiveness(), LINK_PING_INTERVAL_MS)
   }
 
+  /** The call may have run. */
+  private _failMalformed (frame: CallServerFrame): void {
+    const { id } = frame as Partial<Extract<CallServerFrame, { type: 'failed' }>>
+    if (id !== undefined) this._takeListener(id)?.onFailed('unknown', 'answer-invalid', undefined)
+  }
+
   private _cancel (id: CallId): void {
     if (this._listeners.delete(id)) this._client.channel?.send({ type: 'cancel', id })
     this._waitingCalls.delete(id)
--- a/src/routenode/CallServer.ts
+++ b/src/routenode/CallServer.ts
@@ -5,6 +5,7 @@
 import type { Clock, Disposable } from '../runtime/Types.js'
 import { type BodyResources, BodyTransfer, makeDefaultBodyResources } from './BodyTransfer.js'
 import { LINK_TIMEOUT_MS } from './Constants.js'
+import { isRoutedCall } from './FrameChecks.js'
 import type {
   CallClientFrame, CallServerFrame, InstanceStatus, RoutedAnswer, RoutedCall, RoutedCallHandle, RoutedCallTarget
 } from './Types.js'
@@ -114,6 +115,7 @@
 
   private _start (session: CallSession, call: RoutedCall): void {
     const { channel, handles, transfer } = session
+    if (!isRoutedCall(call)) return this._refuseInvalid(session, call)
     const { id } = call
     const lease = this._bodies.memory.lease()
     let ended = false
@@ -136,13 +138,20 @@
         if (isChunked(call, answer)) transfer.sendBody(id, answer.body, () => {})
       },
       onDeclined: (reason, retryAfterMs, load) => finish({ type: 'turnedAway', id, reason, retryAfterMs, load }),
-      onFailed: (proof, reason, load) => finish({ type: 'failed', id, proof, reason, load: load as NonNullable<typeof load> }),
+      onFailed: (proof, reason, load) => finish({ type: 'failed', id, proof, reason, ...(load === undefined ? {} : { load }) }),
       onBodyWanted: () => this._requestBody(session, call)
     })
     // The target may have answered before it returned.
     if (!ended) handles.set(id, { ...handle, cancel })
   }
 
+  /** A frame without the id of a call can't be answered. */
+  private _refuseInvalid ({ channel }: CallSession, call: unknown): void {
+    const id = (call as Partial<RoutedCall> | undefined)?.id
+    if (!Number.isInteger(id)) return channel.destroy('malformed call')
+    channel.send({ type: 'failed', id: id as CallId, proof: 'unsent', reason: 'request-invalid' })
+  }
+
   private _requestBody ({ channel, handles, transfer }: CallSession, { id, bodyBytes = 0 }: RoutedCall): void {
     transfer.expectBody(id, bodyBytes, {
       onWhole: body => handles.get(id)?.supplyBody?.(body),
--- a/src/routenode/GatewayCall.ts
+++ b/src/routenode/GatewayCall.ts
@@ -61,7 +61,8 @@
 /** Outcome that the chooser records for a call that was turned away; by default the instance counts as declining. */
 const OUTCOME_BY_REFUSAL: { readonly [Reason in RefusalReason]?: PlacementOutcome } = {
   'no-slots': 'unreachable',
-  quarantined: 'cancelled'
+  quarantined: 'cancelled',
+  'request-invalid': 'cancelled'
 }
 
 /** Outcome of a hedge: `declined` by a gate, `won` when its answer was first, and otherwise `sent`. */
@@ -329,7 +330,7 @@
     this._declines++
     if (pending.kind === 'hedge' && this._hedgeOutcome !== undefined) return this._onHedgeDeclined(reason, retryAfterMs)
     if (this._hasResponsiveAttempt()) return
-    if (reason === 'quarantined') return this._giveUp(reason, retryAfterMs)
+    if (reason === 'quarantined' || reason === 'request-invalid') return this._giveUp(reason, retryAfterMs)
     if (!pending.isFinal || NEVER_FINAL_REASONS.has(reason)) return this._startAttempt(pending.kind)
     const waitedMs = this._context.clock.nowMs() - pending.startedAtMs
     if (waitedMs >= LAST_TRY_MIN_WAIT_MS && !this._hasTriedLast) this._tryLast(pending, reason, retryAfterMs)
--- a/src/routenode/InstanceClient.test.ts
+++ b/src/routenode/InstanceClient.test.ts
@@ -304,3 +304,42 @@
     expect(notice).toEqual({ instance: 'i-1', header: '250' })
   })
 }
+
+const MALFORMED_HEADS: ReadonlyArray<readonly [string, string]> = [
+  ['a space in a header name', 'instance load: 1,0,6\r\nContent-Length: 1\r\n\r\na'],
+  ['an empty header name', ': 1,0,6\r\nContent-Length: 1\r\n\r\na'],
+  ['a control byte in a header value', 'A: \x01\r\nContent-Length: 1\r\n\r\na'],
+  ['a control byte in a header name', 'A\x7f: b\r\nContent-Length: 1\r\n\r\na'],
+  ['a parenthesis in a header name', 'A(: b\r\nContent-Length: 1\r\n\r\na']
+]
+
+// Node.js reads some of these heads and throws where they are written.
+for (const [what, rest] of MALFORMED_HEADS) {
+  test(`an answer with ${what} is no answer, and the next request is answered`, async () => {
+    const sendOdd = (socket: Socket, id: string): void => { socket.write(Buffer.from(head(id, rest), 'latin1')) }
+    const client = await startInstance(sendOdd, (socket, id) => socket.write(head(id, 'Content-Length: 1\r\n\r\nb')))
+    expect(await run(client, 'r-1')).toMatch(/^unknown (answer-invalid|instance-lost)$/)
+    expect(await run(client, 'r-2')).toBe('200 b')
+    client.dispose()
+  })
+}
+
+for (const line of ['101 Switching Protocols\r\nUpgrade: x\r\nConnection: upgrade', '099 Odd', '1000 Odd', '-1 Odd', 'OK']) {
+  test(`an answer with the status line ${JSON.stringify(line)} is no answer`, async () => {
+    const client = await startInstance((socket, id) => socket.write(`HTTP/1.1 ${line}\r\nCall-Id: ${id}\r\n\r\n`))
+    expect(await run(client, 'r-1', 'once', 1000)).toMatch(/^unknown (answer-invalid|instance-lost|timeout)$/)
+    client.dispose()
+  })
+}
+
+test('an answer to a health check with an id that cannot be sent as a header finds no instance', async () => {
+  const answer = (id: string) => (socket: Socket): void => {
+    socket.write(Buffer.from(`HTTP/1.1 200 OK\r\nInstance: ${id}\r\nContent-Length: 0\r\n\r\n`, 'latin1'))
+  }
+  const client = await startInstance(answer('\xe9'), answer(''), answer('i-1'))
+  const check = async (path = '/healthz'): Promise<string | undefined> => {
+    return await new Promise(resolve => client.checkHealth(path, health => resolve(health?.id)))
+  }
+  expect([await check(), await check(), await check('/a b'), await check()]).toEqual([undefined, undefined, undefined, 'i-1'])
+  client.dispose()
+})
--- a/src/routenode/InstanceClient.ts
+++ b/src/routenode/InstanceClient.ts
@@ -2,6 +2,8 @@
 import type { Agent, ClientRequest, IncomingHttpHeaders, IncomingMessage } from 'node:http'
 import { connect } from 'node:net'
 import { findHeader, selectEndToEnd } from '../node/EndToEndHeaders.js'
+import { areWritableHeaders, isWritableStatus, isWritableTarget } from '../node/HeadSyntax.js'
+import { isInstanceId } from '../parts/instances/EntryChecks.js'
 import { isAtMostOnce } from '../parts/routing/RouteKinds.js'
 import { parseAddress } from '../runtime/Address.js'
 import type { Clock, Disposable } from '../runtime/Types.js'
@@ -97,7 +99,7 @@
   ): void {
     this._query(path, false, HEALTH_CHECK_TIMEOUT_MS, response => {
       const id = response?.headers[this._names.instanceId]
-      const isHealthy = response?.statusCode === 200 && typeof id === 'string'
+      const isHealthy = response?.statusCode === 200 && isInstanceId(id)
       onResult(isHealthy ? { id, load: this._readLoad(response) } : undefined, this._readColdNotice(response))
     })
   }
@@ -145,6 +147,7 @@
   private _query (
     path: string, agent: Agent | false, timeoutMs: number, onResponse: (response: IncomingMessage | undefined) => void
   ): void {
+    if (!isWritableTarget(path)) return process.nextTick(() => onResponse(undefined))
     const request = sendRequest({ host: this._host, port: this._port, path, agent })
     let done = false
     const finish = (response: IncomingMessage | undefined): void => {
@@ -275,8 +278,8 @@
     this._isResendRuledOut = true
     const load = parseLoadHeader(response.headers[this._names.load] as string | undefined)
     if (load !== undefined) this._listener.onLoad(load)
-    // A faulty instance may write a rejection once more, which would reach the next request on the connection.
-    if (this._isRejection(response)) request.shouldKeepAlive = false
+    // A faulty instance may write more after such an answer, which would reach the next request on the connection.
+    if (this._isRejection(response) || !isWritableHead(response)) request.shouldKeepAlive = false
     response.on('data', (chunk: Buffer) => {
       receivedBytes += chunk.length
       if (receivedBytes > MAX_ANSWER_BYTES) this._fail('unknown', 'answer-invalid', 'answer is larger than the limit')
@@ -306,7 +309,10 @@
     }
     const isSigned = headers[this._names.signature] !== undefined
     const isEncoded = headers['content-encoding'] !== undefined
-    if (status < 200 || (status < 300 && !isSigned) || isEncoded) {
+    if (!isWritableHead(response)) {
+      return this._fail('unknown', 'answer-invalid', `status ${status} with a malformed head`)
+    }
+    if ((status < 300 && !isSigned) || isEncoded) {
       return this._fail('unknown', 'answer-invalid', `status ${status}${isSigned ? '' : ' without a signature'}`)
     }
     this._end()
@@ -340,6 +346,11 @@
 /** Headers that are dropped from an answer; its length is set again from the body that was read. */
 const REPLACED_HEADERS: ReadonlySet<string> = new Set(['content-length'])
 
+/** Returns whether the head of an answer can be written to a caller. */
+function isWritableHead ({ statusCode, rawHeaders }: IncomingMessage): boolean {
+  return isWritableStatus(statusCode) && areWritableHeaders(rawHeaders)
+}
+
 /** Returns whether the headers of an answer delimit its body; otherwise the body ends with the connection. */
 function isFramed ({ headers }: IncomingMessage): boolean {
   return headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined
--- a/src/routenode/InstanceProxy.test.ts
+++ b/src/routenode/InstanceProxy.test.ts
@@ -63,8 +63,9 @@
   let outcome = 'pending'
   const gateFields = { work: 'w', leftMs: 1000, objectiveLeftMs: 300, nested: false, priority: 1, moveMs: 0, attempt: 'first' }
   const told = { ...(knownLimit === undefined ? {} : { knownLimit }), ...(coldPerS === undefined ? {} : { coldPerS }) }
-  const call = { id: 1, service, requestId: 'r', ...gateFields, ...told }
-  proxy.start(call as RoutedCall, {
+  const head = { method: 'GET', target: '/', headers: [] }
+  const call = { id: 1, service, requestId: 'r', ...head, ...gateFields, ...told }
+  proxy.start(call as unknown as RoutedCall, {
     onAnswer: () => { outcome = 'answered' },
     onDeclined: reason => { outcome = reason },
     onFailed: (_proof, reason) => { outcome = reason }
--- a/src/routenode/InstanceProxy.ts
+++ b/src/routenode/InstanceProxy.ts
@@ -1,3 +1,4 @@
+import { isWritableRequest } from '../node/HeadSyntax.js'
 import { type BreakerState, InstanceBreaker } from '../parts/gate/InstanceBreaker.js'
 import { InstanceGate } from '../parts/gate/InstanceGate.js'
 import type { GateAction, GateEvent } from '../parts/gate/Types.js'
@@ -243,8 +244,8 @@
     if (call.knownLimit !== undefined) this._namedLimit.recordHearsay(call.knownLimit, nowMs)
     if (call.coldPerS !== undefined) this._cold.recordToldLimit(call.coldPerS)
     this._applyLimit()
-    if (call.service !== this.service) {
-      listener.onDeclined('no-slots', 0, this.load())
+    if (call.service !== this.service || !isWritableRequest(call)) {
+      listener.onDeclined(call.service === this.service ? 'request-invalid' : 'no-slots', 0, this.load())
       return { cancel: () => {} }
     }
     if (this._isZoneClosed()) {
--- a/src/routenode/Types.ts
+++ b/src/routenode/Types.ts
@@ -114,12 +114,13 @@
   | 'instance-replaced'
   | 'answer-invalid'
   | 'answer-foreign'
+  | 'request-invalid'
   | 'link-lost'
   | 'body-stalled'
   | 'timeout'
 
-/** Why the node of an instance turned a call away that has not run. */
-export type RefusalReason = DeclineReason | 'quarantined' | 'body-memory'
+/** Why the node of an instance turned a call away that has not run; `request-invalid`: HTTP can't express it. */
+export type RefusalReason = DeclineReason | 'quarantined' | 'body-memory' | 'request-invalid'
 
 /** Receives the outcome of one call: exactly one of the first three methods is called, exactly once. */
 export interface RoutedCallListener {
@@ -192,7 +193,8 @@
     readonly id: CallId,
     readonly proof: FailureProof,
     readonly reason: FailureReason,
-    readonly load: InstanceStatus
+    /** Absent when the call did not reach the proxy of the instance. */
+    readonly load?: InstanceStatus
   }
   /** The node is shutting down: it finishes the calls that it has and should get no new ones. */
   | { readonly type: 'stopping' }
