Take reports of the instance with ranges, of its own service only

A heartbeat with an id such as "i-%00%07" ended the node with the next request to its instance (ERR_INVALID_CHAR). Ports out of range and Slots, Seq and born of 2^53 - 1 were taken with 200, and the true reports counted as old for good.

Cause: the last report set the service of the machine, fields had no ranges, and the order of reports had no way back from a start or a sequence above all true ones.

--- a/src/parts/instances/EntryChecks.ts
+++ b/src/parts/instances/EntryChecks.ts
@@ -1,7 +1,7 @@
 import type { InstanceState, NodeEntry, PublishedInstance } from './Types.js'
 
 /** Longest id of an instance or name of a service or zone, in characters. */
-const MAX_NAME_LENGTH = 256
+export const MAX_NAME_LENGTH = 256
 
 /** Most slots of an instance: each running request has a connection of its own, and an address has so many ports. */
 export const MAX_SLOTS = 65_535
--- a/src/routenode/InstanceProxy.ts
+++ b/src/routenode/InstanceProxy.ts
@@ -29,7 +29,7 @@
 export interface InstanceProxyOptions {
   /** Where the instance on this VM listens, `host:port`. */
   readonly address: string
-  /** Service of that instance, until it reports one itself. */
+  /** Service of that instance. */
   readonly service: ServiceName
   readonly names: HeaderNames
   readonly clock: Clock
@@ -90,7 +90,7 @@
   private _lastCallId = 0
 
   public constructor (private readonly _options: InstanceProxyOptions) {
-    this._registry = new InstanceRegistry(_options.address)
+    this._registry = new InstanceRegistry(_options.address, _options.service)
     this._client = new InstanceClient(_options.address, _options.names, _options.clock)
     this._bodies = _options.bodies ?? makeDefaultBodyResources()
     this._crashAttribution = new CrashAttribution({
@@ -131,7 +131,7 @@
 
   /** Service of the instance on this VM. */
   public get service (): ServiceName {
-    return this._registry.current?.service ?? this._options.service
+    return this._registry.service
   }
 
   /** Number of calls that are queued or running. */
@@ -176,11 +176,12 @@
   public restore (published: PublishedInstance): void {
     const { current } = this._registry
     if (current !== undefined) return this._restoreLeaving(current, published)
-    if (published.service !== this._options.service) return
+    if (published.service !== this.service) return
+    const nowMs = this._options.clock.nowMs()
     const assumed = { ...published, address: this._options.address, sequence: -1, coldMs: 0 }
-    this._registry.recordReport(assumed)
+    this._registry.recordReport(assumed, nowMs)
     this._cold.recordReport(assumed)
-    this._breaker.open(this._options.clock.nowMs())
+    this._breaker.open(nowMs)
     this._applySlots()
   }
 
@@ -211,7 +212,7 @@
   /** Handles a report of an instance. */
   public report (report: InstanceReport): ReportOutcome {
     const previous = this._registry.current
-    const outcome = this._registry.recordReport(report)
+    const outcome = this._registry.recordReport(report, this._options.clock.nowMs())
     if (outcome !== 'applied') return outcome
     this._cold.recordReport(report)
     const restarted = previous?.id !== report.id || previous.bornMs !== report.bornMs
@@ -224,6 +225,13 @@
     return outcome
   }
 
+  /** Sets the service of the instance after a change of the settings. */
+  public setService (service: ServiceName): void {
+    if (!this._registry.setService(service)) return
+    this._onInstanceChange()
+    this.startRecovery()
+  }
+
   /** Handles the deregistration of an instance, which stops for good. */
   public deregister (id: string, bornMs: number | undefined): ReportOutcome {
     const outcome = this._registry.deregister(id, bornMs)
@@ -282,8 +290,7 @@
     this._applyLimit()
     this._applySlots()
     this._publishChange()
-    const { id, state, sequence } = current ?? {}
-    this._options.log.debug({ instance: id, state, sequence }, 'instance reported')
+    this._options.log.debug({ instance: current?.id, state: current?.state, sequence: current?.sequence }, 'instance reported')
   }
 
   /** Most reports repeat the one before; publishing them would cost every node bytes for every instance. */
@@ -516,14 +523,13 @@
     const { current } = this._registry
     if (current?.id === id) {
       this._breaker.startTrial()
-      this._onInstanceChange()
-      return
+      return this._onInstanceChange()
     }
     // Its start time is unknown until its first report; this value is just later than that of the previous instance.
     const bornMs = (current?.bornMs ?? 0) + 1
-    const { address, service } = this._options
-    const slots = load?.slots ?? 1
-    this.report({ id, bornMs, isBornAssumed: true, sequence: -1, service, address, slots, state: 'ready', coldMs: 0 })
+    const slots = Math.max(1, load?.slots ?? 1)
+    const assumed = { bornMs, isBornAssumed: true, sequence: -1, state: 'ready', coldMs: 0 } as const
+    this.report({ ...assumed, id, service: this.service, address: this._options.address, slots })
   }
 
   private _measureSlowness (): void {
--- a/src/routenode/LoadHeader.ts
+++ b/src/routenode/LoadHeader.ts
@@ -1,3 +1,5 @@
+import { MAX_SLOTS } from '../parts/instances/EntryChecks.js'
+
 /** Load that an instance reports in the headers of its answers; `GateLoad` is what its node sends to other nodes. */
 export interface InstanceLoad {
   /** Calls that run now. */
@@ -12,16 +14,17 @@
 
 const PERCENT = 100
 
+const LOAD_PATTERN = /^\d{1,9}, ?\d{1,9}, ?\d{1,9}(, ?\d{1,9}(\.\d+)?)?$/
+
 /**
  * Parses a load header: `running,queued,slots` with an optional fourth field, the slowness in percent.
  * @param text Value of the header; undefined when there is none.
  * @returns Undefined when the header is missing or malformed.
  */
 export function parseLoadHeader (text: string | undefined): InstanceLoad | undefined {
-  if (text === undefined) return undefined
+  if (text === undefined || !LOAD_PATTERN.test(text)) return undefined
   const [running, queued, slots, slowness = PERCENT] = text.split(',').map(Number)
-  const values = [running, queued, slots, slowness]
-  if (values.some(value => value === undefined || !Number.isFinite(value) || value < 0)) return undefined
+  if (slots! > MAX_SLOTS) return undefined
   // Run times are divided by the slowness, so it must not be 0.
   return { running: running!, queued: queued!, slots: slots!, slowness: Math.max(0.01, slowness / PERCENT) }
 }
--- a/src/routenode/RequestLimitHeader.ts
+++ b/src/routenode/RequestLimitHeader.ts
@@ -1,4 +1,4 @@
-const DECIMAL_PATTERN = /^\d+(\.\d+)?$/
+const DECIMAL_PATTERN = /^\d{1,9}(\.\d+)?$/
 
 /**
  * Parses the header in which an instance names its request limit.
--- a/src/routenode/RouteNodeDaemon.ts
+++ b/src/routenode/RouteNodeDaemon.ts
@@ -34,7 +34,7 @@
   readonly nodeAddress: string
   /** Address at which the instance on this VM listens, `host:port`. */
   readonly instanceAddress: string
-  /** Service of that instance, until it reports one itself. */
+  /** Service of that instance. */
   readonly service: ServiceName
   /** Availability zone of the VM. */
   readonly zone: string
@@ -64,6 +64,9 @@
   readonly fingerprint: RequestFingerprint
 }
 
+/** Longest time by which an instance may have started in the future, since the wall clock was set back meanwhile. */
+const MAX_BORN_AHEAD_MS = 24 * 3_600_000
+
 /** Part of `stopLimitMs` that is reserved for the exit of the process, in milliseconds. */
 const STOP_RESERVE_MS = 500
 
@@ -192,6 +195,8 @@
 
   /** Handles a report of the instance on this VM; once this returns, a draining instance gets no new calls. */
   public report (report: InstanceReport): ReportOutcome {
+    // The start of another writer's instance must not rule out those to come.
+    if (report.bornMs > this._options.clock.wallMs() + MAX_BORN_AHEAD_MS) return 'foreign'
     return this._instanceProxy.report(report)
   }
 
@@ -200,9 +205,10 @@
     return this._instanceProxy.deregister(id, bornMs)
   }
 
-  /** Replaces the seeds after a change of the settings. */
-  public setSeeds (seeds: readonly string[]): void {
+  /** Takes over the seeds and the service of the instance after a change of the settings. */
+  public reload ({ seeds, service }: Pick<RouteNodeSettings, 'seeds' | 'service'>): void {
     this._controlFeed.setSeeds(seeds)
+    this._instanceProxy.setService(service)
   }
 
   /** Returns a dump of the state, of bounded size. */
--- a/test/OddEntries.test.ts
+++ b/test/OddEntries.test.ts
@@ -5,7 +5,7 @@
 import { parseAddress } from '../src/runtime/Address.js'
 import { FrameChannel } from '../src/runtime/FrameChannel.js'
 import { SystemClock } from '../src/runtime/SystemClock.js'
-import { RouteMesh } from './support/RouteMesh.js'
+import { type MeshNode, RouteMesh } from './support/RouteMesh.js'
 
 const INSTANCE = { id: 'i-x', bornMs: 5, service: 'svc', slots: 1000, state: 'ready' }
 
@@ -55,3 +55,28 @@
   await welcomed
   feed.dispose()
 })
+
+// The service of the last report became the caller service of all requests of the machine.
+test('a report of another writer changes neither the service of its machine nor the instance', async () => {
+  const started = await RouteMesh.start(1)
+  mesh = started
+  const [{ daemon, instance }] = started.nodes as [MeshNode]
+  const report = {
+    id: 'i-x', bornMs: Date.now(), sequence: 1, service: 'svc', address: instance.address, slots: 6, state: 'ready', coldMs: 0
+  } as const
+  expect(daemon.report({ ...report, service: 'no-such-service' })).toBe('foreign')
+  expect(daemon.report({ ...report, address: '127.0.0.1:9' })).toBe('foreign')
+  expect(daemon.report({ ...report, bornMs: Date.now() + 48 * 3_600_000 })).toBe('foreign')
+  expect(daemon.deregister('i-x', undefined)).toBe('foreign')
+  expect((await started.call(started.nodes[0]!, '/read/x')).body).toBe(`${instance.id} svc`)
+})
+
+test('changed settings change the service of the machine', async () => {
+  const started = await RouteMesh.start(1)
+  mesh = started
+  const [{ daemon, instance, settings }] = started.nodes as [MeshNode]
+  daemon.reload({ ...settings, service: 'other' })
+  expect(daemon.state()).toMatchObject({ instance: null })
+  const report = { id: instance.id, bornMs: 9, sequence: 1, address: instance.address, slots: 6, state: 'ready', coldMs: 0 } as const
+  expect([daemon.report({ ...report, service: 'svc' }), daemon.report({ ...report, service: 'other' })]).toEqual(['foreign', 'applied'])
+})
