Move bodies that do not fit into a frame in chunks on every route

What callers saw: bodies above 16 MiB on routes other than upload got 502 unless the instance is on the same machine, and broke the link between the two nodes with all other calls on it, although MaxBodyBytes allows them.

Cause: only uploads were sent apart from their call; the frame of another call with such a body exceeds MAX_FRAME_BYTES, at which the receiver closes the connection.

Change: a body above 4 MiB takes the way of an upload's body, for every kind of route and in both directions: it is requested once the call has a slot.

Evidence: "bodies that do not fit into a frame arrive whole ..." in BodyTransfer.test.ts failed before with a lost link.

--- a/src/routenode/BodyTransfer.test.ts
+++ b/src/routenode/BodyTransfer.test.ts
@@ -4,6 +4,7 @@
 import { findFreeAddresses } from '../demo/FreePorts.js'
 import { CHUNK_BYTES } from '../parts/transfer/Constants.js'
 import { SeededRandom } from '../parts/SeededRandom.js'
+import { MAX_FRAME_BYTES } from '../runtime/Constants.js'
 import { FrameClient } from '../runtime/FrameClient.js'
 import { FrameServer } from '../runtime/FrameServer.js'
 import type { FrameChannel } from '../runtime/FrameChannel.js'
@@ -11,7 +12,7 @@
 import type { Disposable } from '../runtime/Types.js'
 import { CallLink } from './CallLink.js'
 import { CallServer } from './CallServer.js'
-import { LINK_PING_INTERVAL_MS, LINK_TIMEOUT_MS } from './Constants.js'
+import { LINK_PING_INTERVAL_MS, LINK_TIMEOUT_MS, MAX_ANSWER_BYTES } from './Constants.js'
 import type {
   CallClientFrame, CallServerFrame, RoutedCall, RoutedCallHandle, RoutedCallListener, RoutedCallTarget
 } from './Types.js'
@@ -163,6 +164,24 @@
   expect(target.started[0]).toMatchObject({ bodyBytes: LARGE_BYTES, body: { length: 0 } })
 })
 
+// A frame above the limit closed the connection with all calls on it.
+test('bodies that do not fit into a frame arrive whole beside other calls, for every kind', async () => {
+  const { link, target } = await connectToTarget(undefined)
+  const opened: string[] = []
+  link.onOpen(() => { opened.push('again') })
+  const body = Buffer.alloc(MAX_FRAME_BYTES + 1, 'abc')
+  target.echoes = false
+  for (const kind of ['idempotent', 'once', 'download'] as const) {
+    const large = run(link, { ...UPLOAD, kind, body })
+    const small = run(link, { ...UPLOAD, id: 2, kind, body: new Uint8Array(10) })
+    expect([(await small).text, (await large).text]).toEqual(['answer 200', 'answer 200'])
+    expect(Buffer.compare(target.received.pop()!, body)).toBe(0)
+  }
+  target.echoes = true
+  const answer = await run(link, { ...UPLOAD, kind: 'idempotent', body: body.subarray(0, MAX_ANSWER_BYTES) })
+  expect([answer.text, answer.body.length, opened]).toEqual(['answer 200', MAX_ANSWER_BYTES, []])
+})
+
 /**
  * Runs small calls one after the other while an upload runs, and returns how many are answered before it ends.
  * @param call The upload.
--- a/src/routenode/CallLink.ts
+++ b/src/routenode/CallLink.ts
@@ -5,7 +5,7 @@
 import { FrameClient } from '../runtime/FrameClient.js'
 import type { Clock, Disposable } from '../runtime/Types.js'
 import { type BodyResources, BodyTransfer, makeDefaultBodyResources } from './BodyTransfer.js'
-import { LINK_OPEN_WAIT_MS, LINK_PING_INTERVAL_MS, LINK_TIMEOUT_MS } from './Constants.js'
+import { LINK_OPEN_WAIT_MS, LINK_PING_INTERVAL_MS, LINK_TIMEOUT_MS, MAX_INLINE_BODY_BYTES } from './Constants.js'
 import { isOutcomeFrame } from './FrameChecks.js'
 import type {
   CallClientFrame, CallServerFrame, RoutedCall, RoutedCallHandle, RoutedCallListener, RoutedCallTarget
@@ -42,7 +42,8 @@
  * calls may have run, except uploads whose body was not sent completely. Calls that are started while the first
  * connection opens wait for it for a short time.
  *
- * The body of an upload is sent when the other node asks for it, in chunks, and a large answer to one is received so.
+ * The body of an upload, and any that is too large for a frame, is sent when the other node asks for it, in chunks, and
+ * a large answer is received so.
  *
  * Memory: one entry for each outstanding or waiting call, the bodies of uploads among them.
  */
@@ -293,5 +294,5 @@
 
 /** Returns whether the body of a call is sent apart from it, once it has a slot. */
 function isTransferred ({ kind, body }: RoutedCall): boolean {
-  return kind === 'upload' && body.length > 0
+  return body.length > (kind === 'upload' ? 0 : MAX_INLINE_BODY_BYTES)
 }
--- a/src/routenode/Constants.ts
+++ b/src/routenode/Constants.ts
@@ -74,6 +74,12 @@
 /** Largest answer that is relayed, in bytes; a node keeps all of it in memory until its caller has received it. */
 export const MAX_ANSWER_BYTES = 15 * 1024 * 1024
 
+/**
+ * Largest body that is sent in the frame of its call or answer, in bytes. Larger ones follow in chunks, as a frame
+ * above `MAX_FRAME_BYTES` closes the connection with all calls on it, and pings wait behind a large one.
+ */
+export const MAX_INLINE_BODY_BYTES = 4 * 1024 * 1024
+
 /** Largest answer to a load query whose connection is kept, in bytes; such answers are nearly empty. */
 export const MAX_QUERY_ANSWER_BYTES = 16 * 1024
 
--- a/src/routenode/InstanceProxy.ts
+++ b/src/routenode/InstanceProxy.ts
@@ -64,8 +64,9 @@
  * that the instance drains or stops, it lets no new call in. It also knows which calls ran when the instance crashed,
  * and keeps quarantined requests from running.
  *
- * An upload of another node comes without its body. Its slot is taken when the gate starts it, then the body is
- * requested, and only the whole body is passed to the instance; until then it is certain that the call has not run.
+ * An upload or a large body of another node comes without its body. Its slot is taken when the gate starts it, then the
+ * body is requested, and only the whole body is passed to the instance; until then it is certain that the call has not
+ * run.
  *
  * Memory: the running and the queued calls; see `InstanceGate` for their bounds.
  */
