--- a/src/parts/gate/InstanceBreaker.ts
+++ b/src/parts/gate/InstanceBreaker.ts
@@ -11,6 +11,13 @@
 /** `trial` is the half-open state: one call at a time is let in until one is answered. */
 export type BreakerState = 'closed' | 'open' | 'trial'
 
+/** Slots that the gate may use in each state of the breaker, from those that the instance reports; a trial uses one. */
+export const SLOTS_BY_BREAKER_STATE: { readonly [State in BreakerState]: (slots: number) => number } = {
+  closed: slots => slots,
+  open: () => 0,
+  trial: () => 1
+}
+
 /**
  * Circuit breaker of one instance, kept by the node beside it. It opens when the instance stops answering or drops
  * connections. That node sees all calls to the instance, so a few failures are enough; a breaker at each caller's node
--- a/src/routenode/CallLink.ts
+++ b/src/routenode/CallLink.ts
@@ -5,7 +5,8 @@
 import { FrameClient } from '../runtime/FrameClient.js'
 import type { Clock, Disposable } from '../runtime/Types.js'
 import { type BodyResources, BodyTransfer, makeDefaultBodyResources } from './BodyTransfer.js'
-import { LINK_OPEN_WAIT_MS, LINK_PING_INTERVAL_MS, LINK_TIMEOUT_MS } from './Constants.js'
+import { LINK_OPEN_WAIT_MS, LINK_PING_INTERVAL_MS, LINK_TIMEOUT_MS, MAX_INLINE_BODY_BYTES } from './Constants.js'
+import { isOutcomeFrame } from './FrameChecks.js'
 import type {
   CallClientFrame, CallServerFrame, RoutedCall, RoutedCallHandle, RoutedCallListener, RoutedCallTarget
 } from './Types.js'
@@ -32,13 +33,17 @@
 
 const NO_BYTES = new Uint8Array(0)
 
+/** Frames that end a call. */
+const OUTCOME_TYPES: ReadonlySet<unknown> = new Set<CallServerFrame['type']>(['answer', 'turnedAway', 'failed'])
+
 /**
  * Connection to another node for calls to its instance. Answers are matched by call id within one connection, so an
  * answer from before a reconnect matches no call. A link that times out while calls are outstanding is closed; those
  * calls may have run, except uploads whose body was not sent completely. Calls that are started while the first
  * connection opens wait for it for a short time.
  *
- * The body of an upload is sent when the other node asks for it, in chunks, and a large answer to one is received so.
+ * The body of an upload, and any that is too large for a frame, is sent when the other node asks for it, in chunks, and
+ * a large answer is received so.
  *
  * Memory: one entry for each outstanding or waiting call, the bodies of uploads among them.
  */
@@ -155,6 +160,7 @@
     this._isUnresponsive = false
     channel.onMessage(frame => {
       this._setUnresponsive(false)
+      if (OUTCOME_TYPES.has(frame.type) && !isOutcomeFrame(frame)) return this._failMalformed(frame)
       const handler = this._handlers[frame.type] as ((frame: CallServerFrame) => void) | undefined
       handler?.(frame)
     })
@@ -173,6 +179,12 @@
     this._pingTimer ??= setInterval(() => this._checkLiveness(), LINK_PING_INTERVAL_MS)
   }
 
+  /** The call may have run. */
+  private _failMalformed (frame: CallServerFrame): void {
+    const { id } = frame as Partial<Extract<CallServerFrame, { type: 'failed' }>>
+    if (id !== undefined) this._takeListener(id)?.onFailed('unknown', 'answer-invalid', undefined)
+  }
+
   private _cancel (id: CallId): void {
     if (this._listeners.delete(id)) this._client.channel?.send({ type: 'cancel', id })
     this._waitingCalls.delete(id)
@@ -282,5 +294,5 @@
 
 /** Returns whether the body of a call is sent apart from it, once it has a slot. */
 function isTransferred ({ kind, body }: RoutedCall): boolean {
-  return kind === 'upload' && body.length > 0
+  return body.length > (kind === 'upload' ? 0 : MAX_INLINE_BODY_BYTES)
 }
--- a/src/routenode/CallServer.ts
+++ b/src/routenode/CallServer.ts
@@ -4,7 +4,8 @@
 import { FrameServer } from '../runtime/FrameServer.js'
 import type { Clock, Disposable } from '../runtime/Types.js'
 import { type BodyResources, BodyTransfer, makeDefaultBodyResources } from './BodyTransfer.js'
-import { LINK_TIMEOUT_MS } from './Constants.js'
+import { LINK_TIMEOUT_MS, MAX_INLINE_BODY_BYTES } from './Constants.js'
+import { isRoutedCall } from './FrameChecks.js'
 import type {
   CallClientFrame, CallServerFrame, InstanceStatus, RoutedAnswer, RoutedCall, RoutedCallHandle, RoutedCallTarget
 } from './Types.js'
@@ -26,7 +27,7 @@
 
 /**
  * Accepts calls of other nodes for the instance on this VM. When a connection closes, its calls are cancelled. The body
- * of an upload is requested once the call has a slot; a large answer to one is sent in chunks.
+ * that does not come with its call is requested once the call has a slot; a large answer is sent in chunks.
  *
  * Memory: one handle for each call in progress, and the large answers that are being sent.
  */
@@ -114,6 +115,7 @@
 
   private _start (session: CallSession, call: RoutedCall): void {
     const { channel, handles, transfer } = session
+    if (!isRoutedCall(call)) return this._refuseInvalid(session, call)
     const { id } = call
     const lease = this._bodies.memory.lease()
     let ended = false
@@ -136,13 +138,20 @@
         if (isChunked(call, answer)) transfer.sendBody(id, answer.body, () => {})
       },
       onDeclined: (reason, retryAfterMs, load) => finish({ type: 'turnedAway', id, reason, retryAfterMs, load }),
-      onFailed: (proof, reason, load) => finish({ type: 'failed', id, proof, reason, load: load as NonNullable<typeof load> }),
+      onFailed: (proof, reason, load) => finish({ type: 'failed', id, proof, reason, ...(load === undefined ? {} : { load }) }),
       onBodyWanted: () => this._requestBody(session, call)
     })
     // The target may have answered before it returned.
     if (!ended) handles.set(id, { ...handle, cancel })
   }
 
+  /** A frame without the id of a call can't be answered. */
+  private _refuseInvalid ({ channel }: CallSession, call: unknown): void {
+    const id = (call as Partial<RoutedCall> | undefined)?.id
+    if (!Number.isInteger(id)) return channel.destroy('malformed call')
+    channel.send({ type: 'failed', id: id as CallId, proof: 'unsent', reason: 'request-invalid' })
+  }
+
   private _requestBody ({ channel, handles, transfer }: CallSession, { id, bodyBytes = 0 }: RoutedCall): void {
     transfer.expectBody(id, bodyBytes, {
       onWhole: body => handles.get(id)?.supplyBody?.(body),
@@ -154,7 +163,7 @@
 
 /** Returns whether the body of an answer is sent in chunks. */
 function isChunked ({ kind }: RoutedCall, { body }: RoutedAnswer): boolean {
-  return kind === 'upload' && body.length > CHUNK_BYTES
+  return body.length > (kind === 'upload' ? CHUNK_BYTES : MAX_INLINE_BODY_BYTES)
 }
 
 function buildAnswerFrame (call: RoutedCall, answer: RoutedAnswer, load: InstanceStatus): CallServerFrame {
--- a/src/routenode/InstanceProxy.ts
+++ b/src/routenode/InstanceProxy.ts
@@ -1,4 +1,5 @@
-import { type BreakerState, InstanceBreaker } from '../parts/gate/InstanceBreaker.js'
+import { isWritableRequest } from '../node/HeadSyntax.js'
+import { InstanceBreaker, SLOTS_BY_BREAKER_STATE } from '../parts/gate/InstanceBreaker.js'
 import { InstanceGate } from '../parts/gate/InstanceGate.js'
 import type { GateAction, GateEvent } from '../parts/gate/Types.js'
 import { InstanceRegistry, isSameIncarnation, type ReportOutcome } from '../parts/instances/InstanceRegistry.js'
@@ -28,7 +29,7 @@
 export interface InstanceProxyOptions {
   /** Where the instance on this VM listens, `host:port`. */
   readonly address: string
-  /** Service of that instance, until it reports one itself. */
+  /** Service of that instance. */
   readonly service: ServiceName
   readonly names: HeaderNames
   readonly clock: Clock
@@ -68,8 +69,9 @@
  * that the instance drains or stops, it lets no new call in. It also knows which calls ran when the instance crashed,
  * and keeps quarantined requests from running.
  *
- * An upload of another node comes without its body. Its slot is taken when the gate starts it, then the body is
- * requested, and only the whole body is passed to the instance; until then it is certain that the call has not run.
+ * An upload or a large body of another node comes without its body. Its slot is taken when the gate starts it, then the
+ * body is requested, and only the whole body is passed to the instance; until then it is certain that the call has not
+ * run.
  *
  * Memory: the running and the queued calls; see `InstanceGate` for their bounds.
  */
@@ -94,7 +96,7 @@
   private _lastCallId = 0
 
   public constructor (private readonly _options: InstanceProxyOptions) {
-    this._registry = new InstanceRegistry(_options.address)
+    this._registry = new InstanceRegistry(_options.address, _options.service)
     this._client = new InstanceClient(_options.address, _options.names, _options.clock)
     this._bodies = _options.bodies ?? makeDefaultBodyResources()
     this._crashAttribution = new CrashAttribution({
@@ -135,7 +137,7 @@
 
   /** Service of the instance on this VM. */
   public get service (): ServiceName {
-    return this._registry.current?.service ?? this._options.service
+    return this._registry.service
   }
 
   /** Number of calls that are queued or running. */
@@ -180,11 +182,12 @@
   public restore (published: PublishedInstance): void {
     const { current } = this._registry
     if (current !== undefined) return this._restoreLeaving(current, published)
-    if (published.service !== this._options.service) return
+    if (published.service !== this.service) return
+    const nowMs = this._options.clock.nowMs()
     const assumed = { ...published, address: this._options.address, sequence: -1, coldMs: 0 }
-    this._registry.recordReport(assumed)
+    this._registry.recordReport(assumed, nowMs)
     this._cold.recordReport(assumed)
-    this._breaker.open(this._options.clock.nowMs())
+    this._breaker.open(nowMs)
     this._applySlots()
   }
 
@@ -215,7 +218,7 @@
   /** Handles a report of an instance. */
   public report (report: InstanceReport): ReportOutcome {
     const previous = this._registry.current
-    const outcome = this._registry.recordReport(report)
+    const outcome = this._registry.recordReport(report, this._options.clock.nowMs())
     if (outcome !== 'applied') return outcome
     this._cold.recordReport(report)
     const restarted = previous?.id !== report.id || previous.bornMs !== report.bornMs
@@ -228,6 +231,13 @@
     return outcome
   }
 
+  /** Sets the service of the instance after a change of the settings. */
+  public setService (service: ServiceName): void {
+    if (!this._registry.setService(service)) return
+    this._onInstanceChange()
+    this.startRecovery()
+  }
+
   /** Handles the deregistration of an instance, which stops for good. */
   public deregister (id: string, bornMs: number | undefined): ReportOutcome {
     const outcome = this._registry.deregister(id, bornMs)
@@ -248,8 +258,8 @@
     if (call.knownLimit !== undefined) this._namedLimit.recordHearsay(call.knownLimit, nowMs)
     if (call.coldPerS !== undefined) this._cold.recordToldLimit(call.coldPerS)
     this._applyLimit()
-    if (call.service !== this.service) {
-      listener.onDeclined('no-slots', 0, this.load())
+    if (call.service !== this.service || !isWritableRequest(call)) {
+      listener.onDeclined(call.service === this.service ? 'request-invalid' : 'no-slots', 0, this.load())
       return { cancel: () => {} }
     }
     if (this._isZoneClosed()) {
@@ -286,8 +296,7 @@
     this._applyLimit()
     this._applySlots()
     this._publishChange()
-    const { id, state, sequence } = current ?? {}
-    this._options.log.debug({ instance: id, state, sequence }, 'instance reported')
+    this._options.log.debug({ instance: current?.id, state: current?.state, sequence: current?.sequence }, 'instance reported')
   }
 
   /** Most reports repeat the one before; publishing them would cost every node bytes for every instance. */
@@ -525,14 +534,13 @@
     const { current } = this._registry
     if (current?.id === id) {
       this._breaker.startTrial()
-      this._onInstanceChange()
-      return
+      return this._onInstanceChange()
     }
     // Its start time is unknown until its first report; this value is just later than that of the previous instance.
     const bornMs = (current?.bornMs ?? 0) + 1
-    const { address, service } = this._options
-    const slots = load?.slots ?? 1
-    this.report({ id, bornMs, isBornAssumed: true, sequence: -1, service, address, slots, state: 'ready', coldMs: 0 })
+    const slots = Math.max(1, load?.slots ?? 1)
+    const assumed = { bornMs, isBornAssumed: true, sequence: -1, state: 'ready', coldMs: 0 } as const
+    this.report({ ...assumed, id, service: this.service, address: this._options.address, slots })
   }
 
   private _measureSlowness (): void {
@@ -558,10 +566,3 @@
     }
   }
 }
-
-/** Slots that the gate may use in each state of the breaker, from those that the instance reports; a trial uses one. */
-const SLOTS_BY_BREAKER_STATE: { readonly [State in BreakerState]: (slots: number) => number } = {
-  closed: slots => slots,
-  open: () => 0,
-  trial: () => 1
-}
