Decide an operator's order as exactly what was sent

What callers saw: orders that can't be read in full were acknowledged with 200, and what was read back differed from what was sent.

Cause: the body was decoded with replacement characters, JSON.parse keeps the last of equal members and any depth, numbers and durations were converted in binary, schemas strip what they don't know, and findings had no bound.

--- a/src/parts/routing/RoutingDelta.ts
+++ b/src/parts/routing/RoutingDelta.ts
@@ -17,7 +17,8 @@
     routes: mergeByName(configuration.routes, patch.upsertRoutes, patch.removeRoutes),
     services: mergeByName(configuration.services, patch.upsertServices, patch.removeServices),
     limits: patch.limits ?? configuration.limits,
-    ...mergeWorkspaces(configuration, patch)
+    ...mergeWorkspaces(configuration, patch),
+    ...(configuration.unknownMembers === undefined ? {} : { unknownMembers: configuration.unknownMembers })
   }
 }
 
--- a/src/parts/routing/Types.ts
+++ b/src/parts/routing/Types.ts
@@ -15,6 +15,8 @@
   readonly service: ServiceName
   /** Share of requests relative to the other weights; 0 gets none. */
   readonly weight: number
+  /** Members that the operator sent and this version doesn't know, as a JSON object; read back as they were sent. */
+  readonly unknownMembers?: string
 }
 
 /** Where the requests of a route go. */
@@ -40,6 +42,8 @@
   readonly destination: Destination
   /** Whether requests need no API key; absent where the operator does not say. It matters only beside workspaces. */
   readonly isPublic?: boolean
+  /** Members that the operator sent and this version doesn't know, as a JSON object; read back as they were sent. */
+  readonly unknownMembers?: string
 }
 
 /** A service that routes may send requests to. */
@@ -55,6 +59,8 @@
   readonly coldStartMs?: number
   /** Requests a second that an instance tolerates while it is cold; absent or 0 for no limit. */
   readonly coldPerS?: number
+  /** Members that the operator sent and this version doesn't know, as a JSON object; read back as they were sent. */
+  readonly unknownMembers?: string
 }
 
 /** A customer of the services, whose callers identify themselves by API keys and share one quota. */
@@ -68,6 +74,8 @@
   readonly ratePerS?: number
   /** Requests that may be sent beyond the rate, over all nodes. */
   readonly burst?: number
+  /** Members that the operator sent and this version doesn't know, as a JSON object; read back as they were sent. */
+  readonly unknownMembers?: string
 }
 
 /** Limits on the size of callers' requests, and on the time for which connections wait for them. */
@@ -76,6 +84,8 @@
   readonly maxBodyBytes: number
   readonly headerTimeoutMs: number
   readonly idleTimeoutMs: number
+  /** Members that the operator sent and this version doesn't know, as a JSON object; read back as they were sent. */
+  readonly unknownMembers?: string
 }
 
 /** All routes and services in force. */
@@ -85,6 +95,8 @@
   readonly limits: CallerLimits
   /** Absent where callers need no API keys. */
   readonly workspaces?: readonly Workspace[]
+  /** Members that the operator sent and this version doesn't know, as a JSON object; read back as they were sent. */
+  readonly unknownMembers?: string
 }
 
 /** A configuration change as an operator sends it; `base` is the version that it was made for. */
--- a/src/routecontrol/KeyRedaction.ts
+++ b/src/routecontrol/KeyRedaction.ts
@@ -15,6 +15,7 @@
   return { ...delta, upsertWorkspaces: upsertWorkspaces.map(redactWorkspace) }
 }
 
-function redactWorkspace (workspace: Workspace): Workspace {
+/** Unknown members are left out, as they may hold secrets too. */
+function redactWorkspace ({ unknownMembers: _, ...workspace }: Workspace): Workspace {
   return { ...workspace, keys: workspace.keys.map(computeKeyDigest) }
 }
