--- a/test/support/ControlGroup.ts
+++ b/test/support/ControlGroup.ts
@@ -139,7 +139,7 @@
     })
     const operators = new OperatorApi(daemon, SILENT_LOG, () => this._zones)
     const relay = daemon.serveOperators(async call => await operators.execute(call))
-    const api = new JsonApi(new OperatorGateway(relay).handlers, SILENT_LOG)
+    const api = new JsonApi(new OperatorGateway(relay, SILENT_LOG).handlers, SILENT_LOG)
     Object.assign(member, { daemon, api })
     await daemon.start()
     await api.listen(operatorAddress)
