Generate orders and judge them independently of the schemas

The tests of the codec compared it with itself, so they could not find an order that it takes and the protocol does not. A generator makes complete configurations and patches with fields that are valid, doubtful or wrong, and damaged texts.

--- a/test/OrderBytes.test.ts
+++ b/test/OrderBytes.test.ts
@@ -1,3 +1,4 @@
+import fc from 'fast-check'
 import { request } from 'node:http'
 import { connect } from 'node:net'
 import { mkdtempSync, rmSync } from 'node:fs'
@@ -5,11 +6,15 @@
 import { join } from 'node:path'
 import { afterAll, beforeAll, beforeEach, expect, test } from 'vitest'
 import { OperatedGroup } from '../bench/acknowledgements/OperatedGroup.js'
+import { FIRST_ORDER, fillVersions, normalise, OrderModel, orders } from './support/OrderModel.js'
 
 const PUT = '/api/Config.Put'
 const PATCH = '/api/Config.Patch'
 /** Second octet of the loopback addresses. */
 const NETWORK = 236
+/** Orders of the generator that are sent to the processes. */
+const GENERATED_ORDERS = 400
+
 const MAX_BODY_BYTES = 8 * 1024 * 1024
 
 const folder = mkdtempSync(join(tmpdir(), 'orders-'))
@@ -286,3 +291,20 @@
   await expectTaken(PUT, nextPut(/"Routes":\[.*?\]/, `"Routes":[${routes.join(',')}]`))
   await expectTaken(PUT, nextPut())
 })
+
+test('whichever process receives an order, it is acknowledged exactly when it is valid', async () => {
+  const model = new OrderModel()
+  model.version = version
+  const list = [FIRST_ORDER, ...fc.sample(orders, { seed: 44, numRuns: GENERATED_ORDERS })]
+  let acknowledged = 0
+  for (const [index, order] of list.entries()) {
+    const text = fillVersions(order.text, model.version)
+    const isValid = model.take(order, text)
+    const receiver = hosts[index % hosts.length]!
+    const { status } = await send(receiver, order.type === 'replace' ? PUT : PATCH, Buffer.from(text))
+    expect([status, text]).toEqual([isValid ? 200 : 400, text])
+    if (isValid) acknowledged++
+    expect(normalise(await read(hosts[(index + 1 + index % 3) % hosts.length]!))).toEqual(model.expected)
+  }
+  expect(acknowledged).toBeGreaterThan(GENERATED_ORDERS / 10)
+})
