--- a/src/routenode/CallLink.ts
+++ b/src/routenode/CallLink.ts
@@ -43,7 +43,7 @@
  * connection opens wait for it for a short time.
  *
  * The body of an upload, and any that is too large for a frame, is sent when the other node asks for it, in chunks, and
- * a large answer is received so.
+ * a large answer to an upload is received so.
  *
  * Memory: one entry for each outstanding or waiting call, the bodies of uploads among them.
  */
--- a/src/routenode/CallServer.ts
+++ b/src/routenode/CallServer.ts
@@ -4,7 +4,7 @@
 import { FrameServer } from '../runtime/FrameServer.js'
 import type { Clock, Disposable } from '../runtime/Types.js'
 import { type BodyResources, BodyTransfer, makeDefaultBodyResources } from './BodyTransfer.js'
-import { LINK_TIMEOUT_MS, MAX_INLINE_BODY_BYTES } from './Constants.js'
+import { LINK_TIMEOUT_MS } from './Constants.js'
 import { isRoutedCall } from './FrameChecks.js'
 import type {
   CallClientFrame, CallServerFrame, InstanceStatus, RoutedAnswer, RoutedCall, RoutedCallHandle, RoutedCallTarget
@@ -26,8 +26,8 @@
 const NO_BYTES = new Uint8Array(0)
 
 /**
- * Accepts calls of other nodes for the instance on this VM. When a connection closes, its calls are cancelled. The body
- * that does not come with its call is requested once the call has a slot; a large answer is sent in chunks.
+ * Accepts calls of other nodes for the instance on this VM. When a connection closes, its calls are cancelled. A body
+ * that does not come with its call is requested once the call has a slot; a large answer to an upload is sent in chunks.
  *
  * Memory: one handle for each call in progress, and the large answers that are being sent.
  */
@@ -163,7 +163,7 @@
 
 /** Returns whether the body of an answer is sent in chunks. */
 function isChunked ({ kind }: RoutedCall, { body }: RoutedAnswer): boolean {
-  return body.length > (kind === 'upload' ? CHUNK_BYTES : MAX_INLINE_BODY_BYTES)
+  return kind === 'upload' && body.length > CHUNK_BYTES
 }
 
 function buildAnswerFrame (call: RoutedCall, answer: RoutedAnswer, load: InstanceStatus): CallServerFrame {
--- a/src/routenode/Constants.ts
+++ b/src/routenode/Constants.ts
@@ -75,8 +75,8 @@
 export const MAX_ANSWER_BYTES = 15 * 1024 * 1024
 
 /**
- * Largest body that is sent in the frame of its call or answer, in bytes. Larger ones follow in chunks, as a frame
- * above `MAX_FRAME_BYTES` closes the connection with all calls on it, and pings wait behind a large one.
+ * Largest body that is sent in the frame of its call, in bytes. Larger ones follow in chunks, as a frame above
+ * `MAX_FRAME_BYTES` closes the connection with all calls on it, and pings wait behind a large one.
  */
 export const MAX_INLINE_BODY_BYTES = 4 * 1024 * 1024
 
