Keep an unexpected error in one request from ending the node

Cause: an error while a caller's request was read and routed, or while its answer was written, was uncaught and ended the process with all requests that it held, although neither step changes the state of another request.

Change: the gateway answers that request with 503 before it was started, otherwise with 502, and logs the error. Errors in the parts that requests share still end the process. A deadline above ten minutes counts as ten minutes, the longest timeout of a route, as the longest deadline decides how long other callers count as waiting.

--- a/src/routenode/Gateway.ts
+++ b/src/routenode/Gateway.ts
@@ -94,7 +94,9 @@
     })
     this._connections = new CallerConnections(this._server)
     this._responder = new CallerResponder(names.requestId)
-    this._server.on('request', (message, response) => this._onRequest(message, response))
+    this._server.on('request', (message, response) => {
+      this._contain(message, response, 503, () => this._onRequest(message, response))
+    })
     this._server.on('clientError', (error, socket) => this._onClientError(error, socket))
   }
 
@@ -174,11 +176,33 @@
       if (result.type !== 'whole' || isRefused) return
       if (this._refuseIfStopping(message, response, origin)) return lease.release()
       if (!isUpload) lease.grow(result.bytes.length)
-      const request = this._buildRequest(message, entry, table, origin, result.bytes, arrivedAtMs)
-      this._start(message, response, request, lease)
+      let request: GatewayRequest | undefined
+      this._contain(message, response, 503, () => {
+        request = this._buildRequest(message, entry, table, origin, result.bytes, arrivedAtMs)
+      })
+      if (request === undefined) lease.release()
+      else this._start(message, response, request, lease)
     }, isUpload ? lease : undefined)
   }
 
+  /**
+   * Handles a step of one request that changes no state of others: an unexpected error there ends this request only.
+   * @param status Status that the caller then gets: 503 before the request can have run, otherwise 502.
+   */
+  private _contain (message: IncomingMessage, response: ServerResponse, status: number, handle: () => void): void {
+    try {
+      handle()
+    } catch (error) {
+      const requestId = readHeader(message, this._options.names.requestId)
+      this._options.log.error({ requestId, error: (error as Error).stack }, 'request failed unexpectedly')
+      try {
+        this._responder.refuse(message, response, status, 'request-invalid', status === 503 ? 0 : undefined)
+      } catch {
+        response.destroy()
+      }
+    }
+  }
+
   /**
    * Refuses a request that can't be passed on before the shutdown ends; nested calls belong to requests that still run.
    * @returns True when the request was refused.
@@ -326,7 +350,9 @@
       this._openCalls.delete(call)
       lease.release()
       credit.end(result === undefined ? call.sends === 0 : result.type === 'refused')
-      if (result !== undefined) this._responder.send(message, response, result)
+      if (result !== undefined) {
+        this._contain(message, response, 502, () => this._responder.send(message, response, result))
+      }
       if (result?.type === 'answer') this._answerSizes.recordAnswer(request.route.name, result.answer.body.length)
       this._recordEnd(request, call, result)
       this._openRequestCount--
@@ -410,7 +436,10 @@
   answer: 'answered', refused: 'refused', limited: 'refused', failed: 'failed', gone: 'gone'
 } as const
 
+/** Longest deadline that counts, in milliseconds; routes have shorter timeouts. */
+const MAX_DEADLINE_MS = 600_000
+
 function readDeadlineMs (message: IncomingMessage, name: string): number | undefined {
   const deadlineMs = Number(message.headers[name])
-  return Number.isFinite(deadlineMs) && deadlineMs > 0 ? deadlineMs : undefined
+  return Number.isFinite(deadlineMs) && deadlineMs > 0 ? Math.min(deadlineMs, MAX_DEADLINE_MS) : undefined
 }
