--- a/src/routenode/CallServer.ts
+++ b/src/routenode/CallServer.ts
@@ -27,7 +27,7 @@
 
 /**
  * Accepts calls of other nodes for the instance on this VM. When a connection closes, its calls are cancelled. A body
- * that does not come with its call is requested once the call has a slot; a large answer to an upload is sent in chunks.
+ * that does not come with its call is requested once the call has a slot; a large answer to an upload goes in chunks.
  *
  * Memory: one handle for each call in progress, and the large answers that are being sent.
  */
