--- a/src/routenode/Placement.test.ts
+++ b/src/routenode/Placement.test.ts
@@ -80,7 +80,7 @@
   const { placement, directory } = makePlacement([makeEntry(address)])
   disposables.push(server)
   const link = placement.findTarget(address)
-  const call = { id: 1 } as unknown as Parameters<CallLink['start']>[0]
+  const call = { id: 1, body: new Uint8Array(0) } as unknown as Parameters<CallLink['start']>[0]
   link.start(call, { onAnswer: () => {}, onDeclined: () => {}, onFailed: () => {} })
   await stopping
   expect(placement.findChooser('svc')?.size).toBe(0)
@@ -105,7 +105,7 @@
   await server.listen(address)
   const { placement, directory } = makePlacement([makeEntry(address)])
   disposables.push(server)
-  const call = { id: 1 } as unknown as Parameters<CallLink['start']>[0]
+  const call = { id: 1, body: new Uint8Array(0) } as unknown as Parameters<CallLink['start']>[0]
   const outcome = new Promise<string>(resolve => {
     placement.findTarget(address).start(call, {
       onAnswer: ({ status }) => resolve(`answer ${status}`), onDeclined: resolve, onFailed: (proof, reason) => resolve(`${proof} ${reason}`)
--- a/test/OddInputs.test.ts
+++ b/test/OddInputs.test.ts
@@ -174,7 +174,12 @@
   const untilMs = performance.now() + SEARCH_MS
   while (performance.now() < untilMs) {
     for (let count = 0; count < BATCH; count++) await inputs[seed++ % inputs.length]!().catch(() => {})
-    for (const one of started.nodes) await expectServed(started, one).catch((error: Error) => { throw new Error(`seed ${SEED}, at ${seed}: ${error.message}`) })
+    for (const one of started.nodes) {
+      await expectServed(started, one).catch((error: Error) => {
+        const states = started.nodes.map(({ daemon }) => daemon.state())
+        throw new Error(`seed ${SEED}, at ${seed}: ${error.message} at ${one.nodeAddress}: ${JSON.stringify(states)}`)
+      })
+    }
   }
   console.info(`seed ${SEED}: ${seed - SEED} draws`)
 }, SEARCH_MS + 60_000)
