Refuse a second call with the id of one that is open on a link

What was seen: npm run fuzz:inputs failed in 2 of 2 runs after 2,911 and 2,917 draws: a node answered no request for 15 s (504), with 6 of 6 slots held and no open connection of their sender.

Cause: a session of CallServer keeps one handle for each id. A second call with an id in use replaced the handle, so the close of the connection cancelled only the later call, and the first kept its slot up to its deadline, which a frame may set to 24 days.

Change: such a call closes the connection, which cancels what it had. A node's own calls have ids of their own.

--- a/src/routenode/BodyTransfer.test.ts
+++ b/src/routenode/BodyTransfer.test.ts
@@ -182,6 +182,18 @@
   expect([answer.text, answer.body.length, opened]).toEqual(['answer 200', MAX_ANSWER_BYTES, []])
 })
 
+// The first call kept its slot for good when the connection closed.
+test('a second call with the id of one that is open ends the connection and cancels both', async () => {
+  const { link, target } = await connectToTarget(undefined)
+  target.start = call => {
+    target.started.push(call)
+    return { cancel: () => { target.cancelCount++ } }
+  }
+  const outcomes = [run(link, { ...UPLOAD, kind: 'once' }), run(link, { ...UPLOAD, kind: 'once' })]
+  expect((await outcomes[1])!.text).toBe('unknown link-lost')
+  expect([target.started.length, target.cancelCount]).toEqual([1, 1])
+})
+
 /**
  * Runs small calls one after the other while an upload runs, and returns how many are answered before it ends.
  * @param call The upload.
--- a/src/routenode/CallServer.ts
+++ b/src/routenode/CallServer.ts
@@ -117,6 +117,8 @@
     const { channel, handles, transfer } = session
     if (!isRoutedCall(call)) return this._refuseInvalid(session, call)
     const { id } = call
+    // The call before would keep its slot after its connection has closed.
+    if (handles.has(id)) return channel.destroy('the id of a call is in use')
     const lease = this._bodies.memory.lease()
     let ended = false
     const finish = (frame: CallServerFrame): void => {
