Serve workspaces whose names are not ASCII, and limits beyond those of timers

What callers saw: with a workspace such as "Łódź" in an acknowledged configuration, the first request with one of its keys ended the node with all its requests, at every node; "é" reached instances as a byte that is no UTF-8. With an IdleTimeout beyond 24.8 days answers carried "Keep-Alive: timeout=1e+24".

Cause: Node.js takes a header as one byte for each character and throws on others, in a callback that nothing guards; and the limits of the configuration went to the HTTP server as they were. Its check for slow heads takes 32 bits of milliseconds, so 4294967297ms would have meant 1 ms; that was read, not run, as the check comes every 30 s.

Change: names are written as UTF-8, and the two limits end at the longest wait of a timer. The configuration is read back as it was sent.

--- a/src/routenode/Gateway.ts
+++ b/src/routenode/Gateway.ts
@@ -37,6 +37,9 @@
 /** Deadline assumed for a request that names none, in milliseconds; no timeout of a route is longer. */
 const DEFAULT_DEADLINE_MS = 600_000
 
+/** Longest time that a timer of Node.js can wait, in milliseconds; operators may set longer limits. */
+const MAX_TIMER_MS = 2 ** 31 - 1
+
 /** Status line for a request that the HTTP parser rejects, by error code; other errors get 400. */
 const STATUS_LINE_BY_ERROR_CODE: Readonly<Record<string, string>> = {
   HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
@@ -118,8 +121,8 @@
     this._routeTable = table
     this._keys = keys
     this._callerLimits = limits
-    this._server.keepAliveTimeout = limits.idleTimeoutMs
-    this._server.headersTimeout = limits.headerTimeoutMs
+    this._server.keepAliveTimeout = Math.min(limits.idleTimeoutMs, MAX_TIMER_MS)
+    this._server.headersTimeout = Math.min(limits.headerTimeoutMs, MAX_TIMER_MS)
   }
 
   /** Announces the shutdown to callers: from now on each answer closes its connection. */
@@ -285,8 +288,8 @@
       : this._callerWaitEstimate.recordDeadline(route.name, deadlineMs, arrivedAtMs)
     const dropped = keys === undefined ? this._droppedHeaders : this._droppedWithKeys
     const headers = selectEndToEnd(message.rawHeaders, dropped)
-    headers.push(names.callerService, callerService())
-    if (workspace !== undefined) headers.push(names.workspace, workspace.name)
+    headers.push(names.callerService, encodeHeaderValue(callerService()))
+    if (workspace !== undefined) headers.push(names.workspace, encodeHeaderValue(workspace.name))
     const requestId = readHeader(message, names.requestId) ?? ''
     return {
       requestId,
@@ -414,3 +417,8 @@
   const deadlineMs = Number(message.headers[name])
   return Number.isFinite(deadlineMs) && deadlineMs > 0 ? deadlineMs : undefined
 }
+
+/** Node.js writes each character of a header as one byte and throws on others, so it is given the bytes of UTF-8. */
+function encodeHeaderValue (text: string): string {
+  return Buffer.from(text).toString('latin1')
+}
