Refuse routes whose hosts differ only in case

What callers saw: of two routes with one prefix and hosts such as h.example and H.example both were acknowledged, and the table of routes, which compares hosts without case, served only the first.

Cause: the validation compares hosts as they are written. Its rules are part of what each replica applies from the log, and replicas of several releases must decide an entry alike, so it can't get a stricter rule.

Change: the leader checks a change before it proposes it, on the configuration that the change builds on. That is exact, since a change that is applied to another configuration gets a conflict.

The addresses of that test now depend on the process: two runs of it beside each other used the same ones and disturbed each other.

--- a/src/parts/routing/RoutingStore.ts
+++ b/src/parts/routing/RoutingStore.ts
@@ -1,8 +1,8 @@
 import { DEFAULT_CALLER_LIMITS, MAX_ACCEPTED_CHANGES, MAX_DELTAS } from './Constants.js'
-import { validateRouting } from './RoutingValidation.js'
+import { findHostClashes, validateRouting } from './RoutingValidation.js'
 import { applyPatch, computeDelta } from './RoutingDelta.js'
 import type {
-  RoutingChange, RoutingConfiguration, RoutingDelta, RoutingReply, RoutingSnapshot, VersionedRouting
+  Finding, RoutingChange, RoutingConfiguration, RoutingDelta, RoutingReply, RoutingSnapshot, VersionedRouting
 } from './Types.js'
 
 const EMPTY_ROUTING: VersionedRouting = {
@@ -37,6 +37,17 @@
     return base <= this._current.version
   }
 
+  /**
+   * Checks a change that isn't in the log yet by rules that `apply` lacks: replicas of several releases must decide
+   * each entry of a log alike, so `apply` can't have new rules. The result is exact: a change that passes is applied to
+   * the version in force now, or gets a conflict.
+   * @returns All findings.
+   */
+  public check (change: RoutingChange): Finding[] {
+    const { version, configuration } = this._current
+    return change.base === version ? findHostClashes(applyChange(change, configuration)) : []
+  }
+
   /**
    * Applies one committed change.
    * @param change The change.
--- a/src/parts/routing/RoutingValidation.ts
+++ b/src/parts/routing/RoutingValidation.ts
@@ -50,6 +50,15 @@
   return findings
 }
 
+/**
+ * Finds routes with the same prefix whose hosts differ only in case, of which the table of routes would serve only one.
+ * @returns All findings.
+ */
+export function findHostClashes ({ routes }: RoutingConfiguration): Finding[] {
+  const places = routes.map(({ host, pathPrefix }) => `${host.toLowerCase()}${pathPrefix}`)
+  return findDuplicates('routes', 'host, in any case, and pathPrefix', places)
+}
+
 /**
  * Returns the names of the services that a route may send requests to.
  * @param route The route.
--- a/src/routecontrol/RoutingReplica.ts
+++ b/src/routecontrol/RoutingReplica.ts
@@ -23,6 +23,7 @@
   ANNOUNCE_INTERVAL_MS, FIRST_LEADER_WAIT_MS, GROUP_TICK_MS, GROUP_TIMING, JOIN_INTERVAL_MS, LEADERLESS_JOIN_MS,
   LEADER_NOTICE_TTL_MS, SNAPSHOT_AFTER_BYTES
 } from './Constants.js'
+import { decideEarly } from './EarlyDecision.js'
 import { type EvacuationReply, type MachineReply, RoutingStateMachine } from './RoutingStateMachine.js'
 import type { QuotaReplicaFrame } from './Types.js'
 
@@ -267,11 +268,8 @@
    * @param change The change, decoded.
    */
   public async change (change: RoutingChange): Promise<ChangeOutcome> {
-    const { store } = this.machine
-    if (!store.canDecide(change)) {
-      const reason = `the base is version ${change.base}, which has not come into force after ${store.inForce.version}`
-      return { type: 'undecided', state: 'not-run', reason }
-    }
+    const outcome = decideEarly(this.machine.store, change)
+    if (outcome !== undefined) return outcome
     return await this._propose<RoutingReply>(this.machine.encode(change))
   }
 
--- a/test/OrderBytes.test.ts
+++ b/test/OrderBytes.test.ts
@@ -10,8 +10,8 @@
 
 const PUT = '/api/Config.Put'
 const PATCH = '/api/Config.Patch'
-/** Second octet of the loopback addresses. */
-const NETWORK = 236
+/** Second octet of the loopback addresses; runs beside each other mostly differ. */
+const NETWORK = 232 + process.pid % 20
 /** Orders of the generator that are sent to the processes. */
 const GENERATED_ORDERS = 400
 
@@ -196,6 +196,15 @@
   await expectRefused(PATCH, nextPatch({ Upsert: { Routes: [ROUTE] }, Remove: { Routes: ['r-1'] } }))
 })
 
+// Otherwise the table of routes serves only one of them.
+test('routes whose hosts differ only in case are refused', async () => {
+  await expectTaken(PUT, nextPut())
+  const other = { ...ROUTE, Name: 'r-2', Host: 'H.example' }
+  await expectRefused(PATCH, nextPatch({ Upsert: { Routes: [other] } }))
+  await expectRefused(PUT, nextPut(/"Routes":\[.*?\]/, JSON.stringify({ Routes: [ROUTE, other] }).slice(1, -1)))
+  await expectTaken(PUT, nextPut('"h.example"', '"H.Example"'))
+})
+
 test('durations are read back exactly or refused', async () => {
   for (const [sent, found] of [['1.005s', '1005ms'], ['0.0000001s', '0.0001ms'], ['1.0005s', '1000.5ms'], ['0001500.0ms', '1500ms']] as const) {
     const body = nextPut('"600ms"', `"${sent}"`)
