Let a seed that ended before the first group take part in its formation

Callers saw: if one of the seeds is killed before the group has formed and is started again, with its disk or without, no group ever forms: no change is acknowledged.

Cause: only a replica whose log was empty and whose settings said Bootstrap took part in the formation, which needs all seeds. A restart with the disk found a log, and one with an empty disk is told that Bootstrap is false.

Change: a disk that is created at the first start keeps the names of its founders until it belongs to a group, and takes part with them. A seed with an empty disk takes part as a replacement, as long as more than half of the disks are those of the first start. The exchange of notices moves from RoutingReplica to FormationHost.

Why two groups can't form: as before, all seeds must announce the same group by the ids of their present disks while they belong to none, so a second group needs that a quorum of the first has lost its disks. Replacements take part in the model of GroupFormation.test.ts, which now also restarts replicas with their disks; replicas that were all added later form none.

GroupFormation.test.ts: wipes draw whether the settings say Bootstrap, and a step restarts a replica; all else is as before.

--- a/src/parts/agreement/GroupFormation.test.ts
+++ b/src/parts/agreement/GroupFormation.test.ts
@@ -15,22 +15,26 @@
   /** Sends a notice that is delivered later or never. */
   | { readonly op: 'notifyLater', readonly from: number, readonly to: number }
   | { readonly op: 'deliver', readonly pick: number }
-  | { readonly op: 'wipe', readonly slot: number }
+  /** Starts the replica again with an empty disk; with `bootstrap` as at the first start of the whole system. */
+  | { readonly op: 'wipe', readonly slot: number, readonly bootstrap: boolean }
+  /** Starts the replica again with its disk. */
+  | { readonly op: 'restart', readonly slot: number }
 
 const slot = fc.nat({ max: 2 })
 const steps: fc.Arbitrary<Step[]> = fc.array(fc.oneof(
   { weight: 8, arbitrary: fc.record({ op: fc.constant('notify' as const), from: slot, to: slot }) },
   { weight: 3, arbitrary: fc.record({ op: fc.constant('notifyLater' as const), from: slot, to: slot }) },
   { weight: 3, arbitrary: fc.record({ op: fc.constant('deliver' as const), pick: fc.nat() }) },
-  { weight: 1, arbitrary: fc.record({ op: fc.constant('wipe' as const), slot }) }
+  { weight: 1, arbitrary: fc.record({ op: fc.constant('wipe' as const), slot, bootstrap: fc.boolean() }) },
+  { weight: 1, arbitrary: fc.record({ op: fc.constant('restart' as const), slot }) }
 ), { minLength: 10, maxLength: 80, size: 'max' })
 
 /** Faulty: forms a group once all others have announced that they belong to none, whatever group they would form. */
 class UnconfirmedFormation extends GroupFormation {
   private readonly _notices = new Map<string, FormationNotice>()
 
-  public constructor (private readonly _self: string, names: readonly string[]) {
-    super(_self, names)
+  public constructor (private readonly _self: string, names: readonly string[], isReplacement: boolean) {
+    super(_self, names, isReplacement)
   }
 
   public override receive (notice: FormationNotice): readonly string[] | undefined {
@@ -44,7 +48,8 @@
 
 interface TestReplica {
   readonly id: string
-  readonly formation: GroupFormation
+  readonly isReplacement: boolean
+  formation: GroupFormation
   members: readonly string[]
 }
 
@@ -52,17 +57,17 @@
   if (replica.members.length === 0) replica.members = replica.formation.receive(notice, 0) ?? []
 }
 
-function makeNotice ({ id, members, formation }: TestReplica): FormationNotice {
-  return { replica: id, members, heard: formation.proposedGroup(0) }
+function makeNotice ({ members, formation }: TestReplica): FormationNotice {
+  return formation.makeNotice(members, 0)
 }
 
 /** Returns the member lists that a quorum of live replicas shared at some time. */
 function groupsFormed (list: readonly Step[], Formation: typeof GroupFormation): Set<string> {
-  const build = (name: string, generation: number): TestReplica => {
+  const build = (name: string, generation: number, isReplacement: boolean): TestReplica => {
     const id = makeReplicaId(name, String(generation))
-    return { id, formation: new Formation(id, NAMES), members: [] }
+    return { id, isReplacement, formation: new Formation(id, NAMES, isReplacement), members: [] }
   }
-  const replicas = NAMES.map(name => build(name, 0))
+  const replicas = NAMES.map(name => build(name, 0, false))
   const formed = new Set<string>()
   let inFlight: Array<{ readonly to: number, readonly notice: FormationNotice }> = []
   let generations = 0
@@ -75,8 +80,12 @@
     } else if (step.op === 'deliver') {
       const [sent] = inFlight.splice(step.pick % Math.max(1, inFlight.length), 1)
       if (sent !== undefined) receiveNotice(replicas[sent.to]!, sent.notice)
+    } else if (step.op === 'restart') {
+      const replica = replicas[step.slot]!
+      replica.formation = new Formation(replica.id, NAMES, replica.isReplacement)
+      inFlight = inFlight.filter(({ to }) => to !== step.slot)
     } else if (formed.size === 0 || ++lossesAfterForming < QUORUM) {
-      replicas[step.slot] = build(NAMES[step.slot]!, ++generations)
+      replicas[step.slot] = build(NAMES[step.slot]!, ++generations, !step.bootstrap)
       // Notices in flight to the old process do not reach its successor.
       inFlight = inFlight.filter(({ to }) => to !== step.slot)
     }
@@ -101,6 +110,25 @@
   expect([...groupsFormed([...round, ...round, ...round], GroupFormation)]).toEqual(['c1~0,c2~0,c3~0'])
 })
 
+function startWith (lost: number): Step[] {
+  return [0, 1, 2].slice(0, lost).map((slot): Step => ({ op: 'wipe', slot, bootstrap: false }))
+}
+
+// Without it the others would wait for this seed for good.
+test('a seed whose disk is lost before the group forms takes part as a replacement', () => {
+  const round = [0, 1, 2].flatMap(from => [0, 1, 2].map((to): Step => ({ op: 'notify', from, to })))
+  const group = groupsFormed([...startWith(1), ...round, ...round, ...round], GroupFormation)
+  expect([...group]).toEqual(['c1~1,c2~0,c3~0'])
+})
+
+// Replicas that were added to a group later may be named as each other's seeds; they must not form a second group.
+test('replacements that are the majority form no group', () => {
+  const round = [0, 1, 2].flatMap(from => [0, 1, 2].map((to): Step => ({ op: 'notify', from, to })))
+  for (const lost of [2, 3]) {
+    expect([...groupsFormed([...startWith(lost), ...round, ...round, ...round], GroupFormation)]).toEqual([])
+  }
+})
+
 test('detects outdated notices that count as agreement', () => {
   expect(
     fc.check(atMostOneGroup(UnconfirmedFormation), { seed: SEED, numRuns: 6000, endOnFailure: true }).failed
--- a/src/parts/agreement/GroupFormation.ts
+++ b/src/parts/agreement/GroupFormation.ts
@@ -15,6 +15,8 @@
   readonly leader?: ReplicaId
   /** Replicas with which the sender would form a group now, including itself, sorted by id. */
   readonly heard: readonly ReplicaId[]
+  /** Present when the sender's disk was not created at the first start of the whole system. */
+  readonly isReplacement?: true
 }
 
 /**
@@ -40,7 +42,7 @@
 }
 
 /**
- * Forms the first group of replicas whose disks are empty. A replica joins that group in one of two cases: every
+ * Forms the first group of replicas whose disks belong to none. A replica joins that group in one of two cases: every
  * configured replica has announced, while it belonged to no group, that it would form exactly this group; or a notice
  * names a group whose members include this replica's id.
  *
@@ -48,6 +50,10 @@
  * outside the group and waits to be added. All replicas must have received notices from each other's present disks, so
  * an outdated notice of a replica that has since joined a group does not lead to a second group with a new disk.
  *
+ * A replica whose disk was lost before the group has formed takes part as a replacement, since the others can't form
+ * the group without it. More than half of the disks must be those of the first start: replicas that have all been added
+ * later belong to a group that they don't know yet.
+ *
  * Memory: one notice for each configured replica.
  */
 export class GroupFormation {
@@ -56,10 +62,12 @@
   /**
    * @param _id Id of this replica.
    * @param _names Configured names of the first replicas, including this one.
+   * @param _isReplacement True when the disk of this replica was not created at the first start of the whole system.
    */
   public constructor (
     private readonly _id: ReplicaId,
-    private readonly _names: readonly string[]
+    private readonly _names: readonly string[],
+    private readonly _isReplacement = false
   ) {}
 
   /**
@@ -82,9 +90,21 @@
    */
   public agreedGroup (nowMs: number): readonly ReplicaId[] | undefined {
     const group = this.proposedGroup(nowMs)
-    const isAgreed = this._validNotices(nowMs)
-      .every(notice => notice.members.length === 0 && sameIds(notice.heard, group))
-    return isAgreed && group.length === this._names.length ? group : undefined
+    const notices = this._validNotices(nowMs)
+    const isAgreed = notices.every(notice => notice.members.length === 0 && sameIds(notice.heard, group))
+    const replacements = [this._isReplacement, ...notices.map(notice => notice.isReplacement === true)].filter(Boolean)
+    const isFirstStart = replacements.length < group.length / 2
+    return isAgreed && isFirstStart && group.length === this._names.length ? group : undefined
+  }
+
+  /**
+   * Returns the notice of this replica.
+   * @param members Members of its group; empty while it belongs to none.
+   * @param nowMs Monotonic time in milliseconds.
+   */
+  public makeNotice (members: readonly ReplicaId[], nowMs: number): FormationNotice {
+    const notice = { replica: this._id, members, heard: this.proposedGroup(nowMs) }
+    return this._isReplacement ? { ...notice, isReplacement: true } : notice
   }
 
   /**
--- a/src/parts/storage/DurableLog.test.ts
+++ b/src/parts/storage/DurableLog.test.ts
@@ -155,6 +155,41 @@
   fc.assert(survivesPowerCut(() => new MemoryDisk()), { seed: SEED, numRuns: 2000 })
 })
 
+// A replica that is killed while it creates its log would otherwise take part in no group for good.
+test('a process that ends at any operation of create leaves an empty log or the new one', () => {
+  const results = new Set<string>()
+  for (let operations = 0; operations < 40; operations++) {
+    for (const power of [true, false]) {
+      for (let seed = 1; seed <= 20; seed++) {
+        const disk = new MemoryDisk()
+        try {
+          new DurableLog(failAfter(disk, operations)).create(IDENTITY, ['c1', 'c2', 'c3'])
+        } catch (error) {
+          expect((error as Error).message).toContain('power cut')
+        }
+        if (power) disk.crash(new SeededRandom(seed))
+        const log = new DurableLog(disk)
+        const opened = log.open()
+        results.add(opened.type)
+        if (opened.type === 'empty') log.create('c1~def', ['c1'])
+        const again = new DurableLog(disk).open()
+        expect(again).toMatchObject({ type: 'recovered', founders: opened.type === 'empty' ? ['c1'] : ['c1', 'c2', 'c3'] })
+      }
+    }
+  }
+  expect([...results].sort()).toEqual(['empty', 'recovered'])
+})
+
+test('the founders are forgotten once the replica belongs to a group', () => {
+  const disk = new MemoryDisk()
+  const log = new DurableLog(disk)
+  log.create(IDENTITY, ['c1', 'c2', 'c3'])
+  log.stage({ sequence: 1, entries: [], snapshot: { index: 0, term: 0, members: ['c1~abc'], data: new Uint8Array(0) } })
+  log.flush()
+  const opened = new DurableLog(disk).open()
+  expect(opened.type === 'recovered' && opened.founders).toBeUndefined()
+})
+
 // Each of the following disks skips one step of a durable write; the property must fail on each.
 class NoFileSync extends MemoryDisk {
   public override sync (): void {}
--- a/src/parts/storage/DurableLog.ts
+++ b/src/parts/storage/DurableLog.ts
@@ -33,6 +33,7 @@
 export class DurableLog {
   private readonly _reader: LogReader
   private _identity = ''
+  private _founders: readonly string[] = []
   private _hardState: HardState = { term: 0, votedFor: undefined }
   private _entries: LogEntry[] = []
   private _segmentFile = ''
@@ -70,7 +71,7 @@
     const snapshotFile = this._reader.newestSnapshot()
     const logFile = this._reader.newestSegment()
     if (snapshotFile === undefined && logFile === undefined) return { type: 'empty' }
-    if (snapshotFile === undefined) return corruptResult({ file: logFile!, offset: 0, problem: 'missing snapshot' })
+    if (snapshotFile === undefined) return this._openWithoutSnapshot(logFile!)
     if (logFile === undefined) return corruptResult({ file: snapshotFile, offset: 0, problem: 'missing log segment' })
     const stored = this._reader.readSnapshot(snapshotFile)
     const segment = this._reader.readSegment(logFile)
@@ -83,12 +84,17 @@
   }
 
   /**
-   * Creates an empty log with a new identity.
+   * Creates an empty log with a new identity. The segment is written first: one without content and without a snapshot
+   * shows that the process has ended here, before the identity was used.
    * @param identity Id of the replica that the disk belongs to, see `makeReplicaId`; it is lost with the disk.
+   * @param founders Names of the replicas that form the first group with this one; empty when it forms none.
    */
-  public create (identity: string): void {
+  public create (identity: string, founders: readonly string[] = []): void {
     this._identity = identity
-    this._replaceSnapshotAndSegment(EMPTY_SNAPSHOT, [])
+    this._founders = founders
+    this._lastBatch++
+    this._startSegment(EMPTY_SNAPSHOT, [{ type: 'hard', hard: this._hardState }], this._lastBatch, new Uint8Array(0))
+    this._attempt(() => this._writeSnapshotFile(EMPTY_SNAPSHOT))
   }
 
   /**
@@ -206,11 +212,7 @@
 
   /** Writes a snapshot and a segment that follows it, then removes the old files. */
   private _replaceSnapshotAndSegment (snapshot: Snapshot, entries: LogEntry[]): void {
-    this._attempt(() => {
-      const writer = new SnapshotWriter(this._disk, snapshot.index)
-      writer.add(snapshot.data)
-      writer.finish(snapshot, this._identity)
-    })
+    this._attempt(() => this._writeSnapshotFile(snapshot))
     const head: LogRecord[] = [{ type: 'hard', hard: this._hardState }]
     entries.forEach(entry => head.push({ type: 'entry', entry }))
     this._lastBatch++
@@ -218,15 +220,23 @@
     this._entries = entries
   }
 
+  private _writeSnapshotFile (snapshot: Snapshot): void {
+    const writer = new SnapshotWriter(this._disk, snapshot.index)
+    writer.add(snapshot.data)
+    writer.finish(snapshot, this._identity)
+  }
+
   private _startSegment (
-    { index, term }: Snapshot,
+    { index, term, members }: Snapshot,
     head: readonly LogRecord[],
     batch: number,
     tail: Uint8Array
   ): void {
     const number = this._segmentNumber + 1
     const file = `log-${formatFileNumber(number)}`
-    const base: LogRecord = { type: 'base', index, term, identity: this._identity }
+    if (members.length > 0) this._founders = []
+    const founders = this._founders.length > 0 ? { founders: this._founders } : {}
+    const base: LogRecord = { type: 'base', index, term, identity: this._identity, ...founders }
     const records = [base, ...head].map(record => encodeRecord(record, batch))
     const length = this._writeAndRename(file, [encodeHeader(SEGMENT_MAGIC), ...records, tail])
     this._segmentFile = file
@@ -261,10 +271,20 @@
     }
   }
 
+  /** A segment without content that has no snapshot is what an interrupted `create` leaves behind. */
+  private _openWithoutSnapshot (file: string): OpenResult {
+    const segment = this._reader.readSegment(file)
+    if (segment.type === 'corrupt') return corruptResult(segment.corruption)
+    const { base, entries, hard, tornBytes } = segment.content
+    const isUnused = base.index === 0 && entries.length === 0 && hard.term === 0 && tornBytes === 0
+    return isUnused ? { type: 'empty' } : corruptResult({ file, offset: 0, problem: 'missing snapshot' })
+  }
+
   private _recover (segment: Segment, snapshot: Snapshot): OpenResult {
     const isUsable = followsSnapshot(segment, snapshot)
     const entries = isUsable ? segment.entries.filter(entry => entry.index > snapshot.index) : []
     this._identity = segment.base.identity
+    this._founders = snapshot.members.length > 0 ? [] : segment.base.founders ?? []
     this._hardState = segment.hard
     this._entries = entries
     this._segmentFile = segment.file
@@ -275,7 +295,8 @@
     if (segment.tornBytes > 0) this._truncateTornTail(segment)
     if (!isUsable) this._replaceSnapshotAndSegment(snapshot, entries)
     const state = { hard: this._hardState, snapshot, entries: [...entries] }
-    return { type: 'recovered', identity: this._identity, state, cutBytes: segment.tornBytes }
+    const founders = this._founders.length > 0 ? { founders: this._founders } : {}
+    return { type: 'recovered', identity: this._identity, state, cutBytes: segment.tornBytes, ...founders }
   }
 
   private _truncateTornTail (segment: Segment): void {
--- a/src/parts/storage/Types.ts
+++ b/src/parts/storage/Types.ts
@@ -40,8 +40,17 @@
 
 /** One record of a log segment. */
 export type LogRecord =
-  /** First record of a segment: the snapshot that the segment follows, and the replica that the disk belongs to. */
-  | { readonly type: 'base', readonly index: number, readonly term: number, readonly identity: string }
+  /**
+   * First record of a segment: the snapshot that the segment follows, and the replica that the disk belongs to.
+   * `founders` as in `OpenResult`.
+   */
+  | {
+    readonly type: 'base',
+    readonly index: number,
+    readonly term: number,
+    readonly identity: string,
+    readonly founders?: readonly string[]
+  }
   | { readonly type: 'hard', readonly hard: HardState }
   | { readonly type: 'entry', readonly entry: LogEntry }
   /** Removes the entries from this index on. */
@@ -72,7 +81,16 @@
 /** Result of opening the log. */
 export type OpenResult =
   | { readonly type: 'empty' }
-  /** `cutBytes` is the length of the torn write that was truncated. */
-  | { readonly type: 'recovered', readonly identity: string, readonly state: RecoveredState, readonly cutBytes: number }
+  /**
+   * `cutBytes` is the length of the torn write that was truncated. `founders` are the names of the replicas that form
+   * the first group with this one, as given to `create`; absent once it belongs to a group.
+   */
+  | {
+    readonly type: 'recovered',
+    readonly identity: string,
+    readonly state: RecoveredState,
+    readonly cutBytes: number,
+    readonly founders?: readonly string[]
+  }
   /** The replica must not vote; the files are left unchanged. */
   | { readonly type: 'corrupt', readonly corruptions: readonly Corruption[] }
--- a/src/routecontrol/RoutingReplica.ts
+++ b/src/routecontrol/RoutingReplica.ts
@@ -6,7 +6,6 @@
 import type { ReplicaFrameHandlers, ReplicaToReplica } from '../control/Types.js'
 import { EMPTY_RECOVERED_STATE } from '../parts/agreement/Constants.js'
 import { GroupFormation, makeReplicaId, replicaName } from '../parts/agreement/GroupFormation.js'
-import type { FormationNotice } from '../parts/agreement/GroupFormation.js'
 import type { ReplicaView } from '../parts/agreement/Replica.js'
 import type { RecoveredState } from '../parts/agreement/Types.js'
 import type { EvacuationOrder } from '../parts/evacuation/Types.js'
@@ -14,16 +13,15 @@
 import type { CrashReport } from '../parts/quarantine/Types.js'
 import type { RoutingChange, RoutingReply } from '../parts/routing/Types.js'
 import { DurableLog } from '../parts/storage/DurableLog.js'
-import type { Corruption, Disk } from '../parts/storage/Types.js'
+import type { Corruption, Disk, OpenResult } from '../parts/storage/Types.js'
 import type { Random, ReplicaId } from '../parts/Types.js'
 import { Emitter } from '../runtime/Emitter.js'
 import type { Clock, Disposable, Log } from '../runtime/Types.js'
-import {
-  ANNOUNCE_INTERVAL_MS, FIRST_LEADER_WAIT_MS, GROUP_TICK_MS, GROUP_TIMING, LEADER_NOTICE_TTL_MS, SNAPSHOT_AFTER_BYTES
-} from './Constants.js'
+import { FIRST_LEADER_WAIT_MS, GROUP_TICK_MS, GROUP_TIMING, SNAPSHOT_AFTER_BYTES } from './Constants.js'
+import { FormationHost, type FormingReplica } from './FormationHost.js'
 import { type EvacuationReply, type MachineReply, RoutingStateMachine } from './RoutingStateMachine.js'
 import type { QuotaReplicaFrame } from './Types.js'
-import { VoterHost } from './VoterHost.js'
+import { type VoterGroup, VoterHost } from './VoterHost.js'
 
 /** Settings from which a replica finds or forms its group. */
 export interface GroupSettings {
@@ -89,7 +87,7 @@
   private readonly _links: ReplicaLinks
   private readonly _host: ReplicaHost<MachineReply>
   private readonly _barrier: ReadBarrier
-  private readonly _formation: GroupFormation | undefined
+  private readonly _formation: FormationHost
   private readonly _voters: VoterHost
   private readonly _nodeEntriesEmitter = new Emitter<NodeEntriesUpdate>()
   private readonly _crashReportsEmitter = new Emitter<readonly CrashReport[]>()
@@ -99,11 +97,6 @@
   /** Resolves when a leader is known for the first time, or after `FIRST_LEADER_WAIT_MS`. */
   private readonly _firstLeader: Promise<void>
   private readonly _firstLeaderTimer: NodeJS.Timeout
-  private _announceTimer: NodeJS.Timeout | undefined
-  /** Leader that a member named last, and when. */
-  private _noticedLeader: { readonly leader: ReplicaId, readonly atMs: number } | undefined
-  /** Members of the group as a member named them last; empty before. */
-  private _noticedMembers: readonly ReplicaId[] = []
 
   private readonly _handlers: ReplicaFrameHandlers = {
     agreement: (from, { to, message }) => {
@@ -111,13 +104,13 @@
       this._host.receive(from, message)
       // A replica that was replaced while it was away learns of it here, and asks to join again.
       const isFormerMember = message.type === 'preVote' && !this.view.members.includes(from)
-      if (isFormerMember && this.view.role === 'leader') this._links.send(from, this._makeNotice())
+      if (isFormerMember && this.view.role === 'leader') this._formation.notify(from)
     },
-    formation: (from, { notice }) => this._handleNotice(from, notice),
+    formation: (from, { notice }) => this._formation.receive(from, notice),
     join: (from, { replica }) => {
       this._voters.recordJoinRequest(replica)
       // The sender may stay outside a full group, and must still know the leader for operators' calls.
-      if (this.view.leader !== undefined) this._links.send(from, this._makeNotice())
+      if (this.view.leader !== undefined) this._formation.notify(from)
     },
     leave: from => this._voters.recordLeaveRequest(from),
     leaveReply: (_from, { state }) => this._voters.receiveLeaveReply(state),
@@ -145,7 +138,8 @@
     this.id = opened.type === 'recovered'
       ? opened.identity
       : makeReplicaId(settings.address, randomBytes(6).toString('hex'))
-    if (opened.type === 'empty') storage.create(this.id)
+    const founders = this._findFounders(opened)
+    if (opened.type === 'empty') storage.create(this.id, founders)
     this._links = new ReplicaLinks(this._makeHello(), clock, random)
     this._links.onFrame(frame => this._handleFrame(frame))
     this._links.onOpen(() => {
@@ -170,8 +164,7 @@
     })
     this._firstLeader = new Promise(resolve => this._firstLeaderEmitter.event(resolve))
     this._firstLeaderTimer = setTimeout(() => this._firstLeaderEmitter.fire(), FIRST_LEADER_WAIT_MS)
-    const formsGroup = opened.type === 'empty' && settings.bootstrap && settings.seeds.includes(settings.address)
-    this._formation = formsGroup ? new GroupFormation(this.id, settings.seeds) : undefined
+    this._formation = this._makeFormation(founders)
     this._voters = this._makeVoters()
     const cutBytes = opened.type === 'recovered' ? opened.cutBytes : 0
     log.info({ replica: this.id, members: this.view.members, commitIndex: this.view.commitIndex, cutBytes }, 'log opened')
@@ -210,8 +203,7 @@
 
   /** Addresses of all members, `host:port`. A replica outside the group goes by what the members say. */
   public get memberAddresses (): string[] {
-    const members = this.isMember || this._noticedMembers.length === 0 ? this.view.members : this._noticedMembers
-    return members.map(replicaName)
+    return this._formation.members.map(replicaName)
   }
 
   /** True while this replica is a voter of the group. */
@@ -224,7 +216,7 @@
    * group receives nothing from the leader and goes by what the members say.
    */
   public get remoteLeaderAddress (): string | undefined {
-    const leader = this.view.leader ?? this._recentlyNoticedLeader()
+    const leader = this.view.leader ?? this._formation.noticedLeader
     return leader === undefined || leader === this.id ? undefined : replicaName(leader)
   }
 
@@ -238,7 +230,7 @@
     this.setSeeds(this._options.settings.seeds)
     this.memberAddresses.forEach(address => this._connect(address))
     this._host.start()
-    this._announceTimer = setInterval(() => this._announce(), ANNOUNCE_INTERVAL_MS)
+    this._formation.start()
     if (this.corruptions.length === 0) this._voters.start()
   }
 
@@ -324,7 +316,7 @@
 
   /** Stops at once without completing pending work. */
   public dispose (): void {
-    clearInterval(this._announceTimer)
+    this._formation.dispose()
     this._voters.dispose()
     clearTimeout(this._firstLeaderTimer)
     this._firstLeaderEmitter.fire()
@@ -362,17 +354,43 @@
     })
   }
 
+  /** Names of the replicas that form the first group with this one; empty when its disk is not of the first start. */
+  private _findFounders (opened: OpenResult): readonly string[] {
+    const { settings: { address, seeds, bootstrap } } = this._options
+    if (opened.type === 'recovered') return opened.founders ?? []
+    return opened.type === 'empty' && bootstrap && seeds.includes(address) ? seeds : []
+  }
+
+  /** A seed whose disk was lost before the group has formed takes part in its formation as a replacement. */
+  private _makeFormation (founders: readonly string[]): FormationHost {
+    const { settings: { address, seeds }, clock, log } = this._options
+    const isReplacement = founders.length === 0
+    const formation = isReplacement && !seeds.includes(address)
+      ? undefined
+      : new GroupFormation(this.id, isReplacement ? seeds : founders, isReplacement)
+    return new FormationHost(this._makePort(), formation, clock, log)
+  }
+
   private _makeVoters (): VoterHost {
-    const group = (): ReplicaView => this.view
-    const isExcluded = (): boolean => this._isExcluded()
-    return new VoterHost({
+    const { settings, clock, log } = this._options
+    return new VoterHost(this._makePort(), settings.toleratedLosses, clock, log)
+  }
+
+  /** What the formation and the voters use of this replica. */
+  private _makePort (): FormingReplica & VoterGroup {
+    const view = (): ReplicaView => this.view
+    const isExcluded = (): boolean => this._formation.isExcluded
+    return {
       id: this.id,
-      get view () { return group() },
+      isDamaged: this.corruptions.length > 0,
+      get view () { return view() },
       get isExcluded () { return isExcluded() },
+      formGroup: members => this._host.formGroup(members),
       changeMembers: members => this._host.changeMembers(members),
+      connect: address => this._connect(address),
       send: (to, frame) => this._links.send(to, frame),
       broadcast: frame => this._links.broadcast(frame)
-    }, this._options.settings.toleratedLosses, this._options.clock, this._options.log)
+    }
   }
 
   private _makeHello (): ReplicaHello {
@@ -390,47 +408,4 @@
     const handler = this._handlers[frame.type] as ((from: ReplicaId, frame: ReplicaToReplica) => void) | undefined
     handler?.(from, frame)
   }
-
-  /** Only a replica that belongs to no group announces itself; a member answers with the members of its group. */
-  private _announce (): void {
-    if (this.corruptions.length > 0 || this.view.members.length > 0) return
-    this._formGroupIfReady(this._formation?.agreedGroup(this._options.clock.nowMs()))
-    this._links.broadcast(this._makeNotice())
-  }
-
-  private _makeNotice (): Extract<ReplicaToReplica, { type: 'formation' }> {
-    const heard = this._formation?.proposedGroup(this._options.clock.nowMs()) ?? []
-    const { members, leader } = this.view
-    const notice = { replica: this.id, members, heard }
-    return { type: 'formation', notice: leader === undefined ? notice : { ...notice, leader } }
-  }
-
-  /** True when this replica takes itself for a member, knows no leader, and a member has named others than it. */
-  private _isExcluded (): boolean {
-    return this.view.leader === undefined && this._noticedMembers.length > 0 && !this._noticedMembers.includes(this.id)
-  }
-
-  private _recentlyNoticedLeader (): ReplicaId | undefined {
-    if (this._noticedLeader === undefined) return undefined
-    const { leader, atMs } = this._noticedLeader
-    return this._options.clock.nowMs() - atMs < LEADER_NOTICE_TTL_MS ? leader : undefined
-  }
-
-  private _handleNotice (from: ReplicaId, notice: FormationNotice): void {
-    notice.members.forEach(member => this._connect(replicaName(member)))
-    if (notice.members.length > 0) this._noticedMembers = notice.members
-    if (notice.leader !== undefined) this._noticedLeader = { leader: notice.leader, atMs: this._options.clock.nowMs() }
-    if (this.corruptions.length > 0) return
-    if (this.view.members.length > 0) {
-      if (notice.members.length === 0) this._links.send(from, this._makeNotice())
-      return
-    }
-    this._formGroupIfReady(this._formation?.receive(notice, this._options.clock.nowMs()))
-  }
-
-  private _formGroupIfReady (members: readonly ReplicaId[] | undefined): void {
-    if (members === undefined) return
-    this._options.log.info({ members }, 'forming the group')
-    this._host.formGroup(members)
-  }
 }
--- a/test/support/ControlMachines.ts
+++ b/test/support/ControlMachines.ts
@@ -1,4 +1,4 @@
-import { mkdirSync, mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs'
+import { existsSync, mkdirSync, mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { ProtocolOperator } from '../../bench/acknowledgements/ProtocolOperator.js'
@@ -119,7 +119,8 @@
 
   /** Log lines of a machine with a message. */
   public readLog (machine: ControlMachine, message: string): Array<Record<string, unknown>> {
-    return readFileSync(machine.log, 'utf8').split('\n')
+    const text = existsSync(machine.log) ? readFileSync(machine.log, 'utf8') : ''
+    return text.split('\n')
       .filter(line => line.includes(`"msg":"${message}"`))
       .map(line => JSON.parse(line) as Record<string, unknown>)
   }
