Wait for the port of a former control process before opening its disk

Callers saw: nothing yet. A process that is started while the former one at its address still listens read and repaired the log that the other one was writing, and then ended with EADDRINUSE.

Cause: the log was opened before the listener, and an address in use ended the process.

Change: the program opens its listener first, which no two processes can hold, waits for it up to the limit of a planned stop, and only then opens the disk.

Evidence: "a replica whose port is still in use waits for it before it opens its disk" failed before: the process had ended.

--- a/src/routecontrol/RouteControlDaemon.ts
+++ b/src/routecontrol/RouteControlDaemon.ts
@@ -24,8 +24,13 @@
   readonly log: Log
   /** Called when state may be lost or wrong; the process must then stop. */
   readonly onFault: (error: Error) => void
+  /** Listener for replicas and nodes that listens already; if undefined, `start` opens one. */
+  readonly server?: ControlServer
 }
 
+/** Listener of a control process for other replicas, nodes and operators' calls. */
+export type ControlServer = FrameServer<ToControl, FromControl>
+
 /** Gauges of a control replica for metrics. */
 export interface ControlGauges {
   readonly isLeader: boolean
@@ -67,7 +72,7 @@
   private readonly _replica: RoutingReplica
   private readonly _feed: NodeFeed
   private readonly _quotas: QuotaHost
-  private readonly _server: FrameServer<ToControl, FromControl>
+  private readonly _server: ControlServer
   private readonly _decisionEmitter = new Emitter<OrderDecision>()
   private _executor: OperatorCallExecutor | undefined
 
@@ -83,7 +88,7 @@
     this._replica = new RoutingReplica(_options)
     this._feed = new NodeFeed(this._replica, clock, log)
     this._quotas = new QuotaHost(this._replica, this._feed, clock, log)
-    this._server = new FrameServer(clock)
+    this._server = _options.server ?? new FrameServer(clock)
     this._server.onChannel(channel => {
       const first = channel.onMessage(frame => {
         first.dispose()
@@ -116,7 +121,7 @@
    * @throws Error when the address can't be listened on.
    */
   public async start (): Promise<void> {
-    await this._server.listen(this._options.settings.address)
+    if (this._options.server === undefined) await this._server.listen(this._options.settings.address)
     this._replica.start()
   }
 
--- a/src/runtime/Listen.ts
+++ b/src/runtime/Listen.ts
@@ -1,6 +1,9 @@
 import type { Server } from 'node:net'
 import { parseAddress } from './Address.js'
 
+/** Pause before an address that is in use is tried again, in milliseconds. */
+const RETRY_MS = 50
+
 /**
  * Makes a server listen on an address.
  * @param server Any TCP or HTTP server.
@@ -16,3 +19,21 @@
   const bound = server.address()
   return typeof bound === 'object' && bound !== null ? `${host}:${bound.port}` : address
 }
+
+/**
+ * Listens on an address like `listen`, and waits while another process, such as the former one, still uses it.
+ * @param listen Listens on the address, and rejects when it can't.
+ * @param limitMs Longest wait in milliseconds; after it, the error is thrown.
+ */
+export async function listenWhenFree<Result> (listen: () => Promise<Result>, limitMs: number): Promise<Result> {
+  const untilMs = performance.now() + limitMs
+  for (;;) {
+    try {
+      return await listen()
+    } catch (error) {
+      const isInUse = (error as NodeJS.ErrnoException).code === 'EADDRINUSE'
+      if (!isInUse || performance.now() >= untilMs) throw error
+      await new Promise(resolve => setTimeout(resolve, RETRY_MS))
+    }
+  }
+}
--- a/test/ControlFirstStart.test.ts
+++ b/test/ControlFirstStart.test.ts
@@ -1,5 +1,7 @@
 import { existsSync, readdirSync } from 'node:fs'
+import { createServer } from 'node:net'
 import { afterEach, expect, test } from 'vitest'
+import { PORTS } from '../soak/Constants.js'
 import { type ControlMachine, ControlMachines, pause } from './support/ControlMachines.js'
 
 /** Longest time until a group has formed and acknowledges a change, in milliseconds: `Recover` of the platform. */
@@ -92,3 +94,18 @@
   }
   await expectOneGroup(group, seeds)
 })
+
+// Two processes that write to one disk would damage the log.
+test('a replica whose port is still in use waits for it before it opens its disk', async () => {
+  const group = makeGroup()
+  const seeds = group.add(3)
+  const [late] = seeds as [ControlMachine]
+  const former = createServer(socket => socket.destroy())
+  await new Promise<void>(resolve => former.listen(PORTS.replicas, late.host, resolve))
+  seeds.forEach(machine => group.start(machine, { seeds, bootstrap: true }))
+  await pause(1500)
+  expect(late.process.isRunning).toBe(true)
+  expect(group.readLog(late, 'log opened')).toEqual([])
+  await new Promise(resolve => former.close(resolve))
+  await expectOneGroup(group, seeds)
+})
