Keep the log sound through a full disk, and a kill before a power loss

Callers saw: nothing yet; all three were found by the tests of this commit, and each would cost a replica its log or its word.

A record that a killed process had written and not synced was recovered and vouched for, a vote or an acknowledged entry, and a power loss right after took it. The synced length of an earlier log, left by an interrupted create, could mark a shorter sound one as corrupt: it now names the identity of its log. That file is never synced, but it only ever names lengths that were synced before it was written, so a lost or an old copy of it proves less and never too much.

MemoryDisk.crash is stricter: names are lost independently of each other, and of the unsynced changes of a file each is kept, missing or torn, or all are lost. The faults that DurableLog.test.ts and Replica.test.ts must detect are still detected.

--- a/src/parts/storage/DurableLog.test.ts
+++ b/src/parts/storage/DurableLog.test.ts
@@ -21,14 +21,17 @@
   | { readonly op: 'append', readonly count: number }
   | { readonly op: 'truncate', readonly keep: number }
   | { readonly op: 'vote' }
-  | { readonly op: 'snapshot', readonly back: number }
+  /** With `appended`, the snapshot is written in parts, and that many entries are appended meanwhile. */
+  | { readonly op: 'snapshot', readonly back: number, readonly appended?: number | undefined }
   | { readonly op: 'flush' }
 
 const steps = fc.array(fc.oneof<fc.Arbitrary<Step>[]>(
   fc.record({ op: fc.constant('append' as const), count: fc.integer({ min: 1, max: 4 }) }),
   fc.record({ op: fc.constant('truncate' as const), keep: fc.nat({ max: 3 }) }),
   fc.constant({ op: 'vote' as const }),
-  fc.record({ op: fc.constant('snapshot' as const), back: fc.nat({ max: 3 }) }),
+  fc.record({
+    op: fc.constant('snapshot' as const), back: fc.nat({ max: 3 }), appended: fc.option(fc.nat({ max: 2 }), { nil: undefined })
+  }),
   fc.constant({ op: 'flush' as const })
 ), { minLength: 1, maxLength: 25 })
 
@@ -60,7 +63,7 @@
     if (step.op === 'vote') return this._vote(term + 1)
     if (step.op === 'append') return this._append(step.count, last)
     if (step.op === 'truncate') return this._truncate(Math.max(snapshotIndex, last - step.keep) + 1)
-    this._snapshot(Math.max(snapshotIndex, last - step.back))
+    this._snapshot(Math.max(snapshotIndex, last - step.back), step.appended)
   }
 
   private _vote (term: number): void {
@@ -79,8 +82,13 @@
     this._stage({ truncateFrom: from }, { ...this._stagedState, entries })
   }
 
-  private _snapshot (index: number): void {
+  private _snapshot (index: number, appended: number | undefined): void {
     if (index <= this._stagedState.snapshotIndex) return
+    if (appended !== undefined) {
+      this.log.beginSnapshot(index)
+      this.log.addSnapshotChunk(Uint8Array.of(index))
+      this._append(appended, this._stagedState.entries.at(-1)!.index)
+    }
     const entries = this._stagedState.entries.filter(entry => entry.index > index)
     const term = this._stagedState.entries.find(entry => entry.index === index)!.term
     const snapshot = { index, term, members: ['c1'], data: Uint8Array.of(index) }
@@ -232,6 +240,61 @@
   }), { seed: SEED, numRuns: 500 })
 })
 
+// What a process has written outlives it in the page cache, but a power cut after its restart takes it.
+test('what is recovered after a killed process survives a power cut', () => {
+  const property = fc.property(steps, fc.nat(), fc.integer({ min: 14, max: 150 }), (list, seed, operations) => {
+    const disk = new MemoryDisk()
+    try {
+      const driver = new LogDriver(disk, failAfter(disk, operations))
+      list.forEach(step => driver.run(step))
+    } catch (error) {
+      expect((error as Error).message).toContain('power cut')
+    }
+    const log = new DurableLog(disk)
+    const opened = log.open()
+    if (opened.type === 'empty') return
+    const recovered = recoveredState(opened)
+    disk.crash(new SeededRandom(seed))
+    expect(recoveredState(new DurableLog(disk).open())).toEqual(recovered)
+  })
+  fc.assert(property, { seed: SEED, numRuns: 2000 })
+})
+
+// The tries before left a part of the end record, or had renamed the file already; the log was damaged for good.
+test('a snapshot that meets a full disk is completed once there is space', () => {
+  const frees = fc.array(fc.nat({ max: 400 }), { minLength: 1, maxLength: 4 })
+  fc.assert(fc.property(frees, fc.boolean(), (list, isKilled) => {
+    const { log, disk } = createFlushedLog(3)
+    const data = Uint8Array.of(1, 2, 3)
+    log.beginSnapshot(2)
+    log.addSnapshotChunk(data)
+    const snapshot = { index: 2, term: 0, members: ['c1'], data }
+    for (const freeBytes of isKilled ? list : [...list, Infinity]) {
+      disk.faults.freeBytes = freeBytes
+      try {
+        log.stage({ sequence: 4, entries: [], snapshot })
+        break
+      } catch (error) {
+        expect(error).toMatchObject({ failure: 'full' })
+      }
+    }
+    const found = recoveredState(new DurableLog(disk).open())
+    if (!isKilled) expect(found.snapshotIndex).toBe(2)
+    expect(found.entries.at(-1)?.index).toBe(3)
+  }), { seed: SEED, numRuns: 300 })
+})
+
+// A log that an interrupted create left behind may be longer than the one that replaces it.
+test('the synced length of another identity proves nothing', () => {
+  const disk = new MemoryDisk()
+  new DurableLog(disk).create('a-much-longer-name~abc')
+  const synced = disk.read('synced')
+  disk.wipe()
+  new DurableLog(disk).create(IDENTITY)
+  disk.write('synced', synced)
+  expect(new DurableLog(disk).open().type).toBe('recovered')
+})
+
 test('any flipped bit of synced data is reported with its file', () => {
   fc.assert(fc.property(fc.nat(), fc.nat({ max: 7 }), fc.boolean(), (place, bit, inSnapshot) => {
     const { disk } = createFlushedLog(6)
--- a/src/parts/storage/DurableLog.ts
+++ b/src/parts/storage/DurableLog.ts
@@ -263,7 +263,8 @@
    * it proves that an invalid record is corrupt rather than torn; after a power cut it may hold an earlier length.
    */
   private _writeSyncedLength (): void {
-    const record = encodeRecord({ file: this._segmentFile, length: this._segmentLength }, 0)
+    const { _segmentFile: file, _segmentLength: length, _identity: identity } = this
+    const record = encodeRecord({ file, length, identity }, 0)
     try {
       this._disk.write(SYNCED_LENGTH_FILE, record)
     } catch {
@@ -292,16 +293,20 @@
     this._segmentLength = segment.length
     this._lastBatch = segment.batch
     this._removeObsoleteFiles()
-    if (segment.tornBytes > 0) this._truncateTornTail(segment)
+    this._makeDurable(segment)
     if (!isUsable) this._replaceSnapshotAndSegment(snapshot, entries)
     const state = { hard: this._hardState, snapshot, entries: [...entries] }
     const founders = this._founders.length > 0 ? { founders: this._founders } : {}
     return { type: 'recovered', identity: this._identity, state, cutBytes: segment.tornBytes, ...founders }
   }
 
-  private _truncateTornTail (segment: Segment): void {
-    this._disk.truncate(segment.file, segment.length)
-    this._attempt(() => this._disk.sync(segment.file))
+  /** Cuts a torn write, and syncs what a killed process had only written: the replica will vouch for it from now on. */
+  private _makeDurable (segment: Segment): void {
+    if (segment.tornBytes > 0) this._disk.truncate(segment.file, segment.length)
+    this._attempt(() => {
+      this._disk.sync(segment.file)
+      this._disk.syncFolder()
+    })
   }
 
   private _removeObsoleteFiles (): void {
--- a/src/parts/storage/LogReader.ts
+++ b/src/parts/storage/LogReader.ts
@@ -7,6 +7,8 @@
 export interface SyncedLength {
   readonly file: string
   readonly length: number
+  /** Identity of the log, as a file of the same name may be that of an earlier log. */
+  readonly identity: string
 }
 
 /** Content of a segment. */
@@ -111,15 +113,17 @@
       batch = record.batch
       offset = record.end
     }
-    const corruption = this._findCorruption(file, bytes, offset, batch)
+    const corruption = this._findCorruption(file, base, bytes, offset, batch)
     if (corruption !== undefined) return corruptResult(file, offset, corruption)
     const content = { file, base, hard, entries, length: offset, tornBytes: bytes.length - offset, batch }
     return { type: 'read', content }
   }
 
-  private _findCorruption (file: string, bytes: Uint8Array, offset: number, batch: number): string | undefined {
+  private _findCorruption (
+    file: string, { identity }: Segment['base'], bytes: Uint8Array, offset: number, batch: number
+  ): string | undefined {
     const synced = this._readSyncedLength()
-    if (synced?.file === file && offset < synced.length) {
+    if (synced?.file === file && synced.identity === identity && offset < synced.length) {
       return `invalid record, although the log was synced up to offset ${synced.length}`
     }
     return hasLaterBatch(bytes, offset, batch) ? 'invalid record, followed by records of later batches' : undefined
--- a/src/parts/storage/MemoryDisk.ts
+++ b/src/parts/storage/MemoryDisk.ts
@@ -2,10 +2,16 @@
 import { StorageFault } from './StorageFault.js'
 import type { Disk } from './Types.js'
 
-/** Bytes of a file as written, and the part of them that a power cut leaves for certain. */
+/** A change of a file that was not synced: bytes at an offset, or a new length. */
+type FileChange =
+  | { readonly type: 'write', readonly offset: number, readonly bytes: Uint8Array }
+  | { readonly type: 'cut', readonly length: number }
+
+/** Bytes of a file as written, those that a power cut leaves for certain, and the changes between the two. */
 interface MemoryFile {
   written: Uint8Array
   synced: Uint8Array
+  changes: FileChange[]
 }
 
 /** Faults that a test can inject. */
@@ -38,18 +44,17 @@
     const target = this._getOrCreate(file)
     const writable = Math.min(bytes.length, this.faults.freeBytes)
     this.faults.freeBytes -= writable
-    target.written = concat(target.written, bytes.subarray(0, writable))
+    change(target, { type: 'write', offset: target.written.length, bytes: bytes.slice(0, writable) })
     if (writable < bytes.length) throw new StorageFault('full', file, 'no space left on the disk')
   }
 
   public write (file: string, bytes: Uint8Array): void {
-    this._getOrCreate(file).written = new Uint8Array(0)
+    change(this._getOrCreate(file), { type: 'cut', length: 0 })
     this.append(file, bytes)
   }
 
   public truncate (file: string, length: number): void {
-    const target = this._get(file)
-    target.written = target.written.slice(0, length)
+    change(this._get(file), { type: 'cut', length })
   }
 
   public rename (from: string, to: string): void {
@@ -66,6 +71,7 @@
     if (this.faults.syncFails) throw new StorageFault('sync-failed', file, 'sync failed by the injected fault')
     const target = this._get(file)
     target.synced = target.written
+    target.changes = []
   }
 
   public syncFolder (): void {
@@ -74,17 +80,27 @@
   }
 
   /**
-   * Simulates a power cut. File names either stay or revert to those of the last folder sync. Of the bytes appended to
-   * a file since its last sync a prefix of any length stays, in some cases with zeros in place of its end.
+   * Simulates a power cut. Each name that changed since the last folder sync stays or reverts, independently of the
+   * others. Of the changes of a file since its last sync each is kept, missing or torn, or all of them are lost.
    * @param random Decides what is lost.
    */
   public crash (random: Random): void {
-    if (random.next() < 0.5) this._files = new Map(this._syncedNames)
-    for (const file of this._files.values()) {
+    const names = new Set([...this._files.keys(), ...this._syncedNames.keys()])
+    const revertsAll = random.next() < 0.3
+    const kept = new Map<string, MemoryFile>()
+    for (const name of names) {
+      const reverts = revertsAll || random.next() < 0.5
+      const file = (reverts ? this._syncedNames : this._files).get(name)
+      // A file that was renamed has one name; the copy stands for the name that did not come through.
+      if (file !== undefined) kept.set(name, { ...file })
+    }
+    this._files = kept
+    for (const file of kept.values()) {
       file.written = bytesAfterPowerCut(file, random)
       file.synced = file.written
+      file.changes = []
     }
-    this._syncedNames = new Map(this._files)
+    this._syncedNames = new Map(kept)
   }
 
   /** Removes all files, as the loss of the disk does. */
@@ -106,7 +122,8 @@
   }
 
   private _getOrCreate (file: string): MemoryFile {
-    const found = this._files.get(file) ?? { written: new Uint8Array(0), synced: new Uint8Array(0) }
+    const found = this._files.get(file) ??
+      { written: new Uint8Array(0), synced: new Uint8Array(0), changes: [] }
     this._files.set(file, found)
     return found
   }
@@ -118,21 +135,39 @@
   }
 }
 
-/** Returns the bytes of a file after a power cut; a file that was rewritten holds either its old or its new bytes. */
-function bytesAfterPowerCut (file: MemoryFile, random: Random): Uint8Array {
-  const { written, synced } = file
-  const isAppendOnly = written.length >= synced.length && synced.every((byte, index) => byte === written[index])
-  if (!isAppendOnly) return random.next() < 0.5 ? written : synced
-  const keptLength = synced.length + Math.floor(random.next() * (written.length - synced.length + 1))
-  const bytes = written.slice(0, keptLength)
-  const damagedLength = Math.floor(random.next() * (keptLength - synced.length + 1))
-  if (random.next() < 0.3) bytes.fill(0, keptLength - damagedLength)
+/** Applies a change to the written bytes and remembers it until the next sync. */
+function change (file: MemoryFile, fileChange: FileChange): void {
+  file.written = apply(file.written, fileChange)
+  file.changes.push(fileChange)
+}
+
+function apply (bytes: Uint8Array, fileChange: FileChange): Uint8Array {
+  if (fileChange.type === 'cut') return bytes.slice(0, fileChange.length)
+  const { offset, bytes: added } = fileChange
+  const result = new Uint8Array(Math.max(bytes.length, offset + added.length))
+  result.set(bytes)
+  result.set(added, offset)
+  return result
+}
+
+/** Returns the bytes of a file after a power cut. */
+function bytesAfterPowerCut ({ synced, changes }: MemoryFile, random: Random): Uint8Array {
+  if (random.next() < 0.2) return synced
+  let bytes = synced
+  for (const fileChange of changes) {
+    const fate = random.next()
+    if (fate < 0.25) continue
+    bytes = apply(bytes, fate < 0.6 ? fileChange : tear(fileChange, random))
+  }
   return bytes
 }
 
-function concat (first: Uint8Array, second: Uint8Array): Uint8Array {
-  const joined = new Uint8Array(first.length + second.length)
-  joined.set(first)
-  joined.set(second, first.length)
-  return joined
+/** A torn write lacks its end, or has zeros in its place. */
+function tear (fileChange: FileChange, random: Random): FileChange {
+  if (fileChange.type === 'cut') return fileChange
+  const keptLength = Math.floor(random.next() * (fileChange.bytes.length + 1))
+  if (random.next() < 0.5) return { ...fileChange, bytes: fileChange.bytes.slice(0, keptLength) }
+  const bytes = fileChange.bytes.slice()
+  bytes.fill(0, keptLength)
+  return { ...fileChange, bytes }
 }
--- a/src/parts/storage/SnapshotWriter.ts
+++ b/src/parts/storage/SnapshotWriter.ts
@@ -15,6 +15,9 @@
   public readonly file: string
   private readonly _temporaryFile: string
   private _bytes = 0
+  /** Length of the temporary file up to the last complete record. */
+  private _fileLength: number
+  private _stage: 'open' | 'ended' | 'renamed' = 'open'
 
   /**
    * @param _disk Disk that the file is written to.
@@ -26,7 +29,9 @@
   ) {
     this.file = `snapshot-${formatFileNumber(index)}`
     this._temporaryFile = this.file + TEMPORARY_SUFFIX
-    this._disk.write(this._temporaryFile, encodeHeader(SNAPSHOT_MAGIC))
+    const header = encodeHeader(SNAPSHOT_MAGIC)
+    this._disk.write(this._temporaryFile, header)
+    this._fileLength = header.length
   }
 
   /** Bytes of the state written so far. */
@@ -47,14 +52,19 @@
   }
 
   /**
-   * Completes the file and renames it.
+   * Completes the file and renames it. May be called again after a full disk, and goes on where it failed.
    * @param snapshot The snapshot whose state was added.
    * @param identity Id of the replica that the disk belongs to.
    */
   public finish ({ index, term, members }: Snapshot, identity: string): void {
-    this._append({ type: 'end', identity, index, term, members, bytes: this._bytes })
+    if (this._stage === 'open') {
+      this._append({ type: 'end', identity, index, term, members, bytes: this._bytes })
+      this._stage = 'ended'
+    }
+    if (this._stage === 'renamed') return
     this._disk.sync(this._temporaryFile)
     this._disk.rename(this._temporaryFile, this.file)
+    this._stage = 'renamed'
     this._disk.syncFolder()
   }
 
@@ -64,7 +74,14 @@
   }
 
   private _append (record: SnapshotRecord): void {
-    this._disk.append(this._temporaryFile, encodeRecord(record, 0))
+    const bytes = encodeRecord(record, 0)
+    try {
+      this._disk.append(this._temporaryFile, bytes)
+    } catch (error) {
+      this._disk.truncate(this._temporaryFile, this._fileLength)
+      throw error
+    }
+    this._fileLength += bytes.length
   }
 }
 
