Let a leader whose disk is full step down

Callers saw: while the disk of the leader refuses writes, every change is answered with 503, although the other replicas run and could decide it.

Cause: a full disk makes a replica refuse proposals, and nothing ended its lead: it needs no disk for heartbeats.

Change: after 200 ms with a full disk a leader steps down, unless the group has no other member. It can't be elected again while its own vote can't be stored. A disk that stalls blocks the process, so another leader is elected without this.

--- a/src/control/ReplicaHost.ts
+++ b/src/control/ReplicaHost.ts
@@ -53,6 +53,9 @@
 /** Log size after which a snapshot is taken whatever the size of the last one: at twice this, proposals are refused. */
 const MAX_LOG_BYTES_BEFORE_SNAPSHOT = DEFAULT_LIMITS.maxLogBytes / 2
 
+/** Time with a full disk after which a leader steps down, in milliseconds: others can decide what it must refuse. */
+const RESIGN_AFTER_FULL_MS = 200
+
 /** Delay before the next snapshot after one that failed because the disk was full. */
 const SNAPSHOT_RETRY_MS = 10_000
 
@@ -82,6 +85,8 @@
   private _snapshotJob: SnapshotJob | undefined
   private _nextSnapshotMs = 0
   private _diskFull = false
+  /** Since when the disk is full; undefined while it is not. */
+  private _diskFullSinceMs: number | undefined
   private _appliedIndex = 0
   private _stopped = false
 
@@ -211,6 +216,7 @@
       this._pendingEvents.splice(0).forEach(event => this._step(event))
       this._stage()
       this._advanceSnapshot()
+      this._resignIfFull()
       const { commitIndex } = this._replica.view
       if (commitIndex > indexBefore) this._applied.fire(commitIndex)
     } catch (error) {
@@ -247,6 +253,16 @@
     }
   }
 
+  private _resignIfFull (): void {
+    if (!this._diskFull) {
+      this._diskFullSinceMs = undefined
+      return
+    }
+    const nowMs = this._options.clock.nowMs()
+    this._diskFullSinceMs ??= nowMs
+    if (nowMs - this._diskFullSinceMs >= RESIGN_AFTER_FULL_MS) this._step({ type: 'resign' })
+  }
+
   /** Runs an action on the disk; returns undefined when the disk is full. The work stays pending for the next tick. */
   private _tryOnDisk<Result> (action: () => Result): Result | undefined {
     try {
--- a/src/parts/agreement/Replica.ts
+++ b/src/parts/agreement/Replica.ts
@@ -67,6 +67,7 @@
     read: event => this._reads.read(event.id),
     persisted: event => this._onPersisted(event.sequence),
     changeMembers: event => this._membershipChange.change(event.id, event.members),
+    resign: () => this._resign(),
     form: event => this._form(event.members),
     snapshotTaken: event => this._snapshotTaken(event.index, event.data)
   }
@@ -197,6 +198,11 @@
     this._election.onPersisted(sequence)
   }
 
+  private _resign (): void {
+    const { role, term, peers } = this._state
+    if (role === 'leader' && peers.length > 0) this._state.follow(term, undefined)
+  }
+
   private _form (members: readonly ReplicaId[]): void {
     const { log, term } = this._state
     if (this._damaged || log.members.length > 0) return
--- a/src/parts/agreement/Types.ts
+++ b/src/parts/agreement/Types.ts
@@ -40,6 +40,8 @@
   /** All `persist` actions up to this sequence number are synced. */
   | { readonly type: 'persisted', readonly sequence: number }
   | { readonly type: 'changeMembers', readonly id: number, readonly members: readonly ReplicaId[] }
+  /** The host can't store what this replica decides: a leader steps down, unless the group has no other member. */
+  | { readonly type: 'resign' }
   /** Forms a group with these members; ignored by a replica that belongs to a group or is damaged. */
   | { readonly type: 'form', readonly members: readonly ReplicaId[] }
   /** The host has taken a snapshot of the state applied up to `index`; the log before it may be compacted. */
--- a/src/routecontrol/RouteControlDaemon.test.ts
+++ b/src/routecontrol/RouteControlDaemon.test.ts
@@ -201,3 +201,22 @@
   for (let i = 0; i < 50; i++) await pause()
   expect(seeds.map(seed => readMembers(seed))).toEqual([[], [], []])
 })
+
+/** Longest time until a change is acknowledged: `Ack` of the platform, in milliseconds. */
+const ACK_MS = 4000
+
+// The leader would refuse all changes for as long as its disk is full, although the others could decide them.
+test('a leader whose disk is full leaves the lead to another replica', async () => {
+  const seeds = await findFreeAddresses(3)
+  const disks = new Map<string, DisposableDisk>()
+  for (const seed of seeds) disks.set(seed, await start(seed, seeds, true))
+  await changeRouting(1, 0)
+  const former = findLeader() as string
+  disks.get(former)!.faults.freeBytes = 0
+  const startMs = performance.now()
+  for (let version = 2; version < 5; version++) await changeRouting(version, version - 1)
+  expect(performance.now() - startMs).toBeLessThan(ACK_MS)
+  expect(findLeader()).not.toBe(former)
+  disks.get(former)!.faults.freeBytes = Infinity
+  await awaitVersion(former, 4)
+})
