Give up the addition of a replica that does not answer

Callers saw: nothing yet, found by reading. A replica that asks to join and ends held up every other change of the members for 4 s, as long as a replacement has until the next machine may be lost.

Change: an addition is abandoned when its replica has not answered for a second; it asks again if it still runs.

Evidence: "the addition of a replica that does not answer is given up before the time to catch up is over" failed before.

--- a/src/parts/agreement/MembershipChange.ts
+++ b/src/parts/agreement/MembershipChange.ts
@@ -8,7 +8,7 @@
   readonly id: number
   readonly members: readonly ReplicaId[]
   readonly replica: ReplicaId
-  readonly untilMs: number
+  readonly sinceMs: number
 }
 
 /**
@@ -43,8 +43,7 @@
     if (!this._replication.checkLease() || !isValid || !this._acceptsChange()) return this._state.reject(id, 'not-run')
     const replica = changed[0]!
     if (!members.includes(replica)) return this._append(id, members)
-    const untilMs = this._state.nowMs + this._state.timing.catchUpTimeoutMs
-    this._addition = { id, members, replica, untilMs }
+    this._addition = { id, members, replica, sinceMs: this._state.nowMs }
     this._replication.addFollower(replica)
     this._replication.sendHeartbeats()
   }
@@ -63,9 +62,13 @@
     if (role === 'leader' && !isMember && log.membersIndex <= commitIndex) this._state.follow(term, undefined)
   }
 
-  /** Abandons an addition whose replica takes too long to catch up. */
+  /** Abandons an addition whose replica takes too long to catch up, or does not answer. */
   public tick (): void {
-    if (this._addition !== undefined && this._state.nowMs >= this._addition.untilMs) this._abandonAddition()
+    if (this._addition === undefined) return
+    const { replica, sinceMs } = this._addition
+    const { nowMs, timing: { catchUpTimeoutMs, catchUpSilenceMs = Infinity } } = this._state
+    const contactMs = Math.max(this._replication.lastContactMs(replica), sinceMs)
+    if (nowMs - sinceMs >= catchUpTimeoutMs || nowMs - contactMs >= catchUpSilenceMs) this._abandonAddition()
   }
 
   private _hasCaughtUp ({ replica }: PendingAddition): boolean {
--- a/src/parts/agreement/Replication.ts
+++ b/src/parts/agreement/Replication.ts
@@ -63,7 +63,7 @@
     const state = this._state
     if (state.role !== 'leader') return false
     const { members } = state.log
-    const contactTimesMs = members.map(member => member === state.id ? state.nowMs : this._lastContactMs(member))
+    const contactTimesMs = members.map(member => member === state.id ? state.nowMs : this.lastContactMs(member))
     const contactMs = Math.max(highestByQuorum(contactTimesMs), this._leadingSinceMs)
     if (state.nowMs - contactMs <= state.timing.leaseMs) return true
     state.follow(state.term, undefined)
@@ -146,6 +146,14 @@
     return this._progress.get(replica)?.match ?? 0
   }
 
+  /**
+   * The leader's monotonic time in milliseconds when it sent the latest message that a replica has answered; -Infinity
+   * when it has answered none.
+   */
+  public lastContactMs (replica: ReplicaId): number {
+    return this._progress.get(replica)?.lastContactMs ?? -Infinity
+  }
+
   /** Highest read round that a quorum has answered. */
   public get confirmedRound (): number {
     const { id, log } = this._state
@@ -244,10 +252,6 @@
     return member === this._state.id ? this._durableIndex : this.matchIndex(member)
   }
 
-  private _lastContactMs (member: ReplicaId): number {
-    return this._progress.get(member)?.lastContactMs ?? -Infinity
-  }
-
   private _reset (): void {
     this._progress.clear()
     this._unsynced.length = 0
--- a/src/parts/agreement/Types.ts
+++ b/src/parts/agreement/Types.ts
@@ -65,6 +65,8 @@
   readonly leaseMs: number
   /** Time that a new replica has to catch up before its addition is abandoned. */
   readonly catchUpTimeoutMs: number
+  /** Silence of a new replica after which its addition is abandoned; if undefined, only the time to catch up counts. */
+  readonly catchUpSilenceMs?: number
 }
 
 /** Bounds on the memory and messages of a replica. */
--- a/src/routecontrol/Constants.ts
+++ b/src/routecontrol/Constants.ts
@@ -11,7 +11,9 @@
   // One tick, so that no two members become candidates in the same one. A pre-vote beside a leader changes nothing.
   firstElectionMs: 50,
   leaseMs: 450,
-  catchUpTimeoutMs: 4000
+  catchUpTimeoutMs: 4000,
+  // A replica that has asked to join and ended must not hold up another one for the time to catch up.
+  catchUpSilenceMs: 1000
 }
 
 /** Interval of the replica's timer ticks, in milliseconds; half a heartbeat. */
