Test the replacement of voters over random schedules and freezes

VoterReplacement.test.ts plays up to eight replacements, planned and not, with successors that start up to 6 s before and 2 s after the removal, in virtual time, and expects after CatchUp that the removed machine is no voter and that the group tolerates its losses again.

--- /dev/null
+++ b/src/parts/agreement/VoterReplacement.test.ts
@@ -0,0 +1,156 @@
+import fc from 'fast-check'
+import { expect, test } from 'vitest'
+import { quorumSize } from './Members.js'
+import { VoterPlanner } from './VoterPlanner.js'
+
+const TICK_MS = 100
+const JOIN_INTERVAL_MS = 300
+
+/** Time after the start of a successor from which the next machine may be lost: `CatchUp` of the platform, in ms. */
+const CATCH_UP_MS = 4000
+
+/** Time from a start to the first request to join, and from the loss of a leader to the next one, in milliseconds. */
+const START_MS = 800
+const ELECTION_MS = 1000
+
+/** Time for which a leader must lead before it takes a voter for silent, in milliseconds. */
+const SETTLED_MS = 1000
+
+/** One replacement: times are in milliseconds. */
+interface Replacement {
+  readonly isPlanned: boolean
+  /** Which of the machines is removed. */
+  readonly pick: number
+  /** From the removal to the start of the successor; below 0, the successor starts first. */
+  readonly successorAfterMs: number
+  /** Beyond the time after which the next machine may be lost. */
+  readonly pauseMs: number
+}
+
+const replacements = fc.array(fc.record({
+  isPlanned: fc.boolean(),
+  pick: fc.nat({ max: 4 }),
+  successorAfterMs: fc.integer({ min: -60, max: 20 }).map(ticks => ticks * TICK_MS),
+  pauseMs: fc.integer({ min: 0, max: 20 }).map(ticks => ticks * TICK_MS)
+}), { minLength: 1, maxLength: 8 })
+
+interface Machine {
+  readonly id: string
+  readonly startedMs: number
+  endedMs: number
+  isLeaving: boolean
+}
+
+/** A group in virtual time whose leader changes the voters as its planner says; each change takes one tick. */
+class Group {
+  private readonly _planner: VoterPlanner
+  private readonly _machines: Machine[] = []
+  private _members: readonly string[]
+  private _nowMs = 0
+  private _leader: Machine
+  private _leaderSinceMs = -Infinity
+  private _silenceFromMs = -Infinity
+
+  public constructor (size: number) {
+    this._planner = new VoterPlanner(size)
+    for (let i = 0; i < size; i++) this.start(-START_MS)
+    this._members = this._machines.map(({ id }) => id)
+    this._leader = this._machines[0]!
+  }
+
+  public get nowMs (): number {
+    return this._nowMs
+  }
+
+  public start (atMs = this._nowMs): void {
+    this._machines.push({ id: `m${this._machines.length}:1~1`, startedMs: atMs, endedMs: Infinity, isLeaving: false })
+  }
+
+  public remove (pick: number, isPlanned: boolean): Machine {
+    const running = this._machines.filter(machine => this._isRunning(machine) && this._members.includes(machine.id))
+    const machine = running[pick % running.length]!
+    if (!isPlanned) machine.endedMs = this._nowMs
+    machine.isLeaving = isPlanned
+    return machine
+  }
+
+  public runUntil (isOver: () => boolean): void {
+    while (!isOver()) {
+      this._nowMs += TICK_MS
+      this._tick()
+    }
+  }
+
+  /** Voters that run, less those that are needed for a decision. */
+  public get spareVotes (): number {
+    const running = this._machines.filter(machine => this._isRunning(machine) && this._members.includes(machine.id))
+    return running.length - quorumSize(this._members)
+  }
+
+  public isMember ({ id }: Machine): boolean {
+    return this._members.includes(id)
+  }
+
+  private _isRunning ({ startedMs, endedMs }: Machine): boolean {
+    return startedMs <= this._nowMs && endedMs > this._nowMs
+  }
+
+  private _tick (): void {
+    this._elect()
+    for (const machine of this._machines) if (this._isRunning(machine)) this._ask(machine)
+    if (this._leaderSinceMs > this._nowMs || this.spareVotes < 0) return
+    const isSettled = this._nowMs - this._leaderSinceMs >= SETTLED_MS
+    const silenceMs = (member: string): number => {
+      const { endedMs } = this._machines.find(({ id }) => id === member)!
+      return isSettled && endedMs <= this._nowMs ? this._nowMs - Math.max(endedMs, this._silenceFromMs) : 0
+    }
+    const change = this._planner.nextChange({ self: this._leader.id, members: this._members, silenceMs }, this._nowMs)
+    if (change !== undefined) this._members = change.members
+  }
+
+  private _elect (): void {
+    if (this._isRunning(this._leader) && this.isMember(this._leader)) return
+    this._silenceFromMs = this._nowMs
+    this._leaderSinceMs = this._nowMs + ELECTION_MS
+    this._leader = this._machines.find(machine => this._isRunning(machine) && this.isMember(machine))!
+  }
+
+  private _ask (machine: Machine): void {
+    const isMember = this.isMember(machine)
+    if (machine.isLeaving) {
+      this._planner.recordLeaveRequest(machine.id, this._nowMs)
+      if (!isMember || !this._planner.canReplace(this._members, this._nowMs)) machine.endedMs = this._nowMs
+    } else if (!isMember && this._nowMs >= machine.startedMs + START_MS && this._nowMs % JOIN_INTERVAL_MS === 0) {
+      this._planner.recordJoinRequest(machine.id, this._nowMs)
+    }
+  }
+}
+
+/** Returns what is wrong when the next machine may be lost, or an empty list. */
+function play (size: number, list: readonly Replacement[]): string[] {
+  const group = new Group(size)
+  const problems: string[] = []
+  group.runUntil(() => group.nowMs >= 3000)
+  for (const { isPlanned, pick, successorAfterMs, pauseMs } of list) {
+    if (successorAfterMs < 0) group.start()
+    const beforeMs = group.nowMs
+    group.runUntil(() => group.nowMs >= beforeMs - Math.min(0, successorAfterMs))
+    const removed = group.remove(pick, isPlanned)
+    const removedMs = group.nowMs
+    group.runUntil(() => group.nowMs >= removedMs + Math.max(0, successorAfterMs))
+    if (successorAfterMs >= 0) group.start()
+    const startedMs = successorAfterMs < 0 ? removedMs + successorAfterMs : group.nowMs
+    // A machine that gets SIGTERM counts until its process has ended; one that is just gone, for CatchUp from then on.
+    const countsUntilMs = isPlanned ? startedMs + CATCH_UP_MS : Math.max(startedMs, removedMs) + CATCH_UP_MS
+    group.runUntil(() => removed.endedMs <= group.nowMs && group.nowMs >= countsUntilMs + pauseMs)
+    if (group.isMember(removed)) problems.push(`${removed.id} is still a voter at ${group.nowMs}`)
+    if (group.spareVotes < (size - 1) / 2) problems.push(`${group.spareVotes} losses are tolerated at ${group.nowMs}`)
+  }
+  return problems
+}
+
+for (const size of [3, 5]) {
+  test(`a group of ${size} tolerates its losses again when the next machine may be lost`, () => {
+    fc.assert(fc.property(replacements, list => { expect(play(size, list)).toEqual([]) }), { seed: 3, numRuns: 1000 })
+  })
+}
--- a/test/ControlReplacement.test.ts
+++ b/test/ControlReplacement.test.ts
@@ -97,3 +97,25 @@
   expect(Math.max(...durations)).toBeLessThan(QUICK_STOP_MS)
   await expectKeptAfterKill(group, machines)
 })
+
+// A spare takes the place of a voter that stands still; the voter must come back as a spare that counts.
+test('voters that freeze one after the other beside a spare leave a group that bears the next loss', async () => {
+  const group = makeGroup()
+  const voters = await group.form(3)
+  const machines = [...voters, startSuccessor(group, voters)]
+  await pause(CATCH_UP_MS)
+  for (const machine of machines.slice(0, 2)) {
+    machine.process.signal('SIGSTOP')
+    await pause(3000)
+    expect(await group.change(ACK_MS)).toBe(true)
+    machine.process.signal('SIGCONT')
+    await pause(CATCH_UP_MS)
+  }
+  const [lost, ...others] = machines as [ControlMachine, ...ControlMachine[]]
+  await lost.process.kill()
+  group.wipe(lost)
+  await pause(CATCH_UP_MS)
+  await others[0]!.process.kill()
+  expect(await group.change(ACK_MS)).toBe(true)
+  await expectKeptAfterKill(group, others)
+})
