Measure how long nodes lack a version, and tell why a change was late at one

Whether a confirmed change was late at one node could only be told by comparing log lines of processes whose clocks may differ.

--- a/src/routecontrol/RouteControlDaemon.test.ts
+++ b/src/routecontrol/RouteControlDaemon.test.ts
@@ -9,6 +9,7 @@
 import { FrameClient } from '../runtime/FrameClient.js'
 import { SystemClock } from '../runtime/SystemClock.js'
 import { RouteControlDaemon } from './RouteControlDaemon.js'
+import { RouteControlMetrics } from './RouteControlMetrics.js'
 import type { FeedToNode, NodeToFeed } from './Types.js'
 
 const SILENT_LOG: Log = { debug: () => {}, info: () => {}, warn: () => {}, error: () => {} }
@@ -42,6 +43,11 @@
   return disk
 }
 
+async function startAlone (address: string): Promise<RouteControlDaemon> {
+  await start(address, [address], true)
+  return daemons.get(address)!
+}
+
 function stop (address: string): void {
   daemons.get(address)?.dispose()
   daemons.delete(address)
@@ -201,3 +207,27 @@
   for (let i = 0; i < 50; i++) await pause()
   expect(seeds.map(seed => readMembers(seed))).toEqual([[], [], []])
 })
+
+test('a replica tells how long a connected node lacked a version', async () => {
+  const [address] = await findFreeAddresses(1) as [string]
+  const daemon = await startAlone(address)
+  const metrics = new RouteControlMetrics(() => daemon.gauges)
+  const confirmed: number[] = []
+  daemon.onConfirmation(confirmation => {
+    metrics.countDelivery(confirmation)
+    confirmed.push(confirmation.version)
+  })
+  const entry: NodeEntry = { node: 'n', zone: 'a', epoch: 1, revision: 1, state: 'up' }
+  const source = { nextEntry: () => entry, crashReports: () => [] }
+  const feed = new ControlFeed([address], source, new SystemClock(), new SeededRandom(1), SILENT_LOG)
+  expect(feed.silentMs).toBe(Infinity)
+  feed.start()
+  await changeRouting(1, 0)
+  while (!confirmed.includes(1)) await pause()
+  await changeRouting(2, 1)
+  while (!confirmed.includes(2)) await pause()
+  expect(feed.silentMs).toBeLessThan(10_000)
+  feed.dispose()
+  expect(await metrics.text()).toContain(`sassafras_control_delivery_seconds_count ${confirmed.length}`)
+  expect(await metrics.text()).toContain('sassafras_control_delivery_wait_seconds 0')
+})
--- a/src/routecontrol/RouteControlDaemon.ts
+++ b/src/routecontrol/RouteControlDaemon.ts
@@ -36,6 +36,8 @@
   readonly version: number
   /** Nodes connected to this replica. */
   readonly nodes: number
+  /** Longest time for which one of them has lacked a version that this replica has, in milliseconds. */
+  readonly longestDeliveryMs: number
   /** Evacuated zones according to this replica. */
   readonly evacuation: EvacuationState
 }
@@ -71,6 +73,11 @@
   /** Fires when a change or an order that was proposed here has an outcome. */
   public readonly onDecision = this._decisionEmitter.event
 
+  /** Fires when a node has confirmed that a version of the routing configuration is in force there. */
+  public get onConfirmation (): NodeFeed['onConfirmation'] {
+    return this._feed.onConfirmation
+  }
+
   /**
    * @param _options Settings, disk, clock, random numbers and log.
    * @throws StorageFault when the disk fails.
@@ -102,6 +109,7 @@
       members: members.length,
       version: this._replica.machine.store.inForce.version,
       nodes: this._feed.size,
+      longestDeliveryMs: this._feed.longestDeliveryMs,
       evacuation: this._replica.machine.evacuation
     }
   }
--- a/src/routecontrol/RouteControlMetrics.ts
+++ b/src/routecontrol/RouteControlMetrics.ts
@@ -1,9 +1,13 @@
 import { Gauge, Histogram, Registry } from 'prom-client'
+import type { RoutingConfirmation } from './RoutingDelivery.js'
 import type { ControlGauges, OrderDecision } from './RouteControlDaemon.js'
 
 /** Upper bounds of the buckets of the decision times, in seconds: a sync, a lease, the wait of an operator. */
 const DECISION_BUCKETS_S = [0.005, 0.02, 0.1, 0.25, 0.5, 1, 4]
 
+/** Upper bounds of the buckets of the delivery times, in seconds; a change may take 2 s until it is in force. */
+const DELIVERY_BUCKETS_S = [0.005, 0.02, 0.1, 0.25, 0.5, 1, 2]
+
 /** Metrics of a control replica in the text format of Prometheus. `docs/METRICS.md` lists them. */
 export class RouteControlMetrics {
   private readonly _registry = new Registry()
@@ -15,6 +19,13 @@
     registers: [this._registry]
   })
 
+  private readonly _deliveries = new Histogram({
+    name: 'sassafras_control_delivery_seconds',
+    help: 'Time for which a connected node lacked a version that this replica had, until the node confirmed it',
+    buckets: DELIVERY_BUCKETS_S,
+    registers: [this._registry]
+  })
+
   /**
    * @param readGauges Returns the current values; called at each scrape.
    */
@@ -26,6 +37,11 @@
       ['sassafras_control_members', 'Voters of the group', ({ members }) => members],
       ['sassafras_control_version', 'Version in force', ({ version }) => version],
       ['sassafras_control_nodes', 'Nodes connected here', ({ nodes }) => nodes],
+      [
+        'sassafras_control_delivery_wait_seconds',
+        'Longest time for which a connected node has lacked a version that this replica has',
+        ({ longestDeliveryMs }) => longestDeliveryMs / 1000
+      ],
       [
         'sassafras_control_evacuation_revision',
         'Changes of the set of evacuated zones',
@@ -49,6 +65,11 @@
     this._decisions.observe({ outcome }, durationMs / 1000)
   }
 
+  /** Counts a version that a node has brought into force. */
+  public countDelivery ({ tookMs }: RoutingConfirmation): void {
+    this._deliveries.observe(tookMs / 1000)
+  }
+
   /** Returns all metrics as text. */
   public async text (): Promise<string> {
     return await this._registry.metrics()
--- a/src/routenode/ControlFeed.ts
+++ b/src/routenode/ControlFeed.ts
@@ -141,6 +141,12 @@
     return this._isWelcomed ? this._channel?.remoteAddress : undefined
   }
 
+  /** Time since the last frame of that replica, in milliseconds; infinite without a connection. */
+  public get silentMs (): number {
+    if (!this._isWelcomed || this._channel === undefined) return Infinity
+    return this._clock.nowMs() - this._channel.lastReceivedMs
+  }
+
   /** Addresses of all replicas that this node knows, `host:port`; the one that it is connected to goes first. */
   public get replicaAddresses (): string[] {
     const home = this.replicaAddress
--- a/src/routenode/RouteNodeDaemon.ts
+++ b/src/routenode/RouteNodeDaemon.ts
@@ -274,6 +274,7 @@
     return {
       ready: this.isReady,
       version: this._controlFeed.routing?.version ?? 0,
+      controlSilentMs: this._controlFeed.silentMs,
       nodes: this._directory.size,
       inFlight: this._gateway.inFlight,
       suspects: this._quarantine.size,
--- a/src/routenode/RouteNodeMetrics.ts
+++ b/src/routenode/RouteNodeMetrics.ts
@@ -19,6 +19,8 @@
 export interface NodeGauges {
   readonly ready: boolean
   readonly version: number
+  /** Time since the last frame of the control replica, in milliseconds; infinite without a connection to one. */
+  readonly controlSilentMs: number
   readonly nodes: number
   readonly inFlight: number
   /** Requests that are suspected of crashes or quarantined. */
@@ -176,6 +178,11 @@
     const definitions: ReadonlyArray<readonly [string, string, (gauges: NodeGauges) => number]> = [
       ['sassafras_ready', '1 while new callers are taken', ({ ready }) => Number(ready)],
       ['sassafras_configuration_version', 'Version in force', ({ version }) => version],
+      [
+        'sassafras_control_silence_seconds',
+        'Time since the last frame of the control replica, infinite without a connection',
+        ({ controlSilentMs }) => controlSilentMs / 1000
+      ],
       ['sassafras_nodes', 'Nodes known', ({ nodes }) => nodes],
       ['sassafras_requests_in_flight', 'Requests not ended yet', ({ inFlight }) => inFlight],
       ['sassafras_suspect_requests', 'Requests suspected of crashes or quarantined', ({ suspects }) => suspects],
