Answer a request whose body does not arrive at the timeout of its route

A request on a route of any kind but upload had no answer while its body was still arriving, however long its route's timeout and its own deadline had passed: the timeout began to count when the body was whole. It is now refused with 503, as uploads were already, since no instance has got it.

--- a/src/routenode/Gateway.ts
+++ b/src/routenode/Gateway.ts
@@ -62,8 +62,9 @@
 /**
  * HTTP/1.1 proxy for the callers on this VM: it routes each request to an instance of a service and relays the answer.
  *
- * Memory: the body and the answer of each open request, at most `maxBodyBytes` and `MAX_ANSWER_BYTES`. An upload is
- * refused when `BodyMemory` has no room for its body, and when its body takes longer to arrive than its caller waits.
+ * Memory: the body and the answer of each open request, at most `maxBodyBytes` and `MAX_ANSWER_BYTES`. A request is
+ * refused when its body takes longer to arrive than its caller and its route wait, an upload also when `BodyMemory` has
+ * no room for its body.
  */
 export class Gateway implements Disposable {
   private readonly _server: Server
@@ -165,7 +166,7 @@
     if (this._refuseIfStopping(message, response, origin)) return
     const lease = this._options.bodies.memory.lease()
     const isUpload = entry.route.kind === 'upload'
-    const timer = isUpload ? this._limitReading(message, response, entry.route, lease) : undefined
+    const timer = hasBody(message) ? this._limitReading(message, response, entry.route, lease) : undefined
     readBody(message, this._callerLimits.maxBodyBytes, result => {
       clearTimeout(timer)
       // A request that was refused as late must not run.
@@ -191,7 +192,7 @@
     return true
   }
 
-  /** Refuses an upload whose body has not arrived when its caller stops waiting, so that its memory becomes free. */
+  /** Refuses a request whose body has not arrived at its timeout, and frees the memory of the body. */
   private _limitReading (
     message: IncomingMessage, response: ServerResponse, route: Route, lease: BodyLease
   ): NodeJS.Timeout {
@@ -407,6 +408,10 @@
   answer: 'answered', refused: 'refused', limited: 'refused', failed: 'failed', gone: 'gone'
 } as const
 
+function hasBody ({ headers }: IncomingMessage): boolean {
+  return headers['transfer-encoding'] !== undefined || Number(headers['content-length'] ?? 0) > 0
+}
+
 function readDeadlineMs (message: IncomingMessage, name: string): number | undefined {
   const deadlineMs = Number(message.headers[name])
   return Number.isFinite(deadlineMs) && deadlineMs > 0 ? deadlineMs : undefined
