soak: judge what follows an acknowledged invalid order by what was sent

A known fault made all later findings follow from it, which hid others; and a refusal was reported where the base of the order was not in force.

--- a/soak/histories/Judge.test.ts
+++ b/soak/histories/Judge.test.ts
@@ -125,6 +125,14 @@
   expect(new Story().order(order, 5000, 200).rules()).toEqual(['no-invalid-accepted'])
 })
 
+test('what builds on an acknowledged invalid order is judged as if it were valid', () => {
+  const invalid = putOrder(2, 2, 1, { ...FIRST, Routes: [makeRoute('first', 'c'), makeRoute('old', 'a')] })
+  const next = patchOrder(3, 3, 2, { Upsert: { Routes: [makeRoute('first', 'a')] } })
+  const document = { ...FIRST, Routes: [makeRoute('first', 'a'), makeRoute('old', 'a')] }
+  expect(new Story().order(invalid, 5000, 200).order(next, 6000, 200).read(7000, 3, document).rules())
+    .toEqual(['no-invalid-accepted'])
+})
+
 test.each(Object.entries(INVALID))('a refused invalid order is no finding: %s', (_name, order) => {
   expect(new Story().order(order, 5000, 400).rules()).toEqual([])
 })
--- a/soak/histories/Judge.ts
+++ b/soak/histories/Judge.ts
@@ -18,6 +18,9 @@
 /** Attempts at running processes from which an order without an answer counts; others may each cost a second. */
 const MIN_HEARD_ATTEMPTS = 3
 
+/** Orders that a finding names at most. */
+const MAX_NAMED_ORDERS = 3
+
 /** An acknowledgement that every later read and request is held against. */
 interface Acknowledgement {
   readonly version: bigint
@@ -115,7 +118,9 @@
 
   private _judgeRefusal ({ order, sentAtMs, acknowledgedAtMs, refusedAtMs }: OrderOutcome): void {
     if (refusedAtMs === undefined || acknowledgedAtMs !== undefined) return
-    if (!this._isNewest(order, sentAtMs as number, refusedAtMs) || this._findProblem(order) !== undefined) return
+    const hasBase = this._tree.states.some(({ version }) => version === BigInt(order.base))
+    if (!hasBase || this._findProblem(order) !== undefined) return
+    if (!this._isNewest(order, sentAtMs as number, refusedAtMs)) return
     this._report('valid-not-refused', refusedAtMs, `${describe(order)} was refused, and no other change was on its way`)
   }
 
@@ -159,9 +164,8 @@
     if (same.some(state => canonicalText(state.document) === text)) return
     if (number === 0n && document?.Routes.length === 0) return
     const sent = this._outcomes.filter(({ order }) => BigInt(order.version) === number)
-    const orders = sent.map(({ order }) => describe(order))
     const rule = same.length === 0 ? 'only-accepted-in-force' : 'read-as-sent'
-    this._report(rule, atMs, `${process} answered r${number} with ${same.length === 0 ? 'what must not be in force' : 'other content than was sent'}; sent under this number: ${orders.join(', ') || 'nothing'}`)
+    this._report(rule, atMs, `${process} answered r${number} with ${same.length === 0 ? 'what must not be in force' : 'other content than was sent'}; sent under this number: ${describeAll(sent)}`)
   }
 
   /** Returns the newest acknowledgement before a time. */
@@ -204,8 +208,7 @@
       const services = listDestinations({ Routes: routes, Services: [], Limits: {} }, host, path)
       return runs.some(({ service }) => services.includes(service))
     })
-    const orders = senders.map(({ order }) => describe(order)).join(', ') || 'no order'
-    this._report('only-accepted-in-force', endedAtMs, `${process} passed ${host}${path} on to ${runs.map(({ service }) => service).join()}, as only ${orders} asks for`)
+    this._report('only-accepted-in-force', endedAtMs, `${process} passed ${host}${path} on to ${runs.map(({ service }) => service).join()}, as was asked for by ${describeAll(senders)}`)
   }
 
   private _judgeDelay ({ probe, endedAtMs, hasRun, allowed }: HandledProbe): void {
@@ -261,6 +264,12 @@
   return states.reduce((newest, { version }) => version > newest ? version : newest, 0n)
 }
 
+/** Names the first of some orders. */
+function describeAll (outcomes: readonly OrderOutcome[]): string {
+  const names = outcomes.slice(0, MAX_NAMED_ORDERS).map(({ order }) => describe(order))
+  return [...names, ...outcomes.length > MAX_NAMED_ORDERS ? ['others'] : []].join(', ') || 'no order'
+}
+
 function describe ({ id, version, base, kind }: OrderRecord): string {
   return `order ${id} (${kind}, r${version} on r${base})`
 }
--- a/soak/histories/StateTree.ts
+++ b/soak/histories/StateTree.ts
@@ -28,7 +28,9 @@
     const state = states[index] as ModelState
     const base = String(state.version)
     for (const { order, acknowledgedAtMs } of acknowledgedByBase.get(base) ?? eligibleByBase.get(base) ?? []) {
-      if (findProblem(order, state) !== undefined) continue
+      // What was acknowledged is in force, also where it must not have been: later orders build on it.
+      const mayFollow = BigInt(order.version) > state.version
+      if (!mayFollow || (acknowledgedAtMs === undefined && findProblem(order, state) !== undefined)) continue
       const document = applyContent(order.content, state.document)
       states.push({ version: BigInt(order.version), order, parent: state, document })
       parents.push(index)
