--- a/test/OddInputs.test.ts
+++ b/test/OddInputs.test.ts
@@ -142,7 +142,7 @@
   const [node, other] = started.nodes as [MeshNode, MeshNode]
   const [platformAddress] = await findFreeAddresses(1) as [string]
   api = new JsonApi({
-    ...new InstanceApi(node.daemon, SILENT).handlers, ...new OperatorGateway(node.daemon.operators).handlers
+    ...new InstanceApi(node.daemon, SILENT).handlers, ...new OperatorGateway(node.daemon.operators, SILENT).handlers
   }, SILENT)
   await api.listen(platformAddress)
   const heartbeat = {
