Count voters as silent in the gauge from when they may be replaced

The gauge of silent voters counted from 1 s of silence, the time for which a new leader trusts no silence, while a voter is replaced after 1.5 s, as docs/METRICS.md says. Only the gauge changes.

--- a/src/parts/agreement/VoterPlanner.ts
+++ b/src/parts/agreement/VoterPlanner.ts
@@ -9,7 +9,7 @@
  * shortest time after which another one may be lost, 4 s after the start of the replacement, although the lost one may
  * have been the leader.
  */
-const REPLACE_SILENT_AFTER_MS = 1500
+export const REPLACE_SILENT_AFTER_MS = 1500
 
 /** The group as its leader sees it. */
 export interface GroupView {
--- a/src/routecontrol/VoterHost.ts
+++ b/src/routecontrol/VoterHost.ts
@@ -1,7 +1,7 @@
 import type { ProposalOutcome } from '../control/ReplicaHost.js'
 import type { ReplicaToReplica } from '../control/Types.js'
 import type { ReplicaView } from '../parts/agreement/Replica.js'
-import { type VoterChange, VoterPlanner } from '../parts/agreement/VoterPlanner.js'
+import { REPLACE_SILENT_AFTER_MS, type VoterChange, VoterPlanner } from '../parts/agreement/VoterPlanner.js'
 import type { ReplicaId } from '../parts/Types.js'
 import type { Clock, Disposable, Log } from '../runtime/Types.js'
 import {
@@ -224,7 +224,7 @@
   }
 
   private _isSilent (member: ReplicaId, nowMs: number): boolean {
-    return member !== this._group.id && this._silenceMs(member, nowMs) > SETTLED_LEADER_MS
+    return member !== this._group.id && this._silenceMs(member, nowMs) > REPLACE_SILENT_AFTER_MS
   }
 
   private _changeMembers (change: VoterChange): void {
