Make the log durable before the files that it replaces are removed

Open syncs the segment and the folder first, as compaction does. A log whose creation was interrupted also tells which first group it was created for, so that such a seed still counts as one.

--- a/src/parts/storage/DurableLog.test.ts
+++ b/src/parts/storage/DurableLog.test.ts
@@ -260,6 +260,46 @@
   fc.assert(property, { seed: SEED, numRuns: 2000 })
 })
 
+/** Runs a process until it ends at an operation of its disk. */
+function stopsAt (run: () => void): void {
+  try {
+    run()
+  } catch (error) {
+    expect((error as Error).message).toContain('power cut')
+  }
+}
+
+test('a log whose creation was interrupted still tells of what first group it is', () => {
+  const found = new Set<string>()
+  for (let operations = 1; operations < 30; operations++) {
+    const disk = new MemoryDisk()
+    stopsAt(() => new DurableLog(failAfter(disk, operations)).create(IDENTITY, ['c1', 'c2', 'c3']))
+    const hasSegment = disk.list().some(file => /^log-\d+$/.test(file))
+    const opened = new DurableLog(disk).open()
+    found.add(`${opened.type} ${hasSegment}`)
+    expect(opened).toMatchObject(hasSegment ? { founders: ['c1', 'c2', 'c3'] } : { type: 'empty' })
+  }
+  expect(found).toContain('empty true')
+})
+
+// A name is durable only after a sync of the folder, so the file that it replaces must not be removed before.
+test('a power cut while a log is opened after a kill loses nothing that was flushed', () => {
+  const kills = fc.integer({ min: 1, max: 40 })
+  const cuts = fc.record({ kill: kills, power: fc.integer({ min: 1, max: 12 }), seed: fc.nat() })
+  fc.assert(fc.property(cuts, ({ kill, power, seed }) => {
+    const { disk } = createFlushedLog(3)
+    const snapshot = { index: 2, term: 0, members: ['c1'], data: Uint8Array.of(9) }
+    stopsAt(() => {
+      const log = new DurableLog(failAfter(disk, kill))
+      log.open()
+      log.stage({ sequence: 4, entries: [], snapshot })
+    })
+    stopsAt(() => new DurableLog(failAfter(disk, power)).open())
+    disk.crash(new SeededRandom(seed))
+    expect(recoveredState(new DurableLog(disk).open()).entries.at(-1)?.index).toBe(3)
+  }), { seed: SEED, numRuns: 2000 })
+})
+
 // The tries before left a part of the end record, or had renamed the file already; the log was damaged for good.
 test('a snapshot that meets a full disk is completed once there is space', () => {
   const frees = fc.array(fc.nat({ max: 400 }), { minLength: 1, maxLength: 4 })
--- a/src/parts/storage/DurableLog.ts
+++ b/src/parts/storage/DurableLog.ts
@@ -278,7 +278,8 @@
     if (segment.type === 'corrupt') return corruptResult(segment.corruption)
     const { base, entries, hard, tornBytes } = segment.content
     const isUnused = base.index === 0 && entries.length === 0 && hard.term === 0 && tornBytes === 0
-    return isUnused ? { type: 'empty' } : corruptResult({ file, offset: 0, problem: 'missing snapshot' })
+    const founders = base.founders === undefined ? {} : { founders: base.founders }
+    return isUnused ? { type: 'empty', ...founders } : corruptResult({ file, offset: 0, problem: 'missing snapshot' })
   }
 
   private _recover (segment: Segment, snapshot: Snapshot): OpenResult {
@@ -292,8 +293,9 @@
     this._segmentNumber = Number(segment.file.slice('log-'.length))
     this._segmentLength = segment.length
     this._lastBatch = segment.batch
-    this._removeObsoleteFiles()
+    // A killed process may have renamed a file without a sync of the folder: what it replaces stays until that.
     this._makeDurable(segment)
+    this._removeObsoleteFiles()
     if (!isUsable) this._replaceSnapshotAndSegment(snapshot, entries)
     const state = { hard: this._hardState, snapshot, entries: [...entries] }
     const founders = this._founders.length > 0 ? { founders: this._founders } : {}
--- a/src/parts/storage/Types.ts
+++ b/src/parts/storage/Types.ts
@@ -80,7 +80,8 @@
 
 /** Result of opening the log. */
 export type OpenResult =
-  | { readonly type: 'empty' }
+  /** `founders` are those given to a `create` that a kill has interrupted; absent after none. */
+  | { readonly type: 'empty', readonly founders?: readonly string[] }
   /**
    * `cutBytes` is the length of the torn write that was truncated. `founders` are the names of the replicas that form
    * the first group with this one, as given to `create`; absent once it belongs to a group.
--- a/src/routecontrol/RoutingReplica.ts
+++ b/src/routecontrol/RoutingReplica.ts
@@ -362,6 +362,7 @@
   private _findFounders (opened: OpenResult): readonly string[] {
     const { settings: { address, seeds, bootstrap } } = this._options
     if (opened.type === 'recovered') return opened.founders ?? []
+    if (opened.type === 'empty' && opened.founders !== undefined) return opened.founders
     return opened.type === 'empty' && bootstrap && seeds.includes(address) ? seeds : []
   }
 
