Refuse orders early only for what is true on any base, and for new clashes of hosts

Operators got 503 for an invalid order as long as its base was not in force, where a 4xx is due; and after an upgrade every patch got 400 while two hosts in force, accepted by an earlier release, differ in case only. Found by a review of the early decisions at the leader.

A complete configuration that is invalid, and a version that is not above its base, are refused whatever is in force. Clashes are looked for only on a configuration without any. The tests need the new method, or failed with one finding.

--- a/src/parts/routing/RoutingStore.test.ts
+++ b/src/parts/routing/RoutingStore.test.ts
@@ -139,6 +139,22 @@
   expect(store.deltasSince(9)).toHaveLength(1)
 })
 
+test('a clash of hosts that is in force keeps no other change out', () => {
+  const store = new RoutingStore()
+  apply(store, replace(1, 0, makeRoute('a', { host: 'h' }), makeRoute('b', { host: 'H', pathPrefix: '/a/' })))
+  expect(store.check(patch(2, 1, [makeRoute('c')]))).toEqual([])
+  const sound = new RoutingStore()
+  apply(sound, replace(1, 0, makeRoute('a', { host: 'h' })))
+  expect(sound.check(patch(2, 1, [makeRoute('b', { host: 'H', pathPrefix: '/a/' })]))).toHaveLength(1)
+})
+
+test('a change that is invalid on any base is refused although its base is not in force', () => {
+  const store = new RoutingStore()
+  expect(store.checkOnAnyBase(replace(9, 8, makeRoute('a', { host: '' })))).toHaveLength(1)
+  expect(store.checkOnAnyBase(patch(8, 8, []))).toHaveLength(1)
+  expect(store.checkOnAnyBase(replace(9, 8, makeRoute('a')))).toEqual([])
+})
+
 function indexByName ({ routes, services, limits }: RoutingConfiguration): object {
   return { routes: Object.fromEntries(routes.map(route => [route.name, route])), services, limits }
 }
--- a/src/parts/routing/RoutingStore.ts
+++ b/src/parts/routing/RoutingStore.ts
@@ -46,7 +46,19 @@
    */
   public check (change: RoutingChange): Finding[] {
     const { version, configuration } = this._current
-    return change.base === version ? findHostClashes(applyChange(change, configuration)) : []
+    // A clash that an earlier release has accepted must not keep other changes out.
+    const isBound = change.base === version && findHostClashes(configuration).length === 0
+    return isBound ? findHostClashes(applyChange(change, configuration)) : []
+  }
+
+  /**
+   * Checks a change by what holds on any base, so that it can be refused for good although its base isn't in force.
+   * @returns All findings.
+   */
+  public checkOnAnyBase (change: RoutingChange): Finding[] {
+    const findings = change.type === 'replace' ? validateRouting(change.configuration) : []
+    if (change.version > change.base) return findings
+    return [...findings, { place: 'version', problem: `is ${change.version}`, expected: `above ${change.base}, its base` }]
   }
 
   /**
--- a/src/routecontrol/EarlyDecision.ts
+++ b/src/routecontrol/EarlyDecision.ts
@@ -8,6 +8,8 @@
  */
 export function decideEarly (store: RoutingStore, change: RoutingChange): ChangeOutcome | undefined {
   if (!store.canDecide(change)) {
+    const invalid = store.checkOnAnyBase(change)
+    if (invalid.length > 0) return { type: 'decided', reply: { type: 'invalid', findings: invalid } }
     const reason = `the base is version ${change.base}, which has not come into force after ${store.inForce.version}`
     return { type: 'undecided', state: 'not-run', reason }
   }
