Ask the instance before a report that contradicts it is applied

What callers saw: one well-formed heartbeat of another writer with the address of an instance took that instance out of use. With its id, `draining` and a later start it got 0 of about 70 runs in each 3.5 s for as long as it was watched; with another id, ready or draining, it got 0 to 14 of them for 3.5 s to 7 s, and its running requests were judged to have crashed it, so that innocent requests became suspects.

Cause: an incarnation was ordered by its id and start alone, so whoever named the latest start was taken for the instance, although the instance can be asked. Only the way back was bounded, after three reports in 2 s, and never for the same id, since a drain must not be undone.

Change: a report that contradicts the current incarnation is a claim, and the health check of the instance settles it: the id that it names is followed, also when it counts as old. Under one id, only a draining with another start is a claim; a healthy answer refutes it. Without an answer within half a second, without a known path, or while the instance is lost, the report counts as before. A report of the current incarnation, its draining and its deregistration bind at once, as before. An open claim rules out a second send on a new connection. ReportReceiver has the questions, and InstanceChecks all questions on the health path, which count as requests to a cold instance.

The new test in test/OddEntries.test.ts fails when the instance is never asked (the node then publishes i-x); those of InstanceRegistry need the claims.

--- a/src/parts/instances/InstanceRegistry.test.ts
+++ b/src/parts/instances/InstanceRegistry.test.ts
@@ -128,3 +128,97 @@
   expect(reportOn(registry, 3)).toEqual(['stale', 'stale', 'applied'])
   expect(registry.published?.state).toBe('draining')
 })
+
+// A well-formed report of another writer took the instance out of use, and its running requests counted as crashed.
+for (const [name, changes] of Object.entries({
+  'another id': { id: 'i-x', bornMs: 300 },
+  'another id that drains': { id: 'i-x', bornMs: 300, state: 'draining' },
+  'an earlier start and another id': { id: 'i-x', bornMs: 50 },
+  'its own id, a later start and draining': { bornMs: 300, state: 'draining' }
+} as const)) {
+  test(`a report with ${name} has no effect when the instance says that it is the known one`, () => {
+    const registry = new InstanceRegistry(ADDRESS, 's')
+    registry.recordReport(makeReport(), 0)
+    const foreign = makeReport(changes)
+    expect(registry.recordReport(foreign, 1, true)).toBe('claimed')
+    expect(registry.current).toEqual(makeReport())
+    expect(registry.settleClaim(foreign, { id: 'i-1', isHealthy: true })).toBe('foreign')
+    expect(registry.recordReport(makeReport({ sequence: 2 }), 2, true)).toBe('applied')
+    expect(registry.published).toEqual({ id: 'i-1', bornMs: 100, service: 's', slots: 6, state: 'ready' })
+  })
+}
+
+test('a report of another id is applied when the instance confirms it, or does not answer', () => {
+  for (const identity of [{ id: 'i-2', isHealthy: true }, { id: 'i-2', isHealthy: false }, { id: 'i-3', isHealthy: true }, undefined]) {
+    const registry = new InstanceRegistry(ADDRESS, 's')
+    registry.recordReport(makeReport(), 0)
+    const next = makeReport({ id: 'i-2', bornMs: 200 })
+    expect(registry.recordReport(next, 1, true)).toBe('claimed')
+    expect(registry.settleClaim(next, identity)).toBe('applied')
+    expect(registry.current).toEqual(next)
+  }
+})
+
+test('a delayed report of an earlier incarnation stays without effect when the instance does not answer', () => {
+  const registry = new InstanceRegistry(ADDRESS, 's')
+  registry.recordReport(makeReport({ id: 'i-2', bornMs: 200 }), 0)
+  const late = makeReport()
+  expect(registry.recordReport(late, 1, true)).toBe('claimed')
+  expect(registry.settleClaim(late, undefined)).toBe('stale')
+  expect(registry.current?.id).toBe('i-2')
+})
+
+test('an instance that counts as old is followed at once when it says that it runs', () => {
+  const registry = new InstanceRegistry(ADDRESS, 's')
+  registry.recordReport(makeReport({ id: 'i-x', bornMs: 300, state: 'draining' }), 0)
+  const own = makeReport()
+  expect(registry.recordReport(own, 1, true)).toBe('claimed')
+  expect(registry.settleClaim(own, { id: 'i-1', isHealthy: true })).toBe('applied')
+  expect(registry.published?.state).toBe('ready')
+})
+
+test('a restarted instance that is about to stop drains, also under its former id', () => {
+  for (const identity of [{ id: 'i-1', isHealthy: false }, undefined]) {
+    const registry = new InstanceRegistry(ADDRESS, 's')
+    registry.recordReport(makeReport(), 0)
+    const last = makeReport({ bornMs: 200, state: 'draining' })
+    expect(registry.recordReport(last, 1, true)).toBe('claimed')
+    expect(registry.settleClaim(last, identity)).toBe('applied')
+    expect(registry.published?.state).toBe('draining')
+  }
+})
+
+// An incarnation of another writer that drained kept the instance of the same id out until its node restarted.
+test('an instance that goes on reporting is ready again when it is healthy, and not without its word', () => {
+  for (const [identity, state] of [[{ id: 'i-1', isHealthy: true }, 'ready'], [undefined, 'draining']] as const) {
+    const registry = new InstanceRegistry(ADDRESS, 's')
+    registry.recordReport(makeReport({ bornMs: 300, state: 'draining' }), 0)
+    expect(reportOn(registry, 2)).toEqual(['stale', 'stale'])
+    const third = makeReport({ sequence: 12 })
+    expect(registry.recordReport(third, 3000, true)).toBe('claimed')
+    expect(registry.settleClaim(third, identity)).toBe('applied')
+    expect(registry.published?.state).toBe(state)
+  }
+})
+
+test('the own draining and deregistration of the instance need no confirmation', () => {
+  const registry = new InstanceRegistry(ADDRESS, 's')
+  registry.recordReport(makeReport(), 0)
+  expect(registry.recordReport(makeReport({ sequence: 2, state: 'draining' }), 1, true)).toBe('applied')
+  expect(registry.deregister('i-1', 100)).toBe('applied')
+  const late = makeReport({ bornMs: 50, sequence: 9 })
+  expect(registry.recordReport(late, 2, true)).toBe('stale')
+  expect(registry.published?.state).toBe('left')
+})
+
+test('only the open claim is settled', () => {
+  const registry = new InstanceRegistry(ADDRESS, 's')
+  registry.recordReport(makeReport(), 0)
+  const [first, second] = [makeReport({ id: 'i-2', bornMs: 200 }), makeReport({ id: 'i-3', bornMs: 300 })]
+  registry.recordReport(first, 1, true)
+  registry.recordReport(second, 2, true)
+  expect(registry.settleClaim(first, { id: 'i-2', isHealthy: true })).toBe('stale')
+  registry.dropClaim()
+  expect([registry.hasClaim, registry.settleClaim(second, { id: 'i-3', isHealthy: true })]).toEqual([false, 'stale'])
+  expect(registry.current?.id).toBe('i-1')
+})
--- a/src/parts/instances/InstanceRegistry.ts
+++ b/src/parts/instances/InstanceRegistry.ts
@@ -8,23 +8,42 @@
 const OUTLIVING_REPORTS = 3
 const OUTLIVING_MS = 2000
 
-/** Result of a report: `foreign` ones are for another instance, `stale` ones are older than what is known. */
-export type ReportOutcome = 'applied' | 'stale' | 'foreign'
+/**
+ * Result of a report: `foreign` ones are for another instance, `stale` ones are older than what is known, and `claimed`
+ * ones wait until the instance has said who it is.
+ */
+export type ReportOutcome = 'applied' | 'stale' | 'foreign' | 'claimed'
+
+/** What the instance says of itself when it is asked. */
+export interface InstanceIdentity {
+  readonly id: string
+  /** False also when it is about to stop. */
+  readonly isHealthy: boolean
+}
+
+/** A report that contradicts the current incarnation. */
+interface Claim {
+  readonly report: InstanceReport
+  /** True when its incarnation goes on reporting, so that it is followed although it counts as old. */
+  readonly outlives: boolean
+}
 
 /**
  * Latest state of the one instance beside a node, merged from the instance's reports. Reports may be delayed and
  * reordered, and another instance may take over the address: incarnations are ordered by their start time, reports of
  * one incarnation by their sequence. An incarnation that has begun to drain never becomes ready again.
  *
- * A report of another writer may name a start or a sequence that is above all true ones. It is overruled when the
- * instance itself goes on reporting while nothing else confirms that report.
+ * A report may come from another writer. When one names another incarnation than the current one, the instance itself
+ * is asked if it can be, and its answer decides. Otherwise a report with a start or a sequence above all true ones is
+ * overruled when the instance goes on reporting while nothing else confirms that report.
  *
- * Memory: two reports.
+ * Memory: three reports.
  */
 export class InstanceRegistry {
   private _current: InstanceReport | undefined
   /** Last of the increasing reports that count as old and came after the last applied one. */
   private _older: { readonly report: InstanceReport, readonly count: number, readonly sinceMs: number } | undefined
+  private _claim: Claim | undefined
 
   /**
    * @param _address Address of the instance beside this node, `host:port`; reports of other addresses are foreign.
@@ -46,6 +65,7 @@
     this._service = service
     this._current = undefined
     this._older = undefined
+    this._claim = undefined
     return true
   }
 
@@ -54,6 +74,11 @@
     return this._current
   }
 
+  /** True while a report awaits `settleClaim`, so that the current incarnation may have ended. */
+  public get hasClaim (): boolean {
+    return this._claim !== undefined
+  }
+
   /** What the node publishes to other nodes; undefined before the first report. */
   public get published (): PublishedInstance | undefined {
     if (this._current === undefined) return undefined
@@ -65,19 +90,44 @@
    * Applies a report unless it is foreign or stale.
    * @param report Report that the node received.
    * @param nowMs Monotonic time in milliseconds.
+   * @param canAsk Whether the instance can be asked who it is. A report that contradicts the current incarnation is
+   * then `claimed` until `settleClaim`; a later one takes its place.
    */
-  public recordReport (report: InstanceReport, nowMs: number): ReportOutcome {
+  public recordReport (report: InstanceReport, nowMs: number, canAsk = false): ReportOutcome {
     if (report.address !== this._address || report.service !== this._service) return 'foreign'
     const known = this._current
     if (known === undefined) return this._apply(report)
-    const isSame = isSameIncarnation(known, report)
-    const isNewer = isSame ? report.sequence > known.sequence : report.bornMs > known.bornMs
-    if (!isNewer && !this._outlivesCurrent(report, nowMs)) {
-      // Also a late report of this incarnation tells that it leaves.
-      return isSame && report.state === 'draining' && known.state === 'ready' ? this.drain(known) : 'stale'
+    const outlives = !isNewer(known, report) && this._outlivesCurrent(report, nowMs)
+    if (!canAsk || !isContradiction(known, report, outlives)) return this._follow(known, report, outlives)
+    this._claim = { report, outlives }
+    return 'claimed'
+  }
+
+  /**
+   * Decides on a claimed report.
+   * @param report The report; nothing happens unless it is the claim that is open.
+   * @param identity What the instance says; undefined when it does not answer, and the report then counts as it would
+   * have without the question.
+   */
+  public settleClaim (report: InstanceReport, identity: InstanceIdentity | undefined): ReportOutcome {
+    const { _claim: claim, _current: known } = this
+    if (claim?.report !== report || known === undefined) return 'stale'
+    this._claim = undefined
+    const isConfirmed = identity?.id === report.id
+    if (report.id !== known.id) {
+      if (isConfirmed) return this._apply(report)
+      return identity?.id === known.id ? 'foreign' : this._follow(known, report, claim.outlives)
     }
-    const isLeaving = known.state !== 'ready' && (isSame || (!isNewer && known.id === report.id))
-    return this._apply(isLeaving ? { ...report, state: known.state } : report)
+    // The id says nothing here, but a healthy instance is not about to stop.
+    if (!isConfirmed || !identity.isHealthy || isSameIncarnation(known, report)) {
+      return this._follow(known, report, claim.outlives)
+    }
+    return isNewer(known, report) ? 'foreign' : this._apply(report)
+  }
+
+  /** Forgets the open claim, as nobody will settle it. */
+  public dropClaim (): void {
+    this._claim = undefined
   }
 
   /**
@@ -100,6 +150,17 @@
     return known.state === 'ready' ? this._apply({ ...known, state: 'draining' }) : 'stale'
   }
 
+  private _follow (known: InstanceReport, report: InstanceReport, outlives: boolean): ReportOutcome {
+    const isSame = isSameIncarnation(known, report)
+    const isNext = isNewer(known, report)
+    if (!isNext && !outlives) {
+      // Also a late report of this incarnation tells that it leaves.
+      return isSame && report.state === 'draining' && known.state === 'ready' ? this.drain(known) : 'stale'
+    }
+    const isLeaving = known.state !== 'ready' && (isSame || (!isNext && known.id === report.id))
+    return this._apply(isLeaving ? { ...report, state: known.state } : report)
+  }
+
   private _outlivesCurrent (report: InstanceReport, nowMs: number): boolean {
     const older = this._older
     if (older === undefined || !isSameIncarnation(older.report, report)) {
@@ -122,3 +183,20 @@
 export function isSameIncarnation (a: InstanceIncarnation | undefined, b: InstanceIncarnation): boolean {
   return a?.id === b.id && (a.bornMs === b.bornMs || a.isBornAssumed === true || b.isBornAssumed === true)
 }
+
+function isNewer (known: InstanceReport, report: InstanceReport): boolean {
+  return isSameIncarnation(known, report) ? report.sequence > known.sequence : report.bornMs > known.bornMs
+}
+
+/**
+ * Returns whether a report and the current incarnation can't both be true of an instance that runs. Under the same id
+ * only what takes it out of use, or would bring it back, is one: another start alone changes nothing for its callers.
+ */
+function isContradiction (known: InstanceReport, report: InstanceReport, outlives: boolean): boolean {
+  // The start is assumed when the instance itself has said that it is this one.
+  if (isSameIncarnation(known, report) || report.isBornAssumed === true) return false
+  if (known.id !== report.id) return true
+  return isNewer(known, report)
+    ? known.state === 'ready' && report.state === 'draining'
+    : outlives && known.state === 'draining'
+}
--- a/src/routenode/InstanceClient.ts
+++ b/src/routenode/InstanceClient.ts
@@ -4,6 +4,7 @@
 import { findHeader, selectEndToEnd } from '../node/EndToEndHeaders.js'
 import { areWritableHeaders, isWritableStatus, isWritableTarget } from '../node/HeadSyntax.js'
 import { isInstanceId } from '../parts/instances/EntryChecks.js'
+import type { InstanceIdentity } from '../parts/instances/InstanceRegistry.js'
 import { isAtMostOnce } from '../parts/routing/RouteKinds.js'
 import { parseAddress } from '../runtime/Address.js'
 import type { Clock, Disposable } from '../runtime/Types.js'
@@ -104,6 +105,22 @@
     })
   }
 
+  /**
+   * Asks the instance who it is, on a connection of its own.
+   * @param path Path of the health check.
+   * @param onResult Called once; without an identity unless the instance names its id in time, and without a notice
+   * unless it answers in time.
+   */
+  public queryIdentity (
+    path: string, onResult: (identity: InstanceIdentity | undefined, notice: ColdNotice | undefined) => void
+  ): void {
+    this._query(path, false, HEALTH_CHECK_TIMEOUT_MS, response => {
+      const id = response?.headers[this._names.instanceId]
+      const identity = isInstanceId(id) ? { id, isHealthy: response?.statusCode === 200 } : undefined
+      onResult(identity, this._readColdNotice(response))
+    })
+  }
+
   /**
    * Checks whether anything listens at the address of the instance.
    * @param onResult Called once; with true when a connection is refused, with false also when it is not known in time.
--- a/src/routenode/InstanceProxy.ts
+++ b/src/routenode/InstanceProxy.ts
@@ -15,10 +15,12 @@
 import { BODY_RETRY_AFTER_MS, COLD_CHECK_TIMEOUT_MS, RECOVERY_CHECK_INTERVAL_MS } from './Constants.js'
 import { CrashAttribution } from './CrashAttribution.js'
 import { buildGateCall } from './GateCalls.js'
+import { InstanceChecks } from './InstanceChecks.js'
 import { InstanceClient, type InstanceHealth } from './InstanceClient.js'
 import type { InstanceLoad } from './LoadHeader.js'
-import type { Quarantine, QuarantineRefusal } from './Quarantine.js'
 import type { PendingCall } from './PendingCall.js'
+import type { Quarantine, QuarantineRefusal } from './Quarantine.js'
+import { ReportReceiver } from './ReportReceiver.js'
 import { parseRequestLimit } from './RequestLimitHeader.js'
 import type {
   FailureProof, FailureReason, HeaderNames, InstanceStatus, RoutedAnswer, RoutedCall, RoutedCallHandle,
@@ -77,6 +79,7 @@
  */
 export class InstanceProxy implements RoutedCallTarget, Disposable {
   private readonly _registry: InstanceRegistry
+  private readonly _reports: ReportReceiver
   private readonly _client: InstanceClient
   private readonly _gate = new InstanceGate()
   private readonly _pendingCalls = new Map<CallId, PendingCall>()
@@ -90,6 +93,7 @@
   private readonly _crashAttribution: CrashAttribution
   private readonly _bodies: BodyResources
   private readonly _cold: ColdMonitor
+  private readonly _checks: InstanceChecks
   private _appliedLimitPerS: number | undefined
   private _slots = 0
   private _lastPublishedJson: string | undefined
@@ -97,6 +101,14 @@
 
   public constructor (private readonly _options: InstanceProxyOptions) {
     this._registry = new InstanceRegistry(_options.address, _options.service)
+    this._reports = new ReportReceiver({
+      ..._options,
+      registry: this._registry,
+      // Nothing is known of a lost instance but that the one before has ended or doesn't answer.
+      isReachable: () => this._breaker.state !== 'open' && this._checks.isPathKnown,
+      askIdentity: onResult => this._checks.askIdentity(onResult),
+      onApplied: (report, previous) => this._onReport(report, previous)
+    })
     this._client = new InstanceClient(_options.address, _options.names, _options.clock)
     this._bodies = _options.bodies ?? makeDefaultBodyResources()
     this._crashAttribution = new CrashAttribution({
@@ -113,6 +125,7 @@
       },
       step: event => this._step(event)
     })
+    this._checks = new InstanceChecks(this._client, this._cold, () => _options.findHealthPath(this.service))
     this._wakeTimer = new PartTimer(_options.clock, () => this._step({ type: 'tick' }))
     this._gateHandlers = {
       start: action => this._run(action.call.id),
@@ -121,7 +134,7 @@
         if (action.reason === 'rate-limited') this._cold.countDecline()
         pending?.listener.onDeclined(action.reason, action.retryAfterMs, this.load())
       },
-      measure: () => this._measureSlowness(),
+      measure: () => this._checks.measureSlowness(slowness => this._step({ type: 'measured', slowness })),
       checkCold: action => this._cold.check(action.ticket),
       wake: action => this._wakeTimer.wakeAt(action.atMs)
     }
@@ -217,18 +230,7 @@
 
   /** Handles a report of an instance. */
   public report (report: InstanceReport): ReportOutcome {
-    const previous = this._registry.current
-    const outcome = this._registry.recordReport(report, this._options.clock.nowMs())
-    if (outcome !== 'applied') return outcome
-    this._cold.recordReport(report)
-    const restarted = previous?.id !== report.id || previous.bornMs !== report.bornMs
-    if (restarted) this._breaker.recordSuccess()
-    if (restarted && !this._breaker.isFlapping(this._options.clock.nowMs())) this._step({ type: 'restarted' })
-    if (previous !== undefined && !isSameIncarnation(previous, report)) {
-      this._crashAttribution.recordRestart(previous.state === 'ready')
-    }
-    this._onInstanceChange()
-    return outcome
+    return this._reports.receive(report)
   }
 
   /** Sets the service of the instance after a change of the settings. */
@@ -285,12 +287,24 @@
   /** Closes all connections at once. */
   public dispose (): void {
     this._stopRecovery()
+    this._reports.dispose()
     this._crashAttribution.dispose()
     this._cold.dispose()
     this._wakeTimer.dispose()
     this._client.dispose()
   }
 
+  private _onReport (report: InstanceReport, previous: InstanceReport | undefined): void {
+    this._cold.recordReport(report)
+    const restarted = previous?.id !== report.id || previous.bornMs !== report.bornMs
+    if (restarted) this._breaker.recordSuccess()
+    if (restarted && !this._breaker.isFlapping(this._options.clock.nowMs())) this._step({ type: 'restarted' })
+    if (previous !== undefined && !isSameIncarnation(previous, report)) {
+      this._crashAttribution.recordRestart(previous.state === 'ready')
+    }
+    this._onInstanceChange()
+  }
+
   private _onInstanceChange (): void {
     const { current } = this._registry
     this._applyLimit()
@@ -473,7 +487,8 @@
   private _mayResend ({ call, deadlineAtMs }: PendingCall, instance: InstanceIncarnation): boolean {
     const { clock, quarantine, withdrawRepeat } = this._options
     const nowMs = clock.nowMs()
-    const takesCalls = this._slots > 0 && isSameIncarnation(this._registry.current, instance) && !this._isZoneClosed()
+    const isCurrent = isSameIncarnation(this._registry.current, instance) && !this._registry.hasClaim
+    const takesCalls = this._slots > 0 && isCurrent && !this._isZoneClosed()
     if (!takesCalls || nowMs >= deadlineAtMs || !this._gate.mayResend(nowMs)) return false
     if (quarantine.check(call, false) !== undefined || withdrawRepeat?.(call.service) === false) return false
     this._step({ type: 'resent' })
@@ -517,16 +532,10 @@
   }
 
   private _checkHealth (): void {
-    const path = this._options.findHealthPath(this.service)
     const isKnown = this._registry.current !== undefined
     if (isKnown && this._breaker.state !== 'open') return this._stopRecovery()
-    if (path === undefined || (isKnown && !this._breaker.isTrialDue(this._options.clock.nowMs()))) return
-    const probe = this._cold.startProbe()
-    if (probe === undefined) return
-    this._client.checkHealth(path, (health, notice) => {
-      this._cold.endProbe(probe, notice)
-      if (health !== undefined) this._onHealth(health)
-    })
+    if (isKnown && !this._breaker.isTrialDue(this._options.clock.nowMs())) return
+    this._checks.checkHealth(health => this._onHealth(health))
   }
 
   private _onHealth ({ id, load }: InstanceHealth): void {
@@ -543,17 +552,6 @@
     this.report({ ...assumed, id, service: this.service, address: this._options.address, slots })
   }
 
-  private _measureSlowness (): void {
-    const path = this._options.findHealthPath(this.service)
-    // Load queries would use up what a cold instance tolerates.
-    const probe = path === undefined || this._cold.isCold ? undefined : this._cold.startProbe()
-    if (path === undefined || probe === undefined) return this._step({ type: 'measured', slowness: undefined })
-    this._client.queryLoad(path, (load, notice) => {
-      this._cold.endProbe(probe, notice)
-      this._step({ type: 'measured', slowness: load?.slowness })
-    })
-  }
-
   private _stopRecovery (): void {
     clearInterval(this._recoveryTimer)
     this._recoveryTimer = undefined
--- a/test/OddEntries.test.ts
+++ b/test/OddEntries.test.ts
@@ -71,6 +71,31 @@
   expect((await started.call(started.nodes[0]!, '/read/x')).body).toBe(`${instance.id} svc`)
 })
 
+// They took the instance out of use for seconds or for good, and blamed its running requests for a crash.
+test('well-formed reports of another writer stop no requests and blame none', async () => {
+  const started = await RouteMesh.start(2)
+  mesh = started
+  const [beside, other] = started.nodes as [MeshNode, MeshNode]
+  const { daemon, instance } = beside
+  const base = { service: 'svc', address: instance.address, slots: 1, coldMs: 0, bornMs: Date.now(), sequence: 1 } as const
+  const reports = [
+    { ...base, id: 'i-x', state: 'ready' },
+    { ...base, id: 'i-x', sequence: 2, state: 'draining' },
+    { ...base, id: instance.id, state: 'draining' },
+    { ...base, id: 'i-y', bornMs: 0, state: 'ready' }
+  ] as const
+  const call = async (): Promise<number> => (await started.call(other, '/read/x')).statusCode
+  for (const report of reports) {
+    const calls = [call(), call(), call()]
+    const settled = started.awaitLog('report settled')
+    expect(daemon.report(report)).toBe('claimed')
+    expect((await settled)['outcome']).toBe('foreign')
+    expect(await Promise.all(calls)).toEqual([200, 200, 200])
+    expect(daemon.state()).toMatchObject({ instance: { id: instance.id, bornMs: 1, slots: 6, state: 'ready' } })
+  }
+  expect(started.logLines.filter(({ message }) => message === 'crash blamed on requests')).toEqual([])
+})
+
 test('changed settings change the service of the machine', async () => {
   const started = await RouteMesh.start(1)
   mesh = started
--- a/test/support/RouteMesh.ts
+++ b/test/support/RouteMesh.ts
@@ -246,6 +246,16 @@
     while (known().some(names => names !== zones.join())) await pause()
   }
 
+  /** Waits for the next line of the information level with a message, and returns its fields. */
+  public async awaitLog (message: string): Promise<LogFields> {
+    const before = this.logLines.length
+    for (;;) {
+      const line = this.logLines.slice(before).find(line => line.message === message)
+      if (line !== undefined) return line.fields
+      await pause()
+    }
+  }
+
   /** Number of instances that a node sends requests to. */
   public readyCount ({ daemon }: MeshNode): number {
     return (daemon.state() as NodeState).placement.services['svc']?.length ?? 0
