Refuse a change after which no frame would hold the configuration

What callers saw: patches of 5.5 MB each were acknowledged without end. After the fifth the configuration had 27 MB; a node that was started then was never ready, and each restarted node would have been lost in the same way, while all replicas ran and answered reads.

Cause: the body of one call is limited to 8 MiB and a frame to 16 MiB, but nothing bounded what the patches add up to. A full copy travels in one frame, which the receiver refuses with its connection ("frame of bytes is longer than the limit"), at every replica in turn.

Change: the leader refuses a change that is made for the version in force when the configuration after it would have more than 12 MiB as JSON, with the finding, its place and the bound. It is checked before the entry is proposed, like the clashes of hosts, so replicas of all releases decide the log alike. A configuration that is larger already can still be changed as long as it does not grow. The sizes of items are kept, as most items are shared by all versions.

Both new tests of RoutingStore fail when the size is not checked.

--- a/src/parts/routing/Constants.ts
+++ b/src/parts/routing/Constants.ts
@@ -6,6 +6,12 @@
 /** Excess of a latency objective over its route's timeout that is rejected as a mistake, in milliseconds. */
 export const MAX_OBJECTIVE_EXCESS_MS = 60_000
 
+/**
+ * Largest configuration as JSON, in bytes. A full copy is sent to nodes in one frame, which may have 16 MiB, and takes
+ * more than JSON only for numbers with fractions.
+ */
+export const MAX_CONFIGURATION_BYTES = 12 * 1024 * 1024
+
 /** Accepted changes whose digests are kept to acknowledge a resend again; the design load is 9,100 changes a day. */
 export const MAX_ACCEPTED_CHANGES = 10_000
 
--- a/src/parts/routing/RoutingStore.test.ts
+++ b/src/parts/routing/RoutingStore.test.ts
@@ -1,6 +1,8 @@
 import fc from 'fast-check'
 import { expect, test } from 'vitest'
-import { DEFAULT_CALLER_LIMITS, MAX_DELTAS, MIN_DELTA_ITEMS } from './Constants.js'
+import { encodeMessage } from '../../runtime/FrameChannel.js'
+import { MAX_FRAME_BYTES } from '../../runtime/Constants.js'
+import { DEFAULT_CALLER_LIMITS, MAX_CONFIGURATION_BYTES, MAX_DELTAS, MIN_DELTA_ITEMS } from './Constants.js'
 import { applyPatch } from './RoutingDelta.js'
 import { RoutingStore } from './RoutingStore.js'
 import type { Route, RoutingChange, RoutingConfiguration, Workspace } from './Types.js'
@@ -250,3 +252,34 @@
   }), { seed: 43, numRuns: 2000 })
   expect(accepted).toBeGreaterThan(1000)
 })
+
+/** A patch that adds routes of so many megabytes. */
+function makeLargePatch (version: number, base: number, megabytes: number): RoutingChange {
+  return patch(version, base, Array.from({ length: 8 * megabytes }, (_, index) => {
+    return makeRoute(`${version}-${index}`, { pathPrefix: `/${'x'.repeat(2 ** 17)}-${version}-${index}/` })
+  }))
+}
+
+// Nodes that started later never got a configuration that patches had made larger than a frame.
+test('patches do not add up to a configuration that no frame holds', () => {
+  const store = new RoutingStore()
+  apply(store, replace(1, 0, makeRoute('a')))
+  for (const version of [2, 3]) {
+    expect(store.check(makeLargePatch(version, version - 1, 5))).toEqual([])
+    apply(store, makeLargePatch(version, version - 1, 5))
+  }
+  const findings = store.check(makeLargePatch(4, 3, 5))
+  expect(findings).toMatchObject([{ place: 'configuration', expected: `at most ${MAX_CONFIGURATION_BYTES} bytes` }])
+  expect(encodeMessage({ routing: store.inForce }).length).toBeLessThan(MAX_FRAME_BYTES)
+  expect(store.check(patch(4, 3, [makeRoute('b')]))).toEqual([])
+  expect(store.check(makeLargePatch(9, 2, 5))).toEqual([])
+})
+
+test('a configuration that an earlier release let grow too large can be changed, but not grow', () => {
+  const store = new RoutingStore()
+  apply(store, replace(1, 0, makeRoute('a')))
+  apply(store, makeLargePatch(2, 1, 13))
+  expect(store.check(patch(3, 2, [makeRoute('a', { priority: 2 })]))).toEqual([])
+  expect(store.check(patch(3, 2, [makeRoute('b')]))).toHaveLength(1)
+  expect(store.check(replace(3, 2, makeRoute('a')))).toEqual([])
+})
--- a/src/parts/routing/RoutingStore.ts
+++ b/src/parts/routing/RoutingStore.ts
@@ -1,4 +1,7 @@
-import { DEFAULT_CALLER_LIMITS, MAX_ACCEPTED_CHANGES, MAX_DELTAS, MIN_DELTA_ITEMS } from './Constants.js'
+import { ConfigurationSize } from './ConfigurationSize.js'
+import {
+  DEFAULT_CALLER_LIMITS, MAX_ACCEPTED_CHANGES, MAX_CONFIGURATION_BYTES, MAX_DELTAS, MIN_DELTA_ITEMS
+} from './Constants.js'
 import { findHostClashes, validateRouting } from './RoutingValidation.js'
 import { applyPatch, computeDelta, countDeltaItems, countItems } from './RoutingDelta.js'
 import type {
@@ -23,6 +26,7 @@
   private _current = EMPTY_ROUTING
   private _accepted = new Map<string, number>()
   private _deltas: RoutingDelta[] = []
+  private readonly _size = new ConfigurationSize()
 
   /** The configuration in force; version 0 before the first. */
   public get inForce (): VersionedRouting {
@@ -46,9 +50,11 @@
    */
   public check (change: RoutingChange): Finding[] {
     const { version, configuration } = this._current
-    // A clash that an earlier release has accepted must not keep other changes out.
-    const isBound = change.base === version && findHostClashes(configuration).length === 0
-    return isBound ? findHostClashes(applyChange(change, configuration)) : []
+    if (change.base !== version) return []
+    const next = applyChange(change, configuration)
+    // What an earlier release has accepted must not keep other changes out.
+    const clashes = findHostClashes(configuration).length === 0 ? findHostClashes(next) : []
+    return [...clashes, ...this._checkSize(configuration, next)]
   }
 
   /**
@@ -106,6 +112,13 @@
     this._deltas = []
   }
 
+  private _checkSize (current: RoutingConfiguration, next: RoutingConfiguration): Finding[] {
+    const bytes = this._size.measure(next)
+    if (bytes <= MAX_CONFIGURATION_BYTES || bytes <= this._size.measure(current)) return []
+    const expected = `at most ${MAX_CONFIGURATION_BYTES} bytes`
+    return [{ place: 'configuration', problem: `has ${bytes} bytes after the change`, expected }]
+  }
+
   private _accept (next: VersionedRouting, digest: string): void {
     // A delta can't say that a configuration has no workspaces any more, which differs from having none at present.
     const hadWorkspaces = this._current.configuration.workspaces !== undefined
