Draw odd answers to the question who an instance is, and keep asking

The search of odd inputs sent no report with the address of the instance and no odd answer to a health check, which both reach the claims of reports. It now does, with the instances reporting themselves meanwhile.

An instance that drains by a report of another writer under its id was followed without its word when its health check did not answer, and then drained for good. It is asked again at its next report. Whether it drains was decided by one lost answer before; the test of InstanceRegistry with two answers that don't say that it is healthy failed then.

--- a/src/parts/instances/InstanceRegistry.test.ts
+++ b/src/parts/instances/InstanceRegistry.test.ts
@@ -189,16 +189,17 @@
 })
 
 // An incarnation of another writer that drained kept the instance of the same id out until its node restarted.
-test('an instance that goes on reporting is ready again when it is healthy, and not without its word', () => {
-  for (const [identity, state] of [[{ id: 'i-1', isHealthy: true }, 'ready'], [undefined, 'draining']] as const) {
-    const registry = new InstanceRegistry(ADDRESS, 's')
-    registry.recordReport(makeReport({ bornMs: 300, state: 'draining' }), 0)
-    expect(reportOn(registry, 2)).toEqual(['stale', 'stale'])
-    const third = makeReport({ sequence: 12 })
-    expect(registry.recordReport(third, 3000, true)).toBe('claimed')
-    expect(registry.settleClaim(third, identity)).toBe('applied')
+test('an instance that goes on reporting is ready again once it says that it is healthy, and not before', () => {
+  const registry = new InstanceRegistry(ADDRESS, 's')
+  registry.recordReport(makeReport({ bornMs: 300, state: 'draining' }), 0)
+  expect(reportOn(registry, 2)).toEqual(['stale', 'stale'])
+  const answers = [[undefined, 'draining'], [{ id: 'i-1', isHealthy: false }, 'draining'], [{ id: 'i-1', isHealthy: true }, 'ready']] as const
+  answers.forEach(([identity, state], index) => {
+    const report = makeReport({ sequence: 12 + index })
+    expect(registry.recordReport(report, 3000 + 1500 * index, true)).toBe('claimed')
+    registry.settleClaim(report, identity)
     expect(registry.published?.state).toBe(state)
-  }
+  })
 })
 
 test('the own draining and deregistration of the instance need no confirmation', () => {
--- a/src/parts/instances/InstanceRegistry.ts
+++ b/src/parts/instances/InstanceRegistry.ts
@@ -106,8 +106,8 @@
   /**
    * Decides on a claimed report.
    * @param report The report; nothing happens unless it is the claim that is open.
-   * @param identity What the instance says; undefined when it does not answer, and the report then counts as it would
-   * have without the question.
+   * @param identity What the instance says; undefined when it does not answer. The report then counts as it would have
+   * without the question, but does not bring back an instance that drains.
    */
   public settleClaim (report: InstanceReport, identity: InstanceIdentity | undefined): ReportOutcome {
     const { _claim: claim, _current: known } = this
@@ -118,11 +118,11 @@
       if (isConfirmed) return this._apply(report)
       return identity?.id === known.id ? 'foreign' : this._follow(known, report, claim.outlives)
     }
+    if (isSameIncarnation(known, report)) return this._follow(known, report, claim.outlives)
     // The id says nothing here, but a healthy instance is not about to stop.
-    if (!isConfirmed || !identity.isHealthy || isSameIncarnation(known, report)) {
-      return this._follow(known, report, claim.outlives)
-    }
-    return isNewer(known, report) ? 'foreign' : this._apply(report)
+    const isRunning = isConfirmed && identity.isHealthy
+    if (isNewer(known, report)) return isRunning ? 'foreign' : this._follow(known, report, false)
+    return isRunning ? this._apply(report) : 'stale'
   }
 
   /** Forgets the open claim, as nobody will settle it. */
--- a/test/OddInputs.test.ts
+++ b/test/OddInputs.test.ts
@@ -17,6 +17,9 @@
 /** Inputs between two checks that both nodes serve requests. */
 const BATCH = 40
 
+/** Interval at which each instance reports itself, in milliseconds. */
+const REPORT_INTERVAL_MS = 300
+
 /** Time for a node to find its instance again after odd answers of it, in milliseconds. */
 const RECOVERY_MS = 15_000
 
@@ -91,7 +94,10 @@
 let mesh: RouteMesh | undefined
 let api: JsonApi | undefined
 
+let reportTimer: NodeJS.Timeout | undefined
+
 afterEach(() => {
+  clearInterval(reportTimer)
   api?.dispose()
   mesh?.dispose()
 })
@@ -161,7 +167,25 @@
     socket.write(sample(oddBytes(answer(requestId))))
     setTimeout(() => socket.destroy(), 50)
   }
+  let sequence = 10
+  reportTimer = setInterval(() => {
+    sequence++
+    for (const { daemon, instance: { id, address } } of started.nodes) {
+      daemon.report({ id, bornMs: 1, sequence, service: 'svc', address, slots: 6, state: 'ready', coldMs: 0 })
+    }
+  }, REPORT_INTERVAL_MS)
+  // Foreign reports that name the instance's address make the node ask the instance who it is.
+  const claim = { ...heartbeat, Address: node.instance.address, Slots: 1 }
+  const health = Buffer.from(`HTTP/1.1 200 OK\r\n${HEADER_NAMES.instanceId}: ${node.instance.id}\r\n${HEADER_NAMES.load}: 1,0,6,100\r\nContent-Length: 2\r\n\r\nok`)
+  const states = fc.constantFrom('ready', 'draining')
   const inputs: ReadonlyArray<() => Promise<unknown>> = [
+    async () => {
+      let answers = 1
+      node.instance.spoilHealth = () => answers-- > 0 ? sample(oddBytes(health)) : undefined
+      const body = { ...claim, State: sample(states), born: sample(fc.nat(20)), Seq: sample(fc.nat()) }
+      await sendAll(platformAddress, [post(`/api/Instances.Heartbeat/${sample(fc.constantFrom('i-0', 'i-x', 'i-y'))}`, body)])
+    },
+    async () => await sendAll(platformAddress, [post('/api/Instances.Heartbeat/i-x', sample(oddDocuments(claim)))]),
     async () => await sendAll(platformAddress, [post(`/api/Instances.Heartbeat/${sample(id)}`, sample(oddDocuments(heartbeat)))]),
     async () => await sendAll(platformAddress, [post(`/api/Instances.Deregister/x${sample(id)}`, sample(oddDocuments({ born: 5 })))]),
     async () => await sendAll(platformAddress, [post('/api/Config.Put', sample(oddDocuments(PUT)))]),
--- a/test/support/RouteMesh.ts
+++ b/test/support/RouteMesh.ts
@@ -51,6 +51,8 @@
   public readonly arrivals: Array<{ readonly atMs: number, readonly isCold: boolean }> = []
   /** Until when the instance is cold, as its answers to health checks tell, in monotonic milliseconds. */
   public coldUntilMs: number | undefined
+  /** Returns the bytes that are sent in place of the next answer to a health check; undefined for the proper answer. */
+  public spoilHealth: () => Uint8Array | undefined = () => undefined
   /** Number of times that the instance has crashed. */
   public crashes = 0
   private _server = this._createServer()
@@ -111,6 +113,11 @@
   private _handle (request: IncomingMessage, response: ServerResponse): void {
     if (request.url === '/healthz') {
       this._recordArrival()
+      const spoiled = this.spoilHealth()
+      if (spoiled !== undefined) {
+        request.socket.end(spoiled)
+        return
+      }
       const headers = { [HEADER_NAMES.instanceId]: this.id, [HEADER_NAMES.load]: '0,0,6,100' }
       const coldMs = this.coldUntilMs === undefined ? {} : { [HEADER_NAMES.coldMs]: String(this.coldMs) }
       response.writeHead(200, { ...headers, ...coldMs }).end()
