--- a/src/parts/routing/Constants.ts
+++ b/src/parts/routing/Constants.ts
@@ -7,8 +7,8 @@
 export const MAX_OBJECTIVE_EXCESS_MS = 60_000
 
 /**
- * Largest configuration as JSON, in bytes. A full copy is sent to nodes in one frame, which may have 16 MiB, and takes
- * more than JSON only for numbers with fractions.
+ * Largest configuration as JSON, in bytes. A full copy is sent to nodes in one frame, which may have 16 MiB and is
+ * about as large as the JSON.
  */
 export const MAX_CONFIGURATION_BYTES = 12 * 1024 * 1024
 
--- a/src/routenode/ReportReceiver.ts
+++ b/src/routenode/ReportReceiver.ts
@@ -17,8 +17,8 @@
 
 /**
  * Receives the reports of the instance on this VM. A report that contradicts the current incarnation may come from
- * another writer, so the instance is asked before it is applied: it would stop a sound instance, or blame its running
- * requests for a crash.
+ * another writer, so the instance is asked first: applied at once, it would take a sound instance out of use, or blame
+ * its running requests for a crash.
  *
  * Memory: one open question for each such report of the last half second.
  */
@@ -45,8 +45,9 @@
     askIdentity(identity => {
       const previous = registry.current
       const outcome = registry.settleClaim(report, identity)
-      const { id, bornMs, sequence, state } = report
-      log.info({ instance: id, bornMs, sequence, state, identity: identity?.id, isHealthy: identity?.isHealthy, current: previous?.id, outcome }, 'report settled')
+      const { id: instance, bornMs, sequence, state } = report
+      const answer = { identity: identity?.id, isHealthy: identity?.isHealthy }
+      log.info({ instance, bornMs, sequence, state, ...answer, current: previous?.id, outcome }, 'report settled')
       if (outcome === 'applied') onApplied(report, previous)
     })
   }
