--- a/src/routecontrol/OperatorRelay.test.ts
+++ b/src/routecontrol/OperatorRelay.test.ts
@@ -44,7 +44,7 @@
   return relay
 }
 
-const FINAL: OperatorReply = { type: 'final', status: 200, body: '{"a-secret-key":1}' }
+const FINAL: Extract<OperatorReply, { type: 'final' }> = { type: 'final', status: 200, body: '{"a-secret-key":1}' }
 
 test('a call reaches the leader as it was received, and its reply the operator', async () => {
   const leader = await startReplica(() => FINAL)
@@ -62,6 +62,15 @@
   expect(JSON.stringify(lines)).not.toContain('a-secret-key')
 })
 
+test('the log tells how much of the replies had arrived when a call ended, and from which replicas', async () => {
+  const { address } = await startReplica(() => FINAL)
+  const closing = await startReplica(() => 'close')
+  await makeRelay([closing.address, address]).send(CALL)
+  const line = lines.find(({ message }) => message === 'operator call relayed')
+  expect(line).toMatchObject({ asked: [closing.address, address], repliedFrom: [address] })
+  expect(line!['replyBytes']).toBeGreaterThan(FINAL.body.length)
+})
+
 test('a call that a replica received and did not answer may have been decided', async () => {
   const { address } = await startReplica(() => 'close')
   expect(await makeRelay([address]).send(CALL)).toEqual({ type: 'undecided', state: 'unknown' })
--- a/src/routecontrol/OperatorRelay.ts
+++ b/src/routecontrol/OperatorRelay.ts
@@ -65,6 +65,8 @@
   private readonly _connections = new Set<Disposable>()
   private readonly _startedAtMs: number
   private readonly _asked: string[] = []
+  /** Bytes of replies that have arrived, by replica. */
+  private readonly _replyBytes = new Map<string, number>()
   private _settle: (outcome: RelayOutcome) => void = () => {}
   private _lastReply: OperatorReply | undefined
   /** Reason that a replica gave for not deciding the call. */
@@ -131,6 +133,7 @@
       this._connections.delete(connection)
       if (!isDisposed) this._step({ type: 'failed', replica, wasSent })
     })
+    socket.on('data', ({ length }) => this._replyBytes.set(replica, (this._replyBytes.get(replica) ?? 0) + length))
     socket.once('connect', () => {
       wasSent = true
       const channel = new FrameChannel<FromOperatorServer, ToOperatorServer>(socket, this._options.clock)
@@ -155,7 +158,9 @@
     const durationMs = Math.round(this._options.clock.nowMs() - this._startedAtMs)
     const { operation } = this._call
     const result = outcome.type === 'final' ? outcome.status : outcome.state
-    this._options.log.info({ operation, result, durationMs, asked: this._asked }, 'operator call relayed')
+    const replyBytes = [...this._replyBytes.values()].reduce((sum, bytes) => sum + bytes, 0)
+    const replies = { replyBytes, repliedFrom: [...this._replyBytes.keys()] }
+    this._options.log.info({ operation, result, durationMs, asked: this._asked, ...replies }, 'operator call relayed')
     this._settle(outcome)
   }
 }
--- a/src/routecontrol/RouteControlDaemon.ts
+++ b/src/routecontrol/RouteControlDaemon.ts
@@ -181,8 +181,9 @@
 
   /** Reads the routing configuration in force, after a quorum has confirmed that this replica is up to date. */
   public async read (): Promise<ReadOutcome> {
+    const startedAtMs = this._options.clock.nowMs()
     const confirmed = await this._replica.readBarrier()
-    this._logRead(confirmed)
+    this._logRead(confirmed, Math.round(this._options.clock.nowMs() - startedAtMs))
     return confirmed ? { type: 'confirmed', routing: this._replica.machine.store.inForce } : { type: 'unconfirmed' }
   }
 
@@ -239,10 +240,11 @@
   }
 
   /** Tells apart reads in another group, reads that were confirmed too early and a state that lacks log entries. */
-  private _logRead (confirmed: boolean): void {
+  private _logRead (confirmed: boolean, durationMs: number): void {
     const { id: replica, members, term, leader, commitIndex } = this._replica.view
     const { appliedIndex, machine } = this._replica
     const { version } = machine.store.inForce
-    this._options.log.info({ confirmed, version, appliedIndex, commitIndex, term, leader, replica, members }, 'configuration read')
+    const fields = { confirmed, durationMs, version, appliedIndex, commitIndex, term, leader, replica, members }
+    this._options.log.info(fields, 'configuration read')
   }
 }
