Await a reply that is arriving, and ask no other replica meanwhile

Operators did not get a confirmed configuration of 285 KB at a node with a link of 2.4 Mbit/s: 503 after 900 ms, at each node that they asked. A replica whose whole reply had not arrived after 200 ms counted as silent also while its bytes arrived, so that all five were asked, their replies shared the link, and the limit of 900 ms ended them all.

A byte of a reply now counts as progress: the replica is not silent, and the limit counts the time since. The bound is 900 ms and the time that the call and the largest reply take on half of the link, so a reply that trickles ends too. The time that the call itself takes on the link is no silence either. After a pause of the process, what has arrived meanwhile is read before a replica is taken for silent.

The new test over one link shared by five replicas failed before: ['undecided', 5 senders] in place of ['final', 1]; so did the four tests of the part in virtual time. They pass now, as the one reply has the link for itself and is awaited.

--- a/src/parts/relay/RelayedCall.test.ts
+++ b/src/parts/relay/RelayedCall.test.ts
@@ -1,6 +1,6 @@
 import { expect, test } from 'vitest'
 import { SeededRandom } from '../SeededRandom.js'
-import { RELAY_LIMIT_MS, REPLY_PATIENCE_MS, RETRY_INTERVAL_MS } from './Constants.js'
+import { LINK_SHARE, RELAY_LIMIT_MS, REPLY_PATIENCE_MS, RETRY_INTERVAL_MS } from './Constants.js'
 import { RelayedCall } from './RelayedCall.js'
 import { ReplicaRanking } from './ReplicaRanking.js'
 import type { RelayAction, ReplyKind } from './Types.js'
@@ -115,3 +115,74 @@
     expect(atMs).toBeLessThan(RELAY_LIMIT_MS)
   }
 })
+
+/** Runs one call whose replies arrive in packets over one link, and returns what `run` returns. */
+function runOverLink (
+  replyMs: number, packets: (replica: string, index: number) => boolean = () => true, ranking = new ReplicaRanking()
+): Outcome {
+  const call = new RelayedCall(() => REPLICAS, ranking)
+  const sent = new Map<string, number>()
+  const asked: string[] = []
+  let wakeAtMs = Infinity
+  let outcome: Outcome | undefined
+  const handle = (actions: readonly RelayAction[], nowMs: number): void => {
+    for (const action of actions) {
+      if (action.type === 'ask') {
+        sent.set(action.replica, 0)
+        asked.push(action.replica)
+      } else if (action.type === 'wakeAt') wakeAtMs = Math.min(wakeAtMs, action.atMs)
+      else outcome = { action, atMs: nowMs, asked }
+    }
+  }
+  handle(call.step({ type: 'start' }, 0), 0)
+  for (let nowMs = 0; ; nowMs++) {
+    if (outcome !== undefined) return outcome
+    // The replies take turns, so each of several moves at a part of the rate; a packet takes one millisecond.
+    const sending = [...sent].filter(([replica, index]) => packets(replica, index))
+    const [replica, index] = sending.at(nowMs % Math.max(1, sending.length)) ?? []
+    if (replica !== undefined) {
+      sent.set(replica, index! + 1)
+      if (index! + 1 >= replyMs) handle(call.step({ type: 'reply', replica, reply: { type: 'final' } }, nowMs), nowMs)
+      else handle(call.step({ type: 'progress', replica, moveMs: replyMs }, nowMs), nowMs)
+    }
+    if (nowMs < wakeAtMs) continue
+    wakeAtMs = Infinity
+    handle(call.step({ type: 'wake' }, nowMs), nowMs)
+  }
+}
+
+test('a reply that is arriving is awaited, however large, and no other replica is asked', () => {
+  for (const replyMs of [100, 950, 5000]) {
+    expect(runOverLink(replyMs)).toEqual({ action: { type: 'deliver' }, atMs: replyMs - 1, asked: ['a'] })
+  }
+})
+
+test('another replica is asked when a reply stops arriving', () => {
+  const { action, asked, atMs } = runOverLink(950, (replica, index) => replica !== 'a' || index < 400)
+  expect([action.type, asked, atMs]).toEqual(['deliver', ['a', 'b'], 400 + REPLY_PATIENCE_MS + 950 - 1])
+})
+
+test('replies that come to a stop end a call after the limit, and those that trickle after their share of the link', () => {
+  const stopped = runOverLink(950, (_replica, index) => index < 400)
+  expect(stopped.action).toEqual({ type: 'giveUp', state: 'unknown' })
+  expect(stopped.atMs).toBeLessThanOrEqual(RELAY_LIMIT_MS + 950 / LINK_SHARE)
+  const call = new RelayedCall(() => ['a'], new ReplicaRanking())
+  call.step({ type: 'start' }, 0)
+  const replyMs = 300
+  const boundMs = RELAY_LIMIT_MS + replyMs / LINK_SHARE
+  for (let nowMs = 100; nowMs < boundMs; nowMs += 100) {
+    call.step({ type: 'progress', replica: 'a', moveMs: replyMs }, nowMs)
+    expect(call.step({ type: 'wake' }, nowMs)).toMatchObject([{ type: 'wakeAt' }])
+  }
+  expect(call.step({ type: 'wake' }, boundMs)).toEqual([{ type: 'giveUp', state: 'unknown' }])
+})
+
+test('a replica is not silent while the call itself takes its time on the link', () => {
+  const moveMs = 950
+  const call = new RelayedCall(() => REPLICAS, new ReplicaRanking())
+  const [, wake] = call.step({ type: 'start', moveMs }, 0)
+  const silentAtMs = moveMs / LINK_SHARE + REPLY_PATIENCE_MS
+  expect(wake).toEqual({ type: 'wakeAt', atMs: silentAtMs })
+  expect(call.step({ type: 'wake' }, silentAtMs - 1)).toMatchObject([{ type: 'wakeAt' }])
+  expect(call.step({ type: 'wake' }, silentAtMs)).toMatchObject([{ type: 'ask', replica: 'b' }, { type: 'wakeAt' }])
+})
--- a/src/parts/relay/RelayedCall.ts
+++ b/src/parts/relay/RelayedCall.ts
@@ -1,5 +1,5 @@
 import type { Part } from '../Types.js'
-import { RELAY_LIMIT_MS, REPLY_PATIENCE_MS, RETRY_INTERVAL_MS } from './Constants.js'
+import { LINK_SHARE, RELAY_LIMIT_MS, REPLY_PATIENCE_MS, RETRY_INTERVAL_MS } from './Constants.js'
 import type { ReplicaRanking } from './ReplicaRanking.js'
 import type { RelayAction, RelayEvent, ReplyKind } from './Types.js'
 
@@ -14,31 +14,49 @@
 }
 
 /**
- * Takes one operator's call to the replica that decides it, within `RELAY_LIMIT_MS`: follows replicas to the leader,
- * asks another one when a replica does not reply in time, and asks again while a leader is being elected. When all that
- * reply have known no leader for long, it gives up at once. A replica is never asked twice at the same time. The call
- * must be one that may be decided twice with the same result.
+ * Takes one operator's call to the replica that decides it: follows replicas to the leader, asks another one when a
+ * replica is silent, and asks again while a leader is being elected. When all that reply have known no leader for long,
+ * it gives up at once. A replica is never asked twice at the same time. The call must be one that may be decided twice
+ * with the same result.
+ *
+ * A replica is silent while no byte of its reply arrives, after the time that the call itself takes on the link. The
+ * call ends after `RELAY_LIMIT_MS` without progress, and at the latest after that time and those that the call and the
+ * largest reply take on their share of the link.
  *
  * Memory: one entry for each replica.
  */
 export class RelayedCall implements Part<RelayEvent, RelayAction> {
-  /** Replicas that were asked and have not replied, with the time of the question. */
-  private readonly _openAskedAtMs = new Map<string, number>()
+  /** Replicas that were asked and have not replied, with the time since which they are silent. */
+  private readonly _openSinceMs = new Map<string, number>()
   /** When replicas that could not decide the call may be asked again. */
   private readonly _retryAtMs = new Map<string, number>()
   /** Replicas that have known no leader for long. */
   private readonly _leaderless = new Set<string>()
+  /** Time that the call takes on its share of the link, in milliseconds. */
+  private _callMoveMs = 0
   private _limitAtMs = 0
+  /** End of the call when no reply is on its way. */
+  private _baseLimitAtMs = 0
   private _hasEnded = false
   private _mayBeDecided = false
 
   private readonly _handlers: EventHandlers = {
-    start: (_event, nowMs) => {
-      this._limitAtMs = nowMs + RELAY_LIMIT_MS
+    start: ({ moveMs = 0 }, nowMs) => {
+      this._callMoveMs = moveMs / LINK_SHARE
+      this._baseLimitAtMs = nowMs + this._callMoveMs + RELAY_LIMIT_MS
+      this._limitAtMs = this._baseLimitAtMs
       return this._askNext(nowMs)
     },
+    progress: ({ replica, moveMs }, nowMs) => {
+      if (!this._openSinceMs.has(replica)) return []
+      this._openSinceMs.set(replica, nowMs)
+      this._ranking.recordReply(replica)
+      const latestAtMs = this._baseLimitAtMs + moveMs / LINK_SHARE
+      this._limitAtMs = Math.max(this._limitAtMs, Math.min(nowMs + RELAY_LIMIT_MS, latestAtMs))
+      return [this._wakeAt(nowMs + REPLY_PATIENCE_MS)]
+    },
     reply: ({ replica, reply }, nowMs) => {
-      this._openAskedAtMs.delete(replica)
+      this._openSinceMs.delete(replica)
       this._leaderless.delete(replica)
       this._ranking.recordReply(replica)
       const handler = this._replyHandlers[reply.type] as
@@ -46,7 +64,7 @@
       return handler(replica, reply, nowMs)
     },
     failed: ({ replica, wasSent }, nowMs) => {
-      this._openAskedAtMs.delete(replica)
+      this._openSinceMs.delete(replica)
       if (wasSent) this._mayBeDecided = true
       this._ranking.recordSilence(replica, nowMs)
       return this._retryLater(replica, nowMs)
@@ -100,23 +118,23 @@
     const mayDecide = replicas.filter(replica => !this._leaderless.has(replica))
     const isHopeless = this._leaderless.size > 0 && mayDecide.every(replica => this._ranking.isSuspect(replica, nowMs))
     if (isHopeless) return this._giveUp()
-    const idle = replicas.filter(replica => !this._openAskedAtMs.has(replica))
+    const idle = replicas.filter(replica => !this._openSinceMs.has(replica))
     const next = idle.find(replica => (this._retryAtMs.get(replica) ?? 0) <= nowMs)
     if (next === undefined) {
       return [this._wakeAt(Math.min(...idle.map(replica => this._retryAtMs.get(replica) ?? nowMs)))]
     }
     // A suspect is asked only once all others have failed to decide, so nobody waits for its reply.
     const patienceMs = this._ranking.isSuspect(next, nowMs) ? RETRY_INTERVAL_MS : REPLY_PATIENCE_MS
-    this._openAskedAtMs.set(next, nowMs)
-    return [{ type: 'ask', replica: next }, this._wakeAt(nowMs + patienceMs)]
+    this._openSinceMs.set(next, nowMs + this._callMoveMs)
+    return [{ type: 'ask', replica: next }, this._wakeAt(nowMs + this._callMoveMs + patienceMs)]
   }
 
-  /** Returns until when a reply is expected; a replica that has not replied by then counts as silent. */
+  /** Returns until when bytes of a reply are expected; a replica that has sent none by then counts as silent. */
   private _awaitReplies (nowMs: number): number | undefined {
     let expectedByMs: number | undefined
-    for (const [replica, askedAtMs] of this._openAskedAtMs) {
+    for (const [replica, sinceMs] of this._openSinceMs) {
       if (this._ranking.isSuspect(replica, nowMs)) continue
-      const untilMs = askedAtMs + REPLY_PATIENCE_MS
+      const untilMs = sinceMs + REPLY_PATIENCE_MS
       if (untilMs > nowMs) expectedByMs = Math.max(expectedByMs ?? 0, untilMs)
       else this._ranking.recordSilence(replica, nowMs)
     }
@@ -129,7 +147,7 @@
 
   private _giveUp (): RelayAction[] {
     this._hasEnded = true
-    const state = this._mayBeDecided || this._openAskedAtMs.size > 0 ? 'unknown' : 'not-run'
+    const state = this._mayBeDecided || this._openSinceMs.size > 0 ? 'unknown' : 'not-run'
     return [{ type: 'giveUp', state }]
   }
 }
--- a/src/parts/relay/Types.ts
+++ b/src/parts/relay/Types.ts
@@ -12,7 +12,10 @@
 
 /** Events of a relayed call. Replicas are named by their addresses. */
 export type RelayEvent =
-  | { readonly type: 'start' }
+  /** `moveMs` is the time that the call takes on the link of this process, in milliseconds. */
+  | { readonly type: 'start', readonly moveMs?: number }
+  /** Bytes of a reply have arrived; `moveMs` is the time that the whole reply takes on the link, in milliseconds. */
+  | { readonly type: 'progress', readonly replica: string, readonly moveMs: number }
   | { readonly type: 'reply', readonly replica: string, readonly reply: ReplyKind }
   /** The connection could not be opened, or was closed before the reply: `wasSent` when it had been open. */
   | { readonly type: 'failed', readonly replica: string, readonly wasSent: boolean }
--- a/src/routecontrol/Constants.ts
+++ b/src/routecontrol/Constants.ts
@@ -94,5 +94,11 @@
 /** Calls of operators that one process passes on at once; more are turned away, as each may have a large body. */
 export const MAX_RELAYED_CALLS = 32
 
+/**
+ * Rate of the link of a process whose settings name none, in Mbit/s: it bounds the time for which a call waits for a
+ * reply that is arriving.
+ */
+export const ASSUMED_LINK_MBPS = 10
+
 /** Time of a delivery to a node from which it is logged, in milliseconds: half of what a change may take in all. */
 export const SLOW_DELIVERY_MS = 1000
--- a/src/routecontrol/OperatorRelay.ts
+++ b/src/routecontrol/OperatorRelay.ts
@@ -1,11 +1,12 @@
 import { RelayedCall } from '../parts/relay/RelayedCall.js'
 import { ReplicaRanking } from '../parts/relay/ReplicaRanking.js'
 import type { RelayAction, RelayEvent } from '../parts/relay/Types.js'
+import { computeTransferMs } from '../parts/transfer/TransferTime.js'
 import { connectTo } from '../runtime/Address.js'
 import { FrameChannel } from '../runtime/FrameChannel.js'
 import { PartTimer } from '../runtime/PartTimer.js'
 import type { Clock, Disposable, Log } from '../runtime/Types.js'
-import { MAX_RELAYED_CALLS } from './Constants.js'
+import { ASSUMED_LINK_MBPS, MAX_RELAYED_CALLS } from './Constants.js'
 import type { FromOperatorServer, OperatorCall, OperatorReply, RelayOutcome, ToOperatorServer } from './Types.js'
 
 /** Dependencies of a relay. */
@@ -17,6 +18,8 @@
     readonly address: string
     readonly execute: (call: OperatorCall) => Promise<OperatorReply>
   }
+  /** Rate of the link of this VM in Mbit/s; undefined when it is not known. */
+  readonly linkMbps?: number | undefined
   readonly clock: Clock
   readonly log: Log
 }
@@ -86,12 +89,12 @@
     ranking: ReplicaRanking,
     private readonly _options: OperatorRelayOptions
   ) {
-    const { clock, listReplicas } = _options
+    const { clock, linkMbps, listReplicas } = _options
     this._startedAtMs = clock.nowMs()
     this.outcome = new Promise(resolve => { this._settle = resolve })
     this._part = new RelayedCall(listReplicas, ranking)
-    this._timer = new PartTimer(clock, () => this._step({ type: 'wake' }))
-    this._step({ type: 'start' })
+    this._timer = new PartTimer(clock, () => this._wake())
+    this._step({ type: 'start', moveMs: computeTransferMs(Buffer.byteLength(_call.body), linkMbps) })
   }
 
   public dispose (): void {
@@ -105,6 +108,11 @@
     }
   }
 
+  /** After a pause of this process, timers run before the bytes that have arrived meanwhile are read. */
+  private _wake (): void {
+    setImmediate(() => setImmediate(() => this._step({ type: 'wake' })))
+  }
+
   private _ask (replica: string): void {
     const { local } = this._options
     this._asked.push(replica)
@@ -133,11 +141,16 @@
       this._connections.delete(connection)
       if (!isDisposed) this._step({ type: 'failed', replica, wasSent })
     })
-    socket.on('data', ({ length }) => this._replyBytes.set(replica, (this._replyBytes.get(replica) ?? 0) + length))
     socket.once('connect', () => {
       wasSent = true
       const channel = new FrameChannel<FromOperatorServer, ToOperatorServer>(socket, this._options.clock)
+      const receivedBefore = this._replyBytes.get(replica) ?? 0
+      socket.on('data', () => {
+        this._replyBytes.set(replica, receivedBefore + channel.bytes.received)
+        if (!isDisposed) this._noteProgress(replica, channel.bytes.received + channel.missingBytes)
+      })
       channel.onMessage(({ reply }) => {
+        this._replyBytes.set(replica, receivedBefore + channel.bytes.received)
         connection.dispose()
         this._receive(replica, reply)
       })
@@ -145,6 +158,11 @@
     })
   }
 
+  private _noteProgress (replica: string, bytes: number): void {
+    const moveMs = computeTransferMs(bytes, this._options.linkMbps ?? ASSUMED_LINK_MBPS)
+    this._step({ type: 'progress', replica, moveMs })
+  }
+
   private _receive (replica: string, reply: OperatorReply): void {
     this._lastReply = reply
     if (reply.type === 'undecided') this._reason = reply.reason
--- a/src/routenode/RouteNodeDaemon.ts
+++ b/src/routenode/RouteNodeDaemon.ts
@@ -177,7 +177,8 @@
       crashReports: () => this._quarantine.reports()
     }, clock, random, log)
     this._groupDirectory = new GroupDirectory(this._controlFeed, clock)
-    this.operators = new OperatorRelay({ listReplicas: () => this._controlFeed.replicaAddresses, clock, log })
+    const listReplicas = (): string[] => this._controlFeed.replicaAddresses
+    this.operators = new OperatorRelay({ listReplicas, linkMbps, clock, log })
     this._subscribe()
   }
 
--- a/src/runtime/FrameChannel.ts
+++ b/src/runtime/FrameChannel.ts
@@ -78,6 +78,11 @@
     return { received: this._receivedBytes, sent: this._sentBytes }
   }
 
+  /** Bytes of the message being received that have not arrived yet; 0 between messages. */
+  public get missingBytes (): number {
+    return this._decoder.missingBytes
+  }
+
   /** Monotonic time at which bytes were last received; at first the time at which the channel was created. */
   public get lastReceivedMs (): number {
     return this._lastReceivedMs
--- a/src/runtime/FrameDecoder.ts
+++ b/src/runtime/FrameDecoder.ts
@@ -24,6 +24,11 @@
    */
   public constructor (private readonly _maxFrameBytes: number) {}
 
+  /** Bytes of the frame being received that have not arrived yet; 0 between frames and before its length is known. */
+  public get missingBytes (): number {
+    return Math.max(0, this._frameLength - this._bufferedBytes)
+  }
+
   /**
    * Adds received bytes and calls `onFrame` with each frame that is complete.
    * @throws FrameTooLong when a length field exceeds the limit.
