Log each answer that a stopping node cuts, and links lost with calls on them

The logs of a stopping node could not tell why a caller got no whole answer: answers are sampled at two lines a second, a cut answer left no line, and neither did the loss of a link between nodes.

From SIGTERM on, a node logs the answers that it handed to its callers with the usual allowance, each answer that is cut with its bytes, its age and the reason, and the part of a request on a connection that closes. A link that closes with calls on it is logged at both ends.

--- a/src/routenode/CallLink.ts
+++ b/src/routenode/CallLink.ts
@@ -31,6 +31,21 @@
   isSent: boolean
 }
 
+/** What a link lost with its connection. */
+export interface LinkLoss {
+  /** Why the connection has closed. */
+  readonly reason: string
+  /** Ids of the requests whose calls were outstanding: at most `MAX_LISTED_REQUESTS`. */
+  readonly requests: readonly string[]
+  readonly calls: number
+  /** Time since anything was received, and since the first ping after that, in milliseconds; absent without a ping. */
+  readonly silentMs: number
+  readonly unansweredPingMs?: number
+}
+
+/** Requests that are listed when a link is lost. */
+const MAX_LISTED_REQUESTS = 10
+
 const NO_BYTES = new Uint8Array(0)
 
 /** Frames that end a call. */
@@ -50,10 +65,13 @@
 export class CallLink implements RoutedCallTarget, Disposable {
   private readonly _client: FrameClient<CallServerFrame, CallClientFrame>
   private readonly _listeners = new Map<CallId, RoutedCallListener>()
+  private readonly _requestIds = new Map<CallId, string>()
   private readonly _waitingCalls = new Map<CallId, WaitingCall>()
   private readonly _uploads = new Map<CallId, Upload>()
   /** Memory of the answers that are being received. */
   private readonly _answerLeases = new Map<CallId, BodyLease>()
+  /** Channel of the newest connection. */
+  private _channel: Channel | undefined
   /** Transfers of bodies on the open connection. */
   private _transfer: BodyTransfer | undefined
   private _waitTimer: NodeJS.Timeout | undefined
@@ -61,6 +79,7 @@
   private readonly _stoppingEmitter = new Emitter<void>()
   private readonly _unresponsiveEmitter = new Emitter<void>()
   private readonly _responsiveEmitter = new Emitter<void>()
+  private readonly _lossEmitter = new Emitter<LinkLoss>()
   private _isUnresponsive = false
   private _isRetired = false
   private _pingTimer: NodeJS.Timeout | undefined
@@ -91,9 +110,9 @@
   ) {
     this._client = new FrameClient(node, _clock, random)
     this._client.onChannel(channel => this._onChannel(channel))
-    this._client.onDisconnect(() => {
+    this._client.onDisconnect(reason => {
       this._failWaiting()
-      this._failOutstanding()
+      this._failOutstanding(reason)
       this._disposeIfRetired()
     })
   }
@@ -110,6 +129,9 @@
   /** Fires when something is received again after `onUnresponsive`. */
   public readonly onResponsive = this._responsiveEmitter.event
 
+  /** Fires when the connection has closed while calls were outstanding, before they fail. */
+  public readonly onLost = this._lossEmitter.event
+
   /** True while a call can be sent. */
   public get isOpen (): boolean {
     return this._client.channel !== undefined
@@ -152,10 +174,11 @@
     clearInterval(this._pingTimer)
     this._client.dispose()
     this._failWaiting()
-    this._failOutstanding()
+    this._failOutstanding('closed by this node')
   }
 
   private _onChannel (channel: Channel): void {
+    this._channel = channel
     this._unansweredPingAtMs = Infinity
     this._isUnresponsive = false
     channel.onMessage(frame => {
@@ -172,6 +195,7 @@
 
   private _send (channel: Channel, call: RoutedCall, listener: RoutedCallListener): void {
     this._listeners.set(call.id, listener)
+    this._requestIds.set(call.id, call.requestId)
     if (isTransferred(call)) {
       this._uploads.set(call.id, { body: call.body, isSent: false })
       channel.send({ type: 'call', call: { ...call, body: NO_BYTES, bodyBytes: call.body.length } })
@@ -243,6 +267,7 @@
   }
 
   private _endTransfers (id: CallId): void {
+    this._requestIds.delete(id)
     this._uploads.delete(id)
     this._transfer?.drop(id)
     this._answerLeases.get(id)?.release()
@@ -280,7 +305,19 @@
     channel.send({ type: 'ping' })
   }
 
-  private _failOutstanding (): void {
+  private _reportLoss (reason: string): void {
+    const calls = this._listeners.size
+    if (calls === 0) return
+    const nowMs = this._clock.nowMs()
+    const silentMs = Math.round(nowMs - (this._channel?.lastReceivedMs ?? nowMs))
+    const hasPing = this._unansweredPingAtMs !== Infinity
+    const unansweredPingMs = Math.round(nowMs - this._unansweredPingAtMs)
+    const requests = [...this._requestIds.values()].slice(0, MAX_LISTED_REQUESTS)
+    this._lossEmitter.fire({ reason, requests, calls, silentMs, ...(hasPing ? { unansweredPingMs } : {}) })
+  }
+
+  private _failOutstanding (reason: string): void {
+    this._reportLoss(reason)
     this._transfer?.dispose()
     this._transfer = undefined
     const outstanding = [...this._listeners].map(([id, listener]) => ({ listener, isUnsent: this._isUnsent(id) }))
--- a/src/routenode/CallServer.ts
+++ b/src/routenode/CallServer.ts
@@ -2,7 +2,7 @@
 import type { CallId } from '../parts/Types.js'
 import type { FrameChannel } from '../runtime/FrameChannel.js'
 import { FrameServer } from '../runtime/FrameServer.js'
-import type { Clock, Disposable } from '../runtime/Types.js'
+import type { Clock, Disposable, Log } from '../runtime/Types.js'
 import { type BodyResources, BodyTransfer, makeDefaultBodyResources } from './BodyTransfer.js'
 import { LINK_TIMEOUT_MS } from './Constants.js'
 import { isRoutedCall } from './FrameChecks.js'
@@ -21,6 +21,8 @@
   readonly channel: Channel
   readonly handles: Map<CallId, RoutedCallHandle>
   readonly transfer: BodyTransfer
+  /** Name of that node; undefined before its first frame. */
+  node: string | undefined
 }
 
 const NO_BYTES = new Uint8Array(0)
@@ -39,11 +41,13 @@
 
   /**
    * @param _target Proxy of the instance.
+   * @param _log Log of connections that close with calls on them.
    */
   public constructor (
     private readonly _target: RoutedCallTarget,
     private readonly _clock: Clock,
-    private readonly _bodies: BodyResources = makeDefaultBodyResources()
+    private readonly _bodies: BodyResources = makeDefaultBodyResources(),
+    private readonly _log?: Log
   ) {
     this._server = new FrameServer(_clock)
     this._server.onChannel(channel => this._onChannel(channel))
@@ -78,10 +82,13 @@
 
   private _onChannel (channel: Channel): void {
     const transfer = new BodyTransfer(frame => { channel.send(frame) }, this._clock, this._bodies.metrics)
-    const session: CallSession = { channel, handles: new Map(), transfer }
+    const session: CallSession = { channel, handles: new Map(), transfer, node: undefined }
     const handlers = this._makeHandlers(session)
     this._sessions.add(session)
-    channel.onClose(() => {
+    channel.onClose(reason => {
+      const { handles: { size: calls }, node } = session
+      const answers = transfer.outgoingCount
+      if (calls + answers > 0) this._log?.info({ node, reason, calls, answers }, 'link from a node lost')
       this._sessions.delete(session)
       transfer.dispose()
       for (const handle of session.handles.values()) handle.cancel()
@@ -97,7 +104,7 @@
   private _makeHandlers (session: CallSession): FrameHandlers {
     const { channel, handles, transfer } = session
     return {
-      callHello: () => {},
+      callHello: ({ node }) => { session.node = node },
       call: ({ call }) => {
         // Its answer could not be sent any more.
         if (!this._isFinishing) this._start(session, call)
--- a/src/routenode/CallerConnections.ts
+++ b/src/routenode/CallerConnections.ts
@@ -1,32 +1,63 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import { Server as TcpServer } from 'node:net'
 import type { Socket } from 'node:net'
+import { readHeader } from '../runtime/RequestHeader.js'
+import type { Clock, Log } from '../runtime/Types.js'
+
+/** A request whose answer has not left completely. */
+interface OpenAnswer {
+  readonly requestId: string | undefined
+  readonly sinceMs: number
+  /** Bytes that had been written to the connection when the request arrived. */
+  readonly bytesWrittenBefore: number
+}
 
 /** Use of one connection. */
 interface ConnectionUse {
   /** Requests that are not answered completely yet. */
-  openRequests: number
+  readonly open: Map<ServerResponse, OpenAnswer>
   /** Bytes received when the last of them was answered; more bytes belong to the next request. */
   bytesReadWhenIdle: number
 }
 
+/** Why an answer was cut: this node closed its connection at the limit of a stop, or it was closed before. */
+type CutReason = 'limit' | 'connection-closed'
+
+/** What the connections need of their gateway. */
+export interface CallerConnectionsOptions {
+  /** Server whose connections are tracked. */
+  readonly server: Server
+  /** Name of the header with the id of a request. */
+  readonly requestIdHeader: string
+  readonly clock: Clock
+  readonly log: Log
+}
+
 /**
  * Open connections of an HTTP server. `Server.close` and `Server.closeIdleConnections` of Node.js destroy a connection
  * as soon as its response was ended, although a slow receiver has not got all of it yet. This class closes it after
- * the last byte was passed to the operating system.
+ * the last byte was passed to the operating system. From `recordStop` on it logs each answer that is cut.
  *
- * Memory: one entry for each open connection.
+ * Memory: one entry for each open connection, and one for each request on it.
  */
 export class CallerConnections {
   private readonly _uses = new Map<Socket, ConnectionUse>()
   private _isClosing = false
+  private _stopAtMs: number | undefined
 
-  /**
-   * @param _server Server whose connections are tracked.
-   */
-  public constructor (private readonly _server: Server) {
-    _server.on('connection', socket => this._track(socket))
-    _server.on('request', (message, response) => this._onRequest(message, response))
+  public constructor (private readonly _options: CallerConnectionsOptions) {
+    _options.server.on('connection', socket => this._track(socket))
+    _options.server.on('request', (message, response) => this._onRequest(message, response))
+  }
+
+  /** True once the shutdown has begun. */
+  public get isStopping (): boolean {
+    return this._stopAtMs !== undefined
+  }
+
+  /** The shutdown begins: answers that are cut from now on are logged. */
+  public recordStop (): void {
+    this._stopAtMs ??= this._options.clock.nowMs()
   }
 
   /**
@@ -36,28 +67,68 @@
   public async close (): Promise<void> {
     this._isClosing = true
     await new Promise<void>(resolve => {
-      TcpServer.prototype.close.call(this._server, () => resolve())
+      TcpServer.prototype.close.call(this._options.server, () => resolve())
       for (const [socket, use] of this._uses) closeIfIdle(socket, use)
     })
   }
 
+  /** Closes the listener and all connections at once. */
+  public dispose (): void {
+    for (const [socket, use] of this._uses) {
+      for (const response of [...use.open.keys()]) this._endAnswer(socket, use, response, 'limit')
+    }
+    this._options.server.close()
+    this._options.server.closeAllConnections()
+  }
+
   private _track (socket: Socket): void {
-    this._uses.set(socket, { openRequests: 0, bytesReadWhenIdle: 0 })
-    socket.once('close', () => { this._uses.delete(socket) })
+    const use: ConnectionUse = { open: new Map(), bytesReadWhenIdle: 0 }
+    this._uses.set(socket, use)
+    socket.once('close', () => {
+      this._uses.delete(socket)
+      const unreadBytes = socket.bytesRead - use.bytesReadWhenIdle
+      if (unreadBytes > 0 && use.open.size === 0) this._recordUnread(unreadBytes)
+    })
   }
 
-  private _onRequest ({ socket }: IncomingMessage, response: ServerResponse): void {
+  private _onRequest (message: IncomingMessage, response: ServerResponse): void {
+    const { socket } = message
     const use = this._uses.get(socket)
     if (use === undefined) return
-    use.openRequests++
+    const requestId = readHeader(message, this._options.requestIdHeader)
+    use.open.set(response, { requestId, sinceMs: this._options.clock.nowMs(), bytesWrittenBefore: socket.bytesWritten })
     response.once('close', () => {
-      use.openRequests--
-      use.bytesReadWhenIdle = socket.bytesRead
+      this._endAnswer(socket, use, response, 'connection-closed')
       if (this._isClosing) closeIfIdle(socket, use)
     })
   }
+
+  private _endAnswer (socket: Socket, use: ConnectionUse, response: ServerResponse, reason: CutReason): void {
+    const answer = use.open.get(response)
+    if (answer === undefined) return
+    use.open.delete(response)
+    use.bytesReadWhenIdle = socket.bytesRead
+    if (this._stopAtMs === undefined || response.writableFinished) return
+    const nowMs = this._options.clock.nowMs()
+    const leftBytes = response.writableLength
+    this._options.log.info({
+      requestId: answer.requestId,
+      reason,
+      isWritten: response.writableEnded,
+      sentBytes: Math.max(0, socket.bytesWritten - leftBytes - answer.bytesWrittenBefore),
+      leftBytes,
+      ageMs: Math.round(nowMs - answer.sinceMs),
+      sinceStopMs: Math.round(nowMs - this._stopAtMs)
+    }, 'answer cut while stopping')
+  }
+
+  private _recordUnread (unreadBytes: number): void {
+    if (this._stopAtMs === undefined) return
+    const sinceStopMs = Math.round(this._options.clock.nowMs() - this._stopAtMs)
+    this._options.log.info({ unreadBytes, sinceStopMs }, 'part of a request cut while stopping')
+  }
 }
 
-function closeIfIdle (socket: Socket, { openRequests, bytesReadWhenIdle }: ConnectionUse): void {
-  if (openRequests === 0 && socket.bytesRead === bytesReadWhenIdle) socket.destroySoon()
+function closeIfIdle (socket: Socket, { open, bytesReadWhenIdle }: ConnectionUse): void {
+  if (open.size === 0 && socket.bytesRead === bytesReadWhenIdle) socket.destroySoon()
 }
--- a/src/routenode/Gateway.ts
+++ b/src/routenode/Gateway.ts
@@ -97,7 +97,7 @@
       keepAliveTimeout: this._callerLimits.idleTimeoutMs,
       noDelay: true
     })
-    this._connections = new CallerConnections(this._server)
+    this._connections = new CallerConnections({ ..._options, server: this._server, requestIdHeader: names.requestId })
     this._responder = new CallerResponder(names.requestId)
     this._server.on('request', (message, response) => {
       this._contain(message, response, 503, () => this._onRequest(message, response))
@@ -131,6 +131,7 @@
 
   /** Announces the shutdown to callers: from now on each answer closes its connection. */
   public announceClose (): void {
+    this._connections.recordStop()
     this._responder.closeConnections()
   }
 
@@ -151,8 +152,7 @@
 
   /** Closes the listener and all connections at once. */
   public dispose (): void {
-    this._server.close()
-    this._server.closeAllConnections()
+    this._connections.dispose()
   }
 
   private _onRequest (message: IncomingMessage, response: ServerResponse): void {
@@ -386,7 +386,8 @@
     this._options.metrics.countEnded(outcome, tookMs, sends, declines)
     if (hedge !== undefined) this._options.metrics.countHedge(hedge)
     if (result?.type !== 'answer' && result?.reason === 'quarantined') this._options.metrics.countQuarantined()
-    if (result?.type === 'answer') this._options.log.info({ ...fields, status: result.answer.status }, 'answered')
+    const answered = this._connections.isStopping ? 'answered while stopping' : 'answered'
+    if (result?.type === 'answer') this._options.log.info({ ...fields, status: result.answer.status }, answered)
     else if (result?.type === 'refused' || result?.type === 'limited') this._recordRefusal(request, result, fields)
     else this._options.log.info({ ...fields, outcome, reason: result?.reason ?? 'caller-gone' }, 'not answered')
   }
--- a/src/routenode/Placement.ts
+++ b/src/routenode/Placement.ts
@@ -193,6 +193,7 @@
     link.onStopping(ifCurrent(() => this._onStopping(node)))
     link.onUnresponsive(ifCurrent(() => this._onUnresponsive(node)))
     link.onResponsive(ifCurrent(() => this._onResponsive(node)))
+    link.onLost(loss => this._options.log.info({ node, ...loss }, 'link to a node lost'))
     this._links.set(node, link)
     this._epochs.set(node, this._options.directory.find(node)?.epoch ?? 0)
     link.connect()
--- a/src/routenode/RouteNodeDaemon.ts
+++ b/src/routenode/RouteNodeDaemon.ts
@@ -170,7 +170,7 @@
       nodeCount: () => this._directory.size,
       bodies: this._bodies
     })
-    this._callServer = new CallServer(this._instanceProxy, clock, this._bodies)
+    this._callServer = new CallServer(this._instanceProxy, clock, this._bodies, log)
     this._controlFeed = new ControlFeed(settings.seeds, {
       hasSlowLink: (settings.linkMbps ?? Infinity) < SLOW_LINK_MBPS,
       nextEntry: () => this._makeHelloEntry(),
@@ -238,7 +238,8 @@
    */
   public async stop (): Promise<void> {
     const { settings, clock, log } = this._options
-    const untilMs = clock.nowMs() + settings.stopLimitMs - STOP_RESERVE_MS
+    const startedAtMs = clock.nowMs()
+    const untilMs = startedAtMs + settings.stopLimitMs - STOP_RESERVE_MS
     log.info({ inFlight: this._gateway.inFlight, held: this._instanceProxy.pendingCallCount }, 'stopping')
     this._isStopping = true
     this._gateway.announceClose()
@@ -249,7 +250,8 @@
     await delay(STOP_NOTICE_MS)
     await Promise.race([this._finishOpenWork(), delay(untilMs - clock.nowMs())])
     await this._answerOpenRequests()
-    log.info({ inFlight: this._gateway.inFlight, held: this._instanceProxy.pendingCallCount }, 'stopped')
+    const tookMs = Math.round(clock.nowMs() - startedAtMs)
+    log.info({ inFlight: this._gateway.inFlight, held: this._instanceProxy.pendingCallCount, tookMs }, 'stopped')
     this.dispose()
   }
 
