Do not take a pause of a node for the silence of another one

A node that stood still for longer than LINK_TIMEOUT_MS while a ping was under way closed the link and failed all calls on it, so that callers get 502 with link-lost for calls at which an instance is at work. After a pause the timers run before what has arrived meanwhile is read, so the answer to the ping lay unread in the connection.

Shown in one process only: the new test failed before with 'unknown link-lost'. A link to a node that is silent while this one runs is still lost after the same time.

--- a/src/routenode/CallLink.test.ts
+++ b/src/routenode/CallLink.test.ts
@@ -33,6 +33,7 @@
   attempt: 'first'
 }
 
+const OK = { status: 200, headers: [], body: new Uint8Array(0) }
 const LOAD = { running: 0, queued: 0, limit: 4, slowness: 1, workMs: 50, failing: 0 }
 
 interface Peer {
@@ -92,6 +93,16 @@
   expect(await runCall(peer.link)).toBe('unknown link-lost')
 })
 
+test('a pause of this process is not taken for silence of the other node', async () => {
+  const peer = await connectLink(frame => {
+    if (frame.type !== 'ping') return undefined
+    if (peer.clock.shiftMs > 0) return { type: 'answer', id: 1, answer: OK, load: LOAD }
+    peer.clock.shiftMs = 10 * LINK_TIMEOUT_MS
+    return undefined
+  })
+  expect(await runCall(peer.link)).toBe('answer 200')
+})
+
 test('a call without a connection fails as unsent', async () => {
   const [address] = await findFreeAddresses(1) as [string]
   const link = new CallLink(address, 'self', new SystemClock(), new SeededRandom(1))
--- a/src/routenode/CallLink.ts
+++ b/src/routenode/CallLink.ts
@@ -83,8 +83,13 @@
   private _isUnresponsive = false
   private _isRetired = false
   private _pingTimer: NodeJS.Timeout | undefined
-  /** When the first ping was sent after which nothing was received, in monotonic milliseconds; Infinity if none. */
+  /**
+   * When the first ping was sent after which nothing was received, plus the time for which this process was paused
+   * since, in monotonic milliseconds; Infinity if none.
+   */
   private _unansweredPingAtMs = Infinity
+  /** When the liveness was checked last. */
+  private _checkedAtMs = 0
 
   private readonly _handlers: Handlers = {
     answer: frame => this._onAnswer(frame),
@@ -200,7 +205,13 @@
       this._uploads.set(call.id, { body: call.body, isSent: false })
       channel.send({ type: 'call', call: { ...call, body: NO_BYTES, bodyBytes: call.body.length } })
     } else channel.send({ type: 'call', call })
-    this._pingTimer ??= setInterval(() => this._checkLiveness(), LINK_PING_INTERVAL_MS)
+    this._startPings()
+  }
+
+  private _startPings (): void {
+    if (this._pingTimer !== undefined) return
+    this._checkedAtMs = this._clock.nowMs()
+    this._pingTimer = setInterval(() => this._checkLiveness(), LINK_PING_INTERVAL_MS)
   }
 
   /** The call may have run. */
@@ -287,6 +298,9 @@
     }
     const nowMs = this._clock.nowMs()
     if (channel.lastReceivedMs >= this._unansweredPingAtMs) this._unansweredPingAtMs = Infinity
+    // What arrived while this process was paused or starved has not been read yet.
+    this._unansweredPingAtMs += Math.max(0, nowMs - this._checkedAtMs - LINK_PING_INTERVAL_MS)
+    this._checkedAtMs = nowMs
     if (nowMs - this._unansweredPingAtMs >= LINK_PING_INTERVAL_MS) this._setUnresponsive(true)
     if (nowMs - this._unansweredPingAtMs > LINK_TIMEOUT_MS) channel.destroy('pings went unanswered')
     else if (nowMs - channel.lastReceivedMs >= LINK_PING_INTERVAL_MS) this._ping(channel, nowMs)
