Serve the requests that arrived before a stop closes the connections

Callers of a stopping node had their connection reset although their request had arrived before the listener closed: Node.js had not read it yet. A request on a kept connection, or a connection that waits to be accepted, lies unread in the buffers of the operating system for as long as the event loop is late; closing them discards it. The longer a node stands still around that moment, the more requests it loses, among them nested calls of instances that are at work.

The listener now closes after a whole turn of the event loop, and idle connections after one more, so that what had arrived is accepted, read and passed on as all requests before it are. Only what arrives while the connections are being closed is still lost; it is not passed on.

--- a/src/routenode/CallerConnections.ts
+++ b/src/routenode/CallerConnections.ts
@@ -61,15 +61,20 @@
   }
 
   /**
-   * Closes the listener, and each connection once no request on it is read or answered. Resolves when all connections
-   * have closed.
+   * Closes the listener, and each connection once no request on it is read or answered. Connections and requests that
+   * have arrived before, but lie unread, are taken first. Resolves when all connections have closed.
+   * @param onArrived Called when all requests that arrived before the listener closed have been read.
    */
-  public async close (): Promise<void> {
-    this._isClosing = true
-    await new Promise<void>(resolve => {
+  public async close (onArrived: () => void): Promise<void> {
+    await takeArrived()
+    const closed = new Promise<void>(resolve => {
       TcpServer.prototype.close.call(this._options.server, () => resolve())
-      for (const [socket, use] of this._uses) closeIfIdle(socket, use)
     })
+    await takeArrived()
+    onArrived()
+    this._isClosing = true
+    for (const [socket, use] of this._uses) closeIfIdle(socket, use)
+    await closed
   }
 
   /** Closes the listener and all connections at once. */
@@ -129,6 +134,11 @@
   }
 }
 
+/** Resolves after a whole turn of the event loop, in which what has arrived at its beginning is accepted and read. */
+async function takeArrived (): Promise<void> {
+  for (let turn = 0; turn < 2; turn++) await new Promise(resolve => setImmediate(resolve))
+}
+
 function closeIfIdle (socket: Socket, { open, bytesReadWhenIdle }: ConnectionUse): void {
   if (open.size === 0 && socket.bytesRead === bytesReadWhenIdle) socket.destroySoon()
 }
--- a/src/routenode/Gateway.ts
+++ b/src/routenode/Gateway.ts
@@ -141,8 +141,7 @@
    */
   public async close (): Promise<void> {
     this._responder.closeConnections()
-    this._isStopping = true
-    await this._connections.close()
+    await this._connections.close(() => { this._isStopping = true })
   }
 
   /** Answers all open requests: 503 where it is proved that nothing has run, otherwise 502. */
