Compress large replies to a node with a slow link

A read of a configuration of 285 KB takes 0.95 s on a link of 2.4 Mbit/s, as long as operators wait, and keeps the calls of instances and the feed waiting meanwhile. Feeds over such links are compressed, replies to operators' calls were not.

The replies of a replica are moved to OperatorServer.

--- a/src/routecontrol/OperatorRelay.ts
+++ b/src/routecontrol/OperatorRelay.ts
@@ -4,10 +4,13 @@
 import { computeTransferMs } from '../parts/transfer/TransferTime.js'
 import { connectTo } from '../runtime/Address.js'
 import { FrameChannel } from '../runtime/FrameChannel.js'
+import { decodeCompressed } from '../runtime/FrameCompression.js'
 import { PartTimer } from '../runtime/PartTimer.js'
 import type { Clock, Disposable, Log } from '../runtime/Types.js'
 import { ASSUMED_LINK_MBPS, MAX_RELAYED_CALLS } from './Constants.js'
-import type { FromOperatorServer, OperatorCall, OperatorReply, RelayOutcome, ToOperatorServer } from './Types.js'
+import type {
+  FromOperatorServer, OperatorCall, OperatorReply, OperatorReplyFrame, RelayOutcome, ToOperatorServer
+} from './Types.js'
 
 /** Dependencies of a relay. */
 export interface OperatorRelayOptions {
@@ -18,6 +21,8 @@
     readonly address: string
     readonly execute: (call: OperatorCall) => Promise<OperatorReply>
   }
+  /** Whether the link of this VM is slow, so that large replies should be compressed. */
+  readonly hasSlowLink?: boolean
   /** Rate of the link of this VM in Mbit/s; undefined when it is not known. */
   readonly linkMbps?: number | undefined
   readonly clock: Clock
@@ -149,12 +154,14 @@
         this._replyBytes.set(replica, receivedBefore + channel.bytes.received)
         if (!isDisposed) this._noteProgress(replica, channel.bytes.received + channel.missingBytes)
       })
-      channel.onMessage(({ reply }) => {
+      channel.onMessage(frame => {
+        const { reply } = frame.type === 'compressed' ? decodeCompressed(frame) as OperatorReplyFrame : frame
         this._replyBytes.set(replica, receivedBefore + channel.bytes.received)
         connection.dispose()
         this._receive(replica, reply)
       })
-      channel.send({ type: 'operatorCall', call: this._call })
+      const compress = this._options.hasSlowLink === true ? { compress: true as const } : {}
+      channel.send({ type: 'operatorCall', call: this._call, ...compress })
     })
   }
 
--- a/src/routecontrol/RouteControlDaemon.ts
+++ b/src/routecontrol/RouteControlDaemon.ts
@@ -1,7 +1,7 @@
 import { Emitter } from '../runtime/Emitter.js'
 import { FrameServer } from '../runtime/FrameServer.js'
 import type { FromControl, ToControl } from '../control/Types.js'
-import type { AcceptedChannel, ReplicaHello } from '../control/ReplicaLinks.js'
+import type { ReplicaHello } from '../control/ReplicaLinks.js'
 import type { EvacuationOrder, EvacuationState } from '../parts/evacuation/Types.js'
 import type { RoutingChange, VersionedRouting } from '../parts/routing/Types.js'
 import type { Disk } from '../parts/storage/Types.js'
@@ -9,11 +9,11 @@
 import type { Clock, Disposable, Log } from '../runtime/Types.js'
 import { type FeedHello, NodeFeed } from './NodeFeed.js'
 import { OperatorRelay } from './OperatorRelay.js'
+import { type OperatorCallExecutor, OperatorServer } from './OperatorServer.js'
 import { QuotaHost } from './QuotaHost.js'
 import {
   type ChangeOutcome, type CommandOutcome, type EvacuationOutcome, type GroupSettings, RoutingReplica
 } from './RoutingReplica.js'
-import type { OperatorCall, OperatorReply, ToOperatorServer } from './Types.js'
 
 /** Settings and services that a daemon needs. */
 export interface RouteControlOptions {
@@ -57,9 +57,6 @@
   readonly durationMs: number
 }
 
-/** Handles a call of an operator at this replica. */
-export type OperatorCallExecutor = (call: OperatorCall) => Promise<OperatorReply>
-
 /** Result of a read of the routing configuration in force. */
 export type ReadOutcome =
   | { readonly type: 'confirmed', readonly routing: VersionedRouting }
@@ -76,7 +73,7 @@
   private readonly _quotas: QuotaHost
   private readonly _server: ControlServer
   private readonly _decisionEmitter = new Emitter<OrderDecision>()
-  private _executor: OperatorCallExecutor | undefined
+  private readonly _operators: OperatorServer
 
   /** Fires when a change or an order that was proposed here has an outcome. */
   public readonly onDecision = this._decisionEmitter.event
@@ -95,13 +92,14 @@
     this._replica = new RoutingReplica(_options)
     this._feed = new NodeFeed(this._replica, clock, log)
     this._quotas = new QuotaHost(this._replica, this._feed, clock, log)
+    this._operators = new OperatorServer(log)
     this._server = _options.server ?? new FrameServer(clock)
     this._server.onChannel(channel => {
       const first = channel.onMessage(frame => {
         first.dispose()
         if (frame.type === 'replicaHello') this._replica.accept(channel, frame as ReplicaHello)
         else if (frame.type === 'feedHello') this._feed.accept(channel, frame as FeedHello)
-        else if (frame.type === 'operatorCall') this._replyTo(channel, frame)
+        else if (frame.type === 'operatorCall') this._operators.accept(channel, frame)
         else channel.destroy('the first frame is not a hello')
       })
     })
@@ -164,7 +162,7 @@
    */
   public serveOperators (execute: OperatorCallExecutor): OperatorRelay {
     const { settings: { address }, clock, log } = this._options
-    this._executor = execute
+    this._operators.serve(execute)
     const listReplicas = (): string[] => [address, ...this._replica.memberAddresses]
     return new OperatorRelay({ listReplicas, local: { address, execute }, clock, log })
   }
@@ -216,22 +214,6 @@
     this._options.disk.dispose()
   }
 
-  private _replyTo (channel: AcceptedChannel, { call }: ToOperatorServer): void {
-    if (this._executor === undefined) return channel.destroy('this replica serves no operators')
-    const execute = this._executor
-    // The asker may have given up while this process was paused; its connection then closes in the next turns.
-    setImmediate(() => setImmediate(() => { if (!channel.isClosed) this._execute(execute, channel, call) }))
-  }
-
-  private _execute (execute: OperatorCallExecutor, channel: AcceptedChannel, call: OperatorCall): void {
-    execute(call).then(reply => {
-      channel.send({ type: 'operatorReply', reply })
-    }).catch((error: Error) => {
-      this._options.log.error({ operation: call.operation, error: error.message }, 'operator call failed')
-      channel.destroy('the operator call failed')
-    })
-  }
-
   private async _measure<Outcome extends CommandOutcome<unknown>> (pending: Promise<Outcome>): Promise<Outcome> {
     const startedAtMs = this._options.clock.nowMs()
     const outcome = await pending
--- a/src/routecontrol/Types.ts
+++ b/src/routecontrol/Types.ts
@@ -134,14 +134,21 @@
 /** Result of a relayed call. */
 export type RelayOutcome = Exclude<OperatorReply, { type: 'notLeader' }>
 
-/** Frame with an operator's call to a control replica; the only one on its connection. */
+/**
+ * Frame with an operator's call to a control replica; the only one on its connection. `compress` is present when the
+ * sender has a slow link, so that a large reply should be compressed.
+ */
 export interface ToOperatorServer {
   readonly type: 'operatorCall'
   readonly call: OperatorCall
+  readonly compress?: true
 }
 
 /** Frame with the reply. */
-export interface FromOperatorServer {
+export interface OperatorReplyFrame {
   readonly type: 'operatorReply'
   readonly reply: OperatorReply
 }
+
+/** Frames from a control replica to the sender of a call. */
+export type FromOperatorServer = OperatorReplyFrame | CompressedFrame
--- a/src/routenode/RouteNodeDaemon.ts
+++ b/src/routenode/RouteNodeDaemon.ts
@@ -171,14 +171,15 @@
       bodies: this._bodies
     })
     this._callServer = new CallServer(this._instanceProxy, clock, this._bodies, log)
+    const hasSlowLink = (linkMbps ?? Infinity) < SLOW_LINK_MBPS
     this._controlFeed = new ControlFeed(settings.seeds, {
-      hasSlowLink: (settings.linkMbps ?? Infinity) < SLOW_LINK_MBPS,
+      hasSlowLink,
       nextEntry: () => this._makeHelloEntry(),
       crashReports: () => this._quarantine.reports()
     }, clock, random, log)
     this._groupDirectory = new GroupDirectory(this._controlFeed, clock)
     const listReplicas = (): string[] => this._controlFeed.replicaAddresses
-    this.operators = new OperatorRelay({ listReplicas, linkMbps, clock, log })
+    this.operators = new OperatorRelay({ listReplicas, hasSlowLink, linkMbps, clock, log })
     this._subscribe()
   }
 
