Offer large changes to replicas before sending their bodies

Operators sent a change of 285 KB to node after node on links of 2.4 Mbit/s and got 503 after 900 ms from each. The node sent the whole call to each replica that it asked: to one that did not lead, and then to others beside it when the reply took longer than 200 ms, so that the copies shared the link and none arrived.

A node with a slow link now offers a call with a body of 16 KB or more: a small frame with the operation and the size. Followers answer it with the leader's address, as they answer calls; the leader asks for the body, which is then sent compressed, to one replica at a time. Smaller calls stay one round trip. Replicas of earlier versions close the connection at an offer and are asked with the plain body. An offer decides nothing: a call whose body no replica was sent is refused as not-run, which is true.

--- a/src/parts/relay/RelayedCall.test.ts
+++ b/src/parts/relay/RelayedCall.test.ts
@@ -31,7 +31,7 @@
         open.set(action.replica, nowMs)
         asked.push(action.replica)
       } else if (action.type === 'wakeAt') wakeAtMs = Math.min(wakeAtMs, action.atMs)
-      else outcome = { action, atMs: nowMs - startMs, asked }
+      else if (action.type !== 'carry') outcome = { action, atMs: nowMs - startMs, asked }
     }
   }
   handle(call.step({ type: 'start' }, startMs), startMs)
@@ -131,7 +131,7 @@
         sent.set(action.replica, 0)
         asked.push(action.replica)
       } else if (action.type === 'wakeAt') wakeAtMs = Math.min(wakeAtMs, action.atMs)
-      else outcome = { action, atMs: nowMs, asked }
+      else if (action.type !== 'carry') outcome = { action, atMs: nowMs, asked }
     }
   }
   handle(call.step({ type: 'start' }, 0), 0)
@@ -186,3 +186,56 @@
   expect(call.step({ type: 'wake' }, silentAtMs - 1)).toMatchObject([{ type: 'wakeAt' }])
   expect(call.step({ type: 'wake' }, silentAtMs)).toMatchObject([{ type: 'ask', replica: 'b' }, { type: 'wakeAt' }])
 })
+
+const OFFERED_START = { type: 'start', moveMs: 100, isOffered: true } as const
+const CARRY_PATIENCE_MS = 100 / LINK_SHARE + REPLY_PATIENCE_MS
+
+test('the body of an offered call goes only to the replica that leads', () => {
+  const call = new RelayedCall(() => REPLICAS, new ReplicaRanking())
+  expect(call.step(OFFERED_START, 0)).toMatchObject([{ type: 'ask', replica: 'a', isOffer: true }, { type: 'wakeAt' }])
+  const moved = call.step({ type: 'reply', replica: 'a', reply: { type: 'notLeader', leader: 'c' } }, 4)
+  expect(moved).toMatchObject([{ type: 'ask', replica: 'c', isOffer: true }, { type: 'wakeAt' }])
+  expect(call.step({ type: 'wanted', replica: 'c' }, 8)).toMatchObject([{ type: 'carry', replica: 'c' }, { type: 'wakeAt' }])
+  expect(call.step({ type: 'wake' }, 8 + CARRY_PATIENCE_MS - 1)).toMatchObject([{ type: 'wakeAt' }])
+  expect(call.step({ type: 'reply', replica: 'c', reply: { type: 'final' } }, 200)).toEqual([{ type: 'deliver' }])
+})
+
+test('the body of an offered call is on its way to one replica at a time', () => {
+  const call = new RelayedCall(() => REPLICAS, new ReplicaRanking())
+  call.step(OFFERED_START, 0)
+  expect(call.step({ type: 'wake' }, REPLY_PATIENCE_MS)).toMatchObject([{ type: 'ask', replica: 'b' }, { type: 'wakeAt' }])
+  const atMs = REPLY_PATIENCE_MS + 4
+  expect(call.step({ type: 'wanted', replica: 'a' }, atMs)).toMatchObject([{ type: 'carry', replica: 'a' }, { type: 'wakeAt' }])
+  const silentAtMs = atMs + CARRY_PATIENCE_MS
+  expect(call.step({ type: 'wanted', replica: 'b' }, atMs + 4)).toEqual([{ type: 'wakeAt', atMs: silentAtMs }])
+  expect(call.step({ type: 'wake' }, silentAtMs - 1)).toEqual([{ type: 'wakeAt', atMs: silentAtMs }])
+  expect(call.step({ type: 'wake' }, silentAtMs)).toMatchObject([{ type: 'carry', replica: 'b' }, { type: 'wakeAt' }])
+})
+
+test('the next replica that wants the body gets it when the connection to the first one fails', () => {
+  const call = new RelayedCall(() => REPLICAS, new ReplicaRanking())
+  call.step(OFFERED_START, 0)
+  call.step({ type: 'wake' }, REPLY_PATIENCE_MS)
+  call.step({ type: 'wanted', replica: 'a' }, REPLY_PATIENCE_MS + 4)
+  call.step({ type: 'wanted', replica: 'b' }, REPLY_PATIENCE_MS + 8)
+  const actions = call.step({ type: 'failed', replica: 'a', wasSent: true }, REPLY_PATIENCE_MS + 12)
+  expect(actions).toMatchObject([{ type: 'carry', replica: 'b' }, { type: 'wakeAt' }])
+})
+
+test('a call whose body no replica was sent was not run, and one that was carried may have been', () => {
+  for (const isCarried of [false, true]) {
+    const call = new RelayedCall(() => ['a'], new ReplicaRanking())
+    call.step(OFFERED_START, 0)
+    if (isCarried) call.step({ type: 'wanted', replica: 'a' }, 4)
+    const limitMs = 100 / LINK_SHARE + RELAY_LIMIT_MS
+    expect(call.step({ type: 'wake' }, limitMs)).toEqual([{ type: 'giveUp', state: isCarried ? 'unknown' : 'not-run' }])
+  }
+})
+
+test('a replica that can not read offers is asked with the body at once', () => {
+  const call = new RelayedCall(() => REPLICAS, new ReplicaRanking())
+  call.step(OFFERED_START, 0)
+  const actions = call.step({ type: 'failed', replica: 'a', wasSent: false, isOfferRefused: true }, 4)
+  expect(actions).toMatchObject([{ type: 'ask', replica: 'a', isOffer: false }, { type: 'wakeAt' }])
+  expect(call.step({ type: 'reply', replica: 'a', reply: { type: 'final' } }, 200)).toEqual([{ type: 'deliver' }])
+})
--- a/src/parts/relay/RelayedCall.ts
+++ b/src/parts/relay/RelayedCall.ts
@@ -21,13 +21,21 @@
  *
  * A replica is silent while no byte of its reply arrives, after the time that the call itself takes on the link. The
  * call ends after `RELAY_LIMIT_MS` without progress, and at the latest after that time and those that the call and the
- * largest reply take on their share of the link.
+ * largest reply take on their share of the link. The body of an offered call is on its way to one replica at a time;
+ * another one gets it only when that one is silent.
  *
  * Memory: one entry for each replica.
  */
 export class RelayedCall implements Part<RelayEvent, RelayAction> {
   /** Replicas that were asked and have not replied, with the time since which they are silent. */
   private readonly _openSinceMs = new Map<string, number>()
+  /** Replicas among those that have not been sent the body of the call, so that they can't decide it. */
+  private readonly _bodiless = new Set<string>()
+  /** Replicas among those that want the body while another one has it. */
+  private readonly _wanting = new Set<string>()
+  /** Replicas that are only asked with the body. */
+  private readonly _refusedOffer = new Set<string>()
+  private _isOffered = false
   /** When replicas that could not decide the call may be asked again. */
   private readonly _retryAtMs = new Map<string, number>()
   /** Replicas that have known no leader for long. */
@@ -41,7 +49,8 @@
   private _mayBeDecided = false
 
   private readonly _handlers: EventHandlers = {
-    start: ({ moveMs = 0 }, nowMs) => {
+    start: ({ moveMs = 0, isOffered = false }, nowMs) => {
+      this._isOffered = isOffered
       this._callMoveMs = moveMs / LINK_SHARE
       this._baseLimitAtMs = nowMs + this._callMoveMs + RELAY_LIMIT_MS
       this._limitAtMs = this._baseLimitAtMs
@@ -55,17 +64,28 @@
       this._limitAtMs = Math.max(this._limitAtMs, Math.min(nowMs + RELAY_LIMIT_MS, latestAtMs))
       return [this._wakeAt(nowMs + REPLY_PATIENCE_MS)]
     },
+    wanted: ({ replica }, nowMs) => {
+      if (!this._bodiless.has(replica)) return []
+      this._ranking.recordReply(replica)
+      this._ranking.recordLeader(replica)
+      this._wanting.add(replica)
+      return this._carry(nowMs)
+    },
     reply: ({ replica, reply }, nowMs) => {
-      this._openSinceMs.delete(replica)
+      this._close(replica)
       this._leaderless.delete(replica)
       this._ranking.recordReply(replica)
       const handler = this._replyHandlers[reply.type] as
         (replica: string, reply: ReplyKind, nowMs: number) => RelayAction[]
       return handler(replica, reply, nowMs)
     },
-    failed: ({ replica, wasSent }, nowMs) => {
-      this._openSinceMs.delete(replica)
+    failed: ({ replica, wasSent, isOfferRefused = false }, nowMs) => {
+      this._close(replica)
       if (wasSent) this._mayBeDecided = true
+      if (isOfferRefused) {
+        this._refusedOffer.add(replica)
+        return this._askNext(nowMs)
+      }
       this._ranking.recordSilence(replica, nowMs)
       return this._retryLater(replica, nowMs)
     },
@@ -110,8 +130,26 @@
     return this._askNext(nowMs)
   }
 
+  private _close (replica: string): void {
+    this._openSinceMs.delete(replica)
+    this._bodiless.delete(replica)
+    this._wanting.delete(replica)
+  }
+
+  /** Sends the body to a replica that wants it, unless a reply of one that has it may still come soon. */
+  private _carry (nowMs: number): RelayAction[] {
+    const expectedByMs = this._awaitReplies(nowMs, true)
+    if (expectedByMs !== undefined) return [this._wakeAt(expectedByMs)]
+    const [replica] = this._wanting as Iterable<string> as [string]
+    this._wanting.delete(replica)
+    this._bodiless.delete(replica)
+    this._openSinceMs.set(replica, nowMs + this._callMoveMs)
+    return [{ type: 'carry', replica }, this._wakeAt(nowMs + this._callMoveMs + REPLY_PATIENCE_MS)]
+  }
+
   /** Asks the next replica unless a reply may still come soon. */
   private _askNext (nowMs: number): RelayAction[] {
+    if (this._wanting.size > 0) return this._carry(nowMs)
     const expectedByMs = this._awaitReplies(nowMs)
     if (expectedByMs !== undefined) return [this._wakeAt(expectedByMs)]
     const replicas = this._ranking.sort(this._listReplicas(), nowMs)
@@ -125,15 +163,21 @@
     }
     // A suspect is asked only once all others have failed to decide, so nobody waits for its reply.
     const patienceMs = this._ranking.isSuspect(next, nowMs) ? RETRY_INTERVAL_MS : REPLY_PATIENCE_MS
-    this._openSinceMs.set(next, nowMs + this._callMoveMs)
-    return [{ type: 'ask', replica: next }, this._wakeAt(nowMs + this._callMoveMs + patienceMs)]
+    const isOffer = this._isOffered && !this._refusedOffer.has(next)
+    const sinceMs = isOffer ? nowMs : nowMs + this._callMoveMs
+    if (isOffer) this._bodiless.add(next)
+    this._openSinceMs.set(next, sinceMs)
+    return [{ type: 'ask', replica: next, isOffer }, this._wakeAt(sinceMs + patienceMs)]
   }
 
-  /** Returns until when bytes of a reply are expected; a replica that has sent none by then counts as silent. */
-  private _awaitReplies (nowMs: number): number | undefined {
+  /**
+   * Returns until when bytes of a reply are expected; a replica that has sent none by then counts as silent.
+   * @param haveBody Whether only replicas that have been sent the body count.
+   */
+  private _awaitReplies (nowMs: number, haveBody = false): number | undefined {
     let expectedByMs: number | undefined
     for (const [replica, sinceMs] of this._openSinceMs) {
-      if (this._ranking.isSuspect(replica, nowMs)) continue
+      if (this._ranking.isSuspect(replica, nowMs) || (haveBody && this._bodiless.has(replica))) continue
       const untilMs = sinceMs + REPLY_PATIENCE_MS
       if (untilMs > nowMs) expectedByMs = Math.max(expectedByMs ?? 0, untilMs)
       else this._ranking.recordSilence(replica, nowMs)
@@ -147,7 +191,8 @@
 
   private _giveUp (): RelayAction[] {
     this._hasEnded = true
-    const state = this._mayBeDecided || this._openSinceMs.size > 0 ? 'unknown' : 'not-run'
+    const mayBeDecided = this._mayBeDecided || this._openSinceMs.size > this._bodiless.size
+    const state = mayBeDecided ? 'unknown' : 'not-run'
     return [{ type: 'giveUp', state }]
   }
 }
--- a/src/parts/relay/Types.ts
+++ b/src/parts/relay/Types.ts
@@ -12,18 +12,29 @@
 
 /** Events of a relayed call. Replicas are named by their addresses. */
 export type RelayEvent =
-  /** `moveMs` is the time that the call takes on the link of this process, in milliseconds. */
-  | { readonly type: 'start', readonly moveMs?: number }
+  /**
+   * `moveMs` is the time that the call takes on the link of this process, in milliseconds. With `isOffered`, replicas
+   * are asked without the body of the call at first, and the one that leads is sent it.
+   */
+  | { readonly type: 'start', readonly moveMs?: number, readonly isOffered?: boolean }
+  /** A replica that was asked without the body leads and wants it. */
+  | { readonly type: 'wanted', readonly replica: string }
   /** Bytes of a reply have arrived; `moveMs` is the time that the whole reply takes on the link, in milliseconds. */
   | { readonly type: 'progress', readonly replica: string, readonly moveMs: number }
   | { readonly type: 'reply', readonly replica: string, readonly reply: ReplyKind }
-  /** The connection could not be opened, or was closed before the reply: `wasSent` when it had been open. */
-  | { readonly type: 'failed', readonly replica: string, readonly wasSent: boolean }
+  /**
+   * The connection could not be opened, or was closed before the reply: `wasSent` when the body may have been received.
+   * `isOfferRefused` when it was open and the replica was asked without the body, which earlier versions can't read.
+   */
+  | { readonly type: 'failed', readonly replica: string, readonly wasSent: boolean, readonly isOfferRefused?: boolean }
   | { readonly type: 'wake' }
 
 /** Actions that the host carries out for a relayed call. */
 export type RelayAction =
-  | { readonly type: 'ask', readonly replica: string }
+  /** With `isOffer`, without the body of the call. */
+  | { readonly type: 'ask', readonly replica: string, readonly isOffer: boolean }
+  /** Send the whole call to a replica that wants it, on the connection on which it was asked. */
+  | { readonly type: 'carry', readonly replica: string }
   | { readonly type: 'wakeAt', readonly atMs: number }
   /** Pass the last reply on to the caller. */
   | { readonly type: 'deliver' }
--- a/src/routecontrol/Constants.ts
+++ b/src/routecontrol/Constants.ts
@@ -94,6 +94,12 @@
 /** Calls of operators that one process passes on at once; more are turned away, as each may have a large body. */
 export const MAX_RELAYED_CALLS = 32
 
+/**
+ * Size of the body from which a process with a slow link offers an operator's call to replicas before it sends it all,
+ * in bytes: about 50 ms on a link of 2.4 Mbit/s, some round trips.
+ */
+export const OFFERED_BODY_BYTES = 16 * 1024
+
 /**
  * Rate of the link of a process whose settings name none, in Mbit/s: it bounds the time for which a call waits for a
  * reply that is arriving.
--- a/src/routecontrol/OperatorRelay.test.ts
+++ b/src/routecontrol/OperatorRelay.test.ts
@@ -6,7 +6,7 @@
 import type { Disposable, Log, LogFields } from '../runtime/Types.js'
 import { MAX_RELAYED_CALLS } from './Constants.js'
 import { OperatorRelay } from './OperatorRelay.js'
-import type { FromOperatorServer, OperatorCall, OperatorReply, ToOperatorServer } from './Types.js'
+import type { FromOperatorServer, OperatorCall, OperatorCallFrame, OperatorReply } from './Types.js'
 
 const CALL: OperatorCall = { operation: 'change', parameter: '', body: 'contains a-secret-key' }
 
@@ -25,7 +25,7 @@
 async function startReplica (
   react: (call: OperatorCall) => OperatorReply | 'close' | undefined
 ): Promise<{ readonly address: string, readonly calls: OperatorCall[] }> {
-  const server = new FrameServer<ToOperatorServer, FromOperatorServer>(new SystemClock())
+  const server = new FrameServer<OperatorCallFrame, FromOperatorServer>(new SystemClock())
   const address = await server.listen((await findFreeAddresses(1))[0] as string)
   const calls: OperatorCall[] = []
   server.onChannel(channel => channel.onMessage(({ call }) => {
--- a/src/routecontrol/OperatorRelay.ts
+++ b/src/routecontrol/OperatorRelay.ts
@@ -2,15 +2,13 @@
 import { ReplicaRanking } from '../parts/relay/ReplicaRanking.js'
 import type { RelayAction, RelayEvent } from '../parts/relay/Types.js'
 import { computeTransferMs } from '../parts/transfer/TransferTime.js'
-import { connectTo } from '../runtime/Address.js'
-import { FrameChannel } from '../runtime/FrameChannel.js'
-import { decodeCompressed } from '../runtime/FrameCompression.js'
+import { type EncodedMessage, encodeMessage } from '../runtime/FrameChannel.js'
+import { encodeCompressed } from '../runtime/FrameCompression.js'
 import { PartTimer } from '../runtime/PartTimer.js'
 import type { Clock, Disposable, Log } from '../runtime/Types.js'
-import { ASSUMED_LINK_MBPS, MAX_RELAYED_CALLS } from './Constants.js'
-import type {
-  FromOperatorServer, OperatorCall, OperatorReply, OperatorReplyFrame, RelayOutcome, ToOperatorServer
-} from './Types.js'
+import { ASSUMED_LINK_MBPS, MAX_RELAYED_CALLS, OFFERED_BODY_BYTES } from './Constants.js'
+import { RelayConnection } from './RelayConnection.js'
+import type { OperatorCall, OperatorCallFrame, OperatorOfferFrame, OperatorReply, RelayOutcome } from './Types.js'
 
 /** Dependencies of a relay. */
 export interface OperatorRelayOptions {
@@ -21,7 +19,7 @@
     readonly address: string
     readonly execute: (call: OperatorCall) => Promise<OperatorReply>
   }
-  /** Whether the link of this VM is slow, so that large replies should be compressed. */
+  /** Whether the link of this VM is slow: large calls are offered first, and they and large replies are compressed. */
   readonly hasSlowLink?: boolean
   /** Rate of the link of this VM in Mbit/s; undefined when it is not known. */
   readonly linkMbps?: number | undefined
@@ -70,7 +68,9 @@
   public readonly outcome: Promise<RelayOutcome>
   private readonly _part: RelayedCall
   private readonly _timer: PartTimer
-  private readonly _connections = new Set<Disposable>()
+  private readonly _connections = new Map<string, RelayConnection>()
+  /** The whole call, compressed, when it is offered first. */
+  private readonly _carried: EncodedMessage | undefined
   private readonly _startedAtMs: number
   private readonly _asked: string[] = []
   /** Bytes of replies that have arrived, by replica. */
@@ -81,7 +81,8 @@
   private _reason: string | undefined
 
   private readonly _handlers: ActionHandlers = {
-    ask: ({ replica }) => this._ask(replica),
+    ask: ({ replica, isOffer }) => this._ask(replica, isOffer),
+    carry: ({ replica }) => this._connections.get(replica)?.carry(this._carried as EncodedMessage),
     wakeAt: ({ atMs }) => this._timer.wakeAt(atMs),
     deliver: () => this._end(this._lastReply as RelayOutcome),
     giveUp: ({ state }) => this._end({
@@ -94,12 +95,15 @@
     ranking: ReplicaRanking,
     private readonly _options: OperatorRelayOptions
   ) {
-    const { clock, linkMbps, listReplicas } = _options
+    const { clock, hasSlowLink, linkMbps, listReplicas, local } = _options
     this._startedAtMs = clock.nowMs()
     this.outcome = new Promise(resolve => { this._settle = resolve })
     this._part = new RelayedCall(listReplicas, ranking)
     this._timer = new PartTimer(clock, () => this._wake())
-    this._step({ type: 'start', moveMs: computeTransferMs(Buffer.byteLength(_call.body), linkMbps) })
+    const bytes = Buffer.byteLength(_call.body)
+    const isOffered = hasSlowLink === true && local === undefined && bytes >= OFFERED_BODY_BYTES
+    if (isOffered) this._carried = encodeCompressed(this._callFrame)
+    this._step({ type: 'start', moveMs: computeTransferMs(this._carried?.length ?? bytes, linkMbps), isOffered })
   }
 
   public dispose (): void {
@@ -118,10 +122,10 @@
     setImmediate(() => setImmediate(() => this._step({ type: 'wake' })))
   }
 
-  private _ask (replica: string): void {
+  private _ask (replica: string, isOffer: boolean): void {
     const { local } = this._options
     this._asked.push(replica)
-    if (replica !== local?.address) return this._askRemote(replica)
+    if (replica !== local?.address) return this._askRemote(replica, isOffer)
     local.execute(this._call)
       .then(reply => this._receive(replica, reply))
       .catch((error: Error) => {
@@ -130,39 +134,37 @@
       })
   }
 
-  private _askRemote (replica: string): void {
-    const socket = connectTo(replica)
-    let wasSent = false
-    let isDisposed = false
-    const connection = {
-      dispose: () => {
-        isDisposed = true
-        socket.destroy()
-      }
-    }
-    this._connections.add(connection)
-    socket.on('error', error => this._options.log.debug({ replica, error: error.message }, 'operator call interrupted'))
-    socket.once('close', () => {
-      this._connections.delete(connection)
-      if (!isDisposed) this._step({ type: 'failed', replica, wasSent })
-    })
-    socket.once('connect', () => {
-      wasSent = true
-      const channel = new FrameChannel<FromOperatorServer, ToOperatorServer>(socket, this._options.clock)
-      const receivedBefore = this._replyBytes.get(replica) ?? 0
-      socket.on('data', () => {
-        this._replyBytes.set(replica, receivedBefore + channel.bytes.received)
-        if (!isDisposed) this._noteProgress(replica, channel.bytes.received + channel.missingBytes)
-      })
-      channel.onMessage(frame => {
-        const { reply } = frame.type === 'compressed' ? decodeCompressed(frame) as OperatorReplyFrame : frame
-        this._replyBytes.set(replica, receivedBefore + channel.bytes.received)
-        connection.dispose()
+  private _askRemote (replica: string, isOffer: boolean): void {
+    const connection = new RelayConnection({ replica, frame: this._encodeQuestion(isOffer), isOffer }, {
+      onWanted: () => this._step({ type: 'wanted', replica }),
+      onProgress: bytes => this._noteProgress(replica, bytes),
+      onReply: reply => {
+        this._remove(replica)
         this._receive(replica, reply)
-      })
-      const compress = this._options.hasSlowLink === true ? { compress: true as const } : {}
-      channel.send({ type: 'operatorCall', call: this._call, ...compress })
-    })
+      },
+      onFail: failure => {
+        this._remove(replica)
+        this._step({ type: 'failed', replica, ...failure })
+      }
+    }, this._options.clock, this._options.log)
+    this._connections.set(replica, connection)
+  }
+
+  private _encodeQuestion (isOffer: boolean): EncodedMessage {
+    const { operation, body } = this._call
+    if (!isOffer) return encodeMessage(this._callFrame)
+    return encodeMessage({ type: 'operatorOffer', operation, bytes: Buffer.byteLength(body) } satisfies OperatorOfferFrame)
+  }
+
+  private get _callFrame (): OperatorCallFrame {
+    return { type: 'operatorCall', call: this._call, ...(this._options.hasSlowLink === true ? { compress: true } : {}) }
+  }
+
+  /** Takes a connection that has ended into account. */
+  private _remove (replica: string): void {
+    const bytes = this._connections.get(replica)?.receivedBytes ?? 0
+    if (bytes > 0) this._replyBytes.set(replica, (this._replyBytes.get(replica) ?? 0) + bytes)
+    this._connections.delete(replica)
   }
 
   private _noteProgress (replica: string, bytes: number): void {
@@ -178,8 +180,10 @@
 
   private _end (outcome: RelayOutcome): void {
     this._timer.dispose()
-    for (const connection of this._connections) connection.dispose()
-    this._connections.clear()
+    for (const [replica, connection] of [...this._connections]) {
+      connection.dispose()
+      this._remove(replica)
+    }
     const durationMs = Math.round(this._options.clock.nowMs() - this._startedAtMs)
     const { operation } = this._call
     const result = outcome.type === 'final' ? outcome.status : outcome.state
--- a/src/routecontrol/OperatorSlowLink.test.ts
+++ b/src/routecontrol/OperatorSlowLink.test.ts
@@ -7,7 +7,9 @@
 import type { Disposable } from '../runtime/Types.js'
 import { OperatorRelay } from './OperatorRelay.js'
 import { OperatorServer } from './OperatorServer.js'
-import type { FromOperatorServer, OperatorCall, OperatorReply, ToOperatorServer } from './Types.js'
+import type {
+  FromOperatorServer, OperatorCall, OperatorCallFrame, OperatorOfferFrame, OperatorReply
+} from './Types.js'
 
 const SILENT = { debug: () => {}, info: () => {}, warn: () => {}, error: () => {} }
 const LINK_MBPS = 2.4
@@ -20,7 +22,11 @@
 
 const disposables: Disposable[] = []
 
-afterEach(() => disposables.splice(0).forEach(item => item.dispose()))
+afterEach(() => {
+  disposables.splice(0).forEach(item => item.dispose())
+  leader = 0
+  areEarlier = false
+})
 
 /** Replicas behind one link; each decides a call by a function of its index. */
 async function startReplicas (
@@ -30,13 +36,19 @@
   const addresses: string[] = []
   const relays: PacedRelay[] = []
   for (let i = 0; i < REPLICAS; i++) {
-    const server = new FrameServer<ToOperatorServer, FromOperatorServer>(new SystemClock())
-    const operators = new OperatorServer(SILENT)
+    const server = new FrameServer<OperatorCallFrame | OperatorOfferFrame, FromOperatorServer>(new SystemClock())
+    const view = {
+      isLeaderless: false,
+      get isLeader () { return i === leader },
+      get remoteLeaderAddress () { return i === leader ? undefined : addresses[leader] }
+    }
+    const operators = new OperatorServer(view, SILENT)
     operators.serve(async call => react(call, i, addresses))
     server.onChannel(channel => {
       const first = channel.onMessage(frame => {
         first.dispose()
-        operators.accept(channel as unknown as AcceptedChannel, frame)
+        if (areEarlier && frame.type === 'operatorOffer') channel.destroy('the first frame is not a hello')
+        else operators.accept(channel as unknown as AcceptedChannel, frame)
       })
     })
     const relay = new PacedRelay(await server.listen('127.0.0.1:0'), link)
@@ -54,6 +66,12 @@
 
 let send: OperatorRelay['send']
 
+/** Index of the replica that leads. */
+let leader = 0
+
+/** Whether the replicas are of a version that can't read offers. */
+let areEarlier = false
+
 function countSenders (relays: readonly PacedRelay[]): number {
   return relays.filter(({ bytes }) => bytes.down > 0).length
 }
@@ -78,3 +96,33 @@
     expect(relay.bytes.down < body.length / 4).toBe(hasSlowLink)
   }
 })
+
+/** Decides changes at the leader; the others name it. */
+function decide (_call: OperatorCall, index: number, addresses: readonly string[]): OperatorReply {
+  return index === leader ? { type: 'final', status: 200, body: '{}' } : { type: 'notLeader', leader: addresses[leader]! }
+}
+
+function makeChange (): OperatorCall {
+  return { operation: 'change', parameter: '', body: randomBytes(CONFIGURATION_BYTES / 2).toString('hex') }
+}
+
+// Each replica on the way to the leader was sent a copy, and the call was given up while they shared the link.
+test('a large change over a slow link is sent to the leader only, whichever replica is asked first', async () => {
+  leader = REPLICAS - 1
+  const received: string[] = []
+  const relays = await startReplicas((call, index, addresses) => {
+    received.push(call.body)
+    return decide(call, index, addresses)
+  })
+  const change = makeChange()
+  expect(await send(change)).toMatchObject({ type: 'final', status: 200 })
+  expect(received.length === 1 && received[0] === change.body).toBe(true)
+  expect(relays.map(({ bytes }) => bytes.up > 1000)).toEqual([false, false, false, false, true])
+  expect(relays[leader]!.bytes.up).toBeLessThan(0.6 * CONFIGURATION_BYTES)
+})
+
+test('a large change reaches a leader of an earlier version, which closes connections with offers', async () => {
+  areEarlier = true
+  await startReplicas(decide)
+  expect(await send(makeChange())).toMatchObject({ type: 'final', status: 200 })
+})
--- a/src/routecontrol/RouteControlDaemon.ts
+++ b/src/routecontrol/RouteControlDaemon.ts
@@ -92,14 +92,14 @@
     this._replica = new RoutingReplica(_options)
     this._feed = new NodeFeed(this._replica, clock, log)
     this._quotas = new QuotaHost(this._replica, this._feed, clock, log)
-    this._operators = new OperatorServer(log)
+    this._operators = new OperatorServer(this, log)
     this._server = _options.server ?? new FrameServer(clock)
     this._server.onChannel(channel => {
       const first = channel.onMessage(frame => {
         first.dispose()
         if (frame.type === 'replicaHello') this._replica.accept(channel, frame as ReplicaHello)
         else if (frame.type === 'feedHello') this._feed.accept(channel, frame as FeedHello)
-        else if (frame.type === 'operatorCall') this._operators.accept(channel, frame)
+        else if (frame.type === 'operatorCall' || frame.type === 'operatorOffer') this._operators.accept(channel, frame)
         else channel.destroy('the first frame is not a hello')
       })
     })
--- a/src/routecontrol/Types.ts
+++ b/src/routecontrol/Types.ts
@@ -135,15 +135,34 @@
 export type RelayOutcome = Exclude<OperatorReply, { type: 'notLeader' }>
 
 /**
- * Frame with an operator's call to a control replica; the only one on its connection. `compress` is present when the
- * sender has a slow link, so that a large reply should be compressed.
+ * Frame with an operator's call to a control replica. `compress` is present when the sender has a slow link, so that a
+ * large reply should be compressed.
  */
-export interface ToOperatorServer {
+export interface OperatorCallFrame {
   readonly type: 'operatorCall'
   readonly call: OperatorCall
   readonly compress?: true
 }
 
+/**
+ * Asks a control replica whether it would decide a call that is too large to be sent to all. The leader answers with
+ * `operatorBodyWanted`, the others with their reply to the call. Replicas of earlier versions close the connection.
+ */
+export interface OperatorOfferFrame {
+  readonly type: 'operatorOffer'
+  readonly operation: string
+  /** Bytes of the body. */
+  readonly bytes: number
+}
+
+/** Asks for the call after an offer, on the same connection. */
+export interface OperatorBodyWantedFrame {
+  readonly type: 'operatorBodyWanted'
+}
+
+/** Frames to a control replica about one call of an operator; the only ones on their connection. */
+export type ToOperatorServer = OperatorCallFrame | OperatorOfferFrame | CompressedFrame
+
 /** Frame with the reply. */
 export interface OperatorReplyFrame {
   readonly type: 'operatorReply'
@@ -151,4 +170,4 @@
 }
 
 /** Frames from a control replica to the sender of a call. */
-export type FromOperatorServer = OperatorReplyFrame | CompressedFrame
+export type FromOperatorServer = OperatorReplyFrame | OperatorBodyWantedFrame | CompressedFrame
--- a/src/routenode/GroupDirectory.ts
+++ b/src/routenode/GroupDirectory.ts
@@ -35,7 +35,8 @@
       if (knownReplicas.length > 0) channel.send({ type: 'controls', controls: knownReplicas })
       channel.send({ type: 'feedPong', fit: false })
     },
-    operatorCall: channel => { channel.send({ type: 'operatorReply', reply: { type: 'notLeader' } }) }
+    operatorCall: channel => { channel.send({ type: 'operatorReply', reply: { type: 'notLeader' } }) },
+    operatorOffer: channel => { channel.send({ type: 'operatorReply', reply: { type: 'notLeader' } }) }
   }
 
   /**
--- a/test/OddInputs.test.ts
+++ b/test/OddInputs.test.ts
@@ -85,6 +85,7 @@
   { type: 'feedHello', entry: { ...ENTRY, node: '127.0.0.1:70000' }, version: 0 },
   { type: 'feedHello', entry: ENTRY, version: 0, reports: [REPORT] }, { type: 'publish', entry: ENTRY }, { type: 'feedPing' },
   { type: 'crashReports', reports: [REPORT] }, { type: 'askRouting' }, { type: 'operatorCall', call: { operation: 'put', parameter: '', body: '{}' } },
+  { type: 'operatorOffer', operation: 'put', bytes: 100_000 },
   { type: 'replicaHello', replica: NOTICE.replica, incarnation: 1, address: '127.0.0.1:9', admin: '127.0.0.1:9' },
   { type: 'nodeEntries', entries: [ENTRY], whole: true }, { type: 'formation', notice: NOTICE }
 ]
