Await a welcome that is arriving over a slow link

A node that connects to a control replica is sent the entries of all nodes in one frame. It ended the connection when the whole welcome had not arrived within 300 ms, then 600 ms, up to 1.5 s, and began again elsewhere: a larger welcome, which a slow link takes longer for, was never received, and the node had no configuration. Found by reading, as the same cause as that of reads that were given up while their reply arrived.

The timeout now counts the time without bytes of the welcome. Replicas that are silent are left as early as before (ControlFeed.test.ts).

The new test, a welcome that takes more than 1.5 s at 2.4 Mbit/s, failed before with 'asked again' in place of 'welcomed'.

--- a/src/routenode/Constants.ts
+++ b/src/routenode/Constants.ts
@@ -53,12 +53,13 @@
 /** Time without a frame from that replica after which the node connects to another, in milliseconds. */
 export const FEED_TIMEOUT_MS = 1200
 
-/** Longest time from the connect to a control replica until its welcome, in milliseconds. */
+/** Longest time from the connect to a control replica until the first bytes of its welcome, in milliseconds. */
 export const FEED_WELCOME_TIMEOUT_MS = 1500
 
 /**
- * Time until the welcome after which a node that has been connected before tries the next replica, in milliseconds; it
- * doubles up to `FEED_WELCOME_TIMEOUT_MS`. Two more silent replicas then end within 3 s of the first one's last frame.
+ * Time without bytes of the welcome after which a node that has been connected before tries the next replica, in
+ * milliseconds; it doubles up to `FEED_WELCOME_TIMEOUT_MS`. Two more silent replicas then end within 3 s of the first
+ * one's last frame.
  */
 export const FEED_WELCOME_TIMEOUT_MIN_MS = 300
 
--- a/src/routenode/ControlFeed.ts
+++ b/src/routenode/ControlFeed.ts
@@ -223,12 +223,9 @@
   private _sendHello (socket: Socket, address: string): void {
     clearTimeout(this._welcomeTimer)
     this._connectTimeoutMs = CONNECT_TIMEOUT_MIN_MS
-    this._welcomeTimer = setTimeout(() => {
-      this._welcomeTimeoutMs = Math.min(2 * this._welcomeTimeoutMs, FEED_WELCOME_TIMEOUT_MS)
-      socket.destroy(new Error('no welcome from the control replica in time'))
-    }, this._welcomeTimeoutMs)
     const channel = new FrameChannel<FeedToNode, NodeToFeed>(socket, this._clock)
     this._channel = channel
+    this._welcomeTimer = setTimeout(() => this._checkWelcome(channel), this._welcomeTimeoutMs)
     channel.onMessage(frame => this._handle(frame))
     channel.onClose(reason => this._onClose(address, reason))
     const version = this._routing?.version ?? 0
@@ -238,6 +235,17 @@
     channel.send({ ...hello, ...compress, ...(reports.length === 0 ? {} : { reports }) })
   }
 
+  /** A welcome with many nodes takes longer than the timeout on a slow link: while it is arriving, it is awaited. */
+  private _checkWelcome (channel: FrameChannel<FeedToNode, NodeToFeed>): void {
+    const leftMs = channel.lastReceivedMs + this._welcomeTimeoutMs - this._clock.nowMs()
+    if (channel.missingBytes > 0 && leftMs > 0) {
+      this._welcomeTimer = setTimeout(() => this._checkWelcome(channel), leftMs)
+      return
+    }
+    this._welcomeTimeoutMs = Math.min(2 * this._welcomeTimeoutMs, FEED_WELCOME_TIMEOUT_MS)
+    this._socket?.destroy(new Error('no welcome from the control replica in time'))
+  }
+
   private _handle (frame: FeedToNode): void {
     const handler = this._handlers[frame.type] as ((frame: FeedToNode) => void) | undefined
     handler?.(frame)
