Let callers of a stopping mesh node receive their whole answers

A download through a node that stops (src/node) was cut near its end: the stop took a call as ended when its answer was written, and closed all connections 50 ms later; at its begin, http.Server.close destroys each connection whose response was ended, though bytes of it are left. A caller that reads slowly, or is starved, lost up to the window of a transfer.

CallerConnections, which closes a connection only after its last byte was passed to the operating system, moves to the ingress that both programs share, and the mesh node waits until all callers have left, within the time that its stop has anyway. A caller that leaves a request incomplete now holds up the stop for as long.

LogsPage still checks the lines of the moved file.

--- a/src/node/NodeDaemon.ts
+++ b/src/node/NodeDaemon.ts
@@ -92,16 +92,19 @@
     }
   }
 
-  /** Shuts down gracefully: closes the listener for callers, waits for the calls in flight, then closes connections. */
+  /**
+   * Shuts down gracefully: closes the listener for callers, waits until they have received their answers and the calls
+   * in flight have ended, then closes connections.
+   */
   public async stop (): Promise<void> {
     this._log.info({}, 'stopping')
     const { _container: container } = this
     const ingress = container.get(IngressServer)
     const side = container.get(UpstreamSide)
-    ingress.close()
+    const callersLeft = ingress.close()
     container.get(UpstreamMonitor).drain()
     side.close()
-    await this._waitUntilIdle(ingress, side)
+    await this._waitUntilIdle(ingress, side, callersLeft)
     container.get(MembershipHost).announceLeft()
     await new Promise(resolve => setTimeout(resolve, FLUSH_MS))
     await this._supervisor.stop()
@@ -272,18 +275,23 @@
     metrics.send('measuringBytes', this._container.get(MeasuringHost).spentBytes)
   }
 
-  private async _waitUntilIdle (ingress: IngressServer, side: UpstreamSide): Promise<void> {
-    const isIdle = (): boolean => ingress.inFlight === 0 && side.pendingCalls === 0
-    if (isIdle()) return
+  private async _waitUntilIdle (
+    ingress: IngressServer, side: UpstreamSide, callersLeft: Promise<void>
+  ): Promise<void> {
+    let hasCallers = true
     await new Promise<void>(resolve => {
       const timer = setTimeout(resolve, this._drainTimeoutMs())
       const check = (): void => {
-        if (!isIdle()) return
+        if (hasCallers || ingress.inFlight > 0 || side.pendingCalls > 0) return
         clearTimeout(timer)
         resolve()
       }
       ingress.onIdle(check)
       side.onIdle(check)
+      callersLeft.then(() => {
+        hasCallers = false
+        check()
+      }).catch((error: Error) => this._rejectEnded(error))
     })
   }
 
--- a/src/routenode/CallerConnections.ts
+++ b/src/node/ingress/CallerConnections.ts
@@ -1,8 +1,8 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import { Server as TcpServer } from 'node:net'
 import type { Socket } from 'node:net'
-import { readHeader } from '../runtime/RequestHeader.js'
-import type { Clock, Log } from '../runtime/Types.js'
+import { readHeader } from '../../runtime/RequestHeader.js'
+import type { Clock, Log } from '../../runtime/Types.js'
 
 /** A request whose answer has not left completely. */
 interface OpenAnswer {
@@ -23,7 +23,7 @@
 /** Why an answer was cut: this node closed its connection at the limit of a stop, or it was closed before. */
 type CutReason = 'limit' | 'connection-closed'
 
-/** What the connections need of their gateway. */
+/** What the connections need of their server. */
 export interface CallerConnectionsOptions {
   /** Server whose connections are tracked. */
   readonly server: Server
--- a/src/node/ingress/IngressServer.ts
+++ b/src/node/ingress/IngressServer.ts
@@ -13,6 +13,7 @@
 import { selectRequestHeaders } from '../EndToEndHeaders.js'
 import type { Refusal } from '../Types.js'
 import { readBody } from './BodyReader.js'
+import { CallerConnections } from './CallerConnections.js'
 import { refuseMalformedHead } from './MalformedHead.js'
 import { IngressCall } from './IngressCall.js'
 import type { CallSummary } from './IngressCall.js'
@@ -45,6 +46,9 @@
   findService (name: ServiceName): IngressService | undefined
 }
 
+/** Header with the id that a caller gives its request, for the log. */
+const REQUEST_ID_HEADER = 'x-request-id'
+
 /** Status line for each error code of Node's HTTP parser; other codes get 400. */
 const STATUS_BY_ERROR_CODE: Readonly<Record<string, string>> = {
   HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
@@ -57,6 +61,7 @@
  */
 export class IngressServer implements Disposable {
   private readonly _server: Server
+  private readonly _connections: CallerConnections
   private readonly _ends = new Emitter<CallSummary>()
   private readonly _idle = new Emitter<void>()
   private _callsInFlight = 0
@@ -78,6 +83,7 @@
       noDelay: true
     })
     this._server.maxConnections = _limits.maxConnections
+    this._connections = new CallerConnections({ ..._context, server: this._server, requestIdHeader: REQUEST_ID_HEADER })
     this._server.on('request', (message, response) => this._onRequest(message, response))
     this._server.on('clientError', (error, socket) => this._onClientError(error, socket))
   }
@@ -101,17 +107,19 @@
     return await listenOn(this._server, address)
   }
 
-  /** Stops accepting connections and closes idle ones; calls in flight may end. */
-  public close (): void {
+  /**
+   * Stops accepting connections, and closes each once no request on it is read or answered. Resolves when all
+   * connections have closed.
+   */
+  public async close (): Promise<void> {
     this._closing = true
-    this._server.close()
-    this._server.closeIdleConnections()
+    this._connections.recordStop()
+    await this._connections.close(() => {})
   }
 
   /** Closes the listener and all connections at once. */
   public dispose (): void {
-    this._server.close()
-    this._server.closeAllConnections()
+    this._connections.dispose()
   }
 
   private _onRequest (message: IncomingMessage, response: ServerResponse): void {
--- a/test/LogsPage.test.ts
+++ b/test/LogsPage.test.ts
@@ -3,7 +3,7 @@
 import { expect, test } from 'vitest'
 
 /** Folders of the programs whose log messages the page lists. */
-const FOLDERS = ['platform', 'src/routecontrol', 'src/routenode']
+const FOLDERS = ['platform', 'src/routecontrol', 'src/routenode', 'src/node/ingress/CallerConnections.ts']
 
 /** A call of the log, with the message as its group. */
 const LOG_CALL = /log\??\.(?:info|warn|error)\([\s\S]*?,\s*'([^']+)'\)/g
