--- a/src/parts/relay/ReplicaRanking.ts
+++ b/src/parts/relay/ReplicaRanking.ts
@@ -10,6 +10,11 @@
   private readonly _suspectedAtMs = new Map<string, number>()
   private _leader: string | undefined
 
+  /** The replica that decided a call or was named as the leader last. */
+  public get leader (): string | undefined {
+    return this._leader
+  }
+
   /** Records that a replica has replied. */
   public recordReply (replica: string): void {
     this._suspectedAtMs.delete(replica)
--- a/src/routecontrol/OperatorRelay.ts
+++ b/src/routecontrol/OperatorRelay.ts
@@ -44,6 +44,11 @@
    */
   public constructor (private readonly _options: OperatorRelayOptions) {}
 
+  /** Address of the replica that decided a call or was named as the leader last, `host:port`. */
+  public get decider (): string | undefined {
+    return this._ranking.leader
+  }
+
   /** Resolves with the reply of the replica that decided a call, or with what is known when none did in time. */
   public async send (call: OperatorCall): Promise<RelayOutcome> {
     if (this._exchanges.size >= MAX_RELAYED_CALLS) return { type: 'undecided', state: 'not-run' }
