Refuse what a stopping node reads too late to serve

Callers of a node that runs late in its stop got 502 for requests at which an instance was at work: after the 3 s in which it serves what comes, it still passed on requests that could not end before its limit, even in the moment of the limit.

From the moment at which its listener is due to close, a stopping node refuses with 503, not run, a request whose deadline or route timeout lies beyond the limit of the stop, and from the limit on every request. Requests that fit are served, and nested calls of runs that are under way as before.

--- a/src/routenode/Gateway.ts
+++ b/src/routenode/Gateway.ts
@@ -82,8 +82,10 @@
   private _keys: KeyTable | undefined
   private _callerLimits: CallerLimits = DEFAULT_CALLER_LIMITS
   private _openRequestCount = 0
-  /** True once the listener has closed for a shutdown. */
+  /** True once the listener has closed for a shutdown, or its limit is reached. */
   private _isStopping = false
+  /** When the listener is due to close, and when open requests are ended, in monotonic milliseconds. */
+  private _shutdown = { closeAtMs: Infinity, limitAtMs: Infinity }
   private readonly _openCalls = new Set<GatewayCall>()
 
   public constructor (private readonly _options: GatewayOptions) {
@@ -129,8 +131,13 @@
     this._server.headersTimeout = Math.min(limits.headerTimeoutMs, MAX_TIMER_MS)
   }
 
-  /** Announces the shutdown to callers: from now on each answer closes its connection. */
-  public announceClose (): void {
+  /**
+   * Announces the shutdown to callers: from now on each answer closes its connection.
+   * @param closeAtMs When `close` is due, in monotonic milliseconds.
+   * @param limitAtMs When `endRequests` is due, in monotonic milliseconds.
+   */
+  public announceClose (closeAtMs: number, limitAtMs: number): void {
+    this._shutdown = { closeAtMs, limitAtMs }
     this._connections.recordStop()
     this._responder.closeConnections()
   }
@@ -144,8 +151,9 @@
     await this._connections.close(() => { this._isStopping = true })
   }
 
-  /** Answers all open requests: 503 where it is proved that nothing has run, otherwise 502. */
+  /** Answers all open requests: 503 where it is proved that nothing has run, otherwise 502. No more are passed on. */
   public endRequests (): void {
+    this._isStopping = true
     for (const call of [...this._openCalls]) call.endWithoutAnswer('stopping')
   }
 
@@ -167,7 +175,7 @@
     if (entry === undefined) return this._refuseUnrouted(message, response, 404, 'no-route')
     const origin = this._identify(message, entry.route)
     if (origin === undefined) return this._refuseUnknownKey(message, response)
-    if (this._refuseIfStopping(message, response, origin)) return
+    if (this._refuseIfStopping(message, response, origin, entry.route)) return
     const lease = this._options.bodies.memory.lease()
     const isUpload = entry.route.kind === 'upload'
     const timer = hasBody(message) ? this._limitReading(message, response, entry.route, lease) : undefined
@@ -179,7 +187,7 @@
       if (result.type === 'tooLarge') this._refuseUnrouted(message, response, 413, 'body-too-large')
       if (result.type === 'noRoom') this._refuseForMemory(message, response, entry.route)
       if (result.type !== 'whole' || isRefused) return
-      if (this._refuseIfStopping(message, response, origin)) return lease.release()
+      if (this._refuseIfStopping(message, response, origin, entry.route)) return lease.release()
       if (!isUpload) lease.grow(result.bytes.length)
       let request: GatewayRequest | undefined
       this._contain(message, response, 503, () => {
@@ -212,12 +220,22 @@
    * Refuses a request that can't be passed on before the shutdown ends; nested calls belong to requests that still run.
    * @returns True when the request was refused.
    */
-  private _refuseIfStopping (message: IncomingMessage, response: ServerResponse, { parent }: RequestOrigin): boolean {
-    if (!this._isStopping || parent !== undefined) return false
+  private _refuseIfStopping (
+    message: IncomingMessage, response: ServerResponse, { parent }: RequestOrigin, { timeoutMs }: Route
+  ): boolean {
+    if (parent !== undefined || !(this._isStopping || this._wouldBeCut(message, timeoutMs))) return false
     this._refuseUnrouted(message, response, 503, 'stopping', this._notReadyRetryAfterMs(message))
     return true
   }
 
+  /** After the listener was due to close, a node that runs late may have no time left for the whole request. */
+  private _wouldBeCut (message: IncomingMessage, timeoutMs: number): boolean {
+    const nowMs = this._options.clock.nowMs()
+    const { closeAtMs, limitAtMs } = this._shutdown
+    if (nowMs <= closeAtMs) return false
+    return nowMs + Math.min(readDeadlineMs(message, this._options.names.deadlineMs) ?? Infinity, timeoutMs) > limitAtMs
+  }
+
   /** Refuses a request whose body has not arrived at its timeout, and frees the memory of the body. */
   private _limitReading (
     message: IncomingMessage, response: ServerResponse, route: Route, lease: BodyLease
--- a/src/routenode/RouteNodeDaemon.ts
+++ b/src/routenode/RouteNodeDaemon.ts
@@ -243,7 +243,7 @@
     const untilMs = startedAtMs + settings.stopLimitMs - STOP_RESERVE_MS
     log.info({ inFlight: this._gateway.inFlight, held: this._instanceProxy.pendingCallCount }, 'stopping')
     this._isStopping = true
-    this._gateway.announceClose()
+    this._gateway.announceClose(startedAtMs + SHUTDOWN_DELAY_MS, untilMs)
     await delay(SHUTDOWN_DELAY_MS - STOP_NOTICE_MS)
     this._state = 'stopping'
     this._publish()
@@ -270,9 +270,9 @@
 
   /** Answers what is still open, and lets the answers leave before the connections are closed. */
   private async _answerOpenRequests (): Promise<void> {
-    if (this._gateway.inFlight === 0) return
+    const { inFlight } = this._gateway
     this._gateway.endRequests()
-    await delay(STOP_ANSWER_MS)
+    if (inFlight > 0) await delay(STOP_ANSWER_MS)
   }
 
   private async _finishOpenWork (): Promise<void> {
