--- a/src/routenode/Gateway.ts
+++ b/src/routenode/Gateway.ts
@@ -2,7 +2,6 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import type { Duplex } from 'node:stream'
 import { selectEndToEnd } from '../node/EndToEndHeaders.js'
-import { readBody } from '../node/ingress/BodyReader.js'
 import { CallerConnections } from '../node/ingress/CallerConnections.js'
 import { refuseMalformedHead } from '../node/ingress/MalformedHead.js'
 import { CallerWaitEstimate } from '../parts/routing/CallerWaitEstimate.js'
@@ -11,7 +10,6 @@
 import { parseRequestTarget, type RequestTarget } from '../parts/routing/RequestTarget.js'
 import type { RouteEntry, RouteTable } from '../parts/routing/RouteTable.js'
 import type { BodyLease } from '../parts/transfer/BodyMemory.js'
-import { computeTransferMs } from '../parts/transfer/TransferTime.js'
 import type { ServiceName } from '../parts/Types.js'
 import type { KeyTable } from '../parts/workspaces/KeyTable.js'
 import { WorkspaceUsage } from '../parts/workspaces/WorkspaceUsage.js'
@@ -19,10 +17,10 @@
 import { listenOn } from '../runtime/Listen.js'
 import { readHeader } from '../runtime/RequestHeader.js'
 import type { Disposable, Log, LogFields } from '../runtime/Types.js'
+import { BodyIntake } from './BodyIntake.js'
 import type { BodyResources } from './BodyTransfer.js'
-import {
-  BODY_RETRY_AFTER_MS, NOT_READY_RETRY_AFTER_MS, RETRY_AFTER_MAX_SHARE, RETRY_AFTER_JITTER
-} from './Constants.js'
+import { NOT_READY_RETRY_AFTER_MS, RETRY_AFTER_JITTER, RETRY_AFTER_MAX_SHARE } from './Constants.js'
+import { DEFAULT_DEADLINE_MS, readDeadlineMs } from './DeadlineHeader.js'
 import { GatewayCall, type GatewayContext } from './GatewayCall.js'
 import { AnswerSizeEstimate } from './AnswerSizeEstimate.js'
 import { CallerResponder } from './CallerResponder.js'
@@ -35,9 +33,6 @@
 /** Largest header of a request that is accepted, in bytes; `maxHeaderBytes` of the configuration isn't enforced. */
 const MAX_HEADER_BYTES = 64 * 1024
 
-/** Deadline assumed for a request that names none, in milliseconds; no timeout of a route is longer. */
-const DEFAULT_DEADLINE_MS = 600_000
-
 /** Longest time that a timer of Node.js can wait, in milliseconds; operators may set longer limits. */
 const MAX_TIMER_MS = 2 ** 31 - 1
 
@@ -65,14 +60,14 @@
 /**
  * HTTP/1.1 proxy for the callers on this VM: it routes each request to an instance of a service and relays the answer.
  *
- * Memory: the body and the answer of each open request, at most `maxBodyBytes` and `MAX_ANSWER_BYTES`. A request is
- * refused when its body takes longer to arrive than its caller and its route wait, an upload also when `BodyMemory` has
- * no room for its body.
+ * Memory: the body and the answer of each open request, at most `maxBodyBytes` and `MAX_ANSWER_BYTES`; `BodyMemory`
+ * bounds the sum of the bodies.
  */
 export class Gateway implements Disposable {
   private readonly _server: Server
   private readonly _connections: CallerConnections
   private readonly _responder: CallerResponder
+  private readonly _intake: BodyIntake
   private readonly _droppedHeaders: ReadonlySet<string>
   private readonly _droppedWithKeys: ReadonlySet<string>
   private readonly _answerSizes = new AnswerSizeEstimate()
@@ -101,6 +96,7 @@
     })
     this._connections = new CallerConnections({ ..._options, server: this._server, requestIdHeader: names.requestId })
     this._responder = new CallerResponder(names.requestId)
+    this._intake = new BodyIntake(_options, this._responder)
     this._server.on('request', (message, response) => {
       this._contain(message, response, 503, () => this._onRequest(message, response))
     })
@@ -176,26 +172,16 @@
     const origin = this._identify(message, entry.route)
     if (origin === undefined) return this._refuseUnknownKey(message, response)
     if (this._refuseIfStopping(message, response, origin, entry.route)) return
-    const lease = this._options.bodies.memory.lease()
-    const isUpload = entry.route.kind === 'upload'
-    const timer = hasBody(message) ? this._limitReading(message, response, entry.route, lease) : undefined
-    readBody(message, this._callerLimits.maxBodyBytes, result => {
-      clearTimeout(timer)
-      // A request that was refused as late must not run.
-      const isRefused = response.headersSent
-      if (result.type !== 'whole' || isRefused) lease.release()
-      if (result.type === 'tooLarge') this._refuseUnrouted(message, response, 413, 'body-too-large')
-      if (result.type === 'noRoom') this._refuseForMemory(message, response, entry.route)
-      if (result.type !== 'whole' || isRefused) return
+    const request = { message, response, route: entry.route, maxBytes: this._callerLimits.maxBodyBytes }
+    this._intake.read(request, (bytes, lease) => {
       if (this._refuseIfStopping(message, response, origin, entry.route)) return lease.release()
-      if (!isUpload) lease.grow(result.bytes.length)
-      let request: GatewayRequest | undefined
+      let built: GatewayRequest | undefined
       this._contain(message, response, 503, () => {
-        request = this._buildRequest(message, target, entry, table, origin, result.bytes, arrivedAtMs)
+        built = this._buildRequest(message, target, entry, table, origin, bytes, arrivedAtMs)
       })
-      if (request === undefined) lease.release()
-      else this._start(message, response, request, lease)
-    }, isUpload ? lease : undefined)
+      if (built === undefined) lease.release()
+      else this._start(message, response, built, lease)
+    }, () => this._refuseUnrouted(message, response, 413, 'body-too-large'))
   }
 
   /**
@@ -236,38 +222,6 @@
     return nowMs + Math.min(readDeadlineMs(message, this._options.names.deadlineMs) ?? Infinity, timeoutMs) > limitAtMs
   }
 
-  /** Refuses a request whose body has not arrived at its timeout, and frees the memory of the body. */
-  private _limitReading (
-    message: IncomingMessage, response: ServerResponse, route: Route, lease: BodyLease
-  ): NodeJS.Timeout {
-    const { names, log } = this._options
-    const limitMs = Math.min(readDeadlineMs(message, names.deadlineMs) ?? DEFAULT_DEADLINE_MS, route.timeoutMs)
-    return setTimeout(() => {
-      if (message.complete || response.headersSent || response.destroyed) return
-      log.info({ requestId: readHeader(message, names.requestId), route: route.name, limitMs }, 'upload did not arrive in time')
-      // Node.js may not tell the end of a message whose response has ended.
-      response.once('close', () => lease.release())
-      this._responder.refuse(message, response, 503, 'body-late', 0)
-    }, limitMs)
-  }
-
-  /** Room for a body is expected when as many bytes have been moved over the link. */
-  private _refuseForMemory (message: IncomingMessage, response: ServerResponse, route: Route): void {
-    const { names, log, random, bodies } = this._options
-    const { memory: { heldBytes, limitBytes }, linkMbps, metrics } = bodies
-    const bodyBytes = Number(message.headers['content-length'] ?? 0)
-    const transferMs = computeTransferMs(bodyBytes, linkMbps)
-    const deadlineMs = readDeadlineMs(message, names.deadlineMs) ?? DEFAULT_DEADLINE_MS
-    const jitterFactor = 1 + RETRY_AFTER_JITTER * random.next()
-    const retryAfterMs = Math.min(
-      jitterFactor * (transferMs > 0 ? transferMs : BODY_RETRY_AFTER_MS), deadlineMs * RETRY_AFTER_MAX_SHARE
-    )
-    const requestId = readHeader(message, names.requestId)
-    metrics.countBodyRefused('caller')
-    log.info({ requestId, route: route.name, bodyBytes, heldBytes, limitBytes, retryAfterMs }, 'upload refused for memory')
-    this._responder.refuse(message, response, 503, 'body-memory', retryAfterMs)
-  }
-
   /** Returns where a request comes from, or undefined when it needs an API key and has none in force. */
   private _identify (message: IncomingMessage, { isPublic }: Route): RequestOrigin | undefined {
     const parent = this._findParent(readHeader(message, this._options.names.requestId) ?? '')
@@ -455,18 +409,6 @@
   answer: 'answered', refused: 'refused', limited: 'refused', failed: 'failed', gone: 'gone'
 } as const
 
-/** Longest deadline that counts, in milliseconds; routes have shorter timeouts. */
-const MAX_DEADLINE_MS = 600_000
-
-function hasBody ({ headers }: IncomingMessage): boolean {
-  return headers['transfer-encoding'] !== undefined || Number(headers['content-length'] ?? 0) > 0
-}
-
-function readDeadlineMs (message: IncomingMessage, name: string): number | undefined {
-  const deadlineMs = Number(message.headers[name])
-  return Number.isFinite(deadlineMs) && deadlineMs > 0 ? Math.min(deadlineMs, MAX_DEADLINE_MS) : undefined
-}
-
 /** Node.js writes each character of a header as one byte and throws on others, so it is given the bytes of UTF-8. */
 function encodeHeaderValue (text: string): string {
   return Buffer.from(text).toString('latin1')
