Bound the memory of answers that are read, and cut receivers that take nothing of theirs

A crowd that reads nothing of long answers made a node hold all of them: 610 MB with 250 MB in the settings (40 answers of 10 MB), 500 MB between two nodes, 1,019 MB for a node that sends calls and reads nothing, 310 MB for answers without end. Each answer had a bound, their sum none.

AnswerMemory counts answers from the moment at which they are read until their receivers have them, in an eighth of MemoryMb, 16 MB at least. While it is full, answers above 256 KB wait: the connection of the instance is paused. A receiver without progress for 4 s then loses its connection, the longest first, beyond twice the limit at once. Answers to callers are written in pieces of 64 KB, which shows the progress.

A crowd holds at most twice the limit, and small answers never wait, so that ordinary requests go on.

--- a/src/routenode/BodyTransfer.ts
+++ b/src/routenode/BodyTransfer.ts
@@ -1,3 +1,4 @@
+import { AnswerMemory } from '../parts/transfer/AnswerMemory.js'
 import { BodyMemory } from '../parts/transfer/BodyMemory.js'
 import { ChunkWindow } from '../parts/transfer/ChunkWindow.js'
 import type { ChunkEvent } from '../parts/transfer/Types.js'
@@ -21,6 +22,8 @@
 /** What the parts of a node that handle bodies share. */
 export interface BodyResources {
   readonly memory: BodyMemory
+  /** Answers from the moment at which they are read until their receivers have them. */
+  readonly answers: AnswerMemory
   /** Rate of this VM's link in Mbit/s, taken as that of the other side of a transfer too; undefined when not known. */
   readonly linkMbps: number | undefined
   readonly metrics: TransferMetrics
@@ -29,7 +32,7 @@
 /** Returns resources with the default bound, an unknown link rate and no metrics. */
 export function makeDefaultBodyResources (): BodyResources {
   const metrics = { countBodyBytes: () => {}, changeOpenTransfers: () => {}, countBodyRefused: () => {} }
-  return { memory: new BodyMemory(undefined), linkMbps: undefined, metrics }
+  return { memory: new BodyMemory(undefined), answers: new AnswerMemory(undefined), linkMbps: undefined, metrics }
 }
 
 /** A body that is being sent. */
--- a/src/routenode/CallServer.ts
+++ b/src/routenode/CallServer.ts
@@ -1,3 +1,4 @@
+import type { AnswerLease } from '../parts/transfer/AnswerMemory.js'
 import { CHUNK_BYTES } from '../parts/transfer/Constants.js'
 import type { CallId } from '../parts/Types.js'
 import type { FrameChannel } from '../runtime/FrameChannel.js'
@@ -19,12 +20,20 @@
 /** Connection of another node with its calls. */
 interface CallSession {
   readonly channel: Channel
+  /** Memory of the answers that are sent and were not passed to the operating system yet. */
+  readonly answers: Set<AnswerLease>
   readonly handles: Map<CallId, RoutedCallHandle>
   readonly transfer: BodyTransfer
   /** Name of that node; undefined before its first frame. */
   node: string | undefined
 }
 
+/** Copies of an answer that are held while its frame is sent: the answer and its frame. */
+const FRAME_COPIES = 2
+
+/** Smallest answer whose memory is counted, in bytes. */
+const MIN_COUNTED_ANSWER_BYTES = 16 * 1024
+
 const NO_BYTES = new Uint8Array(0)
 
 /**
@@ -82,7 +91,7 @@
 
   private _onChannel (channel: Channel): void {
     const transfer = new BodyTransfer(frame => { channel.send(frame) }, this._clock, this._bodies.metrics)
-    const session: CallSession = { channel, handles: new Map(), transfer, node: undefined }
+    const session: CallSession = { channel, handles: new Map(), transfer, node: undefined, answers: new Set() }
     const handlers = this._makeHandlers(session)
     this._sessions.add(session)
     channel.onClose(reason => {
@@ -91,6 +100,7 @@
       if (calls + answers > 0) this._log?.info({ node, reason, calls, answers }, 'link from a node lost')
       this._sessions.delete(session)
       transfer.dispose()
+      for (const answer of session.answers) answer.release()
       for (const handle of session.handles.values()) handle.cancel()
       session.handles.clear()
     })
@@ -133,7 +143,7 @@
       lease.release()
       handles.delete(id)
       transfer.drop(id)
-      channel.send(frame)
+      this._send(session, frame)
     }
     const cancel = (): void => {
       lease.release()
@@ -154,6 +164,24 @@
     if (!ended) handles.set(id, { ...handle, cancel })
   }
 
+  /** An answer is held until it was passed to the operating system; a node that reads nothing loses its connection. */
+  private _send (session: CallSession, frame: CallServerFrame): void {
+    const { channel, answers } = session
+    const bytes = frame.type === 'answer' ? frame.answer.body.length : 0
+    if (bytes < MIN_COUNTED_ANSWER_BYTES || channel.isClosed) {
+      channel.send(frame)
+      return
+    }
+    const lease = this._bodies.answers.open({ onCut: () => channel.destroy('answers are not read') })
+    answers.add(lease)
+    channel.send(frame, () => {
+      answers.delete(lease)
+      lease.release()
+      for (const other of answers) other.recordProgress(this._clock.nowMs())
+    })
+    lease.grow(FRAME_COPIES * bytes, this._clock.nowMs())
+  }
+
   /** A frame without the id of a call can't be answered. */
   private _refuseInvalid ({ channel }: CallSession, call: unknown): void {
     const id = (call as Partial<RoutedCall> | undefined)?.id
--- a/src/routenode/CallerResponder.ts
+++ b/src/routenode/CallerResponder.ts
@@ -1,18 +1,31 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { AnswerMemory } from '../parts/transfer/AnswerMemory.js'
 import { readHeader } from '../runtime/RequestHeader.js'
-import { REFUSED_BODY_LINGER_MS } from './Constants.js'
+import type { Clock, Log } from '../runtime/Types.js'
+import { ANSWER_PIECE_BYTES, REFUSED_BODY_LINGER_MS } from './Constants.js'
 import type { GatewayReason, GatewayResult, RoutedAnswer } from './Types.js'
 
 const MS_PER_SECOND = 1000
 
-/** Writes the answers and the refusals of a node to its callers. */
+/** What the answers of a node to its callers share. */
+export interface AnswerResources {
+  readonly answers: AnswerMemory
+  readonly clock: Clock
+  readonly log: Log
+}
+
+/**
+ * Writes the answers and the refusals of a node to its callers. A caller that takes nothing of a large answer, while
+ * others need the memory, loses its connection.
+ */
 export class CallerResponder {
   private _isClosing = false
 
   /**
    * @param _requestIdHeader Name of the header with the id of a request, which refusals repeat.
+   * @param _resources Memory of the answers.
    */
-  public constructor (private readonly _requestIdHeader: string) {}
+  public constructor (private readonly _requestIdHeader: string, private readonly _resources: AnswerResources) {}
 
   /** From now on each answer closes its connection. */
   public closeConnections (): void {
@@ -38,10 +51,41 @@
       return this.refuse(message, response, 502, 'answer-invalid')
     }
     const headers = answer.headers.slice()
-    if (!isBodiless(message, answer.status)) headers.push('content-length', String(answer.body.length))
+    const hasBody = !isBodiless(message, answer.status)
+    if (hasBody) headers.push('content-length', String(answer.body.length))
     if (this._isClosing) headers.push('connection', 'close')
     response.writeHead(answer.status, headers)
-    response.end(answer.body)
+    if (hasBody && answer.body.length > ANSWER_PIECE_BYTES) this._sendInPieces(message, response, answer.body)
+    else response.end(answer.body)
+  }
+
+  /** Each piece that the operating system has taken is progress of the caller. */
+  private _sendInPieces (message: IncomingMessage, response: ServerResponse, body: Uint8Array): void {
+    const { answers, clock, log } = this._resources
+    const lease = answers.open({
+      onCut: () => {
+        const requestId = readHeader(message, this._requestIdHeader)
+        log.info({ requestId, bytes: body.length }, 'answer not read, connection closed')
+        response.destroy()
+      }
+    })
+    let start = 0
+    const write = (): void => {
+      lease.recordProgress(clock.nowMs())
+      while (!response.destroyed) {
+        const piece = body.subarray(start, start + ANSWER_PIECE_BYTES)
+        start += piece.length
+        if (start >= body.length) {
+          response.end(piece)
+          return
+        }
+        if (!response.write(piece)) return
+      }
+    }
+    response.on('drain', () => { if (start < body.length) write() })
+    response.once('close', () => lease.release())
+    write()
+    lease.grow(body.length, clock.nowMs())
   }
 
   /**
--- a/src/routenode/Constants.ts
+++ b/src/routenode/Constants.ts
@@ -84,6 +84,12 @@
 /** Largest answer that is relayed, in bytes; a node keeps all of it in memory until its caller has received it. */
 export const MAX_ANSWER_BYTES = 15 * 1024 * 1024
 
+/** Bytes of an answer that are passed to a caller's connection at once. */
+export const ANSWER_PIECE_BYTES = 64 * 1024
+
+/** Interval at which stalled receivers are looked for while answers wait for memory, in milliseconds. */
+export const ANSWER_CHECK_INTERVAL_MS = 250
+
 /**
  * Largest body that is sent in the frame of its call, in bytes. Larger ones follow in chunks, as a frame above
  * `MAX_FRAME_BYTES` closes the connection with all calls on it, and pings wait behind a large one.
--- a/src/routenode/Gateway.ts
+++ b/src/routenode/Gateway.ts
@@ -95,7 +95,8 @@
       noDelay: true
     })
     this._connections = new CallerConnections({ ..._options, server: this._server, requestIdHeader: names.requestId })
-    this._responder = new CallerResponder(names.requestId)
+    const { bodies: { answers }, clock, log } = _options
+    this._responder = new CallerResponder(names.requestId, { answers, clock, log })
     this._intake = new BodyIntake(_options, this._responder)
     this._server.on('request', (message, response) => {
       this._contain(message, response, 503, () => this._onRequest(message, response))
--- a/src/routenode/InstanceClient.ts
+++ b/src/routenode/InstanceClient.ts
@@ -6,7 +6,9 @@
 import { isInstanceId } from '../parts/instances/EntryChecks.js'
 import type { InstanceIdentity } from '../parts/instances/InstanceRegistry.js'
 import { isAtMostOnce } from '../parts/routing/RouteKinds.js'
+import { AnswerMemory, type AnswerLease } from '../parts/transfer/AnswerMemory.js'
 import { parseAddress } from '../runtime/Address.js'
+import { ByteCollector } from '../runtime/ByteCollector.js'
 import type { Clock, Disposable } from '../runtime/Types.js'
 import type { ColdNotice } from './ColdHeader.js'
 import {
@@ -62,8 +64,14 @@
   /**
    * @param address Where the instance listens, `host:port`.
    * @param _names Header names.
+   * @param _answers Accounts for the answers that are read.
    */
-  public constructor (address: string, private readonly _names: HeaderNames, private readonly _clock: Clock) {
+  public constructor (
+    address: string,
+    private readonly _names: HeaderNames,
+    private readonly _clock: Clock,
+    private readonly _answers = new AnswerMemory(undefined)
+  ) {
     const { host, port } = parseAddress(address)
     this._host = host
     this._port = port
@@ -86,7 +94,9 @@
       headers: this._buildHeaders(call, instance, deadlineAtMs) as unknown as Record<string, string>
     })
     const wasReset = ({ socket }: ClientRequest): boolean => this._agent.wasReset(socket)
-    return new InstanceExchange(call, deadlineAtMs, listener, this._names, this._clock, openRequest, wasReset)
+    return new InstanceExchange(
+      call, deadlineAtMs, listener, this._names, this._clock, this._answers, openRequest, wasReset
+    )
   }
 
   /**
@@ -224,6 +234,8 @@
   /** True once the request was sent a second time: whatever its outcome, the first one may have run. */
   private _wasResent = false
   private _isEnded = false
+  /** Memory of the answer that is being read. */
+  private _lease: AnswerLease | undefined
 
   public constructor (
     private readonly _call: RoutedCall,
@@ -231,6 +243,7 @@
     private readonly _listener: InstanceListener,
     private readonly _names: HeaderNames,
     private readonly _clock: Clock,
+    private readonly _answers: AnswerMemory,
     private readonly _openRequest: () => ClientRequest,
     private readonly _wasReset: (request: ClientRequest) => boolean
   ) {
@@ -238,8 +251,8 @@
   }
 
   public cancel (): void {
-    this._isEnded = true
-    clearTimeout(this._timer)
+    this._end()
+    this._lease?.release()
     this._request.destroy()
   }
 
@@ -290,23 +303,41 @@
   }
 
   private _onResponse (request: ClientRequest, response: IncomingMessage): void {
-    const chunks: Buffer[] = []
+    const announcedBytes = Number(response.headers['content-length'] ?? 0)
+    const isAnnounced = announcedBytes > 0 && announcedBytes <= MAX_ANSWER_BYTES
+    const body = new ByteCollector(isAnnounced ? announcedBytes : undefined)
     let receivedBytes = 0
     this._isResendRuledOut = true
     const load = parseLoadHeader(response.headers[this._names.load] as string | undefined)
     if (load !== undefined) this._listener.onLoad(load)
     // A faulty instance may write more after such an answer, which would reach the next request on the connection.
     if (this._isRejection(response) || !isWritableHead(response)) request.shouldKeepAlive = false
+    // The chunk for which there is no room; the connection is not read meanwhile.
+    let waiting: Buffer | undefined
+    const take = (chunk: Buffer): void => {
+      const hasRoom = lease.tryGrow(chunk.length)
+      waiting = hasRoom ? undefined : chunk
+      if (hasRoom) body.add(chunk)
+      else response.pause()
+    }
+    const lease = this._answers.open({
+      onRoom: () => {
+        if (waiting !== undefined) take(waiting)
+        if (waiting === undefined) response.resume()
+      }
+    })
+    this._lease = lease
     response.on('data', (chunk: Buffer) => {
       receivedBytes += chunk.length
       if (receivedBytes > MAX_ANSWER_BYTES) this._fail('unknown', 'answer-invalid', 'answer is larger than the limit')
-      else chunks.push(chunk)
+      else take(chunk)
     })
     response.on('error', error => this._fail('unknown', 'instance-lost', error.message))
     response.once('close', () => {
       const isComplete = response.complete && (isFramed(response) || !this._wasReset(request))
-      if (isComplete) this._validateAnswer(request, response, Buffer.concat(chunks, receivedBytes))
+      if (isComplete) this._validateAnswer(request, response, body.join())
       else this._fail('unknown', 'instance-lost', 'connection closed before the answer was complete')
+      lease.release()
     })
   }
 
@@ -350,6 +381,7 @@
   private _fail (proof: FailureProof, reason: FailureReason, detail: string): void {
     if (this._isEnded) return
     this._end()
+    this._lease?.release()
     this._request.destroy()
     this._listener.onFailure(this._wasResent ? 'unknown' : proof, reason, detail)
   }
--- a/src/routenode/InstanceProxy.ts
+++ b/src/routenode/InstanceProxy.ts
@@ -109,8 +109,8 @@
       askIdentity: onResult => this._checks.askIdentity(onResult),
       onApplied: (report, previous) => this._onReport(report, previous)
     })
-    this._client = new InstanceClient(_options.address, _options.names, _options.clock)
     this._bodies = _options.bodies ?? makeDefaultBodyResources()
+    this._client = new InstanceClient(_options.address, _options.names, _options.clock, this._bodies.answers)
     this._crashAttribution = new CrashAttribution({
       ..._options, checkListener: onResult => this._client.checkListener(onResult)
     })
--- a/src/routenode/RouteNodeDaemon.ts
+++ b/src/routenode/RouteNodeDaemon.ts
@@ -6,6 +6,7 @@
 import { HedgePolicy } from '../parts/retry/HedgePolicy.js'
 import { RouteTable } from '../parts/routing/RouteTable.js'
 import type { VersionedRouting, Workspace } from '../parts/routing/Types.js'
+import { AnswerMemory } from '../parts/transfer/AnswerMemory.js'
 import { BodyMemory } from '../parts/transfer/BodyMemory.js'
 import type { Random, ServiceName } from '../parts/Types.js'
 import { KeyTable } from '../parts/workspaces/KeyTable.js'
@@ -13,7 +14,7 @@
 import type { Clock, Disposable, Log } from '../runtime/Types.js'
 import type { BodyResources } from './BodyTransfer.js'
 import { CallServer } from './CallServer.js'
-import { SHUTDOWN_DELAY_MS, SLOW_LINK_MBPS, STOP_NOTICE_MS } from './Constants.js'
+import { ANSWER_CHECK_INTERVAL_MS, SHUTDOWN_DELAY_MS, SLOW_LINK_MBPS, STOP_NOTICE_MS } from './Constants.js'
 import { ControlFeed, type FeedWelcome } from './ControlFeed.js'
 import { Gateway } from './Gateway.js'
 import { GroupDirectory } from './GroupDirectory.js'
@@ -81,6 +82,7 @@
   /** Metrics of this node. */
   public readonly metrics = new RouteNodeMetrics(() => this._readGauges())
   private readonly _bodies: BodyResources
+  private _answerTimer: NodeJS.Timeout | undefined
   private readonly _directory = new NodeDirectory()
   private readonly _quarantine: Quarantine
   private readonly _evacuation: ZoneEvacuation
@@ -110,7 +112,8 @@
     const { settings, clock, random, log, fingerprint } = _options
     this._epoch = Math.floor(clock.wallMs())
     const { memoryMb, linkMbps } = settings
-    this._bodies = { memory: new BodyMemory(memoryMb), linkMbps, metrics: this.metrics }
+    const memories = { memory: new BodyMemory(memoryMb), answers: new AnswerMemory(memoryMb) }
+    this._bodies = { ...memories, linkMbps, metrics: this.metrics }
     this._quarantine = new Quarantine({ node: settings.nodeAddress, incarnation: this._epoch, fingerprint, clock, log })
     this._evacuation = new ZoneEvacuation({ zone: settings.zone, clock, random, log })
     const retryBudgets = new SharedRetryBudgets(settings.retryLimits)
@@ -185,6 +188,8 @@
 
   /** Opens the listeners and starts to connect to a control replica. */
   public async start (): Promise<void> {
+    const { answers } = this._bodies
+    this._answerTimer = setInterval(() => answers.relieve(this._options.clock.nowMs()), ANSWER_CHECK_INTERVAL_MS)
     const { settings } = this._options
     await this._callServer.listen(settings.nodeAddress)
     await this._gateway.listen(settings.callerAddress)
@@ -258,6 +263,7 @@
 
   /** Closes all listeners and connections at once. */
   public dispose (): void {
+    clearInterval(this._answerTimer)
     this._controlFeed.dispose()
     this._groupDirectory.dispose()
     this._quotas.dispose()
--- a/src/runtime/FrameChannel.ts
+++ b/src/runtime/FrameChannel.ts
@@ -100,22 +100,25 @@
 
   /**
    * Sends one message; on a closed channel, for which `onClose` has fired, it is dropped.
+   * @param onFlushed Called when the message was passed to the operating system; never called if the channel closes
+   * before.
    * @returns False when the channel is closed or congested; wait for `onDrain` before sending bulk data.
    */
-  public send (message: Out): boolean {
-    return !this._closed && this.sendEncoded(encodeMessage(message))
+  public send (message: Out, onFlushed?: () => void): boolean {
+    return !this._closed && this.sendEncoded(encodeMessage(message), onFlushed)
   }
 
   /**
    * Sends a message that was encoded before; see `send`.
    * @param frame Result of `encodeMessage` for a message that the other end expects.
    */
-  public sendEncoded (frame: EncodedMessage): boolean {
+  public sendEncoded (frame: EncodedMessage, onFlushed?: () => void): boolean {
     // A write after `finish` would destroy the socket, and with it what is still on its way.
     if (this._closed || this._socket.writableEnded) return false
     this._corkUntilNextTick()
     this._sentBytes += frame.length
-    this._socket.write(frame)
+    if (onFlushed === undefined) this._socket.write(frame)
+    else this._socket.write(frame, error => { if (error == null) onFlushed() })
     return this._socket.writableLength < CHANNEL_HIGH_WATER_BYTES
   }
 
