Bound the memory of incomplete frames at the listeners for nodes and replicas

40 connections that announce a frame of 16 MB and stop one byte short of its end took 710 to 714 MB at a node's listener for other nodes, at its directory and at a replica, with 250 MB in the settings: each connection kept its pieces, and their sum had no bound.

FrameMemory counts the incomplete frames of a listener, up to an eighth of MemoryMb, 16 MB at least, so that one of the largest size always fits. Beyond that a connection closes on which no whole frame has arrived, or else the one without progress for longest; nodes and replicas connect again. The decoder copies small pieces into blocks, and takes no memory for what is only announced.

--- a/src/routenode/CallServer.ts
+++ b/src/routenode/CallServer.ts
@@ -51,14 +51,16 @@
   /**
    * @param _target Proxy of the instance.
    * @param _log Log of connections that close with calls on them.
+   * @param memoryMb Memory of the node in megabytes; a default when absent.
    */
   public constructor (
     private readonly _target: RoutedCallTarget,
     private readonly _clock: Clock,
     private readonly _bodies: BodyResources = makeDefaultBodyResources(),
-    private readonly _log?: Log
+    private readonly _log?: Log,
+    memoryMb?: number
   ) {
-    this._server = new FrameServer(_clock)
+    this._server = new FrameServer(_clock, memoryMb)
     this._server.onChannel(channel => this._onChannel(channel))
   }
 
--- a/src/routenode/GroupDirectory.ts
+++ b/src/routenode/GroupDirectory.ts
@@ -41,9 +41,10 @@
 
   /**
    * @param _replicas What this node knows of the replicas.
+   * @param memoryMb Memory of the node in megabytes; a default when absent.
    */
-  public constructor (private readonly _replicas: ReplicaKnowledge, clock: Clock) {
-    this._server = new FrameServer(clock)
+  public constructor (private readonly _replicas: ReplicaKnowledge, clock: Clock, memoryMb?: number) {
+    this._server = new FrameServer(clock, memoryMb)
     this._server.onChannel(channel => channel.onMessage(frame => {
       const handler = this._handlers[frame.type] as ((channel: Channel, frame: ToControl) => void) | undefined
       handler?.(channel, frame)
--- a/src/routenode/RouteNodeDaemon.ts
+++ b/src/routenode/RouteNodeDaemon.ts
@@ -173,14 +173,14 @@
       nodeCount: () => this._directory.size,
       bodies: this._bodies
     })
-    this._callServer = new CallServer(this._instanceProxy, clock, this._bodies, log)
+    this._callServer = new CallServer(this._instanceProxy, clock, this._bodies, log, memoryMb)
     const hasSlowLink = (linkMbps ?? Infinity) < SLOW_LINK_MBPS
     this._controlFeed = new ControlFeed(settings.seeds, {
       hasSlowLink,
       nextEntry: () => this._makeHelloEntry(),
       crashReports: () => this._quarantine.reports()
     }, clock, random, log)
-    this._groupDirectory = new GroupDirectory(this._controlFeed, clock)
+    this._groupDirectory = new GroupDirectory(this._controlFeed, clock, memoryMb)
     const listReplicas = (): string[] => this._controlFeed.replicaAddresses
     this.operators = new OperatorRelay({ listReplicas, hasSlowLink, linkMbps, clock, log })
     this._subscribe()
--- a/src/runtime/FrameChannel.ts
+++ b/src/runtime/FrameChannel.ts
@@ -5,6 +5,7 @@
 import { Emitter } from './Emitter.js'
 import { FRAME_KEYS } from './FrameKeys.js'
 import { FrameDecoder } from './FrameDecoder.js'
+import type { FrameHolder, FrameMemory } from './FrameMemory.js'
 import type { Clock, Disposable } from './Types.js'
 
 // Plain maps instead of cbor-x records, so that each frame can be decoded on its own.
@@ -41,6 +42,7 @@
  */
 export class FrameChannel<In extends object, Out extends object> implements Disposable {
   private readonly _decoder = new FrameDecoder(MAX_FRAME_BYTES)
+  private readonly _holder: FrameHolder & { isKnown: boolean }
   private readonly _messageEmitter = new Emitter<In>()
   private readonly _closeEmitter = new Emitter<string>()
   private readonly _drainEmitter = new Emitter<void>()
@@ -54,8 +56,12 @@
   /**
    * @param _socket Connected socket; the channel owns it from now on.
    * @param _clock Time source of `lastReceivedMs`.
+   * @param _memory Accounts for incomplete frames; absent where the other end is chosen by this one.
    */
-  public constructor (private readonly _socket: Socket, private readonly _clock: Clock) {
+  public constructor (
+    private readonly _socket: Socket, private readonly _clock: Clock, private readonly _memory?: FrameMemory
+  ) {
+    this._holder = { isKnown: false, cut: () => this.destroy('no memory for its incomplete frame') }
     this._lastReceivedMs = _clock.nowMs()
     _socket.setNoDelay(true)
     _socket.on('data', chunk => this._onData(chunk as Buffer))
@@ -173,7 +179,11 @@
     this._receivedBytes += chunk.length
     this._lastReceivedMs = this._clock.nowMs()
     try {
-      this._decoder.push(chunk, frame => this._messageEmitter.fire(codec.decode(frame) as In))
+      this._decoder.push(chunk, frame => {
+        this._holder.isKnown = true
+        this._messageEmitter.fire(codec.decode(frame) as In)
+      })
+      this._memory?.record(this._holder, this._closed ? 0 : this._decoder.incompleteBytes)
     } catch (error) {
       this.destroy(`invalid frame: ${(error as Error).message}`)
     }
@@ -182,6 +192,7 @@
   private _onClose (): void {
     if (this._closed) return
     this._closed = true
+    this._memory?.release(this._holder)
     this._closeEmitter.fire(this._closeReason)
   }
 }
--- a/src/runtime/FrameDecoder.ts
+++ b/src/runtime/FrameDecoder.ts
@@ -1,6 +1,10 @@
 import { Buffer } from 'node:buffer'
+import { ByteCollector } from './ByteCollector.js'
 import { FRAME_HEADER_BYTES } from './Constants.js'
 
+/** Largest frame whose memory is taken when its length is known, in bytes; that of others as they arrive. */
+const MAX_PREPARED_BYTES = 64 * 1024
+
 /** Thrown when the length field of a frame exceeds the limit. */
 export class FrameTooLong extends Error {
   public constructor (public readonly bytes: number, public readonly limit: number) {
@@ -14,8 +18,8 @@
  * Memory: at most one incomplete frame between calls.
  */
 export class FrameDecoder {
-  private _chunks: Buffer[] = []
-  private _bufferedBytes = 0
+  /** Received part of the length field, or of the frame once its length is known. */
+  private _part: ByteCollector | undefined
   /** Length of the frame being received; -1 until its length field is complete. */
   private _frameLength = -1
 
@@ -26,7 +30,12 @@
 
   /** Bytes of the frame being received that have not arrived yet; 0 between frames and before its length is known. */
   public get missingBytes (): number {
-    return Math.max(0, this._frameLength - this._bufferedBytes)
+    return this._frameLength < 0 ? 0 : this._frameLength - this.incompleteBytes
+  }
+
+  /** Bytes held of a frame that is not complete. */
+  public get incompleteBytes (): number {
+    return this._part?.length ?? 0
   }
 
   /**
@@ -34,35 +43,41 @@
    * @throws FrameTooLong when a length field exceeds the limit.
    */
   public push (chunk: Buffer, onFrame: (frame: Buffer) => void): void {
-    this._chunks.push(chunk)
-    this._bufferedBytes += chunk.length
-    while (this._readLength() && this._bufferedBytes >= this._frameLength) {
-      const frame = this._take(this._frameLength)
-      this._frameLength = -1
-      onFrame(frame)
+    let rest = chunk
+    for (;;) {
+      const wanted = this._frameLength < 0 ? FRAME_HEADER_BYTES : this._frameLength
+      const missing = wanted - this.incompleteBytes
+      const piece = rest.subarray(0, missing)
+      rest = rest.subarray(piece.length)
+      if (piece.length < missing) {
+        if (piece.length > 0) this._keep(piece, wanted)
+        return
+      }
+      this._complete(this._join(piece, wanted), onFrame)
     }
   }
 
-  private _readLength (): boolean {
-    if (this._frameLength >= 0) return true
-    if (this._bufferedBytes < FRAME_HEADER_BYTES) return false
-    this._frameLength = this._take(FRAME_HEADER_BYTES).readUInt32BE(0)
-    if (this._frameLength > this._maxFrameBytes) throw new FrameTooLong(this._frameLength, this._maxFrameBytes)
-    return true
+  private _keep (piece: Buffer, wanted: number): void {
+    this._part ??= new ByteCollector(wanted <= MAX_PREPARED_BYTES ? wanted : undefined)
+    this._part.add(piece)
   }
 
-  private _take (length: number): Buffer {
-    const first = this._chunks[0]
-    // Most frames arrive within one chunk; a view of it avoids a copy.
-    if (first !== undefined && first.length >= length) {
-      this._bufferedBytes -= length
-      if (first.length === length) this._chunks.shift()
-      else this._chunks[0] = first.subarray(length)
-      return first.subarray(0, length)
+  /** Most frames arrive within one chunk; a view of it avoids a copy. */
+  private _join (piece: Buffer, wanted: number): Buffer {
+    if (this._part === undefined) return piece
+    this._keep(piece, wanted)
+    const whole = this._part.join()
+    this._part = undefined
+    return whole
+  }
+
+  private _complete (bytes: Buffer, onFrame: (frame: Buffer) => void): void {
+    if (this._frameLength >= 0) {
+      this._frameLength = -1
+      return onFrame(bytes)
     }
-    const joined = Buffer.concat(this._chunks, this._bufferedBytes)
-    this._bufferedBytes -= length
-    this._chunks = this._bufferedBytes > 0 ? [joined.subarray(length)] : []
-    return joined.subarray(0, length)
+    const length = bytes.readUInt32BE(0)
+    if (length > this._maxFrameBytes) throw new FrameTooLong(length, this._maxFrameBytes)
+    this._frameLength = length
   }
 }
--- a/src/runtime/FrameServer.ts
+++ b/src/runtime/FrameServer.ts
@@ -1,6 +1,7 @@
 import { createServer } from 'node:net'
 import type { Server } from 'node:net'
 import { FrameChannel } from './FrameChannel.js'
+import { FrameMemory } from './FrameMemory.js'
 import { Emitter } from './Emitter.js'
 import { listenOn } from './Listen.js'
 import type { Clock, Disposable } from './Types.js'
@@ -11,8 +12,12 @@
   private readonly _channelEmitter = new Emitter<FrameChannel<In, Out>>()
   private readonly _server: Server
 
-  public constructor (private readonly _clock: Clock) {
-    this._server = createServer(socket => this._accept(new FrameChannel<In, Out>(socket, this._clock)))
+  /**
+   * @param memoryMb Memory of the process in megabytes, an eighth of which incomplete frames may take.
+   */
+  public constructor (clock: Clock, memoryMb?: number) {
+    const memory = new FrameMemory(memoryMb)
+    this._server = createServer(socket => this._accept(new FrameChannel<In, Out>(socket, clock, memory)))
   }
 
   /** Fires with each accepted channel. */
