Leave the other replicas once a reply is arriving

The others are then asked, and each sends a copy too: the copies share the link of the node, and the first one takes as many times longer.

When bytes of a reply arrive, the connections to the other replicas are closed. If that reply stops, they are asked again. A call whose body one of them was sent may have been decided, and is not refused as not-run.

--- a/src/parts/relay/RelayedCall.test.ts
+++ b/src/parts/relay/RelayedCall.test.ts
@@ -31,7 +31,7 @@
         open.set(action.replica, nowMs)
         asked.push(action.replica)
       } else if (action.type === 'wakeAt') wakeAtMs = Math.min(wakeAtMs, action.atMs)
-      else if (action.type !== 'carry') outcome = { action, atMs: nowMs - startMs, asked }
+      else if (action.type === 'deliver' || action.type === 'giveUp') outcome = { action, atMs: nowMs - startMs, asked }
     }
   }
   handle(call.step({ type: 'start' }, startMs), startMs)
@@ -131,7 +131,7 @@
         sent.set(action.replica, 0)
         asked.push(action.replica)
       } else if (action.type === 'wakeAt') wakeAtMs = Math.min(wakeAtMs, action.atMs)
-      else if (action.type !== 'carry') outcome = { action, atMs: nowMs, asked }
+      else if (action.type === 'deliver' || action.type === 'giveUp') outcome = { action, atMs: nowMs, asked }
     }
   }
   handle(call.step({ type: 'start' }, 0), 0)
@@ -162,6 +162,19 @@
   expect([action.type, asked, atMs]).toEqual(['deliver', ['a', 'b'], 400 + REPLY_PATIENCE_MS + 950 - 1])
 })
 
+// Replicas that are slow to reply were all asked, and then their replies shared the link.
+test('once a reply is arriving, the other replicas are dropped, and asked again when it stops', () => {
+  const call = new RelayedCall(() => ['a', 'b'], new ReplicaRanking())
+  call.step({ type: 'start' }, 0)
+  expect(call.step({ type: 'wake' }, REPLY_PATIENCE_MS)).toMatchObject([{ type: 'ask', replica: 'b' }, { type: 'wakeAt' }])
+  const atMs = REPLY_PATIENCE_MS + 100
+  const progress = { type: 'progress', replica: 'a', moveMs: 950 } as const
+  expect(call.step(progress, atMs)).toMatchObject([{ type: 'drop', replica: 'b' }, { type: 'wakeAt' }])
+  expect(call.step({ type: 'progress', replica: 'b', moveMs: 950 }, atMs + 1)).toEqual([])
+  const stoppedAtMs = atMs + REPLY_PATIENCE_MS
+  expect(call.step({ type: 'wake' }, stoppedAtMs)).toMatchObject([{ type: 'ask', replica: 'b' }, { type: 'wakeAt' }])
+})
+
 test('replies that come to a stop end a call after the limit, and those that trickle after their share of the link', () => {
   const stopped = runOverLink(950, (_replica, index) => index < 400)
   expect(stopped.action).toEqual({ type: 'giveUp', state: 'unknown' })
--- a/src/parts/relay/RelayedCall.ts
+++ b/src/parts/relay/RelayedCall.ts
@@ -62,7 +62,7 @@
       this._ranking.recordReply(replica)
       const latestAtMs = this._baseLimitAtMs + moveMs / LINK_SHARE
       this._limitAtMs = Math.max(this._limitAtMs, Math.min(nowMs + RELAY_LIMIT_MS, latestAtMs))
-      return [this._wakeAt(nowMs + REPLY_PATIENCE_MS)]
+      return [...this._dropOthers(replica), this._wakeAt(nowMs + REPLY_PATIENCE_MS)]
     },
     wanted: ({ replica }, nowMs) => {
       if (!this._bodiless.has(replica)) return []
@@ -130,6 +130,16 @@
     return this._askNext(nowMs)
   }
 
+  /** Other replies would share the link with the one that is arriving; if it stops, the replicas are asked again. */
+  private _dropOthers (replica: string): RelayAction[] {
+    const others = [...this._openSinceMs.keys()].filter(other => other !== replica)
+    for (const other of others) {
+      if (!this._bodiless.has(other)) this._mayBeDecided = true
+      this._close(other)
+    }
+    return others.map(other => ({ type: 'drop', replica: other }))
+  }
+
   private _close (replica: string): void {
     this._openSinceMs.delete(replica)
     this._bodiless.delete(replica)
--- a/src/parts/relay/Types.ts
+++ b/src/parts/relay/Types.ts
@@ -35,6 +35,8 @@
   | { readonly type: 'ask', readonly replica: string, readonly isOffer: boolean }
   /** Send the whole call to a replica that wants it, on the connection on which it was asked. */
   | { readonly type: 'carry', readonly replica: string }
+  /** Close the connection to a replica. */
+  | { readonly type: 'drop', readonly replica: string }
   | { readonly type: 'wakeAt', readonly atMs: number }
   /** Pass the last reply on to the caller. */
   | { readonly type: 'deliver' }
--- a/src/routecontrol/OperatorRelay.ts
+++ b/src/routecontrol/OperatorRelay.ts
@@ -88,6 +88,10 @@
   private readonly _handlers: ActionHandlers = {
     ask: ({ replica, isOffer }) => this._ask(replica, isOffer),
     carry: ({ replica }) => this._connections.get(replica)?.carry(this._carried as EncodedMessage),
+    drop: ({ replica }) => {
+      this._connections.get(replica)?.dispose()
+      this._remove(replica)
+    },
     wakeAt: ({ atMs }) => this._timer.wakeAt(atMs),
     deliver: () => this._end(this._lastReply as RelayOutcome),
     giveUp: ({ state }) => this._end({
--- a/src/routecontrol/OperatorSlowLink.test.ts
+++ b/src/routecontrol/OperatorSlowLink.test.ts
@@ -24,14 +24,17 @@
 
 afterEach(() => {
   disposables.splice(0).forEach(item => item.dispose())
+  closed = []
   leader = 0
   areEarlier = false
 })
 
+type Reaction = (
+  call: OperatorCall, index: number, addresses: readonly string[]
+) => OperatorReply | Promise<OperatorReply>
+
 /** Replicas behind one link; each decides a call by a function of its index. */
-async function startReplicas (
-  react: (call: OperatorCall, index: number, addresses: readonly string[]) => OperatorReply, hasSlowLink = true
-): Promise<readonly PacedRelay[]> {
+async function startReplicas (react: Reaction, hasSlowLink = true): Promise<readonly PacedRelay[]> {
   const link = new PacedLink(LINK_MBPS)
   const addresses: string[] = []
   const relays: PacedRelay[] = []
@@ -43,8 +46,9 @@
       get remoteLeaderAddress () { return i === leader ? undefined : addresses[leader] }
     }
     const operators = new OperatorServer(view, SILENT)
-    operators.serve(async call => react(call, i, addresses))
+    operators.serve(async call => await react(call, i, addresses))
     server.onChannel(channel => {
+      channel.onClose(() => closed.push(i))
       const first = channel.onMessage(frame => {
         first.dispose()
         if (areEarlier && frame.type === 'operatorOffer') channel.destroy('the first frame is not a hello')
@@ -66,6 +70,9 @@
 
 let send: OperatorRelay['send']
 
+/** Indices of the replicas whose connections have closed. */
+let closed: number[] = []
+
 /** Index of the replica that leads. */
 let leader = 0
 
@@ -126,3 +133,20 @@
   await startReplicas(decide)
   expect(await send(makeChange())).toMatchObject({ type: 'final', status: 200 })
 })
+
+// Each replica that was asked while the first one prepared its reply sent a copy too.
+test('the other replicas that were asked for a read are left once a reply is arriving', async () => {
+  const body = randomBytes(CONFIGURATION_BYTES / 2).toString('hex')
+  let noteSecond = (): void => {}
+  const second = new Promise<void>(resolve => { noteSecond = resolve })
+  await startReplicas(async (_call, index) => {
+    if (index === 0) await second
+    else {
+      noteSecond()
+      await new Promise(() => {})
+    }
+    return { type: 'final', status: 200, body }
+  }, false)
+  expect(await send(READ)).toMatchObject({ type: 'final', status: 200 })
+  expect(closed).toContain(1)
+})
