Bound the connections of callers by MaxFds, and close late heads in time

The cause: nothing bound them, and MaxFds of the settings was not read. Node.js looks for late heads only every 30 s.

Now callers' connections take at most half of MaxFds (of 4096 when it is not set). For a new one beyond that, one gives way whose request can not have run: unfinished heads first, then idle connections, then unfinished bodies, the oldest first. Late heads are looked for every 0.5 s.

--- a/src/node/ingress/CallerConnections.ts
+++ b/src/node/ingress/CallerConnections.ts
@@ -1,6 +1,7 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import { Server as TcpServer } from 'node:net'
 import type { Socket } from 'node:net'
+import { type ConnectionState, ConnectionQueue } from '../../parts/transfer/ConnectionQueue.js'
 import { readHeader } from '../../runtime/RequestHeader.js'
 import type { Clock, Log } from '../../runtime/Types.js'
 
@@ -16,6 +17,8 @@
 interface ConnectionUse {
   /** Requests that are not answered completely yet. */
   readonly open: Map<ServerResponse, OpenAnswer>
+  /** Of these, those whose body has not arrived completely. */
+  readonly unfinished: Set<ServerResponse>
   /** Bytes received when the last of them was answered; more bytes belong to the next request. */
   bytesReadWhenIdle: number
 }
@@ -31,6 +34,10 @@
   readonly requestIdHeader: string
   readonly clock: Clock
   readonly log: Log
+  /** Most connections that may be open; without a limit when absent. */
+  readonly limit?: number
+  /** Called when a connection was closed for a new one, with its state. */
+  readonly onGivenWay?: (state: ConnectionState) => void
 }
 
 /**
@@ -38,10 +45,14 @@
  * as soon as its response was ended, although a slow receiver has not got all of it yet. This class closes it after
  * the last byte was passed to the operating system. From `recordStop` on it logs each answer that is cut.
  *
+ * When there are too many connections, one whose requests have not run is closed for each new one; when there is none,
+ * the new one is closed.
+ *
  * Memory: one entry for each open connection, and one for each request on it.
  */
 export class CallerConnections {
   private readonly _uses = new Map<Socket, ConnectionUse>()
+  private readonly _queue = new ConnectionQueue<Socket>()
   private _isClosing = false
   private _stopAtMs: number | undefined
 
@@ -87,27 +98,58 @@
   }
 
   private _track (socket: Socket): void {
-    const use: ConnectionUse = { open: new Map(), bytesReadWhenIdle: 0 }
+    const { limit = Infinity, onGivenWay } = this._options
+    if (this._queue.size >= limit && !this._closeFirst()) {
+      socket.destroy()
+      onGivenWay?.('waiting')
+      return
+    }
+    const use: ConnectionUse = { open: new Map(), unfinished: new Set(), bytesReadWhenIdle: 0 }
     this._uses.set(socket, use)
+    this._queue.set(socket, 'waiting')
     socket.once('close', () => {
       this._uses.delete(socket)
+      this._queue.delete(socket)
       const unreadBytes = socket.bytesRead - use.bytesReadWhenIdle
       if (unreadBytes > 0 && use.open.size === 0) this._recordUnread(unreadBytes)
     })
   }
 
+  /** Closes the connection that gives way first; returns false when there is none. */
+  private _closeFirst (): boolean {
+    const first = this._queue.findFirst()
+    if (first === undefined) return false
+    const state = stateOf(this._uses.get(first))
+    this._queue.delete(first)
+    first.destroy()
+    this._options.onGivenWay?.(state)
+    return true
+  }
+
   private _onRequest (message: IncomingMessage, response: ServerResponse): void {
     const { socket } = message
     const use = this._uses.get(socket)
     if (use === undefined) return
     const requestId = readHeader(message, this._options.requestIdHeader)
     use.open.set(response, { requestId, sinceMs: this._options.clock.nowMs(), bytesWrittenBefore: socket.bytesWritten })
+    use.unfinished.add(response)
+    this._note(socket, use)
+    message.once('end', () => {
+      use.unfinished.delete(response)
+      this._note(socket, use)
+    })
     response.once('close', () => {
       this._endAnswer(socket, use, response, 'connection-closed')
+      use.unfinished.delete(response)
+      this._note(socket, use)
       if (this._isClosing) closeIfIdle(socket, use)
     })
   }
 
+  private _note (socket: Socket, use: ConnectionUse): void {
+    if (!socket.destroyed) this._queue.set(socket, stateOf(use))
+  }
+
   private _endAnswer (socket: Socket, use: ConnectionUse, response: ServerResponse, reason: CutReason): void {
     const answer = use.open.get(response)
     if (answer === undefined) return
@@ -139,6 +181,11 @@
   for (let turn = 0; turn < 2; turn++) await new Promise(resolve => setImmediate(resolve))
 }
 
+function stateOf (use: ConnectionUse | undefined): ConnectionState {
+  if (use === undefined || use.open.size === 0) return use?.bytesReadWhenIdle === 0 ? 'waiting' : 'idle'
+  return use.unfinished.size === use.open.size ? 'receiving' : 'working'
+}
+
 function closeIfIdle (socket: Socket, { open, bytesReadWhenIdle }: ConnectionUse): void {
   if (open.size === 0 && socket.bytesRead === bytesReadWhenIdle) socket.destroySoon()
 }
--- a/src/routenode/Gateway.ts
+++ b/src/routenode/Gateway.ts
@@ -13,6 +13,7 @@
 import type { ServiceName } from '../parts/Types.js'
 import type { KeyTable } from '../parts/workspaces/KeyTable.js'
 import { WorkspaceUsage } from '../parts/workspaces/WorkspaceUsage.js'
+import { computeConnectionLimit } from '../parts/transfer/ConnectionQueue.js'
 import { computeKeyDigest } from '../runtime/Digest.js'
 import { listenOn } from '../runtime/Listen.js'
 import { readHeader } from '../runtime/RequestHeader.js'
@@ -33,6 +34,9 @@
 /** Largest header of a request that is accepted, in bytes; `maxHeaderBytes` of the configuration isn't enforced. */
 const MAX_HEADER_BYTES = 64 * 1024
 
+/** Interval at which connections whose head has not arrived in time are closed, in milliseconds; 30 s by default. */
+const HEADER_CHECK_INTERVAL_MS = 500
+
 /** Longest time that a timer of Node.js can wait, in milliseconds; operators may set longer limits. */
 const MAX_TIMER_MS = 2 ** 31 - 1
 
@@ -55,6 +59,8 @@
   /** Returns whether this node is connected to a control replica, so that its configuration is current. */
   readonly isInTouch: () => boolean
   readonly bodies: BodyResources
+  /** Most descriptors of this process, half of which the connections of callers may take; a default when absent. */
+  readonly maxFds?: number | undefined
 }
 
 /**
@@ -91,11 +97,23 @@
       maxHeaderSize: MAX_HEADER_BYTES,
       requestTimeout: 0,
       headersTimeout: this._callerLimits.headerTimeoutMs,
+      connectionsCheckingInterval: HEADER_CHECK_INTERVAL_MS,
       keepAliveTimeout: this._callerLimits.idleTimeoutMs,
       noDelay: true
     })
-    this._connections = new CallerConnections({ ..._options, server: this._server, requestIdHeader: names.requestId })
-    const { bodies: { answers }, clock, log } = _options
+    const { bodies: { answers }, clock, log, maxFds, metrics } = _options
+    const limit = computeConnectionLimit(maxFds)
+    this._connections = new CallerConnections({
+      server: this._server,
+      requestIdHeader: names.requestId,
+      clock,
+      log,
+      limit,
+      onGivenWay: state => {
+        metrics.countConnectionGivenWay()
+        log.info({ state, limit }, 'connection closed for a new one')
+      }
+    })
     this._responder = new CallerResponder(names.requestId, { answers, clock, log })
     this._intake = new BodyIntake(_options, this._responder)
     this._server.on('request', (message, response) => {
--- a/src/routenode/RouteNodeDaemon.ts
+++ b/src/routenode/RouteNodeDaemon.ts
@@ -52,6 +52,8 @@
   readonly stopLimitMs: number
   /** Memory of the node in megabytes, a quarter of which bodies may take; a default when absent. */
   readonly memoryMb?: number | undefined
+  /** Most descriptors of the node, half of which connections of callers may take; a default when absent. */
+  readonly maxFds?: number | undefined
   /** Rate of the VM's link in Mbit/s; when absent, the time to move bodies is not counted. */
   readonly linkMbps?: number | undefined
 }
@@ -171,7 +173,8 @@
       isInTouch: () => this._controlFeed.replicaAddress !== undefined,
       nextCallId: () => ++this._lastCallId,
       nodeCount: () => this._directory.size,
-      bodies: this._bodies
+      bodies: this._bodies,
+      maxFds: settings.maxFds
     })
     this._callServer = new CallServer(this._instanceProxy, clock, this._bodies, log, memoryMb)
     const hasSlowLink = (linkMbps ?? Infinity) < SLOW_LINK_MBPS
--- a/src/routenode/RouteNodeMetrics.ts
+++ b/src/routenode/RouteNodeMetrics.ts
@@ -51,6 +51,7 @@
   private readonly _workspaceCounts = new WorkspaceCounts()
   private readonly _bodyBytes: Counter<'direction'>
   private readonly _bodiesRefused: Counter<'origin'>
+  private readonly _connectionsGivenWay: Counter
   private _openTransfers = 0
   private readonly _quota: Counter<'outcome'>
 
@@ -84,6 +85,9 @@
     this._bodiesRefused = new Counter({
       name: 'sassafras_bodies_refused_total', help: 'Bodies refused for memory', labelNames: ['origin'], registers
     })
+    this._connectionsGivenWay = new Counter({
+      name: 'sassafras_connections_given_way_total', help: 'Connections of callers closed for new ones', registers
+    })
     this._quota = new Counter({
       name: 'sassafras_quota_requests_total',
       help: 'Requests of workspaces with a quota by what became of their credits',
@@ -164,6 +168,11 @@
     this._bodiesRefused.inc({ origin })
   }
 
+  /** Counts a connection of a caller that was closed since there were too many. */
+  public countConnectionGivenWay (): void {
+    this._connectionsGivenWay.inc()
+  }
+
   /** Counts a request that needs a credit of its workspace. */
   public countQuota (outcome: QuotaOutcome): void {
     this._quota.inc({ outcome })
