Bound the connections that say nothing at the listeners for nodes and replicas

800 connections that never sent a frame took 828 descriptors of a node, 829 at its directory and 728 of a replica, with 400 in the settings. Nothing closed them.

Nodes and replicas send their first frame at once.

--- a/src/parts/transfer/ConnectionQueue.ts
+++ b/src/parts/transfer/ConnectionQueue.ts
@@ -2,7 +2,7 @@
 const CONNECTION_SHARE = 0.5
 
 /** Descriptors of a process whose settings do not tell their number. */
-const DEFAULT_MAX_FDS = 4096
+const DEFAULT_MAX_DESCRIPTORS = 4096
 
 /**
  * What a connection does: `waiting` has not sent a whole head yet, `idle` has no open request, `receiving` has an open
@@ -14,8 +14,8 @@
 const GIVING_WAY = ['waiting', 'idle', 'receiving'] as const
 
 /** Returns how many connections of callers a process may have open. */
-export function computeConnectionLimit (maxFds: number | undefined): number {
-  return Math.max(1, Math.floor((maxFds ?? DEFAULT_MAX_FDS) * CONNECTION_SHARE))
+export function computeConnectionLimit (maxDescriptors: number | undefined): number {
+  return Math.max(1, Math.floor((maxDescriptors ?? DEFAULT_MAX_DESCRIPTORS) * CONNECTION_SHARE))
 }
 
 /**
--- a/src/routenode/CallServer.ts
+++ b/src/routenode/CallServer.ts
@@ -2,7 +2,7 @@
 import { CHUNK_BYTES } from '../parts/transfer/Constants.js'
 import type { CallId } from '../parts/Types.js'
 import type { FrameChannel } from '../runtime/FrameChannel.js'
-import { FrameServer } from '../runtime/FrameServer.js'
+import { type FrameLimits, FrameServer } from '../runtime/FrameServer.js'
 import type { Clock, Disposable, Log } from '../runtime/Types.js'
 import { type BodyResources, BodyTransfer, makeDefaultBodyResources } from './BodyTransfer.js'
 import { LINK_TIMEOUT_MS } from './Constants.js'
@@ -51,16 +51,16 @@
   /**
    * @param _target Proxy of the instance.
    * @param _log Log of connections that close with calls on them.
-   * @param memoryMb Memory of the node in megabytes; a default when absent.
+   * @param limits Memory and descriptors of the node; defaults when absent.
    */
   public constructor (
     private readonly _target: RoutedCallTarget,
     private readonly _clock: Clock,
     private readonly _bodies: BodyResources = makeDefaultBodyResources(),
     private readonly _log?: Log,
-    memoryMb?: number
+    limits: FrameLimits = {}
   ) {
-    this._server = new FrameServer(_clock, memoryMb)
+    this._server = new FrameServer(_clock, limits)
     this._server.onChannel(channel => this._onChannel(channel))
   }
 
--- a/src/routenode/Gateway.ts
+++ b/src/routenode/Gateway.ts
@@ -60,7 +60,7 @@
   readonly isInTouch: () => boolean
   readonly bodies: BodyResources
   /** Most descriptors of this process, half of which the connections of callers may take; a default when absent. */
-  readonly maxFds?: number | undefined
+  readonly maxDescriptors?: number | undefined
 }
 
 /**
@@ -101,8 +101,8 @@
       keepAliveTimeout: this._callerLimits.idleTimeoutMs,
       noDelay: true
     })
-    const { bodies: { answers }, clock, log, maxFds, metrics } = _options
-    const limit = computeConnectionLimit(maxFds)
+    const { bodies: { answers }, clock, log, maxDescriptors, metrics } = _options
+    const limit = computeConnectionLimit(maxDescriptors)
     this._connections = new CallerConnections({
       server: this._server,
       requestIdHeader: names.requestId,
--- a/src/routenode/GroupDirectory.ts
+++ b/src/routenode/GroupDirectory.ts
@@ -1,6 +1,6 @@
 import type { FromControl, ToControl } from '../control/Types.js'
 import type { FrameChannel } from '../runtime/FrameChannel.js'
-import { FrameServer } from '../runtime/FrameServer.js'
+import { type FrameLimits, FrameServer } from '../runtime/FrameServer.js'
 import type { Clock, Disposable } from '../runtime/Types.js'
 
 type Channel = FrameChannel<ToControl, FromControl>
@@ -41,10 +41,10 @@
 
   /**
    * @param _replicas What this node knows of the replicas.
-   * @param memoryMb Memory of the node in megabytes; a default when absent.
+   * @param limits Memory and descriptors of the node; defaults when absent.
    */
-  public constructor (private readonly _replicas: ReplicaKnowledge, clock: Clock, memoryMb?: number) {
-    this._server = new FrameServer(clock, memoryMb)
+  public constructor (private readonly _replicas: ReplicaKnowledge, clock: Clock, limits: FrameLimits = {}) {
+    this._server = new FrameServer(clock, limits)
     this._server.onChannel(channel => channel.onMessage(frame => {
       const handler = this._handlers[frame.type] as ((channel: Channel, frame: ToControl) => void) | undefined
       handler?.(channel, frame)
--- a/src/routenode/RouteNodeDaemon.ts
+++ b/src/routenode/RouteNodeDaemon.ts
@@ -52,8 +52,8 @@
   readonly stopLimitMs: number
   /** Memory of the node in megabytes, a quarter of which bodies may take; a default when absent. */
   readonly memoryMb?: number | undefined
-  /** Most descriptors of the node, half of which connections of callers may take; a default when absent. */
-  readonly maxFds?: number | undefined
+  /** Descriptors that the node may open, half of which connections of callers may take; a default when absent. */
+  readonly maxDescriptors?: number | undefined
   /** Rate of the VM's link in Mbit/s; when absent, the time to move bodies is not counted. */
   readonly linkMbps?: number | undefined
 }
@@ -174,16 +174,16 @@
       nextCallId: () => ++this._lastCallId,
       nodeCount: () => this._directory.size,
       bodies: this._bodies,
-      maxFds: settings.maxFds
+      maxDescriptors: settings.maxDescriptors
     })
-    this._callServer = new CallServer(this._instanceProxy, clock, this._bodies, log, memoryMb)
+    this._callServer = new CallServer(this._instanceProxy, clock, this._bodies, log, settings)
     const hasSlowLink = (linkMbps ?? Infinity) < SLOW_LINK_MBPS
     this._controlFeed = new ControlFeed(settings.seeds, {
       hasSlowLink,
       nextEntry: () => this._makeHelloEntry(),
       crashReports: () => this._quarantine.reports()
     }, clock, random, log)
-    this._groupDirectory = new GroupDirectory(this._controlFeed, clock, memoryMb)
+    this._groupDirectory = new GroupDirectory(this._controlFeed, clock, settings)
     const listReplicas = (): string[] => this._controlFeed.replicaAddresses
     this.operators = new OperatorRelay({ listReplicas, hasSlowLink, linkMbps, clock, log })
     this._subscribe()
--- a/src/runtime/FrameServer.ts
+++ b/src/runtime/FrameServer.ts
@@ -1,22 +1,33 @@
 import { createServer } from 'node:net'
 import type { Server } from 'node:net'
+import { ConnectionLimit } from '../parts/admission/ConnectionLimit.js'
 import { FrameChannel } from './FrameChannel.js'
 import { FrameMemory } from './FrameMemory.js'
 import { Emitter } from './Emitter.js'
 import { listenOn } from './Listen.js'
 import type { Clock, Disposable } from './Types.js'
 
+/** Limits of a process for a listener; defaults where the settings do not tell them. */
+export interface FrameLimits {
+  /** In megabytes. */
+  readonly memoryMb?: number | undefined
+  readonly maxDescriptors?: number | undefined
+}
+
 /** TCP server that accepts frame channels on one address. */
 export class FrameServer<In extends object, Out extends object> implements Disposable {
   private readonly _channels = new Set<FrameChannel<In, Out>>()
   private readonly _channelEmitter = new Emitter<FrameChannel<In, Out>>()
   private readonly _server: Server
+  /** Channels on which no frame has arrived yet. */
+  private readonly _silent: ConnectionLimit<FrameChannel<In, Out>>
 
   /**
-   * @param memoryMb Memory of the process in megabytes, an eighth of which incomplete frames may take.
+   * @param limits Memory of the process, an eighth of which incomplete frames may take, and its descriptors.
    */
-  public constructor (clock: Clock, memoryMb?: number) {
-    const memory = new FrameMemory(memoryMb)
+  public constructor (clock: Clock, limits: FrameLimits = {}) {
+    const memory = new FrameMemory(limits.memoryMb)
+    this._silent = new ConnectionLimit(limits.maxDescriptors, channel => channel.destroy('too many connections say nothing'))
     this._server = createServer(socket => this._accept(new FrameChannel<In, Out>(socket, clock, memory)))
   }
 
@@ -51,7 +62,15 @@
 
   private _accept (channel: FrameChannel<In, Out>): void {
     this._channels.add(channel)
-    channel.onClose(() => { this._channels.delete(channel) })
+    this._silent.recordIdle(channel)
+    const first = channel.onMessage(() => {
+      first.dispose()
+      this._silent.remove(channel)
+    })
+    channel.onClose(() => {
+      this._channels.delete(channel)
+      this._silent.remove(channel)
+    })
     this._channelEmitter.fire(channel)
   }
 }
