Refuse a malformed call of an operator without ending the replica

An operatorCall frame without a call, or with fields of another type, as the first frame or after an offer, made the handler of its failure throw; the rejection that nobody handles ends the process. Its fields are checked now, and the connection is closed.

--- a/src/routecontrol/OperatorServer.ts
+++ b/src/routecontrol/OperatorServer.ts
@@ -46,6 +46,7 @@
    */
   public accept (channel: AcceptedChannel, frame: OperatorCallFrame | OperatorOfferFrame): void {
     if (this._executor === undefined) return channel.destroy('this replica serves no operators')
+    if (frame.type === 'operatorCall' && !isOperatorCall(frame.call)) return channel.destroy('malformed operator call')
     const execute = this._executor
     // The asker may have given up while this process was paused; its connection then closes in the next turns.
     setImmediate(() => setImmediate(() => { if (!channel.isClosed) this._handle(execute, channel, frame) }))
@@ -80,3 +81,9 @@
     })
   }
 }
+
+function isOperatorCall (value: unknown): value is OperatorCall {
+  if (typeof value !== 'object' || value === null) return false
+  const { operation, parameter, body } = value as Partial<OperatorCall>
+  return [operation, parameter, body].every(text => typeof text === 'string')
+}
