--- a/src/parts/transfer/ConnectionQueue.test.ts
+++ b/src/parts/transfer/ConnectionQueue.test.ts
@@ -2,7 +2,7 @@
 import { computeConnectionLimit, ConnectionQueue } from './ConnectionQueue.js'
 
 test('connections of callers may take half of the descriptors', () => {
-  expect([computeConnectionLimit(4100), computeConnectionLimit(undefined), computeConnectionLimit(1)]).toEqual([2050, 2048, 1])
+  expect([4100, undefined, 1].map(computeConnectionLimit)).toEqual([2050, 2048, 1])
 })
 
 test('unfinished heads give way first, then idle connections, then unfinished bodies, the oldest first', () => {
--- a/src/parts/transfer/ConnectionQueue.ts
+++ b/src/parts/transfer/ConnectionQueue.ts
@@ -1,4 +1,4 @@
-/** Share of a process's descriptors that the connections of callers may take; links to nodes and instances need others. */
+/** Share of a process's descriptors that connections of callers may take; links to nodes and instances need others. */
 const CONNECTION_SHARE = 0.5
 
 /** Descriptors of a process whose settings do not tell their number. */
@@ -52,9 +52,7 @@
 
   /** Returns the connection that gives way first, or undefined when all have requests that may run. */
   public findFirst (): Connection | undefined {
-    for (const state of GIVING_WAY) {
-      for (const connection of this._connections[state]) return connection
-    }
-    return undefined
+    const state = GIVING_WAY.find(state => this._connections[state].size > 0)
+    return state === undefined ? undefined : this._connections[state].values().next().value
   }
 }
