Read what arrived during a pause before a link counts as unresponsive

After a pause of a node of more than a ping interval, each of its links counted as unresponsive until the next frame although the answers to its pings lay unread, so that calls that may run twice were repeated on all links at once and took from the retry budget. A check of the link that comes late is now judged two turns of the event loop later, when what has arrived is read.

The new test failed before with 'unresponsive' among its events.

--- a/src/routenode/CallLink.test.ts
+++ b/src/routenode/CallLink.test.ts
@@ -103,6 +103,23 @@
   expect(await runCall(peer.link)).toBe('answer 200')
 })
 
+// Calls that may run twice were repeated on every link after a pause of the node.
+test('a pause of this process does not make the other node unresponsive', async () => {
+  const events: string[] = []
+  const peer = await connectLink(frame => {
+    if (frame.type !== 'ping') return undefined
+    if (events.push('ping') > 1) return { type: 'answer', id: 1, answer: OK, load: LOAD }
+    setImmediate(() => {
+      const untilMs = performance.now() + 3 * LINK_PING_INTERVAL_MS
+      while (performance.now() < untilMs);
+    })
+    return { type: 'pong' }
+  })
+  peer.link.onUnresponsive(() => { events.push('unresponsive') })
+  expect(await runCall(peer.link)).toBe('answer 200')
+  expect(events).toEqual(['ping', 'ping'])
+})
+
 test('a call without a connection fails as unsent', async () => {
   const [address] = await findFreeAddresses(1) as [string]
   const link = new CallLink(address, 'self', new SystemClock(), new SeededRandom(1))
--- a/src/routenode/CallLink.ts
+++ b/src/routenode/CallLink.ts
@@ -43,6 +43,9 @@
   readonly unansweredPingMs?: number
 }
 
+/** Delay of a liveness check from which this process may have been paused, in milliseconds. */
+const LATE_CHECK_MS = LINK_PING_INTERVAL_MS / 2
+
 /** Requests that are listed when a link is lost. */
 const MAX_LISTED_REQUESTS = 10
 
@@ -297,10 +300,19 @@
       return
     }
     const nowMs = this._clock.nowMs()
+    const lateMs = Math.max(0, nowMs - this._checkedAtMs - LINK_PING_INTERVAL_MS)
     if (channel.lastReceivedMs >= this._unansweredPingAtMs) this._unansweredPingAtMs = Infinity
-    // What arrived while this process was paused or starved has not been read yet.
-    this._unansweredPingAtMs += Math.max(0, nowMs - this._checkedAtMs - LINK_PING_INTERVAL_MS)
+    this._unansweredPingAtMs += lateMs
     this._checkedAtMs = nowMs
+    if (lateMs < LATE_CHECK_MS) return this._judgeSilence(channel, nowMs)
+    // What arrived while this process was paused or starved is read in the next turns of the event loop.
+    setImmediate(() => setImmediate(() => {
+      if (this._client.channel === channel) this._judgeSilence(channel, this._clock.nowMs())
+    }))
+  }
+
+  private _judgeSilence (channel: Channel, nowMs: number): void {
+    if (channel.lastReceivedMs >= this._unansweredPingAtMs) this._unansweredPingAtMs = Infinity
     if (nowMs - this._unansweredPingAtMs >= LINK_PING_INTERVAL_MS) this._setUnresponsive(true)
     if (nowMs - this._unansweredPingAtMs > LINK_TIMEOUT_MS) channel.destroy('pings went unanswered')
     else if (nowMs - channel.lastReceivedMs >= LINK_PING_INTERVAL_MS) this._ping(channel, nowMs)
