Allow for the plain body where replicas can't read offers

A node with a slow link sends the body of a large change uncompressed to a replica of an earlier version, but expected it to take as long as the compressed one: the first such replica counted as silent, all of them were sent copies, and none arrived in time. The time of the plain body counts now. The new test failed before.

--- a/src/parts/relay/RelayedCall.test.ts
+++ b/src/parts/relay/RelayedCall.test.ts
@@ -252,3 +252,14 @@
   expect(actions).toMatchObject([{ type: 'ask', replica: 'a', isOffer: false }, { type: 'wakeAt' }])
   expect(call.step({ type: 'reply', replica: 'a', reply: { type: 'final' } }, 200)).toEqual([{ type: 'deliver' }])
 })
+
+// A configuration is some ten times longer uncompressed, so that all replicas of an earlier version were sent copies.
+test('a replica that can not read offers is not silent while the plain body takes its time on the link', () => {
+  const plainMoveMs = 950
+  const call = new RelayedCall(() => REPLICAS, new ReplicaRanking())
+  call.step({ ...OFFERED_START, plainMoveMs }, 0)
+  call.step({ type: 'failed', replica: 'a', wasSent: false, isOfferRefused: true }, 4)
+  const silentAtMs = 4 + plainMoveMs / LINK_SHARE + REPLY_PATIENCE_MS
+  expect(call.step({ type: 'wake' }, silentAtMs - 1)).toEqual([{ type: 'wakeAt', atMs: silentAtMs }])
+  expect(call.step({ type: 'wake' }, silentAtMs)).toMatchObject([{ type: 'ask', replica: 'b', isOffer: true }, { type: 'wakeAt' }])
+})
--- a/src/parts/relay/RelayedCall.ts
+++ b/src/parts/relay/RelayedCall.ts
@@ -42,6 +42,8 @@
   private readonly _leaderless = new Set<string>()
   /** Time that the call takes on its share of the link, in milliseconds. */
   private _callMoveMs = 0
+  /** The same for a replica that can't read offers. */
+  private _plainMoveMs = 0
   private _limitAtMs = 0
   /** End of the call when no reply is on its way. */
   private _baseLimitAtMs = 0
@@ -49,8 +51,9 @@
   private _mayBeDecided = false
 
   private readonly _handlers: EventHandlers = {
-    start: ({ moveMs = 0, isOffered = false }, nowMs) => {
+    start: ({ moveMs = 0, isOffered = false, plainMoveMs = moveMs }, nowMs) => {
       this._isOffered = isOffered
+      this._plainMoveMs = plainMoveMs / LINK_SHARE
       this._callMoveMs = moveMs / LINK_SHARE
       this._baseLimitAtMs = nowMs + this._callMoveMs + RELAY_LIMIT_MS
       this._limitAtMs = this._baseLimitAtMs
@@ -174,12 +177,20 @@
     // A suspect is asked only once all others have failed to decide, so nobody waits for its reply.
     const patienceMs = this._ranking.isSuspect(next, nowMs) ? RETRY_INTERVAL_MS : REPLY_PATIENCE_MS
     const isOffer = this._isOffered && !this._refusedOffer.has(next)
-    const sinceMs = isOffer ? nowMs : nowMs + this._callMoveMs
+    const sinceMs = isOffer ? nowMs : nowMs + this._plainMoveMs
     if (isOffer) this._bodiless.add(next)
+    else this._extendLimit(sinceMs + RELAY_LIMIT_MS)
     this._openSinceMs.set(next, sinceMs)
     return [{ type: 'ask', replica: next, isOffer }, this._wakeAt(sinceMs + patienceMs)]
   }
 
+  /** The limit at the start is that of a compressed call; each replica that can't read offers takes longer, once. */
+  private _extendLimit (atMs: number): void {
+    if (!this._isOffered) return
+    this._baseLimitAtMs = Math.max(this._baseLimitAtMs, atMs)
+    this._limitAtMs = Math.max(this._limitAtMs, atMs)
+  }
+
   /**
    * Returns until when bytes of a reply are expected; a replica that has sent none by then counts as silent.
    * @param haveBody Whether only replicas that have been sent the body count.
--- a/src/parts/relay/Types.ts
+++ b/src/parts/relay/Types.ts
@@ -14,9 +14,10 @@
 export type RelayEvent =
   /**
    * `moveMs` is the time that the call takes on the link of this process, in milliseconds. With `isOffered`, replicas
-   * are asked without the body of the call at first, and the one that leads is sent it.
+   * are asked without the body of the call at first, and the one that leads is sent it; `plainMoveMs` is the time that
+   * the call takes at a replica that can't read offers, which is sent the body uncompressed.
    */
-  | { readonly type: 'start', readonly moveMs?: number, readonly isOffered?: boolean }
+  | { readonly type: 'start', readonly moveMs?: number, readonly isOffered?: boolean, readonly plainMoveMs?: number }
   /** A replica that was asked without the body leads and wants it. */
   | { readonly type: 'wanted', readonly replica: string }
   /** Bytes of a reply have arrived; `moveMs` is the time that the whole reply takes on the link, in milliseconds. */
--- a/src/routecontrol/OperatorRelay.ts
+++ b/src/routecontrol/OperatorRelay.ts
@@ -112,7 +112,9 @@
     const bytes = Buffer.byteLength(_call.body)
     const isOffered = hasSlowLink === true && local === undefined && bytes >= OFFERED_BODY_BYTES
     if (isOffered) this._carried = encodeCompressed(this._callFrame)
-    this._step({ type: 'start', moveMs: computeTransferMs(this._carried?.length ?? bytes, linkMbps), isOffered })
+    const plainMoveMs = computeTransferMs(bytes, linkMbps)
+    const moveMs = this._carried === undefined ? plainMoveMs : computeTransferMs(this._carried.length, linkMbps)
+    this._step({ type: 'start', moveMs, plainMoveMs, isOffered })
   }
 
   public dispose (): void {
