Ask a replica that failed to deliver its reply after the others in the next calls

A replica whose reply arrives at any rate is awaited up to the bound, so a path that loses most packets held up each large read of a process in turn: the next call waited for the same replica. When the bound passes, it now counts as silent for some seconds.

--- a/src/parts/relay/RelayedCall.test.ts
+++ b/src/parts/relay/RelayedCall.test.ts
@@ -263,3 +263,17 @@
   expect(call.step({ type: 'wake' }, silentAtMs - 1)).toEqual([{ type: 'wakeAt', atMs: silentAtMs }])
   expect(call.step({ type: 'wake' }, silentAtMs)).toMatchObject([{ type: 'ask', replica: 'b', isOffer: true }, { type: 'wakeAt' }])
 })
+
+// Otherwise one path that loses most packets would hold up each read of a process.
+test('a replica whose reply did not arrive whole by the limit is asked after the others in the next call', () => {
+  const ranking = new ReplicaRanking()
+  const call = new RelayedCall(() => REPLICAS, ranking)
+  call.step({ type: 'start' }, 0)
+  let nowMs = 0
+  for (let hasEnded = false; !hasEnded;) {
+    nowMs += 100
+    call.step({ type: 'progress', replica: 'a', moveMs: 300 }, nowMs)
+    hasEnded = call.step({ type: 'wake' }, nowMs).some(({ type }) => type === 'giveUp')
+  }
+  expect(new RelayedCall(() => REPLICAS, ranking).step({ type: 'start' }, nowMs)).toMatchObject([{ type: 'ask', replica: 'b' }, { type: 'wakeAt' }])
+})
--- a/src/parts/relay/RelayedCall.ts
+++ b/src/parts/relay/RelayedCall.ts
@@ -92,7 +92,7 @@
       this._ranking.recordSilence(replica, nowMs)
       return this._retryLater(replica, nowMs)
     },
-    wake: (_event, nowMs) => nowMs < this._limitAtMs ? this._askNext(nowMs) : this._giveUp()
+    wake: (_event, nowMs) => nowMs < this._limitAtMs ? this._askNext(nowMs) : this._giveUp(nowMs)
   }
 
   private readonly _replyHandlers: ReplyHandlers = {
@@ -168,7 +168,7 @@
     const replicas = this._ranking.sort(this._listReplicas(), nowMs)
     const mayDecide = replicas.filter(replica => !this._leaderless.has(replica))
     const isHopeless = this._leaderless.size > 0 && mayDecide.every(replica => this._ranking.isSuspect(replica, nowMs))
-    if (isHopeless) return this._giveUp()
+    if (isHopeless) return this._giveUp(nowMs)
     const idle = replicas.filter(replica => !this._openSinceMs.has(replica))
     const next = idle.find(replica => (this._retryAtMs.get(replica) ?? 0) <= nowMs)
     if (next === undefined) {
@@ -210,8 +210,10 @@
     return { type: 'wakeAt', atMs: Math.min(atMs, this._limitAtMs) }
   }
 
-  private _giveUp (): RelayAction[] {
+  /** Replicas whose reply has not arrived by now, also in part, are asked after the others in the next calls. */
+  private _giveUp (nowMs: number): RelayAction[] {
     this._hasEnded = true
+    for (const replica of this._openSinceMs.keys()) this._ranking.recordSilence(replica, nowMs)
     const mayBeDecided = this._mayBeDecided || this._openSinceMs.size > this._bodiless.size
     const state = mayBeDecided ? 'unknown' : 'not-run'
     return [{ type: 'giveUp', state }]
