Count only the reply that is arriving towards the bound of a relayed call

A replica that sent frames which are no reply extended the bound of a call and held one of its places: the bound was computed from all bytes of the connection, and unknown frames were ignored. The frame that is arriving counts alone, and any other frame than a reply or the first request for the body closes the connection. The new test failed before: one connection in place of several.

--- a/src/routecontrol/OperatorRelay.test.ts
+++ b/src/routecontrol/OperatorRelay.test.ts
@@ -94,3 +94,17 @@
   addresses.push(address)
   expect(await relay.send(CALL)).toEqual(FINAL)
 })
+
+// Frames that are no reply extended the bound of the call and kept its connection open.
+test('a replica that sends another frame than a reply is asked again on a new connection', async () => {
+  const server = new FrameServer<object, object>(new SystemClock())
+  disposables.push(server)
+  const address = await server.listen((await findFreeAddresses(1))[0] as string)
+  let connections = 0
+  server.onChannel(channel => {
+    connections++
+    channel.onMessage(() => channel.send({ type: 'unknown' }))
+  })
+  expect(await makeRelay([address]).send(CALL)).toEqual({ type: 'undecided', state: 'unknown' })
+  expect(connections).toBeGreaterThan(1)
+})
--- a/src/routecontrol/RelayConnection.ts
+++ b/src/routecontrol/RelayConnection.ts
@@ -77,8 +77,8 @@
     this._hasBody = !isOffer
     channel.onMessage(received => this._receive(received))
     this._socket.on('data', () => {
-      const { missingBytes } = channel
-      if (!this._isDisposed && missingBytes > 0) this._listener.onProgress(channel.bytes.received + missingBytes)
+      const { arrivingBytes } = channel
+      if (!this._isDisposed && arrivingBytes > 0) this._listener.onProgress(arrivingBytes)
     })
     channel.sendEncoded(frame)
   }
@@ -86,13 +86,13 @@
   private _receive (received: FromOperatorServer): void {
     if (this._isDisposed) return
     const frame = received.type === 'compressed' ? decodeCompressed(received) as FromOperatorServer : received
-    if (frame.type === 'operatorBodyWanted') {
+    if (frame.type === 'operatorBodyWanted' && !this._isWanted) {
       this._isWanted = true
       this._listener.onWanted()
     } else if (frame.type === 'operatorReply') {
       this.dispose()
       this._listener.onReply(frame.reply)
-    }
+    } else this._channel?.destroy('unexpected frame of a replica')
   }
 
   private _onClose (): void {
--- a/src/runtime/FrameChannel.ts
+++ b/src/runtime/FrameChannel.ts
@@ -89,6 +89,12 @@
     return this._decoder.missingBytes
   }
 
+  /** Bytes of the message being received, its missing ones among them; 0 between messages. */
+  public get arrivingBytes (): number {
+    const { missingBytes } = this._decoder
+    return missingBytes === 0 ? 0 : missingBytes + this._decoder.incompleteBytes
+  }
+
   /** Monotonic time at which bytes were last received; at first the time at which the channel was created. */
   public get lastReceivedMs (): number {
     return this._lastReceivedMs
