Bound the wait for a welcome that is arriving

A node awaited a welcome for as long as any byte of it came, so a replica whose welcome trickles kept the node without a configuration; and after a pause of the node its timer ran before the welcome that had arrived was read, so a starved node began again elsewhere. The wait is bounded by the size of the welcome at 1 Mbit/s, and judged after what has arrived is read.

The new test timed out before. The part about pauses has no test of its own.

--- a/src/routenode/Constants.ts
+++ b/src/routenode/Constants.ts
@@ -63,6 +63,9 @@
  */
 export const FEED_WELCOME_TIMEOUT_MIN_MS = 300
 
+/** Rate below which a welcome that is arriving is given up, in Mbit/s; less than half of the slowest links in use. */
+export const FEED_MIN_LINK_MBPS = 1
+
 /** Delay before a connect to the next control replica, in milliseconds. */
 export const FEED_RECONNECT_DELAY_MS = 100
 
--- a/src/routenode/ControlFeed.ts
+++ b/src/routenode/ControlFeed.ts
@@ -5,6 +5,7 @@
 import type { QuotaAnswer, QuotaMessage } from '../parts/quota/Types.js'
 import type { RoutingDelta, VersionedRouting } from '../parts/routing/Types.js'
 import { applyPatch } from '../parts/routing/RoutingDelta.js'
+import { computeTransferMs } from '../parts/transfer/TransferTime.js'
 import type { Random } from '../parts/Types.js'
 import { decodeAddresses, decodeEntries } from '../routecontrol/EntryDecoder.js'
 import type { FeedToNode, NodeToFeed } from '../routecontrol/Types.js'
@@ -15,8 +16,8 @@
 import { decodeCompressed } from '../runtime/FrameCompression.js'
 import type { Clock, Disposable, Log } from '../runtime/Types.js'
 import {
-  FEED_CHECK_INTERVAL_MS, FEED_PING_INTERVAL_MS, FEED_RECONNECT_DELAY_MS, FEED_TIMEOUT_MS, FEED_WELCOME_TIMEOUT_MIN_MS,
-  FEED_WELCOME_TIMEOUT_MS
+  FEED_CHECK_INTERVAL_MS, FEED_MIN_LINK_MBPS, FEED_PING_INTERVAL_MS, FEED_RECONNECT_DELAY_MS, FEED_TIMEOUT_MS,
+  FEED_WELCOME_TIMEOUT_MIN_MS, FEED_WELCOME_TIMEOUT_MS
 } from './Constants.js'
 import { ReplicaChoice } from './ReplicaChoice.js'
 
@@ -225,7 +226,8 @@
     this._connectTimeoutMs = CONNECT_TIMEOUT_MIN_MS
     const channel = new FrameChannel<FeedToNode, NodeToFeed>(socket, this._clock)
     this._channel = channel
-    this._welcomeTimer = setTimeout(() => this._checkWelcome(channel), this._welcomeTimeoutMs)
+    const helloAtMs = this._clock.nowMs()
+    this._welcomeTimer = setTimeout(() => this._checkWelcome(channel, helloAtMs), this._welcomeTimeoutMs)
     channel.onMessage(frame => this._handle(frame))
     channel.onClose(reason => this._onClose(address, reason))
     const version = this._routing?.version ?? 0
@@ -235,11 +237,20 @@
     channel.send({ ...hello, ...compress, ...(reports.length === 0 ? {} : { reports }) })
   }
 
+  /** After a pause of this process, timers run before the welcome that has arrived meanwhile is read. */
+  private _checkWelcome (channel: Channel, helloAtMs: number): void {
+    setImmediate(() => setImmediate(() => {
+      if (this._channel === channel && !this._isWelcomed) this._awaitOrLeave(channel, helloAtMs)
+    }))
+  }
+
   /** A welcome with many nodes takes longer than the timeout on a slow link: while it is arriving, it is awaited. */
-  private _checkWelcome (channel: FrameChannel<FeedToNode, NodeToFeed>): void {
-    const leftMs = channel.lastReceivedMs + this._welcomeTimeoutMs - this._clock.nowMs()
+  private _awaitOrLeave (channel: Channel, helloAtMs: number): void {
+    const nowMs = this._clock.nowMs()
+    const boundAtMs = helloAtMs + this._welcomeTimeoutMs + computeTransferMs(channel.arrivingBytes, FEED_MIN_LINK_MBPS)
+    const leftMs = Math.min(channel.lastReceivedMs + this._welcomeTimeoutMs, boundAtMs) - nowMs
     if (channel.missingBytes > 0 && leftMs > 0) {
-      this._welcomeTimer = setTimeout(() => this._checkWelcome(channel), leftMs)
+      this._welcomeTimer = setTimeout(() => this._checkWelcome(channel, helloAtMs), leftMs)
       return
     }
     this._welcomeTimeoutMs = Math.min(2 * this._welcomeTimeoutMs, FEED_WELCOME_TIMEOUT_MS)
--- a/src/routenode/SlowLinkWelcome.test.ts
+++ b/src/routenode/SlowLinkWelcome.test.ts
@@ -1,3 +1,5 @@
+import { createServer } from 'node:net'
+import type { AddressInfo } from 'node:net'
 import { afterEach, expect, test } from 'vitest'
 import { PacedRelay } from '../../test/support/PacedRelay.js'
 import { SeededRandom } from '../parts/SeededRandom.js'
@@ -43,3 +45,27 @@
   expect(await outcome).toBe(`welcomed with ${entries.length} nodes`)
   expect(relay.bytes.down * BITS_PER_BYTE / (LINK_MBPS * 1000)).toBeGreaterThan(FEED_WELCOME_TIMEOUT_MS)
 }, 30_000)
+
+test('a replica whose welcome trickles is left', async () => {
+  let connections = 0
+  const left = new Promise<void>(resolve => {
+    const trickling = createServer(socket => {
+      if (++connections === 2) resolve()
+      socket.on('error', () => {})
+      const announced = Buffer.alloc(4)
+      announced.writeUInt32BE(100_000)
+      socket.write(announced)
+      const timer = setInterval(() => socket.write('a'), 100)
+      socket.once('close', () => clearInterval(timer))
+      socket.resume()
+    })
+    trickling.listen(0, '127.0.0.1', () => {
+      const source = { nextEntry: () => OWN, crashReports: () => [] }
+      const address = `127.0.0.1:${(trickling.address() as AddressInfo).port}`
+      const feed = new ControlFeed([address], source, new SystemClock(), new SeededRandom(1), SILENT)
+      disposables.push(feed, { dispose: () => { trickling.close() } })
+      feed.start()
+    })
+  })
+  await left
+}, 30_000)
