Count the unwritten pieces of an answer that a stop cuts

Large answers are written in pieces as their callers take them, so 'answer cut while stopping' said that a cut answer had not been handed to its connection, and counted only the piece under way as left.

--- a/src/node/ingress/CallerConnections.ts
+++ b/src/node/ingress/CallerConnections.ts
@@ -34,6 +34,8 @@
   readonly requestIdHeader: string
   readonly clock: Clock
   readonly log: Log
+  /** Returns the bytes of an answer that are not written to its connection yet; 0 when absent. */
+  readonly unwrittenBytes?: (response: ServerResponse) => number
   /** Most connections that may be open; without a limit when absent. */
   readonly limit?: number
   /** Called when a connection was closed for a new one, with its state. */
@@ -157,13 +159,14 @@
     use.bytesReadWhenIdle = socket.bytesRead
     if (this._stopAtMs === undefined || response.writableFinished) return
     const nowMs = this._options.clock.nowMs()
-    const leftBytes = response.writableLength
+    const { writableLength, writableEnded } = response
+    const unwrittenBytes = this._options.unwrittenBytes?.(response) ?? 0
     this._options.log.info({
       requestId: answer.requestId,
       reason,
-      isWritten: response.writableEnded,
-      sentBytes: Math.max(0, socket.bytesWritten - leftBytes - answer.bytesWrittenBefore),
-      leftBytes,
+      isWritten: writableEnded || unwrittenBytes > 0,
+      sentBytes: Math.max(0, socket.bytesWritten - writableLength - answer.bytesWrittenBefore),
+      leftBytes: writableLength + unwrittenBytes,
       ageMs: Math.round(nowMs - answer.sinceMs),
       sinceStopMs: Math.round(nowMs - this._stopAtMs)
     }, 'answer cut while stopping')
--- a/src/routenode/CallerResponder.ts
+++ b/src/routenode/CallerResponder.ts
@@ -20,6 +20,8 @@
  */
 export class CallerResponder {
   private _isClosing = false
+  /** Bytes of answers in pieces that are not written yet. */
+  private readonly _unwrittenBytes = new WeakMap<ServerResponse, number>()
 
   /**
    * @param _requestIdHeader Name of the header with the id of a request, which refusals repeat.
@@ -27,6 +29,11 @@
    */
   public constructor (private readonly _requestIdHeader: string, private readonly _resources: AnswerResources) {}
 
+  /** Returns the bytes of an answer that its connection has not been given yet. */
+  public unwrittenBytes (response: ServerResponse): number {
+    return this._unwrittenBytes.get(response) ?? 0
+  }
+
   /** From now on each answer closes its connection. */
   public closeConnections (): void {
     this._isClosing = true
@@ -75,6 +82,7 @@
       while (!response.destroyed) {
         const piece = body.subarray(start, start + ANSWER_PIECE_BYTES)
         start += piece.length
+        this._unwrittenBytes.set(response, body.length - start)
         if (start >= body.length) {
           response.end(piece)
           return
--- a/src/routenode/Gateway.ts
+++ b/src/routenode/Gateway.ts
@@ -108,6 +108,7 @@
       requestIdHeader: names.requestId,
       clock,
       log,
+      unwrittenBytes: response => this._responder.unwrittenBytes(response),
       limit,
       onGivenWay: state => {
         metrics.countConnectionGivenWay()
