--- a/test/ArrivedAtStop.test.ts
+++ b/test/ArrivedAtStop.test.ts
@@ -4,10 +4,10 @@
 import { SHUTDOWN_DELAY_MS } from '../src/routenode/Constants.js'
 import { HEADER_NAMES, type MeshNode, RouteMesh } from './support/RouteMesh.js'
 
-/** Time before the end of its shutdown delay at which the node begins to stand still, in milliseconds. */
+/** Time before the end of its shutdown delay at which the node is blocked, in milliseconds. */
 const BEFORE_MS = 150
 
-/** Callers in a thread of their own, which send while the node stands still; they count the requests that they sent. */
+/** Callers in a thread of their own, which send while the node is blocked; they count the requests that they sent. */
 const CALLERS = `
   const { Agent, request } = require('node:http')
   const { parentPort, workerData: { url, idHeader, deadlineHeader, deadlineMs, sentCount } } = require('node:worker_threads')
@@ -38,7 +38,7 @@
 
 /**
  * Returns the outcomes of a request on a kept connection and of one on a new one that arrive before the node closes its
- * connections, while it stands still.
+ * connections, while it is blocked.
  * @param lateMs How much later than its shutdown delay ends the node goes on, in milliseconds.
  */
 async function callBeforeClose ({ callerUrl, daemon }: MeshNode, deadlineMs: number, lateMs: number): Promise<unknown> {
