--- a/review/lib-2/site.js
+++ b/review/lib-2/site.js
@@ -50,6 +50,7 @@
   }
 
   start () {
+    if (this.isRunning) return
     const output = openSync(this._logFile, 'a')
     const child = spawn(process.execPath, [...RUNTIME, `target/${this._script}`, '--metrics=9100/metrics'], {
       cwd: ROOT, stdio: ['ignore', output, output], env: { PATH: process.env.PATH, SASSAFRASLEAD_SETTINGS: this._settingsFile }
@@ -217,7 +218,7 @@
       clearTimeout(timer)
       resolve({ ...result, tookMs: Math.round(performance.now() - startedAtMs) })
     }
-    const sent = request({ host, port, method, path, agent: agent ?? false, localAddress, headers: body === undefined ? headers : { 'content-length': Buffer.byteLength(body), ...headers } }, answer => {
+    const sent = request({ host, port, method, path, agent: agent ?? false, localAddress, headers: body === undefined || headers['transfer-encoding'] !== undefined ? headers : { 'content-length': Buffer.byteLength(body), ...headers } }, answer => {
       const chunks = []
       answer.on('data', chunk => chunks.push(chunk))
       answer.on('error', error => finish({ error: error.message }))
