--- a/review/10/case.js
+++ b/review/10/case.js
@@ -1,73 +1,95 @@
 /**
- * Case 10: two control machines are removed for good, one second apart, after their successors have run for longer than
- * `CatchUp`. What was acknowledged can't be read back any more.
+ * Case 10: all processes of the system are killed at the same moment and start again. The first that a node hears of its
+ * instance is that it deregisters; the node acknowledges that and forgets it. A heartbeat that the instance had sent
+ * before comes late, and the instance gets work again.
  */
 import { dirname, join } from 'node:path'
 import { fileURLToPath } from 'node:url'
-import { makeConfiguration, Recorder, Site, sleep } from '../lib-2/site.js'
+import { makeConfiguration, Recorder, Site, sleep, until } from '../lib-2/site.js'
 
 const HERE = dirname(fileURLToPath(import.meta.url))
 const TROUBLE = process.env.TROUBLE !== '0'
 
-/** Time that the successors run before a machine is removed, in milliseconds; above `CatchUp`, 4 s. */
-const SUCCESSORS_RUN_MS = 8000
-/** Time between the two removals, in milliseconds. */
-const GAP_MS = TROUBLE ? 1000 : 12_000
-/** Time for which the configuration is read back, in milliseconds: above `Recover`, 15 s. */
-const READ_BACK_MS = 25_000
+/** Bound `Drain` of the settings, in milliseconds. */
+const DRAIN_MS = 2000
+/** Twice `StableWindow`, after which machines are in touch again, with a margin, in milliseconds. */
+const IN_TOUCH_AFTER_MS = 6500
+/** Time for which the instance serves after the acknowledgement: `Drain` and many seconds. */
+const SERVES_ON_MS = 13_000
+/** Delay of the restarts, and of the late heartbeat, in milliseconds. */
+const RESTART_MS = 300
+const LATE_MS = 5000
+/** Work of a request, as long as that of `die-checkout`, in milliseconds. */
+const WORK_MS = 120
 
 const record = new Recorder(join(HERE, 'record.txt'))
+const state = { isEnded: false }
 
-const makeVersion = timeoutMs => makeConfiguration([
-  { Name: 'read', PathPrefix: '/read/', RouteKind: 'idempotent', Service: 'catalogue', Timeout: `${timeoutMs}ms` }
-], ['catalogue'])
-
-async function remove (site, core) {
-  record.line(`${core.name} is removed`)
-  core.program.signal('SIGKILL')
-  await core.program.exited()
-  core.isRemoved = true
+async function sendRequests (site, callers, answers) {
+  for (let i = 0; !state.isEnded; i++) {
+    const node = callers[i % callers.length]
+    const options = i % 2 === 0 ? {} : { method: 'POST', body: `order ${i}` }
+    site.send(node, i % 2 === 0 ? `/read/${i}` : `/once/${i}`, options).then(answer => answers.push(answer), () => {})
+    await sleep(25)
+  }
 }
 
-/** Reads the configuration at the machines that are left; undefined when it doesn't come in time. */
-async function readBack (site) {
-  const left = site.cores.filter(({ isRemoved }) => isRemoved !== true)
-  const untilMs = performance.now() + READ_BACK_MS
-  for (let i = 0; performance.now() < untilMs; i++) {
-    const { name, host } = left[i % left.length]
-    const answer = await site.read(host)
-    record.line(`read at ${name}: ${answer.status ?? answer.error} ${answer.status === 200 ? JSON.parse(answer.body).Version : ''}`)
-    if (answer.status === 200) return JSON.parse(answer.body).Version
-    await sleep(300)
-  }
-  return undefined
+async function killAll (site) {
+  const programs = [...site.cores, ...site.nodes].map(({ program }) => program)
+  record.line('all processes are killed')
+  programs.forEach(program => program.signal('SIGKILL'))
+  await Promise.all(programs.map(async program => await program.exited()))
+  await sleep(RESTART_MS)
+  programs.forEach(program => program.start())
+  record.line('all processes start again')
 }
 
 async function play (site) {
-  const first = ['a', 'b', 'c'].map(zone => site.addCore(zone))
-  site.addNode('a', 'catalogue')
+  for (const zone of ['a', 'b', 'c']) site.addCore(zone)
+  for (const zone of ['a', 'b', 'c']) site.addNode(zone, 'ledger', { workMs: WORK_MS })
+  const caller = site.addNode('a', 'catalogue')
   await site.start()
-  const put = await site.put(makeVersion(1000))
-  if (put.status !== 200) throw new Error('the first configuration was not acknowledged')
+  const put = await site.put(makeConfiguration([
+    { Name: 'read', PathPrefix: '/read/', RouteKind: 'idempotent', Service: 'ledger' },
+    { Name: 'once', PathPrefix: '/once/', RouteKind: 'non_idempotent', Service: 'ledger' }
+  ], ['ledger', 'catalogue']))
+  if (put.status !== 200) throw new Error('the configuration was not accepted')
   await site.ready()
-  const successors = ['a', 'b'].map(zone => site.addCore(zone, { bootstrap: false }))
-  site.writeSettings()
-  successors.forEach(({ name, program }) => {
-    record.line(`${name} starts, with an empty disk`)
-    program.start()
-  })
-  await sleep(SUCCESSORS_RUN_MS)
-  const second = await site.put(makeVersion(1100), { hosts: first.map(({ host }) => host) })
-  if (second.status !== 200) throw new Error('the second configuration was not acknowledged')
-  const acknowledged = `r${site.version}`
-  await sleep(500)
-  await remove(site, first[0])
-  await sleep(GAP_MS)
-  await remove(site, first[1])
-  await sleep(3000)
-  const version = await readBack(site)
-  record.line(`acknowledged: ${acknowledged}, read back: ${version ?? 'nothing'}`)
-  return version === acknowledged
+  const victim = site.nodes[0].instance
+  const answers = []
+  const traffic = sendRequests(site, [caller, site.nodes[1], site.nodes[2]], answers)
+  await sleep(4000)
+  if (victim.runs.length === 0) throw new Error('the instance gets no work')
+  // The next heartbeat is under way for some seconds; until the instance leaves, no other one is due.
+  victim.beats = false
+  const late = victim.makeBeat()
+  const sentAtMs = performance.now()
+  record.line(`${victim.id} sends the heartbeat with Seq ${late.Seq}, which will be late`)
+  if (TROUBLE) await killAll(site)
+  const startedAtMs = performance.now()
+  let acknowledgedAtMs
+  victim.state = 'left'
+  await until(async () => {
+    record.line(`${victim.id} deregisters`)
+    const isAcknowledged = await victim.deregister()
+    acknowledgedAtMs = performance.now()
+    return isAcknowledged
+  }, 4000)
+  record.line(`the deregistration of ${victim.id} is acknowledged`)
+  await sleep(Math.max(0, sentAtMs + LATE_MS - performance.now()))
+  record.line(`the late heartbeat of ${victim.id} arrives, Seq ${late.Seq}`)
+  await victim.sendBeat(late)
+  await sleep(Math.max(0, acknowledgedAtMs + SERVES_ON_MS - performance.now()))
+  record.line(`${victim.id} exits`)
+  victim.close()
+  state.isEnded = true
+  await traffic
+  await sleep(2500)
+  const fromMs = Math.max(acknowledgedAtMs + DRAIN_MS, startedAtMs + IN_TOUCH_AFTER_MS)
+  const tooLate = victim.runs.filter(run => run.atMs > fromMs)
+  record.line(`requests that reached ${victim.id} later than ${DRAIN_MS} ms after the acknowledgement, from machines in touch: ${tooLate.length}`)
+  for (const run of tooLate) record.line(`  ${run.id} ${run.method} ${run.url} ${Math.round(run.atMs - acknowledgedAtMs)} ms after it`)
+  return tooLate.length === 0
 }
 
 let site
@@ -80,6 +102,7 @@
   record.line(`could not run: ${error.stack}`)
   process.exitCode = 2
 } finally {
+  state.isEnded = true
   await site?.close()
 }
 process.exit()
--- a/review/6/case.js
+++ b/review/6/case.js
@@ -1,95 +1,73 @@
 /**
- * Case 6: an instance crashes and starts again under its id. Its first heartbeat is late, and it deregisters before
- * that. The node acknowledges the deregistration, yet goes on sending work to the instance.
+ * Case 6: two control machines are removed for good, one second apart, after their successors have run for longer than
+ * `CatchUp`. What was acknowledged can't be read back any more.
  */
 import { dirname, join } from 'node:path'
 import { fileURLToPath } from 'node:url'
-import { makeConfiguration, Recorder, Site, sleep, until } from '../lib-2/site.js'
+import { makeConfiguration, Recorder, Site, sleep } from '../lib-2/site.js'
 
 const HERE = dirname(fileURLToPath(import.meta.url))
 const TROUBLE = process.env.TROUBLE !== '0'
 
-/** Bound `Drain` of the settings, in milliseconds. */
-const DRAIN_MS = 2000
-/** Time for which the instance serves after the acknowledgement: `Drain` and a little longer. */
-const SERVES_ON_MS = 8000
-/** Work of a request, as long as that of `die-checkout`, in milliseconds. */
-const WORK_MS = 120
-/** Time for which the crashed instance is down, in milliseconds. */
-const DOWN_MS = 2500
-/** Times after its start: when it deregisters, and when its first heartbeat arrives, in milliseconds. */
-const LEAVES_AFTER_MS = 1000
-const LATE_MS = 4000
+/** Time that the successors run before a machine is removed, in milliseconds; above `CatchUp`, 4 s. */
+const SUCCESSORS_RUN_MS = 8000
+/** Time between the two removals, in milliseconds. */
+const GAP_MS = TROUBLE ? 1000 : 12_000
+/** Time for which the configuration is read back, in milliseconds: above `Recover`, 15 s. */
+const READ_BACK_MS = 25_000
 
 const record = new Recorder(join(HERE, 'record.txt'))
-const state = { isEnded: false }
 
-async function sendRequests (site, callers, answers) {
-  for (let i = 0; !state.isEnded; i++) {
-    const node = callers[i % callers.length]
-    const options = i % 2 === 0 ? {} : { method: 'POST', body: `order ${i}` }
-    site.send(node, i % 2 === 0 ? `/read/${i}` : `/once/${i}`, options).then(answer => answers.push(answer), () => {})
-    await sleep(15)
+const makeVersion = timeoutMs => makeConfiguration([
+  { Name: 'read', PathPrefix: '/read/', RouteKind: 'idempotent', Service: 'catalogue', Timeout: `${timeoutMs}ms` }
+], ['catalogue'])
+
+async function remove (site, core) {
+  record.line(`${core.name} is removed`)
+  core.program.signal('SIGKILL')
+  await core.program.exited()
+  core.isRemoved = true
+}
+
+/** Reads the configuration at the machines that are left; undefined when it doesn't come in time. */
+async function readBack (site) {
+  const left = site.cores.filter(({ isRemoved }) => isRemoved !== true)
+  const untilMs = performance.now() + READ_BACK_MS
+  for (let i = 0; performance.now() < untilMs; i++) {
+    const { name, host } = left[i % left.length]
+    const answer = await site.read(host)
+    record.line(`read at ${name}: ${answer.status ?? answer.error} ${answer.status === 200 ? JSON.parse(answer.body).Version : ''}`)
+    if (answer.status === 200) return JSON.parse(answer.body).Version
+    await sleep(300)
   }
+  return undefined
 }
 
 async function play (site) {
-  for (const zone of ['a', 'b', 'c']) site.addCore(zone)
-  for (const zone of ['a', 'b', 'c']) site.addNode(zone, 'ledger', { workMs: WORK_MS })
-  const caller = site.addNode('a', 'catalogue')
+  const first = ['a', 'b', 'c'].map(zone => site.addCore(zone))
+  site.addNode('a', 'catalogue')
   await site.start()
-  const put = await site.put(makeConfiguration([
-    { Name: 'read', PathPrefix: '/read/', RouteKind: 'idempotent', Service: 'ledger' },
-    { Name: 'once', PathPrefix: '/once/', RouteKind: 'non_idempotent', Service: 'ledger' }
-  ], ['ledger', 'catalogue']))
-  if (put.status !== 200) throw new Error('the configuration was not accepted')
+  const put = await site.put(makeVersion(1000))
+  if (put.status !== 200) throw new Error('the first configuration was not acknowledged')
   await site.ready()
-  const victim = site.nodes[0].instance
-  const answers = []
-  const traffic = sendRequests(site, [caller, site.nodes[1], site.nodes[2]], answers)
-  await sleep(4500)
-  if (victim.runs.length === 0) throw new Error('the instance gets no work')
-  if (TROUBLE) await crashAndRestart(victim)
-  else await sleep(DOWN_MS)
-  const startedAtMs = performance.now()
-  // A heartbeat of the instance is under way for some seconds; until it arrives, no other one is due.
-  victim.beats = false
-  const late = victim.makeBeat()
-  await sleep(LEAVES_AFTER_MS)
-  let acknowledgedAtMs
-  victim.state = 'left'
-  await until(async () => {
-    record.line(`${victim.id} deregisters, born ${victim.born}`)
-    const isAcknowledged = await victim.deregister()
-    acknowledgedAtMs = performance.now()
-    return isAcknowledged
-  }, 4000)
-  record.line(`the deregistration of ${victim.id} is acknowledged`)
-  await sleep(Math.max(0, startedAtMs + LATE_MS - performance.now()))
-  record.line(`the late heartbeat of ${victim.id} arrives, Seq ${late.Seq}, born ${late.born}`)
-  await victim.sendBeat(late)
-  await sleep(Math.max(0, acknowledgedAtMs + SERVES_ON_MS - performance.now()))
-  const tooLate = victim.runs.filter(run => run.atMs > acknowledgedAtMs + DRAIN_MS)
-  record.line(`${victim.id} exits`)
-  const open = victim.runs.filter(run => run.end === 'open').map(({ id }) => id)
-  victim.close()
-  await sleep(1000)
-  state.isEnded = true
-  await traffic
-  await sleep(2500)
-  const lost = answers.filter(({ id }) => open.includes(id)).map(({ id, status, error }) => `${id}: ${status ?? error}`)
-  record.line(`requests that ${victim.id} ran: ${victim.runs.length}; later than ${DRAIN_MS} ms after the acknowledgement: ${tooLate.length}`)
-  for (const run of tooLate) record.line(`  ${run.id} ${run.method} ${run.url} ${Math.round(run.atMs - acknowledgedAtMs)} ms after it`)
-  record.line(`requests that were running there at its exit, with their answers: ${lost.join(', ') || 'none'}`)
-  return tooLate.length === 0
-}
-
-async function crashAndRestart (victim) {
-  record.line(`${victim.id} crashes`)
-  victim.close()
-  await sleep(DOWN_MS)
-  record.line(`${victim.id} starts again under its id`)
-  await victim.restart()
+  const successors = ['a', 'b'].map(zone => site.addCore(zone, { bootstrap: false }))
+  site.writeSettings()
+  successors.forEach(({ name, program }) => {
+    record.line(`${name} starts, with an empty disk`)
+    program.start()
+  })
+  await sleep(SUCCESSORS_RUN_MS)
+  const second = await site.put(makeVersion(1100), { hosts: first.map(({ host }) => host) })
+  if (second.status !== 200) throw new Error('the second configuration was not acknowledged')
+  const acknowledged = `r${site.version}`
+  await sleep(500)
+  await remove(site, first[0])
+  await sleep(GAP_MS)
+  await remove(site, first[1])
+  await sleep(3000)
+  const version = await readBack(site)
+  record.line(`acknowledged: ${acknowledged}, read back: ${version ?? 'nothing'}`)
+  return version === acknowledged
 }
 
 let site
@@ -102,7 +80,6 @@
   record.line(`could not run: ${error.stack}`)
   process.exitCode = 2
 } finally {
-  state.isEnded = true
   await site?.close()
 }
 process.exit()
--- a/review/9/case.js
+++ b/review/9/case.js
@@ -1,87 +1,95 @@
 /**
- * Case 9: two instances of a service end for good, and their addresses go to another service. The settings of the nodes
- * beside them change, without a signal. Until a node has read them, it takes what answers its health checks for an
- * instance of the service before, and sends it that service's requests.
+ * Case 9: an instance crashes and starts again under its id. Its first heartbeat is late, and it deregisters before
+ * that. The node acknowledges the deregistration, yet goes on sending work to the instance.
  */
-import { writeFileSync } from 'node:fs'
 import { dirname, join } from 'node:path'
 import { fileURLToPath } from 'node:url'
-import { Instance, makeConfiguration, Recorder, Site, sleep } from '../lib-2/site.js'
+import { makeConfiguration, Recorder, Site, sleep, until } from '../lib-2/site.js'
 
 const HERE = dirname(fileURLToPath(import.meta.url))
 const TROUBLE = process.env.TROUBLE !== '0'
 
-/** Bound `ReuseAfter` of the settings, with a margin, in milliseconds. */
-const REUSE_AFTER_MS = 2300
-/** Time between the two instances, and from the last one to the end, in milliseconds. */
-const GAP_MS = 2030
-const REST_MS = 5000
-/** Instances that are replaced, of nine. */
-const REPLACED = 3
+/** Bound `Drain` of the settings, in milliseconds. */
+const DRAIN_MS = 2000
+/** Time for which the instance serves after the acknowledgement: `Drain` and a little longer. */
+const SERVES_ON_MS = 8000
 /** Work of a request, as long as that of `die-checkout`, in milliseconds. */
 const WORK_MS = 120
-/** Services that a configuration allows the requests of a route to go to, by the first part of their path. */
-const ALLOWED = { checkout: ['ledger'], hold: ['ledger'], lookup: ['catalogue'] }
+/** Time for which the crashed instance is down, in milliseconds. */
+const DOWN_MS = 2500
+/** Times after its start: when it deregisters, and when its first heartbeat arrives, in milliseconds. */
+const LEAVES_AFTER_MS = 1000
+const LATE_MS = 4000
 
 const record = new Recorder(join(HERE, 'record.txt'))
 const state = { isEnded: false }
 
-async function sendRequests (site, callers) {
-  const kinds = Object.keys(ALLOWED)
+async function sendRequests (site, callers, answers) {
   for (let i = 0; !state.isEnded; i++) {
-    const kind = kinds[i % kinds.length]
-    const options = kind === 'checkout' ? { method: 'POST', body: `order ${i}` } : {}
-    site.send(callers[i % callers.length], `/${kind}/${i}`, options).catch(() => {})
-    await sleep(12)
+    const node = callers[i % callers.length]
+    const options = i % 2 === 0 ? {} : { method: 'POST', body: `order ${i}` }
+    site.send(node, i % 2 === 0 ? `/read/${i}` : `/once/${i}`, options).then(answer => answers.push(answer), () => {})
+    await sleep(15)
   }
 }
 
-/** The instance of a node ends for good; later its address goes to an instance of another service. */
-async function replace (site, node, service) {
-  const before = node.instance
-  record.line(`${before.id} of ${before.service} ends for good`)
-  before.close()
-  await sleep(REUSE_AFTER_MS)
-  node.service = service
-  writeFileSync(join(site.folder, `${node.name}.toml`), site.nodeSettings(node))
-  record.line(`the settings of ${node.name} name ${service}, without a signal`)
-  const next = new Instance(site, { id: `${before.id}-next`, host: node.host, service, zone: node.zone, workMs: WORK_MS })
-  node.ended = [...(node.ended ?? []), before]
-  node.instance = next
-  record.line(`${next.id} of ${service} starts at the same address`)
-  await next.start()
-}
-
 async function play (site) {
   for (const zone of ['a', 'b', 'c']) site.addCore(zone)
-  for (const zone of ['a', 'b', 'c', 'a', 'b', 'c']) site.addNode(zone, 'ledger', { workMs: WORK_MS })
-  for (const zone of ['a', 'b', 'c']) site.addNode(zone, 'catalogue', { workMs: WORK_MS })
+  for (const zone of ['a', 'b', 'c']) site.addNode(zone, 'ledger', { workMs: WORK_MS })
+  const caller = site.addNode('a', 'catalogue')
   await site.start()
   const put = await site.put(makeConfiguration([
-    { Name: 'checkout', PathPrefix: '/checkout/', RouteKind: 'non_idempotent', Service: 'ledger' },
-    { Name: 'hold', PathPrefix: '/hold/', RouteKind: 'idempotent', Service: 'ledger' },
-    { Name: 'lookup', PathPrefix: '/lookup/', RouteKind: 'idempotent', Service: 'catalogue' }
+    { Name: 'read', PathPrefix: '/read/', RouteKind: 'idempotent', Service: 'ledger' },
+    { Name: 'once', PathPrefix: '/once/', RouteKind: 'non_idempotent', Service: 'ledger' }
   ], ['ledger', 'catalogue']))
   if (put.status !== 200) throw new Error('the configuration was not accepted')
   await site.ready()
-  const traffic = sendRequests(site, site.nodes.slice(REPLACED))
-  await sleep(3500)
-  for (const node of site.nodes.slice(0, REPLACED)) {
-    if (TROUBLE) await replace(site, node, 'catalogue')
-    else await sleep(REUSE_AFTER_MS)
-    await sleep(GAP_MS)
-  }
-  await sleep(REST_MS)
+  const victim = site.nodes[0].instance
+  const answers = []
+  const traffic = sendRequests(site, [caller, site.nodes[1], site.nodes[2]], answers)
+  await sleep(4500)
+  if (victim.runs.length === 0) throw new Error('the instance gets no work')
+  if (TROUBLE) await crashAndRestart(victim)
+  else await sleep(DOWN_MS)
+  const startedAtMs = performance.now()
+  // A heartbeat of the instance is under way for some seconds; until it arrives, no other one is due.
+  victim.beats = false
+  const late = victim.makeBeat()
+  await sleep(LEAVES_AFTER_MS)
+  let acknowledgedAtMs
+  victim.state = 'left'
+  await until(async () => {
+    record.line(`${victim.id} deregisters, born ${victim.born}`)
+    const isAcknowledged = await victim.deregister()
+    acknowledgedAtMs = performance.now()
+    return isAcknowledged
+  }, 4000)
+  record.line(`the deregistration of ${victim.id} is acknowledged`)
+  await sleep(Math.max(0, startedAtMs + LATE_MS - performance.now()))
+  record.line(`the late heartbeat of ${victim.id} arrives, Seq ${late.Seq}, born ${late.born}`)
+  await victim.sendBeat(late)
+  await sleep(Math.max(0, acknowledgedAtMs + SERVES_ON_MS - performance.now()))
+  const tooLate = victim.runs.filter(run => run.atMs > acknowledgedAtMs + DRAIN_MS)
+  record.line(`${victim.id} exits`)
+  const open = victim.runs.filter(run => run.end === 'open').map(({ id }) => id)
+  victim.close()
+  await sleep(1000)
   state.isEnded = true
   await traffic
   await sleep(2500)
-  const instances = site.nodes.flatMap(({ instance, ended = [] }) => [...ended, instance])
-  const wrong = instances.flatMap(({ id, service, runs }) => runs
-    .filter(run => !ALLOWED[run.url.split('/')[1]].includes(service))
-    .map(run => `${run.id} ${run.method} ${run.url} was run by ${id} of ${service}, ${run.end} there`))
-  record.line(`requests that were run by a service to which no configuration allows them to go: ${wrong.length}`)
-  wrong.forEach(text => record.line(`  ${text}`))
-  return wrong.length === 0
+  const lost = answers.filter(({ id }) => open.includes(id)).map(({ id, status, error }) => `${id}: ${status ?? error}`)
+  record.line(`requests that ${victim.id} ran: ${victim.runs.length}; later than ${DRAIN_MS} ms after the acknowledgement: ${tooLate.length}`)
+  for (const run of tooLate) record.line(`  ${run.id} ${run.method} ${run.url} ${Math.round(run.atMs - acknowledgedAtMs)} ms after it`)
+  record.line(`requests that were running there at its exit, with their answers: ${lost.join(', ') || 'none'}`)
+  return tooLate.length === 0
+}
+
+async function crashAndRestart (victim) {
+  record.line(`${victim.id} crashes`)
+  victim.close()
+  await sleep(DOWN_MS)
+  record.line(`${victim.id} starts again under its id`)
+  await victim.restart()
 }
 
 let site
