--- a/review/lib-2/site.js
+++ b/review/lib-2/site.js
@@ -16,6 +16,11 @@
 
 const HEARTBEAT_MS = 1500
 
+/** Processes that run; all of them end with this one, also when it is stopped early. */
+const children = new Set()
+process.on('exit', () => children.forEach(child => child.kill('SIGKILL')))
+for (const signal of ['SIGTERM', 'SIGINT']) process.on(signal, () => process.exit(2))
+
 export const sleep = async ms => await new Promise(resolve => setTimeout(resolve, ms))
 
 /** Writes what was sent, answered and run, with the time since the start. */
@@ -56,7 +61,9 @@
       cwd: ROOT, stdio: ['ignore', output, output], env: { PATH: process.env.PATH, SASSAFRASLEAD_SETTINGS: this._settingsFile }
     })
     this._child = child
+    children.add(child)
     this._exited = new Promise(resolve => child.once('exit', (code, signal) => {
+      children.delete(child)
       if (this._child === child) this._child = undefined
       this.lastExit = { code, signal }
       resolve({ code, signal })
