Store departures in the log of the control group before they are acknowledged

What nodes and replicas know of instances is in their memory only, so the acknowledgement was forgotten with the last of them, and a late heartbeat brought the instance back.

A node now closes its gate, has the departure committed by the control group, and only then answers 200; when that takes longer than 0.8 s it answers 503 and goes on storing. A node that has just started lets no call in before a replica has told it which instances have left. Health checks, which name no start, don't bring back an id that has left.

A test of InstanceProxy deregistered with the start that the node had assumed, which no instance can name. It now does so with the real start and without one, and expects the same.

--- a/src/control/Types.ts
+++ b/src/control/Types.ts
@@ -4,7 +4,8 @@
 import type { NodeEntry } from '../parts/instances/Types.js'
 import type { Heartbeat, Member, ServiceDigest } from '../parts/membership/Types.js'
 import type {
-  CrashReportsFrame, FeedToNode, FromOperatorServer, LeaveState, NodeToFeed, QuotaReplicaFrame, ToOperatorServer
+  CrashReportsFrame, DepartureForwardFrame, FeedToNode, FromOperatorServer, LeaveState, NodeToFeed, QuotaReplicaFrame,
+  ToOperatorServer
 } from '../routecontrol/Types.js'
 import type { RecordCommand, RecordReply } from '../parts/records/Types.js'
 import type { Incarnation, NodeId, ProcessLocation, ReplicaId, ServiceName } from '../parts/Types.js'
@@ -99,6 +100,8 @@
   /** Route control only. */
   | CrashReportsFrame
   /** Route control only. */
+  | DepartureForwardFrame
+  /** Route control only. */
   | QuotaReplicaFrame
 
 /** Frames that a control replica receives on accepted connections. */
--- a/src/parts/instances/EntryChecks.test.ts
+++ b/src/parts/instances/EntryChecks.test.ts
@@ -1,6 +1,6 @@
 import { expect, test } from 'vitest'
 import { isConnectAddress } from '../../runtime/Address.js'
-import { decodeNodeEntry, isInstanceId } from './EntryChecks.js'
+import { decodeDepartures, decodeNodeEntry, isInstanceId } from './EntryChecks.js'
 
 const INSTANCE = { id: 'i-1', bornMs: 5, service: 's', slots: 6, state: 'ready' }
 const ENTRY = { node: '10.0.0.1:80', zone: 'a', epoch: 1, revision: 1, state: 'up', instance: INSTANCE }
@@ -50,3 +50,12 @@
   for (const id of ['', ' i', 'i\r\n', 'i\0', '日', 'é', 'x'.repeat(257), 7, undefined]) expect(isInstanceId(id)).toBe(false)
   for (const id of ['i-7f3a91c2', 'a/b', '%2F', 'x'.repeat(256)]) expect(isInstanceId(id)).toBe(true)
 })
+
+test('departures with any odd value are not used', () => {
+  const departure = { id: 'i-1', bornMs: 5 }
+  expect(decodeDepartures([{ ...departure, odd: 1 }])).toEqual([departure])
+  expect(decodeDepartures([])).toEqual([])
+  const odd = [{ ...departure, id: 'i\r\n' }, { ...departure, bornMs: -1 }, { ...departure, bornMs: '5' }, { id: 'i-1' }, null, 'i-1', [departure]]
+  for (const value of odd) expect(decodeDepartures([departure, value])).toBe(undefined)
+  for (const values of [undefined, null, {}, 'i-1', Array(17).fill(departure)]) expect(decodeDepartures(values)).toBe(undefined)
+})
--- a/src/parts/instances/EntryChecks.ts
+++ b/src/parts/instances/EntryChecks.ts
@@ -1,4 +1,5 @@
-import type { InstanceState, NodeEntry, PublishedInstance } from './Types.js'
+import { MAX_DEPARTURES } from './DepartureTable.js'
+import type { Departure, InstanceState, NodeEntry, PublishedInstance } from './Types.js'
 
 /** Longest id of an instance or name of a service or zone, in characters. */
 export const MAX_NAME_LENGTH = 256
@@ -48,6 +49,20 @@
   return decoded === undefined ? undefined : { ...base, instance: decoded }
 }
 
+/**
+ * Decodes departures that another process has sent.
+ * @param values Decoded frame content of any type.
+ * @returns The departures; undefined when any of them can't be used, or there are more than a node remembers.
+ */
+export function decodeDepartures (values: unknown): Departure[] | undefined {
+  if (!Array.isArray(values) || values.length > MAX_DEPARTURES) return undefined
+  const departures = values.flatMap((value: unknown) => {
+    if (!isRecord(value) || !isInstanceId(value['id']) || !isIntegerWithin(value['bornMs'], 0, MAX_UNIX_MS)) return []
+    return [{ id: value['id'], bornMs: value['bornMs'] }]
+  })
+  return departures.length === values.length ? departures : undefined
+}
+
 function decodeInstance (value: unknown): PublishedInstance | undefined {
   if (!isRecord(value)) return undefined
   const { id, bornMs, isBornAssumed, service, slots, state } = value
--- a/src/parts/instances/InstanceRegistry.test.ts
+++ b/src/parts/instances/InstanceRegistry.test.ts
@@ -39,7 +39,7 @@
   registry.recordReport(makeReport({ sequence: 1, state: 'draining' }), 0)
   registry.recordReport(makeReport({ sequence: 2, state: 'ready' }), 0)
   expect(registry.published?.state).toBe('draining')
-  registry.deregister('i-1', 100)
+  registry.deregister('i-1', 100, 5000)
   registry.recordReport(makeReport({ sequence: 3 }), 0)
   expect(registry.published?.state).toBe('left')
 })
@@ -47,8 +47,8 @@
 test('a delayed deregistration of an earlier incarnation does not affect the current one', () => {
   const registry = new InstanceRegistry(ADDRESS, 's')
   registry.recordReport(makeReport({ bornMs: 200 }), 0)
-  expect(registry.deregister('i-1', 100)).toBe('stale')
-  expect(registry.deregister('i-9', undefined)).toBe('foreign')
+  expect(registry.deregister('i-1', 100, 5000)).toBe('stale')
+  expect(registry.deregister('i-9', undefined, 5000)).toBe('foreign')
   expect(registry.published?.state).toBe('ready')
 })
 
@@ -206,7 +206,7 @@
   const registry = new InstanceRegistry(ADDRESS, 's')
   registry.recordReport(makeReport(), 0)
   expect(registry.recordReport(makeReport({ sequence: 2, state: 'draining' }), 1, true)).toBe('applied')
-  expect(registry.deregister('i-1', 100)).toBe('applied')
+  expect(registry.deregister('i-1', 100, 5000)).toBe('applied')
   const late = makeReport({ bornMs: 50, sequence: 9 })
   expect(registry.recordReport(late, 2, true)).toBe('stale')
   expect(registry.published?.state).toBe('left')
--- a/src/parts/instances/InstanceRegistry.ts
+++ b/src/parts/instances/InstanceRegistry.ts
@@ -1,5 +1,6 @@
 import type { ServiceName } from '../Types.js'
-import type { InstanceIncarnation, InstanceReport, PublishedInstance } from './Types.js'
+import { DepartureTable } from './DepartureTable.js'
+import type { Departure, InstanceIncarnation, InstanceReport, PublishedInstance } from './Types.js'
 
 /**
  * Reports in a row, and the time that they span in milliseconds, after which an incarnation that counts as old replaces
@@ -31,19 +32,21 @@
 /**
  * Latest state of the one instance beside a node, merged from the instance's reports. Reports may be delayed and
  * reordered, and another instance may take over the address: incarnations are ordered by their start time, reports of
- * one incarnation by their sequence. An incarnation that has begun to drain never becomes ready again.
+ * one incarnation by their sequence. An incarnation that has begun to drain never becomes ready again, and neither does
+ * one that has left before its first report arrives.
  *
  * A report may come from another writer. When one names another incarnation than the current one, the instance itself
  * is asked if it can be, and its answer decides. Otherwise a report with a start or a sequence above all true ones is
  * overruled when the instance goes on reporting while nothing else confirms that report.
  *
- * Memory: three reports.
+ * Memory: three reports and a `DepartureTable`.
  */
 export class InstanceRegistry {
   private _current: InstanceReport | undefined
   /** Last of the increasing reports that count as old and came after the last applied one. */
   private _older: { readonly report: InstanceReport, readonly count: number, readonly sinceMs: number } | undefined
   private _claim: Claim | undefined
+  private readonly _departures = new DepartureTable()
 
   /**
    * @param _address Address of the instance beside this node, `host:port`; reports of other addresses are foreign.
@@ -95,6 +98,8 @@
    */
   public recordReport (report: InstanceReport, nowMs: number, canAsk = false): ReportOutcome {
     if (report.address !== this._address || report.service !== this._service) return 'foreign'
+    // A health check of an instance that has left may still succeed, and does not tell whether it has started again.
+    if (report.isBornAssumed === true && this._departures.covers(report)) return 'stale'
     const known = this._current
     if (known === undefined) return this._apply(report)
     const outlives = !isNewer(known, report) && this._outlivesCurrent(report, nowMs)
@@ -130,17 +135,43 @@
     this._claim = undefined
   }
 
+  /** Departures that this registry knows, the oldest first. */
+  public get departures (): Departure[] {
+    return this._departures.departures
+  }
+
+  /** Returns whether an incarnation is known to have left. */
+  public hasLeft (instance: InstanceIncarnation): boolean {
+    return this._departures.covers(instance)
+  }
+
+  /**
+   * Records a departure that was acknowledged, also one of an instance that is not known here.
+   * @returns `applied` when it takes the current incarnation out of use.
+   */
+  public recordDeparture (departure: Departure): ReportOutcome {
+    this._departures.record(departure)
+    const known = this._current
+    if (known?.state !== 'ready' || !this._departures.covers(known)) return 'stale'
+    return this._apply({ ...known, state: 'draining' })
+  }
+
   /**
-   * Marks an instance as `left` for good.
+   * Marks an instance as `left` for good and records its departure.
    * @param id Id of the instance.
-   * @param bornMs Its start in Unix milliseconds; undefined matches any.
+   * @param bornMs Its start in Unix milliseconds; undefined matches any start until now.
+   * @param wallMs The present time in Unix milliseconds.
    */
-  public deregister (id: string, bornMs: number | undefined): ReportOutcome {
+  public deregister (id: string, bornMs: number | undefined, wallMs: number): ReportOutcome {
     const known = this._current
-    if (known === undefined || known.id !== id) return 'foreign'
-    if (bornMs !== undefined && !isSameIncarnation(known, { id, bornMs })) return 'stale'
-    if (known.state === 'left') return 'stale'
-    return this._apply({ ...known, state: 'left' })
+    const isKnown = known?.id === id
+    const knownBornMs = isKnown && known.isBornAssumed !== true ? known.bornMs : undefined
+    const leftBornMs = bornMs ?? knownBornMs ?? wallMs
+    this._departures.record({ id, bornMs: leftBornMs })
+    if (!isKnown || known.state === 'left') return isKnown ? 'stale' : 'foreign'
+    if (knownBornMs !== undefined && leftBornMs !== knownBornMs) return 'stale'
+    const { isBornAssumed, ...report } = known
+    return this._apply({ ...report, bornMs: leftBornMs, state: 'left' })
   }
 
   /** Marks an instance as `draining` that has said so by other means than a report. */
@@ -173,7 +204,8 @@
   }
 
   private _apply (report: InstanceReport): ReportOutcome {
-    this._current = report
+    const isLeaving = report.state === 'ready' && this._departures.covers(report)
+    this._current = isLeaving ? { ...report, state: 'draining' } : report
     this._older = undefined
     return 'applied'
   }
--- a/src/parts/instances/Types.ts
+++ b/src/parts/instances/Types.ts
@@ -15,6 +15,19 @@
   readonly isBornAssumed?: true
 }
 
+/** An instance that has said that it leaves: incarnations of the id that started by `bornMs` get no more calls. */
+export interface Departure {
+  readonly id: string
+  /** Start of the incarnation in Unix milliseconds, or the time of the departure where the start is not known. */
+  readonly bornMs: number
+}
+
+/** Departures beside one node. */
+export interface NodeDepartures {
+  readonly node: NodeId
+  readonly departures: readonly Departure[]
+}
+
 /** Report of an instance about itself. */
 export interface InstanceReport extends InstanceIncarnation {
   /** Increases with each report of one incarnation. */
--- a/src/routecontrol/EntryDecoder.ts
+++ b/src/routecontrol/EntryDecoder.ts
@@ -1,5 +1,5 @@
-import { decodeNodeEntry } from '../parts/instances/EntryChecks.js'
-import type { NodeEntry } from '../parts/instances/Types.js'
+import { decodeDepartures, decodeNodeEntry } from '../parts/instances/EntryChecks.js'
+import type { Departure, NodeEntry } from '../parts/instances/Types.js'
 import { isConnectAddress } from '../runtime/Address.js'
 import type { Log } from '../runtime/Types.js'
 
@@ -24,6 +24,13 @@
   })
 }
 
+/** Decodes departures; a list that can't be used is dropped with a log line. */
+export function decodeDepartureList (values: unknown, from: string, log: Log): Departure[] {
+  const departures = decodeDepartures(values)
+  if (departures === undefined) log.warn({ from, departures: describe(values) }, 'list of departures dropped')
+  return departures ?? []
+}
+
 /** Decodes addresses of control replicas; those that can't be connected to are dropped with a log line. */
 export function decodeAddresses (values: unknown, from: string, log: Log): string[] {
   const addresses = Array.isArray(values) ? values.filter(isConnectAddress) : []
--- a/src/routecontrol/NodeFeed.test.ts
+++ b/src/routecontrol/NodeFeed.test.ts
@@ -1,6 +1,7 @@
 import { afterEach, beforeEach, expect, test, vi } from 'vitest'
 import type { AcceptedChannel } from '../control/ReplicaLinks.js'
 import type { EvacuationState } from '../parts/evacuation/Types.js'
+import { DepartureStore } from '../parts/instances/DepartureStore.js'
 import type { NodeEntry } from '../parts/instances/Types.js'
 import type { CrashReport } from '../parts/quarantine/Types.js'
 import { Emitter } from '../runtime/Emitter.js'
@@ -39,6 +40,7 @@
       onChange: new Emitter<void>().event,
       onEvacuation: evacuations.event,
       get evacuation () { return evacuation },
+      departures: new DepartureStore(),
       store: { inForce: { version: 0 } }
     },
     memberAddresses: [],
@@ -190,7 +192,7 @@
 test('a welcome names evacuated zones only after an order', async () => {
   const before = connectNode(0)
   await vi.advanceTimersByTimeAsync(0)
-  expect(Object.keys(before.frames[0]!)).toEqual(['type', 'entries', 'controls'])
+  expect(Object.keys(before.frames[0]!)).toEqual(['type', 'entries', 'controls', 'departures'])
   evacuate({ revision: 1, zones: ['a'] })
   expect(before.encodedFrames).toBe(1)
   await vi.advanceTimersByTimeAsync(700)
--- a/src/routecontrol/NodeFeed.ts
+++ b/src/routecontrol/NodeFeed.ts
@@ -1,7 +1,7 @@
 import type { AcceptedChannel } from '../control/ReplicaLinks.js'
 import type { EvacuationState } from '../parts/evacuation/Types.js'
 import { NodeDirectory } from '../parts/instances/NodeDirectory.js'
-import type { NodeEntry } from '../parts/instances/Types.js'
+import type { NodeDepartures, NodeEntry } from '../parts/instances/Types.js'
 import type { CrashReport } from '../parts/quarantine/Types.js'
 import type { NodeId } from '../parts/Types.js'
 import { Emitter } from '../runtime/Emitter.js'
@@ -11,7 +11,7 @@
   ENTRY_BATCH_MS, ENTRY_RESEND_INTERVAL_MS, NODE_CHECK_INTERVAL_MS, NODE_GONE_MS, NODE_TIMEOUT_MS
 } from './Constants.js'
 import { CrashReportStore } from './CrashReportStore.js'
-import { decodeEntries } from './EntryDecoder.js'
+import { decodeDepartureList, decodeEntries } from './EntryDecoder.js'
 import { RoutingDelivery, type RoutingReceiver } from './RoutingDelivery.js'
 import type { RoutingReplica } from './RoutingReplica.js'
 import type { FeedToNode, ForwardedQuotaMessage, NodeToFeed } from './Types.js'
@@ -71,6 +71,7 @@
   private readonly _delivery: RoutingDelivery
   /** When this replica applied the last change of the evacuated zones, in monotonic milliseconds. */
   private _evacuationAtMs: number | undefined
+  private readonly _departuresEmitter = new Emitter<NodeDepartures>()
   private readonly _quotaMessageEmitter = new Emitter<ForwardedQuotaMessage>()
 
   private readonly _handlers: Handlers = {
@@ -81,6 +82,10 @@
       session.lastPublished = entry
       this._mergePublished([entry])
     },
+    departures: ({ node }, frame) => {
+      const departures = decodeDepartureList(frame.departures, node, this._log)
+      if (departures.length > 0) this._departuresEmitter.fire({ node, departures })
+    },
     crashReports: (_session, { reports }) => this._addReports(reports, true),
     quotaAsk: ({ node }, { message }) => this._quotaMessageEmitter.fire({ node, message }),
     feedPing: session => this._send(session, { type: 'feedPong', fit: this._replica.canServeNodes }),
@@ -111,6 +116,9 @@
     this._resendTimer = setInterval(() => this._resendEntries(), ENTRY_RESEND_INTERVAL_MS)
   }
 
+  /** Fires with the departures that connected nodes send to be stored. */
+  public readonly onDepartures = this._departuresEmitter.event
+
   /** Fires with the messages of connected nodes about quotas. */
   public readonly onQuotaMessage = this._quotaMessageEmitter.event
 
@@ -193,6 +201,7 @@
       type: 'welcome',
       entries,
       controls: this._replica.memberAddresses,
+      departures: this._replica.machine.departures.find(entry.node),
       ...(known === undefined ? {} : { own: known }),
       ...(reports.length === 0 ? {} : { reports }),
       ...this._describeEvacuation()
--- a/src/routecontrol/RouteControlDaemon.ts
+++ b/src/routecontrol/RouteControlDaemon.ts
@@ -7,6 +7,7 @@
 import type { Disk } from '../parts/storage/Types.js'
 import type { Random } from '../parts/Types.js'
 import type { Clock, Disposable, Log } from '../runtime/Types.js'
+import { DepartureHost } from './DepartureHost.js'
 import { type FeedHello, NodeFeed } from './NodeFeed.js'
 import { OperatorRelay } from './OperatorRelay.js'
 import { type OperatorCallExecutor, OperatorServer } from './OperatorServer.js'
@@ -71,6 +72,7 @@
   private readonly _replica: RoutingReplica
   private readonly _feed: NodeFeed
   private readonly _quotas: QuotaHost
+  private readonly _departures: DepartureHost
   private readonly _server: ControlServer
   private readonly _decisionEmitter = new Emitter<OrderDecision>()
   private readonly _operators: OperatorServer
@@ -92,6 +94,7 @@
     this._replica = new RoutingReplica(_options)
     this._feed = new NodeFeed(this._replica, clock, log)
     this._quotas = new QuotaHost(this._replica, this._feed, clock, log)
+    this._departures = new DepartureHost(this._replica, this._feed, log)
     this._operators = new OperatorServer(this, log)
     this._server = _options.server ?? new FrameServer(clock)
     this._server.onChannel(channel => {
@@ -192,6 +195,7 @@
       corruptions: this._replica.corruptions,
       version: this._replica.machine.store.inForce.version,
       evacuation: this._replica.machine.evacuation,
+      nodesWithDepartures: this._replica.machine.departures.size,
       nodes: this._feed.size,
       directory: this._feed.directory.size
     }
@@ -208,6 +212,7 @@
   /** Stops at once without completing pending work; changes that aren't synced to disk were never acknowledged. */
   public dispose (): void {
     this._quotas.dispose()
+    this._departures.dispose()
     this._feed.dispose()
     this._replica.dispose()
     this._server.dispose()
--- a/src/routecontrol/RoutingReplica.ts
+++ b/src/routecontrol/RoutingReplica.ts
@@ -9,7 +9,7 @@
 import type { ReplicaView } from '../parts/agreement/Replica.js'
 import type { RecoveredState } from '../parts/agreement/Types.js'
 import type { EvacuationOrder } from '../parts/evacuation/Types.js'
-import type { NodeEntry } from '../parts/instances/Types.js'
+import type { NodeDepartures, NodeEntry } from '../parts/instances/Types.js'
 import type { CrashReport } from '../parts/quarantine/Types.js'
 import type { RoutingChange, RoutingReply } from '../parts/routing/Types.js'
 import { DurableLog } from '../parts/storage/DurableLog.js'
@@ -20,7 +20,9 @@
 import { FIRST_LEADER_WAIT_MS, GROUP_TICK_MS, GROUP_TIMING, SNAPSHOT_AFTER_BYTES } from './Constants.js'
 import { decideEarly } from './EarlyDecision.js'
 import { FormationHost, type FormingReplica } from './FormationHost.js'
-import { type EvacuationReply, type MachineReply, RoutingStateMachine } from './RoutingStateMachine.js'
+import {
+  type DepartureReply, type EvacuationReply, type MachineReply, RoutingStateMachine
+} from './RoutingStateMachine.js'
 import type { QuotaReplicaFrame } from './Types.js'
 import { type VoterGroup, VoterHost } from './VoterHost.js'
 
@@ -58,6 +60,9 @@
 /** Result of a proposed order about an availability zone. */
 export type EvacuationOutcome = CommandOutcome<EvacuationReply>
 
+/** Result of proposed departures. */
+export type DepartureOutcome = CommandOutcome<DepartureReply>
+
 /** Entries of nodes that another replica sent. */
 export interface NodeEntriesUpdate {
   readonly from: ReplicaId
@@ -92,6 +97,7 @@
   private readonly _voters: VoterHost
   private readonly _nodeEntriesEmitter = new Emitter<NodeEntriesUpdate>()
   private readonly _crashReportsEmitter = new Emitter<readonly CrashReport[]>()
+  private readonly _departuresEmitter = new Emitter<NodeDepartures>()
   private readonly _quotaFrameEmitter = new Emitter<ReceivedQuotaFrame>()
   private readonly _linkOpenEmitter = new Emitter<void>()
   private readonly _firstLeaderEmitter = new Emitter<void>()
@@ -121,6 +127,7 @@
     readIndexReply: (_from, { id, index }) => this._barrier.receiveReply(id, index),
     nodeEntries: (from, { entries, whole }) => this._nodeEntriesEmitter.fire({ from, entries, whole }),
     crashReports: (_from, { reports }) => this._crashReportsEmitter.fire(reports),
+    departureForward: (_from, { node, departures }) => this._departuresEmitter.fire({ node, departures }),
     quotaForward: (from, frame) => this._quotaFrameEmitter.fire({ from, frame }),
     quotaReturn: (from, frame) => this._quotaFrameEmitter.fire({ from, frame }),
     quotaCollect: (from, frame) => this._quotaFrameEmitter.fire({ from, frame })
@@ -179,6 +186,9 @@
   /** Fires with the crash reports that other replicas send. */
   public readonly onCrashReports = this._crashReportsEmitter.event
 
+  /** Fires with the departures that other replicas pass on to the leader. */
+  public readonly onDepartures = this._departuresEmitter.event
+
   /** Fires with the frames about quotas that other replicas send. */
   public readonly onQuotaFrame = this._quotaFrameEmitter.event
 
@@ -273,6 +283,16 @@
     return await this._propose<EvacuationReply>(this.machine.encodeOrder(order))
   }
 
+  /** Proposes departures of instances; succeeds only at the leader. */
+  public async storeDepartures (departed: NodeDepartures): Promise<DepartureOutcome> {
+    return await this._propose<DepartureReply>(this.machine.encodeDepartures(departed))
+  }
+
+  /** Passes departures on to another replica; they may be dropped. */
+  public forwardDepartures (to: ReplicaId, departed: NodeDepartures): void {
+    this._links.send(to, { type: 'departureForward', ...departed })
+  }
+
   /**
    * Receives frames on a connection on which another replica has sent its hello frame.
    * @param channel The connection.
--- a/src/routecontrol/RoutingStateMachine.test.ts
+++ b/src/routecontrol/RoutingStateMachine.test.ts
@@ -56,3 +56,17 @@
   expect(order(restored, 'end', 'a')).toMatchObject({ evacuation: { revision: 2, zones: [] } })
   expect(seen).toEqual([1, 1, 2])
 })
+
+// A snapshot without them would bring back instances whose departure was acknowledged.
+test('departures are stored once applied, and survive a snapshot', () => {
+  const machine = new RoutingStateMachine()
+  const nodes: string[] = []
+  machine.onDeparture(node => nodes.push(node))
+  const departed = { node: '10.0.0.1:7600', departures: [{ id: 'i-1', bornMs: 5 }] }
+  const data = machine.encodeDepartures(departed)
+  expect([apply(machine, data), apply(machine, data)])
+    .toEqual([{ type: 'departure', changed: true }, { type: 'departure', changed: false }])
+  const restored = new RoutingStateMachine()
+  restored.restore(takeSnapshot(machine))
+  expect([restored.departures.find(departed.node), nodes]).toEqual([departed.departures, [departed.node]])
+})
--- a/src/routecontrol/RoutingStateMachine.ts
+++ b/src/routecontrol/RoutingStateMachine.ts
@@ -4,8 +4,11 @@
 import type { LogEntry } from '../parts/agreement/Types.js'
 import { EvacuationStore } from '../parts/evacuation/EvacuationStore.js'
 import type { EvacuationOrder, EvacuationState } from '../parts/evacuation/Types.js'
+import { DepartureStore } from '../parts/instances/DepartureStore.js'
+import type { NodeDepartures } from '../parts/instances/Types.js'
 import { RoutingStore } from '../parts/routing/RoutingStore.js'
 import type { RoutingChange, RoutingReply, RoutingSnapshot } from '../parts/routing/Types.js'
+import type { NodeId } from '../parts/Types.js'
 import { Emitter } from '../runtime/Emitter.js'
 
 /** Content of a log entry with a change of the routing configuration. */
@@ -20,8 +23,21 @@
   readonly evacuation: EvacuationOrder
 }
 
-/** Reply to a change or an order. */
-export type MachineReply = RoutingReply | EvacuationReply
+/** Content of a log entry with departures of instances. */
+interface DepartureCommand {
+  readonly departed: NodeDepartures
+}
+
+type Command = RoutingCommand | EvacuationCommand | DepartureCommand
+
+/** Reply to a change, an order or a departure. */
+export type MachineReply = RoutingReply | EvacuationReply | DepartureReply
+
+/** Reply to departures; `changed` is false when all were stored already. */
+export interface DepartureReply {
+  readonly type: 'departure'
+  readonly changed: boolean
+}
 
 /** Reply to the operator who sent an order. */
 export interface EvacuationReply {
@@ -31,20 +47,27 @@
   readonly evacuation: EvacuationState
 }
 
-/** Whole replicated state; without `evacuation` while no order has changed anything, as in earlier versions. */
+/**
+ * Whole replicated state; without `evacuation` while no order has changed anything and without `departures` before the
+ * first, as in earlier versions.
+ */
 interface MachineSnapshot extends RoutingSnapshot {
   readonly evacuation?: EvacuationState
+  readonly departures?: readonly NodeDepartures[]
 }
 
 const CODEC = new Encoder({ useRecords: false, mapsAsObjects: true, tagUint8Array: false })
 
 /**
- * Replicated state of the control group: the routing configuration in force, the accepted changes, and the evacuated
- * availability zones.
+ * Replicated state of the control group: the routing configuration in force, the accepted changes, the evacuated
+ * availability zones, and the departures of instances.
  */
 export class RoutingStateMachine implements StateMachine<MachineReply> {
   public readonly store = new RoutingStore()
   private readonly _evacuations = new EvacuationStore()
+  /** Departures of instances that were acknowledged. */
+  public readonly departures = new DepartureStore()
+  private readonly _departureEmitter = new Emitter<NodeId>()
   private readonly _changeEmitter = new Emitter<void>()
   private readonly _evacuationEmitter = new Emitter<EvacuationState>()
 
@@ -54,6 +77,9 @@
   /** Fires when other zones are evacuated according to this replica. */
   public readonly onEvacuation = this._evacuationEmitter.event
 
+  /** Fires with the node beside which a departure was stored. */
+  public readonly onDeparture = this._departureEmitter.event
+
   /** Evacuated zones. */
   public get evacuation (): EvacuationState {
     return this._evacuations.state
@@ -71,16 +97,27 @@
     return new Uint8Array(CODEC.encode({ evacuation } satisfies EvacuationCommand))
   }
 
+  /** Encodes departures as the data of a log entry. */
+  public encodeDepartures (departed: NodeDepartures): Uint8Array {
+    return new Uint8Array(CODEC.encode({ departed } satisfies DepartureCommand))
+  }
+
   /** @inheritdoc */
   public apply (entry: LogEntry): MachineReply {
-    const command = CODEC.decode(entry.data) as RoutingCommand | EvacuationCommand
+    const command = CODEC.decode(entry.data) as Command
+    if ('departed' in command) return this._applyDepartures(command)
     return 'evacuation' in command ? this._applyOrder(command) : this._applyChange(command)
   }
 
   /** @inheritdoc */
   public snapshot (): Iterator<Uint8Array> {
     const evacuation = this._evacuations.snapshot()
-    const snapshot: MachineSnapshot = { ...this.store.snapshot(), ...(evacuation === undefined ? {} : { evacuation }) }
+    const departures = this.departures.snapshot()
+    const snapshot: MachineSnapshot = {
+      ...this.store.snapshot(),
+      ...(evacuation === undefined ? {} : { evacuation }),
+      ...(departures === undefined ? {} : { departures })
+    }
     return [new Uint8Array(CODEC.encode(snapshot))].values()
   }
 
@@ -90,6 +127,7 @@
     const { revision } = this.evacuation
     this.store.restore(snapshot)
     this._evacuations.restore(snapshot?.evacuation)
+    this.departures.restore(snapshot?.departures)
     this._changeEmitter.fire()
     if (this.evacuation.revision !== revision) this._evacuationEmitter.fire(this.evacuation)
   }
@@ -106,4 +144,10 @@
     if (changed) this._evacuationEmitter.fire(this.evacuation)
     return { type: 'evacuation', changed, evacuation: this.evacuation }
   }
+
+  private _applyDepartures ({ departed }: DepartureCommand): DepartureReply {
+    const changed = this.departures.apply(departed)
+    if (changed) this._departureEmitter.fire(departed.node)
+    return { type: 'departure', changed }
+  }
 }
--- a/src/routecontrol/Types.ts
+++ b/src/routecontrol/Types.ts
@@ -1,5 +1,5 @@
 import type { EvacuationState } from '../parts/evacuation/Types.js'
-import type { NodeEntry } from '../parts/instances/Types.js'
+import type { Departure, NodeDepartures, NodeEntry } from '../parts/instances/Types.js'
 import type { CrashReport } from '../parts/quarantine/Types.js'
 import type { QuotaAnswer, QuotaMessage } from '../parts/quota/Types.js'
 import type { RoutingDelta, VersionedRouting } from '../parts/routing/Types.js'
@@ -12,6 +12,11 @@
   readonly reports: readonly CrashReport[]
 }
 
+/** Frame between replicas: departures beside a node that is connected to the sender, for the leader; may be lost. */
+export interface DepartureForwardFrame extends NodeDepartures {
+  readonly type: 'departureForward'
+}
+
 /** A message of a node on its way to the leader. */
 export interface ForwardedQuotaMessage {
   readonly node: NodeId
@@ -58,6 +63,8 @@
   | { readonly type: 'quotaAsk', readonly message: QuotaMessage }
   /** A changed entry of the node. */
   | { readonly type: 'publish', readonly entry: NodeEntry }
+  /** Departures of instances on the VM; sent again until they are in `departuresStored`. */
+  | { readonly type: 'departures', readonly departures: readonly Departure[] }
   /** Checks that the replica is reachable and has a leader. */
   | { readonly type: 'feedPing' }
   /** Confirms a received configuration: at least this version is in force at the node. */
@@ -73,12 +80,14 @@
    * of the node, from an earlier run or connection; `controls` are the addresses of the control replicas, `host:port`;
    * `reports` are those of suspect requests, absent when there are none. `evacuation` is absent before the first order,
    * and `evacuationAgeMs`, the time since the replica applied its last change, where that was in an earlier run.
+   * `departures` are those that the group has stored for the node; absent from a replica that stores none.
    */
   | {
     readonly type: 'welcome',
     readonly entries: readonly NodeEntry[],
     readonly controls: readonly string[],
     readonly own?: NodeEntry,
+    readonly departures?: readonly Departure[],
     readonly reports?: readonly CrashReport[],
     readonly evacuation?: EvacuationState,
     readonly evacuationAgeMs?: number
@@ -87,6 +96,8 @@
   /** Evacuated zones after a change. */
   | { readonly type: 'evacuation', readonly evacuation: EvacuationState }
   | { readonly type: 'quotaAnswer', readonly answer: QuotaAnswer }
+  /** All departures that the group has stored for the node, after one was added or sent again. */
+  | { readonly type: 'departuresStored', readonly departures: readonly Departure[] }
   /** A full copy of the configuration in force. */
   | { readonly type: 'routing', readonly routing: VersionedRouting }
   /** Changes from the version that the node has to the one in force, oldest first. */
--- a/src/routenode/Constants.ts
+++ b/src/routenode/Constants.ts
@@ -44,6 +44,15 @@
 /** Timeout of a load query, in milliseconds; calls wait for its result, which usually takes 1 or 2 ms. */
 export const LOAD_QUERY_TIMEOUT_MS = 20
 
+/** Interval at which a departure is sent again until it is stored, in milliseconds: some commits on slow disks. */
+export const DEPARTURE_RESEND_INTERVAL_MS = 200
+
+/**
+ * Longest time for which an instance that leaves waits for its acknowledgement, in milliseconds: it gives up after a
+ * second, and asks again.
+ */
+export const DEPARTURE_CONFIRM_TIMEOUT_MS = 800
+
 /** Interval of pings to the control replica that a node is connected to, in milliseconds. */
 export const FEED_PING_INTERVAL_MS = 500
 
--- a/src/routenode/ControlFeed.ts
+++ b/src/routenode/ControlFeed.ts
@@ -1,13 +1,13 @@
 import type { Socket } from 'node:net'
 import type { EvacuationState } from '../parts/evacuation/Types.js'
-import type { NodeEntry } from '../parts/instances/Types.js'
+import type { Departure, NodeEntry } from '../parts/instances/Types.js'
 import type { CrashReport } from '../parts/quarantine/Types.js'
 import type { QuotaAnswer, QuotaMessage } from '../parts/quota/Types.js'
 import type { RoutingDelta, VersionedRouting } from '../parts/routing/Types.js'
 import { applyPatch } from '../parts/routing/RoutingDelta.js'
 import { computeTransferMs } from '../parts/transfer/TransferTime.js'
 import type { Random } from '../parts/Types.js'
-import { decodeAddresses, decodeEntries } from '../routecontrol/EntryDecoder.js'
+import { decodeAddresses, decodeDepartureList, decodeEntries } from '../routecontrol/EntryDecoder.js'
 import type { FeedToNode, NodeToFeed } from '../routecontrol/Types.js'
 import { connectTo } from '../runtime/Address.js'
 import { CONNECT_TIMEOUT_MAX_MS, CONNECT_TIMEOUT_MIN_MS } from '../runtime/Constants.js'
@@ -57,6 +57,7 @@
   private readonly _welcomeEmitter = new Emitter<FeedWelcome>()
   private readonly _entriesEmitter = new Emitter<readonly NodeEntry[]>()
   private readonly _crashReportsEmitter = new Emitter<readonly CrashReport[]>()
+  private readonly _departuresEmitter = new Emitter<readonly Departure[]>()
   private readonly _quotaAnswerEmitter = new Emitter<QuotaAnswer>()
   private readonly _routingEmitter = new Emitter<VersionedRouting>()
   private readonly _evacuationEmitter = new Emitter<EvacuationUpdate>()
@@ -88,6 +89,9 @@
     entries: ({ entries }) => this._entriesEmitter.fire(decodeEntries(entries, this._home, this._log)),
     crashReports: ({ reports }) => this._crashReportsEmitter.fire(reports),
     evacuation: ({ evacuation }) => this._applyEvacuation(evacuation, 0),
+    departuresStored: ({ departures }) => {
+      this._departuresEmitter.fire(decodeDepartureList(departures, this._home, this._log))
+    },
     quotaAnswer: ({ answer }) => this._quotaAnswerEmitter.fire(answer),
     // A replica that turns this node away may itself have an old list, so its list adds to what is known.
     controls: frame => {
@@ -124,6 +128,9 @@
   /** Fires with reports of requests that may have crashed instances. */
   public readonly onCrashReports = this._crashReportsEmitter.event
 
+  /** Fires with all departures that the control group has stored for this node. */
+  public readonly onDeparturesStored = this._departuresEmitter.event
+
   /** Fires with the answers of the leader about quotas. */
   public readonly onQuotaAnswer = this._quotaAnswerEmitter.event
 
@@ -193,6 +200,11 @@
     this._channel?.send({ type: 'crashReports', reports })
   }
 
+  /** Sends departures of instances on this VM to be stored, unless there is no connection. */
+  public sendDepartures (departures: readonly Departure[]): void {
+    if (this._isWelcomed) this._channel?.send({ type: 'departures', departures })
+  }
+
   /** Sends a message about quotas, unless there is no connection. */
   public sendQuotaMessage (message: QuotaMessage): void {
     if (this._isWelcomed) this._channel?.send({ type: 'quotaAsk', message })
@@ -275,10 +287,15 @@
   }
 
   private _onWelcome (received: FeedWelcome): void {
-    const { own: receivedOwn, ...fields } = received
+    const { own: receivedOwn, departures: receivedDepartures, ...fields } = received
     const entries = decodeEntries(received.entries, this._home, this._log)
     const [own] = receivedOwn === undefined ? [] : decodeEntries([receivedOwn], this._home, this._log)
-    const frame: FeedWelcome = { ...fields, entries, ...(own === undefined ? {} : { own }) }
+    const departures = receivedDepartures === undefined
+      ? undefined
+      : decodeDepartureList(receivedDepartures, this._home, this._log)
+    const frame: FeedWelcome = {
+      ...fields, entries, ...(own === undefined ? {} : { own }), ...(departures === undefined ? {} : { departures })
+    }
     clearTimeout(this._welcomeTimer)
     this._welcomeTimeoutMs = FEED_WELCOME_TIMEOUT_MIN_MS
     this._isWelcomed = true
--- a/src/routenode/InstanceProxy.test.ts
+++ b/src/routenode/InstanceProxy.test.ts
@@ -167,13 +167,14 @@
   expect(proxy.published?.state).toBe('left')
 })
 
-test('an instance that was found by a health check and leaves is not ready by its first report', async () => {
-  const { proxy, address } = await startRecovered()
-  const { id, bornMs } = proxy.published as PublishedInstance
-  expect(proxy.deregister(id, bornMs)).toBe('applied')
-  proxy.report({ ...PUBLISHED_BEFORE, bornMs: 500, address, sequence: 1, state: 'ready', coldMs: 0 })
-  expect(proxy.published?.state).toBe('left')
-})
+for (const bornMs of [500, undefined]) {
+  test(`an instance that a health check has found and that leaves, born ${bornMs}, is not ready by its first report`, async () => {
+    const { proxy, address } = await startRecovered()
+    expect(proxy.deregister('i-1', bornMs)).toBe('applied')
+    proxy.report({ ...PUBLISHED_BEFORE, bornMs: 500, address, sequence: 1, state: 'ready', coldMs: 0 })
+    expect(proxy.published?.state).toBe('left')
+  })
+}
 
 /** An upload of another node, whose body is announced by its size. */
 const ANNOUNCED: RoutedCall = {
--- a/src/routenode/InstanceProxy.ts
+++ b/src/routenode/InstanceProxy.ts
@@ -14,9 +14,11 @@
 import { type ColdFigures, ColdMonitor, type ColdSetting } from './ColdMonitor.js'
 import { BODY_RETRY_AFTER_MS, COLD_CHECK_TIMEOUT_MS, RECOVERY_CHECK_INTERVAL_MS } from './Constants.js'
 import { CrashAttribution } from './CrashAttribution.js'
+import { BREAKER_COUNTED_REASONS, BREAKER_OPENING_REASONS, LOSS_REASONS } from './FailureKinds.js'
 import { buildGateCall } from './GateCalls.js'
 import { InstanceChecks } from './InstanceChecks.js'
 import { InstanceClient, type InstanceHealth } from './InstanceClient.js'
+import { InstanceDepartures } from './InstanceDepartures.js'
 import type { InstanceLoad } from './LoadHeader.js'
 import type { PendingCall } from './PendingCall.js'
 import type { Quarantine, QuarantineRefusal } from './Quarantine.js'
@@ -43,6 +45,11 @@
   readonly bodies?: BodyResources
   /** Returns whether the instance must get no calls, since its zone is evacuated; absent where that never happens. */
   readonly isZoneClosed?: () => boolean
+  /**
+   * Returns whether the departures of earlier runs of this process are known; until then the instance gets no calls.
+   * Absent where no earlier run can have acknowledged any.
+   */
+  readonly areDeparturesKnown?: () => boolean
   /**
    * Withdraws one repeat from the retry budget of a service; false when it is used up. Absent where repeats are not
    * bounded.
@@ -56,15 +63,6 @@
   readonly [Type in GateAction['type']]: (action: Extract<GateAction, { type: Type }>) => void
 }
 
-/** Failures that open the circuit breaker at once, since the instance itself is gone. */
-const BREAKER_OPENING_REASONS: ReadonlySet<FailureReason> = new Set(['instance-unreachable', 'instance-replaced'])
-
-/** Failures that open the circuit breaker after a few in a row. */
-const BREAKER_COUNTED_REASONS: ReadonlySet<FailureReason> = new Set(['timeout', 'instance-lost'])
-
-/** Failures with which the connection of a run was lost; a run that was sent again may find nothing that listens. */
-const LOSS_REASONS: ReadonlySet<FailureReason> = new Set(['instance-lost', 'instance-unreachable'])
-
 /**
  * Proxy in front of the instance on this VM. All calls to the instance pass through it, so it alone knows what runs
  * there, and it enforces the concurrency limit, the order of queued calls and draining: once it has applied a report
@@ -78,6 +76,8 @@
  * Memory: the running and the queued calls; see `InstanceGate` for their bounds.
  */
 export class InstanceProxy implements RoutedCallTarget, Disposable {
+  /** Departures of the instances on this VM; calls may be let in once those of earlier runs are restored. */
+  public readonly departures: InstanceDepartures
   private readonly _registry: InstanceRegistry
   private readonly _reports: ReportReceiver
   private readonly _client: InstanceClient
@@ -109,6 +109,7 @@
       askIdentity: onResult => this._checks.askIdentity(onResult),
       onApplied: (report, previous) => this._onReport(report, previous)
     })
+    this.departures = new InstanceDepartures(this._registry, this._reports, () => this._onInstanceChange())
     this._bodies = _options.bodies ?? makeDefaultBodyResources()
     this._client = new InstanceClient(_options.address, _options.names, _options.clock, this._bodies.answers)
     this._crashAttribution = new CrashAttribution({
@@ -242,7 +243,7 @@
 
   /** Handles the deregistration of an instance, which stops for good. */
   public deregister (id: string, bornMs: number | undefined): ReportOutcome {
-    const outcome = this._registry.deregister(id, bornMs)
+    const outcome = this._registry.deregister(id, bornMs, this._options.clock.wallMs())
     if (outcome === 'applied') this._onInstanceChange()
     return outcome
   }
@@ -299,18 +300,17 @@
     const restarted = previous?.id !== report.id || previous.bornMs !== report.bornMs
     if (restarted) this._breaker.recordSuccess()
     if (restarted && !this._breaker.isFlapping(this._options.clock.nowMs())) this._step({ type: 'restarted' })
-    if (previous !== undefined && !isSameIncarnation(previous, report)) {
-      this._crashAttribution.recordRestart(previous.state === 'ready')
-    }
+    const hasReplaced = previous !== undefined && !isSameIncarnation(previous, report)
+    if (hasReplaced) this._crashAttribution.recordRestart(previous.state === 'ready')
     this._onInstanceChange()
   }
 
   private _onInstanceChange (): void {
-    const { current } = this._registry
     this._applyLimit()
     this._applySlots()
     this._publishChange()
-    this._options.log.debug({ instance: current?.id, state: current?.state, sequence: current?.sequence }, 'instance reported')
+    const { id: instance, state, sequence } = this._registry.current ?? {}
+    this._options.log.debug({ instance, state, sequence }, 'instance reported')
   }
 
   /** Most reports repeat the one before; publishing them would cost every node bytes for every instance. */
@@ -324,12 +324,13 @@
   private _applySlots (): void {
     const { current } = this._registry
     const isZoneClosed = this._isZoneClosed()
-    const slots = current?.state === 'ready' && !isZoneClosed ? SLOTS_BY_BREAKER_STATE[this._breaker.state](current.slots) : 0
+    const mayRun = current?.state === 'ready' && !isZoneClosed && this._options.areDeparturesKnown?.() !== false
+    const slots = mayRun ? SLOTS_BY_BREAKER_STATE[this._breaker.state](current.slots) : 0
     if (slots === this._slots) return
     this._slots = slots
-    const { id, state } = current ?? {}
-    const closure = isZoneClosed ? { isZoneClosed } : {}
-    this._options.log.info({ service: this.service, instance: id, state, breaker: this._breaker.state, slots, ...closure }, 'slots changed')
+    const { id: instance, state } = current ?? {}
+    const fields = { service: this.service, instance, state, breaker: this._breaker.state, slots }
+    this._options.log.info(isZoneClosed ? { ...fields, isZoneClosed } : fields, 'slots changed')
     this._step({ type: 'slots', slots })
     if (slots === 0) this._declineAwaitingBodies()
   }
--- a/src/routenode/ReportReceiver.ts
+++ b/src/routenode/ReportReceiver.ts
@@ -1,5 +1,6 @@
 import type { InstanceIdentity, InstanceRegistry, ReportOutcome } from '../parts/instances/InstanceRegistry.js'
 import type { InstanceReport } from '../parts/instances/Types.js'
+import { Emitter } from '../runtime/Emitter.js'
 import type { Clock, Disposable, Log } from '../runtime/Types.js'
 
 /** What the receiver needs of the proxy of the instance. */
@@ -23,6 +24,8 @@
  * Memory: one open question for each such report of the last half second.
  */
 export class ReportReceiver implements Disposable {
+  private readonly _settled = new Emitter<void>()
+
   public constructor (private readonly _options: ReportReceiverOptions) {}
 
   /** Handles a report. */
@@ -31,13 +34,27 @@
     const previous = registry.current
     const outcome = registry.recordReport(report, clock.nowMs(), isReachable())
     if (outcome === 'claimed') this._ask(report)
+    // What leaves is remembered by its start, also when its report changes nothing here.
+    if (report.state === 'draining' && (outcome === 'applied' || outcome === 'stale')) registry.recordDeparture(report)
     if (outcome === 'applied') onApplied(report, previous)
     return outcome
   }
 
+  /** Resolves once no report waits for an answer of the instance. */
+  public async whenSettled (): Promise<void> {
+    if (!this._options.registry.hasClaim) return
+    await new Promise<void>(resolve => {
+      const subscription = this._settled.event(() => {
+        subscription.dispose()
+        resolve()
+      })
+    })
+  }
+
   /** Leaves open questions without effect. */
   public dispose (): void {
     this._options.registry.dropClaim()
+    this._settled.fire()
   }
 
   private _ask (report: InstanceReport): void {
@@ -48,7 +65,9 @@
       const { id: instance, bornMs, sequence, state } = report
       const answer = { identity: identity?.id, isHealthy: identity?.isHealthy }
       log.info({ instance, bornMs, sequence, state, ...answer, current: previous?.id, outcome }, 'report settled')
+      if (outcome === 'applied' && report.state === 'draining') registry.recordDeparture(report)
       if (outcome === 'applied') onApplied(report, previous)
+      if (!registry.hasClaim) this._settled.fire()
     })
   }
 }
--- a/src/routenode/RouteNodeDaemon.ts
+++ b/src/routenode/RouteNodeDaemon.ts
@@ -1,7 +1,7 @@
 import type { RetryLimits } from '../parts/budget/SharedRetryBudget.js'
 import type { ReportOutcome } from '../parts/instances/InstanceRegistry.js'
 import { NodeDirectory } from '../parts/instances/NodeDirectory.js'
-import type { InstanceReport, NodeEntry } from '../parts/instances/Types.js'
+import type { InstanceIncarnation, InstanceReport, NodeEntry } from '../parts/instances/Types.js'
 import type { RequestFingerprint } from '../parts/quarantine/RequestFingerprint.js'
 import { HedgePolicy } from '../parts/retry/HedgePolicy.js'
 import { RouteTable } from '../parts/routing/RouteTable.js'
@@ -14,8 +14,11 @@
 import type { Clock, Disposable, Log } from '../runtime/Types.js'
 import type { BodyResources } from './BodyTransfer.js'
 import { CallServer } from './CallServer.js'
-import { ANSWER_CHECK_INTERVAL_MS, SHUTDOWN_DELAY_MS, SLOW_LINK_MBPS, STOP_NOTICE_MS } from './Constants.js'
+import {
+  ANSWER_CHECK_INTERVAL_MS, DEPARTURE_CONFIRM_TIMEOUT_MS, SHUTDOWN_DELAY_MS, SLOW_LINK_MBPS, STOP_NOTICE_MS
+} from './Constants.js'
 import { ControlFeed, type FeedWelcome } from './ControlFeed.js'
+import { DepartureOutbox } from './DepartureOutbox.js'
 import { Gateway } from './Gateway.js'
 import { GroupDirectory } from './GroupDirectory.js'
 import { InstanceProxy } from './InstanceProxy.js'
@@ -89,6 +92,8 @@
   private readonly _quarantine: Quarantine
   private readonly _evacuation: ZoneEvacuation
   private readonly _instanceProxy: InstanceProxy
+  private readonly _departures: DepartureOutbox
+  private _areDeparturesKnown = false
   private readonly _placement: Placement
   private readonly _quotas: QuotaHost
   private readonly _gateway: Gateway
@@ -129,12 +134,16 @@
       findHealthPath: service => this._routeTable?.findService(service)?.healthPath,
       bodies: this._bodies,
       isZoneClosed: () => this._evacuation.isGateClosed,
+      areDeparturesKnown: () => this._areDeparturesKnown,
       withdrawRepeat: name => retryBudgets.budgetFor(name).tryWithdraw(this._directory.size, clock.nowMs()),
       findColdSetting: name => {
         const service = this._routeTable?.findService(name)
         return service === undefined ? undefined : { perS: service.coldPerS, startMs: service.coldStartMs }
       }
     })
+    this._departures = new DepartureOutbox({
+      clock, log, send: departures => this._controlFeed.sendDepartures(departures)
+    })
     this._placement = new Placement({
       self: settings.nodeAddress,
       zone: settings.zone,
@@ -217,6 +226,19 @@
     return this._instanceProxy.deregister(id, bornMs)
   }
 
+  /**
+   * Waits until a departure that the instance has reported may be acknowledged: it must outlive this process, also when
+   * all others end with it. The instance gets no new calls meanwhile.
+   * @param instance The incarnation that leaves; any start of its id fits when its start is assumed.
+   * @returns False when no such departure is in force, or when it could not be stored in time.
+   */
+  public async confirmDeparture (instance: InstanceIncarnation): Promise<boolean> {
+    const { departures } = this._instanceProxy
+    if (!await departures.hasLeft(instance)) return false
+    this._departures.add(departures.all)
+    return await this._departures.whenStored(instance, DEPARTURE_CONFIRM_TIMEOUT_MS)
+  }
+
   /** Takes over the seeds and the service of the instance after a change of the settings. */
   public reload ({ seeds, service }: Pick<RouteNodeSettings, 'seeds' | 'service'>): void {
     this._controlFeed.setSeeds(seeds)
@@ -268,6 +290,7 @@
   public dispose (): void {
     clearInterval(this._answerTimer)
     this._controlFeed.dispose()
+    this._departures.dispose()
     this._groupDirectory.dispose()
     this._quotas.dispose()
     this._gateway.dispose()
@@ -299,6 +322,7 @@
       nodes: this._directory.size,
       inFlight: this._gateway.inFlight,
       suspects: this._quarantine.size,
+      pendingDepartures: this._departures.pendingCount,
       bodyBytes: this._bodies.memory.heldBytes,
       load: this._instanceProxy.load(),
       evacuation: this._evacuation.state,
@@ -316,6 +340,7 @@
     this._controlFeed.onEvacuation(update => this._evacuation.apply(update))
     this._evacuation.onGateChange(() => this._instanceProxy.applyZoneClosure())
     this._evacuation.onEnd(() => this._instanceProxy.assumeCold())
+    this._controlFeed.onDeparturesStored(departures => this._departures.receiveStored(departures))
     this._controlFeed.onQuotaAnswer(answer => this._quotas.receive(answer))
     this._controlFeed.onRouting(routing => this._apply(routing))
   }
@@ -340,7 +365,8 @@
     return this._keys
   }
 
-  private _onWelcome ({ own }: FeedWelcome): void {
+  private _onWelcome ({ own, departures }: FeedWelcome): void {
+    this._restoreDepartures(departures)
     if (own?.instance !== undefined) this._instanceProxy.restore(own.instance)
     // The wall clock may have been set back since an earlier run, but this run must have the later epoch.
     if (own !== undefined && own.epoch > this._epoch) this._epoch = own.epoch + 1
@@ -349,6 +375,16 @@
     this._quotas.notifyConnected()
   }
 
+  /** The instance gets calls only after this: an earlier run of this process may have acknowledged that it leaves. */
+  private _restoreDepartures (departures: FeedWelcome['departures']): void {
+    this._areDeparturesKnown = true
+    this._departures.receiveStored(departures ?? [])
+    this._departures.handleConnected(departures !== undefined)
+    this._instanceProxy.departures.restore(departures ?? [])
+    const fields = { known: departures?.map(({ id }) => id), pending: this._departures.pendingCount }
+    this._options.log.info(fields, 'departures known')
+  }
+
   private _onEntries (entries: readonly NodeEntry[]): void {
     const others = entries.filter(entry => entry.node !== this._options.settings.nodeAddress)
     this._placement.update(this._directory.merge(others, this._options.clock.nowMs()))
--- a/src/routenode/RouteNodeMetrics.ts
+++ b/src/routenode/RouteNodeMetrics.ts
@@ -25,6 +25,8 @@
   readonly inFlight: number
   /** Requests that are suspected of crashes or quarantined. */
   readonly suspects: number
+  /** Departures of instances on this VM that control has not stored yet. */
+  readonly pendingDepartures: number
   /** Bytes of the bodies that are held. */
   readonly bodyBytes: number
   readonly load: InstanceStatus
@@ -195,6 +197,11 @@
       ['sassafras_nodes', 'Nodes known', ({ nodes }) => nodes],
       ['sassafras_requests_in_flight', 'Requests not ended yet', ({ inFlight }) => inFlight],
       ['sassafras_suspect_requests', 'Requests suspected of crashes or quarantined', ({ suspects }) => suspects],
+      [
+        'sassafras_departures_pending',
+        'Departures of instances that control has not stored yet',
+        ({ pendingDepartures }) => pendingDepartures
+      ],
       ['sassafras_body_bytes_held', 'Bytes of the bodies held', ({ bodyBytes }) => bodyBytes],
       ['sassafras_body_transfers_open', 'Bodies being moved in chunks', () => this._openTransfers],
       ['sassafras_gate_running', 'Calls that run at the instance', ({ load }) => load.running],
--- a/test/support/RouteMesh.ts
+++ b/test/support/RouteMesh.ts
@@ -279,12 +279,28 @@
     await this.awaitInstances(node, instances)
   }
 
+  /** Ends all nodes and the control replica at once and starts them anew, while the instances keep running. */
+  public async restartAll (): Promise<void> {
+    this.nodes.forEach(({ daemon }) => daemon.dispose())
+    await this.restartControl()
+    for (const node of this.nodes) node.daemon = await this._startDaemon(node.settings)
+    for (const { daemon } of this.nodes) {
+      while ((daemon.state() as NodeState).version < this._version) await pause()
+    }
+  }
+
   /** Ends the control replica at once and starts it anew with its disk. */
   public async restartControl (): Promise<void> {
     this._ownControl?.dispose()
     this._control = await this._startControl()
   }
 
+  /** Ends the control replica for good. */
+  public stopControl (): void {
+    this._ownControl?.dispose()
+    this._ownControl = undefined
+  }
+
   /** Crashes an instance; its next incarnation starts and reports itself after a short while. */
   public async crash ({ daemon, instance }: MeshNode): Promise<void> {
     instance.crash()
