Take a deregistration of a later start for one of the next incarnation

It had crashed, and its node had found the next incarnation by a health check, which names the id only. So the registry still held the start of the one before, took the start in the deregistration for an older one, and changed nothing ("instance leaves" with outcome "stale" in the log).

A start later than the known one now takes the instance out, and that incarnation is the known one from then on; an earlier start still changes nothing. Starts under one id are ordered, so a later one is no delayed message of the past.

--- a/src/parts/instances/InstanceRegistry.test.ts
+++ b/src/parts/instances/InstanceRegistry.test.ts
@@ -52,6 +52,19 @@
   expect(registry.published?.state).toBe('ready')
 })
 
+// A health check finds the next incarnation without its start, so its departure counted as one of the one before.
+test('a deregistration of a later start than the known one takes it out, also for its first report', () => {
+  const registry = new InstanceRegistry(ADDRESS, 's')
+  registry.recordReport(makeReport({ sequence: 50 }), 0)
+  expect(registry.deregister('i-1', 200, 5000)).toBe('applied')
+  expect(registry.published).toMatchObject({ bornMs: 200, state: 'left' })
+  registry.recordReport(makeReport({ bornMs: 200, sequence: 1 }), 1)
+  expect(registry.published).toMatchObject({ bornMs: 200, state: 'left' })
+  expect(registry.recordReport(makeReport({ sequence: 51 }), 2)).toBe('stale')
+  expect(registry.recordReport(makeReport({ bornMs: 300 }), 3)).toBe('applied')
+  expect(registry.published?.state).toBe('ready')
+})
+
 test('an incarnation that says that it leaves is draining, whatever it reports', () => {
   const registry = new InstanceRegistry(ADDRESS, 's')
   registry.recordReport(makeReport(), 0)
--- a/src/parts/instances/InstanceRegistry.ts
+++ b/src/parts/instances/InstanceRegistry.ts
@@ -157,7 +157,8 @@
   }
 
   /**
-   * Marks an instance as `left` for good and records its departure.
+   * Marks an instance as `left` for good and records its departure. A start later than the known one is that of an
+   * incarnation whose first report is still under way.
    * @param id Id of the instance.
    * @param bornMs Its start in Unix milliseconds; undefined matches any start until now.
    * @param wallMs The present time in Unix milliseconds.
@@ -168,10 +169,12 @@
     const knownBornMs = isKnown && known.isBornAssumed !== true ? known.bornMs : undefined
     const leftBornMs = bornMs ?? knownBornMs ?? wallMs
     this._departures.record({ id, bornMs: leftBornMs })
-    if (!isKnown || known.state === 'left') return isKnown ? 'stale' : 'foreign'
-    if (knownBornMs !== undefined && leftBornMs !== knownBornMs) return 'stale'
+    if (!isKnown) return 'foreign'
+    if (knownBornMs !== undefined && leftBornMs < knownBornMs) return 'stale'
+    const isNext = knownBornMs !== undefined && leftBornMs > knownBornMs
+    if (known.state === 'left' && !isNext) return 'stale'
     const { isBornAssumed, ...report } = known
-    return this._apply({ ...report, bornMs: leftBornMs, state: 'left' })
+    return this._apply({ ...report, bornMs: leftBornMs, ...(isNext ? { sequence: -1 } : {}), state: 'left' })
   }
 
   /** Marks an instance as `draining` that has said so by other means than a report. */
--- a/test/Departures.test.ts
+++ b/test/Departures.test.ts
@@ -81,6 +81,16 @@
   expect(await countRuns(mesh, caller, leaving)).toBe(0)
 })
 
+// The node takes the instance that its health check finds for the incarnation that has crashed.
+test('an instance that has crashed and leaves before its first heartbeat arrives gets no more requests', async () => {
+  const { mesh, leaving, caller } = await startMesh()
+  await tell(leaving, 'Deregister', { born: 2 })
+  const runs = [await countRuns(mesh, caller, leaving)]
+  await tell(leaving, 'Heartbeat', { Seq: 1, born: 2 })
+  runs.push(await countRuns(mesh, caller, leaving))
+  expect(runs).toEqual([0, 0])
+})
+
 test('an instance that has left gets requests again after a new start under its id', async () => {
   const { mesh, leaving, caller } = await startMesh()
   await tell(leaving, 'Deregister', { born: 1 })
