Give a pair of spare control replicas a vote, and remove a voter that is surely gone at once

The group kept 2f + 1 voters; the successors held neither a vote nor the log until a voter had been silent for 1.5 s, and by then two of three were gone. No change of the voters was logged between the removals.

Two further replicas that ask to join now become voters beyond the 2f + 1, so that one more than the tolerated losses may fall into the same moment. A voter that refuses connections and is not heard for 0.25 s is removed, or replaced where there are no more than 2f + 1. Both are changes of the voters that a majority commits, so a wrong verdict costs no safety.

--- a/src/control/ReplicaLinks.ts
+++ b/src/control/ReplicaLinks.ts
@@ -98,6 +98,11 @@
     return this._links.get(replicaName(id))?.address
   }
 
+  /** For how long nothing has listened at the address of a replica, in milliseconds; 0 when that is not known. */
+  public refusedMs (id: ReplicaId): number {
+    return this._links.get(replicaName(id))?.client.refusedMs ?? 0
+  }
+
   /** Sends a frame to a replica, or drops it when the connection is closed or congested. */
   public send (to: ReplicaId, frame: ReplicaToReplica): void {
     const link = this._links.get(replicaName(to))
--- a/src/parts/agreement/VoterPlanner.test.ts
+++ b/src/parts/agreement/VoterPlanner.test.ts
@@ -5,9 +5,18 @@
 const B = 'b:1~1'
 const C = 'c:1~1'
 const D = 'd:1~1'
+const E = 'e:1~1'
+const F = 'f:1~1'
 
-function makeView (members: readonly string[], silent: readonly string[] = []): GroupView {
-  return { self: A, members, silenceMs: member => silent.includes(member) ? 10_000 : 100 }
+function makeView (
+  members: readonly string[], silent: readonly string[] = [], gone: readonly string[] = []
+): GroupView {
+  return {
+    self: A,
+    members,
+    isGone: member => gone.includes(member),
+    silenceMs: member => silent.includes(member) ? 10_000 : 100
+  }
 }
 
 test('joining replicas become voters up to the required number', () => {
@@ -86,3 +95,32 @@
   plan.forgetJoinRequest(D)
   expect(plan.nextChange(makeView([A, B, C], [C]), 1)).toBeUndefined()
 })
+
+// Two voters that were lost at once left no quorum, although two successors had been ready for longer than CatchUp.
+test('a pair of spares holds votes beyond the required number, and one spare or a third does not', () => {
+  const plan = new VoterPlanner(3)
+  plan.recordJoinRequest(D, 0)
+  expect(plan.nextChange(makeView([A, B, C]), 1)).toBeUndefined()
+  plan.recordJoinRequest(E, 0)
+  plan.recordJoinRequest(F, 0)
+  expect(plan.nextChange(makeView([A, B, C]), 1)).toMatchObject({ members: [A, B, C, D], reason: 'spare', replica: D })
+  expect(plan.nextChange(makeView([A, B, C, D]), 1)).toMatchObject({ members: [A, B, C, D, E], reason: 'spare' })
+  expect(plan.nextChange(makeView([A, B, C, D, E]), 1)).toBeUndefined()
+})
+
+test('a voter beyond the required number is removed at once when it is gone, silent or about to stop', () => {
+  const plan = new VoterPlanner(3)
+  const change = { members: [A, B, D, E], replica: C, replaced: C }
+  expect(plan.nextChange(makeView([A, B, C, D, E], [], [C]), 1)).toEqual({ ...change, reason: 'gone' })
+  expect(plan.nextChange(makeView([A, B, C, D, E], [C]), 1)).toEqual({ ...change, reason: 'silent' })
+  plan.recordLeaveRequest(C, 1)
+  expect(plan.nextChange(makeView([A, B, C, D, E]), 1)).toEqual({ ...change, reason: 'leaving' })
+})
+
+test('a voter that is gone is replaced before it is silent, and never without a replacement', () => {
+  const plan = new VoterPlanner(3)
+  expect(plan.nextChange(makeView([A, B, C], [], [C]), 1)).toBeUndefined()
+  plan.recordJoinRequest(D, 0)
+  expect(plan.nextChange(makeView([A, B, C], [], [C]), 1)).toMatchObject({ members: [A, B, C, D], reason: 'gone' })
+  expect(plan.nextChange(makeView([A, B, C, D], [B], [C]), 1)).toMatchObject({ members: [A, B, D], reason: 'gone' })
+})
--- a/src/parts/agreement/VoterPlanner.ts
+++ b/src/parts/agreement/VoterPlanner.ts
@@ -11,16 +11,28 @@
  */
 export const REPLACE_SILENT_AFTER_MS = 1500
 
+/**
+ * Voters beyond the number that the tolerated losses require, from ready spares: with two, one more voter may be lost
+ * at the same moment as those that are tolerated, as a machine that is removed no longer counts once its successor has
+ * caught up. They are added in pairs, since an even group tolerates no more losses than one with a voter less.
+ */
+const SPARE_VOTERS = 2
+
 /** The group as its leader sees it. */
 export interface GroupView {
   readonly self: ReplicaId
   readonly members: readonly ReplicaId[]
+  /** Returns whether the process of a member has surely ended: it refuses connections, and nothing is heard of it. */
+  isGone (member: ReplicaId): boolean
   /** Milliseconds since the last message from a member; infinite if there was none. */
   silenceMs (member: ReplicaId): number
 }
 
-/** Why the voters change: the group lacks voters, or a voter lost its disk, has gone silent or is about to stop. */
-export type VoterChangeReason = 'missing' | 'disk-lost' | 'silent' | 'leaving'
+/**
+ * Why the voters change: the group lacks voters, a spare is ready, or a voter lost its disk, has ended, has gone silent
+ * or is about to stop.
+ */
+export type VoterChangeReason = 'missing' | 'spare' | 'disk-lost' | 'gone' | 'silent' | 'leaving'
 
 /** The next change of the voters. */
 export interface VoterChange {
@@ -41,10 +53,12 @@
 
 /**
  * Decides at the leader which replica to add to the voters or to remove from them next, one at a time:
- * - The group grows until it has 2f + 1 voters, where f is the number of replica losses to tolerate.
+ * - The group grows until it has 2f + 1 voters, where f is the number of replica losses to tolerate, and by a pair of
+ *   spares beyond that.
  * - A voter that lost its disk is removed. It is recognised by a join request of the same name with another identity.
- * - A voter that stays silent or is about to stop is replaced once another replica asks to join. Without a replacement
- *   no voter is removed, so neither a partition nor a restart shrinks the group.
+ * - A voter that has ended, stays silent or is about to stop is removed at once while there are more than 2f + 1, and
+ *   otherwise replaced once another replica asks to join. Without a replacement no voter is removed, so neither a
+ *   partition nor a restart shrinks the group below 2f + 1. A voter that comes back asks to join again.
  *
  * Memory: one entry for each replica that asked to join or to leave within `REQUEST_TTL_MS`.
  */
@@ -53,9 +67,9 @@
   private readonly _leaveRequests = new Map<ReplicaId, number>()
 
   /**
-   * @param _targetVoters Number of voters that the tolerated losses require.
+   * @param _requiredVoters Number of voters that the tolerated losses require.
    */
-  public constructor (private readonly _targetVoters: number) {}
+  public constructor (private readonly _requiredVoters: number) {}
 
   /**
    * Records a request to join the group. It supersedes earlier ones of the same name, whose disk is lost.
@@ -95,7 +109,7 @@
    * @param nowMs Monotonic time in milliseconds.
    */
   public canReplace (members: readonly ReplicaId[], nowMs: number): boolean {
-    return members.length > this._targetVoters || this._pendingJoiners(members, nowMs).length > 0
+    return members.length > this._requiredVoters || this._pendingJoiners(members, nowMs).length > 0
   }
 
   /**
@@ -109,17 +123,24 @@
     const formerIdentity = members.find(member => joiners.some(joiner => replicaName(joiner) === replicaName(member)))
     if (formerIdentity !== undefined) return removal(members, { reason: 'disk-lost', replica: formerIdentity })
     const replaceable = this._findReplaceable(view, nowMs)
-    if (members.length > this._targetVoters) return replaceable && removal(members, replaceable)
+    if (replaceable !== undefined && members.length > this._requiredVoters) return removal(members, replaceable)
     const joiner = joiners[0]
     if (joiner === undefined) return undefined
-    const isMissing = members.length < this._targetVoters
-    if (isMissing) return { members: [...members, joiner], reason: 'missing', replica: joiner }
-    if (replaceable === undefined) return undefined
-    return { members: [...members, joiner], reason: replaceable.reason, replica: joiner, replaced: replaceable.replica }
+    const added = { members: [...members, joiner], replica: joiner }
+    if (members.length < this._requiredVoters) return { ...added, reason: 'missing' }
+    if (replaceable !== undefined) return { ...added, reason: replaceable.reason, replaced: replaceable.replica }
+    return this._isSpareWanted(members, joiners) ? { ...added, reason: 'spare' } : undefined
+  }
+
+  private _isSpareWanted (members: readonly ReplicaId[], joiners: readonly ReplicaId[]): boolean {
+    const missing = this._requiredVoters + SPARE_VOTERS - members.length
+    return missing === SPARE_VOTERS ? joiners.length >= SPARE_VOTERS : missing > 0
   }
 
-  /** A silent voter goes first: a voter that is about to stop still counts meanwhile. */
-  private _findReplaceable ({ self, members, silenceMs }: GroupView, nowMs: number): Replaceable | undefined {
+  /** A voter that is lost goes first: one that is about to stop still counts meanwhile. */
+  private _findReplaceable ({ self, members, isGone, silenceMs }: GroupView, nowMs: number): Replaceable | undefined {
+    const gone = members.find(member => member !== self && isGone(member))
+    if (gone !== undefined) return { reason: 'gone', replica: gone }
     const silent = members.find(member => member !== self && silenceMs(member) > REPLACE_SILENT_AFTER_MS)
     if (silent !== undefined) return { reason: 'silent', replica: silent }
     this._removeExpired(nowMs)
--- a/src/parts/agreement/VoterReplacement.test.ts
+++ b/src/parts/agreement/VoterReplacement.test.ts
@@ -104,7 +104,9 @@
       const { endedMs } = this._machines.find(({ id }) => id === member)!
       return isSettled && endedMs <= this._nowMs ? this._nowMs - Math.max(endedMs, this._silenceFromMs) : 0
     }
-    const change = this._planner.nextChange({ self: this._leader.id, members: this._members, silenceMs }, this._nowMs)
+    // A machine that is removed without a process that refuses connections only falls silent.
+    const view = { self: this._leader.id, members: this._members, isGone: () => false, silenceMs }
+    const change = this._planner.nextChange(view, this._nowMs)
     if (change !== undefined) this._members = change.members
   }
 
@@ -154,3 +156,21 @@
     fc.assert(fc.property(replacements, list => { expect(play(size, list)).toEqual([]) }), { seed: 3, numRuns: 1000 })
   })
 }
+
+for (const size of [3, 5]) {
+  // A machine that is removed stops counting once its successor has run for CatchUp: the tolerated losses come on top.
+  test(`a group of ${size} with two ready successors keeps a quorum when one voter more than it tolerates is lost`, () => {
+    const removed = fc.array(fc.nat({ max: 6 }), { minLength: (size + 1) / 2, maxLength: (size + 1) / 2 })
+    fc.assert(fc.property(removed, picks => {
+      const group = new Group(size)
+      group.runUntil(() => group.nowMs >= 3000)
+      group.start()
+      group.start()
+      group.runUntil(() => group.nowMs >= 3000 + CATCH_UP_MS)
+      picks.forEach(pick => group.remove(pick, false))
+      expect(group.spareVotes).toBe(0)
+      group.runUntil(() => group.nowMs >= 3000 + 2 * CATCH_UP_MS)
+      expect(group.spareVotes).toBe(1)
+    }), { seed: 3, numRuns: 300 })
+  })
+}
--- a/src/routecontrol/Constants.ts
+++ b/src/routecontrol/Constants.ts
@@ -46,6 +46,12 @@
  */
 export const SETTLED_LEADER_MS = 1000
 
+/**
+ * Time for which a voter must refuse connections and stay unheard until it counts as gone, in milliseconds: some
+ * reconnect attempts, and shorter than an election.
+ */
+export const GONE_AFTER_MS = 250
+
 /** Interval at which a replica that stops asks to leave, in milliseconds. */
 export const LEAVE_INTERVAL_MS = 100
 
--- a/src/routecontrol/RoutingReplica.ts
+++ b/src/routecontrol/RoutingReplica.ts
@@ -412,6 +412,7 @@
       get isExcluded () { return isExcluded() },
       formGroup: members => this._host.formGroup(members),
       changeMembers: members => this._host.changeMembers(members),
+      refusedMs: replica => this._links.refusedMs(replica),
       connect: address => this._connect(address),
       send: (to, frame) => this._links.send(to, frame),
       broadcast: frame => this._links.broadcast(frame)
--- a/src/routecontrol/VoterHost.ts
+++ b/src/routecontrol/VoterHost.ts
@@ -5,8 +5,8 @@
 import type { ReplicaId } from '../parts/Types.js'
 import type { Clock, Disposable, Log } from '../runtime/Types.js'
 import {
-  JOIN_INTERVAL_MS, LEADERLESS_JOIN_MS, LEAVE_INTERVAL_MS, LEAVE_REPLY_TIMEOUT_MS, MEMBERSHIP_TICK_MS, PAUSE_MS,
-  SETTLED_LEADER_MS
+  GONE_AFTER_MS, JOIN_INTERVAL_MS, LEADERLESS_JOIN_MS, LEAVE_INTERVAL_MS, LEAVE_REPLY_TIMEOUT_MS, MEMBERSHIP_TICK_MS,
+  PAUSE_MS, SETTLED_LEADER_MS
 } from './Constants.js'
 import type { LeaveState } from './Types.js'
 
@@ -17,6 +17,8 @@
   /** True when a member has named other members although this replica takes itself for one. */
   readonly isExcluded: boolean
   changeMembers (members: readonly ReplicaId[]): Promise<ProposalOutcome<unknown>>
+  /** For how long nothing has listened at the address of a replica, in milliseconds; 0 when that is not known. */
+  refusedMs (replica: ReplicaId): number
   /** Sends a frame to another replica; it may be dropped. */
   send (to: ReplicaId, frame: ReplicaToReplica): void
   /** Sends a frame to all other replicas; each may be dropped. */
@@ -49,7 +51,7 @@
   private _receiveLeaveState: (state: LeaveState) => void = () => {}
 
   /**
-   * @param toleratedLosses Replicas that may fail at the same time; the group has two voters for each, plus one.
+   * @param toleratedLosses Replicas that may fail at the same time; the group needs two voters for each, plus one.
    */
   public constructor (
     private readonly _group: VoterGroup,
@@ -214,7 +216,8 @@
     const nowMs = this._clock.nowMs()
     const { id: self, view: { members } } = this._group
     const silenceMs = (member: ReplicaId): number => this._silenceMs(member, nowMs)
-    const change = this._planner.nextChange({ self, members, silenceMs }, nowMs)
+    const isGone = (member: ReplicaId): boolean => this._isGone(member, nowMs)
+    const change = this._planner.nextChange({ self, members, isGone, silenceMs }, nowMs)
     if (change !== undefined) this._changeMembers(change)
   }
 
@@ -223,6 +226,12 @@
     return isSettled ? nowMs - Math.max(this._lastReceivedMs.get(member) ?? -Infinity, this._silenceFromMs) : 0
   }
 
+  /** A process that refuses connections may still be ending, so nothing must have been heard of it either. */
+  private _isGone (member: ReplicaId, nowMs: number): boolean {
+    const unheardMs = nowMs - (this._lastReceivedMs.get(member) ?? -Infinity)
+    return Math.min(this._group.refusedMs(member), unheardMs) >= GONE_AFTER_MS
+  }
+
   private _isSilent (member: ReplicaId, nowMs: number): boolean {
     return member !== this._group.id && this._silenceMs(member, nowMs) > REPLACE_SILENT_AFTER_MS
   }
@@ -231,8 +240,9 @@
     const { members, reason, replica, replaced } = change
     const before = this._group.view.members
     const silenceMs = replaced === undefined ? undefined : Math.round(this._silenceMs(replaced, this._clock.nowMs()))
+    const refusedMs = replaced === undefined ? undefined : Math.round(this._group.refusedMs(replaced))
     this._isChanging = true
-    this._log.info({ reason, replica, replaced, silenceMs, before, members }, 'changing the members')
+    this._log.info({ reason, replica, replaced, silenceMs, refusedMs, before, members }, 'changing the members')
     this._group.changeMembers(members).then(outcome => {
       this._log.info({ reason, replica, replaced, members, outcome: outcome.type }, 'members change ended')
       this._isChanging = false
--- a/src/runtime/FrameClient.ts
+++ b/src/runtime/FrameClient.ts
@@ -16,6 +16,7 @@
   private _backoffMs = RECONNECT_MIN_MS
   private _connectTimeoutMs = CONNECT_TIMEOUT_MIN_MS
   private _disposed = false
+  private _refusedSinceMs: number | undefined
 
   /**
    * @param address `host:port` of the other end.
@@ -38,6 +39,14 @@
     return this._channel
   }
 
+  /**
+   * For how long each attempt to connect has been refused, in milliseconds; 0 while a channel is open, or after an
+   * attempt that failed in another way.
+   */
+  public get refusedMs (): number {
+    return this._refusedSinceMs === undefined ? 0 : this._clock.nowMs() - this._refusedSinceMs
+  }
+
   /** Starts to connect; does nothing while a connection is open or being opened, or after `dispose`. */
   public start (): void {
     if (this._disposed || this._socket !== undefined) return
@@ -47,7 +56,10 @@
       this._connectTimeoutMs = Math.min(2 * this._connectTimeoutMs, CONNECT_TIMEOUT_MAX_MS)
       socket.destroy(new Error('connect timed out'))
     }, this._connectTimeoutMs)
-    const onConnectError = (error: Error): void => this._onDisconnect(error.message)
+    const onConnectError = (error: NodeJS.ErrnoException): void => {
+      this._refusedSinceMs = error.code === 'ECONNREFUSED' ? this._refusedSinceMs ?? this._clock.nowMs() : undefined
+      this._onDisconnect(error.message)
+    }
     socket.once('error', onConnectError)
     socket.once('connect', () => {
       clearTimeout(timeout)
@@ -68,6 +80,7 @@
   private _onConnect (channel: FrameChannel<In, Out>): void {
     this._backoffMs = RECONNECT_MIN_MS
     this._connectTimeoutMs = CONNECT_TIMEOUT_MIN_MS
+    this._refusedSinceMs = undefined
     this._channel = channel
     channel.onClose(reason => this._onDisconnect(reason))
     this._channelEmitter.fire(channel)
--- a/test/ControlReplacement.test.ts
+++ b/test/ControlReplacement.test.ts
@@ -119,3 +119,27 @@
   expect(await group.change(ACK_MS)).toBe(true)
   await expectKeptAfterKill(group, others)
 })
+
+/** Numbers of ready successors, and the time between two losses, in milliseconds. */
+const LOSSES_BESIDE_SUCCESSORS = [
+  { successors: 2, gapMs: 0 }, { successors: 2, gapMs: 1000 }, { successors: 1, gapMs: 2000 }
+] as const
+
+for (const { successors, gapMs } of LOSSES_BESIDE_SUCCESSORS) {
+  // The successors held neither a vote nor the log until a voter had been silent for some time.
+  test(`two voters that are killed for good ${gapMs} ms apart beside ${successors} ready successors leave a quorum`, async () => {
+    const group = makeGroup()
+    const voters = await group.form(3)
+    const ready = Array.from({ length: successors }, () => startSuccessor(group, voters))
+    await pause(CATCH_UP_MS)
+    expect(await group.change(ACK_MS)).toBe(true)
+    const [first, second, ...others] = voters as [ControlMachine, ControlMachine, ...ControlMachine[]]
+    await first.process.kill()
+    await pause(gapMs)
+    await second.process.kill()
+    expect(await group.read(RECOVER_MS)).toEqual({ version: group.acknowledged })
+    expect(await group.change(ACK_MS)).toBe(true)
+    for (const machine of [first, second]) group.wipe(machine)
+    await expectKeptAfterKill(group, [...others, ...ready])
+  })
+}
