Take no answer with a status that HTTP does not have

Callers got statuses from 600 on with the body and the signature of a faulty instance, and 503, which promises that nothing ran, for an answer with status 000 and the header that proves a rejection. The status was only checked against what Node.js can write, and the header before the status. 000 itself reached no caller.

The status is now checked when the head arrives, before anything in it is read: a final answer has one from 200 to 599 (RFC 9110). Otherwise the request counts as one that may have run, and a health check as not answered. The older kind of node does the same.

--- a/src/node/HeadSyntax.ts
+++ b/src/node/HeadSyntax.ts
@@ -24,9 +24,9 @@
   })
 }
 
-/** Returns whether a number can be written as the status of a final answer. */
+/** Returns whether a number is the status of a final answer; from 600 on it is none (RFC 9110, section 15). */
 export function isWritableStatus (status: unknown): status is number {
-  return Number.isInteger(status) && (status as number) >= 200 && (status as number) <= 999
+  return Number.isInteger(status) && (status as number) >= 200 && (status as number) <= 599
 }
 
 /** Returns whether the head of a request can be written. */
--- a/src/node/upstreamside/UpstreamClient.ts
+++ b/src/node/upstreamside/UpstreamClient.ts
@@ -3,6 +3,7 @@
 import type { Disposable } from '../../runtime/Types.js'
 import { BODY_WINDOW_BYTES, MAX_INLINE_ANSWER_BYTES } from '../Constants.js'
 import { findHeader, selectEndToEnd } from '../EndToEndHeaders.js'
+import { isWritableStatus } from '../HeadSyntax.js'
 import type { AnswerHead, CallHandle, CallRequest, RawHeaders } from '../Types.js'
 
 /** Idle connections are closed before the upstream may close them, so that no request is sent on a closing one. */
@@ -115,8 +116,9 @@
   }
 
   public onResponseStart (controller: Dispatcher.DispatchController, status: number): void {
-    if (status < 200) return
+    if (status >= 100 && status < 200) return
     clearTimeout(this._headTimer)
+    if (!isWritableStatus(status)) return this._endInvalid(controller, status)
     const raw = (controller.rawHeaders ?? []) as Array<Buffer | string>
     const headers = selectEndToEnd(raw.map(part => typeof part === 'string' ? part : part.toString('latin1')))
     this._head = { status, headers }
@@ -156,6 +158,13 @@
     if (this._sentBytes < this._grantedBytes && this._controller?.paused === true) this._controller.resume()
   }
 
+  private _endInvalid (controller: Dispatcher.DispatchController, status: number): void {
+    this._ended = true
+    const detail = `status ${status} is none of an answer`
+    this._listener.onFailure('lost', detail)
+    controller.abort(new Error(detail))
+  }
+
   /** A faulty upstream may write a shed once more, which would reach the next request on the connection. */
   private _endConnection (controller: Dispatcher.DispatchController): void {
     this._ended = true
--- a/src/routenode/InstanceClient.ts
+++ b/src/routenode/InstanceClient.ts
@@ -190,7 +190,7 @@
     }, timeoutMs)
     request.once('close', () => clearTimeout(timer))
     request.on('error', () => finish(undefined))
-    request.on('response', response => finish(response))
+    request.on('response', response => finish(isWritableStatus(response.statusCode) ? response : undefined))
     request.end()
   }
 
@@ -303,6 +303,9 @@
   }
 
   private _onResponse (request: ClientRequest, response: IncomingMessage): void {
+    const { statusCode } = response
+    // No answer in HTTP, so that its headers say nothing either, not even that the request was rejected.
+    if (!isWritableStatus(statusCode)) return this._fail('unknown', 'answer-invalid', `status ${statusCode}`)
     const announcedBytes = Number(response.headers['content-length'] ?? 0)
     const isAnnounced = announcedBytes > 0 && announcedBytes <= MAX_ANSWER_BYTES
     const body = new ByteCollector(isAnnounced ? announcedBytes : undefined)
--- a/test/NodeHttp.test.ts
+++ b/test/NodeHttp.test.ts
@@ -22,6 +22,10 @@
     response.writeHead(503, { 'sassafras-shed': 'not-run' }).end()
     return
   }
+  if (message.url?.startsWith('/status/') === true) {
+    response.socket?.write(`HTTP/1.1 ${message.url.slice(8)} Odd\r\ncontent-length: 2\r\n\r\nok`)
+    return
+  }
   const chunks: Buffer[] = []
   message.on('data', chunk => chunks.push(chunk as Buffer))
   message.on('end', () => {
@@ -53,6 +57,14 @@
   })
 }
 
+// A status that HTTP doesn't have was handed on. A third failure in a row would eject the upstream.
+test('an odd status of the upstream gets 502, and the next call is answered', async () => {
+  for (const status of ['000', '600']) {
+    expect([status, (await send(`/status/${status}`)).status]).toEqual([status, 502])
+    expect((await send('/lookups/1')).status).toBe(200)
+  }
+})
+
 test('a lookup gets the complete answer with all its headers', async () => {
   const answer = await send('/lookups/1?x=2')
   expect(answer).toMatchObject({ status: 200, body: 'GET /lookups/1?x=2 ' })
