Soak: kill all processes just after an instance has deregistered

No fault of the soak killed more than the processes of one VM, so it could not see that an acknowledged departure was forgotten. The new fault has an instance deregister and serve on, kills all nodes and replicas, starts them again 0.3 s later, and has a report from before arrive late.

The test of the schedule counts the kinds of faults, of which there is one more.

--- a/soak/FaultSchedule.test.ts
+++ b/soak/FaultSchedule.test.ts
@@ -9,5 +9,5 @@
 test('faults are ordered by time, and the first twenty schedules contain every kind', () => {
   const schedules = Array.from({ length: 20 }, (_, index) => drawSchedule(index + 1, 20_000))
   for (const faults of schedules) expect([...faults].sort((a, b) => a.atMs - b.atMs)).toEqual(faults)
-  expect(new Set(schedules.flat().map(({ kind }) => kind)).size).toBe(22)
+  expect(new Set(schedules.flat().map(({ kind }) => kind)).size).toBe(23)
 })
--- a/soak/FaultSchedule.ts
+++ b/soak/FaultSchedule.ts
@@ -20,6 +20,7 @@
   pauseControl: 2,
   stopControl: 2,
   wipeControl: 1,
+  killAll: 1,
   crashInstance: 2,
   drainInstance: 3,
   limitInstance: 3,
--- a/soak/Soak.ts
+++ b/soak/Soak.ts
@@ -61,6 +61,10 @@
 /** Time for which a node has no instance while its instance is replaced, in milliseconds. */
 const INSTANCE_REPLACEMENT_MS = 500
 
+/** Time for which an instance that has deregistered serves on, and for which all processes are killed then, in ms. */
+const DEPARTED_MS = 3 * DRAIN_GRACE_MS
+const KILL_ALL_MS = 300
+
 /** Pause between two probes of whether a node serves, in milliseconds. */
 const PROBE_INTERVAL_MS = 100
 
@@ -104,6 +108,7 @@
     pauseControl: fault => this._pause(this._pickControl(fault), fault),
     stopControl: fault => this._stopControl(this._pickControl(fault)),
     wipeControl: fault => this._wipeDisk(this._pickControl(fault), fault),
+    killAll: fault => this._killAllAfterDeparture(this._pickNode(fault), fault),
     crashInstance: fault => this._replaceInstance(this._pickNode(fault), async instance => await instance.crash()),
     drainInstance: fault => this._replaceInstance(this._pickNode(fault), async instance => await instance.drain()),
     limitInstance: async fault => await this._pickNode(fault).instance.limit(LIMIT_MS + fault.forMs),
@@ -363,6 +368,21 @@
     this._recoveringReplica = undefined
   }
 
+  /** An instance deregisters and serves on; the acknowledgement binds although no process that gave it is left. */
+  private async _killAllAfterDeparture (node: NodeVm, fault: Fault): Promise<void> {
+    if ([...this._nodes, ...this._controls].some(({ busy }) => busy) || this._recoveringReplica !== undefined) return
+    if (node.isInstanceLeaving) return
+    await this._replaceInstance(node, async instance => await instance.deregister(DEPARTED_MS, () => {
+      node.isInstanceLeaving = true
+      const outages = [...this._nodes, ...this._controls].map(async target => {
+        target.busy = false
+        await this._runOutage(target, { ...fault, forMs: KILL_ALL_MS }, async process => await process.kill())
+      })
+      this._activeFaults.push(...outages)
+    }))
+    node.isInstanceLeaving = false
+  }
+
   private async _replaceInstance (node: NodeVm, stop: (instance: SoakInstance) => Promise<void>): Promise<void> {
     if (node.busy || node.isInstanceLeaving) return
     node.busy = true
--- a/soak/SoakInstance.ts
+++ b/soak/SoakInstance.ts
@@ -72,9 +72,27 @@
   /** Reports the drain until the node acknowledges it, and closes the instance after the drain grace. */
   public async drain (): Promise<void> {
     this._state = 'draining'
-    while (!await this._sendReport()) await new Promise(resolve => setTimeout(resolve, REPORT_INTERVAL_MS))
+    while (!await this._sendReport()) await pause(REPORT_INTERVAL_MS)
     this._ledger.recordDrain(this.id)
-    await new Promise(resolve => setTimeout(resolve, DRAIN_GRACE_MS + REPORT_INTERVAL_MS))
+    await pause(DRAIN_GRACE_MS + REPORT_INTERVAL_MS)
+    await this.crash()
+  }
+
+  /**
+   * Deregisters until the node acknowledges it, and serves on for longer than the drain grace. A report from before,
+   * in which the instance is ready, arrives in the meantime.
+   * @param onAcknowledged Called once the departure binds.
+   */
+  public async deregister (servesOnMs: number, onAcknowledged: () => void): Promise<void> {
+    clearInterval(this._timer)
+    const late = this._makeReport()
+    const path = `/api/Instances.Deregister/${this.id}`
+    while (!await this._tell(path, { born: this._startedAtMs })) await pause(REPORT_INTERVAL_MS)
+    this._ledger.recordDrain(this.id)
+    onAcknowledged()
+    await pause(servesOnMs / 2)
+    await this._sendReport(late)
+    await pause(servesOnMs / 2)
     await this.crash()
   }
 
@@ -83,7 +101,7 @@
     if (this._limitPerS !== undefined) return
     this._limitPerS = MIN_LIMIT_PER_S + LIMIT_RANGE_PER_S * this._random.next()
     this._ledger.notices.setLimit(this.id, this._limitPerS)
-    await new Promise(resolve => setTimeout(resolve, forMs))
+    await pause(forMs)
     this._limitPerS = undefined
     this._ledger.notices.setLimit(this.id, undefined)
   }
@@ -170,9 +188,12 @@
     response.end(expectedBody(id), () => { if (hasExtraAnswer) socket?.write(buildExtraAnswer(id)) })
   }
 
-  private async _sendReport (): Promise<boolean> {
-    if (this._state === 'gone') return false
-    const body = JSON.stringify({
+  private async _sendReport (report = this._makeReport()): Promise<boolean> {
+    return await this._tell(`/api/Instances.Heartbeat/${this.id}`, report)
+  }
+
+  private _makeReport (): object {
+    return {
       Service: 'svc',
       Address: `${this._host}:${PORTS.instanceEntry}`,
       Slots: SLOTS,
@@ -180,21 +201,29 @@
       ColdRemaining: `${this._coldMs()}ms`,
       Seq: ++this._sequence,
       born: this._startedAtMs
-    })
-    const path = `/api/Instances.Heartbeat/${this.id}`
+    }
+  }
+
+  /** Sends a message to the node, and resolves to whether it was acknowledged. */
+  private async _tell (path: string, message: object): Promise<boolean> {
+    if (this._state === 'gone') return false
     return await new Promise(resolve => {
       const call = request({ host: this._host, port: PORTS.control, path, method: 'POST', timeout: REPORT_TIMEOUT_MS }, answer => {
         answer.resume()
         resolve(answer.statusCode === 200)
       })
-      call.once('timeout', () => call.destroy(new Error('the node did not acknowledge the report in time')))
-      // A node that is down receives a later report.
+      call.once('timeout', () => call.destroy(new Error('the node did not acknowledge the message in time')))
+      // A node that is down receives a later message.
       call.once('error', () => resolve(false))
-      call.end(body)
+      call.end(JSON.stringify(message))
     })
   }
 }
 
+async function pause (ms: number): Promise<void> {
+  await new Promise(resolve => setTimeout(resolve, ms))
+}
+
 /** Builds a second answer, which belongs to no request. */
 function buildExtraAnswer (id: string): string {
   const body = 'stale'
--- a/soak/Types.ts
+++ b/soak/Types.ts
@@ -1,12 +1,13 @@
 /**
  * Kinds of faults, named after what is done and to which target. `mute` blocks answers only, `silence` both directions.
  * After `limit` and `leave`, answers of an instance name a limit or its departure. `poisonRequest` repeats a request
- * that crashes each instance that runs it, `hangUp` sends SIGHUP to a node, `change` changes the configuration, and
- * `evacuate` evacuates an availability zone for some time.
+ * that crashes each instance that runs it, `killAll` kills all processes just after an instance has deregistered,
+ * `hangUp` sends SIGHUP to a node, `change` changes the configuration, and `evacuate` evacuates an availability zone
+ * for some time.
  */
 export type FaultKind =
   | 'killNode' | 'pauseNode' | 'stopNode'
-  | 'killControl' | 'pauseControl' | 'stopControl' | 'wipeControl'
+  | 'killControl' | 'pauseControl' | 'stopControl' | 'wipeControl' | 'killAll'
   | 'crashInstance' | 'drainInstance' | 'limitInstance' | 'leaveInstance'
   | 'silenceInstance' | 'muteInstance' | 'resetInstance' | 'delayInstance'
   | 'silenceCallers' | 'resetCallers' | 'delayCallers'
