Send no departures to control that the node has forgotten itself

Departures that wait to be stored were collected without a bound, while a replica drops a list that is longer than what a node remembers. After a long time without a quorum and more than 16 deregistrations, no departure of that node would have been stored again, and none acknowledged.

--- a/src/routenode/DepartureOutbox.ts
+++ b/src/routenode/DepartureOutbox.ts
@@ -26,7 +26,7 @@
  */
 export class DepartureOutbox implements Disposable {
   private readonly _stored = new DepartureTable()
-  private _unsentSinceMs: number | undefined
+  private _pendingSinceMs: number | undefined
   private _pending: Departure[] = []
   private _waiters: Waiter[] = []
   private _timer: NodeJS.Timeout | undefined
@@ -39,12 +39,16 @@
     return this._pending.length
   }
 
-  /** Sends departures unless they are stored. */
-  public add (departures: readonly Departure[]): void {
-    const added = departures.filter(departure => !this._stored.covers(departure) && !this._isPending(departure))
-    if (added.length === 0) return
-    this._unsentSinceMs ??= this._options.clock.nowMs()
-    this._pending = [...this._pending.filter(({ id }) => !added.some(other => other.id === id)), ...added]
+  /**
+   * Takes over all departures that this node remembers, and sends those that are not stored. A list that grew with what
+   * the node has forgotten would become longer than a replica takes.
+   */
+  public update (departures: readonly Departure[]): void {
+    const pending = departures.filter(departure => !this._stored.covers(departure))
+    const isChanged = pending.some(departure => !this._isPending(departure))
+    this._pending = pending
+    if (!isChanged) return
+    this._pendingSinceMs ??= this._options.clock.nowMs()
     this._send()
   }
 
@@ -55,8 +59,8 @@
     this._pending = this._pending.filter(departure => !this._stored.covers(departure))
     this._settle(({ instance }) => this._stored.covers(instance))
     if (this._pending.length > 0 || count === 0) return
-    const tookMs = Math.round(this._options.clock.nowMs() - (this._unsentSinceMs ?? 0))
-    this._unsentSinceMs = undefined
+    const tookMs = Math.round(this._options.clock.nowMs() - (this._pendingSinceMs ?? 0))
+    this._pendingSinceMs = undefined
     this._options.log.info({ stored: departures.map(({ id }) => id), tookMs }, 'departure stored')
   }
 
--- a/src/routenode/RouteNodeDaemon.ts
+++ b/src/routenode/RouteNodeDaemon.ts
@@ -235,7 +235,7 @@
   public async confirmDeparture (instance: InstanceIncarnation): Promise<boolean> {
     const { departures } = this._instanceProxy
     if (!await departures.hasLeft(instance)) return false
-    this._departures.add(departures.all)
+    this._departures.update(departures.all)
     return await this._departures.whenStored(instance, DEPARTURE_CONFIRM_TIMEOUT_MS)
   }
 
