--- a/test/OddStatus.test.ts
+++ b/test/OddStatus.test.ts
@@ -23,7 +23,7 @@
 ): void {
   const id = String(headers[HEADER_NAMES.requestId])
   const head = [line, `${HEADER_NAMES.requestId}: ${id}`, 'content-length: 2', ...fields]
-  socket!.write(`${head.join('\r\n')}\r\n\r\nok`)
+  socket?.write(`${head.join('\r\n')}\r\n\r\nok`)
 }
 
 const ODD_HEADERS: Readonly<Record<string, readonly string[]>> = {
