Show that no group forms when a seed is lost at the first start

Cause: the first group forms only once all configured seeds have announced it, and a replacement at another address is none of them.

--- a/review/lib-3/Instance.js
+++ b/review/lib-3/Instance.js
@@ -128,9 +128,9 @@
     const timer = setTimeout(() => {
       end()
       const text = `${this.service} ${this.id} ${id}`
-      response.writeHead(200, {
+      this._answer(response, {
         ...load, ...echo, 'x-response-signature': `s.${this.id}.${id}`, 'content-length': Buffer.byteLength(text)
-      }).end(text)
+      }, text)
     }, this.workMs)
     const end = () => {
       if (this._isEnded(response)) return
@@ -141,6 +141,10 @@
     response.once('close', end)
   }
 
+  _answer (response, headers, text) {
+    response.writeHead(200, headers).end(text)
+  }
+
   _isEnded (response) {
     return response.isRunEnded === true
   }
--- a/review/lib-3/Operator.js
+++ b/review/lib-3/Operator.js
@@ -11,7 +11,7 @@
   }
 
   /** Sends a whole configuration until it is acknowledged, as the pages say: the same again, to the next process. */
-  async put (routes, services, version = this.version + 1) {
+  async put (routes, services, version = this.version + 1, limitMs = 20_000) {
     const body = JSON.stringify({
       Version: `r${version}`,
       Routes: routes,
@@ -19,7 +19,7 @@
       Limits: { MaxHeaderBytes: 16384, MaxBodyBytes: 67108864, HeaderTimeout: '3000ms', IdleTimeout: '15000ms' },
       BaseVersion: `r${this.version}`
     })
-    const endMs = performance.now() + 20_000
+    const endMs = performance.now() + limitMs
     this._record('configuration sent', { version })
     while (performance.now() < endMs) {
       const { status } = await this.send('POST', '/api/Config.Put', body)
