Elect one of two simultaneous candidates, and forget a silent leader outside the group

Cause: with one of three members lost, both others must vote for the same candidate. Two whose timeouts end together each ask for votes, get one, and wait for another timeout; until then nothing is decided and no lost voter is replaced. Outside a first election a candidate that granted a pre-vote kept its own request. And a replica outside the group kept the leader that it had heard last for good, and passed operators' calls on to it.

Change: a candidate that is still collecting pre-votes and grants one to a member with a lower id withdraws its own, as in a first election. A replica outside the group forgets a leader after the shortest election timeout.

--- a/src/parts/agreement/Election.ts
+++ b/src/parts/agreement/Election.ts
@@ -27,7 +27,8 @@
   /** Starts an election when the election timeout has passed. */
   public tick (): void {
     const state = this._state
-    if (state.role === 'recovering' || state.nowMs < state.electionDueMs) return
+    if (state.role === 'recovering') return this._forgetSilentLeader()
+    if (state.nowMs < state.electionDueMs) return
     if (state.electionDueMs === 0) return state.resetElectionTimer()
     this._startPreVote()
   }
@@ -44,8 +45,8 @@
   }
 
   /**
-   * Answers a pre-vote request. Two candidates would split the votes, so in a first election a replica puts its own
-   * candidacy off when it grants a pre-vote, and withdraws one that has begun in favour of a member with a lower id.
+   * Answers a pre-vote request. Two candidates would split the votes, so a replica that grants a pre-vote withdraws its
+   * own request for them in favour of a member with a lower id. In a first election it puts its own candidacy off too.
    */
   public onPreVote (from: ReplicaId, message: PreVoteRequest): void {
     const state = this._state
@@ -53,10 +54,10 @@
       message.term > state.term &&
       !this.hasRecentLeader() &&
       this._isUpToDate(message)
-    if (granted && state.isFirstElection && (this._phase === 'idle' || from < state.id)) {
-      if (this._phase === 'preVote') this._phase = 'idle'
-      state.resetElectionTimer()
-    }
+    const isPreferred = granted && from < state.id
+    if (isPreferred && this._phase === 'preVote') this._phase = 'idle'
+    const isPutOff = granted && state.isFirstElection && (isPreferred || this._phase === 'idle')
+    if (isPutOff) state.resetElectionTimer()
     state.send(from, { type: 'preVoteReply', term: granted ? message.term : state.term, granted })
   }
 
@@ -94,6 +95,11 @@
     return lastLeaderContactMs !== undefined && nowMs - lastLeaderContactMs < timing.electionMinMs
   }
 
+  /** A learner takes part in no election, and must not send calls to a leader that is lost. */
+  private _forgetSilentLeader (): void {
+    if (this._state.leader !== undefined && !this.hasRecentLeader()) this._state.setRole('recovering', undefined)
+  }
+
   private _startPreVote (): void {
     const state = this._state
     state.resetElectionTimer()
--- a/src/parts/agreement/FirstElection.test.ts
+++ b/src/parts/agreement/FirstElection.test.ts
@@ -87,3 +87,41 @@
 test('a leader is elected as well while the members with the lowest ids are away', () => {
   for (const seed of SEEDS) expect(electFirstLeader(seed, ['c', 'd', 'e'])?.atMs).toBeLessThanOrEqual(800)
 })
+
+/** Timing without the order of a first election. */
+function makeFollower (id: string): Replica {
+  const snapshot = { index: 0, term: 0, members: ['a', 'b', 'c'], data: new Uint8Array(0) }
+  const recovered = { hard: { term: 3, votedFor: undefined }, snapshot, entries: [] }
+  const { firstElectionMs, ...timing } = TIMING
+  return new Replica({ id, random: new SeededRandom(1), recovered, timing })
+}
+
+/** Types of the messages that a replica sends in answer to two granted pre-votes, after a request of another one. */
+function answerPreVotes (id: string, other: string): string[] {
+  const replica = makeFollower(id)
+  for (let nowMs = 0; replica.view.role !== 'candidate'; nowMs += TICK_MS) replica.step({ type: 'tick' }, nowMs)
+  const request: AgreementMessage = { type: 'preVote', term: 4, lastIndex: 0, lastTerm: 0 }
+  replica.step({ type: 'message', from: other, message: request }, 1000)
+  const granted: AgreementMessage = { type: 'preVoteReply', term: 4, granted: true }
+  const actions = replica.step({ type: 'message', from: other, message: granted }, 1000)
+  return actions.map(({ type }) => type)
+}
+
+// With one of three members lost both others must vote for the same candidate; two candidates cost another timeout.
+test('of two candidates at the same time the one with the higher id withdraws, and the other one asks for votes', () => {
+  expect(answerPreVotes('b', 'a')).toEqual([])
+  expect(answerPreVotes('a', 'b')).toContain('persist')
+})
+
+// A learner must not pass calls on to a leader that is lost.
+test('a replica outside the group forgets a leader that falls silent', () => {
+  const replica = makeFollower('d')
+  const heartbeat: AgreementMessage = {
+    type: 'append', term: 3, prevIndex: 0, prevTerm: 0, entries: [], commit: 0, round: 1, sentAtMs: 0
+  }
+  replica.step({ type: 'message', from: 'a', message: heartbeat }, 1000)
+  replica.step({ type: 'tick' }, 1450)
+  expect(replica.view.leader).toBe('a')
+  replica.step({ type: 'tick' }, 1500)
+  expect(replica.view).toMatchObject({ role: 'recovering', leader: undefined })
+})
