Replace a hung voter before the next one may be lost, from a successor that holds the log

Cause: a new leader took nobody for silent before it had led for a second, and counted silence only from when it had given the former leader up, until that was 1.5 s. So a hung leader was replaced after about 2.3 s and a hung follower after about 1.7 s, and the successor held nothing before it was added. A second loss by then left one of three voters.

Change: silence counts from the last frame of the former leader, whose loss the election shows, once it has left the new one unanswered for two heartbeats; of the others it counts as before. 0.7 s of it are enough. The decision moved from VoterHost to the part VoterContact. A single successor that asks to join gets the log as a learner without a vote, and is added once it has answered after the change was asked for: one that has just ended would stand against the others. The leader logs a voter that falls silent, and a voter that finds no leader logs whom it misses and shows them in sassafras_control_silent_voters.

VoterReplacement.test.ts now plays VoterContact in place of a model of its own; its new tests fail with 1.5 s of silence, and with a second unanswered.

--- a/src/control/ReplicaHost.ts
+++ b/src/control/ReplicaHost.ts
@@ -173,6 +173,14 @@
     return this._submit(id => ({ type: 'changeMembers', id, members }))
   }
 
+  /**
+   * Sends the log to replicas outside the group while this replica leads, in place of those that were named before.
+   * @param learners Replicas that are to receive the log.
+   */
+  public setLearners (learners: readonly ReplicaId[]): void {
+    this._enqueue({ type: 'setLearners', learners })
+  }
+
   /**
    * At the leader, resolves to an index that covers everything committed before this call, once a quorum has confirmed
    * the leader. Resolves to undefined when that fails and at other replicas.
--- a/src/parts/agreement/MembershipChange.ts
+++ b/src/parts/agreement/MembershipChange.ts
@@ -14,10 +14,14 @@
 /**
  * Raft membership changes, one replica at a time. A change takes effect when its entry is appended; it is accepted
  * only after the previous change and an entry of the leader's term are committed. A new replica first catches up as a
- * non-voting follower.
+ * non-voting follower; a learner has done so before.
+ *
+ * Memory: one addition, and the ids of the learners.
  */
 export class MembershipChange {
   private _addition: PendingAddition | undefined
+  /** Replicas outside the group that receive the log while this replica leads. */
+  private _learners: readonly ReplicaId[] = []
 
   /**
    * @param _state State shared by the modules of the replica.
@@ -27,7 +31,23 @@
     private readonly _state: ReplicaState,
     private readonly _replication: Replication
   ) {
-    _state.onSteppedDown(() => this._abandonAddition())
+    _state.onSteppedDown(() => {
+      this._learners = []
+      this._abandonAddition()
+    })
+  }
+
+  /**
+   * Sends the log to replicas outside the group, in place of those that were named before, so that they have caught up
+   * when they are added. They count towards no quorum. Has no effect at other replicas than the leader.
+   * @param learners Replicas that are to receive the log.
+   */
+  public setLearners (learners: readonly ReplicaId[]): void {
+    if (this._state.role !== 'leader') return
+    const former = this._learners
+    this._learners = learners
+    former.forEach(replica => this._release(replica))
+    learners.forEach(replica => this._replication.addFollower(replica))
   }
 
   /**
@@ -71,17 +91,19 @@
     if (nowMs - sinceMs >= catchUpTimeoutMs || nowMs - contactMs >= catchUpSilenceMs) this._abandonAddition()
   }
 
-  private _hasCaughtUp ({ replica }: PendingAddition): boolean {
+  /** A learner may have ended since it caught up, and the vote of a lost replica would stand against the others. */
+  private _hasCaughtUp ({ replica, sinceMs }: PendingAddition): boolean {
     const { log, limits } = this._state
     const match = this._replication.matchIndex(replica)
-    return match > 0 && match + limits.catchUpSlackEntries >= log.lastIndex
+    const hasAnswered = this._replication.lastContactMs(replica) >= sinceMs
+    return hasAnswered && match > 0 && match + limits.catchUpSlackEntries >= log.lastIndex
   }
 
   private _append (id: number, members: readonly ReplicaId[]): void {
     const before = this._state.log.members
     this._replication.append('members', encodeMembers(members), id)
     members.forEach(member => this._replication.addFollower(member))
-    before.filter(member => !members.includes(member)).forEach(member => this._replication.removeFollower(member))
+    before.forEach(member => this._release(member))
   }
 
   private _acceptsChange (): boolean {
@@ -93,7 +115,13 @@
     const addition = this._addition
     if (addition === undefined) return
     this._addition = undefined
-    if (!this._state.log.members.includes(addition.replica)) this._replication.removeFollower(addition.replica)
+    this._release(addition.replica)
     this._state.reject(addition.id, 'not-run')
   }
+
+  /** Stops replicating to a replica that is no member, is not being added and is no learner. */
+  private _release (replica: ReplicaId): void {
+    const isFollower = this._state.log.members.includes(replica) || this._learners.includes(replica)
+    if (!isFollower && this._addition?.replica !== replica) this._replication.removeFollower(replica)
+  }
 }
--- a/src/parts/agreement/Replica.ts
+++ b/src/parts/agreement/Replica.ts
@@ -67,6 +67,7 @@
     read: event => this._reads.read(event.id),
     persisted: event => this._onPersisted(event.sequence),
     changeMembers: event => this._membershipChange.change(event.id, event.members),
+    setLearners: event => this._membershipChange.setLearners(event.learners),
     resign: () => this._resign(),
     form: event => this._form(event.members),
     snapshotTaken: event => this._snapshotTaken(event.index, event.data)
--- a/src/parts/agreement/Types.ts
+++ b/src/parts/agreement/Types.ts
@@ -40,6 +40,8 @@
   /** All `persist` actions up to this sequence number are synced. */
   | { readonly type: 'persisted', readonly sequence: number }
   | { readonly type: 'changeMembers', readonly id: number, readonly members: readonly ReplicaId[] }
+  /** Replicas outside the group that receive the log from now on while this replica leads, in place of earlier ones. */
+  | { readonly type: 'setLearners', readonly learners: readonly ReplicaId[] }
   /** The host can't store what this replica decides: a leader steps down, unless the group has no other member. */
   | { readonly type: 'resign' }
   /** Forms a group with these members; ignored by a replica that belongs to a group or is damaged. */
--- a/src/parts/agreement/VoterPlanner.test.ts
+++ b/src/parts/agreement/VoterPlanner.test.ts
@@ -124,3 +124,14 @@
   expect(plan.nextChange(makeView([A, B, C], [], [C]), 1)).toMatchObject({ members: [A, B, C, D], reason: 'gone' })
   expect(plan.nextChange(makeView([A, B, C, D], [B], [C]), 1)).toMatchObject({ members: [A, B, D], reason: 'gone' })
 })
+
+// A ready successor that held nothing had to be sent the whole state after the loss.
+test('a single replica that asks to join learns the log, and none does beside spare voters', () => {
+  const plan = new VoterPlanner(3)
+  expect(plan.learners([A, B, C], 1)).toEqual([])
+  plan.recordJoinRequest(D, 0)
+  expect(plan.learners([A, B, C], 1)).toEqual([D])
+  expect(plan.learners([A, B, C, E], 1)).toEqual([])
+  expect(plan.learners([A, B, D], 1)).toEqual([])
+  expect(plan.learners([A, B, C], 5000)).toEqual([])
+})
--- a/src/parts/agreement/VoterPlanner.ts
+++ b/src/parts/agreement/VoterPlanner.ts
@@ -5,11 +5,11 @@
 const REQUEST_TTL_MS = 1500
 
 /**
- * Silence in milliseconds after which a voter may be replaced. The group must have replaced a lost voter within the
- * shortest time after which another one may be lost, 4 s after the start of the replacement, although the lost one may
- * have been the leader.
+ * Silence in milliseconds after which a voter is replaced: seven heartbeats, so that neither a packet that is sent
+ * twice nor a short pause counts. Until the change that follows is committed, the loss of one more voter than the group
+ * tolerates leaves no quorum; a wrong verdict costs two changes.
  */
-export const REPLACE_SILENT_AFTER_MS = 1500
+export const REPLACE_SILENT_AFTER_MS = 700
 
 /**
  * Voters beyond the number that the tolerated losses require, from ready spares: with two, one more voter may be lost
@@ -18,13 +18,16 @@
  */
 const SPARE_VOTERS = 2
 
+/** Most replicas outside the group that receive its log. From two ready spares on, spares vote. */
+const MAX_LEARNERS = 1
+
 /** The group as its leader sees it. */
 export interface GroupView {
   readonly self: ReplicaId
   readonly members: readonly ReplicaId[]
   /** Returns whether the process of a member has surely ended: it refuses connections, and nothing is heard of it. */
   isGone (member: ReplicaId): boolean
-  /** Milliseconds since the last message from a member; infinite if there was none. */
+  /** Milliseconds for which a member has been silent although it should have answered; 0 if that can't be told. */
   silenceMs (member: ReplicaId): number
 }
 
@@ -102,6 +105,16 @@
     this._leaveRequests.set(replica, nowMs)
   }
 
+  /**
+   * Returns the replicas outside the group that are to receive its log already, so that a change that adds one of them
+   * does not wait for it to catch up. A group with more voters than it needs has none: it removes a voter that is lost.
+   * @param members Members of the group.
+   * @param nowMs Monotonic time in milliseconds.
+   */
+  public learners (members: readonly ReplicaId[], nowMs: number): readonly ReplicaId[] {
+    return members.length > this._requiredVoters ? [] : this._pendingJoiners(members, nowMs).slice(0, MAX_LEARNERS)
+  }
+
   /**
    * Returns whether a voter that is about to stop will be removed: a replacement asks to join, or the group has more
    * voters than it needs.
--- a/src/parts/agreement/VoterReplacement.test.ts
+++ b/src/parts/agreement/VoterReplacement.test.ts
@@ -1,6 +1,7 @@
 import fc from 'fast-check'
 import { expect, test } from 'vitest'
 import { quorumSize } from './Members.js'
+import { VoterContact } from './VoterContact.js'
 import { VoterPlanner } from './VoterPlanner.js'
 
 const TICK_MS = 100
@@ -13,8 +14,8 @@
 const START_MS = 800
 const ELECTION_MS = 1000
 
-/** Time for which a leader must lead before it takes a voter for silent, in milliseconds. */
-const SETTLED_MS = 1000
+/** Time from the loss of a voter, which may lead, until its successor has its vote, in milliseconds. */
+const REPLACED_MS = ELECTION_MS + 500
 
 /** One replacement: times are in milliseconds. */
 interface Replacement {
@@ -37,6 +38,7 @@
 interface Machine {
   readonly id: string
   readonly startedMs: number
+  readonly contact: VoterContact
   endedMs: number
   isLeaving: boolean
 }
@@ -49,7 +51,6 @@
   private _nowMs = 0
   private _leader: Machine
   private _leaderSinceMs = -Infinity
-  private _silenceFromMs = -Infinity
 
   public constructor (size: number) {
     this._planner = new VoterPlanner(size)
@@ -63,7 +64,9 @@
   }
 
   public start (atMs = this._nowMs): void {
-    this._machines.push({ id: `m${this._machines.length}:1~1`, startedMs: atMs, endedMs: Infinity, isLeaving: false })
+    const contact = new VoterContact(atMs)
+    const id = `m${this._machines.length}:1~1`
+    this._machines.push({ id, contact, startedMs: atMs, endedMs: Infinity, isLeaving: false })
   }
 
   public remove (pick: number, isPlanned: boolean): Machine {
@@ -98,21 +101,31 @@
   private _tick (): void {
     this._elect()
     for (const machine of this._machines) if (this._isRunning(machine)) this._ask(machine)
+    this._exchangeFrames()
     if (this._leaderSinceMs > this._nowMs || this.spareVotes < 0) return
-    const isSettled = this._nowMs - this._leaderSinceMs >= SETTLED_MS
-    const silenceMs = (member: string): number => {
-      const { endedMs } = this._machines.find(({ id }) => id === member)!
-      return isSettled && endedMs <= this._nowMs ? this._nowMs - Math.max(endedMs, this._silenceFromMs) : 0
-    }
+    const { id: self, contact } = this._leader
+    const silenceMs = (member: string): number => contact.silenceMs(member, this._nowMs)
     // A machine that is removed without a process that refuses connections only falls silent.
-    const view = { self: this._leader.id, members: this._members, isGone: () => false, silenceMs }
+    const view = { self, members: this._members, isGone: () => false, silenceMs }
     const change = this._planner.nextChange(view, this._nowMs)
     if (change !== undefined) this._members = change.members
   }
 
+  /** Followers hear the leader, and the leader hears its followers; during an election nobody is heard. */
+  private _exchangeFrames (): void {
+    const isLed = this._leaderSinceMs <= this._nowMs
+    const running = this._machines.filter(machine => this._isRunning(machine))
+    for (const machine of running) {
+      const isLeader = isLed && machine === this._leader
+      const heard = isLeader ? running : [this._leader]
+      const nowMs = this._nowMs
+      if (isLed) heard.forEach(({ id }) => machine.contact.recordFrame(id, nowMs))
+      machine.contact.check(machine.id, isLeader ? 'leader' : 'follower', isLed ? this._leader.id : undefined, nowMs)
+    }
+  }
+
   private _elect (): void {
     if (this._isRunning(this._leader) && this.isMember(this._leader)) return
-    this._silenceFromMs = this._nowMs
     this._leaderSinceMs = this._nowMs + ELECTION_MS
     this._leader = this._machines.find(machine => this._isRunning(machine) && this.isMember(machine))!
   }
@@ -174,3 +187,23 @@
     }), { seed: 3, numRuns: 300 })
   })
 }
+
+for (const size of [3, 5]) {
+  // A hung voter was replaced too late for the next loss, although a successor had been ready for longer than CatchUp.
+  test(`a group of ${size} with a ready successor bears its losses again ${REPLACED_MS} ms after a voter was lost`, () => {
+    const lossCount = (size + 1) / 2
+    const lost = fc.array(fc.nat({ max: 6 }), { minLength: lossCount, maxLength: lossCount })
+    fc.assert(fc.property(lost, fc.nat({ max: 30 }), ([first, ...others], pause) => {
+      const group = new Group(size)
+      group.runUntil(() => group.nowMs >= 3000)
+      group.start()
+      group.runUntil(() => group.nowMs >= 3000 + CATCH_UP_MS)
+      const removed = group.remove(first!, false)
+      const lostMs = group.nowMs
+      group.runUntil(() => group.nowMs >= lostMs + REPLACED_MS + pause * TICK_MS)
+      expect(group.isMember(removed)).toBe(false)
+      others.forEach(pick => group.remove(pick, false))
+      expect(group.spareVotes).toBe(0)
+    }), { seed: 3, numRuns: 300 })
+  })
+}
--- a/src/routecontrol/Constants.ts
+++ b/src/routecontrol/Constants.ts
@@ -37,15 +37,6 @@
 /** Interval at which a replica outside the group or without a leader asks to join, in milliseconds. */
 export const JOIN_INTERVAL_MS = 300
 
-/** Delay of a membership check above which this process counts as having been paused, in milliseconds. */
-export const PAUSE_MS = 500
-
-/**
- * Time for which a replica must lead before it takes a voter for silent, in milliseconds: connections that broke with
- * the former leader are open again by then.
- */
-export const SETTLED_LEADER_MS = 1000
-
 /**
  * Time for which a voter must refuse connections and stay unheard until it counts as gone, in milliseconds: some
  * reconnect attempts, and shorter than an election.
--- a/src/routecontrol/RouteControlDaemon.ts
+++ b/src/routecontrol/RouteControlDaemon.ts
@@ -36,7 +36,7 @@
 export interface ControlGauges {
   readonly isLeader: boolean
   readonly isVoter: boolean
-  /** Voters that the leader has not heard for some time; 0 at other replicas. */
+  /** Voters that the leader, or a voter without a leader, has not heard for some time; 0 at other replicas. */
   readonly silentVoters: number
   readonly term: number
   readonly commitIndex: number
--- a/src/routecontrol/RouteControlMetrics.ts
+++ b/src/routecontrol/RouteControlMetrics.ts
@@ -33,7 +33,7 @@
     const definitions: ReadonlyArray<readonly [string, string, (gauges: ControlGauges) => number]> = [
       ['sassafras_control_leads', '1 while this replica leads', ({ isLeader }) => Number(isLeader)],
       ['sassafras_control_votes', '1 while this replica is a voter', ({ isVoter }) => Number(isVoter)],
-      ['sassafras_control_silent_voters', 'Voters that the leader does not hear', ({ silentVoters }) => silentVoters],
+      ['sassafras_control_silent_voters', 'Voters that the leader, or a voter without a leader, does not hear', ({ silentVoters }) => silentVoters],
       ['sassafras_control_term', 'Term of the group', ({ term }) => term],
       ['sassafras_control_commit_index', 'Entries committed', ({ commitIndex }) => commitIndex],
       ['sassafras_control_members', 'Voters of the group', ({ members }) => members],
--- a/src/routecontrol/RoutingReplica.ts
+++ b/src/routecontrol/RoutingReplica.ts
@@ -333,7 +333,7 @@
     if (this.corruptions.length === 0) await this._voters.leave(limitMs)
   }
 
-  /** Voters that the leader has not heard for some time; 0 at other replicas. */
+  /** Voters that the leader, or a voter without a leader, has not heard for some time; 0 at other replicas. */
   public get silentVoters (): number {
     return this._voters.silentVoters
   }
@@ -412,6 +412,7 @@
       get isExcluded () { return isExcluded() },
       formGroup: members => this._host.formGroup(members),
       changeMembers: members => this._host.changeMembers(members),
+      setLearners: learners => this._host.setLearners(learners),
       refusedMs: replica => this._links.refusedMs(replica),
       connect: address => this._connect(address),
       send: (to, frame) => this._links.send(to, frame),
--- a/src/routecontrol/VoterHost.ts
+++ b/src/routecontrol/VoterHost.ts
@@ -1,12 +1,13 @@
 import type { ProposalOutcome } from '../control/ReplicaHost.js'
 import type { ReplicaToReplica } from '../control/Types.js'
 import type { ReplicaView } from '../parts/agreement/Replica.js'
+import { quorumSize } from '../parts/agreement/Members.js'
+import { VoterContact } from '../parts/agreement/VoterContact.js'
 import { REPLACE_SILENT_AFTER_MS, type VoterChange, VoterPlanner } from '../parts/agreement/VoterPlanner.js'
 import type { ReplicaId } from '../parts/Types.js'
 import type { Clock, Disposable, Log } from '../runtime/Types.js'
 import {
-  GONE_AFTER_MS, JOIN_INTERVAL_MS, LEADERLESS_JOIN_MS, LEAVE_INTERVAL_MS, LEAVE_REPLY_TIMEOUT_MS, MEMBERSHIP_TICK_MS,
-  PAUSE_MS, SETTLED_LEADER_MS
+  GONE_AFTER_MS, JOIN_INTERVAL_MS, LEADERLESS_JOIN_MS, LEAVE_INTERVAL_MS, LEAVE_REPLY_TIMEOUT_MS, MEMBERSHIP_TICK_MS
 } from './Constants.js'
 import type { LeaveState } from './Types.js'
 
@@ -17,6 +18,8 @@
   /** True when a member has named other members although this replica takes itself for one. */
   readonly isExcluded: boolean
   changeMembers (members: readonly ReplicaId[]): Promise<ProposalOutcome<unknown>>
+  /** Sends the log to replicas outside the group while this replica leads. */
+  setLearners (learners: readonly ReplicaId[]): void
   /** For how long nothing has listened at the address of a replica, in milliseconds; 0 when that is not known. */
   refusedMs (replica: ReplicaId): number
   /** Sends a frame to another replica; it may be dropped. */
@@ -32,20 +35,16 @@
  * Keeps the voters of the group those that it needs: at the leader by changes of the members, elsewhere by asking to
  * join. A replica that stops for good asks to leave first, so that its vote ends before its process does.
  *
- * Memory: the time of the last frame of each replica.
+ * Memory: the time of the last frame of each replica, and the silent voters.
  */
 export class VoterHost implements Disposable {
   private readonly _planner: VoterPlanner
-  private readonly _lastReceivedMs = new Map<ReplicaId, number>()
+  private readonly _contact: VoterContact
   private _timer: NodeJS.Timeout | undefined
-  private _tickedMs: number
   private _askedToJoinMs = -Infinity
-  /** When a leader was last known. */
-  private _leaderKnownMs: number
-  /** Since when this replica leads; undefined while it doesn't. */
-  private _leadsSinceMs: number | undefined
-  /** Time before which silence of a member says nothing about it. */
-  private _silenceFromMs: number
+  /** Silent voters that have been logged. */
+  private _loggedSilent: readonly ReplicaId[] = []
+  private _isLeaderlessLogged = false
   private _isChanging = false
   private _isLeaving = false
   private _receiveLeaveState: (state: LeaveState) => void = () => {}
@@ -60,7 +59,7 @@
     private readonly _log: Log
   ) {
     this._planner = new VoterPlanner(2 * toleratedLosses + 1)
-    this._leaderKnownMs = this._tickedMs = this._silenceFromMs = _clock.nowMs()
+    this._contact = new VoterContact(_clock.nowMs())
   }
 
   /** Starts the checks. */
@@ -70,19 +69,20 @@
 
   /** True when no leader has been known for longer than elections take. */
   public get isLeaderless (): boolean {
-    return this._clock.nowMs() - this._leaderKnownMs > LEADERLESS_JOIN_MS
+    return this._contact.leaderlessMs(this._clock.nowMs()) > LEADERLESS_JOIN_MS
   }
 
-  /** Voters that the leader has not heard for longer than it takes to be replaced; 0 at other replicas. */
+  /**
+   * Voters that the leader has not heard for longer than it takes to be replaced, or that a voter has not heard which
+   * has known no leader for longer than elections take; 0 at other replicas.
+   */
   public get silentVoters (): number {
-    const nowMs = this._clock.nowMs()
-    if (this._leadsSinceMs === undefined) return 0
-    return this._group.view.members.filter(member => this._isSilent(member, nowMs)).length
+    return this._silentVoters().length
   }
 
   /** Records that a frame was received from a replica. */
   public recordFrame (from: ReplicaId): void {
-    this._lastReceivedMs.set(from, this._clock.nowMs())
+    this._contact.recordFrame(from, this._clock.nowMs())
   }
 
   /** Records that a replica asks to join the group. */
@@ -185,24 +185,45 @@
 
   private _check (): void {
     const nowMs = this._clock.nowMs()
-    // While this process was paused, it has heard nobody.
-    if (nowMs - this._tickedMs > PAUSE_MS) this._silenceFromMs = nowMs
-    this._tickedMs = nowMs
-    this._trackLeader(nowMs)
-    if (this._leadsSinceMs !== undefined) return this._adjust()
+    const { role, leader } = this._group.view
+    this._contact.check(this._group.id, role, leader, nowMs)
+    this._logSilence()
+    if (this._contact.isLeading) {
+      this._group.setLearners(this._planner.learners(this._group.view.members, nowMs))
+      return this._adjust()
+    }
     const isOutside = !this._isMember || this._group.isExcluded || this.isLeaderless
     if (isOutside && nowMs - this._askedToJoinMs >= JOIN_INTERVAL_MS) this._askToJoin()
   }
 
-  /** Members send to their leader only, so a new leader can have heard nothing of them before the last one was lost. */
-  private _trackLeader (nowMs: number): void {
-    const { role, leader } = this._group.view
-    if (role !== 'leader') this._leadsSinceMs = undefined
-    else if (this._leadsSinceMs === undefined) {
-      this._leadsSinceMs = nowMs
-      this._silenceFromMs = Math.max(this._silenceFromMs, this._leaderKnownMs)
+  private _silentVoters (): ReplicaId[] {
+    const nowMs = this._clock.nowMs()
+    const { id, view: { members } } = this._group
+    const others = members.filter(member => member !== id)
+    if (this._contact.isLeading) {
+      return others.filter(member => this._contact.silenceMs(member, nowMs) > REPLACE_SILENT_AFTER_MS)
     }
-    if (leader !== undefined) this._leaderKnownMs = nowMs
+    if (!this.isLeaderless || !this._isMember) return []
+    return others.filter(member => this._contact.unheardMs(member, nowMs) > LEADERLESS_JOIN_MS)
+  }
+
+  /** Logs each voter that falls silent, and once that a voter can't find a leader. */
+  private _logSilence (): void {
+    const { members } = this._group.view
+    const silent = this._silentVoters()
+    const isLeading = this._contact.isLeading
+    const fallen = isLeading ? silent.filter(voter => !this._loggedSilent.includes(voter)) : []
+    for (const voter of fallen) {
+      const silenceMs = Math.round(this._contact.silenceMs(voter, this._clock.nowMs()))
+      this._log.warn({ voter, silenceMs, members }, 'voter is silent')
+    }
+    this._loggedSilent = isLeading ? silent : []
+    const isLost = !isLeading && this._isMember && this.isLeaderless
+    if (isLost && !this._isLeaderlessLogged) {
+      const quorum = quorumSize(members)
+      this._log.warn({ members, silent, heard: members.length - silent.length, quorum }, 'no leader is found')
+    }
+    this._isLeaderlessLogged = isLost
   }
 
   private _askToJoin (): void {
@@ -215,31 +236,22 @@
     if (this._isChanging || this._timer === undefined || this._group.view.role !== 'leader') return
     const nowMs = this._clock.nowMs()
     const { id: self, view: { members } } = this._group
-    const silenceMs = (member: ReplicaId): number => this._silenceMs(member, nowMs)
+    const silenceMs = (member: ReplicaId): number => this._contact.silenceMs(member, nowMs)
     const isGone = (member: ReplicaId): boolean => this._isGone(member, nowMs)
     const change = this._planner.nextChange({ self, members, isGone, silenceMs }, nowMs)
     if (change !== undefined) this._changeMembers(change)
   }
 
-  private _silenceMs (member: ReplicaId, nowMs: number): number {
-    const isSettled = this._leadsSinceMs !== undefined && nowMs - this._leadsSinceMs >= SETTLED_LEADER_MS
-    return isSettled ? nowMs - Math.max(this._lastReceivedMs.get(member) ?? -Infinity, this._silenceFromMs) : 0
-  }
-
   /** A process that refuses connections may still be ending, so nothing must have been heard of it either. */
   private _isGone (member: ReplicaId, nowMs: number): boolean {
-    const unheardMs = nowMs - (this._lastReceivedMs.get(member) ?? -Infinity)
-    return Math.min(this._group.refusedMs(member), unheardMs) >= GONE_AFTER_MS
-  }
-
-  private _isSilent (member: ReplicaId, nowMs: number): boolean {
-    return member !== this._group.id && this._silenceMs(member, nowMs) > REPLACE_SILENT_AFTER_MS
+    return Math.min(this._group.refusedMs(member), this._contact.unheardMs(member, nowMs)) >= GONE_AFTER_MS
   }
 
   private _changeMembers (change: VoterChange): void {
     const { members, reason, replica, replaced } = change
     const before = this._group.view.members
-    const silenceMs = replaced === undefined ? undefined : Math.round(this._silenceMs(replaced, this._clock.nowMs()))
+    const nowMs = this._clock.nowMs()
+    const silenceMs = replaced === undefined ? undefined : Math.round(this._contact.silenceMs(replaced, nowMs))
     const refusedMs = replaced === undefined ? undefined : Math.round(this._group.refusedMs(replaced))
     this._isChanging = true
     this._log.info({ reason, replica, replaced, silenceMs, refusedMs, before, members }, 'changing the members')
