--- /dev/null
+++ b/test/support/VirtualGroup.ts
@@ -0,0 +1,270 @@
+import { vi } from 'vitest'
+import type { ProposalOutcome } from '../../src/control/ReplicaHost.js'
+import type { ReplicaToReplica } from '../../src/control/Types.js'
+import { EMPTY_RECOVERED_STATE } from '../../src/parts/agreement/Constants.js'
+import { makeReplicaId, replicaName } from '../../src/parts/agreement/GroupFormation.js'
+import { Replica } from '../../src/parts/agreement/Replica.js'
+import type { AgreementAction, AgreementEvent, RecoveredState } from '../../src/parts/agreement/Types.js'
+import { SeededRandom } from '../../src/parts/SeededRandom.js'
+import { GROUP_TICK_MS, GROUP_TIMING } from '../../src/routecontrol/Constants.js'
+import { type VoterGroup, VoterHost } from '../../src/routecontrol/VoterHost.js'
+import type { Log } from '../../src/runtime/Types.js'
+
+/** Longest delay of a message and of a sync, in milliseconds. */
+const MAX_DELAY_MS = 8
+
+/** Time from the end of a process to its start with an empty disk, in milliseconds. */
+const RESTART_MS = 600
+
+/** Interval of an operator's changes, in milliseconds. */
+const CHANGE_INTERVAL_MS = 50
+
+/** How a machine is lost. */
+export type LossKind = 'hangs' | 'is killed' | 'loses its disk'
+
+type Settle = (outcome: ProposalOutcome<unknown>) => void
+
+/** Handlers of the actions that have an effect here; no snapshot is taken. */
+type ActionHandlers = {
+  readonly [Type in AgreementAction['type']]?:
+  (control: VirtualControl, action: Extract<AgreementAction, { type: Type }>) => void
+}
+
+type ActionHandler = (control: VirtualControl, action: AgreementAction) => void
+
+const SILENT_LOG: Log = { debug () {}, info () {}, warn () {}, error () {} } as unknown as Log
+
+/** A control process: its replica, the host of its votes and what it has applied. */
+class VirtualControl {
+  public readonly id: string
+  public readonly replica: Replica
+  public readonly voters: VoterHost
+  /** Numbers of the changes in the log, as committed here. */
+  public readonly applied: number[] = []
+  public isRunning = true
+  /** When its process ended and its address began to refuse connections; undefined while it runs or hangs. */
+  public endedMs: number | undefined
+  /** Members that another replica named last. */
+  public noticed: readonly string[] = []
+  public readonly settles = new Map<number, Settle>()
+
+  public constructor (public readonly name: string, disk: number, group: VirtualGroup, recovered: RecoveredState) {
+    this.id = makeReplicaId(name, String(disk))
+    this.replica = new Replica({ id: this.id, random: group.random, recovered, timing: GROUP_TIMING })
+    const clock = { nowMs: () => group.nowMs, wallMs: () => group.nowMs }
+    this.voters = new VoterHost(this._makePort(group), 1, clock, SILENT_LOG)
+    this.voters.start()
+  }
+
+  private _makePort (group: VirtualGroup): VoterGroup {
+    const { replica, id } = this
+    const isExcluded = (): boolean => {
+      return replica.view.leader === undefined && this.noticed.length > 0 && !this.noticed.includes(id)
+    }
+    return {
+      id,
+      get view () { return replica.view },
+      get isExcluded () { return isExcluded() },
+      changeMembers: members => new Promise(resolve => {
+        group.request(this, resolve, request => ({ type: 'changeMembers', id: request, members }))
+      }),
+      setLearners: learners => group.step(this, { type: 'setLearners', learners }),
+      refusedMs: other => group.refusedMs(other),
+      send: (to, frame) => group.send(this, replicaName(to), frame),
+      broadcast: frame => group.broadcast(this, frame)
+    }
+  }
+}
+
+/**
+ * A control group in virtual time: the replicas and the hosts of their votes as they run, over a simulated network and
+ * disks, with an operator that makes a change every 50 ms. A machine that hangs stays hung. Needs fake timers.
+ */
+export class VirtualGroup {
+  public readonly random: SeededRandom
+  public nowMs = 0
+  /** Broken promises, in plain text. */
+  public readonly problems: string[] = []
+  /** Numbers of the changes that were acknowledged. */
+  public readonly acknowledged = new Set<number>()
+  private readonly _controls: VirtualControl[] = []
+  private readonly _leaders = new Map<number, string>()
+  private readonly _due = new Map<number, Array<() => void>>()
+  private _disks = 0
+  private _changes = 0
+  private _requests = 0
+  private _hasSettled = false
+
+  private readonly _handlers: ActionHandlers = {
+    send: (control, { to, message }) => {
+      this.send(control, replicaName(to), { type: 'agreement', to, message })
+    },
+    persist: (control, { sequence }) => {
+      this._schedule(this._delayMs(), () => this.step(control, { type: 'persisted', sequence }))
+    },
+    commit: (control, { entry: { kind, data }, id }) => {
+      if (kind === 'command') control.applied.push(data[0]! * 256 + data[1]!)
+      if (id !== undefined) this._settle(control, id, { type: 'applied', reply: undefined })
+    },
+    rejected: (control, { id, state }) => this._settle(control, id, { type: 'rejected', state }),
+    became: ({ id }, { role, term }) => {
+      if (role !== 'leader') return
+      const other = this._leaders.get(term)
+      if (other !== undefined && other !== id) this.problems.push(`${other} and ${id} lead term ${term}`)
+      this._leaders.set(term, id)
+    }
+  }
+
+  public constructor (seed: number) {
+    this.random = new SeededRandom(seed)
+    const names = ['a', 'b', 'c']
+    const members = names.map((name, i) => makeReplicaId(name, String(i + 1)))
+    const snapshot = { ...EMPTY_RECOVERED_STATE.snapshot, members }
+    names.forEach(name => this._add(name, { ...EMPTY_RECOVERED_STATE, snapshot }))
+  }
+
+  /** Names of the voters that run, the leader first if there is one. */
+  public get voters (): string[] {
+    const leader = this._leader
+    const running = this._controls.filter(({ isRunning }) => isRunning)
+    const members = (leader ?? running[0])?.replica.view.members ?? []
+    const voters = running.filter(({ id }) => members.includes(id)).map(({ name }) => name)
+    return leader === undefined ? voters : [leader.name, ...voters.filter(name => name !== leader.name)]
+  }
+
+  /** Starts a machine with an empty disk, which asks to join. */
+  public startSuccessor (name: string): void {
+    this._add(name, EMPTY_RECOVERED_STATE)
+  }
+
+  /** Loses a machine that runs. */
+  public lose (name: string, kind: LossKind): void {
+    const control = this._controls.find(candidate => candidate.name === name && candidate.isRunning)!
+    control.isRunning = false
+    control.voters.dispose()
+    if (kind !== 'hangs') control.endedMs = this.nowMs
+    if (kind === 'loses its disk') this._schedule(RESTART_MS, () => this._add(name, EMPTY_RECOVERED_STATE))
+  }
+
+  public async run (durationMs: number): Promise<void> {
+    await this.runUntil(() => false, durationMs)
+  }
+
+  /** Runs until a condition holds; returns false when it does not within the limit. */
+  public async runUntil (isDone: () => boolean, limitMs: number): Promise<boolean> {
+    for (const endMs = this.nowMs + limitMs; this.nowMs < endMs && !isDone();) {
+      this.nowMs++
+      vi.advanceTimersByTime(1)
+      const due = this._due.get(this.nowMs) ?? []
+      this._due.delete(this.nowMs)
+      due.forEach(action => action())
+      if (this.nowMs % CHANGE_INTERVAL_MS === 0) this._change()
+      if (this._hasSettled) await Promise.resolve()
+      this._hasSettled = false
+    }
+    return isDone()
+  }
+
+  /** Runs until a change that is made from now on is acknowledged; returns false when none is within the limit. */
+  public async decides (limitMs: number): Promise<boolean> {
+    const first = this._changes
+    return await this.runUntil(() => [...this.acknowledged].some(change => change > first), limitMs)
+  }
+
+  /** Returns what is wrong: promises broken on the way, and acknowledged changes that the leader lacks. */
+  public check (): string[] {
+    const leader = this._leader
+    const applied = new Set(leader?.applied)
+    const missing = leader === undefined ? [] : [...this.acknowledged].filter(change => !applied.has(change))
+    return [...this.problems, ...missing.map(change => `change ${change} was acknowledged and is lost`)]
+  }
+
+  public dispose (): void {
+    this._controls.forEach(({ voters }) => voters.dispose())
+  }
+
+  public refusedMs (id: string): number {
+    const ended = this._controls.findLast(({ name }) => name === replicaName(id))?.endedMs
+    return ended === undefined ? 0 : this.nowMs - ended
+  }
+
+  public request (control: VirtualControl, settle: Settle, makeEvent: (id: number) => AgreementEvent): void {
+    const id = ++this._requests
+    control.settles.set(id, settle)
+    this.step(control, makeEvent(id))
+  }
+
+  public broadcast (from: VirtualControl, frame: ReplicaToReplica): void {
+    for (const name of new Set(this._controls.map(control => control.name))) {
+      if (name !== from.name) this.send(from, name, frame)
+    }
+  }
+
+  public send (from: VirtualControl, to: string, frame: ReplicaToReplica): void {
+    this._schedule(this._delayMs(), () => {
+      const receiver = this._controls.findLast(({ name }) => name === to)
+      if (receiver?.isRunning === true) this._receive(receiver, from, frame)
+    })
+  }
+
+  public step (control: VirtualControl, event: AgreementEvent): void {
+    if (!control.isRunning) return
+    for (const action of control.replica.step(event, this.nowMs)) this._perform(control, action)
+  }
+
+  private get _leader (): VirtualControl | undefined {
+    const leaders = this._controls.filter(({ isRunning, replica }) => isRunning && replica.view.role === 'leader')
+    return leaders.sort((one, other) => one.replica.view.term - other.replica.view.term).at(-1)
+  }
+
+  private _add (name: string, recovered: RecoveredState): void {
+    const control = new VirtualControl(name, ++this._disks, this, recovered)
+    this._controls.push(control)
+    const tick = (): void => {
+      this.step(control, { type: 'tick' })
+      if (control.isRunning) this._schedule(GROUP_TICK_MS, tick)
+    }
+    this._schedule(this._delayMs(), tick)
+  }
+
+  private _change (): void {
+    const leader = this._leader
+    if (leader === undefined) return
+    const change = ++this._changes
+    const settle: Settle = ({ type }) => { if (type === 'applied') this.acknowledged.add(change) }
+    this.request(leader, settle, id => ({ type: 'propose', id, data: Uint8Array.from([change >> 8, change & 255]) }))
+  }
+
+  private _receive (control: VirtualControl, from: VirtualControl, frame: ReplicaToReplica): void {
+    control.voters.recordFrame(from.id)
+    if (frame.type === 'join') control.voters.recordJoinRequest(frame.replica)
+    if (frame.type === 'formation') control.noticed = frame.notice.members
+    if (frame.type !== 'agreement' || frame.to !== control.id) return
+    this.step(control, { type: 'message', from: from.id, message: frame.message })
+    const { role, members } = control.replica.view
+    if (role !== 'leader' || frame.message.type !== 'preVote' || members.includes(from.id)) return
+    this.send(control, from.name, { type: 'formation', notice: { replica: control.id, members, heard: [] } })
+  }
+
+  private _perform (control: VirtualControl, action: AgreementAction): void {
+    const handler = this._handlers[action.type] as ActionHandler | undefined
+    handler?.(control, action)
+  }
+
+  private _settle (control: VirtualControl, id: number, outcome: ProposalOutcome<unknown>): void {
+    control.settles.get(id)?.(outcome)
+    control.settles.delete(id)
+    this._hasSettled = true
+  }
+
+  private _delayMs (): number {
+    return 1 + Math.floor(MAX_DELAY_MS * this.random.next())
+  }
+
+  private _schedule (delayMs: number, action: () => void): void {
+    const atMs = this.nowMs + delayMs
+    const due = this._due.get(atMs)
+    if (due === undefined) this._due.set(atMs, [action])
+    else due.push(action)
+  }
+}
