Test: split a group in two halves beside a loss, in virtual time

The machines of a split keep running and the operator reaches both sides; a voter that is cut off is replaced and comes back.

--- a/src/routecontrol/VoterHost.test.ts
+++ b/src/routecontrol/VoterHost.test.ts
@@ -123,3 +123,25 @@
     group.dispose()
   }), { seed: 15, numRuns: 100 })
 }, 60_000)
+
+// A voter that is cut off is taken for lost like one that hangs, and comes back.
+test('a split in two halves beside a loss loses nothing, and the group decides after it', async () => {
+  const gapMs = fc.oneof(fc.constantFrom(...EDGES), fc.nat({ max: 3000 }))
+  const splits = fc.record({
+    picks: fc.array(fc.nat({ max: 4 }), { minLength: 1, maxLength: 2 }),
+    lengthMs: fc.nat({ max: 4000 })
+  })
+  const parameters = [fc.nat(), fc.nat({ max: 2 }), splits, loss(gapMs)] as const
+  await fc.assert(fc.asyncProperty(...parameters, async (seed, successors, split, next) => {
+    const group = await play(seed, successors, [])
+    const { running } = group
+    group.split(split.picks.map(pick => running[pick % running.length]!))
+    await group.run(next.gapMs)
+    group.lose(running[next.pick % running.length]!, next.kind)
+    await group.run(split.lengthMs)
+    expect(group.check()).toEqual([])
+    group.split([])
+    await expectKept(group)
+    group.dispose()
+  }), { seed: 16, numRuns: 200 })
+}, 60_000)
--- a/test/support/VirtualGroup.ts
+++ b/test/support/VirtualGroup.ts
@@ -94,6 +94,8 @@
   private _changes = 0
   private _requests = 0
   private _hasSettled = false
+  /** Names of the machines on one side of a split; empty while there is none. */
+  private _half: ReadonlySet<string> = new Set()
 
   private readonly _handlers: ActionHandlers = {
     send: (control, { to, message }) => {
@@ -146,6 +148,16 @@
     if (kind === 'loses its disk') this._schedule(RESTART_MS, () => this._add(name, EMPTY_RECOVERED_STATE))
   }
 
+  /** Splits the machines in two halves, or joins them again when none is named. */
+  public split (half: readonly string[]): void {
+    this._half = new Set(half)
+  }
+
+  /** Names of all machines that run. */
+  public get running (): string[] {
+    return this._controls.filter(({ isRunning }) => isRunning).map(({ name }) => name)
+  }
+
   public async run (durationMs: number): Promise<void> {
     await this.runUntil(() => false, durationMs)
   }
@@ -203,7 +215,8 @@
   public send (from: VirtualControl, to: string, frame: ReplicaToReplica): void {
     this._schedule(this._delayMs(), () => {
       const receiver = this._controls.findLast(({ name }) => name === to)
-      if (receiver?.isRunning === true) this._receive(receiver, from, frame)
+      const isCut = this._half.has(from.name) !== this._half.has(to)
+      if (receiver?.isRunning === true && !isCut) this._receive(receiver, from, frame)
     })
   }
 
@@ -227,12 +240,13 @@
     this._schedule(this._delayMs(), tick)
   }
 
+  /** Asks each replica that takes itself for the leader, as the operator reaches both sides of a split. */
   private _change (): void {
-    const leader = this._leader
-    if (leader === undefined) return
-    const change = ++this._changes
-    const settle: Settle = ({ type }) => { if (type === 'applied') this.acknowledged.add(change) }
-    this.request(leader, settle, id => ({ type: 'propose', id, data: Uint8Array.from([change >> 8, change & 255]) }))
+    for (const leader of this._controls.filter(({ isRunning, replica }) => isRunning && replica.view.role === 'leader')) {
+      const change = ++this._changes
+      const settle: Settle = ({ type }) => { if (type === 'applied') this.acknowledged.add(change) }
+      this.request(leader, settle, id => ({ type: 'propose', id, data: Uint8Array.from([change >> 8, change & 255]) }))
+    }
   }
 
   private _receive (control: VirtualControl, from: VirtualControl, frame: ReplicaToReplica): void {
