--- a/test/support/VirtualGroup.ts
+++ b/test/support/VirtualGroup.ts
@@ -2,11 +2,12 @@
 import type { ProposalOutcome } from '../../src/control/ReplicaHost.js'
 import type { ReplicaToReplica } from '../../src/control/Types.js'
 import { EMPTY_RECOVERED_STATE } from '../../src/parts/agreement/Constants.js'
-import { makeReplicaId, replicaName } from '../../src/parts/agreement/GroupFormation.js'
+import { GroupFormation, makeReplicaId, replicaName } from '../../src/parts/agreement/GroupFormation.js'
 import { Replica } from '../../src/parts/agreement/Replica.js'
-import type { AgreementAction, AgreementEvent, RecoveredState } from '../../src/parts/agreement/Types.js'
+import type { AgreementAction, AgreementEvent } from '../../src/parts/agreement/Types.js'
 import { SeededRandom } from '../../src/parts/SeededRandom.js'
 import { GROUP_TICK_MS, GROUP_TIMING } from '../../src/routecontrol/Constants.js'
+import { FormationHost, type FormingReplica } from '../../src/routecontrol/FormationHost.js'
 import { type VoterGroup, VoterHost } from '../../src/routecontrol/VoterHost.js'
 import type { Log } from '../../src/runtime/Types.js'
 
@@ -19,6 +20,9 @@
 /** Interval of an operator's changes, in milliseconds. */
 const CHANGE_INTERVAL_MS = 50
 
+/** Names of the machines that form the first group. */
+const SEEDS = ['a', 'b', 'c']
+
 /** How a machine is lost. */
 export type LossKind = 'hangs' | 'is killed' | 'loses its disk'
 
@@ -39,30 +43,41 @@
   public readonly id: string
   public readonly replica: Replica
   public readonly voters: VoterHost
+  public readonly formation: FormationHost
   /** Numbers of the changes in the log, as committed here. */
   public readonly applied: number[] = []
   public isRunning = true
   /** When its process ended and its address began to refuse connections; undefined while it runs or hangs. */
   public endedMs: number | undefined
-  /** Members that another replica named last. */
-  public noticed: readonly string[] = []
   public readonly settles = new Map<number, Settle>()
 
-  public constructor (public readonly name: string, disk: number, group: VirtualGroup, recovered: RecoveredState) {
+  public constructor (public readonly name: string, disk: number, group: VirtualGroup, isFirstStart: boolean) {
     this.id = makeReplicaId(name, String(disk))
-    this.replica = new Replica({ id: this.id, random: group.random, recovered, timing: GROUP_TIMING })
+    this.replica = new Replica({
+      id: this.id, random: group.random, recovered: EMPTY_RECOVERED_STATE, timing: GROUP_TIMING
+    })
     const clock = { nowMs: () => group.nowMs, wallMs: () => group.nowMs }
-    this.voters = new VoterHost(this._makePort(group), 1, clock, SILENT_LOG)
+    const port = this._makePort(group)
+    const formation = SEEDS.includes(name) ? new GroupFormation(this.id, SEEDS, !isFirstStart) : undefined
+    this.formation = new FormationHost(port, formation, clock, SILENT_LOG)
+    this.voters = new VoterHost(port, 1, clock, SILENT_LOG)
+    this.formation.start()
     this.voters.start()
   }
 
-  private _makePort (group: VirtualGroup): VoterGroup {
+  public dispose (): void {
+    this.formation.dispose()
+    this.voters.dispose()
+  }
+
+  private _makePort (group: VirtualGroup): VoterGroup & FormingReplica {
     const { replica, id } = this
-    const isExcluded = (): boolean => {
-      return replica.view.leader === undefined && this.noticed.length > 0 && !this.noticed.includes(id)
-    }
+    const isExcluded = (): boolean => this.formation.isExcluded
     return {
       id,
+      isDamaged: false,
+      formGroup: members => group.step(this, { type: 'form', members }),
+      connect: () => {},
       get view () { return replica.view },
       get isExcluded () { return isExcluded() },
       changeMembers: members => new Promise(resolve => {
@@ -77,8 +92,9 @@
 }
 
 /**
- * A control group in virtual time: the replicas and the hosts of their votes as they run, over a simulated network and
- * disks, with an operator that makes a change every 50 ms. A machine that hangs stays hung. Needs fake timers.
+ * A control group in virtual time: the replicas, their first group and the hosts of their votes as they run, over a
+ * simulated network and disks, with an operator that makes a change every 50 ms. A machine that hangs stays hung, and
+ * no process starts again with its disk. Needs fake timers.
  */
 export class VirtualGroup {
   public readonly random: SeededRandom
@@ -119,10 +135,7 @@
 
   public constructor (seed: number) {
     this.random = new SeededRandom(seed)
-    const names = ['a', 'b', 'c']
-    const members = names.map((name, i) => makeReplicaId(name, String(i + 1)))
-    const snapshot = { ...EMPTY_RECOVERED_STATE.snapshot, members }
-    names.forEach(name => this._add(name, { ...EMPTY_RECOVERED_STATE, snapshot }))
+    SEEDS.forEach(name => this._schedule(this._delayMs(), () => this._add(name, true)))
   }
 
   /** Names of the voters that run, the leader first if there is one. */
@@ -136,16 +149,16 @@
 
   /** Starts a machine with an empty disk, which asks to join. */
   public startSuccessor (name: string): void {
-    this._add(name, EMPTY_RECOVERED_STATE)
+    this._add(name, false)
   }
 
   /** Loses a machine that runs. */
   public lose (name: string, kind: LossKind): void {
     const control = this._controls.find(candidate => candidate.name === name && candidate.isRunning)!
     control.isRunning = false
-    control.voters.dispose()
+    control.dispose()
     if (kind !== 'hangs') control.endedMs = this.nowMs
-    if (kind === 'loses its disk') this._schedule(RESTART_MS, () => this._add(name, EMPTY_RECOVERED_STATE))
+    if (kind === 'loses its disk') this._schedule(RESTART_MS, () => this._add(name, false))
   }
 
   /** Splits the machines in two halves, or joins them again when none is named. */
@@ -192,7 +205,7 @@
   }
 
   public dispose (): void {
-    this._controls.forEach(({ voters }) => voters.dispose())
+    this._controls.forEach(control => control.dispose())
   }
 
   public refusedMs (id: string): number {
@@ -230,8 +243,8 @@
     return leaders.sort((one, other) => one.replica.view.term - other.replica.view.term).at(-1)
   }
 
-  private _add (name: string, recovered: RecoveredState): void {
-    const control = new VirtualControl(name, ++this._disks, this, recovered)
+  private _add (name: string, isFirstStart: boolean): void {
+    const control = new VirtualControl(name, ++this._disks, this, isFirstStart)
     this._controls.push(control)
     const tick = (): void => {
       this.step(control, { type: 'tick' })
@@ -251,13 +264,16 @@
 
   private _receive (control: VirtualControl, from: VirtualControl, frame: ReplicaToReplica): void {
     control.voters.recordFrame(from.id)
-    if (frame.type === 'join') control.voters.recordJoinRequest(frame.replica)
-    if (frame.type === 'formation') control.noticed = frame.notice.members
+    if (frame.type === 'join') {
+      control.voters.recordJoinRequest(frame.replica)
+      if (control.replica.view.leader !== undefined) control.formation.notify(from.id)
+    }
+    if (frame.type === 'formation') control.formation.receive(from.id, frame.notice)
     if (frame.type !== 'agreement' || frame.to !== control.id) return
     this.step(control, { type: 'message', from: from.id, message: frame.message })
     const { role, members } = control.replica.view
-    if (role !== 'leader' || frame.message.type !== 'preVote' || members.includes(from.id)) return
-    this.send(control, from.name, { type: 'formation', notice: { replica: control.id, members, heard: [] } })
+    const isFormerMember = frame.message.type === 'preVote' && !members.includes(from.id)
+    if (isFormerMember && role === 'leader') control.formation.notify(from.id)
   }
 
   private _perform (control: VirtualControl, action: AgreementAction): void {
