--- a/src/routecontrol/VoterHost.test.ts
+++ b/src/routecontrol/VoterHost.test.ts
@@ -145,3 +145,29 @@
     group.dispose()
   }), { seed: 16, numRuns: 200 })
 }, 60_000)
+
+/** Lines that were logged, without the fields that depend on times. */
+function linesOf (group: VirtualGroup, message: string): object[] {
+  return group.lines.filter(line => line.message === message).map(({ name, fields }) => {
+    const { silenceMs, ...others } = fields as { readonly silenceMs?: number }
+    return { name, ...others }
+  })
+}
+
+// Neither a silent voter that nobody can replace nor the lack of a quorum could be told from the logs.
+test('the leader logs a voter that falls silent, and the last voter logs that it finds no leader', async () => {
+  const group = await play(1, 0, [])
+  const [leader, ...followers] = group.voters as [string, string, string]
+  const [lost, last] = followers as [string, string]
+  group.lose(lost, 'hangs')
+  await group.run(REACTION_MS)
+  const silent = linesOf(group, 'voter is silent')
+  expect(silent).toMatchObject([{ name: leader, voter: expect.stringMatching(`^${lost}~`) as string }])
+  expect(group.silentVoters(leader)).toBe(1)
+  expect(group.silentVoters(last)).toBe(0)
+  group.lose(leader, 'hangs')
+  await group.run(2 * LEADERLESS_JOIN_MS)
+  expect(linesOf(group, 'no leader is found')).toMatchObject([{ name: last, heard: 1, quorum: 2 }])
+  expect(group.silentVoters(last)).toBe(2)
+  group.dispose()
+})
--- a/test/support/VirtualGroup.ts
+++ b/test/support/VirtualGroup.ts
@@ -36,7 +36,12 @@
 
 type ActionHandler = (control: VirtualControl, action: AgreementAction) => void
 
-const SILENT_LOG: Log = { debug () {}, info () {}, warn () {}, error () {} } as unknown as Log
+/** A line of the log of a process. */
+export interface VirtualLine {
+  readonly name: string
+  readonly message: string
+  readonly fields: object
+}
 
 /** A control process: its replica, the host of its votes and what it has applied. */
 class VirtualControl {
@@ -57,10 +62,12 @@
       id: this.id, random: group.random, recovered: EMPTY_RECOVERED_STATE, timing: GROUP_TIMING
     })
     const clock = { nowMs: () => group.nowMs, wallMs: () => group.nowMs }
+    const add = (fields: object, message: string): void => { group.lines.push({ name, message, fields }) }
+    const log = { debug: add, info: add, warn: add, error: add } as unknown as Log
     const port = this._makePort(group)
     const formation = SEEDS.includes(name) ? new GroupFormation(this.id, SEEDS, !isFirstStart) : undefined
-    this.formation = new FormationHost(port, formation, clock, SILENT_LOG)
-    this.voters = new VoterHost(port, 1, clock, SILENT_LOG)
+    this.formation = new FormationHost(port, formation, clock, log)
+    this.voters = new VoterHost(port, 1, clock, log)
     this.formation.start()
     this.voters.start()
   }
@@ -101,6 +108,8 @@
   public nowMs = 0
   /** Broken promises, in plain text. */
   public readonly problems: string[] = []
+  /** What the processes have logged. */
+  public readonly lines: VirtualLine[] = []
   /** Numbers of the changes that were acknowledged. */
   public readonly acknowledged = new Set<number>()
   private readonly _controls: VirtualControl[] = []
@@ -166,6 +175,11 @@
     this._half = new Set(half)
   }
 
+  /** Voters that a machine counts as silent. */
+  public silentVoters (name: string): number {
+    return this._controls.findLast(control => control.name === name)!.voters.silentVoters
+  }
+
   /** Names of all machines that run. */
   public get running (): string[] {
     return this._controls.filter(({ isRunning }) => isRunning).map(({ name }) => name)
